--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+.DEFAULT_GOAL := help
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+READY := $(VENV)/.ready
+
+.PHONY: help setup test check lint format types demo faults bench run-ci clean
+
+help: ## List the targets
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
+
+$(READY): requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(READY)
+
+setup: $(READY) ## Make the virtual environment from the lock file
+
+test: $(READY) ## Run every test
+	$(PYTHON) -m pytest -n 6
+
+lint: $(READY) ## Lint, check the format
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+
+format: $(READY) ## Rewrite the sources in the house format
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+types: $(READY) ## Check the types strictly
+	$(VENV)/bin/mypy
+
+check: lint types test ## Everything CI checks
+
+demo: $(READY) ## Run both deployments of today on loopback
+	$(PYTHON) -m examples.demo
+
+faults: $(READY) ## Print the fault matrix; fails on a broken cell
+	$(PYTHON) -m bench.faults
+
+bench: $(READY) ## Measure the decisions against baselines and the oracle
+	$(PYTHON) -m bench.main
+
+clean: ## Remove what the targets made
+	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions and costs."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Run the product on one machine."""
--- /dev/null
+++ b/src/oleanderdyke/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Guard one backend server."""
--- /dev/null
+++ b/src/oleanderdyke/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Drive the system from an operator's terminal."""
--- /dev/null
+++ b/src/oleanderdyke/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators at the edge."""
--- /dev/null
+++ b/src/oleanderdyke/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Decide, without sockets, clocks or global randomness."""
--- /dev/null
+++ b/src/oleanderdyke/links/__init__.py
@@ -0,0 +1,1 @@
+"""Carry typed messages between the system's own processes."""
--- /dev/null
+++ b/src/oleanderdyke/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Register the plug-ins that decide by a replaceable policy."""
