Define the settings of an agent

Change: frozen data classes for listening, links, the backend server, drain, streams and cached context. Conclusion: not yet read by a binary.

--- /dev/null
+++ b/src/oleanderdyke/agent/settings.py
@@ -0,0 +1,112 @@
+"""Hold the settings of an agent."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.links.messages import BackendKind
+
+_MEBIBYTE = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """Name the certificate, key and authority for links between processes."""
+
+    certificate: str
+    key: str
+    authority: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class ListenSettings:
+    """Say where an agent takes links; port 0 lets the system choose.
+
+    `advertise` is the address (`ip:port`) that peers dial, where it differs.
+    """
+
+    host: str = '127.0.0.1'
+    port: int = 0
+    advertise: str = ''
+    tls: TlsSettings | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTimes:
+    """Bound the silence that a link between processes may keep."""
+
+    connect_timeout: Millis = 2 * SECOND
+    ping_interval: Millis = SECOND
+    missed_pings: int = 3
+    idle_close: Millis = 30 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class BackendSettings:
+    """Describe the backend server that an agent guards.
+
+    `address` is `ip:port`; `service` names the service, or for a store its
+    configured object. `checks_fencing` says that the engine refuses an order
+    with an old fencing number.
+    """
+
+    kind: BackendKind
+    address: str
+    service: str
+    checks_fencing: bool = False
+    slots: int = 8
+    connect_timeout: Millis = SECOND
+    probe_interval: Millis = 500.0
+    probe_timeout: Millis = 2 * SECOND
+    missed_probes: int = 3
+    body_limit: int = 8 * _MEBIBYTE
+
+
+@dataclass(frozen=True, slots=True)
+class DrainSettings:
+    """Bound a planned stop; `hurry` is left after a second signal."""
+
+    limit: Millis = 10 * MINUTE
+    hurry: Millis = SECOND
+    farewell: Millis = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamSettings:
+    """Bound the answers kept for callers that come back."""
+
+    chunk_size: int = 16 * 1024
+    resume_for: Millis = 30 * SECOND
+    buffer_bytes: int = _MEBIBYTE
+    record_bytes: int = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class CacheSettings:
+    """Bound what fetches and exports of cached context may use."""
+
+    export_queue: int = 256
+    part_size: int = 64 * 1024
+    fetch_timeout: Millis = 10 * SECOND
+    pin_limit: Millis = 10 * SECOND
+    readers: int = 8
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """Hold everything that an agent reads at its start.
+
+    `keeper` names the plug-in by which a store's agent evicts.
+    """
+
+    process: str
+    data_centre: str
+    backend: BackendSettings
+    listen: ListenSettings = field(default_factory=ListenSettings)
+    links: LinkTimes = field(default_factory=LinkTimes)
+    drain: DrainSettings = field(default_factory=DrainSettings)
+    streams: StreamSettings = field(default_factory=StreamSettings)
+    cache: CacheSettings = field(default_factory=CacheSettings)
+    keeper: str = 'saving'
+    log_level: str = 'info'
