Let a dispatch name the store that keeps its segments

Cause: agents have no VM list, so an engine's agent can't know where to export. Change: an optional field keep on Dispatch. Conclusion: receivers that don't know it ignore it.

--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -192,7 +192,8 @@
 
     The body follows in `BodyChunk` messages; `deadline` is a duration in
     milliseconds from receipt, `digest` identifies the request for the
-    quarantine.
+    quarantine. `keep` names the store that should keep the prompt's complete
+    segments, and those of them that it lacks.
     """
 
     request: str
@@ -216,6 +217,7 @@
     namespace: bytes = b''
     segments: tuple[bytes, ...] = ()
     fetch: FetchPlan | None = None
+    keep: FetchPlan | None = None
 
 
 @dataclass(frozen=True, slots=True)
