Add the settings of an entry

Cause: an entry needs its addresses, limits and plug-ins told. Ruled out: reading single environment variables; one typed tree shows every fault at once. Change: frozen data classes for the HTTP edge, the log, the VM list, claims, requests and the planned stop. Before and after: not measured.

--- /dev/null
+++ b/src/oleanderdyke/entry/settings.py
@@ -0,0 +1,141 @@
+"""Hold the settings of an entry."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from oleanderdyke.clock import MINUTE, SECOND, Millis
+
+_KIB = 1024
+_MIB = 1024 * _KIB
+
+
+@dataclass(frozen=True, slots=True)
+class HttpSettings:
+    """Say where callers and operators connect and what they may send.
+
+    `plain_text` allows plain HTTP on an address that is not loopback.
+    """
+
+    host: str = '127.0.0.1'
+    port: int = 8080
+    certificate: str = ''
+    key: str = ''
+    plain_text: bool = False
+    header_limit: int = 16 * _KIB
+    body_limit: int = 8 * _MIB
+    connections: int = 2_000
+    keep_alive: Millis = 5 * SECOND
+    body_timeout: Millis = 10 * SECOND
+    send_timeout: Millis = 30 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """Say where the log service is and how it is read."""
+
+    address: str
+    configuration: str = 'configuration'
+    claims: str = 'claims'
+    page: int = 500
+    wait: Millis = 5 * SECOND
+    timeout: Millis = 2 * SECOND
+    retry: Millis = 250.0
+    retention: Millis = 60 * MINUTE
+
+
+@dataclass(frozen=True, slots=True)
+class VmSettings:
+    """Say where the list of VMs is and how often it is read."""
+
+    address: str
+    period: Millis = SECOND
+    timeout: Millis = 2 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """Bound the group commit of claim records.
+
+    `wait` bounds the time from an append to reading it back.
+    """
+
+    delay: Millis = 3.0
+    batch: int = 64
+    wait: Millis = 2 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSettings:
+    """Bound what one request may take; sizes are bytes or chunks."""
+
+    attempts: int = 3
+    credit: int = 32
+    deadline: Millis = 60 * SECOND
+    queue_period: Millis = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class PolicySettings:
+    """Choose the plug-ins by name."""
+
+    routing: str = 'predicted'
+    admission: str = 'fair'
+
+
+@dataclass(frozen=True, slots=True)
+class DrainSettings:
+    """Bound a planned stop.
+
+    `announce` is the time between not being ready and refusing work, `limit`
+    the time that running requests then have.
+    """
+
+    announce: Millis = 2 * SECOND
+    limit: Millis = 30 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Hold everything an entry is told at its start."""
+
+    name: str
+    data_centre: str
+    log: LogSettings
+    vms: VmSettings
+    http: HttpSettings = field(default_factory=HttpSettings)
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
+    requests: RequestSettings = field(default_factory=RequestSettings)
+    policies: PolicySettings = field(default_factory=PolicySettings)
+    drain: DrainSettings = field(default_factory=DrainSettings)
+    beat: Millis = 500.0
+    log_level: str = 'info'
+    seed: int | None = None
+
+
+def find_faults(settings: EntrySettings) -> tuple[str, ...]:
+    """Return what contradicts itself, each fault naming its keys."""
+    return tuple(_find_http_faults(settings.http))
+
+
+def _find_http_faults(http: HttpSettings) -> Iterator[str]:
+    if bool(http.certificate) != bool(http.key):
+        yield (
+            'http.certificate and http.key: found one without the other; '
+            'allowed: both or neither'
+        )
+    if http.certificate or http.plain_text or _is_loopback(http.host):
+        return
+    yield (
+        f'http.host: found {http.host!r} in plain text; allowed: a loopback '
+        'address, or http.certificate and http.key, or http.plain_text: true'
+    )
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
