Use the shared link settings in an agent

Cause: links declare their own bounds and TLS paths. Change: LinkSettings and TlsPaths in place of copies; faults of the listen address are found. Conclusion: not yet read by a binary.

--- a/src/oleanderdyke/agent/settings.py
+++ b/src/oleanderdyke/agent/settings.py
@@ -2,44 +2,29 @@
 
 from __future__ import annotations
 
+import ipaddress
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.links.link import LinkSettings
 from oleanderdyke.links.messages import BackendKind
+from oleanderdyke.links.tls import TlsPaths
 
 _MEBIBYTE = 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class TlsSettings:
-    """Name the certificate, key and authority for links between processes."""
-
-    certificate: str
-    key: str
-    authority: str = ''
-
-
 @dataclass(frozen=True, slots=True)
 class ListenSettings:
     """Say where an agent takes links; port 0 lets the system choose.
 
-    `advertise` is the address (`ip:port`) that peers dial, where it differs.
+    `plain_text` allows links in plain text on an address that is not loopback.
     """
 
     host: str = '127.0.0.1'
     port: int = 0
-    advertise: str = ''
-    tls: TlsSettings | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class LinkTimes:
-    """Bound the silence that a link between processes may keep."""
-
-    connect_timeout: Millis = 2 * SECOND
-    ping_interval: Millis = SECOND
-    missed_pings: int = 3
-    idle_close: Millis = 30 * SECOND
+    tls: TlsPaths | None = None
+    plain_text: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,9 +89,37 @@
     data_centre: str
     backend: BackendSettings
     listen: ListenSettings = field(default_factory=ListenSettings)
-    links: LinkTimes = field(default_factory=LinkTimes)
+    links: LinkSettings = field(default_factory=LinkSettings)
+    beat: Millis = 500.0
     drain: DrainSettings = field(default_factory=DrainSettings)
     streams: StreamSettings = field(default_factory=StreamSettings)
     cache: CacheSettings = field(default_factory=CacheSettings)
     keeper: str = 'saving'
     log_level: str = 'info'
+
+
+def find_faults(settings: AgentSettings) -> tuple[str, ...]:
+    """Return what contradicts itself, each fault naming its keys."""
+    return tuple(_find_listen_faults(settings.listen))
+
+
+def _find_listen_faults(listen: ListenSettings) -> Iterator[str]:
+    paths = listen.tls
+    if paths is not None and not (paths.certificate and paths.key):
+        yield (
+            'listen.tls: found a certificate or key missing; '
+            'allowed: both listen.tls.certificate and listen.tls.key'
+        )
+    if paths is not None or listen.plain_text or _is_loopback(listen.host):
+        return
+    yield (
+        f'listen.host: found {listen.host!r} in plain text; allowed: a '
+        'loopback address, or listen.tls, or listen.plain_text: true'
+    )
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
