Name the process and its links in the entry's settings

Cause: agent and entry used two words for one key. Ruled out: an alias. Change: key process, links and links_tls; log level from the closed list. Conclusion: same words in both binaries.

--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.events import Level
+from oleanderdyke.links.pool import PoolSettings
+from oleanderdyke.links.tls import TlsPaths
 
 _KIB = 1024
 _MIB = 1024 * _KIB
@@ -99,9 +102,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """Hold everything an entry is told at its start."""
+    """Hold everything an entry is told at its start.
 
-    name: str
+    `links_tls` is for the links to agents; without it they are plain text.
+    """
+
+    process: str
     data_centre: str
     log: LogSettings
     vms: VmSettings
@@ -110,8 +116,10 @@
     requests: RequestSettings = field(default_factory=RequestSettings)
     policies: PolicySettings = field(default_factory=PolicySettings)
     drain: DrainSettings = field(default_factory=DrainSettings)
+    links: PoolSettings = field(default_factory=PoolSettings)
+    links_tls: TlsPaths = field(default_factory=TlsPaths)
     beat: Millis = 500.0
-    log_level: str = 'info'
+    log_level: Level = Level.INFO
     seed: int | None = None
 
 
