Add checked settings, event logs and metrics

Cause: every binary needs the same settings faults, log lines and metrics. Ruled out: stopping at the first settings fault; free event names; a label for each team (42,000 series). Change: cattrs with line numbers from the composed YAML; a closed list of events and keys; hdrhistograms in Prometheus text with at most 200 labels.

--- a/src/oleanderdyke/errors.py
+++ b/src/oleanderdyke/errors.py
@@ -120,7 +120,7 @@
 
     def show(self, file: TextIO | None = None) -> None:
         """Print the error for a person at a terminal."""
-        print(f'error: {self.message}', file=file or sys.stderr)  # noqa: T201
+        print(f'error: {self.message}', file=file or sys.stderr)
 
 
 class SettingsError(OleanderError):
--- /dev/null
+++ b/src/oleanderdyke/events.py
@@ -0,0 +1,149 @@
+"""List every event that a process may log, with its keys."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+
+
+class Level(enum.StrEnum):
+    """Name how important an event is."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+class EventName(enum.StrEnum):
+    """Name one kind of event; the list is closed."""
+
+    PROCESS_STARTED = 'process_started'
+    PROCESS_READY = 'process_ready'
+    PROCESS_NOT_READY = 'process_not_ready'
+    PROCESS_STOPPING = 'process_stopping'
+    PROCESS_STOPPED = 'process_stopped'
+    PROCESS_FAILED = 'process_failed'
+    LINK_UP = 'link_up'
+    LINK_DOWN = 'link_down'
+    LINK_REFUSED = 'link_refused'
+    MESSAGE_REFUSED = 'message_refused'
+    CONFIGURATION_APPLIED = 'configuration_applied'
+    CONFIGURATION_BEHIND = 'configuration_behind'
+    CONFIGURATION_PUBLISHED = 'configuration_published'
+    SNAPSHOT_APPENDED = 'snapshot_appended'
+    LOG_DOWN = 'log_down'
+    LOG_UP = 'log_up'
+    VM_LIST_DOWN = 'vm_list_down'
+    VM_LIST_CHANGED = 'vm_list_changed'
+    AGENT_JOINED = 'agent_joined'
+    AGENT_LOST = 'agent_lost'
+    AGENT_LEAVING = 'agent_leaving'
+    REQUEST_ACCEPTED = 'request_accepted'
+    REQUEST_QUEUED = 'request_queued'
+    REQUEST_ROUTED = 'request_routed'
+    REQUEST_RETRIED = 'request_retried'
+    REQUEST_REFUSED = 'request_refused'
+    REQUEST_FINISHED = 'request_finished'
+    REQUEST_CANCELLED = 'request_cancelled'
+    REQUEST_CUT = 'request_cut'
+    DISPATCH_SENT = 'dispatch_sent'
+    DISPATCH_RECEIVED = 'dispatch_received'
+    DISPATCH_REFUSED = 'dispatch_refused'
+    ANSWER_STARTED = 'answer_started'
+    ANSWER_RECEIVED = 'answer_received'
+    ANSWER_ENDED = 'answer_ended'
+    ANSWER_BROKEN = 'answer_broken'
+    STREAM_RESUMED = 'stream_resumed'
+    STREAM_HANDED_OVER = 'stream_handed_over'
+    CLAIM_APPENDED = 'claim_appended'
+    CLAIM_SETTLED = 'claim_settled'
+    CLAIM_RELEASED = 'claim_released'
+    OUTCOME_APPENDED = 'outcome_appended'
+    OUTCOME_UNRECORDED = 'outcome_unrecorded'
+    SEGMENTS_FETCHED = 'segments_fetched'
+    SEGMENTS_REJECTED = 'segments_rejected'
+    SEGMENTS_KEPT = 'segments_kept'
+    SEGMENTS_FREED = 'segments_freed'
+    SEGMENT_EVENTS_LOST = 'segment_events_lost'
+    BACKEND_UP = 'backend_up'
+    BACKEND_LOST = 'backend_lost'
+    ORDER_SENT = 'order_sent'
+    ORDER_REFUSED = 'order_refused'
+    ORDER_DONE = 'order_done'
+    REQUEST_SUSPECTED = 'request_suspected'
+    REQUEST_QUARANTINED = 'request_quarantined'
+    DRAIN_STARTED = 'drain_started'
+    DRAIN_FINISHED = 'drain_finished'
+
+
+# Every event carries time, level, event, process and sequence. Sent and
+# received events carry `request`, `attempt` and `peer`, by which the time
+# line pairs them.
+COMMON_KEYS = ('at', 'level', 'event', 'process', 'sequence')
+
+LEVELS: Mapping[EventName, Level] = {
+    EventName.PROCESS_FAILED: Level.ERROR,
+    EventName.PROCESS_NOT_READY: Level.WARNING,
+    EventName.LINK_REFUSED: Level.WARNING,
+    EventName.MESSAGE_REFUSED: Level.WARNING,
+    EventName.LOG_DOWN: Level.WARNING,
+    EventName.VM_LIST_DOWN: Level.WARNING,
+    EventName.AGENT_LOST: Level.WARNING,
+    EventName.REQUEST_RETRIED: Level.WARNING,
+    EventName.REQUEST_CUT: Level.ERROR,
+    EventName.ANSWER_BROKEN: Level.WARNING,
+    EventName.OUTCOME_UNRECORDED: Level.WARNING,
+    EventName.SEGMENTS_REJECTED: Level.WARNING,
+    EventName.BACKEND_LOST: Level.WARNING,
+    EventName.ORDER_REFUSED: Level.WARNING,
+    EventName.REQUEST_SUSPECTED: Level.WARNING,
+    EventName.REQUEST_QUARANTINED: Level.ERROR,
+    EventName.SEGMENT_EVENTS_LOST: Level.DEBUG,
+    EventName.REQUEST_QUEUED: Level.DEBUG,
+}
+
+
+class Key(enum.StrEnum):
+    """Name a key that an event may carry; the list is closed."""
+
+    REQUEST = 'request'
+    ATTEMPT = 'attempt'
+    TEAM = 'team'
+    SERVICE = 'service'
+    PEER = 'peer'
+    AGENT = 'agent'
+    ENTRY = 'entry'
+    INCARNATION = 'incarnation'
+    KIND = 'kind'
+    RAN = 'ran'
+    STATUS = 'status'
+    REASON = 'reason'
+    DETAIL = 'detail'
+    OFFSET = 'offset'
+    RECORDS = 'records'
+    OBJECT = 'object'
+    NAME = 'name'
+    GENERATION = 'generation'
+    OPERATOR = 'operator'
+    STORE = 'store'
+    SEGMENTS = 'segments'
+    LENGTH = 'length'
+    TOKENS = 'tokens'
+    RECOMPUTED = 'recomputed'
+    CHUNKS = 'chunks'
+    FIRST_TOKEN = 'first_token'
+    DURATION = 'duration'
+    RETRY_AFTER = 'retry_after'
+    PHASE = 'phase'
+    MODEL = 'model'
+    VERSION = 'version'
+    ADDRESS = 'address'
+    COUNT = 'count'
+    DIGEST = 'digest'
+    SIGNAL = 'signal'
+
+
+def find_level(event: EventName) -> Level:
+    """Return the level at which an event is logged."""
+    return LEVELS.get(event, Level.INFO)
--- /dev/null
+++ b/src/oleanderdyke/logs.py
@@ -0,0 +1,109 @@
+"""Write one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import json
+import re
+import sys
+from collections.abc import Mapping
+from typing import TextIO, TypeAlias
+
+import logbook
+
+from oleanderdyke.clock import Clock, make_clock
+from oleanderdyke.events import EventName, Key, Level, find_level
+
+LogValue: TypeAlias = str | int | float | bool | None
+
+_BARE = re.compile(r'[A-Za-z0-9_.:/@+-]+\Z')
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)(?: |\Z)')
+_LEVELS: Mapping[Level, int] = {
+    Level.DEBUG: logbook.DEBUG,
+    Level.INFO: logbook.INFO,
+    Level.WARNING: logbook.WARNING,
+    Level.ERROR: logbook.ERROR,
+}
+
+
+class EventLog:
+    """Write the events of one process."""
+
+    def __init__(
+        self, process: str, level: Level, clock: Clock, handler: logbook.Handler
+    ) -> None:
+        self._process = process
+        self._clock = clock
+        self._logger = logbook.Logger(process)
+        self._handler = handler
+        self._floor = _LEVELS[level]
+        self._sequence = 0
+
+    def write(self, event: EventName, **values: LogValue) -> None:
+        """Write one event; the keys must be members of `events.Key`."""
+        level = find_level(event)
+        if _LEVELS[level] < self._floor:
+            return
+        self._sequence += 1
+        pairs: dict[str, LogValue] = {
+            'at': round(self._clock.wall(), 3),
+            'level': level.value,
+            'event': event.value,
+            'process': self._process,
+            'sequence': self._sequence,
+        }
+        pairs.update({Key(key).value: found for key, found in values.items()})
+        record = logbook.LogRecord(
+            self._process, _LEVELS[level], format_line(pairs)
+        )
+        self._handler.emit(record)
+
+
+def format_line(pairs: Mapping[str, LogValue]) -> str:
+    """Render pairs so that `parse_line` gives them back as text."""
+    return ' '.join(
+        f'{key}={_quote(found)}'
+        for key, found in pairs.items()
+        if found is not None
+    )
+
+
+def parse_line(line: str) -> dict[str, str]:
+    """Read the pairs of one log line; return none for any other text."""
+    pairs: dict[str, str] = {}
+    position = 0
+    text = line.rstrip('\n')
+    while position < len(text):
+        match = _PAIR.match(text, position)
+        if match is None:
+            return {}
+        pairs[match[1]] = _unquote(match[2])
+        position = match.end()
+    return pairs
+
+
+def make_event_log(
+    process: str,
+    level: Level = Level.INFO,
+    clock: Clock | None = None,
+    stream: TextIO | None = None,
+) -> EventLog:
+    """Build the log of a process, on standard error unless told otherwise."""
+    handler = logbook.StreamHandler(
+        stream or sys.stderr, format_string='{record.message}'
+    )
+    return EventLog(process, level, clock or make_clock(), handler)
+
+
+def _quote(found: LogValue) -> str:
+    if isinstance(found, bool):
+        return 'true' if found else 'false'
+    text = str(found)
+    if _BARE.match(text):
+        return text
+    return json.dumps(text)
+
+
+def _unquote(text: str) -> str:
+    if not text.startswith('"'):
+        return text
+    return str(json.loads(text))
--- /dev/null
+++ b/src/oleanderdyke/metrics.py
@@ -0,0 +1,190 @@
+"""Count and time what a process does, with bounded label sets."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator, Mapping
+from typing import TypeVar
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client.core import (
+    CollectorRegistry,
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
+from prometheus_client.exposition import generate_latest
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
+
+from oleanderdyke.clock import Millis
+
+_MICROS_PER_MILLI = 1_000
+_LOWEST_MICROS = 1
+_HIGHEST_MICROS = 3_600_000_000
+_DIGITS = 2
+_QUANTILES = (50.0, 95.0, 99.0)
+_LABEL_BOUND = 200
+_OTHER = 'other'
+
+
+_NameT = TypeVar('_NameT')
+
+
+class Timing(enum.StrEnum):
+    """Name a measured duration; all are in milliseconds."""
+
+    FIRST_TOKEN = 'first_token'
+    BETWEEN_TOKENS = 'between_tokens'
+    QUEUE_WAIT = 'queue_wait'
+    DECISION = 'decision'
+    FETCH = 'fetch'
+    REQUEST = 'request'
+    CLAIM = 'claim'
+
+
+class Count(enum.StrEnum):
+    """Name something counted."""
+
+    REQUESTS = 'requests'
+    PROMPT_TOKENS = 'prompt_tokens'
+    RECOMPUTED_TOKENS = 'recomputed_tokens'
+    LINK_BYTES = 'link_bytes'
+    REFUSALS = 'refusals'
+    RETRIES = 'retries'
+    CLAIMS = 'claims'
+    CONTROL_BYTES = 'control_bytes'
+    DATA_BYTES = 'data_bytes'
+    MISSED_TARGETS = 'missed_targets'
+
+
+class Gauge(enum.StrEnum):
+    """Name a level that rises and falls."""
+
+    RUNNING = 'running'
+    LINKS = 'links'
+    CONFIGURATION_OFFSET = 'configuration_offset'
+    READY = 'ready'
+
+
+class Metrics:
+    """Hold the histograms, counters and gauges of one process.
+
+    Labels are services or error kinds, never teams; past a bound they are
+    counted as `other`.
+    """
+
+    def __init__(self) -> None:
+        self._timings: dict[tuple[Timing, str], HdrHistogram] = {}
+        self._sums: dict[tuple[Timing, str], float] = {}
+        self._counts: dict[tuple[Count, str], float] = {}
+        self._gauges: dict[tuple[Gauge, str], float] = {}
+
+    def time(self, timing: Timing, duration: Millis, label: str = '') -> None:
+        """Record one duration."""
+        key = (timing, _bound(self._timings, timing, label))
+        histogram = self._timings.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(_LOWEST_MICROS, _HIGHEST_MICROS, _DIGITS)
+            self._timings[key] = histogram
+        micros = int(duration * _MICROS_PER_MILLI)
+        histogram.record_value(
+            min(max(micros, _LOWEST_MICROS), _HIGHEST_MICROS)
+        )
+        self._sums[key] = self._sums.get(key, 0.0) + duration
+
+    def add(self, count: Count, amount: float = 1, label: str = '') -> None:
+        """Raise a counter."""
+        key = (count, _bound(self._counts, count, label))
+        self._counts[key] = self._counts.get(key, 0.0) + amount
+
+    def set_gauge(self, gauge: Gauge, level: float, label: str = '') -> None:
+        """Set a gauge."""
+        self._gauges[gauge, _bound(self._gauges, gauge, label)] = level
+
+    def read_count(self, count: Count, label: str = '') -> float:
+        """Return a counter."""
+        return self._counts.get((count, label), 0.0)
+
+    def read_quantile(
+        self, timing: Timing, quantile: float, label: str = ''
+    ) -> Millis:
+        """Return a quantile (0 to 100) of a timing, 0 where none was taken."""
+        histogram = self._timings.get((timing, label))
+        if histogram is None:
+            return 0.0
+        micros = float(histogram.get_value_at_percentile(quantile))
+        return micros / _MICROS_PER_MILLI
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(_Families(self))
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the metric families."""
+        for timing in Timing:
+            yield from self._collect_timing(timing)
+        for count in Count:
+            yield self._collect_count(count)
+        for gauge in Gauge:
+            yield self._collect_gauge(gauge)
+
+    def _collect_timing(self, timing: Timing) -> Iterator[Metric]:
+        name = f'oleander_{timing}_milliseconds'
+        quantiles = GaugeMetricFamily(
+            f'{name}_quantile',
+            f'Quantiles of {timing}.',
+            labels=['label', 'quantile'],
+        )
+        summary = SummaryMetricFamily(
+            name, f'Durations of {timing}.', labels=['label']
+        )
+        for (known, label), histogram in self._timings.items():
+            if known is not timing:
+                continue
+            total = self._sums[known, label]
+            summary.add_metric([label], histogram.total_count, total)
+            for quantile in _QUANTILES:
+                found = self.read_quantile(timing, quantile, label)
+                quantiles.add_metric([label, str(quantile / 100)], found)
+        yield summary
+        yield quantiles
+
+    def _collect_count(self, count: Count) -> Metric:
+        family = CounterMetricFamily(
+            f'oleander_{count}', f'Count of {count}.', labels=['label']
+        )
+        for (known, label), total in self._counts.items():
+            if known is count:
+                family.add_metric([label], total)
+        return family
+
+    def _collect_gauge(self, gauge: Gauge) -> Metric:
+        family = GaugeMetricFamily(
+            f'oleander_{gauge}', f'Level of {gauge}.', labels=['label']
+        )
+        for (known, label), level in self._gauges.items():
+            if known is gauge:
+                family.add_metric([label], level)
+        return family
+
+
+def _bound(
+    known: Mapping[tuple[_NameT, str], object], name: _NameT, label: str
+) -> str:
+    if len(known) < _LABEL_BOUND or (name, label) in known:
+        return label
+    return _OTHER
+
+
+class _Families(Collector):
+    """Offer metrics to a Prometheus registry."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the metric families."""
+        return self._metrics.collect()
--- /dev/null
+++ b/src/oleanderdyke/settings.py
@@ -0,0 +1,277 @@
+"""Load YAML settings into frozen data classes and report every fault."""
+
+from __future__ import annotations
+
+import dataclasses
+import difflib
+import enum
+import re
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+import cattrs
+import yaml
+from cattrs.errors import ForbiddenExtraKeysError
+from cattrs.v import transform_error
+
+from oleanderdyke.errors import SettingsError
+
+ENVIRONMENT_PREFIX = 'OLEANDER__'
+_HIDDEN = '(hidden)'
+_UNKNOWN_KEY = 'unknown key '
+_SECRET = 'secret'
+_PATH_PART = re.compile(r"\.(\w+)|\[(\d+)\]|\['([^']*)'\]")
+
+SettingsT = TypeVar('SettingsT')
+_Path = tuple[str, ...]
+
+
+def hide_field(**options: Any) -> Any:
+    """Declare a data class field whose value is never printed."""
+    return dataclasses.field(metadata={_SECRET: True}, **options)
+
+
+def load_settings(
+    path: Path,
+    settings_type: type[SettingsT],
+    environ: Mapping[str, str] | None = None,
+) -> SettingsT:
+    """Read a settings file; raise SettingsError with every fault in it.
+
+    A variable such as `OLEANDER__LOG__ADDRESS` overrides the key
+    `log.address`; its value is read as YAML.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError((f'{path}: cannot be read: {error}',)) from error
+    return parse_settings(text, settings_type, str(path), environ or {})
+
+
+def parse_settings(
+    text: str,
+    settings_type: type[SettingsT],
+    source: str,
+    environ: Mapping[str, str],
+) -> SettingsT:
+    """Read settings from a text; `source` names it in faults."""
+    node = _compose(text, source)
+    raw = _construct(node, source)
+    _override(raw, environ)
+    return structure_document(raw, settings_type, source=source, node=node)
+
+
+def structure_document(
+    raw: object,
+    target: type[SettingsT],
+    *,
+    source: str,
+    node: yaml.Node | None = None,
+    prefix: _Path = (),
+) -> SettingsT:
+    """Turn parsed YAML into a data class; raise SettingsError with all faults.
+
+    `node` is the composed YAML that `raw` came from; it gives the lines.
+    """
+    try:
+        return _CONVERTER.structure(raw, target)
+    except Exception as error:
+        found = transform_error(error, '$', _describe)
+        faults = tuple(
+            _locate(text, source, node, prefix) for text in _split_faults(found)
+        )
+        raise SettingsError(faults) from error
+
+
+def show_settings(settings: Any) -> str:
+    """Render settings as YAML with secrets hidden."""
+    return yaml.safe_dump(_plain(settings), sort_keys=False)
+
+
+def _compose(text: str, source: str) -> yaml.Node | None:
+    try:
+        return yaml.compose(text, Loader=yaml.SafeLoader)
+    except yaml.YAMLError as error:
+        raise SettingsError((f'{source}: not valid YAML: {error}',)) from error
+
+
+def _construct(node: yaml.Node | None, source: str) -> dict[str, Any]:
+    if node is None:
+        return {}
+    loader = yaml.SafeLoader('')
+    try:
+        raw = loader.construct_document(node)
+    except yaml.YAMLError as error:
+        raise SettingsError((f'{source}: not valid YAML: {error}',)) from error
+    if not isinstance(raw, dict):
+        fault = f'{source}:1: found {type(raw).__name__}; allowed: a mapping'
+        raise SettingsError((fault,))
+    return raw
+
+
+def _override(raw: dict[str, Any], environ: Mapping[str, str]) -> None:
+    for name, value in environ.items():
+        if name.startswith(ENVIRONMENT_PREFIX):
+            parts = name.removeprefix(ENVIRONMENT_PREFIX).lower().split('__')
+            _set(raw, parts, yaml.safe_load(value))
+
+
+def _set(raw: dict[str, Any], parts: list[str], value: Any) -> None:
+    place = raw
+    for part in parts[:-1]:
+        inner = place.setdefault(part, {})
+        if not isinstance(inner, dict):
+            return
+        place = inner
+    place[parts[-1]] = value
+
+
+def _check_str(found: object, _: object) -> str:
+    if isinstance(found, str):
+        return found
+    raise _WrongValue(found, 'a string')
+
+
+def _check_bool(found: object, _: object) -> bool:
+    if isinstance(found, bool):
+        return found
+    raise _WrongValue(found, 'true or false')
+
+
+def _check_int(found: object, _: object) -> int:
+    if isinstance(found, int) and not isinstance(found, bool):
+        return found
+    raise _WrongValue(found, 'a whole number')
+
+
+def _check_float(found: object, _: object) -> float:
+    if isinstance(found, int | float) and not isinstance(found, bool):
+        return float(found)
+    raise _WrongValue(found, 'a number')
+
+
+def _check_path(found: object, _: object) -> Path:
+    return Path(_check_str(found, str))
+
+
+def _check_enum(found: object, target: type[enum.Enum]) -> enum.Enum:
+    for member in target:
+        if member.value == found:
+            return member
+    allowed = ', '.join(str(member.value) for member in target)
+    raise _WrongValue(found, f'one of {allowed}')
+
+
+class _WrongValue(ValueError):
+    """Tell what a value was and what is allowed."""
+
+    def __init__(self, found: object, allowed: str) -> None:
+        super().__init__(f'found {found!r}; allowed: {allowed}')
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    checks = {
+        str: _check_str,
+        bool: _check_bool,
+        int: _check_int,
+        float: _check_float,
+        Path: _check_path,
+    }
+    for target, check in checks.items():
+        converter.register_structure_hook(target, check)
+    converter.register_structure_hook_func(
+        lambda target: (
+            isinstance(target, type) and issubclass(target, enum.Enum)
+        ),
+        _check_enum,
+    )
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+def _describe(error: BaseException, _: type | None) -> str:
+    if isinstance(error, ForbiddenExtraKeysError):
+        return '; '.join(_describe_extra(error))
+    if isinstance(error, KeyError):
+        return f'key {error.args[0]!r} is missing'
+    if isinstance(error, _WrongValue):
+        return str(error)
+    return f'found a value of the wrong form ({error})'
+
+
+def _describe_extra(error: ForbiddenExtraKeysError) -> Iterator[str]:
+    known = [item.name for item in dataclasses.fields(error.cl)]
+    for extra in sorted(error.extra_fields):
+        near = difflib.get_close_matches(str(extra), known, n=1)
+        hint = f', did you mean {near[0]!r}?' if near else ','
+        allowed = ', '.join(known)
+        yield f'{_UNKNOWN_KEY}{str(extra)!r}{hint} allowed: {allowed}'
+
+
+def _split_faults(found: list[str]) -> Iterator[str]:
+    for line in found:
+        text, _, path = line.rpartition(' @ ')
+        if not text.startswith(_UNKNOWN_KEY):
+            yield line
+            continue
+        for part in text.split('; '):
+            extra = part.removeprefix(_UNKNOWN_KEY).split("'")[1]
+            yield f'{part} @ {path}.{extra}'
+
+
+def _locate(
+    fault: str, source: str, node: yaml.Node | None, prefix: _Path
+) -> str:
+    text, _, dollar_path = fault.rpartition(' @ ')
+    path = tuple(
+        next(part for part in match if part)
+        for match in _PATH_PART.findall(dollar_path)
+    )
+    line = _find_line(node, path)
+    place = f'{source}:{line}' if line else source
+    key = '.'.join(prefix + path) or '(top)'
+    return f'{place}: {key}: {text}'
+
+
+def _find_line(node: yaml.Node | None, path: _Path) -> int:
+    if node is None:
+        return 0
+    line = node.start_mark.line + 1
+    for part in path:
+        inner = _step(node, part)
+        if inner is None:
+            return line
+        line, node = inner
+    return line
+
+
+def _step(node: yaml.Node, part: str) -> tuple[int, yaml.Node] | None:
+    if isinstance(node, yaml.SequenceNode) and part.isdigit():
+        inner = node.value[int(part)]
+        return inner.start_mark.line + 1, inner
+    if isinstance(node, yaml.MappingNode):
+        for key, inner in node.value:
+            if key.value == part:
+                return key.start_mark.line + 1, inner
+    return None
+
+
+def _plain(settings: Any) -> Any:
+    if dataclasses.is_dataclass(settings):
+        return {
+            item.name: _HIDDEN
+            if item.metadata.get(_SECRET)
+            else _plain(getattr(settings, item.name))
+            for item in dataclasses.fields(settings)
+        }
+    if isinstance(settings, enum.Enum):
+        return settings.value
+    if isinstance(settings, Mapping):
+        return {str(key): _plain(inner) for key, inner in settings.items()}
+    if isinstance(settings, list | tuple | frozenset | set):
+        return [_plain(inner) for inner in settings]
+    return str(settings) if isinstance(settings, Path) else settings
