Invite the parts of an offered segment

Cause: an exporter would send a segment that the store holds, or has no room for. Change: SegmentWanted answers SegmentWrite before any part is sent. Conclusion: one more round trip in the background, no bytes sent in vain.

--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -375,7 +375,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SegmentWrite:
-    """Offer a segment to a store's agent; parts follow as `SegmentPart`."""
+    """Offer a segment to a store's agent.
+
+    The agent answers `SegmentWanted`, on which the parts follow as
+    `SegmentPart`, or `SegmentWritten`.
+    """
 
     request: str
     namespace: bytes
@@ -385,6 +389,14 @@
     expected_gap: Millis = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class SegmentWanted:
+    """Ask for the parts of an offered segment."""
+
+    request: str
+    segment: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class SegmentWritten:
     """Tell whether a segment is sealed in the store."""
@@ -428,6 +440,7 @@
     | SegmentPart
     | SegmentMissing
     | SegmentWrite
+    | SegmentWanted
     | SegmentWritten
     | DrainRequest
 )
