--- /dev/null
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -0,0 +1,328 @@
+"""Define what goes into and comes out of a `RequestMachine`."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.kernel.claim_records import (
+    ClaimRecord,
+    OutcomeRecord,
+    ReleaseRecord,
+    WithdrawRecord,
+)
+from oleanderdyke.kernel.claims import Verdict
+from oleanderdyke.kernel.demand import Plan, Refusal, Replica
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    Claim,
+    ClaimAnswer,
+    Failed,
+    Headers,
+)
+
+
+class TimerKind(enum.StrEnum):
+    """Name what a timer of a request waits for."""
+
+    CLAIM = 'claim'
+    ASK = 'ask'
+    POLL = 'poll'
+    RECEIPT = 'receipt'
+    RETRY = 'retry'
+    RESUME = 'resume'
+    LINGER = 'linger'
+
+
+# --- events -----------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Routed:
+    """Tell which replica was chosen."""
+
+    plan: Plan
+    replica: Replica
+
+
+@dataclass(frozen=True, slots=True)
+class NoRoute:
+    """Tell that no replica can take the request."""
+
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSettled:
+    """Tell the verdict on the claim, after reading the log through it.
+
+    Send it only for the `claim_id` of the latest `AppendClaim`.
+    """
+
+    claim_id: str
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimFailed:
+    """Tell that a claim's append surely did not take effect.
+
+    A doubtful append is not reported; read on until `ClaimSettled`, or until
+    the machine gives up by its own timer.
+    """
+
+    claim_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeRecorded:
+    """Tell that the outcome record is in the log."""
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeFailed:
+    """Tell that the outcome record can't be appended now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Pass a message of an attempt, in order and checked for wholeness.
+
+    A gap or a wrong digest is passed as `Failed(STREAM_BROKEN, maybe)`.
+    """
+
+    message: AnswerHead | AnswerChunk | AnswerEnd | Failed
+
+
+@dataclass(frozen=True, slots=True)
+class Unsent:
+    """Tell that a dispatch was surely never written to a link."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLost:
+    """Tell that the link to an agent's incarnation was given up."""
+
+    agent: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class IncarnationEnded:
+    """Tell that an incarnation of an agent is over for good."""
+
+    agent: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswered:
+    """Pass an agent's answer to `AskClaim`."""
+
+    answer: ClaimAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """Tell that the caller has closed its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlinePassed:
+    """Tell that the request's deadline is over."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """Tell that the entry stops; `hurry` means at once."""
+
+    hurry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """Tell that a timer of `StartTimer` is over."""
+
+    kind: TimerKind
+    number: int
+
+
+Event: TypeAlias = (
+    Routed
+    | NoRoute
+    | ClaimSettled
+    | ClaimFailed
+    | OutcomeRecorded
+    | OutcomeFailed
+    | Received
+    | Unsent
+    | LinkLost
+    | IncarnationEnded
+    | ClaimAnswered
+    | CallerGone
+    | DeadlinePassed
+    | Stopping
+    | TimerFired
+)
+
+
+# --- actions ----------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Choose a replica; answer with `Routed` or `NoRoute`.
+
+    `alone` asks for an idle replica first. Agents of `exclude` are avoided.
+    """
+
+    exclude: frozenset[str] = frozenset()
+    alone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AppendClaim:
+    """Append a claim, after a release where one is given, in one batch."""
+
+    record: ClaimRecord
+    release: ReleaseRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRelease:
+    """Append a release or a withdrawal; repeat until it is in the log.
+
+    Giving up is harmless: the next caller of the key asks the agent.
+    """
+
+    record: ReleaseRecord | WithdrawRecord
+
+
+@dataclass(frozen=True, slots=True)
+class AppendOutcome:
+    """Append an outcome; repeat in the background until it is in the log.
+
+    Report `OutcomeRecorded`, or `OutcomeFailed` when the log is out.
+    """
+
+    record: OutcomeRecord
+
+
+@dataclass(frozen=True, slots=True)
+class AskClaim:
+    """Send `ClaimQuery` to the claim's agent, over a new link if needed."""
+
+    agent: str
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class SendDispatch:
+    """Send the request to one incarnation of an agent, at most once.
+
+    Report `Unsent` where no link to just this incarnation is open.
+    """
+
+    agent: str
+    incarnation: str
+    beat: int
+    attempt: int
+    plan: Plan
+    replica: Replica
+    claim: Claim | None = None
+    alone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SendCancel:
+    """Cancel an attempt."""
+
+    agent: str
+    incarnation: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendResume:
+    """Ask the same agent for the rest of a stream, over a new link.
+
+    The answer comes as `Received` under the given attempt.
+    """
+
+    agent: str
+    incarnation: str
+    attempt: int
+    token: str
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverHead:
+    """Open the answer to the caller."""
+
+    status: int
+    headers: Headers
+    resume: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverChunk:
+    """Pass a part of the answer to the caller."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverEnd:
+    """Close the answer; `end` has the agent's counts where there are any."""
+
+    end: AnswerEnd | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer with a typed error; after `DeliverHead`, break the answer."""
+
+    kind: ErrorKind
+    ran: Ran
+    retry_after: Millis | None = None
+    detail: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class StartTimer:
+    """Report `TimerFired` with the same kind and number after a delay."""
+
+    kind: TimerKind
+    number: int
+    delay: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Forget the machine; nothing follows."""
+
+
+Action: TypeAlias = (
+    Route
+    | AppendClaim
+    | AppendRelease
+    | AppendOutcome
+    | AskClaim
+    | SendDispatch
+    | SendCancel
+    | SendResume
+    | DeliverHead
+    | DeliverChunk
+    | DeliverEnd
+    | Refuse
+    | StartTimer
+    | Done
+)
