Let dispatches name the heartbeat they were built from

Cause: without it an agent's memory of refused dispatches has no bound. Ruled out: ages by the clock; clocks of two VMs are not compared. Change: Dispatch.incarnation and beat; Heartbeat and EntryBeat carry suspects. Conclusion: additive, with defaults.

--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -107,6 +107,7 @@
     weight_digest: str = ''
     adapter: str = ''
     quarantined: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +118,7 @@
     sequence: int
     offset: int
     quarantined: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,7 +195,9 @@
     The body follows in `BodyChunk` messages; `deadline` is a duration in
     milliseconds from receipt, `digest` identifies the request for the
     quarantine. `keep` names the store that should keep the prompt's complete
-    segments, and those of them that it lacks.
+    segments, and those of them that it lacks. `incarnation` and `beat` name
+    the last heartbeat of the agent that the entry had heard; an agent starts
+    no work that is too old by them.
     """
 
     request: str
@@ -218,6 +222,8 @@
     segments: tuple[bytes, ...] = ()
     fetch: FetchPlan | None = None
     keep: FetchPlan | None = None
+    incarnation: str = ''
+    beat: int = -1
 
 
 @dataclass(frozen=True, slots=True)
