--- a/src/oleanderdyke/agent/settings.py
+++ b/src/oleanderdyke/agent/settings.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.kernel.drain import DrainSettings
+from oleanderdyke.kernel.stream_buffer import StreamLimits
 from oleanderdyke.links.link import LinkSettings
 from oleanderdyke.links.messages import BackendKind
 from oleanderdyke.links.tls import TlsPaths
@@ -49,33 +51,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainSettings:
-    """Bound a planned stop; `hurry` is left after a second signal."""
+class RunSettings:
+    """Bound the answers of runs.
 
-    limit: Millis = 10 * MINUTE
-    hurry: Millis = SECOND
-    farewell: Millis = 500.0
-
-
-@dataclass(frozen=True, slots=True)
-class StreamSettings:
-    """Bound the answers kept for callers that come back."""
+    An answer up to `record_bytes` is kept for the key that claimed its run;
+    `limit` ends a run that has no other bound.
+    """
 
     chunk_size: int = 16 * 1024
-    resume_for: Millis = 30 * SECOND
-    buffer_bytes: int = _MEBIBYTE
     record_bytes: int = 256 * 1024
+    limit: Millis = 10 * MINUTE
+    body_bytes: int = 64 * _MEBIBYTE
 
 
 @dataclass(frozen=True, slots=True)
 class CacheSettings:
-    """Bound what fetches and exports of cached context may use."""
+    """Bound what fetches and exports of cached context may use.
 
-    export_queue: int = 256
-    part_size: int = 64 * 1024
+    A fetch is given up after `patience` times the time that computing its
+    segments again would take.
+    """
+
+    patience: float = 2.0
     fetch_timeout: Millis = 10 * SECOND
-    pin_limit: Millis = 10 * SECOND
-    readers: int = 8
+    segment_limit: int = 32 * _MEBIBYTE
+    part_size: int = 64 * 1024
+    export_queue: int = 256
+    readers: int = 16
+    writes: int = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +95,8 @@
     links: LinkSettings = field(default_factory=LinkSettings)
     beat: Millis = 500.0
     drain: DrainSettings = field(default_factory=DrainSettings)
-    streams: StreamSettings = field(default_factory=StreamSettings)
+    streams: StreamLimits = field(default_factory=StreamLimits)
+    runs: RunSettings = field(default_factory=RunSettings)
     cache: CacheSettings = field(default_factory=CacheSettings)
     keeper: str = 'saving'
     log_level: str = 'info'
