Add the stand-ins of the outside systems

Cause: tests, the demo and the benchmarks need the platform, the engines, the plain services and the stores on loopback, with their faults.

--- /dev/null
+++ b/tests/standins/vms.py
@@ -0,0 +1,73 @@
+"""Stand in for the platform's list of live and leaving VMs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from tests.standins import server, web
+
+
+@dataclass(frozen=True, slots=True)
+class VmSettings:
+    """Say how far the list lags."""
+
+    lag_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class VmFaults(web.Faults):
+    """Add what goes wrong in a VM list.
+
+    `stale` freezes the list, `missing` names VMs to leave out, `wrong` gives
+    VMs another address.
+    """
+
+    stale: bool = False
+    missing: list[str] = field(default_factory=list)
+    wrong: dict[str, str] = field(default_factory=dict)
+
+
+class VmList(web.StandIn[VmFaults]):
+    """Show the VMs as they were some time ago; `PUT /vms` sets them."""
+
+    def __init__(self, settings: VmSettings) -> None:
+        super().__init__(VmFaults())
+        self._lag = settings.lag_ms
+        self._shown: list[dict[str, Any]] = []
+        self._coming: list[tuple[float, list[dict[str, Any]]]] = []
+
+    async def answer(self, request: web.Request) -> web.Answer:
+        """Answer with the list, or take a new one."""
+        if request.path != '/vms':
+            return web.refuse(404, 'not found')
+        if request.method == 'PUT':
+            shown_at = web.now() + self._lag
+            self._coming.append((shown_at, await request.json()))
+            return web.answer_json({})
+        if not self.faults.stale:
+            self._advance()
+        return web.answer_json([self._show(vm) for vm in self._list()])
+
+    def _advance(self) -> None:
+        while self._coming and self._coming[0][0] <= web.now():
+            self._shown = self._coming.pop(0)[1]
+
+    def _list(self) -> list[dict[str, Any]]:
+        missing = self.faults.missing
+        return [vm for vm in self._shown if vm['name'] not in missing]
+
+    def _show(self, vm: dict[str, Any]) -> dict[str, Any]:
+        return {
+            **vm,
+            'address': self.faults.wrong.get(vm['name'], vm['address']),
+        }
+
+
+def make_app(settings: VmSettings | None = None) -> VmList:
+    """Build a VM list."""
+    return VmList(settings or VmSettings())
+
+
+if __name__ == '__main__':
+    server.run_main('vms', VmSettings, make_app)
