--- a/src/oleanderdyke/kernel/demand.py
+++ b/src/oleanderdyke/kernel/demand.py
@@ -24,7 +24,8 @@
     """Describe one request as routing and admission see it.
 
     `segments` are the hints of the prompt's complete segments, in order;
-    `tokens` counts the whole prompt. Plain calls have neither.
+    `tokens` counts the whole prompt. Plain calls have neither. `deadline` is
+    a moment on the clock that `now` is read from.
     """
 
     request: str
@@ -85,7 +86,8 @@
     """Choose a replica and where its context comes from.
 
     The first `cached` segments are there, the next `fetched` come from the
-    store, the rest is recomputed; `reason` is a short text for the log.
+    store, the rest is recomputed; `reason` is a short text for the log. Of
+    the fetched, `joined` are already on their way to that agent.
     """
 
     agent: str
@@ -94,6 +96,7 @@
     cached: int = 0
     fetched: int = 0
     predicted: Millis = 0.0
+    joined: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +155,12 @@
     ) -> Sequence[tuple[str, Admitted | Refusal]]:
         """Return queued requests that may go on, or have waited too long."""
 
+    def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
+        """Learn which work an admitted request brought to which agent."""
+
+    def note_first_token(self, request: str, now: Millis) -> None:
+        """Learn that the wait and the prefill of a request are over."""
+
     def note_finished(self, request: str, now: Millis) -> None:
         """Give back what a request held, also when its caller left."""
 
--- /dev/null
+++ b/src/oleanderdyke/kernel/routing.py
@@ -0,0 +1,134 @@
+"""Weigh the ways in which a replica can come by a prompt's context."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.demand import SEGMENT_TOKENS
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Weigh time, recomputed tokens and link bytes against each other."""
+
+    w_ttft: float
+    w_recompute: float
+    w_link: float
+    late_after: Millis
+    late_weight: float
+    kv_bytes_per_token: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkView:
+    """Show the link of a store: what is under way and what it carries."""
+
+    backlog_bytes: float
+    bytes_per_second: float
+    latency: Millis = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Show how one replica stands towards one prompt.
+
+    `cached` segments are there, or will be at `ready` from now; the next
+    `covered` segments could be fetched over `link`.
+    """
+
+    wait: Millis
+    tokens_per_second: float
+    tokens: int
+    cached: int
+    ready: Millis = 0.0
+    covered: int = 0
+    link: LinkView | None = None
+    latency: Millis = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Say how many segments to fetch and what that costs."""
+
+    fetched: int
+    time: Millis
+    cost: float
+
+
+def choose_source(costs: Costs, standing: Standing) -> Source:
+    """Return the cheapest mix of fetching and recomputing."""
+    return min(
+        (_weigh(costs, standing, count) for count in _counts(costs, standing)),
+        key=_get_cost,
+    )
+
+
+def _get_cost(source: Source) -> float:
+    return source.cost
+
+
+def _counts(costs: Costs, standing: Standing) -> Iterator[int]:
+    yield 0
+    if not standing.covered or standing.link is None:
+        return
+    yield standing.covered
+    fitting = _count_fitting(costs, standing, standing.link)
+    if 0 < fitting < standing.covered:
+        yield fitting
+
+
+def _count_fitting(costs: Costs, standing: Standing, link: LinkView) -> int:
+    """Count the segments that arrive while the request waits anyway."""
+    idle = max(standing.wait, standing.ready) - link.latency
+    carried = idle * link.bytes_per_second / SECOND - link.backlog_bytes
+    return int(carried // (SEGMENT_TOKENS * costs.kv_bytes_per_token))
+
+
+def _weigh(costs: Costs, standing: Standing, fetched: int) -> Source:
+    start = max(standing.wait, standing.ready)
+    link_bytes = fetched * SEGMENT_TOKENS * costs.kv_bytes_per_token
+    if fetched and standing.link is not None:
+        start = max(start, estimate_fetch(standing.link, link_bytes))
+    present = (standing.cached + fetched) * SEGMENT_TOKENS
+    rest = max(0, standing.tokens - present)
+    time = standing.latency + start
+    time += rest * SECOND / standing.tokens_per_second
+    cost = weigh(costs, time=time, tokens=rest, link_bytes=link_bytes)
+    return Source(fetched, time, cost)
+
+
+def estimate_fetch(link: LinkView, link_bytes: float) -> Millis:
+    """Estimate how long a fetch takes behind what is under way."""
+    queued = link.backlog_bytes + link_bytes
+    return link.latency + queued * SECOND / link.bytes_per_second
+
+
+def weigh(
+    costs: Costs, *, time: Millis, tokens: float, link_bytes: float
+) -> float:
+    """Return the weighted cost of one request."""
+    late = max(0.0, time - costs.late_after)
+    return (
+        costs.w_ttft * time
+        + costs.late_weight * late
+        + costs.w_recompute * tokens
+        + costs.w_link * link_bytes
+    )
+
+
+def should_drop_fetch(
+    costs: Costs,
+    *,
+    missing_tokens: int,
+    bytes_per_second: float,
+    tokens_per_second: float,
+) -> bool:
+    """Tell whether recomputing now costs less than the rest of a fetch."""
+    link_bytes = missing_tokens * costs.kv_bytes_per_token
+    fetch = link_bytes * SECOND / max(1.0, bytes_per_second)
+    recompute = missing_tokens * SECOND / tokens_per_second
+    keep = weigh(costs, time=fetch, tokens=0, link_bytes=link_bytes)
+    drop = weigh(costs, time=recompute, tokens=missing_tokens, link_bytes=0)
+    return drop < keep
--- a/src/oleanderdyke/policies/__init__.py
+++ b/src/oleanderdyke/policies/__init__.py
@@ -1,1 +1,7 @@
-"""Register the plug-ins that decide by a replaceable policy."""
+"""Choose between plug-ins for the kernel's decisions."""
+
+from oleanderdyke.policies import (  # noqa: F401 - they register themselves
+    admission,
+    keeping,
+    routing,
+)
--- /dev/null
+++ b/src/oleanderdyke/policies/candidates.py
@@ -0,0 +1,95 @@
+"""Find the few replicas that are worth a prediction."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from oleanderdyke.kernel.demand import (
+    Demand,
+    Fleet,
+    Replica,
+    SegmentHint,
+)
+from oleanderdyke.policies.settings import PolicySettings
+from oleanderdyke.policies.sources import SoonTable
+
+_TRIES_PER_SAMPLE = 4
+
+
+def fits(replica: Replica, demand: Demand, exclude: frozenset[str]) -> bool:
+    """Tell whether a replica may run a request."""
+    if replica.agent in exclude or replica.service != demand.service:
+        return False
+    return demand.weight_digest in {'', replica.weight_digest}
+
+
+def find_candidates(
+    demand: Demand,
+    fleet: Fleet,
+    soon: SoonTable,
+    random: Random,
+    *,
+    settings: PolicySettings,
+    exclude: frozenset[str],
+) -> Sequence[Replica]:
+    """Return every replica of a small fleet, else holders and samples."""
+    replicas = fleet.replicas(demand.service)
+    if len(replicas) <= settings.scan_limit:
+        return [each for each in replicas if fits(each, demand, exclude)]
+    chosen: dict[str, Replica] = {}
+    for agent in _find_holders(demand.segments, fleet, soon, random, settings):
+        replica = fleet.find(agent)
+        if replica is not None and fits(replica, demand, exclude):
+            chosen[agent] = replica
+    for replica in _sample(replicas, demand, random, settings, exclude):
+        chosen[replica.agent] = replica
+    if chosen:
+        return list(chosen.values())
+    return [each for each in replicas if fits(each, demand, exclude)]
+
+
+def _sample(
+    replicas: Sequence[Replica],
+    demand: Demand,
+    random: Random,
+    settings: PolicySettings,
+    exclude: frozenset[str],
+) -> Iterable[Replica]:
+    found = 0
+    for _ in range(settings.samples * _TRIES_PER_SAMPLE):
+        replica = replicas[int(random.random() * len(replicas))]
+        if not fits(replica, demand, exclude):
+            continue
+        yield replica
+        found += 1
+        if found == settings.samples:
+            return
+
+
+def _find_holders(
+    segments: Sequence[SegmentHint],
+    fleet: Fleet,
+    soon: SoonTable,
+    random: Random,
+    settings: PolicySettings,
+) -> Sequence[str]:
+    """Return some holders of the longest prefix that anybody holds.
+
+    Holding is monotone along a prompt but for evictions under way, so a
+    binary search finds the depth; a wrong depth costs time only.
+    """
+    low, high = 0, len(segments)
+    best: list[str] = []
+    while low < high:
+        middle = (low + high) // 2
+        holders = [*fleet.holders(segments[middle])]
+        holders += soon.holders(segments[middle])
+        if holders:
+            best = holders
+            low = middle + 1
+        else:
+            high = middle
+    if len(best) <= settings.affinity_limit:
+        return best
+    return random.sample(best, settings.affinity_limit)
--- /dev/null
+++ b/src/oleanderdyke/policies/keeping.py
@@ -0,0 +1,60 @@
+"""Decide which kept context is worth its room."""
+
+from __future__ import annotations
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.demand import (
+    SEGMENT_TOKENS,
+    Keeper,
+    SegmentHint,
+)
+from oleanderdyke.kernel.keeping import ReturnModel
+from oleanderdyke.policies.registries import KEEPERS
+from oleanderdyke.policies.settings import PolicySettings
+
+
+class ExpectedSaving:
+    """Keep what saves most recomputed tokens for each byte and hour."""
+
+    def __init__(self, settings: PolicySettings) -> None:
+        self._returns = ReturnModel(settings.gap_memory)
+
+    def worth(
+        self, segment: SegmentHint, length: int, gap: Millis, now: Millis
+    ) -> float:
+        """Return tokens saved per byte and millisecond."""
+        rate = self._returns.estimate_rate(segment, gap, now)
+        return SEGMENT_TOKENS * rate / max(1, length)
+
+    def note_used(self, segment: SegmentHint, now: Millis) -> None:
+        """Learn from a use of a segment."""
+        self._returns.note_used(segment, now)
+
+
+class LeastRecentlyUsed:
+    """Keep what was used last."""
+
+    def __init__(self) -> None:
+        self._used: dict[SegmentHint, Millis] = {}
+
+    def worth(
+        self, segment: SegmentHint, length: int, gap: Millis, now: Millis
+    ) -> float:
+        """Return the moment of the last use."""
+        return self._used.get(segment, now)
+
+    def note_used(self, segment: SegmentHint, now: Millis) -> None:
+        """Remember the moment."""
+        self._used[segment] = now
+
+
+@KEEPERS.register('expected-saving')
+def make_expected_saving(settings: PolicySettings) -> Keeper:
+    """Build the keeper that learns return gaps."""
+    return ExpectedSaving(settings)
+
+
+@KEEPERS.register('lru')
+def make_lru(settings: PolicySettings) -> Keeper:
+    """Build the keeper that evicts the least recently used."""
+    return LeastRecentlyUsed()
--- /dev/null
+++ b/src/oleanderdyke/policies/routing.py
@@ -0,0 +1,226 @@
+"""Choose a replica and where its context comes from."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.kernel.demand import (
+    SEGMENT_TOKENS,
+    Demand,
+    Fleet,
+    Plan,
+    Refusal,
+    Replica,
+    Router,
+)
+from oleanderdyke.kernel.prediction import BacklogTracker
+from oleanderdyke.kernel.routing import Costs, Source, Standing, choose_source
+from oleanderdyke.policies.candidates import find_candidates, fits
+from oleanderdyke.policies.registries import ROUTERS
+from oleanderdyke.policies.settings import PolicySettings
+from oleanderdyke.policies.sources import (
+    LinkTracker,
+    Reach,
+    SoonTable,
+    StoreViews,
+)
+
+_NO_REPLICA = Refusal(ErrorKind.NO_REPLICA, 'no serving replica', 1_000.0)
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    replica: Replica
+    store: str
+    reach: Reach
+    source: Source
+
+
+class PredictedRouter:
+    """Minimise the weighted cost of the predicted time to first token."""
+
+    def __init__(self, settings: PolicySettings) -> None:
+        self._settings = settings
+        self._costs = make_costs(settings)
+        self._backlog = BacklogTracker(
+            settings.report_lag, settings.prefill_tokens_per_second
+        )
+        self._links = LinkTracker(settings)
+        self._soon = SoonTable(settings.soon_limit)
+
+    def choose(
+        self,
+        demand: Demand,
+        fleet: Fleet,
+        now: Millis,
+        random: Random,
+        *,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Plan | Refusal:
+        """Return the cheapest plan among affinity and random candidates."""
+        candidates = find_candidates(
+            demand,
+            fleet,
+            self._soon,
+            random,
+            settings=self._settings,
+            exclude=exclude,
+        )
+        if not candidates:
+            return _NO_REPLICA
+        stores = StoreViews(demand, fleet, self._links, now)
+        best = min(
+            (
+                self._weigh(demand, fleet, each, stores, now)
+                for each in candidates
+            ),
+            key=_get_cost,
+        )
+        return _make_plan(demand, best)
+
+    def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
+        """Count the prefill, the fetch and the prefixes soon to be there."""
+        present = (plan.cached + plan.fetched) * SEGMENT_TOKENS
+        tokens = max(0, demand.tokens - present)
+        self._backlog.note_sent(demand.request, plan.agent, tokens, now)
+        self._links.note_sent(demand.request, plan, now)
+        self._soon.note_sent(demand, plan, now)
+
+    def note_first_token(self, request: str, now: Millis) -> None:
+        """Learn that a request's context is there."""
+        self._backlog.note_first_token(request, now)
+        self._links.note_done(request)
+        self._soon.note_ready(request, now)
+
+    def note_finished(self, request: str, now: Millis) -> None:
+        """Forget a request."""
+        self._backlog.note_finished(request, now)
+        self._links.note_done(request)
+        self._soon.note_finished(request)
+
+    def _weigh(
+        self,
+        demand: Demand,
+        fleet: Fleet,
+        replica: Replica,
+        stores: StoreViews,
+        now: Millis,
+    ) -> _Choice:
+        held = fleet.count_leading(replica.agent, demand.segments)
+        reach = self._soon.extend(replica.agent, demand.segments, held, now)
+        store = stores.find(reach.cached)
+        standing = Standing(
+            wait=self._backlog.estimate_wait(replica, now),
+            tokens_per_second=self._backlog.find_rate(replica),
+            tokens=demand.tokens,
+            cached=reach.cached,
+            ready=reach.ready,
+            covered=store.covered,
+            link=store.link,
+            latency=self._find_latency(demand, replica),
+        )
+        source = choose_source(self._costs, standing)
+        return _Choice(replica, store.agent, reach, source)
+
+    def _find_latency(self, demand: Demand, replica: Replica) -> Millis:
+        near = demand.data_centre in {'', replica.data_centre}
+        return 0.0 if near else self._settings.far_latency
+
+
+class LeastOutstandingRouter:
+    """Choose the replica with the fewest requests; fetch nothing."""
+
+    def __init__(self, settings: PolicySettings) -> None:
+        self._backlog = BacklogTracker(
+            settings.report_lag, settings.prefill_tokens_per_second
+        )
+
+    def choose(
+        self,
+        demand: Demand,
+        fleet: Fleet,
+        now: Millis,
+        random: Random,
+        *,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Plan | Refusal:
+        """Return the replica with the fewest requests as known here."""
+        replicas = [
+            each
+            for each in fleet.replicas(demand.service)
+            if fits(each, demand, exclude)
+        ]
+        if not replicas:
+            return _NO_REPLICA
+        least = min(
+            replicas,
+            key=lambda each: (self._count(each), random.random()),
+        )
+        held = fleet.count_leading(least.agent, demand.segments)
+        return Plan(least.agent, 'least outstanding', cached=held)
+
+    def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
+        """Count a dispatch."""
+        self._backlog.note_sent(demand.request, plan.agent, 0, now)
+
+    def note_first_token(self, request: str, now: Millis) -> None:
+        """Learn nothing."""
+
+    def note_finished(self, request: str, now: Millis) -> None:
+        """Forget a request."""
+        self._backlog.note_finished(request, now)
+
+    def _count(self, replica: Replica) -> int:
+        reported = replica.load.running + replica.load.waiting
+        return max(reported, self._backlog.count_outstanding(replica.agent))
+
+
+def make_costs(settings: PolicySettings) -> Costs:
+    """Take the weights of the cost function from settings."""
+    return Costs(
+        w_ttft=settings.w_ttft,
+        w_recompute=settings.w_recompute,
+        w_link=settings.w_link,
+        late_after=settings.late_after,
+        late_weight=settings.late_weight,
+        kv_bytes_per_token=settings.kv_bytes_per_token,
+    )
+
+
+def _get_cost(choice: _Choice) -> float:
+    return choice.source.cost
+
+
+def _make_plan(demand: Demand, choice: _Choice) -> Plan:
+    source = choice.source
+    reach = choice.reach
+    present = reach.cached + source.fetched
+    rest = max(0, demand.tokens - present * SEGMENT_TOKENS)
+    reason = (
+        f'cached {reach.cached} fetch {source.fetched} '
+        f'recompute {rest} tokens in {source.time:.0f} ms'
+    )
+    return Plan(
+        choice.replica.agent,
+        reason,
+        store=choice.store if source.fetched or reach.joined else '',
+        cached=reach.cached - reach.joined,
+        fetched=source.fetched + reach.joined,
+        predicted=source.time,
+        joined=reach.joined,
+    )
+
+
+@ROUTERS.register('predicted')
+def make_predicted(settings: PolicySettings) -> Router:
+    """Build the router that predicts times to first token."""
+    return PredictedRouter(settings)
+
+
+@ROUTERS.register('least-outstanding')
+def make_least_outstanding(settings: PolicySettings) -> Router:
+    """Build the router that counts requests only."""
+    return LeastOutstandingRouter(settings)
--- /dev/null
+++ b/src/oleanderdyke/policies/sources.py
@@ -0,0 +1,225 @@
+"""Know where context is, will soon be, and what can carry it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.demand import (
+    SEGMENT_TOKENS,
+    Demand,
+    Fleet,
+    Plan,
+    Replica,
+    SegmentHint,
+)
+from oleanderdyke.kernel.routing import LinkView
+from oleanderdyke.policies.settings import PolicySettings
+
+_SOON_KEPT = 5 * SECOND
+_SOON_LATE = 30 * SECOND
+
+
+@dataclass(slots=True)
+class _Coming:
+    """Hold what one dispatch brings; fetching ends at depth `fetched`."""
+
+    agent: str
+    segments: Sequence[SegmentHint]
+    fetched: int
+    ready: Millis
+    forget: Millis
+    done: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """Say how far a prefix will reach, how soon, and what is joined.
+
+    The `joined` segments after those held come by a fetch under way.
+    """
+
+    cached: int
+    ready: Millis = 0.0
+    joined: int = 0
+
+
+class SoonTable:
+    """Remember prefixes under way to an agent until its events show them."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._coming: OrderedDict[str, _Coming] = OrderedDict()
+        self._agents: dict[SegmentHint, dict[str, str]] = {}
+
+    def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
+        """Expect the missing segments of a prompt at the plan's agent."""
+        segments = demand.segments[plan.cached + plan.joined :]
+        if not segments:
+            return
+        self._forget_old(now)
+        ready = now + plan.predicted
+        depth = plan.cached + plan.fetched
+        forget = ready + _SOON_LATE
+        coming = _Coming(plan.agent, segments, depth, ready, forget)
+        self._coming[demand.request] = coming
+        for segment in segments:
+            agents = self._agents.setdefault(segment, {})
+            agents[plan.agent] = demand.request
+
+    def note_ready(self, request: str, now: Millis) -> None:
+        """Count the segments as there, though events may not show it yet."""
+        coming = self._coming.get(request)
+        if coming is None:
+            return
+        coming.ready = now
+        coming.done = True
+        coming.forget = now + _SOON_KEPT
+
+    def note_finished(self, request: str) -> None:
+        """Drop what never became ready."""
+        coming = self._coming.get(request)
+        if coming is not None and not coming.done:
+            self._drop(request)
+
+    def holders(self, segment: SegmentHint) -> Iterable[str]:
+        """Return the agents that will hold a segment soon."""
+        return self._agents.get(segment, ())
+
+    def extend(
+        self,
+        agent: str,
+        segments: Sequence[SegmentHint],
+        held: int,
+        now: Millis,
+    ) -> Reach:
+        """Return how far the prefix that an agent holds will reach."""
+        low, high = held, len(segments)
+        ready = 0.0
+        joined = 0
+        while low < high:
+            middle = low if low == held else (low + high) // 2
+            request = self._agents.get(segments[middle], {}).get(agent)
+            if request is None:
+                high = middle
+                continue
+            coming = self._coming[request]
+            low = middle + 1
+            ready = max(ready, coming.ready - now)
+            if not coming.done:
+                joined = max(joined, min(coming.fetched, low) - held)
+        return Reach(held + joined if joined else low, ready, joined)
+
+    def _forget_old(self, now: Millis) -> None:
+        while self._coming:
+            request, coming = next(iter(self._coming.items()))
+            if coming.forget > now and len(self._agents) < self._limit:
+                return
+            self._drop(request)
+
+    def _drop(self, request: str) -> None:
+        coming = self._coming.pop(request)
+        for segment in coming.segments:
+            agents = self._agents.get(segment)
+            if agents is None or agents.get(coming.agent) != request:
+                continue
+            del agents[coming.agent]
+            if not agents:
+                del self._agents[segment]
+
+
+@dataclass(slots=True)
+class _Fetch:
+    store: str
+    count: float
+    sent: Millis
+
+
+class LinkTracker:
+    """Correct reports of link use by own fetches since."""
+
+    def __init__(self, settings: PolicySettings) -> None:
+        self._settings = settings
+        self._fetches: dict[str, _Fetch] = {}
+        self._stores: dict[str, dict[str, _Fetch]] = {}
+
+    def note_sent(self, request: str, plan: Plan, now: Millis) -> None:
+        """Count the bytes of a plan that fetches."""
+        fetched = plan.fetched - plan.joined
+        if not fetched:
+            return
+        per_segment = SEGMENT_TOKENS * self._settings.kv_bytes_per_token
+        fetch = _Fetch(plan.store, fetched * per_segment, now)
+        self._fetches[request] = fetch
+        self._stores.setdefault(plan.store, {})[request] = fetch
+
+    def note_done(self, request: str) -> None:
+        """Forget a fetch that is over."""
+        fetch = self._fetches.pop(request, None)
+        if fetch is not None:
+            del self._stores[fetch.store][request]
+
+    def view(self, store: Replica, now: Millis) -> LinkView:
+        """Estimate what is under way on a store's link now."""
+        load = store.load
+        rate = load.link_bytes_per_second
+        rate = rate or self._settings.link_bytes_per_second
+        moment = store.heard - self._settings.report_lag
+        own = self._stores.get(store.agent, {})
+        since = sum(each.count for each in own.values() if each.sent > moment)
+        drained = max(0.0, now - moment) * rate / SECOND
+        left = max(0.0, load.link_bytes_in_flight + since - drained)
+        latency = self._settings.far_latency
+        return LinkView(left, max(1.0, rate), latency)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreView:
+    """Show the store that covers most of what a replica lacks."""
+
+    agent: str
+    covered: int
+    link: LinkView | None
+
+
+_NO_STORE = StoreView('', 0, None)
+
+
+class StoreViews:
+    """Look up the best store for each depth once in a decision."""
+
+    def __init__(
+        self, demand: Demand, fleet: Fleet, links: LinkTracker, now: Millis
+    ) -> None:
+        self._demand = demand
+        self._fleet = fleet
+        self._links = links
+        self._now = now
+        self._found: dict[int, StoreView] = {}
+        self._stores = fleet.stores(demand.service) if demand.segments else ()
+
+    def find(self, start: int) -> StoreView:
+        """Return the store that holds most segments from `start` on."""
+        if not self._stores or start >= len(self._demand.segments):
+            return _NO_STORE
+        if start not in self._found:
+            self._found[start] = max(
+                (self._view(store, start) for store in self._stores),
+                key=_rank,
+            )
+        return self._found[start]
+
+    def _view(self, store: Replica, start: int) -> StoreView:
+        covered = self._fleet.count_leading(
+            store.agent, self._demand.segments, start
+        )
+        if not covered:
+            return _NO_STORE
+        link = self._links.view(store, self._now)
+        return StoreView(store.agent, covered, link)
+
+
+def _rank(view: StoreView) -> tuple[int, float]:
+    return view.covered, -view.link.backlog_bytes if view.link else 0.0
