Carry messages over links and call the platform

Cause: the shells need links, the pool and the clients of the platform. Ruled out: a reading task for each link (one more hop for each message; the arrival of bytes is seen by the socket itself); kept-alive HTTP connections (one gone silent, or closed while a request goes out, makes a request's fate unknown).

--- a/src/oleanderdyke/links/dialer.py
+++ b/src/oleanderdyke/links/dialer.py
@@ -4,9 +4,22 @@
 
 import ssl
 
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
 from oleanderdyke.clock import Clock
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.links.handshake import HandshakeFailed, exchange_hellos
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.messages import Hello
+from oleanderdyke.links.sockets import ClientSocket, socket_options
+
+
+class DialFailed(OleanderError):
+    """Tell that a peer could not be reached."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ErrorKind.BACKEND_LOST, message, ran=Ran.NO)
 
 
 async def dial(
@@ -17,5 +30,39 @@
     clock: Clock,
     tls: ssl.SSLContext | None = None,
 ) -> Link:
-    """Connect to `host:port` and exchange hellos; raise OleanderError."""
-    raise NotImplementedError
+    """Connect to `host:port` and exchange hellos.
+
+    Raise DialFailed or HandshakeFailed.
+    """
+    socket = await _connect(address, settings, tls)
+    try:
+        peer = await exchange_hellos(socket, hello, settings)
+    except HandshakeFailed:
+        # An orderly close lets the peer read why.
+        await socket.close()
+        raise
+    except BaseException:
+        socket.abort()
+        raise
+    return Link(
+        socket, address=address, peer=peer, settings=settings, clock=clock
+    )
+
+
+async def _connect(
+    address: str, settings: LinkSettings, tls: ssl.SSLContext | None
+) -> ClientSocket:
+    scheme = 'ws' if tls is None else 'wss'
+    try:
+        socket = await connect(
+            f'{scheme}://{address}/',
+            ssl=tls,
+            proxy=None,
+            create_connection=ClientSocket,
+            **socket_options(settings),
+        )
+    except (OSError, WebSocketException) as error:
+        reason = type(error).__name__
+        raise DialFailed(f'cannot reach {address}: {reason}') from error
+    assert isinstance(socket, ClientSocket)  # noqa: S101 - as created above
+    return socket
--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -137,7 +137,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SegmentListRequest:
-    """Ask for the full list of cached segments."""
+    """Ask for the segment events from the number `after` on.
+
+    The answer is the full list where those events are no longer kept, and
+    always for -1.
+    """
+
+    after: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,7 +268,9 @@
 class AnswerEnd:
     """Close an answer; count and digest prove that it is whole.
 
-    The digest is BLAKE2b-128 over the data of every chunk in order.
+    The digest is BLAKE2b-128 over the data of every chunk in order; after a
+    `Resume` it starts with the first chunk sent again. `count` is always that
+    of the whole answer.
     """
 
     request: str
--- /dev/null
+++ b/src/oleanderdyke/links/sockets.py
@@ -0,0 +1,78 @@
+"""Fit the websockets library to the links."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import ServerConnection
+from websockets.protocol import State
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.links.link import LinkSettings
+from oleanderdyke.links.silence import SilenceWatch
+
+_MAX_QUEUED_FRAMES = 8
+_WRITE_LIMIT = 256 * 1024
+
+# The library's own lines are not in the form of the event log.
+_LOGGER = logging.getLogger('oleanderdyke.links')
+_LOGGER.addHandler(logging.NullHandler())
+_LOGGER.propagate = False
+
+
+class _WatchedConnection(Connection):
+    """Report each arrival of bytes, also within a long frame."""
+
+    _watch: SilenceWatch | None = None
+
+    def watch(self, watch: SilenceWatch) -> None:
+        """Report arriving bytes to a watch."""
+        self._watch = watch
+
+    def is_reading(self) -> bool:
+        """Tell whether bytes are taken from the socket."""
+        return self.transport.is_reading()
+
+    def is_open(self) -> bool:
+        """Tell whether frames can still be sent."""
+        return self.state is State.OPEN
+
+    def is_writable(self) -> bool:
+        """Tell whether a short frame goes out without waiting."""
+        return not self.paused
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the socket."""
+        if self._watch is not None:
+            self._watch.note_heard()
+        super().data_received(data)
+
+
+class ClientSocket(_WatchedConnection, ClientConnection):
+    """Be the websocket of a dialer."""
+
+
+class ServerSocket(_WatchedConnection, ServerConnection):
+    """Be the websocket of a listener."""
+
+
+def socket_options(settings: LinkSettings) -> dict[str, Any]:
+    """Return the options of the library that both sides share."""
+    return {
+        'compression': None,
+        'max_size': settings.max_frame,
+        'max_queue': _MAX_QUEUED_FRAMES,
+        'write_limit': _WRITE_LIMIT,
+        'ping_interval': None,
+        'ping_timeout': None,
+        'open_timeout': settings.dial_timeout / SECOND,
+        'close_timeout': settings.close_timeout / SECOND,
+        'logger': _LOGGER,
+    }
--- /dev/null
+++ b/src/oleanderdyke/platform/documents.py
@@ -0,0 +1,60 @@
+"""Read JSON documents of the platform's services."""
+
+from __future__ import annotations
+
+import json
+import ssl
+from typing import Any
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.platform.http import HttpBackend, HttpError, HttpSettings
+
+_OK = 200
+_NOT_FOUND = 404
+_MAX_DOCUMENT = 16 * 1024 * 1024
+
+
+class PlatformUnavailable(OleanderError):
+    """Tell that a service of the platform gave no proper answer."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ErrorKind.NOT_READY, message, ran=Ran.NO)
+
+
+class DocumentClient:
+    """Get JSON documents from `host:port`."""
+
+    def __init__(
+        self, address: str, *, tls: ssl.SSLContext | None = None
+    ) -> None:
+        settings = HttpSettings(read=None)
+        self._http = HttpBackend(address, settings=settings, tls=tls)
+
+    async def get(self, path: str, timeout: Millis) -> Any:
+        """Return a document; raise PlatformUnavailable, or NOT_FOUND."""
+        status, data = await self._exchange(path, timeout)
+        if status == _NOT_FOUND:
+            raise OleanderError(ErrorKind.NOT_FOUND, f'no {path}')
+        if status != _OK:
+            raise PlatformUnavailable(f'answered with {status}')
+        try:
+            return json.loads(data)
+        except (ValueError, RecursionError) as error:
+            raise PlatformUnavailable('the answer is no JSON') from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._http.close()
+
+    async def _exchange(self, path: str, timeout: Millis) -> tuple[int, bytes]:
+        try:
+            with anyio.fail_after(timeout / SECOND):
+                async with self._http.request('GET', path) as answer:
+                    return answer.status, await answer.read(_MAX_DOCUMENT)
+        except HttpError as error:
+            raise PlatformUnavailable(error.message) from error
+        except TimeoutError as error:
+            raise PlatformUnavailable('no answer in time') from error
--- a/src/oleanderdyke/platform/log.py
+++ b/src/oleanderdyke/platform/log.py
@@ -2,11 +2,23 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import NoReturn, TypeGuard
+from urllib.parse import quote
 
+import anyio
+
+from oleanderdyke.cbor import dump_cbor, load_cbor
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.platform.http import HttpBackend, HttpError, HttpSettings
+
+_OK = 200
+_UNAVAILABLE = 503
+_MAX_ANSWER = 64 * 1024 * 1024
+_RECORD_PARTS = 3
 
 
 class LogUnavailable(OleanderError):
@@ -40,8 +52,12 @@
 class LogClient:
     """Call the log service at `host:port`."""
 
-    def __init__(self, address: str) -> None:
-        raise NotImplementedError
+    def __init__(
+        self, address: str, *, tls: ssl.SSLContext | None = None
+    ) -> None:
+        # The timeout of each call bounds its reads.
+        settings = HttpSettings(read=None)
+        self._http = HttpBackend(address, settings=settings, tls=tls)
 
     async def append(
         self,
@@ -54,7 +70,13 @@
 
         Raise LogUnavailable.
         """
-        raise NotImplementedError
+        body = dump_cbor(list(records))
+        path = f'/logs/{quote(log, safe="")}'
+        answer = await self._call('POST', path, body, timeout)
+        first = answer.get('first')
+        if not _is_offset(first):
+            raise LogUnavailable('the answer has no offset', ran=Ran.MAYBE)
+        return first
 
     async def read(
         self,
@@ -69,8 +91,89 @@
 
         `timeout` is counted on top of `wait`. Raise LogUnavailable.
         """
-        raise NotImplementedError
+        query = f'from={start}&limit={limit}&wait={int(wait)}'
+        path = f'/logs/{quote(log, safe="")}?{query}'
+        answer = await self._call('GET', path, None, wait + timeout)
+        return _make_page(answer, start)
 
     async def close(self) -> None:
         """Close every connection."""
-        raise NotImplementedError
+        await self._http.close()
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None, timeout: Millis
+    ) -> dict[object, object]:
+        reached = Ran.NO if body is None else Ran.MAYBE
+        try:
+            with anyio.fail_after(timeout / SECOND):
+                status, data = await self._exchange(method, path, body)
+        except HttpError as error:
+            ran = Ran.NO if body is None else error.ran
+            raise LogUnavailable(error.message, ran=ran) from error
+        except TimeoutError as error:
+            raise LogUnavailable('no answer in time', ran=reached) from error
+        if status == _UNAVAILABLE:
+            raise LogUnavailable('the log service is out', ran=Ran.NO)
+        if status != _OK:
+            raise LogUnavailable(f'answered with {status}', ran=reached)
+        return _load_map(data, reached)
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes | None
+    ) -> tuple[int, bytes]:
+        headers = (('content-type', 'application/cbor'),)
+        async with self._http.request(
+            method, path, headers=headers, body=body
+        ) as answer:
+            return answer.status, await answer.read(_MAX_ANSWER)
+
+
+def _load_map(data: bytes, ran: Ran) -> dict[object, object]:
+    try:
+        value = load_cbor(data)
+    except OleanderError as error:
+        raise LogUnavailable('the answer is no CBOR', ran=ran) from error
+    if not isinstance(value, dict):
+        raise LogUnavailable('the answer is no map', ran=ran)
+    return value
+
+
+def _is_offset(value: object) -> TypeGuard[int]:
+    return type(value) is int and value >= 0
+
+
+def _make_page(answer: dict[object, object], start: int) -> LogPage:
+    first, end = answer.get('first'), answer.get('end')
+    records = answer.get('records')
+    if not _is_offset(first) or not _is_offset(end):
+        _refuse_page('no offsets')
+    if not isinstance(records, list):
+        _refuse_page('no records')
+    page = LogPage(tuple(_make_record(each) for each in records), first, end)
+    _check_order(page, start)
+    return page
+
+
+def _make_record(parts: object) -> LogRecord:
+    if not isinstance(parts, list) or len(parts) != _RECORD_PARTS:
+        _refuse_page('a malformed record')
+    offset, at, data = parts
+    if not _is_offset(offset) or type(at) not in {int, float}:
+        _refuse_page('a malformed record')
+    if not isinstance(data, bytes):
+        _refuse_page('a malformed record')
+    return LogRecord(offset, float(at), data)
+
+
+def _check_order(page: LogPage, start: int) -> None:
+    last = start - 1
+    for record in page.records:
+        if record.offset <= last:
+            _refuse_page('records out of order')
+        last = record.offset
+    if page.records and last >= page.end:
+        _refuse_page('records past the end')
+
+
+def _refuse_page(what: str) -> NoReturn:
+    raise LogUnavailable(f'the page has {what}', ran=Ran.NO)
--- a/src/oleanderdyke/platform/vms.py
+++ b/src/oleanderdyke/platform/vms.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import ssl
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.platform.documents import DocumentClient, PlatformUnavailable
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,13 +22,31 @@
 class VmClient:
     """Call the VM list at `host:port`."""
 
-    def __init__(self, address: str) -> None:
-        raise NotImplementedError
+    def __init__(
+        self, address: str, *, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._documents = DocumentClient(address, tls=tls)
 
     async def list(self, *, timeout: Millis = 2 * SECOND) -> tuple[Vm, ...]:
         """Return the known VMs; raise OleanderError."""
-        raise NotImplementedError
+        document = await self._documents.get('/vms', timeout)
+        if not isinstance(document, list):
+            raise PlatformUnavailable('the VM list is no list')
+        return tuple(_make_vm(each) for each in document)
 
     async def close(self) -> None:
         """Close every connection."""
-        raise NotImplementedError
+        await self._documents.close()
+
+
+def _make_vm(document: object) -> Vm:
+    if not isinstance(document, dict):
+        raise PlatformUnavailable('a VM is no map')
+    texts = [document.get(key) for key in ('name', 'address', 'data_centre')]
+    leaving = document.get('leaving', False)
+    if not all(isinstance(text, str) for text in texts):
+        raise PlatformUnavailable('a VM lacks its name or place')
+    if not isinstance(leaving, bool):
+        raise PlatformUnavailable('a VM is neither leaving nor staying')
+    name, address, data_centre = map(str, texts)
+    return Vm(name, address, data_centre, leaving)
