Give cached context, streams, stops and orders their bodies

Ruled out: one digest for resumed readers, since a reader that never saw the first chunks can't check it.

--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainSettings:
-    """Time a planned stop.
+    """Time a planned stop; each time counts from the first signal.
 
     `accept` is how long new work is still taken after the announcement: an
     entry waits for the balancer's next probe, an agent takes nothing.
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Exit:
-    """Close what is open and leave the process."""
+    """Close what is open and leave the process; name what was cut off."""
 
     cut: tuple[str, ...] = ()
 
@@ -68,44 +68,122 @@
     def __init__(self, settings: DrainSettings) -> None:
         self._settings = settings
         self.phase = DrainPhase.SERVING
+        self._stopped_at: Millis = 0.0
+        # Whether each running request can be resumed elsewhere.
+        self._work: dict[str, bool] = {}
+        self._handed: set[str] = set()
+        self._cut: tuple[str, ...] = ()
 
     @property
     def is_leaving(self) -> bool:
         """Tell whether a stop has been announced."""
         return self.phase is not DrainPhase.SERVING
 
+    @property
+    def running(self) -> tuple[str, ...]:
+        """List the requests that have not ended."""
+        return tuple(self._work)
+
+    def accepts(self, now: Millis) -> bool:
+        """Tell whether new work may start."""
+        if self.phase is DrainPhase.SERVING:
+            return True
+        if self.phase is not DrainPhase.ANNOUNCED:
+            return False
+        return now < self._stopped_at + self._settings.accept
+
     def start_work(
         self, request: str, now: Millis, *, resumable: bool = False
     ) -> bool:
         """Count a request; False when no new work may start."""
-        raise NotImplementedError
-
-    def mark_resumable(self, request: str) -> None:
+        if not self.accepts(now):
+            return False
+        self._work[request] = resumable
+        return True
+
+    def mark_resumable(
+        self, request: str, now: Millis
+    ) -> tuple[DrainAction, ...]:
         """Note that a running request can be resumed elsewhere."""
-        raise NotImplementedError
+        if request not in self._work:
+            return ()
+        self._work[request] = True
+        return self.tick(now)
 
     def end_work(self, request: str, now: Millis) -> tuple[DrainAction, ...]:
         """Forget a request that has ended or was handed over."""
-        raise NotImplementedError
+        self._work.pop(request, None)
+        self._handed.discard(request)
+        return self.tick(now)
 
     def signal(self, now: Millis) -> tuple[DrainAction, ...]:
         """Take a stop signal; the second one hurries."""
-        raise NotImplementedError
+        if self.phase is DrainPhase.DONE:
+            return ()
+        if self.phase is not DrainPhase.SERVING:
+            return self._hurry()
+        self.phase = DrainPhase.ANNOUNCED
+        self._stopped_at = now
+        return (Announce(), *self.tick(now))
 
     def tick(self, now: Millis) -> tuple[DrainAction, ...]:
         """Act on the time that has passed."""
-        raise NotImplementedError
+        if self.phase in {DrainPhase.SERVING, DrainPhase.DONE}:
+            return ()
+        elapsed = now - self._stopped_at
+        if elapsed < self._announce_time():
+            return ()
+        if elapsed >= self._settings.limit:
+            return self._hurry()
+        return self._drain(elapsed)
 
     def next_time(self) -> Millis | None:
         """Return when `tick` is due next, or None."""
-        raise NotImplementedError
-
-
-def make_entry_drain() -> Drain:
+        times = {
+            DrainPhase.ANNOUNCED: self._announce_time(),
+            DrainPhase.DRAINING: self._settings.drain,
+            DrainPhase.HANDING_OVER: self._settings.limit,
+        }
+        due = times.get(self.phase)
+        return None if due is None else self._stopped_at + due
+
+    def _announce_time(self) -> Millis:
+        return max(self._settings.announce, self._settings.accept)
+
+    def _drain(self, elapsed: Millis) -> tuple[DrainAction, ...]:
+        if not self._work:
+            return self._exit()
+        if elapsed < self._settings.drain:
+            self.phase = DrainPhase.DRAINING
+            return ()
+        self.phase = DrainPhase.HANDING_OVER
+        ready = [
+            request
+            for request, resumable in self._work.items()
+            if resumable and request not in self._handed
+        ]
+        self._handed.update(ready)
+        return tuple(HandOver(request) for request in ready)
+
+    def _hurry(self) -> tuple[DrainAction, ...]:
+        self._cut = tuple(self._work)
+        self._work.clear()
+        if not self._cut:
+            return self._exit()
+        return (CutOff(self._cut), *self._exit())
+
+    def _exit(self) -> tuple[DrainAction, ...]:
+        self.phase = DrainPhase.DONE
+        return (Exit(self._cut),)
+
+
+def make_entry_drain(settings: DrainSettings | None = None) -> Drain:
     """Build the drain of an entry."""
-    return Drain(DrainSettings(accept=2 * SECOND, announce=2 * SECOND))
+    return Drain(
+        settings or DrainSettings(accept=2 * SECOND, announce=2 * SECOND)
+    )
 
 
-def make_agent_drain() -> Drain:
+def make_agent_drain(settings: DrainSettings | None = None) -> Drain:
     """Build the drain of an agent."""
-    return Drain(DrainSettings())
+    return Drain(settings or DrainSettings())
--- a/src/oleanderdyke/kernel/orders.py
+++ b/src/oleanderdyke/kernel/orders.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TypeAlias
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.objects import ModelVersionSpec, ServiceSpec
+from oleanderdyke.kernel.objects import (
+    ModelVersionSpec,
+    ServiceKind,
+    ServiceSpec,
+)
 
 SERVE_ROLE = 'serve'
 RECHECK: Millis = 1 * SECOND
@@ -37,7 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Observed:
-    """Hold the state that an engine has reported, and when it was read."""
+    """Hold the state that an engine has reported, and when it was read.
+
+    A state read before the last order was answered must not be used again.
+    """
 
     model: str
     version: str
@@ -53,7 +60,8 @@
     """Hold what an agent knows about its own right to order.
 
     `offset` is the highest configuration offset it has learned of from
-    anyone; `ended` tells that a newer incarnation has taken its place.
+    anyone; `ended` tells that a newer incarnation has taken its place;
+    `read_at` is when an entry last confirmed both, by this process's clock.
     """
 
     incarnation: str
@@ -75,7 +83,7 @@
     """Send the desired state; not after the given time.
 
     The shell compares the time directly before the write and starts over
-    when it has passed.
+    when it has passed. After the answer, or its timeout, it reads the state.
     """
 
     desired: Desired
@@ -85,7 +93,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadState:
-    """Read the engine's state (again), then reconcile."""
+    """Read the engine's state, then reconcile."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmValidity:
+    """Ask an entry for its configuration offset, then reconcile."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,14 +115,27 @@
     reason: Stale
 
 
-Step: TypeAlias = Order | ReadState | Settled | StandDown
+Step: TypeAlias = Order | ReadState | ConfirmValidity | Settled | StandDown
 
 
 def find_desired(
-    service: ServiceSpec, versions: Sequence[ModelVersionSpec]
+    service: ServiceSpec, versions: Iterable[ModelVersionSpec]
 ) -> Desired | None:
-    """Return what the configuration asks; None when it names no weights."""
-    raise NotImplementedError
+    """Return what the configuration asks; None unless it names one digest."""
+    if service.kind is not ServiceKind.MODEL:
+        return None
+    wanted = (service.model, service.version)
+    digests = {
+        each.digest for each in versions if (each.model, each.version) == wanted
+    }
+    if len(digests) != 1:
+        return None
+    return Desired(
+        model=service.model,
+        version=service.version,
+        digest=digests.pop(),
+        adapter=service.adapter,
+    )
 
 
 def reconcile(
@@ -118,6 +144,52 @@
     fence: Fence,
     validity: Validity,
     now: Millis,
+    *,
+    checks_fencing: bool = False,
+    changed_at: int = 0,
 ) -> Step:
-    """Return the next step towards the desired state."""
-    raise NotImplementedError
+    """Return the next step towards the desired state.
+
+    `changed_at` is the offset of the last change of the desired state: a
+    server that checks fences must have seen an order at least that new.
+    """
+    stale = _find_stale(observed, fence, validity)
+    if stale is not None:
+        return StandDown(stale)
+    if observed is None or now - observed.read_at >= RECHECK:
+        return ReadState()
+    is_fenced = not checks_fencing or _get_offset(observed) >= changed_at
+    if is_fenced and matches(observed, desired):
+        return Settled(observed.read_at + RECHECK)
+    if checks_fencing:
+        return Order(desired, fence, now + ORDER_TIMEOUT)
+    if now - validity.read_at >= VALIDITY_TIME:
+        return ConfirmValidity()
+    return Order(desired, fence, validity.read_at + VALIDITY_TIME)
+
+
+def matches(observed: Observed, desired: Desired) -> bool:
+    """Tell whether an engine is in the desired state."""
+    return desired == Desired(
+        model=observed.model,
+        version=observed.version,
+        digest=observed.digest,
+        adapter=observed.adapter,
+        role=observed.role,
+    )
+
+
+def _find_stale(
+    observed: Observed | None, fence: Fence, validity: Validity
+) -> Stale | None:
+    if validity.ended or validity.incarnation != fence.incarnation:
+        return Stale.ENDED
+    if validity.offset > fence.offset:
+        return Stale.OLD_OFFSET
+    if observed is not None and _get_offset(observed) > fence.offset:
+        return Stale.NEWER_ORDER
+    return None
+
+
+def _get_offset(observed: Observed) -> int:
+    return -1 if observed.fence is None else observed.fence.offset
--- /dev/null
+++ b/src/oleanderdyke/kernel/pins.py
@@ -0,0 +1,68 @@
+"""Count the readers that are copying an object."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import count
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.store_meta import SealedMeta
+from oleanderdyke.kernel.store_outcomes import Pinned
+
+
+class PinTable:
+    """Hold pins, bounded in number and time."""
+
+    def __init__(self, *, limit: int, time: Millis) -> None:
+        self._limit = limit
+        self._time = time
+        self._numbers = count(1)
+        # All pins live equally long, so the oldest comes first.
+        self._pins: dict[int, Pinned] = {}
+        self._counts: Counter[str] = Counter()
+
+    def add(
+        self, meta: SealedMeta, generation: int, now: Millis
+    ) -> Pinned | None:
+        """Return a new pin, or None while there are too many."""
+        if len(self._pins) >= self._limit:
+            return None
+        pinned = Pinned(
+            number=next(self._numbers),
+            segment=meta.segment,
+            generation=generation,
+            object_name=meta.object_name,
+            length=meta.length,
+            digest=meta.digest,
+            until=now + self._time,
+        )
+        self._pins[pinned.number] = pinned
+        self._counts[meta.object_name] += 1
+        return pinned
+
+    def holds(self, pinned: Pinned, now: Millis) -> bool:
+        """Tell whether a pin is still there and in time."""
+        return pinned.number in self._pins and now < pinned.until
+
+    def is_pinned(self, object_name: str) -> bool:
+        """Tell whether a reader may be copying an object."""
+        return self._counts[object_name] > 0
+
+    def remove(self, pinned: Pinned) -> bool:
+        """End a pin; tell whether it was the last one of its object."""
+        if self._pins.pop(pinned.number, None) is None:
+            return False
+        self._counts[pinned.object_name] -= 1
+        if self._counts[pinned.object_name]:
+            return False
+        del self._counts[pinned.object_name]
+        return True
+
+    def list_expired(self, now: Millis) -> tuple[Pinned, ...]:
+        """Return the pins whose time is over."""
+        expired = []
+        for pinned in self._pins.values():
+            if now < pinned.until:
+                break
+            expired.append(pinned)
+        return tuple(expired)
--- a/src/oleanderdyke/kernel/store_index.py
+++ b/src/oleanderdyke/kernel/store_index.py
@@ -2,17 +2,64 @@
 
 from __future__ import annotations
 
-import enum
 from dataclasses import dataclass
+from itertools import count
 from random import Random
-from typing import TypeAlias
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.blocks import Namespace, SegmentId
+from oleanderdyke.kernel.blocks import Namespace, SegmentId, hint
 from oleanderdyke.kernel.demand import Keeper
+from oleanderdyke.kernel.eviction import Evictor
+from oleanderdyke.kernel.pins import PinTable
+from oleanderdyke.kernel.sealed_entries import SealedEntries, SealedEntry
 from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.kernel.segment_write import OpenWrite
+from oleanderdyke.kernel.store_meta import (
+    META_SUFFIX,
+    SealedMeta,
+    decode_meta,
+    encode_meta,
+)
+from oleanderdyke.kernel.store_outcomes import (
+    BeginOutcome,
+    PartIgnored,
+    PartOutcome,
+    PartTaken,
+    Pinned,
+    ReadRefusal,
+    ReadRefused,
+    WriteBegun,
+    WriteFailed,
+    WriteJoined,
+    WritePresent,
+    WriteRefusal,
+    WriteSealed,
+    WriteVerified,
+)
 from oleanderdyke.links.messages import SegmentPart, SegmentWrite
 
+__all__ = [
+    'BeginOutcome',
+    'PartIgnored',
+    'PartOutcome',
+    'PartTaken',
+    'Pinned',
+    'ReadRefusal',
+    'ReadRefused',
+    'SealedMeta',
+    'StoreIndex',
+    'StoreLimits',
+    'WriteBegun',
+    'WriteFailed',
+    'WriteJoined',
+    'WritePresent',
+    'WriteRefusal',
+    'WriteSealed',
+    'WriteVerified',
+    'decode_meta',
+    'encode_meta',
+]
+
 
 @dataclass(frozen=True, slots=True)
 class StoreLimits:
@@ -25,121 +72,6 @@
     writes: int = 64
 
 
-class WriteRefusal(enum.StrEnum):
-    """Say why a write left nothing visible."""
-
-    FULL = 'full'
-    BUSY = 'busy'
-    NOT_WORTH_IT = 'not_worth_it'
-    NAMESPACE = 'namespace'
-    LENGTH = 'length'
-    ORDER = 'order'
-    DIGEST = 'digest'
-    UNKNOWN = 'unknown'
-    TIMEOUT = 'timeout'
-    STORE_FULL = 'store_full'
-    STORE_FAILED = 'store_failed'
-    STOPPED = 'stopped'
-
-
-class ReadRefusal(enum.StrEnum):
-    """Say, for the log only, why a read found nothing."""
-
-    MISSING = 'missing'
-    NAMESPACE = 'namespace'
-    BUSY = 'busy'
-
-
-@dataclass(frozen=True, slots=True)
-class SealedMeta:
-    """Describe a whole object; stored beside it once it is verified."""
-
-    object_name: str
-    namespace: Namespace
-    segment: SegmentId
-    length: int
-    digest: bytes
-    gap: Millis = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class WriteBegun:
-    """Let the parts come; the object gets this name in the store."""
-
-    object_name: str
-
-
-@dataclass(frozen=True, slots=True)
-class WriteJoined:
-    """Wait for the same segment's write that is under way."""
-
-
-@dataclass(frozen=True, slots=True)
-class WritePresent:
-    """Answer at once; the segment is sealed already."""
-
-
-@dataclass(frozen=True, slots=True)
-class WriteFailed:
-    """Answer every request that waited; nothing is visible."""
-
-    reason: WriteRefusal
-    requests: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class PartTaken:
-    """Go on; the part is next in order."""
-
-
-@dataclass(frozen=True, slots=True)
-class WriteVerified:
-    """Store the object, then the meta record under `meta_name`, then seal."""
-
-    meta_name: str
-    meta: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class WriteSealed:
-    """Answer every request that waited; the segment is visible."""
-
-    requests: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Pinned:
-    """Allow one reader to copy an object for a bounded time."""
-
-    segment: SegmentId
-    generation: int
-    object_name: str
-    length: int
-    digest: bytes
-    until: Millis
-
-
-@dataclass(frozen=True, slots=True)
-class ReadRefused:
-    """Answer that the segment is missing, whatever the reason."""
-
-    reason: ReadRefusal
-
-
-BeginOutcome: TypeAlias = WriteBegun | WriteJoined | WritePresent | WriteFailed
-PartOutcome: TypeAlias = PartTaken | WriteVerified | WriteFailed
-
-
-def encode_meta(meta: SealedMeta) -> bytes:
-    """Return the stored form of a meta record."""
-    raise NotImplementedError
-
-
-def decode_meta(data: bytes) -> SealedMeta | None:
-    """Read a stored meta record; None unless it is whole."""
-    raise NotImplementedError
-
-
 class StoreIndex:
     """Decide what a store's agent may write, show, read and delete.
 
@@ -158,63 +90,136 @@
         self._limits = limits
         self._keeper = keeper
         self._incarnation = incarnation
-        self._random = random
+        self._generations = count(1)
+        self._entries = SealedEntries()
+        self._writes: dict[SegmentId, OpenWrite] = {}
+        self._pins = PinTable(limit=limits.pins, time=limits.pin_time)
+        self._evictor = Evictor(self._entries, self._pins, keeper, random)
+        self._doomed: dict[str, int] = {}
+        self._deletions: list[str] = []
+        self._used = 0
         self.log = SegmentLog()
 
     @property
     def used_bytes(self) -> int:
-        """Return the bytes of sealed objects and of writes under way."""
-        raise NotImplementedError
+        """Return the bytes of objects kept, pinned or being written."""
+        return self._used
 
     def begin(self, write: SegmentWrite, now: Millis) -> BeginOutcome:
         """Open a write, or say why not."""
-        raise NotImplementedError
+        known = self._find_known(write)
+        if known is not None:
+            return known
+        if len(self._writes) >= self._limits.writes:
+            return WriteFailed(WriteRefusal.BUSY, (write.request,))
+        generation = next(self._generations)
+        meta = self._describe(write, generation)
+        fault = self._make_room(meta, now)
+        if fault is not None:
+            return WriteFailed(fault, (write.request,))
+        self._used += meta.length
+        self._writes[meta.segment] = OpenWrite(
+            write.request, meta, generation, now + self._limits.write_time
+        )
+        return WriteBegun(meta.object_name)
 
     def add_part(self, part: SegmentPart, now: Millis) -> PartOutcome:
         """Check the next part of the write that its request opened."""
-        raise NotImplementedError
+        write = self._find_write(part.request, part.segment)
+        if write is None:
+            return PartIgnored()
+        if now >= write.until:
+            return self._drop_write(write, WriteRefusal.TIMEOUT)
+        fault = write.add(part)
+        if fault is not None:
+            return self._drop_write(write, fault)
+        if not write.is_verified:
+            return PartTaken()
+        meta_name = write.meta.object_name + META_SUFFIX
+        return WriteVerified(meta_name, encode_meta(write.meta))
 
     def seal(
         self, request: str, segment: SegmentId, now: Millis
     ) -> WriteSealed | WriteFailed:
         """Make a verified and stored segment visible."""
-        raise NotImplementedError
+        write = self._find_write(request, segment)
+        if write is None:
+            return WriteFailed(WriteRefusal.UNKNOWN)
+        if now >= write.until:
+            return self._drop_write(write, WriteRefusal.TIMEOUT)
+        if not write.is_verified:
+            return self._drop_write(write, WriteRefusal.LENGTH)
+        del self._writes[segment]
+        self._show(SealedEntry(write.meta, write.generation), now)
+        return WriteSealed(write.requests)
 
     def abort(
         self, request: str, segment: SegmentId, reason: WriteRefusal
     ) -> WriteFailed:
         """Give up a write; also when the store is full or has failed."""
-        raise NotImplementedError
+        write = self._find_write(request, segment)
+        if write is None:
+            return WriteFailed(WriteRefusal.UNKNOWN)
+        return self._drop_write(write, reason)
 
     def pin(
         self, namespace: Namespace, segment: SegmentId, now: Millis
     ) -> Pinned | ReadRefused:
         """Let one reader copy a segment; each pin needs one `unpin`."""
-        raise NotImplementedError
+        entry = self._entries.get(segment)
+        if entry is None:
+            return ReadRefused(ReadRefusal.MISSING)
+        if entry.meta.namespace != namespace:
+            return ReadRefused(ReadRefusal.NAMESPACE)
+        pinned = self._pins.add(entry.meta, entry.generation, now)
+        if pinned is None:
+            return ReadRefused(ReadRefusal.BUSY)
+        self._keeper.note_used(hint(segment), now)
+        return pinned
 
     def holds(self, pinned: Pinned, now: Millis) -> bool:
         """Tell, after the copy, whether the copied bytes may be used."""
-        raise NotImplementedError
+        entry = self._entries.get(pinned.segment)
+        if entry is None or entry.generation != pinned.generation:
+            return False
+        return self._pins.holds(pinned, now)
 
     def unpin(self, pinned: Pinned) -> None:
         """End a reader's copy."""
-        raise NotImplementedError
+        if self._pins.remove(pinned):
+            self._delete_doomed(pinned.object_name)
 
     def free(self, segment: SegmentId) -> None:
         """Hide a segment at once; delete its object when no pin is left."""
-        raise NotImplementedError
+        entry = self._entries.remove(segment)
+        if entry is None:
+            return
+        self.log.remove(hint(segment))
+        name = entry.meta.object_name
+        self._doomed[name] = entry.meta.length
+        if not self._pins.is_pinned(name):
+            self._delete_doomed(name)
 
     def free_broken(self, pinned: Pinned) -> None:
         """Free the entry whose bytes failed verification, if still there."""
-        raise NotImplementedError
+        entry = self._entries.get(pinned.segment)
+        if entry is not None and entry.generation == pinned.generation:
+            self.free(pinned.segment)
 
     def expire(self, now: Millis) -> tuple[WriteFailed, ...]:
         """End writes and pins whose time is over."""
-        raise NotImplementedError
+        for pinned in self._pins.list_expired(now):
+            self.unpin(pinned)
+        late = [each for each in self._writes.values() if now >= each.until]
+        return tuple(
+            self._drop_write(each, WriteRefusal.TIMEOUT) for each in late
+        )
 
     def take_deletions(self) -> tuple[str, ...]:
         """Return the names to delete from the store, meta records first."""
-        raise NotImplementedError
+        names = tuple(self._deletions)
+        self._deletions.clear()
+        return names
 
     def readmit(
         self, meta_name: str, meta: bytes, stored: int | None, now: Millis
@@ -224,4 +229,96 @@
         `stored` is the object's length in the store's list. Both objects are
         named for deletion otherwise.
         """
-        raise NotImplementedError
+        record = decode_meta(meta)
+        if record is None or not self._fits(meta_name, record, stored):
+            self._name_deletions(meta_name.removesuffix(META_SUFFIX))
+            return False
+        if self._entries.get(record.segment) is not None:
+            return self._settle_twin(record)
+        self._used += record.length
+        self._show(SealedEntry(record, next(self._generations)), now)
+        return True
+
+    def _fits(
+        self, meta_name: str, record: SealedMeta, stored: int | None
+    ) -> bool:
+        if meta_name != record.object_name + META_SUFFIX:
+            return False
+        if stored != record.length or record.segment in self._writes:
+            return False
+        return self._used + record.length <= self._limits.capacity_bytes
+
+    def _settle_twin(self, record: SealedMeta) -> bool:
+        entry = self._entries.get(record.segment)
+        if entry is not None and entry.meta == record:
+            return True
+        self._name_deletions(record.object_name)
+        return False
+
+    def _find_known(self, write: SegmentWrite) -> BeginOutcome | None:
+        opened = self._writes.get(write.segment)
+        entry = self._entries.get(write.segment)
+        known = opened or entry
+        if known is None:
+            return None
+        if known.meta.namespace != write.namespace:
+            return WriteFailed(WriteRefusal.NAMESPACE, (write.request,))
+        if opened is None:
+            return WritePresent()
+        opened.joined.append(write.request)
+        return WriteJoined()
+
+    def _find_write(self, request: str, segment: SegmentId) -> OpenWrite | None:
+        write = self._writes.get(segment)
+        if write is None or write.request != request:
+            return None
+        return write
+
+    def _describe(self, write: SegmentWrite, generation: int) -> SealedMeta:
+        name = f'{write.segment.hex()}-{self._incarnation}-{generation}'
+        return SealedMeta(
+            object_name=name,
+            namespace=write.namespace,
+            segment=write.segment,
+            length=write.length,
+            digest=write.digest,
+            gap=write.expected_gap,
+        )
+
+    def _drop_write(
+        self, write: OpenWrite, reason: WriteRefusal
+    ) -> WriteFailed:
+        del self._writes[write.meta.segment]
+        self._delete(write.meta.object_name, write.meta.length)
+        return WriteFailed(reason, write.requests)
+
+    def _show(self, entry: SealedEntry, now: Millis) -> None:
+        segment = entry.meta.segment
+        self._entries.add(entry)
+        self._keeper.note_used(hint(segment), now)
+        self.log.add(hint(segment))
+
+    def _delete_doomed(self, name: str) -> None:
+        length = self._doomed.pop(name, None)
+        if length is not None:
+            self._delete(name, length)
+
+    def _delete(self, name: str, length: int) -> None:
+        self._used -= length
+        self._name_deletions(name)
+
+    def _name_deletions(self, name: str) -> None:
+        self._deletions += [name + META_SUFFIX, name]
+
+    def _make_room(self, meta: SealedMeta, now: Millis) -> WriteRefusal | None:
+        if not 0 < meta.length <= self._limits.capacity_bytes:
+            return WriteRefusal.FULL
+        missing = self._used + meta.length - self._limits.capacity_bytes
+        if missing <= 0:
+            return None
+        victims = self._evictor.choose(meta, missing, now)
+        if isinstance(victims, WriteRefusal):
+            return victims
+        for segment in victims:
+            self.free(segment)
+        return None
--- /dev/null
+++ b/src/oleanderdyke/kernel/store_meta.py
@@ -0,0 +1,72 @@
+"""Encode the records that prove a store's objects whole."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from typing import TypeGuard
+
+import cbor2
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.blocks import Namespace, SegmentId
+
+META_SUFFIX = '.meta'
+_META_VERSION = 1
+_CHECK_BYTES = 32
+_FIELD_TYPES = (int, str, bytes, bytes, int, bytes, float)
+
+
+@dataclass(frozen=True, slots=True)
+class SealedMeta:
+    """Describe a whole object; stored beside it once it is verified."""
+
+    object_name: str
+    namespace: Namespace
+    segment: SegmentId
+    length: int
+    digest: bytes
+    gap: Millis = 0.0
+
+
+def encode_meta(meta: SealedMeta) -> bytes:
+    """Return the stored form of a meta record: its digest, then CBOR."""
+    body = cbor2.dumps(
+        [
+            _META_VERSION,
+            meta.object_name,
+            meta.namespace,
+            meta.segment,
+            meta.length,
+            meta.digest,
+            float(meta.gap),
+        ]
+    )
+    return _check(body) + body
+
+
+def decode_meta(data: bytes) -> SealedMeta | None:
+    """Read a stored meta record; None unless it is whole."""
+    check, body = data[:_CHECK_BYTES], data[_CHECK_BYTES:]
+    if not hmac.compare_digest(check, _check(body)):
+        return None
+    fields: object = cbor2.loads(body)
+    if not _is_record(fields):
+        return None
+    return SealedMeta(*fields[1:])
+
+
+def _check(body: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=_CHECK_BYTES).digest()
+
+
+def _is_record(
+    fields: object,
+) -> TypeGuard[tuple[int, str, bytes, bytes, int, bytes, float]]:
+    if not isinstance(fields, list) or len(fields) != len(_FIELD_TYPES):
+        return False
+    if fields[0] != _META_VERSION:
+        return False
+    pairs = zip(fields, _FIELD_TYPES, strict=True)
+    return all(type(value) is wanted for value, wanted in pairs)
--- a/src/oleanderdyke/kernel/stream_buffer.py
+++ b/src/oleanderdyke/kernel/stream_buffer.py
@@ -2,21 +2,28 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import hashlib
+from collections import deque
+from dataclasses import dataclass, replace
+from itertools import islice
 from typing import TypeAlias
 
 from oleanderdyke.clock import MINUTE, Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.streams import ANSWER_DIGEST_BYTES
 from oleanderdyke.links.messages import (
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
     Credit,
     Failed,
-    Resume,
 )
 
 Outgoing: TypeAlias = AnswerHead | AnswerChunk | AnswerEnd
 
+# What holding a chunk costs beside its data.
+CHUNK_OVERHEAD = 64
+
 
 @dataclass(frozen=True, slots=True)
 class StreamLimits:
@@ -29,6 +36,19 @@
     credit: int = 64
 
 
+@dataclass(slots=True)
+class BufferBudget:
+    """Count the bytes that all buffers of an agent hold."""
+
+    limit: int
+    used: int = 0
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether the buffers hold too much together."""
+        return self.used > self.limit
+
+
 @dataclass(frozen=True, slots=True)
 class Reader:
     """Name who receives a stream: a link, and the ids it goes by there."""
@@ -57,82 +77,214 @@
     link_bytes: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Chunk:
+    data: bytes
+    at: Millis
+
+    @property
+    def cost(self) -> int:
+        return len(self.data) + CHUNK_OVERHEAD
+
+
 class StreamBuffer:
-    """Hold one answer's chunks between its producer and its reader."""
+    """Hold one answer's chunks between its producer and its reader.
+
+    The shell sends the head itself when it opens the stream.
+    """
 
     def __init__(
-        self, head: AnswerHead, reader: Reader, limits: StreamLimits
+        self,
+        head: AnswerHead,
+        reader: Reader,
+        limits: StreamLimits,
+        budget: BufferBudget,
+        now: Millis,
     ) -> None:
         self._head = head
         self._limits = limits
-        self.reader: Reader | None = reader
+        self._budget = budget
+        self._chunks: deque[_Chunk] = deque()
+        self._first = 0
+        self._unsent_bytes = 0
+        self._digest = _make_digest()
+        self._totals: AnswerTotals | None = None
+        self._touched = now
+        self._held_bytes = 0
+        self.reader: Reader | None = None
+        self._attach(reader, 0, now)
 
     @property
     def is_full(self) -> bool:
         """Tell the producer to stop until messages have been sent."""
-        raise NotImplementedError
+        if self._unsent_bytes >= self._limits.stream_bytes:
+            return True
+        return self._budget.is_over and self._unsent_bytes > 0
 
     @property
     def is_finished(self) -> bool:
+        """Tell whether the producer has closed the answer."""
+        return self._totals is not None
+
+    @property
+    def is_sent(self) -> bool:
         """Tell whether the end was sent to the present reader."""
-        raise NotImplementedError
+        return self._is_end_sent
 
     @property
     def held_bytes(self) -> int:
-        """Return the bytes of the chunks held."""
-        raise NotImplementedError
+        """Return what the chunks held cost."""
+        return self._held_bytes
 
     def add(self, data: bytes, now: Millis) -> tuple[Outgoing, ...]:
         """Take a chunk from the producer; return what may be sent now.
 
-        Raises OleanderError INTERNAL while `is_full`.
+        Raises OleanderError INTERNAL while `is_full` or once finished.
         """
-        raise NotImplementedError
+        if self.is_full or self.is_finished:
+            raise OleanderError(ErrorKind.INTERNAL, 'stream takes no chunk')
+        chunk = _Chunk(data, now)
+        self._chunks.append(chunk)
+        self._digest.update(data)
+        self._unsent_bytes += chunk.cost
+        self._charge(chunk.cost)
+        return self._flush(now)
 
     def finish(self, totals: AnswerTotals, now: Millis) -> tuple[Outgoing, ...]:
         """Close the answer; return what may be sent now."""
-        raise NotImplementedError
+        self._totals = totals
+        return self._flush(now)
 
     def grant(self, credit: Credit, now: Millis) -> tuple[Outgoing, ...]:
         """Let the present reader have more chunks."""
-        raise NotImplementedError
+        reader = self.reader
+        if reader is None or credit.chunks <= 0:
+            return ()
+        if (credit.request, credit.attempt) != (reader.request, reader.attempt):
+            return ()
+        self._credit += credit.chunks
+        self._touched = now
+        return self._flush(now)
 
     def detach(self, link: str, now: Millis) -> None:
         """Forget the reader whose link is gone."""
-        raise NotImplementedError
+        if self.reader is not None and self.reader.link == link:
+            self.reader = None
+            self._touched = now
 
     def resume_from(
         self, sequence: int, reader: Reader, now: Millis
     ) -> Resumed | None:
         """Give the stream to a reader; None when a chunk is gone."""
-        raise NotImplementedError
-
-
-class StreamTable:
-    """Find the streams of an agent by team and resume token."""
-
-    def __init__(self, limits: StreamLimits) -> None:
-        self._limits = limits
-
-    def open(
-        self, team: str, head: AnswerHead, reader: Reader, now: Millis
-    ) -> StreamBuffer:
-        """Start a stream under the token in its head.
-
-        Raises OleanderError OVERLOADED when no stream can be let go.
-        """
-        raise NotImplementedError
-
-    def resume(
-        self, resume: Resume, link: str, now: Millis
-    ) -> Resumed | Failed:
-        """Continue a stream; the refusal doesn't tell why."""
-        raise NotImplementedError
-
-    def detach(self, link: str, now: Millis) -> None:
-        """Forget the reader of every stream on a lost link."""
-        raise NotImplementedError
-
-    def expire(self, now: Millis) -> tuple[StreamBuffer, ...]:
-        """Drop streams whose time is over; return unfinished ones to cancel."""
-        raise NotImplementedError
+        if not self._first <= sequence <= self._first + len(self._chunks):
+            return None
+        older = self.reader
+        self._attach(reader, sequence, now)
+        head = replace(
+            self._head, request=reader.request, attempt=reader.attempt
+        )
+        return Resumed(
+            stream=self,
+            messages=(head, *self._flush(now)),
+            superseded=older,
+            notice=None if older is None else _make_notice(older),
+        )
+
+    def is_expired(self, now: Millis) -> bool:
+        """Tell whether nobody has taken from the stream for too long."""
+        if now - self._touched < self._limits.hold:
+            return False
+        if self.reader is None or self.is_finished:
+            return True
+        return self._unsent_bytes > 0
+
+    def trim(self, now: Millis) -> None:
+        """Drop sent chunks that are too many or too old."""
+        while self._first < self._sent and self._is_surplus(now):
+            cost = self._chunks.popleft().cost
+            self._first += 1
+            self._charge(-cost)
+
+    def clear(self) -> None:
+        """Give back what the chunks cost."""
+        self._charge(-self._held_bytes)
+        self._chunks.clear()
+
+    def _attach(self, reader: Reader, sequence: int, now: Millis) -> None:
+        self.reader = reader
+        self._sent = sequence
+        self._resumed_at = sequence
+        self._resumed_digest = _make_digest()
+        self._credit = self._limits.credit
+        self._is_end_sent = False
+        self._touched = now
+        unsent = islice(self._chunks, sequence - self._first, None)
+        self._unsent_bytes = sum(chunk.cost for chunk in unsent)
+
+    def _flush(self, now: Millis) -> tuple[Outgoing, ...]:
+        if self.reader is None:
+            return ()
+        messages: list[Outgoing] = []
+        last = self._first + len(self._chunks)
+        while self._credit > 0 and self._sent < last:
+            messages.append(self._send_next(self.reader))
+        if self._totals is not None and self._is_end_due(last):
+            messages.append(self._make_end(self.reader, self._totals))
+        if messages:
+            self._touched = now
+        self.trim(now)
+        return tuple(messages)
+
+    def _send_next(self, reader: Reader) -> AnswerChunk:
+        chunk = self._chunks[self._sent - self._first]
+        message = AnswerChunk(
+            reader.request, reader.attempt, self._sent, chunk.data
+        )
+        if self._resumed_at:
+            self._resumed_digest.update(chunk.data)
+        self._sent += 1
+        self._credit -= 1
+        self._unsent_bytes -= chunk.cost
+        return message
+
+    def _is_end_due(self, last: int) -> bool:
+        return self._sent == last and not self._is_end_sent
+
+    def _make_end(self, reader: Reader, totals: AnswerTotals) -> AnswerEnd:
+        self._is_end_sent = True
+        resumed = self._resumed_digest if self._resumed_at else self._digest
+        return AnswerEnd(
+            request=reader.request,
+            attempt=reader.attempt,
+            count=self._sent,
+            digest=self._digest.digest(),
+            recomputed_tokens=totals.recomputed_tokens,
+            prompt_tokens=totals.prompt_tokens,
+            link_bytes=totals.link_bytes,
+            resumed_digest=resumed.digest(),
+        )
+
+    def _is_surplus(self, now: Millis) -> bool:
+        if self._held_bytes > self._limits.stream_bytes:
+            return True
+        if self._budget.is_over:
+            return True
+        return now - self._chunks[0].at >= self._limits.hold
+
+    def _charge(self, cost: int) -> None:
+        self._held_bytes += cost
+        self._budget.used += cost
+
+
+def _make_digest() -> hashlib.blake2b:
+    return hashlib.blake2b(digest_size=ANSWER_DIGEST_BYTES)
+
+
+def _make_notice(older: Reader) -> Failed:
+    return Failed(
+        request=older.request,
+        attempt=older.attempt,
+        kind=ErrorKind.STREAM_GONE,
+        ran=Ran.MAYBE,
+        detail='superseded by another reader',
+    )
--- /dev/null
+++ b/src/oleanderdyke/kernel/stream_table.py
@@ -0,0 +1,140 @@
+"""Find running answers by team and resume token."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.stream_buffer import (
+    BufferBudget,
+    Reader,
+    Resumed,
+    StreamBuffer,
+    StreamLimits,
+)
+from oleanderdyke.links.messages import AnswerHead, Failed, Resume
+
+_KEY_BYTES = 32
+_LENGTH_BYTES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Stream:
+    key: bytes
+    buffer: StreamBuffer
+
+
+class StreamTable:
+    """Hold the streams of an agent, bounded in number and bytes."""
+
+    def __init__(self, limits: StreamLimits) -> None:
+        self._limits = limits
+        self._budget = BufferBudget(limits.total_bytes)
+        self._streams: dict[bytes, _Stream] = {}
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return what all chunks held cost."""
+        return self._budget.used
+
+    def open(
+        self, team: str, head: AnswerHead, reader: Reader, now: Millis
+    ) -> StreamBuffer:
+        """Start a stream under the secret token in its head.
+
+        Raises OleanderError OVERLOADED when no stream can be let go, and
+        INTERNAL for a head without a token or with one in use.
+        """
+        key = _make_key(team, head.resume)
+        if not head.resume or key in self._streams:
+            raise OleanderError(ErrorKind.INTERNAL, 'no fresh resume token')
+        if len(self._streams) >= self._limits.streams:
+            self._let_go()
+        buffer = StreamBuffer(head, reader, self._limits, self._budget, now)
+        self._streams[key] = _Stream(key, buffer)
+        return buffer
+
+    def resume(
+        self, resume: Resume, link: str, now: Millis
+    ) -> Resumed | Failed:
+        """Continue a stream; the refusal doesn't tell why."""
+        key = _make_key(resume.team, resume.token)
+        stream = self._streams.get(key)
+        if stream is None or not hmac.compare_digest(stream.key, key):
+            return _refuse(resume)
+        reader = Reader(link, resume.request, resume.attempt)
+        resumed = stream.buffer.resume_from(resume.sequence, reader, now)
+        return resumed or _refuse(resume)
+
+    def detach(self, link: str, now: Millis) -> None:
+        """Forget the reader of every stream on a lost link."""
+        for stream in self._streams.values():
+            stream.buffer.detach(link, now)
+
+    def close(self, buffer: StreamBuffer) -> None:
+        """Forget a stream, for one that was cancelled or has failed."""
+        for key, stream in self._streams.items():
+            if stream.buffer is buffer:
+                self._remove(key)
+                return
+
+    def expire(self, now: Millis) -> tuple[StreamBuffer, ...]:
+        """Drop what is over in time; return streams that weren't all sent.
+
+        The shell cancels their producers and tells their readers, if any.
+        """
+        for stream in self._streams.values():
+            stream.buffer.trim(now)
+        expired = [
+            each
+            for each in self._streams.values()
+            if each.buffer.is_expired(now)
+        ]
+        for each in expired:
+            self._remove(each.key)
+        self._relieve()
+        return tuple(each.buffer for each in expired if not each.buffer.is_sent)
+
+    def _relieve(self) -> None:
+        sent = [each for each in self._streams.values() if each.buffer.is_sent]
+        for stream in sent:
+            if not self._budget.is_over:
+                return
+            self._remove(stream.key)
+
+    def _let_go(self) -> None:
+        for stream in self._streams.values():
+            if stream.buffer.is_sent:
+                self._remove(stream.key)
+                return
+        raise OleanderError(ErrorKind.OVERLOADED, 'too many streams')
+
+    def _remove(self, key: bytes) -> None:
+        self._streams.pop(key).buffer.clear()
+
+
+def _make_key(team: str, token: str) -> bytes:
+    # Looking up a digest keeps the token out of any comparison that stops at
+    # the first difference.
+    name = team.encode()
+    digest = hashlib.blake2b(digest_size=_KEY_BYTES)
+    digest.update(len(name).to_bytes(_LENGTH_BYTES, 'big'))
+    digest.update(name)
+    digest.update(token.encode())
+    return digest.digest()
+
+
+def _refuse(resume: Resume) -> Failed:
+    return Failed(
+        request=resume.request,
+        attempt=resume.attempt,
+        kind=ErrorKind.STREAM_GONE,
+        ran=Ran.MAYBE,
+        detail='no such stream',
+    )
--- a/src/oleanderdyke/kernel/streams.py
+++ b/src/oleanderdyke/kernel/streams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import hashlib
+import hmac
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -10,6 +12,8 @@
 
 AnswerMessage: TypeAlias = AnswerHead | AnswerChunk | AnswerEnd
 
+ANSWER_DIGEST_BYTES = 16
+
 
 class BrokenReason(enum.StrEnum):
     """Say why an answer isn't whole."""
@@ -43,6 +47,13 @@
     end: Whole | Broken | None = None
 
 
+_NOTHING = Delivery()
+
+
+def _make_digest() -> hashlib.blake2b:
+    return hashlib.blake2b(digest_size=ANSWER_DIGEST_BYTES)
+
+
 class AnswerAssembler:
     """Order the chunks of the current attempt of one answer.
 
@@ -54,26 +65,132 @@
     ) -> None:
         self._request = request
         self._attempt = attempt
-        self._next = start
+        self._start = start
         self._window = window
+        self._head: AnswerHead | None = None
+        self._digest = _make_digest()
+        self._clear(start)
 
     @property
     def next_sequence(self) -> int:
         """Return the first sequence that was not passed on."""
-        raise NotImplementedError
+        return self._next
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether the answer has ended, whole or broken."""
+        return self._is_over
 
     def take(self, message: AnswerMessage) -> Delivery:
         """Take a message and return what it completes."""
-        raise NotImplementedError
+        if self._is_over or message.attempt != self._attempt:
+            return _NOTHING
+        if message.request != self._request:
+            return _NOTHING
+        if isinstance(message, AnswerChunk):
+            return self._take_chunk(message)
+        if isinstance(message, AnswerEnd):
+            return self._take_end(message)
+        return self._take_head(message)
 
     def lose(self) -> Delivery:
         """End an unfinished answer whose link or backend is lost."""
-        raise NotImplementedError
+        if self._is_over:
+            return _NOTHING
+        self._is_lost = True
+        return Delivery(end=self._break(BrokenReason.LOST))
 
     def start_over(self, attempt: int) -> bool:
         """Switch to another run; False once anything was passed on."""
-        raise NotImplementedError
+        if self._head is not None or self._next != self._start:
+            return False
+        self._attempt = attempt
+        self._clear(self._start)
+        return True
 
-    def resume(self, attempt: int) -> None:
-        """Continue the same run under another attempt number."""
-        raise NotImplementedError
+    def resume(self, attempt: int) -> bool:
+        """Continue the same run; False once it ended in another way."""
+        if self._is_over and not self._is_lost:
+            return False
+        self._attempt = attempt
+        if self._start:
+            self._digest = _make_digest()
+        self._clear(self._next)
+        return True
+
+    def _clear(self, sequence: int) -> None:
+        self._next = sequence
+        self._has_head = False
+        self._held: dict[int, bytes] = {}
+        self._end: AnswerEnd | None = None
+        self._is_over = False
+        self._is_lost = False
+
+    def _take_head(self, head: AnswerHead) -> Delivery:
+        if self._has_head:
+            return _NOTHING
+        self._has_head = True
+        # The caller of a resumed answer already has its head.
+        shown = head if self._head is None else None
+        self._head = self._head or head
+        return self._deliver(self._release(), head=shown)
+
+    def _take_chunk(self, chunk: AnswerChunk) -> Delivery:
+        sequence = chunk.sequence
+        if sequence < self._next or sequence in self._held:
+            return _NOTHING
+        if sequence != self._next or not self._has_head:
+            return self._hold(chunk)
+        self._pass(chunk.data)
+        if not self._held:
+            return self._deliver((chunk.data,))
+        return self._deliver((chunk.data, *self._release()))
+
+    def _hold(self, chunk: AnswerChunk) -> Delivery:
+        if chunk.sequence >= self._next + self._window:
+            return Delivery(end=self._break(BrokenReason.WINDOW))
+        self._held[chunk.sequence] = chunk.data
+        return self._deliver(())
+
+    def _release(self) -> tuple[bytes, ...]:
+        released = []
+        while self._next in self._held:
+            data = self._held.pop(self._next)
+            self._pass(data)
+            released.append(data)
+        return tuple(released)
+
+    def _pass(self, data: bytes) -> None:
+        self._digest.update(data)
+        self._next += 1
+
+    def _take_end(self, end: AnswerEnd) -> Delivery:
+        if self._end is None:
+            self._end = end
+        return self._deliver(())
+
+    def _deliver(
+        self, chunks: tuple[bytes, ...], head: AnswerHead | None = None
+    ) -> Delivery:
+        end = None if self._end is None else self._judge(self._end)
+        if head is None and end is None and not chunks:
+            return _NOTHING
+        return Delivery(head, chunks, end)
+
+    def _judge(self, end: AnswerEnd) -> Whole | Broken | None:
+        highest = max(self._held, default=self._next - 1)
+        if highest >= end.count:
+            return self._break(BrokenReason.COUNT)
+        if self._next < end.count or not self._has_head:
+            return None
+        # A reader that starts within the answer can't know its first part.
+        proof = end.resumed_digest if self._start else end.digest
+        if not hmac.compare_digest(self._digest.digest(), proof):
+            return self._break(BrokenReason.DIGEST)
+        self._is_over = True
+        return Whole(end)
+
+    def _break(self, reason: BrokenReason) -> Broken:
+        self._is_over = True
+        self._held.clear()
+        return Broken(reason)
--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -268,9 +268,9 @@
 class AnswerEnd:
     """Close an answer; count and digest prove that it is whole.
 
-    The digest is BLAKE2b-128 over the data of every chunk in order; after a
-    `Resume` it starts with the first chunk sent again. `count` is always that
-    of the whole answer.
+    The digest is BLAKE2b-128 over the data of every chunk in order. To the
+    reader of a `Resume`, `resumed_digest` proves the chunks from its sequence
+    on, for a reader that never saw those before.
     """
 
     request: str
@@ -280,6 +280,7 @@
     recomputed_tokens: int = 0
     prompt_tokens: int = 0
     link_bytes: int = 0
+    resumed_digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
