Decide who owns an idempotency key from the claims log

Cause: two entries must agree who may run a booking without electing anybody. Ruled out: a table that gives a key by the reader's clock or memory. Change: records of the claims log, ClaimTable, Quarantine. Before and after: not measured yet.

--- a/src/oleanderdyke/kernel/claims.py
+++ b/src/oleanderdyke/kernel/claims.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+import heapq
+import sys
+from collections import deque
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from oleanderdyke.clock import Millis
+from oleanderdyke.clock import HOUR, Millis
 from oleanderdyke.kernel.claim_records import (
     CarriedRecord,
+    ClaimRecord,
+    ClaimsRecord,
     OutcomeRecord,
     Place,
+    ReleaseRecord,
+    WithdrawRecord,
+    decode_batch,
+    encode_batch,
+    make_claim,
 )
 from oleanderdyke.links.messages import Claim
 
@@ -49,44 +59,311 @@
 Verdict: TypeAlias = Free | Owned | OwnedByOther | Finished | Conflict
 
 
+# How late an append may still take effect, and how far the log's own time may
+# step back, before readers could differ.
+MARGIN = 1 * HOUR
+
+
+@dataclass(slots=True)
+class _Slot:
+    """Hold the owner of one key, compactly."""
+
+    offset: int
+    position: int
+    at: Millis
+    kept_at: Millis
+    horizon: Millis
+    digest: str
+    agent: str
+    incarnation: str
+    beat: int
+    appender: str
+    claim_id: str
+    outcome: bytes | None = None
+    doubtful: bool = False
+
+    @property
+    def expires(self) -> Millis:
+        return self.at + self.horizon
+
+
 class ClaimTable:
     """Apply the claims log in offset order.
 
     An entry acts on a claim only after it has applied the log through the
-    claim's own offset.
+    claim's own offset, and on none before it has read the log to its end
+    once after its start and after each gap. What a key is depends on records
+    and their times in the log alone, never on the reader.
     """
 
+    def __init__(self) -> None:
+        self._slots: dict[str, _Slot] = {}
+        self._expiries: list[tuple[Millis, str]] = []
+        self._gone: set[str] = set()
+        self._gone_order: deque[tuple[Millis, str]] = deque()
+        self._next = 0
+        self._known_from = 0
+        self._target: int | None = None
+        self._time: Millis = 0.0
+
+    def __len__(self) -> int:
+        return len(self._slots)
+
     @property
     def next_offset(self) -> int:
         """Return the first offset that has not been applied."""
-        raise NotImplementedError
+        return self._next
+
+    @property
+    def caught_up(self) -> bool:
+        """Tell whether the log was read to its end since a start or a gap."""
+        return self._target is not None and self._next >= self._target
+
+    @property
+    def time(self) -> Millis:
+        """Return the latest log time that was read."""
+        return self._time
+
+    def note_end(self, end: int) -> None:
+        """Tell the log's next free offset, as each page names it."""
+        if self._target is None:
+            self._target = end
 
     def apply(self, offset: int, at: Millis, data: bytes) -> None:
         """Apply one log record (a batch); `at` is the log's own time.
 
-        Offsets below `next_offset` are ignored; a gap is allowed, because
-        whatever still counts is carried before the log forgets it.
+        Offsets below `next_offset` are ignored. After a gap the table starts
+        anew, because a release or a claim may have been missed; live claims
+        come back with their carried records.
         """
-        raise NotImplementedError
+        if offset < self._next:
+            return
+        if offset > self._next:
+            self._start_anew(offset)
+        for position, record in enumerate(decode_batch(data)):
+            if record is not None:
+                self._apply_record(record, Place(offset, position), at)
+        self._next = offset + 1
+        self._time = max(self._time, at)
+        self._forget_expired()
 
     def verdict(self, key: str, digest: str) -> Verdict:
         """Tell what the key is to a request that has no claim of its own."""
-        raise NotImplementedError
+        slot = self._slots.get(key)
+        if slot is None or slot.expires <= self._time:
+            return Free()
+        if slot.digest != digest:
+            return Conflict()
+        claim = _read_claim(key, slot)
+        if slot.outcome is not None:
+            return Finished(claim, _unpack_outcome(slot.outcome))
+        return OwnedByOther(claim)
 
     def settle(self, claim_id: str, key: str, digest: str) -> Verdict:
-        """Tell what became of an own claim that has been read back.
+        """Tell what became of an own claim.
 
         `Free` means that the claim is not in the log as far as it was read,
-        or was withdrawn.
+        that it was taken back, or that the table has not caught up.
         """
-        raise NotImplementedError
+        if not self.caught_up:
+            return Free()
+        verdict = self.verdict(key, digest)
+        if not isinstance(verdict, OwnedByOther):
+            return verdict
+        if self._slots[key].claim_id != claim_id:
+            return verdict
+        return Owned(verdict.claim)
 
     def due_for_carry(
         self, before: Millis, limit: int
     ) -> tuple[CarriedRecord, ...]:
         """List live claims whose latest record is older than a log time."""
-        raise NotImplementedError
+        due: list[CarriedRecord] = []
+        for key, slot in self._slots.items():
+            if slot.kept_at >= before or len(due) >= limit:
+                break
+            if not slot.doubtful and slot.expires > self._time:
+                due.append(self._make_carried(key, slot))
+        return tuple(due)
+
+    def _start_anew(self, offset: int) -> None:
+        self._slots.clear()
+        self._expiries.clear()
+        self._known_from = offset
+        self._target = None
+
+    def _apply_record(
+        self, record: ClaimsRecord, place: Place, at: Millis
+    ) -> None:
+        match record:
+            case ClaimRecord():
+                self._apply_claim(record, place, at)
+            case ReleaseRecord():
+                self._apply_release(record, at)
+            case WithdrawRecord():
+                self._apply_withdrawal(record, at)
+            case OutcomeRecord():
+                self._apply_outcome(record)
+            case CarriedRecord():
+                self._apply_carried(record, at)
+
+    def _apply_claim(
+        self, record: ClaimRecord, place: Place, at: Millis
+    ) -> None:
+        if record.claim_id in self._gone:
+            return
+        slot = self._slots.get(record.key)
+        if slot is not None and at < slot.expires:
+            return
+        self._put(record, _make_slot(record, place, at))
+
+    def _apply_release(self, record: ReleaseRecord, at: Millis) -> None:
+        slot = self._find_open(record.key)
+        if slot is None or slot.incarnation != record.incarnation:
+            return
+        if (slot.offset, slot.position) == (record.offset, record.index):
+            self._free(record.key, slot, at)
+
+    def _apply_withdrawal(self, record: WithdrawRecord, at: Millis) -> None:
+        slot = self._find_open(record.key)
+        if slot is not None and slot.claim_id == record.claim_id:
+            self._free(record.key, slot, at)
+        else:
+            self._bury(record.claim_id, at)
+
+    def _apply_outcome(self, record: OutcomeRecord) -> None:
+        slot = self._slots.get(record.key)
+        if slot is None or slot.outcome is not None:
+            return
+        if (slot.offset, slot.position) == (record.offset, record.index):
+            slot.outcome = encode_batch([record])
+
+    def _apply_carried(self, record: CarriedRecord, at: Millis) -> None:
+        claim = record.claim
+        if claim.claim_id in self._gone or at >= record.at + claim.horizon:
+            return
+        place = Place(record.offset, record.index)
+        slot = self._slots.get(claim.key)
+        if slot is not None and (slot.offset, slot.position) == place:
+            self._renew(claim.key, slot, record, at)
+        elif self._yields(slot, record):
+            self._adopt(record, place, at)
+
+    def _yields(self, slot: _Slot | None, record: CarriedRecord) -> bool:
+        """Tell whether a slot gives way to a carried claim.
+
+        Where this reader has read everything after `through`, it would have
+        seen the carried claim go; so it still is the owner.
+        """
+        if slot is None or slot.doubtful:
+            return True
+        if slot.at >= record.at + record.claim.horizon:
+            return False
+        return self._has_read_since(record)
+
+    def _has_read_since(self, record: CarriedRecord) -> bool:
+        return record.through + 1 >= self._known_from
+
+    def _adopt(self, record: CarriedRecord, place: Place, at: Millis) -> None:
+        slot = _make_slot(record.claim, place, record.at)
+        slot.doubtful = not self._has_read_since(record)
+        slot.kept_at = at
+        if record.outcome is not None:
+            slot.outcome = encode_batch([record.outcome])
+        self._put(record.claim, slot)
+
+    def _renew(
+        self, key: str, slot: _Slot, record: CarriedRecord, at: Millis
+    ) -> None:
+        slot.kept_at = at
+        slot.doubtful = slot.doubtful and not self._has_read_since(record)
+        if slot.outcome is None and record.outcome is not None:
+            slot.outcome = encode_batch([record.outcome])
+        # The order of the slots is that of their latest records.
+        self._slots[key] = self._slots.pop(key)
+
+    def _put(self, record: ClaimRecord, slot: _Slot) -> None:
+        self._slots.pop(record.key, None)
+        self._slots[record.key] = slot
+        heapq.heappush(self._expiries, (slot.expires + MARGIN, record.key))
+
+    def _find_open(self, key: str) -> _Slot | None:
+        slot = self._slots.get(key)
+        if slot is None or slot.doubtful or slot.outcome is not None:
+            return None
+        return slot
+
+    def _free(self, key: str, slot: _Slot, at: Millis) -> None:
+        del self._slots[key]
+        self._bury(slot.claim_id, at)
+
+    def _bury(self, claim_id: str, at: Millis) -> None:
+        if claim_id not in self._gone:
+            self._gone.add(claim_id)
+            self._gone_order.append((at, claim_id))
+
+    def _forget_expired(self) -> None:
+        while self._expiries and self._expiries[0][0] <= self._time:
+            _, key = heapq.heappop(self._expiries)
+            slot = self._slots.get(key)
+            if slot is not None and slot.expires + MARGIN <= self._time:
+                del self._slots[key]
+        while self._gone_order and self._is_over(self._gone_order[0][0]):
+            self._gone.discard(self._gone_order.popleft()[1])
+
+    def _is_over(self, at: Millis) -> bool:
+        return at + MARGIN <= self._time
+
+    def _make_carried(self, key: str, slot: _Slot) -> CarriedRecord:
+        outcome = None
+        if slot.outcome is not None:
+            outcome = _unpack_outcome(slot.outcome)
+        return CarriedRecord(
+            claim=_make_record(key, slot),
+            offset=slot.offset,
+            index=slot.position,
+            at=slot.at,
+            through=self._next - 1,
+            outcome=outcome,
+        )
+
+
+def _make_slot(record: ClaimRecord, place: Place, at: Millis) -> _Slot:
+    return _Slot(
+        offset=place.offset,
+        position=place.position,
+        at=at,
+        kept_at=at,
+        horizon=record.horizon,
+        digest=record.digest,
+        agent=sys.intern(record.agent),
+        incarnation=sys.intern(record.incarnation),
+        beat=record.beat,
+        appender=sys.intern(record.appender),
+        claim_id=record.claim_id,
+    )
+
+
+def _make_record(key: str, slot: _Slot) -> ClaimRecord:
+    return ClaimRecord(
+        key=key,
+        digest=slot.digest,
+        agent=slot.agent,
+        incarnation=slot.incarnation,
+        beat=slot.beat,
+        appender=slot.appender,
+        claim_id=slot.claim_id,
+        horizon=slot.horizon,
+    )
+
+
+def _read_claim(key: str, slot: _Slot) -> Claim:
+    place = Place(slot.offset, slot.position)
+    return make_claim(_make_record(key, slot), place)
+
 
-    def place_of(self, claim_id: str, key: str) -> Place | None:
-        """Return the place of an own claim once it has been read."""
-        raise NotImplementedError
+def _unpack_outcome(data: bytes) -> OutcomeRecord:
+    record = decode_batch(data)[0]
+    if not isinstance(record, OutcomeRecord):
+        raise TypeError('not an outcome record')
+    return record
--- a/src/oleanderdyke/kernel/quarantine.py
+++ b/src/oleanderdyke/kernel/quarantine.py
@@ -4,10 +4,13 @@
 
 import enum
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from oleanderdyke.clock import MINUTE, Millis
 
+CRASH_LIMIT = 2
+_SEPARATOR = '@'
+
 
 class Standing(enum.StrEnum):
     """Name what is held against a request digest."""
@@ -25,26 +28,66 @@
     expiry: Millis = 30 * MINUTE
 
 
+@dataclass(slots=True)
+class _Record:
+    """Hold what is known about one digest."""
+
+    since: Millis
+    crashes: set[str] = field(default_factory=set)
+    cleared: frozenset[str] = frozenset()
+    quarantined: bool = False
+
+    @property
+    def open_crashes(self) -> set[str]:
+        return self.crashes - self.cleared
+
+
 class Quarantine:
     """Count the crashes of backend servers for each request digest.
 
     An entry and an agent each have one; heartbeats carry `list_suspects` and
-    `list_quarantined` between them.
+    `list_quarantined` between them. A digest is quarantined by its second
+    crash, or by a crash while it ran alone. What has expired is kept as long
+    again only to ignore late heartbeats, so that no digest is told round for
+    ever.
     """
 
+    def __init__(self, settings: QuarantineSettings) -> None:
+        self._settings = settings
+        self._records: dict[str, _Record] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
     def note_crash(
-        self, crash: str, digests: Iterable[str], now: Millis
+        self,
+        crash: str,
+        digests: Iterable[str],
+        now: Millis,
+        *,
+        alone: bool = False,
     ) -> tuple[str, ...]:
         """Count a crash with a unique name; return what it quarantined."""
-        raise NotImplementedError
+        return tuple(
+            digest
+            for digest in digests
+            if self._count(digest, crash, now, alone=alone)
+        )
 
     def clear(self, digest: str) -> None:
         """Clear a suspect that ran alone and was served."""
-        raise NotImplementedError
+        record = self._records.get(digest)
+        if record is not None and not record.quarantined:
+            record.cleared = frozenset(record.crashes)
 
     def find_standing(self, digest: str, now: Millis) -> Standing:
         """Tell what is held against a digest."""
-        raise NotImplementedError
+        record = self._records.get(digest)
+        if record is None or self._has_expired(record, now):
+            return Standing.CLEAN
+        if record.quarantined:
+            return Standing.QUARANTINED
+        return Standing.SUSPECT if record.open_crashes else Standing.CLEAN
 
     def merge(
         self,
@@ -53,17 +96,71 @@
         now: Millis,
     ) -> None:
         """Take over what a heartbeat tells."""
-        raise NotImplementedError
+        for digest in quarantined:
+            record = self._find(digest, now)
+            if not self._has_expired(record, now):
+                record.quarantined = True
+        for suspect in suspects:
+            digest, _, crash = suspect.partition(_SEPARATOR)
+            if not self._has_expired(self._find(digest, now), now):
+                self._add(self._find(digest, now), crash)
 
     def list_quarantined(self, now: Millis) -> tuple[str, ...]:
         """List the quarantined digests for a heartbeat."""
-        raise NotImplementedError
+        return tuple(
+            digest
+            for digest in self._records
+            if self.find_standing(digest, now) is Standing.QUARANTINED
+        )
 
     def list_suspects(self, now: Millis) -> tuple[str, ...]:
-        """List `digest:crash` of the suspects for a heartbeat."""
-        raise NotImplementedError
+        """List `digest@crash` of the suspects for a heartbeat."""
+        return tuple(
+            f'{digest}{_SEPARATOR}{crash}'
+            for digest, record in self._records.items()
+            if self.find_standing(digest, now) is Standing.SUSPECT
+            for crash in sorted(record.open_crashes)
+        )
+
+    def _count(
+        self, digest: str, crash: str, now: Millis, *, alone: bool
+    ) -> bool:
+        record = self._records.get(digest)
+        if record is not None and self._has_expired(record, now):
+            del self._records[digest]
+        record = self._find(digest, now)
+        was_quarantined = record.quarantined
+        self._add(record, crash)
+        record.quarantined = record.quarantined or alone
+        return record.quarantined and not was_quarantined
+
+    def _add(self, record: _Record, crash: str) -> None:
+        if len(record.open_crashes) < CRASH_LIMIT:
+            record.crashes.add(crash)
+        if len(record.open_crashes) >= CRASH_LIMIT:
+            record.quarantined = True
+
+    def _find(self, digest: str, now: Millis) -> _Record:
+        record = self._records.get(digest)
+        if record is None:
+            self._make_room(now)
+            record = self._records[digest] = _Record(now)
+        return record
+
+    def _make_room(self, now: Millis) -> None:
+        """Drop what is over for good, else the oldest suspect."""
+        over = now - 2 * self._settings.expiry
+        for digest in [d for d, r in self._records.items() if r.since < over]:
+            del self._records[digest]
+        if len(self._records) < self._settings.capacity:
+            return
+        suspects = (d for d, r in self._records.items() if not r.quarantined)
+        del self._records[next(suspects, next(iter(self._records)))]
+
+    def _has_expired(self, record: _Record, now: Millis) -> bool:
+        return record.since + self._settings.expiry <= now
 
 
 def make_quarantine(settings: QuarantineSettings) -> Quarantine:
     """Build an empty quarantine."""
-    raise NotImplementedError
+    return Quarantine(settings)
