Settle configuration and membership from the log, peers and heartbeats

Cause: entries and agents need one catalog, its spreading and a view of the fleet. Ruled out: specs as objects (two to three times the memory of packed ones, by arithmetic); a dictionary of sets for the directory (about 100 bytes for a hint). Change carries the publisher's time.

--- a/src/oleanderdyke/kernel/membership.py
+++ b/src/oleanderdyke/kernel/membership.py
@@ -2,21 +2,51 @@
 
 from __future__ import annotations
 
+import enum
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-from typing import Protocol
+from dataclasses import dataclass, replace
+from typing import NamedTuple, Protocol, TypeVar
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.catalog import Catalog
 from oleanderdyke.kernel.demand import Replica, SegmentHint
 from oleanderdyke.kernel.directory import Directory
+from oleanderdyke.kernel.objects import ObjectKind, ServiceSpec, select
 from oleanderdyke.links.messages import (
+    AgentPhase,
+    BackendKind,
     Heartbeat,
     Hello,
+    Load,
     SegmentEvents,
     SegmentListRequest,
 )
 
+_ENDED_COUNT = 4_096
+_QUARANTINED_COUNT = 4_096
+_NO_BEAT = -1
+
+
+class VmView(Protocol):
+    """See one row of the platform's VM list."""
+
+    @property
+    def address(self) -> str:
+        """Return where its process listens."""
+
+    @property
+    def data_centre(self) -> str:
+        """Return where it stands."""
+
+
+class Condition(enum.StrEnum):
+    """Name what this process makes of an agent's silence."""
+
+    HEARD = 'heard'
+    SUSPECTED = 'suspected'
+    DROPPED = 'dropped'
+
 
 @dataclass(frozen=True, slots=True)
 class FleetSettings:
@@ -27,8 +57,37 @@
     forget_after: Millis = 60 * SECOND
 
 
-class VmView(Protocol):
-    """See one row of the platform's VM list."""
+@dataclass(frozen=True, slots=True)
+class AgentView:
+    """Show an agent, its configuration offset and its condition."""
+
+    replica: Replica
+    offset: int
+    condition: Condition
+
+
+VmT = TypeVar('VmT', bound=VmView)
+
+
+def choose_vms(vms: Iterable[VmT], data_centre: str) -> tuple[VmT, ...]:
+    """Choose which VMs to connect to, those of one's own data centre first.
+
+    The list is a hint and lags: leaving VMs are chosen too, as only their
+    agents know whether they leave.
+    """
+    unique = {vm.address: vm for vm in vms}
+    return tuple(
+        sorted(
+            unique.values(),
+            key=lambda vm: (vm.data_centre != data_centre, vm.address),
+        )
+    )
+
+
+class _Place(NamedTuple):
+    service: str
+    condition: Condition
+    store: bool = False
 
 
 class FleetState:
@@ -40,56 +99,250 @@
         settings: FleetSettings | None = None,
         directory: Directory | None = None,
     ) -> None:
-        raise NotImplementedError
+        self._catalog = catalog
+        self._settings = settings or FleetSettings()
+        self._directory = Directory() if directory is None else directory
+        self._agents: dict[str, AgentView] = {}
+        self._addresses: dict[str, str] = {}
+        self._placed: dict[_Place, dict[str, Replica]] = {}
+        self._ticked_at: Millis = float('inf')
+        self._ended = _Remembered(_ENDED_COUNT)
+        self._quarantined = _Remembered(_QUARANTINED_COUNT)
+        self._selected: dict[str, tuple[str, ...]] = {}
+        self._selected_at = catalog.offset
 
     def on_hello(self, hello: Hello, address: str, now: Millis) -> bool:
         """Take an agent's hello; False where its incarnation has ended."""
-        raise NotImplementedError
+        if hello.backend is None or hello.incarnation in self._ended:
+            return False
+        known = self._agents.get(hello.process)
+        if known is None or known.replica.incarnation != hello.incarnation:
+            self._end(hello.process)
+            known = _make_view(hello, hello.backend, address, now)
+        if self._addresses.get(address, hello.process) != hello.process:
+            self._end(self._addresses[address])
+        self._addresses.pop(known.replica.address, None)
+        self._addresses[address] = hello.process
+        replica = replace(known.replica, address=address, heard=now)
+        self._place(AgentView(replica, known.offset, Condition.HEARD))
+        return True
 
     def on_heartbeat(self, agent: str, beat: Heartbeat, now: Millis) -> bool:
         """Take a heartbeat; False where it is old or of an ended one."""
-        raise NotImplementedError
+        known = self._agents.get(agent)
+        if known is None or known.replica.incarnation != beat.incarnation:
+            return False
+        if beat.sequence <= known.replica.beat:
+            return False
+        replica = _update(known.replica, beat, now)
+        offset = max(known.offset, beat.offset)
+        self._place(AgentView(replica, offset, Condition.HEARD))
+        return True
 
     def on_segments(
         self, agent: str, incarnation: str, events: SegmentEvents, now: Millis
     ) -> SegmentListRequest | None:
         """Take segment events; return what to ask the agent, if anything."""
-        raise NotImplementedError
+        known = self._agents.get(agent)
+        if known is None or known.replica.incarnation != incarnation:
+            return None
+        return self._directory.on_events(agent, events, now)
 
     def on_link_down(self, agent: str, incarnation: str) -> None:
         """Take an agent out until it says hello again."""
-        raise NotImplementedError
+        known = self._agents.get(agent)
+        if known is not None and known.replica.incarnation == incarnation:
+            self._place(replace(known, condition=Condition.DROPPED))
 
     def on_quarantined(self, digests: Iterable[str]) -> tuple[str, ...]:
         """Learn quarantined requests; return those that are new here."""
-        raise NotImplementedError
+        new = tuple(item for item in digests if item not in self._quarantined)
+        for digest in new:
+            self._quarantined.add(digest)
+        return new
 
     def tick(self, now: Millis) -> None:
-        """Suspect, drop and forget silent agents; call it regularly."""
-        raise NotImplementedError
+        """Suspect, drop and forget silent agents; call it regularly.
+
+        After a pause of this process itself nobody is judged: what the agents
+        sent meanwhile has not been read yet.
+        """
+        paused = now - self._ticked_at > self._settings.suspect_after
+        self._ticked_at = now
+        if not paused:
+            for view in tuple(self._agents.values()):
+                self._judge(view, now - view.replica.heard)
+        self._directory.sweep()
 
     def replicas(self, service: str) -> Sequence[Replica]:
-        """Return the serving agents of a service."""
-        raise NotImplementedError
+        """Return the serving agents of a service.
+
+        Suspected ones are only there where nobody else is.
+        """
+        heard = self._placed.get(_Place(service, Condition.HEARD))
+        if heard:
+            return tuple(heard.values())
+        suspected = self._placed.get(_Place(service, Condition.SUSPECTED), {})
+        return tuple(suspected.values())
 
     def stores(self, service: str) -> Sequence[Replica]:
         """Return the serving agents of the stores a service selects."""
-        raise NotImplementedError
+        names = self._select_stores(service)
+        for condition in (Condition.HEARD, Condition.SUSPECTED):
+            places = (_Place(name, condition, store=True) for name in names)
+            groups = (self._placed.get(place, {}) for place in places)
+            found = tuple(item for group in groups for item in group.values())
+            if found:
+                return found
+        return ()
 
     def find(self, agent: str) -> Replica | None:
         """Return an agent by its process name."""
-        raise NotImplementedError
+        view = self._agents.get(agent)
+        return None if view is None else view.replica
 
-    def all_agents(self) -> Sequence[Replica]:
+    def find_view(self, agent: str) -> AgentView | None:
+        """Return an agent with its offset and condition."""
+        return self._agents.get(agent)
+
+    def views(self) -> tuple[AgentView, ...]:
         """Return every known agent, also silent and leaving ones."""
-        raise NotImplementedError
+        return tuple(self._agents.values())
 
     def count_leading(
         self, agent: str, segments: Sequence[SegmentHint], start: int = 0
     ) -> int:
         """Count the segments from `start` on that an agent holds in a row."""
-        raise NotImplementedError
+        return self._directory.count_leading(agent, segments, start)
 
     def holders(self, segment: SegmentHint) -> Sequence[str]:
         """Return the agents that hold a segment."""
-        raise NotImplementedError
+        return self._directory.holders(segment)
+
+    def _place(self, view: AgentView) -> None:
+        replica = view.replica
+        self._unplace(replica.agent)
+        self._agents[replica.agent] = view
+        if replica.phase is AgentPhase.SERVING:
+            group = self._placed.setdefault(_find_place(view), {})
+            group[replica.agent] = replica
+
+    def _unplace(self, agent: str) -> None:
+        view = self._agents.get(agent)
+        if view is None:
+            return
+        place = _find_place(view)
+        group = self._placed.get(place, {})
+        group.pop(agent, None)
+        if not group:
+            self._placed.pop(place, None)
+
+    def _judge(self, view: AgentView, silence: Millis) -> None:
+        if silence > self._settings.forget_after:
+            self._forget(view.replica.agent)
+            return
+        condition = self._find_condition(silence)
+        if _is_worse(condition, view.condition):
+            self._place(replace(view, condition=condition))
+
+    def _find_condition(self, silence: Millis) -> Condition:
+        if silence > self._settings.drop_after:
+            return Condition.DROPPED
+        if silence > self._settings.suspect_after:
+            return Condition.SUSPECTED
+        return Condition.HEARD
+
+    def _end(self, agent: str) -> None:
+        view = self._agents.get(agent)
+        if view is None:
+            return
+        self._ended.add(view.replica.incarnation)
+        self._forget(agent)
+
+    def _forget(self, agent: str) -> None:
+        self._unplace(agent)
+        address = self._agents.pop(agent).replica.address
+        if self._addresses.get(address) == agent:
+            del self._addresses[address]
+        self._directory.forget(agent)
+
+    def _select_stores(self, service: str) -> tuple[str, ...]:
+        if self._selected_at != self._catalog.offset:
+            self._selected.clear()
+            self._selected_at = self._catalog.offset
+        if service not in self._selected:
+            self._selected[service] = _find_stores(self._catalog, service)
+        return self._selected[service]
+
+
+class _Remembered:
+    """Remember a bounded number of texts, the newest ones."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._items: OrderedDict[str, None] = OrderedDict()
+
+    def __contains__(self, item: str) -> bool:
+        return item in self._items
+
+    def add(self, item: str) -> None:
+        """Remember one more."""
+        self._items[item] = None
+        while len(self._items) > self._limit:
+            self._items.popitem(last=False)
+
+
+def _find_place(view: AgentView) -> _Place:
+    replica = view.replica
+    store = replica.backend is BackendKind.STORE
+    return _Place(replica.service, view.condition, store=store)
+
+
+def _is_worse(condition: Condition, other: Condition) -> bool:
+    order = list(Condition)
+    return order.index(condition) > order.index(other)
+
+
+def _make_view(
+    hello: Hello, backend: BackendKind, address: str, now: Millis
+) -> AgentView:
+    replica = Replica(
+        agent=hello.process,
+        address=address,
+        incarnation=hello.incarnation,
+        backend=backend,
+        service=hello.service,
+        data_centre=hello.data_centre,
+        phase=AgentPhase.STARTING,
+        load=Load(),
+        beat=_NO_BEAT,
+        heard=now,
+    )
+    return AgentView(replica, hello.offset, Condition.HEARD)
+
+
+def _update(known: Replica, beat: Heartbeat, now: Millis) -> Replica:
+    leaving = known.phase is AgentPhase.LEAVING
+    return replace(
+        known,
+        phase=AgentPhase.LEAVING if leaving else beat.phase,
+        load=beat.load,
+        beat=beat.sequence,
+        heard=now,
+        model=beat.model,
+        weight_version=beat.weight_version,
+        weight_digest=beat.weight_digest,
+        adapter=beat.adapter,
+    )
+
+
+def _find_stores(catalog: Catalog, service: str) -> tuple[str, ...]:
+    stored = catalog.get(ObjectKind.SERVICE, service)
+    if stored is None or not isinstance(stored.spec, ServiceSpec):
+        return ()
+    selector = stored.spec.stores
+    return tuple(
+        store.name
+        for store in catalog.list(ObjectKind.STORE)
+        if select(selector, store.spec.labels)
+    )
--- a/src/oleanderdyke/kernel/objects.py
+++ b/src/oleanderdyke/kernel/objects.py
@@ -120,7 +120,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """Pair a spec with its name and generation (1 when created)."""
+    """Pair a spec with its name and generation.
+
+    A new object's generation is one above that of every deleted object, so
+    1 before anything was deleted.
+    """
 
     kind: ObjectKind
     name: str
@@ -133,7 +137,7 @@
     """Ask for one object to be set, or deleted where the spec is None.
 
     The change applies only when the object's generation equals `expected`;
-    0 means that the object must not exist.
+    0 means that the object must not exist. `at` is the publisher's wall time.
     """
 
     record_id: str
@@ -142,6 +146,7 @@
     name: str
     expected: int
     spec: Spec | None
+    at: Millis = 0.0
 
 
 def select(selector: Labels, labels: Labels) -> bool:
--- /dev/null
+++ b/src/oleanderdyke/kernel/snapshots.py
@@ -0,0 +1,284 @@
+"""Hold the catalog's state, and turn it into records and back.
+
+A snapshot is a pure function of the state at an offset, so that two processes
+that append one at once append the same bytes.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import sys
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import astuple, dataclass, field
+from typing import Any, TypeAlias
+
+import cbor2
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.objects import ObjectKind, TeamSpec
+from oleanderdyke.kernel.records import (
+    SnapshotChunk,
+    decode_record,
+    encode_chunk,
+)
+from oleanderdyke.kernel.specs import InvalidSpec, load_cbor, unpack_spec
+
+START_OFFSET = -1
+_CHUNK_BYTES = 48 * 1024
+_OUTCOME_COUNT = 1_024
+_DIGEST_SIZE = 32
+
+
+class LossReason(enum.StrEnum):
+    """Name why a change is not in force."""
+
+    GENERATION = 'generation'
+    INVALID = 'invalid'
+    ABSENT = 'absent'
+    TOKEN_TAKEN = 'token_taken'
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """Tell that a change is in force, and since which offset."""
+
+    record_id: str
+    operator: str
+    kind: ObjectKind
+    name: str
+    offset: int
+    at: Millis
+    generation: int
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Tell why a change is not in force, and who changed the object last.
+
+    `generation` is the one that the object had instead, 0 for none.
+    """
+
+    record_id: str
+    operator: str
+    kind: ObjectKind
+    name: str
+    offset: int
+    at: Millis
+    generation: int
+    reason: LossReason
+    detail: str = ''
+    winner: str = ''
+
+
+Outcome: TypeAlias = Applied | Lost
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Keep one object; its spec stays packed as it came from the log."""
+
+    generation: int
+    offset: int
+    at: Millis
+    operator: str
+    packed: bytes
+
+
+class _ItemKind(enum.StrEnum):
+    FLOOR = 'floor'
+    APPLIED = 'applied'
+    LOST = 'lost'
+    ROW = 'row'
+
+
+def _make_rows() -> dict[ObjectKind, dict[str, Row]]:
+    return {kind: {} for kind in ObjectKind}
+
+
+@dataclass(slots=True)
+class State:
+    """Hold everything that the log decides.
+
+    `floor` is the highest generation of any deleted object.
+    """
+
+    rows: dict[ObjectKind, dict[str, Row]] = field(default_factory=_make_rows)
+    tokens: dict[bytes, str] = field(default_factory=dict)
+    admin_tokens: dict[bytes, str] = field(default_factory=dict)
+    outcomes: dict[str, Outcome] = field(default_factory=dict)
+    floor: int = 0
+
+    def note(self, outcome: Outcome) -> None:
+        """Remember an outcome in place of the oldest."""
+        self.outcomes[outcome.record_id] = outcome
+        while len(self.outcomes) > _OUTCOME_COUNT:
+            del self.outcomes[next(iter(self.outcomes))]
+
+    def find_owners(self, token_hash: str) -> Iterator[str]:
+        """Return the teams that a token hash belongs to."""
+        digest = bytes.fromhex(token_hash)
+        for owners in (self.tokens, self.admin_tokens):
+            if digest in owners:
+                yield owners[digest]
+
+    def add_tokens(self, name: str, packed: bytes) -> None:
+        """Index the token hashes of a team."""
+        spec = _unpack_team(packed)
+        for item in spec.token_hashes:
+            self.tokens[bytes.fromhex(item)] = name
+        for item in spec.admin_token_hashes:
+            self.admin_tokens[bytes.fromhex(item)] = name
+
+    def drop_tokens(self, packed: bytes) -> None:
+        """Remove the token hashes of a team from the index."""
+        spec = _unpack_team(packed)
+        for item in spec.token_hashes:
+            self.tokens.pop(bytes.fromhex(item), None)
+        for item in spec.admin_token_hashes:
+            self.admin_tokens.pop(bytes.fromhex(item), None)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadedSnapshot:
+    """Pair a state with the offset that it holds at."""
+
+    through: int
+    state: State
+
+
+def make_digest(through: int) -> hashlib.blake2b:
+    """Start the digest over a snapshot's items."""
+    return hashlib.blake2b(str(through).encode(), digest_size=_DIGEST_SIZE)
+
+
+def encode_snapshot(through: int, state: State) -> Iterator[bytes]:
+    """Freeze the state now and encode it chunk by chunk."""
+    rows = {kind: sorted(state.rows[kind].items()) for kind in ObjectKind}
+    outcomes = tuple(state.outcomes.values())
+    items = _list_items(state.floor, outcomes, rows)
+    return _encode_chunks(through, items)
+
+
+def load_snapshot(chunks: Sequence[bytes]) -> LoadedSnapshot | None:
+    """Build the state of a whole, undamaged snapshot; else return None."""
+    records = [decode_record(chunk) for chunk in chunks]
+    parts = [part for part in records if isinstance(part, SnapshotChunk)]
+    if len(parts) != len(chunks) or not _is_whole(parts):
+        return None
+    state = State()
+    try:
+        for part in parts:
+            for item in load_cbor(part.items):
+                _load_item(state, item)
+    except (InvalidSpec, ValueError, TypeError, LookupError):
+        return None
+    return LoadedSnapshot(parts[0].through, state)
+
+
+def _is_whole(parts: Sequence[SnapshotChunk]) -> bool:
+    if not parts or not parts[-1].last:
+        return False
+    through = parts[0].through
+    digest = make_digest(through)
+    for index, part in enumerate(parts):
+        if (part.through, part.index) != (through, index):
+            return False
+        digest.update(part.items)
+    return digest.digest() == parts[-1].digest
+
+
+def _list_items(
+    floor: int,
+    outcomes: Iterable[Outcome],
+    rows: dict[ObjectKind, list[tuple[str, Row]]],
+) -> Iterator[bytes]:
+    yield _dump(_ItemKind.FLOOR, floor)
+    for outcome in outcomes:
+        applied = isinstance(outcome, Applied)
+        kind = _ItemKind.APPLIED if applied else _ItemKind.LOST
+        yield _dump(kind, *astuple(outcome))
+    for kind_of_object in ObjectKind:
+        for name, row in rows[kind_of_object]:
+            yield _dump(_ItemKind.ROW, kind_of_object, name, *_list_fields(row))
+
+
+def _list_fields(row: Row) -> tuple[Any, ...]:
+    return row.generation, row.offset, row.at, row.operator, row.packed
+
+
+def _dump(kind: _ItemKind, *values: Any) -> bytes:
+    plain = [
+        str(value) if isinstance(value, enum.StrEnum) else value
+        for value in values
+    ]
+    return cbor2.dumps([kind.value, *plain], canonical=True)
+
+
+def _encode_chunks(through: int, items: Iterator[bytes]) -> Iterator[bytes]:
+    digest = make_digest(through)
+    groups = _group(items)
+    group = next(groups)
+    index = 0
+    for following in groups:
+        digest.update(group)
+        part = SnapshotChunk(through, index, last=False, items=group)
+        yield encode_chunk(part)
+        group = following
+        index += 1
+    digest.update(group)
+    yield encode_chunk(
+        SnapshotChunk(
+            through, index, last=True, items=group, digest=digest.digest()
+        )
+    )
+
+
+def _group(items: Iterator[bytes]) -> Iterator[bytes]:
+    group: list[bytes] = []
+    size = 0
+    for item in items:
+        if group and size + len(item) > _CHUNK_BYTES:
+            yield _join(group)
+            group, size = [], 0
+        group.append(item)
+        size += len(item)
+    yield _join(group)
+
+
+def _join(group: list[bytes]) -> bytes:
+    return cbor2.dumps(group)
+
+
+def _load_item(state: State, data: bytes) -> None:
+    kind, *values = load_cbor(data)
+    if kind == _ItemKind.FLOOR:
+        state.floor = int(values[0])
+    elif kind == _ItemKind.ROW:
+        _load_row(state, *values)
+    else:
+        state.note(_load_outcome(kind, values))
+
+
+def _load_row(state: State, kind: str, name: str, *fields: Any) -> None:
+    generation, offset, at, operator, packed = fields[:5]
+    row = Row(generation, offset, at, sys.intern(operator), packed)
+    state.rows[ObjectKind(kind)][name] = row
+    if kind == ObjectKind.TEAM:
+        state.add_tokens(name, packed)
+
+
+def _load_outcome(kind: str, values: list[Any]) -> Outcome:
+    values[2] = ObjectKind(values[2])
+    if kind == _ItemKind.APPLIED:
+        return Applied(*values)
+    values[7] = LossReason(values[7])
+    return Lost(*values)
+
+
+def _unpack_team(packed: bytes) -> TeamSpec:
+    spec = unpack_spec(ObjectKind.TEAM, packed)
+    if not isinstance(spec, TeamSpec):
+        raise InvalidSpec('not a team')
+    return spec
--- a/src/oleanderdyke/kernel/spread.py
+++ b/src/oleanderdyke/kernel/spread.py
@@ -7,13 +7,19 @@
 from random import Random
 from typing import Protocol
 
-from oleanderdyke.clock import HOUR, SECOND, Millis
+from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.kernel.catalog import Catalog
+from oleanderdyke.kernel.collect import SnapshotCollector, SnapshotWatch
+from oleanderdyke.kernel.records import SnapshotChunk, decode_record
+from oleanderdyke.kernel.snapshots import START_OFFSET
 from oleanderdyke.links.messages import (
     ConfigurationDifference,
     ConfigurationRequest,
 )
 
+_MESSAGE_BYTES = 48 * 1024
+_JITTER = 0.2
+
 
 class Record(Protocol):
     """See one record of the log."""
@@ -49,13 +55,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ReaderSettings:
-    """Pace the spreading of configuration."""
+    """Pace the spreading of configuration.
+
+    `ask_after` gives the log a chance before peers are asked; `snapshot_age`
+    must be at most half of the log's retention.
+    """
 
     ask_after: Millis = 0.0
     ask_again: Millis = 2 * SECOND
     stale_after: Millis = 10 * SECOND
-    snapshot_records: int = 2_000
-    snapshot_age: Millis = 6 * HOUR
+    snapshot_records: int = 10_000
+    snapshot_age: Millis = 30 * MINUTE
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,56 +79,218 @@
 class ConfigurationReader:
     """Feed a catalog, never backwards and never over a gap."""
 
-    catalog: Catalog
-
     def __init__(
         self,
         random: Random,
         settings: ReaderSettings | None = None,
         catalog: Catalog | None = None,
     ) -> None:
-        raise NotImplementedError
+        self.catalog = Catalog() if catalog is None else catalog
+        self._settings = settings or ReaderSettings()
+        self._spread = 1 - _JITTER * random.random()
+        self._loaded = False
+        self._scan = 0
+        self._first = 0
+        self._end = 0
+        self._watch = SnapshotWatch()
+        self._watched_since: Millis | None = None
+        self._from_peer: SnapshotCollector | None = None
+        self._heard: dict[str, int] = {}
+        self._behind_since: Millis | None = None
+        self._asked = ''
+        self._asked_at: Millis = 0.0
 
     @property
     def offset(self) -> int:
         """Return the offset of the last applied record, -1 for none."""
-        raise NotImplementedError
+        return self.catalog.offset
 
     @property
     def log_position(self) -> int:
         """Return the offset from which to read the log next."""
-        raise NotImplementedError
+        return self._scan if self._is_cut_off() else self.offset + 1
 
     def on_page(self, page: Page, now: Millis) -> bool:
         """Take a page of the log; tell whether the offset moved."""
-        raise NotImplementedError
+        before = self.offset
+        self._first = max(self._first, page.first)
+        self._end = max(self._end, page.end)
+        self._scan = max(self._scan, self._first)
+        for record in page.records:
+            self._take(record)
+        if not self._is_cut_off() and self.offset + 1 >= self._end:
+            self._loaded = True
+        self._note_progress(before, now)
+        return self.offset > before
 
     def on_heard(
         self, peer: str, offset: int, now: Millis
     ) -> ConfigurationRequest | None:
         """Learn a peer's offset; return what to ask this peer, if anything."""
-        raise NotImplementedError
+        self._heard[peer] = max(offset, self._heard.get(peer, START_OFFSET))
+        if offset <= self.offset and not self._needs_first(offset):
+            return None
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < self._settings.ask_after:
+            return None
+        if self._asked and now - self._asked_at < self._settings.ask_again:
+            return None
+        self._asked = peer
+        self._asked_at = now
+        self._from_peer = None
+        return ConfigurationRequest(self.offset)
 
     def on_peer_gone(self, peer: str) -> None:
         """Forget a peer whose link has ended."""
-        raise NotImplementedError
+        self._heard.pop(peer, None)
+        if self._asked == peer:
+            self._asked = ''
 
     def on_difference(
         self, peer: str, message: ConfigurationDifference, now: Millis
     ) -> bool:
         """Take a peer's difference; tell whether the offset moved."""
-        raise NotImplementedError
+        before = self.offset
+        if message.snapshot:
+            self._take_peer_chunk(message)
+        else:
+            self._take_peer_records(message)
+        if self._asked == peer:
+            self._asked = '' if message.last else peer
+            self._asked_at = now
+        if message.last and START_OFFSET < message.through <= self.offset:
+            self._loaded = True
+        self._note_progress(before, now)
+        return self.offset > before
 
     def answer(
         self, request: ConfigurationRequest
     ) -> Iterator[ConfigurationDifference]:
         """Build the messages that bring a peer up to date, one at a time."""
-        raise NotImplementedError
+        through = self.offset
+        if not self._loaded:
+            return _answer_records(request.after, START_OFFSET, ())
+        records = self.catalog.difference(request.after)
+        if records is None:
+            chunks = self.catalog.iterate_snapshot()
+            return _number_chunks(request.after, through, chunks)
+        return _answer_records(request.after, through, records)
 
     def readiness(self, now: Millis) -> Readiness:
         """Tell whether the configuration may be served from."""
-        raise NotImplementedError
+        if not self._loaded:
+            return Readiness(ready=False, reason=self._explain_start())
+        since = self._behind_since
+        if since is None or now - since <= self._settings.stale_after:
+            return Readiness(ready=True)
+        known = self._find_highest()
+        reason = f'configuration is at offset {self.offset} of {known}'
+        return Readiness(ready=False, reason=reason)
 
     def is_snapshot_due(self, wall: Millis) -> bool:
-        """Tell whether the log needs a new snapshot from somebody."""
-        raise NotImplementedError
+        """Tell whether the log needs a new snapshot; any process may append it.
+
+        The limits differ a little between processes, so that one is first.
+        """
+        if not self._loaded or self.offset == START_OFFSET:
+            return False
+        if self._is_cut_off():
+            return False
+        if self._watched_since is None:
+            self._watched_since = wall
+        kept = self._watch.newest
+        since = self._watched_since if kept is None else kept.at
+        covered = START_OFFSET if kept is None else kept.through
+        settings = self._settings
+        return (
+            wall - since > settings.snapshot_age * self._spread
+            or self.offset - covered > settings.snapshot_records * self._spread
+        )
+
+    def _is_cut_off(self) -> bool:
+        return self.offset + 1 < self._first
+
+    def _needs_first(self, offset: int) -> bool:
+        return not self._loaded and offset > START_OFFSET
+
+    def _find_highest(self) -> int:
+        heard = max(self._heard.values(), default=START_OFFSET)
+        return max(heard, self._end - 1)
+
+    def _explain_start(self) -> str:
+        if self._is_cut_off():
+            return (
+                f'the log starts at offset {self._first}; waiting for a '
+                'snapshot from it or from a peer'
+            )
+        if self.offset + 1 < self._end:
+            return f'reading the log: at {self.offset} of {self._end - 1}'
+        return 'no configuration yet from the log or from a peer'
+
+    def _note_progress(self, before: int, now: Millis) -> None:
+        if self._find_highest() <= self.offset:
+            self._behind_since = None
+        elif self._behind_since is None or self.offset > before:
+            self._behind_since = now
+
+    def _take(self, record: Record) -> None:
+        whole = self._watch.see(
+            record.offset, record.at, record.data, self.offset
+        )
+        if record.offset == self._scan:
+            self._scan += 1
+        if record.offset == self.offset + 1:
+            self.catalog.apply_record(record.offset, record.data)
+        elif whole:
+            self.catalog.restore(whole)
+
+    def _take_peer_chunk(self, message: ConfigurationDifference) -> None:
+        if message.chunk == 0:
+            self._from_peer = SnapshotCollector(message.through)
+        collector = self._from_peer
+        if collector is None or collector.through != message.through:
+            return
+        for _, data in message.records:
+            chunk = decode_record(data)
+            if not isinstance(chunk, SnapshotChunk):
+                return
+            if collector.add(chunk, data):
+                self.catalog.restore(collector.chunks)
+                self._from_peer = None
+
+    def _take_peer_records(self, message: ConfigurationDifference) -> None:
+        for offset, data in message.records:
+            if offset == self.offset + 1:
+                self.catalog.apply_record(offset, data)
+
+
+def _number_chunks(
+    after: int, through: int, chunks: Iterator[bytes]
+) -> Iterator[ConfigurationDifference]:
+    for index, data in enumerate(chunks):
+        chunk = decode_record(data)
+        yield ConfigurationDifference(
+            after,
+            through,
+            ((through, data),),
+            snapshot=True,
+            chunk=index,
+            last=isinstance(chunk, SnapshotChunk) and chunk.last,
+        )
+
+
+def _answer_records(
+    after: int, through: int, records: Sequence[tuple[int, bytes]]
+) -> Iterator[ConfigurationDifference]:
+    group: list[tuple[int, bytes]] = []
+    size = 0
+    for record in records:
+        if group and size + len(record[1]) > _MESSAGE_BYTES:
+            yield ConfigurationDifference(
+                after, through, tuple(group), last=False
+            )
+            group, size = [], 0
+        group.append(record)
+        size += len(record[1])
+    yield ConfigurationDifference(after, through, tuple(group))
