Read enumerations of packed specs as enumerations

Cause: a hook for strings also took every enumeration of strings. Change: hooks match their type exactly. Before and after: a service's kind came back as a bare string, now as ServiceKind.

--- a/src/oleanderdyke/kernel/specs.py
+++ b/src/oleanderdyke/kernel/specs.py
@@ -4,7 +4,9 @@
 
 import dataclasses
 import enum
+import functools
 import math
+import operator
 import re
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
@@ -274,13 +276,18 @@
 
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(detailed_validation=False)
-    for target in (str, bool):
-        converter.register_structure_hook(target, _check_exactly(target))
-    converter.register_structure_hook(int, _check_int)
-    converter.register_structure_hook(float, _check_number)
-    converter.register_structure_hook_func(
-        lambda target: target == Labels, _check_mapping
-    )
+    checks = {
+        str: _check_exactly(str),
+        bool: _check_exactly(bool),
+        int: _check_int,
+        float: _check_number,
+        Labels: _check_mapping,
+    }
+    for target, check in checks.items():
+        # A hook for `str` itself would also take every enum of strings.
+        converter.register_structure_hook_func(
+            functools.partial(operator.eq, target), check
+        )
     return converter
 
 
