Check at the agent whether a dispatch may run

Cause: what an entry knows may be stale; only the agent can prove 'not run'. Ruled out: remembering by the agent's clock; its own heartbeats count instead.

--- /dev/null
+++ b/src/oleanderdyke/kernel/alone.py
@@ -0,0 +1,48 @@
+"""Let suspects run alone on a backend server."""
+
+from __future__ import annotations
+
+
+class AloneLane:
+    """Keep a server for one suspect, from its first try until its end.
+
+    A reservation lapses after some heartbeats, so that an entry that never
+    comes back can't keep the server empty.
+    """
+
+    def __init__(self, *, reserve_beats: int) -> None:
+        self._reserve_beats = reserve_beats
+        self._beat = 0
+        self._reserved_for = ''
+        self._reserved_until = 0
+        self._inside = ''
+
+    def note_beat(self, sequence: int) -> None:
+        """Tell the agent's own latest heartbeat."""
+        self._beat = max(self._beat, sequence)
+
+    def is_closed(self) -> bool:
+        """Tell whether ordinary work has to stay out."""
+        return bool(self._inside) or self._is_reserved()
+
+    def request(self, digest: str, running: int) -> bool:
+        """Tell whether a suspect may enter now; else reserve for it."""
+        if not self._is_reserved():
+            self._reserved_for = digest
+            self._reserved_until = self._beat + self._reserve_beats
+        return running == 0 and self._reserved_for == digest
+
+    def enter(self, digest: str) -> None:
+        """Begin the run of a suspect."""
+        self._inside = digest
+        self._reserved_for = ''
+
+    def leave(self, digest: str) -> bool:
+        """End a run; tell whether it was that of the suspect."""
+        if not digest or self._inside != digest:
+            return False
+        self._inside = ''
+        return True
+
+    def _is_reserved(self) -> bool:
+        return bool(self._reserved_for) and self._beat < self._reserved_until
--- /dev/null
+++ b/src/oleanderdyke/kernel/claim_runs.py
@@ -0,0 +1,176 @@
+"""Remember at an agent which claims were used, barred and answered."""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from oleanderdyke.links.messages import (
+    Claim,
+    ClaimAnswer,
+    ClaimQuery,
+    ClaimState,
+    Headers,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RunAnswer:
+    """Hold the answer of a run."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class RunState(enum.Enum):
+    """Name what became of a claim at its agent."""
+
+    BARRED = enum.auto()
+    RUNNING = enum.auto()
+    FINISHED = enum.auto()
+    LOST = enum.auto()
+
+
+@dataclass(slots=True)
+class _Run:
+    beat: int
+    team: str
+    state: RunState
+    answer: RunAnswer | None = None
+
+
+_RunKey: TypeAlias = tuple[int, int, str]
+
+
+class ClaimRuns:
+    """Remember claims in bounded memory and say truthfully what it forgot.
+
+    A claim may start only within `max_age` heartbeats, so a claim that can
+    still start is never forgotten. Of older ones the oldest go first; a claim
+    as old as a forgotten one is answered by UNKNOWN.
+    """
+
+    def __init__(
+        self, *, max_age: int, capacity: int, answer_bytes: int
+    ) -> None:
+        self._max_age = max_age
+        self._capacity = capacity
+        self._free_bytes = answer_bytes
+        self._runs: OrderedDict[_RunKey, _Run] = OrderedDict()
+        self._answered: OrderedDict[_RunKey, int] = OrderedDict()
+        self._complete_from = 0
+        self._beat = 0
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def note_beat(self, sequence: int) -> None:
+        """Tell the agent's own latest heartbeat."""
+        self._beat = max(self._beat, sequence)
+
+    def is_known(self, claim: Claim) -> bool:
+        """Tell whether a claim was used or barred."""
+        return _make_key(claim) in self._runs
+
+    def is_barred(self, claim: Claim) -> bool:
+        """Tell whether a claim was barred and so never starts."""
+        run = self._runs.get(_make_key(claim))
+        return run is not None and run.state is RunState.BARRED
+
+    def has_room(self) -> bool:
+        """Make room for one claim, or tell that there is none."""
+        if len(self._runs) < self._capacity:
+            return True
+        key, run = next(iter(self._runs.items()))
+        if run.state is RunState.RUNNING or not self.is_too_old(run.beat):
+            return False
+        self._drop_answer(key)
+        del self._runs[key]
+        self._complete_from = max(self._complete_from, run.beat + 1)
+        return True
+
+    def is_too_old(self, beat: int) -> bool:
+        """Tell whether a claim of this heartbeat may no longer start."""
+        return beat < self._beat - self._max_age
+
+    def add(self, claim: Claim, team: str, state: RunState) -> None:
+        """Remember a claim; call `has_room` first."""
+        self._runs[_make_key(claim)] = _Run(claim.beat, team, state)
+
+    def finish(self, claim: Claim, answer: RunAnswer | None) -> None:
+        """Keep the answer of a run; None tells that it is not known whole."""
+        key = _make_key(claim)
+        run = self._runs.get(key)
+        if run is None or run.state is not RunState.RUNNING:
+            return
+        if answer is None:
+            run.state = RunState.LOST
+            return
+        run.state = RunState.FINISHED
+        self._keep_answer(key, run, answer)
+
+    def answer(self, query: ClaimQuery) -> ClaimAnswer:
+        """Tell what became of a claim; bar it where it never started."""
+        run = self._runs.get(_make_key(query.claim))
+        if run is None:
+            return ClaimAnswer(query.request, query.claim, self._bar(query))
+        if run.state is RunState.BARRED:
+            return ClaimAnswer(query.request, query.claim, ClaimState.BARRED)
+        if run.team != query.team or run.state is RunState.LOST:
+            return ClaimAnswer(query.request, query.claim, ClaimState.UNKNOWN)
+        if run.state is RunState.RUNNING:
+            return ClaimAnswer(query.request, query.claim, ClaimState.RUNNING)
+        return _make_finished(query, run.answer)
+
+    def _bar(self, query: ClaimQuery) -> ClaimState:
+        claim = query.claim
+        if claim.beat < self._complete_from:
+            return ClaimState.UNKNOWN
+        if self.is_too_old(claim.beat):
+            return ClaimState.BARRED
+        if not self.has_room():
+            return ClaimState.UNKNOWN
+        self.add(claim, query.team, RunState.BARRED)
+        return ClaimState.BARRED
+
+    def _keep_answer(self, key: _RunKey, run: _Run, answer: RunAnswer) -> None:
+        size = _measure(answer)
+        while self._free_bytes < size and self._answered:
+            self._drop_answer(next(iter(self._answered)))
+        if self._free_bytes < size:
+            return
+        run.answer = answer
+        self._answered[key] = size
+        self._free_bytes -= size
+
+    def _drop_answer(self, key: _RunKey) -> None:
+        size = self._answered.pop(key, None)
+        if size is not None:
+            self._free_bytes += size
+            self._runs[key].answer = None
+
+
+def _make_key(claim: Claim) -> _RunKey:
+    return claim.offset, claim.index, claim.key
+
+
+def _measure(answer: RunAnswer) -> int:
+    names = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + names
+
+
+def _make_finished(query: ClaimQuery, answer: RunAnswer | None) -> ClaimAnswer:
+    """Return a finished run's answer; status 0 where it is not kept."""
+    if answer is None:
+        return ClaimAnswer(query.request, query.claim, ClaimState.FINISHED)
+    return ClaimAnswer(
+        query.request,
+        query.claim,
+        ClaimState.FINISHED,
+        answer.status,
+        answer.headers,
+        answer.body,
+    )
