Follow the engine, order its weights and forward runs

Cause: the parts of an agent below its shell. Change: engine view with lost events, order loop, configuration by peers, store role, preparing and forwarding of runs.

--- a/src/oleanderdyke/agent/body.py
+++ b/src/oleanderdyke/agent/body.py
@@ -23,6 +23,11 @@
         self._failed = False
         self._changed = anyio.Event()
 
+    @property
+    def received(self) -> int:
+        """Return the bytes that have come."""
+        return self._received
+
     @property
     def ended(self) -> bool:
         """Tell whether the last chunk has come."""
@@ -58,12 +63,17 @@
                 yield self._chunks.popleft()
             if self._failed:
                 raise OleanderError(
-                    ErrorKind.STREAM_BROKEN, 'the body was cut off'
+                    ErrorKind.STREAM_BROKEN, 'the body was cut off', ran=Ran.NO
                 )
             if self._ended:
                 return
             await self._changed.wait()
 
+    async def wait_first(self) -> None:
+        """Return once the first chunk has come, or won't."""
+        while not (self._next or self._failed):
+            await self._changed.wait()
+
     async def collect(self) -> bytes:
         """Return the whole body."""
         return b''.join([data async for data in self.stream()])
--- /dev/null
+++ b/src/oleanderdyke/agent/configuration.py
@@ -0,0 +1,106 @@
+"""Learn the configuration from peers and pass it on."""
+
+from __future__ import annotations
+
+from random import Random
+
+import anyio
+
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.clock import Clock
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.objects import (
+    ModelVersionSpec,
+    ObjectKind,
+    ServiceSpec,
+    TeamSpec,
+    select,
+)
+from oleanderdyke.kernel.spread import ConfigurationReader
+from oleanderdyke.links.messages import (
+    ConfigurationDifference,
+    ConfigurationRequest,
+)
+from oleanderdyke.logs import EventLog
+
+
+class Configuration:
+    """Hold an agent's copy of the configuration; agents read no log."""
+
+    def __init__(
+        self, *, clock: Clock, random: Random, events: EventLog
+    ) -> None:
+        self._clock = clock
+        self._events = events
+        self._reader = ConfigurationReader(random)
+        self._changed = anyio.Event()
+        self.highest = -1
+
+    @property
+    def offset(self) -> int:
+        """Return the offset of the last applied record."""
+        return self._reader.offset
+
+    async def wait_changed(self) -> None:
+        """Return after the next change."""
+        await self._changed.wait()
+
+    def hear(self, outbox: Outbox, offset: int) -> None:
+        """Learn a peer's offset and ask it for what is missing."""
+        self.highest = max(self.highest, offset)
+        request = self._reader.on_heard(outbox.name, offset, self._clock.now())
+        if request is not None:
+            outbox.put(request)
+
+    def take(self, outbox: Outbox, message: ConfigurationDifference) -> None:
+        """Apply what a peer sent."""
+        moved = self._reader.on_difference(
+            outbox.name, message, self._clock.now()
+        )
+        if not moved:
+            return
+        self.highest = max(self.highest, self.offset)
+        self._events.write(
+            EventName.CONFIGURATION_APPLIED,
+            offset=self.offset,
+            peer=outbox.peer.process,
+        )
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def answer(
+        self, outbox: Outbox, request: ConfigurationRequest
+    ) -> None:
+        """Send what a peer is missing; raise LinkClosed."""
+        for message in self._reader.answer(request):
+            await outbox.send(message)
+
+    def drop_link(self, link: str) -> None:
+        """Forget a peer."""
+        self._reader.on_peer_gone(link)
+
+    def find_service(self, name: str) -> ServiceSpec | None:
+        """Return a service's spec."""
+        found = self._reader.catalog.get(ObjectKind.SERVICE, name)
+        spec = None if found is None else found.spec
+        return spec if isinstance(spec, ServiceSpec) else None
+
+    def list_versions(self) -> tuple[ModelVersionSpec, ...]:
+        """Return every model version."""
+        return tuple(
+            found.spec
+            for found in self._reader.catalog.list(ObjectKind.MODEL_VERSION)
+            if isinstance(found.spec, ModelVersionSpec)
+        )
+
+    def allows(self, team: str, service: str) -> bool | None:
+        """Tell whether a team may use a service; None before any copy."""
+        if self.offset < 0:
+            return None
+        spec = self.find_service(service)
+        found = self._reader.catalog.get(ObjectKind.TEAM, team)
+        if spec is None or found is None:
+            return False
+        if not isinstance(found.spec, TeamSpec):
+            return False
+        return select(spec.teams, found.spec.labels)
--- /dev/null
+++ b/src/oleanderdyke/agent/engine.py
@@ -0,0 +1,188 @@
+"""Follow a model engine: its weights, load and cached segments."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from oleanderdyke.agent.backend import Backend, Json
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.errors import ErrorKind, OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.blocks import SegmentId, hint
+from oleanderdyke.kernel.demand import SEGMENT_TOKENS, SegmentHint
+from oleanderdyke.kernel.gate import Loaded
+from oleanderdyke.kernel.orders import Fence, Observed
+from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.links.messages import Load
+from oleanderdyke.logs import EventLog
+
+_STORED = 'stored'
+
+
+class EngineView:
+    """Hold what an engine last reported; its events are hints only."""
+
+    def __init__(
+        self,
+        backend: Backend,
+        *,
+        clock: Clock,
+        events: EventLog,
+        on_loaded: Callable[[Loaded], None],
+    ) -> None:
+        self._backend = backend
+        self._clock = clock
+        self._events = events
+        self._on_loaded = on_loaded
+        self._after = 0
+        # In order of last use, since an engine evicts what is longest unused.
+        self._cached: dict[SegmentHint, None] = {}
+        self.segments = SegmentLog()
+        self.observed: Observed | None = None
+        self.loaded = Loaded()
+        self.load = Load()
+
+    def reset(self) -> None:
+        """Forget everything, since the engine was lost."""
+        self._after = 0
+        self._cached.clear()
+        self.segments.replace(())
+        self.observed = None
+        self.load = Load()
+        self.set_loaded(Loaded())
+
+    def set_loaded(self, loaded: Loaded) -> None:
+        """Change what new runs must name."""
+        if loaded == self.loaded:
+            return
+        self.loaded = loaded
+        self._on_loaded(loaded)
+
+    async def read_state(self) -> Observed:
+        """Read the engine's state; raise OleanderError."""
+        observed = _read_observed(
+            await self._backend.get_json('/state'), self._clock.now()
+        )
+        self.observed = observed
+        self.set_loaded(
+            Loaded(
+                observed.model,
+                observed.version,
+                observed.digest,
+                observed.adapter,
+            )
+            if observed.digest
+            else Loaded()
+        )
+        return observed
+
+    async def poll(self) -> None:
+        """Read load and cache events; raise OleanderError."""
+        self.load = _read_load(
+            await self._backend.get_json('/load'), len(self._cached)
+        )
+        self._take_events(
+            await self._backend.get_json(f'/cache/events?after={self._after}')
+        )
+
+    def note_used(self, segments: Sequence[SegmentId]) -> None:
+        """Learn that a run has read or computed segments."""
+        for segment in segments:
+            self._add(hint(segment))
+
+    def estimate_prefill(self, segments: int) -> Millis | None:
+        """Return how long computing segments takes; None if unknown."""
+        rate = self.load.prefill_tokens_per_second
+        if rate <= 0:
+            return None
+        return segments * SEGMENT_TOKENS * SECOND / rate
+
+    def _take_events(self, page: Json) -> None:
+        try:
+            events = [
+                (int(number), kind == _STORED, bytes.fromhex(segment))
+                for number, kind, segment in page['events']
+            ]
+            last = int(page['next']) - 1
+        except (KeyError, TypeError, ValueError) as error:
+            raise _make_fault('/cache/events') from error
+        if last < self._after and last > 0:
+            self._restart()
+            return
+        for number, stored, segment in events:
+            self._note_gap(number - self._after - 1)
+            self._after = number
+            self._note_event(hint(segment), stored=stored)
+
+    def _restart(self) -> None:
+        # Numbers went back: another engine with an empty cache answers.
+        self._after = 0
+        self._cached.clear()
+        self.segments.replace(())
+
+    def _note_gap(self, lost: int) -> None:
+        if lost <= 0:
+            return
+        # Each lost event may be the removal of what was longest unused.
+        for segment in list(self._cached)[:lost]:
+            self._remove(segment)
+        self._events.write(EventName.SEGMENT_EVENTS_LOST, count=lost)
+
+    def _note_event(self, segment: SegmentHint, *, stored: bool) -> None:
+        if stored:
+            self._add(segment)
+        else:
+            self._remove(segment)
+
+    def _add(self, segment: SegmentHint) -> None:
+        if self._cached.pop(segment, segment) is not None:
+            self.segments.add(segment)
+        self._cached[segment] = None
+
+    def _remove(self, segment: SegmentHint) -> None:
+        if segment in self._cached:
+            del self._cached[segment]
+            self.segments.remove(segment)
+
+
+def _read_observed(state: Json, now: Millis) -> Observed:
+    try:
+        return Observed(
+            model=str(state['model'] or ''),
+            version=str(state['version'] or ''),
+            digest=str(state['digest'] or ''),
+            adapter=str(state.get('adapter') or ''),
+            role=str(state.get('role') or ''),
+            fence=_read_fence(state.get('fence')),
+            read_at=now,
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise _make_fault('/state') from error
+
+
+def _read_fence(found: Any) -> Fence | None:
+    if not found:
+        return None
+    offset, incarnation = found
+    return Fence(int(offset), str(incarnation))
+
+
+def _read_load(found: Json, cached: int) -> Load:
+    try:
+        return Load(
+            running=int(found['running']),
+            waiting=int(found['waiting']),
+            waiting_tokens=int(found['waiting_tokens']),
+            prefill_tokens_per_second=float(found['prefill_tokens_per_second']),
+            slots=int(found['slots']),
+            cached_bytes=cached,
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise _make_fault('/load') from error
+
+
+def _make_fault(path: str) -> OleanderError:
+    return OleanderError(
+        ErrorKind.BACKEND_FAILED, f'the engine answered {path} wrongly'
+    )
--- /dev/null
+++ b/src/oleanderdyke/agent/forward.py
@@ -0,0 +1,150 @@
+"""Forward one attempt to the backend server and stream its answer back."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+from oleanderdyke.agent.backend import Backend, clean_answer_headers
+from oleanderdyke.agent.prepare import Preparer
+from oleanderdyke.agent.run import Run
+from oleanderdyke.clock import Clock
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.gate import RunAnswer
+from oleanderdyke.kernel.stream_buffer import (
+    Outgoing,
+    Reader,
+    StreamBuffer,
+)
+from oleanderdyke.kernel.stream_table import StreamTable
+from oleanderdyke.links.messages import AnswerHead, Message
+from oleanderdyke.logs import EventLog
+from oleanderdyke.platform.http import HttpAnswer
+
+_TOKEN_BYTES = 16
+
+
+class Delivery(Protocol):
+    """Hand messages to whoever reads a stream."""
+
+    def attach(self, run: Run, buffer: StreamBuffer) -> None:
+        """Note the reader of a new stream."""
+
+    def send(self, reader: Reader, messages: Iterable[Message]) -> None:
+        """Send to a reader, if its link is there."""
+
+
+class Forwarder:
+    """Carry one attempt through the backend server."""
+
+    def __init__(
+        self,
+        backend: Backend,
+        preparer: Preparer,
+        streams: StreamTable,
+        delivery: Delivery,
+        *,
+        chunk_size: int,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self._backend = backend
+        self._preparer = preparer
+        self._streams = streams
+        self._delivery = delivery
+        self._chunk_size = chunk_size
+        self._clock = clock
+        self._events = events
+
+    async def forward(self, run: Run) -> RunAnswer | None:
+        """Return the recorded answer; raise OleanderError."""
+        prepared = await self._preparer.prepare(run)
+        if self._clock.now() >= run.deadline:
+            raise OleanderError(
+                ErrorKind.DEADLINE, 'too late to start', ran=Ran.NO
+            )
+        run.forwarded = True
+        async with self._backend.open(
+            run.dispatch.method,
+            run.dispatch.path,
+            prepared.headers,
+            prepared.body,
+        ) as answer:
+            self._open(run, answer)
+            async for data in answer.body:
+                for piece in self._split(data):
+                    await self._pass_on(run, piece)
+        self._preparer.note_whole(run)
+        return _make_record(run)
+
+    def finish(self, run: Run) -> None:
+        """Close the stream of a run whose answer came whole."""
+        totals = run.sum_up()
+        if run.buffer is not None:
+            self._send(run.buffer, run.buffer.finish(totals, self._clock.now()))
+        self._events.write(
+            EventName.ANSWER_ENDED,
+            request=run.dispatch.request,
+            attempt=run.dispatch.attempt,
+            peer=run.outbox.peer.process,
+            status=run.status,
+            chunks=run.chunks,
+            length=run.length,
+            tokens=totals.prompt_tokens or None,
+            recomputed=totals.recomputed_tokens or None,
+        )
+
+    def _open(self, run: Run, answer: HttpAnswer) -> None:
+        run.status = answer.status
+        run.headers = clean_answer_headers(answer.headers)
+        if run.dispatch.claim is not None:
+            run.record = bytearray()
+        run.started = True
+        run.notify()
+        self._events.write(
+            EventName.ANSWER_STARTED,
+            request=run.dispatch.request,
+            attempt=run.dispatch.attempt,
+            peer=run.outbox.peer.process,
+            status=answer.status,
+        )
+        if run.discarded:
+            return
+        head = AnswerHead(
+            *run.key,
+            status=answer.status,
+            headers=run.headers,
+            resume=secrets.token_hex(_TOKEN_BYTES),
+        )
+        reader = Reader(run.outbox.name, *run.key)
+        run.buffer = self._streams.open(
+            run.dispatch.team, head, reader, self._clock.now()
+        )
+        self._delivery.attach(run, run.buffer)
+        self._delivery.send(reader, (head,))
+
+    async def _pass_on(self, run: Run, data: bytes) -> None:
+        run.take(data)
+        while run.buffer is not None and run.buffer.is_full:
+            await run.wait_changed()
+        if run.buffer is not None:
+            self._send(run.buffer, run.buffer.add(data, self._clock.now()))
+
+    def _send(
+        self, buffer: StreamBuffer, messages: tuple[Outgoing, ...]
+    ) -> None:
+        if buffer.reader is not None:
+            self._delivery.send(buffer.reader, messages)
+
+    def _split(self, data: bytes) -> Iterator[bytes]:
+        size = self._chunk_size
+        for start in range(0, len(data), size):
+            yield data[start : start + size]
+
+
+def _make_record(run: Run) -> RunAnswer | None:
+    if run.record is None:
+        return None
+    return RunAnswer(run.status, run.headers, bytes(run.record))
--- a/src/oleanderdyke/agent/health.py
+++ b/src/oleanderdyke/agent/health.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import TypeAlias
 
 import anyio
 
-from oleanderdyke.agent.backend import Backend
 from oleanderdyke.agent.settings import BackendSettings
 from oleanderdyke.clock import SECOND
 from oleanderdyke.errors import OleanderError, Ran
-from oleanderdyke.links.messages import BackendKind
 
-_PROBE_PATHS = {BackendKind.ENGINE: '/state', BackendKind.STORE: '/space'}
+Probe: TypeAlias = Callable[[], Awaitable[object]]
+Notify: TypeAlias = Callable[[], Awaitable[None]]
 
 
 class Health:
@@ -24,50 +24,47 @@
 
     def __init__(
         self,
-        backend: Backend,
+        probe: Probe,
         settings: BackendSettings,
         *,
-        on_up: Callable[[], Awaitable[None]],
-        on_lost: Callable[[], Awaitable[None]],
+        on_up: Notify,
+        on_lost: Notify,
     ) -> None:
-        self._backend = backend
+        self._probe = probe
         self._settings = settings
         self._on_up = on_up
         self._on_lost = on_lost
         self._missed = 0
-        self._hurry = anyio.Event()
+        self._lock = anyio.Lock()
         self.alive = False
 
-    def hurry(self) -> None:
-        """Probe at once, since a connection was lost."""
-        self._hurry.set()
-
     async def run(self) -> None:
         """Probe until cancelled."""
         while True:
-            await self.probe()
-            with anyio.move_on_after(self._settings.probe_interval / SECOND):
-                await self._hurry.wait()
-            self._hurry = anyio.Event()
+            await self.check()
+            await anyio.sleep(self._settings.probe_interval / SECOND)
 
-    async def probe(self) -> None:
-        """Probe once and tell about a change."""
-        try:
-            await self._call()
-        except OleanderError as error:
-            await self._note_missed(refused=error.ran is Ran.NO)
-            return
+    async def check(self) -> bool:
+        """Probe now, tell about a change, return whether it is alive."""
+        async with self._lock:
+            try:
+                await self._probe()
+            except OleanderError as error:
+                await self._note_missed(refused=error.ran is Ran.NO)
+                return self.alive
+            await self._note_answered()
+            return self.alive
+
+    async def _note_answered(self) -> None:
         self._missed = 0
-        if not self.alive:
-            self.alive = True
+        if self.alive:
+            return
+        try:
             await self._on_up()
-
-    async def _call(self) -> None:
-        path = _PROBE_PATHS.get(self._settings.kind)
-        if path is None:
-            await self._backend.connect()
+        except OleanderError:
+            # It answered once and failed in its first use; probe again.
             return
-        await self._backend.get_json(path)
+        self.alive = True
 
     async def _note_missed(self, *, refused: bool) -> None:
         self._missed += 1
--- /dev/null
+++ b/src/oleanderdyke/agent/prepare.py
@@ -0,0 +1,179 @@
+"""Turn a dispatch into the request that its backend server gets."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from oleanderdyke.agent.backend import clean_headers
+from oleanderdyke.agent.engine import EngineView
+from oleanderdyke.agent.export import Exporter
+from oleanderdyke.agent.fetch import Fetcher
+from oleanderdyke.agent.run import Run
+from oleanderdyke.clock import Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.blocks import Namespace, make_namespace
+from oleanderdyke.kernel.gate import Loaded
+from oleanderdyke.links.messages import Dispatch, FetchPlan, Headers
+from oleanderdyke.platform.http import Body
+
+_REQUEST_ID = 'x-request-id'
+_LENGTH = 'content-length'
+_FOREGROUND = 0
+_BACKGROUND = 1
+_JSON = ('content-type', 'application/json')
+
+
+@dataclass(frozen=True, slots=True)
+class Prepared:
+    """Hold what is sent to the backend server."""
+
+    headers: Headers
+    body: Body
+
+
+class Preparer(Protocol):
+    """Prepare runs for one kind of backend server."""
+
+    async def prepare(self, run: Run) -> Prepared:
+        """Return the request to send; raise OleanderError."""
+
+    def note_whole(self, run: Run) -> None:
+        """Learn that the answer of a run came whole."""
+
+
+class PlainPreparer:
+    """Pass requests of plain services on unchanged."""
+
+    async def prepare(self, run: Run) -> Prepared:
+        """Stream a body that is still coming, unless a key claimed it."""
+        await run.body.wait_first()
+        headers = _make_headers(run.dispatch)
+        if run.dispatch.claim is None and not run.body.ended:
+            return Prepared(headers, run.body.stream())
+        body = await run.body.collect()
+        return Prepared(_drop(headers, _LENGTH), body or None)
+
+    def note_whole(self, run: Run) -> None:
+        """Learn nothing."""
+
+
+class EnginePreparer:
+    """Bring kept context into the engine and name its namespace."""
+
+    def __init__(
+        self,
+        engine: EngineView,
+        fetcher: Fetcher,
+        exporter: Exporter,
+        *,
+        patience: float,
+        fetch_timeout: Millis,
+    ) -> None:
+        self._engine = engine
+        self._fetcher = fetcher
+        self._exporter = exporter
+        self._patience = patience
+        self._fetch_timeout = fetch_timeout
+
+    async def prepare(self, run: Run) -> Prepared:
+        """Fetch first, then check the weights again."""
+        dispatch = run.dispatch
+        body = await run.body.collect()
+        namespace = _check_namespace(dispatch)
+        if dispatch.fetch is not None:
+            await self._fetch(run, dispatch.fetch, namespace)
+        self._check_weights(dispatch)
+        headers = _drop(_make_headers(dispatch), _LENGTH, _JSON[0])
+        return Prepared(
+            (*headers, _JSON), _name_namespace(body, dispatch, namespace)
+        )
+
+    def note_whole(self, run: Run) -> None:
+        """Offer the complete segments to the store that should keep them."""
+        dispatch = run.dispatch
+        if self._engine.loaded.digest != dispatch.weight_digest:
+            return
+        self._engine.note_used(dispatch.segments)
+        if dispatch.keep is not None:
+            self._exporter.offer(dispatch.keep, dispatch.namespace)
+
+    async def _fetch(
+        self, run: Run, plan: FetchPlan, namespace: Namespace
+    ) -> None:
+        estimate = self._engine.estimate_prefill(len(plan.segments))
+        budget = self._fetch_timeout
+        if estimate is not None:
+            budget = estimate * self._patience
+        fetched = await self._fetcher.fetch(
+            plan, namespace, budget=budget, request=run.dispatch.request
+        )
+        run.link_bytes += fetched.length
+
+    def _check_weights(self, dispatch: Dispatch) -> None:
+        wanted = Loaded(
+            dispatch.model,
+            dispatch.weight_version,
+            dispatch.weight_digest,
+            dispatch.adapter,
+        )
+        if self._engine.loaded != wanted:
+            raise OleanderError(
+                ErrorKind.WRONG_VERSION, 'the weights changed', ran=Ran.NO
+            )
+
+
+def _check_namespace(dispatch: Dispatch) -> Namespace:
+    namespace = make_namespace(
+        dispatch.team,
+        dispatch.service,
+        dispatch.model,
+        dispatch.weight_digest,
+        dispatch.adapter,
+    )
+    if dispatch.namespace != namespace:
+        raise OleanderError(
+            ErrorKind.PROTOCOL, "the namespace is not the team's", ran=Ran.NO
+        )
+    return namespace
+
+
+def _name_namespace(
+    body: bytes, dispatch: Dispatch, namespace: Namespace
+) -> bytes:
+    payload = _parse(body)
+    payload['cache_salt'] = namespace.hex()
+    payload['priority'] = _BACKGROUND if dispatch.background else _FOREGROUND
+    if payload.get('stream'):
+        options = payload.get('stream_options')
+        kept = options if isinstance(options, dict) else {}
+        payload['stream_options'] = kept | {'include_usage': True}
+    return json.dumps(payload).encode()
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        payload = json.loads(body)
+    except ValueError as error:
+        raise OleanderError(
+            ErrorKind.BAD_REQUEST, 'the body is not JSON'
+        ) from error
+    if not isinstance(payload, dict):
+        raise OleanderError(
+            ErrorKind.BAD_REQUEST, 'the body is not a JSON object'
+        )
+    return payload
+
+
+def _make_headers(dispatch: Dispatch) -> Headers:
+    kept = (
+        pair
+        for pair in clean_headers(dispatch.headers)
+        if pair[0].lower() != _REQUEST_ID
+    )
+    return (*kept, (_REQUEST_ID, dispatch.request))
+
+
+def _drop(headers: Headers, *names: str) -> Headers:
+    return tuple(pair for pair in headers if pair[0].lower() not in names)
--- /dev/null
+++ b/src/oleanderdyke/agent/run.py
@@ -0,0 +1,111 @@
+"""Hold the state of one attempt at an agent."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+import anyio
+
+from oleanderdyke.agent.body import RequestBody
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.stream_buffer import (
+    AnswerTotals,
+    Reader,
+    StreamBuffer,
+)
+from oleanderdyke.links.messages import Dispatch, Headers
+
+RunKey: TypeAlias = tuple[str, int]
+
+_TAIL = 4 * 1024
+_PROMPT = re.compile(rb'"prompt_tokens"\s*:\s*(\d+)')
+_CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d+)')
+
+
+@dataclass(slots=True)
+class Run:
+    """Follow one attempt from its dispatch to the end of its answer.
+
+    `stopped` tells that nothing more is sent for it; `forwarded` that the
+    backend server may have seen it, `started` that it has begun to answer.
+    """
+
+    dispatch: Dispatch
+    outbox: Outbox
+    body: RequestBody
+    deadline: Millis
+    record_limit: int
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    stopped: bool = False
+    forwarded: bool = False
+    started: bool = False
+    discarded: bool = False
+    buffer: StreamBuffer | None = None
+    link_bytes: int = 0
+    status: int = 0
+    headers: Headers = ()
+    record: bytearray | None = None
+    length: int = 0
+    chunks: int = 0
+    tail: bytes = b''
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def key(self) -> RunKey:
+        """Return the request id and the attempt."""
+        return (self.dispatch.request, self.dispatch.attempt)
+
+    @property
+    def work(self) -> str:
+        """Return the name by which a planned stop knows the run."""
+        return f'{self.dispatch.request}/{self.dispatch.attempt}'
+
+    @property
+    def is_droppable(self) -> bool:
+        """Tell whether a run that nobody waits for may be cancelled."""
+        return self.dispatch.idempotent and self.dispatch.claim is None
+
+    @property
+    def reader(self) -> Reader:
+        """Return who gets the answer, or would get it."""
+        if self.buffer is not None and self.buffer.reader is not None:
+            return self.buffer.reader
+        return Reader(self.outbox.name, *self.key)
+
+    def take(self, data: bytes) -> None:
+        """Count answer data, and record it for the key that claimed it."""
+        self.length += len(data)
+        self.chunks += 1
+        self.tail = (self.tail + data)[-_TAIL:]
+        if self.record is None:
+            return
+        self.record += data
+        if len(self.record) > self.record_limit:
+            self.record = None
+
+    def sum_up(self) -> AnswerTotals:
+        """Read the token counts from the end of an engine's answer."""
+        prompt = _find_last(_PROMPT, self.tail)
+        cached = _find_last(_CACHED, self.tail)
+        return AnswerTotals(
+            recomputed_tokens=max(0, prompt - cached),
+            prompt_tokens=prompt,
+            link_bytes=self.link_bytes,
+        )
+
+    def notify(self) -> None:
+        """Wake the task that waits for credit or delivery."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def wait_changed(self) -> None:
+        """Return once credit, the reader or the buffer has changed."""
+        await self.changed.wait()
+
+
+def _find_last(pattern: re.Pattern[bytes], data: bytes) -> int:
+    found = pattern.findall(data)
+    return int(found[-1]) if found else 0
--- /dev/null
+++ b/src/oleanderdyke/agent/store.py
@@ -0,0 +1,329 @@
+"""Keep segments in the store VM, and serve them to engines' agents."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from oleanderdyke.agent.backend import Backend
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.settings import CacheSettings
+from oleanderdyke.agent.store_reads import StoreReads
+from oleanderdyke.agent.turns import LinkTurns
+from oleanderdyke.clock import SECOND, Clock
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.demand import Keeper
+from oleanderdyke.kernel.links_meter import LinkMeter
+from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.kernel.store_index import StoreIndex, StoreLimits
+from oleanderdyke.kernel.store_meta import META_SUFFIX
+from oleanderdyke.kernel.store_outcomes import (
+    PartTaken,
+    WriteBegun,
+    WriteFailed,
+    WriteJoined,
+    WritePresent,
+    WriteRefusal,
+    WriteSealed,
+    WriteVerified,
+)
+from oleanderdyke.links.messages import (
+    Load,
+    SegmentPart,
+    SegmentRead,
+    SegmentWanted,
+    SegmentWrite,
+    SegmentWritten,
+)
+from oleanderdyke.logs import EventLog
+
+_META_LIMIT = 64 * 1024
+_FULL = 507
+_REDIRECT = 300
+_SWEEP = 1 * SECOND
+
+
+class StoreShell:
+    """Do the reads and writes that the index allows.
+
+    Nothing is visible while the store doesn't answer.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        *,
+        settings: CacheSettings,
+        make_keeper: Callable[[], Keeper],
+        incarnation: str,
+        clock: Clock,
+        random: Random,
+        tasks: TaskGroup,
+        events: EventLog,
+    ) -> None:
+        self._backend = backend
+        self._settings = settings
+        self._make_keeper = make_keeper
+        self._incarnation = incarnation
+        self._clock = clock
+        self._random = random
+        self._tasks = tasks
+        self._events = events
+        self._index: StoreIndex | None = None
+        self._writing: dict[str, bytearray] = {}
+        self._names: dict[str, str] = {}
+        self._waiting: dict[str, tuple[Outbox, SegmentWrite]] = {}
+        self._deleting = anyio.Lock()
+        self._doomed: deque[str] = deque()
+        self._rebuilds = 0
+        self._turns = LinkTurns(clock)
+        self._meter = LinkMeter(0.0)
+        self._reads = StoreReads(
+            backend,
+            turns=self._turns,
+            meter=self._meter,
+            settings=settings,
+            clock=clock,
+            tasks=tasks,
+        )
+        self.segments = SegmentLog()
+
+    async def open(self) -> None:
+        """Show what the store has kept whole; raise OleanderError."""
+        space = await self._backend.get_json('/space')
+        self._note_rate(float(space['link_bytes_per_second']))
+        self._rebuilds += 1
+        index = StoreIndex(
+            StoreLimits(
+                capacity_bytes=int(space['capacity']),
+                writes=self._settings.writes,
+            ),
+            self._make_keeper(),
+            f'{self._incarnation}-{self._rebuilds}',
+            self._random,
+        )
+        self.segments.replace(())
+        index.log = self.segments
+        await self._readmit(index)
+        self._index = index
+        self._reads.set_index(index)
+        await self._delete()
+
+    def close(self) -> None:
+        """Hide everything, since the store is lost."""
+        self._index = None
+        self._reads.set_index(None)
+        self.segments.replace(())
+        self._writing.clear()
+        self._names.clear()
+        for request in tuple(self._waiting):
+            self._answer(request, sealed=False, detail=WriteRefusal.STOPPED)
+
+    def measure(self) -> Load:
+        """Return the load to report."""
+        index = self._index
+        return Load(
+            running=self._reads.running,
+            waiting=self._reads.waiting,
+            slots=self._settings.readers,
+            cached_bytes=0 if index is None else index.used_bytes,
+            link_bytes_in_flight=self._meter.bytes_in_flight,
+            link_bytes_per_second=self._meter.read_rate(self._clock.now()),
+        )
+
+    def read(self, link: str, outbox: Outbox, message: SegmentRead) -> None:
+        """Start to answer a read."""
+        self._reads.start(link, outbox, message)
+
+    def stop_read(self, link: str, request: str) -> None:
+        """Stop a read whose reader has given up."""
+        self._reads.stop(link, request)
+
+    def offer(self, link: str, outbox: Outbox, message: SegmentWrite) -> None:
+        """Answer an offered segment."""
+        request = f'{link}/{message.request}'
+        self._waiting[request] = (outbox, message)
+        index = self._index
+        if index is None:
+            self._answer(request, sealed=False, detail=WriteRefusal.STOPPED)
+            return
+        now = self._clock.now()
+        match index.begin(replace(message, request=request), now):
+            case WriteBegun(object_name=name):
+                self._writing[request] = bytearray()
+                self._names[request] = name
+                self._tasks.start_soon(self._invite, request, message)
+            case WriteJoined():
+                return
+            case WritePresent():
+                self._answer(request, sealed=True, detail='present')
+            case WriteFailed(reason=reason):
+                self._answer(request, sealed=False, detail=reason)
+
+    def add_part(self, link: str, part: SegmentPart) -> None:
+        """Take a part of a segment that was invited."""
+        request = f'{link}/{part.request}'
+        index = self._index
+        data = self._writing.get(request)
+        if index is None or data is None:
+            return
+        moved = replace(part, request=request)
+        match index.add_part(moved, self._clock.now()):
+            case PartTaken():
+                data += part.data
+            case WriteVerified() as verified:
+                data += part.data
+                self._tasks.start_soon(
+                    self._store, index, request, part.segment, verified
+                )
+            case WriteFailed() as failed:
+                self._finish(failed)
+
+    def drop_link(self, link: str) -> None:
+        """End the reads and the writes of a lost link."""
+        self._reads.drop_link(link)
+        prefix = f'{link}/'
+        lost = [each for each in self._waiting if each.startswith(prefix)]
+        for request in lost:
+            _, message = self._waiting.pop(request)
+            if self._index is not None and request in self._writing:
+                self._finish(
+                    self._index.abort(
+                        request, message.segment, WriteRefusal.STOPPED
+                    )
+                )
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await anyio.sleep(_SWEEP / SECOND)
+            await self._sweep()
+
+    async def _sweep(self) -> None:
+        index = self._index
+        if index is None:
+            return
+        for failed in index.expire(self._clock.now()):
+            self._finish(failed)
+        try:
+            space = await self._backend.get_json('/space')
+            self._note_rate(float(space['link_bytes_per_second']))
+            await self._delete()
+        except OleanderError:
+            # The health probe finds a store that doesn't answer.
+            return
+
+    def _note_rate(self, rate: float) -> None:
+        if rate == self._turns.rate:
+            return
+        self._turns.rate = rate
+        self._meter = LinkMeter(rate)
+        self._reads.set_meter(self._meter)
+
+    async def _readmit(self, index: StoreIndex) -> None:
+        sizes = await self._backend.get_json('/objects')
+        metas = [name for name in sizes if name.endswith(META_SUFFIX)]
+        for name in metas:
+            meta = await self._backend.get_bytes(
+                f'/objects/{name}', _META_LIMIT
+            )
+            stored = sizes.get(name.removesuffix(META_SUFFIX))
+            index.readmit(name, meta, stored, self._clock.now())
+        orphans = [
+            name
+            for name in sizes
+            if not name.endswith(META_SUFFIX)
+            and name + META_SUFFIX not in sizes
+        ]
+        self._doomed = deque(orphans)
+
+    async def _invite(self, request: str, message: SegmentWrite) -> None:
+        await self._turns.take_write(message.length)
+        waiting = self._waiting.get(request)
+        if waiting is None or request not in self._writing:
+            return
+        waiting[0].put(SegmentWanted(message.request, message.segment))
+
+    async def _store(
+        self,
+        index: StoreIndex,
+        request: str,
+        segment: bytes,
+        verified: WriteVerified,
+    ) -> None:
+        data = bytes(self._writing.pop(request, b''))
+        name = self._names.pop(request, '')
+        refusal = await self._put(name, data, verified)
+        if index is not self._index:
+            return
+        if refusal is not None:
+            self._finish(index.abort(request, segment, refusal))
+            return
+        outcome = index.seal(request, segment, self._clock.now())
+        self._finish(outcome)
+        if isinstance(outcome, WriteFailed):
+            # Its deletion may have gone before the objects came.
+            self._doomed += [verified.meta_name, name]
+
+    async def _put(
+        self, name: str, data: bytes, verified: WriteVerified
+    ) -> WriteRefusal | None:
+        try:
+            await self._delete()
+            refusal = await self._put_object(name, data)
+            if refusal is not None:
+                return refusal
+            return await self._put_object(verified.meta_name, verified.meta)
+        except OleanderError:
+            return WriteRefusal.STORE_FAILED
+
+    async def _put_object(self, name: str, data: bytes) -> WriteRefusal | None:
+        status, _ = await self._backend.call(
+            'PUT',
+            f'/objects/{name}',
+            body=data,
+            timeout=self._settings.fetch_timeout,
+        )
+        if status == _FULL:
+            return WriteRefusal.STORE_FULL
+        return None if status < _REDIRECT else WriteRefusal.STORE_FAILED
+
+    async def _delete(self) -> None:
+        index = self._index
+        if index is None:
+            return
+        self._doomed += index.take_deletions()
+        async with self._deleting:
+            while self._doomed:
+                await self._backend.call(
+                    'DELETE', f'/objects/{self._doomed[0]}'
+                )
+                self._doomed.popleft()
+
+    def _finish(self, outcome: WriteSealed | WriteFailed) -> None:
+        sealed = isinstance(outcome, WriteSealed)
+        detail = '' if isinstance(outcome, WriteSealed) else outcome.reason
+        for request in outcome.requests:
+            self._writing.pop(request, None)
+            self._names.pop(request, None)
+            self._answer(request, sealed=sealed, detail=detail)
+
+    def _answer(self, request: str, *, sealed: bool, detail: str) -> None:
+        waiting = self._waiting.pop(request, None)
+        if waiting is None:
+            return
+        outbox, message = waiting
+        outbox.put(
+            SegmentWritten(message.request, message.segment, sealed, detail)
+        )
+        self._events.write(
+            EventName.SEGMENTS_KEPT,
+            length=message.length if sealed else 0,
+            reason=detail or None,
+        )
--- a/src/oleanderdyke/agent/meter.py
+++ b/src/oleanderdyke/agent/turns.py
@@ -3,20 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 
 import anyio
 
 from oleanderdyke.clock import SECOND, Clock, Millis
 
 
-@dataclass(slots=True)
-class _Turn:
-    size: int
-    ready: anyio.Event
-
-
-class LinkMeter:
+class LinkTurns:
     """Grant bytes of a link at its rate; reads go before writes.
 
     Each reader has at most one turn waiting, so turns in order of arrival
@@ -25,54 +18,36 @@
 
     def __init__(self, clock: Clock, rate: float = 0.0) -> None:
         self.rate = rate
-        self.sent = 0
-        self.received = 0
         self._clock = clock
         self._free_at: Millis = 0.0
-        self._reads: deque[_Turn] = deque()
-        self._writes: deque[_Turn] = deque()
+        self._reads: deque[anyio.Event] = deque()
+        self._writes: deque[anyio.Event] = deque()
         self._busy = False
-        self._in_flight = 0
-
-    @property
-    def in_flight(self) -> int:
-        """Return the bytes that wait for the link or are on it."""
-        return self._in_flight
 
     async def take_read(self, size: int) -> None:
         """Wait for the turn to send bytes to a reader."""
         await self._take(self._reads, size)
-        self.sent += size
 
     async def take_write(self, size: int) -> None:
         """Wait for the turn to keep bytes; yields to every reader."""
         await self._take(self._writes, size)
-        self.received += size
-
-    def expect(self, size: int) -> None:
-        """Count bytes that a reader has asked for."""
-        self._in_flight += size
-
-    def settle(self, size: int) -> None:
-        """Forget bytes that were sent, or won't be."""
-        self._in_flight -= size
 
-    async def _take(self, queue: deque[_Turn], size: int) -> None:
-        await self._wait_turn(queue, size)
+    async def _take(self, queue: deque[anyio.Event], size: int) -> None:
+        await self._wait_turn(queue)
         try:
             await self._wait_rate(size)
         finally:
             self._busy = False
             self._wake()
 
-    async def _wait_turn(self, queue: deque[_Turn], size: int) -> None:
+    async def _wait_turn(self, queue: deque[anyio.Event]) -> None:
         if not self._busy and not self._reads and not self._writes:
             self._busy = True
             return
-        turn = _Turn(size, anyio.Event())
+        turn = anyio.Event()
         queue.append(turn)
         try:
-            await turn.ready.wait()
+            await turn.wait()
         except BaseException:
             self._leave(queue, turn)
             raise
@@ -90,9 +65,9 @@
         if not queue:
             return
         self._busy = True
-        queue.popleft().ready.set()
+        queue.popleft().set()
 
-    def _leave(self, queue: deque[_Turn], turn: _Turn) -> None:
+    def _leave(self, queue: deque[anyio.Event], turn: anyio.Event) -> None:
         if turn in queue:
             queue.remove(turn)
             return
