--- a/src/oleanderdyke/links/codec.py
+++ b/src/oleanderdyke/links/codec.py
@@ -1,6 +1,7 @@
 """Turn messages into CBOR and back.
 
-A message is a map of its class name under `kind` and its fields. A field that
+A message is a map of its class name under `type` and its fields (two messages
+have a field `kind`). A field that
 equals its default is left out, so a default is part of the protocol.
 """
 
@@ -21,7 +22,7 @@
 
 MAX_MESSAGE = 1024 * 1024
 
-_KIND = 'kind'
+_TYPE = 'type'
 _MAX_SHOWN = 64
 
 # What an unknown value of a newer peer counts as.
@@ -63,7 +64,7 @@
         """Return the CBOR map; raise OleanderError(PROTOCOL)."""
         cls = type(message)
         fields = self._encoders[cls](message)
-        data = dump_cbor({_KIND: cls.__name__, **fields})
+        data = dump_cbor({_TYPE: cls.__name__, **fields})
         _check_length(data)
         return data
 
@@ -73,7 +74,7 @@
         value = load_cbor(data)
         if not isinstance(value, dict):
             raise _refuse('a message must be a map')
-        kind = value.get(_KIND)
+        kind = value.get(_TYPE)
         decoder = self._decoders.get(kind) if isinstance(kind, str) else None
         if decoder is None:
             raise _refuse(f'unknown message kind {_show_kind(kind)}')
@@ -155,6 +156,8 @@
 
 def _field_codecs(cls: type) -> tuple[_FieldCodec, ...]:
     hints = typing.get_type_hints(cls)
+    if _TYPE in hints:
+        raise TypeError(f'{cls.__name__} has a field {_TYPE!r}')
     return tuple(
         _FieldCodec(
             each.name,
--- a/src/oleanderdyke/platform/log.py
+++ b/src/oleanderdyke/platform/log.py
@@ -16,7 +16,8 @@
 from oleanderdyke.platform.http import HttpBackend, HttpError, HttpSettings
 
 _OK = 200
-_UNAVAILABLE = 503
+# With these the service says that it did not take the records.
+_REFUSED = frozenset({429, 503})
 _MAX_ANSWER = 64 * 1024 * 1024
 _RECORD_PARTS = 3
 
@@ -112,8 +113,8 @@
             raise LogUnavailable(error.message, ran=ran) from error
         except TimeoutError as error:
             raise LogUnavailable('no answer in time', ran=reached) from error
-        if status == _UNAVAILABLE:
-            raise LogUnavailable('the log service is out', ran=Ran.NO)
+        if status in _REFUSED:
+            raise LogUnavailable(f'refused with {status}', ran=Ran.NO)
         if status != _OK:
             raise LogUnavailable(f'answered with {status}', ran=reached)
         return _load_map(data, reached)
