Derive the reference pages from the code

Cause: pages of errors, events, metrics, settings and objects drift by hand. Ruled out: a documentation generator; the tables need 150 lines.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 READY := $(VENV)/.ready
 
-.PHONY: help setup test check lint format types demo faults bench run-ci clean
+.PHONY: help setup test check lint format types demo faults bench reference clean
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
@@ -41,5 +41,8 @@
 bench: $(READY) ## Measure the decisions against baselines and the oracle
 	$(PYTHON) -m bench.main
 
+reference: $(READY) ## Write the reference pages from the code
+	$(PYTHON) -m tools.reference
+
 clean: ## Remove what the targets made
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Make files that are derived from the code."""
--- /dev/null
+++ b/tools/reference.py
@@ -0,0 +1,160 @@
+"""Write the reference pages from the code, so that they can't drift."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import sys
+import typing
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+
+from oleanderdyke.agent.settings import AgentSettings
+from oleanderdyke.clock import MINUTE, SECOND
+from oleanderdyke.entry.settings import EntrySettings
+from oleanderdyke.errors import REPLIES
+from oleanderdyke.events import COMMON_KEYS, EventName, Key, find_level
+from oleanderdyke.kernel.objects import SPEC_TYPES
+from oleanderdyke.metrics import Count, Gauge, Timing
+
+FOLDER = Path(__file__).parent.parent / 'docs' / 'reference'
+_NOTE = 'Made by `make reference` from the code; edit the code instead.'
+
+
+def render_pages() -> Mapping[str, str]:
+    """Return each page's text by its file name."""
+    return {
+        'errors.md': _render('Errors', _list_errors()),
+        'events.md': _render('Events', _list_events()),
+        'metrics.md': _render('Metrics', _list_metrics()),
+        'settings-entry.md': _render(
+            'Settings of oleander-entry', _list_settings(EntrySettings)
+        ),
+        'settings-agent.md': _render(
+            'Settings of oleander-agent', _list_settings(AgentSettings)
+        ),
+        'objects.md': _render('Configured objects', _list_objects()),
+    }
+
+
+def main() -> int:
+    """Write every page; return the exit code."""
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    for name, text in render_pages().items():
+        (FOLDER / name).write_text(text, encoding='utf-8')
+    return 0
+
+
+def _render(title: str, lines: Iterator[str]) -> str:
+    return '\n'.join([f'# {title}', '', _NOTE, '', *lines, ''])
+
+
+def _list_errors() -> Iterator[str]:
+    yield 'The kind of an error decides its answer. `ran` tells whether the'
+    yield 'request ran; an answer may say `maybe` where the table says `no`,'
+    yield 'never the other way. A retry time of `-` means that none is named.'
+    yield ''
+    yield '| kind | status | ran | retry after (ms) |'
+    yield '|---|---|---|---|'
+    for kind, reply in REPLIES.items():
+        retry = '-' if reply.retry_after is None else f'{reply.retry_after:g}'
+        yield f'| `{kind}` | {reply.status} | {reply.ran} | {retry} |'
+
+
+def _list_events() -> Iterator[str]:
+    common = ', '.join(f'`{key}`' for key in COMMON_KEYS)
+    others = ', '.join(f'`{key}`' for key in Key)
+    yield f'Every line has {common}. Further keys: {others}.'
+    yield ''
+    yield '| event | level |'
+    yield '|---|---|'
+    for event in EventName:
+        yield f'| `{event}` | {find_level(event)} |'
+
+
+def _list_metrics() -> Iterator[str]:
+    yield 'Labels are services or error kinds, at most 200 for each kind of'
+    yield 'metric; what is beyond is counted as `other`.'
+    yield ''
+    yield '| metric | type |'
+    yield '|---|---|'
+    for timing in Timing:
+        name = f'oleander_{timing}_milliseconds'
+        yield f'| `{name}` | summary |'
+        yield f'| `{name}_quantile` | gauge at 0.5, 0.95, 0.99 |'
+    for count in Count:
+        yield f'| `oleander_{count}_total` | counter |'
+    for gauge in Gauge:
+        yield f'| `oleander_{gauge}` | gauge |'
+
+
+def _list_objects() -> Iterator[str]:
+    yield 'Documents for `oleanderctl apply -f`: `kind`, `name`, `spec`.'
+    for kind, spec_type in SPEC_TYPES.items():
+        yield ''
+        yield f'## `{kind}`'
+        yield ''
+        yield from _list_settings(spec_type)
+
+
+def _list_settings(settings_type: type) -> Iterator[str]:
+    yield f'{_first_paragraph(settings_type)}'
+    yield ''
+    yield 'Durations are in milliseconds, sizes in bytes.'
+    yield ''
+    yield '| key | type | default |'
+    yield '|---|---|---|'
+    yield from _list_fields(settings_type, '')
+
+
+def _list_fields(settings_type: type, prefix: str) -> Iterator[str]:
+    hints = typing.get_type_hints(settings_type)
+    for item in dataclasses.fields(settings_type):
+        target = _strip_optional(hints[item.name])
+        key = f'{prefix}{item.name}'
+        if dataclasses.is_dataclass(target):
+            yield from _list_fields(typing.cast('type', target), f'{key}.')
+            continue
+        default = _show_default(item)
+        yield f'| `{key}` | {_show_type(target)} | {default} |'
+
+
+def _strip_optional(target: object) -> object:
+    inner = [
+        option for option in typing.get_args(target) if option is not type(None)
+    ]
+    optional = type(None) in typing.get_args(target)
+    return inner[0] if optional and len(inner) == 1 else target
+
+
+def _show_type(target: object) -> str:
+    if isinstance(target, type) and issubclass(target, enum.Enum):
+        return ', '.join(str(member.value) for member in target)
+    if isinstance(target, type) and not typing.get_args(target):
+        return target.__name__
+    return str(target).replace('collections.abc.', '').replace('|', 'or')
+
+
+def _show_default(item: dataclasses.Field[object]) -> str:
+    if item.default is not dataclasses.MISSING:
+        return f'`{_plain(item.default)}`'
+    if item.default_factory is not dataclasses.MISSING:
+        return f'`{_plain(item.default_factory())}`'
+    return 'required'
+
+
+def _plain(found: object) -> object:
+    if isinstance(found, enum.Enum):
+        return found.value
+    if isinstance(found, float) and found >= MINUTE and not found % SECOND:
+        return int(found)
+    return found
+
+
+def _first_paragraph(settings_type: type) -> str:
+    text = (settings_type.__doc__ or '').split('\n\n')[0]
+    return ' '.join(text.split())
+
+
+if __name__ == '__main__':
+    sys.exit(main())
