--- a/src/oleanderdyke/kernel/specs.py
+++ b/src/oleanderdyke/kernel/specs.py
@@ -4,9 +4,7 @@
 
 import dataclasses
 import enum
-import functools
 import math
-import operator
 import re
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
@@ -281,13 +279,14 @@
         bool: _check_exactly(bool),
         int: _check_int,
         float: _check_number,
-        Labels: _check_mapping,
+        # Without its own hook the one for `str` would take it.
+        ServiceKind: lambda found, _: ServiceKind(found),
     }
     for target, check in checks.items():
-        # A hook for `str` itself would also take every enum of strings.
-        converter.register_structure_hook_func(
-            functools.partial(operator.eq, target), check
-        )
+        converter.register_structure_hook(target, check)
+    converter.register_structure_hook_func(
+        lambda target: target == Labels, _check_mapping
+    )
     return converter
 
 
