--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -207,7 +207,7 @@
     async def _chat(self, request: web.Request) -> web.Answer:
         try:
             chat = answers.read_chat(
-                await request.body(), request.headers.get('x-request-id', '')
+                await request.body(), web.find_request_id(request)
             )
         except (KeyError, TypeError, ValueError):
             return web.refuse(400, 'malformed chat')
--- a/tests/standins/plain.py
+++ b/tests/standins/plain.py
@@ -82,7 +82,7 @@
             self._die()
         digest = hashlib.blake2b(body, digest_size=16).hexdigest()
         self.runs[digest] += 1
-        self.requests[request.headers.get('x-request-id', '')] += 1
+        self.requests[web.find_request_id(request)] += 1
         receipt = f'{self._name}-{self.runs.total()}'
         if self.faults.crash_after:
             self._die()
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -43,6 +43,7 @@
         self._settings = settings
         self._link = web.Pipe(settings.link_bytes_per_second)
         self.objects: dict[str, bytes] = {}
+        self.read_bytes = 0
 
     def note_faults(self) -> None:
         """Slow the link and damage objects once."""
@@ -65,11 +66,19 @@
 
     async def answer(self, request: web.Request) -> web.Answer:
         """Answer one request."""
-        if request.path == '/space':
-            return web.answer_json(self._measure())
-        if request.path == '/objects':
-            sizes = {name: len(data) for name, data in self.objects.items()}
-            return web.answer_json(sizes)
+        match request.path:
+            case '/space':
+                return web.answer_json(self._measure())
+            case '/objects':
+                return web.answer_json(self._list())
+            case '/stats':
+                return web.answer_json({'read_bytes': self.read_bytes})
+        return await self._answer_object(request)
+
+    def _list(self) -> dict[str, int]:
+        return {name: len(data) for name, data in self.objects.items()}
+
+    async def _answer_object(self, request: web.Request) -> web.Answer:
         name = request.path.removeprefix('/objects/')
         if request.method == 'PUT':
             return await self._write(name, request)
@@ -112,6 +121,7 @@
         for start in range(0, len(data), _CHUNK_BYTES):
             chunk = data[start : start + _CHUNK_BYTES]
             await self._link.carry(len(chunk))
+            self.read_bytes += len(chunk)
             yield chunk
 
 
--- a/tests/standins/web.py
+++ b/tests/standins/web.py
@@ -86,6 +86,11 @@
     watched: bool = False
 
 
+def find_request_id(request: Request) -> str:
+    """Return the id by which runs are counted."""
+    return request.headers.get('x-request-id', '')
+
+
 def answer_json(value: Any, status: int = 200) -> Answer:
     """Make a JSON answer."""
     return Answer(status, json.dumps(value).encode())
