--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -12,6 +13,7 @@
 import httpcore
 import pytest
 
+from tests import calls, processes
 from tests.standins import (
     answers,
     cache,
@@ -367,3 +369,32 @@
         slots=1,
         decode_ms=30.0,
     )
+
+
+def test_engine_process_dies_of_poison_and_restarts_at_its_address(
+    tmp_path: Path,
+) -> None:
+    ports = processes.Ports()
+    store_child = processes.Child(
+        'weights', ['-m', 'tests.standins.weights'], tmp_path
+    )
+    store_child.start()
+    argv = ['-m', 'tests.standins.engine', '--port', str(ports.reserve())]
+    argv += ['--model', 'm', '--version', '1', '--weights']
+    child = processes.Child('engine', argv, tmp_path)
+    try:
+        argv.append(store_child.wait_ready()[0])
+        child.start()
+        address = child.wait_ready()[0]
+        path = '/v1/chat/completions'
+        with pytest.raises(LOST):
+            calls.call(address, 'POST', path, make_chat('POISON'))
+        assert child.wait() == engine.EXIT_CODE
+        child.start()
+        assert child.wait_ready() == (address,)
+        assert calls.call(address, 'POST', path, make_chat('x')).status == 200
+        assert child.stop() == 0
+    finally:
+        child.kill()
+        store_child.kill()
+        ports.close()
