--- /dev/null
+++ b/src/oleanderdyke/entry/agents.py
@@ -0,0 +1,190 @@
+"""Speak with the agents over the links."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import anyio
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry.configuration import ConfigurationFeed
+from oleanderdyke.entry.core import Core
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.links.link import Link
+from oleanderdyke.links.messages import (
+    AgentPhase,
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    ClaimAnswer,
+    ConfigurationDifference,
+    ConfigurationRequest,
+    EntryBeat,
+    Failed,
+    Heartbeat,
+    Message,
+    Refused,
+    SegmentEvents,
+)
+from oleanderdyke.metrics import Count, Gauge
+
+
+class AgentLinks:
+    """Handle what happens on the links to agents."""
+
+    def __init__(self, core: Core, feed: ConfigurationFeed) -> None:
+        self._core = core
+        self._feed = feed
+        self._incarnations: dict[str, str] = {}
+        self._processes: dict[str, str] = {}
+        self._phases: dict[str, AgentPhase] = {}
+        self._beats = 0
+        self._handlers: Mapping[type[Message], Callable[[Link, Any], None]] = {
+            AnswerHead: self._pass_on,
+            AnswerChunk: self._pass_on,
+            AnswerEnd: self._pass_on,
+            Failed: self._pass_on,
+            ClaimAnswer: self._pass_on,
+            Heartbeat: self._take_heartbeat,
+            SegmentEvents: self._take_segments,
+            ConfigurationRequest: feed.answer,
+            ConfigurationDifference: feed.take_difference,
+            Refused: self._note_refused,
+        }
+
+    async def on_up(self, link: Link) -> None:
+        """Take a new link; raise OleanderError for a dead incarnation."""
+        core, peer = self._core, link.peer
+        known = core.fleet.on_hello(peer, link.address, core.clock.now())
+        if not known:
+            core.log.write(
+                EventName.LINK_REFUSED,
+                peer=peer.process,
+                incarnation=peer.incarnation,
+            )
+            await link.close()
+            return
+        core.log.write(
+            EventName.LINK_UP,
+            peer=peer.process,
+            incarnation=peer.incarnation,
+            address=link.address,
+        )
+        self._replace_incarnations(link)
+        self._feed.add_link(link)
+        core.spawn(self._beat, link)
+
+    async def on_message(self, link: Link, message: Message) -> None:
+        """Take one message; nothing here waits for anybody."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._core.log.write(
+                EventName.MESSAGE_REFUSED,
+                peer=link.peer.process,
+                kind=type(message).__name__,
+            )
+            return
+        handler(link, message)
+
+    async def on_down(self, link: Link) -> None:
+        """Tell everybody who used a link that it is gone."""
+        core, peer = self._core, link.peer
+        counters = link.counters
+        core.metrics.add(
+            Count.CONTROL_BYTES, counters.control_in + counters.control_out
+        )
+        core.metrics.add(Count.DATA_BYTES, counters.data_in + counters.data_out)
+        core.log.write(
+            EventName.LINK_DOWN,
+            peer=peer.process,
+            incarnation=peer.incarnation,
+        )
+        if core.find_link(peer.process) is None:
+            core.fleet.on_link_down(peer.process, peer.incarnation)
+        self._feed.drop_link(link)
+        for running in tuple(core.running.values()):
+            running.lose(link)
+
+    def _replace_incarnations(self, link: Link) -> None:
+        """End what lived under the same process name or address before."""
+        process, incarnation = link.peer.process, link.peer.incarnation
+        former = self._processes.get(link.address, process)
+        self._processes[link.address] = process
+        for name in {former, process}:
+            old = self._incarnations.pop(name, incarnation)
+            if old != incarnation:
+                self._phases.pop(name, None)
+                for running in tuple(self._core.running.values()):
+                    running.end_incarnation(name, old)
+        self._incarnations[process] = incarnation
+
+    def _pass_on(
+        self,
+        _: Link,
+        message: AnswerHead | AnswerChunk | AnswerEnd | Failed | ClaimAnswer,
+    ) -> None:
+        running = self._core.running.get(message.request)
+        if running is not None:
+            running.take(message)
+
+    def _take_heartbeat(self, link: Link, beat: Heartbeat) -> None:
+        core, agent = self._core, link.peer.process
+        now = core.clock.now()
+        core.quarantine.merge(beat.quarantined, beat.suspects, now)
+        if not core.fleet.on_heartbeat(agent, beat, now):
+            return
+        self._note_phase(agent, beat.phase)
+        self._feed.hear(link, beat.offset)
+
+    def _note_phase(self, agent: str, phase: AgentPhase) -> None:
+        if self._phases.get(agent) is phase:
+            return
+        self._phases[agent] = phase
+        event = (
+            EventName.AGENT_LEAVING
+            if phase is AgentPhase.LEAVING
+            else EventName.AGENT_JOINED
+        )
+        self._core.log.write(event, agent=agent, phase=phase.value)
+
+    def _take_segments(self, link: Link, events: SegmentEvents) -> None:
+        core, peer = self._core, link.peer
+        request = core.fleet.on_segments(
+            peer.process, peer.incarnation, events, core.clock.now()
+        )
+        if request is not None:
+            core.log.write(EventName.SEGMENT_EVENTS_LOST, agent=peer.process)
+            core.spawn(_send, link, request)
+
+    def _note_refused(self, link: Link, refused: Refused) -> None:
+        self._core.log.write(
+            EventName.MESSAGE_REFUSED,
+            peer=link.peer.process,
+            kind=refused.kind.value,
+            detail=refused.detail,
+        )
+
+    async def _beat(self, link: Link) -> None:
+        core = self._core
+        while not link.closed:
+            self._beats += 1
+            now = core.clock.now()
+            beat = EntryBeat(
+                core.incarnation,
+                self._beats,
+                core.reader.offset,
+                core.quarantine.list_quarantined(now),
+                core.quarantine.list_suspects(now),
+            )
+            await _send(link, beat)
+            core.metrics.set_gauge(Gauge.LINKS, len(self._incarnations))
+            await anyio.sleep(core.settings.beat / SECOND)
+
+
+async def _send(link: Link, message: Message) -> None:
+    try:
+        await link.send(message)
+    except OleanderError:
+        return
--- /dev/null
+++ b/src/oleanderdyke/entry/app.py
@@ -0,0 +1,280 @@
+"""Answer HTTP requests of callers, operators and the balancer."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TypeAlias
+from urllib.parse import parse_qs
+
+from oleanderdyke.entry.answers import Answer
+from oleanderdyke.entry.calls import Call, make_chat_call, make_plain_call
+from oleanderdyke.entry.chat import parse_chat
+from oleanderdyke.entry.core import Core
+from oleanderdyke.entry.delivery import Delivery
+from oleanderdyke.entry.edge import (
+    Body,
+    CallerGone,
+    Head,
+    Receive,
+    Scope,
+    Send,
+    find_key,
+    make_not_found,
+    make_request_id,
+    parse_head,
+    split_path,
+)
+from oleanderdyke.entry.effects import Tools, note_refusal
+from oleanderdyke.entry.lookup import (
+    find_model_service,
+    find_plain_service,
+    find_team,
+    find_weights,
+)
+from oleanderdyke.entry.queue import ReleaseQueue
+from oleanderdyke.entry.requests import RequestDriver
+from oleanderdyke.entry.resume import ResumeAsk, ResumeDriver
+from oleanderdyke.entry.sse import Position, parse_position
+from oleanderdyke.entry.tokens import decode_token
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.objects import StoredObject
+from oleanderdyke.metrics import Count, Gauge
+
+Serve: TypeAlias = Callable[[Head, Body, Answer], Awaitable[None]]
+
+_CLASS_HEADER = 'oleander-class'
+_BACKGROUND = 'background'
+_METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+# A body up to this size can be sent again and is read before routing.
+_HELD_BYTES = 256 * 1024
+
+
+class App:
+    """Route requests; answer every fault with a typed error."""
+
+    def __init__(self, tools: Tools, queue: ReleaseQueue, admin: Serve) -> None:
+        self._core: Core = tools.core
+        self._tools = tools
+        self._queue = queue
+        self._fixed: Mapping[tuple[str, str], Serve] = {
+            ('GET', '/live'): self._serve_live,
+            ('GET', '/ready'): self._serve_ready,
+            ('GET', '/metrics'): self._serve_metrics,
+            ('POST', '/v1/chat/completions'): self._serve_chat,
+        }
+        self._methods = {path: method for method, path in self._fixed}
+        self._prefixes: Mapping[str, Serve] = {
+            '/v1/services/': self._serve_plain,
+            '/v1/streams/': self._serve_stream,
+            '/admin/v1/': admin,
+        }
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        request = make_request_id()
+        settings = self._core.settings.http
+        answer = Answer(send, request, settings.send_timeout)
+        try:
+            head = parse_head(scope, request)
+            body = Body(
+                receive, settings.body_limit, settings.body_timeout, head
+            )
+            await self._find_serve(head)(head, body, answer)
+        except Exception as error:
+            await self._answer_fault(answer, request, error)
+
+    def _find_serve(self, head: Head) -> Serve:
+        fixed = self._fixed.get((head.method, head.target))
+        if fixed is not None:
+            return fixed
+        if head.target in self._methods:
+            allowed = self._methods[head.target]
+            raise _make_wrong_method(allowed)
+        for prefix, serve in self._prefixes.items():
+            if head.target.startswith(prefix):
+                return serve
+        raise make_not_found()
+
+    async def _answer_fault(
+        self, answer: Answer, request: str, fault: BaseException
+    ) -> None:
+        error = _find_error(fault)
+        if error is None:
+            return
+        if error.kind is ErrorKind.INTERNAL:
+            self._core.log.write(
+                EventName.PROCESS_FAILED,
+                request=request,
+                detail=type(_find_first(fault)).__name__,
+            )
+        note_refusal(self._core, request, error)
+        if answer.started:
+            return
+        try:
+            await answer.send_error(error)
+        except CallerGone:
+            return
+
+    # --- for the balancer and operators ----------------------------------
+
+    async def _serve_live(self, _: Head, __: Body, answer: Answer) -> None:
+        await answer.send_json(200, b'{"live": true}')
+
+    async def _serve_ready(self, _: Head, __: Body, answer: Answer) -> None:
+        fault = self._core.find_fault()
+        if not fault:
+            offset = self._core.reader.offset
+            body = json.dumps({'ready': True, 'offset': offset}).encode()
+            await answer.send_json(200, body)
+            return
+        kind = (
+            ErrorKind.STOPPING
+            if self._core.drain.is_leaving
+            else ErrorKind.NOT_READY
+        )
+        await answer.send_error(OleanderError(kind, fault))
+
+    async def _serve_metrics(self, _: Head, __: Body, answer: Answer) -> None:
+        core = self._core
+        core.metrics.set_gauge(Gauge.RUNNING, len(core.running))
+        core.metrics.set_gauge(Gauge.READY, float(not core.find_fault()))
+        headers = (('content-type', _METRICS_TYPE),)
+        await answer.send_whole(200, core.metrics.render(), headers)
+
+    # --- for callers ----------------------------------------------------
+
+    async def _serve_chat(self, head: Head, body: Body, answer: Answer) -> None:
+        team = self._begin(head)
+        chat = parse_chat(await body.read())
+        target = find_model_service(self._core, team, chat.model)
+        if _is_background(head):
+            chat = chat.move_to_background()
+        call = make_chat_call(
+            head.request,
+            target,
+            chat,
+            find_weights(self._core, target),
+            find_key(head),
+        )
+        await self._run(call, body, answer)
+
+    async def _serve_plain(
+        self, head: Head, body: Body, answer: Answer
+    ) -> None:
+        team = self._begin(head)
+        _, _, service, *rest = split_path(head.target, 3)
+        target = find_plain_service(self._core, team, service)
+        if head.method not in target.spec.methods:
+            raise _make_wrong_method(', '.join(target.spec.methods))
+        body.set_limit(target.spec.body_limit)
+        key = find_key(head)
+        bound = target.spec.body_limit if key else _HELD_BYTES
+        data = await body.read_up_to(bound + 1)
+        path = '/' + '/'.join(rest)
+        call = make_plain_call(
+            head,
+            target,
+            f'{path}?{head.query}' if head.query else path,
+            data,
+            whole=body.ended,
+            idempotency_key=key,
+            background=_is_background(head),
+        )
+        await self._run(call, body, answer)
+
+    async def _serve_stream(
+        self, head: Head, body: Body, answer: Answer
+    ) -> None:
+        if head.method != 'GET':
+            raise _make_wrong_method('GET')
+        team = self._begin(head)
+        _, _, token = split_path(head.target, 3)
+        await body.read()
+        ask = ResumeAsk(
+            head.request, team.name, decode_token(token), _find_position(head)
+        )
+        core = self._core
+        delivery = Delivery(
+            answer,
+            request=head.request,
+            service='',
+            clock=core.clock,
+            metrics=core.metrics,
+            position=ask.position,
+        )
+        driver = ResumeDriver(self._tools, ask, body=body, delivery=delivery)
+        await self._count(head.request, driver.run)
+
+    def _begin(self, head: Head) -> StoredObject:
+        """Refuse while there is no configuration, then find the team."""
+        core = self._core
+        readiness = core.reader.readiness(core.clock.now())
+        if core.reader.offset < 0 and not readiness.ready:
+            raise OleanderError(
+                ErrorKind.NOT_READY, readiness.reason, ran=Ran.NO
+            )
+        return find_team(core, head)
+
+    async def _run(self, call: Call, body: Body, answer: Answer) -> None:
+        core = self._core
+        core.metrics.add(Count.REQUESTS, label=call.service)
+        core.log.write(
+            EventName.REQUEST_ACCEPTED,
+            request=call.request,
+            team=call.team,
+            service=call.service,
+            tokens=call.tokens or None,
+            digest=call.digest,
+        )
+        driver = RequestDriver(
+            self._tools, self._queue, call, body=body, answer=answer
+        )
+        await self._count(call.request, driver.run)
+
+    async def _count(
+        self, request: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        stopper = self._tools.stopper
+        stopper.begin(request)
+        try:
+            await run()
+        finally:
+            stopper.end(request)
+
+
+def _is_background(head: Head) -> bool:
+    return head.find(_CLASS_HEADER) == _BACKGROUND
+
+
+def _find_position(head: Head) -> Position:
+    after = parse_qs(head.query).get('after', [None])[0]
+    text = after or head.find('last-event-id')
+    return parse_position(text) if text else Position()
+
+
+def _make_wrong_method(allowed: str) -> OleanderError:
+    return OleanderError(
+        ErrorKind.METHOD_NOT_ALLOWED, f'allowed here: {allowed}'
+    )
+
+
+def _find_first(fault: BaseException) -> BaseException:
+    while isinstance(fault, BaseExceptionGroup):
+        fault = fault.exceptions[0]
+    return fault
+
+
+def _find_error(fault: BaseException) -> OleanderError | None:
+    """Return the error to answer with, or none where the caller has gone."""
+    first = _find_first(fault)
+    if isinstance(first, CallerGone):
+        return None
+    if isinstance(first, OleanderError):
+        return first
+    return OleanderError(ErrorKind.INTERNAL, 'internal error')
--- /dev/null
+++ b/src/oleanderdyke/entry/calls.py
@@ -0,0 +1,157 @@
+"""Turn checked requests into calls on a service."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry.chat import Chat
+from oleanderdyke.entry.edge import Head, forward_headers
+from oleanderdyke.kernel.blocks import hint, make_namespace, split_segments
+from oleanderdyke.kernel.claim_records import make_key
+from oleanderdyke.kernel.demand import BYTES_PER_TOKEN, Demand
+from oleanderdyke.kernel.objects import ModelVersionSpec, ServiceSpec
+from oleanderdyke.links.messages import Headers
+
+CHAT_PATH = '/v1/chat/completions'
+_DIGEST_BYTES = 16
+_LENGTH_BYTES = 4
+_CHAT_HEADERS = (('content-type', 'application/json'),)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """Hold one call on its way to a backend server.
+
+    `whole` tells that `body` is all of it; else it is the beginning.
+    """
+
+    request: str
+    team: str
+    service: str
+    spec: ServiceSpec
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    digest: str
+    idempotent: bool
+    whole: bool = True
+    key: str = ''
+    weight_digest: str = ''
+    namespace: bytes = b''
+    segments: tuple[bytes, ...] = ()
+    tokens: int = 0
+    answer_tokens: int = 0
+    background: bool = False
+
+    def make_demand(self, deadline: Millis, data_centre: str) -> Demand:
+        """Show the call as routing and admission see it."""
+        return Demand(
+            request=self.request,
+            team=self.team,
+            service=self.service,
+            deadline=deadline,
+            tokens=self.tokens,
+            answer_tokens=self.answer_tokens,
+            segments=tuple(hint(segment) for segment in self.segments),
+            weight_digest=self.weight_digest,
+            background=self.background,
+            data_centre=data_centre,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Name the team and the service of a call."""
+
+    team: str
+    service: str
+    spec: ServiceSpec
+
+
+def make_chat_call(
+    request: str,
+    target: Target,
+    chat: Chat,
+    weights: ModelVersionSpec,
+    idempotency_key: str,
+) -> Call:
+    """Build a call on a model service, bound to one set of weights."""
+    spec = target.spec
+    namespace = make_namespace(
+        target.team, target.service, spec.model, weights.digest, spec.adapter
+    )
+    prompt = chat.make_prompt()
+    body = chat.make_engine_body(spec.model, namespace)
+    # The digest outlives a change of weights, so it leaves the salt out.
+    unsalted = chat.make_engine_body(spec.model, b'')
+    return Call(
+        request=request,
+        team=target.team,
+        service=target.service,
+        spec=spec,
+        method='POST',
+        path=CHAT_PATH,
+        headers=_CHAT_HEADERS,
+        body=body,
+        digest=_digest(target, 'POST', CHAT_PATH, unsalted),
+        idempotent=not idempotency_key,
+        key=_make_key(target, idempotency_key),
+        weight_digest=weights.digest,
+        namespace=namespace,
+        segments=split_segments(namespace, prompt),
+        tokens=-(-len(prompt) // BYTES_PER_TOKEN),
+        answer_tokens=chat.max_tokens,
+        background=chat.background,
+    )
+
+
+def make_plain_call(
+    head: Head,
+    target: Target,
+    path: str,
+    body: bytes,
+    *,
+    whole: bool,
+    idempotency_key: str,
+    background: bool,
+) -> Call:
+    """Build a call on a plain service.
+
+    A body that is streamed can't be sent twice, so that its call is not
+    idempotent whatever its method.
+    """
+    idempotent = head.method in target.spec.idempotent_methods
+    return Call(
+        request=head.request,
+        team=target.team,
+        service=target.service,
+        spec=target.spec,
+        method=head.method,
+        path=path,
+        headers=forward_headers(head.headers),
+        body=body,
+        digest=_digest(target, head.method, path, body),
+        idempotent=idempotent and whole,
+        whole=whole,
+        key='' if idempotent else _make_key(target, idempotency_key),
+        background=background,
+    )
+
+
+def _make_key(target: Target, idempotency_key: str) -> str:
+    if not idempotency_key:
+        return ''
+    return make_key(target.team, target.service, idempotency_key)
+
+
+def _digest(target: Target, method: str, path: str, body: bytes) -> str:
+    hasher = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for text in (target.team, target.service, method, path):
+        data = text.encode()
+        hasher.update(len(data).to_bytes(_LENGTH_BYTES, 'big'))
+        hasher.update(data)
+    hasher.update(body)
+    return hasher.hexdigest()
--- a/src/oleanderdyke/entry/chat.py
+++ b/src/oleanderdyke/entry/chat.py
@@ -4,10 +4,11 @@
 
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from oleanderdyke.entry.documents import make_bad_request, parse_document
+from oleanderdyke.kernel.blocks import PromptMessage, canonical_prompt
 
 # A prompt of another form would not match its segments.
 _PROMPT_FIELDS = ('tools', 'tool_choice', 'functions', 'function_call')
@@ -33,31 +34,24 @@
 _BACKGROUND_PRIORITY = 10
 
 
-@dataclass(frozen=True, slots=True)
-class ChatMessage:
-    """Hold one message of a conversation."""
-
-    role: str
-    content: str
-
-
 @dataclass(frozen=True, slots=True)
 class Chat:
     """Hold one checked chat request; `extra` goes to the engine as it is."""
 
     model: str
-    messages: tuple[ChatMessage, ...]
+    messages: tuple[PromptMessage, ...]
     stream: bool
     max_tokens: int
     background: bool
     extra: dict[str, Any]
 
+    def move_to_background(self) -> Chat:
+        """Return the same request in the background class."""
+        return replace(self, background=True)
+
     def make_prompt(self) -> bytes:
         """Return the canonical prompt."""
-        return b''.join(
-            f'{message.role}\0{message.content}\n'.encode()
-            for message in self.messages
-        )
+        return canonical_prompt(self.messages)
 
     def make_engine_body(self, model: str, namespace: bytes) -> bytes:
         """Return the engine's JSON; the namespace keeps its cache apart."""
@@ -124,7 +118,7 @@
     raise make_bad_request(f'max_tokens must be from 1 to {_TOKEN_LIMIT}')
 
 
-def _read_messages(found: object) -> Iterator[ChatMessage]:
+def _read_messages(found: object) -> Iterator[PromptMessage]:
     if not isinstance(found, list) or not 0 < len(found) <= _MESSAGE_LIMIT:
         raise make_bad_request(
             f'messages must hold 1 to {_MESSAGE_LIMIT} messages'
@@ -133,7 +127,7 @@
         yield _read_message(message, f'messages[{position}]')
 
 
-def _read_message(found: object, place: str) -> ChatMessage:
+def _read_message(found: object, place: str) -> PromptMessage:
     if not isinstance(found, dict) or found.keys() != _MESSAGE_FIELDS:
         raise make_bad_request(f'{place} must have just role and content')
     role = found['role']
@@ -144,7 +138,7 @@
     if '\0' in content:
         raise make_bad_request(f'{place}.content holds a NUL')
     _check_text(content)
-    return ChatMessage(role, content)
+    return PromptMessage(role, content)
 
 
 def _read_content(found: object, place: str) -> str:
--- /dev/null
+++ b/src/oleanderdyke/entry/claims.py
@@ -0,0 +1,226 @@
+"""Append to the claims log in groups and settle what was read back."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry.core import Core
+from oleanderdyke.entry.inbox import Inbox
+from oleanderdyke.errors import Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import (
+    AppendClaim,
+    AppendOutcome,
+    AppendRelease,
+    ClaimFailed,
+    ClaimSettled,
+    OutcomeFailed,
+    OutcomeRecorded,
+)
+from oleanderdyke.kernel.claim_records import ClaimsRecord, encode_batch
+from oleanderdyke.kernel.claims import Owned
+from oleanderdyke.metrics import Count, Timing
+from oleanderdyke.platform.log import LogClient, LogUnavailable
+
+_APPENDS = 4
+_REPEATS = 40
+_REPEAT_LIMIT = 2_000
+
+
+@dataclass(slots=True)
+class _Pending:
+    """Hold records that must be in one append, and who waits for it."""
+
+    records: tuple[ClaimsRecord, ...]
+    on_appended: Callable[[int], None]
+    on_failed: Callable[[Ran], None]
+    repeats: int = 0
+
+
+@dataclass(slots=True)
+class _Watched:
+    """Hold a claim that is on its way through the log."""
+
+    key: str
+    digest: str
+    inbox: Inbox
+    since: float
+    offset: int | None = None
+
+
+class ClaimLog:
+    """Write and read the claims log for every request of this entry."""
+
+    def __init__(self, core: Core, client: LogClient) -> None:
+        self._core = core
+        self._client = client
+        self._settings = core.settings.claims
+        self._log = core.settings.log.claims
+        self._pending: deque[_Pending] = deque()
+        self._watched: dict[str, _Watched] = {}
+        self._wake = anyio.Event()
+        self._active = 0
+
+    @property
+    def synced(self) -> bool:
+        """Tell whether the log has been read to its end."""
+        return self._core.claims.caught_up
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no record waits to be appended."""
+        return not self._pending and not self._active
+
+    def append_claim(
+        self, action: AppendClaim, digest: str, inbox: Inbox
+    ) -> None:
+        """Append a claim and report its verdict to the inbox."""
+        record = action.record
+        watched = _Watched(
+            record.key, digest, inbox, since=self._core.clock.now()
+        )
+        self._watched[record.claim_id] = watched
+
+        def note_appended(offset: int) -> None:
+            watched.offset = offset
+            self._core.metrics.add(Count.CLAIMS)
+            self._settle(record.claim_id)
+
+        def note_failed(ran: Ran) -> None:
+            if ran is Ran.NO:
+                self._watched.pop(record.claim_id, None)
+                inbox.put(ClaimFailed(record.claim_id))
+
+        release = () if action.release is None else (action.release,)
+        self._add(_Pending((*release, record), note_appended, note_failed))
+
+    def append_release(self, action: AppendRelease) -> None:
+        """Append a release or withdrawal, repeating while the log is out."""
+        self._add(
+            self._make_repeated(
+                action.record, EventName.CLAIM_RELEASED, lambda _: None
+            )
+        )
+
+    def append_outcome(self, action: AppendOutcome, inbox: Inbox) -> None:
+        """Append an outcome, repeating; report the first try to the inbox."""
+
+        def note_failed(pending: _Pending) -> None:
+            if pending.repeats == 1:
+                inbox.put(OutcomeFailed())
+
+        pending = self._make_repeated(
+            action.record, EventName.OUTCOME_APPENDED, note_failed
+        )
+        log_appended = pending.on_appended
+
+        def note_appended(offset: int) -> None:
+            log_appended(offset)
+            inbox.put(OutcomeRecorded())
+
+        pending.on_appended = note_appended
+        self._add(pending)
+
+    def forget(self, inbox: Inbox) -> None:
+        """Stop reporting to a request that is over."""
+        for claim_id, watched in tuple(self._watched.items()):
+            if watched.inbox is inbox:
+                del self._watched[claim_id]
+
+    def note_read(self) -> None:
+        """Settle the claims that have been read back."""
+        for claim_id in tuple(self._watched):
+            self._settle(claim_id)
+
+    async def run(self) -> None:
+        """Append what is pending, in groups, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._wake.wait()
+                await anyio.sleep(self._settings.delay / SECOND)
+                while self._pending and self._active < _APPENDS:
+                    self._active += 1
+                    tasks.start_soon(self._append, self._take_group())
+                self._wake = anyio.Event()
+
+    async def repeat(self, pending: _Pending) -> None:
+        """Wait, then append once more."""
+        await anyio.sleep(self._core.settings.log.retry / SECOND)
+        self._add(pending)
+
+    def _add(self, pending: _Pending) -> None:
+        self._pending.append(pending)
+        self._wake.set()
+
+    def _take_group(self) -> list[_Pending]:
+        size = min(self._settings.batch, len(self._pending))
+        return [self._pending.popleft() for _ in range(size)]
+
+    async def _append(self, group: list[_Pending]) -> None:
+        records = [record for item in group for record in item.records]
+        try:
+            offset = await self._client.append(
+                self._log,
+                [encode_batch(records)],
+                timeout=self._core.settings.log.timeout,
+            )
+        except LogUnavailable as error:
+            for item in group:
+                item.on_failed(error.ran)
+        else:
+            self._core.log.write(
+                EventName.CLAIM_APPENDED, offset=offset, records=len(records)
+            )
+            for item in group:
+                item.on_appended(offset)
+        finally:
+            self._active -= 1
+            self._wake.set()
+
+    def _make_repeated(
+        self,
+        record: ClaimsRecord,
+        event: EventName,
+        note_failed: Callable[[_Pending], None],
+    ) -> _Pending:
+        def log_appended(offset: int) -> None:
+            self._core.log.write(event, offset=offset)
+
+        def try_again(_: Ran) -> None:
+            pending.repeats += 1
+            note_failed(pending)
+            full = len(self._pending) >= _REPEAT_LIMIT
+            if full or pending.repeats > _REPEATS:
+                self._core.log.write(EventName.OUTCOME_UNRECORDED)
+                return
+            self._core.spawn(self.repeat, pending)
+
+        pending = _Pending((record,), log_appended, try_again)
+        return pending
+
+    def _settle(self, claim_id: str) -> None:
+        """Report a verdict once the log was read through the claim.
+
+        A claim whose append is in doubt counts only once it is the owner.
+        """
+        watched = self._watched.get(claim_id)
+        if watched is None:
+            return
+        table = self._core.claims
+        verdict = table.settle(claim_id, watched.key, watched.digest)
+        read = (
+            watched.offset is not None
+            and table.caught_up
+            and table.next_offset > watched.offset
+        )
+        if not read and not isinstance(verdict, Owned):
+            return
+        del self._watched[claim_id]
+        waited = self._core.clock.now() - watched.since
+        self._core.metrics.time(Timing.CLAIM, waited)
+        watched.inbox.put(ClaimSettled(claim_id, verdict))
--- /dev/null
+++ b/src/oleanderdyke/entry/configuration.py
@@ -0,0 +1,133 @@
+"""Bring the configuration from the log and peers to this entry and agents."""
+
+from __future__ import annotations
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.entry.core import Core
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.links.link import Link
+from oleanderdyke.links.messages import (
+    ConfigurationDifference,
+    ConfigurationRequest,
+)
+from oleanderdyke.metrics import Gauge
+from oleanderdyke.platform.log import LogClient, LogPage, LogUnavailable
+
+_PUSH_AGAIN: Millis = 2 * SECOND
+_SNAPSHOT_CHECK: Millis = 5 * SECOND
+_CHUNKS_AT_ONCE = 16
+
+
+class ConfigurationFeed:
+    """Feed the reader and pass on what it has applied."""
+
+    def __init__(self, core: Core, client: LogClient) -> None:
+        self._core = core
+        self._client = client
+        self._pushed: dict[str, tuple[int, Millis]] = {}
+        self._links: dict[str, Link] = {}
+
+    def take_page(self, page: LogPage) -> None:
+        """Take a page of the log."""
+        if self._core.reader.on_page(page, self._core.clock.now()):
+            self._note_moved('log')
+
+    def add_link(self, link: Link) -> None:
+        """Learn of a peer and of its offset."""
+        self._links[link.peer.process] = link
+        self._pushed.pop(link.peer.process, None)
+        self.hear(link, link.peer.offset)
+
+    def drop_link(self, link: Link) -> None:
+        """Forget a peer."""
+        process = link.peer.process
+        if self._links.get(process) is link:
+            del self._links[process]
+            self._pushed.pop(process, None)
+            self._core.reader.on_peer_gone(process)
+
+    def hear(self, link: Link, offset: int) -> None:
+        """Compare a peer's offset with ours; ask it or help it."""
+        process = link.peer.process
+        core = self._core
+        request = core.reader.on_heard(process, offset, core.clock.now())
+        if request is not None:
+            core.log.write(EventName.CONFIGURATION_BEHIND, peer=process)
+            core.spawn(_send_all, link, (request,))
+        elif offset < core.reader.offset:
+            self._push(link, offset)
+
+    def answer(self, link: Link, request: ConfigurationRequest) -> None:
+        """Send a peer what it asks for."""
+        messages = tuple(self._core.reader.answer(request))
+        self._core.spawn(_send_all, link, messages)
+
+    def take_difference(
+        self, link: Link, message: ConfigurationDifference
+    ) -> None:
+        """Take what a peer has sent."""
+        process, now = link.peer.process, self._core.clock.now()
+        if self._core.reader.on_difference(process, message, now):
+            self._note_moved(process)
+
+    async def append_snapshots(self) -> None:
+        """Append a snapshot whenever one is due, until cancelled."""
+        while True:
+            await anyio.sleep(_SNAPSHOT_CHECK / SECOND)
+            if self._core.reader.is_snapshot_due(self._core.clock.wall()):
+                await self._append_snapshot()
+
+    async def _append_snapshot(self) -> None:
+        core, offset = self._core, self._core.reader.offset
+        chunks = core.catalog.snapshot()
+        try:
+            for start in range(0, len(chunks), _CHUNKS_AT_ONCE):
+                await self._client.append(
+                    core.settings.log.configuration,
+                    chunks[start : start + _CHUNKS_AT_ONCE],
+                    timeout=core.settings.log.timeout,
+                )
+        except LogUnavailable as error:
+            core.log.write(EventName.LOG_DOWN, detail=error.message)
+        else:
+            core.log.write(
+                EventName.SNAPSHOT_APPENDED, offset=offset, records=len(chunks)
+            )
+
+    def _push(self, link: Link, offset: int) -> None:
+        core, process = self._core, link.peer.process
+        pushed, at = self._pushed.get(process, (-1, 0.0))
+        now = core.clock.now()
+        if pushed >= core.reader.offset and now - at < _PUSH_AGAIN:
+            return
+        # A peer too far behind for the kept records asks for a snapshot.
+        if core.catalog.difference(offset) is None:
+            return
+        self._pushed[process] = core.reader.offset, now
+        self.answer(link, ConfigurationRequest(offset))
+
+    def _note_moved(self, source: str) -> None:
+        core = self._core
+        offset = core.reader.offset
+        core.metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, offset)
+        core.log.write(
+            EventName.CONFIGURATION_APPLIED, offset=offset, peer=source
+        )
+        for process, link in tuple(self._links.items()):
+            view = core.fleet.find_view(process)
+            if view is not None and view.offset < offset:
+                self._push(link, view.offset)
+
+
+async def _send_all(
+    link: Link,
+    messages: tuple[ConfigurationDifference | ConfigurationRequest, ...],
+) -> None:
+    try:
+        for message in messages:
+            await link.send(message)
+    except OleanderError:
+        return
--- /dev/null
+++ b/src/oleanderdyke/entry/core.py
@@ -0,0 +1,166 @@
+"""Hold the parts of one entry that its requests and tasks share."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol, TypeAlias
+
+from oleanderdyke.clock import Clock
+from oleanderdyke.entry.settings import EntrySettings
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempts import MachineSettings
+from oleanderdyke.kernel.catalog import Catalog
+from oleanderdyke.kernel.claims import ClaimTable
+from oleanderdyke.kernel.demand import Admission, Admitted, Refusal, Router
+from oleanderdyke.kernel.drain import Drain
+from oleanderdyke.kernel.membership import FleetState
+from oleanderdyke.kernel.objects import ObjectKind, TeamSpec
+from oleanderdyke.kernel.quarantine import (
+    Quarantine,
+    QuarantineSettings,
+    make_quarantine,
+)
+from oleanderdyke.kernel.retries import (
+    RetryBudget,
+    RetrySettings,
+    make_retry_budget,
+)
+from oleanderdyke.kernel.spread import ConfigurationReader
+from oleanderdyke.links.link import Link
+from oleanderdyke.links.messages import PROTOCOL_VERSION, Hello, Message, Role
+from oleanderdyke.logs import EventLog, make_event_log
+from oleanderdyke.metrics import Metrics
+from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS, TeamTerms
+
+_INCARNATION_BYTES = 8
+
+FindLink: TypeAlias = Callable[[str], Link | None]
+Spawn: TypeAlias = Callable[..., object]
+
+
+class Running(Protocol):
+    """Take what concerns one running request; nothing here waits."""
+
+    def take(self, message: Message) -> None:
+        """Take a message of an agent about this request."""
+
+    def lose(self, link: Link) -> None:
+        """Learn that a link is gone."""
+
+    def end_incarnation(self, agent: str, incarnation: str) -> None:
+        """Learn that an incarnation of an agent is over for good."""
+
+    def release(self, decision: Admitted | Refusal) -> None:
+        """Learn what the admission decided."""
+
+    def hand_over(self) -> None:
+        """Leave the stream to another entry."""
+
+    def stop(self, *, hurry: bool) -> None:
+        """Learn that the entry stops."""
+
+
+def _find_no_link(_: str) -> Link | None:
+    return None
+
+
+def _spawn_nothing(*_: object) -> None:
+    raise RuntimeError('the shell is not running')
+
+
+@dataclass(slots=True)
+class Core:
+    """Hold the kernel objects of one entry."""
+
+    settings: EntrySettings
+    clock: Clock
+    random: Random
+    incarnation: str
+    log: EventLog
+    metrics: Metrics
+    reader: ConfigurationReader
+    fleet: FleetState
+    claims: ClaimTable
+    quarantine: Quarantine
+    budget: RetryBudget
+    router: Router
+    admission: Admission
+    drain: Drain
+    machine: MachineSettings
+    running: dict[str, Running] = field(default_factory=dict)
+    find_link: FindLink = _find_no_link
+    spawn: Spawn = _spawn_nothing
+
+    @property
+    def catalog(self) -> Catalog:
+        """Return the configuration."""
+        return self.reader.catalog
+
+    def make_hello(self) -> Hello:
+        """Build what this entry says first on a link."""
+        return Hello(
+            PROTOCOL_VERSION,
+            Role.ENTRY,
+            self.settings.process,
+            self.incarnation,
+            self.settings.data_centre,
+            self.reader.offset,
+        )
+
+    def find_fault(self) -> str:
+        """Return why this entry is not ready, or nothing."""
+        if self.drain.is_leaving:
+            return 'stopping'
+        readiness = self.reader.readiness(self.clock.now())
+        return '' if readiness.ready else readiness.reason
+
+
+def make_core(settings: EntrySettings, clock: Clock) -> Core:
+    """Build the kernel objects that the settings name."""
+    random = Random(settings.seed)
+    reader = ConfigurationReader(random)
+    catalog = reader.catalog
+
+    def find_terms(team: str) -> TeamTerms:
+        found = catalog.get(ObjectKind.TEAM, team)
+        if found is None or not isinstance(found.spec, TeamSpec):
+            return TeamTerms()
+        return TeamTerms(found.spec.weight, found.spec.limits)
+
+    return Core(
+        settings=settings,
+        clock=clock,
+        random=random,
+        incarnation=secrets.token_hex(_INCARNATION_BYTES),
+        log=make_event_log(settings.process, settings.log_level, clock),
+        metrics=Metrics(),
+        reader=reader,
+        fleet=FleetState(catalog),
+        claims=ClaimTable(),
+        quarantine=make_quarantine(QuarantineSettings()),
+        budget=make_retry_budget(RetrySettings(), random),
+        router=ROUTERS.find(settings.plugins.router)(settings.policies),
+        admission=ADMISSIONS.find(settings.plugins.admission)(
+            settings.policies, find_terms
+        ),
+        drain=Drain(settings.drain),
+        machine=MachineSettings(
+            claim_wait=settings.claims.wait,
+            max_attempts=settings.requests.attempts,
+        ),
+    )
+
+
+def note_readiness(core: Core, before: str) -> str:
+    """Log a change of readiness and return the present fault."""
+    fault = core.find_fault()
+    if fault == before:
+        return fault
+    if fault:
+        core.log.write(EventName.PROCESS_NOT_READY, reason=fault)
+    else:
+        core.log.write(EventName.PROCESS_READY, offset=core.reader.offset)
+    return fault
--- /dev/null
+++ b/src/oleanderdyke/entry/delivery.py
@@ -0,0 +1,142 @@
+"""Pass the answer of a request to its caller."""
+
+from __future__ import annotations
+
+import json
+
+from oleanderdyke.clock import Clock, Millis
+from oleanderdyke.entry.answers import Answer, encode_error
+from oleanderdyke.entry.edge import return_headers
+from oleanderdyke.entry.sse import SSE_TYPE, EventNumberer, Position
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.attempt_events import (
+    DeliverChunk,
+    DeliverEnd,
+    DeliverHead,
+    Refuse,
+)
+from oleanderdyke.links.messages import AnswerEnd, Headers
+from oleanderdyke.metrics import Metrics, Timing
+
+RESUME_HEADER = 'oleander-resume'
+
+
+class Delivery:
+    """Send one answer, numbered where it is a stream of events."""
+
+    def __init__(
+        self,
+        answer: Answer,
+        *,
+        request: str,
+        service: str,
+        clock: Clock,
+        metrics: Metrics,
+        extra: Headers = (),
+        position: Position | None = None,
+    ) -> None:
+        self._answer = answer
+        self._request = request
+        self._service = service
+        self._clock = clock
+        self._metrics = metrics
+        self._extra = extra
+        self._position = position or Position()
+        self._numberer: EventNumberer | None = None
+        self._started = clock.now()
+        self._last_chunk: Millis | None = None
+        self.resume = ''
+        self.chunks = 0
+        self.first_token: Millis | None = None
+        self.error: OleanderError | None = None
+        self.end: AnswerEnd | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the answer is over, well or not."""
+        return self._answer.ended or self.error is not None
+
+    @property
+    def status(self) -> int:
+        """Return the status that was sent."""
+        return self._answer.status
+
+    async def send_head(self, head: DeliverHead) -> None:
+        """Open the answer; `head.resume` is already opaque."""
+        headers = return_headers(head.headers)
+        if _is_event_stream(headers):
+            self._numberer = EventNumberer(self._position)
+        self.resume = head.resume
+        if head.resume:
+            headers = (*headers, (RESUME_HEADER, head.resume))
+        await self._answer.start(head.status, headers + self._extra)
+
+    async def send_chunk(self, chunk: DeliverChunk) -> None:
+        """Pass on a part of the answer, waiting for a slow caller."""
+        self._time_chunk()
+        data = chunk.data
+        if self._numberer is not None:
+            data = self._numberer.take(data)
+        if data:
+            await self._answer.send(data)
+
+    async def send_end(self, end: DeliverEnd) -> None:
+        """Close the answer."""
+        rest = b'' if self._numberer is None else self._numberer.finish()
+        self.end = end.end
+        await self._answer.end(rest)
+
+    async def refuse(self, refuse: Refuse) -> None:
+        """Answer with an error, or break an answer that has begun."""
+        await self.fail(
+            OleanderError(
+                refuse.kind,
+                refuse.detail or _name(refuse.kind),
+                ran=refuse.ran,
+                retry_after=refuse.retry_after,
+            )
+        )
+
+    async def fail(self, error: OleanderError) -> None:
+        """Answer with an error, or break an answer that has begun."""
+        if self.ended:
+            return
+        self.error = error
+        if not self._answer.started:
+            await self._answer.send_error(error)
+        elif self._numberer is not None:
+            body = encode_error(error, self._request)
+            await self._answer.send(b'event: error\ndata: ' + body + b'\n\n')
+
+    async def hand_over(self) -> None:
+        """Tell the caller to go on through another entry, then break off."""
+        if self.ended:
+            return
+        self.error = OleanderError(
+            ErrorKind.STOPPING, 'resume through another entry', ran=Ran.MAYBE
+        )
+        if self._numberer is not None:
+            body = json.dumps({'resume': self.resume}).encode()
+            await self._answer.send(b'event: resume\ndata: ' + body + b'\n\n')
+
+    def _time_chunk(self) -> None:
+        now = self._clock.now()
+        self.chunks += 1
+        if self._last_chunk is None:
+            self.first_token = now - self._started
+            timing, since = Timing.FIRST_TOKEN, self._started
+        else:
+            timing, since = Timing.BETWEEN_TOKENS, self._last_chunk
+        self._metrics.time(timing, now - since, self._service)
+        self._last_chunk = now
+
+
+def _is_event_stream(headers: Headers) -> bool:
+    return any(
+        name == 'content-type' and content.startswith(SSE_TYPE)
+        for name, content in headers
+    )
+
+
+def _name(kind: ErrorKind) -> str:
+    return kind.value.replace('_', ' ')
--- /dev/null
+++ b/src/oleanderdyke/entry/dispatches.py
@@ -0,0 +1,99 @@
+"""Build the dispatch of one attempt."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator, Sequence
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry.calls import Call
+from oleanderdyke.kernel.attempt_events import SendDispatch
+from oleanderdyke.kernel.blocks import hint
+from oleanderdyke.kernel.demand import Fleet, Plan, Replica
+from oleanderdyke.links.messages import BodyChunk, Dispatch, FetchPlan
+
+_BODY_PART = 64 * 1024
+
+
+def make_dispatch(
+    call: Call,
+    action: SendDispatch,
+    fleet: Fleet,
+    *,
+    offset: int,
+    deadline: Millis,
+) -> Dispatch:
+    """Build what an agent is told first; the body follows."""
+    spec = call.spec
+    return Dispatch(
+        request=call.request,
+        attempt=action.attempt,
+        team=call.team,
+        service=call.service,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        digest=call.digest,
+        deadline=deadline,
+        idempotent=call.idempotent,
+        offset=offset,
+        background=call.background,
+        alone=action.alone,
+        claim=action.claim,
+        model=spec.model,
+        weight_version=spec.version,
+        weight_digest=call.weight_digest,
+        adapter=spec.adapter,
+        namespace=call.namespace,
+        segments=call.segments,
+        fetch=_make_fetch(call, action.plan, fleet),
+        keep=_make_keep(call, action.replica, fleet),
+        incarnation=action.incarnation,
+        beat=action.beat,
+    )
+
+
+def split_body(
+    request: str, attempt: int, body: bytes, *, whole: bool
+) -> Iterator[BodyChunk]:
+    """Cut a body into chunks; the last one closes a whole body."""
+    starts = range(0, max(len(body), 1), _BODY_PART)
+    for sequence, start in enumerate(starts):
+        last = whole and start == starts[-1]
+        data = body[start : start + _BODY_PART]
+        yield BodyChunk(request, attempt, sequence, data, last)
+
+
+def _make_fetch(call: Call, plan: Plan, fleet: Fleet) -> FetchPlan | None:
+    store = fleet.find(plan.store) if plan.store and plan.fetched else None
+    if store is None:
+        return None
+    segments = call.segments[plan.cached : plan.cached + plan.fetched]
+    return FetchPlan(store.agent, store.address, segments)
+
+
+def _make_keep(call: Call, replica: Replica, fleet: Fleet) -> FetchPlan | None:
+    stores = fleet.stores(call.service) if call.segments else ()
+    if not stores:
+        return None
+    hints = [hint(segment) for segment in call.segments]
+    store = _choose_store(stores, replica, hints, fleet)
+    held = fleet.count_leading(store.agent, hints)
+    return FetchPlan(store.agent, store.address, call.segments[held:])
+
+
+def _choose_store(
+    stores: Sequence[Replica],
+    replica: Replica,
+    hints: Sequence[bytes],
+    fleet: Fleet,
+) -> Replica:
+    """Prefer what holds the prompt, then what is near, then a fixed choice."""
+
+    def rank(store: Replica) -> tuple[int, bool, bytes]:
+        held = fleet.count_leading(store.agent, hints)
+        near = store.data_centre == replica.data_centre
+        draw = hashlib.blake2b(hints[0] + store.agent.encode(), digest_size=8)
+        return held, near, draw.digest()
+
+    return max(stores, key=rank)
--- a/src/oleanderdyke/entry/edge.py
+++ b/src/oleanderdyke/entry/edge.py
@@ -43,6 +43,7 @@
     'cookie',
     'expect',
     'host',
+    'idempotency-key',
 }
 _NEVER_RETURNED = _HOP_BY_HOP | {'content-length', 'date', 'server'}
 _OWN_PREFIX = 'oleander-'
@@ -184,9 +185,15 @@
         self._receive = receive
         self._limit = limit
         self._timeout = timeout
+        self._length = head.find('content-length')
         self._taken = 0
         self.ended = False
-        self._check_length(head.find('content-length'))
+        self._check_length()
+
+    def set_limit(self, limit: int) -> None:
+        """Lower the limit to that of a service; raise BODY_TOO_LARGE."""
+        self._limit = min(self._limit, limit)
+        self._check_length()
 
     async def read(self) -> bytes:
         """Return the whole body; raise OleanderError or CallerGone."""
@@ -225,8 +232,9 @@
                 ErrorKind.BAD_REQUEST, 'the body did not arrive in time'
             ) from error
 
-    def _check_length(self, length: str | None) -> None:
-        if length and length.isdigit() and int(length) > self._limit:
+    def _check_length(self) -> None:
+        length = self._length or ''
+        if length.isdigit() and int(length) > self._limit:
             raise self._make_too_large()
 
     def _make_too_large(self) -> OleanderError:
--- /dev/null
+++ b/src/oleanderdyke/entry/effects.py
@@ -0,0 +1,251 @@
+"""Carry out what the machine of a request decides."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry import edge
+from oleanderdyke.entry.calls import Call
+from oleanderdyke.entry.claims import ClaimLog
+from oleanderdyke.entry.core import Core
+from oleanderdyke.entry.delivery import Delivery
+from oleanderdyke.entry.inbox import Inbox
+from oleanderdyke.entry.routes import choose_route
+from oleanderdyke.entry.sender import AttemptSender
+from oleanderdyke.entry.stopping import Stopper
+from oleanderdyke.entry.tokens import StreamToken, encode_token
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import (
+    Action,
+    AppendClaim,
+    AppendOutcome,
+    AppendRelease,
+    AskClaim,
+    CallerGone,
+    ClearSuspect,
+    DeliverChunk,
+    DeliverEnd,
+    DeliverHead,
+    Done,
+    Refuse,
+    Route,
+    Routed,
+    SendCancel,
+    SendDispatch,
+    SendResume,
+    StartTimer,
+    TimerFired,
+)
+from oleanderdyke.kernel.demand import Demand
+from oleanderdyke.logs import LogValue
+from oleanderdyke.metrics import Count, Timing
+
+
+@dataclass(frozen=True, slots=True)
+class Tools:
+    """Hold what every request of an entry uses."""
+
+    core: Core
+    claims: ClaimLog
+    stopper: Stopper
+
+
+class Effects:
+    """Do the actions of one request; report back through its inbox."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        call: Call,
+        demand: Demand,
+        *,
+        inbox: Inbox,
+        sender: AttemptSender,
+        delivery: Delivery,
+        start_upload: Callable[[], None],
+    ) -> None:
+        self._core = tools.core
+        self._claims = tools.claims
+        self._stopper = tools.stopper
+        self._call = call
+        self._demand = demand
+        self._inbox = inbox
+        self._sender = sender
+        self._delivery = delivery
+        self._start_upload = start_upload
+        self._started = tools.core.clock.now()
+        self._gone = False
+        self._handlers = self._make_handlers()
+
+    async def do(self, actions: tuple[Action, ...]) -> None:
+        """Do actions one after the other."""
+        for action in actions:
+            await self._handlers[type(action)](action)
+
+    async def fail(self, error: OleanderError) -> None:
+        """Answer with an error that the machine did not decide."""
+        await self._guard(self._delivery.fail(error))
+
+    async def hand_over(self) -> None:
+        """Tell the caller to go on through another entry."""
+        await self._guard(self._delivery.hand_over())
+
+    def note_gone(self) -> None:
+        """Tell the machine once that the caller has gone."""
+        if not self._gone:
+            self._gone = True
+            self._inbox.put(CallerGone())
+
+    def log(self, event: EventName, **values: LogValue) -> None:
+        """Write an event of this request."""
+        self._core.log.write(
+            event,
+            request=self._call.request,
+            team=self._call.team,
+            service=self._call.service,
+            **values,
+        )
+
+    def _make_handlers(
+        self,
+    ) -> Mapping[type[Action], Callable[[Any], Awaitable[None]]]:
+        return {
+            Route: self._route,
+            AppendClaim: self._append_claim,
+            AppendRelease: self._append_release,
+            AppendOutcome: self._append_outcome,
+            AskClaim: self._sender.ask,
+            SendDispatch: self._dispatch,
+            SendCancel: self._sender.cancel,
+            SendResume: self._resume,
+            DeliverHead: self._deliver_head,
+            DeliverChunk: self._deliver_chunk,
+            DeliverEnd: self._deliver_end,
+            Refuse: self._refuse,
+            StartTimer: self._start_timer,
+            ClearSuspect: self._clear_suspect,
+            Done: self._finish,
+        }
+
+    async def _route(self, action: Route) -> None:
+        event = choose_route(self._core, self._demand, action)
+        if isinstance(event, Routed):
+            self.log(
+                EventName.REQUEST_ROUTED,
+                agent=event.plan.agent,
+                reason=event.plan.reason,
+            )
+        self._inbox.put(event)
+
+    async def _append_claim(self, action: AppendClaim) -> None:
+        self._claims.append_claim(action, self._call.digest, self._inbox)
+
+    async def _append_release(self, action: AppendRelease) -> None:
+        self._claims.append_release(action)
+
+    async def _append_outcome(self, action: AppendOutcome) -> None:
+        self._claims.append_outcome(action, self._inbox)
+
+    async def _dispatch(self, action: SendDispatch) -> None:
+        if action.attempt > 1:
+            self._core.metrics.add(Count.RETRIES, label=self._call.service)
+            self.log(EventName.REQUEST_RETRIED, attempt=action.attempt)
+        self._core.router.note_sent(
+            self._demand, action.plan, self._core.clock.now()
+        )
+        if await self._sender.dispatch(action):
+            self._start_upload()
+
+    async def _resume(self, action: SendResume) -> None:
+        self.log(EventName.STREAM_RESUMED, attempt=action.attempt)
+        await self._sender.resume(action)
+
+    async def _deliver_head(self, action: DeliverHead) -> None:
+        token = action.resume and encode_token(
+            StreamToken(self._sender.agent, action.resume)
+        )
+        if token:
+            self._stopper.mark_resumable(self._call.request)
+        head = DeliverHead(action.status, action.headers, token)
+        await self._guard(self._delivery.send_head(head))
+
+    async def _deliver_chunk(self, action: DeliverChunk) -> None:
+        first = self._delivery.first_token is None
+        await self._guard(self._delivery.send_chunk(action))
+        if first:
+            self._core.router.note_first_token(
+                self._call.request, self._core.clock.now()
+            )
+        await self._sender.grant()
+
+    async def _deliver_end(self, action: DeliverEnd) -> None:
+        await self._guard(self._delivery.send_end(action))
+        self._note_end(action)
+
+    async def _refuse(self, action: Refuse) -> None:
+        note_refusal(self._core, self._call.request, action)
+        await self._guard(self._delivery.refuse(action))
+
+    async def _start_timer(self, action: StartTimer) -> None:
+        self._inbox.put_later(
+            TimerFired(action.kind, action.number), action.delay
+        )
+
+    async def _clear_suspect(self, action: ClearSuspect) -> None:
+        self._core.quarantine.clear(action.digest)
+
+    async def _finish(self, _: Done) -> None:
+        """Do nothing: the driver sees that the machine is done."""
+
+    async def _guard(self, sending: Awaitable[None]) -> None:
+        """Send to the caller, and note when that can't go on."""
+        try:
+            await sending
+        except edge.CallerGone:
+            self.note_gone()
+        except OleanderError as error:
+            await self.fail(error)
+            self.note_gone()
+
+    def _note_end(self, action: DeliverEnd) -> None:
+        duration = self._core.clock.now() - self._started
+        metrics, service = self._core.metrics, self._call.service
+        metrics.time(Timing.REQUEST, duration, service)
+        end = action.end
+        if end is not None:
+            metrics.add(Count.PROMPT_TOKENS, end.prompt_tokens, service)
+            metrics.add(Count.RECOMPUTED_TOKENS, end.recomputed_tokens, service)
+            metrics.add(Count.LINK_BYTES, end.link_bytes, service)
+        self.log(
+            EventName.REQUEST_FINISHED,
+            status=self._delivery.status,
+            duration=round(duration, 3),
+            first_token=_round(self._delivery.first_token),
+            chunks=self._delivery.chunks,
+            tokens=None if end is None else end.prompt_tokens,
+            recomputed=None if end is None else end.recomputed_tokens,
+        )
+
+
+def note_refusal(
+    core: Core, request: str, refused: Refuse | OleanderError
+) -> None:
+    """Log and count a request that was refused."""
+    core.metrics.add(Count.REFUSALS, label=refused.kind.value)
+    detail = refused.detail if isinstance(refused, Refuse) else str(refused)
+    core.log.write(
+        EventName.REQUEST_REFUSED,
+        request=request,
+        kind=refused.kind.value,
+        ran=refused.ran.value,
+        detail=detail or None,
+        retry_after=refused.retry_after,
+    )
+
+
+def _round(duration: Millis | None) -> Millis | None:
+    return None if duration is None else round(duration, 3)
--- /dev/null
+++ b/src/oleanderdyke/entry/logreader.py
@@ -0,0 +1,63 @@
+"""Follow one log of the log service, through its outages."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry.core import Core
+from oleanderdyke.events import EventName
+from oleanderdyke.platform.log import LogClient, LogPage, LogUnavailable
+
+
+class LogReader:
+    """Read page after page with long polls."""
+
+    def __init__(
+        self,
+        core: Core,
+        client: LogClient,
+        name: str,
+        *,
+        find_start: Callable[[], int],
+        take_page: Callable[[LogPage], None],
+    ) -> None:
+        self._core = core
+        self._client = client
+        self._name = name
+        self._find_start = find_start
+        self._take_page = take_page
+        self._down = False
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            page = await self._read()
+            if page is not None:
+                self._take_page(page)
+
+    async def _read(self) -> LogPage | None:
+        settings = self._core.settings.log
+        try:
+            page = await self._client.read(
+                self._name,
+                start=self._find_start(),
+                limit=settings.page,
+                wait=settings.wait,
+                timeout=settings.timeout,
+            )
+        except LogUnavailable as error:
+            self._note(down=True, detail=error.message)
+            await anyio.sleep(settings.retry / SECOND)
+            return None
+        self._note(down=False)
+        return page
+
+    def _note(self, *, down: bool, detail: str | None = None) -> None:
+        if down == self._down:
+            return
+        self._down = down
+        event = EventName.LOG_DOWN if down else EventName.LOG_UP
+        self._core.log.write(event, name=self._name, detail=detail)
--- /dev/null
+++ b/src/oleanderdyke/entry/main.py
@@ -0,0 +1,91 @@
+"""Start an entry from the command line."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import anyio
+
+from oleanderdyke import __version__
+from oleanderdyke.entry.settings import EntrySettings, find_faults
+from oleanderdyke.entry.shell import run_entry
+from oleanderdyke.errors import OleanderError, SettingsError
+from oleanderdyke.policies import admission, routing
+from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS
+from oleanderdyke.settings import load_settings, show_settings
+
+# Importing a module of plug-ins registers them.
+PLUGINS = (admission, routing)
+
+_FAILED = 1
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the binary; return its exit code."""
+    options = _make_parser().parse_args(arguments)
+    try:
+        settings = _load(options.settings)
+    except SettingsError as error:
+        error.show()
+        return error.exit_code
+    if options.check:
+        return 0
+    if options.print_settings:
+        sys.stdout.write(show_settings(settings))
+        return 0
+    return _run(settings)
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='oleander-entry',
+        description='Take the requests of callers and operators.',
+    )
+    parser.add_argument('--version', action='version', version=__version__)
+    parser.add_argument(
+        '--settings', type=Path, required=True, help='YAML file to read'
+    )
+    parser.add_argument(
+        '--check', action='store_true', help='check the settings and exit'
+    )
+    parser.add_argument(
+        '--print-settings',
+        action='store_true',
+        help='print the settings in force, without secrets, and exit',
+    )
+    return parser
+
+
+def _load(path: Path) -> EntrySettings:
+    settings = load_settings(path, EntrySettings, os.environ)
+    faults = [f'{path}: {fault}' for fault in find_faults(settings)]
+    for key, name, registry in (
+        ('plugins.router', settings.plugins.router, ROUTERS),
+        ('plugins.admission', settings.plugins.admission, ADMISSIONS),
+    ):
+        try:
+            registry.find(name)
+        except SettingsError as error:
+            faults += [f'{path}: {key}: {fault}' for fault in error.faults]
+    if faults:
+        raise SettingsError(tuple(faults))
+    return settings
+
+
+def _run(settings: EntrySettings) -> int:
+    code = 0
+    try:
+        anyio.run(run_entry, settings)
+    except* (OleanderError, OSError) as group:
+        code = _FAILED
+        for error in group.exceptions:
+            sys.stderr.write(f'error: {error}\n')
+    return code
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/oleanderdyke/entry/receiver.py
@@ -0,0 +1,90 @@
+"""Check the messages of an answer and queue them for the machine."""
+
+from __future__ import annotations
+
+from oleanderdyke.entry.inbox import Inbox
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.kernel.attempt_events import ClaimAnswered, Received
+from oleanderdyke.kernel.streams import AnswerAssembler, Broken, Delivery
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    ClaimAnswer,
+    Failed,
+    Message,
+)
+
+# An agent that ignores its credit is cut off here.
+_CHUNK_LIMIT = 512
+
+
+class AnswerReceiver:
+    """Put the messages of one request into its inbox, in order and whole."""
+
+    def __init__(self, request: str, inbox: Inbox) -> None:
+        self._request = request
+        self._inbox = inbox
+        self._attempt = 0
+        self._assembler: AnswerAssembler | None = None
+
+    def expect(self, attempt: int) -> None:
+        """Expect the answer of a new run."""
+        self._attempt = attempt
+        if self._assembler is None:
+            self._assembler = AnswerAssembler(self._request, attempt)
+        else:
+            self._assembler.start_over(attempt)
+
+    def expect_rest(self, attempt: int, start: int) -> None:
+        """Expect the rest of a run under another attempt."""
+        self._attempt = attempt
+        if self._assembler is None:
+            self._assembler = AnswerAssembler(
+                self._request, attempt, start=start
+            )
+        else:
+            self._assembler.resume(attempt)
+
+    def take(self, message: Message) -> None:
+        """Take any message that names this request."""
+        if isinstance(message, AnswerHead | AnswerChunk | AnswerEnd):
+            self._take_part(message)
+        elif isinstance(message, Failed):
+            self._inbox.put(Received(message))
+        elif isinstance(message, ClaimAnswer):
+            self._inbox.put(ClaimAnswered(message))
+
+    def _take_part(self, message: AnswerHead | AnswerChunk | AnswerEnd) -> None:
+        if self._assembler is None:
+            return
+        if len(self._inbox) > _CHUNK_LIMIT:
+            self._break('more chunks than granted')
+            return
+        start = self._assembler.next_sequence
+        self._put(self._assembler.take(message), start)
+
+    def _put(self, delivery: Delivery, start: int) -> None:
+        if delivery.head is not None:
+            self._inbox.put(Received(delivery.head))
+        for sequence, data in enumerate(delivery.chunks, start):
+            chunk = AnswerChunk(self._request, self._attempt, sequence, data)
+            self._inbox.put(Received(chunk))
+        if isinstance(delivery.end, Broken):
+            self._break(f'answer not whole: {delivery.end.reason}')
+        elif delivery.end is not None:
+            self._inbox.put(Received(delivery.end.end))
+
+    def _break(self, detail: str) -> None:
+        self._assembler = None
+        self._inbox.put(
+            Received(
+                Failed(
+                    self._request,
+                    self._attempt,
+                    ErrorKind.STREAM_BROKEN,
+                    Ran.MAYBE,
+                    detail,
+                )
+            )
+        )
--- /dev/null
+++ b/src/oleanderdyke/entry/requests.py
@@ -0,0 +1,265 @@
+"""Drive the machine of one request with what happens around it."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import TaskGroup
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry import edge
+from oleanderdyke.entry.answers import Answer
+from oleanderdyke.entry.calls import Call
+from oleanderdyke.entry.core import Core
+from oleanderdyke.entry.delivery import Delivery
+from oleanderdyke.entry.effects import Effects, Tools
+from oleanderdyke.entry.inbox import (
+    HandedOver,
+    Inbox,
+    Item,
+    Released,
+    UploadFailed,
+)
+from oleanderdyke.entry.queue import ReleaseQueue
+from oleanderdyke.entry.receiver import AnswerReceiver
+from oleanderdyke.entry.sender import AttemptSender
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import (
+    Action,
+    CallerGone,
+    DeadlinePassed,
+    IncarnationEnded,
+    Stopping,
+)
+from oleanderdyke.kernel.attempts import RequestFacts, RequestMachine
+from oleanderdyke.kernel.claims import Verdict
+from oleanderdyke.kernel.demand import Admitted, Queued, Refusal
+from oleanderdyke.kernel.quarantine import Standing
+from oleanderdyke.links.link import Link
+from oleanderdyke.links.messages import Headers, Message
+from oleanderdyke.metrics import Timing
+
+_HORIZON_HEADER = 'oleander-horizon'
+
+
+class RequestDriver:
+    """Lead one call to its answer."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        queue: ReleaseQueue,
+        call: Call,
+        *,
+        body: edge.Body,
+        answer: Answer,
+    ) -> None:
+        core = tools.core
+        self._tools = tools
+        self._core = core
+        self._queue = queue
+        self._call = call
+        self._body = body
+        self._started = core.clock.now()
+        limit = min(call.spec.deadline, core.settings.requests.deadline)
+        self._deadline = self._started + limit
+        self._demand = call.make_demand(
+            self._deadline, core.settings.data_centre
+        )
+        self._inbox = Inbox(core.clock)
+        self._receiver = AnswerReceiver(call.request, self._inbox)
+        self._sender = AttemptSender(
+            core, call, self._inbox, self._receiver, self._deadline
+        )
+        self._delivery = Delivery(
+            answer,
+            request=call.request,
+            service=call.service,
+            clock=core.clock,
+            metrics=core.metrics,
+            extra=_make_extra(call),
+        )
+        self._effects = Effects(
+            tools,
+            call,
+            self._demand,
+            inbox=self._inbox,
+            sender=self._sender,
+            delivery=self._delivery,
+            start_upload=self._start_upload,
+        )
+        self._machine = RequestMachine(
+            _make_facts(core, call), settings=core.machine, budget=core.budget
+        )
+        self._tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Answer the caller, then finish what the machine still waits for.
+
+        Raise OleanderError where nothing was sent and nothing answered.
+        """
+        request = self._call.request
+        self._core.running[request] = self
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                if self._body.ended:
+                    tasks.start_soon(self._watch_caller)
+                await self._lead()
+                tasks.cancel_scope.cancel()
+        finally:
+            del self._core.running[request]
+            self._forget()
+
+    def take(self, message: Message) -> None:
+        """Take a message of an agent about this request."""
+        self._receiver.take(message)
+
+    def lose(self, link: Link) -> None:
+        """Learn that a link is gone."""
+        self._sender.lose(link)
+
+    def end_incarnation(self, agent: str, incarnation: str) -> None:
+        """Learn that an incarnation of an agent is over for good."""
+        self._inbox.put(IncarnationEnded(agent, incarnation))
+
+    def release(self, decision: Admitted | Refusal) -> None:
+        """Learn what the admission decided."""
+        self._inbox.put(Released(decision))
+
+    def hand_over(self) -> None:
+        """Leave the stream to another entry."""
+        self._inbox.put(HandedOver())
+
+    def stop(self, *, hurry: bool) -> None:
+        """Learn that the entry stops."""
+        self._inbox.put(Stopping(hurry=hurry))
+
+    async def _lead(self) -> None:
+        core = self._core
+        verdict = self._find_verdict()
+        self._inbox.put_later(
+            DeadlinePassed(), self._deadline - core.clock.now()
+        )
+        await self._pass_admission()
+        if self._call.key:
+            verdict = self._find_verdict()
+        await self._effects.do(self._machine.start(core.clock.now(), verdict))
+        while not self._machine.done:
+            item = await self._inbox.take()
+            if isinstance(item, HandedOver):
+                await self._effects.hand_over()
+                return
+            await self._effects.do(await self._answer_item(item))
+
+    async def _pass_admission(self) -> None:
+        core = self._core
+        decision = core.admission.admit(
+            self._demand, core.fleet, core.clock.now()
+        )
+        if isinstance(decision, Queued):
+            self._effects.log(EventName.REQUEST_QUEUED)
+            decision = await self._wait_in_queue()
+        waited = core.clock.now() - self._started
+        core.metrics.time(Timing.QUEUE_WAIT, waited, self._call.service)
+        if isinstance(decision, Refusal):
+            raise OleanderError(
+                decision.kind,
+                decision.reason,
+                ran=Ran.NO,
+                retry_after=decision.retry_after,
+            )
+
+    async def _wait_in_queue(self) -> Admitted | Refusal:
+        self._queue.enter()
+        try:
+            while True:
+                item = await self._inbox.take()
+                if isinstance(item, Released):
+                    return item.decision
+                _check_queued(item)
+        finally:
+            self._queue.leave()
+
+    async def _answer_item(self, item: Item) -> tuple[Action, ...]:
+        now = self._core.clock.now()
+        if isinstance(item, Released | HandedOver):
+            return ()
+        if isinstance(item, UploadFailed):
+            if isinstance(item.fault, OleanderError):
+                item.fault.ran = Ran.MAYBE
+                await self._effects.fail(item.fault)
+            return self._machine.on(CallerGone(), now)
+        return self._machine.on(item, now)
+
+    async def _watch_caller(self) -> None:
+        await self._body.wait_gone()
+        if not self._delivery.ended:
+            self._effects.log(EventName.REQUEST_CANCELLED)
+            self._effects.note_gone()
+
+    def _start_upload(self) -> None:
+        if not self._body.ended and self._tasks is not None:
+            self._tasks.start_soon(self._upload)
+
+    async def _upload(self) -> None:
+        await self._sender.upload(self._body)
+        if self._body.ended:
+            await self._watch_caller()
+
+    def _find_verdict(self) -> Verdict | None:
+        call = self._call
+        if not call.key:
+            return None
+        if not self._tools.claims.synced:
+            raise OleanderError(
+                ErrorKind.NOT_READY, 'the claims log is being read', ran=Ran.NO
+            )
+        return self._core.claims.verdict(call.key, call.digest)
+
+    def _forget(self) -> None:
+        core, request = self._core, self._call.request
+        now = core.clock.now()
+        self._tools.claims.forget(self._inbox)
+        core.router.note_finished(request, now)
+        core.admission.note_finished(request, now)
+        self._queue.release()
+
+
+def _make_facts(core: Core, call: Call) -> RequestFacts:
+    standing = core.quarantine.find_standing(call.digest, core.clock.now())
+    if standing is Standing.QUARANTINED:
+        raise OleanderError(
+            ErrorKind.QUARANTINED, 'this request crashed backend servers'
+        )
+    return RequestFacts(
+        request=call.request,
+        team=call.team,
+        service=call.service,
+        digest=call.digest,
+        appender=core.settings.process,
+        idempotent=call.idempotent,
+        key=call.key,
+        horizon=call.spec.horizon,
+        suspect=standing is Standing.SUSPECT,
+    )
+
+
+def _check_queued(item: Item) -> None:
+    """Raise where a queued request has to give up."""
+    if isinstance(item, CallerGone):
+        raise edge.CallerGone
+    if isinstance(item, DeadlinePassed):
+        raise OleanderError(
+            ErrorKind.DEADLINE, 'the deadline passed in the queue', ran=Ran.NO
+        )
+    if isinstance(item, Stopping):
+        raise OleanderError(
+            ErrorKind.STOPPING, 'this entry stops', ran=Ran.NO, retry_after=0.0
+        )
+
+
+def _make_extra(call: Call) -> Headers:
+    if not call.key:
+        return ()
+    return ((_HORIZON_HEADER, str(int(call.spec.horizon / SECOND))),)
--- /dev/null
+++ b/src/oleanderdyke/entry/resume.py
@@ -0,0 +1,197 @@
+"""Continue a stream that began through this or another entry."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from oleanderdyke.entry import edge
+from oleanderdyke.entry.delivery import Delivery
+from oleanderdyke.entry.effects import Tools
+from oleanderdyke.entry.inbox import HandedOver, Inbox, Item
+from oleanderdyke.entry.receiver import AnswerReceiver
+from oleanderdyke.entry.sse import Position
+from oleanderdyke.entry.tokens import (
+    StreamToken,
+    encode_token,
+    make_stream_gone,
+)
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import (
+    CallerGone,
+    DeliverChunk,
+    DeliverEnd,
+    DeliverHead,
+    IncarnationEnded,
+    LinkLost,
+    Received,
+    Stopping,
+)
+from oleanderdyke.kernel.demand import Admitted, Refusal
+from oleanderdyke.links.link import Link
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    Credit,
+    Failed,
+    Message,
+    Resume,
+)
+
+_ATTEMPT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeAsk:
+    """Name the stream a team wants to go on with, and what it has of it."""
+
+    request: str
+    team: str
+    stream: StreamToken
+    position: Position
+
+
+class ResumeDriver:
+    """Pass on the rest of one stream."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        ask: ResumeAsk,
+        *,
+        body: edge.Body,
+        delivery: Delivery,
+    ) -> None:
+        self._core = tools.core
+        self._stopper = tools.stopper
+        self._ask = ask
+        self._body = body
+        self._delivery = delivery
+        self._inbox = Inbox(tools.core.clock)
+        self._receiver = AnswerReceiver(ask.request, self._inbox)
+        self._link: Link | None = None
+        self._ungranted = 0
+        self._parts: Mapping[type[Message], Callable[[Any], Awaitable[None]]]
+        self._parts = {
+            AnswerHead: self._pass_head,
+            AnswerChunk: self._pass_chunk,
+            AnswerEnd: self._pass_end,
+            Failed: self._pass_failure,
+        }
+
+    async def run(self) -> None:
+        """Answer the caller; raise OleanderError or CallerGone."""
+        link = self._core.find_link(self._ask.stream.agent)
+        if link is None:
+            raise make_stream_gone()
+        self._link = link
+        self._core.running[self._ask.request] = self
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_caller)
+                await self._lead(link)
+                tasks.cancel_scope.cancel()
+        finally:
+            del self._core.running[self._ask.request]
+
+    def take(self, message: Message) -> None:
+        """Take a message of the agent."""
+        self._receiver.take(message)
+
+    def lose(self, link: Link) -> None:
+        """Learn that a link is gone."""
+        if link is self._link:
+            peer = link.peer
+            self._inbox.put(LinkLost(peer.process, peer.incarnation))
+
+    def end_incarnation(self, agent: str, incarnation: str) -> None:
+        """Learn that an incarnation of an agent is over for good."""
+        if agent == self._ask.stream.agent:
+            self._inbox.put(IncarnationEnded(agent, incarnation))
+
+    def release(self, decision: Admitted | Refusal) -> None:
+        """Ignore the admission: a resumed stream was admitted before."""
+
+    def hand_over(self) -> None:
+        """Leave the stream to another entry."""
+        self._inbox.put(HandedOver())
+
+    def stop(self, *, hurry: bool) -> None:
+        """Learn that the entry stops."""
+        if hurry:
+            self._inbox.put(Stopping(hurry=True))
+
+    async def _lead(self, link: Link) -> None:
+        start = self._ask.position.chunk + 1
+        self._receiver.expect_rest(_ATTEMPT, start)
+        self._core.log.write(
+            EventName.STREAM_RESUMED,
+            request=self._ask.request,
+            team=self._ask.team,
+            agent=self._ask.stream.agent,
+        )
+        await link.send(
+            Resume(
+                self._ask.request,
+                _ATTEMPT,
+                self._ask.team,
+                self._ask.stream.token,
+                start,
+            )
+        )
+        while not self._delivery.ended:
+            item = await self._inbox.take()
+            if isinstance(item, Received):
+                await self._parts[type(item.message)](item.message)
+            else:
+                await self._end(item)
+
+    async def _end(self, item: Item) -> None:
+        if isinstance(item, CallerGone):
+            raise edge.CallerGone
+        if isinstance(item, HandedOver | Stopping):
+            await self._delivery.hand_over()
+            return
+        raise OleanderError(
+            ErrorKind.BACKEND_LOST, 'the link to the agent is lost'
+        )
+
+    async def _pass_head(self, head: AnswerHead) -> None:
+        token = encode_token(self._ask.stream)
+        self._stopper.mark_resumable(self._ask.request)
+        await self._delivery.send_head(
+            DeliverHead(head.status, head.headers, token)
+        )
+
+    async def _pass_chunk(self, chunk: AnswerChunk) -> None:
+        await self._delivery.send_chunk(DeliverChunk(chunk.data))
+        self._ungranted += 1
+        if self._ungranted < self._core.settings.requests.credit // 2:
+            return
+        credit = Credit(self._ask.request, _ATTEMPT, self._ungranted)
+        self._ungranted = 0
+        if self._link is not None:
+            await self._link.send(credit)
+
+    async def _pass_end(self, end: AnswerEnd) -> None:
+        await self._delivery.send_end(DeliverEnd(end))
+
+    async def _pass_failure(self, failed: Failed) -> None:
+        await self._delivery.fail(
+            OleanderError(
+                failed.kind,
+                'the stream can not go on',
+                ran=Ran.MAYBE if failed.ran is Ran.NO else failed.ran,
+                retry_after=failed.retry_after,
+            )
+        )
+
+    async def _watch_caller(self) -> None:
+        await self._body.wait_gone()
+        if not self._delivery.ended:
+            self._inbox.put(CallerGone())
--- /dev/null
+++ b/src/oleanderdyke/entry/sender.py
@@ -0,0 +1,179 @@
+"""Send what concerns one request to agents."""
+
+from __future__ import annotations
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry.calls import Call
+from oleanderdyke.entry.core import Core
+from oleanderdyke.entry.dispatches import make_dispatch, split_body
+from oleanderdyke.entry.edge import Body, CallerGone
+from oleanderdyke.entry.inbox import Inbox, UploadFailed
+from oleanderdyke.entry.receiver import AnswerReceiver
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import (
+    AskClaim,
+    IncarnationEnded,
+    LinkLost,
+    SendCancel,
+    SendDispatch,
+    SendResume,
+    Unsent,
+)
+from oleanderdyke.links.link import Link
+from oleanderdyke.links.messages import (
+    BodyChunk,
+    Cancel,
+    ClaimQuery,
+    Credit,
+    Message,
+    Resume,
+)
+
+
+class AttemptSender:
+    """Send the dispatches of one request and all that follows them."""
+
+    def __init__(
+        self,
+        core: Core,
+        call: Call,
+        inbox: Inbox,
+        receiver: AnswerReceiver,
+        deadline: Millis,
+    ) -> None:
+        self._core = core
+        self._call = call
+        self._inbox = inbox
+        self._receiver = receiver
+        self._deadline = deadline
+        self._link: Link | None = None
+        self._attempt = 0
+        self._sequence = 0
+        self._ungranted = 0
+
+    @property
+    def agent(self) -> str:
+        """Return the agent of the latest attempt."""
+        return '' if self._link is None else self._link.peer.process
+
+    async def dispatch(self, action: SendDispatch) -> bool:
+        """Send the request; tell whether any of it was sent."""
+        link = self._find(action.agent, action.incarnation)
+        if link is None:
+            self._inbox.put(Unsent(action.attempt))
+            return False
+        self._link, self._attempt, self._ungranted = link, action.attempt, 0
+        self._receiver.expect(action.attempt)
+        self._log(EventName.DISPATCH_SENT)
+        await self._send(link, self._make_dispatch(action))
+        chunks = split_body(
+            self._call.request,
+            action.attempt,
+            self._call.body,
+            whole=self._call.whole,
+        )
+        for chunk in chunks:
+            self._sequence = chunk.sequence + 1
+            await self._send(link, chunk)
+        return True
+
+    async def upload(self, body: Body) -> None:
+        """Send the rest of a body as the caller sends it."""
+        link, attempt = self._link, self._attempt
+        try:
+            while link is not None and not body.ended:
+                data = await body.read_part()
+                chunk = BodyChunk(
+                    self._call.request,
+                    attempt,
+                    self._sequence,
+                    data,
+                    body.ended,
+                )
+                self._sequence += 1
+                await self._send(link, chunk)
+        except (OleanderError, CallerGone) as fault:
+            self._inbox.put(UploadFailed(fault))
+
+    async def cancel(self, action: SendCancel) -> None:
+        """Cancel an attempt where its agent can be reached."""
+        link = self._find(action.agent, action.incarnation)
+        if link is not None:
+            await self._send(link, Cancel(self._call.request, action.attempt))
+
+    async def resume(self, action: SendResume) -> None:
+        """Ask for the rest of a stream."""
+        link = self._find(action.agent, action.incarnation)
+        if link is None:
+            self._inbox.put(LinkLost(action.agent, action.incarnation))
+            return
+        self._link, self._attempt, self._ungranted = link, action.attempt, 0
+        self._receiver.expect_rest(action.attempt, action.sequence)
+        message = Resume(
+            self._call.request,
+            action.attempt,
+            self._call.team,
+            action.token,
+            action.sequence,
+        )
+        await self._send(link, message)
+
+    async def ask(self, action: AskClaim) -> None:
+        """Ask an agent what became of a claim."""
+        link = self._core.find_link(action.agent)
+        if link is None:
+            return
+        incarnation = action.claim.incarnation
+        if link.peer.incarnation != incarnation:
+            self._inbox.put(IncarnationEnded(action.agent, incarnation))
+            return
+        query = ClaimQuery(self._call.request, self._call.team, action.claim)
+        await self._send(link, query)
+
+    async def grant(self) -> None:
+        """Count a chunk that the caller has taken, and grant others."""
+        self._ungranted += 1
+        if self._link is None:
+            return
+        if self._ungranted < self._core.settings.requests.credit // 2:
+            return
+        credit = Credit(self._call.request, self._attempt, self._ungranted)
+        self._ungranted = 0
+        await self._send(self._link, credit)
+
+    def lose(self, link: Link) -> None:
+        """Tell the machine where the link was in use."""
+        if link is self._link:
+            peer = link.peer
+            self._inbox.put(LinkLost(peer.process, peer.incarnation))
+
+    def _find(self, agent: str, incarnation: str) -> Link | None:
+        link = self._core.find_link(agent)
+        if link is None or link.peer.incarnation != incarnation:
+            return None
+        return link
+
+    async def _send(self, link: Link, message: Message) -> None:
+        try:
+            await link.send(message)
+        except OleanderError:
+            self.lose(link)
+
+    def _make_dispatch(self, action: SendDispatch) -> Message:
+        core = self._core
+        return make_dispatch(
+            self._call,
+            action,
+            core.fleet,
+            offset=core.reader.offset,
+            deadline=max(self._deadline - core.clock.now(), 0.0),
+        )
+
+    def _log(self, event: EventName) -> None:
+        self._core.log.write(
+            event,
+            request=self._call.request,
+            attempt=self._attempt,
+            peer=self.agent,
+        )
--- /dev/null
+++ b/src/oleanderdyke/entry/server.py
@@ -0,0 +1,156 @@
+"""Serve HTTP on our own loop and answer broken requests in JSON."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import math
+import socket
+import sys
+from collections.abc import Generator
+from typing import Any
+
+import h11
+import uvicorn
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry.answers import (
+    REQUEST_HEADER,
+    encode_error,
+    make_error_headers,
+)
+from oleanderdyke.entry.edge import make_request_id
+from oleanderdyke.entry.settings import HttpSettings
+from oleanderdyke.errors import ErrorKind, OleanderError
+
+_HEADERS_TOO_LARGE = 431
+_REASONS = {400: b'Bad Request', 431: b'Request Header Fields Too Large'}
+_OPEN_STATES = (h11.IDLE, h11.SEND_RESPONSE)
+_LOGGER = 'uvicorn.error'
+
+
+class EdgeProtocol(H11Protocol):
+    """Bound the wait for a head, and refuse bad HTTP with a typed error."""
+
+    head_timeout = 10.0
+    connection_limit = 0
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Take a connection, or close it where there are too many."""
+        super().connection_made(transport)
+        if len(self.connections) > self.connection_limit:
+            transport.abort()
+            return
+        self._start_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Time the head from its first byte."""
+        if self._is_between_requests() and self._head_timer is None:
+            self._start_timer()
+        super().data_received(data)
+        if not self._is_between_requests():
+            self._stop_timer()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer what is not HTTP; `msg` is fixed text of the server."""
+        fault = sys.exc_info()[1]
+        hint = getattr(fault, 'error_status_hint', 0)
+        kind = (
+            ErrorKind.HEADERS_TOO_LARGE
+            if hint == _HEADERS_TOO_LARGE
+            else ErrorKind.BAD_REQUEST
+        )
+        self._abandon_request()
+        if self.conn.our_state in _OPEN_STATES:
+            self._write_error(OleanderError(kind, msg.rstrip('.')))
+        self.transport.close()
+
+    def _write_error(self, error: OleanderError) -> None:
+        request = make_request_id()
+        body = encode_error(error, request)
+        headers = [
+            *make_error_headers(error),
+            (REQUEST_HEADER, request),
+            ('content-length', str(len(body))),
+            ('connection', 'close'),
+        ]
+        response = h11.Response(
+            status_code=error.status,
+            headers=headers,
+            reason=_REASONS[error.status],
+        )
+        for event in (response, h11.Data(data=body), h11.EndOfMessage()):
+            self.transport.write(self.conn.send(event) or b'')
+
+    def _abandon_request(self) -> None:
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+
+    def _is_between_requests(self) -> bool:
+        return self.cycle is None or self.cycle.response_complete
+
+    def _start_timer(self) -> None:
+        self._head_timer = self.loop.call_later(
+            self.head_timeout, self.transport.close
+        )
+
+    def _stop_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+
+class EdgeServer(uvicorn.Server):
+    """Leave signals to the shell of the entry."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Capture none."""
+        yield
+
+    closed = False
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serve until `should_exit`, then set `closed`."""
+        try:
+            await super().serve(sockets)
+        finally:
+            self.closed = True
+
+
+def make_server(app: Any, settings: HttpSettings) -> EdgeServer:
+    """Build the server of an ASGI application."""
+    logging.getLogger(_LOGGER).disabled = True
+    limits = {
+        'connection_limit': settings.connections,
+        'head_timeout': settings.body_timeout / SECOND,
+    }
+    config = uvicorn.Config(
+        app,
+        host=settings.host,
+        port=settings.port,
+        http=type('BoundProtocol', (EdgeProtocol,), limits),
+        ws='none',
+        loop='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        interface='asgi3',
+        h11_max_incomplete_event_size=settings.header_limit,
+        timeout_keep_alive=math.ceil(settings.keep_alive / SECOND),
+        timeout_graceful_shutdown=1,
+        ssl_certfile=settings.certificate or None,
+        ssl_keyfile=settings.key or None,
+    )
+    return EdgeServer(config)
--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -5,9 +5,11 @@
 import ipaddress
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.events import Level
+from oleanderdyke.kernel.drain import DrainSettings
 from oleanderdyke.links.pool import PoolSettings
 from oleanderdyke.links.tls import TlsPaths
 from oleanderdyke.policies.settings import PolicySettings
@@ -89,23 +91,16 @@
     admission: str = 'fair'
 
 
-@dataclass(frozen=True, slots=True)
-class DrainSettings:
-    """Bound a planned stop.
-
-    `announce` is the time between not being ready and refusing work, `limit`
-    the time that running requests then have.
-    """
-
-    announce: Millis = 2 * SECOND
-    limit: Millis = 30 * SECOND
+def _make_drain() -> DrainSettings:
+    return DrainSettings(accept=2 * SECOND, announce=2 * SECOND)
 
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Hold everything an entry is told at its start.
 
-    `links_tls` is for the links to agents; without it they are plain text.
+    `links_tls` is for the links to agents; without it they are plain text,
+    beyond loopback only with `links_plain_text`.
     """
 
     process: str
@@ -117,9 +112,10 @@
     requests: RequestSettings = field(default_factory=RequestSettings)
     plugins: PluginSettings = field(default_factory=PluginSettings)
     policies: PolicySettings = field(default_factory=PolicySettings)
-    drain: DrainSettings = field(default_factory=DrainSettings)
+    drain: DrainSettings = field(default_factory=_make_drain)
     links: PoolSettings = field(default_factory=PoolSettings)
     links_tls: TlsPaths = field(default_factory=TlsPaths)
+    links_plain_text: bool = False
     beat: Millis = 500.0
     log_level: Level = Level.INFO
     seed: int | None = None
@@ -136,7 +132,10 @@
             'http.certificate and http.key: found one without the other; '
             'allowed: both or neither'
         )
-    if http.certificate or http.plain_text or _is_loopback(http.host):
+    for key, path in (('certificate', http.certificate), ('key', http.key)):
+        if path and not Path(path).is_file():
+            yield f'http.{key}: found {path!r}; allowed: a PEM file'
+    if http.certificate or http.plain_text or is_loopback(http.host):
         return
     yield (
         f'http.host: found {http.host!r} in plain text; allowed: a loopback '
@@ -144,7 +143,8 @@
     )
 
 
-def _is_loopback(host: str) -> bool:
+def is_loopback(host: str) -> bool:
+    """Tell whether an address never leaves this machine."""
     try:
         return ipaddress.ip_address(host).is_loopback
     except ValueError:
--- /dev/null
+++ b/src/oleanderdyke/entry/shell.py
@@ -0,0 +1,166 @@
+"""Run the tasks of one entry on one loop."""
+
+from __future__ import annotations
+
+import socket
+import ssl
+from typing import Any
+
+import anyio
+
+from oleanderdyke.clock import make_clock
+from oleanderdyke.entry.agents import AgentLinks
+from oleanderdyke.entry.answers import Answer
+from oleanderdyke.entry.app import App
+from oleanderdyke.entry.claims import ClaimLog
+from oleanderdyke.entry.configuration import ConfigurationFeed
+from oleanderdyke.entry.core import Core, make_core, note_readiness
+from oleanderdyke.entry.edge import Body, Head, make_not_found
+from oleanderdyke.entry.effects import Tools
+from oleanderdyke.entry.logreader import LogReader
+from oleanderdyke.entry.queue import ReleaseQueue
+from oleanderdyke.entry.server import EdgeServer, make_server
+from oleanderdyke.entry.settings import EntrySettings, HttpSettings
+from oleanderdyke.entry.stopping import Stopper
+from oleanderdyke.entry.vmwatch import VmWatch
+from oleanderdyke.events import EventName
+from oleanderdyke.links.pool import LinkPool
+from oleanderdyke.links.tls import make_client_context
+from oleanderdyke.platform.log import LogClient, LogPage
+from oleanderdyke.platform.vms import VmClient
+
+_FLUSH_LIMIT = 3.0
+_CLOSE_LIMIT = 3.0
+_TICK = 0.25
+_BACKLOG = 1024
+
+
+class Shell:
+    """Hold the tasks of one entry."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        settings = core.settings
+        self._client = LogClient(settings.log.address)
+        self._vms = VmClient(settings.vms.address)
+        self._feed = ConfigurationFeed(core, self._client)
+        self._claims = ClaimLog(core, self._client)
+        self._stopper = Stopper(core)
+        self._queue = ReleaseQueue(core)
+        self._pool = self._make_pool()
+        core.find_link = self._pool.find
+
+    async def run(self) -> None:
+        """Serve until a planned stop is over."""
+        settings = self._core.settings
+        with _bind(settings.http) as bound:
+            server = self._make_server()
+            async with anyio.create_task_group() as tasks:
+                self._core.spawn = tasks.start_soon
+                tasks.start_soon(server.serve, [bound])
+                self._start_tasks(tasks)
+                host, port = bound.getsockname()[:2]
+                self._core.log.write(
+                    EventName.PROCESS_STARTED,
+                    address=f'{host}:{port}',
+                    incarnation=self._core.incarnation,
+                )
+                await self._stopper.run()
+                await self._close(server)
+                tasks.cancel_scope.cancel()
+        self._core.log.write(EventName.PROCESS_STOPPED)
+
+    def _start_tasks(self, tasks: Any) -> None:
+        log = self._core.settings.log
+        configuration = LogReader(
+            self._core,
+            self._client,
+            log.configuration,
+            find_start=lambda: self._core.reader.log_position,
+            take_page=self._feed.take_page,
+        )
+        claims = LogReader(
+            self._core,
+            self._client,
+            log.claims,
+            find_start=lambda: self._core.claims.next_offset,
+            take_page=self._take_claims,
+        )
+        for run in (
+            configuration.run,
+            claims.run,
+            self._claims.run,
+            self._feed.append_snapshots,
+            VmWatch(self._core, self._vms, self._pool).run,
+            self._pool.run,
+            self._queue.run,
+            self._stopper.watch_signals,
+            self._tick,
+        ):
+            tasks.start_soon(run)
+
+    def _take_claims(self, page: LogPage) -> None:
+        table = self._core.claims
+        for record in page.records:
+            table.apply(record.offset, record.at, record.data)
+        table.note_end(page.end)
+        self._claims.note_read()
+
+    async def _tick(self) -> None:
+        core, fault = self._core, ''
+        while True:
+            core.fleet.tick(core.clock.now())
+            fault = note_readiness(core, fault)
+            await anyio.sleep(_TICK)
+
+    async def _close(self, server: EdgeServer) -> None:
+        """Let the last records and answers go out, within bounds."""
+        with anyio.move_on_after(_FLUSH_LIMIT):
+            while not self._claims.idle:
+                await anyio.sleep(_TICK)
+        server.should_exit = True
+        with anyio.move_on_after(_CLOSE_LIMIT):
+            while not server.closed:
+                await anyio.sleep(_TICK)
+
+    def _make_pool(self) -> LinkPool:
+        core = self._core
+        links = AgentLinks(core, self._feed)
+        return LinkPool(
+            core.make_hello,
+            on_up=links.on_up,
+            on_message=links.on_message,
+            on_down=links.on_down,
+            settings=core.settings.links,
+            clock=core.clock,
+            random=core.random,
+            tls=_make_tls(core.settings),
+        )
+
+    def _make_server(self) -> EdgeServer:
+        tools = Tools(self._core, self._claims, self._stopper)
+        app = App(tools, self._queue, _serve_no_admin)
+        return make_server(app, self._core.settings.http)
+
+
+async def _serve_no_admin(_: Head, __: Body, ___: Answer) -> None:
+    raise make_not_found()
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until it has been told to stop."""
+    await Shell(make_core(settings, make_clock())).run()
+
+
+def _bind(http: HttpSettings) -> socket.socket:
+    family = socket.AF_INET6 if ':' in http.host else socket.AF_INET
+    return socket.create_server(
+        (http.host, http.port), family=family, backlog=_BACKLOG
+    )
+
+
+def _make_tls(settings: EntrySettings) -> ssl.SSLContext | None:
+    tls = settings.links_tls
+    if not (tls.ca or tls.certificate):
+        return None
+    return make_client_context(tls)
--- /dev/null
+++ b/src/oleanderdyke/entry/sse.py
@@ -0,0 +1,81 @@
+"""Number the events of a server-sent stream so that it can be resumed."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from oleanderdyke.entry.documents import make_bad_request
+from oleanderdyke.errors import ErrorKind, OleanderError
+
+SSE_TYPE = 'text/event-stream'
+
+_BOUNDARY = re.compile(rb'\r?\n\r?\n')
+_POSITION = re.compile(r'(-1|\d{1,12})(?:\.(\d{1,12}))?\Z', re.ASCII)
+_EVENT_LIMIT = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """Tell what a caller has: all chunks up to `chunk`, and then `events`."""
+
+    chunk: int = -1
+    events: int = 0
+
+    def __str__(self) -> str:
+        return f'{self.chunk}.{self.events}' if self.events else f'{self.chunk}'
+
+
+def parse_position(text: str) -> Position:
+    """Read the id of an event; raise BAD_REQUEST."""
+    match = _POSITION.match(text)
+    if match is None:
+        raise make_bad_request('not the id of an event of this stream')
+    return Position(int(match[1]), int(match[2] or 0))
+
+
+class EventNumberer:
+    """Put the position behind each event in front of it.
+
+    Chunks need not end where events do. An event that ends its chunk carries
+    the number of the chunk, any other the last such number and a count.
+    """
+
+    def __init__(self, position: Position) -> None:
+        self._chunk = position.chunk
+        self._aligned = position.chunk
+        self._skipped = position.events
+        self._events = 0
+        self._rest = b''
+
+    def take(self, chunk: bytes) -> bytes:
+        """Take the next chunk; return the numbered events that it completes.
+
+        Raise STREAM_BROKEN for an event without an end.
+        """
+        self._chunk += 1
+        *events, self._rest = _BOUNDARY.split(self._rest + chunk)
+        if len(self._rest) > _EVENT_LIMIT:
+            raise OleanderError(ErrorKind.STREAM_BROKEN, 'an event is too long')
+        parts = [
+            self._number(event, last=not self._rest and event is events[-1])
+            for event in events
+        ]
+        return b''.join(parts)
+
+    def finish(self) -> bytes:
+        """Return what is left without a number."""
+        rest, self._rest = self._rest, b''
+        return rest
+
+    def _number(self, event: bytes, *, last: bool) -> bytes:
+        self._events += 1
+        seen = self._events <= self._skipped
+        if last:
+            self._aligned = self._chunk
+            self._events = 0
+            self._skipped = 0
+        if seen:
+            return b''
+        position = Position(self._aligned, self._events)
+        return f'id: {position}\n'.encode() + event + b'\n\n'
--- /dev/null
+++ b/src/oleanderdyke/entry/stopping.py
@@ -0,0 +1,111 @@
+"""Stop an entry without cutting off a request."""
+
+from __future__ import annotations
+
+import signal
+
+import anyio
+
+from oleanderdyke.entry.core import Core
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.drain import (
+    Announce,
+    CutOff,
+    DrainAction,
+    DrainPhase,
+    Exit,
+    HandOver,
+)
+
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_TICK = 0.05
+
+
+class Stopper:
+    """Turn signals and the end of requests into the steps of a stop."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._told = False
+        self._exit = anyio.Event()
+        self._signalled = anyio.Event()
+
+    def begin(self, request: str) -> None:
+        """Count a request; raise STOPPING when no new one may start."""
+        core = self._core
+        if not core.drain.start_work(request, core.clock.now()):
+            raise OleanderError(
+                ErrorKind.STOPPING, 'this entry stops', ran=Ran.NO
+            )
+
+    def end(self, request: str) -> None:
+        """Forget a request."""
+        core = self._core
+        self._act(core.drain.end_work(request, core.clock.now()))
+
+    def mark_resumable(self, request: str) -> None:
+        """Note that a request can be resumed through another entry."""
+        core = self._core
+        self._act(core.drain.mark_resumable(request, core.clock.now()))
+
+    def take_signal(self, name: str) -> None:
+        """Begin to stop, or hurry."""
+        core = self._core
+        core.log.write(EventName.PROCESS_STOPPING, signal=name)
+        self._act(core.drain.signal(core.clock.now()))
+        self._signalled.set()
+
+    async def watch_signals(self) -> None:
+        """Take signals until cancelled."""
+        with anyio.open_signal_receiver(*_SIGNALS) as signals:
+            async for number in signals:
+                self.take_signal(signal.Signals(number).name)
+
+    async def run(self) -> None:
+        """Return when the process should exit."""
+        await self._signalled.wait()
+        core = self._core
+        while not self._exit.is_set():
+            self._act(core.drain.tick(core.clock.now()))
+            self._tell_stopping()
+            with anyio.move_on_after(_TICK):
+                await self._exit.wait()
+
+    def _tell_stopping(self) -> None:
+        """Tell every request once that no new work is taken any more."""
+        accepting = (DrainPhase.SERVING, DrainPhase.ANNOUNCED)
+        if self._told or self._core.drain.phase in accepting:
+            return
+        self._told = True
+        for running in tuple(self._core.running.values()):
+            running.stop(hurry=False)
+
+    def _act(self, actions: tuple[DrainAction, ...]) -> None:
+        for action in actions:
+            self._do(action)
+
+    def _do(self, action: DrainAction) -> None:
+        match action:
+            case Announce():
+                self._core.log.write(EventName.DRAIN_STARTED)
+            case HandOver(request):
+                self._hand_over(request)
+            case CutOff(requests):
+                self._cut(requests)
+            case Exit(cut):
+                self._core.log.write(EventName.DRAIN_FINISHED, count=len(cut))
+                self._exit.set()
+
+    def _hand_over(self, request: str) -> None:
+        running = self._core.running.get(request)
+        if running is not None:
+            self._core.log.write(EventName.STREAM_HANDED_OVER, request=request)
+            running.hand_over()
+
+    def _cut(self, requests: tuple[str, ...]) -> None:
+        for request in requests:
+            self._core.log.write(EventName.REQUEST_CUT, request=request)
+            running = self._core.running.get(request)
+            if running is not None:
+                running.stop(hurry=True)
--- /dev/null
+++ b/src/oleanderdyke/entry/tokens.py
@@ -0,0 +1,50 @@
+"""Make resume tokens that any entry can follow to their agent."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from dataclasses import dataclass
+
+from oleanderdyke.errors import ErrorKind, OleanderError
+
+_LIMIT = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class StreamToken:
+    """Name a stream and the agent that holds it."""
+
+    agent: str
+    token: str
+
+
+def encode_token(stream: StreamToken) -> str:
+    """Return the form that callers get."""
+    text = json.dumps([stream.agent, stream.token], separators=(',', ':'))
+    return base64.urlsafe_b64encode(text.encode()).rstrip(b'=').decode()
+
+
+def decode_token(text: str) -> StreamToken:
+    """Read a caller's token; raise STREAM_GONE for anything else."""
+    try:
+        return _decode(text)
+    except (ValueError, binascii.Error, RecursionError) as error:
+        raise make_stream_gone() from error
+
+
+def make_stream_gone() -> OleanderError:
+    """Return the one answer for a stream that is not there."""
+    return OleanderError(ErrorKind.STREAM_GONE, 'no such stream')
+
+
+def _decode(text: str) -> StreamToken:
+    if len(text) > _LIMIT:
+        raise ValueError
+    padding = '=' * (-len(text) % 4)
+    match json.loads(base64.urlsafe_b64decode(text + padding)):
+        case [str(agent), str(token)]:
+            return StreamToken(agent, token)
+        case _:
+            raise ValueError
--- /dev/null
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -0,0 +1,80 @@
+"""Follow the list of VMs as a hint where to connect."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import anyio
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry.core import Core
+from oleanderdyke.entry.settings import is_loopback
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.membership import choose_vms
+from oleanderdyke.links.pool import LinkPool
+from oleanderdyke.platform.vms import Vm, VmClient
+
+
+class VmWatch:
+    """Tell the pool which addresses to dial.
+
+    The list lags and may be wrong, so an address whose link is up stays.
+    """
+
+    def __init__(self, core: Core, client: VmClient, pool: LinkPool) -> None:
+        self._core = core
+        self._client = client
+        self._pool = pool
+        self._down = False
+        self._known: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Read the list until cancelled."""
+        settings = self._core.settings.vms
+        while True:
+            vms = await self._read()
+            if vms is not None:
+                self._take(vms)
+            await anyio.sleep(settings.period / SECOND)
+
+    async def _read(self) -> tuple[Vm, ...] | None:
+        timeout = self._core.settings.vms.timeout
+        try:
+            vms = await self._client.list(timeout=timeout)
+        except OleanderError as error:
+            if not self._down:
+                self._core.log.write(
+                    EventName.VM_LIST_DOWN, detail=error.message
+                )
+            self._down = True
+            return None
+        self._down = False
+        return vms
+
+    def _take(self, vms: Iterable[Vm]) -> None:
+        chosen = choose_vms(vms, self._core.settings.data_centre)
+        wanted = {vm.name: vm.address for vm in chosen if self._allows(vm)}
+        listed = set(wanted.values())
+        for name, address in self._known.items():
+            alive = self._pool.find(address) is not None
+            if alive and address not in listed:
+                wanted.setdefault(name, address)
+        if wanted != self._known:
+            self._known = wanted
+            self._core.log.write(EventName.VM_LIST_CHANGED, count=len(wanted))
+            self._pool.set_addresses(wanted)
+
+    def _allows(self, vm: Vm) -> bool:
+        settings = self._core.settings
+        if settings.links_tls.ca or settings.links_plain_text:
+            return True
+        if is_loopback(vm.address.rpartition(':')[0].strip('[]')):
+            return True
+        if vm.name not in self._known:
+            self._core.log.write(
+                EventName.LINK_REFUSED,
+                address=vm.address,
+                reason='plain text beyond loopback',
+            )
+        return False
