Run an agent as a process

Cause: the parts need a shell. Conclusion: starts and stops by signal; not yet tried with backend servers.

--- /dev/null
+++ b/src/oleanderdyke/agent/beats.py
@@ -0,0 +1,88 @@
+"""Tell every peer how an agent is."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from oleanderdyke.agent.configuration import Configuration
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.roles import Role
+from oleanderdyke.clock import Clock
+from oleanderdyke.kernel.gate import Gate
+from oleanderdyke.kernel.quarantine import Quarantine
+from oleanderdyke.links.messages import AgentPhase, Heartbeat, SegmentEvents
+from oleanderdyke.links.messages import Role as PeerRole
+
+
+class Beats:
+    """Send heartbeats and the changes of the segments."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        outboxes: Mapping[str, Outbox],
+        *,
+        gate: Gate,
+        quarantine: Quarantine,
+        configuration: Configuration,
+        role: Role,
+        clock: Clock,
+    ) -> None:
+        self._incarnation = incarnation
+        self._outboxes = outboxes
+        self._gate = gate
+        self._quarantine = quarantine
+        self._configuration = configuration
+        self._role = role
+        self._clock = clock
+        self._sequence = 0
+        self.phase = AgentPhase.STARTING
+
+    def set_phase(self, phase: AgentPhase) -> None:
+        """Enter a phase; LEAVING is never left again."""
+        if self.phase is not AgentPhase.LEAVING:
+            self.phase = phase
+        self._gate.set_phase(phase)
+
+    def send(self) -> None:
+        """Send a heartbeat and the new segment events on every link."""
+        beat = self._make_beat()
+        events = self._role.segments.take()
+        for outbox in self._outboxes.values():
+            outbox.put(beat)
+            if outbox.peer.role is PeerRole.ENTRY:
+                _put_all(outbox, events)
+
+    def greet(self, outbox: Outbox) -> None:
+        """Tell a new peer everything."""
+        outbox.put(self._make_beat())
+        if outbox.peer.role is PeerRole.ENTRY:
+            self.list_segments(outbox)
+
+    def list_segments(self, outbox: Outbox) -> None:
+        """Send the full list of segments."""
+        _put_all(outbox, self._role.segments.list_all())
+
+    def _make_beat(self) -> Heartbeat:
+        self._sequence += 1
+        self._gate.note_beat(self._sequence)
+        now = self._clock.now()
+        loaded = self._role.loaded
+        return Heartbeat(
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            offset=self._configuration.offset,
+            phase=self.phase,
+            load=self._role.measure(),
+            model=loaded.model,
+            weight_version=loaded.version,
+            weight_digest=loaded.digest,
+            adapter=loaded.adapter,
+            quarantined=self._quarantine.list_quarantined(now),
+            suspects=self._quarantine.list_suspects(now),
+        )
+
+
+def _put_all(outbox: Outbox, events: Iterable[SegmentEvents]) -> None:
+    for event in events:
+        outbox.put(event)
--- a/src/oleanderdyke/agent/configuration.py
+++ b/src/oleanderdyke/agent/configuration.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from random import Random
 
 import anyio
 
 from oleanderdyke.agent.outbox import Outbox
-from oleanderdyke.clock import Clock
+from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.objects import (
     ModelVersionSpec,
@@ -23,6 +25,9 @@
 )
 from oleanderdyke.logs import EventLog
 
+_CONFIRM_WAIT: Millis = 200.0
+_QUESTIONS = 16
+
 
 class Configuration:
     """Hold an agent's copy of the configuration; agents read no log."""
@@ -34,7 +39,11 @@
         self._events = events
         self._reader = ConfigurationReader(random)
         self._changed = anyio.Event()
+        self._asked: dict[str, deque[Millis]] = {}
+        self._confirmed = anyio.Event()
+        self._entries: dict[str, Outbox] = {}
         self.highest = -1
+        self.confirmed_at: Millis = -math.inf
 
     @property
     def offset(self) -> int:
@@ -45,21 +54,39 @@
         """Return after the next change."""
         await self._changed.wait()
 
+    def add_entry(self, outbox: Outbox) -> None:
+        """Note an entry that can confirm the offset."""
+        self._entries[outbox.name] = outbox
+
     def hear(self, outbox: Outbox, offset: int) -> None:
         """Learn a peer's offset and ask it for what is missing."""
         self.highest = max(self.highest, offset)
-        request = self._reader.on_heard(outbox.name, offset, self._clock.now())
+        now = self._clock.now()
+        request = self._reader.on_heard(outbox.name, offset, now)
         if request is not None:
-            outbox.put(request)
+            self._ask(outbox, request)
+
+    async def confirm(self) -> bool:
+        """Ask an entry whether this copy is the newest; False if none says.
+
+        `confirmed_at` then holds the time of the question.
+        """
+        for outbox in tuple(self._entries.values()):
+            self._ask(outbox, ConfigurationRequest(self.offset))
+            with anyio.move_on_after(_CONFIRM_WAIT / SECOND):
+                await self._confirmed.wait()
+                return True
+        return False
 
     def take(self, outbox: Outbox, message: ConfigurationDifference) -> None:
         """Apply what a peer sent."""
-        moved = self._reader.on_difference(
-            outbox.name, message, self._clock.now()
-        )
+        now = self._clock.now()
+        self.highest = max(self.highest, message.through)
+        moved = self._reader.on_difference(outbox.name, message, now)
+        if message.last:
+            self._note_answered(outbox)
         if not moved:
             return
-        self.highest = max(self.highest, self.offset)
         self._events.write(
             EventName.CONFIGURATION_APPLIED,
             offset=self.offset,
@@ -68,6 +95,19 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def _ask(self, outbox: Outbox, request: ConfigurationRequest) -> None:
+        asked = self._asked.setdefault(outbox.name, deque(maxlen=_QUESTIONS))
+        asked.append(self._clock.now())
+        outbox.put(request)
+
+    def _note_answered(self, outbox: Outbox) -> None:
+        asked = self._asked.get(outbox.name)
+        if not asked or outbox.name not in self._entries:
+            return
+        self.confirmed_at = max(self.confirmed_at, asked.popleft())
+        self._confirmed.set()
+        self._confirmed = anyio.Event()
+
     async def answer(
         self, outbox: Outbox, request: ConfigurationRequest
     ) -> None:
@@ -78,6 +118,8 @@
     def drop_link(self, link: str) -> None:
         """Forget a peer."""
         self._reader.on_peer_gone(link)
+        self._asked.pop(link, None)
+        self._entries.pop(link, None)
 
     def find_service(self, name: str) -> ServiceSpec | None:
         """Return a service's spec."""
--- a/src/oleanderdyke/agent/engine.py
+++ b/src/oleanderdyke/agent/engine.py
@@ -40,6 +40,8 @@
         self._cached: dict[SegmentHint, None] = {}
         self.segments = SegmentLog()
         self.observed: Observed | None = None
+        self.held = False
+        self._seen = Loaded()
         self.loaded = Loaded()
         self.load = Load()
 
@@ -50,14 +52,18 @@
         self.segments.replace(())
         self.observed = None
         self.load = Load()
-        self.set_loaded(Loaded())
+        self._seen = Loaded()
+        self._show_loaded()
 
-    def set_loaded(self, loaded: Loaded) -> None:
-        """Change what new runs must name."""
-        if loaded == self.loaded:
-            return
-        self.loaded = loaded
-        self._on_loaded(loaded)
+    def hold(self) -> None:
+        """Admit no new runs until the weights are as they should be."""
+        self.held = True
+        self._show_loaded()
+
+    def release(self) -> None:
+        """Admit new runs with the weights that are loaded."""
+        self.held = False
+        self._show_loaded()
 
     async def read_state(self) -> Observed:
         """Read the engine's state; raise OleanderError."""
@@ -65,23 +71,20 @@
             await self._backend.get_json('/state'), self._clock.now()
         )
         self.observed = observed
-        self.set_loaded(
-            Loaded(
-                observed.model,
-                observed.version,
-                observed.digest,
-                observed.adapter,
-            )
-            if observed.digest
-            else Loaded()
-        )
+        self._seen = _find_loaded(observed)
+        self._show_loaded()
         return observed
 
+    def _show_loaded(self) -> None:
+        loaded = Loaded() if self.held else self._seen
+        if loaded == self.loaded:
+            return
+        self.loaded = loaded
+        self._on_loaded(loaded)
+
     async def poll(self) -> None:
         """Read load and cache events; raise OleanderError."""
-        self.load = _read_load(
-            await self._backend.get_json('/load'), len(self._cached)
-        )
+        self.load = _read_load(await self._backend.get_json('/load'))
         self._take_events(
             await self._backend.get_json(f'/cache/events?after={self._after}')
         )
@@ -161,6 +164,14 @@
         raise _make_fault('/state') from error
 
 
+def _find_loaded(observed: Observed) -> Loaded:
+    if not observed.digest:
+        return Loaded()
+    return Loaded(
+        observed.model, observed.version, observed.digest, observed.adapter
+    )
+
+
 def _read_fence(found: Any) -> Fence | None:
     if not found:
         return None
@@ -168,7 +179,7 @@
     return Fence(int(offset), str(incarnation))
 
 
-def _read_load(found: Json, cached: int) -> Load:
+def _read_load(found: Json) -> Load:
     try:
         return Load(
             running=int(found['running']),
@@ -176,7 +187,6 @@
             waiting_tokens=int(found['waiting_tokens']),
             prefill_tokens_per_second=float(found['prefill_tokens_per_second']),
             slots=int(found['slots']),
-            cached_bytes=cached,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise _make_fault('/load') from error
--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -12,7 +12,7 @@
 from oleanderdyke.clock import Clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
-from oleanderdyke.kernel.gate import RunAnswer
+from oleanderdyke.kernel.claim_runs import RunAnswer
 from oleanderdyke.kernel.stream_buffer import (
     Outgoing,
     Reader,
--- a/src/oleanderdyke/agent/order_loop.py
+++ b/src/oleanderdyke/agent/order_loop.py
@@ -13,16 +13,16 @@
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
-from oleanderdyke.kernel.gate import Loaded
 from oleanderdyke.kernel.orders import (
     ORDER_TIMEOUT,
     RECHECK,
+    ConfirmValidity,
     Desired,
     Fence,
     Order,
     ReadState,
-    Settled,
     StandDown,
+    Step,
     Validity,
     find_desired,
     reconcile,
@@ -49,6 +49,7 @@
         configuration: Configuration,
         *,
         service: str,
+        checks_fencing: bool,
         incarnation: str,
         clock: Clock,
         events: EventLog,
@@ -58,6 +59,10 @@
         self._engine = engine
         self._configuration = configuration
         self._service = service
+        self._checks_fencing = checks_fencing
+        self._desired: Desired | None = None
+        self._changed_at = 0
+        self._refused = ''
         self._incarnation = incarnation
         self._clock = clock
         self._events = events
@@ -79,46 +84,68 @@
         desired = self._find_desired()
         if desired is None:
             return RECHECK
-        now = self._clock.now()
-        offset = self._configuration.offset
-        fence = Fence(offset, self._incarnation)
-        validity = Validity(
-            incarnation=self._incarnation,
-            offset=self._configuration.highest,
-            ended=False,
-            read_at=now,
-        )
-        observed = self._engine.observed
-        match reconcile(desired, observed, fence, validity, now):
-            case Order() as order:
-                await self._order(order)
-                return 0.0
-            case ReadState():
-                await self._engine.read_state()
-                return 0.0
-            case Settled(check_at=check_at):
-                return check_at - now
-            case StandDown(reason=reason):
-                self._events.write(EventName.ORDER_REFUSED, reason=reason.value)
-                return RECHECK
+        step = self._reconcile(desired)
+        if isinstance(step, Order):
+            await self._order(step)
+            return 0.0
+        if isinstance(step, ReadState):
+            await self._engine.read_state()
+            return 0.0
+        if isinstance(step, ConfirmValidity):
+            return await self._confirm()
+        self._engine.release()
+        if isinstance(step, StandDown):
+            self._log_refused(step.reason.value)
+            return RECHECK
+        return step.check_at - self._clock.now()
 
     def _find_desired(self) -> Desired | None:
         service = self._configuration.find_service(self._service)
         if service is None:
             return None
-        return find_desired(service, self._configuration.list_versions())
+        desired = find_desired(service, self._configuration.list_versions())
+        if desired != self._desired:
+            self._desired = desired
+            self._changed_at = self._configuration.offset
+        return desired
+
+    def _reconcile(self, desired: Desired) -> Step:
+        return reconcile(
+            desired,
+            self._engine.observed,
+            Fence(self._configuration.offset, self._incarnation),
+            Validity(
+                incarnation=self._incarnation,
+                offset=self._configuration.highest,
+                ended=False,
+                read_at=self._configuration.confirmed_at,
+            ),
+            self._clock.now(),
+            checks_fencing=self._checks_fencing,
+            changed_at=self._changed_at,
+        )
+
+    async def _confirm(self) -> Millis:
+        if await self._configuration.confirm():
+            return 0.0
+        return RECHECK
 
     async def _order(self, order: Order) -> None:
-        self._engine.set_loaded(Loaded())
-        with anyio.move_on_after(_START_WAIT / SECOND):
-            await self._wait_started()
-        if self._clock.now() > order.not_after:
-            # Too old by now: read everything again before ordering.
-            self._engine.observed = None
+        if not self._engine.held:
+            # Nobody may start with the old weights while they are replaced.
+            self._engine.hold()
+            with anyio.move_on_after(_START_WAIT / SECOND):
+                await self._wait_started()
             return
-        await self._send(order)
+        if self._clock.now() <= order.not_after:
+            await self._send(order)
         self._engine.observed = None
 
+    def _log_refused(self, reason: str) -> None:
+        if reason != self._refused:
+            self._events.write(EventName.ORDER_REFUSED, reason=reason)
+        self._refused = reason
+
     async def _send(self, order: Order) -> None:
         desired = order.desired
         keys = {'model': desired.model, 'version': desired.version}
@@ -133,6 +160,7 @@
             timeout=ORDER_TIMEOUT,
         )
         if status < _REDIRECT:
+            self._refused = ''
             self._events.write(EventName.ORDER_DONE, **keys)
             return
         reason = 'fence' if status == _CONFLICT else 'failed'
--- /dev/null
+++ b/src/oleanderdyke/agent/roles.py
@@ -0,0 +1,306 @@
+"""Tell apart the agents of engines, plain services and stores."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol, TypeAlias
+
+from anyio.abc import TaskGroup
+
+from oleanderdyke.agent.backend import Backend
+from oleanderdyke.agent.configuration import Configuration
+from oleanderdyke.agent.engine import EngineView
+from oleanderdyke.agent.export import Exporter
+from oleanderdyke.agent.fetch import Fetcher
+from oleanderdyke.agent.order_loop import OrderLoop
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.peers import StorePeers
+from oleanderdyke.agent.prepare import EnginePreparer, PlainPreparer, Preparer
+from oleanderdyke.agent.runs import Runs
+from oleanderdyke.agent.settings import AgentSettings
+from oleanderdyke.agent.store import StoreShell
+from oleanderdyke.clock import Clock
+from oleanderdyke.kernel.gate import Gate, Loaded
+from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.links.messages import (
+    BackendKind,
+    Hello,
+    Load,
+    SegmentMissing,
+    SegmentPart,
+    SegmentRead,
+    SegmentWrite,
+    SegmentWritten,
+)
+from oleanderdyke.logs import EventLog
+from oleanderdyke.policies import keeping  # noqa: F401 - registers itself
+from oleanderdyke.policies.registries import KEEPERS
+from oleanderdyke.policies.settings import PolicySettings
+
+Loop: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
+
+
+@dataclass(frozen=True, slots=True)
+class RoleParts:
+    """Hold what every role may use."""
+
+    backend: Backend
+    configuration: Configuration
+    gate: Gate
+    runs: Runs
+    clock: Clock
+    random: Random
+    events: EventLog
+    tasks: TaskGroup
+    incarnation: str
+    make_hello: Callable[[], Hello]
+    client_tls: ssl.SSLContext | None = None
+
+
+class Role(Protocol):
+    """Do what differs between the kinds of backend servers."""
+
+    preparer: Preparer
+    segments: SegmentLog
+    loops: Sequence[Loop]
+
+    @property
+    def loaded(self) -> Loaded:
+        """Return the weights that runs must name."""
+
+    def measure(self) -> Load:
+        """Return the load to report."""
+
+    async def probe(self) -> None:
+        """Prove that the backend server answers; raise OleanderError."""
+
+    async def open(self) -> None:
+        """Use a backend server that answers; raise OleanderError."""
+
+    def close(self) -> None:
+        """Forget a backend server that was lost."""
+
+    def on_read(self, outbox: Outbox, message: SegmentRead) -> None:
+        """Answer a read of segments."""
+
+    def stop_read(self, outbox: Outbox, request: str) -> None:
+        """Stop a read."""
+
+    def on_write(self, outbox: Outbox, message: SegmentWrite) -> None:
+        """Answer an offered segment."""
+
+    def on_part(self, outbox: Outbox, message: SegmentPart) -> None:
+        """Take a part of an offered segment."""
+
+    def drop_link(self, link: str) -> None:
+        """Forget a lost link."""
+
+
+class PlainRole:
+    """Guard a plain service."""
+
+    def __init__(self, settings: AgentSettings, parts: RoleParts) -> None:
+        self.preparer: Preparer = PlainPreparer()
+        self.segments = SegmentLog()
+        self.loops: Sequence[Loop] = ()
+        self._backend = parts.backend
+        self._gate = parts.gate
+        self._slots = settings.backend.slots
+
+    @property
+    def loaded(self) -> Loaded:
+        """Return no weights."""
+        return Loaded()
+
+    def measure(self) -> Load:
+        """Count what runs here against the slots."""
+        running = self._gate.running
+        return Load(
+            running=min(running, self._slots),
+            waiting=max(0, running - self._slots),
+            slots=self._slots,
+        )
+
+    async def probe(self) -> None:
+        """Connect only, since any request might have an effect."""
+        await self._backend.connect()
+
+    async def open(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    def on_read(self, outbox: Outbox, message: SegmentRead) -> None:
+        """Keep no segments."""
+        for segment in message.segments[:1]:
+            outbox.put(SegmentMissing(message.request, segment))
+
+    def stop_read(self, outbox: Outbox, request: str) -> None:
+        """Serve no reads."""
+
+    def on_write(self, outbox: Outbox, message: SegmentWrite) -> None:
+        """Keep no segments."""
+        outbox.put(
+            SegmentWritten(
+                message.request,
+                message.segment,
+                sealed=False,
+                detail='no store',
+            )
+        )
+
+    def on_part(self, outbox: Outbox, message: SegmentPart) -> None:
+        """Keep no segments."""
+
+    def drop_link(self, link: str) -> None:
+        """Hold nothing for links."""
+
+
+class EngineRole(PlainRole):
+    """Guard a model engine."""
+
+    def __init__(self, settings: AgentSettings, parts: RoleParts) -> None:
+        super().__init__(settings, parts)
+        cache = settings.cache
+        self._engine = EngineView(
+            parts.backend,
+            clock=parts.clock,
+            events=parts.events,
+            on_loaded=self._on_loaded,
+        )
+        peers = StorePeers(
+            parts.make_hello,
+            settings=settings.links,
+            clock=parts.clock,
+            tasks=parts.tasks,
+            tls=parts.client_tls,
+        )
+        fetcher = Fetcher(
+            peers,
+            parts.backend,
+            tasks=parts.tasks,
+            events=parts.events,
+            timeout=cache.fetch_timeout,
+            segment_limit=cache.segment_limit,
+        )
+        self._exporter = Exporter(
+            peers,
+            parts.backend,
+            fetcher,
+            settings=cache,
+            clock=parts.clock,
+            events=parts.events,
+        )
+        self.preparer = EnginePreparer(
+            self._engine,
+            fetcher,
+            self._exporter,
+            patience=cache.patience,
+            fetch_timeout=cache.fetch_timeout,
+        )
+        orders = OrderLoop(
+            parts.backend,
+            self._engine,
+            parts.configuration,
+            service=settings.backend.service,
+            checks_fencing=settings.backend.checks_fencing,
+            incarnation=parts.incarnation,
+            clock=parts.clock,
+            events=parts.events,
+            wait_started=parts.runs.wait_started,
+        )
+        self.segments = self._engine.segments
+        self.loops = (orders.run, self._exporter.run)
+
+    @property
+    def loaded(self) -> Loaded:
+        """Return the weights that runs must name."""
+        return self._engine.loaded
+
+    def measure(self) -> Load:
+        """Return what the engine last reported."""
+        return self._engine.load
+
+    async def probe(self) -> None:
+        """Read state, load and cache events."""
+        await self._engine.read_state()
+        await self._engine.poll()
+
+    def close(self) -> None:
+        """Forget what the lost engine held."""
+        self._engine.reset()
+        self._exporter.forget()
+
+    def _on_loaded(self, loaded: Loaded) -> None:
+        self._gate.set_loaded(loaded)
+        self._exporter.forget()
+
+
+class StoreRole(PlainRole):
+    """Guard a store VM."""
+
+    def __init__(self, settings: AgentSettings, parts: RoleParts) -> None:
+        super().__init__(settings, parts)
+        make_keeper = KEEPERS.find(settings.keeper)
+        self._store = StoreShell(
+            parts.backend,
+            settings=settings.cache,
+            make_keeper=lambda: make_keeper(PolicySettings()),
+            incarnation=parts.incarnation,
+            clock=parts.clock,
+            random=parts.random,
+            tasks=parts.tasks,
+            events=parts.events,
+        )
+        self.segments = self._store.segments
+        self.loops = (self._store.run,)
+
+    def measure(self) -> Load:
+        """Report readers and the link."""
+        return self._store.measure()
+
+    async def probe(self) -> None:
+        """Read the space."""
+        await self._backend.get_json('/space')
+
+    async def open(self) -> None:
+        """Show what the store has kept."""
+        await self._store.open()
+
+    def close(self) -> None:
+        """Hide everything."""
+        self._store.close()
+
+    def on_read(self, outbox: Outbox, message: SegmentRead) -> None:
+        """Answer a read of segments."""
+        self._store.read(outbox.name, outbox, message)
+
+    def stop_read(self, outbox: Outbox, request: str) -> None:
+        """Stop a read."""
+        self._store.stop_read(outbox.name, request)
+
+    def on_write(self, outbox: Outbox, message: SegmentWrite) -> None:
+        """Answer an offered segment."""
+        self._store.offer(outbox.name, outbox, message)
+
+    def on_part(self, outbox: Outbox, message: SegmentPart) -> None:
+        """Take a part of an offered segment."""
+        self._store.add_part(outbox.name, message)
+
+    def drop_link(self, link: str) -> None:
+        """Forget a lost link."""
+        self._store.drop_link(link)
+
+
+def make_role(settings: AgentSettings, parts: RoleParts) -> Role:
+    """Build the role for the kind of backend server."""
+    kind = settings.backend.kind
+    if kind is BackendKind.ENGINE:
+        return EngineRole(settings, parts)
+    if kind is BackendKind.STORE:
+        return StoreRole(settings, parts)
+    return PlainRole(settings, parts)
--- /dev/null
+++ b/src/oleanderdyke/agent/runs.py
@@ -0,0 +1,389 @@
+"""Keep the attempts of an agent, from the gate to the delivered answer."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import replace
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from oleanderdyke.agent.body import RequestBody
+from oleanderdyke.agent.forward import Forwarder
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.run import Run, RunKey
+from oleanderdyke.agent.settings import RunSettings
+from oleanderdyke.clock import SECOND, Clock
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.claim_runs import RunAnswer
+from oleanderdyke.kernel.gate import Gate, Pass
+from oleanderdyke.kernel.stream_buffer import Reader, StreamBuffer
+from oleanderdyke.kernel.stream_table import StreamTable
+from oleanderdyke.links.messages import (
+    BodyChunk,
+    Cancel,
+    Credit,
+    Dispatch,
+    Failed,
+    Message,
+    Resume,
+)
+from oleanderdyke.logs import EventLog
+from oleanderdyke.platform.http import HttpError
+
+
+class WorkLedger(Protocol):
+    """Count the work that a planned stop waits for."""
+
+    def start(self, work: str) -> None:
+        """Count a piece of work."""
+
+    def end(self, work: str) -> None:
+        """Forget a piece of work."""
+
+
+class Runs:
+    """Admit, run and deliver attempts; find them by message."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        streams: StreamTable,
+        outboxes: Mapping[str, Outbox],
+        *,
+        settings: RunSettings,
+        body_limit: int,
+        clock: Clock,
+        tasks: TaskGroup,
+        events: EventLog,
+        ledger: WorkLedger,
+        check_alive: Callable[[], Awaitable[bool]],
+    ) -> None:
+        self._gate = gate
+        self._streams = streams
+        self._outboxes = outboxes
+        self._settings = settings
+        self._body_limit = body_limit
+        self._clock = clock
+        self._tasks = tasks
+        self._events = events
+        self._ledger = ledger
+        self._check_alive = check_alive
+        self._forwarder: Forwarder | None = None
+        self._runs: dict[RunKey, Run] = {}
+        self._streaming: dict[StreamBuffer, Run] = {}
+        self._readers: dict[Reader, StreamBuffer] = {}
+        self._body_bytes = 0
+        self._progress = anyio.Event()
+
+    def set_forwarder(self, forwarder: Forwarder) -> None:
+        """Set what carries runs through the backend server."""
+        self._forwarder = forwarder
+
+    def dispatch(self, outbox: Outbox, message: Dispatch) -> None:
+        """Start a run, or refuse it at once as not run."""
+        now = self._clock.now()
+        self._events.write(
+            EventName.DISPATCH_RECEIVED,
+            request=message.request,
+            attempt=message.attempt,
+            peer=outbox.peer.process,
+            team=message.team,
+        )
+        admittance = self._gate.admit(message, now)
+        if isinstance(admittance, Failed):
+            self._refuse(outbox, admittance)
+            return
+        if not isinstance(admittance, Pass):
+            return
+        run = Run(
+            message,
+            outbox,
+            RequestBody(self._body_limit),
+            deadline=now + message.deadline,
+            record_limit=self._settings.record_bytes,
+        )
+        self._runs[run.key] = run
+        self._ledger.start(run.work)
+        self._tasks.start_soon(self._execute, run)
+
+    def add_body(self, outbox: Outbox, chunk: BodyChunk) -> None:
+        """Take a part of a run's body."""
+        run = self._runs.get((chunk.request, chunk.attempt))
+        if run is None or run.outbox is not outbox or run.stopped:
+            return
+        try:
+            run.body.put(chunk)
+            self._body_bytes += len(chunk.data)
+            self._check_body_bytes()
+        except OleanderError as error:
+            self._stop(run, error)
+
+    def cancel(self, outbox: Outbox, message: Cancel) -> None:
+        """Stop a run whose caller has gone; a claimed one goes on unread."""
+        reader = Reader(outbox.name, message.request, message.attempt)
+        buffer = self._readers.get(reader)
+        run = self._streaming.get(buffer) if buffer is not None else None
+        if run is None:
+            self._gate.cancel(message.request, message.attempt)
+            run = self._runs.get((message.request, message.attempt))
+        if run is None or run.reader != reader:
+            return
+        self._events.write(
+            EventName.REQUEST_CANCELLED,
+            request=message.request,
+            attempt=message.attempt,
+        )
+        self._abandon(run, cancel=run.dispatch.claim is None)
+
+    def grant(self, outbox: Outbox, credit: Credit) -> None:
+        """Let a reader have more of its stream."""
+        reader = Reader(outbox.name, credit.request, credit.attempt)
+        buffer = self._readers.get(reader)
+        if buffer is None:
+            return
+        self.send(reader, buffer.grant(credit, self._clock.now()))
+        self._note_progress(buffer)
+
+    def resume(self, outbox: Outbox, message: Resume) -> None:
+        """Give a stream to a new reader."""
+        now = self._clock.now()
+        resumed = self._streams.resume(message, outbox.name, now)
+        if isinstance(resumed, Failed):
+            outbox.put(resumed)
+            return
+        reader = Reader(outbox.name, message.request, message.attempt)
+        if resumed.superseded is not None:
+            self._readers.pop(resumed.superseded, None)
+            notice = () if resumed.notice is None else (resumed.notice,)
+            self.send(resumed.superseded, notice)
+        self._readers[reader] = resumed.stream
+        self.send(reader, resumed.messages)
+        self._events.write(
+            EventName.STREAM_RESUMED,
+            request=message.request,
+            attempt=message.attempt,
+            peer=outbox.peer.process,
+        )
+        self._note_progress(resumed.stream)
+
+    def drop_link(self, link: str) -> None:
+        """Keep the streams of a lost link for a while; end what has none."""
+        self._streams.detach(link, self._clock.now())
+        for reader in [each for each in self._readers if each.link == link]:
+            del self._readers[reader]
+        for run in tuple(self._runs.values()):
+            if run.outbox.name != link:
+                continue
+            run.body.fail()
+            if run.buffer is None and run.is_droppable:
+                self._abandon(run, cancel=True)
+
+    def expire(self) -> None:
+        """End the streams that nobody has come back for."""
+        for buffer in self._streams.expire(self._clock.now()):
+            reader = buffer.reader
+            run = self._streaming.pop(buffer, None)
+            if reader is not None:
+                self._readers.pop(reader, None)
+                self.send(reader, (_make_gone(reader),))
+            if run is not None:
+                run.buffer = None
+                self._abandon(run, cancel=run.is_droppable)
+
+    def crash(self) -> tuple[tuple[Reader, Failed], ...]:
+        """End what ran on the lost backend server; return what to tell whom."""
+        told = []
+        for failed in self._gate.crash(self._clock.now()):
+            run = self._runs.get((failed.request, failed.attempt))
+            if run is None:
+                continue
+            told.append((run.reader, _address(failed, run.reader)))
+            self._end_unanswered(run, failed.kind)
+        return tuple(told)
+
+    def cut(self, works: Iterable[str]) -> None:
+        """Cut off what a planned stop can't wait for."""
+        wanted = set(works)
+        for run in tuple(self._runs.values()):
+            if run.work in wanted:
+                self._events.write(
+                    EventName.REQUEST_CUT,
+                    request=run.dispatch.request,
+                    attempt=run.dispatch.attempt,
+                )
+                error = OleanderError(ErrorKind.STOPPING, 'cut off')
+                self._stop(run, error)
+
+    async def wait_started(self) -> None:
+        """Return once every run has begun to answer or has ended."""
+        while any(not run.started for run in self._runs.values()):
+            await self._progress.wait()
+
+    def attach(self, run: Run, buffer: StreamBuffer) -> None:
+        """Note the reader of a new stream; its link may be gone by now."""
+        self._streaming[buffer] = run
+        self._wake()
+        if run.outbox.name in self._outboxes:
+            self._readers[run.reader] = buffer
+            return
+        buffer.detach(run.outbox.name, self._clock.now())
+
+    def send(self, reader: Reader, messages: Iterable[Message]) -> None:
+        """Queue messages for a reader whose link is there."""
+        outbox = self._outboxes.get(reader.link)
+        if outbox is None:
+            return
+        for message in messages:
+            outbox.put(message)
+
+    async def _execute(self, run: Run) -> None:
+        try:
+            await self._run(run)
+            await self._deliver(run)
+        finally:
+            self._forget(run)
+
+    async def _run(self, run: Run) -> None:
+        try:
+            with anyio.CancelScope() as run.scope:
+                run.scope.deadline = self._find_deadline(run)
+                if run.stopped:
+                    return
+                answer = await self._require_forwarder().forward(run)
+                self._finish(run, answer)
+                return
+        except OleanderError as error:
+            await self._fail(run, error)
+            return
+        if not run.stopped:
+            self._stop(run, _make_late(run))
+
+    def _find_deadline(self, run: Run) -> float:
+        bound = self._settings.limit
+        if run.dispatch.claim is None:
+            bound = min(bound, run.deadline - self._clock.now())
+        return anyio.current_time() + bound / SECOND
+
+    def _finish(self, run: Run, answer: RunAnswer | None) -> None:
+        self._gate.finish(*run.key, answer)
+        self._require_forwarder().finish(run)
+
+    async def _deliver(self, run: Run) -> None:
+        while run.buffer is not None and not run.buffer.is_sent:
+            await run.wait_changed()
+
+    async def _fail(self, run: Run, error: OleanderError) -> None:
+        if isinstance(error, HttpError) and not run.stopped:
+            # A crash ends the run with the others, as a suspect.
+            await self._check_alive()
+        self._stop(run, error)
+
+    def _stop(self, run: Run, error: OleanderError) -> None:
+        if run.stopped:
+            return
+        reader = run.reader
+        self._gate.finish(*run.key, None)
+        self._end_unanswered(run, error.kind)
+        failed = Failed(
+            *run.key, error.kind, _find_ran(run, error), error.message
+        )
+        self.send(reader, (_address(failed, reader),))
+
+    def _end_unanswered(self, run: Run, kind: ErrorKind) -> None:
+        run.stopped = True
+        self._drop_stream(run)
+        run.scope.cancel()
+        self._events.write(
+            EventName.ANSWER_BROKEN,
+            request=run.dispatch.request,
+            attempt=run.dispatch.attempt,
+            kind=kind.value,
+        )
+
+    def _abandon(self, run: Run, *, cancel: bool) -> None:
+        run.discarded = True
+        self._drop_stream(run)
+        if cancel and not run.stopped:
+            run.stopped = True
+            self._gate.finish(*run.key, None)
+            run.scope.cancel()
+
+    def _drop_stream(self, run: Run) -> None:
+        buffer = run.buffer
+        run.buffer = None
+        if buffer is not None:
+            self._streams.close(buffer)
+            self._streaming.pop(buffer, None)
+            if buffer.reader is not None:
+                self._readers.pop(buffer.reader, None)
+        run.notify()
+
+    def _forget(self, run: Run) -> None:
+        self._runs.pop(run.key, None)
+        self._body_bytes -= run.body.received
+        if run.buffer is not None:
+            self._streaming.pop(run.buffer, None)
+        self._ledger.end(run.work)
+        self._wake()
+
+    def _note_progress(self, buffer: StreamBuffer) -> None:
+        if buffer.is_sent and buffer.reader is not None:
+            self._readers.pop(buffer.reader, None)
+        run = self._streaming.get(buffer)
+        if run is not None:
+            run.notify()
+
+    def _wake(self) -> None:
+        self._progress.set()
+        self._progress = anyio.Event()
+
+    def _check_body_bytes(self) -> None:
+        if self._body_bytes > self._settings.body_bytes:
+            raise OleanderError(ErrorKind.OVERLOADED, 'too many bodies at once')
+
+    def _require_forwarder(self) -> Forwarder:
+        if self._forwarder is None:
+            raise OleanderError(ErrorKind.NOT_READY, 'no forwarder')
+        return self._forwarder
+
+    def _refuse(self, outbox: Outbox, failed: Failed) -> None:
+        self._events.write(
+            EventName.DISPATCH_REFUSED,
+            request=failed.request,
+            attempt=failed.attempt,
+            peer=outbox.peer.process,
+            kind=failed.kind.value,
+            ran=failed.ran.value,
+        )
+        outbox.put(failed)
+
+
+def _find_ran(run: Run, error: OleanderError) -> Ran:
+    if not run.forwarded:
+        return Ran.NO
+    if isinstance(error, HttpError) and not run.started:
+        return error.ran
+    return Ran.MAYBE
+
+
+def _make_late(run: Run) -> OleanderError:
+    return OleanderError(
+        ErrorKind.DEADLINE, f'no answer within {run.dispatch.deadline:.0f} ms'
+    )
+
+
+def _address(failed: Failed, reader: Reader) -> Failed:
+    return replace(failed, request=reader.request, attempt=reader.attempt)
+
+
+def _make_gone(reader: Reader) -> Failed:
+    return Failed(
+        reader.request,
+        reader.attempt,
+        ErrorKind.STREAM_BROKEN,
+        Ran.MAYBE,
+        'nothing was taken from the stream for too long',
+    )
--- a/src/oleanderdyke/agent/settings.py
+++ b/src/oleanderdyke/agent/settings.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.events import Level
 from oleanderdyke.kernel.drain import DrainSettings
 from oleanderdyke.kernel.stream_buffer import StreamLimits
 from oleanderdyke.links.link import LinkSettings
@@ -98,8 +99,8 @@
     streams: StreamLimits = field(default_factory=StreamLimits)
     runs: RunSettings = field(default_factory=RunSettings)
     cache: CacheSettings = field(default_factory=CacheSettings)
-    keeper: str = 'saving'
-    log_level: str = 'info'
+    keeper: str = 'expected-saving'
+    log_level: Level = Level.INFO
 
 
 def find_faults(settings: AgentSettings) -> tuple[str, ...]:
--- /dev/null
+++ b/src/oleanderdyke/agent/shell.py
@@ -0,0 +1,376 @@
+"""Put the parts of an agent together and route its messages."""
+
+from __future__ import annotations
+
+import secrets
+import ssl
+from collections.abc import Callable, Sequence
+from itertools import count
+from random import Random
+from typing import Any, TypeAlias
+
+import anyio
+from anyio.abc import TaskGroup
+
+from oleanderdyke.agent.backend import Backend
+from oleanderdyke.agent.beats import Beats
+from oleanderdyke.agent.configuration import Configuration
+from oleanderdyke.agent.departure import Departure
+from oleanderdyke.agent.forward import Forwarder
+from oleanderdyke.agent.health import Health
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.roles import Loop, RoleParts, make_role
+from oleanderdyke.agent.roles import Role as AgentRole
+from oleanderdyke.agent.runs import Runs
+from oleanderdyke.agent.settings import AgentSettings
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.drain import make_agent_drain
+from oleanderdyke.kernel.gate import Gate, GateSettings
+from oleanderdyke.kernel.quarantine import (
+    QuarantineSettings,
+    make_quarantine,
+)
+from oleanderdyke.kernel.stream_table import StreamTable
+from oleanderdyke.links.link import Link, LinkClosed
+from oleanderdyke.links.listener import serve_links
+from oleanderdyke.links.messages import (
+    PROTOCOL_VERSION,
+    AgentPhase,
+    BodyChunk,
+    Cancel,
+    ClaimQuery,
+    ConfigurationDifference,
+    ConfigurationRequest,
+    Credit,
+    Dispatch,
+    DrainRequest,
+    EntryBeat,
+    Hello,
+    Message,
+    Refused,
+    Resume,
+    Role,
+    SegmentListRequest,
+    SegmentPart,
+    SegmentRead,
+    SegmentWrite,
+)
+from oleanderdyke.logs import EventLog
+
+_Handler: TypeAlias = Callable[[Outbox, Any], None]
+
+_INCARNATION_BYTES = 8
+_EXPIRY: Millis = SECOND
+
+
+class AgentShell:
+    """Run one agent until it has left."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        *,
+        clock: Clock,
+        random: Random,
+        events: EventLog,
+        tasks: TaskGroup,
+        tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._tasks = tasks
+        self._tls = tls
+        self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self._outboxes: dict[str, Outbox] = {}
+        self._link_numbers = count(1)
+        self._backend = Backend(settings.backend)
+        self._quarantine = make_quarantine(QuarantineSettings())
+        self._configuration = Configuration(
+            clock=clock, random=random, events=events
+        )
+        self._gate = Gate(
+            settings.process,
+            self.incarnation,
+            settings.backend.service,
+            settings=GateSettings(),
+            quarantine=self._quarantine,
+            rights=self._configuration,
+        )
+        self._streams = StreamTable(settings.streams)
+        self._departure = Departure(
+            make_agent_drain(settings.drain),
+            clock=clock,
+            events=events,
+            tasks=tasks,
+            announce=self._announce,
+            cut=self._cut,
+        )
+        self._runs = Runs(
+            self._gate,
+            self._streams,
+            self._outboxes,
+            settings=settings.runs,
+            body_limit=settings.backend.body_limit,
+            clock=clock,
+            tasks=tasks,
+            events=events,
+            ledger=self._departure,
+            check_alive=self._check_alive,
+        )
+        self._role = self._make_role(random, client_tls)
+        self._runs.set_forwarder(
+            Forwarder(
+                self._backend,
+                self._role.preparer,
+                self._streams,
+                self._runs,
+                chunk_size=settings.runs.chunk_size,
+                clock=clock,
+                events=events,
+            )
+        )
+        self._health = Health(
+            self._role.probe,
+            settings.backend,
+            on_up=self._on_up,
+            on_lost=self._on_lost,
+        )
+        self._beats = Beats(
+            self.incarnation,
+            self._outboxes,
+            gate=self._gate,
+            quarantine=self._quarantine,
+            configuration=self._configuration,
+            role=self._role,
+            clock=clock,
+        )
+        self._handlers = self._list_handlers()
+        self.port = 0
+
+    async def run(self, *, started: Callable[[], None] | None = None) -> None:
+        """Serve until the drain is over."""
+        loops: Sequence[Loop] = (
+            self._health.run,
+            self._run_beats,
+            self._run_expiry,
+            *self._role.loops,
+        )
+        for loop in loops:
+            self._tasks.start_soon(loop)
+        async with serve_links(
+            self._settings.listen.host,
+            self._settings.listen.port,
+            self._make_hello,
+            self._handle,
+            settings=self._settings.links,
+            clock=self._clock,
+            tls=self._tls,
+        ) as self.port:
+            self._events.write(
+                EventName.PROCESS_STARTED,
+                incarnation=self.incarnation,
+                address=f'{self._settings.listen.host}:{self.port}',
+            )
+            if started is not None:
+                started()
+            await self._departure.wait()
+            await self._say_farewell()
+        await self._backend.close()
+
+    def stop(self, signal: str) -> None:
+        """Take a stop signal; the second one hurries."""
+        self._events.write(EventName.PROCESS_STOPPING, signal=signal)
+        self._departure.signal()
+
+    def _make_hello(self) -> Hello:
+        return Hello(
+            version=PROTOCOL_VERSION,
+            role=Role.AGENT,
+            process=self._settings.process,
+            incarnation=self.incarnation,
+            data_centre=self._settings.data_centre,
+            offset=self._configuration.offset,
+            backend=self._settings.backend.kind,
+            service=self._settings.backend.service,
+        )
+
+    def _make_role(
+        self, random: Random, client_tls: ssl.SSLContext | None
+    ) -> AgentRole:
+        return make_role(
+            self._settings,
+            RoleParts(
+                backend=self._backend,
+                configuration=self._configuration,
+                gate=self._gate,
+                runs=self._runs,
+                clock=self._clock,
+                random=random,
+                events=self._events,
+                tasks=self._tasks,
+                incarnation=self.incarnation,
+                make_hello=self._make_hello,
+                client_tls=client_tls,
+            ),
+        )
+
+    async def _handle(self, link: Link) -> None:
+        outbox = Outbox(f'{next(self._link_numbers)}', link)
+        self._outboxes[outbox.name] = outbox
+        self._note_link(outbox, EventName.LINK_UP)
+        if link.peer.role is Role.ENTRY:
+            self._configuration.add_entry(outbox)
+        self._configuration.hear(outbox, link.peer.offset)
+        self._beats.greet(outbox)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(outbox.run)
+                await self._read(link, outbox)
+                group.cancel_scope.cancel()
+        finally:
+            self._drop_link(outbox)
+
+    async def _read(self, link: Link, outbox: Outbox) -> None:
+        try:
+            while True:
+                message = await link.receive()
+                self._route(outbox, message)
+        except LinkClosed:
+            return
+
+    def _route(self, outbox: Outbox, message: Message) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(outbox, message)
+            return
+        if isinstance(message, Refused):
+            return
+        self._events.write(
+            EventName.MESSAGE_REFUSED,
+            peer=outbox.peer.process,
+            kind=type(message).__name__,
+        )
+        outbox.put(Refused(ErrorKind.PROTOCOL, 'not for an agent'))
+
+    def _drop_link(self, outbox: Outbox) -> None:
+        del self._outboxes[outbox.name]
+        self._runs.drop_link(outbox.name)
+        self._role.drop_link(outbox.name)
+        self._configuration.drop_link(outbox.name)
+        self._note_link(outbox, EventName.LINK_DOWN)
+
+    def _note_link(self, outbox: Outbox, event: EventName) -> None:
+        peer = outbox.peer
+        self._events.write(
+            event, peer=peer.process, incarnation=peer.incarnation
+        )
+
+    def _list_handlers(self) -> dict[type[Any], _Handler]:
+        role = self._role
+        return {
+            EntryBeat: self._on_beat,
+            ConfigurationRequest: self._on_configuration_request,
+            ConfigurationDifference: self._configuration.take,
+            SegmentListRequest: self._on_list_request,
+            Dispatch: self._runs.dispatch,
+            BodyChunk: self._runs.add_body,
+            Cancel: self._on_cancel,
+            Credit: self._runs.grant,
+            Resume: self._runs.resume,
+            ClaimQuery: self._on_claim_query,
+            SegmentRead: role.on_read,
+            SegmentWrite: role.on_write,
+            SegmentPart: role.on_part,
+            DrainRequest: self._on_drain_request,
+        }
+
+    def _on_beat(self, outbox: Outbox, message: EntryBeat) -> None:
+        self._configuration.hear(outbox, message.offset)
+        self._quarantine.merge(
+            message.quarantined, message.suspects, self._clock.now()
+        )
+
+    def _on_configuration_request(
+        self, outbox: Outbox, message: ConfigurationRequest
+    ) -> None:
+        self._tasks.start_soon(self._send_configuration, outbox, message)
+
+    async def _send_configuration(
+        self, outbox: Outbox, message: ConfigurationRequest
+    ) -> None:
+        try:
+            await self._configuration.answer(outbox, message)
+        except LinkClosed:
+            return
+
+    def _on_list_request(
+        self, outbox: Outbox, _message: SegmentListRequest
+    ) -> None:
+        self._beats.list_segments(outbox)
+
+    def _on_cancel(self, outbox: Outbox, message: Cancel) -> None:
+        self._role.stop_read(outbox, message.request)
+        if message.attempt:
+            self._runs.cancel(outbox, message)
+
+    def _on_claim_query(self, outbox: Outbox, message: ClaimQuery) -> None:
+        outbox.put(self._gate.answer(message))
+
+    def _on_drain_request(self, _outbox: Outbox, message: DrainRequest) -> None:
+        if self._departure.is_leaving:
+            return
+        self._events.write(EventName.DRAIN_STARTED, operator=message.operator)
+        self._departure.signal()
+
+    async def _check_alive(self) -> bool:
+        return await self._health.check()
+
+    async def _on_up(self) -> None:
+        await self._role.open()
+        self._beats.set_phase(AgentPhase.SERVING)
+        self._events.write(EventName.BACKEND_UP)
+        self._beats.send()
+
+    async def _on_lost(self) -> None:
+        self._events.write(EventName.BACKEND_LOST)
+        self._beats.set_phase(AgentPhase.STARTING)
+        told = self._runs.crash()
+        self._role.close()
+        # Whoever learns of a lost run must know its suspects before.
+        self._beats.send()
+        for reader, failed in told:
+            self._runs.send(reader, (failed,))
+
+    async def _run_beats(self) -> None:
+        while True:
+            await anyio.sleep(self._settings.beat / SECOND)
+            self._beats.send()
+
+    async def _run_expiry(self) -> None:
+        while True:
+            await anyio.sleep(_EXPIRY / SECOND)
+            self._runs.expire()
+
+    def _announce(self) -> None:
+        self._beats.set_phase(AgentPhase.LEAVING)
+        self._beats.send()
+
+    def _cut(self, works: Sequence[str]) -> None:
+        self._runs.cut(works)
+
+    async def _say_farewell(self) -> None:
+        with anyio.move_on_after(_EXPIRY / SECOND):
+            for outbox in tuple(self._outboxes.values()):
+                await _flush(outbox)
+        self._events.write(EventName.PROCESS_STOPPED)
+
+
+async def _flush(outbox: Outbox) -> None:
+    try:
+        await outbox.flush()
+    except LinkClosed:
+        return
