Lead a request from its arrival to its answer

Cause: retries, joins and refusals must be decided in one place, or 'ran' lies. Ruled out: retries in the link or the agent as a second layer.

--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -296,6 +296,13 @@
     detail: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class ClearSuspect:
+    """Clear a digest in the entry's quarantine; it ran alone and well."""
+
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class StartTimer:
     """Report `TimerFired` with the same kind and number after a delay."""
@@ -323,6 +330,7 @@
     | DeliverChunk
     | DeliverEnd
     | Refuse
+    | ClearSuspect
     | StartTimer
     | Done
 )
--- /dev/null
+++ b/src/oleanderdyke/kernel/claimed_attempts.py
@@ -0,0 +1,291 @@
+"""Lead the part of a request that has to do with its claim."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, ClassVar
+
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.kernel.attempt_core import (
+    Actions,
+    AttemptCore,
+    Handler,
+    Stage,
+    TimerHandler,
+)
+from oleanderdyke.kernel.attempt_events import (
+    AppendClaim,
+    AppendOutcome,
+    AppendRelease,
+    AskClaim,
+    ClaimAnswered,
+    ClaimFailed,
+    ClaimSettled,
+    DeliverChunk,
+    DeliverEnd,
+    DeliverHead,
+    OutcomeFailed,
+    OutcomeRecorded,
+    StartTimer,
+    TimerKind,
+)
+from oleanderdyke.kernel.claim_records import (
+    ClaimRecord,
+    OutcomeRecord,
+    WithdrawRecord,
+)
+from oleanderdyke.kernel.claims import (
+    Conflict,
+    Finished,
+    Free,
+    Owned,
+    OwnedByOther,
+    Verdict,
+)
+from oleanderdyke.kernel.receipts import Receipt, ReceiptState
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerHead,
+    Claim,
+    ClaimAnswer,
+    ClaimState,
+)
+
+_LOG_OUT = 'the log is out; this call did not run'
+_LOG_SLOW = 'the log is slow; this call did not run'
+
+
+class ClaimedAttempts(AttemptCore):
+    """Claim a key, run under it, or join the call that owns it."""
+
+    _claims = 0
+    _claim_id = ''
+    _asks = 0
+    _is_running = False
+    _receipt: Receipt | None = None
+
+    # --- claiming ---
+
+    def _append_claim(self) -> Actions:
+        """Ask the log for the key, and hand it the release that waits."""
+        if self._routed is None or self._claims >= self._settings.max_claims:
+            return self._refuse(ErrorKind.IN_PROGRESS)
+        self._stage = Stage.CLAIMING
+        self._claims += 1
+        facts = self._facts
+        self._claim_id = f'{facts.request}.{self._claims}'
+        replica = self._routed.replica
+        record = ClaimRecord(
+            key=facts.key,
+            digest=facts.digest,
+            agent=replica.agent,
+            incarnation=replica.incarnation,
+            beat=replica.beat,
+            appender=facts.appender,
+            claim_id=self._claim_id,
+            horizon=facts.horizon,
+        )
+        release, self._release = self._release, None
+        wait = self._settings.claim_wait
+        timer = self._start_timer(TimerKind.CLAIM, wait)
+        return (AppendClaim(record, release), timer)
+
+    def _on_claim_settled(self, event: ClaimSettled) -> Actions:
+        if not self._awaits_claim(event.claim_id):
+            return ()
+        if isinstance(event.verdict, Free):
+            return self._withdraw(ErrorKind.LOG_UNAVAILABLE, _LOG_OUT)
+        return self._judge(event.verdict)
+
+    def _on_claim_failed(self, event: ClaimFailed) -> Actions:
+        if not self._awaits_claim(event.claim_id):
+            return ()
+        return self._refuse(ErrorKind.LOG_UNAVAILABLE, detail=_LOG_OUT)
+
+    def _awaits_claim(self, claim_id: str) -> bool:
+        return self._stage is Stage.CLAIMING and claim_id == self._claim_id
+
+    def _withdraw(self, kind: ErrorKind, detail: str = '') -> Actions:
+        """Give up while a claim may be, or may yet get, into the log.
+
+        Nothing was dispatched under it and nothing will be, so its appender
+        may take it back without asking the agent.
+        """
+        record = WithdrawRecord(self._facts.key, self._claim_id)
+        return (AppendRelease(record), *self._refuse(kind, detail=detail))
+
+    def _judge(self, verdict: Verdict) -> Actions:
+        """Act on what the log says about the key."""
+        match verdict:
+            case Free():
+                return self._route()
+            case Owned():
+                return self._dispatch(verdict.claim)
+            case OwnedByOther():
+                return self._join(verdict.claim)
+            case Finished():
+                return self._replay(verdict)
+            case Conflict():
+                return self._refuse(ErrorKind.KEY_REUSED)
+
+    # --- asking ---
+
+    def _join(self, claim: Claim) -> Actions:
+        self._claim = claim
+        self._joined = True
+        return self._ask()
+
+    def _ask(self) -> Actions:
+        """Ask the agent of the claim what became of it."""
+        claim = self._claim
+        if claim is None:
+            return self._refuse(ErrorKind.INTERNAL)
+        self._asks += 1
+        if self._asks > self._settings.max_asks:
+            return self._give_up_asking()
+        self._stage = Stage.ASKING
+        timer = self._start_timer(TimerKind.ASK, self._settings.ask_wait)
+        return (AskClaim(claim.agent, claim), timer)
+
+    def _give_up_asking(self) -> Actions:
+        if self._is_running:
+            return self._refuse(ErrorKind.IN_PROGRESS)
+        return self._refuse(ErrorKind.OUTCOME_UNKNOWN)
+
+    def _on_claim_answered(self, event: ClaimAnswered) -> Actions:
+        answer = event.answer
+        if self._stage is not Stage.ASKING or answer.claim != self._claim:
+            return ()
+        match answer.state:
+            case ClaimState.RUNNING:
+                return self._poll()
+            case ClaimState.FINISHED:
+                return self._take_finished(answer)
+            case ClaimState.BARRED:
+                return self._reclaim()
+            case ClaimState.UNKNOWN:
+                return self._refuse(ErrorKind.OUTCOME_UNKNOWN)
+
+    def _poll(self) -> Actions:
+        self._stage = Stage.POLLING
+        self._asks = 0
+        self._is_running = True
+        return (self._start_timer(TimerKind.POLL, self._settings.poll_wait),)
+
+    def _reclaim(self) -> Actions:
+        """Go on after the agent has proven and barred."""
+        was_own = not self._joined
+        if was_own and self._claim is not None:
+            self._exclude(self._claim.agent)
+        self._prove_not_run()
+        self._asks = 0
+        self._is_running = False
+        if was_own:
+            return self._retry(ErrorKind.BACKEND_LOST)
+        return self._route()
+
+    # --- the answer ---
+
+    def _get_receipt(self) -> Receipt:
+        if self._receipt is None:
+            self._receipt = Receipt(self._facts.horizon)
+        return self._receipt
+
+    def _collect(self, message: AnswerHead | AnswerChunk) -> Actions:
+        """Hold the answer back, unless it is too long to be recorded."""
+        receipt = self._get_receipt()
+        if isinstance(message, AnswerHead):
+            receipt.open(message.status, message.headers)
+            return ()
+        receipt.add(message.data)
+        return (
+            self._deliver_body(ReceiptState.DIGEST) if receipt.is_long else ()
+        )
+
+    def _take_finished(self, answer: ClaimAnswer) -> Actions:
+        self._known_ran = Ran.YES
+        if not answer.status:
+            return self._refuse(ErrorKind.OUTCOME_UNKNOWN)
+        receipt = self._get_receipt()
+        receipt.open(answer.status, answer.headers)
+        receipt.add_rest(answer.body)
+        return self._record()
+
+    def _record(self) -> Actions:
+        """Get the answer into the log before the caller gets it."""
+        claim = self._claim
+        if claim is None:
+            return self._refuse(ErrorKind.INTERNAL)
+        self._known_ran = Ran.YES
+        self._stage = Stage.RECORDING
+        outcome = self._get_receipt().make_outcome(claim)
+        wait = self._settings.receipt_wait
+        timer = self._start_timer(TimerKind.RECEIPT, wait)
+        return (AppendOutcome(outcome), timer)
+
+    def _on_outcome_recorded(self, _event: OutcomeRecorded) -> Actions:
+        if self._stage is not Stage.RECORDING:
+            return ()
+        return self._deliver_receipt(ReceiptState.RECORDED)
+
+    def _on_outcome_failed(self, _event: OutcomeFailed) -> Actions:
+        if self._stage is not Stage.RECORDING:
+            return ()
+        return self._deliver_receipt(ReceiptState.UNRECORDED)
+
+    def _deliver_receipt(self, state: ReceiptState) -> Actions:
+        if self._get_receipt().is_long:
+            state = ReceiptState.DIGEST
+        return self._finish(*self._deliver_body(state), DeliverEnd())
+
+    def _deliver_body(self, state: ReceiptState) -> Actions:
+        receipt = self._get_receipt()
+        body = receipt.take_body()
+        chunk = (DeliverChunk(body),) if body else ()
+        if self._head_delivered:
+            return chunk
+        self._head_delivered = True
+        head = DeliverHead(receipt.status, receipt.make_headers(state))
+        return (head, *chunk)
+
+    def _replay(self, verdict: Finished) -> Actions:
+        """Give the recorded answer, or ask the agent for a long one."""
+        outcome = verdict.outcome
+        self._claim = verdict.claim
+        self._known_ran = Ran.YES
+        if outcome.body_digest:
+            return self._join(verdict.claim)
+        self._open_recorded(outcome)
+        return self._deliver_receipt(ReceiptState.RECORDED)
+
+    def _open_recorded(self, outcome: OutcomeRecord) -> None:
+        receipt = self._get_receipt()
+        receipt.open(outcome.status, outcome.headers)
+        receipt.add(outcome.body)
+
+    def _detach(self) -> Actions:
+        """Go on without the caller until the answer is recorded."""
+        self._detached = True
+        linger = self._settings.linger
+        return (StartTimer(TimerKind.LINGER, 0, linger),)
+
+    def _on_claim_timer(self) -> Actions:
+        return self._withdraw(ErrorKind.LOG_UNAVAILABLE, _LOG_SLOW)
+
+    def _on_receipt_timer(self) -> Actions:
+        return self._deliver_receipt(ReceiptState.UNRECORDED)
+
+    HANDLERS: ClassVar[Mapping[type[Any], Handler]] = {
+        ClaimSettled: _on_claim_settled,
+        ClaimFailed: _on_claim_failed,
+        ClaimAnswered: _on_claim_answered,
+        OutcomeRecorded: _on_outcome_recorded,
+        OutcomeFailed: _on_outcome_failed,
+    }
+
+    TIMERS: ClassVar[Mapping[TimerKind, TimerHandler]] = {
+        TimerKind.CLAIM: (Stage.CLAIMING, _on_claim_timer),
+        TimerKind.ASK: (Stage.ASKING, _ask),
+        TimerKind.POLL: (Stage.POLLING, _ask),
+        TimerKind.RECEIPT: (Stage.RECORDING, _on_receipt_timer),
+    }
