Test segments and the store's index under interleaved reads

Change: one state machine writes, frees, restarts and copies; its check of reads is shown to catch an index that seals unchecked, reuses a name under a pin, readmits unmatched objects, or forgets the namespace.

--- /dev/null
+++ b/tests/machines.py
@@ -0,0 +1,32 @@
+"""Run hypothesis state machines, and prove that their checks can fail."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+SAFE = settings(
+    derandomize=True,
+    max_examples=80,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+# Finding a failure is enough; there is nothing to shrink it for.
+UNSAFE = settings(
+    SAFE,
+    max_examples=400,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+)
+
+
+def assert_holds(machine: type[RuleBasedStateMachine]) -> None:
+    run_state_machine_as_test(machine, settings=SAFE)
+
+
+def assert_caught(machine: type[RuleBasedStateMachine], check: str) -> None:
+    with pytest.raises(AssertionError, match=check):
+        run_state_machine_as_test(machine, settings=UNSAFE)
--- /dev/null
+++ b/tests/test_store_index.py
@@ -0,0 +1,557 @@
+from __future__ import annotations
+
+import itertools
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from machines import assert_caught, assert_holds
+from oleanderdyke.kernel import segment_log
+from oleanderdyke.kernel.blocks import digest_segment, hint
+from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.kernel.segment_write import OpenWrite
+from oleanderdyke.kernel.store_index import StoreIndex, StoreLimits
+from oleanderdyke.kernel.store_meta import (
+    META_SUFFIX,
+    decode_meta,
+    encode_meta,
+)
+from oleanderdyke.kernel.store_outcomes import (
+    PartIgnored,
+    PartTaken,
+    Pinned,
+    ReadRefusal,
+    ReadRefused,
+    WriteBegun,
+    WriteFailed,
+    WriteJoined,
+    WritePresent,
+    WriteRefusal,
+    WriteSealed,
+    WriteVerified,
+)
+from oleanderdyke.links.messages import SegmentPart, SegmentWrite
+
+SPACES = (b'n' * 32, b'm' * 32)
+SIZE = 8
+LIMITS = StoreLimits(
+    capacity_bytes=4 * SIZE, write_time=50, pin_time=20, pins=4, writes=3
+)
+
+
+class FlatKeeper:
+    """Find the worth in the gap that a write expects: short gaps first."""
+
+    def worth(self, segment, length, gap, now):
+        return -gap
+
+    def note_used(self, segment, now):
+        pass
+
+
+def make_index(kind=StoreIndex, limits=LIMITS, incarnation='i1'):
+    return kind(limits, FlatKeeper(), incarnation, Random(7))
+
+
+def make_id(number):
+    return bytes([number]) * 32
+
+
+def make_write(request, number, data, space=SPACES[0], gap=0.0):
+    return SegmentWrite(
+        request, space, make_id(number), len(data), digest_segment(data), gap
+    )
+
+
+def make_parts(write, data, step=3):
+    starts = range(0, len(data), step)
+    return [
+        SegmentPart(
+            request=write.request,
+            segment=write.segment,
+            generation=0,
+            position=start,
+            data=data[start : start + step],
+            length=write.length,
+            digest=write.digest,
+            last=start == starts[-1],
+        )
+        for start in starts
+    ]
+
+
+def store(index, number, data=b'12345678', now=0.0, **keys):
+    write = make_write(f'w{number}', number, data, **keys)
+    outcome = index.begin(write, now)
+    if not isinstance(outcome, WriteBegun):
+        return outcome
+    for part in make_parts(write, data):
+        outcome = index.add_part(part, now)
+    if not isinstance(outcome, WriteVerified):
+        return outcome
+    return index.seal(write.request, write.segment, now)
+
+
+def is_shown(index, number):
+    pinned = index.pin(SPACES[0], make_id(number), 0)
+    if isinstance(pinned, Pinned):
+        index.unpin(pinned)
+    return isinstance(pinned, Pinned)
+
+
+def corrupt(parts):
+    return [replace(parts[0], data=b'!' * len(parts[0].data)), *parts[1:]]
+
+
+@pytest.mark.parametrize(
+    ('damage', 'reason'),
+    [
+        (lambda parts: parts[1:], WriteRefusal.ORDER),
+        (lambda parts: [parts[1], parts[0], parts[2]], WriteRefusal.ORDER),
+        (lambda parts: [parts[0], parts[0]], WriteRefusal.ORDER),
+        (corrupt, WriteRefusal.DIGEST),
+        (lambda parts: [replace(parts[0], last=True)], WriteRefusal.LENGTH),
+        (lambda parts: [replace(parts[0], length=9)], WriteRefusal.LENGTH),
+        (lambda parts: [replace(parts[0], data=b'x' * 9)], WriteRefusal.LENGTH),
+        (lambda parts: [replace(parts[0], digest=b'')], WriteRefusal.DIGEST),
+    ],
+)
+def test_a_damaged_write_leaves_nothing_visible(damage, reason):
+    index = make_index()
+    write = make_write('w', 1, b'12345678')
+    begun = index.begin(write, 0)
+    parts = damage(make_parts(write, b'12345678'))
+    outcomes = [index.add_part(part, 0) for part in parts]
+    failed = [each for each in outcomes if isinstance(each, WriteFailed)]
+    assert failed == [WriteFailed(reason, ('w',))]
+    assert not any(isinstance(each, WriteVerified) for each in outcomes)
+    assert isinstance(index.pin(SPACES[0], make_id(1), 0), ReadRefused)
+    assert index.log.take() == ()
+    assert index.used_bytes == 0
+    names = (begun.object_name + META_SUFFIX, begun.object_name)
+    assert index.take_deletions() == names
+
+
+@pytest.mark.parametrize(
+    'reason', [WriteRefusal.STORE_FULL, WriteRefusal.STORE_FAILED]
+)
+def test_a_store_that_fails_before_the_seal_leaves_nothing_visible(reason):
+    index = make_index()
+    write = make_write('w', 1, b'12345678')
+    index.begin(write, 0)
+    for part in make_parts(write, b'12345678'):
+        index.add_part(part, 0)
+    failed = index.abort('w', write.segment, reason)
+    assert failed == WriteFailed(reason, ('w',))
+    assert index.seal('w', write.segment, 0).reason is WriteRefusal.UNKNOWN
+    assert isinstance(index.pin(SPACES[0], make_id(1), 0), ReadRefused)
+
+
+def test_an_unfinished_write_is_not_sealed():
+    index = make_index()
+    write = make_write('w', 1, b'12345678')
+    index.begin(write, 0)
+    index.add_part(make_parts(write, b'12345678')[0], 0)
+    assert isinstance(index.seal('w', write.segment, 0), WriteFailed)
+    assert isinstance(index.pin(SPACES[0], make_id(1), 0), ReadRefused)
+
+
+def test_concurrent_writes_of_a_segment_end_together():
+    index = make_index()
+    first, second = (make_write(each, 1, b'12345678') for each in 'ab')
+    assert isinstance(index.begin(first, 0), WriteBegun)
+    assert index.begin(second, 0) == WriteJoined()
+    stray = index.add_part(make_parts(second, b'12345678')[0], 0)
+    assert stray == PartIgnored()
+    for part in make_parts(first, b'12345678'):
+        index.add_part(part, 0)
+    assert index.seal('a', make_id(1), 0) == WriteSealed(('a', 'b'))
+    assert index.begin(second, 0) == WritePresent()
+    other = make_write('c', 1, b'12345678', space=SPACES[1])
+    assert index.begin(other, 0).reason is WriteRefusal.NAMESPACE
+
+
+def test_a_stalled_write_is_given_up_for_all_who_wait():
+    index = make_index()
+    index.begin(make_write('a', 1, b'12345678'), 0)
+    index.begin(make_write('b', 1, b'12345678'), 0)
+    assert index.expire(49) == ()
+    assert index.expire(50) == (WriteFailed(WriteRefusal.TIMEOUT, ('a', 'b')),)
+    assert isinstance(index.begin(make_write('b', 1, b'1'), 50), WriteBegun)
+
+
+def test_generations_never_repeat_and_a_freed_pin_reads_missing():
+    index = make_index()
+    seen = set()
+    for _ in range(3):
+        store(index, 1)
+        pinned = index.pin(SPACES[0], make_id(1), 0)
+        assert index.holds(pinned, 0)
+        index.free(make_id(1))
+        assert not index.holds(pinned, 0)
+        store(index, 1)
+        assert not index.holds(pinned, 0)
+        assert index.take_deletions() == ()
+        index.unpin(pinned)
+        index.unpin(pinned)
+        assert pinned.object_name in index.take_deletions()
+        index.free(make_id(1))
+        index.take_deletions()
+        seen.add(pinned.generation)
+    assert len(seen) == 3
+    assert index.used_bytes == 0
+
+
+def test_pins_are_bounded_in_number_and_time():
+    index = make_index()
+    store(index, 1)
+    pins = [index.pin(SPACES[0], make_id(1), 0) for _ in range(4)]
+    refused = index.pin(SPACES[0], make_id(1), 0)
+    assert refused == ReadRefused(ReadRefusal.BUSY)
+    assert index.holds(pins[0], 19)
+    assert not index.holds(pins[0], 20)
+    index.expire(20)
+    index.unpin(pins[0])
+    assert isinstance(index.pin(SPACES[0], make_id(1), 20), Pinned)
+
+
+def test_an_entry_that_fails_verification_is_freed_once():
+    index = make_index()
+    store(index, 1)
+    stale = index.pin(SPACES[0], make_id(1), 0)
+    index.free_broken(stale)
+    assert isinstance(index.pin(SPACES[0], make_id(1), 0), ReadRefused)
+    store(index, 1)
+    index.free_broken(stale)
+    assert isinstance(index.pin(SPACES[0], make_id(1), 0), Pinned)
+
+
+def test_the_least_worth_goes_first_and_pinned_entries_stay():
+    index = make_index()
+    for number, gap in enumerate((40.0, 30.0, 20.0, 10.0)):
+        store(index, number, gap=gap)
+    index.pin(SPACES[0], make_id(0), 0)
+    refused = store(index, 8, gap=50.0)
+    assert refused == WriteFailed(WriteRefusal.NOT_WORTH_IT, ('w8',))
+    assert isinstance(store(index, 9, gap=15.0), WriteSealed)
+    held = {number for number in range(10) if is_shown(index, number)}
+    assert held == {0, 2, 3, 9}
+    assert index.used_bytes <= LIMITS.capacity_bytes
+
+
+@pytest.mark.parametrize('length', [0, 4 * SIZE + 1])
+def test_a_length_that_never_fits_is_refused(length):
+    write = replace(make_write('w', 1, b''), length=length)
+    assert make_index().begin(write, 0).reason is WriteRefusal.FULL
+
+
+def make_record(index, number=1):
+    write = make_write('w', number, b'12345678')
+    name = index.begin(write, 0).object_name
+    for part in make_parts(write, b'12345678'):
+        outcome = index.add_part(part, 0)
+    return name, outcome
+
+
+def test_a_restart_readmits_what_was_sealed():
+    name, record = make_record(make_index())
+    index = make_index(incarnation='i2')
+    assert index.readmit(record.meta_name, record.meta, SIZE, 0)
+    assert index.readmit(record.meta_name, record.meta, SIZE, 0)
+    assert index.take_deletions() == ()
+    pinned = index.pin(SPACES[0], make_id(1), 0)
+    assert pinned.object_name == name
+    assert index.used_bytes == SIZE
+
+
+@pytest.mark.parametrize(
+    ('cut', 'stored', 'name'),
+    [
+        (slice(0, -1), SIZE, None),
+        (slice(0, 0), SIZE, None),
+        (slice(1, None), SIZE, None),
+        (slice(None), SIZE - 1, None),
+        (slice(None), None, None),
+        (slice(None), SIZE, 'other.meta'),
+    ],
+)
+def test_a_restart_drops_what_does_not_match_its_record(cut, stored, name):
+    _, record = make_record(make_index())
+    index = make_index(incarnation='i2')
+    meta_name = name or record.meta_name
+    assert not index.readmit(meta_name, record.meta[cut], stored, 0)
+    assert meta_name in index.take_deletions()
+    assert isinstance(index.pin(SPACES[0], make_id(1), 0), ReadRefused)
+
+
+def test_a_record_of_another_form_is_not_read():
+    _, record = make_record(make_index())
+    meta = decode_meta(record.meta)
+    assert meta is not None
+    assert decode_meta(encode_meta(replace(meta, length='8'))) is None
+    assert encode_meta(meta) == record.meta
+
+
+class Follower:
+    """Apply events as a directory does."""
+
+    def __init__(self):
+        self.held = set()
+        self.next = None
+
+    def take(self, messages):
+        for events in messages:
+            if events.full or events.first == self.next:
+                self._apply(events)
+
+    def _apply(self, events):
+        if events.full:
+            self.held = set()
+            self.next = events.first
+        else:
+            self.next += len(events.added) + len(events.removed)
+        self.held -= set(events.removed)
+        self.held |= set(events.added)
+
+
+@pytest.mark.parametrize('keep', [4, 1_000])
+def test_any_lost_events_are_repaired_from_their_number(keep, monkeypatch):
+    monkeypatch.setattr(segment_log, 'MESSAGE_HINTS', 3)
+    random = Random(3)
+    log = SegmentLog(keep=keep)
+    follower, whole = Follower(), Follower()
+    follower.take(log.list_all())
+    for _ in range(200):
+        hints = [bytes([random.randrange(12)]) * 8 for _ in range(4)]
+        log.add(hints[0])
+        log.add(hints[1])
+        log.remove(hints[2])
+        sent = log.take()
+        log.remove(hints[3])
+        is_lost = random.random() < 0.5
+        follower.take(log.list_after(follower.next) if is_lost else sent)
+    log.take()
+    follower.take(log.list_after(follower.next))
+    whole.take(log.list_all())
+    assert follower.held == whole.held
+    assert follower.next == whole.next == log.next_number
+
+
+def test_replacing_a_set_tells_the_difference_only():
+    log = SegmentLog()
+    log.replace([b'a', b'b'])
+    log.take()
+    log.replace([b'b', b'c'])
+    (events,) = log.take()
+    assert (events.first, events.added, events.removed) == (2, (b'c',), (b'a',))
+
+
+# Segment ids are chained from their namespace: 10 and 11 are of the second.
+NUMBERS = st.sampled_from([0, 1, 10, 11])
+WORLD_LIMITS = replace(LIMITS, capacity_bytes=3 * SIZE)
+
+
+class StoreWorld(RuleBasedStateMachine):
+    """Write, read and free with interleaved copies and a failing store.
+
+    Checks what may be used after a copy: `torn` bytes are not the sealed
+    ones, `foreign` ones belong to another namespace.
+    """
+
+    make_kind = StoreIndex
+
+    def __init__(self):
+        super().__init__()
+        self.index = make_index(self.make_kind, WORLD_LIMITS)
+        self.now = 0.0
+        self.objects = {}
+        self.writes = {}
+        self.reads = {}
+        self.numbers = itertools.count()
+        self.incarnations = itertools.count(2)
+
+    @rule(number=NUMBERS, content=st.integers(1, 2), parts=st.integers(0, 2))
+    def begin(self, number, content, parts):
+        data = bytes([content]) * SIZE
+        request = f'w{next(self.numbers)}'
+        space = SPACES[number // 10]
+        # Each newcomer is worth more than what is there.
+        gap = -float(next(self.numbers))
+        write = make_write(request, number, data, space=space, gap=gap)
+        outcome = self.index.begin(write, self.now)
+        self.delete()
+        if isinstance(outcome, WriteBegun):
+            unsent = make_parts(write, data, step=SIZE // 2)
+            self.writes[request] = (write, outcome.object_name, unsent, [])
+        for _ in range(parts):
+            self.send_part(request, is_bad=False)
+
+    @rule(pick=st.integers(0, 2), is_bad=st.booleans())
+    def go_on(self, pick, is_bad):
+        if self.writes:
+            request = sorted(self.writes)[pick % len(self.writes)]
+            self.send_part(request, is_bad=is_bad)
+
+    def send_part(self, request, *, is_bad):
+        if request not in self.writes:
+            return
+        write, name, unsent, sent = self.writes[request]
+        part = unsent.pop(0)
+        if is_bad:
+            part = replace(part, data=b'?' * len(part.data))
+        sent.append(part.data)
+        outcome = self.index.add_part(part, self.now)
+        if isinstance(outcome, WriteVerified):
+            self.objects[name] = b''.join(sent)
+            self.objects[outcome.meta_name] = outcome.meta
+            self.index.seal(request, write.segment, self.now)
+        if not isinstance(outcome, PartTaken):
+            del self.writes[request]
+        self.delete()
+
+    @rule(pick=st.integers(0, 2), is_own=st.sampled_from([True, True, False]))
+    def start_read(self, pick, is_own):
+        metas = [name for name in self.objects if name.endswith(META_SUFFIX)]
+        if not metas:
+            return
+        number = bytes.fromhex(sorted(metas)[pick % len(metas)][:2])[0]
+        space = SPACES[number // 10 if is_own else 1 - number // 10]
+        pinned = self.index.pin(space, make_id(number), self.now)
+        if isinstance(pinned, Pinned):
+            assert is_own, 'foreign'
+            half = self.objects.get(pinned.object_name, b'')[: SIZE // 2]
+            self.reads[next(self.numbers)] = (pinned, half)
+
+    @rule(pick=st.integers(0, 9))
+    def finish_read(self, pick):
+        if not self.reads:
+            return
+        number = sorted(self.reads)[pick % len(self.reads)]
+        pinned, half = self.reads.pop(number)
+        data = half + self.objects.get(pinned.object_name, b'')[SIZE // 2 :]
+        if self.index.holds(pinned, self.now):
+            assert digest_segment(data) == pinned.digest, 'torn'
+        self.index.unpin(pinned)
+        self.delete()
+
+    @rule(number=NUMBERS, is_broken=st.booleans(), is_replaced=st.booleans())
+    def free(self, number, is_broken, is_replaced):
+        if is_broken and self.reads:
+            pinned, _ = self.reads[min(self.reads)]
+            self.index.free_broken(pinned)
+            number = pinned.segment[0]
+        else:
+            self.index.free(make_id(number))
+        self.delete()
+        if is_replaced:
+            self.begin(number, content=3, parts=2)
+
+    @rule(upset=st.sampled_from(['pause', 'pause', 'timeout', 'restart']))
+    def upset(self, upset):
+        if upset == 'restart':
+            self.restart()
+            return
+        self.now += 5.0 if upset == 'pause' else 60.0
+        for failed in self.index.expire(self.now):
+            for request in failed.requests:
+                self.writes.pop(request, None)
+        self.delete()
+
+    def restart(self):
+        names = sorted(self.objects)
+        if names:
+            # The store loses the end of one object, record or not.
+            name = names[next(self.numbers) % len(names)]
+            self.objects[name] = self.objects[name][:-1]
+        incarnation = f'i{next(self.incarnations)}'
+        self.index = make_index(self.make_kind, WORLD_LIMITS, incarnation)
+        self.writes.clear()
+        self.reads.clear()
+        for name in names:
+            if name.endswith(META_SUFFIX):
+                data = self.objects.get(name.removesuffix(META_SUFFIX))
+                length = None if data is None else len(data)
+                meta = self.objects[name]
+                self.index.readmit(name, meta, length, self.now)
+        self.delete()
+
+    def delete(self):
+        for name in self.index.take_deletions():
+            self.objects.pop(name, None)
+        assert self.index.used_bytes <= WORLD_LIMITS.capacity_bytes, 'space'
+
+
+class UncheckedWrite(OpenWrite):
+    def add(self, part):
+        super().add(part)
+        self.is_verified = part.last
+
+
+class SealsUnchecked(StoreIndex):
+    def begin(self, write, now):
+        outcome = super().begin(write, now)
+        if isinstance(outcome, WriteBegun):
+            opened = self._writes[write.segment]
+            self._writes[write.segment] = UncheckedWrite(
+                opened.request, opened.meta, opened.generation, opened.until
+            )
+        return outcome
+
+
+class ReusesUnderPin(StoreIndex):
+    def _describe(self, write, generation):
+        meta = super()._describe(write, generation)
+        return replace(meta, object_name=write.segment.hex())
+
+    def free(self, segment):
+        super().free(segment)
+        for name in tuple(self._doomed):
+            self._delete_doomed(name)
+
+    def holds(self, pinned, now):
+        return self._entries.get(pinned.segment) is not None
+
+
+class ForgetsNamespace(StoreIndex):
+    def pin(self, namespace, segment, now):
+        entry = self._entries.get(segment)
+        own = namespace if entry is None else entry.meta.namespace
+        return super().pin(own, segment, now)
+
+
+class AdmitsUnmatched(StoreIndex):
+    def readmit(self, meta_name, meta, stored, now):
+        record = decode_meta(meta)
+        length = stored if record is None else record.length
+        return super().readmit(meta_name, meta, length, now)
+
+
+def test_no_reader_uses_a_freed_or_partly_written_segment():
+    assert_holds(StoreWorld)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'check'),
+    [
+        (SealsUnchecked, 'torn'),
+        (ReusesUnderPin, 'torn'),
+        (AdmitsUnmatched, 'torn'),
+        (ForgetsNamespace, 'foreign'),
+    ],
+)
+def test_the_check_of_reads_catches_an_unsafe_index(kind, check):
+    world = type('UnsafeWorld', (StoreWorld,), {'make_kind': kind})
+    assert_caught(world, check)
+
+
+def test_hints_come_and_go_with_what_is_visible():
+    index = make_index()
+    store(index, 1)
+    (events,) = index.log.take()
+    assert events.added == (hint(make_id(1)),)
+    index.free(make_id(1))
+    (events,) = index.log.take()
+    assert events.removed == (hint(make_id(1)),)
