Test links against silence, freezes and bad peers

Cause: links had been tried by hand only. Ruled out: asserting on elapsed time. Change: tests over loopback, with a relay that goes silent without closing.

--- /dev/null
+++ b/tests/relays.py
@@ -0,0 +1,74 @@
+"""Relay TCP between two ends, and misbehave when told to."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+from anyio.abc import SocketStream
+
+LOOPBACK = '127.0.0.1'
+
+
+class Relay:
+    """Forward bytes; go silent without closing; count what was accepted."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(':')
+        self._target = (host, int(port))
+        self._silent: set[int] = set()
+        self.accepted = 0
+        self.open = 0
+        self.piece = 64 * 1024
+        self.pause = 0.0
+
+    def silence(self) -> None:
+        """Stop forwarding on every connection that is open now."""
+        self._silent.update(range(self.accepted + 1))
+
+    async def carry(self, near: SocketStream) -> None:
+        """Carry one connection until both its ends are closed."""
+        self.accepted += 1
+        self.open += 1
+        try:
+            await self._join(near, self.accepted)
+        finally:
+            self.open -= 1
+
+    async def _join(self, near: SocketStream, number: int) -> None:
+        async with (
+            near,
+            await anyio.connect_tcp(*self._target) as far,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(self._forward, near, far, number)
+            group.start_soon(self._forward, far, near, number)
+
+    async def _forward(
+        self, source: SocketStream, sink: SocketStream, number: int
+    ) -> None:
+        broken = (anyio.BrokenResourceError, anyio.ClosedResourceError)
+        with contextlib.suppress(anyio.EndOfStream, *broken):
+            while True:
+                data = await source.receive(self.piece)
+                await anyio.sleep(self.pause)
+                if number not in self._silent:
+                    await sink.send(data)
+        if number not in self._silent:
+            with contextlib.suppress(*broken, OSError):
+                await sink.send_eof()
+
+
+@asynccontextmanager
+async def relaying(target: str) -> AsyncIterator[tuple[Relay, str]]:
+    """Run a relay to `target`; give it and its address."""
+    relay = Relay(target)
+    listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, relay.carry)
+        yield relay, f'{LOOPBACK}:{port}'
+        group.cancel_scope.cancel()
+    await listener.aclose()
