Read a log to its end before waiting for more

Ruled out: a shorter poll, which would cost requests for ever. Change: reads don't wait until the log has answered once; one answer for every stream that is not there. Conclusion: holds after an outage as well.

--- a/src/oleanderdyke/entry/logreader.py
+++ b/src/oleanderdyke/entry/logreader.py
@@ -13,7 +13,7 @@
 
 
 class LogReader:
-    """Read page after page with long polls."""
+    """Read page after page, with long polls once the end is reached."""
 
     def __init__(
         self,
@@ -30,6 +30,7 @@
         self._find_start = find_start
         self._take_page = take_page
         self._down = False
+        self._reached = False
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -45,14 +46,16 @@
                 self._name,
                 start=self._find_start(),
                 limit=settings.page,
-                wait=settings.wait,
+                wait=settings.wait if self._reached else 0.0,
                 timeout=settings.timeout,
             )
         except LogUnavailable as error:
+            self._reached = False
             self._note(down=True, detail=error.message)
             await anyio.sleep(settings.retry / SECOND)
             return None
         self._note(down=False)
+        self._reached = True
         return page
 
     def _note(self, *, down: bool, detail: str | None = None) -> None:
--- a/src/oleanderdyke/entry/resume.py
+++ b/src/oleanderdyke/entry/resume.py
@@ -182,6 +182,8 @@
         await self._delivery.send_end(DeliverEnd(end))
 
     async def _pass_failure(self, failed: Failed) -> None:
+        if failed.kind is ErrorKind.STREAM_GONE:
+            raise make_stream_gone()
         await self._delivery.fail(
             OleanderError(
                 failed.kind,
