--- a/src/oleanderdyke/settings.py
+++ b/src/oleanderdyke/settings.py
@@ -127,7 +127,10 @@
     place[parts[-1]] = value
 
 
-def _check_str(found: object, _: object) -> str:
+def _check_str(found: object, target: type) -> object:
+    # An enumeration of strings is a kind of string to the converter.
+    if issubclass(target, enum.Enum):
+        return _check_enum(found, target)
     if isinstance(found, str):
         return found
     raise _WrongValue(found, 'a string')
@@ -152,7 +155,7 @@
 
 
 def _check_path(found: object, _: object) -> Path:
-    return Path(_check_str(found, str))
+    return Path(str(_check_str(found, str)))
 
 
 def _check_enum(found: object, target: type[enum.Enum]) -> enum.Enum:
