Test the fleet and the directory in any order of messages

Cause: the state machine found that an incarnation forgotten for its silence came back after its successor had started.

--- a/src/oleanderdyke/kernel/membership.py
+++ b/src/oleanderdyke/kernel/membership.py
@@ -107,6 +107,7 @@
         self._placed: dict[_Place, dict[str, Replica]] = {}
         self._ticked_at: Millis = float('inf')
         self._ended = _Remembered(_ENDED_COUNT)
+        self._latest = _Remembered(_ENDED_COUNT)
         self._quarantined = _Remembered(_QUARANTINED_COUNT)
         self._selected: dict[str, tuple[str, ...]] = {}
         self._selected_at = catalog.offset
@@ -116,11 +117,9 @@
         if hello.backend is None or hello.incarnation in self._ended:
             return False
         known = self._agents.get(hello.process)
+        self._end_others(hello, address)
         if known is None or known.replica.incarnation != hello.incarnation:
-            self._end(hello.process)
             known = _make_view(hello, hello.backend, address, now)
-        if self._addresses.get(address, hello.process) != hello.process:
-            self._end(self._addresses[address])
         self._addresses.pop(known.replica.address, None)
         self._addresses[address] = hello.process
         replica = replace(known.replica, address=address, heard=now)
@@ -252,12 +251,17 @@
             return Condition.SUSPECTED
         return Condition.HEARD
 
-    def _end(self, agent: str) -> None:
-        view = self._agents.get(agent)
-        if view is None:
-            return
-        self._ended.add(view.replica.incarnation)
-        self._forget(agent)
+    def _end_others(self, hello: Hello, address: str) -> None:
+        for agent in (hello.process, self._addresses.get(address, '')):
+            view = self._agents.get(agent)
+            if view and view.replica.incarnation != hello.incarnation:
+                self._forget(agent)
+        # These outlive the views of silent agents.
+        for key in (f'agent {hello.process}', f'address {address}'):
+            old = self._latest.get(key)
+            if old not in {'', hello.incarnation}:
+                self._ended.add(old)
+            self._latest.add(key, hello.incarnation)
 
     def _forget(self, agent: str) -> None:
         self._unplace(agent)
@@ -276,18 +280,23 @@
 
 
 class _Remembered:
-    """Remember a bounded number of texts, the newest ones."""
+    """Remember a bounded number of texts, each with a value, the newest."""
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._items: OrderedDict[str, None] = OrderedDict()
+        self._items: OrderedDict[str, str] = OrderedDict()
 
     def __contains__(self, item: str) -> bool:
         return item in self._items
 
-    def add(self, item: str) -> None:
+    def get(self, item: str) -> str:
+        """Return the value of a text, empty where it is unknown."""
+        return self._items.get(item, '')
+
+    def add(self, item: str, value: str = '') -> None:
         """Remember one more."""
-        self._items[item] = None
+        self._items[item] = value
+        self._items.move_to_end(item)
         while len(self._items) > self._limit:
             self._items.popitem(last=False)
 
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oleanderdyke.kernel.directory import Directory
+from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.links.messages import SegmentEvents, SegmentListRequest
+
+
+def hint(number: int) -> bytes:
+    return bytes([number * 7 % 256]) + number.to_bytes(7)
+
+
+A, B, C, D = map(hint, range(4))
+
+
+def make_directory() -> Directory:
+    directory = Directory()
+    directory.on_events('x', SegmentEvents(0, added=(A, B)), 0)
+    directory.on_events('y', SegmentEvents(0, added=(B, C)), 0)
+    return directory
+
+
+def test_holders_and_leading_segments_follow_the_events():
+    directory = make_directory()
+    assert set(directory.holders(B)) == {'x', 'y'}
+    assert directory.count_leading('x', (A, B, C)) == 2
+    assert directory.count_leading('y', (A, B, C), start=1) == 2
+    assert directory.count_leading('nobody', (A,)) == 0
+    directory.on_events('x', SegmentEvents(2, removed=(B,)), 1)
+    assert directory.holders(B) == ('y',)
+    assert len(directory) == 3
+
+
+def test_gap_asks_for_the_full_list_and_not_too_often():
+    directory = make_directory()
+    late = SegmentEvents(5, added=(D,))
+    assert directory.on_events('x', late, 0) == SegmentListRequest()
+    assert directory.on_events('x', late, 1_999) is None
+    assert directory.on_events('x', late, 2_000) == SegmentListRequest()
+    assert not directory.holders(D)
+    full = SegmentEvents(6, added=(C, D), full=True)
+    assert directory.on_events('x', full, 2_100) is None
+    assert directory.count_leading('x', (C, D)) == 2
+    assert not directory.holders(A)
+    assert directory.on_events('x', SegmentEvents(6, added=(A,)), 0) is None
+    assert directory.holders(A) == ('x',)
+
+
+def test_unknown_agent_in_the_middle_of_its_events_is_asked():
+    events = SegmentEvents(3, added=(A,))
+    assert Directory().on_events('z', events, 0) == SegmentListRequest()
+
+
+def test_repeated_events_change_nothing():
+    directory = make_directory()
+    directory.on_events('x', SegmentEvents(2, removed=(A,)), 0)
+    directory.on_events('x', SegmentEvents(0, added=(A, B)), 1)
+    assert not directory.holders(A)
+
+
+def test_what_a_gone_agent_left_is_hidden_at_once_and_freed_by_sweeps():
+    directory = make_directory()
+    directory.forget('x')
+    assert not directory.holders(A)
+    assert directory.holders(B) == ('y',)
+    assert len(directory) == 3
+    for _ in range(100):
+        directory.sweep()
+    assert len(directory) == 2
+    directory.on_events('x', SegmentEvents(0, added=(D,)), 0)
+    assert not directory.holders(A)
+
+
+def report(directory: Directory, log: SegmentLog, now: float) -> None:
+    asked = [directory.on_events('x', item, now) for item in log.take()]
+    if any(asked):
+        for events in log.list_all():
+            directory.on_events('x', events, now)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.sampled_from(['report', 'lose', 'restart']) | st.integers(0, 20),
+        max_size=80,
+    )
+)
+def test_directory_agrees_with_the_agent_once_it_heard_from_it(steps):
+    directory, log, held = Directory(), SegmentLog(), set()
+    for place, step in enumerate([*steps, 30, 'report']):
+        if step == 'report':
+            report(directory, log, place * 5_000)
+        elif step == 'lose':
+            log.take()
+        elif step == 'restart':
+            directory.forget('x')
+        else:
+            held ^= {step}
+            (log.add if step in held else log.remove)(hint(step))
+    found = {number for number in range(31) if directory.holders(hint(number))}
+    assert found == held
