Wait for loaded engines in the demo and count background runs

Cause: an engine serves only after its agent has ordered the weights, so the first question was refused with no_replica; the engine's /stats failed on its counter. Change: the demo waits until each entry reaches the engines, and checks the letter's class at the engine.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import sys
 import time
 from collections.abc import Callable
@@ -9,7 +10,7 @@
 from typing import Any
 
 from tests.calls import Reply, ask, call, make_chat
-from tests.deployment import EXAMPLES, Deployment, load_layout
+from tests.deployment import EXAMPLES, Deployment, Entry, load_layout
 from tests.processes import ROOT, NotMet, wait_until
 from tests.standins import answers, cache, weights
 
@@ -138,12 +139,16 @@
             )
 
     def _publish(self) -> None:
+        story = self._story
         started = time.monotonic()
         publish(self._deployment)
         self._deployment.wait_ready()
         seconds = time.monotonic() - started
+        wait_served(self._deployment, story.model_service, story.team)
+        served = time.monotonic() - started
         self._report.expect(
-            f'configuration published, every entry ready ({seconds:.1f} s)',
+            f'configuration published, every entry ready after {seconds:.1f} s,'
+            f' engines loaded and serving after {served:.1f} s',
             met=True,
         )
 
@@ -231,10 +236,14 @@
             token=make_token(story.letter_team),
         )
         wanted = self._expect_text(story.letter, 24)
+        runs = sum(
+            self._deployment.read_stats(address)['background_runs']
+            for address in self._list_addresses(_ENGINE)
+        )
         self._report.expect(
             'letter written in the background class',
-            met=reply.status == _OK and reply.text == wanted,
-            found=reply,
+            met=reply.status == _OK and reply.text == wanted and runs == 1,
+            found=(runs, reply),
         )
 
     def _stop(self) -> None:
@@ -326,6 +335,20 @@
         raise NotMet(f'oleanderctl: {done.stdout}{done.stderr}')
 
 
+def wait_served(deployment: Deployment, service: str, team: str) -> None:
+    """Wait until every entry reaches the engines, once they are loaded."""
+
+    def answers_through(entry: Entry) -> bool:
+        reply = ask(entry.address, service, 'ready?', token=make_token(team))
+        return reply.status == _OK
+
+    for entry in deployment.entries:
+        wait_until(
+            functools.partial(answers_through, entry),
+            f'{entry.name} reaches {service}',
+        )
+
+
 def main() -> int:
     """Run the demo; return 0 when every expectation was met."""
     started = time.monotonic()
--- a/tests/standins/answers.py
+++ b/tests/standins/answers.py
@@ -68,6 +68,7 @@
     """Count what an engine did."""
 
     runs: collections.Counter[str] = field(default_factory=collections.Counter)
+    background_runs: int = 0
     prompt_tokens: int = 0
     cached_tokens: int = 0
     finished: int = 0
@@ -83,6 +84,7 @@
     def note_start(self, run: Run) -> None:
         """Count a run and its tokens."""
         self.runs[run.chat.request] += 1
+        self.background_runs += run.chat.priority > 0
         self.prompt_tokens += run.chat.tokens
         self.cached_tokens += run.cached_tokens
 
@@ -93,7 +95,8 @@
 
     def show(self) -> dict[str, Any]:
         """Return the counts."""
-        return dataclasses.asdict(self)
+        names = [item.name for item in dataclasses.fields(self)]
+        return {name: getattr(self, name) for name in names}
 
 
 def make_words(prompt: bytes, digest: str, count: int) -> tuple[str, ...]:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -296,7 +296,8 @@
         assert events[-1]['usage']['cached_tokens'] == 0
         assert again['usage']['cached_tokens'] == 3 * cache.SEGMENT_TOKENS
         assert other['usage']['cached_tokens'] == 0
-        assert app.stats.runs['r1'] == 1
+        stats = json.loads((await call('GET', '/stats')).content)
+        assert (stats['runs']['r1'], stats['finished']) == (1, 3)
 
     run_engine(scenario, model='m', version='1')
 
