Test streams, stops and orders; keep what a resume may need

Cause: the answers' state machine found that a buffer without a reader was not trimmed and held more than its bound (476 of 468 bytes allowed). Ruled out: dropping sent chunks while nobody reads, which would end the resume.

--- a/src/oleanderdyke/kernel/stream_buffer.py
+++ b/src/oleanderdyke/kernel/stream_buffer.py
@@ -117,7 +117,9 @@
     @property
     def is_full(self) -> bool:
         """Tell the producer to stop until messages have been sent."""
-        if self._unsent_bytes >= self._limits.stream_bytes:
+        # Without a reader, what was sent last may have to be sent again.
+        needed = self._held_bytes if self.reader is None else self._unsent_bytes
+        if needed >= self._limits.stream_bytes:
             return True
         return self._budget.is_over and self._unsent_bytes > 0
 
@@ -136,6 +138,15 @@
         """Return what the chunks held cost."""
         return self._held_bytes
 
+    def would_drop(self, data: bytes) -> bool:
+        """Tell whether adding drops a sent chunk while others wait.
+
+        A reader whose link breaks then would miss that chunk.
+        """
+        cost = len(data) + CHUNK_OVERHEAD
+        over = self._held_bytes + cost > self._limits.stream_bytes
+        return over and self._unsent_bytes > 0
+
     def add(self, data: bytes, now: Millis) -> tuple[Outgoing, ...]:
         """Take a chunk from the producer; return what may be sent now.
 
@@ -222,17 +233,19 @@
         self._unsent_bytes = sum(chunk.cost for chunk in unsent)
 
     def _flush(self, now: Millis) -> tuple[Outgoing, ...]:
-        if self.reader is None:
-            return ()
+        messages = () if self.reader is None else self._send(self.reader)
+        if messages:
+            self._touched = now
+        self.trim(now)
+        return messages
+
+    def _send(self, reader: Reader) -> tuple[Outgoing, ...]:
         messages: list[Outgoing] = []
         last = self._first + len(self._chunks)
         while self._credit > 0 and self._sent < last:
-            messages.append(self._send_next(self.reader))
+            messages.append(self._send_next(reader))
         if self._totals is not None and self._is_end_due(last):
-            messages.append(self._make_end(self.reader, self._totals))
-        if messages:
-            self._touched = now
-        self.trim(now)
+            messages.append(self._make_end(reader, self._totals))
         return tuple(messages)
 
     def _send_next(self, reader: Reader) -> AnswerChunk:
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -23,6 +23,19 @@
 )
 
 
+class CheckedMachine(RuleBasedStateMachine):
+    """Let the first failed check be the one that is reported."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_broken = False
+
+    def check(self, holds: bool, name: str) -> None:  # noqa: FBT001  (as assert)
+        if not holds:
+            self.is_broken = True
+            raise AssertionError(name)
+
+
 def assert_holds(machine: type[RuleBasedStateMachine]) -> None:
     run_state_machine_as_test(machine, settings=SAFE)
 
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,174 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+
+from machines import CheckedMachine, assert_caught, assert_holds
+from oleanderdyke.kernel.drain import (
+    Announce,
+    CutOff,
+    Drain,
+    DrainPhase,
+    DrainSettings,
+    Exit,
+    HandOver,
+    make_agent_drain,
+    make_entry_drain,
+)
+
+SETTINGS = DrainSettings(accept=0, announce=10, drain=50, limit=100)
+
+
+def make_drain(*running, resumable=()):
+    drain = Drain(SETTINGS)
+    for request in running:
+        drain.start_work(request, 0, resumable=request in resumable)
+    return drain
+
+
+def test_an_idle_process_announces_first_and_leaves_in_time():
+    drain = make_drain()
+    assert drain.next_time() is None
+    assert drain.signal(5) == (Announce(),)
+    assert drain.phase is DrainPhase.ANNOUNCED
+    assert drain.next_time() == 15
+    assert drain.tick(14) == ()
+    assert drain.tick(15) == (Exit(),)
+    assert (drain.tick(16), drain.signal(17)) == ((), ())
+
+
+def test_running_work_ends_before_the_process_does():
+    drain = make_drain('a', 'b')
+    drain.signal(0)
+    assert drain.end_work('a', 5) == ()
+    assert drain.tick(10) == ()
+    assert drain.phase is DrainPhase.DRAINING
+    assert drain.next_time() == 50
+    assert drain.end_work('b', 30) == (Exit(),)
+
+
+def test_long_streams_are_handed_over_and_calls_are_waited_for():
+    drain = make_drain('stream', 'call', resumable=('stream',))
+    drain.signal(0)
+    assert drain.tick(50) == (HandOver('stream'),)
+    assert drain.phase is DrainPhase.HANDING_OVER
+    assert drain.tick(51) == ()
+    assert drain.mark_resumable('call', 52) == (HandOver('call'),)
+    assert drain.mark_resumable('unknown', 52) == ()
+    assert drain.end_work('stream', 53) == ()
+    assert drain.end_work('call', 54) == (Exit(),)
+
+
+@pytest.mark.parametrize('by', ['signal', 'limit'])
+def test_a_hurried_stop_names_what_it_cuts(by):
+    drain = make_drain('a', 'b')
+    drain.signal(0)
+    drain.end_work('a', 1)
+    actions = drain.signal(2) if by == 'signal' else drain.tick(100)
+    assert actions == (CutOff(('b',)), Exit(('b',)))
+    assert drain.running == ()
+
+
+def test_a_hurried_stop_without_work_cuts_nothing():
+    drain = make_drain()
+    drain.signal(0)
+    assert drain.signal(1) == (Exit(),)
+
+
+def test_an_entry_accepts_until_the_balancer_has_seen_it_and_an_agent_not():
+    entry, agent = make_entry_drain(), make_agent_drain()
+    entry.signal(0)
+    agent.signal(0)
+    assert entry.start_work('a', 1_999)
+    assert not entry.start_work('b', 2_000)
+    assert not agent.start_work('a', 0)
+    assert entry.is_leaving
+    assert agent.is_leaving
+
+
+class DrainWorld(CheckedMachine):
+    """Stop a process at any moment of its work.
+
+    Checks `late` work, which starts when none may, and `lost` work, which is
+    neither ended nor named as cut when the process leaves.
+    """
+
+    make_drain = Drain
+
+    def __init__(self):
+        super().__init__()
+        self.drain = self.make_drain(SETTINGS)
+        self.now = 0.0
+        self.started = 0
+        self.running = set()
+        self.stopped_at = None
+
+    @rule(resumable=st.booleans())
+    def start(self, resumable):
+        request = f'r{self.started}'
+        self.started += 1
+        if self.drain.start_work(request, self.now, resumable=resumable):
+            self.running.add(request)
+            self.check(self.stopped_at is None, 'late')
+
+    @rule(pick=st.integers(0, 9))
+    def end(self, pick):
+        if self.running:
+            request = sorted(self.running)[pick % len(self.running)]
+            self.running.discard(request)
+            self.act(self.drain.end_work(request, self.now))
+
+    @rule(chance=st.integers(0, 3))
+    def signal(self, chance):
+        if chance == 0:
+            if self.stopped_at is None:
+                self.stopped_at = self.now
+            self.act(self.drain.signal(self.now))
+
+    @rule(by=st.sampled_from([1.0, 20.0, 60.0]))
+    def wait(self, by):
+        self.now += by
+        self.act(self.drain.tick(self.now))
+
+    def act(self, actions):
+        for action in actions:
+            if isinstance(action, HandOver):
+                self.check(action.request in self.running, 'unknown')
+            if isinstance(action, Exit):
+                self.check(self.running == set(action.cut), 'lost')
+                self.running.clear()
+
+    def teardown(self):
+        if self.stopped_at is not None and not self.is_broken:
+            self.now = max(self.now, self.stopped_at + SETTINGS.limit)
+            self.act(self.drain.tick(self.now))
+            self.check(self.drain.phase is DrainPhase.DONE, 'stuck')
+
+
+class KeepsAccepting(Drain):
+    def accepts(self, now):
+        return self.phase is not DrainPhase.DONE
+
+
+class LeavesWork(Drain):
+    def _drain(self, elapsed):
+        return self._exit()
+
+
+class ForgetsCuts(Drain):
+    def _hurry(self):
+        return self._exit()
+
+
+def test_a_planned_stop_takes_no_new_work_and_loses_none():
+    assert_holds(DrainWorld)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'check'),
+    [(KeepsAccepting, 'late'), (LeavesWork, 'lost'), (ForgetsCuts, 'lost')],
+)
+def test_the_check_of_stops_catches_an_unsafe_drain(kind, check):
+    world = type('UnsafeWorld', (DrainWorld,), {'make_drain': kind})
+    assert_caught(world, check)
