--- a/tests/relays.py
+++ b/tests/relays.py
@@ -20,7 +20,6 @@
         self._target = (host, int(port))
         self._silent: set[int] = set()
         self.accepted = 0
-        self.open = 0
         self.piece = 64 * 1024
         self.pause = 0.0
 
@@ -28,16 +27,14 @@
         """Stop forwarding on every connection that is open now."""
         self._silent.update(range(self.accepted + 1))
 
+    def silence_next(self) -> None:
+        """Forward nothing on the connection that is accepted next."""
+        self._silent.add(self.accepted + 1)
+
     async def carry(self, near: SocketStream) -> None:
         """Carry one connection until both its ends are closed."""
         self.accepted += 1
-        self.open += 1
-        try:
-            await self._join(near, self.accepted)
-        finally:
-            self.open -= 1
-
-    async def _join(self, near: SocketStream, number: int) -> None:
+        number = self.accepted
         async with (
             near,
             await anyio.connect_tcp(*self._target) as far,
--- /dev/null
+++ b/tests/test_platform_clients.py
@@ -0,0 +1,247 @@
+from __future__ import annotations
+
+import json
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.platform.http import HttpBackend, HttpError, HttpSettings
+from oleanderdyke.platform.vms import Vm, VmClient
+from oleanderdyke.platform.weights import WeightClient, Weights
+from tests.standins import plain, server, vms, weights
+
+HOST = '127.0.0.1'
+HALL = {
+    'name': 'vm-1',
+    'address': '127.0.0.1:9',
+    'data_centre': 'hall',
+    'leaving': True,
+}
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+@asynccontextmanager
+async def talking(answer):
+    """Run one function for each TCP connection; give a backend of it."""
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, answer)
+        yield f'{HOST}:{port}'
+        group.cancel_scope.cancel()
+    await listener.aclose()
+
+
+async def fail(backend, *call, **options):
+    with pytest.raises(HttpError) as caught:
+        async with backend.request(*call, **options) as answer:
+            await answer.read(1000)
+    return caught.value.ran
+
+
+async def test_the_vm_list_is_read():
+    app = vms.make_app()
+    app._shown = [HALL]
+    async with server.serving(app) as (address,):
+        client = VmClient(address)
+        assert await client.list() == (Vm(**HALL),)
+
+
+@pytest.mark.parametrize(
+    'shown',
+    [
+        [7],
+        [{**HALL, 'name': 7}],
+        [{**HALL, 'address': None}],
+        [{**HALL, 'leaving': 'no'}],
+    ],
+)
+async def test_an_improper_vm_list_is_refused(shown):
+    app = vms.make_app()
+    app._show = lambda vm: vm
+    app._list = lambda: shown
+    async with server.serving(app) as (address,):
+        with pytest.raises(OleanderError):
+            await VmClient(address).list()
+
+
+@pytest.mark.parametrize('faults', [{'down': True}, {'silent': True}])
+async def test_a_vm_list_that_is_out_gives_a_typed_error_in_time(faults):
+    app = vms.make_app()
+    app.faults = vms.VmFaults(**faults)
+    async with server.serving(app) as (address,):
+        with pytest.raises(OleanderError) as caught:
+            await VmClient(address).list(timeout=150)
+    assert caught.value.kind is ErrorKind.NOT_READY
+
+
+async def test_weights_are_described():
+    async with server.serving(weights.make_app()) as (address,):
+        client = WeightClient(address)
+        described = await client.describe('claims', 'v1')
+        digest = weights.make_digest('claims', 'v1')
+        assert described == Weights(digest, described.length)
+
+
+async def test_unknown_weights_are_not_found():
+    app = weights.make_app()
+    app.faults = weights.WeightFaults(missing=['claims/v2'])
+    async with server.serving(app) as (address,):
+        with pytest.raises(OleanderError) as caught:
+            await WeightClient(address).describe('claims', 'v2')
+    assert caught.value.kind is ErrorKind.NOT_FOUND
+
+
+async def test_an_exchange_carries_method_headers_and_body():
+    async with server.serving(plain.make_app()) as (address,):
+        backend = HttpBackend(address)
+        headers = (('X-Request-Id', 'r1'),)
+        async with backend.request(
+            'POST', '/book?room=1', headers=headers, body=b'two tickets'
+        ) as answer:
+            assert answer.status == 201
+            receipt = json.loads(await answer.read(1000))
+        assert receipt['receipt'] == 'plain-1'
+        assert ('content-type', 'application/json') in answer.headers
+
+
+async def count_up(parts, size):
+    for number in range(parts):
+        yield bytes([number]) * size
+
+
+async def test_bodies_are_streamed_both_ways():
+    async with server.serving(plain.make_app()) as (address,):
+        backend = HttpBackend(address)
+        body = count_up(20, 1000)
+        async with backend.request('POST', '/echo', body=body) as answer:
+            echoed = await answer.read(100_000)
+    assert echoed == b''.join([part async for part in count_up(20, 1000)])
+
+
+async def test_a_long_answer_arrives_in_pieces_and_may_be_left():
+    app = plain.make_app()
+    app.faults = plain.PlainFaults(big=50_000_000)
+    async with server.serving(app) as (address,):
+        backend = HttpBackend(address)
+        async with backend.request('GET', '/big') as answer:
+            async for piece in answer.body:
+                assert len(piece) < 1_000_000
+                break
+        assert await fail(backend, 'GET', '/big') is Ran.MAYBE
+        app.faults = plain.PlainFaults()
+        async with backend.request('GET', '/status') as answer:
+            assert answer.status == 200
+
+
+async def test_nothing_ran_where_nobody_listens():
+    async with talking(lambda stream: stream.aclose()) as address:
+        pass
+    assert await fail(HttpBackend(address), 'POST', '/', body=b'x') is Ran.NO
+
+
+async def test_a_request_that_cannot_be_written_did_not_run():
+    reached = []
+
+    async def note(stream):
+        async with stream:
+            reached.append(await stream.receive())
+
+    async with talking(note) as address:
+        headers = (('bad name', 'x'),)
+        ran = await fail(HttpBackend(address), 'GET', '/', headers=headers)
+    assert ran is Ran.NO
+    assert reached == []
+
+
+OK = b'HTTP/1.1 200 OK\r\n'
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'rubbish\r\n\r\n',
+        OK,
+        OK + b'content-length: 9\r\n\r\nshort',
+        OK + b'transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n',
+    ],
+    ids=['closed', 'rubbish', 'no_head', 'short', 'no_last_chunk'],
+)
+async def test_an_answer_cut_off_leaves_the_request_in_doubt(data):
+    async def cut(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(data)
+
+    async with talking(cut) as address:
+        backend = HttpBackend(address)
+        assert await fail(backend, 'POST', '/', body=b'x') is Ran.MAYBE
+
+
+async def test_a_server_that_never_answers_leaves_the_request_in_doubt():
+    async def hold(stream):
+        async with stream:
+            await anyio.sleep_forever()
+
+    async with talking(hold) as address:
+        backend = HttpBackend(address, settings=HttpSettings(read=100))
+        assert await fail(backend, 'GET', '/') is Ran.MAYBE
+
+
+async def test_each_request_has_its_own_connection():
+    connections = []
+
+    async def answer_once(stream):
+        connections.append(stream)
+        await stream.receive()
+        await stream.send(OK + b'content-length: 0\r\n\r\n')
+        # Kept open: a client that reused it would wait here for good.
+        await anyio.sleep_forever()
+
+    async with talking(answer_once) as address:
+        backend = HttpBackend(address, settings=HttpSettings(read=5000))
+        for _ in range(3):
+            async with backend.request('GET', '/') as answer:
+                assert await answer.read(10) == b''
+    assert len(connections) == 3
+
+
+async def test_leaving_an_answer_closes_its_connection():
+    closed = anyio.Event()
+
+    async def stream_forever(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(OK + b'transfer-encoding: chunked\r\n\r\n')
+            await stream.send(b'1\r\nx\r\n')
+            with pytest.raises(anyio.EndOfStream):
+                await stream.receive()
+            closed.set()
+
+    async with talking(stream_forever) as address:
+        async with HttpBackend(address).request('GET', '/') as answer:
+            assert await anext(answer.body) == b'x'
+        with anyio.fail_after(20):
+            await closed.wait()
+
+
+async def test_an_error_of_the_body_ends_the_request():
+    async def break_off():
+        yield b'some'
+        raise OleanderError(ErrorKind.CANCELLED, 'the caller left')
+
+    async with server.serving(plain.make_app()) as (address,):
+        backend = HttpBackend(address)
+        with pytest.raises(OleanderError) as caught:
+            async with backend.request('POST', '/', body=break_off()):
+                pass
+    assert caught.value.kind is ErrorKind.CANCELLED
