Test an agent's runs, streams, orders and planned stop

Cause: the agent's promises need failures that test them. Ruled out: letting the stream buffer drop sent chunks while others wait; a reader whose link broke then found its chunk gone. Change: tests with stand-ins in one loop; the agent holds back the backend server instead, by StreamBuffer.would_drop. Conclusion: see the test names.

--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -127,7 +127,7 @@
 
     async def _pass_on(self, run: Run, data: bytes) -> None:
         run.take(data)
-        while run.buffer is not None and run.buffer.is_full:
+        while run.buffer is not None and _must_wait(run.buffer, data):
             await run.wait_changed()
         if run.buffer is not None:
             self._send(run.buffer, run.buffer.add(data, self._clock.now()))
@@ -144,6 +144,10 @@
             yield data[start : start + size]
 
 
+def _must_wait(buffer: StreamBuffer, data: bytes) -> bool:
+    return buffer.is_full or buffer.would_drop(data)
+
+
 def _make_record(run: Run) -> RunAnswer | None:
     if run.record is None:
         return None
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,559 @@
+"""Hold what one agent promises about its runs and its planned stop."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import json
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import anyio
+import pytest
+
+from agents import (
+    TEAM,
+    FakeEntry,
+    World,
+    dialing,
+    make_settings,
+    make_world,
+    running,
+    wait_until,
+)
+from oleanderdyke.agent import main as agent_main
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.kernel.drain import DrainSettings
+from oleanderdyke.kernel.objects import (
+    ModelVersionSpec,
+    ObjectKind,
+    ServiceKind,
+    ServiceSpec,
+    TeamSpec,
+)
+from oleanderdyke.kernel.stream_buffer import StreamLimits
+from oleanderdyke.links.messages import (
+    AgentPhase,
+    BackendKind,
+    Cancel,
+    ClaimAnswer,
+    ClaimQuery,
+    ClaimState,
+    ConfigurationDifference,
+    ConfigurationRequest,
+    Credit,
+    DrainRequest,
+    Refused,
+    Resume,
+    SegmentWritten,
+)
+from standins import engine, plain, server, weights
+
+pytestmark = pytest.mark.anyio
+BIG = 8 * 1024 * 1024
+SERVICE = 'taquilla'
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@contextlib.asynccontextmanager
+async def plain_agent(
+    **more: Any,
+) -> AsyncGenerator[tuple[plain.PlainService, Any, FakeEntry], None]:
+    app = plain.make_app(die=lambda: None)
+    async with server.serving(app) as (address,):
+        settings = make_settings(BackendKind.PLAIN, address, SERVICE, **more)
+        async with running(settings) as shell, dialing(shell) as entry:
+            await entry.wait_serving()
+            yield app, shell, entry
+
+
+def set_faults(app: plain.PlainService, **faults: Any) -> None:
+    app.faults = plain.PlainFaults(**faults)
+
+
+async def ask_claim(entry: FakeEntry, claim: Any) -> ClaimAnswer:
+    before = len(entry.messages)
+    await entry.link.send(ClaimQuery('q', TEAM, claim))
+
+    def find() -> list[ClaimAnswer]:
+        found = entry.messages[before:]
+        return [each for each in found if isinstance(each, ClaimAnswer)]
+
+    await wait_until(lambda: bool(find()))
+    return find()[0]
+
+
+async def test_answer_comes_back_whole_with_count_and_digest() -> None:
+    async with plain_agent() as (_, _, entry):
+        body = [bytes([each]) * 70_000 for each in range(4)]
+        dispatch = entry.make_dispatch('r', path='/echo')
+        outcome = await entry.send(dispatch, *body)
+        for _ in range(4):
+            await entry.link.send(Credit('r', 1, 16))
+        await wait_until(lambda: outcome.over)
+        assert outcome.end is not None
+        assert outcome.body == b''.join(body)
+        assert outcome.end.count == len(outcome.chunks)
+        digest = hashlib.blake2b(outcome.body, digest_size=16).digest()
+        assert outcome.end.digest == digest
+
+
+async def test_reading_stops_without_credit_and_goes_on_with_it() -> None:
+    limits = StreamLimits(stream_bytes=128 * 1024, credit=4)
+    async with plain_agent(streams=limits) as (app, shell, entry):
+        set_faults(app, big=BIG)
+        dispatch = entry.make_dispatch('r', method='GET', idempotent=True)
+        outcome = await entry.send(dispatch, b'')
+        await wait_until(lambda: len(outcome.chunks) == 4)
+        beats = entry.beats
+        await wait_until(lambda: entry.beats > beats + 5)
+        assert len(outcome.chunks) == 4
+        held = shell._streams.held_bytes
+        assert held <= 2 * limits.stream_bytes
+        await entry.link.send(Credit('r', 1, 100_000))
+        await wait_until(lambda: outcome.over)
+        assert len(outcome.body) == BIG
+
+
+async def test_hop_by_hop_headers_and_credentials_stay_here() -> None:
+    seen: dict[str, str] = {}
+
+    async def app(scope: Any, _receive: Any, send: Any) -> None:
+        seen.update((k.decode(), v.decode()) for k, v in scope['headers'])
+        headers = [(b'x-kept', b'1'), (b'x-named', b'1')]
+        headers.append((b'connection', b'x-named'))
+        start = {'type': 'http.response.start', 'status': 200}
+        await send(start | {'headers': headers})
+        await send({'type': 'http.response.body', 'body': b''})
+
+    async with server.serving(app) as (address,):
+        settings = make_settings(BackendKind.PLAIN, address, SERVICE)
+        async with running(settings) as shell, dialing(shell) as entry:
+            await entry.wait_serving()
+            headers = (
+                ('authorization', 'Bearer x'),
+                ('te', 'trailers'),
+                ('x-own', '1'),
+            )
+            dispatch = entry.make_dispatch('r', headers=headers)
+            outcome = await entry.call(dispatch, b'')
+    assert outcome.head is not None
+    assert dict(outcome.head.headers).get('x-kept') == '1'
+    assert 'x-named' not in dict(outcome.head.headers)
+    assert seen['x-own'] == '1'
+    assert not {'authorization', 'te'} & set(seen)
+
+
+async def test_keyed_run_is_recorded_and_never_repeated() -> None:
+    async with plain_agent() as (app, _, entry):
+        claim = entry.make_claim('k')
+        first = entry.make_dispatch('r', claim=claim)
+        outcome = await entry.call(first, b'booking')
+        again = entry.make_dispatch('r2', claim=claim)
+        repeated = await entry.call(again, b'booking')
+        answer = await ask_claim(entry, claim)
+        assert answer.state is ClaimState.FINISHED
+        assert answer.body == outcome.body
+        assert repeated.failed is not None
+        assert sum(app.runs.values()) == 1
+
+
+async def test_claimed_run_goes_on_without_its_caller() -> None:
+    async with plain_agent() as (app, shell, entry):
+        set_faults(app, slow=200.0)
+        async with dialing(shell, name='e2') as other:
+            claim = other.make_claim('k')
+            await other.send(other.make_dispatch('r', claim=claim), b'x')
+            await other.send(other.make_dispatch('r3', claim=None), b'y')
+            await other.link.send(Cancel('r', 1))
+            await anyio.sleep(0.05)
+        await wait_until(lambda: sum(app.runs.values()) == 2)
+        await wait_until(lambda: shell._gate.running == 0)
+        answer = await ask_claim(entry, claim)
+        assert answer.state is ClaimState.FINISHED
+        assert answer.status == 201
+
+
+async def test_cancel_closes_the_backend_connection() -> None:
+    came, gone = anyio.Event(), anyio.Event()
+
+    async def app(_scope: Any, receive: Any, _send: Any) -> None:
+        came.set()
+        while (await receive())['type'] != 'http.disconnect':
+            pass
+        gone.set()
+
+    async with server.serving(app) as (address,):
+        settings = make_settings(BackendKind.PLAIN, address, SERVICE)
+        async with running(settings) as shell, dialing(shell) as entry:
+            await entry.wait_serving()
+            await entry.send(entry.make_dispatch('r'), b'x')
+            await came.wait()
+            await entry.link.send(Cancel('r', 1))
+            with anyio.fail_after(10):
+                await gone.wait()
+            await wait_until(lambda: shell._gate.running == 0)
+            assert ('r', 1) not in {
+                key for key, each in entry.outcomes.items() if each.over
+            }
+
+
+async def test_unwanted_run_ends_with_the_link_of_its_entry() -> None:
+    async with plain_agent() as (app, shell, entry):
+        set_faults(app, silent=True)
+        async with dialing(shell, name='e2') as other:
+            dispatch = other.make_dispatch('r', method='GET', idempotent=True)
+            await other.send(dispatch, b'')
+            await wait_until(lambda: shell._gate.running == 1)
+        await wait_until(lambda: shell._gate.running == 0)
+        assert entry.beat is not None
+
+
+@pytest.mark.parametrize(
+    ('deadline', 'ran'), [(300.0, Ran.MAYBE), (0.0, Ran.NO)]
+)
+async def test_deadline_tells_whether_it_may_have_run(
+    deadline: float, ran: Ran
+) -> None:
+    async with plain_agent() as (app, _, entry):
+        set_faults(app, silent=True)
+        dispatch = entry.make_dispatch('r', deadline=deadline)
+        outcome = await entry.call(dispatch, b'x')
+        assert outcome.failed is not None
+        assert outcome.failed.kind is ErrorKind.DEADLINE
+        assert outcome.failed.ran is ran
+
+
+@pytest.mark.parametrize('key', ['k', ''])
+async def test_body_that_is_cut_off_reaches_no_service(key: str) -> None:
+    async with plain_agent() as (app, shell, entry):
+        async with dialing(shell, name='e2') as other:
+            claim = other.make_claim(key) if key else None
+            dispatch = other.make_dispatch('r', claim=claim)
+            await other.link.send(dispatch)
+            await wait_until(lambda: shell._gate.running == 1)
+        await wait_until(lambda: shell._gate.running == 0)
+        assert not app.runs
+        outcome = await entry.call(entry.make_dispatch('r2'), b'x')
+        assert outcome.end is not None
+
+
+async def test_too_large_a_body_is_refused() -> None:
+    async with plain_agent() as (app, _, entry):
+        claim = entry.make_claim('k')
+        dispatch = entry.make_dispatch('r', claim=claim)
+        parts = [bytes(500_000)] * 18
+        outcome = await entry.call(dispatch, *parts)
+        assert outcome.failed is not None
+        assert outcome.failed.kind is ErrorKind.BODY_TOO_LARGE
+        assert outcome.failed.ran is Ran.NO
+        assert not app.runs
+
+
+async def test_stream_goes_on_through_another_entry() -> None:
+    limits = StreamLimits(credit=4)
+    async with plain_agent(streams=limits) as (app, shell, entry):
+        set_faults(app, big=BIG)
+        async with dialing(shell, name='e2') as other:
+            dispatch = other.make_dispatch('r', method='GET', idempotent=True)
+            first = await other.send(dispatch, b'')
+            await wait_until(lambda: len(first.chunks) == 4)
+            assert first.head is not None
+        token = first.head.resume
+        bad = Resume('bad', 1, 'otra', token, 3)
+        await entry.link.send(bad)
+        await entry.link.send(Resume('again', 7, TEAM, token, 3))
+        await entry.link.send(Credit('again', 7, 100_000))
+        await wait_until(
+            lambda: (
+                ('again', 7) in entry.outcomes
+                and entry.outcomes['again', 7].over
+            )
+        )
+        rest = entry.outcomes['again', 7]
+        assert rest.end is not None
+        whole = {**first.chunks, **rest.chunks}
+        assert sorted(whole) == list(range(rest.end.count))
+        assert sum(map(len, whole.values())) == BIG
+        refused = entry.outcomes['bad', 1].failed
+        assert refused is not None
+        assert refused.kind is ErrorKind.STREAM_GONE
+
+
+async def test_stream_that_nobody_takes_is_given_up() -> None:
+    limits = StreamLimits(credit=4, hold=300.0)
+    async with plain_agent(streams=limits) as (app, shell, entry):
+        set_faults(app, big=BIG)
+        dispatch = entry.make_dispatch('r', method='GET', idempotent=True)
+        outcome = await entry.call(dispatch, b'')
+        assert outcome.failed is not None
+        assert outcome.failed.kind is ErrorKind.STREAM_BROKEN
+        await wait_until(lambda: shell._gate.running == 0)
+
+
+class CrashingService:
+    """Accept runs, then die with all of them."""
+
+    def __init__(self) -> None:
+        self.accepted = 0
+        self.crash = anyio.Event()
+
+    async def serve(self, ready: Callable[[str], Awaitable[None]]) -> None:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        host, port = listener.listeners[0].extra(
+            anyio.abc.SocketAttribute.local_address
+        )
+
+        async def handle(stream: Any) -> None:
+            async with stream:
+                with contextlib.suppress(anyio.EndOfStream):
+                    await stream.receive()
+                    self.accepted += 1
+                    await self.crash.wait()
+
+        async def accept() -> None:
+            try:
+                await listener.serve(handle)
+            except* anyio.ClosedResourceError:
+                pass
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(accept)
+            await ready(f'{host}:{port}')
+            await self.crash.wait()
+            await listener.aclose()
+            group.cancel_scope.cancel()
+
+
+async def test_crash_ends_every_run_as_suspect() -> None:
+    service = CrashingService()
+
+    async def ready(address: str) -> None:
+        settings = make_settings(BackendKind.PLAIN, address, SERVICE)
+        group.start_soon(check, settings)
+
+    async def check(settings: Any) -> None:
+        async with running(settings) as shell, dialing(shell) as entry:
+            await entry.wait_serving()
+            claim = entry.make_claim('k')
+            one = await entry.send(entry.make_dispatch('r1', claim=claim), b'x')
+            two = await entry.send(entry.make_dispatch('r2'), b'y')
+            await wait_until(lambda: service.accepted == 2)
+            service.crash.set()
+            await wait_until(lambda: one.over and two.over)
+            for outcome in (one, two):
+                assert outcome.failed is not None
+                assert outcome.failed.kind is ErrorKind.BACKEND_LOST
+                assert outcome.failed.ran is Ran.MAYBE
+            assert entry.beat is not None
+            assert entry.beat.phase is AgentPhase.STARTING
+            suspects = {each.split('@')[0] for each in entry.beat.suspects}
+            assert suspects == {'r1', 'r2'}
+            late = await entry.call(entry.make_dispatch('r3'), b'z')
+            assert late.failed is not None
+            assert late.failed.kind is ErrorKind.NOT_READY
+            assert late.failed.ran is Ran.NO
+            answer = await ask_claim(entry, claim)
+            assert answer.state is ClaimState.UNKNOWN
+            done.set()
+
+    done = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(service.serve, ready)
+        await done.wait()
+
+
+async def test_leaving_refuses_new_work_and_ends_after_the_old() -> None:
+    drain = DrainSettings(announce=100.0)
+    async with plain_agent(drain=drain) as (app, shell, entry):
+        set_faults(app, slow=600.0)
+        async with dialing(shell, name='e2') as other:
+            running_one = await entry.send(entry.make_dispatch('r'), b'x')
+            await wait_until(lambda: shell._gate.running == 1)
+            await entry.link.send(DrainRequest('op'))
+            await wait_until(
+                lambda: all(
+                    each.beat is not None
+                    and each.beat.phase is AgentPhase.LEAVING
+                    for each in (entry, other)
+                )
+            )
+            late = await other.call(other.make_dispatch('r2'), b'x')
+            assert late.failed is not None
+            assert late.failed.kind is ErrorKind.LEAVING
+            assert late.failed.ran is Ran.NO
+            await wait_until(lambda: running_one.over)
+            assert running_one.end is not None
+            await wait_until(lambda: entry.link.closed and other.link.closed)
+
+
+async def test_second_signal_cuts_what_still_runs() -> None:
+    async with plain_agent() as (app, shell, entry):
+        set_faults(app, silent=True)
+        outcome = await entry.send(entry.make_dispatch('r'), b'x')
+        await wait_until(lambda: shell._gate.running == 1)
+        shell.stop('SIGTERM')
+        shell.stop('SIGTERM')
+        await wait_until(lambda: outcome.over)
+        assert outcome.failed is not None
+        assert outcome.failed.kind is ErrorKind.STOPPING
+        assert outcome.failed.ran is Ran.MAYBE
+        await wait_until(lambda: entry.link.closed)
+
+
+async def test_configuration_passes_from_entry_to_entry() -> None:
+    world = World((ObjectKind.TEAM, TEAM, TeamSpec()))
+    async with plain_agent() as (_, shell, behind):
+        async with dialing(shell, world, name='e2') as ahead:
+            await ahead.tell_offset()
+            await wait_until(
+                lambda: behind.beat is not None and behind.beat.offset == 0
+            )
+        await behind.link.send(ConfigurationRequest(-1))
+        await wait_until(
+            lambda: any(
+                isinstance(each, ConfigurationDifference)
+                for each in behind.messages
+            )
+        )
+
+
+async def test_message_for_others_is_refused() -> None:
+    async with plain_agent() as (_, _, entry):
+        await entry.link.send(SegmentWritten('r', b'', sealed=True))
+        await wait_until(
+            lambda: any(isinstance(each, Refused) for each in entry.messages)
+        )
+
+
+@contextlib.asynccontextmanager
+async def engine_agent(
+    **more: Any,
+) -> AsyncGenerator[tuple[engine.Engine, World, FakeEntry], None]:
+    store = weights.make_app()
+    async with server.serving(store) as (weight_address,):
+        app = engine.make_app(
+            engine.EngineSettings(weights=weight_address, **more)
+        )
+        async with server.serving(app) as (address,):
+            settings = make_settings(BackendKind.ENGINE, address, 'asistente')
+            world = make_world(find_digest('1'))
+            async with (
+                running(settings) as shell,
+                dialing(shell, world) as entry,
+            ):
+                await entry.tell_offset()
+                await entry.wait_weights(find_digest('1'))
+                yield app, world, entry
+
+
+def find_digest(version: str) -> str:
+    return weights.make_digest('modelo', version)
+
+
+def make_chat(text: str = 'x' * 3000, **more: Any) -> bytes:
+    messages = [{'role': 'user', 'content': text}]
+    return json.dumps({'messages': messages} | more).encode()
+
+
+@pytest.mark.parametrize('options', [{'stream': True}, {'stream': False}])
+async def test_prefix_is_reused_and_the_answer_counts_tokens(
+    options: dict[str, bool],
+) -> None:
+    async with engine_agent() as (app, _, entry):
+        body = make_chat(**options)
+        first = await entry.call(entry.make_chat('r1'), body)
+        second = await entry.call(entry.make_chat('r2'), body)
+        assert first.end is not None
+        assert second.end is not None
+        assert first.end.recomputed_tokens == first.end.prompt_tokens
+        assert second.end.recomputed_tokens < 256
+        assert app.stats.corrupt_used == 0
+
+
+async def test_another_namespace_never_reaches_the_engine() -> None:
+    async with engine_agent() as (app, _, entry):
+        wrong = replace(entry.make_chat('r'), namespace=bytes(32))
+        outcome = await entry.call(wrong, make_chat())
+        assert outcome.failed is not None
+        assert outcome.failed.kind is ErrorKind.PROTOCOL
+        assert outcome.failed.ran is Ran.NO
+        assert not app.stats.runs
+
+
+async def test_new_version_is_ordered_and_the_old_one_refused() -> None:
+    async with engine_agent() as (app, world, entry):
+        old = entry.make_chat('old')
+        world.publish(
+            ObjectKind.MODEL_VERSION,
+            'v2',
+            ModelVersionSpec('modelo', '2', find_digest('2')),
+        )
+        service = ServiceSpec(ServiceKind.MODEL, model='modelo', version='2')
+        world.publish(ObjectKind.SERVICE, 'asistente', service, expected=1)
+        await entry.tell_offset()
+        await entry.wait_weights(find_digest('2'))
+        refused = await entry.call(old, make_chat())
+        assert refused.failed is not None
+        assert refused.failed.kind is ErrorKind.WRONG_VERSION
+        assert refused.failed.ran is Ran.NO
+        outcome = await entry.call(entry.make_chat('new'), make_chat())
+        assert outcome.end is not None
+        assert app.stats.orders_refused == 0
+
+
+async def test_order_waits_for_runs_that_have_not_begun_to_answer() -> None:
+    async with engine_agent(decode_ms=60.0) as (app, world, entry):
+        body = make_chat(stream=False)
+        running_one = await entry.send(entry.make_chat('r'), body)
+        await wait_until(lambda: bool(app.stats.runs))
+        service = ServiceSpec(
+            ServiceKind.MODEL, model='modelo', version='1', adapter='a'
+        )
+        world.publish(ObjectKind.SERVICE, 'asistente', service, expected=1)
+        await entry.tell_offset()
+        await wait_until(lambda: app.loaded.adapter == 'a')
+        assert app.stats.finished == 1
+        await wait_until(lambda: running_one.over)
+        assert running_one.end is not None
+
+
+async def test_lost_cache_events_are_noticed() -> None:
+    async with engine_agent(lose_event_every=3, cache_segments=4) as (
+        _,
+        _,
+        entry,
+    ):
+        for number in range(4):
+            body = make_chat(f'{number}' * 3000)
+            outcome = await entry.call(entry.make_chat(f'r{number}'), body)
+            assert outcome.end is not None
+
+
+@pytest.mark.parametrize(
+    ('text', 'code', 'shown'),
+    [
+        ('process: a', 2, 'data_centre'),
+        ('{process: a, data_centre: d, keeper: x, backend: %s}', 2, 'keeper'),
+        (
+            '{process: a, data_centre: d, backend: %s, listen: %l}',
+            2,
+            'listen.host',
+        ),
+        ('{process: a, data_centre: d, backend: %s}', 0, ''),
+    ],
+)
+def test_check_of_settings_sets_the_exit_code(
+    tmp_path: Any, capsys: Any, text: str, code: int, shown: str
+) -> None:
+    path = tmp_path / 'agent.yaml'
+    backend = "{kind: plain, address: '127.0.0.1:1', service: s}"
+    text = text.replace('%s', backend).replace('%l', '{host: 10.0.0.1}')
+    path.write_text(text)
+    assert agent_main.main(['--settings', str(path), '--check']) == code
+    assert shown in capsys.readouterr().err
