--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -123,6 +123,7 @@
         self._settings = settings
         self._clock = clock
         self._reason = ''
+        self._sent = False
         self._sending = 0
         self._progress = clock.now()
         self._refusals = 0
@@ -156,6 +157,7 @@
         finally:
             self._sending -= 1
             self._progress = self._clock.now()
+        self._sent = True
         self.counters.note_out(message, len(data))
 
     async def receive(self) -> Message:
@@ -229,8 +231,11 @@
             while True:
                 await anyio.sleep(self._settings.ping_interval / SECOND)
                 self._check_silence()
-                nonce += 1
-                await self._answer(Ping(nonce))
+                if self._watch.quiet or not self._sent:
+                    nonce += 1
+                    await self._answer(Ping(nonce))
+                # A ping does not spare the next one; the peer may not answer.
+                self._sent = False
 
     def _check_silence(self) -> None:
         now = self._clock.now()
--- a/src/oleanderdyke/links/silence.py
+++ b/src/oleanderdyke/links/silence.py
@@ -22,6 +22,11 @@
         self._heard = True
         self._missed = 0
 
+    @property
+    def quiet(self) -> bool:
+        """Tell whether nothing arrived before the last tick."""
+        return self._missed > 0
+
     def note_heard(self) -> None:
         """Learn that bytes arrived."""
         self._heard = True
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -224,6 +224,19 @@
         assert link.counters.control_in > 0
 
 
+async def test_a_busy_link_needs_hardly_any_pings():
+    beats = 100
+    async with listening(echo, settings=QUICK) as address:
+        link = await call(address, settings=QUICK)
+        for sequence in range(beats):
+            await anyio.sleep(INTERVAL / 5000)
+            await link.send(Cancel('r', sequence))
+            assert await link.receive() == Cancel('r', sequence)
+    beaten = sum(len(encode(Cancel('r', each))) for each in range(beats))
+    pinged = link.counters.control_out - beaten
+    assert pinged < beats / 5 / 2 * len(encode(Ping(1)))
+
+
 async def test_a_peer_that_only_answers_pings_is_alive():
     async def answer_pings(socket):
         await socket.send(encode(make_hello('server')))
