Test fetches from stores and the store's agent

Cause: a damaged or half-written segment must never reach an engine. Conclusion: recompute is the only cost of every fault tried.

--- /dev/null
+++ b/tests/test_fetch.py
@@ -0,0 +1,204 @@
+"""Hold how kept context comes back to an engine, and what may not."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass, replace
+from typing import Any
+
+import anyio
+import pytest
+
+from agents import (
+    FakeEntry,
+    dialing,
+    make_settings,
+    make_world,
+    running,
+    wait_until,
+)
+from oleanderdyke.agent.settings import CacheSettings
+from oleanderdyke.kernel.blocks import split_segments
+from oleanderdyke.links.messages import BackendKind, Dispatch, FetchPlan
+from standins import cache, engine, server, store, weights
+
+pytestmark = pytest.mark.anyio
+TEXT = 'reglas ' * 1000
+BODY = json.dumps({'messages': [{'role': 'user', 'content': TEXT}]}).encode()
+TOKENS = cache.count_tokens(f'user\0{TEXT}\n'.encode())
+DIGEST = weights.make_digest('modelo', '1')
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@dataclass
+class Site:
+    store: store.Store
+    engines: list[engine.Engine]
+    entries: list[FakeEntry]
+    shells: list[Any]
+    address: str
+
+    def plan(self, segments: tuple[bytes, ...]) -> FetchPlan:
+        return FetchPlan('memoria', self.address, segments)
+
+    def make_chat(
+        self, number: int, request: str, **more: Any
+    ) -> tuple[Dispatch, FetchPlan]:
+        chat = self.entries[number].make_chat(request)
+        prompt = f'user\0{TEXT}\n'.encode()
+        segments = split_segments(chat.namespace, prompt)
+        plan = self.plan(segments)
+        return replace(chat, segments=segments, **more), plan
+
+    async def keep(self) -> None:
+        """Run once on the first engine, until everything is kept."""
+        chat, plan = self.make_chat(0, 'first')
+        outcome = await self.entries[0].call(replace(chat, keep=plan), BODY)
+        assert outcome.end is not None
+        count = len(plan.segments)
+        await wait_until(lambda: len(self.store.objects) == 2 * count)
+
+    async def ask(self, request: str, plan: FetchPlan | None) -> Any:
+        """Run on the second engine and return the end."""
+        chat, _ = self.make_chat(1, request)
+        outcome = await self.entries[1].call(replace(chat, fetch=plan), BODY)
+        assert outcome.end is not None
+        return outcome.end
+
+
+@contextlib.asynccontextmanager
+async def site(
+    *,
+    link: float = 0.0,
+    prefill: float = 20_000.0,
+    **more: Any,
+) -> AsyncGenerator[Site, None]:
+    kept = store.make_app(store.StoreSettings(link_bytes_per_second=link))
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def enter(manager: Any) -> Any:
+            return await stack.enter_async_context(manager)
+
+        weight, place = await enter(server.serving(weights.make_app(), kept))
+        settings = engine.EngineSettings(
+            weights=weight, prefill_tokens_per_second=prefill
+        )
+        engines = [engine.make_app(settings) for _ in range(2)]
+        addresses = await enter(server.serving(*engines))
+        keeper = await enter(
+            running(make_settings(BackendKind.STORE, place, 'memoria'))
+        )
+        found = Site(kept, engines, [], [], f'127.0.0.1:{keeper.port}')
+        ready = await enter(dialing(keeper))
+        await ready.wait_serving()
+        for address in addresses:
+            agent = make_settings(
+                BackendKind.ENGINE,
+                address,
+                'asistente',
+                cache=CacheSettings(**more),
+            )
+            shell = await enter(running(agent))
+            entry = await enter(dialing(shell, make_world(DIGEST)))
+            await entry.tell_offset()
+            await entry.wait_weights(DIGEST)
+            found.shells.append(shell)
+            found.entries.append(entry)
+        yield found
+
+
+async def test_context_comes_back_from_the_store() -> None:
+    async with site() as place:
+        await place.keep()
+        _, plan = place.make_chat(1, 'x')
+        end = await place.ask('r', plan)
+        assert end.recomputed_tokens < cache.SEGMENT_TOKENS
+        assert end.prompt_tokens == TOKENS
+        size = cache.KV_BYTES_PER_TOKEN * cache.SEGMENT_TOKENS
+        assert end.link_bytes == size * len(plan.segments)
+        assert place.engines[1].stats.imports == len(plan.segments)
+
+
+async def test_requests_that_wait_for_one_segment_share_its_fetch() -> None:
+    async with site(link=1e6, prefill=4_000.0) as place:
+        await place.keep()
+        _, plan = place.make_chat(1, 'x')
+        ends: list[Any] = []
+
+        async def ask(request: str) -> None:
+            ends.append(await place.ask(request, plan))
+
+        async with anyio.create_task_group() as group:
+            for number in range(4):
+                group.start_soon(ask, f'r{number}')
+        assert place.engines[1].stats.imports == len(plan.segments)
+        assert sum(each.link_bytes > 0 for each in ends) == 1
+        assert all(
+            each.recomputed_tokens < cache.SEGMENT_TOKENS for each in ends
+        )
+
+
+@pytest.mark.parametrize('damage', ['corrupt', 'truncate', 'lose'])
+async def test_damaged_context_is_recomputed(damage: str) -> None:
+    async with site() as place:
+        await place.keep()
+        names = [
+            each for each in place.store.objects if not each.endswith('.meta')
+        ]
+        place.store.faults = store.StoreFaults(**{damage: names})
+        place.store.note_faults()
+        _, plan = place.make_chat(1, 'x')
+        end = await place.ask('r', plan)
+        assert end.recomputed_tokens == TOKENS
+        assert place.engines[1].stats.imports == 0
+        assert place.engines[1].stats.corrupt_used == 0
+
+
+async def test_only_the_leading_whole_segments_are_used() -> None:
+    async with site() as place:
+        await place.keep()
+        _, plan = place.make_chat(1, 'x')
+        broken = plan.segments[2].hex()
+        names = [each for each in place.store.objects if broken in each]
+        place.store.faults = store.StoreFaults(lose=names)
+        place.store.note_faults()
+        end = await place.ask('r', plan)
+        assert place.engines[1].stats.imports == 2
+        assert end.recomputed_tokens == TOKENS - 2 * cache.SEGMENT_TOKENS
+
+
+async def test_store_that_cannot_be_reached_costs_a_recompute_only() -> None:
+    async with site() as place:
+        _, plan = place.make_chat(1, 'x')
+        dead = replace(plan, address='127.0.0.1:1')
+        end = await place.ask('r', dead)
+        assert end.recomputed_tokens == TOKENS
+
+
+async def test_fetch_slower_than_computing_is_given_up() -> None:
+    async with site(link=2e5, prefill=50_000.0) as place:
+        chat, plan = place.make_chat(0, 'first')
+        few = replace(plan, segments=plan.segments[:2])
+        await place.entries[0].call(replace(chat, keep=few), BODY)
+        await wait_until(lambda: len(place.store.objects) == 4)
+        place.store.faults = store.StoreFaults(link_bytes_per_second=2e4)
+        place.store.note_faults()
+        end = await place.ask('r', few)
+        assert end.recomputed_tokens > TOKENS - 2 * cache.SEGMENT_TOKENS
+        fetcher = place.shells[1]._role.preparer._fetcher
+        with anyio.fail_after(10):
+            await fetcher.wait_idle()
+
+
+async def test_export_queue_is_bounded() -> None:
+    async with site(export_queue=2) as place:
+        chat, plan = place.make_chat(0, 'first')
+        await place.entries[0].call(replace(chat, keep=plan), BODY)
+        await wait_until(lambda: len(place.store.objects) == 4)
+        assert place.shells[0]._role._exporter.dropped == len(plan.segments) - 2
