Send on what has come in at once and without a timer for each chunk

Cause: profile of 4,000 streamed chunks: two cancel scopes for each chunk; and a kept connection waited 40 ms for a delayed ACK because the listener named no protocol, so that the loop set no TCP_NODELAY. Ruled out: coalescing by a timer, which delays the first token. Change: the server drops stalled callers by its own timer, request timers are tasks, chunks that wait together go out together, credit follows what the caller has taken, the listener names TCP.

--- a/src/oleanderdyke/entry/answers.py
+++ b/src/oleanderdyke/entry/answers.py
@@ -6,10 +6,8 @@
 import math
 from collections.abc import Iterable
 
-import anyio
-
-from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.entry.edge import CallerGone, Send
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry.edge import Send
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.links.messages import Headers
 
@@ -38,12 +36,14 @@
 
 
 class Answer:
-    """Send one answer and give up on a caller that stops reading."""
+    """Send one answer, waiting while the caller reads slowly.
+
+    The server drops a connection whose caller has stopped reading.
+    """
 
-    def __init__(self, send: Send, request: str, timeout: Millis) -> None:
+    def __init__(self, send: Send, request: str) -> None:
         self._send = send
         self._request = request
-        self._timeout = timeout
         self.status = 0
         self.ended = False
 
@@ -55,7 +55,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head."""
         self.status = status
-        await self._push(
+        await self._send(
             {
                 'type': 'http.response.start',
                 'status': status,
@@ -64,15 +64,15 @@
         )
 
     async def send(self, part: bytes) -> None:
-        """Send a part of the body; raise CallerGone for a stalled caller."""
-        await self._push(
+        """Send a part of the body."""
+        await self._send(
             {'type': 'http.response.body', 'body': part, 'more_body': True}
         )
 
     async def end(self, part: bytes = b'') -> None:
         """Send the last part of the body."""
         self.ended = True
-        await self._push({'type': 'http.response.body', 'body': part})
+        await self._send({'type': 'http.response.body', 'body': part})
 
     async def send_whole(
         self, status: int, body: bytes, headers: Headers = ()
@@ -91,13 +91,6 @@
         body = encode_error(error, self._request)
         await self.send_whole(error.status, body, make_error_headers(error))
 
-    async def _push(self, event: dict[str, object]) -> None:
-        try:
-            with anyio.fail_after(self._timeout / SECOND):
-                await self._send(event)
-        except TimeoutError as error:
-            raise CallerGone from error
-
     def _encode(self, headers: Headers) -> Iterable[tuple[bytes, bytes]]:
         yield REQUEST_HEADER.encode(), self._request.encode()
         for name, content in headers:
--- a/src/oleanderdyke/entry/app.py
+++ b/src/oleanderdyke/entry/app.py
@@ -79,7 +79,7 @@
             return
         request = make_request_id()
         settings = self._core.settings.http
-        answer = Answer(send, request, settings.send_timeout)
+        answer = Answer(send, request)
         try:
             head = parse_head(scope, request)
             body = Body(
@@ -116,10 +116,7 @@
         note_refusal(self._core, request, error)
         if answer.started:
             return
-        try:
-            await answer.send_error(error)
-        except CallerGone:
-            return
+        await answer.send_error(error)
 
     # --- for the balancer and operators ----------------------------------
 
--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -43,6 +43,8 @@
         self._extra = extra
         self._position = position or Position()
         self._numberer: EventNumberer | None = None
+        self._head: tuple[int, Headers] | None = None
+        self._unsent: list[bytes] = []
         self._started = clock.now()
         self._last_chunk: Millis | None = None
         self.resume = ''
@@ -56,12 +58,17 @@
         """Tell whether the answer is over, well or not."""
         return self._answer.ended or self.error is not None
 
+    @property
+    def waiting(self) -> int:
+        """Count the chunks that were put but not sent."""
+        return len(self._unsent)
+
     @property
     def status(self) -> int:
         """Return the status that was sent."""
         return self._answer.status
 
-    async def send_head(self, head: DeliverHead) -> None:
+    def put_head(self, head: DeliverHead) -> None:
         """Open the answer; `head.resume` is already opaque."""
         headers = return_headers(head.headers)
         if _is_event_stream(headers):
@@ -69,22 +76,39 @@
         self.resume = head.resume
         if head.resume:
             headers = (*headers, (RESUME_HEADER, head.resume))
-        await self._answer.start(head.status, headers + self._extra)
+        self._head = (head.status, headers + self._extra)
 
-    async def send_chunk(self, chunk: DeliverChunk) -> None:
-        """Pass on a part of the answer, waiting for a slow caller."""
+    def put_chunk(self, chunk: DeliverChunk) -> None:
+        """Add a part of the answer."""
         self._time_chunk()
         data = chunk.data
         if self._numberer is not None:
             data = self._numberer.take(data)
-        if data:
-            await self._answer.send(data)
+        self._unsent.append(data)
+
+    async def flush(self) -> None:
+        """Send what was put, waiting for a slow caller."""
+        if self._head is not None:
+            status, headers = self._head
+            self._head = None
+            await self._answer.start(status, headers)
+        if self._unsent:
+            data = self._take_unsent()
+            if data:
+                await self._answer.send(data)
 
     async def send_end(self, end: DeliverEnd) -> None:
         """Close the answer."""
-        rest = b'' if self._numberer is None else self._numberer.finish()
+        if self._numberer is not None:
+            self._unsent.append(self._numberer.finish())
         self.end = end.end
-        await self._answer.end(rest)
+        data = self._take_unsent()
+        if self._head is None:
+            await self._answer.end(data)
+            return
+        status, headers = self._head
+        self._head = None
+        await self._answer.send_whole(status, data, headers)
 
     async def refuse(self, refuse: Refuse) -> None:
         """Answer with an error, or break an answer that has begun."""
@@ -104,7 +128,9 @@
         self.error = error
         if not self._answer.started:
             await self._answer.send_error(error)
-        elif self._numberer is not None:
+            return
+        await self.flush()
+        if self._numberer is not None:
             body = encode_error(error, self._request)
             await self._answer.send(b'event: error\ndata: ' + body + b'\n\n')
 
@@ -115,10 +141,16 @@
         self.error = OleanderError(
             ErrorKind.STOPPING, 'resume through another entry', ran=Ran.MAYBE
         )
+        await self.flush()
         if self._numberer is not None:
             body = json.dumps({'resume': self.resume}).encode()
             await self._answer.send(b'event: resume\ndata: ' + body + b'\n\n')
 
+    def _take_unsent(self) -> bytes:
+        data = b''.join(self._unsent)
+        self._unsent.clear()
+        return data
+
     def _time_chunk(self) -> None:
         now = self._clock.now()
         self.chunks += 1
--- a/src/oleanderdyke/entry/effects.py
+++ b/src/oleanderdyke/entry/effects.py
@@ -12,7 +12,7 @@
 from oleanderdyke.entry.claims import ClaimLog
 from oleanderdyke.entry.core import Core
 from oleanderdyke.entry.delivery import Delivery
-from oleanderdyke.entry.inbox import Inbox
+from oleanderdyke.entry.inbox import Inbox, Item
 from oleanderdyke.entry.routes import choose_route
 from oleanderdyke.entry.sender import AttemptSender
 from oleanderdyke.entry.stopping import Stopper
@@ -67,6 +67,7 @@
         sender: AttemptSender,
         delivery: Delivery,
         start_upload: Callable[[], None],
+        start_timer: Callable[[Item, Millis], None],
     ) -> None:
         self._core = tools.core
         self._claims = tools.claims
@@ -77,6 +78,7 @@
         self._sender = sender
         self._delivery = delivery
         self._start_upload = start_upload
+        self._put_later = start_timer
         self._started = tools.core.clock.now()
         self._gone = False
         self._handlers = self._make_handlers()
@@ -86,6 +88,13 @@
         for action in actions:
             await self._handlers[type(action)](action)
 
+    async def flush(self) -> None:
+        """Send on what has come in so far."""
+        chunks = self._delivery.waiting
+        await self._guard(self._delivery.flush())
+        if chunks:
+            await self._sender.grant(chunks)
+
     async def fail(self, error: OleanderError) -> None:
         """Answer with an error that the machine did not decide."""
         await self._guard(self._delivery.fail(error))
@@ -171,16 +180,21 @@
         if token:
             self._stopper.mark_resumable(self._call.request)
         head = DeliverHead(action.status, action.headers, token)
-        await self._guard(self._delivery.send_head(head))
+        self._delivery.put_head(head)
 
     async def _deliver_chunk(self, action: DeliverChunk) -> None:
         first = self._delivery.first_token is None
-        await self._guard(self._delivery.send_chunk(action))
+        try:
+            self._delivery.put_chunk(action)
+        except OleanderError as error:
+            await self.fail(error)
+            self.note_gone()
         if first:
             self._core.router.note_first_token(
                 self._call.request, self._core.clock.now()
             )
-        await self._sender.grant()
+        if self._delivery.waiting >= self._core.settings.requests.credit // 2:
+            await self.flush()
 
     async def _deliver_end(self, action: DeliverEnd) -> None:
         await self._guard(self._delivery.send_end(action))
@@ -191,9 +205,7 @@
         await self._guard(self._delivery.refuse(action))
 
     async def _start_timer(self, action: StartTimer) -> None:
-        self._inbox.put_later(
-            TimerFired(action.kind, action.number), action.delay
-        )
+        self._put_later(TimerFired(action.kind, action.number), action.delay)
 
     async def _clear_suspect(self, action: ClearSuspect) -> None:
         self._core.quarantine.clear(action.digest)
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from oleanderdyke.clock import SECOND
+from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry import edge
 from oleanderdyke.entry.answers import Answer
 from oleanderdyke.entry.calls import Call
@@ -66,7 +66,7 @@
         self._demand = call.make_demand(
             self._deadline, core.settings.data_centre
         )
-        self._inbox = Inbox(core.clock)
+        self._inbox = Inbox()
         self._receiver = AnswerReceiver(call.request, self._inbox)
         self._sender = AttemptSender(
             core, call, self._inbox, self._receiver, self._deadline
@@ -87,6 +87,7 @@
             sender=self._sender,
             delivery=self._delivery,
             start_upload=self._start_upload,
+            start_timer=self._start_timer,
         )
         self._machine = RequestMachine(
             _make_facts(core, call), settings=core.machine, budget=core.budget
@@ -138,14 +139,14 @@
     async def _lead(self) -> None:
         core = self._core
         verdict = self._find_verdict()
-        self._inbox.put_later(
-            DeadlinePassed(), self._deadline - core.clock.now()
-        )
+        self._start_timer(DeadlinePassed(), self._deadline - core.clock.now())
         await self._pass_admission()
         if self._call.key:
             verdict = self._find_verdict()
         await self._effects.do(self._machine.start(core.clock.now(), verdict))
         while not self._machine.done:
+            if not self._inbox:
+                await self._effects.flush()
             item = await self._inbox.take()
             if isinstance(item, HandedOver):
                 await self._effects.hand_over()
@@ -198,6 +199,10 @@
             self._effects.log(EventName.REQUEST_CANCELLED)
             self._effects.note_gone()
 
+    def _start_timer(self, item: Item, delay: Millis) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(self._inbox.put_later, item, delay)
+
     def _start_upload(self) -> None:
         if not self._body.ended and self._tasks is not None:
             self._tasks.start_soon(self._upload)
--- a/src/oleanderdyke/entry/resume.py
+++ b/src/oleanderdyke/entry/resume.py
@@ -72,10 +72,11 @@
         self._ask = ask
         self._body = body
         self._delivery = delivery
-        self._inbox = Inbox(tools.core.clock)
+        self._inbox = Inbox()
         self._receiver = AnswerReceiver(ask.request, self._inbox)
         self._link: Link | None = None
         self._ungranted = 0
+        self._credit = tools.core.settings.requests.credit // 2
         self._parts: Mapping[type[Message], Callable[[Any], Awaitable[None]]]
         self._parts = {
             AnswerHead: self._pass_head,
@@ -145,6 +146,8 @@
             )
         )
         while not self._delivery.ended:
+            if not self._inbox:
+                await self._flush()
             item = await self._inbox.take()
             if isinstance(item, Received):
                 await self._parts[type(item.message)](item.message)
@@ -164,19 +167,22 @@
     async def _pass_head(self, head: AnswerHead) -> None:
         token = encode_token(self._ask.stream)
         self._stopper.mark_resumable(self._ask.request)
-        await self._delivery.send_head(
-            DeliverHead(head.status, head.headers, token)
-        )
+        self._delivery.put_head(DeliverHead(head.status, head.headers, token))
 
     async def _pass_chunk(self, chunk: AnswerChunk) -> None:
-        await self._delivery.send_chunk(DeliverChunk(chunk.data))
-        self._ungranted += 1
-        if self._ungranted < self._core.settings.requests.credit // 2:
+        self._delivery.put_chunk(DeliverChunk(chunk.data))
+        if self._delivery.waiting >= self._credit:
+            await self._flush()
+
+    async def _flush(self) -> None:
+        """Send on what has come in, then let the agent send more."""
+        self._ungranted += self._delivery.waiting
+        await self._delivery.flush()
+        if self._ungranted < self._credit or self._link is None:
             return
         credit = Credit(self._ask.request, _ATTEMPT, self._ungranted)
         self._ungranted = 0
-        if self._link is not None:
-            await self._link.send(credit)
+        await self._link.send(credit)
 
     async def _pass_end(self, end: AnswerEnd) -> None:
         await self._delivery.send_end(DeliverEnd(end))
--- a/src/oleanderdyke/entry/sender.py
+++ b/src/oleanderdyke/entry/sender.py
@@ -131,9 +131,9 @@
         query = ClaimQuery(self._call.request, self._call.team, action.claim)
         await self._send(link, query)
 
-    async def grant(self) -> None:
-        """Count a chunk that the caller has taken, and grant others."""
-        self._ungranted += 1
+    async def grant(self, chunks: int) -> None:
+        """Count chunks that the caller has taken, and grant others."""
+        self._ungranted += chunks
         if self._link is None:
             return
         if self._ungranted < self._core.settings.requests.credit // 2:
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -35,7 +35,9 @@
     """Bound the wait for a head, and refuse bad HTTP with a typed error."""
 
     head_timeout = 10.0
+    send_timeout = 30.0
     connection_limit = 0
+    _stall_timer: asyncio.TimerHandle | None = None
     _head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -49,6 +51,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
         self._stop_timer()
+        self._stop_stall_timer()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -59,6 +62,18 @@
         if not self._is_between_requests():
             self._stop_timer()
 
+    def pause_writing(self) -> None:
+        """Drop a caller that stops reading for too long."""
+        super().pause_writing()
+        self._stall_timer = self.loop.call_later(
+            self.send_timeout, self.transport.abort
+        )
+
+    def resume_writing(self) -> None:
+        """Go on writing."""
+        self._stop_stall_timer()
+        super().resume_writing()
+
     def send_400_response(self, msg: str) -> None:
         """Answer what is not HTTP; `msg` is fixed text of the server."""
         fault = sys.exc_info()[1]
@@ -103,6 +118,11 @@
             self.head_timeout, self.transport.close
         )
 
+    def _stop_stall_timer(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -133,6 +153,7 @@
     limits = {
         'connection_limit': settings.connections,
         'head_timeout': settings.body_timeout / SECOND,
+        'send_timeout': settings.send_timeout / SECOND,
     }
     config = uvicorn.Config(
         app,
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -153,10 +153,17 @@
 
 
 def _bind(http: HttpSettings) -> socket.socket:
+    """Listen; the loop sets TCP_NODELAY only where the protocol is named."""
     family = socket.AF_INET6 if ':' in http.host else socket.AF_INET
-    return socket.create_server(
-        (http.host, http.port), family=family, backlog=_BACKLOG
-    )
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((http.host, http.port))
+        bound.listen(_BACKLOG)
+    except OSError:
+        bound.close()
+        raise
+    return bound
 
 
 def _make_tls(settings: EntrySettings) -> ssl.SSLContext | None:
