--- a/src/oleanderdyke/kernel/catalog.py
+++ b/src/oleanderdyke/kernel/catalog.py
@@ -5,7 +5,7 @@
 import hashlib
 import sys
 from collections import deque
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from oleanderdyke.kernel.objects import (
@@ -13,7 +13,6 @@
     Labels,
     ObjectKind,
     StoredObject,
-    TeamSpec,
     select,
 )
 from oleanderdyke.kernel.records import (
@@ -39,6 +38,7 @@
     find_faults,
     unpack_spec,
 )
+from oleanderdyke.kernel.tokens import TokenIndex
 
 __all__ = (
     'START_OFFSET',
@@ -55,6 +55,7 @@
 _CACHE = 512
 _SCAN = 500
 _ABSENT = 0
+_DIGEST_BYTES = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +121,12 @@
     ) -> tuple[StoredObject, ...]:
         """Return the objects of a kind in order of name."""
         rows = self._state.rows[kind]
-        found = (_unpack(kind, name, rows[name]) for name in sorted(rows))
+        # A few objects are read again and again, many would flood the cache.
+        cached = len(rows) < _CACHE // len(ObjectKind)
+        found = (
+            self.get(kind, name) if cached else _unpack(kind, name, rows[name])
+            for name in sorted(rows)
+        )
         return tuple(_filter(found, selector))
 
     def list_page(
@@ -139,17 +145,27 @@
         more = chosen[-1] if len(names) > len(chosen) else ''
         return ObjectPage(tuple(_filter(found, selector)), more)
 
+    def list_outcomes(self, after: int) -> tuple[Outcome, ...]:
+        """Return the recent outcomes of records after an offset."""
+        return tuple(
+            outcome
+            for outcome in self._state.outcomes.values()
+            if outcome.offset > after
+        )
+
     def count(self, kind: ObjectKind) -> int:
         """Count the objects of a kind."""
         return len(self._state.rows[kind])
 
     def find_team(self, token_hash: str) -> StoredObject | None:
         """Return the team of a token's hex SHA-256 digest."""
-        return self._find_owner(self._state.tokens, token_hash)
+        return self._find_holder(self._state.tokens, 'token_hashes', token_hash)
 
     def find_administered(self, token_hash: str) -> StoredObject | None:
         """Return the team that a token may administer."""
-        return self._find_owner(self._state.admin_tokens, token_hash)
+        return self._find_holder(
+            self._state.admin_tokens, 'admin_token_hashes', token_hash
+        )
 
     def find_outcome(self, record_id: str) -> Outcome | None:
         """Return what became of a recent record."""
@@ -216,14 +232,17 @@
         ):
             self._tail_bytes -= len(self._tail.popleft()[1])
 
-    def _find_owner(
-        self, owners: Mapping[bytes, str], token_hash: str
+    def _find_holder(
+        self, index: TokenIndex, field: str, token_hash: str
     ) -> StoredObject | None:
         try:
-            name = owners.get(bytes.fromhex(token_hash))
+            digest = bytes.fromhex(token_hash)
         except ValueError:
             return None
-        return None if name is None else self.get(ObjectKind.TEAM, name)
+        if len(digest) != _DIGEST_BYTES:
+            return None
+        name = self._state.find_team(index, field, digest)
+        return self.get(ObjectKind.TEAM, name) if name else None
 
     def _settle(self, offset: int, change: PackedChange) -> Outcome:
         known = self._state.outcomes.get(change.record_id)
@@ -254,12 +273,10 @@
         return None
 
     def _takes_token(self, change: PackedChange) -> bool:
-        owners = (
-            owner
-            for digest in _list_tokens(change.kind, change.spec)
-            for owner in self._state.find_owners(digest)
-        )
-        return any(owner != change.name for owner in owners)
+        if change.kind is not ObjectKind.TEAM or change.spec is None:
+            return False
+        owners = self._state.find_owners(change.spec)
+        return any(owner not in {'', change.name} for owner in owners)
 
     def _put(self, offset: int, change: PackedChange) -> Outcome:
         state = self._state
@@ -267,7 +284,7 @@
         old = rows.pop(change.name, None)
         self._cache.pop((change.kind, change.name), None)
         if old is not None and change.kind is ObjectKind.TEAM:
-            state.drop_tokens(old.packed)
+            state.drop_tokens(change.name, old.packed)
         generation = (state.floor if old is None else old.generation) + 1
         if change.spec is None:
             state.floor = max(state.floor, generation)
@@ -328,25 +345,18 @@
     return '; '.join(find_faults(change.name, spec))
 
 
-def _list_tokens(kind: ObjectKind, packed: bytes | None) -> tuple[str, ...]:
-    if kind is not ObjectKind.TEAM or packed is None:
-        return ()
-    spec = unpack_spec(kind, packed)
-    if not isinstance(spec, TeamSpec):
-        return ()
-    return spec.token_hashes + spec.admin_token_hashes
-
-
 def _unpack(kind: ObjectKind, name: str, row: Row) -> StoredObject:
     spec = unpack_spec(kind, row.packed)
     return StoredObject(kind, name, row.generation, spec)
 
 
 def _filter(
-    objects: Iterator[StoredObject], selector: Labels | None
+    objects: Iterator[StoredObject | None], selector: Labels | None
 ) -> Iterator[StoredObject]:
     wanted = selector or {}
-    return (item for item in objects if select(wanted, item.spec.labels))
+    for item in objects:
+        if item is not None and select(wanted, item.spec.labels):
+            yield item
 
 
 def _recall(kind: ObjectKind, name: str, row: Row) -> Applied:
--- a/src/oleanderdyke/kernel/snapshots.py
+++ b/src/oleanderdyke/kernel/snapshots.py
@@ -16,18 +16,21 @@
 import cbor2
 
 from oleanderdyke.clock import Millis
-from oleanderdyke.kernel.objects import ObjectKind, TeamSpec
+from oleanderdyke.kernel.objects import ObjectKind
 from oleanderdyke.kernel.records import (
     SnapshotChunk,
     decode_record,
     encode_chunk,
 )
-from oleanderdyke.kernel.specs import InvalidSpec, load_cbor, unpack_spec
+from oleanderdyke.kernel.specs import InvalidSpec, list_hashes, load_cbor
+from oleanderdyke.kernel.tokens import TokenIndex
 
 START_OFFSET = -1
 _CHUNK_BYTES = 48 * 1024
 _OUTCOME_COUNT = 1_024
 _DIGEST_SIZE = 32
+_TOKENS = 'token_hashes'
+_ADMINS = 'admin_token_hashes'
 
 
 class LossReason(enum.StrEnum):
@@ -105,8 +108,8 @@
     """
 
     rows: dict[ObjectKind, dict[str, Row]] = field(default_factory=_make_rows)
-    tokens: dict[bytes, str] = field(default_factory=dict)
-    admin_tokens: dict[bytes, str] = field(default_factory=dict)
+    tokens: TokenIndex = field(default_factory=TokenIndex)
+    admin_tokens: TokenIndex = field(default_factory=TokenIndex)
     outcomes: dict[str, Outcome] = field(default_factory=dict)
     floor: int = 0
 
@@ -116,28 +119,34 @@
         while len(self.outcomes) > _OUTCOME_COUNT:
             del self.outcomes[next(iter(self.outcomes))]
 
-    def find_owners(self, token_hash: str) -> Iterator[str]:
-        """Return the teams that a token hash belongs to."""
-        digest = bytes.fromhex(token_hash)
-        for owners in (self.tokens, self.admin_tokens):
-            if digest in owners:
-                yield owners[digest]
+    def find_team(self, index: TokenIndex, field: str, digest: bytes) -> str:
+        """Return the team that has a digest in a field, or an empty name."""
+        for name in index.get(digest):
+            packed = self.rows[ObjectKind.TEAM][name].packed
+            if digest in list_hashes(packed, field):
+                return name
+        return ''
+
+    def find_owners(self, packed: bytes) -> Iterator[str]:
+        """Return the teams that hold any token hash of a packed team."""
+        digests = list_hashes(packed, _TOKENS) + list_hashes(packed, _ADMINS)
+        for digest in digests:
+            yield self.find_team(self.tokens, _TOKENS, digest)
+            yield self.find_team(self.admin_tokens, _ADMINS, digest)
 
     def add_tokens(self, name: str, packed: bytes) -> None:
-        """Index the token hashes of a team."""
-        spec = _unpack_team(packed)
-        for item in spec.token_hashes:
-            self.tokens[bytes.fromhex(item)] = name
-        for item in spec.admin_token_hashes:
-            self.admin_tokens[bytes.fromhex(item)] = name
-
-    def drop_tokens(self, packed: bytes) -> None:
-        """Remove the token hashes of a team from the index."""
-        spec = _unpack_team(packed)
-        for item in spec.token_hashes:
-            self.tokens.pop(bytes.fromhex(item), None)
-        for item in spec.admin_token_hashes:
-            self.admin_tokens.pop(bytes.fromhex(item), None)
+        """Index the token hashes of a packed team."""
+        for digest in list_hashes(packed, _TOKENS):
+            self.tokens.add(digest, name)
+        for digest in list_hashes(packed, _ADMINS):
+            self.admin_tokens.add(digest, name)
+
+    def drop_tokens(self, name: str, packed: bytes) -> None:
+        """Remove the token hashes of a packed team from the index."""
+        for digest in list_hashes(packed, _TOKENS):
+            self.tokens.remove(digest, name)
+        for digest in list_hashes(packed, _ADMINS):
+            self.admin_tokens.remove(digest, name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +164,7 @@
 
 def encode_snapshot(through: int, state: State) -> Iterator[bytes]:
     """Freeze the state now and encode it chunk by chunk."""
-    rows = {kind: sorted(state.rows[kind].items()) for kind in ObjectKind}
+    rows = {kind: _sort(state.rows[kind]) for kind in ObjectKind}
     outcomes = tuple(state.outcomes.values())
     items = _list_items(state.floor, outcomes, rows)
     return _encode_chunks(through, items)
@@ -177,6 +186,10 @@
     return LoadedSnapshot(parts[0].through, state)
 
 
+def _sort(rows: dict[str, Row]) -> list[tuple[str, Row]]:
+    return [(name, rows[name]) for name in sorted(rows)]
+
+
 def _is_whole(parts: Sequence[SnapshotChunk]) -> bool:
     if not parts or not parts[-1].last:
         return False
@@ -275,10 +288,3 @@
         return Applied(*values)
     values[7] = LossReason(values[7])
     return Lost(*values)
-
-
-def _unpack_team(packed: bytes) -> TeamSpec:
-    spec = unpack_spec(ObjectKind.TEAM, packed)
-    if not isinstance(spec, TeamSpec):
-        raise InvalidSpec('not a team')
-    return spec
--- a/src/oleanderdyke/kernel/specs.py
+++ b/src/oleanderdyke/kernel/specs.py
@@ -83,6 +83,14 @@
     return spec
 
 
+def list_hashes(packed: bytes, name: str) -> tuple[bytes, ...]:
+    """Return the digests in one field of a packed, valid team."""
+    return tuple(
+        item if isinstance(item, bytes) else bytes.fromhex(item)
+        for item in load_cbor(packed).get(name, ())
+    )
+
+
 def describe_spec(spec: Spec) -> dict[str, Any]:
     """Return the fields that differ from the defaults, for reading."""
     plain = _to_plain(spec)
--- /dev/null
+++ b/src/oleanderdyke/kernel/tokens.py
@@ -0,0 +1,55 @@
+"""Find the teams that may hold a token's digest, compactly.
+
+The first 8 bytes of a digest are the key; whoever looks a digest up compares
+the whole of it with what the team has.
+"""
+
+from __future__ import annotations
+
+from array import array
+from bisect import bisect_left, bisect_right
+
+_KEY_BYTES = 8
+_SHARD_COUNT = 256
+
+
+class _Shard:
+    __slots__ = ('keys', 'names')
+
+    def __init__(self) -> None:
+        self.keys = array('Q')
+        self.names: list[str] = []
+
+
+class TokenIndex:
+    """Map digests to names in sorted shards: about 20 bytes for each."""
+
+    def __init__(self) -> None:
+        self._shards = tuple(_Shard() for _ in range(_SHARD_COUNT))
+
+    def get(self, digest: bytes) -> tuple[str, ...]:
+        """Return the names that a digest may belong to."""
+        shard, key = self._find(digest)
+        start = bisect_left(shard.keys, key)
+        end = bisect_right(shard.keys, key, lo=start)
+        return tuple(shard.names[start:end])
+
+    def add(self, digest: bytes, name: str) -> None:
+        """Give a digest to a name."""
+        shard, key = self._find(digest)
+        place = bisect_left(shard.keys, key)
+        shard.keys.insert(place, key)
+        shard.names.insert(place, name)
+
+    def remove(self, digest: bytes, name: str) -> None:
+        """Take a digest from a name."""
+        names = self.get(digest)
+        if name in names:
+            shard, key = self._find(digest)
+            place = bisect_left(shard.keys, key) + names.index(name)
+            del shard.keys[place]
+            del shard.names[place]
+
+    def _find(self, digest: bytes) -> tuple[_Shard, int]:
+        key = int.from_bytes(digest[:_KEY_BYTES])
+        return self._shards[digest[0]], key
