Open one HTTP connection for each exchange without a pool

Cause: a plain call cost its client 1.4 ms of processor time; the library's pool looks for a missing module for each lock it makes. Ruled out: kept-alive connections (a request's fate would be unknown when one is closed meanwhile); the module itself, a new dependency. Change: connect, then speak HTTP/1.1 on that connection; whether anything was written decides between 'no' and 'maybe' in place of the library's trace.

--- a/src/oleanderdyke/platform/http.py
+++ b/src/oleanderdyke/platform/http.py
@@ -3,31 +3,29 @@
 from __future__ import annotations
 
 import ssl
+import sys
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
+import anyio
 import httpcore
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
 
+# The library tries to import this for each lock it makes; where it is not
+# installed, the search of every path costs more than the exchange.
+sys.modules.setdefault('sniffio', None)  # type: ignore[arg-type]
+
 Body: TypeAlias = bytes | AsyncIterator[bytes] | None
 
-_HEADERS_SENT = 'http11.send_request_headers.complete'
-_NEVER_SENT = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-    httpcore.UnsupportedProtocol,
-)
 _FAILURES = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
-    httpcore.UnsupportedProtocol,
 )
 _CLOSE = ('connection', 'close')
 
@@ -49,7 +47,6 @@
     connect: Millis = 2 * SECOND
     write: Millis = 10 * SECOND
     read: Millis | None = 30 * SECOND
-    connections: int = 512
 
 
 @dataclass(slots=True)
@@ -87,15 +84,15 @@
         settings = settings or HttpSettings()
         host, _, port = address.rpartition(':')
         self._address = address
-        self._scheme = b'http' if tls is None else b'https'
-        self._host = host.strip('[]').encode()
-        self._port = int(port)
-        self._timeouts = _show_timeouts(settings)
-        self._pool = httpcore.AsyncConnectionPool(
-            ssl_context=tls,
-            max_connections=settings.connections,
-            max_keepalive_connections=0,
+        self._tls = tls
+        self._origin = httpcore.Origin(
+            b'http' if tls is None else b'https',
+            host.strip('[]').encode('ascii'),
+            int(port),
         )
+        self._timeouts = _show_timeouts(settings)
+        self._network = httpcore.AnyIOBackend()
+        self._open: set[httpcore.AsyncHTTP11Connection] = set()
 
     @asynccontextmanager
     async def request(
@@ -111,48 +108,56 @@
         An iterated body goes out chunked, unless `headers` give its length.
         Raise HttpError.
         """
-        progress = _Progress()
-        response = await self._send(method, path, headers, body, progress)
+        request = self._make_request(method, path, headers, body)
+        stream = await self._connect()
+        connection = httpcore.AsyncHTTP11Connection(self._origin, stream)
+        self._open.add(connection)
         try:
-            yield HttpAnswer(
-                response.status,
-                _decode_headers(response.headers),
-                _iterate(response),
-            )
+            yield await _exchange(connection, request, stream)
         finally:
-            await response.aclose()
+            self._open.discard(connection)
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
 
     async def close(self) -> None:
-        """Close every connection."""
-        await self._pool.aclose()
+        """Break off every exchange."""
+        for connection in tuple(self._open):
+            await connection.aclose()
 
-    async def _send(
+    async def _connect(self) -> _Stream:
+        origin, timeout = self._origin, self._timeouts['connect']
+        host = origin.host.decode('ascii')
+        try:
+            stream = await self._network.connect_tcp(
+                host, origin.port, timeout=timeout
+            )
+            if self._tls is not None:
+                stream = await stream.start_tls(self._tls, host, timeout)
+        except _FAILURES as error:
+            reason = type(error).__name__
+            raise HttpError(f'cannot connect: {reason}', ran=Ran.NO) from error
+        return _Stream(stream)
+
+    def _make_request(
         self,
         method: str,
         path: str,
         headers: Sequence[tuple[str, str]],
         body: Body,
-        progress: _Progress,
-    ) -> httpcore.Response:
-        try:
-            request = httpcore.Request(
-                method,
-                httpcore.URL(
-                    scheme=self._scheme,
-                    host=self._host,
-                    port=self._port,
-                    target=path.encode('ascii'),
-                ),
-                headers=self._complete_headers(headers, body),
-                content=body,
-                extensions={
-                    'timeout': self._timeouts,
-                    'trace': progress.note,
-                },
-            )
-            return await self._pool.handle_async_request(request)
-        except _FAILURES as error:
-            raise _make_error(error, progress) from error
+    ) -> httpcore.Request:
+        origin = self._origin
+        return httpcore.Request(
+            method,
+            httpcore.URL(
+                scheme=origin.scheme,
+                host=origin.host,
+                port=origin.port,
+                target=path.encode('ascii'),
+            ),
+            headers=self._complete_headers(headers, body),
+            content=body,
+            extensions={'timeout': self._timeouts},
+        )
 
     def _complete_headers(
         self, headers: Sequence[tuple[str, str]], body: Body
@@ -169,23 +174,51 @@
         ]
 
 
-class _Progress:
-    """Learn how far an exchange came."""
+class _Stream(httpcore.AsyncNetworkStream):
+    """Learn whether anything was written to a connection."""
 
-    def __init__(self) -> None:
-        self.sent = False
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self.written = False
 
-    async def note(self, name: str, _info: dict[str, Any]) -> None:
-        """Take one trace event of the library."""
-        if name == _HEADERS_SENT:
-            self.sent = True
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read what has arrived."""
+        return await self._stream.read(max_bytes, timeout)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write all."""
+        self.written = self.written or bool(buffer)
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Tell about the connection."""
+        return self._stream.get_extra_info(info)
+
+
+async def _exchange(
+    connection: httpcore.AsyncHTTP11Connection,
+    request: httpcore.Request,
+    stream: _Stream,
+) -> HttpAnswer:
+    try:
+        response = await connection.handle_async_request(request)
+    except _FAILURES as error:
+        raise HttpError(
+            f'the exchange failed: {type(error).__name__}',
+            ran=Ran.MAYBE if stream.written else Ran.NO,
+        ) from error
+    headers = _decode_headers(response.headers)
+    return HttpAnswer(response.status, headers, _iterate(response))
 
 
 def _show_timeouts(settings: HttpSettings) -> dict[str, float | None]:
     read = settings.read
     return {
         'connect': settings.connect / SECOND,
-        'pool': settings.connect / SECOND,
         'write': settings.write / SECOND,
         'read': None if read is None else read / SECOND,
     }
@@ -214,13 +247,3 @@
         raise HttpError(
             f'the answer broke off: {type(error).__name__}', ran=Ran.MAYBE
         ) from error
-
-
-def _make_error(error: Exception, progress: _Progress) -> HttpError:
-    unsent = isinstance(error, httpcore.LocalProtocolError)
-    unsent = unsent and not progress.sent
-    never = unsent or isinstance(error, _NEVER_SENT)
-    return HttpError(
-        f'the exchange failed: {type(error).__name__}',
-        ran=Ran.NO if never else Ran.MAYBE,
-    )
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -16,8 +16,7 @@
     """Forward bytes; go silent without closing; count what was accepted."""
 
     def __init__(self, target: str) -> None:
-        host, _, port = target.rpartition(':')
-        self._target = (host, int(port))
+        self.target = target
         self._silent: set[int] = set()
         self.accepted = 0
         self.piece = 64 * 1024
@@ -35,9 +34,10 @@
         """Carry one connection until both its ends are closed."""
         self.accepted += 1
         number = self.accepted
+        host, _, port = self.target.rpartition(':')
         async with (
             near,
-            await anyio.connect_tcp(*self._target) as far,
+            await anyio.connect_tcp(host, int(port)) as far,
             anyio.create_task_group() as group,
         ):
             group.start_soon(self._forward, near, far, number)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -160,6 +160,18 @@
         await call(address)
 
 
+async def test_leaving_the_listener_does_not_wait_for_a_silent_peer():
+    links = []
+    async with relaying('') as (relay, through):
+        async with listening(partial(hold, links)) as address:
+            relay.target = address
+            link = await call(through)
+            await wait_until(lambda: links)
+            relay.silence()
+        assert links[0].closed
+        assert not link.closed
+
+
 async def test_a_refused_connection_is_typed_and_did_not_run():
     async with listening(echo) as address:
         pass
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -234,6 +234,21 @@
             await closed.wait()
 
 
+async def test_closing_the_backend_breaks_off_its_exchanges():
+    async def hold(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(OK + b'content-length: 9\r\n\r\n')
+            await anyio.sleep_forever()
+
+    async with talking(hold) as address:
+        backend = HttpBackend(address)
+        async with backend.request('GET', '/') as answer:
+            await backend.close()
+            with pytest.raises(HttpError):
+                await answer.read(10)
+
+
 async def test_an_error_of_the_body_ends_the_request():
     async def break_off():
         yield b'some'
