Answer operators under /admin/v1/

Cause: operators and the administrators of teams had no way in. Ruled out: appending again after a lost answer; the record id is looked for in what is read back. Change: publication with read-back, lists, history, long poll, status with reach of an offset, drain; operators in the entry's settings.

--- /dev/null
+++ b/src/oleanderdyke/entry/admin_documents.py
@@ -0,0 +1,165 @@
+"""Turn the administration's JSON into typed messages and back."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+import re
+from collections.abc import Iterable, Mapping
+from typing import Any
+from urllib.parse import parse_qs
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry.admin import ChangeInput, Watched
+from oleanderdyke.entry.documents import make_bad_request, parse_document
+from oleanderdyke.errors import ErrorKind, OleanderError
+from oleanderdyke.kernel.catalog import Applied, ObjectPage, Outcome
+from oleanderdyke.kernel.objects import (
+    SPEC_TYPES,
+    Labels,
+    ObjectKind,
+    Spec,
+    StoredObject,
+)
+from oleanderdyke.kernel.specs import describe_spec
+from oleanderdyke.settings import structure_document
+
+_BODY = 'body'
+_NUMBER = re.compile(r'-?[0-9]{1,15}')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ChangeHead:
+    kind: ObjectKind
+    name: str
+    expected: int
+    record_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ChangeList:
+    changes: tuple[Any, ...]
+
+
+class Query:
+    """Read the parameters of a request; raise BAD_REQUEST for bad ones."""
+
+    def __init__(self, text: str) -> None:
+        self._values = parse_qs(text)
+
+    def read_text(self, name: str) -> str:
+        """Return a parameter, empty where it is missing."""
+        return self._values.get(name, [''])[0]
+
+    def read_number(self, name: str, default: int) -> int:
+        """Return a whole number."""
+        text = self.read_text(name)
+        if not text:
+            return default
+        if not _NUMBER.fullmatch(text):
+            raise make_bad_request(f'{name}: allowed: a whole number')
+        return int(text)
+
+    def read_wait(self) -> Millis:
+        """Return how long to wait, in ms."""
+        return float(max(0, self.read_number('wait', 0)))
+
+    def read_selector(self) -> Labels:
+        """Return a selector such as `region=north,size=large`."""
+        return parse_selector(self.read_text('selector'))
+
+
+def parse_selector(text: str) -> Labels:
+    """Read a selector such as `region=north,size=large`."""
+    pairs = [part.partition('=') for part in text.split(',') if part]
+    if not all(name and mark for name, mark, _ in pairs):
+        raise make_bad_request('selector: allowed: name=value,name=value')
+    return {name: value for name, _, value in pairs}
+
+
+def parse_kind(text: str) -> ObjectKind:
+    """Return a kind; raise NOT_FOUND for an unknown one."""
+    if text in tuple(ObjectKind):
+        return ObjectKind(text)
+    allowed = ', '.join(ObjectKind)
+    fault = f'no kind of this name; allowed: {allowed}'
+    raise OleanderError(ErrorKind.NOT_FOUND, fault)
+
+
+def parse_changes(body: bytes) -> tuple[ChangeInput, ...]:
+    """Read the body of a publication; raise BAD_REQUEST with all faults."""
+    found = structure_document(parse_document(body), _ChangeList, source=_BODY)
+    return tuple(
+        _parse_change(raw, ('changes', str(place)))
+        for place, raw in enumerate(found.changes)
+    )
+
+
+def _parse_change(raw: object, prefix: tuple[str, ...]) -> ChangeInput:
+    if not isinstance(raw, dict):
+        raise make_bad_request(f'{".".join(prefix)}: allowed: an object')
+    rest = {key: found for key, found in raw.items() if key != 'spec'}
+    head = structure_document(rest, _ChangeHead, source=_BODY, prefix=prefix)
+    spec: Spec | None = None
+    if raw.get('spec') is not None:
+        spec = structure_document(
+            raw['spec'],
+            SPEC_TYPES[head.kind],
+            source=_BODY,
+            prefix=(*prefix, 'spec'),
+        )
+    return ChangeInput(
+        head.kind, head.name, head.expected, spec, head.record_id
+    )
+
+
+def show_object(stored: StoredObject) -> dict[str, Any]:
+    """Return an object as JSON shows it, without its defaults."""
+    return {
+        'kind': stored.kind.value,
+        'name': stored.name,
+        'generation': stored.generation,
+        'spec': describe_spec(stored.spec),
+    }
+
+
+def show_page(page: ObjectPage, offset: int) -> dict[str, Any]:
+    """Return a page of objects as JSON shows it."""
+    objects = [show_object(item) for item in page.objects]
+    return {'objects': objects, 'after': page.after, 'offset': offset}
+
+
+def show_outcome(outcome: Outcome) -> dict[str, Any]:
+    """Return an outcome as JSON shows it."""
+    result = 'applied' if isinstance(outcome, Applied) else 'lost'
+    return {'result': result, **dataclasses.asdict(outcome)}
+
+
+def show_outcomes(outcomes: Iterable[Outcome]) -> dict[str, Any]:
+    """Return outcomes as JSON shows them."""
+    return {'outcomes': [show_outcome(item) for item in outcomes]}
+
+
+def show_watched(watched: Watched) -> dict[str, Any]:
+    """Return what a watch has seen as JSON shows it."""
+    return {
+        'offset': watched.offset,
+        'complete': watched.complete,
+        **show_outcomes(watched.outcomes),
+    }
+
+
+def encode(document: object) -> bytes:
+    """Return JSON; data classes and enumerations are allowed."""
+    return json.dumps(document, default=_to_plain).encode()
+
+
+def _to_plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return dataclasses.asdict(value)
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, Mapping):
+        return dict(value)
+    raise TypeError(type(value).__name__)
--- /dev/null
+++ b/src/oleanderdyke/entry/publishing.py
@@ -0,0 +1,128 @@
+"""Publish changes of the configuration and learn what became of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.catalog import Applied, Catalog, Outcome
+from oleanderdyke.kernel.objects import Change
+from oleanderdyke.kernel.records import CONFIGURATION_LOG, encode_change
+from oleanderdyke.logs import EventLog
+from oleanderdyke.platform.log import LogUnavailable
+
+SETTLE_WAIT: Millis = 5 * SECOND
+_POLL: Millis = 10.0
+
+
+class Appender(Protocol):
+    """Append records to a log."""
+
+    async def append(
+        self, log: str, records: Sequence[bytes], *, timeout: Millis = ...
+    ) -> int:
+        """Append in one step; raise LogUnavailable."""
+
+
+class Publisher:
+    """Append changes and read them back.
+
+    A change counts only once its own record was read back from the log, so
+    an append whose answer was lost needs no second one.
+    """
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        appender: Appender,
+        clock: Clock,
+        log: EventLog,
+        *,
+        name: str = CONFIGURATION_LOG,
+        settle_wait: Millis = SETTLE_WAIT,
+    ) -> None:
+        self._catalog = catalog
+        self._appender = appender
+        self._clock = clock
+        self._log = log
+        self._name = name
+        self._settle_wait = settle_wait
+
+    async def publish(self, changes: Sequence[Change]) -> tuple[Outcome, ...]:
+        """Return the outcomes in order.
+
+        Raise LOG_UNAVAILABLE where nothing was appended, OUTCOME_UNKNOWN
+        where the records were not read back in time.
+        """
+        new = [item for item in changes if not self._find(item.record_id)]
+        if new:
+            await self._append(new)
+        outcomes = await self.settle(
+            [item.record_id for item in changes], self._settle_wait
+        )
+        for outcome in outcomes:
+            self._note(outcome)
+        return outcomes
+
+    async def settle(
+        self, record_ids: Sequence[str], wait: Millis
+    ) -> tuple[Outcome, ...]:
+        """Wait for the outcomes of records; raise OUTCOME_UNKNOWN."""
+        await wait_until(
+            lambda: all(map(self._find, record_ids)), wait, self._clock
+        )
+        found = tuple(map(self._find, record_ids))
+        outcomes = tuple(item for item in found if item is not None)
+        if len(outcomes) == len(record_ids):
+            return outcomes
+        raise OleanderError(
+            ErrorKind.OUTCOME_UNKNOWN,
+            'not read back from the log in time; ask again for the outcomes '
+            f'of the records {", ".join(record_ids)}, and do not publish anew',
+            ran=Ran.MAYBE,
+        )
+
+    def _find(self, record_id: str) -> Outcome | None:
+        return self._catalog.find_outcome(record_id)
+
+    async def _append(self, changes: Sequence[Change]) -> None:
+        records = [encode_change(change) for change in changes]
+        try:
+            await self._appender.append(self._name, records)
+        except LogUnavailable as error:
+            if error.ran is Ran.NO:
+                raise
+            # It may have taken effect; reading back will tell.
+
+    def _note(self, outcome: Outcome) -> None:
+        applied = isinstance(outcome, Applied)
+        self._log.write(
+            EventName.CONFIGURATION_PUBLISHED,
+            operator=outcome.operator,
+            kind=outcome.kind.value,
+            object=outcome.name,
+            generation=outcome.generation,
+            offset=outcome.offset,
+            detail='applied' if applied else 'lost',
+        )
+
+
+async def wait_until(
+    holds: Callable[[], bool],
+    wait: Millis,
+    clock: Clock,
+    *,
+    poll: Millis = _POLL,
+) -> bool:
+    """Wait for a condition; tell whether it came to hold."""
+    limit = clock.now() + wait
+    while not holds():
+        if clock.now() >= limit:
+            return False
+        await anyio.sleep(poll / SECOND)
+    return True
--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,9 +14,11 @@
 from oleanderdyke.links.pool import PoolSettings
 from oleanderdyke.links.tls import TlsPaths
 from oleanderdyke.policies.settings import PolicySettings
+from oleanderdyke.settings import hide_field
 
 _KIB = 1024
 _MIB = 1024 * _KIB
+_TOKEN_HASH = re.compile(r'[0-9a-f]{64}')
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +98,14 @@
     return DrainSettings(accept=2 * SECOND, announce=2 * SECOND)
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Name an operator and the hex SHA-256 of the token."""
+
+    name: str
+    token_hash: str = hide_field()
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Hold everything an entry is told at its start.
@@ -116,6 +127,7 @@
     links: PoolSettings = field(default_factory=PoolSettings)
     links_tls: TlsPaths = field(default_factory=TlsPaths)
     links_plain_text: bool = False
+    operators: tuple[OperatorSettings, ...] = ()
     beat: Millis = 500.0
     log_level: Level = Level.INFO
     seed: int | None = None
@@ -123,7 +135,10 @@
 
 def find_faults(settings: EntrySettings) -> tuple[str, ...]:
     """Return what contradicts itself, each fault naming its keys."""
-    return tuple(_find_http_faults(settings.http))
+    return (
+        *_find_http_faults(settings.http),
+        *_find_operator_faults(settings.operators),
+    )
 
 
 def _find_http_faults(http: HttpSettings) -> Iterator[str]:
@@ -143,6 +158,20 @@
     )
 
 
+def _find_operator_faults(
+    operators: tuple[OperatorSettings, ...],
+) -> Iterator[str]:
+    for place, operator in enumerate(operators):
+        if not operator.name:
+            yield f'operators.{place}.name: found nothing; allowed: a name'
+        if not _TOKEN_HASH.fullmatch(operator.token_hash):
+            # A token put here by mistake must not be repeated.
+            yield (
+                f'operators.{place}.token_hash: found something else; '
+                'allowed: the hex SHA-256 of a token'
+            )
+
+
 def is_loopback(host: str) -> bool:
     """Tell whether an address never leaves this machine."""
     try:
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -9,13 +9,12 @@
 import anyio
 
 from oleanderdyke.clock import make_clock
+from oleanderdyke.entry.admin_edge import make_admin_edge
 from oleanderdyke.entry.agents import AgentLinks
-from oleanderdyke.entry.answers import Answer
 from oleanderdyke.entry.app import App
 from oleanderdyke.entry.claims import ClaimLog
 from oleanderdyke.entry.configuration import ConfigurationFeed
 from oleanderdyke.entry.core import Core, make_core, note_readiness
-from oleanderdyke.entry.edge import Body, Head, make_not_found
 from oleanderdyke.entry.effects import Tools
 from oleanderdyke.entry.logreader import LogReader
 from oleanderdyke.entry.queue import ReleaseQueue
@@ -139,14 +138,11 @@
 
     def _make_server(self) -> EdgeServer:
         tools = Tools(self._core, self._claims, self._stopper)
-        app = App(tools, self._queue, _serve_no_admin)
+        admin = make_admin_edge(self._core, self._client)
+        app = App(tools, self._queue, admin.serve)
         return make_server(app, self._core.settings.http)
 
 
-async def _serve_no_admin(_: Head, __: Body, ___: Answer) -> None:
-    raise make_not_found()
-
-
 async def run_entry(settings: EntrySettings) -> None:
     """Run an entry until it has been told to stop."""
     await Shell(make_core(settings, make_clock())).run()
