Say 'not run' of a dispatch only while a run would be remembered

Cause: a random walk of the model world delivered a copy of a dispatch that had run, after the gate had forgotten the attempt; it was refused as not run. Ruled out: remembering attempts for ever. Change: the gate says 'maybe' of dispatches older than its memory.

--- a/src/oleanderdyke/kernel/gate.py
+++ b/src/oleanderdyke/kernel/gate.py
@@ -233,19 +233,26 @@
             dispatch.request,
             dispatch.attempt,
             objection.kind,
-            self._prove_not_run(dispatch),
+            self._prove_ran(dispatch),
             objection.detail,
             objection.retry_after,
         )
 
-    def _prove_not_run(self, dispatch: Dispatch) -> Ran:
+    def _prove_ran(self, dispatch: Dispatch) -> Ran:
+        """Say no only where the gate would remember a run."""
         claim = dispatch.claim
-        if claim is None or claim.incarnation != self._incarnation:
+        if dispatch.incarnation and dispatch.incarnation != self._incarnation:
             return Ran.NO
+        if claim is None:
+            return Ran.NO if self._is_remembered(dispatch.beat) else Ran.MAYBE
         query = ClaimQuery(dispatch.request, dispatch.team, claim)
         barred = self.answer(query).state is ClaimState.BARRED
         return Ran.NO if barred else Ran.MAYBE
 
+    def _is_remembered(self, beat: int) -> bool:
+        """Tell whether a dispatch of this heartbeat can't be forgotten yet."""
+        return 0 <= beat <= self._beat and not self._claims.is_too_old(beat)
+
     def _find_objection(
         self, dispatch: Dispatch, now: Millis
     ) -> _Objection | None:
