--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,132 @@
+"""Route as simple systems do, to compare with."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.kernel.demand import (
+    Demand,
+    Fleet,
+    Plan,
+    Refusal,
+    Replica,
+    Router,
+)
+from oleanderdyke.kernel.prediction import BacklogTracker
+from oleanderdyke.policies.candidates import fits
+from oleanderdyke.policies.registries import ROUTERS
+from oleanderdyke.policies.settings import PolicySettings
+
+_NO_REPLICA = Refusal(ErrorKind.NO_REPLICA, 'no serving replica', 1_000.0)
+_OVERLOAD = 1.5
+_SLACK = 4
+
+
+class CountingRouter:
+    """Hold what the baselines share: own outstanding requests."""
+
+    def __init__(
+        self, settings: PolicySettings, *, by_prefix: bool, fetches: bool
+    ) -> None:
+        self._backlog = BacklogTracker(
+            settings.report_lag, settings.prefill_tokens_per_second
+        )
+        self._by_prefix = by_prefix
+        self._fetches = fetches
+
+    def choose(
+        self,
+        demand: Demand,
+        fleet: Fleet,
+        now: Millis,
+        random: Random,
+        *,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Plan | Refusal:
+        """Return the chosen replica and fetch all or nothing."""
+        replicas = [
+            each
+            for each in fleet.replicas(demand.service)
+            if fits(each, demand, exclude)
+        ]
+        if not replicas:
+            return _NO_REPLICA
+        replica = self._pick(demand, fleet, replicas, random)
+        held = fleet.count_leading(replica.agent, demand.segments)
+        store, covered = '', 0
+        if self._fetches:
+            store, covered = _find_store(demand, fleet, held)
+        return Plan(replica.agent, 'baseline', store, held, covered)
+
+    def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
+        """Count a dispatch."""
+        self._backlog.note_sent(demand.request, plan.agent, 0, now)
+
+    def note_first_token(self, request: str, now: Millis) -> None:
+        """Learn nothing."""
+
+    def note_finished(self, request: str, now: Millis) -> None:
+        """Forget a request."""
+        self._backlog.note_finished(request, now)
+
+    def _pick(
+        self,
+        demand: Demand,
+        fleet: Fleet,
+        replicas: Sequence[Replica],
+        random: Random,
+    ) -> Replica:
+        """Return the least busy, or the longest prefix unless overloaded."""
+        counts = {each.agent: self._count(each) for each in replicas}
+        least = min(
+            replicas, key=lambda each: (counts[each.agent], random.random())
+        )
+        if not self._by_prefix:
+            return least
+        longest = max(
+            replicas,
+            key=lambda each: (
+                fleet.count_leading(each.agent, demand.segments),
+                -counts[each.agent],
+            ),
+        )
+        mean = sum(counts.values()) / len(counts)
+        if counts[longest.agent] > _OVERLOAD * mean + _SLACK:
+            return least
+        if not fleet.count_leading(longest.agent, demand.segments):
+            return least
+        return longest
+
+    def _count(self, replica: Replica) -> int:
+        reported = replica.load.running + replica.load.waiting
+        return max(reported, self._backlog.count_outstanding(replica.agent))
+
+
+def _find_store(demand: Demand, fleet: Fleet, held: int) -> tuple[str, int]:
+    best, covered = '', 0
+    for store in fleet.stores(demand.service):
+        count = fleet.count_leading(store.agent, demand.segments, held)
+        if count > covered:
+            best, covered = store.agent, count
+    return best, covered
+
+
+@ROUTERS.register('prefix-affinity')
+def make_prefix_affinity(settings: PolicySettings) -> Router:
+    """Build the router to the longest prefix, which fetches the rest."""
+    return CountingRouter(settings, by_prefix=True, fetches=True)
+
+
+@ROUTERS.register('always-fetch')
+def make_always_fetch(settings: PolicySettings) -> Router:
+    """Build the router to the least busy, which fetches what it lacks."""
+    return CountingRouter(settings, by_prefix=False, fetches=True)
+
+
+@ROUTERS.register('always-recompute')
+def make_always_recompute(settings: PolicySettings) -> Router:
+    """Build the router to the longest prefix that fetches nothing."""
+    return CountingRouter(settings, by_prefix=True, fetches=False)
--- /dev/null
+++ b/bench/clairvoyant.py
@@ -0,0 +1,33 @@
+"""Keep by the true time of the next use, to bound what keeping can do."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Sequence
+
+from bench.workload import Visit
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.demand import SegmentHint
+
+
+class Clairvoyant:
+    """Know every use of every segment in advance."""
+
+    def __init__(self, visits: Sequence[Visit]) -> None:
+        self._uses: dict[SegmentHint, list[Millis]] = {}
+        for visit in visits:
+            for segment in visit.segments:
+                self._uses.setdefault(segment, []).append(visit.at)
+
+    def worth(
+        self, segment: SegmentHint, length: int, gap: Millis, now: Millis
+    ) -> float:
+        """Return more for what is used sooner."""
+        uses = self._uses.get(segment, [])
+        index = bisect_right(uses, now)
+        if index == len(uses):
+            return 0.0
+        return 1.0 / (1.0 + uses[index] - now)
+
+    def note_used(self, segment: SegmentHint, now: Millis) -> None:
+        """Learn nothing."""
--- /dev/null
+++ b/bench/events.py
@@ -0,0 +1,33 @@
+"""Run callbacks in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+from oleanderdyke.clock import Millis
+
+
+class Events:
+    """Hold the callbacks to come, in order of time and of adding."""
+
+    def __init__(self) -> None:
+        self.now: Millis = 0.0
+        self._heap: list[
+            tuple[Millis, int, Callable[..., None], tuple[Any, ...]]
+        ] = []
+        self._sequence = 0
+
+    def add(self, wait: Millis, call: Callable[..., None], *given: Any) -> None:
+        """Call back after a wait."""
+        self._sequence += 1
+        entry = (self.now + wait, self._sequence, call, given)
+        heapq.heappush(self._heap, entry)
+
+    def run(self, until: Millis) -> None:
+        """Run all callbacks up to a moment."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, call, given = heapq.heappop(self._heap)
+            call(*given)
+        self.now = until
--- /dev/null
+++ b/bench/history.py
@@ -0,0 +1,117 @@
+"""Warm the caches by days of visits, without queues."""
+
+from __future__ import annotations
+
+import pickle
+from collections.abc import Sequence
+from functools import lru_cache
+from random import Random
+
+from bench.caches import EngineCache, StoreCache
+from bench.system import System
+from bench.workload import DEPLOYMENTS, Deployment, Trace, Visit, Workload
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.demand import SEGMENT_TOKENS, Keeper
+from oleanderdyke.policies.exports import ExportChooser
+from oleanderdyke.policies.registries import KEEPERS
+from oleanderdyke.policies.settings import PRESETS, PolicySettings
+
+
+@lru_cache(maxsize=8)
+def make_trace(
+    deployment: str, seed: int, rate: float, length: Millis, storm: bool
+) -> Trace:
+    """Draw a trace once for all systems."""
+    workload = Workload(DEPLOYMENTS[deployment], seed)
+    return workload.make_trace(rate, length, storm_team=storm)
+
+
+def count_segments(deployment: Deployment, size: float) -> int:
+    """Return how many segments a size holds."""
+    return int(size // (SEGMENT_TOKENS * deployment.kv_bytes_per_token))
+
+
+class History:
+    """Replay visits on bare caches."""
+
+    def __init__(
+        self, deployment: Deployment, system: System, keeper: Keeper, seed: int
+    ) -> None:
+        limit = count_segments(deployment, deployment.cache_bytes)
+        length = SEGMENT_TOKENS * deployment.kv_bytes_per_token
+        self._random = Random(f'history-{seed}')
+        self._system = system
+        settings = PRESETS[deployment.name]
+        self.engines = [EngineCache(limit) for _ in range(deployment.engines)]
+        self.store = StoreCache(
+            count_segments(deployment, deployment.store_bytes),
+            keeper,
+            self._random,
+            length,
+        )
+        self.chooser = make_chooser(system, settings)
+
+    def visit(self, visit: Visit) -> tuple[int, int, int]:
+        """Run one visit; return its cached, fetched, computed segments."""
+        engine = self._pick(visit)
+        segments = visit.segments
+        held = engine.count_leading(segments)
+        covered = 0
+        if self._system.exports != 'none':
+            covered = self.store.count_leading(segments, held)
+            self.store.note_used(segments[held : held + covered], visit.at)
+            self._export(segments, visit.at)
+        engine.use(segments)
+        return held, covered, len(segments) - held - covered
+
+    def _pick(self, visit: Visit) -> EngineCache:
+        if self._system.scattered:
+            return self._random.choice(self.engines)
+        best = max(each.count_leading(visit.segments) for each in self.engines)
+        return self._random.choice(
+            [
+                each
+                for each in self.engines
+                if each.count_leading(visit.segments) == best
+            ]
+        )
+
+    def _export(self, segments: Sequence[bytes], now: Millis) -> None:
+        count = len(segments)
+        if self.chooser is not None:
+            self.chooser.note_used(segments)
+            count = self.chooser.count_worthy(segments)
+        self.store.write(segments[:count], now)
+
+
+def make_chooser(
+    system: System, settings: PolicySettings
+) -> ExportChooser | None:
+    """Build the chooser of a system that has one."""
+    return ExportChooser(settings) if system.exports == 'returning' else None
+
+
+@lru_cache(maxsize=32)
+def _warm(
+    deployment: str, keeper: str, exports: str, scattered: bool, seed: int
+) -> bytes:
+    trace = make_trace(deployment, seed, 1.0, 0.0, False)
+    history = History(
+        DEPLOYMENTS[deployment],
+        System('history', exports=exports, scattered=scattered),
+        KEEPERS.find(keeper)(PRESETS[deployment]),
+        seed,
+    )
+    for visit in trace.history:
+        history.visit(visit)
+    return pickle.dumps(history)
+
+
+def warm(deployment: str, system: System, seed: int) -> History:
+    """Return the caches as days of visits left them."""
+    data = _warm(
+        deployment, system.keeper, system.exports, system.scattered, seed
+    )
+    history = pickle.loads(data)  # noqa: S301 - made by this process
+    assert isinstance(history, History)
+    return history
--- /dev/null
+++ b/bench/iblt.py
@@ -0,0 +1,185 @@
+"""Find the difference of two sets with a rate-compatible MET IBLT.
+
+The design is that of section V of the paper named in
+docs/decisions/0003-directory-repair.md. A cell takes 12 bytes: 2 for the
+count, 2 for a check of the key, 8 for the key.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+CELL_BYTES = 12
+FIRST_CELLS = 50
+_WORD = (1 << 64) - 1
+_COUNT_MASK = (1 << 16) - 1
+_SHARES = (0.1959, 0.1904, 0.6137)
+# Degrees by key type, for the cell types 1 to 4 and then all further ones.
+_DEGREES = ((3, 1, 1, 1, 1), (4, 4, 4, 4, 5), (2, 1, 1, 1, 1))
+_TYPE_SALT = 0x9E3779B97F4A7C15
+_CHECK_SALT = 0xC2B2AE3D27D4EB4F
+_PLACE_SALT = 0xD6E8FEB86659FD93
+_MIX_SALT = 0xFF51AFD7ED558CCD
+
+
+def _mix(value: int) -> int:
+    value = (value ^ (value >> 33)) * _MIX_SALT & _WORD
+    return value ^ (value >> 29)
+
+
+def _check(key: int) -> int:
+    return _mix(key ^ _CHECK_SALT) >> 48
+
+
+def _choose_degrees(key: int) -> tuple[int, ...]:
+    share = _mix(key ^ _TYPE_SALT) / (_WORD + 1)
+    if share < _SHARES[0]:
+        return _DEGREES[0]
+    if share < _SHARES[0] + _SHARES[1]:
+        return _DEGREES[1]
+    return _DEGREES[2]
+
+
+def count_cells(levels: int) -> int:
+    """Return the number of cells of the first cell types."""
+    return FIRST_CELLS * ((1 << levels) - 1)
+
+
+def list_places(key: int, levels: int) -> Iterator[int]:
+    """Yield the cells of a key, by rising cell type."""
+    degrees = _choose_degrees(key)
+    base, size = 0, FIRST_CELLS
+    state = _mix(key ^ _PLACE_SALT)
+    for level in range(levels):
+        taken: list[int] = []
+        for _ in range(degrees[min(level, 4)]):
+            state = _mix(state + _PLACE_SALT & _WORD)
+            place = state % size
+            while place in taken:
+                place = (place + 1) % size
+            taken.append(place)
+            yield base + place
+        base += size
+        size *= 2
+
+
+@dataclass(slots=True)
+class Table:
+    """Hold the cells of one set for a number of cell types."""
+
+    levels: int
+    counts: list[int] = field(init=False)
+    checks: list[int] = field(init=False)
+    keys: list[int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        size = count_cells(self.levels)
+        self.counts = [0] * size
+        self.checks = [0] * size
+        self.keys = [0] * size
+
+    def insert(self, key: int) -> None:
+        """Add a key."""
+        self._change(key, 1)
+
+    def delete(self, key: int) -> None:
+        """Remove a key."""
+        self._change(key, -1)
+
+    def encode(self, start: int, end: int) -> bytes:
+        """Return cells as they travel."""
+        return b''.join(
+            (self.counts[place] & _COUNT_MASK).to_bytes(2, 'big')
+            + self.checks[place].to_bytes(2, 'big')
+            + self.keys[place].to_bytes(8, 'big')
+            for place in range(start, end)
+        )
+
+    def _change(self, key: int, by: int) -> None:
+        check = _check(key)
+        for place in list_places(key, self.levels):
+            self.counts[place] += by
+            self.checks[place] ^= check
+            self.keys[place] ^= key
+
+
+@dataclass(slots=True)
+class Decoder:
+    """Peel the difference from the cells received so far."""
+
+    local: Table
+    received: int = 0
+    only_remote: set[int] = field(default_factory=set)
+    only_local: set[int] = field(default_factory=set)
+    _counts: list[int] = field(default_factory=list)
+    _checks: list[int] = field(default_factory=list)
+    _keys: list[int] = field(default_factory=list)
+    _open: int = 0
+
+    def take(self, data: bytes) -> bool:
+        """Take the next cells; tell whether the difference is complete."""
+        start = self.received
+        for offset in range(0, len(data), CELL_BYTES):
+            self._append(data[offset : offset + CELL_BYTES])
+        self.received = len(self._counts)
+        self._open += sum(
+            not self._is_empty(place) for place in range(start, self.received)
+        )
+        for key in self.only_remote:
+            self._remove(key, 1, start)
+        for key in self.only_local:
+            self._remove(key, -1, start)
+        self._peel(list(range(start, self.received)))
+        return self._open == 0 and self.received >= FIRST_CELLS
+
+    def _count_levels(self) -> int:
+        # The smallest number of cell types that covers the cells received.
+        return ((self.received + FIRST_CELLS - 1) // FIRST_CELLS).bit_length()
+
+    def _append(self, cell: bytes) -> None:
+        place = len(self._counts)
+        count = int.from_bytes(cell[:2], 'big') - self.local.counts[place]
+        # The count travels modulo 2**16; differences stay far below half.
+        count = (count + (1 << 15) & _COUNT_MASK) - (1 << 15)
+        check = int.from_bytes(cell[2:4], 'big') ^ self.local.checks[place]
+        self._counts.append(count)
+        self._checks.append(check)
+        key = int.from_bytes(cell[4:], 'big') ^ self.local.keys[place]
+        self._keys.append(key)
+
+    def _is_empty(self, place: int) -> bool:
+        return not (
+            self._counts[place] or self._keys[place] or self._checks[place]
+        )
+
+    def _is_pure(self, place: int) -> bool:
+        if abs(self._counts[place]) != 1:
+            return False
+        return _check(self._keys[place]) == self._checks[place]
+
+    def _peel(self, queue: list[int]) -> None:
+        while queue:
+            place = queue.pop()
+            if not self._is_pure(place):
+                continue
+            key, count = self._keys[place], self._counts[place]
+            known = self.only_remote if count > 0 else self.only_local
+            if key in known:
+                continue
+            known.add(key)
+            queue.extend(self._remove(key, count, 0))
+
+    def _remove(self, key: int, count: int, start: int) -> Iterable[int]:
+        check = _check(key)
+        touched = []
+        for place in list_places(key, self._count_levels()):
+            if not start <= place < self.received:
+                continue
+            was_empty = self._is_empty(place)
+            self._counts[place] -= count
+            self._checks[place] ^= check
+            self._keys[place] ^= key
+            self._open += was_empty - self._is_empty(place)
+            touched.append(place)
+        return touched
--- /dev/null
+++ b/bench/oracle.py
@@ -0,0 +1,111 @@
+"""Route with perfect knowledge of the present, at the same costs."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.kernel.demand import Demand, Fleet, Plan, Refusal, Replica
+from oleanderdyke.kernel.routing import (
+    LinkView,
+    Source,
+    Standing,
+    choose_source,
+)
+from oleanderdyke.policies.candidates import fits
+from oleanderdyke.policies.routing import LONG_NEXT, SHORT_FIRST, make_costs
+
+if TYPE_CHECKING:
+    from bench.world import World
+
+_NO_REPLICA = Refusal(ErrorKind.NO_REPLICA, 'no serving replica', 1_000.0)
+
+
+class OracleRouter:
+    """Read queues, caches and links where they are; know no future."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._costs = make_costs(world.settings)
+
+    def choose(
+        self,
+        demand: Demand,
+        fleet: Fleet,
+        now: Millis,
+        random: Random,
+        *,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Plan | Refusal:
+        """Return the cheapest plan over all replicas."""
+        options = [
+            self._weigh(demand, each)
+            for each in fleet.replicas(demand.service)
+            if fits(each, demand, exclude)
+            and self._world.agents[each.agent].engine.up
+        ]
+        if not options:
+            return _NO_REPLICA
+        return min(options, key=lambda option: option[0].cost)[1]
+
+    def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
+        """Learn nothing; the world is read."""
+
+    def note_first_token(self, request: str, now: Millis) -> None:
+        """Learn nothing."""
+
+    def note_finished(self, request: str, now: Millis) -> None:
+        """Learn nothing."""
+
+    def _weigh(self, demand: Demand, replica: Replica) -> tuple[Source, Plan]:
+        world = self._world
+        agent = world.agents[replica.agent]
+        engine = agent.engine
+        rate = world.deployment.prefill_rate
+        segments = demand.segments
+        held = engine.cache.count_leading(segments)
+        coming = engine.list_coming()
+        joined = held
+        while joined < len(segments) and agent.is_coming(segments[joined]):
+            joined += 1
+        reach = joined
+        while reach < len(segments) and segments[reach] in coming:
+            reach += 1
+        store = world.store
+        covered = store.cache.count_leading(segments, reach) if store.up else 0
+        link = LinkView(
+            store.link.count_waiting(),
+            store.link.rate,
+            world.deployment.latency,
+        )
+        fetching = agent.count_fetching(segments[held:joined])
+        standing = Standing(
+            wait=engine.count_tokens(LONG_NEXT) * SECOND / rate,
+            short_wait=engine.count_tokens(SHORT_FIRST) * SECOND / rate,
+            tokens_per_second=rate,
+            tokens=demand.tokens,
+            cached=reach,
+            ready=fetching * SECOND / store.link.active_share,
+            covered=covered,
+            link=link,
+        )
+        source = choose_source(self._costs, standing)
+        joins = joined - held
+        cached, fetched = reach, source.fetched
+        if joins:
+            cached, fetched = held, reach - held + source.fetched
+        plan = Plan(
+            replica.agent,
+            'oracle',
+            store=store.name if fetched else '',
+            cached=cached,
+            fetched=fetched,
+            predicted=source.time,
+            joined=joins,
+            priority=SHORT_FIRST
+            if source.rest <= self._costs.short_tokens
+            else LONG_NEXT,
+        )
+        return source, plan
--- /dev/null
+++ b/bench/reconcile.py
@@ -0,0 +1,222 @@
+"""Compare ways to repair an entry's directory of cached segments."""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import time
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from bench.iblt import FIRST_CELLS, Decoder, Table, count_cells
+from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.links.codec import decode, encode
+from oleanderdyke.links.messages import SegmentEvents, SegmentListRequest
+
+SIZES = (180_000, 2_000)
+DIFFERENCES = (1, 10, 100, 1_000, 10_000)
+SEEDS = (1, 2, 3, 4, 5)
+_HINT_BYTES = 8
+# Cells come in groups that grow with what was sent, so that the number of
+# attempts to decode stays small.
+_GROUP_SHARE = 16
+_LEAST_GROUP = 10
+_MESSAGE_BYTES = 16
+_LEVELS = 11
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Hold the bytes both ways and the processor time of both ends."""
+
+    exchanged: int
+    milliseconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """Hold a sender's changes since the receiver's last event."""
+
+    before: frozenset[bytes]
+    gone: tuple[bytes, ...]
+    new: tuple[bytes, ...]
+
+    @property
+    def after(self) -> set[bytes]:
+        """Return what the receiver must hold in the end."""
+        return set(self.before) - set(self.gone) | set(self.new)
+
+
+def make_case(before: frozenset[bytes], difference: int, seed: int) -> Case:
+    random = Random(seed)
+    lost = min(difference // 2, len(before))
+    gone = random.sample(sorted(before), lost)
+    new = _make_hints(random, difference - lost)
+    return Case(before, tuple(gone), new)
+
+
+def _make_hints(random: Random, count: int) -> tuple[bytes, ...]:
+    return tuple(random.randbytes(_HINT_BYTES) for _ in range(count))
+
+
+def _time(run: Callable[[], int]) -> Cost:
+    start = time.process_time()
+    exchanged = run()
+    return Cost(exchanged, (time.process_time() - start) * 1_000)
+
+
+def _make_log(case: Case) -> tuple[SegmentLog, int]:
+    log = SegmentLog()
+    log.replace(case.before)
+    log.take()
+    number = log.next_number
+    for gone in case.gone:
+        log.remove(gone)
+    for new in case.new:
+        log.add(new)
+    log.take()
+    return log, number
+
+
+def _carry(messages: Iterable[SegmentEvents], held: set[bytes]) -> int:
+    carried = 0
+    for message in messages:
+        data = encode(message)
+        carried += len(data)
+        received = decode(data)
+        assert isinstance(received, SegmentEvents)
+        if received.full:
+            held.clear()
+        held.difference_update(received.removed)
+        held.update(received.added)
+    return carried
+
+
+def measure_list(case: Case) -> Cost:
+    log, _ = _make_log(case)
+    held = set(case.before)
+    request = len(encode(SegmentListRequest()))
+    cost = _time(lambda: request + _carry(log.list_all(), held))
+    assert held == case.after
+    return cost
+
+
+def measure_log(case: Case) -> Cost:
+    log, number = _make_log(case)
+    held = set(case.before)
+    request = len(encode(SegmentListRequest(after=number)))
+    cost = _time(lambda: request + _carry(log.list_after(number), held))
+    assert held == case.after
+    return cost
+
+
+def _to_keys(hints: Iterable[bytes]) -> set[int]:
+    return {int.from_bytes(each, 'big') for each in hints}
+
+
+def _list_groups() -> Iterator[tuple[int, int]]:
+    start, end = 0, FIRST_CELLS
+    while start < count_cells(_LEVELS):
+        yield start, end
+        size = max(_LEAST_GROUP, end // _GROUP_SHARE)
+        start, end = end, min(end + size, count_cells(_LEVELS))
+
+
+def _exchange(sender: Table, decoder: Decoder) -> int:
+    exchanged = len(encode(SegmentListRequest())) + _MESSAGE_BYTES
+    for start, end in _list_groups():
+        data = sender.encode(start, end)
+        exchanged += len(data) + _MESSAGE_BYTES
+        if decoder.take(data):
+            return exchanged
+    raise AssertionError('the difference was not found')
+
+
+def measure_table(case: Case, tables: tuple[Table, Table]) -> Cost:
+    """Measure the exchange; the tables are already built and changed."""
+    sender, receiver = tables
+    decoder = Decoder(receiver)
+    cost = _time(lambda: _exchange(sender, decoder))
+    assert decoder.only_remote == _to_keys(case.new)
+    assert decoder.only_local == _to_keys(case.gone)
+    return cost
+
+
+def _build(hints: Iterable[bytes]) -> Table:
+    table = Table(_LEVELS)
+    for key in _to_keys(hints):
+        table.insert(key)
+    return table
+
+
+def _change(table: Table, case: Case) -> float:
+    """Bring a table up to date; return the milliseconds of one change."""
+    start = time.process_time()
+    for key in _to_keys(case.new):
+        table.insert(key)
+    for key in _to_keys(case.gone):
+        table.delete(key)
+    spent = time.process_time() - start
+    return spent * 1_000 / (len(case.new) + len(case.gone))
+
+
+def _undo(table: Table, case: Case) -> None:
+    for key in _to_keys(case.new):
+        table.delete(key)
+    for key in _to_keys(case.gone):
+        table.insert(key)
+
+
+def _show(values: Sequence[float], unit: str) -> str:
+    middle = statistics.median(values)
+    return f'{middle:,.2f} {unit} ({min(values):,.2f} to {max(values):,.2f})'
+
+
+def _print_row(
+    size: int, difference: int, name: str, costs: list[Cost]
+) -> None:
+    exchanged = _show([cost.exchanged / 1_000 for cost in costs], 'kB')
+    spent = _show([cost.milliseconds for cost in costs], 'ms')
+    print(f'| {size:,} | {difference:,} | {name} | {exchanged} | {spent} |')
+
+
+def _measure_size(size: int, differences: Iterable[int]) -> None:
+    costs: dict[tuple[int, str], list[Cost]] = {}
+    builds, changes = [], []
+    for seed in SEEDS:
+        before = frozenset(_make_hints(Random(seed), size))
+        start = time.process_time()
+        sender = _build(before)
+        builds.append((time.process_time() - start) * 1_000)
+        receiver = _build(before)
+        for difference in differences:
+            case = make_case(before, difference, seed + difference)
+            changes.append(_change(sender, case))
+            found = {
+                'full list': measure_list(case),
+                'event log': measure_log(case),
+                'MET IBLT': measure_table(case, (sender, receiver)),
+            }
+            _undo(sender, case)
+            for name, cost in found.items():
+                costs.setdefault((difference, name), []).append(cost)
+    for (difference, name), found_costs in costs.items():
+        _print_row(size, difference, name, found_costs)
+    print(f'\nIBLT of {size:,}: build {_show(builds, "ms")},')
+    print(f'one change {_show([each * 1_000 for each in changes], "us")}\n')
+
+
+def main() -> None:
+    """Print bytes and processor time as a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--sizes', type=int, nargs='+', default=SIZES)
+    options = parser.parse_args()
+    print('| hints | difference | way | bytes both ways | processor time |')
+    print('|---|---|---|---|---|')
+    for size in options.sizes:
+        _measure_size(size, [each for each in DIFFERENCES if each <= 2 * size])
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/views.py
@@ -0,0 +1,116 @@
+"""Show the world to the decisions, as late as they see it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+from oleanderdyke.kernel.demand import Replica, SegmentHint
+
+
+class Kept(Protocol):
+    """Count what is kept."""
+
+    def count_leading(
+        self, segments: Sequence[SegmentHint], start: int = 0
+    ) -> int:
+        """Count the segments from `start` on that are kept in a row."""
+
+
+class LateFleet:
+    """Hold the last heard reports and cache events of all agents."""
+
+    def __init__(self) -> None:
+        self._replicas: dict[str, Replica] = {}
+        self._serving: dict[str, list[Replica]] = {}
+        self._kept: dict[str, set[SegmentHint]] = {}
+        self._holders: dict[SegmentHint, set[str]] = {}
+        self._stores: set[str] = set()
+
+    def hear(self, replica: Replica, *, store: bool = False) -> None:
+        """Take a report."""
+        known = self._replicas.get(replica.agent)
+        if known is not None and known.incarnation != replica.incarnation:
+            self.forget_segments(replica.agent)
+        self._replicas[replica.agent] = replica
+        if store:
+            self._stores.add(replica.agent)
+        self._serving.clear()
+
+    def lose(self, agent: str) -> None:
+        """Take out a silent agent."""
+        self._replicas.pop(agent, None)
+        self.forget_segments(agent)
+        self._serving.clear()
+
+    def forget_segments(self, agent: str) -> None:
+        """Drop what an agent held."""
+        for segment in self._kept.pop(agent, ()):
+            self._holders[segment].discard(agent)
+
+    def apply(
+        self,
+        agent: str,
+        added: Iterable[SegmentHint],
+        removed: Iterable[SegmentHint],
+    ) -> None:
+        """Take cache events."""
+        kept = self._kept.setdefault(agent, set())
+        for segment in added:
+            kept.add(segment)
+            self._holders.setdefault(segment, set()).add(agent)
+        for segment in removed:
+            kept.discard(segment)
+            holders = self._holders.get(segment)
+            if holders is not None:
+                holders.discard(agent)
+
+    def replicas(self, service: str) -> Sequence[Replica]:
+        """Return the serving agents of a service."""
+        if service not in self._serving:
+            self._serving[service] = [
+                each
+                for each in self._replicas.values()
+                if each.service == service and each.agent not in self._stores
+            ]
+        return self._serving[service]
+
+    def stores(self, service: str) -> Sequence[Replica]:
+        """Return the serving stores."""
+        return [
+            self._replicas[name]
+            for name in sorted(self._stores)
+            if name in self._replicas
+        ]
+
+    def find(self, agent: str) -> Replica | None:
+        """Return an agent by name."""
+        return self._replicas.get(agent)
+
+    def count_leading(
+        self, agent: str, segments: Sequence[SegmentHint], start: int = 0
+    ) -> int:
+        """Count the segments from `start` on that an agent holds in a row."""
+        kept = self._kept.get(agent, frozenset())
+        for index in range(start, len(segments)):
+            if segments[index] not in kept:
+                return index - start
+        return max(0, len(segments) - start)
+
+    def holders(self, segment: SegmentHint) -> Sequence[str]:
+        """Return the agents that hold a segment."""
+        return sorted(self._holders.get(segment, ()))
+
+
+class TrueFleet(LateFleet):
+    """Answer with the caches themselves."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.caches: dict[str, Kept] = {}
+
+    def count_leading(
+        self, agent: str, segments: Sequence[SegmentHint], start: int = 0
+    ) -> int:
+        """Count the segments that an agent holds now."""
+        return self.caches[agent].count_leading(segments, start)
--- a/src/oleanderdyke/kernel/demand.py
+++ b/src/oleanderdyke/kernel/demand.py
@@ -87,7 +87,8 @@
 
     The first `cached` segments are there, the next `fetched` come from the
     store, the rest is recomputed; `reason` is a short text for the log. Of
-    the fetched, `joined` are already on their way to that agent.
+    the fetched, `joined` are already on their way to that agent. The engine
+    runs a lower `priority` first; background work goes behind all.
     """
 
     agent: str
@@ -97,6 +98,7 @@
     fetched: int = 0
     predicted: Millis = 0.0
     joined: int = 0
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/keeping.py
+++ b/src/oleanderdyke/kernel/keeping.py
@@ -10,7 +10,9 @@
 
 _SMOOTHING = 0.3
 _MIN_GAP = MINUTE
-_FIRST_GAP = 24 * HOUR
+# Two days in the middle of the gaps from minutes to days: what was used once
+# must not push out what returns daily.
+_FIRST_GAP = 48 * HOUR
 
 
 @dataclass(slots=True)
--- a/src/oleanderdyke/kernel/prediction.py
+++ b/src/oleanderdyke/kernel/prediction.py
@@ -11,6 +11,8 @@
 _HISTORY = 15 * SECOND
 _SMOOTHING = 0.1
 _FIRST_HOLD: Millis = 500.0
+_FIRST_SHORT_SHARE = 0.3
+_LONG_TOKENS = 8_000.0
 
 
 @dataclass(slots=True)
@@ -20,7 +22,7 @@
     agent: str
     tokens: float
     sent: Millis
-    started: Millis = 0.0
+    short: bool
     first_token: Millis | None = None
 
 
@@ -29,6 +31,7 @@
     """Keep one agent's dispatches that its reports may not show yet."""
 
     tokens: float = 0.0
+    short_tokens: float = 0.0
     waiting: int = 0
     running: int = 0
     progressed: Millis = 0.0
@@ -52,17 +55,29 @@
         self._works: dict[str, Work] = {}
         self._ledgers: dict[str, _Ledger] = {}
         self._hold = _FIRST_HOLD
+        self._short_share = _FIRST_SHORT_SHARE
 
     def note_sent(
-        self, request: str, agent: str, tokens: float, now: Millis
+        self,
+        request: str,
+        agent: str,
+        tokens: float,
+        now: Millis,
+        *,
+        short: bool = True,
     ) -> None:
-        """Count a dispatch and the tokens it must prefill."""
+        """Count a dispatch and the tokens it must prefill.
+
+        A short one goes ahead of those that are not.
+        """
         ledger = self._ledgers.setdefault(agent, _Ledger())
-        work = Work(agent, tokens, now)
+        work = Work(agent, tokens, now, short)
+        self._learn_share(work)
         self._works[request] = work
         if not ledger.waiting:
             ledger.progressed = now
         ledger.tokens += tokens
+        ledger.short_tokens += tokens if short else 0.0
         ledger.waiting += 1
         ledger.past.append(work)
 
@@ -74,6 +89,9 @@
         work.first_token = now
         ledger = self._ledgers[work.agent]
         ledger.tokens = max(0.0, ledger.tokens - work.tokens)
+        if work.short:
+            left = ledger.short_tokens - work.tokens
+            ledger.short_tokens = max(0.0, left)
         ledger.waiting -= 1
         ledger.running += 1
         ledger.progressed = now
@@ -108,6 +126,21 @@
         prefill = tokens * SECOND / self.find_rate(replica)
         return prefill + self._estimate_slot_wait(replica)
 
+    def estimate_short(self, replica: Replica, now: Millis) -> float:
+        """Estimate the tokens of short requests that wait for prefill."""
+        ledger = self._ledgers.get(replica.agent)
+        if ledger is None:
+            return replica.load.waiting_tokens * self._short_share
+        self._read_report(ledger, replica, now)
+        others = ledger.others_tokens * self._short_share
+        return others + ledger.short_tokens
+
+    def estimate_short_wait(self, replica: Replica, now: Millis) -> Millis:
+        """Estimate how long a new short request waits for its prefill."""
+        tokens = self.estimate_short(replica, now)
+        prefill = tokens * SECOND / self.find_rate(replica)
+        return prefill + self._estimate_slot_wait(replica)
+
     def find_rate(self, replica: Replica) -> float:
         """Return the tokens per second that a replica prefills."""
         return replica.load.prefill_tokens_per_second or self._default_rate
@@ -126,6 +159,12 @@
             return replica.load.running + replica.load.waiting
         return ledger.waiting + ledger.running + ledger.others_requests
 
+    def _learn_share(self, work: Work) -> None:
+        """Learn the short share of all tokens, weighing long ones fully."""
+        weight = min(1.0, _SMOOTHING * work.tokens / _LONG_TOKENS)
+        target = 1.0 if work.short else 0.0
+        self._short_share += weight * (target - self._short_share)
+
     def _count_own(
         self, ledger: _Ledger, replica: Replica, now: Millis
     ) -> float:
--- a/src/oleanderdyke/kernel/routing.py
+++ b/src/oleanderdyke/kernel/routing.py
@@ -19,6 +19,7 @@
     late_after: Millis
     late_weight: float
     kv_bytes_per_token: int
+    short_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,10 +36,12 @@
     """Show how one replica stands towards one prompt.
 
     `cached` segments are there, or will be at `ready` from now; the next
-    `covered` segments could be fetched over `link`.
+    `covered` segments could be fetched over `link`. Requests with little to
+    recompute wait `short_wait` only, since they go first.
     """
 
     wait: Millis
+    short_wait: Millis
     tokens_per_second: float
     tokens: int
     cached: int
@@ -53,6 +56,7 @@
     """Say how many segments to fetch and what that costs."""
 
     fetched: int
+    rest: int
     time: Millis
     cost: float
 
@@ -87,16 +91,18 @@
 
 
 def _weigh(costs: Costs, standing: Standing, fetched: int) -> Source:
-    start = max(standing.wait, standing.ready)
+    present = (standing.cached + fetched) * SEGMENT_TOKENS
+    rest = max(0, standing.tokens - present)
+    short = rest <= costs.short_tokens
+    wait = standing.short_wait if short else standing.wait
+    start = max(wait, standing.ready)
     link_bytes = fetched * SEGMENT_TOKENS * costs.kv_bytes_per_token
     if fetched and standing.link is not None:
         start = max(start, estimate_fetch(standing.link, link_bytes))
-    present = (standing.cached + fetched) * SEGMENT_TOKENS
-    rest = max(0, standing.tokens - present)
     time = standing.latency + start
     time += rest * SECOND / standing.tokens_per_second
     cost = weigh(costs, time=time, tokens=rest, link_bytes=link_bytes)
-    return Source(fetched, time, cost)
+    return Source(fetched, rest, time, cost)
 
 
 def estimate_fetch(link: LinkView, link_bytes: float) -> Millis:
--- a/src/oleanderdyke/policies/admission.py
+++ b/src/oleanderdyke/policies/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import heapq
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
     Queued,
     Refusal,
 )
+from oleanderdyke.policies.candidates import estimate_missing
 from oleanderdyke.policies.capacity import ServiceCapacity
 from oleanderdyke.policies.limits import TeamLimits
 from oleanderdyke.policies.registries import ADMISSIONS, FindTerms
@@ -30,16 +32,51 @@
 _JITTER = 0.5
 
 
+class _Class(enum.IntEnum):
+    """Order requests: little work first, background last."""
+
+    SHORT = 0
+    LONG = 1
+    BACKGROUND = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """Pair a request with its class and the work that it asks for."""
+
+    demand: Demand
+    kind: _Class
+    missing: int
+
+    @property
+    def cost(self) -> float:
+        """Return the tokens to work on, at least one."""
+        return float(max(1, self.missing + self.demand.answer_tokens))
+
+
+def _make_queues() -> tuple[FairQueue, ...]:
+    return tuple(FairQueue() for _ in _Class)
+
+
 @dataclass(slots=True)
 class _Service:
     """Hold the queues of one service."""
 
     capacity: ServiceCapacity
-    interactive: FairQueue = field(default_factory=FairQueue)
-    background: FairQueue = field(default_factory=FairQueue)
+    queues: tuple[FairQueue, ...] = field(default_factory=_make_queues)
     mean_cost: float = 1.0
     returning: Millis = 0.0
 
+    def has_ahead(self, kind: _Class) -> bool:
+        """Tell whether anybody waits who goes first."""
+        return any(self.queues[: kind + 1])
+
+    def count_ahead(self, held: _Held, weight: float) -> float:
+        """Estimate the work that is done before a new request ends."""
+        queue = self.queues[held.kind]
+        ahead = queue.estimate_ahead(held.demand.team, held.cost, weight)
+        return ahead + sum(each.cost for each in self.queues[: held.kind])
+
 
 class FairAdmission:
     """Share each service between teams and refuse what would be late."""
@@ -49,7 +86,7 @@
         self._find_terms = find_terms
         self._limits = TeamLimits(find_terms)
         self._services: dict[str, _Service] = {}
-        self._waiting: dict[str, Waiting] = {}
+        self._waiting: dict[str, tuple[_Held, Waiting]] = {}
         self._running: dict[str, Demand] = {}
         self._latest: list[tuple[Millis, str]] = []
 
@@ -62,14 +99,17 @@
             return limited
         service = self._find_service(demand.service)
         service.capacity.look(demand.service, fleet, now)
-        cost = _get_cost(demand)
-        service.mean_cost += _MEAN_SMOOTHING * (cost - service.mean_cost)
-        if not self._is_behind(service, demand) and self._has_room(
-            service, background=demand.background
+        held = self._classify(demand, fleet)
+        service.mean_cost += _MEAN_SMOOTHING * (held.cost - service.mean_cost)
+        if service.has_ahead(held.kind) or not self._has_room(
+            service, held.kind
         ):
-            self._start(service, demand, now)
-            return _ADMITTED
-        return self._refuse_or_queue(service, demand, now)
+            return self._refuse_or_queue(service, held, now)
+        self._limits.note_started(demand, now)
+        self._run(service, held)
+        weight = self._find_terms(demand.team).weight
+        service.queues[held.kind].charge(demand.team, held.cost, weight)
+        return _ADMITTED
 
     def release(
         self, fleet: Fleet, now: Millis
@@ -77,10 +117,10 @@
         """Return who may go on and who has waited too long."""
         released = self._expire(now)
         for name, service in self._services.items():
-            if not (service.interactive or service.background):
+            if not any(service.queues):
                 continue
             if service.capacity.look(name, fleet, now):
-                released += self._release(service, now)
+                released += self._release(service)
         return released
 
     def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
@@ -100,10 +140,8 @@
 
     def note_finished(self, request: str, now: Millis) -> None:
         """Give back what a request held, queued or running."""
-        waiting = self._waiting.pop(request, None)
-        if waiting is not None:
-            self._find_queue(waiting.demand).remove(waiting)
-            self._limits.note_finished(waiting.demand.team, now)
+        if request in self._waiting:
+            self._drop(request, now)
             return
         demand = self._running.pop(request, None)
         if demand is None:
@@ -119,57 +157,49 @@
             self._services[name] = service
         return service
 
-    def _find_queue(self, demand: Demand) -> FairQueue:
-        service = self._find_service(demand.service)
-        return service.background if demand.background else service.interactive
-
-    def _is_behind(self, service: _Service, demand: Demand) -> bool:
-        if service.interactive:
-            return True
-        return demand.background and bool(service.background)
-
-    def _has_room(self, service: _Service, *, background: bool) -> bool:
-        wait = service.capacity.estimate_wait()
-        use = service.capacity.estimate_use()
-        if not background:
-            return wait <= self._settings.queue_target and use < 1.0
-        calm = wait <= self._settings.queue_target / 2
-        return calm and use < self._settings.background_running_share
-
-    def _start(self, service: _Service, demand: Demand, now: Millis) -> None:
-        self._limits.note_started(demand, now)
-        self._run(service, demand)
+    def _classify(self, demand: Demand, fleet: Fleet) -> _Held:
+        missing = estimate_missing(demand, fleet)
         if demand.background:
-            return
-        weight = self._find_terms(demand.team).weight
-        service.interactive.charge(demand.team, _get_cost(demand), weight)
-
-    def _run(self, service: _Service, demand: Demand) -> None:
-        self._running[demand.request] = demand
-        service.capacity.note_admitted(demand)
+            return _Held(demand, _Class.BACKGROUND, missing)
+        short = missing <= self._settings.short_tokens
+        return _Held(demand, _Class.SHORT if short else _Class.LONG, missing)
+
+    def _has_room(self, service: _Service, kind: _Class) -> bool:
+        capacity = service.capacity
+        wait = capacity.estimate_wait(short=kind is _Class.SHORT)
+        target = self._settings.queue_target
+        if kind is not _Class.BACKGROUND:
+            return wait <= target and capacity.estimate_use() < 1.0
+        share = self._settings.background_running_share
+        return wait <= target / 2 and capacity.estimate_use() < share
+
+    def _run(self, service: _Service, held: _Held) -> None:
+        self._running[held.demand.request] = held.demand
+        service.capacity.note_admitted(
+            held.missing, short=held.kind is _Class.SHORT
+        )
 
     def _refuse_or_queue(
-        self, service: _Service, demand: Demand, now: Millis
+        self, service: _Service, held: _Held, now: Millis
     ) -> Queued | Refusal:
+        demand = held.demand
         if len(self._waiting) >= self._settings.queued_limit:
-            return self._refuse(service, demand, now, 'queue is full')
-        queue = self._find_queue(demand)
-        cost = _get_cost(demand)
+            return self._refuse(service, held, now, 'queue is full')
         weight = self._find_terms(demand.team).weight
-        ahead = queue.estimate_ahead(demand.team, cost, weight)
         drain = service.capacity.estimate_drain(service.mean_cost)
-        latest = demand.deadline - service.capacity.estimate_time(demand)
-        if now + ahead / drain > latest:
-            return self._refuse(service, demand, now, 'would be late')
-        waiting = Waiting(demand, cost, now)
-        queue.push(waiting, weight)
-        self._waiting[demand.request] = waiting
+        wait = service.count_ahead(held, weight) / drain
+        latest = demand.deadline - service.capacity.time
+        if now + wait > latest:
+            return self._refuse(service, held, now, 'would be late')
+        waiting = Waiting(demand, held.cost, now)
+        service.queues[held.kind].push(waiting, weight)
+        self._waiting[demand.request] = held, waiting
         self._limits.note_started(demand, now)
         heapq.heappush(self._latest, (latest, demand.request))
         return _QUEUED
 
     def _refuse(
-        self, service: _Service, demand: Demand, now: Millis, reason: str
+        self, service: _Service, held: _Held, now: Millis, reason: str
     ) -> Refusal:
         """Refuse, and reserve a later place for the caller's return.
 
@@ -177,53 +207,50 @@
         than the service works.
         """
         drain = service.capacity.estimate_drain(service.mean_cost)
-        cost = _get_cost(demand)
-        backlog = now + service.interactive.cost / drain
-        service.returning = max(service.returning, backlog) + cost / drain
+        queued = sum(queue.cost for queue in service.queues[: held.kind + 1])
+        backlog = now + queued / drain
+        service.returning = max(service.returning, backlog) + held.cost / drain
         ceiling = self._settings.retry_after_ceiling
         after = min(ceiling, service.returning - now)
         service.returning = min(service.returning, now + ceiling)
         after = max(self._settings.retry_after_floor, after)
-        after *= 1 + _JITTER * spread(demand.request)
+        after *= 1 + _JITTER * spread(held.demand.request)
         return Refusal(ErrorKind.OVERLOADED, reason, after)
 
     def _expire(self, now: Millis) -> list[tuple[str, Admitted | Refusal]]:
         expired: list[tuple[str, Admitted | Refusal]] = []
         while self._latest and self._latest[0][0] < now:
             _, request = heapq.heappop(self._latest)
-            waiting = self._waiting.pop(request, None)
-            if waiting is None:
+            if request not in self._waiting:
                 continue
-            demand = waiting.demand
-            self._find_queue(demand).remove(waiting)
-            self._limits.note_finished(demand.team, now)
-            service = self._find_service(demand.service)
-            refusal = self._refuse(service, demand, now, 'waited too long')
+            held = self._drop(request, now)
+            service = self._find_service(held.demand.service)
+            refusal = self._refuse(service, held, now, 'waited too long')
             expired.append((request, refusal))
         return expired
 
+    def _drop(self, request: str, now: Millis) -> _Held:
+        held, waiting = self._waiting.pop(request)
+        service = self._find_service(held.demand.service)
+        service.queues[held.kind].remove(waiting)
+        self._limits.note_finished(held.demand.team, now)
+        return held
+
     def _release(
-        self, service: _Service, now: Millis
+        self, service: _Service
     ) -> list[tuple[str, Admitted | Refusal]]:
         released: list[tuple[str, Admitted | Refusal]] = []
-        while service.interactive and self._has_room(service, background=False):
-            released.append(self._take(service, service.interactive))
-        while (
-            service.background
-            and not service.interactive
-            and self._has_room(service, background=True)
-        ):
-            released.append(self._take(service, service.background))
+        for kind in _Class:
+            queue = service.queues[kind]
+            if kind is _Class.BACKGROUND and service.has_ahead(_Class.LONG):
+                break
+            while queue and self._has_room(service, kind):
+                request = queue.pop().demand.request
+                held, _ = self._waiting.pop(request)
+                self._run(service, held)
+                released.append((request, _ADMITTED))
         return released
 
-    def _take(
-        self, service: _Service, queue: FairQueue
-    ) -> tuple[str, Admitted | Refusal]:
-        demand = queue.pop().demand
-        del self._waiting[demand.request]
-        self._run(service, demand)
-        return demand.request, _ADMITTED
-
 
 class OpenAdmission:
     """Admit everything at once."""
@@ -250,10 +277,6 @@
         """Give nothing back."""
 
 
-def _get_cost(demand: Demand) -> float:
-    return float(max(1, demand.tokens + demand.answer_tokens))
-
-
 @ADMISSIONS.register('fair')
 def make_fair(settings: PolicySettings, find_terms: FindTerms) -> Admission:
     """Build the admission that shares by weight."""
--- a/src/oleanderdyke/policies/candidates.py
+++ b/src/oleanderdyke/policies/candidates.py
@@ -6,15 +6,18 @@
 from random import Random
 
 from oleanderdyke.kernel.demand import (
+    SEGMENT_TOKENS,
     Demand,
     Fleet,
     Replica,
     SegmentHint,
 )
+from oleanderdyke.links.messages import BackendKind
 from oleanderdyke.policies.settings import PolicySettings
 from oleanderdyke.policies.sources import SoonTable
 
 _TRIES_PER_SAMPLE = 4
+_HOLDERS_SEEN = 8
 
 
 def fits(replica: Replica, demand: Demand, exclude: frozenset[str]) -> bool:
@@ -67,6 +70,26 @@
             return
 
 
+def estimate_missing(demand: Demand, fleet: Fleet) -> int:
+    """Estimate the tokens that no engine holds of a prompt."""
+    low, high = 0, len(demand.segments)
+    while low < high:
+        middle = (low + high) // 2
+        if _is_held(fleet, demand.segments[middle]):
+            low = middle + 1
+        else:
+            high = middle
+    return max(0, demand.tokens - low * SEGMENT_TOKENS)
+
+
+def _is_held(fleet: Fleet, segment: SegmentHint) -> bool:
+    for agent in fleet.holders(segment)[:_HOLDERS_SEEN]:
+        replica = fleet.find(agent)
+        if replica is not None and replica.backend is BackendKind.ENGINE:
+            return True
+    return False
+
+
 def _find_holders(
     segments: Sequence[SegmentHint],
     fleet: Fleet,
--- a/src/oleanderdyke/policies/capacity.py
+++ b/src/oleanderdyke/policies/capacity.py
@@ -11,7 +11,6 @@
 
 _REFRESH: Millis = 20.0
 _REFRESH_PER_REPLICA: Millis = 1.0
-_FIRST_SHARE = 0.25
 _FIRST_TIME: Millis = 1_000.0
 _SMOOTHING = 0.05
 
@@ -25,6 +24,7 @@
     rate: float = 0.0
     slots: int = 0
     tokens: float = 0.0
+    short_tokens: float = 0.0
     requests: int = 0
 
 
@@ -32,6 +32,7 @@
 class _Sent:
     tokens: float
     at: Millis
+    short: bool
     prefilling: bool = True
 
 
@@ -45,7 +46,6 @@
         )
         self._view = _View()
         self._sent: dict[str, _Sent] = {}
-        self._share = _FIRST_SHARE
         self._time: Millis = _FIRST_TIME
 
     @property
@@ -63,11 +63,12 @@
             self._view = self._sum(service, fleet, now)
         return self._view.replicas > 0
 
-    def estimate_wait(self) -> Millis:
+    def estimate_wait(self, *, short: bool = False) -> Millis:
         """Estimate the mean wait for prefill over the replicas."""
         if not self._view.rate:
             return 0.0
-        return self._view.tokens * SECOND / self._view.rate
+        tokens = self._view.short_tokens if short else self._view.tokens
+        return tokens * SECOND / self._view.rate
 
     def estimate_use(self) -> float:
         """Estimate the share of slots in use, zero where none is known."""
@@ -75,41 +76,35 @@
             return 0.0
         return self._view.requests / self._view.slots
 
-    def estimate_tokens(self, demand: Demand) -> float:
-        """Estimate the tokens that a request will have prefilled."""
-        return demand.tokens * self._share
-
-    def estimate_time(self, demand: Demand) -> Millis:
-        """Estimate how long a request's own work lasts."""
-        return self._time
-
     def estimate_drain(self, mean_cost: float) -> float:
-        """Estimate this entry's share of the work done, cost a ms.
+        """Estimate this entry's share of the tokens done in a ms.
 
-        The cost of a request is its prompt and answer tokens, at least 1.
+        `mean_cost` tokens are taken for one slot; plain calls cost 1.
         """
         view = self._view
-        by_slots = view.slots / self._time * mean_cost if view.slots else 1e9
-        by_tokens = view.rate / SECOND / max(0.01, self._share)
-        if mean_cost <= 1:
+        by_slots = view.slots / self._time * mean_cost
+        by_tokens = view.rate / SECOND
+        if not view.slots:
+            by_slots = by_tokens
+        if not view.rate or mean_cost <= 1:
             by_tokens = by_slots
         return max(1e-6, min(by_slots, by_tokens) / self._settings.entries)
 
-    def note_admitted(self, demand: Demand) -> None:
+    def note_admitted(self, tokens: float, *, short: bool) -> None:
         """Count a request that is about to be sent."""
-        self._view.tokens += self.estimate_tokens(demand)
+        self._view.tokens += tokens
+        self._view.short_tokens += tokens if short else 0.0
         self._view.requests += 1
 
     def note_sent(
         self, demand: Demand, plan: Plan, tokens: float, now: Millis
     ) -> None:
-        """Replace the estimate of a request by its plan."""
-        self._view.tokens += tokens - self.estimate_tokens(demand)
-        self._backlog.note_sent(demand.request, plan.agent, tokens, now)
-        self._sent[demand.request] = _Sent(tokens, now)
-        if demand.tokens:
-            share = tokens / demand.tokens
-            self._share += _SMOOTHING * (share - self._share)
+        """Count what a request's plan recomputes."""
+        short = tokens <= self._settings.short_tokens
+        self._backlog.note_sent(
+            demand.request, plan.agent, tokens, now, short=short
+        )
+        self._sent[demand.request] = _Sent(tokens, now, short)
 
     def note_first_token(self, request: str, now: Millis) -> None:
         """Count a prefill as done."""
@@ -118,7 +113,10 @@
             return
         sent.prefilling = False
         self._backlog.note_first_token(request, now)
-        self._view.tokens = max(0.0, self._view.tokens - sent.tokens)
+        view = self._view
+        view.tokens = max(0.0, view.tokens - sent.tokens)
+        if sent.short:
+            view.short_tokens = max(0.0, view.short_tokens - sent.tokens)
 
     def note_finished(self, request: str, now: Millis) -> None:
         """Count a request as done."""
@@ -137,6 +135,7 @@
             view.rate += self._backlog.find_rate(replica)
             view.slots += replica.load.slots
             view.tokens += self._backlog.estimate_tokens(replica, now)
+            view.short_tokens += self._backlog.estimate_short(replica, now)
             view.requests += self._backlog.count_requests(replica)
         refresh = max(_REFRESH, view.replicas * _REFRESH_PER_REPLICA)
         view.until = now + refresh
--- /dev/null
+++ b/src/oleanderdyke/policies/exports.py
@@ -0,0 +1,52 @@
+"""Decide which segments of a run are worth sending to a store."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.kernel.demand import SegmentHint
+from oleanderdyke.policies.settings import PolicySettings
+
+_PRIOR_RETURNS = 0.3
+
+
+class ExportChooser:
+    """Export what is expected to return often enough to pay for its bytes."""
+
+    def __init__(self, settings: PolicySettings) -> None:
+        self._limit = settings.gap_memory
+        self._needed = count_needed_returns(settings)
+        self._uses: OrderedDict[SegmentHint, int] = OrderedDict()
+
+    def note_used(self, segments: Sequence[SegmentHint]) -> None:
+        """Count one use of each segment."""
+        uses = self._uses
+        for segment in segments:
+            uses[segment] = uses.get(segment, 0) + 1
+            uses.move_to_end(segment)
+        while len(uses) > self._limit:
+            uses.popitem(last=False)
+
+    def count_worthy(self, segments: Sequence[SegmentHint]) -> int:
+        """Count the leading segments that are worth keeping."""
+        for index, segment in enumerate(segments):
+            if self._expect(segment) < self._needed:
+                return index
+        return len(segments)
+
+    def _expect(self, segment: SegmentHint) -> float:
+        """Expect as many uses to come as were seen to return."""
+        return _PRIOR_RETURNS + max(0, self._uses.get(segment, 0) - 1)
+
+
+def count_needed_returns(settings: PolicySettings) -> float:
+    """Return how many fetches must follow to pay for one export."""
+    link = settings.w_link * settings.kv_bytes_per_token
+    prefill = SECOND / settings.prefill_tokens_per_second
+    recompute = settings.w_recompute + settings.w_ttft * prefill
+    carried = settings.kv_bytes_per_token * SECOND
+    fetch = link + settings.w_ttft * carried / settings.link_bytes_per_second
+    saved = recompute - fetch
+    return link / saved if saved > 0 else float('inf')
--- a/src/oleanderdyke/policies/routing.py
+++ b/src/oleanderdyke/policies/routing.py
@@ -28,6 +28,11 @@
     StoreViews,
 )
 
+# A prefix that is there costs little to finish, so it need not wait behind
+# one that is not.
+SHORT_FIRST = 0
+LONG_NEXT = 1
+
 _NO_REPLICA = Refusal(ErrorKind.NO_REPLICA, 'no serving replica', 1_000.0)
 
 
@@ -79,13 +84,19 @@
             ),
             key=_get_cost,
         )
-        return _make_plan(demand, best)
+        return _make_plan(best, self._settings)
 
     def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
         """Count the prefill, the fetch and the prefixes soon to be there."""
         present = (plan.cached + plan.fetched) * SEGMENT_TOKENS
         tokens = max(0, demand.tokens - present)
-        self._backlog.note_sent(demand.request, plan.agent, tokens, now)
+        self._backlog.note_sent(
+            demand.request,
+            plan.agent,
+            tokens,
+            now,
+            short=plan.priority == SHORT_FIRST,
+        )
         self._links.note_sent(demand.request, plan, now)
         self._soon.note_sent(demand, plan, now)
 
@@ -114,6 +125,7 @@
         store = stores.find(reach.cached)
         standing = Standing(
             wait=self._backlog.estimate_wait(replica, now),
+            short_wait=self._backlog.estimate_short_wait(replica, now),
             tokens_per_second=self._backlog.find_rate(replica),
             tokens=demand.tokens,
             cached=reach.cached,
@@ -187,6 +199,7 @@
         late_after=settings.late_after,
         late_weight=settings.late_weight,
         kv_bytes_per_token=settings.kv_bytes_per_token,
+        short_tokens=settings.short_tokens,
     )
 
 
@@ -194,14 +207,13 @@
     return choice.source.cost
 
 
-def _make_plan(demand: Demand, choice: _Choice) -> Plan:
+def _make_plan(choice: _Choice, settings: PolicySettings) -> Plan:
     source = choice.source
     reach = choice.reach
-    present = reach.cached + source.fetched
-    rest = max(0, demand.tokens - present * SEGMENT_TOKENS)
+    short = source.rest <= settings.short_tokens
     reason = (
         f'cached {reach.cached} fetch {source.fetched} '
-        f'recompute {rest} tokens in {source.time:.0f} ms'
+        f'recompute {source.rest} tokens in {source.time:.0f} ms'
     )
     return Plan(
         choice.replica.agent,
@@ -211,6 +223,7 @@
         fetched=source.fetched + reach.joined,
         predicted=source.time,
         joined=reach.joined,
+        priority=SHORT_FIRST if short else LONG_NEXT,
     )
 
 
--- a/src/oleanderdyke/policies/settings.py
+++ b/src/oleanderdyke/policies/settings.py
@@ -31,7 +31,8 @@
     affinity_limit: int = 4
     scan_limit: int = 8
     soon_limit: int = 100_000
-    queue_target: Millis = 150.0
+    short_tokens: int = 1_024
+    queue_target: Millis = 800.0
     background_running_share: float = 0.75
     queued_limit: int = 10_000
     entries: int = 3
