--- /dev/null
+++ b/src/oleanderdyke/ctl/files.py
@@ -0,0 +1,171 @@
+"""Read objects from YAML files and report every fault at once."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from oleanderdyke.errors import SettingsError
+from oleanderdyke.kernel.objects import (
+    SPEC_TYPES,
+    ObjectKind,
+    Spec,
+    TeamSpec,
+)
+from oleanderdyke.kernel.specs import find_faults
+from oleanderdyke.settings import find_line, structure_document
+
+STANDARD_INPUT = '-'
+_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """Hold one object of a file and where it stands.
+
+    `generation` is the one that the object is expected to have, None for the
+    present one.
+    """
+
+    kind: ObjectKind
+    name: str
+    spec: Spec
+    place: str
+    generation: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Head:
+    kind: ObjectKind
+    name: str
+    spec: dict[str, Any] = field(default_factory=dict)
+    generation: int | None = None
+
+
+def load_documents(paths: Sequence[str]) -> tuple[Document, ...]:
+    """Read every file; raise SettingsError with all the faults of all."""
+    faults: list[str] = []
+    documents: list[Document] = []
+    for path in paths:
+        for node in _compose(path, faults):
+            try:
+                documents.append(_load(path, node))
+            except SettingsError as error:
+                faults += error.faults
+    faults += _find_shared_names(documents)
+    faults += _find_shared_tokens(documents)
+    if faults:
+        raise SettingsError(tuple(faults))
+    return tuple(documents)
+
+
+def _compose(path: str, faults: list[str]) -> tuple[yaml.Node, ...]:
+    source = _name(path)
+    try:
+        nodes = tuple(yaml.compose_all(_read(path), Loader=_LOADER))
+    except (OSError, UnicodeDecodeError) as error:
+        faults.append(f'{source}: cannot be read: {error}')
+    except yaml.YAMLError as error:
+        faults.append(f'{source}: not valid YAML: {error}')
+    else:
+        return tuple(node for node in nodes if not _is_empty(node))
+    return ()
+
+
+def _read(path: str) -> str:
+    if path == STANDARD_INPUT:
+        return sys.stdin.read()
+    return Path(path).read_text(encoding='utf-8')
+
+
+def _name(path: str) -> str:
+    return 'standard input' if path == STANDARD_INPUT else path
+
+
+def _is_empty(node: yaml.Node | None) -> bool:
+    return node is None or (
+        isinstance(node, yaml.ScalarNode) and node.value == ''
+    )
+
+
+def _load(path: str, node: yaml.Node) -> Document:
+    source = _name(path)
+    line = node.start_mark.line + 1
+    raw = _construct(source, node)
+    head = structure_document(raw, _Head, source=source, node=node)
+    spec_node = _find_child(node, 'spec')
+    spec = structure_document(
+        head.spec,
+        SPEC_TYPES[head.kind],
+        source=source,
+        node=spec_node,
+        prefix=('spec',),
+    )
+    faults = tuple(_check(source, node, head.name, spec))
+    if faults:
+        raise SettingsError(faults)
+    return Document(
+        head.kind, head.name, spec, f'{source}:{line}', head.generation
+    )
+
+
+def _construct(source: str, node: yaml.Node) -> Any:
+    try:
+        raw = yaml.SafeLoader('').construct_document(node)
+    except yaml.YAMLError as error:
+        raise SettingsError((f'{source}: not valid YAML: {error}',)) from error
+    if isinstance(raw, dict):
+        return raw
+    line = node.start_mark.line + 1
+    fault = f'{source}:{line}: found {type(raw).__name__}; allowed: a mapping'
+    raise SettingsError((fault,))
+
+
+def _find_child(node: yaml.Node, name: str) -> yaml.Node | None:
+    children: Iterable[tuple[yaml.Node, yaml.Node]] = ()
+    if isinstance(node, yaml.MappingNode):
+        children = node.value
+    for key, child in children:
+        if key.value == name:
+            return child
+    return None
+
+
+def _check(
+    source: str, node: yaml.Node, name: str, spec: Spec
+) -> Iterator[str]:
+    for fault in find_faults(name, spec):
+        key, _, text = fault.partition(': ')
+        path = ('name',) if key == 'name' else ('spec', *key.split('.'))
+        line = find_line(node, path)
+        yield f'{source}:{line}: {".".join(path)}: {text}'
+
+
+def _find_shared_names(documents: Iterable[Document]) -> Iterator[str]:
+    seen: dict[tuple[ObjectKind, str], str] = {}
+    for item in documents:
+        former = seen.setdefault((item.kind, item.name), item.place)
+        if former != item.place:
+            yield (
+                f'{item.place}: name: found {item.name!r} again, first at '
+                f'{former}; allowed: each {item.kind} once'
+            )
+
+
+def _find_shared_tokens(documents: Iterable[Document]) -> Iterator[str]:
+    owners: dict[str, Document] = {}
+    for item in documents:
+        if not isinstance(item.spec, TeamSpec):
+            continue
+        for text in {*item.spec.token_hashes, *item.spec.admin_token_hashes}:
+            owner = owners.setdefault(text, item)
+            if owner.name != item.name:
+                yield (
+                    f'{item.place}: spec: found a token hash of team '
+                    f'{owner.name!r} ({owner.place}); allowed: one team each'
+                )
--- a/src/oleanderdyke/kernel/specs.py
+++ b/src/oleanderdyke/kernel/specs.py
@@ -229,7 +229,7 @@
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, Mapping):
-        return dict(value)
+        return dict(sorted(value.items()))
     return list(value) if isinstance(value, tuple) else value
 
 
--- a/src/oleanderdyke/settings.py
+++ b/src/oleanderdyke/settings.py
@@ -234,13 +234,14 @@
         next(part for part in match if part)
         for match in _PATH_PART.findall(dollar_path)
     )
-    line = _find_line(node, path)
+    line = find_line(node, path)
     place = f'{source}:{line}' if line else source
     key = '.'.join(prefix + path) or '(top)'
     return f'{place}: {key}: {text}'
 
 
-def _find_line(node: yaml.Node | None, path: _Path) -> int:
+def find_line(node: yaml.Node | None, path: tuple[str, ...]) -> int:
+    """Return the line of a key, that of the nearest one above, or 0."""
     if node is None:
         return 0
     line = node.start_mark.line + 1
