--- a/bench/reconcile.py
+++ b/bench/reconcile.py
@@ -5,12 +5,13 @@
 import argparse
 import statistics
 import time
+import tracemalloc
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from random import Random
 
 from bench.iblt import FIRST_CELLS, Decoder, Table, count_cells
-from oleanderdyke.kernel.segment_log import SegmentLog
+from oleanderdyke.kernel.segment_log import RECENT_EVENTS, SegmentLog
 from oleanderdyke.links.codec import decode, encode
 from oleanderdyke.links.messages import SegmentEvents, SegmentListRequest
 
@@ -207,6 +208,20 @@
     print(f'one change {_show([each * 1_000 for each in changes], "us")}\n')
 
 
+def _measure_memory() -> int:
+    """Return the bytes of a full log whose hints nothing else holds."""
+    tracemalloc.start()
+    log = SegmentLog()
+    for hint in _make_hints(Random(0), RECENT_EVENTS):
+        log.add(hint)
+        log.take()
+        log.remove(hint)
+        log.take()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used
+
+
 def main() -> None:
     """Print bytes and processor time as a table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -216,6 +231,8 @@
     print('|---|---|---|---|---|')
     for size in options.sizes:
         _measure_size(size, [each for each in DIFFERENCES if each <= 2 * size])
+    used = _measure_memory() / 1_000
+    print(f'full event log of {RECENT_EVENTS:,}: {used:,.0f} kB')
 
 
 if __name__ == '__main__':
--- a/src/oleanderdyke/kernel/segment_log.py
+++ b/src/oleanderdyke/kernel/segment_log.py
@@ -10,6 +10,7 @@
 from oleanderdyke.links.messages import SegmentEvents
 
 MESSAGE_HINTS = 16_384
+RECENT_EVENTS = 16_384
 
 
 class SegmentLog:
@@ -21,7 +22,7 @@
     number may be negative for that.
     """
 
-    def __init__(self, *, keep: int = 4_096) -> None:
+    def __init__(self, *, keep: int = RECENT_EVENTS) -> None:
         self._present: set[SegmentHint] = set()
         self._unsent: dict[SegmentHint, bool] = {}
         self._recent: deque[tuple[SegmentHint, bool]] = deque(maxlen=keep)
