Bound who may wait for one segment's write

Cause: requests joined to a write under way weren't counted. Change: as many may join as writes may be open, the rest are told busy.

--- a/src/oleanderdyke/kernel/store_index.py
+++ b/src/oleanderdyke/kernel/store_index.py
@@ -265,6 +265,8 @@
             return WriteFailed(WriteRefusal.NAMESPACE, (write.request,))
         if opened is None:
             return WritePresent()
+        if len(opened.joined) >= self._limits.writes:
+            return WriteFailed(WriteRefusal.BUSY, (write.request,))
         opened.joined.append(write.request)
         return WriteJoined()
 
