--- a/src/oleanderdyke/ctl/files.py
+++ b/src/oleanderdyke/ctl/files.py
@@ -98,22 +98,32 @@
     line = node.start_mark.line + 1
     raw = _construct(source, node)
     head = structure_document(raw, _Head, source=source, node=node)
-    spec_node = _find_child(node, 'spec')
-    spec = structure_document(
-        head.spec,
-        SPEC_TYPES[head.kind],
-        source=source,
-        node=spec_node,
-        prefix=('spec',),
-    )
-    faults = tuple(_check(source, node, head.name, spec))
-    if faults:
-        raise SettingsError(faults)
+    faults: list[str] = []
+    spec = _load_spec(source, node, head, faults)
+    faults += _check(source, node, head.name, spec)
+    if faults or spec is None:
+        raise SettingsError(tuple(faults))
     return Document(
         head.kind, head.name, spec, f'{source}:{line}', head.generation
     )
 
 
+def _load_spec(
+    source: str, node: yaml.Node, head: _Head, faults: list[str]
+) -> Spec | None:
+    try:
+        return structure_document(
+            head.spec,
+            SPEC_TYPES[head.kind],
+            source=source,
+            node=_find_child(node, 'spec'),
+            prefix=('spec',),
+        )
+    except SettingsError as error:
+        faults += error.faults
+        return None
+
+
 def _construct(source: str, node: yaml.Node) -> Any:
     try:
         raw = yaml.SafeLoader('').construct_document(node)
@@ -137,7 +147,7 @@
 
 
 def _check(
-    source: str, node: yaml.Node, name: str, spec: Spec
+    source: str, node: yaml.Node, name: str, spec: Spec | None
 ) -> Iterator[str]:
     for fault in find_faults(name, spec):
         key, _, text = fault.partition(': ')
--- a/src/oleanderdyke/settings.py
+++ b/src/oleanderdyke/settings.py
@@ -8,7 +8,7 @@
 import re
 from collections.abc import Iterator, Mapping
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, TypeVar, get_origin
 
 import cattrs
 import yaml
@@ -21,6 +21,9 @@
 _HIDDEN = '(hidden)'
 _UNKNOWN_KEY = 'unknown key '
 _SECRET = 'secret'
+# A token put in the place of its hash must not be repeated.
+_TOKEN = 'token'
+_FOUND = re.compile('found .*; (?=allowed: )', re.DOTALL)
 _PATH_PART = re.compile(r"\.(\w+)|\[(\d+)\]|\['([^']*)'\]")
 
 SettingsT = TypeVar('SettingsT')
@@ -173,7 +176,19 @@
         super().__init__(f'found {found!r}; allowed: {allowed}')
 
 
-def _make_converter() -> cattrs.Converter:
+def _is_list(target: Any) -> bool:
+    origin: Any = get_origin(target)
+    return origin is tuple
+
+
+def _check_list(found: object, target: Any) -> Any:
+    # The library would take a text for a list of its characters.
+    if not isinstance(found, list | tuple):
+        raise _WrongValue(found, 'a list')
+    return _BASE.structure(found, target)
+
+
+def _make_base() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
     checks = {
         str: _check_str,
@@ -193,7 +208,14 @@
     return converter
 
 
-_CONVERTER = _make_converter()
+def _make_converter(base: cattrs.Converter) -> cattrs.Converter:
+    converter = base.copy()
+    converter.register_structure_hook_func(_is_list, _check_list)
+    return converter
+
+
+_BASE = _make_base()
+_CONVERTER = _make_converter(_BASE)
 
 
 def _describe(error: BaseException, _: type | None) -> str:
@@ -237,6 +259,8 @@
     line = find_line(node, path)
     place = f'{source}:{line}' if line else source
     key = '.'.join(prefix + path) or '(top)'
+    if _TOKEN in key:
+        text = _FOUND.sub('found something else; ', text)
     return f'{place}: {key}: {text}'
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,12 +1,19 @@
 from __future__ import annotations
 
 import enum
+import re
 from dataclasses import dataclass, field
 
 import pytest
 
 from oleanderdyke.errors import SettingsError
-from oleanderdyke.settings import hide_field, parse_settings, show_settings
+from oleanderdyke.kernel.objects import ServiceSpec, TeamSpec
+from oleanderdyke.settings import (
+    hide_field,
+    parse_settings,
+    show_settings,
+    structure_document,
+)
 
 
 class _Mode(enum.Enum):
@@ -86,3 +93,21 @@
     shown = show_settings(settings)
     assert 'sesame' not in shown
     assert 'mode: safe' in shown
+
+
+@pytest.mark.parametrize('hashes', ['secret-token', ['x', 123456]])
+def test_token_in_the_place_of_a_hash_is_not_repeated(hashes):
+    with pytest.raises(SettingsError) as caught:
+        structure_document({'token_hashes': hashes}, TeamSpec, source='f')
+    (fault,) = caught.value.faults
+    assert re.search('token_hashes.*: found something else; allowed: a', fault)
+
+
+def test_text_is_no_list_and_no_unknown_member():
+    raw = {'kind': 'modell', 'methods': 'GET'}
+    with pytest.raises(SettingsError) as caught:
+        structure_document(raw, ServiceSpec, source='f')
+    assert set(caught.value.faults) == {
+        "f: kind: found 'modell'; allowed: one of model, plain",
+        "f: methods: found 'GET'; allowed: a list",
+    }
