--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -160,6 +160,16 @@
     assert not buffer.is_full
 
 
+def test_a_stalled_reader_can_be_waited_for_before_a_sent_chunk_is_dropped():
+    buffer = make_buffer()
+    assert not buffer.would_drop(b'x' * 10 * LIMITS.stream_bytes)
+    fill(buffer, 4)
+    assert buffer.would_drop(b'x')
+    buffer.grant(Credit('r', 1, 2), 0)
+    assert not buffer.would_drop(b'x')
+    assert buffer.resume_from(0, READER, 0) is not None
+
+
 def test_the_end_follows_the_last_chunk_and_needs_no_credit():
     buffer = make_buffer()
     fill(buffer, 3)
