Let a dispatch carry the priority of its plan

Cause: the router tells short requests from long ones, the agent could not see it. Ruled out: a priority in the body alone, which the agent sets anew. Change: Dispatch.priority, 0 by default, from the plan. Before and after: not measured. Conclusion: the agent has to give it to the engine.

--- a/src/oleanderdyke/entry/dispatches.py
+++ b/src/oleanderdyke/entry/dispatches.py
@@ -50,6 +50,7 @@
         keep=_make_keep(call, action.replica, fleet),
         incarnation=action.incarnation,
         beat=action.beat,
+        priority=action.plan.priority,
     )
 
 
--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -202,7 +202,7 @@
     quarantine. `keep` names the store that should keep the prompt's complete
     segments, and those of them that it lacks. `incarnation` and `beat` name
     the last heartbeat of the agent that the entry had heard; an agent starts
-    no work that is too old by them.
+    no work that is too old by them. The engine runs a lower `priority` first.
     """
 
     request: str
@@ -229,6 +229,7 @@
     keep: FetchPlan | None = None
     incarnation: str = ''
     beat: int = -1
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
