Publish by oleanderctl in the demo and test the whole path

Cause: the binaries start now, so the demo and the tests can drive them as an operator and callers do.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from oleanderdyke.links.messages import BackendKind
 from tests.calls import Reply, ask, call, make_chat
 from tests.deployment import EXAMPLES, Deployment, Entry, load_layout
 from tests.processes import ROOT, NotMet, wait_until
@@ -20,7 +21,6 @@
 _SETTLE_SECONDS = 1.5
 _CREATED = 201
 _OK = 200
-_ENGINE = 'engine'
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,11 +163,10 @@
 
     def _evict_and_ask_again(self) -> None:
         wait_until(self._is_kept, 'a store keeps the context')
-        self._evict()
-        time.sleep(_SETTLE_SECONDS)
-        before = self._read_link_bytes()
+        evict(self._deployment)
+        before = count_read_bytes(self._deployment)
         reply = self._ask_question(1)
-        moved = self._read_link_bytes() - before
+        moved = count_read_bytes(self._deployment) - before
         self._show_answer(
             f'same question after eviction, {moved:,} link bytes', reply
         )
@@ -176,6 +175,20 @@
             met=reply.recomputed_share <= _MOST_RECOMPUTED and moved > 0,
             found=reply.usage,
         )
+        wrong = [
+            count
+            for address in list_addresses(self._deployment, BackendKind.ENGINE)
+            for count in self._read_wrong(address)
+        ]
+        self._report.expect(
+            'no engine was given or used wrong cache bytes',
+            met=not any(wrong),
+            found=wrong,
+        )
+
+    def _read_wrong(self, address: str) -> tuple[int, int]:
+        stats = self._deployment.read_stats(address)
+        return stats['corrupt_imports'], stats['corrupt_used']
 
     def _post_twice(self) -> None:
         story = self._story
@@ -238,7 +251,7 @@
         wanted = self._expect_text(story.letter, 24)
         runs = sum(
             self._deployment.read_stats(address)['background_runs']
-            for address in self._list_addresses(_ENGINE)
+            for address in list_addresses(self._deployment, BackendKind.ENGINE)
         )
         self._report.expect(
             'letter written in the background class',
@@ -292,30 +305,7 @@
 
     def _is_kept(self) -> bool:
         wanted = len(self._rulebook) // cache.SEGMENT_BYTES
-        return self._count_kept() >= wanted
-
-    def _count_kept(self) -> int:
-        return sum(
-            len(call(address, 'GET', '/objects').json)
-            for address in self._list_addresses('store')
-        )
-
-    def _read_link_bytes(self) -> int:
-        return sum(
-            int(self._deployment.read_stats(address)['read_bytes'])
-            for address in self._list_addresses('store')
-        )
-
-    def _evict(self) -> None:
-        options = self._deployment.layout.standins[_ENGINE]
-        length = (options['cache_segments'] + 1) * cache.SEGMENT_BYTES
-        for address in self._list_addresses(_ENGINE):
-            chat = make_chat('', 'x' * length, max_tokens=1, stream=False)
-            call(address, 'POST', '/v1/chat/completions', chat)
-
-    def _list_addresses(self, kind: str) -> list[str]:
-        servers = self._deployment.servers
-        return [item.address for item in servers if item.kind == kind]
+        return count_kept(self._deployment) >= wanted
 
 
 def make_token(team: str) -> str:
@@ -325,12 +315,12 @@
 
 def publish(deployment: Deployment) -> None:
     """Publish the example configuration; raise NotMet when it is refused."""
-    path = EXAMPLES / deployment.layout.name / 'configuration.yaml'
-    done = deployment.run_ctl(
-        'apply',
-        '-f',
-        str(path),
+    wait_until(
+        lambda: all(map(deployment.is_live, deployment.entries)),
+        'every entry answers',
     )
+    path = EXAMPLES / deployment.layout.name / 'configuration.yaml'
+    done = deployment.run_ctl('apply', '-f', str(path), '--wait')
     if done.returncode:
         raise NotMet(f'oleanderctl: {done.stdout}{done.stderr}')
 
@@ -349,6 +339,36 @@
         )
 
 
+def evict(deployment: Deployment) -> None:
+    """Fill every engine's cache with other context and let the news spread."""
+    options = deployment.layout.standins['engine']
+    length = (options['cache_segments'] + 1) * cache.SEGMENT_BYTES
+    chat = make_chat('', 'x' * length, max_tokens=1, stream=False)
+    for address in list_addresses(deployment, BackendKind.ENGINE):
+        salted = chat | {'cache_salt': f'{time.time_ns():032x}'}
+        call(address, 'POST', '/v1/chat/completions', salted)
+    time.sleep(_SETTLE_SECONDS)
+
+
+def count_kept(deployment: Deployment) -> int:
+    """Count the objects in the stores."""
+    addresses = list_addresses(deployment, BackendKind.STORE)
+    return sum(len(call(each, 'GET', '/objects').json) for each in addresses)
+
+
+def count_read_bytes(deployment: Deployment) -> int:
+    """Count the bytes that the stores have sent over their links."""
+    addresses = list_addresses(deployment, BackendKind.STORE)
+    return sum(
+        int(deployment.read_stats(each)['read_bytes']) for each in addresses
+    )
+
+
+def list_addresses(deployment: Deployment, kind: BackendKind) -> list[str]:
+    """Return the addresses of the backend servers of a kind."""
+    return [item.address for item in deployment.servers if item.kind is kind]
+
+
 def main() -> int:
     """Run the demo; return 0 when every expectation was met."""
     started = time.monotonic()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -4,6 +4,7 @@
 
 import functools
 import itertools
+import os
 import subprocess
 import sys
 from collections.abc import Iterator, Mapping, Sequence
@@ -29,6 +30,7 @@
 )
 
 EXAMPLES = ROOT / 'examples'
+OPERATOR_TOKEN = 'example-admin'
 _BATCH = 4
 _CTL_SECONDS = 30
 _READY = 200
@@ -156,10 +158,17 @@
         """Return the counts of a stand-in."""
         return call(address, 'GET', '/stats').json
 
+    def is_live(self, entry: Entry) -> bool:
+        """Tell whether an entry answers at all."""
+        return self._check(entry, '/live')
+
     def is_ready(self, entry: Entry) -> bool:
         """Tell whether an entry reports itself ready."""
+        return self._check(entry, '/ready')
+
+    def _check(self, entry: Entry, path: str) -> bool:
         try:
-            return call(entry.address, 'GET', '/ready').status == _READY
+            return call(entry.address, 'GET', path).status == _READY
         except _LOST:
             return False
 
@@ -173,10 +182,17 @@
             )
 
     def run_ctl(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run oleanderctl and return what it printed."""
+        """Run oleanderctl as the example operator; return what it printed."""
+        entries = [f'http://{entry.address}' for entry in self.entries]
+        environ = {
+            **os.environ,
+            'OLEANDER_ENTRY': ','.join(entries),
+            'OLEANDER_TOKEN': OPERATOR_TOKEN,
+        }
         return subprocess.run(
             [sys.executable, '-m', 'oleanderdyke.ctl.main', *arguments],
             cwd=ROOT,
+            env=environ,
             capture_output=True,
             text=True,
             timeout=_CTL_SECONDS,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -102,7 +102,9 @@
             self.process.send_signal(number)
 
     def kill(self) -> None:
-        """End at once, as a crash does."""
+        """End at once, as a crash does; do nothing before the first start."""
+        if self.process is None:
+            return
         self.send(signal.SIGKILL)
         self.wait()
 
