--- a/src/oleanderdyke/entry/admin.py
+++ b/src/oleanderdyke/entry/admin.py
@@ -164,7 +164,9 @@
         check_operator(caller)
         catalog = self._catalog
         await wait_until(
-            lambda: bool(catalog.list_outcomes(after)),
+            lambda: (
+                catalog.offset > after and bool(catalog.list_outcomes(after))
+            ),
             min(wait, WAIT_LIMIT),
             self._clock,
             poll=_WATCH_POLL,
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -150,6 +150,30 @@
     assert terminal.run('get', 'team', 'unwritten') is ExitCode.NOT_FOUND
 
 
+def test_entry_started_while_the_log_is_down_learns_from_agents(
+    terminal, deployment, monkeypatch
+):
+    path = terminal.write({**TEAM, 'name': 'remembered'})
+    assert terminal.run('apply', '-f', path, '--wait') is ExitCode.OK
+    address = deployment.platform['log']
+    deployment.set_faults(address, down=True)
+    try:
+        deployment._add_entry(len(deployment.entries))
+        entry = deployment.entries.pop()
+        entry.child.start()
+        wait_until(lambda: deployment.is_ready(entry), 'the new entry is ready')
+        monkeypatch.setenv('OLEANDER_ENTRY', entry.address)
+        assert terminal.run('get', 'team', 'remembered') is ExitCode.OK
+        assert terminal.apply(TEAM) is ExitCode.UNAVAILABLE
+    finally:
+        deployment.set_faults(address)
+    wait_until(
+        lambda: terminal.apply(TEAM) is ExitCode.OK, 'the new entry publishes'
+    )
+    entry.child.terminate()
+    assert entry.child.wait() == 0
+
+
 def test_next_entry_is_asked_and_wait_names_the_silent_one(
     terminal, deployment, monkeypatch
 ):
