Test the request driver, claims and planned stop of the entry

Cause: retries, credit, claims and the stop are where promises are kept or lost. Ruled out: real processes for these; a link and a log in memory show each message. Change: 26 cases over the application with a played agent.

--- a/tests/edges.py
+++ b/tests/edges.py
@@ -179,7 +179,11 @@
     """Hold an entry's application, its kernel and one agent's link."""
 
     def __init__(
-        self, *, configured: bool = True, http: HttpSettings | None = None
+        self,
+        *,
+        configured: bool = True,
+        http: HttpSettings | None = None,
+        level: str = 'error',
     ) -> None:
         settings = EntrySettings(
             process='entry-1',
@@ -187,11 +191,12 @@
             log=LogSettings('127.0.0.1:1'),
             vms=VmSettings('127.0.0.1:1'),
             http=http or HttpSettings(),
-            log_level=Level.ERROR,
+            log_level=Level(level),
             seed=1,
         )
         self.core = make_core(settings, make_clock())
         self.log = FakeLog()
+        self.links: dict[str, FakeLink] = {}
         self.claims = ClaimLog(self.core, self.log)  # type: ignore[arg-type]
         self.stopper = Stopper(self.core)
         self.queue = ReleaseQueue(self.core)
@@ -213,15 +218,22 @@
         page = LogPage(records, 0, len(records))
         self.core.reader.on_page(page, self.core.clock.now())
 
-    def add_agent(self, service: str, kind: BackendKind) -> FakeLink:
-        """Let an agent say hello and beat once."""
-        name = f'agent-{service}'
+    def add_agent(
+        self,
+        service: str,
+        kind: BackendKind,
+        *,
+        name: str = '',
+        link: FakeLink | None = None,
+    ) -> FakeLink:
+        """Let an agent say hello and beat once; agents may share a link."""
+        name = name or f'agent-{service}'
         hello = Hello(
             PROTOCOL_VERSION, Role.AGENT, name, 'i1', 'here', 0, kind, service
         )
-        link = FakeLink(hello)
+        link = link or FakeLink(hello)
         now = self.core.clock.now()
-        self.core.fleet.on_hello(hello, link.address, now)
+        self.core.fleet.on_hello(hello, f'127.0.0.1:{len(self.links)}', now)
         model = kind is BackendKind.ENGINE
         beat = Heartbeat(
             'i1',
@@ -234,8 +246,8 @@
             weight_digest=WEIGHTS.digest if model else '',
         )
         self.core.fleet.on_heartbeat(name, beat, now)
-        links = {name: link}
-        self.core.find_link = links.get  # type: ignore[assignment]
+        self.links[name] = link
+        self.core.find_link = self.links.get  # type: ignore[assignment]
         return link
 
     async def call(
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,577 @@
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+
+from oleanderdyke.entry.main import main
+from oleanderdyke.entry.settings import EntrySettings, find_faults
+from oleanderdyke.entry.tokens import StreamToken, encode_token
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.kernel.claim_records import ClaimRecord, decode_batch
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    BackendKind,
+    BodyChunk,
+    Cancel,
+    Credit,
+    Dispatch,
+    Failed,
+    Message,
+    Resume,
+)
+from tests.edges import TOKEN, Caller, Edge, FakeLink, Reply
+
+CHAT = '/v1/chat/completions'
+BOOKINGS = '/v1/services/taquilla/bookings'
+KEY = [(b'idempotency-key', b'k')]
+ASK = {
+    'model': 'lector',
+    'messages': [{'role': 'user', 'content': 'x' * 2_048}],
+    'stream': True,
+}
+SSE = (('content-type', 'text/event-stream'),)
+JSON = (('content-type', 'application/json'),)
+
+
+def run(act: Callable[[TaskGroup], Awaitable[None]]) -> None:
+    async def bound() -> None:
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                await act(tasks)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(bound)
+
+
+async def wait(condition: Callable[[], object]) -> None:
+    while not condition():
+        await anyio.sleep(0)
+
+
+def send_answer(
+    edge: Edge,
+    started: Dispatch | Resume,
+    parts: list[bytes],
+    *,
+    headers: tuple[tuple[str, str], ...] = JSON,
+    first: int = 0,
+    whole: list[bytes] | None = None,
+) -> None:
+    """Play the agent's part of an answer."""
+    request, attempt = started.request, started.attempt
+    running = edge.core.running[request]
+    running.take(AnswerHead(request, attempt, 200, headers, 'stream-1'))
+    for sequence, data in enumerate(parts, first):
+        running.take(AnswerChunk(request, attempt, sequence, data))
+    running.take(
+        AnswerEnd(
+            request,
+            attempt,
+            first + len(parts),
+            make_digest(whole or parts),
+            resumed_digest=make_digest(parts),
+        )
+    )
+
+
+def make_digest(parts: list[bytes]) -> bytes:
+    return blake2b(b''.join(parts), digest_size=16).digest()
+
+
+def is_last(message: Message) -> bool:
+    return isinstance(message, BodyChunk) and message.last
+
+
+class Agent:
+    """Answer each dispatch once its body is there."""
+
+    def __init__(self, edge: Edge, link: FakeLink, parts: list[bytes]) -> None:
+        self._edge = edge
+        self._link = link
+        self._parts = parts
+        link.react = self.react
+
+    def react(self, message: Message) -> None:
+        if is_last(message):
+            dispatch = self._link.find(Dispatch)[-1]
+            send_answer(self._edge, dispatch, self._parts)
+
+
+def make_plain() -> tuple[Edge, FakeLink]:
+    edge = Edge()
+    return edge, edge.add_agent('taquilla', BackendKind.PLAIN)
+
+
+def make_model() -> tuple[Edge, FakeLink]:
+    edge = Edge()
+    return edge, edge.add_agent('asistente', BackendKind.ENGINE)
+
+
+def test_passes_a_plain_call_both_ways():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+        Agent(edge, link, [b'{"a":', b'1}'])
+        reply = await edge.call(
+            'POST',
+            BOOKINGS + '?x=%20',
+            body=[b'ab', b'c'],
+            headers=[(b'accept', b'*/*'), (b'cookie', b'secret')],
+        )
+        assert (reply.status, reply.body, reply.ended) == (
+            200,
+            b'{"a":1}',
+            True,
+        )
+        assert reply.headers['content-type'] == 'application/json'
+        (dispatch,) = link.find(Dispatch)
+        assert dispatch.request == reply.headers['oleander-request']
+        assert (dispatch.method, dispatch.path) == ('POST', '/bookings?x=%20')
+        assert dispatch.headers == (('accept', '*/*'),)
+        assert not dispatch.idempotent
+        assert [chunk.data for chunk in link.find(BodyChunk)] == [b'abc']
+        assert not edge.core.running
+
+    run(act)
+
+
+def test_binds_a_chat_to_team_and_weights():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.start(tasks)
+        Agent(edge, link, [b'{}'])
+        for _ in range(2):
+            body = [json.dumps(ASK | {'background': True}).encode()]
+            assert (await edge.call('POST', CHAT, body=body)).status == 200
+        first, second = link.find(Dispatch)
+        assert first.weight_digest == 'a' * 64
+        assert first.background
+        assert len(first.segments) == 2
+        assert first.namespace == second.namespace
+        assert first.digest == second.digest
+        sent = json.loads(link.find(BodyChunk)[0].data)
+        assert sent['cache_salt'] == first.namespace.hex()
+        assert sent['model'] == 'lector'
+
+    run(act)
+
+
+def test_numbers_the_events_of_a_stream():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.start(tasks)
+
+        def react(message: Message) -> None:
+            if is_last(message):
+                parts = [b'data: a\n\n', b'data: [DONE]\n\n']
+                (dispatch,) = link.find(Dispatch)
+                send_answer(edge, dispatch, parts, headers=SSE)
+
+        link.react = react
+        reply = await edge.call('POST', CHAT, body=[json.dumps(ASK).encode()])
+        assert reply.body == b'id: 0\ndata: a\n\nid: 1\ndata: [DONE]\n\n'
+        token = encode_token(StreamToken('agent-asistente', 'stream-1'))
+        assert reply.headers['oleander-resume'] == token
+
+    run(act)
+
+
+@pytest.mark.parametrize(
+    ('first', 'asked', 'rest'),
+    [
+        ('0', 1, [b'c']),
+        ('-1.1', 0, [b'b', b'c']),
+        ('', 0, [b'a', b'b', b'c']),
+    ],
+)
+def test_resumes_after_what_the_caller_has(
+    first: str, asked: int, rest: list[bytes]
+):
+    chunks = [b'data: a\n\ndata: b\n\n', b'data: c\n\n']
+
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.start(tasks)
+
+        def react(message: Message) -> None:
+            if isinstance(message, Resume):
+                assert (message.team, message.token) == ('owls', 'stream-1')
+                assert message.sequence == asked
+                send_answer(
+                    edge,
+                    message,
+                    chunks[asked:],
+                    headers=SSE,
+                    first=asked,
+                    whole=chunks,
+                )
+
+        link.react = react
+        token = encode_token(StreamToken('agent-asistente', 'stream-1'))
+        headers = [(b'last-event-id', first.encode())] if first else []
+        reply = await edge.call('GET', f'/v1/streams/{token}', headers=headers)
+        events = [
+            block.rpartition(b'data: ')[2]
+            for block in reply.body.split(b'\n\n')[:-1]
+        ]
+        assert events == rest
+
+    run(act)
+
+
+def test_caller_that_leaves_cancels_its_run():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.start(tasks)
+        caller = Caller([json.dumps(ASK).encode()])
+
+        async def call() -> None:
+            await edge.call('POST', CHAT, caller=caller)
+
+        tasks.start_soon(call)
+        await wait(lambda: link.find(BodyChunk))
+        caller.gone.set()
+        await wait(lambda: link.find(Cancel))
+        await wait(lambda: not edge.core.running)
+
+    run(act)
+
+
+class SlowReply(Reply):
+    """Stop reading until told, as the server's flow control does."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = anyio.Event()
+
+    async def send(self, event: Any) -> None:
+        """Take an event once reading goes on."""
+        await self.go.wait()
+        await super().send(event)
+
+
+def test_slow_caller_gets_no_credit(monkeypatch: pytest.MonkeyPatch):
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.start(tasks)
+        slow = SlowReply()
+        monkeypatch.setattr('tests.edges.Reply', lambda: slow)
+        body = [json.dumps(ASK).encode()]
+
+        async def call() -> None:
+            await edge.call('POST', CHAT, body=body)
+
+        tasks.start_soon(call)
+        await wait(lambda: link.find(BodyChunk))
+        (dispatch,) = link.find(Dispatch)
+        running = edge.core.running[dispatch.request]
+        head = AnswerHead(dispatch.request, 1, 200, JSON)
+        running.take(head)
+        for sequence in range(64):
+            running.take(AnswerChunk(dispatch.request, 1, sequence, b'x'))
+        for _ in range(100):
+            await anyio.sleep(0)
+        assert not link.find(Credit)
+        slow.go.set()
+        await wait(lambda: sum(x.chunks for x in link.find(Credit)) == 64)
+        assert slow.body == b'x' * 64
+
+    run(act)
+
+
+def test_agent_that_ignores_its_credit_is_cut_off():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+
+        def react(message: Message) -> None:
+            if is_last(message):
+                (dispatch,) = link.find(Dispatch)
+                send_answer(edge, dispatch, [b'x'] * 2_000)
+
+        link.react = react
+        reply = await edge.call('GET', BOOKINGS)
+        assert not reply.ended
+
+    run(act)
+
+
+@pytest.mark.parametrize(
+    ('ran', 'attempts', 'said'), [(Ran.NO, 2, 200), (Ran.MAYBE, 1, 502)]
+)
+def test_sends_a_call_without_a_key_again_only_if_it_did_not_run(
+    ran: Ran, attempts: int, said: int
+):
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.add_agent('taquilla', BackendKind.PLAIN, name='other', link=link)
+        edge.start(tasks)
+
+        def react(message: Message) -> None:
+            if not is_last(message):
+                return
+            dispatches = link.find(Dispatch)
+            dispatch = dispatches[-1]
+            if len(dispatches) == 2:
+                send_answer(edge, dispatch, [b'ok'])
+                return
+            kind = (
+                ErrorKind.LEAVING if ran is Ran.NO else ErrorKind.BACKEND_LOST
+            )
+            edge.core.running[dispatch.request].take(
+                Failed(dispatch.request, dispatch.attempt, kind, ran)
+            )
+
+        link.react = react
+        reply = await edge.call('POST', BOOKINGS, body=[b'{}'])
+        assert reply.status == said
+        assert len(link.find(Dispatch)) == attempts
+
+    run(act)
+
+
+def test_lost_link_of_a_call_that_may_have_run_is_told():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+
+        def react(message: Message) -> None:
+            if is_last(message):
+                for running in edge.core.running.values():
+                    running.lose(link)  # type: ignore[arg-type]
+
+        link.react = react
+        reply = await edge.call('POST', BOOKINGS)
+        error = json.loads(reply.body)['error']
+        assert (error['kind'], error['ran']) == ('backend_lost', 'maybe')
+        assert reply.headers['retry-after'] == '1'
+
+    run(act)
+
+
+# --- claims -----------------------------------------------------------------
+
+
+def list_claims(edge: Edge) -> list[ClaimRecord]:
+    return [
+        record
+        for batch in edge.log.batches
+        for record in decode_batch(batch)
+        if isinstance(record, ClaimRecord)
+    ]
+
+
+async def follow_log(edge: Edge) -> None:
+    while True:
+        edge.log.read_back(edge.core, edge.claims)
+        await anyio.sleep(0.001)
+
+
+def test_concurrent_claims_share_appends():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+        tasks.start_soon(follow_log, edge)
+        await wait(lambda: edge.claims.synced)
+        Agent(edge, link, [b'ok'])
+        replies: list[int] = []
+
+        async def call(number: int) -> None:
+            key = [(b'idempotency-key', b'%d' % number)]
+            reply = await edge.call('POST', BOOKINGS, headers=key)
+            replies.append(reply.status)
+
+        for number in range(40):
+            tasks.start_soon(call, number)
+        await wait(lambda: len(replies) == 40)
+        assert set(replies) == {200}
+        assert len(list_claims(edge)) == 40
+        assert edge.log.appends < 40
+        assert all(item.claim for item in link.find(Dispatch))
+
+    run(act)
+
+
+def test_same_key_runs_once():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+        tasks.start_soon(follow_log, edge)
+        await wait(lambda: edge.claims.synced)
+        Agent(edge, link, [b'receipt'])
+        for _ in range(3):
+            reply = await edge.call('POST', BOOKINGS, headers=KEY, body=[b'a'])
+            assert (reply.status, reply.body) == (200, b'receipt')
+            assert reply.headers['oleander-horizon'] == '86400'
+            end = len(edge.log.batches)
+            await wait(lambda end=end: edge.core.claims.next_offset == end)
+        other = await edge.call('POST', BOOKINGS, headers=KEY, body=[b'b'])
+        assert other.status == 422
+        assert len(link.find(Dispatch)) == 1
+
+    run(act)
+
+
+@pytest.mark.parametrize(
+    ('faults', 'status', 'runs'),
+    [
+        ([Ran.MAYBE], 200, 1),
+        ([Ran.NO], 503, 0),
+    ],
+)
+def test_claim_of_a_failed_append(faults: list[Ran], status: int, runs: int):
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+        tasks.start_soon(follow_log, edge)
+        await wait(lambda: edge.claims.synced)
+        Agent(edge, link, [b'ok'])
+        edge.log.faults = list(faults)
+        reply = await edge.call('POST', BOOKINGS, headers=KEY)
+        assert reply.status == status
+        assert len(link.find(Dispatch)) == runs
+        if status != 200:
+            assert json.loads(reply.body)['error']['ran'] == 'no'
+
+    run(act)
+
+
+def test_outcome_is_appended_again_until_it_is_in_the_log():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.core.settings = replace(
+            edge.core.settings, log=replace(edge.core.settings.log, retry=1.0)
+        )
+        edge.start(tasks)
+        tasks.start_soon(follow_log, edge)
+        await wait(lambda: edge.claims.synced)
+
+        def fail_outcome(message: Message) -> None:
+            if is_last(message):
+                edge.log.faults = [Ran.NO] * 3
+                send_answer(edge, link.find(Dispatch)[0], [b'ok'])
+
+        link.react = fail_outcome
+        reply = await edge.call('POST', BOOKINGS, headers=KEY)
+        assert reply.status == 200
+        await wait(lambda: len(edge.log.batches) == 2)
+
+    run(act)
+
+
+# --- a planned stop ---------------------------------------------------------
+
+
+def test_stop_hands_a_stream_over_and_refuses_new_work():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.core.drain = replace_drain(edge)
+        edge.start(tasks)
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            body = [json.dumps(ASK).encode()]
+            replies.append(await edge.call('POST', CHAT, body=body))
+
+        tasks.start_soon(call)
+        await wait(lambda: link.find(BodyChunk))
+        (dispatch,) = link.find(Dispatch)
+        running = edge.core.running[dispatch.request]
+        running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
+        running.take(AnswerChunk(dispatch.request, 1, 0, b'data: a\n\n'))
+        await wait(lambda: edge.core.drain.running == (dispatch.request,))
+        tasks.start_soon(edge.stopper.run)
+        edge.stopper.take_signal('SIGTERM')
+        refused = await edge.call('GET', BOOKINGS)
+        assert refused.status == 503
+        assert json.loads(refused.body)['error']['ran'] == 'no'
+        await wait(lambda: replies)
+        (reply,) = replies
+        assert reply.body.startswith(b'id: 0\ndata: a\n\nevent: resume\n')
+        assert not reply.ended
+        assert not link.find(Cancel)
+
+    run(act)
+
+
+def replace_drain(edge: Edge) -> Any:
+    settings = edge.core.settings.drain
+    return type(edge.core.drain)(
+        replace(settings, accept=0.0, announce=0.0, drain=0.0)
+    )
+
+
+# --- settings ---------------------------------------------------------------
+
+GOOD = """
+process: entry-1
+data_centre: here
+log: {address: '127.0.0.1:1'}
+vms: {address: '127.0.0.1:2'}
+"""
+
+
+@pytest.mark.parametrize(
+    ('extra', 'word'),
+    [
+        ('http: {host: 0.0.0.0}', 'plain text'),
+        ('http: {certificate: /nowhere.pem}', 'both or neither'),
+        ('plugins: {router: fastest}', 'plugins.router'),
+        ('http: {hots: x}', "did you mean 'host'"),
+        ('beat: soon', 'a number'),
+    ],
+)
+def test_settings_fault_is_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], extra: str, word: str
+):
+    path = tmp_path / 'entry.yaml'
+    path.write_text(GOOD + extra)
+    assert main(['--settings', str(path), '--check']) == 2
+    text = capsys.readouterr().err
+    assert word in text
+    assert str(path) in text
+
+
+def test_prints_settings_that_load_again(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+):
+    path = tmp_path / 'entry.yaml'
+    path.write_text(GOOD)
+    assert main(['--settings', str(path), '--print-settings']) == 0
+    path.write_text(capsys.readouterr().out)
+    assert main(['--settings', str(path), '--check']) == 0
+
+
+def test_plain_text_beyond_loopback_has_to_be_asked_for():
+    settings = Edge().core.settings
+    assert isinstance(settings, EntrySettings)
+    wide = replace(settings.http, host='10.0.0.1')
+    assert find_faults(replace(settings, http=wide))
+    asked = replace(wide, plain_text=True)
+    assert not find_faults(replace(settings, http=asked))
+
+
+def test_no_secret_reaches_the_log(capsys: pytest.CaptureFixture[str]):
+    async def act(tasks: TaskGroup) -> None:
+        edge = Edge(level='debug')
+        link = edge.add_agent('taquilla', BackendKind.PLAIN)
+        edge.start(tasks)
+        Agent(edge, link, [b'answer-text'])
+        await edge.call('POST', BOOKINGS, body=[b'prompt-text'])
+        await edge.call('POST', BOOKINGS, headers=KEY)
+
+    run(act)
+    text = capsys.readouterr().err
+    assert 'event=request_finished' in text
+    for secret in (TOKEN, 'prompt-text', 'answer-text'):
+        assert secret not in text
