Carry live claims before the log forgets them

Cause: the claims log keeps records for a limited time; a key must be known for its horizon. Ruled out: carrying by read log time alone, which stands still on a quiet log. Change: every entry appends due claims again at random times, at most 1,000 at once. Before and after: not measured. Conclusion: the table decides what is due; duplicates are harmless.

--- a/src/oleanderdyke/entry/claims.py
+++ b/src/oleanderdyke/entry/claims.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from oleanderdyke.clock import SECOND
+from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.core import Core
 from oleanderdyke.entry.inbox import Inbox
 from oleanderdyke.errors import Ran
@@ -30,6 +30,8 @@
 _APPENDS = 4
 _REPEATS = 40
 _REPEAT_LIMIT = 2_000
+_CARRY_LIMIT = 1_000
+_CARRY_SHARES = (0.02, 0.06)
 
 
 @dataclass(slots=True)
@@ -148,6 +150,26 @@
                     tasks.start_soon(self._append, self._take_group())
                 self._wake = anyio.Event()
 
+    async def carry(self) -> None:
+        """Repeat live claims before the log forgets them, until cancelled.
+
+        Every entry does it; whoever is first spares the others the work.
+        """
+        retention = self._core.settings.log.retention
+        while True:
+            share = self._core.random.uniform(*_CARRY_SHARES)
+            await anyio.sleep(retention * share / SECOND)
+            self.append_due(retention)
+
+    def append_due(self, retention: Millis) -> None:
+        """Append the claims whose latest record has half its time behind."""
+        table = self._core.claims
+        latest = max(table.time, self._core.clock.wall())
+        due = table.due_for_carry(latest - retention / 2, _CARRY_LIMIT)
+        for start in range(0, len(due), self._settings.batch):
+            records = due[start : start + self._settings.batch]
+            self._add(_Pending(records, _ignore, _ignore))
+
     async def repeat(self, pending: _Pending) -> None:
         """Wait, then append once more."""
         await anyio.sleep(self._core.settings.log.retry / SECOND)
@@ -224,3 +246,7 @@
         waited = self._core.clock.now() - watched.since
         self._core.metrics.time(Timing.CLAIM, waited)
         watched.inbox.put(ClaimSettled(claim_id, verdict))
+
+
+def _ignore(_: object) -> None:
+    """Let the next round carry what was not appended."""
--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -28,7 +28,7 @@
     RetrySettings,
     make_retry_budget,
 )
-from oleanderdyke.kernel.spread import ConfigurationReader
+from oleanderdyke.kernel.spread import ConfigurationReader, ReaderSettings
 from oleanderdyke.links.link import Link
 from oleanderdyke.links.messages import PROTOCOL_VERSION, Hello, Message, Role
 from oleanderdyke.logs import EventLog, make_event_log
@@ -36,6 +36,8 @@
 from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS, TeamTerms
 
 _INCARNATION_BYTES = 8
+# Peers are asked only when the log has not brought a change by then.
+_LOG_FIRST = 250.0
 
 FindLink: TypeAlias = Callable[[str], Link | None]
 Spawn: TypeAlias = Callable[..., object]
@@ -121,7 +123,12 @@
 def make_core(settings: EntrySettings, clock: Clock) -> Core:
     """Build the kernel objects that the settings name."""
     random = Random(settings.seed)
-    reader = ConfigurationReader(random)
+    reader = ConfigurationReader(
+        random,
+        ReaderSettings(
+            ask_after=_LOG_FIRST, snapshot_age=settings.log.retention / 2
+        ),
+    )
     catalog = reader.catalog
 
     def find_terms(team: str) -> TeamTerms:
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -89,6 +89,7 @@
             configuration.run,
             claims.run,
             self._claims.run,
+            self._claims.carry,
             self._feed.append_snapshots,
             VmWatch(self._core, self._vms, self._pool).run,
             self._pool.run,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -15,7 +15,11 @@
 from oleanderdyke.entry.settings import EntrySettings, find_faults
 from oleanderdyke.entry.tokens import StreamToken, encode_token
 from oleanderdyke.errors import ErrorKind, Ran
-from oleanderdyke.kernel.claim_records import ClaimRecord, decode_batch
+from oleanderdyke.kernel.claim_records import (
+    CarriedRecord,
+    ClaimRecord,
+    decode_batch,
+)
 from oleanderdyke.links.messages import (
     AnswerChunk,
     AnswerEnd,
@@ -469,6 +473,24 @@
     run(act)
 
 
+def test_live_claims_are_carried_before_the_log_forgets_them():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+        tasks.start_soon(follow_log, edge)
+        await wait(lambda: edge.claims.synced)
+        Agent(edge, link, [b'ok'])
+        await edge.call('POST', BOOKINGS, headers=KEY)
+        await wait(lambda: edge.core.claims.next_offset == 2)
+        edge.claims.append_due(1_000.0)
+        await wait(lambda: len(edge.log.batches) == 3)
+        (carried,) = decode_batch(edge.log.batches[2])
+        assert isinstance(carried, CarriedRecord)
+        assert carried.outcome is not None
+
+    run(act)
+
+
 # --- a planned stop ---------------------------------------------------------
 
 
