Read the end of the event log from its end

Cause: a repair of one event walked the 16,384 kept ones first: 0.31 ms at 180,000 hints against 0.05 ms at 2,000, whose log isn't full (medians of one run). Change: take the tail from the right.

--- a/src/oleanderdyke/kernel/segment_log.py
+++ b/src/oleanderdyke/kernel/segment_log.py
@@ -80,7 +80,8 @@
         oldest = self._next - len(self._recent)
         if not oldest <= number <= self._next:
             return self.list_all()
-        events = tuple(islice(self._recent, number - oldest, None))
+        events = list(islice(reversed(self._recent), self._next - number))
+        events.reverse()
         return tuple(_make_messages(number, events))
 
     def _change(self, segment: SegmentHint, *, present: bool) -> None:
