--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -138,6 +138,7 @@
     return (
         *_find_http_faults(settings.http),
         *_find_operator_faults(settings.operators),
+        *_find_log_faults(settings.log),
     )
 
 
@@ -158,6 +159,11 @@
     )
 
 
+def _find_log_faults(log: LogSettings) -> Iterator[str]:
+    if log.retention <= 0:
+        yield f'log.retention: found {log.retention}; allowed: above 0'
+
+
 def _find_operator_faults(
     operators: tuple[OperatorSettings, ...],
 ) -> Iterator[str]:
--- a/src/oleanderdyke/kernel/catalog.py
+++ b/src/oleanderdyke/kernel/catalog.py
@@ -241,8 +241,11 @@
             return None
         if len(digest) != _DIGEST_BYTES:
             return None
-        name = self._state.find_team(index, field, digest)
-        return self.get(ObjectKind.TEAM, name) if name else None
+        for name in index.get(digest):
+            team = self.get(ObjectKind.TEAM, name)
+            if team is not None and token_hash in getattr(team.spec, field):
+                return team
+        return None
 
     def _settle(self, offset: int, change: PackedChange) -> Outcome:
         known = self._state.outcomes.get(change.record_id)
--- a/src/oleanderdyke/kernel/spread.py
+++ b/src/oleanderdyke/kernel/spread.py
@@ -19,6 +19,7 @@
 
 _MESSAGE_BYTES = 48 * 1024
 _JITTER = 0.2
+_PAUSE = 0.125
 
 
 class Record(Protocol):
@@ -94,6 +95,7 @@
         self._end = 0
         self._watch = SnapshotWatch()
         self._watched_since: Millis | None = None
+        self._told_at: Millis | None = None
         self._from_peer: SnapshotCollector | None = None
         self._heard: dict[str, int] = {}
         self._behind_since: Millis | None = None
@@ -189,10 +191,21 @@
         return Readiness(ready=False, reason=reason)
 
     def is_snapshot_due(self, wall: Millis) -> bool:
-        """Tell whether the log needs a new snapshot; any process may append it.
+        """Tell whether to append a snapshot now; any process may do so.
 
         The limits differ a little between processes, so that one is first.
+        After a yes there is a pause, also where clocks are far apart.
         """
+        pause = self._settings.snapshot_age * _PAUSE
+        told = self._told_at
+        if told is not None and abs(wall - told) < pause:
+            return False
+        if not self._needs_snapshot(wall):
+            return False
+        self._told_at = wall
+        return True
+
+    def _needs_snapshot(self, wall: Millis) -> bool:
         if not self._loaded or self.offset == START_OFFSET:
             return False
         if self._is_cut_off():
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -278,6 +278,19 @@
     assert reader.is_snapshot_due(HOUR + MINUTE)
 
 
+def test_clocks_far_apart_do_not_flood_the_log_with_snapshots():
+    log = make_log(8)
+    reader = make_reader(snapshot_age=HOUR)
+    follow(reader, log)
+    appended = 0
+    for minute in range(240):
+        if reader.is_snapshot_due((minute + 1_000) * MINUTE):
+            log.append(*reader.catalog.snapshot(), at=minute * MINUTE)
+            follow(reader, log)
+            appended += 1
+    assert 0 < appended <= 240 / 7.5
+
+
 class Broken(AssertionError):
     """Tell that a reader broke one of the promises."""
 
