Send answer chunks without a task switch

Cause: each chunk woke a second task that wrote it to the link. Change: the task that reads the backend server writes the link too, unless another is writing; a message taken from the queue goes out whole.

--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Protocol
 
 from oleanderdyke.agent.backend import Backend, clean_answer_headers
@@ -13,11 +13,7 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.claim_runs import RunAnswer
-from oleanderdyke.kernel.stream_buffer import (
-    Outgoing,
-    Reader,
-    StreamBuffer,
-)
+from oleanderdyke.kernel.stream_buffer import Reader, StreamBuffer
 from oleanderdyke.kernel.stream_table import StreamTable
 from oleanderdyke.links.messages import AnswerHead, Message
 from oleanderdyke.logs import EventLog
@@ -33,7 +29,10 @@
         """Note the reader of a new stream."""
 
     def send(self, reader: Reader, messages: Iterable[Message]) -> None:
-        """Send to a reader, if its link is there."""
+        """Queue for a reader, if its link is there."""
+
+    async def push(self, reader: Reader, messages: Sequence[Message]) -> None:
+        """Send to a reader, waiting while its link is slow."""
 
 
 class Forwarder:
@@ -83,7 +82,8 @@
         """Close the stream of a run whose answer came whole."""
         totals = run.sum_up()
         if run.buffer is not None:
-            self._send(run.buffer, run.buffer.finish(totals, self._clock.now()))
+            messages = run.buffer.finish(totals, self._clock.now())
+            self._delivery.send(run.reader, messages)
         self._events.write(
             EventName.ANSWER_ENDED,
             request=run.dispatch.request,
@@ -129,14 +129,11 @@
         run.take(data)
         while run.buffer is not None and _must_wait(run.buffer, data):
             await run.wait_changed()
-        if run.buffer is not None:
-            self._send(run.buffer, run.buffer.add(data, self._clock.now()))
-
-    def _send(
-        self, buffer: StreamBuffer, messages: tuple[Outgoing, ...]
-    ) -> None:
-        if buffer.reader is not None:
-            self._delivery.send(buffer.reader, messages)
+        if run.buffer is None:
+            return
+        messages = run.buffer.add(data, self._clock.now())
+        if messages and run.buffer.reader is not None:
+            await self._delivery.push(run.buffer.reader, messages)
 
     def _split(self, data: bytes) -> Iterator[bytes]:
         size = self._chunk_size
--- a/src/oleanderdyke/agent/outbox.py
+++ b/src/oleanderdyke/agent/outbox.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 
 import anyio
 
@@ -23,6 +24,7 @@
         self._link = link
         self._queue: deque[Message] = deque()
         self._more = anyio.Event()
+        self._flushing = False
 
     def put(self, message: Message) -> None:
         """Queue a message; it is lost where the link is."""
@@ -31,24 +33,35 @@
         self._queue.append(message)
         self._more.set()
 
+    async def push(self, messages: Iterable[Message]) -> None:
+        """Queue messages and send them here, which spares a task switch."""
+        if self._link.closed:
+            return
+        self._queue.extend(messages)
+        await self.flush()
+
     async def send(self, message: Message) -> None:
         """Send now; raise LinkClosed."""
         await self._link.send(message)
 
     async def run(self) -> None:
-        """Send until the link closes."""
+        """Send what is put until cancelled."""
+        while True:
+            await self._more.wait()
+            self._more = anyio.Event()
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Send what is queued, unless another task is at it already."""
+        if self._flushing:
+            return
+        self._flushing = True
         try:
-            while True:
-                await self._more.wait()
-                self._more = anyio.Event()
-                await self._flush()
+            # A message that was taken from the queue must go out whole.
+            with anyio.CancelScope(shield=True):
+                while self._queue:
+                    await self._link.send(self._queue.popleft())
         except LinkClosed:
             self._queue.clear()
-
-    async def flush(self) -> None:
-        """Send what is queued; raise LinkClosed."""
-        await self._flush()
-
-    async def _flush(self) -> None:
-        while self._queue:
-            await self._link.send(self._queue.popleft())
+        finally:
+            self._flushing = False
--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from typing import Protocol
 
@@ -239,6 +239,12 @@
         for message in messages:
             outbox.put(message)
 
+    async def push(self, reader: Reader, messages: Sequence[Message]) -> None:
+        """Send messages to a reader whose link is there."""
+        outbox = self._outboxes.get(reader.link)
+        if outbox is not None:
+            await outbox.push(messages)
+
     async def _execute(self, run: Run) -> None:
         try:
             await self._run(run)
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -365,12 +365,5 @@
     async def _say_farewell(self) -> None:
         with anyio.move_on_after(_EXPIRY / SECOND):
             for outbox in tuple(self._outboxes.values()):
-                await _flush(outbox)
+                await outbox.flush()
         self._events.write(EventName.PROCESS_STOPPED)
-
-
-async def _flush(outbox: Outbox) -> None:
-    try:
-        await outbox.flush()
-    except LinkClosed:
-        return
