Turn Nagle's algorithm off in the stand-ins

Cause: a fetch of 20 segments took 262 ms where 54 ms were predicted; 20 reads from a store stand-in took 896 ms. A listening socket made without its protocol kept Nagle's algorithm on. Ruled out: the agents and their links. Conclusion: the stand-ins no longer hide what the system does.

--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -44,7 +44,8 @@
 
 
 def _listen(port: int) -> socket.socket:
-    listener = socket.socket()
+    # asyncio turns Nagle's algorithm off only where the protocol is named.
+    listener = socket.socket(proto=socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((LOOPBACK, port))
     listener.listen(_BACKLOG)
