Stop counting on sent context after some seconds

Cause: an entry went on to count a prompt's context as cached at an engine, also an hour later, unless it had since sent another prompt with missing segments; so a returning prompt was recomputed and never fetched. Found by asking twice through one entry with an eviction between. Ruled out: the agent's segment events, which told of the removal. Change: one line; an expectation past its time is passed over. Before and after: SoonTable.extend gave 3 segments after 1 h, now none after 6 s; tests/test_sources.py, 1 passed. Conclusion: within these seconds an entry still passes over a removal that the agent told it of.

--- a/src/oleanderdyke/policies/sources.py
+++ b/src/oleanderdyke/policies/sources.py
@@ -102,7 +102,7 @@
         while low < high:
             middle = low if low == held else (low + high) // 2
             request = self._agents.get(segments[middle], {}).get(agent)
-            if request is None:
+            if request is None or self._coming[request].forget <= now:
                 high = middle
                 continue
             coming = self._coming[request]
