Bury released claims also where the claim itself was forgotten

Cause: a random walk with a log that forgets gave a key a second run: a reader that had started after the claim ignored its release, and then believed a late carried record of the same claim. Ruled out: carried records that count only at the next offset; under load they would seldom count. Change: a release is remembered by the place it names.

--- a/src/oleanderdyke/kernel/claims.py
+++ b/src/oleanderdyke/kernel/claims.py
@@ -82,6 +82,10 @@
     outcome: bytes | None = None
     doubtful: bool = False
 
+    @property
+    def place(self) -> Place:
+        return Place(self.offset, self.position)
+
     @property
     def expires(self) -> Millis:
         return self.at + self.horizon
@@ -99,8 +103,9 @@
     def __init__(self) -> None:
         self._slots: dict[str, _Slot] = {}
         self._expiries: list[tuple[Millis, str]] = []
-        self._gone: set[str] = set()
-        self._gone_order: deque[tuple[Millis, str]] = deque()
+        # Places of released claims and ids of withdrawn ones.
+        self._gone: set[str | Place] = set()
+        self._gone_order: deque[tuple[Millis, str | Place]] = deque()
         self._next = 0
         self._known_from = 0
         self._target: int | None = None
@@ -218,33 +223,40 @@
         self._put(record, _make_slot(record, place, at))
 
     def _apply_release(self, record: ReleaseRecord, at: Millis) -> None:
+        """Free the key; bury also a claim that this reader has not read.
+
+        A carried record of it may still follow.
+        """
+        place = Place(record.offset, record.index)
         slot = self._find_open(record.key)
-        if slot is None or slot.incarnation != record.incarnation:
+        self._bury(place, at)
+        if slot is None or slot.place != place:
             return
-        if (slot.offset, slot.position) == (record.offset, record.index):
-            self._free(record.key, slot, at)
+        if slot.incarnation == record.incarnation:
+            del self._slots[record.key]
 
     def _apply_withdrawal(self, record: WithdrawRecord, at: Millis) -> None:
         slot = self._find_open(record.key)
         if slot is not None and slot.claim_id == record.claim_id:
-            self._free(record.key, slot, at)
-        else:
-            self._bury(record.claim_id, at)
+            del self._slots[record.key]
+        self._bury(record.claim_id, at)
 
     def _apply_outcome(self, record: OutcomeRecord) -> None:
         slot = self._slots.get(record.key)
         if slot is None or slot.outcome is not None:
             return
-        if (slot.offset, slot.position) == (record.offset, record.index):
+        if slot.place == (record.offset, record.index):
             slot.outcome = encode_batch([record])
 
     def _apply_carried(self, record: CarriedRecord, at: Millis) -> None:
         claim = record.claim
-        if claim.claim_id in self._gone or at >= record.at + claim.horizon:
-            return
         place = Place(record.offset, record.index)
+        if claim.claim_id in self._gone or place in self._gone:
+            return
+        if at >= record.at + claim.horizon:
+            return
         slot = self._slots.get(claim.key)
-        if slot is not None and (slot.offset, slot.position) == place:
+        if slot is not None and slot.place == place:
             self._renew(claim.key, slot, record, at)
         elif self._yields(slot, record):
             self._adopt(record, place, at)
@@ -293,14 +305,10 @@
             return None
         return slot
 
-    def _free(self, key: str, slot: _Slot, at: Millis) -> None:
-        del self._slots[key]
-        self._bury(slot.claim_id, at)
-
-    def _bury(self, claim_id: str, at: Millis) -> None:
-        if claim_id not in self._gone:
-            self._gone.add(claim_id)
-            self._gone_order.append((at, claim_id))
+    def _bury(self, name: str | Place, at: Millis) -> None:
+        if name not in self._gone:
+            self._gone.add(name)
+            self._gone_order.append((at, name))
 
     def _forget_expired(self) -> None:
         while self._expiries and self._expiries[0][0] <= self._time:
@@ -358,8 +366,7 @@
 
 
 def _read_claim(key: str, slot: _Slot) -> Claim:
-    place = Place(slot.offset, slot.position)
-    return make_claim(_make_record(key, slot), place)
+    return make_claim(_make_record(key, slot), slot.place)
 
 
 def _unpack_outcome(data: bytes) -> OutcomeRecord:
