Tell the machine that a resumed stream goes on

Cause: the assembler keeps the second head from the caller, and so the machine kept waiting for it and broke a stream that was flowing; found by freezing an agent for 6 s in mid-stream. Ruled out: stopping the timer on the first chunk, which the machine does not know to belong to the resumed run. Change: the receiver passes the resumed head on to the machine alone.

--- a/src/oleanderdyke/entry/receiver.py
+++ b/src/oleanderdyke/entry/receiver.py
@@ -27,10 +27,12 @@
         self._inbox = inbox
         self._attempt = 0
         self._assembler: AnswerAssembler | None = None
+        self._awaits_rest = False
 
     def expect(self, attempt: int) -> None:
         """Expect the answer of a new run."""
         self._attempt = attempt
+        self._awaits_rest = False
         if self._assembler is None:
             self._assembler = AnswerAssembler(self._request, attempt)
         else:
@@ -44,6 +46,7 @@
                 self._request, attempt, start=start
             )
         else:
+            self._awaits_rest = True
             self._assembler.resume(attempt)
 
     def take(self, message: Message) -> None:
@@ -61,9 +64,18 @@
         if len(self._inbox) > _CHUNK_LIMIT:
             self._break('more chunks than granted')
             return
+        self._note_rest(message)
         start = self._assembler.next_sequence
         self._put(self._assembler.take(message), start)
 
+    def _note_rest(self, message: AnswerHead | AnswerChunk | AnswerEnd) -> None:
+        """Tell the machine, but not the caller, of a resumed answer's head."""
+        if not self._awaits_rest or message.attempt != self._attempt:
+            return
+        if isinstance(message, AnswerHead):
+            self._awaits_rest = False
+            self._inbox.put(Received(message))
+
     def _put(self, delivery: Delivery, start: int) -> None:
         if delivery.head is not None:
             self._inbox.put(Received(delivery.head))
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -233,6 +233,42 @@
     run(act)
 
 
+def test_stream_goes_on_over_a_new_link():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.core.machine = replace(edge.core.machine, ask_wait=20.0)
+        edge.start(tasks)
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            body = [json.dumps(ASK).encode()]
+            replies.append(await edge.call('POST', CHAT, body=body))
+
+        tasks.start_soon(call)
+        await wait(lambda: link.find(BodyChunk))
+        (dispatch,) = link.find(Dispatch)
+        request = dispatch.request
+        running = edge.core.running[request]
+        running.take(AnswerHead(request, 1, 200, SSE, 'stream-1'))
+        running.take(AnswerChunk(request, 1, 0, b'data: a\n\n'))
+        running.lose(link)  # type: ignore[arg-type]
+        await wait(lambda: link.find(Resume))
+        (resume,) = link.find(Resume)
+        assert (resume.sequence, resume.token) == (1, 'stream-1')
+        running.take(AnswerHead(request, 2, 200, SSE, 'stream-1'))
+        # The wait for the resumed head must not end the stream that goes on.
+        await anyio.sleep(0.1)
+        running.take(AnswerChunk(request, 2, 1, b'data: b\n\n'))
+        whole = make_digest([b'data: a\n\n', b'data: b\n\n'])
+        running.take(AnswerEnd(request, 2, 2, whole))
+        await wait(lambda: replies)
+        assert replies[0].body == b'id: 0\ndata: a\n\nid: 1\ndata: b\n\n'
+        assert replies[0].ended
+        assert len(link.find(Resume)) == 1
+
+    run(act)
+
+
 def test_caller_that_leaves_cancels_its_run():
     async def act(tasks: TaskGroup) -> None:
         edge, link = make_model()
