Hold what lost cache events cost

Cause: the test only ran with lost events and asserted nothing about them. Change: a test that names the segments forgotten after a gap and a restart.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import hashlib
+import io
 import json
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import replace
@@ -23,6 +24,10 @@
     wait_until,
 )
 from oleanderdyke.agent import main as agent_main
+from oleanderdyke.agent.backend import Backend
+from oleanderdyke.agent.engine import EngineView
+from oleanderdyke.agent.settings import BackendSettings
+from oleanderdyke.clock import ManualClock
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.kernel.drain import DrainSettings
 from oleanderdyke.kernel.objects import (
@@ -48,6 +53,7 @@
     Resume,
     SegmentWritten,
 )
+from oleanderdyke.logs import make_event_log
 from standins import engine, plain, server, weights
 
 pytestmark = pytest.mark.anyio
@@ -523,16 +529,33 @@
         assert running_one.end is not None
 
 
-async def test_lost_cache_events_are_noticed() -> None:
-    async with engine_agent(lose_event_every=3, cache_segments=4) as (
-        _,
-        _,
-        entry,
-    ):
-        for number in range(4):
-            body = make_chat(f'{number}' * 3000)
-            outcome = await entry.call(entry.make_chat(f'r{number}'), body)
-            assert outcome.end is not None
+def make_page(*events: tuple[int, str, int]) -> dict[str, Any]:
+    rows = [[n, kind, bytes([each] * 32).hex()] for n, kind, each in events]
+    return {'first': 1, 'next': events[-1][0] + 1, 'events': rows}
+
+
+def test_lost_cache_events_cost_the_longest_unused_segments() -> None:
+    log = make_event_log('a', stream=io.StringIO())
+    view = EngineView(
+        Backend(BackendSettings(BackendKind.ENGINE, '127.0.0.1:1', 's')),
+        clock=ManualClock(),
+        events=log,
+        on_loaded=lambda _: None,
+    )
+
+    def list_known() -> list[int]:
+        view.segments.take()
+        listed = view.segments.list_all()
+        return sorted(seg[0] for each in listed for seg in each.added)
+
+    stored = [(n, 'stored', n) for n in range(1, 6)]
+    view._take_events(make_page(*stored))
+    assert list_known() == [1, 2, 3, 4, 5]
+    view.note_used([bytes([1] * 32)])
+    view._take_events(make_page((8, 'removed', 4)))
+    assert list_known() == [1, 5]
+    view._take_events(make_page((1, 'stored', 9)))
+    assert list_known() == []
 
 
 @pytest.mark.parametrize(
