Send the head of a plain answer with its first part

Cause: head, part and end each cost the entry a system call. Ruled out: holding the head of an event stream, whose resume token is wanted early. Change: a flush without data leaves the head of other answers where it is.

--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -87,7 +87,13 @@
         self._unsent.append(data)
 
     async def flush(self) -> None:
-        """Send what was put, waiting for a slow caller."""
+        """Send what was put, waiting for a slow caller.
+
+        A head goes out with the first part; that of a stream of events goes
+        at once, because its resume token is worth having early.
+        """
+        if self._numberer is None and not self._unsent:
+            return
         if self._head is not None:
             status, headers = self._head
             self._head = None
