--- a/src/oleanderdyke/kernel/claim_runs.py
+++ b/src/oleanderdyke/kernel/claim_runs.py
@@ -75,11 +75,6 @@
         """Tell whether a claim was used or barred."""
         return _make_key(claim) in self._runs
 
-    def is_barred(self, claim: Claim) -> bool:
-        """Tell whether a claim was barred and so never starts."""
-        run = self._runs.get(_make_key(claim))
-        return run is not None and run.state is RunState.BARRED
-
     def has_room(self) -> bool:
         """Make room for one claim, or tell that there is none."""
         if len(self._runs) < self._capacity:
@@ -112,6 +107,12 @@
         run.state = RunState.FINISHED
         self._keep_answer(key, run, answer)
 
+    def bar(self, claim: Claim) -> None:
+        """Note that an admitted claim never reached the backend server."""
+        run = self._runs.get(_make_key(claim))
+        if run is not None and run.state is RunState.RUNNING:
+            run.state = RunState.BARRED
+
     def answer(self, query: ClaimQuery) -> ClaimAnswer:
         """Tell what became of a claim; bar it where it never started."""
         run = self._runs.get(_make_key(query.claim))
--- a/src/oleanderdyke/kernel/claimed_attempts.py
+++ b/src/oleanderdyke/kernel/claimed_attempts.py
@@ -188,7 +188,7 @@
 
     def _get_receipt(self) -> Receipt:
         if self._receipt is None:
-            self._receipt = Receipt(self._facts.horizon)
+            self._receipt = Receipt()
         return self._receipt
 
     def _collect(self, message: AnswerHead | AnswerChunk) -> Actions:
--- a/src/oleanderdyke/kernel/claims.py
+++ b/src/oleanderdyke/kernel/claims.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import sys
 from collections import deque
 from dataclasses import dataclass
@@ -68,6 +67,7 @@
 class _Slot:
     """Hold the owner of one key, compactly."""
 
+    key: str
     offset: int
     position: int
     at: Millis
@@ -90,6 +90,11 @@
     def expires(self) -> Millis:
         return self.at + self.horizon
 
+    def finish(self, outcome: OutcomeRecord) -> None:
+        """Keep the answer; a finished claim needs its id no more."""
+        self.outcome = encode_batch([outcome])
+        self.claim_id = ''
+
 
 class ClaimTable:
     """Apply the claims log in offset order.
@@ -102,7 +107,8 @@
 
     def __init__(self) -> None:
         self._slots: dict[str, _Slot] = {}
-        self._expiries: list[tuple[Millis, str]] = []
+        # For each horizon the slots in the order of their claims.
+        self._expiring: dict[Millis, deque[_Slot]] = {}
         # Places of released claims and ids of withdrawn ones.
         self._gone: set[str | Place] = set()
         self._gone_order: deque[tuple[Millis, str | Place]] = deque()
@@ -159,7 +165,7 @@
             return Free()
         if slot.digest != digest:
             return Conflict()
-        claim = _read_claim(key, slot)
+        claim = _read_claim(slot)
         if slot.outcome is not None:
             return Finished(claim, _unpack_outcome(slot.outcome))
         return OwnedByOther(claim)
@@ -184,16 +190,16 @@
     ) -> tuple[CarriedRecord, ...]:
         """List live claims whose latest record is older than a log time."""
         due: list[CarriedRecord] = []
-        for key, slot in self._slots.items():
+        for slot in self._slots.values():
             if slot.kept_at >= before or len(due) >= limit:
                 break
             if not slot.doubtful and slot.expires > self._time:
-                due.append(self._make_carried(key, slot))
+                due.append(self._make_carried(slot))
         return tuple(due)
 
     def _start_anew(self, offset: int) -> None:
         self._slots.clear()
-        self._expiries.clear()
+        self._expiring.clear()
         self._known_from = offset
         self._target = None
 
@@ -220,7 +226,7 @@
         slot = self._slots.get(record.key)
         if slot is not None and at < slot.expires:
             return
-        self._put(record, _make_slot(record, place, at))
+        self._put(_make_slot(record, place, at))
 
     def _apply_release(self, record: ReleaseRecord, at: Millis) -> None:
         """Free the key; bury also a claim that this reader has not read.
@@ -246,7 +252,7 @@
         if slot is None or slot.outcome is not None:
             return
         if slot.place == (record.offset, record.index):
-            slot.outcome = encode_batch([record])
+            slot.finish(record)
 
     def _apply_carried(self, record: CarriedRecord, at: Millis) -> None:
         claim = record.claim
@@ -257,7 +263,7 @@
             return
         slot = self._slots.get(claim.key)
         if slot is not None and slot.place == place:
-            self._renew(claim.key, slot, record, at)
+            self._renew(slot, record, at)
         elif self._yields(slot, record):
             self._adopt(record, place, at)
 
@@ -281,23 +287,21 @@
         slot.doubtful = not self._has_read_since(record)
         slot.kept_at = at
         if record.outcome is not None:
-            slot.outcome = encode_batch([record.outcome])
-        self._put(record.claim, slot)
+            slot.finish(record.outcome)
+        self._put(slot)
 
-    def _renew(
-        self, key: str, slot: _Slot, record: CarriedRecord, at: Millis
-    ) -> None:
+    def _renew(self, slot: _Slot, record: CarriedRecord, at: Millis) -> None:
         slot.kept_at = at
         slot.doubtful = slot.doubtful and not self._has_read_since(record)
         if slot.outcome is None and record.outcome is not None:
-            slot.outcome = encode_batch([record.outcome])
+            slot.finish(record.outcome)
         # The order of the slots is that of their latest records.
-        self._slots[key] = self._slots.pop(key)
+        self._slots[slot.key] = self._slots.pop(slot.key)
 
-    def _put(self, record: ClaimRecord, slot: _Slot) -> None:
-        self._slots.pop(record.key, None)
-        self._slots[record.key] = slot
-        heapq.heappush(self._expiries, (slot.expires + MARGIN, record.key))
+    def _put(self, slot: _Slot) -> None:
+        self._slots.pop(slot.key, None)
+        self._slots[slot.key] = slot
+        self._expiring.setdefault(slot.horizon, deque()).append(slot)
 
     def _find_open(self, key: str) -> _Slot | None:
         slot = self._slots.get(key)
@@ -311,23 +315,23 @@
             self._gone_order.append((at, name))
 
     def _forget_expired(self) -> None:
-        while self._expiries and self._expiries[0][0] <= self._time:
-            _, key = heapq.heappop(self._expiries)
-            slot = self._slots.get(key)
-            if slot is not None and slot.expires + MARGIN <= self._time:
-                del self._slots[key]
+        for expiring in self._expiring.values():
+            while expiring and self._is_over(expiring[0].expires):
+                slot = expiring.popleft()
+                if self._slots.get(slot.key) is slot:
+                    del self._slots[slot.key]
         while self._gone_order and self._is_over(self._gone_order[0][0]):
             self._gone.discard(self._gone_order.popleft()[1])
 
     def _is_over(self, at: Millis) -> bool:
         return at + MARGIN <= self._time
 
-    def _make_carried(self, key: str, slot: _Slot) -> CarriedRecord:
+    def _make_carried(self, slot: _Slot) -> CarriedRecord:
         outcome = None
         if slot.outcome is not None:
             outcome = _unpack_outcome(slot.outcome)
         return CarriedRecord(
-            claim=_make_record(key, slot),
+            claim=_make_record(slot),
             offset=slot.offset,
             index=slot.position,
             at=slot.at,
@@ -338,6 +342,7 @@
 
 def _make_slot(record: ClaimRecord, place: Place, at: Millis) -> _Slot:
     return _Slot(
+        key=record.key,
         offset=place.offset,
         position=place.position,
         at=at,
@@ -352,9 +357,9 @@
     )
 
 
-def _make_record(key: str, slot: _Slot) -> ClaimRecord:
+def _make_record(slot: _Slot) -> ClaimRecord:
     return ClaimRecord(
-        key=key,
+        key=slot.key,
         digest=slot.digest,
         agent=slot.agent,
         incarnation=slot.incarnation,
@@ -365,8 +370,8 @@
     )
 
 
-def _read_claim(key: str, slot: _Slot) -> Claim:
-    return make_claim(_make_record(key, slot), slot.place)
+def _read_claim(slot: _Slot) -> Claim:
+    return make_claim(_make_record(slot), slot.place)
 
 
 def _unpack_outcome(data: bytes) -> OutcomeRecord:
--- a/src/oleanderdyke/kernel/gate.py
+++ b/src/oleanderdyke/kernel/gate.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol, TypeAlias
+from typing import TypeAlias
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.kernel.alone import AloneLane
 from oleanderdyke.kernel.claim_runs import ClaimRuns, RunAnswer, RunState
+from oleanderdyke.kernel.gate_terms import GateSettings, Loaded, Rights
 from oleanderdyke.kernel.quarantine import Quarantine, Standing
 from oleanderdyke.links.messages import (
     AgentPhase,
@@ -22,6 +24,8 @@
     Failed,
 )
 
+__all__ = ['Admittance', 'Gate', 'GateSettings', 'Ignored', 'Loaded', 'Pass']
+
 
 @dataclass(frozen=True, slots=True)
 class Pass:
@@ -36,42 +40,12 @@
 Admittance: TypeAlias = Pass | Failed | Ignored
 
 
-class Rights(Protocol):
-    """Tell from the agent's copy of the catalog who may use the service."""
-
-    def allows(self, team: str, service: str) -> bool | None:
-        """Tell whether a team may; None where there is no catalog copy."""
-
-
-@dataclass(frozen=True, slots=True)
-class Loaded:
-    """Name the weights that the backend server has loaded."""
-
-    model: str = ''
-    version: str = ''
-    digest: str = ''
-    adapter: str = ''
-
-
-@dataclass(frozen=True, slots=True)
-class GateSettings:
-    """Bound what the gate lets run and remembers.
-
-    `max_age` counts the agent's own heartbeats: a dispatch that was built
-    from an older heartbeat never starts.
-    """
-
-    max_age: int = 60
-    concurrency: int = 0
-    claims: int = 20_000
-    answer_bytes: int = 8 * 1024 * 1024
-    reserve_beats: int = 30
-
-
 _AttemptKey: TypeAlias = tuple[str, int]
 
 _ALONE_RETRY: Millis = 250.0
 _BUSY_RETRY: Millis = 1_000.0
+# Connections lost within this time are taken as lost by one crash.
+_ONE_CRASH: Millis = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,8 +62,8 @@
 
     The agent calls `note_beat` with each heartbeat it sends, `finish` once
     for each passed dispatch, and `crash` when its backend server is lost.
-    Nothing may reach the backend server but by `Pass`, and `ran=no` about a
-    dispatch may come from here alone.
+    Nothing may reach the backend server but by `Pass`. After it, the agent says
+    `ran=no` only of what never reached the backend server, and calls `bar`.
     """
 
     def __init__(
@@ -112,6 +86,7 @@
         self._loaded = Loaded()
         self._beat = 0
         self._crashes = 0
+        self._lost_at = -math.inf
         self._running: dict[_AttemptKey, Dispatch] = {}
         self._seen: set[_AttemptKey] = set()
         self._seen_order: deque[tuple[int, _AttemptKey]] = deque()
@@ -166,13 +141,47 @@
         return Pass()
 
     def finish(
-        self, request: str, attempt: int, answer: RunAnswer | None
+        self,
+        request: str,
+        attempt: int,
+        answer: RunAnswer | None,
+        *,
+        served: bool = True,
     ) -> None:
-        """End a run; None tells that its answer is not known whole."""
+        """End a run; None tells that its answer is not known whole.
+
+        A suspect is cleared by a run alone only where it was served.
+        """
         dispatch = self._running.get((request, attempt))
-        if dispatch is not None and self._end(dispatch, answer):
+        if dispatch is None:
+            return
+        if self._end(dispatch, answer) and served:
             self._quarantine.clear(dispatch.digest)
 
+    def lose(self, request: str, attempt: int, now: Millis) -> None:
+        """End a run whose connection broke; it may have been a crash."""
+        dispatch = self._running.get((request, attempt))
+        if dispatch is None:
+            return
+        if now - self._lost_at > _ONE_CRASH:
+            self._crashes += 1
+        self._lost_at = now
+        self._quarantine.note_crash(
+            f'{self._incarnation}:{self._crashes}',
+            (dispatch.digest,),
+            now,
+            alone=self._end(dispatch, None),
+        )
+
+    def bar(self, request: str, attempt: int) -> None:
+        """End a run of which nothing ever reached the backend server."""
+        dispatch = self._running.get((request, attempt))
+        if dispatch is None:
+            return
+        if dispatch.claim is not None:
+            self._claims.bar(dispatch.claim)
+        self._end(dispatch, None)
+
     def cancel(self, request: str, attempt: int) -> bool:
         """Bar an attempt that never came; tell whether it is running."""
         self._remember((request, attempt))
--- a/src/oleanderdyke/kernel/receipts.py
+++ b/src/oleanderdyke/kernel/receipts.py
@@ -5,12 +5,10 @@
 import enum
 import hashlib
 
-from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.claim_records import BODY_BOUND, OutcomeRecord
 from oleanderdyke.links.messages import Claim, Headers
 
 RECEIPT_HEADER = 'oleander-receipt'
-HORIZON_HEADER = 'oleander-key-horizon'
 _DIGEST_BYTES = 16
 
 
@@ -25,8 +23,7 @@
 class Receipt:
     """Hold an answer up to a bound; a longer one flows on to the caller."""
 
-    def __init__(self, horizon: Millis) -> None:
-        self._horizon = horizon
+    def __init__(self) -> None:
         self._status = 0
         self._headers: Headers = ()
         self._parts: list[bytes] = []
@@ -67,12 +64,7 @@
 
     def make_headers(self, state: ReceiptState) -> Headers:
         """Return the answer's headers and what we say about it."""
-        seconds = str(int(self._horizon // SECOND))
-        return (
-            *self._headers,
-            (RECEIPT_HEADER, state.value),
-            (HORIZON_HEADER, seconds),
-        )
+        return (*self._headers, (RECEIPT_HEADER, state.value))
 
     def make_outcome(self, claim: Claim) -> OutcomeRecord:
         """Return the record: the whole answer, or the digest of a long one."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -200,6 +200,15 @@
     assert ask(make_gate(), make_claim(**changes)) is ClaimState.UNKNOWN
 
 
+def test_run_that_never_reached_the_server_is_barred():
+    gate, claim = make_gate(), make_claim()
+    gate.admit(make_dispatch(claim=claim), 0.0)
+    gate.bar('r1', 1)
+    assert gate.running == 0
+    assert ask(gate, claim) is ClaimState.BARRED
+    assert gate.admit(make_dispatch(claim=claim), 0.0) == Ignored()
+
+
 def test_run_without_a_whole_answer_is_unknown():
     gate, claim = make_gate(), make_claim()
     gate.admit(make_dispatch(claim=claim), 0.0)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,11 +2,15 @@
 
 import pytest
 
+from oleanderdyke.kernel.gate import Gate, GateSettings, Pass
 from oleanderdyke.kernel.quarantine import (
+    Quarantine,
     QuarantineSettings,
     Standing,
     make_quarantine,
 )
+from oleanderdyke.links.messages import AgentPhase
+from test_gate import LOADED, OneTeam, make_dispatch
 
 SETTINGS = QuarantineSettings(capacity=4, expiry=100.0)
 
@@ -88,3 +92,76 @@
     assert len(quarantine) == 4
     if not alone:
         assert quarantine.find_standing('bad', 1.0) is Standing.QUARANTINED
+
+
+class SilentQuarantine(Quarantine):
+    """Keep to itself what it has seen."""
+
+    def merge(self, quarantined, suspects, now):
+        return None
+
+
+class Servers:
+    """Three servers, two entries and a caller who sends again and again."""
+
+    def __init__(self, make):
+        self.crashes = 0
+        self.entries = [make(QuarantineSettings()) for _ in range(2)]
+        self.agents = [make(QuarantineSettings()) for _ in range(3)]
+        self.gates = [self.make_gate(number) for number in range(3)]
+        self.sent = 0
+
+    def make_gate(self, number):
+        gate = Gate(
+            f'agent-{number}',
+            'i1',
+            'taquilla',
+            settings=GateSettings(),
+            quarantine=self.agents[number],
+            rights=OneTeam(),
+        )
+        gate.set_phase(AgentPhase.SERVING)
+        gate.set_loaded(LOADED)
+        gate.note_beat(100)
+        return gate
+
+    def send(self, name, entry, agent):
+        """Send a request through an entry; tell whether it was admitted."""
+        self.sent += 1
+        digest = make_dispatch(name).digest
+        standing = self.entries[entry].find_standing(digest, 0.0)
+        if standing is Standing.QUARANTINED:
+            return False
+        dispatch = make_dispatch(
+            name, attempt=self.sent, alone=standing is Standing.SUSPECT
+        )
+        return self.gates[agent].admit(dispatch, 0.0) == Pass()
+
+    def crash(self, agent):
+        """Crash a server; its agent and then the entries send a heartbeat."""
+        self.crashes += 1
+        self.gates[agent].crash(0.0)
+        for entry in self.entries:
+            tell(self.agents[agent], entry)
+        for entry in self.entries:
+            for each in self.agents:
+                tell(entry, each)
+
+    def send_poison(self):
+        self.send('good', 0, 0)
+        for number in range(9):
+            if self.send('bad', number % 2, number % 3):
+                self.crash(number % 3)
+
+
+def test_poison_crashes_two_servers_and_innocents_are_served():
+    servers = Servers(make_quarantine)
+    servers.send_poison()
+    assert servers.crashes == 2
+    assert servers.send('good', 1, 2)
+
+
+def test_count_of_crashes_catches_a_quarantine_that_is_not_told():
+    servers = Servers(SilentQuarantine)
+    servers.send_poison()
+    assert servers.crashes > 2
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -120,7 +120,7 @@
     """Give a key to the last claim instead of the first."""
 
     def _apply_claim(self, record, place, at):
-        self._put(record, _make_slot(record, place, at))
+        self._put(_make_slot(record, place, at))
 
 
 class ForgetfulTable(ClaimTable):
