Weigh cache turnover, and demote what lost its fetch

Cause: fetches were given up for recompute in the engine's short class (plan 440 tokens, run 7,243 on the mean, agency at 12 visits a second), so cached prompts waited behind them; placement of misses ignored how fast each cache is turned over; other entries' fetches were unseen.

--- a/bench/agent.py
+++ b/bench/agent.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field
 
 from bench.caches import StoreCache
-from bench.engine import Engine, Job
+from bench.engine import LONG, Engine, Job
 from bench.events import Events
 from bench.link import Link, Transfer
-from oleanderdyke.clock import Millis
+from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.demand import SEGMENT_TOKENS, SegmentHint
 from oleanderdyke.kernel.routing import Costs, should_drop_fetch
 
@@ -57,9 +57,15 @@
         self._exports: deque[tuple[StoreNode, Sequence[SegmentHint]]] = deque()
         self._exporting = False
         self.engine = engine
-        self.link_bytes = 0.0
+        self.fetched_bytes = 0.0
+        self.exported_bytes = 0.0
         self.pending_tokens = 0.0
 
+    @property
+    def link_bytes(self) -> float:
+        """Return the bytes carried both ways."""
+        return self.fetched_bytes + self.exported_bytes
+
     def run(
         self, job: Job, store: StoreNode | None, wanted: Sequence[SegmentHint]
     ) -> None:
@@ -86,11 +92,19 @@
                 return
             self.pending_tokens -= rest
             if life == self.engine.life:
+                self._demote(job)
                 self.engine.submit(job)
 
         for flight in waits.values():
             flight.waiters.append(arrive)
 
+    def _demote(self, job: Job) -> None:
+        """Let a job go behind short ones where its fetch was not whole."""
+        held = self.engine.cache.count_leading(job.segments)
+        missing = job.tokens - held * SEGMENT_TOKENS
+        if self._costs is not None and missing > self._costs.short_tokens:
+            job.priority = max(job.priority, LONG)
+
     def count_fetching(self, segments: Sequence[SegmentHint]) -> float:
         """Return the bytes under way of the given segments."""
         flights = {
@@ -151,7 +165,7 @@
         return flight
 
     def _finish(self, flight: _Flight, whole: int, carried: float) -> None:
-        self.link_bytes += carried
+        self.fetched_bytes += carried
         for segment in flight.segments:
             if self._flights.get(segment) is flight:
                 del self._flights[segment]
@@ -173,6 +187,7 @@
             missing_tokens=int(tokens),
             bytes_per_second=link.active_share,
             tokens_per_second=self._rate,
+            wait=self.engine.count_tokens(LONG) * SECOND / self._rate,
         ):
             self._stop(flight)
             return
@@ -212,7 +227,7 @@
 
         def done() -> None:
             self._exporting = False
-            self.link_bytes += count
+            self.exported_bytes += count
             self._export()
 
         store.link.start(count, done)
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -12,6 +12,7 @@
 from oleanderdyke.kernel.demand import SEGMENT_TOKENS, SegmentHint
 from oleanderdyke.links.messages import Load
 
+LONG = 1
 BACKGROUND = 2
 _CHUNK_TOKENS = 512
 
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -7,7 +7,14 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind
-from oleanderdyke.kernel.demand import Demand, Fleet, Plan, Refusal, Replica
+from oleanderdyke.kernel.demand import (
+    SEGMENT_TOKENS,
+    Demand,
+    Fleet,
+    Plan,
+    Refusal,
+    Replica,
+)
 from oleanderdyke.kernel.routing import (
     LinkView,
     Source,
@@ -15,6 +22,7 @@
     choose_source,
 )
 from oleanderdyke.policies.candidates import fits
+from oleanderdyke.policies.pressure import CachePressure
 from oleanderdyke.policies.routing import LONG_NEXT, SHORT_FIRST, make_costs
 
 if TYPE_CHECKING:
@@ -29,6 +37,7 @@
     def __init__(self, world: World) -> None:
         self._world = world
         self._costs = make_costs(world.settings)
+        self._pressure = CachePressure(world.settings.pressure_memory)
 
     def choose(
         self,
@@ -48,10 +57,25 @@
         ]
         if not options:
             return _NO_REPLICA
-        return min(options, key=lambda option: option[0].cost)[1]
+        pushed = self._pressure.weigh(
+            {
+                plan.agent: demand.tokens
+                - (plan.cached + plan.joined) * SEGMENT_TOKENS
+                for _, plan in options
+            },
+            now,
+        )
+        weight = self._world.settings.w_pressure
+        return min(
+            options,
+            key=lambda each: each[0].cost + weight * pushed[each[1].agent],
+        )[1]
 
     def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
-        """Learn nothing; the world is read."""
+        """Count what a cache turns over, as the policy does."""
+        cached = plan.cached + plan.joined
+        brought = demand.tokens - cached * SEGMENT_TOKENS
+        self._pressure.note_brought(plan.agent, brought, now)
 
     def note_first_token(self, request: str, now: Millis) -> None:
         """Learn nothing."""
--- a/src/oleanderdyke/kernel/routing.py
+++ b/src/oleanderdyke/kernel/routing.py
@@ -130,11 +130,15 @@
     missing_tokens: int,
     bytes_per_second: float,
     tokens_per_second: float,
+    wait: Millis = 0.0,
 ) -> bool:
-    """Tell whether recomputing now costs less than the rest of a fetch."""
+    """Tell whether recomputing costs less than the rest of a fetch.
+
+    `wait` is the engine's queue.
+    """
     link_bytes = missing_tokens * costs.kv_bytes_per_token
     fetch = link_bytes * SECOND / max(1.0, bytes_per_second)
-    recompute = missing_tokens * SECOND / tokens_per_second
+    recompute = wait + missing_tokens * SECOND / tokens_per_second
     keep = weigh(costs, time=fetch, tokens=0, link_bytes=link_bytes)
     drop = weigh(costs, time=recompute, tokens=missing_tokens, link_bytes=0)
     return drop < keep
--- /dev/null
+++ b/src/oleanderdyke/policies/pressure.py
@@ -0,0 +1,44 @@
+"""Know how fast each engine's cache is being turned over."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from oleanderdyke.clock import Millis
+
+
+class CachePressure:
+    """Count the tokens that dispatches bring into each cache, with decay."""
+
+    def __init__(self, memory: Millis) -> None:
+        self._memory = memory
+        self._sums: dict[str, float] = {}
+        self._read: dict[str, Millis] = {}
+
+    def note_brought(self, agent: str, tokens: float, now: Millis) -> None:
+        """Count tokens that were not cached at an agent before."""
+        self._sums[agent] = self.read(agent, now) + tokens
+        self._read[agent] = now
+
+    def weigh(
+        self, brought: Mapping[str, float], now: Millis
+    ) -> Mapping[str, float]:
+        """Return what bringing tokens to each agent would push out.
+
+        A cache that is turned over faster than the others loses more that
+        would have been used again.
+        """
+        read = {agent: self.read(agent, now) for agent in brought}
+        mean = sum(read.values()) / max(1, len(read)) + 1.0
+        return {
+            agent: tokens * read[agent] / mean
+            for agent, tokens in brought.items()
+        }
+
+    def read(self, agent: str, now: Millis) -> float:
+        """Return the tokens brought in lately."""
+        known = self._sums.get(agent)
+        if known is None:
+            return 0.0
+        return known * math.exp((self._read[agent] - now) / self._memory)
--- a/src/oleanderdyke/policies/routing.py
+++ b/src/oleanderdyke/policies/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -19,6 +20,7 @@
 from oleanderdyke.kernel.prediction import BacklogTracker
 from oleanderdyke.kernel.routing import Costs, Source, Standing, choose_source
 from oleanderdyke.policies.candidates import find_candidates, fits
+from oleanderdyke.policies.pressure import CachePressure
 from oleanderdyke.policies.registries import ROUTERS
 from oleanderdyke.policies.settings import PolicySettings
 from oleanderdyke.policies.sources import (
@@ -55,6 +57,7 @@
         )
         self._links = LinkTracker(settings)
         self._soon = SoonTable(settings.soon_limit)
+        self._pressure = CachePressure(settings.pressure_memory)
 
     def choose(
         self,
@@ -77,19 +80,18 @@
         if not candidates:
             return _NO_REPLICA
         stores = StoreViews(demand, fleet, self._links, now)
-        best = min(
-            (
-                self._weigh(demand, fleet, each, stores, now)
-                for each in candidates
-            ),
-            key=_get_cost,
-        )
+        choices = [
+            self._weigh(demand, fleet, each, stores, now) for each in candidates
+        ]
+        best = self._weigh_pressure(demand, choices, now)
         return _make_plan(best, self._settings)
 
     def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
         """Count the prefill, the fetch and the prefixes soon to be there."""
         present = (plan.cached + plan.fetched) * SEGMENT_TOKENS
         tokens = max(0, demand.tokens - present)
+        brought = demand.tokens - plan.cached * SEGMENT_TOKENS
+        self._pressure.note_brought(plan.agent, brought, now)
         self._backlog.note_sent(
             demand.request,
             plan.agent,
@@ -137,6 +139,25 @@
         source = choose_source(self._costs, standing)
         return _Choice(replica, store.agent, reach, source)
 
+    def _weigh_pressure(
+        self, demand: Demand, choices: Sequence[_Choice], now: Millis
+    ) -> _Choice:
+        pushed = self._pressure.weigh(
+            {
+                each.replica.agent: demand.tokens
+                - each.reach.cached * SEGMENT_TOKENS
+                for each in choices
+            },
+            now,
+        )
+        weight = self._settings.w_pressure
+        return min(
+            choices,
+            key=lambda each: (
+                each.source.cost + weight * pushed[each.replica.agent]
+            ),
+        )
+
     def _find_latency(self, demand: Demand, replica: Replica) -> Millis:
         near = demand.data_centre in {'', replica.data_centre}
         return 0.0 if near else self._settings.far_latency
@@ -203,10 +224,6 @@
     )
 
 
-def _get_cost(choice: _Choice) -> float:
-    return choice.source.cost
-
-
 def _make_plan(choice: _Choice, settings: PolicySettings) -> Plan:
     source = choice.source
     reach = choice.reach
--- a/src/oleanderdyke/policies/sources.py
+++ b/src/oleanderdyke/policies/sources.py
@@ -169,6 +169,8 @@
         moment = store.heard - self._settings.report_lag
         own = self._stores.get(store.agent, {})
         since = sum(each.count for each in own.values() if each.sent > moment)
+        # The other entries are taken to have fetched as much since.
+        since *= self._settings.entries
         drained = max(0.0, now - moment) * rate / SECOND
         left = max(0.0, load.link_bytes_in_flight + since - drained)
         latency = self._settings.far_latency
