Count the targets that a request has missed

Cause: users pay by missed targets, and status showed none. Ruled out: counting background work, which has no target in time, or the recomputed share, which is one of a service. Change: first token and mean gap of each foreground answer are held against the service's targets, counted and named in request_finished; background timings have their own label; tests of the configuration feed.

--- a/src/oleanderdyke/entry/app.py
+++ b/src/oleanderdyke/entry/app.py
@@ -200,7 +200,7 @@
         delivery = Delivery(
             answer,
             request=head.request,
-            service='',
+            label='resumed',
             clock=core.clock,
             metrics=core.metrics,
             position=ask.position,
--- a/src/oleanderdyke/entry/calls.py
+++ b/src/oleanderdyke/entry/calls.py
@@ -46,6 +46,11 @@
     answer_tokens: int = 0
     background: bool = False
 
+    @property
+    def label(self) -> str:
+        """Name the service in metrics; background work is kept apart."""
+        return f'{self.service}:background' if self.background else self.service
+
     def make_demand(self, deadline: Millis, data_centre: str) -> Demand:
         """Show the call as routing and admission see it."""
         return Demand(
--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -78,9 +78,10 @@
         while True:
             await anyio.sleep(_SNAPSHOT_CHECK / SECOND)
             if self._core.reader.is_snapshot_due(self._core.clock.wall()):
-                await self._append_snapshot()
+                await self.append_snapshot()
 
-    async def _append_snapshot(self) -> None:
+    async def append_snapshot(self) -> None:
+        """Append the present configuration in chunks."""
         core, offset = self._core, self._core.reader.offset
         chunks = core.catalog.snapshot()
         try:
--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -15,6 +15,7 @@
     DeliverHead,
     Refuse,
 )
+from oleanderdyke.kernel.objects import Targets
 from oleanderdyke.links.messages import AnswerEnd, Headers
 from oleanderdyke.metrics import Metrics, Timing
 
@@ -29,7 +30,7 @@
         answer: Answer,
         *,
         request: str,
-        service: str,
+        label: str,
         clock: Clock,
         metrics: Metrics,
         extra: Headers = (),
@@ -37,7 +38,7 @@
     ) -> None:
         self._answer = answer
         self._request = request
-        self._service = service
+        self._label = label
         self._clock = clock
         self._metrics = metrics
         self._extra = extra
@@ -86,6 +87,18 @@
             data = self._numberer.take(data)
         self._unsent.append(data)
 
+    def find_missed(self, targets: Targets) -> tuple[str, ...]:
+        """Name the targets in time that this answer has missed."""
+        if self.first_token is None or self._last_chunk is None:
+            return ()
+        missed = []
+        if self.first_token > targets.first_token:
+            missed.append('first_token')
+        streamed = self._last_chunk - self._started - self.first_token
+        if streamed > targets.between_tokens * max(self.chunks - 1, 1):
+            missed.append('between_tokens')
+        return tuple(missed)
+
     async def flush(self) -> None:
         """Send what was put, waiting for a slow caller.
 
@@ -165,7 +178,7 @@
             timing, since = Timing.FIRST_TOKEN, self._started
         else:
             timing, since = Timing.BETWEEN_TOKENS, self._last_chunk
-        self._metrics.time(timing, now - since, self._service)
+        self._metrics.time(timing, now - since, self._label)
         self._last_chunk = now
 
 
--- a/src/oleanderdyke/entry/effects.py
+++ b/src/oleanderdyke/entry/effects.py
@@ -232,6 +232,8 @@
             metrics.add(Count.PROMPT_TOKENS, end.prompt_tokens, service)
             metrics.add(Count.RECOMPUTED_TOKENS, end.recomputed_tokens, service)
             metrics.add(Count.LINK_BYTES, end.link_bytes, service)
+        missed = self._find_missed()
+        metrics.add(Count.MISSED_TARGETS, len(missed), service)
         self.log(
             EventName.REQUEST_FINISHED,
             status=self._delivery.status,
@@ -240,8 +242,15 @@
             chunks=self._delivery.chunks,
             tokens=None if end is None else end.prompt_tokens,
             recomputed=None if end is None else end.recomputed_tokens,
+            reason=f'missed {" ".join(missed)}' if missed else None,
         )
 
+    def _find_missed(self) -> tuple[str, ...]:
+        """Name missed targets; background work has none in time."""
+        if self._call.background:
+            return ()
+        return self._delivery.find_missed(self._call.spec.targets)
+
 
 def note_refusal(
     core: Core, request: str, refused: Refuse | OleanderError
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -74,7 +74,7 @@
         self._delivery = Delivery(
             answer,
             request=call.request,
-            service=call.service,
+            label=call.label,
             clock=core.clock,
             metrics=core.metrics,
             extra=_make_extra(call),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,6 +11,7 @@
 import pytest
 from anyio.abc import TaskGroup
 
+from oleanderdyke.entry.configuration import ConfigurationFeed
 from oleanderdyke.entry.main import main
 from oleanderdyke.entry.settings import EntrySettings, find_faults
 from oleanderdyke.entry.tokens import StreamToken, encode_token
@@ -20,6 +21,7 @@
     ClaimRecord,
     decode_batch,
 )
+from oleanderdyke.kernel.objects import ObjectKind
 from oleanderdyke.links.messages import (
     AnswerChunk,
     AnswerEnd,
@@ -27,12 +29,15 @@
     BackendKind,
     BodyChunk,
     Cancel,
+    ConfigurationDifference,
+    ConfigurationRequest,
     Credit,
     Dispatch,
     Failed,
     Message,
     Resume,
 )
+from oleanderdyke.platform.log import LogPage, LogRecord
 from tests.edges import TOKEN, Caller, Edge, FakeLink, Reply
 
 CHAT = '/v1/chat/completions'
@@ -527,6 +532,64 @@
     run(act)
 
 
+# --- configuration -----------------------------------------------------------
+
+
+def make_feed(edge: Edge) -> ConfigurationFeed:
+    return ConfigurationFeed(edge.core, edge.log)  # type: ignore[arg-type]
+
+
+def test_agent_that_is_behind_is_sent_the_difference_once():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+        feed = make_feed(edge)
+        feed.add_link(link)  # type: ignore[arg-type]
+        feed.hear(link, 1)  # type: ignore[arg-type]
+        await wait(lambda: link.sent)
+        (difference,) = link.find(ConfigurationDifference)
+        assert difference.through == edge.core.reader.offset
+
+    run(act)
+
+
+def test_entry_that_is_behind_asks_its_peer():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        edge.start(tasks)
+        feed = make_feed(edge)
+        offset = edge.core.reader.offset
+        while not link.sent:
+            feed.hear(link, offset + 1)  # type: ignore[arg-type]
+            await anyio.sleep(0.02)
+        assert link.sent == [ConfigurationRequest(offset)]
+
+    run(act)
+
+
+def test_new_entry_starts_from_the_snapshot_of_another():
+    async def act(tasks: TaskGroup) -> None:
+        edge = Edge()
+        await make_feed(edge).append_snapshot()
+        other = Edge(configured=False)
+        first = edge.core.reader.offset + 1
+        records = tuple(
+            LogRecord(first + place, 0.0, data)
+            for place, data in enumerate(edge.log.batches)
+        )
+        page = LogPage(records, first, first + len(records))
+        feed = make_feed(other)
+        while other.core.find_fault():
+            feed.take_page(page)
+        reply = await other.call('GET', '/ready')
+        assert reply.status == 200
+        for kind in ObjectKind:
+            held = edge.core.catalog.list(kind)
+            assert other.core.catalog.list(kind) == held
+
+    run(act)
+
+
 # --- a planned stop ---------------------------------------------------------
 
 
