Prove that every call is answered once the faults are over

Cause: a kernel that never answers breaks no promise of safety. Change: walks end in calm and no call may stay open; a machine that waits for ever is caught.

--- a/tests/safety_model.py
+++ b/tests/safety_model.py
@@ -716,7 +716,7 @@
     def go_on(self) -> None:
         """Let what is under way happen in its usual order."""
         world = self.world
-        self.world.log.up = True
+        world.log.up = True
         for _ in range(len(world.appends)):
             world.take_effect(0, answer=True)
         for entry in world.entries.values():
@@ -727,6 +727,32 @@
             if agent.running:
                 agent.finish(0, cut=False)
 
+    def calm_down(self, rounds: int) -> set[str]:
+        """End the faults; return the calls that still have no answer."""
+        for _ in range(rounds):
+            self.go_on()
+            for agent in self.world.replaced:
+                while agent.running:
+                    agent.finish(0, cut=False)
+            for entry in self.world.entries.values():
+                for _ in range(len(entry.timers)):
+                    entry.fire(0)
+            self._find_lost_links()
+            self.world.check()
+        entries = self.world.entries.values()
+        return {request for entry in entries for request in entry.machines}
+
+    def _find_lost_links(self) -> None:
+        """Give up every link that has nothing under way any more."""
+        if self.world.network or any(
+            agent.running for agent in self.world.agents.values()
+        ):
+            return
+        for agent in (*self.world.agents.values(), *self.world.replaced):
+            lost = ev.LinkLost(agent.name, str(agent.incarnation))
+            for entry in self.world.entries.values():
+                entry.tell_all(lost)
+
     def _entry(self) -> ModelEntry:
         return self.world.entries[self.random.choice(ENTRIES)]
 
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -35,6 +35,7 @@
 
 WALKS = 1_000
 STEPS_OF_WALK = 80
+ROUNDS_OF_CALM = 20
 
 
 class Requests(RuleBasedStateMachine):
@@ -78,6 +79,31 @@
     assert walk_until_violation(Variants(), WALKS, steps) == ''
 
 
+def find_unanswered(variants: Variants) -> set[str]:
+    """Return calls that stay open after walks whose faults have ended."""
+    unanswered = set()
+    for seed in range(WALKS // 5):
+        walk = Walk(variants)
+        walk.run(seed, STEPS_OF_WALK, STEPS)
+        unanswered |= walk.calm_down(ROUNDS_OF_CALM)
+    return unanswered
+
+
+def test_every_call_is_answered_once_the_faults_are_over():
+    assert find_unanswered(Variants()) == set()
+
+
+class DeafMachine(RequestMachine):
+    """Wait for ever for an agent's answer."""
+
+    def _give_up_asking(self):
+        return ()
+
+
+def test_open_calls_catch_a_machine_that_waits_for_ever():
+    assert find_unanswered(Variants(machine=DeafMachine))
+
+
 class ForgivingGate(Gate):
     """Run whatever claim it is shown."""
 
