Count what one crash took with it as one crash

Cause: a digest that ran twice could lose one run by its connection and one by the crash of the server, and so be quarantined by a single crash. Ruled out: a name for each lost connection.

--- a/src/oleanderdyke/kernel/gate.py
+++ b/src/oleanderdyke/kernel/gate.py
@@ -61,7 +61,8 @@
     """Admit dispatches to one backend server.
 
     The agent calls `note_beat` with each heartbeat it sends, `finish` once
-    for each passed dispatch, and `crash` when its backend server is lost.
+    for each passed dispatch, `lose` where its connection broke, and `crash`
+    when its backend server is lost.
     Nothing may reach the backend server but by `Pass`. After it, the agent says
     `ran=no` only of what never reached the backend server, and calls `bar`.
     """
@@ -163,11 +164,8 @@
         dispatch = self._running.get((request, attempt))
         if dispatch is None:
             return
-        if now - self._lost_at > _ONE_CRASH:
-            self._crashes += 1
-        self._lost_at = now
         self._quarantine.note_crash(
-            f'{self._incarnation}:{self._crashes}',
+            self._name_crash(now),
             (dispatch.digest,),
             now,
             alone=self._end(dispatch, None),
@@ -194,9 +192,8 @@
         """
         dispatches = tuple(self._running.values())
         was_alone = [self._end(dispatch, None) for dispatch in dispatches]
-        self._crashes += 1
         self._quarantine.note_crash(
-            f'{self._incarnation}:{self._crashes}',
+            self._name_crash(now),
             {dispatch.digest for dispatch in dispatches},
             now,
             alone=any(was_alone),
@@ -209,6 +206,13 @@
             return ClaimAnswer(query.request, query.claim, ClaimState.UNKNOWN)
         return self._claims.answer(query)
 
+    def _name_crash(self, now: Millis) -> str:
+        """Give what is lost at about the same time to the same crash."""
+        if now - self._lost_at > _ONE_CRASH:
+            self._crashes += 1
+        self._lost_at = now
+        return f'{self._incarnation}:{self._crashes}'
+
     def _end(self, dispatch: Dispatch, answer: RunAnswer | None) -> bool:
         """End a run; tell whether it was that of a suspect alone."""
         del self._running[dispatch.request, dispatch.attempt]
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -37,13 +37,15 @@
         return team == 'team-1'
 
 
-def make_gate(**changes) -> Gate:
+def make_gate(quarantine=None, **changes) -> Gate:
+    if quarantine is None:
+        quarantine = make_quarantine(QuarantineSettings())
     gate = Gate(
         'agent-1',
         'i1',
         'taquilla',
         settings=GateSettings(max_age=10, **changes),
-        quarantine=make_quarantine(QuarantineSettings()),
+        quarantine=quarantine,
         rights=OneTeam(),
     )
     gate.set_phase(AgentPhase.SERVING)
@@ -273,19 +275,20 @@
     assert gate.admit(make_dispatch('good', attempt=4), 0.0) == Pass()
 
 
+def test_copies_lost_by_one_crash_count_once():
+    quarantine = make_quarantine(QuarantineSettings())
+    gate = make_gate(quarantine=quarantine)
+    for attempt in (1, 2):
+        gate.admit(make_dispatch('hot', attempt=attempt), 0.0)
+    gate.lose('hot', 1, 50.0)
+    gate.crash(200.0)
+    digest = make_dispatch('hot').digest
+    assert quarantine.find_standing(digest, 200.0) is Standing.SUSPECT
+
+
 def test_second_crash_quarantines_what_ran_alone():
     quarantine = make_quarantine(QuarantineSettings())
-    gate = Gate(
-        'agent-1',
-        'i1',
-        'taquilla',
-        settings=GateSettings(),
-        quarantine=quarantine,
-        rights=OneTeam(),
-    )
-    gate.set_phase(AgentPhase.SERVING)
-    gate.set_loaded(LOADED)
-    gate.note_beat(BEAT)
+    gate = make_gate(quarantine=quarantine)
     assert gate.admit(make_dispatch('bad', alone=True), 0.0) == Pass()
     gate.crash(0.0)
     digest = make_dispatch('bad').digest
