Be ready only with links, and drop callers that send on after a refusal

Cause: a new entry said ready before its first link was up and would have answered no_replica; a refused upload was read for ever. Ruled out: waiting for every link without bound, which a wrong VM list would stretch. Change: readiness waits up to 3 s for the links and the claims log; more than 1 MiB after a refusal ends the connection; TLS tested.

--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -94,6 +94,8 @@
     machine: MachineSettings
     running: dict[str, Running] = field(default_factory=dict)
     find_link: FindLink = _find_no_link
+    # Cleared while the links of a new entry are being opened.
+    settled: bool = True
     spawn: Spawn = _spawn_nothing
 
     @property
@@ -117,7 +119,9 @@
         if self.drain.is_leaving:
             return 'stopping'
         readiness = self.reader.readiness(self.clock.now())
-        return '' if readiness.ready else readiness.reason
+        if not readiness.ready:
+            return readiness.reason
+        return '' if self.settled else 'connecting to agents'
 
 
 def make_core(settings: EntrySettings, clock: Clock) -> Core:
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -27,6 +27,7 @@
 
 _HEADERS_TOO_LARGE = 431
 _REASONS = {400: b'Bad Request', 431: b'Request Header Fields Too Large'}
+_UNREAD_LIMIT = 1024 * 1024
 _OPEN_STATES = (h11.IDLE, h11.SEND_RESPONSE)
 _LOGGER = 'uvicorn.error'
 
@@ -37,6 +38,7 @@
     head_timeout = 10.0
     send_timeout = 30.0
     connection_limit = 0
+    _unread = 0
     _stall_timer: asyncio.TimerHandle | None = None
     _head_timer: asyncio.TimerHandle | None = None
 
@@ -58,6 +60,7 @@
         """Time the head from its first byte."""
         if self._is_between_requests() and self._head_timer is None:
             self._start_timer()
+        self._bound_unread(len(data))
         super().data_received(data)
         if not self._is_between_requests():
             self._stop_timer()
@@ -88,6 +91,15 @@
             self._write_error(OleanderError(kind, msg.rstrip('.')))
         self.transport.close()
 
+    def _bound_unread(self, length: int) -> None:
+        """Drop a caller that sends on a body whose request was refused."""
+        if self.conn.our_state is not h11.DONE:
+            self._unread = 0
+            return
+        self._unread += length
+        if self._unread > _UNREAD_LIMIT:
+            self.transport.abort()
+
     def _write_error(self, error: OleanderError) -> None:
         request = make_request_id()
         body = encode_error(error, request)
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -31,6 +31,8 @@
 _FLUSH_LIMIT = 3.0
 _CLOSE_LIMIT = 3.0
 _TICK = 0.25
+_SETTLE_LIMIT = 3.0
+_SETTLE_POLL = 0.05
 _BACKLOG = 1024
 
 
@@ -47,7 +49,9 @@
         self._stopper = Stopper(core)
         self._queue = ReleaseQueue(core)
         self._pool = self._make_pool()
+        self._watch = VmWatch(core, self._vms, self._pool)
         core.find_link = self._pool.find
+        core.settled = False
 
     async def run(self) -> None:
         """Serve until a planned stop is over."""
@@ -91,7 +95,8 @@
             self._claims.run,
             self._claims.carry,
             self._feed.append_snapshots,
-            VmWatch(self._core, self._vms, self._pool).run,
+            self._watch.run,
+            self._settle,
             self._pool.run,
             self._queue.run,
             self._stopper.watch_signals,
@@ -113,6 +118,13 @@
             fault = note_readiness(core, fault)
             await anyio.sleep(_TICK)
 
+    async def _settle(self) -> None:
+        """Hold back readiness, for a bounded time, until links are up."""
+        with anyio.move_on_after(_SETTLE_LIMIT):
+            while not (self._watch.settled and self._claims.synced):
+                await anyio.sleep(_SETTLE_POLL)
+        self._core.settled = True
+
     async def _close(self, server: EdgeServer) -> None:
         """Let the last records and answers go out, within bounds."""
         with anyio.move_on_after(_FLUSH_LIMIT):
--- a/src/oleanderdyke/entry/vmwatch.py
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -29,6 +29,12 @@
         self._down = False
         self._known: dict[str, str] = {}
 
+    @property
+    def settled(self) -> bool:
+        """Tell whether every known address has a link."""
+        addresses = self._known.values()
+        return bool(self._known) and all(map(self._pool.find, addresses))
+
     async def run(self) -> None:
         """Read the list until cancelled."""
         settings = self._core.settings.vms
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -2,7 +2,9 @@
 
 import json
 import socket
-from collections.abc import Iterable
+import ssl
+from collections.abc import Iterable, Iterator
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -17,6 +19,7 @@
 
 CHAT = '/v1/chat/completions'
 BOOKINGS = '/v1/services/taquilla/bookings'
+TLS = Path(__file__).parent / 'tls'
 FIXED = settings(derandomize=True, max_examples=200, deadline=None)
 
 
@@ -198,7 +201,9 @@
 # --- over real connections --------------------------------------------------
 
 
-def exchange(data: Iterable[bytes], **limits: Any) -> bytes:
+def exchange(
+    data: Iterable[bytes], tls: ssl.SSLContext | None = None, **limits: Any
+) -> bytes:
     """Send raw bytes to a server and return all it answers."""
 
     async def run() -> bytes:
@@ -207,7 +212,7 @@
         bound = socket.create_server(('127.0.0.1', 0))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve, [bound])
-            stream = await anyio.connect_tcp(*bound.getsockname())
+            stream = await _connect(bound, tls)
             answer = await _talk(stream, data)
             server.should_exit = True
         return answer
@@ -215,13 +220,24 @@
     return anyio.run(run)
 
 
-async def _talk(stream: anyio.abc.SocketStream, data: Iterable[bytes]) -> bytes:
+async def _connect(
+    bound: socket.socket, tls: ssl.SSLContext | None
+) -> anyio.abc.ByteStream:
+    host, port = bound.getsockname()
+    if tls is None:
+        return await anyio.connect_tcp(host, port)
+    return await anyio.connect_tcp(
+        host, port, ssl_context=tls, tls_standard_compatible=False
+    )
+
+
+async def _talk(stream: anyio.abc.ByteStream, data: Iterable[bytes]) -> bytes:
     answer = b''
     with anyio.fail_after(20):
         async with stream:
-            for part in data:
-                await stream.send(part)
             try:
+                for part in data:
+                    await stream.send(part)
                 while True:
                     answer += await stream.receive()
             except (anyio.EndOfStream, anyio.BrokenResourceError):
@@ -266,6 +282,34 @@
     assert json.loads(body).get('error', {}).get('kind', '') == kind
 
 
+def test_serves_over_tls():
+    tls = ssl.create_default_context(cafile=str(TLS / 'ca.pem'))
+    answer = exchange(
+        [b'GET /live HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'],
+        tls=tls,
+        certificate=str(TLS / 'node.pem'),
+        key=str(TLS / 'node.key'),
+    )
+    assert answer.startswith(b'HTTP/1.1 200 ')
+
+
+def test_drops_a_caller_that_sends_on_after_a_refusal():
+    head = (
+        b'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+        b'content-length: 99999999\r\n\r\n'
+    )
+    sent = 0
+
+    def send() -> Iterator[bytes]:
+        nonlocal sent
+        yield head
+        for sent in range(2_000):  # noqa: B007 - read after the loop
+            yield b'x' * 65_536
+
+    exchange(send())
+    assert 0 < sent < 1_000
+
+
 def test_drops_a_caller_that_never_ends_its_head():
     assert exchange([b'GET / HTT'], body_timeout=50.0) == b''
 
