Test what becomes of queued requests

Cause: a queued request must go on, be refused as not run, or make way for a stop. Change: a played admission and three ends. Conclusion: no fault found.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any
@@ -21,6 +21,13 @@
     ClaimRecord,
     decode_batch,
 )
+from oleanderdyke.kernel.demand import (
+    Admitted,
+    Demand,
+    Fleet,
+    Queued,
+    Refusal,
+)
 from oleanderdyke.kernel.objects import ObjectKind
 from oleanderdyke.links.messages import (
     AnswerChunk,
@@ -404,6 +411,76 @@
     run(act)
 
 
+# --- the queue --------------------------------------------------------------
+
+
+@dataclass
+class FakeAdmission:
+    """Queue every request and release what the test names."""
+
+    decision: Admitted | Refusal | None = None
+    queued: list[str] = field(default_factory=list)
+    finished: list[str] = field(default_factory=list)
+
+    def admit(self, demand: Demand, _fleet: Fleet, _now: float) -> Queued:
+        """Queue."""
+        self.queued.append(demand.request)
+        return Queued()
+
+    def release(
+        self, _fleet: Fleet, _now: float
+    ) -> list[tuple[str, Admitted | Refusal]]:
+        """Release everything once there is a decision."""
+        if self.decision is None:
+            return []
+        return [(request, self.decision) for request in self.queued]
+
+    def note_finished(self, request: str, _now: float) -> None:
+        """Record."""
+        self.finished.append(request)
+
+
+@pytest.mark.parametrize(
+    ('decision', 'status'),
+    [
+        (Admitted(), 200),
+        (Refusal(ErrorKind.OVERLOADED, 'would be late', 2_300.0), 503),
+        (None, 503),
+    ],
+)
+def test_queued_request_goes_on_when_it_is_released(
+    decision: Admitted | Refusal | None, status: int
+):
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_plain()
+        admission = FakeAdmission()
+        edge.core.admission = admission
+        edge.start(tasks)
+        Agent(edge, link, [b'ok'])
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            replies.append(await edge.call('GET', BOOKINGS))
+
+        tasks.start_soon(call)
+        await wait(lambda: admission.queued)
+        assert not link.sent
+        admission.decision = decision
+        if decision is None:
+            edge.core.running[admission.queued[0]].stop(hurry=False)
+        await wait(lambda: replies)
+        (reply,) = replies
+        assert reply.status == status
+        assert admission.finished == admission.queued
+        if isinstance(decision, Refusal):
+            assert reply.headers['retry-after'] == '3'
+        if status != 200:
+            assert json.loads(reply.body)['error']['ran'] == 'no'
+            assert not link.sent
+
+    run(act)
+
+
 # --- claims -----------------------------------------------------------------
 
 
