Log when answers arrive and how claims are settled

Cause: the time line pairs answer_started with answer_received, which the entry no longer wrote; a claim's verdict had no event with its request. Change: both events with the request; a release that is given up is no lost outcome. Before and after: the time line of a keyed call over two processes shows nine events in order of cause. Conclusion: complete for one call.

--- a/src/oleanderdyke/entry/claims.py
+++ b/src/oleanderdyke/entry/claims.py
@@ -22,7 +22,11 @@
     OutcomeFailed,
     OutcomeRecorded,
 )
-from oleanderdyke.kernel.claim_records import ClaimsRecord, encode_batch
+from oleanderdyke.kernel.claim_records import (
+    ClaimsRecord,
+    OutcomeRecord,
+    encode_batch,
+)
 from oleanderdyke.kernel.claims import Owned
 from oleanderdyke.metrics import Count, Timing
 from oleanderdyke.platform.log import LogClient, LogUnavailable
@@ -218,13 +222,20 @@
             note_failed(pending)
             full = len(self._pending) >= _REPEAT_LIMIT
             if full or pending.repeats > _REPEATS:
-                self._core.log.write(EventName.OUTCOME_UNRECORDED)
+                self._give_up(record)
                 return
             self._core.spawn(self.repeat, pending)
 
         pending = _Pending((record,), log_appended, try_again)
         return pending
 
+    def _give_up(self, record: ClaimsRecord) -> None:
+        """Log an outcome that is lost; a release is asked for again anyway."""
+        if isinstance(record, OutcomeRecord):
+            self._core.log.write(
+                EventName.OUTCOME_UNRECORDED, offset=record.offset
+            )
+
     def _settle(self, claim_id: str) -> None:
         """Report a verdict once the log was read through the claim.
 
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -27,8 +27,10 @@
 from oleanderdyke.kernel.attempt_events import (
     Action,
     CallerGone,
+    ClaimSettled,
     DeadlinePassed,
     IncarnationEnded,
+    Received,
     Stopping,
 )
 from oleanderdyke.kernel.attempts import RequestFacts, RequestMachine
@@ -36,7 +38,7 @@
 from oleanderdyke.kernel.demand import Admitted, Queued, Refusal
 from oleanderdyke.kernel.quarantine import Standing
 from oleanderdyke.links.link import Link
-from oleanderdyke.links.messages import Headers, Message
+from oleanderdyke.links.messages import AnswerHead, Headers, Message
 from oleanderdyke.metrics import Timing
 
 _HORIZON_HEADER = 'oleander-horizon'
@@ -184,6 +186,7 @@
 
     async def _answer_item(self, item: Item) -> tuple[Action, ...]:
         now = self._core.clock.now()
+        self._log_item(item)
         if isinstance(item, Released | HandedOver):
             return ()
         if isinstance(item, UploadFailed):
@@ -193,6 +196,21 @@
             return self._machine.on(CallerGone(), now)
         return self._machine.on(item, now)
 
+    def _log_item(self, item: Item) -> None:
+        if isinstance(item, Received):
+            if isinstance(item.message, AnswerHead):
+                self._effects.log(
+                    EventName.ANSWER_RECEIVED,
+                    attempt=item.message.attempt,
+                    peer=self._sender.agent,
+                    status=item.message.status,
+                )
+        elif isinstance(item, ClaimSettled):
+            self._effects.log(
+                EventName.CLAIM_SETTLED,
+                kind=type(item.verdict).__name__.lower(),
+            )
+
     async def _watch_caller(self) -> None:
         await self._body.wait_gone()
         if not self._delivery.ended:
