--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -31,7 +31,12 @@
     open_stream,
     read_events,
 )
-from tests.deployment import Deployment, Entry, load_layout, wait_listening
+from tests.deployment import (
+    Deployment,
+    Entry,
+    load_layout,
+    wait_listening,
+)
 from tests.processes import wait_until
 from tests.standins import answers, cache, weights
 
@@ -307,6 +312,37 @@
     return token, bytes(data)
 
 
+def test_bookings_given_to_a_frozen_agent_run_at_most_once(
+    deployment: Deployment,
+) -> None:
+    server = deployment.find(PLAIN)[1]
+    bodies = [b'frozen %d' % number for number in range(4)]
+
+    def send(number: int) -> Reply:
+        key = f'key-frozen-{number}'
+        return book(deployment, number % 3, bodies[number], key)
+
+    server.agent.freeze()
+    try:
+        with ThreadPoolExecutor(len(bodies)) as pool:
+            first = list(pool.map(send, range(len(bodies))))
+            second = list(pool.map(send, range(len(bodies))))
+    finally:
+        server.agent.thaw()
+    numbers = range(len(bodies))
+    wait_until(
+        lambda: all(send(number).status == 201 for number in numbers),
+        'every booking is known once the agent is back',
+    )
+    for number in numbers:
+        replies = first[number], second[number], send(number)
+        assert count_runs(deployment, bodies[number]) == 1, replies
+        made = {reply.body for reply in replies if reply.status == 201}
+        assert made == {replies[-1].body}, replies
+        for reply in replies:
+            assert reply.status == 201 or reply.json['error'], reply
+
+
 def test_a_stream_of_a_killed_entry_goes_on_for_its_team_only(
     deployment: Deployment,
 ) -> None:
