--- /dev/null
+++ b/bench/desk.py
@@ -0,0 +1,89 @@
+"""Fake the calls that may run only once, and the log that they need."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from bench.events import Events
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import REPLIES, ErrorKind
+from oleanderdyke.kernel.admission import spread
+
+_CALLS_PER_SECOND = 20.0
+_APPENDS_PER_SECOND = 300.0
+_GROUP = 16
+_PATIENCE: Millis = 60 * SECOND
+_JITTER = 0.5
+
+
+@dataclass(slots=True)
+class Call:
+    """Record one booking."""
+
+    number: int
+    at: Millis
+    done: Millis | None = None
+    tries: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DeskResult:
+    """Sum up what became of the bookings."""
+
+    calls: Sequence[Call]
+    busiest_second: int
+
+
+class Desk:
+    """Refuse bookings as not run while the log is out."""
+
+    def __init__(self, seed: int, *, jitter: bool = True) -> None:
+        self.events = Events()
+        self._random = Random(f'desk-{seed}')
+        self._jitter = _JITTER if jitter else 0.0
+        self._out = False
+        self._free_at: Millis = 0.0
+        self._tries: dict[int, int] = {}
+        self.calls: list[Call] = []
+
+    def run(self, length: Millis, out: tuple[Millis, Millis]) -> DeskResult:
+        """Run bookings for a time with the log out for a part of it."""
+        at = 0.0
+        number = 0
+        while at < length:
+            at += self._random.expovariate(_CALLS_PER_SECOND / SECOND)
+            number += 1
+            call = Call(number, at)
+            self.calls.append(call)
+            self.events.add(at, self._try, call)
+        self.events.add(out[0], self._stop_log)
+        self.events.add(out[1], self._start_log)
+        self.events.run(length + _PATIENCE)
+        after = [n for t, n in self._tries.items() if t * SECOND >= out[1]]
+        return DeskResult(self.calls, max(after, default=0))
+
+    def _stop_log(self) -> None:
+        self._out = True
+
+    def _start_log(self) -> None:
+        self._out = False
+
+    def _try(self, call: Call) -> None:
+        now = self.events.now
+        second = int(now // SECOND)
+        self._tries[second] = self._tries.get(second, 0) + 1
+        call.tries += 1
+        if self._out:
+            self._refuse(call)
+            return
+        wait = SECOND / _APPENDS_PER_SECOND / _GROUP
+        self._free_at = max(now, self._free_at) + wait
+        call.done = self._free_at
+
+    def _refuse(self, call: Call) -> None:
+        after = REPLIES[ErrorKind.LOG_UNAVAILABLE].retry_after or SECOND
+        after *= 1 + self._jitter * spread(f'{call.number}-{call.tries}')
+        if self.events.now + after < call.at + _PATIENCE:
+            self.events.add(after, self._try, call)
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,271 @@
+"""Print tables of figures and hold them against the targets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from statistics import fmean
+
+from bench.measures import Measures
+from bench.runs import Task
+from bench.system import BASELINES, ORACLE, POLICY, SYSTEMS
+from oleanderdyke.clock import SECOND, Millis
+
+_ALLOWED = 1.02
+_SIMPLE = BASELINES[:4]
+# A council's reader waits longer than a visitor at a door.
+BOUNDS: Mapping[str, Millis] = {'agency': 3 * SECOND, 'council': 6 * SECOND}
+# Below this, a system is not answering the load it is compared at.
+_ANSWERS = 0.95
+_HEAD = (
+    f'{"system":18}{"ttft50":>8}{"ttft95":>8}{"spread":>14}{"ttft99":>8}'
+    f'{"recomp":>8}{"link MB":>9}{"cost":>7}{"good/s":>8}{"in time":>8}'
+    f'{"refused":>8}{"fair":>6}{"small":>7}{"letters":>8}{"back s":>7}'
+)
+
+Results = Mapping[Task, Measures]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Tell whether one target was met, with the figures."""
+
+    target: str
+    met: bool
+    detail: str
+
+
+def print_table(results: Results, deployment: str, scenario: str) -> None:
+    """Print one row for each system: means over the seeds."""
+    print(f'\n{deployment} / {scenario}')
+    print(_HEAD)
+    for system in SYSTEMS:
+        found = find(results, deployment, scenario, system)
+        if found:
+            print(_make_row(system, found))
+
+
+def _make_row(system: str, found: Sequence[Measures]) -> str:
+    def mean(name: str) -> float:
+        return fmean(getattr(each, name) for each in found)
+
+    lows = min(each.ttft_95 for each in found)
+    highs = max(each.ttft_95 for each in found)
+    spread = f'{lows:.0f}-{highs:.0f}'
+    return (
+        f'{system:18}{mean("ttft_50"):8.0f}{mean("ttft_95"):8.0f}'
+        f'{spread:>14}{mean("ttft_99"):8.0f}{mean("recomputed"):8.3f}'
+        f'{mean("link_bytes") / 1e6:9.0f}{mean("cost"):7.0f}'
+        f'{mean("goodput"):8.2f}{mean("in_time"):8.3f}{mean("refused"):8.3f}'
+        f'{mean("fairness"):6.3f}{mean("small_teams"):7.3f}'
+        f'{mean("background"):8.0f}{mean("recovery") / SECOND:7.1f}'
+    )
+
+
+def find(
+    results: Results, deployment: str, scenario: str, system: str
+) -> Sequence[Measures]:
+    """Return the figures of all seeds of one cell."""
+    return [
+        measures
+        for task, measures in results.items()
+        if (task.deployment, task.scenario, task.system)
+        == (deployment, scenario, system)
+    ]
+
+
+def mean_of(
+    results: Results, deployment: str, scenario: str, system: str, name: str
+) -> float:
+    """Return the mean of one figure over the seeds."""
+    found = find(results, deployment, scenario, system)
+    return fmean(getattr(each, name) for each in found)
+
+
+def judge(results: Results) -> list[Verdict]:
+    """Hold the results against every target that they can show."""
+    shown = {(task.deployment, task.scenario) for task in results}
+    verdicts: list[Verdict] = []
+    for scenario in ('steady', 'peak-0.9'):
+        if ('agency', scenario) in shown:
+            verdicts += _judge_agency(results, scenario)
+        if ('council', scenario) in shown:
+            verdicts += _judge_council(results, scenario)
+    for deployment in ('agency', 'council'):
+        verdicts += _judge_overload(results, deployment, shown)
+    for deployment, scenario in sorted(shown):
+        verdicts += _judge_recovery(results, deployment, scenario)
+        verdicts += _judge_worse(results, deployment, scenario)
+    return verdicts
+
+
+def print_verdicts(verdicts: Sequence[Verdict]) -> None:
+    """Print the targets, met or missed."""
+    print('\nTargets')
+    for each in verdicts:
+        print(f'{"met " if each.met else "MISS"}  {each.target}: {each.detail}')
+
+
+def _judge_agency(results: Results, scenario: str) -> list[Verdict]:
+    def read(system: str) -> float:
+        return mean_of(results, 'agency', scenario, system, 'ttft_95')
+
+    ours, oracle = read(POLICY.name), read(ORACLE.name)
+    best = min(_SIMPLE, key=lambda each: read(each.name)).name
+    gain = 1 - ours / read(best)
+    return [
+        Verdict(
+            f'agency {scenario} ttft95 25% under the best baseline',
+            gain >= 0.25,
+            f'{ours:.0f} ms against {read(best):.0f} ({best}): {gain:.1%}',
+        ),
+        Verdict(
+            f'agency {scenario} ttft95 within 10% of the oracle',
+            ours <= 1.1 * oracle,
+            f'{ours:.0f} ms against {oracle:.0f}: {ours / oracle - 1:+.1%}',
+        ),
+    ]
+
+
+def _judge_council(results: Results, scenario: str) -> list[Verdict]:
+    def read(system: str, name: str) -> float:
+        return mean_of(results, 'council', scenario, system, name)
+
+    fit = [
+        each.name
+        for each in _SIMPLE
+        if read(each.name, 'ttft_95') <= BOUNDS['council']
+        and read(each.name, 'in_time') >= _ANSWERS
+    ]
+    ours = read(POLICY.name, 'cost')
+    oracle = read(ORACLE.name, 'cost')
+    within = Verdict(
+        f'council {scenario} cost within 10% of the oracle',
+        ours <= 1.1 * oracle,
+        f'{ours:.0f} against {oracle:.0f}: {ours / oracle - 1:+.1%}',
+    )
+    if not fit:
+        bound = f'no baseline keeps ttft95 within {BOUNDS["council"]:.0f} ms'
+        ttft = f'policy {read(POLICY.name, "ttft_95"):.0f} ms'
+        return [
+            Verdict(
+                f'council {scenario} cost', met=True, detail=f'{bound}; {ttft}'
+            ),
+            within,
+        ]
+    best = min(fit, key=lambda name: read(name, 'cost'))
+    gain = 1 - ours / read(best, 'cost')
+    verdicts = [
+        Verdict(
+            f'council {scenario} cost 20% under the best baseline',
+            gain >= 0.2,
+            f'{ours:.0f} against {read(best, "cost"):.0f} ({best}): {gain:.1%}',
+        ),
+        within,
+    ]
+    for name in ('recomputed', 'link_bytes'):
+        mine, other = read(POLICY.name, name), read(best, name)
+        verdicts.append(
+            Verdict(
+                f'council {scenario} {name} no worse than {best}',
+                mine <= other,
+                f'{mine:.4g} against {other:.4g}',
+            )
+        )
+    return verdicts
+
+
+def _judge_overload(
+    results: Results, deployment: str, shown: set[tuple[str, str]]
+) -> list[Verdict]:
+    needed = {(deployment, 'peak-1.0'), (deployment, 'peak-2.0')}
+    if not needed <= shown:
+        return []
+
+    def read(scenario: str, name: str) -> float:
+        return mean_of(results, deployment, scenario, POLICY.name, name)
+
+    verdicts = []
+    for load in ('peak-2.0', 'peak-4.0'):
+        if (deployment, load) not in shown:
+            continue
+        kept = read(load, 'goodput') / read('peak-1.0', 'goodput')
+        small = read(load, 'small_teams') / read('peak-1.0', 'small_teams')
+        verdicts += [
+            Verdict(
+                f'{deployment} {load} goodput at least 95% of peak-1.0',
+                kept >= 0.95,
+                f'{kept:.1%}',
+            ),
+            Verdict(
+                f'{deployment} {load} small teams keep their share',
+                small >= 0.95,
+                f'{small:.1%} of their visits at peak-1.0 in time',
+            ),
+        ]
+    return verdicts
+
+
+def _judge_recovery(
+    results: Results, deployment: str, scenario: str
+) -> list[Verdict]:
+    found = find(results, deployment, scenario, POLICY.name)
+    if not any(each.recovery for each in found):
+        return []
+    worst = max(each.recovery for each in found) / SECOND
+    return [
+        Verdict(
+            f'{deployment} {scenario} back to 95% within 10 s',
+            worst <= 10,
+            f'{worst:.0f} s in the worst seed',
+        )
+    ]
+
+
+def _judge_worse(
+    results: Results, deployment: str, scenario: str
+) -> list[Verdict]:
+    """Compare the main measure with every baseline that answers the load.
+
+    Where the load is more than a system can answer, goodput is compared.
+    """
+
+    def read(system: str, name: str) -> float:
+        return mean_of(results, deployment, scenario, system, name)
+
+    best_answered = max(
+        read(each.name, 'in_time') for each in (*BASELINES, POLICY)
+    )
+    if best_answered < _ANSWERS:
+        return [_compare(read, deployment, scenario, 'goodput', BASELINES)]
+    fit = [each for each in BASELINES if read(each.name, 'in_time') >= _ANSWERS]
+    if deployment == 'council':
+        bound = BOUNDS[deployment]
+        fit = [each for each in fit if read(each.name, 'ttft_95') <= bound]
+    name = 'ttft_95' if deployment == 'agency' else 'cost'
+    return [_compare(read, deployment, scenario, name, fit)]
+
+
+def _compare(
+    read: Callable[[str, str], float],
+    deployment: str,
+    scenario: str,
+    name: str,
+    fit: Sequence[object],
+) -> Verdict:
+    target = f'{deployment} {scenario} {name} no worse than any baseline'
+    ours = read(POLICY.name, name)
+    names = [each.name for each in BASELINES if each in fit]
+    if not names:
+        return Verdict(
+            target, met=True, detail=f'{ours:.4g}; no baseline keeps up'
+        )
+    more = name == 'goodput'
+    best = (max if more else min)(names, key=lambda each: read(each, name))
+    other = read(best, name)
+    worse = other / ours if more else ours / other
+    return Verdict(
+        target,
+        worse <= _ALLOWED,
+        f'{ours:.4g} against {other:.4g} ({best}): {worse - 1:+.1%} worse',
+    )
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,123 @@
+"""List the scenarios: load, lags, habits and what goes wrong when."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bench.callers import CallerHabits
+from bench.world import Lags, World
+from oleanderdyke.clock import SECOND, Millis
+
+WARM_UP: Millis = 60 * SECOND
+_FAULT_AT = WARM_UP + 60 * SECOND
+_RELOAD: Millis = 8 * SECOND
+_STAGGER: Millis = 6 * SECOND
+
+
+def _do_nothing(world: World) -> None:
+    """Leave a world as it is."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """Say when goodput is expected to suffer."""
+
+    start: Millis
+    end: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Describe one scenario; `load` is a share of the capacity."""
+
+    name: str
+    load: float
+    length: Millis = 240 * SECOND
+    prepare: Callable[[World], None] = _do_nothing
+    lags: Lags = field(default_factory=Lags)
+    habits: CallerHabits = field(default_factory=CallerHabits)
+    busy_team: str = ''
+    outage: Outage | None = None
+
+
+def _slow_link(world: World) -> None:
+    link = world.store.link
+    world.events.add(_FAULT_AT, link.set_rate, link.rate / 10)
+
+
+def _lose_store(world: World) -> None:
+    world.events.add(_FAULT_AT, world.lose_store)
+
+
+def _fill_store(world: World) -> None:
+    world.store.cache.open = False
+
+
+def _lose_replica(world: World) -> None:
+    world.events.add(_FAULT_AT, world.crash, 'engine-0')
+    world.events.add(_FAULT_AT + 60 * SECOND, world.restart, 'engine-0')
+
+
+def _lose_all(world: World) -> None:
+    for name in world.agents:
+        world.events.add(_FAULT_AT, world.crash, name)
+        world.events.add(_FAULT_AT + 30 * SECOND, world.restart, name)
+
+
+def _lose_data_centre(world: World) -> None:
+    """Lose the engines in the first of three data centres."""
+    for index, name in enumerate(world.agents):
+        if index % len(world.deployment.data_centres) == 0:
+            world.events.add(_FAULT_AT, world.crash, name)
+            world.events.add(_FAULT_AT + 40 * SECOND, world.restart, name)
+
+
+def _swap_weights(world: World) -> None:
+    """Reload one engine after the other; ask for the new at half-way."""
+    for index, name in enumerate(world.agents):
+        at = _FAULT_AT + index * _STAGGER
+        world.events.add(at, world.reload, name, 1, _RELOAD)
+    half = len(world.agents) // 2 * _STAGGER
+    world.events.add(_FAULT_AT + half + _RELOAD, world.change_version, 1)
+
+
+_FULL_OUTAGE = Outage(_FAULT_AT, _FAULT_AT + 30 * SECOND)
+SCENARIOS = (
+    Scenario('steady', 0.5, length=360 * SECOND),
+    Scenario('peak-0.7', 0.7),
+    Scenario('peak-0.9', 0.9, length=360 * SECOND),
+    Scenario('peak-1.0', 1.0),
+    Scenario('peak-1.2', 1.2),
+    Scenario('peak-2.0', 2.0),
+    Scenario('peak-4.0', 4.0, length=180 * SECOND),
+    Scenario('link-tenth', 0.5, prepare=_slow_link),
+    Scenario('store-lost', 0.5, prepare=_lose_store),
+    Scenario('store-full', 0.5, prepare=_fill_store),
+    Scenario(
+        'replica-lost',
+        0.7,
+        prepare=_lose_replica,
+        outage=Outage(_FAULT_AT, _FAULT_AT + 60 * SECOND),
+    ),
+    Scenario(
+        'data-centre-lost',
+        0.5,
+        prepare=_lose_data_centre,
+        outage=Outage(_FAULT_AT, _FAULT_AT + 40 * SECOND),
+    ),
+    Scenario('service-lost', 0.7, prepare=_lose_all, outage=_FULL_OUTAGE),
+    Scenario('reports-0.2s', 0.9, lags=Lags(0.2 * SECOND, 0.2 * SECOND)),
+    Scenario('reports-1s', 0.9, lags=Lags(0.5 * SECOND, 1 * SECOND)),
+    Scenario('reports-5s', 0.9, lags=Lags(0.5 * SECOND, 5 * SECOND)),
+    Scenario('one-team-half', 2.0, busy_team='t3'),
+    Scenario(
+        'retry-storm',
+        0.7,
+        prepare=_lose_all,
+        habits=CallerHabits(impatient=True),
+        outage=_FULL_OUTAGE,
+    ),
+    Scenario('weight-swap', 0.9, prepare=_swap_weights),
+)
+BY_NAME = {each.name: each for each in SCENARIOS}
--- a/bench/views.py
+++ b/bench/views.py
@@ -91,7 +91,7 @@
         self, agent: str, segments: Sequence[SegmentHint], start: int = 0
     ) -> int:
         """Count the segments from `start` on that an agent holds in a row."""
-        kept = self._kept.get(agent, frozenset())
+        kept = self._kept.get(agent) or set()
         for index in range(start, len(segments)):
             if segments[index] not in kept:
                 return index - start
--- a/src/oleanderdyke/policies/routing.py
+++ b/src/oleanderdyke/policies/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
@@ -151,12 +152,17 @@
             now,
         )
         weight = self._settings.w_pressure
-        return min(
-            choices,
-            key=lambda each: (
-                each.source.cost + weight * pushed[each.replica.agent]
-            ),
-        )
+        home = find_home(demand, choices)
+        away = self._settings.w_home
+
+        def weigh(each: _Choice) -> float:
+            cost = each.source.cost + weight * pushed[each.replica.agent]
+            if each.replica.agent != home:
+                brought = demand.tokens - each.reach.cached * SEGMENT_TOKENS
+                cost += away * brought
+            return cost
+
+        return min(choices, key=weigh)
 
     def _find_latency(self, demand: Demand, replica: Replica) -> Millis:
         near = demand.data_centre in {'', replica.data_centre}
@@ -211,6 +217,18 @@
         return max(reported, self._backlog.count_outstanding(replica.agent))
 
 
+def find_home(demand: Demand, choices: Sequence[_Choice]) -> str:
+    """Return the replica where every entry would put what nobody holds."""
+    depth = max(each.reach.cached for each in choices)
+    if depth >= len(demand.segments):
+        return ''
+    segment = demand.segments[depth]
+    return max(
+        (each.replica.agent for each in choices),
+        key=lambda agent: zlib.crc32(segment + agent.encode()),
+    )
+
+
 def make_costs(settings: PolicySettings) -> Costs:
     """Take the weights of the cost function from settings."""
     return Costs(
--- a/src/oleanderdyke/policies/settings.py
+++ b/src/oleanderdyke/policies/settings.py
@@ -31,6 +31,7 @@
     affinity_limit: int = 4
     scan_limit: int = 8
     soon_limit: int = 100_000
+    w_home: float = 0.0
     w_pressure: float = 0.4
     pressure_memory: Millis = 120 * SECOND
     short_tokens: int = 1_024
