Tell every error that ends an entry, one line each

Cause: errors in nested groups were printed as groups. Change: the main function flattens groups; a fault of our own comes with its trace.

--- a/src/oleanderdyke/entry/main.py
+++ b/src/oleanderdyke/entry/main.py
@@ -5,7 +5,8 @@
 import argparse
 import os
 import sys
-from collections.abc import Sequence
+import traceback
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import anyio
@@ -80,12 +81,22 @@
     code = 0
     try:
         anyio.run(run_entry, settings)
-    except* (OleanderError, OSError) as group:
+    except* Exception as group:
         code = _FAILED
-        for error in group.exceptions:
-            sys.stderr.write(f'error: {error}\n')
+        for error in _flatten(group):
+            sys.stderr.write(f'error: {type(error).__name__}: {error}\n')
+            if not isinstance(error, OleanderError | OSError):
+                traceback.print_exception(error)
     return code
 
 
+def _flatten(group: BaseExceptionGroup[Exception]) -> Iterator[Exception]:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _flatten(error)
+        else:
+            yield error
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/src/oleanderdyke/entry/receiver.py
+++ b/src/oleanderdyke/entry/receiver.py
@@ -35,19 +35,21 @@
         self._awaits_rest = False
         if self._assembler is None:
             self._assembler = AnswerAssembler(self._request, attempt)
-        else:
-            self._assembler.start_over(attempt)
+        elif not self._assembler.start_over(attempt):
+            self._fail('part of another run was passed on')
 
     def expect_rest(self, attempt: int, start: int) -> None:
         """Expect the rest of a run under another attempt."""
         self._attempt = attempt
+        self._awaits_rest = False
         if self._assembler is None:
             self._assembler = AnswerAssembler(
                 self._request, attempt, start=start
             )
-        else:
+        elif self._assembler.resume(attempt):
             self._awaits_rest = True
-            self._assembler.resume(attempt)
+        else:
+            self._fail('what was passed on is not whole')
 
     def take(self, message: Message) -> None:
         """Take any message that names this request."""
@@ -62,7 +64,9 @@
         if self._assembler is None:
             return
         if len(self._inbox) > _CHUNK_LIMIT:
-            self._break('more chunks than granted')
+            if not self._assembler.is_over:
+                self._assembler.lose()
+                self._fail('more chunks than granted')
             return
         self._note_rest(message)
         start = self._assembler.next_sequence
@@ -83,12 +87,12 @@
             chunk = AnswerChunk(self._request, self._attempt, sequence, data)
             self._inbox.put(Received(chunk))
         if isinstance(delivery.end, Broken):
-            self._break(f'answer not whole: {delivery.end.reason}')
+            self._fail(f'answer not whole: {delivery.end.reason}')
         elif delivery.end is not None:
             self._inbox.put(Received(delivery.end.end))
 
-    def _break(self, detail: str) -> None:
-        self._assembler = None
+    def _fail(self, detail: str) -> None:
+        """Tell of a failure; the assembler stays and forbids a splice."""
         self._inbox.put(
             Received(
                 Failed(
