--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,312 @@
+"""Run a region of about 200 real processes and measure one of each kind.
+
+Run `python -m bench.capacity`; it takes under three minutes and ends every
+process that it started, also where it fails. Needs `ss` of iproute2.
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from bench.capacity_probe import (
+    MIB,
+    Usage,
+    compare,
+    read_memory,
+    read_peak,
+    read_processor,
+    read_share,
+    read_usage,
+)
+from bench.capacity_region import Region, make_layout
+from oleanderdyke.logs import parse_line
+from tests.calls import call
+from tests.deployment import Entry, Server
+from tests.processes import ROOT, Child, wait_until
+
+DIRECTORY = ROOT / 'build' / 'capacity'
+_WINDOW = 10.0
+_CHANGES = 5
+_BATCH = 100
+_REFRESH = 8.0
+_KINDS = ('asistente-0', 'taquilla-0', 'memoria-reglas-0')
+
+
+@dataclass(frozen=True, slots=True)
+class Watched:
+    """Name a process to measure and the ports of the links it has."""
+
+    name: str
+    pid: int
+    ports: Collection[int]
+
+    def read(self) -> Usage:
+        """Return what it has used."""
+        return read_usage(self.pid, self.ports)
+
+
+class Run:
+    """Take the measurements one after the other."""
+
+    def __init__(self, region: Region) -> None:
+        self._region = region
+        self._fresh = 0
+
+    def run(self) -> None:
+        """Measure everything."""
+        region = self._region
+        say(
+            f'{len(region.servers)} agents listen; {region.appends} appends '
+            f'filled the log in {region.fill_seconds:.1f} s'
+        )
+        for server in self._list_samples():
+            show_memory(f'agent {server.name} without peers', server.agent)
+        first = self._start_entry('an entry that reads the whole log')
+        self._wait_all(first, 'every agent has the configuration')
+        self._forget_log(first)
+        second = self._start_entry('an entry that starts from the snapshot')
+        self._wait_all(second, 'its view is full')
+        self._measure_idle()
+        self._measure_changes(first)
+        self._measure_replacement(second)
+        self._measure_agent(first)
+        self._show_all()
+
+    def _list_samples(self) -> Iterator[Server]:
+        for server in self._region.servers:
+            if server.name in _KINDS:
+                yield server
+
+    def _start_entry(self, what: str) -> Entry:
+        region = self._region
+        started = time.monotonic()
+        entry = region.add_entry()
+        region.wait_entry(entry)
+        self._tell_start(what, entry, started)
+        return entry
+
+    def _tell_start(self, what: str, entry: Entry, started: float) -> None:
+        seconds = time.monotonic() - started
+        platform = self._watch(entry.child, self._region.platform_ports).read()
+        say(
+            f'{what}: ready after {seconds:.1f} s, '
+            f'{platform.processor:.1f} s of processor time, '
+            f'{platform.received / MIB:.2f} MiB from log and VM list'
+        )
+
+    def _wait_all(self, entry: Entry, what: str) -> None:
+        started = time.monotonic()
+        offset = self._region.read_status(entry)['offset']
+        self._region.wait_reach(entry, offset)
+        seconds = time.monotonic() - started
+        links = self._watch(entry.child, self._region.agent_ports).read()
+        say(
+            f'  {what} after {seconds:.1f} s more, '
+            f'{links.processor:.1f} s of processor time in all; links out '
+            f'{links.sent / MIB:.2f} MiB, in {links.received / MIB:.2f} MiB'
+        )
+        show_memory(f'  entry {entry.name}', entry.child)
+
+    def _forget_log(self, entry: Entry) -> None:
+        """Let the log forget what the newest snapshot covers."""
+        log = self._region.platform['log']
+        before = self._region.read_status(entry)['offset']
+        wait_until(
+            lambda: 'snapshot_appended' in entry.child.log.read_text(),
+            'a snapshot is appended',
+            seconds=60,
+        )
+        call(log, 'PUT', '/faults', {'truncate': {'configuration': before}})
+        end = self._region.read_stats(log)['ends']['configuration']
+        say(f'snapshot of {end - before - 1} records is in the log')
+
+    def _measure_idle(self) -> None:
+        time.sleep(_REFRESH)
+        watched = list(self._list_watched())
+        before = [each.read() for each in watched]
+        time.sleep(_WINDOW)
+        say(f'{_WINDOW:.0f} s without requests:')
+        for each, earlier in zip(watched, before, strict=True):
+            say(f'  {each.name:28}: {compare(earlier, each.read())}')
+            memory = read_memory(each.pid) / MIB
+            share = read_share(each.pid) / MIB
+            say(f'  {"":28}  RSS {memory:.1f} MiB, PSS {share:.1f} MiB')
+
+    def _list_watched(self) -> Iterator[Watched]:
+        region = self._region
+        entry = region.entries[0]
+        yield self._watch(entry.child, region.agent_ports, 'links')
+        yield self._watch(entry.child, region.platform_ports, 'platform')
+        for server in self._list_samples():
+            port = int(server.agent_address.rpartition(':')[2])
+            yield self._watch(server.agent, frozenset({port}), 'links')
+
+    def _watch(
+        self, child: Child, ports: Collection[int], what: str = ''
+    ) -> Watched:
+        return Watched(f'{child.name} {what}', get_pid(child), ports)
+
+    def _measure_changes(self, entry: Entry) -> None:
+        singles = [self._time_change(entry, 1) for _ in range(_CHANGES)]
+        shown = ', '.join(f'{each:.2f}' for each in singles)
+        say(f'one change in force in every process after {shown} s')
+        seconds = self._time_change(entry, _BATCH)
+        say(f'{_BATCH} changes in one append: after {seconds:.2f} s')
+
+    def _time_change(self, entry: Entry, count: int) -> float:
+        """Return the seconds from publishing to the last process's log line."""
+        before = time.time()
+        offset = self._region.publish(entry, list(self._make_changes(count)))
+        children = self._list_own()
+        wait_until(
+            lambda: all(find_applied(each, offset) for each in children),
+            f'{offset} is applied everywhere',
+            seconds=30,
+        )
+        return max(find_applied(each, offset) for each in children) - before
+
+    def _make_changes(self, count: int) -> Iterator[Any]:
+        for _ in range(count):
+            self._fresh += 1
+            yield {
+                'kind': 'team',
+                'name': f'fresh-{self._fresh}',
+                'expected': 0,
+                'spec': {'labels': {'region': 'costa'}},
+            }
+
+    def _list_own(self) -> list[Child]:
+        agents = [server.agent for server in self._region.servers]
+        return agents + [entry.child for entry in self._region.entries]
+
+    def _measure_replacement(self, entry: Entry) -> None:
+        server = next(self._list_samples())
+        used = read_processor(get_pid(server.agent))
+        entry.child.kill()
+        started = time.monotonic()
+        entry.child.start()
+        self._region.wait_entry(entry)
+        self._tell_start('an entry killed and replaced', entry, started)
+        self._wait_all(entry, 'its view is full')
+        used = read_processor(get_pid(server.agent)) - used
+        say(f'  processor time of {server.name} meanwhile: {used:.2f} s')
+
+    def _measure_agent(self, entry: Entry) -> None:
+        """Kill one agent and start it again."""
+        server = next(self._list_samples())
+        before = read_processor(get_pid(entry.child))
+        server.agent.kill()
+        started = time.monotonic()
+        server.agent.start()
+        self._wait_listed(entry, server)
+        seconds = time.monotonic() - started
+        pid = get_pid(server.agent)
+        say(
+            f'an agent killed and replaced: {seconds:.1f} s until it serves '
+            f'with the whole configuration, {read_processor(pid):.1f} s of '
+            'processor time; of the entry '
+            f'{read_processor(get_pid(entry.child)) - before:.2f} s'
+        )
+        show_memory(f'  agent {server.name}', server.agent)
+
+    def _wait_listed(self, entry: Entry, server: Server) -> None:
+        started = time.time()
+        wait_until(
+            lambda: find_started(server.agent) > 0, 'the agent runs', seconds=60
+        )
+        offset = self._region.read_status(entry)['offset']
+        wait_until(
+            lambda: find_applied(server.agent, offset) > started,
+            'the agent has the configuration',
+            seconds=60,
+        )
+        self._region.wait_reach(entry, offset)
+
+    def _show_all(self) -> None:
+        own = self._list_own()
+        rss = sorted(read_memory(get_pid(each)) for each in own)
+        shared = sum(read_share(get_pid(each)) for each in own)
+        say(
+            f'{len(own)} processes: RSS {rss[0] / MIB:.1f} to '
+            f'{rss[-1] / MIB:.1f} MiB, median {rss[len(rss) // 2] / MIB:.1f}; '
+            f'PSS together {shared / MIB / 1024:.2f} GiB; '
+            f'{len(self._region.children)} processes in all'
+        )
+
+
+def find_started(child: Child) -> float:
+    """Return when a process last wrote that it runs, in seconds."""
+    return max(
+        (
+            float(line['at']) / 1_000
+            for line in read_lines(child.log)
+            if line.get('event') == 'process_started'
+        ),
+        default=0.0,
+    )
+
+
+def find_applied(child: Child, offset: int) -> float:
+    """Return when a process first had an offset, in seconds, 0 for not yet."""
+    for line in read_lines(child.log):
+        if line.get('event') != 'configuration_applied':
+            continue
+        if int(line['offset']) >= offset:
+            return float(line['at']) / 1_000
+    return 0.0
+
+
+def read_lines(path: Path) -> list[dict[str, str]]:
+    """Read the lines of an event log since the last start."""
+    found: list[dict[str, str]] = []
+    for text in path.read_text(errors='replace').splitlines():
+        line = parse_line(text)
+        if line.get('event') == 'process_started':
+            found.clear()
+        found.append(line)
+    return found
+
+
+def get_pid(child: Child) -> int:
+    """Return the process id of a started child."""
+    if child.process is None:
+        raise ValueError(f'{child.name} was never started')
+    return child.process.pid
+
+
+def show_memory(what: str, child: Child) -> None:
+    """Print what a process holds and held at most."""
+    pid = get_pid(child)
+    say(
+        f'{what}: RSS {read_memory(pid) / MIB:.1f} MiB, at most '
+        f'{read_peak(pid) / MIB:.1f}, PSS {read_share(pid) / MIB:.1f}'
+    )
+
+
+def say(text: str) -> None:
+    """Print a line at once."""
+    print(text, flush=True)
+
+
+def main() -> None:
+    """Run once with the sizes given."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--engines', type=int, default=135)
+    parser.add_argument('--plains', type=int, default=35)
+    parser.add_argument('--stores', type=int, default=20)
+    parser.add_argument('--teams', type=int, default=42_000)
+    options = parser.parse_args()
+    layout = make_layout(options.engines, options.plains, options.stores)
+    started = time.monotonic()
+    with Region(layout, DIRECTORY, teams=options.teams) as region:
+        Run(region).run()
+    say(f'{time.monotonic() - started:.0f} s in all')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import anyio
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.core import Core
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
+from oleanderdyke.kernel.catalog import START_OFFSET
 from oleanderdyke.links.link import Link
 from oleanderdyke.links.messages import (
     ConfigurationDifference,
@@ -19,6 +22,7 @@
 _PUSH_AGAIN: Millis = 2 * SECOND
 _SNAPSHOT_CHECK: Millis = 5 * SECOND
 _CHUNKS_AT_ONCE = 16
+_SNAPSHOTS_AT_ONCE = 2
 
 
 class ConfigurationFeed:
@@ -29,6 +33,8 @@
         self._client = client
         self._pushed: dict[str, tuple[int, Millis]] = {}
         self._links: dict[str, Link] = {}
+        self._filling: set[Link] = set()
+        self._snapshots = anyio.Semaphore(_SNAPSHOTS_AT_ONCE)
 
     def take_page(self, page: LogPage) -> None:
         """Take a page of the log."""
@@ -61,9 +67,16 @@
             self._push(link, offset)
 
     def answer(self, link: Link, request: ConfigurationRequest) -> None:
-        """Send a peer what it asks for."""
-        messages = tuple(self._core.reader.answer(request))
-        self._core.spawn(_send_all, link, messages)
+        """Send a peer what it asks for, one snapshot to it at a time."""
+        if self._core.catalog.difference(request.after) is not None:
+            messages = tuple(self._core.reader.answer(request))
+            self._core.spawn(_send_all, link, messages)
+        elif link in self._filling:
+            nothing = ConfigurationDifference(request.after, START_OFFSET)
+            self._core.spawn(_send_all, link, (nothing,))
+        else:
+            self._filling.add(link)
+            self._core.spawn(self._fill, link, request)
 
     def take_difference(
         self, link: Link, message: ConfigurationDifference
@@ -98,6 +111,18 @@
                 EventName.SNAPSHOT_APPENDED, offset=offset, records=len(chunks)
             )
 
+    async def _fill(self, link: Link, request: ConfigurationRequest) -> None:
+        """Send a snapshot, a few peers at once, encoding as it goes out."""
+        try:
+            async with self._snapshots:
+                view = self._core.fleet.find_view(link.peer.process)
+                has = START_OFFSET if view is None else view.offset
+                # Another entry may have helped while this one was busy.
+                asked = ConfigurationRequest(max(request.after, has))
+                await _send_all(link, self._core.reader.answer(asked))
+        finally:
+            self._filling.discard(link)
+
     def _push(self, link: Link, offset: int) -> None:
         core, process = self._core, link.peer.process
         pushed, at = self._pushed.get(process, (-1, 0.0))
@@ -125,10 +150,12 @@
 
 async def _send_all(
     link: Link,
-    messages: tuple[ConfigurationDifference | ConfigurationRequest, ...],
+    messages: Iterable[ConfigurationDifference | ConfigurationRequest],
 ) -> None:
     try:
         for message in messages:
             await link.send(message)
+            # Building the next one takes a while, and a send may not wait.
+            await anyio.sleep(0)
     except OleanderError:
         return
--- a/src/oleanderdyke/kernel/catalog.py
+++ b/src/oleanderdyke/kernel/catalog.py
@@ -6,7 +6,7 @@
 import sys
 from collections import deque
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from oleanderdyke.kernel.objects import (
     Change,
@@ -17,9 +17,11 @@
 )
 from oleanderdyke.kernel.records import (
     PackedChange,
+    SnapshotChunk,
     Unreadable,
     decode_record,
     encode_change,
+    encode_chunk,
 )
 from oleanderdyke.kernel.snapshots import (
     START_OFFSET,
@@ -99,6 +101,9 @@
         elif isinstance(record, Unreadable):
             self.skipped += 1
             self.skipped_reason = f'offset {offset}: {record.reason}'
+        elif isinstance(record, SnapshotChunk):
+            # A peer needs its place in the log only, not the whole state.
+            data = encode_chunk(replace(record, items=b'', digest=b''))
         self.offset = offset
         self._keep(offset, data)
         return outcome
