Repair the directory by the numbered log

Cause: an entry asked for the full list wherever it missed one event, and an agent sent its full list on every new link, although decision 0003 chose the log. Ruled out: a full list for each greeting with the log beside it; a new link costs most where many links are replaced at once. Change: a request names the first event that is missing, or -1 where nothing is known of that incarnation; the agent answers with the events from there on. A greeting names only the next number. An answer asked on an earlier link may be lost, so a greeting is answered by a new request at once.

--- a/src/oleanderdyke/agent/beats.py
+++ b/src/oleanderdyke/agent/beats.py
@@ -57,11 +57,12 @@
         """Tell a new peer everything."""
         outbox.put(self._make_beat())
         if outbox.peer.role is PeerRole.ENTRY:
-            self.list_segments(outbox)
+            # A peer that lacks events asks for them.
+            outbox.put(SegmentEvents(self._role.segments.next_number))
 
-    def list_segments(self, outbox: Outbox) -> None:
-        """Send the full list of segments."""
-        _put_all(outbox, self._role.segments.list_all())
+    def list_segments(self, outbox: Outbox, after: int = -1) -> None:
+        """Send the segment events from a number on, or the whole set."""
+        _put_all(outbox, self._role.segments.list_after(after))
 
     def _make_beat(self) -> Heartbeat:
         self._sequence += 1
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -308,9 +308,9 @@
             return
 
     def _on_list_request(
-        self, outbox: Outbox, _message: SegmentListRequest
+        self, outbox: Outbox, message: SegmentListRequest
     ) -> None:
-        self._beats.list_segments(outbox)
+        self._beats.list_segments(outbox, message.after)
 
     def _on_cancel(self, outbox: Outbox, message: Cancel) -> None:
         self._role.stop_read(outbox, message.request)
--- a/src/oleanderdyke/kernel/directory.py
+++ b/src/oleanderdyke/kernel/directory.py
@@ -31,7 +31,8 @@
     """Map segments to agents from numbered events.
 
     A message with `full` holds the effect of every event before its `first`;
-    the next event then has the number `first`. Numbering starts at 0.
+    the next event then has the number `first`. Numbering starts at 0. One
+    without any event tells, on a new link, which number comes next.
     """
 
     def __init__(self) -> None:
@@ -56,7 +57,7 @@
             self._replace(agent, events)
             return None
         if events.first > (source.following or 0):
-            return _ask(source, now)
+            return _ask(source, events, now)
         self._follow(source, events)
         return None
 
@@ -118,14 +119,21 @@
         for segment in events.removed:
             self._table.remove(_to_key(segment), source.number)
         source.following = following
+        source.asked_at = None
 
 
-def _ask(source: _Source, now: Millis) -> SegmentListRequest | None:
+def _ask(
+    source: _Source, events: SegmentEvents, now: Millis
+) -> SegmentListRequest | None:
     asked_at = source.asked_at
-    if asked_at is not None and now - asked_at < _ASK_AGAIN:
+    greets = not (events.added or events.removed)
+    waits = asked_at is not None and now - asked_at < _ASK_AGAIN
+    # An answer to what was asked on an earlier link may be lost.
+    if waits and not greets:
         return None
     source.asked_at = now
-    return SegmentListRequest()
+    after = -1 if source.following is None else source.following
+    return SegmentListRequest(after)
 
 
 def _to_key(segment: SegmentHint) -> int:
