Count the crash of a server that restarts between two probes

Cause: a backend server that crashed and answered the next probe was taken as alive; its runs failed 'maybe' and left no suspects. Found by reading. The test on real processes then found that a suspect kept a server reserved for 30 heartbeats after it ran elsewhere, so that innocents ran out of tries beside idle servers. Ruled out: counting every lost connection, which quarantines innocents; asking the server for its start time, which the engines don't tell. Change: beside engines and stores the agent holds an idle connection, which ends with the process. A run whose connection breaks is judged by it: ended means a crash of all runs, living means backend_failed and no suspect, and where none was held the run alone is a suspect. A plain service may serve one connection at a time, so none is held there. A suspect that was cancelled or cut off alone is no longer cleared. A reservation is renewed by each try and lapses after 4 heartbeats. What never reached the server bars its claim. A stand-in can replace a crashed process while its port stays open. With two engines that both load weights an innocent still gets no_replica; that is decided in the entry and is not changed here.

--- /dev/null
+++ b/src/oleanderdyke/agent/failures.py
@@ -0,0 +1,55 @@
+"""Say how an attempt failed, and whether it may have run."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from oleanderdyke.agent.run import Run
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.stream_buffer import Reader
+from oleanderdyke.links.messages import Failed
+from oleanderdyke.platform.http import HttpError
+
+
+def find_ran(run: Run, error: OleanderError) -> Ran:
+    """Tell whether a failed run may have had an effect."""
+    if not run.forwarded:
+        return Ran.NO
+    if isinstance(error, HttpError) and not run.started:
+        return error.ran
+    return Ran.MAYBE
+
+
+def may_have_run(run: Run, error: OleanderError) -> bool:
+    """Tell whether a run that broke off may have had an effect."""
+    return not run.stopped and find_ran(run, error) is Ran.MAYBE
+
+
+def make_broken() -> OleanderError:
+    """Build the error of a run that a living server broke off."""
+    return OleanderError(
+        ErrorKind.BACKEND_FAILED, 'the backend server broke off its answer'
+    )
+
+
+def make_late(run: Run) -> OleanderError:
+    """Build the error of a run that took too long."""
+    return OleanderError(
+        ErrorKind.DEADLINE, f'no answer within {run.dispatch.deadline:.0f} ms'
+    )
+
+
+def address(failed: Failed, reader: Reader) -> Failed:
+    """Address a failure to the reader of a stream."""
+    return replace(failed, request=reader.request, attempt=reader.attempt)
+
+
+def make_gone(reader: Reader) -> Failed:
+    """Build the failure of a stream that nobody takes."""
+    return Failed(
+        reader.request,
+        reader.attempt,
+        ErrorKind.STREAM_BROKEN,
+        Ran.MAYBE,
+        'nothing was taken from the stream for too long',
+    )
--- a/src/oleanderdyke/agent/health.py
+++ b/src/oleanderdyke/agent/health.py
@@ -55,6 +55,13 @@
             await self._note_answered()
             return self.alive
 
+    async def lose(self) -> None:
+        """Take a server as lost that may answer again already."""
+        async with self._lock:
+            if self.alive:
+                self.alive = False
+                await self._on_lost()
+
     async def _note_answered(self) -> None:
         self._missed = 0
         if self.alive:
--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -3,17 +3,25 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
-from dataclasses import replace
 from typing import Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
 from oleanderdyke.agent.body import RequestBody
+from oleanderdyke.agent.failures import (
+    address,
+    find_ran,
+    make_broken,
+    make_gone,
+    make_late,
+    may_have_run,
+)
 from oleanderdyke.agent.forward import Forwarder
 from oleanderdyke.agent.outbox import Outbox
 from oleanderdyke.agent.run import Run, RunKey
 from oleanderdyke.agent.settings import RunSettings
+from oleanderdyke.agent.watch import Ending
 from oleanderdyke.clock import SECOND, Clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
@@ -59,7 +67,8 @@
         tasks: TaskGroup,
         events: EventLog,
         ledger: WorkLedger,
-        check_alive: Callable[[], Awaitable[bool]],
+        judge_loss: Callable[[], Awaitable[Ending]],
+        tell_suspects: Callable[[], None],
     ) -> None:
         self._gate = gate
         self._streams = streams
@@ -70,7 +79,8 @@
         self._tasks = tasks
         self._events = events
         self._ledger = ledger
-        self._check_alive = check_alive
+        self._judge_loss = judge_loss
+        self._tell_suspects = tell_suspects
         self._forwarder: Forwarder | None = None
         self._runs: dict[RunKey, Run] = {}
         self._streaming: dict[StreamBuffer, Run] = {}
@@ -188,7 +198,7 @@
             run = self._streaming.pop(buffer, None)
             if reader is not None:
                 self._readers.pop(reader, None)
-                self.send(reader, (_make_gone(reader),))
+                self.send(reader, (make_gone(reader),))
             if run is not None:
                 run.buffer = None
                 self._abandon(run, cancel=run.is_droppable)
@@ -200,7 +210,7 @@
             run = self._runs.get((failed.request, failed.attempt))
             if run is None:
                 continue
-            told.append((run.reader, _address(failed, run.reader)))
+            told.append((run.reader, address(failed, run.reader)))
             self._end_unanswered(run, failed.kind)
         return tuple(told)
 
@@ -265,7 +275,7 @@
             await self._fail(run, error)
             return
         if not run.stopped:
-            self._stop(run, _make_late(run))
+            self._stop(run, make_late(run))
 
     def _find_deadline(self, run: Run) -> float:
         bound = self._settings.limit
@@ -282,21 +292,36 @@
             await run.wait_changed()
 
     async def _fail(self, run: Run, error: OleanderError) -> None:
-        if isinstance(error, HttpError) and not run.stopped:
-            # A crash ends the run with the others, as a suspect.
-            await self._check_alive()
+        if not isinstance(error, HttpError) or run.stopped:
+            self._stop(run, error)
+            return
+        # A crash ends the run with the others, as a suspect.
+        ending = await self._judge_loss()
+        if not may_have_run(run, error):
+            self._stop(run, error)
+            return
+        if ending is Ending.LIVES:
+            self._stop(run, make_broken())
+            return
+        self._suspect(run)
         self._stop(run, error)
 
+    def _suspect(self, run: Run) -> None:
+        self._gate.lose(*run.key, self._clock.now())
+        # Whoever learns of the lost run must know its suspect before.
+        self._tell_suspects()
+
     def _stop(self, run: Run, error: OleanderError) -> None:
         if run.stopped:
             return
         reader = run.reader
-        self._gate.finish(*run.key, None)
+        ran = find_ran(run, error)
+        if ran is Ran.NO:
+            self._gate.bar(*run.key)
+        self._gate.finish(*run.key, None, served=False)
         self._end_unanswered(run, error.kind)
-        failed = Failed(
-            *run.key, error.kind, _find_ran(run, error), error.message
-        )
-        self.send(reader, (_address(failed, reader),))
+        failed = Failed(*run.key, error.kind, ran, error.message)
+        self.send(reader, (address(failed, reader),))
 
     def _end_unanswered(self, run: Run, kind: ErrorKind) -> None:
         run.stopped = True
@@ -314,7 +339,7 @@
         self._drop_stream(run)
         if cancel and not run.stopped:
             run.stopped = True
-            self._gate.finish(*run.key, None)
+            self._gate.finish(*run.key, None, served=False)
             run.scope.cancel()
 
     def _drop_stream(self, run: Run) -> None:
@@ -365,31 +390,3 @@
             ran=failed.ran.value,
         )
         outbox.put(failed)
-
-
-def _find_ran(run: Run, error: OleanderError) -> Ran:
-    if not run.forwarded:
-        return Ran.NO
-    if isinstance(error, HttpError) and not run.started:
-        return error.ran
-    return Ran.MAYBE
-
-
-def _make_late(run: Run) -> OleanderError:
-    return OleanderError(
-        ErrorKind.DEADLINE, f'no answer within {run.dispatch.deadline:.0f} ms'
-    )
-
-
-def _address(failed: Failed, reader: Reader) -> Failed:
-    return replace(failed, request=reader.request, attempt=reader.attempt)
-
-
-def _make_gone(reader: Reader) -> Failed:
-    return Failed(
-        reader.request,
-        reader.attempt,
-        ErrorKind.STREAM_BROKEN,
-        Ran.MAYBE,
-        'nothing was taken from the stream for too long',
-    )
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -23,6 +23,7 @@
 from oleanderdyke.agent.roles import Role as AgentRole
 from oleanderdyke.agent.runs import Runs
 from oleanderdyke.agent.settings import AgentSettings
+from oleanderdyke.agent.watch import Ending, ProcessWatch
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.errors import ErrorKind
 from oleanderdyke.events import EventName
@@ -88,6 +89,7 @@
         self._outboxes: dict[str, Outbox] = {}
         self._link_numbers = count(1)
         self._backend = Backend(settings.backend)
+        self._watch = ProcessWatch(settings.backend, clock=clock)
         self._quarantine = make_quarantine(QuarantineSettings())
         self._configuration = Configuration(
             clock=clock, random=random, events=events
@@ -119,7 +121,8 @@
             tasks=tasks,
             events=events,
             ledger=self._departure,
-            check_alive=self._check_alive,
+            judge_loss=self._judge_loss,
+            tell_suspects=self._tell_suspects,
         )
         self._role = self._make_role(random, client_tls)
         self._runs.set_forwarder(
@@ -155,6 +158,7 @@
         """Serve until the drain is over."""
         loops: Sequence[Loop] = (
             self._health.run,
+            self._watch.run,
             self._run_beats,
             self._run_expiry,
             *self._role.loops,
@@ -326,8 +330,15 @@
         self._events.write(EventName.DRAIN_STARTED, operator=message.operator)
         self._departure.signal()
 
-    async def _check_alive(self) -> bool:
-        return await self._health.check()
+    async def _judge_loss(self) -> Ending:
+        ending = await self._watch.judge()
+        if ending is Ending.ENDED:
+            await self._health.lose()
+        await self._health.check()
+        return ending
+
+    def _tell_suspects(self) -> None:
+        self._beats.send()
 
     async def _on_up(self) -> None:
         await self._role.open()
@@ -339,6 +350,7 @@
         self._events.write(EventName.BACKEND_LOST)
         self._beats.set_phase(AgentPhase.STARTING)
         told = self._runs.crash()
+        self._watch.renew()
         self._role.close()
         # Whoever learns of a lost run must know its suspects before.
         self._beats.send()
--- /dev/null
+++ b/src/oleanderdyke/agent/watch.py
@@ -0,0 +1,96 @@
+"""Notice the end of a backend server's process between two probes."""
+
+from __future__ import annotations
+
+import enum
+
+import anyio
+from anyio.abc import SocketStream
+
+from oleanderdyke.agent.settings import BackendSettings
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.links.messages import BackendKind
+
+_SETTLE: Millis = 250.0
+_READ_BYTES = 1024
+
+
+class Ending(enum.StrEnum):
+    """Say what became of a process that broke off a connection."""
+
+    ENDED = 'ended'
+    LIVES = 'lives'
+    UNKNOWN = 'unknown'
+
+
+class ProcessWatch:
+    """Hold an idle connection, which ends where its process does.
+
+    A process that restarts between two probes answers every probe, but can't
+    keep this connection. A plain service may serve one connection at a time,
+    so none is held there.
+    """
+
+    def __init__(self, settings: BackendSettings, *, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._held: anyio.CancelScope | None = None
+        self._ended_at: Millis | None = None
+        self._changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Hold a connection until cancelled."""
+        if self._settings.kind is BackendKind.PLAIN:
+            return
+        while True:
+            await self._hold()
+            await anyio.sleep(self._settings.probe_interval / SECOND)
+
+    async def judge(self) -> Ending:
+        """Tell, once a run's connection broke, whether the process ended."""
+        if self._held is not None and not self._ended_lately():
+            with anyio.move_on_after(_SETTLE / SECOND):
+                await self._changed.wait()
+        if self._ended_lately():
+            return Ending.ENDED
+        return Ending.UNKNOWN if self._held is None else Ending.LIVES
+
+    def renew(self) -> None:
+        """Forget what was held or ended; a server was lost."""
+        self._ended_at = None
+        if self._held is not None:
+            self._held.cancel()
+
+    async def _hold(self) -> None:
+        stream = await self._connect()
+        if stream is None:
+            return
+        with anyio.CancelScope() as self._held:
+            await _wait_end(stream)
+            self._ended_at = self._clock.now()
+        self._held = None
+        self._changed.set()
+        self._changed = anyio.Event()
+        await anyio.aclose_forcefully(stream)
+
+    async def _connect(self) -> SocketStream | None:
+        host, _, port = self._settings.address.rpartition(':')
+        try:
+            with anyio.fail_after(self._settings.connect_timeout / SECOND):
+                return await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError):
+            return None
+
+    def _ended_lately(self) -> bool:
+        ended_at = self._ended_at
+        return ended_at is not None and (
+            self._clock.now() - ended_at <= _SETTLE
+        )
+
+
+async def _wait_end(stream: SocketStream) -> None:
+    try:
+        while True:
+            await stream.receive(_READ_BYTES)
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return
--- a/src/oleanderdyke/kernel/alone.py
+++ b/src/oleanderdyke/kernel/alone.py
@@ -6,8 +6,9 @@
 class AloneLane:
     """Keep a server for one suspect, from its first try until its end.
 
-    A reservation lapses after some heartbeats, so that an entry that never
-    comes back can't keep the server empty.
+    Each try of the suspect renews its reservation, which lapses after some
+    heartbeats without one: a suspect that ran elsewhere, or was quarantined
+    meanwhile, keeps nobody out.
     """
 
     def __init__(self, *, reserve_beats: int) -> None:
@@ -29,6 +30,7 @@
         """Tell whether a suspect may enter now; else reserve for it."""
         if not self._is_reserved():
             self._reserved_for = digest
+        if self._reserved_for == digest:
             self._reserved_until = self._beat + self._reserve_beats
         return running == 0 and self._reserved_for == digest
 
--- a/src/oleanderdyke/kernel/gate_terms.py
+++ b/src/oleanderdyke/kernel/gate_terms.py
@@ -35,4 +35,4 @@
     concurrency: int = 0
     claims: int = 20_000
     answer_bytes: int = 8 * 1024 * 1024
-    reserve_beats: int = 30
+    reserve_beats: int = 4
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -4,7 +4,9 @@
 
 import argparse
 import contextlib
+import ctypes
 import dataclasses
+import os
 import signal
 import socket
 from collections.abc import AsyncGenerator, Callable, Generator, Sequence
@@ -18,6 +20,7 @@
 _KEEP_ALIVE_SECONDS = 600
 _SHUTDOWN_SECONDS = 1
 _START_POLL_SECONDS = 0.005
+_DEATH_SIGNAL = 1
 
 SettingsT = TypeVar('SettingsT')
 
@@ -59,10 +62,13 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    *apps: Any, ports: Sequence[int] = ()
+    *apps: Any,
+    ports: Sequence[int] = (),
+    sockets: Sequence[socket.socket] = (),
 ) -> AsyncGenerator[tuple[str, ...], None]:
     """Serve apps on this loop; yield their addresses in order."""
-    listeners = [_listen(port) for port in ports or (0,) * len(apps)]
+    wanted = ports or (0,) * len(apps)
+    listeners = sockets or [_listen(port) for port in wanted]
     servers = [_make_server(app) for app in apps]
     async with anyio.create_task_group() as group:
         for server, listener in zip(servers, listeners, strict=True):
@@ -93,19 +99,47 @@
     make_app: Callable[[SettingsT], Any],
     argv: Sequence[str] | None = None,
 ) -> None:
-    """Run one app for each `--port` until SIGTERM; print the addresses."""
+    """Run one app for each `--port` until SIGTERM; print the addresses.
+
+    With `--respawn 1` a process that crashed is replaced at once while its
+    ports stay open, and each crash is printed.
+    """
     parser = argparse.ArgumentParser(prog=name)
     parser.add_argument('--port', type=int, action='append')
+    parser.add_argument('--respawn', type=int, default=0)
     add_settings(parser, settings_type)
     options = vars(parser.parse_args(argv))
     ports = options.pop('port') or [0]
+    sockets = [_listen(port) for port in ports]
+    if options.pop('respawn'):
+        _fork_until_stopped()
     apps = [make_app(settings_type(**options)) for _ in ports]
-    anyio.run(_serve_until_signal, apps, ports)
+    anyio.run(_serve_until_signal, apps, sockets)
+
+
+def _fork_until_stopped() -> None:
+    """Return in each new child; the parent leaves with the last one."""
+    while True:
+        child = os.fork()
+        if not child:
+            # The child ends with its parent, however that ends.
+            ctypes.CDLL(None).prctl(_DEATH_SIGNAL, signal.SIGKILL)
+            return
+        if _wait_child(child) <= 0:
+            os._exit(0)
+        print('crashed', flush=True)
 
 
-async def _serve_until_signal(apps: list[Any], ports: list[int]) -> None:
+def _wait_child(child: int) -> int:
+    signal.signal(signal.SIGTERM, lambda *_: os.kill(child, signal.SIGTERM))
+    return os.waitstatus_to_exitcode(os.waitpid(child, 0)[1])
+
+
+async def _serve_until_signal(
+    apps: list[Any], sockets: list[socket.socket]
+) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with serving(*apps, ports=ports) as addresses:
+        async with serving(*apps, sockets=sockets) as addresses:
             for address in addresses:
                 print(f'ready {address}', flush=True)
             async for _ in signals:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -275,6 +275,24 @@
     assert gate.admit(make_dispatch('good', attempt=4), 0.0) == Pass()
 
 
+def test_suspect_that_went_elsewhere_keeps_no_other_out():
+    gate = make_gate()
+    for request in ('bad', 'good'):
+        gate.admit(make_dispatch(request), 0.0)
+    gate.crash(0.0)
+    gate.admit(make_dispatch('long'), 0.0)
+    refuse(gate, make_dispatch('bad', attempt=2))
+    for step in range(2, 7):
+        gate.note_beat(BEAT + step)
+        refuse(gate, make_dispatch('good', attempt=step))
+        refuse(gate, make_dispatch('bad', attempt=step + 1))
+    gate.finish('long', 1, None)
+    good = make_dispatch('good', attempt=12)
+    assert refuse(gate, good)[0] is ErrorKind.OVERLOADED
+    gate.note_beat(BEAT + 10)
+    assert gate.admit(make_dispatch('good', attempt=13), 0.0) == Pass()
+
+
 def test_copies_lost_by_one_crash_count_once():
     quarantine = make_quarantine(QuarantineSettings())
     gate = make_gate(quarantine=quarantine)
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,128 @@
+"""Hold on real processes that a poison request crashes at most two servers."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+from concurrent.futures import Executor, ThreadPoolExecutor
+
+import pytest
+
+from examples.demo import make_token, publish, wait_served
+from oleanderdyke.links.messages import BackendKind
+from tests.calls import Reply, call, make_chat
+from tests.deployment import Deployment, load_layout
+from tests.processes import wait_until
+
+pytestmark = pytest.mark.xdist_group('poison')
+
+MODEL = 'asistente'
+TEAM = make_token('visitantes')
+# Two may crash and load their weights at once; one is left to serve.
+SIZES = {BackendKind.ENGINE: 3, BackendKind.PLAIN: 1, BackendKind.STORE: 1}
+INNOCENTS = 6
+
+
+@pytest.fixture(scope='module')
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    layout = load_layout('agency')
+    small = tuple(
+        dataclasses.replace(item, count=SIZES[item.kind])
+        for item in layout.backends[:3]
+    )
+    # A crashed engine answers the next probe, since its port stays open.
+    with Deployment(
+        dataclasses.replace(layout, backends=small),
+        tmp_path_factory.mktemp('deployment'),
+        entries=2,
+        options={'engine': {'respawn': 1}},
+    ) as running:
+        publish(running)
+        running.wait_ready()
+        wait_served(running, MODEL, 'visitantes')
+        yield running
+
+
+def send(deployment: Deployment, entry: int, text: str, count: int) -> Reply:
+    return call(
+        deployment.entries[entry % 2].address,
+        'POST',
+        '/v1/chat/completions',
+        make_chat(MODEL, text, max_tokens=count, stream=False),
+        token=TEAM,
+    )
+
+
+def count_crashes(deployment: Deployment) -> int:
+    return sum(
+        server.backend.output.read_text().count('crashed')
+        for server in deployment.find(MODEL)
+    )
+
+
+def count_running(deployment: Deployment) -> int:
+    return sum(
+        call(server.address, 'GET', '/load').json['running']
+        for server in deployment.find(MODEL)
+    )
+
+
+def is_refused(
+    deployment: Deployment, pool: Executor, text: str, at_once: int
+) -> bool:
+    """Send a poison through every entry; tell whether all have learned."""
+    kinds = set()
+    for start in range(0, 2, at_once):
+        sent = [
+            pool.submit(send, deployment, start + each, text, 8)
+            for each in range(at_once)
+        ]
+        for each in sent:
+            assert each.result().status != 200
+            kinds.add(each.result().json['error']['kind'])
+    return kinds == {'quarantined'}
+
+
+@pytest.mark.parametrize('at_once', [1, 2])
+def test_poison_crashes_two_servers_at_most_and_innocents_are_served(
+    deployment: Deployment, at_once: int
+) -> None:
+    before = count_crashes(deployment)
+    with ThreadPoolExecutor(INNOCENTS + at_once) as pool:
+        innocents = [
+            pool.submit(
+                send, deployment, each, f'innocent {each} of {at_once}', 100
+            )
+            for each in range(INNOCENTS)
+        ]
+        wait_until(
+            lambda: count_running(deployment) == INNOCENTS, 'all innocents run'
+        )
+        wait_until(
+            lambda: is_refused(deployment, pool, f'POISON {at_once}', at_once),
+            'every entry refuses the poison',
+        )
+        answers = [each.result() for each in innocents]
+    refused = [each.json['error'] for each in answers if each.status != 200]
+    assert not refused
+    assert 1 <= count_crashes(deployment) - before <= 2
+
+
+def test_a_living_server_that_breaks_off_makes_no_suspect(
+    deployment: Deployment,
+) -> None:
+    before = count_crashes(deployment)
+    for server in deployment.find(MODEL):
+        deployment.set_faults(server.address, cut_after=2)
+    try:
+        replies = [send(deployment, each, 'cut off', 8) for each in range(4)]
+    finally:
+        for server in deployment.find(MODEL):
+            deployment.set_faults(server.address)
+    kinds = {each.json['error']['kind'] for each in replies}
+    assert kinds == {'backend_failed'}
+    for entry in range(2):
+        assert send(deployment, entry, 'cut off', 8).status == 200
+    assert count_crashes(deployment) == before
