--- /dev/null
+++ b/bench/fetch.py
@@ -0,0 +1,367 @@
+"""Measure how kept context comes back through real agents.
+
+Run `python -m bench.fetch`. It starts a store, an engine and their agents as
+processes, dispatches prompts whose segments lie in the store, and reports the
+time from dispatch to first token, link bytes and processor time. `--against
+DIRECTORY` measures the agents of another source tree in turns with these.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import tempfile
+import time
+from collections.abc import AsyncGenerator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import asdict, dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+import anyio
+import yaml
+
+from oleanderdyke.kernel.blocks import (
+    digest_segment,
+    make_namespace,
+    split_segments,
+)
+from oleanderdyke.kernel.store_meta import (
+    META_SUFFIX,
+    SealedMeta,
+    encode_meta,
+)
+from oleanderdyke.links.dialer import dial
+from oleanderdyke.links.link import LinkSettings
+from oleanderdyke.links.messages import FetchPlan, Hello, Role
+from oleanderdyke.platform.http import HttpBackend
+from tests.agents import CLOCK, TEAM, FakeEntry, make_world, wait_until
+from tests.processes import LOOPBACK, ROOT, Child, Ports, accepts
+from tests.processes import wait_until as wait_for
+from tests.standins import cache, weights
+
+_SERVICE = 'asistente'
+_DIGEST = weights.make_digest('modelo', '1')
+_NAMESPACE = make_namespace(TEAM, _SERVICE, 'modelo', _DIGEST, '')
+_TAIL = 'x' * 900
+_NANOS = 1e6
+_PAUSE = 0.05
+_QUANTILE = 0.9
+_START = """
+import runpy, sys
+sys.path.insert(0, {tree!r})
+runpy.run_module('oleanderdyke.agent.main', run_name='__main__')
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Size the run; a rate of zero means no bound."""
+
+    rounds: int = 40
+    segments: int = 19
+    link: float = 8e6
+    prefill: float = 20_000.0
+    readers: int = 1
+
+
+@dataclass(slots=True)
+class Figures:
+    """Hold what one source tree's agents were measured at."""
+
+    first_token: list[float] = field(default_factory=list)
+    recomputed: list[int] = field(default_factory=list)
+    link_bytes: int = 0
+    read_bytes: int = 0
+    processor: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Side:
+    """Hold the processes that one source tree is measured in."""
+
+    name: str
+    store: str
+    engine: str
+    keeper: str
+    agents: dict[str, Child]
+    entry: FakeEntry
+    figures: Figures = field(default_factory=Figures)
+
+
+def make_text(number: int, size: Size) -> str:
+    """Return a prompt that fills the given segments and a little more."""
+    line = f'regla {number:06d}; '
+    length = size.segments * cache.SEGMENT_BYTES
+    head = (line * (length // len(line) + 1))[: length - len('user\0')]
+    return head + _TAIL
+
+
+def split_text(text: str) -> tuple[bytes, ...]:
+    """Return the segments of a prompt."""
+    return split_segments(_NAMESPACE, f'user\0{text}\n'.encode())
+
+
+class Stand:
+    """Start what is measured and drive it."""
+
+    def __init__(self, size: Size, directory: Path) -> None:
+        self._size = size
+        self._directory = directory
+        self._ports = Ports()
+        self._children: list[Child] = []
+
+    def close(self) -> None:
+        """End every process that was started here."""
+        for child in self._children:
+            child.kill()
+        self._ports.close()
+
+    def start_platform(self, count: int) -> tuple[Sequence[str], Sequence[str]]:
+        """Start stand-ins; return the addresses of stores and engines."""
+        weight = self._start_standin('weights', 1)[0]
+        stores = self._start_standin(
+            'store', count, '--link-bytes-per-second', str(self._size.link)
+        )
+        engines = self._start_standin(
+            'engine',
+            count,
+            *('--weights', weight, '--cache-segments', '100000'),
+            *('--prefill-tokens-per-second', str(self._size.prefill)),
+        )
+        return stores, engines
+
+    def _start_standin(
+        self, kind: str, count: int, *options: str
+    ) -> tuple[str, ...]:
+        argv = ['-m', f'tests.standins.{kind}', *options]
+        for _ in range(count):
+            argv += ['--port', str(self._ports.reserve())]
+        child = Child(f'standin-{kind}', argv, self._directory)
+        self._children.append(child)
+        child.start()
+        return child.wait_ready(count)
+
+    def start_agent(
+        self, name: str, kind: str, service: str, address: str, tree: Path
+    ) -> tuple[Child, str]:
+        """Start an agent of a source tree; return it and its address."""
+        port = self._ports.reserve()
+        path = self._directory / f'{name}.yaml'
+        path.write_text(
+            yaml.safe_dump(
+                {
+                    'process': name,
+                    'data_centre': 'dc',
+                    'backend': {
+                        'kind': kind,
+                        'address': address,
+                        'service': service,
+                    },
+                    'listen': {'port': port},
+                }
+            )
+        )
+        code = _START.format(tree=str(tree / 'src'))
+        child = Child(
+            name, ['-c', code, '--settings', str(path)], self._directory
+        )
+        self._children.append(child)
+        child.start()
+        place = f'{LOOPBACK}:{port}'
+        wait_for(lambda: accepts(place), f'{name} listens')
+        return child, place
+
+
+async def fill(address: str, size: Size, count: int) -> None:
+    """Keep the segments of numbered prompts in a store."""
+    store = HttpBackend(address)
+    async with anyio.create_task_group() as tasks:
+        for number in range(count):
+            segments = split_text(make_text(number, size))
+            tasks.start_soon(_fill_one, store, segments[: size.segments])
+
+
+async def _fill_one(store: HttpBackend, segments: Sequence[bytes]) -> None:
+    for segment in segments:
+        data = cache.make_kv(segment)
+        name = f'{segment.hex()}-i-1'
+        meta = SealedMeta(
+            name, _NAMESPACE, segment, len(data), digest_segment(data)
+        )
+        for each, body in (
+            (name, data),
+            (name + META_SUFFIX, encode_meta(meta)),
+        ):
+            await _exchange(store, 'PUT', f'/objects/{each}', body)
+
+
+async def _exchange(
+    http: HttpBackend, method: str, path: str, body: bytes | None = None
+) -> bytes:
+    async with http.request(method, path, body=body) as answer:
+        return await answer.read(1 << 24)
+
+
+@asynccontextmanager
+async def _enter(
+    stand: Stand, name: str, tree: Path, store: str, engine: str
+) -> AsyncGenerator[Side, None]:
+    keeper, keeper_at = stand.start_agent(
+        f'{name}-store', 'store', 'memoria', store, tree
+    )
+    agent, agent_at = stand.start_agent(
+        f'{name}-engine', 'engine', _SERVICE, engine, tree
+    )
+    world = make_world(_DIGEST)
+    async with anyio.create_task_group() as tasks:
+        keeping = await _dial(keeper_at, world)
+        tasks.start_soon(keeping.read)
+        await keeping.wait_serving()
+        entry = await _dial(agent_at, world)
+        tasks.start_soon(entry.read)
+        await wait_until(lambda: entry.beat is not None)
+        await entry.tell_offset()
+        await entry.wait_weights(_DIGEST)
+        agents = {'engine agent': agent, 'store agent': keeper}
+        yield Side(name, store, engine, keeper_at, agents, entry)
+        tasks.cancel_scope.cancel()
+
+
+async def _dial(address: str, world: Any) -> FakeEntry:
+    hello = Hello(1, Role.ENTRY, 'bench', 'i', 'dc', world.reader.offset)
+    link = await dial(address, hello, settings=LinkSettings(), clock=CLOCK)
+    return FakeEntry(link, world)
+
+
+async def ask(side: Side, size: Size, number: int) -> None:
+    """Ask one prompt and note when its first token came."""
+    text = make_text(number, size)
+    segments = split_text(text)
+    kept = segments[: size.segments]
+    plan = FetchPlan('memoria', side.keeper, kept)
+    chat = side.entry.make_chat(f'{side.name}-{number}')
+    chat = replace(chat, segments=segments, fetch=plan)
+    body = {
+        'messages': [{'role': 'user', 'content': text}],
+        'stream': True,
+        'max_tokens': 2,
+    }
+    started = time.perf_counter()
+    outcome = await side.entry.send(chat, json.dumps(body).encode())
+    while not outcome.chunks and not outcome.over:
+        await anyio.sleep(0.0005)
+    side.figures.first_token.append((time.perf_counter() - started) * 1e3)
+    await wait_until(lambda: outcome.over)
+    if outcome.end is None:
+        raise RuntimeError(f'no answer: {outcome.failed}')
+    side.figures.recomputed.append(outcome.end.recomputed_tokens)
+    side.figures.link_bytes += outcome.end.link_bytes
+
+
+async def measure(side: Side, size: Size, numbers: Sequence[int]) -> None:
+    """Ask some prompts at once and add up what they used."""
+    before = {name: _read_processor(c) for name, c in side.agents.items()}
+    read = await _count_read(side)
+    async with anyio.create_task_group() as tasks:
+        for number in numbers:
+            tasks.start_soon(ask, side, size, number)
+    figures = side.figures
+    for name, child in side.agents.items():
+        spent = _read_processor(child) - before[name]
+        figures.processor[name] = figures.processor.get(name, 0.0) + spent
+    figures.read_bytes += await _count_read(side) - read
+
+
+async def _count_read(side: Side) -> int:
+    found = await _exchange(HttpBackend(side.store), 'GET', '/stats')
+    return int(json.loads(found)['read_bytes'])
+
+
+def _read_processor(child: Child) -> float:
+    if child.process is None:
+        return 0.0
+    path = Path(f'/proc/{child.process.pid}/schedstat')
+    return int(path.read_text().split()[0]) / _NANOS
+
+
+async def run(size: Size, trees: Sequence[tuple[str, Path]]) -> list[Side]:
+    """Measure each tree in turns; the first round warms up."""
+    count = (size.rounds + 1) * size.readers
+    with tempfile.TemporaryDirectory() as directory:
+        stand = Stand(size, Path(directory))
+        try:
+            return await _run_in(stand, size, trees, count)
+        finally:
+            stand.close()
+
+
+async def _run_in(
+    stand: Stand, size: Size, trees: Sequence[tuple[str, Path]], count: int
+) -> list[Side]:
+    stores, engines = stand.start_platform(len(trees))
+    sides: list[Side] = []
+    async with AsyncExitStack() as stack:
+        for (name, tree), store, engine in zip(
+            trees, stores, engines, strict=True
+        ):
+            await fill(store, size, count)
+            sides.append(
+                await stack.enter_async_context(
+                    _enter(stand, name, tree, store, engine)
+                )
+            )
+        for turn in range(size.rounds + 1):
+            first = turn * size.readers
+            numbers = range(first, first + size.readers)
+            for side in sides[:: 1 if turn % 2 else -1]:
+                await measure(side, size, numbers)
+                await anyio.sleep(_PAUSE)
+            if not turn:
+                for side in sides:
+                    side.figures = Figures()
+    return sides
+
+
+def show(side: Side, size: Size) -> None:
+    """Print the figures of one side."""
+    figures = side.figures
+    asked = len(figures.first_token)
+    ordered = sorted(figures.first_token)
+    high = ordered[int(_QUANTILE * (asked - 1))]
+    per_segment = cache.SEGMENT_TOKENS * cache.KV_BYTES_PER_TOKEN
+    wasted = figures.read_bytes - asked * size.segments * per_segment
+    spent = ', '.join(
+        f'{name} {total / asked:.1f} ms'
+        for name, total in figures.processor.items()
+    )
+    print(
+        f'{side.name:>8}: first token median '
+        f'{statistics.median(ordered):.1f} ms, {_QUANTILE:.0%} {high:.1f} ms; '
+        f'recomputed {statistics.mean(figures.recomputed):.0f} tokens; '
+        f'link {figures.read_bytes / asked:,.0f} bytes, '
+        f'{wasted / asked:,.0f} beyond the need; processor {spent}',
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Measure and print."""
+    parser = argparse.ArgumentParser(prog='bench.fetch')
+    parser.add_argument('--against', type=Path, help='another source tree')
+    for name, value in asdict(Size()).items():
+        parser.add_argument(f'--{name}', type=type(value), default=value)
+    options = vars(parser.parse_args())
+    against = options.pop('against')
+    trees = [('here', ROOT)]
+    if against is not None:
+        trees.append(('against', against.resolve()))
+    size = Size(**options)
+    print(size, flush=True)
+    for side in anyio.run(run, size, trees):
+        show(side, size)
+
+
+if __name__ == '__main__':
+    main()
