--- a/bench/capacity_region.py
+++ b/bench/capacity_region.py
@@ -131,7 +131,7 @@
         )
         if reply.status != 200:
             raise ValueError(f'refused: {reply.body!r}')
-        return max(each['offset'] for each in reply.json['outcomes'])
+        return max(int(each['offset']) for each in reply.json['outcomes'])
 
     @property
     def agent_ports(self) -> frozenset[int]:
--- a/src/oleanderdyke/kernel/catalog.py
+++ b/src/oleanderdyke/kernel/catalog.py
@@ -26,6 +26,7 @@
 from oleanderdyke.kernel.snapshots import (
     START_OFFSET,
     Applied,
+    LoadedSnapshot,
     LossReason,
     Lost,
     Outcome,
@@ -205,7 +206,11 @@
     def restore(self, chunks: Sequence[bytes]) -> bool:
         """Take over a whole snapshot that is ahead; else change nothing."""
         loaded = load_snapshot(chunks)
-        if loaded is None or loaded.through <= self.offset:
+        return loaded is not None and self.take_over(loaded)
+
+    def take_over(self, loaded: LoadedSnapshot) -> bool:
+        """Take over a loaded snapshot that is ahead; else change nothing."""
+        if loaded.through <= self.offset:
             return False
         self.offset = loaded.through
         self._state = loaded.state
--- a/src/oleanderdyke/kernel/collect.py
+++ b/src/oleanderdyke/kernel/collect.py
@@ -1,4 +1,4 @@
-"""Put the chunks of snapshots together, from the log and from peers."""
+"""Put the chunks of snapshots together that the log holds."""
 
 from __future__ import annotations
 
@@ -6,7 +6,11 @@
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.records import SnapshotChunk, decode_record
-from oleanderdyke.kernel.snapshots import START_OFFSET, make_digest
+from oleanderdyke.kernel.snapshots import (
+    LoadedSnapshot,
+    SnapshotLoader,
+    make_digest,
+)
 
 _PARTIAL_SNAPSHOTS = 4
 
@@ -20,24 +24,24 @@
     at: Millis
 
 
-class SnapshotCollector:
-    """Take the chunks of one snapshot in order, ignoring all others."""
+class _Collector:
+    """Follow the chunks of one snapshot; load them only where wanted."""
 
-    def __init__(self, through: int, start: int = START_OFFSET) -> None:
+    def __init__(self, through: int, start: int, *, wanted: bool) -> None:
         self.through = through
         self.start = start
-        self.chunks: list[bytes] = []
+        self.loader = SnapshotLoader(through) if wanted else None
         self._next = 0
         self._digest = make_digest(through)
 
-    def add(self, chunk: SnapshotChunk, data: bytes | None) -> bool:
+    def add(self, chunk: SnapshotChunk) -> bool:
         """Take the next chunk; tell whether the snapshot is whole."""
         if (chunk.through, chunk.index) != (self.through, self._next):
             return False
         self._next += 1
         self._digest.update(chunk.items)
-        if data is not None:
-            self.chunks.append(data)
+        if self.loader is not None:
+            self.loader.add(chunk)
         return chunk.last and self._digest.digest() == chunk.digest
 
 
@@ -50,32 +54,32 @@
 
     def __init__(self) -> None:
         self.newest: KeptSnapshot | None = None
-        self._collectors: list[SnapshotCollector] = []
+        self._collectors: list[_Collector] = []
 
     def see(
         self, offset: int, at: Millis, data: bytes, have: int
-    ) -> tuple[bytes, ...]:
+    ) -> LoadedSnapshot | None:
         """Take a record; return a snapshot that it completes.
 
-        Only a snapshot that is ahead of the offset `have` is kept for this.
+        Only a snapshot that is ahead of the offset `have` is loaded for this.
         """
         chunk = decode_record(data)
         if not isinstance(chunk, SnapshotChunk) or chunk.through >= offset:
-            return ()
+            return None
         if chunk.index == 0:
-            self._open(offset, chunk.through)
-        kept = data if chunk.through > have else None
-        whole = [item for item in self._collectors if item.add(chunk, kept)]
+            self._open(offset, chunk.through, wanted=chunk.through > have)
+        whole = [item for item in self._collectors if item.add(chunk)]
         if not whole:
-            return ()
+            return None
         self._note(KeptSnapshot(whole[0].start, chunk.through, at))
         self._collectors = [
             item for item in self._collectors if item.through != chunk.through
         ]
-        return tuple(whole[0].chunks)
+        loader = whole[0].loader
+        return None if loader is None else loader.loaded
 
-    def _open(self, offset: int, through: int) -> None:
-        self._collectors.append(SnapshotCollector(through, offset))
+    def _open(self, offset: int, through: int, *, wanted: bool) -> None:
+        self._collectors.append(_Collector(through, offset, wanted=wanted))
         del self._collectors[:-_PARTIAL_SNAPSHOTS]
 
     def _note(self, kept: KeptSnapshot) -> None:
--- a/src/oleanderdyke/kernel/snapshots.py
+++ b/src/oleanderdyke/kernel/snapshots.py
@@ -170,38 +170,62 @@
     return _encode_chunks(through, items)
 
 
+class SnapshotLoader:
+    """Build a state from the chunks of one snapshot as they arrive.
+
+    No chunk is kept, so that a large snapshot takes little more memory than
+    its state. The state counts only once `loaded` gives it.
+    """
+
+    def __init__(self, through: int) -> None:
+        self._through = through
+        self._next = 0
+        self._digest = make_digest(through)
+        self._state: State | None = State()
+        self.loaded: LoadedSnapshot | None = None
+
+    def add(self, chunk: SnapshotChunk) -> bool:
+        """Take the next chunk, ignoring all others; tell if it was the next.
+
+        After a malformed chunk nothing will be loaded.
+        """
+        if (chunk.through, chunk.index) != (self._through, self._next):
+            return False
+        self._next += 1
+        self._digest.update(chunk.items)
+        self._load(chunk.items)
+        whole = chunk.last and self._digest.digest() == chunk.digest
+        if whole and self._state is not None:
+            self.loaded = LoadedSnapshot(self._through, self._state)
+        return True
+
+    def _load(self, items: bytes) -> None:
+        if self._state is None:
+            return
+        try:
+            for item in load_cbor(items):
+                _load_item(self._state, item)
+        except (InvalidSpec, ValueError, TypeError, LookupError):
+            self._state = None
+
+
 def load_snapshot(chunks: Sequence[bytes]) -> LoadedSnapshot | None:
     """Build the state of a whole, undamaged snapshot; else return None."""
-    records = [decode_record(chunk) for chunk in chunks]
-    parts = [part for part in records if isinstance(part, SnapshotChunk)]
-    if len(parts) != len(chunks) or not _is_whole(parts):
-        return None
-    state = State()
-    try:
-        for part in parts:
-            for item in load_cbor(part.items):
-                _load_item(state, item)
-    except (InvalidSpec, ValueError, TypeError, LookupError):
-        return None
-    return LoadedSnapshot(parts[0].through, state)
+    loader: SnapshotLoader | None = None
+    for data in chunks:
+        chunk = decode_record(data)
+        if not isinstance(chunk, SnapshotChunk):
+            return None
+        loader = loader or SnapshotLoader(chunk.through)
+        if loader.loaded is not None or not loader.add(chunk):
+            return None
+    return None if loader is None else loader.loaded
 
 
 def _sort(rows: dict[str, Row]) -> list[tuple[str, Row]]:
     return [(name, rows[name]) for name in sorted(rows)]
 
 
-def _is_whole(parts: Sequence[SnapshotChunk]) -> bool:
-    if not parts or not parts[-1].last:
-        return False
-    through = parts[0].through
-    digest = make_digest(through)
-    for index, part in enumerate(parts):
-        if (part.through, part.index) != (through, index):
-            return False
-        digest.update(part.items)
-    return digest.digest() == parts[-1].digest
-
-
 def _list_items(
     floor: int,
     outcomes: Iterable[Outcome],
--- a/src/oleanderdyke/kernel/spread.py
+++ b/src/oleanderdyke/kernel/spread.py
@@ -9,9 +9,9 @@
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.kernel.catalog import Catalog
-from oleanderdyke.kernel.collect import SnapshotCollector, SnapshotWatch
+from oleanderdyke.kernel.collect import SnapshotWatch
 from oleanderdyke.kernel.records import SnapshotChunk, decode_record
-from oleanderdyke.kernel.snapshots import START_OFFSET
+from oleanderdyke.kernel.snapshots import START_OFFSET, SnapshotLoader
 from oleanderdyke.links.messages import (
     ConfigurationDifference,
     ConfigurationRequest,
@@ -96,7 +96,7 @@
         self._watch = SnapshotWatch()
         self._watched_since: Millis | None = None
         self._told_at: Millis | None = None
-        self._from_peer: SnapshotCollector | None = None
+        self._from_peer: SnapshotLoader | None = None
         self._heard: dict[str, int] = {}
         self._behind_since: Millis | None = None
         self._asked = ''
@@ -257,22 +257,24 @@
             self._scan += 1
         if record.offset == self.offset + 1:
             self.catalog.apply_record(record.offset, record.data)
-        elif whole:
-            self.catalog.restore(whole)
+        elif whole is not None:
+            self.catalog.take_over(whole)
 
     def _take_peer_chunk(self, message: ConfigurationDifference) -> None:
         if message.chunk == 0:
-            self._from_peer = SnapshotCollector(message.through)
-        collector = self._from_peer
-        if collector is None or collector.through != message.through:
+            self._from_peer = SnapshotLoader(message.through)
+        loader = self._from_peer
+        if loader is None:
             return
         for _, data in message.records:
             chunk = decode_record(data)
             if not isinstance(chunk, SnapshotChunk):
                 return
-            if collector.add(chunk, data):
-                self.catalog.restore(collector.chunks)
-                self._from_peer = None
+            # The loader ignores the chunks of another snapshot.
+            loader.add(chunk)
+        if loader.loaded is not None:
+            self.catalog.take_over(loader.loaded)
+            self._from_peer = None
 
     def _take_peer_records(self, message: ConfigurationDifference) -> None:
         for offset, data in message.records:
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,85 @@
+"""Hold the counts and bytes on which the capacity page rests."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.memory import make_team
+from oleanderdyke.kernel.catalog import Catalog
+from oleanderdyke.kernel.objects import Change, ObjectKind
+from oleanderdyke.kernel.records import decode_record, encode_change
+from oleanderdyke.kernel.snapshots import SnapshotLoader
+from oleanderdyke.links.codec import encode
+from oleanderdyke.links.messages import ConfigurationDifference
+
+TEAMS = 400
+
+
+def make_change(number):
+    name = f'team-{number:05}'
+    spec = make_team(number)
+    record = f'{number:032x}'
+    return Change(record, 'ana', ObjectKind.TEAM, name, 0, spec, 1.0)
+
+
+@pytest.fixture
+def catalog():
+    filled = Catalog()
+    for number in range(TEAMS):
+        filled.apply(number, make_change(number))
+    return filled
+
+
+def test_change_costs_each_peer_a_bounded_message(catalog):
+    record = (TEAMS, encode_change(make_change(TEAMS)))
+    message = ConfigurationDifference(TEAMS - 1, TEAMS, (record,))
+    assert len(encode(message)) <= 420
+
+
+def test_snapshot_in_the_log_costs_peers_only_its_places(catalog):
+    chunks = catalog.snapshot()
+    for place, chunk in enumerate(chunks):
+        catalog.apply_record(TEAMS + place, chunk)
+    kept = catalog.difference(TEAMS - 1)
+    assert kept is not None
+    assert [offset for offset, _ in kept] == [
+        TEAMS + place for place in range(len(chunks))
+    ]
+    assert max(len(data) for _, data in kept) <= 80
+    assert sum(map(len, chunks)) > 100 * TEAMS
+
+
+def test_peer_that_follows_named_chunks_reaches_the_same_state(catalog):
+    peer = Catalog()
+    for offset, data in catalog.difference(-1):
+        peer.apply_record(offset, data)
+    for place, chunk in enumerate(catalog.snapshot()):
+        catalog.apply_record(TEAMS + place, chunk)
+    for offset, data in catalog.difference(TEAMS - 1):
+        peer.apply_record(offset, data)
+    assert (peer.offset, peer.skipped) == (catalog.offset, 0)
+    assert peer.digest() == catalog.digest()
+
+
+def load(chunks):
+    loader = SnapshotLoader(TEAMS - 1)
+    taken = [loader.add(decode_record(chunk)) for chunk in chunks]
+    return taken, loader.loaded
+
+
+@pytest.mark.parametrize('gone', [0, 1, -1])
+def test_loader_gives_nothing_for_a_snapshot_with_a_gap(catalog, gone):
+    chunks = list(catalog.snapshot())
+    assert len(chunks) > 2
+    assert load(chunks)[1] is not None
+    del chunks[gone]
+    assert load(chunks)[1] is None
+
+
+def test_loader_ignores_what_it_already_has(catalog):
+    chunks = catalog.snapshot()
+    taken, loaded = load((*chunks[:2], chunks[0], *chunks[2:]))
+    assert taken == [True, True, False] + [True] * (len(chunks) - 2)
+    other = Catalog()
+    assert other.take_over(loaded)
+    assert other.digest() == catalog.digest()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -490,9 +490,9 @@
 class BackwardCatalog(Catalog):
     """Take over any whole snapshot, also an older one."""
 
-    def restore(self, chunks):
+    def take_over(self, loaded):
         self.offset = -1
-        return super().restore(chunks)
+        return super().take_over(loaded)
 
 
 class UncheckedCatalog(Catalog):
@@ -507,8 +507,8 @@
 class GappyCatalog(Catalog):
     """Apply a snapshot of which chunks are missing."""
 
-    def restore(self, chunks):
-        changed = super().restore(chunks)
+    def take_over(self, loaded):
+        changed = super().take_over(loaded)
         self._state.rows[ObjectKind.STORE].pop('a', None)
         return changed
 
