--- a/src/oleanderdyke/policies/settings.py
+++ b/src/oleanderdyke/policies/settings.py
@@ -31,10 +31,10 @@
     affinity_limit: int = 4
     scan_limit: int = 8
     soon_limit: int = 100_000
-    w_home: float = 0.0
-    w_pressure: float = 0.4
+    w_home: float = 0.2
+    w_pressure: float = 0.2
     pressure_memory: Millis = 120 * SECOND
-    short_tokens: int = 1_024
+    short_tokens: int = 2_048
     queue_target: Millis = 1_500.0
     background_running_share: float = 0.75
     queued_limit: int = 10_000
