Keep live links whatever the VM list says

Cause: an entry followed the list of VMs by name. When the list named another address for a VM, the entry dropped its live link at once, and with wrong addresses for all VMs it had no replica left: calls got no_replica although every agent was reachable. Two agents with swapped addresses lost their links for a moment, which was enough for no_replica too.

Ruled out: the fleet's view and the router; the log of the entry shows link_down right after vm_list_changed while the agents were up.

Change: the entry follows addresses. An address whose link is up stays until that link is lost, and what the list adds is dialed beside it.

The file proves further: an append that lost its answer, racing operators, a frozen entry that catches up, a version swapped during a stream, damaged store objects, silent and slow links.

--- a/src/oleanderdyke/entry/vmwatch.py
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -27,13 +27,12 @@
         self._client = client
         self._pool = pool
         self._down = False
-        self._known: dict[str, str] = {}
+        self._known: dict[str, None] = {}
 
     @property
     def settled(self) -> bool:
         """Tell whether every known address has a link."""
-        addresses = self._known.values()
-        return bool(self._known) and all(map(self._pool.find, addresses))
+        return bool(self._known) and all(map(self._pool.find, self._known))
 
     async def run(self) -> None:
         """Read the list until cancelled."""
@@ -60,16 +59,12 @@
 
     def _take(self, vms: Iterable[Vm]) -> None:
         chosen = choose_vms(vms, self._core.settings.data_centre)
-        wanted = {vm.name: vm.address for vm in chosen if self._allows(vm)}
-        listed = set(wanted.values())
-        for name, address in self._known.items():
-            alive = self._pool.find(address) is not None
-            if alive and address not in listed:
-                wanted.setdefault(name, address)
+        wanted = dict.fromkeys(vm.address for vm in chosen if self._allows(vm))
+        wanted |= dict.fromkeys(filter(self._pool.find, self._known))
         if wanted != self._known:
             self._known = wanted
             self._core.log.write(EventName.VM_LIST_CHANGED, count=len(wanted))
-            self._pool.set_addresses(wanted)
+            self._pool.set_addresses({address: address for address in wanted})
 
     def _allows(self, vm: Vm) -> bool:
         settings = self._core.settings
@@ -77,7 +72,7 @@
             return True
         if is_loopback(vm.address.rpartition(':')[0].strip('[]')):
             return True
-        if vm.name not in self._known:
+        if vm.address not in self._known:
             self._core.log.write(
                 EventName.LINK_REFUSED,
                 address=vm.address,
--- /dev/null
+++ b/tests/test_failures_configuration.py
@@ -0,0 +1,444 @@
+"""Check on real processes that configuration and context survive failure."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import itertools
+import json
+import time
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from subprocess import CompletedProcess
+from typing import Any
+
+import pytest
+import yaml
+from anyio.from_thread import start_blocking_portal
+
+from examples.demo import count_kept, count_read_bytes, evict
+from tests import scenes
+from tests.deployment import EXAMPLES, Deployment, Entry, wait_listening
+from tests.processes import LOOPBACK, Child, Ports, wait_until
+from tests.relays import Relay, relaying
+from tests.scenes import MODEL, PLAIN, STORE, VERSION
+from tests.standins import cache, weights
+
+# One worker runs the whole file, so that one deployment serves it.
+pytestmark = pytest.mark.xdist_group('failures-configuration')
+
+NEXT = '2027-01'
+CHANGED = 'familias'
+CONFLICT = 3
+# Several periods of reading the VM list.
+LIST_SECONDS = 1.5
+KEYS = itertools.count(1)
+
+
+@pytest.fixture(scope='module')
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    directory = tmp_path_factory.mktemp('configuration')
+    with scenes.deploying(directory) as running:
+        yield running
+
+
+def read_objects() -> dict[tuple[str, str], Any]:
+    text = (EXAMPLES / 'agency' / 'configuration.yaml').read_text()
+    return {(o['kind'], o['name']): o for o in yaml.safe_load_all(text)}
+
+
+def make_object(kind: str, name: str, **spec: Any) -> dict[str, Any]:
+    known = read_objects()[kind, name]
+    return {'kind': kind, 'name': name, 'spec': known['spec'] | spec}
+
+
+def make_change(weight: int) -> dict[str, Any]:
+    return make_object('team', CHANGED, weight=weight)
+
+
+def write_objects(deployment: Deployment, *objects: Any) -> Path:
+    path = deployment.directory / f'objects-{next(KEYS)}.yaml'
+    path.write_text(yaml.safe_dump_all(objects))
+    return path
+
+
+def apply(
+    deployment: Deployment,
+    *objects: Any,
+    entries: Sequence[Entry] = (),
+    operator: str = 'example',
+) -> CompletedProcess[str]:
+    token = deployment.directory / f'{operator}.token'
+    token.write_text(scenes.OPERATORS[operator])
+    options = [f'--entry=http://{each.address}' for each in entries]
+    return deployment.run_ctl(
+        'apply',
+        *('-f', str(write_objects(deployment, *objects))),
+        *('--wait', '--token-file', str(token), *options),
+    )
+
+
+def read_team(deployment: Deployment, entry: Entry) -> tuple[int, int]:
+    """Return the generation and weight of the changed team."""
+    done = deployment.run_ctl(
+        'get', 'team', CHANGED, '-o', 'json', f'--entry=http://{entry.address}'
+    )
+    (found,) = as_list(json.loads(done.stdout))
+    return found['generation'], found['spec'].get('weight', 1)
+
+
+def as_list(found: Any) -> list[Any]:
+    return found if isinstance(found, list) else [found]
+
+
+def wait_same_offset(deployment: Deployment) -> int:
+    """Return the offset that every entry and agent has come to."""
+    found: set[int] = set()
+
+    def agree() -> bool:
+        found.clear()
+        for entry in deployment.entries:
+            status = scenes.read_status(entry)
+            found.add(status['offset'])
+            found.update(agent['offset'] for agent in status['agents'])
+        return len(found) == 1
+
+    wait_until(agree, 'every process has the same configuration')
+    return found.pop()
+
+
+@pytest.mark.parametrize('lost', [1, -1])
+def test_a_change_whose_append_lost_its_answer_is_applied_once(
+    deployment: Deployment, lost: int
+) -> None:
+    generation, weight = read_team(deployment, deployment.entries[0])
+    log = deployment.platform['log']
+    with scenes.failing(deployment, log, lose_answers=lost):
+        done = apply(deployment, make_change(weight + 1))
+    assert done.returncode == 0, done
+    for entry in deployment.entries:
+        found = read_team(deployment, entry)
+        assert found == (generation + 1, weight + 1), entry.name
+
+
+def test_of_two_operators_at_once_one_wins_everywhere(
+    deployment: Deployment,
+) -> None:
+    generation, weight = read_team(deployment, deployment.entries[0])
+    before = wait_same_offset(deployment)
+
+    def publish(number: int) -> CompletedProcess[str]:
+        change = make_change(weight + 1 + number) | {'generation': generation}
+        return apply(
+            deployment,
+            change,
+            entries=[deployment.entries[number]],
+            operator=list(scenes.OPERATORS)[number],
+        )
+
+    with ThreadPoolExecutor(2) as pool:
+        done = list(pool.map(publish, range(2)))
+    codes = [item.returncode for item in done]
+    assert sorted(codes) == [0, CONFLICT], done
+    winner = codes.index(0)
+    name = list(scenes.OPERATORS)[winner]
+    assert f'last changed by {name}' in done[1 - winner].stdout
+    after = wait_same_offset(deployment)
+    assert after > before
+    for entry in deployment.entries:
+        found = read_team(deployment, entry)
+        assert found == (generation + 1, weight + 1 + winner), entry.name
+
+
+def test_a_change_reaches_a_frozen_entry_when_it_is_back(
+    deployment: Deployment,
+) -> None:
+    *others, frozen = deployment.entries
+    generation, weight = read_team(deployment, others[0])
+    frozen.child.freeze()
+    try:
+        for number in range(2):
+            done = apply(
+                deployment, make_change(weight + 1 + number), entries=others
+            )
+            assert done.returncode == 0, done
+            assert f'{len(others) + 5} processes' in done.stdout, done
+        for entry in others:
+            found = read_team(deployment, entry)
+            assert found == (generation + 2, weight + 2), entry.name
+        for server in deployment.servers:
+            scenes.wait_event(server.agent, 'link_down', 0, peer=frozen.name)
+    finally:
+        frozen.child.thaw()
+    deployment.wait_ready()
+    wait_same_offset(deployment)
+    assert read_team(deployment, frozen) == (generation + 2, weight + 2)
+    scenes.check_served(deployment, [frozen])
+
+
+def test_a_stream_keeps_its_version_while_the_next_one_is_put_in_force(
+    deployment: Deployment,
+) -> None:
+    text = scenes.make_prompt('versions')
+    for entry in deployment.entries:
+        assert scenes.question(entry, text).text == scenes.expect_text(text)
+    stream = scenes.Streamed(deployment.entries[0], text, 300)
+    stream.wait_begun()
+    put_in_force(deployment, NEXT)
+    reply = stream.join()
+    assert (reply.status, reply.done) == (200, True), reply
+    assert reply.text == scenes.expect_text(text, 300)
+
+    wait_version(deployment, NEXT)
+    first = scenes.question(deployment.entries[1], text)
+    assert first.text == scenes.expect_text(text, version=NEXT)
+    assert first.recomputed_share == 1
+    put_in_force(deployment, VERSION)
+    wait_version(deployment, VERSION)
+    scenes.check_served(deployment, deployment.entries)
+    assert scenes.count_wrong(deployment) == 0
+
+
+def put_in_force(deployment: Deployment, version: str) -> None:
+    digest = weights.make_digest(scenes.WEIGHTS, version)
+    known = f'{scenes.WEIGHTS}-{VERSION}'
+    wanted = make_object(
+        'model_version', known, version=version, digest=digest
+    ) | {'name': f'{scenes.WEIGHTS}-{version}'}
+    service = make_object('service', MODEL, version=version)
+    done = apply(deployment, wanted, service)
+    assert done.returncode == 0, done
+
+
+def wait_version(deployment: Deployment, version: str) -> None:
+    """Wait for a version; every answer until then is whole."""
+    text = 'which version?'
+    known = {scenes.expect_text(text, version=v): v for v in (VERSION, NEXT)}
+
+    def serves(entry: Entry) -> bool:
+        reply = scenes.question(entry, text)
+        if reply.status != 200:
+            assert reply.json['error']['ran'] == 'no', reply
+            return False
+        assert reply.done, reply
+        return known[reply.text] == version
+
+    for entry in deployment.entries:
+        wait_until(
+            functools.partial(serves, entry), f'{entry.name} has {version}'
+        )
+
+
+@pytest.mark.parametrize('damage', ['lose', 'corrupt', 'truncate'])
+def test_damaged_objects_of_a_store_are_computed_again(
+    deployment: Deployment, damage: str
+) -> None:
+    store = deployment.find(STORE)[0].address
+    for attempt in range(4):
+        text = scenes.make_prompt(f'{damage} {attempt}')
+        wanted = count_kept(deployment) + len(text) // cache.SEGMENT_BYTES
+        scenes.question(deployment.entries[0], text)
+        wait_until(
+            lambda wanted=wanted: count_kept(deployment) >= wanted,
+            'the store keeps the context',
+        )
+        evict(deployment)
+        before = count_read_bytes(deployment)
+        with scenes.failing(deployment, store, **{damage: ['*']}):
+            again = scenes.question(deployment.entries[1], text)
+        assert again.text == scenes.expect_text(text)
+        assert again.recomputed_share == 1
+        assert scenes.count_wrong(deployment) == 0
+        if damage == 'lose' or count_read_bytes(deployment) > before:
+            return
+    pytest.fail('nothing was fetched')
+
+
+def make_wrong(deployment: Deployment, choose: Callable[[int], str]) -> Any:
+    names = [server.name for server in deployment.servers]
+    return {name: choose(number) for number, name in enumerate(names)}
+
+
+@pytest.mark.parametrize(
+    'fault', ['down', 'silent', 'missing', 'closed', 'swapped']
+)
+def test_requests_go_on_while_the_vm_list_is_out_or_wrong(
+    deployment: Deployment, fault: str
+) -> None:
+    ports = Ports()
+    addresses = [server.agent_address for server in deployment.servers]
+    closed = [f'{LOOPBACK}:{ports.reserve()}' for _ in addresses]
+    faults: dict[str, dict[str, Any]] = {
+        'down': {'down': True},
+        'silent': {'silent': True},
+        'missing': {'missing': [item.name for item in deployment.servers]},
+        'closed': {'wrong': make_wrong(deployment, lambda n: closed[n])},
+        'swapped': {
+            'wrong': make_wrong(deployment, lambda n: addresses[n - 1])
+        },
+    }
+    vms = deployment.platform['vms']
+    with scenes.failing(deployment, vms, **faults[fault]):
+        time.sleep(LIST_SECONDS)
+        for _ in range(3):
+            scenes.check_served(deployment, deployment.entries)
+            entry = deployment.entries[0]
+            reply = scenes.book(entry, f'list {fault} {next(KEYS)}')
+            assert reply.status == 201, reply
+    ports.close()
+    for server in deployment.servers:
+        scenes.wait_condition(deployment.entries, server.name, {'heard'})
+
+
+def test_requests_go_around_an_agent_that_a_stale_vm_list_names(
+    deployment: Deployment,
+) -> None:
+    server = deployment.find(PLAIN)[0]
+    vms = deployment.platform['vms']
+    with scenes.failing(deployment, vms, stale=True):
+        server.agent.kill()
+        for number in range(6):
+            name = f'stale list {number}'
+            reply = scenes.book(deployment.entries[number % 3], name)
+            assert reply.status == 201, reply
+            assert scenes.count_runs(deployment, name) == 1
+        scenes.check_served(deployment, deployment.entries)
+        server.agent.start()
+        wait_listening(server.agent, server.agent_address)
+        scenes.wait_condition(deployment.entries, server.name, {'heard'})
+
+
+@contextmanager
+def relayed(deployment: Deployment, entry: Entry) -> Iterator[dict[str, Relay]]:
+    """Put a relay between one entry and each agent but the stores'."""
+    servers = deployment.find(MODEL) + deployment.find(PLAIN)
+    vms = deployment.platform['vms']
+    with contextlib.ExitStack() as stack:
+        portal = stack.enter_context(start_blocking_portal())
+        found = [
+            stack.enter_context(
+                portal.wrap_async_context_manager(
+                    relaying(server.agent_address)
+                )
+            )
+            for server in servers
+        ]
+        wrong = {
+            server.name: address
+            for server, (_, address) in zip(servers, found, strict=True)
+        }
+        relays = {
+            server.name: relay
+            for server, (relay, _) in zip(servers, found, strict=True)
+        }
+        with scenes.failing(deployment, vms, wrong=wrong):
+            restart(deployment, entry)
+            wait_until(
+                lambda: all(relay.accepted for relay in relays.values()),
+                'the entry speaks through every relay',
+            )
+            yield relays
+    restart(deployment, entry)
+
+
+def restart(deployment: Deployment, entry: Entry) -> None:
+    entry.child.kill()
+    entry.child.start()
+    deployment.wait_ready()
+    for send in (
+        functools.partial(scenes.look, entry),
+        functools.partial(scenes.question, entry, 'there?'),
+    ):
+        wait_until(scenes.is_ok(send), f'{entry.name} reaches its agents')
+
+
+@pytest.fixture(scope='module')
+def relays(deployment: Deployment) -> Iterator[dict[str, Relay]]:
+    with relayed(deployment, deployment.entries[1]) as found:
+        yield found
+
+
+def count_downs(entry: Entry, *names: str) -> int:
+    events = scenes.list_events(entry.child, 'link_down')
+    return sum(item['peer'] in names for item in events)
+
+
+def test_slow_links_and_backend_servers_are_not_taken_for_silent(
+    deployment: Deployment, relays: dict[str, Relay]
+) -> None:
+    entry = deployment.entries[1]
+    before = count_downs(entry, *relays)
+    engines = scenes.list_backends(deployment, MODEL)
+    text = scenes.make_prompt('slow')
+    with scenes.failing(deployment, *engines, slow=1_200):
+        reply = scenes.question(entry, text)
+    assert reply.text == scenes.expect_text(text)
+    for relay in relays.values():
+        relay.piece, relay.pause = 512, 0.05
+    try:
+        reply = scenes.Streamed(entry, text, 100).join()
+    finally:
+        for relay in relays.values():
+            relay.piece, relay.pause = 64 * 1024, 0.0
+    assert (reply.status, reply.done) == (200, True), reply
+    assert reply.text == scenes.expect_text(text, 100)
+    assert count_downs(entry, *relays) == before
+
+
+def test_silent_links_are_replaced_and_their_streams_go_on(
+    deployment: Deployment, relays: dict[str, Relay]
+) -> None:
+    entry = deployment.entries[1]
+    servers = deployment.find(MODEL)
+    before = scenes.count_dispatched(servers)
+    text = scenes.make_prompt('silent')
+    stream = scenes.Streamed(entry, text, 200)
+    server = scenes.wait_dispatched(servers, before)
+    stream.wait_begun()
+    silent = {server.name, deployment.find(PLAIN)[0].name}
+    downs = {name: count_downs(entry, name) for name in silent}
+    accepted = {name: relays[name].accepted for name in silent}
+    for name in silent:
+        relays[name].silence()
+    for _ in range(3):
+        assert scenes.look(entry).status == 200
+    reply = stream.join()
+    assert (reply.status, reply.done) == (200, True), reply
+    assert reply.text == scenes.expect_text(text, 200)
+    for name in silent:
+        scenes.wait_event(entry.child, 'link_down', downs[name], peer=name)
+        child = deployment.children[name]
+        scenes.wait_event(child, 'link_down', 0, peer=entry.name)
+        wait_until(
+            lambda name=name: relays[name].accepted > accepted[name],
+            'the silent link is replaced',
+        )
+        scenes.wait_condition([entry], name, {'heard'})
+    scenes.check_served(deployment, [entry])
+
+
+def test_no_process_ever_went_back(deployment: Deployment) -> None:
+    entries = [entry.child for entry in deployment.entries]
+    agents = [server.agent for server in deployment.servers]
+    for child in entries + agents:
+        assert not scenes.list_events(child, 'process_failed'), child.name
+        assert 'Traceback' not in child.log.read_text(), child.name
+        for offsets in split_lives(child):
+            assert offsets == sorted(offsets), child.name
+    assert scenes.count_wrong(deployment) == 0
+
+
+def split_lives(child: Child) -> Iterator[list[int]]:
+    """Yield the offsets of each life of a process that started again."""
+    offsets: list[int] = []
+    for line in child.log.read_text().splitlines():
+        if 'event=process_started ' in line:
+            yield offsets
+            offsets = []
+        if 'event=configuration_applied ' in line:
+            offsets.append(int(line.partition(' offset=')[2].split()[0]))
+    yield offsets
