--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import anyio
@@ -20,6 +21,7 @@
 from oleanderdyke.platform.log import LogClient, LogPage, LogUnavailable
 
 _PUSH_AGAIN: Millis = 2 * SECOND
+_FILL_AGAIN: Millis = 10 * SECOND
 _SNAPSHOT_CHECK: Millis = 5 * SECOND
 _CHUNKS_AT_ONCE = 16
 _SNAPSHOTS_AT_ONCE = 2
@@ -33,7 +35,7 @@
         self._client = client
         self._pushed: dict[str, tuple[int, Millis]] = {}
         self._links: dict[str, Link] = {}
-        self._filling: set[Link] = set()
+        self._filled: dict[Link, Millis] = {}
         self._snapshots = anyio.Semaphore(_SNAPSHOTS_AT_ONCE)
 
     def take_page(self, page: LogPage) -> None:
@@ -50,6 +52,7 @@
     def drop_link(self, link: Link) -> None:
         """Forget a peer."""
         process = link.peer.process
+        self._filled.pop(link, None)
         if self._links.get(process) is link:
             del self._links[process]
             self._pushed.pop(process, None)
@@ -71,11 +74,11 @@
         if self._core.catalog.difference(request.after) is not None:
             messages = tuple(self._core.reader.answer(request))
             self._core.spawn(_send_all, link, messages)
-        elif link in self._filling:
+        elif self._is_filled(link):
             nothing = ConfigurationDifference(request.after, START_OFFSET)
             self._core.spawn(_send_all, link, (nothing,))
         else:
-            self._filling.add(link)
+            self._filled[link] = math.inf
             self._core.spawn(self._fill, link, request)
 
     def take_difference(
@@ -121,7 +124,14 @@
                 asked = ConfigurationRequest(max(request.after, has))
                 await _send_all(link, self._core.reader.answer(asked))
         finally:
-            self._filling.discard(link)
+            self._filled[link] = self._core.clock.now()
+            if link.closed:
+                del self._filled[link]
+
+    def _is_filled(self, link: Link) -> bool:
+        """Tell whether a link has a whole snapshot on its way."""
+        at = self._filled.get(link, -math.inf)
+        return self._core.clock.now() - at < _FILL_AGAIN
 
     def _push(self, link: Link, offset: int) -> None:
         core, process = self._core, link.peer.process
