Believe an agent's removal over one's own dispatch

Cause: for five seconds after a prompt's first token an entry counted on its segments at that agent, also when the agent had told of their removal since. Ruled out: the directory, which had taken the removal; only the table of context under way disregarded it. Change: routers learn of removals (`Router.note_removed`); the table forgets the segment at that agent and searches a holed prefix segment by segment, because what lies behind a gap proves nothing. Before and after: the new tests of the table and of an entry fail without the change and pass with it. Conclusion: a removal wins from its arrival on; a later dispatch counts again.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -14,6 +14,7 @@
     Refusal,
     Replica,
     Router,
+    SegmentHint,
 )
 from oleanderdyke.kernel.prediction import BacklogTracker
 from oleanderdyke.policies.candidates import fits
@@ -72,6 +73,9 @@
         """Forget a request."""
         self._backlog.note_finished(request, now)
 
+    def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn nothing."""
+
     def _pick(
         self,
         demand: Demand,
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
     Plan,
     Refusal,
     Replica,
+    SegmentHint,
 )
 from oleanderdyke.kernel.routing import (
     LinkView,
@@ -83,6 +85,9 @@
     def note_finished(self, request: str, now: Millis) -> None:
         """Learn nothing."""
 
+    def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn nothing."""
+
     def _weigh(self, demand: Demand, replica: Replica) -> tuple[Source, Plan]:
         world = self._world
         agent = world.agents[replica.agent]
--- a/src/oleanderdyke/entry/agents.py
+++ b/src/oleanderdyke/entry/agents.py
@@ -155,6 +155,7 @@
         request = core.fleet.on_segments(
             peer.process, peer.incarnation, events, core.clock.now()
         )
+        core.router.note_removed(peer.process, events.removed)
         if request is not None:
             core.log.write(EventName.SEGMENT_EVENTS_LOST, agent=peer.process)
             core.spawn(_send, link, request)
--- a/src/oleanderdyke/kernel/demand.py
+++ b/src/oleanderdyke/kernel/demand.py
@@ -133,6 +133,9 @@
     def note_finished(self, request: str, now: Millis) -> None:
         """Forget a request."""
 
+    def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn that an agent told of segments that it lost."""
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
--- a/src/oleanderdyke/policies/routing.py
+++ b/src/oleanderdyke/policies/routing.py
@@ -17,6 +17,7 @@
     Refusal,
     Replica,
     Router,
+    SegmentHint,
 )
 from oleanderdyke.kernel.prediction import BacklogTracker
 from oleanderdyke.kernel.routing import Costs, Source, Standing, choose_source
@@ -115,6 +116,10 @@
         self._links.note_done(request)
         self._soon.note_finished(request)
 
+    def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Stop counting on what an agent no longer holds."""
+        self._soon.note_removed(agent, segments)
+
     def _weigh(
         self,
         demand: Demand,
@@ -212,6 +217,9 @@
         """Forget a request."""
         self._backlog.note_finished(request, now)
 
+    def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn nothing."""
+
     def _count(self, replica: Replica) -> int:
         reported = replica.load.running + replica.load.waiting
         return max(reported, self._backlog.count_outstanding(replica.agent))
--- a/src/oleanderdyke/policies/sources.py
+++ b/src/oleanderdyke/policies/sources.py
@@ -53,6 +53,7 @@
         self._limit = limit
         self._coming: OrderedDict[str, _Coming] = OrderedDict()
         self._agents: dict[SegmentHint, dict[str, str]] = {}
+        self._holed: set[str] = set()
 
     def note_sent(self, demand: Demand, plan: Plan, now: Millis) -> None:
         """Expect the missing segments of a prompt at the plan's agent."""
@@ -84,6 +85,16 @@
         if coming is not None and not coming.done:
             self._drop(request)
 
+    def note_removed(self, agent: str, segments: Iterable[SegmentHint]) -> None:
+        """Believe an agent that it lost segments after they were sent."""
+        for segment in segments:
+            agents = self._agents.get(segment, {})
+            if agents.pop(agent, None) is None:
+                continue
+            self._holed.add(agent)
+            if not agents:
+                del self._agents[segment]
+
     def holders(self, segment: SegmentHint) -> Iterable[str]:
         """Return the agents that will hold a segment soon."""
         return self._agents.get(segment, ())
@@ -99,8 +110,10 @@
         low, high = held, len(segments)
         ready = 0.0
         joined = 0
+        # Where segments were removed, what comes behind proves nothing.
+        halves = agent not in self._holed
         while low < high:
-            middle = low if low == held else (low + high) // 2
+            middle = (low + high) // 2 if halves and low > held else low
             request = self._agents.get(segments[middle], {}).get(agent)
             if request is None or self._coming[request].forget <= now:
                 high = middle
@@ -118,6 +131,7 @@
             if coming.forget > now and len(self._agents) < self._limit:
                 return
             self._drop(request)
+        self._holed.clear()
 
     def _drop(self, request: str) -> None:
         coming = self._coming.pop(request)
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -2,12 +2,53 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import pytest
+
+from edges import Edge
+from oleanderdyke.entry.agents import AgentLinks
+from oleanderdyke.entry.configuration import ConfigurationFeed
 from oleanderdyke.kernel.demand import Demand, Plan
+from oleanderdyke.links.messages import BackendKind, SegmentEvents
 from oleanderdyke.policies.sources import Reach, SoonTable
 
+pytestmark = pytest.mark.anyio
+MODEL = 'asistente'
 SEGMENTS = tuple(bytes([number]) * 8 for number in range(3))
 
 
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+def test_removal_told_after_a_dispatch_wins() -> None:
+    table = SoonTable(limit=1_000)
+    first = Demand('r', 't', 's', deadline=1_000, segments=SEGMENTS)
+    other = (*SEGMENTS[:2], b'o' * 8, b'p' * 8)
+    second = Demand('q', 't', 's', deadline=1_000, segments=other)
+    table.note_sent(first, Plan('a', 'test'), 0.0)
+    table.note_ready('r', 50.0)
+    table.note_sent(second, Plan('a', 'test', cached=2), 60.0)
+    table.note_ready('q', 80.0)
+    assert table.extend('a', other, 0, 90.0) == Reach(4)
+    table.note_removed('b', SEGMENTS)
+    assert table.extend('a', SEGMENTS, 0, 90.0) == Reach(3)
+    table.note_removed('a', SEGMENTS[1:2])
+    # What lies behind a gap is of no use, whichever dispatch brought it.
+    assert table.extend('a', SEGMENTS, 0, 90.0) == Reach(1)
+    assert table.extend('a', other, 0, 90.0) == Reach(1)
+    assert table.extend('a', other, 2, 90.0) == Reach(4)
+    assert not table.holders(SEGMENTS[1])
+    # A later dispatch brings the segment back.
+    again = Demand('s', 't', 's', deadline=1_000, segments=SEGMENTS)
+    table.note_sent(again, Plan('a', 'test', cached=1), 100.0)
+    table.note_ready('s', 120.0)
+    assert table.extend('a', SEGMENTS, 0, 130.0) == Reach(3)
+    table.note_finished('s')
+
+
 def test_context_that_was_sent_counts_for_some_seconds_only() -> None:
     table = SoonTable(limit=1_000)
     demand = Demand('r', 't', 's', deadline=1_000, segments=SEGMENTS)
@@ -17,3 +58,19 @@
     assert table.extend('a', SEGMENTS, 0, 1_000.0) == Reach(3)
     # Nothing else was sent since, so nothing swept the table.
     assert table.extend('a', SEGMENTS, 0, 6_000.0) == Reach(0)
+
+
+async def test_entry_passes_on_what_an_agent_lost() -> None:
+    edge = Edge()
+    link: Any = edge.add_agent(MODEL, BackendKind.ENGINE)
+    agents = AgentLinks(edge.core, ConfigurationFeed(edge.core, edge.log))  # type: ignore[arg-type] # a fake log
+    agent = link.peer.process
+    demand = Demand('r', 't', MODEL, deadline=1_000, segments=SEGMENTS)
+    router, now = edge.core.router, edge.core.clock.now()
+    router.note_sent(demand, Plan(agent, 'test'), now)
+    router.note_first_token('r', now)
+    for removed, cached in (((), 3), (SEGMENTS[:1], 0)):
+        await agents.on_message(link, SegmentEvents(0, removed=removed))
+        plan = router.choose(demand, edge.core.fleet, now, edge.core.random)
+        assert isinstance(plan, Plan)
+        assert plan.cached == cached
