Show each missed target and the requests that missed it

Cause: users pay by missed targets, but an entry only counted them; nobody could name the requests, quantiles hid refusals, and each entry stood alone. Ruled out: judging by histogram quantiles (their buckets are 2 digits wide, so a target of 600 ms can't be decided); labels of refusals by service and kind in the metrics (18 models times 29 kinds pass the bound of 200 labels). Change: a book for each service judges foreground streams over a sliding hour, keeps the last 50 requests that missed each target, and counts refusals by kind; a refusal that is not the caller's own fault misses the first token. The event target_missed names request, target, value and limit. `oleanderctl status` adds up over all entries, from encoded histograms. Conclusion: each missed target can be pointed to. Answers that are not streamed are not judged in time.

--- a/src/oleanderdyke/ctl/commands.py
+++ b/src/oleanderdyke/ctl/commands.py
@@ -4,6 +4,7 @@
 
 import argparse
 import difflib
+import json
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import asdict
 from typing import Any, TypeAlias
@@ -29,6 +30,8 @@
     read_outcome,
 )
 from oleanderdyke.ctl.reach import wait_in_force
+from oleanderdyke.ctl.services import summarise
+from oleanderdyke.ctl.status_views import show_processes, show_services
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.kernel.specs import describe_spec
 
@@ -139,14 +142,25 @@
 
 
 def status(client: Client, options: Options) -> ExitCode:
-    """Show entries, agents and what each service owes."""
-    found = list(_read_statuses(client))
-    statuses = [item for item in found if item['reached']]
+    """Show entries, agents, what each service owes and who missed it."""
+    found = list(_read_statuses(client, options.missed))
+    reached = [item for item in found if item['reached']]
+    services = [
+        item
+        for item in summarise(reached)
+        if options.service in {None, item.service}
+    ]
     if options.output is Format.TABLE:
-        views.show_statuses(found)
+        if options.service is None:
+            show_processes(found)
+            show()
+        show_services(services)
     else:
-        show_document(found, options.output)
-    return ExitCode.OK if statuses else ExitCode.UNAVAILABLE
+        entries = list(map(_drop_services, found))
+        shown = {'entries': entries, 'services': list(map(asdict, services))}
+        # JSON has no tuples, and YAML should show what JSON shows.
+        show_document(json.loads(json.dumps(shown)), options.output)
+    return ExitCode.OK if reached else ExitCode.UNAVAILABLE
 
 
 def drain(client: Client, options: Options) -> ExitCode:
@@ -217,10 +231,15 @@
     )
 
 
-def _read_statuses(client: Client) -> Iterable[dict[str, Any]]:
+def _drop_services(found: Mapping[str, Any]) -> dict[str, Any]:
+    return {key: part for key, part in found.items() if key != 'services'}
+
+
+def _read_statuses(client: Client, missed: int) -> Iterable[dict[str, Any]]:
+    path = make_path('status', missed=max(missed, 1))
     for entry in client.entries:
         try:
-            found = client.get_from(entry, make_path('status'))
+            found = client.get_from(entry, path)
         except OleanderError as error:
             if error.kind is not ErrorKind.BACKEND_LOST:
                 raise
--- a/src/oleanderdyke/ctl/main.py
+++ b/src/oleanderdyke/ctl/main.py
@@ -20,6 +20,7 @@
 TOKEN_VARIABLE = 'OLEANDER_TOKEN'
 ENTRY_VARIABLE = 'OLEANDER_ENTRY'
 _DEFAULT_ENTRY = 'http://127.0.0.1:8080'
+_MISSED = 5
 _TIMELINE = 'timeline'
 _TIMELINE_MODULE = 'oleanderdyke.ctl.timeline'
 
@@ -152,6 +153,14 @@
     parser.add_argument('--count', type=int, help='end after so many changes')
     _add_common(parser)
     parser = commands.add_parser('status', help='show processes and targets')
+    parser.add_argument('--service', help='show this service only')
+    parser.add_argument(
+        '--missed',
+        type=int,
+        default=_MISSED,
+        metavar='COUNT',
+        help='show so many requests that missed each target, at most 50',
+    )
     _add_common(parser)
     parser = commands.add_parser('drain', help='ask an agent to leave')
     parser.add_argument('agent', help='process name of the agent')
--- /dev/null
+++ b/src/oleanderdyke/ctl/services.py
@@ -0,0 +1,142 @@
+"""Add up what several entries tell of each service."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.targets import Counts, Target, is_met
+from oleanderdyke.metrics import MergedTiming, Timing
+
+Status: TypeAlias = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Quantiles:
+    """Hold the times that 50, 95 and 99 in 100 don't exceed."""
+
+    half: Millis
+    most: Millis
+    nearly_all: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSummary:
+    """Compare one target with the requests of the last hour."""
+
+    target: str
+    limit: float
+    counts: Counts
+    met: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MissedRequest:
+    """Name a request that missed a target, and the entry that served it."""
+
+    entry: str
+    request: str
+    target: str
+    value: float
+    limit: float
+    at: Millis
+    refused: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSummary:
+    """Hold what all asked entries know of one service."""
+
+    service: str
+    kind: str
+    requests: int
+    first_token: Quantiles
+    between_tokens: Quantiles
+    recomputed_share: float
+    link_bytes: int
+    refusals: Mapping[str, int]
+    targets: tuple[TargetSummary, ...]
+    missed: int
+    missed_requests: tuple[MissedRequest, ...]
+
+
+def summarise(statuses: Iterable[Status]) -> list[ServiceSummary]:
+    """Merge the services of several entries by name."""
+    parts: dict[str, list[Status]] = {}
+    for status in statuses:
+        for service in status['services']:
+            part = {**service, 'entry': status['process']}
+            parts.setdefault(service['service'], []).append(part)
+    return [_merge(name, parts[name]) for name in sorted(parts)]
+
+
+def _merge(name: str, parts: Sequence[Status]) -> ServiceSummary:
+    refusals: Counter[str] = Counter()
+    for part in parts:
+        refusals.update(part['refusals'])
+    prompt, recomputed = _add(parts, 'prompt_tokens', 'recomputed_tokens')
+    requests, link_bytes, missed = _add(
+        parts, 'requests', 'link_bytes', 'missed'
+    )
+    return ServiceSummary(
+        service=name,
+        kind=parts[0]['kind'],
+        requests=requests,
+        first_token=_read_quantiles(parts, Timing.FIRST_TOKEN),
+        between_tokens=_read_quantiles(parts, Timing.BETWEEN_TOKENS),
+        recomputed_share=recomputed / prompt if prompt else 0.0,
+        link_bytes=link_bytes,
+        refusals=dict(sorted(refusals.items())),
+        targets=tuple(_merge_standings(parts)),
+        missed=missed,
+        missed_requests=tuple(_list_missed(parts)),
+    )
+
+
+def _add(parts: Iterable[Status], *names: str) -> tuple[int, ...]:
+    kept = tuple(parts)
+    return tuple(sum(part[name] for part in kept) for name in names)
+
+
+def _read_quantiles(parts: Iterable[Status], timing: Timing) -> Quantiles:
+    merged = MergedTiming(
+        part['timings'].get(timing.value, '') for part in parts
+    )
+    return Quantiles(*map(merged.read_quantile, (50, 95, 99)))
+
+
+def _merge_standings(parts: Sequence[Status]) -> Iterable[TargetSummary]:
+    groups: dict[str, list[Status]] = {}
+    for part in parts:
+        for standing in part['standings']:
+            groups.setdefault(standing['target'], []).append(standing)
+    for target, group in groups.items():
+        yield _merge_target(target, group)
+
+
+def _merge_target(name: str, group: Sequence[Status]) -> TargetSummary:
+    counts = Counts(
+        *_add(
+            [standing['counts'] for standing in group],
+            'judged',
+            'missed',
+            'prompt_tokens',
+            'recomputed_tokens',
+        )
+    )
+    # An entry that lags behind may still know an older limit.
+    limit = group[0]['limit']
+    met = is_met(Target(name), limit, counts)
+    return TargetSummary(name, limit, counts, met)
+
+
+def _list_missed(parts: Iterable[Status]) -> list[MissedRequest]:
+    found = [
+        MissedRequest(entry=part['entry'], **missed)
+        for part in parts
+        for missed in part['missed_requests']
+    ]
+    return sorted(found, key=lambda item: (item.target, item.at))
--- a/src/oleanderdyke/ctl/views.py
+++ b/src/oleanderdyke/ctl/views.py
@@ -1,4 +1,4 @@
-"""Show objects, changes and the state of processes as tables."""
+"""Show objects and changes as tables."""
 
 from __future__ import annotations
 
@@ -16,8 +16,6 @@
 
 Shown: TypeAlias = Mapping[str, Any]
 
-_DASH = '-'
-
 
 def show_objects(objects: Iterable[Shown]) -> None:
     """Print objects as a table."""
@@ -52,49 +50,6 @@
         show('  '.join(str(cell) for cell in _make_cells(outcome)).rstrip())
 
 
-def show_statuses(statuses: Sequence[Shown]) -> None:
-    """Print entries, the agents they know, and services."""
-    reached = [item for item in statuses if item['reached']]
-    show_table(
-        ('ENTRY', 'PROCESS', 'READY', 'OFFSET', 'AGENTS', 'REASON'),
-        [tuple(_make_entry_row(item)) for item in statuses],
-    )
-    show()
-    show_table(
-        (
-            'AGENT',
-            'SERVICE',
-            'PHASE',
-            'CONDITION',
-            'OFFSET',
-            'RUNNING',
-            'WAITING',
-            'HEARD',
-            'WEIGHTS',
-        ),
-        [_make_agent_row(item) for item in _merge_agents(reached)],
-    )
-    show()
-    show_table(
-        (
-            'ENTRY',
-            'SERVICE',
-            'REQUESTS',
-            'FIRST TOKEN',
-            'BETWEEN TOKENS',
-            'RECOMPUTED',
-            'LINK BYTES',
-            'MISSED',
-            'TARGETS MISSED',
-        ),
-        [
-            _make_service_row(item['process'], service)
-            for item in reached
-            for service in item['services']
-        ],
-    )
-
-
 def _summarise(spec: Shown) -> str:
     hidden = {'labels', 'token_hashes', 'admin_token_hashes'}
     parts = [
@@ -128,56 +83,3 @@
     winner = outcome.get('winner', '')
     by = f'; last changed by {winner}' if winner else ''
     yield f'{outcome["detail"]}{by}' if lost else ''
-
-
-def _make_entry_row(item: Shown) -> Iterator[object]:
-    yield item['entry']
-    if not item['reached']:
-        yield from (_DASH, 'unreachable', _DASH, _DASH, item['reason'])
-        return
-    yield item['process']
-    yield 'yes' if item['ready'] else 'no'
-    yield item['offset']
-    yield len(item['agents'])
-    yield item['reason']
-
-
-def _merge_agents(statuses: Iterable[Shown]) -> list[Shown]:
-    """Return each agent once, as the entry that heard it last knows it."""
-    latest: dict[str, Shown] = {}
-    for item in statuses:
-        for agent in item['agents']:
-            known = latest.get(agent['agent'], agent)
-            if agent['heard_ago'] <= known['heard_ago']:
-                latest[agent['agent']] = agent
-    return [latest[name] for name in sorted(latest)]
-
-
-def _make_agent_row(agent: Shown) -> tuple[object, ...]:
-    weights = f'{agent["model"]} {agent["weight_version"]}'.strip()
-    return (
-        agent['agent'],
-        agent['service'],
-        agent['phase'],
-        agent['condition'],
-        agent['offset'],
-        agent['load']['running'],
-        agent['load']['waiting'],
-        f'{agent["heard_ago"]:.0f} ms',
-        weights or _DASH,
-    )
-
-
-def _make_service_row(process: str, item: Shown) -> tuple[object, ...]:
-    targets, measured = item['targets'], item['measured']
-    return (
-        process,
-        item['service'],
-        item['requests'],
-        f'{measured["first_token"]:.0f}/{targets["first_token"]:.0f} ms',
-        f'{measured["between_tokens"]:.0f}/{targets["between_tokens"]:.0f} ms',
-        f'{measured["recomputed_share"]:.1%}/{targets["recomputed_share"]:.0%}',
-        item['link_bytes'],
-        item['missed'],
-        ','.join(item['missed_targets']) or _DASH,
-    )
--- a/src/oleanderdyke/entry/admin_edge.py
+++ b/src/oleanderdyke/entry/admin_edge.py
@@ -136,7 +136,9 @@
     async def _show_status(self, ask: Ask) -> tuple[int, Any]:
         check_operator(ask.caller)
         offset = ask.query.read_number('offset', self._core.catalog.offset)
-        return _OK, make_status(self._core, offset)
+        missed = ask.query.read_number('missed', 0)
+        status = make_status(self._core, offset, missed=max(missed, 0))
+        return _OK, status
 
     async def _publish(self, ask: Ask) -> tuple[int, Any]:
         outcomes = await self._administration.publish(
--- a/src/oleanderdyke/entry/admin_status.py
+++ b/src/oleanderdyke/entry/admin_status.py
@@ -15,10 +15,11 @@
     StoredObject,
     Targets,
 )
+from oleanderdyke.kernel.targets import Missed, Standing
 from oleanderdyke.links.messages import Load
 from oleanderdyke.metrics import Count, Timing
 
-_SHARE = 95.0
+_TIMINGS = (Timing.FIRST_TOKEN, Timing.BETWEEN_TOKENS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,15 +53,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceStatus:
-    """Compare what a service owes with what this entry measured."""
+    """Compare what a service owes with what its requests here got.
+
+    `standings` cover the last hour, all else the life of this entry. The
+    timings are encoded histograms, which those of other entries add to; they
+    and the requests that missed a target come only where asked for.
+    """
 
     service: str
+    kind: str
     requests: int
     targets: Targets
-    measured: Targets
+    standings: tuple[Standing, ...]
+    prompt_tokens: int
+    recomputed_tokens: int
     link_bytes: int
+    refusals: Mapping[str, int]
     missed: int
-    missed_targets: tuple[str, ...]
+    missed_requests: tuple[Missed, ...]
+    timings: Mapping[str, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +91,13 @@
     reach: Reach
 
 
-def make_status(core: Core, offset: int | None = None) -> EntryStatus:
-    """Build the status; `reach` is for an offset, else for the present one."""
+def make_status(
+    core: Core, offset: int | None = None, *, missed: int = 0
+) -> EntryStatus:
+    """Build the status; `reach` is for an offset, else for the present one.
+
+    With `missed`, show so many requests that missed each target.
+    """
     catalog, fault = core.catalog, core.find_fault()
     views = core.fleet.views()
     wanted = catalog.offset if offset is None else offset
@@ -97,7 +113,7 @@
         skipped_records=catalog.skipped,
         objects={kind.value: catalog.count(kind) for kind in ObjectKind},
         agents=tuple(sorted(agents, key=lambda item: item.agent)),
-        services=tuple(_measure_services(core, services)),
+        services=tuple(_measure_services(core, services, missed)),
         reach=_find_reach(core, views, wanted),
     )
 
@@ -132,41 +148,36 @@
 
 
 def _measure_services(
-    core: Core, services: Iterable[StoredObject]
+    core: Core, services: Iterable[StoredObject], missed: int
 ) -> Iterable[ServiceStatus]:
     for stored in services:
         if isinstance(stored.spec, ServiceSpec):
-            yield _measure_service(core, stored.name, stored.spec)
-
-
-def _measure_service(core: Core, name: str, spec: ServiceSpec) -> ServiceStatus:
-    metrics = core.metrics
-    prompt = metrics.read_count(Count.PROMPT_TOKENS, name)
-    recomputed = metrics.read_count(Count.RECOMPUTED_TOKENS, name)
-    measured = Targets(
-        metrics.read_quantile(Timing.FIRST_TOKEN, _SHARE, name),
-        metrics.read_quantile(Timing.BETWEEN_TOKENS, _SHARE, name),
-        recomputed / prompt if prompt else 0.0,
+            yield _measure_service(core, stored.name, stored.spec, missed)
+
+
+def _measure_service(
+    core: Core, name: str, spec: ServiceSpec, missed: int
+) -> ServiceStatus:
+    metrics, book = core.metrics, core.targets.get(name)
+    model = spec.kind is ServiceKind.MODEL
+    refusals = sorted((kind.value, n) for kind, n in book.refusals.items())
+    timings = (
+        (timing.value, metrics.encode_timing(timing, name))
+        for timing in _TIMINGS
     )
     return ServiceStatus(
         service=name,
+        kind=spec.kind.value,
         requests=int(metrics.read_count(Count.REQUESTS, name)),
         targets=spec.targets,
-        measured=measured,
+        standings=book.judge(spec.targets, core.clock.now()) if model else (),
+        prompt_tokens=int(metrics.read_count(Count.PROMPT_TOKENS, name)),
+        recomputed_tokens=int(
+            metrics.read_count(Count.RECOMPUTED_TOKENS, name)
+        ),
         link_bytes=int(metrics.read_count(Count.LINK_BYTES, name)),
+        refusals=dict(refusals),
         missed=int(metrics.read_count(Count.MISSED_TARGETS, name)),
-        missed_targets=_find_missed(spec, measured),
+        missed_requests=book.list_missed(missed) if missed else (),
+        timings=dict(timings) if missed else {},
     )
-
-
-def _find_missed(spec: ServiceSpec, measured: Targets) -> tuple[str, ...]:
-    if spec.kind is not ServiceKind.MODEL:
-        return ()
-    targets = spec.targets
-    missed = {
-        'first_token': measured.first_token > targets.first_token,
-        'between_tokens': measured.between_tokens > targets.between_tokens,
-        'recomputed_share': measured.recomputed_share
-        > targets.recomputed_share,
-    }
-    return tuple(name for name, is_missed in missed.items() if is_missed)
--- a/src/oleanderdyke/entry/app.py
+++ b/src/oleanderdyke/entry/app.py
@@ -36,6 +36,7 @@
 from oleanderdyke.entry.requests import RequestDriver
 from oleanderdyke.entry.resume import ResumeAsk, ResumeDriver
 from oleanderdyke.entry.sse import Position, parse_position
+from oleanderdyke.entry.targets import note_refused
 from oleanderdyke.entry.tokens import decode_token
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
@@ -229,10 +230,18 @@
             tokens=call.tokens or None,
             digest=call.digest,
         )
-        driver = RequestDriver(
-            self._tools, self._queue, call, body=body, answer=answer
-        )
-        await self._count(call.request, driver.run)
+        started = core.clock.now()
+        try:
+            driver = RequestDriver(
+                self._tools, self._queue, call, body=body, answer=answer
+            )
+            await self._count(call.request, driver.run)
+        except Exception as fault:
+            error = _find_error(fault)
+            if error is not None:
+                duration = core.clock.now() - started
+                note_refused(core, call, error.kind, duration=duration)
+            raise
 
     async def _count(
         self, request: str, run: Callable[[], Awaitable[None]]
--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -29,6 +29,7 @@
     make_retry_budget,
 )
 from oleanderdyke.kernel.spread import ConfigurationReader, ReaderSettings
+from oleanderdyke.kernel.targets import TargetBooks
 from oleanderdyke.links.link import Link
 from oleanderdyke.links.messages import PROTOCOL_VERSION, Hello, Message, Role
 from oleanderdyke.logs import EventLog, make_event_log
@@ -93,6 +94,7 @@
     drain: Drain
     machine: MachineSettings
     running: dict[str, Running] = field(default_factory=dict)
+    targets: TargetBooks = field(default_factory=TargetBooks)
     find_link: FindLink = _find_no_link
     # Cleared while the links of a new entry are being opened.
     settled: bool = True
--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -15,11 +15,11 @@
     DeliverHead,
     Refuse,
 )
-from oleanderdyke.kernel.objects import Targets
 from oleanderdyke.links.messages import AnswerEnd, Headers
 from oleanderdyke.metrics import Metrics, Timing
 
 RESUME_HEADER = 'oleander-resume'
+_TWO = 2
 
 
 class Delivery:
@@ -69,6 +69,21 @@
         """Return the status that was sent."""
         return self._answer.status
 
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the answer is a stream of events."""
+        return self._numberer is not None
+
+    @property
+    def between_tokens(self) -> Millis | None:
+        """Return the mean time between chunks, None for fewer than two."""
+        if self.first_token is None or self._last_chunk is None:
+            return None
+        if self.chunks < _TWO:
+            return None
+        streamed = self._last_chunk - self._started - self.first_token
+        return streamed / (self.chunks - 1)
+
     def put_head(self, head: DeliverHead) -> None:
         """Open the answer; `head.resume` is already opaque."""
         headers = return_headers(head.headers)
@@ -87,18 +102,6 @@
             data = self._numberer.take(data)
         self._unsent.append(data)
 
-    def find_missed(self, targets: Targets) -> tuple[str, ...]:
-        """Name the targets in time that this answer has missed."""
-        if self.first_token is None or self._last_chunk is None:
-            return ()
-        missed = []
-        if self.first_token > targets.first_token:
-            missed.append('first_token')
-        streamed = self._last_chunk - self._started - self.first_token
-        if streamed > targets.between_tokens * max(self.chunks - 1, 1):
-            missed.append('between_tokens')
-        return tuple(missed)
-
     async def flush(self) -> None:
         """Send what was put, waiting for a slow caller.
 
--- a/src/oleanderdyke/entry/effects.py
+++ b/src/oleanderdyke/entry/effects.py
@@ -16,6 +16,7 @@
 from oleanderdyke.entry.routes import choose_route
 from oleanderdyke.entry.sender import AttemptSender
 from oleanderdyke.entry.stopping import Stopper
+from oleanderdyke.entry.targets import note_answered, note_refused
 from oleanderdyke.entry.tokens import StreamToken, encode_token
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
@@ -201,7 +202,15 @@
         self._note_end(action)
 
     async def _refuse(self, action: Refuse) -> None:
-        note_refusal(self._core, self._call.request, action)
+        core, call = self._core, self._call
+        note_refusal(core, call.request, action)
+        note_refused(
+            core,
+            call,
+            action.kind,
+            duration=core.clock.now() - self._started,
+            delivery=self._delivery,
+        )
         await self._guard(self._delivery.refuse(action))
 
     async def _start_timer(self, action: StartTimer) -> None:
@@ -232,8 +241,7 @@
             metrics.add(Count.PROMPT_TOKENS, end.prompt_tokens, service)
             metrics.add(Count.RECOMPUTED_TOKENS, end.recomputed_tokens, service)
             metrics.add(Count.LINK_BYTES, end.link_bytes, service)
-        missed = self._find_missed()
-        metrics.add(Count.MISSED_TARGETS, len(missed), service)
+        note_answered(self._core, self._call, self._delivery, end)
         self.log(
             EventName.REQUEST_FINISHED,
             status=self._delivery.status,
@@ -242,15 +250,8 @@
             chunks=self._delivery.chunks,
             tokens=None if end is None else end.prompt_tokens,
             recomputed=None if end is None else end.recomputed_tokens,
-            reason=f'missed {" ".join(missed)}' if missed else None,
         )
 
-    def _find_missed(self) -> tuple[str, ...]:
-        """Name missed targets; background work has none in time."""
-        if self._call.background:
-            return ()
-        return self._delivery.find_missed(self._call.spec.targets)
-
 
 def note_refusal(
     core: Core, request: str, refused: Refuse | OleanderError
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import TypeVar
 
 from hdrh.histogram import HdrHistogram
@@ -85,7 +85,7 @@
         key = (timing, _bound(self._timings, timing, label))
         histogram = self._timings.get(key)
         if histogram is None:
-            histogram = HdrHistogram(_LOWEST_MICROS, _HIGHEST_MICROS, _DIGITS)
+            histogram = _make_histogram()
             self._timings[key] = histogram
         micros = int(duration * _MICROS_PER_MILLI)
         histogram.record_value(
@@ -116,6 +116,11 @@
         micros = float(histogram.get_value_at_percentile(quantile))
         return micros / _MICROS_PER_MILLI
 
+    def encode_timing(self, timing: Timing, label: str = '') -> str:
+        """Return a timing for `MergedTiming`, empty where none was taken."""
+        histogram = self._timings.get((timing, label))
+        return '' if histogram is None else str(histogram.encode(), 'ascii')
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         registry = CollectorRegistry(auto_describe=False)
@@ -171,6 +176,30 @@
         return family
 
 
+class MergedTiming:
+    """Answer the quantiles of one timing over several processes."""
+
+    def __init__(self, encoded: Iterable[str]) -> None:
+        self._histogram = _make_histogram()
+        for text in encoded:
+            if text:
+                self._histogram.add(HdrHistogram.decode(text))
+
+    @property
+    def count(self) -> int:
+        """Return how many durations were taken."""
+        return int(self._histogram.total_count)
+
+    def read_quantile(self, quantile: float) -> Millis:
+        """Return a quantile (0 to 100), 0 where none was taken."""
+        micros = float(self._histogram.get_value_at_percentile(quantile))
+        return micros / _MICROS_PER_MILLI
+
+
+def _make_histogram() -> HdrHistogram:
+    return HdrHistogram(_LOWEST_MICROS, _HIGHEST_MICROS, _DIGITS)
+
+
 def _bound(
     known: Mapping[tuple[_NameT, str], object], name: _NameT, label: str
 ) -> str:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -205,7 +205,7 @@
         terminal.run('status', '-o', 'json')
         agents = [
             agent
-            for entry in json.loads(terminal.out)
+            for entry in json.loads(terminal.out)['entries']
             for agent in entry['agents']
             if agent['agent'] == 'taquilla-1'
         ]
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,235 @@
+from __future__ import annotations
+
+import io
+import json
+import tracemalloc
+
+import pytest
+
+from oleanderdyke.clock import ManualClock
+from oleanderdyke.ctl.services import summarise
+from oleanderdyke.entry.admin_documents import encode
+from oleanderdyke.entry.admin_status import make_status
+from oleanderdyke.entry.calls import Call
+from oleanderdyke.entry.core import make_core
+from oleanderdyke.entry.delivery import Delivery
+from oleanderdyke.entry.settings import EntrySettings, LogSettings, VmSettings
+from oleanderdyke.entry.targets import note_answered, note_refused
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.kernel.attempt_events import DeliverChunk, DeliverHead
+from oleanderdyke.kernel.objects import (
+    Change,
+    ObjectKind,
+    ServiceKind,
+    ServiceSpec,
+    Targets,
+)
+from oleanderdyke.kernel.targets import (
+    MISSED_COUNT,
+    WINDOW,
+    Served,
+    Target,
+    TargetBook,
+    TargetBooks,
+)
+from oleanderdyke.links.messages import AnswerEnd
+from oleanderdyke.logs import make_event_log, parse_line
+from oleanderdyke.metrics import Count, Timing
+
+OWED = Targets(first_token=600, between_tokens=37, recomputed_share=0.5)
+SPECS = {
+    'model': ServiceSpec(
+        ServiceKind.MODEL, model='m', version='1', targets=OWED
+    ),
+    'plain': ServiceSpec(ServiceKind.PLAIN),
+}
+
+
+def add(book: TargetBook, *times: float, now: float = 0.0) -> None:
+    for number, time in enumerate(times):
+        served = Served(f'r{number}', first_token=time)
+        book.add(served, OWED, now=now, wall=now)
+
+
+def judge(book: TargetBook, now: float = 0.0) -> dict[Target, bool]:
+    return {item.target: item.met for item in book.judge(OWED, now)}
+
+
+@pytest.mark.parametrize(('late', 'met'), [(5, True), (6, False)])
+def test_time_is_owed_to_95_in_100(late, met):
+    book = TargetBook()
+    add(book, *[600.0] * (100 - late), *[600.1] * late)
+    assert judge(book)[Target.FIRST_TOKEN] is met
+    assert len(book.list_missed()) == late
+
+
+def test_recomputed_share_is_owed_over_all_tokens():
+    book = TargetBook()
+    for request, prompt, recomputed in (('new', 100, 100), ('old', 300, 99)):
+        served = Served(
+            request, prompt_tokens=prompt, recomputed_tokens=recomputed
+        )
+        book.add(served, OWED, now=0, wall=0)
+    assert judge(book)[Target.RECOMPUTED_SHARE]
+    (missed,) = book.list_missed()
+    assert (missed.request, missed.value) == ('new', 1.0)
+
+
+def test_window_forgets_but_the_missed_requests_stay():
+    book = TargetBook()
+    add(book, 700.0)
+    assert not judge(book, WINDOW / 2)[Target.FIRST_TOKEN]
+    assert judge(book, WINDOW)[Target.FIRST_TOKEN]
+    assert [item.request for item in book.list_missed()] == ['r0']
+
+
+def test_books_stay_bounded_with_18_models():
+    books = TargetBooks()
+    tracemalloc.start()
+    for number in range(20_000):
+        served = Served(f'{number:032x}', 700.0, 50.0, 100, 100)
+        now = number * WINDOW / 5_000
+        books.get(f'model-{number % 18}').add(served, OWED, now=now, wall=now)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    for number in range(500):
+        books.get(f'other-{number}')
+    assert len(books.get('model-0').list_missed()) == 0
+    assert size < 1024 * 1024
+    book = TargetBook()
+    add(book, *[700.0] * (3 * MISSED_COUNT))
+    assert len(book.list_missed()) == MISSED_COUNT
+    assert len(book.list_missed(3)) == 3
+
+
+class Bench:
+    """Answer calls of one entry on a clock of its own."""
+
+    def __init__(self, name: str = 'entry-a') -> None:
+        self.clock = ManualClock()
+        places = LogSettings('127.0.0.1:1'), VmSettings('127.0.0.1:1')
+        settings = EntrySettings(name, 'hall', *places)
+        self.core = make_core(settings, self.clock)
+        self.lines = io.StringIO()
+        self.core.log = make_event_log(
+            name, clock=self.clock, stream=self.lines
+        )
+        for item, spec in SPECS.items():
+            change = Change(item, 'ana', ObjectKind.SERVICE, item, 0, spec)
+            self.core.catalog.apply(self.core.catalog.offset + 1, change)
+
+    def call(self, request: str, service: str = 'model', **options) -> Call:
+        fixed = ('POST', '/', (), b'', '')
+        return Call(
+            request,
+            'owls',
+            service,
+            SPECS[service],
+            *fixed,
+            idempotent=True,
+            **options,
+        )
+
+    def deliver(self, call: Call, *gaps: float, media='text/event-stream'):
+        delivery = Delivery(
+            None,
+            request=call.request,
+            label=call.label,
+            clock=self.clock,
+            metrics=self.core.metrics,
+        )
+        delivery.put_head(DeliverHead(200, (('content-type', media),), ''))
+        for gap in gaps:
+            self.clock.advance(gap)
+            delivery.put_chunk(DeliverChunk(b'data: 1\n\n'))
+        return delivery
+
+    def answer(self, call: Call, *gaps: float, **options) -> None:
+        end = AnswerEnd(call.request, 1, len(gaps), b'', 20, 100, 7)
+        delivery = self.deliver(call, *gaps, **options)
+        note_answered(self.core, call, delivery, end)
+
+    def list_missed(self) -> list[tuple[str, str, str]]:
+        found = map(parse_line, self.lines.getvalue().splitlines())
+        return [
+            (line['request'], line['target'], line['value'])
+            for line in found
+            if line['event'] == 'target_missed'
+        ]
+
+    def read_status(self):
+        return json.loads(encode(make_status(self.core, missed=50)))
+
+
+def test_each_missed_target_is_one_event_with_its_request():
+    bench = Bench()
+    bench.answer(bench.call('quick'), 600, 37, 37)
+    bench.answer(bench.call('slow'), 601, 30, 50)
+    bench.answer(bench.call('letter', background=True), 9_000)
+    bench.answer(bench.call('desk', 'plain'), 9_000)
+    # Nobody can tell when the first token of such an answer came.
+    bench.answer(bench.call('whole'), 9_000, media='application/json')
+    assert bench.list_missed() == [
+        ('slow', 'first_token', '601.0'),
+        ('slow', 'between_tokens', '40.0'),
+    ]
+
+
+def test_refusal_counts_as_missed_unless_the_caller_is_at_fault():
+    bench = Bench()
+    call = bench.call('lost')
+    note_refused(bench.core, call, ErrorKind.DEADLINE, duration=30.0)
+    note_refused(
+        bench.core, bench.call('much'), ErrorKind.RATE_LIMITED, duration=1.0
+    )
+    begun = bench.call('begun')
+    note_refused(
+        bench.core,
+        begun,
+        ErrorKind.STREAM_BROKEN,
+        duration=900.0,
+        delivery=bench.deliver(begun, 100, 10),
+    )
+    assert bench.list_missed() == [('lost', 'first_token', '30.0')]
+    (service, _) = bench.read_status()['services']
+    assert service['missed_requests'][0]['refused'] == 'deadline'
+    assert service['refusals'] == {
+        'deadline': 1,
+        'rate_limited': 1,
+        'stream_broken': 1,
+    }
+
+
+def test_status_adds_up_over_entries():
+    first, second = Bench(), Bench('entry-b')
+    for number in range(9):
+        first.answer(first.call(f'a{number}'), 100, 10)
+    second.answer(second.call('b'), 5_000, 10)
+    note_refused(
+        second.core, second.call('c'), ErrorKind.OVERLOADED, duration=0
+    )
+    for bench in (first, second):
+        bench.core.metrics.add(Count.REQUESTS, 10, 'model')
+        bench.core.metrics.add(Count.LINK_BYTES, 7, 'model')
+    model, plain = summarise([first.read_status(), second.read_status()])
+    assert (model.requests, model.link_bytes) == (20, 14)
+    assert model.refusals == {'overloaded': 1}
+    assert model.first_token.half == pytest.approx(100, rel=0.02)
+    assert model.first_token.most == pytest.approx(5_000, rel=0.02)
+    judged = {item.target: item for item in model.targets}
+    counts = judged['first_token'].counts
+    assert (counts.judged, counts.missed) == (11, 2)
+    assert not judged['first_token'].met
+    assert judged['recomputed_share'].met
+    named = [(item.entry, item.request) for item in model.missed_requests]
+    assert named == [('entry-b', 'b'), ('entry-b', 'c')]
+    assert plain.targets == ()
+
+
+def test_status_that_waits_poll_holds_no_requests():
+    bench = Bench()
+    bench.answer(bench.call('slow'), 5_000)
+    (service, _) = make_status(bench.core).services
+    assert (service.missed, service.missed_requests) == (1, ())
+    assert service.timings == {}
+    assert bench.core.metrics.encode_timing(Timing.FETCH) == ''
