Let an entry link to the agents of its region only

Cause: entries link to every agent of the VM list. Ruled out: summaries of other regions, until something needs them: services are chosen by their region's labels, and a caller reaches its region's entries. Change: vms.data_centres names whose agents an entry links to; none means all.

--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -57,11 +57,15 @@
 
 @dataclass(frozen=True, slots=True)
 class VmSettings:
-    """Say where the list of VMs is and how often it is read."""
+    """Say where the list of VMs is and how often it is read.
+
+    Only agents in `data_centres` are linked to, in all where none is named.
+    """
 
     address: str
     period: Millis = SECOND
     timeout: Millis = 2 * SECOND
+    data_centres: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/entry/vmwatch.py
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -68,6 +68,9 @@
 
     def _allows(self, vm: Vm) -> bool:
         settings = self._core.settings
+        region = settings.vms.data_centres
+        if region and vm.data_centre not in region:
+            return False
         if settings.links_tls.ca or settings.links_plain_text:
             return True
         if is_loopback(vm.address.rpartition(':')[0].strip('[]')):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,19 +2,39 @@
 
 from __future__ import annotations
 
+from unittest.mock import Mock
+
 import pytest
 
 from bench.memory import make_team
+from oleanderdyke.clock import make_clock
+from oleanderdyke.entry.core import make_core
+from oleanderdyke.entry.settings import (
+    EntrySettings,
+    LogSettings,
+    VmSettings,
+)
+from oleanderdyke.entry.vmwatch import VmWatch
 from oleanderdyke.kernel.catalog import Catalog
 from oleanderdyke.kernel.objects import Change, ObjectKind
 from oleanderdyke.kernel.records import decode_record, encode_change
 from oleanderdyke.kernel.snapshots import SnapshotLoader
 from oleanderdyke.links.codec import encode
 from oleanderdyke.links.messages import ConfigurationDifference
+from oleanderdyke.platform.vms import Vm, VmClient
 
 TEAMS = 400
 
 
+class EndOfTest(Exception):
+    """End a loop."""
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
 def make_change(number):
     name = f'team-{number:05}'
     spec = make_team(number)
@@ -83,3 +103,33 @@
     other = Catalog()
     assert other.take_over(loaded)
     assert other.digest() == catalog.digest()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('region', 'linked'),
+    [
+        ((), ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3']),
+        (('quito', 'ibarra'), ['127.0.0.1:1', '127.0.0.1:3']),
+        (('cardigan',), []),
+    ],
+)
+async def test_entry_links_to_the_agents_of_its_region(region, linked):
+    places = ('quito', 'lampeter', 'ibarra')
+    vms = [
+        Vm(f'vm-{number}', f'127.0.0.1:{number}', place, leaving=False)
+        for number, place in enumerate(places, 1)
+    ]
+    settings = EntrySettings(
+        'entry',
+        'quito',
+        LogSettings('127.0.0.1:4'),
+        VmSettings('127.0.0.1:5', data_centres=region),
+    )
+    client, pool = Mock(spec=VmClient), Mock()
+    client.list.side_effect = [vms, EndOfTest]
+    pool.find.return_value = None
+    with pytest.raises(EndOfTest):
+        await VmWatch(make_core(settings, make_clock()), client, pool).run()
+    called = [list(call.args[0]) for call in pool.set_addresses.mock_calls]
+    assert called == ([sorted(linked)] if linked else [])
