Pass chunks of a flowing answer on while they are read

Cause: each chunk woke the reader of the link, then the task of its request, and went through the state machine of the HTTP library; with 8 streams there was one poll of the loop for each chunk, and more with one. Ruled out: counting durations by rounded value before they reach the histogram saved 2 of 4 microseconds a chunk and was not kept. Change: a link may be tapped, so that messages are decoded and handled while their bytes are read, as long as its reader waits; an inbox offers items to a shortcut while its request waits; the server offers to write a part of a chunked body. Anything else (a slow caller, a head, an end, a fault) goes the way it went.

--- a/src/oleanderdyke/entry/agents.py
+++ b/src/oleanderdyke/entry/agents.py
@@ -78,6 +78,10 @@
         core.spawn(self._beat, link)
 
     async def on_message(self, link: Link, message: Message) -> None:
+        """Take one message that could not be taken at once."""
+        self.take(link, message)
+
+    def take(self, link: Link, message: Message) -> None:
         """Take one message; nothing here waits for anybody."""
         handler = self._handlers.get(type(message))
         if handler is None:
--- a/src/oleanderdyke/entry/answers.py
+++ b/src/oleanderdyke/entry/answers.py
@@ -5,6 +5,7 @@
 import json
 import math
 from collections.abc import Iterable
+from typing import Protocol
 
 from oleanderdyke.clock import SECOND
 from oleanderdyke.entry.edge import Send
@@ -13,6 +14,8 @@
 
 REQUEST_HEADER = 'oleander-request'
 JSON_TYPE = 'application/json'
+# Where the server puts its PartWriter into the scope.
+WRITER_EXTENSION = 'oleander.part_writer'
 
 
 def encode_error(error: OleanderError, request: str) -> bytes:
@@ -35,14 +38,27 @@
     return tuple(headers)
 
 
+class PartWriter(Protocol):
+    """Write parts of a body without a wait; the server offers one."""
+
+    def is_ready(self) -> bool:
+        """Tell whether a part of the present body can be written now."""
+
+    def write_part(self, part: bytes) -> None:
+        """Write a part that is not empty."""
+
+
 class Answer:
     """Send one answer, waiting while the caller reads slowly.
 
     The server drops a connection whose caller has stopped reading.
     """
 
-    def __init__(self, send: Send, request: str) -> None:
+    def __init__(
+        self, send: Send, request: str, writer: PartWriter | None = None
+    ) -> None:
         self._send = send
+        self._writer = writer
         self._request = request
         self.status = 0
         self.ended = False
@@ -52,6 +68,18 @@
         """Tell whether the head has been sent."""
         return self.status != 0
 
+    @property
+    def is_writable(self) -> bool:
+        """Tell whether `write` can send a part now."""
+        if self.ended or not self.started or self._writer is None:
+            return False
+        return self._writer.is_ready()
+
+    def write(self, part: bytes) -> None:
+        """Send a part of the body at once; only while `is_writable`."""
+        if self._writer is not None:
+            self._writer.write_part(part)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head."""
         self.status = status
--- a/src/oleanderdyke/entry/app.py
+++ b/src/oleanderdyke/entry/app.py
@@ -7,7 +7,7 @@
 from typing import TypeAlias
 from urllib.parse import parse_qs
 
-from oleanderdyke.entry.answers import Answer
+from oleanderdyke.entry.answers import WRITER_EXTENSION, Answer
 from oleanderdyke.entry.calls import Call, make_chat_call, make_plain_call
 from oleanderdyke.entry.chat import parse_chat
 from oleanderdyke.entry.core import Core
@@ -80,7 +80,8 @@
             return
         request = make_request_id()
         settings = self._core.settings.http
-        answer = Answer(send, request)
+        writer = scope.get('extensions', {}).get(WRITER_EXTENSION)
+        answer = Answer(send, request, writer)
         try:
             head = parse_head(scope, request)
             body = Body(
--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -84,6 +84,20 @@
         streamed = self._last_chunk - self._started - self.first_token
         return streamed / (self.chunks - 1)
 
+    @property
+    def is_flowing(self) -> bool:
+        """Tell whether `pass_chunk` can be used for the next chunk."""
+        if self._head is not None or self._unsent or self.error is not None:
+            return False
+        return self.first_token is not None and self._answer.is_writable
+
+    def pass_chunk(self, chunk: DeliverChunk) -> None:
+        """Send a part of an answer at once; only while `is_flowing`."""
+        self.put_chunk(chunk)
+        data = self._take_unsent()
+        if data:
+            self._answer.write(data)
+
     def put_head(self, head: DeliverHead) -> None:
         """Open the answer; `head.resume` is already opaque."""
         headers = return_headers(head.headers)
--- a/src/oleanderdyke/entry/effects.py
+++ b/src/oleanderdyke/entry/effects.py
@@ -12,7 +12,7 @@
 from oleanderdyke.entry.claims import ClaimLog
 from oleanderdyke.entry.core import Core
 from oleanderdyke.entry.delivery import Delivery
-from oleanderdyke.entry.inbox import Inbox, Item
+from oleanderdyke.entry.inbox import CreditDue, Inbox, Item, Undeliverable
 from oleanderdyke.entry.routes import choose_route
 from oleanderdyke.entry.sender import AttemptSender
 from oleanderdyke.entry.stopping import Stopper
@@ -89,6 +89,16 @@
         for action in actions:
             await self._handlers[type(action)](action)
 
+    def pass_chunk(self, chunk: DeliverChunk) -> None:
+        """Send on a chunk of a flowing answer at once."""
+        try:
+            self._delivery.pass_chunk(chunk)
+        except OleanderError as error:
+            self._inbox.put(Undeliverable(error))
+            return
+        if self._sender.note_passed():
+            self._inbox.put(CreditDue())
+
     async def flush(self) -> None:
         """Send on what has come in so far."""
         chunks = self._delivery.waiting
--- a/src/oleanderdyke/entry/inbox.py
+++ b/src/oleanderdyke/entry/inbox.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeAlias
 
 import anyio
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.attempt_events import Event
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.kernel.attempt_events import Action, Event
 from oleanderdyke.kernel.demand import Admitted, Refusal
 
 
@@ -27,29 +30,67 @@
     fault: Exception
 
 
+@dataclass(frozen=True, slots=True)
+class Undeliverable:
+    """Tell that a part of the answer can't be passed on."""
+
+    fault: OleanderError
+
+
+@dataclass(frozen=True, slots=True)
+class Decided:
+    """Hold actions that could not be done while bytes were read."""
+
+    actions: tuple[Action, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CreditDue:
+    """Tell that the agent may be granted more chunks."""
+
+
 @dataclass(frozen=True, slots=True)
 class HandedOver:
     """Tell that the stream goes on through another entry."""
 
 
-Item: TypeAlias = Event | Released | UploadFailed | HandedOver
+Item: TypeAlias = (
+    Event
+    | Released
+    | UploadFailed
+    | Undeliverable
+    | Decided
+    | CreditDue
+    | HandedOver
+)
 
 
 class Inbox:
-    """Give the items of one request in order."""
+    """Give the items of one request in order.
+
+    While its reader waits, an item is offered to `shortcut` first, which
+    tells whether it is dealt with.
+    """
 
     def __init__(self) -> None:
         self._items: deque[Item] = deque()
-        self._waiting: anyio.Event | None = None
+        self._waiting: asyncio.Future[None] | None = None
+        self.shortcut: Callable[[Item], bool] | None = None
 
     def __len__(self) -> int:
         return len(self._items)
 
     def put(self, item: Item) -> None:
         """Add an item."""
+        waiting = self._waiting
+        if waiting is None or waiting.done():
+            self._items.append(item)
+            return
+        if self.shortcut is not None and self.shortcut(item):
+            return
         self._items.append(item)
-        if self._waiting is not None:
-            self._waiting.set()
+        if not waiting.done():
+            waiting.set_result(None)
 
     async def put_later(self, item: Item, delay: Millis) -> None:
         """Add an item after a delay."""
@@ -59,7 +100,9 @@
     async def take(self) -> Item:
         """Wait for the next item."""
         while not self._items:
-            self._waiting = anyio.Event()
-            await self._waiting.wait()
-        self._waiting = None
+            self._waiting = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiting
+            finally:
+                self._waiting = None
         return self._items.popleft()
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -13,10 +13,13 @@
 from oleanderdyke.entry.delivery import Delivery
 from oleanderdyke.entry.effects import Effects, Tools
 from oleanderdyke.entry.inbox import (
+    CreditDue,
+    Decided,
     HandedOver,
     Inbox,
     Item,
     Released,
+    Undeliverable,
     UploadFailed,
 )
 from oleanderdyke.entry.queue import ReleaseQueue
@@ -29,6 +32,7 @@
     CallerGone,
     ClaimSettled,
     DeadlinePassed,
+    DeliverChunk,
     IncarnationEnded,
     Received,
     Stopping,
@@ -38,7 +42,12 @@
 from oleanderdyke.kernel.demand import Admitted, Queued, Refusal
 from oleanderdyke.kernel.quarantine import Standing
 from oleanderdyke.links.link import Link
-from oleanderdyke.links.messages import AnswerHead, Headers, Message
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerHead,
+    Headers,
+    Message,
+)
 from oleanderdyke.metrics import Timing
 
 _HORIZON_HEADER = 'oleander-horizon'
@@ -95,6 +104,7 @@
             _make_facts(core, call), settings=core.machine, budget=core.budget
         )
         self._tasks: TaskGroup | None = None
+        self._inbox.shortcut = self._pass_on
 
     async def run(self) -> None:
         """Answer the caller, then finish what the machine still waits for.
@@ -138,6 +148,20 @@
         """Learn that the entry stops."""
         self._inbox.put(Stopping(hurry=hurry))
 
+    def _pass_on(self, item: Item) -> bool:
+        """Pass on a chunk of a flowing answer without a turn of the loop."""
+        if type(item) is not Received or type(item.message) is not AnswerChunk:
+            return False
+        if not self._delivery.is_flowing:
+            return False
+        actions = self._machine.on(item, self._core.clock.now())
+        for place, action in enumerate(actions):
+            if not isinstance(action, DeliverChunk):
+                self._inbox.put(Decided(actions[place:]))
+                break
+            self._effects.pass_chunk(action)
+        return True
+
     async def _lead(self) -> None:
         core = self._core
         verdict = self._find_verdict()
@@ -189,13 +213,24 @@
         self._log_item(item)
         if isinstance(item, Released | HandedOver):
             return ()
-        if isinstance(item, UploadFailed):
-            if isinstance(item.fault, OleanderError):
-                item.fault.ran = Ran.MAYBE
-                await self._effects.fail(item.fault)
+        if isinstance(item, CreditDue):
+            await self._sender.grant(0)
+            return ()
+        if isinstance(item, Decided):
+            return item.actions
+        if isinstance(item, UploadFailed | Undeliverable):
+            await self._fail(item)
             return self._machine.on(CallerGone(), now)
         return self._machine.on(item, now)
 
+    async def _fail(self, item: UploadFailed | Undeliverable) -> None:
+        fault = item.fault
+        if not isinstance(fault, OleanderError):
+            return
+        if isinstance(item, UploadFailed):
+            fault.ran = Ran.MAYBE
+        await self._effects.fail(fault)
+
     def _log_item(self, item: Item) -> None:
         if isinstance(item, Received):
             if isinstance(item.message, AnswerHead):
--- a/src/oleanderdyke/entry/sender.py
+++ b/src/oleanderdyke/entry/sender.py
@@ -142,6 +142,11 @@
         self._ungranted = 0
         await self._send(self._link, credit)
 
+    def note_passed(self) -> bool:
+        """Count a chunk that the caller has taken; tell whether to grant."""
+        self._ungranted += 1
+        return self._ungranted >= self._core.settings.requests.credit // 2
+
     def lose(self, link: Link) -> None:
         """Tell the machine where the link was in use."""
         if link is self._link:
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import math
 import socket
@@ -18,6 +19,7 @@
 from oleanderdyke.clock import SECOND
 from oleanderdyke.entry.answers import (
     REQUEST_HEADER,
+    WRITER_EXTENSION,
     encode_error,
     make_error_headers,
 )
@@ -30,6 +32,7 @@
 _UNREAD_LIMIT = 1024 * 1024
 _OPEN_STATES = (h11.IDLE, h11.SEND_RESPONSE)
 _LOGGER = 'uvicorn.error'
+_CHUNKED_VERSION = b'1.1'
 
 
 class EdgeProtocol(H11Protocol):
@@ -42,6 +45,31 @@
     _stall_timer: asyncio.TimerHandle | None = None
     _head_timer: asyncio.TimerHandle | None = None
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.app = functools.partial(self._serve, self.app)
+
+    async def _serve(
+        self, app: Any, scope: Any, receive: Any, send: Any
+    ) -> None:
+        """Offer the application to write parts of a body by itself."""
+        scope['extensions'] = {WRITER_EXTENSION: self}
+        await app(scope, receive, send)
+
+    def is_ready(self) -> bool:
+        """Tell whether a part of the present body can be written now."""
+        return (
+            self.conn.our_state is h11.SEND_BODY
+            and self.conn.their_http_version == _CHUNKED_VERSION
+            and self.scope['method'] != 'HEAD'
+            and not self.flow.write_paused
+            and not self.transport.is_closing()
+        )
+
+    def write_part(self, part: bytes) -> None:
+        """Write a part of a body without a length, as chunked transfer."""
+        self.transport.write(b'%x\r\n%b\r\n' % (len(part), part))
+
     def connection_made(self, transport: Any) -> None:
         """Take a connection, or close it where there are too many."""
         super().connection_made(transport)
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -142,6 +142,7 @@
             core.make_hello,
             on_up=links.on_up,
             on_message=links.on_message,
+            take=links.take,
             on_down=links.on_down,
             settings=core.settings.links,
             clock=core.clock,
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -27,6 +27,7 @@
 from oleanderdyke.links.silence import SilenceWatch
 
 _DATA = frozenset({AnswerChunk, BodyChunk, SegmentPart})
+_OWN = frozenset({Ping, Pong})
 _MAX_REFUSALS = 100
 
 
@@ -73,12 +74,22 @@
             self.control_out += length
 
 
+class Offer(Protocol):
+    """Offer a frame; tell whether it was taken."""
+
+    def __call__(self, data: bytes, *, whole: bool) -> bool:
+        """Take a binary message that is `whole`, or leave it to `recv`."""
+
+
 class Socket(Protocol):
     """Stand for the websocket below a link."""
 
     def watch(self, watch: SilenceWatch) -> None:
         """Report arriving bytes to a watch."""
 
+    def set_offer(self, offer: Offer) -> None:
+        """Offer each frame of data before it is queued for `recv`."""
+
     def is_reading(self) -> bool:
         """Tell whether bytes are taken from the socket."""
 
@@ -127,6 +138,9 @@
         self._sending = 0
         self._progress = clock.now()
         self._refusals = 0
+        self._take: Callable[[Message], None] | None = None
+        self._waits = False
+        self._fault: Exception | None = None
         self._watch = SilenceWatch(
             interval=settings.ping_interval,
             allowed=settings.missed_pings,
@@ -160,6 +174,15 @@
         self._sent = True
         self.counters.note_out(message, len(data))
 
+    def tap(self, take: Callable[[Message], None]) -> None:
+        """Give messages to `take` as they arrive, sparing `receive` a turn.
+
+        Only while `receive` waits, so that the order stays. `receive` returns
+        the others and raises what `take` raises.
+        """
+        self._take = take
+        self._socket.set_offer(self._offer)
+
     async def receive(self) -> Message:
         """Return the next message; raise LinkClosed."""
         while True:
@@ -192,14 +215,40 @@
 
     async def _receive_one(self) -> Message | None:
         self._check_open()
+        self._waits = True
         try:
             data = await self._socket.recv()
         except ConnectionClosed as error:
             raise self._lose('connection lost') from error
+        finally:
+            self._waits = False
+        if self._fault is not None:
+            raise self._fault
         if isinstance(data, str):
             raise self._lose('the peer sent text')
         return await self._decode(data)
 
+    def _offer(self, data: bytes, *, whole: bool) -> bool:
+        # A frame that is not taken wakes the reader, who then comes first.
+        self._waits = self._waits and whole and self._pass(data)
+        return self._waits
+
+    def _pass(self, data: bytes) -> bool:
+        try:
+            message = decode(data)
+        except OleanderError:
+            return False
+        if type(message) in _OWN or self._take is None:
+            return False
+        self._refusals = 0
+        self.counters.note_in(message, len(data))
+        try:
+            self._take(message)
+        except Exception as error:  # raised again where messages are read
+            self._fault = error
+            return False
+        return True
+
     async def _decode(self, data: bytes) -> Message | None:
         try:
             message = decode(data)
--- a/src/oleanderdyke/links/pool.py
+++ b/src/oleanderdyke/links/pool.py
@@ -5,6 +5,7 @@
 import ssl
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 
 import anyio
@@ -54,7 +55,8 @@
     """Dial every address, reconnect with backoff, and find links by name.
 
     `make_hello` is asked before each dial. The callbacks of one link run one
-    after the other, those of different links side by side.
+    after the other, those of different links side by side. `take` spares
+    `on_message` a turn of the loop: it is called while bytes are read.
     """
 
     def __init__(
@@ -68,11 +70,13 @@
         clock: Clock,
         random: Random,
         tls: ssl.SSLContext | None = None,
+        take: Callable[[Link, Message], None] | None = None,
     ) -> None:
         self._make_hello = make_hello
         self._on_up = on_up
         self._on_message = on_message
         self._on_down = on_down
+        self._take = take
         self._settings = settings
         self._clock = clock
         self._random = random
@@ -170,6 +174,8 @@
     async def _read(self, link: Link) -> None:
         try:
             await self._on_up(link)
+            if self._take is not None:
+                link.tap(partial(self._take, link))
             while True:
                 await self._on_message(link, await link.receive())
         except OleanderError:
--- a/src/oleanderdyke/links/sockets.py
+++ b/src/oleanderdyke/links/sockets.py
@@ -8,10 +8,11 @@
 from websockets.asyncio.client import ClientConnection
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import ServerConnection
-from websockets.protocol import State
+from websockets.frames import DATA_OPCODES, Frame, Opcode
+from websockets.protocol import Event, State
 
 from oleanderdyke.clock import SECOND
-from oleanderdyke.links.link import LinkSettings
+from oleanderdyke.links.link import LinkSettings, Offer
 from oleanderdyke.links.silence import SilenceWatch
 
 _MAX_QUEUED_FRAMES = 8
@@ -27,11 +28,16 @@
     """Report each arrival of bytes, also within a long frame."""
 
     _watch: SilenceWatch | None = None
+    _offer: Offer | None = None
 
     def watch(self, watch: SilenceWatch) -> None:
         """Report arriving bytes to a watch."""
         self._watch = watch
 
+    def set_offer(self, offer: Offer) -> None:
+        """Offer each frame of data before it is queued for `recv`."""
+        self._offer = offer
+
     def is_reading(self) -> bool:
         """Tell whether bytes are taken from the socket."""
         return self.transport.is_reading()
@@ -54,6 +60,17 @@
             self._watch.note_heard()
         super().data_received(data)
 
+    def process_event(self, event: Event) -> None:
+        """Queue a frame of data unless it is taken at once."""
+        offer = self._offer
+        if offer is not None and isinstance(event, Frame):
+            whole = event.fin and event.opcode is Opcode.BINARY
+            if event.opcode in DATA_OPCODES and offer(
+                bytes(event.data), whole=whole
+            ):
+                return
+        super().process_event(event)
+
 
 class ClientSocket(_WatchedConnection, ClientConnection):
     """Be the websocket of a dialer."""
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 
 from oleanderdyke.clock import make_clock
+from oleanderdyke.entry.answers import WRITER_EXTENSION
 from oleanderdyke.entry.app import App
 from oleanderdyke.entry.claims import ClaimLog
 from oleanderdyke.entry.core import Core, make_core
@@ -155,6 +156,24 @@
         self.ended = not event.get('more_body', False)
 
 
+class Writer:
+    """Stand for the server's writer of parts while it is `ready`."""
+
+    def __init__(self, reply: Reply) -> None:
+        self._reply = reply
+        self.ready = True
+        self.parts: list[bytes] = []
+
+    def is_ready(self) -> bool:
+        """Tell whether the test lets parts through."""
+        return self.ready
+
+    def write_part(self, part: bytes) -> None:
+        """Take a part for the caller."""
+        self.parts.append(part)
+        self._reply.body += part
+
+
 class Caller:
     """Play a caller that sends a body in parts and stays until told."""
 
@@ -259,14 +278,17 @@
         token: str = TOKEN,
         headers: Iterable[tuple[bytes, bytes]] = (),
         caller: Caller | None = None,
+        reply: Reply | None = None,
+        writer: Writer | None = None,
     ) -> Reply:
         """Make one request and return its answer."""
-        reply = Reply()
+        reply = reply or Reply()
         target, _, query = path.partition('?')
         scope = {
             'type': 'http',
             'method': method,
             'raw_path': target.encode('latin-1'),
+            'extensions': {WRITER_EXTENSION: writer} if writer else {},
             'query_string': query.encode('latin-1'),
             'headers': [
                 (b'authorization', b'Bearer ' + token.encode()),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,6 +9,7 @@
 
 import anyio
 import pytest
+from anyio import wait_all_tasks_blocked
 from anyio.abc import TaskGroup
 
 from oleanderdyke.entry.configuration import ConfigurationFeed
@@ -45,7 +46,7 @@
     Resume,
 )
 from oleanderdyke.platform.log import LogPage, LogRecord
-from tests.edges import TOKEN, Caller, Edge, FakeLink, Reply
+from tests.edges import TOKEN, Caller, Edge, FakeLink, Reply, Writer
 
 CHAT = '/v1/chat/completions'
 BOOKINGS = '/v1/services/taquilla/bookings'
@@ -56,6 +57,7 @@
     'stream': True,
 }
 SSE = (('content-type', 'text/event-stream'),)
+EVENT = b'data: a\n\n'
 JSON = (('content-type', 'application/json'),)
 
 
@@ -312,6 +314,79 @@
         await super().send(event)
 
 
+async def begin_flow(
+    tasks: TaskGroup, reply: Reply, writer: Writer
+) -> tuple[Edge, FakeLink, Dispatch]:
+    """Start a stream whose head and first chunk have reached the caller."""
+    edge, link = make_model()
+    edge.start(tasks)
+
+    async def call() -> None:
+        body = [json.dumps(ASK).encode()]
+        await edge.call('POST', CHAT, body=body, reply=reply, writer=writer)
+
+    tasks.start_soon(call)
+    await wait(lambda: link.find(BodyChunk))
+    (dispatch,) = link.find(Dispatch)
+    running = edge.core.running[dispatch.request]
+    running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
+    running.take(AnswerChunk(dispatch.request, 1, 0, EVENT))
+    await wait(lambda: reply.body)
+    await wait_all_tasks_blocked()
+    return edge, link, dispatch
+
+
+def test_flowing_stream_is_passed_on_as_it_arrives():
+    async def act(tasks: TaskGroup) -> None:
+        reply = Reply()
+        writer = Writer(reply)
+        edge, link, dispatch = await begin_flow(tasks, reply, writer)
+        request, running = dispatch.request, edge.core.running[dispatch.request]
+
+        def send(start: int, stop: int) -> None:
+            for sequence in range(start, stop):
+                running.take(AnswerChunk(request, 1, sequence, EVENT))
+
+        send(1, 15)
+        assert writer.parts == [b'id: %d\n' % n + EVENT for n in range(1, 15)]
+        send(15, 40)
+        await wait(lambda: link.find(Credit))
+        await wait_all_tasks_blocked()
+        writer.ready = False
+        send(40, 42)
+        written = len(writer.parts)
+        await wait(lambda: b'id: 41' in reply.body)
+        assert len(writer.parts) == written
+        writer.ready = True
+        send(42, 50)
+        digest = make_digest([EVENT] * 50)
+        running.take(AnswerEnd(request, 1, 50, digest))
+        await wait(lambda: reply.ended)
+        events = [b'id: %d\n' % n + EVENT for n in range(50)]
+        assert reply.body == b''.join(events)
+        granted = sum(credit.chunks for credit in link.find(Credit))
+        assert granted >= 50 - edge.core.settings.requests.credit // 2
+
+    run(act)
+
+
+def test_flowing_stream_that_can_not_be_numbered_is_broken_off(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    async def act(tasks: TaskGroup) -> None:
+        reply = Reply()
+        edge, link, dispatch = await begin_flow(tasks, reply, Writer(reply))
+        monkeypatch.setattr('oleanderdyke.entry.sse._EVENT_LIMIT', 10)
+        running = edge.core.running[dispatch.request]
+        running.take(AnswerChunk(dispatch.request, 1, 1, b'x' * 11))
+        await wait(lambda: link.find(Cancel))
+        await wait(lambda: not edge.core.running)
+        assert b'event: error' in reply.body
+        assert not reply.ended
+
+    run(act)
+
+
 def test_slow_caller_gets_no_credit(monkeypatch: pytest.MonkeyPatch):
     async def act(tasks: TaskGroup) -> None:
         edge, link = make_model()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -99,6 +99,11 @@
         await anyio.sleep(0.005)
 
 
+async def receive_into(link, received):
+    while True:
+        received.append(await link.receive())
+
+
 async def receive_forever(link):
     while True:
         await link.receive()
@@ -538,3 +543,40 @@
 def test_a_server_context_needs_its_certificate():
     with pytest.raises((OSError, ssl.SSLError)):
         make_server_context(TlsPaths(certificate='nowhere.pem'))
+
+
+async def test_tapped_messages_keep_their_order():
+    links, taken = [], []
+    async with listening(partial(hold, links)) as address:
+        link = await call(address)
+        await wait_until(lambda: links)
+        link.tap(taken.append)
+        sent = [Cancel('r', number) for number in range(200)]
+        async with anyio.create_task_group() as group:
+            # What came before anybody read is read and not tapped.
+            for message in sent[:20]:
+                await links[0].send(message)
+            await anyio.wait_all_tasks_blocked()
+            group.start_soon(receive_into, link, taken)
+            for message in sent[20:]:
+                await links[0].send(message)
+            await wait_until(lambda: len(taken) == len(sent))
+            group.cancel_scope.cancel()
+        assert taken == sent
+        await link.close()
+
+
+async def test_fault_of_a_tap_is_raised_where_messages_are_read():
+    def refuse(_message):
+        raise KeyError('fault')
+
+    links = []
+    async with listening(partial(hold, links)) as address:
+        link = await call(address)
+        await wait_until(lambda: links)
+        link.tap(refuse)
+        async with anyio.create_task_group() as group:
+            group.start_soon(links[0].send, Cancel('r', 1))
+            with pytest.raises(KeyError, match='fault'):
+                await link.receive()
+        await link.close()
