--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import anyio
 
@@ -99,19 +100,21 @@
     async def append_snapshot(self) -> None:
         """Append the present configuration in chunks."""
         core, offset = self._core, self._core.reader.offset
-        chunks = core.catalog.snapshot()
+        chunks = core.catalog.iterate_snapshot()
+        count = 0
         try:
-            for start in range(0, len(chunks), _CHUNKS_AT_ONCE):
+            while batch := await _take_some(chunks, _CHUNKS_AT_ONCE):
                 await self._client.append(
                     core.settings.log.configuration,
-                    chunks[start : start + _CHUNKS_AT_ONCE],
+                    batch,
                     timeout=core.settings.log.timeout,
                 )
+                count += len(batch)
         except LogUnavailable as error:
             core.log.write(EventName.LOG_DOWN, detail=error.message)
         else:
             core.log.write(
-                EventName.SNAPSHOT_APPENDED, offset=offset, records=len(chunks)
+                EventName.SNAPSHOT_APPENDED, offset=offset, records=count
             )
 
     async def _fill(self, link: Link, request: ConfigurationRequest) -> None:
@@ -169,3 +172,12 @@
             await anyio.sleep(0)
     except OleanderError:
         return
+
+
+async def _take_some(chunks: Iterator[bytes], count: int) -> tuple[bytes, ...]:
+    """Return the next chunks, with a turn of the loop after each."""
+    batch: list[bytes] = []
+    for chunk in itertools.islice(chunks, count):
+        batch.append(chunk)
+        await anyio.sleep(0)
+    return tuple(batch)
--- a/src/oleanderdyke/entry/logreader.py
+++ b/src/oleanderdyke/entry/logreader.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import anyio
 
 from oleanderdyke.clock import SECOND
 from oleanderdyke.entry.core import Core
 from oleanderdyke.events import EventName
-from oleanderdyke.platform.log import LogClient, LogPage, LogUnavailable
+from oleanderdyke.platform.log import (
+    LogClient,
+    LogPage,
+    LogRecord,
+    LogUnavailable,
+)
+
+_SLICE_BYTES = 32 * 1024
+_SLICE_RECORDS = 64
 
 
 class LogReader:
@@ -37,7 +45,13 @@
         while True:
             page = await self._read()
             if page is not None:
-                self._take_page(page)
+                await self._take(page)
+
+    async def _take(self, page: LogPage) -> None:
+        """Take a page in parts, so that all else goes on in between."""
+        for part in slice_page(page):
+            self._take_page(part)
+            await anyio.sleep(0)
 
     async def _read(self) -> LogPage | None:
         settings = self._core.settings.log
@@ -64,3 +78,16 @@
         self._down = down
         event = EventName.LOG_DOWN if down else EventName.LOG_UP
         self._core.log.write(event, name=self._name, detail=detail)
+
+
+def slice_page(page: LogPage, size: int = _SLICE_BYTES) -> Iterator[LogPage]:
+    """Cut a page into parts that are taken quickly, at least one."""
+    part: list[LogRecord] = []
+    taken = 0
+    for record in page.records:
+        if taken >= size or len(part) >= _SLICE_RECORDS:
+            yield LogPage(tuple(part), page.first, page.end)
+            part, taken = [], 0
+        part.append(record)
+        taken += len(record.data)
+    yield LogPage(tuple(part), page.first, page.end)
--- a/src/oleanderdyke/kernel/snapshots.py
+++ b/src/oleanderdyke/kernel/snapshots.py
@@ -164,7 +164,7 @@
 
 def encode_snapshot(through: int, state: State) -> Iterator[bytes]:
     """Freeze the state now and encode it chunk by chunk."""
-    rows = {kind: _sort(state.rows[kind]) for kind in ObjectKind}
+    rows = {kind: dict(state.rows[kind]) for kind in ObjectKind}
     outcomes = tuple(state.outcomes.values())
     items = _list_items(state.floor, outcomes, rows)
     return _encode_chunks(through, items)
@@ -222,14 +222,10 @@
     return None if loader is None else loader.loaded
 
 
-def _sort(rows: dict[str, Row]) -> list[tuple[str, Row]]:
-    return [(name, rows[name]) for name in sorted(rows)]
-
-
 def _list_items(
     floor: int,
     outcomes: Iterable[Outcome],
-    rows: dict[ObjectKind, list[tuple[str, Row]]],
+    rows: dict[ObjectKind, dict[str, Row]],
 ) -> Iterator[bytes]:
     yield _dump(_ItemKind.FLOOR, floor)
     for outcome in outcomes:
@@ -237,8 +233,10 @@
         kind = _ItemKind.APPLIED if applied else _ItemKind.LOST
         yield _dump(kind, *astuple(outcome))
     for kind_of_object in ObjectKind:
-        for name, row in rows[kind_of_object]:
-            yield _dump(_ItemKind.ROW, kind_of_object, name, *_list_fields(row))
+        of_kind = rows[kind_of_object]
+        for name in sorted(of_kind):
+            fields = _list_fields(of_kind[name])
+            yield _dump(_ItemKind.ROW, kind_of_object, name, *fields)
 
 
 def _list_fields(row: Row) -> tuple[Any, ...]:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -15,6 +15,7 @@
 )
 
 from oleanderdyke.clock import HOUR, MINUTE
+from oleanderdyke.entry.logreader import slice_page
 from oleanderdyke.kernel import catalog as catalog_module
 from oleanderdyke.kernel import snapshots, spread
 from oleanderdyke.kernel.catalog import Applied, Catalog
@@ -136,6 +137,26 @@
     assert 'the log starts at offset 6' in reader.readiness(0).reason
 
 
+def test_page_taken_in_parts_gives_the_state_of_the_whole_page():
+    log = make_log(40)
+    source = make_reader()
+    follow(source, log)
+    log.append(*source.catalog.snapshot(), at=1.0)
+    first = len(log.records) - 30
+    whole, parted = make_reader(), make_reader()
+    for start in (0, first):
+        page = log.read(start)
+        whole.on_page(page, 0)
+        parts = list(slice_page(page, size=300))
+        assert len(parts) > 5
+        for part in parts:
+            sizes = [len(record.data) for record in part.records]
+            assert sum(sizes[:-1]) < 300
+            parted.on_page(part, 0)
+        assert parted.catalog.digest() == whole.catalog.digest()
+    assert [part.end for part in slice_page(Log().read(0))] == [0]
+
+
 def test_two_snapshots_appended_at_once_are_harmless():
     log = make_log(8)
     full = make_reader()
