Remove the unused memory of quarantined digests

Cause: FleetState.on_quarantined had no caller; Quarantine.merge, fed by the heartbeats, took its place. Ruled out: keeping it for its test, which proved only the dead code. Change: remove the method, its memory and its test. That a quarantine is told once and spreads is tested in test_quarantine.py and test_poison.py. Conclusion: one place holds quarantined digests.

--- a/src/oleanderdyke/kernel/membership.py
+++ b/src/oleanderdyke/kernel/membership.py
@@ -25,7 +25,6 @@
 
 _ENDED_COUNT = 4_096
 _SILENT_COUNT = 1_024
-_QUARANTINED_COUNT = 4_096
 _NO_BEAT = -1
 
 
@@ -111,7 +110,6 @@
         self._ended: _Remembered[None] = _Remembered(_ENDED_COUNT)
         self._latest: _Remembered[str] = _Remembered(_ENDED_COUNT)
         self._silent: _Remembered[AgentView] = _Remembered(_SILENT_COUNT)
-        self._quarantined: _Remembered[None] = _Remembered(_QUARANTINED_COUNT)
         self._selected: dict[str, tuple[str, ...]] = {}
         self._selected_at = catalog.offset
 
@@ -161,13 +159,6 @@
         if known is not None and known.replica.incarnation == incarnation:
             self._place(replace(known, condition=Condition.DROPPED))
 
-    def on_quarantined(self, digests: Iterable[str]) -> tuple[str, ...]:
-        """Learn quarantined requests; return those that are new here."""
-        new = tuple(item for item in digests if item not in self._quarantined)
-        for digest in new:
-            self._quarantined.add(digest, None)
-        return new
-
     def tick(self, now: Millis) -> None:
         """Suspect, drop and forget silent agents; call it regularly.
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -207,12 +207,6 @@
     assert not fleet.replicas('near')
 
 
-def test_quarantined_requests_are_told_once():
-    fleet = make_fleet()
-    assert fleet.on_quarantined(['x', 'y']) == ('x', 'y')
-    assert fleet.on_quarantined(['y', 'z']) == ('z',)
-
-
 def test_segments_of_an_ended_incarnation_are_forgotten():
     fleet = make_fleet()
     events = SegmentEvents(0, added=(HINT,))
