Tell the loser of a race what the winner put there

Cause: apply named who changed an object last, not what. Change: a conflict also names each field that differs from the file, with both values; of token hashes it says only that they differ. Conclusion: an operator decides without a second command.

--- a/src/oleanderdyke/ctl/publication.py
+++ b/src/oleanderdyke/ctl/publication.py
@@ -5,7 +5,7 @@
 import enum
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from oleanderdyke.ctl.client import Client, make_path
@@ -16,6 +16,7 @@
 
 _BATCH = 100
 _FEW = 20
+_LONG = frozenset(('token_hashes', 'admin_token_hashes'))
 _ABSENT: Mapping[str, Any] = {'generation': 0, 'spec': None}
 
 
@@ -85,7 +86,10 @@
         (outcome['kind'], outcome['name']): outcome
         for outcome in publish_all(client, changes)
     }
-    return [_judge(item, current, outcomes) for item in documents]
+    return [
+        _add_difference(client, item, _judge(item, current, outcomes))
+        for item in documents
+    ]
 
 
 def publish_all(
@@ -163,6 +167,37 @@
     return read_outcome(outcomes[key], result)
 
 
+def _add_difference(
+    client: Client, item: Document, result: Published
+) -> Published:
+    """Tell the loser of a race what the winner has put there instead."""
+    if result.result is not Result.CONFLICT:
+        return result
+    found = list(_get_each(client, item.kind, [item.name]))
+    there = found[0]['spec'] if found else {}
+    differences = ', '.join(_compare(there, describe_spec(item.spec)))
+    if not differences:
+        return result
+    return replace(result, detail=f'{result.detail}; {differences}')
+
+
+def _compare(
+    there: Mapping[str, Any], here: Mapping[str, Any]
+) -> Iterator[str]:
+    for key in sorted({*there, *here}):
+        found, wanted = there.get(key), here.get(key)
+        if found == wanted:
+            continue
+        if key in _LONG:
+            yield f'{key} differs'
+        else:
+            yield f'{key} is {_show(found)}, not {_show(wanted)}'
+
+
+def _show(value: Any) -> str:
+    return 'its default' if value is None else str(value)
+
+
 def _explain(outcome: Mapping[str, Any]) -> str:
     winner = outcome['winner']
     by = f'; last changed by {winner}' if winner else ''
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -112,7 +112,8 @@
     (read,) = json.loads(terminal.out)
     terminal.apply({**TEAM, 'name': 'race', 'spec': {'weight': 5}})
     assert terminal.apply({**read, 'spec': {'weight': 6}}) is ExitCode.CONFLICT
-    assert re.search(r'team/race +conflict +\d+ +.*by example', terminal.out)
+    lost = r'team/race +conflict +\d+ +.*by example; weight is 5.0, not 6.0'
+    assert re.search(lost, terminal.out)
     generation = str(read['generation'])
     stale = ('delete', 'team', 'race', '--generation', generation)
     assert terminal.run(*stale) is ExitCode.CONFLICT
