Tell an agent that a newer incarnation took its place

Cause: Validity.ended was always false. An agent that was frozen and replaced under the same name could not learn of it, and might have gone on sending orders. Ruled out: an order between incarnations by their start time, which trusts the clocks of two VMs. Change: an entry answers the hello or the heartbeat of a former incarnation with the new message Superseded. The agent then sends no order, takes no new work, ends its runs and leaves; the event is drain_started with reason=superseded. The links' change is the message alone; an older agent refuses it as not understood. An entry takes the incarnation that it heard last as the newer one, so an agent may be told wrongly by an entry that hears both; it would have been refused there anyway, and comes back as a new incarnation once restarted.

--- a/src/oleanderdyke/agent/order_loop.py
+++ b/src/oleanderdyke/agent/order_loop.py
@@ -54,6 +54,7 @@
         clock: Clock,
         events: EventLog,
         wait_started: Callable[[], Awaitable[None]],
+        is_superseded: Callable[[], bool],
     ) -> None:
         self._backend = backend
         self._engine = engine
@@ -67,6 +68,7 @@
         self._clock = clock
         self._events = events
         self._wait_started = wait_started
+        self._is_superseded = is_superseded
 
     async def run(self) -> None:
         """Reconcile until cancelled."""
@@ -117,7 +119,7 @@
             Validity(
                 incarnation=self._incarnation,
                 offset=self._configuration.highest,
-                ended=False,
+                ended=self._is_superseded(),
                 read_at=self._configuration.confirmed_at,
             ),
             self._clock.now(),
@@ -137,6 +139,8 @@
             with anyio.move_on_after(_START_WAIT / SECOND):
                 await self._wait_started()
             return
+        if self._is_superseded():
+            return
         if self._clock.now() <= order.not_after:
             await self._send(order)
         self._engine.observed = None
--- a/src/oleanderdyke/agent/roles.py
+++ b/src/oleanderdyke/agent/roles.py
@@ -57,6 +57,7 @@
     tasks: TaskGroup
     incarnation: str
     make_hello: Callable[[], Hello]
+    is_superseded: Callable[[], bool]
     client_tls: ssl.SSLContext | None = None
 
 
@@ -212,6 +213,7 @@
             clock=parts.clock,
             events=parts.events,
             wait_started=parts.runs.wait_started,
+            is_superseded=parts.is_superseded,
         )
         self.segments = self._engine.segments
         self.loops = (orders.run, self._exporter.run)
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -57,6 +57,7 @@
     SegmentPart,
     SegmentRead,
     SegmentWrite,
+    Superseded,
 )
 from oleanderdyke.logs import EventLog
 
@@ -88,6 +89,7 @@
         self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
         self._outboxes: dict[str, Outbox] = {}
         self._link_numbers = count(1)
+        self._superseded = False
         self._backend = Backend(settings.backend)
         self._watch = ProcessWatch(settings.backend, clock=clock)
         self._quarantine = make_quarantine(QuarantineSettings())
@@ -122,7 +124,7 @@
             events=events,
             ledger=self._departure,
             judge_loss=self._judge_loss,
-            tell_suspects=self._tell_suspects,
+            tell_suspects=lambda: self._beats.send(),  # noqa: PLW0108 - made later
         )
         self._role = self._make_role(random, client_tls)
         self._runs.set_forwarder(
@@ -218,6 +220,7 @@
                 tasks=self._tasks,
                 incarnation=self.incarnation,
                 make_hello=self._make_hello,
+                is_superseded=lambda: self._superseded,
                 client_tls=client_tls,
             ),
         )
@@ -290,6 +293,7 @@
             SegmentWrite: role.on_write,
             SegmentPart: role.on_part,
             DrainRequest: self._on_drain_request,
+            Superseded: self._on_superseded,
         }
 
     def _on_beat(self, outbox: Outbox, message: EntryBeat) -> None:
@@ -330,6 +334,23 @@
         self._events.write(EventName.DRAIN_STARTED, operator=message.operator)
         self._departure.signal()
 
+    def _on_superseded(self, outbox: Outbox, message: Superseded) -> None:
+        """Leave for good; a newer incarnation guards the server now."""
+        own = (self._settings.process, self.incarnation)
+        if (message.process, message.incarnation) != own:
+            return
+        if outbox.peer.role is not Role.ENTRY:
+            return
+        self._superseded = True
+        if self._departure.is_leaving:
+            return
+        self._events.write(
+            EventName.DRAIN_STARTED,
+            peer=outbox.peer.process,
+            reason='superseded',
+        )
+        self._departure.signal()
+
     async def _judge_loss(self) -> Ending:
         ending = await self._watch.judge()
         if ending is Ending.ENDED:
@@ -337,9 +358,6 @@
         await self._health.check()
         return ending
 
-    def _tell_suspects(self) -> None:
-        self._beats.send()
-
     async def _on_up(self) -> None:
         await self._role.open()
         self._beats.set_phase(AgentPhase.SERVING)
--- a/src/oleanderdyke/entry/agents.py
+++ b/src/oleanderdyke/entry/agents.py
@@ -27,6 +27,7 @@
     Message,
     Refused,
     SegmentEvents,
+    Superseded,
 )
 from oleanderdyke.metrics import Count, Gauge
 
@@ -65,6 +66,7 @@
                 peer=peer.process,
                 incarnation=peer.incarnation,
             )
+            await _send(link, Superseded(peer.process, peer.incarnation))
             await link.close()
             return
         core.log.write(
@@ -139,10 +141,19 @@
         now = core.clock.now()
         self._merge_held(beat)
         if not core.fleet.on_heartbeat(agent, beat, now):
+            self._answer_former(link, beat)
             return
         self._note_phase(agent, beat.phase)
         self._feed.hear(link, beat.offset)
 
+    def _answer_former(self, link: Link, beat: Heartbeat) -> None:
+        """Tell an agent that came back that another took its place."""
+        agent = link.peer.process
+        latest = self._incarnations.get(agent, beat.incarnation)
+        if latest != beat.incarnation:
+            notice = Superseded(agent, beat.incarnation)
+            self._core.spawn(_send, link, notice)
+
     def _note_phase(self, agent: str, phase: AgentPhase) -> None:
         if self._phases.get(agent) is phase:
             return
--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -64,6 +64,14 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """Tell an agent that another incarnation took its name or address."""
+
+    process: str
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class Ping:
     """Ask the peer to show that the link still carries messages."""
@@ -432,6 +440,7 @@
 Message: TypeAlias = (
     Hello
     | Refused
+    | Superseded
     | Ping
     | Pong
     | Heartbeat
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -52,6 +52,7 @@
     Refused,
     Resume,
     SegmentWritten,
+    Superseded,
 )
 from oleanderdyke.logs import make_event_log
 from standins import engine, plain, server, weights
@@ -467,6 +468,16 @@
     return json.dumps({'messages': messages} | more).encode()
 
 
+def publish_second(world: World) -> None:
+    world.publish(
+        ObjectKind.MODEL_VERSION,
+        'v2',
+        ModelVersionSpec('modelo', '2', find_digest('2')),
+    )
+    service = ServiceSpec(ServiceKind.MODEL, model='modelo', version='2')
+    world.publish(ObjectKind.SERVICE, 'asistente', service, expected=1)
+
+
 @pytest.mark.parametrize('options', [{'stream': True}, {'stream': False}])
 async def test_prefix_is_reused_and_the_answer_counts_tokens(
     options: dict[str, bool],
@@ -495,13 +506,7 @@
 async def test_new_version_is_ordered_and_the_old_one_refused() -> None:
     async with engine_agent() as (app, world, entry):
         old = entry.make_chat('old')
-        world.publish(
-            ObjectKind.MODEL_VERSION,
-            'v2',
-            ModelVersionSpec('modelo', '2', find_digest('2')),
-        )
-        service = ServiceSpec(ServiceKind.MODEL, model='modelo', version='2')
-        world.publish(ObjectKind.SERVICE, 'asistente', service, expected=1)
+        publish_second(world)
         await entry.tell_offset()
         await entry.wait_weights(find_digest('2'))
         refused = await entry.call(old, make_chat())
@@ -513,6 +518,36 @@
         assert app.stats.orders_refused == 0
 
 
+async def test_superseded_agent_leaves_and_orders_nothing_more() -> None:
+    async with engine_agent(decode_ms=60.0) as (app, world, entry):
+        chat = entry.make_chat('r')
+        running_one = await entry.send(chat, make_chat(max_tokens=30))
+        await wait_until(lambda: running_one.head is not None)
+        process = entry.link.peer.process
+        await entry.link.send(Superseded(process, 'another'))
+        beats = entry.beats
+        await wait_until(lambda: entry.beats > beats + 1)
+        assert entry.beat is not None
+        assert entry.beat.phase is AgentPhase.SERVING
+        await entry.link.send(Superseded(process, chat.incarnation))
+        await wait_until(
+            lambda: (
+                entry.beat is not None
+                and entry.beat.phase is AgentPhase.LEAVING
+            )
+        )
+        taken = app.stats.orders_taken
+        publish_second(world)
+        await entry.tell_offset()
+        offset = world.reader.offset
+        await wait_until(
+            lambda: entry.beat is not None and entry.beat.offset == offset
+        )
+        await wait_until(lambda: running_one.over)
+        assert running_one.end is not None
+        assert app.stats.orders_taken == taken
+
+
 async def test_order_waits_for_runs_that_have_not_begun_to_answer() -> None:
     async with engine_agent(decode_ms=60.0) as (app, world, entry):
         body = make_chat(stream=False)
