Leave out of a heartbeat what a peer was told before

Cause: a heartbeat names the loaded weights and the whole load each time; 28 agents cost an entry 12.0 kB a second, so that a region's 127 would take twice the share meant for control. Ruled out: numbers for the names of fields, which every message would need. Change: an entry says in its hello that it takes short heartbeats; an agent then leaves out the load and the weights where they are as in the heartbeat before on the same link. An entry that holds nothing of the agent ignores a short one, so that the whole one still counts.

--- a/src/oleanderdyke/agent/beats.py
+++ b/src/oleanderdyke/agent/beats.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from weakref import WeakKeyDictionary
 
 from oleanderdyke.agent.configuration import Configuration
 from oleanderdyke.agent.outbox import Outbox
@@ -10,9 +12,16 @@
 from oleanderdyke.clock import Clock
 from oleanderdyke.kernel.gate import Gate
 from oleanderdyke.kernel.quarantine import Quarantine
-from oleanderdyke.links.messages import AgentPhase, Heartbeat, SegmentEvents
+from oleanderdyke.links.messages import (
+    AgentPhase,
+    Heartbeat,
+    Load,
+    SegmentEvents,
+)
 from oleanderdyke.links.messages import Role as PeerRole
 
+_NO_LOAD = Load()
+
 
 class Beats:
     """Send heartbeats and the changes of the segments."""
@@ -36,6 +45,7 @@
         self._role = role
         self._clock = clock
         self._sequence = 0
+        self._told: WeakKeyDictionary[Outbox, Heartbeat] = WeakKeyDictionary()
         self.phase = AgentPhase.STARTING
 
     def set_phase(self, phase: AgentPhase) -> None:
@@ -49,13 +59,13 @@
         beat = self._make_beat()
         events = self._role.segments.take()
         for outbox in self._outboxes.values():
-            outbox.put(beat)
+            self._put_beat(outbox, beat)
             if outbox.peer.role is PeerRole.ENTRY:
                 _put_all(outbox, events)
 
     def greet(self, outbox: Outbox) -> None:
         """Tell a new peer everything."""
-        outbox.put(self._make_beat())
+        self._put_beat(outbox, self._make_beat())
         if outbox.peer.role is PeerRole.ENTRY:
             # A peer that lacks events asks for them.
             outbox.put(SegmentEvents(self._role.segments.next_number))
@@ -64,6 +74,14 @@
         """Send the segment events from a number on, or the whole set."""
         _put_all(outbox, self._role.segments.list_after(after))
 
+    def _put_beat(self, outbox: Outbox, beat: Heartbeat) -> None:
+        """Send a whole heartbeat, or what differs from the one before."""
+        before, self._told[outbox] = self._told.get(outbox), beat
+        if before is None or not outbox.peer.takes_short_beats:
+            outbox.put(beat)
+            return
+        outbox.put(shorten(beat, before))
+
     def _make_beat(self) -> Heartbeat:
         self._sequence += 1
         self._gate.note_beat(self._sequence)
@@ -84,6 +102,26 @@
         )
 
 
+def shorten(beat: Heartbeat, before: Heartbeat) -> Heartbeat:
+    """Leave out the load and the weights where a peer knows them."""
+    if beat.load == before.load:
+        beat = replace(beat, load=_NO_LOAD, same_load=True)
+    if _list_weights(beat) != _list_weights(before):
+        return beat
+    return replace(
+        beat,
+        model='',
+        weight_version='',
+        weight_digest='',
+        adapter='',
+        same_weights=True,
+    )
+
+
+def _list_weights(beat: Heartbeat) -> tuple[str, ...]:
+    return beat.model, beat.weight_version, beat.weight_digest, beat.adapter
+
+
 def _put_all(outbox: Outbox, events: Iterable[SegmentEvents]) -> None:
     for event in events:
         outbox.put(event)
--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -114,6 +114,7 @@
             self.incarnation,
             self.settings.data_centre,
             self.reader.offset,
+            takes_short_beats=True,
         )
 
     def find_fault(self) -> str:
--- a/src/oleanderdyke/kernel/membership.py
+++ b/src/oleanderdyke/kernel/membership.py
@@ -137,6 +137,10 @@
             return False
         if beat.sequence <= known.replica.beat:
             return False
+        short = beat.same_load or beat.same_weights
+        if short and known.replica.beat == _NO_BEAT:
+            # It leaves out what was told before, and nothing was told here.
+            return False
         replica = _update(known.replica, beat, now)
         offset = max(known.offset, beat.offset)
         self._silent.pop(beat.incarnation)
@@ -343,12 +347,17 @@
 
 def _update(known: Replica, beat: Heartbeat, now: Millis) -> Replica:
     leaving = known.phase is AgentPhase.LEAVING
-    return replace(
+    updated = replace(
         known,
         phase=AgentPhase.LEAVING if leaving else beat.phase,
-        load=beat.load,
+        load=known.load if beat.same_load else beat.load,
         beat=beat.sequence,
         heard=now,
+    )
+    if beat.same_weights:
+        return updated
+    return replace(
+        updated,
         model=beat.model,
         weight_version=beat.weight_version,
         weight_digest=beat.weight_digest,
--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -44,7 +44,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """Open a link; both sides send it first."""
+    """Open a link; both sides send it first.
+
+    `takes_short_beats` tells that heartbeats may leave out what has not changed
+    since the one before on the same link.
+    """
 
     version: int
     role: Role
@@ -54,6 +58,7 @@
     offset: int
     backend: BackendKind | None = None
     service: str = ''
+    takes_short_beats: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +107,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Show that an agent lives, its phase, load and loaded weights."""
+    """Show that an agent lives, its phase, load and loaded weights.
+
+    With `same_load` the load is left out, with `same_weights` the model, the
+    adapter, the weights' version and digest: they are as told before.
+    """
 
     incarnation: str
     sequence: int
@@ -115,6 +124,8 @@
     adapter: str = ''
     quarantined: tuple[str, ...] = ()
     suspects: tuple[str, ...] = ()
+    same_load: bool = False
+    same_weights: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from unittest.mock import Mock
 
 import pytest
 
 from bench.memory import make_team
+from bench.slopes import make_beat
+from oleanderdyke.agent.beats import shorten
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.core import make_core
 from oleanderdyke.entry.settings import (
@@ -16,11 +19,18 @@
 )
 from oleanderdyke.entry.vmwatch import VmWatch
 from oleanderdyke.kernel.catalog import Catalog
+from oleanderdyke.kernel.membership import FleetState
 from oleanderdyke.kernel.objects import Change, ObjectKind
 from oleanderdyke.kernel.records import decode_record, encode_change
 from oleanderdyke.kernel.snapshots import SnapshotLoader
-from oleanderdyke.links.codec import encode
-from oleanderdyke.links.messages import ConfigurationDifference
+from oleanderdyke.links.codec import decode, encode
+from oleanderdyke.links.messages import (
+    PROTOCOL_VERSION,
+    BackendKind,
+    ConfigurationDifference,
+    Hello,
+    Role,
+)
 from oleanderdyke.platform.vms import Vm, VmClient
 
 TEAMS = 400
@@ -133,3 +143,56 @@
         await VmWatch(make_core(settings, make_clock()), client, pool).run()
     called = [list(call.args[0]) for call in pool.set_addresses.mock_calls]
     assert called == ([sorted(linked)] if linked else [])
+
+
+def change_load(beat):
+    return replace(beat.load, running=beat.load.running + 1)
+
+
+@pytest.mark.parametrize(
+    ('make_following', 'limit'),
+    [
+        (lambda beat: {}, 120),
+        (lambda beat: {'load': change_load(beat)}, 260),
+        (lambda beat: {'weight_version': 'v4'}, 270),
+    ],
+    ids=['nothing new', 'new load', 'new weights'],
+)
+def test_heartbeat_carries_only_what_changed(make_following, limit):
+    before = replace(make_beat(), sequence=1)
+    beat = replace(before, sequence=2, **make_following(before))
+    data = encode(shorten(beat, before))
+    assert len(data) <= limit < len(encode(before))
+    fleet = make_fleet(before)
+    assert fleet.on_heartbeat('agent', before, 1.0)
+    assert fleet.on_heartbeat('agent', decode(data), 2.0)
+    known = fleet.find('agent')
+    assert known.load == beat.load
+    assert known.weight_version == beat.weight_version
+    assert known.weight_digest == beat.weight_digest
+    assert known.model == beat.model
+
+
+def test_short_heartbeat_counts_only_after_a_whole_one():
+    before = replace(make_beat(), sequence=1)
+    beat = replace(before, sequence=2)
+    fleet = make_fleet(before)
+    assert not fleet.on_heartbeat('agent', shorten(beat, before), 1.0)
+    assert fleet.on_heartbeat('agent', before, 1.0)
+    assert fleet.find('agent').weight_digest == before.weight_digest
+
+
+def make_fleet(beat):
+    fleet = FleetState(Catalog())
+    hello = Hello(
+        PROTOCOL_VERSION,
+        Role.AGENT,
+        'agent',
+        beat.incarnation,
+        'dc',
+        0,
+        BackendKind.ENGINE,
+        'service',
+    )
+    assert fleet.on_hello(hello, '127.0.0.1:1', 0.0)
+    return fleet
