Say of an answer too long to keep that its booking ran

Cause: an agent that dropped an answer over runs.record_bytes noted the run as one of unknown outcome, so a later attempt got outcome_unknown with ran=maybe although the run had ended whole. A store's agent weighed with the default policies only. Ruled out: keeping longer answers; the bound is what keeps an agent small. The settings of an agent have `policies`, as an entry's do. Before and after: the new test fails on the former forward.py, with a status or state other than ended and 0, and passes now, with the tests of agent, attempts, store agent and the request model.

--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -146,6 +146,9 @@
 
 
 def _make_record(run: Run) -> RunAnswer | None:
-    if run.record is None:
+    if run.dispatch.claim is None:
         return None
+    if run.record is None:
+        # Status 0 tells that it ended whole and is too long to be kept.
+        return RunAnswer(0, (), b'')
     return RunAnswer(run.status, run.headers, bytes(run.record))
--- a/src/oleanderdyke/agent/roles.py
+++ b/src/oleanderdyke/agent/roles.py
@@ -38,7 +38,6 @@
 from oleanderdyke.logs import EventLog
 from oleanderdyke.policies import keeping  # noqa: F401 - registers itself
 from oleanderdyke.policies.registries import KEEPERS
-from oleanderdyke.policies.settings import PolicySettings
 
 Loop: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
 
@@ -251,7 +250,7 @@
         self._store = StoreShell(
             parts.backend,
             settings=settings.cache,
-            make_keeper=lambda: make_keeper(PolicySettings()),
+            make_keeper=lambda: make_keeper(settings.policies),
             incarnation=parts.incarnation,
             clock=parts.clock,
             random=parts.random,
--- a/src/oleanderdyke/agent/settings.py
+++ b/src/oleanderdyke/agent/settings.py
@@ -13,6 +13,7 @@
 from oleanderdyke.links.link import LinkSettings
 from oleanderdyke.links.messages import BackendKind
 from oleanderdyke.links.tls import TlsPaths
+from oleanderdyke.policies.settings import PolicySettings
 
 _MEBIBYTE = 1024 * 1024
 
@@ -86,7 +87,8 @@
 class AgentSettings:
     """Hold everything that an agent reads at its start.
 
-    `keeper` names the plug-in by which a store's agent evicts.
+    `keeper` names the plug-in by which a store's agent evicts, `policies` says
+    what it weighs.
     """
 
     process: str
@@ -100,6 +102,7 @@
     runs: RunSettings = field(default_factory=RunSettings)
     cache: CacheSettings = field(default_factory=CacheSettings)
     keeper: str = 'expected-saving'
+    policies: PolicySettings = field(default_factory=PolicySettings)
     log_level: Level = Level.INFO
 
 
--- a/src/oleanderdyke/kernel/claimed_attempts.py
+++ b/src/oleanderdyke/kernel/claimed_attempts.py
@@ -51,6 +51,7 @@
     ClaimState,
 )
 
+_NOT_KEPT = 'it ran; its answer is too long, or too old, to be kept'
 _LOG_OUT = 'the log is out; this call did not run'
 _LOG_SLOW = 'the log is slow; this call did not run'
 
@@ -205,7 +206,7 @@
     def _take_finished(self, answer: ClaimAnswer) -> Actions:
         self._known_ran = Ran.YES
         if not answer.status:
-            return self._refuse(ErrorKind.OUTCOME_UNKNOWN)
+            return self._refuse(ErrorKind.OUTCOME_UNKNOWN, detail=_NOT_KEPT)
         receipt = self._get_receipt()
         receipt.open(answer.status, answer.headers)
         receipt.add_rest(answer.body)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -26,7 +26,7 @@
 from oleanderdyke.agent import main as agent_main
 from oleanderdyke.agent.backend import Backend
 from oleanderdyke.agent.engine import EngineView
-from oleanderdyke.agent.settings import BackendSettings
+from oleanderdyke.agent.settings import BackendSettings, RunSettings
 from oleanderdyke.clock import ManualClock
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.kernel.drain import DrainSettings
@@ -170,6 +170,21 @@
         assert sum(app.runs.values()) == 1
 
 
+async def test_keyed_run_with_too_long_an_answer_is_known_to_have_ended() -> (
+    None
+):
+    async with plain_agent(runs=RunSettings(record_bytes=10)) as world:
+        app, _, entry = world
+        set_faults(app, big=11)
+        claim = entry.make_claim('k')
+        outcome = await entry.call(
+            entry.make_dispatch('r', claim=claim), b'booking'
+        )
+        assert outcome.end is not None
+        answer = await ask_claim(entry, claim)
+        assert (answer.state, answer.status) == (ClaimState.FINISHED, 0)
+
+
 async def test_claimed_run_goes_on_without_its_caller() -> None:
     async with plain_agent() as (app, shell, entry):
         set_faults(app, slow=200.0)
