Hold a store's index in columns

Cause: each sealed entry was several objects and each hint one more: 639 bytes an entry at 180,000, about 115 MB, where a daemon may take 64 MB. Each evicting write weighed 64 entries. Change: the fields stand in arrays, found by short sorted arrays of hints with the whole id compared; namespaces and incarnations are shared, and names are made again from them. The log holds hints as numbers. An eviction samples 16 and keeps the 8 poorest for the next one; each is weighed again before it goes, and up to 64 entries all are ranked as before. Pins are counted by generation. An id of another length than 32 bytes is refused. bench/store_memory.py measures it. A test of replaced hints used hints of one byte; a hint has eight, so it uses these now. Before and after: at 180,000 entries 639 and 140 bytes an entry with the log of hints, without the keeper. Evicting write at 20,000, three turns of each on a busy machine: 284, 224, 300 us and 189, 119, 167 us with a plain keeper; 401, 371, 464 and 238, 165, 197 us with the expected saving. A write without eviction took 34 to 48 us. At 180,000 1.6% were poorer than the mean victim, now 3.3%. Conclusion: kept. The keeper takes 211 bytes more for each entry, which is not changed here, so index and keeper at 180,000 are about 63 MB: still too many.

--- /dev/null
+++ b/bench/store_memory.py
@@ -0,0 +1,154 @@
+"""Measure the memory of a store's index and the time of evicting writes.
+
+Run `python -m bench.store_memory [ENTRIES...]`. Bytes are as tracemalloc counts
+them, with the log of hints and without what its keeper learns, which is shown
+apart. Times are processor times of a write from `begin` to `seal`.
+"""
+
+from __future__ import annotations
+
+import gc
+import sys
+import time
+import tracemalloc
+from bisect import bisect_right
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from oleanderdyke.clock import HOUR, Millis
+from oleanderdyke.kernel.blocks import digest_segment, hint
+from oleanderdyke.kernel.demand import Keeper, SegmentHint
+from oleanderdyke.kernel.store_index import (
+    StoreIndex,
+    StoreLimits,
+    WriteBegun,
+    WriteSealed,
+    WriteVerified,
+)
+from oleanderdyke.links.messages import SegmentPart, SegmentWrite
+from oleanderdyke.policies.keeping import make_expected_saving
+from oleanderdyke.policies.settings import PolicySettings
+
+ENTRIES = (10_000, 180_000)
+EVICTIONS = 5_000
+_NAMESPACES = 200
+_DATA = b'\0' * 64
+_DIGEST = digest_segment(_DATA)
+
+
+class GapKeeper:
+    """Remember nothing and find the worth in the expected gap."""
+
+    def worth(
+        self, _segment: SegmentHint, _length: int, gap: Millis, _now: Millis
+    ) -> float:
+        """Return more for a shorter gap."""
+        return -gap
+
+    def note_used(self, _segment: SegmentHint, _now: Millis) -> None:
+        """Learn nothing."""
+
+
+@dataclass(slots=True)
+class _Writer:
+    """Write random segments into an index."""
+
+    index: StoreIndex
+    random: Random
+    gaps: dict[SegmentHint, Millis]
+
+    def write(self, gap: Millis) -> bool:
+        """Write one segment; tell whether it was kept."""
+        segment = self.random.randbytes(32)
+        space = self.random.randrange(_NAMESPACES).to_bytes(32)
+        write = SegmentWrite('w', space, segment, len(_DATA), _DIGEST, gap)
+        if not isinstance(self.index.begin(write, 0.0), WriteBegun):
+            return False
+        part = SegmentPart(
+            'w', segment, 0, 0, _DATA, len(_DATA), _DIGEST, last=True
+        )
+        verified = self.index.add_part(part, 0.0)
+        assert isinstance(verified, WriteVerified)
+        sealed = self.index.seal('w', segment, 0.0)
+        self.index.take_deletions()
+        self.gaps[hint(segment)] = gap
+        return isinstance(sealed, WriteSealed)
+
+    def fill(self, count: int) -> None:
+        """Write until the store is full."""
+        for number in range(count):
+            gap = self.random.uniform(1.0, 48.0) * HOUR
+            assert self.write(gap)
+            if number % 1_000 == 0:
+                self.index.log.take()
+        self.index.log.take()
+
+
+def make_writer(count: int, keeper: Keeper) -> _Writer:
+    """Build a full index."""
+    limits = StoreLimits(capacity_bytes=count * len(_DATA))
+    index = StoreIndex(limits, keeper, 'incarnation-1', Random(1))
+    writer = _Writer(index, Random(2), {})
+    writer.fill(count)
+    return writer
+
+
+def measure_bytes(count: int, make: Callable[[], Keeper]) -> float:
+    """Return the bytes that each entry takes."""
+    gc.collect()
+    tracemalloc.start()
+    writer = make_writer(count, make())
+    writer.gaps.clear()
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return held / count
+
+
+def measure_evictions(count: int, keeper: Keeper) -> tuple[float, int]:
+    """Return microseconds for a write into a full index, and those kept."""
+    writer = make_writer(count, keeper)
+    start = time.process_time()
+    kept = sum(writer.write(0.5 * HOUR) for _ in range(EVICTIONS))
+    spent = time.process_time() - start
+    return spent * 1e6 / EVICTIONS, kept
+
+
+def measure_ranks(count: int) -> float:
+    """Return the mean share of the entries that are poorer than a victim."""
+    writer = make_writer(count, GapKeeper())
+    gaps = dict(writer.gaps)
+    poorest = sorted(gaps.values())
+    ranks = []
+    for _ in range(EVICTIONS // 5):
+        writer.write(0.5 * HOUR)
+        for events in writer.index.log.take():
+            ranks += [gaps[each] for each in events.removed if each in gaps]
+    shares = [1 - bisect_right(poorest, gap) / count for gap in ranks]
+    return sum(shares) / len(shares)
+
+
+def main(argv: list[str]) -> None:
+    """Print one line for each size."""
+    for count in [int(each) for each in argv] or ENTRIES:
+        plain = measure_bytes(count, GapKeeper)
+        learning = measure_bytes(
+            count, lambda: make_expected_saving(PolicySettings())
+        )
+        micros, kept = measure_evictions(
+            count, make_expected_saving(PolicySettings())
+        )
+        flat, _ = measure_evictions(count, GapKeeper())
+        rank = measure_ranks(count)
+        print(
+            f'{count} entries: {plain:.0f} bytes each, '
+            f'{learning - plain:.0f} more by the keeper; evicting write '
+            f'{micros:.0f} us ({kept} of {EVICTIONS} kept), '
+            f'{flat:.0f} us with a plain keeper; '
+            f'{100 * rank:.1f}% poorer than the mean victim'
+        )
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
--- a/src/oleanderdyke/kernel/eviction.py
+++ b/src/oleanderdyke/kernel/eviction.py
@@ -2,61 +2,108 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from bisect import insort
+from collections.abc import Iterable
 from random import Random
+from typing import NamedTuple
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.blocks import SegmentId, hint
 from oleanderdyke.kernel.demand import Keeper
 from oleanderdyke.kernel.pins import PinTable
-from oleanderdyke.kernel.sealed_entries import SealedEntries, SealedEntry
+from oleanderdyke.kernel.sealed_entries import SealedEntries
 from oleanderdyke.kernel.store_meta import SealedMeta
 from oleanderdyke.kernel.store_outcomes import WriteRefusal
 
-# Enough to find a poor entry among many without looking at all of them.
-_SAMPLE = 64
+# Up to so many entries all are ranked.
+_FEW = 64
+# The poorest of each sample are kept for the next choice, so that small samples
+# find poor entries; they are weighed again before they go.
+_SAMPLE = 16
+_POOL = 8
+
+
+class _Candidate(NamedTuple):
+    """Rank an entry by its worth; of equals the oldest goes first."""
+
+    worth: float
+    generation: int
+    place: int
+    length: int
 
 
-@dataclass(frozen=True, slots=True)
 class Evictor:
     """Rank unpinned entries by their worth per byte."""
 
-    entries: SealedEntries
-    pins: PinTable
-    keeper: Keeper
-    random: Random
+    def __init__(
+        self,
+        entries: SealedEntries,
+        pins: PinTable,
+        keeper: Keeper,
+        random: Random,
+    ) -> None:
+        self._entries = entries
+        self._pins = pins
+        self._keeper = keeper
+        self._random = random
+        self._pool: list[_Candidate] = []
 
     def choose(
         self, newcomer: SealedMeta, missing: int, now: Millis
     ) -> tuple[SegmentId, ...] | WriteRefusal:
         """Return whom to free for the missing bytes, or why nobody is."""
-        own = self._weigh(newcomer, now)
-        victims = []
-        for entry in self._rank(missing, now):
-            if missing <= 0:
-                break
-            if self._weigh(entry.meta, now) >= own:
+        own = self._keeper.worth(
+            hint(newcomer.segment), newcomer.length, newcomer.gap, now
+        )
+        ranked = self._rank(missing, now)
+        count = 0
+        while missing > 0:
+            if count == len(ranked):
+                return WriteRefusal.FULL
+            self._renew(ranked, count, now)
+            if ranked[count].worth >= own:
                 return WriteRefusal.NOT_WORTH_IT
-            missing -= entry.meta.length
-            victims.append(entry.meta.segment)
-        return WriteRefusal.FULL if missing > 0 else tuple(victims)
-
-    def _rank(self, missing: int, now: Millis) -> Sequence[SealedEntry]:
-        found = self._skip_pinned(self.entries.sample(self.random, _SAMPLE))
-        if sum(each.meta.length for each in found) < missing:
-            found = self._skip_pinned(self.entries.list_all())
-        return sorted(
-            found,
-            key=lambda each: (self._weigh(each.meta, now), each.generation),
+            missing -= ranked[count].length
+            count += 1
+        self._pool = ranked[count : count + _POOL]
+        return tuple(
+            self._entries.read_segment(each.place) for each in ranked[:count]
         )
 
-    def _skip_pinned(self, entries: Iterable[SealedEntry]) -> list[SealedEntry]:
-        return [
-            each
-            for each in entries
-            if not self.pins.is_pinned(each.meta.object_name)
-        ]
+    def _rank(self, missing: int, now: Millis) -> list[_Candidate]:
+        found = self._sample(now)
+        if sum(each.length for each in found) < missing:
+            found = self._weigh(range(len(self._entries)), now)
+        found.sort()
+        return found
+
+    def _sample(self, now: Millis) -> list[_Candidate]:
+        if len(self._entries) <= _FEW:
+            return self._weigh(range(len(self._entries)), now)
+        known = [each for each in self._pool if self._is_left(each)]
+        places = set(self._entries.sample(self._random, _SAMPLE))
+        places.difference_update(each.place for each in known)
+        return known + self._weigh(places, now)
+
+    def _is_left(self, known: _Candidate) -> bool:
+        if not self._entries.is_at(known.place, known.generation):
+            return False
+        return not self._pins.is_pinned(known.generation)
+
+    def _renew(self, ranked: list[_Candidate], place: int, now: Millis) -> None:
+        """Let the next one be poorest by its present worth."""
+        while True:
+            (renewed,) = self._weigh((ranked[place].place,), now)
+            if renewed.worth <= ranked[place].worth:
+                return
+            del ranked[place]
+            insort(ranked, renewed, lo=place)
 
-    def _weigh(self, meta: SealedMeta, now: Millis) -> float:
-        return self.keeper.worth(hint(meta.segment), meta.length, meta.gap, now)
+    def _weigh(self, places: Iterable[int], now: Millis) -> list[_Candidate]:
+        found = []
+        for place in places:
+            short, length, gap, generation = self._entries.read_worth(place)
+            if not self._pins.is_pinned(generation):
+                worth = self._keeper.worth(short, length, gap, now)
+                found.append(_Candidate(worth, generation, place, length))
+        return found
--- /dev/null
+++ b/src/oleanderdyke/kernel/hint_set.py
@@ -0,0 +1,58 @@
+"""Hold many 8-byte hints in little memory."""
+
+from __future__ import annotations
+
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterator
+
+from oleanderdyke.kernel.demand import SegmentHint
+
+# Hints are spread evenly, so a shard is a short sorted array at any size.
+_SHARD_BITS = 10
+_HINT_BYTES = 8
+_SHIFT = 8 * _HINT_BYTES - _SHARD_BITS
+
+
+class HintSet:
+    """Hold 8 bytes for each hint and no object."""
+
+    def __init__(self) -> None:
+        self._shards = [array('Q') for _ in range(1 << _SHARD_BITS)]
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __contains__(self, hint: SegmentHint) -> bool:
+        key = int.from_bytes(hint)
+        shard = self._shards[key >> _SHIFT]
+        place = bisect_left(shard, key)
+        return place < len(shard) and shard[place] == key
+
+    def __iter__(self) -> Iterator[SegmentHint]:
+        for shard in self._shards:
+            for key in shard:
+                yield key.to_bytes(_HINT_BYTES)
+
+    def add(self, hint: SegmentHint) -> bool:
+        """Add a hint; tell whether it is new."""
+        key = int.from_bytes(hint)
+        shard = self._shards[key >> _SHIFT]
+        place = bisect_left(shard, key)
+        if place < len(shard) and shard[place] == key:
+            return False
+        shard.insert(place, key)
+        self._count += 1
+        return True
+
+    def discard(self, hint: SegmentHint) -> bool:
+        """Remove a hint; tell whether it was there."""
+        key = int.from_bytes(hint)
+        shard = self._shards[key >> _SHIFT]
+        place = bisect_left(shard, key)
+        if place == len(shard) or shard[place] != key:
+            return False
+        del shard[place]
+        self._count -= 1
+        return True
--- a/src/oleanderdyke/kernel/pins.py
+++ b/src/oleanderdyke/kernel/pins.py
@@ -19,7 +19,7 @@
         self._numbers = count(1)
         # All pins live equally long, so the oldest comes first.
         self._pins: dict[int, Pinned] = {}
-        self._counts: Counter[str] = Counter()
+        self._counts: Counter[int] = Counter()
 
     def add(
         self, meta: SealedMeta, generation: int, now: Millis
@@ -37,25 +37,25 @@
             until=now + self._time,
         )
         self._pins[pinned.number] = pinned
-        self._counts[meta.object_name] += 1
+        self._counts[generation] += 1
         return pinned
 
     def holds(self, pinned: Pinned, now: Millis) -> bool:
         """Tell whether a pin is still there and in time."""
         return pinned.number in self._pins and now < pinned.until
 
-    def is_pinned(self, object_name: str) -> bool:
-        """Tell whether a reader may be copying an object."""
-        return self._counts[object_name] > 0
+    def is_pinned(self, generation: int) -> bool:
+        """Tell whether a reader may be copying the object of a generation."""
+        return generation in self._counts
 
     def remove(self, pinned: Pinned) -> bool:
         """End a pin; tell whether it was the last one of its object."""
         if self._pins.pop(pinned.number, None) is None:
             return False
-        self._counts[pinned.object_name] -= 1
-        if self._counts[pinned.object_name]:
+        self._counts[pinned.generation] -= 1
+        if self._counts[pinned.generation]:
             return False
-        del self._counts[pinned.object_name]
+        del self._counts[pinned.generation]
         return True
 
     def list_expired(self, now: Millis) -> tuple[Pinned, ...]:
--- a/src/oleanderdyke/kernel/sealed_entries.py
+++ b/src/oleanderdyke/kernel/sealed_entries.py
@@ -2,60 +2,173 @@
 
 from __future__ import annotations
 
+from array import array
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
-from oleanderdyke.kernel.blocks import SegmentId
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.blocks import HINT_BYTES, ID_BYTES, SegmentId
+from oleanderdyke.kernel.demand import SegmentHint
+from oleanderdyke.kernel.segment_places import SegmentPlaces
+from oleanderdyke.kernel.shared_values import SharedValues
 from oleanderdyke.kernel.store_meta import SealedMeta
 
+_ODD_NAME = -1
+_NUMBER_DIGITS = 18
 
-@dataclass(slots=True)
+
+@dataclass(frozen=True, slots=True)
 class SealedEntry:
     """Pair a sealed object with its generation."""
 
     meta: SealedMeta
     generation: int
-    place: int = -1
 
 
 class SealedEntries:
-    """Find entries by segment, and sample them without a scan."""
+    """Find entries by segment, and sample them without a scan.
+
+    The fields stand in columns, since an object for each of many entries
+    would take several times their memory. An entry has a place until another
+    one is removed.
+    """
 
     def __init__(self) -> None:
-        self._by_segment: dict[SegmentId, SealedEntry] = {}
-        self._dense: list[SealedEntry] = []
+        self._places = SegmentPlaces()
+        self._segments = bytearray()
+        self._digests = bytearray()
+        self._lengths = array('Q')
+        self._gaps = array('d')
+        self._generations = array('Q')
+        self._spaces = array('I')
+        self._origins = array('I')
+        self._numbers = array('q')
+        self._known_spaces: SharedValues[bytes] = SharedValues()
+        self._known_origins: SharedValues[str] = SharedValues()
+        self._odd_names: dict[SegmentId, str] = {}
 
     def __len__(self) -> int:
-        return len(self._dense)
+        return len(self._lengths)
 
     def get(self, segment: SegmentId) -> SealedEntry | None:
         """Return the entry of a segment."""
-        return self._by_segment.get(segment)
+        place = self._find(segment)
+        return None if place is None else self.read(place)
+
+    def read(self, place: int) -> SealedEntry:
+        """Return the entry at a place."""
+        segment = self._cut(self._segments, place)
+        meta = SealedMeta(
+            object_name=self._make_name(segment, place),
+            namespace=self._known_spaces.get(self._spaces[place]),
+            segment=segment,
+            length=self._lengths[place],
+            digest=self._cut(self._digests, place),
+            gap=self._gaps[place],
+        )
+        return SealedEntry(meta, self._generations[place])
+
+    def is_at(self, place: int, generation: int) -> bool:
+        """Tell whether the entry of a generation is at a place."""
+        return place < len(self) and self._generations[place] == generation
+
+    def read_worth(self, place: int) -> tuple[SegmentHint, int, Millis, int]:
+        """Return the hint, length, gap and generation at a place."""
+        start = place * ID_BYTES
+        return (
+            bytes(self._segments[start : start + HINT_BYTES]),
+            self._lengths[place],
+            self._gaps[place],
+            self._generations[place],
+        )
+
+    def read_segment(self, place: int) -> SegmentId:
+        """Return the segment at a place."""
+        return self._cut(self._segments, place)
 
     def add(self, entry: SealedEntry) -> None:
         """Hold an entry whose segment has none."""
-        entry.place = len(self._dense)
-        self._dense.append(entry)
-        self._by_segment[entry.meta.segment] = entry
+        meta = entry.meta
+        self._places.add(meta.segment, len(self))
+        origin, number = _split_name(meta)
+        if number == _ODD_NAME:
+            self._odd_names[meta.segment] = meta.object_name
+        self._segments += meta.segment
+        self._digests += meta.digest
+        self._lengths.append(meta.length)
+        self._gaps.append(meta.gap)
+        self._generations.append(entry.generation)
+        self._spaces.append(self._known_spaces.take(meta.namespace))
+        self._origins.append(self._known_origins.take(origin))
+        self._numbers.append(number)
 
     def remove(self, segment: SegmentId) -> SealedEntry | None:
         """Return the entry of a segment after forgetting it."""
-        entry = self._by_segment.pop(segment, None)
-        if entry is None:
+        place = self._find(segment)
+        if place is None:
             return None
-        last = self._dense.pop()
-        if last is not entry:
-            self._dense[entry.place] = last
-            last.place = entry.place
+        entry = self.read(place)
+        self._known_spaces.give_back(self._spaces[place])
+        self._known_origins.give_back(self._origins[place])
+        self._odd_names.pop(segment, None)
+        self._places.remove(segment, place)
+        self._fill(place, len(self) - 1)
         return entry
 
-    def list_all(self) -> Sequence[SealedEntry]:
-        """Return every entry."""
-        return tuple(self._dense)
+    def sample(self, random: Random, size: int) -> Sequence[int]:
+        """Return about as many places, or all if there are fewer."""
+        count = len(self)
+        if count <= size:
+            return range(count)
+        return [int(random.random() * count) for _ in range(size)]
+
+    def _find(self, segment: SegmentId) -> int | None:
+        for place in self._places.find(segment):
+            if self._cut(self._segments, place) == segment:
+                return place
+        return None
+
+    def _make_name(self, segment: SegmentId, place: int) -> str:
+        number = self._numbers[place]
+        if number == _ODD_NAME:
+            return self._odd_names[segment]
+        origin = self._known_origins.get(self._origins[place])
+        return f'{segment.hex()}-{origin}-{number}'
+
+    def _fill(self, place: int, last: int) -> None:
+        """Move the last entry to a place that became free."""
+        if place != last:
+            self._places.move(self._cut(self._segments, last), last, place)
+        for data in (self._segments, self._digests):
+            start = place * ID_BYTES
+            data[start : start + ID_BYTES] = data[-ID_BYTES:]
+            del data[-ID_BYTES:]
+        self._gaps[place] = self._gaps[last]
+        self._gaps.pop()
+        for column in (
+            self._lengths,
+            self._generations,
+            self._spaces,
+            self._origins,
+            self._numbers,
+        ):
+            column[place] = column[last]
+            column.pop()
+
+    def _cut(self, data: bytearray, place: int) -> bytes:
+        return bytes(data[place * ID_BYTES : (place + 1) * ID_BYTES])
+
+
+def _split_name(meta: SealedMeta) -> tuple[str, int]:
+    """Split an object's name into what it was made of, if it was."""
+    start = f'{meta.segment.hex()}-'
+    origin, _, digits = meta.object_name.removeprefix(start).rpartition('-')
+    number = int(digits) if _is_number(digits) else _ODD_NAME
+    if f'{start}{origin}-{number}' != meta.object_name:
+        return '', _ODD_NAME
+    return origin, number
+
 
-    def sample(self, random: Random, size: int) -> Sequence[SealedEntry]:
-        """Return that many entries, or all if there are fewer."""
-        if len(self._dense) <= size:
-            return self.list_all()
-        return random.sample(self._dense, size)
+def _is_number(digits: str) -> bool:
+    return digits.isdecimal() and len(digits) <= _NUMBER_DIGITS
--- a/src/oleanderdyke/kernel/segment_log.py
+++ b/src/oleanderdyke/kernel/segment_log.py
@@ -7,6 +7,7 @@
 from itertools import islice
 
 from oleanderdyke.kernel.demand import SegmentHint
+from oleanderdyke.kernel.hint_set import HintSet
 from oleanderdyke.links.messages import SegmentEvents
 
 MESSAGE_HINTS = 16_384
@@ -23,7 +24,7 @@
     """
 
     def __init__(self, *, keep: int = RECENT_EVENTS) -> None:
-        self._present: set[SegmentHint] = set()
+        self._present = HintSet()
         self._unsent: dict[SegmentHint, bool] = {}
         self._recent: deque[tuple[SegmentHint, bool]] = deque(maxlen=keep)
         self._next = 0
@@ -35,24 +36,20 @@
 
     def add(self, segment: SegmentHint) -> None:
         """Note that a segment is there."""
-        if segment in self._present:
-            return
-        self._present.add(segment)
-        self._change(segment, present=True)
+        if self._present.add(segment):
+            self._change(segment, present=True)
 
     def remove(self, segment: SegmentHint) -> None:
         """Note that a segment is gone."""
-        if segment not in self._present:
-            return
-        self._present.discard(segment)
-        self._change(segment, present=False)
+        if self._present.discard(segment):
+            self._change(segment, present=False)
 
     def replace(self, segments: Iterable[SegmentHint]) -> None:
         """Become another set, by the fewest events."""
         wanted = set(segments)
-        for gone in sorted(self._present - wanted):
+        for gone in [each for each in self._present if each not in wanted]:
             self.remove(gone)
-        for new in sorted(wanted - self._present):
+        for new in sorted(wanted):
             self.add(new)
 
     def take(self) -> tuple[SegmentEvents, ...]:
@@ -67,7 +64,7 @@
     def list_all(self) -> tuple[SegmentEvents, ...]:
         """Return the whole set as it was last taken."""
         added = {each for each, present in self._unsent.items() if present}
-        held = list(self._present - added)
+        held = [each for each in self._present if each not in added]
         held.extend(each for each in self._unsent if each not in added)
         head, rest = held[:MESSAGE_HINTS], held[MESSAGE_HINTS:]
         first = self._next - len(rest)
--- /dev/null
+++ b/src/oleanderdyke/kernel/segment_places.py
@@ -0,0 +1,57 @@
+"""Find the place of a segment without an object for each."""
+
+from __future__ import annotations
+
+from array import array
+from bisect import bisect_left, bisect_right
+from collections.abc import Sequence
+
+from oleanderdyke.kernel.blocks import HINT_BYTES, SegmentId
+
+# Ids are digests, so a shard is a short sorted array at any size.
+_SHARD_BITS = 10
+_SHIFT = 8 * HINT_BYTES - _SHARD_BITS
+
+
+class SegmentPlaces:
+    """Map the hint of a segment to the places that may hold the segment.
+
+    Two segments may share a hint, so the caller compares the whole ids.
+    """
+
+    def __init__(self) -> None:
+        shards = range(1 << _SHARD_BITS)
+        self._keys = [array('Q') for _ in shards]
+        self._places = [array('I') for _ in shards]
+
+    def find(self, segment: SegmentId) -> Sequence[int]:
+        """Return the places to compare."""
+        key = int.from_bytes(segment[:HINT_BYTES])
+        shard = key >> _SHIFT
+        keys = self._keys[shard]
+        start = bisect_left(keys, key)
+        return self._places[shard][start : bisect_right(keys, key, start)]
+
+    def add(self, segment: SegmentId, place: int) -> None:
+        """Note a new segment."""
+        key = int.from_bytes(segment[:HINT_BYTES])
+        index = bisect_left(self._keys[key >> _SHIFT], key)
+        self._keys[key >> _SHIFT].insert(index, key)
+        self._places[key >> _SHIFT].insert(index, place)
+
+    def move(self, segment: SegmentId, old: int, new: int) -> None:
+        """Note that a segment has another place."""
+        shard, index = self._locate(segment, old)
+        self._places[shard][index] = new
+
+    def remove(self, segment: SegmentId, place: int) -> None:
+        """Forget a segment."""
+        shard, index = self._locate(segment, place)
+        del self._keys[shard][index]
+        del self._places[shard][index]
+
+    def _locate(self, segment: SegmentId, place: int) -> tuple[int, int]:
+        key = int.from_bytes(segment[:HINT_BYTES])
+        shard = key >> _SHIFT
+        start = bisect_left(self._keys[shard], key)
+        return shard, self._places[shard].index(place, start)
--- a/src/oleanderdyke/kernel/store_index.py
+++ b/src/oleanderdyke/kernel/store_index.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.blocks import Namespace, SegmentId, hint
+from oleanderdyke.kernel.blocks import ID_BYTES, Namespace, SegmentId, hint
 from oleanderdyke.kernel.demand import Keeper
 from oleanderdyke.kernel.eviction import Evictor
 from oleanderdyke.kernel.pins import PinTable
@@ -112,6 +112,8 @@
             return known
         if len(self._writes) >= self._limits.writes:
             return WriteFailed(WriteRefusal.BUSY, (write.request,))
+        if not _has_ids(write.segment, write.digest):
+            return WriteFailed(WriteRefusal.LENGTH, (write.request,))
         generation = next(self._generations)
         meta = self._describe(write, generation)
         fault = self._make_room(meta, now)
@@ -197,7 +199,7 @@
         self.log.remove(hint(segment))
         name = entry.meta.object_name
         self._doomed[name] = entry.meta.length
-        if not self._pins.is_pinned(name):
+        if not self._pins.is_pinned(entry.generation):
             self._delete_doomed(name)
 
     def free_broken(self, pinned: Pinned) -> None:
@@ -244,6 +246,8 @@
     ) -> bool:
         if meta_name != record.object_name + META_SUFFIX:
             return False
+        if not _has_ids(record.segment, record.digest):
+            return False
         if stored != record.length or record.segment in self._writes:
             return False
         return self._used + record.length <= self._limits.capacity_bytes
@@ -324,3 +328,7 @@
         for segment in victims:
             self.free(segment)
         return None
+
+
+def _has_ids(segment: SegmentId, digest: bytes) -> bool:
+    return len(segment) == len(digest) == ID_BYTES
--- a/tests/test_store_index.py
+++ b/tests/test_store_index.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from dataclasses import replace
 from random import Random
 
@@ -10,12 +11,14 @@
 
 from machines import assert_caught, assert_holds
 from oleanderdyke.kernel import segment_log
-from oleanderdyke.kernel.blocks import digest_segment, hint
+from oleanderdyke.kernel.blocks import HINT_BYTES, digest_segment, hint
+from oleanderdyke.kernel.sealed_entries import SealedEntries, SealedEntry
 from oleanderdyke.kernel.segment_log import SegmentLog
 from oleanderdyke.kernel.segment_write import OpenWrite
 from oleanderdyke.kernel.store_index import StoreIndex, StoreLimits
 from oleanderdyke.kernel.store_meta import (
     META_SUFFIX,
+    SealedMeta,
     decode_meta,
     encode_meta,
 )
@@ -33,7 +36,7 @@
     WriteSealed,
     WriteVerified,
 )
-from oleanderdyke.links.messages import SegmentPart, SegmentWrite
+from oleanderdyke.links.messages import SegmentEvents, SegmentPart, SegmentWrite
 
 SPACES = (b'n' * 32, b'm' * 32)
 SIZE = 8
@@ -298,6 +301,74 @@
     assert encode_meta(meta) == record.meta
 
 
+def make_entry(random, number):
+    # Some ids share their hint, and some names were made by nobody here.
+    segment = bytes([random.randrange(4)]) * HINT_BYTES + random.randbytes(24)
+    name = f'{segment.hex()}-i{random.randrange(3)}-{number}'
+    if number % 5 == 0:
+        name = random.choice(['other', f'{segment.hex()}-i-007', f'x{name}'])
+    meta = SealedMeta(
+        name,
+        bytes([random.randrange(3)]) * 32,
+        segment,
+        random.randrange(1, 2**40),
+        random.randbytes(32),
+        random.random(),
+    )
+    return SealedEntry(meta, number)
+
+
+def test_entries_stay_whole_while_others_come_and_go():
+    random, entries, model = Random(5), SealedEntries(), {}
+    for number in range(2_000):
+        if model and random.random() < 0.45:
+            segment = random.choice(sorted(model))
+            assert entries.remove(segment) == model.pop(segment)
+            assert entries.get(segment) is None
+        else:
+            entry = make_entry(random, number)
+            entries.add(entry)
+            model[entry.meta.segment] = entry
+    assert len(entries) == len(model) > 100
+    assert all(entries.get(each) == model[each] for each in model)
+    places = entries.sample(random, len(model))
+    assert {entries.read(each).meta.segment for each in places} == set(model)
+
+
+@pytest.mark.parametrize('segment', [b'', b's' * 31, b's' * 33])
+def test_an_id_of_another_length_is_refused(segment):
+    write = replace(make_write('w', 1, b'12345678'), segment=segment)
+    assert isinstance(make_index().begin(write, 0), WriteFailed)
+
+
+def test_an_entry_that_is_used_again_is_not_evicted_by_its_former_worth():
+    limits = replace(LIMITS, capacity_bytes=200 * SIZE)
+    index = StoreIndex(limits, UsedKeeper(), 'i1', Random(7))
+    for number in range(200):
+        assert isinstance(store(index, number), WriteSealed)
+    for number in range(200, 240):
+        assert isinstance(store(index, number), WriteSealed)
+        held = [each for each in range(200) if is_shown(index, each)]
+    # Reading all of them made them worth more than what came after.
+    assert len(held) > 160
+    for number in range(240, 250):
+        assert isinstance(store(index, number), WriteSealed)
+    assert sum(is_shown(index, each) for each in range(200)) == len(held)
+
+
+class UsedKeeper:
+    """Find the worth in the count of uses."""
+
+    def __init__(self):
+        self.uses = Counter()
+
+    def worth(self, segment, length, gap, now):
+        return self.uses[segment] or 1_000
+
+    def note_used(self, segment, now):
+        self.uses[segment] += 1
+
+
 class Follower:
     """Apply events as a directory does."""
 
@@ -345,11 +416,12 @@
 
 def test_replacing_a_set_tells_the_difference_only():
     log = SegmentLog()
-    log.replace([b'a', b'b'])
+    first, second, third = (bytes([each]) * HINT_BYTES for each in b'abc')
+    log.replace([first, second])
     log.take()
-    log.replace([b'b', b'c'])
+    log.replace([second, third])
     (events,) = log.take()
-    assert (events.first, events.added, events.removed) == (2, (b'c',), (b'a',))
+    assert events == SegmentEvents(2, (third,), (first,))
 
 
 # Segment ids are chained from their namespace: 10 and 11 are of the second.
