--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import time
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
@@ -321,6 +322,8 @@
     parser.add_argument('--stores', type=int, default=10)
     parser.add_argument('--teams', type=int, default=42_000)
     options = parser.parse_args()
+    # The end of this process must be the end of the others.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     layout = make_layout(options.engines, options.plains, options.stores)
     started = time.monotonic()
     with Region(layout, DIRECTORY, teams=options.teams) as region:
--- a/src/oleanderdyke/kernel/snapshots.py
+++ b/src/oleanderdyke/kernel/snapshots.py
@@ -174,29 +174,32 @@
     """Build a state from the chunks of one snapshot as they arrive.
 
     No chunk is kept, so that a large snapshot takes little more memory than
-    its state. The state counts only once `loaded` gives it.
+    its state. The state counts only once `loaded` gives it; `ended` tells that
+    the last chunk was taken.
     """
 
     def __init__(self, through: int) -> None:
-        self._through = through
+        self.through = through
         self._next = 0
         self._digest = make_digest(through)
         self._state: State | None = State()
         self.loaded: LoadedSnapshot | None = None
+        self.ended = False
 
     def add(self, chunk: SnapshotChunk) -> bool:
         """Take the next chunk, ignoring all others; tell if it was the next.
 
         After a malformed chunk nothing will be loaded.
         """
-        if (chunk.through, chunk.index) != (self._through, self._next):
+        if (chunk.through, chunk.index) != (self.through, self._next):
             return False
         self._next += 1
         self._digest.update(chunk.items)
         self._load(chunk.items)
+        self.ended = chunk.last
         whole = chunk.last and self._digest.digest() == chunk.digest
         if whole and self._state is not None:
-            self.loaded = LoadedSnapshot(self._through, self._state)
+            self.loaded = LoadedSnapshot(self.through, self._state)
         return True
 
     def _load(self, items: bytes) -> None:
--- a/src/oleanderdyke/kernel/spread.py
+++ b/src/oleanderdyke/kernel/spread.py
@@ -97,6 +97,7 @@
         self._watched_since: Millis | None = None
         self._told_at: Millis | None = None
         self._from_peer: SnapshotLoader | None = None
+        self._grown_at: Millis = 0.0
         self._heard: dict[str, int] = {}
         self._behind_since: Millis | None = None
         self._asked = ''
@@ -140,7 +141,6 @@
             return None
         self._asked = peer
         self._asked_at = now
-        self._from_peer = None
         return ConfigurationRequest(self.offset)
 
     def on_peer_gone(self, peer: str) -> None:
@@ -154,11 +154,13 @@
     ) -> bool:
         """Take a peer's difference; tell whether the offset moved."""
         before = self.offset
+        grown = False
         if message.snapshot:
-            self._take_peer_chunk(message)
+            grown = self._take_peer_chunk(message, now)
         else:
             self._take_peer_records(message)
-        if self._asked == peer:
+        if grown or self._asked == peer:
+            # While a snapshot arrives, from whomever, nobody is asked.
             self._asked = '' if message.last else peer
             self._asked_at = now
         if message.last and START_OFFSET < message.through <= self.offset:
@@ -260,21 +262,40 @@
         elif whole is not None:
             self.catalog.take_over(whole)
 
-    def _take_peer_chunk(self, message: ConfigurationDifference) -> None:
-        if message.chunk == 0:
+    def _take_peer_chunk(
+        self, message: ConfigurationDifference, now: Millis
+    ) -> bool:
+        """Take a chunk; tell whether it was the next of what is loaded.
+
+        The chunks of one snapshot are the same from every peer.
+        """
+        if message.chunk == 0 and self._may_load(message.through, now):
             self._from_peer = SnapshotLoader(message.through)
         loader = self._from_peer
         if loader is None:
-            return
-        for _, data in message.records:
-            chunk = decode_record(data)
-            if not isinstance(chunk, SnapshotChunk):
-                return
-            # The loader ignores the chunks of another snapshot.
-            loader.add(chunk)
+            return False
+        records = [decode_record(data) for _, data in message.records]
+        chunks = [each for each in records if isinstance(each, SnapshotChunk)]
+        if sum(map(loader.add, chunks)) == 0:
+            return False
+        self._grown_at = now
         if loader.loaded is not None:
             self.catalog.take_over(loader.loaded)
+        if loader.ended:
             self._from_peer = None
+        return True
+
+    def _may_load(self, through: int, now: Millis) -> bool:
+        """Tell whether to start with a peer's snapshot.
+
+        One that is half-way is kept for the rest from any peer, and given up
+        for another only where nothing more of it came for a while.
+        """
+        loader = self._from_peer
+        if loader is None:
+            return True
+        stalled = now - self._grown_at >= self._settings.ask_again
+        return stalled and loader.through != through
 
     def _take_peer_records(self, message: ConfigurationDifference) -> None:
         for offset, data in message.records:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 from unittest.mock import Mock
 
 import pytest
@@ -23,6 +24,7 @@
 from oleanderdyke.kernel.objects import Change, ObjectKind
 from oleanderdyke.kernel.records import decode_record, encode_change
 from oleanderdyke.kernel.snapshots import SnapshotLoader
+from oleanderdyke.kernel.spread import ConfigurationReader
 from oleanderdyke.links.codec import decode, encode
 from oleanderdyke.links.messages import (
     PROTOCOL_VERSION,
@@ -31,9 +33,10 @@
     Hello,
     Role,
 )
+from oleanderdyke.platform.log import LogPage
 from oleanderdyke.platform.vms import Vm, VmClient
 
-TEAMS = 400
+TEAMS = 1_000
 
 
 class EndOfTest(Exception):
@@ -115,6 +118,76 @@
     assert other.digest() == catalog.digest()
 
 
+def make_source(catalog):
+    """Build a peer that keeps no records, so that it answers by a snapshot."""
+    kept = Catalog()
+    assert kept.restore(catalog.snapshot())
+    source = ConfigurationReader(Random(1), catalog=kept)
+    source.on_page(LogPage((), 0, TEAMS), 0.0)
+    return source
+
+
+def ask_for_all(reader, peer, now):
+    request = reader.on_heard(peer, TEAMS - 1, now)
+    assert request is not None
+    return request
+
+
+def test_peer_asked_again_does_not_undo_what_came_of_a_snapshot(catalog):
+    source = make_source(catalog)
+    reader = ConfigurationReader(Random(2))
+    first = iter(tuple(source.answer(ask_for_all(reader, 'slow', 0.0))))
+    reader.on_difference('slow', next(first), 100.0)
+    reader.on_difference('slow', next(first), 200.0)
+    second = source.answer(ask_for_all(reader, 'other', 5_000.0))
+    reader.on_difference('other', next(second), 5_100.0)
+    for message in first:
+        reader.on_difference('slow', message, 5_200.0)
+    assert reader.offset == TEAMS - 1
+    assert reader.readiness(5_200.0).ready
+
+
+def test_nobody_is_asked_while_a_snapshot_arrives(catalog):
+    source = make_source(catalog)
+    reader = ConfigurationReader(Random(2))
+    messages = source.answer(ask_for_all(reader, 'asked first', 0.0))
+    ask_for_all(reader, 'asked next', 2_000.0)
+    for now in (3_000.0, 4_900.0, 6_800.0):
+        reader.on_difference('asked first', next(messages), now)
+        assert reader.on_heard('asked next', TEAMS, now + 1_900) is None
+
+
+def test_rest_of_a_snapshot_may_come_from_another_peer(catalog):
+    source = make_source(catalog)
+    reader = ConfigurationReader(Random(2))
+    gone = source.answer(ask_for_all(reader, 'gone', 0.0))
+    reader.on_difference('gone', next(gone), 0.0)
+    reader.on_peer_gone('gone')
+    for message in source.answer(ask_for_all(reader, 'other', 1.0)):
+        reader.on_difference('other', message, 1.0)
+    assert reader.offset == TEAMS - 1
+
+
+def test_stalled_snapshot_gives_way_to_a_newer_one(catalog):
+    reader = ConfigurationReader(Random(2))
+    old = make_source(catalog).answer(ask_for_all(reader, 'gone', 0.0))
+    reader.on_difference('gone', next(old), 0.0)
+    catalog.apply(TEAMS, make_change(TEAMS))
+    chunks = tuple(catalog.iterate_snapshot())
+    for now, reached in ((1_000.0, -1), (9_000.0, TEAMS)):
+        for place, chunk in enumerate(chunks):
+            message = ConfigurationDifference(
+                -1,
+                TEAMS,
+                ((TEAMS, chunk),),
+                snapshot=True,
+                chunk=place,
+                last=place == len(chunks) - 1,
+            )
+            reader.on_difference('other', message, now)
+        assert reader.offset == reached
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ('region', 'linked'),
