Mend the loose ends of an entry's path

Cause: a signal between listening and the start of its watch ended the process; an empty log counted as a configuration; an answer found broken at the entry left its run alive; a resume without a link waited for a timer of a second. Ruled out: trying the resume again from the sender, which would hide it from the machine that counts tries. Change: signals are caught before the port is bound; an entry without a publication is not ready, says so and refuses callers with 503, while operators may publish; a broken answer cancels its run unless it is claimed; the machine learns of new links and asks for the rest at once. Timers of a request are plain timers of the loop and no tasks. Tests, each run: a signal right after listening; the first publication from an empty log over TLS links in real processes; cancel of a broken run and none of a claimed one; resume over a new link with no timer; a caller that stops reading is dropped and its run cancelled; no prompt, answer, token or key in logs or errors, for calls that end well and badly.

--- a/src/oleanderdyke/entry/agents.py
+++ b/src/oleanderdyke/entry/agents.py
@@ -76,6 +76,8 @@
             address=link.address,
         )
         self._replace_incarnations(link)
+        for running in tuple(core.running.values()):
+            running.gain(link)
         self._feed.add_link(link)
         core.spawn(self._beat, link)
 
--- a/src/oleanderdyke/entry/app.py
+++ b/src/oleanderdyke/entry/app.py
@@ -213,11 +213,9 @@
     def _begin(self, head: Head) -> StoredObject:
         """Refuse while there is no configuration, then find the team."""
         core = self._core
-        readiness = core.reader.readiness(core.clock.now())
-        if core.reader.offset < 0 and not readiness.ready:
-            raise OleanderError(
-                ErrorKind.NOT_READY, readiness.reason, ran=Ran.NO
-            )
+        if core.reader.offset < 0:
+            fault = core.find_configuration_fault()
+            raise OleanderError(ErrorKind.NOT_READY, fault, ran=Ran.NO)
         return find_team(core, head)
 
     async def _run(self, call: Call, body: Body, answer: Answer) -> None:
--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -37,6 +37,7 @@
 from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS, TeamTerms
 
 _INCARNATION_BYTES = 8
+_NOTHING_PUBLISHED = 'no configuration published yet'
 # Peers are asked only when the log has not brought a change by then.
 _LOG_FIRST = 250.0
 
@@ -53,6 +54,9 @@
     def lose(self, link: Link) -> None:
         """Learn that a link is gone."""
 
+    def gain(self, link: Link) -> None:
+        """Learn of a new link."""
+
     def end_incarnation(self, agent: str, incarnation: str) -> None:
         """Learn that an incarnation of an agent is over for good."""
 
@@ -117,13 +121,20 @@
             takes_short_beats=True,
         )
 
+    def find_configuration_fault(self) -> str:
+        """Return why there is no configuration to serve from, or nothing."""
+        readiness = self.reader.readiness(self.clock.now())
+        if not readiness.ready:
+            return readiness.reason
+        return _NOTHING_PUBLISHED if self.reader.offset < 0 else ''
+
     def find_fault(self) -> str:
         """Return why this entry is not ready, or nothing."""
         if self.drain.is_leaving:
             return 'stopping'
-        readiness = self.reader.readiness(self.clock.now())
-        if not readiness.ready:
-            return readiness.reason
+        fault = self.find_configuration_fault()
+        if fault:
+            return fault
         return '' if self.settled else 'connecting to agents'
 
 
--- a/src/oleanderdyke/entry/inbox.py
+++ b/src/oleanderdyke/entry/inbox.py
@@ -8,9 +8,6 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-import anyio
-
-from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.kernel.attempt_events import Action, Event
 from oleanderdyke.kernel.demand import Admitted, Refusal
@@ -92,11 +89,6 @@
         if not waiting.done():
             waiting.set_result(None)
 
-    async def put_later(self, item: Item, delay: Millis) -> None:
-        """Add an item after a delay."""
-        await anyio.sleep(max(delay, 0.0) / SECOND)
-        self.put(item)
-
     async def take(self) -> Item:
         """Wait for the next item."""
         while not self._items:
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -34,6 +36,7 @@
     DeadlinePassed,
     DeliverChunk,
     IncarnationEnded,
+    LinkUp,
     Received,
     Stopping,
 )
@@ -104,6 +107,7 @@
             _make_facts(core, call), settings=core.machine, budget=core.budget
         )
         self._tasks: TaskGroup | None = None
+        self._timers: list[asyncio.TimerHandle] = []
         self._inbox.shortcut = self._pass_on
 
     async def run(self) -> None:
@@ -132,6 +136,10 @@
         """Learn that a link is gone."""
         self._sender.lose(link)
 
+    def gain(self, link: Link) -> None:
+        """Learn of a new link."""
+        self._inbox.put(LinkUp(link.peer.process, link.peer.incarnation))
+
     def end_incarnation(self, agent: str, incarnation: str) -> None:
         """Learn that an incarnation of an agent is over for good."""
         self._inbox.put(IncarnationEnded(agent, incarnation))
@@ -253,8 +261,9 @@
             self._effects.note_gone()
 
     def _start_timer(self, item: Item, delay: Millis) -> None:
-        if self._tasks is not None:
-            self._tasks.start_soon(self._inbox.put_later, item, delay)
+        loop = asyncio.get_running_loop()
+        seconds = max(delay, 0.0) / SECOND
+        self._timers.append(loop.call_later(seconds, self._inbox.put, item))
 
     def _start_upload(self) -> None:
         if not self._body.ended and self._tasks is not None:
@@ -276,6 +285,8 @@
         return self._core.claims.verdict(call.key, call.digest)
 
     def _forget(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
         core, request = self._core, self._call.request
         now = core.clock.now()
         self._tools.claims.forget(self._inbox)
--- a/src/oleanderdyke/entry/resume.py
+++ b/src/oleanderdyke/entry/resume.py
@@ -110,6 +110,9 @@
             peer = link.peer
             self._inbox.put(LinkLost(peer.process, peer.incarnation))
 
+    def gain(self, link: Link) -> None:
+        """Ignore a new link: a caller whose stream broke asks again."""
+
     def end_incarnation(self, agent: str, incarnation: str) -> None:
         """Learn that an incarnation of an agent is over for good."""
         if agent == self._ask.stream.agent:
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -20,7 +20,7 @@
 from oleanderdyke.entry.queue import ReleaseQueue
 from oleanderdyke.entry.server import EdgeServer, make_server
 from oleanderdyke.entry.settings import EntrySettings, HttpSettings
-from oleanderdyke.entry.stopping import Stopper
+from oleanderdyke.entry.stopping import Stopper, catch_signals
 from oleanderdyke.entry.vmwatch import VmWatch
 from oleanderdyke.events import EventName
 from oleanderdyke.links.pool import LinkPool
@@ -56,12 +56,14 @@
     async def run(self) -> None:
         """Serve until a planned stop is over."""
         settings = self._core.settings
-        with _bind(settings.http) as bound:
+        # Whoever sees the entry listen may stop it at once.
+        with catch_signals() as signals, _bind(settings.http) as bound:
             server = self._make_server()
             async with anyio.create_task_group() as tasks:
                 self._core.spawn = tasks.start_soon
                 tasks.start_soon(server.serve, [bound])
                 self._start_tasks(tasks)
+                tasks.start_soon(self._stopper.watch, signals)
                 host, port = bound.getsockname()[:2]
                 self._core.log.write(
                     EventName.PROCESS_STARTED,
@@ -99,7 +101,6 @@
             self._settle,
             self._pool.run,
             self._queue.run,
-            self._stopper.watch_signals,
             self._tick,
         ):
             tasks.start_soon(run)
--- a/src/oleanderdyke/entry/stopping.py
+++ b/src/oleanderdyke/entry/stopping.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import AsyncIterator
+from contextlib import AbstractContextManager
 
 import anyio
 
@@ -22,6 +24,11 @@
 _TICK = 0.05
 
 
+def catch_signals() -> AbstractContextManager[AsyncIterator[signal.Signals]]:
+    """Keep the signals to stop from ending the process at once."""
+    return anyio.open_signal_receiver(*_SIGNALS)
+
+
 class Stopper:
     """Turn signals and the end of requests into the steps of a stop."""
 
@@ -56,11 +63,10 @@
         self._act(core.drain.signal(core.clock.now()))
         self._signalled.set()
 
-    async def watch_signals(self) -> None:
+    async def watch(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Take signals until cancelled."""
-        with anyio.open_signal_receiver(*_SIGNALS) as signals:
-            async for number in signals:
-                self.take_signal(signal.Signals(number).name)
+        async for number in signals:
+            self.take_signal(signal.Signals(number).name)
 
     async def run(self) -> None:
         """Return when the process should exit."""
--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -114,6 +114,14 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class LinkUp:
+    """Tell that there is a new link to an agent's incarnation."""
+
+    agent: str
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class IncarnationEnded:
     """Tell that an incarnation of an agent is over for good."""
@@ -164,6 +172,7 @@
     | Received
     | Unsent
     | LinkLost
+    | LinkUp
     | IncarnationEnded
     | ClaimAnswered
     | CallerGone
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -26,6 +26,7 @@
     Event,
     IncarnationEnded,
     LinkLost,
+    LinkUp,
     NoRoute,
     Received,
     Routed,
@@ -157,7 +158,13 @@
             return self._after_not_run(failed)
         if self._claim is not None:
             return self._after_claimed_failure(failed)
+        # A stream that only broke on its way may still run.
+        broken = failed.kind is ErrorKind.STREAM_BROKEN
+        cancel = self._make_cancel() if broken else ()
         self._learn(max_ran(failed.ran, Ran.MAYBE))
+        return (*cancel, *self._after_unclaimed_failure(failed))
+
+    def _after_unclaimed_failure(self, failed: Failed) -> Actions:
         if self._head_delivered:
             return self._refuse(failed.kind)
         if not self._facts.idempotent:
@@ -216,6 +223,14 @@
             return self._resume()
         return self._after_silence()
 
+    def _on_link_up(self, event: LinkUp) -> Actions:
+        """Ask for the rest at once where the wait was for a link."""
+        if self._stage is not Stage.RESUMING:
+            return ()
+        if not self._is_at(event.agent, event.incarnation):
+            return ()
+        return self._resume()
+
     def _on_incarnation_ended(self, event: IncarnationEnded) -> Actions:
         if self._stage in _ASKED:
             return self._after_owner_ended(event)
@@ -319,6 +334,7 @@
         Received: _on_received,
         Unsent: _on_unsent,
         LinkLost: _on_link_lost,
+        LinkUp: _on_link_up,
         IncarnationEnded: _on_incarnation_ended,
         CallerGone: _on_caller_gone,
         DeadlinePassed: _on_deadline,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -221,6 +221,33 @@
     assert case.end().machine.done
 
 
+def test_waiting_resume_is_sent_again_over_a_new_link():
+    case = make_run(idempotent=True).head('token').chunk()
+    case.on(ev.LinkLost('agent-1', 'i1'))
+    assert case.on(ev.LinkUp('agent-1', 'i0')).actions == ()
+    resume = case.on(ev.LinkUp('agent-1', 'i1')).find(ev.SendResume)
+    assert (resume.sequence, resume.attempt) == (1, 3)
+    case.head('token')
+    assert case.on(ev.LinkUp('agent-1', 'i1')).actions == ()
+
+
+@pytest.mark.parametrize('delivered', [False, True])
+def test_answer_that_broke_on_its_way_cancels_its_run(delivered):
+    case = make_run(idempotent=True)
+    if delivered:
+        case.head()
+    case.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE)
+    assert case.actions[0] == ev.SendCancel('agent-1', 'i1', 1)
+    assert case.machine.done is delivered
+
+
+def test_claimed_answer_that_broke_on_its_way_is_never_cancelled():
+    case = make_claimed_run().head()
+    case.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE).find(ev.AskClaim)
+    case.on(ev.DeadlinePassed())
+    assert not any(isinstance(x, ev.SendCancel) for x in case.actions)
+
+
 def test_resume_that_is_never_answered_ends_the_stream():
     case = make_run(idempotent=True, max_asks=2).head('token')
     case.on(ev.LinkLost('agent-1', 'i1')).fire().fire()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -15,6 +15,15 @@
 from oleanderdyke.entry.edge import forward_headers, return_headers
 from oleanderdyke.entry.server import make_server
 from oleanderdyke.entry.settings import HttpSettings
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerHead,
+    BackendKind,
+    BodyChunk,
+    Cancel,
+    Dispatch,
+)
+from oleanderdyke.platform.log import LogPage
 from tests.edges import OTHER_TOKEN, TOKEN, Edge, Reply
 
 CHAT = '/v1/chat/completions'
@@ -115,6 +124,11 @@
     assert ready.headers['retry-after'] == '1'
     assert ask(edge, 'POST', CHAT).status == 503
     assert ask(edge, 'GET', '/live').status == 200
+    edge.core.reader.on_page(LogPage((), 0, 0), edge.core.clock.now())
+    for method, path in (('GET', '/ready'), ('POST', CHAT)):
+        reply = ask(edge, method, path)
+        assert reply.status == 503
+        assert 'no configuration published' in read_error(reply)['message']
     edge.configure()
     assert ask(edge, 'GET', '/ready').status == 200
     assert b'oleander_ready' in ask(edge, 'GET', '/metrics').body
@@ -326,3 +340,35 @@
 
 def test_closes_connections_above_the_limit():
     assert exchange([b'GET /live HTTP/1.1\r\n\r\n'], connections=0) == b''
+
+
+def test_drops_a_caller_that_stops_reading_and_cancels_its_run():
+    async def run() -> None:
+        http = HttpSettings(send_timeout=50.0)
+        edge = Edge(http=http)
+        link = edge.add_agent('taquilla', BackendKind.PLAIN)
+        server = make_server(edge.app, http)
+        bound = socket.create_server(('127.0.0.1', 0))
+        call = f'GET {BOOKINGS} HTTP/1.1\r\nhost: x\r\n'
+        call += f'authorization: Bearer {TOKEN}\r\n\r\n'
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                edge.start(tasks)
+                tasks.start_soon(server.serve, [bound])
+                stream = await _connect(bound, None)
+                await stream.send(call.encode())
+                while not link.find(BodyChunk):
+                    await anyio.sleep(0.001)
+                request = link.find(Dispatch)[0].request
+                running = edge.core.running[request]
+                running.take(AnswerHead(request, 1, 200, ()))
+                for sequence in range(64):
+                    chunk = AnswerChunk(request, 1, sequence, bytes(500_000))
+                    running.take(chunk)
+                while not link.find(Cancel) or edge.core.running:
+                    await anyio.sleep(0.001)
+                server.should_exit = True
+                await stream.aclose()
+                tasks.cancel_scope.cancel()
+
+    anyio.run(run)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -57,6 +57,8 @@
     'stream': True,
 }
 SSE = (('content-type', 'text/event-stream'),)
+SECRETS = (TOKEN, 'prompt-text', 'answer-text', 'token-text', 'key-text')
+KINDS = {'taquilla': BackendKind.PLAIN, 'asistente': BackendKind.ENGINE}
 EVENT = b'data: a\n\n'
 JSON = (('content-type', 'application/json'),)
 
@@ -117,12 +119,25 @@
         self._edge = edge
         self._link = link
         self._parts = parts
+        self.breaks = False
         link.react = self.react
 
     def react(self, message: Message) -> None:
-        if is_last(message):
-            dispatch = self._link.find(Dispatch)[-1]
+        if not is_last(message):
+            return
+        dispatch = self._link.find(Dispatch)[-1]
+        if not self.breaks:
             send_answer(self._edge, dispatch, self._parts)
+            return
+        detail = 'the backend server failed'
+        failed = Failed(
+            dispatch.request,
+            dispatch.attempt,
+            ErrorKind.BACKEND_FAILED,
+            Ran.MAYBE,
+            detail,
+        )
+        self._edge.core.running[dispatch.request].take(failed)
 
 
 def make_plain() -> tuple[Edge, FakeLink]:
@@ -283,6 +298,24 @@
     run(act)
 
 
+def test_stream_waits_for_a_link_and_no_longer():
+    async def act(tasks: TaskGroup) -> None:
+        reply = Reply()
+        edge, link, dispatch = await begin_flow(tasks, reply, Writer(reply))
+        running = edge.core.running[dispatch.request]
+        edge.core.find_link = lambda _: None
+        running.lose(link)  # type: ignore[arg-type]
+        await wait_all_tasks_blocked()
+        assert not link.find(Resume)
+        edge.core.find_link = edge.links.get  # type: ignore[assignment]
+        running.gain(link)  # type: ignore[arg-type]
+        await wait_all_tasks_blocked()
+        (resume,) = link.find(Resume)
+        assert resume.sequence == 1
+
+    run(act)
+
+
 def test_caller_that_leaves_cancels_its_run():
     async def act(tasks: TaskGroup) -> None:
         edge, link = make_model()
@@ -834,17 +867,62 @@
     assert not find_faults(replace(settings, http=asked))
 
 
-def test_no_secret_reaches_the_log(capsys: pytest.CaptureFixture[str]):
+def list_secret_calls() -> list[tuple[str, dict[str, Any]]]:
+    """List calls that end well and badly, with secrets in every part."""
+    chat = ASK | {'messages': [{'role': 'user', 'content': 'prompt-text'}]}
+    key = [(b'idempotency-key', b'key-text')]
+    wrong = [
+        chat | {'model': 'prompt-text'},
+        chat | {'messages': [{'role': 'prompt-text', 'content': 'x'}]},
+        chat | {'messages': [{'role': 'user', 'content': 'prompt-text\0'}]},
+        chat | {'max_tokens': 'prompt-text'},
+        chat | {'tools': 'prompt-text'},
+    ]
+    bodies = [json.dumps(item).encode() for item in (chat, *wrong)]
+    bodies += [b'{"prompt-text', b'"prompt-text"', b'\xffprompt-text']
+    plain: list[dict[str, Any]] = [
+        {'body': [b'prompt-text']},
+        {'body': [b'prompt-text'], 'headers': key},
+        {'body': [b'prompt-text, another'], 'headers': key},
+        {'body': [b'prompt-text' * 200]},
+        {'token': 'token-text'},
+        {'headers': [(b'idempotency-key', b'key-text' * 40)]},
+    ]
+    return [
+        *((CHAT, {'body': [body]}) for body in bodies),
+        *((BOOKINGS + '?prompt-text', options) for options in plain),
+        ('/v1/streams/token-text', {}),
+        ('/v1/services/taquilla/prompt-text%ff', {}),
+        ('/prompt-text', {}),
+    ]
+
+
+@pytest.mark.parametrize('fails', [False, True])
+def test_no_secret_reaches_a_log_or_an_error(
+    capsys: pytest.CaptureFixture[str], *, fails: bool
+):
+    replies: list[Reply] = []
+
     async def act(tasks: TaskGroup) -> None:
         edge = Edge(level='debug')
-        link = edge.add_agent('taquilla', BackendKind.PLAIN)
         edge.start(tasks)
-        Agent(edge, link, [b'answer-text'])
-        await edge.call('POST', BOOKINGS, body=[b'prompt-text'])
-        await edge.call('POST', BOOKINGS, headers=KEY)
+        tasks.start_soon(follow_log, edge)
+        await wait(lambda: edge.claims.synced)
+        for service, kind in KINDS.items():
+            link = edge.add_agent(service, kind)
+            agent = Agent(edge, link, [b'answer-text'])
+            agent.breaks = fails
+        for path, options in list_secret_calls():
+            method = 'GET' if 'streams' in path else 'POST'
+            replies.append(await edge.call(method, path, **options))
 
     run(act)
-    text = capsys.readouterr().err
-    assert 'event=request_finished' in text
-    for secret in (TOKEN, 'prompt-text', 'answer-text'):
-        assert secret not in text
+    logged = capsys.readouterr()
+    assert 'event=request_accepted' in logged.err
+    statuses = [reply.status for reply in replies]
+    assert {400, 401, 404, 410, 413, 422} <= set(statuses)
+    assert statuses.count(200) == (0 if fails else 4)
+    told = [str(x.body) + str(x.headers) for x in replies if x.status != 200]
+    for secret in SECRETS:
+        assert secret not in logged.err + logged.out
+        assert not any(secret in text for text in told)
--- /dev/null
+++ b/tests/test_shell.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import dataclasses
+import signal
+import socket
+from pathlib import Path
+
+import anyio
+import pytest
+
+from examples.demo import make_token, publish
+from oleanderdyke.entry import shell
+from oleanderdyke.entry.settings import (
+    EntrySettings,
+    HttpSettings,
+    LogSettings,
+    VmSettings,
+)
+from oleanderdyke.kernel.drain import DrainSettings
+from oleanderdyke.links.messages import BackendKind
+from tests.calls import call
+from tests.deployment import Deployment, load_layout
+from tests.processes import wait_until
+
+TLS = Path(__file__).parent / 'tls'
+NOWHERE = '127.0.0.1:1'
+
+
+def test_signal_right_after_listening_is_a_planned_stop(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+):
+    bind = shell._bind
+
+    def bind_and_stop(http: HttpSettings) -> socket.socket:
+        bound = bind(http)
+        signal.raise_signal(signal.SIGTERM)
+        return bound
+
+    async def run() -> None:
+        with anyio.fail_after(20):
+            await shell.run_entry(
+                EntrySettings(
+                    process='entry-1',
+                    data_centre='here',
+                    log=LogSettings(NOWHERE),
+                    vms=VmSettings(NOWHERE),
+                    http=HttpSettings(port=0),
+                    drain=DrainSettings(accept=0.0, announce=0.0),
+                )
+            )
+
+    monkeypatch.setattr(shell, '_bind', bind_and_stop)
+    before = signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    try:
+        anyio.run(run)
+    finally:
+        signal.signal(signal.SIGTERM, before)
+    written = capsys.readouterr().err
+    assert 'event=process_stopping' in written
+    assert 'event=process_stopped' in written
+
+
+def test_entry_and_agent_prove_themselves_to_each_other(tmp_path: Path):
+    """Watch a first publication over TLS links, from an empty log on."""
+    paths = {
+        name: str(TLS / f'node.{ending}')
+        for name, ending in (('certificate', 'pem'), ('key', 'key'))
+    } | {'ca': str(TLS / 'ca.pem')}
+    layout = load_layout('council')
+    plain = [x for x in layout.backends if x.kind is BackendKind.PLAIN]
+    small = dataclasses.replace(
+        layout, backends=(dataclasses.replace(plain[0], count=1),)
+    )
+    options = {
+        'agent': {'listen': {'tls': paths}},
+        'entry': {'links_tls': paths},
+    }
+    with Deployment(small, tmp_path, entries=1, options=options) as deployment:
+        entry = deployment.entries[0]
+        wait_until(
+            lambda: (
+                b'no configuration published yet'
+                in call(entry.address, 'GET', '/ready').body
+            ),
+            'the entry says why it is not ready',
+        )
+        publish(deployment)
+        deployment.wait_ready()
+        reply = call(
+            entry.address,
+            'GET',
+            '/v1/services/claims-desk/status',
+            token=make_token('caseworkers'),
+        )
+        assert reply.status == 200, reply
+        assert set(deployment.stop().values()) == {0}
