Judge a fetch by its pace and by who else would compute

Cause: a fetch was given up after twice the time of computing its segments, as if the engine computed for nobody else; with twelve prompts returning at once most gave up within the same time and then waited for each other's prefill. Reading ahead let a reader put four reads before another's first. Ruled out: the link (467 ms for all twelve). Change: once a first segment has come, the pace decides; the time allowed for each segment grows with the fetches under way at that agent. Reads ahead are bounded over all readers, each of which may always read one. Conclusion: a fetch that turns slow is cut and its part used; a busy engine is no longer given work that the link would have spared it.

--- a/bench/fetch.py
+++ b/bench/fetch.py
@@ -115,6 +115,9 @@
     def close(self) -> None:
         """End every process that was started here."""
         for child in self._children:
+            if not child.running:
+                end = child.log.read_text(errors='replace')[-1_000:]
+                print(f'{child.name} ended by itself: {end}', flush=True)
             child.kill()
         self._ports.close()
 
--- a/src/oleanderdyke/agent/fetch.py
+++ b/src/oleanderdyke/agent/fetch.py
@@ -101,6 +101,7 @@
         self._timeout = timeout
         self._segment_limit = segment_limit
         self._flights: dict[_FlightKey, tuple[_Reading, _Flight]] = {}
+        self._readings = 0
         self._idle = anyio.Event()
         self._idle.set()
 
@@ -113,24 +114,21 @@
         plan: FetchPlan,
         namespace: Namespace,
         *,
-        budget: Millis,
         step: Millis,
         request: str = '',
     ) -> Fetched:
         """Import a plan's segments in order.
 
-        Give up when none came within the budget, or when the others come more
-        slowly than one in each `step`; what came until then is of use.
+        Give up when they come more slowly than one in each `step`, the time
+        that computing one may take; what came until then is of use.
         """
         started = self._join(plan, namespace)
         readings = {id(reading): reading for reading, _, _ in started}
         for reading in readings.values():
             reading.waiters += 1
-        pace = FetchPace(budget, step, self._timeout, now=_read_clock())
+        flights = [flight for _, flight, _ in started]
         try:
-            count = await _count_imported(
-                [flight for _, flight, _ in started], pace
-            )
+            count = await self._count_imported(flights, step)
         finally:
             for reading in readings.values():
                 _leave(reading)
@@ -138,6 +136,20 @@
         self._log(plan, request, count, length)
         return Fetched(count, length)
 
+    async def _count_imported(
+        self, flights: Sequence[_Flight], step: Millis
+    ) -> int:
+        pace = FetchPace(len(flights), step, self._timeout, now=_read_clock())
+        for count, flight in enumerate(flights):
+            deadline = pace.find_deadline(
+                count, _read_clock(), sharing=self._readings
+            )
+            with anyio.CancelScope(deadline=deadline / SECOND):
+                await flight.done.wait()
+            if not flight.imported:
+                return count
+        return len(flights)
+
     def _join(
         self, plan: FetchPlan, namespace: Namespace
     ) -> list[tuple[_Reading, _Flight, bool]]:
@@ -154,6 +166,7 @@
             joined.append((*found, False))
         if reading.flights:
             self._note_busy()
+            self._readings += 1
             self._tasks.start_soon(self._read, reading)
         return joined
 
@@ -175,6 +188,7 @@
             self._forget(reading)
 
     def _forget(self, reading: _Reading) -> None:
+        self._readings -= 1
         for segment, flight in reading.flights.items():
             key = (reading.address, reading.namespace, segment)
             self._flights.pop(key, None)
@@ -275,16 +289,6 @@
         )
 
 
-async def _count_imported(flights: Sequence[_Flight], pace: FetchPace) -> int:
-    for count, flight in enumerate(flights):
-        deadline = pace.find_deadline(count, _read_clock())
-        with anyio.CancelScope(deadline=deadline / SECOND):
-            await flight.done.wait()
-        if not flight.imported:
-            return count
-    return len(flights)
-
-
 def _read_clock() -> Millis:
     return anyio.current_time() * SECOND
 
--- a/src/oleanderdyke/agent/prepare.py
+++ b/src/oleanderdyke/agent/prepare.py
@@ -107,11 +107,7 @@
         if estimate is not None:
             step = estimate * self._patience
         fetched = await self._fetcher.fetch(
-            plan,
-            namespace,
-            budget=step * len(plan.segments),
-            step=step,
-            request=run.dispatch.request,
+            plan, namespace, step=step, request=run.dispatch.request
         )
         run.link_bytes += fetched.length
 
--- a/src/oleanderdyke/agent/store_reads.py
+++ b/src/oleanderdyke/agent/store_reads.py
@@ -30,8 +30,10 @@
 
 _REDIRECT = 300
 _NOT_FOUND = 404
-# So many segments of one reader are read at once, each this far ahead.
+# So many segments of one reader, and of all, are read at once; each reader
+# may always read one, so that many readers wait for one segment of each.
 _AHEAD = 4
+_READING = 8
 _PARTS_AHEAD = 2
 
 
@@ -86,6 +88,7 @@
         self._places = anyio.Semaphore(settings.readers)
         self._readers: dict[tuple[str, str], _Reader] = {}
         self._index: StoreIndex | None = None
+        self._reading = 0
 
     @property
     def running(self) -> int:
@@ -155,13 +158,18 @@
     def _read_ahead(
         self, reader: _Reader, rest: Iterator[bytes], tasks: TaskGroup
     ) -> None:
-        while len(reader.ahead) < _AHEAD:
+        while self._may_read(reader):
             copy = self._pin(reader, next(rest, None))
             if copy is None:
                 return
             reader.ahead.append(copy)
             tasks.start_soon(self._fill, copy)
 
+    def _may_read(self, reader: _Reader) -> bool:
+        if not reader.ahead:
+            return True
+        return len(reader.ahead) < _AHEAD and self._reading < _READING
+
     def _pin(self, reader: _Reader, segment: bytes | None) -> _Copy | None:
         index = self._index
         if index is None or segment is None or reader.gap:
@@ -214,13 +222,16 @@
         return False
 
     async def _fill(self, copy: _Copy) -> None:
-        with copy.sender, suppress(anyio.BrokenResourceError):
-            try:
+        self._reading += 1
+        try:
+            with copy.sender, suppress(anyio.BrokenResourceError):
                 await self._read_object(copy)
-            except OleanderError:
-                # The reader computes what didn't come.
-                return
-            copy.ended = True
+                copy.ended = True
+        except OleanderError:
+            # The reader computes what didn't come.
+            return
+        finally:
+            self._reading -= 1
 
     async def _read_object(self, copy: _Copy) -> None:
         path = f'/objects/{copy.pinned.object_name}'
--- a/src/oleanderdyke/kernel/fetch_pace.py
+++ b/src/oleanderdyke/kernel/fetch_pace.py
@@ -11,23 +11,29 @@
 class FetchPace:
     """Compare a fetch, as measured, with computing what is left of it.
 
-    Until the first segment has come, the wait is bounded by the whole budget.
+    Until the first of `count` segments has come, all may take `step` each.
     From then on the pace is known, and the fetch is worth its wait while the
-    others keep to `step` for each; `limit` bounds it in any case.
+    others keep to `step`. An engine that would have to compute for several
+    fetches takes so many times longer. `limit` bounds the fetch in any case.
     """
 
     def __init__(
-        self, budget: Millis, step: Millis, limit: Millis, *, now: Millis
+        self, count: int, step: Millis, limit: Millis, *, now: Millis
     ) -> None:
-        self._limit = now + limit
-        self._from = now + budget
+        self._count = count
         self._step = step
+        self._limit = now + limit
+        self._from = now
 
-    def find_deadline(self, count: int, now: Millis) -> Millis:
-        """Return the time by which the segment after `count` must be there.
+    def find_deadline(
+        self, arrived: int, now: Millis, *, sharing: int = 1
+    ) -> Millis:
+        """Return the time by which the segment after these must be there.
 
-        Call it once for each count, in order.
+        Call it once for each number of arrived segments, in order.
         """
-        if count == 1:
+        if arrived == 1:
             self._from = now + GRACE
-        return min(self._from + count * self._step, self._limit)
+        steps = arrived or self._count
+        wait = steps * self._step * max(1, sharing)
+        return min(self._from + wait, self._limit)
