Keep an example deployment up, and derive the page of commands

Cause: a new user had nothing to send a first request to, and no page told the options of the three binaries. Change: `make run` (python -m examples.run) keeps one deployment up until Ctrl-C, prints addresses, process ids and tokens, and writes a file of variables to source; docs/reference/commands.md is derived from the argparse parsers at 80 columns. `diff` says when the generation in a file is not the present one. Conclusion: the commands can be tried, and their page can't drift.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 .DEFAULT_GOAL := help
 VENV := .venv
+LAYOUT := agency
 PYTHON := $(VENV)/bin/python
 READY := $(VENV)/.ready
 
-.PHONY: help setup test check lint format types demo faults bench reference clean
+.PHONY: help setup test check lint format types demo run faults bench reference clean
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
@@ -35,6 +36,9 @@
 demo: $(READY) ## Run both deployments of today on loopback
 	$(PYTHON) -m examples.demo
 
+run: $(READY) ## Keep a deployment up until Ctrl-C; LAYOUT=council for the other
+	@$(PYTHON) -m examples.run $(LAYOUT)
+
 faults: $(READY) ## Print the fault matrix; fails on a broken cell
 	$(PYTHON) -m bench.faults
 
--- /dev/null
+++ b/examples/run.py
@@ -0,0 +1,156 @@
+"""Keep one example deployment up on loopback until Ctrl-C."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+import yaml
+
+from examples.demo import (
+    AGENCY,
+    COUNCIL,
+    Story,
+    make_token,
+    publish,
+    wait_served,
+)
+from tests.deployment import (
+    EXAMPLES,
+    OPERATOR_TOKEN,
+    Deployment,
+    load_layout,
+)
+from tests.processes import ROOT, NotMet
+
+BUILD = ROOT / 'build' / 'run'
+_STORIES = {story.layout: story for story in (AGENCY, COUNCIL)}
+_POLL_SECONDS = 0.2
+_VARIABLES = 'env.sh'
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a deployment; return 0 when every process stopped gracefully."""
+    options = _make_parser().parse_args(arguments)
+    # Whoever sends SIGTERM wants what Ctrl-C does, also in the background.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
+    story = _STORIES[options.layout]
+    directory = BUILD / story.layout
+    say(f'starting {story.layout}, logs in {directory.relative_to(ROOT)}/')
+    layout = load_layout(story.layout)
+    try:
+        with Deployment(layout, directory) as deployment:
+            _prepare(deployment, story)
+            _show(deployment, story)
+            return _hold(deployment)
+    except NotMet as error:
+        say(f'error: {error}')
+        return 1
+    except KeyboardInterrupt:
+        say('stopped before it was up')
+        return 1
+
+
+def say(text: str) -> None:
+    """Print one line at once."""
+    print(text, flush=True)
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='python -m examples.run', description=__doc__
+    )
+    parser.add_argument(
+        'layout', nargs='?', choices=sorted(_STORIES), default='agency'
+    )
+    return parser
+
+
+def _prepare(deployment: Deployment, story: Story) -> None:
+    publish(deployment)
+    deployment.wait_ready()
+    wait_served(deployment, story.model_service, story.team)
+
+
+def _show(deployment: Deployment, story: Story) -> None:
+    path = _write_variables(deployment)
+    say('\nentries, for callers and operators:')
+    for entry in deployment.entries:
+        say(f'  http://{entry.address}  {entry.name}, pid {entry.child.pid}')
+    say('\nbackend servers, each behind its agent:')
+    for server in deployment.servers:
+        say(
+            f'  {server.name:<20} agent pid {server.agent.pid}, '
+            f'server pid {server.backend.pid}'
+        )
+    teams = ', '.join(map(make_token, _list_teams(story)))
+    say(f'\ntokens of teams: {teams}')
+    say(f'token of the operator: {OPERATOR_TOKEN}')
+    say('\nin another terminal:')
+    for line in _list_commands(deployment, story, path):
+        say(f'  {line}')
+    say('\nCtrl-C stops everything gracefully')
+
+
+def _write_variables(deployment: Deployment) -> Path:
+    entries = ','.join(f'http://{each.address}' for each in deployment.entries)
+    lines = (
+        f'export OLEANDER_ENTRY={entries}',
+        f'export OLEANDER_TOKEN={OPERATOR_TOKEN}',
+        f'export PATH={Path(sys.executable).parent}:$PATH',
+    )
+    path = deployment.directory / _VARIABLES
+    path.write_text('\n'.join((*lines, '')), encoding='utf-8')
+    return path.relative_to(ROOT)
+
+
+def _list_teams(story: Story) -> Iterator[str]:
+    text = (EXAMPLES / story.layout / 'configuration.yaml').read_text()
+    for document in yaml.safe_load_all(text):
+        if document['kind'] == 'team':
+            yield document['name']
+
+
+def _list_commands(
+    deployment: Deployment, story: Story, path: Path
+) -> Iterator[str]:
+    token, address = make_token(story.team), deployment.entries[0].address
+    logs = path.parent / '*.log'
+    yield f'. {path}'
+    yield (
+        f'curl -N http://{address}/v1/chat/completions '
+        f"-H 'authorization: Bearer {token}' "
+        f'-d \'{{"model": "{story.model_service}", "stream": true, '
+        '"max_tokens": 8, "messages": '
+        f'[{{"role": "user", "content": "{story.question}"}}]}}\''
+    )
+    yield (
+        f'curl http://{address}/v1/services/{story.plain_service}'
+        f"{story.post_path} -H 'authorization: Bearer {token}' "
+        f"-H 'idempotency-key: first-try' -d '{story.post_body}'"
+    )
+    yield 'oleanderctl status'
+    yield f'oleanderctl timeline {logs}'
+
+
+def _hold(deployment: Deployment) -> int:
+    try:
+        while True:
+            time.sleep(_POLL_SECONDS)
+    except KeyboardInterrupt:
+        say('\nstopping')
+    # A second Ctrl-C ends the waiting; leaving the deployment kills the rest.
+    codes = deployment.stop()
+    for name, code in codes.items():
+        if code:
+            say(f'{name} ended with {code}')
+    return 1 if any(codes.values()) else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/oleanderdyke/agent/main.py
+++ b/src/oleanderdyke/agent/main.py
@@ -29,7 +29,7 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the agent and return its exit code."""
-    options = _make_parser().parse_args(argv)
+    options = make_parser().parse_args(argv)
     try:
         settings = _load(options.settings)
     except SettingsError as error:
@@ -44,7 +44,8 @@
     return _run(settings)
 
 
-def _make_parser() -> argparse.ArgumentParser:
+def make_parser() -> argparse.ArgumentParser:
+    """Build the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog='oleander-agent',
         description='Guard one backend server: engine, plain service or store.',
--- a/src/oleanderdyke/ctl/commands.py
+++ b/src/oleanderdyke/ctl/commands.py
@@ -5,7 +5,7 @@
 import argparse
 import difflib
 import json
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import asdict
 from typing import Any, TypeAlias
 
@@ -216,13 +216,16 @@
     return {name: stored[name] for name in names}
 
 
-def _diff_one(item: Document, known: Any) -> Iterable[str]:
+def _diff_one(item: Document, known: Any) -> Iterator[str]:
     wanted = describe_spec(item.spec)
     if known and known['spec'] == wanted:
-        return ()
+        return
     label = f'{item.kind}/{item.name}'
+    found = known['generation'] if known else 0
+    if item.generation not in {None, found}:
+        yield f'# {label} expects generation {item.generation}, found {found}'
     before = make_yaml(known['spec']) if known else ''
-    return difflib.unified_diff(
+    yield from difflib.unified_diff(
         before.splitlines(),
         make_yaml(wanted).splitlines(),
         f'{label} configured',
--- a/src/oleanderdyke/ctl/exits.py
+++ b/src/oleanderdyke/ctl/exits.py
@@ -32,7 +32,7 @@
     ExitCode.UNKNOWN: 'a change may or may not have been accepted',
     ExitCode.TIMED_OUT: 'accepted, but not in force everywhere in time',
     ExitCode.REFUSED: 'the token is unknown or has no right to do this',
-    ExitCode.NOT_FOUND: 'there is no such object or agent',
+    ExitCode.NOT_FOUND: 'no such object or agent, or no event that matches',
     ExitCode.DIFFERS: 'diff found differences',
 }
 
--- a/src/oleanderdyke/ctl/main.py
+++ b/src/oleanderdyke/ctl/main.py
@@ -49,7 +49,9 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument('--version', action='version', version=__version__)
-    commands = parser.add_subparsers(dest='command', required=True)
+    commands = parser.add_subparsers(
+        dest='command', required=True, metavar='COMMAND'
+    )
     _add_publishing(commands)
     _add_reading(commands)
     _add_watching(commands)
--- a/src/oleanderdyke/ctl/timeline.py
+++ b/src/oleanderdyke/ctl/timeline.py
@@ -12,6 +12,7 @@
 from typing import TextIO
 
 from oleanderdyke.ctl.event_order import Ordered, order_events, read_events
+from oleanderdyke.ctl.exits import ExitCode
 from oleanderdyke.events import COMMON_KEYS, Key
 from oleanderdyke.logs import format_line
 
@@ -19,7 +20,6 @@
 _PAGE = 'timeline.html'
 _DATA_MARK = '"timeline-data"'
 _FILTERS = (Key.REQUEST, Key.TEAM, Key.SERVICE, Key.KIND)
-_EXIT_USAGE = 2
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -29,13 +29,18 @@
         description='Merge the logs of many processes into one order in which'
         ' nothing is received before it was sent.',
     )
-    parser.add_argument('files', nargs='+', type=Path, metavar='FILE')
+    parser.add_argument(
+        'files', nargs='+', type=Path, metavar='FILE', help='log of a process'
+    )
     for key in _FILTERS:
         parser.add_argument(f'--{key}', help=f'only events of this {key}')
     parser.add_argument('--process', help='only events of this process')
     parser.add_argument('--event', help='only events of this name')
     parser.add_argument(
-        '--format', choices=('text', 'jsonl', 'html'), default='text'
+        '--format',
+        choices=('text', 'jsonl', 'html'),
+        default='text',
+        help='text by default; html is one page to look at in a browser',
     )
     parser.add_argument(
         '--output', '-O', type=Path, help='file to write, else standard output'
@@ -50,8 +55,11 @@
         ordered = order_files(options.files)
     except OSError as error:
         print(f'error: {error}', file=sys.stderr)
-        return _EXIT_USAGE
+        return ExitCode.USAGE
     chosen = _filter(ordered, options)
+    if not chosen:
+        print('no event in these files matches', file=sys.stderr)
+        return ExitCode.NOT_FOUND
     if options.output is None:
         write_timeline(chosen, options.format, sys.stdout)
         return 0
--- a/src/oleanderdyke/entry/main.py
+++ b/src/oleanderdyke/entry/main.py
@@ -27,7 +27,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the binary; return its exit code."""
-    options = _make_parser().parse_args(arguments)
+    options = make_parser().parse_args(arguments)
     try:
         settings = _load(options.settings)
     except SettingsError as error:
@@ -42,7 +42,8 @@
     return _run(settings)
 
 
-def _make_parser() -> argparse.ArgumentParser:
+def make_parser() -> argparse.ArgumentParser:
+    """Build the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog='oleander-entry',
         description='Take the requests of callers and operators.',
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -119,7 +119,10 @@
     terminal.run('get', 'team', 'race', '-o', 'json')
     (read,) = json.loads(terminal.out)
     terminal.apply({**TEAM, 'name': 'race', 'spec': {'weight': 5}})
-    assert terminal.apply({**read, 'spec': {'weight': 6}}) is ExitCode.CONFLICT
+    stale = {**read, 'spec': {'weight': 6}}
+    assert terminal.run('diff', '-f', terminal.write(stale)) is ExitCode.DIFFERS
+    assert re.search(r'expects generation \d+, found \d+', terminal.out)
+    assert terminal.apply(stale) is ExitCode.CONFLICT
     lost = r'team/race +conflict +\d+ +.*by example; weight is 5.0, not 6.0'
     assert re.search(lost, terminal.out)
     generation = str(read['generation'])
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import argparse
 import dataclasses
 import enum
+import os
 import sys
 import typing
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 
+from oleanderdyke.agent.main import make_parser as make_agent_parser
 from oleanderdyke.agent.settings import AgentSettings
 from oleanderdyke.clock import MINUTE, SECOND
+from oleanderdyke.ctl.main import make_parser as make_ctl_parser
+from oleanderdyke.ctl.timeline import make_parser as make_timeline_parser
+from oleanderdyke.entry.main import make_parser as make_entry_parser
 from oleanderdyke.entry.settings import EntrySettings
 from oleanderdyke.errors import REPLIES
 from oleanderdyke.events import COMMON_KEYS, EventName, Key, find_level
@@ -18,6 +24,7 @@
 from oleanderdyke.metrics import Count, Gauge, Timing
 
 FOLDER = Path(__file__).parent.parent / 'docs' / 'reference'
+_COLUMNS = 'COLUMNS'
 _NOTE = 'Made by `make reference` from the code; edit the code instead.'
 
 
@@ -33,6 +40,7 @@
         'settings-agent.md': _render(
             'Settings of oleander-agent', _list_settings(AgentSettings)
         ),
+        'commands.md': _render('Commands', _list_commands()),
         'objects.md': _render('Configured objects', _list_objects()),
     }
 
@@ -97,6 +105,45 @@
         yield from _list_settings(spec_type)
 
 
+def _list_commands() -> Iterator[str]:
+    for make_parser in (make_entry_parser, make_agent_parser, make_ctl_parser):
+        yield from _list_help(make_parser(), '##')
+    yield from _list_help(make_timeline_parser(), '###')
+
+
+def _list_help(parser: argparse.ArgumentParser, heading: str) -> Iterator[str]:
+    yield f'{heading} `{parser.prog}`'
+    yield ''
+    yield '```text'
+    yield _format_help(parser)
+    yield '```'
+    yield ''
+    for name, inner in _list_commands_of(parser):
+        # The time line's own parser knows its options.
+        if name != 'timeline':
+            yield from _list_help(inner, f'{heading}#')
+
+
+def _list_commands_of(
+    parser: argparse.ArgumentParser,
+) -> Iterator[tuple[str, argparse.ArgumentParser]]:
+    for action in parser._actions:  # noqa: SLF001  # no public way
+        if isinstance(action.choices, dict):
+            yield from action.choices.items()
+
+
+def _format_help(parser: argparse.ArgumentParser) -> str:
+    """Return the help as on a terminal of 80 columns."""
+    before = os.environ.get(_COLUMNS)
+    os.environ[_COLUMNS] = '80'
+    try:
+        return parser.format_help().rstrip()
+    finally:
+        del os.environ[_COLUMNS]
+        if before is not None:
+            os.environ[_COLUMNS] = before
+
+
 def _list_settings(settings_type: type) -> Iterator[str]:
     yield f'{_first_paragraph(settings_type)}'
     yield ''
