--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -25,7 +25,7 @@
 _FILL_AGAIN: Millis = 10 * SECOND
 _SNAPSHOT_CHECK: Millis = 5 * SECOND
 _CHUNKS_AT_ONCE = 16
-_SNAPSHOTS_AT_ONCE = 2
+_SNAPSHOTS_AT_ONCE = 4
 
 
 class ConfigurationFeed:
--- a/src/oleanderdyke/kernel/spread.py
+++ b/src/oleanderdyke/kernel/spread.py
@@ -11,6 +11,7 @@
 from oleanderdyke.kernel.catalog import Catalog
 from oleanderdyke.kernel.collect import SnapshotWatch
 from oleanderdyke.kernel.records import SnapshotChunk, decode_record
+from oleanderdyke.kernel.shared_chunks import ChunkSharing, SharedChunks
 from oleanderdyke.kernel.snapshots import START_OFFSET, SnapshotLoader
 from oleanderdyke.links.messages import (
     ConfigurationDifference,
@@ -89,6 +90,7 @@
         self.catalog = Catalog() if catalog is None else catalog
         self._settings = settings or ReaderSettings()
         self._spread = 1 - _JITTER * random.random()
+        self._sharing = ChunkSharing(self.catalog)
         self._loaded = False
         self._scan = 0
         self._first = 0
@@ -177,8 +179,7 @@
             return _answer_records(request.after, START_OFFSET, ())
         records = self.catalog.difference(request.after)
         if records is None:
-            chunks = self.catalog.iterate_snapshot()
-            return _number_chunks(request.after, through, chunks)
+            return _number_chunks(request.after, self._sharing.share())
         return _answer_records(request.after, through, records)
 
     def readiness(self, now: Millis) -> Readiness:
@@ -304,8 +305,9 @@
 
 
 def _number_chunks(
-    after: int, through: int, chunks: Iterator[bytes]
+    after: int, chunks: SharedChunks
 ) -> Iterator[ConfigurationDifference]:
+    through = chunks.through
     for index, data in enumerate(chunks):
         chunk = decode_record(data)
         yield ConfigurationDifference(
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -30,6 +30,7 @@
     PROTOCOL_VERSION,
     BackendKind,
     ConfigurationDifference,
+    ConfigurationRequest,
     Hello,
     Role,
 )
@@ -147,6 +148,21 @@
     assert reader.readiness(5_200.0).ready
 
 
+def test_peers_served_at_once_share_one_encoding(catalog, monkeypatch):
+    source = make_source(catalog)
+    counted = Mock(side_effect=source.catalog.iterate_snapshot)
+    monkeypatch.setattr(source.catalog, 'iterate_snapshot', counted)
+    answers = [source.answer(ConfigurationRequest(-1)) for _ in range(3)]
+    firsts = [next(answer) for answer in answers]
+    assert counted.call_count == 1
+    alone = [*firsts[:1], *answers[0]]
+    assert [*firsts[1:2], *answers[1]] == alone
+    assert tuple(each.records[0][1] for each in alone) == catalog.snapshot()
+    del answers
+    next(source.answer(ConfigurationRequest(-1)))
+    assert counted.call_count == 2
+
+
 def test_nobody_is_asked_while_a_snapshot_arrives(catalog):
     source = make_source(catalog)
     reader = ConfigurationReader(Random(2))
