--- /dev/null
+++ b/bench/reporting.py
@@ -0,0 +1,152 @@
+"""Let the entries hear of the agents, as late as they do."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
+
+from bench.agent import EngineAgent, StoreNode
+from bench.caches import EngineCache, StoreCache
+from bench.events import Events
+from bench.parts import SERVICE, STORE, Lags
+from bench.views import LateFleet, TrueFleet
+from bench.workload import Deployment
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.demand import Replica, SegmentHint
+from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
+
+_SILENT_AFTER: Millis = 3 * SECOND
+_PERFECT_EVERY: Millis = 50.0
+
+
+class Reporter:
+    """Send reports and cache events to the entries' view of the fleet."""
+
+    def __init__(
+        self,
+        events: Events,
+        deployment: Deployment,
+        lags: Lags,
+        *,
+        perfect: bool,
+        agents: Mapping[str, EngineAgent],
+        store: StoreNode,
+        note_removed: Callable[[str, Sequence[SegmentHint]], None],
+    ) -> None:
+        self._events = events
+        self._deployment = deployment
+        self._lags = lags
+        self._perfect = perfect
+        self._agents = agents
+        self._store = store
+        self._note_removed = note_removed
+        self._beat = 0
+        self.fleet = TrueFleet() if perfect else LateFleet()
+        self.versions = dict.fromkeys(agents, 0)
+        self.leaving: set[str] = set()
+
+    def publish(self, name: str, cache: EngineCache | StoreCache) -> None:
+        """Let cache events reach the entries late."""
+        self.fleet.apply(name, cache.list_all(), ())
+
+        def notify(
+            added: Sequence[SegmentHint], removed: Sequence[SegmentHint]
+        ) -> None:
+            age = self._lags.events_age
+            self._events.add(age, self._apply, name, added, removed)
+
+        cache.notify = notify
+        if isinstance(self.fleet, TrueFleet):
+            self.fleet.caches[name] = cache
+
+    def _apply(
+        self,
+        name: str,
+        added: Sequence[SegmentHint],
+        removed: Sequence[SegmentHint],
+    ) -> None:
+        self.fleet.apply(name, added, removed)
+        if removed:
+            self._note_removed(name, removed)
+
+    def report_all(self) -> None:
+        """Report now, and again and again."""
+        self._beat += 1
+        for name in self._agents:
+            self.report(name)
+        self._report_store()
+        every = _PERFECT_EVERY if self._perfect else self._lags.report_every
+        self._events.add(every, self.report_all)
+
+    def report(self, name: str) -> None:
+        """Report one engine if it serves."""
+        engine = self._agents[name].engine
+        if not engine.up or name in self.leaving:
+            return
+        replica = self._show(name, engine.measure(), engine.life)
+        age = 0.0 if self._perfect else self._lags.report_age
+        self._events.add(age, self._hear, replica, engine.life)
+
+    def _report_store(self) -> None:
+        if not self._store.up:
+            return
+        link = self._store.link
+        load = Load(
+            link_bytes_in_flight=int(link.count_waiting()),
+            link_bytes_per_second=link.meter.read_rate(self._events.now),
+        )
+        replica = self._show(STORE, load, 0)
+        age = 0.0 if self._perfect else self._lags.report_age
+        self._events.add(age, self._hear_store, replica)
+
+    def _show(self, name: str, load: Load, life: int) -> Replica:
+        places = self._deployment.data_centres
+        store = name == STORE
+        return Replica(
+            agent=name,
+            address=name,
+            incarnation=str(life),
+            backend=BackendKind.STORE if store else BackendKind.ENGINE,
+            service='store' if store else SERVICE,
+            data_centre=places[int(name[-1]) % len(places)],
+            phase=AgentPhase.SERVING,
+            load=load,
+            beat=self._beat,
+            heard=self._events.now,
+            weight_digest=f'w{self.versions.get(name, 0)}',
+        )
+
+    def _hear(self, replica: Replica, life: int) -> None:
+        name = replica.agent
+        if self._agents[name].engine.life != life or name in self.leaving:
+            return
+        self.fleet.hear(replace(replica, heard=self._events.now))
+
+    def _hear_store(self, replica: Replica) -> None:
+        if self._store.up:
+            heard = replace(replica, heard=self._events.now)
+            self.fleet.hear(heard, store=True)
+
+    def expect_silence(self, name: str) -> None:
+        """Let the entries notice later that an engine is gone."""
+        life = self._agents[name].engine.life
+        self._events.add(_SILENT_AFTER, self._notice_silence, name, life)
+
+    def expect_store_silence(self) -> None:
+        """Let the entries notice later that the store is gone."""
+        self._events.add(_SILENT_AFTER, self.fleet.lose, STORE)
+
+    def start_leaving(self, name: str) -> None:
+        """Tell at once that an engine takes nothing new."""
+        self.leaving.add(name)
+        self.fleet.lose(name)
+
+    def end_leaving(self, name: str, version: int) -> None:
+        """Tell that an engine serves other weights now."""
+        self.versions[name] = version
+        self.leaving.discard(name)
+        self.report(name)
+
+    def _notice_silence(self, name: str, life: int) -> None:
+        if self._agents[name].engine.life == life:
+            self.fleet.lose(name)
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from bench.callers import CallerHabits
-from bench.world import Lags, World
+from bench.parts import Lags
+from bench.world import World
 from oleanderdyke.clock import SECOND, Millis
 
 WARM_UP: Millis = 60 * SECOND
--- a/bench/world.py
+++ b/bench/world.py
@@ -3,81 +3,41 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import Random
 
 from bench.agent import EngineAgent, StoreNode
-from bench.caches import EngineCache, StoreCache
+from bench.caches import EngineCache
 from bench.callers import CallerHabits, Outcome
 from bench.engine import BACKGROUND, Engine, Job
 from bench.events import Events
 from bench.history import make_chooser, warm
 from bench.link import Link
+from bench.parts import SERVICE, STORE, Entry, Lags, Request
+from bench.reporting import Reporter
 from bench.system import System
-from bench.views import LateFleet, TrueFleet
 from bench.workload import Deployment, Visit, change_version
 from oleanderdyke.clock import HOUR, SECOND, Millis
 from oleanderdyke.kernel.demand import (
     SEGMENT_TOKENS,
-    Admission,
     Admitted,
     Demand,
-    Plan,
     Queued,
     Refusal,
-    Replica,
     Router,
     SegmentHint,
 )
-from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
 from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS, TeamTerms
 from oleanderdyke.policies.routing import make_costs
 from oleanderdyke.policies.settings import PRESETS
 
-SERVICE = 'models'
-STORE = 'store-0'
 _ENTRIES = 3
 _TICK: Millis = 50.0
-_SILENT_AFTER: Millis = 3 * SECOND
 _REFUSED_CONNECTION: Millis = 5.0
 _ATTEMPTS = 3
 _LETTER_TIME: Millis = 10 * HOUR
 
 
-@dataclass(frozen=True, slots=True)
-class Lags:
-    """Say how old reports and cache events are when they are heard."""
-
-    report_every: Millis = 0.5 * SECOND
-    report_age: Millis = 0.2 * SECOND
-    events_age: Millis = 1 * SECOND
-
-
-@dataclass(slots=True)
-class Entry:
-    """Hold one entry's decisions and the requests that it holds."""
-
-    router: Router
-    admission: Admission
-    random: Random
-    data_centre: str
-    held: dict[str, Request] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class Request:
-    """Hold one try of a caller at one entry."""
-
-    name: str
-    outcome: Outcome
-    demand: Demand
-    entry: Entry
-    engine: str = ''
-    plan: Plan | None = None
-    attempts: int = 0
-    done: bool = False
-
-
 class World:
     """Hold all objects of one run."""
 
@@ -101,10 +61,7 @@
         self.outcomes: list[Outcome] = []
         self.version = 0
         self.agents: dict[str, EngineAgent] = {}
-        self.versions: dict[str, int] = {}
-        self.leaving: set[str] = set()
         self._running: dict[str, Request] = {}
-        self._beat = 0
         self._make_own_router = make_router
         self._marked = 0.0, 0.0
         self._build(seed)
@@ -142,8 +99,7 @@
         agent = self.agents[name]
         agent.engine.crash()
         agent.drop_all()
-        life = agent.engine.life
-        self.events.add(_SILENT_AFTER, self._notice_silence, name, life)
+        self.reporter.expect_silence(name)
         for request in list(self._running.values()):
             if request.engine == name:
                 self.events.add(0.0, self._fail_attempt, request)
@@ -153,27 +109,23 @@
         agent = self.agents[name]
         agent.engine.up = True
         agent.engine.life += 1
-        self._report(name)
+        self.reporter.report(name)
 
     def lose_store(self) -> None:
         """Kill the store."""
         self.store.up = False
         for agent in self.agents.values():
             agent.lose_store(self.store)
-        self.events.add(_SILENT_AFTER, self.fleet.lose, STORE)
+        self.reporter.expect_store_silence()
 
     def reload(self, name: str, version: int, time: Millis) -> None:
         """Let an engine leave, finish its work and load other weights."""
-        self.leaving.add(name)
-        self.fleet.lose(name)
+        self.reporter.start_leaving(name)
         self.events.add(time, self._end_reload, name, version)
 
     def _end_reload(self, name: str, version: int) -> None:
-        engine = self.agents[name].engine
-        engine.cache.clear()
-        self.versions[name] = version
-        self.leaving.discard(name)
-        self._report(name)
+        self.agents[name].engine.cache.clear()
+        self.reporter.end_leaving(name, version)
 
     def change_version(self, version: int) -> None:
         """Ask new requests for other weights."""
@@ -182,36 +134,48 @@
     def _build(self, seed: int) -> None:
         deployment = self.deployment
         history = warm(deployment.name, self.system, seed)
-        self.fleet = TrueFleet() if self.system.perfect else LateFleet()
         self.chooser = make_chooser(self.system, self.settings)
         if history.chooser is not None:
             self.chooser = history.chooser
         link = Link(self.events, deployment.link_rate)
         self.store = StoreNode(STORE, history.store, link)
-        self._publish(STORE, history.store)
-        costs = make_costs(self.settings)
         for index, cache in enumerate(history.engines):
-            name = f'engine-{index}'
-            engine = Engine(
-                self.events,
-                cache,
-                rate=deployment.prefill_rate,
-                slots=deployment.slots,
-                step=deployment.step,
-            )
-            self.agents[name] = EngineAgent(
-                self.events,
-                engine,
-                costs=costs if self.system.drops_fetches else None,
-                rate=deployment.prefill_rate,
-                segment_bytes=SEGMENT_TOKENS * deployment.kv_bytes_per_token,
-            )
-            self.versions[name] = 0
-            self._publish(name, cache)
+            self.agents[f'engine-{index}'] = self._make_agent(cache)
+        self.reporter = Reporter(
+            self.events,
+            deployment,
+            self.lags,
+            perfect=self.system.perfect,
+            agents=self.agents,
+            store=self.store,
+            note_removed=self._learn_removed,
+        )
+        self.fleet = self.reporter.fleet
+        self.reporter.publish(STORE, history.store)
+        for name, agent in self.agents.items():
+            self.reporter.publish(name, agent.engine.cache)
         self.entries = self._make_entries(seed)
-        self._report_all()
+        self.reporter.report_all()
         self._tick()
 
+    def _make_agent(self, cache: EngineCache) -> EngineAgent:
+        deployment = self.deployment
+        engine = Engine(
+            self.events,
+            cache,
+            rate=deployment.prefill_rate,
+            slots=deployment.slots,
+            step=deployment.step,
+        )
+        costs = make_costs(self.settings)
+        return EngineAgent(
+            self.events,
+            engine,
+            costs=costs if self.system.drops_fetches else None,
+            rate=deployment.prefill_rate,
+            segment_bytes=SEGMENT_TOKENS * deployment.kv_bytes_per_token,
+        )
+
     def _make_entries(self, seed: int) -> list[Entry]:
         count = 1 if self.system.perfect else _ENTRIES
         settings = replace(self.settings, entries=count)
@@ -231,90 +195,9 @@
             return self._make_own_router(self)
         return ROUTERS.find(self.system.router)(self.settings)
 
-    def _publish(self, name: str, cache: EngineCache | StoreCache) -> None:
-        """Let cache events reach the entries late."""
-        self.fleet.apply(name, cache.list_all(), ())
-
-        def notify(
-            added: Sequence[SegmentHint], removed: Sequence[SegmentHint]
-        ) -> None:
-            age = self.lags.events_age
-            self.events.add(age, self._apply, name, added, removed)
-
-        cache.notify = notify
-        if isinstance(self.fleet, TrueFleet):
-            self.fleet.caches[name] = cache
-
-    def _apply(
-        self,
-        name: str,
-        added: Sequence[SegmentHint],
-        removed: Sequence[SegmentHint],
-    ) -> None:
-        self.fleet.apply(name, added, removed)
-        if removed:
-            for entry in self.entries:
-                entry.router.note_removed(name, removed)
-
-    def _report_all(self) -> None:
-        self._beat += 1
-        for name in self.agents:
-            self._report(name)
-        self._report_store()
-        every = 50.0 if self.system.perfect else self.lags.report_every
-        self.events.add(every, self._report_all)
-
-    def _report(self, name: str) -> None:
-        engine = self.agents[name].engine
-        if not engine.up or name in self.leaving:
-            return
-        replica = self._show(name, engine.measure(), engine.life)
-        age = 0.0 if self.system.perfect else self.lags.report_age
-        self.events.add(age, self._hear, replica, engine.life)
-
-    def _report_store(self) -> None:
-        if not self.store.up:
-            return
-        link = self.store.link
-        load = Load(
-            link_bytes_in_flight=int(link.count_waiting()),
-            link_bytes_per_second=link.meter.read_rate(self.events.now),
-        )
-        replica = self._show(STORE, load, 0)
-        age = 0.0 if self.system.perfect else self.lags.report_age
-        self.events.add(age, self._hear_store, replica)
-
-    def _show(self, name: str, load: Load, life: int) -> Replica:
-        places = self.deployment.data_centres
-        store = name == STORE
-        return Replica(
-            agent=name,
-            address=name,
-            incarnation=str(life),
-            backend=BackendKind.STORE if store else BackendKind.ENGINE,
-            service='store' if store else SERVICE,
-            data_centre=places[int(name[-1]) % len(places)],
-            phase=AgentPhase.SERVING,
-            load=load,
-            beat=self._beat,
-            heard=self.events.now,
-            weight_digest=f'w{self.versions.get(name, 0)}',
-        )
-
-    def _hear(self, replica: Replica, life: int) -> None:
-        name = replica.agent
-        if self.agents[name].engine.life != life or name in self.leaving:
-            return
-        self.fleet.hear(replace(replica, heard=self.events.now))
-
-    def _hear_store(self, replica: Replica) -> None:
-        if self.store.up:
-            heard = replace(replica, heard=self.events.now)
-            self.fleet.hear(heard, store=True)
-
-    def _notice_silence(self, name: str, life: int) -> None:
-        if self.agents[name].engine.life == life:
-            self.fleet.lose(name)
+    def _learn_removed(self, name: str, removed: Sequence[SegmentHint]) -> None:
+        for entry in self.entries:
+            entry.router.note_removed(name, removed)
 
     def _tick(self) -> None:
         for entry in self.entries:
@@ -411,8 +294,10 @@
         plan = request.plan
         assert plan is not None
         agent = self.agents[plan.agent]
-        fits = request.demand.weight_digest == (f'w{self.versions[plan.agent]}')
-        gone = plan.agent in self.leaving or not agent.engine.up
+        fits = request.demand.weight_digest == (
+            f'w{self.reporter.versions[plan.agent]}'
+        )
+        gone = plan.agent in self.reporter.leaving or not agent.engine.up
         if gone or not fits:
             self.events.add(_REFUSED_CONNECTION, self._fail_attempt, request)
             return
