--- a/src/oleanderdyke/agent/settings.py
+++ b/src/oleanderdyke/agent/settings.py
@@ -70,8 +70,8 @@
 class CacheSettings:
     """Bound what fetches and exports of cached context may use.
 
-    A fetch is given up after `patience` times the time that computing its
-    segments again would take.
+    A fetch is given up once its segments come more slowly than `patience` times
+    the time that computing each would take.
     """
 
     patience: float = 2.0
