Add the kept cache to the fault matrix

Cause: no cell covered writing, sealing, pinning, copying, using and freeing. Ruled out: driving the store's shell, whose tasks need a real loop. Change: an engine writes, another one reads, a store keeps in between, around the real index and copy; store killed and store full; two more unsafe variants.

--- a/tests/matrix/agent.py
+++ b/tests/matrix/agent.py
@@ -12,7 +12,6 @@
 from oleanderdyke.agent.departure import Departure
 from oleanderdyke.agent.forward import Forwarder, _make_record
 from oleanderdyke.agent.run import Run
-from oleanderdyke.agent.runs import Runs
 from oleanderdyke.agent.settings import RunSettings
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
@@ -21,7 +20,6 @@
 from oleanderdyke.kernel.quarantine import QuarantineSettings
 from oleanderdyke.kernel.segment_log import SegmentLog
 from oleanderdyke.kernel.stream_buffer import StreamLimits
-from oleanderdyke.links.link import LinkClosed
 from oleanderdyke.links.messages import (
     PROTOCOL_VERSION,
     AgentPhase,
@@ -40,12 +38,14 @@
     Resume,
     Role,
     SegmentListRequest,
+    Superseded,
 )
 from oleanderdyke.platform.http import HttpError
 from tests.matrix.loop import Null, Process, drive
 from tests.matrix.net import End
 from tests.matrix.orders import ModelOrders
 from tests.matrix.points import Point
+from tests.matrix.runs import ModelOutbox, ModelRuns
 
 if TYPE_CHECKING:
     from tests.matrix.outside import Backend
@@ -58,59 +58,6 @@
 AGENT_DRAIN = DrainSettings(drain=2_000.0, limit=30_000.0)
 
 
-class ModelOutbox:
-    """Send to one link, without a task of its own."""
-
-    def __init__(self, name: str, end: End) -> None:
-        self.name = name
-        self.end = end
-        self.peer = end.peer
-
-    def put(self, message: Message) -> None:
-        """Send a message; it is lost where the link is."""
-        drive(self._send(message))
-
-    async def push(self, messages: Iterable[Message]) -> None:
-        """Send messages."""
-        for message in messages:
-            self.put(message)
-
-    async def send(self, message: Message) -> None:
-        """Send now; raise LinkClosed."""
-        await self.end.send(message)
-
-    async def _send(self, message: Message) -> None:
-        try:
-            await self.end.send(message)
-        except LinkClosed:
-            return
-
-
-class ModelRuns(Runs):
-    """Start a run once its body is there."""
-
-    model: ModelAgent
-
-    def add_body(self, outbox: Any, chunk: BodyChunk) -> None:
-        """Take a part of a run's body."""
-        super().add_body(outbox, chunk)
-        run = self._runs.get((chunk.request, chunk.attempt))
-        if run is not None and run.body.ended and not run.forwarded:
-            self.model.forward(run)
-
-    def drop_link(self, link: str) -> None:
-        """End the runs whose body was cut off; none reached the server."""
-        cut = [
-            run
-            for run in self._runs.values()
-            if run.outbox.name == link and not run.body.ended
-        ]
-        super().drop_link(link)
-        for run in cut:
-            fault = OleanderError(ErrorKind.STREAM_BROKEN, 'body cut off')
-            self._stop(run, fault)
-
-
 class ModelAgent(Process):
     """Run an agent: its gate, its runs and its copy of the configuration."""
 
@@ -380,6 +327,7 @@
             Cancel: self.runs.cancel,
             Credit: self.runs.grant,
             Resume: self.runs.resume,
+            Superseded: self._on_superseded,
             ClaimQuery: lambda outbox, query: outbox.put(
                 self.gate.answer(query)
             ),
@@ -397,6 +345,12 @@
         if self.orders is not None and self.configuration.offset > before:
             self.orders.wake()
 
+    def _on_superseded(self, _: Any, message: Superseded) -> None:
+        if message.incarnation == self.incarnation:
+            self.superseded = True
+            if not self.departure.is_leaving:
+                self.stop()
+
     def _on_request(self, outbox: Any, request: ConfigurationRequest) -> None:
         drive(self.configuration.answer(outbox, request))
 
--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -29,7 +29,8 @@
     ServiceSpec,
 )
 from tests import safety_model
-from tests.matrix.entry import CLOSED, ModelEntry
+from tests.matrix.drivers import CLOSED
+from tests.matrix.entry import ModelEntry
 from tests.matrix.world import CHAT, ENTRIES, TICKETS, World
 
 _PATIENCE: Millis = 30 * SECOND
--- a/tests/matrix/checkers.py
+++ b/tests/matrix/checkers.py
@@ -22,6 +22,20 @@
 Check: TypeAlias = Callable[[World, Kinds], None]
 
 
+def check_blocks(world: World, _: Kinds) -> None:
+    """What an engine takes was written whole, for just that namespace."""
+    kv = world.kv
+    if kv is None:
+        return
+    for use in kv.uses:
+        if kv.owners[use.segment] != use.namespace:
+            raise Violation('foreign blocks', use)
+        if use.data not in kv.written[use.segment]:
+            raise Violation('cached blocks', use)
+    if not kv.uses:
+        raise Violation('cached blocks', 'nothing was ever used')
+
+
 def check_weights(world: World, _: Kinds) -> None:
     """Runs meet the weights that they were bound to."""
     for start in world.starts:
@@ -121,6 +135,7 @@
 
 
 PROMISES: Mapping[int, Sequence[Check]] = {
+    1: (check_blocks,),
     2: (_reuse(model.check_teams),),
     3: (check_weights, check_orders),
     4: (_reuse(model.check_whole_answer), check_served),
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import TypeAlias
 
@@ -12,8 +12,9 @@
 from tests.matrix.agent import ModelAgent
 from tests.matrix.callers import POISON, Caller
 from tests.matrix.entry import ModelEntry
+from tests.matrix.kv import Kv
 from tests.matrix.loop import Process
-from tests.matrix.net import SILENCE, SLOW, Link
+from tests.matrix.net import LATENCY, SILENCE, SLOW, Link
 from tests.matrix.operators import Operator
 from tests.matrix.points import Point
 from tests.matrix.world import CHAT, SERVICE, World
@@ -61,6 +62,11 @@
     service: str
     slot: str
 
+    @property
+    def kv(self) -> Kv | None:
+        """Return the kept cache, where it is what takes part."""
+        return self.world.kv
+
     @property
     def agent(self) -> ModelAgent:
         """Return the agent that takes part."""
@@ -94,9 +100,24 @@
 
 
 def _kill_agent(scene: Scene) -> None:
+    if scene.kv is not None:
+        scene.kv.kill(scene.process)
+        return
     scene.world.kill(scene.agent)
 
 
+def _kill_store(scene: Scene) -> None:
+    if scene.kv is not None:
+        scene.kv.lose_store()
+
+
+def _fill_store(scene: Scene) -> None:
+    if scene.kv is not None:
+        store = scene.kv.store
+        store.full = True
+        scene.later(2 * SECOND, lambda: setattr(store, 'full', False))
+
+
 def _kill_backend(scene: Scene) -> None:
     scene.agent.backend.crash()
     scene.world.keep_busy(_AWHILE)
@@ -113,15 +134,22 @@
 
     for link in links:
         link.delay = SLOW
+    if scene.kv is not None:
+        scene.kv.delay = SLOW
+        scene.later(_AWHILE, lambda: setattr(scene.kv, 'delay', LATENCY))
     scene.later(_AWHILE, mend)
 
 
 def _cut(scene: Scene) -> None:
+    if scene.kv is not None:
+        scene.kv.cut()
     for link in scene.links:
         link.close()
 
 
 def _silence(scene: Scene) -> None:
+    if scene.kv is not None:
+        scene.kv.fall_silent()
     for link in scene.links:
         link.fall_silent()
     scene.world.keep_busy(2 * SILENCE)
@@ -224,6 +252,8 @@
 
 def _swap_weights(scene: Scene) -> None:
     spec = replace(SERVICE, version='v2')
+    if scene.kv is not None:
+        scene.kv.digest = 'd2'
     change = Change('swap', 'eva', ObjectKind.SERVICE, CHAT, 1, spec)
     scene.world.publish(change)
     scene.world.keep_busy(_AWHILE)
@@ -246,6 +276,8 @@
     Kind.ENTRY_KILLED: _kill_entry,
     Kind.AGENT_KILLED: _kill_agent,
     Kind.BACKEND_KILLED: _kill_backend,
+    Kind.STORE_KILLED: _kill_store,
+    Kind.STORE_FULL: _fill_store,
     Kind.LINK_SLOW: _slow_link,
     Kind.CUT: _cut,
     Kind.SILENT: _silence,
@@ -291,21 +323,54 @@
         *_KV,
     }
 )
-_PLAIN = frozenset({Point.CLAIM_APPEND, Point.CLAIM_READ, Point.RECORDED})
+
+
+_REASONS: Sequence[tuple[frozenset[Kind], frozenset[Point], str]] = (
+    (
+        frozenset({Kind.STORE_KILLED, Kind.STORE_FULL}),
+        frozenset(Point) - _KV,
+        'no store takes part',
+    ),
+    (
+        frozenset({Kind.DUPLICATE, Kind.CALLER_GONE}),
+        _WITHOUT_CALLER,
+        'no caller takes part',
+    ),
+    (
+        frozenset(
+            {
+                Kind.BACKEND_KILLED,
+                Kind.POISON,
+                Kind.VM_REPLACED,
+                Kind.AGENT_STOP,
+            }
+        ),
+        _KV,
+        'no request takes part',
+    ),
+    (
+        frozenset({Kind.DUPLICATE}),
+        frozenset({Point.RESUME, *_STOPS}),
+        'a stream has no idempotency key',
+    ),
+    (
+        frozenset({Kind.AGENT_STOP, Kind.ENTRY_STOP}),
+        _STOPS,
+        'a stop is under way; a second signal hurries it',
+    ),
+    (
+        frozenset({Kind.WEIGHTS}),
+        frozenset({Point.CLAIM_APPEND, Point.CLAIM_READ, Point.RECORDED}),
+        'a plain service has no weights',
+    ),
+)
 
 
 def find_reason(kind: Kind, point: Point) -> str:
     """Say why a fault has no meaning at a step, or nothing."""
-    if kind in {Kind.STORE_KILLED, Kind.STORE_FULL} and point not in _KV:
-        return 'no store takes part'
-    if kind in {Kind.DUPLICATE, Kind.CALLER_GONE} and point in _WITHOUT_CALLER:
-        return 'no caller takes part'
-    if kind is Kind.DUPLICATE and point in {Point.RESUME, *_STOPS}:
-        return 'a stream has no idempotency key'
-    if kind in {Kind.AGENT_STOP, Kind.ENTRY_STOP} and point in _STOPS:
-        return 'a stop is under way; a second signal hurries it'
-    if kind is Kind.WEIGHTS and point in _PLAIN:
-        return 'a plain service has no weights'
+    for kinds, points, reason in _REASONS:
+        if kind in kinds and point in points:
+            return reason
     return ''
 
 
--- a/tests/matrix/steps.py
+++ b/tests/matrix/steps.py
@@ -7,6 +7,7 @@
 
 from oleanderdyke.clock import SECOND
 from tests.matrix.callers import Caller
+from tests.matrix.kv import Kv
 from tests.matrix.operators import Operator
 from tests.matrix.points import Point
 from tests.matrix.world import CHAT, TEAMS, TICKETS, World
@@ -82,11 +83,16 @@
     world.outside.after(2 * _PAUSE, lambda: entry.do(entry.stop))
 
 
+def _keep(world: World) -> None:
+    Kv(world)
+
+
 BOOKING = Scenario('booking', _book, TICKETS, 'plain-1')
 STREAM = Scenario('stream', _chat, CHAT, 'engine-1')
 RESUME = Scenario('resume', _resume, CHAT, 'engine-1')
 CONFIGURATION = Scenario('configuration', _configure, CHAT, 'engine-1')
 SNAPSHOT = Scenario('snapshot', _snapshot, CHAT, 'engine-1')
+KEPT = Scenario('kept cache', _keep, CHAT, 'engine-1')
 AGENT_STOP = Scenario('stop of agent', _stop_agent, CHAT, 'engine-1')
 ENTRY_STOP = Scenario('stop of entry', _stop_entry, CHAT, 'engine-1')
 
@@ -100,6 +106,7 @@
     Point.LAST_CHUNK: (BOOKING, STREAM),
     Point.RECORDED: (BOOKING,),
     Point.RESUME: (RESUME,),
+    **{point: (KEPT,) for point in Point if point.name.startswith('KV_')},
     Point.CONFIGURATION_APPEND: (CONFIGURATION,),
     Point.CONFIGURATION_READ: (CONFIGURATION,),
     Point.SPREAD: (CONFIGURATION,),
--- a/tests/matrix/unsafe.py
+++ b/tests/matrix/unsafe.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+from oleanderdyke.agent.segment_copy import SegmentCopy
 from oleanderdyke.kernel.catalog import Catalog
 from oleanderdyke.kernel.gate import Gate
 from oleanderdyke.kernel.membership import FleetState
@@ -57,3 +58,14 @@
 
     def difference(self, after):
         return () if after >= 0 else super().difference(after)
+
+
+class TrustingCopy(SegmentCopy):
+    """Take what came for the segment that was asked for."""
+
+    def finish(self):
+        return bytes(self._data)
+
+
+def trust(_data, _length, _digest):
+    return True
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from oleanderdyke.agent.segment_copy import SegmentCopy
 from oleanderdyke.clock import HOUR, SECOND, Millis
 from oleanderdyke.kernel.attempts import RequestMachine
+from oleanderdyke.kernel.blocks import verify_segment
 from oleanderdyke.kernel.catalog import Catalog
 from oleanderdyke.kernel.claims import ClaimTable
 from oleanderdyke.kernel.drain import Drain, DrainPhase
@@ -24,10 +26,12 @@
 )
 from oleanderdyke.kernel.quarantine import Quarantine
 from oleanderdyke.kernel.records import encode_change
+from oleanderdyke.kernel.store_index import StoreIndex
 from oleanderdyke.kernel.stream_table import StreamTable
 from oleanderdyke.links.messages import BackendKind, Dispatch
 from tests.matrix.agent import ModelAgent
 from tests.matrix.entry import ModelEntry
+from tests.matrix.kv import Kv
 from tests.matrix.loop import Process, Scheduler
 from tests.matrix.net import End, Link
 from tests.matrix.outside import Backend, LogService
@@ -59,6 +63,9 @@
     drain: type[Drain] = Drain
     fleet: type[FleetState] = FleetState
     quarantine: type[Quarantine] = Quarantine
+    store: type[StoreIndex] = StoreIndex
+    copy: type[SegmentCopy] = SegmentCopy
+    is_whole: Callable[[bytes, int, bytes], bool] = verify_segment
 
 
 @dataclass(frozen=True)
@@ -144,6 +151,7 @@
         self.calls: dict[str, Call] = {}
         self.callers: list[Any] = []
         self.operators: list[Any] = []
+        self.kv: Kv | None = None
         self.setbacks: list[object] = []
         self.late: list[object] = []
         self.links: list[Link] = []
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -14,6 +14,7 @@
     MixingMachine,
 )
 from test_spread import UncheckedCatalog
+from test_store_index import ForgetsNamespace, ReusesUnderPin
 from tests.matrix import unsafe
 from tests.matrix.cells import (
     State,
@@ -70,6 +71,20 @@
 @pytest.mark.parametrize(
     ('variants', 'cells', 'promise'),
     [
+        (
+            Variants(
+                store=ReusesUnderPin,
+                copy=unsafe.TrustingCopy,
+                is_whole=unsafe.trust,
+            ),
+            choose(Kind.STORE_KILLED, at=Point.KV_COPY),
+            'cached blocks',
+        ),
+        (
+            Variants(store=ForgetsNamespace),
+            choose(Kind.WEIGHTS, at=Point.KV_PIN),
+            'foreign blocks',
+        ),
         (
             Variants(streams=unsafe.SharedStreams),
             choose(Kind.CUT, at=Point.MID_STREAM),
