Number events that fill a chunk without a search for parts

Cause: each chunk was split by a pattern and its number went through a data class and two encodings, though an engine sends one event in each chunk. Change: a chunk that is just one event, with nothing left over or to be skipped, gets its number at once; all else goes the way it went.

--- a/src/oleanderdyke/entry/sse.py
+++ b/src/oleanderdyke/entry/sse.py
@@ -54,6 +54,10 @@
         Raise STREAM_BROKEN for an event without an end.
         """
         self._chunk += 1
+        if not self._rest and not self._skipped and _is_one_event(chunk):
+            self._aligned = self._chunk
+            self._events = 0
+            return b'id: %d\n%b' % (self._chunk, chunk)
         *events, self._rest = _BOUNDARY.split(self._rest + chunk)
         if len(self._rest) > _EVENT_LIMIT:
             raise OleanderError(ErrorKind.STREAM_BROKEN, 'an event is too long')
@@ -79,3 +83,9 @@
             return b''
         position = Position(self._aligned, self._events)
         return f'id: {position}\n'.encode() + event + b'\n\n'
+
+
+def _is_one_event(chunk: bytes) -> bool:
+    """Tell whether a chunk is one event in the usual form."""
+    boundary = chunk.find(b'\n\n')
+    return 0 <= boundary == len(chunk) - 2 and b'\r' not in chunk
