--- a/src/oleanderdyke/ctl/commands.py
+++ b/src/oleanderdyke/ctl/commands.py
@@ -147,7 +147,7 @@
     reached = [item for item in found if item['reached']]
     services = [
         item
-        for item in summarise(reached)
+        for item in summarise(reached, options.missed)
         if options.service in {None, item.service}
     ]
     if options.output is Format.TABLE:
--- a/src/oleanderdyke/ctl/services.py
+++ b/src/oleanderdyke/ctl/services.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 from oleanderdyke.clock import Millis
-from oleanderdyke.kernel.targets import Counts, Target, is_met
+from oleanderdyke.kernel.targets import MISSED_COUNT, Counts, Target, is_met
 from oleanderdyke.metrics import MergedTiming, Timing
 
 Status: TypeAlias = Mapping[str, Any]
@@ -63,17 +63,23 @@
     missed_requests: tuple[MissedRequest, ...]
 
 
-def summarise(statuses: Iterable[Status]) -> list[ServiceSummary]:
-    """Merge the services of several entries by name."""
+def summarise(
+    statuses: Iterable[Status], missed: int = MISSED_COUNT
+) -> list[ServiceSummary]:
+    """Merge the services of several entries by name.
+
+    Of the requests that missed a target the last ones are kept, so many of
+    each target as `missed` says.
+    """
     parts: dict[str, list[Status]] = {}
     for status in statuses:
         for service in status['services']:
             part = {**service, 'entry': status['process']}
             parts.setdefault(service['service'], []).append(part)
-    return [_merge(name, parts[name]) for name in sorted(parts)]
+    return [_merge(name, parts[name], missed) for name in sorted(parts)]
 
 
-def _merge(name: str, parts: Sequence[Status]) -> ServiceSummary:
+def _merge(name: str, parts: Sequence[Status], count: int) -> ServiceSummary:
     refusals: Counter[str] = Counter()
     for part in parts:
         refusals.update(part['refusals'])
@@ -92,7 +98,7 @@
         refusals=dict(sorted(refusals.items())),
         targets=tuple(_merge_standings(parts)),
         missed=missed,
-        missed_requests=tuple(_list_missed(parts)),
+        missed_requests=tuple(_list_missed(parts, count)),
     )
 
 
@@ -133,10 +139,14 @@
     return TargetSummary(name, limit, counts, met)
 
 
-def _list_missed(parts: Iterable[Status]) -> list[MissedRequest]:
-    found = [
-        MissedRequest(entry=part['entry'], **missed)
-        for part in parts
-        for missed in part['missed_requests']
-    ]
-    return sorted(found, key=lambda item: (item.target, item.at))
+def _list_missed(
+    parts: Iterable[Status], count: int
+) -> Iterator[MissedRequest]:
+    found: dict[str, list[MissedRequest]] = {target: [] for target in Target}
+    for part in parts:
+        for missed in part['missed_requests']:
+            item = MissedRequest(entry=part['entry'], **missed)
+            found[item.target].append(item)
+    for items in found.values():
+        items.sort(key=lambda item: item.at)
+        yield from items[max(len(items) - count, 0) :]
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -224,6 +224,8 @@
     named = [(item.entry, item.request) for item in model.missed_requests]
     assert named == [('entry-b', 'b'), ('entry-b', 'c')]
     assert plain.targets == ()
+    (model, _) = summarise([second.read_status()], 1)
+    assert [item.request for item in model.missed_requests] == ['c']
 
 
 def test_status_that_waits_poll_holds_no_requests():
