Keep the times of unstreamed answers apart

Cause: the first part of an answer that is not streamed is the whole answer; its time stood among the times to the first token, which users pay by. Change: such times have a label of their own, SERVICE:whole; `status` shows times to the first token of model services only. Conclusion: quantiles and targets speak of the same requests.

--- a/src/oleanderdyke/ctl/status_views.py
+++ b/src/oleanderdyke/ctl/status_views.py
@@ -129,7 +129,7 @@
     return (
         item.service,
         item.requests,
-        _show_quantiles(item.first_token),
+        _show_quantiles(item.first_token) if model else _DASH,
         _show_millis(item.between_tokens.most) if model else _DASH,
         f'{item.recomputed_share:.1%}' if model else _DASH,
         item.link_bytes,
--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -195,7 +195,9 @@
             timing, since = Timing.FIRST_TOKEN, self._started
         else:
             timing, since = Timing.BETWEEN_TOKENS, self._last_chunk
-        self._metrics.time(timing, now - since, self._label)
+        # Where nothing is streamed the first part says nothing of tokens.
+        label = self._label if self.is_stream else f'{self._label}:whole'
+        self._metrics.time(timing, now - since, label)
         self._last_chunk = now
 
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -169,6 +169,8 @@
     bench.answer(bench.call('desk', 'plain'), 9_000)
     # Nobody can tell when the first token of such an answer came.
     bench.answer(bench.call('whole'), 9_000, media='application/json')
+    highest = bench.core.metrics.read_quantile(Timing.FIRST_TOKEN, 100, 'model')
+    assert highest < 700
     assert bench.list_missed() == [
         ('slow', 'first_token', '601.0'),
         ('slow', 'between_tokens', '40.0'),
