--- a/bench/report.py
+++ b/bench/report.py
@@ -14,7 +14,7 @@
 _ALLOWED = 1.02
 _SIMPLE = BASELINES[:4]
 # A council's reader waits longer than a visitor at a door.
-BOUNDS: Mapping[str, Millis] = {'agency': 3 * SECOND, 'council': 6 * SECOND}
+COUNCIL_BOUND: Millis = 6 * SECOND
 # Below this, a system is not answering the load it is compared at.
 _ANSWERS = 0.95
 _HEAD = (
@@ -134,7 +134,7 @@
     fit = [
         each.name
         for each in _SIMPLE
-        if read(each.name, 'ttft_95') <= BOUNDS['council']
+        if read(each.name, 'ttft_95') <= COUNCIL_BOUND
         and read(each.name, 'in_time') >= _ANSWERS
     ]
     ours = read(POLICY.name, 'cost')
@@ -145,14 +145,14 @@
         f'{ours:.0f} against {oracle:.0f}: {ours / oracle - 1:+.1%}',
     )
     if not fit:
-        bound = f'no baseline keeps ttft95 within {BOUNDS["council"]:.0f} ms'
-        ttft = f'policy {read(POLICY.name, "ttft_95"):.0f} ms'
-        return [
-            Verdict(
-                f'council {scenario} cost', met=True, detail=f'{bound}; {ttft}'
-            ),
-            within,
+        # Nobody keeps the bound, so all that answer in time are compared.
+        fit = [
+            each.name
+            for each in _SIMPLE
+            if read(each.name, 'in_time') >= _ANSWERS
         ]
+    if not fit:
+        return [within]
     best = min(fit, key=lambda name: read(name, 'cost'))
     gain = 1 - ours / read(best, 'cost')
     verdicts = [
@@ -240,8 +240,9 @@
         return [_compare(read, deployment, scenario, 'goodput', BASELINES)]
     fit = [each for each in BASELINES if read(each.name, 'in_time') >= _ANSWERS]
     if deployment == 'council':
-        bound = BOUNDS[deployment]
-        fit = [each for each in fit if read(each.name, 'ttft_95') <= bound]
+        fit = [
+            each for each in fit if read(each.name, 'ttft_95') <= COUNCIL_BOUND
+        ]
     name = 'ttft_95' if deployment == 'agency' else 'cost'
     return [_compare(read, deployment, scenario, name, fit)]
 
