Read an answer without switching its socket on and off

Cause: for each chunk the agent's HTTP stream resumed and paused its socket, opened a cancel scope without a time and mapped exceptions in a generator. Ruled out: other HTTP libraries; the parser is a small part. Change: plain connections read through asyncio's buffered reader, which stops the socket only past 128 KiB, and set no scope where no time is bounded. Connections with TLS are as before. A buffered chunk keeps what it costs instead of computing it several times. bench/agent_chunks.py counts the calls for each chunk.

--- /dev/null
+++ b/bench/agent_chunks.py
@@ -0,0 +1,104 @@
+"""Count what an agent does for each chunk of a streamed answer.
+
+Run `python -m bench.agent_chunks`. Server, agent and reader share this process,
+so calls are shown by module; they don't depend on the load of the machine. The
+processor time is that of all three, without the profiler.
+"""
+
+from __future__ import annotations
+
+import cProfile
+import time
+from collections import Counter
+from contextlib import nullcontext
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from oleanderdyke.links.messages import BackendKind, Credit
+from tests.agents import (
+    FakeEntry,
+    Outcome,
+    dialing,
+    make_settings,
+    running,
+)
+
+CHUNKS = 10_000
+_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+_EVENT = b'data: {"choices": [{"delta": {"content": "word "}}]}\n\n'
+_CHUNK = b'%x\r\n%s\r\n' % (len(_EVENT), _EVENT)
+_CREDIT = 32
+_PACE = 0.0005
+_TURN = 0.002
+_SHOWN = ('oleanderdyke/', 'httpcore/', 'h11/', 'anyio/', 'websockets/')
+_LINES = 24
+
+
+async def _answer(stream: SocketStream) -> None:
+    async with stream:
+        try:
+            await stream.receive()
+        except anyio.EndOfStream:
+            return
+        await stream.send(_HEAD)
+        for _ in range(CHUNKS):
+            await stream.send(_CHUNK)
+            await anyio.sleep(_PACE)
+        await stream.send(b'0\r\n\r\n')
+
+
+async def _read(entry: FakeEntry, outcome: Outcome) -> None:
+    granted = 0
+    while not outcome.over:
+        await anyio.sleep(_TURN)
+        fresh = len(outcome.chunks) - granted
+        if fresh >= _CREDIT:
+            await entry.link.send(Credit('r', 1, fresh))
+            granted += fresh
+
+
+async def _measure(profile: cProfile.Profile | None) -> float:
+    """Return the processor time of one long answer, in seconds."""
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(SocketAttribute.local_port)  # noqa: S610 - a socket's
+    settings = make_settings(BackendKind.PLAIN, f'127.0.0.1:{port}', 'x')
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, _answer)
+        async with running(settings) as shell, dialing(shell) as entry:
+            await entry.wait_serving()
+            dispatch = entry.make_dispatch('r', deadline=600_000.0)
+            start = time.process_time()
+            with profile or nullcontext():
+                outcome = await entry.send(dispatch, b'x')
+                await _read(entry, outcome)
+            spent = time.process_time() - start
+            assert len(outcome.chunks) == CHUNKS
+        group.cancel_scope.cancel()
+    return spent
+
+
+def _find_module(file: str) -> str:
+    for start in _SHOWN:
+        if start in file:
+            return start + file.rpartition(start)[2]
+    return 'other'
+
+
+def main() -> None:
+    """Print the calls for each chunk by module."""
+    spent = anyio.run(_measure, None)
+    profile = cProfile.Profile()
+    anyio.run(_measure, profile)
+    counts: Counter[str] = Counter()
+    for entry in profile.getstats():
+        file = getattr(entry.code, 'co_filename', '')
+        counts[_find_module(file)] += entry.callcount
+    total = sum(counts.values()) / CHUNKS
+    print(f'{total:.1f} calls, {spent * 1e6 / CHUNKS:.0f} us for each chunk')
+    for module, calls in counts.most_common(_LINES):
+        print(f'{calls / CHUNKS:8.2f}  {module}')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/oleanderdyke/kernel/stream_buffer.py
+++ b/src/oleanderdyke/kernel/stream_buffer.py
@@ -6,7 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, replace
 from itertools import islice
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 from oleanderdyke.clock import MINUTE, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
@@ -77,14 +77,10 @@
     link_bytes: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _Chunk:
+class _Chunk(NamedTuple):
     data: bytes
     at: Millis
-
-    @property
-    def cost(self) -> int:
-        return len(self.data) + CHUNK_OVERHEAD
+    cost: int
 
 
 class StreamBuffer:
@@ -154,11 +150,11 @@
         """
         if self.is_full or self.is_finished:
             raise OleanderError(ErrorKind.INTERNAL, 'stream takes no chunk')
-        chunk = _Chunk(data, now)
-        self._chunks.append(chunk)
+        cost = len(data) + CHUNK_OVERHEAD
+        self._chunks.append(_Chunk(data, now, cost))
         self._digest.update(data)
-        self._unsent_bytes += chunk.cost
-        self._charge(chunk.cost)
+        self._unsent_bytes += cost
+        self._charge(cost)
         return self._flush(now)
 
     def finish(self, totals: AnswerTotals, now: Millis) -> tuple[Outgoing, ...]:
--- a/src/oleanderdyke/platform/http.py
+++ b/src/oleanderdyke/platform/http.py
@@ -15,6 +15,7 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.plain_stream import connect_plain
 
 # The library tries to import this for each lock it makes; where it is not
 # installed, the search of every path costs more than the exchange.
@@ -91,6 +92,7 @@
             int(port),
         )
         self._timeouts = _show_timeouts(settings)
+        self._connect_timeout = settings.connect / SECOND
         self._network = httpcore.AnyIOBackend()
         self._open: set[httpcore.AsyncHTTP11Connection] = set()
 
@@ -125,14 +127,15 @@
             await connection.aclose()
 
     async def _connect(self) -> _Stream:
-        origin, timeout = self._origin, self._timeouts['connect']
+        origin, timeout = self._origin, self._connect_timeout
         host = origin.host.decode('ascii')
         try:
+            if self._tls is None:
+                return _Stream(await connect_plain(host, origin.port, timeout))
             stream = await self._network.connect_tcp(
                 host, origin.port, timeout=timeout
             )
-            if self._tls is not None:
-                stream = await stream.start_tls(self._tls, host, timeout)
+            stream = await stream.start_tls(self._tls, host, timeout)
         except _FAILURES as error:
             reason = type(error).__name__
             raise HttpError(f'cannot connect: {reason}', ran=Ran.NO) from error
