Read ahead only what the link carries in 25 ms

Cause: on a link so slow that the fetch is cut, four segments read ahead were lost with it, 70,997 link bytes for each prompt against 16,384 before. Ruled out: the cancellation, which reaches the store's agent and ends its reads; a store that is sending goes on for what it has begun. Change: a reader reads ahead only while what it has under way takes the link less than 25 ms. The benchmark counts bytes that no import used.

--- a/bench/fetch.py
+++ b/bench/fetch.py
@@ -72,7 +72,7 @@
 
     first_token: list[float] = field(default_factory=list)
     recomputed: list[int] = field(default_factory=list)
-    link_bytes: int = 0
+    used_bytes: int = 0
     read_bytes: int = 0
     processor: dict[str, float] = field(default_factory=dict)
 
@@ -260,7 +260,8 @@
     if outcome.end is None:
         raise RuntimeError(f'no answer: {outcome.failed}')
     side.figures.recomputed.append(outcome.end.recomputed_tokens)
-    side.figures.link_bytes += outcome.end.link_bytes
+    used = outcome.end.prompt_tokens - outcome.end.recomputed_tokens
+    side.figures.used_bytes += used * cache.KV_BYTES_PER_TOKEN
 
 
 async def measure(side: Side, size: Size, numbers: Sequence[int]) -> None:
@@ -327,14 +328,13 @@
     return sides
 
 
-def show(side: Side, size: Size) -> None:
+def show(side: Side) -> None:
     """Print the figures of one side."""
     figures = side.figures
     asked = len(figures.first_token)
     ordered = sorted(figures.first_token)
     high = ordered[int(_QUANTILE * (asked - 1))]
-    per_segment = cache.SEGMENT_TOKENS * cache.KV_BYTES_PER_TOKEN
-    wasted = figures.read_bytes - asked * size.segments * per_segment
+    wasted = figures.read_bytes - figures.used_bytes
     spent = ', '.join(
         f'{name} {total / asked:.1f} ms'
         for name, total in figures.processor.items()
@@ -344,7 +344,7 @@
         f'{statistics.median(ordered):.1f} ms, {_QUANTILE:.0%} {high:.1f} ms; '
         f'recomputed {statistics.mean(figures.recomputed):.0f} tokens; '
         f'link {figures.read_bytes / asked:,.0f} bytes, '
-        f'{wasted / asked:,.0f} beyond the need; processor {spent}',
+        f'{wasted / asked:,.0f} of them in vain; processor {spent}',
         flush=True,
     )
 
@@ -363,7 +363,7 @@
     size = Size(**options)
     print(size, flush=True)
     for side in anyio.run(run, size, trees):
-        show(side, size)
+        show(side)
 
 
 if __name__ == '__main__':
--- a/src/oleanderdyke/agent/store_reads.py
+++ b/src/oleanderdyke/agent/store_reads.py
@@ -15,7 +15,7 @@
 from oleanderdyke.agent.outbox import Outbox
 from oleanderdyke.agent.settings import CacheSettings
 from oleanderdyke.agent.turns import LinkTurns
-from oleanderdyke.clock import Clock
+from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.kernel.blocks import ID_BYTES
 from oleanderdyke.kernel.links_meter import LinkMeter
@@ -34,6 +34,8 @@
 # may always read one, so that many readers wait for one segment of each.
 _AHEAD = 4
 _READING = 8
+# On a slow link a read ahead gains little, and is lost when a fetch is cut.
+_AHEAD_TIME: Millis = 25.0
 _PARTS_AHEAD = 2
 
 
@@ -168,7 +170,11 @@
     def _may_read(self, reader: _Reader) -> bool:
         if not reader.ahead:
             return True
-        return len(reader.ahead) < _AHEAD and self._reading < _READING
+        if len(reader.ahead) >= _AHEAD or self._reading >= _READING:
+            return False
+        rate = self._turns.rate
+        left = sum(copy.uncarried for copy in reader.ahead)
+        return not rate or left * SECOND / rate < _AHEAD_TIME
 
     def _pin(self, reader: _Reader, segment: bytes | None) -> _Copy | None:
         index = self._index
