--- a/src/oleanderdyke/agent/configuration.py
+++ b/src/oleanderdyke/agent/configuration.py
@@ -114,6 +114,8 @@
         """Send what a peer is missing; raise LinkClosed."""
         for message in self._reader.answer(request):
             await outbox.send(message)
+            # Building the next one takes a while, and a send may not wait.
+            await anyio.sleep(0)
 
     def drop_link(self, link: str) -> None:
         """Forget a peer."""
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -82,7 +82,7 @@
 
 def _list_metrics() -> Iterator[str]:
     yield 'Labels are services or error kinds, at most 200 for each kind of'
-    yield 'metric; what is beyond is counted as `other`. Times of the background'
+    yield 'metric; what is beyond counts as `other`. Times of the background'
     yield 'class are under `SERVICE:background`, those of answers that are not'
     yield 'streamed under `SERVICE:whole`.'
     yield ''
