Say how long the run of a region takes

Cause: the docstring of the capacity bench promised less than three minutes; the run of 127 agents took 233 s at a load of 20 to 50. Ruled out: a smaller default, which would no longer be a region. Change: the docstring.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,8 @@
 """Run the processes of a region and measure one of each kind.
 
-Run `python -m bench.capacity`; it takes under three minutes and ends every
-process that it started, also where it fails. Needs `ss` of iproute2.
+Run `python -m bench.capacity`; it takes about four minutes on a busy machine
+and ends every process that it started, also where it fails. Needs `ss` of
+iproute2.
 """
 
 from __future__ import annotations
