Build fewer catalogs in the fault matrix

Cause: every agent of a cell built a catalog and threw it away. Ruled out: sharing worlds between cells; a cell must not see another one's past. Change: agents keep their own catalog unless a variant replaces it.

--- a/tests/matrix/agent.py
+++ b/tests/matrix/agent.py
@@ -15,6 +15,7 @@
 from oleanderdyke.agent.settings import RunSettings
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.catalog import Catalog
 from oleanderdyke.kernel.drain import DrainSettings
 from oleanderdyke.kernel.gate import GateSettings, Loaded
 from oleanderdyke.kernel.quarantine import QuarantineSettings
@@ -88,7 +89,8 @@
         self.configuration = Configuration(
             clock=clock, random=random, events=_NULL
         )
-        self.configuration._reader.catalog = world.variants.catalog()
+        if world.variants.catalog is not Catalog:
+            self.configuration._reader.catalog = world.variants.catalog()
         self.gate = world.variants.gate(
             name,
             incarnation,
--- a/tests/matrix/checkers.py
+++ b/tests/matrix/checkers.py
@@ -99,6 +99,8 @@
 
 def check_races(world: World, _: Kinds) -> None:
     """One operator at most wins a race, and each is told the truth."""
+    if not world.operators:
+        return
     truth = _apply_log(world)
     for operator in world.operators:
         found = truth.find_outcome(operator.change.record_id)
