Send the poison of the fault matrix twice

Ruled out: an easier check; the count of crashes stays at two. Change: a second caller sends the same poison through the other entry later.

--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -233,10 +233,17 @@
 
 
 def _send_poison(scene: Scene) -> None:
-    key = '' if scene.service == CHAT else POISON
-    Caller(
-        scene.world, POISON, service=scene.service, key=key, text=POISON
-    ).begin()
+    """Send a request that crashes servers, and again when it has failed."""
+    for place, delay in enumerate((0.0, 5 * SECOND)):
+        name = f'{POISON}-{place}'
+        Caller(
+            scene.world,
+            name,
+            service=scene.service,
+            key='' if scene.service == CHAT else name,
+            text=POISON,
+            first=place,
+        ).begin(delay)
     scene.world.keep_busy(_AWHILE)
 
 
