Write answer chunks to a link without a wait

Cause: each chunk passed a shielded scope, an async context manager and a drain, though the link nearly always takes it at once. Ruled out: a change of order; a write is tried only while nobody flushes the queue, and falls back to the queue where the link is paused or closed. Change: Link.write and the socket's write send a frame at once; the outbox uses them for what is pushed.

--- a/src/oleanderdyke/agent/outbox.py
+++ b/src/oleanderdyke/agent/outbox.py
@@ -38,7 +38,10 @@
         if self._link.closed:
             return
         self._queue.extend(messages)
-        await self.flush()
+        if not self._flushing:
+            self._write()
+        if self._queue:
+            await self.flush()
 
     async def send(self, message: Message) -> None:
         """Send now; raise LinkClosed."""
@@ -65,3 +68,11 @@
             self._queue.clear()
         finally:
             self._flushing = False
+
+    def _write(self) -> None:
+        """Send what the link takes without a wait."""
+        while self._queue:
+            message = self._queue.popleft()
+            if not self._link.write(message):
+                self._queue.appendleft(message)
+                return
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -99,6 +99,9 @@
     def is_writable(self) -> bool:
         """Tell whether a short frame goes out without waiting."""
 
+    def write(self, message: bytes) -> None:
+        """Send one binary frame; only while `is_open` and `is_writable`."""
+
     def abort(self) -> None:
         """Drop the connection at once."""
 
@@ -157,9 +160,7 @@
 
     async def send(self, message: Message) -> None:
         """Send, waiting while the peer reads slowly; raise LinkClosed."""
-        data = encode(message)
-        if len(data) > self._settings.max_frame:
-            raise OleanderError(ErrorKind.PROTOCOL, 'message is too large')
+        data = self._encode(message)
         self._check_open()
         if not self._sending:
             self._progress = self._clock.now()
@@ -174,6 +175,16 @@
         self._sent = True
         self.counters.note_out(message, len(data))
 
+    def write(self, message: Message) -> bool:
+        """Send without a wait; False where only `send` can do it."""
+        if self.closed or not self._socket.is_writable():
+            return False
+        data = self._encode(message)
+        self._socket.write(data)
+        self._sent = True
+        self.counters.note_out(message, len(data))
+        return True
+
     def tap(self, take: Callable[[Message], None]) -> None:
         """Give messages to `take` as they arrive, sparing `receive` a turn.
 
@@ -202,6 +213,12 @@
             await self._socket.close()
         self._socket.abort()
 
+    def _encode(self, message: Message) -> bytes:
+        data = encode(message)
+        if len(data) > self._settings.max_frame:
+            raise OleanderError(ErrorKind.PROTOCOL, 'message is too large')
+        return data
+
     def _check_open(self) -> None:
         if self._reason:
             raise LinkClosed(self._reason)
--- a/src/oleanderdyke/links/sockets.py
+++ b/src/oleanderdyke/links/sockets.py
@@ -50,6 +50,11 @@
         """Tell whether a short frame goes out without waiting."""
         return not self.paused
 
+    def write(self, message: bytes) -> None:
+        """Send one binary frame; only while `is_open` and `is_writable`."""
+        self.protocol.send_binary(message)
+        self.send_data()
+
     def abort(self) -> None:
         """Drop the connection at once."""
         self.transport.abort()
