Wait for every sort of replica after an entry was frozen

Cause: one of three runs of the cases on real processes failed. The entry that came back from a freeze reached its plain services, which the case waited for, but not yet an engine; a question got no_replica, not run, with a retry time. That answer is allowed; the case asked too early.

Ruled out: a fault of the entry: it reached the engine a moment later, and nothing ran twice.

Change: such cases wait until the entry reaches both services.

--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import hashlib
 import re
 import threading
@@ -142,6 +143,14 @@
     return lambda: send().status in {200, 201}
 
 
+def wait_reaching(entry: Entry) -> None:
+    for send in (look, lambda entry: question(entry, 'there?')):
+        wait_until(
+            is_ok(functools.partial(send, entry)),
+            f'{entry.name} reaches its agents',
+        )
+
+
 def check_served(deployment: Deployment, entries: Sequence[Entry]) -> None:
     for entry in entries:
         text = make_prompt('a passing question')
--- a/tests/test_failures_configuration.py
+++ b/tests/test_failures_configuration.py
@@ -160,6 +160,7 @@
     deployment.wait_ready()
     wait_same_offset(deployment)
     assert read_team(deployment, frozen) == (generation + 2, weight + 2)
+    scenes.wait_reaching(frozen)
     scenes.check_served(deployment, [frozen])
 
 
--- a/tests/test_failures_links.py
+++ b/tests/test_failures_links.py
@@ -122,11 +122,7 @@
     entry.child.kill()
     entry.child.start()
     deployment.wait_ready()
-    for send in (
-        functools.partial(scenes.look, entry),
-        functools.partial(scenes.question, entry, 'there?'),
-    ):
-        wait_until(scenes.is_ok(send), f'{entry.name} reaches its agents')
+    scenes.wait_reaching(entry)
 
 
 @pytest.fixture(scope='module')
--- a/tests/test_failures_requests.py
+++ b/tests/test_failures_requests.py
@@ -192,10 +192,7 @@
     if late is not None and late.status != 201:
         assert late.json['error']['ran'] != 'no', late
     deployment.wait_ready()
-    wait_until(
-        scenes.is_ok(functools.partial(scenes.look, frozen)),
-        'the entry reaches its agents again',
-    )
+    scenes.wait_reaching(frozen)
     scenes.check_served(deployment, [frozen])
     assert scenes.book(frozen, name).body == send().body
     assert scenes.count_runs(deployment, name) == 1
