Send engines the priority of the plan

Cause: an agent told its engine background or foreground only, so the priority that routing had chosen never took effect in live processes. Ruled out: leaving 1 for background work, which long prompts now use. Change: the plan's priority goes to the engine. It is lowered where the fetch was not whole and more than short_tokens are missing from the first lost segment on. No latency was measured in live processes.

--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -18,6 +18,8 @@
     SegmentHint,
 )
 from oleanderdyke.kernel.routing import (
+    LONG_NEXT,
+    SHORT_FIRST,
     LinkView,
     Source,
     Standing,
@@ -25,7 +27,7 @@
 )
 from oleanderdyke.policies.candidates import fits
 from oleanderdyke.policies.pressure import CachePressure
-from oleanderdyke.policies.routing import LONG_NEXT, SHORT_FIRST, make_costs
+from oleanderdyke.policies.routing import make_costs
 
 if TYPE_CHECKING:
     from bench.world import World
--- a/src/oleanderdyke/agent/prepare.py
+++ b/src/oleanderdyke/agent/prepare.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -13,15 +14,15 @@
 from oleanderdyke.agent.run import Run
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
-from oleanderdyke.kernel.blocks import Namespace, make_namespace
+from oleanderdyke.kernel.blocks import Namespace, SegmentId, make_namespace
+from oleanderdyke.kernel.demand import SEGMENT_TOKENS
 from oleanderdyke.kernel.gate import Loaded
+from oleanderdyke.kernel.routing import BACKGROUND_LAST, lower_priority
 from oleanderdyke.links.messages import Dispatch, FetchPlan, Headers
 from oleanderdyke.platform.http import Body
 
 _REQUEST_ID = 'x-request-id'
 _LENGTH = 'content-length'
-_FOREGROUND = 0
-_BACKGROUND = 1
 _JSON = ('content-type', 'application/json')
 
 
@@ -70,24 +71,30 @@
         *,
         patience: float,
         fetch_timeout: Millis,
+        short_tokens: int,
     ) -> None:
         self._engine = engine
         self._fetcher = fetcher
         self._exporter = exporter
         self._patience = patience
         self._fetch_timeout = fetch_timeout
+        self._short_tokens = short_tokens
 
     async def prepare(self, run: Run) -> Prepared:
         """Fetch first, then check the weights again."""
         dispatch = run.dispatch
         body = await run.body.collect()
         namespace = _check_namespace(dispatch)
+        priority = dispatch.priority
         if dispatch.fetch is not None:
-            await self._fetch(run, dispatch.fetch, namespace)
+            fetched = await self._fetch(run, dispatch.fetch, namespace)
+            priority = self._find_priority(dispatch, dispatch.fetch, fetched)
+        if dispatch.background:
+            priority = BACKGROUND_LAST
         self._check_weights(dispatch)
         headers = _drop(_make_headers(dispatch), _LENGTH, _JSON[0])
         return Prepared(
-            (*headers, _JSON), _name_namespace(body, dispatch, namespace)
+            (*headers, _JSON), _name_namespace(body, namespace, priority)
         )
 
     def note_whole(self, run: Run) -> None:
@@ -101,7 +108,8 @@
 
     async def _fetch(
         self, run: Run, plan: FetchPlan, namespace: Namespace
-    ) -> None:
+    ) -> int:
+        """Return how many segments of the plan came."""
         estimate = self._engine.estimate_prefill(1)
         step = self._fetch_timeout
         if estimate is not None:
@@ -110,6 +118,18 @@
             plan, namespace, step=step, request=run.dispatch.request
         )
         run.link_bytes += fetched.length
+        return fetched.segments
+
+    def _find_priority(
+        self, dispatch: Dispatch, plan: FetchPlan, fetched: int
+    ) -> int:
+        """Lower the priority of a plan whose fetch was not whole."""
+        missing = _count_missing(dispatch.segments, plan.segments[fetched:])
+        return lower_priority(
+            dispatch.priority,
+            missing=missing * SEGMENT_TOKENS,
+            short_tokens=self._short_tokens,
+        )
 
     def _check_weights(self, dispatch: Dispatch) -> None:
         wanted = Loaded(
@@ -124,6 +144,15 @@
             )
 
 
+def _count_missing(
+    segments: Sequence[SegmentId], lost: Sequence[SegmentId]
+) -> int:
+    """Count the segments from the first lost one to the prompt's end."""
+    if not lost or lost[0] not in segments:
+        return 0
+    return len(segments) - segments.index(lost[0])
+
+
 def _check_namespace(dispatch: Dispatch) -> Namespace:
     namespace = make_namespace(
         dispatch.team,
@@ -139,12 +168,10 @@
     return namespace
 
 
-def _name_namespace(
-    body: bytes, dispatch: Dispatch, namespace: Namespace
-) -> bytes:
+def _name_namespace(body: bytes, namespace: Namespace, priority: int) -> bytes:
     payload = _parse(body)
     payload['cache_salt'] = namespace.hex()
-    payload['priority'] = _BACKGROUND if dispatch.background else _FOREGROUND
+    payload['priority'] = priority
     if payload.get('stream'):
         options = payload.get('stream_options')
         kept = options if isinstance(options, dict) else {}
--- a/src/oleanderdyke/agent/roles.py
+++ b/src/oleanderdyke/agent/roles.py
@@ -201,6 +201,7 @@
             self._exporter,
             patience=cache.patience,
             fetch_timeout=cache.fetch_timeout,
+            short_tokens=settings.policies.short_tokens,
         )
         orders = OrderLoop(
             parts.backend,
--- a/src/oleanderdyke/entry/chat.py
+++ b/src/oleanderdyke/entry/chat.py
@@ -9,6 +9,7 @@
 
 from oleanderdyke.entry.documents import make_bad_request, parse_document
 from oleanderdyke.kernel.blocks import PromptMessage, canonical_prompt
+from oleanderdyke.kernel.routing import BACKGROUND_LAST, SHORT_FIRST
 
 # A prompt of another form would not match its segments.
 _PROMPT_FIELDS = ('tools', 'tool_choice', 'functions', 'function_call')
@@ -30,8 +31,6 @@
 _TOKEN_LIMIT = 1_000_000
 _NAME_LIMIT = 200
 _DEFAULT_TOKENS = 256
-_FOREGROUND_PRIORITY = 0
-_BACKGROUND_PRIORITY = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,9 +54,7 @@
 
     def make_engine_body(self, model: str, namespace: bytes) -> bytes:
         """Return the engine's JSON; the namespace keeps its cache apart."""
-        priority = (
-            _BACKGROUND_PRIORITY if self.background else _FOREGROUND_PRIORITY
-        )
+        priority = BACKGROUND_LAST if self.background else SHORT_FIRST
         document = self.extra | {
             'model': model,
             'messages': [
--- a/src/oleanderdyke/kernel/routing.py
+++ b/src/oleanderdyke/kernel/routing.py
@@ -8,6 +8,12 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.demand import SEGMENT_TOKENS
 
+# A prefix that is there costs little to finish, so it need not wait behind
+# one that is not.
+SHORT_FIRST = 0
+LONG_NEXT = 1
+BACKGROUND_LAST = 10
+
 
 @dataclass(frozen=True, slots=True)
 class Costs:
@@ -105,6 +111,11 @@
     return Source(fetched, rest, time, cost)
 
 
+def lower_priority(priority: int, *, missing: int, short_tokens: int) -> int:
+    """Let a request go behind short ones when too many tokens are missing."""
+    return max(priority, LONG_NEXT) if missing > short_tokens else priority
+
+
 def estimate_fetch(link: LinkView, link_bytes: float) -> Millis:
     """Estimate how long a fetch takes behind what is under way."""
     queued = link.backlog_bytes + link_bytes
--- a/src/oleanderdyke/policies/routing.py
+++ b/src/oleanderdyke/policies/routing.py
@@ -20,7 +20,14 @@
     SegmentHint,
 )
 from oleanderdyke.kernel.prediction import BacklogTracker
-from oleanderdyke.kernel.routing import Costs, Source, Standing, choose_source
+from oleanderdyke.kernel.routing import (
+    LONG_NEXT,
+    SHORT_FIRST,
+    Costs,
+    Source,
+    Standing,
+    choose_source,
+)
 from oleanderdyke.policies.candidates import find_candidates, fits
 from oleanderdyke.policies.pressure import CachePressure
 from oleanderdyke.policies.registries import ROUTERS
@@ -32,11 +39,6 @@
     StoreViews,
 )
 
-# A prefix that is there costs little to finish, so it need not wait behind
-# one that is not.
-SHORT_FIRST = 0
-LONG_NEXT = 1
-
 _NO_REPLICA = Refusal(ErrorKind.NO_REPLICA, 'no serving replica', 1_000.0)
 
 
