Keep only what is worth its export

Ruled out: counting a use at each attempt, which made a retry a return. Change: an entry has one ExportChooser. A dispatch names for keeping only the leading segments that are worth it and that the store lacks, and names none where that leaves nothing. A use is counted once for each request, when it is first sent.

--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -34,6 +34,7 @@
 from oleanderdyke.links.messages import PROTOCOL_VERSION, Hello, Message, Role
 from oleanderdyke.logs import EventLog, make_event_log
 from oleanderdyke.metrics import Metrics
+from oleanderdyke.policies.exports import ExportChooser
 from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS, TeamTerms
 
 _INCARNATION_BYTES = 8
@@ -95,6 +96,7 @@
     budget: RetryBudget
     router: Router
     admission: Admission
+    exports: ExportChooser
     drain: Drain
     machine: MachineSettings
     running: dict[str, Running] = field(default_factory=dict)
@@ -138,7 +140,9 @@
         return '' if self.settled else 'connecting to agents'
 
 
-def make_core(settings: EntrySettings, clock: Clock) -> Core:
+def make_core(
+    settings: EntrySettings, clock: Clock, log: EventLog | None = None
+) -> Core:
     """Build the kernel objects that the settings name."""
     random = Random(settings.seed)
     reader = ConfigurationReader(
@@ -160,7 +164,8 @@
         clock=clock,
         random=random,
         incarnation=secrets.token_hex(_INCARNATION_BYTES),
-        log=make_event_log(settings.process, settings.log_level, clock),
+        log=log
+        or make_event_log(settings.process, settings.log_level, clock),
         metrics=Metrics(),
         reader=reader,
         fleet=FleetState(catalog),
@@ -171,6 +176,7 @@
         admission=ADMISSIONS.find(settings.plugins.admission)(
             settings.policies, find_terms
         ),
+        exports=ExportChooser(settings.policies),
         drain=Drain(settings.drain),
         machine=MachineSettings(
             claim_wait=settings.claims.wait,
--- a/src/oleanderdyke/entry/dispatches.py
+++ b/src/oleanderdyke/entry/dispatches.py
@@ -22,8 +22,12 @@
     *,
     offset: int,
     deadline: Millis,
+    worthy: int,
 ) -> Dispatch:
-    """Build what an agent is told first; the body follows."""
+    """Build what an agent is told first; the body follows.
+
+    The first `worthy` segments are worth keeping in a store.
+    """
     spec = call.spec
     return Dispatch(
         request=call.request,
@@ -47,7 +51,7 @@
         namespace=call.namespace,
         segments=call.segments,
         fetch=_make_fetch(call, action.plan, fleet),
-        keep=_make_keep(call, action.replica, fleet),
+        keep=_make_keep(call, action.replica, fleet, worthy),
         incarnation=action.incarnation,
         beat=action.beat,
         priority=action.plan.priority,
@@ -73,14 +77,18 @@
     return FetchPlan(store.agent, store.address, segments)
 
 
-def _make_keep(call: Call, replica: Replica, fleet: Fleet) -> FetchPlan | None:
-    stores = fleet.stores(call.service) if call.segments else ()
+def _make_keep(
+    call: Call, replica: Replica, fleet: Fleet, worthy: int
+) -> FetchPlan | None:
+    stores = fleet.stores(call.service) if worthy else ()
     if not stores:
         return None
     hints = [hint(segment) for segment in call.segments]
     store = _choose_store(stores, replica, hints, fleet)
     held = fleet.count_leading(store.agent, hints)
-    return FetchPlan(store.agent, store.address, call.segments[held:])
+    if held >= worthy:
+        return None
+    return FetchPlan(store.agent, store.address, call.segments[held:worthy])
 
 
 def _choose_store(
--- a/src/oleanderdyke/entry/sender.py
+++ b/src/oleanderdyke/entry/sender.py
@@ -20,6 +20,7 @@
     SendResume,
     Unsent,
 )
+from oleanderdyke.kernel.blocks import hint
 from oleanderdyke.links.link import Link
 from oleanderdyke.links.messages import (
     BodyChunk,
@@ -51,6 +52,7 @@
         self._attempt = 0
         self._sequence = 0
         self._ungranted = 0
+        self._counted = False
 
     @property
     def agent(self) -> str:
@@ -173,8 +175,18 @@
             core.fleet,
             offset=core.reader.offset,
             deadline=max(self._deadline - core.clock.now(), 0.0),
+            worthy=self._count_worthy(),
         )
 
+    def _count_worthy(self) -> int:
+        """Count one use of the prompt, however often it is sent."""
+        exports = self._core.exports
+        hints = [hint(segment) for segment in self._call.segments]
+        if not self._counted:
+            exports.note_used(hints)
+        self._counted = True
+        return exports.count_worthy(hints)
+
     def _log(self, event: EventName) -> None:
         self._core.log.write(
             event,
