Make the shards of a token index when they are written to

Cause: an empty catalog made 512 shard objects; the fault matrix makes thousands of catalogs. Ruled out: fewer shards, which would make inserting at 42,000 teams slower. Change: a shard is made at the first write. Before and after: the catalog's tests pass; no time was taken.

--- a/src/oleanderdyke/kernel/tokens.py
+++ b/src/oleanderdyke/kernel/tokens.py
@@ -25,11 +25,14 @@
     """Map digests to names in sorted shards: about 20 bytes for each."""
 
     def __init__(self) -> None:
-        self._shards = tuple(_Shard() for _ in range(_SHARD_COUNT))
+        # Made when first written to: most catalogs of tests stay empty.
+        self._shards: list[_Shard | None] = [None] * _SHARD_COUNT
 
     def get(self, digest: bytes) -> tuple[str, ...]:
         """Return the names that a digest may belong to."""
         shard, key = self._find(digest)
+        if shard is None:
+            return ()
         start = bisect_left(shard.keys, key)
         end = bisect_right(shard.keys, key, lo=start)
         return tuple(shard.names[start:end])
@@ -37,6 +40,8 @@
     def add(self, digest: bytes, name: str) -> None:
         """Give a digest to a name."""
         shard, key = self._find(digest)
+        if shard is None:
+            shard = self._shards[digest[0]] = _Shard()
         place = bisect_left(shard.keys, key)
         shard.keys.insert(place, key)
         shard.names.insert(place, name)
@@ -44,12 +49,12 @@
     def remove(self, digest: bytes, name: str) -> None:
         """Take a digest from a name."""
         names = self.get(digest)
-        if name in names:
-            shard, key = self._find(digest)
+        shard, key = self._find(digest)
+        if shard is not None and name in names:
             place = bisect_left(shard.keys, key) + names.index(name)
             del shard.keys[place]
             del shard.names[place]
 
-    def _find(self, digest: bytes) -> tuple[_Shard, int]:
+    def _find(self, digest: bytes) -> tuple[_Shard | None, int]:
         key = int.from_bytes(digest[:_KEY_BYTES])
         return self._shards[digest[0]], key
