Start both daemons by one piece of code

Cause: entry and agent each had the same parser, settings loading, flattening of exception groups and exit codes, and told failures in two ways; the entry's printed messages of unknown errors, which may hold what callers sent. Ruled out: a base class; the two differ in values only. Change: daemon.Daemon runs a binary from a description; failures are one event, with the message of our own and of system errors and else the place.

--- /dev/null
+++ b/src/oleanderdyke/daemon.py
@@ -0,0 +1,146 @@
+"""Run a daemon from its command line: settings, failures, exit code."""
+
+from __future__ import annotations
+
+import argparse
+import ipaddress
+import os
+import sys
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Generic, Protocol, TypeVar
+
+import anyio
+
+from oleanderdyke import __version__
+from oleanderdyke.errors import OleanderError, SettingsError
+from oleanderdyke.events import EventName, Level
+from oleanderdyke.logs import EventLog, make_event_log
+from oleanderdyke.settings import load_settings, show_settings
+
+_FAILED = 1
+
+
+class DaemonSettings(Protocol):
+    """Hold what every daemon's settings have."""
+
+    @property
+    def process(self) -> str:
+        """Return the name of the process."""
+
+    @property
+    def log_level(self) -> Level:
+        """Return the least level that is logged."""
+
+
+SettingsT = TypeVar('SettingsT', bound=DaemonSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class Daemon(Generic[SettingsT]):
+    """Describe a daemon; `find_faults` looks for contradicting settings."""
+
+    name: str
+    description: str
+    settings_type: type[SettingsT]
+    find_faults: Callable[[SettingsT], Iterable[str]]
+    serve: Callable[[SettingsT, EventLog], Awaitable[None]]
+
+    def run(self, arguments: Sequence[str] | None = None) -> int:
+        """Run until the daemon is told to stop; return its exit code."""
+        options = make_parser(self.name, self.description).parse_args(arguments)
+        try:
+            settings = load_settings(
+                options.settings,
+                self.settings_type,
+                os.environ,
+                self.find_faults,
+            )
+        except SettingsError as error:
+            error.show()
+            return error.exit_code
+        if options.print_settings:
+            sys.stdout.write(show_settings(settings))
+            return 0
+        if options.check:
+            sys.stdout.write(f'{options.settings}: no faults\n')
+            return 0
+        return self._serve(settings)
+
+    def _serve(self, settings: SettingsT) -> int:
+        log = make_event_log(settings.process, settings.log_level)
+        code = 0
+        # The one place where groups of exceptions end.
+        try:
+            anyio.run(self.serve, settings, log)
+        except* Exception as group:
+            code = _FAILED
+            for error in _flatten(group):
+                log.write(
+                    EventName.PROCESS_FAILED,
+                    reason=_name_reason(error),
+                    detail=_describe(error),
+                )
+        return code
+
+
+def make_parser(name: str, description: str) -> argparse.ArgumentParser:
+    """Build the parser of a daemon's command line."""
+    parser = argparse.ArgumentParser(prog=name, description=description)
+    parser.add_argument('--version', action='version', version=__version__)
+    parser.add_argument(
+        '--settings',
+        type=Path,
+        required=True,
+        metavar='FILE',
+        help='YAML file with the settings of this process',
+    )
+    parser.add_argument(
+        '--check', action='store_true', help='check the settings and exit'
+    )
+    parser.add_argument(
+        '--print-settings',
+        action='store_true',
+        help='print the settings in force, without secrets, and exit',
+    )
+    return parser
+
+
+def is_loopback(host: str) -> bool:
+    """Tell whether an address never leaves this VM."""
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
+
+
+def _flatten(group: BaseExceptionGroup[Exception]) -> Iterator[Exception]:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _flatten(error)
+        else:
+            yield error
+
+
+def _name_reason(error: Exception) -> str:
+    if isinstance(error, OleanderError):
+        return error.kind.value
+    return type(error).__name__
+
+
+def _describe(error: Exception) -> str:
+    # Other messages may hold what callers sent, so only the place is told.
+    if isinstance(error, OleanderError | OSError):
+        return str(error)
+    return _find_place(error)
+
+
+def _find_place(error: Exception) -> str:
+    place = error.__traceback__
+    while place is not None and place.tb_next is not None:
+        place = place.tb_next
+    if place is None:
+        return ''
+    code = place.tb_frame.f_code
+    return f'{Path(code.co_filename).name}:{place.tb_lineno}'
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -25,6 +25,7 @@
 from oleanderdyke.events import EventName
 from oleanderdyke.links.pool import LinkPool
 from oleanderdyke.links.tls import make_client_context
+from oleanderdyke.logs import EventLog
 from oleanderdyke.platform.log import LogClient, LogPage
 from oleanderdyke.platform.vms import VmClient
 
@@ -158,9 +159,11 @@
         return make_server(app, self._core.settings.http)
 
 
-async def run_entry(settings: EntrySettings) -> None:
+async def run_entry(
+    settings: EntrySettings, log: EventLog | None = None
+) -> None:
     """Run an entry until it has been told to stop."""
-    await Shell(make_core(settings, make_clock())).run()
+    await Shell(make_core(settings, make_clock(), log)).run()
 
 
 def _bind(http: HttpSettings) -> socket.socket:
