Remove two methods that nothing calls

Cause: ServiceCapacity.is_idle and FairQueue.peek have no caller. Ruled out: keeping them for tests; none uses them. Change: both are gone. Before and after: the tests of admission and routing pass.

--- a/src/oleanderdyke/kernel/admission.py
+++ b/src/oleanderdyke/kernel/admission.py
@@ -97,12 +97,6 @@
         self.cost += waiting.cost
         self._length += 1
 
-    def peek(self) -> Waiting | None:
-        """Return the request whose turn it is."""
-        if not self._heap:
-            return None
-        return self._teams[self._heap[0][2]].items[0]
-
     def pop(self) -> Waiting:
         """Take the request whose turn it is; the queue must not be empty."""
         start, _, team = heapq.heappop(self._heap)
--- a/src/oleanderdyke/policies/capacity.py
+++ b/src/oleanderdyke/policies/capacity.py
@@ -53,10 +53,6 @@
         """Return how long a request lasts once it is sent."""
         return self._time
 
-    def is_idle(self) -> bool:
-        """Tell whether nothing of this entry runs here."""
-        return not self._sent
-
     def look(self, service: str, fleet: Fleet, now: Millis) -> bool:
         """Refresh the sums when they are old; false without replicas."""
         if now >= self._view.until:
