Speak HTTP/1.1 directly and pass on together what came together

Cause: the library's connection cost locks, traces and scopes for each piece of a body, and each event of a burst became a message of its own. Ruled out: waiting for more; a part is what has been read already. A fault behind a part is raised after it, at the next read. Change: platform/exchange.py carries one exchange with h11, also over TLS; plain_stream.py is gone and httpcore is no longer loaded by a daemon.

--- a/src/oleanderdyke/platform/http.py
+++ b/src/oleanderdyke/platform/http.py
@@ -3,31 +3,22 @@
 from __future__ import annotations
 
 import ssl
-import sys
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Any, TypeAlias
 
-import anyio
-import httpcore
+import h11
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
-from oleanderdyke.platform.plain_stream import connect_plain
-
-# The library tries to import this for each lock it makes; where it is not
-# installed, the search of every path costs more than the exchange.
-sys.modules.setdefault('sniffio', None)  # type: ignore[arg-type]
-
-Body: TypeAlias = bytes | AsyncIterator[bytes] | None
-
-_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
+from oleanderdyke.platform.exchange import (
+    FAILURES,
+    Body,
+    Exchange,
+    open_exchange,
 )
+
 _CLOSE = ('connection', 'close')
 
 
@@ -82,19 +73,13 @@
         settings: HttpSettings | None = None,
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        settings = settings or HttpSettings()
         host, _, port = address.rpartition(':')
         self._address = address
+        self._host = host.strip('[]')
+        self._port = int(port)
+        self._settings = settings or HttpSettings()
         self._tls = tls
-        self._origin = httpcore.Origin(
-            b'http' if tls is None else b'https',
-            host.strip('[]').encode('ascii'),
-            int(port),
-        )
-        self._timeouts = _show_timeouts(settings)
-        self._connect_timeout = settings.connect / SECOND
-        self._network = httpcore.AnyIOBackend()
-        self._open: set[httpcore.AsyncHTTP11Connection] = set()
+        self._open: set[Exchange] = set()
 
     @asynccontextmanager
     async def request(
@@ -110,57 +95,36 @@
         An iterated body goes out chunked, unless `headers` give its length.
         Raise HttpError.
         """
-        request = self._make_request(method, path, headers, body)
-        stream = await self._connect()
-        connection = httpcore.AsyncHTTP11Connection(self._origin, stream)
-        self._open.add(connection)
+        exchange = await self._connect()
+        self._open.add(exchange)
         try:
-            yield await _exchange(connection, request, stream)
+            sent = self._complete_headers(headers, body)
+            target = path.encode('ascii')
+            yield await _begin(exchange, method, target, sent, body)
         finally:
-            self._open.discard(connection)
-            with anyio.CancelScope(shield=True):
-                await connection.aclose()
+            self._open.discard(exchange)
+            exchange.close()
 
     async def close(self) -> None:
         """Break off every exchange."""
-        for connection in tuple(self._open):
-            await connection.aclose()
+        for exchange in tuple(self._open):
+            exchange.close()
 
-    async def _connect(self) -> _Stream:
-        origin, timeout = self._origin, self._connect_timeout
-        host = origin.host.decode('ascii')
+    async def _connect(self) -> Exchange:
+        settings = self._settings
+        read = settings.read
         try:
-            if self._tls is None:
-                return _Stream(await connect_plain(host, origin.port, timeout))
-            stream = await self._network.connect_tcp(
-                host, origin.port, timeout=timeout
+            return await open_exchange(
+                self._host,
+                self._port,
+                tls=self._tls,
+                connect=settings.connect / SECOND,
+                write=settings.write / SECOND,
+                read=None if read is None else read / SECOND,
             )
-            stream = await stream.start_tls(self._tls, host, timeout)
-        except _FAILURES as error:
+        except OSError as error:
             reason = type(error).__name__
             raise HttpError(f'cannot connect: {reason}', ran=Ran.NO) from error
-        return _Stream(stream)
-
-    def _make_request(
-        self,
-        method: str,
-        path: str,
-        headers: Sequence[tuple[str, str]],
-        body: Body,
-    ) -> httpcore.Request:
-        origin = self._origin
-        return httpcore.Request(
-            method,
-            httpcore.URL(
-                scheme=origin.scheme,
-                host=origin.host,
-                port=origin.port,
-                target=path.encode('ascii'),
-            ),
-            headers=self._complete_headers(headers, body),
-            content=body,
-            extensions={'timeout': self._timeouts},
-        )
 
     def _complete_headers(
         self, headers: Sequence[tuple[str, str]], body: Body
@@ -177,54 +141,24 @@
         ]
 
 
-class _Stream(httpcore.AsyncNetworkStream):
-    """Learn whether anything was written to a connection."""
-
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
-        self._stream = stream
-        self.written = False
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read what has arrived."""
-        return await self._stream.read(max_bytes, timeout)
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write all."""
-        self.written = self.written or bool(buffer)
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        """Close the connection."""
-        await self._stream.aclose()
-
-    def get_extra_info(self, info: str) -> Any:
-        """Tell about the connection."""
-        return self._stream.get_extra_info(info)
-
-
-async def _exchange(
-    connection: httpcore.AsyncHTTP11Connection,
-    request: httpcore.Request,
-    stream: _Stream,
+async def _begin(
+    exchange: Exchange,
+    method: str,
+    target: bytes,
+    headers: list[tuple[bytes, bytes]],
+    body: Body,
 ) -> HttpAnswer:
     try:
-        response = await connection.handle_async_request(request)
-    except _FAILURES as error:
+        request = h11.Request(method=method, target=target, headers=headers)
+        await exchange.send(request, body)
+        head = await exchange.receive_head()
+    except FAILURES as error:
         raise HttpError(
             f'the exchange failed: {type(error).__name__}',
-            ran=Ran.MAYBE if stream.written else Ran.NO,
+            ran=Ran.MAYBE if exchange.written else Ran.NO,
         ) from error
-    headers = _decode_headers(response.headers)
-    return HttpAnswer(response.status, headers, _iterate(response))
-
-
-def _show_timeouts(settings: HttpSettings) -> dict[str, float | None]:
-    read = settings.read
-    return {
-        'connect': settings.connect / SECOND,
-        'write': settings.write / SECOND,
-        'read': None if read is None else read / SECOND,
-    }
+    decoded = _decode_headers(head.headers)
+    return HttpAnswer(head.status_code, decoded, _iterate(exchange))
 
 
 def _frame_body(body: Body) -> list[tuple[str, str]]:
@@ -235,18 +169,18 @@
     return [('transfer-encoding', 'chunked')]
 
 
-def _decode_headers(headers: Sequence[tuple[bytes, bytes]]) -> Headers:
+def _decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     return tuple(
-        (name.decode('latin-1').lower(), value.decode('latin-1'))
+        (name.decode('latin-1'), value.decode('latin-1'))
         for name, value in headers
     )
 
 
-async def _iterate(response: httpcore.Response) -> AsyncIterator[bytes]:
+async def _iterate(exchange: Exchange) -> AsyncIterator[bytes]:
     try:
-        async for part in response.aiter_stream():
+        while part := await exchange.read_part():
             yield part
-    except _FAILURES as error:
+    except FAILURES as error:
         raise HttpError(
             f'the answer broke off: {type(error).__name__}', ran=Ran.MAYBE
         ) from error
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -187,6 +187,52 @@
         assert await fail(backend, 'POST', '/', body=b'x') is Ran.MAYBE
 
 
+@pytest.mark.parametrize(
+    ('data', 'part', 'ended'),
+    [
+        (b'1\r\na\r\n2\r\nbc\r\n', b'abc', False),
+        (b'1\r\na\r\n2\r\nbc\r\n0\r\n\r\n', b'abc', True),
+        (b'1\r\na\r\nrubbish\r\n', b'a', None),
+    ],
+    ids=['more_to_come', 'whole', 'then_rubbish'],
+)
+async def test_what_came_together_is_one_part_even_before_a_fault(
+    data, part, ended
+):
+    async def answer_and_hold(stream):
+        async with stream:
+            await stream.receive()
+            head = OK + b'transfer-encoding: chunked\r\n\r\n'
+            await stream.send(head + data)
+            await anyio.sleep_forever()
+
+    async with talking(answer_and_hold) as address:
+        backend = HttpBackend(address)
+        async with backend.request('GET', '/') as answer:
+            with anyio.fail_after(20):
+                assert await anext(answer.body) == part
+                if ended:
+                    assert [piece async for piece in answer.body] == []
+                elif ended is None:
+                    with pytest.raises(HttpError):
+                        await anext(answer.body)
+
+
+async def test_an_answer_before_the_whole_request_is_read_counts():
+    async def refuse(stream):
+        await stream.send(OK + b'content-length: 2\r\n\r\nno')
+        await stream.send_eof()
+        async with stream:
+            async for _ in stream:
+                pass
+
+    async with talking(refuse) as address:
+        body = count_up(3, 1000)
+        backend = HttpBackend(address)
+        async with backend.request('POST', '/', body=body) as answer:
+            assert await answer.read(10) == b'no'
+
+
 async def test_a_server_that_never_answers_leaves_the_request_in_doubt():
     async def hold(stream):
         async with stream:
