Close a connection with TLS once

Cause: after the peer's close, a transport with TLS has no buffer to ask for, and the close of an exchange raised AttributeError (seen in a trial against a server with TLS; nothing tested HTTP over TLS). Change: a closing transport is left alone; tests for an exchange over TLS that either side closes first and for a server that can't be verified.

--- a/src/oleanderdyke/platform/exchange.py
+++ b/src/oleanderdyke/platform/exchange.py
@@ -75,9 +75,14 @@
 
     def close(self) -> None:
         """Close at once; what was not sent by now is dropped."""
-        self._writer.close()
-        if self._writer.transport.get_write_buffer_size():
-            self._writer.transport.abort()
+        transport = self._writer.transport
+        # One with TLS is gone for good by the second time that it is closed.
+        if transport.is_closing():
+            return
+        if transport.get_write_buffer_size():
+            transport.abort()
+        else:
+            transport.close()
 
     async def _send(self, head: h11.Request, body: Body) -> None:
         start = self._encode(head)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
+import asyncio
 import json
+import pathlib
+import ssl
 from contextlib import asynccontextmanager
 
 import anyio
@@ -13,6 +16,7 @@
 from tests.standins import plain, server, vms, weights
 
 HOST = '127.0.0.1'
+TLS = pathlib.Path(__file__).parent / 'tls'
 HALL = {
     'name': 'vm-1',
     'address': '127.0.0.1:9',
@@ -233,6 +237,40 @@
             assert await answer.read(10) == b'no'
 
 
+@asynccontextmanager
+async def answering_with_tls(*, closes):
+    async def answer_once(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(OK + b'content-length: 2\r\n\r\nok')
+        if not closes:
+            await reader.read()
+        writer.close()
+
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(TLS / 'node.pem', TLS / 'node.key')
+    listener = await asyncio.start_server(answer_once, HOST, 0, ssl=context)
+    async with listener:
+        yield f'{HOST}:{listener.sockets[0].getsockname()[1]}'
+
+
+@pytest.mark.parametrize('closes', [False, True])
+async def test_an_exchange_with_tls_ends_whoever_closes_first(closes):
+    client = ssl.create_default_context(cafile=TLS / 'ca.pem')
+    async with answering_with_tls(closes=closes) as address:
+        backend = HttpBackend(address, tls=client)
+        for _ in range(2):
+            async with backend.request('GET', '/') as answer:
+                assert await answer.read(10) == b'ok'
+                await backend.close()
+
+
+async def test_nothing_ran_where_the_server_cannot_be_verified():
+    client = ssl.create_default_context(cafile=TLS / 'other_ca.pem')
+    async with answering_with_tls(closes=False) as address:
+        backend = HttpBackend(address, tls=client)
+        assert await fail(backend, 'POST', '/', body=b'x') is Ran.NO
+
+
 async def test_a_server_that_never_answers_leaves_the_request_in_doubt():
     async def hold(stream):
         async with stream:
