Evict the end of a prompt before its head

Cause: of entries with equal worth the oldest went first, which is a prompt's head, and without the head the rest is of no use. Ruled out: a column of its own for the depth, whose two bytes an entry would pass the bound of 140. Change: SegmentWrite has an additive depth, which the exporter fills from the segment's place in its prompt. The store's meta record (form 2; form 1 is still read, with depth 0) and its columns keep it, above the lengths in the same column, which leaves 48 bits for a length. Of equals the deepest goes first, then the oldest. Without the depth in the ranking and in the exporter the new tests fail; with both they pass. The usable share of a live store was not measured. An older agent can't read records of form 2 and deletes their objects, so a step back costs the kept context.

--- a/src/oleanderdyke/agent/export.py
+++ b/src/oleanderdyke/agent/export.py
@@ -37,6 +37,7 @@
     address: str
     namespace: Namespace
     segment: SegmentId
+    depth: int
 
 
 class Exporter:
@@ -63,9 +64,14 @@
         self._more = anyio.Event()
         self.dropped = 0
 
-    def offer(self, plan: FetchPlan, namespace: Namespace) -> None:
-        """Queue the segments of a plan that were not offered lately."""
-        for segment in plan.segments:
+    def offer(
+        self, plan: FetchPlan, namespace: Namespace, *, depth: int
+    ) -> None:
+        """Queue the segments of a plan that were not offered lately.
+
+        The first of them is at a `depth` in its prompt.
+        """
+        for place, segment in enumerate(plan.segments, start=depth):
             if self._was_offered(plan.store, segment):
                 continue
             if len(self._queue) >= self._settings.export_queue:
@@ -73,7 +79,7 @@
                 continue
             self._remember(plan.store, segment)
             self._queue.append(
-                _Export(plan.store, plan.address, namespace, segment)
+                _Export(plan.store, plan.address, namespace, segment, place)
             )
         self._more.set()
 
@@ -124,7 +130,12 @@
         digest = digest_segment(data)
         await peer.send(
             SegmentWrite(
-                request, export.namespace, export.segment, len(data), digest
+                request,
+                export.namespace,
+                export.segment,
+                len(data),
+                digest,
+                depth=export.depth,
             )
         )
         async for answer in inbox:
--- a/src/oleanderdyke/agent/prepare.py
+++ b/src/oleanderdyke/agent/prepare.py
@@ -104,7 +104,8 @@
             return
         self._engine.note_used(dispatch.segments)
         if dispatch.keep is not None:
-            self._exporter.offer(dispatch.keep, dispatch.namespace)
+            depth = _find_depth(dispatch.segments, dispatch.keep.segments)
+            self._exporter.offer(dispatch.keep, dispatch.namespace, depth=depth)
 
     async def _fetch(
         self, run: Run, plan: FetchPlan, namespace: Namespace
@@ -153,6 +154,15 @@
     return len(segments) - segments.index(lost[0])
 
 
+def _find_depth(
+    segments: Sequence[SegmentId], kept: Sequence[SegmentId]
+) -> int:
+    """Return where in a prompt the segments to keep begin."""
+    if not kept or kept[0] not in segments:
+        return 0
+    return segments.index(kept[0])
+
+
 def _check_namespace(dispatch: Dispatch) -> Namespace:
     namespace = make_namespace(
         dispatch.team,
--- a/src/oleanderdyke/kernel/eviction.py
+++ b/src/oleanderdyke/kernel/eviction.py
@@ -24,9 +24,14 @@
 
 
 class _Candidate(NamedTuple):
-    """Rank an entry by its worth; of equals the oldest goes first."""
+    """Rank an entry by its worth; of equals the deepest goes first.
+
+    What lies behind a gap in a prompt is of no use. Of equally deep ones the
+    oldest goes first.
+    """
 
     worth: float
+    height: int
     generation: int
     place: int
     length: int
@@ -102,8 +107,13 @@
     def _weigh(self, places: Iterable[int], now: Millis) -> list[_Candidate]:
         found = []
         for place in places:
-            short, length, gap, generation = self._entries.read_worth(place)
-            if not self._pins.is_pinned(generation):
-                worth = self._keeper.worth(short, length, gap, now)
-                found.append(_Candidate(worth, generation, place, length))
+            read = self._entries.read_worth(place)
+            if self._pins.is_pinned(read.generation):
+                continue
+            worth = self._keeper.worth(read.short, read.length, read.gap, now)
+            found.append(
+                _Candidate(
+                    worth, -read.depth, read.generation, place, read.length
+                )
+            )
         return found
--- a/src/oleanderdyke/kernel/sealed_entries.py
+++ b/src/oleanderdyke/kernel/sealed_entries.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.blocks import HINT_BYTES, ID_BYTES, SegmentId
@@ -16,6 +17,8 @@
 
 _ODD_NAME = -1
 _NUMBER_DIGITS = 18
+_LENGTH_BITS = 48
+_LENGTH_MASK = (1 << _LENGTH_BITS) - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +29,16 @@
     generation: int
 
 
+class Weighed(NamedTuple):
+    """Hold what an entry's worth comes from and what breaks ties."""
+
+    short: SegmentHint
+    length: int
+    gap: Millis
+    depth: int
+    generation: int
+
+
 class SealedEntries:
     """Find entries by segment, and sample them without a scan.
 
@@ -38,7 +51,8 @@
         self._places = SegmentPlaces()
         self._segments = bytearray()
         self._digests = bytearray()
-        self._lengths = array('Q')
+        # Depths stand above the lengths, as one more column costs memory.
+        self._sizes = array('Q')
         self._gaps = array('d')
         self._generations = array('Q')
         self._spaces = array('I')
@@ -49,7 +63,7 @@
         self._odd_names: dict[SegmentId, str] = {}
 
     def __len__(self) -> int:
-        return len(self._lengths)
+        return len(self._sizes)
 
     def get(self, segment: SegmentId) -> SealedEntry | None:
         """Return the entry of a segment."""
@@ -63,9 +77,10 @@
             object_name=self._make_name(segment, place),
             namespace=self._known_spaces.get(self._spaces[place]),
             segment=segment,
-            length=self._lengths[place],
+            length=self._sizes[place] & _LENGTH_MASK,
             digest=self._cut(self._digests, place),
             gap=self._gaps[place],
+            depth=self._sizes[place] >> _LENGTH_BITS,
         )
         return SealedEntry(meta, self._generations[place])
 
@@ -73,13 +88,15 @@
         """Tell whether the entry of a generation is at a place."""
         return place < len(self) and self._generations[place] == generation
 
-    def read_worth(self, place: int) -> tuple[SegmentHint, int, Millis, int]:
-        """Return the hint, length, gap and generation at a place."""
+    def read_worth(self, place: int) -> Weighed:
+        """Return what decides about the entry at a place."""
         start = place * ID_BYTES
-        return (
+        size = self._sizes[place]
+        return Weighed(
             bytes(self._segments[start : start + HINT_BYTES]),
-            self._lengths[place],
+            size & _LENGTH_MASK,
             self._gaps[place],
+            size >> _LENGTH_BITS,
             self._generations[place],
         )
 
@@ -96,7 +113,7 @@
             self._odd_names[meta.segment] = meta.object_name
         self._segments += meta.segment
         self._digests += meta.digest
-        self._lengths.append(meta.length)
+        self._sizes.append(meta.depth << _LENGTH_BITS | meta.length)
         self._gaps.append(meta.gap)
         self._generations.append(entry.generation)
         self._spaces.append(self._known_spaces.take(meta.namespace))
@@ -147,7 +164,7 @@
         self._gaps[place] = self._gaps[last]
         self._gaps.pop()
         for column in (
-            self._lengths,
+            self._sizes,
             self._generations,
             self._spaces,
             self._origins,
--- a/src/oleanderdyke/kernel/store_index.py
+++ b/src/oleanderdyke/kernel/store_index.py
@@ -15,6 +15,7 @@
 from oleanderdyke.kernel.segment_log import SegmentLog
 from oleanderdyke.kernel.segment_write import OpenWrite
 from oleanderdyke.kernel.store_meta import (
+    MAX_DEPTH,
     META_SUFFIX,
     SealedMeta,
     decode_meta,
@@ -289,6 +290,7 @@
             length=write.length,
             digest=write.digest,
             gap=write.expected_gap,
+            depth=max(0, min(write.depth, MAX_DEPTH)),
         )
 
     def _drop_write(
--- a/src/oleanderdyke/kernel/store_meta.py
+++ b/src/oleanderdyke/kernel/store_meta.py
@@ -13,9 +13,13 @@
 from oleanderdyke.kernel.blocks import Namespace, SegmentId
 
 META_SUFFIX = '.meta'
-_META_VERSION = 1
+_META_VERSION = 2
+# Records of the first form lack the depth at their end.
+_FIRST_VERSION = 1
 _CHECK_BYTES = 32
-_FIELD_TYPES = (int, str, bytes, bytes, int, bytes, float)
+_FIELD_TYPES = (int, str, bytes, bytes, int, bytes, float, int)
+# Segments that are deeper in a prompt are equals.
+MAX_DEPTH = 65_535
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +32,7 @@
     length: int
     digest: bytes
     gap: Millis = 0.0
+    depth: int = 0
 
 
 def encode_meta(meta: SealedMeta) -> bytes:
@@ -41,6 +46,7 @@
             meta.length,
             meta.digest,
             float(meta.gap),
+            meta.depth,
         ]
     )
     return _check(body) + body
@@ -52,6 +58,8 @@
     if not hmac.compare_digest(check, _check(body)):
         return None
     fields: object = cbor2.loads(body)
+    if isinstance(fields, list) and fields[:1] == [_FIRST_VERSION]:
+        fields = [_META_VERSION, *fields[1:], 0]
     if not _is_record(fields):
         return None
     return SealedMeta(*fields[1:])
@@ -63,10 +71,12 @@
 
 def _is_record(
     fields: object,
-) -> TypeGuard[tuple[int, str, bytes, bytes, int, bytes, float]]:
+) -> TypeGuard[tuple[int, str, bytes, bytes, int, bytes, float, int]]:
     if not isinstance(fields, list) or len(fields) != len(_FIELD_TYPES):
         return False
     if fields[0] != _META_VERSION:
         return False
     pairs = zip(fields, _FIELD_TYPES, strict=True)
-    return all(type(value) is wanted for value, wanted in pairs)
+    if not all(type(value) is wanted for value, wanted in pairs):
+        return False
+    return bool(0 <= fields[-1] <= MAX_DEPTH)
--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages.py
@@ -412,7 +412,8 @@
     """Offer a segment to a store's agent.
 
     The agent answers `SegmentWanted`, on which the parts follow as
-    `SegmentPart`, or `SegmentWritten`.
+    `SegmentPart`, or `SegmentWritten`. `depth` counts the segments that go
+    before this one in its prompt.
     """
 
     request: str
@@ -421,6 +422,7 @@
     length: int
     digest: bytes
     expected_gap: Millis = 0.0
+    depth: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_prepare.py
+++ b/tests/test_prepare.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from agents import wait_until
 from oleanderdyke.agent.body import RequestBody
 from oleanderdyke.agent.fetch import Fetched
 from oleanderdyke.agent.prepare import EnginePreparer
@@ -16,6 +17,7 @@
 from oleanderdyke.kernel.gate import Loaded
 from oleanderdyke.kernel.routing import BACKGROUND_LAST, LONG_NEXT, SHORT_FIRST
 from oleanderdyke.links.messages import BodyChunk, Dispatch, FetchPlan
+from test_fetch import BODY, site
 from test_gate import make_dispatch
 
 pytestmark = pytest.mark.anyio
@@ -80,3 +82,17 @@
 ) -> None:
     dispatch = make_dispatch(segments=SEGMENTS, **changes)
     assert await prepare(dispatch, whole) == priority
+
+
+@pytest.mark.parametrize('first', [0, 2])
+async def test_store_learns_where_in_a_prompt_a_segment_is(first: int) -> None:
+    async with site() as place:
+        chat, plan = place.make_chat(0, 'r')
+        segments = plan.segments[first:]
+        keep = replace(plan, segments=segments)
+        await place.entries[0].call(replace(chat, keep=keep), BODY)
+        await wait_until(lambda: len(place.store.objects) == 2 * len(segments))
+        entries = place.keeper._role._store._index._entries
+        await wait_until(lambda: len(entries) == len(segments))
+        depths = [entries.get(each).meta.depth for each in segments]
+        assert depths == list(range(first, len(plan.segments)))
--- a/tests/test_store_index.py
+++ b/tests/test_store_index.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
+import hashlib
 import itertools
 from collections import Counter
 from dataclasses import replace
 from random import Random
 
+import cbor2
 import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
@@ -17,6 +19,7 @@
 from oleanderdyke.kernel.segment_write import OpenWrite
 from oleanderdyke.kernel.store_index import StoreIndex, StoreLimits
 from oleanderdyke.kernel.store_meta import (
+    MAX_DEPTH,
     META_SUFFIX,
     SealedMeta,
     decode_meta,
@@ -63,9 +66,10 @@
     return bytes([number]) * 32
 
 
-def make_write(request, number, data, space=SPACES[0], gap=0.0):
+def make_write(request, number, data, space=SPACES[0], gap=0.0, depth=0):
+    digest = digest_segment(data)
     return SegmentWrite(
-        request, space, make_id(number), len(data), digest_segment(data), gap
+        request, space, make_id(number), len(data), digest, gap, depth
     )
 
 
@@ -248,6 +252,30 @@
     assert index.used_bytes <= LIMITS.capacity_bytes
 
 
+def test_of_equal_worth_the_end_of_a_prompt_goes_first():
+    index = make_index()
+    for number in range(4):
+        store(index, number, depth=number)
+    for number in (8, 9):
+        assert isinstance(store(index, number, gap=-1.0), WriteSealed)
+    held = {number for number in range(10) if is_shown(index, number)}
+    assert held == {0, 1, 8, 9}
+
+
+@pytest.mark.parametrize(
+    ('depth', 'known'), [(-1, 0), (7, 7), (2**70, MAX_DEPTH)]
+)
+def test_the_depth_of_a_segment_outlives_a_restart(depth, known):
+    write = replace(make_write('w', 1, b'12345678'), depth=depth)
+    index = make_index()
+    index.begin(write, 0)
+    for part in make_parts(write, b'12345678'):
+        outcome = index.add_part(part, 0)
+    later = make_index(incarnation='i2')
+    assert later.readmit(outcome.meta_name, outcome.meta, SIZE, 0)
+    assert decode_meta(outcome.meta).depth == known
+
+
 @pytest.mark.parametrize('length', [0, 4 * SIZE + 1])
 def test_a_length_that_never_fits_is_refused(length):
     write = replace(make_write('w', 1, b''), length=length)
@@ -298,9 +326,17 @@
     meta = decode_meta(record.meta)
     assert meta is not None
     assert decode_meta(encode_meta(replace(meta, length='8'))) is None
+    assert decode_meta(encode_meta(replace(meta, depth=-1))) is None
     assert encode_meta(meta) == record.meta
 
 
+def test_a_record_without_a_depth_is_read():
+    fields = [1, 'o', SPACES[0], make_id(1), 8, make_id(2), 5.0]
+    body = cbor2.dumps(fields)
+    check = hashlib.blake2b(body, digest_size=32).digest()
+    assert decode_meta(check + body) == SealedMeta(*fields[1:], depth=0)
+
+
 def make_entry(random, number):
     # Some ids share their hint, and some names were made by nobody here.
     segment = bytes([random.randrange(4)]) * HINT_BYTES + random.randbytes(24)
@@ -314,6 +350,7 @@
         random.randrange(1, 2**40),
         random.randbytes(32),
         random.random(),
+        random.randrange(MAX_DEPTH + 1),
     )
     return SealedEntry(meta, number)
 
