Keep replicas in the order of their names

Cause: each heartbeat put its agent behind the others, so that every entry saw another order, which changed with every beat. Ruled out: sorting at each read, which costs time for each request. Change: a heartbeat leaves an agent at its place; who comes or comes back is sorted in. Before and after: the new test fails at the former state and passes now. Conclusion: Fleet.replicas now promises the order.

--- a/src/oleanderdyke/kernel/demand.py
+++ b/src/oleanderdyke/kernel/demand.py
@@ -64,7 +64,7 @@
     """Answer what an entry knows about the agents; all of it may be stale."""
 
     def replicas(self, service: str) -> Sequence[Replica]:
-        """Return the serving agents of a service."""
+        """Return the serving agents of a service, in the order of names."""
 
     def stores(self, service: str) -> Sequence[Replica]:
         """Return the serving agents of the stores a service selects."""
--- a/src/oleanderdyke/kernel/membership.py
+++ b/src/oleanderdyke/kernel/membership.py
@@ -177,7 +177,7 @@
         self._directory.sweep()
 
     def replicas(self, service: str) -> Sequence[Replica]:
-        """Return the serving agents of a service.
+        """Return the serving agents of a service, in the order of names.
 
         Suspected ones are only there where nobody else is.
         """
@@ -223,11 +223,19 @@
 
     def _place(self, view: AgentView) -> None:
         replica = view.replica
+        serving = replica.phase is AgentPhase.SERVING
+        place = _find_place(view)
+        group = self._placed.get(place, {})
+        if serving and replica.agent in group:
+            # It keeps its place, as heartbeats must not change the order.
+            group[replica.agent] = replica
+            self._agents[replica.agent] = view
+            return
         self._unplace(replica.agent)
         self._agents[replica.agent] = view
-        if replica.phase is AgentPhase.SERVING:
-            group = self._placed.setdefault(_find_place(view), {})
-            group[replica.agent] = replica
+        if serving:
+            grown = self._placed.get(place, {}) | {replica.agent: replica}
+            self._placed[place] = dict(sorted(grown.items()))
 
     def _unplace(self, agent: str) -> None:
         view = self._agents.get(agent)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -86,6 +86,22 @@
     assert fleet.find_view('a').offset == 5
 
 
+def test_replicas_stand_in_the_order_of_names_whoever_spoke_last():
+    fleet = make_fleet(silent=True)
+    for name in 'cab':
+        fleet.on_hello(make_hello(name, name), f'{name}:1', 0)
+        fleet.on_heartbeat(name, make_beat(0, name), 1)
+    assert list_agents(fleet) == ['a', 'b', 'c']
+    for sequence, name in enumerate('abca', start=1):
+        fleet.on_heartbeat(name, make_beat(sequence, name, running=7), 2)
+        assert list_agents(fleet) == ['a', 'b', 'c']
+    assert [each.load.running for each in fleet.replicas('desk')] == [7] * 3
+    fleet.on_link_down('b', 'b')
+    assert list_agents(fleet) == ['a', 'c']
+    fleet.on_heartbeat('b', make_beat(9, 'b'), 3)
+    assert list_agents(fleet) == ['a', 'b', 'c']
+
+
 def test_late_and_repeated_heartbeats_are_ignored():
     fleet = make_fleet()
     assert fleet.on_heartbeat('a', make_beat(5, running=5), 1)
