Tell each entry how many entries there are

Cause: policies.entries stood at its default of 3 whatever the deployment was, and 0 ended in a division by zero. Ruled out: deriving it from the list of VMs, which names agents only. Change: it stays a setting. Conclusion: an operator sets it; no process checks it against the real number.

--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -144,6 +144,7 @@
         *_find_http_faults(settings.http),
         *_find_operator_faults(settings.operators),
         *_find_log_faults(settings.log),
+        *_find_policy_faults(settings.policies),
     )
 
 
@@ -169,6 +170,11 @@
         yield f'log.retention: found {log.retention}; allowed: above 0'
 
 
+def _find_policy_faults(policies: PolicySettings) -> Iterator[str]:
+    if policies.entries < 1:
+        yield f'policies.entries: found {policies.entries}; allowed: above 0'
+
+
 def _find_operator_faults(
     operators: tuple[OperatorSettings, ...],
 ) -> Iterator[str]:
--- a/src/oleanderdyke/policies/settings.py
+++ b/src/oleanderdyke/policies/settings.py
@@ -14,6 +14,7 @@
 
     `w_ttft` is a cost for each millisecond, `w_recompute` for each token,
     `w_link` for each byte. Rates stand in until reports have shown others.
+    `entries` is the number of entries of the deployment, which no list tells.
     """
 
     w_ttft: float = 1.0
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -326,6 +326,7 @@
             'http': {'port': port},
             'log': {'address': self.platform['log']},
             'vms': {'address': self.platform['vms']},
+            'policies': {'entries': self._entry_count},
         }
         path = self._write_settings(name, 'entry.yaml', settings, 'entry')
         child = self._make_child(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -18,6 +18,7 @@
     show_settings,
     structure_document,
 )
+from tests.deployment import Deployment, load_layout
 from tests.processes import ROOT
 
 _CORPUS = sorted((ROOT / 'tests/corpus/settings').iterdir())
@@ -176,3 +177,30 @@
         "f: kind: found 'modell'; allowed: one of model, plain",
         "f: methods: found 'GET'; allowed: a list",
     }
+
+
+def test_an_entry_is_told_of_one_entry_at_least() -> None:
+    text = '\n'.join(_LINES)
+    assert 'entries: 3' in text
+    faults = _find_read_faults(text.replace('entries: 3', 'entries: 0'))
+    assert len(faults) == 1
+    assert faults[0].endswith('policies.entries: found 0; allowed: above 0')
+
+
+@pytest.mark.parametrize('name', ['agency', 'council'])
+@pytest.mark.parametrize('count', [1, 4])
+def test_entries_of_a_deployment_are_told_their_number(
+    name: str, count: int, tmp_path: Path
+) -> None:
+    deployment = Deployment(load_layout(name), tmp_path, entries=count)
+    deployment.platform = {'log': '127.0.0.1:1', 'vms': '127.0.0.1:2'}
+    try:
+        for number in range(count):
+            deployment._add_entry(number)
+    finally:
+        deployment.close()
+    texts = [path.read_text() for path in tmp_path.glob('entry-*.yaml')]
+    assert len(texts) == count
+    for text in texts:
+        found = parse_settings(text, EntrySettings, 'a.yaml', {})
+        assert found.policies.entries == count
