Let a request whose run was lost wait for a replica

Cause: traces of tests/test_poison.py show innocents that lost their server refused with no_replica, since the others were excluded (one had only been busy with a suspect) and the third had crashed, though two served again. Others spent their tries on refusals before the crash. One got the 503 of the process that had replaced a crashed engine within milliseconds. Ruled out: weights still loading as the only cause; waiting for requests of which no run was lost, which keep their answer at once. Change: after NO_REPLICA such a request asks again with jittered waits, with nobody excluded, within requests.replica_wait (5 s) in all and at no further retry; a crash starts its count of tries anew; a 503 just after the server's process ended is a lost run. New requests may still be refused as not run meanwhile.

--- a/src/oleanderdyke/agent/failures.py
+++ b/src/oleanderdyke/agent/failures.py
@@ -10,6 +10,17 @@
 from oleanderdyke.links.messages import Failed
 from oleanderdyke.platform.http import HttpError
 
+_UNAVAILABLE = 503
+
+
+def check_replaced(status: int, *, ended: bool) -> None:
+    """Raise HttpError for the refusal of a process that replaced an ended one.
+
+    The run was meant for the ended one, whose weights it doesn't have yet.
+    """
+    if ended and status == _UNAVAILABLE:
+        raise HttpError('the backend server was replaced', ran=Ran.MAYBE)
+
 
 def find_ran(run: Run, error: OleanderError) -> Ran:
     """Tell whether a failed run may have had an effect."""
--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -25,6 +25,9 @@
 class Delivery(Protocol):
     """Hand messages to whoever reads a stream."""
 
+    def check(self, status: int) -> None:
+        """Raise HttpError where the server that answers isn't the one asked."""
+
     def attach(self, run: Run, buffer: StreamBuffer) -> None:
         """Note the reader of a new stream."""
 
@@ -71,6 +74,7 @@
             prepared.headers,
             prepared.body,
         ) as answer:
+            self._delivery.check(answer.status)
             self._open(run, answer)
             async for data in answer.body:
                 for piece in self._split(data):
--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -11,6 +11,7 @@
 from oleanderdyke.agent.body import RequestBody
 from oleanderdyke.agent.failures import (
     address,
+    check_replaced,
     find_ran,
     make_broken,
     make_gone,
@@ -68,6 +69,7 @@
         events: EventLog,
         ledger: WorkLedger,
         judge_loss: Callable[[], Awaitable[Ending]],
+        has_ended: Callable[[], bool],
         tell_suspects: Callable[[], None],
     ) -> None:
         self._gate = gate
@@ -80,6 +82,7 @@
         self._events = events
         self._ledger = ledger
         self._judge_loss = judge_loss
+        self._has_ended = has_ended
         self._tell_suspects = tell_suspects
         self._forwarder: Forwarder | None = None
         self._runs: dict[RunKey, Run] = {}
@@ -232,6 +235,10 @@
         while any(not run.started for run in self._runs.values()):
             await self._progress.wait()
 
+    def check(self, status: int) -> None:
+        """Raise HttpError for the refusal of a server that was replaced."""
+        check_replaced(status, ended=self._has_ended())
+
     def attach(self, run: Run, buffer: StreamBuffer) -> None:
         """Note the reader of a new stream; its link may be gone by now."""
         self._streaming[buffer] = run
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -124,6 +124,7 @@
             events=events,
             ledger=self._departure,
             judge_loss=self._judge_loss,
+            has_ended=self._watch.has_ended,
             tell_suspects=lambda: self._beats.send(),  # noqa: PLW0108 - made later
         )
         self._role = self._make_role(random, client_tls)
--- a/src/oleanderdyke/agent/watch.py
+++ b/src/oleanderdyke/agent/watch.py
@@ -46,12 +46,19 @@
             await self._hold()
             await anyio.sleep(self._settings.probe_interval / SECOND)
 
+    def has_ended(self) -> bool:
+        """Tell whether the process ended just now."""
+        ended_at = self._ended_at
+        return ended_at is not None and (
+            self._clock.now() - ended_at <= _SETTLE
+        )
+
     async def judge(self) -> Ending:
         """Tell, once a run's connection broke, whether the process ended."""
-        if self._held is not None and not self._ended_lately():
+        if self._held is not None and not self.has_ended():
             with anyio.move_on_after(_SETTLE / SECOND):
                 await self._changed.wait()
-        if self._ended_lately():
+        if self.has_ended():
             return Ending.ENDED
         return Ending.UNKNOWN if self._held is None else Ending.LIVES
 
@@ -81,12 +88,6 @@
         except (OSError, TimeoutError):
             return None
 
-    def _ended_lately(self) -> bool:
-        ended_at = self._ended_at
-        return ended_at is not None and (
-            self._clock.now() - ended_at <= _SETTLE
-        )
-
 
 async def _wait_end(stream: SocketStream) -> None:
     try:
--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -181,6 +181,7 @@
         machine=MachineSettings(
             claim_wait=settings.claims.wait,
             max_attempts=settings.requests.attempts,
+            replica_wait=settings.requests.replica_wait,
         ),
     )
 
--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -82,9 +82,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSettings:
-    """Bound what one request may take; sizes are bytes or chunks."""
+    """Bound what one request may take; sizes are bytes or chunks.
+
+    `replica_wait` bounds how long one whose run was lost waits for a replica.
+    """
 
     attempts: int = 3
+    replica_wait: Millis = 5 * SECOND
     credit: int = 32
     deadline: Millis = 60 * SECOND
     queue_period: Millis = 20.0
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -35,6 +35,7 @@
     {ErrorKind.DEADLINE, ErrorKind.STOPPING, ErrorKind.BACKEND_FAILED}
 )
 _ALONE_DELAY: Millis = 250.0
+_REPLICA_DELAY: Millis = 250.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,13 +65,18 @@
 
 @dataclass(frozen=True, slots=True)
 class MachineSettings:
-    """Bound the waits and tries of one request."""
+    """Bound the waits and tries of one request.
+
+    `replica_wait` bounds, over all its tries, how long a request whose run was
+    lost waits for a serving replica.
+    """
 
     claim_wait: Millis = 2 * SECOND
     receipt_wait: Millis = 1 * SECOND
     ask_wait: Millis = 1 * SECOND
     poll_wait: Millis = 250.0
     linger: Millis = 60 * SECOND
+    replica_wait: Millis = 5 * SECOND
     max_attempts: int = 4
     max_claims: int = 6
     max_asks: int = 4
@@ -112,6 +118,8 @@
         self._crashes = 0
         self._alone = facts.suspect
         self._alone_tries = 0
+        self._replica_waits = 0
+        self._replica_waited: Millis = 0.0
         self._head_delivered = False
         self._detached = False
         self._stopping = False
@@ -214,6 +222,28 @@
             return self._refuse(ErrorKind.OVERLOADED, retry_after)
         return self._wait((retry_after or _ALONE_DELAY) + self._budget.delay(1))
 
+    def _may_await_replica(self) -> bool:
+        """Tell whether a lost run may still find a replica that comes back."""
+        return (
+            self._known_ran is not Ran.NO
+            and self._replica_waited < self._settings.replica_wait
+            and not self._detached
+            and not self._stopping
+        )
+
+    def _await_replica(self) -> Actions:
+        """Ask for a route again later, also to those that failed before.
+
+        The retry was paid for when it was decided on.
+        """
+        self._excluded = frozenset()
+        self._replica_waits += 1
+        delay = _REPLICA_DELAY + self._budget.delay(self._replica_waits)
+        left = self._settings.replica_wait - self._replica_waited
+        delay = min(delay, left)
+        self._replica_waited += delay
+        return self._wait(delay)
+
     def _wait(self, delay: Millis) -> Actions:
         self._stage = Stage.WAITING
         return (self._start_timer(TimerKind.RETRY, delay),)
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -106,6 +106,8 @@
         if self._stage is not Stage.ROUTING:
             return ()
         refusal = event.refusal
+        if refusal.kind is ErrorKind.NO_REPLICA and self._may_await_replica():
+            return self._await_replica()
         return self._refuse(refusal.kind, refusal.retry_after, refusal.reason)
 
     # --- the answer ---
@@ -197,6 +199,8 @@
             return self._refuse(ErrorKind.QUARANTINED)
         self._crashes += 1
         self._alone = True
+        # What was refused before the crash must not cost the run alone.
+        self._retries = 0
         return self._retry(kind)
 
     def _exclude_current(self) -> None:
--- a/tests/matrix/agent.py
+++ b/tests/matrix/agent.py
@@ -120,6 +120,7 @@
             events=_NULL,
             ledger=self.departure,
             judge_loss=_NULL,
+            has_ended=_NULL,
             tell_suspects=self._tell_suspects,
         )
         self.runs.model = self
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -181,10 +181,55 @@
     assert case.refusal() == (failure.kind, failure.ran)
 
 
-def test_idempotent_attempt_is_sent_again_and_stays_maybe():
+NO_REPLICA = ev.NoRoute(Refusal(ErrorKind.NO_REPLICA, '', 5.0))
+
+
+def test_lost_run_waits_for_a_replica_and_is_sent_again():
     case = make_run(idempotent=True).on(ev.LinkLost('agent-1', 'i1')).fire()
-    case.on(ev.NoRoute(Refusal(ErrorKind.NO_REPLICA, '', 5.0)))
+    assert case.find(ev.Route).exclude == {'agent-1'}
+    # The server that was lost counts again when no other serves.
+    case.on(NO_REPLICA).fire()
+    assert case.find(ev.Route).exclude == frozenset()
+    case.route('agent-1', 'i2')
+    assert case.find(ev.SendDispatch).attempt == 2
+    case.head().end()
+    assert isinstance(case.actions[0], ev.DeliverEnd)
+
+
+def test_wait_for_a_replica_is_bounded_and_costs_no_further_retry():
+    case = make_run(idempotent=True, burst=1.0, replica_wait=2_000.0)
+    case.on(ev.LinkLost('agent-1', 'i1')).fire()
+    waits = []
+    while not case.on(NO_REPLICA).machine.done:
+        waits.append(case.find(ev.StartTimer).delay)
+        case.fire()
+    assert sum(waits) == pytest.approx(2_000.0)
+    assert 2 <= len(waits) <= 8
     assert case.refusal() == (ErrorKind.NO_REPLICA, Ran.MAYBE)
+    assert case.find(ev.Refuse).retry_after == 5.0
+
+
+@pytest.mark.parametrize(
+    'event', [ev.DeadlinePassed(), ev.Stopping(), ev.CallerGone()]
+)
+def test_wait_for_a_replica_ends_early(event):
+    case = make_run(idempotent=True).on(ev.LinkLost('agent-1', 'i1')).fire()
+    case.on(NO_REPLICA).on(event)
+    assert case.machine.done
+
+
+def test_request_that_lost_no_run_does_not_wait_for_a_replica():
+    case = Case(idempotent=True).on(NO_REPLICA)
+    assert case.refusal() == (ErrorKind.NO_REPLICA, Ran.NO)
+    case = make_run(idempotent=True).fail(ErrorKind.OVERLOADED, Ran.NO).fire()
+    case.on(NO_REPLICA)
+    assert case.refusal() == (ErrorKind.NO_REPLICA, Ran.NO)
+
+
+def test_other_refusals_of_the_router_are_final():
+    case = make_run(idempotent=True).on(ev.LinkLost('agent-1', 'i1')).fire()
+    case.on(ev.NoRoute(Refusal(ErrorKind.OVERLOADED, '', 5.0)))
+    assert case.refusal() == (ErrorKind.OVERLOADED, Ran.MAYBE)
 
 
 def test_retries_end_with_the_budget_at_once():
@@ -193,6 +238,25 @@
     assert case.refusal() == (ErrorKind.BACKEND_LOST, Ran.MAYBE)
 
 
+def test_refusals_before_a_crash_do_not_cost_the_run_alone():
+    case = make_run(idempotent=True, max_attempts=3)
+    for agent in ('agent-2', 'agent-3'):
+        case.fail(ErrorKind.OVERLOADED, Ran.NO).fire().route(agent)
+    case.fail(ErrorKind.BACKEND_LOST, Ran.MAYBE).fire().route('agent-4')
+    assert case.find(ev.SendDispatch).alone
+    case.fail(ErrorKind.BACKEND_LOST, Ran.MAYBE)
+    assert case.refusal() == (ErrorKind.QUARANTINED, Ran.MAYBE)
+
+
+@pytest.mark.parametrize(
+    'changes', [{'max_attempts': 1}, {'burst': 0.5}], ids=str
+)
+def test_crash_is_no_reason_to_exceed_the_settings(changes):
+    case = make_run(idempotent=True, **changes)
+    case.fail(ErrorKind.BACKEND_LOST, Ran.MAYBE)
+    assert case.refusal() == (ErrorKind.BACKEND_LOST, Ran.MAYBE)
+
+
 def test_retries_end_with_the_attempts():
     case = Case(max_attempts=3)
     for agent in ('agent-1', 'agent-2'):
