Believe an agent's full list against own expectations

Cause: where removals were lost in a gap, an entry went on counting on context that it had sent, until seconds later the expectation expired; only removals that were told overrode it. Ruled out: dropping also what is under way, which no list can hold yet. Change: the router learns of a full list and drops what it expected of that agent, was ready, and is not listed. What a long list brings in later messages is counted from the directory as before. Before and after: without the call, or with what is under way dropped too, a new test fails; with the change they pass. Conclusion: a full list now does what removals do.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -76,6 +76,9 @@
     def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
         """Learn nothing."""
 
+    def note_listed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn nothing."""
+
     def _pick(
         self,
         demand: Demand,
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -90,6 +90,9 @@
     def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
         """Learn nothing."""
 
+    def note_listed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn nothing."""
+
     def _weigh(self, demand: Demand, replica: Replica) -> tuple[Source, Plan]:
         world = self._world
         agent = world.agents[replica.agent]
--- a/src/oleanderdyke/entry/agents.py
+++ b/src/oleanderdyke/entry/agents.py
@@ -172,6 +172,8 @@
         request = core.fleet.on_segments(
             peer.process, peer.incarnation, events, core.clock.now()
         )
+        if events.full:
+            core.router.note_listed(peer.process, events.added)
         core.router.note_removed(peer.process, events.removed)
         if request is not None:
             core.log.write(EventName.SEGMENT_EVENTS_LOST, agent=peer.process)
--- a/src/oleanderdyke/kernel/demand.py
+++ b/src/oleanderdyke/kernel/demand.py
@@ -136,6 +136,12 @@
     def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
         """Learn that an agent told of segments that it lost."""
 
+    def note_listed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn that an agent began to list anew what it holds.
+
+        What a long list lacks at first comes as further segment events.
+        """
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
--- a/src/oleanderdyke/policies/routing.py
+++ b/src/oleanderdyke/policies/routing.py
@@ -122,6 +122,10 @@
         """Stop counting on what an agent no longer holds."""
         self._soon.note_removed(agent, segments)
 
+    def note_listed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Stop counting on what an agent doesn't list."""
+        self._soon.note_listed(agent, segments)
+
     def _weigh(
         self,
         demand: Demand,
@@ -222,6 +226,9 @@
     def note_removed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
         """Learn nothing."""
 
+    def note_listed(self, agent: str, segments: Sequence[SegmentHint]) -> None:
+        """Learn nothing."""
+
     def _count(self, replica: Replica) -> int:
         reported = replica.load.running + replica.load.waiting
         return max(reported, self._backlog.count_outstanding(replica.agent))
--- a/src/oleanderdyke/policies/sources.py
+++ b/src/oleanderdyke/policies/sources.py
@@ -97,6 +97,18 @@
             if not agents:
                 del self._agents[segment]
 
+    def note_listed(self, agent: str, segments: Iterable[SegmentHint]) -> None:
+        """Believe an agent's full list, but wait for what is under way."""
+        listed = set(segments)
+        lost = [
+            segment
+            for request, coming in self._coming.items()
+            if coming.done and coming.agent == agent
+            for segment in coming.segments
+            if segment not in listed and self._names(segment, agent, request)
+        ]
+        self.note_removed(agent, lost)
+
     def holders(self, segment: SegmentHint) -> Iterable[str]:
         """Return the agents that will hold a segment soon."""
         return self._agents.get(segment, ())
@@ -135,6 +147,9 @@
             self._drop(request)
         self._holed.clear()
 
+    def _names(self, segment: SegmentHint, agent: str, request: str) -> bool:
+        return self._agents.get(segment, {}).get(agent) == request
+
     def _drop(self, request: str) -> None:
         coming = self._coming.pop(request)
         for segment in coming.segments:
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -60,6 +60,43 @@
     assert table.extend('a', SEGMENTS, 0, 6_000.0) == Reach(0)
 
 
+def test_full_list_overrides_all_but_what_is_under_way() -> None:
+    table = SoonTable(limit=1_000)
+    for request, agent in (('r', 'a'), ('q', 'b')):
+        demand = Demand(request, 't', 's', deadline=1_000, segments=SEGMENTS)
+        table.note_sent(demand, Plan(agent, 'test'), 0.0)
+    table.note_listed('a', ())
+    assert table.extend('a', SEGMENTS, 0, 40.0).cached == 3
+    for request in 'rq':
+        table.note_ready(request, 50.0)
+    table.note_listed('a', SEGMENTS[:1])
+    assert table.extend('a', SEGMENTS, 0, 60.0) == Reach(1)
+    assert table.extend('b', SEGMENTS, 0, 60.0) == Reach(3)
+    # What another dispatch is bringing again is not lost.
+    again = Demand('s', 't', 's', deadline=1_000, segments=SEGMENTS)
+    table.note_sent(again, Plan('a', 'test', cached=1), 70.0)
+    table.note_listed('a', SEGMENTS[:1])
+    assert table.extend('a', SEGMENTS, 1, 80.0).cached == 3
+
+
+@pytest.mark.parametrize(('full', 'cached'), [(True, 1), (False, 3)])
+async def test_entry_passes_on_what_a_full_list_lacks(
+    *, full: bool, cached: int
+) -> None:
+    edge = Edge()
+    link: Any = edge.add_agent(MODEL, BackendKind.ENGINE)
+    agents = AgentLinks(edge.core, ConfigurationFeed(edge.core, edge.log))  # type: ignore[arg-type] # a fake log
+    demand = Demand('r', 't', MODEL, deadline=1_000, segments=SEGMENTS)
+    router, now = edge.core.router, edge.core.clock.now()
+    router.note_sent(demand, Plan(link.peer.process, 'test'), now)
+    router.note_first_token('r', now)
+    events = SegmentEvents(0, added=SEGMENTS[:1], full=full)
+    await agents.on_message(link, events)
+    plan = router.choose(demand, edge.core.fleet, now, edge.core.random)
+    assert isinstance(plan, Plan)
+    assert plan.cached == cached
+
+
 async def test_entry_passes_on_what_an_agent_lost() -> None:
     edge = Edge()
     link: Any = edge.add_agent(MODEL, BackendKind.ENGINE)
