Wait until a kept segment is told before its loss is

Cause: a trace shows that the segment was evicted in the same beat as it was kept; such a pair of changes is never told, since no entry knows of it. The test waited for the loss alone. Ruled out: the fetch path; in the failing runs the answer had come already. Change: the test waits for the news of the segment first, then as before for the news of its loss. Conclusion: the product does what it should; the test left out a condition.

--- a/tests/test_fetch.py
+++ b/tests/test_fetch.py
@@ -80,6 +80,15 @@
         return outcome.end
 
 
+def list_told(watcher: FakeEntry, change: str) -> list[bytes]:
+    return [
+        segment
+        for each in watcher.messages
+        if isinstance(each, SegmentEvents)
+        for segment in getattr(each, change)
+    ]
+
+
 @contextlib.asynccontextmanager
 async def site(
     *,
@@ -188,6 +197,10 @@
         await place.keep()
         _, plan = place.make_chat(1, 'x')
         gone = plan.segments[2]
+        # What goes before it was told is never told, as nobody knows of it.
+        await wait_until(
+            lambda: hint(gone) in list_told(place.watcher, 'added')
+        )
         if how == 'evicted':
             place.keeper._role._store._index.free(gone)
         else:
@@ -197,11 +210,7 @@
         end = await place.ask('r', plan)
         assert end.recomputed_tokens == TOKENS - 2 * cache.SEGMENT_TOKENS
         await wait_until(
-            lambda: any(
-                hint(gone) in each.removed
-                for each in place.watcher.messages
-                if isinstance(each, SegmentEvents)
-            )
+            lambda: hint(gone) in list_told(place.watcher, 'removed')
         )
 
 
