Load the Prometheus client at the first scrape

Cause: an idle entry held the client library and the web server modules it imports, though only /metrics needs them. Change: exposition.py renders; metrics.py keeps and lists what was taken. A process that is scraped has the library again from then on.

--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -4,18 +4,10 @@
 
 import enum
 from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
 from typing import TypeVar
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client.core import (
-    CollectorRegistry,
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    SummaryMetricFamily,
-)
-from prometheus_client.exposition import generate_latest
-from prometheus_client.metrics_core import Metric
-from prometheus_client.registry import Collector
 
 from oleanderdyke.clock import Millis
 
@@ -23,7 +15,6 @@
 _LOWEST_MICROS = 1
 _HIGHEST_MICROS = 3_600_000_000
 _DIGITS = 2
-_QUANTILES = (50.0, 95.0, 99.0)
 _LABEL_BOUND = 200
 _OTHER = 'other'
 
@@ -67,6 +58,15 @@
     READY = 'ready'
 
 
+@dataclass(frozen=True, slots=True)
+class TimingSummary:
+    """Sum up the durations of one timing under one label."""
+
+    label: str
+    count: int
+    total: Millis
+
+
 class Metrics:
     """Hold the histograms, counters and gauges of one process.
 
@@ -123,57 +123,32 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(_Families(self))
-        return generate_latest(registry)
-
-    def collect(self) -> Iterator[Metric]:
-        """Yield the metric families."""
-        for timing in Timing:
-            yield from self._collect_timing(timing)
-        for count in Count:
-            yield self._collect_count(count)
-        for gauge in Gauge:
-            yield self._collect_gauge(gauge)
-
-    def _collect_timing(self, timing: Timing) -> Iterator[Metric]:
-        name = f'oleander_{timing}_milliseconds'
-        quantiles = GaugeMetricFamily(
-            f'{name}_quantile',
-            f'Quantiles of {timing}.',
-            labels=['label', 'quantile'],
-        )
-        summary = SummaryMetricFamily(
-            name, f'Durations of {timing}.', labels=['label']
-        )
+        # The client library costs 2 MiB, which an idle process does without.
+        from oleanderdyke import exposition  # noqa: PLC0415 - see above
+
+        return exposition.render_metrics(self)
+
+    def list_timings(self, timing: Timing) -> Iterator[TimingSummary]:
+        """Yield what was taken of a timing."""
         for (known, label), histogram in self._timings.items():
-            if known is not timing:
-                continue
-            total = self._sums[known, label]
-            summary.add_metric([label], histogram.total_count, total)
-            for quantile in _QUANTILES:
-                found = self.read_quantile(timing, quantile, label)
-                quantiles.add_metric([label, str(quantile / 100)], found)
-        yield summary
-        yield quantiles
-
-    def _collect_count(self, count: Count) -> Metric:
-        family = CounterMetricFamily(
-            f'oleander_{count}', f'Count of {count}.', labels=['label']
-        )
+            if known is timing:
+                yield TimingSummary(
+                    label,
+                    int(histogram.total_count),
+                    self._sums[known, label],
+                )
+
+    def list_counts(self, count: Count) -> Iterator[tuple[str, float]]:
+        """Yield the labels of a counter and their totals."""
         for (known, label), total in self._counts.items():
             if known is count:
-                family.add_metric([label], total)
-        return family
+                yield label, total
 
-    def _collect_gauge(self, gauge: Gauge) -> Metric:
-        family = GaugeMetricFamily(
-            f'oleander_{gauge}', f'Level of {gauge}.', labels=['label']
-        )
+    def list_gauges(self, gauge: Gauge) -> Iterator[tuple[str, float]]:
+        """Yield the labels of a gauge and their levels."""
         for (known, label), level in self._gauges.items():
             if known is gauge:
-                family.add_metric([label], level)
-        return family
+                yield label, level
 
 
 class MergedTiming:
@@ -206,14 +181,3 @@
     if len(known) < _LABEL_BOUND or (name, label) in known:
         return label
     return _OTHER
-
-
-class _Families(Collector):
-    """Offer metrics to a Prometheus registry."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
-
-    def collect(self) -> Iterator[Metric]:
-        """Yield the metric families."""
-        return self._metrics.collect()
