Start the poison tests from servers that serve

Cause: a test began while servers of the one before it still loaded or waited for a suspect. New requests are then refused as not run, as documented, so innocents never came to share the crash, and the last test met no_replica and overloaded. Ruled out: easing the checks after the crash, which stay as they were. Change: each test first waits until every server serves ordinary requests and is idle; so the wait for running innocents counts these alone.

--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -69,6 +69,40 @@
     )
 
 
+def is_each_serving(deployment: Deployment, pool: Executor) -> bool:
+    """Tell whether every server serves ordinary requests beside others."""
+
+    def count_finished() -> list[int]:
+        return [
+            deployment.read_stats(server.address)['finished']
+            for server in deployment.find(MODEL)
+        ]
+
+    before = count_finished()
+    sent = [
+        pool.submit(send, deployment, each, f'ready {each}', 8)
+        for each in range(INNOCENTS)
+    ]
+    all_served = all(each.result().status == 200 for each in sent)
+    after = count_finished()
+    return all_served and all(
+        first < last for first, last in zip(before, after, strict=True)
+    )
+
+
+def wait_settled(deployment: Deployment) -> None:
+    """Wait for servers that load, or wait for a suspect, after a crash.
+
+    Only requests that shared a crash are promised to be served after it; new
+    ones may be refused as not run while it lasts.
+    """
+    with ThreadPoolExecutor(INNOCENTS) as pool:
+        wait_until(
+            lambda: is_each_serving(deployment, pool), 'every server serves'
+        )
+    wait_until(lambda: count_running(deployment) == 0, 'every server is idle')
+
+
 def is_refused(
     deployment: Deployment, pool: Executor, text: str, at_once: int
 ) -> bool:
@@ -89,6 +123,7 @@
 def test_poison_crashes_two_servers_at_most_and_innocents_are_served(
     deployment: Deployment, at_once: int
 ) -> None:
+    wait_settled(deployment)
     before = count_crashes(deployment)
     with ThreadPoolExecutor(INNOCENTS + at_once) as pool:
         innocents = [
@@ -113,6 +148,7 @@
 def test_a_living_server_that_breaks_off_makes_no_suspect(
     deployment: Deployment,
 ) -> None:
+    wait_settled(deployment)
     before = count_crashes(deployment)
     for server in deployment.find(MODEL):
         deployment.set_faults(server.address, cut_after=2)
