Write nothing at once to a closing connection

Cause: a link's write looked at flow control and the websocket's state only; what is written to a transport that closes is dropped without a word. Change: a closing transport is not writable, so a message goes the waiting way, which learns of the loss.

--- a/src/oleanderdyke/links/sockets.py
+++ b/src/oleanderdyke/links/sockets.py
@@ -48,7 +48,7 @@
 
     def is_writable(self) -> bool:
         """Tell whether a short frame goes out without waiting."""
-        return not self.paused
+        return not (self.paused or self.transport.is_closing())
 
     def write(self, message: bytes) -> None:
         """Send one binary frame; only while `is_open` and `is_writable`."""
