Import the body of a request from where it is defined

Cause: platform/http.py no longer defines Body, and the type check of the whole tree refused two imports of it. Change: backend.py and prepare.py import it from platform/exchange.py.

--- a/src/oleanderdyke/agent/backend.py
+++ b/src/oleanderdyke/agent/backend.py
@@ -13,8 +13,8 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.exchange import Body
 from oleanderdyke.platform.http import (
-    Body,
     HttpAnswer,
     HttpBackend,
     HttpError,
--- a/src/oleanderdyke/agent/prepare.py
+++ b/src/oleanderdyke/agent/prepare.py
@@ -19,7 +19,7 @@
 from oleanderdyke.kernel.gate import Loaded
 from oleanderdyke.kernel.routing import BACKGROUND_LAST, lower_priority
 from oleanderdyke.links.messages import Dispatch, FetchPlan, Headers
-from oleanderdyke.platform.http import Body
+from oleanderdyke.platform.exchange import Body
 
 _REQUEST_ID = 'x-request-id'
 _LENGTH = 'content-length'
