Tell loopback addresses in one place

Cause: the same function stood in the settings of the agent, in those of the entry and in daemon.py, where nobody called it. Ruled out: calling the copy in daemon.py from the settings; they would then import the code that runs them. Change: settings_checks.is_loopback; the three copies are gone. Conclusion: whether an address may be plain text is decided the same way for both daemons.

--- a/src/oleanderdyke/agent/settings.py
+++ b/src/oleanderdyke/agent/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -14,6 +13,7 @@
 from oleanderdyke.links.messages import BackendKind
 from oleanderdyke.links.tls import TlsPaths
 from oleanderdyke.policies.settings import PolicySettings
+from oleanderdyke.settings_checks import is_loopback
 
 _MEBIBYTE = 1024 * 1024
 
@@ -118,16 +118,9 @@
             'listen.tls: found a certificate or key missing; '
             'allowed: both listen.tls.certificate and listen.tls.key'
         )
-    if paths is not None or listen.plain_text or _is_loopback(listen.host):
+    if paths is not None or listen.plain_text or is_loopback(listen.host):
         return
     yield (
         f'listen.host: found {listen.host!r} in plain text; allowed: a '
         'loopback address, or listen.tls, or listen.plain_text: true'
     )
-
-
-def _is_loopback(host: str) -> bool:
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return host == 'localhost'
--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import ipaddress
 import os
 import sys
 from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
@@ -107,14 +106,6 @@
     return parser
 
 
-def is_loopback(host: str) -> bool:
-    """Tell whether an address never leaves this VM."""
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return host == 'localhost'
-
-
 def _flatten(group: BaseExceptionGroup[Exception]) -> Iterator[Exception]:
     for error in group.exceptions:
         if isinstance(error, BaseExceptionGroup):
--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -15,6 +14,7 @@
 from oleanderdyke.links.tls import TlsPaths
 from oleanderdyke.policies.settings import PolicySettings
 from oleanderdyke.settings import hide_field
+from oleanderdyke.settings_checks import is_loopback
 
 _KIB = 1024
 _MIB = 1024 * _KIB
@@ -191,11 +191,3 @@
                 f'operators.{place}.token_hash: found something else; '
                 'allowed: the hex SHA-256 of a token'
             )
-
-
-def is_loopback(host: str) -> bool:
-    """Tell whether an address never leaves this machine."""
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return host == 'localhost'
--- a/src/oleanderdyke/entry/vmwatch.py
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -8,12 +8,12 @@
 
 from oleanderdyke.clock import SECOND
 from oleanderdyke.entry.core import Core
-from oleanderdyke.entry.settings import is_loopback
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.membership import choose_vms
 from oleanderdyke.links.pool import LinkPool
 from oleanderdyke.platform.vms import Vm, VmClient
+from oleanderdyke.settings_checks import is_loopback
 
 
 class VmWatch:
--- a/src/oleanderdyke/settings_checks.py
+++ b/src/oleanderdyke/settings_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import ipaddress
 import math
 import re
 from collections.abc import Iterator, Mapping
@@ -38,6 +39,14 @@
             waiting += current.value
 
 
+def is_loopback(host: str) -> bool:
+    """Tell whether an address never leaves this VM."""
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
+
+
 def _find_repeated(node: yaml.MappingNode) -> Iterator[tuple[int, str]]:
     known: set[str] = set()
     for key, _ in node.value:
