Say which calls teach an object and which ask it

Cause: 'Tell the latest heartbeat' over a method that is given the heartbeat read as if it returned it, and 'Tell the producer to stop' stood over a test. Ruled out: renaming note_beat and note_end, which have 20 callers and whose names are right. Change: 'Learn' or 'Set' where an object is told something, 'Tell whether' where it is asked; doc comments only. Conclusion: the first word of a doc comment now gives the direction.

--- a/src/oleanderdyke/kernel/alone.py
+++ b/src/oleanderdyke/kernel/alone.py
@@ -19,7 +19,7 @@
         self._inside = ''
 
     def note_beat(self, sequence: int) -> None:
-        """Tell the agent's own latest heartbeat."""
+        """Learn the sequence number of the agent's latest heartbeat."""
         self._beat = max(self._beat, sequence)
 
     def is_closed(self) -> bool:
--- a/src/oleanderdyke/kernel/claim_runs.py
+++ b/src/oleanderdyke/kernel/claim_runs.py
@@ -68,7 +68,7 @@
         return len(self._runs)
 
     def note_beat(self, sequence: int) -> None:
-        """Tell the agent's own latest heartbeat."""
+        """Learn the sequence number of the agent's latest heartbeat."""
         self._beat = max(self._beat, sequence)
 
     def is_known(self, claim: Claim) -> bool:
--- a/src/oleanderdyke/kernel/claims.py
+++ b/src/oleanderdyke/kernel/claims.py
@@ -136,7 +136,7 @@
         return self._time
 
     def note_end(self, end: int) -> None:
-        """Tell the log's next free offset, as each page names it."""
+        """Learn the log's next free offset, as each page names it."""
         if self._target is None:
             self._target = end
 
--- a/src/oleanderdyke/kernel/gate.py
+++ b/src/oleanderdyke/kernel/gate.py
@@ -114,11 +114,11 @@
             self._phase = phase
 
     def set_loaded(self, loaded: Loaded) -> None:
-        """Tell which weights new dispatches must name."""
+        """Set which weights new dispatches must name."""
         self._loaded = loaded
 
     def note_beat(self, sequence: int) -> None:
-        """Tell the sequence number of the heartbeat just sent."""
+        """Learn the sequence number of the heartbeat just sent."""
         self._beat = max(self._beat, sequence)
         self._claims.note_beat(sequence)
         self._lane.note_beat(sequence)
--- a/src/oleanderdyke/kernel/stream_buffer.py
+++ b/src/oleanderdyke/kernel/stream_buffer.py
@@ -112,7 +112,7 @@
 
     @property
     def is_full(self) -> bool:
-        """Tell the producer to stop until messages have been sent."""
+        """Tell whether the producer must wait until messages are sent."""
         # Without a reader, what was sent last may have to be sent again.
         needed = self._held_bytes if self.reader is None else self._unsent_bytes
         if needed >= self._limits.stream_bytes:
