Name the entry's steps by what they do

Cause: six functions of the entry were called note_something though they write an event, push configuration or settle claims. Ruled out: renaming the note_ methods of routers and admissions; they do note, and plug-ins implement them. Change: _log_outcome, _log_change, _log_refused, log_readiness, _announce_offset and settle_read; names only. Conclusion: a reader finds what writes an event by its name.

--- a/src/oleanderdyke/entry/agents.py
+++ b/src/oleanderdyke/entry/agents.py
@@ -53,7 +53,7 @@
             SegmentEvents: self._take_segments,
             ConfigurationRequest: feed.answer,
             ConfigurationDifference: feed.take_difference,
-            Refused: self._note_refused,
+            Refused: self._log_refused,
         }
 
     async def on_up(self, link: Link) -> None:
@@ -179,7 +179,7 @@
             core.log.write(EventName.SEGMENT_EVENTS_LOST, agent=peer.process)
             core.spawn(_send, link, request)
 
-    def _note_refused(self, link: Link, refused: Refused) -> None:
+    def _log_refused(self, link: Link, refused: Refused) -> None:
         self._core.log.write(
             EventName.MESSAGE_REFUSED,
             peer=link.peer.process,
--- a/src/oleanderdyke/entry/claims.py
+++ b/src/oleanderdyke/entry/claims.py
@@ -138,7 +138,7 @@
             if watched.inbox is inbox:
                 del self._watched[claim_id]
 
-    def note_read(self) -> None:
+    def settle_read(self) -> None:
         """Settle the claims that have been read back."""
         for claim_id in tuple(self._watched):
             self._settle(claim_id)
--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -42,7 +42,7 @@
     def take_page(self, page: LogPage) -> None:
         """Take a page of the log."""
         if self._core.reader.on_page(page, self._core.clock.now()):
-            self._note_moved('log')
+            self._announce_offset('log')
 
     def add_link(self, link: Link) -> None:
         """Learn of a peer and of its offset."""
@@ -88,7 +88,7 @@
         """Take what a peer has sent."""
         process, now = link.peer.process, self._core.clock.now()
         if self._core.reader.on_difference(process, message, now):
-            self._note_moved(process)
+            self._announce_offset(process)
 
     async def append_snapshots(self) -> None:
         """Append a snapshot whenever one is due, until cancelled."""
@@ -148,7 +148,7 @@
         self._pushed[process] = core.reader.offset, now
         self.answer(link, ConfigurationRequest(offset))
 
-    def _note_moved(self, source: str) -> None:
+    def _announce_offset(self, source: str) -> None:
         core = self._core
         offset = core.reader.offset
         core.metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, offset)
--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -186,7 +186,7 @@
     )
 
 
-def note_readiness(core: Core, before: str) -> str:
+def log_readiness(core: Core, before: str) -> str:
     """Log a change of readiness and return the present fault."""
     fault = core.find_fault()
     if fault == before:
--- a/src/oleanderdyke/entry/logreader.py
+++ b/src/oleanderdyke/entry/logreader.py
@@ -65,14 +65,14 @@
             )
         except LogUnavailable as error:
             self._reached = False
-            self._note(down=True, detail=error.message)
+            self._log_change(down=True, detail=error.message)
             await anyio.sleep(settings.retry / SECOND)
             return None
-        self._note(down=False)
+        self._log_change(down=False)
         self._reached = True
         return page
 
-    def _note(self, *, down: bool, detail: str | None = None) -> None:
+    def _log_change(self, *, down: bool, detail: str | None = None) -> None:
         if down == self._down:
             return
         self._down = down
--- a/src/oleanderdyke/entry/publishing.py
+++ b/src/oleanderdyke/entry/publishing.py
@@ -66,7 +66,7 @@
             [item.record_id for item in changes], self._settle_wait
         )
         for outcome in outcomes:
-            self._note(outcome)
+            self._log_outcome(outcome)
         return outcomes
 
     async def settle(
@@ -99,7 +99,7 @@
                 raise
             # It may have taken effect; reading back will tell.
 
-    def _note(self, outcome: Outcome) -> None:
+    def _log_outcome(self, outcome: Outcome) -> None:
         applied = isinstance(outcome, Applied)
         self._log.write(
             EventName.CONFIGURATION_PUBLISHED,
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -14,7 +14,7 @@
 from oleanderdyke.entry.app import App
 from oleanderdyke.entry.claims import ClaimLog
 from oleanderdyke.entry.configuration import ConfigurationFeed
-from oleanderdyke.entry.core import Core, make_core, note_readiness
+from oleanderdyke.entry.core import Core, log_readiness, make_core
 from oleanderdyke.entry.effects import Tools
 from oleanderdyke.entry.logreader import LogReader
 from oleanderdyke.entry.queue import ReleaseQueue
@@ -111,13 +111,13 @@
         for record in page.records:
             table.apply(record.offset, record.at, record.data)
         table.note_end(page.end)
-        self._claims.note_read()
+        self._claims.settle_read()
 
     async def _tick(self) -> None:
         core, fault = self._core, ''
         while True:
             core.fleet.tick(core.clock.now())
-            fault = note_readiness(core, fault)
+            fault = log_readiness(core, fault)
             await anyio.sleep(_TICK)
 
     async def _settle(self) -> None:
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -111,7 +111,7 @@
         for offset in range(table.next_offset, len(self.batches)):
             table.apply(offset, 1_000.0, self.batches[offset])
         table.note_end(len(self.batches))
-        claims.note_read()
+        claims.settle_read()
 
 
 @dataclass
--- a/tests/matrix/entry.py
+++ b/tests/matrix/entry.py
@@ -310,7 +310,7 @@
         for record in page.records:
             table.apply(record.offset, record.at, record.data)
         table.note_end(page.end)
-        self.claim_log.note_read()
+        self.claim_log.settle_read()
 
     def _tick(self) -> None:
         if self.stopper._signalled.is_set():
