Replace vague verbs in the kernel and its policies

Cause: SnapshotWatch.see, State.note and ServiceCapacity.look did not say that they take in a record, keep an outcome and refresh sums; claims were 'buried'. Ruled out: 'tombstone' for released claims, as no record is written for them. Change: add, remember, refresh, _mark_gone and _keep_newest; names only. Before and after: no other change; the 510 tests of the touched modules and their users pass; ruff and mypy are clean. Conclusion: the names are the ordinary ones.

--- a/src/oleanderdyke/kernel/catalog.py
+++ b/src/oleanderdyke/kernel/catalog.py
@@ -266,7 +266,7 @@
             outcome = self._put(offset, change)
         else:
             outcome = self._lose(offset, change, *loss)
-        self._state.note(outcome)
+        self._state.remember(outcome)
         return outcome
 
     def _find_loss(self, change: PackedChange) -> tuple[LossReason, str] | None:
--- a/src/oleanderdyke/kernel/claims.py
+++ b/src/oleanderdyke/kernel/claims.py
@@ -229,13 +229,13 @@
         self._put(_make_slot(record, place, at))
 
     def _apply_release(self, record: ReleaseRecord, at: Millis) -> None:
-        """Free the key; bury also a claim that this reader has not read.
+        """Free the key; mark also a claim as gone that was not read here.
 
         A carried record of it may still follow.
         """
         place = Place(record.offset, record.index)
         slot = self._find_open(record.key)
-        self._bury(place, at)
+        self._mark_gone(place, at)
         if slot is None or slot.place != place:
             return
         if slot.incarnation == record.incarnation:
@@ -245,7 +245,7 @@
         slot = self._find_open(record.key)
         if slot is not None and slot.claim_id == record.claim_id:
             del self._slots[record.key]
-        self._bury(record.claim_id, at)
+        self._mark_gone(record.claim_id, at)
 
     def _apply_outcome(self, record: OutcomeRecord) -> None:
         slot = self._slots.get(record.key)
@@ -309,7 +309,7 @@
             return None
         return slot
 
-    def _bury(self, name: str | Place, at: Millis) -> None:
+    def _mark_gone(self, name: str | Place, at: Millis) -> None:
         if name not in self._gone:
             self._gone.add(name)
             self._gone_order.append((at, name))
--- a/src/oleanderdyke/kernel/collect.py
+++ b/src/oleanderdyke/kernel/collect.py
@@ -56,7 +56,7 @@
         self.newest: KeptSnapshot | None = None
         self._collectors: list[_Collector] = []
 
-    def see(
+    def add(
         self, offset: int, at: Millis, data: bytes, have: int
     ) -> LoadedSnapshot | None:
         """Take a record; return a snapshot that it completes.
@@ -71,7 +71,7 @@
         whole = [item for item in self._collectors if item.add(chunk)]
         if not whole:
             return None
-        self._note(KeptSnapshot(whole[0].start, chunk.through, at))
+        self._keep_newest(KeptSnapshot(whole[0].start, chunk.through, at))
         self._collectors = [
             item for item in self._collectors if item.through != chunk.through
         ]
@@ -82,6 +82,6 @@
         self._collectors.append(_Collector(through, offset, wanted=wanted))
         del self._collectors[:-_PARTIAL_SNAPSHOTS]
 
-    def _note(self, kept: KeptSnapshot) -> None:
+    def _keep_newest(self, kept: KeptSnapshot) -> None:
         if self.newest is None or kept.start > self.newest.start:
             self.newest = kept
--- a/src/oleanderdyke/kernel/snapshots.py
+++ b/src/oleanderdyke/kernel/snapshots.py
@@ -113,7 +113,7 @@
     outcomes: dict[str, Outcome] = field(default_factory=dict)
     floor: int = 0
 
-    def note(self, outcome: Outcome) -> None:
+    def remember(self, outcome: Outcome) -> None:
         """Remember an outcome in place of the oldest."""
         self.outcomes[outcome.record_id] = outcome
         while len(self.outcomes) > _OUTCOME_COUNT:
@@ -296,7 +296,7 @@
     elif kind == _ItemKind.ROW:
         _load_row(state, *values)
     else:
-        state.note(_load_outcome(kind, values))
+        state.remember(_load_outcome(kind, values))
 
 
 def _load_row(state: State, kind: str, name: str, *fields: Any) -> None:
--- a/src/oleanderdyke/kernel/spread.py
+++ b/src/oleanderdyke/kernel/spread.py
@@ -253,7 +253,7 @@
             self._behind_since = now
 
     def _take(self, record: Record) -> None:
-        whole = self._watch.see(
+        whole = self._watch.add(
             record.offset, record.at, record.data, self.offset
         )
         if record.offset == self._scan:
--- a/src/oleanderdyke/policies/admission.py
+++ b/src/oleanderdyke/policies/admission.py
@@ -98,7 +98,7 @@
         if limited is not None:
             return limited
         service = self._find_service(demand.service)
-        service.capacity.look(demand.service, fleet, now)
+        service.capacity.refresh(demand.service, fleet, now)
         held = self._classify(demand, fleet)
         service.mean_cost += _MEAN_SMOOTHING * (held.cost - service.mean_cost)
         if service.has_ahead(held.kind) or not self._has_room(
@@ -119,7 +119,7 @@
         for name, service in self._services.items():
             if not any(service.queues):
                 continue
-            if service.capacity.look(name, fleet, now):
+            if service.capacity.refresh(name, fleet, now):
                 released += self._release(service)
         return released
 
--- a/src/oleanderdyke/policies/capacity.py
+++ b/src/oleanderdyke/policies/capacity.py
@@ -53,7 +53,7 @@
         """Return how long a request lasts once it is sent."""
         return self._time
 
-    def look(self, service: str, fleet: Fleet, now: Millis) -> bool:
+    def refresh(self, service: str, fleet: Fleet, now: Millis) -> bool:
         """Refresh the sums when they are old; false without replicas."""
         if now >= self._view.until:
             self._view = self._sum(service, fleet, now)
