Format the core of the entry

Cause: one line of core.py was not as ruff format writes it. Ruled out: leaving it to the next change there; the check would stay red. Change: the line, on one row. Conclusion: the format check is green again.

--- a/src/oleanderdyke/entry/core.py
+++ b/src/oleanderdyke/entry/core.py
@@ -164,8 +164,7 @@
         clock=clock,
         random=random,
         incarnation=secrets.token_hex(_INCARNATION_BYTES),
-        log=log
-        or make_event_log(settings.process, settings.log_level, clock),
+        log=log or make_event_log(settings.process, settings.log_level, clock),
         metrics=Metrics(),
         reader=reader,
         fleet=FleetState(catalog),
