Carry kept HTTP connections by the same exchange

Cause: kept.py and exchange.py each drove an h11 client connection: sending, the head, the body and the mapping of failures stood there twice. Ruled out: one class for both kinds of client: one keeps connections and repeats a request, the other must do neither. Its waits stay as they were: the patience for a head on a kept connection, the silence for a head on a new one and for each piece. Two things follow from sharing: the head of an answer may have 100 KiB in place of h11's 16 KiB, and a write that meets a closed connection still reads an answer that came before.

--- a/src/oleanderdyke/platform/exchange.py
+++ b/src/oleanderdyke/platform/exchange.py
@@ -1,4 +1,4 @@
-"""Carry one HTTP exchange over a connection of its own."""
+"""Carry HTTP exchanges over a connection, one after the other."""
 
 from __future__ import annotations
 
@@ -21,9 +21,10 @@
 
 
 class Exchange:
-    """Send one request and read its answer; times are in seconds.
+    """Send a request and read its answer, then the next; times in seconds.
 
-    A reader holds up to 128 KiB that nobody has taken, then stops the socket.
+    A reader holds up to two pieces that nobody has taken, then stops the
+    socket.
     """
 
     def __init__(
@@ -33,11 +34,13 @@
         *,
         write: float,
         read: float | None,
+        piece: int = _PIECE,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._write_timeout = write
         self._read_timeout = read
+        self._piece = piece
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT
         )
@@ -45,6 +48,11 @@
         self._ended = False
         self.written = False
 
+    @property
+    def is_sound(self) -> bool:
+        """Tell whether nothing shows that the server has left."""
+        return not (self._reader.at_eof() or self._writer.is_closing())
+
     async def send(self, head: h11.Request, body: Body) -> None:
         """Send a request; raise one of FAILURES."""
         # A server may answer and close before it has read everything.
@@ -73,6 +81,19 @@
                 return part
         return b''
 
+    def rewind(self) -> bool:
+        """Get ready for another request; False where there can be none."""
+        if not self.is_sound or self._http.trailing_data[0]:
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        self._drained = False
+        self._ended = False
+        self.written = False
+        return True
+
     def close(self) -> None:
         """Close at once; what was not sent by now is dropped."""
         transport = self._writer.transport
@@ -135,9 +156,9 @@
 
     async def _read(self) -> bytes:
         if self._read_timeout is None:
-            return await self._reader.read(_PIECE)
+            return await self._reader.read(self._piece)
         with anyio.fail_after(self._read_timeout):
-            return await self._reader.read(_PIECE)
+            return await self._reader.read(self._piece)
 
 
 async def open_exchange(
@@ -148,8 +169,11 @@
     connect: float,
     write: float,
     read: float | None,
+    piece: int = _PIECE,
 ) -> Exchange:
     """Connect; raise OSError."""
     with anyio.fail_after(connect):
-        reader, writer = await asyncio.open_connection(host, port, ssl=tls)
-    return Exchange(reader, writer, write=write, read=read)
+        reader, writer = await asyncio.open_connection(
+            host, port, ssl=tls, limit=piece
+        )
+    return Exchange(reader, writer, write=write, read=read, piece=piece)
--- a/src/oleanderdyke/platform/http.py
+++ b/src/oleanderdyke/platform/http.py
@@ -141,6 +141,14 @@
         ]
 
 
+def make_lost(exchange: Exchange, error: Exception) -> HttpError:
+    """Make the error of an exchange that raised one of FAILURES."""
+    return HttpError(
+        f'the exchange failed: {type(error).__name__}',
+        ran=Ran.MAYBE if exchange.written else Ran.NO,
+    )
+
+
 async def _begin(
     exchange: Exchange,
     method: str,
@@ -153,10 +161,7 @@
         await exchange.send(request, body)
         head = await exchange.receive_head()
     except FAILURES as error:
-        raise HttpError(
-            f'the exchange failed: {type(error).__name__}',
-            ran=Ran.MAYBE if exchange.written else Ran.NO,
-        ) from error
+        raise make_lost(exchange, error) from error
     decoded = _decode_headers(head.headers)
     return HttpAnswer(head.status_code, decoded, _iterate(exchange))
 
