Say 'maybe' of a request written on a kept connection

Cause: a request whose kept connection broke after it was written, and whose new connection could then not be opened, failed with ran 'no'. Ruled out: harm so far; only store reads and engine imports use these connections, and they may run twice. The error still told a falsehood. Change: the failure to connect carries what the first try left behind. Before and after: the new test failed on the code before (ran 'no') and passes now; the other 11 of test_kept passed both times.

--- a/src/oleanderdyke/platform/kept.py
+++ b/src/oleanderdyke/platform/kept.py
@@ -75,15 +75,17 @@
     async def _begin(
         self, head: h11.Request, body: bytes
     ) -> tuple[Exchange, h11.Response]:
+        ran = Ran.NO
         kept = self._take_kept()
         if kept is not None:
             bound = self._settings.patience
             try:
                 return kept, await self._ask(kept, head, body, bound)
-            except HttpError:
+            except HttpError as error:
+                ran = error.ran
                 # What is kept besides may be as dead as this one.
                 self._drop_kept()
-        fresh = await self._connect()
+        fresh = await self._connect(ran)
         return fresh, await self._ask(fresh, head, body, self._settings.silence)
 
     async def _ask(
@@ -101,7 +103,7 @@
             self._drop(exchange)
             raise
 
-    async def _connect(self) -> Exchange:
+    async def _connect(self, ran: Ran) -> Exchange:
         settings = self._settings
         try:
             return await open_exchange(
@@ -115,7 +117,7 @@
                 piece=_PIECE,
             )
         except OSError as error:
-            raise HttpError('cannot connect', ran=Ran.NO) from error
+            raise HttpError('cannot connect', ran=ran) from error
 
     def _take_kept(self) -> Exchange | None:
         before = asyncio.get_running_loop().time()
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import AsyncGenerator, Sequence
 
@@ -129,3 +130,20 @@
     with pytest.raises(HttpError) as caught:
         await ask(KeptHttp('127.0.0.1:1'))
     assert caught.value.ran is Ran.NO
+
+
+async def test_request_written_before_the_server_left_may_have_run() -> None:
+    async def answer_once(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(1000)
+        writer.write(ANSWER)
+
+    server = await asyncio.start_server(answer_once, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    http = KeptHttp(f'127.0.0.1:{port}', KeptSettings(patience=50.0))
+    assert await ask(http) == b'good'
+    server.close()
+    with pytest.raises(HttpError) as caught:
+        await ask(http)
+    assert caught.value.ran is Ran.MAYBE
