Decide in one place when a grant is due

Cause: AttemptSender compared the chunks that were not granted with half of the credit in two methods; reach.py held a default wait that nobody used, and used the mark of an unreached process also for 'the latest offset'. Ruled out: one method for both; only one of the callers may wait for a link. Change: _is_grant_due; _LATEST; WAIT_DEFAULT is gone. Conclusion: the same behaviour, stated once.

--- a/src/oleanderdyke/ctl/reach.py
+++ b/src/oleanderdyke/ctl/reach.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
+from oleanderdyke.clock import Clock, Millis, make_clock
 from oleanderdyke.ctl.client import Client, make_path
 from oleanderdyke.ctl.output import Progress
 from oleanderdyke.errors import ErrorKind, OleanderError
@@ -16,6 +16,7 @@
 _NAMED = 8
 _DROPPED = 'dropped'
 _UNREACHED = -1
+_LATEST = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +60,7 @@
     try:
         while True:
             spread = read_spread(client)
-            if offset == _UNREACHED:
+            if offset == _LATEST:
                 offset = max(spread.offsets.values())
             missing = spread.list_missing(offset)
             count = len(spread.offsets)
@@ -91,6 +92,3 @@
         f'accepted, but in force in {have} of {count} processes only; '
         f'without it: {names}{more}',
     )
-
-
-WAIT_DEFAULT: Millis = 30 * SECOND
--- a/src/oleanderdyke/entry/sender.py
+++ b/src/oleanderdyke/entry/sender.py
@@ -136,9 +136,7 @@
     async def grant(self, chunks: int) -> None:
         """Count chunks that the caller has taken, and grant others."""
         self._ungranted += chunks
-        if self._link is None:
-            return
-        if self._ungranted < self._core.settings.requests.credit // 2:
+        if self._link is None or not self._is_grant_due():
             return
         credit = Credit(self._call.request, self._attempt, self._ungranted)
         self._ungranted = 0
@@ -147,7 +145,7 @@
     def note_passed(self) -> bool:
         """Count a chunk that the caller has taken; tell whether to grant."""
         self._ungranted += 1
-        return self._ungranted >= self._core.settings.requests.credit // 2
+        return self._is_grant_due()
 
     def lose(self, link: Link) -> None:
         """Tell the machine where the link was in use."""
@@ -155,6 +153,9 @@
             peer = link.peer
             self._inbox.put(LinkLost(peer.process, peer.incarnation))
 
+    def _is_grant_due(self) -> bool:
+        return self._ungranted >= self._core.settings.requests.credit // 2
+
     def _find(self, agent: str, incarnation: str) -> Link | None:
         link = self._core.find_link(agent)
         if link is None or link.peer.incarnation != incarnation:
