Name the two logs once and drop three unused constants

Cause: the settings of an entry repeated the names of the logs, while CLAIMS_LOG had no user; _CONFLICT, _LEAVING and _ROOT had none either. Ruled out: deleting CLAIMS_LOG; it belongs beside its twin CONFIGURATION_LOG. Change: LogSettings takes both names from the kernel; the three are gone.

--- a/src/oleanderdyke/ctl/client.py
+++ b/src/oleanderdyke/ctl/client.py
@@ -25,7 +25,6 @@
 _SETTLE_WAIT = '10000'
 _RECORD_ID_BYTES = 16
 _OK_STATUSES = (200, 202)
-_CONFLICT = 409
 _SCHEMES = ('http', 'https')
 _TRY_NEXT = (
     ErrorKind.NOT_READY,
--- a/src/oleanderdyke/ctl/commands.py
+++ b/src/oleanderdyke/ctl/commands.py
@@ -36,7 +36,6 @@
 from oleanderdyke.kernel.specs import describe_spec
 
 _WATCH_WAIT = 20_000
-_LEAVING = 'leaving'
 
 Options: TypeAlias = argparse.Namespace
 Command: TypeAlias = Callable[[Client, Options], ExitCode]
--- a/src/oleanderdyke/entry/admin_edge.py
+++ b/src/oleanderdyke/entry/admin_edge.py
@@ -41,7 +41,6 @@
 
 _OK = 200
 _ACCEPTED = 202
-_ROOT = 2
 _PARTS = 5
 
 Handle: TypeAlias = Callable[['Ask'], Awaitable[tuple[int, Any]]]
--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -9,7 +9,9 @@
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.events import Level
+from oleanderdyke.kernel.claim_records import CLAIMS_LOG
 from oleanderdyke.kernel.drain import DrainSettings
+from oleanderdyke.kernel.records import CONFIGURATION_LOG
 from oleanderdyke.links.pool import PoolSettings
 from oleanderdyke.links.tls import TlsPaths
 from oleanderdyke.policies.settings import PolicySettings
@@ -46,8 +48,8 @@
     """Say where the log service is and how it is read."""
 
     address: str
-    configuration: str = 'configuration'
-    claims: str = 'claims'
+    configuration: str = CONFIGURATION_LOG
+    claims: str = CLAIMS_LOG
     page: int = 500
     wait: Millis = 5 * SECOND
     timeout: Millis = 2 * SECOND
