Hold the head of an answer until its first chunk

Cause: the head of a stream went out at once, and after a head nothing is sent again. So every stream that waited in the queue of an engine broke with `stream_broken` when that engine died, while the same call without `stream` failed over.

Ruled out: sending the call again under the head that was sent, since its resume token names a run that is lost.

Change: the machine of attempts holds the head of an unclaimed answer until the first chunk, or the end, of its own run; head, token and count of resumes are reset at each dispatch. Before that an idempotent request is tried again within its budget, alone where its server crashed; another gets the typed error. After a lost link the same run is resumed first; where the agent no longer has it, or never answers, another run is started. The drain learns of a token when it is known (NoteResumable), not when the head goes out; at a hand-over the held head goes out with its token before `event: resume`. A hand-over that finds no token of the current run is taken back until there is one.

Tests changed: AnswerAssembler.start_over refused once it gave out a head. The head now waits in the machine, so this would refuse every second run. It still refuses once a chunk, or a whole answer without a chunk, was passed on, and it gives out the new run's own head. The state machine of streams now also checks that no chunk follows the head of another run, with an unsafe assembler that it catches. Four cases of the machine expect the head with the first chunk, or get a chunk before they expect a broken stream.

Conclusion: what the caller has not seen may be run again. The price is that head and resume token come with the first token and not earlier.

--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -120,7 +120,7 @@
         """Send what was put, waiting for a slow caller.
 
         A head goes out with the first part; that of a stream of events goes
-        at once, because its resume token is worth having early.
+        as soon as it is put, because its resume token is worth having early.
         """
         if self._numberer is None and not self._unsent:
             return
--- a/src/oleanderdyke/entry/effects.py
+++ b/src/oleanderdyke/entry/effects.py
@@ -32,6 +32,7 @@
     DeliverEnd,
     DeliverHead,
     Done,
+    NoteResumable,
     Refuse,
     Route,
     Routed,
@@ -110,9 +111,18 @@
         """Answer with an error that the machine did not decide."""
         await self._guard(self._delivery.fail(error))
 
-    async def hand_over(self) -> None:
-        """Tell the caller to go on through another entry."""
+    async def hand_over(self, actions: tuple[Action, ...] | None) -> bool:
+        """Tell the caller to go on through another entry, if it can.
+
+        `actions` open an answer whose head was held back; None: no run that
+        could be resumed is known.
+        """
+        if actions is None:
+            self._stopper.take_back(self._call.request)
+            return False
+        await self.do(actions)
         await self._guard(self._delivery.hand_over())
+        return True
 
     def note_gone(self) -> None:
         """Tell the machine once that the caller has gone."""
@@ -142,6 +152,7 @@
             SendDispatch: self._dispatch,
             SendCancel: self._sender.cancel,
             SendResume: self._resume,
+            NoteResumable: self._note_resumable,
             DeliverHead: self._deliver_head,
             DeliverChunk: self._deliver_chunk,
             DeliverEnd: self._deliver_end,
@@ -184,12 +195,13 @@
         self.log(EventName.STREAM_RESUMED, attempt=action.attempt)
         await self._sender.resume(action)
 
+    async def _note_resumable(self, _: NoteResumable) -> None:
+        self._stopper.mark_resumable(self._call.request)
+
     async def _deliver_head(self, action: DeliverHead) -> None:
         token = action.resume and encode_token(
             StreamToken(self._sender.agent, action.resume)
         )
-        if token:
-            self._stopper.mark_resumable(self._call.request)
         head = DeliverHead(action.status, action.headers, token)
         self._delivery.put_head(head)
 
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -183,10 +183,15 @@
                 await self._effects.flush()
             item = await self._inbox.take()
             if isinstance(item, HandedOver):
-                await self._effects.hand_over()
-                return
+                if await self._pass_to_other():
+                    return
+                continue
             await self._effects.do(await self._answer_item(item))
 
+    async def _pass_to_other(self) -> bool:
+        """Leave the stream to another entry, if it can be resumed now."""
+        return await self._effects.hand_over(self._machine.hand_over())
+
     async def _pass_admission(self) -> None:
         core = self._core
         decision = core.admission.admit(
--- a/src/oleanderdyke/entry/stopping.py
+++ b/src/oleanderdyke/entry/stopping.py
@@ -56,6 +56,10 @@
         core = self._core
         self._act(core.drain.mark_resumable(request, core.clock.now()))
 
+    def take_back(self, request: str) -> None:
+        """Note that a request can't be resumed through another entry yet."""
+        self._core.drain.take_back(request)
+
     def take_signal(self, name: str) -> None:
         """Begin to stop, or hurry."""
         core = self._core
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -121,6 +121,10 @@
         self._replica_waits = 0
         self._replica_waited: Millis = 0.0
         self._head_delivered = False
+        # Of the latest dispatch alone: no later one may use them.
+        self._held_head: DeliverHead | None = None
+        self._token = ''
+        self._resumes = 0
         self._detached = False
         self._stopping = False
         self._timer_number = 0
@@ -155,6 +159,7 @@
         self._attempt += 1
         self._claim = claim
         self._in_doubt = True
+        self._held_head, self._token, self._resumes = None, '', 0
         return (
             SendDispatch(
                 agent=routed.replica.agent,
--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -272,6 +272,11 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoteResumable:
+    """Note that the answer can be resumed, also before its head goes out."""
+
+
 @dataclass(frozen=True, slots=True)
 class DeliverHead:
     """Open the answer to the caller."""
@@ -335,6 +340,7 @@
     | SendDispatch
     | SendCancel
     | SendResume
+    | NoteResumable
     | DeliverHead
     | DeliverChunk
     | DeliverEnd
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -28,6 +28,7 @@
     LinkLost,
     LinkUp,
     NoRoute,
+    NoteResumable,
     Received,
     Routed,
     SendResume,
@@ -73,9 +74,7 @@
     It is the only place that decides on retries, `ran` and the final answer.
     """
 
-    _token = ''
     _delivered = 0
-    _resumes = 0
 
     def start(self, _now: Millis, verdict: Verdict | None = None) -> Actions:
         """Begin; a keyed request gives `ClaimTable.verdict` of its key."""
@@ -92,6 +91,12 @@
         actions = self.HANDLERS[type(event)](self, event)
         return self._mute(actions) if detached else actions
 
+    def hand_over(self) -> Actions | None:
+        """Return what the caller needs to go on elsewhere; None if it can't."""
+        if not self._token or self._stage in _IDLE:
+            return None
+        return self._release_head()
+
     # --- routing ---
 
     def _on_routed(self, event: Routed) -> Actions:
@@ -132,15 +137,25 @@
         if isinstance(message, AnswerHead):
             return self._on_head(message)
         self._delivered += 1
-        return (DeliverChunk(message.data),)
+        return (*self._release_head(), DeliverChunk(message.data))
 
     def _on_head(self, message: AnswerHead) -> Actions:
+        """Hold the head back: until it goes out, another run may answer."""
         self._stage = Stage.RUNNING
         self._token = message.resume or self._token
-        if self._head_delivered:
+        if self._head_delivered or self._held_head is not None:
+            return ()
+        self._held_head = DeliverHead(
+            message.status, message.headers, message.resume
+        )
+        return (NoteResumable(),) if message.resume else ()
+
+    def _release_head(self) -> Actions:
+        """Pass on the held head, once, with what follows it."""
+        head, self._held_head = self._held_head, None
+        if head is None:
             return ()
         self._head_delivered = True
-        head = DeliverHead(message.status, message.headers, message.resume)
         return (head,)
 
     def _on_end(self, message: AnswerEnd) -> Actions:
@@ -148,7 +163,8 @@
         cleared = self._clear_suspect()
         if self._claim is not None:
             return (*cleared, *self._record())
-        return (*cleared, *self._finish(DeliverEnd(message)))
+        head = self._release_head()
+        return (*cleared, *self._finish(*head, DeliverEnd(message)))
 
     def _clear_suspect(self) -> Actions:
         return (ClearSuspect(self._facts.digest),) if self._alone else ()
@@ -169,6 +185,8 @@
     def _after_unclaimed_failure(self, failed: Failed) -> Actions:
         if self._head_delivered:
             return self._refuse(failed.kind)
+        if failed.kind is ErrorKind.STREAM_GONE:
+            return self._after_silence()
         if not self._facts.idempotent:
             return self._refuse(failed.kind, failed.retry_after, failed.detail)
         return self._after_lost(failed.kind)
@@ -223,9 +241,7 @@
             return ()
         if self._claim is not None:
             return self._ask()
-        if self._head_delivered:
-            return self._resume()
-        return self._after_silence()
+        return self._resume()
 
     def _on_link_up(self, event: LinkUp) -> Actions:
         """Ask for the rest at once where the wait was for a link."""
@@ -262,7 +278,7 @@
         return self._retry(ErrorKind.BACKEND_LOST)
 
     def _resume(self) -> Actions:
-        """Ask the same agent for the rest of the same run."""
+        """Ask the same agent for the rest of the same run, if it can."""
         routed = self._routed
         self._resumes += 1
         may_resume = self._token and self._resumes <= self._settings.max_asks
--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -110,6 +110,12 @@
         self._work[request] = True
         return self.tick(now)
 
+    def take_back(self, request: str) -> None:
+        """Note that a request can't be resumed elsewhere, or not yet."""
+        if request in self._work:
+            self._work[request] = False
+        self._handed.discard(request)
+
     def end_work(self, request: str, now: Millis) -> tuple[DrainAction, ...]:
         """Forget a request that has ended or was handed over."""
         self._work.pop(request, None)
--- a/src/oleanderdyke/kernel/streams.py
+++ b/src/oleanderdyke/kernel/streams.py
@@ -68,6 +68,7 @@
         self._start = start
         self._window = window
         self._head: AnswerHead | None = None
+        self._is_whole = False
         self._digest = _make_digest()
         self._clear(start)
 
@@ -101,10 +102,14 @@
         return Delivery(end=self._break(BrokenReason.LOST))
 
     def start_over(self, attempt: int) -> bool:
-        """Switch to another run; False once anything was passed on."""
-        if self._head is not None or self._next != self._start:
+        """Switch to another run; False once a chunk or whole was passed on.
+
+        The reader holds a head back until its own run's first chunk or end.
+        """
+        if self._is_whole or self._next != self._start:
             return False
         self._attempt = attempt
+        self._head = None
         self._clear(self._start)
         return True
 
@@ -188,6 +193,7 @@
         if not hmac.compare_digest(self._digest.digest(), proof):
             return self._break(BrokenReason.DIGEST)
         self._is_over = True
+        self._is_whole = True
         return Whole(end)
 
     def _break(self, reason: BrokenReason) -> Broken:
--- a/tests/matrix/drivers.py
+++ b/tests/matrix/drivers.py
@@ -133,9 +133,9 @@
         if item is None:
             await self._effects.flush()
         elif isinstance(item, HandedOver):
-            await self._effects.hand_over()
-            self.finish()
-            return
+            if await self._pass_to_other():
+                self.finish()
+                return
         else:
             await self._effects.do(await self._answer_item(item))
         if self._machine.done:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -144,8 +144,10 @@
 
 def test_plain_answer_passes_through():
     case = make_run().head()
-    assert case.actions == (ev.DeliverHead(201, (('a', 'b'),)),)
-    assert case.chunk().actions == (ev.DeliverChunk(b'booked'),)
+    assert case.actions == ()
+    head = ev.DeliverHead(201, (('a', 'b'),))
+    assert case.chunk().actions == (head, ev.DeliverChunk(b'booked'))
+    assert case.chunk(b'on').actions == (ev.DeliverChunk(b'on'),)
     case.end()
     assert isinstance(case.actions[0], ev.DeliverEnd)
     assert case.machine.done
@@ -193,7 +195,8 @@
     case.route('agent-1', 'i2')
     assert case.find(ev.SendDispatch).attempt == 2
     case.head().end()
-    assert isinstance(case.actions[0], ev.DeliverEnd)
+    kinds = [type(action) for action in case.actions]
+    assert kinds == [ev.DeliverHead, ev.DeliverEnd, ev.Done]
 
 
 def test_wait_for_a_replica_is_bounded_and_costs_no_further_retry():
@@ -299,7 +302,7 @@
 def test_answer_that_broke_on_its_way_cancels_its_run(delivered):
     case = make_run(idempotent=True)
     if delivered:
-        case.head()
+        case.head().chunk()
     case.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE)
     assert case.actions[0] == ev.SendCancel('agent-1', 'i1', 1)
     assert case.machine.done is delivered
@@ -313,11 +316,97 @@
 
 
 def test_resume_that_is_never_answered_ends_the_stream():
-    case = make_run(idempotent=True, max_asks=2).head('token')
+    case = make_run(idempotent=True, max_asks=2).head('token').chunk()
     case.on(ev.LinkLost('agent-1', 'i1')).fire().fire()
     assert case.refusal() == (ErrorKind.STREAM_BROKEN, Ran.MAYBE)
 
 
+def lose_server(case):
+    case.fail(ErrorKind.BACKEND_LOST, Ran.MAYBE)
+
+
+def lose_link(case):
+    """Lose a link and what was asked for over the next one."""
+    case.on(ev.LinkLost('agent-1', 'i1'))
+    while case.find(ev.StartTimer).kind is ev.TimerKind.RESUME:
+        case.fire()
+
+
+def lose_stream(case):
+    case.on(ev.LinkLost('agent-1', 'i1')).find(ev.SendResume)
+    case.fail(ErrorKind.STREAM_GONE, Ran.NO)
+
+
+def lose_incarnation(case):
+    case.on(ev.LinkLost('agent-1', 'i1'))
+    case.on(ev.IncarnationEnded('agent-1', 'i1'))
+
+
+LOSSES = [lose_server, lose_link, lose_stream, lose_incarnation]
+
+
+@pytest.mark.parametrize('lose', LOSSES)
+def test_stream_lost_before_its_first_chunk_is_run_again(lose):
+    case = make_run(idempotent=True).head('token')
+    assert case.actions == (ev.NoteResumable(),)
+    lose(case)
+    assert case.machine.ran is Ran.MAYBE
+    assert case.fire().find(ev.Route).exclude == {'agent-1'}
+    dispatch = case.route('agent-2', 'i2').find(ev.SendDispatch)
+    assert dispatch.alone is (lose is lose_server)
+    # Nothing of the first run may stand in for what the second one lacks.
+    assert case.machine.hand_over() is None
+    case.head('other').chunk()
+    head = ev.DeliverHead(201, (('a', 'b'),), 'other')
+    assert case.actions == (head, ev.DeliverChunk(b'booked'))
+    assert case.end().machine.done
+
+
+def test_token_of_an_earlier_run_resumes_no_later_one():
+    case = make_run(idempotent=True).head('token')
+    lose_server(case)
+    case.fire().route('agent-2', 'i2').on(ev.LinkLost('agent-2', 'i2'))
+    assert not any(isinstance(x, ev.SendResume) for x in case.actions)
+
+
+def test_second_crash_before_the_first_chunk_ends_the_request():
+    case = make_run(idempotent=True).head('token')
+    lose_server(case)
+    case.fire().route('agent-2', 'i2').head('other')
+    lose_server(case)
+    assert case.refusal() == (ErrorKind.QUARANTINED, Ran.MAYBE)
+
+
+@pytest.mark.parametrize('lose', [lose_server, lose_stream])
+def test_lost_stream_that_may_not_repeat_gets_the_typed_error(lose):
+    case = make_run().head('token')
+    lose(case)
+    assert case.refusal() == (ErrorKind.BACKEND_LOST, Ran.MAYBE)
+
+
+def test_held_head_goes_out_with_the_rest_of_its_run():
+    case = make_run(idempotent=True).head('token')
+    resume = case.on(ev.LinkLost('agent-1', 'i1')).find(ev.SendResume)
+    assert (resume.token, resume.sequence) == ('token', 0)
+    assert case.head('token').actions == ()
+    head = ev.DeliverHead(201, (('a', 'b'),), 'token')
+    assert case.chunk().actions == (head, ev.DeliverChunk(b'booked'))
+
+
+def test_handed_over_stream_gets_its_head_once():
+    case = make_run(idempotent=True)
+    assert case.machine.hand_over() is None
+    case.head('token')
+    head = ev.DeliverHead(201, (('a', 'b'),), 'token')
+    assert case.machine.hand_over() == (head,)
+    assert case.machine.hand_over() == ()
+
+
+@pytest.mark.parametrize('case', [make_claimed_run(), make_run()])
+def test_run_without_a_token_is_not_handed_over(case):
+    assert case.head().machine.hand_over() is None
+
+
 def test_receipt_is_recorded_before_it_is_delivered():
     case = make_claimed_run().head().chunk()
     assert case.actions == ()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -60,6 +60,18 @@
     assert drain.end_work('call', 54) == (Exit(),)
 
 
+def test_stream_taken_back_is_handed_over_once_it_can_be_resumed():
+    drain = make_drain('stream', resumable=('stream',))
+    drain.signal(0)
+    assert drain.tick(50) == (HandOver('stream'),)
+    drain.take_back('stream')
+    drain.take_back('unknown')
+    assert drain.tick(51) == ()
+    assert drain.running == ('stream',)
+    assert drain.mark_resumable('stream', 52) == (HandOver('stream'),)
+    assert drain.tick(53) == ()
+
+
 @pytest.mark.parametrize('by', ['signal', 'limit'])
 def test_a_hurried_stop_names_what_it_cuts(by):
     drain = make_drain('a', 'b')
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -778,7 +778,8 @@
 # --- a planned stop ---------------------------------------------------------
 
 
-def test_stop_hands_a_stream_over_and_refuses_new_work():
+@pytest.mark.parametrize('begun', [True, False])
+def test_stop_hands_a_stream_over_and_refuses_new_work(begun):
     async def act(tasks: TaskGroup) -> None:
         edge, link = make_model()
         edge.core.drain = replace_drain(edge)
@@ -794,7 +795,8 @@
         (dispatch,) = link.find(Dispatch)
         running = edge.core.running[dispatch.request]
         running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
-        running.take(AnswerChunk(dispatch.request, 1, 0, b'data: a\n\n'))
+        if begun:
+            running.take(AnswerChunk(dispatch.request, 1, 0, b'data: a\n\n'))
         await wait(lambda: edge.core.drain.running == (dispatch.request,))
         tasks.start_soon(edge.stopper.run)
         edge.stopper.take_signal('SIGTERM')
@@ -803,13 +805,44 @@
         assert json.loads(refused.body)['error']['ran'] == 'no'
         await wait(lambda: replies)
         (reply,) = replies
-        assert reply.body.startswith(b'id: 0\ndata: a\n\nevent: resume\n')
+        event, _, data = reply.body.partition(b'event: resume\ndata: ')
+        assert event == (b'id: 0\ndata: a\n\n' if begun else b'')
+        token = reply.headers['oleander-resume']
+        assert json.loads(data) == {'resume': token}
+        assert reply.status == 200
         assert not reply.ended
         assert not link.find(Cancel)
 
     run(act)
 
 
+def test_stream_without_a_token_is_not_handed_over_but_ends_here():
+    async def act(tasks: TaskGroup) -> None:
+        edge, link = make_model()
+        edge.start(tasks)
+        replies: list[Reply] = []
+
+        async def call() -> None:
+            body = [json.dumps(ASK).encode()]
+            replies.append(await edge.call('POST', CHAT, body=body))
+
+        tasks.start_soon(call)
+        await wait(lambda: link.find(BodyChunk))
+        (dispatch,) = link.find(Dispatch)
+        running = edge.core.running[dispatch.request]
+        running.hand_over()
+        running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
+        running.take(AnswerChunk(dispatch.request, 1, 0, EVENT))
+        whole = make_digest([EVENT])
+        running.take(AnswerEnd(dispatch.request, 1, 1, whole))
+        await wait(lambda: replies)
+        (reply,) = replies
+        assert reply.body == b'id: 0\ndata: a\n\n'
+        assert reply.ended
+
+    run(act)
+
+
 def replace_drain(edge: Edge) -> Any:
     settings = edge.core.settings.drain
     return type(edge.core.drain)(
--- a/tests/test_failures_requests.py
+++ b/tests/test_failures_requests.py
@@ -238,6 +238,42 @@
     assert scenes.count_runs(deployment, name) == 1
 
 
+def test_a_stream_whose_engine_dies_before_its_first_token_is_whole(
+    deployment: Deployment,
+) -> None:
+    entry = deployment.entries[0]
+    servers = deployment.find(scenes.MODEL)
+    before = scenes.count_dispatched(servers)
+    # Long enough to be read for seconds before the first word.
+    text = scenes.make_prompt('engine dies' * 20) * 8
+    stream = scenes.Streamed(entry, text, 8)
+    server = scenes.wait_dispatched(servers, before)
+    started = 'answer_started'
+    request = scenes.list_events(server.agent, 'dispatch_received')[-1][
+        'request'
+    ]
+    scenes.wait_event(server.agent, started, 0, request=request)
+    server.backend.kill()
+    assert not stream.data, 'the first token came before the kill'
+    reply = stream.join()
+    assert (reply.status, reply.done) == (200, True), reply
+    assert b'event: error' not in reply.body
+    assert reply.text == scenes.expect_text(text)
+    retried = scenes.list_events(entry.child, 'request_retried')
+    assert [each['request'] for each in retried].count(request) == 1
+    server.backend.start()
+    wait_listening(server.backend, server.address)
+    wait_until(
+        lambda: is_serving(deployment, server), 'the engine serves again'
+    )
+
+
+def is_serving(deployment: Deployment, server: Server) -> bool:
+    for entry in deployment.entries:
+        scenes.question(entry, 'there again?')
+    return bool(deployment.read_stats(server.address)['finished'])
+
+
 def test_a_stopping_agent_ends_its_stream_and_takes_nothing_new(
     deployment: Deployment,
 ) -> None:
--- a/tests/test_receiver.py
+++ b/tests/test_receiver.py
@@ -73,7 +73,11 @@
     caller.receiver.expect(1)
     expect_failure(caller.take(AnswerChunk('r', 1, 1_000, b'far')))
     caller.receiver.expect(2)
-    run = make_run(2, b'two')
+    head = make_run(2)[0]
+    assert caller.take(head) == [head]
+    # The machine holds the head of a run back until its first chunk.
+    caller.receiver.expect(3)
+    run = make_run(3, b'three')
     assert caller.take(*run) == run
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -94,15 +94,28 @@
     assert assembler.is_over is (end is not None)
 
 
-def test_another_run_takes_over_only_before_the_caller_saw_anything():
+def test_another_run_takes_over_only_before_a_chunk_was_passed_on():
     assembler = AnswerAssembler('r', 1)
     assembler.take(make_chunk(0))
     assert assembler.lose().end == Broken(BrokenReason.LOST)
     assert assembler.start_over(2)
     assert assembler.take(make_head(2)).head is not None
-    assert not assembler.start_over(3)
-    assert assembler.take(make_chunk(0, 1)).chunks == ()
-    assert assembler.take(make_chunk(0, 2)).chunks == (b'0',)
+    assert assembler.start_over(3)
+    assert assembler.take(make_chunk(0, 2)).chunks == ()
+    assert assembler.take(make_chunk(0, 3)).chunks == ()
+    shown = assembler.take(make_head(3, 'new'))
+    assert shown.head == make_head(3, 'new')
+    assert shown.chunks == (b'0',)
+    assert not assembler.start_over(4)
+    assert assembler.take(make_chunk(1, 4)).chunks == ()
+    assert assembler.take(make_chunk(1, 3)).chunks == (b'1',)
+
+
+def test_no_run_takes_over_from_a_whole_answer_without_a_chunk():
+    assembler = AnswerAssembler('r', 1)
+    assembler.take(HEAD)
+    assert isinstance(assembler.take(make_end(0, b'')).end, Whole)
+    assert not assembler.start_over(2)
 
 
 def test_only_a_lost_answer_is_resumed():
@@ -310,12 +323,14 @@
         self.attempt = 1
         self.runs = 0
         self.passed = b''
+        self.head_attempt = 0
         self.late = []
         self.corrupt = False
         self.open_run()
 
     def open_run(self):
         self.runs += 1
+        self.first_attempt = self.attempt
         self.produced = []
         reader = Reader('link', 'r', self.attempt)
         head = make_head(self.attempt)
@@ -386,12 +401,16 @@
     def accept(self, message):
         delivery = self.assembler.take(message)
         self.passed += b''.join(delivery.chunks)
+        if delivery.head is not None:
+            self.head_attempt = delivery.head.attempt
         whole = b''.join(self.produced)
         is_whole = isinstance(delivery.end, Whole)
         if self.corrupt:
             assert not is_whole or self.passed == whole, 'short'
             return
         assert whole.startswith(self.passed), 'spliced'
+        is_headed = self.head_attempt >= self.first_attempt
+        assert is_headed or not delivery.chunks, 'spliced'
         is_complete = self.buffer.is_finished and self.passed == whole
         assert not is_whole or is_complete, 'short'
 
@@ -419,6 +438,14 @@
         return super()._take_chunk(chunk)
 
 
+class KeepsHead(AnswerAssembler):
+    def start_over(self, attempt):
+        head = self._head
+        is_started = super().start_over(attempt)
+        self._head = head
+        return is_started
+
+
 def test_every_caller_gets_one_whole_run_or_a_clear_break():
     assert_holds(AnswerWorld)
 
@@ -429,6 +456,7 @@
         (SkipsGaps, 'spliced'),
         (TakesAnyAttempt, 'spliced'),
         (RepeatsChunks, 'spliced'),
+        (KeepsHead, 'spliced'),
         (TrustsEnds, 'short'),
     ],
 )
