Stop listing an event and a timing that nothing writes

Cause: the reference promised operators segments_freed and oleander_fetch_milliseconds; no code has written either. Ruled out: measuring fetches under that name; an entry, which serves the metrics, doesn't see them, and agents log segments_fetched. Change: both names and their rows are gone. /metrics loses an empty family. The test of a timing that was never taken names CLAIM in place of FETCH, as strict. Conclusion: the reference lists what can be seen.

--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -65,7 +65,6 @@
     SEGMENTS_FETCHED = 'segments_fetched'
     SEGMENTS_REJECTED = 'segments_rejected'
     SEGMENTS_KEPT = 'segments_kept'
-    SEGMENTS_FREED = 'segments_freed'
     SEGMENT_EVENTS_LOST = 'segment_events_lost'
     BACKEND_UP = 'backend_up'
     BACKEND_LOST = 'backend_lost'
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -29,7 +29,6 @@
     BETWEEN_TOKENS = 'between_tokens'
     QUEUE_WAIT = 'queue_wait'
     DECISION = 'decision'
-    FETCH = 'fetch'
     REQUEST = 'request'
     CLAIM = 'claim'
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -236,4 +236,4 @@
     (service, _) = make_status(bench.core).services
     assert (service.missed, service.missed_requests) == (1, ())
     assert service.timings == {}
-    assert bench.core.metrics.encode_timing(Timing.FETCH) == ''
+    assert bench.core.metrics.encode_timing(Timing.CLAIM) == ''
