Keep the readers of an agent's streams in a module of their own

Ruled out: parting the end of a run from its start too; they share the run's table, its scope and the gate at every step. Change: readers.py knows the reader and the run of each stream: credit, resuming, lost links, expiry. Runs asks it; the shell and the model agent of the fault matrix route credit and resuming to it.

--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Protocol
 
 import anyio
@@ -14,12 +14,12 @@
     check_replaced,
     find_ran,
     make_broken,
-    make_gone,
     make_late,
     may_have_run,
 )
 from oleanderdyke.agent.forward import Forwarder
 from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.readers import Readers
 from oleanderdyke.agent.run import Run, RunKey
 from oleanderdyke.agent.settings import RunSettings
 from oleanderdyke.agent.watch import Ending
@@ -29,15 +29,12 @@
 from oleanderdyke.kernel.claim_runs import RunAnswer
 from oleanderdyke.kernel.gate import Gate, Pass
 from oleanderdyke.kernel.stream_buffer import Reader, StreamBuffer
-from oleanderdyke.kernel.stream_table import StreamTable
 from oleanderdyke.links.messages import (
     BodyChunk,
     Cancel,
-    Credit,
     Dispatch,
     Failed,
     Message,
-    Resume,
 )
 from oleanderdyke.logs import EventLog
 from oleanderdyke.platform.http import HttpError
@@ -59,8 +56,7 @@
     def __init__(
         self,
         gate: Gate,
-        streams: StreamTable,
-        outboxes: Mapping[str, Outbox],
+        readers: Readers,
         *,
         settings: RunSettings,
         body_limit: int,
@@ -73,8 +69,7 @@
         tell_suspects: Callable[[], None],
     ) -> None:
         self._gate = gate
-        self._streams = streams
-        self._outboxes = outboxes
+        self._readers = readers
         self._settings = settings
         self._body_limit = body_limit
         self._clock = clock
@@ -86,8 +81,6 @@
         self._tell_suspects = tell_suspects
         self._forwarder: Forwarder | None = None
         self._runs: dict[RunKey, Run] = {}
-        self._streaming: dict[StreamBuffer, Run] = {}
-        self._readers: dict[Reader, StreamBuffer] = {}
         self._body_bytes = 0
         self._progress = anyio.Event()
 
@@ -137,8 +130,7 @@
     def cancel(self, outbox: Outbox, message: Cancel) -> None:
         """Stop a run whose caller has gone; a claimed one goes on unread."""
         reader = Reader(outbox.name, message.request, message.attempt)
-        buffer = self._readers.get(reader)
-        run = self._streaming.get(buffer) if buffer is not None else None
+        run = self._readers.find_run(reader)
         if run is None:
             self._gate.cancel(message.request, message.attempt)
             run = self._runs.get((message.request, message.attempt))
@@ -151,42 +143,9 @@
         )
         self._abandon(run, cancel=run.dispatch.claim is None)
 
-    def grant(self, outbox: Outbox, credit: Credit) -> None:
-        """Let a reader have more of its stream."""
-        reader = Reader(outbox.name, credit.request, credit.attempt)
-        buffer = self._readers.get(reader)
-        if buffer is None:
-            return
-        self.send(reader, buffer.grant(credit, self._clock.now()))
-        self._note_progress(buffer)
-
-    def resume(self, outbox: Outbox, message: Resume) -> None:
-        """Give a stream to a new reader."""
-        now = self._clock.now()
-        resumed = self._streams.resume(message, outbox.name, now)
-        if isinstance(resumed, Failed):
-            outbox.put(resumed)
-            return
-        reader = Reader(outbox.name, message.request, message.attempt)
-        if resumed.superseded is not None:
-            self._readers.pop(resumed.superseded, None)
-            notice = () if resumed.notice is None else (resumed.notice,)
-            self.send(resumed.superseded, notice)
-        self._readers[reader] = resumed.stream
-        self.send(reader, resumed.messages)
-        self._events.write(
-            EventName.STREAM_RESUMED,
-            request=message.request,
-            attempt=message.attempt,
-            peer=outbox.peer.process,
-        )
-        self._note_progress(resumed.stream)
-
     def drop_link(self, link: str) -> None:
         """Keep the streams of a lost link for a while; end what has none."""
-        self._streams.detach(link, self._clock.now())
-        for reader in [each for each in self._readers if each.link == link]:
-            del self._readers[reader]
+        self._readers.drop_link(link)
         for run in tuple(self._runs.values()):
             if run.outbox.name != link:
                 continue
@@ -196,15 +155,8 @@
 
     def expire(self) -> None:
         """End the streams that nobody has come back for."""
-        for buffer in self._streams.expire(self._clock.now()):
-            reader = buffer.reader
-            run = self._streaming.pop(buffer, None)
-            if reader is not None:
-                self._readers.pop(reader, None)
-                self.send(reader, (make_gone(reader),))
-            if run is not None:
-                run.buffer = None
-                self._abandon(run, cancel=run.is_droppable)
+        for run in self._readers.expire():
+            self._abandon(run, cancel=run.is_droppable)
 
     def crash(self) -> tuple[tuple[Reader, Failed], ...]:
         """End what ran on the lost backend server; return what to tell whom."""
@@ -240,27 +192,17 @@
         check_replaced(status, ended=self._has_ended())
 
     def attach(self, run: Run, buffer: StreamBuffer) -> None:
-        """Note the reader of a new stream; its link may be gone by now."""
-        self._streaming[buffer] = run
+        """Note the reader of a new stream."""
+        self._readers.attach(run, buffer)
         self._wake()
-        if run.outbox.name in self._outboxes:
-            self._readers[run.reader] = buffer
-            return
-        buffer.detach(run.outbox.name, self._clock.now())
 
     def send(self, reader: Reader, messages: Iterable[Message]) -> None:
         """Queue messages for a reader whose link is there."""
-        outbox = self._outboxes.get(reader.link)
-        if outbox is None:
-            return
-        for message in messages:
-            outbox.put(message)
+        self._readers.send(reader, messages)
 
     async def push(self, reader: Reader, messages: Sequence[Message]) -> None:
         """Send messages to a reader whose link is there."""
-        outbox = self._outboxes.get(reader.link)
-        if outbox is not None:
-            await outbox.push(messages)
+        await self._readers.push(reader, messages)
 
     async def _execute(self, run: Run) -> None:
         try:
@@ -332,7 +274,7 @@
 
     def _end_unanswered(self, run: Run, kind: ErrorKind) -> None:
         run.stopped = True
-        self._drop_stream(run)
+        self._readers.drop_stream(run)
         run.scope.cancel()
         self._events.write(
             EventName.ANSWER_BROKEN,
@@ -343,37 +285,19 @@
 
     def _abandon(self, run: Run, *, cancel: bool) -> None:
         run.discarded = True
-        self._drop_stream(run)
+        self._readers.drop_stream(run)
         if cancel and not run.stopped:
             run.stopped = True
             self._gate.finish(*run.key, None, served=False)
             run.scope.cancel()
 
-    def _drop_stream(self, run: Run) -> None:
-        buffer = run.buffer
-        run.buffer = None
-        if buffer is not None:
-            self._streams.close(buffer)
-            self._streaming.pop(buffer, None)
-            if buffer.reader is not None:
-                self._readers.pop(buffer.reader, None)
-        run.notify()
-
     def _forget(self, run: Run) -> None:
         self._runs.pop(run.key, None)
         self._body_bytes -= run.body.received
-        if run.buffer is not None:
-            self._streaming.pop(run.buffer, None)
+        self._readers.forget(run)
         self._ledger.end(run.work)
         self._wake()
 
-    def _note_progress(self, buffer: StreamBuffer) -> None:
-        if buffer.is_sent and buffer.reader is not None:
-            self._readers.pop(buffer.reader, None)
-        run = self._streaming.get(buffer)
-        if run is not None:
-            run.notify()
-
     def _wake(self) -> None:
         self._progress.set()
         self._progress = anyio.Event()
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -19,6 +19,7 @@
 from oleanderdyke.agent.forward import Forwarder
 from oleanderdyke.agent.health import Health
 from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.readers import Readers
 from oleanderdyke.agent.roles import Loop, RoleParts, make_role
 from oleanderdyke.agent.roles import Role as AgentRole
 from oleanderdyke.agent.runs import Runs
@@ -105,6 +106,9 @@
             rights=self._configuration,
         )
         self._streams = StreamTable(settings.streams)
+        self._readers = Readers(
+            self._streams, self._outboxes, clock=clock, events=events
+        )
         self._departure = Departure(
             make_agent_drain(settings.drain),
             clock=clock,
@@ -115,8 +119,7 @@
         )
         self._runs = Runs(
             self._gate,
-            self._streams,
-            self._outboxes,
+            self._readers,
             settings=settings.runs,
             body_limit=settings.backend.body_limit,
             clock=clock,
@@ -287,8 +290,8 @@
             Dispatch: self._runs.dispatch,
             BodyChunk: self._runs.add_body,
             Cancel: self._on_cancel,
-            Credit: self._runs.grant,
-            Resume: self._runs.resume,
+            Credit: self._readers.grant,
+            Resume: self._readers.resume,
             ClaimQuery: self._on_claim_query,
             SegmentRead: role.on_read,
             SegmentWrite: role.on_write,
--- a/tests/matrix/agent.py
+++ b/tests/matrix/agent.py
@@ -11,6 +11,7 @@
 from oleanderdyke.agent.configuration import Configuration
 from oleanderdyke.agent.departure import Departure
 from oleanderdyke.agent.forward import Forwarder, _make_record
+from oleanderdyke.agent.readers import Readers
 from oleanderdyke.agent.run import Run
 from oleanderdyke.agent.settings import RunSettings
 from oleanderdyke.clock import Millis
@@ -109,10 +110,12 @@
             announce=self._announce,
             cut=self._cut,
         )
+        self.readers = Readers(
+            streams, self.outboxes, clock=clock, events=_NULL
+        )
         self.runs = ModelRuns(
             self.gate,
-            streams,
-            self.outboxes,
+            self.readers,
             settings=RunSettings(),
             body_limit=1 << 20,
             clock=clock,
@@ -328,8 +331,8 @@
             Dispatch: self.runs.dispatch,
             BodyChunk: self.runs.add_body,
             Cancel: self.runs.cancel,
-            Credit: self.runs.grant,
-            Resume: self.runs.resume,
+            Credit: self.readers.grant,
+            Resume: self.readers.resume,
             Superseded: self._on_superseded,
             ClaimQuery: lambda outbox, query: outbox.put(
                 self.gate.answer(query)
