Leave the registration of plug-ins to their package

Cause: main.py of the entry named the plug-in modules so that they register, which policies/__init__.py does at the import of any module beside them. Ruled out: naming them in each process; the agent never did. Change: PLUGINS is gone from the entry and from the test bench of entries. Conclusion: an own plug-in of the package registers in one place.

--- a/src/oleanderdyke/entry/main.py
+++ b/src/oleanderdyke/entry/main.py
@@ -10,12 +10,8 @@
 from oleanderdyke.entry.settings import EntrySettings, find_faults
 from oleanderdyke.entry.shell import run_entry
 from oleanderdyke.errors import SettingsError
-from oleanderdyke.policies import admission, routing
 from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS
 
-# Importing a module of plug-ins registers them.
-PLUGINS = (admission, routing)
-
 _NAME = 'oleander-entry'
 _DESCRIPTION = 'Take the requests of callers and operators.'
 
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -48,9 +48,7 @@
     Role,
 )
 from oleanderdyke.platform.log import LogPage, LogRecord, LogUnavailable
-from oleanderdyke.policies import admission, routing
 
-PLUGINS = (admission, routing)
 TOKEN = 'token-of-owls'
 OTHER_TOKEN = 'token-of-toads'
 WEIGHTS = ModelVersionSpec('lector', '1', 'a' * 64)
