Drop banners from the entry's application

Cause: app.py had two banner comments, which the style forbids, and _begin did not say that it looks for the team; server.py declared a flag between methods. Change: no banners; _find_team; the flag stands first. Nothing else. Conclusion: the names carry the sections.

--- a/src/oleanderdyke/entry/app.py
+++ b/src/oleanderdyke/entry/app.py
@@ -120,8 +120,6 @@
             return
         await answer.send_error(error)
 
-    # --- for the balancer and operators ----------------------------------
-
     async def _serve_live(self, _: Head, __: Body, answer: Answer) -> None:
         await answer.send_json(200, b'{"live": true}')
 
@@ -146,10 +144,8 @@
         headers = (('content-type', _METRICS_TYPE),)
         await answer.send_whole(200, core.metrics.render(), headers)
 
-    # --- for callers ----------------------------------------------------
-
     async def _serve_chat(self, head: Head, body: Body, answer: Answer) -> None:
-        team = self._begin(head)
+        team = self._find_team(head)
         chat = parse_chat(await body.read())
         target = find_model_service(self._core, team, chat.model)
         if _is_background(head):
@@ -166,7 +162,7 @@
     async def _serve_plain(
         self, head: Head, body: Body, answer: Answer
     ) -> None:
-        team = self._begin(head)
+        team = self._find_team(head)
         _, _, service, *rest = split_path(head.target, 3)
         target = find_plain_service(self._core, team, service)
         if head.method not in target.spec.methods:
@@ -192,7 +188,7 @@
     ) -> None:
         if head.method != 'GET':
             raise _make_wrong_method('GET')
-        team = self._begin(head)
+        team = self._find_team(head)
         _, _, token = split_path(head.target, 3)
         await body.read()
         ask = ResumeAsk(
@@ -210,8 +206,8 @@
         driver = ResumeDriver(self._tools, ask, body=body, delivery=delivery)
         await self._count(head.request, driver.run)
 
-    def _begin(self, head: Head) -> StoredObject:
-        """Refuse while there is no configuration, then find the team."""
+    def _find_team(self, head: Head) -> StoredObject:
+        """Return the caller's team; raise NOT_READY without configuration."""
         core = self._core
         if core.reader.offset < 0:
             fault = core.find_configuration_fault()
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -172,13 +172,13 @@
 class EdgeServer(uvicorn.Server):
     """Leave signals to the shell of the entry."""
 
+    closed = False
+
     @contextlib.contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
         """Capture none."""
         yield
 
-    closed = False
-
     async def serve(self, sockets: list[socket.socket] | None = None) -> None:
         """Serve until `should_exit`, then set `closed`."""
         try:
