Route an agent's messages in a module of their own

Cause: shell.py put the parts together, routed the messages and held what an order to leave does, in 400 lines. Ruled out: a routing table that the parts fill themselves: most of them know nothing of messages, and the closed list reads best in one place. Change: routing.py hands messages on, leave_orders.py takes drain requests and the word of a newer incarnation; the shell builds, runs and stops the parts. Before and after: shell.py 403 and 309 lines, routing.py 137, leave_orders.py 55. test_agent, test_poison, test_fetch, test_store_agent and test_fault_matrix passed.

--- /dev/null
+++ b/src/oleanderdyke/agent/leave_orders.py
@@ -0,0 +1,55 @@
+"""Take the messages that tell an agent to leave."""
+
+from __future__ import annotations
+
+from oleanderdyke.agent.departure import Departure
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.events import EventName
+from oleanderdyke.links.messages import DrainRequest, Role, Superseded
+from oleanderdyke.logs import EventLog
+
+
+class LeaveOrders:
+    """Start the departure of one incarnation at another's word."""
+
+    def __init__(
+        self,
+        process: str,
+        incarnation: str,
+        departure: Departure,
+        *,
+        events: EventLog,
+    ) -> None:
+        self._process = process
+        self._incarnation = incarnation
+        self._departure = departure
+        self._events = events
+        self._superseded = False
+
+    def is_superseded(self) -> bool:
+        """Tell whether a newer incarnation guards the server now."""
+        return self._superseded
+
+    def drain(self, _outbox: Outbox, message: DrainRequest) -> None:
+        """Leave because an operator asked for it."""
+        if self._departure.is_leaving:
+            return
+        self._events.write(EventName.DRAIN_STARTED, operator=message.operator)
+        self._departure.signal()
+
+    def supersede(self, outbox: Outbox, message: Superseded) -> None:
+        """Leave for good; a newer incarnation guards the server now."""
+        own = (self._process, self._incarnation)
+        if (message.process, message.incarnation) != own:
+            return
+        if outbox.peer.role is not Role.ENTRY:
+            return
+        self._superseded = True
+        if self._departure.is_leaving:
+            return
+        self._events.write(
+            EventName.DRAIN_STARTED,
+            peer=outbox.peer.process,
+            reason='superseded',
+        )
+        self._departure.signal()
--- /dev/null
+++ b/src/oleanderdyke/agent/routing.py
@@ -0,0 +1,137 @@
+"""Route each message of a peer to the part of an agent that takes it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+from anyio.abc import TaskGroup
+
+from oleanderdyke.agent.beats import Beats
+from oleanderdyke.agent.configuration import Configuration
+from oleanderdyke.agent.leave_orders import LeaveOrders
+from oleanderdyke.agent.outbox import Outbox
+from oleanderdyke.agent.readers import Readers
+from oleanderdyke.agent.roles import Role
+from oleanderdyke.agent.runs import Runs
+from oleanderdyke.clock import Clock
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.gate import Gate
+from oleanderdyke.kernel.quarantine import Quarantine
+from oleanderdyke.links.link import LinkClosed
+from oleanderdyke.links.messages import (
+    BodyChunk,
+    Cancel,
+    ClaimQuery,
+    ConfigurationDifference,
+    ConfigurationRequest,
+    Credit,
+    Dispatch,
+    DrainRequest,
+    EntryBeat,
+    Message,
+    Refused,
+    Resume,
+    SegmentListRequest,
+    SegmentPart,
+    SegmentRead,
+    SegmentWrite,
+    Superseded,
+)
+from oleanderdyke.logs import EventLog
+
+_Handler: TypeAlias = Callable[[Outbox, Any], None]
+
+
+class Router:
+    """Hand on what peers send; refuse what isn't for an agent."""
+
+    def __init__(
+        self,
+        *,
+        runs: Runs,
+        readers: Readers,
+        role: Role,
+        beats: Beats,
+        gate: Gate,
+        configuration: Configuration,
+        quarantine: Quarantine,
+        leave_orders: LeaveOrders,
+        clock: Clock,
+        events: EventLog,
+        tasks: TaskGroup,
+    ) -> None:
+        self._runs = runs
+        self._role = role
+        self._beats = beats
+        self._gate = gate
+        self._configuration = configuration
+        self._quarantine = quarantine
+        self._clock = clock
+        self._events = events
+        self._tasks = tasks
+        self._handlers: dict[type[Any], _Handler] = {
+            EntryBeat: self._on_beat,
+            ConfigurationRequest: self._on_configuration_request,
+            ConfigurationDifference: configuration.take,
+            SegmentListRequest: self._on_list_request,
+            Dispatch: runs.dispatch,
+            BodyChunk: runs.add_body,
+            Cancel: self._on_cancel,
+            Credit: readers.grant,
+            Resume: readers.resume,
+            ClaimQuery: self._on_claim_query,
+            SegmentRead: role.on_read,
+            SegmentWrite: role.on_write,
+            SegmentPart: role.on_part,
+            DrainRequest: leave_orders.drain,
+            Superseded: leave_orders.supersede,
+        }
+
+    def route(self, outbox: Outbox, message: Message) -> None:
+        """Hand on a message that came over the link of an outbox."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(outbox, message)
+            return
+        if isinstance(message, Refused):
+            return
+        self._events.write(
+            EventName.MESSAGE_REFUSED,
+            peer=outbox.peer.process,
+            kind=type(message).__name__,
+        )
+        outbox.put(Refused(ErrorKind.PROTOCOL, 'not for an agent'))
+
+    def _on_beat(self, outbox: Outbox, message: EntryBeat) -> None:
+        self._configuration.hear(outbox, message.offset)
+        self._quarantine.merge(
+            message.quarantined, message.suspects, self._clock.now()
+        )
+
+    def _on_configuration_request(
+        self, outbox: Outbox, message: ConfigurationRequest
+    ) -> None:
+        self._tasks.start_soon(self._send_configuration, outbox, message)
+
+    async def _send_configuration(
+        self, outbox: Outbox, message: ConfigurationRequest
+    ) -> None:
+        try:
+            await self._configuration.answer(outbox, message)
+        except LinkClosed:
+            return
+
+    def _on_list_request(
+        self, outbox: Outbox, message: SegmentListRequest
+    ) -> None:
+        self._beats.list_segments(outbox, message.after)
+
+    def _on_cancel(self, outbox: Outbox, message: Cancel) -> None:
+        self._role.stop_read(outbox, message.request)
+        if message.attempt:
+            self._runs.cancel(outbox, message)
+
+    def _on_claim_query(self, outbox: Outbox, message: ClaimQuery) -> None:
+        outbox.put(self._gate.answer(message))
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -1,4 +1,4 @@
-"""Put the parts of an agent together and route its messages."""
+"""Put the parts of an agent together and run it."""
 
 from __future__ import annotations
 
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Sequence
 from itertools import count
 from random import Random
-from typing import Any, TypeAlias
 
 import anyio
 from anyio.abc import TaskGroup
@@ -18,15 +17,16 @@
 from oleanderdyke.agent.departure import Departure
 from oleanderdyke.agent.forward import Forwarder
 from oleanderdyke.agent.health import Health
+from oleanderdyke.agent.leave_orders import LeaveOrders
 from oleanderdyke.agent.outbox import Outbox
 from oleanderdyke.agent.readers import Readers
 from oleanderdyke.agent.roles import Loop, RoleParts, make_role
 from oleanderdyke.agent.roles import Role as AgentRole
+from oleanderdyke.agent.routing import Router
 from oleanderdyke.agent.runs import Runs
 from oleanderdyke.agent.settings import AgentSettings
 from oleanderdyke.agent.watch import Ending, ProcessWatch
 from oleanderdyke.clock import SECOND, Clock, Millis
-from oleanderdyke.errors import ErrorKind
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.drain import make_agent_drain
 from oleanderdyke.kernel.gate import Gate, GateSettings
@@ -40,30 +40,11 @@
 from oleanderdyke.links.messages import (
     PROTOCOL_VERSION,
     AgentPhase,
-    BodyChunk,
-    Cancel,
-    ClaimQuery,
-    ConfigurationDifference,
-    ConfigurationRequest,
-    Credit,
-    Dispatch,
-    DrainRequest,
-    EntryBeat,
     Hello,
-    Message,
-    Refused,
-    Resume,
     Role,
-    SegmentListRequest,
-    SegmentPart,
-    SegmentRead,
-    SegmentWrite,
-    Superseded,
 )
 from oleanderdyke.logs import EventLog
 
-_Handler: TypeAlias = Callable[[Outbox, Any], None]
-
 _INCARNATION_BYTES = 8
 _EXPIRY: Millis = SECOND
 
@@ -90,7 +71,6 @@
         self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
         self._outboxes: dict[str, Outbox] = {}
         self._link_numbers = count(1)
-        self._superseded = False
         self._backend = Backend(settings.backend)
         self._watch = ProcessWatch(settings.backend, clock=clock)
         self._quarantine = make_quarantine(QuarantineSettings())
@@ -117,6 +97,9 @@
             announce=self._announce,
             cut=self._cut,
         )
+        self._leave_orders = LeaveOrders(
+            settings.process, self.incarnation, self._departure, events=events
+        )
         self._runs = Runs(
             self._gate,
             self._readers,
@@ -157,7 +140,19 @@
             role=self._role,
             clock=clock,
         )
-        self._handlers = self._list_handlers()
+        self._router = Router(
+            runs=self._runs,
+            readers=self._readers,
+            role=self._role,
+            beats=self._beats,
+            gate=self._gate,
+            configuration=self._configuration,
+            quarantine=self._quarantine,
+            leave_orders=self._leave_orders,
+            clock=clock,
+            events=events,
+            tasks=tasks,
+        )
         self.port = 0
 
     async def run(self, *, started: Callable[[], None] | None = None) -> None:
@@ -224,7 +219,7 @@
                 tasks=self._tasks,
                 incarnation=self.incarnation,
                 make_hello=self._make_hello,
-                is_superseded=lambda: self._superseded,
+                is_superseded=self._leave_orders.is_superseded,
                 client_tls=client_tls,
             ),
         )
@@ -249,24 +244,10 @@
         try:
             while True:
                 message = await link.receive()
-                self._route(outbox, message)
+                self._router.route(outbox, message)
         except LinkClosed:
             return
 
-    def _route(self, outbox: Outbox, message: Message) -> None:
-        handler = self._handlers.get(type(message))
-        if handler is not None:
-            handler(outbox, message)
-            return
-        if isinstance(message, Refused):
-            return
-        self._events.write(
-            EventName.MESSAGE_REFUSED,
-            peer=outbox.peer.process,
-            kind=type(message).__name__,
-        )
-        outbox.put(Refused(ErrorKind.PROTOCOL, 'not for an agent'))
-
     def _drop_link(self, outbox: Outbox) -> None:
         del self._outboxes[outbox.name]
         self._runs.drop_link(outbox.name)
@@ -280,81 +261,6 @@
             event, peer=peer.process, incarnation=peer.incarnation
         )
 
-    def _list_handlers(self) -> dict[type[Any], _Handler]:
-        role = self._role
-        return {
-            EntryBeat: self._on_beat,
-            ConfigurationRequest: self._on_configuration_request,
-            ConfigurationDifference: self._configuration.take,
-            SegmentListRequest: self._on_list_request,
-            Dispatch: self._runs.dispatch,
-            BodyChunk: self._runs.add_body,
-            Cancel: self._on_cancel,
-            Credit: self._readers.grant,
-            Resume: self._readers.resume,
-            ClaimQuery: self._on_claim_query,
-            SegmentRead: role.on_read,
-            SegmentWrite: role.on_write,
-            SegmentPart: role.on_part,
-            DrainRequest: self._on_drain_request,
-            Superseded: self._on_superseded,
-        }
-
-    def _on_beat(self, outbox: Outbox, message: EntryBeat) -> None:
-        self._configuration.hear(outbox, message.offset)
-        self._quarantine.merge(
-            message.quarantined, message.suspects, self._clock.now()
-        )
-
-    def _on_configuration_request(
-        self, outbox: Outbox, message: ConfigurationRequest
-    ) -> None:
-        self._tasks.start_soon(self._send_configuration, outbox, message)
-
-    async def _send_configuration(
-        self, outbox: Outbox, message: ConfigurationRequest
-    ) -> None:
-        try:
-            await self._configuration.answer(outbox, message)
-        except LinkClosed:
-            return
-
-    def _on_list_request(
-        self, outbox: Outbox, message: SegmentListRequest
-    ) -> None:
-        self._beats.list_segments(outbox, message.after)
-
-    def _on_cancel(self, outbox: Outbox, message: Cancel) -> None:
-        self._role.stop_read(outbox, message.request)
-        if message.attempt:
-            self._runs.cancel(outbox, message)
-
-    def _on_claim_query(self, outbox: Outbox, message: ClaimQuery) -> None:
-        outbox.put(self._gate.answer(message))
-
-    def _on_drain_request(self, _outbox: Outbox, message: DrainRequest) -> None:
-        if self._departure.is_leaving:
-            return
-        self._events.write(EventName.DRAIN_STARTED, operator=message.operator)
-        self._departure.signal()
-
-    def _on_superseded(self, outbox: Outbox, message: Superseded) -> None:
-        """Leave for good; a newer incarnation guards the server now."""
-        own = (self._settings.process, self.incarnation)
-        if (message.process, message.incarnation) != own:
-            return
-        if outbox.peer.role is not Role.ENTRY:
-            return
-        self._superseded = True
-        if self._departure.is_leaving:
-            return
-        self._events.write(
-            EventName.DRAIN_STARTED,
-            peer=outbox.peer.process,
-            reason='superseded',
-        )
-        self._departure.signal()
-
     async def _judge_loss(self) -> Ending:
         ending = await self._watch.judge()
         if ending is Ending.ENDED:
