Take host and port apart in one place

Cause: four clients split 'host:port' by themselves, and two of them, the probe of a plain service and the watch of a process, left the brackets of an IPv6 address on its host, which no resolver knows. Ruled out: refusing such addresses; the check of the settings allows them. Change: platform/addresses.py; a timeout is an OSError and named no more. Before and after: the new test failed on the code before and passes now, with the rest of test_watch, test_kept, test_platform_clients, test_log_client, test_agent, test_fetch and test_store_agent.

--- a/src/oleanderdyke/agent/backend.py
+++ b/src/oleanderdyke/agent/backend.py
@@ -13,6 +13,7 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.addresses import split_address
 from oleanderdyke.platform.exchange import Body
 from oleanderdyke.platform.http import (
     HttpAnswer,
@@ -105,11 +106,11 @@
 
     async def connect(self) -> None:
         """Prove that the server accepts connections; raise HttpError."""
-        host, _, port = self._address.rpartition(':')
+        host, port = split_address(self._address)
         try:
             with anyio.fail_after(self._connect_timeout / SECOND):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError) as error:
+                stream = await anyio.connect_tcp(host, port)
+        except OSError as error:
             raise HttpError('cannot connect', ran=Ran.NO) from error
         await stream.aclose()
 
--- a/src/oleanderdyke/agent/watch.py
+++ b/src/oleanderdyke/agent/watch.py
@@ -10,6 +10,7 @@
 from oleanderdyke.agent.settings import BackendSettings
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.links.messages import BackendKind
+from oleanderdyke.platform.addresses import split_address
 
 _SETTLE: Millis = 250.0
 _READ_BYTES = 1024
@@ -81,11 +82,11 @@
         await anyio.aclose_forcefully(stream)
 
     async def _connect(self) -> SocketStream | None:
-        host, _, port = self._settings.address.rpartition(':')
+        host, port = split_address(self._settings.address)
         try:
             with anyio.fail_after(self._settings.connect_timeout / SECOND):
-                return await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError):
+                return await anyio.connect_tcp(host, port)
+        except OSError:
             return None
 
 
--- a/src/oleanderdyke/platform/http.py
+++ b/src/oleanderdyke/platform/http.py
@@ -12,6 +12,7 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.addresses import split_address
 from oleanderdyke.platform.exchange import (
     FAILURES,
     Body,
@@ -73,10 +74,8 @@
         settings: HttpSettings | None = None,
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        host, _, port = address.rpartition(':')
         self._address = address
-        self._host = host.strip('[]')
-        self._port = int(port)
+        self._host, self._port = split_address(address)
         self._settings = settings or HttpSettings()
         self._tls = tls
         self._open: set[Exchange] = set()
--- a/src/oleanderdyke/platform/kept.py
+++ b/src/oleanderdyke/platform/kept.py
@@ -16,6 +16,7 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import Ran
+from oleanderdyke.platform.addresses import split_address
 from oleanderdyke.platform.exchange import FAILURES, Exchange, open_exchange
 from oleanderdyke.platform.http import HttpAnswer, HttpError, make_lost
 
@@ -43,10 +44,8 @@
     def __init__(
         self, address: str, settings: KeptSettings | None = None
     ) -> None:
-        host, _, port = address.rpartition(':')
         self._address = address
-        self._host = host.strip('[]')
-        self._port = int(port)
+        self._host, self._port = split_address(address)
         self._settings = settings or KeptSettings()
         self._kept: list[_Kept] = []
         self._used: set[Exchange] = set()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from agents import make_settings, wait_until
+from oleanderdyke.agent.backend import Backend
 from oleanderdyke.agent.failures import check_replaced
 from oleanderdyke.agent.watch import Ending, ProcessWatch
 from oleanderdyke.clock import ManualClock
@@ -41,6 +42,26 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_brackets_of_an_address_are_no_part_of_the_host(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    asked = []
+
+    async def refuse(host: str, port: int) -> None:
+        asked.append((host, port))
+        raise ConnectionRefusedError
+
+    monkeypatch.setattr(anyio, 'connect_tcp', refuse)
+    settings = make_settings(BackendKind.ENGINE, '[::1]:80', 's').backend
+    with pytest.raises(HttpError):
+        await Backend(settings).connect()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ProcessWatch(settings, clock=ManualClock()).run)
+        await wait_until(lambda: len(asked) > 1)
+        tasks.cancel_scope.cancel()
+    assert asked == [('::1', 80)] * 2
+
+
 def test_refusal_after_the_end_is_a_lost_run() -> None:
     with pytest.raises(HttpError) as caught:
         check_replaced(503, ended=True)
