Drop banners from the machines of a request

Cause: the style forbids banner comments; three modules of the kernel had ten. Change: the banners are gone; no code changes.

--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -39,9 +39,6 @@
     LINGER = 'linger'
 
 
-# --- events -----------------------------------------------------------------
-
-
 @dataclass(frozen=True, slots=True)
 class Routed:
     """Tell which replica was chosen."""
@@ -182,9 +179,6 @@
 )
 
 
-# --- actions ----------------------------------------------------------------
-
-
 @dataclass(frozen=True, slots=True)
 class Route:
     """Choose a replica; answer with `Routed` or `NoRoute`.
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -97,8 +97,6 @@
             return None
         return self._release_head()
 
-    # --- routing ---
-
     def _on_routed(self, event: Routed) -> Actions:
         if self._stage is not Stage.ROUTING:
             return ()
@@ -115,8 +113,6 @@
             return self._await_replica()
         return self._refuse(refusal.kind, refusal.retry_after, refusal.reason)
 
-    # --- the answer ---
-
     def _on_received(self, event: Received) -> Actions:
         message = event.message
         if message.attempt != self._attempt:
@@ -169,8 +165,6 @@
     def _clear_suspect(self) -> Actions:
         return (ClearSuspect(self._facts.digest),) if self._alone else ()
 
-    # --- failures ---
-
     def _on_failed(self, failed: Failed) -> Actions:
         if failed.ran is Ran.NO and self._stage is Stage.RUNNING:
             return self._after_not_run(failed)
@@ -232,8 +226,6 @@
         self._exclude_current()
         return self._retry(ErrorKind.NO_REPLICA)
 
-    # --- links ---
-
     def _on_link_lost(self, event: LinkLost) -> Actions:
         if not self._is_at(event.agent, event.incarnation):
             return ()
@@ -296,8 +288,6 @@
         wait = self._settings.ask_wait
         return (resume, self._start_timer(TimerKind.RESUME, wait))
 
-    # --- time and ends ---
-
     def _on_timer(self, event: TimerFired) -> Actions:
         if event.kind is TimerKind.LINGER:
             return self._finish()
--- a/src/oleanderdyke/kernel/claimed_attempts.py
+++ b/src/oleanderdyke/kernel/claimed_attempts.py
@@ -65,8 +65,6 @@
     _is_running = False
     _receipt: Receipt | None = None
 
-    # --- claiming ---
-
     def _append_claim(self) -> Actions:
         """Ask the log for the key, and hand it the release that waits."""
         if self._routed is None or self._claims >= self._settings.max_claims:
@@ -129,8 +127,6 @@
             case Conflict():
                 return self._refuse(ErrorKind.KEY_REUSED)
 
-    # --- asking ---
-
     def _join(self, claim: Claim) -> Actions:
         self._claim = claim
         self._joined = True
@@ -185,8 +181,6 @@
             return self._retry(ErrorKind.BACKEND_LOST)
         return self._route()
 
-    # --- the answer ---
-
     def _get_receipt(self) -> Receipt:
         if self._receipt is None:
             self._receipt = Receipt()
