State the times of an entry's stop once

Cause: make_entry_drain, which only a test called, and the settings of an entry held the same two times; the test watched the copy that no entry used. Ruled out: a factory called by the entry; its settings hold the times already. Change: ENTRY_DRAIN, which is the default of the settings and what the test drives; the factory is gone. Conclusion: the test now covers the times that an entry has by default.

--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -10,7 +10,7 @@
 from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.events import Level
 from oleanderdyke.kernel.claim_records import CLAIMS_LOG
-from oleanderdyke.kernel.drain import DrainSettings
+from oleanderdyke.kernel.drain import ENTRY_DRAIN, DrainSettings
 from oleanderdyke.kernel.records import CONFIGURATION_LOG
 from oleanderdyke.links.pool import PoolSettings
 from oleanderdyke.links.tls import TlsPaths
@@ -104,10 +104,6 @@
     admission: str = 'fair'
 
 
-def _make_drain() -> DrainSettings:
-    return DrainSettings(accept=2 * SECOND, announce=2 * SECOND)
-
-
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """Name an operator and the hex SHA-256 of the token."""
@@ -134,7 +130,7 @@
     requests: RequestSettings = field(default_factory=RequestSettings)
     plugins: PluginSettings = field(default_factory=PluginSettings)
     policies: PolicySettings = field(default_factory=PolicySettings)
-    drain: DrainSettings = field(default_factory=_make_drain)
+    drain: DrainSettings = ENTRY_DRAIN
     links: PoolSettings = field(default_factory=PoolSettings)
     links_tls: TlsPaths = field(default_factory=TlsPaths)
     links_plain_text: bool = False
--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -33,6 +33,9 @@
     limit: Millis = 90 * SECOND
 
 
+ENTRY_DRAIN = DrainSettings(accept=2 * SECOND, announce=2 * SECOND)
+
+
 @dataclass(frozen=True, slots=True)
 class Announce:
     """Tell the balancer `not ready`, or every link LEAVING."""
@@ -183,13 +186,6 @@
         return (Exit(self._cut),)
 
 
-def make_entry_drain(settings: DrainSettings | None = None) -> Drain:
-    """Build the drain of an entry."""
-    return Drain(
-        settings or DrainSettings(accept=2 * SECOND, announce=2 * SECOND)
-    )
-
-
 def make_agent_drain(settings: DrainSettings | None = None) -> Drain:
     """Build the drain of an agent."""
     return Drain(settings or DrainSettings())
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,7 @@
 
 from machines import CheckedMachine, assert_caught, assert_holds
 from oleanderdyke.kernel.drain import (
+    ENTRY_DRAIN,
     Announce,
     CutOff,
     Drain,
@@ -14,7 +15,6 @@
     Exit,
     HandOver,
     make_agent_drain,
-    make_entry_drain,
 )
 
 SETTINGS = DrainSettings(accept=0, announce=10, drain=50, limit=100)
@@ -89,7 +89,7 @@
 
 
 def test_an_entry_accepts_until_the_balancer_has_seen_it_and_an_agent_not():
-    entry, agent = make_entry_drain(), make_agent_drain()
+    entry, agent = Drain(ENTRY_DRAIN), make_agent_drain()
     entry.signal(0)
     agent.signal(0)
     assert entry.start_work('a', 1_999)
