Say that actions are carried out

Cause: Effects.do, Stopper._act and Stopper._do said nothing. Ruled out: renaming the driver's steps in the matrix, which run any callable. Change: carry_out, _carry_out and _carry_out_one; names only.

--- a/src/oleanderdyke/entry/effects.py
+++ b/src/oleanderdyke/entry/effects.py
@@ -85,8 +85,8 @@
         self._gone = False
         self._handlers = self._make_handlers()
 
-    async def do(self, actions: tuple[Action, ...]) -> None:
-        """Do actions one after the other."""
+    async def carry_out(self, actions: tuple[Action, ...]) -> None:
+        """Carry out actions one after the other."""
         for action in actions:
             await self._handlers[type(action)](action)
 
@@ -120,7 +120,7 @@
         if actions is None:
             self._stopper.take_back(self._call.request)
             return False
-        await self.do(actions)
+        await self.carry_out(actions)
         await self._guard(self._delivery.hand_over())
         return True
 
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -177,7 +177,9 @@
         await self._pass_admission()
         if self._call.key:
             verdict = self._find_verdict()
-        await self._effects.do(self._machine.start(core.clock.now(), verdict))
+        await self._effects.carry_out(
+            self._machine.start(core.clock.now(), verdict)
+        )
         while not self._machine.done:
             if not self._inbox:
                 await self._effects.flush()
@@ -186,7 +188,7 @@
                 if await self._pass_to_other():
                     return
                 continue
-            await self._effects.do(await self._answer_item(item))
+            await self._effects.carry_out(await self._answer_item(item))
 
     async def _pass_to_other(self) -> bool:
         """Leave the stream to another entry, if it can be resumed now."""
--- a/src/oleanderdyke/entry/stopping.py
+++ b/src/oleanderdyke/entry/stopping.py
@@ -49,12 +49,12 @@
     def end(self, request: str) -> None:
         """Forget a request."""
         core = self._core
-        self._act(core.drain.end_work(request, core.clock.now()))
+        self._carry_out(core.drain.end_work(request, core.clock.now()))
 
     def mark_resumable(self, request: str) -> None:
         """Note that a request can be resumed through another entry."""
         core = self._core
-        self._act(core.drain.mark_resumable(request, core.clock.now()))
+        self._carry_out(core.drain.mark_resumable(request, core.clock.now()))
 
     def take_back(self, request: str) -> None:
         """Note that a request can't be resumed through another entry yet."""
@@ -64,7 +64,7 @@
         """Begin to stop, or hurry."""
         core = self._core
         core.log.write(EventName.PROCESS_STOPPING, signal=name)
-        self._act(core.drain.signal(core.clock.now()))
+        self._carry_out(core.drain.signal(core.clock.now()))
         self._signalled.set()
 
     async def watch(self, signals: AsyncIterator[signal.Signals]) -> None:
@@ -77,7 +77,7 @@
         await self._signalled.wait()
         core = self._core
         while not self._exit.is_set():
-            self._act(core.drain.tick(core.clock.now()))
+            self._carry_out(core.drain.tick(core.clock.now()))
             self._tell_stopping()
             with anyio.move_on_after(_TICK):
                 await self._exit.wait()
@@ -91,11 +91,11 @@
         for running in tuple(self._core.running.values()):
             running.stop(hurry=False)
 
-    def _act(self, actions: tuple[DrainAction, ...]) -> None:
+    def _carry_out(self, actions: tuple[DrainAction, ...]) -> None:
         for action in actions:
-            self._do(action)
+            self._carry_out_one(action)
 
-    def _do(self, action: DrainAction) -> None:
+    def _carry_out_one(self, action: DrainAction) -> None:
         match action:
             case Announce():
                 self._core.log.write(EventName.DRAIN_STARTED)
--- a/tests/matrix/drivers.py
+++ b/tests/matrix/drivers.py
@@ -114,7 +114,7 @@
             self._start_timer(DeadlinePassed(), left)
             await self._pass_admission()
             now = core.clock.now()
-            await self._effects.do(self._machine.start(now, verdict))
+            await self._effects.carry_out(self._machine.start(now, verdict))
         except OleanderError:
             self.finish()
             raise
@@ -137,7 +137,7 @@
                 self.finish()
                 return
         else:
-            await self._effects.do(await self._answer_item(item))
+            await self._effects.carry_out(await self._answer_item(item))
         if self._machine.done:
             self.finish()
 
--- a/tests/matrix/entry.py
+++ b/tests/matrix/entry.py
@@ -315,7 +315,7 @@
     def _tick(self) -> None:
         if self.stopper._signalled.is_set():
             drain = self.core.drain
-            self.world.tick_drain(self, drain, self.stopper._act)
+            self.world.tick_drain(self, drain, self.stopper._carry_out)
             self.stopper._tell_stopping()
 
 
