Make what an operator asks a frozen data class

Cause: Ask was an ordinary class that only held four values. Ruled out: nothing else. Change: a frozen data class with slots; its maker gives a tuple of names. Conclusion: as the style asks of data.

--- a/src/oleanderdyke/entry/admin_edge.py
+++ b/src/oleanderdyke/entry/admin_edge.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 from oleanderdyke.entry.admin import (
@@ -46,16 +47,14 @@
 Handle: TypeAlias = Callable[['Ask'], Awaitable[tuple[int, Any]]]
 
 
+@dataclass(frozen=True, slots=True)
 class Ask:
     """Hold what one request asks."""
 
-    def __init__(
-        self, caller: Caller, names: Sequence[str], query: Query, body: bytes
-    ) -> None:
-        self.caller = caller
-        self.names = tuple(names)
-        self.query = query
-        self.body = body
+    caller: Caller
+    names: tuple[str, ...]
+    query: Query
+    body: bytes
 
 
 class AdminEdge:
@@ -80,7 +79,7 @@
         caller = self._administration.identify(hash_token(head))
         _, _, what, *names = split_path(head.target, _PARTS)
         handle = self._find(head.method, what, len(names))
-        ask = Ask(caller, names, Query(head.query), await body.read())
+        ask = Ask(caller, tuple(names), Query(head.query), await body.read())
         status, document = await handle(ask)
         await answer.send_json(status, encode(document))
 
