Count a run that nobody reads as started

Cause: an order to load weights waits until every run has begun to answer; a claimed run whose caller had left began unnoticed, so the order waited until some other run began or ended. Ruled out: a wrong order; the wait only lasted too long. Change: the forwarder notes the beginning apart from the reader. Before and after: the new test waited out its 10 s on the code before and passes now; test_agent, test_poison, test_fetch, test_store_agent, test_fault_matrix, test_imports and test_superseded passed.

--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -28,6 +28,9 @@
     def check(self, status: int) -> None:
         """Raise HttpError where the server that answers isn't the one asked."""
 
+    def note_progress(self) -> None:
+        """Note that a run has begun to answer, whether it is read or not."""
+
     def attach(self, run: Run, buffer: StreamBuffer) -> None:
         """Note the reader of a new stream."""
 
@@ -107,6 +110,7 @@
             run.record = bytearray()
         run.started = True
         run.notify()
+        self._delivery.note_progress()
         self._events.write(
             EventName.ANSWER_STARTED,
             request=run.dispatch.request,
--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -191,10 +191,14 @@
         """Raise HttpError for the refusal of a server that was replaced."""
         check_replaced(status, ended=self._has_ended())
 
+    def note_progress(self) -> None:
+        """Note that a run has begun to answer or has ended."""
+        self._progress.set()
+        self._progress = anyio.Event()
+
     def attach(self, run: Run, buffer: StreamBuffer) -> None:
         """Note the reader of a new stream."""
         self._readers.attach(run, buffer)
-        self._wake()
 
     def send(self, reader: Reader, messages: Iterable[Message]) -> None:
         """Queue messages for a reader whose link is there."""
@@ -296,11 +300,7 @@
         self._body_bytes -= run.body.received
         self._readers.forget(run)
         self._ledger.end(run.work)
-        self._wake()
-
-    def _wake(self) -> None:
-        self._progress.set()
-        self._progress = anyio.Event()
+        self.note_progress()
 
     def _check_body_bytes(self) -> None:
         if self._body_bytes > self._settings.body_bytes:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import hashlib
 import io
@@ -390,6 +391,35 @@
         await done.wait()
 
 
+async def test_run_that_nobody_reads_has_started_once_it_answers() -> None:
+    begin = anyio.Event()
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if await reader.read(1000):
+            await begin.wait()
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n')
+
+    service = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = service.sockets[0].getsockname()[1]
+    settings = make_settings(BackendKind.PLAIN, f'127.0.0.1:{port}', SERVICE)
+    async with running(settings) as shell, dialing(shell) as entry:
+        await entry.wait_serving()
+        claim = entry.make_claim('k')
+        await entry.send(entry.make_dispatch('r', claim=claim), b'x')
+        await wait_until(lambda: shell._gate.running == 1)
+        await entry.link.send(Cancel('r', 1))
+        await ask_claim(entry, claim)
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(shell._runs.wait_started)
+                await anyio.sleep(0)
+                begin.set()
+        assert shell._gate.running == 1
+    service.close()
+
+
 async def test_leaving_refuses_new_work_and_ends_after_the_old() -> None:
     drain = DrainSettings(announce=100.0)
     async with plain_agent(drain=drain) as (app, shell, entry):
