Say plainly what a message is on the wire

Cause: the module's docstring broke off in the middle of a line. Ruled out: any change of the format. Change: the docstring alone.

--- a/src/oleanderdyke/links/codec.py
+++ b/src/oleanderdyke/links/codec.py
@@ -1,8 +1,8 @@
 """Turn messages into CBOR and back.
 
-A message is a map of its class name under `type` and its fields (two messages
-have a field `kind`). A field that
-equals its default is left out, so a default is part of the protocol.
+A message is a map of its fields and, under `type` (two messages have a field
+`kind`), its class name. A field that equals its default is left out, so a
+default is part of the protocol.
 """
 
 from __future__ import annotations
