Name chosen data centres by what they are

Cause: a list of data centres was held in a variable called region. Ruled out: nothing else. Change: the name of the variable. Conclusion: the words of the settings stand in the code.

--- a/src/oleanderdyke/entry/vmwatch.py
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -68,8 +68,8 @@
 
     def _allows(self, vm: Vm) -> bool:
         settings = self._core.settings
-        region = settings.vms.data_centres
-        if region and vm.data_centre not in region:
+        chosen = settings.vms.data_centres
+        if chosen and vm.data_centre not in chosen:
             return False
         if settings.links_tls.ca or settings.links_plain_text:
             return True
