Drop what an agent's store paths don't need

Cause: a store's load was kept at the engine's agent and never read; reads and writes were given the name of a link beside its outbox, which has it. Ruled out: reading the load; entries choose the store. Change: both are gone. Before and after: test_agent, test_poison, test_fetch, test_store_agent, test_fault_matrix, test_prepare and test_sources passed.

--- a/src/oleanderdyke/agent/peers.py
+++ b/src/oleanderdyke/agent/peers.py
@@ -20,9 +20,7 @@
 from oleanderdyke.links.dialer import dial
 from oleanderdyke.links.link import Link, LinkClosed, LinkSettings
 from oleanderdyke.links.messages import (
-    Heartbeat,
     Hello,
-    Load,
     Message,
     SegmentMissing,
     SegmentPart,
@@ -45,7 +43,6 @@
         self._link = link
         self._inboxes: dict[str, MemoryObjectSendStream[StoreAnswer]] = {}
         self._numbers = count()
-        self.load = Load()
 
     @property
     def closed(self) -> bool:
@@ -88,9 +85,6 @@
                 await self._link.close()
 
     async def _take(self, message: Message) -> None:
-        if isinstance(message, Heartbeat):
-            self.load = message.load
-            return
         if not isinstance(message, StoreAnswer):
             return
         sender = self._inboxes.get(message.request)
--- a/src/oleanderdyke/agent/roles.py
+++ b/src/oleanderdyke/agent/roles.py
@@ -279,7 +279,7 @@
 
     def on_read(self, outbox: Outbox, message: SegmentRead) -> None:
         """Answer a read of segments."""
-        self._store.read(outbox.name, outbox, message)
+        self._store.read(outbox, message)
 
     def stop_read(self, outbox: Outbox, request: str) -> None:
         """Stop a read."""
@@ -287,7 +287,7 @@
 
     def on_write(self, outbox: Outbox, message: SegmentWrite) -> None:
         """Answer an offered segment."""
-        self._store.offer(outbox.name, outbox, message)
+        self._store.offer(outbox, message)
 
     def on_part(self, outbox: Outbox, message: SegmentPart) -> None:
         """Take a part of an offered segment."""
--- a/src/oleanderdyke/agent/store.py
+++ b/src/oleanderdyke/agent/store.py
@@ -137,17 +137,17 @@
             link_bytes_per_second=self._meter.read_rate(self._clock.now()),
         )
 
-    def read(self, link: str, outbox: Outbox, message: SegmentRead) -> None:
+    def read(self, outbox: Outbox, message: SegmentRead) -> None:
         """Start to answer a read."""
-        self._reads.start(link, outbox, message)
+        self._reads.start(outbox, message)
 
     def stop_read(self, link: str, request: str) -> None:
         """Stop a read whose reader has given up."""
         self._reads.stop(link, request)
 
-    def offer(self, link: str, outbox: Outbox, message: SegmentWrite) -> None:
+    def offer(self, outbox: Outbox, message: SegmentWrite) -> None:
         """Answer an offered segment."""
-        request = f'{link}/{message.request}'
+        request = f'{outbox.name}/{message.request}'
         self._waiting[request] = (outbox, message)
         index = self._index
         if index is None:
--- a/src/oleanderdyke/agent/store_reads.py
+++ b/src/oleanderdyke/agent/store_reads.py
@@ -57,13 +57,16 @@
 
 @dataclass(slots=True)
 class _Reader:
-    link: str
     outbox: Outbox
     message: SegmentRead
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     ahead: deque[_Copy] = field(default_factory=deque)
     gap: bool = False
 
+    @property
+    def key(self) -> tuple[str, str]:
+        return self.outbox.name, self.message.request
+
 
 class StoreReads:
     """Serve a bounded number of readers, part by part in turns.
@@ -110,10 +113,10 @@
         """Count by another meter."""
         self._meter = meter
 
-    def start(self, link: str, outbox: Outbox, message: SegmentRead) -> None:
+    def start(self, outbox: Outbox, message: SegmentRead) -> None:
         """Start to answer a read."""
-        reader = _Reader(link, outbox, message)
-        self._readers[link, message.request] = reader
+        reader = _Reader(outbox, message)
+        self._readers[reader.key] = reader
         self._tasks.start_soon(self._serve, reader)
 
     def stop(self, link: str, request: str) -> None:
@@ -125,7 +128,7 @@
     def drop_link(self, link: str) -> None:
         """Stop the reads of a lost link."""
         for reader in tuple(self._readers.values()):
-            if reader.link == link:
+            if reader.outbox.name == link:
                 reader.scope.cancel()
 
     async def _serve(self, reader: _Reader) -> None:
@@ -134,7 +137,7 @@
                 async with self._places:
                     await self._send_segments(reader)
         finally:
-            self._readers.pop((reader.link, reader.message.request), None)
+            self._readers.pop(reader.key, None)
 
     async def _send_segments(self, reader: _Reader) -> None:
         try:
