Put private methods of an agent after public ones

Cause: two classes hid public methods behind private ones. Ruled out: any change of what they do. Change: methods moved, in no other way changed.

--- a/src/oleanderdyke/agent/configuration.py
+++ b/src/oleanderdyke/agent/configuration.py
@@ -95,19 +95,6 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def _ask(self, outbox: Outbox, request: ConfigurationRequest) -> None:
-        asked = self._asked.setdefault(outbox.name, deque(maxlen=_QUESTIONS))
-        asked.append(self._clock.now())
-        outbox.put(request)
-
-    def _note_answered(self, outbox: Outbox) -> None:
-        asked = self._asked.get(outbox.name)
-        if not asked or outbox.name not in self._entries:
-            return
-        self.confirmed_at = max(self.confirmed_at, asked.popleft())
-        self._confirmed.set()
-        self._confirmed = anyio.Event()
-
     async def answer(
         self, outbox: Outbox, request: ConfigurationRequest
     ) -> None:
@@ -148,3 +135,16 @@
         if not isinstance(found.spec, TeamSpec):
             return False
         return select(spec.teams, found.spec.labels)
+
+    def _ask(self, outbox: Outbox, request: ConfigurationRequest) -> None:
+        asked = self._asked.setdefault(outbox.name, deque(maxlen=_QUESTIONS))
+        asked.append(self._clock.now())
+        outbox.put(request)
+
+    def _note_answered(self, outbox: Outbox) -> None:
+        asked = self._asked.get(outbox.name)
+        if not asked or outbox.name not in self._entries:
+            return
+        self.confirmed_at = max(self.confirmed_at, asked.popleft())
+        self._confirmed.set()
+        self._confirmed = anyio.Event()
--- a/src/oleanderdyke/agent/engine.py
+++ b/src/oleanderdyke/agent/engine.py
@@ -75,13 +75,6 @@
         self._show_loaded()
         return observed
 
-    def _show_loaded(self) -> None:
-        loaded = Loaded() if self.held else self._seen
-        if loaded == self.loaded:
-            return
-        self.loaded = loaded
-        self._on_loaded(loaded)
-
     async def poll(self) -> None:
         """Read load and cache events; raise OleanderError."""
         self.load = _read_load(await self._backend.get_json('/load'))
@@ -101,6 +94,13 @@
             return None
         return segments * SEGMENT_TOKENS * SECOND / rate
 
+    def _show_loaded(self) -> None:
+        loaded = Loaded() if self.held else self._seen
+        if loaded == self.loaded:
+            return
+        self.loaded = loaded
+        self._on_loaded(loaded)
+
     def _take_events(self, page: Json) -> None:
         try:
             events = [
