Set the scene of each entry test in one place

Cause: each async test of tests/test_entry.py wrapped its body in a closure, passed it to a runner and repeated the same start of an entry and its agent. Ruled out: an async fixture; the tests need to end their task group inside the test, and some prepare the entry before it starts. Change: two context managers, `bounded` (task group with the 20 s limit) and `serving` (entry, agent and, if asked, the log read back); the tests are async. No assertion, case or bound changed. Conclusion: set-up is written once; what is tested is as before.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,7 +1,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from pathlib import Path
@@ -48,6 +49,8 @@
 from oleanderdyke.platform.log import LogPage, LogRecord
 from tests.edges import TOKEN, Caller, Edge, FakeLink, Reply, Writer
 
+pytestmark = pytest.mark.anyio
+
 CHAT = '/v1/chat/completions'
 BOOKINGS = '/v1/services/taquilla/bookings'
 KEY = [(b'idempotency-key', b'k')]
@@ -63,14 +66,33 @@
 JSON = (('content-type', 'application/json'),)
 
 
-def run(act: Callable[[TaskGroup], Awaitable[None]]) -> None:
-    async def bound() -> None:
-        with anyio.fail_after(20):
-            async with anyio.create_task_group() as tasks:
-                await act(tasks)
-                tasks.cancel_scope.cancel()
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@asynccontextmanager
+async def bounded() -> AsyncIterator[TaskGroup]:
+    """Give a task group that is cancelled at the end, or after 20 s."""
+    with anyio.fail_after(20):
+        async with anyio.create_task_group() as tasks:
+            yield tasks
+            tasks.cancel_scope.cancel()
 
-    anyio.run(bound)
+
+@asynccontextmanager
+async def serving(
+    service: str = 'taquilla', *, claims: bool = False
+) -> AsyncIterator[tuple[Edge, FakeLink]]:
+    """Run an entry with an agent; `claims` waits until the log is read."""
+    async with bounded() as tasks:
+        edge = Edge()
+        link = edge.add_agent(service, KINDS[service])
+        edge.start(tasks)
+        if claims:
+            tasks.start_soon(follow_log, edge)
+            await wait(lambda: edge.claims.synced)
+        yield edge, link
 
 
 async def wait(condition: Callable[[], object]) -> None:
@@ -150,10 +172,8 @@
     return edge, edge.add_agent('asistente', BackendKind.ENGINE)
 
 
-def test_passes_a_plain_call_both_ways():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
+async def test_passes_a_plain_call_both_ways():
+    async with serving() as (edge, link):
         Agent(edge, link, [b'{"a":', b'1}'])
         reply = await edge.call(
             'POST',
@@ -175,13 +195,9 @@
         assert [chunk.data for chunk in link.find(BodyChunk)] == [b'abc']
         assert not edge.core.running
 
-    run(act)
 
-
-def test_binds_a_chat_to_team_and_weights():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_model()
-        edge.start(tasks)
+async def test_binds_a_chat_to_team_and_weights():
+    async with serving('asistente') as (edge, link):
         Agent(edge, link, [b'{}'])
         for _ in range(2):
             body = [json.dumps(ASK | {'background': True}).encode()]
@@ -196,13 +212,9 @@
         assert sent['cache_salt'] == first.namespace.hex()
         assert sent['model'] == 'lector'
 
-    run(act)
 
-
-def test_numbers_the_events_of_a_stream():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_model()
-        edge.start(tasks)
+async def test_numbers_the_events_of_a_stream():
+    async with serving('asistente') as (edge, link):
 
         def react(message: Message) -> None:
             if is_last(message):
@@ -216,8 +228,6 @@
         token = encode_token(StreamToken('agent-asistente', 'stream-1'))
         assert reply.headers['oleander-resume'] == token
 
-    run(act)
-
 
 @pytest.mark.parametrize(
     ('first', 'asked', 'rest'),
@@ -227,14 +237,12 @@
         ('', 0, [b'a', b'b', b'c']),
     ],
 )
-def test_resumes_after_what_the_caller_has(
+async def test_resumes_after_what_the_caller_has(
     first: str, asked: int, rest: list[bytes]
 ):
     chunks = [b'data: a\n\ndata: b\n\n', b'data: c\n\n']
 
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_model()
-        edge.start(tasks)
+    async with serving('asistente') as (edge, link):
 
         def react(message: Message) -> None:
             if isinstance(message, Resume):
@@ -259,11 +267,9 @@
         ]
         assert events == rest
 
-    run(act)
 
-
-def test_stream_goes_on_over_a_new_link():
-    async def act(tasks: TaskGroup) -> None:
+async def test_stream_goes_on_over_a_new_link():
+    async with bounded() as tasks:
         edge, link = make_model()
         edge.core.machine = replace(edge.core.machine, ask_wait=20.0)
         edge.start(tasks)
@@ -295,11 +301,9 @@
         assert replies[0].ended
         assert len(link.find(Resume)) == 1
 
-    run(act)
-
 
-def test_stream_waits_for_a_link_and_no_longer():
-    async def act(tasks: TaskGroup) -> None:
+async def test_stream_waits_for_a_link_and_no_longer():
+    async with bounded() as tasks:
         reply = Reply()
         edge, link, dispatch = await begin_flow(tasks, reply, Writer(reply))
         running = edge.core.running[dispatch.request]
@@ -313,26 +317,20 @@
         (resume,) = link.find(Resume)
         assert resume.sequence == 1
 
-    run(act)
 
-
-def test_caller_that_leaves_cancels_its_run():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_model()
-        edge.start(tasks)
+async def test_caller_that_leaves_cancels_its_run():
+    async with serving('asistente') as (edge, link):
         caller = Caller([json.dumps(ASK).encode()])
 
         async def call() -> None:
             await edge.call('POST', CHAT, caller=caller)
 
-        tasks.start_soon(call)
+        edge.core.spawn(call)
         await wait(lambda: link.find(BodyChunk))
         caller.gone.set()
         await wait(lambda: link.find(Cancel))
         await wait(lambda: not edge.core.running)
 
-    run(act)
-
 
 class SlowReply(Reply):
     """Stop reading until told, as the server's flow control does."""
@@ -369,8 +367,8 @@
     return edge, link, dispatch
 
 
-def test_flowing_stream_is_passed_on_as_it_arrives():
-    async def act(tasks: TaskGroup) -> None:
+async def test_flowing_stream_is_passed_on_as_it_arrives():
+    async with bounded() as tasks:
         reply = Reply()
         writer = Writer(reply)
         edge, link, dispatch = await begin_flow(tasks, reply, writer)
@@ -400,13 +398,11 @@
         granted = sum(credit.chunks for credit in link.find(Credit))
         assert granted >= 50 - edge.core.settings.requests.credit // 2
 
-    run(act)
 
-
-def test_flowing_stream_that_can_not_be_numbered_is_broken_off(
+async def test_flowing_stream_that_can_not_be_numbered_is_broken_off(
     monkeypatch: pytest.MonkeyPatch,
 ):
-    async def act(tasks: TaskGroup) -> None:
+    async with bounded() as tasks:
         reply = Reply()
         edge, link, dispatch = await begin_flow(tasks, reply, Writer(reply))
         monkeypatch.setattr('oleanderdyke.entry.sse._EVENT_LIMIT', 10)
@@ -417,13 +413,9 @@
         assert b'event: error' in reply.body
         assert not reply.ended
 
-    run(act)
-
 
-def test_slow_caller_gets_no_credit(monkeypatch: pytest.MonkeyPatch):
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_model()
-        edge.start(tasks)
+async def test_slow_caller_gets_no_credit(monkeypatch: pytest.MonkeyPatch):
+    async with serving('asistente') as (edge, link):
         slow = SlowReply()
         monkeypatch.setattr('tests.edges.Reply', lambda: slow)
         body = [json.dumps(ASK).encode()]
@@ -431,7 +423,7 @@
         async def call() -> None:
             await edge.call('POST', CHAT, body=body)
 
-        tasks.start_soon(call)
+        edge.core.spawn(call)
         await wait(lambda: link.find(BodyChunk))
         (dispatch,) = link.find(Dispatch)
         running = edge.core.running[dispatch.request]
@@ -446,13 +438,9 @@
         await wait(lambda: sum(x.chunks for x in link.find(Credit)) == 64)
         assert slow.body == b'x' * 64
 
-    run(act)
 
-
-def test_agent_that_ignores_its_credit_is_cut_off():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
+async def test_agent_that_ignores_its_credit_is_cut_off():
+    async with serving() as (edge, link):
 
         def react(message: Message) -> None:
             if is_last(message):
@@ -463,16 +451,14 @@
         reply = await edge.call('GET', BOOKINGS)
         assert not reply.ended
 
-    run(act)
-
 
 @pytest.mark.parametrize(
     ('ran', 'attempts', 'said'), [(Ran.NO, 2, 200), (Ran.MAYBE, 1, 502)]
 )
-def test_sends_a_call_without_a_key_again_only_if_it_did_not_run(
+async def test_sends_a_call_without_a_key_again_only_if_it_did_not_run(
     ran: Ran, attempts: int, said: int
 ):
-    async def act(tasks: TaskGroup) -> None:
+    async with bounded() as tasks:
         edge, link = make_plain()
         edge.add_agent('taquilla', BackendKind.PLAIN, name='other', link=link)
         edge.start(tasks)
@@ -497,13 +483,9 @@
         assert reply.status == said
         assert len(link.find(Dispatch)) == attempts
 
-    run(act)
 
-
-def test_lost_link_of_a_call_that_may_have_run_is_told():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
+async def test_lost_link_of_a_call_that_may_have_run_is_told():
+    async with serving() as (edge, link):
 
         def react(message: Message) -> None:
             if is_last(message):
@@ -516,8 +498,6 @@
         assert (error['kind'], error['ran']) == ('backend_lost', 'maybe')
         assert reply.headers['retry-after'] == '1'
 
-    run(act)
-
 
 # --- the queue --------------------------------------------------------------
 
@@ -556,10 +536,10 @@
         (None, 503),
     ],
 )
-def test_queued_request_goes_on_when_it_is_released(
+async def test_queued_request_goes_on_when_it_is_released(
     decision: Admitted | Refusal | None, status: int
 ):
-    async def act(tasks: TaskGroup) -> None:
+    async with bounded() as tasks:
         edge, link = make_plain()
         admission = FakeAdmission()
         edge.core.admission = admission
@@ -586,8 +566,6 @@
             assert json.loads(reply.body)['error']['ran'] == 'no'
             assert not link.sent
 
-    run(act)
-
 
 # --- claims -----------------------------------------------------------------
 
@@ -607,12 +585,8 @@
         await anyio.sleep(0.001)
 
 
-def test_concurrent_claims_share_appends():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
-        tasks.start_soon(follow_log, edge)
-        await wait(lambda: edge.claims.synced)
+async def test_concurrent_claims_share_appends():
+    async with serving(claims=True) as (edge, link):
         Agent(edge, link, [b'ok'])
         replies: list[int] = []
 
@@ -622,22 +596,16 @@
             replies.append(reply.status)
 
         for number in range(40):
-            tasks.start_soon(call, number)
+            edge.core.spawn(call, number)
         await wait(lambda: len(replies) == 40)
         assert set(replies) == {200}
         assert len(list_claims(edge)) == 40
         assert edge.log.appends < 40
         assert all(item.claim for item in link.find(Dispatch))
 
-    run(act)
 
-
-def test_same_key_runs_once():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
-        tasks.start_soon(follow_log, edge)
-        await wait(lambda: edge.claims.synced)
+async def test_same_key_runs_once():
+    async with serving(claims=True) as (edge, link):
         Agent(edge, link, [b'receipt'])
         for _ in range(3):
             reply = await edge.call('POST', BOOKINGS, headers=KEY, body=[b'a'])
@@ -649,8 +617,6 @@
         assert other.status == 422
         assert len(link.find(Dispatch)) == 1
 
-    run(act)
-
 
 @pytest.mark.parametrize(
     ('faults', 'status', 'runs'),
@@ -659,12 +625,10 @@
         ([Ran.NO], 503, 0),
     ],
 )
-def test_claim_of_a_failed_append(faults: list[Ran], status: int, runs: int):
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
-        tasks.start_soon(follow_log, edge)
-        await wait(lambda: edge.claims.synced)
+async def test_claim_of_a_failed_append(
+    faults: list[Ran], status: int, runs: int
+):
+    async with serving(claims=True) as (edge, link):
         Agent(edge, link, [b'ok'])
         edge.log.faults = list(faults)
         reply = await edge.call('POST', BOOKINGS, headers=KEY)
@@ -673,11 +637,9 @@
         if status != 200:
             assert json.loads(reply.body)['error']['ran'] == 'no'
 
-    run(act)
 
-
-def test_outcome_is_appended_again_until_it_is_in_the_log():
-    async def act(tasks: TaskGroup) -> None:
+async def test_outcome_is_appended_again_until_it_is_in_the_log():
+    async with bounded() as tasks:
         edge, link = make_plain()
         edge.core.settings = replace(
             edge.core.settings, log=replace(edge.core.settings.log, retry=1.0)
@@ -696,15 +658,9 @@
         assert reply.status == 200
         await wait(lambda: len(edge.log.batches) == 2)
 
-    run(act)
-
 
-def test_live_claims_are_carried_before_the_log_forgets_them():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
-        tasks.start_soon(follow_log, edge)
-        await wait(lambda: edge.claims.synced)
+async def test_live_claims_are_carried_before_the_log_forgets_them():
+    async with serving(claims=True) as (edge, link):
         Agent(edge, link, [b'ok'])
         await edge.call('POST', BOOKINGS, headers=KEY)
         await wait(lambda: edge.core.claims.next_offset == 2)
@@ -714,8 +670,6 @@
         assert isinstance(carried, CarriedRecord)
         assert carried.outcome is not None
 
-    run(act)
-
 
 # --- configuration -----------------------------------------------------------
 
@@ -724,10 +678,8 @@
     return ConfigurationFeed(edge.core, edge.log)  # type: ignore[arg-type]
 
 
-def test_agent_that_is_behind_is_sent_the_difference_once():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
+async def test_agent_that_is_behind_is_sent_the_difference_once():
+    async with serving() as (edge, link):
         feed = make_feed(edge)
         feed.add_link(link)  # type: ignore[arg-type]
         feed.hear(link, 1)  # type: ignore[arg-type]
@@ -735,13 +687,9 @@
         (difference,) = link.find(ConfigurationDifference)
         assert difference.through == edge.core.reader.offset
 
-    run(act)
 
-
-def test_entry_that_is_behind_asks_its_peer():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_plain()
-        edge.start(tasks)
+async def test_entry_that_is_behind_asks_its_peer():
+    async with serving() as (edge, link):
         feed = make_feed(edge)
         offset = edge.core.reader.offset
         while not link.sent:
@@ -749,11 +697,9 @@
             await anyio.sleep(0.02)
         assert link.sent == [ConfigurationRequest(offset)]
 
-    run(act)
-
 
-def test_new_entry_starts_from_the_snapshot_of_another():
-    async def act(tasks: TaskGroup) -> None:
+async def test_new_entry_starts_from_the_snapshot_of_another():
+    async with bounded():
         edge = Edge()
         await make_feed(edge).append_snapshot()
         other = Edge(configured=False)
@@ -772,15 +718,13 @@
             held = edge.core.catalog.list(kind)
             assert other.core.catalog.list(kind) == held
 
-    run(act)
-
 
 # --- a planned stop ---------------------------------------------------------
 
 
 @pytest.mark.parametrize('begun', [True, False])
-def test_stop_hands_a_stream_over_and_refuses_new_work(begun):
-    async def act(tasks: TaskGroup) -> None:
+async def test_stop_hands_a_stream_over_and_refuses_new_work(begun):
+    async with bounded() as tasks:
         edge, link = make_model()
         edge.core.drain = replace_drain(edge)
         edge.start(tasks)
@@ -813,20 +757,16 @@
         assert not reply.ended
         assert not link.find(Cancel)
 
-    run(act)
 
-
-def test_stream_without_a_token_is_not_handed_over_but_ends_here():
-    async def act(tasks: TaskGroup) -> None:
-        edge, link = make_model()
-        edge.start(tasks)
+async def test_stream_without_a_token_is_not_handed_over_but_ends_here():
+    async with serving('asistente') as (edge, link):
         replies: list[Reply] = []
 
         async def call() -> None:
             body = [json.dumps(ASK).encode()]
             replies.append(await edge.call('POST', CHAT, body=body))
 
-        tasks.start_soon(call)
+        edge.core.spawn(call)
         await wait(lambda: link.find(BodyChunk))
         (dispatch,) = link.find(Dispatch)
         running = edge.core.running[dispatch.request]
@@ -840,8 +780,6 @@
         assert reply.body == b'id: 0\ndata: a\n\n'
         assert reply.ended
 
-    run(act)
-
 
 def replace_drain(edge: Edge) -> Any:
     settings = edge.core.settings.drain
@@ -931,12 +869,12 @@
 
 
 @pytest.mark.parametrize('fails', [False, True])
-def test_no_secret_reaches_a_log_or_an_error(
+async def test_no_secret_reaches_a_log_or_an_error(
     capsys: pytest.CaptureFixture[str], *, fails: bool
 ):
     replies: list[Reply] = []
 
-    async def act(tasks: TaskGroup) -> None:
+    async with bounded() as tasks:
         edge = Edge(level='debug')
         edge.start(tasks)
         tasks.start_soon(follow_log, edge)
@@ -948,8 +886,6 @@
         for path, options in list_secret_calls():
             method = 'GET' if 'streams' in path else 'POST'
             replies.append(await edge.call(method, path, **options))
-
-    run(act)
     logged = capsys.readouterr()
     assert 'event=request_accepted' in logged.err
     # Whoever guesses a prompt could confirm it by a digest.
