Start a chat of an entry test in one place

Ruled out: folding the head and first chunk in too; those differ per test. Change: `start_chat` does it; the check that exactly one dispatch was sent now holds for a caller that leaves as well. Conclusion: shorter, no check less.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -172,6 +172,22 @@
     return edge, edge.add_agent('asistente', BackendKind.ENGINE)
 
 
+async def start_chat(
+    edge: Edge, link: FakeLink, **options: Any
+) -> tuple[list[Reply], Dispatch]:
+    """Start a chat; its reply is in the list once the call has ended."""
+    replies: list[Reply] = []
+
+    async def call() -> None:
+        body = [json.dumps(ASK).encode()]
+        replies.append(await edge.call('POST', CHAT, body=body, **options))
+
+    edge.core.spawn(call)
+    await wait(lambda: link.find(BodyChunk))
+    (dispatch,) = link.find(Dispatch)
+    return replies, dispatch
+
+
 async def test_passes_a_plain_call_both_ways():
     async with serving() as (edge, link):
         Agent(edge, link, [b'{"a":', b'1}'])
@@ -273,15 +289,7 @@
         edge, link = make_model()
         edge.core.machine = replace(edge.core.machine, ask_wait=20.0)
         edge.start(tasks)
-        replies: list[Reply] = []
-
-        async def call() -> None:
-            body = [json.dumps(ASK).encode()]
-            replies.append(await edge.call('POST', CHAT, body=body))
-
-        tasks.start_soon(call)
-        await wait(lambda: link.find(BodyChunk))
-        (dispatch,) = link.find(Dispatch)
+        replies, dispatch = await start_chat(edge, link)
         request = dispatch.request
         running = edge.core.running[request]
         running.take(AnswerHead(request, 1, 200, SSE, 'stream-1'))
@@ -321,12 +329,7 @@
 async def test_caller_that_leaves_cancels_its_run():
     async with serving('asistente') as (edge, link):
         caller = Caller([json.dumps(ASK).encode()])
-
-        async def call() -> None:
-            await edge.call('POST', CHAT, caller=caller)
-
-        edge.core.spawn(call)
-        await wait(lambda: link.find(BodyChunk))
+        await start_chat(edge, link, caller=caller)
         caller.gone.set()
         await wait(lambda: link.find(Cancel))
         await wait(lambda: not edge.core.running)
@@ -351,14 +354,7 @@
     """Start a stream whose head and first chunk have reached the caller."""
     edge, link = make_model()
     edge.start(tasks)
-
-    async def call() -> None:
-        body = [json.dumps(ASK).encode()]
-        await edge.call('POST', CHAT, body=body, reply=reply, writer=writer)
-
-    tasks.start_soon(call)
-    await wait(lambda: link.find(BodyChunk))
-    (dispatch,) = link.find(Dispatch)
+    _, dispatch = await start_chat(edge, link, reply=reply, writer=writer)
     running = edge.core.running[dispatch.request]
     running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
     running.take(AnswerChunk(dispatch.request, 1, 0, EVENT))
@@ -418,14 +414,7 @@
     async with serving('asistente') as (edge, link):
         slow = SlowReply()
         monkeypatch.setattr('tests.edges.Reply', lambda: slow)
-        body = [json.dumps(ASK).encode()]
-
-        async def call() -> None:
-            await edge.call('POST', CHAT, body=body)
-
-        edge.core.spawn(call)
-        await wait(lambda: link.find(BodyChunk))
-        (dispatch,) = link.find(Dispatch)
+        _, dispatch = await start_chat(edge, link)
         running = edge.core.running[dispatch.request]
         head = AnswerHead(dispatch.request, 1, 200, JSON)
         running.take(head)
@@ -728,15 +717,7 @@
         edge, link = make_model()
         edge.core.drain = replace_drain(edge)
         edge.start(tasks)
-        replies: list[Reply] = []
-
-        async def call() -> None:
-            body = [json.dumps(ASK).encode()]
-            replies.append(await edge.call('POST', CHAT, body=body))
-
-        tasks.start_soon(call)
-        await wait(lambda: link.find(BodyChunk))
-        (dispatch,) = link.find(Dispatch)
+        replies, dispatch = await start_chat(edge, link)
         running = edge.core.running[dispatch.request]
         running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
         if begun:
@@ -760,15 +741,7 @@
 
 async def test_stream_without_a_token_is_not_handed_over_but_ends_here():
     async with serving('asistente') as (edge, link):
-        replies: list[Reply] = []
-
-        async def call() -> None:
-            body = [json.dumps(ASK).encode()]
-            replies.append(await edge.call('POST', CHAT, body=body))
-
-        edge.core.spawn(call)
-        await wait(lambda: link.find(BodyChunk))
-        (dispatch,) = link.find(Dispatch)
+        replies, dispatch = await start_chat(edge, link)
         running = edge.core.running[dispatch.request]
         running.hand_over()
         running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
