Take the shared scenes into the end-to-end tests

Ruled out: taking `book` and `count_runs` too; theirs mark each body, and these tests give body and key themselves. Removing cases that the failure tests cover more strictly: not looked at line by line, so all 18 stay. Change: import the copies. `count_wrong` now counts every engine, not the first; here there is one. Conclusion: one definition each; no assertion changed.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -8,7 +8,7 @@
 import re
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from typing import Any
 
 import httpcore
@@ -18,7 +18,6 @@
     count_kept,
     count_read_bytes,
     evict,
-    make_token,
     publish,
     wait_served,
 )
@@ -38,21 +37,25 @@
     wait_listening,
 )
 from tests.processes import wait_until
-from tests.standins import answers, cache, weights
+from tests.scenes import (
+    CHAT_PATH,
+    MODEL,
+    OTHER_TEAM,
+    PLAIN,
+    STORE,
+    TEAM,
+    count_wrong,
+    expect_text,
+    failing,
+)
+from tests.standins import cache
 
 # One worker runs the whole file, so that one deployment serves it.
 pytestmark = pytest.mark.xdist_group('deployment')
 
-DIGEST = weights.make_digest('lector-salas', '2026-11')
-MODEL = 'asistente'
-PLAIN = 'taquilla'
-STORE = 'memoria-reglas'
-CHAT_PATH = '/v1/chat/completions'
 # With one engine every question meets what the engine has cached.
 SIZES = {BackendKind.ENGINE: 1, BackendKind.PLAIN: 2, BackendKind.STORE: 1}
 LOST = (httpcore.NetworkError, httpcore.ProtocolError)
-TEAM = make_token('visitantes')
-OTHER_TEAM = make_token('escuelas')
 RULEBOOK = 'The key of room {} opens box {} only.\n'
 
 
@@ -76,29 +79,11 @@
         yield running
 
 
-@contextmanager
-def failing(
-    deployment: Deployment, *addresses: str, **faults: Any
-) -> Iterator[None]:
-    for address in addresses:
-        deployment.set_faults(address, **faults)
-    try:
-        yield
-    finally:
-        for address in addresses:
-            deployment.set_faults(address)
-
-
 def make_rulebook(title: str) -> str:
     lines = ''.join(RULEBOOK.format(n, n) for n in range(100))
     return f'{title}\n{lines}'
 
 
-def expect_text(text: str, count: int = 8) -> str:
-    messages = make_chat('', text)['messages']
-    return answers.make_text(messages, DIGEST, count)
-
-
 def book(
     deployment: Deployment, entry: int, body: bytes, key: str, token: str = TEAM
 ) -> Reply:
@@ -230,11 +215,6 @@
     )
 
 
-def count_wrong(deployment: Deployment) -> int:
-    stats = deployment.read_stats(deployment.find(MODEL)[0].address)
-    return int(stats['corrupt_imports'] + stats['corrupt_used'])
-
-
 def test_an_unknown_token_is_refused_as_not_run(
     deployment: Deployment,
 ) -> None:
