Log which requests a crash made suspects or quarantined

Cause: the events request_suspected and request_quarantined were listed and never written, so an operator could not see which request was refused. Ruled out: logging digests; they would confirm a guessed prompt.

--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -166,6 +166,7 @@
             if run is None:
                 continue
             told.append((run.reader, address(failed, run.reader)))
+            self._log_suspect(run)
             self._end_unanswered(run, failed.kind)
         return tuple(told)
 
@@ -261,9 +262,24 @@
 
     def _suspect(self, run: Run) -> None:
         self._gate.lose(*run.key, self._clock.now())
+        self._log_suspect(run)
         # Whoever learns of the lost run must know its suspect before.
         self._tell_suspects()
 
+    def _log_suspect(self, run: Run) -> None:
+        dispatch = run.dispatch
+        now = self._clock.now()
+        quarantined = self._gate.is_quarantined(dispatch.digest, now)
+        self._events.write(
+            EventName.REQUEST_QUARANTINED
+            if quarantined
+            else EventName.REQUEST_SUSPECTED,
+            request=dispatch.request,
+            attempt=dispatch.attempt,
+            team=dispatch.team,
+            service=dispatch.service,
+        )
+
     def _stop(self, run: Run, error: OleanderError) -> None:
         if run.stopped:
             return
--- a/src/oleanderdyke/kernel/gate.py
+++ b/src/oleanderdyke/kernel/gate.py
@@ -200,6 +200,11 @@
         )
         return tuple(_make_lost(dispatch) for dispatch in dispatches)
 
+    def is_quarantined(self, digest: str, now: Millis) -> bool:
+        """Tell whether a request's digest is refused for its crashes."""
+        standing = self._quarantine.find_standing(digest, now)
+        return standing is Standing.QUARANTINED
+
     def answer(self, query: ClaimQuery) -> ClaimAnswer:
         """Tell what became of a claim; bar it where it never started."""
         if not self._is_own(query.claim):
@@ -356,8 +361,7 @@
     def _check_quarantine(
         self, dispatch: Dispatch, now: Millis
     ) -> _Objection | None:
-        standing = self._quarantine.find_standing(dispatch.digest, now)
-        if standing is Standing.QUARANTINED:
+        if self.is_quarantined(dispatch.digest, now):
             return _Objection(ErrorKind.QUARANTINED, 'it crashed servers')
         return None
 
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
-from typing import Any
+from typing import Any, TextIO
 
 import anyio
 
@@ -69,8 +69,10 @@
 
 
 @contextlib.asynccontextmanager
-async def running(settings: AgentSettings) -> AsyncGenerator[AgentShell, None]:
-    events = make_event_log(settings.process, stream=io.StringIO())
+async def running(
+    settings: AgentSettings, stream: TextIO | None = None
+) -> AsyncGenerator[AgentShell, None]:
+    events = make_event_log(settings.process, stream=stream or io.StringIO())
     async with anyio.create_task_group() as tasks:
         shell = AgentShell(
             settings, clock=CLOCK, random=Random(1), events=events, tasks=tasks
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -55,7 +55,7 @@
     SegmentWritten,
     Superseded,
 )
-from oleanderdyke.logs import make_event_log
+from oleanderdyke.logs import make_event_log, parse_line
 from standins import engine, plain, server, weights
 
 pytestmark = pytest.mark.anyio
@@ -361,7 +361,7 @@
         group.start_soon(check, settings)
 
     async def check(settings: Any) -> None:
-        async with running(settings) as shell, dialing(shell) as entry:
+        async with running(settings, logged) as shell, dialing(shell) as entry:
             await entry.wait_serving()
             claim = entry.make_claim('k')
             one = await entry.send(entry.make_dispatch('r1', claim=claim), b'x')
@@ -377,6 +377,9 @@
             assert entry.beat.phase is AgentPhase.STARTING
             suspects = {each.split('@')[0] for each in entry.beat.suspects}
             assert suspects == {'r1', 'r2'}
+            pairs = [parse_line(x) for x in logged.getvalue().splitlines()]
+            told = [x for x in pairs if x['event'] == 'request_suspected']
+            assert {x['request'] for x in told} == {'r1', 'r2'}
             late = await entry.call(entry.make_dispatch('r3'), b'z')
             assert late.failed is not None
             assert late.failed.kind is ErrorKind.NOT_READY
@@ -385,6 +388,7 @@
             assert answer.state is ClaimState.UNKNOWN
             done.set()
 
+    logged = io.StringIO()
     done = anyio.Event()
     async with anyio.create_task_group() as group:
         group.start_soon(service.serve, ready)
