Make the base of stand-ins abstract

Cause: a stand-in without an answer failed at its first request only. Ruled out: a Protocol; the base holds the faults. Change: answer is an abstract method. Before and after: the tests of stand-ins, the agent and the whole path pass. Conclusion: kept.

--- a/tests/standins/web.py
+++ b/tests/standins/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import contextlib
 import dataclasses
 import json
@@ -127,16 +128,16 @@
     return results[0]
 
 
-class StandIn(Generic[FaultsT]):
+class StandIn(abc.ABC, Generic[FaultsT]):
     """Answer HTTP requests unless a fault says otherwise."""
 
     def __init__(self, faults: FaultsT) -> None:
         self.faults = faults
         self._no_faults = faults
 
+    @abc.abstractmethod
     async def answer(self, request: Request) -> Answer:
         """Answer one request."""
-        raise NotImplementedError
 
     def note_faults(self) -> None:
         """Act on newly set faults."""
