List the headers of one connection once

Cause: entry and agent each held the same nine hop-by-hop header names. Ruled out: one list with the agent's 'host' in it; the entry returns a backend server's 'host' header as before. Change: platform.http.HOP_BY_HOP serves both; each adds its own names. Before and after: the sets are equal to the former ones; the six test files on the edge, chat, entry, agent, imports and platform clients pass.

--- a/src/oleanderdyke/agent/backend.py
+++ b/src/oleanderdyke/agent/backend.py
@@ -16,6 +16,7 @@
 from oleanderdyke.platform.addresses import split_address
 from oleanderdyke.platform.exchange import Body
 from oleanderdyke.platform.http import (
+    HOP_BY_HOP,
     HttpAnswer,
     HttpBackend,
     HttpError,
@@ -28,21 +29,8 @@
 _JSON_LIMIT = 16 * 1024 * 1024
 _OK = 200
 _REDIRECT = 300
-_HOP_BY_HOP = frozenset(
-    {
-        'connection',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
-_NOT_FORWARDED = _HOP_BY_HOP | {'authorization', 'expect'}
+_NOT_RETURNED = HOP_BY_HOP | {'host'}
+_NOT_FORWARDED = _NOT_RETURNED | {'authorization', 'expect'}
 
 
 class Backend:
@@ -136,7 +124,7 @@
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
+        if name.lower() not in _NOT_RETURNED and name.lower() not in named
     )
 
 
--- a/src/oleanderdyke/entry/edge.py
+++ b/src/oleanderdyke/entry/edge.py
@@ -15,6 +15,7 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.http import HOP_BY_HOP
 
 Scope: TypeAlias = MutableMapping[str, Any]
 Event: TypeAlias = MutableMapping[str, Any]
@@ -24,20 +25,7 @@
 _REQUEST_ID_BYTES = 16
 _TOKEN_LIMIT = 512
 _KEY_LIMIT = 200
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
-_NEVER_FORWARDED = _HOP_BY_HOP | {
+_NEVER_FORWARDED = HOP_BY_HOP | {
     'authorization',
     'content-length',
     'cookie',
@@ -45,7 +33,7 @@
     'host',
     'idempotency-key',
 }
-_NEVER_RETURNED = _HOP_BY_HOP | {'content-length', 'date', 'server'}
+_NEVER_RETURNED = HOP_BY_HOP | {'content-length', 'date', 'server'}
 _OWN_PREFIX = 'oleander-'
 _NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 _VALUE = re.compile(r'[\t\x20-\x7e]*\Z')
--- a/src/oleanderdyke/platform/http.py
+++ b/src/oleanderdyke/platform/http.py
@@ -23,6 +23,22 @@
 _CLOSE = ('connection', 'close')
 
 
+# Headers of one connection only, in lower case; they are never passed on.
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
 class HttpError(OleanderError):
     """Tell that an exchange failed; `ran` is NO where nothing was sent."""
 
