Move the clients of the product's own services out of platform/

The log service, VM list and weight store that the product's own interface speaks to, and the HTTP exchange beneath them, are not the users' platform. They move unchanged to clients/, so that platform/ can hold only the names, formats and calls of the platform that the product runs on.

--- a/bench/fetch.py
+++ b/bench/fetch.py
@@ -22,6 +22,7 @@
 import anyio
 import yaml
 
+from oleanderdyke.clients.http import HttpBackend
 from oleanderdyke.kernel.blocks import (
     digest_segment,
     make_namespace,
@@ -35,7 +36,6 @@
 from oleanderdyke.links.dialer import dial
 from oleanderdyke.links.link import LinkSettings
 from oleanderdyke.links.messages import FetchPlan, Hello, Role
-from oleanderdyke.platform.http import HttpBackend
 from tests.agents import CLOCK, TEAM, FakeEntry, make_world, wait_until
 from tests.processes import LOOPBACK, ROOT, Child, Ports, accepts
 from tests.processes import wait_until as wait_for
--- a/bench/path.py
+++ b/bench/path.py
@@ -20,10 +20,10 @@
 
 from bench.memory import make_team
 from examples.demo import make_token, publish, wait_served
+from oleanderdyke.clients.log import LogClient
 from oleanderdyke.kernel.objects import Change, ObjectKind
 from oleanderdyke.kernel.records import encode_change
 from oleanderdyke.links.messages import BackendKind
-from oleanderdyke.platform.log import LogClient
 from tests.calls import call, make_chat, open_stream
 from tests.deployment import Deployment, Entry, load_layout
 from tests.processes import ROOT, Child, NotMet, wait_until
--- a/bench/wire.py
+++ b/bench/wire.py
@@ -48,8 +48,8 @@
     'links': 'import oleanderdyke.links.pool, oleanderdyke.links.listener',
     'links, platform': (
         'import oleanderdyke.links.pool, oleanderdyke.links.listener,'
-        ' oleanderdyke.platform.log, oleanderdyke.platform.vms,'
-        ' oleanderdyke.platform.weights'
+        ' oleanderdyke.clients.log, oleanderdyke.clients.vms,'
+        ' oleanderdyke.clients.weights'
     ),
 }
 _SHOW_RSS = """
--- a/src/oleanderdyke/agent/backend.py
+++ b/src/oleanderdyke/agent/backend.py
@@ -10,19 +10,19 @@
 import anyio
 
 from oleanderdyke.agent.settings import BackendSettings
-from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.errors import ErrorKind, OleanderError, Ran
-from oleanderdyke.links.messages import Headers
-from oleanderdyke.platform.addresses import split_address
-from oleanderdyke.platform.exchange import Body
-from oleanderdyke.platform.http import (
+from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clients.exchange import Body
+from oleanderdyke.clients.http import (
     HOP_BY_HOP,
     HttpAnswer,
     HttpBackend,
     HttpError,
     HttpSettings,
 )
-from oleanderdyke.platform.kept import KeptHttp, KeptSettings
+from oleanderdyke.clients.kept import KeptHttp, KeptSettings
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.links.messages import Headers
 
 Json: TypeAlias = Mapping[str, Any]
 
--- a/src/oleanderdyke/agent/failures.py
+++ b/src/oleanderdyke/agent/failures.py
@@ -5,10 +5,10 @@
 from dataclasses import replace
 
 from oleanderdyke.agent.run import Run
+from oleanderdyke.clients.http import HttpError
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.stream_buffer import Reader
 from oleanderdyke.links.messages import Failed
-from oleanderdyke.platform.http import HttpError
 
 _UNAVAILABLE = 503
 
--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -9,6 +9,7 @@
 from oleanderdyke.agent.backend import Backend, clean_answer_headers
 from oleanderdyke.agent.prepare import Preparer
 from oleanderdyke.agent.run import Run
+from oleanderdyke.clients.http import HttpAnswer
 from oleanderdyke.clock import Clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
@@ -17,7 +18,6 @@
 from oleanderdyke.kernel.stream_table import StreamTable
 from oleanderdyke.links.messages import AnswerHead, Message
 from oleanderdyke.logs import EventLog
-from oleanderdyke.platform.http import HttpAnswer
 
 _TOKEN_BYTES = 16
 
--- a/src/oleanderdyke/agent/prepare.py
+++ b/src/oleanderdyke/agent/prepare.py
@@ -12,6 +12,7 @@
 from oleanderdyke.agent.export import Exporter
 from oleanderdyke.agent.fetch import Fetcher
 from oleanderdyke.agent.run import Run
+from oleanderdyke.clients.exchange import Body
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.blocks import Namespace, SegmentId, make_namespace
@@ -19,7 +20,6 @@
 from oleanderdyke.kernel.gate import Loaded
 from oleanderdyke.kernel.routing import BACKGROUND_LAST, lower_priority
 from oleanderdyke.links.messages import Dispatch, FetchPlan, Headers
-from oleanderdyke.platform.exchange import Body
 
 _REQUEST_ID = 'x-request-id'
 _LENGTH = 'content-length'
--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -23,6 +23,7 @@
 from oleanderdyke.agent.run import Run, RunKey
 from oleanderdyke.agent.settings import RunSettings
 from oleanderdyke.agent.watch import Ending
+from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clock import SECOND, Clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
@@ -37,7 +38,6 @@
     Message,
 )
 from oleanderdyke.logs import EventLog
-from oleanderdyke.platform.http import HttpError
 
 
 class WorkLedger(Protocol):
--- a/src/oleanderdyke/agent/watch.py
+++ b/src/oleanderdyke/agent/watch.py
@@ -8,9 +8,9 @@
 from anyio.abc import SocketStream
 
 from oleanderdyke.agent.settings import BackendSettings
+from oleanderdyke.clients.addresses import split_address
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.links.messages import BackendKind
-from oleanderdyke.platform.addresses import split_address
 
 _SETTLE: Millis = 250.0
 _READ_BYTES = 1024
--- /dev/null
+++ b/src/oleanderdyke/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Call the services that surround the product."""
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/clients/documents.py
@@ -8,9 +8,9 @@
 
 import anyio
 
+from oleanderdyke.clients.http import HttpBackend, HttpError, HttpSettings
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
-from oleanderdyke.platform.http import HttpBackend, HttpError, HttpSettings
 
 _OK = 200
 _NOT_FOUND = 404
--- a/src/oleanderdyke/platform/http.py
+++ b/src/oleanderdyke/clients/http.py
@@ -9,16 +9,16 @@
 
 import h11
 
-from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.errors import ErrorKind, OleanderError, Ran
-from oleanderdyke.links.messages import Headers
-from oleanderdyke.platform.addresses import split_address
-from oleanderdyke.platform.exchange import (
+from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clients.exchange import (
     FAILURES,
     Body,
     Exchange,
     open_exchange,
 )
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.links.messages import Headers
 
 _CLOSE = ('connection', 'close')
 
--- a/src/oleanderdyke/platform/kept.py
+++ b/src/oleanderdyke/clients/kept.py
@@ -14,11 +14,11 @@
 import anyio
 import h11
 
+from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clients.exchange import FAILURES, Exchange, open_exchange
+from oleanderdyke.clients.http import HttpAnswer, HttpError, make_lost
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import Ran
-from oleanderdyke.platform.addresses import split_address
-from oleanderdyke.platform.exchange import FAILURES, Exchange, open_exchange
-from oleanderdyke.platform.http import HttpAnswer, HttpError, make_lost
 
 _PIECE = 256 * 1024
 
--- a/src/oleanderdyke/platform/log.py
+++ b/src/oleanderdyke/clients/log.py
@@ -11,9 +11,9 @@
 import anyio
 
 from oleanderdyke.cbor import dump_cbor, load_cbor
+from oleanderdyke.clients.http import HttpBackend, HttpError, HttpSettings
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
-from oleanderdyke.platform.http import HttpBackend, HttpError, HttpSettings
 
 _OK = 200
 # With these the service says that it did not take the records.
--- a/src/oleanderdyke/platform/vms.py
+++ b/src/oleanderdyke/clients/vms.py
@@ -5,8 +5,8 @@
 import ssl
 from dataclasses import dataclass
 
+from oleanderdyke.clients.documents import DocumentClient, PlatformUnavailable
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.platform.documents import DocumentClient, PlatformUnavailable
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/platform/weights.py
+++ b/src/oleanderdyke/clients/weights.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from oleanderdyke.clients.documents import DocumentClient, PlatformUnavailable
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.platform.documents import DocumentClient, PlatformUnavailable
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/entry/claims.py
+++ b/src/oleanderdyke/entry/claims.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from oleanderdyke.clients.log import LogClient, LogUnavailable
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.core import Core
 from oleanderdyke.entry.inbox import Inbox
@@ -29,7 +30,6 @@
 )
 from oleanderdyke.kernel.claims import Owned
 from oleanderdyke.metrics import Count, Timing
-from oleanderdyke.platform.log import LogClient, LogUnavailable
 
 _APPENDS = 4
 _REPEATS = 40
--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from oleanderdyke.clients.log import LogClient, LogPage, LogUnavailable
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.core import Core
 from oleanderdyke.errors import OleanderError
@@ -19,7 +20,6 @@
     ConfigurationRequest,
 )
 from oleanderdyke.metrics import Gauge
-from oleanderdyke.platform.log import LogClient, LogPage, LogUnavailable
 
 _PUSH_AGAIN: Millis = 2 * SECOND
 _FILL_AGAIN: Millis = 10 * SECOND
--- a/src/oleanderdyke/entry/edge.py
+++ b/src/oleanderdyke/entry/edge.py
@@ -12,10 +12,10 @@
 
 import anyio
 
+from oleanderdyke.clients.http import HOP_BY_HOP
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.messages import Headers
-from oleanderdyke.platform.http import HOP_BY_HOP
 
 Scope: TypeAlias = MutableMapping[str, Any]
 Event: TypeAlias = MutableMapping[str, Any]
--- a/src/oleanderdyke/entry/logreader.py
+++ b/src/oleanderdyke/entry/logreader.py
@@ -6,15 +6,15 @@
 
 import anyio
 
-from oleanderdyke.clock import SECOND
-from oleanderdyke.entry.core import Core
-from oleanderdyke.events import EventName
-from oleanderdyke.platform.log import (
+from oleanderdyke.clients.log import (
     LogClient,
     LogPage,
     LogRecord,
     LogUnavailable,
 )
+from oleanderdyke.clock import SECOND
+from oleanderdyke.entry.core import Core
+from oleanderdyke.events import EventName
 
 _SLICE_BYTES = 32 * 1024
 _SLICE_RECORDS = 64
--- a/src/oleanderdyke/entry/publishing.py
+++ b/src/oleanderdyke/entry/publishing.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from oleanderdyke.clients.log import LogUnavailable
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
@@ -14,7 +15,6 @@
 from oleanderdyke.kernel.objects import Change
 from oleanderdyke.kernel.records import CONFIGURATION_LOG, encode_change
 from oleanderdyke.logs import EventLog
-from oleanderdyke.platform.log import LogUnavailable
 
 SETTLE_WAIT: Millis = 5 * SECOND
 _POLL: Millis = 10.0
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -8,6 +8,8 @@
 
 import anyio
 
+from oleanderdyke.clients.log import LogClient, LogPage
+from oleanderdyke.clients.vms import VmClient
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.admin_edge import make_admin_edge
 from oleanderdyke.entry.agents import AgentLinks
@@ -26,8 +28,6 @@
 from oleanderdyke.links.pool import LinkPool
 from oleanderdyke.links.tls import make_client_context
 from oleanderdyke.logs import EventLog
-from oleanderdyke.platform.log import LogClient, LogPage
-from oleanderdyke.platform.vms import VmClient
 
 _FLUSH_LIMIT = 3.0
 _CLOSE_LIMIT = 3.0
--- a/src/oleanderdyke/entry/vmwatch.py
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -6,13 +6,13 @@
 
 import anyio
 
+from oleanderdyke.clients.vms import Vm, VmClient
 from oleanderdyke.clock import SECOND
 from oleanderdyke.entry.core import Core
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.membership import choose_vms
 from oleanderdyke.links.pool import LinkPool
-from oleanderdyke.platform.vms import Vm, VmClient
 from oleanderdyke.settings_checks import is_loopback
 
 
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -13,6 +13,7 @@
 
 from oleanderdyke.agent.settings import AgentSettings, BackendSettings
 from oleanderdyke.agent.shell import AgentShell
+from oleanderdyke.clients.log import LogPage, LogRecord
 from oleanderdyke.clock import make_clock
 from oleanderdyke.kernel.blocks import make_namespace
 from oleanderdyke.kernel.objects import (
@@ -46,7 +47,6 @@
     Role,
 )
 from oleanderdyke.logs import make_event_log
-from oleanderdyke.platform.log import LogPage, LogRecord
 
 CLOCK = make_clock()
 TEAM = 'escuela'
--- a/tests/edges.py
+++ b/tests/edges.py
@@ -10,6 +10,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from oleanderdyke.clients.log import LogPage, LogRecord, LogUnavailable
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.answers import WRITER_EXTENSION
 from oleanderdyke.entry.app import App
@@ -47,7 +48,6 @@
     Message,
     Role,
 )
-from oleanderdyke.platform.log import LogPage, LogRecord, LogUnavailable
 
 TOKEN = 'token-of-owls'
 OTHER_TOKEN = 'token-of-toads'
--- a/tests/matrix/agent.py
+++ b/tests/matrix/agent.py
@@ -14,6 +14,7 @@
 from oleanderdyke.agent.readers import Readers
 from oleanderdyke.agent.run import Run
 from oleanderdyke.agent.settings import RunSettings
+from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.catalog import Catalog
@@ -42,7 +43,6 @@
     SegmentListRequest,
     Superseded,
 )
-from oleanderdyke.platform.http import HttpError
 from tests.matrix.loop import Null, Process, drive
 from tests.matrix.net import End
 from tests.matrix.orders import ModelOrders
--- a/tests/matrix/operators.py
+++ b/tests/matrix/operators.py
@@ -5,12 +5,12 @@
 from dataclasses import replace
 from typing import Any
 
+from oleanderdyke.clients.log import LogUnavailable
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import Ran
 from oleanderdyke.kernel.catalog import Outcome
 from oleanderdyke.kernel.objects import Change, ObjectKind
 from oleanderdyke.kernel.records import encode_change
-from oleanderdyke.platform.log import LogUnavailable
 from tests.matrix.entry import LogPort, ModelEntry
 from tests.matrix.loop import drive
 from tests.matrix.world import CHAT, ENTRIES, SERVICE, World
--- a/tests/matrix/orders.py
+++ b/tests/matrix/orders.py
@@ -8,6 +8,7 @@
 
 from oleanderdyke.agent.engine import EngineView
 from oleanderdyke.agent.order_loop import OrderLoop
+from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import OleanderError, Ran
 from oleanderdyke.kernel.orders import (
@@ -17,7 +18,6 @@
     Order,
 )
 from oleanderdyke.links.messages import ConfigurationRequest
-from oleanderdyke.platform.http import HttpError
 from tests.matrix.loop import Later, Null, Process, drive
 from tests.matrix.points import Point
 
--- a/tests/matrix/outside.py
+++ b/tests/matrix/outside.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
+from oleanderdyke.clients.log import LogPage, LogRecord, LogUnavailable
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import Ran
 from oleanderdyke.kernel.gate import Loaded
 from oleanderdyke.kernel.orders import Desired, Fence, Observed
 from oleanderdyke.links.messages import Dispatch
-from oleanderdyke.platform.log import LogPage, LogRecord, LogUnavailable
 from tests.matrix.loop import Later, Process, Scheduler
 
 if TYPE_CHECKING:
--- a/tests/matrix/points.py
+++ b/tests/matrix/points.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
+from oleanderdyke.clients.log import LogPage
 from oleanderdyke.kernel.claim_records import (
     ClaimRecord,
     OutcomeRecord,
@@ -22,7 +23,6 @@
     Message,
     Resume,
 )
-from oleanderdyke.platform.log import LogPage
 from tests.matrix.loop import Process
 
 if TYPE_CHECKING:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from oleanderdyke.clients.log import LogUnavailable
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.admin import (
     Administration,
@@ -21,7 +22,6 @@
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.catalog import Applied, Catalog, LossReason, Lost
 from oleanderdyke.kernel.objects import ObjectKind, StoreSpec, TeamSpec
-from oleanderdyke.platform.log import LogUnavailable
 
 TEAM = ObjectKind.TEAM
 OPERATOR = Caller('ana')
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,6 +11,8 @@
 from bench.memory import make_team
 from bench.slopes import make_beat
 from oleanderdyke.agent.beats import shorten
+from oleanderdyke.clients.log import LogPage
+from oleanderdyke.clients.vms import Vm, VmClient
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.core import make_core
 from oleanderdyke.entry.settings import (
@@ -34,8 +36,6 @@
     Hello,
     Role,
 )
-from oleanderdyke.platform.log import LogPage
-from oleanderdyke.platform.vms import Vm, VmClient
 
 TEAMS = 1_000
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -12,6 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from oleanderdyke.clients.log import LogPage
 from oleanderdyke.entry.edge import forward_headers, return_headers
 from oleanderdyke.entry.server import make_server
 from oleanderdyke.entry.settings import HttpSettings
@@ -23,7 +24,6 @@
     Cancel,
     Dispatch,
 )
-from oleanderdyke.platform.log import LogPage
 from tests.edges import OTHER_TOKEN, TOKEN, Edge, Reply
 
 CHAT = '/v1/chat/completions'
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -13,6 +13,7 @@
 from anyio import wait_all_tasks_blocked
 from anyio.abc import TaskGroup
 
+from oleanderdyke.clients.log import LogPage, LogRecord
 from oleanderdyke.entry.configuration import ConfigurationFeed
 from oleanderdyke.entry.main import main
 from oleanderdyke.entry.settings import EntrySettings, find_faults
@@ -46,7 +47,6 @@
     Message,
     Resume,
 )
-from oleanderdyke.platform.log import LogPage, LogRecord
 from tests.edges import TOKEN, Caller, Edge, FakeLink, Reply, Writer
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -11,7 +11,7 @@
 FILES = sorted((SOURCES / PACKAGE).rglob('*.py'))
 
 SHELLS = frozenset({'entry', 'agent', 'ctl'})
-MIDDLE = frozenset({'links', 'platform', 'policies'})
+MIDDLE = frozenset({'clients', 'links', 'platform', 'policies'})
 PARTS = SHELLS | MIDDLE | {'kernel'}
 
 # The parts that each part may not import.
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -10,9 +10,9 @@
 import pytest
 from anyio.abc import SocketStream
 
+from oleanderdyke.clients.http import HttpError
+from oleanderdyke.clients.kept import KeptHttp, KeptSettings
 from oleanderdyke.errors import Ran
-from oleanderdyke.platform.http import HttpError
-from oleanderdyke.platform.kept import KeptHttp, KeptSettings
 
 pytestmark = pytest.mark.anyio
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood'
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -6,8 +6,8 @@
 import cbor2
 import pytest
 
+from oleanderdyke.clients.log import LogClient, LogUnavailable
 from oleanderdyke.errors import ErrorKind, Ran
-from oleanderdyke.platform.log import LogClient, LogUnavailable
 from relays import relaying
 from tests.standins import log as log_service
 from tests.standins import server
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -9,10 +9,10 @@
 import anyio
 import pytest
 
+from oleanderdyke.clients.http import HttpBackend, HttpError, HttpSettings
+from oleanderdyke.clients.vms import Vm, VmClient
+from oleanderdyke.clients.weights import WeightClient, Weights
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
-from oleanderdyke.platform.http import HttpBackend, HttpError, HttpSettings
-from oleanderdyke.platform.vms import Vm, VmClient
-from oleanderdyke.platform.weights import WeightClient, Weights
 from tests.standins import plain, server, vms, weights
 
 HOST = '127.0.0.1'
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,10 +8,10 @@
 from oleanderdyke.agent.backend import Backend
 from oleanderdyke.agent.failures import check_replaced
 from oleanderdyke.agent.watch import Ending, ProcessWatch
+from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clock import ManualClock
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.links.messages import BackendKind
-from oleanderdyke.platform.http import HttpError
 
 pytestmark = pytest.mark.anyio
 
