--- /dev/null
+++ b/src/oleanderdyke/agent/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""Watch a backend server on the users' platform."""
--- /dev/null
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -0,0 +1,237 @@
+"""Bring the model engine of this machine to the weights that are named."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.rollout import Target, find_target, find_turn
+from oleanderdyke.kernel.servers import ServerRecord
+from oleanderdyke.logs import EventLog
+from oleanderdyke.platform import names
+from oleanderdyke.platform.documents import (
+    MalformedRecord,
+    decode_server,
+    decode_version,
+)
+from oleanderdyke.platform.engines import (
+    EngineClient,
+    EngineUnavailable,
+    OrderOutcome,
+    WeightOrder,
+)
+from oleanderdyke.platform.feed import KeyedFeed
+from oleanderdyke.platform.settings import HostSettings
+from oleanderdyke.platform.store import (
+    KeyedPage,
+    StoreClient,
+    StoreUnavailable,
+)
+
+# A long read returns at once when weights are named; one on a connection that
+# has gone silent delays them by this, a fraction of the time they may take.
+_OPERATOR_WAIT: Millis = 5 * SECOND
+_RETRY_PAUSE: Millis = 250.0
+# While weights are due: how often the list and the engine are looked at.
+_ROLLOUT_PERIOD: Millis = 300.0
+_IDLE_PERIOD: Millis = 100.0
+
+
+class HostedAgent:
+    """Give orders to the one engine beside this process.
+
+    It is the only holder of orders for its engine. Its fence is an offset of
+    a topic, so a later process on this machine or another has a higher one.
+    """
+
+    def __init__(
+        self, settings: HostSettings, log: EventLog, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        self._clock = clock
+        self._long = StoreClient(settings.store, wait=_OPERATOR_WAIT)
+        self._short = StoreClient(settings.store)
+        self._engine = EngineClient(settings.server)
+        self._targets: dict[str, Target] = {}
+        self._done: dict[str, int] = {}
+        self._fence: int | None = None
+        self._operator = KeyedFeed(
+            self._long,
+            names.OPERATOR_TOPIC,
+            take_all=self._take_operator,
+            take_some=self._take_operator,
+        )
+
+    async def run(self) -> None:
+        """Work until a signal to stop."""
+        self._log.write(
+            EventName.PROCESS_STARTED, address=self._settings.server
+        )
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._follow)
+                tasks.start_soon(self._roll_out)
+                async for number in signals:
+                    name = signal.Signals(number).name
+                    self._log.write(EventName.PROCESS_STOPPING, signal=name)
+                    tasks.cancel_scope.cancel()
+                    break
+        self._log.write(EventName.PROCESS_STOPPED)
+
+    async def _follow(self) -> None:
+        while True:
+            await self._try_store('operator', self._operator.read)
+
+    async def _try_store(
+        self, name: str, call: Callable[[], Awaitable[None]]
+    ) -> bool:
+        try:
+            await call()
+        except StoreUnavailable as error:
+            self._log.write(EventName.LOG_DOWN, name=name, detail=error.message)
+            await anyio.sleep(_RETRY_PAUSE / SECOND)
+            return False
+        return True
+
+    def _take_operator(self, page: KeyedPage) -> None:
+        for record in page.records:
+            if record.value is None:
+                continue
+            if not record.key.startswith(names.VERSION_KEY_PREFIX):
+                continue
+            try:
+                named = decode_version(record.value)
+            except MalformedRecord as error:
+                self._log.write(
+                    EventName.RECORD_REFUSED,
+                    name=record.key,
+                    detail=error.message,
+                )
+                continue
+            self._name(named.model, named.version)
+
+    def _name(self, model: str, version: int) -> None:
+        known = self._targets.get(model)
+        if known is not None and known.version >= version:
+            return
+        self._targets[model] = Target(model, version, self._clock.now())
+        self._log.write(EventName.VERSION_NAMED, model=model, version=version)
+
+    async def _roll_out(self) -> None:
+        """Look at the engine only while weights are due."""
+        while True:
+            if self._is_settled():
+                await anyio.sleep(_IDLE_PERIOD / SECOND)
+                continue
+            try:
+                await self._step()
+            except (StoreUnavailable, EngineUnavailable) as error:
+                self._log.write(
+                    EventName.ORDER_REFUSED,
+                    reason=error.kind.value,
+                    detail=error.message,
+                )
+            await anyio.sleep(_ROLLOUT_PERIOD / SECOND)
+
+    def _is_settled(self) -> bool:
+        return all(
+            self._done.get(model) == target.version
+            for model, target in self._targets.items()
+        )
+
+    async def _step(self) -> None:
+        state = await self._engine.read_state()
+        if state.is_busy:
+            return
+        target = find_target(state, self._targets.values())
+        if target is None:
+            self._settle()
+            return
+        listed = await self._list_servers()
+        own = _find_own(listed, self._settings.server)
+        if own is None:
+            return
+        turn = find_turn(own.server, target, listed, self._clock.now())
+        if not turn.is_due:
+            return
+        fence = await self._find_fence()
+        order = WeightOrder(
+            server=own.server,
+            model=target.model,
+            version=target.version,
+            holder=self._settings.process,
+            fence=fence,
+            after=state.orders,
+        )
+        await self._order(order, turn.ahead)
+
+    def _settle(self) -> None:
+        for model, target in self._targets.items():
+            if self._done.get(model) != target.version:
+                self._done[model] = target.version
+                self._log.write(
+                    EventName.ORDER_DONE, model=model, version=target.version
+                )
+
+    async def _order(self, order: WeightOrder, ahead: int) -> None:
+        outcome = await self._engine.give_order(order)
+        self._log.write(
+            EventName.ORDER_SENT,
+            peer=order.server,
+            model=order.model,
+            version=order.version,
+            offset=order.fence,
+            count=ahead,
+            reason=outcome.value,
+        )
+        if outcome is OrderOutcome.OLD_FENCE:
+            self._fence = None
+
+    async def _list_servers(self) -> list[ServerRecord]:
+        page = await self._short.list_newest(names.SERVER_TOPIC)
+        found: list[ServerRecord] = []
+        for record in page.records:
+            if record.value is None:
+                continue
+            try:
+                found.append(decode_server(record.key, record.value))
+            except MalformedRecord as error:
+                self._log.write(
+                    EventName.RECORD_REFUSED,
+                    name=record.key,
+                    detail=error.message,
+                )
+        return [
+            record
+            for record in found
+            if record.service == self._settings.service
+        ]
+
+    async def _find_fence(self) -> int:
+        """Append once in this process's life; offsets only rise."""
+        if self._fence is None:
+            record = self._settings.process.encode()
+            offset = await self._short.append(names.FENCE_TOPIC, record)
+            self._fence = offset + 1
+        return self._fence
+
+
+async def run_hosted_agent(
+    settings: HostSettings, log: EventLog, _: Path
+) -> None:
+    """Run an agent on the users' platform until it is told to stop."""
+    await HostedAgent(settings, log, make_clock()).run()
+
+
+def _find_own(listed: list[ServerRecord], address: str) -> ServerRecord | None:
+    return next(
+        (record for record in listed if record.address == address), None
+    )
--- a/src/oleanderdyke/agent/main.py
+++ b/src/oleanderdyke/agent/main.py
@@ -12,6 +12,7 @@
 import anyio
 
 from oleanderdyke import daemon
+from oleanderdyke.agent.hosted.shell import run_hosted_agent
 from oleanderdyke.agent.settings import AgentSettings, find_faults
 from oleanderdyke.agent.shell import AgentShell
 from oleanderdyke.clock import make_clock
@@ -32,6 +33,7 @@
         settings_type=AgentSettings,
         find_faults=_find_faults,
         serve=_serve,
+        serve_hosted=run_hosted_agent,
     )
     return agent.run(arguments)
 
--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -16,6 +16,11 @@
 from oleanderdyke.errors import OleanderError, SettingsError
 from oleanderdyke.events import EventName, Level
 from oleanderdyke.logs import EventLog, make_event_log
+from oleanderdyke.platform.settings import (
+    HostSettings,
+    find_settings_path,
+    load_host_settings,
+)
 from oleanderdyke.settings import load_settings, show_settings
 
 _FAILED = 1
@@ -45,10 +50,16 @@
     settings_type: type[SettingsT]
     find_faults: Callable[[SettingsT], Iterable[str]]
     serve: Callable[[SettingsT, EventLog], Awaitable[None]]
+    serve_hosted: Callable[[HostSettings, EventLog, Path], Awaitable[None]]
 
     def run(self, arguments: Sequence[str] | None = None) -> int:
         """Run until the daemon is told to stop; return its exit code."""
-        options = make_parser(self.name, self.description).parse_args(arguments)
+        parser = make_parser(self.name, self.description)
+        options = parser.parse_args(arguments)
+        if options.platform:
+            return self._run_hosted(options)
+        if options.settings is None:
+            parser.error('--settings FILE is needed without --platform')
         try:
             settings = load_settings(
                 options.settings,
@@ -67,21 +78,44 @@
             return 0
         return self._serve(settings)
 
+    def _run_hosted(self, options: argparse.Namespace) -> int:
+        """Run on the users' platform, whose settings have its own format."""
+        path: Path = options.settings or find_settings_path(os.environ)
+        try:
+            settings = load_host_settings(path)
+        except SettingsError as error:
+            error.show()
+            return error.exit_code
+        if options.check:
+            sys.stdout.write(f'{path}: no faults\n')
+            return 0
+        if options.print_settings:
+            sys.stdout.write(show_settings(settings))
+            return 0
+        log = make_event_log(settings.process, stream=sys.stdout)
+        return _run(log, self.serve_hosted, settings, log, path)
+
     def _serve(self, settings: SettingsT) -> int:
         log = make_event_log(settings.process, settings.log_level)
-        code = 0
-        # The one place where groups of exceptions end.
-        try:
-            anyio.run(self.serve, settings, log)
-        except* Exception as group:
-            code = _FAILED
-            for error in _flatten(group):
-                log.write(
-                    EventName.PROCESS_FAILED,
-                    reason=_name_reason(error),
-                    detail=_describe(error),
-                )
-        return code
+        return _run(log, self.serve, settings, log)
+
+
+def _run(
+    log: EventLog, serve: Callable[..., Awaitable[None]], *arguments: object
+) -> int:
+    """Run on one loop; the one place where groups of exceptions end."""
+    code = 0
+    try:
+        anyio.run(serve, *arguments)
+    except* Exception as group:
+        code = _FAILED
+        for error in _flatten(group):
+            log.write(
+                EventName.PROCESS_FAILED,
+                reason=_name_reason(error),
+                detail=_describe(error),
+            )
+    return code
 
 
 def make_parser(name: str, description: str) -> argparse.ArgumentParser:
@@ -91,10 +125,14 @@
     parser.add_argument(
         '--settings',
         type=Path,
-        required=True,
         metavar='FILE',
         help='YAML file with the settings of this process',
     )
+    parser.add_argument(
+        '--platform',
+        action='store_true',
+        help="run on the users' platform, with the settings file that it gives",
+    )
     parser.add_argument(
         '--check', action='store_true', help='check the settings and exit'
     )
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers on the users' platform."""
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -0,0 +1,125 @@
+"""Answer callers and the balancer on the users' platform."""
+
+from __future__ import annotations
+
+from oleanderdyke.entry.edge import (
+    Body,
+    CallerGone,
+    Head,
+    Receive,
+    Scope,
+    Send,
+    parse_head,
+)
+from oleanderdyke.entry.hosted.call import Permit, find_permit, make_call
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.driver import HostedDriver
+from oleanderdyke.entry.hosted.reply import Reply
+from oleanderdyke.entry.stopping import Stopper
+from oleanderdyke.errors import ErrorKind, OleanderError
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.deployment import CallerLimits
+from oleanderdyke.platform import names
+
+_READY = 200
+_NOT_READY = 503
+
+
+class HostedApp:
+    """Serve one request; answer every fault with a typed error."""
+
+    def __init__(
+        self, core: HostedCore, stopper: Stopper, readiness_port: int
+    ) -> None:
+        self._core = core
+        self._stopper = stopper
+        self._readiness_port = readiness_port
+        self._count = 0
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        if scope['server'][1] == self._readiness_port:
+            await self._answer_readiness(scope, send)
+            return
+        reply = Reply(send, '')
+        reply.closes = self._core.drain.is_leaving
+        try:
+            await self._serve(scope, receive, reply)
+        except CallerGone:
+            return
+        except OleanderError as error:
+            await self._refuse(reply, error)
+
+    async def _serve(
+        self, scope: Scope, receive: Receive, reply: Reply
+    ) -> None:
+        core = self._core
+        started = core.clock.now()
+        head = parse_head(scope, '')
+        reply.request = head.find(names.REQUEST_ID) or ''
+        permit = find_permit(core, head)
+        self._count += 1
+        key = str(self._count)
+        self._stopper.begin(key)
+        try:
+            await self._lead(head, permit, receive, reply, started)
+        finally:
+            self._stopper.end(key)
+
+    async def _lead(
+        self,
+        head: Head,
+        permit: Permit,
+        receive: Receive,
+        reply: Reply,
+        started: float,
+    ) -> None:
+        core = self._core
+        limits = CallerLimits()
+        if core.deployment is not None:
+            limits = core.deployment.limits
+        body = Body(receive, limits.body_bytes, limits.idle_timeout, head)
+        data = await body.read()
+        call = make_call(core, head, permit, body=data, started=started)
+        core.log.write(
+            EventName.REQUEST_ACCEPTED,
+            request=call.request,
+            team=call.team,
+            service=call.service,
+            name=call.route.name,
+            limit=round(call.deadline - started),
+        )
+        await HostedDriver(core, call, body, reply).run()
+
+    async def _refuse(self, reply: Reply, error: OleanderError) -> None:
+        self._core.log.write(
+            EventName.REQUEST_REFUSED,
+            request=reply.request or None,
+            kind=error.kind.value,
+            ran=error.ran.value,
+            detail=error.message,
+        )
+        if reply.status:
+            return
+        if error.kind is ErrorKind.BODY_TOO_LARGE:
+            reply.closes = True
+        await reply.refuse(
+            error.kind, error.ran, error.message, error.retry_after
+        )
+
+    async def _answer_readiness(self, scope: Scope, send: Send) -> None:
+        fault = self._core.find_fault()
+        reply = Reply(send, '')
+        if scope['path'] != names.READINESS_PATH:
+            await reply.refuse(
+                ErrorKind.NOT_FOUND,
+                OleanderError(ErrorKind.NOT_FOUND, '').ran,
+                'only the readiness is told here',
+            )
+            return
+        await reply.start(_NOT_READY if fault else _READY, ())
+        await reply.end(fault.encode())
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -0,0 +1,318 @@
+"""Carry one attempt of a call straight to a backend server."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from oleanderdyke.clients.direct import (
+    BackendConnection,
+    make_head,
+    set_idle_limit,
+)
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry.hosted.call import HostedCall, make_salt
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.entry.inbox import Inbox
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import Received, SendDispatch, Unsent
+from oleanderdyke.kernel.backends import Backend
+from oleanderdyke.kernel.servers import AnswerFacts
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    Failed,
+    Headers,
+)
+from oleanderdyke.platform.requests import (
+    Dispatch,
+    decode_answer,
+    encode_request,
+)
+
+_EVENT_STREAM = 'text/event-stream'
+_SERVER_ERROR = 500
+_SUCCESS = range(200, 300)
+# With these a final answer promises that the request has not run.
+_PROMISES = frozenset({408, 421, 429, 503})
+# A body up to this size is held until it is whole, so that a broken one can
+# be asked for again and never looks complete.
+_HELD_BYTES = 256 * 1024
+
+
+class DirectAttempt:
+    """Send one request to one backend server and report its answer.
+
+    The only server that runs it is the one that was chosen: it is named in
+    the head, and any other refuses.
+    """
+
+    def __init__(
+        self,
+        core: HostedCore,
+        call: HostedCall,
+        action: SendDispatch,
+        *,
+        inbox: Inbox,
+        splitter: EventSplitter | None,
+        may_repeat: Callable[[], bool],
+    ) -> None:
+        self._core = core
+        self._call = call
+        self._inbox = inbox
+        self._splitter = splitter
+        self._may_repeat = may_repeat
+        self._number = action.attempt
+        self.server = action.agent
+        self._name = f'{id(self):x}'
+        self._connection: BackendConnection | None = None
+        self._sequence = 0
+        self._held: bytearray | None = bytearray()
+        self._head: AnswerHead | None = None
+        self._is_stream = False
+        self._sent = False
+        self._done = False
+
+    async def start(self) -> None:
+        """Send the request on a kept connection or a new one."""
+        core = self._core
+        backend = core.book.find(self.server)
+        if backend is None or backend.record.is_leaving:
+            self._report_unsent('the server has left')
+            return
+        address = backend.record.address
+        connection = core.pool.take_idle(address)
+        try:
+            if connection is None:
+                connection = await core.pool.open(address)
+        except OSError as error:
+            core.book.note_failed(self.server, core.clock.now())
+            core.pool.drop_idle(address)
+            self._report_unsent(f'cannot connect: {type(error).__name__}')
+            return
+        self._send(connection, backend)
+
+    def cancel(self) -> None:
+        """Stop the run by closing its connection."""
+        if not self._done:
+            self._finish()
+            if self._connection is not None:
+                self._connection.close()
+
+    def fail(self, reason: str) -> None:
+        """Give up on an answer that may still come."""
+        if not self._done:
+            self._core.book.note_failed(self.server, self._core.clock.now())
+            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
+
+    def find_silence(self, now: Millis) -> Millis:
+        """Return for how long the server has owed bytes and sent none."""
+        backend = self._core.book.find(self.server)
+        if self._done or backend is None:
+            return 0.0
+        return backend.find_silence(now)
+
+    def take_head(self, status: int, headers: Headers) -> None:
+        """Judge the head of the answer."""
+        facts = decode_answer(status, headers)
+        self._learn(facts)
+        if self._done:
+            return
+        fault = _find_fault(status, facts, self._call.request)
+        if facts.is_not_run:
+            self._core.book.note_refused(self.server, self._core.clock.now())
+            self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
+        elif fault:
+            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
+        elif status >= _SERVER_ERROR and self._may_repeat():
+            self._core.book.note_error(self.server)
+            self._report_failure(ErrorKind.STREAM_BROKEN, Ran.YES, f'{status}')
+        else:
+            self._accept(status, headers)
+
+    def take_part(self, data: bytes) -> None:
+        """Pass on a part of the body, or hold it until the end."""
+        if self._done:
+            return
+        self._note_heard()
+        if self._splitter is not None and self._is_stream:
+            for event in self._splitter.take(data):
+                self._pass_on(event.data)
+        elif self._held is None:
+            self._pass_on(data)
+        else:
+            self._held += data
+            if len(self._held) > _HELD_BYTES:
+                self._release()
+
+    def take_end(self) -> None:
+        """Report that the answer is whole."""
+        if self._done:
+            return
+        if self._is_stream and self._splitter and self._splitter.has_rest:
+            self._close_failed(
+                ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'ended within an event'
+            )
+            return
+        self._release()
+        self._core.book.note_good(self.server)
+        self._finish()
+        end = AnswerEnd(
+            self._call.request, self._number, self._sequence, digest=b''
+        )
+        self._inbox.put(Received(end))
+
+    def lose(self, reason: str) -> None:
+        """Report that the answer broke off."""
+        if not self._done:
+            self._core.book.note_failed(self.server, self._core.clock.now())
+            self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
+
+    def _send(self, connection: BackendConnection, backend: Backend) -> None:
+        core, call = self._core, self._call
+        record = backend.record
+        self._connection = connection
+        dispatch = self._make_dispatch(backend)
+        head = make_head(
+            call.method,
+            call.target,
+            encode_request(call.headers, dispatch),
+            call.body,
+            call.host,
+        )
+        self._sent = True
+        demand = call.asked.demand
+        tokens = 0
+        if demand is not None:
+            tokens = demand.prompt_tokens - backend.count_kept(demand.parts)
+        core.book.note_sent(self.server, self._name, tokens, core.clock.now())
+        connection.send(head, call.body, self)
+        core.log.write(
+            EventName.DISPATCH_SENT,
+            request=call.request,
+            attempt=self._number,
+            peer=record.server,
+            address=record.address,
+            version=dispatch.version,
+        )
+
+    def _make_dispatch(self, backend: Backend) -> Dispatch:
+        core, call = self._core, self._call
+        demand = call.asked.demand
+        version = None
+        if demand is not None:
+            version = backend.record.versions.get(demand.model)
+        last = self._splitter.last if self._splitter is not None else None
+        return Dispatch(
+            server=self.server,
+            wait=call.deadline - core.clock.now(),
+            team=call.team,
+            version=version,
+            priority=None if demand is None else call.priority,
+            salt='' if demand is None else make_salt(call, version),
+            last_event='' if last is None else str(last),
+        )
+
+    def _learn(self, facts: AnswerFacts) -> None:
+        book = self._core.book
+        book.note_heard(self.server, self._name, self._core.clock.now())
+        if facts.load is not None:
+            book.note_load(self.server, facts.load)
+        demand = self._call.asked.demand
+        if demand is not None and facts.weight_version is not None:
+            book.note_version(self.server, demand.model, facts.weight_version)
+        if self._connection is not None:
+            set_idle_limit(self._connection, facts.idle_timeout)
+
+    def _accept(self, status: int, headers: Headers) -> None:
+        kinds = [content for name, content in headers if name == 'content-type']
+        self._is_stream = any(kind.startswith(_EVENT_STREAM) for kind in kinds)
+        self._head = AnswerHead(
+            self._call.request, self._number, status, headers
+        )
+        if self._is_stream:
+            self._release()
+            self._note_kept()
+
+    def _note_kept(self) -> None:
+        core, demand = self._core, self._call.asked.demand
+        backend = core.book.find(self.server)
+        deployment = core.deployment
+        if demand is None or backend is None or deployment is None:
+            return
+        service = deployment.services.get(backend.record.service)
+        if service is not None and service.engine is not None:
+            core.book.note_kept(
+                self.server, demand.parts, service.engine.memory_tokens
+            )
+
+    def _release(self) -> None:
+        """Pass on the head and what was held of the body."""
+        if self._head is not None:
+            self._inbox.put(Received(self._head))
+            self._head = None
+        held, self._held = self._held, None
+        if held:
+            self._pass_on(bytes(held))
+
+    def _pass_on(self, data: bytes) -> None:
+        chunk = AnswerChunk(
+            self._call.request, self._number, self._sequence, data
+        )
+        self._sequence += 1
+        self._inbox.put(Received(chunk))
+
+    def _note_heard(self) -> None:
+        backend = self._core.book.find(self.server)
+        if backend is not None:
+            backend.heard = self._core.clock.now()
+
+    def _close_failed(self, kind: ErrorKind, ran: Ran, reason: str) -> None:
+        self._report_failure(kind, ran, reason)
+        if self._connection is not None:
+            self._connection.close()
+
+    def _report_failure(self, kind: ErrorKind, ran: Ran, reason: str) -> None:
+        self._finish()
+        if self._splitter is not None:
+            self._splitter.restart()
+        self._core.log.write(
+            EventName.ANSWER_BROKEN,
+            request=self._call.request,
+            attempt=self._number,
+            peer=self.server,
+            ran=ran.value,
+            reason=reason,
+        )
+        failed = Failed(self._call.request, self._number, kind, ran, reason)
+        self._inbox.put(Received(failed))
+
+    def _report_unsent(self, reason: str) -> None:
+        self._done = True
+        self._core.log.write(
+            EventName.ANSWER_BROKEN,
+            request=self._call.request,
+            attempt=self._number,
+            peer=self.server,
+            ran=Ran.NO.value,
+            reason=reason,
+        )
+        self._inbox.put(Unsent(self._number))
+
+    def _finish(self) -> None:
+        self._done = True
+        if self._sent:
+            self._core.book.note_ended(self.server, self._name)
+
+
+def _find_fault(status: int, facts: AnswerFacts, request: str) -> str:
+    """Return why an answer can't be that of the server to this request."""
+    if facts.request and facts.request != request:
+        return 'an answer to another request'
+    if status in _SUCCESS and not facts.is_sealed:
+        return 'a success without the mark of a server'
+    if status in _PROMISES:
+        return f'{status} without the promise that it has not run'
+    return ''
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -0,0 +1,116 @@
+"""Hold what all parts of an entry on the users' platform share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from oleanderdyke.clients.direct import ConnectionPool
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.entry.stopping import StoppableRequest
+from oleanderdyke.kernel.backends import BackendBook
+from oleanderdyke.kernel.deployment import Deployment
+from oleanderdyke.kernel.drain import Drain, DrainSettings
+from oleanderdyke.kernel.retries import (
+    RetryBudget,
+    RetrySettings,
+    make_retry_budget,
+)
+from oleanderdyke.logs import EventLog
+from oleanderdyke.metrics import Metrics
+from oleanderdyke.platform.settings import HostSettings
+
+# A connection within the deployment takes some milliseconds. One lost packet
+# costs a second: another server is the better wait.
+CONNECT_LIMIT: Millis = 300.0
+# The balancer asks each second and takes a process out after two misses.
+_ANNOUNCE: Millis = 2.5 * SECOND
+# What is left of the grace time for closing connections and for the exit.
+_EXIT_MARGIN: Millis = 700.0
+# A configuration that was read longer ago may lack a route or a key.
+STALE_AFTER: Millis = 3 * SECOND
+# Entries among which the shared allowance for retries is split. It is more
+# than the deployments of today have, counting those that may be added.
+_BUDGET_SHARERS = 12
+# What is used of the allowance that the operators bound.
+_BUDGET_USE = 0.8
+_RETRY_DELAY: Millis = 5.0
+
+
+class HostedRequest(StoppableRequest, Protocol):
+    """Lead one request; nothing here waits."""
+
+    def check_silence(self, now: Millis) -> None:
+        """Go on elsewhere where the backend server has fallen silent."""
+
+
+@dataclass
+class HostedCore:
+    """Hold the state of one entry; `versions` are the newest weights."""
+
+    settings: HostSettings
+    clock: Clock
+    random: Random
+    log: EventLog
+    metrics: Metrics
+    drain: Drain
+    pool: ConnectionPool
+    book: BackendBook = field(default_factory=BackendBook)
+    deployment: Deployment | None = None
+    versions: dict[str, int] = field(default_factory=dict)
+    configuration_read: Millis | None = None
+    servers_read: Millis | None = None
+    running: dict[str, HostedRequest] = field(default_factory=dict)
+    _budgets: dict[str, RetryBudget] = field(default_factory=dict)
+
+    def find_fault(self) -> str:
+        """Return why this entry is not ready, or nothing."""
+        if self.drain.is_leaving:
+            return 'stopping'
+        if self.deployment is None:
+            return 'no configuration yet'
+        if self.servers_read is None:
+            return 'no list of backend servers yet'
+        return ''
+
+    @property
+    def is_stale(self) -> bool:
+        """Tell whether the configuration may have changed unseen."""
+        read = self.configuration_read
+        return read is None or self.clock.now() - read > STALE_AFTER
+
+    def find_budget(self, service: str) -> RetryBudget:
+        """Return this entry's part of what may be sent again to a service."""
+        if service not in self._budgets:
+            self._budgets[service] = make_retry_budget(
+                _share_budget(self.settings), self.random
+            )
+        return self._budgets[service]
+
+
+def make_hosted_core(
+    settings: HostSettings, clock: Clock, log: EventLog, random: Random
+) -> HostedCore:
+    """Build the state of an entry that has just started."""
+    limit = settings.grace - _EXIT_MARGIN
+    drain = DrainSettings(
+        accept=_ANNOUNCE, announce=_ANNOUNCE, drain=limit, limit=limit
+    )
+    return HostedCore(
+        settings=settings,
+        clock=clock,
+        random=random,
+        log=log,
+        metrics=Metrics(),
+        drain=Drain(drain),
+        pool=ConnectionPool(CONNECT_LIMIT),
+    )
+
+
+def _share_budget(settings: HostSettings) -> RetrySettings:
+    return RetrySettings(
+        share=settings.retry_share * _BUDGET_USE,
+        burst=max(settings.retry_slack * _BUDGET_USE / _BUDGET_SHARERS, 2.0),
+        base_delay=_RETRY_DELAY,
+    )
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -0,0 +1,308 @@
+"""Lead one call on the users' platform to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
+from typing import Any
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.entry.edge import Body
+from oleanderdyke.entry.hosted.attempt import DirectAttempt
+from oleanderdyke.entry.hosted.call import HostedCall, make_demand
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.entry.hosted.reply import Reply
+from oleanderdyke.entry.inbox import Inbox, Item
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import (
+    Action,
+    CallerGone,
+    DeadlinePassed,
+    DeliverChunk,
+    DeliverEnd,
+    DeliverHead,
+    Done,
+    Event,
+    NoRoute,
+    Refuse,
+    Route,
+    Routed,
+    SendCancel,
+    SendDispatch,
+    StartTimer,
+    Stopping,
+    TimerFired,
+)
+from oleanderdyke.kernel.attempts import (
+    MachineSettings,
+    RequestFacts,
+    RequestMachine,
+)
+from oleanderdyke.kernel.backends import Backend
+from oleanderdyke.kernel.demand import Plan, Refusal, Replica
+from oleanderdyke.kernel.deployment import CallKind
+from oleanderdyke.kernel.placement import SILENCE_LIMIT, choose_backend
+from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
+from oleanderdyke.metrics import Count, Timing
+
+# Servers that refuse without running are passed over at most so often; each
+# try draws on the allowance that all entries share.
+_MAX_REFUSALS = 2
+# How long a caller whose request found no server is asked to wait, spread so
+# that callers don't come back together.
+_PAUSE: Millis = 200.0
+
+
+class BrokenAnswer(Exception):
+    """Tell the HTTP server to close the connection of a broken answer."""
+
+
+class HostedDriver:
+    """Drive the machine of one call with what its attempts report."""
+
+    def __init__(
+        self, core: HostedCore, call: HostedCall, body: Body, reply: Reply
+    ) -> None:
+        self._core = core
+        self._call = call
+        self._body = body
+        self._reply = reply
+        self._inbox = Inbox()
+        self._timers: list[asyncio.TimerHandle] = []
+        self._attempt: DirectAttempt | None = None
+        self._splitter = _make_splitter(call)
+        self._first: Millis | None = None
+        self._machine = RequestMachine(
+            _make_facts(core, call),
+            settings=_make_settings(call),
+            budget=core.find_budget(call.service),
+        )
+        self._handlers = self._make_handlers()
+
+    async def run(self) -> None:
+        """Answer the caller; raise BrokenAnswer where that ended early."""
+        key = f'{id(self):x}'
+        self._core.running[key] = self
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_caller)
+                await self._lead()
+                tasks.cancel_scope.cancel()
+        finally:
+            del self._core.running[key]
+            self._forget()
+        if not self._reply.ended and self._reply.status:
+            raise BrokenAnswer
+
+    def stop(self, *, hurry: bool) -> None:
+        """Learn that the entry stops."""
+        self._reply.closes = True
+        if hurry:
+            self._inbox.put(Stopping(hurry=True))
+
+    def hand_over(self) -> None:
+        """Do nothing: callers of the platform go on by themselves."""
+
+    def check_silence(self, now: Millis) -> None:
+        """Go on elsewhere where the backend server has fallen silent."""
+        attempt = self._attempt
+        if attempt is None or attempt.find_silence(now) < SILENCE_LIMIT:
+            return
+        if self._machine.may_run_elsewhere():
+            attempt.fail('the server is silent')
+
+    async def _lead(self) -> None:
+        now = self._core.clock.now()
+        self._put_later(DeadlinePassed(), self._call.deadline - now)
+        await self._carry_out(self._machine.start(now))
+        while not self._machine.done:
+            item = await self._inbox.take()
+            event: Event = item  # type: ignore[assignment]
+            await self._carry_out(
+                self._machine.on(event, self._core.clock.now())
+            )
+
+    async def _carry_out(self, actions: tuple[Action, ...]) -> None:
+        for action in actions:
+            await self._handlers[type(action)](action)
+
+    def _make_handlers(
+        self,
+    ) -> Mapping[type[Any], Callable[[Any], Awaitable[None]]]:
+        return {
+            Route: self._route,
+            SendDispatch: self._dispatch,
+            SendCancel: self._cancel,
+            DeliverHead: self._deliver_head,
+            DeliverChunk: self._deliver_chunk,
+            DeliverEnd: self._deliver_end,
+            Refuse: self._refuse,
+            StartTimer: self._start_timer,
+            Done: self._finish,
+        }
+
+    async def _route(self, action: Route) -> None:
+        core, call = self._core, self._call
+        now = core.clock.now()
+        demand = make_demand(core, call, action.exclude)
+        choice = choose_backend(demand, core.book, now)
+        if choice is None:
+            demand = replace(demand, excluded=frozenset())
+            choice = choose_backend(demand, core.book, now)
+        if choice is None:
+            pause = core.random.uniform(_PAUSE / 2, _PAUSE)
+            refusal = Refusal(ErrorKind.NO_REPLICA, 'no server listed', pause)
+            self._inbox.put(NoRoute(refusal))
+            return
+        server = choice.backend.record.server
+        core.log.write(
+            EventName.REQUEST_ROUTED,
+            request=call.request,
+            peer=server,
+            value=round(choice.score, 1),
+            count=choice.candidates,
+            tokens=choice.kept_tokens or None,
+        )
+        reason = f'{choice.score:.1f} ms of {choice.candidates}'
+        plan = Plan(agent=server, reason=reason)
+        self._inbox.put(Routed(plan, _make_replica(choice.backend)))
+
+    async def _dispatch(self, action: SendDispatch) -> None:
+        if action.attempt > 1:
+            self._core.metrics.add(Count.RETRIES, label=self._call.service)
+            self._core.log.write(
+                EventName.REQUEST_RETRIED,
+                request=self._call.request,
+                attempt=action.attempt,
+                peer=action.agent,
+            )
+        self._attempt = DirectAttempt(
+            self._core,
+            self._call,
+            action,
+            inbox=self._inbox,
+            splitter=self._splitter,
+            may_repeat=self._machine.may_run_elsewhere,
+        )
+        await self._attempt.start()
+
+    async def _cancel(self, _: SendCancel) -> None:
+        if self._attempt is not None:
+            self._attempt.cancel()
+
+    async def _deliver_head(self, action: DeliverHead) -> None:
+        await self._reply.start(action.status, action.headers)
+
+    async def _deliver_chunk(self, action: DeliverChunk) -> None:
+        if self._first is None:
+            self._first = self._core.clock.now() - self._call.started
+        await self._reply.send(action.data)
+
+    async def _deliver_end(self, _: DeliverEnd) -> None:
+        await self._reply.end()
+        self._log_end()
+
+    async def _refuse(self, action: Refuse) -> None:
+        core, call = self._core, self._call
+        core.metrics.add(Count.REFUSALS, label=action.kind.value)
+        core.log.write(
+            EventName.REQUEST_REFUSED,
+            request=call.request,
+            service=call.service,
+            kind=action.kind.value,
+            ran=action.ran.value,
+            detail=action.detail or None,
+            duration=round(core.clock.now() - call.started, 1),
+        )
+        if self._reply.status:
+            return
+        pause = core.random.uniform(_PAUSE / 2, _PAUSE)
+        await self._reply.refuse(action.kind, action.ran, action.detail, pause)
+
+    async def _start_timer(self, action: StartTimer) -> None:
+        self._put_later(TimerFired(action.kind, action.number), action.delay)
+
+    async def _finish(self, _: Done) -> None:
+        """Do nothing: the loop sees that the machine is done."""
+
+    async def _watch_caller(self) -> None:
+        await self._body.wait_gone()
+        if not self._reply.ended:
+            self._core.log.write(
+                EventName.REQUEST_CANCELLED, request=self._call.request
+            )
+            self._inbox.put(CallerGone())
+
+    def _put_later(self, item: Item, delay: Millis) -> None:
+        loop = asyncio.get_running_loop()
+        put = functools.partial(self._inbox.put, item)
+        self._timers.append(loop.call_later(max(delay, 0.0) / SECOND, put))
+
+    def _log_end(self) -> None:
+        core, call = self._core, self._call
+        duration = core.clock.now() - call.started
+        core.metrics.time(Timing.REQUEST, duration, call.service)
+        if self._first is not None:
+            core.metrics.time(Timing.FIRST_TOKEN, self._first, call.service)
+        core.log.write(
+            EventName.REQUEST_FINISHED,
+            request=call.request,
+            service=call.service,
+            status=self._reply.status,
+            duration=round(duration, 1),
+            first_token=None if self._first is None else round(self._first, 1),
+        )
+
+    def _forget(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
+        if self._attempt is not None:
+            self._attempt.cancel()
+
+
+def _make_facts(core: HostedCore, call: HostedCall) -> RequestFacts:
+    return RequestFacts(
+        request=call.request,
+        team=call.team,
+        service=call.service,
+        digest='',
+        appender=core.settings.process,
+        idempotent=call.route.kind is CallKind.IDEMPOTENT,
+        resumable=call.route.is_resumable,
+    )
+
+
+def _make_settings(call: HostedCall) -> MachineSettings:
+    return MachineSettings(
+        max_attempts=max(call.route.attempts, 1), max_refusals=_MAX_REFUSALS
+    )
+
+
+def _make_splitter(call: HostedCall) -> EventSplitter | None:
+    if not call.route.is_resumable:
+        return None
+    last = call.asked.last_event
+    return EventSplitter(int(last) if last.isdigit() else None)
+
+
+def _make_replica(backend: Backend) -> Replica:
+    """Show a backend server as the machine of a request knows replicas."""
+    record = backend.record
+    return Replica(
+        agent=record.server,
+        address=record.address,
+        incarnation=record.server,
+        backend=BackendKind.ENGINE if record.versions else BackendKind.PLAIN,
+        service=record.service,
+        data_centre=record.data_centre,
+        phase=AgentPhase.SERVING,
+        load=Load(),
+        beat=0,
+        heard=backend.heard,
+    )
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -0,0 +1,60 @@
+"""Split a stream of events into whole ones."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+_END = b'\n\n'
+_ID = b'id:'
+
+
+@dataclass(frozen=True, slots=True)
+class WholeEvent:
+    """Hold the bytes of one event and its number, where it has one."""
+
+    data: bytes
+    number: int | None
+
+
+class EventSplitter:
+    """Pass on whole events only, each once, in ascending order."""
+
+    def __init__(self, last: int | None) -> None:
+        self._pending = bytearray()
+        self.last = last
+
+    @property
+    def has_rest(self) -> bool:
+        """Tell whether the stream stopped in the middle of an event."""
+        return bool(self._pending.strip())
+
+    def restart(self) -> None:
+        """Drop the beginning of an event that another run will repeat."""
+        self._pending.clear()
+
+    def take(self, data: bytes) -> Iterator[WholeEvent]:
+        """Yield the events that are whole now and new to the reader."""
+        self._pending += data
+        while True:
+            end = self._pending.find(_END)
+            if end < 0:
+                return
+            end += len(_END)
+            event = bytes(self._pending[:end])
+            del self._pending[:end]
+            number = _read_number(event)
+            if number is not None and self.last is not None:
+                if number <= self.last:
+                    continue
+            if number is not None:
+                self.last = number
+            yield WholeEvent(event, number)
+
+
+def _read_number(event: bytes) -> int | None:
+    for line in event.splitlines():
+        if line.startswith(_ID):
+            text = line.removeprefix(_ID).strip()
+            return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/reply.py
@@ -0,0 +1,102 @@
+"""Send answers of backend servers, and our own, to callers."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+
+from oleanderdyke.clients.http import HOP_BY_HOP
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry.answers import JSON_TYPE
+from oleanderdyke.entry.edge import Send
+from oleanderdyke.errors import REPLIES, ErrorKind, Ran
+from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.requests import encode_refusal
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+# These statuses promise that the request has not run and never will.
+_PROMISES = frozenset({408, 421, 429, 503})
+# A fault of ours is no fault of the caller's.
+_NOT_TOLD = frozenset({409, 410, 422, 499})
+
+
+class Reply:
+    """Send one answer unchanged, or one final answer of our own."""
+
+    def __init__(self, send: Send, request: str) -> None:
+        self._send = send
+        self.request = request
+        self.status = 0
+        self.ended = False
+        self.closes = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a backend server's answer."""
+        self.status = status
+        await self._start(headers)
+
+    async def send(self, part: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(
+            {'type': 'http.response.body', 'body': part, 'more_body': True}
+        )
+
+    async def end(self, part: bytes = b'') -> None:
+        """Send the last part of the body."""
+        self.ended = True
+        await self._send({'type': 'http.response.body', 'body': part})
+
+    async def refuse(
+        self,
+        kind: ErrorKind,
+        ran: Ran,
+        detail: str,
+        retry_after: Millis | None = None,
+    ) -> None:
+        """Send a final answer of our own."""
+        self.status = find_status(kind, ran)
+        if self.status not in _PROMISES:
+            retry_after = None
+        body = json.dumps(
+            {'kind': kind.value, 'detail': detail, 'ran': ran.value}
+        ).encode()
+        headers = (
+            *encode_refusal(self.request, retry_after),
+            ('content-type', JSON_TYPE),
+            ('content-length', str(len(body))),
+        )
+        await self._start(headers)
+        await self.end(body)
+
+    async def _start(self, headers: Headers) -> None:
+        kept = list(_encode(headers))
+        if self.closes:
+            kept.append((b'connection', b'close'))
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': self.status,
+                'headers': kept,
+            }
+        )
+
+
+def find_status(kind: ErrorKind, ran: Ran) -> int:
+    """Return the status of a final answer, never a promise that is untrue."""
+    status = REPLIES[kind].status
+    if ran is Ran.NO and (kind is ErrorKind.DEADLINE or status in _NOT_TOLD):
+        return _UNAVAILABLE
+    if ran is Ran.NO and kind in {ErrorKind.BACKEND_LOST, ErrorKind.PROTOCOL}:
+        return _UNAVAILABLE
+    if status in _NOT_TOLD:
+        return _BAD_GATEWAY
+    if status in _PROMISES and ran is not Ran.NO:
+        return _BAD_GATEWAY
+    return status
+
+
+def _encode(headers: Headers) -> Iterable[tuple[bytes, bytes]]:
+    for name, content in headers:
+        if name.lower() not in HOP_BY_HOP:
+            yield name.encode('latin-1'), content.encode('latin-1')
--- a/src/oleanderdyke/entry/main.py
+++ b/src/oleanderdyke/entry/main.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator, Sequence
 
 from oleanderdyke import daemon
+from oleanderdyke.entry.hosted.shell import run_hosted_entry
 from oleanderdyke.entry.settings import EntrySettings, find_faults
 from oleanderdyke.entry.shell import run_entry
 from oleanderdyke.errors import SettingsError
@@ -24,6 +25,7 @@
         settings_type=EntrySettings,
         find_faults=_find_faults,
         serve=run_entry,
+        serve_hosted=run_hosted_entry,
     )
     return entry.run(arguments)
 
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -16,7 +16,7 @@
 import uvicorn
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from oleanderdyke.clock import SECOND
+from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.answers import (
     REQUEST_HEADER,
     WRITER_EXTENSION,
@@ -33,6 +33,7 @@
 _OPEN_STATES = (h11.IDLE, h11.SEND_RESPONSE)
 _LOGGER = 'uvicorn.error'
 _CHUNKED_VERSION = b'1.1'
+_BACKLOG = 1024
 
 
 class EdgeProtocol(H11Protocol):
@@ -179,6 +180,15 @@
         """Capture none."""
         yield
 
+    def set_idle_timeout(self, timeout: Millis) -> None:
+        """Keep connections open for so long between requests."""
+        seconds = math.ceil(timeout / SECOND)
+        if seconds == self.config.timeout_keep_alive:
+            return
+        self.config.timeout_keep_alive = seconds
+        for connection in self.server_state.connections:
+            connection.timeout_keep_alive = seconds  # type: ignore[union-attr]
+
     async def serve(self, sockets: list[socket.socket] | None = None) -> None:
         """Serve until `should_exit`, then set `closed`."""
         try:
@@ -187,6 +197,20 @@
             self.closed = True
 
 
+def open_listener(host: str, port: int) -> socket.socket:
+    """Listen; the loop sets TCP_NODELAY only where the protocol is named."""
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((host, port))
+        bound.listen(_BACKLOG)
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
 def make_server(app: Any, settings: HttpSettings) -> EdgeServer:
     """Build the server of an ASGI application."""
     logging.getLogger(_LOGGER).disabled = True
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import ssl
 from typing import Any
 
@@ -20,8 +19,8 @@
 from oleanderdyke.entry.effects import Tools
 from oleanderdyke.entry.logreader import LogReader
 from oleanderdyke.entry.queue import ReleaseQueue
-from oleanderdyke.entry.server import EdgeServer, make_server
-from oleanderdyke.entry.settings import EntrySettings, HttpSettings
+from oleanderdyke.entry.server import EdgeServer, make_server, open_listener
+from oleanderdyke.entry.settings import EntrySettings
 from oleanderdyke.entry.stopping import Stopper, catch_signals
 from oleanderdyke.entry.vmwatch import VmWatch
 from oleanderdyke.events import EventName
@@ -34,7 +33,6 @@
 _TICK = 0.25
 _SETTLE_LIMIT = 3.0
 _SETTLE_POLL = 0.05
-_BACKLOG = 1024
 
 
 class Shell:
@@ -58,7 +56,10 @@
         """Serve until a planned stop is over."""
         settings = self._core.settings
         # Whoever sees the entry listen may stop it at once.
-        with catch_signals() as signals, _bind(settings.http) as bound:
+        with (
+            catch_signals() as signals,
+            open_listener(settings.http.host, settings.http.port) as bound,
+        ):
             server = self._make_server()
             async with anyio.create_task_group() as tasks:
                 self._core.spawn = tasks.start_soon
@@ -166,20 +167,6 @@
     await Shell(make_core(settings, make_clock(), log)).run()
 
 
-def _bind(http: HttpSettings) -> socket.socket:
-    """Listen; the loop sets TCP_NODELAY only where the protocol is named."""
-    family = socket.AF_INET6 if ':' in http.host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.bind((http.host, http.port))
-        bound.listen(_BACKLOG)
-    except OSError:
-        bound.close()
-        raise
-    return bound
-
-
 def _make_tls(settings: EntrySettings) -> ssl.SSLContext | None:
     tls = settings.links_tls
     if not (tls.ca or tls.certificate):
--- a/src/oleanderdyke/entry/stopping.py
+++ b/src/oleanderdyke/entry/stopping.py
@@ -3,27 +3,60 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractContextManager
+from typing import Protocol
 
 import anyio
 
-from oleanderdyke.entry.core import Core
+from oleanderdyke.clock import Clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.drain import (
     Announce,
     CutOff,
+    Drain,
     DrainAction,
     DrainPhase,
     Exit,
     HandOver,
 )
+from oleanderdyke.logs import EventLog
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _TICK = 0.05
 
 
+class StoppableRequest(Protocol):
+    """Lead one request that a stop has to wait for."""
+
+    def hand_over(self) -> None:
+        """Leave the answer to another entry."""
+
+    def stop(self, *, hurry: bool) -> None:
+        """Learn that the entry stops."""
+
+
+class Stoppable(Protocol):
+    """Hold what a stop needs to know of a process."""
+
+    @property
+    def clock(self) -> Clock:
+        """Return the clock."""
+
+    @property
+    def log(self) -> EventLog:
+        """Return the log."""
+
+    @property
+    def drain(self) -> Drain:
+        """Return the state of the stop."""
+
+    @property
+    def running(self) -> Mapping[str, StoppableRequest]:
+        """Return the requests that run."""
+
+
 def catch_signals() -> AbstractContextManager[AsyncIterator[signal.Signals]]:
     """Keep the signals to stop from ending the process at once."""
     return anyio.open_signal_receiver(*_SIGNALS)
@@ -32,7 +65,7 @@
 class Stopper:
     """Turn signals and the end of requests into the steps of a stop."""
 
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Stoppable) -> None:
         self._core = core
         self._told = False
         self._exit = anyio.Event()
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -75,6 +75,9 @@
     REQUEST_QUARANTINED = 'request_quarantined'
     DRAIN_STARTED = 'drain_started'
     DRAIN_FINISHED = 'drain_finished'
+    VERSION_NAMED = 'version_named'
+    RECORD_REFUSED = 'record_refused'
+    SETTINGS_RELOADED = 'settings_reloaded'
 
 
 # Every event carries time, level, event, process and sequence. Sent and
@@ -85,6 +88,7 @@
 LEVELS: Mapping[EventName, Level] = {
     EventName.PROCESS_FAILED: Level.ERROR,
     EventName.PROCESS_NOT_READY: Level.WARNING,
+    EventName.RECORD_REFUSED: Level.WARNING,
     EventName.LINK_REFUSED: Level.WARNING,
     EventName.MESSAGE_REFUSED: Level.WARNING,
     EventName.LOG_DOWN: Level.WARNING,
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -45,6 +45,7 @@
     `key` is the claim key of `make_key`, empty without an Idempotency-Key.
     `request` is an id that the entry made, never one of the caller.
     `suspect` tells that the entry's quarantine suspects the digest.
+    `resumable` tells that a broken answer may go on at another server.
     """
 
     request: str
@@ -56,6 +57,7 @@
     key: str = ''
     horizon: Millis = 24 * HOUR
     suspect: bool = False
+    resumable: bool = False
 
     @property
     def needs_claim(self) -> bool:
@@ -68,7 +70,8 @@
     """Bound the waits and tries of one request.
 
     `replica_wait` bounds, over all its tries, how long a request whose run was
-    lost waits for a serving replica.
+    lost waits for a serving replica. `max_refusals` bounds the tries that are
+    proven not to have run; without it they count as attempts.
     """
 
     claim_wait: Millis = 2 * SECOND
@@ -81,6 +84,7 @@
     max_claims: int = 6
     max_asks: int = 4
     max_alone_tries: int = 40
+    max_refusals: int | None = None
 
 
 class Stage(enum.Enum):
@@ -115,6 +119,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._attempt = 0
         self._retries = 0
+        self._refusals = 0
         self._crashes = 0
         self._alone = facts.suspect
         self._alone_tries = 0
@@ -208,15 +213,33 @@
         detail: str = '',
     ) -> Actions:
         """Try again within the budget, else give up at once."""
-        may_retry = (
+        if not self._may_run_again() or not self._budget.take():
+            return self._refuse(kind, retry_after, detail)
+        self._retries += 1
+        return self._wait(self._budget.delay(self._retries))
+
+    def _may_run_again(self) -> bool:
+        return (
             self._retries + 1 < self._settings.max_attempts
             and not self._detached
             and not self._stopping
         )
+
+    def _retry_refused(
+        self,
+        kind: ErrorKind,
+        retry_after: Millis | None = None,
+        detail: str = '',
+    ) -> Actions:
+        """Try again what is proven not to have run."""
+        bound = self._settings.max_refusals
+        if bound is None:
+            return self._retry(kind, retry_after, detail)
+        may_retry = self._refusals < bound and not self._detached
         if not may_retry or not self._budget.take():
             return self._refuse(kind, retry_after, detail)
-        self._retries += 1
-        return self._wait(self._budget.delay(self._retries))
+        self._refusals += 1
+        return self._wait(self._budget.delay(self._refusals))
 
     def _retry_alone(self, retry_after: Millis | None) -> Actions:
         """Come back until the server lets the suspect run alone."""
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -91,6 +91,17 @@
         actions = self.HANDLERS[type(event)](self, event)
         return self._mute(actions) if detached else actions
 
+    def may_run_elsewhere(self) -> bool:
+        """Tell whether a failure now would lead to another run."""
+        facts = self._facts
+        may_repeat = facts.idempotent and not self._head_delivered
+        return (
+            self._stage is Stage.RUNNING
+            and (may_repeat or facts.resumable)
+            and self._may_run_again()
+            and self._budget.tokens >= 1
+        )
+
     def hand_over(self) -> Actions | None:
         """Return what the caller needs to go on elsewhere; None if it can't."""
         if not self._token or self._stage in _IDLE:
@@ -177,6 +188,9 @@
         return (*cancel, *self._after_unclaimed_failure(failed))
 
     def _after_unclaimed_failure(self, failed: Failed) -> Actions:
+        if self._facts.resumable:
+            self._exclude_current()
+            return self._retry(failed.kind)
         if self._head_delivered:
             return self._refuse(failed.kind)
         if failed.kind is ErrorKind.STREAM_GONE:
@@ -193,7 +207,9 @@
         if failed.kind not in _ELSEWHERE:
             return self._refuse(failed.kind, failed.retry_after, failed.detail)
         self._exclude_current()
-        return self._retry(failed.kind, failed.retry_after, failed.detail)
+        return self._retry_refused(
+            failed.kind, failed.retry_after, failed.detail
+        )
 
     def _after_claimed_failure(self, failed: Failed) -> Actions:
         """Believe the agent, but ask it where only the way was broken."""
@@ -224,7 +240,7 @@
             return ()
         self._prove_not_run()
         self._exclude_current()
-        return self._retry(ErrorKind.NO_REPLICA)
+        return self._retry_refused(ErrorKind.NO_REPLICA)
 
     def _on_link_lost(self, event: LinkLost) -> Actions:
         if not self._is_at(event.agent, event.incarnation):
--- /dev/null
+++ b/src/oleanderdyke/kernel/backends.py
@@ -0,0 +1,258 @@
+"""Know the backend servers: what they told, and what requests showed."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field, replace
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.servers import PromptPart, ServerLoad, ServerRecord
+
+# A server is left out for this long after a first failure to reach it, twice
+# as long after each further one. A crashed server is back after seconds; a
+# lost packet costs a connection one second.
+_FIRST_EJECTION: Millis = 500.0
+_LONGEST_EJECTION: Millis = 4 * SECOND
+# A server that refuses is asked again after this long, and after twice as
+# long for each further refusal: a slot of the plain services frees in some
+# ten milliseconds, new weights take over a second.
+_REFUSAL_PAUSE: Millis = 100.0
+_LONGEST_REFUSAL_PAUSE: Millis = 800.0
+# The share of the latest answer in the rate of failures of a server.
+_ERROR_WEIGHT = 0.2
+# The platform promises that a server whose entry lapsed while the store was
+# away is back within about two seconds.
+_LAPSE: Millis = 2 * SECOND
+# A gap between readings of the list from which on entries may have lapsed.
+_READ_GAP: Millis = 1_500.0
+
+
+@dataclass(slots=True)
+class Backend:
+    """Hold one backend server; `record` is what it last told.
+
+    `waiting` has, by attempt, the moment from which on it owes a first byte
+    and the prompt tokens that it has to read before.
+    """
+
+    record: ServerRecord
+    running: int = 0
+    waiting: dict[str, Owed] = field(default_factory=dict)
+    heard: Millis = 0.0
+    load: ServerLoad | None = None
+    failures: int = 0
+    refusals: int = 0
+    errors: float = 0.0
+    out_until: Millis = 0.0
+    missing_since: Millis | None = None
+    kept: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    kept_tokens: int = 0
+
+    @property
+    def owed_tokens(self) -> int:
+        """Count the prompt tokens that this process still waits for."""
+        return sum(owed.tokens for owed in self.waiting.values())
+
+    def find_silence(self, now: Millis) -> Millis:
+        """Return for how long the server has owed a byte and sent none."""
+        if not self.waiting:
+            return 0.0
+        oldest = min(owed.since for owed in self.waiting.values())
+        return now - max(oldest, self.heard)
+
+    def count_kept(self, parts: Sequence[PromptPart]) -> int:
+        """Count the leading tokens of a prompt that it likely holds."""
+        count = 0
+        for part in parts:
+            if part.name not in self.kept:
+                break
+            count += part.tokens
+        return count
+
+
+@dataclass(frozen=True, slots=True)
+class Owed:
+    """Hold since when a first byte is owed, after how many tokens."""
+
+    since: Millis
+    tokens: int
+
+
+class BackendBook:
+    """Keep the backend servers of all services."""
+
+    def __init__(self) -> None:
+        self._backends: dict[str, Backend] = {}
+        self._read_at: Millis | None = None
+        self._lapse_until: Millis = 0.0
+
+    def find(self, server: str) -> Backend | None:
+        """Return a server that is listed or still answers."""
+        return self._backends.get(server)
+
+    def list_service(self, service: str, now: Millis) -> list[Backend]:
+        """Return the servers of a service that may get new work."""
+        return [
+            backend
+            for backend in self._backends.values()
+            if backend.record.service == service
+            and not backend.record.is_leaving
+            and not self._is_missing(backend, now)
+        ]
+
+    def list_all(self) -> Iterator[Backend]:
+        """Yield every server that is known."""
+        yield from self._backends.values()
+
+    def note_read(self, now: Millis) -> None:
+        """Learn that the platform's list has been read up to its end."""
+        if self._read_at is not None and now - self._read_at > _READ_GAP:
+            self._lapse_until = now + _LAPSE
+        self._read_at = now
+        self._drop_missing(now)
+
+    def replace(self, records: Iterable[ServerRecord], now: Millis) -> None:
+        """Take the whole list; what is not on it is missing."""
+        listed = {record.server: record for record in records}
+        for record in listed.values():
+            self.put(record)
+        for server, backend in self._backends.items():
+            if server not in listed and backend.missing_since is None:
+                backend.missing_since = now
+
+    def put(self, record: ServerRecord) -> None:
+        """Take a newer record; a server that leaves never comes back."""
+        known = self._backends.get(record.server)
+        if known is None:
+            self._backends[record.server] = Backend(record)
+            return
+        known.missing_since = None
+        if known.record.is_leaving and not record.is_leaving:
+            record = replace(record, is_leaving=True)
+        known.record = _merge_versions(known.record, record)
+
+    def remove(self, server: str, now: Millis) -> None:
+        """Learn that a server's entry is gone."""
+        backend = self._backends.get(server)
+        if backend is not None and backend.missing_since is None:
+            backend.missing_since = now
+
+    def note_sent(
+        self,
+        server: str,
+        attempt: str,
+        tokens: int,
+        now: Millis,
+    ) -> None:
+        """Count an attempt that was sent."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            backend.running += 1
+            backend.waiting[attempt] = Owed(now, tokens)
+
+    def note_heard(self, server: str, attempt: str, now: Millis) -> None:
+        """Learn that bytes of an attempt came."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            backend.heard = now
+            backend.waiting.pop(attempt, None)
+
+    def note_ended(self, server: str, attempt: str) -> None:
+        """Forget an attempt that was sent."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            backend.running = max(backend.running - 1, 0)
+            backend.waiting.pop(attempt, None)
+
+    def note_good(self, server: str) -> None:
+        """Learn that a server answered well."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            backend.failures = 0
+            backend.refusals = 0
+            backend.errors *= 1 - _ERROR_WEIGHT
+
+    def note_failed(self, server: str, now: Millis) -> None:
+        """Learn that a server failed a request; leave it out for a while."""
+        backend = self._backends.get(server)
+        if backend is None:
+            return
+        backend.errors += _ERROR_WEIGHT * (1 - backend.errors)
+        pause = _FIRST_EJECTION * 2**backend.failures
+        backend.failures += 1
+        until = now + min(pause, _LONGEST_EJECTION)
+        backend.out_until = max(backend.out_until, until)
+
+    def note_error(self, server: str) -> None:
+        """Learn that a server answered with an error of its own."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            backend.errors += _ERROR_WEIGHT * (1 - backend.errors)
+
+    def note_refused(self, server: str, now: Millis) -> None:
+        """Learn that a server refused a request without running it."""
+        backend = self._backends.get(server)
+        if backend is None:
+            return
+        pause = _REFUSAL_PAUSE * 2**backend.refusals
+        backend.refusals += 1
+        until = now + min(pause, _LONGEST_REFUSAL_PAUSE)
+        backend.out_until = max(backend.out_until, until)
+
+    def note_load(self, server: str, load: ServerLoad) -> None:
+        """Take the load that a server told with an answer."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            backend.load = load
+
+    def note_version(self, server: str, model: str, version: int) -> None:
+        """Take the version of the weights that an answer was made with."""
+        backend = self._backends.get(server)
+        if backend is None:
+            return
+        versions = dict(backend.record.versions)
+        if versions.get(model, 0) >= version:
+            return
+        versions[model] = version
+        backend.record = replace(backend.record, versions=versions)
+        backend.kept.clear()
+        backend.kept_tokens = 0
+
+    def note_kept(
+        self, server: str, parts: Sequence[PromptPart], capacity: int
+    ) -> None:
+        """Assume that a server keeps a prompt's parts, the latest ones."""
+        backend = self._backends.get(server)
+        if backend is None:
+            return
+        for part in parts:
+            backend.kept_tokens -= backend.kept.pop(part.name, 0)
+            backend.kept[part.name] = part.tokens
+            backend.kept_tokens += part.tokens
+        while backend.kept_tokens > capacity and backend.kept:
+            _, tokens = backend.kept.popitem(last=False)
+            backend.kept_tokens -= tokens
+
+    def _is_missing(self, backend: Backend, now: Millis) -> bool:
+        if backend.missing_since is None:
+            return False
+        return now >= self._lapse_until
+
+    def _drop_missing(self, now: Millis) -> None:
+        gone = [
+            server
+            for server, backend in self._backends.items()
+            if self._is_missing(backend, now) and not backend.running
+        ]
+        for server in gone:
+            del self._backends[server]
+
+
+def _merge_versions(known: ServerRecord, told: ServerRecord) -> ServerRecord:
+    """Keep a newer version that an answer showed before the list did."""
+    versions = {
+        model: max(version, known.versions.get(model, 0))
+        for model, version in told.versions.items()
+    }
+    return replace(told, versions=versions)
--- /dev/null
+++ b/src/oleanderdyke/kernel/placement.py
@@ -0,0 +1,150 @@
+"""Choose the backend server that a call is sent to."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.backends import Backend, BackendBook
+from oleanderdyke.kernel.servers import ModelDemand
+
+# Prompt tokens that an engine reads in a millisecond, as its sheet states.
+# Only the relation to the other weights below matters.
+_READ_RATE = 112.0
+# What one more running request costs the first token, from the step of
+# 3.4 ms that all requests of a batch share.
+_RUN_COST: Millis = 1.0
+# A plain call takes some ten milliseconds in one of few slots.
+_PLAIN_COST: Millis = 20.0
+# Keeps traffic within a data centre where all else is equal.
+_DISTANCE_COST: Millis = 6.0
+# A request on old weights loses a fifth of what it earns: as much as being
+# late would lose with a probability of a quarter.
+_OLD_WEIGHTS_COST: Millis = 150.0
+# A server that fails each request costs as much as waiting for a time-out.
+_ERROR_COST: Millis = 1_000.0
+# Beside servers that answer, one that owes a byte for so long is left out.
+# An engine that runs anything sends a byte every few milliseconds; reading
+# the longest prompts takes some hundred.
+SILENCE_LIMIT: Millis = 500.0
+# Servers that may keep a prompt's shared context, so that one crash or one
+# crowd does not move all of it.
+_HOMES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class CallDemand:
+    """Describe a call to be placed; `excluded` servers have failed it."""
+
+    service: str
+    data_centre: str
+    model: ModelDemand | None = None
+    newest_version: int | None = None
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Name the chosen server and what decided."""
+
+    backend: Backend
+    score: Millis
+    candidates: int
+    kept_tokens: int
+
+
+def choose_backend(
+    demand: CallDemand, book: BackendBook, now: Millis
+) -> Choice | None:
+    """Return the server with the least expected time to the first byte."""
+    listed = [
+        backend
+        for backend in book.list_service(demand.service, now)
+        if backend.record.server not in demand.excluded
+    ]
+    usable = [each for each in listed if is_usable(each, now)] or listed
+    if not usable:
+        return None
+    homes = _find_homes(demand, usable)
+    best = min(usable, key=lambda each: _score(demand, each, homes))
+    return Choice(
+        best,
+        score=_score(demand, best, homes),
+        candidates=len(usable),
+        kept_tokens=_count_kept(demand, best),
+    )
+
+
+def is_usable(backend: Backend, now: Millis) -> bool:
+    """Tell whether nothing speaks against sending to a server."""
+    if backend.out_until > now:
+        return False
+    return backend.find_silence(now) < SILENCE_LIMIT
+
+
+def _score(
+    demand: CallDemand, backend: Backend, homes: frozenset[str]
+) -> Millis:
+    score = backend.errors * _ERROR_COST
+    if backend.record.data_centre != demand.data_centre:
+        score += _DISTANCE_COST
+    if demand.model is None:
+        return score + _score_plain(backend)
+    return score + _score_engine(demand, demand.model, backend, homes)
+
+
+def _score_plain(backend: Backend) -> Millis:
+    told = backend.load
+    busy = backend.running
+    if told is not None:
+        busy = max(busy, told.running + told.waiting)
+    return busy * _PLAIN_COST
+
+
+def _score_engine(
+    demand: CallDemand,
+    model: ModelDemand,
+    backend: Backend,
+    homes: frozenset[str],
+) -> Millis:
+    missing = model.prompt_tokens - _count_kept(demand, backend)
+    score = (backend.owed_tokens + missing) / _READ_RATE
+    score += backend.running * _RUN_COST
+    if backend.record.server not in homes:
+        score += _find_shared_tokens(model) / _READ_RATE / _HOMES
+    version = backend.record.versions.get(model.model)
+    newest = demand.newest_version
+    if version is not None and newest is not None and version < newest:
+        score += _OLD_WEIGHTS_COST
+    return score
+
+
+def _count_kept(demand: CallDemand, backend: Backend) -> int:
+    if demand.model is None:
+        return 0
+    return backend.count_kept(demand.model.parts)
+
+
+def _find_shared_tokens(model: ModelDemand) -> int:
+    # The last part belongs to the request alone.
+    return sum(part.tokens for part in model.parts[:-1])
+
+
+def _find_homes(
+    demand: CallDemand, usable: Sequence[Backend]
+) -> frozenset[str]:
+    """Return where every entry would look for the shared context first."""
+    if demand.model is None or len(demand.model.parts) < _HOMES:
+        return frozenset()
+    shared = demand.model.parts[-2].name
+    ranked = sorted(
+        (each.record.server for each in usable),
+        key=lambda server: _hash(shared, server),
+    )
+    return frozenset(ranked[:_HOMES])
+
+
+def _hash(part: str, server: str) -> bytes:
+    return hashlib.blake2b(f'{part}/{server}'.encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/oleanderdyke/kernel/servers.py
@@ -0,0 +1,70 @@
+"""Describe the backend servers that the platform lists."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from oleanderdyke.clock import Millis
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
+    """Hold what a backend server last told about itself.
+
+    `server` is new with each start of the server. `versions` gives the
+    version of the weights that it holds of each model.
+    """
+
+    server: str
+    service: str
+    address: str
+    data_centre: str
+    is_leaving: bool = False
+    slots: int = 0
+    versions: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Hold what a backend server told of its load with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Name a part of a prompt that requests may share, and its length."""
+
+    name: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """Say what a request asks of a model; `output_tokens` is at most."""
+
+    model: str
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """Hold what the head of a backend server's answer tells.
+
+    `is_not_run` is the server's promise that it has not run the request and
+    never will. `is_sealed` tells that the answer bears the mark of a server.
+    `idle_timeout` is how long the server keeps an idle connection open.
+    """
+
+    request: str = ''
+    is_not_run: bool = False
+    is_sealed: bool = False
+    server: str = ''
+    load: ServerLoad | None = None
+    weight_version: int | None = None
+    idle_timeout: Millis | None = None
--- /dev/null
+++ b/src/oleanderdyke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the names, formats and calls of the users' platform."""
--- /dev/null
+++ b/src/oleanderdyke/platform/engines.py
@@ -0,0 +1,138 @@
+"""Ask a model engine for its state and give it orders."""
+
+from __future__ import annotations
+
+import enum
+import json
+from dataclasses import dataclass
+
+import anyio
+
+from oleanderdyke.clients.http import HttpBackend, HttpError, HttpSettings
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.rollout import EngineState
+from oleanderdyke.platform import names
+
+# The engine runs on the same machine.
+_TIMEOUT: Millis = 1 * SECOND
+_MAX_ANSWER = 4 * 1024 * 1024
+_OK = 200
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+
+
+class OrderOutcome(enum.StrEnum):
+    """Say what became of an order."""
+
+    ACCEPTED = 'accepted'
+    HOLDS = 'holds'
+    CONFLICT = 'conflict'
+    OLD_FENCE = 'old_fence'
+    REFUSED = 'refused'
+    OTHER_SERVER = 'other_server'
+    UNKNOWN = 'unknown'
+
+
+_OUTCOMES = {
+    202: OrderOutcome.ACCEPTED,
+    200: OrderOutcome.HOLDS,
+    409: OrderOutcome.CONFLICT,
+    412: OrderOutcome.OLD_FENCE,
+    400: OrderOutcome.REFUSED,
+    421: OrderOutcome.OTHER_SERVER,
+}
+
+
+class EngineUnavailable(OleanderError):
+    """Tell that the engine gave no proper answer."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ErrorKind.BACKEND_LOST, message, ran=Ran.MAYBE)
+
+
+@dataclass(frozen=True, slots=True)
+class WeightOrder:
+    """Ask one start of an engine to take weights once its runs have ended.
+
+    It is carried out only while the engine has accepted `after` orders, so
+    that one which arrives late has no effect. `holder` and `fence` say who
+    gives it.
+    """
+
+    server: str
+    model: str
+    version: int
+    holder: str
+    fence: int
+    after: int
+
+
+class EngineClient:
+    """Call the engine at `host:port`."""
+
+    def __init__(self, address: str) -> None:
+        settings = HttpSettings(connect=_TIMEOUT, read=_TIMEOUT)
+        self._http = HttpBackend(address, settings=settings)
+
+    async def read_state(self) -> EngineState:
+        """Return what the engine holds; raise EngineUnavailable."""
+        status, data = await self._call('GET', names.REPORT_PATH)
+        if status != _OK:
+            raise EngineUnavailable(f'answered with {status}')
+        try:
+            return _decode_state(data)
+        except _MALFORMED as error:
+            raise EngineUnavailable(f'malformed report: {error!r}') from error
+
+    async def give_order(self, order: WeightOrder) -> OrderOutcome:
+        """Give an order; one without an answer may be carried out later."""
+        body = {
+            'op': 'version',
+            'model': order.model,
+            'version': order.version,
+            'strategy': 'wait',
+            'holder': order.holder,
+            'fence': order.fence,
+            'precondition': order.after,
+        }
+        headers = (
+            ('content-type', 'application/json'),
+            (names.EXPECTED_INSTANCE, order.server),
+        )
+        try:
+            status, _ = await self._call(
+                'POST', names.ORDER_PATH, headers, json.dumps(body).encode()
+            )
+        except EngineUnavailable:
+            return OrderOutcome.UNKNOWN
+        return _OUTCOMES.get(status, OrderOutcome.UNKNOWN)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: tuple[tuple[str, str], ...] = (),
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
+        try:
+            with anyio.fail_after(_TIMEOUT / SECOND):
+                async with self._http.request(
+                    method, path, headers=headers, body=body
+                ) as answer:
+                    return answer.status, await answer.read(_MAX_ANSWER)
+        except HttpError as error:
+            raise EngineUnavailable(error.message) from error
+        except TimeoutError as error:
+            raise EngineUnavailable('no answer in time') from error
+
+
+def _decode_state(data: bytes) -> EngineState:
+    found = json.loads(data)
+    return EngineState(
+        versions={
+            str(each['name']): int(each['version']) for each in found['models']
+        },
+        is_busy=bool(found.get('busy', False)),
+        # The wire's `seq` counts the orders that were accepted.
+        orders=int(found.get('seq', 0)),
+    )
--- /dev/null
+++ b/src/oleanderdyke/platform/names.py
@@ -0,0 +1,66 @@
+"""Name what the platform calls its headers, topics and paths."""
+
+from __future__ import annotations
+
+SETTINGS_VARIABLE = 'OLEANDERDYKE_SETTINGS'
+
+READINESS_PATH = '/api/readiness'
+REPORT_PATH = '/api/report'
+ORDER_PATH = '/api/order'
+
+REQUEST_ID = 'oleanderdyke-request-id'
+DEADLINE = 'oleanderdyke-deadline-ms'
+API_KEY = 'oleanderdyke-key'
+TEAM = 'oleanderdyke-tenant-id'
+MODEL = 'oleanderdyke-model'
+TOKENS = 'oleanderdyke-token-usage'
+PROMPT_PARTS = 'oleanderdyke-prompt-prefix'
+LAST_EVENT = 'last-event-id'
+
+EXPECTED_INSTANCE = 'oleanderdyke-expect-instance'
+EXPECTED_VERSION = 'oleanderdyke-expect-version'
+PRIORITY = 'oleanderdyke-request-priority'
+CACHE_SALT = 'oleanderdyke-cache-salt'
+CONTEXT_SOURCE = 'oleanderdyke-kv-source'
+CONTEXT_SINK = 'oleanderdyke-kv-sink'
+CONTEXT_UNTIL = 'oleanderdyke-kv-until'
+
+SEAL = 'oleanderdyke-response-seal'
+NOT_RUN = 'oleanderdyke-not-executed'
+INSTANCE = 'oleanderdyke-instance-id'
+LOAD = 'oleanderdyke-instance-load'
+WEIGHT_VERSION = 'oleanderdyke-weight-versions'
+
+# Headers that only the system may set towards a backend server.
+OWN_HEADERS = frozenset(
+    {
+        DEADLINE,
+        API_KEY,
+        TEAM,
+        EXPECTED_INSTANCE,
+        EXPECTED_VERSION,
+        PRIORITY,
+        CACHE_SALT,
+        CONTEXT_SOURCE,
+        CONTEXT_SINK,
+        CONTEXT_UNTIL,
+        'oleanderdyke-hold',
+        'oleanderdyke-pin-ms',
+        'oleanderdyke-kv-backup',
+        'kv-from',
+        'oleanderdyke-kv-from',
+        NOT_RUN,
+        SEAL,
+        INSTANCE,
+        LOAD,
+        WEIGHT_VERSION,
+    }
+)
+
+# The topics whose newest record of each key the platform retains.
+OPERATOR_TOPIC = 'keyed.op'
+SERVER_TOPIC = 'keyed.servers'
+CONFIGURATION_KEY = 'config'
+VERSION_KEY_PREFIX = 'version/'
+# A topic of ours: an agent appends to it at its start, for its fence.
+FENCE_TOPIC = 'oleander-fences'
--- /dev/null
+++ b/src/oleanderdyke/platform/settings.py
@@ -0,0 +1,135 @@
+"""Read the settings file that the platform gives each process."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import SettingsError
+from oleanderdyke.platform.names import SETTINGS_VARIABLE
+
+_MIB = 1024 * 1024
+_DEFAULT_PATH = '/etc/oleanderdyke/boot.conf'
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Hold what the platform tells a process; unknown fields are ignored.
+
+    `callers` and `readiness` are addresses to listen on, `server` that of the
+    backend server beside an agent; each is empty where the process has none.
+    `retry_share` and `retry_slack` bound what all entries together may send
+    again to a service within `retry_window`.
+    """
+
+    process: str
+    data_centre: str
+    ip: str
+    store: str
+    callers: str = ''
+    readiness: str = ''
+    server: str = ''
+    service: str = ''
+    data_centres: tuple[str, ...] = ()
+    memory_bytes: int = 0
+    grace: Millis = 8 * SECOND
+    retry_share: float = 0.2
+    retry_slack: float = 50.0
+    retry_window: Millis = 10 * SECOND
+    server_heartbeat: Millis = 1_200.0
+    configuration_bound: Millis = 2_000.0
+
+
+def find_settings_path(environ: Mapping[str, str]) -> Path:
+    """Return where the platform has put the settings file."""
+    return Path(environ.get(SETTINGS_VARIABLE) or _DEFAULT_PATH)
+
+
+def load_host_settings(path: Path) -> HostSettings:
+    """Read the file; raise SettingsError with every fault in it."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError((f'{path}: cannot be read: {error}',)) from error
+    return parse_host_settings(text, str(path))
+
+
+def parse_host_settings(text: str, source: str) -> HostSettings:
+    """Read lines of `a.b=value`; raise SettingsError."""
+    fields, faults = _split_lines(text, source)
+    reader = _Reader(fields, source, faults)
+    settings = HostSettings(
+        process=reader.require('nodeName'),
+        data_centre=reader.require('zone'),
+        ip=reader.require('ip'),
+        store=reader.require('platform.address'),
+        callers=fields.get('listen.front', ''),
+        readiness=fields.get('listen.ready', ''),
+        server=fields.get('app', ''),
+        service=fields.get('service', ''),
+        data_centres=_list_data_centres(fields),
+        memory_bytes=int(reader.number('limits.memoryMb', 0) * _MIB),
+        grace=reader.number('bounds.graceS', 8.0) * SECOND,
+        retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
+        retry_slack=reader.number('bounds.retrySlack', 50.0),
+        retry_window=reader.number('bounds.retryWindowS', 10.0) * SECOND,
+        server_heartbeat=reader.number('heartbeatMs', 1_200.0),
+        configuration_bound=reader.number('bounds.configApplyMs', 2_000.0),
+    )
+    if faults:
+        raise SettingsError(tuple(faults))
+    return settings
+
+
+class _Reader:
+    """Read typed fields and collect the faults."""
+
+    def __init__(
+        self, fields: Mapping[str, str], source: str, faults: list[str]
+    ) -> None:
+        self._fields = fields
+        self._source = source
+        self._faults = faults
+
+    def require(self, name: str) -> str:
+        found = self._fields.get(name, '')
+        if not found:
+            self._faults.append(f'{self._source}: {name}: is missing')
+        return found
+
+    def number(self, name: str, default: float) -> float:
+        found = self._fields.get(name, '')
+        if not found:
+            return default
+        try:
+            return float(found)
+        except ValueError:
+            fault = f'{name}: found {found!r}; allowed: a number'
+            self._faults.append(f'{self._source}: {fault}')
+            return default
+
+
+def _split_lines(text: str, source: str) -> tuple[dict[str, str], list[str]]:
+    fields: dict[str, str] = {}
+    faults: list[str] = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip():
+            continue
+        name, mark, content = line.partition('=')
+        if not mark:
+            faults.append(f'{source}:{number}: found no =; allowed: a.b=value')
+        fields[name.strip()] = content.strip()
+    return fields, faults
+
+
+def _list_data_centres(fields: Mapping[str, str]) -> tuple[str, ...]:
+    prefix = 'zones.'
+    return tuple(
+        sorted(
+            name.removeprefix(prefix)
+            for name in fields
+            if name.startswith(prefix)
+        )
+    )
