Free outdated context only when no engine is left on its weights

Change: parts are freed once every listed engine has had newer weights for as long as a view lives; an engine fetches only under weights that it holds, so no fetch can begin. An engine that comes back on old weights uses no store. Ruled out: stopping all fetches under replaced weights at once; it would leave the engines that still serve without context for the whole change.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -227,11 +227,18 @@
         if demand is None or not salt or not demand.parts:
             return NO_CONTEXTS
         now = core.clock.now()
+        held = backend.record.versions.get(demand.model, 0)
+        is_current = held >= core.versions.get(demand.model, 0)
+        heard = core.versions_heard.get(demand.model, 0.0)
+        if not is_current and backend.listed_at >= heard:
+            # Others may think that no engine is left on these weights.
+            return NO_CONTEXTS
         plan = core.contexts.plan(
             salt,
             demand.parts,
             data_centre=backend.record.data_centre,
             relied_on=core.configuration_asked,
+            may_save=is_current,
             now=now,
         )
         core.contexts.note_saves(salt, demand.parts, plan, now)
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -139,7 +139,7 @@
             if record.value is None:
                 self._core.book.remove(record.key, now)
         for server in self._decode(page.records):
-            self._core.book.put(server)
+            self._core.book.put(server, now)
         self._note_read()
 
     def _decode(self, records: Iterable[KeyedRecord]) -> list[ServerRecord]:
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -40,6 +40,7 @@
     """
 
     record: ServerRecord
+    listed_at: Millis = 0.0
     running: int = 0
     waiting: dict[str, Owed] = field(default_factory=dict)
     heard: Millis = 0.0
@@ -120,16 +121,16 @@
         """Take the whole list; what is not on it is missing."""
         listed = {record.server: record for record in records}
         for record in listed.values():
-            self.put(record)
+            self.put(record, now)
         for server, backend in self._backends.items():
             if server not in listed and backend.missing_since is None:
                 backend.missing_since = now
 
-    def put(self, record: ServerRecord) -> None:
+    def put(self, record: ServerRecord, now: Millis) -> None:
         """Take a newer record; a server that leaves never comes back."""
         known = self._backends.get(record.server)
         if known is None:
-            self._backends[record.server] = Backend(record)
+            self._backends[record.server] = Backend(record, now)
             return
         known.missing_since = None
         if known.record.is_leaving and not record.is_leaving:
@@ -145,6 +146,15 @@
         if backend is not None and backend.missing_since is None:
             backend.missing_since = now
 
+    def find_oldest_version(self, model: str) -> int | None:
+        """Return the oldest weights that any known engine may still hold."""
+        held = [
+            backend.record.versions[model]
+            for backend in self._backends.values()
+            if model in backend.record.versions
+        ]
+        return min(held, default=None)
+
     def note_sent(
         self,
         server: str,
--- a/src/oleanderdyke/kernel/context_stores.py
+++ b/src/oleanderdyke/kernel/context_stores.py
@@ -174,7 +174,7 @@
     def list_outdated(
         self, versions: Mapping[str, int]
     ) -> Iterator[tuple[str, str]]:
-        """Yield the parts of weights that newer ones have replaced."""
+        """Yield the parts of weights older than those given by model."""
         for salt_text, part in self.parts:
             salt = decode_salt(salt_text)
             if salt is not None and salt.version < versions.get(salt.model, 0):
@@ -265,6 +265,7 @@
         *,
         data_centre: str,
         relied_on: Millis,
+        may_save: bool,
         now: Millis,
     ) -> ContextPlan:
         """Plan the fetches and saves of one run.
@@ -279,7 +280,8 @@
         until = float('inf')
         for part in shared:
             found = self._find_source(salt, part, data_centre, now)
-            sinks.append('' if found else self._find_sink(salt, part, now))
+            is_wanted = may_save and found is None
+            sinks.append(self._find_sink(salt, part, now) if is_wanted else '')
             if found is None:
                 sources.append(None)
                 continue
