Refuse early what an overloaded engine would answer too late

Change: a request is sent back with a time to return where its first token is expected after its target, and a growing part of all where requests wait at the least loaded engine; queue times are kept by rank from first bytes, late tries rank behind others. A load that was told grows stale slowly: counting it as none after a second made just the fullest engine look idle.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -17,7 +17,7 @@
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.attempt_events import Received, SendDispatch, Unsent
-from oleanderdyke.kernel.backends import Backend
+from oleanderdyke.kernel.backends import Backend, Owed
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS, ContextPlan
 from oleanderdyke.kernel.servers import AnswerFacts
 from oleanderdyke.links.messages import (
@@ -190,7 +190,8 @@
             ready = backend.count_kept(demand.parts)
             ready = max(ready, dispatch.contexts.fetched_tokens)
             tokens = max(demand.prompt_tokens - ready, 0)
-        core.book.note_sent(self.server, self._name, tokens, core.clock.now())
+        owed = Owed(core.clock.now(), tokens, call.priority)
+        core.book.note_sent(self.server, self._name, owed)
         connection.send(head, call.body, self)
         core.log.write(
             EventName.DISPATCH_SENT,
@@ -248,7 +249,7 @@
         book = self._core.book
         book.note_heard(self.server, self._name, self._core.clock.now())
         if facts.load is not None:
-            book.note_load(self.server, facts.load)
+            book.note_load(self.server, facts.load, self._core.clock.now())
         demand = self._call.asked.demand
         if demand is not None and facts.weight_version is not None:
             book.note_version(self.server, demand.model, facts.weight_version)
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -11,6 +11,11 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.context_stores import Salt
 from oleanderdyke.kernel.deployment import Deployment, KeyOwner, Route, Share
+from oleanderdyke.kernel.overload import (
+    LATE_RANK,
+    Patience,
+    find_patience,
+)
 from oleanderdyke.kernel.placement import CallDemand
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform.requests import CallerRequest, decode_request
@@ -55,8 +60,16 @@
         rank = self.route.priority
         if owner is not None and owner.priority is not None:
             rank = owner.priority
+        if self.patience.is_late:
+            rank = LATE_RANK
         return min(max(rank, _MOST_URGENT), _LEAST_URGENT)
 
+    @property
+    def patience(self) -> Patience:
+        """Return how long the caller has waited before this try."""
+        route = self.route
+        return find_patience(self.asked.wait, route.timeout, route.target)
+
 
 @dataclass(frozen=True, slots=True)
 class Permit:
@@ -123,6 +136,7 @@
         service=call.service,
         data_centre=core.settings.data_centre,
         model=model,
+        rank=call.priority,
         newest_version=newest,
         fetchable=_count_fetchable(core, call),
         excluded=excluded,
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -47,7 +47,8 @@
 from oleanderdyke.kernel.backends import Backend
 from oleanderdyke.kernel.demand import Plan, Refusal, Replica
 from oleanderdyke.kernel.deployment import CallKind
-from oleanderdyke.kernel.placement import SILENCE_LIMIT, choose_backend
+from oleanderdyke.kernel.overload import should_refuse
+from oleanderdyke.kernel.placement import SILENCE_LIMIT, Choice, choose_backend
 from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
 from oleanderdyke.metrics import Count, Timing
 
@@ -57,6 +58,11 @@
 # How long a caller whose request found no server is asked to wait, spread so
 # that callers don't come back together.
 _PAUSE: Millis = 200.0
+# How long one is asked to wait whose answer would be late: callers honour up
+# to a third of their time, which is over a second for every kind of model
+# request, and a burst is over or other servers are back after seconds.
+_OVERLOAD_PAUSE: tuple[Millis, Millis] = (400.0, 1_300.0)
+_OWN_PAUSES = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_REPLICA})
 
 
 class BrokenAnswer(Exception):
@@ -160,19 +166,42 @@
             refusal = Refusal(ErrorKind.NO_REPLICA, 'no server listed', pause)
             self._inbox.put(NoRoute(refusal))
             return
+        if self._should_refuse(choice, action):
+            self._refuse_early(choice.expected)
+            return
         server = choice.backend.record.server
+        load = choice.backend.load
         core.log.write(
             EventName.REQUEST_ROUTED,
             request=call.request,
             peer=server,
             value=round(choice.score, 1),
             count=choice.candidates,
-            tokens=choice.kept_tokens or None,
+            expected=round(choice.expected, 1),
+            delay=round(choice.backend.find_delay(demand.rank, now), 1),
+            running=None if load is None else load.running,
+            waiting=None if load is None else load.waiting,
         )
         reason = f'{choice.score:.1f} ms of {choice.candidates}'
         plan = Plan(agent=server, reason=reason)
         self._inbox.put(Routed(plan, _make_replica(choice.backend)))
 
+    def _should_refuse(self, choice: Choice, action: Route) -> bool:
+        if action.exclude or self._call.asked.demand is None:
+            return False
+        return should_refuse(
+            self._call.patience,
+            choice.expected,
+            choice.backend.count_waiting(self._core.clock.now()),
+            self._core.random.random(),
+        )
+
+    def _refuse_early(self, expected: Millis) -> None:
+        pause = self._core.random.uniform(*_OVERLOAD_PAUSE)
+        reason = f'a first byte is expected after {expected:.0f} ms'
+        refusal = Refusal(ErrorKind.OVERLOADED, reason, pause)
+        self._inbox.put(NoRoute(refusal))
+
     async def _dispatch(self, action: SendDispatch) -> None:
         if action.attempt > 1:
             self._core.metrics.add(Count.RETRIES, label=self._call.service)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -148,6 +148,10 @@
     VERSION = 'version'
     ADDRESS = 'address'
     COUNT = 'count'
+    RUNNING = 'running'
+    WAITING = 'waiting'
+    DELAY = 'delay'
+    EXPECTED = 'expected'
     DIGEST = 'digest'
     SIGNAL = 'signal'
 
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -22,6 +22,17 @@
 # ten milliseconds, new weights take over a second.
 _REFUSAL_PAUSE: Millis = 100.0
 _LONGEST_REFUSAL_PAUSE: Millis = 800.0
+# Prompt tokens that an engine reads in a millisecond, as its sheet states.
+READ_RATE = 112.0
+# What a first byte takes beside reading, where nothing waits: the first step
+# of an engine and two ways over the network.
+_FIRST_BYTE: Millis = 45.0
+# The share of the latest first byte in what is known of a server's queue.
+_DELAY_WEIGHT = 0.3
+# What a first byte told of a queue counts less and less until then.
+_DELAY_LIFE: Millis = 1_500.0
+# A load that was told longer ago says nothing.
+_LOAD_LIFE: Millis = 3 * SECOND
 # The share of the latest answer in the rate of failures of a server.
 _ERROR_WEIGHT = 0.2
 # The platform promises that a server whose entry lapsed while the store was
@@ -45,19 +56,54 @@
     waiting: dict[str, Owed] = field(default_factory=dict)
     heard: Millis = 0.0
     load: ServerLoad | None = None
+    load_at: Millis = 0.0
     failures: int = 0
     refusals: int = 0
     errors: float = 0.0
     out_until: Millis = 0.0
     reload_until: Millis = 0.0
     missing_since: Millis | None = None
+    delays: dict[int, Delay] = field(default_factory=dict)
     kept: OrderedDict[str, int] = field(default_factory=OrderedDict)
     kept_tokens: int = 0
 
-    @property
-    def owed_tokens(self) -> int:
-        """Count the prompt tokens that this process still waits for."""
-        return sum(owed.tokens for owed in self.waiting.values())
+    def count_owed_tokens(self, rank: int) -> int:
+        """Count the prompt tokens that are read before those of a rank."""
+        return sum(
+            owed.tokens for owed in self.waiting.values() if owed.rank <= rank
+        )
+
+    def find_delay(self, rank: int, now: Millis) -> Millis:
+        """Return how long a request of a rank waits before it is read.
+
+        It is what the latest first bytes of the rank showed, or more where
+        one as urgent is still owed and has waited longer.
+        """
+        known = self.delays.get(rank)
+        shown = 0.0 if known is None else known.find_left(now)
+        owed = (
+            owed.find_excess(now)
+            for owed in self.waiting.values()
+            if owed.rank <= rank
+        )
+        return max(shown, *owed, 0.0)
+
+    def note_first_byte(self, owed: Owed, now: Millis) -> None:
+        """Learn from a first byte how long requests of its rank wait."""
+        excess = max(owed.find_excess(now), 0.0)
+        known = self.find_delay(owed.rank, now)
+        shown = known + _DELAY_WEIGHT * (excess - known)
+        self.delays[owed.rank] = Delay(shown, now)
+
+    def count_waiting(self, now: Millis) -> int:
+        """Return how many requests wait there, fewer the longer ago told.
+
+        A server that has told nothing lately must not look idle at once.
+        """
+        if self.load is None:
+            return 0
+        left = max(1 - (now - self.load_at) / _LOAD_LIFE, 0.0)
+        return round(self.load.waiting * left)
 
     def find_silence(self, now: Millis) -> Millis:
         """Return for how long the server has owed a byte and sent none."""
@@ -76,12 +122,29 @@
         return count
 
 
+@dataclass(frozen=True, slots=True)
+class Delay:
+    """Hold how long requests of one rank waited, and when that was seen."""
+
+    shown: Millis
+    at: Millis
+
+    def find_left(self, now: Millis) -> Millis:
+        """Return it, less the longer ago it was seen."""
+        return self.shown * max(1 - (now - self.at) / _DELAY_LIFE, 0.0)
+
+
 @dataclass(frozen=True, slots=True)
 class Owed:
     """Hold since when a first byte is owed, after how many tokens."""
 
     since: Millis
     tokens: int
+    rank: int = 0
+
+    def find_excess(self, now: Millis) -> Millis:
+        """Return how much longer it has taken than reading alone."""
+        return now - self.since - self.tokens / READ_RATE - _FIRST_BYTE
 
 
 class BackendBook:
@@ -159,21 +222,22 @@
         self,
         server: str,
         attempt: str,
-        tokens: int,
-        now: Millis,
+        owed: Owed,
     ) -> None:
         """Count an attempt that was sent."""
         backend = self._backends.get(server)
         if backend is not None:
             backend.running += 1
-            backend.waiting[attempt] = Owed(now, tokens)
+            backend.waiting[attempt] = owed
 
     def note_heard(self, server: str, attempt: str, now: Millis) -> None:
         """Learn that bytes of an attempt came."""
         backend = self._backends.get(server)
         if backend is not None:
             backend.heard = now
-            backend.waiting.pop(attempt, None)
+            owed = backend.waiting.pop(attempt, None)
+            if owed is not None:
+                backend.note_first_byte(owed, now)
 
     def note_ended(self, server: str, attempt: str) -> None:
         """Forget an attempt that was sent."""
@@ -223,11 +287,12 @@
         if backend is not None:
             backend.reload_until = now + _RELOAD_PAUSE
 
-    def note_load(self, server: str, load: ServerLoad) -> None:
+    def note_load(self, server: str, load: ServerLoad, now: Millis) -> None:
         """Take the load that a server told with an answer."""
         backend = self._backends.get(server)
         if backend is not None:
             backend.load = load
+            backend.load_at = now
 
     def note_version(self, server: str, model: str, version: int) -> None:
         """Take the version of the weights that an answer was made with."""
--- /dev/null
+++ b/src/oleanderdyke/kernel/overload.py
@@ -0,0 +1,64 @@
+"""Refuse early what an overloaded service would answer too late."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from oleanderdyke.clock import Millis
+
+# A first try that is expected to be later than its target is refused: the
+# time that it would take makes others late, and coming back later it earns
+# as much as a late answer does.
+_TARGET_SHARE = 1.0
+# Requests that wait at an engine, beside those that it has begun to read.
+# From the first on more are refused, from the second on nearly all: an engine
+# whose memory is full puts back what it has begun and reads it again.
+_FEW_WAITING = 2
+_MANY_WAITING = 10
+_MOST_REFUSED = 0.95
+# A caller's deadline may differ a little from the route's timeout.
+_FIRST_TRY_SLACK: Millis = 20.0
+# Rank among an engine's requests of those that are late already.
+LATE_RANK = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """Say how long a caller has waited, and when its answer gets late."""
+
+    waited: Millis
+    target: Millis
+
+    @property
+    def is_first_try(self) -> bool:
+        """Tell whether the caller has not been refused before."""
+        return self.waited < _FIRST_TRY_SLACK
+
+    @property
+    def is_late(self) -> bool:
+        """Tell whether no answer can be in time any more."""
+        return self.waited > self.target
+
+
+def find_patience(
+    wait: Millis | None, timeout: Millis, target: Millis
+) -> Patience:
+    """Infer from what is left of a caller's wait how long it has waited."""
+    left = timeout if wait is None else wait
+    return Patience(max(timeout - left, 0.0), target)
+
+
+def should_refuse(
+    patience: Patience, expected: Millis, waiting: int, drawn: float
+) -> bool:
+    """Tell whether a request is better sent back than started now.
+
+    `waiting` is how many wait at the least loaded server, `drawn` a number
+    from 0 to 1, by which a growing part is refused.
+    """
+    crowd = (waiting - _FEW_WAITING) / (_MANY_WAITING - _FEW_WAITING)
+    if drawn < min(crowd, _MOST_REFUSED):
+        return True
+    if not patience.is_first_try:
+        return False
+    return expected > patience.target * _TARGET_SHARE
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -7,12 +7,9 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import Millis
-from oleanderdyke.kernel.backends import Backend, BackendBook
+from oleanderdyke.kernel.backends import READ_RATE, Backend, BackendBook
 from oleanderdyke.kernel.servers import ModelDemand
 
-# Prompt tokens that an engine reads in a millisecond, as its sheet states.
-# Only the relation to the other weights below matters.
-_READ_RATE = 112.0
 # Tokens that a store sends in a millisecond: 18 KB each, at 58 Gbit/s.
 _FETCH_RATE = 390.0
 # What one more running request costs the first token, from the step of
@@ -20,6 +17,9 @@
 _RUN_COST: Millis = 1.0
 # A plain call takes some ten milliseconds in one of few slots.
 _PLAIN_COST: Millis = 20.0
+# What one request that waits at an engine adds, by what engines begin in a
+# second.
+_WAITING_COST: Millis = 30.0
 # Keeps traffic within a data centre where all else is equal.
 _DISTANCE_COST: Millis = 6.0
 # A request on old weights loses a fifth of what it earns: as much as being
@@ -41,12 +41,13 @@
     """Describe a call to be placed; `excluded` servers have failed it.
 
     `fetchable` tells, by the version of the weights, how many leading tokens
-    of the prompt stores hold.
+    of the prompt stores hold; a lower `rank` is read first.
     """
 
     service: str
     data_centre: str
     model: ModelDemand | None = None
+    rank: int = 0
     newest_version: int | None = None
     fetchable: Mapping[int, int] = field(default_factory=dict)
     excluded: frozenset[str] = frozenset()
@@ -59,7 +60,7 @@
     backend: Backend
     score: Millis
     candidates: int
-    kept_tokens: int
+    expected: Millis
 
 
 def choose_backend(
@@ -75,12 +76,12 @@
     if not usable:
         return None
     homes = _find_homes(demand, usable)
-    best = min(usable, key=lambda each: _score(demand, each, homes))
+    best = min(usable, key=lambda each: _score(demand, each, homes, now))
     return Choice(
         best,
-        score=_score(demand, best, homes),
+        score=_score(demand, best, homes, now),
         candidates=len(usable),
-        kept_tokens=_count_kept(demand, best),
+        expected=_expect(demand, best, now),
     )
 
 
@@ -91,15 +92,29 @@
     return backend.find_silence(now) < SILENCE_LIMIT
 
 
+def _expect(demand: CallDemand, backend: Backend, now: Millis) -> Millis:
+    """Return the expected time to the first byte of a model's answer."""
+    if demand.model is None:
+        return 0.0
+    fetched, missing = _split_prompt(demand, demand.model, backend)
+    owed = backend.count_owed_tokens(demand.rank) / READ_RATE
+    delay = max(backend.find_delay(demand.rank, now), owed)
+    return delay + missing / READ_RATE + fetched / _FETCH_RATE
+
+
 def _score(
-    demand: CallDemand, backend: Backend, homes: frozenset[str]
+    demand: CallDemand,
+    backend: Backend,
+    homes: frozenset[str],
+    now: Millis,
 ) -> Millis:
     score = backend.errors * _ERROR_COST
     if backend.record.data_centre != demand.data_centre:
         score += _DISTANCE_COST
     if demand.model is None:
         return score + _score_plain(backend)
-    return score + _score_engine(demand, demand.model, backend, homes)
+    score += _expect(demand, backend, now)
+    return score + _score_engine(demand, demand.model, backend, homes, now)
 
 
 def _score_plain(backend: Backend) -> Millis:
@@ -115,23 +130,31 @@
     model: ModelDemand,
     backend: Backend,
     homes: frozenset[str],
+    now: Millis,
 ) -> Millis:
     version = backend.record.versions.get(model.model)
-    kept = _count_kept(demand, backend)
-    fetchable = 0 if version is None else demand.fetchable.get(version, 0)
-    fetched = max(fetchable - kept, 0)
-    missing = max(model.prompt_tokens - kept - fetched, 0)
-    score = (backend.owed_tokens + missing) / _READ_RATE
-    score += fetched / _FETCH_RATE
-    score += backend.running * _RUN_COST
-    if backend.record.server not in homes and not fetchable:
-        score += _find_shared_tokens(model) / _READ_RATE / _HOMES
+    score = backend.running * _RUN_COST
+    score += backend.count_waiting(now) * _WAITING_COST
+    is_fetchable = version is not None and demand.fetchable.get(version, 0)
+    if backend.record.server not in homes and not is_fetchable:
+        score += _find_shared_tokens(model) / READ_RATE / _HOMES
     newest = demand.newest_version
     if version is not None and newest is not None and version < newest:
         score += _OLD_WEIGHTS_COST
     return score
 
 
+def _split_prompt(
+    demand: CallDemand, model: ModelDemand, backend: Backend
+) -> tuple[int, int]:
+    """Return how many tokens are fetched and how many are read."""
+    version = backend.record.versions.get(model.model)
+    kept = _count_kept(demand, backend)
+    fetchable = 0 if version is None else demand.fetchable.get(version, 0)
+    fetched = max(fetchable - kept, 0)
+    return fetched, max(model.prompt_tokens - kept - fetched, 0)
+
+
 def _count_kept(demand: CallDemand, backend: Backend) -> int:
     if demand.model is None:
         return 0
