Shed by how full engines are, and let callers come back soon

Cause: what waits at an engine is told late, so the least loaded one was full again before it showed; a caller sent back for a second was late in any case. Change: the fill of an engine is guessed from its told runs and the mix that the entry sends; callers are asked to come back after 60 to 180 ms.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -70,6 +70,7 @@
         self._name = f'{id(self):x}'
         self._connection: BackendConnection | None = None
         self._sequence = 0
+        self._memory = 0
         self._held: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
         self._is_stream = False
@@ -190,7 +191,8 @@
             ready = backend.count_kept(demand.parts)
             ready = max(ready, dispatch.contexts.fetched_tokens)
             tokens = max(demand.prompt_tokens - ready, 0)
-        owed = Owed(core.clock.now(), tokens, call.priority)
+        self._memory = 0 if demand is None else demand.memory_tokens
+        owed = Owed(core.clock.now(), tokens, call.priority, self._memory)
         core.book.note_sent(self.server, self._name, owed)
         connection.send(head, call.body, self)
         core.log.write(
@@ -345,7 +347,7 @@
     def _finish(self) -> None:
         self._done = True
         if self._sent:
-            self._core.book.note_ended(self.server, self._name)
+            self._core.book.note_ended(self.server, self._name, self._memory)
 
 
 def _find_fault(status: int, facts: AnswerFacts, request: str) -> str:
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -140,9 +140,18 @@
         newest_version=newest,
         fetchable=_count_fetchable(core, call),
         excluded=excluded,
+        memory_tokens=_find_memory(core, call),
     )
 
 
+def _find_memory(core: HostedCore, call: HostedCall) -> int:
+    deployment = core.deployment
+    service = deployment and deployment.services.get(call.service)
+    if not service or service.engine is None:
+        return 0
+    return service.engine.memory_tokens
+
+
 def _count_fetchable(core: HostedCore, call: HostedCall) -> dict[int, int]:
     model = call.asked.demand
     if model is None or not model.parts:
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -58,10 +58,10 @@
 # How long a caller whose request found no server is asked to wait, spread so
 # that callers don't come back together.
 _PAUSE: Millis = 200.0
-# How long one is asked to wait whose answer would be late: callers honour up
-# to a third of their time, which is over a second for every kind of model
-# request, and a burst is over or other servers are back after seconds.
-_OVERLOAD_PAUSE: tuple[Millis, Millis] = (400.0, 1_300.0)
+# How long one is asked to wait whose answer would be late: a run ends at each
+# engine every some ten milliseconds, and the answer of one that comes back so
+# soon is still in time.
+_OVERLOAD_PAUSE: tuple[Millis, Millis] = (60.0, 180.0)
 _OWN_PAUSES = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_REPLICA})
 
 
@@ -178,6 +178,7 @@
             value=round(choice.score, 1),
             count=choice.candidates,
             expected=round(choice.expected, 1),
+            fill=round(choice.fill, 2),
             delay=round(choice.backend.find_delay(demand.rank, now), 1),
             running=None if load is None else load.running,
             waiting=None if load is None else load.waiting,
@@ -191,9 +192,10 @@
             return False
         return should_refuse(
             self._call.patience,
-            choice.expected,
-            choice.backend.count_waiting(self._core.clock.now()),
-            self._core.random.random(),
+            expected=choice.expected,
+            waiting=choice.backend.count_waiting(self._core.clock.now()),
+            fill=choice.fill,
+            drawn=self._core.random.random(),
         )
 
     def _refuse_early(self, expected: Millis) -> None:
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -151,6 +151,7 @@
     RUNNING = 'running'
     WAITING = 'waiting'
     DELAY = 'delay'
+    FILL = 'fill'
     EXPECTED = 'expected'
     DIGEST = 'digest'
     SIGNAL = 'signal'
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -53,6 +53,7 @@
     record: ServerRecord
     listed_at: Millis = 0.0
     running: int = 0
+    running_tokens: int = 0
     waiting: dict[str, Owed] = field(default_factory=dict)
     heard: Millis = 0.0
     load: ServerLoad | None = None
@@ -105,6 +106,12 @@
         left = max(1 - (now - self.load_at) / _LOAD_LIFE, 0.0)
         return round(self.load.waiting * left)
 
+    def count_present(self, now: Millis) -> int:
+        """Return how many requests run or wait there."""
+        if self.load is None or now - self.load_at > _LOAD_LIFE:
+            return self.running
+        return max(self.load.running + self.load.waiting, self.running)
+
     def find_silence(self, now: Millis) -> Millis:
         """Return for how long the server has owed a byte and sent none."""
         if not self.waiting:
@@ -136,11 +143,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Owed:
-    """Hold since when a first byte is owed, after how many tokens."""
+    """Hold since when a first byte is owed, after how many tokens.
+
+    `memory` counts the tokens that the request takes until it has ended.
+    """
 
     since: Millis
     tokens: int
     rank: int = 0
+    memory: int = 0
 
     def find_excess(self, now: Millis) -> Millis:
         """Return how much longer it has taken than reading alone."""
@@ -228,6 +239,7 @@
         backend = self._backends.get(server)
         if backend is not None:
             backend.running += 1
+            backend.running_tokens += owed.memory
             backend.waiting[attempt] = owed
 
     def note_heard(self, server: str, attempt: str, now: Millis) -> None:
@@ -239,11 +251,12 @@
             if owed is not None:
                 backend.note_first_byte(owed, now)
 
-    def note_ended(self, server: str, attempt: str) -> None:
-        """Forget an attempt that was sent."""
+    def note_ended(self, server: str, attempt: str, memory: int) -> None:
+        """Forget an attempt that was sent and the tokens it took."""
         backend = self._backends.get(server)
         if backend is not None:
             backend.running = max(backend.running - 1, 0)
+            backend.running_tokens = max(backend.running_tokens - memory, 0)
             backend.waiting.pop(attempt, None)
 
     def note_good(self, server: str) -> None:
--- a/src/oleanderdyke/kernel/overload.py
+++ b/src/oleanderdyke/kernel/overload.py
@@ -16,6 +16,11 @@
 _FEW_WAITING = 2
 _MANY_WAITING = 10
 _MOST_REFUSED = 0.95
+# The part of an engine's memory that its runs may take by a guess that counts
+# shared parts, and the longest answers, for each of them. Where it stays under
+# the first, first tokens keep under half of their targets.
+_FILL_GOOD = 1.3
+_FILL_BAD = 2.0
 # A caller's deadline may differ a little from the route's timeout.
 _FIRST_TRY_SLACK: Millis = 20.0
 # Rank among an engine's requests of those that are late already.
@@ -49,15 +54,22 @@
 
 
 def should_refuse(
-    patience: Patience, expected: Millis, waiting: int, drawn: float
+    patience: Patience,
+    *,
+    expected: Millis,
+    waiting: int,
+    fill: float,
+    drawn: float,
 ) -> bool:
     """Tell whether a request is better sent back than started now.
 
-    `waiting` is how many wait at the least loaded server, `drawn` a number
-    from 0 to 1, by which a growing part is refused.
+    `waiting` is how many wait at the least loaded server, `fill` how much of
+    its memory is likely taken, `drawn` a number from 0 to 1, by which a
+    growing part is refused.
     """
     crowd = (waiting - _FEW_WAITING) / (_MANY_WAITING - _FEW_WAITING)
-    if drawn < min(crowd, _MOST_REFUSED):
+    fullness = (fill - _FILL_GOOD) / (_FILL_BAD - _FILL_GOOD)
+    if drawn < min(max(crowd, fullness), _MOST_REFUSED):
         return True
     if not patience.is_first_try:
         return False
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -41,7 +41,8 @@
     """Describe a call to be placed; `excluded` servers have failed it.
 
     `fetchable` tells, by the version of the weights, how many leading tokens
-    of the prompt stores hold; a lower `rank` is read first.
+    of the prompt stores hold; a lower `rank` is read first. `memory_tokens`
+    is how much each engine of the service holds.
     """
 
     service: str
@@ -51,16 +52,22 @@
     newest_version: int | None = None
     fetchable: Mapping[int, int] = field(default_factory=dict)
     excluded: frozenset[str] = frozenset()
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Name the chosen server and what decided."""
+    """Name the chosen server and what decided.
+
+    `fill` is the part of its memory that runs and those that wait likely
+    take.
+    """
 
     backend: Backend
     score: Millis
     candidates: int
     expected: Millis
+    fill: float = 0.0
 
 
 def choose_backend(
@@ -82,6 +89,7 @@
         score=_score(demand, best, homes, now),
         candidates=len(usable),
         expected=_expect(demand, best, now),
+        fill=_find_fill(demand, best, usable, now),
     )
 
 
@@ -92,6 +100,20 @@
     return backend.find_silence(now) < SILENCE_LIMIT
 
 
+def _find_fill(
+    demand: CallDemand,
+    chosen: Backend,
+    usable: Sequence[Backend],
+    now: Millis,
+) -> float:
+    """Guess how full an engine is from the mix that this entry sends."""
+    running = sum(backend.running for backend in usable)
+    if not running or not demand.memory_tokens:
+        return 0.0
+    mean = sum(backend.running_tokens for backend in usable) / running
+    return chosen.count_present(now) * mean / demand.memory_tokens
+
+
 def _expect(demand: CallDemand, backend: Backend, now: Millis) -> Millis:
     """Return the expected time to the first byte of a model's answer."""
     if demand.model is None:
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -51,6 +51,11 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def memory_tokens(self) -> int:
+        """Count what a run takes of an engine's memory at its end."""
+        return self.prompt_tokens + self.output_tokens
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
