Guess an engine's fill by what a run takes by itself

Cause: the guess counted parts that many runs share for each of them and full answers, so its bounds meant nothing on another mix and refused too much while weights changed. Change: count the own part, the last shared one and half of the longest answer; refuse from 0.8 on, nearly all at 1.2. Long answers are steered away from engines that take new weights next, and an engine passes for stuck after 7 s instead of 5.

--- a/src/oleanderdyke/kernel/overload.py
+++ b/src/oleanderdyke/kernel/overload.py
@@ -19,8 +19,8 @@
 # The part of an engine's memory that its runs may take by a guess that counts
 # shared parts, and the longest answers, for each of them. Where it stays under
 # the first, first tokens keep under half of their targets.
-_FILL_GOOD = 1.3
-_FILL_BAD = 2.0
+_FILL_GOOD = 0.8
+_FILL_BAD = 1.2
 # A caller's deadline may differ a little from the route's timeout.
 _FIRST_TRY_SLACK: Millis = 20.0
 # Rank among an engine's requests of those that are late already.
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -25,6 +25,9 @@
 # A request on old weights loses a fifth of what it earns: as much as being
 # late would lose with a probability of a quarter.
 _OLD_WEIGHTS_COST: Millis = 150.0
+# An engine takes new weights when its runs have ended: each token of an answer
+# that is begun there delays that, and all that is sent there meanwhile.
+_DRAIN_COST: Millis = 1.0
 # A server that fails each request costs as much as waiting for a time-out.
 _ERROR_COST: Millis = 1_000.0
 # Beside servers that answer, one that owes a byte for so long is left out.
@@ -42,7 +45,8 @@
 
     `fetchable` tells, by the version of the weights, how many leading tokens
     of the prompt stores hold; a lower `rank` is read first. `memory_tokens`
-    is how much each engine of the service holds.
+    is how much each engine of the service holds. `draining` ones take new
+    weights soon.
     """
 
     service: str
@@ -52,6 +56,7 @@
     newest_version: int | None = None
     fetchable: Mapping[int, int] = field(default_factory=dict)
     excluded: frozenset[str] = frozenset()
+    draining: frozenset[str] = frozenset()
     memory_tokens: int = 0
 
 
@@ -163,6 +168,8 @@
     newest = demand.newest_version
     if version is not None and newest is not None and version < newest:
         score += _OLD_WEIGHTS_COST
+        if backend.record.server in demand.draining:
+            score += model.output_tokens * _DRAIN_COST
     return score
 
 
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -12,9 +12,11 @@
 # Loads share the weight store: over two at once take longer, and the others
 # have to serve meanwhile.
 _AT_ONCE = 2
-# A load takes two seconds after the runs have ended, and is seen in the list
-# a heartbeat later. Whoever takes longer no longer holds up the others.
-_STUCK_AFTER: Millis = 5 * SECOND
+# A load takes two seconds after the runs have ended, which takes up to three,
+# and is seen in the list a heartbeat later. Whoever takes longer no longer
+# holds up the others; three rounds so spaced stay under the time in which new
+# weights have to be in place.
+_STUCK_AFTER: Millis = 7 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,16 +66,31 @@
 
     Every agent sorts the same list, so nobody has to lead.
     """
-    ahead = 0
+    ahead = count_ahead(server, target, listed)
+    waited = max(now - target.heard, 0.0)
+    allowed = _AT_ONCE * (1 + int(waited / _STUCK_AFTER))
+    return Turn(ahead < allowed, ahead, allowed)
+
+
+def count_ahead(
+    server: str, target: Target, listed: Iterable[ServerRecord]
+) -> int:
+    """Count the engines on old weights that take new ones before a server."""
     own = _rank(server, target)
+    ahead = 0
     for record in listed:
         held = record.versions.get(target.model)
         is_old = held is not None and held < target.version
         if is_old and not record.is_leaving:
             ahead += _rank(record.server, target) < own
-    waited = max(now - target.heard, 0.0)
-    allowed = _AT_ONCE * (1 + int(waited / _STUCK_AFTER))
-    return Turn(ahead < allowed, ahead, allowed)
+    return ahead
+
+
+def is_next(
+    server: str, target: Target, listed: Iterable[ServerRecord]
+) -> bool:
+    """Tell whether a server takes new weights now or in the next round."""
+    return count_ahead(server, target, listed) < 2 * _AT_ONCE
 
 
 def _rank(server: str, target: Target) -> bytes:
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -53,8 +53,13 @@
 
     @property
     def memory_tokens(self) -> int:
-        """Count what a run takes of an engine's memory at its end."""
-        return self.prompt_tokens + self.output_tokens
+        """Guess what a run takes of an engine's memory by itself.
+
+        Many runs share the parts before the last shared one, and an answer
+        is on average half as long as it may be.
+        """
+        common = sum(part.tokens for part in self.parts[:-2])
+        return self.prompt_tokens - common + self.output_tokens // 2
 
 
 @dataclass(frozen=True, slots=True)
