Let engines take new weights in the order of a log

Cause: with weights named again four seconds later the order by hash began anew, and five of six engines took weights at once; entries learnt of each by a refusal, after a send that drew on the shared allowance. Change: an agent appends that its engine waits; all apply the notices in the order of the log, two engines at a time, one that is stuck passed over after seven seconds. Entries follow the notices, send nothing to engines that load and steer long answers away from the next two.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -10,7 +10,13 @@
 
 from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
 from oleanderdyke.events import EventName
-from oleanderdyke.kernel.rollout import Target, find_target, find_turn
+from oleanderdyke.kernel.rollout import (
+    LoadNotice,
+    LoadQueue,
+    LoadStep,
+    Target,
+    find_target,
+)
 from oleanderdyke.kernel.servers import ServerRecord
 from oleanderdyke.logs import EventLog
 from oleanderdyke.platform import names
@@ -26,9 +32,11 @@
     WeightOrder,
 )
 from oleanderdyke.platform.feed import KeyedFeed
+from oleanderdyke.platform.loads import LoadFeed, append_notice
 from oleanderdyke.platform.settings import HostSettings
 from oleanderdyke.platform.store import (
     KeyedPage,
+    KeyedRecord,
     StoreClient,
     StoreUnavailable,
 )
@@ -40,6 +48,7 @@
 # While weights are due: how often the list and the engine are looked at.
 _ROLLOUT_PERIOD: Millis = 300.0
 _IDLE_PERIOD: Millis = 100.0
+_READ_BACK: Millis = 20.0
 
 
 class HostedAgent:
@@ -61,6 +70,9 @@
         self._targets: dict[str, Target] = {}
         self._done: dict[str, int] = {}
         self._fence: int | None = None
+        self._server = ''
+        self._queue = LoadQueue()
+        self._loads = LoadFeed(StoreClient(settings.store, wait=_OPERATOR_WAIT))
         self._operator = KeyedFeed(
             self._long,
             names.OPERATOR_TOPIC,
@@ -78,6 +90,7 @@
         ) as signals:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._follow)
+                tasks.start_soon(self._follow_loads)
                 tasks.start_soon(self._roll_out)
                 async for number in signals:
                     name = signal.Signals(number).name
@@ -153,27 +166,32 @@
             return
         target = find_target(state, self._targets.values())
         if target is None:
-            self._settle()
+            await self._settle()
             return
-        listed = await self._list_servers()
-        own = _find_own(listed, self._settings.server)
+        own = await self._find_own()
         if own is None:
             return
-        turn = find_turn(own.server, target, listed, self._clock.now())
-        if not turn.is_due:
+        if not self._queue.is_queued(own):
+            await self._tell(own, LoadStep.WAITS)
+            return
+        self._queue.tick(self._clock.now())
+        if not self._queue.may_load(own):
             return
         fence = await self._find_fence()
         order = WeightOrder(
-            server=own.server,
+            server=own,
             model=target.model,
             version=target.version,
             holder=self._settings.process,
             fence=fence,
             after=state.orders,
         )
-        await self._order(order, turn.ahead)
+        await self._order(order)
 
-    def _settle(self) -> None:
+    async def _settle(self) -> None:
+        """Let the next engine go once this one has what is named."""
+        if self._server and self._queue.is_queued(self._server):
+            await self._tell(self._server, LoadStep.ENDED)
         for model, target in self._targets.items():
             if self._done.get(model) != target.version:
                 self._done[model] = target.version
@@ -181,7 +199,7 @@
                     EventName.ORDER_DONE, model=model, version=target.version
                 )
 
-    async def _order(self, order: WeightOrder, ahead: int) -> None:
+    async def _order(self, order: WeightOrder) -> None:
         outcome = await self._engine.give_order(order)
         self._log.write(
             EventName.ORDER_SENT,
@@ -189,31 +207,53 @@
             model=order.model,
             version=order.version,
             offset=order.fence,
-            count=ahead,
             reason=outcome.value,
         )
         if outcome is OrderOutcome.OLD_FENCE:
             self._fence = None
 
-    async def _list_servers(self) -> list[ServerRecord]:
+    async def _tell(self, server: str, step: LoadStep) -> None:
+        """Append a notice, which counts once it is read back."""
+        await append_notice(self._short, LoadNotice(server, step))
+        while self._queue.is_queued(server) is not (step is LoadStep.WAITS):
+            await anyio.sleep(_READ_BACK / SECOND)
+
+    async def _follow_loads(self) -> None:
+        """Read notices of loads, which come only when weights are named."""
+        while True:
+            await self._try_store('loads', self._read_loads)
+
+    async def _read_loads(self) -> None:
+        try:
+            notices = await self._loads.read()
+        except MalformedRecord as error:
+            self._log.write(
+                EventName.RECORD_REFUSED, name='loads', detail=error.message
+            )
+            return
+        for notice in notices:
+            self._queue.apply(notice, self._clock.now())
+
+    async def _find_own(self) -> str | None:
+        """Return the present start of the engine, None if it isn't listed."""
         page = await self._short.list_newest(names.SERVER_TOPIC)
-        found: list[ServerRecord] = []
         for record in page.records:
-            if record.value is None:
-                continue
-            try:
-                found.append(decode_server(record.key, record.value))
-            except MalformedRecord as error:
-                self._log.write(
-                    EventName.RECORD_REFUSED,
-                    name=record.key,
-                    detail=error.message,
-                )
-        return [
-            record
-            for record in found
-            if record.service == self._settings.service
-        ]
+            server = self._decode(record)
+            if server and server.address == self._settings.server:
+                self._server = server.server
+                return server.server
+        return None
+
+    def _decode(self, record: KeyedRecord) -> ServerRecord | None:
+        if record.value is None:
+            return None
+        try:
+            return decode_server(record.key, record.value)
+        except MalformedRecord as error:
+            self._log.write(
+                EventName.RECORD_REFUSED, name=record.key, detail=error.message
+            )
+            return None
 
     async def _find_fence(self) -> int:
         """Append once in this process's life; offsets only rise."""
@@ -229,9 +269,3 @@
 ) -> None:
     """Run an agent on the users' platform until it is told to stop."""
     await HostedAgent(settings, log, make_clock()).run()
-
-
-def _find_own(listed: list[ServerRecord], address: str) -> ServerRecord | None:
-    return next(
-        (record for record in listed if record.address == address), None
-    )
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -17,7 +17,6 @@
     find_patience,
 )
 from oleanderdyke.kernel.placement import CallDemand
-from oleanderdyke.kernel.rollout import Target, is_next
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform.requests import CallerRequest, decode_request
 
@@ -141,32 +140,12 @@
         newest_version=newest,
         fetchable=_count_fetchable(core, call),
         excluded=excluded,
-        draining=_find_draining(core, call, newest),
+        loading=frozenset(core.loads.list_loading()),
+        draining=frozenset(core.loads.list_next()),
         memory_tokens=_find_memory(core, call),
     )
 
 
-def _find_draining(
-    core: HostedCore, call: HostedCall, newest: int | None
-) -> frozenset[str]:
-    """Return the engines that take new weights now or next."""
-    model = call.asked.demand
-    if model is None or newest is None:
-        return frozenset()
-    heard = core.versions_heard[model.model]
-    target = Target(model.model, newest, heard)
-    now = core.clock.now()
-    listed = [
-        backend.record for backend in core.book.list_service(call.service, now)
-    ]
-    return frozenset(
-        record.server
-        for record in listed
-        if record.versions.get(model.model, newest) < newest
-        and is_next(record.server, target, listed)
-    )
-
-
 def _find_memory(core: HostedCore, call: HostedCall) -> int:
     deployment = core.deployment
     service = deployment and deployment.services.get(call.service)
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -18,6 +18,7 @@
     RetrySettings,
     make_retry_budget,
 )
+from oleanderdyke.kernel.rollout import LoadQueue
 from oleanderdyke.logs import EventLog
 from oleanderdyke.metrics import Metrics
 from oleanderdyke.platform.settings import HostSettings
@@ -59,6 +60,7 @@
     pool: ConnectionPool
     book: BackendBook = field(default_factory=BackendBook)
     deployment: Deployment | None = None
+    loads: LoadQueue = field(default_factory=LoadQueue)
     contexts: ContextStores = field(default_factory=ContextStores)
     versions: dict[str, int] = field(default_factory=dict)
     versions_heard: dict[str, Millis] = field(default_factory=dict)
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -61,6 +61,7 @@
                 tasks.start_soon(server.serve, [front, ready])
                 tasks.start_soon(self._watch.follow_operator)
                 tasks.start_soon(self._watch.follow_servers)
+                tasks.start_soon(self._watch.follow_loads)
                 tasks.start_soon(ContextWatch(core).run)
                 tasks.start_soon(self._tick, server)
                 tasks.start_soon(self._watch_settings)
@@ -78,6 +79,7 @@
             now = core.clock.now()
             for running in tuple(core.running.values()):
                 running.check_silence(now)
+            core.loads.tick(now)
             fault = core.find_fault()
             if fault != told:
                 told = fault
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -20,6 +20,7 @@
     decode_version,
 )
 from oleanderdyke.platform.feed import KeyedFeed
+from oleanderdyke.platform.loads import LoadFeed
 from oleanderdyke.platform.store import (
     KeyedPage,
     KeyedRecord,
@@ -35,6 +36,8 @@
 # and be asked again all the time. A server that leaves must get no work two
 # seconds later; this leaves time for a failed read.
 _SERVERS_PERIOD: Millis = 500.0
+# Notices of loads come only when weights are named.
+_LOADS_WAIT: Millis = 5 * SECOND
 # The store refuses what is over its rate and may be out for seconds.
 _RETRY_PAUSE: Millis = 150.0
 
@@ -47,6 +50,7 @@
         store = core.settings.store
         self._long = StoreClient(store, wait=_CONFIGURATION_WAIT)
         self._short = StoreClient(store)
+        self._loads = LoadFeed(StoreClient(store, wait=_LOADS_WAIT))
         self._operator = KeyedFeed(
             self._long,
             names.OPERATOR_TOPIC,
@@ -68,6 +72,20 @@
         """Read the list of servers until cancelled."""
         await self._follow('servers', self._servers.read, _SERVERS_PERIOD)
 
+    async def follow_loads(self) -> None:
+        """Read which engines take new weights until cancelled."""
+        await self._follow('loads', self._read_loads, 0.0)
+
+    async def _read_loads(self) -> None:
+        core = self._core
+        try:
+            notices = await self._loads.read()
+        except MalformedRecord as error:
+            self._log(EventName.RECORD_REFUSED, 'loads', error.message)
+            return
+        for notice in notices:
+            core.loads.apply(notice, core.clock.now())
+
     async def _read_operator(self) -> None:
         asked_at = self._core.clock.now()
         await self._operator.read()
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -45,8 +45,8 @@
 
     `fetchable` tells, by the version of the weights, how many leading tokens
     of the prompt stores hold; a lower `rank` is read first. `memory_tokens`
-    is how much each engine of the service holds. `draining` ones take new
-    weights soon.
+    is how much each engine of the service holds. `loading` ones take new
+    weights now, `draining` ones next.
     """
 
     service: str
@@ -56,6 +56,7 @@
     newest_version: int | None = None
     fetchable: Mapping[int, int] = field(default_factory=dict)
     excluded: frozenset[str] = frozenset()
+    loading: frozenset[str] = frozenset()
     draining: frozenset[str] = frozenset()
     memory_tokens: int = 0
 
@@ -84,7 +85,10 @@
         for backend in book.list_service(demand.service, now)
         if backend.record.server not in demand.excluded
     ]
-    usable = [each for each in listed if is_usable(each, now)] or listed
+    good = [each for each in listed if is_usable(each, now)] or listed
+    usable = [
+        each for each in good if each.record.server not in demand.loading
+    ] or good
     if not usable:
         return None
     homes = _find_homes(demand, usable)
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import hashlib
+import enum
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.servers import ServerRecord
 
 # Loads share the weight store: over two at once take longer, and the others
 # have to serve meanwhile.
 _AT_ONCE = 2
-# A load takes two seconds after the runs have ended, which takes up to three,
-# and is seen in the list a heartbeat later. Whoever takes longer no longer
-# holds up the others; three rounds so spaced stay under the time in which new
-# weights have to be in place.
+# A load takes two seconds after the runs have ended, which takes up to three.
+# Whoever takes longer no longer holds up the others; two rounds so spaced stay
+# under the time in which new weights have to be in place.
 _STUCK_AFTER: Millis = 7 * SECOND
 
 
@@ -37,19 +35,6 @@
     heard: Millis
 
 
-@dataclass(frozen=True, slots=True)
-class Turn:
-    """Tell whether it is an engine's turn, and what decided.
-
-    `ahead` counts the engines on old weights that go first, `allowed` how
-    many of those may load at once by now.
-    """
-
-    is_due: bool
-    ahead: int
-    allowed: int
-
-
 def find_target(state: EngineState, targets: Iterable[Target]) -> Target | None:
     """Return newer weights of a model that the engine holds."""
     for target in targets:
@@ -59,41 +44,66 @@
     return None
 
 
-def find_turn(
-    server: str, target: Target, listed: Iterable[ServerRecord], now: Millis
-) -> Turn:
-    """Let engines take new weights in an order that all agree on.
+class LoadStep(enum.StrEnum):
+    """Say what an agent tells of the load of new weights."""
+
+    WAITS = 'waits'
+    ENDED = 'ended'
 
-    Every agent sorts the same list, so nobody has to lead.
+
+@dataclass(frozen=True, slots=True)
+class LoadNotice:
+    """Tell all agents and entries of one step of one engine's load."""
+
+    server: str
+    step: LoadStep
+
+
+class LoadQueue:
+    """Let engines take new weights in the order of their notices.
+
+    Every process applies the same notices in the order of the log, so nobody
+    has to lead. An engine that is not heard of again is passed over after a
+    bounded time, as each process measures it.
     """
-    ahead = count_ahead(server, target, listed)
-    waited = max(now - target.heard, 0.0)
-    allowed = _AT_ONCE * (1 + int(waited / _STUCK_AFTER))
-    return Turn(ahead < allowed, ahead, allowed)
-
-
-def count_ahead(
-    server: str, target: Target, listed: Iterable[ServerRecord]
-) -> int:
-    """Count the engines on old weights that take new ones before a server."""
-    own = _rank(server, target)
-    ahead = 0
-    for record in listed:
-        held = record.versions.get(target.model)
-        is_old = held is not None and held < target.version
-        if is_old and not record.is_leaving:
-            ahead += _rank(record.server, target) < own
-    return ahead
-
-
-def is_next(
-    server: str, target: Target, listed: Iterable[ServerRecord]
-) -> bool:
-    """Tell whether a server takes new weights now or in the next round."""
-    return count_ahead(server, target, listed) < 2 * _AT_ONCE
-
-
-def _rank(server: str, target: Target) -> bytes:
-    """Spread the order anew for each version."""
-    text = f'{server}/{target.model}/{target.version}'
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    def __init__(self) -> None:
+        # When each engine was first seen among those that may load.
+        self._queue: dict[str, Millis | None] = {}
+
+    def apply(self, notice: LoadNotice, now: Millis) -> None:
+        """Apply the next notice of the log."""
+        if notice.step is LoadStep.ENDED:
+            self._queue.pop(notice.server, None)
+        else:
+            self._queue.setdefault(notice.server, None)
+        self.tick(now)
+
+    def tick(self, now: Millis) -> None:
+        """Pass over engines that have had their time."""
+        stuck = [
+            server
+            for server, since in self._queue.items()
+            if since is not None and now - since > _STUCK_AFTER
+        ]
+        for server in stuck:
+            del self._queue[server]
+        for server in self.list_loading():
+            if self._queue[server] is None:
+                self._queue[server] = now
+
+    def is_queued(self, server: str) -> bool:
+        """Tell whether an engine waits or loads."""
+        return server in self._queue
+
+    def may_load(self, server: str) -> bool:
+        """Tell whether it is an engine's turn."""
+        return server in self.list_loading()
+
+    def list_loading(self) -> tuple[str, ...]:
+        """Return the engines that may take new weights now."""
+        return tuple(self._queue)[:_AT_ONCE]
+
+    def list_next(self) -> tuple[str, ...]:
+        """Return the engines that take new weights after those."""
+        return tuple(self._queue)[_AT_ONCE : 2 * _AT_ONCE]
--- /dev/null
+++ b/src/oleanderdyke/platform/loads.py
@@ -0,0 +1,51 @@
+"""Tell all processes, through the store, who takes new weights."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+
+from oleanderdyke.kernel.rollout import LoadNotice, LoadStep
+from oleanderdyke.platform import names
+from oleanderdyke.platform.documents import MalformedRecord
+from oleanderdyke.platform.store import RecordsExpired, StoreClient
+
+_MALFORMED = (KeyError, TypeError, ValueError)
+
+
+class LoadFeed:
+    """Read notices of loads in the order in which they were appended."""
+
+    def __init__(self, client: StoreClient) -> None:
+        self._client = client
+        self._position = 0
+
+    async def read(self) -> tuple[LoadNotice, ...]:
+        """Return the next notices, waiting for some.
+
+        Raise StoreUnavailable, or MalformedRecord past what can be read.
+        """
+        try:
+            records = await self._client.read_plain(
+                names.LOAD_TOPIC, self._position
+            )
+        except RecordsExpired as error:
+            self._position = error.first or 0
+            return ()
+        self._position += len(records)
+        return tuple(_decode(records))
+
+
+async def append_notice(client: StoreClient, notice: LoadNotice) -> None:
+    """Append a notice; raise StoreUnavailable."""
+    record = json.dumps({'server': notice.server, 'step': notice.step.value})
+    await client.append(names.LOAD_TOPIC, record.encode())
+
+
+def _decode(records: tuple[bytes, ...]) -> Iterator[LoadNotice]:
+    for record in records:
+        try:
+            found = json.loads(record)
+            yield LoadNotice(str(found['server']), LoadStep(found['step']))
+        except _MALFORMED as error:
+            raise MalformedRecord(f'load notice: {error!r}') from error
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -64,3 +64,5 @@
 VERSION_KEY_PREFIX = 'version/'
 # A topic of ours: an agent appends to it at its start, for its fence.
 FENCE_TOPIC = 'oleander-fences'
+# A topic of ours: agents tell there who takes new weights.
+LOAD_TOPIC = 'oleander-loads'
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -26,6 +26,7 @@
 _PARTITION = 0
 _OK = 200
 _EXPIRED = 410
+_NOT_FOUND = 404
 _LENGTH = struct.Struct('>I')
 _ENDS = struct.Struct('>QQ')
 
@@ -38,10 +39,14 @@
 
 
 class RecordsExpired(OleanderError):
-    """Tell that the store no longer has the records that were asked for."""
+    """Tell that the store no longer has the records that were asked for.
 
-    def __init__(self) -> None:
+    `first` is the oldest offset that it has, where it told so.
+    """
+
+    def __init__(self, first: int | None = None) -> None:
         super().__init__(ErrorKind.NOT_FOUND, 'the records have expired')
+        self.first = first
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +104,18 @@
 
         Raise StoreUnavailable or RecordsExpired.
         """
+        records = await self._read(topic, start)
+        keyed = tuple(_decode_keyed(each) for each in records)
+        return KeyedPage(keyed, start + len(keyed))
+
+    async def read_plain(self, topic: str, start: int) -> tuple[bytes, ...]:
+        """Return the records of a topic of ours from `start` on.
+
+        Raise StoreUnavailable or RecordsExpired.
+        """
+        return tuple(await self._read(topic, start))
+
+    async def _read(self, topic: str, start: int) -> list[bytes]:
         query = {
             'topic': topic,
             'part': _PARTITION,
@@ -108,7 +125,11 @@
         }
         status, data = await self._call('GET', '/api/log-read', query)
         if status == _EXPIRED:
-            raise RecordsExpired
+            raise RecordsExpired(int(_load(data).get('first', 0)))
+        if status == _NOT_FOUND and not start:
+            # A topic comes to be with its first record.
+            await anyio.sleep(self._wait / SECOND)
+            return []
         _check(status)
         if len(data) < _ENDS.size:
             raise StoreUnavailable('a read has no ends')
@@ -116,10 +137,7 @@
         end, _ = _ENDS.unpack_from(data)
         if end < start:
             raise RecordsExpired
-        records = tuple(
-            _decode_keyed(each) for each in _split_records(data[_ENDS.size :])
-        )
-        return KeyedPage(records, start + len(records))
+        return list(_split_records(data[_ENDS.size :]))
 
     async def append(self, topic: str, record: bytes) -> int:
         """Append one record and return its offset; raise StoreUnavailable."""
