Refuse small requests less often while engines are full

Cause: a letter takes a tenth of the memory of a verdict, and refusing it frees as little, yet both were refused alike. Change: the share that is refused follows what a request takes.

--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -195,6 +195,7 @@
             expected=choice.expected,
             waiting=choice.backend.count_waiting(self._core.clock.now()),
             fill=choice.fill,
+            size=choice.size,
             drawn=self._core.random.random(),
         )
 
--- a/src/oleanderdyke/kernel/overload.py
+++ b/src/oleanderdyke/kernel/overload.py
@@ -21,6 +21,9 @@
 # the first, first tokens keep under half of their targets.
 _FILL_GOOD = 0.8
 _FILL_BAD = 1.2
+# Refusing a request that takes little memory frees little: it is refused less
+# often than others by its size, but not less than by this factor.
+_LEAST_SHARE = 0.3
 # A caller's deadline may differ a little from the route's timeout.
 _FIRST_TRY_SLACK: Millis = 20.0
 # Rank among an engine's requests of those that are late already.
@@ -59,17 +62,19 @@
     expected: Millis,
     waiting: int,
     fill: float,
+    size: float,
     drawn: float,
 ) -> bool:
     """Tell whether a request is better sent back than started now.
 
     `waiting` is how many wait at the least loaded server, `fill` how much of
-    its memory is likely taken, `drawn` a number from 0 to 1, by which a
-    growing part is refused.
+    its memory is likely taken, `size` what this request takes of it against
+    the mean, `drawn` a number from 0 to 1, by which a growing part is refused.
     """
     crowd = (waiting - _FEW_WAITING) / (_MANY_WAITING - _FEW_WAITING)
     fullness = (fill - _FILL_GOOD) / (_FILL_BAD - _FILL_GOOD)
-    if drawn < min(max(crowd, fullness), _MOST_REFUSED):
+    share = max(crowd, fullness) * max(min(size, 1.0), _LEAST_SHARE)
+    if drawn < min(share, _MOST_REFUSED):
         return True
     if not patience.is_first_try:
         return False
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -66,7 +66,7 @@
     """Name the chosen server and what decided.
 
     `fill` is the part of its memory that runs and those that wait likely
-    take.
+    take, `size` what the request takes against their mean.
     """
 
     backend: Backend
@@ -74,6 +74,7 @@
     candidates: int
     expected: Millis
     fill: float = 0.0
+    size: float = 1.0
 
 
 def choose_backend(
@@ -99,6 +100,7 @@
         candidates=len(usable),
         expected=_expect(demand, best, now),
         fill=_find_fill(demand, best, usable, now),
+        size=_find_size(demand, usable),
     )
 
 
@@ -116,13 +118,26 @@
     now: Millis,
 ) -> float:
     """Guess how full an engine is from the mix that this entry sends."""
-    running = sum(backend.running for backend in usable)
-    if not running or not demand.memory_tokens:
+    mean = _find_mean_memory(usable)
+    if not demand.memory_tokens:
         return 0.0
-    mean = sum(backend.running_tokens for backend in usable) / running
     return chosen.count_present(now) * mean / demand.memory_tokens
 
 
+def _find_size(demand: CallDemand, usable: Sequence[Backend]) -> float:
+    mean = _find_mean_memory(usable)
+    if demand.model is None or not mean:
+        return 1.0
+    return demand.model.memory_tokens / mean
+
+
+def _find_mean_memory(usable: Sequence[Backend]) -> float:
+    running = sum(backend.running for backend in usable)
+    if not running:
+        return 0.0
+    return sum(backend.running_tokens for backend in usable) / running
+
+
 def _expect(demand: CallDemand, backend: Backend, now: Millis) -> Millis:
     """Return the expected time to the first byte of a model's answer."""
     if demand.model is None:
