Go on taking short requests during a planned stop

Change: a stopping entry takes what surely ends before its end, by the longest duration seen lately on the route; half a second is kept before the cut.

--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -64,7 +64,9 @@
         permit = find_permit(core, head)
         self._count += 1
         key = str(self._count)
-        self._stopper.begin(key)
+        route = permit.route
+        needs = core.durations.find_bound(route.name, route.timeout)
+        self._stopper.begin(key, needs)
         try:
             await self._lead(head, permit, receive, reply, started)
         finally:
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -13,6 +13,7 @@
 from oleanderdyke.kernel.context_stores import ContextStores
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.drain import Drain, DrainSettings
+from oleanderdyke.kernel.durations import Durations
 from oleanderdyke.kernel.retries import (
     RetryBudget,
     RetrySettings,
@@ -28,8 +29,11 @@
 CONNECT_LIMIT: Millis = 300.0
 # The balancer asks each second and takes a process out after two misses.
 _ANNOUNCE: Millis = 2.5 * SECOND
-# What is left of the grace time for closing connections and for the exit.
-_EXIT_MARGIN: Millis = 700.0
+# What is left of the grace time for closing connections and for the exit,
+# which take up to half a second on a busy machine.
+_EXIT_MARGIN: Millis = 600.0
+# New work has to end so long before running work is cut off.
+_CUT_MARGIN: Millis = 500.0
 # A configuration that was read longer ago may lack a route or a key.
 STALE_AFTER: Millis = 3 * SECOND
 # Entries among which the shared allowance for retries is split. It is more
@@ -60,6 +64,7 @@
     pool: ConnectionPool
     book: BackendBook = field(default_factory=BackendBook)
     deployment: Deployment | None = None
+    durations: Durations = field(default_factory=Durations)
     loads: LoadQueue = field(default_factory=LoadQueue)
     contexts: ContextStores = field(default_factory=ContextStores)
     versions: dict[str, int] = field(default_factory=dict)
@@ -102,7 +107,10 @@
     """Build the state of an entry that has just started."""
     limit = settings.grace - _EXIT_MARGIN
     drain = DrainSettings(
-        accept=_ANNOUNCE, announce=_ANNOUNCE, drain=limit, limit=limit
+        accept=_ANNOUNCE,
+        announce=_ANNOUNCE,
+        drain=limit - _CUT_MARGIN,
+        limit=limit,
     )
     return HostedCore(
         settings=settings,
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -279,6 +279,7 @@
     def _log_end(self) -> None:
         core, call = self._core, self._call
         duration = core.clock.now() - call.started
+        core.durations.note(call.route.name, duration)
         core.metrics.time(Timing.REQUEST, duration, call.service)
         if self._first is not None:
             core.metrics.time(Timing.FIRST_TOKEN, self._first, call.service)
--- a/src/oleanderdyke/entry/stopping.py
+++ b/src/oleanderdyke/entry/stopping.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from oleanderdyke.clock import Clock
+from oleanderdyke.clock import Clock, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.drain import (
@@ -71,10 +71,14 @@
         self._exit = anyio.Event()
         self._signalled = anyio.Event()
 
-    def begin(self, request: str) -> None:
-        """Count a request; raise STOPPING when no new one may start."""
+    def begin(self, request: str, needs: Millis | None = None) -> None:
+        """Count a request; raise STOPPING when no new one may start.
+
+        `needs` is how long the request lasts, where that is known.
+        """
         core = self._core
-        if not core.drain.start_work(request, core.clock.now()):
+        now = core.clock.now()
+        if not core.drain.start_work(request, now, needs=needs):
             raise OleanderError(
                 ErrorKind.STOPPING, 'this entry stops', ran=Ran.NO
             )
--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -87,19 +87,33 @@
         """List the requests that have not ended."""
         return tuple(self._work)
 
-    def accepts(self, now: Millis) -> bool:
-        """Tell whether new work may start."""
+    def accepts(self, now: Millis, needs: Millis | None = None) -> bool:
+        """Tell whether new work may start; `needs` is how long it lasts.
+
+        What surely ends in time may start after the announcement too: while
+        every process of a deployment is stopped in turn, callers have nowhere
+        better to go.
+        """
         if self.phase is DrainPhase.SERVING:
             return True
-        if self.phase is not DrainPhase.ANNOUNCED:
+        if self.phase not in {DrainPhase.ANNOUNCED, DrainPhase.DRAINING}:
+            return False
+        if now < self._stopped_at + self._settings.accept:
+            return True
+        if needs is None:
             return False
-        return now < self._stopped_at + self._settings.accept
+        return now + needs < self._stopped_at + self._settings.drain
 
     def start_work(
-        self, request: str, now: Millis, *, resumable: bool = False
+        self,
+        request: str,
+        now: Millis,
+        *,
+        resumable: bool = False,
+        needs: Millis | None = None,
     ) -> bool:
         """Count a request; False when no new work may start."""
-        if not self.accepts(now):
+        if not self.accepts(now, needs):
             return False
         self._work[request] = resumable
         return True
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -94,6 +94,8 @@
     agent.signal(0)
     assert entry.start_work('a', 1_999)
     assert not entry.start_work('b', 2_000)
+    assert not entry.start_work('b', 2_000, needs=ENTRY_DRAIN.drain)
+    assert entry.start_work('c', 2_000, needs=100)
     assert not agent.start_work('a', 0)
     assert entry.is_leaving
     assert agent.is_leaving
@@ -159,7 +161,7 @@
 
 
 class KeepsAccepting(Drain):
-    def accepts(self, now):
+    def accepts(self, now, needs=None):
         return self.phase is not DrainPhase.DONE
 
 
--- a/tests/test_shell.py
+++ b/tests/test_shell.py
@@ -29,10 +29,10 @@
 def test_signal_right_after_listening_is_a_planned_stop(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ):
-    bind = shell._bind
+    bind = shell.open_listener
 
-    def bind_and_stop(http: HttpSettings) -> socket.socket:
-        bound = bind(http)
+    def bind_and_stop(host: str, port: int) -> socket.socket:
+        bound = bind(host, port)
         signal.raise_signal(signal.SIGTERM)
         return bound
 
@@ -49,7 +49,7 @@
                 )
             )
 
-    monkeypatch.setattr(shell, '_bind', bind_and_stop)
+    monkeypatch.setattr(shell, 'open_listener', bind_and_stop)
     before = signal.signal(signal.SIGTERM, signal.SIG_IGN)
     try:
         anyio.run(run)
