Prove the entry on the platform against stand-ins

Tests over real connections with a store of records and scripted backend servers: what is taken off, what is told, refusals that ran nothing, promises that were not given, answers of other requests, bytes after answers, broken, unframed, early and informational answers, streams that go on elsewhere, planned stops, old and malformed configuration. Found by them: the answer to a request that was open when a stop began did not tell the caller to close the connection; it is decided as the head goes out.

--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -45,8 +45,7 @@
         if scope['server'][1] == self._readiness_port:
             await self._answer_readiness(scope, send)
             return
-        reply = Reply(send, '')
-        reply.closes = self._core.drain.is_leaving
+        reply = Reply(send, self._is_leaving)
         try:
             await self._serve(scope, receive, reply)
         except CallerGone:
@@ -113,9 +112,12 @@
             error.kind, error.ran, error.message, error.retry_after
         )
 
+    def _is_leaving(self) -> bool:
+        return self._core.drain.is_leaving
+
     async def _answer_readiness(self, scope: Scope, send: Send) -> None:
         fault = self._core.find_fault()
-        reply = Reply(send, '')
+        reply = Reply(send, self._is_leaving)
         if scope['path'] != names.READINESS_PATH:
             await reply.refuse(
                 ErrorKind.NOT_FOUND,
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -108,7 +108,6 @@
 
     def stop(self, *, hurry: bool) -> None:
         """Learn that the entry stops."""
-        self._reply.closes = True
         if hurry:
             self._inbox.put(Stopping(hurry=True))
 
--- a/src/oleanderdyke/entry/hosted/reply.py
+++ b/src/oleanderdyke/entry/hosted/reply.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from oleanderdyke.clients.http import HOP_BY_HOP
 from oleanderdyke.clock import Millis
@@ -22,11 +22,16 @@
 
 
 class Reply:
-    """Send one answer unchanged, or one final answer of our own."""
+    """Send one answer unchanged, or one final answer of our own.
 
-    def __init__(self, send: Send, request: str) -> None:
+    `is_closing` tells, as the head goes out, whether callers should take
+    their next request elsewhere.
+    """
+
+    def __init__(self, send: Send, is_closing: Callable[[], bool]) -> None:
         self._send = send
-        self.request = request
+        self._is_closing = is_closing
+        self.request = ''
         self.status = 0
         self.ended = False
         self.closes = False
@@ -71,7 +76,7 @@
 
     async def _start(self, headers: Headers) -> None:
         kept = list(_encode(headers))
-        if self.closes:
+        if self.closes or self._is_closing():
             kept.append((b'connection', b'close'))
         await self._send(
             {
--- /dev/null
+++ b/tests/hosted.py
@@ -0,0 +1,275 @@
+"""Run an entry against stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import anyio
+
+from oleanderdyke.clock import make_clock
+from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
+from oleanderdyke.entry.hosted.shell import HostedShell
+from oleanderdyke.logs import make_event_log
+from oleanderdyke.platform.settings import HostSettings
+from tests.standins import server
+from tests.standins.records import RecordStore
+from tests.standins.replica import Replica, Script, serving_replica
+
+HOST = 'rooms.example'
+KEY = 'key-of-red'
+MODEL = 'model-a'
+OPERATOR = 'keyed.op'
+SERVERS = 'keyed.servers'
+ROUTE = {
+    'name': 'r-once',
+    'host': HOST,
+    'pathPrefix': '/once/',
+    'kind': 'non_idempotent',
+    'timeoutMs': 2_000,
+    'targetLatencyMs': 400,
+    'priority': 2,
+    'service': 'desk',
+    'maxAttempts': 1,
+}
+SAFE_ROUTE = {
+    **ROUTE,
+    'name': 'r-safe',
+    'pathPrefix': '/safe/',
+    'kind': 'idempotent',
+    'maxAttempts': 2,
+}
+STREAM_ROUTE = {
+    **ROUTE,
+    'name': 'r-stream',
+    'pathPrefix': '/stream/',
+    'kind': 'streaming',
+    'resumable': True,
+    'maxAttempts': 2,
+}
+LETTER_ROUTE = {
+    **STREAM_ROUTE,
+    'name': 'r-letter',
+    'pathPrefix': '/letter/',
+    'resumable': False,
+    'maxAttempts': 1,
+}
+CONFIGURATION: dict[str, Any] = {
+    'version': 7,
+    'routes': [ROUTE, SAFE_ROUTE, STREAM_ROUTE, LETTER_ROUTE],
+    'services': [{'name': 'desk', 'maxConnections': 96}],
+    'limits': {
+        'maxHeaderBytes': 16_384,
+        'maxBodyBytes': 4_194_304,
+        'headerTimeoutMs': 3_000,
+        'idleTimeoutMs': 15_000,
+    },
+    'tenants': [{'name': 'red', 'apiKeys': [KEY]}],
+}
+
+
+@dataclass
+class Answered:
+    """Hold an answer as a caller saw it; `is_whole` tells how it ended."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class Stage:
+    """Hold an entry and its stand-ins."""
+
+    store: RecordStore
+    core: HostedCore
+    address: tuple[str, int]
+    readiness: tuple[str, int]
+    log: pathlib.Path
+    replicas: list[Replica] = field(default_factory=list)
+
+    async def call(
+        self, path: str, *, body: bytes = b'', **headers: str
+    ) -> Answered:
+        """Send a request of a caller and read its answer to the end."""
+        return await call(self.address, path, body=body, **headers)
+
+    async def is_ready(self) -> bool:
+        """Ask as the balancer does."""
+        found = await call(self.readiness, '/api/readiness', method='GET')
+        return found.status == 200
+
+
+@contextlib.asynccontextmanager
+async def staging(
+    directory: pathlib.Path,
+    *scripts: Script,
+    configuration: dict[str, Any] | None = None,
+    grace: float = 8_000.0,
+    **record: Any,
+) -> AsyncGenerator[Stage, None]:
+    """Run an entry before one backend server for each script."""
+    store = RecordStore()
+    if configuration is not None or scripts:
+        store.put(OPERATOR, 'config', configuration or CONFIGURATION)
+    async with contextlib.AsyncExitStack() as stack:
+        (address,) = await stack.enter_async_context(server.serving(store))
+        replicas = []
+        for number, script in enumerate(scripts):
+            replica, where = await stack.enter_async_context(
+                serving_replica(script)
+            )
+            replicas.append(replica)
+            store.put(SERVERS, f'i-{number}', make_record(where, **record))
+        stage = _make_stage(store, address, directory, grace)
+        stage.replicas = replicas
+        path = directory / 'boot.conf'
+        shell = HostedShell(stage.core, path)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(shell.run)
+            if scripts:
+                await _wait_ready(stage)
+            yield stage
+            tasks.cancel_scope.cancel()
+
+
+def make_record(address: str, **changes: Any) -> dict[str, Any]:
+    """Build what a backend server writes to the list."""
+    return {
+        'service': 'desk',
+        'address': address,
+        'zone': 'hall',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'seq': 1,
+        **changes,
+    }
+
+
+async def call(
+    address: tuple[str, int],
+    path: str,
+    *,
+    method: str = 'POST',
+    body: bytes = b'',
+    **headers: str,
+) -> Answered:
+    """Send one request on a connection of its own."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(make_request(path, method=method, body=body, **headers))
+    try:
+        with anyio.fail_after(10):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+def make_request(
+    path: str, *, method: str = 'POST', body: bytes = b'', **headers: str
+) -> bytes:
+    """Build a request; underscores in header names become dashes."""
+    named = {
+        'host': HOST,
+        'oleanderdyke-request-id': 'req-1',
+        'oleanderdyke-key': KEY,
+        'oleanderdyke-deadline-ms': '2000',
+        'content-length': str(len(body)),
+        'connection': 'close',
+    }
+    named |= {name.replace('_', '-'): text for name, text in headers.items()}
+    lines = ''.join(
+        f'{name}: {text}\r\n' for name, text in named.items() if text
+    )
+    return f'{method} {path} HTTP/1.1\r\n{lines}\r\n'.encode() + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answered:
+    """Read one answer; it is whole only if its framing says so."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    first, *lines = head.decode('latin-1').split('\r\n')
+    headers = dict(
+        line.lower().split(': ', 1) for line in lines if ': ' in line
+    )
+    status = int(first.split()[1])
+    body, is_whole = await _read_body(reader, headers)
+    return Answered(status, headers, body, is_whole)
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str]
+) -> tuple[bytes, bool]:
+    if 'content-length' in headers:
+        length = int(headers['content-length'])
+        try:
+            return await reader.readexactly(length), True
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b'', False
+    body = b''
+    try:
+        while length := int(await reader.readuntil(b'\r\n'), 16):
+            body += (await reader.readexactly(length + 2))[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return body, False
+    return body, True
+
+
+def _make_stage(
+    store: RecordStore, address: str, directory: pathlib.Path, grace: float
+) -> Stage:
+    callers, readiness = (_find_port() for _ in range(2))
+    text = _SETTINGS.format(
+        store=address, callers=callers, readiness=readiness, grace=grace / 1000
+    )
+    (directory / 'boot.conf').write_text(text)
+    log = directory / 'entry.log'
+    stream = log.open('w', buffering=1)
+    clock = make_clock()
+    settings = HostSettings(
+        process='front-1',
+        data_centre='hall',
+        ip='127.0.0.1',
+        store=address,
+        callers=f'127.0.0.1:{callers}',
+        readiness=f'127.0.0.1:{readiness}',
+        grace=grace,
+    )
+    core = make_hosted_core(
+        settings, clock, make_event_log('front-1', stream=stream), Random(7)
+    )
+    return Stage(
+        store, core, ('127.0.0.1', callers), ('127.0.0.1', readiness), log
+    )
+
+
+_SETTINGS = """nodeName=front-1
+zone=hall
+ip=127.0.0.1
+platform.address={store}
+listen.front=127.0.0.1:{callers}
+listen.ready=127.0.0.1:{readiness}
+bounds.graceS={grace}
+"""
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+async def _wait_ready(stage: Stage) -> None:
+    with anyio.fail_after(10):
+        while True:
+            with contextlib.suppress(OSError):
+                if await stage.is_ready():
+                    return
+            await anyio.sleep(0.02)
--- /dev/null
+++ b/tests/standins/records.py
@@ -0,0 +1,129 @@
+"""Stand in for the store of records of the users' platform."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+from dataclasses import dataclass, field
+
+import anyio
+
+from tests.standins import web
+
+_LENGTH = struct.Struct('>I')
+_ENDS = struct.Struct('>QQ')
+_MILLIS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class RecordFaults(web.Faults):
+    """Add what goes wrong in a store; `lose_answers` counts appends."""
+
+    lose_answers: int = 0
+
+
+@dataclass(slots=True)
+class Topic:
+    """Hold the kept records of the one partition of a topic."""
+
+    first: int = 0
+    records: list[bytes] = field(default_factory=list)
+    newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def end(self) -> int:
+        """Return the next offset."""
+        return self.first + len(self.records)
+
+    def append(self, record: bytes) -> int:
+        """Add a record and wake the readers."""
+        offset = self.end
+        self.records.append(record)
+        self.changed.set()
+        self.changed = anyio.Event()
+        return offset
+
+    def put(self, key: str, value: bytes) -> None:
+        """Add a record with a key; without a value the key is dropped."""
+        encoded = key.encode()
+        offset = self.append(bytes([len(encoded)]) + encoded + value)
+        self.newest.pop(key, None)
+        if value:
+            self.newest[key] = (offset, value)
+
+    def forget(self) -> None:
+        """Drop the history; the newest record of each key stays."""
+        self.first = self.end
+        self.records.clear()
+
+
+class RecordStore(web.StandIn[RecordFaults]):
+    """Append and read records of topics."""
+
+    def __init__(self) -> None:
+        super().__init__(RecordFaults())
+        self.topics: dict[str, Topic] = {}
+        self.calls: list[str] = []
+        self._lose = 0
+
+    def note_faults(self) -> None:
+        """Count lost answers anew."""
+        self._lose = self.faults.lose_answers
+
+    def find(self, topic: str) -> Topic:
+        """Return a topic, which comes to be with its first use."""
+        return self.topics.setdefault(topic, Topic())
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Write a document under a key."""
+        self.find(topic).put(key, json.dumps(value).encode())
+
+    def drop(self, topic: str, key: str) -> None:
+        """Drop a key."""
+        self.find(topic).put(key, b'')
+
+    async def answer(self, request: web.Request) -> web.Answer:
+        """Answer one call."""
+        self.calls.append(request.path)
+        topic = self.find(request.query['topic'])
+        match request.path:
+            case '/api/log-newest':
+                return _list_newest(topic)
+            case '/api/log-read':
+                return await _read(topic, request)
+            case '/api/log-append':
+                return await self._append(topic, request)
+        return web.refuse(404, 'no such call')
+
+    async def _append(self, topic: Topic, request: web.Request) -> web.Answer:
+        body = await request.body()
+        (length,) = _LENGTH.unpack_from(body)
+        offset = topic.append(body[_LENGTH.size : _LENGTH.size + length])
+        if self._lose:
+            self._lose -= 1
+            raise web.Dropped
+        return web.answer_json({'offset': offset, 'end': topic.end})
+
+
+def _list_newest(topic: Topic) -> web.Answer:
+    items = [
+        {'key': key, 'value': base64.b64encode(value).decode(), 'offset': at}
+        for key, (at, value) in topic.newest.items()
+    ]
+    return web.answer_json({'items': items, 'more': False, 'end': topic.end})
+
+
+async def _read(topic: Topic, request: web.Request) -> web.Answer:
+    start = int(request.query['from'])
+    if start < topic.first:
+        return web.answer_json({'first': topic.first}, 410)
+    if start >= topic.end:
+        wait = float(request.query.get('waitMs', '0'))
+        with anyio.move_on_after(wait / _MILLIS):
+            await topic.changed.wait()
+    records = topic.records[max(start - topic.first, 0) :]
+    data = b''.join(_LENGTH.pack(len(each)) + each for each in records)
+    ends = _ENDS.pack(topic.end, topic.first)
+    return web.Answer(200, ends + data, 'application/octet-stream')
--- /dev/null
+++ b/tests/standins/replica.py
@@ -0,0 +1,161 @@
+"""Stand in for a backend server of the users' platform, byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from dataclasses import dataclass, field
+
+import h11
+
+_PIECE = 65_536
+
+
+@dataclass(slots=True)
+class Received:
+    """Hold one request as it came in, names in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+
+@dataclass(slots=True)
+class Peer:
+    """Give a script the way to answer one request."""
+
+    request: Received
+    writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader
+
+    async def send(self, data: bytes) -> None:
+        """Write raw bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def reset(self) -> None:
+        """Break the connection off with a reset, not an orderly end."""
+        connection = self.writer.get_extra_info('socket')
+        linger = struct.pack('ii', 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.writer.transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Return once the caller has closed."""
+        with contextlib.suppress(ConnectionError):
+            while await self.reader.read(_PIECE):
+                pass
+
+    async def answer(
+        self, status: int = 200, body: bytes = b'done', **headers: str
+    ) -> None:
+        """Send a whole answer that bears the marks of a server."""
+        await self.send(make_answer(self.request, status, body, **headers))
+
+
+Script = Callable[[Peer], Awaitable[None]]
+
+
+def make_answer(
+    request: Received, status: int = 200, body: bytes = b'done', **headers: str
+) -> bytes:
+    """Build a whole answer; underscores in names become dashes."""
+    return (
+        make_head(request, status, content_length=str(len(body)), **headers)
+        + body
+    )
+
+
+def make_head(request: Received, status: int = 200, **headers: str) -> bytes:
+    """Build the head of an answer."""
+    named = {
+        'oleanderdyke-request-id': request.headers['oleanderdyke-request-id'],
+        'oleanderdyke-response-seal': 'seal',
+    }
+    named |= {name.replace('_', '-'): text for name, text in headers.items()}
+    lines = ''.join(
+        f'{name}: {text}\r\n' for name, text in named.items() if text
+    )
+    return f'HTTP/1.1 {status} Told\r\n{lines}\r\n'.encode()
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Frame a part of a body of unknown length."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+def make_event(number: int, text: str = 'word') -> bytes:
+    """Build one event of a stream."""
+    return f'id: {number}\ndata: {text}{number}\n\n'.encode()
+
+
+@dataclass
+class Replica:
+    """Run a script for each request and remember what came."""
+
+    script: Script
+    received: list[Received] = field(default_factory=list)
+    connections: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it ends."""
+        self.connections += 1
+        number = self.connections
+        parser = h11.Connection(h11.SERVER)
+        with contextlib.suppress(ConnectionError, h11.RemoteProtocolError):
+            while request := await _read_request(parser, reader, number):
+                self.received.append(request)
+                await self.script(Peer(request, writer, reader))
+                if writer.is_closing():
+                    return
+                parser = h11.Connection(h11.SERVER)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def serving_replica(
+    script: Script,
+) -> AsyncGenerator[tuple[Replica, str], None]:
+    """Serve on loopback; yield the stand-in and its address."""
+    replica = Replica(script)
+    server = await asyncio.start_server(replica.serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    try:
+        yield replica, f'{host}:{port}'
+    finally:
+        server.close()
+
+
+async def _read_request(
+    parser: h11.Connection, reader: asyncio.StreamReader, number: int
+) -> Received | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(await reader.read(_PIECE))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return _make_received(head, bytes(body), number)
+        else:
+            return None
+
+
+def _make_received(head: h11.Request, body: bytes, number: int) -> Received:
+    headers = {
+        name.decode(): text.decode('latin-1') for name, text in head.headers
+    }
+    return Received(
+        head.method.decode(), head.target.decode(), headers, body, number
+    )
--- /dev/null
+++ b/tests/test_hosted_entry.py
@@ -0,0 +1,577 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+
+import anyio
+import pytest
+
+from tests.hosted import (
+    CONFIGURATION,
+    HOST,
+    KEY,
+    OPERATOR,
+    ROUTE,
+    SERVERS,
+    call,
+    make_record,
+    make_request,
+    read_answer,
+    staging,
+)
+from tests.standins.replica import (
+    Peer,
+    make_answer,
+    make_chunk,
+    make_event,
+    make_head,
+    serving_replica,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+async def answer_well(peer: Peer) -> None:
+    await peer.answer(body=b'booked')
+
+
+async def shed(peer: Peer) -> None:
+    await peer.answer(503, b'full', oleanderdyke_not_executed='1')
+
+
+async def reset(peer: Peer) -> None:
+    peer.reset()
+
+
+def stream(first: int, last: int, *, ending: bytes = b'0\r\n\r\n'):
+    async def run(peer: Peer) -> None:
+        await peer.send(
+            make_head(
+                peer.request,
+                content_type='text/event-stream',
+                transfer_encoding='chunked',
+            )
+        )
+        for number in range(first, last + 1):
+            await peer.send(make_chunk(make_event(number)))
+        if ending:
+            await peer.send(ending)
+        else:
+            peer.reset()
+
+    return run
+
+
+async def test_an_answer_comes_back_unchanged(tmp_path):
+    async def run(peer):
+        await peer.answer(201, b'booked', x_seat='12')
+
+    async with staging(tmp_path, run) as stage:
+        found = await stage.call('/once/a%20b?x=1', body=b'two seats')
+    (seen,) = stage.replicas[0].received
+    assert (found.status, found.body, found.is_whole) == (201, b'booked', True)
+    assert found.headers['oleanderdyke-response-seal'] == 'seal'
+    assert found.headers['oleanderdyke-request-id'] == 'req-1'
+    assert found.headers['x-seat'] == '12'
+    assert (seen.method, seen.target) == ('POST', '/once/a%20b?x=1')
+    assert seen.body == b'two seats'
+    assert seen.headers['host'] == HOST
+
+
+async def test_the_team_is_told_and_its_key_is_not(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        await stage.call('/once/1', oleanderdyke_tenant_id='blue')
+    headers = stage.replicas[0].received[0].headers
+    assert headers['oleanderdyke-tenant-id'] == 'red'
+    assert headers['oleanderdyke-expect-instance'] == 'i-0'
+    assert 1_000 < int(headers['oleanderdyke-deadline-ms']) <= 2_000
+    assert KEY not in headers.values()
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'oleanderdyke-cache-salt',
+        'oleanderdyke-kv-source',
+        'oleanderdyke-kv-sink',
+        'oleanderdyke-kv-until',
+        'oleanderdyke-hold',
+        'oleanderdyke-pin-ms',
+        'oleanderdyke-kv-backup',
+        'kv-from',
+        'oleanderdyke-request-priority',
+        'oleanderdyke-expect-version',
+        'oleanderdyke-not-executed',
+        'connection',
+        'x-hop',
+    ],
+)
+async def test_what_only_the_system_sets_is_taken_off(tmp_path, name):
+    async with staging(tmp_path, answer_well) as stage:
+        sent = {name.replace('-', '_'): 'of-the-caller'}
+        sent['connection'] = 'close, x-hop'
+        await stage.call('/once/1', **sent)
+    headers = stage.replicas[0].received[0].headers
+    assert headers.get(name, '') == ''
+
+
+async def test_an_unknown_key_is_refused(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        found = await stage.call('/once/1', oleanderdyke_key='nobody')
+        assert found.status == 401
+        assert not stage.replicas[0].received
+
+
+async def test_a_path_without_a_route_is_not_found(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        assert (await stage.call('/other/1')).status == 404
+        assert (await stage.call('/once/1', host='else.example')).status == 404
+
+
+async def test_what_an_old_configuration_lacks_is_not_denied(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.faults = type(stage.store.faults)(down=True)
+        stage.core.configuration_read -= 60_000
+        assert (await stage.call('/other/1')).status == 503
+        found = await stage.call('/once/1', oleanderdyke_key='new-key')
+        assert found.status == 503
+        assert float(found.headers['retry-after']) > 0
+
+
+async def test_without_a_configuration_nothing_is_promised_but_not_run(
+    tmp_path,
+):
+    async with staging(tmp_path) as stage:
+        await anyio.sleep(0.3)
+        assert not await stage.is_ready()
+        assert (await stage.call('/once/1')).status == 503
+
+
+async def test_a_new_configuration_is_in_force_and_an_older_one_never(
+    tmp_path,
+):
+    added = {**ROUTE, 'name': 'r-new', 'pathPrefix': '/new/'}
+    newer = {**CONFIGURATION, 'version': 9, 'routes': [added]}
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.put(OPERATOR, 'config', newer)
+        stage.store.put(OPERATOR, 'config', CONFIGURATION)
+        await anyio.sleep(0.2)
+        assert (await stage.call('/new/1')).status == 200
+        assert (await stage.call('/once/1')).status == 404
+
+
+async def test_a_malformed_configuration_changes_nothing(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.put(OPERATOR, 'config', {'version': 99, 'routes': 3})
+        await anyio.sleep(0.2)
+        assert (await stage.call('/once/1')).status == 200
+    assert 'event=record_refused' in stage.log.read_text()
+
+
+async def test_a_dropped_history_is_read_anew(tmp_path):
+    added = {**ROUTE, 'name': 'r-new', 'pathPrefix': '/new/'}
+    newer = {**CONFIGURATION, 'version': 9, 'routes': [added]}
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.put(OPERATOR, 'config', newer)
+        stage.store.find(OPERATOR).forget()
+        await anyio.sleep(1.5)
+        assert (await stage.call('/new/1')).status == 200
+
+
+async def test_a_refusal_that_ran_nothing_goes_elsewhere(tmp_path):
+    async with staging(tmp_path, shed, shed, answer_well) as stage:
+        found = await stage.call('/once/1')
+        assert (found.status, found.body) == (200, b'booked')
+
+
+async def test_refused_everywhere_promises_that_nothing_ran(tmp_path):
+    async with staging(tmp_path, shed, shed) as stage:
+        found = await stage.call('/once/1')
+        assert found.status == 503
+        assert 'oleanderdyke-response-seal' not in found.headers
+        assert float(found.headers['retry-after']) > 0
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+async def test_a_promise_that_the_server_did_not_give_is_not_passed_on(
+    tmp_path, status
+):
+    async def run(peer):
+        await peer.answer(status, b'maybe')
+
+    async with staging(tmp_path, run) as stage:
+        found = await stage.call('/once/1')
+        expected = 503 if status == 421 else 502
+        assert found.status == expected
+
+
+async def test_what_may_run_once_is_not_sent_again(tmp_path):
+    async with staging(tmp_path, reset, reset) as stage:
+        found = await stage.call('/once/1')
+        assert found.status == 502
+        runs = sum(len(replica.received) for replica in stage.replicas)
+        assert runs == 1
+
+
+async def test_what_may_be_repeated_goes_elsewhere(tmp_path):
+    async with staging(tmp_path, reset, answer_well) as stage:
+        statuses = [
+            (await stage.call('/safe/1', method='GET')).status for _ in range(6)
+        ]
+        assert statuses == [200] * 6
+
+
+async def test_no_more_servers_are_tried_than_the_route_allows(tmp_path):
+    async with staging(tmp_path, reset, reset, reset) as stage:
+        found = await stage.call('/safe/1', method='GET')
+        assert found.status == 502
+        runs = sum(len(replica.received) for replica in stage.replicas)
+        assert runs == 2
+
+
+async def test_a_kept_connection_that_dies_is_not_proof_that_nothing_ran(
+    tmp_path,
+):
+    async def run(peer):
+        if len(replica.received) == 1:
+            await peer.answer()
+        else:
+            peer.reset()
+
+    async with staging(tmp_path, run) as stage:
+        replica = stage.replicas[0]
+        assert (await stage.call('/once/1')).status == 200
+        assert (await stage.call('/once/2')).status == 502
+        assert [seen.target for seen in replica.received] == [
+            '/once/1',
+            '/once/2',
+        ]
+        assert replica.received[1].connection == 1
+
+
+async def test_the_answer_to_another_request_is_not_passed_on(tmp_path):
+    async def run(peer):
+        await peer.answer(oleanderdyke_request_id='req-other')
+
+    async with staging(tmp_path, run) as stage:
+        found = await stage.call('/once/1')
+        assert found.status == 502
+
+
+async def test_a_success_without_the_mark_of_a_server_is_no_success(tmp_path):
+    async def run(peer):
+        await peer.answer(oleanderdyke_response_seal='')
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 502
+
+
+async def test_bytes_after_an_answer_end_the_connection(tmp_path):
+    async def run(peer):
+        extra = make_answer(peer.request, body=b'again')
+        await peer.send(make_answer(peer.request) + extra)
+
+    async with staging(tmp_path, run) as stage:
+        for number in range(3):
+            found = await stage.call(f'/once/{number}')
+            assert (found.status, found.body) == (200, b'done')
+        assert stage.replicas[0].connections == 3
+
+
+async def test_bytes_that_come_late_end_the_connection(tmp_path):
+    async def run(peer):
+        await peer.answer()
+        await asyncio.sleep(0.05)
+        await peer.send(make_answer(peer.request, body=b'again'))
+
+    async with staging(tmp_path, run) as stage:
+        for number in range(2):
+            found = await stage.call(f'/once/{number}')
+            assert (found.status, found.body) == (200, b'done')
+            await anyio.sleep(0.1)
+        assert stage.replicas[0].connections == 2
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        b'HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\nshort',
+        b'this is no answer\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab',
+    ],
+)
+async def test_a_broken_answer_is_never_taken_for_whole(tmp_path, broken):
+    async def run(peer):
+        await peer.send(broken)
+        peer.writer.close()
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 502
+
+
+async def test_an_answer_that_ends_with_its_connection_is_whole(tmp_path):
+    async def run(peer):
+        await peer.send(make_head(peer.request) + b'all of it')
+        peer.writer.close()
+
+    async with staging(tmp_path, run) as stage:
+        found = await stage.call('/once/1')
+        assert (found.status, found.body) == (200, b'all of it')
+        assert found.is_whole
+
+
+async def test_an_answer_without_length_that_is_reset_is_not_whole(tmp_path):
+    async def run(peer):
+        await peer.send(make_head(peer.request) + b'some of it')
+        await asyncio.sleep(0.05)
+        peer.reset()
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 502
+
+
+async def test_information_before_an_answer_is_passed_over(tmp_path):
+    async def run(peer):
+        await peer.send(b'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n')
+        await peer.answer()
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 200
+
+
+async def test_an_early_answer_is_passed_on_and_its_body_ends_whole(tmp_path):
+    """A server may answer at once and read the rest of a body later."""
+    body = bytes(range(256)) * 12_000
+    found: list[bytes] = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(
+                    b'HTTP/1.1 413 Too Large\r\n'
+                    b'oleanderdyke-request-id: req-1\r\n'
+                    b'oleanderdyke-response-seal: seal\r\n'
+                    b'content-length: 0\r\n\r\n'
+                )
+                await asyncio.sleep(0.05)
+                found.append(await reader.readexactly(len(body)))
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.drop(SERVERS, 'i-0')
+        stage.store.put(SERVERS, 'i-9', make_record(f'127.0.0.1:{port}'))
+        await anyio.sleep(0.7)
+        for _ in range(3):
+            assert (await stage.call('/once/1', body=body)).status == 413
+            await anyio.sleep(0.1)
+    assert all(each == body for each in found)
+    listener.close()
+
+
+async def test_another_server_at_the_address_runs_nothing(tmp_path):
+    async def misdirected(peer):
+        await peer.answer(421, b'', oleanderdyke_instance_id='i-else')
+
+    async with staging(tmp_path, misdirected, misdirected, answer_well) as s:
+        assert (await s.call('/once/1')).status == 200
+
+
+async def test_a_server_that_leaves_gets_nothing_more(tmp_path):
+    async with staging(tmp_path, answer_well, answer_well) as stage:
+        address = stage.core.book.find('i-0').record.address
+        leaving = make_record(address, state='draining')
+        stage.store.put(SERVERS, 'i-0', leaving)
+        await anyio.sleep(0.8)
+        for number in range(8):
+            assert (await stage.call(f'/once/{number}')).status == 200
+        assert not stage.replicas[0].received
+
+
+async def test_a_server_that_left_never_comes_back(tmp_path):
+    async with staging(tmp_path, answer_well, answer_well) as stage:
+        address = stage.core.book.find('i-0').record.address
+        leaving = make_record(address, state='draining')
+        stage.store.put(SERVERS, 'i-0', leaving)
+        await anyio.sleep(0.8)
+        stage.store.put(SERVERS, 'i-0', make_record(address))
+        await anyio.sleep(0.8)
+        for number in range(8):
+            await stage.call(f'/once/{number}')
+        assert not stage.replicas[0].received
+
+
+async def test_a_stream_goes_on_elsewhere_each_event_once(tmp_path):
+    first = stream(1, 3, ending=b'')
+    second = stream(3, 6)
+    async with staging(tmp_path, first, second) as stage:
+        bodies = [
+            (await stage.call('/stream/1', oleanderdyke_deadline_ms='1900'))
+            for _ in range(4)
+        ]
+    whole = b''.join(make_event(number) for number in range(1, 7))
+    resumed = [found for found in bodies if found.body == whole]
+    assert resumed
+    assert all(found.is_whole for found in resumed)
+    told = [
+        seen.headers.get('last-event-id') for seen in stage.replicas[1].received
+    ]
+    assert '3' in told
+
+
+async def test_a_cut_event_is_not_passed_on_twice(tmp_path):
+    async def cut(peer):
+        await peer.send(
+            make_head(
+                peer.request,
+                content_type='text/event-stream',
+                transfer_encoding='chunked',
+            )
+        )
+        await peer.send(make_chunk(make_event(1) + make_event(2)[:9]))
+        peer.reset()
+
+    async with staging(tmp_path, cut, stream(2, 3)) as stage:
+        found = [await stage.call('/stream/1') for _ in range(4)]
+    whole = b''.join(make_event(number) for number in range(1, 4))
+    assert whole in [each.body for each in found]
+    for each in found:
+        assert each.body.count(b'id: 1\n') <= 1
+
+
+async def test_a_stream_that_may_not_be_resumed_ends_broken(tmp_path):
+    async with staging(tmp_path, stream(1, 3, ending=b'')) as stage:
+        found = await stage.call('/letter/1')
+        assert not found.is_whole
+
+
+async def test_a_caller_that_left_is_not_worked_for(tmp_path):
+    closed = anyio.Event()
+
+    async def wait(peer):
+        await peer.wait_closed()
+        closed.set()
+
+    async with staging(tmp_path, wait) as stage:
+        _, writer = await asyncio.open_connection(*stage.address)
+        writer.write(make_request('/safe/1', method='GET'))
+        await anyio.sleep(0.1)
+        writer.close()
+        with anyio.fail_after(0.5):
+            await closed.wait()
+
+
+async def test_an_answer_that_never_comes_ends_at_the_timeout(tmp_path):
+    async def wait(peer):
+        await peer.wait_closed()
+
+    async with staging(tmp_path, wait) as stage:
+        started = stage.core.clock.now()
+        found = await stage.call('/once/1', oleanderdyke_deadline_ms='9000')
+        assert found.status == 504
+        assert 1_900 < stage.core.clock.now() - started < 2_400
+
+
+async def test_a_dead_server_costs_a_connect_and_no_request(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.put(SERVERS, 'i-7', make_record('127.0.0.1:9'))
+        await anyio.sleep(0.7)
+        for number in range(6):
+            assert (await stage.call(f'/once/{number}')).status == 200
+
+
+async def test_connections_are_kept(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        for number in range(5):
+            await stage.call(f'/once/{number}')
+        assert stage.replicas[0].connections == 1
+
+
+async def test_a_planned_stop_cuts_no_request_off(tmp_path):
+    release = anyio.Event()
+
+    async def wait(peer):
+        await release.wait()
+        await peer.answer(body=b'late but whole')
+
+    async with staging(tmp_path, wait, grace=5_000.0) as stage:
+        reader, writer = await asyncio.open_connection(*stage.address)
+        writer.write(make_request('/once/1', connection='keep-alive'))
+        await anyio.sleep(0.1)
+        signal.raise_signal(signal.SIGTERM)
+        await anyio.sleep(0.1)
+        assert not await stage.is_ready()
+        release.set()
+        found = await read_answer(reader)
+        assert (found.status, found.body) == (200, b'late but whole')
+        assert found.headers['connection'] == 'close'
+        writer.close()
+
+
+async def test_a_stopping_entry_still_takes_what_ends_in_time(tmp_path):
+    async with staging(tmp_path, answer_well, grace=4_000.0) as stage:
+        await stage.call('/once/1')
+        signal.raise_signal(signal.SIGTERM)
+        await anyio.sleep(0.1)
+        assert (await stage.call('/once/2')).status == 200
+
+
+async def test_settings_that_turn_bad_are_told_and_change_nothing(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        (tmp_path / 'boot.conf').write_text('nodeName=front-1\n')
+        signal.raise_signal(signal.SIGHUP)
+        await anyio.sleep(0.2)
+        assert (await stage.call('/once/1')).status == 200
+    assert 'event=record_refused' in stage.log.read_text()
+
+
+async def test_requests_in_one_body_are_one_request(tmp_path):
+    smuggled = b'GET /safe/2 HTTP/1.1\r\nhost: rooms.example\r\n\r\n'
+    async with staging(tmp_path, answer_well) as stage:
+        await stage.call('/once/1', body=smuggled)
+    (seen,) = stage.replicas[0].received
+    assert seen.body == smuggled
+
+
+async def test_both_length_and_chunks_are_framed_anew(tmp_path):
+    raw = (
+        b'POST /once/1 HTTP/1.1\r\nhost: rooms.example\r\n'
+        b'oleanderdyke-request-id: req-1\r\noleanderdyke-key: key-of-red\r\n'
+        b'content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'4\r\nabcd\r\n0\r\n\r\n'
+    )
+    async with staging(tmp_path, answer_well) as stage:
+        reader, writer = await asyncio.open_connection(*stage.address)
+        writer.write(raw)
+        found = await read_answer(reader)
+        writer.close()
+    assert found.status in {200, 400}
+    for seen in stage.replicas[0].received:
+        assert seen.body == b'abcd'
+        assert seen.headers['content-length'] == '4'
+
+
+async def test_a_server_taken_off_the_list_comes_back_with_its_entry(tmp_path):
+    async with (
+        serving_replica(answer_well) as (replica, address),
+        staging(tmp_path, answer_well) as stage,
+    ):
+        stage.store.drop(SERVERS, 'i-0')
+        stage.store.put(SERVERS, 'i-5', make_record(address))
+        await anyio.sleep(0.8)
+        assert (await stage.call('/once/1')).status == 200
+        assert len(replica.received) == 1
+
+
+async def test_readiness_is_told_at_its_own_address_only(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        assert await stage.is_ready()
+        found = await call(stage.address, '/api/readiness', method='GET')
+        assert found.status == 404
