--- a/tests/standins/records.py
+++ b/tests/standins/records.py
@@ -120,10 +120,15 @@
     if start < topic.first:
         return web.answer_json({'first': topic.first}, 410)
     if start >= topic.end:
-        wait = float(request.query.get('waitMs', '0'))
-        with anyio.move_on_after(wait / _MILLIS):
-            await topic.changed.wait()
+        await request.body()
+        await web.run_until_closed(request, lambda: _wait(topic, request))
     records = topic.records[max(start - topic.first, 0) :]
     data = b''.join(_LENGTH.pack(len(each)) + each for each in records)
     ends = _ENDS.pack(topic.end, topic.first)
     return web.Answer(200, ends + data, 'application/octet-stream')
+
+
+async def _wait(topic: Topic, request: web.Request) -> None:
+    wait = float(request.query.get('waitMs', '0'))
+    with anyio.move_on_after(wait / _MILLIS):
+        await topic.changed.wait()
