--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 
 import anyio
@@ -49,6 +49,7 @@
 _ROLLOUT_PERIOD: Millis = 300.0
 _IDLE_PERIOD: Millis = 100.0
 _READ_BACK: Millis = 20.0
+_STOPPING = (signal.SIGTERM, signal.SIGINT)
 
 
 class HostedAgent:
@@ -72,7 +73,10 @@
         self._fence: int | None = None
         self._server = ''
         self._queue = LoadQueue()
-        self._loads = LoadFeed(StoreClient(settings.store, wait=_OPERATOR_WAIT))
+        self._loads = LoadFeed(
+            StoreClient(settings.store, wait=_OPERATOR_WAIT),
+            self._refuse_notice,
+        )
         self._operator = KeyedFeed(
             self._long,
             names.OPERATOR_TOPIC,
@@ -85,20 +89,24 @@
         self._log.write(
             EventName.PROCESS_STARTED, address=self._settings.server
         )
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
+        with anyio.open_signal_receiver(*_STOPPING, signal.SIGHUP) as signals:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._follow)
                 tasks.start_soon(self._follow_loads)
                 tasks.start_soon(self._roll_out)
-                async for number in signals:
-                    name = signal.Signals(number).name
-                    self._log.write(EventName.PROCESS_STOPPING, signal=name)
-                    tasks.cancel_scope.cancel()
-                    break
+                await self._wait_stop(signals)
+                tasks.cancel_scope.cancel()
         self._log.write(EventName.PROCESS_STOPPED)
 
+    async def _wait_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            name = signal.Signals(number).name
+            if number in _STOPPING:
+                self._log.write(EventName.PROCESS_STOPPING, signal=name)
+                return
+            # Nothing that an agent is told can change while it runs.
+            self._log.write(EventName.SETTINGS_RELOADED, signal=name)
+
     async def _follow(self) -> None:
         while True:
             await self._try_store('operator', self._operator.read)
@@ -223,14 +231,13 @@
         while True:
             await self._try_store('loads', self._read_loads)
 
+    def _refuse_notice(self, error: MalformedRecord) -> None:
+        self._log.write(
+            EventName.RECORD_REFUSED, name='loads', detail=error.message
+        )
+
     async def _read_loads(self) -> None:
-        try:
-            notices = await self._loads.read()
-        except MalformedRecord as error:
-            self._log.write(
-                EventName.RECORD_REFUSED, name='loads', detail=error.message
-            )
-            return
+        notices = await self._loads.read()
         for notice in notices:
             self._queue.apply(notice, self._clock.now())
 
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -50,7 +50,9 @@
         store = core.settings.store
         self._long = StoreClient(store, wait=_CONFIGURATION_WAIT)
         self._short = StoreClient(store)
-        self._loads = LoadFeed(StoreClient(store, wait=_LOADS_WAIT))
+        self._loads = LoadFeed(
+            StoreClient(store, wait=_LOADS_WAIT), self._refuse_notice
+        )
         self._operator = KeyedFeed(
             self._long,
             names.OPERATOR_TOPIC,
@@ -76,13 +78,12 @@
         """Read which engines take new weights until cancelled."""
         await self._follow('loads', self._read_loads, 0.0)
 
+    def _refuse_notice(self, error: MalformedRecord) -> None:
+        self._log(EventName.RECORD_REFUSED, 'loads', error.message)
+
     async def _read_loads(self) -> None:
         core = self._core
-        try:
-            notices = await self._loads.read()
-        except MalformedRecord as error:
-            self._log(EventName.RECORD_REFUSED, 'loads', error.message)
-            return
+        notices = await self._loads.read()
         for notice in notices:
             core.loads.apply(notice, core.clock.now())
 
--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from oleanderdyke.kernel.rollout import LoadNotice, LoadStep
 from oleanderdyke.platform import names
@@ -14,16 +14,22 @@
 
 
 class LoadFeed:
-    """Read notices of loads in the order in which they were appended."""
+    """Read notices of loads in the order in which they were appended.
 
-    def __init__(self, client: StoreClient) -> None:
+    What can't be read is passed to `refuse` and left out.
+    """
+
+    def __init__(
+        self, client: StoreClient, refuse: Callable[[MalformedRecord], None]
+    ) -> None:
         self._client = client
+        self._refuse = refuse
         self._position = 0
 
     async def read(self) -> tuple[LoadNotice, ...]:
         """Return the next notices, waiting for some.
 
-        Raise StoreUnavailable, or MalformedRecord past what can be read.
+        Raise StoreUnavailable.
         """
         try:
             records = await self._client.read_plain(
@@ -33,19 +39,18 @@
             self._position = error.first or 0
             return ()
         self._position += len(records)
-        return tuple(_decode(records))
+        return tuple(self._decode(records))
+
+    def _decode(self, records: tuple[bytes, ...]) -> Iterator[LoadNotice]:
+        for record in records:
+            try:
+                found = json.loads(record)
+                yield LoadNotice(str(found['server']), LoadStep(found['step']))
+            except _MALFORMED as error:
+                self._refuse(MalformedRecord(f'load notice: {error!r}'))
 
 
 async def append_notice(client: StoreClient, notice: LoadNotice) -> None:
     """Append a notice; raise StoreUnavailable."""
     record = json.dumps({'server': notice.server, 'step': notice.step.value})
     await client.append(names.LOAD_TOPIC, record.encode())
-
-
-def _decode(records: tuple[bytes, ...]) -> Iterator[LoadNotice]:
-    for record in records:
-        try:
-            found = json.loads(record)
-            yield LoadNotice(str(found['server']), LoadStep(found['step']))
-        except _MALFORMED as error:
-            raise MalformedRecord(f'load notice: {error!r}') from error
--- /dev/null
+++ b/tests/test_hosted_agent.py
@@ -0,0 +1,242 @@
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+
+import anyio
+import pytest
+
+from oleanderdyke.agent.hosted.shell import HostedAgent
+from oleanderdyke.clock import make_clock
+from oleanderdyke.logs import make_event_log
+from oleanderdyke.platform.settings import HostSettings
+from tests.hosted import MODEL, OPERATOR, SERVERS, make_record
+from tests.standins import server
+from tests.standins.records import RecordFaults, RecordStore
+from tests.standins.replica import Peer, serving_replica
+
+LOADS = 'oleander-loads'
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class Engine:
+    """Hold weights and take orders; a load takes `load_seconds`."""
+
+    def __init__(self, load_seconds=0.05):
+        self.version = 1
+        self.busy = False
+        self.orders = []
+        self.accepted = 0
+        self.lose_answers = 0
+        self.outcome = 202
+        self._load_seconds = load_seconds
+
+    async def __call__(self, peer: Peer) -> None:
+        peer.request.headers.setdefault('oleanderdyke-request-id', '-')
+        if peer.request.target == '/api/report':
+            await peer.answer(body=json.dumps(self.report()).encode())
+            return
+        order = json.loads(peer.request.body)
+        order['instance'] = peer.request.headers['oleanderdyke-expect-instance']
+        self.orders.append(order)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            peer.reset()
+            return
+        if order['precondition'] != self.accepted:
+            await peer.answer(409)
+            return
+        await peer.answer(self.outcome)
+        if self.outcome == 202:
+            await self.load(order['version'])
+
+    async def load(self, version: int) -> None:
+        self.accepted += 1
+        self.busy = True
+        await anyio.sleep(self._load_seconds)
+        self.version, self.busy = version, False
+
+    def report(self):
+        models = [{'name': MODEL, 'version': self.version, 'adapters': []}]
+        return {'models': models, 'busy': self.busy, 'seq': self.accepted}
+
+
+class Stage:
+    """Hold a store, an engine and its agent."""
+
+    def __init__(self, store, engine, log):
+        self.store = store
+        self.engine = engine
+        self.log = log
+
+    def name(self, version):
+        named = {'model': MODEL, 'version': version}
+        self.store.put(OPERATOR, f'version/{MODEL}', named)
+
+    async def wait_version(self, version, seconds=5):
+        with anyio.fail_after(seconds):
+            while self.engine.version != version:
+                await anyio.sleep(0.02)
+
+    def list_notices(self):
+        return [json.loads(each) for each in self.store.find(LOADS).records]
+
+
+@contextlib.asynccontextmanager
+async def staging(directory, engine=None, before=()):
+    store, engine = RecordStore(), engine or Engine()
+    for notice in before:
+        store.find(LOADS).append(json.dumps(notice).encode())
+    async with (
+        server.serving(store) as (address,),
+        serving_replica(engine) as (_, where),
+        anyio.create_task_group() as tasks,
+    ):
+        record = make_record(where, models=[{'name': MODEL, 'version': 1}])
+        store.put(SERVERS, 'i-own', record)
+        settings = HostSettings(
+            process='side-1',
+            data_centre='hall',
+            ip='127.0.0.1',
+            store=address,
+            server=where,
+        )
+        log = directory / 'agent.log'
+        events = make_event_log('side-1', stream=log.open('w', buffering=1))
+        agent = HostedAgent(settings, events, make_clock())
+        tasks.start_soon(agent.run)
+        yield Stage(store, engine, log)
+        tasks.cancel_scope.cancel()
+
+
+async def test_named_weights_are_ordered_once(tmp_path):
+    async with staging(tmp_path) as stage:
+        stage.name(2)
+        await stage.wait_version(2)
+        await anyio.sleep(0.8)
+    (order,) = stage.engine.orders
+    assert order['op'] == 'version'
+    assert order['version'] == 2
+    assert order['instance'] == 'i-own'
+    assert order['holder'] == 'side-1'
+    assert [each['step'] for each in stage.list_notices()] == ['waits', 'ended']
+
+
+async def test_the_newest_of_two_named_versions_is_loaded(tmp_path):
+    async with staging(tmp_path) as stage:
+        stage.name(2)
+        stage.name(3)
+        await stage.wait_version(3)
+
+
+async def test_older_weights_are_never_ordered(tmp_path):
+    engine = Engine()
+    engine.version = 5
+    async with staging(tmp_path, engine) as stage:
+        stage.name(4)
+        await anyio.sleep(0.8)
+    assert not engine.orders
+
+
+async def test_an_order_without_answer_is_repeated_on_the_same_terms(tmp_path):
+    engine = Engine()
+    engine.lose_answers = 2
+    async with staging(tmp_path, engine) as stage:
+        stage.name(2)
+        await stage.wait_version(2)
+    assert {order['precondition'] for order in engine.orders} == {0}
+
+
+async def test_an_order_that_arrives_late_after_a_newer_one_does_nothing(
+    tmp_path,
+):
+    engine = Engine()
+    async with staging(tmp_path, engine) as stage:
+        stage.name(2)
+        await stage.wait_version(2)
+        late = engine.orders[0]
+        assert late['precondition'] != engine.accepted
+
+
+async def test_every_process_has_a_fence_of_its_own(tmp_path):
+    fences = []
+    store_of_one = []
+    for _ in range(2):
+        async with staging(tmp_path) as stage:
+            if store_of_one:
+                topic = stage.store.find('oleander-fences')
+                topic.records.extend(store_of_one)
+            stage.name(2)
+            await stage.wait_version(2)
+            store_of_one = list(stage.store.find('oleander-fences').records)
+        fences.append(stage.engine.orders[0]['fence'])
+    assert fences[0] < fences[1]
+
+
+async def test_a_fence_that_is_too_old_is_replaced(tmp_path):
+    engine = Engine()
+    engine.outcome = 412
+    async with staging(tmp_path, engine) as stage:
+        stage.name(2)
+        with anyio.fail_after(5):
+            while len(engine.orders) < 2:
+                await anyio.sleep(0.02)
+        engine.outcome = 202
+        await stage.wait_version(2)
+    fences = [order['fence'] for order in engine.orders]
+    assert fences == sorted(set(fences))
+
+
+async def test_two_that_load_are_waited_for(tmp_path):
+    before = [
+        {'server': 'i-a', 'step': 'waits'},
+        {'server': 'i-b', 'step': 'waits'},
+    ]
+    async with staging(tmp_path, before=before) as stage:
+        stage.name(2)
+        await anyio.sleep(1.0)
+        assert not stage.engine.orders
+        ended = {'server': 'i-a', 'step': 'ended'}
+        stage.store.find(LOADS).append(json.dumps(ended).encode())
+        await stage.wait_version(2)
+
+
+async def test_a_lost_answer_of_the_store_stops_nothing(tmp_path):
+    async with staging(tmp_path) as stage:
+        stage.store.faults = RecordFaults(lose_answers=1)
+        stage.store.note_faults()
+        stage.name(2)
+        await stage.wait_version(2, seconds=8)
+
+
+async def test_a_malformed_notice_is_told_and_passed_over(tmp_path):
+    async with staging(tmp_path) as stage:
+        stage.store.find(LOADS).append(b'no notice')
+        await anyio.sleep(0.1)
+        stage.name(2)
+        await stage.wait_version(2)
+    assert 'event=record_refused' in stage.log.read_text()
+
+
+async def test_a_changed_settings_file_does_not_end_an_agent(tmp_path):
+    async with staging(tmp_path) as stage:
+        await anyio.sleep(0.2)
+        signal.raise_signal(signal.SIGHUP)
+        await anyio.sleep(0.1)
+        stage.name(2)
+        await stage.wait_version(2)
+
+
+async def test_a_stopped_agent_tells_so(tmp_path):
+    async with staging(tmp_path) as stage:
+        await anyio.sleep(0.2)
+        signal.raise_signal(signal.SIGTERM)
+        await anyio.sleep(0.2)
+        assert 'event=process_stopped' in stage.log.read_text()
