Prove the platform's parts and the use of context stores

A test fails when a name of the platform stands outside its folder. The decision when context may be freed moves to the kernel.

--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -2,47 +2,36 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import anyio
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
-from oleanderdyke.kernel.context_stores import VIEW_LIFE, StoreView
+from oleanderdyke.kernel.context_stores import StoreView
+from oleanderdyke.kernel.outdated import OutdatedContext
 from oleanderdyke.platform.contexts import ContextClient, ContextUnavailable
 
 _RETRY_PAUSE: Millis = 300.0
 _PERIOD: Millis = 250.0
-# The list of servers is read every half second, and a read may fail.
-_FREE_MARGIN: Millis = 2 * SECOND
 # Entries don't all free the same parts at once.
 _FREE_SPREAD: Millis = 1.5 * SECOND
 _FREE_LIMIT: Millis = 1 * SECOND
 
 
-@dataclass(frozen=True, slots=True)
-class _Settled:
-    """Hold since when every engine has some weights or newer ones."""
-
-    version: int
-    since: Millis
-
-
 class ContextWatch:
     """Keep the views of all stores of one entry."""
 
     def __init__(self, core: HostedCore) -> None:
         self._core = core
         self._followed: dict[str, anyio.CancelScope] = {}
-        self._settled: dict[str, _Settled] = {}
+        self._outdated = OutdatedContext()
 
     async def run(self) -> None:
         """Follow the stores that the configuration names until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
                 self._configure()
-                self._note_settled()
+                self._note_weights()
                 views = self._core.contexts.views
                 for address in set(views) - set(self._followed):
                     self._followed[address] = anyio.CancelScope()
@@ -97,38 +86,21 @@
             found = await client.read_events(0)
         view.take(found, asked_at, self._core.clock.now())
 
-    def _note_settled(self) -> None:
-        """Note since when no engine is left on replaced weights."""
+    def _note_weights(self) -> None:
+        """Note which weights are newest and which engines still hold."""
         core = self._core
         now = core.clock.now()
-        for model, version in core.versions.items():
+        for model, newest in core.versions.items():
             oldest = core.book.find_oldest_version(model)
-            is_settled = oldest is not None and oldest >= version
-            known = self._settled.get(model)
-            if not is_settled or core.is_stale:
-                self._settled.pop(model, None)
-            elif known is None or known.version != version:
-                self._settled[model] = _Settled(version, now)
-
-    def _find_settled(self) -> dict[str, int]:
-        """Return the weights before which no context can be in use.
-
-        An engine fetches context only under the weights that it holds, and
-        under a view of the list that is no older than VIEW_LIFE.
-        """
-        before = self._core.clock.now() - VIEW_LIFE - _FREE_MARGIN
-        return {
-            model: settled.version
-            for model, settled in self._settled.items()
-            if settled.since < before
-        }
+            known = None if core.is_stale else oldest
+            self._outdated.note(model, newest, known, now)
 
     async def _free_outdated(
         self, client: ContextClient, view: StoreView
     ) -> None:
         """Free parts of old weights once no fetch of them can be running."""
         core = self._core
-        settled = self._find_settled()
+        settled = self._outdated.list_settled(core.clock.now())
         outdated = tuple(view.list_outdated(settled))
         boot = view.boot
         if not outdated or boot is None:
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,344 @@
+from __future__ import annotations
+
+import pytest
+
+from oleanderdyke.kernel.backends import BackendBook, Owed
+from oleanderdyke.kernel.durations import Durations
+from oleanderdyke.kernel.overload import (
+    LATE_RANK,
+    Patience,
+    find_patience,
+    should_refuse,
+)
+from oleanderdyke.kernel.placement import (
+    SILENCE_LIMIT,
+    CallDemand,
+    choose_backend,
+    is_usable,
+)
+from oleanderdyke.kernel.rollout import (
+    EngineState,
+    LoadNotice,
+    LoadQueue,
+    LoadStep,
+    Target,
+    find_target,
+)
+from oleanderdyke.kernel.servers import (
+    ModelDemand,
+    PromptPart,
+    ServerLoad,
+    ServerRecord,
+)
+
+PARTS = (
+    PromptPart('sys', 2_000),
+    PromptPart('book', 5_000),
+    PromptPart('own', 500),
+)
+MODEL = ModelDemand('m', 7_500, 80, PARTS)
+
+
+def make_record(server='a', **changes) -> ServerRecord:
+    fields = {
+        'service': 'desk',
+        'address': f'{server}:1',
+        'data_centre': 'hall',
+        **changes,
+    }
+    return ServerRecord(server, **fields)
+
+
+def make_book(*servers, **changes) -> BackendBook:
+    book = BackendBook()
+    book.replace([make_record(each, **changes) for each in servers], 0.0)
+    book.note_read(0.0)
+    return book
+
+
+def make_engines(*servers) -> BackendBook:
+    return make_book(*servers, versions={'m': 1})
+
+
+def choose(book, now=0.0, **changes):
+    demand = CallDemand(service='desk', data_centre='hall', **changes)
+    choice = choose_backend(demand, book, now)
+    return None if choice is None else choice.backend.record.server
+
+
+def list_names(book, now=0.0):
+    return sorted(each.record.server for each in book.list_service('desk', now))
+
+
+def test_a_server_that_leaves_gets_nothing_and_never_comes_back():
+    book = make_book('a', 'b')
+    book.put(make_record('a', is_leaving=True), 1.0)
+    assert list_names(book) == ['b']
+    book.put(make_record('a'), 2.0)
+    book.replace([make_record('a'), make_record('b')], 3.0)
+    assert list_names(book) == ['b']
+
+
+def test_a_server_off_the_list_is_gone_at_once():
+    book = make_book('a', 'b')
+    book.note_read(500.0)
+    book.remove('a', 500.0)
+    assert list_names(book, 500.0) == ['b']
+
+
+def test_an_entry_that_lapsed_with_the_store_may_come_back_for_two_seconds():
+    book = make_book('a', 'b')
+    book.replace([make_record('b')], 9_000.0)
+    book.note_read(9_000.0)
+    assert list_names(book, 10_000.0) == ['a', 'b']
+    book.put(make_record('a'), 10_500.0)
+    assert list_names(book, 12_000.0) == ['a', 'b']
+
+
+def test_an_entry_still_missing_two_seconds_after_the_store_is_back_is_gone():
+    book = make_book('a', 'b')
+    book.replace([make_record('b')], 9_000.0)
+    book.note_read(9_000.0)
+    assert list_names(book, 11_001.0) == ['b']
+
+
+def test_a_version_that_an_answer_showed_is_not_taken_back_by_the_list():
+    book = make_engines('a')
+    book.note_version('a', 'm', 3)
+    book.put(make_record('a', versions={'m': 2}), 1.0)
+    assert book.find('a').record.versions == {'m': 3}
+
+
+def test_new_weights_hold_none_of_the_old_context():
+    book = make_engines('a')
+    book.note_kept('a', PARTS, 60_000)
+    assert book.find('a').count_kept(PARTS) == 7_500
+    book.note_version('a', 'm', 2)
+    assert book.find('a').count_kept(PARTS) == 0
+
+
+def test_the_oldest_weights_count_engines_that_leave_too():
+    book = make_engines('a', 'b')
+    book.note_version('a', 'm', 2)
+    book.put(make_record('b', versions={'m': 1}, is_leaving=True), 1.0)
+    assert book.find_oldest_version('m') == 1
+    book.note_version('b', 'm', 2)
+    assert book.find_oldest_version('m') == 2
+    assert book.find_oldest_version('other') is None
+
+
+def test_a_server_that_fails_is_left_out_longer_each_time():
+    book = make_book('a', 'b')
+    book.note_failed('a', 0.0)
+    assert not is_usable(book.find('a'), 400.0)
+    assert is_usable(book.find('a'), 501.0)
+    book.note_failed('a', 600.0)
+    assert not is_usable(book.find('a'), 1_500.0)
+    book.note_good('a')
+    book.note_failed('a', 2_000.0)
+    assert is_usable(book.find('a'), 2_501.0)
+
+
+def test_where_all_have_failed_one_is_still_tried():
+    book = make_book('a')
+    book.note_failed('a', 0.0)
+    assert choose(book, 1.0) == 'a'
+
+
+def test_a_server_that_owes_bytes_and_sends_none_is_left_out():
+    book = make_book('a', 'b')
+    book.note_sent('a', 'x', Owed(0.0, 0))
+    late = SILENCE_LIMIT + 1
+    assert not is_usable(book.find('a'), late)
+    book.note_heard('a', 'other', late)
+    assert is_usable(book.find('a'), late)
+
+
+def test_calls_go_to_the_server_with_fewest():
+    book = make_book('a', 'b')
+    book.note_sent('a', 'x', Owed(0.0, 0))
+    assert choose(book) == 'b'
+    book.note_load('b', ServerLoad(5, 3, 6), 0.0)
+    assert choose(book) == 'a'
+
+
+def test_calls_stay_in_their_data_centre_where_all_else_is_equal():
+    book = BackendBook()
+    book.replace([make_record('a', data_centre='yard'), make_record('b')], 0.0)
+    assert choose(book) == 'b'
+
+
+def test_excluded_servers_and_those_that_load_get_nothing():
+    book = make_engines('a', 'b', 'c')
+    found = choose(
+        book,
+        model=MODEL,
+        excluded=frozenset({'a'}),
+        loading=frozenset({'b'}),
+    )
+    assert found == 'c'
+    assert choose(book, excluded=frozenset({'a', 'b', 'c'})) is None
+
+
+def test_prompts_go_where_their_context_is_kept():
+    book = make_engines('a', 'b', 'c')
+    for server in ('a', 'b', 'c'):
+        others = {'a', 'b', 'c'} - {server}
+        fresh = make_engines('a', 'b', 'c')
+        fresh.note_kept(server, PARTS, 60_000)
+        assert choose(fresh, model=MODEL) == server
+        assert others
+    assert choose(book, model=MODEL) in {'a', 'b', 'c'}
+
+
+def test_every_entry_looks_for_context_at_the_same_servers():
+    names = [f's{number}' for number in range(9)]
+    first = {choose(make_engines(*names), model=MODEL) for _ in range(3)}
+    second = choose(make_engines(*reversed(names)), model=MODEL)
+    assert first == {second} or len(first) == 1
+
+
+def test_new_weights_are_preferred():
+    book = make_engines('a', 'b')
+    book.note_version('b', 'm', 2)
+    assert choose(book, model=MODEL, newest_version=2) == 'b'
+
+
+def test_long_answers_avoid_engines_that_load_next():
+    book = make_engines('a', 'b')
+    book.note_kept('a', PARTS, 60_000)
+    found = choose(
+        book,
+        model=ModelDemand('m', 7_500, 900, PARTS),
+        newest_version=2,
+        draining=frozenset({'a'}),
+    )
+    assert found == 'b'
+
+
+def test_a_queue_is_seen_by_first_bytes_and_by_their_absence():
+    book = make_engines('a')
+    backend = book.find('a')
+    book.note_sent('a', 'x', Owed(0.0, 0))
+    assert backend.find_delay(0, 445.0) == pytest.approx(400.0)
+    book.note_heard('a', 'x', 445.0)
+    assert backend.find_delay(0, 445.0) > 100.0
+    assert backend.find_delay(0, 9_000.0) == 0.0
+
+
+def test_what_is_less_urgent_delays_nobody():
+    book = make_engines('a')
+    book.note_sent('a', 'x', Owed(0.0, 9_000, rank=LATE_RANK))
+    backend = book.find('a')
+    assert backend.find_delay(1, 5_000.0) == 0.0
+    assert backend.count_owed_tokens(1) == 0
+    assert backend.count_owed_tokens(LATE_RANK) == 9_000
+
+
+def test_an_old_load_fades_and_does_not_look_idle_at_once():
+    book = make_engines('a')
+    book.note_load('a', ServerLoad(30, 20, 128), 0.0)
+    backend = book.find('a')
+    assert backend.count_waiting(0.0) == 20
+    assert 5 < backend.count_waiting(1_500.0) < 15
+    assert backend.count_waiting(4_000.0) == 0
+
+
+def test_running_tokens_are_given_back():
+    book = make_engines('a')
+    book.note_sent('a', 'x', Owed(0.0, 10, memory=700))
+    assert book.find('a').running_tokens == 700
+    book.note_ended('a', 'x', 700)
+    assert (book.find('a').running, book.find('a').running_tokens) == (0, 0)
+
+
+def refuse(waited=0.0, **changes):
+    facts = {
+        'expected': 10.0,
+        'waiting': 0,
+        'fill': 0.2,
+        'size': 1.0,
+        'drawn': 0.5,
+        **changes,
+    }
+    return should_refuse(Patience(waited, 400.0), **facts)
+
+
+def test_nothing_is_refused_while_places_are_free():
+    assert not any(refuse(drawn=drawn / 100) for drawn in range(100))
+
+
+def test_a_first_try_that_would_be_late_is_refused_and_a_second_is_not():
+    assert refuse(expected=500.0)
+    assert not refuse(expected=500.0, waited=300.0)
+
+
+def test_a_growing_part_is_refused_as_engines_fill():
+    refused = [
+        sum(refuse(fill=fill, drawn=drawn / 100) for drawn in range(100))
+        for fill in (0.8, 0.9, 1.0, 1.1, 2.0)
+    ]
+    assert refused == sorted(refused)
+    assert refused[0] == 0
+    assert refused[-1] == 95
+
+
+def test_small_requests_are_refused_less_often():
+    assert refuse(fill=1.1, drawn=0.5, size=1.0)
+    assert not refuse(fill=1.1, drawn=0.5, size=0.1)
+
+
+def test_how_long_a_caller_has_waited_follows_from_its_deadline():
+    assert find_patience(4_000, 4_000, 400).is_first_try
+    assert find_patience(3_500, 4_000, 400).is_late
+    assert find_patience(None, 4_000, 400).is_first_try
+
+
+def notice(queue, server, step=LoadStep.WAITS, now=0.0):
+    queue.apply(LoadNotice(server, step), now)
+
+
+def test_two_engines_load_at_once_in_the_order_of_the_log():
+    queue = LoadQueue()
+    for server in 'abcde':
+        notice(queue, server)
+    assert queue.list_loading() == ('a', 'b')
+    assert queue.list_next() == ('c', 'd')
+    notice(queue, 'b', LoadStep.ENDED)
+    assert queue.list_loading() == ('a', 'c')
+    assert queue.may_load('c')
+    assert not queue.may_load('d')
+
+
+def test_an_engine_that_asks_twice_keeps_its_place():
+    queue = LoadQueue()
+    for server in 'aba':
+        notice(queue, server)
+    assert queue.list_loading() == ('a', 'b')
+
+
+def test_an_engine_that_is_stuck_is_passed_over():
+    queue = LoadQueue()
+    for server in 'abc':
+        notice(queue, server)
+    queue.tick(7_001.0)
+    assert queue.list_loading() == ('c',)
+    assert not queue.is_queued('a')
+
+
+def test_only_newer_weights_of_a_model_that_is_held_are_a_target():
+    state = EngineState({'m': 2}, is_busy=False, orders=0)
+    assert find_target(state, [Target('m', 2, 0.0)]) is None
+    assert find_target(state, [Target('other', 5, 0.0)]) is None
+    newer = Target('m', 3, 0.0)
+    assert find_target(state, [newer]) is newer
+
+
+def test_the_bound_of_a_duration_fades():
+    durations = Durations()
+    assert durations.find_bound('letter', 9_000.0) == 9_000.0
+    durations.note('letter', 5_000.0)
+    assert durations.find_bound('letter', 9_000.0) > 5_000.0
+    for _ in range(400):
+        durations.note('letter', 100.0)
+    assert durations.find_bound('letter', 9_000.0) < 1_000.0
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,322 @@
+from __future__ import annotations
+
+import ast
+import json
+import pathlib
+
+import pytest
+
+from oleanderdyke.clients.http import HOP_BY_HOP
+from oleanderdyke.errors import SettingsError
+from oleanderdyke.kernel.context_stores import ContextPlan, Source
+from oleanderdyke.kernel.deployment import CallKind
+from oleanderdyke.kernel.servers import ServerLoad
+from oleanderdyke.platform import names
+from oleanderdyke.platform.documents import (
+    MalformedRecord,
+    decode_configuration,
+    decode_server,
+    decode_version,
+)
+from oleanderdyke.platform.requests import (
+    Dispatch,
+    decode_answer,
+    decode_request,
+    encode_refusal,
+    encode_request,
+)
+from oleanderdyke.platform.settings import parse_host_settings
+from oleanderdyke.platform.store import RecordsExpired, StoreClient
+from tests.hosted import CONFIGURATION, make_record
+from tests.standins import server
+from tests.standins.records import RecordFaults, RecordStore
+
+SOURCES = pathlib.Path(__file__).parents[1] / 'src' / 'oleanderdyke'
+SETTINGS = """nodeName=front-1
+zone=hall
+ip=10.0.0.1
+zones.hall=north
+zones.yard=north
+listen.front=10.0.0.1:81
+platform.address=10.0.0.9:80
+limits.memoryMb=150
+bounds.graceS=8
+bounds.retrySlack=52
+strange.new=1
+"""
+TOPIC = 'keyed.servers'
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+def test_settings_are_read_and_unknown_fields_ignored():
+    settings = parse_host_settings(SETTINGS, 'boot.conf')
+    assert settings.process == 'front-1'
+    assert settings.data_centre == 'hall'
+    assert settings.data_centres == ('hall', 'yard')
+    assert settings.grace == 8_000
+    assert settings.retry_slack == 52
+    assert settings.memory_bytes == 150 * 1024 * 1024
+    assert settings.server == ''
+
+
+def test_every_fault_of_the_settings_is_told_at_once():
+    text = 'nodeName=a\nno mark\nbounds.graceS=soon\n'
+    with pytest.raises(SettingsError) as caught:
+        parse_host_settings(text, 'boot.conf')
+    told = str(caught.value)
+    for fault in (':2:', 'zone: is missing', 'platform.address', "'soon'"):
+        assert fault in told
+
+
+def test_a_configuration_is_decoded():
+    deployment = decode_configuration(json.dumps(CONFIGURATION).encode())
+    route = deployment.find_route('rooms.example', '/safe/9')
+    assert deployment.version == 7
+    assert route.kind is CallKind.IDEMPOTENT
+    assert route.attempts == 2
+    assert route.is_repeatable
+    assert deployment.key_owners['key-of-red'].team == 'red'
+    assert deployment.needs_key(route)
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    routes = [
+        {**CONFIGURATION['routes'][0], 'name': prefix, 'pathPrefix': prefix}
+        for prefix in ('/', '/a/', '/a/b/')
+    ]
+    text = json.dumps({**CONFIGURATION, 'routes': routes}).encode()
+    deployment = decode_configuration(text)
+    assert deployment.find_route('rooms.example', '/a/b/c').name == '/a/b/'
+    assert deployment.find_route('rooms.example', '/a/bc').name == '/a/'
+    assert deployment.find_route('rooms.example', '/x').name == '/'
+    assert deployment.find_route('else.example', '/x') is None
+
+
+def test_a_stream_that_may_not_be_resumed_may_not_be_repeated():
+    deployment = decode_configuration(json.dumps(CONFIGURATION).encode())
+    letter = deployment.find_route('rooms.example', '/letter/1')
+    stream = deployment.find_route('rooms.example', '/stream/1')
+    assert not letter.is_repeatable
+    assert stream.is_repeatable
+
+
+@pytest.mark.parametrize(
+    'text', [b'', b'{', b'[]', b'{}', b'{"version": 1, "routes": [{}]}']
+)
+def test_a_malformed_configuration_is_told(text):
+    with pytest.raises(MalformedRecord):
+        decode_configuration(text)
+
+
+def test_a_server_is_decoded():
+    record = make_record(
+        '10.0.0.2:80',
+        state='draining',
+        models=[{'name': 'm', 'version': 3, 'adapters': []}],
+    )
+    found = decode_server('i-1', json.dumps(record).encode())
+    assert found.server == 'i-1'
+    assert found.is_leaving
+    assert found.versions == {'m': 3}
+    assert found.data_centre == 'hall'
+
+
+@pytest.mark.parametrize('text', [b'{}', b'nothing', b'{"model": "m"}'])
+def test_malformed_records_are_told(text):
+    with pytest.raises(MalformedRecord):
+        decode_server('i-1', text)
+    with pytest.raises(MalformedRecord):
+        decode_version(text)
+
+
+def test_the_demand_of_a_request_is_decoded():
+    found = decode_request(
+        (
+            (names.REQUEST_ID, 'r1'),
+            (names.DEADLINE, '4000'),
+            (names.API_KEY, 'k'),
+            (names.MODEL, 'm'),
+            (names.TOKENS, '1460,80'),
+            (names.PROMPT_PARTS, '5c1e:800, 91bd:410,zz,e440:250'),
+            (names.LAST_EVENT, '12'),
+        )
+    )
+    assert (found.request, found.wait, found.api_key) == ('r1', 4_000, 'k')
+    assert found.last_event == '12'
+    demand = found.demand
+    assert (demand.prompt_tokens, demand.output_tokens) == (1460, 80)
+    assert [part.tokens for part in demand.parts] == [800, 410, 250]
+
+
+def test_what_is_malformed_in_a_head_is_left_out():
+    found = decode_request(
+        ((names.DEADLINE, 'soon'), (names.MODEL, 'm'), (names.TOKENS, 'x'))
+    )
+    assert found.wait is None
+    assert found.demand.prompt_tokens == 0
+
+
+def test_only_the_system_sets_its_headers():
+    sent = tuple((name, 'forged') for name in names.OWN_HEADERS)
+    kept = encode_request(
+        (*sent, ('connection', 'x-hop'), ('x-hop', '1'), ('x-end', '2')),
+        Dispatch(server='i-1', wait=500.4),
+    )
+    assert dict(kept) == {
+        'x-end': '2',
+        names.EXPECTED_INSTANCE: 'i-1',
+        names.DEADLINE: '500',
+    }
+    assert not HOP_BY_HOP & set(dict(kept))
+
+
+def test_where_context_comes_from_is_told_part_by_part():
+    plan = ContextPlan(
+        sources=(Source('a:1', 800), None, None),
+        sinks=('', 'b:2', ''),
+        until=12_345.9,
+    )
+    found = dict(
+        encode_request(
+            (),
+            Dispatch('i-1', 10.0, salt='1/m/', version=1, contexts=plan),
+        )
+    )
+    assert found[names.CONTEXT_SOURCE] == 'a:1/800,-,-'
+    assert found[names.CONTEXT_SINK] == '-,b:2,-'
+    assert found[names.CONTEXT_UNTIL] == '12345'
+    assert found[names.CACHE_SALT] == '1/m/'
+    assert found[names.EXPECTED_VERSION] == '1'
+
+
+def test_the_facts_of_an_answer_are_decoded():
+    found = decode_answer(
+        200,
+        (
+            (names.REQUEST_ID, 'r1'),
+            (names.SEAL, 's'),
+            (names.INSTANCE, 'i-1'),
+            (names.LOAD, '3,1,8'),
+            (names.WEIGHT_VERSION, '4'),
+            ('keep-alive', 'timeout=7, max=3'),
+        ),
+    )
+    assert found.is_sealed
+    assert not found.is_not_run
+    assert found.load == ServerLoad(3, 1, 8)
+    assert found.weight_version == 4
+    assert found.idle_timeout == 7_000
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'is_not_run'),
+    [
+        (503, ((names.NOT_RUN, '1'),), True),
+        (429, ((names.NOT_RUN, '1'),), True),
+        (421, (), True),
+        (503, (), False),
+        (429, (), False),
+    ],
+)
+def test_only_a_promise_counts_as_not_run(status, headers, is_not_run):
+    assert decode_answer(status, headers).is_not_run is is_not_run
+
+
+def test_when_to_come_back_is_told_in_seconds():
+    found = dict(encode_refusal('r1', 120.0))
+    assert found == {names.REQUEST_ID: 'r1', 'retry-after': '0.120'}
+
+
+@pytest.mark.anyio
+async def test_the_store_is_listed_and_read_on():
+    store = RecordStore()
+    store.put(TOPIC, 'a', {'n': 1})
+    store.put(TOPIC, 'a', {'n': 2})
+    async with server.serving(store) as (address,):
+        client = StoreClient(address)
+        page = await client.list_newest(TOPIC)
+        assert [record.key for record in page.records] == ['a']
+        assert json.loads(page.records[0].value) == {'n': 2}
+        store.put(TOPIC, 'b', {'n': 3})
+        store.drop(TOPIC, 'a')
+        later = await client.read_keyed(TOPIC, page.end)
+        assert [(r.key, r.value is None) for r in later.records] == [
+            ('b', False),
+            ('a', True),
+        ]
+        assert later.end == store.find(TOPIC).end
+        await client.close()
+
+
+@pytest.mark.anyio
+async def test_a_history_that_is_gone_or_went_back_is_told():
+    store = RecordStore()
+    store.put(TOPIC, 'a', {})
+    async with server.serving(store) as (address,):
+        client = StoreClient(address)
+        store.find(TOPIC).forget()
+        with pytest.raises(RecordsExpired) as caught:
+            await client.read_keyed(TOPIC, 0)
+        assert caught.value.first == 1
+        with pytest.raises(RecordsExpired):
+            await client.read_keyed(TOPIC, 50)
+        await client.close()
+
+
+@pytest.mark.anyio
+async def test_an_append_whose_answer_is_lost_may_have_happened():
+    store = RecordStore()
+    async with server.serving(store) as (address,):
+        client = StoreClient(address)
+        assert await client.append('ours', b'one') == 0
+        store.faults = RecordFaults(lose_answers=1)
+        store.note_faults()
+        offset = await client.append('ours', b'two')
+        assert store.find('ours').records[offset] == b'two'
+        await client.close()
+
+
+def list_platform_texts() -> frozenset[str]:
+    """Return every name of the platform that must not be used elsewhere."""
+    found = {
+        text
+        for name, text in vars(names).items()
+        if name.isupper() and isinstance(text, str)
+    }
+    return frozenset(found | names.OWN_HEADERS) - {'last-event-id', 'config'}
+
+
+def find_strings(path: pathlib.Path) -> set[str]:
+    tree = ast.parse(path.read_text(encoding='utf-8'))
+    return {
+        node.value
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Constant) and isinstance(node.value, str)
+    }
+
+
+def test_no_name_of_the_platform_stands_outside_its_folder():
+    known = list_platform_texts()
+    for path in SOURCES.rglob('*.py'):
+        if 'platform' in path.relative_to(SOURCES).parts:
+            continue
+        text = path.read_text(encoding='utf-8').lower()
+        used = {
+            each
+            for each in find_strings(path)
+            if each in known or each.lower().startswith('oleanderdyke-')
+        }
+        assert not used, path
+        for word in ('/api/', 'kv-events', 'log-append', 'servers/', 'op/'):
+            assert f"'{word}" not in text, path
+
+
+def test_the_check_of_names_can_fail():
+    assert 'oleanderdyke-key' in list_platform_texts()
+    assert find_strings(SOURCES / 'platform' / 'names.py') & (
+        list_platform_texts()
+    )
