Write logs to standard output within a budget and without waiting

Entries serve counters and histograms on a port of ours that the deploy file names. The daemon no longer knows the platform: each binary hands it what reads the settings.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -4,7 +4,6 @@
 
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
-from pathlib import Path
 
 import anyio
 
@@ -271,8 +270,6 @@
         return self._fence
 
 
-async def run_hosted_agent(
-    settings: HostSettings, log: EventLog, _: Path
-) -> None:
+async def run_hosted_agent(settings: HostSettings, log: EventLog) -> None:
     """Run an agent on the users' platform until it is told to stop."""
     await HostedAgent(settings, log, make_clock()).run()
--- a/src/oleanderdyke/agent/main.py
+++ b/src/oleanderdyke/agent/main.py
@@ -19,6 +19,7 @@
 from oleanderdyke.errors import SettingsError
 from oleanderdyke.links.tls import make_client_context, make_server_context
 from oleanderdyke.logs import EventLog
+from oleanderdyke.platform.settings import find_host_settings
 from oleanderdyke.policies.registries import KEEPERS
 
 _NAME = 'oleander-agent'
@@ -33,7 +34,7 @@
         settings_type=AgentSettings,
         find_faults=_find_faults,
         serve=_serve,
-        serve_hosted=run_hosted_agent,
+        hosted=daemon.Hosted(find_host_settings, run_hosted_agent),
     )
     return agent.run(arguments)
 
--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -5,22 +5,25 @@
 import argparse
 import os
 import sys
-from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Generic, Protocol, TypeVar
+from typing import Any, Generic, Protocol, TypeVar
 
 import anyio
 
 from oleanderdyke import __version__
+from oleanderdyke.clock import make_clock
 from oleanderdyke.errors import OleanderError, SettingsError
 from oleanderdyke.events import EventName, Level
-from oleanderdyke.logs import EventLog, make_event_log
-from oleanderdyke.platform.settings import (
-    HostSettings,
-    find_settings_path,
-    load_host_settings,
-)
+from oleanderdyke.logs import EventLog, make_event_log, make_pipe_log
 from oleanderdyke.settings import load_settings, show_settings
 
 _FAILED = 1
@@ -41,6 +44,29 @@
 SettingsT = TypeVar('SettingsT', bound=DaemonSettings)
 
 
+class HostedSettings(Protocol):
+    """Hold what the users' platform tells every process."""
+
+    @property
+    def process(self) -> str:
+        """Return the name of the process."""
+
+
+HostedT = TypeVar('HostedT', bound=HostedSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class Hosted(Generic[HostedT]):
+    """Describe how a daemon runs on the users' platform.
+
+    `load` reads the settings that the platform gives, from a file or from
+    where the environment says.
+    """
+
+    load: Callable[[Path | None, Mapping[str, str]], HostedT]
+    serve: Callable[[HostedT, EventLog], Awaitable[None]]
+
+
 @dataclass(frozen=True, slots=True)
 class Daemon(Generic[SettingsT]):
     """Describe a daemon; `find_faults` looks for contradicting settings."""
@@ -50,7 +76,7 @@
     settings_type: type[SettingsT]
     find_faults: Callable[[SettingsT], Iterable[str]]
     serve: Callable[[SettingsT, EventLog], Awaitable[None]]
-    serve_hosted: Callable[[HostSettings, EventLog, Path], Awaitable[None]]
+    hosted: Hosted[Any]
 
     def run(self, arguments: Sequence[str] | None = None) -> int:
         """Run until the daemon is told to stop; return its exit code."""
@@ -80,20 +106,20 @@
 
     def _run_hosted(self, options: argparse.Namespace) -> int:
         """Run on the users' platform, whose settings have its own format."""
-        path: Path = options.settings or find_settings_path(os.environ)
         try:
-            settings = load_host_settings(path)
+            settings = self.hosted.load(options.settings, os.environ)
         except SettingsError as error:
             error.show()
             return error.exit_code
-        if options.check:
-            sys.stdout.write(f'{path}: no faults\n')
-            return 0
         if options.print_settings:
             sys.stdout.write(show_settings(settings))
             return 0
-        log = make_event_log(settings.process, stream=sys.stdout)
-        return _run(log, self.serve_hosted, settings, log, path)
+        if options.check:
+            sys.stdout.write('no faults\n')
+            return 0
+        descriptor = sys.stdout.fileno()
+        log = make_pipe_log(settings.process, make_clock(), descriptor)
+        return _run(log, self.hosted.serve, settings, log)
 
     def _serve(self, settings: SettingsT) -> int:
         log = make_event_log(settings.process, settings.log_level)
--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -19,8 +19,12 @@
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import CallerLimits
+from oleanderdyke.metrics import Count, Gauge
 from oleanderdyke.platform import names
 
+# Within the ports that the platform leaves to us; the deploy file names it.
+METRICS_PORT = 7590
+_METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 _READY = 200
 _NOT_READY = 503
 
@@ -42,9 +46,13 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
-        if scope['server'][1] == self._readiness_port:
+        port = scope['server'][1]
+        if port == self._readiness_port:
             await self._answer_readiness(scope, send)
             return
+        if port == METRICS_PORT:
+            await self._answer_metrics(send)
+            return
         reply = Reply(send, self._is_leaving)
         try:
             await self._serve(scope, receive, reply)
@@ -86,6 +94,7 @@
         body = Body(receive, limits.body_bytes, limits.idle_timeout, head)
         data = await body.read()
         call = make_call(core, head, permit, body=data, started=started)
+        core.metrics.add(Count.REQUESTS, label=call.service)
         core.log.write(
             EventName.REQUEST_ACCEPTED,
             request=call.request,
@@ -97,6 +106,7 @@
         await HostedDriver(core, call, body, reply).run()
 
     async def _refuse(self, reply: Reply, error: OleanderError) -> None:
+        self._core.metrics.add(Count.REFUSALS, label=error.kind.value)
         self._core.log.write(
             EventName.REQUEST_REFUSED,
             request=reply.request or None,
@@ -127,3 +137,17 @@
             return
         await reply.start(_NOT_READY if fault else _READY, ())
         await reply.end(fault.encode())
+
+    async def _answer_metrics(self, send: Send) -> None:
+        core = self._core
+        core.metrics.set_gauge(Gauge.RUNNING, len(core.running))
+        core.metrics.set_gauge(Gauge.READY, float(not core.find_fault()))
+        if core.deployment is not None:
+            version = core.deployment.version
+            core.metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
+        body = core.metrics.render()
+        reply = Reply(send, self._is_leaving)
+        length = str(len(body))
+        headers = (('content-type', _METRICS_TYPE), ('content-length', length))
+        await reply.start(_READY, headers)
+        await reply.end(body)
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import socket
 from collections.abc import AsyncIterator
 from contextlib import AbstractContextManager
 from pathlib import Path
@@ -12,7 +14,7 @@
 
 from oleanderdyke.clients.addresses import split_address
 from oleanderdyke.clock import SECOND, Millis, make_clock
-from oleanderdyke.entry.hosted.app import HostedApp
+from oleanderdyke.entry.hosted.app import METRICS_PORT, HostedApp
 from oleanderdyke.entry.hosted.contexts import ContextWatch
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.watch import StoreWatch
@@ -35,9 +37,9 @@
 class HostedShell:
     """Hold the tasks of one entry."""
 
-    def __init__(self, core: HostedCore, path: Path) -> None:
+    def __init__(self, core: HostedCore) -> None:
         self._core = core
-        self._path = path
+        self._path = Path(core.settings.source)
         self._stopper = Stopper(core)
         self._watch = StoreWatch(core)
 
@@ -51,6 +53,7 @@
             _catch_reload() as reloads,
             open_listener(*callers) as front,
             open_listener(*readiness) as ready,
+            self._open_metrics() as metrics,
         ):
             app = HostedApp(core, self._stopper, readiness[1])
             server = make_server(app, _make_http(callers))
@@ -58,7 +61,8 @@
                 EventName.PROCESS_STARTED, address=core.settings.callers
             )
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(server.serve, [front, ready])
+                sockets = [front, ready, *filter(None, [metrics])]
+                tasks.start_soon(server.serve, sockets)
                 tasks.start_soon(self._watch.follow_operator)
                 tasks.start_soon(self._watch.follow_servers)
                 tasks.start_soon(self._watch.follow_loads)
@@ -72,6 +76,18 @@
                 tasks.cancel_scope.cancel()
         core.log.write(EventName.PROCESS_STOPPED)
 
+    def _open_metrics(self) -> AbstractContextManager[socket.socket | None]:
+        settings = self._core.settings
+        first, last = settings.ports
+        if not first <= METRICS_PORT <= last:
+            self._core.log.write(
+                EventName.RECORD_REFUSED,
+                name='metrics',
+                detail=f'port {METRICS_PORT} is not ours; not served',
+            )
+            return contextlib.nullcontext()
+        return open_listener(settings.ip, METRICS_PORT)
+
     async def _tick(self, server: EdgeServer) -> None:
         """Look after silent servers and tell changes of readiness."""
         core, told = self._core, 'starting'
@@ -127,12 +143,10 @@
         self._core.pool.close()
 
 
-async def run_hosted_entry(
-    settings: HostSettings, log: EventLog, path: Path
-) -> None:
+async def run_hosted_entry(settings: HostSettings, log: EventLog) -> None:
     """Run an entry on the users' platform until it is told to stop."""
     core = make_hosted_core(settings, make_clock(), log, Random())
-    await HostedShell(core, path).run()
+    await HostedShell(core).run()
 
 
 def _catch_reload() -> AbstractContextManager[AsyncIterator[signal.Signals]]:
--- a/src/oleanderdyke/entry/main.py
+++ b/src/oleanderdyke/entry/main.py
@@ -11,6 +11,7 @@
 from oleanderdyke.entry.settings import EntrySettings, find_faults
 from oleanderdyke.entry.shell import run_entry
 from oleanderdyke.errors import SettingsError
+from oleanderdyke.platform.settings import find_host_settings
 from oleanderdyke.policies.registries import ADMISSIONS, ROUTERS
 
 _NAME = 'oleander-entry'
@@ -25,7 +26,7 @@
         settings_type=EntrySettings,
         find_faults=_find_faults,
         serve=run_entry,
-        serve_hosted=run_hosted_entry,
+        hosted=daemon.Hosted(find_host_settings, run_hosted_entry),
     )
     return entry.run(arguments)
 
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -75,6 +75,7 @@
     REQUEST_QUARANTINED = 'request_quarantined'
     DRAIN_STARTED = 'drain_started'
     DRAIN_FINISHED = 'drain_finished'
+    LINES_DROPPED = 'lines_dropped'
     VERSION_NAMED = 'version_named'
     CONTEXT_FREED = 'context_freed'
     RECORD_REFUSED = 'record_refused'
@@ -90,6 +91,8 @@
     EventName.PROCESS_FAILED: Level.ERROR,
     EventName.PROCESS_NOT_READY: Level.WARNING,
     EventName.RECORD_REFUSED: Level.WARNING,
+    EventName.REQUEST_REFUSED: Level.WARNING,
+    EventName.LINES_DROPPED: Level.WARNING,
     EventName.LINK_REFUSED: Level.WARNING,
     EventName.MESSAGE_REFUSED: Level.WARNING,
     EventName.LOG_DOWN: Level.WARNING,
--- a/src/oleanderdyke/logs.py
+++ b/src/oleanderdyke/logs.py
@@ -6,12 +6,13 @@
 import re
 import sys
 from collections.abc import Mapping
-from typing import TextIO, TypeAlias
+from typing import Protocol, TextIO, TypeAlias
 
 import logbook
 
 from oleanderdyke.clock import Clock, make_clock
 from oleanderdyke.events import EventName, Key, Level, find_level
+from oleanderdyke.logpipe import PipeHandler
 
 LogValue: TypeAlias = str | int | float | bool | None
 
@@ -26,11 +27,18 @@
 }
 
 
+class LineHandler(Protocol):
+    """Take the lines of a process."""
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write the message of a record as one line."""
+
+
 class EventLog:
     """Write the events of one process."""
 
     def __init__(
-        self, process: str, level: Level, clock: Clock, handler: logbook.Handler
+        self, process: str, level: Level, clock: Clock, handler: LineHandler
     ) -> None:
         self._process = process
         self._clock = clock
@@ -111,6 +119,22 @@
     return EventLog(process, level, clock or make_clock(), handler)
 
 
+def make_pipe_log(process: str, clock: Clock, descriptor: int) -> EventLog:
+    """Build a log that never waits for whoever reads it."""
+    notice = {
+        'level': Level.WARNING.value,
+        'event': EventName.LINES_DROPPED.value,
+        'process': process,
+    }
+
+    def make_notice(count: int) -> str:
+        at = round(clock.wall(), 3)
+        return format_line({'at': at, **notice, 'count': count})
+
+    handler = PipeHandler(descriptor, clock, make_notice=make_notice)
+    return EventLog(process, Level.INFO, clock, handler)
+
+
 def _show_message(record: logbook.LogRecord, _: logbook.Handler) -> str:
     """Return the line as it is; the library's templates are slow."""
     return str(record.msg)
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -20,19 +20,22 @@
 
     `callers` and `readiness` are addresses to listen on, `server` that of the
     backend server beside an agent; each is empty where the process has none.
-    `retry_share` and `retry_slack` bound what all entries together may send
-    again to a service within `retry_window`.
+    `source` is the file that they were read from. `retry_share` and
+    `retry_slack` bound what all entries together may send again to a service
+    within `retry_window`. `ports` are the first and last that are ours.
     """
 
     process: str
     data_centre: str
     ip: str
     store: str
+    source: str = ''
     callers: str = ''
     readiness: str = ''
     server: str = ''
     service: str = ''
     data_centres: tuple[str, ...] = ()
+    ports: tuple[int, int] = (0, 0)
     memory_bytes: int = 0
     grace: Millis = 8 * SECOND
     retry_share: float = 0.2
@@ -42,9 +45,12 @@
     configuration_bound: Millis = 2_000.0
 
 
-def find_settings_path(environ: Mapping[str, str]) -> Path:
-    """Return where the platform has put the settings file."""
-    return Path(environ.get(SETTINGS_VARIABLE) or _DEFAULT_PATH)
+def find_host_settings(
+    path: Path | None, environ: Mapping[str, str]
+) -> HostSettings:
+    """Read a file, or that which the platform names; raise SettingsError."""
+    named = environ.get(SETTINGS_VARIABLE) or _DEFAULT_PATH
+    return load_host_settings(path or Path(named))
 
 
 def load_host_settings(path: Path) -> HostSettings:
@@ -61,6 +67,7 @@
     fields, faults = _split_lines(text, source)
     reader = _Reader(fields, source, faults)
     settings = HostSettings(
+        source=source,
         process=reader.require('nodeName'),
         data_centre=reader.require('zone'),
         ip=reader.require('ip'),
@@ -70,6 +77,7 @@
         server=fields.get('app', ''),
         service=fields.get('service', ''),
         data_centres=_list_data_centres(fields),
+        ports=reader.ports('portRange'),
         memory_bytes=int(reader.number('limits.memoryMb', 0) * _MIB),
         grace=reader.number('bounds.graceS', 8.0) * SECOND,
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
@@ -99,6 +107,15 @@
             self._faults.append(f'{self._source}: {name}: is missing')
         return found
 
+    def ports(self, name: str) -> tuple[int, int]:
+        found = self._fields.get(name) or '0,0'
+        try:
+            return _split_range(found)
+        except ValueError:
+            fault = f'{name}: found {found!r}; allowed: two ports'
+            self._faults.append(f'{self._source}: {fault}')
+            return 0, 0
+
     def number(self, name: str, default: float) -> float:
         found = self._fields.get(name, '')
         if not found:
@@ -111,6 +128,11 @@
             return default
 
 
+def _split_range(text: str) -> tuple[int, int]:
+    first, last = (int(part) for part in text.split(','))
+    return first, last
+
+
 def _split_lines(text: str, source: str) -> tuple[dict[str, str], list[str]]:
     fields: dict[str, str] = {}
     faults: list[str] = []
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -130,8 +130,7 @@
             store.put(SERVERS, f'i-{number}', make_record(where, **record))
         stage = _make_stage(store, address, directory, grace)
         stage.replicas = replicas
-        path = directory / 'boot.conf'
-        shell = HostedShell(stage.core, path)
+        shell = HostedShell(stage.core)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(shell.run)
             if scripts:
@@ -229,7 +228,8 @@
     text = _SETTINGS.format(
         store=address, callers=callers, readiness=readiness, grace=grace / 1000
     )
-    (directory / 'boot.conf').write_text(text)
+    path = directory / 'boot.conf'
+    path.write_text(text)
     log = directory / 'entry.log'
     stream = log.open('w', buffering=1)
     clock = make_clock()
@@ -237,6 +237,7 @@
         process='front-1',
         data_centre='hall',
         ip='127.0.0.1',
+        source=str(path),
         store=address,
         callers=f'127.0.0.1:{callers}',
         readiness=f'127.0.0.1:{readiness}',
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -65,7 +65,14 @@
     """Drive one machine and keep its latest actions."""
 
     def __init__(
-        self, *, idempotent=False, key='', verdict=None, burst=20.0, **settings
+        self,
+        *,
+        idempotent=False,
+        resumable=False,
+        key='',
+        verdict=None,
+        burst=20.0,
+        **settings,
     ):
         facts = RequestFacts(
             request='r1',
@@ -75,6 +82,7 @@
             appender='entry-1',
             idempotent=idempotent,
             key=key,
+            resumable=resumable,
         )
         self.machine = RequestMachine(
             facts,
@@ -590,3 +598,49 @@
     case.fail(ErrorKind.BACKEND_LOST, Ran.MAYBE).fire().route('agent-2')
     case.head().end()
     assert case.find(ev.ClearSuspect).digest == 'd'
+
+
+def test_a_resumable_answer_goes_on_at_another_server():
+    case = make_run(resumable=True).head().chunk()
+    case.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE)
+    case.fire()
+    assert case.find(ev.Route).exclude == frozenset({'agent-1'})
+    case.route('agent-2', 'i2').head()
+    assert case.chunk(b'rest').actions == (ev.DeliverChunk(b'rest'),)
+    case.end()
+    assert case.machine.done
+
+
+def test_a_resumable_answer_runs_no_more_often_than_allowed():
+    case = make_run(resumable=True, max_attempts=2).head().chunk()
+    case.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE).fire()
+    case.route('agent-2', 'i2').head().chunk()
+    case.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE)
+    assert case.refusal() == (ErrorKind.STREAM_BROKEN, Ran.MAYBE)
+
+
+def test_what_did_not_run_is_tried_elsewhere_beside_the_attempts():
+    case = make_run(max_attempts=1, max_refusals=2)
+    for agent in ('agent-2', 'agent-3'):
+        case.fail(ErrorKind.OVERLOADED, Ran.NO).fire()
+        case.route(agent, agent)
+    case.fail(ErrorKind.OVERLOADED, Ran.NO)
+    assert case.refusal() == (ErrorKind.OVERLOADED, Ran.NO)
+
+
+def test_refusals_draw_on_the_budget_too():
+    case = make_run(max_refusals=9, burst=1.0)
+    case.fail(ErrorKind.OVERLOADED, Ran.NO).fire()
+    case.route('agent-2', 'i2').fail(ErrorKind.OVERLOADED, Ran.NO)
+    assert case.refusal() == (ErrorKind.OVERLOADED, Ran.NO)
+
+
+def test_a_failure_is_welcome_only_where_it_leads_to_another_run():
+    assert make_run(idempotent=True).machine.may_run_elsewhere()
+    assert make_run(resumable=True).head().chunk().machine.may_run_elsewhere()
+    assert not make_run().machine.may_run_elsewhere()
+    begun = make_run(idempotent=True).head().chunk()
+    assert not begun.machine.may_run_elsewhere()
+    once = make_run(idempotent=True, max_attempts=1)
+    assert not once.machine.may_run_elsewhere()
+    assert not make_run(idempotent=True, burst=0.0).machine.may_run_elsewhere()
