--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -22,7 +22,7 @@
 from oleanderdyke.metrics import Count, Gauge
 from oleanderdyke.platform import names
 
-# Within the ports that the platform leaves to us; the deploy file names it.
+# The deploy file names it too: the platform fetches from there.
 METRICS_PORT = 7590
 _METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 _READY = 200
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -77,16 +77,16 @@
         core.log.write(EventName.PROCESS_STOPPED)
 
     def _open_metrics(self) -> AbstractContextManager[socket.socket | None]:
-        settings = self._core.settings
-        first, last = settings.ports
-        if not first <= METRICS_PORT <= last:
+        """Serve without metrics where their port can't be had."""
+        try:
+            return open_listener(self._core.settings.ip, METRICS_PORT)
+        except OSError as error:
             self._core.log.write(
                 EventName.RECORD_REFUSED,
                 name='metrics',
-                detail=f'port {METRICS_PORT} is not ours; not served',
+                detail=f'port {METRICS_PORT}: {error}',
             )
             return contextlib.nullcontext()
-        return open_listener(settings.ip, METRICS_PORT)
 
     async def _tick(self, server: EdgeServer) -> None:
         """Look after silent servers and tell changes of readiness."""
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -22,7 +22,7 @@
     backend server beside an agent; each is empty where the process has none.
     `source` is the file that they were read from. `retry_share` and
     `retry_slack` bound what all entries together may send again to a service
-    within `retry_window`. `ports` are the first and last that are ours.
+    within `retry_window`.
     """
 
     process: str
@@ -35,7 +35,6 @@
     server: str = ''
     service: str = ''
     data_centres: tuple[str, ...] = ()
-    ports: tuple[int, int] = (0, 0)
     memory_bytes: int = 0
     grace: Millis = 8 * SECOND
     retry_share: float = 0.2
@@ -77,7 +76,6 @@
         server=fields.get('app', ''),
         service=fields.get('service', ''),
         data_centres=_list_data_centres(fields),
-        ports=reader.ports('portRange'),
         memory_bytes=int(reader.number('limits.memoryMb', 0) * _MIB),
         grace=reader.number('bounds.graceS', 8.0) * SECOND,
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
@@ -107,15 +105,6 @@
             self._faults.append(f'{self._source}: {name}: is missing')
         return found
 
-    def ports(self, name: str) -> tuple[int, int]:
-        found = self._fields.get(name) or '0,0'
-        try:
-            return _split_range(found)
-        except ValueError:
-            fault = f'{name}: found {found!r}; allowed: two ports'
-            self._faults.append(f'{self._source}: {fault}')
-            return 0, 0
-
     def number(self, name: str, default: float) -> float:
         found = self._fields.get(name, '')
         if not found:
@@ -128,11 +117,6 @@
             return default
 
 
-def _split_range(text: str) -> tuple[int, int]:
-    first, last = (int(part) for part in text.split(','))
-    return first, last
-
-
 def _split_lines(text: str, source: str) -> tuple[dict[str, str], list[str]]:
     fields: dict[str, str] = {}
     faults: list[str] = []
--- a/tests/test_logpipe.py
+++ b/tests/test_logpipe.py
@@ -110,8 +110,6 @@
 
 
 def test_the_deploy_file_names_the_port_of_the_metrics():
-    deploy = tomllib.load(
-        io.BytesIO((ROOT / 'deploy/system.toml').read_bytes())
-    )
+    deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
     named = deploy['roles']['oleander-entry']['metrics']
     assert named == f'{METRICS_PORT}/metrics'
