Ask a replaced backend server no more than once

Cause: after all power was lost (both incidents, 36 s) the list still names servers that have started anew under other ids; each send there is answered 421 and draws on the shared allowance: 50 of them on the agency, 93 on the council. Change: an answer that names another server ends the old one for this entry.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -124,7 +124,7 @@
             return
         fault = _find_fault(status, facts, self._call.request)
         if facts.is_not_run:
-            self._note_refused()
+            self._note_refused(facts)
             self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
         elif fault:
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
@@ -258,8 +258,11 @@
         if self._connection is not None:
             set_idle_limit(self._connection, facts.idle_timeout)
 
-    def _note_refused(self) -> None:
+    def _note_refused(self, facts: AnswerFacts) -> None:
         core, demand = self._core, self._call.asked.demand
+        if facts.server and facts.server != self.server:
+            core.book.note_replaced(self.server)
+            return
         now = core.clock.now()
         backend = core.book.find(self.server)
         if demand is not None and backend is not None:
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -229,6 +229,12 @@
         ]
         return min(held, default=None)
 
+    def note_replaced(self, server: str) -> None:
+        """Learn that another server answers at the address of this one."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            backend.record = replace(backend.record, is_leaving=True)
+
     def note_sent(
         self,
         server: str,
--- a/tests/test_hosted_entry.py
+++ b/tests/test_hosted_entry.py
@@ -384,6 +384,17 @@
         assert (await s.call('/once/1')).status == 200
 
 
+async def test_a_server_that_another_has_replaced_is_asked_once(tmp_path):
+    async def misdirected(peer):
+        await peer.answer(421, b'', oleanderdyke_instance_id='i-else')
+
+    async with staging(tmp_path, misdirected, answer_well) as stage:
+        for number in range(12):
+            assert (await stage.call(f'/once/{number}')).status == 200
+            await anyio.sleep(0.12)
+        assert len(stage.replicas[0].received) <= 1
+
+
 async def test_a_server_that_leaves_gets_nothing_more(tmp_path):
     async with staging(tmp_path, answer_well, answer_well) as stage:
         address = stage.core.book.find('i-0').record.address
