--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -44,8 +44,9 @@
 # has gone silent delays them by this, a fraction of the time they may take.
 _OPERATOR_WAIT: Millis = 5 * SECOND
 _RETRY_PAUSE: Millis = 250.0
-# While weights are due: how often the list and the engine are looked at.
-_ROLLOUT_PERIOD: Millis = 300.0
+# While weights are due: how often the engine on this machine is looked at,
+# which costs nothing but a little processor time.
+_ROLLOUT_PERIOD: Millis = 100.0
 _IDLE_PERIOD: Millis = 100.0
 _READ_BACK: Millis = 20.0
 _STOPPING = (signal.SIGTERM, signal.SIGINT)
@@ -218,6 +219,8 @@
         )
         if outcome is OrderOutcome.OLD_FENCE:
             self._fence = None
+        if outcome is OrderOutcome.OTHER_SERVER:
+            self._server = ''
 
     async def _tell(self, server: str, step: LoadStep) -> None:
         """Append a notice, which counts once it is read back."""
@@ -242,6 +245,8 @@
 
     async def _find_own(self) -> str | None:
         """Return the present start of the engine, None if it isn't listed."""
+        if self._server:
+            return self._server
         page = await self._short.list_newest(names.SERVER_TOPIC)
         for record in page.records:
             server = self._decode(record)
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -240,3 +240,19 @@
         signal.raise_signal(signal.SIGTERM)
         await anyio.sleep(0.2)
         assert 'event=process_stopped' in stage.log.read_text()
+
+
+async def test_an_engine_that_started_anew_is_found_again(tmp_path):
+    engine = Engine()
+    engine.outcome = 421
+    async with staging(tmp_path, engine) as stage:
+        stage.name(2)
+        with anyio.fail_after(5):
+            while not engine.orders:
+                await anyio.sleep(0.02)
+        address = json.loads(stage.store.find(SERVERS).newest['i-own'][1])
+        stage.store.put(SERVERS, 'i-new', address)
+        stage.store.drop(SERVERS, 'i-own')
+        engine.outcome = 202
+        await stage.wait_version(2)
+    assert engine.orders[-1]['instance'] == 'i-new'
