--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON := $(VENV)/bin/python
 READY := $(VENV)/.ready
 
-.PHONY: help setup test check lint format types demo run faults bench reference clean
+.PHONY: help setup test check lint format types demo hosted run faults bench reference clean
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
@@ -33,9 +33,12 @@
 
 check: lint types test ## Everything CI checks
 
-demo: $(READY) ## Run both deployments of today on loopback
+demo: $(READY) hosted ## Run both deployments of today on loopback
 	$(PYTHON) -m examples.demo
 
+hosted: $(READY) ## Show an entry in the mode of the users' platform
+	$(PYTHON) -m examples.hosted
+
 run: $(READY) ## Keep a deployment up until Ctrl-C; LAYOUT=council for the other
 	@$(PYTHON) -m examples.run $(LAYOUT)
 
--- a/src/oleanderdyke/ctl/event_order.py
+++ b/src/oleanderdyke/ctl/event_order.py
@@ -13,6 +13,8 @@
 from oleanderdyke.logs import parse_line
 
 _NO_TIME = 0.0
+# Each line of ours begins with its time; collectors put theirs before it.
+_LINE_START = ' at='
 _MessageKey: TypeAlias = tuple[EventName, str, str, str]
 
 # What was sent, and the event that shows its receipt at another process.
@@ -52,7 +54,7 @@
     """Parse log lines; leave out lines that are no events."""
     events = []
     for line in lines:
-        pairs = parse_line(line)
+        pairs = parse_line(_strip_prefix(line))
         if 'event' not in pairs or 'process' not in pairs:
             continue
         events.append(
@@ -223,3 +225,11 @@
             if not waits[follower]:
                 heapq.heappush(ready, (times[follower], follower))
     return ordered
+
+
+def _strip_prefix(line: str) -> str:
+    """Drop what a collector of logs put before a line of ours."""
+    _, mark, rest = line.partition(_LINE_START)
+    if not mark or line.startswith(_LINE_START.strip()):
+        return line
+    return mark.strip() + rest
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -224,7 +224,7 @@
 def _make_stage(
     store: RecordStore, address: str, directory: pathlib.Path, grace: float
 ) -> Stage:
-    callers, readiness = (_find_port() for _ in range(2))
+    callers, readiness = (find_port() for _ in range(2))
     text = _SETTINGS.format(
         store=address, callers=callers, readiness=readiness, grace=grace / 1000
     )
@@ -261,7 +261,8 @@
 """
 
 
-def _find_port() -> int:
+def find_port() -> int:
+    """Return a port that is free now."""
     with socket.socket() as probe:
         probe.bind(('127.0.0.1', 0))
         return int(probe.getsockname()[1])
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -136,3 +136,10 @@
 
 def test_missing_file_is_a_usage_error(tmp_path: Path) -> None:
     assert main([str(tmp_path / 'none.log')]) == 2
+
+
+def test_lines_that_a_collector_has_marked_are_read():
+    line = 'at=5.0 level=info event=process_ready process=p sequence=1'
+    marked = f'  36.5313 front-hall-1 {line}'
+    assert read_events([marked]) == read_events([line])
+    assert read_events([line])
