Share the allowance for retries among the entries that are alive

Cause: it was split by twelve; at the sizes to come 27 and 31 entries would together have sent twice what the operators allow, and three entries used a quarter of it. Change: entries tell of themselves every 15 s in a topic and count each other, erring high; at a quarter of a call a second. Stores of context that serve as many readers as they can are asked seldom by the others.

--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -12,6 +12,9 @@
 from oleanderdyke.platform.contexts import ContextClient, ContextUnavailable
 
 _RETRY_PAUSE: Millis = 300.0
+# A store serves so many readers at once; more entries than that leave it to
+# the others, and ask seldom.
+_LONGEST_PAUSE: Millis = 5 * SECOND
 _PERIOD: Millis = 250.0
 # Entries don't all free the same parts at once.
 _FREE_SPREAD: Millis = 1.5 * SECOND
@@ -53,7 +56,7 @@
     async def _follow(self, view: StoreView) -> None:
         client = ContextClient(view.traits.address)
         scope = self._followed[view.traits.address]
-        is_down = False
+        is_down, pause = False, _RETRY_PAUSE
         with scope:
             while True:
                 try:
@@ -63,11 +66,13 @@
                     if not is_down:
                         self._log(EventName.BACKEND_LOST, view, error.message)
                     is_down = True
-                    await anyio.sleep(_RETRY_PAUSE / SECOND)
+                    await anyio.sleep(pause / SECOND)
+                    if error.is_crowded:
+                        pause = min(2 * pause, _LONGEST_PAUSE)
                     continue
                 if is_down:
                     self._log(EventName.BACKEND_UP, view, None)
-                is_down = False
+                is_down, pause = False, _RETRY_PAUSE
                 await self._free_outdated(client, view)
 
     async def _read(self, client: ContextClient, view: StoreView) -> None:
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -14,6 +14,7 @@
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.drain import Drain, DrainSettings
 from oleanderdyke.kernel.durations import Durations
+from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import (
     RetryBudget,
     RetrySettings,
@@ -36,9 +37,6 @@
 _CUT_MARGIN: Millis = 500.0
 # A configuration that was read longer ago may lack a route or a key.
 STALE_AFTER: Millis = 3 * SECOND
-# Entries among which the shared allowance for retries is split. It is more
-# than the deployments of today have, counting those that may be added.
-_BUDGET_SHARERS = 12
 # What is used of the allowance that the operators bound.
 _BUDGET_USE = 0.8
 _RETRY_DELAY: Millis = 5.0
@@ -62,6 +60,7 @@
     metrics: Metrics
     drain: Drain
     pool: ConnectionPool
+    entries: EntryCount = field(default_factory=EntryCount)
     book: BackendBook = field(default_factory=BackendBook)
     deployment: Deployment | None = None
     durations: Durations = field(default_factory=Durations)
@@ -96,10 +95,24 @@
         """Return this entry's part of what may be sent again to a service."""
         if service not in self._budgets:
             self._budgets[service] = make_retry_budget(
-                _share_budget(self.settings), self.random
+                self._share_budget(), self.random
             )
         return self._budgets[service]
 
+    def share_budgets(self) -> None:
+        """Share what may be sent again among the entries that are alive."""
+        for budget in self._budgets.values():
+            budget.resize(self._share_budget())
+
+    def _share_budget(self) -> RetrySettings:
+        settings = self.settings
+        slack = settings.retry_slack * _BUDGET_USE
+        return RetrySettings(
+            share=settings.retry_share * _BUDGET_USE,
+            burst=max(slack / self.entries.count(self.clock.now()), 1.0),
+            base_delay=_RETRY_DELAY,
+        )
+
 
 def make_hosted_core(
     settings: HostSettings, clock: Clock, log: EventLog, random: Random
@@ -121,11 +134,3 @@
         drain=Drain(drain),
         pool=ConnectionPool(CONNECT_LIMIT),
     )
-
-
-def _share_budget(settings: HostSettings) -> RetrySettings:
-    return RetrySettings(
-        share=settings.retry_share * _BUDGET_USE,
-        burst=max(settings.retry_slack * _BUDGET_USE / _BUDGET_SHARERS, 2.0),
-        base_delay=_RETRY_DELAY,
-    )
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -0,0 +1,65 @@
+"""Tell other entries that this one is alive, and count them."""
+
+from __future__ import annotations
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.events import EventName
+from oleanderdyke.platform import names
+from oleanderdyke.platform.store import (
+    RecordsExpired,
+    StoreClient,
+    StoreUnavailable,
+)
+
+# Three readings for each notice keep this at a quarter of a call a second.
+_PERIOD: Millis = 5 * SECOND
+_NOTICE_PERIOD: Millis = 15 * SECOND
+
+
+class Presence:
+    """Append notices of this entry and read those of all."""
+
+    def __init__(self, core: HostedCore) -> None:
+        self._core = core
+        self._client = StoreClient(core.settings.store)
+        self._position = 0
+        self._told_at: Millis | None = None
+
+    async def run(self) -> None:
+        """Work until cancelled; without the store the last count stays."""
+        while True:
+            try:
+                await self._tell()
+                await self._read()
+            except StoreUnavailable as error:
+                self._core.log.write(
+                    EventName.LOG_DOWN, name='entries', detail=error.message
+                )
+            await anyio.sleep(_PERIOD / SECOND)
+
+    async def _tell(self) -> None:
+        now = self._core.clock.now()
+        if self._told_at is not None and now - self._told_at < _NOTICE_PERIOD:
+            return
+        record = self._core.settings.process.encode()
+        await self._client.append(names.ENTRY_TOPIC, record)
+        self._told_at = now
+
+    async def _read(self) -> None:
+        core = self._core
+        try:
+            records = await self._client.read_plain(
+                names.ENTRY_TOPIC, self._position
+            )
+        except RecordsExpired as error:
+            self._position = error.first or 0
+            return
+        now = core.clock.now()
+        self._position += len(records)
+        for record in records:
+            core.entries.note(record.decode('utf-8', 'replace'), now)
+        core.entries.note_read(now)
+        core.share_budgets()
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -17,6 +17,7 @@
 from oleanderdyke.entry.hosted.app import METRICS_PORT, HostedApp
 from oleanderdyke.entry.hosted.contexts import ContextWatch
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
+from oleanderdyke.entry.hosted.presence import Presence
 from oleanderdyke.entry.hosted.watch import StoreWatch
 from oleanderdyke.entry.server import EdgeServer, make_server, open_listener
 from oleanderdyke.entry.settings import HttpSettings
@@ -67,6 +68,7 @@
                 tasks.start_soon(self._watch.follow_servers)
                 tasks.start_soon(self._watch.follow_loads)
                 tasks.start_soon(ContextWatch(core).run)
+                tasks.start_soon(Presence(core).run)
                 tasks.start_soon(self._tick, server)
                 tasks.start_soon(self._watch_settings)
                 tasks.start_soon(self._reload, reloads)
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -34,6 +34,11 @@
         """Return how many retries are left."""
         return self._tokens
 
+    def resize(self, settings: RetrySettings) -> None:
+        """Take other bounds; what is over them is lost."""
+        self._settings = settings
+        self._tokens = min(self._tokens, settings.burst)
+
     def feed(self) -> None:
         """Count a fresh request."""
         self._tokens = min(
--- a/src/oleanderdyke/platform/contexts.py
+++ b/src/oleanderdyke/platform/contexts.py
@@ -20,15 +20,17 @@
 _PATIENCE: Millis = 500.0
 _MAX_ANSWER = 16 * 1024 * 1024
 _OK = 200
+_CROWDED = 429
 _MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 _ADDED = '+'
 
 
 class ContextUnavailable(OleanderError):
-    """Tell that a store gave no proper answer."""
+    """Tell that a store gave no proper answer, or has too many readers."""
 
-    def __init__(self, message: str) -> None:
+    def __init__(self, message: str, *, is_crowded: bool = False) -> None:
         super().__init__(ErrorKind.NOT_READY, message, ran=Ran.MAYBE)
+        self.is_crowded = is_crowded
 
 
 class ContextClient:
@@ -52,7 +54,9 @@
             'GET', f'/api/kv-events?since={since}', headers
         )
         if status != _OK:
-            raise ContextUnavailable(f'answered with {status}')
+            raise ContextUnavailable(
+                f'answered with {status}', is_crowded=status == _CROWDED
+            )
         try:
             return _decode(json.loads(data))
         except _MALFORMED as error:
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -66,3 +66,5 @@
 FENCE_TOPIC = 'oleander-fences'
 # A topic of ours: agents tell there who takes new weights.
 LOAD_TOPIC = 'oleander-loads'
+# A topic of ours: entries tell there that they are alive.
+ENTRY_TOPIC = 'oleander-entries'
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from oleanderdyke.kernel.backends import BackendBook, Owed
@@ -16,6 +18,8 @@
     choose_backend,
     is_usable,
 )
+from oleanderdyke.kernel.presence import LIFE, EntryCount
+from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
 from oleanderdyke.kernel.rollout import (
     EngineState,
     LoadNotice,
@@ -342,3 +346,24 @@
     for _ in range(400):
         durations.note('letter', 100.0)
     assert durations.find_bound('letter', 9_000.0) < 1_000.0
+
+
+def test_entries_are_counted_high():
+    count = EntryCount()
+    assert count.count(0.0) == 12
+    for number in range(3):
+        count.note(f'front-{number}', 0.0)
+    count.note_read(0.0)
+    assert count.count(1_000.0) == 12
+    for number in range(3):
+        count.note(f'front-{number}', 25_000.0)
+    assert count.count(30_000.0) == 5
+    assert count.count(25_000.0 + LIFE) == 2
+
+
+def test_a_budget_that_is_shared_by_more_gives_less():
+    budget = RetryBudget(RetrySettings(burst=9.0), Random(1))
+    budget.resize(RetrySettings(burst=2.0))
+    assert [budget.take() for _ in range(3)] == [True, True, False]
+    budget.resize(RetrySettings(burst=9.0))
+    assert not budget.take()
