Cancel a request with a reset

Change: a connection whose request is under way is closed with a reset. A server that turned out to leave while it was connected to gets nothing.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -24,6 +25,8 @@
 # Bytes that a peer doesn't acknowledge for so long have met a dead machine
 # or a cut link; a lost packet is sent again within a second.
 _UNACKNOWLEDGED_LIMIT = 2_000
+# Lingering for no time makes the close a reset.
+_RESET = struct.pack('ii', 1, 0)
 
 
 class AnswerListener(Protocol):
@@ -111,10 +114,20 @@
         self._fail(f'the connection was lost: {reason}')
 
     def close(self) -> None:
-        """Close at once; the listener hears nothing more."""
+        """Close at once; the listener hears nothing more.
+
+        A request under way is cancelled with a reset: an orderly end would
+        still deliver what a cut link holds up, seconds after its caller left.
+        """
+        is_busy = self._listener is not None
         self._listener = None
-        if self._transport is not None:
-            self._transport.abort()
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        bound = transport.get_extra_info('socket')
+        if is_busy and bound is not None:
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        transport.abort()
 
     def _take_events(self) -> None:
         while self._listener is not None:
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -94,6 +94,10 @@
             core.pool.drop_idle(address)
             self._report_unsent(f'cannot connect: {type(error).__name__}')
             return
+        if backend.record.is_leaving:
+            connection.close()
+            self._report_unsent('the server left while connecting')
+            return
         self._send(connection, backend)
 
     def cancel(self) -> None:
--- a/tests/test_hosted_entry.py
+++ b/tests/test_hosted_entry.py
@@ -586,3 +586,24 @@
         assert await stage.is_ready()
         found = await call(stage.address, '/api/readiness', method='GET')
         assert found.status == 404
+
+
+async def test_what_a_caller_left_behind_is_not_delivered_later(tmp_path):
+    """Bytes that a cut link holds up are lost only with a reset."""
+    ends: list[str] = []
+
+    async def wait(peer):
+        try:
+            while await peer.reader.read(1):
+                pass
+            ends.append('closed')
+        except ConnectionResetError:
+            ends.append('reset')
+
+    async with staging(tmp_path, wait) as stage:
+        _, writer = await asyncio.open_connection(*stage.address)
+        writer.write(make_request('/once/1'))
+        await anyio.sleep(0.1)
+        writer.close()
+        await anyio.sleep(0.2)
+    assert ends == ['reset']
