--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -14,7 +14,7 @@
 
 def list_defined(path):
     tree = ast.parse((TESTS / path).read_text(encoding='utf-8'))
-    kinds = (ast.FunctionDef, ast.ClassDef)
+    kinds = (ast.FunctionDef, ast.AsyncFunctionDef, ast.ClassDef)
     return {node.name for node in tree.body if isinstance(node, kinds)}
 
 
