--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -81,7 +81,7 @@
         """Send the request on a kept connection or a new one."""
         core = self._core
         backend = core.book.find(self.server)
-        if backend is None or backend.record.is_leaving:
+        if backend is None or core.book.has_left(self.server):
             self._report_unsent('the server has left')
             return
         address = backend.record.address
@@ -94,7 +94,7 @@
             core.pool.drop_idle(address)
             self._report_unsent(f'cannot connect: {type(error).__name__}')
             return
-        if backend.record.is_leaving:
+        if core.book.has_left(self.server):
             connection.close()
             self._report_unsent('the server left while connecting')
             return
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -6,7 +6,7 @@
 import functools
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
-from typing import Any
+from typing import Any, cast
 
 import anyio
 
@@ -127,8 +127,8 @@
         self._put_later(DeadlinePassed(), self._call.deadline - now)
         await self._carry_out(self._machine.start(now))
         while not self._machine.done:
-            item = await self._inbox.take()
-            event: Event = item  # type: ignore[assignment]
+            # Nothing but events of the machine comes here in this mode.
+            event = cast('Event', await self._inbox.take())
             await self._carry_out(
                 self._machine.on(event, self._core.clock.now())
             )
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -38,8 +38,11 @@
 _SERVERS_PERIOD: Millis = 600.0
 # Notices of loads come only when weights are named.
 _LOADS_WAIT: Millis = 5 * SECOND
-# The store refuses what is over its rate and may be out for seconds.
+# The store refuses what is over its rate and may be out for seconds; each
+# call is paid for, also a refused one. The longest pause leaves most of the two
+# seconds in which a configuration has to be in force once the store is back.
 _RETRY_PAUSE: Millis = 150.0
+_LONGEST_PAUSE: Millis = 600.0
 
 
 class StoreWatch:
@@ -95,7 +98,7 @@
     async def _follow(
         self, name: str, read: Callable[[], Awaitable[None]], period: Millis
     ) -> None:
-        is_down = False
+        is_down, pause = False, _RETRY_PAUSE
         while True:
             try:
                 await read()
@@ -103,11 +106,12 @@
                 if not is_down:
                     self._log(EventName.LOG_DOWN, name, error.message)
                 is_down = True
-                await anyio.sleep(_RETRY_PAUSE / SECOND)
+                await anyio.sleep(pause / SECOND)
+                pause = min(2 * pause, _LONGEST_PAUSE)
                 continue
             if is_down:
                 self._log(EventName.LOG_UP, name, None)
-            is_down = False
+            is_down, pause = False, _RETRY_PAUSE
             if period:
                 await anyio.sleep(period / SECOND)
 
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -170,6 +170,11 @@
         """Return a server that is listed or still answers."""
         return self._backends.get(server)
 
+    def has_left(self, server: str) -> bool:
+        """Tell whether a server leaves or is no longer known."""
+        backend = self._backends.get(server)
+        return backend is None or backend.record.is_leaving
+
     def list_service(self, service: str, now: Millis) -> list[Backend]:
         """Return the servers of a service that may get new work."""
         return [
