Tell a notice again that was never read back; drop what nothing reads

Cause: an agent waited without a bound for its own notice; where the store drops its history in between, it would wait for ever and keep old weights. Found by reading; the test failed first. Fields of settings and configuration that nothing reads are gone.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -49,6 +49,8 @@
 _ROLLOUT_PERIOD: Millis = 100.0
 _IDLE_PERIOD: Millis = 100.0
 _READ_BACK: Millis = 20.0
+# A long read answers within some milliseconds of an append.
+_READ_BACK_LIMIT: Millis = 2 * SECOND
 _STOPPING = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -223,10 +225,14 @@
             self._server = ''
 
     async def _tell(self, server: str, step: LoadStep) -> None:
-        """Append a notice, which counts once it is read back."""
+        """Append a notice, which counts once it is read back.
+
+        One whose history was dropped meanwhile is told again at the next step.
+        """
         await append_notice(self._short, LoadNotice(server, step))
-        while self._queue.is_queued(server) is not (step is LoadStep.WAITS):
-            await anyio.sleep(_READ_BACK / SECOND)
+        with anyio.move_on_after(_READ_BACK_LIMIT / SECOND):
+            while self._queue.is_queued(server) is not (step is LoadStep.WAITS):
+                await anyio.sleep(_READ_BACK / SECOND)
 
     async def _follow_loads(self) -> None:
         """Read notices of loads, which come only when weights are named."""
--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -187,7 +187,6 @@
     def __init__(self, connect_limit: Millis) -> None:
         self._connect_limit = connect_limit
         self._addresses: dict[str, _Address] = {}
-        self.opened = 0
 
     def take_idle(self, address: str) -> BackendConnection | None:
         """Return a kept connection that should still be good."""
@@ -211,7 +210,6 @@
             kept = self._addresses.setdefault(address, _Address())
             kept.idle.append(connection)
 
-        self.opened += 1
         with anyio.fail_after(self._connect_limit / SECOND):
             _, connection = await loop.create_connection(
                 lambda: BackendConnection(give_back), host, port
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from oleanderdyke.clock import SECOND, Millis
@@ -185,10 +185,6 @@
             and not self._is_missing(backend, now)
         ]
 
-    def list_all(self) -> Iterator[Backend]:
-        """Yield every server that is known."""
-        yield from self._backends.values()
-
     def note_read(self, now: Millis) -> None:
         """Learn that the platform's list has been read up to its end."""
         if self._read_at is not None and now - self._read_at > _READ_GAP:
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -56,13 +56,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineTraits:
-    """Say what one model engine can hold and how it moves context."""
+    """Say what one model engine can hold."""
 
-    slots: int
     memory_tokens: int
-    token_bytes: int = 0
-    link_mbps: float = 0.0
-    models: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +69,6 @@
     data_centre: str
     capacity_tokens: int
     link_mbps: float
-    first_byte: Millis
     is_managed: bool
 
 
@@ -82,7 +77,6 @@
     """Describe one service; `engine` and `store` are set for their kinds."""
 
     name: str
-    max_connections: int = 0
     engine: EngineTraits | None = None
     store: StoreTraits | None = None
 
@@ -91,9 +85,7 @@
 class CallerLimits:
     """Bound what callers may send, in bytes, and how long they may idle."""
 
-    header_bytes: int = 16_384
     body_bytes: int = 4_194_304
-    head_timeout: Millis = 3_000.0
     idle_timeout: Millis = 15_000.0
 
 
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -114,7 +114,6 @@
     engine = found.get('engine')
     return ServiceTraits(
         name=str(found['name']),
-        max_connections=int(found.get('maxConnections', 0)),
         engine=_make_engine(engine) if engine else None,
         store=_make_store(found) if found.get('kvStoreAddr') else None,
     )
@@ -122,11 +121,8 @@
 
 def _make_engine(found: Mapping[str, Any]) -> EngineTraits:
     return EngineTraits(
-        slots=int(found.get('slots', 1)),
+        # Of an engine this is its memory, of a store its room; both in tokens.
         memory_tokens=int(found.get('kvCapacity', 0)),
-        token_bytes=int(found.get('kvTokenBytes', 0)),
-        link_mbps=float(found.get('linkMbps', 0.0)),
-        models=tuple(str(each['name']) for each in found.get('models', ())),
     )
 
 
@@ -136,7 +132,6 @@
         data_centre=str(found.get('zone', '')),
         capacity_tokens=int(found.get('kvCapacity', 0)),
         link_mbps=float(found.get('linkMbps', 0.0)),
-        first_byte=float(found.get('first_ms', 0.0)),
         is_managed=bool(found.get('managed', False)),
     )
 
@@ -144,10 +139,8 @@
 def _make_limits(found: Mapping[str, Any]) -> CallerLimits:
     standard = CallerLimits()
     return CallerLimits(
-        int(found.get('maxHeaderBytes', standard.header_bytes)),
-        int(found.get('maxBodyBytes', standard.body_bytes)),
-        float(found.get('headerTimeoutMs', standard.head_timeout)),
-        float(found.get('idleTimeoutMs', standard.idle_timeout)),
+        body_bytes=int(found.get('maxBodyBytes', standard.body_bytes)),
+        idle_timeout=float(found.get('idleTimeoutMs', standard.idle_timeout)),
     )
 
 
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -10,7 +10,6 @@
 from oleanderdyke.errors import SettingsError
 from oleanderdyke.platform.names import SETTINGS_VARIABLE
 
-_MIB = 1024 * 1024
 _DEFAULT_PATH = '/etc/oleanderdyke/boot.conf'
 
 
@@ -21,8 +20,7 @@
     `callers` and `readiness` are addresses to listen on, `server` that of the
     backend server beside an agent; each is empty where the process has none.
     `source` is the file that they were read from. `retry_share` and
-    `retry_slack` bound what all entries together may send again to a service
-    within `retry_window`.
+    `retry_slack` bound what all entries together may send again to a service.
     """
 
     process: str
@@ -33,15 +31,9 @@
     callers: str = ''
     readiness: str = ''
     server: str = ''
-    service: str = ''
-    data_centres: tuple[str, ...] = ()
-    memory_bytes: int = 0
     grace: Millis = 8 * SECOND
     retry_share: float = 0.2
     retry_slack: float = 50.0
-    retry_window: Millis = 10 * SECOND
-    server_heartbeat: Millis = 1_200.0
-    configuration_bound: Millis = 2_000.0
 
 
 def find_host_settings(
@@ -74,15 +66,9 @@
         callers=fields.get('listen.front', ''),
         readiness=fields.get('listen.ready', ''),
         server=fields.get('app', ''),
-        service=fields.get('service', ''),
-        data_centres=_list_data_centres(fields),
-        memory_bytes=int(reader.number('limits.memoryMb', 0) * _MIB),
         grace=reader.number('bounds.graceS', 8.0) * SECOND,
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=reader.number('bounds.retrySlack', 50.0),
-        retry_window=reader.number('bounds.retryWindowS', 10.0) * SECOND,
-        server_heartbeat=reader.number('heartbeatMs', 1_200.0),
-        configuration_bound=reader.number('bounds.configApplyMs', 2_000.0),
     )
     if faults:
         raise SettingsError(tuple(faults))
@@ -128,14 +114,3 @@
             faults.append(f'{source}:{number}: found no =; allowed: a.b=value')
         fields[name.strip()] = content.strip()
     return fields, faults
-
-
-def _list_data_centres(fields: Mapping[str, str]) -> tuple[str, ...]:
-    prefix = 'zones.'
-    return tuple(
-        sorted(
-            name.removeprefix(prefix)
-            for name in fields
-            if name.startswith(prefix)
-        )
-    )
--- a/tests/test_context_stores.py
+++ b/tests/test_context_stores.py
@@ -23,7 +23,7 @@
 SHARED, OWN = PromptPart('book', 5_000), PromptPart('own', 500)
 PARTS = (SHARED, OWN)
 SALT = Salt('m', 1).encode()
-TRAITS = StoreTraits(ADDRESS, 'hall', 100_000, 58_000.0, 6.0, is_managed=True)
+TRAITS = StoreTraits(ADDRESS, 'hall', 100_000, 58_000.0, is_managed=True)
 # The longest that a read of the list takes to follow what it tells.
 LIST_LAG = 1_000.0
 
@@ -161,7 +161,7 @@
 
 def test_every_entry_names_the_same_store_for_a_part():
     traits = [
-        StoreTraits(f's:{n}', 'hall', 1_000_000, 1.0, 1.0, is_managed=True)
+        StoreTraits(f's:{n}', 'hall', 1_000_000, 1.0, is_managed=True)
         for n in range(5)
     ]
     chosen = []
@@ -343,7 +343,7 @@
 
 @pytest.mark.parametrize('missing', [0, 1])
 def test_stores_that_are_no_longer_configured_are_forgotten(missing):
-    other = StoreTraits('s:2', 'hall', 10, 1.0, 1.0, is_managed=True)
+    other = StoreTraits('s:2', 'hall', 10, 1.0, is_managed=True)
     stores = make_stores(TRAITS, other)
     kept = [TRAITS, other][1 - missing]
     stores.configure([kept])
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -13,7 +13,7 @@
 from oleanderdyke.platform.settings import HostSettings
 from tests.hosted import MODEL, OPERATOR, SERVERS, make_record
 from tests.standins import server
-from tests.standins.records import RecordFaults, RecordStore
+from tests.standins.records import RecordFaults, RecordStore, Topic
 from tests.standins.replica import Peer, serving_replica
 
 LOADS = 'oleander-loads'
@@ -256,3 +256,23 @@
         engine.outcome = 202
         await stage.wait_version(2)
     assert engine.orders[-1]['instance'] == 'i-new'
+
+
+class ForgetfulTopic(Topic):
+    """Drop the history right after the first records."""
+
+    drops = 2
+
+    def append(self, record):
+        offset = super().append(record)
+        if self.drops:
+            self.drops -= 1
+            self.forget()
+        return offset
+
+
+async def test_a_notice_that_was_never_read_back_is_told_again(tmp_path):
+    async with staging(tmp_path) as stage:
+        stage.store.topics[LOADS] = ForgetfulTopic()
+        stage.name(2)
+        await stage.wait_version(2, seconds=12)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -56,10 +56,8 @@
     settings = parse_host_settings(SETTINGS, 'boot.conf')
     assert settings.process == 'front-1'
     assert settings.data_centre == 'hall'
-    assert settings.data_centres == ('hall', 'yard')
     assert settings.grace == 8_000
     assert settings.retry_slack == 52
-    assert settings.memory_bytes == 150 * 1024 * 1024
     assert settings.server == ''
 
 
