Notice a server that falls silent in the middle of its streams

Cause: only a first byte that is owed counted as silence; a stream on an engine that went dark hung until its caller left after two seconds or more, as nothing unacknowledged is on the way there. Change: a server with runs that sends none of them anything for half a second is left out, and what may be resumed goes on elsewhere. Tests failed first.

--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -113,11 +113,14 @@
         return max(self.load.running + self.load.waiting, self.running)
 
     def find_silence(self, now: Millis) -> Millis:
-        """Return for how long the server has owed a byte and sent none."""
-        if not self.waiting:
+        """Return for how long the server has owed a byte and sent none.
+
+        An engine sends something of each run every few milliseconds.
+        """
+        if not self.running:
             return 0.0
-        oldest = min(owed.since for owed in self.waiting.values())
-        return now - max(oldest, self.heard)
+        since = [owed.since for owed in self.waiting.values()]
+        return now - max(min(since, default=0.0), self.heard)
 
     def count_kept(self, parts: Sequence[PromptPart]) -> int:
         """Count the leading tokens of a prompt that it likely holds."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -367,3 +367,12 @@
     assert [budget.take() for _ in range(3)] == [True, True, False]
     budget.resize(RetrySettings(burst=9.0))
     assert not budget.take()
+
+
+def test_a_server_that_sends_nothing_of_what_runs_is_silent():
+    book = make_engines('a')
+    book.note_sent('a', 'x', Owed(0.0, 10))
+    book.note_heard('a', 'x', 100.0)
+    assert book.find('a').find_silence(900.0) == 800.0
+    book.note_ended('a', 'x', 0)
+    assert book.find('a').find_silence(900.0) == 0.0
--- a/tests/test_hosted_entry.py
+++ b/tests/test_hosted_entry.py
@@ -607,3 +607,21 @@
         writer.close()
         await anyio.sleep(0.2)
     assert ends == ['reset']
+
+
+async def test_a_stream_that_falls_silent_goes_on_elsewhere(tmp_path):
+    async def stall(peer):
+        await peer.send(
+            make_head(
+                peer.request,
+                content_type='text/event-stream',
+                transfer_encoding='chunked',
+            )
+        )
+        await peer.send(make_chunk(make_event(1) + make_event(2)))
+        await peer.wait_closed()
+
+    async with staging(tmp_path, stall, stream(3, 5)) as stage:
+        found = [await stage.call('/stream/1') for _ in range(2)]
+    whole = b''.join(make_event(number) for number in range(1, 6))
+    assert whole in [each.body for each in found]
