--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON := $(VENV)/bin/python
 READY := $(VENV)/.ready
 
-.PHONY: help setup test check lint format types demo hosted run faults bench reference clean
+.PHONY: help setup test check lint format types demo hosted days run faults bench reference clean
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
@@ -42,6 +42,9 @@
 run: $(READY) ## Keep a deployment up until Ctrl-C; LAYOUT=council for the other
 	@$(PYTHON) -m examples.run $(LAYOUT)
 
+days: $(READY) ## Play our own days; BENCH and SITES name the users' bench
+	$(PYTHON) -m tools.days --bench "$(BENCH)" $(SITES)
+
 faults: $(READY) ## Print the fault matrix; fails on a broken cell
 	$(PYTHON) -m bench.faults
 
