Refuse by fullness only where requests wait, and log what decided

Their lines also did not tell the fill, so the cause could not be read from the log. Change: the guess counts only where requests wait or first bytes show a queue; the refusal tells all that decided.

--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -166,7 +166,7 @@
             self._inbox.put(NoRoute(refusal))
             return
         if self._should_refuse(choice, action):
-            self._refuse_early(choice.expected)
+            self._refuse_early(choice)
             return
         server = choice.backend.record.server
         load = choice.backend.load
@@ -178,7 +178,7 @@
             count=choice.candidates,
             expected=round(choice.expected, 1),
             fill=round(choice.fill, 2),
-            delay=round(choice.backend.find_delay(demand.rank, now), 1),
+            delay=round(choice.delay, 1),
             running=None if load is None else load.running,
             waiting=None if load is None else load.waiting,
         )
@@ -192,15 +192,20 @@
         return should_refuse(
             self._call.patience,
             expected=choice.expected,
-            waiting=choice.backend.count_waiting(self._core.clock.now()),
+            delay=choice.delay,
+            waiting=choice.waiting,
             fill=choice.fill,
             size=choice.size,
             drawn=self._core.random.random(),
         )
 
-    def _refuse_early(self, expected: Millis) -> None:
+    def _refuse_early(self, choice: Choice) -> None:
         pause = self._core.random.uniform(*_OVERLOAD_PAUSE)
-        reason = f'a first byte is expected after {expected:.0f} ms'
+        reason = (
+            f'a first byte is expected after {choice.expected:.0f} ms, '
+            f'{choice.waiting} wait for {choice.delay:.0f} ms, '
+            f'{choice.fill:.2f} of the memory is likely taken'
+        )
         refusal = Refusal(ErrorKind.OVERLOADED, reason, pause)
         self._inbox.put(NoRoute(refusal))
 
--- a/src/oleanderdyke/kernel/overload.py
+++ b/src/oleanderdyke/kernel/overload.py
@@ -19,11 +19,15 @@
 # The part of an engine's memory that its runs may take by a guess that counts
 # shared parts, and the longest answers, for each of them. Where it stays under
 # the first, first tokens keep under half of their targets.
+# The guess alone refuses nothing: there are places while nobody waits.
 _FILL_GOOD = 0.8
 _FILL_BAD = 1.2
 # Refusing a request that takes little memory frees little: it is refused less
 # often than others by its size, but not less than by this factor.
 _LEAST_SHARE = 0.3
+# Within this, a first byte is late by chance: one step of an engine that reads
+# a long prompt beside takes half of it.
+_LITTLE_DELAY: Millis = 40.0
 # A caller's deadline may differ a little from the route's timeout.
 _FIRST_TRY_SLACK: Millis = 20.0
 # Rank among an engine's requests of those that are late already.
@@ -60,6 +64,7 @@
     patience: Patience,
     *,
     expected: Millis,
+    delay: Millis,
     waiting: int,
     fill: float,
     size: float,
@@ -67,12 +72,15 @@
 ) -> bool:
     """Tell whether a request is better sent back than started now.
 
-    `waiting` is how many wait at the least loaded server, `fill` how much of
-    its memory is likely taken, `size` what this request takes of it against
-    the mean, `drawn` a number from 0 to 1, by which a growing part is refused.
+    `delay` is how long requests lately waited at the least loaded server and
+    `waiting` how many do. `fill` is how much of its memory is likely taken,
+    `size` what this request takes against the mean, and `drawn` a number from
+    0 to 1, by which a growing part is refused.
     """
     crowd = (waiting - _FEW_WAITING) / (_MANY_WAITING - _FEW_WAITING)
     fullness = (fill - _FILL_GOOD) / (_FILL_BAD - _FILL_GOOD)
+    if not waiting and delay < _LITTLE_DELAY:
+        fullness = 0.0
     share = max(crowd, fullness) * max(min(size, 1.0), _LEAST_SHARE)
     if drawn < min(share, _MOST_REFUSED):
         return True
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -65,14 +65,18 @@
 class Choice:
     """Name the chosen server and what decided.
 
-    `fill` is the part of its memory that runs and those that wait likely
-    take, `size` what the request takes against their mean.
+    `delay` is how long requests wait there by their first bytes and `waiting`
+    how many do by what it told. `fill` is the part of its memory that runs and
+    those that wait likely take, `size` what the request takes against their
+    mean.
     """
 
     backend: Backend
     score: Millis
     candidates: int
     expected: Millis
+    delay: Millis = 0.0
+    waiting: int = 0
     fill: float = 0.0
     size: float = 1.0
 
@@ -99,6 +103,8 @@
         score=_score(demand, best, homes, now),
         candidates=len(usable),
         expected=_expect(demand, best, now),
+        delay=best.find_delay(demand.rank, now),
+        waiting=best.count_waiting(now),
         fill=_find_fill(demand, best, usable, now),
         size=_find_size(demand, usable),
     )
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -259,6 +259,7 @@
 def refuse(waited=0.0, **changes):
     facts = {
         'expected': 10.0,
+        'delay': 90.0,
         'waiting': 0,
         'fill': 0.2,
         'size': 1.0,
@@ -287,6 +288,12 @@
     assert refused[-1] == 95
 
 
+def test_a_guess_alone_refuses_nothing():
+    assert refuse(fill=2.0)
+    assert not refuse(fill=2.0, delay=10.0)
+    assert refuse(fill=2.0, delay=10.0, waiting=3)
+
+
 def test_small_requests_are_refused_less_often():
     assert refuse(fill=1.1, drawn=0.5, size=1.0)
     assert not refuse(fill=1.1, drawn=0.5, size=0.1)
