--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -10,6 +10,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import Deployment
+from oleanderdyke.kernel.rollout import holds_newest
 from oleanderdyke.kernel.servers import ServerRecord
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import (
@@ -135,6 +136,7 @@
             return
         core.versions[named.model] = named.version
         core.versions_heard[named.model] = core.clock.now()
+        core.loads.note_named(core.clock.now())
         core.log.write(
             EventName.VERSION_NAMED, model=named.model, version=named.version
         )
@@ -190,6 +192,21 @@
         now = self._core.clock.now()
         self._core.servers_read = now
         self._core.book.note_read(now)
+        self._note_loaded(now)
+
+    def _note_loaded(self, now: Millis) -> None:
+        """See in the list which engines have what is named.
+
+        The agent of an engine may be cut off when its load ends.
+        """
+        core = self._core
+        for server in (*core.loads.list_loading(), *core.loads.list_draining()):
+            backend = core.book.find(server)
+            if backend is None or holds_newest(
+                backend.record.versions, core.versions
+            ):
+                core.loads.drop(server)
+        core.loads.tick(now)
 
     def _log(self, event: EventName, name: str, detail: str | None) -> None:
         self._core.log.write(event, name=name, detail=detail)
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -83,21 +83,23 @@
     async def list_newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key; raise StoreUnavailable.
 
-        Pages are no snapshot: reading on goes from the end of the first.
+        They are in the order in which they were written. Pages are no
+        snapshot: reading on goes from the end of the first.
         """
-        records: list[KeyedRecord] = []
+        items: list[Any] = []
         end, after, more = None, '', True
         while more:
             query = {'topic': topic, 'part': _PARTITION}
             if after:
                 query['after'] = after
             page = await self._get_json('/api/log-newest', query)
-            found = list(_decode_items(page))
-            records += found
+            found = page.get('items') or ()
+            items += found
             end = page['end'] if end is None else end
             more = bool(page.get('more')) and bool(found)
-            after = found[-1].key if found else ''
-        return KeyedPage(tuple(records), int(end or 0))
+            after = found[-1]['key'] if found else ''
+        items.sort(key=lambda item: int(item.get('offset', 0)))
+        return KeyedPage(tuple(map(_decode_item, items)), int(end or 0))
 
     async def read_keyed(self, topic: str, start: int) -> KeyedPage:
         """Return records from `start` on, waiting for the first.
@@ -184,10 +186,9 @@
         raise StoreUnavailable('the answer is no JSON') from error
 
 
-def _decode_items(page: Any) -> Iterator[KeyedRecord]:
-    for item in page.get('items', ()):
-        value = base64.b64decode(item.get('value') or '')
-        yield KeyedRecord(str(item['key']), value or None)
+def _decode_item(item: Any) -> KeyedRecord:
+    value = base64.b64decode(item.get('value') or '')
+    return KeyedRecord(str(item['key']), value or None)
 
 
 def _split_records(data: bytes) -> Iterator[bytes]:
