Pass over an engine that does not begin to load

Change: an agent tells that its engine has taken the order; one that has not after two seconds is passed over. Any queued engine that is listed with the newest weights, or no longer listed, leaves the queue, not just one whose turn it is. The first engine loads at once: the second of draining before it was lost.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -226,6 +226,9 @@
             offset=order.fence,
             reason=outcome.value,
         )
+        if outcome is OrderOutcome.ACCEPTED:
+            notice = LoadNotice(order.server, LoadStep.BEGUN)
+            await append_notice(self._short, notice)
         if outcome is OrderOutcome.OLD_FENCE:
             self._fence = None
         if outcome is OrderOutcome.OTHER_SERVER:
@@ -270,7 +273,7 @@
         return self._server or None
 
     async def _look_at_others(self, own: str) -> None:
-        """See in the list which engines before this one have what is named.
+        """See in the list which engines are gone or have what is named.
 
         Their agents may be cut off when their loads end.
         """
@@ -285,7 +288,7 @@
             for server in listed
             if not holds_newest(server.versions, newest)
         }
-        for server in self._queue.list_loading():
+        for server in self._queue.list_queued():
             if server not in waiting and server != own:
                 self._queue.drop(server)
 
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -200,7 +200,7 @@
         The agent of an engine may be cut off when its load ends.
         """
         core = self._core
-        for server in (*core.loads.list_loading(), *core.loads.list_draining()):
+        for server in core.loads.list_queued():
             backend = core.book.find(server)
             if backend is None or holds_newest(
                 backend.record.versions, core.versions
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -23,9 +23,9 @@
 # Whoever takes longer no longer holds up the others; a run may take five
 # seconds to end.
 _STUCK_AFTER: Millis = 7 * SECOND
-# How long an engine gets no long runs before its first turn. Answers on old
-# weights cost nothing for 1.5 s.
-DRAIN_TIME: Millis = 1 * SECOND
+# An order takes some milliseconds, and one that is not answered is repeated a
+# second later. Where the agent of an engine is gone, only this is lost.
+_BEGIN_LIMIT: Millis = 2 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +67,7 @@
     """Say what an agent tells of the load of new weights."""
 
     WAITS = 'waits'
+    BEGUN = 'begun'
     ENDED = 'ended'
 
 
@@ -80,10 +81,19 @@
 
 @dataclass(slots=True)
 class _Turn:
-    """Hold since when an engine gets no long runs, and since when it loads."""
+    """Hold since when an engine may load, and whether it has begun to.
 
-    drains: Millis | None = None
+    One that `drains` gets no long runs, as its turn is next.
+    """
+
+    drains: bool = False
     loads: Millis | None = None
+    is_begun: bool = False
+
+    def is_stuck(self, now: Millis) -> bool:
+        """Tell whether it has had its time."""
+        limit = _STUCK_AFTER if self.is_begun else _BEGIN_LIMIT
+        return self.loads is not None and now - self.loads > limit
 
 
 class LoadQueue:
@@ -92,9 +102,10 @@
     Every process applies the same notices in the order of the log, so nobody
     has to lead. Engines go one by one while all can still be ready `limit`
     after the weights were named, as each that loads is missed by callers.
-    Before its turn an engine drains: it still gets short runs, as a load
-    begins only when the last run has ended. An engine that is not heard of
-    again is passed over after a bounded time, as each process measures it.
+    Before its turn an engine drains, but for the first: it still gets short
+    runs, as a load begins only when the last run has ended. An engine that is
+    not heard of again is passed over after a bounded time, as each process
+    measures it.
     """
 
     def __init__(self, limit: Millis) -> None:
@@ -112,6 +123,8 @@
         """Apply the next notice of the log."""
         if notice.step is LoadStep.ENDED:
             self.drop(notice.server)
+        elif notice.step is LoadStep.BEGUN:
+            self._note_begun(notice.server)
         else:
             self._queue.setdefault(notice.server, _Turn())
             self._most_queued = max(self._most_queued, len(self._queue))
@@ -126,16 +139,17 @@
     def tick(self, now: Millis) -> None:
         """Begin turns that are due, and pass over those that had their time."""
         stuck = [
-            server
-            for server, turn in self._queue.items()
-            if turn.loads is not None and now - turn.loads > _STUCK_AFTER
+            server for server, turn in self._queue.items() if turn.is_stuck(now)
         ]
         for server in stuck:
             self.drop(server)
         self._begin_loads(now)
         for turn in self._list_waiting()[: self._find_width(now)]:
-            if turn.drains is None:
-                turn.drains = now
+            turn.drains = True
+
+    def list_queued(self) -> tuple[str, ...]:
+        """Return all engines that wait or load."""
+        return tuple(self._queue)
 
     def is_queued(self, server: str) -> bool:
         """Tell whether an engine waits or loads."""
@@ -159,15 +173,19 @@
         return tuple(
             server
             for server, turn in self._queue.items()
-            if turn.loads is None and turn.drains is not None
+            if turn.loads is None and turn.drains
         )
 
+    def _note_begun(self, server: str) -> None:
+        turn = self._queue.get(server)
+        if turn is not None:
+            turn.is_begun = True
+
     def _begin_loads(self, now: Millis) -> None:
         waiting = self._list_waiting()
         loading = len(self._queue) - len(waiting)
         for turn in waiting[: max(self._find_width(now) - loading, 0)]:
-            if turn.drains is not None and now - turn.drains >= DRAIN_TIME:
-                turn.loads = now
+            turn.loads = now
 
     def _list_waiting(self) -> list[_Turn]:
         return [turn for turn in self._queue.values() if turn.loads is None]
