Call the store less at rest; show the platform's mode until Ctrl-C

The list of servers is read every 0.7 s instead of 0.6 s.

A stand-in of a store of kept context speaks its protocol over HTTP. It showed that an entry went on fetching from a store that had come back empty for as long as the first read of its new events waited, up to a second: the view is dropped first now. Nothing could be mixed up by it; the fetches missed.

`make run LAYOUT=platform` keeps an entry up before its stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 hosted: $(READY) ## Show an entry in the mode of the users' platform
 	$(PYTHON) -m examples.hosted
 
-run: $(READY) ## Keep a deployment up until Ctrl-C; LAYOUT=council for the other
+run: $(READY) ## Keep a deployment up until Ctrl-C; LAYOUT=council or platform for others
 	@$(PYTHON) -m examples.run $(LAYOUT)
 
 days: $(READY) ## Play our own days; BENCH and SITES name the users' bench
--- a/examples/hosted.py
+++ b/examples/hosted.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import os
+import signal
 import sys
-from contextlib import AsyncExitStack
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
 
 from tests.hosted import (
     CONFIGURATION,
+    HOST,
     KEY,
     MODEL,
     OPERATOR,
@@ -35,6 +39,7 @@
 _BUILD = _ROOT / 'build' / 'hosted'
 _START_SECONDS = 10
 _STOP_SECONDS = 9
+_STOPPING = (signal.SIGINT, signal.SIGTERM)
 _SETTINGS = """nodeName=front-1
 zone=hall
 ip=127.0.0.1
@@ -45,8 +50,43 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """Hold what runs: the platform's store, and where the entry listens."""
+
+    store: RecordStore
+    callers: tuple[str, int]
+    readiness: tuple[str, int]
+
+
 async def run() -> int:
     """Serve calls, lose a server under a stream, stop; return the faults."""
+    async with _serving() as shown:
+        return await _tell(shown.callers, shown.store)
+
+
+async def hold() -> None:
+    """Keep an entry up before its stand-ins until Ctrl-C."""
+    async with _serving() as shown:
+        host, port = shown.callers
+        print(f'an entry with two backend servers, log in {_BUILD}')
+        print(f'ready: http://{host}:{shown.readiness[1]}/api/readiness')
+        print('in another terminal:')
+        for path in ('/once/1', '/stream/1'):
+            print(
+                f'  curl -N -X POST http://{host}:{port}{path} '
+                f"-H 'host: {HOST}' -H 'oleanderdyke-request-id: try-1' "
+                f"-H 'oleanderdyke-key: {KEY}'"
+            )
+        print('Ctrl-C stops everything gracefully', flush=True)
+        with anyio.open_signal_receiver(*_STOPPING) as signals:
+            async for _ in signals:
+                return
+
+
+@asynccontextmanager
+async def _serving() -> AsyncGenerator[Shown, None]:
+    """Run an entry as a process, and in this one what it needs."""
     _BUILD.mkdir(parents=True, exist_ok=True)
     store = RecordStore()
     store.put(OPERATOR, 'config', CONFIGURATION)
@@ -59,15 +99,24 @@
                 serving_replica(script)
             )
             store.put(SERVERS, f'i-{number}', make_record(address))
-        return await _show(store, store_address)
+        shown = Shown(
+            store, ('127.0.0.1', find_port()), ('127.0.0.1', find_port())
+        )
+        await stack.enter_async_context(_running(shown, store_address))
+        await _wait_ready(shown.readiness)
+        yield shown
 
 
-async def _show(store: RecordStore, store_address: str) -> int:
-    callers, readiness = find_port(), find_port()
+@asynccontextmanager
+async def _running(
+    shown: Shown, store_address: str
+) -> AsyncGenerator[None, None]:
     settings = _BUILD / 'boot.conf'
     settings.write_text(
         _SETTINGS.format(
-            store=store_address, callers=callers, readiness=readiness
+            store=store_address,
+            callers=shown.callers[1],
+            readiness=shown.readiness[1],
         )
     )
     with (_BUILD / 'entry.log').open('w') as log:
@@ -75,14 +124,16 @@
             *(sys.executable, '-m', 'oleanderdyke.entry.main', '--platform'),
             env={**os.environ, 'OLEANDERDYKE_SETTINGS': str(settings)},
             stdout=log,
+            # Ctrl-C is for this process; it stops the entry.
+            start_new_session=True,
         )
     try:
-        await _wait_ready(('127.0.0.1', readiness))
-        return await _tell(('127.0.0.1', callers), store)
+        yield
     finally:
-        entry.terminate()
-        with anyio.fail_after(_STOP_SECONDS):
-            await entry.wait()
+        with anyio.CancelScope(shield=True):
+            entry.terminate()
+            with anyio.fail_after(_STOP_SECONDS):
+                await entry.wait()
         print(f'entry stopped with {entry.returncode}; log in {_BUILD}')
 
 
--- a/examples/run.py
+++ b/examples/run.py
@@ -9,8 +9,10 @@
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 
+import anyio
 import yaml
 
+from examples import hosted
 from examples.demo import (
     AGENCY,
     COUNCIL,
@@ -29,6 +31,7 @@
 
 BUILD = ROOT / 'build' / 'run'
 _STORIES = {story.layout: story for story in (AGENCY, COUNCIL)}
+_PLATFORM = 'platform'
 _POLL_SECONDS = 0.2
 _VARIABLES = 'env.sh'
 
@@ -36,6 +39,9 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a deployment; return 0 when every process stopped gracefully."""
     options = _make_parser().parse_args(arguments)
+    if options.layout == _PLATFORM:
+        anyio.run(hosted.hold)
+        return 0
     # Whoever sends SIGTERM wants what Ctrl-C does, also in the background.
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, signal.default_int_handler)
@@ -66,7 +72,11 @@
         prog='python -m examples.run', description=__doc__
     )
     parser.add_argument(
-        'layout', nargs='?', choices=sorted(_STORIES), default='agency'
+        'layout',
+        nargs='?',
+        choices=[*sorted(_STORIES), _PLATFORM],
+        default='agency',
+        help="%(default)s unless named; platform: as on the users' platform",
     )
     return parser
 
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -86,7 +86,8 @@
                 generation=found.boot,
             )
         if view.boot is not None and found.boot != view.boot:
-            # Events of the new start begin anew.
+            # Events of the new start begin anew, and may take a second to come.
+            view.forget()
             view.position = 0
             found = await client.read_events(0)
         view.take(found, asked_at, self._core.clock.now())
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -35,8 +35,9 @@
 _CONFIGURATION_WAIT: Millis = 1 * SECOND
 # Servers write every 1.2 s each, so that a long read would return at once
 # and be asked again all the time. A server that leaves must get no work two
-# seconds later; this leaves time for a failed read.
-_SERVERS_PERIOD: Millis = 600.0
+# seconds later; this leaves time for a failed read, and keeps all calls of an
+# entry at rest under three in a second.
+_SERVERS_PERIOD: Millis = 700.0
 # Notices of loads come only when weights are named.
 _LOADS_WAIT: Millis = 5 * SECOND
 # The store refuses what is over its rate and may be out for seconds; each
--- /dev/null
+++ b/tests/standins/contexts.py
@@ -0,0 +1,79 @@
+"""Stand in for a store of kept context of the users' platform."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+import anyio
+
+from tests.standins import web
+
+_MILLIS = 1000
+_LIST = ('bootEpoch', 'next', 'lost', 'clock_ms', 'events')
+
+
+class ContextStore(web.StandIn[web.Faults]):
+    """Tell by events what it holds, and free parts."""
+
+    def __init__(self) -> None:
+        super().__init__(web.Faults())
+        self.boot = 1
+        self.events: list[list[Any]] = []
+        self.freed: list[list[str]] = []
+        self.reads = 0
+        self._changed = anyio.Event()
+
+    def add(self, salt: str, part: str, tokens: int) -> None:
+        """Hold a part whole."""
+        self._tell('+', salt, part, tokens)
+
+    def restart(self) -> None:
+        """Come back empty."""
+        self.boot += 1
+        self.events.clear()
+        self._wake()
+
+    async def answer(self, request: web.Request) -> web.Answer:
+        """Answer one call."""
+        match request.path:
+            case '/api/kv-events':
+                return await self._list_events(request)
+            case '/api/kv-free':
+                return await self._free(request)
+        return web.refuse(404, 'no such call')
+
+    async def _list_events(self, request: web.Request) -> web.Answer:
+        self.reads += 1
+        since = int(request.query['since'])
+        wait = float(request.headers.get('wait-ms', '0'))
+        if since >= len(self.events):
+            with anyio.move_on_after(wait / _MILLIS):
+                await self._changed.wait()
+        found = (
+            self.boot,
+            len(self.events),
+            False,
+            time.monotonic() * _MILLIS,
+            self.events[since:],
+        )
+        return web.answer_json(dict(zip(_LIST, found, strict=True)))
+
+    async def _free(self, request: web.Request) -> web.Answer:
+        asked = json.loads(await request.body())
+        if asked['bootEpoch'] != self.boot:
+            return web.refuse(409, 'another start')
+        for salt, part in asked['parts']:
+            self.freed.append([salt, part])
+            self._tell('-', salt, part, 0)
+        return web.answer_json({})
+
+    def _tell(self, sign: str, salt: str, part: str, tokens: int) -> None:
+        number = len(self.events) + 1
+        self.events.append([number, sign, salt, part, tokens, ''])
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- /dev/null
+++ b/tests/test_hosted_contexts.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+import contextlib
+
+import anyio
+import pytest
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.kernel.context_stores import VIEW_LIFE
+from tests.hosted import CONFIGURATION, MODEL, staging
+from tests.standins import server
+from tests.standins.contexts import ContextStore
+from tests.standins.replica import Peer
+
+SALT = f'1/{MODEL}/'
+SOURCE = 'oleanderdyke-kv-source'
+SINK = 'oleanderdyke-kv-sink'
+UNTIL = 'oleanderdyke-kv-until'
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+async def answer_well(peer: Peer) -> None:
+    await peer.answer(body=b'read')
+
+
+@contextlib.asynccontextmanager
+async def staging_store(directory):
+    """Run an entry before an engine and a store of context."""
+    contexts = ContextStore()
+    async with server.serving(contexts) as (address,):
+        stores = {
+            'name': 'rules',
+            'kvStoreAddr': address,
+            'zone': 'hall',
+            'kvCapacity': 200_000,
+            'linkMbps': 58_000,
+            'managed': True,
+        }
+        services = [*CONFIGURATION['services'], stores]
+        async with staging(
+            directory,
+            answer_well,
+            configuration={**CONFIGURATION, 'services': services},
+            models=[{'name': MODEL, 'version': 1, 'adapters': []}],
+        ) as stage:
+            with anyio.fail_after(5):
+                while not contexts.reads:
+                    await anyio.sleep(0.02)
+            yield stage, contexts, address
+
+
+async def ask(stage) -> dict[str, str]:
+    """Send a prompt of three parts; return what the engine was told."""
+    found = await stage.call(
+        '/safe/1',
+        oleanderdyke_model=MODEL,
+        oleanderdyke_token_usage='7500,80',
+        oleanderdyke_prompt_prefix='aa:2000,bb:5000,cc:500',
+    )
+    assert found.status == 200
+    return stage.replicas[0].received[-1].headers
+
+
+async def test_what_a_store_holds_is_fetched_and_the_rest_is_saved(tmp_path):
+    async with staging_store(tmp_path) as (stage, contexts, address):
+        contexts.add(SALT, 'aa', 2_000)
+        # An entry can't know whether a store that it first sees has just
+        # restarted.
+        await anyio.sleep(VIEW_LIFE / SECOND + 0.3)
+        told = await ask(stage)
+    assert told['oleanderdyke-cache-salt'] == SALT
+    assert told[SOURCE] == f'{address}/2000,-,-'
+    assert told[SINK] == f'-,{address},-'
+    assert int(told[UNTIL]) > 0
+
+
+async def test_context_of_other_weights_is_not_fetched(tmp_path):
+    async with staging_store(tmp_path) as (stage, contexts, _):
+        contexts.add(f'2/{MODEL}/', 'aa', 2_000)
+        await anyio.sleep(0.3)
+        told = await ask(stage)
+    assert SOURCE not in told
+
+
+async def test_a_store_that_came_back_empty_is_not_fetched_from(tmp_path):
+    async with staging_store(tmp_path) as (stage, contexts, _):
+        contexts.add(SALT, 'aa', 2_000)
+        await anyio.sleep(0.3)
+        contexts.restart()
+        await anyio.sleep(0.3)
+        told = await ask(stage)
+    assert SOURCE not in told
+    # Others may not know yet that it restarted, and fetch what is written.
+    assert SINK not in told
+
+
+async def test_a_store_that_is_silent_is_not_fetched_from(tmp_path):
+    async with staging_store(tmp_path) as (stage, contexts, _):
+        contexts.add(SALT, 'aa', 2_000)
+        await anyio.sleep(0.3)
+        contexts.faults = type(contexts.faults)(silent=True)
+        await anyio.sleep(4.5)
+        told = await ask(stage)
+    assert SOURCE not in told
