Score each server once in the choice; drop results that nobody reads

Found in the last read: the chosen server was scored a second time and the mean memory of runs taken twice for each request; an error was built only to read that nothing had run; an agent's call of the store returned what nobody read. Behaviour is the same.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -120,14 +120,12 @@
 
     async def _try_store(
         self, name: str, call: Callable[[], Awaitable[None]]
-    ) -> bool:
+    ) -> None:
         try:
             await call()
         except StoreUnavailable as error:
             self._log.write(EventName.LOG_DOWN, name=name, detail=error.message)
             await anyio.sleep(_RETRY_PAUSE / SECOND)
-            return False
-        return True
 
     def _take_operator(self, page: KeyedPage) -> None:
         for record in page.records:
--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -16,7 +16,7 @@
 from oleanderdyke.entry.hosted.driver import HostedDriver
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.stopping import Stopper
-from oleanderdyke.errors import ErrorKind, OleanderError
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import CallerLimits
 from oleanderdyke.metrics import Count, Gauge
@@ -131,7 +131,7 @@
         if scope['path'] != names.READINESS_PATH:
             await reply.refuse(
                 ErrorKind.NOT_FOUND,
-                OleanderError(ErrorKind.NOT_FOUND, '').ran,
+                Ran.NO,
                 'only the readiness is told here',
             )
             return
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from operator import itemgetter
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backends import READ_RATE, Backend, BackendBook
@@ -104,16 +105,18 @@
     if not usable:
         return None
     homes = _find_homes(demand, usable)
-    best = min(usable, key=lambda each: _score(demand, each, homes, now))
+    scores = [_score(demand, each, homes, now) for each in usable]
+    score, best = min(zip(scores, usable, strict=True), key=itemgetter(0))
+    mean = _find_mean_memory(usable)
     return Choice(
         best,
-        score=_score(demand, best, homes, now),
+        score=score,
         candidates=len(usable),
         expected=_expect(demand, best, now),
         delay=best.find_delay(demand.rank, now),
         waiting=best.count_waiting(now),
-        fill=_find_fill(demand, best, usable, now),
-        size=_find_size(demand, usable),
+        fill=_find_fill(demand, best, mean, now),
+        size=_find_size(demand, mean),
     )
 
 
@@ -132,20 +135,15 @@
 
 
 def _find_fill(
-    demand: CallDemand,
-    chosen: Backend,
-    usable: Sequence[Backend],
-    now: Millis,
+    demand: CallDemand, chosen: Backend, mean: float, now: Millis
 ) -> float:
     """Guess how full an engine is from the mix that this entry sends."""
-    mean = _find_mean_memory(usable)
     if not demand.memory_tokens:
         return 0.0
     return chosen.count_present(now) * mean / demand.memory_tokens
 
 
-def _find_size(demand: CallDemand, usable: Sequence[Backend]) -> float:
-    mean = _find_mean_memory(usable)
+def _find_size(demand: CallDemand, mean: float) -> float:
     if demand.model is None or not mean:
         return 1.0
     return demand.model.memory_tokens / mean
