Go back to two loads of weights at once

A process that starts anew takes the weights that it reads first for just named, so that it plans for fifteen more seconds, one engine after the other, and an entry's bound on old weights begins anew as well.

To do before it is tried again: weights that are known from the start count as due, in agents and entries; a load counts as long as long runs last.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -15,7 +15,6 @@
     LoadStep,
     Target,
     find_target,
-    holds_newest,
 )
 from oleanderdyke.kernel.servers import ServerRecord
 from oleanderdyke.logs import EventLog
@@ -49,9 +48,6 @@
 # which costs nothing but a little processor time.
 _ROLLOUT_PERIOD: Millis = 100.0
 _IDLE_PERIOD: Millis = 100.0
-# How often an agent that waits for its turn reads the list of servers. A load
-# takes over two seconds.
-_LIST_PERIOD: Millis = 500.0
 _READ_BACK: Millis = 20.0
 # A long read answers within some milliseconds of an append.
 _READ_BACK_LIMIT: Millis = 2 * SECOND
@@ -78,8 +74,7 @@
         self._done: dict[str, int] = {}
         self._fence: int | None = None
         self._server = ''
-        self._listed_at: Millis = 0.0
-        self._queue = LoadQueue(settings.weights_limit)
+        self._queue = LoadQueue()
         self._loads = LoadFeed(
             StoreClient(settings.store, wait=_OPERATOR_WAIT),
             self._refuse_notice,
@@ -148,8 +143,7 @@
         known = self._targets.get(model)
         if known is not None and known.version >= version:
             return
-        self._targets[model] = Target(model, version)
-        self._queue.note_named(self._clock.now())
+        self._targets[model] = Target(model, version, self._clock.now())
         self._log.write(EventName.VERSION_NAMED, model=model, version=version)
 
     async def _roll_out(self) -> None:
@@ -190,7 +184,6 @@
             return
         self._queue.tick(self._clock.now())
         if not self._queue.may_load(own):
-            await self._look_at_others(own)
             return
         fence = await self._find_fence()
         order = WeightOrder(
@@ -224,9 +217,6 @@
             offset=order.fence,
             reason=outcome.value,
         )
-        if outcome is OrderOutcome.ACCEPTED:
-            notice = LoadNotice(order.server, LoadStep.BEGUN)
-            await append_notice(self._short, notice)
         if outcome is OrderOutcome.OLD_FENCE:
             self._fence = None
         if outcome is OrderOutcome.OTHER_SERVER:
@@ -265,36 +255,13 @@
         """
         if self._server:
             return self._server
-        for server in await self._list_servers():
-            if server.address == self._settings.server:
+        page = await self._short.list_newest(names.SERVER_TOPIC)
+        for record in page.records:
+            server = self._decode(record)
+            if server and server.address == self._settings.server:
                 self._server = server.server
         return self._server or None
 
-    async def _look_at_others(self, own: str) -> None:
-        """See in the list which engines are gone or have what is named.
-
-        Their agents may be cut off when their loads end.
-        """
-        now = self._clock.now()
-        if now - self._listed_at < _LIST_PERIOD:
-            return
-        self._listed_at = now
-        newest = {each.model: each.version for each in self._targets.values()}
-        listed = await self._list_servers()
-        waiting = {
-            server.server
-            for server in listed
-            if not holds_newest(server.versions, newest)
-        }
-        for server in self._queue.list_queued():
-            if server not in waiting and server != own:
-                self._queue.drop(server)
-
-    async def _list_servers(self) -> list[ServerRecord]:
-        page = await self._short.list_newest(names.SERVER_TOPIC)
-        found = map(self._decode, page.records)
-        return [server for server in found if server is not None]
-
     def _decode(self, record: KeyedRecord) -> ServerRecord | None:
         if record.value is None:
             return None
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.clock import Millis
 from oleanderdyke.entry.edge import Head
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
@@ -25,9 +25,6 @@
 # Long enough for a store that answers in milliseconds to have told the
 # configuration or the list of servers to an entry that has just started.
 _START_PAUSE: Millis = 400.0
-# The way to a server and its queue: a request that is sent to an engine on old
-# weights begins there later, and the name was heard after it was accepted.
-_WEIGHTS_MARGIN: Millis = 1 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,25 +138,14 @@
         model=model,
         rank=call.priority,
         newest_version=newest,
-        least_version=newest if _are_weights_due(core, call) else None,
         fetchable=_count_fetchable(core, call),
         excluded=excluded,
         loading=frozenset(core.loads.list_loading()),
-        draining=frozenset(core.loads.list_draining()),
+        draining=frozenset(core.loads.list_next()),
         memory_tokens=_find_memory(core, call),
     )
 
 
-def _are_weights_due(core: HostedCore, call: HostedCall) -> bool:
-    """Tell whether no request may begin on older weights any more."""
-    model = call.asked.demand
-    if model is None or model.model not in core.versions_heard:
-        return False
-    heard = core.versions_heard[model.model]
-    due = heard + core.settings.weights_limit - _WEIGHTS_MARGIN
-    return core.clock.now() > due
-
-
 def _find_memory(core: HostedCore, call: HostedCall) -> int:
     deployment = core.deployment
     service = deployment and deployment.services.get(call.service)
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -60,11 +60,11 @@
     metrics: Metrics
     drain: Drain
     pool: ConnectionPool
-    loads: LoadQueue
     entries: EntryCount = field(default_factory=EntryCount)
     book: BackendBook = field(default_factory=BackendBook)
     deployment: Deployment | None = None
     durations: Durations = field(default_factory=Durations)
+    loads: LoadQueue = field(default_factory=LoadQueue)
     contexts: ContextStores = field(default_factory=ContextStores)
     versions: dict[str, int] = field(default_factory=dict)
     versions_heard: dict[str, Millis] = field(default_factory=dict)
@@ -133,5 +133,4 @@
         metrics=Metrics(),
         drain=Drain(drain),
         pool=ConnectionPool(CONNECT_LIMIT),
-        loads=LoadQueue(settings.weights_limit),
     )
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -14,8 +14,8 @@
     StoreUnavailable,
 )
 
-# Three readings for each notice keep this at a quarter of a call a second.
-_PERIOD: Millis = 5 * SECOND
+# Three readings in two notices keep this at a sixth of a call a second.
+_PERIOD: Millis = 10 * SECOND
 _NOTICE_PERIOD: Millis = 15 * SECOND
 
 
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -10,7 +10,6 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import Deployment
-from oleanderdyke.kernel.rollout import holds_newest
 from oleanderdyke.kernel.servers import ServerRecord
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import (
@@ -35,11 +34,11 @@
 _CONFIGURATION_WAIT: Millis = 1 * SECOND
 # Servers write every 1.2 s each, so that a long read would return at once
 # and be asked again all the time. A server that leaves must get no work two
-# seconds later; this leaves time for a failed read, and keeps all calls of an
-# entry at rest under three in a second.
-_SERVERS_PERIOD: Millis = 700.0
-# Notices of loads come only when weights are named.
-_LOADS_WAIT: Millis = 5 * SECOND
+# seconds later; this leaves time for a failed read.
+_SERVERS_PERIOD: Millis = 600.0
+# Notices of loads come only when weights are named. Each of these waits is set
+# so that an entry at rest makes under three calls a second in all.
+_LOADS_WAIT: Millis = 10 * SECOND
 # The store refuses what is over its rate and may be out for seconds; each
 # call is paid for, also a refused one. The longest pause leaves most of the two
 # seconds in which a configuration has to be in force once the store is back.
@@ -137,7 +136,6 @@
             return
         core.versions[named.model] = named.version
         core.versions_heard[named.model] = core.clock.now()
-        core.loads.note_named(core.clock.now())
         core.log.write(
             EventName.VERSION_NAMED, model=named.model, version=named.version
         )
@@ -193,21 +191,6 @@
         now = self._core.clock.now()
         self._core.servers_read = now
         self._core.book.note_read(now)
-        self._note_loaded(now)
-
-    def _note_loaded(self, now: Millis) -> None:
-        """See in the list which engines have what is named.
-
-        The agent of an engine may be cut off when its load ends.
-        """
-        core = self._core
-        for server in core.loads.list_queued():
-            backend = core.book.find(server)
-            if backend is None or holds_newest(
-                backend.record.versions, core.versions
-            ):
-                core.loads.drop(server)
-        core.loads.tick(now)
 
     def _log(self, event: EventName, name: str, detail: str | None) -> None:
         self._core.log.write(event, name=name, detail=detail)
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -23,16 +23,12 @@
 _WAITING_COST: Millis = 30.0
 # Keeps traffic within a data centre where all else is equal.
 _DISTANCE_COST: Millis = 6.0
-# A request on old weights loses a fifth of what it earns, a late one four
-# fifths. With 150 ms instead, engines on new weights, which hold no context
-# yet, got too much: 0.75 instead of 0.77 in the worth of two quiet days.
-_OLD_WEIGHTS_COST: Millis = 20.0
+# A request on old weights loses a fifth of what it earns: as much as being
+# late would lose with a probability of a quarter.
+_OLD_WEIGHTS_COST: Millis = 150.0
 # An engine takes new weights when its runs have ended: each token of an answer
-# that is begun there delays that, and all that is sent there meanwhile. An
-# engine makes some 150 tokens of a run in a second. Without this cost loads
-# took 4 s instead of 2.3 s, and days with weights named twice and power lost
-# were worth 0.57 instead of 0.64.
-_DRAIN_COST: Millis = 3.0
+# that is begun there delays that, and all that is sent there meanwhile.
+_DRAIN_COST: Millis = 1.0
 # A server that fails each request costs as much as waiting for a time-out.
 _ERROR_COST: Millis = 1_000.0
 # Beside servers that answer, one that owes a byte for so long is left out.
@@ -51,8 +47,7 @@
     `fetchable` tells, by the version of the weights, how many leading tokens
     of the prompt stores hold; a lower `rank` is read first. `memory_tokens`
     is how much each engine of the service holds. `loading` ones take new
-    weights now, `draining` ones next. Ones on weights before `least_version`
-    are left out while others are listed.
+    weights now, `draining` ones next.
     """
 
     service: str
@@ -60,7 +55,6 @@
     model: ModelDemand | None = None
     rank: int = 0
     newest_version: int | None = None
-    least_version: int | None = None
     fetchable: Mapping[int, int] = field(default_factory=dict)
     excluded: frozenset[str] = frozenset()
     loading: frozenset[str] = frozenset()
@@ -97,8 +91,7 @@
         for backend in book.list_service(demand.service, now)
         if backend.record.server not in demand.excluded
     ]
-    young = [each for each in listed if _is_young(demand, each)] or listed
-    good = [each for each in young if is_usable(each, now)] or young
+    good = [each for each in listed if is_usable(each, now)] or listed
     usable = [
         each for each in good if each.record.server not in demand.loading
     ] or good
@@ -127,13 +120,6 @@
     return backend.find_silence(now) < SILENCE_LIMIT
 
 
-def _is_young(demand: CallDemand, backend: Backend) -> bool:
-    if demand.model is None or demand.least_version is None:
-        return True
-    held = backend.record.versions.get(demand.model.model, 0)
-    return held >= demand.least_version
-
-
 def _find_fill(
     demand: CallDemand, chosen: Backend, mean: float, now: Millis
 ) -> float:
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -21,8 +21,6 @@
     backend server beside an agent; each is empty where the process has none.
     `source` is the file that they were read from. `retry_share` and
     `retry_slack` bound what all entries together may send again to a service.
-    `weights_limit` is how long after new weights are named requests may begin
-    on older ones.
     """
 
     process: str
@@ -36,7 +34,6 @@
     grace: Millis = 8 * SECOND
     retry_share: float = 0.2
     retry_slack: float = 50.0
-    weights_limit: Millis = 15 * SECOND
 
 
 def find_host_settings(
@@ -72,7 +69,6 @@
         grace=reader.number('bounds.graceS', 8.0) * SECOND,
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=reader.number('bounds.retrySlack', 50.0),
-        weights_limit=reader.number('bounds.versionMs', 15_000.0),
     )
     if faults:
         raise SettingsError(tuple(faults))
