Don't take a late record for the return of a server

Change: after a removal a server is back with its second record, which must be later than the first. Entries that lapsed while the platform's store was away come back with the first, as before.

The test fails without the change.

--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -168,6 +168,8 @@
         self._backends: dict[str, Backend] = {}
         self._read_at: Millis | None = None
         self._lapse_until: Millis = 0.0
+        # Servers whose entries are gone, and the beat that was read since.
+        self._removed: dict[str, int | None] = {}
 
     def find(self, server: str) -> Backend | None:
         """Return a server that is listed or still answers."""
@@ -206,6 +208,8 @@
 
     def put(self, record: ServerRecord, now: Millis) -> None:
         """Take a newer record; a server that leaves never comes back."""
+        if self._is_left_over(record):
+            return
         known = self._backends.get(record.server)
         if known is None:
             self._backends[record.server] = Backend(record, now)
@@ -219,11 +223,29 @@
         known.record = merged
 
     def remove(self, server: str, now: Millis) -> None:
-        """Learn that a server's entry is gone."""
+        """Learn that a server's entry is gone.
+
+        What it wrote before may arrive after that, so only a second, later
+        record brings it back. Entries that lapsed with the platform's store
+        come back with the first.
+        """
+        if now >= self._lapse_until:
+            self._removed[server] = None
         backend = self._backends.get(server)
         if backend is not None and backend.missing_since is None:
             backend.missing_since = now
 
+    def _is_left_over(self, record: ServerRecord) -> bool:
+        """Tell whether a record may be older than the end of its entry."""
+        if record.server not in self._removed:
+            return False
+        first = self._removed[record.server]
+        if first is not None and record.beat > first:
+            del self._removed[record.server]
+            return False
+        self._removed[record.server] = record.beat
+        return True
+
     def find_oldest_version(self, model: str) -> int | None:
         """Return the oldest weights that any known engine may still hold."""
         held = [
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -13,7 +13,8 @@
     """Hold what a backend server last told about itself.
 
     `server` is new with each start of the server. `versions` gives the
-    version of the weights that it holds of each model.
+    version of the weights that it holds of each model. `beat` counts what it
+    has written to the list.
     """
 
     server: str
@@ -23,6 +24,7 @@
     is_leaving: bool = False
     slots: int = 0
     versions: Mapping[str, int] = field(default_factory=dict)
+    beat: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -168,4 +168,6 @@
         is_leaving=found.get('state') == _LEAVING,
         slots=int(found.get('slots', 0)),
         versions={str(each['name']): int(each['version']) for each in models},
+        # The wire's `seq` counts what this start of a server has written.
+        beat=int(found.get('seq', 0)),
     )
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -383,3 +383,20 @@
     assert book.find('a').find_silence(900.0) == 800.0
     book.note_ended('a', 'x', 0)
     assert book.find('a').find_silence(900.0) == 0.0
+
+
+def test_a_late_record_does_not_bring_a_server_back():
+    book = make_book('a')
+    book.remove('a', 1_000.0)
+    book.note_read(1_000.0)
+    book.put(make_record('a', beat=7), 1_100.0)
+    assert not book.list_service('desk', 1_100.0)
+
+
+def test_a_server_that_goes_on_writing_comes_back():
+    book = make_book('a')
+    book.remove('a', 1_000.0)
+    book.note_read(1_000.0)
+    book.put(make_record('a', beat=7), 1_100.0)
+    book.put(make_record('a', beat=8), 2_300.0)
+    assert len(book.list_service('desk', 2_300.0)) == 1
