Read whole answers in one place

Five clients each had the same loop: send, read up to a size, give up after a time, and turn both failures into their own error. `clients/whole.py` does it once; each keeps its bounds and its error.

--- a/src/oleanderdyke/clients/documents.py
+++ b/src/oleanderdyke/clients/documents.py
@@ -6,10 +6,9 @@
 import ssl
 from typing import Any
 
-import anyio
-
 from oleanderdyke.clients.http import HttpBackend, HttpError, HttpSettings
-from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.clients.whole import read_whole
+from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 
 _OK = 200
@@ -51,10 +50,13 @@
 
     async def _exchange(self, path: str, timeout: Millis) -> tuple[int, bytes]:
         try:
-            with anyio.fail_after(timeout / SECOND):
-                async with self._http.request('GET', path) as answer:
-                    return answer.status, await answer.read(_MAX_DOCUMENT)
+            return await read_whole(
+                self._http,
+                'GET',
+                path,
+                body=None,
+                within=timeout,
+                limit=_MAX_DOCUMENT,
+            )
         except HttpError as error:
             raise PlatformUnavailable(error.message) from error
-        except TimeoutError as error:
-            raise PlatformUnavailable('no answer in time') from error
--- a/src/oleanderdyke/clients/log.py
+++ b/src/oleanderdyke/clients/log.py
@@ -8,10 +8,9 @@
 from typing import NoReturn, TypeGuard
 from urllib.parse import quote
 
-import anyio
-
 from oleanderdyke.cbor import dump_cbor, load_cbor
 from oleanderdyke.clients.http import HttpBackend, HttpError, HttpSettings
+from oleanderdyke.clients.whole import read_whole
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 
@@ -20,6 +19,7 @@
 _REFUSED = frozenset({429, 503})
 _MAX_ANSWER = 64 * 1024 * 1024
 _RECORD_PARTS = 3
+_HEADERS = (('content-type', 'application/cbor'),)
 
 
 class LogUnavailable(OleanderError):
@@ -106,28 +106,24 @@
     ) -> dict[object, object]:
         reached = Ran.NO if body is None else Ran.MAYBE
         try:
-            with anyio.fail_after(timeout / SECOND):
-                status, data = await self._exchange(method, path, body)
+            status, data = await read_whole(
+                self._http,
+                method,
+                path,
+                headers=_HEADERS,
+                body=body,
+                within=timeout,
+                limit=_MAX_ANSWER,
+            )
         except HttpError as error:
             ran = Ran.NO if body is None else error.ran
             raise LogUnavailable(error.message, ran=ran) from error
-        except TimeoutError as error:
-            raise LogUnavailable('no answer in time', ran=reached) from error
         if status in _REFUSED:
             raise LogUnavailable(f'refused with {status}', ran=Ran.NO)
         if status != _OK:
             raise LogUnavailable(f'answered with {status}', ran=reached)
         return _load_map(data, reached)
 
-    async def _exchange(
-        self, method: str, path: str, body: bytes | None
-    ) -> tuple[int, bytes]:
-        headers = (('content-type', 'application/cbor'),)
-        async with self._http.request(
-            method, path, headers=headers, body=body
-        ) as answer:
-            return answer.status, await answer.read(_MAX_ANSWER)
-
 
 def _load_map(data: bytes, ran: Ran) -> dict[object, object]:
     try:
--- /dev/null
+++ b/src/oleanderdyke/clients/whole.py
@@ -0,0 +1,49 @@
+"""Send a request and read its whole answer, within a time and a size."""
+
+from __future__ import annotations
+
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol, TypeVar
+
+import anyio
+
+from oleanderdyke.clients.http import HttpAnswer, HttpError
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.errors import Ran
+from oleanderdyke.links.messages import Headers
+
+BodyT_contra = TypeVar('BodyT_contra', contravariant=True)
+BodyT = TypeVar('BodyT')
+
+
+class Requester(Protocol[BodyT_contra]):
+    """Send requests to one server."""
+
+    def request(
+        self, method: str, path: str, *, headers: Headers, body: BodyT_contra
+    ) -> AbstractAsyncContextManager[HttpAnswer]:
+        """Send and give the answer; raise HttpError."""
+
+
+async def read_whole(
+    client: Requester[BodyT],
+    method: str,
+    path: str,
+    *,
+    headers: Headers = (),
+    body: BodyT,
+    within: Millis,
+    limit: int,
+) -> tuple[int, bytes]:
+    """Return the status and the body, of `limit` bytes at most.
+
+    Raise HttpError, also where that takes longer than `within`.
+    """
+    try:
+        with anyio.fail_after(within / SECOND):
+            async with client.request(
+                method, path, headers=headers, body=body
+            ) as answer:
+                return answer.status, await answer.read(limit)
+    except TimeoutError as error:
+        raise HttpError('no answer in time', ran=Ran.MAYBE) from error
--- a/src/oleanderdyke/platform/contexts.py
+++ b/src/oleanderdyke/platform/contexts.py
@@ -6,10 +6,9 @@
 from collections.abc import Sequence
 from typing import Any
 
-import anyio
-
 from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clients.kept import KeptHttp, KeptSettings
+from oleanderdyke.clients.whole import read_whole
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.context_stores import ContextEvent, ContextEvents
@@ -89,15 +88,17 @@
         body: bytes = b'',
     ) -> tuple[int, bytes]:
         try:
-            with anyio.fail_after((_WAIT + 2 * _PATIENCE) / SECOND):
-                async with self._http.request(
-                    method, path, headers=headers, body=body
-                ) as answer:
-                    return answer.status, await answer.read(_MAX_ANSWER)
+            return await read_whole(
+                self._http,
+                method,
+                path,
+                headers=headers,
+                body=body,
+                within=_WAIT + 2 * _PATIENCE,
+                limit=_MAX_ANSWER,
+            )
         except HttpError as error:
             raise ContextUnavailable(error.message) from error
-        except TimeoutError as error:
-            raise ContextUnavailable('no answer in time') from error
 
 
 def _decode(found: Any) -> ContextEvents:
--- a/src/oleanderdyke/platform/engines.py
+++ b/src/oleanderdyke/platform/engines.py
@@ -6,9 +6,8 @@
 import json
 from dataclasses import dataclass
 
-import anyio
-
 from oleanderdyke.clients.http import HttpBackend, HttpError, HttpSettings
+from oleanderdyke.clients.whole import read_whole
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.rollout import EngineState
@@ -115,15 +114,17 @@
         body: bytes | None = None,
     ) -> tuple[int, bytes]:
         try:
-            with anyio.fail_after(_TIMEOUT / SECOND):
-                async with self._http.request(
-                    method, path, headers=headers, body=body
-                ) as answer:
-                    return answer.status, await answer.read(_MAX_ANSWER)
+            return await read_whole(
+                self._http,
+                method,
+                path,
+                headers=headers,
+                body=body,
+                within=_TIMEOUT,
+                limit=_MAX_ANSWER,
+            )
         except HttpError as error:
             raise EngineUnavailable(error.message) from error
-        except TimeoutError as error:
-            raise EngineUnavailable('no answer in time') from error
 
 
 def _decode_state(data: bytes) -> EngineState:
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -14,6 +14,7 @@
 
 from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clients.kept import KeptHttp, KeptSettings
+from oleanderdyke.clients.whole import read_whole
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 
@@ -163,15 +164,16 @@
     ) -> tuple[int, bytes]:
         target = f'{path}?{urlencode(query)}'
         try:
-            with anyio.fail_after(2 * self._bound / SECOND):
-                async with self._http.request(
-                    method, target, body=body
-                ) as answer:
-                    return answer.status, await answer.read(_MAX_ANSWER)
+            return await read_whole(
+                self._http,
+                method,
+                target,
+                body=body,
+                within=2 * self._bound,
+                limit=_MAX_ANSWER,
+            )
         except HttpError as error:
             raise StoreUnavailable(error.message, ran=error.ran) from error
-        except TimeoutError as error:
-            raise StoreUnavailable('no answer in time') from error
 
 
 def _check(status: int) -> None:
