Keep one copy of what the entry had twice, and drop what had no effect

The statuses that promise "not run" stood in two modules, the type of rendered metrics in both entries, the memory of a service's engines was looked up in two ways, and a broken answer was logged in two places. The pause for early refusals (60 to 180 ms) was drawn and then replaced by 100 to 200 ms for every refusal: the figure that counts stays, the other and an unused set go. `Target.heard` was read by nothing. Behaviour is the same.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -143,7 +143,7 @@
         known = self._targets.get(model)
         if known is not None and known.version >= version:
             return
-        self._targets[model] = Target(model, version, self._clock.now())
+        self._targets[model] = Target(model, version)
         self._log.write(EventName.VERSION_NAMED, model=model, version=version)
 
     async def _roll_out(self) -> None:
--- a/src/oleanderdyke/entry/app.py
+++ b/src/oleanderdyke/entry/app.py
@@ -41,13 +41,12 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.objects import StoredObject
-from oleanderdyke.metrics import Count, Gauge
+from oleanderdyke.metrics import RENDERED_TYPE, Count, Gauge
 
 Serve: TypeAlias = Callable[[Head, Body, Answer], Awaitable[None]]
 
 _CLASS_HEADER = 'oleander-class'
 _BACKGROUND = 'background'
-_METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 # A body up to this size can be sent again and is read before routing.
 _HELD_BYTES = 256 * 1024
 
@@ -141,7 +140,7 @@
         core = self._core
         core.metrics.set_gauge(Gauge.RUNNING, len(core.running))
         core.metrics.set_gauge(Gauge.READY, float(not core.find_fault()))
-        headers = (('content-type', _METRICS_TYPE),)
+        headers = (('content-type', RENDERED_TYPE),)
         await answer.send_whole(200, core.metrics.render(), headers)
 
     async def _serve_chat(self, head: Head, body: Body, answer: Answer) -> None:
--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -19,12 +19,11 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import CallerLimits
-from oleanderdyke.metrics import Count, Gauge
+from oleanderdyke.metrics import RENDERED_TYPE, Count, Gauge
 from oleanderdyke.platform import names
 
 # The deploy file names it too: the platform fetches from there.
 METRICS_PORT = 7590
-_METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 _READY = 200
 _NOT_READY = 503
 
@@ -148,6 +147,6 @@
         body = core.metrics.render()
         reply = Reply(send, self._is_leaving)
         length = str(len(body))
-        headers = (('content-type', _METRICS_TYPE), ('content-length', length))
+        headers = (('content-type', RENDERED_TYPE), ('content-length', length))
         await reply.start(_READY, headers)
         await reply.end(body)
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -28,6 +28,7 @@
     Headers,
 )
 from oleanderdyke.platform.requests import (
+    PROMISES,
     Dispatch,
     decode_answer,
     encode_request,
@@ -36,8 +37,6 @@
 _EVENT_STREAM = 'text/event-stream'
 _SERVER_ERROR = 500
 _SUCCESS = range(200, 300)
-# With these a final answer promises that the request has not run.
-_PROMISES = frozenset({408, 421, 429, 503})
 # A body up to this size is held until it is whole, so that a broken one can
 # be asked for again and never looks complete.
 _HELD_BYTES = 256 * 1024
@@ -292,11 +291,9 @@
         deployment = core.deployment
         if demand is None or backend is None or deployment is None:
             return
-        service = deployment.services.get(backend.record.service)
-        if service is not None and service.engine is not None:
-            core.book.note_kept(
-                self.server, demand.parts, service.engine.memory_tokens
-            )
+        memory = deployment.find_memory(backend.record.service)
+        if memory is not None:
+            core.book.note_kept(self.server, demand.parts, memory)
 
     def _release(self) -> None:
         """Pass on the head and what was held of the body."""
@@ -328,28 +325,24 @@
         self._finish()
         if self._splitter is not None:
             self._splitter.restart()
-        self._core.log.write(
-            EventName.ANSWER_BROKEN,
-            request=self._call.request,
-            attempt=self._number,
-            peer=self.server,
-            ran=ran.value,
-            reason=reason,
-        )
+        self._log_broken(ran, reason)
         failed = Failed(self._call.request, self._number, kind, ran, reason)
         self._inbox.put(Received(failed))
 
     def _report_unsent(self, reason: str) -> None:
         self._done = True
+        self._log_broken(Ran.NO, reason)
+        self._inbox.put(Unsent(self._number))
+
+    def _log_broken(self, ran: Ran, reason: str) -> None:
         self._core.log.write(
             EventName.ANSWER_BROKEN,
             request=self._call.request,
             attempt=self._number,
             peer=self.server,
-            ran=Ran.NO.value,
+            ran=ran.value,
             reason=reason,
         )
-        self._inbox.put(Unsent(self._number))
 
     def _finish(self) -> None:
         self._done = True
@@ -363,6 +356,6 @@
         return 'an answer to another request'
     if status in _SUCCESS and not facts.is_sealed:
         return 'a success without the mark of a server'
-    if status in _PROMISES:
+    if status in PROMISES:
         return f'{status} without the promise that it has not run'
     return ''
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -148,10 +148,9 @@
 
 def _find_memory(core: HostedCore, call: HostedCall) -> int:
     deployment = core.deployment
-    service = deployment and deployment.services.get(call.service)
-    if not service or service.engine is None:
+    if deployment is None:
         return 0
-    return service.engine.memory_tokens
+    return deployment.find_memory(call.service) or 0
 
 
 def _count_fetchable(core: HostedCore, call: HostedCall) -> dict[int, int]:
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -55,14 +55,11 @@
 # Servers that refuse without running are passed over at most so often; each
 # try draws on the allowance that all entries share.
 _MAX_REFUSALS = 2
-# How long a caller whose request found no server is asked to wait, spread so
-# that callers don't come back together.
+# How long a caller that gets no answer is asked to wait at most, and at least
+# half of it: spread so that callers don't come back together. A run ends at
+# each engine every some ten milliseconds, and the answer of one that comes back
+# so soon is still in time.
 _PAUSE: Millis = 200.0
-# How long one is asked to wait whose answer would be late: a run ends at each
-# engine every some ten milliseconds, and the answer of one that comes back so
-# soon is still in time.
-_OVERLOAD_PAUSE: tuple[Millis, Millis] = (60.0, 180.0)
-_OWN_PAUSES = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_REPLICA})
 
 
 class BrokenAnswer(Exception):
@@ -161,9 +158,7 @@
             demand = replace(demand, excluded=frozenset())
             choice = choose_backend(demand, core.book, now)
         if choice is None:
-            pause = core.random.uniform(_PAUSE / 2, _PAUSE)
-            refusal = Refusal(ErrorKind.NO_REPLICA, 'no server listed', pause)
-            self._inbox.put(NoRoute(refusal))
+            self._refuse_unsent(ErrorKind.NO_REPLICA, 'no server listed')
             return
         if self._should_refuse(choice, action):
             self._refuse_early(choice)
@@ -200,14 +195,16 @@
         )
 
     def _refuse_early(self, choice: Choice) -> None:
-        pause = self._core.random.uniform(*_OVERLOAD_PAUSE)
         reason = (
             f'a first byte is expected after {choice.expected:.0f} ms, '
             f'{choice.waiting} wait for {choice.delay:.0f} ms, '
             f'{choice.fill:.2f} of the memory is likely taken'
         )
-        refusal = Refusal(ErrorKind.OVERLOADED, reason, pause)
-        self._inbox.put(NoRoute(refusal))
+        self._refuse_unsent(ErrorKind.OVERLOADED, reason)
+
+    def _refuse_unsent(self, kind: ErrorKind, reason: str) -> None:
+        # How long the caller waits is drawn where it is told.
+        self._inbox.put(NoRoute(Refusal(kind, reason, _PAUSE)))
 
     async def _dispatch(self, action: SendDispatch) -> None:
         if action.attempt > 1:
--- a/src/oleanderdyke/entry/hosted/reply.py
+++ b/src/oleanderdyke/entry/hosted/reply.py
@@ -11,12 +11,10 @@
 from oleanderdyke.entry.edge import Send
 from oleanderdyke.errors import REPLIES, ErrorKind, Ran
 from oleanderdyke.links.messages import Headers
-from oleanderdyke.platform.requests import encode_refusal
+from oleanderdyke.platform.requests import PROMISES, encode_refusal
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
-# These statuses promise that the request has not run and never will.
-_PROMISES = frozenset({408, 421, 429, 503})
 # A fault of ours is no fault of the caller's.
 _NOT_TOLD = frozenset({409, 410, 422, 499})
 
@@ -61,7 +59,7 @@
     ) -> None:
         """Send a final answer of our own."""
         self.status = find_status(kind, ran)
-        if self.status not in _PROMISES:
+        if self.status not in PROMISES:
             retry_after = None
         body = json.dumps(
             {'kind': kind.value, 'detail': detail, 'ran': ran.value}
@@ -96,7 +94,7 @@
         return _UNAVAILABLE
     if status in _NOT_TOLD:
         return _BAD_GATEWAY
-    if status in _PROMISES and ran is not Ran.NO:
+    if status in PROMISES and ran is not Ran.NO:
         return _BAD_GATEWAY
     return status
 
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -127,6 +127,16 @@
                 return route
         return None
 
+    def find_memory(self, service: str) -> int | None:
+        """Return how many tokens each engine of a service holds.
+
+        None where the service is not known or has no engines.
+        """
+        traits = self.services.get(service)
+        if traits is None or traits.engine is None:
+            return None
+        return traits.engine.memory_tokens
+
     def needs_key(self, route: Route) -> bool:
         """Tell whether calls on a route must name a team by its key."""
         return bool(self.key_owners) and not route.is_public
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -28,11 +28,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """Name the newest weights of a model, and when they were heard of."""
+    """Name the newest weights of a model."""
 
     model: str
     version: int
-    heard: Millis
 
 
 def find_target(state: EngineState, targets: Iterable[Target]) -> Target | None:
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -11,6 +11,8 @@
 
 from oleanderdyke.clock import Millis
 
+# What `render` returns.
+RENDERED_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 _MICROS_PER_MILLI = 1_000
 _LOWEST_MICROS = 1
 _HIGHEST_MICROS = 3_600_000_000
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -18,6 +18,8 @@
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform import names
 
+# With these a final answer promises that the request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
 _KEEP_ALIVE = re.compile(r'timeout=(\d+)')
 _LOAD_PARTS = 3
 _NOWHERE = '-'
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -339,9 +339,9 @@
 
 def test_only_newer_weights_of_a_model_that_is_held_are_a_target():
     state = EngineState({'m': 2}, is_busy=False, orders=0)
-    assert find_target(state, [Target('m', 2, 0.0)]) is None
-    assert find_target(state, [Target('other', 5, 0.0)]) is None
-    newer = Target('m', 3, 0.0)
+    assert find_target(state, [Target('m', 2)]) is None
+    assert find_target(state, [Target('other', 5)]) is None
+    newer = Target('m', 3)
     assert find_target(state, [newer]) is newer
 
 
