Read typed news of operators and servers from the platform's folder

The agent and the entry split the operators' records by key and decoded them each for itself, and both had the pattern "log a record that can't be read, keep the last good state", the agent twice. The feeds in `platform/` now yield configurations, named weights and servers, and tell what they left out; entries and fences have their calls there too, so the shells no longer know topics or keys. Calls, order and log lines are the same, but for one page with both kinds of record: configurations come before weights.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -16,29 +16,22 @@
     Target,
     find_target,
 )
-from oleanderdyke.kernel.servers import ServerRecord
 from oleanderdyke.logs import EventLog
-from oleanderdyke.platform import names
-from oleanderdyke.platform.documents import (
-    MalformedRecord,
-    decode_server,
-    decode_version,
-)
+from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.engines import (
     EngineClient,
     EngineUnavailable,
     OrderOutcome,
     WeightOrder,
 )
-from oleanderdyke.platform.feed import KeyedFeed
-from oleanderdyke.platform.loads import LoadFeed, append_notice
-from oleanderdyke.platform.settings import HostSettings
-from oleanderdyke.platform.store import (
-    KeyedPage,
-    KeyedRecord,
-    StoreClient,
-    StoreUnavailable,
+from oleanderdyke.platform.feed import OperatorFeed, list_servers
+from oleanderdyke.platform.loads import (
+    LoadFeed,
+    append_fence,
+    append_notice,
 )
+from oleanderdyke.platform.settings import HostSettings
+from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
 # A long read returns at once when weights are named; one on a connection that
 # has gone silent delays them by this, a fraction of the time they may take.
@@ -77,14 +70,9 @@
         self._queue = LoadQueue()
         self._loads = LoadFeed(
             StoreClient(settings.store, wait=_OPERATOR_WAIT),
-            self._refuse_notice,
-        )
-        self._operator = KeyedFeed(
-            self._long,
-            names.OPERATOR_TOPIC,
-            take_all=self._take_operator,
-            take_some=self._take_operator,
+            self._refuse,
         )
+        self._operator = OperatorFeed(self._long, self._refuse)
 
     async def run(self) -> None:
         """Work until a signal to stop."""
@@ -111,7 +99,7 @@
 
     async def _follow(self) -> None:
         while True:
-            await self._try_store('operator', self._operator.read)
+            await self._try_store('operator', self._read_operator)
 
     async def _try_store(
         self, name: str, call: Callable[[], Awaitable[None]]
@@ -122,21 +110,11 @@
             self._log.write(EventName.LOG_DOWN, name=name, detail=error.message)
             await anyio.sleep(_RETRY_PAUSE / SECOND)
 
-    def _take_operator(self, page: KeyedPage) -> None:
-        for record in page.records:
-            if record.value is None:
-                continue
-            if not record.key.startswith(names.VERSION_KEY_PREFIX):
-                continue
-            try:
-                named = decode_version(record.value)
-            except MalformedRecord as error:
-                self._log.write(
-                    EventName.RECORD_REFUSED,
-                    name=record.key,
-                    detail=error.message,
-                )
-                continue
+    async def _read_operator(self) -> None:
+        news = await self._operator.read()
+        if news is None:
+            return
+        for named in news.list_versions():
             self._name(named.model, named.version)
 
     def _name(self, model: str, version: int) -> None:
@@ -237,9 +215,10 @@
         while True:
             await self._try_store('loads', self._read_loads)
 
-    def _refuse_notice(self, error: MalformedRecord) -> None:
+    def _refuse(self, name: str, error: MalformedRecord) -> None:
+        """Keep the last good state where a record can't be read."""
         self._log.write(
-            EventName.RECORD_REFUSED, name='loads', detail=error.message
+            EventName.RECORD_REFUSED, name=name, detail=error.message
         )
 
     async def _read_loads(self) -> None:
@@ -255,30 +234,17 @@
         """
         if self._server:
             return self._server
-        page = await self._short.list_newest(names.SERVER_TOPIC)
-        for record in page.records:
-            server = self._decode(record)
-            if server and server.address == self._settings.server:
+        for server in await list_servers(self._short, self._refuse):
+            if server.address == self._settings.server:
                 self._server = server.server
         return self._server or None
 
-    def _decode(self, record: KeyedRecord) -> ServerRecord | None:
-        if record.value is None:
-            return None
-        try:
-            return decode_server(record.key, record.value)
-        except MalformedRecord as error:
-            self._log.write(
-                EventName.RECORD_REFUSED, name=record.key, detail=error.message
-            )
-            return None
-
     async def _find_fence(self) -> int:
         """Append once in this process's life; offsets only rise."""
         if self._fence is None:
-            record = self._settings.process.encode()
-            offset = await self._short.append(names.FENCE_TOPIC, record)
-            self._fence = offset + 1
+            self._fence = await append_fence(
+                self._short, self._settings.process
+            )
         return self._fence
 
 
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -7,12 +7,8 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
-from oleanderdyke.platform import names
-from oleanderdyke.platform.store import (
-    RecordsExpired,
-    StoreClient,
-    StoreUnavailable,
-)
+from oleanderdyke.platform.entries import EntryFeed
+from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
 # Three readings in two notices keep this at a sixth of a call a second.
 _PERIOD: Millis = 10 * SECOND
@@ -24,8 +20,7 @@
 
     def __init__(self, core: HostedCore) -> None:
         self._core = core
-        self._client = StoreClient(core.settings.store)
-        self._position = 0
+        self._feed = EntryFeed(StoreClient(core.settings.store))
         self._told_at: Millis | None = None
 
     async def run(self) -> None:
@@ -44,22 +39,16 @@
         now = self._core.clock.now()
         if self._told_at is not None and now - self._told_at < _NOTICE_PERIOD:
             return
-        record = self._core.settings.process.encode()
-        await self._client.append(names.ENTRY_TOPIC, record)
+        await self._feed.tell(self._core.settings.process)
         self._told_at = now
 
     async def _read(self) -> None:
         core = self._core
-        try:
-            records = await self._client.read_plain(
-                names.ENTRY_TOPIC, self._position
-            )
-        except RecordsExpired as error:
-            self._position = error.first or 0
+        told = await self._feed.read()
+        if told is None:
             return
         now = core.clock.now()
-        self._position += len(records)
-        for record in records:
-            core.entries.note(record.decode('utf-8', 'replace'), now)
+        for entry in told:
+            core.entries.note(entry, now)
         core.entries.note_read(now)
         core.share_budgets()
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -10,23 +10,10 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import Deployment
-from oleanderdyke.kernel.servers import ServerRecord
-from oleanderdyke.platform import names
-from oleanderdyke.platform.documents import (
-    MalformedRecord,
-    NamedVersion,
-    decode_configuration,
-    decode_server,
-    decode_version,
-)
-from oleanderdyke.platform.feed import KeyedFeed
+from oleanderdyke.platform.documents import MalformedRecord, NamedVersion
+from oleanderdyke.platform.feed import OperatorFeed, ServerFeed
 from oleanderdyke.platform.loads import LoadFeed
-from oleanderdyke.platform.store import (
-    KeyedPage,
-    KeyedRecord,
-    StoreClient,
-    StoreUnavailable,
-)
+from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
 # A long read returns at once when there is a change. A read on a connection
 # that has gone silent costs this and the store's patience, which together
@@ -55,20 +42,10 @@
         self._long = StoreClient(store, wait=_CONFIGURATION_WAIT)
         self._short = StoreClient(store)
         self._loads = LoadFeed(
-            StoreClient(store, wait=_LOADS_WAIT), self._refuse_notice
-        )
-        self._operator = KeyedFeed(
-            self._long,
-            names.OPERATOR_TOPIC,
-            take_all=self._take_operator,
-            take_some=self._take_operator,
-        )
-        self._servers = KeyedFeed(
-            self._short,
-            names.SERVER_TOPIC,
-            take_all=self._take_list,
-            take_some=self._take_servers,
+            StoreClient(store, wait=_LOADS_WAIT), self._refuse
         )
+        self._operator = OperatorFeed(self._long, self._refuse)
+        self._servers = ServerFeed(self._short, self._refuse)
 
     async def follow_operator(self) -> None:
         """Read configurations and versions until cancelled."""
@@ -76,14 +53,15 @@
 
     async def follow_servers(self) -> None:
         """Read the list of servers until cancelled."""
-        await self._follow('servers', self._servers.read, _SERVERS_PERIOD)
+        await self._follow('servers', self._read_servers, _SERVERS_PERIOD)
 
     async def follow_loads(self) -> None:
         """Read which engines take new weights until cancelled."""
         await self._follow('loads', self._read_loads, 0.0)
 
-    def _refuse_notice(self, error: MalformedRecord) -> None:
-        self._log(EventName.RECORD_REFUSED, 'loads', error.message)
+    def _refuse(self, name: str, error: MalformedRecord) -> None:
+        """Keep the last good state where a record can't be read."""
+        self._log(EventName.RECORD_REFUSED, name, error.message)
 
     async def _read_loads(self) -> None:
         core = self._core
@@ -92,9 +70,32 @@
             core.loads.apply(notice, core.clock.now())
 
     async def _read_operator(self) -> None:
-        asked_at = self._core.clock.now()
-        await self._operator.read()
-        self._core.configuration_asked = asked_at
+        core = self._core
+        asked_at = core.clock.now()
+        news = await self._operator.read()
+        if news is not None:
+            core.configuration_read = core.clock.now()
+            for deployment in news.list_configurations():
+                self._apply(deployment)
+            for named in news.list_versions():
+                self._name(named)
+        core.configuration_asked = asked_at
+
+    async def _read_servers(self) -> None:
+        core = self._core
+        news = await self._servers.read()
+        if news is None:
+            return
+        now = core.clock.now()
+        if news.is_whole:
+            core.book.replace(news.listed, now)
+        else:
+            for server in news.gone:
+                core.book.remove(server, now)
+            for record in news.listed:
+                core.book.put(record, now)
+        core.servers_read = now
+        core.book.note_read(now)
 
     async def _follow(
         self, name: str, read: Callable[[], Awaitable[None]], period: Millis
@@ -116,20 +117,6 @@
             if period:
                 await anyio.sleep(period / SECOND)
 
-    def _take_operator(self, page: KeyedPage) -> None:
-        self._core.configuration_read = self._core.clock.now()
-        for record in page.records:
-            self._take_safely(record, self._take_operator_record)
-
-    def _take_operator_record(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            return
-        if record.key == names.CONFIGURATION_KEY:
-            self._apply(decode_configuration(record.value))
-        elif record.key.startswith(names.VERSION_KEY_PREFIX):
-            named = decode_version(record.value)
-            self._name(named)
-
     def _name(self, named: NamedVersion) -> None:
         core = self._core
         if core.versions.get(named.model, 0) >= named.version:
@@ -152,45 +139,5 @@
             count=len(deployment.routes),
         )
 
-    def _take_list(self, page: KeyedPage) -> None:
-        now = self._core.clock.now()
-        self._core.book.replace(self._decode(page.records), now)
-        self._note_read()
-
-    def _take_servers(self, page: KeyedPage) -> None:
-        now = self._core.clock.now()
-        for record in page.records:
-            if record.value is None:
-                self._core.book.remove(record.key, now)
-        for server in self._decode(page.records):
-            self._core.book.put(server, now)
-        self._note_read()
-
-    def _decode(self, records: Iterable[KeyedRecord]) -> list[ServerRecord]:
-        found: list[ServerRecord] = []
-        for record in records:
-            if record.value is not None:
-                self._take_safely(
-                    record,
-                    lambda each: found.append(
-                        decode_server(each.key, each.value or b'')
-                    ),
-                )
-        return found
-
-    def _take_safely(
-        self, record: KeyedRecord, take: Callable[[KeyedRecord], None]
-    ) -> None:
-        """Keep the last good state where a record can't be read."""
-        try:
-            take(record)
-        except MalformedRecord as error:
-            self._log(EventName.RECORD_REFUSED, record.key, error.message)
-
-    def _note_read(self) -> None:
-        now = self._core.clock.now()
-        self._core.servers_read = now
-        self._core.book.note_read(now)
-
     def _log(self, event: EventName, name: str, detail: str | None) -> None:
         self._core.log.write(event, name=name, detail=detail)
--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from oleanderdyke.kernel.rollout import LoadNotice, LoadStep
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import MalformedRecord
+from oleanderdyke.platform.feed import Refuse
 from oleanderdyke.platform.store import RecordsExpired, StoreClient
 
 _MALFORMED = (KeyError, TypeError, ValueError)
@@ -19,9 +20,7 @@
     What can't be read is passed to `refuse` and left out.
     """
 
-    def __init__(
-        self, client: StoreClient, refuse: Callable[[MalformedRecord], None]
-    ) -> None:
+    def __init__(self, client: StoreClient, refuse: Refuse) -> None:
         self._client = client
         self._refuse = refuse
         self._position = 0
@@ -47,7 +46,15 @@
                 found = json.loads(record)
                 yield LoadNotice(str(found['server']), LoadStep(found['step']))
             except _MALFORMED as error:
-                self._refuse(MalformedRecord(f'load notice: {error!r}'))
+                self._refuse(
+                    'loads', MalformedRecord(f'load notice: {error!r}')
+                )
+
+
+async def append_fence(client: StoreClient, process: str) -> int:
+    """Return a fence above all before it; raise StoreUnavailable."""
+    offset = await client.append(names.FENCE_TOPIC, process.encode())
+    return offset + 1
 
 
 async def append_notice(client: StoreClient, notice: LoadNotice) -> None:
