Split the entry's tests by topic, and share what they had in copies

The loop that tests of tasks run on is one fixture in conftest instead of twenty; the scripts of a server that is well, refuses, breaks off or streams are one module, which the example uses too, with the settings that it had in a copy.

--- a/examples/hosted.py
+++ b/examples/hosted.py
@@ -20,6 +20,7 @@
     MODEL,
     OPERATOR,
     SERVERS,
+    SETTINGS,
     Answered,
     call,
     find_port,
@@ -27,27 +28,15 @@
 )
 from tests.standins import server
 from tests.standins.records import RecordStore
-from tests.standins.replica import (
-    Peer,
-    make_chunk,
-    make_event,
-    make_head,
-    serving_replica,
-)
+from tests.standins.replica import Peer, make_event, serving_replica
+from tests.standins.scripts import send_events
 
 _ROOT = Path(__file__).parents[1]
 _BUILD = _ROOT / 'build' / 'hosted'
 _START_SECONDS = 10
-_STOP_SECONDS = 9
+_GRACE_SECONDS = 8
+_STOP_SECONDS = _GRACE_SECONDS + 1
 _STOPPING = (signal.SIGINT, signal.SIGTERM)
-_SETTINGS = """nodeName=front-1
-zone=hall
-ip=127.0.0.1
-platform.address={store}
-listen.front=127.0.0.1:{callers}
-listen.ready=127.0.0.1:{readiness}
-bounds.graceS=8
-"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,10 +102,11 @@
 ) -> AsyncGenerator[None, None]:
     settings = _BUILD / 'boot.conf'
     settings.write_text(
-        _SETTINGS.format(
+        SETTINGS.format(
             store=store_address,
             callers=shown.callers[1],
             readiness=shown.readiness[1],
+            grace=_GRACE_SECONDS,
         )
     )
     with (_BUILD / 'entry.log').open('w') as log:
@@ -178,7 +168,7 @@
     if not peer.request.target.startswith('/stream/'):
         await peer.answer(body=b'booked')
         return
-    await _stream(peer, 1, 3)
+    await send_events(peer, 1, 3)
     peer.reset()
 
 
@@ -187,22 +177,10 @@
         await peer.answer(body=b'booked')
         return
     last = int(peer.request.headers.get('last-event-id') or 0)
-    await _stream(peer, last + 1, 6)
+    await send_events(peer, last + 1, 6)
     await peer.send(b'0\r\n\r\n')
 
 
-async def _stream(peer: Peer, first: int, last: int) -> None:
-    await peer.send(
-        make_head(
-            peer.request,
-            content_type='text/event-stream',
-            transfer_encoding='chunked',
-        )
-    )
-    for number in range(first, last + 1):
-        await peer.send(make_chunk(make_event(number)))
-
-
 def main() -> int:
     """Run the show; return 0 where all went as expected."""
     faults = anyio.run(run)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,12 @@
 _KNOWN_RED_LIMIT = 3
 
 
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run the tests of tasks on the loop that the daemons run on."""
+    return 'asyncio'
+
+
 def _read_known_red() -> dict[str, str]:
     """Return the cause of each test that may fail for a known fault."""
     if not _KNOWN_RED.exists():
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -225,7 +225,7 @@
     store: RecordStore, address: str, directory: pathlib.Path, grace: float
 ) -> Stage:
     callers, readiness = (find_port() for _ in range(2))
-    text = _SETTINGS.format(
+    text = SETTINGS.format(
         store=address, callers=callers, readiness=readiness, grace=grace / 1000
     )
     path = directory / 'boot.conf'
@@ -251,7 +251,7 @@
     )
 
 
-_SETTINGS = """nodeName=front-1
+SETTINGS = """nodeName=front-1
 zone=hall
 ip=127.0.0.1
 platform.address={store}
--- /dev/null
+++ b/tests/standins/scripts.py
@@ -0,0 +1,52 @@
+"""Answer as a backend server of the users' platform that is well, or not."""
+
+from __future__ import annotations
+
+from tests.standins.replica import (
+    Peer,
+    Script,
+    make_chunk,
+    make_event,
+    make_head,
+)
+
+
+async def answer_well(peer: Peer) -> None:
+    """Send a whole answer."""
+    await peer.answer(body=b'booked')
+
+
+async def shed(peer: Peer) -> None:
+    """Refuse, and tell that nothing ran."""
+    await peer.answer(503, b'full', oleanderdyke_not_executed='1')
+
+
+async def reset(peer: Peer) -> None:
+    """Break the connection off."""
+    peer.reset()
+
+
+async def send_events(peer: Peer, first: int, last: int) -> None:
+    """Begin a stream, and send some events of it."""
+    await peer.send(
+        make_head(
+            peer.request,
+            content_type='text/event-stream',
+            transfer_encoding='chunked',
+        )
+    )
+    for number in range(first, last + 1):
+        await peer.send(make_chunk(make_event(number)))
+
+
+def stream(first: int, last: int, *, ending: bytes = b'0\r\n\r\n') -> Script:
+    """Make a script that streams; without an ending it breaks off."""
+
+    async def run(peer: Peer) -> None:
+        await send_events(peer, first, last)
+        if ending:
+            await peer.send(ending)
+        else:
+            peer.reset()
+
+    return run
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -63,11 +63,6 @@
 SERVICE = 'taquilla'
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 @contextlib.asynccontextmanager
 async def plain_agent(
     **more: Any,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,9 +8,6 @@
 from oleanderdyke.kernel.durations import Durations
 from oleanderdyke.kernel.overload import (
     LATE_RANK,
-    Patience,
-    find_patience,
-    should_refuse,
 )
 from oleanderdyke.kernel.placement import (
     SILENCE_LIMIT,
@@ -20,14 +17,6 @@
 )
 from oleanderdyke.kernel.presence import LIFE, EntryCount
 from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
-from oleanderdyke.kernel.rollout import (
-    EngineState,
-    LoadNotice,
-    LoadQueue,
-    LoadStep,
-    Target,
-    find_target,
-)
 from oleanderdyke.kernel.servers import (
     ModelDemand,
     PromptPart,
@@ -256,95 +245,6 @@
     assert (book.find('a').running, book.find('a').running_tokens) == (0, 0)
 
 
-def refuse(waited=0.0, **changes):
-    facts = {
-        'expected': 10.0,
-        'delay': 90.0,
-        'waiting': 0,
-        'fill': 0.2,
-        'size': 1.0,
-        'drawn': 0.5,
-        **changes,
-    }
-    return should_refuse(Patience(waited, 400.0), **facts)
-
-
-def test_nothing_is_refused_while_places_are_free():
-    assert not any(refuse(drawn=drawn / 100) for drawn in range(100))
-
-
-def test_a_first_try_that_would_be_late_is_refused_and_a_second_is_not():
-    assert refuse(expected=500.0)
-    assert not refuse(expected=500.0, waited=300.0)
-
-
-def test_a_growing_part_is_refused_as_engines_fill():
-    refused = [
-        sum(refuse(fill=fill, drawn=drawn / 100) for drawn in range(100))
-        for fill in (0.8, 0.9, 1.0, 1.1, 2.0)
-    ]
-    assert refused == sorted(refused)
-    assert refused[0] == 0
-    assert refused[-1] == 95
-
-
-def test_a_guess_alone_refuses_nothing():
-    assert refuse(fill=2.0)
-    assert not refuse(fill=2.0, delay=10.0)
-    assert refuse(fill=2.0, delay=10.0, waiting=3)
-
-
-def test_small_requests_are_refused_less_often():
-    assert refuse(fill=1.1, drawn=0.5, size=1.0)
-    assert not refuse(fill=1.1, drawn=0.5, size=0.1)
-
-
-def test_how_long_a_caller_has_waited_follows_from_its_deadline():
-    assert find_patience(4_000, 4_000, 400).is_first_try
-    assert find_patience(3_500, 4_000, 400).is_late
-    assert find_patience(None, 4_000, 400).is_first_try
-
-
-def notice(queue, server, step=LoadStep.WAITS, now=0.0):
-    queue.apply(LoadNotice(server, step), now)
-
-
-def test_two_engines_load_at_once_in_the_order_of_the_log():
-    queue = LoadQueue()
-    for server in 'abcde':
-        notice(queue, server)
-    assert queue.list_loading() == ('a', 'b')
-    assert queue.list_next() == ('c', 'd')
-    notice(queue, 'b', LoadStep.ENDED)
-    assert queue.list_loading() == ('a', 'c')
-    assert queue.may_load('c')
-    assert not queue.may_load('d')
-
-
-def test_an_engine_that_asks_twice_keeps_its_place():
-    queue = LoadQueue()
-    for server in 'aba':
-        notice(queue, server)
-    assert queue.list_loading() == ('a', 'b')
-
-
-def test_an_engine_that_is_stuck_is_passed_over():
-    queue = LoadQueue()
-    for server in 'abc':
-        notice(queue, server)
-    queue.tick(7_001.0)
-    assert queue.list_loading() == ('c',)
-    assert not queue.is_queued('a')
-
-
-def test_only_newer_weights_of_a_model_that_is_held_are_a_target():
-    state = EngineState({'m': 2}, is_busy=False, orders=0)
-    assert find_target(state, [Target('m', 2)]) is None
-    assert find_target(state, [Target('other', 5)]) is None
-    newer = Target('m', 3)
-    assert find_target(state, [newer]) is newer
-
-
 def test_the_bound_of_a_duration_fades():
     durations = Durations()
     assert durations.find_bound('letter', 9_000.0) == 9_000.0
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -44,11 +44,6 @@
     """End a loop."""
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 def make_change(number):
     name = f'team-{number:05}'
     spec = make_team(number)
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -23,11 +23,6 @@
 SEGMENTS = tuple(bytes([number]) * 32 for number in range(4))
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 class FakeReceiver:
     def expect(self, attempt: int) -> None:
         """Wait for nothing."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -66,11 +66,6 @@
 JSON = (('content-type', 'application/json'),)
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 @asynccontextmanager
 async def bounded() -> AsyncIterator[TaskGroup]:
     """Give a task group that is cancelled at the end, or after 20 s."""
--- a/tests/test_fetch.py
+++ b/tests/test_fetch.py
@@ -38,11 +38,6 @@
 DIGEST = weights.make_digest('modelo', '1')
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 @dataclass
 class Site:
     store: store.Store
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -21,11 +21,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 class Engine:
     """Hold weights and take orders; a load takes `load_seconds`."""
 
--- /dev/null
+++ b/tests/test_hosted_answers.py
@@ -0,0 +1,168 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import anyio
+import pytest
+
+from tests.hosted import (
+    SERVERS,
+    make_record,
+    read_answer,
+    staging,
+)
+from tests.standins.replica import (
+    make_answer,
+    make_head,
+)
+from tests.standins.scripts import answer_well
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_the_answer_to_another_request_is_not_passed_on(tmp_path):
+    async def run(peer):
+        await peer.answer(oleanderdyke_request_id='req-other')
+
+    async with staging(tmp_path, run) as stage:
+        found = await stage.call('/once/1')
+        assert found.status == 502
+
+
+async def test_a_success_without_the_mark_of_a_server_is_no_success(tmp_path):
+    async def run(peer):
+        await peer.answer(oleanderdyke_response_seal='')
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 502
+
+
+async def test_bytes_after_an_answer_end_the_connection(tmp_path):
+    async def run(peer):
+        extra = make_answer(peer.request, body=b'again')
+        await peer.send(make_answer(peer.request) + extra)
+
+    async with staging(tmp_path, run) as stage:
+        for number in range(3):
+            found = await stage.call(f'/once/{number}')
+            assert (found.status, found.body) == (200, b'done')
+        assert stage.replicas[0].connections == 3
+
+
+async def test_bytes_that_come_late_end_the_connection(tmp_path):
+    async def run(peer):
+        await peer.answer()
+        await asyncio.sleep(0.05)
+        await peer.send(make_answer(peer.request, body=b'again'))
+
+    async with staging(tmp_path, run) as stage:
+        for number in range(2):
+            found = await stage.call(f'/once/{number}')
+            assert (found.status, found.body) == (200, b'done')
+            await anyio.sleep(0.1)
+        assert stage.replicas[0].connections == 2
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        b'HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\nshort',
+        b'this is no answer\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab',
+    ],
+)
+async def test_a_broken_answer_is_never_taken_for_whole(tmp_path, broken):
+    async def run(peer):
+        await peer.send(broken)
+        peer.writer.close()
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 502
+
+
+async def test_an_answer_that_ends_with_its_connection_is_whole(tmp_path):
+    async def run(peer):
+        await peer.send(make_head(peer.request) + b'all of it')
+        peer.writer.close()
+
+    async with staging(tmp_path, run) as stage:
+        found = await stage.call('/once/1')
+        assert (found.status, found.body) == (200, b'all of it')
+        assert found.is_whole
+
+
+async def test_an_answer_without_length_that_is_reset_is_not_whole(tmp_path):
+    async def run(peer):
+        await peer.send(make_head(peer.request) + b'some of it')
+        await asyncio.sleep(0.05)
+        peer.reset()
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 502
+
+
+async def test_information_before_an_answer_is_passed_over(tmp_path):
+    async def run(peer):
+        await peer.send(b'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n')
+        await peer.answer()
+
+    async with staging(tmp_path, run) as stage:
+        assert (await stage.call('/once/1')).status == 200
+
+
+async def test_an_early_answer_is_passed_on_and_its_body_ends_whole(tmp_path):
+    """A server may answer at once and read the rest of a body later."""
+    body = bytes(range(256)) * 12_000
+    found: list[bytes] = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(
+                    b'HTTP/1.1 413 Too Large\r\n'
+                    b'oleanderdyke-request-id: req-1\r\n'
+                    b'oleanderdyke-response-seal: seal\r\n'
+                    b'content-length: 0\r\n\r\n'
+                )
+                await asyncio.sleep(0.05)
+                found.append(await reader.readexactly(len(body)))
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.drop(SERVERS, 'i-0')
+        stage.store.put(SERVERS, 'i-9', make_record(f'127.0.0.1:{port}'))
+        await anyio.sleep(0.7)
+        for _ in range(3):
+            assert (await stage.call('/once/1', body=body)).status == 413
+            await anyio.sleep(0.1)
+    assert all(each == body for each in found)
+    listener.close()
+
+
+async def test_requests_in_one_body_are_one_request(tmp_path):
+    smuggled = b'GET /safe/2 HTTP/1.1\r\nhost: rooms.example\r\n\r\n'
+    async with staging(tmp_path, answer_well) as stage:
+        await stage.call('/once/1', body=smuggled)
+    (seen,) = stage.replicas[0].received
+    assert seen.body == smuggled
+
+
+async def test_both_length_and_chunks_are_framed_anew(tmp_path):
+    raw = (
+        b'POST /once/1 HTTP/1.1\r\nhost: rooms.example\r\n'
+        b'oleanderdyke-request-id: req-1\r\noleanderdyke-key: key-of-red\r\n'
+        b'content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'4\r\nabcd\r\n0\r\n\r\n'
+    )
+    async with staging(tmp_path, answer_well) as stage:
+        reader, writer = await asyncio.open_connection(*stage.address)
+        writer.write(raw)
+        found = await read_answer(reader)
+        writer.close()
+    assert found.status in {200, 400}
+    for seen in stage.replicas[0].received:
+        assert seen.body == b'abcd'
+        assert seen.headers['content-length'] == '4'
--- a/tests/test_hosted_contexts.py
+++ b/tests/test_hosted_contexts.py
@@ -10,7 +10,7 @@
 from tests.hosted import CONFIGURATION, MODEL, staging
 from tests.standins import server
 from tests.standins.contexts import ContextStore
-from tests.standins.replica import Peer
+from tests.standins.scripts import answer_well
 
 SALT = f'1/{MODEL}/'
 SOURCE = 'oleanderdyke-kv-source'
@@ -20,15 +20,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
-async def answer_well(peer: Peer) -> None:
-    await peer.answer(body=b'read')
-
-
 @contextlib.asynccontextmanager
 async def staging_store(directory):
     """Run an entry before an engine and a store of context."""
--- a/tests/test_hosted_store.py
+++ b/tests/test_hosted_store.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.hosted import staging
-from tests.standins.replica import Peer
+from tests.standins.scripts import answer_well
 
 # What the users allow each process that has nothing to do.
 CALLS_A_SECOND = 3
@@ -15,15 +15,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
-async def answer_well(peer: Peer) -> None:
-    await peer.answer(body=b'booked')
-
-
 async def test_an_entry_at_rest_seldom_calls_the_store(tmp_path):
     async with staging(tmp_path, answer_well) as stage:
         await anyio.sleep(1)
--- /dev/null
+++ b/tests/test_hosted_streams.py
@@ -0,0 +1,77 @@
+from __future__ import annotations
+
+import pytest
+
+from tests.hosted import (
+    staging,
+)
+from tests.standins.replica import (
+    make_chunk,
+    make_event,
+    make_head,
+)
+from tests.standins.scripts import stream
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_a_stream_goes_on_elsewhere_each_event_once(tmp_path):
+    first = stream(1, 3, ending=b'')
+    second = stream(3, 6)
+    async with staging(tmp_path, first, second) as stage:
+        bodies = [
+            (await stage.call('/stream/1', oleanderdyke_deadline_ms='1900'))
+            for _ in range(4)
+        ]
+    whole = b''.join(make_event(number) for number in range(1, 7))
+    resumed = [found for found in bodies if found.body == whole]
+    assert resumed
+    assert all(found.is_whole for found in resumed)
+    told = [
+        seen.headers.get('last-event-id') for seen in stage.replicas[1].received
+    ]
+    assert '3' in told
+
+
+async def test_a_cut_event_is_not_passed_on_twice(tmp_path):
+    async def cut(peer):
+        await peer.send(
+            make_head(
+                peer.request,
+                content_type='text/event-stream',
+                transfer_encoding='chunked',
+            )
+        )
+        await peer.send(make_chunk(make_event(1) + make_event(2)[:9]))
+        peer.reset()
+
+    async with staging(tmp_path, cut, stream(2, 3)) as stage:
+        found = [await stage.call('/stream/1') for _ in range(4)]
+    whole = b''.join(make_event(number) for number in range(1, 4))
+    assert whole in [each.body for each in found]
+    for each in found:
+        assert each.body.count(b'id: 1\n') <= 1
+
+
+async def test_a_stream_that_may_not_be_resumed_ends_broken(tmp_path):
+    async with staging(tmp_path, stream(1, 3, ending=b'')) as stage:
+        found = await stage.call('/letter/1')
+        assert not found.is_whole
+
+
+async def test_a_stream_that_falls_silent_goes_on_elsewhere(tmp_path):
+    async def stall(peer):
+        await peer.send(
+            make_head(
+                peer.request,
+                content_type='text/event-stream',
+                transfer_encoding='chunked',
+            )
+        )
+        await peer.send(make_chunk(make_event(1) + make_event(2)))
+        await peer.wait_closed()
+
+    async with staging(tmp_path, stall, stream(3, 5)) as stage:
+        found = [await stage.call('/stream/1') for _ in range(2)]
+    whole = b''.join(make_event(number) for number in range(1, 6))
+    assert whole in [each.body for each in found]
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -19,11 +19,6 @@
 CUT = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ngood'
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 class Script:
     """Answer by connection: None stays silent, b'' closes."""
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -51,11 +51,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 def make_hello(name: str) -> Hello:
     return Hello(PROTOCOL_VERSION, Role.AGENT, name, 'i1', 'hall', 7)
 
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -18,11 +18,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 @asynccontextmanager
 async def service(**settings):
     app = log_service.make_app(log_service.LogSettings(**settings))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -16,11 +16,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 def read_section(title: str) -> list[dict[str, str]]:
     """Return the pairs of each line that a section of the page shows."""
     text = PAGE.read_text(encoding='utf-8')
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+from oleanderdyke.kernel.overload import (
+    Patience,
+    find_patience,
+    should_refuse,
+)
+
+
+def refuse(waited=0.0, **changes):
+    facts = {
+        'expected': 10.0,
+        'delay': 90.0,
+        'waiting': 0,
+        'fill': 0.2,
+        'size': 1.0,
+        'drawn': 0.5,
+        **changes,
+    }
+    return should_refuse(Patience(waited, 400.0), **facts)
+
+
+def test_nothing_is_refused_while_places_are_free():
+    assert not any(refuse(drawn=drawn / 100) for drawn in range(100))
+
+
+def test_a_first_try_that_would_be_late_is_refused_and_a_second_is_not():
+    assert refuse(expected=500.0)
+    assert not refuse(expected=500.0, waited=300.0)
+
+
+def test_a_growing_part_is_refused_as_engines_fill():
+    refused = [
+        sum(refuse(fill=fill, drawn=drawn / 100) for drawn in range(100))
+        for fill in (0.8, 0.9, 1.0, 1.1, 2.0)
+    ]
+    assert refused == sorted(refused)
+    assert refused[0] == 0
+    assert refused[-1] == 95
+
+
+def test_a_guess_alone_refuses_nothing():
+    assert refuse(fill=2.0)
+    assert not refuse(fill=2.0, delay=10.0)
+    assert refuse(fill=2.0, delay=10.0, waiting=3)
+
+
+def test_small_requests_are_refused_less_often():
+    assert refuse(fill=1.1, drawn=0.5, size=1.0)
+    assert not refuse(fill=1.1, drawn=0.5, size=0.1)
+
+
+def test_how_long_a_caller_has_waited_follows_from_its_deadline():
+    assert find_patience(4_000, 4_000, 400).is_first_try
+    assert find_patience(3_500, 4_000, 400).is_late
+    assert find_patience(None, 4_000, 400).is_first_try
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -47,11 +47,6 @@
 TOPIC = 'keyed.servers'
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 def test_settings_are_read_and_unknown_fields_ignored():
     settings = parse_host_settings(SETTINGS, 'boot.conf')
     assert settings.process == 'front-1'
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -27,11 +27,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 @asynccontextmanager
 async def talking(answer):
     """Run one function for each TCP connection; give a backend of it."""
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -29,11 +29,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return 'asyncio'
-
-
 def make_hello(name: str, incarnation: str = 'i1') -> Hello:
     return Hello(PROTOCOL_VERSION, Role.AGENT, name, incarnation, 'hall', 0)
 
--- a/tests/test_prepare.py
+++ b/tests/test_prepare.py
@@ -26,11 +26,6 @@
 SHORT_TOKENS = 1_024
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 class FakeEngine:
     loaded = Loaded('m', 'v1', 'digest-1', '')
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -18,11 +18,6 @@
 SEGMENTS = tuple(bytes([number]) * 8 for number in range(3))
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 def test_removal_told_after_a_dispatch_wins() -> None:
     table = SoonTable(limit=1_000)
     first = Demand('r', 't', 's', deadline=1_000, segments=SEGMENTS)
--- a/tests/test_store_agent.py
+++ b/tests/test_store_agent.py
@@ -36,11 +36,6 @@
 PART = 40_000
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 @contextlib.asynccontextmanager
 async def store_agent(
     app: store.Store, **more: Any
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -16,11 +16,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return 'asyncio'
-
-
 async def test_end_of_the_held_connection_tells_the_end_for_a_while() -> None:
     clock = ManualClock()
     opened = await anyio.create_tcp_listener(local_host='127.0.0.1')
