Log whom an engine waits for, and how old the news of weights is

Cause: the logs of the incident could not tell a queue held by engines that are gone from agents that start late or orders that get no answer; that took the store's own record of calls. Agents now log whom their engine waits for, each time that changes, and whom they pass over; a dispatch to an engine on old weights names the newest version and for how long it has been known, only then, so the volume at rest is the same. The rest of the logic is unchanged.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -67,6 +67,7 @@
         self._done: dict[str, int] = {}
         self._fence: int | None = None
         self._server = ''
+        self._told_loading = ''
         self._queue = LoadQueue()
         self._loads = LoadFeed(
             StoreClient(settings.store, wait=_OPERATOR_WAIT),
@@ -160,8 +161,7 @@
         if not self._queue.is_queued(own):
             await self._tell(own, LoadStep.WAITS)
             return
-        self._queue.tick(self._clock.now())
-        if not self._queue.may_load(own):
+        if not self._may_load(own, target):
             return
         fence = await self._find_fence()
         order = WeightOrder(
@@ -174,6 +174,29 @@
         )
         await self._order(order)
 
+    def _may_load(self, own: str, target: Target) -> bool:
+        """Tell whether it is this engine's turn, and log what it waits for."""
+        for server in self._queue.tick(self._clock.now()):
+            self._log.write(EventName.LOAD_PASSED_OVER, peer=server)
+        if self._queue.may_load(own):
+            return True
+        self._log_queued(own, target)
+        return False
+
+    def _log_queued(self, own: str, target: Target) -> None:
+        """Say whom this engine waits for, each time that changes."""
+        loading = ','.join(self._queue.list_loading())
+        if self._told_loading == loading:
+            return
+        self._told_loading = loading
+        self._log.write(
+            EventName.LOAD_QUEUED,
+            peer=own,
+            model=target.model,
+            version=target.version,
+            detail=f'behind {loading}',
+        )
+
     async def _settle(self) -> None:
         """Let the next engine go once this one has what is named."""
         if self._server and self._queue.is_queued(self._server):
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -205,10 +205,23 @@
             peer=record.server,
             address=record.address,
             version=dispatch.version,
+            **self._describe_outdated(dispatch.version),
             tokens=dispatch.contexts.fetched_tokens or None,
             segments=sum(map(bool, dispatch.contexts.sinks)) or None,
         )
 
+    def _describe_outdated(self, version: int | None) -> dict[str, float]:
+        """Say how long newer weights than those that serve were known."""
+        core, demand = self._core, self._call.asked.demand
+        if demand is None or version is None:
+            return {}
+        newest = core.versions.get(demand.model, 0)
+        if version >= newest:
+            return {}
+        heard = core.versions_heard.get(demand.model, 0.0)
+        age = round(core.clock.now() - heard, 1)
+        return {'newest': newest, 'age': age}
+
     def _make_dispatch(self, backend: Backend) -> Dispatch:
         core, call = self._core, self._call
         demand = call.asked.demand
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -77,6 +77,8 @@
     DRAIN_FINISHED = 'drain_finished'
     LINES_DROPPED = 'lines_dropped'
     VERSION_NAMED = 'version_named'
+    LOAD_QUEUED = 'load_queued'
+    LOAD_PASSED_OVER = 'load_passed_over'
     CONTEXT_FREED = 'context_freed'
     RECORD_REFUSED = 'record_refused'
     SETTINGS_RELOADED = 'settings_reloaded'
@@ -105,6 +107,7 @@
     EventName.SEGMENTS_REJECTED: Level.WARNING,
     EventName.BACKEND_LOST: Level.WARNING,
     EventName.ORDER_REFUSED: Level.WARNING,
+    EventName.LOAD_PASSED_OVER: Level.WARNING,
     EventName.REQUEST_SUSPECTED: Level.WARNING,
     EventName.REQUEST_QUARANTINED: Level.ERROR,
     EventName.SEGMENT_EVENTS_LOST: Level.DEBUG,
@@ -149,6 +152,8 @@
     PHASE = 'phase'
     MODEL = 'model'
     VERSION = 'version'
+    NEWEST = 'newest'
+    AGE = 'age'
     ADDRESS = 'address'
     COUNT = 'count'
     RUNNING = 'running'
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -78,8 +78,8 @@
             self._queue.setdefault(notice.server, None)
         self.tick(now)
 
-    def tick(self, now: Millis) -> None:
-        """Pass over engines that have had their time."""
+    def tick(self, now: Millis) -> tuple[str, ...]:
+        """Pass over engines that have had their time; return them."""
         stuck = [
             server
             for server, since in self._queue.items()
@@ -90,6 +90,7 @@
         for server in self.list_loading():
             if self._queue[server] is None:
                 self._queue[server] = now
+        return tuple(stuck)
 
     def is_queued(self, server: str) -> bool:
         """Tell whether an engine waits or loads."""
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -281,3 +281,20 @@
         stage.store.topics[LOADS] = ForgetfulTopic()
         stage.name(2)
         await stage.wait_version(2, seconds=12)
+
+
+async def test_an_agent_logs_whom_its_engine_waits_for(tmp_path):
+    before = [
+        {'server': 'i-a', 'step': 'waits'},
+        {'server': 'i-b', 'step': 'waits'},
+    ]
+    async with staging(tmp_path, before=before) as stage:
+        stage.name(2)
+        await anyio.sleep(1.0)
+        (line,) = [
+            line
+            for line in stage.log.read_text().splitlines()
+            if 'event=load_queued' in line
+        ]
+    assert 'peer=i-own' in line
+    assert 'i-a,i-b' in line
