--- a/examples/hosted.py
+++ b/examples/hosted.py
@@ -103,6 +103,7 @@
     settings = _BUILD / 'boot.conf'
     settings.write_text(
         SETTINGS.format(
+            version_limit=15_000,
             store=store_address,
             callers=shown.callers[1],
             readiness=shown.readiness[1],
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -17,7 +17,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.shell import HostedShell
 from oleanderdyke.logs import make_event_log
-from oleanderdyke.platform.settings import HostSettings
+from oleanderdyke.platform.settings import load_host_settings
 from tests.standins import server
 from tests.standins.records import RecordStore
 from tests.standins.replica import Replica, Script, serving_replica
@@ -113,10 +113,12 @@
     *scripts: Script,
     configuration: dict[str, Any] | None = None,
     grace: float = 8_000.0,
+    version_limit: float = 15_000.0,
+    store: RecordStore | None = None,
     **record: Any,
 ) -> AsyncGenerator[Stage, None]:
     """Run an entry before one backend server for each script."""
-    store = RecordStore()
+    store = store or RecordStore()
     if configuration is not None or scripts:
         store.put(OPERATOR, 'config', configuration or CONFIGURATION)
     async with contextlib.AsyncExitStack() as stack:
@@ -128,7 +130,9 @@
             )
             replicas.append(replica)
             store.put(SERVERS, f'i-{number}', make_record(where, **record))
-        stage = _make_stage(store, address, directory, grace)
+        stage = _make_stage(
+            store, address, directory, grace=grace, version_limit=version_limit
+        )
         stage.replicas = replicas
         shell = HostedShell(stage.core)
         async with anyio.create_task_group() as tasks:
@@ -222,29 +226,31 @@
 
 
 def _make_stage(
-    store: RecordStore, address: str, directory: pathlib.Path, grace: float
+    store: RecordStore,
+    address: str,
+    directory: pathlib.Path,
+    *,
+    grace: float,
+    version_limit: float,
 ) -> Stage:
     callers, readiness = (find_port() for _ in range(2))
     text = SETTINGS.format(
-        store=address, callers=callers, readiness=readiness, grace=grace / 1000
+        store=address,
+        callers=callers,
+        readiness=readiness,
+        grace=grace / 1000,
+        version_limit=version_limit,
     )
     path = directory / 'boot.conf'
     path.write_text(text)
     log = directory / 'entry.log'
     stream = log.open('w', buffering=1)
     clock = make_clock()
-    settings = HostSettings(
-        process='front-1',
-        data_centre='hall',
-        ip='127.0.0.1',
-        source=str(path),
-        store=address,
-        callers=f'127.0.0.1:{callers}',
-        readiness=f'127.0.0.1:{readiness}',
-        grace=grace,
-    )
     core = make_hosted_core(
-        settings, clock, make_event_log('front-1', stream=stream), Random(7)
+        load_host_settings(path),
+        clock,
+        make_event_log('front-1', stream=stream),
+        Random(7),
     )
     return Stage(
         store, core, ('127.0.0.1', callers), ('127.0.0.1', readiness), log
@@ -258,6 +264,7 @@
 listen.front=127.0.0.1:{callers}
 listen.ready=127.0.0.1:{readiness}
 bounds.graceS={grace}
+bounds.versionMs={version_limit}
 """
 
 
--- /dev/null
+++ b/tests/standins/hosted_engine.py
@@ -0,0 +1,85 @@
+"""Stand in for a model engine of the users' platform that takes orders."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import anyio
+
+from tests.standins.replica import Peer
+
+_ORDER_TAKEN = 202
+
+
+class HostedEngine:
+    """Hold weights and take orders; a load takes `load_seconds`.
+
+    Where `server` is set, it is the only start that orders may name. A crash
+    leaves the weights that were held before.
+    """
+
+    def __init__(
+        self, model: str, load_seconds: float = 0.05, server: str = ''
+    ) -> None:
+        self.version = 1
+        self.busy = False
+        self.down = False
+        self.server = server
+        self.orders: list[dict[str, Any]] = []
+        self.accepted = 0
+        self.lose_answers = 0
+        self.outcome = _ORDER_TAKEN
+        self._model = model
+        self._load_seconds = load_seconds
+
+    async def __call__(self, peer: Peer) -> None:
+        """Answer a call of an agent."""
+        if self.down:
+            peer.reset()
+            return
+        peer.request.headers.setdefault('oleanderdyke-request-id', '-')
+        if peer.request.target == '/api/report':
+            await peer.answer(body=json.dumps(self.report()).encode())
+            return
+        order = json.loads(peer.request.body)
+        order['instance'] = peer.request.headers['oleanderdyke-expect-instance']
+        self.orders.append(order)
+        await self._take(order, peer)
+
+    async def _take(self, order: dict[str, Any], peer: Peer) -> None:
+        if self.lose_answers:
+            self.lose_answers -= 1
+            peer.reset()
+            return
+        if self.server and order['instance'] != self.server:
+            await peer.answer(421)
+            return
+        if order['precondition'] != self.accepted:
+            await peer.answer(409)
+            return
+        await peer.answer(self.outcome)
+        if self.outcome == _ORDER_TAKEN:
+            await self.load(order['version'])
+
+    async def load(self, version: int) -> None:
+        """Take new weights, unless the engine crashes meanwhile."""
+        self.accepted += 1
+        self.busy = True
+        start = self.server
+        await anyio.sleep(self._load_seconds)
+        if self.server == start and not self.down:
+            self.version, self.busy = version, False
+
+    def crash(self) -> None:
+        """Answer nothing until the next start."""
+        self.down, self.busy = True, False
+
+    def start_anew(self, server: str) -> None:
+        """Come back under another id, on the weights of before."""
+        self.down, self.accepted, self.server = False, 0, server
+
+    def report(self) -> dict[str, Any]:
+        """Return what the engine says of itself."""
+        models = [{'name': self._model, 'version': self.version}]
+        return {'models': models, 'busy': self.busy, 'seq': self.accepted}
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -13,56 +13,15 @@
 from oleanderdyke.platform.settings import HostSettings
 from tests.hosted import MODEL, OPERATOR, SERVERS, make_record
 from tests.standins import server
+from tests.standins.hosted_engine import HostedEngine
 from tests.standins.records import RecordFaults, RecordStore, Topic
-from tests.standins.replica import Peer, serving_replica
+from tests.standins.replica import serving_replica
 
 LOADS = 'oleander-loads'
 
 pytestmark = pytest.mark.anyio
 
 
-class Engine:
-    """Hold weights and take orders; a load takes `load_seconds`."""
-
-    def __init__(self, load_seconds=0.05):
-        self.version = 1
-        self.busy = False
-        self.orders = []
-        self.accepted = 0
-        self.lose_answers = 0
-        self.outcome = 202
-        self._load_seconds = load_seconds
-
-    async def __call__(self, peer: Peer) -> None:
-        peer.request.headers.setdefault('oleanderdyke-request-id', '-')
-        if peer.request.target == '/api/report':
-            await peer.answer(body=json.dumps(self.report()).encode())
-            return
-        order = json.loads(peer.request.body)
-        order['instance'] = peer.request.headers['oleanderdyke-expect-instance']
-        self.orders.append(order)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            peer.reset()
-            return
-        if order['precondition'] != self.accepted:
-            await peer.answer(409)
-            return
-        await peer.answer(self.outcome)
-        if self.outcome == 202:
-            await self.load(order['version'])
-
-    async def load(self, version: int) -> None:
-        self.accepted += 1
-        self.busy = True
-        await anyio.sleep(self._load_seconds)
-        self.version, self.busy = version, False
-
-    def report(self):
-        models = [{'name': MODEL, 'version': self.version, 'adapters': []}]
-        return {'models': models, 'busy': self.busy, 'seq': self.accepted}
-
-
 class Stage:
     """Hold a store, an engine and its agent."""
 
@@ -86,7 +45,7 @@
 
 @contextlib.asynccontextmanager
 async def staging(directory, engine=None, before=()):
-    store, engine = RecordStore(), engine or Engine()
+    store, engine = RecordStore(), engine or HostedEngine(MODEL)
     for notice in before:
         store.find(LOADS).append(json.dumps(notice).encode())
     async with (
@@ -132,7 +91,7 @@
 
 
 async def test_older_weights_are_never_ordered(tmp_path):
-    engine = Engine()
+    engine = HostedEngine(MODEL)
     engine.version = 5
     async with staging(tmp_path, engine) as stage:
         stage.name(4)
@@ -141,7 +100,7 @@
 
 
 async def test_an_order_without_answer_is_repeated_on_the_same_terms(tmp_path):
-    engine = Engine()
+    engine = HostedEngine(MODEL)
     engine.lose_answers = 2
     async with staging(tmp_path, engine) as stage:
         stage.name(2)
@@ -152,7 +111,7 @@
 async def test_an_order_that_arrives_late_after_a_newer_one_does_nothing(
     tmp_path,
 ):
-    engine = Engine()
+    engine = HostedEngine(MODEL)
     async with staging(tmp_path, engine) as stage:
         stage.name(2)
         await stage.wait_version(2)
@@ -176,7 +135,7 @@
 
 
 async def test_a_fence_that_is_too_old_is_replaced(tmp_path):
-    engine = Engine()
+    engine = HostedEngine(MODEL)
     engine.outcome = 412
     async with staging(tmp_path, engine) as stage:
         stage.name(2)
@@ -248,7 +207,7 @@
 
 
 async def test_an_engine_that_started_anew_is_found_again(tmp_path):
-    engine = Engine()
+    engine = HostedEngine(MODEL)
     engine.outcome = 421
     async with staging(tmp_path, engine) as stage:
         stage.name(2)
--- /dev/null
+++ b/tests/test_old_weights.py
@@ -0,0 +1,169 @@
+"""Requests began on weights over 15 s after newer ones had been named.
+
+What was seen: two requests began on version 1 of the weights 16.7 s after
+version 2 was named, where 15 s are allowed. Engines had crashed and come back,
+some twice, while the weights were rolled out two engines at a time.
+
+How it came about: an engine asked for a place in the queue of loads under the
+id of its start. When it crashed, the place stayed with that id; its agent
+ordered under the id, was refused, and asked anew behind all others. Two such
+places were all that there were, so for 7 s nobody loaded.
+
+What caused it: a place was not bound to the life of who held it, and nothing
+but the order of loads kept requests off old weights: no process knew the bound.
+
+What proved it: the agents' logs show both places with ids that no list names
+any more and three engines due behind them. With places given up at a crash the
+third engine below loads at once; without that, after 7 s.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+import anyio
+import pytest
+
+from oleanderdyke.agent.hosted.shell import HostedAgent
+from oleanderdyke.clock import make_clock
+from oleanderdyke.logs import make_event_log
+from oleanderdyke.platform.settings import HostSettings
+from tests import hosted
+from tests.hosted import MODEL, OPERATOR, SERVERS, make_record
+from tests.standins import server
+from tests.standins.hosted_engine import HostedEngine
+from tests.standins.records import RecordStore
+from tests.standins.replica import serving_replica
+from tests.standins.scripts import answer_well
+
+LIMIT = 3_000.0
+OLD = [{'name': MODEL, 'version': 1, 'adapters': []}]
+
+pytestmark = pytest.mark.anyio
+
+
+def name_weights(store, version):
+    named = {'model': MODEL, 'version': version}
+    store.put(OPERATOR, f'version/{MODEL}', named)
+
+
+async def ask(stage):
+    return await stage.call(
+        '/safe/1',
+        method='GET',
+        oleanderdyke_model=MODEL,
+        oleanderdyke_token_usage='100,10',
+    )
+
+
+async def test_no_request_is_sent_to_weights_past_their_time(tmp_path):
+    async with hosted.staging(
+        tmp_path, answer_well, version_limit=LIMIT, models=OLD
+    ) as stage:
+        name_weights(stage.store, 2)
+        await anyio.sleep(0.1)
+        assert (await ask(stage)).status == 200
+        await anyio.sleep(LIMIT / 1_000)
+        with anyio.fail_after(1):
+            refused = await ask(stage)
+        assert refused.status == 503
+        assert float(refused.headers['retry-after']) > 0
+        assert len(stage.replicas[0].received) == 1
+
+
+async def test_news_of_unknown_age_allow_no_old_weights(tmp_path):
+    store = RecordStore()
+    name_weights(store, 2)
+    async with hosted.staging(
+        tmp_path, answer_well, store=store, version_limit=LIMIT, models=OLD
+    ) as stage:
+        assert (await ask(stage)).status == 503
+        assert not stage.replicas[0].received
+
+
+class Fleet:
+    """Hold engines that the list of servers names, and start their agents."""
+
+    def __init__(self, directory, store, address, tasks):
+        self.store = store
+        self.engines = {}
+        self._directory = directory
+        self._address = address
+        self._tasks = tasks
+        self._where = {}
+
+    async def add(self, stack, name, load_seconds):
+        engine = HostedEngine(MODEL, load_seconds, server=f'i-{name}')
+        _, where = await stack.enter_async_context(serving_replica(engine))
+        self.engines[name] = engine
+        self._where[name] = where
+        self.list_engine(name)
+
+    def list_engine(self, name):
+        record = make_record(self._where[name], models=OLD)
+        self.store.put(SERVERS, self.engines[name].server, record)
+
+    def start_agent(self, name):
+        process = f'side-{name}'
+        settings = HostSettings(
+            process=process,
+            data_centre='hall',
+            ip='127.0.0.1',
+            store=self._address,
+            server=self._where[name],
+        )
+        stream = (self._directory / f'{process}.log').open('w', buffering=1)
+        log = make_event_log(process, stream=stream)
+        self._tasks.start_soon(HostedAgent(settings, log, make_clock()).run)
+
+    async def crash(self, name):
+        """Let an engine crash and come back; the list learns it later."""
+        engine = self.engines[name]
+        before = engine.server
+        engine.crash()
+        await anyio.sleep(0.5)
+        engine.start_anew(f'{before}-again')
+        await anyio.sleep(0.5)
+        self.list_engine(name)
+        self.store.drop(SERVERS, before)
+
+
+@contextlib.asynccontextmanager
+async def staging_fleet(directory, **load_seconds):
+    store = RecordStore()
+    async with contextlib.AsyncExitStack() as stack:
+        (address,) = await stack.enter_async_context(server.serving(store))
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(directory, store, address, tasks)
+            for name, seconds in load_seconds.items():
+                await fleet.add(stack, name, seconds)
+            yield fleet
+            tasks.cancel_scope.cancel()
+
+
+async def wait_until(condition, seconds):
+    with anyio.fail_after(seconds):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def test_engines_that_crash_hold_no_place_before_others(tmp_path):
+    async with staging_fleet(tmp_path, a=9.0, b=9.0, c=0.05) as fleet:
+        name_weights(fleet.store, 2)
+        for name in 'ab':
+            fleet.start_agent(name)
+        first = [fleet.engines[name] for name in 'ab']
+        await wait_until(lambda: all(each.orders for each in first), 8)
+        fleet.start_agent('c')
+        notices = fleet.store.find('oleander-loads').records
+        await wait_until(
+            lambda: any(
+                json.loads(each)['server'] == 'i-c' for each in notices
+            ),
+            5,
+        )
+        async with anyio.create_task_group() as crashes:
+            for name in 'ab':
+                crashes.start_soon(fleet.crash, name)
+        await wait_until(lambda: fleet.engines['c'].version == 2, 3)
