Let time pass while a machine is suspended

Cause: the monotonic clock stands still while a machine is suspended, so what was read before looks younger than it is: news of weights and configuration, views of stores. Looked for when the bound on old weights was made, which rests on the age of news. The clock of the binaries now counts suspensions; timers of the loop stay as they are. Ruled out: the wall clock, which jumps.

--- a/src/oleanderdyke/clock.py
+++ b/src/oleanderdyke/clock.py
@@ -24,12 +24,17 @@
         """Return milliseconds since the Unix epoch."""
 
 
+# A machine that is suspended for seconds stops its usual monotonic clock, but
+# what it has read gets older all the same: news, leases, views of stores.
+_STEADY = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+
+
 class SystemClock:
     """Read the clocks of this machine."""
 
     def now(self) -> Millis:
-        """Return monotonic milliseconds."""
-        return time.monotonic_ns() / _NANOS_PER_MILLI
+        """Return monotonic milliseconds, those of a suspension included."""
+        return time.clock_gettime_ns(_STEADY) / _NANOS_PER_MILLI
 
     def wall(self) -> Millis:
         """Return milliseconds since the Unix epoch."""
