Send nothing to weights past their time; bind places to agents

Cause: the bound on old weights held by the order of loads alone. A place in the queue of loads belonged to a start of an engine; an engine that crashed left it held for 7 s, and two of them stopped all loads. No process knew the bound, nor, after a start, how old the news of the weights was.

Change: - An entry sends nothing to an engine whose weights were replaced longer ago than the bound less two seconds, checked at the choice and again at the send; what still waits for its first token a quarter of a second before the bound is taken back. Where no engine may serve, callers are sent back at once. - The age of news is bounded by the last read that did not show it, so a slow or lost read makes it look older, never younger. Agents tell it with their request for a place, on the clock that all engines share; what nobody tells the age of counts as old. - A place belongs to the agent. An engine that crashes keeps its place and holds up nobody; a process that starts anew gives up that of the one before. As many engines load at once as all need to be in time, two at least; the 7 s become a third of the bound. One that may not serve any more loads at once. - An agent no longer orders twice under the id of a start that has ended.

One test changed: it lists the notices of a load, which begin with that of the agent's start now.

--- /dev/null
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -0,0 +1,278 @@
+"""Bring one model engine to the weights that are named, in its turn."""
+
+from __future__ import annotations
+
+import math
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.engine_clock import EngineClock
+from oleanderdyke.kernel.named_weights import SEND_MARGIN, NamedWeights
+from oleanderdyke.kernel.rollout import (
+    EngineState,
+    LoadNotice,
+    LoadQueue,
+    LoadStep,
+    Target,
+    apply_notice,
+    find_target,
+)
+from oleanderdyke.logs import EventLog
+from oleanderdyke.platform.documents import MalformedRecord
+from oleanderdyke.platform.engines import (
+    EngineClient,
+    EngineUnavailable,
+    OrderOutcome,
+    WeightOrder,
+)
+from oleanderdyke.platform.feed import list_servers
+from oleanderdyke.platform.loads import append_fence, append_notice
+from oleanderdyke.platform.settings import HostSettings
+from oleanderdyke.platform.store import StoreClient, StoreUnavailable
+
+_READ_BACK: Millis = 20.0
+# A long read answers within some milliseconds of an append.
+_READ_BACK_LIMIT: Millis = 2 * SECOND
+# The list names a new start of an engine a second or two after it began.
+_LIST_PERIOD: Millis = 300.0
+
+
+class EngineLoads:
+    """Take an engine through the queue of loads, and give it orders.
+
+    This process is the only holder of orders for its engine. Its fence is an
+    offset of a topic, so a later process on this machine or another has a
+    higher one.
+    """
+
+    def __init__(
+        self, settings: HostSettings, log: EventLog, clock: Clock
+    ) -> None:
+        self.weights = NamedWeights()
+        # Whether the first notice of this process was read back.
+        self.has_begun = False
+        self._settings = settings
+        self._log = log
+        self._clock = clock
+        self._store = StoreClient(settings.store)
+        self._engine = EngineClient(settings.server)
+        self._engine_clock = EngineClock()
+        self._queue = LoadQueue(settings.version_limit)
+        self._done: dict[str, int] = {}
+        self._fence: int | None = None
+        self._server = ''
+        self._ended: set[str] = set()
+        self._listed_at = -math.inf
+        self._told_loading = ''
+
+    def take(self, notice: LoadNotice) -> None:
+        """Apply the next notice of the log."""
+        own = notice.agent == self._settings.process
+        if own and notice.step is LoadStep.STARTED:
+            self.has_begun = True
+        apply_notice(
+            notice,
+            self._queue,
+            self.weights,
+            limit=self._settings.version_limit,
+            now=self._clock.now(),
+            shift=self._engine_clock.most,
+        )
+
+    async def begin(self) -> None:
+        """Give up the place of a process that was here before.
+
+        The topic comes to be with that, and once it is read back all that was
+        told before is known. Raise StoreUnavailable.
+        """
+        await append_notice(self._store, self._make_notice(LoadStep.STARTED))
+
+    def is_settled(self) -> bool:
+        """Tell whether the engine holds all that is named."""
+        return self._done == self.weights.list_newest()
+
+    async def step(self) -> None:
+        """Look at the engine; raise StoreUnavailable or EngineUnavailable."""
+        if not self.has_begun:
+            return
+        try:
+            state = await self._read_state()
+        except EngineUnavailable:
+            await self._lose()
+            raise
+        if state.is_busy:
+            return
+        newest = self.weights.list_newest()
+        targets = [Target(*each) for each in newest.items()]
+        target = find_target(state, targets)
+        if target is None:
+            await self._settle(newest)
+        else:
+            await self._load(state, target)
+
+    async def _read_state(self) -> EngineState:
+        asked_at = self._clock.now()
+        state = await self._engine.read_state()
+        self._engine_clock.note(
+            state.clock, asked_at=asked_at, now=self._clock.now()
+        )
+        return state
+
+    async def _lose(self) -> None:
+        """Hold up nobody while the engine is away; it may start anew."""
+        server, self._server = self._server, ''
+        if server and self._queue.waits(self._settings.process, server):
+            await self._tell(self._make_notice(LoadStep.LOST, server))
+
+    async def _settle(self, newest: dict[str, int]) -> None:
+        """Let the next engine go once this one has what is named."""
+        if self._queue.is_queued(self._settings.process):
+            await self._tell(self._make_notice(LoadStep.ENDED, self._server))
+        for model, version in newest.items():
+            if self._done.get(model) != version:
+                self._done[model] = version
+                self._log.write(
+                    EventName.ORDER_DONE, model=model, version=version
+                )
+
+    async def _load(self, state: EngineState, target: Target) -> None:
+        own = await self._find_own()
+        if not own:
+            return
+        held = state.versions[target.model]
+        if not self._queue.waits(self._settings.process, own):
+            await self._tell(self._make_request(own, target.model, held))
+            return
+        if not self._may_load(own, target, held):
+            return
+        order = WeightOrder(
+            server=own,
+            model=target.model,
+            version=target.version,
+            holder=self._settings.process,
+            fence=await self._find_fence(),
+            after=state.orders,
+        )
+        await self._order(order)
+
+    def _may_load(self, own: str, target: Target, held: int) -> bool:
+        """Tell whether it is this engine's turn, and log what it waits for.
+
+        One whose weights may serve no longer waits for nobody: it gets no
+        requests, so that loading costs nothing but the others' pace.
+        """
+        now = self._clock.now()
+        for server in self._queue.tick(now):
+            self._log.write(EventName.LOAD_PASSED_OVER, peer=server)
+        if self._queue.may_load(self._settings.process, now):
+            return True
+        may_serve = self.weights.may_serve(
+            target.model,
+            held,
+            within=self._settings.version_limit - SEND_MARGIN,
+            now=now,
+            shift=self._engine_clock.most,
+        )
+        if may_serve:
+            self._log_queued(own, target, now)
+        return not may_serve
+
+    def _log_queued(self, own: str, target: Target, now: Millis) -> None:
+        """Say whom this engine waits for, each time that changes."""
+        loading = ','.join(self._queue.list_loading(now))
+        if self._told_loading == loading:
+            return
+        self._told_loading = loading
+        self._log.write(
+            EventName.LOAD_QUEUED,
+            peer=own,
+            model=target.model,
+            version=target.version,
+            detail=f'behind {loading}',
+        )
+
+    async def _order(self, order: WeightOrder) -> None:
+        outcome = await self._engine.give_order(order)
+        self._log.write(
+            EventName.ORDER_SENT,
+            peer=order.server,
+            model=order.model,
+            version=order.version,
+            offset=order.fence,
+            reason=outcome.value,
+        )
+        if outcome is OrderOutcome.OLD_FENCE:
+            self._fence = None
+        if outcome is OrderOutcome.OTHER_SERVER:
+            self._ended.add(order.server)
+            self._server = ''
+
+    def _make_request(self, own: str, model: str, held: int) -> LoadNotice:
+        """Ask for a place, and say how old the news of the weights is."""
+        replaced = self.weights.find_replaced(
+            model, held, self._engine_clock.most
+        )
+        newest_at = None
+        if replaced is not None and not math.isinf(replaced):
+            newest_at = self._engine_clock.convert(replaced)
+        return LoadNotice(
+            own,
+            LoadStep.WAITS,
+            agent=self._settings.process,
+            model=model,
+            held=held,
+            newest_at=newest_at,
+        )
+
+    def _make_notice(self, step: LoadStep, server: str = '') -> LoadNotice:
+        return LoadNotice(server, step, agent=self._settings.process)
+
+    async def _tell(self, notice: LoadNotice) -> None:
+        """Append a notice, which counts once it is read back.
+
+        One whose history was dropped meanwhile is told again at the next step.
+        """
+        waits = notice.step is LoadStep.WAITS
+        await append_notice(self._store, notice)
+        with anyio.move_on_after(_READ_BACK_LIMIT / SECOND):
+            while self._waits(notice.server) is not waits:
+                await anyio.sleep(_READ_BACK / SECOND)
+
+    def _waits(self, server: str) -> bool:
+        return self._queue.waits(self._settings.process, server)
+
+    async def _find_own(self) -> str:
+        """Return the present start of the engine, nothing if not listed.
+
+        The start before it may still be listed for some seconds; the later
+        record is that of the present one, unless an order to it has shown
+        that it has ended.
+        """
+        now = self._clock.now()
+        if self._server or now - self._listed_at < _LIST_PERIOD:
+            return self._server
+        self._listed_at = now
+        for server in await list_servers(self._store, self._refuse):
+            is_own = server.address == self._settings.server
+            if is_own and server.server not in self._ended:
+                self._server = server.server
+        return self._server
+
+    def _refuse(self, name: str, error: MalformedRecord) -> None:
+        self._log.write(
+            EventName.RECORD_REFUSED, name=name, detail=error.message
+        )
+
+    async def _find_fence(self) -> int:
+        """Append once in this process's life; offsets only rise."""
+        if self._fence is None:
+            self._fence = await append_fence(
+                self._store, self._settings.process
+            )
+        return self._fence
+
+
+# What a step may raise; it is taken again after a pause.
+STEP_FAULTS = (StoreUnavailable, EngineUnavailable)
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -19,6 +19,7 @@
 from oleanderdyke.kernel.attempt_events import Received, SendDispatch, Unsent
 from oleanderdyke.kernel.backends import Backend, Owed
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS, ContextPlan
+from oleanderdyke.kernel.named_weights import BEGIN_MARGIN, SEND_MARGIN
 from oleanderdyke.kernel.servers import AnswerFacts
 from oleanderdyke.links.messages import (
     AnswerChunk,
@@ -70,6 +71,7 @@
         self._connection: BackendConnection | None = None
         self._sequence = 0
         self._memory = 0
+        self._version: int | None = None
         self._held: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
         self._is_stream = False
@@ -93,12 +95,25 @@
             core.pool.drop_idle(address)
             self._report_unsent(f'cannot connect: {type(error).__name__}')
             return
-        if core.book.has_left(self.server):
+        fault = self._find_send_fault(backend)
+        if fault:
             connection.close()
-            self._report_unsent('the server left while connecting')
+            self._report_unsent(fault)
             return
         self._send(connection, backend)
 
+    def withdraw_late(self) -> None:
+        """Take back what waits on weights whose time to begin runs out.
+
+        What has its first token has begun and goes on.
+        """
+        if self._done or not self._sent or self._head is not None:
+            return
+        if not self._may_begin(self._version, BEGIN_MARGIN):
+            self._close_failed(
+                ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'it waits on old weights'
+            )
+
     def cancel(self) -> None:
         """Stop the run by closing its connection."""
         if not self._done:
@@ -175,6 +190,30 @@
             self._core.book.note_failed(self.server, self._core.clock.now())
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
+    def _find_send_fault(self, backend: Backend) -> str:
+        """Return why nothing may be sent now, or nothing.
+
+        What was true when the server was chosen may have changed while the
+        connection was opened, by 300 ms at most.
+        """
+        if self._core.book.has_left(self.server):
+            return 'the server left while connecting'
+        if not self._may_begin(self._find_version(backend), SEND_MARGIN):
+            return 'its weights were replaced too long ago'
+        return ''
+
+    def _find_version(self, backend: Backend) -> int | None:
+        demand = self._call.asked.demand
+        if demand is None:
+            return None
+        return backend.record.versions.get(demand.model)
+
+    def _may_begin(self, version: int | None, margin: Millis) -> bool:
+        demand = self._call.asked.demand
+        if demand is None:
+            return True
+        return self._core.may_serve(demand.model, version, margin)
+
     def _send(self, connection: BackendConnection, backend: Backend) -> None:
         core, call = self._core, self._call
         record = backend.record
@@ -215,7 +254,7 @@
         core, demand = self._core, self._call.asked.demand
         if demand is None or version is None:
             return {}
-        newest = core.versions.get(demand.model, 0)
+        newest = core.weights.find_newest(demand.model)
         if version >= newest:
             return {}
         heard = core.versions_heard.get(demand.model, 0.0)
@@ -225,9 +264,7 @@
     def _make_dispatch(self, backend: Backend) -> Dispatch:
         core, call = self._core, self._call
         demand = call.asked.demand
-        version = None
-        if demand is not None:
-            version = backend.record.versions.get(demand.model)
+        version = self._version = self._find_version(backend)
         salt = make_salt(call, version)
         last = self._splitter.last if self._splitter is not None else None
         return Dispatch(
@@ -247,7 +284,7 @@
             return NO_CONTEXTS
         now = core.clock.now()
         held = backend.record.versions.get(demand.model, 0)
-        is_current = held >= core.versions.get(demand.model, 0)
+        is_current = held >= core.weights.find_newest(demand.model)
         heard = core.versions_heard.get(demand.model, 0.0)
         if not is_current and backend.listed_at >= heard:
             # Others may think that no engine is left on these weights.
@@ -283,7 +320,7 @@
         backend = core.book.find(self.server)
         if demand is not None and backend is not None:
             held = backend.record.versions.get(demand.model, 0)
-            if held < core.versions.get(demand.model, 0):
+            if held < core.weights.find_newest(demand.model):
                 core.book.note_reloading(self.server, now)
                 return
         core.book.note_refused(self.server, now)
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -11,12 +11,14 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.context_stores import Salt
 from oleanderdyke.kernel.deployment import Deployment, KeyOwner, Route, Share
+from oleanderdyke.kernel.named_weights import SEND_MARGIN
 from oleanderdyke.kernel.overload import (
     LATE_RANK,
     Patience,
     find_patience,
 )
 from oleanderdyke.kernel.placement import CallDemand
+from oleanderdyke.kernel.servers import ModelDemand
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform.requests import CallerRequest, decode_request
 
@@ -131,21 +133,36 @@
 ) -> CallDemand:
     """Describe a call for the choice of its backend server."""
     model = call.asked.demand
-    newest = None if model is None else core.versions.get(model.model)
+    newest = 0 if model is None else core.weights.find_newest(model.model)
+    now = core.clock.now()
     return CallDemand(
         service=call.service,
         data_centre=core.settings.data_centre,
         model=model,
         rank=call.priority,
-        newest_version=newest,
+        newest_version=newest or None,
+        outdated=_list_outdated(core, model),
         fetchable=_count_fetchable(core, call),
         excluded=excluded,
-        loading=frozenset(core.loads.list_loading()),
-        draining=frozenset(core.loads.list_next()),
+        loading=frozenset(core.loads.list_loading(now)),
+        draining=frozenset(core.loads.list_next(now)),
         memory_tokens=_find_memory(core, call),
     )
 
 
+def _list_outdated(
+    core: HostedCore, model: ModelDemand | None
+) -> frozenset[int | None]:
+    """Return the versions that listed engines hold and none may begin on."""
+    if model is None:
+        return frozenset()
+    return frozenset(
+        version
+        for version in core.book.list_versions(model.model)
+        if not core.may_serve(model.model, version, SEND_MARGIN)
+    )
+
+
 def _find_memory(core: HostedCore, call: HostedCall) -> int:
     deployment = core.deployment
     if deployment is None:
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -78,6 +78,9 @@
     async def _read(self, client: ContextClient, view: StoreView) -> None:
         asked_at = self._core.clock.now()
         found = await client.read_events(view.position)
+        self._core.engine_clock.note(
+            found.clock, asked_at=asked_at, now=self._core.clock.now()
+        )
         if found.has_gap or found.boot != view.boot:
             self._core.log.write(
                 EventName.SEGMENT_EVENTS_LOST,
@@ -96,7 +99,7 @@
         """Note which weights are newest and which engines still hold."""
         core = self._core
         now = core.clock.now()
-        for model, newest in core.versions.items():
+        for model, newest in core.weights.list_newest().items():
             oldest = core.book.find_oldest_version(model)
             known = None if core.is_stale else oldest
             self._outdated.note(model, newest, known, now)
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -14,6 +14,8 @@
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.drain import Drain, DrainSettings
 from oleanderdyke.kernel.durations import Durations
+from oleanderdyke.kernel.engine_clock import EngineClock
+from oleanderdyke.kernel.named_weights import NamedWeights
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import (
     RetryBudget,
@@ -45,13 +47,16 @@
 class HostedRequest(StoppableRequest, Protocol):
     """Lead one request; nothing here waits."""
 
-    def check_silence(self, now: Millis) -> None:
-        """Go on elsewhere where the backend server has fallen silent."""
+    def check_attempt(self, now: Millis) -> None:
+        """Give up what is silent, or waits on weights past their time."""
 
 
 @dataclass
 class HostedCore:
-    """Hold the state of one entry; `versions` are the newest weights."""
+    """Hold the state of one entry.
+
+    `versions_heard` tells when this entry learned of a model's newest weights.
+    """
 
     settings: HostSettings
     clock: Clock
@@ -66,7 +71,8 @@
     durations: Durations = field(default_factory=Durations)
     loads: LoadQueue = field(default_factory=LoadQueue)
     contexts: ContextStores = field(default_factory=ContextStores)
-    versions: dict[str, int] = field(default_factory=dict)
+    weights: NamedWeights = field(default_factory=NamedWeights)
+    engine_clock: EngineClock = field(default_factory=EngineClock)
     versions_heard: dict[str, Millis] = field(default_factory=dict)
     configuration_read: Millis | None = None
     # When that which was read last had been asked for.
@@ -91,6 +97,18 @@
         read = self.configuration_read
         return read is None or self.clock.now() - read > STALE_AFTER
 
+    def may_serve(
+        self, model: str, version: int | None, margin: Millis
+    ) -> bool:
+        """Tell whether weights may begin requests for a margin more."""
+        return self.weights.may_serve(
+            model,
+            version,
+            within=self.settings.version_limit - margin,
+            now=self.clock.now(),
+            shift=self.engine_clock.most,
+        )
+
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's part of what may be sent again to a service."""
         if service not in self._budgets:
@@ -132,5 +150,6 @@
         log=log,
         metrics=Metrics(),
         drain=Drain(drain),
+        loads=LoadQueue(settings.version_limit),
         pool=ConnectionPool(CONNECT_LIMIT),
     )
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -48,7 +48,12 @@
 from oleanderdyke.kernel.demand import Plan, Refusal, Replica
 from oleanderdyke.kernel.deployment import CallKind
 from oleanderdyke.kernel.overload import should_refuse
-from oleanderdyke.kernel.placement import SILENCE_LIMIT, Choice, choose_backend
+from oleanderdyke.kernel.placement import (
+    SILENCE_LIMIT,
+    CallDemand,
+    Choice,
+    choose_backend,
+)
 from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
 from oleanderdyke.metrics import Count, Timing
 
@@ -60,6 +65,9 @@
 # each engine every some ten milliseconds, and the answer of one that comes back
 # so soon is still in time.
 _PAUSE: Millis = 200.0
+# The same where every engine has to take new weights first: one is done after
+# two to three seconds, and all loads began before.
+_LOAD_PAUSE: Millis = 1 * SECOND
 
 
 class BrokenAnswer(Exception):
@@ -81,6 +89,7 @@
         self._attempt: DirectAttempt | None = None
         self._splitter = _make_splitter(call)
         self._first: Millis | None = None
+        self._pause = _PAUSE
         self._machine = RequestMachine(
             _make_facts(core, call),
             settings=_make_settings(call),
@@ -111,10 +120,13 @@
     def hand_over(self) -> None:
         """Do nothing: callers of the platform go on by themselves."""
 
-    def check_silence(self, now: Millis) -> None:
-        """Go on elsewhere where the backend server has fallen silent."""
+    def check_attempt(self, now: Millis) -> None:
+        """Give up what is silent, or waits on weights past their time."""
         attempt = self._attempt
-        if attempt is None or attempt.find_silence(now) < SILENCE_LIMIT:
+        if attempt is None:
+            return
+        attempt.withdraw_late()
+        if attempt.find_silence(now) < SILENCE_LIMIT:
             return
         if self._machine.may_run_elsewhere():
             attempt.fail('the server is silent')
@@ -158,7 +170,7 @@
             demand = replace(demand, excluded=frozenset())
             choice = choose_backend(demand, core.book, now)
         if choice is None:
-            self._refuse_unsent(ErrorKind.NO_REPLICA, 'no server listed')
+            self._refuse_unplaced(demand)
             return
         if self._should_refuse(choice, action):
             self._refuse_early(choice)
@@ -202,6 +214,17 @@
         )
         self._refuse_unsent(ErrorKind.OVERLOADED, reason)
 
+    def _refuse_unplaced(self, demand: CallDemand) -> None:
+        """Send a caller back that no listed server may serve now."""
+        if not demand.outdated:
+            self._refuse_unsent(ErrorKind.NO_REPLICA, 'no server listed')
+            return
+        self._pause = _LOAD_PAUSE
+        self._refuse_unsent(
+            ErrorKind.NO_REPLICA,
+            'the weights of all servers were replaced too long ago',
+        )
+
     def _refuse_unsent(self, kind: ErrorKind, reason: str) -> None:
         # How long the caller waits is drawn where it is told.
         self._inbox.put(NoRoute(Refusal(kind, reason, _PAUSE)))
@@ -255,7 +278,7 @@
         )
         if self._reply.status:
             return
-        pause = core.random.uniform(_PAUSE / 2, _PAUSE)
+        pause = core.random.uniform(self._pause / 2, self._pause)
         await self._reply.refuse(action.kind, action.ran, action.detail, pause)
 
     async def _start_timer(self, action: StartTimer) -> None:
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -96,7 +96,7 @@
         while True:
             now = core.clock.now()
             for running in tuple(core.running.values()):
-                running.check_silence(now)
+                running.check_attempt(now)
             core.loads.tick(now)
             fault = core.find_fault()
             if fault != told:
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -10,6 +10,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import Deployment
+from oleanderdyke.kernel.rollout import apply_notice
 from oleanderdyke.platform.documents import MalformedRecord, NamedVersion
 from oleanderdyke.platform.feed import OperatorFeed, ServerFeed
 from oleanderdyke.platform.loads import LoadFeed
@@ -67,7 +68,14 @@
         core = self._core
         notices = await self._loads.read()
         for notice in notices:
-            core.loads.apply(notice, core.clock.now())
+            apply_notice(
+                notice,
+                core.loads,
+                core.weights,
+                limit=core.settings.version_limit,
+                now=core.clock.now(),
+                shift=core.engine_clock.most,
+            )
 
     async def _read_operator(self) -> None:
         core = self._core
@@ -79,6 +87,8 @@
                 self._apply(deployment)
             for named in news.list_versions():
                 self._name(named)
+            if news.is_complete:
+                core.weights.note_read(asked_at)
         core.configuration_asked = asked_at
 
     async def _read_servers(self) -> None:
@@ -119,9 +129,8 @@
 
     def _name(self, named: NamedVersion) -> None:
         core = self._core
-        if core.versions.get(named.model, 0) >= named.version:
+        if not core.weights.name(named.model, named.version):
             return
-        core.versions[named.model] = named.version
         core.versions_heard[named.model] = core.clock.now()
         core.log.write(
             EventName.VERSION_NAMED, model=named.model, version=named.version
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -246,6 +246,13 @@
         self._removed[record.server] = record.beat
         return True
 
+    def list_versions(self, model: str) -> set[int | None]:
+        """Return the weights that known servers hold, None where not told."""
+        return {
+            backend.record.versions.get(model)
+            for backend in self._backends.values()
+        }
+
     def find_oldest_version(self, model: str) -> int | None:
         """Return the oldest weights that any known engine may still hold."""
         held = [
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -47,7 +47,7 @@
     `fetchable` tells, by the version of the weights, how many leading tokens
     of the prompt stores hold; a lower `rank` is read first. `memory_tokens`
     is how much each engine of the service holds. `loading` ones take new
-    weights now, `draining` ones next.
+    weights now, `draining` ones next. Nothing may begin on `outdated` weights.
     """
 
     service: str
@@ -59,6 +59,7 @@
     excluded: frozenset[str] = frozenset()
     loading: frozenset[str] = frozenset()
     draining: frozenset[str] = frozenset()
+    outdated: frozenset[int | None] = frozenset()
     memory_tokens: int = 0
 
 
@@ -90,6 +91,7 @@
         backend
         for backend in book.list_service(demand.service, now)
         if backend.record.server not in demand.excluded
+        and not _is_outdated(demand, backend)
     ]
     good = [each for each in listed if is_usable(each, now)] or listed
     usable = [
@@ -120,6 +122,12 @@
     return backend.find_silence(now) < SILENCE_LIMIT
 
 
+def _is_outdated(demand: CallDemand, backend: Backend) -> bool:
+    if demand.model is None or not demand.outdated:
+        return False
+    return backend.record.versions.get(demand.model.model) in demand.outdated
+
+
 def _find_fill(
     demand: CallDemand, chosen: Backend, mean: float, now: Millis
 ) -> float:
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -3,27 +3,38 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.named_weights import SEND_MARGIN, NamedWeights
 
 # Loads share the weight store: over two at once take longer, and the others
 # have to serve meanwhile.
 _AT_ONCE = 2
-# A load takes two seconds after the runs have ended, which takes up to three.
-# Whoever takes longer no longer holds up the others; two rounds so spaced stay
-# under the time in which new weights have to be in place.
+# From an order to new weights: the runs end first, in up to three seconds, and
+# a load takes one or two. Most of what logs showed was between 1.9 s and 2.5 s.
+_LOAD_TIME: Millis = 3 * SECOND
+# Whoever has its turn for this part of the time that old weights may serve no
+# longer holds up the others. An engine that is lost gives up its place at once;
+# this is for those whose agent is lost with it, and leaves two more rounds.
+_STUCK_SHARE = 1 / 3
+# The same where no bound is set.
 _STUCK_AFTER: Millis = 7 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
 class EngineState:
-    """Hold what an engine reports; `orders` counts those it accepted."""
+    """Hold what an engine reports; `orders` counts those it accepted.
+
+    `clock` is the reading of the clock that all engines share.
+    """
 
     versions: Mapping[str, int]
     is_busy: bool
     orders: int
+    clock: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,66 +55,153 @@
 
 
 class LoadStep(enum.StrEnum):
-    """Say what an agent tells of the load of new weights."""
+    """Say what an agent tells of its engine and the load of new weights."""
 
+    STARTED = 'started'
     WAITS = 'waits'
+    LOST = 'lost'
     ENDED = 'ended'
 
 
 @dataclass(frozen=True, slots=True)
 class LoadNotice:
-    """Tell all agents and entries of one step of one engine's load."""
+    """Tell all agents and entries of one step of one engine's load.
+
+    `server` is the engine's start, `agent` the process that gives it orders.
+    An agent that waits tells which weights of a model its engine holds, and a
+    moment of the engines' clock at which those were the newest, where it knows
+    one: a process that starts later learns from that how old the news is.
+    """
 
     server: str
     step: LoadStep
+    agent: str = ''
+    model: str = ''
+    held: int = 0
+    newest_at: Millis | None = None
+
+    @property
+    def holder(self) -> str:
+        """Return who holds the place; it outlives a start of the engine."""
+        return self.agent or self.server
+
+
+@dataclass(slots=True)
+class _Place:
+    """Hold one engine's place; `since` is when its turn came.
+
+    The weights that it holds may serve until `due`.
+    """
+
+    server: str
+    due: Millis
+    since: Millis | None = None
+    is_lost: bool = False
 
 
 class LoadQueue:
     """Let engines take new weights in the order of their notices.
 
     Every process applies the same notices in the order of the log, so nobody
-    has to lead. An engine that is not heard of again is passed over after a
-    bounded time, as each process measures it.
+    has to lead. A place belongs to the agent, not to a start of its engine:
+    an engine that crashes keeps it, but holds up nobody until it is back.
+    As many load at once as it takes for all to be done in time.
     """
 
-    def __init__(self) -> None:
-        # When each engine was first seen among those that may load.
-        self._queue: dict[str, Millis | None] = {}
+    def __init__(self, limit: Millis = math.inf) -> None:
+        self._places: dict[str, _Place] = {}
+        self._patience = _STUCK_AFTER
+        if not math.isinf(limit):
+            self._patience = limit * _STUCK_SHARE
 
-    def apply(self, notice: LoadNotice, now: Millis) -> None:
+    def apply(
+        self, notice: LoadNotice, now: Millis, due: Millis = math.inf
+    ) -> None:
         """Apply the next notice of the log."""
-        if notice.step is LoadStep.ENDED:
-            self._queue.pop(notice.server, None)
+        place = self._places.get(notice.holder)
+        if notice.step in {LoadStep.ENDED, LoadStep.STARTED}:
+            self._places.pop(notice.holder, None)
+        elif notice.step is LoadStep.LOST:
+            if place is not None:
+                place.is_lost, place.since = True, None
+        elif place is None:
+            self._places[notice.holder] = _Place(notice.server, due)
         else:
-            self._queue.setdefault(notice.server, None)
+            place.server, place.due = notice.server, due
+            place.is_lost = False
         self.tick(now)
 
     def tick(self, now: Millis) -> tuple[str, ...]:
         """Pass over engines that have had their time; return them."""
-        stuck = [
-            server
-            for server, since in self._queue.items()
-            if since is not None and now - since > _STUCK_AFTER
-        ]
-        for server in stuck:
-            del self._queue[server]
-        for server in self.list_loading():
-            if self._queue[server] is None:
-                self._queue[server] = now
-        return tuple(stuck)
-
-    def is_queued(self, server: str) -> bool:
-        """Tell whether an engine waits or loads."""
-        return server in self._queue
-
-    def may_load(self, server: str) -> bool:
-        """Tell whether it is an engine's turn."""
-        return server in self.list_loading()
-
-    def list_loading(self) -> tuple[str, ...]:
+        stuck = {
+            holder: place.server
+            for holder, place in self._places.items()
+            if place.since is not None and now - place.since > self._patience
+        }
+        for holder in stuck:
+            del self._places[holder]
+        for place in self._list_turns(now):
+            if place.since is None:
+                place.since = now
+        return tuple(stuck.values())
+
+    def waits(self, holder: str, server: str) -> bool:
+        """Tell whether an agent's engine waits or loads in this start."""
+        place = self._places.get(holder)
+        return (
+            place is not None and place.server == server and not place.is_lost
+        )
+
+    def is_queued(self, holder: str) -> bool:
+        """Tell whether an agent has a place, its engine lost or not."""
+        return holder in self._places
+
+    def may_load(self, holder: str, now: Millis) -> bool:
+        """Tell whether it is an agent's turn."""
+        place = self._places.get(holder)
+        return place is not None and place in self._list_turns(now)
+
+    def list_loading(self, now: Millis) -> tuple[str, ...]:
         """Return the engines that may take new weights now."""
-        return tuple(self._queue)[:_AT_ONCE]
+        return tuple(place.server for place in self._list_turns(now))
 
-    def list_next(self) -> tuple[str, ...]:
+    def list_next(self, now: Millis) -> tuple[str, ...]:
         """Return the engines that take new weights after those."""
-        return tuple(self._queue)[_AT_ONCE : 2 * _AT_ONCE]
+        able = self._list_able()
+        count = self._count_turns(able, now)
+        return tuple(place.server for place in able[count : 2 * count])
+
+    def _list_able(self) -> list[_Place]:
+        return [place for place in self._places.values() if not place.is_lost]
+
+    def _list_turns(self, now: Millis) -> list[_Place]:
+        able = self._list_able()
+        return able[: self._count_turns(able, now)]
+
+    def _count_turns(self, able: list[_Place], now: Millis) -> int:
+        """Count how many have to load at once for all to be in time."""
+        due = min((place.due for place in able), default=math.inf)
+        if due == math.inf:
+            return _AT_ONCE
+        rounds = max(max(due - now, 0.0) // _LOAD_TIME, 1)
+        return max(math.ceil(len(able) / rounds), _AT_ONCE)
+
+
+def apply_notice(
+    notice: LoadNotice,
+    queue: LoadQueue,
+    weights: NamedWeights,
+    *,
+    limit: Millis,
+    now: Millis,
+    shift: Millis | None,
+) -> None:
+    """Take a notice of the log: its place, and how old its news is."""
+    if notice.newest_at is not None:
+        weights.note_newest(notice.model, notice.held, notice.newest_at)
+    due = math.inf
+    if not math.isinf(limit):
+        replaced = weights.find_replaced(notice.model, notice.held, shift)
+        if replaced is not None:
+            due = replaced + limit - SEND_MARGIN
+    queue.apply(notice, now, due)
--- a/src/oleanderdyke/platform/engines.py
+++ b/src/oleanderdyke/platform/engines.py
@@ -136,4 +136,5 @@
         is_busy=bool(found.get('busy', False)),
         # The wire's `seq` counts the orders that were accepted.
         orders=int(found.get('seq', 0)),
+        clock=float(found.get('clock_ms') or 0.0),
     )
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -31,10 +31,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorNews:
-    """Hold what operators have written; it is decoded as it is listed."""
+    """Hold what operators have written; it is decoded as it is listed.
+
+    `is_complete` tells that nothing more was written when it was asked for.
+    """
 
     records: tuple[KeyedRecord, ...]
     refuse: Refuse
+    is_complete: bool = True
 
     def list_configurations(self) -> Iterator[Deployment]:
         """Yield the configurations that can be read."""
@@ -76,7 +80,7 @@
         page = await self._feed.read()
         if page is None:
             return None
-        return OperatorNews(page.records, self._refuse)
+        return OperatorNews(page.records, self._refuse, page.is_complete)
 
 
 class ServerFeed:
--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from typing import Any
 
 from oleanderdyke.kernel.rollout import LoadNotice, LoadStep
 from oleanderdyke.platform import names
@@ -11,7 +12,7 @@
 from oleanderdyke.platform.feed import Refuse
 from oleanderdyke.platform.store import RecordsExpired, StoreClient
 
-_MALFORMED = (KeyError, TypeError, ValueError)
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class LoadFeed:
@@ -43,8 +44,7 @@
     def _decode(self, records: tuple[bytes, ...]) -> Iterator[LoadNotice]:
         for record in records:
             try:
-                found = json.loads(record)
-                yield LoadNotice(str(found['server']), LoadStep(found['step']))
+                yield _decode_notice(json.loads(record))
             except _MALFORMED as error:
                 self._refuse(
                     'loads', MalformedRecord(f'load notice: {error!r}')
@@ -59,5 +59,24 @@
 
 async def append_notice(client: StoreClient, notice: LoadNotice) -> None:
     """Append a notice; raise StoreUnavailable."""
-    record = json.dumps({'server': notice.server, 'step': notice.step.value})
-    await client.append(names.LOAD_TOPIC, record.encode())
+    record = {
+        'server': notice.server,
+        'step': notice.step.value,
+        'agent': notice.agent,
+        'model': notice.model,
+        'held': notice.held,
+        'newest_at': notice.newest_at,
+    }
+    await client.append(names.LOAD_TOPIC, json.dumps(record).encode())
+
+
+def _decode_notice(found: Mapping[str, Any]) -> LoadNotice:
+    newest_at = found.get('newest_at')
+    return LoadNotice(
+        server=str(found['server']),
+        step=LoadStep(found['step']),
+        agent=str(found.get('agent') or ''),
+        model=str(found.get('model') or ''),
+        held=int(found.get('held') or 0),
+        newest_at=None if newest_at is None else float(newest_at),
+    )
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -21,6 +22,8 @@
     backend server beside an agent; each is empty where the process has none.
     `source` is the file that they were read from. `retry_share` and
     `retry_slack` bound what all entries together may send again to a service.
+    `version_limit` is how long after newer weights were named older ones may
+    still begin requests.
     """
 
     process: str
@@ -34,6 +37,7 @@
     grace: Millis = 8 * SECOND
     retry_share: float = 0.2
     retry_slack: float = 50.0
+    version_limit: Millis = math.inf
 
 
 def find_host_settings(
@@ -69,6 +73,7 @@
         grace=reader.number('bounds.graceS', 8.0) * SECOND,
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=reader.number('bounds.retrySlack', 50.0),
+        version_limit=reader.number('bounds.versionMs', math.inf),
     )
     if faults:
         raise SettingsError(tuple(faults))
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -60,10 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedPage:
-    """Hold records in their order; `end` is where to read on."""
+    """Hold records in their order; `end` is where to read on.
+
+    `is_complete` tells that there were no more when they were read.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    is_complete: bool = True
 
 
 class StoreClient:
@@ -107,18 +111,21 @@
 
         Raise StoreUnavailable or RecordsExpired.
         """
-        records = await self._read(topic, start)
+        records, last = await self._read(topic, start)
         keyed = tuple(_decode_keyed(each) for each in records)
-        return KeyedPage(keyed, start + len(keyed))
+        end = start + len(keyed)
+        return KeyedPage(keyed, end, is_complete=end >= last)
 
     async def read_plain(self, topic: str, start: int) -> tuple[bytes, ...]:
         """Return the records of a topic of ours from `start` on.
 
         Raise StoreUnavailable or RecordsExpired.
         """
-        return tuple(await self._read(topic, start))
+        records, _ = await self._read(topic, start)
+        return tuple(records)
 
-    async def _read(self, topic: str, start: int) -> list[bytes]:
+    async def _read(self, topic: str, start: int) -> tuple[list[bytes], int]:
+        """Return records from `start` on, and where the topic ends."""
         query = {
             'topic': topic,
             'part': _PARTITION,
@@ -132,7 +139,7 @@
         if status == _NOT_FOUND and not start:
             # A topic comes to be with its first record.
             await anyio.sleep(self._wait / SECOND)
-            return []
+            return [], 0
         _check(status)
         if len(data) < _ENDS.size:
             raise StoreUnavailable('a read has no ends')
@@ -140,7 +147,7 @@
         end, _ = _ENDS.unpack_from(data)
         if end < start:
             raise RecordsExpired
-        return list(_split_records(data[_ENDS.size :]))
+        return list(_split_records(data[_ENDS.size :])), end
 
     async def append(self, topic: str, record: bytes) -> int:
         """Append one record and return its offset; raise StoreUnavailable."""
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -74,6 +74,20 @@
 }
 
 
+def configure_store(address: str) -> dict[str, Any]:
+    """Add a store of context to the configuration."""
+    store = {
+        'name': 'rules',
+        'kvStoreAddr': address,
+        'zone': 'hall',
+        'kvCapacity': 200_000,
+        'linkMbps': 58_000,
+        'managed': True,
+    }
+    services = [*CONFIGURATION['services'], store]
+    return {**CONFIGURATION, 'services': services}
+
+
 @dataclass
 class Answered:
     """Hold an answer as a caller saw it; `is_whole` tells how it ended."""
--- a/tests/standins/contexts.py
+++ b/tests/standins/contexts.py
@@ -25,6 +25,11 @@
         self.reads = 0
         self._changed = anyio.Event()
 
+    @property
+    def clock(self) -> float:
+        """Return the engines' clock in milliseconds."""
+        return time.monotonic() * _MILLIS
+
     def add(self, salt: str, part: str, tokens: int) -> None:
         """Hold a part whole."""
         self._tell('+', salt, part, tokens)
@@ -55,7 +60,7 @@
             self.boot,
             len(self.events),
             False,
-            time.monotonic() * _MILLIS,
+            self.clock,
             self.events[since:],
         )
         return web.answer_json(dict(zip(_LIST, found, strict=True)))
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -80,7 +80,11 @@
     assert order['version'] == 2
     assert order['instance'] == 'i-own'
     assert order['holder'] == 'side-1'
-    assert [each['step'] for each in stage.list_notices()] == ['waits', 'ended']
+    assert [each['step'] for each in stage.list_notices()] == [
+        'started',
+        'waits',
+        'ended',
+    ]
 
 
 async def test_the_newest_of_two_named_versions_is_loaded(tmp_path):
--- a/tests/test_hosted_contexts.py
+++ b/tests/test_hosted_contexts.py
@@ -7,7 +7,7 @@
 
 from oleanderdyke.clock import SECOND
 from oleanderdyke.kernel.context_stores import VIEW_LIFE
-from tests.hosted import CONFIGURATION, MODEL, staging
+from tests.hosted import MODEL, configure_store, staging
 from tests.standins import server
 from tests.standins.contexts import ContextStore
 from tests.standins.scripts import answer_well
@@ -24,26 +24,19 @@
 async def staging_store(directory):
     """Run an entry before an engine and a store of context."""
     contexts = ContextStore()
-    async with server.serving(contexts) as (address,):
-        stores = {
-            'name': 'rules',
-            'kvStoreAddr': address,
-            'zone': 'hall',
-            'kvCapacity': 200_000,
-            'linkMbps': 58_000,
-            'managed': True,
-        }
-        services = [*CONFIGURATION['services'], stores]
-        async with staging(
+    async with (
+        server.serving(contexts) as (address,),
+        staging(
             directory,
             answer_well,
-            configuration={**CONFIGURATION, 'services': services},
+            configuration=configure_store(address),
             models=[{'name': MODEL, 'version': 1, 'adapters': []}],
-        ) as stage:
-            with anyio.fail_after(5):
-                while not contexts.reads:
-                    await anyio.sleep(0.02)
-            yield stage, contexts, address
+        ) as stage,
+    ):
+        with anyio.fail_after(5):
+            while not contexts.reads:
+                await anyio.sleep(0.02)
+        yield stage, contexts, address
 
 
 async def ask(stage) -> dict[str, str]:
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -30,14 +30,24 @@
 from oleanderdyke.logs import make_event_log
 from oleanderdyke.platform.settings import HostSettings
 from tests import hosted
-from tests.hosted import MODEL, OPERATOR, SERVERS, make_record
+from tests.hosted import (
+    CONFIGURATION,
+    LETTER_ROUTE,
+    MODEL,
+    OPERATOR,
+    SERVERS,
+    make_record,
+)
 from tests.standins import server
+from tests.standins.contexts import ContextStore
 from tests.standins.hosted_engine import HostedEngine
 from tests.standins.records import RecordStore
 from tests.standins.replica import serving_replica
 from tests.standins.scripts import answer_well
 
 LIMIT = 3_000.0
+LETTER = {**LETTER_ROUTE, 'timeoutMs': 9_000}
+LETTERS = {**CONFIGURATION, 'routes': [LETTER]}
 OLD = [{'name': MODEL, 'version': 1, 'adapters': []}]
 
 pytestmark = pytest.mark.anyio
@@ -48,10 +58,10 @@
     store.put(OPERATOR, f'version/{MODEL}', named)
 
 
-async def ask(stage):
+async def ask(stage, wait='2000'):
     return await stage.call(
-        '/safe/1',
-        method='GET',
+        '/letter/1',
+        oleanderdyke_deadline_ms=wait,
         oleanderdyke_model=MODEL,
         oleanderdyke_token_usage='100,10',
     )
@@ -82,6 +92,56 @@
         assert not stage.replicas[0].received
 
 
+async def test_a_request_that_waits_on_old_weights_is_taken_back(tmp_path):
+    taken_back = anyio.Event()
+
+    async def wait(peer):
+        await peer.wait_closed()
+        taken_back.set()
+
+    async with hosted.staging(
+        tmp_path,
+        wait,
+        configuration=LETTERS,
+        version_limit=LIMIT,
+        models=OLD,
+    ) as stage:
+        name_weights(stage.store, 2)
+        await anyio.sleep(0.1)
+        with anyio.fail_after(LIMIT / 1_000 - 0.1):
+            answer = await ask(stage, '9000')
+            await taken_back.wait()
+        assert answer.status == 502
+
+
+async def test_news_that_others_tell_the_age_of_allow_old_weights(tmp_path):
+    store = RecordStore()
+    name_weights(store, 2)
+    contexts = ContextStore()
+    async with server.serving(contexts) as (address,):
+        told = {
+            'server': 'i-0',
+            'step': 'waits',
+            'agent': 'side-0',
+            'model': MODEL,
+            'held': 1,
+            'newest_at': contexts.clock,
+        }
+        store.find('oleander-loads').append(json.dumps(told).encode())
+        async with hosted.staging(
+            tmp_path,
+            answer_well,
+            store=store,
+            configuration=hosted.configure_store(address),
+            version_limit=6_000.0,
+            models=OLD,
+        ) as stage:
+            await wait_until(lambda: contexts.reads > 1, 5)
+            assert (await ask(stage)).status == 200
+            await anyio.sleep(4.0)
+            assert (await ask(stage)).status == 503
+
+
 class Fleet:
     """Hold engines that the list of servers names, and start their agents."""
 
