Let two engines load at once again while there is time

The logs show all orders within 40 ms: an agent knew only that the weights had been named after its last read but one was asked for, up to ten seconds before, so little time seemed left.

Change: a long read that answers without records shows that there were none until its end; agents read that news every two seconds instead of five; engines whose time ends later no longer hurry the others.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -17,9 +17,12 @@
 from oleanderdyke.platform.settings import HostSettings
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
-# A long read returns at once when weights are named; one on a connection that
-# has gone silent delays them by this, a fraction of the time they may take.
-_OPERATOR_WAIT: Millis = 5 * SECOND
+# A long read returns at once when weights are named. What is known of their age
+# is off by up to this, and so much less time is left for all to load: with 5 s
+# three of six engines loaded at once where two would have done.
+_OPERATOR_WAIT: Millis = 2 * SECOND
+# Notices of loads come only when weights are named.
+_LOADS_WAIT: Millis = 5 * SECOND
 _RETRY_PAUSE: Millis = 250.0
 # How often the engine on this machine is looked at while weights are due,
 # which costs nothing but a little processor time.
@@ -38,7 +41,7 @@
         self._clock = clock
         self._engine = EngineLoads(settings, log, clock)
         self._loads = LoadFeed(
-            StoreClient(settings.store, wait=_OPERATOR_WAIT), self._refuse
+            StoreClient(settings.store, wait=_LOADS_WAIT), self._refuse
         )
         self._operator = OperatorFeed(
             StoreClient(settings.store, wait=_OPERATOR_WAIT), self._refuse
@@ -93,7 +96,7 @@
         for named in news.list_versions():
             self._name(named)
         if news.is_complete:
-            self._engine.weights.note_read(asked_at)
+            self._engine.weights.note_read(asked_at + news.waited)
 
     def _name(self, named: NamedVersion) -> None:
         if self._engine.weights.name(named.model, named.version):
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -88,7 +88,7 @@
             for named in news.list_versions():
                 self._name(named)
             if news.is_complete:
-                core.weights.note_read(asked_at)
+                core.weights.note_read(asked_at + news.waited)
         core.configuration_asked = asked_at
 
     async def _read_servers(self) -> None:
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -4,8 +4,9 @@
 
 import enum
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.named_weights import SEND_MARGIN, NamedWeights
@@ -90,15 +91,25 @@
 class _Place:
     """Hold one engine's place; `since` is when its turn came.
 
-    The weights that it holds may serve until `due`.
+    The weights of the model that it holds may serve until `due`.
     """
 
     server: str
-    due: Millis
+    model: str
+    held: int
+    due: Millis = math.inf
     since: Millis | None = None
     is_lost: bool = False
 
 
+# Gets a model and weights of it, returns until when they may serve.
+FindDue: TypeAlias = Callable[[str, int], Millis]
+
+
+def _find_no_due(_model: str, _held: int) -> Millis:
+    return math.inf
+
+
 class LoadQueue:
     """Let engines take new weights in the order of their notices.
 
@@ -115,9 +126,19 @@
             self._patience = limit * _STUCK_SHARE
 
     def apply(
-        self, notice: LoadNotice, now: Millis, due: Millis = math.inf
+        self, notice: LoadNotice, now: Millis, find_due: FindDue = _find_no_due
     ) -> None:
-        """Apply the next notice of the log."""
+        """Apply the next notice of the log.
+
+        It may tell more of how old the news of weights is, so that all places
+        are judged again.
+        """
+        self._apply(notice)
+        for place in self._places.values():
+            place.due = find_due(place.model, place.held)
+        self.tick(now)
+
+    def _apply(self, notice: LoadNotice) -> None:
         place = self._places.get(notice.holder)
         if notice.step in {LoadStep.ENDED, LoadStep.STARTED}:
             self._places.pop(notice.holder, None)
@@ -125,11 +146,12 @@
             if place is not None:
                 place.is_lost, place.since = True, None
         elif place is None:
-            self._places[notice.holder] = _Place(notice.server, due)
+            self._places[notice.holder] = _Place(
+                notice.server, notice.model, notice.held
+            )
         else:
-            place.server, place.due = notice.server, due
-            place.is_lost = False
-        self.tick(now)
+            place.server, place.is_lost = notice.server, False
+            place.model, place.held = notice.model, notice.held
 
     def tick(self, now: Millis) -> tuple[str, ...]:
         """Pass over engines that have had their time; return them."""
@@ -180,11 +202,17 @@
 
     def _count_turns(self, able: list[_Place], now: Millis) -> int:
         """Count how many have to load at once for all to be in time."""
-        due = min((place.due for place in able), default=math.inf)
-        if due == math.inf:
-            return _AT_ONCE
-        rounds = max(max(due - now, 0.0) // _LOAD_TIME, 1)
-        return max(math.ceil(len(able) / rounds), _AT_ONCE)
+        dues = sorted(place.due for place in able if place.due != math.inf)
+        needed = (
+            math.ceil(count / _count_rounds(due - now))
+            for count, due in enumerate(dues, start=1)
+        )
+        return max([_AT_ONCE, *needed])
+
+
+def _count_rounds(left: Millis) -> int:
+    """Count how many loads, one after the other, end in a time."""
+    return int(max(left, _LOAD_TIME) // _LOAD_TIME)
 
 
 def apply_notice(
@@ -199,9 +227,11 @@
     """Take a notice of the log: its place, and how old its news is."""
     if notice.newest_at is not None:
         weights.note_newest(notice.model, notice.held, notice.newest_at)
-    due = math.inf
-    if not math.isinf(limit):
-        replaced = weights.find_replaced(notice.model, notice.held, shift)
-        if replaced is not None:
-            due = replaced + limit - SEND_MARGIN
-    queue.apply(notice, now, due)
+
+    def find_due(model: str, held: int) -> Millis:
+        replaced = weights.find_replaced(model, held, shift)
+        if replaced is None or math.isinf(limit):
+            return math.inf
+        return replaced + limit - SEND_MARGIN
+
+    queue.apply(notice, now, find_due)
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias, TypeVar
 
+from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.servers import ServerRecord
 from oleanderdyke.platform import names
@@ -33,12 +34,14 @@
 class OperatorNews:
     """Hold what operators have written; it is decoded as it is listed.
 
-    `is_complete` tells that nothing more was written when it was asked for.
+    `is_complete` tells that nothing more was written when it was asked for,
+    nor for `waited` after that.
     """
 
     records: tuple[KeyedRecord, ...]
     refuse: Refuse
     is_complete: bool = True
+    waited: Millis = 0.0
 
     def list_configurations(self) -> Iterator[Deployment]:
         """Yield the configurations that can be read."""
@@ -80,7 +83,9 @@
         page = await self._feed.read()
         if page is None:
             return None
-        return OperatorNews(page.records, self._refuse, page.is_complete)
+        return OperatorNews(
+            page.records, self._refuse, page.is_complete, page.waited
+        )
 
 
 class ServerFeed:
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -62,12 +62,15 @@
 class KeyedPage:
     """Hold records in their order; `end` is where to read on.
 
-    `is_complete` tells that there were no more when they were read.
+    `is_complete` tells that there were no more when they were read. For
+    `waited` after the call there surely were none: a read that waits answers
+    with the first.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     is_complete: bool = True
+    waited: Millis = 0.0
 
 
 class StoreClient:
@@ -114,7 +117,12 @@
         records, last = await self._read(topic, start)
         keyed = tuple(_decode_keyed(each) for each in records)
         end = start + len(keyed)
-        return KeyedPage(keyed, end, is_complete=end >= last)
+        return KeyedPage(
+            keyed,
+            end,
+            is_complete=end >= last,
+            waited=0.0 if keyed else self._wait,
+        )
 
     async def read_plain(self, topic: str, start: int) -> tuple[bytes, ...]:
         """Return the records of a topic of ours from `start` on.
--- a/tests/standins/records.py
+++ b/tests/standins/records.py
@@ -66,6 +66,8 @@
         super().__init__(RecordFaults())
         self.topics: dict[str, Topic] = {}
         self.calls: list[str] = []
+        # How many records a read gives at most.
+        self.most = 1_000
         self._lose = 0
 
     def note_faults(self) -> None:
@@ -92,7 +94,7 @@
             case '/api/log-newest':
                 return _list_newest(topic)
             case '/api/log-read':
-                return await _read(topic, request)
+                return await _read(topic, request, self.most)
             case '/api/log-append':
                 return await self._append(topic, request)
         return web.refuse(404, 'no such call')
@@ -115,14 +117,15 @@
     return web.answer_json({'items': items, 'more': False, 'end': topic.end})
 
 
-async def _read(topic: Topic, request: web.Request) -> web.Answer:
+async def _read(topic: Topic, request: web.Request, most: int) -> web.Answer:
     start = int(request.query['from'])
     if start < topic.first:
         return web.answer_json({'first': topic.first}, 410)
     if start >= topic.end:
         await request.body()
         await web.run_until_closed(request, lambda: _wait(topic, request))
-    records = topic.records[max(start - topic.first, 0) :]
+    begin = max(start - topic.first, 0)
+    records = topic.records[begin : begin + most]
     data = b''.join(_LENGTH.pack(len(each)) + each for each in records)
     ends = _ENDS.pack(topic.end, topic.first)
     return web.Answer(200, ends + data, 'application/octet-stream')
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -21,6 +21,7 @@
 
 import contextlib
 import json
+import math
 
 import anyio
 import pytest
@@ -145,13 +146,14 @@
 class Fleet:
     """Hold engines that the list of servers names, and start their agents."""
 
-    def __init__(self, directory, store, address, tasks):
+    def __init__(self, directory, store, address, tasks, limit):
         self.store = store
         self.engines = {}
         self._directory = directory
         self._address = address
         self._tasks = tasks
         self._where = {}
+        self._limit = limit
 
     async def add(self, stack, name, load_seconds):
         engine = HostedEngine(MODEL, load_seconds, server=f'i-{name}')
@@ -172,6 +174,7 @@
             ip='127.0.0.1',
             store=self._address,
             server=self._where[name],
+            version_limit=self._limit,
         )
         stream = (self._directory / f'{process}.log').open('w', buffering=1)
         log = make_event_log(process, stream=stream)
@@ -190,12 +193,12 @@
 
 
 @contextlib.asynccontextmanager
-async def staging_fleet(directory, **load_seconds):
+async def staging_fleet(directory, *, limit=math.inf, **load_seconds):
     store = RecordStore()
     async with contextlib.AsyncExitStack() as stack:
         (address,) = await stack.enter_async_context(server.serving(store))
         async with anyio.create_task_group() as tasks:
-            fleet = Fleet(directory, store, address, tasks)
+            fleet = Fleet(directory, store, address, tasks, limit)
             for name, seconds in load_seconds.items():
                 await fleet.add(stack, name, seconds)
             yield fleet
@@ -227,3 +230,19 @@
             for name in 'ab':
                 crashes.start_soon(fleet.crash, name)
         await wait_until(lambda: fleet.engines['c'].version == 2, 3)
+
+
+async def test_engines_take_turns_while_there_is_time(tmp_path):
+    names = dict.fromkeys('abcdef', 0.3)
+    async with staging_fleet(tmp_path, limit=15_000.0, **names) as fleet:
+        for name in names:
+            fleet.start_agent(name)
+        await anyio.sleep(0.5)
+        name_weights(fleet.store, 2)
+        engines = list(fleet.engines.values())
+        most = 0
+        with anyio.fail_after(8):
+            while any(each.version != 2 for each in engines):
+                most = max(most, sum(each.busy for each in engines))
+                await anyio.sleep(0.02)
+    assert most == 2
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -313,3 +313,30 @@
     assert find_strings(SOURCES / 'platform' / 'names.py') & (
         list_platform_texts()
     )
+
+
+@pytest.mark.anyio
+async def test_a_read_without_records_tells_until_when_there_were_none():
+    store = RecordStore()
+    async with server.serving(store) as (address,):
+        client = StoreClient(address, wait=200.0)
+        store.put(TOPIC, 'a', 1)
+        some = await client.read_keyed(TOPIC, 0)
+        none = await client.read_keyed(TOPIC, some.end)
+    assert (some.waited, none.waited) == (0.0, 200.0)
+    assert some.is_complete
+    assert none.is_complete
+
+
+@pytest.mark.anyio
+async def test_a_page_that_ends_before_the_topic_is_not_complete():
+    store = RecordStore()
+    store.most = 1
+    async with server.serving(store) as (address,):
+        client = StoreClient(address)
+        for key in 'ab':
+            store.put(TOPIC, key, 1)
+        first = await client.read_keyed(TOPIC, 0)
+        last = await client.read_keyed(TOPIC, first.end)
+    assert not first.is_complete
+    assert last.is_complete
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -4,16 +4,19 @@
 
 import pytest
 
-from oleanderdyke.kernel.named_weights import SEND_MARGIN
+from oleanderdyke.kernel.named_weights import SEND_MARGIN, NamedWeights
 from oleanderdyke.kernel.rollout import (
     EngineState,
     LoadNotice,
     LoadQueue,
     LoadStep,
     Target,
+    apply_notice,
     find_target,
 )
 
+MODEL = 'm'
+
 
 def notice(queue, server, step=LoadStep.WAITS, now=0.0):
     queue.apply(LoadNotice(server, step), now)
@@ -57,7 +60,7 @@
 
 def ask(queue, agent, server, now=0.0, due=math.inf):
     asked = LoadNotice(server, LoadStep.WAITS, agent=agent)
-    queue.apply(asked, now, due)
+    queue.apply(asked, now, lambda *_: due)
 
 
 def test_an_engine_that_is_lost_keeps_its_place_and_holds_up_nobody():
@@ -103,7 +106,7 @@
         for server, at in tuple(begun.items()):
             if now - at >= load:
                 ended = LoadNotice(server, LoadStep.ENDED, f'side-{server}')
-                queue.apply(ended, now)
+                queue.apply(ended, now, lambda *_: due)
         queue.tick(now)
     assert len(begun) == engines
     assert not queue.list_loading(due)
@@ -121,3 +124,42 @@
     for number in range(6):
         ask(queue, f'side-{number}', f'{number}', due=-math.inf)
     assert len(queue.list_loading(0.0)) == 6
+
+
+def test_engines_that_have_longer_time_hurry_nobody():
+    queue = LoadQueue(15_000.0)
+    dues = {1: 4_000.0, 2: 12_000.0}
+    for held, names in ((1, 'ab'), (2, 'cdef')):
+        for name in names:
+            asked = LoadNotice(
+                name, LoadStep.WAITS, f'side-{name}', MODEL, held
+            )
+            queue.apply(asked, 0.0, lambda _, held: dues[held])
+    assert queue.list_loading(0.0) == ('a', 'b')
+
+
+def notice_of(server, newest_at):
+    return LoadNotice(
+        server, LoadStep.WAITS, f'side-{server}', MODEL, 1, newest_at
+    )
+
+
+def test_who_knows_better_when_weights_were_named_slows_all_down():
+    weights, queue = NamedWeights(), LoadQueue(15_000.0)
+    weights.name(MODEL, 2)
+
+    def take(server, newest_at):
+        apply_notice(
+            notice_of(server, newest_at),
+            queue,
+            weights,
+            limit=15_000.0,
+            now=20_000.0,
+            shift=0.0,
+        )
+
+    for server in 'abcdef':
+        take(server, 11_000.0)
+    assert len(queue.list_loading(20_000.0)) == 6
+    take('f', 19_500.0)
+    assert len(queue.list_loading(20_000.0)) == 2
