--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -9,14 +9,12 @@
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.engine_clock import EngineClock
-from oleanderdyke.kernel.named_weights import SEND_MARGIN, NamedWeights
+from oleanderdyke.kernel.load_queue import LoadNotice, LoadStep
+from oleanderdyke.kernel.named_weights import SEND_MARGIN
 from oleanderdyke.kernel.rollout import (
     EngineState,
-    LoadNotice,
-    LoadQueue,
-    LoadStep,
+    Rollout,
     Target,
-    apply_notice,
     find_target,
 )
 from oleanderdyke.logs import EventLog
@@ -30,7 +28,7 @@
 from oleanderdyke.platform.feed import list_servers
 from oleanderdyke.platform.loads import append_fence, append_notice
 from oleanderdyke.platform.settings import HostSettings
-from oleanderdyke.platform.store import StoreClient, StoreUnavailable
+from oleanderdyke.platform.store import StoreClient
 
 _READ_BACK: Millis = 20.0
 # A long read answers within some milliseconds of an append.
@@ -50,7 +48,8 @@
     def __init__(
         self, settings: HostSettings, log: EventLog, clock: Clock
     ) -> None:
-        self.weights = NamedWeights()
+        self._rollout = Rollout(settings.version_limit)
+        self.weights = self._rollout.weights
         # Whether the first notice of this process was read back.
         self.has_begun = False
         self._settings = settings
@@ -59,7 +58,7 @@
         self._store = StoreClient(settings.store)
         self._engine = EngineClient(settings.server)
         self._engine_clock = EngineClock()
-        self._queue = LoadQueue(settings.version_limit)
+        self._queue = self._rollout.queue
         self._done: dict[str, int] = {}
         self._fence: int | None = None
         self._server = ''
@@ -72,13 +71,8 @@
         own = notice.agent == self._settings.process
         if own and notice.step is LoadStep.STARTED:
             self.has_begun = True
-        apply_notice(
-            notice,
-            self._queue,
-            self.weights,
-            limit=self._settings.version_limit,
-            now=self._clock.now(),
-            shift=self._engine_clock.most,
+        self._rollout.take(
+            notice, now=self._clock.now(), shift=self._engine_clock.most
         )
 
     async def begin(self) -> None:
@@ -90,7 +84,13 @@
         await append_notice(self._store, self._make_notice(LoadStep.STARTED))
 
     def is_settled(self) -> bool:
-        """Tell whether the engine holds all that is named."""
+        """Tell whether the engine holds all that is named.
+
+        A request for a place that got no answer may be carried out after the
+        load has ended; the place is given up again then.
+        """
+        if self._queue.is_queued(self._settings.process):
+            return False
         return self._done == self.weights.list_newest()
 
     async def step(self) -> None:
@@ -121,15 +121,21 @@
         return state
 
     async def _lose(self) -> None:
-        """Hold up nobody while the engine is away; it may start anew."""
-        server, self._server = self._server, ''
-        if server and self._queue.waits(self._settings.process, server):
-            await self._tell(self._make_notice(LoadStep.LOST, server))
+        """Hold up nobody while the engine is away; it may start anew.
+
+        Where the store can't be told now, it is told at the next step.
+        """
+        process = self._settings.process
+        if self._queue.is_queued(process) and not self._queue.is_lost(process):
+            await self._tell(self._make_notice(LoadStep.LOST, self._server))
+        self._server = ''
 
     async def _settle(self, newest: dict[str, int]) -> None:
         """Let the next engine go once this one has what is named."""
         if self._queue.is_queued(self._settings.process):
             await self._tell(self._make_notice(LoadStep.ENDED, self._server))
+        # Until the next weights are named nobody looks whether it starts anew.
+        self._server = ''
         for model, version in newest.items():
             if self._done.get(model) != version:
                 self._done[model] = version
@@ -142,7 +148,7 @@
         if not own:
             return
         held = state.versions[target.model]
-        if not self._queue.waits(self._settings.process, own):
+        if not self._queue.waits(self._settings.process, own, held):
             await self._tell(self._make_request(own, target.model, held))
             return
         if not self._may_load(own, target, held):
@@ -164,7 +170,8 @@
         requests, so that loading costs nothing but the others' pace.
         """
         now = self._clock.now()
-        for server in self._queue.tick(now):
+        shift = self._engine_clock.most
+        for server in self._rollout.tick(now=now, shift=shift):
             self._log.write(EventName.LOAD_PASSED_OVER, peer=server)
         if self._queue.may_load(self._settings.process, now):
             return True
@@ -173,7 +180,7 @@
             held,
             within=self._settings.version_limit - SEND_MARGIN,
             now=now,
-            shift=self._engine_clock.most,
+            shift=shift,
         )
         if may_serve:
             self._log_queued(own, target, now)
@@ -212,7 +219,7 @@
     def _make_request(self, own: str, model: str, held: int) -> LoadNotice:
         """Ask for a place, and say how old the news of the weights is."""
         replaced = self.weights.find_replaced(
-            model, held, self._engine_clock.most
+            model, held, self._clock.now(), self._engine_clock.most
         )
         newest_at = None
         if replaced is not None and not math.isinf(replaced):
@@ -234,14 +241,18 @@
 
         One whose history was dropped meanwhile is told again at the next step.
         """
-        waits = notice.step is LoadStep.WAITS
         await append_notice(self._store, notice)
         with anyio.move_on_after(_READ_BACK_LIMIT / SECOND):
-            while self._waits(notice.server) is not waits:
+            while not self._is_applied(notice):
                 await anyio.sleep(_READ_BACK / SECOND)
 
-    def _waits(self, server: str) -> bool:
-        return self._queue.waits(self._settings.process, server)
+    def _is_applied(self, notice: LoadNotice) -> bool:
+        process = self._settings.process
+        if notice.step is LoadStep.WAITS:
+            return self._queue.waits(process, notice.server, notice.held)
+        if notice.step is LoadStep.LOST:
+            return self._queue.is_lost(process)
+        return not self._queue.is_queued(process)
 
     async def _find_own(self) -> str:
         """Return the present start of the engine, nothing if not listed.
@@ -272,7 +283,3 @@
                 self._store, self._settings.process
             )
         return self._fence
-
-
-# What a step may raise; it is taken again after a pause.
-STEP_FAULTS = (StoreUnavailable, EngineUnavailable)
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -7,11 +7,13 @@
 
 import anyio
 
-from oleanderdyke.agent.hosted.engine_loads import STEP_FAULTS, EngineLoads
+from oleanderdyke.agent.hosted.engine_loads import EngineLoads
 from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
+from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
 from oleanderdyke.logs import EventLog
 from oleanderdyke.platform.documents import MalformedRecord, NamedVersion
+from oleanderdyke.platform.engines import EngineUnavailable
 from oleanderdyke.platform.feed import OperatorFeed
 from oleanderdyke.platform.loads import LoadFeed
 from oleanderdyke.platform.settings import HostSettings
@@ -27,6 +29,9 @@
 # How often the engine on this machine is looked at while weights are due,
 # which costs nothing but a little processor time.
 _ROLLOUT_PERIOD: Millis = 100.0
+# Of 57 agents each asks a store that refuses once a second, an eighth of the
+# calls that it allows.
+_LONGEST_PAUSE: Millis = 1 * SECOND
 _STOPPING = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -114,20 +119,29 @@
 
     async def _roll_out(self) -> None:
         """Look at the engine only while weights are due."""
+        pause = _ROLLOUT_PERIOD
         while True:
             if not self._engine.is_settled():
-                await self._step()
-            await anyio.sleep(_ROLLOUT_PERIOD / SECOND)
+                pause = await self._step(pause)
+            await anyio.sleep(pause / SECOND)
 
-    async def _step(self) -> None:
+    async def _step(self, pause: Millis) -> Millis:
+        """Take a step; return the pause after it, longer without a store."""
         try:
             await self._engine.step()
-        except STEP_FAULTS as error:
-            self._log.write(
-                EventName.ORDER_REFUSED,
-                reason=error.kind.value,
-                detail=error.message,
-            )
+        except StoreUnavailable as error:
+            self._log_fault(error)
+            return min(max(2 * pause, _RETRY_PAUSE), _LONGEST_PAUSE)
+        except EngineUnavailable as error:
+            self._log_fault(error)
+        return _ROLLOUT_PERIOD
+
+    def _log_fault(self, error: OleanderError) -> None:
+        self._log.write(
+            EventName.ORDER_REFUSED,
+            reason=error.kind.value,
+            detail=error.message,
+        )
 
     def _refuse(self, name: str, error: MalformedRecord) -> None:
         """Keep the last good state where a record can't be read."""
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -75,6 +75,7 @@
         self._held: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
         self._is_stream = False
+        self._has_begun = False
         self._sent = False
         self._done = False
 
@@ -107,7 +108,7 @@
 
         What has its first token has begun and goes on.
         """
-        if self._done or not self._sent or self._head is not None:
+        if self._done or not self._sent or self._has_begun:
             return
         if not self._may_begin(self._version, BEGIN_MARGIN):
             self._close_failed(
@@ -250,16 +251,15 @@
         )
 
     def _describe_outdated(self, version: int | None) -> dict[str, float]:
-        """Say how long newer weights than those that serve were known."""
+        """Say which weights are newest, and how old that news is at most."""
         core, demand = self._core, self._call.asked.demand
         if demand is None or version is None:
             return {}
-        newest = core.weights.find_newest(demand.model)
-        if version >= newest:
+        replaced = core.find_replaced(demand.model, version)
+        if replaced is None:
             return {}
-        heard = core.versions_heard.get(demand.model, 0.0)
-        age = round(core.clock.now() - heard, 1)
-        return {'newest': newest, 'age': age}
+        newest = core.rollout.weights.find_newest(demand.model)
+        return {'newest': newest, 'age': round(core.clock.now() - replaced, 1)}
 
     def _make_dispatch(self, backend: Backend) -> Dispatch:
         core, call = self._core, self._call
@@ -284,9 +284,8 @@
             return NO_CONTEXTS
         now = core.clock.now()
         held = backend.record.versions.get(demand.model, 0)
-        is_current = held >= core.weights.find_newest(demand.model)
-        heard = core.versions_heard.get(demand.model, 0.0)
-        if not is_current and backend.listed_at >= heard:
+        replaced = core.find_replaced(demand.model, held)
+        if replaced is not None and backend.listed_at >= replaced:
             # Others may think that no engine is left on these weights.
             return NO_CONTEXTS
         plan = core.contexts.plan(
@@ -294,7 +293,7 @@
             demand.parts,
             data_centre=backend.record.data_centre,
             relied_on=core.configuration_asked,
-            may_save=is_current,
+            may_save=replaced is None,
             now=now,
         )
         core.contexts.note_saves(salt, demand.parts, plan, now)
@@ -320,12 +319,13 @@
         backend = core.book.find(self.server)
         if demand is not None and backend is not None:
             held = backend.record.versions.get(demand.model, 0)
-            if held < core.weights.find_newest(demand.model):
+            if held < core.rollout.weights.find_newest(demand.model):
                 core.book.note_reloading(self.server, now)
                 return
         core.book.note_refused(self.server, now)
 
     def _accept(self, status: int, headers: Headers) -> None:
+        self._has_begun = True
         kinds = [content for name, content in headers if name == 'content-type']
         self._is_stream = any(kind.startswith(_EVENT_STREAM) for kind in kinds)
         self._head = AnswerHead(
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -18,7 +18,6 @@
     find_patience,
 )
 from oleanderdyke.kernel.placement import CallDemand
-from oleanderdyke.kernel.servers import ModelDemand
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform.requests import CallerRequest, decode_request
 
@@ -133,32 +132,37 @@
 ) -> CallDemand:
     """Describe a call for the choice of its backend server."""
     model = call.asked.demand
-    newest = 0 if model is None else core.weights.find_newest(model.model)
-    now = core.clock.now()
+    newest = (
+        0 if model is None else core.rollout.weights.find_newest(model.model)
+    )
+    now, queue = core.clock.now(), core.rollout.queue
     return CallDemand(
         service=call.service,
         data_centre=core.settings.data_centre,
         model=model,
         rank=call.priority,
         newest_version=newest or None,
-        outdated=_list_outdated(core, model),
+        outdated=_list_outdated(core, call),
         fetchable=_count_fetchable(core, call),
         excluded=excluded,
-        loading=frozenset(core.loads.list_loading(now)),
-        draining=frozenset(core.loads.list_next(now)),
+        loading=frozenset(queue.list_loading(now)),
+        draining=frozenset(queue.list_next(now)),
         memory_tokens=_find_memory(core, call),
     )
 
 
-def _list_outdated(
-    core: HostedCore, model: ModelDemand | None
-) -> frozenset[int | None]:
+def _list_outdated(core: HostedCore, call: HostedCall) -> frozenset[int | None]:
     """Return the versions that listed engines hold and none may begin on."""
+    model = call.asked.demand
     if model is None:
         return frozenset()
+    held = {
+        backend.record.versions.get(model.model)
+        for backend in core.book.list_service(call.service, core.clock.now())
+    }
     return frozenset(
         version
-        for version in core.book.list_versions(model.model)
+        for version in held
         if not core.may_serve(model.model, version, SEND_MARGIN)
     )
 
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -99,7 +99,7 @@
         """Note which weights are newest and which engines still hold."""
         core = self._core
         now = core.clock.now()
-        for model, newest in core.weights.list_newest().items():
+        for model, newest in core.rollout.weights.list_newest().items():
             oldest = core.book.find_oldest_version(model)
             known = None if core.is_stale else oldest
             self._outdated.note(model, newest, known, now)
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
@@ -15,14 +16,13 @@
 from oleanderdyke.kernel.drain import Drain, DrainSettings
 from oleanderdyke.kernel.durations import Durations
 from oleanderdyke.kernel.engine_clock import EngineClock
-from oleanderdyke.kernel.named_weights import NamedWeights
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import (
     RetryBudget,
     RetrySettings,
     make_retry_budget,
 )
-from oleanderdyke.kernel.rollout import LoadQueue
+from oleanderdyke.kernel.rollout import Rollout
 from oleanderdyke.logs import EventLog
 from oleanderdyke.metrics import Metrics
 from oleanderdyke.platform.settings import HostSettings
@@ -53,10 +53,7 @@
 
 @dataclass
 class HostedCore:
-    """Hold the state of one entry.
-
-    `versions_heard` tells when this entry learned of a model's newest weights.
-    """
+    """Hold the state of one entry."""
 
     settings: HostSettings
     clock: Clock
@@ -69,11 +66,9 @@
     book: BackendBook = field(default_factory=BackendBook)
     deployment: Deployment | None = None
     durations: Durations = field(default_factory=Durations)
-    loads: LoadQueue = field(default_factory=LoadQueue)
+    rollout: Rollout = field(default_factory=lambda: Rollout(math.inf))
     contexts: ContextStores = field(default_factory=ContextStores)
-    weights: NamedWeights = field(default_factory=NamedWeights)
     engine_clock: EngineClock = field(default_factory=EngineClock)
-    versions_heard: dict[str, Millis] = field(default_factory=dict)
     configuration_read: Millis | None = None
     # When that which was read last had been asked for.
     configuration_asked: Millis = 0.0
@@ -101,7 +96,7 @@
         self, model: str, version: int | None, margin: Millis
     ) -> bool:
         """Tell whether weights may begin requests for a margin more."""
-        return self.weights.may_serve(
+        return self.rollout.weights.may_serve(
             model,
             version,
             within=self.settings.version_limit - margin,
@@ -109,6 +104,12 @@
             shift=self.engine_clock.most,
         )
 
+    def find_replaced(self, model: str, version: int) -> Millis | None:
+        """Return before when newer weights were not named, None if none are."""
+        return self.rollout.weights.find_replaced(
+            model, version, self.clock.now(), self.engine_clock.most
+        )
+
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's part of what may be sent again to a service."""
         if service not in self._budgets:
@@ -150,6 +151,6 @@
         log=log,
         metrics=Metrics(),
         drain=Drain(drain),
-        loads=LoadQueue(settings.version_limit),
+        rollout=Rollout(settings.version_limit),
         pool=ConnectionPool(CONNECT_LIMIT),
     )
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import signal
 import socket
 from collections.abc import AsyncIterator
 from contextlib import AbstractContextManager
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -28,6 +30,9 @@
 from oleanderdyke.platform.settings import HostSettings, load_host_settings
 
 _TICK: Millis = 50.0
+# A process whose ticks are so far apart was suspended or stood still: what came
+# meanwhile is read only now. Half of the time after which a server is silent.
+_STALL: Millis = 250.0
 _SETTINGS_PERIOD: Millis = 1 * SECOND
 _CLOSE_LIMIT: Millis = 600.0
 _MIB = 1024 * 1024
@@ -93,11 +98,15 @@
     async def _tick(self, server: EdgeServer) -> None:
         """Look after silent servers and tell changes of readiness."""
         core, told = self._core, 'starting'
+        last = core.clock.now()
         while True:
             now = core.clock.now()
+            if now - last > _STALL:
+                core.book.note_awake(now)
+            last = now
             for running in tuple(core.running.values()):
                 running.check_attempt(now)
-            core.loads.tick(now)
+            core.rollout.tick(now=now, shift=core.engine_clock.most)
             fault = core.find_fault()
             if fault != told:
                 told = fault
@@ -132,6 +141,10 @@
         except SettingsError as error:
             core.log.write(EventName.RECORD_REFUSED, detail=str(error))
             return
+        if math.isinf(settings.version_limit):
+            # A file that is read half written must not lift the bound.
+            limit = core.settings.version_limit
+            settings = replace(settings, version_limit=limit)
         if settings != core.settings:
             core.settings = settings
             core.log.write(EventName.SETTINGS_RELOADED)
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -10,7 +10,6 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import Deployment
-from oleanderdyke.kernel.rollout import apply_notice
 from oleanderdyke.platform.documents import MalformedRecord, NamedVersion
 from oleanderdyke.platform.feed import OperatorFeed, ServerFeed
 from oleanderdyke.platform.loads import LoadFeed
@@ -68,13 +67,8 @@
         core = self._core
         notices = await self._loads.read()
         for notice in notices:
-            apply_notice(
-                notice,
-                core.loads,
-                core.weights,
-                limit=core.settings.version_limit,
-                now=core.clock.now(),
-                shift=core.engine_clock.most,
+            core.rollout.take(
+                notice, now=core.clock.now(), shift=core.engine_clock.most
             )
 
     async def _read_operator(self) -> None:
@@ -88,8 +82,8 @@
             for named in news.list_versions():
                 self._name(named)
             if news.is_complete:
-                core.weights.note_read(asked_at + news.waited)
-        core.configuration_asked = asked_at
+                core.rollout.weights.note_read(asked_at + news.waited)
+                core.configuration_asked = asked_at
 
     async def _read_servers(self) -> None:
         core = self._core
@@ -129,9 +123,8 @@
 
     def _name(self, named: NamedVersion) -> None:
         core = self._core
-        if not core.weights.name(named.model, named.version):
+        if not core.rollout.weights.name(named.model, named.version):
             return
-        core.versions_heard[named.model] = core.clock.now()
         core.log.write(
             EventName.VERSION_NAMED, model=named.model, version=named.version
         )
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -246,13 +246,6 @@
         self._removed[record.server] = record.beat
         return True
 
-    def list_versions(self, model: str) -> set[int | None]:
-        """Return the weights that known servers hold, None where not told."""
-        return {
-            backend.record.versions.get(model)
-            for backend in self._backends.values()
-        }
-
     def find_oldest_version(self, model: str) -> int | None:
         """Return the oldest weights that any known engine may still hold."""
         held = [
@@ -281,6 +274,11 @@
             backend.running_tokens += owed.memory
             backend.waiting[attempt] = owed
 
+    def note_awake(self, now: Millis) -> None:
+        """Blame nobody for a time in which this process read nothing."""
+        for backend in self._backends.values():
+            backend.heard = max(backend.heard, now)
+
     def note_heard(self, server: str, attempt: str, now: Millis) -> None:
         """Learn that bytes of an attempt came."""
         backend = self._backends.get(server)
--- a/src/oleanderdyke/kernel/named_weights.py
+++ b/src/oleanderdyke/kernel/named_weights.py
@@ -77,12 +77,13 @@
         }
 
     def find_replaced(
-        self, model: str, held: int, shift: Millis | None
+        self, model: str, held: int, now: Millis, shift: Millis | None
     ) -> Millis | None:
         """Return before when weights newer than those held weren't named.
 
         None where the held ones are the newest, minus infinity where nothing
-        is known. `shift` is how far the engines' clock may be before ours.
+        is known. `shift` is how far the engines' clock may be before ours; who
+        tells of a moment that is yet to come tells nothing.
         """
         known = self._models.get(model)
         if known is None or held >= known.newest:
@@ -92,7 +93,7 @@
             moments += [
                 at - shift
                 for version, at in known.told.items()
-                if version <= held
+                if version <= held and at - shift <= now
             ]
         return max(moments, default=-math.inf)
 
@@ -111,5 +112,5 @@
         """
         if math.isinf(within):
             return True
-        replaced = self.find_replaced(model, held or 0, shift)
+        replaced = self.find_replaced(model, held or 0, now, shift)
         return replaced is None or now - replaced < within
--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -3,16 +3,24 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from oleanderdyke.kernel.rollout import LoadNotice, LoadStep
+from oleanderdyke.kernel.load_queue import LoadNotice, LoadStep
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.feed import Refuse
 from oleanderdyke.platform.store import RecordsExpired, StoreClient
 
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+_MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class LoadFeed:
@@ -71,12 +79,15 @@
 
 
 def _decode_notice(found: Mapping[str, Any]) -> LoadNotice:
-    newest_at = found.get('newest_at')
+    told = found.get('newest_at')
+    newest_at = None if told is None else float(told)
+    if newest_at is not None and not math.isfinite(newest_at):
+        raise ValueError(f'newest_at is {newest_at}')
     return LoadNotice(
         server=str(found['server']),
         step=LoadStep(found['step']),
         agent=str(found.get('agent') or ''),
         model=str(found.get('model') or ''),
         held=int(found.get('held') or 0),
-        newest_at=None if newest_at is None else float(newest_at),
+        newest_at=newest_at,
     )
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -42,9 +42,9 @@
 from tests.standins import server
 from tests.standins.contexts import ContextStore
 from tests.standins.hosted_engine import HostedEngine
-from tests.standins.records import RecordStore
-from tests.standins.replica import serving_replica
-from tests.standins.scripts import answer_well
+from tests.standins.records import RecordFaults, RecordStore
+from tests.standins.replica import make_chunk, make_event, serving_replica
+from tests.standins.scripts import answer_well, send_events
 
 LIMIT = 3_000.0
 LETTER = {**LETTER_ROUTE, 'timeoutMs': 9_000}
@@ -246,3 +246,100 @@
                 most = max(most, sum(each.busy for each in engines))
                 await anyio.sleep(0.02)
     assert most == 2
+
+
+async def test_a_stream_that_has_begun_on_old_weights_goes_on(tmp_path):
+    async def dictate(peer):
+        await send_events(peer, 1, 2)
+        for number in range(3, 9):
+            await anyio.sleep(0.4)
+            await peer.send(make_chunk(make_event(number)))
+        await peer.send(b'0\r\n\r\n')
+
+    async with hosted.staging(
+        tmp_path,
+        dictate,
+        configuration=LETTERS,
+        version_limit=LIMIT,
+        models=OLD,
+    ) as stage:
+        name_weights(stage.store, 2)
+        await anyio.sleep(0.7)
+        with anyio.fail_after(8):
+            answer = await ask(stage, '9000')
+    assert (answer.status, answer.is_whole) == (200, True)
+    assert answer.body.count(b'data:') == 8
+
+
+def list_steps(fleet):
+    records = fleet.store.find('oleander-loads').records
+    return [json.loads(each)['step'] for each in records]
+
+
+async def test_a_settled_agent_gives_up_a_place_that_is_told_late(tmp_path):
+    async with staging_fleet(tmp_path, a=0.05) as fleet:
+        name_weights(fleet.store, 2)
+        fleet.start_agent('a')
+        await wait_until(lambda: list_steps(fleet)[-1:] == ['ended'], 8)
+        await anyio.sleep(0.3)
+        topic = fleet.store.find('oleander-loads')
+        topic.append(next(each for each in topic.records if b'waits' in each))
+        await wait_until(lambda: list_steps(fleet)[-1] == 'ended', 3)
+
+
+async def test_no_order_names_a_start_that_ended_between_rollouts(tmp_path):
+    async with staging_fleet(tmp_path, a=0.05) as fleet:
+        name_weights(fleet.store, 2)
+        fleet.start_agent('a')
+        engine = fleet.engines['a']
+        await wait_until(lambda: engine.version == 2, 8)
+        await anyio.sleep(0.5)
+        await fleet.crash('a')
+        await anyio.sleep(0.5)
+        before = len(engine.orders)
+        name_weights(fleet.store, 3)
+        await wait_until(lambda: engine.version == 3, 5)
+    named = [each['instance'] for each in engine.orders[before:]]
+    assert named == ['i-a-again']
+
+
+async def test_a_lost_engine_is_told_once_the_store_is_back(tmp_path):
+    async with staging_fleet(tmp_path, a=9.0) as fleet:
+        name_weights(fleet.store, 2)
+        fleet.start_agent('a')
+        await wait_until(lambda: fleet.engines['a'].orders, 8)
+        fleet.store.faults = RecordFaults(down=True)
+        fleet.engines['a'].crash()
+        await anyio.sleep(1.0)
+        assert 'lost' not in list_steps(fleet)
+        fleet.store.faults = RecordFaults()
+        await wait_until(lambda: 'lost' in list_steps(fleet), 3)
+
+
+async def test_an_agent_asks_a_store_that_is_down_seldom(tmp_path):
+    async with staging_fleet(tmp_path, a=0.05) as fleet:
+        fleet.start_agent('a')
+        await wait_until(lambda: list_steps(fleet), 5)
+        name_weights(fleet.store, 2)
+        fleet.store.faults = RecordFaults(down=True)
+        before = len(fleet.store.calls)
+        await anyio.sleep(3.0)
+        tried = len(fleet.store.calls) - before
+    # Three readers and writers, each four times a second at most.
+    assert tried <= 3 * 3 * 4
+
+
+async def test_callers_learn_the_true_reason_where_no_engine_is_listed(
+    tmp_path,
+):
+    async with hosted.staging(
+        tmp_path, answer_well, version_limit=LIMIT, models=OLD
+    ) as stage:
+        name_weights(stage.store, 2)
+        plain = make_record('127.0.0.1:9', service='counter')
+        stage.store.put(SERVERS, 'i-plain', plain)
+        stage.store.drop(SERVERS, 'i-0')
+        await anyio.sleep(1.5)
+        refused = await ask(stage)
+        assert refused.status == 503
+        assert 'no server listed' in stage.log.read_text()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import ast
 import json
+import math
 import pathlib
 
 import pytest
@@ -18,6 +19,7 @@
     decode_server,
     decode_version,
 )
+from oleanderdyke.platform.loads import LoadFeed
 from oleanderdyke.platform.requests import (
     Dispatch,
     decode_answer,
@@ -340,3 +342,21 @@
         last = await client.read_keyed(TOPIC, first.end)
     assert not first.is_complete
     assert last.is_complete
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'changes',
+    [{'held': math.inf}, {'newest_at': math.nan}, {'newest_at': math.inf}],
+)
+async def test_a_notice_with_no_proper_number_is_refused(changes):
+    notice = {'server': 'i', 'step': 'waits', 'held': 1, 'newest_at': 1.0}
+    store, refused = RecordStore(), []
+    for each in (notice | changes, notice):
+        store.find(names.LOAD_TOPIC).append(json.dumps(each).encode())
+    async with server.serving(store) as (address,):
+        client = StoreClient(address)
+        feed = LoadFeed(client, lambda name, _: refused.append(name))
+        (good,) = await feed.read()
+    assert good.held == 1
+    assert refused == ['loads']
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -4,14 +4,12 @@
 
 import pytest
 
-from oleanderdyke.kernel.named_weights import SEND_MARGIN, NamedWeights
+from oleanderdyke.kernel.load_queue import LoadNotice, LoadQueue, LoadStep
+from oleanderdyke.kernel.named_weights import SEND_MARGIN
 from oleanderdyke.kernel.rollout import (
     EngineState,
-    LoadNotice,
-    LoadQueue,
-    LoadStep,
+    Rollout,
     Target,
-    apply_notice,
     find_target,
 )
 
@@ -19,7 +17,8 @@
 
 
 def notice(queue, server, step=LoadStep.WAITS, now=0.0):
-    queue.apply(LoadNotice(server, step), now)
+    queue.apply(LoadNotice(server, step))
+    queue.tick(now)
 
 
 def test_two_engines_load_at_once_in_the_order_of_the_log():
@@ -59,20 +58,21 @@
 
 
 def ask(queue, agent, server, now=0.0, due=math.inf):
-    asked = LoadNotice(server, LoadStep.WAITS, agent=agent)
-    queue.apply(asked, now, lambda *_: due)
+    queue.apply(LoadNotice(server, LoadStep.WAITS, agent=agent))
+    queue.judge(lambda *_: due)
+    queue.tick(now)
 
 
 def test_an_engine_that_is_lost_keeps_its_place_and_holds_up_nobody():
     queue = LoadQueue()
     for name in 'abcd':
         ask(queue, f'side-{name}', name)
-    queue.apply(LoadNotice('a', LoadStep.LOST, agent='side-a'), 0.0)
+    queue.apply(LoadNotice('a', LoadStep.LOST, agent='side-a'))
     assert queue.list_loading(0.0) == ('b', 'c')
-    assert not queue.waits('side-a', 'a')
+    assert not queue.waits('side-a', 'a', 0)
     ask(queue, 'side-a', 'a-again')
     assert queue.list_loading(0.0) == ('a-again', 'b')
-    assert queue.waits('side-a', 'a-again')
+    assert queue.waits('side-a', 'a-again', 0)
 
 
 def test_a_new_start_does_not_add_a_place():
@@ -87,7 +87,7 @@
     queue = LoadQueue()
     for name in 'abc':
         ask(queue, f'side-{name}', name)
-    queue.apply(LoadNotice('', LoadStep.STARTED, agent='side-a'), 0.0)
+    queue.apply(LoadNotice('', LoadStep.STARTED, agent='side-a'))
     assert queue.list_loading(0.0) == ('b', 'c')
 
 
@@ -106,7 +106,7 @@
         for server, at in tuple(begun.items()):
             if now - at >= load:
                 ended = LoadNotice(server, LoadStep.ENDED, f'side-{server}')
-                queue.apply(ended, now, lambda *_: due)
+                queue.apply(ended)
         queue.tick(now)
     assert len(begun) == engines
     assert not queue.list_loading(due)
@@ -131,35 +131,76 @@
     dues = {1: 4_000.0, 2: 12_000.0}
     for held, names in ((1, 'ab'), (2, 'cdef')):
         for name in names:
-            asked = LoadNotice(
-                name, LoadStep.WAITS, f'side-{name}', MODEL, held
-            )
-            queue.apply(asked, 0.0, lambda _, held: dues[held])
+            queue.apply(make_request(name, held=held))
+    queue.judge(lambda _, held: dues[held])
     assert queue.list_loading(0.0) == ('a', 'b')
 
 
-def notice_of(server, newest_at):
+def make_request(server, newest_at=None, held=1):
     return LoadNotice(
-        server, LoadStep.WAITS, f'side-{server}', MODEL, 1, newest_at
+        server, LoadStep.WAITS, f'side-{server}', MODEL, held, newest_at
     )
 
 
+def test_one_engine_past_its_time_does_not_make_all_load_at_once():
+    rollout = Rollout(15_000.0)
+    for version, read_at in enumerate((1_000.0, 2_000.0, 11_000.0), start=1):
+        rollout.weights.note_read(read_at)
+        rollout.weights.name(MODEL, version)
+    now = 15_500.0
+    for name in 'abcde':
+        rollout.take(make_request(name, held=2), now=now, shift=0.0)
+    rollout.take(make_request('late', held=1), now=now, shift=0.0)
+    assert len(rollout.queue.list_loading(now)) == 3
+
+
 def test_who_knows_better_when_weights_were_named_slows_all_down():
-    weights, queue = NamedWeights(), LoadQueue(15_000.0)
-    weights.name(MODEL, 2)
-
-    def take(server, newest_at):
-        apply_notice(
-            notice_of(server, newest_at),
-            queue,
-            weights,
-            limit=15_000.0,
-            now=20_000.0,
-            shift=0.0,
-        )
-
-    for server in 'abcdef':
-        take(server, 11_000.0)
-    assert len(queue.list_loading(20_000.0)) == 6
-    take('f', 19_500.0)
-    assert len(queue.list_loading(20_000.0)) == 2
+    rollout, now = Rollout(15_000.0), 20_000.0
+    rollout.weights.name(MODEL, 2)
+    for name in 'abcdef':
+        rollout.take(make_request(name, 11_000.0), now=now, shift=0.0)
+    assert len(rollout.queue.list_loading(now)) == 6
+    rollout.take(make_request('f', 19_500.0), now=now, shift=0.0)
+    assert len(rollout.queue.list_loading(now)) == 2
+
+
+def test_places_that_were_read_before_the_clock_was_known_are_judged_anew():
+    rollout, now = Rollout(15_000.0), 50_000.0
+    rollout.weights.name(MODEL, 2)
+    for name in 'abcdef':
+        rollout.take(make_request(name, 149_000.0), now=now, shift=None)
+    assert len(rollout.queue.list_loading(now)) == 6
+    rollout.tick(now=now, shift=100_000.0)
+    assert len(rollout.queue.list_loading(now)) == 2
+
+
+def test_a_moment_that_is_yet_to_come_tells_nothing():
+    rollout, now = Rollout(15_000.0), 20_000.0
+    rollout.weights.name(MODEL, 2)
+    for told in (19_000.0, 900_000.0):
+        rollout.take(make_request('a', told), now=now, shift=0.0)
+    assert rollout.weights.find_replaced(MODEL, 1, now, 0.0) == 19_000.0
+
+
+def test_a_place_that_lost_its_turn_is_not_passed_over():
+    queue = LoadQueue(15_000.0)
+    for name in 'abcd':
+        ask(queue, name, name)
+    for name in 'ab':
+        queue.apply(LoadNotice(name, LoadStep.LOST, name))
+    queue.tick(10.0)
+    assert queue.list_loading(10.0) == ('c', 'd')
+    for name in 'ab':
+        ask(queue, name, name, now=200.0)
+    assert queue.list_loading(200.0) == ('a', 'b')
+    assert not {'c', 'd'} & set(queue.tick(5_100.0))
+
+
+def test_an_engine_that_loads_again_gets_its_time_anew():
+    queue = LoadQueue(15_000.0)
+    queue.apply(make_request('a', held=1))
+    queue.tick(0.0)
+    queue.apply(make_request('a', held=2))
+    queue.tick(4_000.0)
+    assert not queue.tick(8_000.0)
+    assert queue.tick(9_001.0) == ('a',)
