Show that a late refusal of another request is believed

A refusal that bears the id of an earlier request ends an attempt as "not run", whose run goes on: its connection stays open past the caller's deadline, and a request that may run once runs at a second server.

--- a/tests/test_hosted_answers.py
+++ b/tests/test_hosted_answers.py
@@ -30,6 +30,26 @@
         assert found.status == 502
 
 
+async def test_the_refusal_of_another_request_proves_nothing(tmp_path):
+    closed = anyio.Event()
+
+    async def run(peer):
+        await peer.answer(
+            503,
+            oleanderdyke_request_id='req-other',
+            oleanderdyke_not_executed='1',
+        )
+        await peer.wait_closed()
+        closed.set()
+
+    async with staging(tmp_path, run, run) as stage:
+        found = await stage.call('/once/1')
+        assert found.status == 502
+        with anyio.fail_after(0.5):
+            await closed.wait()
+        assert sum(len(each.received) for each in stage.replicas) == 1
+
+
 async def test_a_success_without_the_mark_of_a_server_is_no_success(tmp_path):
     async def run(peer):
         await peer.answer(oleanderdyke_response_seal='')
--- /dev/null
+++ b/tests/test_hosted_leaving.py
@@ -0,0 +1,161 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass
+
+import anyio
+import pytest
+
+from tests.hosted import Answered, Stage, make_request, read_answer, staging
+from tests.standins.replica import Peer, Script
+from tests.standins.scripts import reset, send_events, stream
+
+pytestmark = pytest.mark.anyio
+
+# How long a backend server may work on after its caller has left.
+_STILL_WORKING = 0.5
+_WAIT = 5.0
+_POLL = 0.005
+
+
+@dataclass
+class Runs:
+    """Count runs that began, and tell when their connections were closed."""
+
+    begun: int = 0
+    closed: int = 0
+
+    def make(self, first: int | None) -> Script:
+        """Make a script that sends an event, if any, and never ends."""
+
+        async def run(peer: Peer) -> None:
+            self.begun += 1
+            if first is not None:
+                await send_events(peer, first, first)
+            await peer.wait_closed()
+            self.closed += 1
+
+        return run
+
+    async def wait_begun(self) -> None:
+        with anyio.fail_after(_WAIT):
+            while not self.begun:
+                await anyio.sleep(_POLL)
+
+    async def wait_closed(self) -> None:
+        with anyio.fail_after(_STILL_WORKING):
+            while self.closed < self.begun:
+                await anyio.sleep(_POLL)
+
+
+@contextlib.asynccontextmanager
+async def _calling(
+    stage: Stage, path: str, deadline: int = 9_000
+) -> AsyncGenerator[tuple[asyncio.StreamReader, asyncio.StreamWriter], None]:
+    reader, writer = await asyncio.open_connection(*stage.address)
+    text = str(deadline)
+    writer.write(make_request(path, oleanderdyke_deadline_ms=text))
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+async def _read(reader: asyncio.StreamReader) -> Answered:
+    with anyio.fail_after(_WAIT):
+        return await read_answer(reader)
+
+
+def _prefer(stage: Stage, number: int) -> None:
+    """Let the other servers look worse, so that this one is tried first."""
+    for other in range(len(stage.replicas)):
+        if other != number:
+            stage.core.book.note_error(f'i-{other}')
+
+
+async def _stall_midway(peer: Peer) -> None:
+    await send_events(peer, 1, 2)
+    await peer.wait_closed()
+
+
+async def _stall_at_once(peer: Peer) -> None:
+    await peer.wait_closed()
+
+
+_FAILING = {
+    'dies midway': stream(1, 2, ending=b''),
+    'dies at once': reset,
+    'is silent midway': _stall_midway,
+    'is silent at once': _stall_at_once,
+}
+
+
+@pytest.mark.parametrize('second', [3, None], ids=['begun', 'waiting'])
+@pytest.mark.parametrize('failing', _FAILING.values(), ids=_FAILING)
+async def test_a_caller_that_leaves_ends_the_second_run(
+    tmp_path, failing, second
+):
+    runs = Runs()
+    async with staging(tmp_path, failing, runs.make(second)) as stage:
+        _prefer(stage, 0)
+        async with _calling(stage, '/stream/1'):
+            await runs.wait_begun()
+            await anyio.sleep(0.1)
+        await runs.wait_closed()
+        assert stage.replicas[0].received
+
+
+@pytest.mark.parametrize('second', [3, None], ids=['begun', 'waiting'])
+@pytest.mark.parametrize('failing', _FAILING.values(), ids=_FAILING)
+async def test_a_deadline_ends_the_second_run(tmp_path, failing, second):
+    runs = Runs()
+    async with staging(tmp_path, failing, runs.make(second)) as stage:
+        _prefer(stage, 0)
+        async with _calling(stage, '/stream/1', 1_200) as (reader, _):
+            found = await _read(reader)
+            assert runs.begun == 1
+            await runs.wait_closed()
+        assert stage.replicas[0].received
+    assert not found.is_whole or found.status == 504
+
+
+async def test_the_second_run_is_told_no_more_time_than_is_left(tmp_path):
+    runs = Runs()
+    async with staging(tmp_path, _stall_midway, runs.make(3)) as stage:
+        _prefer(stage, 0)
+        async with _calling(stage, '/stream/1', 1_500):
+            await runs.wait_begun()
+            (sent,) = stage.replicas[1].received
+    assert int(sent.headers['oleanderdyke-deadline-ms']) < 1_100
+
+
+async def test_a_run_that_was_given_up_is_closed_before_the_next(tmp_path):
+    first, second = Runs(), Runs()
+    async with staging(tmp_path, first.make(1), second.make(2)) as stage:
+        _prefer(stage, 0)
+        async with _calling(stage, '/stream/1'):
+            await second.wait_begun()
+            await first.wait_closed()
+            assert not second.closed
+
+
+async def test_a_caller_that_leaves_while_connecting_is_not_worked_for(
+    tmp_path, monkeypatch
+):
+    runs = Runs()
+    async with staging(tmp_path, runs.make(None)) as stage:
+        connect = stage.core.pool.open
+        connecting = anyio.Event()
+
+        async def connect_late(address):
+            connecting.set()
+            await anyio.sleep(0.2)
+            return await connect(address)
+
+        monkeypatch.setattr(stage.core.pool, 'open', connect_late)
+        async with _calling(stage, '/stream/1'):
+            await connecting.wait()
+        await anyio.sleep(0.3)
+        await runs.wait_closed()
