Close a run whose server answers with the refusal of another request

The id of an answer was judged after its promise that nothing ran, so a refusal that came late and bears another id ended the attempt as "not run", left its connection open and sent the request elsewhere. The id is judged first now: the connection is closed, and what may run once ends as unknown. Ruled out by tests that passed before as well: a caller that leaves, or a deadline, while a second run is under way or connecting.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -126,11 +126,11 @@
         if self._done:
             return
         fault = _find_fault(status, facts, self._call.request)
-        if facts.is_not_run:
+        if fault:
+            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
+        elif facts.is_not_run:
             self._note_refused(facts)
             self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
-        elif fault:
-            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
         elif status >= _SERVER_ERROR and self._may_repeat():
             self._core.book.note_error(self.server)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.YES, f'{status}')
@@ -353,7 +353,11 @@
 def _find_fault(status: int, facts: AnswerFacts, request: str) -> str:
     """Return why an answer can't be that of the server to this request."""
     if facts.request and facts.request != request:
+        # Also a late refusal: believed, it would leave this run unclosed
+        # beside the next one.
         return 'an answer to another request'
+    if facts.is_not_run:
+        return ''
     if status in _SUCCESS and not facts.is_sealed:
         return 'a success without the mark of a server'
     if status in PROMISES:
