--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -5,16 +5,17 @@
 some twice, while the weights were rolled out two engines at a time.
 
 How it came about: an engine asked for a place in the queue of loads under the
-id of its start. When it crashed, the place stayed with that id; its agent
-ordered under the id, was refused, and asked anew behind all others. Two such
-places were all that there were, so for 7 s nobody loaded.
+id of its start. When it crashed, the place stayed with that id for 7 s; its
+agent ordered under the id, was refused, and asked anew behind all others. First
+one such place, then both that there were held up all engines behind them.
 
 What caused it: a place was not bound to the life of who held it, and nothing
 but the order of loads kept requests off old weights: no process knew the bound.
 
-What proved it: the agents' logs show both places with ids that no list names
-any more and three engines due behind them. With places given up at a crash the
-third engine below loads at once; without that, after 7 s.
+What proved it: the agents' logs show orders refused at the turns of two engines
+that had started anew, and then none for four seconds with three engines due.
+With places that a crash frees, the third engine below loads at once; without
+that, after 7 s.
 """
 
 from __future__ import annotations
