Leave out records of other writers one by one

Cause: a record that could not be split failed the whole read, which was asked for again from the same place; decoders turned text, flags and missing fields into numbers and names, and knew neither recursion nor overflow as errors.

Change: splitting never fails for one record, which carries its fault instead and counts for where to read on. `fields` reads typed fields within bounds and names every error of a document. An entry needs all fields that the platform names, an engine its stage beside its models; a key that names weights has to name their model. Of records that came together three are told and the others counted. A test's record of an engine now has the stage that engines write.

--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -20,21 +20,43 @@
     StoreTraits,
 )
 from oleanderdyke.kernel.servers import ServerRecord
+from oleanderdyke.platform.fields import (
+    MALFORMED,
+    FieldError,
+    load_object,
+    read_address,
+    read_integer,
+    read_number,
+    read_objects,
+    read_text,
+)
 
 _KINDS = {
     'idempotent': CallKind.IDEMPOTENT,
     'non_idempotent': CallKind.ONCE,
     'streaming': CallKind.STREAM,
 }
+_READY = 'ready'
 _LEAVING = 'draining'
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+# A server's id is sent in a header, and a path would be another kind of key.
+_SERVER_ID = re.compile('[!-.0-~]+')
+# An entry has some 250 bytes, and more with many models and adapters. Larger
+# ones would hold up the requests of whoever reads them.
+_MOST_SERVER_BYTES = 16_384
+# Lists and objects in an entry, which bound its depth too: parsing a thousand
+# levels takes as long as reading six good entries, counting them less than one.
+_MOST_SERVER_PARTS = 256
+# Operators number the weights that they name from here on.
+_FIRST_VERSION = 1
+# A record of another writer may have any text in its place of a field.
+_MOST_MESSAGE = 200
 
 
 class MalformedRecord(OleanderError):
     """Tell that a record of the platform's store can't be read."""
 
     def __init__(self, message: str) -> None:
-        super().__init__(ErrorKind.PROTOCOL, message)
+        super().__init__(ErrorKind.PROTOCOL, message[:_MOST_MESSAGE])
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,32 +70,38 @@
 def decode_configuration(data: bytes) -> Deployment:
     """Read the operators' whole configuration; raise MalformedRecord."""
     try:
-        return _make_deployment(json.loads(data))
-    except _MALFORMED as error:
-        raise MalformedRecord(f'configuration: {error!r}') from error
+        return _make_deployment(load_object(data))
+    except MALFORMED as error:
+        raise MalformedRecord(f'configuration: {_describe(error)}') from error
 
 
 def decode_server(server: str, data: bytes) -> ServerRecord:
     """Read what one backend server wrote; raise MalformedRecord."""
     try:
-        return _make_server(server, json.loads(data))
-    except _MALFORMED as error:
-        raise MalformedRecord(f'server {server}: {error!r}') from error
+        _check_server(server, data)
+        return _make_server(server, load_object(data))
+    except MALFORMED as error:
+        raise MalformedRecord(f'server: {_describe(error)}') from error
 
 
 def decode_version(data: bytes) -> NamedVersion:
     """Read which weights are named; raise MalformedRecord."""
     try:
-        found = json.loads(data)
-        return NamedVersion(str(found['model']), int(found['version']))
-    except _MALFORMED as error:
-        raise MalformedRecord(f'version: {error!r}') from error
+        found = load_object(data)
+        version = read_integer(found, 'version', _FIRST_VERSION)
+        return NamedVersion(read_text(found, 'model'), version)
+    except MALFORMED as error:
+        raise MalformedRecord(f'version: {_describe(error)}') from error
+
+
+def _describe(error: Exception) -> str:
+    return f'{type(error).__name__}: {error}'
 
 
 def _make_deployment(found: Mapping[str, Any]) -> Deployment:
     services = [_make_service(each) for each in found.get('services', ())]
     return Deployment(
-        version=int(found['version']),
+        version=read_integer(found, 'version'),
         routes=tuple(_make_route(each) for each in found.get('routes', ())),
         services={service.name: service for service in services},
         limits=_make_limits(found.get('limits', {})),
@@ -158,16 +186,51 @@
             yield str(key), owner
 
 
+def _check_server(server: str, data: bytes) -> None:
+    if not _SERVER_ID.fullmatch(server):
+        raise FieldError('the key is no id')
+    if len(data) > _MOST_SERVER_BYTES:
+        raise FieldError(f'{len(data)} bytes')
+    if data.count(b'[') + data.count(b'{') > _MOST_SERVER_PARTS:
+        raise FieldError('too many lists and objects')
+
+
 def _make_server(server: str, found: Mapping[str, Any]) -> ServerRecord:
-    models = found.get('models') or ()
+    """Read every field that an entry has, also those without use here.
+
+    Who leaves one out, or writes another type, is no backend server.
+    """
+    read_text(found, 'version')
+    read_number(found, 'coldRemainingMs')
     return ServerRecord(
         server=server,
-        service=str(found['service']),
-        address=str(found['address']),
-        data_centre=str(found.get('zone', '')),
-        is_leaving=found.get('state') == _LEAVING,
-        slots=int(found.get('slots', 0)),
-        versions={str(each['name']): int(each['version']) for each in models},
+        service=read_text(found, 'service'),
+        address=read_address(found, 'address'),
+        data_centre=read_text(found, 'zone'),
+        is_leaving=_read_leaving(found),
+        slots=read_integer(found, 'slots'),
+        versions=_read_versions(found),
         # The wire's `seq` counts what this start of a server has written.
-        beat=int(found.get('seq', 0)),
+        beat=read_integer(found, 'seq'),
     )
+
+
+def _read_leaving(found: Mapping[str, Any]) -> bool:
+    state = found['state']
+    if state not in {_READY, _LEAVING}:
+        raise FieldError('state: is not named')
+    return bool(state == _LEAVING)
+
+
+def _read_versions(found: Mapping[str, Any]) -> dict[str, int]:
+    """Return the weights that an engine holds; other servers have none.
+
+    An engine that told none would get requests for any weights.
+    """
+    if 'models' not in found and 'stage' not in found:
+        return {}
+    read_text(found, 'stage')
+    return {
+        read_text(each, 'name'): read_integer(each, 'version')
+        for each in read_objects(found, 'models')
+    }
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
-from typing import TypeAlias, TypeVar
+from typing import Generic, NoReturn, TypeAlias, TypeVar
 
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.servers import ServerRecord
@@ -16,16 +16,18 @@
     decode_server,
     decode_version,
 )
-from oleanderdyke.platform.store import (
-    KeyedPage,
-    KeyedRecord,
-    RecordsExpired,
-    StoreClient,
-)
+from oleanderdyke.platform.records import KeyedPage, KeyedRecord
+from oleanderdyke.platform.store import RecordsExpired, StoreClient
 
 # Gets the key of a record that can't be read, and why; the record is left out.
 Refuse: TypeAlias = Callable[[str, MalformedRecord], None]
 
+# Records that are told one by one of those that came together; the others are
+# counted. A line costs as much as reading two good records.
+_TOLD = 3
+# A key has up to 255 bytes of any kind.
+_MOST_KEY = 64
+
 FoundT = TypeVar('FoundT')
 
 
@@ -38,15 +40,13 @@
 
     def list_configurations(self) -> Iterator[Deployment]:
         """Yield the configurations that can be read."""
-        for record in self.records:
-            if record.key == names.CONFIGURATION_KEY:
-                yield from _decode(record, _read_configuration, self.refuse)
+        records = [each for each in self.records if _is_configuration(each)]
+        yield from _decode(records, _read_configuration, self.refuse).found
 
     def list_versions(self) -> Iterator[NamedVersion]:
         """Yield the weights that were named."""
-        for record in self.records:
-            if record.key.startswith(names.VERSION_KEY_PREFIX):
-                yield from _decode(record, _read_version, self.refuse)
+        records = [each for each in self.records if _is_version(each)]
+        yield from _decode(records, _read_version, self.refuse).found
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,9 +54,11 @@
     """Hold what servers wrote, in its order, and whose entries are gone.
 
     `is_whole` tells that `listed` has every server, not just changed ones.
+    `unread` are keys whose newest record can't be read.
     """
 
     listed: list[ServerRecord]
+    unread: list[str]
     gone: list[str]
     is_whole: bool
 
@@ -76,6 +78,8 @@
         page = await self._feed.read()
         if page is None:
             return None
+        others = [each for each in page.records if not _is_known(each)]
+        _decode(others, _refuse_key, self._refuse)
         return OperatorNews(page.records, self._refuse)
 
 
@@ -95,9 +99,11 @@
         page = await self._feed.read()
         if page is None:
             return None
+        decoded = _decode(page.records, decode_server, self._refuse)
         return ServerNews(
-            listed=list(_list_servers(page, self._refuse)),
-            gone=[each.key for each in page.records if each.value is None],
+            listed=decoded.found,
+            unread=decoded.unread,
+            gone=[each.key for each in page.records if each.is_dropped],
             is_whole=is_whole,
         )
 
@@ -110,7 +116,7 @@
     Raise StoreUnavailable.
     """
     page = await client.list_newest(names.SERVER_TOPIC)
-    return list(_list_servers(page, refuse))
+    return _decode(page.records, decode_server, refuse).found
 
 
 class _KeyedFeed:
@@ -141,26 +147,76 @@
         return page
 
 
-def _list_servers(page: KeyedPage, refuse: Refuse) -> Iterator[ServerRecord]:
-    for record in page.records:
-        yield from _decode(record, decode_server, refuse)
+@dataclass(frozen=True, slots=True)
+class _Decoded(Generic[FoundT]):
+    """Hold what records tell; `unread` are keys with a bad newest one."""
+
+    found: list[FoundT]
+    unread: list[str]
 
 
 def _decode(
-    record: KeyedRecord, decode: Callable[[str, bytes], FoundT], refuse: Refuse
-) -> Iterator[FoundT]:
-    """Yield what a record holds, nothing where its key was dropped."""
+    records: Iterable[KeyedRecord],
+    decode: Callable[[str, bytes], FoundT],
+    refuse: Refuse,
+) -> _Decoded[FoundT]:
+    """Read records in their order, but for those whose key was dropped."""
+    found: list[FoundT] = []
+    refused: list[tuple[str, MalformedRecord]] = []
+    unread: dict[str, None] = {}
+    for record in records:
+        unread.pop(record.key, None)
+        if record.is_dropped:
+            continue
+        try:
+            found.append(_decode_one(record, decode))
+        except MalformedRecord as error:
+            refused.append((record.key, error))
+            unread[record.key] = None
+    _tell(refused, refuse)
+    return _Decoded(found, list(unread))
+
+
+def _decode_one(
+    record: KeyedRecord, decode: Callable[[str, bytes], FoundT]
+) -> FoundT:
     if record.value is None:
-        return
-    try:
-        yield decode(record.key, record.value)
-    except MalformedRecord as error:
-        refuse(record.key, error)
+        raise MalformedRecord(record.fault)
+    return decode(record.key, record.value)
+
+
+def _tell(
+    refused: Sequence[tuple[str, MalformedRecord]], refuse: Refuse
+) -> None:
+    for key, error in refused[:_TOLD]:
+        refuse(key[:_MOST_KEY], error)
+    more = len(refused) - _TOLD
+    if more > 0:
+        refuse('', MalformedRecord(f"{more} more records can't be read"))
+
+
+def _is_configuration(record: KeyedRecord) -> bool:
+    return record.key == names.CONFIGURATION_KEY
+
+
+def _is_version(record: KeyedRecord) -> bool:
+    return record.key.startswith(names.VERSION_KEY_PREFIX)
+
+
+def _is_known(record: KeyedRecord) -> bool:
+    return _is_configuration(record) or _is_version(record)
 
 
 def _read_configuration(_: str, data: bytes) -> Deployment:
     return decode_configuration(data)
 
 
-def _read_version(_: str, data: bytes) -> NamedVersion:
-    return decode_version(data)
+def _read_version(key: str, data: bytes) -> NamedVersion:
+    named = decode_version(data)
+    if key != f'{names.VERSION_KEY_PREFIX}{named.model}':
+        raise MalformedRecord('version: the key names another model')
+    return named
+
+
+def _refuse_key(_: str, _data: bytes) -> NoReturn:
+    raise MalformedRecord('the key is not known')
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import base64
-import json
 import struct
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Mapping
 from typing import Any
 from urllib.parse import urlencode
 
@@ -17,6 +14,16 @@
 from oleanderdyke.clients.whole import read_whole
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.platform.fields import MALFORMED, load_object, read_integer
+from oleanderdyke.platform.records import (
+    CutShort,
+    KeyedPage,
+    find_last_key,
+    join_record,
+    sort_items,
+    split_keyed,
+    split_records,
+)
 
 # The whole answer of a call, beyond the time that it was asked to wait. The
 # platform states 4 ms an answer; this leaves room for a lost packet, and with
@@ -28,7 +35,6 @@
 _OK = 200
 _EXPIRED = 410
 _NOT_FOUND = 404
-_LENGTH = struct.Struct('>I')
 _ENDS = struct.Struct('>QQ')
 
 
@@ -50,22 +56,6 @@
         self.first = first
 
 
-@dataclass(frozen=True, slots=True)
-class KeyedRecord:
-    """Hold one record; without a value its key is dropped."""
-
-    key: str
-    value: bytes | None
-
-
-@dataclass(frozen=True, slots=True)
-class KeyedPage:
-    """Hold records in their order; `end` is where to read on."""
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-
-
 class StoreClient:
     """Call the store at `host:port`; `wait` is that of every long read."""
 
@@ -88,19 +78,15 @@
         snapshot: reading on goes from the end of the first.
         """
         items: list[Any] = []
-        end, after, more = None, '', True
-        while more:
-            query = {'topic': topic, 'part': _PARTITION}
-            if after:
-                query['after'] = after
-            page = await self._get_json('/api/log-newest', query)
-            found = page.get('items') or ()
+        end, after, is_last = None, '', False
+        while not is_last:
+            found, page = await self._list_page(topic, after)
             items += found
-            end = page['end'] if end is None else end
-            more = bool(page.get('more')) and bool(found)
-            after = found[-1]['key'] if found else ''
-        items.sort(key=lambda item: int(item.get('offset', 0)))
-        return KeyedPage(tuple(map(_decode_item, items)), int(end or 0))
+            end = _read_offset(page, 'end') if end is None else end
+            before, after = after, find_last_key(found)
+            # Without a later key the same page would come for ever.
+            is_last = not page.get('more') or after in {'', before}
+        return KeyedPage(sort_items(items), end or 0)
 
     async def read_keyed(self, topic: str, start: int) -> KeyedPage:
         """Return records from `start` on, waiting for the first.
@@ -108,7 +94,8 @@
         Raise StoreUnavailable or RecordsExpired.
         """
         records = await self._read(topic, start)
-        keyed = tuple(_decode_keyed(each) for each in records)
+        # Also records that can't be split count for where to read on.
+        keyed = tuple(map(split_keyed, records))
         return KeyedPage(keyed, start + len(keyed))
 
     async def read_plain(self, topic: str, start: int) -> tuple[bytes, ...]:
@@ -128,7 +115,7 @@
         }
         status, data = await self._call('GET', '/api/log-read', query)
         if status == _EXPIRED:
-            raise RecordsExpired(int(_load(data).get('first', 0)))
+            raise RecordsExpired(_read_offset(_load(data), 'first'))
         if status == _NOT_FOUND and not start:
             # A topic comes to be with its first record.
             await anyio.sleep(self._wait / SECOND)
@@ -140,24 +127,38 @@
         end, _ = _ENDS.unpack_from(data)
         if end < start:
             raise RecordsExpired
-        return list(_split_records(data[_ENDS.size :]))
+        try:
+            return list(split_records(data[_ENDS.size :]))
+        except CutShort as error:
+            raise StoreUnavailable('a record is cut short') from error
 
     async def append(self, topic: str, record: bytes) -> int:
         """Append one record and return its offset; raise StoreUnavailable."""
         query = {'topic': topic, 'part': _PARTITION}
-        body = _LENGTH.pack(len(record)) + record
-        status, data = await self._call('POST', '/api/log-append', query, body)
+        status, data = await self._call(
+            'POST', '/api/log-append', query, join_record(record)
+        )
         _check(status)
-        return int(_load(data)['offset'])
+        return _read_offset(_load(data), 'offset')
 
     async def close(self) -> None:
         """Close every connection."""
         await self._http.close()
 
-    async def _get_json(self, path: str, query: dict[str, Any]) -> Any:
-        status, data = await self._call('GET', path, query)
+    async def _list_page(
+        self, topic: str, after: str
+    ) -> tuple[list[Any], Mapping[str, Any]]:
+        """Return some of the newest records and the answer they came with."""
+        query = {'topic': topic, 'part': _PARTITION}
+        if after:
+            query['after'] = after
+        status, data = await self._call('GET', '/api/log-newest', query)
         _check(status)
-        return _load(data)
+        page = _load(data)
+        found = page.get('items') or []
+        if not isinstance(found, list):
+            raise StoreUnavailable('the answer has no list of records')
+        return found, page
 
     async def _call(
         self, method: str, path: str, query: dict[str, Any], body: bytes = b''
@@ -181,33 +182,15 @@
         raise StoreUnavailable(f'answered with {status}', ran=Ran.NO)
 
 
-def _load(data: bytes) -> Any:
+def _load(data: bytes) -> Mapping[str, Any]:
+    try:
+        return load_object(data)
+    except MALFORMED as error:
+        raise StoreUnavailable('the answer is no JSON object') from error
+
+
+def _read_offset(found: Mapping[str, Any], name: str) -> int:
     try:
-        return json.loads(data)
-    except ValueError as error:
-        raise StoreUnavailable('the answer is no JSON') from error
-
-
-def _decode_item(item: Any) -> KeyedRecord:
-    value = base64.b64decode(item.get('value') or '')
-    return KeyedRecord(str(item['key']), value or None)
-
-
-def _split_records(data: bytes) -> Iterator[bytes]:
-    position = 0
-    while position + _LENGTH.size <= len(data):
-        (length,) = _LENGTH.unpack_from(data, position)
-        position += _LENGTH.size
-        if position + length > len(data):
-            raise StoreUnavailable('a record is cut short')
-        yield data[position : position + length]
-        position += length
-
-
-def _decode_keyed(record: bytes) -> KeyedRecord:
-    """Split a record: one byte for the key's length, the key, the value."""
-    if not record or len(record) < 1 + record[0]:
-        raise StoreUnavailable('a record has no key')
-    split = 1 + record[0]
-    key = record[1:split].decode('utf-8', 'replace')
-    return KeyedRecord(key, record[split:] or None)
+        return read_integer(found, name)
+    except MALFORMED as error:
+        raise StoreUnavailable(f'the answer has no {name}') from error
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -141,6 +141,8 @@
 
 def make_record(address: str, **changes: Any) -> dict[str, Any]:
     """Build what a backend server writes to the list."""
+    # An engine tells its stage beside its models.
+    stage = {'stage': 'unified'} if 'models' in changes else {}
     return {
         'service': 'desk',
         'address': address,
@@ -150,6 +152,7 @@
         'state': 'ready',
         'coldRemainingMs': 0,
         'seq': 1,
+        **stage,
         **changes,
     }
 
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -17,6 +17,7 @@
 
 from oleanderdyke.platform.documents import MalformedRecord, decode_server
 from oleanderdyke.platform.feed import OperatorFeed, ServerFeed, list_servers
+from oleanderdyke.platform.records import find_last_key
 from oleanderdyke.platform.store import StoreUnavailable
 from tests import foreign
 from tests.hosted import CONFIGURATION, SERVERS, make_record, staging
@@ -181,6 +182,22 @@
     assert client.asked[1]['after'] == 'a'
 
 
+@pytest.mark.parametrize(
+    ('keys', 'after'),
+    [
+        ([], ''),
+        ([7, None], ''),
+        (['a', 'b'], 'b'),
+        (['a', 7], 'a'),
+        (['a', 'b\ufffd'], 'a'),
+        (['b\ufffd', 'c\ufffd'], 'c\ufffd'),
+        (['a', '\ud800'], 'a'),
+    ],
+)
+def test_pages_go_on_after_a_key_that_can_be_sent(keys, after):
+    assert find_last_key([{'key': key} for key in keys]) == after
+
+
 async def test_pages_that_never_end_are_left():
     client = foreign.CannedStore(
         *[foreign.make_page([foreign.make_item('a', GOOD)], more=True)] * 9
