Show what an entry does that can't be read any more

Seven tests fail: a backend server whose newest entry can't be read still gets new work by the entry before it, and an engine that is missing from a list read anew for that alone counts as gone, so that context of its weights may be freed.

--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -300,3 +300,61 @@
     book.put(make_record('a', beat=7), 1_100.0)
     book.put(make_record('a', beat=8), 2_300.0)
     assert len(book.list_service('desk', 2_300.0)) == 1
+
+
+def test_a_server_whose_entry_cannot_be_read_gets_no_new_work():
+    book = make_engines('a', 'b')
+    book.note_unread(['a', 'never-seen'])
+    assert list_names(book) == ['b']
+    assert not book.has_left('a')
+    book.put(make_record('a', versions={'m': 1}, beat=2), 1.0)
+    assert list_names(book) == ['a', 'b']
+
+
+def test_an_entry_that_cannot_be_read_ends_no_running_work():
+    book = make_engines('a')
+    book.note_sent('a', 'x', Owed(0.0, 10, memory=700))
+    book.note_unread(['a'])
+    book.note_read(60_000.0)
+    assert book.find('a').running == 1
+    book.note_version('a', 'm', 2)
+    assert book.find_oldest_version('m') == 2
+
+
+def test_an_entry_that_cannot_be_read_frees_no_context():
+    book = make_engines('a', 'b')
+    book.note_version('b', 'm', 2)
+    book.replace(
+        [make_record('b', versions={'m': 2})], 9_000.0, unread=['a', 'other']
+    )
+    book.note_read(60_000.0)
+    assert list_names(book, 60_000.0) == ['b']
+    assert book.find_oldest_version('m') == 1
+
+
+def test_an_entry_that_could_not_be_read_and_went_is_gone():
+    book = make_engines('a')
+    book.note_unread(['a'])
+    book.remove('a', 500.0)
+    book.note_read(500.0)
+    assert book.find('a') is None
+    assert book.find_oldest_version('m') is None
+
+
+def test_an_entry_that_is_gone_is_not_brought_back_by_what_cannot_be_read():
+    book = make_book('a')
+    book.note_sent('a', 'x', Owed(0.0, 10))
+    book.remove('a', 500.0)
+    book.note_unread(['a'])
+    book.note_read(600.0)
+    assert list_names(book, 600.0) == []
+    book.note_ended('a', 'x', 0)
+    book.note_read(700.0)
+    assert book.find('a') is None
+
+
+def test_an_entry_never_loses_the_weights_that_its_server_holds():
+    book = make_engines('a')
+    book.put(make_record('a', versions={}, beat=2), 1.0)
+    book.put(make_record('a', versions={'k': 1}, beat=3), 2.0)
+    assert book.find('a').record.versions == {'m': 1, 'k': 1}
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -20,7 +20,13 @@
 from oleanderdyke.platform.records import find_last_key
 from oleanderdyke.platform.store import StoreUnavailable
 from tests import foreign
-from tests.hosted import CONFIGURATION, SERVERS, make_record, staging
+from tests.hosted import (
+    CONFIGURATION,
+    ROUTE,
+    SERVERS,
+    make_record,
+    staging,
+)
 from tests.standins.scripts import answer_well
 
 GOOD = foreign.encode(foreign.GOOD)
@@ -252,6 +258,35 @@
     told.check_bounded()
 
 
+@pytest.mark.parametrize(
+    ('records', 'unread'),
+    [
+        ([GOOD, b'{'], ['b']),
+        ([b'{', GOOD], []),
+        ([b'{', b''], []),
+        ([b'', b'{'], ['b']),
+    ],
+    ids=['was_good', 'is_good_again', 'is_gone', 'came_back_broken'],
+)
+async def test_the_newest_entry_of_a_server_tells_whether_it_is_read(
+    records, unread
+):
+    told = Told()
+    keyed = [foreign.make_keyed(b'b', value) for value in records]
+    news, _ = await read_history(told, make_good('a'), *keyed)
+    assert news.unread == unread
+    assert len(told.names) == 1
+
+
+async def test_a_whole_list_tells_which_entries_cannot_be_read():
+    items = foreign.list_items([('a', GOOD), ('b', b'{')])
+    feed = ServerFeed(
+        foreign.CannedStore(foreign.make_page([*items, 7])), Told()
+    )
+    news = await feed.read()
+    assert (list_names(news), 'b' in news.unread) == (['a'], True)
+
+
 VERSION = {'model': 'm', 'version': 4}
 BROKEN_VERSIONS = {
     'other_model': {**VERSION, 'model': 'n'},
@@ -359,6 +394,52 @@
     return [backend.record.server for backend in listed]
 
 
+async def test_a_server_whose_entry_becomes_broken_ends_what_it_runs(tmp_path):
+    release = anyio.Event()
+
+    async def run(peer):
+        await release.wait()
+        await answer_well(peer)
+
+    patient = {**ROUTE, 'timeoutMs': 9_000}
+    async with staging(
+        tmp_path,
+        run,
+        answer_well,
+        configuration={**CONFIGURATION, 'routes': [patient]},
+    ) as stage:
+        topic = stage.store.find(SERVERS)
+        first, second = topic.newest['i-0'][1], topic.newest['i-1'][1]
+        topic.put('i-1', b'{')
+        await wait_usable(stage, ['i-0'])
+        answered = []
+
+        async def call():
+            found = await stage.call('/once/1', oleanderdyke_deadline_ms='9000')
+            answered.append(found.status)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            with anyio.fail_after(5):
+                while not stage.replicas[0].received:
+                    await anyio.sleep(0.02)
+            topic.put('i-0', b'\xff')
+            topic.put('i-1', second)
+            await wait_usable(stage, ['i-1'])
+            assert (await stage.call('/once/2')).status == 200
+            assert len(stage.replicas[1].received) == 1
+            release.set()
+        assert answered == [200]
+        topic.put('i-0', first)
+        await wait_usable(stage, ['i-0', 'i-1'])
+
+
+async def wait_usable(stage, servers) -> None:
+    with anyio.fail_after(5):
+        while sorted(list_usable(stage)) != servers:
+            await anyio.sleep(0.05)
+
+
 async def test_a_record_of_another_writer_gets_no_requests(tmp_path):
     async with staging(tmp_path, answer_well) as stage:
         for number, value in enumerate(foreign.BROKEN_FIELDS.values()):
