Send nothing new to a server whose entry can't be read

Cause: a broken entry was left out and the good one before it stayed in force; from a whole list the server was gone, with the weights that it holds.

Change: the feed tells whose newest record can't be read. Such a server gets no new work; it is not gone, so its runs go on and its weights still count for what context may be freed. The next good entry brings it back. An entry that leaves out a model no longer takes it from an engine.

--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -88,12 +88,13 @@
             return
         now = core.clock.now()
         if news.is_whole:
-            core.book.replace(news.listed, now)
+            core.book.replace(news.listed, now, unread=news.unread)
         else:
             for server in news.gone:
                 core.book.remove(server, now)
             for record in news.listed:
                 core.book.put(record, now)
+            core.book.note_unread(news.unread)
         core.servers_read = now
         core.book.note_read(now)
 
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from oleanderdyke.clock import SECOND, Millis
@@ -64,6 +64,8 @@
     out_until: Millis = 0.0
     reload_until: Millis = 0.0
     missing_since: Millis | None = None
+    # Its newest entry can't be read, so what it told before may be outdated.
+    is_unread: bool = False
     delays: dict[int, Delay] = field(default_factory=dict)
     kept: OrderedDict[str, int] = field(default_factory=OrderedDict)
     kept_tokens: int = 0
@@ -187,6 +189,7 @@
             for backend in self._backends.values()
             if backend.record.service == service
             and not backend.record.is_leaving
+            and not backend.is_unread
             and not self._is_missing(backend, now)
         ]
 
@@ -197,13 +200,24 @@
         self._read_at = now
         self._drop_missing(now)
 
-    def replace(self, records: Iterable[ServerRecord], now: Millis) -> None:
-        """Take the whole list; what is not on it is missing."""
+    def replace(
+        self,
+        records: Iterable[ServerRecord],
+        now: Millis,
+        *,
+        unread: Collection[str] = (),
+    ) -> None:
+        """Take the whole list; what is not on it is missing.
+
+        `unread` are servers on it whose entries can't be read.
+        """
         listed = {record.server: record for record in records}
         for record in listed.values():
             self.put(record, now)
+        self.note_unread(unread)
+        present = listed.keys() | unread
         for server, backend in self._backends.items():
-            if server not in listed and backend.missing_since is None:
+            if server not in present and backend.missing_since is None:
                 backend.missing_since = now
 
     def put(self, record: ServerRecord, now: Millis) -> None:
@@ -215,6 +229,7 @@
             self._backends[record.server] = Backend(record, now)
             return
         known.missing_since = None
+        known.is_unread = False
         if known.record.is_leaving and not record.is_leaving:
             record = replace(record, is_leaving=True)
         merged = _merge_versions(known.record, record)
@@ -222,6 +237,21 @@
             known.reload_until = 0.0
         known.record = merged
 
+    def note_unread(self, servers: Iterable[str]) -> None:
+        """Learn whose newest entries can't be read.
+
+        They get no new work until a later one can. They are not gone: what
+        runs there goes on, and the weights that they hold still count, so
+        that context is not freed for this alone.
+        """
+        for server in servers:
+            backend = self._backends.get(server)
+            if backend is None:
+                continue
+            backend.is_unread = True
+            if server not in self._removed:
+                backend.missing_since = None
+
     def remove(self, server: str, now: Millis) -> None:
         """Learn that a server's entry is gone.
 
@@ -383,9 +413,12 @@
 
 
 def _merge_versions(known: ServerRecord, told: ServerRecord) -> ServerRecord:
-    """Keep a newer version that an answer showed before the list did."""
-    versions = {
-        model: max(version, known.versions.get(model, 0))
-        for model, version in told.versions.items()
-    }
+    """Keep a newer version that an answer showed before the list did.
+
+    A model that is left out is kept too: no order takes one from an engine,
+    and one without known weights would get requests for any.
+    """
+    versions = dict(known.versions)
+    for model, version in told.versions.items():
+        versions[model] = max(version, versions.get(model, 0))
     return replace(told, versions=versions)
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -23,7 +23,7 @@
 Refuse: TypeAlias = Callable[[str, MalformedRecord], None]
 
 # Records that are told one by one of those that came together; the others are
-# counted. A line costs as much as reading two good records.
+# counted. A line costs about as much as reading a good record.
 _TOLD = 3
 # A key has up to 255 bytes of any kind.
 _MOST_KEY = 64
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -353,6 +353,16 @@
     assert book.find('a') is None
 
 
+def test_an_entry_that_lapsed_and_came_back_unreadable_still_counts():
+    book = make_engines('a', 'b')
+    book.replace([make_record('b', versions={'m': 2})], 9_000.0)
+    book.note_read(9_000.0)
+    book.note_unread(['a'])
+    book.note_read(12_000.0)
+    assert list_names(book, 12_000.0) == ['b']
+    assert book.find_oldest_version('m') == 1
+
+
 def test_an_entry_never_loses_the_weights_that_its_server_holds():
     book = make_engines('a')
     book.put(make_record('a', versions={}, beat=2), 1.0)
