--- a/tests/foreign.py
+++ b/tests/foreign.py
@@ -21,14 +21,21 @@
 GOOD = make_record('10.0.0.2:80', stage='unified', models=MODELS)
 DEEP = b'[' * 50_000
 
-JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(), inner, max_size=3)
-    ),
-    max_leaves=6,
-)
+
+def _draw_json(numbers: st.SearchStrategy[float]) -> st.SearchStrategy[Any]:
+    return st.recursive(
+        st.none() | st.booleans() | st.integers() | numbers | st.text(),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.text(), inner, max_size=3)
+        ),
+        max_leaves=6,
+    )
+
+
+JSON = _draw_json(st.floats())
+# What can stand in an answer of the store, which writes proper JSON.
+FINITE = _draw_json(st.floats(allow_nan=False, allow_infinity=False))
 
 
 class CannedStore(StoreClient):
