Decode events, names, heads and settings without trust in what they hold

An event of a store of context that can't be read is left out as one that never came, and told; an unknown sign takes nothing away. Heads and settings take finite numbers only, of at most 15 digits where they are whole. A salt has to be one that this system writes.

--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -10,6 +10,7 @@
 from oleanderdyke.kernel.context_stores import StoreView
 from oleanderdyke.kernel.outdated import OutdatedContext
 from oleanderdyke.platform.contexts import ContextClient, ContextUnavailable
+from oleanderdyke.platform.documents import MalformedRecord
 
 _RETRY_PAUSE: Millis = 300.0
 # A store serves so many readers at once; more entries than that leave it to
@@ -54,7 +55,7 @@
         )
 
     async def _follow(self, view: StoreView) -> None:
-        client = ContextClient(view.traits.address)
+        client = ContextClient(view.traits.address, self._refuse)
         scope = self._followed[view.traits.address]
         is_down, pause = False, _RETRY_PAUSE
         with scope:
@@ -122,6 +123,11 @@
             reason='freed' if is_freed else 'refused',
         )
 
+    def _refuse(self, name: str, error: MalformedRecord) -> None:
+        self._core.log.write(
+            EventName.RECORD_REFUSED, name=name, detail=error.message
+        )
+
     def _log(
         self, event: EventName, view: StoreView, detail: str | None
     ) -> None:
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -7,6 +7,7 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
+from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.entries import EntryFeed
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
@@ -20,7 +21,7 @@
 
     def __init__(self, core: HostedCore) -> None:
         self._core = core
-        self._feed = EntryFeed(StoreClient(core.settings.store))
+        self._feed = EntryFeed(StoreClient(core.settings.store), self._refuse)
         self._told_at: Millis | None = None
 
     async def run(self) -> None:
@@ -35,6 +36,11 @@
                 )
             await anyio.sleep(_PERIOD / SECOND)
 
+    def _refuse(self, name: str, error: MalformedRecord) -> None:
+        self._core.log.write(
+            EventName.RECORD_REFUSED, name=name, detail=error.message
+        )
+
     async def _tell(self) -> None:
         now = self._core.clock.now()
         if self._told_at is not None and now - self._told_at < _NOTICE_PERIOD:
--- a/src/oleanderdyke/kernel/context_stores.py
+++ b/src/oleanderdyke/kernel/context_stores.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import math
+import re
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -20,6 +21,8 @@
 _SHORTEST_FETCH: Millis = 500.0
 # A save that has not been told as complete by then has failed.
 _SAVE_LIMIT: Millis = 5 * SECOND
+# A version of weights as this system writes it into a salt.
+_VERSION = re.compile('0|[1-9][0-9]{0,15}')
 # Space is given out in blocks, and other entries save at the same time.
 _FILL_SHARE = 0.97
 
@@ -43,7 +46,7 @@
 def decode_salt(text: str) -> Salt | None:
     """Read a salt that this system made, None for any other text."""
     version, *rest = text.split('/', 2)
-    if len(rest) != 2 or not version.isdigit():
+    if len(rest) != 2 or not _VERSION.fullmatch(version):
         return None
     return Salt(rest[0], int(version), rest[1])
 
--- a/src/oleanderdyke/platform/contexts.py
+++ b/src/oleanderdyke/platform/contexts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from oleanderdyke.clients.http import HttpError
@@ -12,6 +12,17 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.context_stores import ContextEvent, ContextEvents
+from oleanderdyke.platform.documents import MalformedRecord
+from oleanderdyke.platform.feed import Refuse, tell_refused
+from oleanderdyke.platform.fields import (
+    MALFORMED,
+    FieldError,
+    load_object,
+    read_flag,
+    read_integer,
+    read_number,
+    read_text,
+)
 
 # The longest wait that a store allows; shorter ones are dear.
 _WAIT: Millis = 1 * SECOND
@@ -20,8 +31,12 @@
 _MAX_ANSWER = 16 * 1024 * 1024
 _OK = 200
 _CROWDED = 429
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 _ADDED = '+'
+_REMOVED = '-'
+# The places of an event that are read.
+_EVENT_FIELDS = ('number', 'sign', 'salt', 'part', 'tokens')
+# What stands in an answer that can't be read may be long.
+_MOST_DETAIL = 200
 
 
 class ContextUnavailable(OleanderError):
@@ -33,9 +48,14 @@
 
 
 class ContextClient:
-    """Call the store at `host:port`."""
+    """Call the store at `host:port`.
 
-    def __init__(self, address: str) -> None:
+    Events that can't be read are passed to `refuse` and left out.
+    """
+
+    def __init__(self, address: str, refuse: Refuse) -> None:
+        self._address = address
+        self._refuse = refuse
         bound = _WAIT + _PATIENCE
         settings = KeptSettings(
             connections=1,
@@ -57,9 +77,27 @@
                 f'answered with {status}', is_crowded=status == _CROWDED
             )
         try:
-            return _decode(json.loads(data))
-        except _MALFORMED as error:
-            raise ContextUnavailable(f'malformed events: {error!r}') from error
+            found = load_object(data)
+            return _decode(found, tuple(self._decode_events(found)))
+        except MALFORMED as error:
+            detail = f'malformed events: {error!r}'[:_MOST_DETAIL]
+            raise ContextUnavailable(detail) from error
+
+    def _decode_events(self, found: Mapping[str, Any]) -> list[ContextEvent]:
+        """Leave one out as if it had never come, which a few never do."""
+        told = found['events']
+        if not isinstance(told, list):
+            raise FieldError('events: is no list')
+        events: list[ContextEvent] = []
+        refused: list[tuple[str, MalformedRecord]] = []
+        for each in told:
+            try:
+                events.append(_decode_event(each))
+            except MALFORMED as error:
+                fault = MalformedRecord(f'event: {error!r}')
+                refused.append((self._address, fault))
+        tell_refused(refused, self._refuse)
+        return events
 
     async def free(
         self, parts: Sequence[tuple[str, str]], boot: int, until: Millis
@@ -101,16 +139,29 @@
             raise ContextUnavailable(error.message) from error
 
 
-def _decode(found: Any) -> ContextEvents:
+def _decode(
+    found: Mapping[str, Any], events: tuple[ContextEvent, ...]
+) -> ContextEvents:
     return ContextEvents(
-        boot=int(found['bootEpoch']),
-        next=int(found['next']),
-        has_gap=bool(found.get('lost', False)),
-        clock=float(found.get('clock_ms') or 0.0),
-        events=tuple(_decode_event(each) for each in found['events']),
+        boot=read_integer(found, 'bootEpoch'),
+        next=read_integer(found, 'next'),
+        has_gap=read_flag(found, 'lost') if 'lost' in found else False,
+        clock=read_number(found, 'clock_ms') if 'clock_ms' in found else 0.0,
+        events=events,
     )
 
 
-def _decode_event(found: Sequence[Any]) -> ContextEvent:
-    _, sign, salt, part, tokens, *_ = found
-    return ContextEvent(sign == _ADDED, str(salt), str(part), int(tokens))
+def _decode_event(told: Any) -> ContextEvent:
+    found = dict(zip(_EVENT_FIELDS, told, strict=False))
+    sign, salt = found['sign'], found['salt']
+    if sign not in {_ADDED, _REMOVED}:
+        raise FieldError('the sign is not named')
+    # Whoever saves without a salt has an empty one.
+    if not isinstance(salt, str):
+        raise FieldError('the salt is no text')
+    return ContextEvent(
+        is_added=sign == _ADDED,
+        salt=salt,
+        part=read_text(found, 'part'),
+        tokens=read_integer(found, 'tokens'),
+    )
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -173,7 +173,7 @@
         except MalformedRecord as error:
             refused.append((record.key, error))
             unread[record.key] = None
-    _tell(refused, refuse)
+    tell_refused(refused, refuse)
     return _Decoded(found, list(unread))
 
 
@@ -185,9 +185,10 @@
     return decode(record.key, record.value)
 
 
-def _tell(
+def tell_refused(
     refused: Sequence[tuple[str, MalformedRecord]], refuse: Refuse
 ) -> None:
+    """Tell some of what came together and can't be read, and count the rest."""
     for key, error in refused[:_TOLD]:
         refuse(key[:_MOST_KEY], error)
     more = len(refused) - _TOLD
--- a/src/oleanderdyke/platform/fields.py
+++ b/src/oleanderdyke/platform/fields.py
@@ -62,6 +62,14 @@
     raise FieldError(f'{name}: is no number within bounds')
 
 
+def read_flag(found: Mapping[str, Any], name: str) -> bool:
+    """Return true or false; raise one of MALFORMED."""
+    flag = found[name]
+    if isinstance(flag, bool):
+        return flag
+    raise FieldError(f'{name}: is neither true nor false')
+
+
 def read_address(found: Mapping[str, Any], name: str) -> str:
     """Return `host:port`; raise one of MALFORMED."""
     address = read_text(found, name)
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -20,7 +21,10 @@
 
 # With these a final answer promises that the request has not run.
 PROMISES = frozenset({408, 421, 429, 503})
-_KEEP_ALIVE = re.compile(r'timeout=(\d+)')
+# Whole numbers up to here are read; more digits than that mean nothing, and
+# thousands of them raise an error.
+_MOST_DIGITS = 15
+_KEEP_ALIVE = re.compile(r'timeout=([0-9]{1,15})(?![0-9])')
 _LOAD_PARTS = 3
 _NOWHERE = '-'
 _MISDIRECTED = 421
@@ -184,11 +188,14 @@
 
 def _read_whole(text: str) -> int | None:
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    if len(text) > _MOST_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    return int(text)
 
 
 def _read_number(text: str) -> float | None:
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -96,11 +97,14 @@
         if not found:
             return default
         try:
-            return float(found)
+            number = float(found)
         except ValueError:
-            fault = f'{name}: found {found!r}; allowed: a number'
-            self._faults.append(f'{self._source}: {fault}')
-            return default
+            number = math.nan
+        if math.isfinite(number):
+            return number
+        fault = f'{name}: found {found!r}; allowed: a number'
+        self._faults.append(f'{self._source}: {fault}')
+        return default
 
 
 def _split_lines(text: str, source: str) -> tuple[dict[str, str], list[str]]:
