Bound what one broken record in ten costs

A thousand records of which each tenth is broken, each otherwise, against a thousand good ones, read and logged as an entry does; the best of twelve runs in turns, by processor time. The counts of servers kept and of lines are checked in each run.

--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -10,11 +10,17 @@
 
 from __future__ import annotations
 
+import gc
+import io
 import json
+import math
+import time
 
 import anyio
 import pytest
 
+from oleanderdyke.events import EventName
+from oleanderdyke.logs import make_event_log
 from oleanderdyke.platform.documents import MalformedRecord, decode_server
 from oleanderdyke.platform.feed import OperatorFeed, ServerFeed, list_servers
 from oleanderdyke.platform.records import find_last_key
@@ -452,3 +458,69 @@
                 await anyio.sleep(0.05)
         assert list_usable(stage) == ['i-0']
     assert json.loads(GOOD) == foreign.GOOD
+
+
+RECORDS = 1_000
+RUNS = 12
+# What reading may take longer where one record in ten is broken.
+MOST_RATIO = 1.2
+# A record as long as hundreds takes as long to fetch, good or not.
+USUAL = [value for value in foreign.BROKEN.values() if len(value) < 5_000]
+
+
+def make_records(*, every_tenth) -> list[tuple[str, bytes]]:
+    """Build a thousand records; each broken one is broken otherwise."""
+    return [
+        (
+            f'i-{number}',
+            USUAL[number // 10 % len(USUAL)]
+            if every_tenth and number % 10 == 5
+            else GOOD,
+        )
+        for number in range(RECORDS)
+    ]
+
+
+def make_changes(records) -> bytes:
+    keyed = [foreign.make_keyed(key.encode(), text) for key, text in records]
+    return foreign.make_history(keyed)
+
+
+async def time_reading(*answers) -> tuple[float, int, int]:
+    """Read and log as an entry does; return seconds, servers and lines."""
+    told = io.StringIO()
+    log = make_event_log('front-1', stream=told)
+
+    def refuse(name, error):
+        log.write(EventName.RECORD_REFUSED, name=name, detail=error.message)
+
+    feed = ServerFeed(foreign.CannedStore(*answers), refuse)
+    for _ in answers[1:]:
+        await feed.read()
+    gc.collect()
+    began = time.process_time()
+    news = await feed.read()
+    took = time.process_time() - began
+    return took, len(news.listed), len(told.getvalue().splitlines())
+
+
+@pytest.mark.parametrize('is_whole', [True, False])
+async def test_one_broken_record_in_ten_costs_little(is_whole):
+    good, mixed = (
+        make_records(every_tenth=every_tenth) for every_tenth in (False, True)
+    )
+    if is_whole:
+        answers = [
+            [foreign.make_page(foreign.list_items(each))]
+            for each in (good, mixed)
+        ]
+    else:
+        answers = [[EMPTY, make_changes(each)] for each in (good, mixed)]
+    best = [math.inf, math.inf]
+    # In turns, so that a busy machine slows both.
+    for _ in range(RUNS):
+        for place, (records, lines) in enumerate([(1_000, 0), (900, 4)]):
+            took, *counts = await time_reading(*answers[place])
+            assert counts == [records, lines]
+            best[place] = min(best[place], took)
+    assert best[1] <= MOST_RATIO * best[0]
