Take in: records of other writers name nothing and hold up nobody

Notices of loads and reports of engines are read by the same typed fields as entries of servers: a notice that nests too deep, a name that is no text or a flag where a number is due is told and left out, a thousand of them in four lines; a report like that is an engine that is away.

--- a/src/oleanderdyke/platform/engines.py
+++ b/src/oleanderdyke/platform/engines.py
@@ -12,12 +12,20 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.rollout import EngineState
 from oleanderdyke.platform import names
+from oleanderdyke.platform.fields import (
+    MALFORMED,
+    load_object,
+    read_flag,
+    read_integer,
+    read_number,
+    read_objects,
+    read_text,
+)
 
 # The engine runs on the same machine.
 _TIMEOUT: Millis = 1 * SECOND
 _MAX_ANSWER = 4 * 1024 * 1024
 _OK = 200
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class OrderOutcome(enum.StrEnum):
@@ -80,7 +88,7 @@
             raise EngineUnavailable(f'answered with {status}')
         try:
             return _decode_state(data)
-        except _MALFORMED as error:
+        except MALFORMED as error:
             raise EngineUnavailable(f'malformed report: {error!r}') from error
 
     async def give_order(self, order: WeightOrder) -> OrderOutcome:
@@ -128,13 +136,15 @@
 
 
 def _decode_state(data: bytes) -> EngineState:
-    found = json.loads(data)
+    found = load_object(data)
+    models = read_objects(found, 'models')
     return EngineState(
         versions={
-            str(each['name']): int(each['version']) for each in found['models']
+            read_text(each, 'name'): read_integer(each, 'version')
+            for each in models
         },
-        is_busy=bool(found.get('busy', False)),
+        is_busy=read_flag(found, 'busy') if 'busy' in found else False,
         # The wire's `seq` counts the orders that were accepted.
-        orders=int(found.get('seq', 0)),
-        clock=float(found.get('clock_ms') or 0.0),
+        orders=read_integer(found, 'seq') if 'seq' in found else 0,
+        clock=read_number(found, 'clock_ms') if 'clock_ms' in found else 0.0,
     )
--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -3,24 +3,24 @@
 from __future__ import annotations
 
 import json
-import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from oleanderdyke.kernel.load_queue import LoadNotice, LoadStep
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import MalformedRecord
-from oleanderdyke.platform.feed import Refuse
+from oleanderdyke.platform.feed import Refuse, tell_refused
+from oleanderdyke.platform.fields import (
+    MALFORMED,
+    load_object,
+    read_integer,
+    read_number,
+    read_text,
+)
 from oleanderdyke.platform.store import RecordsExpired, StoreClient
 
-_MALFORMED = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
+# Names of processes and of servers' starts are some tens of letters long.
+_MOST_NAME = 256
 
 
 class LoadFeed:
@@ -49,14 +49,17 @@
         self._position += len(records)
         return tuple(self._decode(records))
 
-    def _decode(self, records: tuple[bytes, ...]) -> Iterator[LoadNotice]:
+    def _decode(self, records: tuple[bytes, ...]) -> list[LoadNotice]:
+        notices: list[LoadNotice] = []
+        refused: list[tuple[str, MalformedRecord]] = []
         for record in records:
             try:
-                yield _decode_notice(json.loads(record))
-            except _MALFORMED as error:
-                self._refuse(
-                    'loads', MalformedRecord(f'load notice: {error!r}')
-                )
+                notices.append(_decode_notice(load_object(record)))
+            except MALFORMED as error:
+                message = f'load notice: {type(error).__name__}: {error}'
+                refused.append(('loads', MalformedRecord(message[:200])))
+        tell_refused(refused, self._refuse)
+        return notices
 
 
 async def append_fence(client: StoreClient, process: str) -> int:
@@ -79,15 +82,22 @@
 
 
 def _decode_notice(found: Mapping[str, Any]) -> LoadNotice:
-    told = found.get('newest_at')
-    newest_at = None if told is None else float(told)
-    if newest_at is not None and not math.isfinite(newest_at):
-        raise ValueError(f'newest_at is {newest_at}')
+    has_age = found.get('newest_at') is not None
     return LoadNotice(
-        server=str(found['server']),
-        step=LoadStep(found['step']),
-        agent=str(found.get('agent') or ''),
-        model=str(found.get('model') or ''),
-        held=int(found.get('held') or 0),
-        newest_at=newest_at,
+        server=_read_name(found, 'server'),
+        step=LoadStep(read_text(found, 'step')),
+        agent=_read_name(found, 'agent'),
+        model=_read_name(found, 'model'),
+        held=read_integer(found, 'held') if 'held' in found else 0,
+        newest_at=read_number(found, 'newest_at') if has_age else None,
     )
+
+
+def _read_name(found: Mapping[str, Any], name: str) -> str:
+    """Return a name, which may be empty; raise one of MALFORMED."""
+    if found.get(name, '') == '':
+        return ''
+    text = read_text(found, name)
+    if len(text) > _MOST_NAME:
+        raise ValueError(f'{name}: has {len(text)} letters')
+    return text
