Keep the count of entries while nobody can tell of itself

Cause: who is alive was judged by the time of the question, not by that of the last read of the notices. With the store out the count fell to 2 after 40 s, though nobody could tell of itself, and each entry took half the allowance for what it sent again. After a start the count was trusted 20 s later even if nothing more had been read, and when the store came back all fell out in the first read, before they could tell.

Ruled out: judging by the last read alone; the first read after an outage then drops whoever has not told yet (the third new test).

One test changed: it let entries lapse without any read, which was the fault; it reads every 5 s now, and its figures are the same.

--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -255,6 +255,11 @@
     assert durations.find_bound('letter', 9_000.0) < 1_000.0
 
 
+def read_notices(count, since, until):
+    for at in range(since, until + 1, 5_000):
+        count.note_read(at)
+
+
 def test_entries_are_counted_high():
     count = EntryCount()
     assert count.count(0.0) == 12
@@ -264,10 +269,42 @@
     assert count.count(1_000.0) == 12
     for number in range(3):
         count.note(f'front-{number}', 25_000.0)
+    read_notices(count, 10_000, 25_000)
     assert count.count(30_000.0) == 5
+    read_notices(count, 30_000, 65_000)
     assert count.count(25_000.0 + LIFE) == 2
 
 
+def test_without_the_store_the_count_of_entries_stays():
+    count = EntryCount()
+    for number in range(6):
+        count.note(f'front-{number}', 0.0)
+    read_notices(count, 0, 30_000)
+    assert count.count(30_000.0) == 8
+    assert count.count(30_000.0 + LIFE) == 8
+
+
+def test_one_read_of_the_notices_knows_no_more_later():
+    count = EntryCount()
+    count.note('front-0', 0.0)
+    count.note_read(0.0)
+    assert count.count(30_000.0) == 12
+
+
+def test_entries_have_time_to_tell_of_themselves_once_the_store_is_back():
+    count = EntryCount()
+    for number in range(6):
+        count.note(f'front-{number}', 0.0)
+    read_notices(count, 0, 30_000)
+    back = 70_000.0
+    # One told first; the others tell within their usual time.
+    count.note('front-0', back)
+    count.note_read(back)
+    assert count.count(back) == 8
+    read_notices(count, 75_000, 110_000)
+    assert count.count(back + LIFE) == 2
+
+
 def test_a_budget_that_is_shared_by_more_gives_less():
     budget = RetryBudget(RetrySettings(burst=9.0), Random(1))
     budget.resize(RetrySettings(burst=2.0))
