Take the state of an engine to be as old as the question for it

Cause: an agent noted when an engine's state came, not when it was asked for. An answer may take up to the two seconds that a probe may take, so the state looked that much younger, and a settled engine was asked again that much later.

Ruled out: the moment of the question alone. A state is read again after a second, so an engine that takes a second to answer would be read again and again and never be given an order (the second test fails so: ReadState in place of Order).

Change: `read_at` is the moment of the question; the state also tells how long it took, and is read anew a second after the question, but not before there was time to confirm the right to an order.

Tests: 900 instead of 0 before, 0 now; four cases for slow answers, new with the field.

--- a/src/oleanderdyke/agent/engine.py
+++ b/src/oleanderdyke/agent/engine.py
@@ -67,9 +67,9 @@
 
     async def read_state(self) -> Observed:
         """Read the engine's state; raise OleanderError."""
-        observed = _read_observed(
-            await self._backend.get_json('/state'), self._clock.now()
-        )
+        asked_at = self._clock.now()
+        state = await self._backend.get_json('/state')
+        observed = _read_observed(state, asked_at, self._clock.now())
         self.observed = observed
         self._seen = _find_loaded(observed)
         self._show_loaded()
@@ -149,7 +149,7 @@
             self.segments.remove(segment)
 
 
-def _read_observed(state: Json, now: Millis) -> Observed:
+def _read_observed(state: Json, asked_at: Millis, now: Millis) -> Observed:
     try:
         return Observed(
             model=str(state['model'] or ''),
@@ -158,7 +158,8 @@
             adapter=str(state.get('adapter') or ''),
             role=str(state.get('role') or ''),
             fence=_read_fence(state.get('fence')),
-            read_at=now,
+            read_at=asked_at,
+            took=now - asked_at,
         )
     except (KeyError, TypeError, ValueError) as error:
         raise _make_fault('/state') from error
--- a/src/oleanderdyke/kernel/orders.py
+++ b/src/oleanderdyke/kernel/orders.py
@@ -18,6 +18,9 @@
 RECHECK: Millis = 1 * SECOND
 ORDER_TIMEOUT: Millis = 10 * SECOND
 VALIDITY_TIME: Millis = 250.0
+# Confirming the right to an order asks one entry after the other for 200 ms;
+# two of them may be silent.
+_CONFIRM_TIME: Millis = 500.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,9 +44,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Observed:
-    """Hold the state that an engine has reported, and when it was read.
+    """Hold the state that an engine has reported.
 
-    A state read before the last order was answered must not be used again.
+    It is as old as the question, which was asked at `read_at`; the answer
+    came `took` later. A state read before the last order was answered must
+    not be used again.
     """
 
     model: str
@@ -53,6 +58,15 @@
     role: str
     fence: Fence | None
     read_at: Millis
+    took: Millis = 0.0
+
+    @property
+    def due_at(self) -> Millis:
+        """Return when to read anew, never before an order can be given.
+
+        Else an engine that takes a second for its state would get none.
+        """
+        return self.read_at + max(RECHECK, self.took + _CONFIRM_TIME)
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,11 +170,11 @@
     stale = _find_stale(observed, fence, validity)
     if stale is not None:
         return StandDown(stale)
-    if observed is None or now - observed.read_at >= RECHECK:
+    if observed is None or now >= observed.due_at:
         return ReadState()
     is_fenced = not checks_fencing or _get_offset(observed) >= changed_at
     if is_fenced and matches(observed, desired):
-        return Settled(observed.read_at + RECHECK)
+        return Settled(observed.due_at)
     if checks_fencing:
         return Order(desired, fence, now + ORDER_TIMEOUT)
     if now - validity.read_at >= VALIDITY_TIME:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -25,7 +25,7 @@
     wait_until,
 )
 from oleanderdyke.agent import main as agent_main
-from oleanderdyke.agent.backend import Backend
+from oleanderdyke.agent.backend import Backend, Json
 from oleanderdyke.agent.engine import EngineView
 from oleanderdyke.agent.settings import BackendSettings, RunSettings
 from oleanderdyke.clock import ManualClock
@@ -637,6 +637,25 @@
     assert list_known() == []
 
 
+async def test_a_state_is_as_old_as_the_question_for_it() -> None:
+    clock = ManualClock()
+
+    class SlowEngine(Backend):
+        async def get_json(self, path: str) -> Json:
+            clock.advance(900.0)
+            return {'model': 'm', 'version': '1', 'digest': 'd'}
+
+    view = EngineView(
+        SlowEngine(BackendSettings(BackendKind.ENGINE, '127.0.0.1:1', 's')),
+        clock=clock,
+        events=make_event_log('a', stream=io.StringIO()),
+        on_loaded=lambda _: None,
+    )
+    observed = await view.read_state()
+    assert observed.read_at == 0.0
+    assert observed.took == 900.0
+
+
 @pytest.mark.parametrize(
     ('text', 'code', 'shown'),
     [
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -68,6 +68,24 @@
         assert reconcile(WANTED, observed, FENCE, validity, now) == step
 
 
+@pytest.mark.parametrize(
+    ('took', 'due_at'),
+    [
+        (0, 1_000),
+        (500, 1_000),
+        (1_000, 1_500),
+        (3_000, 3_500),
+    ],
+)
+def test_a_state_that_took_long_serves_for_one_order(took, due_at):
+    valid = replace(VALID, read_at=took)
+    old, done = replace(OLD, took=took), replace(DONE, took=took)
+    order = Order(WANTED, FENCE, took + VALIDITY_TIME)
+    assert reconcile(WANTED, old, FENCE, valid, took) == order
+    assert reconcile(WANTED, done, FENCE, valid, took) == Settled(due_at)
+    assert reconcile(WANTED, old, FENCE, valid, due_at) == ReadState()
+
+
 @pytest.mark.parametrize(
     ('observed', 'changed_at', 'is_settled'),
     [
