Let no answer confirm a later question than its own

Cause: an agent remembered the last 16 questions to an entry and took each answer for that to the oldest of them.

Ruled out: leaving out the newest question, which moves the later answers in the same way; asking nothing more while 16 are open, which never ends if answers were lost; remembering all, which has no bound.

Change: questions beyond 16 count with the last of them, so that they look older than they are, never younger.

--- a/src/oleanderdyke/agent/configuration.py
+++ b/src/oleanderdyke/agent/configuration.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass
 from random import Random
 
 import anyio
@@ -26,9 +27,19 @@
 from oleanderdyke.logs import EventLog
 
 _CONFIRM_WAIT: Millis = 200.0
+# Questions to one peer that are remembered one by one. One that doesn't answer
+# is asked about once a second until its link ends.
 _QUESTIONS = 16
 
 
+@dataclass(slots=True)
+class _Asked:
+    """Count questions that were asked at a moment, or later."""
+
+    at: Millis
+    count: int = 1
+
+
 class Configuration:
     """Hold an agent's copy of the configuration; agents read no log."""
 
@@ -39,7 +50,7 @@
         self._events = events
         self._reader = ConfigurationReader(random)
         self._changed = anyio.Event()
-        self._asked: dict[str, deque[Millis]] = {}
+        self._asked: dict[str, deque[_Asked]] = {}
         self._confirmed = anyio.Event()
         self._entries: dict[str, Outbox] = {}
         self.highest = -1
@@ -137,14 +148,22 @@
         return select(spec.teams, found.spec.labels)
 
     def _ask(self, outbox: Outbox, request: ConfigurationRequest) -> None:
-        asked = self._asked.setdefault(outbox.name, deque(maxlen=_QUESTIONS))
-        asked.append(self._clock.now())
+        asked = self._asked.setdefault(outbox.name, deque())
+        if len(asked) < _QUESTIONS:
+            asked.append(_Asked(self._clock.now()))
+        else:
+            # Were one left out, the answers after it would confirm later
+            # questions than their own.
+            asked[-1].count += 1
         outbox.put(request)
 
     def _note_answered(self, outbox: Outbox) -> None:
         asked = self._asked.get(outbox.name)
         if not asked or outbox.name not in self._entries:
             return
-        self.confirmed_at = max(self.confirmed_at, asked.popleft())
+        self.confirmed_at = max(self.confirmed_at, asked[0].at)
+        asked[0].count -= 1
+        if not asked[0].count:
+            asked.popleft()
         self._confirmed.set()
         self._confirmed = anyio.Event()
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -9,6 +9,7 @@
 import json
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import replace
+from random import Random
 from typing import Any
 
 import anyio
@@ -26,6 +27,7 @@
 )
 from oleanderdyke.agent import main as agent_main
 from oleanderdyke.agent.backend import Backend, Json
+from oleanderdyke.agent.configuration import Configuration
 from oleanderdyke.agent.engine import EngineView
 from oleanderdyke.agent.settings import BackendSettings, RunSettings
 from oleanderdyke.clock import ManualClock
@@ -50,6 +52,7 @@
     ConfigurationRequest,
     Credit,
     DrainRequest,
+    Message,
     Refused,
     Resume,
     SegmentWritten,
@@ -474,6 +477,42 @@
         )
 
 
+class SilentLink:
+    """Stand in for the link to an entry that the test answers for."""
+
+    name = 'entry-1'
+
+    def put(self, message: Message) -> None:
+        """Send nothing."""
+
+
+@pytest.mark.parametrize('unanswered', [1, 15, 16, 17, 40])
+def test_an_answer_confirms_no_later_question_than_its_own(
+    unanswered: int,
+) -> None:
+    clock = ManualClock()
+    configuration = Configuration(
+        clock=clock,
+        random=Random(7),
+        events=make_event_log('a', stream=io.StringIO()),
+    )
+    entry: Any = SilentLink()
+    configuration.add_entry(entry)
+    asked = []
+    for _ in range(unanswered):
+        # It is behind, and asks for what it lacks every two seconds.
+        configuration.hear(entry, 1)
+        asked.append(clock.now())
+        clock.advance(3_000.0)
+    for at in asked:
+        configuration.take(entry, ConfigurationDifference(-1, -1))
+        assert configuration.confirmed_at <= at
+    clock.advance(3_000.0)
+    configuration.hear(entry, 1)
+    configuration.take(entry, ConfigurationDifference(-1, -1))
+    assert configuration.confirmed_at == clock.now()
+
+
 async def test_message_for_others_is_refused() -> None:
     async with plain_agent() as (_, _, entry):
         await entry.link.send(SegmentWritten('r', b'', sealed=True))
