--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -57,7 +57,7 @@
                 notices.append(_decode_notice(load_object(record)))
             except MALFORMED as error:
                 message = f'load notice: {type(error).__name__}: {error}'
-                refused.append(('loads', MalformedRecord(message[:200])))
+                refused.append(('loads', MalformedRecord(message)))
         tell_refused(refused, self._refuse)
         return notices
 
