--- a/tools/days.py
+++ b/tools/days.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 _ROOT = Path(__file__).parents[1]
-_DAYS = _ROOT / 'tests' / 'days'
+_DAYS = _ROOT / 'deploy' / 'days'
 _DAY_LIMIT_SECONDS = 300
 _BROKEN = 'BROKEN'
 
