--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -405,3 +405,27 @@
     book.put(make_record('a', versions={}, beat=2), 1.0)
     book.put(make_record('a', versions={'k': 1}, beat=3), 2.0)
     assert book.find('a').record.versions == {'m': 1, 'k': 1}
+
+
+def test_a_server_whose_entry_stays_is_back_after_one_record():
+    book = make_book('a')
+    book.remove('a', 1_000.0)
+    book.note_read(1_000.0)
+    book.put(make_record('a', beat=7), 1_100.0)
+    for now in range(1_600, 9_000, 500):
+        book.note_read(float(now))
+    assert len(book.list_service('desk', 9_000.0)) == 1
+
+
+def test_a_late_record_that_is_removed_again_brings_nobody_back():
+    book = make_book('a')
+    book.remove('a', 1_000.0)
+    book.note_read(1_000.0)
+    book.put(make_record('a', beat=7), 1_100.0)
+    for now in range(1_600, 5_000, 500):
+        book.note_read(float(now))
+        assert not book.list_service('desk', float(now))
+    book.remove('a', 5_000.0)
+    for now in range(5_000, 20_000, 500):
+        book.note_read(float(now))
+        assert not book.list_service('desk', float(now))
--- a/tests/test_hosted_entry.py
+++ b/tests/test_hosted_entry.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 
 import anyio
@@ -19,6 +20,7 @@
     read_answer,
     staging,
 )
+from tests.standins.records import RecordFaults
 from tests.standins.replica import (
     serving_replica,
 )
@@ -375,3 +377,18 @@
         writer.close()
         await anyio.sleep(0.2)
     assert ends == ['reset']
+
+
+async def test_servers_that_lapsed_with_the_store_are_back_with_one_record(
+    tmp_path,
+):
+    async with staging(tmp_path, answer_well) as stage:
+        record = json.loads(stage.store.find(SERVERS).newest['i-0'][1])
+        stage.store.faults = RecordFaults(silent=True)
+        await anyio.sleep(3)
+        stage.store.drop(SERVERS, 'i-0')
+        stage.store.faults = RecordFaults()
+        await anyio.sleep(1)
+        stage.store.put(SERVERS, 'i-0', record)
+        await anyio.sleep(2.5)
+        assert (await stage.call('/once/1')).status == 200
