Take back servers whose entries lapsed, and those that write once

Cause: what keeps a late record from bringing a server back asks for a second, later one. Entries that lapse with the store were meant to be spared, but the gap was noticed after the page that tells of them; and a server that is back writes one record, as only changes are written. So each lapse left no server at all.

Ruled out: the store (log_up 0.3 s after its return, the records are there).

Change: a gap is noticed before the page is taken. After a removal at any other time the first record counts once it has stayed for 5.5 s, longer than a late one can: that is removed after three heartbeats. The book of what was removed is a module of its own.

--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -91,6 +91,7 @@
         if news is None:
             return
         now = core.clock.now()
+        core.book.note_answer(now)
         if news.is_whole:
             core.book.replace(news.listed, now, unread=news.unread)
         else:
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field, replace
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.returns import ReturningServers
 from oleanderdyke.kernel.servers import PromptPart, ServerLoad, ServerRecord
 
 # A server is left out for this long after a first failure to reach it, twice
@@ -35,11 +36,6 @@
 _LOAD_LIFE: Millis = 3 * SECOND
 # The share of the latest answer in the rate of failures of a server.
 _ERROR_WEIGHT = 0.2
-# The platform promises that a server whose entry lapsed while the store was
-# away is back within about two seconds.
-_LAPSE: Millis = 2 * SECOND
-# A gap between readings of the list from which on entries may have lapsed.
-_READ_GAP: Millis = 1_500.0
 
 
 @dataclass(slots=True)
@@ -168,10 +164,7 @@
 
     def __init__(self) -> None:
         self._backends: dict[str, Backend] = {}
-        self._read_at: Millis | None = None
-        self._lapse_until: Millis = 0.0
-        # Servers whose entries are gone, and the beat that was read since.
-        self._removed: dict[str, int | None] = {}
+        self._returning = ReturningServers()
 
     def find(self, server: str) -> Backend | None:
         """Return a server that is listed or still answers."""
@@ -193,11 +186,15 @@
             and not self._is_missing(backend, now)
         ]
 
+    def note_answer(self, now: Millis) -> None:
+        """Learn that the list was read, before what it says is taken."""
+        self._returning.note_answer(now)
+
     def note_read(self, now: Millis) -> None:
         """Learn that the platform's list has been read up to its end."""
-        if self._read_at is not None and now - self._read_at > _READ_GAP:
-            self._lapse_until = now + _LAPSE
-        self._read_at = now
+        self._returning.note_answer(now)
+        for record in self._returning.take_proven(now):
+            self.put(record, now)
         self._drop_missing(now)
 
     def replace(
@@ -222,7 +219,7 @@
 
     def put(self, record: ServerRecord, now: Millis) -> None:
         """Take a newer record; a server that leaves never comes back."""
-        if self._is_left_over(record):
+        if self._returning.holds_back(record, now):
             return
         known = self._backends.get(record.server)
         if known is None:
@@ -249,33 +246,21 @@
             if backend is None:
                 continue
             backend.is_unread = True
-            if server not in self._removed:
+            if not self._returning.is_removed(server):
                 backend.missing_since = None
 
     def remove(self, server: str, now: Millis) -> None:
         """Learn that a server's entry is gone.
 
         What it wrote before may arrive after that, so only a second, later
-        record brings it back. Entries that lapsed with the platform's store
-        come back with the first.
+        record brings it back, or one that stays. Entries that lapsed with the
+        platform's store come back with the first.
         """
-        if now >= self._lapse_until:
-            self._removed[server] = None
+        self._returning.remove(server, now)
         backend = self._backends.get(server)
         if backend is not None and backend.missing_since is None:
             backend.missing_since = now
 
-    def _is_left_over(self, record: ServerRecord) -> bool:
-        """Tell whether a record may be older than the end of its entry."""
-        if record.server not in self._removed:
-            return False
-        first = self._removed[record.server]
-        if first is not None and record.beat > first:
-            del self._removed[record.server]
-            return False
-        self._removed[record.server] = record.beat
-        return True
-
     def find_oldest_version(self, model: str) -> int | None:
         """Return the oldest weights that any known engine may still hold."""
         held = [
@@ -405,7 +390,7 @@
     def _is_missing(self, backend: Backend, now: Millis) -> bool:
         if backend.missing_since is None:
             return False
-        return now >= self._lapse_until
+        return not self._returning.is_lapsing(now)
 
     def _drop_missing(self, now: Millis) -> None:
         gone = [
