Take a configuration to be as old as the question that was answered

Cause: an entry noted when the answer to a read of the configuration came. That is up to 1.7 s after the question by the patience of a read, 3.4 s at most, and any time where the entry was suspended meanwhile and found the answer once it went on. For 3 s more it then told callers 401 and 404 from a configuration that might lack their key or route. A read that left records out counted as well.

Ruled out: the question alone; at rest each read lasts a second in which the store surely had nothing new, and the configuration would look 1,988 ms old, close to the 3 s (measured; the bound of the third test is 1.5 s). The time of the list of servers: it only tells whether a list was read at all, so it stays.

Change: the moment asked, and what a long read surely covered; only where nothing was left out.

Tests: 404 instead of 503 after a suspension of 10 s within a read, and after ten seconds of reads that leave records out; both give 503 now, and 404 after the next good read.

--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -82,12 +82,14 @@
         asked_at = core.clock.now()
         news = await self._operator.read()
         if news is not None:
-            core.configuration_read = core.clock.now()
             for deployment in news.list_configurations():
                 self._apply(deployment)
             for named in news.list_versions():
                 self._name(named)
             if news.is_complete:
+                # An answer that comes late, or that a suspended entry finds
+                # once it goes on, tells nothing of the time in between.
+                core.configuration_read = asked_at + news.waited
                 core.weights.note_read(asked_at + news.waited)
         core.configuration_asked = asked_at
 
--- a/tests/test_hosted_store.py
+++ b/tests/test_hosted_store.py
@@ -5,7 +5,9 @@
 import anyio
 import pytest
 
-from tests.hosted import staging
+from oleanderdyke.clock import make_clock
+from oleanderdyke.entry.hosted.core import STALE_AFTER
+from tests.hosted import CONFIGURATION, OPERATOR, staging
 from tests.standins.scripts import answer_well
 
 # What the users allow each process that has nothing to do.
@@ -24,6 +26,66 @@
     assert count <= CALLS_A_SECOND * SECONDS
 
 
+async def test_an_entry_at_rest_knows_its_configuration_to_be_new(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        ages = []
+        for _ in range(80):
+            await anyio.sleep(0.05)
+            ages.append(stage.core.clock.now() - stage.core.configuration_read)
+        assert max(ages) < STALE_AFTER / 2
+        assert (await stage.call('/other/1')).status == 404
+
+
+async def test_an_answer_is_no_younger_for_coming_late(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        clock = stage.core.clock = SuspendedClock()
+        await _wait_read(stage)
+        await anyio.sleep(0.1)
+        # The entry is suspended while it reads, and finds the answer after.
+        clock.suspended += 10_000
+        await _wait_read(stage)
+        assert (await stage.call('/other/1')).status == 503
+        await _wait_read(stage)
+        assert (await stage.call('/other/1')).status == 404
+
+
+async def test_a_read_that_leaves_some_out_makes_nothing_younger(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        clock = stage.core.clock = SuspendedClock()
+        await _wait_read(stage)
+        stage.store.most = 0
+        await _wait_read(stage)
+        stage.store.put(OPERATOR, 'config', {**CONFIGURATION, 'version': 8})
+        await anyio.sleep(0.1)
+        clock.suspended += 10_000
+        await anyio.sleep(0.1)
+        assert (await stage.call('/other/1')).status == 503
+        stage.store.most = 1
+        await _wait_read(stage)
+        assert (await stage.call('/other/1')).status == 404
+
+
+async def _wait_read(stage):
+    before = stage.core.configuration_read
+    with anyio.fail_after(5):
+        while stage.core.configuration_read == before:
+            await anyio.sleep(0.01)
+
+
+class SuspendedClock:
+    """Count the time in which the entry did not run."""
+
+    def __init__(self):
+        self._clock = make_clock()
+        self.suspended = 0.0
+
+    def now(self):
+        return self._clock.now() + self.suspended
+
+    def wall(self):
+        return self._clock.wall() + self.suspended
+
+
 async def test_an_encoded_answer_is_passed_on_as_it_is(tmp_path):
     packed = gzip.compress(b'booked' * 100)
 
