Tell nothing of the pause before a topic that is not there yet

Cause: a read of a topic without records pauses by itself after the store's answer; that pause counted as time in which nothing was written. It is told as incomplete now. A test holds it.

--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -125,9 +125,10 @@
         if status == _EXPIRED:
             raise RecordsExpired(_read_offset(_load(data), 'first'))
         if status == _NOT_FOUND and not start:
-            # A topic comes to be with its first record.
+            # A topic comes to be with its first record. What is appended
+            # during the pause is not seen, so that one is told to be missing.
             await anyio.sleep(self._wait / SECOND)
-            return [], 0
+            return [], 1
         _check(status)
         if len(data) < _ENDS.size:
             raise StoreUnavailable('a read has no ends')
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -30,7 +30,7 @@
 from oleanderdyke.platform.settings import parse_host_settings
 from oleanderdyke.platform.store import RecordsExpired, StoreClient
 from tests.hosted import CONFIGURATION, make_record
-from tests.standins import server
+from tests.standins import server, web
 from tests.standins.records import RecordFaults, RecordStore
 
 SOURCES = pathlib.Path(__file__).parents[1] / 'src' / 'oleanderdyke'
@@ -360,3 +360,18 @@
         (good,) = await feed.read()
     assert good.held == 1
     assert refused == ['loads']
+
+
+class NoTopics(RecordStore):
+    """Know no topic, as before the first record."""
+
+    async def answer(self, request):
+        return web.refuse(404, 'no such topic')
+
+
+@pytest.mark.anyio
+async def test_a_topic_that_is_not_there_yet_tells_nothing_of_the_wait():
+    async with server.serving(NoTopics()) as (address,):
+        client = StoreClient(address, wait=50.0)
+        page = await client.read_keyed('keyed.absent', 0)
+    assert not page.is_complete
