Give up a request whose server has been silent for two seconds

Ruled out: an answer timed to come just before the caller's patience ends (tried apart): it tells the caller nothing sooner. A run at a frozen engine can't be ended from outside before the thaw.

Change: a server that sends nothing to anyone for two seconds while it owes bytes is given up on; the caller gets its final answer then. One that sends to others is waited for.

--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -68,6 +68,11 @@
 # The same where every engine has to take new weights first: one is done after
 # two to three seconds, and all loads began before.
 _LOAD_PAUSE: Millis = 1 * SECOND
+# Where nobody else may run a request, a server that sends nothing to anyone is
+# waited for so long: a fetch of context may wait two seconds, and no caller of
+# a stream waits less for its next event. It gets its final answer then, not
+# when its own patience ends, up to a second later or more.
+_GIVE_UP_AFTER: Millis = 2 * SECOND
 
 
 class BrokenAnswer(Exception):
@@ -126,9 +131,9 @@
         if attempt is None:
             return
         attempt.withdraw_late()
-        if attempt.find_silence(now) < SILENCE_LIMIT:
-            return
-        if self._machine.may_run_elsewhere():
+        silence = attempt.find_silence(now)
+        may_go_on = self._machine.may_run_elsewhere()
+        if silence >= (SILENCE_LIMIT if may_go_on else _GIVE_UP_AFTER):
             attempt.fail('the server is silent')
 
     async def _lead(self) -> None:
--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -8,8 +8,16 @@
 import anyio
 import pytest
 
-from tests.hosted import Answered, Stage, make_request, read_answer, staging
-from tests.standins.replica import Peer, Script
+from tests.hosted import (
+    CONFIGURATION,
+    LETTER_ROUTE,
+    Answered,
+    Stage,
+    make_request,
+    read_answer,
+    staging,
+)
+from tests.standins.replica import Peer, Script, make_chunk, make_event
 from tests.standins.scripts import reset, send_events, stream
 
 pytestmark = pytest.mark.anyio
@@ -159,3 +167,48 @@
             await connecting.wait()
         await anyio.sleep(0.3)
         await runs.wait_closed()
+
+
+@pytest.mark.parametrize('first', [1, None], ids=['begun', 'waiting'])
+async def test_a_letter_at_a_server_that_fell_silent_is_given_up(
+    tmp_path, first
+):
+    runs = Runs()
+    letter = {**LETTER_ROUTE, 'timeoutMs': 9_000}
+    configuration = {**CONFIGURATION, 'routes': [letter]}
+    async with (
+        staging(
+            tmp_path, runs.make(first), configuration=configuration
+        ) as stage,
+        _calling(stage, '/letter/1') as (reader, _),
+    ):
+        with anyio.fail_after(2.5):
+            found = await _read(reader)
+            await runs.wait_closed()
+    assert not found.is_whole or found.status == 502
+
+
+async def test_a_letter_at_a_server_that_sends_to_others_is_waited_for(
+    tmp_path,
+):
+    letter = {**LETTER_ROUTE, 'timeoutMs': 9_000}
+    configuration = {**CONFIGURATION, 'routes': [letter]}
+
+    async def take_turns(peer: Peer) -> None:
+        if 'late' in peer.request.target:
+            await anyio.sleep(2.5)
+            await peer.answer(body=b'late')
+            return
+        await send_events(peer, 1, 1)
+        for number in range(2, 30):
+            await anyio.sleep(0.1)
+            await peer.send(make_chunk(make_event(number)))
+        await peer.send(b'0\r\n\r\n')
+
+    async with (
+        staging(tmp_path, take_turns, configuration=configuration) as stage,
+        _calling(stage, '/letter/other'),
+        _calling(stage, '/letter/late') as (reader, _),
+    ):
+        found = await _read(reader)
+    assert (found.status, found.body) == (200, b'late')
