Know a backend server by its start, not by its name alone

Cause: a backend server may start anew under the name that it had. The book of servers went by the name: weights of the new start were merged with those of the one before, load, failures, kept context and counts of requests went on, a server that had left never came back, kept connections were used further, and what waited on the earlier start waited until it was silent for too long. Nothing read `born`.

Ruled out: a start known by the count of records going down, as late records do the same; the moment of reading, as a process that starts reads all at once.

Change: one type, ServerStart, names a start; it is decoded from records and reports where they are decoded today. The book keeps the present start of each server and takes results only with their start. An attempt belongs to the start that it was chosen for; it is given up as "may have run" once the record of a later one is read, and kept connections to the address are closed then, as they are when a request fails on one without an answer. A request avoids starts, not names. A `born` that can't be one names no server; a record without one neither, once a known server tells its own. Until one does, the name is the start.

Requests sent to the earlier start by one entry: none once the record is read; one at most before, one at a time.

tests/test_backends.py passes starts where it passed names; what it checks is the same.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -20,7 +20,7 @@
 from oleanderdyke.kernel.backends import Backend, Owed
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS, ContextPlan
 from oleanderdyke.kernel.named_weights import BEGIN_MARGIN, SEND_MARGIN
-from oleanderdyke.kernel.servers import AnswerFacts
+from oleanderdyke.kernel.servers import AnswerFacts, ServerStart
 from oleanderdyke.links.messages import (
     AnswerChunk,
     AnswerEnd,
@@ -44,10 +44,11 @@
 
 
 class DirectAttempt:
-    """Send one request to one backend server and report its answer.
+    """Send one request to one start of a backend server; report its answer.
 
     The only server that runs it is the one that was chosen: it is named in
-    the head, and any other refuses.
+    the head, and any other refuses. The head can't name the start: what was
+    sent is given up once the server is known to have started anew.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         call: HostedCall,
         action: SendDispatch,
         *,
+        start: ServerStart,
         inbox: Inbox,
         splitter: EventSplitter | None,
         may_repeat: Callable[[], bool],
@@ -66,7 +68,8 @@
         self._splitter = splitter
         self._may_repeat = may_repeat
         self._number = action.attempt
-        self.server = action.agent
+        self._start = start
+        self.server = start.server
         self._name = f'{id(self):x}'
         self._connection: BackendConnection | None = None
         self._sequence = 0
@@ -76,23 +79,24 @@
         self._head: AnswerHead | None = None
         self._is_stream = False
         self._has_begun = False
+        self._address = ''
         self._sent = False
         self._done = False
 
     async def start(self) -> None:
         """Send the request on a kept connection or a new one."""
         core = self._core
-        backend = core.book.find(self.server)
-        if backend is None or core.book.has_left(self.server):
+        backend = core.book.find_start(self._start)
+        if backend is None or core.book.has_left(self._start):
             self._report_unsent('the server has left')
             return
-        address = backend.record.address
+        address = self._address = backend.record.address
         connection = core.pool.take_idle(address)
         try:
             if connection is None:
                 connection = await core.pool.open(address)
         except OSError as error:
-            core.book.note_failed(self.server, core.clock.now())
+            core.book.note_failed(self._start, core.clock.now())
             core.pool.drop_idle(address)
             self._report_unsent(f'cannot connect: {type(error).__name__}')
             return
@@ -115,6 +119,18 @@
                 ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'it waits on old weights'
             )
 
+    def withdraw_superseded(self) -> None:
+        """Take back what was sent to a start that has ended.
+
+        Nothing of it comes any more, but a dead connection doesn't tell.
+        """
+        if self._done or not self._sent:
+            return
+        if self._core.book.is_superseded(self._start):
+            self._close_failed(
+                ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'its server started anew'
+            )
+
     def cancel(self) -> None:
         """Stop the run by closing its connection."""
         if not self._done:
@@ -125,12 +141,12 @@
     def fail(self, reason: str) -> None:
         """Give up on an answer that may still come."""
         if not self._done:
-            self._core.book.note_failed(self.server, self._core.clock.now())
+            self._note_lost()
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
     def find_silence(self, now: Millis) -> Millis:
         """Return for how long the server has owed bytes and sent none."""
-        backend = self._core.book.find(self.server)
+        backend = self._core.book.find_start(self._start)
         if self._done or backend is None:
             return 0.0
         return backend.find_silence(now)
@@ -148,7 +164,7 @@
             self._note_refused(facts)
             self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
         elif status >= _SERVER_ERROR and self._may_repeat():
-            self._core.book.note_error(self.server)
+            self._core.book.note_error(self._start)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.YES, f'{status}')
         else:
             self._accept(status, headers)
@@ -178,7 +194,7 @@
             )
             return
         self._release()
-        self._core.book.note_good(self.server)
+        self._core.book.note_good(self._start)
         self._finish()
         end = AnswerEnd(
             self._call.request, self._number, self._sequence, digest=b''
@@ -188,16 +204,27 @@
     def lose(self, reason: str) -> None:
         """Report that the answer broke off."""
         if not self._done:
-            self._core.book.note_failed(self.server, self._core.clock.now())
+            self._note_lost()
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
+    def _note_lost(self) -> None:
+        """Leave the server out, and its kept connections unless it answered.
+
+        They end with a start of the server, also where a cut hides that, and
+        each would cost one more request.
+        """
+        core = self._core
+        core.book.note_failed(self._start, core.clock.now())
+        if not self._has_begun:
+            core.pool.drop_idle(self._address)
+
     def _find_send_fault(self, backend: Backend) -> str:
         """Return why nothing may be sent now, or nothing.
 
         What was true when the server was chosen may have changed while the
         connection was opened, by 300 ms at most.
         """
-        if self._core.book.has_left(self.server):
+        if self._core.book.has_left(self._start):
             return 'the server left while connecting'
         if not self._may_begin(self._find_version(backend), SEND_MARGIN):
             return 'its weights were replaced too long ago'
@@ -236,7 +263,7 @@
             tokens = max(demand.prompt_tokens - ready, 0)
         self._memory = 0 if demand is None else demand.memory_tokens
         owed = Owed(core.clock.now(), tokens, call.priority, self._memory)
-        core.book.note_sent(self.server, self._name, owed)
+        core.book.note_sent(self._start, self._name, owed)
         connection.send(head, call.body, self)
         core.log.write(
             EventName.DISPATCH_SENT,
@@ -301,28 +328,28 @@
 
     def _learn(self, facts: AnswerFacts) -> None:
         book = self._core.book
-        book.note_heard(self.server, self._name, self._core.clock.now())
+        book.note_heard(self._start, self._name, self._core.clock.now())
         if facts.load is not None:
-            book.note_load(self.server, facts.load, self._core.clock.now())
+            book.note_load(self._start, facts.load, self._core.clock.now())
         demand = self._call.asked.demand
         if demand is not None and facts.weight_version is not None:
-            book.note_version(self.server, demand.model, facts.weight_version)
+            book.note_version(self._start, demand.model, facts.weight_version)
         if self._connection is not None:
             set_idle_limit(self._connection, facts.idle_timeout)
 
     def _note_refused(self, facts: AnswerFacts) -> None:
         core, demand = self._core, self._call.asked.demand
         if facts.server and facts.server != self.server:
-            core.book.note_replaced(self.server)
+            core.book.note_replaced(self._start)
             return
         now = core.clock.now()
-        backend = core.book.find(self.server)
+        backend = core.book.find_start(self._start)
         if demand is not None and backend is not None:
             held = backend.record.versions.get(demand.model, 0)
             if held < core.rollout.weights.find_newest(demand.model):
-                core.book.note_reloading(self.server, now)
+                core.book.note_reloading(self._start, now)
                 return
-        core.book.note_refused(self.server, now)
+        core.book.note_refused(self._start, now)
 
     def _accept(self, status: int, headers: Headers) -> None:
         self._has_begun = True
@@ -337,13 +364,13 @@
 
     def _note_kept(self) -> None:
         core, demand = self._core, self._call.asked.demand
-        backend = core.book.find(self.server)
+        backend = core.book.find_start(self._start)
         deployment = core.deployment
         if demand is None or backend is None or deployment is None:
             return
         memory = deployment.find_memory(backend.record.service)
         if memory is not None:
-            core.book.note_kept(self.server, demand.parts, memory)
+            core.book.note_kept(self._start, demand.parts, memory)
 
     def _release(self) -> None:
         """Pass on the head and what was held of the body."""
@@ -362,7 +389,7 @@
         self._inbox.put(Received(chunk))
 
     def _note_heard(self) -> None:
-        backend = self._core.book.find(self.server)
+        backend = self._core.book.find_start(self._start)
         if backend is not None:
             backend.heard = self._core.clock.now()
 
@@ -397,7 +424,7 @@
     def _finish(self) -> None:
         self._done = True
         if self._sent:
-            self._core.book.note_ended(self.server, self._name, self._memory)
+            self._core.book.note_ended(self._start, self._name, self._memory)
 
 
 def _find_fault(status: int, facts: AnswerFacts, request: str) -> str:
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -18,6 +18,7 @@
     find_patience,
 )
 from oleanderdyke.kernel.placement import CallDemand
+from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform.requests import CallerRequest, decode_request
 
@@ -128,7 +129,7 @@
 
 
 def make_demand(
-    core: HostedCore, call: HostedCall, excluded: frozenset[str]
+    core: HostedCore, call: HostedCall, excluded: frozenset[ServerStart]
 ) -> CallDemand:
     """Describe a call for the choice of its backend server."""
     model = call.asked.demand
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -48,7 +48,7 @@
     """Lead one request; nothing here waits."""
 
     def check_attempt(self, now: Millis) -> None:
-        """Give up what is silent, or waits on weights past their time."""
+        """Give up what is silent, superseded, or waits on old weights."""
 
 
 @dataclass
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -54,6 +54,7 @@
     Choice,
     choose_backend,
 )
+from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
 from oleanderdyke.metrics import Count, Timing
 
@@ -87,6 +88,9 @@
         self._inbox = Inbox()
         self._timers: list[asyncio.TimerHandle] = []
         self._attempt: DirectAttempt | None = None
+        # The start that was chosen last of each server: the machine of the
+        # request knows servers by name.
+        self._starts: dict[str, ServerStart] = {}
         self._splitter = _make_splitter(call)
         self._first: Millis | None = None
         self._pause = _PAUSE
@@ -121,10 +125,11 @@
         """Do nothing: callers of the platform go on by themselves."""
 
     def check_attempt(self, now: Millis) -> None:
-        """Give up what is silent, or waits on weights past their time."""
+        """Give up what is silent, superseded, or waits on old weights."""
         attempt = self._attempt
         if attempt is None:
             return
+        attempt.withdraw_superseded()
         attempt.withdraw_late()
         if attempt.find_silence(now) < SILENCE_LIMIT:
             return
@@ -164,7 +169,8 @@
     async def _route(self, action: Route) -> None:
         core, call = self._core, self._call
         now = core.clock.now()
-        demand = make_demand(core, call, action.exclude)
+        tried = (self._starts[server] for server in action.exclude)
+        demand = make_demand(core, call, frozenset(tried))
         choice = choose_backend(demand, core.book, now)
         if choice is None:
             demand = replace(demand, excluded=frozenset())
@@ -176,6 +182,7 @@
             self._refuse_early(choice)
             return
         server = choice.backend.record.server
+        self._starts[server] = choice.backend.record.start
         load = choice.backend.load
         core.log.write(
             EventName.REQUEST_ROUTED,
@@ -242,6 +249,7 @@
             self._core,
             self._call,
             action,
+            start=self._starts[action.agent],
             inbox=self._inbox,
             splitter=self._splitter,
             may_repeat=self._machine.may_run_elsewhere,
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -101,6 +101,10 @@
             core.book.note_unread(news.unread)
         core.servers_read = now
         core.book.note_read(now)
+        # Connections to a start that has ended may be dead without a sign, as
+        # behind a cut; each would cost a request half a second.
+        for ended in core.book.take_superseded():
+            core.pool.drop_idle(ended.address)
 
     async def _follow(
         self, name: str, read: Callable[[], Awaitable[None]], period: Millis
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass, field, replace
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.servers import PromptPart, ServerLoad, ServerRecord
+from oleanderdyke.kernel.servers import (
+    PromptPart,
+    ServerLoad,
+    ServerRecord,
+    ServerStart,
+)
 
 # A server is left out for this long after a first failure to reach it, twice
 # as long after each further one. A crashed server is back after seconds; a
@@ -164,10 +169,22 @@
 
 
 class BackendBook:
-    """Keep the backend servers of all services."""
+    """Keep the present start of each backend server of all services.
+
+    What is told of an earlier start changes nothing: it knows, holds and runs
+    nothing that the present one does.
+    """
 
     def __init__(self) -> None:
         self._backends: dict[str, Backend] = {}
+        # When the latest start of each server was that told any, kept when
+        # the server is gone: a record of an earlier one may still come.
+        self._latest: dict[str, int] = {}
+        self._superseded: list[ServerRecord] = []
+        # Whether a known server tells when it started. All servers do then, and
+        # a record without it is by another writer; until then the name alone
+        # tells starts apart.
+        self._are_starts_told = False
         self._read_at: Millis | None = None
         self._lapse_until: Millis = 0.0
         # Servers whose entries are gone, and the beat that was read since.
@@ -177,10 +194,29 @@
         """Return a server that is listed or still answers."""
         return self._backends.get(server)
 
-    def has_left(self, server: str) -> bool:
-        """Tell whether a server leaves or is no longer known."""
-        backend = self._backends.get(server)
-        return backend is None or backend.record.is_leaving
+    def find_start(self, start: ServerStart) -> Backend | None:
+        """Return a server if this is its present start."""
+        backend = self._backends.get(start.server)
+        if backend is None or backend.record.start != start:
+            return None
+        return backend
+
+    def has_left(self, start: ServerStart) -> bool:
+        """Tell whether a start of a server leaves or is no longer known."""
+        backend = self.find_start(start)
+        if backend is None or backend.record.is_leaving:
+            return True
+        return not self._is_server(backend)
+
+    def is_superseded(self, start: ServerStart) -> bool:
+        """Tell whether a server has started anew since."""
+        backend = self._backends.get(start.server)
+        return backend is not None and backend.record.start != start
+
+    def take_superseded(self) -> tuple[ServerRecord, ...]:
+        """Return what the starts told that ended since this was asked."""
+        ended, self._superseded = tuple(self._superseded), []
+        return ended
 
     def list_service(self, service: str, now: Millis) -> list[Backend]:
         """Return the servers of a service that may get new work."""
@@ -191,6 +227,7 @@
             and not backend.record.is_leaving
             and not backend.is_unread
             and not self._is_missing(backend, now)
+            and self._is_server(backend)
         ]
 
     def note_read(self, now: Millis) -> None:
@@ -221,12 +258,15 @@
                 backend.missing_since = now
 
     def put(self, record: ServerRecord, now: Millis) -> None:
-        """Take a newer record; a server that leaves never comes back."""
+        """Take a newer record; a start that leaves never comes back."""
+        if self._is_earlier(record):
+            return
+        self._note_start(record)
         if self._is_left_over(record):
             return
         known = self._backends.get(record.server)
-        if known is None:
-            self._backends[record.server] = Backend(record, now)
+        if known is None or known.record.start != record.start:
+            self._begin(record, known, now)
             return
         known.missing_since = None
         known.is_unread = False
@@ -265,6 +305,37 @@
         if backend is not None and backend.missing_since is None:
             backend.missing_since = now
 
+    def _is_earlier(self, record: ServerRecord) -> bool:
+        """Tell whether a record is not of the latest known start.
+
+        One that tells no start is not by a server that has told its own.
+        """
+        if record.born is None:
+            known = self._backends.get(record.server)
+            return known is not None and known.record.born is not None
+        return record.born < self._latest.get(record.server, 0)
+
+    def _note_start(self, record: ServerRecord) -> None:
+        """Note the latest start; what it writes is not left over."""
+        if record.born is None:
+            return
+        self._are_starts_told = True
+        if record.born != self._latest.get(record.server):
+            self._latest[record.server] = record.born
+            self._removed.pop(record.server, None)
+
+    def _begin(
+        self, record: ServerRecord, known: Backend | None, now: Millis
+    ) -> None:
+        """Know nothing but its record of a start."""
+        if known is not None:
+            self._superseded.append(known.record)
+        self._backends[record.server] = Backend(record, now)
+
+    def _is_server(self, backend: Backend) -> bool:
+        """Tell whether a record names a backend server to use."""
+        return backend.record.born is not None or not self._are_starts_told
+
     def _is_left_over(self, record: ServerRecord) -> bool:
         """Tell whether a record may be older than the end of its entry."""
         if record.server not in self._removed:
@@ -281,24 +352,24 @@
         held = [
             backend.record.versions[model]
             for backend in self._backends.values()
-            if model in backend.record.versions
+            if model in backend.record.versions and self._is_server(backend)
         ]
         return min(held, default=None)
 
-    def note_replaced(self, server: str) -> None:
+    def note_replaced(self, start: ServerStart) -> None:
         """Learn that another server answers at the address of this one."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.record = replace(backend.record, is_leaving=True)
 
     def note_sent(
         self,
-        server: str,
+        start: ServerStart,
         attempt: str,
         owed: Owed,
     ) -> None:
         """Count an attempt that was sent."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.running += 1
             backend.running_tokens += owed.memory
@@ -309,34 +380,34 @@
         for backend in self._backends.values():
             backend.heard = max(backend.heard, now)
 
-    def note_heard(self, server: str, attempt: str, now: Millis) -> None:
+    def note_heard(self, start: ServerStart, attempt: str, now: Millis) -> None:
         """Learn that bytes of an attempt came."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.heard = now
             owed = backend.waiting.pop(attempt, None)
             if owed is not None:
                 backend.note_first_byte(owed, now)
 
-    def note_ended(self, server: str, attempt: str, memory: int) -> None:
+    def note_ended(self, start: ServerStart, attempt: str, memory: int) -> None:
         """Forget an attempt that was sent and the tokens it took."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.running = max(backend.running - 1, 0)
             backend.running_tokens = max(backend.running_tokens - memory, 0)
             backend.waiting.pop(attempt, None)
 
-    def note_good(self, server: str) -> None:
+    def note_good(self, start: ServerStart) -> None:
         """Learn that a server answered well."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.failures = 0
             backend.refusals = 0
             backend.errors *= 1 - _ERROR_WEIGHT
 
-    def note_failed(self, server: str, now: Millis) -> None:
+    def note_failed(self, start: ServerStart, now: Millis) -> None:
         """Learn that a server failed a request; leave it out for a while."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is None:
             return
         backend.errors += _ERROR_WEIGHT * (1 - backend.errors)
@@ -345,15 +416,15 @@
         until = now + min(pause, _LONGEST_EJECTION)
         backend.out_until = max(backend.out_until, until)
 
-    def note_error(self, server: str) -> None:
+    def note_error(self, start: ServerStart) -> None:
         """Learn that a server answered with an error of its own."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.errors += _ERROR_WEIGHT * (1 - backend.errors)
 
-    def note_refused(self, server: str, now: Millis) -> None:
+    def note_refused(self, start: ServerStart, now: Millis) -> None:
         """Learn that a server refused a request without running it."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is None:
             return
         pause = _REFUSAL_PAUSE * 2**backend.refusals
@@ -361,22 +432,26 @@
         until = now + min(pause, _LONGEST_REFUSAL_PAUSE)
         backend.out_until = max(backend.out_until, until)
 
-    def note_reloading(self, server: str, now: Millis) -> None:
+    def note_reloading(self, start: ServerStart, now: Millis) -> None:
         """Learn that an engine refuses while it takes new weights."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.reload_until = now + _RELOAD_PAUSE
 
-    def note_load(self, server: str, load: ServerLoad, now: Millis) -> None:
+    def note_load(
+        self, start: ServerStart, load: ServerLoad, now: Millis
+    ) -> None:
         """Take the load that a server told with an answer."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is not None:
             backend.load = load
             backend.load_at = now
 
-    def note_version(self, server: str, model: str, version: int) -> None:
+    def note_version(
+        self, start: ServerStart, model: str, version: int
+    ) -> None:
         """Take the version of the weights that an answer was made with."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is None:
             return
         versions = dict(backend.record.versions)
@@ -388,10 +463,10 @@
         backend.kept_tokens = 0
 
     def note_kept(
-        self, server: str, parts: Sequence[PromptPart], capacity: int
+        self, start: ServerStart, parts: Sequence[PromptPart], capacity: int
     ) -> None:
         """Assume that a server keeps a prompt's parts, the latest ones."""
-        backend = self._backends.get(server)
+        backend = self.find_start(start)
         if backend is None:
             return
         for part in parts:
@@ -415,6 +490,10 @@
         ]
         for server in gone:
             del self._backends[server]
+        self._are_starts_told = any(
+            backend.record.born is not None
+            for backend in self._backends.values()
+        )
 
 
 def _merge_versions(known: ServerRecord, told: ServerRecord) -> ServerRecord:
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -9,7 +9,7 @@
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backends import READ_RATE, Backend, BackendBook
-from oleanderdyke.kernel.servers import ModelDemand
+from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
 # Tokens that a store sends in a millisecond: 18 KB each, at 58 Gbit/s.
 _FETCH_RATE = 390.0
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallDemand:
-    """Describe a call to be placed; `excluded` servers have failed it.
+    """Describe a call to be placed; `excluded` starts have failed it.
 
     `fetchable` tells, by the version of the weights, how many leading tokens
     of the prompt stores hold; a lower `rank` is read first. `memory_tokens`
@@ -56,7 +56,7 @@
     rank: int = 0
     newest_version: int | None = None
     fetchable: Mapping[int, int] = field(default_factory=dict)
-    excluded: frozenset[str] = frozenset()
+    excluded: frozenset[ServerStart] = frozenset()
     loading: frozenset[str] = frozenset()
     draining: frozenset[str] = frozenset()
     outdated: frozenset[int | None] = frozenset()
@@ -90,7 +90,7 @@
     listed = [
         backend
         for backend in book.list_service(demand.service, now)
-        if backend.record.server not in demand.excluded
+        if backend.record.start not in demand.excluded
         and not _is_outdated(demand, backend)
     ]
     good = [each for each in listed if is_usable(each, now)] or listed
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -15,13 +15,28 @@
 class EngineState:
     """Hold what an engine reports; `orders` counts those it accepted.
 
-    `clock` is the reading of the clock that all engines share.
+    `clock` is the reading of the clock that all engines share, `born` the
+    Unix millisecond of the engine's start where it tells that.
     """
 
     versions: Mapping[str, int]
     is_busy: bool
     orders: int
     clock: Millis = 0.0
+    born: int | None = None
+
+    def is_other_start(self, before: EngineState) -> bool:
+        """Tell whether the engine has started anew since the report before.
+
+        Each start counts its orders from none.
+        """
+        return self.born != before.born or self.orders < before.orders
+
+    def is_earlier_start(self, before: EngineState) -> bool:
+        """Tell whether a report is late, of a start that has ended."""
+        if self.born is None:
+            return before.born is not None
+        return self.born < (before.born or 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -8,13 +8,26 @@
 from oleanderdyke.clock import Millis
 
 
+@dataclass(frozen=True, slots=True)
+class ServerStart:
+    """Name one start of a backend server, which knows nothing of others.
+
+    A server may start anew under the name `server` that it had; `born` is the
+    Unix millisecond of the start by its own clock, None where nobody tells.
+    Only those of two starts are compared, so that no step of a clock here
+    decides between them.
+    """
+
+    server: str
+    born: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ServerRecord:
-    """Hold what a backend server last told about itself.
+    """Hold what one start of a backend server last told about itself.
 
-    `server` is new with each start of the server. `versions` gives the
-    version of the weights that it holds of each model. `beat` counts what it
-    has written to the list.
+    `versions` gives the version of the weights that it holds of each model.
+    `beat` counts what this start has written to the list.
     """
 
     server: str
@@ -25,6 +38,12 @@
     slots: int = 0
     versions: Mapping[str, int] = field(default_factory=dict)
     beat: int = 0
+    born: int | None = None
+
+    @property
+    def start(self) -> ServerStart:
+        """Return which start of the server told it."""
+        return ServerStart(self.server, self.born)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from oleanderdyke.clock import HOUR, Millis, make_clock
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.kernel.deployment import (
     CallerLimits,
@@ -50,6 +51,10 @@
 _FIRST_VERSION = 1
 # A record of another writer may have any text in its place of a field.
 _MOST_MESSAGE = 200
+# A start lies in the past by any clock that is near right. The margin leaves
+# room for clocks that are hours off, as one set to another time zone is: such a
+# server is sound. What lies further ahead would outrank all later starts.
+_BORN_AHEAD: Millis = 24 * HOUR
 
 
 class MalformedRecord(OleanderError):
@@ -84,6 +89,19 @@
         raise MalformedRecord(f'server: {_describe(error)}') from error
 
 
+def decode_born(found: Mapping[str, Any]) -> int | None:
+    """Return when a backend server started, None where it isn't told.
+
+    Raise one of MALFORMED where it can't be a Unix millisecond of the past.
+    """
+    if 'born' not in found:
+        return None
+    born = read_integer(found, 'born')
+    if born > make_clock().wall() + _BORN_AHEAD:
+        raise FieldError('born: is far ahead of the clock')
+    return born
+
+
 def decode_version(data: bytes) -> NamedVersion:
     """Read which weights are named; raise MalformedRecord."""
     try:
@@ -212,6 +230,7 @@
         versions=_read_versions(found),
         # The wire's `seq` counts what this start of a server has written.
         beat=read_integer(found, 'seq'),
+        born=decode_born(found),
     )
 
 
--- a/src/oleanderdyke/platform/engines.py
+++ b/src/oleanderdyke/platform/engines.py
@@ -12,6 +12,7 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.rollout import EngineState
 from oleanderdyke.platform import names
+from oleanderdyke.platform.documents import decode_born
 from oleanderdyke.platform.fields import (
     MALFORMED,
     load_object,
@@ -147,4 +148,5 @@
         # The wire's `seq` counts the orders that were accepted.
         orders=read_integer(found, 'seq') if 'seq' in found else 0,
         clock=read_number(found, 'clock_ms') if 'clock_ms' in found else 0.0,
+        born=decode_born(found),
     )
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -22,8 +22,10 @@
     PromptPart,
     ServerLoad,
     ServerRecord,
+    ServerStart,
 )
 
+A, B, C = (ServerStart(name) for name in 'abc')
 PARTS = (
     PromptPart('sys', 2_000),
     PromptPart('book', 5_000),
@@ -97,61 +99,61 @@
 
 def test_a_version_that_an_answer_showed_is_not_taken_back_by_the_list():
     book = make_engines('a')
-    book.note_version('a', 'm', 3)
+    book.note_version(A, 'm', 3)
     book.put(make_record('a', versions={'m': 2}), 1.0)
     assert book.find('a').record.versions == {'m': 3}
 
 
 def test_new_weights_hold_none_of_the_old_context():
     book = make_engines('a')
-    book.note_kept('a', PARTS, 60_000)
+    book.note_kept(A, PARTS, 60_000)
     assert book.find('a').count_kept(PARTS) == 7_500
-    book.note_version('a', 'm', 2)
+    book.note_version(A, 'm', 2)
     assert book.find('a').count_kept(PARTS) == 0
 
 
 def test_the_oldest_weights_count_engines_that_leave_too():
     book = make_engines('a', 'b')
-    book.note_version('a', 'm', 2)
+    book.note_version(A, 'm', 2)
     book.put(make_record('b', versions={'m': 1}, is_leaving=True), 1.0)
     assert book.find_oldest_version('m') == 1
-    book.note_version('b', 'm', 2)
+    book.note_version(B, 'm', 2)
     assert book.find_oldest_version('m') == 2
     assert book.find_oldest_version('other') is None
 
 
 def test_a_server_that_fails_is_left_out_longer_each_time():
     book = make_book('a', 'b')
-    book.note_failed('a', 0.0)
+    book.note_failed(A, 0.0)
     assert not is_usable(book.find('a'), 400.0)
     assert is_usable(book.find('a'), 501.0)
-    book.note_failed('a', 600.0)
+    book.note_failed(A, 600.0)
     assert not is_usable(book.find('a'), 1_500.0)
-    book.note_good('a')
-    book.note_failed('a', 2_000.0)
+    book.note_good(A)
+    book.note_failed(A, 2_000.0)
     assert is_usable(book.find('a'), 2_501.0)
 
 
 def test_where_all_have_failed_one_is_still_tried():
     book = make_book('a')
-    book.note_failed('a', 0.0)
+    book.note_failed(A, 0.0)
     assert choose(book, 1.0) == 'a'
 
 
 def test_a_server_that_owes_bytes_and_sends_none_is_left_out():
     book = make_book('a', 'b')
-    book.note_sent('a', 'x', Owed(0.0, 0))
+    book.note_sent(A, 'x', Owed(0.0, 0))
     late = SILENCE_LIMIT + 1
     assert not is_usable(book.find('a'), late)
-    book.note_heard('a', 'other', late)
+    book.note_heard(A, 'other', late)
     assert is_usable(book.find('a'), late)
 
 
 def test_calls_go_to_the_server_with_fewest():
     book = make_book('a', 'b')
-    book.note_sent('a', 'x', Owed(0.0, 0))
+    book.note_sent(A, 'x', Owed(0.0, 0))
     assert choose(book) == 'b'
-    book.note_load('b', ServerLoad(5, 3, 6), 0.0)
+    book.note_load(B, ServerLoad(5, 3, 6), 0.0)
     assert choose(book) == 'a'
 
 
@@ -166,11 +168,11 @@
     found = choose(
         book,
         model=MODEL,
-        excluded=frozenset({'a'}),
+        excluded=frozenset({A}),
         loading=frozenset({'b'}),
     )
     assert found == 'c'
-    assert choose(book, excluded=frozenset({'a', 'b', 'c'})) is None
+    assert choose(book, excluded=frozenset({A, B, C})) is None
 
 
 def test_prompts_go_where_their_context_is_kept():
@@ -178,7 +180,7 @@
     for server in ('a', 'b', 'c'):
         others = {'a', 'b', 'c'} - {server}
         fresh = make_engines('a', 'b', 'c')
-        fresh.note_kept(server, PARTS, 60_000)
+        fresh.note_kept(ServerStart(server), PARTS, 60_000)
         assert choose(fresh, model=MODEL) == server
         assert others
     assert choose(book, model=MODEL) in {'a', 'b', 'c'}
@@ -193,13 +195,13 @@
 
 def test_new_weights_are_preferred():
     book = make_engines('a', 'b')
-    book.note_version('b', 'm', 2)
+    book.note_version(B, 'm', 2)
     assert choose(book, model=MODEL, newest_version=2) == 'b'
 
 
 def test_long_answers_avoid_engines_that_load_next():
     book = make_engines('a', 'b')
-    book.note_kept('a', PARTS, 60_000)
+    book.note_kept(A, PARTS, 60_000)
     found = choose(
         book,
         model=ModelDemand('m', 7_500, 900, PARTS),
@@ -212,16 +214,16 @@
 def test_a_queue_is_seen_by_first_bytes_and_by_their_absence():
     book = make_engines('a')
     backend = book.find('a')
-    book.note_sent('a', 'x', Owed(0.0, 0))
+    book.note_sent(A, 'x', Owed(0.0, 0))
     assert backend.find_delay(0, 445.0) == pytest.approx(400.0)
-    book.note_heard('a', 'x', 445.0)
+    book.note_heard(A, 'x', 445.0)
     assert backend.find_delay(0, 445.0) > 100.0
     assert backend.find_delay(0, 9_000.0) == 0.0
 
 
 def test_what_is_less_urgent_delays_nobody():
     book = make_engines('a')
-    book.note_sent('a', 'x', Owed(0.0, 9_000, rank=LATE_RANK))
+    book.note_sent(A, 'x', Owed(0.0, 9_000, rank=LATE_RANK))
     backend = book.find('a')
     assert backend.find_delay(1, 5_000.0) == 0.0
     assert backend.count_owed_tokens(1) == 0
@@ -230,7 +232,7 @@
 
 def test_an_old_load_fades_and_does_not_look_idle_at_once():
     book = make_engines('a')
-    book.note_load('a', ServerLoad(30, 20, 128), 0.0)
+    book.note_load(A, ServerLoad(30, 20, 128), 0.0)
     backend = book.find('a')
     assert backend.count_waiting(0.0) == 20
     assert 5 < backend.count_waiting(1_500.0) < 15
@@ -239,9 +241,9 @@
 
 def test_running_tokens_are_given_back():
     book = make_engines('a')
-    book.note_sent('a', 'x', Owed(0.0, 10, memory=700))
+    book.note_sent(A, 'x', Owed(0.0, 10, memory=700))
     assert book.find('a').running_tokens == 700
-    book.note_ended('a', 'x', 700)
+    book.note_ended(A, 'x', 700)
     assert (book.find('a').running, book.find('a').running_tokens) == (0, 0)
 
 
@@ -315,10 +317,10 @@
 
 def test_a_server_that_sends_nothing_of_what_runs_is_silent():
     book = make_engines('a')
-    book.note_sent('a', 'x', Owed(0.0, 10))
-    book.note_heard('a', 'x', 100.0)
+    book.note_sent(A, 'x', Owed(0.0, 10))
+    book.note_heard(A, 'x', 100.0)
     assert book.find('a').find_silence(900.0) == 800.0
-    book.note_ended('a', 'x', 0)
+    book.note_ended(A, 'x', 0)
     assert book.find('a').find_silence(900.0) == 0.0
 
 
@@ -343,24 +345,24 @@
     book = make_engines('a', 'b')
     book.note_unread(['a', 'never-seen'])
     assert list_names(book) == ['b']
-    assert not book.has_left('a')
+    assert not book.has_left(A)
     book.put(make_record('a', versions={'m': 1}, beat=2), 1.0)
     assert list_names(book) == ['a', 'b']
 
 
 def test_an_entry_that_cannot_be_read_ends_no_running_work():
     book = make_engines('a')
-    book.note_sent('a', 'x', Owed(0.0, 10, memory=700))
+    book.note_sent(A, 'x', Owed(0.0, 10, memory=700))
     book.note_unread(['a'])
     book.note_read(60_000.0)
     assert book.find('a').running == 1
-    book.note_version('a', 'm', 2)
+    book.note_version(A, 'm', 2)
     assert book.find_oldest_version('m') == 2
 
 
 def test_an_entry_that_cannot_be_read_frees_no_context():
     book = make_engines('a', 'b')
-    book.note_version('b', 'm', 2)
+    book.note_version(B, 'm', 2)
     book.replace(
         [make_record('b', versions={'m': 2})], 9_000.0, unread=['a', 'other']
     )
@@ -380,12 +382,12 @@
 
 def test_an_entry_that_is_gone_is_not_brought_back_by_what_cannot_be_read():
     book = make_book('a')
-    book.note_sent('a', 'x', Owed(0.0, 10))
+    book.note_sent(A, 'x', Owed(0.0, 10))
     book.remove('a', 500.0)
     book.note_unread(['a'])
     book.note_read(600.0)
     assert list_names(book, 600.0) == []
-    book.note_ended('a', 'x', 0)
+    book.note_ended(A, 'x', 0)
     book.note_read(700.0)
     assert book.find('a') is None
 
--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from oleanderdyke.kernel.servers import ServerStart
 from tests.hosted import Answered, Stage, make_request, read_answer, staging
 from tests.standins.replica import Peer, Script
 from tests.standins.scripts import reset, send_events, stream
@@ -72,7 +73,7 @@
     """Let the other servers look worse, so that this one is tried first."""
     for other in range(len(stage.replicas)):
         if other != number:
-            stage.core.book.note_error(f'i-{other}')
+            stage.core.book.note_error(ServerStart(f'i-{other}'))
 
 
 async def _stall_midway(peer: Peer) -> None:
--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,218 @@
+from __future__ import annotations
+
+import json
+import time
+
+import pytest
+
+from oleanderdyke.kernel.backends import BackendBook, Owed
+from oleanderdyke.kernel.outdated import OutdatedContext
+from oleanderdyke.kernel.placement import CallDemand, choose_backend, is_usable
+from oleanderdyke.kernel.servers import (
+    PromptPart,
+    ServerLoad,
+    ServerRecord,
+    ServerStart,
+)
+from oleanderdyke.platform.documents import MalformedRecord, decode_server
+from tests.hosted import make_record as tell
+
+EARLIER, LATER = ServerStart('a', 1_000), ServerStart('a', 2_000)
+PARTS = (PromptPart('sys', 2_000), PromptPart('own', 500))
+
+
+def make_record(start=EARLIER, **changes) -> ServerRecord:
+    fields = {
+        'service': 'desk',
+        'address': f'{start.server}:1',
+        'data_centre': 'hall',
+        'versions': {'m': 1},
+        **changes,
+    }
+    return ServerRecord(start.server, born=start.born, **fields)
+
+
+def make_book(*starts, **changes) -> BackendBook:
+    book = BackendBook()
+    book.replace([make_record(each, **changes) for each in starts], 0.0)
+    book.note_read(0.0)
+    return book
+
+
+def list_starts(book, now=0.0):
+    return [each.record.start for each in book.list_service('desk', now)]
+
+
+def encode(**changes) -> bytes:
+    return json.dumps(tell('127.0.0.1:1', **changes)).encode()
+
+
+def read_wall() -> int:
+    return time.time_ns() // 1_000_000
+
+
+def test_a_record_names_the_start_that_wrote_it():
+    born = read_wall()
+    record = decode_server('a', encode(born=born))
+    assert record.start == ServerStart('a', born)
+    assert decode_server('a', encode()).start == ServerStart('a')
+
+
+def test_a_clock_that_is_hours_ahead_costs_no_server():
+    born = read_wall() + 14 * 3_600_000
+    assert decode_server('a', encode(born=born)).born == born
+
+
+@pytest.mark.parametrize(
+    'born',
+    [
+        None,
+        True,
+        1_000.0,
+        1_000.5,
+        '1000',
+        [1_000],
+        {},
+        -1,
+        10**40,
+    ],
+    ids=repr,
+)
+def test_a_start_that_can_not_be_names_no_server(born):
+    with pytest.raises(MalformedRecord):
+        decode_server('a', encode(born=born))
+
+
+def test_a_start_that_is_days_ahead_names_no_server():
+    with pytest.raises(MalformedRecord):
+        decode_server('a', encode(born=read_wall() + 25 * 3_600_000))
+
+
+def test_nothing_known_of_the_earlier_start_holds_for_the_later_one():
+    book = make_book(EARLIER, versions={'m': 3})
+    book.note_sent(EARLIER, 'x', Owed(0.0, 10, memory=700))
+    book.note_heard(EARLIER, 'x', 900.0)
+    book.note_sent(EARLIER, 'y', Owed(0.0, 10, memory=700))
+    book.note_load(EARLIER, ServerLoad(5, 3, 6), 0.0)
+    book.note_kept(EARLIER, PARTS, 60_000)
+    book.note_failed(EARLIER, 0.0)
+    book.note_reloading(EARLIER, 0.0)
+    book.put(make_record(LATER, versions={'m': 1}), 10.0)
+    found = book.find_start(LATER)
+    assert found.record.versions == {'m': 1}
+    assert (found.running, found.running_tokens, found.waiting) == (0, 0, {})
+    assert (found.load, found.errors, found.listed_at) == (None, 0.0, 10.0)
+    assert (found.count_kept(PARTS), found.find_delay(0, 10.0)) == (0, 0.0)
+    assert is_usable(found, 10.0)
+
+
+def test_a_start_after_one_that_left_gets_work():
+    book = make_book(EARLIER)
+    book.put(make_record(is_leaving=True), 1.0)
+    assert list_starts(book) == []
+    book.put(make_record(LATER), 2.0)
+    assert list_starts(book) == [LATER]
+
+
+def test_a_record_of_the_earlier_start_never_replaces_the_later_one():
+    book = make_book(LATER)
+    book.put(make_record(versions={'m': 9}, is_leaving=True), 1.0)
+    book.put(make_record(ServerStart('a')), 2.0)
+    assert list_starts(book) == [LATER]
+    assert book.find('a').record.versions == {'m': 1}
+
+
+def test_an_earlier_start_stays_ended_when_the_later_one_is_gone():
+    book = make_book(LATER)
+    book.note_read(500.0)
+    book.replace([], 500.0)
+    book.note_read(1_000.0)
+    assert book.find('a') is None
+    book.put(make_record(), 1_100.0)
+    book.put(make_record(beat=5), 1_200.0)
+    assert book.find('a') is None
+
+
+def test_late_results_of_the_earlier_start_change_nothing():
+    book = make_book(EARLIER)
+    book.note_sent(EARLIER, 'x', Owed(0.0, 10, memory=700))
+    book.put(make_record(LATER), 10.0)
+    book.note_sent(LATER, 'y', Owed(10.0, 10, memory=300))
+    book.note_failed(LATER, 10.0)
+    book.note_heard(EARLIER, 'x', 20.0)
+    book.note_ended(EARLIER, 'x', 700)
+    book.note_good(EARLIER)
+    book.note_error(EARLIER)
+    book.note_failed(EARLIER, 20.0)
+    book.note_refused(EARLIER, 20.0)
+    book.note_reloading(EARLIER, 20.0)
+    book.note_version(EARLIER, 'm', 7)
+    book.note_load(EARLIER, ServerLoad(5, 3, 6), 20.0)
+    book.note_kept(EARLIER, PARTS, 60_000)
+    book.note_replaced(EARLIER)
+    found = book.find_start(LATER)
+    assert (found.running, found.running_tokens, found.heard) == (1, 300, 0.0)
+    assert (found.failures, found.out_until, found.refusals) == (1, 510.0, 0)
+    assert (found.errors, found.reload_until) == (0.2, 0.0)
+    assert (found.load, found.count_kept(PARTS)) == (None, 0)
+    assert not found.record.is_leaving
+    assert found.record.versions == {'m': 1}
+
+
+def test_the_first_record_of_a_later_start_counts_after_a_removal():
+    book = make_book(EARLIER, beat=8)
+    book.note_read(500.0)
+    book.remove('a', 500.0)
+    book.put(make_record(beat=8), 510.0)
+    assert list_starts(book, 510.0) == []
+    book.put(make_record(LATER, beat=1), 600.0)
+    assert list_starts(book, 600.0) == [LATER]
+
+
+def test_the_name_alone_is_the_start_while_nobody_tells_more():
+    book = make_book(ServerStart('a'), versions={'m': 3})
+    book.put(make_record(ServerStart('a'), beat=1), 1.0)
+    assert list_starts(book) == [ServerStart('a')]
+    assert book.find('a').record.versions == {'m': 3}
+
+
+def test_a_record_without_its_start_names_none_once_another_tells():
+    book = make_book(ServerStart('b'), EARLIER, versions={'m': 1})
+    assert list_starts(book) == [EARLIER]
+    assert book.has_left(ServerStart('b'))
+    book.put(make_record(ServerStart('b'), versions={'m': 0}), 1.0)
+    assert book.find_oldest_version('m') == 1
+    book.note_read(500.0)
+    book.remove('a', 500.0)
+    book.note_read(1_000.0)
+    assert list_starts(book, 1_000.0) == [ServerStart('b')]
+
+
+def test_what_the_ended_start_told_is_given_once():
+    book = make_book(EARLIER)
+    book.put(make_record(LATER, address='a:2'), 1.0)
+    (ended,) = book.take_superseded()
+    assert ended.address == 'a:1'
+    assert book.take_superseded() == ()
+    assert book.is_superseded(EARLIER)
+    assert book.has_left(EARLIER)
+    assert not book.is_superseded(LATER)
+
+
+def test_only_the_start_that_failed_a_request_is_avoided():
+    book = make_book(EARLIER, ServerStart('b', 1_000))
+    excluded = frozenset({EARLIER, ServerStart('b', 1_000)})
+    demand = CallDemand('desk', 'hall', excluded=excluded)
+    assert choose_backend(demand, book, 0.0) is None
+    book.put(make_record(LATER), 1.0)
+    choice = choose_backend(demand, book, 1.0)
+    assert choice.backend.record.start == LATER
+
+
+def test_context_is_kept_while_an_engine_is_back_on_older_weights():
+    book, outdated = make_book(EARLIER, versions={'m': 2}), OutdatedContext()
+    outdated.note('m', 2, book.find_oldest_version('m'), 0.0)
+    assert outdated.list_settled(60_000.0) == {'m': 2}
+    book.put(make_record(LATER, versions={'m': 1}), 60_000.0)
+    outdated.note('m', 2, book.find_oldest_version('m'), 60_000.0)
+    assert outdated.list_settled(120_000.0) == {}
