Feed the book of servers whatever is told of earlier starts

Two property tests: arbitrary records and results of earlier starts, and of the same name without a start, leave what is known of the later one as it is without them; starts read in any order end with the latest.

--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -4,6 +4,8 @@
 import time
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from oleanderdyke.kernel.backends import BackendBook, Owed
 from oleanderdyke.kernel.outdated import OutdatedContext
@@ -159,6 +161,51 @@
     assert found.record.versions == {'m': 1}
 
 
+NOTES = {
+    'record': lambda book, start: book.put(
+        make_record(start, versions={'m': 9}, beat=9), 5.0
+    ),
+    'leaving': lambda book, start: book.put(
+        make_record(start, is_leaving=True), 5.0
+    ),
+    'sent': lambda book, start: book.note_sent(start, 'x', Owed(5.0, 10)),
+    'heard': lambda book, start: book.note_heard(start, 'x', 6.0),
+    'ended': lambda book, start: book.note_ended(start, 'x', 0),
+    'good': lambda book, start: book.note_good(start),
+    'failed': lambda book, start: book.note_failed(start, 6.0),
+    'error': lambda book, start: book.note_error(start),
+    'refused': lambda book, start: book.note_refused(start, 6.0),
+    'reloading': lambda book, start: book.note_reloading(start, 6.0),
+    'load': lambda book, start: book.note_load(start, ServerLoad(1, 2, 3), 6.0),
+    'version': lambda book, start: book.note_version(start, 'm', 8),
+    'kept': lambda book, start: book.note_kept(start, PARTS, 60_000),
+    'replaced': lambda book, start: book.note_replaced(start),
+}
+STARTS = [ServerStart('a'), ServerStart('a', 999), EARLIER, LATER]
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(STARTS), st.sampled_from(list(NOTES))))
+)
+def test_whatever_is_told_of_earlier_starts_leaves_the_later_one_alone(notes):
+    told, alone = make_book(LATER), make_book(LATER)
+    for start, note in notes:
+        NOTES[note](told, start)
+        if start == LATER:
+            NOTES[note](alone, start)
+    assert told.find_start(LATER) == alone.find_start(LATER)
+    assert told.list_service('desk', 10.0) == alone.list_service('desk', 10.0)
+    assert not told.take_superseded()
+
+
+@given(st.permutations([1_000, 2_000, 3_000, 4_000]))
+def test_the_latest_start_is_the_present_one_in_whatever_order(order):
+    book = BackendBook()
+    for number, born in enumerate(order):
+        book.put(make_record(ServerStart('a', born)), float(number))
+    assert list_starts(book) == [ServerStart('a', 4_000)]
+
+
 def test_the_first_record_of_a_later_start_counts_after_a_removal():
     book = make_book(EARLIER, beat=8)
     book.note_read(500.0)
