Take an engine that starts anew under its name through the queue again

Cause: the agent knew its engine by the name in the list. One that came back under the same name between two looks kept its place in the queue of loads, its log of whom it waits for and what was settled; a record of the start before it could bring an order. A settled agent never looked again, so that an engine that came back on older weights kept them until others were named.

Ruled out: asking the list at each look, which costs calls of the store; the report is fresh and costs none.

Change: another `born` in a report, or a count of orders that went down, ends all that was known: the place is told as lost, then asked for anew, what is settled is looked at again, orders count from the new start's own count. The agent takes the record whose start its engine reports, where it reports one. A report of an earlier start is passed over. A settled engine is looked at every 5 s.

Calls of the store while settled: the long reads alone.

The stand-in of an engine can tell when it started; its crash and its new start are as they were.

--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -17,6 +17,7 @@
     Target,
     find_target,
 )
+from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.logs import EventLog
 from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.engines import (
@@ -61,8 +62,10 @@
         self._queue = self._rollout.queue
         self._done: dict[str, int] = {}
         self._fence: int | None = None
-        self._server = ''
-        self._ended: set[str] = set()
+        self._own: ServerStart | None = None
+        self._ended: set[ServerStart] = set()
+        # What the present start of the engine told last.
+        self._state: EngineState | None = None
         self._listed_at = -math.inf
         self._told_loading = ''
 
@@ -102,6 +105,9 @@
         except EngineUnavailable:
             await self._lose()
             raise
+        if self._is_late(state):
+            return
+        await self._note_start(state)
         if state.is_busy:
             return
         newest = self.weights.list_newest()
@@ -120,6 +126,22 @@
         )
         return state
 
+    def _is_late(self, state: EngineState) -> bool:
+        """Tell whether a report is of a start that another has followed."""
+        return self._state is not None and state.is_earlier_start(self._state)
+
+    async def _note_start(self, state: EngineState) -> None:
+        """Know nothing of the start before once the engine is another one.
+
+        Its name may be the same. What is settled has to be looked at again; the
+        place in the queue is asked for anew, as the engine may hold others.
+        """
+        if self._state is not None and state.is_other_start(self._state):
+            await self._lose()
+            self._done.clear()
+            self._told_loading = ''
+        self._state = state
+
     async def _lose(self) -> None:
         """Hold up nobody while the engine is away; it may start anew.
 
@@ -127,15 +149,15 @@
         """
         process = self._settings.process
         if self._queue.is_queued(process) and not self._queue.is_lost(process):
-            await self._tell(self._make_notice(LoadStep.LOST, self._server))
-        self._server = ''
+            await self._tell(self._make_own_notice(LoadStep.LOST))
+        self._own = None
 
     async def _settle(self, newest: dict[str, int]) -> None:
         """Let the next engine go once this one has what is named."""
         if self._queue.is_queued(self._settings.process):
-            await self._tell(self._make_notice(LoadStep.ENDED, self._server))
-        # Until the next weights are named nobody looks whether it starts anew.
-        self._server = ''
+            await self._tell(self._make_own_notice(LoadStep.ENDED))
+        # Until the next weights are named it may start anew between two looks.
+        self._own = None
         for model, version in newest.items():
             if self._done.get(model) != version:
                 self._done[model] = version
@@ -144,24 +166,24 @@
                 )
 
     async def _load(self, state: EngineState, target: Target) -> None:
-        own = await self._find_own()
-        if not own:
+        own = await self._find_own(state)
+        if own is None:
             return
         held = state.versions[target.model]
-        if not self._queue.waits(self._settings.process, own, held):
-            await self._tell(self._make_request(own, target.model, held))
+        if not self._queue.waits(self._settings.process, own.server, held):
+            await self._tell(self._make_request(own.server, target.model, held))
             return
-        if not self._may_load(own, target, held):
+        if not self._may_load(own.server, target, held):
             return
         order = WeightOrder(
-            server=own,
+            server=own.server,
             model=target.model,
             version=target.version,
             holder=self._settings.process,
             fence=await self._find_fence(),
             after=state.orders,
         )
-        await self._order(order)
+        await self._order(own, order)
 
     def _may_load(self, own: str, target: Target, held: int) -> bool:
         """Tell whether it is this engine's turn, and log what it waits for.
@@ -200,7 +222,7 @@
             detail=f'behind {loading}',
         )
 
-    async def _order(self, order: WeightOrder) -> None:
+    async def _order(self, own: ServerStart, order: WeightOrder) -> None:
         outcome = await self._engine.give_order(order)
         self._log.write(
             EventName.ORDER_SENT,
@@ -213,8 +235,8 @@
         if outcome is OrderOutcome.OLD_FENCE:
             self._fence = None
         if outcome is OrderOutcome.OTHER_SERVER:
-            self._ended.add(order.server)
-            self._server = ''
+            self._ended.add(own)
+            self._own = None
 
     def _make_request(self, own: str, model: str, held: int) -> LoadNotice:
         """Ask for a place, and say how old the news of the weights is."""
@@ -233,6 +255,9 @@
             newest_at=newest_at,
         )
 
+    def _make_own_notice(self, step: LoadStep) -> LoadNotice:
+        return self._make_notice(step, self._own.server if self._own else '')
+
     def _make_notice(self, step: LoadStep, server: str = '') -> LoadNotice:
         return LoadNotice(server, step, agent=self._settings.process)
 
@@ -254,22 +279,23 @@
             return self._queue.is_lost(process)
         return not self._queue.is_queued(process)
 
-    async def _find_own(self) -> str:
-        """Return the present start of the engine, nothing if not listed.
+    async def _find_own(self, state: EngineState) -> ServerStart | None:
+        """Return the start that told a state, None if not listed.
 
-        The start before it may still be listed for some seconds; the later
-        record is that of the present one, unless an order to it has shown
-        that it has ended.
+        The start before it may still be listed for some seconds. Where the
+        engine doesn't tell when it started, the later record is that of the
+        present one, unless an order to it has shown that it has ended.
         """
         now = self._clock.now()
-        if self._server or now - self._listed_at < _LIST_PERIOD:
-            return self._server
+        if self._own or now - self._listed_at < _LIST_PERIOD:
+            return self._own
         self._listed_at = now
-        for server in await list_servers(self._store, self._refuse):
-            is_own = server.address == self._settings.server
-            if is_own and server.server not in self._ended:
-                self._server = server.server
-        return self._server
+        for record in await list_servers(self._store, self._refuse):
+            is_own = record.address == self._settings.server
+            is_present = state.born in {None, record.born}
+            if is_own and is_present and record.start not in self._ended:
+                self._own = record.start
+        return self._own
 
     def _refuse(self, name: str, error: MalformedRecord) -> None:
         self._log.write(
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -32,6 +33,10 @@
 # Of 57 agents each asks a store that refuses once a second, an eighth of the
 # calls that it allows.
 _LONGEST_PAUSE: Millis = 1 * SECOND
+# An engine may come back on older weights than it held. Entries send it nothing
+# then, so that this bounds for how long it is missed; a look is one call within
+# the machine.
+_SETTLED_PERIOD: Millis = 5 * SECOND
 _STOPPING = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -118,10 +123,13 @@
             self._engine.take(notice)
 
     async def _roll_out(self) -> None:
-        """Look at the engine only while weights are due."""
-        pause = _ROLLOUT_PERIOD
+        """Look at the engine, rarely while no weights are due."""
+        pause, looked_at = _ROLLOUT_PERIOD, -math.inf
         while True:
-            if not self._engine.is_settled():
+            now = self._clock.now()
+            is_due = now - looked_at > _SETTLED_PERIOD
+            if is_due or not self._engine.is_settled():
+                looked_at = now
                 pause = await self._step(pause)
             await anyio.sleep(pause / SECOND)
 
--- a/tests/standins/hosted_engine.py
+++ b/tests/standins/hosted_engine.py
@@ -26,6 +26,7 @@
         self.busy = False
         self.down = False
         self.server = server
+        self.born: int | None = None
         self.orders: list[dict[str, Any]] = []
         self.accepted = 0
         self.lose_answers = 0
@@ -75,11 +76,14 @@
         """Answer nothing until the next start."""
         self.down, self.busy = True, False
 
-    def start_anew(self, server: str) -> None:
-        """Come back under another id, on the weights of before."""
+    def start_anew(self, server: str, born: int | None = None) -> None:
+        """Come back under this id, on the weights of before."""
         self.down, self.accepted, self.server = False, 0, server
+        self.born = born
 
     def report(self) -> dict[str, Any]:
         """Return what the engine says of itself."""
         models = [{'name': self._model, 'version': self.version}]
-        return {'models': models, 'busy': self.busy, 'seq': self.accepted}
+        told = {} if self.born is None else {'born': self.born}
+        state = {'models': models, 'busy': self.busy, 'seq': self.accepted}
+        return state | told
--- /dev/null
+++ b/tests/test_starts_agent.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import json
+
+import anyio
+import pytest
+
+from oleanderdyke.kernel.rollout import EngineState
+from tests.hosted import MODEL, SERVERS
+from tests.standins.hosted_engine import HostedEngine
+from tests.test_hosted_agent import LOADS, staging
+
+EARLIER, LATER = 1_000, 2_000
+
+pytestmark = pytest.mark.anyio
+
+
+def put_record(stage, born, name='i-own'):
+    found = json.loads(stage.store.find(SERVERS).newest['i-own'][1])
+    stage.store.put(SERVERS, name, found | {'born': born})
+
+
+def put_others(stage):
+    for server in ('i-a', 'i-b'):
+        waits = {'server': server, 'step': 'waits'}
+        stage.store.find(LOADS).append(json.dumps(waits).encode())
+
+
+def release_others(stage):
+    for server in ('i-a', 'i-b'):
+        ended = {'server': server, 'step': 'ended'}
+        stage.store.find(LOADS).append(json.dumps(ended).encode())
+
+
+def list_own_steps(stage):
+    return [each['step'] for each in stage.list_notices() if each.get('agent')]
+
+
+async def wait_steps(stage, steps, seconds=5):
+    with anyio.fail_after(seconds):
+        while list_own_steps(stage) != steps:
+            await anyio.sleep(0.02)
+
+
+def test_a_report_shows_that_its_engine_has_started_anew():
+    def report(orders, born):
+        return EngineState({}, is_busy=False, orders=orders, born=born)
+
+    assert not report(2, None).is_other_start(report(1, None))
+    assert report(0, None).is_other_start(report(1, None))
+    assert report(1, LATER).is_other_start(report(1, EARLIER))
+    assert report(0, EARLIER).is_earlier_start(report(1, LATER))
+    assert report(0, None).is_earlier_start(report(1, LATER))
+    assert not report(0, LATER).is_earlier_start(report(1, EARLIER))
+    assert not report(0, LATER).is_earlier_start(report(1, None))
+
+
+async def test_a_start_under_the_same_name_gives_its_place_up_first(tmp_path):
+    engine = HostedEngine(MODEL)
+    engine.born = EARLIER
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, EARLIER)
+        put_others(stage)
+        stage.name(2)
+        await wait_steps(stage, ['started', 'waits'])
+        engine.start_anew('', born=LATER)
+        put_record(stage, LATER)
+        await wait_steps(stage, ['started', 'waits', 'lost', 'waits'])
+        assert not engine.orders
+        release_others(stage)
+        await stage.wait_version(2)
+    (order,) = engine.orders
+    assert order['precondition'] == 0
+
+
+async def test_a_start_that_nobody_tells_shows_in_the_count_of_orders(
+    tmp_path,
+):
+    engine = HostedEngine(MODEL)
+    engine.accepted = 4
+    async with staging(tmp_path, engine) as stage:
+        put_others(stage)
+        stage.name(2)
+        await wait_steps(stage, ['started', 'waits'])
+        engine.start_anew('')
+        await wait_steps(stage, ['started', 'waits', 'lost', 'waits'])
+        release_others(stage)
+        await stage.wait_version(2)
+    (order,) = engine.orders
+    assert order['precondition'] == 0
+
+
+async def test_a_record_of_the_earlier_start_brings_no_order(tmp_path):
+    engine = HostedEngine(MODEL)
+    engine.born = LATER
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, EARLIER)
+        stage.name(2)
+        await anyio.sleep(0.8)
+        assert list_own_steps(stage) == ['started']
+        put_record(stage, LATER)
+        await stage.wait_version(2)
+
+
+async def test_a_late_report_of_the_earlier_start_brings_no_order(tmp_path):
+    engine = HostedEngine(MODEL)
+    engine.born = LATER
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, LATER)
+        put_others(stage)
+        stage.name(2)
+        await wait_steps(stage, ['started', 'waits'])
+        engine.born = EARLIER
+        await anyio.sleep(0.5)
+        assert list_own_steps(stage) == ['started', 'waits']
+        release_others(stage)
+        await anyio.sleep(0.5)
+        assert not engine.orders
+        engine.born = LATER
+        await stage.wait_version(2)
+
+
+async def test_a_restart_midway_through_a_load_is_ordered_anew(tmp_path):
+    engine = HostedEngine(MODEL, load_seconds=0.6)
+    engine.born = EARLIER
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, EARLIER)
+        stage.name(2)
+        with anyio.fail_after(5):
+            while not engine.busy:
+                await anyio.sleep(0.01)
+        engine.crash()
+        await anyio.sleep(0.8)
+        engine.start_anew('', born=LATER)
+        put_record(stage, LATER)
+        await stage.wait_version(2)
+    assert [each['precondition'] for each in engine.orders] == [0, 0]
+    assert list_own_steps(stage)[:4] == ['started', 'waits', 'lost', 'waits']
+
+
+async def test_an_engine_that_comes_back_on_older_weights_is_seen(tmp_path):
+    engine = HostedEngine(MODEL)
+    engine.born = EARLIER
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, EARLIER)
+        stage.name(2)
+        await stage.wait_version(2)
+        await wait_steps(stage, ['started', 'waits', 'ended'])
+        engine.start_anew('', born=LATER)
+        engine.version = 1
+        put_record(stage, LATER)
+        await stage.wait_version(2, seconds=9)
+
+
+async def test_looks_at_a_settled_engine_cost_no_calls_of_the_store(tmp_path):
+    async with staging(tmp_path) as stage:
+        stage.name(2)
+        await stage.wait_version(2)
+        await wait_steps(stage, ['started', 'waits', 'ended'])
+        stage.store.calls.clear()
+        await anyio.sleep(6.0)
+        # The long reads, which go on as before.
+        assert set(stage.store.calls) <= {'/api/log-read'}
