Forget context that new weights discard; split what had grown

An entry kept believing in context that a load had discarded where the list told of the new weights before an answer did; a test holds that now.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -12,13 +12,16 @@
 from oleanderdyke.clock import Millis
 from oleanderdyke.entry.hosted.call import HostedCall, make_salt
 from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.dispatch import (
+    describe_outdated,
+    plan_contexts,
+)
 from oleanderdyke.entry.hosted.events import EventSplitter
 from oleanderdyke.entry.inbox import Inbox
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.attempt_events import Received, SendDispatch, Unsent
-from oleanderdyke.kernel.backends import Backend, Owed
-from oleanderdyke.kernel.context_stores import NO_CONTEXTS, ContextPlan
+from oleanderdyke.kernel.backend import Backend, Owed
 from oleanderdyke.kernel.named_weights import BEGIN_MARGIN, SEND_MARGIN
 from oleanderdyke.kernel.servers import AnswerFacts, ServerStart
 from oleanderdyke.links.messages import (
@@ -272,22 +275,11 @@
             peer=record.server,
             address=record.address,
             version=dispatch.version,
-            **self._describe_outdated(dispatch.version),
+            **describe_outdated(core, call, dispatch.version),
             tokens=dispatch.contexts.fetched_tokens or None,
             segments=sum(map(bool, dispatch.contexts.sinks)) or None,
         )
 
-    def _describe_outdated(self, version: int | None) -> dict[str, float]:
-        """Say which weights are newest, and how old that news is at most."""
-        core, demand = self._core, self._call.asked.demand
-        if demand is None or version is None:
-            return {}
-        replaced = core.find_replaced(demand.model, version)
-        if replaced is None:
-            return {}
-        newest = core.rollout.weights.find_newest(demand.model)
-        return {'newest': newest, 'age': round(core.clock.now() - replaced, 1)}
-
     def _make_dispatch(self, backend: Backend) -> Dispatch:
         core, call = self._core, self._call
         demand = call.asked.demand
@@ -301,31 +293,10 @@
             version=version,
             priority=None if demand is None else call.priority,
             salt=salt,
-            contexts=self._plan_contexts(backend, salt),
+            contexts=plan_contexts(core, call, backend, salt),
             last_event='' if last is None else str(last),
         )
 
-    def _plan_contexts(self, backend: Backend, salt: str) -> ContextPlan:
-        core, demand = self._core, self._call.asked.demand
-        if demand is None or not salt or not demand.parts:
-            return NO_CONTEXTS
-        now = core.clock.now()
-        held = backend.record.versions.get(demand.model, 0)
-        replaced = core.find_replaced(demand.model, held)
-        if replaced is not None and backend.listed_at >= replaced:
-            # Others may think that no engine is left on these weights.
-            return NO_CONTEXTS
-        plan = core.contexts.plan(
-            salt,
-            demand.parts,
-            data_centre=backend.record.data_centre,
-            relied_on=core.configuration_asked,
-            may_save=replaced is None,
-            now=now,
-        )
-        core.contexts.note_saves(salt, demand.parts, plan, now)
-        return plan
-
     def _learn(self, facts: AnswerFacts) -> None:
         book = self._core.book
         book.note_heard(self._start, self._name, self._core.clock.now())
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -44,7 +44,7 @@
     RequestFacts,
     RequestMachine,
 )
-from oleanderdyke.kernel.backends import Backend
+from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.demand import Plan, Refusal, Replica
 from oleanderdyke.kernel.deployment import CallKind
 from oleanderdyke.kernel.overload import should_refuse
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.backend import Backend, Owed
 from oleanderdyke.kernel.returns import ReturningServers
 from oleanderdyke.kernel.servers import (
     PromptPart,
@@ -28,142 +28,10 @@
 # ten milliseconds, new weights take over a second.
 _REFUSAL_PAUSE: Millis = 100.0
 _LONGEST_REFUSAL_PAUSE: Millis = 800.0
-# Prompt tokens that an engine reads in a millisecond, as its sheet states.
-READ_RATE = 112.0
-# What a first byte takes beside reading, where nothing waits: the first step
-# of an engine and two ways over the network.
-_FIRST_BYTE: Millis = 45.0
-# The share of the latest first byte in what is known of a server's queue.
-_DELAY_WEIGHT = 0.3
-# What a first byte told of a queue counts less and less until then.
-_DELAY_LIFE: Millis = 1_500.0
-# A load that was told longer ago says nothing.
-_LOAD_LIFE: Millis = 3 * SECOND
 # The share of the latest answer in the rate of failures of a server.
 _ERROR_WEIGHT = 0.2
 
 
-@dataclass(slots=True)
-class Backend:
-    """Hold one backend server; `record` is what it last told.
-
-    `waiting` has, by attempt, the moment from which on it owes a first byte
-    and the prompt tokens that it has to read before.
-    """
-
-    record: ServerRecord
-    listed_at: Millis = 0.0
-    running: int = 0
-    running_tokens: int = 0
-    waiting: dict[str, Owed] = field(default_factory=dict)
-    heard: Millis = 0.0
-    load: ServerLoad | None = None
-    load_at: Millis = 0.0
-    failures: int = 0
-    refusals: int = 0
-    errors: float = 0.0
-    out_until: Millis = 0.0
-    reload_until: Millis = 0.0
-    missing_since: Millis | None = None
-    # Its newest entry can't be read, so what it told before may be outdated.
-    is_unread: bool = False
-    delays: dict[int, Delay] = field(default_factory=dict)
-    kept: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    kept_tokens: int = 0
-
-    def count_owed_tokens(self, rank: int) -> int:
-        """Count the prompt tokens that are read before those of a rank."""
-        return sum(
-            owed.tokens for owed in self.waiting.values() if owed.rank <= rank
-        )
-
-    def find_delay(self, rank: int, now: Millis) -> Millis:
-        """Return how long a request of a rank waits before it is read.
-
-        It is what the latest first bytes of the rank showed, or more where
-        one as urgent is still owed and has waited longer.
-        """
-        known = self.delays.get(rank)
-        shown = 0.0 if known is None else known.find_left(now)
-        owed = (
-            owed.find_excess(now)
-            for owed in self.waiting.values()
-            if owed.rank <= rank
-        )
-        return max(shown, *owed, 0.0)
-
-    def note_first_byte(self, owed: Owed, now: Millis) -> None:
-        """Learn from a first byte how long requests of its rank wait."""
-        excess = max(owed.find_excess(now), 0.0)
-        known = self.find_delay(owed.rank, now)
-        shown = known + _DELAY_WEIGHT * (excess - known)
-        self.delays[owed.rank] = Delay(shown, now)
-
-    def count_waiting(self, now: Millis) -> int:
-        """Return how many requests wait there, fewer the longer ago told.
-
-        A server that has told nothing lately must not look idle at once.
-        """
-        if self.load is None:
-            return 0
-        left = max(1 - (now - self.load_at) / _LOAD_LIFE, 0.0)
-        return round(self.load.waiting * left)
-
-    def count_present(self, now: Millis) -> int:
-        """Return how many requests run or wait there."""
-        if self.load is None or now - self.load_at > _LOAD_LIFE:
-            return self.running
-        return max(self.load.running + self.load.waiting, self.running)
-
-    def find_silence(self, now: Millis) -> Millis:
-        """Return for how long the server has owed a byte and sent none.
-
-        An engine sends something of each run every few milliseconds.
-        """
-        if not self.running:
-            return 0.0
-        since = [owed.since for owed in self.waiting.values()]
-        return now - max(min(since, default=0.0), self.heard)
-
-    def count_kept(self, parts: Sequence[PromptPart]) -> int:
-        """Count the leading tokens of a prompt that it likely holds."""
-        count = 0
-        for part in parts:
-            if part.name not in self.kept:
-                break
-            count += part.tokens
-        return count
-
-
-@dataclass(frozen=True, slots=True)
-class Delay:
-    """Hold how long requests of one rank waited, and when that was seen."""
-
-    shown: Millis
-    at: Millis
-
-    def find_left(self, now: Millis) -> Millis:
-        """Return it, less the longer ago it was seen."""
-        return self.shown * max(1 - (now - self.at) / _DELAY_LIFE, 0.0)
-
-
-@dataclass(frozen=True, slots=True)
-class Owed:
-    """Hold since when a first byte is owed, after how many tokens.
-
-    `memory` counts the tokens that the request takes until it has ended.
-    """
-
-    since: Millis
-    tokens: int
-    rank: int = 0
-    memory: int = 0
-
-    def find_excess(self, now: Millis) -> Millis:
-        """Return how much longer it has taken than reading alone."""
-        return now - self.since - self.tokens / READ_RATE - _FIRST_BYTE
-
-
 class BackendBook:
     """Keep the present start of each backend server of all services.
 
@@ -272,6 +140,7 @@
         merged = _merge_versions(known.record, record)
         if merged.versions != known.record.versions:
             known.reload_until = 0.0
+            known.forget_kept()
         known.record = merged
 
     def note_unread(self, servers: Iterable[str]) -> None:
@@ -444,8 +313,7 @@
             return
         versions[model] = version
         backend.record = replace(backend.record, versions=versions)
-        backend.kept.clear()
-        backend.kept_tokens = 0
+        backend.forget_kept()
 
     def note_kept(
         self, start: ServerStart, parts: Sequence[PromptPart], capacity: int
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -8,7 +8,8 @@
 from operator import itemgetter
 
 from oleanderdyke.clock import Millis
-from oleanderdyke.kernel.backends import READ_RATE, Backend, BackendBook
+from oleanderdyke.kernel.backend import READ_RATE, Backend
+from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
 # Tokens that a store sends in a millisecond: 18 KB each, at 58 Gbit/s.
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from oleanderdyke.kernel.backends import BackendBook, Owed
+from oleanderdyke.kernel.backend import Owed
+from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.durations import Durations
 from oleanderdyke.kernel.overload import (
     LATE_RANK,
@@ -431,3 +432,11 @@
     for now in range(5_000, 20_000, 500):
         book.note_read(float(now))
         assert not book.list_service('desk', float(now))
+
+
+def test_an_engine_that_lists_newer_weights_keeps_no_context():
+    book = BackendBook()
+    book.put(make_record('a', versions={'m': 1}, beat=1), 0.0)
+    book.note_kept(ServerStart('a'), PARTS, 60_000)
+    book.put(make_record('a', versions={'m': 2}, beat=2), 1.0)
+    assert book.find('a').count_kept(PARTS) == 0
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from oleanderdyke.kernel.backends import BackendBook, Owed
+from oleanderdyke.kernel.backend import Owed
+from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.outdated import OutdatedContext
 from oleanderdyke.kernel.placement import CallDemand, choose_backend, is_usable
 from oleanderdyke.kernel.servers import (
