Look up the weights that engines hold once for each request

The versions held by a service's engines were listed twice for each choice, once for old weights and once for context that can be fetched; both take one list now. Two comments on the count of entries said more than is so. Behaviour is the same.

--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -137,14 +137,15 @@
         0 if model is None else core.rollout.weights.find_newest(model.model)
     )
     now, queue = core.clock.now(), core.rollout.queue
+    held = _list_held(core, call, now)
     return CallDemand(
         service=call.service,
         data_centre=core.settings.data_centre,
         model=model,
         rank=call.priority,
         newest_version=newest or None,
-        outdated=_list_outdated(core, call),
-        fetchable=_count_fetchable(core, call),
+        outdated=_list_outdated(core, call, held),
+        fetchable=_count_fetchable(core, call, held),
         excluded=excluded,
         loading=frozenset(queue.list_loading(now)),
         draining=frozenset(queue.list_next(now)),
@@ -152,15 +153,26 @@
     )
 
 
-def _list_outdated(core: HostedCore, call: HostedCall) -> frozenset[int | None]:
-    """Return the versions that listed engines hold and none may begin on."""
+def _list_held(
+    core: HostedCore, call: HostedCall, now: Millis
+) -> frozenset[int | None]:
+    """Return the versions that engines hold, None where one isn't told."""
     model = call.asked.demand
     if model is None:
         return frozenset()
-    held = {
+    return frozenset(
         backend.record.versions.get(model.model)
-        for backend in core.book.list_service(call.service, core.clock.now())
-    }
+        for backend in core.book.list_service(call.service, now)
+    )
+
+
+def _list_outdated(
+    core: HostedCore, call: HostedCall, held: frozenset[int | None]
+) -> frozenset[int | None]:
+    """Return the versions that listed engines hold and none may begin on."""
+    model = call.asked.demand
+    if model is None:
+        return frozenset()
     return frozenset(
         version
         for version in held
@@ -175,15 +187,13 @@
     return deployment.find_memory(call.service) or 0
 
 
-def _count_fetchable(core: HostedCore, call: HostedCall) -> dict[int, int]:
+def _count_fetchable(
+    core: HostedCore, call: HostedCall, held: frozenset[int | None]
+) -> dict[int, int]:
     model = call.asked.demand
     if model is None or not model.parts:
         return {}
     now = core.clock.now()
-    held = {
-        backend.record.versions.get(model.model)
-        for backend in core.book.list_service(call.service, now)
-    }
     return {
         version: core.contexts.count_available(
             make_salt(call, version), model.parts[:-1], now
--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -6,13 +6,14 @@
 
 from oleanderdyke.clock import SECOND, Millis
 
-# An entry tells of itself every 15 s; two lost notices don't make it gone.
+# An entry tells of itself every 20 s at most; one lost notice doesn't make it
+# gone.
 LIFE: Millis = 40 * SECOND
 # Entries read the notices every 10 s. In a longer gap the store was probably
 # out, and then nobody could tell of itself.
 _READ_GAP: Millis = 15 * SECOND
-# Before anything was heard: more than the deployments of today have, counting
-# those that may be added.
+# Before anything was heard: more than deployments of three to six entries have,
+# counting those that may be added; the grown ones have up to 31.
 _UNKNOWN = 12
 # Entries may have started that nobody has told of yet.
 _SPARE = 2
