Compare reads in a row when broken records are timed

Cause: the check failed once, 29.6 ms against 20.0 (1.48), on a busy machine. It compared the least of twelve reads of each kind, in processor time. A core whose neighbour gets work runs at half its speed: good records alone took 16 to 33 ms from one read to the next, so one lucky read of the good ones decided.

Ruled out: a dearer reader.

Change: the median of fifteen ratios of reads in a row, the bound 1.2 unchanged.

--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -13,7 +13,7 @@
 import gc
 import io
 import json
-import math
+import statistics
 import time
 
 import anyio
@@ -461,7 +461,7 @@
 
 
 RECORDS = 1_000
-RUNS = 12
+TURNS = 15
 # What reading may take longer where one record in ten is broken.
 MOST_RATIO = 1.2
 # A record as long as hundreds takes as long to fetch, good or not.
@@ -516,11 +516,18 @@
         ]
     else:
         answers = [[EMPTY, make_changes(each)] for each in (good, mixed)]
-    best = [math.inf, math.inf]
-    # In turns, so that a busy machine slows both.
-    for _ in range(RUNS):
-        for place, (records, lines) in enumerate([(1_000, 0), (900, 4)]):
-            took, *counts = await time_reading(*answers[place])
-            assert counts == [records, lines]
-            best[place] = min(best[place], took)
-    assert best[1] <= MOST_RATIO * best[0]
+    ratios = [await compare_reading(*answers) for _ in range(TURNS)]
+    assert statistics.median(ratios) <= MOST_RATIO
+
+
+async def compare_reading(good, mixed) -> float:
+    """Read good records, then mixed ones; return the ratio of their times.
+
+    A core may run at half its speed from one moment to the next, as its
+    neighbour gets work, so only two reads in a row are compared.
+    """
+    good_time, *good_counts = await time_reading(*good)
+    mixed_time, *mixed_counts = await time_reading(*mixed)
+    assert good_counts == [1_000, 0]
+    assert mixed_counts == [900, 4]
+    return mixed_time / good_time
