Show streams that end with another answer than a stream

A stream that broke after some events goes on at a second server. Where that answers with a failure, or with anything that is no stream, its body was joined to the events and the stream ended as whole. Found by cases drawn from acts of servers over the real entry. Ruled out: the head of a run that broke before its first event is not used for the next one (the third test passes).

--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -16,6 +16,7 @@
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.shell import HostedShell
+from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.logs import make_event_log
 from oleanderdyke.platform.settings import load_host_settings
 from tests.standins import server
@@ -175,6 +176,13 @@
     }
 
 
+def prefer(stage: Stage, number: int) -> None:
+    """Let the other servers look worse, so that this one is tried first."""
+    for other in range(len(stage.replicas)):
+        if other != number:
+            stage.core.book.note_error(ServerStart(f'i-{other}'))
+
+
 async def call(
     address: tuple[str, int],
     path: str,
--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -8,13 +8,13 @@
 import anyio
 import pytest
 
-from oleanderdyke.kernel.servers import ServerStart
 from tests.hosted import (
     CONFIGURATION,
     LETTER_ROUTE,
     Answered,
     Stage,
     make_request,
+    prefer,
     read_answer,
     staging,
 )
@@ -77,13 +77,6 @@
         return await read_answer(reader)
 
 
-def _prefer(stage: Stage, number: int) -> None:
-    """Let the other servers look worse, so that this one is tried first."""
-    for other in range(len(stage.replicas)):
-        if other != number:
-            stage.core.book.note_error(ServerStart(f'i-{other}'))
-
-
 async def _stall_midway(peer: Peer) -> None:
     await send_events(peer, 1, 2)
     await peer.wait_closed()
@@ -108,7 +101,7 @@
 ):
     runs = Runs()
     async with staging(tmp_path, failing, runs.make(second)) as stage:
-        _prefer(stage, 0)
+        prefer(stage, 0)
         async with _calling(stage, '/stream/1'):
             await runs.wait_begun()
             await anyio.sleep(0.1)
@@ -121,7 +114,7 @@
 async def test_a_deadline_ends_the_second_run(tmp_path, failing, second):
     runs = Runs()
     async with staging(tmp_path, failing, runs.make(second)) as stage:
-        _prefer(stage, 0)
+        prefer(stage, 0)
         async with _calling(stage, '/stream/1', 1_200) as (reader, _):
             found = await _read(reader)
             assert runs.begun == 1
@@ -133,7 +126,7 @@
 async def test_the_second_run_is_told_no_more_time_than_is_left(tmp_path):
     runs = Runs()
     async with staging(tmp_path, _stall_midway, runs.make(3)) as stage:
-        _prefer(stage, 0)
+        prefer(stage, 0)
         async with _calling(stage, '/stream/1', 1_500):
             await runs.wait_begun()
             (sent,) = stage.replicas[1].received
@@ -143,7 +136,7 @@
 async def test_a_run_that_was_given_up_is_closed_before_the_next(tmp_path):
     first, second = Runs(), Runs()
     async with staging(tmp_path, first.make(1), second.make(2)) as stage:
-        _prefer(stage, 0)
+        prefer(stage, 0)
         async with _calling(stage, '/stream/1'):
             await second.wait_begun()
             await first.wait_closed()
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+import anyio
 import pytest
 
 from tests.hosted import (
+    prefer,
     staging,
 )
 from tests.standins.replica import (
@@ -10,7 +12,7 @@
     make_event,
     make_head,
 )
-from tests.standins.scripts import stream
+from tests.standins.scripts import send_events, stream
 
 pytestmark = pytest.mark.anyio
 
@@ -75,3 +77,38 @@
         found = [await stage.call('/stream/1') for _ in range(2)]
     whole = b''.join(make_event(number) for number in range(1, 6))
     assert whole in [each.body for each in found]
+
+
+async def _fail(peer):
+    await peer.answer(500, b'out of order')
+
+
+async def _answer_at_once(peer):
+    await peer.answer(200, b'no stream')
+
+
+@pytest.mark.parametrize('other', [_fail, _answer_at_once])
+async def test_an_answer_that_is_no_stream_never_ends_a_broken_one(
+    tmp_path, other
+):
+    async with staging(tmp_path, stream(1, 2, ending=b''), other) as stage:
+        prefer(stage, 0)
+        found = await stage.call('/stream/1')
+        assert len(stage.replicas[1].received) == 1
+    whole_events = make_event(1) + make_event(2)
+    assert (found.body, found.is_whole) == (whole_events, False)
+
+
+async def _begin_and_die(peer):
+    await send_events(peer, 1, 0)
+    # A reset may overtake what was sent before it.
+    await anyio.sleep(0.1)
+    peer.reset()
+
+
+async def test_an_answer_has_the_head_of_its_own_run(tmp_path):
+    async with staging(tmp_path, _begin_and_die, _fail) as stage:
+        prefer(stage, 0)
+        found = await stage.call('/stream/1')
+        assert len(stage.replicas[1].received) == 1
+    assert (found.status, found.body) == (500, b'out of order')
