Let only a stream follow the events that a caller has

Cause: a run that goes on after a broken stream was judged as a first answer is, so that a failure, or a success that is no stream, was passed on: its body was joined to the events, and its end made the stream look whole.

Ruled out: the head of the first run (it is dropped with its attempt).

Change: once a caller has events, an answer that is not a successful stream of events breaks the attempt, which goes on or ends broken as after any loss. The judging of heads has a module of its own, which the attempt calls.

--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/answers.py
@@ -0,0 +1,42 @@
+"""Judge the head of an answer of a backend server."""
+
+from __future__ import annotations
+
+from oleanderdyke.kernel.servers import AnswerFacts
+from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.requests import PROMISES
+
+_EVENT_STREAM = 'text/event-stream'
+_SUCCESS = range(200, 300)
+
+
+def find_fault(status: int, facts: AnswerFacts, request: str) -> str:
+    """Return why an answer can't be that of the server to this request."""
+    if facts.request and facts.request != request:
+        # Also a late refusal: believed, it would leave this run unclosed
+        # beside the next one.
+        return 'an answer to another request'
+    if facts.is_not_run:
+        return ''
+    if status in _SUCCESS and not facts.is_sealed:
+        return 'a success without the mark of a server'
+    if status in PROMISES:
+        return f'{status} without the promise that it has not run'
+    return ''
+
+
+def has_events(headers: Headers) -> bool:
+    """Tell whether the body is a stream of events."""
+    return any(
+        name == 'content-type' and content.startswith(_EVENT_STREAM)
+        for name, content in headers
+    )
+
+
+def is_rest(status: int, headers: Headers) -> bool:
+    """Tell whether an answer may follow the events that a caller has.
+
+    A failure, or any other text, would be joined to them and end the stream as
+    whole.
+    """
+    return status in _SUCCESS and has_events(headers)
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -10,6 +10,11 @@
     set_idle_limit,
 )
 from oleanderdyke.clock import Millis
+from oleanderdyke.entry.hosted.answers import (
+    find_fault,
+    has_events,
+    is_rest,
+)
 from oleanderdyke.entry.hosted.call import HostedCall, make_salt
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.dispatch import (
@@ -32,15 +37,12 @@
     Headers,
 )
 from oleanderdyke.platform.requests import (
-    PROMISES,
     Dispatch,
     decode_answer,
     encode_request,
 )
 
-_EVENT_STREAM = 'text/event-stream'
 _SERVER_ERROR = 500
-_SUCCESS = range(200, 300)
 # A body up to this size is held until it is whole, so that a broken one can
 # be asked for again and never looks complete.
 _HELD_BYTES = 256 * 1024
@@ -160,7 +162,7 @@
         self._learn(facts)
         if self._done:
             return
-        fault = _find_fault(status, facts, self._call.request)
+        fault = find_fault(status, facts, self._call.request)
         if fault:
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
         elif facts.is_not_run:
@@ -169,6 +171,9 @@
         elif status >= _SERVER_ERROR and self._may_repeat():
             self._core.book.note_error(self._start)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.YES, f'{status}')
+        elif self._goes_on() and not is_rest(status, headers):
+            reason = f'{status} instead of the rest of the stream'
+            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
         else:
             self._accept(status, headers)
 
@@ -210,6 +215,10 @@
             self._note_lost()
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
+    def _goes_on(self) -> bool:
+        """Tell whether the caller already has events of an earlier run."""
+        return self._splitter is not None and self._splitter.has_passed
+
     def _note_lost(self) -> None:
         """Leave the server out, and its kept connections unless it answered.
 
@@ -324,8 +333,7 @@
 
     def _accept(self, status: int, headers: Headers) -> None:
         self._has_begun = True
-        kinds = [content for name, content in headers if name == 'content-type']
-        self._is_stream = any(kind.startswith(_EVENT_STREAM) for kind in kinds)
+        self._is_stream = has_events(headers)
         self._head = AnswerHead(
             self._call.request, self._number, status, headers
         )
@@ -396,18 +404,3 @@
         self._done = True
         if self._sent:
             self._core.book.note_ended(self._start, self._name, self._memory)
-
-
-def _find_fault(status: int, facts: AnswerFacts, request: str) -> str:
-    """Return why an answer can't be that of the server to this request."""
-    if facts.request and facts.request != request:
-        # Also a late refusal: believed, it would leave this run unclosed
-        # beside the next one.
-        return 'an answer to another request'
-    if facts.is_not_run:
-        return ''
-    if status in _SUCCESS and not facts.is_sealed:
-        return 'a success without the mark of a server'
-    if status in PROMISES:
-        return f'{status} without the promise that it has not run'
-    return ''
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -18,11 +18,15 @@
 
 
 class EventSplitter:
-    """Pass on whole events only, each once, in ascending order."""
+    """Pass on whole events only, each once, in ascending order.
+
+    `has_passed` tells that the reader has got some.
+    """
 
     def __init__(self, last: int | None) -> None:
         self._pending = bytearray()
         self.last = last
+        self.has_passed = False
 
     @property
     def has_rest(self) -> bool:
@@ -48,6 +52,7 @@
                 if self.last is not None and number <= self.last:
                     continue
                 self.last = number
+            self.has_passed = True
             yield WholeEvent(event, number)
 
 
