Give messages about claims and segments modules of their own

It is a package now, with claims and segments of cached context apart; only imports change. The check that parts may read messages, but nothing else of the links, stands unchanged.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -40,10 +40,10 @@
     AnswerEnd,
     AnswerHead,
     BackendKind,
-    Claim,
     Dispatch,
     Load,
 )
+from oleanderdyke.links.messages.claims import Claim
 
 COUNTS = (1_000, 10_000, 100_000)
 BATCHES = (1, 8, 64)
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -17,7 +17,7 @@
 from oleanderdyke.kernel.directory import Directory
 from oleanderdyke.kernel.objects import Change, Limits, ObjectKind, TeamSpec
 from oleanderdyke.kernel.records import encode_change
-from oleanderdyke.links.messages import SegmentEvents
+from oleanderdyke.links.messages.segments import SegmentEvents
 
 TEAM_COUNTS = (1_000, 10_000, 42_000)
 HINT_COUNTS = (10_000, 180_000, 540_000)
--- a/bench/reconcile.py
+++ b/bench/reconcile.py
@@ -13,7 +13,10 @@
 from bench.iblt import FIRST_CELLS, Decoder, Table, count_cells
 from oleanderdyke.kernel.segment_log import RECENT_EVENTS, SegmentLog
 from oleanderdyke.links.codec import decode, encode
-from oleanderdyke.links.messages import SegmentEvents, SegmentListRequest
+from oleanderdyke.links.messages.segments import (
+    SegmentEvents,
+    SegmentListRequest,
+)
 
 SIZES = (180_000, 2_000)
 DIFFERENCES = (1, 10, 100, 1_000, 10_000)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -32,8 +32,8 @@
     Hello,
     Message,
     Role,
-    SegmentEvents,
 )
+from oleanderdyke.links.messages.segments import SegmentEvents
 
 AGENTS = 410
 TEAM_COUNTS = (1_000, 10_000, 42_000)
--- a/bench/store_memory.py
+++ b/bench/store_memory.py
@@ -26,7 +26,7 @@
     WriteSealed,
     WriteVerified,
 )
-from oleanderdyke.links.messages import SegmentPart, SegmentWrite
+from oleanderdyke.links.messages.segments import SegmentPart, SegmentWrite
 from oleanderdyke.policies.keeping import make_expected_saving
 from oleanderdyke.policies.settings import PolicySettings
 
--- a/src/oleanderdyke/agent/beats.py
+++ b/src/oleanderdyke/agent/beats.py
@@ -12,13 +12,9 @@
 from oleanderdyke.clock import Clock
 from oleanderdyke.kernel.gate import Gate
 from oleanderdyke.kernel.quarantine import Quarantine
-from oleanderdyke.links.messages import (
-    AgentPhase,
-    Heartbeat,
-    Load,
-    SegmentEvents,
-)
+from oleanderdyke.links.messages import AgentPhase, Heartbeat, Load
 from oleanderdyke.links.messages import Role as PeerRole
+from oleanderdyke.links.messages.segments import SegmentEvents
 
 _NO_LOAD = Load()
 
--- a/src/oleanderdyke/agent/export.py
+++ b/src/oleanderdyke/agent/export.py
@@ -16,8 +16,8 @@
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.blocks import Namespace, SegmentId, digest_segment
-from oleanderdyke.links.messages import (
-    FetchPlan,
+from oleanderdyke.links.messages import FetchPlan
+from oleanderdyke.links.messages.segments import (
     SegmentPart,
     SegmentWanted,
     SegmentWrite,
--- a/src/oleanderdyke/agent/fetch.py
+++ b/src/oleanderdyke/agent/fetch.py
@@ -19,9 +19,8 @@
 from oleanderdyke.kernel.blocks import Namespace, SegmentId
 from oleanderdyke.kernel.fetch_pace import FetchPace
 from oleanderdyke.links.link import LinkClosed
-from oleanderdyke.links.messages import (
-    Cancel,
-    FetchPlan,
+from oleanderdyke.links.messages import Cancel, FetchPlan
+from oleanderdyke.links.messages.segments import (
     SegmentMissing,
     SegmentPart,
     SegmentRead,
--- a/src/oleanderdyke/agent/peers.py
+++ b/src/oleanderdyke/agent/peers.py
@@ -19,9 +19,8 @@
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.links.dialer import dial
 from oleanderdyke.links.link import Link, LinkClosed, LinkSettings
-from oleanderdyke.links.messages import (
-    Hello,
-    Message,
+from oleanderdyke.links.messages import Hello, Message
+from oleanderdyke.links.messages.segments import (
     SegmentMissing,
     SegmentPart,
     SegmentWanted,
--- a/src/oleanderdyke/agent/roles.py
+++ b/src/oleanderdyke/agent/roles.py
@@ -25,10 +25,8 @@
 from oleanderdyke.clock import Clock
 from oleanderdyke.kernel.gate import Gate, Loaded
 from oleanderdyke.kernel.segment_log import SegmentLog
-from oleanderdyke.links.messages import (
-    BackendKind,
-    Hello,
-    Load,
+from oleanderdyke.links.messages import BackendKind, Hello, Load
+from oleanderdyke.links.messages.segments import (
     SegmentMissing,
     SegmentPart,
     SegmentRead,
--- a/src/oleanderdyke/agent/routing.py
+++ b/src/oleanderdyke/agent/routing.py
@@ -23,7 +23,6 @@
 from oleanderdyke.links.messages import (
     BodyChunk,
     Cancel,
-    ClaimQuery,
     ConfigurationDifference,
     ConfigurationRequest,
     Credit,
@@ -33,11 +32,14 @@
     Message,
     Refused,
     Resume,
+    Superseded,
+)
+from oleanderdyke.links.messages.claims import ClaimQuery
+from oleanderdyke.links.messages.segments import (
     SegmentListRequest,
     SegmentPart,
     SegmentRead,
     SegmentWrite,
-    Superseded,
 )
 from oleanderdyke.logs import EventLog
 
--- a/src/oleanderdyke/agent/segment_copy.py
+++ b/src/oleanderdyke/agent/segment_copy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from oleanderdyke.kernel.blocks import verify_segment
-from oleanderdyke.links.messages import SegmentPart
+from oleanderdyke.links.messages.segments import SegmentPart
 
 
 class SegmentCopy:
--- a/src/oleanderdyke/agent/store.py
+++ b/src/oleanderdyke/agent/store.py
@@ -33,8 +33,8 @@
     WriteSealed,
     WriteVerified,
 )
-from oleanderdyke.links.messages import (
-    Load,
+from oleanderdyke.links.messages import Load
+from oleanderdyke.links.messages.segments import (
     SegmentPart,
     SegmentRead,
     SegmentWanted,
--- a/src/oleanderdyke/agent/store_reads.py
+++ b/src/oleanderdyke/agent/store_reads.py
@@ -22,7 +22,7 @@
 from oleanderdyke.kernel.store_index import StoreIndex
 from oleanderdyke.kernel.store_outcomes import Pinned
 from oleanderdyke.links.link import LinkClosed
-from oleanderdyke.links.messages import (
+from oleanderdyke.links.messages.segments import (
     SegmentMissing,
     SegmentPart,
     SegmentRead,
--- a/src/oleanderdyke/entry/agents.py
+++ b/src/oleanderdyke/entry/agents.py
@@ -18,7 +18,6 @@
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
-    ClaimAnswer,
     ConfigurationDifference,
     ConfigurationRequest,
     EntryBeat,
@@ -26,9 +25,10 @@
     Heartbeat,
     Message,
     Refused,
-    SegmentEvents,
     Superseded,
 )
+from oleanderdyke.links.messages.claims import ClaimAnswer
+from oleanderdyke.links.messages.segments import SegmentEvents
 from oleanderdyke.metrics import Count, Gauge
 
 
--- a/src/oleanderdyke/entry/receiver.py
+++ b/src/oleanderdyke/entry/receiver.py
@@ -10,10 +10,10 @@
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
-    ClaimAnswer,
     Failed,
     Message,
 )
+from oleanderdyke.links.messages.claims import ClaimAnswer
 
 # An agent that ignores its credit is cut off here.
 _CHUNK_LIMIT = 512
--- a/src/oleanderdyke/entry/sender.py
+++ b/src/oleanderdyke/entry/sender.py
@@ -25,11 +25,11 @@
 from oleanderdyke.links.messages import (
     BodyChunk,
     Cancel,
-    ClaimQuery,
     Credit,
     Message,
     Resume,
 )
+from oleanderdyke.links.messages.claims import ClaimQuery
 
 
 class AttemptSender:
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -26,7 +26,7 @@
 )
 from oleanderdyke.kernel.claim_records import ReleaseRecord
 from oleanderdyke.kernel.retries import RetryBudget
-from oleanderdyke.links.messages import Claim
+from oleanderdyke.links.messages.claims import Claim
 
 Actions: TypeAlias = tuple[Action, ...]
 
--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -20,11 +20,10 @@
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
-    Claim,
-    ClaimAnswer,
     Failed,
     Headers,
 )
+from oleanderdyke.links.messages.claims import Claim, ClaimAnswer
 
 
 class TimerKind(enum.StrEnum):
--- a/src/oleanderdyke/kernel/claim_records.py
+++ b/src/oleanderdyke/kernel/claim_records.py
@@ -12,7 +12,8 @@
 from oleanderdyke.cbor import dump_cbor, load_cbor
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import OleanderError
-from oleanderdyke.links.messages import Claim, Headers
+from oleanderdyke.links.messages import Headers
+from oleanderdyke.links.messages.claims import Claim
 
 CLAIMS_LOG = 'claims'
 KEY_BYTES = 20
--- a/src/oleanderdyke/kernel/claim_runs.py
+++ b/src/oleanderdyke/kernel/claim_runs.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from oleanderdyke.links.messages import (
+from oleanderdyke.links.messages import Headers
+from oleanderdyke.links.messages.claims import (
     Claim,
     ClaimAnswer,
     ClaimQuery,
     ClaimState,
-    Headers,
 )
 
 
--- a/src/oleanderdyke/kernel/claimed_attempts.py
+++ b/src/oleanderdyke/kernel/claimed_attempts.py
@@ -43,13 +43,8 @@
     Verdict,
 )
 from oleanderdyke.kernel.receipts import Receipt, ReceiptState
-from oleanderdyke.links.messages import (
-    AnswerChunk,
-    AnswerHead,
-    Claim,
-    ClaimAnswer,
-    ClaimState,
-)
+from oleanderdyke.links.messages import AnswerChunk, AnswerHead
+from oleanderdyke.links.messages.claims import Claim, ClaimAnswer, ClaimState
 
 _NOT_KEPT = 'it ran; its answer is too long, or too old, to be kept'
 _LOG_OUT = 'the log is out; this call did not run'
--- a/src/oleanderdyke/kernel/claims.py
+++ b/src/oleanderdyke/kernel/claims.py
@@ -20,7 +20,7 @@
     encode_batch,
     make_claim,
 )
-from oleanderdyke.links.messages import Claim
+from oleanderdyke.links.messages.claims import Claim
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/directory.py
+++ b/src/oleanderdyke/kernel/directory.py
@@ -8,7 +8,10 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.demand import SegmentHint
 from oleanderdyke.kernel.holders import SHARD_COUNT, HolderTable
-from oleanderdyke.links.messages import SegmentEvents, SegmentListRequest
+from oleanderdyke.links.messages.segments import (
+    SegmentEvents,
+    SegmentListRequest,
+)
 
 _ASK_AGAIN: Millis = 2 * SECOND
 _SWEPT_SHARDS = 64
--- a/src/oleanderdyke/kernel/gate.py
+++ b/src/oleanderdyke/kernel/gate.py
@@ -14,14 +14,12 @@
 from oleanderdyke.kernel.claim_runs import ClaimRuns, RunAnswer, RunState
 from oleanderdyke.kernel.gate_terms import GateSettings, Loaded, Rights
 from oleanderdyke.kernel.quarantine import Quarantine, Standing
-from oleanderdyke.links.messages import (
-    AgentPhase,
+from oleanderdyke.links.messages import AgentPhase, Dispatch, Failed
+from oleanderdyke.links.messages.claims import (
     Claim,
     ClaimAnswer,
     ClaimQuery,
     ClaimState,
-    Dispatch,
-    Failed,
 )
 
 __all__ = ['Admittance', 'Gate', 'GateSettings', 'Ignored', 'Loaded', 'Pass']
--- a/src/oleanderdyke/kernel/membership.py
+++ b/src/oleanderdyke/kernel/membership.py
@@ -19,6 +19,8 @@
     Heartbeat,
     Hello,
     Load,
+)
+from oleanderdyke.links.messages.segments import (
     SegmentEvents,
     SegmentListRequest,
 )
--- a/src/oleanderdyke/kernel/receipts.py
+++ b/src/oleanderdyke/kernel/receipts.py
@@ -6,7 +6,8 @@
 import hashlib
 
 from oleanderdyke.kernel.claim_records import BODY_BOUND, OutcomeRecord
-from oleanderdyke.links.messages import Claim, Headers
+from oleanderdyke.links.messages import Headers
+from oleanderdyke.links.messages.claims import Claim
 
 RECEIPT_HEADER = 'oleander-receipt'
 _DIGEST_BYTES = 16
--- a/src/oleanderdyke/kernel/segment_log.py
+++ b/src/oleanderdyke/kernel/segment_log.py
@@ -8,7 +8,7 @@
 
 from oleanderdyke.kernel.demand import SegmentHint
 from oleanderdyke.kernel.hint_set import HintSet
-from oleanderdyke.links.messages import SegmentEvents
+from oleanderdyke.links.messages.segments import SegmentEvents
 
 MESSAGE_HINTS = 16_384
 RECENT_EVENTS = 16_384
--- a/src/oleanderdyke/kernel/segment_write.py
+++ b/src/oleanderdyke/kernel/segment_write.py
@@ -9,7 +9,7 @@
 from oleanderdyke.kernel.blocks import ID_BYTES
 from oleanderdyke.kernel.store_meta import SealedMeta
 from oleanderdyke.kernel.store_outcomes import WriteRefusal
-from oleanderdyke.links.messages import SegmentPart
+from oleanderdyke.links.messages.segments import SegmentPart
 
 
 class OpenWrite:
--- a/src/oleanderdyke/kernel/store_index.py
+++ b/src/oleanderdyke/kernel/store_index.py
@@ -37,7 +37,7 @@
     WriteSealed,
     WriteVerified,
 )
-from oleanderdyke.links.messages import SegmentPart, SegmentWrite
+from oleanderdyke.links.messages.segments import SegmentPart, SegmentWrite
 
 __all__ = [
     'BeginOutcome',
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -22,8 +22,8 @@
     Ping,
     Pong,
     Refused,
-    SegmentPart,
 )
+from oleanderdyke.links.messages.segments import SegmentPart
 from oleanderdyke.links.silence import SilenceWatch
 
 _DATA = frozenset({AnswerChunk, BodyChunk, SegmentPart})
--- a/src/oleanderdyke/links/messages.py
+++ b/src/oleanderdyke/links/messages/__init__.py
@@ -13,6 +13,17 @@
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.links.messages.claims import Claim, ClaimAnswer, ClaimQuery
+from oleanderdyke.links.messages.segments import (
+    SegmentEvents,
+    SegmentListRequest,
+    SegmentMissing,
+    SegmentPart,
+    SegmentRead,
+    SegmentWanted,
+    SegmentWrite,
+    SegmentWritten,
+)
 
 PROTOCOL_VERSION = 1
 
@@ -139,31 +150,6 @@
     suspects: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class SegmentEvents:
-    """Tell which cached segments an agent gained and lost.
-
-    `first` numbers the first event; a receiver that sees a gap asks for the
-    full list. Segments are hints: first 8 bytes of the segment's digest.
-    """
-
-    first: int
-    added: tuple[bytes, ...] = ()
-    removed: tuple[bytes, ...] = ()
-    full: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class SegmentListRequest:
-    """Ask for the segment events from the number `after` on.
-
-    The answer is the full list where those events are no longer kept, and
-    always for -1.
-    """
-
-    after: int = -1
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigurationRequest:
     """Ask for the configuration after an offset."""
@@ -187,22 +173,6 @@
     last: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """Name the owner of an idempotency key, as the log ordered it.
-
-    `offset` and `index` place the claim in the claims log, `beat` is the last
-    heartbeat sequence of the agent that the claiming entry had seen.
-    """
-
-    offset: int
-    index: int
-    key: str
-    agent: str
-    incarnation: str
-    beat: int
-
-
 @dataclass(frozen=True, slots=True)
 class FetchPlan:
     """Tell an engine's agent which kept segments to import first."""
@@ -346,103 +316,6 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimQuery:
-    """Ask what became of a claim, and bar it where it never started."""
-
-    request: str
-    team: str
-    claim: Claim
-
-
-class ClaimState(enum.StrEnum):
-    """Name what an agent knows about a claim."""
-
-    BARRED = 'barred'
-    RUNNING = 'running'
-    FINISHED = 'finished'
-    UNKNOWN = 'unknown'
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimAnswer:
-    """Tell what became of a claim; a finished one carries its answer."""
-
-    request: str
-    claim: Claim
-    state: ClaimState
-    status: int = 0
-    headers: Headers = ()
-    body: bytes = b''
-
-
-@dataclass(frozen=True, slots=True)
-class SegmentRead:
-    """Ask a store's agent for sealed segments; it pins each while sending."""
-
-    request: str
-    namespace: bytes
-    segments: tuple[bytes, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class SegmentPart:
-    """Carry a part of one segment; the last part closes it."""
-
-    request: str
-    segment: bytes
-    generation: int
-    position: int
-    data: bytes
-    length: int
-    digest: bytes
-    last: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class SegmentMissing:
-    """Tell that a segment is not here, not sealed, or was freed."""
-
-    request: str
-    segment: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class SegmentWrite:
-    """Offer a segment to a store's agent.
-
-    The agent answers `SegmentWanted`, on which the parts follow as
-    `SegmentPart`, or `SegmentWritten`. `depth` counts the segments that go
-    before this one in its prompt.
-    """
-
-    request: str
-    namespace: bytes
-    segment: bytes
-    length: int
-    digest: bytes
-    expected_gap: Millis = 0.0
-    depth: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class SegmentWanted:
-    """Ask for the parts of an offered segment."""
-
-    request: str
-    segment: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class SegmentWritten:
-    """Tell whether a segment is sealed in the store."""
-
-    request: str
-    segment: bytes
-    sealed: bool
-    detail: str = ''
-
-
 @dataclass(frozen=True, slots=True)
 class DrainRequest:
     """Ask an agent to leave; used by operators through an entry."""
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -36,7 +36,6 @@
     AnswerHead,
     BackendKind,
     BodyChunk,
-    Claim,
     ConfigurationRequest,
     Dispatch,
     EntryBeat,
@@ -46,6 +45,7 @@
     Message,
     Role,
 )
+from oleanderdyke.links.messages.claims import Claim
 from oleanderdyke.logs import make_event_log
 
 CLOCK = make_clock()
--- a/tests/matrix/agent.py
+++ b/tests/matrix/agent.py
@@ -29,7 +29,6 @@
     BackendKind,
     BodyChunk,
     Cancel,
-    ClaimQuery,
     ConfigurationDifference,
     ConfigurationRequest,
     Credit,
@@ -40,9 +39,10 @@
     Message,
     Resume,
     Role,
-    SegmentListRequest,
     Superseded,
 )
+from oleanderdyke.links.messages.claims import ClaimQuery
+from oleanderdyke.links.messages.segments import SegmentListRequest
 from tests.matrix.loop import Null, Process, drive
 from tests.matrix.net import End
 from tests.matrix.orders import ModelOrders
--- a/tests/matrix/kv.py
+++ b/tests/matrix/kv.py
@@ -17,7 +17,7 @@
     split_segments,
 )
 from oleanderdyke.kernel.demand import SEGMENT_BYTES
-from oleanderdyke.links.messages import SegmentPart, SegmentWrite
+from oleanderdyke.links.messages.segments import SegmentPart, SegmentWrite
 from oleanderdyke.policies import keeping  # noqa: F401 - registers itself
 from tests.matrix.loop import Process, drive
 from tests.matrix.net import LATENCY, SILENCE
--- a/tests/matrix/store.py
+++ b/tests/matrix/store.py
@@ -17,7 +17,7 @@
     WriteSealed,
     WriteVerified,
 )
-from oleanderdyke.links.messages import SegmentPart, SegmentWrite
+from oleanderdyke.links.messages.segments import SegmentPart, SegmentWrite
 from oleanderdyke.policies import keeping  # noqa: F401 - registers itself
 from oleanderdyke.policies.registries import KEEPERS
 from oleanderdyke.policies.settings import PolicySettings
--- a/tests/safety_model.py
+++ b/tests/safety_model.py
@@ -37,11 +37,11 @@
     AnswerEnd,
     AnswerHead,
     BackendKind,
-    ClaimQuery,
     Dispatch,
     Failed,
     Load,
 )
+from oleanderdyke.links.messages.claims import ClaimQuery
 
 SERVICE = 'taquilla'
 MAX_AGE = 5
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -45,9 +45,6 @@
     AgentPhase,
     BackendKind,
     Cancel,
-    ClaimAnswer,
-    ClaimQuery,
-    ClaimState,
     ConfigurationDifference,
     ConfigurationRequest,
     Credit,
@@ -55,9 +52,14 @@
     Message,
     Refused,
     Resume,
-    SegmentWritten,
     Superseded,
 )
+from oleanderdyke.links.messages.claims import (
+    ClaimAnswer,
+    ClaimQuery,
+    ClaimState,
+)
+from oleanderdyke.links.messages.segments import SegmentWritten
 from oleanderdyke.logs import make_event_log, parse_line
 from standins import engine, plain, server, weights
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -33,12 +33,10 @@
     AnswerEnd,
     AnswerHead,
     BackendKind,
-    Claim,
-    ClaimAnswer,
-    ClaimState,
     Failed,
     Load,
 )
+from oleanderdyke.links.messages.claims import Claim, ClaimAnswer, ClaimState
 
 KEY = 'ab' * 20
 MINE = Claim(7, 1, KEY, 'agent-1', 'i1', 3)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -18,8 +18,6 @@
     AgentPhase,
     AnswerChunk,
     Cancel,
-    Claim,
-    ClaimQuery,
     Dispatch,
     Failed,
     FetchPlan,
@@ -28,6 +26,7 @@
     Message,
     Ping,
 )
+from oleanderdyke.links.messages.claims import Claim, ClaimQuery
 
 CORPUS = sorted((pathlib.Path(__file__).parent / 'corpus/codec').glob('*.hex'))
 CLASSES = typing.get_args(Message)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,7 +5,10 @@
 
 from oleanderdyke.kernel.directory import Directory
 from oleanderdyke.kernel.segment_log import SegmentLog
-from oleanderdyke.links.messages import SegmentEvents, SegmentListRequest
+from oleanderdyke.links.messages.segments import (
+    SegmentEvents,
+    SegmentListRequest,
+)
 
 
 def hint(number: int) -> bytes:
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -14,7 +14,8 @@
 from oleanderdyke.kernel.blocks import hint
 from oleanderdyke.kernel.demand import Plan
 from oleanderdyke.kernel.objects import ServiceKind, ServiceSpec
-from oleanderdyke.links.messages import BackendKind, Dispatch, SegmentEvents
+from oleanderdyke.links.messages import BackendKind, Dispatch
+from oleanderdyke.links.messages.segments import SegmentEvents
 from oleanderdyke.policies.exports import ExportChooser
 from oleanderdyke.policies.settings import COUNCIL
 
--- a/tests/test_fetch.py
+++ b/tests/test_fetch.py
@@ -22,12 +22,8 @@
 from oleanderdyke.agent.settings import CacheSettings
 from oleanderdyke.kernel.blocks import hint, split_segments
 from oleanderdyke.kernel.fetch_pace import GRACE, FetchPace
-from oleanderdyke.links.messages import (
-    BackendKind,
-    Dispatch,
-    FetchPlan,
-    SegmentEvents,
-)
+from oleanderdyke.links.messages import BackendKind, Dispatch, FetchPlan
+from oleanderdyke.links.messages.segments import SegmentEvents
 from standins import cache, engine, server, store, weights
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -18,14 +18,8 @@
     Standing,
     make_quarantine,
 )
-from oleanderdyke.links.messages import (
-    AgentPhase,
-    Claim,
-    ClaimQuery,
-    ClaimState,
-    Dispatch,
-    Failed,
-)
+from oleanderdyke.links.messages import AgentPhase, Dispatch, Failed
+from oleanderdyke.links.messages.claims import Claim, ClaimQuery, ClaimState
 
 BEAT = 100
 LOADED = Loaded('m', 'v1', 'digest-1', '')
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -34,8 +34,8 @@
     Hello,
     Load,
     Role,
-    SegmentEvents,
 )
+from oleanderdyke.links.messages.segments import SegmentEvents
 
 SERVING = AgentPhase.SERVING
 LEAVING = AgentPhase.LEAVING
--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -23,7 +23,8 @@
 from oleanderdyke.kernel.claim_records import make_key
 from oleanderdyke.kernel.claims import ClaimTable, Free, Owned, _make_slot
 from oleanderdyke.kernel.gate import Gate, Ignored
-from oleanderdyke.links.messages import Claim, ClaimState, Failed
+from oleanderdyke.links.messages import Failed
+from oleanderdyke.links.messages.claims import Claim, ClaimState
 from safety_model import (
     FORGETTING_STEPS,
     STEPS,
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -10,7 +10,8 @@
 from oleanderdyke.entry.agents import AgentLinks
 from oleanderdyke.entry.configuration import ConfigurationFeed
 from oleanderdyke.kernel.demand import Demand, Plan
-from oleanderdyke.links.messages import BackendKind, SegmentEvents
+from oleanderdyke.links.messages import BackendKind
+from oleanderdyke.links.messages.segments import SegmentEvents
 from oleanderdyke.policies.sources import Reach, SoonTable
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_store_agent.py
+++ b/tests/test_store_agent.py
@@ -15,10 +15,8 @@
 from oleanderdyke.agent.turns import LinkTurns
 from oleanderdyke.clock import ManualClock
 from oleanderdyke.kernel.blocks import digest_segment
-from oleanderdyke.links.messages import (
-    AgentPhase,
-    BackendKind,
-    Cancel,
+from oleanderdyke.links.messages import AgentPhase, BackendKind, Cancel
+from oleanderdyke.links.messages.segments import (
     SegmentEvents,
     SegmentMissing,
     SegmentPart,
--- a/tests/test_store_index.py
+++ b/tests/test_store_index.py
@@ -39,7 +39,11 @@
     WriteSealed,
     WriteVerified,
 )
-from oleanderdyke.links.messages import SegmentEvents, SegmentPart, SegmentWrite
+from oleanderdyke.links.messages.segments import (
+    SegmentEvents,
+    SegmentPart,
+    SegmentWrite,
+)
 
 SPACES = (b'n' * 32, b'm' * 32)
 SIZE = 8
