Show that an early empty read makes news of weights look younger

A read that waits counts as having seen nothing until its wait was over, also where the store answers without records before that. The moment noted lies ahead of the clock then, by up to 1 s at entries and 2 s at agents, and weights named in between get that much more time.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import math
 import pathlib
 
+import anyio
 import pytest
 
 from oleanderdyke.clients.http import HOP_BY_HOP
@@ -330,6 +331,25 @@
     assert none.is_complete
 
 
+@pytest.mark.anyio
+async def test_a_read_that_comes_before_its_wait_is_over_tells_less():
+    store = RecordStore()
+    async with server.serving(store) as (address,):
+        client = StoreClient(address, wait=2_000.0)
+        store.put(TOPIC, 'a', 1)
+        pages = []
+
+        async def read():
+            pages.append(await client.read_keyed(TOPIC, 1))
+
+        with anyio.fail_after(1):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(read)
+                await anyio.sleep(0.2)
+                store.find(TOPIC).changed.set()
+    assert [(each.records, each.waited) for each in pages] == [((), 0.0)]
+
+
 @pytest.mark.anyio
 async def test_a_page_that_ends_before_the_topic_is_not_complete():
     store = RecordStore()
