Count an empty read as waited only once its wait is over

Cause: the wait that was asked for was taken for the wait that was kept. Ruled out: that the moment errs the other way; a read that is sent again on a new connection covers a later span than the one that is counted. An answer that comes early counts as of its question now, as one with records does. The clock is the steady one, which leaves suspensions out, so that they make no answer look waited for.

Before: the test read 2,000 ms waited of an answer after 200 ms. After: 0; the tests of the store's client and of named weights pass.

--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -93,7 +93,11 @@
 
         Raise StoreUnavailable or RecordsExpired.
         """
+        asked_at = anyio.current_time()
         records, last = await self._read(topic, start)
+        # What comes before the wait is over tells nothing of the rest of it:
+        # counted as waited, it made news up to the whole wait too young.
+        is_early = anyio.current_time() - asked_at < self._wait / SECOND
         # Also records that can't be split count for where to read on.
         keyed = tuple(map(split_keyed, records))
         end = start + len(keyed)
@@ -101,7 +105,7 @@
             keyed,
             end,
             is_complete=end >= last,
-            waited=0.0 if keyed else self._wait,
+            waited=0.0 if keyed or is_early else self._wait,
         )
 
     async def read_plain(self, topic: str, start: int) -> tuple[bytes, ...]:
