Hold requests that name no model to the bound on old weights

Cause: the gate compared the weights of the model that a request names, and let all others pass. A request without one may begin on any weights that its server holds, so each of them has to be within its time. Ruled out: a request for a model that the server doesn't tell, which counts as on the oldest weights already. Plain services hold none and are not touched.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -22,6 +22,11 @@
     plan_contexts,
 )
 from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.entry.hosted.weights import (
+    Weights,
+    find_weights,
+    may_begin,
+)
 from oleanderdyke.entry.inbox import Inbox
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.events import EventName
@@ -79,7 +84,7 @@
         self._connection: BackendConnection | None = None
         self._sequence = 0
         self._memory = 0
-        self._version: int | None = None
+        self._weights: Weights = {}
         self._held: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
         self._is_stream = False
@@ -119,7 +124,7 @@
         """
         if self._done or not self._sent or self._has_begun:
             return
-        if not self._may_begin(self._version, BEGIN_MARGIN):
+        if not may_begin(self._core, self._weights, BEGIN_MARGIN):
             self._close_failed(
                 ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'it waits on old weights'
             )
@@ -238,22 +243,11 @@
         """
         if self._core.book.has_left(self._start):
             return 'the server left while connecting'
-        if not self._may_begin(self._find_version(backend), SEND_MARGIN):
+        weights = find_weights(self._call, backend)
+        if not may_begin(self._core, weights, SEND_MARGIN):
             return 'its weights were replaced too long ago'
         return ''
 
-    def _find_version(self, backend: Backend) -> int | None:
-        demand = self._call.asked.demand
-        if demand is None:
-            return None
-        return backend.record.versions.get(demand.model)
-
-    def _may_begin(self, version: int | None, margin: Millis) -> bool:
-        demand = self._call.asked.demand
-        if demand is None:
-            return True
-        return self._core.may_serve(demand.model, version, margin)
-
     def _send(self, connection: BackendConnection, backend: Backend) -> None:
         core, call = self._core, self._call
         record = backend.record
@@ -292,7 +286,8 @@
     def _make_dispatch(self, backend: Backend) -> Dispatch:
         core, call = self._core, self._call
         demand = call.asked.demand
-        version = self._version = self._find_version(backend)
+        self._weights = find_weights(call, backend)
+        version = None if demand is None else self._weights[demand.model]
         salt = make_salt(call, version)
         last = self._splitter.last if self._splitter is not None else None
         return Dispatch(
