Take a stream for begun on old weights only with its first event

Cause: the head of an answer counted as the beginning of its run, which is the first token; a server may send the head of a stream before. What was never begun was not taken back then once the time of its weights ran out. Ruled out: the limit on silence ends it after two seconds, but not while the server sends to other requests.

Before: the waiting stream was left at its engine past the time. Whether a server answered at all still decides over its kept connections.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -88,6 +88,8 @@
         self._held: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
         self._is_stream = False
+        self._has_answered = False
+        # A stream begins with its first event: a head alone may be sent before.
         self._has_begun = False
         self._address = ''
         self._sent = False
@@ -186,6 +188,7 @@
         """Pass on a part of the body, or hold it until the end."""
         if self._done:
             return
+        self._has_begun = True
         self._note_heard()
         if self._splitter is not None and self._is_stream:
             for event in self._splitter.take(data):
@@ -232,7 +235,7 @@
         """
         core = self._core
         core.book.note_failed(self._start, core.clock.now())
-        if not self._has_begun:
+        if not self._has_answered:
             core.pool.drop_idle(self._address)
 
     def _find_send_fault(self, backend: Backend) -> str:
@@ -327,8 +330,9 @@
         core.book.note_refused(self._start, now)
 
     def _accept(self, status: int, headers: Headers) -> None:
-        self._has_begun = True
+        self._has_answered = True
         self._is_stream = has_events(headers)
+        self._has_begun = not self._is_stream
         self._head = AnswerHead(
             self._call.request, self._number, status, headers
         )
