Send nothing to old weights that would wait past their time

Cause: two seconds before the bound stood for every wait in an engine's queue, also where the engine's first bytes showed a longer one. What still waits is taken back 0.25 s before the bound, but not every server drops a request whose connection is closed. Ruled out: telling the server a shorter deadline, which would end runs that have begun in time. The known delay of the request's rank is added to the two seconds.

Before: a late caller's request was sent 2.9 s before nothing may be sent, to an engine whose requests wait 3.9 s. After: 503; sent where nothing waits. How often engines on old weights have such queues was not measured.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -247,7 +247,10 @@
         if self._core.book.has_left(self._start):
             return 'the server left while connecting'
         weights = find_weights(self._call, backend)
-        if not may_begin(self._core, weights, SEND_MARGIN):
+        # What would wait at the engine until its time is over runs late where
+        # a server doesn't drop the requests of closed connections.
+        delay = backend.find_delay(self._call.priority, self._core.clock.now())
+        if not may_begin(self._core, weights, SEND_MARGIN + delay):
             return 'its weights were replaced too long ago'
         return ''
 
