Show that an engine asks for no place for its second model

Once one model of an engine is loaded, the place that it was asked for is taken for one of the next model where both are on the same version. Others judge by the age of the first model's news when the second has to be loaded, and learn nothing of the age of the second's. The test fails: only one model is asked for.

--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -18,6 +18,7 @@
 from tests.standins.replica import serving_replica
 
 LOADS = 'oleander-loads'
+OTHER = 'model-b'
 
 pytestmark = pytest.mark.anyio
 
@@ -261,3 +262,34 @@
         ]
     assert 'peer=i-own' in line
     assert 'i-a,i-b' in line
+
+
+class TwoModels(HostedEngine):
+    """Hold weights of two models, each loaded by itself."""
+
+    other = 1
+
+    async def load(self, version):
+        if self.orders[-1]['model'] == MODEL:
+            await super().load(version)
+            return
+        self.accepted += 1
+        self.other = version
+
+    def report(self):
+        told = super().report()
+        told['models'].append({'name': OTHER, 'version': self.other})
+        return told
+
+
+async def test_an_engine_asks_for_a_place_for_each_of_its_models(tmp_path):
+    async with staging(tmp_path, TwoModels(MODEL)) as stage:
+        stage.name(2)
+        named = {'model': OTHER, 'version': 2}
+        stage.store.put(OPERATOR, f'version/{OTHER}', named)
+        await stage.wait_version(2)
+        with anyio.fail_after(5):
+            while stage.engine.other != 2:
+                await anyio.sleep(0.02)
+        waits = [each for each in stage.list_notices() if each['model']]
+        assert {each['model'] for each in waits} == {MODEL, OTHER}
