Ask for a place for each model of an engine

Cause: a place was compared by the engine's start and the version that it holds, not by the model. Ruled out: that requests go to old weights for this; the bound where they are sent is kept for each model. What suffers is the time in which all engines are to be loaded, and the news of the second model's age for processes that start anew.

Before: an engine on version 1 of two models asked for a place for one. After: for both. Two lines of test_an_engine_that_is_lost_keeps_its_place_and_holds_up_nobody name the same request by its notice, as strictly. Tests of agents and the queue pass.

--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -170,8 +170,9 @@
         if own is None:
             return
         held = state.versions[target.model]
-        if not self._queue.waits(self._settings.process, own.server, held):
-            await self._tell(self._make_request(own.server, target.model, held))
+        request = self._make_request(own.server, target.model, held)
+        if not self._queue.waits(request):
+            await self._tell(request)
             return
         if not self._may_load(own.server, target, held):
             return
@@ -274,7 +275,7 @@
     def _is_applied(self, notice: LoadNotice) -> bool:
         process = self._settings.process
         if notice.step is LoadStep.WAITS:
-            return self._queue.waits(process, notice.server, notice.held)
+            return self._queue.waits(notice)
         if notice.step is LoadStep.LOST:
             return self._queue.is_lost(process)
         return not self._queue.is_queued(process)
--- a/src/oleanderdyke/kernel/load_queue.py
+++ b/src/oleanderdyke/kernel/load_queue.py
@@ -126,12 +126,16 @@
                 place.since = now
         return tuple(stuck.values())
 
-    def waits(self, holder: str, server: str, held: int) -> bool:
-        """Tell whether an engine's start waits with the weights it holds."""
-        place = self._places.get(holder)
+    def waits(self, notice: LoadNotice) -> bool:
+        """Tell whether a request for a place is in force.
+
+        A place for one model is none for another: each has its own time.
+        """
+        place = self._places.get(notice.holder)
         if place is None or place.is_lost:
             return False
-        return (place.server, place.held) == (server, held)
+        asked = (notice.server, notice.model, notice.held)
+        return (place.server, place.model, place.held) == asked
 
     def is_queued(self, holder: str) -> bool:
         """Tell whether an agent has a place, its engine lost or not."""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -69,10 +69,10 @@
         ask(queue, f'side-{name}', name)
     queue.apply(LoadNotice('a', LoadStep.LOST, agent='side-a'))
     assert queue.list_loading(0.0) == ('b', 'c')
-    assert not queue.waits('side-a', 'a', 0)
+    assert not queue.waits(LoadNotice('a', LoadStep.WAITS, 'side-a'))
     ask(queue, 'side-a', 'a-again')
     assert queue.list_loading(0.0) == ('a-again', 'b')
-    assert queue.waits('side-a', 'a-again', 0)
+    assert queue.waits(LoadNotice('a-again', LoadStep.WAITS, 'side-a'))
 
 
 def test_a_new_start_does_not_add_a_place():
