--- /dev/null
+++ b/tests/test_entry_streams.py
@@ -0,0 +1,253 @@
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import Any
+
+import anyio
+import pytest
+from anyio import wait_all_tasks_blocked
+from anyio.abc import TaskGroup
+
+from oleanderdyke.entry.tokens import StreamToken, encode_token
+from oleanderdyke.links.messages import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    Cancel,
+    Credit,
+    Dispatch,
+    Message,
+    Resume,
+)
+from tests.edges import Caller, Edge, FakeLink, Reply, Writer
+from tests.entry_scene import (
+    ASK,
+    BOOKINGS,
+    CHAT,
+    EVENT,
+    JSON,
+    SSE,
+    bounded,
+    is_last,
+    make_digest,
+    make_model,
+    send_answer,
+    serving,
+    start_chat,
+    wait,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_numbers_the_events_of_a_stream():
+    async with serving('asistente') as (edge, link):
+
+        def react(message: Message) -> None:
+            if is_last(message):
+                parts = [b'data: a\n\n', b'data: [DONE]\n\n']
+                (dispatch,) = link.find(Dispatch)
+                send_answer(edge, dispatch, parts, headers=SSE)
+
+        link.react = react
+        reply = await edge.call('POST', CHAT, body=[json.dumps(ASK).encode()])
+        assert reply.body == b'id: 0\ndata: a\n\nid: 1\ndata: [DONE]\n\n'
+        token = encode_token(StreamToken('agent-asistente', 'stream-1'))
+        assert reply.headers['oleander-resume'] == token
+
+
+@pytest.mark.parametrize(
+    ('first', 'asked', 'rest'),
+    [
+        ('0', 1, [b'c']),
+        ('-1.1', 0, [b'b', b'c']),
+        ('', 0, [b'a', b'b', b'c']),
+    ],
+)
+async def test_resumes_after_what_the_caller_has(
+    first: str, asked: int, rest: list[bytes]
+):
+    chunks = [b'data: a\n\ndata: b\n\n', b'data: c\n\n']
+
+    async with serving('asistente') as (edge, link):
+
+        def react(message: Message) -> None:
+            if isinstance(message, Resume):
+                assert (message.team, message.token) == ('owls', 'stream-1')
+                assert message.sequence == asked
+                send_answer(
+                    edge,
+                    message,
+                    chunks[asked:],
+                    headers=SSE,
+                    first=asked,
+                    whole=chunks,
+                )
+
+        link.react = react
+        token = encode_token(StreamToken('agent-asistente', 'stream-1'))
+        headers = [(b'last-event-id', first.encode())] if first else []
+        reply = await edge.call('GET', f'/v1/streams/{token}', headers=headers)
+        events = [
+            block.rpartition(b'data: ')[2]
+            for block in reply.body.split(b'\n\n')[:-1]
+        ]
+        assert events == rest
+
+
+async def test_stream_goes_on_over_a_new_link():
+    async with bounded() as tasks:
+        edge, link = make_model()
+        edge.core.machine = replace(edge.core.machine, ask_wait=20.0)
+        edge.start(tasks)
+        replies, dispatch = await start_chat(edge, link)
+        request = dispatch.request
+        running = edge.core.running[request]
+        running.take(AnswerHead(request, 1, 200, SSE, 'stream-1'))
+        running.take(AnswerChunk(request, 1, 0, b'data: a\n\n'))
+        running.lose(link)  # type: ignore[arg-type]
+        await wait(lambda: link.find(Resume))
+        (resume,) = link.find(Resume)
+        assert (resume.sequence, resume.token) == (1, 'stream-1')
+        running.take(AnswerHead(request, 2, 200, SSE, 'stream-1'))
+        # The wait for the resumed head must not end the stream that goes on.
+        await anyio.sleep(0.1)
+        running.take(AnswerChunk(request, 2, 1, b'data: b\n\n'))
+        whole = make_digest([b'data: a\n\n', b'data: b\n\n'])
+        running.take(AnswerEnd(request, 2, 2, whole))
+        await wait(lambda: replies)
+        assert replies[0].body == b'id: 0\ndata: a\n\nid: 1\ndata: b\n\n'
+        assert replies[0].ended
+        assert len(link.find(Resume)) == 1
+
+
+async def test_stream_waits_for_a_link_and_no_longer():
+    async with bounded() as tasks:
+        reply = Reply()
+        edge, link, dispatch = await begin_flow(tasks, reply, Writer(reply))
+        running = edge.core.running[dispatch.request]
+        edge.core.find_link = lambda _: None
+        running.lose(link)  # type: ignore[arg-type]
+        await wait_all_tasks_blocked()
+        assert not link.find(Resume)
+        edge.core.find_link = edge.links.get  # type: ignore[assignment]
+        running.gain(link)  # type: ignore[arg-type]
+        await wait_all_tasks_blocked()
+        (resume,) = link.find(Resume)
+        assert resume.sequence == 1
+
+
+async def test_caller_that_leaves_cancels_its_run():
+    async with serving('asistente') as (edge, link):
+        caller = Caller([json.dumps(ASK).encode()])
+        await start_chat(edge, link, caller=caller)
+        caller.gone.set()
+        await wait(lambda: link.find(Cancel))
+        await wait(lambda: not edge.core.running)
+
+
+class SlowReply(Reply):
+    """Stop reading until told, as the server's flow control does."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = anyio.Event()
+
+    async def send(self, event: Any) -> None:
+        """Take an event once reading goes on."""
+        await self.go.wait()
+        await super().send(event)
+
+
+async def begin_flow(
+    tasks: TaskGroup, reply: Reply, writer: Writer
+) -> tuple[Edge, FakeLink, Dispatch]:
+    """Start a stream whose head and first chunk have reached the caller."""
+    edge, link = make_model()
+    edge.start(tasks)
+    _, dispatch = await start_chat(edge, link, reply=reply, writer=writer)
+    running = edge.core.running[dispatch.request]
+    running.take(AnswerHead(dispatch.request, 1, 200, SSE, 'stream-1'))
+    running.take(AnswerChunk(dispatch.request, 1, 0, EVENT))
+    await wait(lambda: reply.body)
+    await wait_all_tasks_blocked()
+    return edge, link, dispatch
+
+
+async def test_flowing_stream_is_passed_on_as_it_arrives():
+    async with bounded() as tasks:
+        reply = Reply()
+        writer = Writer(reply)
+        edge, link, dispatch = await begin_flow(tasks, reply, writer)
+        request, running = dispatch.request, edge.core.running[dispatch.request]
+
+        def send(start: int, stop: int) -> None:
+            for sequence in range(start, stop):
+                running.take(AnswerChunk(request, 1, sequence, EVENT))
+
+        send(1, 15)
+        assert writer.parts == [b'id: %d\n' % n + EVENT for n in range(1, 15)]
+        send(15, 40)
+        await wait(lambda: link.find(Credit))
+        await wait_all_tasks_blocked()
+        writer.ready = False
+        send(40, 42)
+        written = len(writer.parts)
+        await wait(lambda: b'id: 41' in reply.body)
+        assert len(writer.parts) == written
+        writer.ready = True
+        send(42, 50)
+        digest = make_digest([EVENT] * 50)
+        running.take(AnswerEnd(request, 1, 50, digest))
+        await wait(lambda: reply.ended)
+        events = [b'id: %d\n' % n + EVENT for n in range(50)]
+        assert reply.body == b''.join(events)
+        granted = sum(credit.chunks for credit in link.find(Credit))
+        assert granted >= 50 - edge.core.settings.requests.credit // 2
+
+
+async def test_flowing_stream_that_can_not_be_numbered_is_broken_off(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    async with bounded() as tasks:
+        reply = Reply()
+        edge, link, dispatch = await begin_flow(tasks, reply, Writer(reply))
+        monkeypatch.setattr('oleanderdyke.entry.sse._EVENT_LIMIT', 10)
+        running = edge.core.running[dispatch.request]
+        running.take(AnswerChunk(dispatch.request, 1, 1, b'x' * 11))
+        await wait(lambda: link.find(Cancel))
+        await wait(lambda: not edge.core.running)
+        assert b'event: error' in reply.body
+        assert not reply.ended
+
+
+async def test_slow_caller_gets_no_credit(monkeypatch: pytest.MonkeyPatch):
+    async with serving('asistente') as (edge, link):
+        slow = SlowReply()
+        monkeypatch.setattr('tests.edges.Reply', lambda: slow)
+        _, dispatch = await start_chat(edge, link)
+        running = edge.core.running[dispatch.request]
+        head = AnswerHead(dispatch.request, 1, 200, JSON)
+        running.take(head)
+        for sequence in range(64):
+            running.take(AnswerChunk(dispatch.request, 1, sequence, b'x'))
+        for _ in range(100):
+            await anyio.sleep(0)
+        assert not link.find(Credit)
+        slow.go.set()
+        await wait(lambda: sum(x.chunks for x in link.find(Credit)) == 64)
+        assert slow.body == b'x' * 64
+
+
+async def test_agent_that_ignores_its_credit_is_cut_off():
+    async with serving() as (edge, link):
+
+        def react(message: Message) -> None:
+            if is_last(message):
+                (dispatch,) = link.find(Dispatch)
+                send_answer(edge, dispatch, [b'x'] * 2_000)
+
+        link.react = react
+        reply = await edge.call('GET', BOOKINGS)
+        assert not reply.ended
