--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -25,14 +25,8 @@
 from oleanderdyke.kernel.gate import Gate, Ignored
 from oleanderdyke.links.messages import Failed
 from oleanderdyke.links.messages.claims import Claim, ClaimState
-from safety_model import (
-    FORGETTING_STEPS,
-    STEPS,
-    Variants,
-    Violation,
-    Walk,
-    World,
-)
+from tests.safety_model import Variants, Violation, World
+from tests.safety_walk import FORGETTING_STEPS, STEPS, Walk
 
 WALKS = 1_000
 STEPS_OF_WALK = 80
--- a/tests/test_store_index.py
+++ b/tests/test_store_index.py
@@ -1,33 +1,23 @@
 from __future__ import annotations
 
-import hashlib
-import itertools
 from collections import Counter
 from dataclasses import replace
 from random import Random
 
-import cbor2
 import pytest
-from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from machines import assert_caught, assert_holds
 from oleanderdyke.kernel import segment_log
-from oleanderdyke.kernel.blocks import HINT_BYTES, digest_segment, hint
+from oleanderdyke.kernel.blocks import HINT_BYTES, hint
 from oleanderdyke.kernel.sealed_entries import SealedEntries, SealedEntry
 from oleanderdyke.kernel.segment_log import SegmentLog
-from oleanderdyke.kernel.segment_write import OpenWrite
-from oleanderdyke.kernel.store_index import StoreIndex, StoreLimits
+from oleanderdyke.kernel.store_index import StoreIndex
 from oleanderdyke.kernel.store_meta import (
     MAX_DEPTH,
     META_SUFFIX,
     SealedMeta,
-    decode_meta,
-    encode_meta,
 )
 from oleanderdyke.kernel.store_outcomes import (
     PartIgnored,
-    PartTaken,
     Pinned,
     ReadRefusal,
     ReadRefused,
@@ -41,59 +31,18 @@
 )
 from oleanderdyke.links.messages.segments import (
     SegmentEvents,
-    SegmentPart,
-    SegmentWrite,
 )
-
-SPACES = (b'n' * 32, b'm' * 32)
-SIZE = 8
-LIMITS = StoreLimits(
-    capacity_bytes=4 * SIZE, write_time=50, pin_time=20, pins=4, writes=3
+from tests.store_spaces import (
+    LIMITS,
+    SIZE,
+    SPACES,
+    make_id,
+    make_index,
+    make_parts,
+    make_write,
 )
 
 
-class FlatKeeper:
-    """Find the worth in the gap that a write expects: short gaps first."""
-
-    def worth(self, segment, length, gap, now):
-        return -gap
-
-    def note_used(self, segment, now):
-        pass
-
-
-def make_index(kind=StoreIndex, limits=LIMITS, incarnation='i1'):
-    return kind(limits, FlatKeeper(), incarnation, Random(7))
-
-
-def make_id(number):
-    return bytes([number]) * 32
-
-
-def make_write(request, number, data, space=SPACES[0], gap=0.0, depth=0):
-    digest = digest_segment(data)
-    return SegmentWrite(
-        request, space, make_id(number), len(data), digest, gap, depth
-    )
-
-
-def make_parts(write, data, step=3):
-    starts = range(0, len(data), step)
-    return [
-        SegmentPart(
-            request=write.request,
-            segment=write.segment,
-            generation=0,
-            position=start,
-            data=data[start : start + step],
-            length=write.length,
-            digest=write.digest,
-            last=start == starts[-1],
-        )
-        for start in starts
-    ]
-
-
 def store(index, number, data=b'12345678', now=0.0, **keys):
     write = make_write(f'w{number}', number, data, **keys)
     outcome = index.begin(write, now)
@@ -266,81 +215,12 @@
     assert held == {0, 1, 8, 9}
 
 
-@pytest.mark.parametrize(
-    ('depth', 'known'), [(-1, 0), (7, 7), (2**70, MAX_DEPTH)]
-)
-def test_the_depth_of_a_segment_outlives_a_restart(depth, known):
-    write = replace(make_write('w', 1, b'12345678'), depth=depth)
-    index = make_index()
-    index.begin(write, 0)
-    for part in make_parts(write, b'12345678'):
-        outcome = index.add_part(part, 0)
-    later = make_index(incarnation='i2')
-    assert later.readmit(outcome.meta_name, outcome.meta, SIZE, 0)
-    assert decode_meta(outcome.meta).depth == known
-
-
 @pytest.mark.parametrize('length', [0, 4 * SIZE + 1])
 def test_a_length_that_never_fits_is_refused(length):
     write = replace(make_write('w', 1, b''), length=length)
     assert make_index().begin(write, 0).reason is WriteRefusal.FULL
 
 
-def make_record(index, number=1):
-    write = make_write('w', number, b'12345678')
-    name = index.begin(write, 0).object_name
-    for part in make_parts(write, b'12345678'):
-        outcome = index.add_part(part, 0)
-    return name, outcome
-
-
-def test_a_restart_readmits_what_was_sealed():
-    name, record = make_record(make_index())
-    index = make_index(incarnation='i2')
-    assert index.readmit(record.meta_name, record.meta, SIZE, 0)
-    assert index.readmit(record.meta_name, record.meta, SIZE, 0)
-    assert index.take_deletions() == ()
-    pinned = index.pin(SPACES[0], make_id(1), 0)
-    assert pinned.object_name == name
-    assert index.used_bytes == SIZE
-
-
-@pytest.mark.parametrize(
-    ('cut', 'stored', 'name'),
-    [
-        (slice(0, -1), SIZE, None),
-        (slice(0, 0), SIZE, None),
-        (slice(1, None), SIZE, None),
-        (slice(None), SIZE - 1, None),
-        (slice(None), None, None),
-        (slice(None), SIZE, 'other.meta'),
-    ],
-)
-def test_a_restart_drops_what_does_not_match_its_record(cut, stored, name):
-    _, record = make_record(make_index())
-    index = make_index(incarnation='i2')
-    meta_name = name or record.meta_name
-    assert not index.readmit(meta_name, record.meta[cut], stored, 0)
-    assert meta_name in index.take_deletions()
-    assert isinstance(index.pin(SPACES[0], make_id(1), 0), ReadRefused)
-
-
-def test_a_record_of_another_form_is_not_read():
-    _, record = make_record(make_index())
-    meta = decode_meta(record.meta)
-    assert meta is not None
-    assert decode_meta(encode_meta(replace(meta, length='8'))) is None
-    assert decode_meta(encode_meta(replace(meta, depth=-1))) is None
-    assert encode_meta(meta) == record.meta
-
-
-def test_a_record_without_a_depth_is_read():
-    fields = [1, 'o', SPACES[0], make_id(1), 8, make_id(2), 5.0]
-    body = cbor2.dumps(fields)
-    check = hashlib.blake2b(body, digest_size=32).digest()
-    assert decode_meta(check + body) == SealedMeta(*fields[1:], depth=0)
-
-
 def make_entry(random, number):
     # Some ids share their hint, and some names were made by nobody here.
     segment = bytes([random.randrange(4)]) * HINT_BYTES + random.randbytes(24)
@@ -465,204 +345,6 @@
     assert events == SegmentEvents(2, (third,), (first,))
 
 
-# Segment ids are chained from their namespace: 10 and 11 are of the second.
-NUMBERS = st.sampled_from([0, 1, 10, 11])
-WORLD_LIMITS = replace(LIMITS, capacity_bytes=3 * SIZE)
-
-
-class StoreWorld(RuleBasedStateMachine):
-    """Write, read and free with interleaved copies and a failing store.
-
-    Checks what may be used after a copy: `torn` bytes are not the sealed
-    ones, `foreign` ones belong to another namespace.
-    """
-
-    make_kind = StoreIndex
-
-    def __init__(self):
-        super().__init__()
-        self.index = make_index(self.make_kind, WORLD_LIMITS)
-        self.now = 0.0
-        self.objects = {}
-        self.writes = {}
-        self.reads = {}
-        self.numbers = itertools.count()
-        self.incarnations = itertools.count(2)
-
-    @rule(number=NUMBERS, content=st.integers(1, 2), parts=st.integers(0, 2))
-    def begin(self, number, content, parts):
-        data = bytes([content]) * SIZE
-        request = f'w{next(self.numbers)}'
-        space = SPACES[number // 10]
-        # Each newcomer is worth more than what is there.
-        gap = -float(next(self.numbers))
-        write = make_write(request, number, data, space=space, gap=gap)
-        outcome = self.index.begin(write, self.now)
-        self.delete()
-        if isinstance(outcome, WriteBegun):
-            unsent = make_parts(write, data, step=SIZE // 2)
-            self.writes[request] = (write, outcome.object_name, unsent, [])
-        for _ in range(parts):
-            self.send_part(request, is_bad=False)
-
-    @rule(pick=st.integers(0, 2), is_bad=st.booleans())
-    def go_on(self, pick, is_bad):
-        if self.writes:
-            request = sorted(self.writes)[pick % len(self.writes)]
-            self.send_part(request, is_bad=is_bad)
-
-    def send_part(self, request, *, is_bad):
-        if request not in self.writes:
-            return
-        write, name, unsent, sent = self.writes[request]
-        part = unsent.pop(0)
-        if is_bad:
-            part = replace(part, data=b'?' * len(part.data))
-        sent.append(part.data)
-        outcome = self.index.add_part(part, self.now)
-        if isinstance(outcome, WriteVerified):
-            self.objects[name] = b''.join(sent)
-            self.objects[outcome.meta_name] = outcome.meta
-            self.index.seal(request, write.segment, self.now)
-        if not isinstance(outcome, PartTaken):
-            del self.writes[request]
-        self.delete()
-
-    @rule(pick=st.integers(0, 2), is_own=st.sampled_from([True, True, False]))
-    def start_read(self, pick, is_own):
-        metas = [name for name in self.objects if name.endswith(META_SUFFIX)]
-        if not metas:
-            return
-        number = bytes.fromhex(sorted(metas)[pick % len(metas)][:2])[0]
-        space = SPACES[number // 10 if is_own else 1 - number // 10]
-        pinned = self.index.pin(space, make_id(number), self.now)
-        if isinstance(pinned, Pinned):
-            assert is_own, 'foreign'
-            half = self.objects.get(pinned.object_name, b'')[: SIZE // 2]
-            self.reads[next(self.numbers)] = (pinned, half)
-
-    @rule(pick=st.integers(0, 9))
-    def finish_read(self, pick):
-        if not self.reads:
-            return
-        number = sorted(self.reads)[pick % len(self.reads)]
-        pinned, half = self.reads.pop(number)
-        data = half + self.objects.get(pinned.object_name, b'')[SIZE // 2 :]
-        if self.index.holds(pinned, self.now):
-            assert digest_segment(data) == pinned.digest, 'torn'
-        self.index.unpin(pinned)
-        self.delete()
-
-    @rule(number=NUMBERS, is_broken=st.booleans(), is_replaced=st.booleans())
-    def free(self, number, is_broken, is_replaced):
-        if is_broken and self.reads:
-            pinned, _ = self.reads[min(self.reads)]
-            self.index.free_broken(pinned)
-            number = pinned.segment[0]
-        else:
-            self.index.free(make_id(number))
-        self.delete()
-        if is_replaced:
-            self.begin(number, content=3, parts=2)
-
-    @rule(upset=st.sampled_from(['pause', 'pause', 'timeout', 'restart']))
-    def upset(self, upset):
-        if upset == 'restart':
-            self.restart()
-            return
-        self.now += 5.0 if upset == 'pause' else 60.0
-        for failed in self.index.expire(self.now):
-            for request in failed.requests:
-                self.writes.pop(request, None)
-        self.delete()
-
-    def restart(self):
-        names = sorted(self.objects)
-        if names:
-            # The store loses the end of one object, record or not.
-            name = names[next(self.numbers) % len(names)]
-            self.objects[name] = self.objects[name][:-1]
-        incarnation = f'i{next(self.incarnations)}'
-        self.index = make_index(self.make_kind, WORLD_LIMITS, incarnation)
-        self.writes.clear()
-        self.reads.clear()
-        for name in names:
-            if name.endswith(META_SUFFIX):
-                data = self.objects.get(name.removesuffix(META_SUFFIX))
-                length = None if data is None else len(data)
-                meta = self.objects[name]
-                self.index.readmit(name, meta, length, self.now)
-        self.delete()
-
-    def delete(self):
-        for name in self.index.take_deletions():
-            self.objects.pop(name, None)
-        assert self.index.used_bytes <= WORLD_LIMITS.capacity_bytes, 'space'
-
-
-class UncheckedWrite(OpenWrite):
-    def add(self, part):
-        super().add(part)
-        self.is_verified = part.last
-
-
-class SealsUnchecked(StoreIndex):
-    def begin(self, write, now):
-        outcome = super().begin(write, now)
-        if isinstance(outcome, WriteBegun):
-            opened = self._writes[write.segment]
-            self._writes[write.segment] = UncheckedWrite(
-                opened.request, opened.meta, opened.generation, opened.until
-            )
-        return outcome
-
-
-class ReusesUnderPin(StoreIndex):
-    def _describe(self, write, generation):
-        meta = super()._describe(write, generation)
-        return replace(meta, object_name=write.segment.hex())
-
-    def free(self, segment):
-        super().free(segment)
-        for name in tuple(self._doomed):
-            self._delete_doomed(name)
-
-    def holds(self, pinned, now):
-        return self._entries.get(pinned.segment) is not None
-
-
-class ForgetsNamespace(StoreIndex):
-    def pin(self, namespace, segment, now):
-        entry = self._entries.get(segment)
-        own = namespace if entry is None else entry.meta.namespace
-        return super().pin(own, segment, now)
-
-
-class AdmitsUnmatched(StoreIndex):
-    def readmit(self, meta_name, meta, stored, now):
-        record = decode_meta(meta)
-        length = stored if record is None else record.length
-        return super().readmit(meta_name, meta, length, now)
-
-
-def test_no_reader_uses_a_freed_or_partly_written_segment():
-    assert_holds(StoreWorld)
-
-
-@pytest.mark.parametrize(
-    ('kind', 'check'),
-    [
-        (SealsUnchecked, 'torn'),
-        (ReusesUnderPin, 'torn'),
-        (AdmitsUnmatched, 'torn'),
-        (ForgetsNamespace, 'foreign'),
-    ],
-)
-def test_the_check_of_reads_catches_an_unsafe_index(kind, check):
-    world = type('UnsafeWorld', (StoreWorld,), {'make_kind': kind})
-    assert_caught(world, check)
-
-
 def test_hints_come_and_go_with_what_is_visible():
     index = make_index()
     store(index, 1)
