Hold readers at their turns before counting how often they take turns

Cause: the test counted turns while the stand-in of the store still sent. That link carries 64 KiB at a time and one object after the other, so the first reader had four parts before the second had any, and only the tail of both was shared by turns: 3, 5 or 7 changes of reader, by whose bytes came first. With 3 the test failed. Ruled out: the turns themselves. Where both readers have what they send, they change at each part, in each run. Change: the link is held until the store has sent everything and both readers wait. Then each part must change the reader (13 changes of 13 where 4 were asked for), and both objects must be told as in flight, not just some bytes. A turn that lasts for a whole segment fails it.

--- a/tests/test_store_agent.py
+++ b/tests/test_store_agent.py
@@ -243,27 +243,36 @@
 
 async def test_readers_share_the_link_part_by_part() -> None:
     app = store.make_app(store.StoreSettings(link_bytes_per_second=2e6))
-    async with store_agent(app) as (_, entry):
+    async with store_agent(app) as (shell, entry):
         for number in range(2):
             write = make_write(f'w{number}', bytes([number]) * 32)
             await keep(entry, write, split(write))
+        # Held until the store has sent everything to both, so that only their
+        # turns decide who is next, not whose bytes come first.
+        turns = shell._role._store._turns
+        await wait_until(lambda: not turns._busy)
+        turns._busy = True
         async with anyio.create_task_group() as group:
             for number in range(2):
                 segment = bytes([number]) * 32
                 group.start_soon(read, entry, f'r{number}', segment)
             await wait_until(
                 lambda: (
-                    entry.beat is not None
-                    and entry.beat.load.link_bytes_in_flight > 0
+                    len(turns._reads) == 2
+                    and app.read_bytes == 2 * len(DATA)
+                    and entry.beat is not None
+                    and entry.beat.load.link_bytes_in_flight == 2 * len(DATA)
                 )
             )
+            turns._busy = False
+            turns._wake()
         order = [
             each.request
             for each in entry.messages
             if isinstance(each, SegmentPart)
         ]
         switches = sum(a != b for a, b in itertools.pairwise(order))
-        assert switches >= 4
+        assert switches == len(order) - 1
         assert entry.beat is not None
         assert entry.beat.load.link_bytes_per_second > 0
 
