Let fetches that only have to arrive take their time in the tests

Cause: an agent gives a fetch up that is slower than computing, by the clock; six segments have 154 ms at the stand-in's usual rate. The test's own process runs both agents, both engines and the store, and collects garbage: beside other work one collection there took 77 to 175 ms (three runs). A fetch that meets such a stall is given up with nothing or too few segments, and the tests that only ask whether context comes back fail. Ruled out: a fault of the fetch. It gives up as it should. Change: fetches are not raced against computing where a test asks for what comes, who shares it or what a gap costs; the bound of ten seconds stays. How long a segment may take is held by a new test, which reads the very step that the agent hands on, at the default patience and at another. The test of a fetch that turns slow lets the first segment through at once and stalls the second, where it had hoped that 0.8 s of sending end within 1.5 s. Without patience, without judging the pace after the first segment or without sharing, these tests fail.

--- a/tests/test_fetch.py
+++ b/tests/test_fetch.py
@@ -24,7 +24,7 @@
 from oleanderdyke.kernel.fetch_pace import GRACE, FetchPace
 from oleanderdyke.links.messages import BackendKind, Dispatch, FetchPlan
 from oleanderdyke.links.messages.segments import SegmentEvents
-from standins import cache, engine, server, store, weights
+from standins import cache, engine, server, store, web, weights
 
 pytestmark = pytest.mark.anyio
 TEXT = 'reglas ' * 1000
@@ -32,6 +32,11 @@
 TOKENS = cache.count_tokens(f'user\0{TEXT}\n'.encode())
 SEGMENT_KV = cache.KV_BYTES_PER_TOKEN * cache.SEGMENT_TOKENS
 DIGEST = weights.make_digest('modelo', '1')
+# A fetch that only has to arrive is not raced against computing: how fast it
+# comes depends on what else the machine does. `CacheSettings` bounds it still.
+UNHURRIED = 1_000.0
+# Bytes per second: the next segment would take half a minute.
+STALLED = 500.0
 
 
 @dataclass
@@ -85,6 +90,7 @@
     *,
     link: float = 0.0,
     prefill: float = 20_000.0,
+    patience: float = UNHURRIED,
     **more: Any,
 ) -> AsyncGenerator[Site, None]:
     kept = store.make_app(store.StoreSettings(link_bytes_per_second=link))
@@ -110,7 +116,7 @@
                 BackendKind.ENGINE,
                 address,
                 'asistente',
-                cache=CacheSettings(**more),
+                cache=CacheSettings(patience=patience, **more),
             )
             shell = await enter(running(agent))
             entry = await enter(dialing(shell, make_world(DIGEST)))
@@ -214,7 +220,8 @@
 
 
 async def test_fetch_slower_than_computing_is_given_up() -> None:
-    async with site(link=2e5, prefill=50_000.0) as place:
+    usual = CacheSettings().patience
+    async with site(link=2e5, prefill=50_000.0, patience=usual) as place:
         chat, plan = place.make_chat(0, 'first')
         few = replace(plan, segments=plan.segments[:2])
         await place.entries[0].call(replace(chat, keep=few), BODY)
@@ -228,12 +235,19 @@
             await fetcher.wait_idle()
 
 
+class TurningSlow(web.Pipe):
+    """Carry one segment at once and the rest far too slowly."""
+
+    async def carry(self, units: float) -> None:
+        await super().carry(units)
+        self.rate = STALLED
+
+
 async def test_fetch_that_turns_slow_is_cut_and_the_rest_computed() -> None:
-    # The first segment comes within the budget of six; the pace is too slow.
-    async with site(patience=20.0) as place:
+    # The first segment has the budget of six; the second only its own.
+    async with site(patience=100.0) as place:
         await place.keep()
-        place.store.faults = store.StoreFaults(link_bytes_per_second=2e4)
-        place.store.note_faults()
+        place.store._link = TurningSlow(0.0)
         _, plan = place.make_chat(1, 'x')
         end = await place.ask('r', plan)
         assert end.recomputed_tokens == TOKENS - cache.SEGMENT_TOKENS
@@ -244,6 +258,25 @@
         assert not place.keeper._role._store._index._pins._pins
 
 
+@pytest.mark.parametrize('patience', [CacheSettings().patience, 5.0])
+async def test_segment_may_take_patience_times_what_computing_it_takes(
+    patience: float,
+) -> None:
+    async with site(prefill=4_000.0, patience=patience) as place:
+        await place.keep()
+        fetcher = place.shells[1]._role.preparer._fetcher
+        fetch, steps = fetcher.fetch, []
+
+        async def note(*args: Any, step: float, **more: Any) -> Any:
+            steps.append(step)
+            return await fetch(*args, step=step, **more)
+
+        fetcher.fetch = note
+        _, plan = place.make_chat(1, 'x')
+        await place.ask('r', plan)
+        assert steps == [patience * cache.SEGMENT_TOKENS / 4_000.0 * 1_000]
+
+
 async def test_waiter_that_leaves_does_not_stop_the_fetch_of_others() -> None:
     async with site(link=1e6, prefill=4_000.0) as place:
         await place.keep()
