Show that a silent link waits for its replacement as a dropped one does

A link is to be replaced at once when it falls silent. But one that lived for less than the longest backoff, 5 s, counts as one more failure, on top of the dials that failed before it was up: after a restart of its agent the next dial waits for up to 5 s. A caller's stream over that link is asked for again four times within 4 s and then ends as broken, while its agent holds it whole. The new test fails: it draws the wait from a bound of 80 ms or more instead of 5 ms. The other holds what must stay: a peer that drops each link is dialed ever more rarely.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -24,6 +24,8 @@
 HOST = '127.0.0.1'
 QUICK = LinkSettings(ping_interval=40)
 SETTINGS = PoolSettings(link=QUICK, first_backoff=5, last_backoff=20)
+# No link of a test lives for so long that it counts as steady.
+RARE = PoolSettings(link=QUICK, first_backoff=5, last_backoff=60_000)
 CLOCK = make_clock()
 
 pytestmark = pytest.mark.anyio
@@ -57,7 +59,7 @@
 
 
 @asynccontextmanager
-async def pooling(recorder, addresses, settings=SETTINGS):
+async def pooling(recorder, addresses, settings=SETTINGS, random=None):
     pool = LinkPool(
         lambda: make_hello('entry'),
         on_up=recorder.note_up,
@@ -65,7 +67,7 @@
         on_down=recorder.note_down,
         settings=settings,
         clock=CLOCK,
-        random=Random(1),
+        random=random or Random(1),
     )
     pool.set_addresses(addresses)
     async with anyio.create_task_group() as group:
@@ -74,6 +76,18 @@
         group.cancel_scope.cancel()
 
 
+class Bounds(Random):
+    """Keep the bounds of the waits that are drawn, and wait for nothing."""
+
+    def __init__(self) -> None:
+        super().__init__(1)
+        self.drawn = []
+
+    def uniform(self, low, high):
+        self.drawn.append(high)
+        return low
+
+
 async def keep_reading(link):
     while True:
         await link.receive()
@@ -132,6 +146,36 @@
         assert [event[0] for event in recorder.events] == ['up', 'down', 'up']
 
 
+async def test_a_silent_link_is_replaced_at_once_after_failed_dials():
+    recorder, waits = Recorder(), Bounds()
+    async with agent('unused') as address:
+        port = int(address.rpartition(':')[2])
+    async with (
+        relaying(address) as (relay, through),
+        pooling(recorder, {'vm': through}, RARE, waits) as pool,
+    ):
+        await wait_until(lambda: waits.drawn[:3] == [5, 10, 20])
+        async with agent(port=port):
+            await wait_until(pool.links)
+            before = len(waits.drawn)
+            relay.silence()
+            await wait_until(lambda: len(recorder.links) == 2)
+            assert waits.drawn[before] == RARE.first_backoff
+
+
+async def test_a_peer_that_drops_each_link_is_dialed_ever_more_rarely():
+    async def drop(link):
+        await link.close()
+
+    recorder, waits = Recorder(), Bounds()
+    async with (
+        agent(handle=drop) as address,
+        pooling(recorder, {'vm': address}, RARE, waits),
+    ):
+        await wait_until(lambda: len(recorder.links) >= 4)
+    assert waits.drawn[:4] == [5, 10, 20, 40]
+
+
 async def test_a_peer_that_comes_back_is_a_new_link_of_its_incarnation():
     recorder = Recorder()
     incarnations = iter(('i1', 'i2'))
