Dial at once where a link fell silent

Ruled out: the streams' side. The agent held the whole answer until the end of the test, and each of the four questions of the entry met no link. Change: a link that this side closed since it heard nothing counts as steady, so its address is dialed within the first backoff, 100 ms. Where the address stays silent, the dials fail and back off as before; a peer that drops links is dialed ever more rarely still. Not changed: a link that the peer closed since the peer heard nothing first.

--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -29,6 +29,7 @@
 _DATA = frozenset({AnswerChunk, BodyChunk, SegmentPart})
 _OWN = frozenset({Ping, Pong})
 _MAX_REFUSALS = 100
+_SILENT = 'the peer is silent'
 
 
 class LinkClosed(OleanderError):
@@ -158,6 +159,11 @@
         """Tell whether the link carries no more messages."""
         return bool(self._reason) or not self._socket.is_open()
 
+    @property
+    def fell_silent(self) -> bool:
+        """Tell whether this side closed it since nothing was heard."""
+        return self._reason == _SILENT
+
     async def send(self, message: Message) -> None:
         """Send, waiting while the peer reads slowly; raise LinkClosed."""
         data = self._encode(message)
@@ -308,7 +314,7 @@
         if self._watch.is_late(now):
             self._progress = now
         if self._watch.tick(now, reading=self._socket.is_reading()):
-            raise self._lose('the peer is silent')
+            raise self._lose(_SILENT)
         waited = now - self._progress
         if self._sending and waited > self._settings.send_timeout:
             raise self._lose('the peer takes no bytes')
--- a/src/oleanderdyke/links/pool.py
+++ b/src/oleanderdyke/links/pool.py
@@ -166,9 +166,11 @@
             with anyio.CancelScope(shield=True):
                 await link.close()
                 await self._on_down(link)
-        # A peer that drops each link at once is dialed ever more rarely.
+        # A peer that drops each link at once is dialed ever more rarely. One
+        # that fell silent was not: its streams wait 4 s for a new link, less
+        # than the backoff may be that dials before this link have earned.
         lived = self._clock.now() - started
-        steady = lived > self._settings.last_backoff
+        steady = link.fell_silent or lived > self._settings.last_backoff
         target.failures = 0 if steady else target.failures + 1
 
     async def _read(self, link: Link) -> None:
