Hold the innocents until all of them run

Cause: the test of a poison waits until six requests run at the same moment. Each lasts for about 1 s, whenever it begins. Beside other work the first had ended before the last began, and nothing could meet the condition any more. Ruled out: refused or lost innocents; the wait ended before any poison was sent. Change: the stand-in engine can hold runs before their first token. The test holds all engines until the six run, then lets them go, with their whole answer still to come as the poison arrives.

--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -14,6 +14,7 @@
 EXIT_CODE = 23
 _WEIGHT_RETRY_MS = 100.0
 _LOAD_SAMPLES = 1_000
+_HOLD_POLL_MS = 10.0
 
 Fence: TypeAlias = list[Any] | None
 
@@ -44,12 +45,14 @@
 class EngineFaults(web.Faults):
     """Add what goes wrong in an engine.
 
-    `crash` dies in the next run, `hang` never answers a chat, `cut_after`
-    drops each stream after so many tokens.
+    `crash` dies in the next run, `hang` never answers a chat, `hold` keeps
+    runs from their first token while it is set, `cut_after` drops each stream
+    after so many tokens.
     """
 
     crash: bool = False
     hang: bool = False
+    hold: bool = False
     cut_after: int = 0
 
 
@@ -233,6 +236,8 @@
         try:
             await ticket.wait()
             await self._prefill(run, ticket)
+            while self.faults.hold:
+                await web.sleep(_HOLD_POLL_MS)
             for index, word in enumerate(run.words):
                 self._meet_faults(run, index)
                 await web.sleep(self._settings.decode_ms)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -124,16 +124,20 @@
 ) -> None:
     wait_settled(deployment)
     before = count_crashes(deployment)
+    servers = list_backends(deployment, MODEL)
     with ThreadPoolExecutor(INNOCENTS + at_once) as pool:
-        innocents = [
-            pool.submit(
-                send, deployment, each, f'innocent {each} of {at_once}', 100
+        # None ends before the last has begun, however slowly they come.
+        with failing(deployment, *servers, hold=True):
+            innocents = [
+                pool.submit(
+                    send, deployment, each, f'innocent {each} of {at_once}', 100
+                )
+                for each in range(INNOCENTS)
+            ]
+            wait_until(
+                lambda: count_running(deployment) == INNOCENTS,
+                'all innocents run',
             )
-            for each in range(INNOCENTS)
-        ]
-        wait_until(
-            lambda: count_running(deployment) == INNOCENTS, 'all innocents run'
-        )
         wait_until(
             lambda: is_refused(deployment, pool, f'POISON {at_once}', at_once),
             'every entry refuses the poison',
