Hold the ports of an entry in tests until it listens

Found while tests were traced that fail beside other work, not shown to be the cause of one: `find_port` gave a port back before the entry listened there, so any other process could take it in between, in the example of a hosted entry for as long as a process takes to start. Ports are reserved now as they are for the processes of a deployment: bound, never listening, so that nobody but the entry gets them.

--- a/examples/hosted.py
+++ b/examples/hosted.py
@@ -23,9 +23,9 @@
     SETTINGS,
     Answered,
     call,
-    find_port,
     make_record,
 )
+from tests.processes import LOOPBACK, Ports
 from tests.standins import server
 from tests.standins.records import RecordStore
 from tests.standins.replica import Peer, make_event, serving_replica
@@ -88,9 +88,10 @@
                 serving_replica(script)
             )
             store.put(SERVERS, f'i-{number}', make_record(address))
-        shown = Shown(
-            store, ('127.0.0.1', find_port()), ('127.0.0.1', find_port())
-        )
+        ports = Ports()
+        stack.callback(ports.close)
+        callers, readiness = ((LOOPBACK, ports.reserve()) for _ in range(2))
+        shown = Shown(store, callers, readiness)
         await stack.enter_async_context(_running(shown, store_address))
         await _wait_ready(shown.readiness)
         yield shown
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import pathlib
-import socket
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 from random import Random
@@ -19,6 +18,7 @@
 from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.logs import make_event_log
 from oleanderdyke.platform.settings import load_host_settings
+from tests.processes import Ports
 from tests.standins import server
 from tests.standins.records import RecordStore
 from tests.standins.replica import Replica, Script, serving_replica
@@ -145,8 +145,15 @@
             )
             replicas.append(replica)
             store.put(SERVERS, f'i-{number}', make_record(where, **record))
+        ports = Ports()
+        stack.callback(ports.close)
         stage = _make_stage(
-            store, address, directory, grace=grace, version_limit=version_limit
+            store,
+            address,
+            directory,
+            ports,
+            grace=grace,
+            version_limit=version_limit,
         )
         stage.replicas = replicas
         shell = HostedShell(stage.core)
@@ -254,11 +261,12 @@
     store: RecordStore,
     address: str,
     directory: pathlib.Path,
+    ports: Ports,
     *,
     grace: float,
     version_limit: float,
 ) -> Stage:
-    callers, readiness = (find_port() for _ in range(2))
+    callers, readiness = (ports.reserve() for _ in range(2))
     text = SETTINGS.format(
         store=address,
         callers=callers,
@@ -293,13 +301,6 @@
 """
 
 
-def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
-
-
 async def _wait_ready(stage: Stage) -> None:
     with anyio.fail_after(10):
         while True:
