Show that an agent never tells when the store is back (fails)

An agent writes log_down for each failed read, four a second while the store is out, and nothing once it answers again: an on-call engineer can't tell for how long it was away.

--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -9,7 +9,7 @@
 
 from oleanderdyke.agent.hosted.shell import HostedAgent
 from oleanderdyke.clock import make_clock
-from oleanderdyke.logs import make_event_log
+from oleanderdyke.logs import make_event_log, parse_line
 from oleanderdyke.platform.settings import HostSettings
 from tests.hosted import MODEL, OPERATOR, SERVERS, make_record
 from tests.standins import server
@@ -40,6 +40,17 @@
             while self.engine.version != version:
                 await anyio.sleep(0.02)
 
+    async def wait_event(self, event, name, seconds=8):
+        with anyio.fail_after(seconds):
+            while name not in [
+                line.get('name') for line in self.list_events(event)
+            ]:
+                await anyio.sleep(0.05)
+
+    def list_events(self, name):
+        lines = map(parse_line, self.log.read_text().splitlines())
+        return [line for line in lines if line.get('event') == name]
+
     def list_notices(self):
         return [json.loads(each) for each in self.store.find(LOADS).records]
 
@@ -293,3 +304,18 @@
                 await anyio.sleep(0.02)
         waits = [each for each in stage.list_notices() if each['model']]
         assert {each['model'] for each in waits} == {MODEL, OTHER}
+
+
+async def test_a_lost_store_is_told_once_and_its_return_once(tmp_path):
+    async with staging(tmp_path) as stage:
+        await anyio.sleep(0.3)
+        stage.store.faults = RecordFaults(down=True)
+        await stage.wait_event('log_down', 'operator')
+        # Some more tries fail meanwhile.
+        await anyio.sleep(1.0)
+        stage.store.faults = RecordFaults()
+        await stage.wait_event('log_up', 'operator')
+        await anyio.sleep(0.3)
+        names = [line['name'] for line in stage.list_events('log_down')]
+        back = [line['name'] for line in stage.list_events('log_up')]
+    assert names.count('operator') == back.count('operator') == 1
