Serve metrics of agents, and tell once what is lost and regained

Entries told neither which backend servers came and went nor how old the list, the loads and the configuration were that decided.

One small server answers with the metrics in both daemons, through the parser that they already hold; the entry's own path for it is gone. Agents count orders by outcome and failed calls by dependency, time orders, the wait for a place and loads by model, and show the weights that are named and held.

--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from oleanderdyke.agent.hosted.load_times import LoadTimes
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.engine_clock import EngineClock
@@ -19,6 +20,7 @@
 )
 from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.logs import EventLog
+from oleanderdyke.metrics import Metrics
 from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.engines import (
     EngineClient,
@@ -47,7 +49,11 @@
     """
 
     def __init__(
-        self, settings: HostSettings, log: EventLog, clock: Clock
+        self,
+        settings: HostSettings,
+        log: EventLog,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._rollout = Rollout(settings.version_limit)
         self.weights = self._rollout.weights
@@ -56,6 +62,7 @@
         self._settings = settings
         self._log = log
         self._clock = clock
+        self._times = LoadTimes(metrics, clock)
         self._store = StoreClient(settings.store)
         self._engine = EngineClient(settings.server)
         self._engine_clock = EngineClock()
@@ -110,6 +117,7 @@
         await self._note_start(state)
         if state.is_busy:
             return
+        self._note_weights(state)
         newest = self.weights.list_newest()
         targets = [Target(*each) for each in newest.items()]
         target = find_target(state, targets)
@@ -118,6 +126,12 @@
         else:
             await self._load(state, target)
 
+    def _note_weights(self, state: EngineState) -> None:
+        for model, version in state.versions.items():
+            self._times.note_held(model, version)
+        for model, version in self.weights.list_newest().items():
+            self._times.note_named(model, version)
+
     async def _read_state(self) -> EngineState:
         asked_at = self._clock.now()
         state = await self._engine.read_state()
@@ -138,6 +152,7 @@
         """
         if self._state is not None and state.is_other_start(self._state):
             await self._lose()
+            self._times.note_lost()
             self._done.clear()
             self._told_loading = ''
         self._state = state
@@ -158,6 +173,7 @@
             await self._tell(self._make_own_notice(LoadStep.ENDED))
         # Until the next weights are named it may start anew between two looks.
         self._own = None
+        self._times.note_settled()
         for model, version in newest.items():
             if self._done.get(model) != version:
                 self._done[model] = version
@@ -166,6 +182,7 @@
                 )
 
     async def _load(self, state: EngineState, target: Target) -> None:
+        self._times.note_due(target.model)
         own = await self._find_own(state)
         if own is None:
             return
@@ -224,7 +241,9 @@
         )
 
     async def _order(self, own: ServerStart, order: WeightOrder) -> None:
+        given_at = self._clock.now()
         outcome = await self._engine.give_order(order)
+        self._times.note_order(order.model, outcome, given_at)
         self._log.write(
             EventName.ORDER_SENT,
             peer=order.server,
--- /dev/null
+++ b/src/oleanderdyke/agent/hosted/load_times.py
@@ -0,0 +1,55 @@
+"""Measure how long one engine's loads of new weights take."""
+
+from __future__ import annotations
+
+from oleanderdyke.clock import Clock, Millis
+from oleanderdyke.metrics import Count, Gauge, Metrics, Timing
+from oleanderdyke.platform.engines import OrderOutcome
+
+
+class LoadTimes:
+    """Time the wait for a place, the orders and the loads of each model."""
+
+    def __init__(self, metrics: Metrics, clock: Clock) -> None:
+        self._metrics = metrics
+        self._clock = clock
+        self._waiting: dict[str, Millis] = {}
+        self._loading: dict[str, Millis] = {}
+
+    def note_named(self, model: str, version: int) -> None:
+        """Learn which weights are the newest."""
+        self._metrics.set_gauge(Gauge.WEIGHTS_NAMED, version, model)
+
+    def note_held(self, model: str, version: int) -> None:
+        """Learn which weights the engine holds."""
+        self._metrics.set_gauge(Gauge.WEIGHTS_HELD, version, model)
+
+    def note_due(self, model: str) -> None:
+        """Learn that an engine has to take newer weights."""
+        self._waiting.setdefault(model, self._clock.now())
+
+    def note_order(
+        self, model: str, outcome: OrderOutcome, given_at: Millis
+    ) -> None:
+        """Learn what became of an order."""
+        now, metrics = self._clock.now(), self._metrics
+        metrics.add(Count.ORDERS, label=outcome.value)
+        metrics.time(Timing.ORDER, now - given_at, outcome.value)
+        if outcome is not OrderOutcome.ACCEPTED:
+            return
+        waited_since = self._waiting.pop(model, None)
+        if waited_since is not None:
+            metrics.time(Timing.QUEUE_WAIT, given_at - waited_since, model)
+        self._loading.setdefault(model, given_at)
+
+    def note_settled(self) -> None:
+        """Learn that the engine holds all that is named."""
+        now = self._clock.now()
+        for model, since in self._loading.items():
+            self._metrics.time(Timing.LOAD, now - since, model)
+        self._loading.clear()
+        self._waiting.clear()
+
+    def note_lost(self) -> None:
+        """Forget the load that an engine lost with its start."""
+        self._loading.clear()
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -10,15 +10,17 @@
 
 from oleanderdyke.agent.hosted.engine_loads import EngineLoads
 from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
-from oleanderdyke.errors import OleanderError
+from oleanderdyke.dependencies import Dependency
 from oleanderdyke.events import EventName
 from oleanderdyke.logs import EventLog
+from oleanderdyke.metrics import Count, Gauge, Metrics
 from oleanderdyke.platform.documents import MalformedRecord, NamedVersion
 from oleanderdyke.platform.engines import EngineUnavailable
 from oleanderdyke.platform.feed import OperatorFeed
 from oleanderdyke.platform.loads import LoadFeed
 from oleanderdyke.platform.settings import HostSettings
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
+from oleanderdyke.scrape import METRICS_PORT, MetricsServer
 
 # A long read returns at once when weights are named. What is known of their age
 # is off by up to this, and so much less time is left for all to load: with 5 s
@@ -44,12 +46,28 @@
     """Follow what operators name, and bring the one engine beside to it."""
 
     def __init__(
-        self, settings: HostSettings, log: EventLog, clock: Clock
+        self,
+        settings: HostSettings,
+        log: EventLog,
+        clock: Clock,
+        metrics_port: int = METRICS_PORT,
     ) -> None:
         self._settings = settings
         self._log = log
         self._clock = clock
-        self._engine = EngineLoads(settings, log, clock)
+        self._metrics = Metrics()
+        self._metrics_port = metrics_port
+        self._engine = EngineLoads(settings, log, clock, self._metrics)
+        self._beside = Dependency(
+            log,
+            self._metrics,
+            clock,
+            lost=EventName.BACKEND_LOST,
+            regained=EventName.BACKEND_UP,
+            label='engine',
+            address=settings.server,
+        )
+        self._queue = self._make_store_dependency('queue')
         self._loads = LoadFeed(
             StoreClient(settings.store, wait=_LOADS_WAIT), self._refuse
         )
@@ -67,6 +85,7 @@
                 tasks.start_soon(self._follow_operator)
                 tasks.start_soon(self._follow_loads)
                 tasks.start_soon(self._roll_out)
+                tasks.start_soon(self._serve_metrics)
                 await self._wait_stop(signals)
                 tasks.cancel_scope.cancel()
         self._log.write(EventName.PROCESS_STOPPED)
@@ -80,23 +99,52 @@
             # Nothing that an agent is told can change while it runs.
             self._log.write(EventName.SETTINGS_RELOADED, signal=name)
 
+    async def _serve_metrics(self) -> None:
+        """Go on without metrics where their port can't be had."""
+        server = MetricsServer(self._metrics, self._refresh)
+        try:
+            await server.serve(self._settings.ip, self._metrics_port)
+        except OSError as error:
+            self._log.write(
+                EventName.RECORD_REFUSED,
+                name='metrics',
+                detail=f'port {self._metrics_port}: {error}',
+            )
+
+    def _refresh(self) -> None:
+        self._metrics.set_gauge(Gauge.READY, float(self._engine.has_begun))
+        self._metrics.set_count(Count.LINES_DROPPED, self._log.count_dropped())
+
     async def _follow_operator(self) -> None:
-        while True:
-            await self._try_store('operator', self._read_operator)
+        await self._follow('operator', self._read_operator)
 
     async def _follow_loads(self) -> None:
         """Read notices of loads, which come only when weights are named."""
-        while True:
-            await self._try_store('loads', self._read_loads)
+        await self._follow('loads', self._read_loads)
 
-    async def _try_store(
-        self, name: str, call: Callable[[], Awaitable[None]]
+    async def _follow(
+        self, name: str, read: Callable[[], Awaitable[None]]
     ) -> None:
-        try:
-            await call()
-        except StoreUnavailable as error:
-            self._log.write(EventName.LOG_DOWN, name=name, detail=error.message)
-            await anyio.sleep(_RETRY_PAUSE / SECOND)
+        store = self._make_store_dependency(name)
+        while True:
+            try:
+                await read()
+            except StoreUnavailable as error:
+                store.note_failed(error.message)
+                await anyio.sleep(_RETRY_PAUSE / SECOND)
+            else:
+                store.note_good()
+
+    def _make_store_dependency(self, name: str) -> Dependency:
+        return Dependency(
+            self._log,
+            self._metrics,
+            self._clock,
+            lost=EventName.LOG_DOWN,
+            regained=EventName.LOG_UP,
+            label=name,
+            name=name,
+        )
 
     async def _read_operator(self) -> None:
         asked_at = self._clock.now()
@@ -138,19 +186,15 @@
         try:
             await self._engine.step()
         except StoreUnavailable as error:
-            self._log_fault(error)
+            self._queue.note_failed(error.message)
             return min(max(2 * pause, _RETRY_PAUSE), _LONGEST_PAUSE)
         except EngineUnavailable as error:
-            self._log_fault(error)
+            self._beside.note_failed(error.message)
+        else:
+            self._queue.note_good()
+            self._beside.note_good()
         return _ROLLOUT_PERIOD
 
-    def _log_fault(self, error: OleanderError) -> None:
-        self._log.write(
-            EventName.ORDER_REFUSED,
-            reason=error.kind.value,
-            detail=error.message,
-        )
-
     def _refuse(self, name: str, error: MalformedRecord) -> None:
         """Keep the last good state where a record can't be read."""
         self._log.write(
--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -19,11 +19,9 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import CallerLimits
-from oleanderdyke.metrics import RENDERED_TYPE, Count, Gauge
+from oleanderdyke.metrics import Count
 from oleanderdyke.platform import names
 
-# The deploy file names it too: the platform fetches from there.
-METRICS_PORT = 7590
 _READY = 200
 _NOT_READY = 503
 
@@ -49,9 +47,6 @@
         if port == self._readiness_port:
             await self._answer_readiness(scope, send)
             return
-        if port == METRICS_PORT:
-            await self._answer_metrics(send)
-            return
         reply = Reply(send, self._is_leaving)
         try:
             await self._serve(scope, receive, reply)
@@ -101,6 +96,8 @@
             service=call.service,
             name=call.route.name,
             limit=round(call.deadline - started),
+            offset=call.asked.last_event or None,
+            **core.describe_configuration(),
         )
         await HostedDriver(core, call, body, reply).run()
 
@@ -112,6 +109,7 @@
             kind=error.kind.value,
             ran=error.ran.value,
             detail=error.message,
+            **self._core.describe_configuration(),
         )
         if reply.status:
             return
@@ -136,17 +134,3 @@
             return
         await reply.start(_NOT_READY if fault else _READY, ())
         await reply.end(fault.encode())
-
-    async def _answer_metrics(self, send: Send) -> None:
-        core = self._core
-        core.metrics.set_gauge(Gauge.RUNNING, len(core.running))
-        core.metrics.set_gauge(Gauge.READY, float(not core.find_fault()))
-        if core.deployment is not None:
-            version = core.deployment.version
-            core.metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
-        body = core.metrics.render()
-        reply = Reply(send, self._is_leaving)
-        length = str(len(body))
-        headers = (('content-type', RENDERED_TYPE), ('content-length', length))
-        await reply.start(_READY, headers)
-        await reply.end(body)
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -18,7 +18,7 @@
 from oleanderdyke.entry.hosted.call import HostedCall, make_salt
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.dispatch import (
-    describe_outdated,
+    describe_dispatch,
     plan_contexts,
 )
 from oleanderdyke.entry.hosted.events import EventSplitter
@@ -284,7 +284,7 @@
             peer=record.server,
             address=record.address,
             version=dispatch.version,
-            **describe_outdated(core, call, dispatch.version),
+            **describe_dispatch(core, call, dispatch.version),
             tokens=dispatch.contexts.fetched_tokens or None,
             segments=sum(map(bool, dispatch.contexts.sinks)) or None,
         )
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -5,6 +5,7 @@
 import anyio
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.dependencies import Dependency
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.context_stores import StoreView
@@ -57,23 +58,20 @@
     async def _follow(self, view: StoreView) -> None:
         client = ContextClient(view.traits.address, self._refuse)
         scope = self._followed[view.traits.address]
-        is_down, pause = False, _RETRY_PAUSE
+        store, pause = self._make_dependency(view), _RETRY_PAUSE
         with scope:
             while True:
                 try:
                     await self._read(client, view)
                 except ContextUnavailable as error:
                     view.forget()
-                    if not is_down:
-                        self._log(EventName.BACKEND_LOST, view, error.message)
-                    is_down = True
+                    store.note_failed(error.message)
                     await anyio.sleep(pause / SECOND)
                     if error.is_crowded:
                         pause = min(2 * pause, _LONGEST_PAUSE)
                     continue
-                if is_down:
-                    self._log(EventName.BACKEND_UP, view, None)
-                is_down, pause = False, _RETRY_PAUSE
+                store.note_good()
+                pause = _RETRY_PAUSE
                 await self._free_outdated(client, view)
 
     async def _read(self, client: ContextClient, view: StoreView) -> None:
@@ -131,7 +129,14 @@
             EventName.RECORD_REFUSED, name=name, detail=error.message
         )
 
-    def _log(
-        self, event: EventName, view: StoreView, detail: str | None
-    ) -> None:
-        self._core.log.write(event, store=view.traits.address, detail=detail)
+    def _make_dependency(self, view: StoreView) -> Dependency:
+        core = self._core
+        return Dependency(
+            core.log,
+            core.metrics,
+            core.clock,
+            lost=EventName.BACKEND_LOST,
+            regained=EventName.BACKEND_UP,
+            label='context',
+            store=view.traits.address,
+        )
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
 
 from oleanderdyke.clients.direct import ConnectionPool
 from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.dependencies import Dependency
 from oleanderdyke.entry.stopping import StoppableRequest
+from oleanderdyke.events import EventName
 from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.context_stores import ContextStores
 from oleanderdyke.kernel.deployment import Deployment
@@ -23,8 +26,8 @@
     make_retry_budget,
 )
 from oleanderdyke.kernel.rollout import Rollout
-from oleanderdyke.logs import EventLog
-from oleanderdyke.metrics import Metrics
+from oleanderdyke.logs import EventLog, LogValue
+from oleanderdyke.metrics import Count, Gauge, Metrics
 from oleanderdyke.platform.settings import HostSettings
 
 # A connection within the deployment takes some milliseconds. One lost packet
@@ -110,6 +113,36 @@
             model, version, self.clock.now(), self.engine_clock.most
         )
 
+    def make_store_dependency(self, name: str) -> Dependency:
+        """Follow one kind of call to the platform's store."""
+        return Dependency(
+            self.log,
+            self.metrics,
+            self.clock,
+            lost=EventName.LOG_DOWN,
+            regained=EventName.LOG_UP,
+            label=name,
+            name=name,
+        )
+
+    def describe_configuration(self) -> Mapping[str, LogValue]:
+        """Return what log lines tell of the configuration that decided."""
+        read, deployment = self.configuration_read, self.deployment
+        return {
+            'version': None if deployment is None else deployment.version,
+            'age': None if read is None else round(self.clock.now() - read),
+        }
+
+    def note_levels(self) -> None:
+        """Set the levels that are told only when they are asked for."""
+        metrics = self.metrics
+        metrics.set_gauge(Gauge.RUNNING, len(self.running))
+        metrics.set_gauge(Gauge.READY, float(not self.find_fault()))
+        metrics.set_count(Count.LINES_DROPPED, self.log.count_dropped())
+        if self.deployment is not None:
+            version = self.deployment.version
+            metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
+
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's part of what may be sent again to a service."""
         if service not in self._budgets:
--- a/src/oleanderdyke/entry/hosted/dispatch.py
+++ b/src/oleanderdyke/entry/hosted/dispatch.py
@@ -8,18 +8,22 @@
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS, ContextPlan
 
 
-def describe_outdated(
+def describe_dispatch(
     core: HostedCore, call: HostedCall, version: int | None
 ) -> dict[str, float]:
-    """Say which weights are newest, and how old that news is at most."""
-    demand = call.asked.demand
+    """Say what is left of the deadline, and how old the weights are.
+
+    Where newer ones are known, that news is at most `age` old.
+    """
+    now, demand = core.clock.now(), call.asked.demand
+    limit: dict[str, float] = {'limit': round(call.deadline - now)}
     if demand is None or version is None:
-        return {}
+        return limit
     replaced = core.find_replaced(demand.model, version)
     if replaced is None:
-        return {}
+        return limit
     newest = core.rollout.weights.find_newest(demand.model)
-    return {'newest': newest, 'age': round(core.clock.now() - replaced, 1)}
+    return {**limit, 'newest': newest, 'age': round(now - replaced, 1)}
 
 
 def plan_contexts(
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -188,7 +188,7 @@
             return
         server = choice.backend.record.server
         self._starts[server] = choice.backend.record.start
-        load = choice.backend.load
+        load, load_at = choice.backend.load, choice.backend.load_at
         core.log.write(
             EventName.REQUEST_ROUTED,
             request=call.request,
@@ -200,6 +200,9 @@
             delay=round(choice.delay, 1),
             running=None if load is None else load.running,
             waiting=None if load is None else load.waiting,
+            load_age=None if load is None else _find_age(now, load_at),
+            list_age=_find_age(now, core.servers_read),
+            limit=round(call.deadline - now),
         )
         reason = f'{choice.score:.1f} ms of {choice.candidates}'
         plan = Plan(agent=server, reason=reason)
@@ -279,6 +282,7 @@
 
     async def _refuse(self, action: Refuse) -> None:
         core, call = self._core, self._call
+        now = core.clock.now()
         core.metrics.add(Count.REFUSALS, label=action.kind.value)
         core.log.write(
             EventName.REQUEST_REFUSED,
@@ -287,7 +291,8 @@
             kind=action.kind.value,
             ran=action.ran.value,
             detail=action.detail or None,
-            duration=round(core.clock.now() - call.started, 1),
+            duration=round(now - call.started, 1),
+            limit=round(call.deadline - now),
         )
         if self._reply.status:
             return
@@ -336,6 +341,10 @@
             self._attempt.cancel()
 
 
+def _find_age(now: Millis, read_at: Millis | None) -> int | None:
+    return None if read_at is None else round(now - read_at)
+
+
 def _make_facts(core: HostedCore, call: HostedCall) -> RequestFacts:
     return RequestFacts(
         request=call.request,
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -26,14 +26,15 @@
 
     async def run(self) -> None:
         """Work until cancelled; without the store the last count stays."""
+        store = self._core.make_store_dependency('entries')
         while True:
             try:
                 await self._tell()
                 await self._read()
             except StoreUnavailable as error:
-                self._core.log.write(
-                    EventName.LOG_DOWN, name='entries', detail=error.message
-                )
+                store.note_failed(error.message)
+            else:
+                store.note_good()
             await anyio.sleep(_PERIOD / SECOND)
 
     def _refuse(self, name: str, error: MalformedRecord) -> None:
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
 import math
 import signal
-import socket
 from collections.abc import AsyncIterator
 from contextlib import AbstractContextManager
 from dataclasses import replace
@@ -16,7 +14,7 @@
 
 from oleanderdyke.clients.addresses import split_address
 from oleanderdyke.clock import SECOND, Millis, make_clock
-from oleanderdyke.entry.hosted.app import METRICS_PORT, HostedApp
+from oleanderdyke.entry.hosted.app import HostedApp
 from oleanderdyke.entry.hosted.contexts import ContextWatch
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.presence import Presence
@@ -28,6 +26,7 @@
 from oleanderdyke.events import EventName
 from oleanderdyke.logs import EventLog
 from oleanderdyke.platform.settings import HostSettings, load_host_settings
+from oleanderdyke.scrape import METRICS_PORT, MetricsServer
 
 _TICK: Millis = 50.0
 # A process whose ticks are so far apart was suspended or stood still: what came
@@ -59,7 +58,6 @@
             _catch_reload() as reloads,
             open_listener(*callers) as front,
             open_listener(*readiness) as ready,
-            self._open_metrics() as metrics,
         ):
             app = HostedApp(core, self._stopper, readiness[1])
             server = make_server(app, _make_http(callers))
@@ -67,8 +65,8 @@
                 EventName.PROCESS_STARTED, address=core.settings.callers
             )
             async with anyio.create_task_group() as tasks:
-                sockets = [front, ready, *filter(None, [metrics])]
-                tasks.start_soon(server.serve, sockets)
+                tasks.start_soon(server.serve, [front, ready])
+                tasks.start_soon(self._serve_metrics)
                 tasks.start_soon(self._watch.follow_operator)
                 tasks.start_soon(self._watch.follow_servers)
                 tasks.start_soon(self._watch.follow_loads)
@@ -83,17 +81,18 @@
                 tasks.cancel_scope.cancel()
         core.log.write(EventName.PROCESS_STOPPED)
 
-    def _open_metrics(self) -> AbstractContextManager[socket.socket | None]:
-        """Serve without metrics where their port can't be had."""
+    async def _serve_metrics(self) -> None:
+        """Go on without metrics where their port can't be had."""
+        core = self._core
+        server = MetricsServer(core.metrics, core.note_levels)
         try:
-            return open_listener(self._core.settings.ip, METRICS_PORT)
+            await server.serve(core.settings.ip)
         except OSError as error:
-            self._core.log.write(
+            core.log.write(
                 EventName.RECORD_REFUSED,
                 name='metrics',
                 detail=f'port {METRICS_PORT}: {error}',
             )
-            return contextlib.nullcontext()
 
     async def _tick(self, server: EdgeServer) -> None:
         """Look after silent servers and tell changes of readiness."""
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -8,6 +8,7 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.roster import Roster
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.platform.documents import MalformedRecord, NamedVersion
@@ -46,6 +47,7 @@
         )
         self._operator = OperatorFeed(self._long, self._refuse)
         self._servers = ServerFeed(self._short, self._refuse)
+        self._roster = Roster(core.log)
 
     async def follow_operator(self) -> None:
         """Read configurations and versions until cancelled."""
@@ -61,7 +63,9 @@
 
     def _refuse(self, name: str, error: MalformedRecord) -> None:
         """Keep the last good state where a record can't be read."""
-        self._log(EventName.RECORD_REFUSED, name, error.message)
+        self._core.log.write(
+            EventName.RECORD_REFUSED, name=name, detail=error.message
+        )
 
     async def _read_loads(self) -> None:
         core = self._core
@@ -102,8 +106,9 @@
             for record in news.listed:
                 core.book.put(record, now)
             core.book.note_unread(news.unread)
-        core.servers_read = now
         core.book.note_read(now)
+        self._roster.note(core.book, now, now - (core.servers_read or now))
+        core.servers_read = now
         # Connections to a start that has ended may be dead without a sign, as
         # behind a cut; each would cost a request half a second.
         for ended in core.book.take_superseded():
@@ -112,20 +117,17 @@
     async def _follow(
         self, name: str, read: Callable[[], Awaitable[None]], period: Millis
     ) -> None:
-        is_down, pause = False, _RETRY_PAUSE
+        store, pause = self._core.make_store_dependency(name), _RETRY_PAUSE
         while True:
             try:
                 await read()
             except StoreUnavailable as error:
-                if not is_down:
-                    self._log(EventName.LOG_DOWN, name, error.message)
-                is_down = True
+                store.note_failed(error.message)
                 await anyio.sleep(pause / SECOND)
                 pause = min(2 * pause, _LONGEST_PAUSE)
                 continue
-            if is_down:
-                self._log(EventName.LOG_UP, name, None)
-            is_down, pause = False, _RETRY_PAUSE
+            store.note_good()
+            pause = _RETRY_PAUSE
             if period:
                 await anyio.sleep(period / SECOND)
 
@@ -148,6 +150,3 @@
             version=deployment.version,
             count=len(deployment.routes),
         )
-
-    def _log(self, event: EventName, name: str, detail: str | None) -> None:
-        self._core.log.write(event, name=name, detail=detail)
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -79,6 +79,10 @@
         ended, self._superseded = tuple(self._superseded), []
         return ended
 
+    def list_known(self) -> Collection[Backend]:
+        """Return the servers that are listed or still answer."""
+        return self._backends.values()
+
     def list_service(self, service: str, now: Millis) -> list[Backend]:
         """Return the servers of a service that may get new work."""
         return [
@@ -87,7 +91,7 @@
             if backend.record.service == service
             and not backend.record.is_leaving
             and not backend.is_unread
-            and not self._is_missing(backend, now)
+            and not self.is_missing(backend, now)
             and self._is_server(backend)
         ]
 
@@ -330,7 +334,8 @@
             _, tokens = backend.kept.popitem(last=False)
             backend.kept_tokens -= tokens
 
-    def _is_missing(self, backend: Backend, now: Millis) -> bool:
+    def is_missing(self, backend: Backend, now: Millis) -> bool:
+        """Tell whether a server's entry is gone for good."""
         if backend.missing_since is None:
             return False
         return not self._returning.is_lapsing(now)
@@ -339,7 +344,7 @@
         gone = [
             server
             for server, backend in self._backends.items()
-            if self._is_missing(backend, now) and not backend.running
+            if self.is_missing(backend, now) and not backend.running
         ]
         for server in gone:
             del self._backends[server]
--- a/src/oleanderdyke/logpipe.py
+++ b/src/oleanderdyke/logpipe.py
@@ -46,6 +46,8 @@
         self._lines = 0
         self._bytes = 0
         self._dropped = 0
+        # Since the start; the count above is what was not told yet.
+        self.dropped = 0
         # The rest of a line that the pipe took only in part.
         self._rest = b''
 
@@ -54,12 +56,16 @@
         self._start_second()
         line = f'{record.msg}\n'.encode()
         if not self._has_room(len(line), record.level):
-            self._dropped += 1
+            self._drop()
             return
         self._lines += 1
         self._bytes += len(line)
         if not self._write(line):
-            self._dropped += 1
+            self._drop()
+
+    def _drop(self) -> None:
+        self._dropped += 1
+        self.dropped += 1
 
     def _start_second(self) -> None:
         now = self._clock.now()
--- a/src/oleanderdyke/logs.py
+++ b/src/oleanderdyke/logs.py
@@ -5,7 +5,7 @@
 import json
 import re
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol, TextIO, TypeAlias
 
 import logbook
@@ -35,14 +35,23 @@
 
 
 class EventLog:
-    """Write the events of one process."""
+    """Write the events of one process.
+
+    `count_dropped` tells how many lines found no room since the start.
+    """
 
     def __init__(
-        self, process: str, level: Level, clock: Clock, handler: LineHandler
+        self,
+        process: str,
+        level: Level,
+        clock: Clock,
+        handler: LineHandler,
+        count_dropped: Callable[[], int] = int,
     ) -> None:
         self._process = process
         self._clock = clock
         self._handler = handler
+        self.count_dropped = count_dropped
         self._sequence = 0
         self._beginnings = {
             event: (_LEVELS[found], _begin_line(event, found, process))
@@ -132,7 +141,9 @@
         return format_line({'at': at, **notice, 'count': count})
 
     handler = PipeHandler(descriptor, clock, make_notice=make_notice)
-    return EventLog(process, Level.INFO, clock, handler)
+    return EventLog(
+        process, Level.INFO, clock, handler, lambda: handler.dropped
+    )
 
 
 def _show_message(record: logbook.LogRecord, _: logbook.Handler) -> str:
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -33,6 +33,8 @@
     DECISION = 'decision'
     REQUEST = 'request'
     CLAIM = 'claim'
+    ORDER = 'order'
+    LOAD = 'load'
 
 
 class Count(enum.StrEnum):
@@ -48,6 +50,9 @@
     CONTROL_BYTES = 'control_bytes'
     DATA_BYTES = 'data_bytes'
     MISSED_TARGETS = 'missed_targets'
+    DEPENDENCY_FAULTS = 'dependency_faults'
+    ORDERS = 'orders'
+    LINES_DROPPED = 'lines_dropped'
 
 
 class Gauge(enum.StrEnum):
@@ -57,6 +62,8 @@
     LINKS = 'links'
     CONFIGURATION_OFFSET = 'configuration_offset'
     READY = 'ready'
+    WEIGHTS_NAMED = 'weights_named'
+    WEIGHTS_HELD = 'weights_held'
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +78,8 @@
 class Metrics:
     """Hold the histograms, counters and gauges of one process.
 
-    Labels are services or error kinds, never teams; past a bound they are
-    counted as `other`.
+    Labels are services, models, dependencies, outcomes or error kinds, never
+    teams; past a bound they are counted as `other`.
     """
 
     def __init__(self) -> None:
@@ -103,6 +110,10 @@
         """Set a gauge."""
         self._gauges[gauge, _bound(self._gauges, gauge, label)] = level
 
+    def set_count(self, count: Count, total: float, label: str = '') -> None:
+        """Take the total of something that is counted elsewhere."""
+        self._counts[count, _bound(self._counts, count, label)] = total
+
     def read_count(self, count: Count, label: str = '') -> float:
         """Return a counter."""
         return self._counts.get((count, label), 0.0)
--- /dev/null
+++ b/src/oleanderdyke/scrape.py
@@ -0,0 +1,121 @@
+"""Serve the metrics of a process to whoever collects them."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable
+
+import anyio
+import h11
+from anyio.abc import SocketListener, SocketStream
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.metrics import RENDERED_TYPE, Metrics
+
+# The deploy file names both for each role: the platform fetches from there.
+METRICS_PORT = 7590
+METRICS_PATH = '/metrics'
+_OK = 200
+_NOT_FOUND = 404
+_BACKLOG = 8
+# One collector asks every five seconds; a second one and a hand find room.
+_CONNECTIONS = 4
+# A connection that asks nothing for so long is closed.
+_PATIENCE: Millis = 2 * SECOND
+_HEAD_LIMIT = 8 * 1024
+_CHUNK = 4 * 1024
+
+
+class MetricsServer:
+    """Answer each connection once, with the metrics of now.
+
+    `refresh` sets the levels that are not kept up to date by themselves.
+    """
+
+    def __init__(
+        self, metrics: Metrics, refresh: Callable[[], None] | None = None
+    ) -> None:
+        self._metrics = metrics
+        self._refresh = refresh
+        self._open = 0
+
+    async def serve(self, host: str, port: int = METRICS_PORT) -> None:
+        """Serve until cancelled; raise OSError where the port can't be had."""
+        bound = _bind(host, port)
+        async with await SocketListener.from_socket(bound) as listener:
+            await listener.serve(self._take)
+
+    async def _take(self, stream: SocketStream) -> None:
+        async with stream:
+            if self._open >= _CONNECTIONS:
+                return
+            self._open += 1
+            try:
+                await self._answer_in_time(stream)
+            finally:
+                self._open -= 1
+
+    async def _answer_in_time(self, stream: SocketStream) -> None:
+        # Who asks badly, or leaves, gets no answer; the next one does.
+        ended = (h11.RemoteProtocolError, anyio.BrokenResourceError)
+        with (
+            contextlib.suppress(*ended),
+            anyio.move_on_after(_PATIENCE / SECOND),
+        ):
+            await self._answer(stream)
+
+    async def _answer(self, stream: SocketStream) -> None:
+        protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=_HEAD_LIMIT
+        )
+        request = await _read_request(stream, protocol)
+        if request is None:
+            return
+        status, body = _NOT_FOUND, b''
+        if request.target == METRICS_PATH.encode():
+            status, body = _OK, self._render()
+        head = h11.Response(
+            status_code=status,
+            headers=[
+                ('content-type', RENDERED_TYPE),
+                ('content-length', str(len(body))),
+                ('connection', 'close'),
+            ],
+        )
+        for event in (head, h11.Data(body), h11.EndOfMessage()):
+            await stream.send(protocol.send(event) or b'')
+
+    def _render(self) -> bytes:
+        if self._refresh is not None:
+            self._refresh()
+        return self._metrics.render()
+
+
+async def _read_request(
+    stream: SocketStream, protocol: h11.Connection
+) -> h11.Request | None:
+    """Return the request; None where the caller left before its end."""
+    while True:
+        event = protocol.next_event()
+        if isinstance(event, h11.Request):
+            return event
+        if event is not h11.NEED_DATA:
+            return None
+        try:
+            protocol.receive_data(await stream.receive(_CHUNK))
+        except anyio.EndOfStream:
+            return None
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    """Listen at an address, which is never looked up."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((host, port))
+        bound.listen(_BACKLOG)
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -11,7 +11,14 @@
 from oleanderdyke.clock import make_clock
 from oleanderdyke.logs import make_event_log, parse_line
 from oleanderdyke.platform.settings import HostSettings
-from tests.hosted import MODEL, OPERATOR, SERVERS, make_record
+from tests.hosted import (
+    MODEL,
+    OPERATOR,
+    SERVERS,
+    call,
+    find_port,
+    make_record,
+)
 from tests.standins import server
 from tests.standins.hosted_engine import HostedEngine
 from tests.standins.records import RecordFaults, RecordStore, Topic
@@ -26,10 +33,11 @@
 class Stage:
     """Hold a store, an engine and its agent."""
 
-    def __init__(self, store, engine, log):
+    def __init__(self, store, engine, log, port):
         self.store = store
         self.engine = engine
         self.log = log
+        self.port = port
 
     def name(self, version):
         named = {'model': MODEL, 'version': version}
@@ -40,6 +48,12 @@
             while self.engine.version != version:
                 await anyio.sleep(0.02)
 
+    async def read_metrics(self):
+        where = ('127.0.0.1', self.port)
+        found = await call(where, '/metrics', method='GET')
+        assert found.status == 200
+        return found.body.decode().splitlines()
+
     async def wait_event(self, event, name, seconds=8):
         with anyio.fail_after(seconds):
             while name not in [
@@ -76,9 +90,10 @@
         )
         log = directory / 'agent.log'
         events = make_event_log('side-1', stream=log.open('w', buffering=1))
-        agent = HostedAgent(settings, events, make_clock())
+        port = find_port()
+        agent = HostedAgent(settings, events, make_clock(), port)
         tasks.start_soon(agent.run)
-        yield Stage(store, engine, log)
+        yield Stage(store, engine, log, port)
         tasks.cancel_scope.cancel()
 
 
@@ -306,6 +321,21 @@
         assert {each['model'] for each in waits} == {MODEL, OTHER}
 
 
+async def test_an_agent_serves_what_its_engine_took_and_how_long(tmp_path):
+    async with staging(tmp_path) as stage:
+        stage.name(2)
+        await stage.wait_version(2)
+        await anyio.sleep(0.5)
+        lines = await stage.read_metrics()
+    label = f'label="{MODEL}"'
+    assert 'oleander_orders_total{label="accepted"} 1.0' in lines
+    assert f'oleander_weights_held{{{label}}} 2.0' in lines
+    assert f'oleander_weights_named{{{label}}} 2.0' in lines
+    assert f'oleander_load_milliseconds_count{{{label}}} 1.0' in lines
+    assert f'oleander_queue_wait_milliseconds_count{{{label}}} 1.0' in lines
+    assert 'oleander_order_milliseconds_count{label="accepted"} 1.0' in lines
+
+
 async def test_a_lost_store_is_told_once_and_its_return_once(tmp_path):
     async with staging(tmp_path) as stage:
         await anyio.sleep(0.3)
@@ -318,4 +348,11 @@
         await anyio.sleep(0.3)
         names = [line['name'] for line in stage.list_events('log_down')]
         back = [line['name'] for line in stage.list_events('log_up')]
+        lines = await stage.read_metrics()
     assert names.count('operator') == back.count('operator') == 1
+    (faults,) = [
+        line
+        for line in lines
+        if line.startswith('oleander_dependency_faults_total{label="operator"}')
+    ]
+    assert float(faults.split()[-1]) > 1
--- a/tests/test_logpipe.py
+++ b/tests/test_logpipe.py
@@ -8,10 +8,10 @@
 import pytest
 
 from oleanderdyke.clock import ManualClock
-from oleanderdyke.entry.hosted.app import METRICS_PORT
 from oleanderdyke.events import EventName
 from oleanderdyke.logpipe import LogBudget, PipeHandler
 from oleanderdyke.logs import make_pipe_log, parse_line
+from oleanderdyke.scrape import METRICS_PATH, METRICS_PORT
 
 ROOT = Path(__file__).parents[1]
 
@@ -109,7 +109,8 @@
     assert lines[-1] == 'y' * 10
 
 
-def test_the_deploy_file_names_the_port_of_the_metrics():
+@pytest.mark.parametrize('role', ['oleander-entry', 'oleander-agent'])
+def test_the_deploy_file_names_the_port_of_the_metrics(role):
     deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
-    named = deploy['roles']['oleander-entry']['metrics']
-    assert named == f'{METRICS_PORT}/metrics'
+    named = deploy['roles'][role]['metrics']
+    assert named == f'{METRICS_PORT}{METRICS_PATH}'
