--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from oleanderdyke.clock import ManualClock
+from oleanderdyke.entry.hosted.roster import Roster
+from oleanderdyke.kernel.backends import BackendBook
+from oleanderdyke.kernel.servers import ServerRecord
+from oleanderdyke.logs import make_event_log, parse_line
+from tests.hosted import KEY, SERVERS, staging
+from tests.standins.scripts import answer_well
+
+
+def list_events(path, *names):
+    lines = map(parse_line, path.read_text().splitlines())
+    return [line for line in lines if line.get('event') in names]
+
+
+def list_changes(path):
+    found = list_events(path, 'backend_up', 'backend_lost')
+    return [(line['event'], line['peer'], line['reason']) for line in found]
+
+
+def note(path, steps):
+    book, clock = BackendBook(), ManualClock()
+    with path.open('w', buffering=1) as stream:
+        roster = Roster(make_event_log('front-1', clock=clock, stream=stream))
+        for records in steps:
+            clock.advance(600)
+            for record in records:
+                book.put(record, clock.now())
+            roster.note(book, clock.now(), 600)
+
+
+def make(name, **changes):
+    return ServerRecord(name, 'desk', '10.0.0.1:80', 'hall', **changes)
+
+
+def test_a_server_that_comes_and_leaves_is_told_once_each(tmp_path):
+    path = tmp_path / 'log'
+    leaving = make('i-1', is_leaving=True)
+    note(path, [[make('i-1')], [make('i-1')], [leaving], [leaving]])
+    assert list_changes(path) == [
+        ('backend_up', 'i-1', 'listed'),
+        ('backend_lost', 'i-1', 'leaving'),
+    ]
+
+
+def test_a_new_start_under_the_same_name_is_told(tmp_path):
+    path = tmp_path / 'log'
+    note(path, [[make('i-1', born=1)], [make('i-1', born=2)]])
+    told = [
+        (line['event'], line['incarnation'], line['reason'])
+        for line in list_events(path, 'backend_up', 'backend_lost')
+    ]
+    assert told[1:] == [
+        ('backend_up', '2', 'listed'),
+        ('backend_lost', '1', 'gone'),
+    ]
+
+
+def test_many_at_once_are_counted(tmp_path):
+    path = tmp_path / 'log'
+    note(path, [[make(f'i-{number}') for number in range(40)]])
+    assert len(list_changes(path)) == 16
+    (rest,) = list_events(path, 'backends_changed')
+    assert rest['count'] == '24'
+
+
+@pytest.mark.anyio
+async def test_lines_tell_the_age_and_version_of_what_decided(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        await stage.call('/once/0')
+        await stage.call('/nowhere/')
+        stage.store.drop(SERVERS, 'i-0')
+        await anyio.sleep(1.5)
+    accepted, refused = (
+        list_events(stage.log, name)[0]
+        for name in ('request_accepted', 'request_refused')
+    )
+    for line in (accepted, refused):
+        assert line['version'] == '7'
+        assert float(line['age']) < 1_500
+    (routed,) = list_events(stage.log, 'request_routed')
+    assert float(routed['list_age']) < 1_500
+    (sent,) = list_events(stage.log, 'dispatch_sent')
+    limits = [int(line['limit']) for line in (accepted, routed, sent)]
+    assert limits == sorted(limits, reverse=True)
+    assert list_changes(stage.log)[-1][:2] == ('backend_lost', 'i-0')
+
+
+@pytest.mark.anyio
+async def test_no_line_holds_a_key_a_prompt_or_an_answer(tmp_path):
+    async def run(peer):
+        await peer.answer(body=b'hidden-answer')
+
+    async with staging(tmp_path, run) as stage:
+        await stage.call('/once/0', body=b'hidden-prompt')
+        await stage.call('/once/0', oleanderdyke_key='hidden-key')
+        await anyio.sleep(0.1)
+    text = stage.log.read_text()
+    assert 'event=request_finished' in text
+    assert 'event=request_refused' in text
+    assert KEY not in text
+    assert 'hidden' not in text
