Show that a request cut off by a stop gets no answer (fails)

At the end of a stop the entry names what it cuts off by a number of its own, which no answer and no other line has, and looks it up under another key than the one it is kept by: the request is never told, its caller gets no final answer, and closing takes all of the time that is left.

--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+import signal
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
 import anyio
 import pytest
 
+
+from oleanderdyke.kernel.servers import ServerStart
+from oleanderdyke.logs import parse_line
 from tests.hosted import (
     CONFIGURATION,
     LETTER_ROUTE,
@@ -206,3 +210,23 @@
     ):
         found = await _read(reader)
     assert (found.status, found.body) == (200, b'late')
+
+
+async def test_a_request_that_a_stop_cuts_off_is_answered_and_named(tmp_path):
+    runs = Runs()
+    async with staging(tmp_path, runs.make(None)) as stage:
+        async with _calling(stage, '/letter/1') as (reader, _):
+            await runs.wait_begun()
+            # The second signal ends the stop at once.
+            for _ in range(2):
+                signal.raise_signal(signal.SIGTERM)
+                await anyio.sleep(0.1)
+            found = await _read(reader)
+        with anyio.fail_after(_STILL_WORKING):
+            while 'event=process_stopped' not in stage.log.read_text():
+                await anyio.sleep(_POLL)
+        lines = map(parse_line, stage.log.read_text().splitlines())
+        cut = [line for line in lines if line['event'] == 'request_cut']
+    assert found.status == 502
+    assert b'"stopping"' in found.body
+    assert [line['request'] for line in cut] == ['req-1']
