--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -230,3 +230,23 @@
     assert found.status == 502
     assert b'"stopping"' in found.body
     assert [line['request'] for line in cut] == ['req-1']
+
+
+async def test_a_body_that_never_ends_does_not_outlast_the_stop(tmp_path):
+    async with staging(tmp_path, _stall_at_once) as stage:
+        reader, writer = await asyncio.open_connection(*stage.address)
+        request = make_request('/letter/1', body=b'half')
+        writer.write(request[:-2])
+        await anyio.sleep(0.1)
+        for _ in range(2):
+            signal.raise_signal(signal.SIGTERM)
+            await anyio.sleep(0.05)
+        with anyio.fail_after(_WAIT):
+            while 'event=process_stopped' not in stage.log.read_text():
+                await anyio.sleep(_POLL)
+        writer.close()
+        lines = map(parse_line, stage.log.read_text().splitlines())
+        times = {line['event']: float(line['at']) for line in lines}
+    # The grace time ends 600 ms after the drain at the latest, and the
+    # interpreter needs some of that to exit.
+    assert times['process_stopped'] - times['drain_finished'] < 500
