Tell a request that a stop cuts off so, under its own id

Both know a request by its id now, with a count behind it where the id is missing or taken. Closing may take 400 of the 600 ms, which a body that never ends used up too.

--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -63,22 +63,29 @@
         head = parse_head(scope, '')
         reply.request = head.find(names.REQUEST_ID) or ''
         permit = find_permit(core, head)
-        self._count += 1
-        key = str(self._count)
+        key = self._find_key(reply.request)
         route = permit.route
         needs = core.durations.find_bound(route.name, route.timeout)
         self._stopper.begin(key, needs)
         try:
-            await self._lead(head, permit, receive, reply, started)
+            await self._lead(head, permit, receive, reply, key, started)
         finally:
             self._stopper.end(key)
 
+    def _find_key(self, request: str) -> str:
+        """Return what a stop knows a request by: its id, where it is free."""
+        self._count += 1
+        if request and not self._core.drain.has_work(request):
+            return request
+        return f'{request}#{self._count}'
+
     async def _lead(
         self,
         head: Head,
         permit: Permit,
         receive: Receive,
         reply: Reply,
+        key: str,
         started: float,
     ) -> None:
         core = self._core
@@ -99,7 +106,7 @@
             offset=call.asked.last_event or None,
             **core.describe_configuration(),
         )
-        await HostedDriver(core, call, body, reply).run()
+        await HostedDriver(core, call, body, reply).run(key)
 
     async def _refuse(self, reply: Reply, error: OleanderError) -> None:
         self._core.metrics.add(Count.REFUSALS, label=error.kind.value)
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -106,9 +106,11 @@
         )
         self._handlers = self._make_handlers()
 
-    async def run(self) -> None:
-        """Answer the caller; raise BrokenAnswer where that ended early."""
-        key = f'{id(self):x}'
+    async def run(self, key: str) -> None:
+        """Answer the caller; raise BrokenAnswer where that ended early.
+
+        A stop of the entry finds the request by `key`.
+        """
         self._core.running[key] = self
         try:
             async with anyio.create_task_group() as tasks:
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -33,7 +33,9 @@
 # meanwhile is read only now. Half of the time after which a server is silent.
 _STALL: Millis = 250.0
 _SETTINGS_PERIOD: Millis = 1 * SECOND
-_CLOSE_LIMIT: Millis = 600.0
+# The grace time ends 600 ms after running work was cut off; the exit of the
+# interpreter needs the rest.
+_CLOSE_LIMIT: Millis = 400.0
 _MIB = 1024 * 1024
 # The platform bounds a body by its configuration; this one only guards.
 _BODY_LIMIT = 64 * _MIB
--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -87,6 +87,10 @@
         """List the requests that have not ended."""
         return tuple(self._work)
 
+    def has_work(self, request: str) -> bool:
+        """Tell whether a request of this name has not ended."""
+        return request in self._work
+
     def accepts(self, now: Millis, needs: Millis | None = None) -> bool:
         """Tell whether new work may start; `needs` is how long it lasts.
 
