--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -234,7 +234,7 @@
 
 async def test_a_body_that_never_ends_does_not_outlast_the_stop(tmp_path):
     async with staging(tmp_path, _stall_at_once) as stage:
-        reader, writer = await asyncio.open_connection(*stage.address)
+        _, writer = await asyncio.open_connection(*stage.address)
         request = make_request('/letter/1', body=b'half')
         writer.write(request[:-2])
         await anyio.sleep(0.1)
