Tell who had a failed or slow request last, urgently

What was missing when fifteen failed requests were explained from their lines: the server that an early refusal weighed and out of how many, who had a request that was given up or left, and whether its answer had begun.

--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -0,0 +1,120 @@
+"""Log what decides a call and how it ends."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.entry.hosted.call import HostedCall
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.attempt_events import Refuse
+from oleanderdyke.kernel.placement import Choice
+from oleanderdyke.logs import LogValue
+
+_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Say who had a call last, and when its answer began after the call."""
+
+    peer: str | None
+    first: Millis | None
+
+    def describe(self) -> Mapping[str, LogValue]:
+        """Return it as keys of a line."""
+        first = None if self.first is None else round(self.first, 1)
+        return {'peer': self.peer, 'first_token': first}
+
+
+class CallLog:
+    """Write the lines of one call."""
+
+    def __init__(self, core: HostedCore, call: HostedCall) -> None:
+        self._core = core
+        self._call = call
+
+    def tell_routed(self, choice: Choice) -> None:
+        """Tell which server was chosen, and what was known of it."""
+        core, call = self._core, self._call
+        now, backend = core.clock.now(), choice.backend
+        load = backend.load
+        core.log.write(
+            EventName.REQUEST_ROUTED,
+            request=call.request,
+            peer=backend.record.server,
+            value=round(choice.score, 1),
+            count=choice.candidates,
+            expected=round(choice.expected, 1),
+            fill=round(choice.fill, 2),
+            delay=round(choice.delay, 1),
+            running=None if load is None else load.running,
+            waiting=None if load is None else load.waiting,
+            load_age=None if load is None else _find_age(now, backend.load_at),
+            list_age=_find_age(now, core.servers_read),
+            limit=round(call.deadline - now),
+        )
+
+    def tell_retried(self, attempt: int, server: str) -> None:
+        """Tell that a call is sent again."""
+        self._core.log.write(
+            EventName.REQUEST_RETRIED,
+            request=self._call.request,
+            attempt=attempt,
+            peer=server,
+        )
+
+    def tell_refused(self, refusal: Refuse, progress: Progress) -> None:
+        """Tell why a call gets no answer of a server."""
+        call = self._call
+        self._core.log.write(
+            EventName.REQUEST_REFUSED,
+            request=call.request,
+            service=call.service,
+            kind=refusal.kind.value,
+            ran=refusal.ran.value,
+            detail=refusal.detail or None,
+            **self._describe_time(),
+            **progress.describe(),
+        )
+
+    def tell_cancelled(self, progress: Progress) -> None:
+        """Tell that the caller has left before the end."""
+        self._core.log.write_urgent(
+            EventName.REQUEST_CANCELLED,
+            request=self._call.request,
+            **self._describe_time(),
+            **progress.describe(),
+        )
+
+    def tell_finished(
+        self, status: int, duration: Millis, progress: Progress
+    ) -> None:
+        """Tell how an answer ended; that of a failed or slow one is urgent."""
+        core, call = self._core, self._call
+        first = duration if progress.first is None else progress.first
+        is_late = first > call.route.target
+        is_bad = is_late or status >= _SERVER_ERROR
+        write = core.log.write_urgent if is_bad else core.log.write
+        write(
+            EventName.REQUEST_FINISHED,
+            request=call.request,
+            service=call.service,
+            status=status,
+            duration=round(duration, 1),
+            target=round(call.route.target) if is_late else None,
+            **progress.describe(),
+        )
+
+    def _describe_time(self) -> Mapping[str, LogValue]:
+        now, call = self._core.clock.now(), self._call
+        return {
+            'duration': round(now - call.started, 1),
+            'limit': round(call.deadline - now),
+        }
+
+
+def _find_age(now: Millis, read_at: Millis | None) -> int | None:
+    return None if read_at is None else round(now - read_at)
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -14,12 +14,12 @@
 from oleanderdyke.entry.edge import Body
 from oleanderdyke.entry.hosted.attempt import DirectAttempt
 from oleanderdyke.entry.hosted.call import HostedCall, make_demand
+from oleanderdyke.entry.hosted.call_log import CallLog, Progress
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.events import EventSplitter
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.inbox import Inbox, Item
 from oleanderdyke.errors import ErrorKind
-from oleanderdyke.events import EventName
 from oleanderdyke.kernel.attempt_events import (
     Action,
     CallerGone,
@@ -90,6 +90,7 @@
         self._call = call
         self._body = body
         self._reply = reply
+        self._told = CallLog(core, call)
         self._inbox = Inbox()
         self._timers: list[asyncio.TimerHandle] = []
         self._attempt: DirectAttempt | None = None
@@ -98,6 +99,8 @@
         self._starts: dict[str, ServerStart] = {}
         self._splitter = _make_splitter(call)
         self._first: Millis | None = None
+        # Who had the request last, or would have had it.
+        self._peer: str | None = None
         self._pause = _PAUSE
         self._machine = RequestMachine(
             _make_facts(core, call),
@@ -190,22 +193,7 @@
             return
         server = choice.backend.record.server
         self._starts[server] = choice.backend.record.start
-        load, load_at = choice.backend.load, choice.backend.load_at
-        core.log.write(
-            EventName.REQUEST_ROUTED,
-            request=call.request,
-            peer=server,
-            value=round(choice.score, 1),
-            count=choice.candidates,
-            expected=round(choice.expected, 1),
-            fill=round(choice.fill, 2),
-            delay=round(choice.delay, 1),
-            running=None if load is None else load.running,
-            waiting=None if load is None else load.waiting,
-            load_age=None if load is None else _find_age(now, load_at),
-            list_age=_find_age(now, core.servers_read),
-            limit=round(call.deadline - now),
-        )
+        self._told.tell_routed(choice)
         reason = f'{choice.score:.1f} ms of {choice.candidates}'
         plan = Plan(agent=server, reason=reason)
         self._inbox.put(Routed(plan, _make_replica(choice.backend)))
@@ -224,7 +212,9 @@
         )
 
     def _refuse_early(self, choice: Choice) -> None:
+        self._peer = choice.backend.record.server
         reason = (
+            f'at the best of {choice.candidates} servers '
             f'a first byte is expected after {choice.expected:.0f} ms, '
             f'{choice.waiting} wait for {choice.delay:.0f} ms, '
             f'{choice.fill:.2f} of the memory is likely taken'
@@ -249,12 +239,8 @@
     async def _dispatch(self, action: SendDispatch) -> None:
         if action.attempt > 1:
             self._core.metrics.add(Count.RETRIES, label=self._call.service)
-            self._core.log.write(
-                EventName.REQUEST_RETRIED,
-                request=self._call.request,
-                attempt=action.attempt,
-                peer=action.agent,
-            )
+            self._told.tell_retried(action.attempt, action.agent)
+        self._peer = action.agent
         self._attempt = DirectAttempt(
             self._core,
             self._call,
@@ -283,19 +269,9 @@
         self._log_end()
 
     async def _refuse(self, action: Refuse) -> None:
-        core, call = self._core, self._call
-        now = core.clock.now()
+        core = self._core
         core.metrics.add(Count.REFUSALS, label=action.kind.value)
-        core.log.write(
-            EventName.REQUEST_REFUSED,
-            request=call.request,
-            service=call.service,
-            kind=action.kind.value,
-            ran=action.ran.value,
-            detail=action.detail or None,
-            duration=round(now - call.started, 1),
-            limit=round(call.deadline - now),
-        )
+        self._told.tell_refused(action, self._find_progress())
         if self._reply.status:
             return
         pause = core.random.uniform(self._pause / 2, self._pause)
@@ -310,9 +286,7 @@
     async def _watch_caller(self) -> None:
         await self._body.wait_gone()
         if not self._reply.ended:
-            self._core.log.write(
-                EventName.REQUEST_CANCELLED, request=self._call.request
-            )
+            self._told.tell_cancelled(self._find_progress())
             self._inbox.put(CallerGone())
 
     def _put_later(self, item: Item, delay: Millis) -> None:
@@ -327,14 +301,11 @@
         core.metrics.time(Timing.REQUEST, duration, call.service)
         if self._first is not None:
             core.metrics.time(Timing.FIRST_TOKEN, self._first, call.service)
-        core.log.write(
-            EventName.REQUEST_FINISHED,
-            request=call.request,
-            service=call.service,
-            status=self._reply.status,
-            duration=round(duration, 1),
-            first_token=None if self._first is None else round(self._first, 1),
-        )
+        progress = self._find_progress()
+        self._told.tell_finished(self._reply.status, duration, progress)
+
+    def _find_progress(self) -> Progress:
+        return Progress(self._peer, self._first)
 
     def _forget(self) -> None:
         for timer in self._timers:
@@ -343,10 +314,6 @@
             self._attempt.cancel()
 
 
-def _find_age(now: Millis, read_at: Millis | None) -> int | None:
-    return None if read_at is None else round(now - read_at)
-
-
 def _make_facts(core: HostedCore, call: HostedCall) -> RequestFacts:
     return RequestFacts(
         request=call.request,
--- a/src/oleanderdyke/logs.py
+++ b/src/oleanderdyke/logs.py
@@ -58,12 +58,24 @@
             for event in EventName
             if _LEVELS[found := find_level(event)] >= _LEVELS[level]
         }
+        self._urgent: dict[EventName, tuple[int, str]] = {}
 
     def write(self, event: EventName, **values: LogValue) -> None:
         """Write one event; the keys must be members of `events.Key`."""
         beginning = self._beginnings.get(event)
-        if beginning is None:
-            return
+        if beginning is not None:
+            self._emit(beginning, values)
+
+    def write_urgent(self, event: EventName, **values: LogValue) -> None:
+        """Write one event as a warning, whatever the level of its kind.
+
+        It finds room where lines of good requests are dropped.
+        """
+        self._emit(self._find_urgent(event), values)
+
+    def _emit(
+        self, beginning: tuple[int, str], values: Mapping[str, LogValue]
+    ) -> None:
         level, text = beginning
         self._sequence += 1
         line = (
@@ -72,6 +84,13 @@
         )
         self._handler.emit(logbook.LogRecord(self._process, level, line))
 
+    def _find_urgent(self, event: EventName) -> tuple[int, str]:
+        beginning = self._urgent.get(event)
+        if beginning is None:
+            line = _begin_line(event, Level.WARNING, self._process)
+            beginning = self._urgent[event] = (logbook.WARNING, line)
+        return beginning
+
 
 def _begin_line(event: EventName, level: Level, process: str) -> str:
     """Render the pairs that are the same in each line of an event."""
