Show that the process of a request without an end was lost

Five of fifteen drawn requests had no last line: power was lost under them. The time line of a request without an end now goes on to the next line that its process wrote of itself.

--- a/src/oleanderdyke/ctl/timeline.py
+++ b/src/oleanderdyke/ctl/timeline.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import TextIO
 
+from oleanderdyke.ctl.endings import find_endings
 from oleanderdyke.ctl.event_order import Ordered, order_events, read_events
 from oleanderdyke.ctl.exits import ExitCode
 from oleanderdyke.events import COMMON_KEYS, Key
@@ -111,6 +112,8 @@
             item.event.pairs.get(key) == text for key, text in wanted.items()
         )
     ]
+    if options.request is not None:
+        kept = sorted({*kept, *find_endings(ordered, kept)})
     return _renumber(ordered, kept)
 
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -143,3 +143,39 @@
     marked = f'  36.5313 front-hall-1 {line}'
     assert read_events([marked]) == read_events([line])
     assert read_events([line])
+
+
+def _write_lost(folder: Path, *, ended: bool) -> str:
+    """Log a process that is lost, once a request has ended or before."""
+    path = folder / 'entry-1.log'
+    clock = ManualClock()
+    with path.open('w', encoding='utf-8') as stream:
+        log = make_event_log('entry-1', Level.INFO, clock, stream)
+        log.write(EventName.PROCESS_STARTED)
+        log.write(EventName.REQUEST_ACCEPTED, request='r1')
+        if ended:
+            log.write(EventName.REQUEST_FINISHED, request='r1')
+        log.write(EventName.REQUEST_ACCEPTED, request='r2')
+        clock.advance(2_000)
+        log = make_event_log('entry-1', Level.INFO, clock, stream)
+        log.write(EventName.PROCESS_STARTED)
+        clock.advance(2_000)
+        log.write(EventName.PROCESS_STOPPING)
+    return str(path)
+
+
+@pytest.mark.parametrize(
+    ('ended', 'last'),
+    [(False, 'process_started'), (True, 'request_finished')],
+)
+def test_a_request_without_an_end_shows_that_its_process_was_lost(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    *,
+    ended: bool,
+    last: str,
+) -> None:
+    path = _write_lost(tmp_path, ended=ended)
+    assert main(['--request', 'r1', path]) == 0
+    names = [line.split()[2] for line in capsys.readouterr().out.splitlines()]
+    assert names == ['request_accepted', last]
