--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -1,4 +1,4 @@
-"""Log what decides a call and how it ends."""
+"""Log what decides a call and how it ends, and count what was late."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from oleanderdyke.kernel.attempt_events import Refuse
 from oleanderdyke.kernel.placement import Choice
 from oleanderdyke.logs import LogValue
+from oleanderdyke.metrics import Count
 
 _SERVER_ERROR = 500
 
@@ -97,6 +98,8 @@
         first = duration if progress.first is None else progress.first
         is_late = first > call.route.target
         is_bad = is_late or status >= _SERVER_ERROR
+        if is_late:
+            core.metrics.add(Count.MISSED_TARGETS, label=call.service)
         write = core.log.write_urgent if is_bad else core.log.write
         write(
             EventName.REQUEST_FINISHED,
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -66,6 +66,41 @@
     WEIGHTS_HELD = 'weights_held'
 
 
+_SERVICE = 'service'
+_MODEL = 'model'
+_NONE = '-'
+# What the label of each metric names; `tools.reference` shows it.
+LABELS: Mapping[Timing | Count | Gauge, str] = {
+    Timing.FIRST_TOKEN: _SERVICE,
+    Timing.BETWEEN_TOKENS: _SERVICE,
+    Timing.QUEUE_WAIT: 'service; model at an agent of the platform',
+    Timing.DECISION: _SERVICE,
+    Timing.REQUEST: _SERVICE,
+    Timing.CLAIM: _NONE,
+    Timing.ORDER: 'what became of it',
+    Timing.LOAD: _MODEL,
+    Count.REQUESTS: _SERVICE,
+    Count.PROMPT_TOKENS: _SERVICE,
+    Count.RECOMPUTED_TOKENS: _SERVICE,
+    Count.LINK_BYTES: _SERVICE,
+    Count.REFUSALS: 'error kind',
+    Count.RETRIES: _SERVICE,
+    Count.CLAIMS: _NONE,
+    Count.CONTROL_BYTES: _NONE,
+    Count.DATA_BYTES: _NONE,
+    Count.MISSED_TARGETS: _SERVICE,
+    Count.DEPENDENCY_FAULTS: 'what was called',
+    Count.ORDERS: 'what became of it',
+    Count.LINES_DROPPED: _NONE,
+    Gauge.RUNNING: _NONE,
+    Gauge.LINKS: _NONE,
+    Gauge.CONFIGURATION_OFFSET: _NONE,
+    Gauge.READY: _NONE,
+    Gauge.WEIGHTS_NAMED: _MODEL,
+    Gauge.WEIGHTS_HELD: _MODEL,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class TimingSummary:
     """Sum up the durations of one timing under one label."""
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -21,7 +21,8 @@
 from oleanderdyke.errors import REPLIES
 from oleanderdyke.events import COMMON_KEYS, EventName, Key, find_level
 from oleanderdyke.kernel.objects import SPEC_TYPES
-from oleanderdyke.metrics import Count, Gauge, Timing
+from oleanderdyke.metrics import LABELS, Count, Gauge, Timing
+from oleanderdyke.scrape import METRICS_PATH, METRICS_PORT
 
 FOLDER = Path(__file__).parent.parent / 'docs' / 'reference'
 _COLUMNS = 'COLUMNS'
@@ -81,21 +82,23 @@
 
 
 def _list_metrics() -> Iterator[str]:
-    yield 'Labels are services or error kinds, at most 200 for each kind of'
-    yield 'metric; what is beyond counts as `other`. Times of the background'
-    yield 'class are under `SERVICE:background`, those of answers that are not'
-    yield 'streamed under `SERVICE:whole`.'
+    yield 'Labels are at most 200 for each kind of metric; what is beyond'
+    yield 'counts as `other`. Times of the background class are under'
+    yield '`SERVICE:background`, those of answers that are not streamed under'
+    yield '`SERVICE:whole`.'
     yield ''
-    yield '| metric | type |'
-    yield '|---|---|'
+    yield f'On the platform they are at port {METRICS_PORT}, `{METRICS_PATH}`.'
+    yield ''
+    yield '| metric | type | label |'
+    yield '|---|---|---|'
     for timing in Timing:
-        name = f'oleander_{timing}_milliseconds'
-        yield f'| `{name}` | summary |'
-        yield f'| `{name}_quantile` | gauge at 0.5, 0.95, 0.99 |'
+        name, label = f'oleander_{timing}_milliseconds', LABELS[timing]
+        yield f'| `{name}` | summary | {label} |'
+        yield f'| `{name}_quantile` | gauge at 0.5, 0.95, 0.99 | {label} |'
     for count in Count:
-        yield f'| `oleander_{count}_total` | counter |'
+        yield f'| `oleander_{count}_total` | counter | {LABELS[count]} |'
     for gauge in Gauge:
-        yield f'| `oleander_{gauge}` | gauge |'
+        yield f'| `oleander_{gauge}` | gauge | {LABELS[gauge]} |'
 
 
 def _list_objects() -> Iterator[str]:
