--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -1,8 +1,7 @@
 """Measure what log lines cost an entry on the users' platform.
 
-Run `python -m bench.log_cost`: the same calls at the same pace, in turns with
-and without a log, to a real process each time. It ends every process that it
-started.
+Run `python -m bench.log_cost`: the same calls at the same pace, in turns to two
+real processes, one of which has no log. It ends every process that it started.
 """
 
 from __future__ import annotations
@@ -43,7 +42,8 @@
 
 _DIRECTORY = ROOT / 'build' / 'log-cost'
 _ROUNDS = 5
-_SECONDS = 12
+# Turns of a second: other work on the machine slows both alike.
+_TURNS = 15
 # Under the budget of the log, so that no line is dropped and each is paid for.
 _CALLS_A_SECOND = 50
 _WARM_CALLS = 50
@@ -63,18 +63,37 @@
     lines: float
     size: float
 
+    def since(self, before: Run) -> Run:
+        """Return the means of the calls since an earlier reading."""
+        count = _TURNS * _CALLS_A_SECOND
+        return Run(
+            (self.processor - before.processor) / count,
+            (self.lines - before.lines) / count,
+            (self.size - before.size) / count,
+        )
+
 
-class Reader:
-    """Read what an entry writes, as a collector does."""
+class Served:
+    """Hold an entry, and read what it writes as a collector does."""
 
-    def __init__(self) -> None:
-        self.data = bytearray()
+    def __init__(self, address: tuple[str, int], process: Process) -> None:
+        self.address = address
+        self._process = process
+        self._lines = 0
+        self._size = 0
 
-    async def read(self, process: Process) -> None:
+    async def follow(self) -> None:
         """Read until the process ends."""
-        assert process.stdout is not None
-        async for piece in process.stdout:
-            self.data += piece
+        assert self._process.stdout is not None
+        async for piece in self._process.stdout:
+            self._lines += piece.count(b'\n')
+            self._size += len(piece)
+
+    def read(self) -> Run:
+        """Return what it used and wrote since its start."""
+        text = Path(f'/proc/{self._process.pid}/schedstat').read_text()
+        used = int(text.split()[0]) / _NS_PER_MICRO
+        return Run(used, self._lines, self._size)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -85,18 +104,8 @@
     options, rest = parser.parse_known_args(arguments)
     if options.silent:
         return _run_silent(rest)
-    found: dict[str, list[Run]] = {way: [] for way in _WAYS}
-    for number in range(options.rounds):
-        # Which goes first changes, as the machine warms up and cools down.
-        for way in _WAYS if number % 2 else reversed(_WAYS):
-            run = anyio.run(_measure, way)
-            found[way].append(run)
-            print(
-                f'{way:8} {run.processor:7.1f} us of processor a call, '
-                f'{run.lines:.2f} lines, {run.size:.0f} bytes',
-                flush=True,
-            )
-    _show(found)
+    rounds = [anyio.run(_measure) for _ in range(options.rounds)]
+    _show(rounds)
     return 0
 
 
@@ -114,18 +123,31 @@
     await run_hosted_entry(settings, log)
 
 
-async def _measure(way: str) -> Run:
-    async with _serving(way) as (address, process, reader):
-        await _call_often(address, _WARM_CALLS)
-        before, written = _read_processor(process), len(reader.data)
-        count = _SECONDS * _CALLS_A_SECOND
-        await _call_often(address, count)
-        used = _read_processor(process) - before
-        lines = bytes(reader.data[written:])
-    return Run(used / count, lines.count(b'\n') / count, len(lines) / count)
+async def _measure() -> dict[str, Run]:
+    """Start both, and call each for a second in turns."""
+    async with AsyncExitStack() as stack:
+        served = {
+            way: await stack.enter_async_context(_serving(way)) for way in _WAYS
+        }
+        for each in served.values():
+            await _call_often(each, _WARM_CALLS)
+        before = {way: each.read() for way, each in served.items()}
+        for _ in range(_TURNS):
+            for each in served.values():
+                await _call_often(each, _CALLS_A_SECOND)
+        runs = {
+            way: each.read().since(before[way]) for way, each in served.items()
+        }
+    for way, run in runs.items():
+        print(
+            f'{way:8} {run.processor:7.1f} us of processor a call, '
+            f'{run.lines:.2f} lines, {run.size:.0f} bytes',
+            flush=True,
+        )
+    return runs
 
 
-async def _call_often(address: tuple[str, int], count: int) -> None:
+async def _call_often(served: Served, count: int) -> None:
     """Call at a fixed pace, whatever the answers take."""
     loop = asyncio.get_running_loop()
     started = loop.time()
@@ -134,7 +156,7 @@
             due = started + number / _CALLS_A_SECOND
             await anyio.sleep(max(due - loop.time(), 0))
             path = '/stream/1' if number % 2 else '/once/1'
-            tasks.start_soon(_call, address, path, f'req-{number}')
+            tasks.start_soon(_call, served.address, path, f'req-{number}')
 
 
 async def _call(address: tuple[str, int], path: str, request: str) -> None:
@@ -143,9 +165,7 @@
 
 
 @asynccontextmanager
-async def _serving(
-    way: str,
-) -> AsyncGenerator[tuple[tuple[str, int], Process, Reader], None]:
+async def _serving(way: str) -> AsyncGenerator[Served, None]:
     """Run an entry before two servers, which answer at once."""
     _DIRECTORY.mkdir(parents=True, exist_ok=True)
     store = RecordStore()
@@ -158,7 +178,7 @@
                 serving_replica(_answer)
             )
             store.put(SERVERS, f'i-{number}', make_record(address))
-        path = _DIRECTORY / 'boot.conf'
+        path = _DIRECTORY / f'{way}.conf'
         path.write_text(
             SETTINGS.format(
                 version_limit=15_000,
@@ -170,10 +190,10 @@
         )
         tasks = await stack.enter_async_context(anyio.create_task_group())
         process = await stack.enter_async_context(_start(way, path))
-        reader = Reader()
-        tasks.start_soon(reader.read, process)
+        served = Served(('127.0.0.1', callers), process)
+        tasks.start_soon(served.follow)
         await _wait_ready(('127.0.0.1', readiness))
-        yield ('127.0.0.1', callers), process, reader
+        yield served
         process.terminate()
         await process.wait()
 
@@ -211,27 +231,26 @@
             await anyio.sleep(0.05)
 
 
-def _read_processor(process: Process) -> float:
-    text = Path(f'/proc/{process.pid}/schedstat').read_text()
-    return int(text.split()[0]) / _NS_PER_MICRO
+def _show(rounds: Sequence[dict[str, Run]]) -> None:
+    for way in _WAYS:
+        used = [each[way].processor for each in rounds]
+        print(f'{way:8} {_spread(used)} us of processor a call')
+    costs = [
+        each['with'].processor - each['without'].processor for each in rounds
+    ]
+    lines = statistics.mean(each['with'].lines for each in rounds)
+    size = statistics.mean(each['with'].size for each in rounds)
+    print(f'the lines: {_spread(costs)} us a call')
+    print(
+        f'{lines:.2f} lines of {size / lines:.0f} bytes: '
+        f'{statistics.median(costs) / lines:.1f} us a line'
+    )
 
 
-def _show(found: dict[str, list[Run]]) -> None:
-    medians = {}
-    for way, runs in found.items():
-        used = [run.processor for run in runs]
-        medians[way] = statistics.median(used)
-        print(
-            f'{way:8} median {medians[way]:.1f}, '
-            f'{min(used):.1f} to {max(used):.1f} us of processor a call'
-        )
-    lines = statistics.mean(run.lines for run in found['with'])
-    size = statistics.mean(run.size for run in found['with'])
-    cost = medians['with'] - medians['without']
-    print(
-        f'{cost:.1f} us a call for {lines:.2f} lines of {size / lines:.0f} '
-        f'bytes: {cost / lines:.1f} us a line, {cost / medians["with"]:.3f} '
-        'of all'
+def _spread(figures: Sequence[float]) -> str:
+    return (
+        f'median {statistics.median(figures):.1f}, '
+        f'{min(figures):.1f} to {max(figures):.1f}'
     )
 
 
--- a/src/oleanderdyke/logs.py
+++ b/src/oleanderdyke/logs.py
@@ -173,10 +173,10 @@
 def _quote(found: LogValue) -> str:
     if isinstance(found, bool):
         return 'true' if found else 'false'
-    text = str(found)
-    if _BARE.match(text):
-        return text
-    return json.dumps(text)
+    # The text of a number never needs quotes.
+    if not isinstance(found, str) or _BARE.match(found):
+        return str(found)
+    return json.dumps(found)
 
 
 def _unquote(text: str) -> str | None:
