--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -39,6 +39,9 @@
 # then, so that this bounds for how long it is missed; a look is one call within
 # the machine.
 _SETTLED_PERIOD: Millis = 5 * SECOND
+# An agent that wakes up so much later than it meant to was suspended, or its
+# machine is too busy to look after an engine.
+_STALL: Millis = 1 * SECOND
 _STOPPING = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -179,7 +182,14 @@
             if is_due or not self._engine.is_settled():
                 looked_at = now
                 pause = await self._step(pause)
-            await anyio.sleep(pause / SECOND)
+            await self._sleep(pause)
+
+    async def _sleep(self, pause: Millis) -> None:
+        due = self._clock.now() + pause
+        await anyio.sleep(pause / SECOND)
+        late = self._clock.now() - due
+        if late > _STALL:
+            self._log.write(EventName.PROCESS_STALLED, duration=round(late))
 
     async def _step(self, pause: Millis) -> Millis:
         """Take a step; return the pause after it, longer without a store."""
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -104,6 +104,9 @@
             now = core.clock.now()
             if now - last > _STALL:
                 core.book.note_awake(now)
+                core.log.write(
+                    EventName.PROCESS_STALLED, duration=round(now - last)
+                )
             last = now
             for running in tuple(core.running.values()):
                 running.check_attempt(now)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -21,6 +21,7 @@
     PROCESS_STARTED = 'process_started'
     PROCESS_READY = 'process_ready'
     PROCESS_NOT_READY = 'process_not_ready'
+    PROCESS_STALLED = 'process_stalled'
     PROCESS_STOPPING = 'process_stopping'
     PROCESS_STOPPED = 'process_stopped'
     PROCESS_FAILED = 'process_failed'
@@ -93,6 +94,7 @@
 LEVELS: Mapping[EventName, Level] = {
     EventName.PROCESS_FAILED: Level.ERROR,
     EventName.PROCESS_NOT_READY: Level.WARNING,
+    EventName.PROCESS_STALLED: Level.WARNING,
     EventName.RECORD_REFUSED: Level.WARNING,
     EventName.REQUEST_REFUSED: Level.WARNING,
     EventName.LINES_DROPPED: Level.WARNING,
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import signal
+import time
 
 import anyio
 import pytest
@@ -356,3 +357,12 @@
         if line.startswith('oleander_dependency_faults_total{label="operator"}')
     ]
     assert float(faults.split()[-1]) > 1
+
+
+async def test_an_agent_tells_that_it_stood_still(tmp_path):
+    async with staging(tmp_path) as stage:
+        await anyio.sleep(0.3)
+        time.sleep(1.5)
+        await anyio.sleep(0.2)
+        (line,) = stage.list_events('process_stalled')
+    assert int(line['duration']) > 1_000
--- a/tests/test_roster.py
+++ b/tests/test_hosted_log.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import anyio
 import pytest
 
@@ -104,3 +106,13 @@
     assert 'event=request_refused' in text
     assert KEY not in text
     assert 'hidden' not in text
+
+
+@pytest.mark.anyio
+async def test_an_entry_tells_that_it_stood_still(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        await anyio.sleep(0.2)
+        time.sleep(0.7)
+        await anyio.sleep(0.2)
+        (line,) = list_events(stage.log, 'process_stalled')
+    assert int(line['duration']) > 600
