--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -79,9 +79,10 @@
         ended, self._superseded = tuple(self._superseded), []
         return ended
 
-    def list_known(self) -> Collection[Backend]:
+    def list_known(self) -> list[Backend]:
         """Return the servers that are listed or still answer."""
-        return self._backends.values()
+        known = self._backends.values()
+        return [backend for backend in known if self._is_server(backend)]
 
     def list_service(self, service: str, now: Millis) -> list[Backend]:
         """Return the servers of a service that may get new work."""
