--- a/src/oleanderdyke/logs.py
+++ b/src/oleanderdyke/logs.py
@@ -58,6 +58,7 @@
             for event in EventName
             if _LEVELS[found := find_level(event)] >= _LEVELS[level]
         }
+        self._has_warnings = _LEVELS[Level.WARNING] >= _LEVELS[level]
         self._urgent: dict[EventName, tuple[int, str]] = {}
 
     def write(self, event: EventName, **values: LogValue) -> None:
@@ -71,7 +72,8 @@
 
         It finds room where lines of good requests are dropped.
         """
-        self._emit(self._find_urgent(event), values)
+        if self._has_warnings:
+            self._emit(self._find_urgent(event), values)
 
     def _emit(
         self, beginning: tuple[int, str], values: Mapping[str, LogValue]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -68,3 +68,15 @@
     assert 'oleander_requests_total{label="s1"} 2.0' in text
     assert 'oleander_first_token_milliseconds_count{label="s1"} 1.0' in text
     assert text.count('oleander_requests_total{') == 201
+
+
+def test_urgent_events_keep_to_the_level_of_the_log():
+    stream = io.StringIO()
+    log = make_event_log('entry-1', Level.ERROR, ManualClock(), stream)
+    log.write_urgent(EventName.REQUEST_FINISHED)
+    assert not stream.getvalue()
+    log = make_event_log('entry-1', Level.WARNING, ManualClock(), stream)
+    log.write(EventName.REQUEST_FINISHED)
+    log.write_urgent(EventName.REQUEST_FINISHED)
+    (line,) = stream.getvalue().splitlines()
+    assert parse_line(line)['level'] == 'warning'
