--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -31,10 +31,9 @@
     SERVERS,
     SETTINGS,
     call,
-    find_port,
     make_record,
 )
-from tests.processes import ROOT
+from tests.processes import ROOT, Ports
 from tests.standins import server
 from tests.standins.records import RecordStore
 from tests.standins.replica import Peer, serving_replica
@@ -170,8 +169,9 @@
     _DIRECTORY.mkdir(parents=True, exist_ok=True)
     store = RecordStore()
     store.put(OPERATOR, 'config', CONFIGURATION)
-    callers, readiness = find_port(), find_port()
     async with AsyncExitStack() as stack:
+        ports = stack.enter_context(Ports())
+        callers, readiness = ports.reserve(), ports.reserve()
         (where,) = await stack.enter_async_context(server.serving(store))
         for number in range(2):
             _, address = await stack.enter_async_context(
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -145,8 +145,7 @@
             )
             replicas.append(replica)
             store.put(SERVERS, f'i-{number}', make_record(where, **record))
-        ports = Ports()
-        stack.callback(ports.close)
+        ports = stack.enter_context(Ports())
         stage = _make_stage(
             store,
             address,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Self
 
 LOOPBACK = '127.0.0.1'
 ROOT = Path(__file__).resolve().parent.parent
@@ -43,6 +44,12 @@
     def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
 
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
     def reserve(self) -> int:
         """Return a free port."""
         holder = socket.socket()
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -17,9 +17,9 @@
     OPERATOR,
     SERVERS,
     call,
-    find_port,
     make_record,
 )
+from tests.processes import Ports
 from tests.standins import server
 from tests.standins.hosted_engine import HostedEngine
 from tests.standins.records import RecordFaults, RecordStore, Topic
@@ -76,6 +76,7 @@
     for notice in before:
         store.find(LOADS).append(json.dumps(notice).encode())
     async with (
+        contextlib.AsyncExitStack() as stack,
         server.serving(store) as (address,),
         serving_replica(engine) as (_, where),
         anyio.create_task_group() as tasks,
@@ -91,7 +92,7 @@
         )
         log = directory / 'agent.log'
         events = make_event_log('side-1', stream=log.open('w', buffering=1))
-        port = find_port()
+        port = stack.enter_context(Ports()).reserve()
         agent = HostedAgent(settings, events, make_clock(), port)
         tasks.start_soon(agent.run)
         yield Stage(store, engine, log, port)
--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -9,8 +9,6 @@
 import anyio
 import pytest
 
-
-from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.logs import parse_line
 from tests.hosted import (
     CONFIGURATION,
--- a/tests/test_scrape.py
+++ b/tests/test_scrape.py
@@ -7,20 +7,22 @@
 
 from oleanderdyke.metrics import Count, Metrics
 from oleanderdyke.scrape import MetricsServer
-from tests.hosted import call, find_port
+from tests.hosted import call
+from tests.processes import Ports
 
 pytestmark = pytest.mark.anyio
 
 
 @contextlib.asynccontextmanager
 async def serving(metrics, refresh=None):
-    port = find_port()
-    async with anyio.create_task_group() as tasks:
-        server = MetricsServer(metrics, refresh)
-        tasks.start_soon(server.serve, '127.0.0.1', port)
-        await wait_open(port)
-        yield ('127.0.0.1', port)
-        tasks.cancel_scope.cancel()
+    with Ports() as ports:
+        port = ports.reserve()
+        async with anyio.create_task_group() as tasks:
+            server = MetricsServer(metrics, refresh)
+            tasks.start_soon(server.serve, '127.0.0.1', port)
+            await wait_open(port)
+            yield ('127.0.0.1', port)
+            tasks.cancel_scope.cancel()
 
 
 async def wait_open(port):
--- a/tests/test_unread_log.py
+++ b/tests/test_unread_log.py
@@ -14,9 +14,9 @@
     SERVERS,
     SETTINGS,
     call,
-    find_port,
     make_record,
 )
+from tests.processes import Ports
 from tests.standins import server
 from tests.standins.records import RecordStore
 from tests.standins.replica import serving_replica
@@ -32,33 +32,34 @@
 @contextlib.asynccontextmanager
 async def running(directory, output):
     """Run an entry as a process that writes its log to a descriptor."""
-    callers, readiness = find_port(), find_port()
     path = directory / 'boot.conf'
     store = RecordStore()
     store.put(OPERATOR, 'config', CONFIGURATION)
-    async with (
-        server.serving(store) as (address,),
-        serving_replica(answer_well) as (_, where),
-    ):
-        store.put(SERVERS, 'i-0', make_record(where))
-        path.write_text(
-            SETTINGS.format(
-                store=address,
-                callers=callers,
-                readiness=readiness,
-                grace=2,
-                version_limit=15_000,
+    with Ports() as ports:
+        callers, readiness = ports.reserve(), ports.reserve()
+        async with (
+            server.serving(store) as (address,),
+            serving_replica(answer_well) as (_, where),
+        ):
+            store.put(SERVERS, 'i-0', make_record(where))
+            path.write_text(
+                SETTINGS.format(
+                    store=address,
+                    callers=callers,
+                    readiness=readiness,
+                    grace=2,
+                    version_limit=15_000,
+                )
             )
-        )
-        command = ['-m', 'oleanderdyke.entry.main', '--platform']
-        async with await anyio.open_process(
-            [sys.executable, *command],
-            env={**os.environ, 'OLEANDERDYKE_SETTINGS': str(path)},
-            stdout=output,
-        ) as process:
-            await wait_ready(('127.0.0.1', readiness))
-            yield '127.0.0.1', callers
-            process.kill()
+            command = ['-m', 'oleanderdyke.entry.main', '--platform']
+            async with await anyio.open_process(
+                [sys.executable, *command],
+                env={**os.environ, 'OLEANDERDYKE_SETTINGS': str(path)},
+                stdout=output,
+            ) as process:
+                await wait_ready(('127.0.0.1', readiness))
+                yield '127.0.0.1', callers
+                process.kill()
 
 
 async def wait_ready(address):
