Bring a killed agent back where its test fails

Cause: the test of a stale VM list kills an agent and starts it again in its last lines. Where a check between failed, the agent stayed dead, and the test of silent links, which needs all agents, failed with `link_down` never logged. So one failure was told as two, the second with a cause of its own. Seen with logs in 1 of 26 runs of the file beside a load of 36 to 52 on 16 cores; a run of the whole suite failed in the same two tests. Change: the agent is started again however the checks end. They are as they were, and the test that fails still fails.

--- a/tests/test_failures_links.py
+++ b/tests/test_failures_links.py
@@ -14,7 +14,7 @@
 from anyio.from_thread import start_blocking_portal
 
 from tests import scenes
-from tests.deployment import Deployment, Entry, wait_listening
+from tests.deployment import Deployment, Entry, Server, wait_listening
 from tests.processes import LOOPBACK, Ports, wait_until
 from tests.relays import Relay, relaying
 from tests.scenes import MODEL, PLAIN
@@ -74,16 +74,25 @@
     server = deployment.find(PLAIN)[0]
     vms = deployment.platform['vms']
     with scenes.failing(deployment, vms, stale=True):
-        server.agent.kill()
-        for number in range(6):
-            name = f'stale list {number}'
-            reply = scenes.book(deployment.entries[number % 3], name)
-            assert reply.status == 201, reply
-            assert scenes.count_runs(deployment, name) == 1
-        scenes.check_served(deployment, deployment.entries)
+        with killed(server):
+            for number in range(6):
+                name = f'stale list {number}'
+                reply = scenes.book(deployment.entries[number % 3], name)
+                assert reply.status == 201, reply
+                assert scenes.count_runs(deployment, name) == 1
+            scenes.check_served(deployment, deployment.entries)
+        scenes.wait_condition(deployment.entries, server.name, {'heard'})
+
+
+@contextmanager
+def killed(server: Server) -> Iterator[None]:
+    """Have an agent dead for a while, and back for the next test."""
+    server.agent.kill()
+    try:
+        yield
+    finally:
         server.agent.start()
         wait_listening(server.agent, server.agent_address)
-        scenes.wait_condition(deployment.entries, server.name, {'heard'})
 
 
 @contextmanager
