--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -14,7 +14,7 @@
     MixingMachine,
 )
 from test_spread import UncheckedCatalog
-from test_store_index import ForgetsNamespace, ReusesUnderPin
+from test_store_index_safety import ForgetsNamespace, ReusesUnderPin
 from tests.matrix import unsafe
 from tests.matrix.cells import (
     State,
