Test that a late order meets a higher fence at a later start

An order for weights without an answer may reach a later start of its engine, which counts none and has seen no fence.

--- a/tests/standins/hosted_engine.py
+++ b/tests/standins/hosted_engine.py
@@ -10,13 +10,16 @@
 from tests.standins.replica import Peer
 
 _ORDER_TAKEN = 202
+_ORDER_HOLDS = 200
 
 
 class HostedEngine:
     """Hold weights and take orders; a load takes `load_seconds`.
 
     Where `server` is set, it is the only start that orders may name. A crash
-    leaves the weights that were held before.
+    leaves the weights that were held before. Like the engines of the platform
+    it notes the fence of an order for weights that it holds, and doesn't count
+    that order; `fence` is None where it checks none.
     """
 
     def __init__(
@@ -29,6 +32,7 @@
         self.born: int | None = None
         self.orders: list[dict[str, Any]] = []
         self.accepted = 0
+        self.fence: int | None = None
         self.lose_answers = 0
         self.outcome = _ORDER_TAKEN
         self._model = model
@@ -59,10 +63,29 @@
         if order['precondition'] != self.accepted:
             await peer.answer(409)
             return
+        if self.fence is not None and order['fence'] < self.fence:
+            await peer.answer(412)
+            return
+        self.note_fence(order)
+        if order['version'] == self.version:
+            await peer.answer(_ORDER_HOLDS)
+            return
         await peer.answer(self.outcome)
         if self.outcome == _ORDER_TAKEN:
             await self.load(order['version'])
 
+    async def take_late(self, order: dict[str, Any]) -> None:
+        """Carry an order out that was on its way until now, if it holds."""
+        is_old = self.fence is not None and order['fence'] < self.fence
+        if order['precondition'] == self.accepted and not is_old:
+            self.note_fence(order)
+            await self.load(order['version'])
+
+    def note_fence(self, order: dict[str, Any]) -> None:
+        """Note the highest fence where fences are checked."""
+        if self.fence is not None:
+            self.fence = max(self.fence, order['fence'])
+
     async def load(self, version: int) -> None:
         """Take new weights, unless the engine crashes meanwhile."""
         self.accepted += 1
@@ -80,6 +103,7 @@
         """Come back under this id, on the weights of before."""
         self.down, self.accepted, self.server = False, 0, server
         self.born = born
+        self.fence = None if self.fence is None else 0
 
     def report(self) -> dict[str, Any]:
         """Return what the engine says of itself."""
--- a/tests/test_starts_agent.py
+++ b/tests/test_starts_agent.py
@@ -161,3 +161,86 @@
         await anyio.sleep(6.0)
         # The long reads, which go on as before.
         assert set(stage.store.calls) <= {'/api/log-read'}
+
+
+async def change_twice_with_a_lost_order(stage):
+    """Leave the first order, for version 2, without an answer."""
+    stage.engine.lose_answers = 1
+    stage.name(2)
+    await stage.wait_version(2)
+    stage.name(3)
+    await stage.wait_version(3)
+    with anyio.fail_after(5):
+        while list_own_steps(stage)[-1] != 'ended':
+            await anyio.sleep(0.02)
+
+
+async def wait_fence(engine, seconds=8):
+    """Wait until a start has a fence, which the first order to it brings."""
+    with anyio.fail_after(seconds):
+        while not engine.fence:
+            await anyio.sleep(0.02)
+
+
+async def test_a_late_order_for_the_earlier_start_meets_a_higher_fence(
+    tmp_path,
+):
+    engine = HostedEngine(MODEL)
+    engine.born, engine.fence = EARLIER, 0
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, EARLIER)
+        await change_twice_with_a_lost_order(stage)
+        lost = engine.orders[0]
+        engine.start_anew('', born=LATER)
+        put_record(stage, LATER)
+        await wait_fence(engine)
+        await engine.take_late(lost)
+        assert engine.version == 3
+    assert engine.orders[-1]['version'] == 3
+    assert engine.orders[-1]['fence'] > lost['fence']
+
+
+async def test_a_start_under_another_name_needs_no_higher_fence(tmp_path):
+    engine = HostedEngine(MODEL)
+    engine.fence = 0
+    async with staging(tmp_path, engine) as stage:
+        await change_twice_with_a_lost_order(stage)
+        given = len(engine.orders)
+        found = json.loads(stage.store.find(SERVERS).newest['i-own'][1])
+        stage.store.drop(SERVERS, 'i-own')
+        stage.store.put(SERVERS, 'i-next', found)
+        engine.start_anew('i-next')
+        await anyio.sleep(6.0)
+        assert len(engine.orders) == given
+
+
+async def test_an_order_with_an_answer_brings_no_higher_fence(tmp_path):
+    engine = HostedEngine(MODEL)
+    engine.born, engine.fence = EARLIER, 0
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, EARLIER)
+        stage.name(2)
+        await stage.wait_version(2)
+        await wait_steps(stage, ['started', 'waits', 'ended'])
+        engine.start_anew('', born=LATER)
+        put_record(stage, LATER)
+        await anyio.sleep(6.0)
+    assert len(engine.orders) == 1
+
+
+async def test_a_late_order_that_passes_costs_one_more_load(tmp_path):
+    """Nothing checks a fence here: the newest weights are ordered again."""
+    engine = HostedEngine(MODEL)
+    engine.born = EARLIER
+    async with staging(tmp_path, engine) as stage:
+        put_record(stage, EARLIER)
+        await change_twice_with_a_lost_order(stage)
+        lost = engine.orders[0]
+        engine.start_anew('', born=LATER)
+        put_record(stage, LATER)
+        await engine.take_late(lost)
+        assert engine.version == 2
+        await stage.wait_version(3, seconds=8)
+        await anyio.sleep(0.5)
+        assert engine.version == 3
+    assert engine.orders[-1]['version'] == 3
