Bring a higher fence to an engine that starts anew under its name

Cause: a start of an engine counts its orders from none and has seen no fence, so that an order without an answer, given to the start before, passes its precondition there until the first order to the new start, which came only when weights were due. It takes older weights: a load, and another one back. Conclusion: one order for each such start; none where a start has another name.

--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -36,6 +36,11 @@
 _READ_BACK: Millis = 20.0
 # A long read answers within some milliseconds of an append.
 _READ_BACK_LIMIT: Millis = 2 * SECOND
+# With these an engine has seen the fence of an order, or never will: one that
+# refuses an order for weights that it holds would refuse it again.
+_SEEN = frozenset(
+    {OrderOutcome.HOLDS, OrderOutcome.ACCEPTED, OrderOutcome.REFUSED}
+)
 # The list names a new start of an engine a second or two after it began.
 _LIST_PERIOD: Millis = 300.0
 
@@ -75,6 +80,9 @@
         self._state: EngineState | None = None
         self._listed_at = -math.inf
         self._told_loading = ''
+        # The name of the engine that an order without an answer went to.
+        self._unanswered = ''
+        self._needs_fence = False
 
     def take(self, notice: LoadNotice) -> None:
         """Apply the next notice of the log."""
@@ -99,7 +107,7 @@
         A request for a place that got no answer may be carried out after the
         load has ended; the place is given up again then.
         """
-        if self._queue.is_queued(self._settings.process):
+        if self._needs_fence or self._queue.is_queued(self._settings.process):
             return False
         return self._done == self.weights.list_newest()
 
@@ -115,9 +123,14 @@
         if self._is_late(state):
             return
         await self._note_start(state)
-        if state.is_busy:
-            return
+        if not state.is_busy:
+            await self._bring(state)
+
+    async def _bring(self, state: EngineState) -> None:
+        """Take the next step of an idle engine to what is named."""
         self._note_weights(state)
+        if self._needs_fence:
+            await self._raise_fence(state)
         newest = self.weights.list_newest()
         targets = [Target(*each) for each in newest.items()]
         target = find_target(state, targets)
@@ -155,8 +168,29 @@
             self._times.note_lost()
             self._done.clear()
             self._told_loading = ''
+            if self._unanswered:
+                self._needs_fence, self._fence = True, None
         self._state = state
 
+    async def _raise_fence(self, state: EngineState) -> None:
+        """Keep orders to the earlier start off one of the same name.
+
+        One that got no answer may arrive seconds later, and a new start counts
+        none and has seen no fence: it would take older weights, a load and
+        another one back. An order for what it holds changes nothing, but where
+        fences are checked it brings one above all that went to earlier starts.
+        """
+        own = await self._find_own(state)
+        if own is None:
+            return
+        if own.server != self._unanswered:
+            # Other orders name another engine, and are refused.
+            self._needs_fence, self._unanswered = False, ''
+            return
+        model, held = next(iter(state.versions.items()))
+        outcome = await self._order(own, Target(model, held), state)
+        self._needs_fence = outcome not in _SEEN
+
     async def _lose(self) -> None:
         """Hold up nobody while the engine is away; it may start anew.
 
@@ -193,15 +227,7 @@
             return
         if not self._may_load(own.server, target, held):
             return
-        order = WeightOrder(
-            server=own.server,
-            model=target.model,
-            version=target.version,
-            holder=self._settings.process,
-            fence=await self._find_fence(),
-            after=state.orders,
-        )
-        await self._order(own, order)
+        await self._order(own, target, state)
 
     def _may_load(self, own: str, target: Target, held: int) -> bool:
         """Tell whether it is this engine's turn, and log what it waits for.
@@ -240,7 +266,17 @@
             detail=f'behind {loading}',
         )
 
-    async def _order(self, own: ServerStart, order: WeightOrder) -> None:
+    async def _order(
+        self, own: ServerStart, target: Target, state: EngineState
+    ) -> OrderOutcome:
+        order = WeightOrder(
+            server=own.server,
+            model=target.model,
+            version=target.version,
+            holder=self._settings.process,
+            fence=await self._find_fence(),
+            after=state.orders,
+        )
         given_at = self._clock.now()
         outcome = await self._engine.give_order(order)
         self._times.note_order(order.model, outcome, given_at)
@@ -252,11 +288,14 @@
             offset=order.fence,
             reason=outcome.value,
         )
+        if outcome is OrderOutcome.UNKNOWN:
+            self._unanswered = order.server
         if outcome is OrderOutcome.OLD_FENCE:
             self._fence = None
         if outcome is OrderOutcome.OTHER_SERVER:
             self._ended.add(own)
             self._own = None
+        return outcome
 
     def _make_request(self, own: str, model: str, held: int) -> LoadNotice:
         """Ask for a place, and say how old the news of the weights is."""
--- a/tests/standins/hosted_engine.py
+++ b/tests/standins/hosted_engine.py
@@ -57,14 +57,9 @@
             self.lose_answers -= 1
             peer.reset()
             return
-        if self.server and order['instance'] != self.server:
-            await peer.answer(421)
-            return
-        if order['precondition'] != self.accepted:
-            await peer.answer(409)
-            return
-        if self.fence is not None and order['fence'] < self.fence:
-            await peer.answer(412)
+        refusal = self.find_refusal(order)
+        if refusal is not None:
+            await peer.answer(refusal)
             return
         self.note_fence(order)
         if order['version'] == self.version:
@@ -74,10 +69,19 @@
         if self.outcome == _ORDER_TAKEN:
             await self.load(order['version'])
 
+    def find_refusal(self, order: dict[str, Any]) -> int | None:
+        """Return with which status an order has no effect, if so."""
+        if self.server and order['instance'] != self.server:
+            return 421
+        if order['precondition'] != self.accepted:
+            return 409
+        if self.fence is not None and order['fence'] < self.fence:
+            return 412
+        return None
+
     async def take_late(self, order: dict[str, Any]) -> None:
         """Carry an order out that was on its way until now, if it holds."""
-        is_old = self.fence is not None and order['fence'] < self.fence
-        if order['precondition'] == self.accepted and not is_old:
+        if self.find_refusal(order) is None:
             self.note_fence(order)
             await self.load(order['version'])
 
