Test that a caller of a stream is answered before it leaves

A caller leaves when no event has come for longer than the pause of its route allows; the entry doesn't know that time. Fails: it waits until the caller's deadline, or two seconds after a server fell silent. Two tests of a letter that is waited for have a route whose callers wait longer than the test does: with the standard pause a caller of the platform would have left before.

--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -13,6 +13,7 @@
 from tests.hosted import (
     CONFIGURATION,
     LETTER_ROUTE,
+    STREAM_ROUTE,
     Answered,
     Stage,
     make_request,
@@ -29,6 +30,10 @@
 _STILL_WORKING = 0.5
 _WAIT = 5.0
 _POLL = 0.005
+# A caller of a stream waits eight times this pause for the next event, or two
+# seconds where none is set.
+_PATIENT = {'timeoutMs': 9_000, 'gapTargetMs': 500}
+_PATIENCE = 2.0
 
 
 @dataclass
@@ -170,7 +175,7 @@
     tmp_path, first
 ):
     runs = Runs()
-    letter = {**LETTER_ROUTE, 'timeoutMs': 9_000}
+    letter = {**LETTER_ROUTE, **_PATIENT}
     configuration = {**CONFIGURATION, 'routes': [letter]}
     async with (
         staging(
@@ -187,7 +192,7 @@
 async def test_a_letter_at_a_server_that_sends_to_others_is_waited_for(
     tmp_path,
 ):
-    letter = {**LETTER_ROUTE, 'timeoutMs': 9_000}
+    letter = {**LETTER_ROUTE, **_PATIENT}
     configuration = {**CONFIGURATION, 'routes': [letter]}
 
     async def take_turns(peer: Peer) -> None:
@@ -248,3 +253,70 @@
     # The grace time ends 600 ms after the drain at the latest, and the
     # interpreter needs some of that to exit.
     assert times['process_stopped'] - times['drain_finished'] < 500
+
+
+def _make_configuration(route, **changes):
+    route = {**route, 'timeoutMs': 9_000, **changes}
+    return {**CONFIGURATION, 'routes': [route]}
+
+
+async def _send_to_others_only(peer: Peer) -> None:
+    if 'late' in peer.request.target:
+        await peer.wait_closed()
+        return
+    await send_events(peer, 1, 1)
+    for number in range(2, 60):
+        await anyio.sleep(0.1)
+        await peer.send(make_chunk(make_event(number)))
+
+
+@pytest.mark.parametrize('route', [STREAM_ROUTE, LETTER_ROUTE])
+async def test_a_caller_has_its_answer_before_it_leaves_a_queue(
+    tmp_path, route
+):
+    path = route['pathPrefix']
+    async with (
+        staging(
+            tmp_path,
+            _send_to_others_only,
+            configuration=_make_configuration(route),
+        ) as stage,
+        _calling(stage, f'{path}other'),
+        _calling(stage, f'{path}late') as (reader, _),
+    ):
+        with anyio.fail_after(_PATIENCE):
+            found = await _read(reader)
+    assert found.status == 504
+
+
+async def test_a_caller_has_its_answer_before_it_leaves_the_second_server(
+    tmp_path,
+):
+    async with staging(
+        tmp_path,
+        _stall_at_once,
+        _stall_at_once,
+        configuration=_make_configuration(STREAM_ROUTE),
+    ) as stage:
+        async with _calling(stage, '/stream/1') as (reader, _):
+            with anyio.fail_after(_PATIENCE):
+                found = await _read(reader)
+        assert [len(each.received) for each in stage.replicas] == [1, 1]
+    assert found.status == 504
+
+
+async def test_a_stream_that_stalls_is_broken_off_before_its_caller_leaves(
+    tmp_path,
+):
+    async with (
+        staging(
+            tmp_path,
+            _stall_midway,
+            configuration=_make_configuration(LETTER_ROUTE),
+        ) as stage,
+        _calling(stage, '/letter/1') as (reader, _),
+    ):
+        with anyio.fail_after(_PATIENCE):
+            found = await _read(reader)
+    assert found.status == 200
+    assert not found.is_whole
