--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -10,8 +10,15 @@
 import pytest
 
 from oleanderdyke.logs import parse_line
+
+
+from oleanderdyke.entry.hosted.call import HostedCall
+from oleanderdyke.kernel.deployment import CallKind, Route, Share
+from oleanderdyke.kernel.servers import ServerStart
+from oleanderdyke.platform.requests import CallerRequest
 from tests.hosted import (
     CONFIGURATION,
+    HOST,
     LETTER_ROUTE,
     STREAM_ROUTE,
     Answered,
@@ -320,3 +327,38 @@
             found = await _read(reader)
     assert found.status == 200
     assert not found.is_whole
+
+
+def _make_call(kind: CallKind, *, wait: float | None) -> HostedCall:
+    route = Route('r', HOST, '/', kind, (Share('desk'),), 2_000, 400)
+    asked = CallerRequest('req-1', wait, '', None, '')
+    return HostedCall(
+        request='req-1',
+        method='POST',
+        target='/',
+        host=HOST,
+        headers=(),
+        body=b'',
+        asked=asked,
+        route=route,
+        service='desk',
+        owner=None,
+        started=100.0,
+        deadline=100.0 + min(2_000.0, wait or 2_000.0),
+    )
+
+
+@pytest.mark.parametrize('kind', [CallKind.IDEMPOTENT, CallKind.STREAM])
+def test_a_caller_that_may_ask_again_has_its_answer_before_it_leaves(kind):
+    assert 1_000 <= _make_call(kind, wait=1_000).answer_by <= 1_080
+    assert 110 <= _make_call(kind, wait=20).answer_by < 120
+
+
+@pytest.mark.parametrize('kind', list(CallKind))
+def test_a_caller_that_waits_longer_has_its_answer_at_the_timeout(kind):
+    assert _make_call(kind, wait=3_000).answer_by == 2_100
+    assert _make_call(kind, wait=None).answer_by == 2_100
+
+
+def test_what_runs_only_once_may_be_answered_up_to_the_deadline():
+    assert _make_call(CallKind.ONCE, wait=1_000).answer_by == 1_100
