--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -65,8 +65,9 @@
     def answer_by(self) -> Millis:
         """Return until when the caller has its final answer.
 
-        One that may run only once may be answered up to the deadline: that
-        its answer comes is worth more than to know that it may have run.
+        A plain call that may run only once may be answered up to the deadline:
+        that its answer comes is worth more than to know that it may have run.
+        A stream that isn't whole by then is of no use.
         """
         if self.route.kind is CallKind.ONCE:
             return self.deadline
