--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -106,7 +106,6 @@
         self._first: Millis | None = None
         # Who had the request last, or would have had it.
         self._peer: str | None = None
-
         # When the caller last got something, or asked.
         self._served_at = call.started
         self._patience = call.route.event_patience - _ANSWER_MARGIN
--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -9,12 +9,9 @@
 import anyio
 import pytest
 
-from oleanderdyke.logs import parse_line
-
-
 from oleanderdyke.entry.hosted.call import HostedCall
 from oleanderdyke.kernel.deployment import CallKind, Route, Share
-from oleanderdyke.kernel.servers import ServerStart
+from oleanderdyke.logs import parse_line
 from oleanderdyke.platform.requests import CallerRequest
 from tests.hosted import (
     CONFIGURATION,
