--- a/tests/standins/hosted_engine.py
+++ b/tests/standins/hosted_engine.py
@@ -62,13 +62,17 @@
             await peer.answer(refusal)
             return
         self.note_fence(order)
-        if order['version'] == self.version:
+        if self.holds(order):
             await peer.answer(_ORDER_HOLDS)
             return
         await peer.answer(self.outcome)
         if self.outcome == _ORDER_TAKEN:
             await self.load(order['version'])
 
+    def holds(self, order: dict[str, Any]) -> bool:
+        """Tell whether an order names the weights that are held."""
+        return bool(order['version'] == self.version)
+
     def find_refusal(self, order: dict[str, Any]) -> int | None:
         """Return with which status an order has no effect, if so."""
         if self.server and order['instance'] != self.server:
--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -297,6 +297,11 @@
 
     other = 1
 
+    def holds(self, order):
+        if order['model'] == MODEL:
+            return super().holds(order)
+        return order['version'] == self.other
+
     async def load(self, version):
         if self.orders[-1]['model'] == MODEL:
             await super().load(version)
