Show that more engines load at once than all being done in time takes

Two engines took new weights at once however much time was left, and a place whose agent is cut off from the store held up all others for a third of the bound. The tests say what is wanted instead: as few at once as can be done in time, counted by how long the last loads took; the oldest weights first; one more beside an engine that should be done; none behind one that is listed with newer weights.

The rollout of six engines waits until all agents have begun: with one that had not, all six loaded at once, before this change too.

--- a/tests/test_hosted_agent.py
+++ b/tests/test_hosted_agent.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import signal
+from random import Random
 
 import anyio
 import pytest
@@ -64,7 +65,7 @@
         )
         log = directory / 'agent.log'
         events = make_event_log('side-1', stream=log.open('w', buffering=1))
-        agent = HostedAgent(settings, events, make_clock())
+        agent = HostedAgent(settings, events, make_clock(), Random(1))
         tasks.start_soon(agent.run)
         yield Stage(store, engine, log)
         tasks.cancel_scope.cancel()
@@ -152,14 +153,11 @@
     assert fences == sorted(set(fences))
 
 
-async def test_two_that_load_are_waited_for(tmp_path):
-    before = [
-        {'server': 'i-a', 'step': 'waits'},
-        {'server': 'i-b', 'step': 'waits'},
-    ]
+async def test_one_that_loads_is_waited_for(tmp_path):
+    before = [{'server': 'i-a', 'step': 'waits'}]
     async with staging(tmp_path, before=before) as stage:
         stage.name(2)
-        await anyio.sleep(1.0)
+        await anyio.sleep(1.5)
         assert not stage.engine.orders
         ended = {'server': 'i-a', 'step': 'ended'}
         stage.store.find(LOADS).append(json.dumps(ended).encode())
@@ -260,4 +258,4 @@
             if 'event=load_queued' in line
         ]
     assert 'peer=i-own' in line
-    assert 'i-a,i-b' in line
+    assert 'behind i-a' in line
--- a/tests/test_old_weights.py
+++ b/tests/test_old_weights.py
@@ -23,6 +23,7 @@
 import contextlib
 import json
 import math
+from random import Random
 
 import anyio
 import pytest
@@ -179,7 +180,8 @@
         )
         stream = (self._directory / f'{process}.log').open('w', buffering=1)
         log = make_event_log(process, stream=stream)
-        self._tasks.start_soon(HostedAgent(settings, log, make_clock()).run)
+        agent = HostedAgent(settings, log, make_clock(), Random(process))
+        self._tasks.start_soon(agent.run)
 
     async def crash(self, name):
         """Let an engine crash and come back; the list learns it later."""
@@ -238,6 +240,7 @@
     async with staging_fleet(tmp_path, limit=15_000.0, **names) as fleet:
         for name in names:
             fleet.start_agent(name)
+        await wait_until(lambda: len(list_steps(fleet)) == len(names), 5)
         await anyio.sleep(0.5)
         name_weights(fleet.store, 2)
         engines = list(fleet.engines.values())
@@ -246,7 +249,7 @@
             while any(each.version != 2 for each in engines):
                 most = max(most, sum(each.busy for each in engines))
                 await anyio.sleep(0.02)
-    assert most == 2
+    assert most == 1
 
 
 async def test_a_stream_that_has_begun_on_old_weights_goes_on(tmp_path):
