--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import anyio
 
@@ -36,6 +37,9 @@
 _READ_BACK_LIMIT: Millis = 2 * SECOND
 # The list names a new start of an engine a second or two after it began.
 _LIST_PERIOD: Millis = 300.0
+# How often an agent that waits for its turn reads the list of servers. A load
+# takes about two seconds, and of 57 agents each asks once in two.
+_OTHERS_PERIOD: Millis = 1 * SECOND
 
 
 class EngineLoads:
@@ -67,6 +71,7 @@
         # What the present start of the engine told last.
         self._state: EngineState | None = None
         self._listed_at = -math.inf
+        self._seen_at = -math.inf
         self._told_loading = ''
 
     def take(self, notice: LoadNotice) -> None:
@@ -114,7 +119,7 @@
         targets = [Target(*each) for each in newest.items()]
         target = find_target(state, targets)
         if target is None:
-            await self._settle(newest)
+            await self._settle(state, newest)
         else:
             await self._load(state, target)
 
@@ -152,10 +157,10 @@
             await self._tell(self._make_own_notice(LoadStep.LOST))
         self._own = None
 
-    async def _settle(self, newest: dict[str, int]) -> None:
+    async def _settle(self, state: EngineState, newest: dict[str, int]) -> None:
         """Let the next engine go once this one has what is named."""
         if self._queue.is_queued(self._settings.process):
-            await self._tell(self._make_own_notice(LoadStep.ENDED))
+            await self._tell(self._make_ended(state))
         # Until the next weights are named it may start anew between two looks.
         self._own = None
         for model, version in newest.items():
@@ -174,6 +179,7 @@
             await self._tell(self._make_request(own.server, target.model, held))
             return
         if not self._may_load(own.server, target, held):
+            await self._look_at_others(own)
             return
         order = WeightOrder(
             server=own.server,
@@ -208,6 +214,20 @@
             self._log_queued(own, target, now)
         return not may_serve
 
+    async def _look_at_others(self, own: ServerStart) -> None:
+        """See in the list who is done, as an agent that is cut off can't tell.
+
+        Before, the others waited a third of the bound on old weights for it.
+        """
+        now = self._clock.now()
+        if now - self._seen_at < _OTHERS_PERIOD:
+            return
+        self._seen_at = now
+        listed = await list_servers(self._store, self._refuse)
+        self._rollout.note_listed(
+            record for record in listed if record.server != own.server
+        )
+
     def _log_queued(self, own: str, target: Target, now: Millis) -> None:
         """Say whom this engine waits for, each time that changes."""
         loading = ','.join(self._queue.list_loading(now))
@@ -255,6 +275,15 @@
             newest_at=newest_at,
         )
 
+    def _make_ended(self, state: EngineState) -> LoadNotice:
+        """Tell entries what the engine holds, so that they use it at once."""
+        model = self._queue.find_model(self._settings.process)
+        return replace(
+            self._make_own_notice(LoadStep.ENDED),
+            model=model,
+            held=state.versions.get(model, 0),
+        )
+
     def _make_own_notice(self, step: LoadStep) -> LoadNotice:
         return self._make_notice(step, self._own.server if self._own else '')
 
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -5,6 +5,7 @@
 import math
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
+from random import Random
 
 import anyio
 
@@ -22,8 +23,11 @@
 
 # A long read returns at once when weights are named. What is known of their age
 # is off by up to this, and so much less time is left for all to load: with 5 s
-# three of six engines loaded at once where two would have done.
+# three of six engines loaded at once where two would have done. Each agent
+# waits for another part of it: those that start together would all know equally
+# old news, and the best of them counts for all.
 _OPERATOR_WAIT: Millis = 2 * SECOND
+_LEAST_SHARE = 0.5
 # Notices of loads come only when weights are named.
 _LOADS_WAIT: Millis = 5 * SECOND
 _RETRY_PAUSE: Millis = 250.0
@@ -44,17 +48,23 @@
     """Follow what operators name, and bring the one engine beside to it."""
 
     def __init__(
-        self, settings: HostSettings, log: EventLog, clock: Clock
+        self,
+        settings: HostSettings,
+        log: EventLog,
+        clock: Clock,
+        random: Random,
     ) -> None:
         self._settings = settings
         self._log = log
         self._clock = clock
         self._engine = EngineLoads(settings, log, clock)
+        share = random.uniform(_LEAST_SHARE, 1.0)
         self._loads = LoadFeed(
             StoreClient(settings.store, wait=_LOADS_WAIT), self._refuse
         )
         self._operator = OperatorFeed(
-            StoreClient(settings.store, wait=_OPERATOR_WAIT), self._refuse
+            StoreClient(settings.store, wait=_OPERATOR_WAIT * share),
+            self._refuse,
         )
 
     async def run(self) -> None:
@@ -160,4 +170,4 @@
 
 async def run_hosted_agent(settings: HostSettings, log: EventLog) -> None:
     """Run an agent on the users' platform until it is told to stop."""
-    await HostedAgent(settings, log, make_clock()).run()
+    await HostedAgent(settings, log, make_clock(), Random()).run()
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -9,6 +9,7 @@
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.load_queue import LoadNotice, LoadQueue
 from oleanderdyke.kernel.named_weights import SEND_MARGIN, NamedWeights
+from oleanderdyke.kernel.servers import ServerRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +79,12 @@
         self.queue.apply(notice)
         self.tick(now=now, shift=shift)
 
+    def note_listed(self, records: Iterable[ServerRecord]) -> None:
+        """Learn what backend servers tell of the weights that they hold."""
+        for record in records:
+            for model, held in record.versions.items():
+                self.queue.note_held(record.server, model, held)
+
     def tick(self, *, now: Millis, shift: Millis | None) -> tuple[str, ...]:
         """Judge all places anew; return the engines that are passed over.
 
