Use an engine as soon as it has loaded new weights

Cause: entries learned only from the list which weights an engine holds, up to two seconds late, and not while the engine is cut off from the store. Until then they sent it requests for the older ones; it refused, and they took that for the refusal of an engine that loads and left it out for 1.5 s.

Ruled out: that the engine still loaded: it answered 421 under its own name, with nothing running, where one that loads answers 503.

What is expected of the engine still goes with each request, so that nothing runs on other weights than those meant.

--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -70,6 +70,12 @@
             core.rollout.take(
                 notice, now=core.clock.now(), shift=core.engine_clock.most
             )
+            # The list tells it up to two seconds later.
+            backend = core.book.find(notice.server)
+            if backend is not None and notice.held:
+                core.book.note_version(
+                    backend.record.start, notice.model, notice.held
+                )
 
     async def _read_operator(self) -> None:
         core = self._core
@@ -102,6 +108,7 @@
             for record in news.listed:
                 core.book.put(record, now)
             core.book.note_unread(news.unread)
+        core.rollout.note_listed(news.listed)
         core.servers_read = now
         core.book.note_read(now)
         # Connections to a start that has ended may be dead without a sign, as
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -304,7 +304,7 @@
     def note_version(
         self, start: ServerStart, model: str, version: int
     ) -> None:
-        """Take the version of the weights that an answer was made with."""
+        """Take the version of the weights that a server holds or held."""
         backend = self.find_start(start)
         if backend is None:
             return
@@ -313,6 +313,7 @@
             return
         versions[model] = version
         backend.record = replace(backend.record, versions=versions)
+        backend.reload_until = 0.0
         backend.forget_kept()
 
     def note_kept(
