Show that a request for the head of the metrics ends the process

Found by reading: the body is sent although none may follow, the protocol library raises, and nobody catches that before the daemon ends. The test fails.

--- a/tests/test_scrape.py
+++ b/tests/test_scrape.py
@@ -82,3 +82,14 @@
     async with serving(Metrics()) as (_, port):
         with pytest.raises(OSError, match='in use'):
             await MetricsServer(Metrics()).serve('127.0.0.1', port)
+
+
+async def test_a_request_for_the_head_alone_gets_it_and_ends_nothing():
+    async with serving(Metrics()) as where:
+        stream = await anyio.connect_tcp(*where)
+        await stream.send(b'HEAD /metrics HTTP/1.1\r\nhost: here\r\n\r\n')
+        head = await stream.receive()
+        assert head.startswith(b'HTTP/1.1 200')
+        assert head.endswith(b'\r\n\r\n')
+        found = await call(where, '/metrics', method='GET')
+    assert found.status == 200
