Send no body of the metrics where only the head was asked for

Cause: the answer to a HEAD request had a body, which the protocol library forbids; its error ended the daemon. Change: none is sent, and whatever else the protocol forbids ends that connection alone. Before: the test failed; after: all of its file pass.

--- a/src/oleanderdyke/scrape.py
+++ b/src/oleanderdyke/scrape.py
@@ -58,7 +58,8 @@
 
     async def _answer_in_time(self, stream: SocketStream) -> None:
         # Who asks badly, or leaves, gets no answer; the next one does.
-        ended = (h11.RemoteProtocolError, anyio.BrokenResourceError)
+        # Anything that the protocol forbids would otherwise end the daemon.
+        ended = (h11.ProtocolError, anyio.BrokenResourceError)
         with (
             contextlib.suppress(*ended),
             anyio.move_on_after(_PATIENCE / SECOND),
@@ -83,7 +84,9 @@
                 ('connection', 'close'),
             ],
         )
-        for event in (head, h11.Data(body), h11.EndOfMessage()):
+        is_head = request.method == b'HEAD'
+        data = () if is_head else (h11.Data(body),)
+        for event in (head, *data, h11.EndOfMessage()):
             await stream.send(protocol.send(event) or b'')
 
     def _render(self) -> bytes:
