--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -12,7 +12,7 @@
 
 # A caller of a stream leaves after a time without events, before the first one
 # too: the longest of this, so many times the target and so many times the
-# pause, as the platform's pages state.
+# pause (source: the platform's protocol).
 _LEAST_PATIENCE: Millis = 2 * SECOND
 _PATIENCE_TARGETS = 4
 _PATIENCE_GAPS = 8
