Wait for streams that pause for as long as their callers do

Cause: to answer callers before they leave, an entry ended each stream 100 to 150 ms before its caller's patience with a pause ran out.

Ruled out: the engine (it was sending to others, and its run was cut by the entry: request_refused, kind=deadline, 3,955 ms left).

Conclusion: engines that freeze with a caller's request in their queue are open again.

--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -10,13 +10,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.context_stores import Salt
-from oleanderdyke.kernel.deployment import (
-    CallKind,
-    Deployment,
-    KeyOwner,
-    Route,
-    Share,
-)
+from oleanderdyke.kernel.deployment import Deployment, KeyOwner, Route, Share
 from oleanderdyke.kernel.named_weights import SEND_MARGIN
 from oleanderdyke.kernel.overload import (
     LATE_RANK,
@@ -33,11 +27,6 @@
 # Long enough for a store that answers in milliseconds to have told the
 # configuration or the list of servers to an entry that has just started.
 _START_PAUSE: Millis = 400.0
-# A caller that may ask again has its final answer so long before its deadline:
-# one that leaves without it learns nothing, and what a frozen engine can't be
-# told to end goes on without a caller. Two ways over the network take up to
-# 6 ms, the rest is for an entry that is busy.
-_DEADLINE_MARGIN: Millis = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,22 +50,6 @@
     started: Millis
     deadline: Millis
 
-    @property
-    def answer_by(self) -> Millis:
-        """Return until when the caller has its final answer.
-
-        A plain call that may run only once may be answered up to the deadline:
-        that its answer comes is worth more than to know that it may have run.
-        A stream that isn't whole by then is of no use.
-        """
-        if self.route.kind is CallKind.ONCE:
-            return self.deadline
-        wait = self.asked.wait
-        if wait is None:
-            return self.deadline
-        margin = min(_DEADLINE_MARGIN, wait / 2)
-        return min(self.deadline, self.started + wait - margin)
-
     @property
     def team(self) -> str:
         """Return the team that the caller's key belongs to."""
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -74,11 +74,6 @@
 # a stream waits less for its next event. It gets its final answer then, not
 # when its own patience ends, up to a second later or more.
 _GIVE_UP_AFTER: Millis = 2 * SECOND
-# A caller of a stream has its final answer so long before it would leave. One
-# that leaves without it learns nothing, and what a frozen engine can't be told
-# to end goes on without a caller. Two ways over the network, the period of the
-# checks (50 ms) and what a busy entry is late have to fit.
-_ANSWER_MARGIN: Millis = 150.0
 
 
 class BrokenAnswer(Exception):
@@ -106,9 +101,6 @@
         self._first: Millis | None = None
         # Who had the request last, or would have had it.
         self._peer: str | None = None
-        # When the caller last got something, or asked.
-        self._served_at = call.started
-        self._patience = call.route.event_patience - _ANSWER_MARGIN
         self._pause = _PAUSE
         self._machine = RequestMachine(
             _make_facts(core, call),
@@ -143,12 +135,7 @@
         """Do nothing: callers of the platform go on by themselves."""
 
     def check_attempt(self, now: Millis) -> None:
-        """Give up what is silent, superseded, or waits on old weights.
-
-        Callers are answered before their patience with a stream ends.
-        """
-        if now - self._served_at >= self._patience:
-            self._inbox.put(DeadlinePassed())
+        """Give up what is silent, superseded, or waits on old weights."""
         attempt = self._attempt
         if attempt is None:
             return
@@ -161,7 +148,7 @@
 
     async def _lead(self) -> None:
         now = self._core.clock.now()
-        self._put_later(DeadlinePassed(), self._call.answer_by - now)
+        self._put_later(DeadlinePassed(), self._call.deadline - now)
         await self._carry_out(self._machine.start(now))
         while not self._machine.done:
             # Nothing but events of the machine comes here in this mode.
@@ -273,9 +260,8 @@
         await self._reply.start(action.status, action.headers)
 
     async def _deliver_chunk(self, action: DeliverChunk) -> None:
-        self._served_at = self._core.clock.now()
         if self._first is None:
-            self._first = self._served_at - self._call.started
+            self._first = self._core.clock.now() - self._call.started
         await self._reply.send(action.data)
 
     async def _deliver_end(self, _: DeliverEnd) -> None:
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -3,19 +3,11 @@
 from __future__ import annotations
 
 import enum
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 
-from oleanderdyke.clock import SECOND, Millis
-
-# A caller of a stream leaves after a time without events, before the first one
-# too: the longest of this, so many times the target and so many times the
-# pause (source: the platform's protocol).
-_LEAST_PATIENCE: Millis = 2 * SECOND
-_PATIENCE_TARGETS = 4
-_PATIENCE_GAPS = 8
+from oleanderdyke.clock import Millis
 
 
 class CallKind(enum.StrEnum):
@@ -56,17 +48,6 @@
     is_public: bool = False
     is_resumable: bool = False
 
-    @property
-    def event_patience(self) -> Millis:
-        """Return for how long a caller waits for the next event of a stream.
-
-        It leaves then, whatever its deadline.
-        """
-        if self.kind is not CallKind.STREAM:
-            return math.inf
-        by_target = _PATIENCE_TARGETS * self.target
-        return max(_LEAST_PATIENCE, by_target, _PATIENCE_GAPS * self.gap)
-
     @property
     def is_repeatable(self) -> bool:
         """Tell whether a call may run on a second backend server."""
