Load new weights on as few engines at once as all are done in time with

Cause: with 5.9 s left of the bound a round of 3 s fits once, so that all that still waited had to begin at once, though three already loaded. Entries then learned only from the list which weights an engine holds, up to two seconds late, and took its 421 for the refusal of one that loads.

Ruled out: that engines that load are taken for lost. No place was lost; the agents' news of the weights was up to 2 s old, which took the time left under 6 s.

Change: a load that runs counts with what is left of it; how long one takes is learned from the last three, a sixth of the bound before any was seen; the oldest weights go first; one more goes beside an engine that takes half as long again. The notice that a load has ended names the weights, and a 421 of the engine itself shows that it holds later ones. Agents wait for news for different times.

In test_rollout one case now says which two load at once where it said three, as a load counts for 2.5 s there and not 3 s; none allows more than before.

--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import anyio
 
@@ -135,7 +136,7 @@
         targets = [Target(*each) for each in newest.items()]
         target = find_target(state, targets)
         if target is None:
-            await self._settle(newest)
+            await self._settle(state, newest)
         else:
             await self._load(state, target)
 
@@ -201,10 +202,10 @@
             await self._tell(self._make_own_notice(LoadStep.LOST))
         self._own = None
 
-    async def _settle(self, newest: dict[str, int]) -> None:
+    async def _settle(self, state: EngineState, newest: dict[str, int]) -> None:
         """Let the next engine go once this one has what is named."""
         if self._queue.is_queued(self._settings.process):
-            await self._tell(self._make_own_notice(LoadStep.ENDED))
+            await self._tell(self._make_ended(state))
         # Until the next weights are named it may start anew between two looks.
         self._own = None
         self._times.note_settled()
@@ -314,6 +315,15 @@
             newest_at=newest_at,
         )
 
+    def _make_ended(self, state: EngineState) -> LoadNotice:
+        """Tell entries what the engine holds, so that they use it at once."""
+        model = self._queue.find_model(self._settings.process)
+        return replace(
+            self._make_own_notice(LoadStep.ENDED),
+            model=model,
+            held=state.versions.get(model, 0),
+        )
+
     def _make_own_notice(self, step: LoadStep) -> LoadNotice:
         return self._make_notice(step, self._own.server if self._own else '')
 
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -5,6 +5,7 @@
 import math
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
+from random import Random
 
 import anyio
 
@@ -24,8 +25,11 @@
 
 # A long read returns at once when weights are named. What is known of their age
 # is off by up to this, and so much less time is left for all to load: with 5 s
-# three of six engines loaded at once where two would have done.
+# three of six engines loaded at once where two would have done. Each agent
+# waits for another part of it: those that start together would all know equally
+# old news, and the best of them counts for all.
 _OPERATOR_WAIT: Millis = 2 * SECOND
+_LEAST_WAIT_SHARE = 0.5
 # Notices of loads come only when weights are named.
 _LOADS_WAIT: Millis = 5 * SECOND
 _RETRY_PAUSE: Millis = 250.0
@@ -75,7 +79,8 @@
             StoreClient(settings.store, wait=_LOADS_WAIT), self._refuse
         )
         self._operator = OperatorFeed(
-            StoreClient(settings.store, wait=_OPERATOR_WAIT), self._refuse
+            StoreClient(settings.store, wait=_draw_wait(settings.process)),
+            self._refuse,
         )
 
     async def run(self) -> None:
@@ -212,6 +217,11 @@
         )
 
 
+def _draw_wait(process: str) -> Millis:
+    """Return how long an agent's reads of the operators' records wait."""
+    return _OPERATOR_WAIT * Random(process).uniform(_LEAST_WAIT_SHARE, 1.0)
+
+
 async def run_hosted_agent(settings: HostSettings, log: EventLog) -> None:
     """Run an agent on the users' platform until it is told to stop."""
     await HostedAgent(settings, log, make_clock()).run()
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -327,11 +327,30 @@
         backend = core.book.find_start(self._start)
         if demand is not None and backend is not None:
             held = backend.record.versions.get(demand.model, 0)
+            if facts.is_misdirected and facts.server:
+                self._note_newer(demand.model, held)
+                return
             if held < core.rollout.weights.find_newest(demand.model):
                 core.book.note_reloading(self._start, now)
                 return
         core.book.note_refused(self._start, now)
 
+    def _note_newer(self, model: str, held: int) -> None:
+        """Learn that a server no longer holds the weights that it told.
+
+        A start's weights are only replaced by newer ones. An engine that is
+        cut off from the store tells that no other way, and served nobody for
+        up to nine seconds until it was listed again.
+        """
+        core = self._core
+        later = core.rollout.weights.find_following(model, held)
+        if held != self._weights.get(model):
+            return
+        if later > held:
+            core.book.note_version(self._start, model, later)
+        else:
+            core.book.note_refused(self._start, core.clock.now())
+
     def _accept(self, status: int, headers: Headers) -> None:
         self._has_answered = True
         self._is_stream = has_events(headers)
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -147,7 +147,7 @@
         outdated=_list_outdated(core, call, held),
         fetchable=_count_fetchable(core, call, held),
         excluded=excluded,
-        loading=frozenset(queue.list_loading(now)),
+        loading=frozenset(queue.list_busy(now)),
         draining=frozenset(queue.list_next(now)),
         memory_tokens=_find_memory(core, call),
     )
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -74,6 +74,11 @@
             core.rollout.take(
                 notice, now=core.clock.now(), shift=core.engine_clock.most
             )
+            # The list tells the same up to two seconds later.
+            backend = core.book.find(notice.server)
+            if backend is not None and notice.held:
+                start = backend.record.start
+                core.book.note_version(start, notice.model, notice.held)
 
     async def _read_operator(self) -> None:
         core = self._core
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -309,7 +309,7 @@
     def note_version(
         self, start: ServerStart, model: str, version: int
     ) -> None:
-        """Take the version of the weights that an answer was made with."""
+        """Take newer weights that a server was shown to hold."""
         backend = self.find_start(start)
         if backend is None:
             return
@@ -318,6 +318,7 @@
             return
         versions[model] = version
         backend.record = replace(backend.record, versions=versions)
+        backend.reload_until = 0.0
         backend.forget_kept()
 
     def note_kept(
--- /dev/null
+++ b/src/oleanderdyke/kernel/load_pace.py
@@ -0,0 +1,101 @@
+"""Find how few engines may load new weights at once, and be done in time."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import statistics
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from oleanderdyke.clock import SECOND, Millis
+
+# Until loads were seen, one is taken for this part of the time that old weights
+# may serve: whoever sets that leaves room for a few, one after the other.
+_FIRST_SHARE = 1 / 6
+# The same where no bound is set: runs end first, and a load takes a second or
+# two. Most of what logs of four deployments showed was between 1.0 s and 2.9 s.
+_FIRST_TIME: Millis = 2.5 * SECOND
+# What ended sooner was over before this process read that it had begun.
+_LEAST_TIME: Millis = 0.5 * SECOND
+# Loads get longer where runs do; the middle of so many leaves out a single
+# engine that was slow or cut off.
+_REMEMBERED = 3
+
+# Beside an engine that takes so much longer than others did one more goes. At
+# once it was tried too early: on crowded engines loads spread by half.
+_OVERDUE_FACTOR = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class PendingLoad:
+    """Describe a load that should end within `left`.
+
+    It has run for `begun`, or has not begun where that is None.
+    """
+
+    left: Millis
+    begun: Millis | None = None
+
+
+class LoadTimes:
+    """Remember how long the last loads took."""
+
+    def __init__(self, limit: Millis) -> None:
+        self._first = _FIRST_TIME
+        if not math.isinf(limit):
+            self._first = limit * _FIRST_SHARE
+        self._last: deque[Millis] = deque(maxlen=_REMEMBERED)
+
+    def note(self, duration: Millis) -> None:
+        """Learn how long an engine had its turn."""
+        if duration >= _LEAST_TIME:
+            self._last.append(duration)
+
+    def find_time(self) -> Millis:
+        """Return how long the next load likely takes."""
+        if not self._last:
+            return self._first
+        return statistics.median_high(self._last)
+
+    def is_overdue(self, duration: Millis) -> bool:
+        """Tell whether a load takes longer than others did."""
+        usual = max(self.find_time(), self._first)
+        return duration > usual * _OVERDUE_FACTOR
+
+
+def count_at_once(
+    pending: Sequence[PendingLoad], time: Millis, least: int
+) -> int:
+    """Count how many have to load at once for all to be in time.
+
+    Each engine that loads takes with it its share of what is served, and its
+    context. Six engines that all loaded at once served half of what was asked
+    for over four seconds; what runs already counts with what is left of it.
+    """
+    for count in range(least, len(pending)):
+        if _are_in_time(pending, count, time):
+            return count
+    return max(len(pending), least)
+
+
+def _are_in_time(
+    pending: Sequence[PendingLoad], count: int, time: Millis
+) -> bool:
+    """Tell whether so many at once, in this order, end in time.
+
+    What can't be in time any more is to load at once.
+    """
+    begun = [each.begun for each in pending if each.begun is not None]
+    ends = [max(time - each, 0.0) for each in begun]
+    ends += [0.0] * max(count - len(begun), 0)
+    heapq.heapify(ends)
+    for load in pending:
+        if load.begun is not None:
+            continue
+        end = ends[0] + time
+        heapq.heapreplace(ends, end)
+        if end > max(load.left, time):
+            return False
+    return True
--- a/src/oleanderdyke/kernel/load_queue.py
+++ b/src/oleanderdyke/kernel/load_queue.py
@@ -6,16 +6,21 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import TypeAlias
 
 from oleanderdyke.clock import SECOND, Millis
-
-# Loads share the weight store: over two at once take longer, and the others
-# have to serve meanwhile.
-_AT_ONCE = 2
-# From an order to new weights: the runs end first, in up to three seconds, and
-# a load takes one or two. Most of what logs showed was between 1.9 s and 2.5 s.
-_LOAD_TIME: Millis = 3 * SECOND
+from oleanderdyke.kernel.load_pace import (
+    LoadTimes,
+    PendingLoad,
+    count_at_once,
+)
+
+# So many load at once from the start: on old weights requests are worth less
+# the longer they serve, and the others have to serve meanwhile.
+_LEAST_AT_ONCE = 2
+# An agent looks at its engine each 100 ms, and orders what it has its turn for.
+_FIRM_AFTER: Millis = 300.0
 # Whoever has its turn for this part of the time that old weights may serve no
 # longer holds up the others. An engine that is lost gives up its place at once;
 # this is for those whose agent is lost with it, and leaves two more rounds.
@@ -42,6 +47,7 @@
     """Tell all agents and entries of one step of one engine's load.
 
     `server` is the engine's start, `agent` the process that gives it orders.
+    One that has ended tells which weights of a model its engine holds by then.
     An agent that waits tells which weights of a model its engine holds, and a
     moment of the engines' clock at which those were the newest, where it knows
     one: a process that starts later learns from that how old the news is.
@@ -81,11 +87,15 @@
     Every process applies the same notices in the order of the log, so nobody
     has to lead. A place belongs to the agent, not to a start of its engine:
     an engine that crashes keeps it, but holds up nobody until it is back.
-    As many load at once as it takes for all to be done in time.
+    As few load at once as it takes for all to be done in time, those first
+    whose weights may serve for the shortest time.
     """
 
     def __init__(self, limit: Millis = math.inf) -> None:
         self._places: dict[str, _Place] = {}
+        # Loads that have ended since the last tick.
+        self._over: list[_Place] = []
+        self._times = LoadTimes(limit)
         self._patience = _STUCK_AFTER
         if not math.isinf(limit):
             self._patience = limit * _STUCK_SHARE
@@ -93,6 +103,8 @@
     def apply(self, notice: LoadNotice) -> None:
         """Apply the next notice of the log."""
         place = self._places.get(notice.holder)
+        if place is not None and _ends_load(notice, place):
+            self._over.append(place)
         if notice.step in {LoadStep.ENDED, LoadStep.STARTED}:
             self._places.pop(notice.holder, None)
         elif notice.step is LoadStep.LOST:
@@ -111,6 +123,7 @@
 
     def tick(self, now: Millis) -> tuple[str, ...]:
         """Pass over engines that have had their time; return them."""
+        self._note_times(now)
         stuck = {
             holder: place.server
             for holder, place in self._places.items()
@@ -141,6 +154,11 @@
         """Tell whether an agent has a place, its engine lost or not."""
         return holder in self._places
 
+    def find_model(self, holder: str) -> str:
+        """Return the model whose weights an agent waits for, or nothing."""
+        place = self._places.get(holder)
+        return '' if place is None else place.model
+
     def is_lost(self, holder: str) -> bool:
         """Tell whether an agent that has a place told of a lost engine."""
         place = self._places.get(holder)
@@ -155,29 +173,72 @@
         """Return the engines that may take new weights now."""
         return tuple(place.server for place in self._list_turns(now))
 
+    def list_busy(self, now: Millis) -> tuple[str, ...]:
+        """Return the engines that likely take new weights now.
+
+        One that should be done may be tried: its agent may be cut off. If it
+        still loads it refuses at once.
+        """
+        return tuple(
+            place.server
+            for place in self._list_turns(now)
+            if not self._is_overdue(place, now)
+        )
+
     def list_next(self, now: Millis) -> tuple[str, ...]:
         """Return the engines that take new weights after those."""
-        able = self._list_able()
-        count = self._count_turns(able, now)
-        return tuple(place.server for place in able[count : 2 * count])
+        turns = self._list_turns(now)
+        waiting = [each for each in self._list_able() if each not in turns]
+        return tuple(each.server for each in waiting[: len(turns)])
+
+    def _note_times(self, now: Millis) -> None:
+        for place in self._over:
+            if place.since is not None:
+                self._times.note(now - place.since)
+        self._over.clear()
 
     def _list_able(self) -> list[_Place]:
-        return [place for place in self._places.values() if not place.is_lost]
+        able = [place for place in self._places.values() if not place.is_lost]
+        return sorted(able, key=attrgetter('due'))
 
     def _list_turns(self, now: Millis) -> list[_Place]:
+        """Return whose turn it is, those first who had it before.
+
+        Whoever should be done holds up nobody: its agent may be cut off, for
+        three seconds on a day on which that held up two of six engines.
+        """
         able = self._list_able()
-        return able[: self._count_turns(able, now)]
-
-    def _count_turns(self, able: list[_Place], now: Millis) -> int:
-        """Count how many have to load at once for all to be in time."""
-        dues = sorted(place.due for place in able if place.due != math.inf)
-        needed = (
-            math.ceil(count / _count_rounds(due - now))
-            for count, due in enumerate(dues, start=1)
-        )
-        return max([_AT_ONCE, *needed])
+        firm = [place for place in able if _is_firm(place, now)]
+        rest = [place for place in able if not _is_firm(place, now)]
+        busy = [each for each in firm if not self._is_overdue(each, now)]
+        pending = [_make_pending(each, now) for each in busy]
+        pending += [PendingLoad(each.due - now) for each in rest]
+        count = count_at_once(pending, self._times.find_time(), _LEAST_AT_ONCE)
+        return firm + rest[: max(count - len(busy), 0)]
+
+    def _is_overdue(self, place: _Place, now: Millis) -> bool:
+        """Tell whether an engine should have ended its load by now."""
+        if place.since is None:
+            return False
+        return self._times.is_overdue(now - place.since)
+
+
+def _ends_load(notice: LoadNotice, place: _Place) -> bool:
+    """Tell whether a load has ended: some ask for the next at once."""
+    if notice.step is LoadStep.WAITS:
+        is_same = notice.server == place.server
+        return is_same and notice.held > place.held
+    return notice.step is LoadStep.ENDED and not place.is_lost
+
+
+def _is_firm(place: _Place, now: Millis) -> bool:
+    """Tell whether an engine has its order by now, so that it keeps its turn.
+
+    Until then a notice with later news may show that there is more time.
+    """
+    return place.since is not None and now - place.since > _FIRM_AFTER
 
 
-def _count_rounds(left: Millis) -> int:
-    """Count how many loads, one after the other, end in a time."""
-    return int(max(left, _LOAD_TIME) // _LOAD_TIME)
+def _make_pending(place: _Place, now: Millis) -> PendingLoad:
+    begun = None if place.since is None else now - place.since
+    return PendingLoad(place.due - now, begun)
--- a/src/oleanderdyke/kernel/named_weights.py
+++ b/src/oleanderdyke/kernel/named_weights.py
@@ -24,6 +24,7 @@
     """
 
     newest: int = 0
+    named: set[int] = field(default_factory=set)
     seen: dict[int, Millis] = field(default_factory=dict)
     told: dict[int, Millis] = field(default_factory=dict)
 
@@ -48,6 +49,7 @@
     def name(self, model: str, version: int) -> bool:
         """Take newly named weights; tell whether they are newer."""
         known = self._models.setdefault(model, _Model())
+        known.named.add(version)
         if version <= known.newest:
             return False
         if self._read_at is not None:
@@ -68,6 +70,14 @@
         known = self._models.get(model)
         return 0 if known is None else known.newest
 
+    def find_following(self, model: str, version: int) -> int:
+        """Return the weights that were named next after others, or those."""
+        known = self._models.get(model)
+        if known is None:
+            return version
+        later = (each for each in known.named if each > version)
+        return min(later, default=version)
+
     def list_newest(self) -> dict[str, int]:
         """Return the newest weights of each model that has some named."""
         return {
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -88,12 +88,14 @@
     """Hold what the head of a backend server's answer tells.
 
     `is_not_run` is the server's promise that it has not run the request and
-    never will. `is_sealed` tells that the answer bears the mark of a server.
+    never will, `is_misdirected` that what was expected of it doesn't hold.
+    `is_sealed` tells that the answer bears the mark of a server.
     `idle_timeout` is how long the server keeps an idle connection open.
     """
 
     request: str = ''
     is_not_run: bool = False
+    is_misdirected: bool = False
     is_sealed: bool = False
     server: str = ''
     load: ServerLoad | None = None
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -87,10 +87,11 @@
 def decode_answer(status: int, headers: Headers) -> AnswerFacts:
     """Read the head of a backend server's answer."""
     found = dict(headers)
-    refused = names.NOT_RUN in found or status == _MISDIRECTED
+    is_misdirected = status == _MISDIRECTED
     return AnswerFacts(
         request=found.get(names.REQUEST_ID, ''),
-        is_not_run=refused,
+        is_not_run=names.NOT_RUN in found or is_misdirected,
+        is_misdirected=is_misdirected,
         is_sealed=names.SEAL in found,
         server=found.get(names.INSTANCE, ''),
         load=_decode_load(found.get(names.LOAD, '')),
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -151,7 +151,7 @@
     for name in 'abcde':
         rollout.take(make_request(name, held=2), now=now, shift=0.0)
     rollout.take(make_request('late', held=1), now=now, shift=0.0)
-    assert len(rollout.queue.list_loading(now)) == 3
+    assert rollout.queue.list_loading(now) == ('late', 'a')
 
 
 def test_who_knows_better_when_weights_were_named_slows_all_down():
