Take no engine for silent while it reads what it was sent

Cause: an engine that owes a first byte counted as silent after 500 ms, and all expectations took 112 tokens a millisecond for granted, the sheet of other engines. These read 48: prompts of 23,000 tokens take 480 ms alone. Sound engines were left out for half a second and more, their runs went on elsewhere and were read again, which crowded the others.

Change: the rate is learned by service from first bytes that nothing was known to wait before, 50 until any was seen; silence counts from when the prompts that are owed are likely read, for 1.5 s at most.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -274,7 +274,14 @@
             ready = max(ready, dispatch.contexts.fetched_tokens)
             tokens = max(demand.prompt_tokens - ready, 0)
         self._memory = 0 if demand is None else demand.memory_tokens
-        owed = Owed(core.clock.now(), tokens, call.priority, self._memory)
+        now = core.clock.now()
+        owed = Owed(
+            now,
+            tokens,
+            call.priority,
+            self._memory,
+            is_alone=not backend.waiting and not backend.count_waiting(now),
+        )
         core.book.note_sent(self._start, self._name, owed)
         connection.send(head, call.body, self)
         core.log.write(
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -7,10 +7,9 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.read_rate import ReadRate
 from oleanderdyke.kernel.servers import PromptPart, ServerLoad, ServerRecord
 
-# Prompt tokens that an engine reads in a millisecond, as its sheet states.
-READ_RATE = 112.0
 # What a first byte takes beside reading, where nothing waits: the first step
 # of an engine and two ways over the network.
 _FIRST_BYTE: Millis = 45.0
@@ -18,6 +17,9 @@
 _DELAY_WEIGHT = 0.3
 # What a first byte told of a queue counts less and less until then.
 _DELAY_LIFE: Millis = 1_500.0
+# For longer than that no server is waited for as one that reads: a frozen one
+# may owe any number of tokens, and callers of streams leave after two seconds.
+_LONGEST_READING: Millis = 1.5 * SECOND
 # A load that was told longer ago says nothing.
 _LOAD_LIFE: Millis = 3 * SECOND
 
@@ -32,6 +34,7 @@
 
     record: ServerRecord
     listed_at: Millis = 0.0
+    reading: ReadRate = field(default_factory=ReadRate)
     running: int = 0
     running_tokens: int = 0
     waiting: dict[str, Owed] = field(default_factory=dict)
@@ -65,7 +68,7 @@
         known = self.delays.get(rank)
         shown = 0.0 if known is None else known.find_left(now)
         owed = (
-            owed.find_excess(now)
+            self._find_excess(owed, now)
             for owed in self.waiting.values()
             if owed.rank <= rank
         )
@@ -73,7 +76,9 @@
 
     def note_first_byte(self, owed: Owed, now: Millis) -> None:
         """Learn from a first byte how long requests of its rank wait."""
-        excess = max(owed.find_excess(now), 0.0)
+        excess = max(self._find_excess(owed, now), 0.0)
+        if owed.is_alone:
+            self.reading.note(owed.tokens, now - owed.since - _FIRST_BYTE)
         known = self.find_delay(owed.rank, now)
         shown = known + _DELAY_WEIGHT * (excess - known)
         self.delays[owed.rank] = Delay(shown, now)
@@ -97,12 +102,23 @@
     def find_silence(self, now: Millis) -> Millis:
         """Return for how long the server has owed a byte and sent none.
 
-        An engine sends something of each run every few milliseconds.
+        An engine sends something of each run every few milliseconds, but
+        nothing while it reads the prompts of all that it was sent. Taken for
+        silent then, sound engines got no work for half a second and more, and
+        read a third more tokens, as all they had begun went on elsewhere.
         """
         if not self.running:
             return 0.0
         since = [owed.since for owed in self.waiting.values()]
-        return now - max(min(since, default=0.0), self.heard)
+        tokens = sum(owed.tokens for owed in self.waiting.values())
+        reading = min(self.reading.find_time(tokens), _LONGEST_READING)
+        quiet = now - max(min(since, default=0.0), self.heard)
+        return max(quiet - reading, 0.0)
+
+    def _find_excess(self, owed: Owed, now: Millis) -> Millis:
+        """Return how much longer a first byte has taken than reading alone."""
+        reading = self.reading.find_time(owed.tokens)
+        return now - owed.since - reading - _FIRST_BYTE
 
     def forget_kept(self) -> None:
         """Forget what it kept: new weights discard it."""
@@ -135,14 +151,12 @@
 class Owed:
     """Hold since when a first byte is owed, after how many tokens.
 
-    `memory` counts the tokens that the request takes until it has ended.
+    `memory` counts the tokens that the request takes until it has ended. It
+    `is_alone` where nothing else was known to wait there.
     """
 
     since: Millis
     tokens: int
     rank: int = 0
     memory: int = 0
-
-    def find_excess(self, now: Millis) -> Millis:
-        """Return how much longer it has taken than reading alone."""
-        return now - self.since - self.tokens / READ_RATE - _FIRST_BYTE
+    is_alone: bool = False
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import replace
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.backend import Backend, Owed
+from oleanderdyke.kernel.read_rate import ReadRate
 from oleanderdyke.kernel.returns import ReturningServers
 from oleanderdyke.kernel.servers import (
     PromptPart,
@@ -41,6 +43,7 @@
 
     def __init__(self) -> None:
         self._backends: dict[str, Backend] = {}
+        self._reading: defaultdict[str, ReadRate] = defaultdict(ReadRate)
         self._returning = ReturningServers()
         # When the latest start of each server was that told any, kept when
         # the server is gone: a record of an earlier one may still come.
@@ -200,7 +203,8 @@
         """Know nothing but its record of a start."""
         if known is not None:
             self._superseded.append(known.record)
-        self._backends[record.server] = Backend(record, now)
+        reading = self._reading[record.service]
+        self._backends[record.server] = Backend(record, now, reading)
 
     def _is_server(self, backend: Backend) -> bool:
         """Tell whether a record names a backend server to use."""
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -8,7 +8,7 @@
 from operator import itemgetter
 
 from oleanderdyke.clock import Millis
-from oleanderdyke.kernel.backend import READ_RATE, Backend
+from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
@@ -156,9 +156,10 @@
     if demand.model is None:
         return 0.0
     fetched, missing = _split_prompt(demand, demand.model, backend)
-    owed = backend.count_owed_tokens(demand.rank) / READ_RATE
+    find_time = backend.reading.find_time
+    owed = find_time(backend.count_owed_tokens(demand.rank))
     delay = max(backend.find_delay(demand.rank, now), owed)
-    return delay + missing / READ_RATE + fetched / _FETCH_RATE
+    return delay + find_time(missing) + fetched / _FETCH_RATE
 
 
 def _score(
@@ -196,7 +197,8 @@
     score += backend.count_waiting(now) * _WAITING_COST
     is_fetchable = version is not None and demand.fetchable.get(version, 0)
     if backend.record.server not in homes and not is_fetchable:
-        score += _find_shared_tokens(model) / READ_RATE / _HOMES
+        shared = backend.reading.find_time(_find_shared_tokens(model))
+        score += shared / _HOMES
     newest = demand.newest_version
     if version is not None and newest is not None and version < newest:
         score += _OLD_WEIGHTS_COST
--- /dev/null
+++ b/src/oleanderdyke/kernel/read_rate.py
@@ -0,0 +1,43 @@
+"""Learn how fast the model engines of a service read prompts."""
+
+from __future__ import annotations
+
+import statistics
+from collections import deque
+from dataclasses import dataclass, field
+
+from oleanderdyke.clock import Millis
+
+# Prompt tokens that an engine reads in a millisecond until its answers show it.
+# Sheets state 48 to 112; what reads slower must not be taken for silent.
+_FIRST_RATE = 50.0
+# Shorter prompts are read within the spread of a network and a step.
+_LEAST_TOKENS = 1_000
+# Some are read sooner, as an engine held parts that nobody here knew of, some
+# later, as others send to it too: the middle of so many is close.
+_REMEMBERED = 15
+# No sheet is near these; what seems so was found kept or waited.
+_SLOWEST = 5.0
+_FASTEST = 1_000.0
+
+
+@dataclass(slots=True)
+class ReadRate:
+    """Hold the tokens per millisecond that engines of one service read."""
+
+    _seen: deque[float] = field(
+        default_factory=lambda: deque(maxlen=_REMEMBERED)
+    )
+    _rate: float = _FIRST_RATE
+
+    def note(self, tokens: int, duration: Millis) -> None:
+        """Learn from a prompt that was read with nothing known before it."""
+        if tokens < _LEAST_TOKENS or duration <= 0:
+            return
+        rate = tokens / duration
+        self._seen.append(min(max(rate, _SLOWEST), _FASTEST))
+        self._rate = statistics.median(self._seen)
+
+    def find_time(self, tokens: float) -> Millis:
+        """Return how long reading takes."""
+        return tokens / self._rate
