Read the list of servers sooner while requests wait for one

Cause: requests that wait for a server looked at a list that is read every 600 ms. After a common loss of power new starts were listed up to half a second before any entry knew.

Change: while a request waits and no server is listed, the list is read again after 100 ms, ten calls a second at most. The look again has a method of its own.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -80,6 +80,8 @@
     # When that which was read last had been asked for.
     configuration_asked: Millis = 0.0
     servers_read: Millis | None = None
+    # Set while requests wait for a server and none is listed.
+    servers_wanted: anyio.Event = field(default_factory=anyio.Event)
     running: dict[str, HostedRequest] = field(default_factory=dict)
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -187,8 +187,6 @@
 
     def _choose(self, action: Route) -> None:
         """Choose a server, or look again later where none takes anything."""
-        if self._machine.done:
-            return
         core, call = self._core, self._call
         now = core.clock.now()
         tried = (self._starts[server] for server in action.exclude)
@@ -198,7 +196,9 @@
             demand = replace(demand, excluded=frozenset())
             choice = choose_backend(demand, core.book, now)
         if self._is_worth_waiting(choice, demand) and self._may_wait(now):
-            look_again = functools.partial(self._choose, action)
+            if choice is None:
+                core.servers_wanted.set()
+            look_again = functools.partial(self._look_again, action)
             self._call_later(look_again, _LOOK_PERIOD)
             return
         if choice is None:
@@ -214,6 +214,10 @@
         plan = Plan(agent=server, reason=reason)
         self._inbox.put(Routed(plan, _make_replica(choice.backend)))
 
+    def _look_again(self, action: Route) -> None:
+        if not self._machine.done:
+            self._choose(action)
+
     def _is_worth_waiting(
         self, choice: Choice | None, demand: CallDemand
     ) -> bool:
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -24,6 +24,9 @@
 # and be asked again all the time. A server that leaves must get no work two
 # seconds later; this leaves time for a failed read.
 _SERVERS_PERIOD: Millis = 600.0
+# The same while requests wait for a server that none is listed for: new starts
+# are used up to half a second sooner, for ten calls a second at most.
+_WANTED_PERIOD: Millis = 100.0
 # Notices of loads come only when weights are named. Each of these waits is set
 # so that an entry at rest makes under three calls a second in all.
 _LOADS_WAIT: Millis = 10 * SECOND
@@ -134,7 +137,15 @@
             store.note_good()
             pause = _RETRY_PAUSE
             if period:
-                await anyio.sleep(period / SECOND)
+                await self._pause(period)
+
+    async def _pause(self, period: Millis) -> None:
+        """Wait for a period, less where requests wait for a server."""
+        core = self._core
+        await anyio.sleep(_WANTED_PERIOD / SECOND)
+        with anyio.move_on_after((period - _WANTED_PERIOD) / SECOND):
+            await core.servers_wanted.wait()
+        core.servers_wanted = anyio.Event()
 
     def _name(self, named: NamedVersion) -> None:
         core = self._core
--- a/tests/test_waiting_for_servers.py
+++ b/tests/test_waiting_for_servers.py
@@ -67,6 +67,18 @@
         assert len(replica.received) == 1
 
 
+async def test_the_list_is_read_sooner_where_a_request_waits(tmp_path):
+    async with (
+        serving_replica(answer_well) as (_, address),
+        staging(tmp_path, answer_well) as stage,
+    ):
+        await drop(stage)
+        stage.store.put(SERVERS, 'i-5', make_record(address))
+        found, took = await ask(stage)
+        assert found.status == 200
+        assert took < 0.4
+
+
 async def test_it_is_sent_back_in_time_where_none_comes(tmp_path):
     async with staging(tmp_path, answer_well) as stage:
         await drop(stage)
