Let a stopping entry count what still runs for how long requests last

Cause, by reading, not by a trace: a stopping entry takes what ends in time by the longest that has ended lately. Where an engine is slow, the slow ones have not ended yet.

Change: the age of each request of the kind that runs counts as well.

--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -65,11 +65,13 @@
         permit = find_permit(core, head)
         key = self._find_key(reply.request)
         route = permit.route
-        needs = core.durations.find_bound(route.name, route.timeout)
+        needs = core.durations.find_bound(route.name, route.timeout, started)
         self._stopper.begin(key, needs)
+        core.durations.begin(key, route.name, started)
         try:
             await self._lead(head, permit, receive, reply, key, started)
         finally:
+            core.durations.end(key)
             self._stopper.end(key)
 
     def _find_key(self, request: str) -> str:
