--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -5,7 +5,6 @@
 import asyncio
 import functools
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import replace
 from typing import Any, cast
 
 import anyio
@@ -13,13 +12,13 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.edge import Body
 from oleanderdyke.entry.hosted.attempt import DirectAttempt
-from oleanderdyke.entry.hosted.call import HostedCall, make_demand
+from oleanderdyke.entry.hosted.call import HostedCall
 from oleanderdyke.entry.hosted.call_log import CallLog, Progress
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.entry.hosted.placing import PAUSE, Placing, SentBack
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.inbox import Inbox, Item
-from oleanderdyke.errors import ErrorKind
 from oleanderdyke.kernel.attempt_events import (
     Action,
     CallerGone,
@@ -47,13 +46,7 @@
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.demand import Plan, Refusal, Replica
 from oleanderdyke.kernel.deployment import CallKind
-from oleanderdyke.kernel.overload import find_wait, should_refuse
-from oleanderdyke.kernel.placement import (
-    SILENCE_LIMIT,
-    CallDemand,
-    Choice,
-    choose_backend,
-)
+from oleanderdyke.kernel.placement import SILENCE_LIMIT, Choice
 from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
 from oleanderdyke.metrics import Count, Timing
@@ -61,14 +54,6 @@
 # Servers that refuse without running are passed over at most so often; each
 # try draws on the allowance that all entries share.
 _MAX_REFUSALS = 2
-# How long a caller that gets no answer is asked to wait at most, and at least
-# half of it: spread so that callers don't come back together. A run ends at
-# each engine every some ten milliseconds, and the answer of one that comes back
-# so soon is still in time.
-_PAUSE: Millis = 200.0
-# The same where every engine has to take new weights first: one is done after
-# two to three seconds, and all loads began before.
-_LOAD_PAUSE: Millis = 1 * SECOND
 # Where nobody else may run a request, a server that sends nothing to anyone is
 # waited for so long: a fetch of context may wait two seconds, and no caller of
 # a stream waits less for its next event. It gets its final answer then, not
@@ -103,9 +88,8 @@
         self._first: Millis | None = None
         # Who had the request last, or would have had it.
         self._peer: str | None = None
-        self._pause = _PAUSE
-        # Until when the call waits where no server takes any.
-        self._wait_until: Millis | None = None
+        self._pause = PAUSE
+        self._placing = Placing(core, call)
         self._machine = RequestMachine(
             _make_facts(core, call),
             settings=_make_settings(call),
@@ -187,92 +171,32 @@
 
     def _choose(self, action: Route) -> None:
         """Choose a server, or look again later where none takes anything."""
-        core, call = self._core, self._call
-        now = core.clock.now()
-        tried = (self._starts[server] for server in action.exclude)
-        demand = make_demand(core, call, frozenset(tried))
-        choice = choose_backend(demand, core.book, now)
-        if choice is None:
-            demand = replace(demand, excluded=frozenset())
-            choice = choose_backend(demand, core.book, now)
-        if self._is_worth_waiting(choice, demand) and self._may_wait(now):
-            if choice is None:
-                core.servers_wanted.set()
-            look_again = functools.partial(self._look_again, action)
-            self._call_later(look_again, _LOOK_PERIOD)
-            return
-        if choice is None:
-            self._refuse_unplaced(demand)
+        if self._machine.done:
             return
-        if self._should_refuse(choice, action):
-            self._refuse_early(choice)
-            return
-        server = choice.backend.record.server
-        self._starts[server] = choice.backend.record.start
+        tried = frozenset(self._starts[server] for server in action.exclude)
+        outcome = self._placing.look(tried)
+        if outcome is None:
+            look_again = functools.partial(self._choose, action)
+            self._call_later(look_again, _LOOK_PERIOD)
+        elif isinstance(outcome, SentBack):
+            self._send_back(outcome)
+        else:
+            self._take(outcome)
+
+    def _take(self, choice: Choice) -> None:
+        record = choice.backend.record
+        self._starts[record.server] = record.start
         self._told.tell_routed(choice)
         reason = f'{choice.score:.1f} ms of {choice.candidates}'
-        plan = Plan(agent=server, reason=reason)
+        plan = Plan(agent=record.server, reason=reason)
         self._inbox.put(Routed(plan, _make_replica(choice.backend)))
 
-    def _look_again(self, action: Route) -> None:
-        if not self._machine.done:
-            self._choose(action)
-
-    def _is_worth_waiting(
-        self, choice: Choice | None, demand: CallDemand
-    ) -> bool:
-        """Tell whether none takes the call now, and one may in a second.
-
-        Where the weights of all were replaced too long ago, all loads began
-        before, and callers are told when those will have ended.
-        """
-        if choice is None:
-            return not demand.outdated
-        return choice.is_loading
-
-    def _may_wait(self, now: Millis) -> bool:
-        """Tell whether a server may still come that takes the call."""
-        if self._wait_until is None:
-            self._wait_until = now + find_wait(self._call.deadline - now)
-        return now < self._wait_until
-
-    def _should_refuse(self, choice: Choice, action: Route) -> bool:
-        if action.exclude or self._call.asked.demand is None:
-            return False
-        return should_refuse(
-            self._call.patience,
-            expected=choice.expected,
-            delay=choice.delay,
-            waiting=choice.waiting,
-            fill=choice.fill,
-            size=choice.size,
-            drawn=self._core.random.random(),
-        )
-
-    def _refuse_early(self, choice: Choice) -> None:
-        self._peer = choice.backend.record.server
-        reason = (
-            f'at the best of {choice.candidates} servers '
-            f'a first byte is expected after {choice.expected:.0f} ms, '
-            f'{choice.waiting} wait for {choice.delay:.0f} ms, '
-            f'{choice.fill:.2f} of the memory is likely taken'
-        )
-        self._refuse_unsent(ErrorKind.OVERLOADED, reason)
-
-    def _refuse_unplaced(self, demand: CallDemand) -> None:
-        """Send a caller back that no listed server may serve now."""
-        if not demand.outdated:
-            self._refuse_unsent(ErrorKind.NO_REPLICA, 'no server listed')
-            return
-        self._pause = _LOAD_PAUSE
-        self._refuse_unsent(
-            ErrorKind.NO_REPLICA,
-            'the weights of all servers were replaced too long ago',
-        )
-
-    def _refuse_unsent(self, kind: ErrorKind, reason: str) -> None:
+    def _send_back(self, outcome: SentBack) -> None:
+        self._peer = outcome.server or self._peer
+        self._pause = outcome.pause
         # How long the caller waits is drawn where it is told.
-        self._inbox.put(NoRoute(Refusal(kind, reason, _PAUSE)))
+        refusal = Refusal(outcome.kind, outcome.reason, outcome.pause)
+        self._inbox.put(NoRoute(refusal))
 
     async def _dispatch(self, action: SendDispatch) -> None:
         if action.attempt > 1:
