Break no answer off because its last server is silent

Cause: a server that sends nothing to this entry for two seconds, and up to 1.5 s for reading, was given up also where the answer had begun and nobody else might run it. Crowded engines put runs of little urgency aside for longer than that.

Change: such an answer ends with its caller or its deadline. One without a first byte is given up after two seconds as before, so that its caller gets a final answer.

--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, cast
 
@@ -55,9 +56,9 @@
 # try draws on the allowance that all entries share.
 _MAX_REFUSALS = 2
 # Where nobody else may run a request, a server that sends nothing to anyone is
-# waited for so long: a fetch of context may wait two seconds, and no caller of
-# a stream waits less for its next event. It gets its final answer then, not
-# when its own patience ends, up to a second later or more.
+# waited for so long with the first byte: a fetch of context may wait two
+# seconds, and no caller of a stream waits less. It gets its final answer then,
+# not when its own patience ends, up to a second later or more.
 _GIVE_UP_AFTER: Millis = 2 * SECOND
 # How often a call that waits for a server looks for one.
 _LOOK_PERIOD: Millis = 20.0
@@ -129,11 +130,20 @@
             return
         attempt.withdraw_superseded()
         attempt.withdraw_late()
-        silence = attempt.find_silence(now)
-        may_go_on = self._machine.may_run_elsewhere()
-        if silence >= (SILENCE_LIMIT if may_go_on else _GIVE_UP_AFTER):
+        if attempt.find_silence(now) >= self._find_patience():
             attempt.fail('the server is silent')
 
+    def _find_patience(self) -> Millis:
+        """Return for how long the server may owe bytes and send none.
+
+        An answer that has begun and can't go on elsewhere is only ended by its
+        caller or its deadline: a crowded server may send the rest after any
+        pause, and a caller that still waits would lose it.
+        """
+        if self._machine.may_run_elsewhere():
+            return SILENCE_LIMIT
+        return math.inf if self._reply.status else _GIVE_UP_AFTER
+
     async def _lead(self) -> None:
         now = self._core.clock.now()
         self._put_later(DeadlinePassed(), self._call.deadline - now)
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -4,6 +4,8 @@
 import pytest
 
 from tests.hosted import (
+    CONFIGURATION,
+    STREAM_ROUTE,
     prefer,
     staging,
 )
@@ -79,6 +81,33 @@
     assert whole in [each.body for each in found]
 
 
+async def test_a_second_server_that_is_silent_for_long_breaks_no_stream_off(
+    tmp_path,
+):
+    """A crowded server begins a run seconds after it was sent.
+
+    A stream broke off at its first server and went on at a second, the last
+    that might run it. That one had not begun it after four seconds, was given
+    up as silent, and the caller lost the rest of an answer that was to come.
+    """
+
+    async def begin_late(peer):
+        await anyio.sleep(4.5)
+        await stream(3, 5)(peer)
+
+    route = {**STREAM_ROUTE, 'timeoutMs': 9_000}
+    async with staging(
+        tmp_path,
+        stream(1, 2, ending=b''),
+        begin_late,
+        configuration={**CONFIGURATION, 'routes': [route]},
+    ) as stage:
+        prefer(stage, 0)
+        found = await stage.call('/stream/1', oleanderdyke_deadline_ms='9000')
+    whole = b''.join(make_event(number) for number in range(1, 6))
+    assert (found.body, found.is_whole) == (whole, True)
+
+
 async def _fail(peer):
     await peer.answer(500, b'out of order')
 
