Load only the mode of a daemon that it runs in

Change: a daemon names the modules of its modes and imports the chosen one. HttpSettings moves to a module of its own.

--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -8,122 +8,94 @@
 from collections.abc import (
     Awaitable,
     Callable,
-    Iterable,
     Iterator,
     Mapping,
     Sequence,
 )
 from dataclasses import dataclass
+from importlib import import_module
 from pathlib import Path
-from typing import Any, Generic, Protocol, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 import anyio
 
 from oleanderdyke import __version__
 from oleanderdyke.clock import make_clock
 from oleanderdyke.errors import OleanderError, SettingsError
-from oleanderdyke.events import EventName, Level
-from oleanderdyke.logs import EventLog, make_event_log, make_pipe_log
-from oleanderdyke.settings import load_settings, show_settings
+from oleanderdyke.events import EventName
+from oleanderdyke.logs import EventLog, make_pipe_log
 
 _FAILED = 1
 
 
-class DaemonSettings(Protocol):
+class NamedSettings(Protocol):
     """Hold what every daemon's settings have."""
 
     @property
     def process(self) -> str:
         """Return the name of the process."""
 
-    @property
-    def log_level(self) -> Level:
-        """Return the least level that is logged."""
-
-
-SettingsT = TypeVar('SettingsT', bound=DaemonSettings)
-
 
-class HostedSettings(Protocol):
-    """Hold what the users' platform tells every process."""
-
-    @property
-    def process(self) -> str:
-        """Return the name of the process."""
-
-
-HostedT = TypeVar('HostedT', bound=HostedSettings)
+SettingsT = TypeVar('SettingsT', bound=NamedSettings)
 
 
 @dataclass(frozen=True, slots=True)
-class Hosted(Generic[HostedT]):
-    """Describe how a daemon runs on the users' platform.
+class Mode(Generic[SettingsT]):
+    """Describe how a daemon runs in one of its modes.
 
-    `load` reads the settings that the platform gives, from a file or from
-    where the environment says.
+    `load` reads its settings from a file or from where the environment says.
     """
 
-    load: Callable[[Path | None, Mapping[str, str]], HostedT]
-    serve: Callable[[HostedT, EventLog], Awaitable[None]]
+    load: Callable[[Path | None, Mapping[str, str]], SettingsT]
+    make_log: Callable[[SettingsT], EventLog]
+    serve: Callable[[SettingsT, EventLog], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
-class Daemon(Generic[SettingsT]):
-    """Describe a daemon; `find_faults` looks for contradicting settings."""
+class Daemon:
+    """Describe a daemon by the modules whose `make_mode` builds its modes.
+
+    Only the module of the chosen mode is loaded: on the platform all daemons
+    start at once on small shares of a core, and serve nobody meanwhile.
+    """
 
     name: str
     description: str
-    settings_type: type[SettingsT]
-    find_faults: Callable[[SettingsT], Iterable[str]]
-    serve: Callable[[SettingsT, EventLog], Awaitable[None]]
-    hosted: Hosted[Any]
+    standalone: str
+    hosted: str
 
     def run(self, arguments: Sequence[str] | None = None) -> int:
         """Run until the daemon is told to stop; return its exit code."""
         parser = make_parser(self.name, self.description)
         options = parser.parse_args(arguments)
-        if options.platform:
-            return self._run_hosted(options)
-        if options.settings is None:
+        if options.settings is None and not options.platform:
             parser.error('--settings FILE is needed without --platform')
+        module = self.hosted if options.platform else self.standalone
+        mode = import_module(module).make_mode()
         try:
-            settings = load_settings(
-                options.settings,
-                self.settings_type,
-                os.environ,
-                self.find_faults,
-            )
+            settings = mode.load(options.settings, os.environ)
         except SettingsError as error:
             error.show()
             return error.exit_code
         if options.print_settings:
-            sys.stdout.write(show_settings(settings))
+            sys.stdout.write(_show_settings(settings))
             return 0
         if options.check:
-            sys.stdout.write(f'{options.settings}: no faults\n')
+            file = '' if options.platform else f'{options.settings}: '
+            sys.stdout.write(f'{file}no faults\n')
             return 0
-        return self._serve(settings)
+        log = mode.make_log(settings)
+        return _run(log, mode.serve, settings, log)
+
+
+def _show_settings(settings: NamedSettings) -> str:
+    """Render settings; what does so takes long to load and is rarely needed."""
+    return str(import_module('oleanderdyke.settings').show_settings(settings))
 
-    def _run_hosted(self, options: argparse.Namespace) -> int:
-        """Run on the users' platform, whose settings have its own format."""
-        try:
-            settings = self.hosted.load(options.settings, os.environ)
-        except SettingsError as error:
-            error.show()
-            return error.exit_code
-        if options.print_settings:
-            sys.stdout.write(show_settings(settings))
-            return 0
-        if options.check:
-            sys.stdout.write('no faults\n')
-            return 0
-        descriptor = sys.stdout.fileno()
-        log = make_pipe_log(settings.process, make_clock(), descriptor)
-        return _run(log, self.hosted.serve, settings, log)
 
-    def _serve(self, settings: SettingsT) -> int:
-        log = make_event_log(settings.process, settings.log_level)
-        return _run(log, self.serve, settings, log)
+def make_hosted_log(settings: NamedSettings) -> EventLog:
+    """Build the log of a daemon on the users' platform."""
+    return make_pipe_log(settings.process, make_clock(), sys.stdout.fileno())
 
 
 def _run(
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -19,8 +19,8 @@
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.presence import Presence
 from oleanderdyke.entry.hosted.watch import StoreWatch
+from oleanderdyke.entry.http_settings import HttpSettings
 from oleanderdyke.entry.server import EdgeServer, make_server, open_listener
-from oleanderdyke.entry.settings import HttpSettings
 from oleanderdyke.entry.stopping import Stopper, catch_signals
 from oleanderdyke.errors import SettingsError
 from oleanderdyke.events import EventName
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -24,7 +24,7 @@
     make_error_headers,
 )
 from oleanderdyke.entry.edge import make_request_id
-from oleanderdyke.entry.settings import HttpSettings
+from oleanderdyke.entry.http_settings import HttpSettings
 from oleanderdyke.errors import ErrorKind, OleanderError
 
 _HEADERS_TOO_LARGE = 431
--- a/src/oleanderdyke/entry/settings.py
+++ b/src/oleanderdyke/entry/settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.entry.http_settings import HttpSettings
 from oleanderdyke.events import Level
 from oleanderdyke.kernel.claim_records import CLAIMS_LOG
 from oleanderdyke.kernel.drain import ENTRY_DRAIN, DrainSettings
@@ -23,26 +24,6 @@
 _TOKEN_HASH = re.compile(r'[0-9a-f]{64}')
 
 
-@dataclass(frozen=True, slots=True)
-class HttpSettings:
-    """Say where callers and operators connect and what they may send.
-
-    `plain_text` allows plain HTTP on an address that is not loopback.
-    """
-
-    host: str = '127.0.0.1'
-    port: int = 8080
-    certificate: str = ''
-    key: str = ''
-    plain_text: bool = False
-    header_limit: int = 16 * _KIB
-    body_limit: int = 8 * _MIB
-    connections: int = 2_000
-    keep_alive: Millis = 5 * SECOND
-    body_timeout: Millis = 10 * SECOND
-    send_timeout: Millis = 30 * SECOND
-
-
 @dataclass(frozen=True, slots=True)
 class LogSettings:
     """Say where the log service is and how it is read."""
--- a/src/oleanderdyke/settings.py
+++ b/src/oleanderdyke/settings.py
@@ -43,6 +43,13 @@
     return dataclasses.field(metadata={_SECRET: True}, **options)
 
 
+def require_file(path: Path | None) -> Path:
+    """Return the path of a settings file; raise SettingsError without one."""
+    if path is None:
+        raise SettingsError(('--settings FILE is needed',))
+    return path
+
+
 def load_settings(
     path: Path,
     settings_type: type[SettingsT],
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -14,8 +14,8 @@
 
 from oleanderdyke.clients.log import LogPage
 from oleanderdyke.entry.edge import forward_headers, return_headers
+from oleanderdyke.entry.http_settings import HttpSettings
 from oleanderdyke.entry.server import make_server
-from oleanderdyke.entry.settings import HttpSettings
 from oleanderdyke.links.messages import (
     AnswerChunk,
     AnswerHead,
