Read news once a data centre, and pass it on to neighbours

Cause: each entry and agent read the list of servers, the operators' records, the notices of loads and of entries, and each entry the events of every store of context, for itself. What one process learns cost as many calls as there are processes, and each notice of a load woke all of them.

Ruled out by a count of calls in a small twin: starts (2 calls each); nearly all calls were reads of the list and of the operators' records.

Change: entries tell in their notice where they take links. For each source all processes of a data centre rank the entries alike, and ask the first over a link; without an answer within 300 ms beyond the wait, or with one that is too old, each reads for itself and passes that entry over for a while. An entry that is asked for what it doesn't read begins to read it. Records come with how long ago it was known that none follow, and how long the request waited, so that their age is counted on one clock and never told younger. Notices of loads that come within 40 ms are read together. Only who reads a store of context frees parts there. The list is read after 0.3 of the time in which a leaving server may get work, where it was 600 ms everywhere; it is the same where that time is 2 s. What carries links is loaded a second after a start.

Tests: a model without a network in virtual time with 17, 68 and 200 entries: calls at rest at most one a second for each data centre, and one for each change and data centre; frozen and cut readers; two unsafe variants that tell ages too young are found.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -10,6 +10,7 @@
 import anyio
 
 from oleanderdyke.agent.hosted.engine_loads import EngineLoads
+from oleanderdyke.agent.hosted.news import AgentNews
 from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
 from oleanderdyke.dependencies import Dependency
 from oleanderdyke.events import EventName
@@ -32,6 +33,13 @@
 _LEAST_WAIT_SHARE = 0.5
 # Notices of loads come only when weights are named.
 _LOADS_WAIT: Millis = 5 * SECOND
+# An entry that reads the same answers with the first news, or after this.
+_SHARED_LOADS_WAIT: Millis = 3 * SECOND
+# What it knows may be as old as its own reads take, and some more for the way.
+_CONFIGURATION_LIMIT: Millis = 1.25 * SECOND
+_LOADS_LIMIT: Millis = 11 * SECOND
+# Notices come several together: those of so long are read in one call.
+_LOADS_HOLD: Millis = 40.0
 _RETRY_PAUSE: Millis = 250.0
 # How often the engine on this machine is looked at while weights are due,
 # which costs nothing but a little processor time.
@@ -75,11 +83,21 @@
             address=settings.server,
         )
         self._queue = self._make_store_dependency('queue')
-        self._loads = LoadFeed(
-            StoreClient(settings.store, wait=_LOADS_WAIT), self._refuse
+        self._news = AgentNews(settings, log, clock)
+        self._loads_client = StoreClient(
+            settings.store,
+            _LOADS_WAIT,
+            self._news.share(wait=_SHARED_LOADS_WAIT, limit=_LOADS_LIMIT),
         )
+        self._loads = LoadFeed(self._loads_client, self._refuse)
         self._operator = OperatorFeed(
-            StoreClient(settings.store, wait=_draw_wait(settings.process)),
+            StoreClient(
+                settings.store,
+                _draw_wait(settings.process),
+                self._news.share(
+                    wait=_OPERATOR_WAIT, limit=_CONFIGURATION_LIMIT
+                ),
+            ),
             self._refuse,
         )
 
@@ -90,6 +108,7 @@
         )
         with anyio.open_signal_receiver(*_STOPPING, signal.SIGHUP) as signals:
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._news.run, Random())
                 tasks.start_soon(self._follow_operator)
                 tasks.start_soon(self._follow_loads)
                 tasks.start_soon(self._roll_out)
@@ -175,8 +194,11 @@
     async def _read_loads(self) -> None:
         if not self._engine.has_begun:
             await self._engine.begin()
-        for notice in await self._loads.read():
+        notices = await self._loads.read()
+        for notice in notices:
             self._engine.take(notice)
+        if notices and not self._loads_client.was_shared:
+            await anyio.sleep(_LOADS_HOLD / SECOND)
 
     async def _roll_out(self) -> None:
         """Look at the engine, rarely while no weights are due."""
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 
 from oleanderdyke.clock import SECOND, Millis
@@ -10,8 +12,14 @@
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.context_stores import StoreView
 from oleanderdyke.kernel.deployment import StoreTraits
+from oleanderdyke.kernel.neighbours import (
+    CONTEXT_SOURCES,
+    find_context_source,
+)
 from oleanderdyke.kernel.outdated import OutdatedContext
 from oleanderdyke.kernel.reading_turns import ReadingTurns
+from oleanderdyke.links.messages.news import StorePosition
+from oleanderdyke.links.news_reader import SharedEvents
 from oleanderdyke.platform.contexts import ContextClient, ContextUnavailable
 from oleanderdyke.platform.documents import MalformedRecord
 
@@ -23,6 +31,13 @@
 # For so long an entry that has just started waits for what stores hold. Each
 # tells it within some milliseconds; one that is lost holds up nobody longer.
 _FIRST_READ_LIMIT: Millis = 400.0
+# A neighbour that reads answers with the first changes, or after this.
+_SHARED_WAIT: Millis = 1 * SECOND
+# Its own reads take up to a second, and it may leave its place for a while;
+# a view serves for longer than that.
+_SHARED_LIMIT: Millis = 2 * SECOND
+# Without an answer for so long each reads for itself.
+_SHARED_LIFE: Millis = 1.6 * SECOND
 # Entries don't all free the same parts at once.
 _FREE_SPREAD: Millis = 1.5 * SECOND
 _FREE_LIMIT: Millis = 1 * SECOND
@@ -35,11 +50,15 @@
         self._core = core
         self._followed: dict[str, anyio.CancelScope] = {}
         self._outdated = OutdatedContext()
+        # Until when neighbours tell of a store, by its address.
+        self._shared_until: dict[str, Millis] = {}
 
     async def run(self) -> None:
         """Follow the stores that the configuration names until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tell_first_read)
+            for source in CONTEXT_SOURCES:
+                tasks.start_soon(self._follow_shared, source)
             while True:
                 self._configure()
                 self._note_weights()
@@ -89,6 +108,9 @@
         turns = ReadingTurns(self._core.random)
         with scope:
             while True:
+                if self._is_shared(view):
+                    await anyio.sleep(_PERIOD / SECOND)
+                    continue
                 try:
                     await self._read(client, view, turns.wait)
                 except ContextUnavailable as error:
@@ -134,7 +156,47 @@
             view.forget()
             view.position = 0
             found = await client.read_events(0, wait)
+        since = view.position
         view.take(found, asked_at, self._core.clock.now())
+        self._core.news.desk.keep_events(
+            view.traits.address, since, found, asked_at
+        )
+
+    async def _follow_shared(self, source: str) -> None:
+        """Take what a neighbour reads of some stores, until cancelled."""
+        while True:
+            found = await self._core.news.reader.ask_events(
+                source,
+                self._list_positions(source),
+                wait=_SHARED_WAIT,
+                limit=_SHARED_LIMIT,
+            )
+            for news in found or ():
+                self._take_shared(news)
+            if not found:
+                await anyio.sleep(_PERIOD / SECOND)
+
+    def _list_positions(self, source: str) -> tuple[StorePosition, ...]:
+        return tuple(
+            StorePosition(address, view.position, view.boot)
+            for address, view in self._core.contexts.views.items()
+            if find_context_source(address) == source
+        )
+
+    def _take_shared(self, news: SharedEvents) -> None:
+        core = self._core
+        now = core.clock.now()
+        view = core.contexts.views.get(news.store)
+        if view is None or not view.take_shared(news.found, news.asked_at, now):
+            return
+        core.engine_clock.note(
+            news.found.clock, asked_at=news.clock_from, now=now
+        )
+        self._shared_until[news.store] = now + _SHARED_LIFE
+
+    def _is_shared(self, view: StoreView) -> bool:
+        until = self._shared_until.get(view.traits.address, -math.inf)
+        return self._core.clock.now() < until
 
     def _note_weights(self) -> None:
         """Note which weights are newest and which engines still hold."""
@@ -157,6 +219,8 @@
             return
         await anyio.sleep(core.random.uniform(0, _FREE_SPREAD) / SECOND)
         held = [part for part in outdated if part in view.parts]
+        if not held:
+            return
         until = view.find_clock(core.clock.now()) + _FREE_LIMIT
         is_freed = await client.free(held, boot, until)
         core.log.write(
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -13,6 +13,7 @@
 from oleanderdyke.clients.direct import ConnectionPool
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.dependencies import Dependency
+from oleanderdyke.entry.hosted.news import SharedNews
 from oleanderdyke.entry.stopping import StoppableRequest
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.backends import BackendBook
@@ -67,6 +68,7 @@
     metrics: Metrics
     drain: Drain
     pool: ConnectionPool
+    news: SharedNews
     entries: EntryCount = field(default_factory=EntryCount)
     book: BackendBook = field(default_factory=BackendBook)
     deployment: Deployment | None = None
@@ -95,6 +97,14 @@
             return 'no list of backend servers yet'
         return ''
 
+    def want_servers(self) -> None:
+        """Have the list of servers read sooner."""
+        self.servers_wanted.set()
+
+    def are_servers_wanted(self) -> bool:
+        """Tell whether requests wait for a server."""
+        return self.servers_wanted.is_set()
+
     @property
     def is_stale(self) -> bool:
         """Tell whether the configuration may have changed unseen."""
@@ -183,7 +193,7 @@
         drain=limit - _CUT_MARGIN,
         limit=limit,
     )
-    return HostedCore(
+    core = HostedCore(
         settings=settings,
         clock=clock,
         random=random,
@@ -192,4 +202,7 @@
         drain=Drain(drain),
         rollout=Rollout(settings.version_limit),
         pool=ConnectionPool(CONNECT_LIMIT),
+        news=SharedNews(settings, clock),
     )
+    core.news.desk.note_urgent = core.want_servers
+    return core
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/news.py
@@ -0,0 +1,104 @@
+"""Read together with the entries of the same data centre."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from functools import partial
+from importlib import import_module
+from random import Random
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.neighbours import (
+    CONTEXT_SOURCES,
+    RECORD_SOURCE,
+    Neighbour,
+    Neighbours,
+)
+from oleanderdyke.links.messages import PROTOCOL_VERSION, Hello, Role
+from oleanderdyke.links.news_desk import NewsDesk
+from oleanderdyke.links.news_reader import NewsReader
+from oleanderdyke.logs import EventLog
+from oleanderdyke.platform.settings import HostSettings
+from oleanderdyke.platform.sharing import TopicSharing
+
+# What carries links takes long to load on a small share of a core. A process
+# reads for itself meanwhile, and serves sooner.
+_LOAD_AFTER: Millis = 1 * SECOND
+
+
+class SharedNews:
+    """Hold both sides of reading together."""
+
+    def __init__(self, settings: HostSettings, clock: Clock) -> None:
+        self.own = Neighbour(
+            settings.process, settings.links, settings.data_centre
+        )
+        self.neighbours = Neighbours(settings.process, settings.data_centre)
+        self.desk = NewsDesk(self.neighbours, clock)
+        self.reader = NewsReader(
+            self.neighbours, clock, (RECORD_SOURCE, *CONTEXT_SOURCES)
+        )
+        self._clock = clock
+        self._incarnation = secrets.token_hex(8)
+
+    def share(
+        self,
+        *,
+        wait: Millis,
+        limit: Millis,
+        is_urgent: Callable[[], bool] = bool,
+    ) -> TopicSharing:
+        """Build the sharing of one client of the store."""
+        return TopicSharing(
+            self.reader,
+            self.desk,
+            self._clock,
+            wait=wait,
+            limit=limit,
+            is_urgent=is_urgent,
+        )
+
+    async def run(self, log: EventLog, random: Random) -> None:
+        """Take links and keep own ones until cancelled.
+
+        Without an address, or where it can't be had, this process reads for
+        itself alone.
+        """
+        if not self.own.address:
+            return
+        await anyio.sleep(_LOAD_AFTER / SECOND)
+        links = import_module('oleanderdyke.links.news_links')
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    partial(
+                        links.serve_neighbours,
+                        self.desk,
+                        self.own.address,
+                        self._make_hello,
+                        clock=self._clock,
+                    )
+                )
+                await links.keep_links(
+                    self.reader,
+                    self._make_hello,
+                    clock=self._clock,
+                    random=random,
+                )
+        except* OSError as group:
+            detail = f'address {self.own.address}: {group.exceptions[0]}'
+            log.write(EventName.RECORD_REFUSED, name='links', detail=detail)
+
+    def _make_hello(self) -> Hello:
+        return Hello(
+            PROTOCOL_VERSION,
+            Role.ENTRY,
+            self.own.name,
+            self._incarnation,
+            self.own.data_centre,
+            offset=0,
+        )
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -13,7 +13,11 @@
 
 # Three readings in two notices keep this at a sixth of a call a second.
 _PERIOD: Millis = 10 * SECOND
+_FIRST_PERIOD: Millis = 1.5 * SECOND
 _NOTICE_PERIOD: Millis = 15 * SECOND
+# A neighbour that reads does so every ten seconds, and answers within this.
+_SHARED_WAIT: Millis = 1 * SECOND
+_SHARED_LIMIT: Millis = 20 * SECOND
 
 
 class Presence:
@@ -21,8 +25,11 @@
 
     def __init__(self, core: HostedCore) -> None:
         self._core = core
-        self._feed = EntryFeed(StoreClient(core.settings.store), self._refuse)
+        sharing = core.news.share(wait=_SHARED_WAIT, limit=_SHARED_LIMIT)
+        client = StoreClient(core.settings.store, sharing=sharing)
+        self._feed = EntryFeed(client, self._refuse)
         self._told_at: Millis | None = None
+        self._has_read = False
 
     async def run(self) -> None:
         """Work until cancelled; without the store the last count stays."""
@@ -35,7 +42,15 @@
                 store.note_failed(error.message)
             else:
                 store.note_good()
-            await anyio.sleep(_PERIOD / SECOND)
+            await anyio.sleep(self._find_pause() / SECOND)
+
+    def _find_pause(self) -> Millis:
+        """Return when to read again, sooner once after a start.
+
+        Entries that start together have told of themselves by then.
+        """
+        is_first, self._has_read = not self._has_read, True
+        return _FIRST_PERIOD if is_first else _PERIOD
 
     def _refuse(self, name: str, error: MalformedRecord) -> None:
         self._core.log.write(
@@ -46,7 +61,7 @@
         now = self._core.clock.now()
         if self._told_at is not None and now - self._told_at < _NOTICE_PERIOD:
             return
-        await self._feed.tell(self._core.settings.process)
+        await self._feed.tell(self._core.news.own)
         self._told_at = now
 
     async def _read(self) -> None:
@@ -56,6 +71,7 @@
             return
         now = core.clock.now()
         for entry in told:
-            core.entries.note(entry, now)
+            core.entries.note(entry.name, now)
+            core.news.neighbours.note(entry, now)
         core.entries.note_read(now)
         core.share_budgets()
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -69,6 +69,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(server.serve, [front, ready])
                 tasks.start_soon(self._serve_metrics)
+                tasks.start_soon(core.news.run, core.log, core.random)
                 tasks.start_soon(self._watch.follow_operator)
                 tasks.start_soon(self._watch.follow_servers)
                 tasks.start_soon(self._watch.follow_loads)
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -21,15 +21,28 @@
 # stay under the two seconds in which a configuration has to be in force.
 _CONFIGURATION_WAIT: Millis = 1 * SECOND
 # Servers write every 1.2 s each, so that a long read would return at once
-# and be asked again all the time. A server that leaves must get no work two
-# seconds later; this leaves time for a failed read.
-_SERVERS_PERIOD: Millis = 600.0
+# and be asked again all the time. The list is read after this part of the time
+# in which a server that leaves may still get work: time is left for two more
+# reads, should one fail.
+_SERVERS_SHARE = 0.3
 # The same while requests wait for a server that none is listed for: new starts
 # are used up to half a second sooner, for ten calls a second at most.
 _WANTED_PERIOD: Millis = 100.0
 # Notices of loads come only when weights are named. Each of these waits is set
 # so that an entry at rest makes under three calls a second in all.
 _LOADS_WAIT: Millis = 10 * SECOND
+# A neighbour that reads answers with the first news, or after this: one that is
+# frozen or cut off holds up nobody for longer, and some more for the answer.
+_SHARED_WAIT: Millis = 1 * SECOND
+_SHARED_LOADS_WAIT: Millis = 3 * SECOND
+# What a neighbour knows may be as old as its own reads take, and some more for
+# the way; beyond that each reads for itself.
+_CONFIGURATION_LIMIT: Millis = _CONFIGURATION_WAIT + 250.0
+_SERVERS_MARGIN: Millis = 350.0
+_LOADS_LIMIT: Millis = _LOADS_WAIT + 1 * SECOND
+# Engines that take turns append several notices together: those of so long are
+# read in one call, where each alone would wake every reader.
+_LOADS_HOLD: Millis = 40.0
 # The store refuses what is over its rate and may be out for seconds; each
 # call is paid for, also a refused one. The longest pause leaves most of the two
 # seconds in which a configuration has to be in force once the store is back.
@@ -43,11 +56,27 @@
     def __init__(self, core: HostedCore) -> None:
         self._core = core
         store = core.settings.store
-        self._long = StoreClient(store, wait=_CONFIGURATION_WAIT)
-        self._short = StoreClient(store)
-        self._loads = LoadFeed(
-            StoreClient(store, wait=_LOADS_WAIT), self._refuse
+        share = core.news.share
+        self._servers_period = core.settings.leave_limit * _SERVERS_SHARE
+        self._long = StoreClient(
+            store,
+            _CONFIGURATION_WAIT,
+            share(wait=_SHARED_WAIT, limit=_CONFIGURATION_LIMIT),
         )
+        self._short = StoreClient(
+            store,
+            sharing=share(
+                wait=_SHARED_WAIT,
+                limit=self._servers_period + _SERVERS_MARGIN,
+                is_urgent=core.are_servers_wanted,
+            ),
+        )
+        self._long_loads = StoreClient(
+            store,
+            _LOADS_WAIT,
+            share(wait=_SHARED_LOADS_WAIT, limit=_LOADS_LIMIT),
+        )
+        self._loads = LoadFeed(self._long_loads, self._refuse)
         self._operator = OperatorFeed(self._long, self._refuse)
         self._servers = ServerFeed(self._short, self._refuse)
         self._roster = Roster(core.log)
@@ -58,7 +87,7 @@
 
     async def follow_servers(self) -> None:
         """Read the list of servers until cancelled."""
-        await self._follow('servers', self._read_servers, _SERVERS_PERIOD)
+        await self._follow('servers', self._read_servers, self._servers_period)
 
     async def follow_loads(self) -> None:
         """Read which engines take new weights until cancelled."""
@@ -82,6 +111,8 @@
             if backend is not None and notice.held:
                 start = backend.record.start
                 core.book.note_version(start, notice.model, notice.held)
+        if notices and not self._long_loads.was_shared:
+            await anyio.sleep(_LOADS_HOLD / SECOND)
 
     async def _read_operator(self) -> None:
         core = self._core
@@ -97,7 +128,7 @@
                 # once it goes on, tells nothing of the time in between.
                 core.configuration_read = asked_at + news.waited
                 core.rollout.weights.note_read(asked_at + news.waited)
-                core.configuration_asked = asked_at
+                core.configuration_asked = asked_at + min(news.waited, 0.0)
 
     async def _read_servers(self) -> None:
         core = self._core
@@ -136,7 +167,7 @@
                 continue
             store.note_good()
             pause = _RETRY_PAUSE
-            if period:
+            if period and not self._short.was_shared:
                 await self._pause(period)
 
     async def _pause(self, period: Millis) -> None:
--- a/src/oleanderdyke/kernel/context_stores.py
+++ b/src/oleanderdyke/kernel/context_stores.py
@@ -53,12 +53,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ContextEvent:
-    """Tell that a part was kept whole, or is gone from a store."""
+    """Tell that a part was kept whole, or is gone from a store.
+
+    `number` is its place among the events of one start of the store.
+    """
 
     is_added: bool
     salt: str
     part: str
     tokens: int
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +134,26 @@
         # The engines' clock was at least this when the answer came.
         self._clock = found.clock - now
 
+    def take_shared(
+        self, found: ContextEvents, asked_at: Millis, now: Millis
+    ) -> bool:
+        """Take what a neighbour read, unless more is known here already.
+
+        `asked_at` is when it asked, or earlier. What it read of another start
+        of the store counts only where it surely asked later.
+        """
+        known_at = self._asked_at
+        is_later = known_at is None or asked_at > known_at
+        if found.boot != self._boot:
+            if self._boot is not None and not is_later:
+                return False
+        elif found.next < self.position:
+            return False
+        if known_at is not None and not is_later:
+            asked_at = known_at
+        self.take(found, asked_at, now)
+        return True
+
     def forget(self) -> None:
         """Trust nothing until the store has been read again."""
         self._asked_at = None
--- a/src/oleanderdyke/links/messages/__init__.py
+++ b/src/oleanderdyke/links/messages/__init__.py
@@ -14,6 +14,12 @@
 from oleanderdyke.clock import Millis
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.links.messages.claims import Claim, ClaimAnswer, ClaimQuery
+from oleanderdyke.links.messages.news import (
+    ContextAnswer,
+    ContextRequest,
+    NewsAnswer,
+    NewsRequest,
+)
 from oleanderdyke.links.messages.segments import (
     SegmentEvents,
     SegmentListRequest,
@@ -353,4 +359,8 @@
     | SegmentWanted
     | SegmentWritten
     | DrainRequest
+    | NewsRequest
+    | NewsAnswer
+    | ContextRequest
+    | ContextAnswer
 )
--- /dev/null
+++ b/src/oleanderdyke/links/news_desk.py
@@ -0,0 +1,214 @@
+"""Pass on to neighbours what this process read."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.errors import OleanderError
+from oleanderdyke.kernel.context_stores import ContextEvent, ContextEvents
+from oleanderdyke.kernel.neighbours import (
+    RECORD_SOURCE,
+    Neighbours,
+    find_context_source,
+)
+from oleanderdyke.kernel.news_tails import EventTail, RecordTail
+from oleanderdyke.links.messages.news import (
+    ContextAnswer,
+    ContextRequest,
+    NewsAnswer,
+    NewsOutcome,
+    NewsRequest,
+    StoreEvent,
+    StoreNews,
+    StorePosition,
+)
+
+if TYPE_CHECKING:
+    from oleanderdyke.links.link import Link
+
+# What was read so much longer ago than it may be old is read here no more.
+_READ_MARGIN: Millis = 1.5 * SECOND
+# Changes of stores come in dozens a second; those of so long go out together.
+_EVENTS_HOLD: Millis = 100.0
+
+
+def _ignore() -> None:
+    """Do nothing about an urgent request."""
+
+
+class NewsDesk:
+    """Answer neighbours from what this process reads itself.
+
+    `note_urgent` is called where a neighbour asks for a read right now.
+    """
+
+    def __init__(self, neighbours: Neighbours, clock: Clock) -> None:
+        self.note_urgent: Callable[[], None] = _ignore
+        self._neighbours = neighbours
+        self._clock = clock
+        self._records: defaultdict[str, RecordTail] = defaultdict(RecordTail)
+        self._events: defaultdict[str, EventTail] = defaultdict(EventTail)
+        self._changed = anyio.Event()
+
+    def keep_records(
+        self,
+        topic: str,
+        start: int,
+        records: Iterable[bytes],
+        known_at: Millis | None,
+    ) -> None:
+        """Keep what was read of a topic."""
+        self._records[topic].note(
+            start, tuple(records), known_at=known_at, now=self._clock.now()
+        )
+        self._wake()
+
+    def keep_events(
+        self, store: str, since: int, found: ContextEvents, asked_at: Millis
+    ) -> None:
+        """Keep what was read of a store of context."""
+        self._events[store].note(since, found, asked_at, self._clock.now())
+        if found.events:
+            self._wake()
+
+    async def handle(self, link: Link) -> None:
+        """Answer the requests of one link, side by side, until it closes."""
+        async with anyio.create_task_group() as tasks:
+            try:
+                while True:
+                    message = await link.receive()
+                    if isinstance(message, NewsRequest):
+                        tasks.start_soon(self._tell_records, link, message)
+                    elif isinstance(message, ContextRequest):
+                        tasks.start_soon(self._tell_events, link, message)
+            except OleanderError:
+                tasks.cancel_scope.cancel()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _tell_records(self, link: Link, asked: NewsRequest) -> None:
+        arrived = self._clock.now()
+        if asked.is_urgent:
+            self.note_urgent()
+        tail = self._records[asked.topic]
+        if not self._is_read(tail.read_at, asked.limit):
+            self._neighbours.note_asked(RECORD_SOURCE, arrived)
+            answer = NewsAnswer(asked.number, NewsOutcome.UNREAD)
+        else:
+            answer = await self._wait_records(tail, asked, arrived)
+        with suppress(OleanderError):
+            await link.send(answer)
+
+    async def _wait_records(
+        self, tail: RecordTail, asked: NewsRequest, arrived: Millis
+    ) -> NewsAnswer:
+        while True:
+            now = self._clock.now()
+            known_at = tail.known_at
+            age = asked.limit if known_at is None else now - known_at
+            left = min(arrived + asked.wait - now, asked.limit - age)
+            if left <= 0 or tail.end > asked.start:
+                break
+            await self._wait_change(left)
+        records = tail.find(asked.start)
+        if records is None or known_at is None:
+            return NewsAnswer(asked.number, NewsOutcome.DROPPED)
+        return NewsAnswer(
+            asked.number,
+            NewsOutcome.TOLD,
+            held=now - arrived,
+            age=age,
+            records=records,
+            is_complete=asked.start + len(records) >= tail.end,
+        )
+
+    async def _tell_events(self, link: Link, asked: ContextRequest) -> None:
+        arrived = self._clock.now()
+        until = arrived + asked.wait
+        await anyio.sleep(min(_EVENTS_HOLD, asked.wait) / SECOND)
+        while not self._has_events(asked.positions):
+            now = self._clock.now()
+            left = min(until - now, self._find_left(asked, now))
+            if left <= 0:
+                break
+            await self._wait_change(left)
+        now = self._clock.now()
+        stores = tuple(self._list_news(asked.positions, asked.limit, now))
+        answer = ContextAnswer(asked.number, now - arrived, stores)
+        with suppress(OleanderError):
+            await link.send(answer)
+
+    def _has_events(self, positions: Iterable[StorePosition]) -> bool:
+        for position in positions:
+            found = self._events[position.store].found
+            if found is None:
+                continue
+            if (found.boot, found.next) != (position.boot, position.next):
+                return True
+        return False
+
+    def _find_left(self, asked: ContextRequest, now: Millis) -> Millis:
+        """Return for how long what is known of all stores is young enough."""
+        asked_at = [
+            self._events[position.store].asked_at
+            for position in asked.positions
+        ]
+        return min(asked_at, default=now) + asked.limit - now
+
+    def _list_news(
+        self, positions: Iterable[StorePosition], limit: Millis, now: Millis
+    ) -> Iterable[StoreNews]:
+        for position in positions:
+            source = find_context_source(position.store)
+            tail = self._events[position.store]
+            found = tail.found
+            if found is None or not self._is_read(tail.told_at, limit):
+                self._neighbours.note_asked(source, now)
+                continue
+            is_same = position.boot in {None, found.boot}
+            events = tail.find(position.next if is_same else 0)
+            if events is not None:
+                yield _make_store_news(position, tail, found, events, now)
+
+    async def _wait_change(self, within: Millis) -> None:
+        changed = self._changed
+        with anyio.move_on_after(within / SECOND):
+            await changed.wait()
+
+    def _is_read(self, read_at: Millis | None, limit: Millis) -> bool:
+        """Tell whether this process reads what it read then."""
+        if read_at is None:
+            return False
+        return self._clock.now() - read_at < limit + _READ_MARGIN
+
+
+def _make_store_news(
+    position: StorePosition,
+    tail: EventTail,
+    found: ContextEvents,
+    events: tuple[ContextEvent, ...],
+    now: Millis,
+) -> StoreNews:
+    is_cut = bool(events) and events[-1].number < found.next
+    return StoreNews(
+        store=position.store,
+        boot=found.boot,
+        next=events[-1].number if is_cut else found.next,
+        clock=found.clock + now - tail.told_at if found.clock else 0.0,
+        spread=tail.told_at - tail.asked_at,
+        age=now - tail.asked_at,
+        events=tuple(
+            StoreEvent(
+                each.number, each.is_added, each.salt, each.part, each.tokens
+            )
+            for each in events
+        ),
+    )
--- /dev/null
+++ b/src/oleanderdyke/links/news_links.py
@@ -0,0 +1,74 @@
+"""Keep the links over which neighbours pass on what they read."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import anyio
+
+from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.links.link import Link, LinkSettings
+from oleanderdyke.links.listener import serve_links
+from oleanderdyke.links.messages import Hello
+from oleanderdyke.links.news_desk import NewsDesk
+from oleanderdyke.links.news_reader import NewsReader
+from oleanderdyke.links.pool import LinkPool, PoolSettings
+
+# How often the links are compared with who reads.
+_CONNECT_PERIOD: Millis = 200.0
+# A dial within a data centre takes some milliseconds.
+_DIAL_LIMIT: Millis = 500.0
+
+
+async def keep_links(
+    reader: NewsReader,
+    make_hello: Callable[[], Hello],
+    *,
+    clock: Clock,
+    random: Random,
+) -> None:
+    """Keep links to the neighbours that read, until cancelled."""
+    pool = LinkPool(
+        make_hello,
+        on_up=_note_up,
+        on_message=reader.take,
+        on_down=reader.note_down,
+        settings=PoolSettings(
+            link=LinkSettings(dial_timeout=_DIAL_LIMIT),
+            last_backoff=1 * SECOND,
+        ),
+        clock=clock,
+        random=random,
+    )
+    reader.use(pool)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(pool.run)
+        while True:
+            reader.connect()
+            await anyio.sleep(_CONNECT_PERIOD / SECOND)
+
+
+async def serve_neighbours(
+    desk: NewsDesk,
+    address: str,
+    make_hello: Callable[[], Hello],
+    *,
+    clock: Clock,
+) -> None:
+    """Answer neighbours until cancelled; raise OSError without the address."""
+    host, port = split_address(address)
+    async with serve_links(
+        host,
+        port,
+        make_hello,
+        desk.handle,
+        settings=LinkSettings(),
+        clock=clock,
+    ):
+        await anyio.sleep_forever()
+
+
+async def _note_up(_: Link) -> None:
+    """Do nothing: a link is used once something is asked for."""
--- a/src/oleanderdyke/platform/contexts.py
+++ b/src/oleanderdyke/platform/contexts.py
@@ -166,4 +166,5 @@
         salt=salt,
         part=read_text(found, 'part'),
         tokens=read_integer(found, 'tokens'),
+        number=read_integer(found, 'number'),
     )
--- a/src/oleanderdyke/platform/entries.py
+++ b/src/oleanderdyke/platform/entries.py
@@ -1,7 +1,9 @@
-"""Tell through the store which entries are alive."""
+"""Tell through the store which entries are alive, and where they listen."""
 
 from __future__ import annotations
 
+from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.kernel.neighbours import Neighbour
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.feed import Refuse, tell_refused
@@ -9,6 +11,9 @@
 
 # Names of processes are a few words long.
 _MOST_NAME = 255
+# Names have no spaces in them.
+_SEPARATOR = ' '
+_MORE_FIELDS = 2
 
 
 class EntryFeed:
@@ -23,14 +28,16 @@
         self._refuse = refuse
         self._position = 0
 
-    async def tell(self, process: str) -> None:
+    async def tell(self, entry: Neighbour) -> None:
         """Tell that an entry is alive; raise StoreUnavailable."""
-        await self._client.append(names.ENTRY_TOPIC, process.encode())
+        fields = (entry.name, entry.address, entry.data_centre)
+        record = _SEPARATOR.join(filter(None, fields))
+        await self._client.append(names.ENTRY_TOPIC, record.encode())
 
-    async def read(self) -> tuple[str, ...] | None:
+    async def read(self) -> tuple[Neighbour, ...] | None:
         """Return who told of itself; None where it has to be read anew.
 
-        Raise StoreUnavailable.
+        One that takes no links has no address. Raise StoreUnavailable.
         """
         try:
             records = await self._client.read_plain(
@@ -42,14 +49,34 @@
         self._position += len(records)
         return self._decode(records)
 
-    def _decode(self, records: tuple[bytes, ...]) -> tuple[str, ...]:
+    def _decode(self, records: tuple[bytes, ...]) -> tuple[Neighbour, ...]:
         told = [record.decode('utf-8', 'replace') for record in records]
-        entries = tuple(filter(_is_name, told))
+        entries = tuple(filter(None, map(_decode_entry, told)))
         fault = MalformedRecord('no name of an entry')
         others = len(told) - len(entries)
         tell_refused([('entries', fault)] * others, self._refuse)
         return entries
 
 
+def _decode_entry(text: str) -> Neighbour | None:
+    """Read a notice: a name, and where links are taken an address and place."""
+    name, *rest = text.split(_SEPARATOR)
+    if not _is_name(text) or not name:
+        return None
+    if not rest:
+        return Neighbour(name, '', '')
+    if len(rest) != _MORE_FIELDS or not all(rest) or not _is_address(rest[0]):
+        return None
+    return Neighbour(name, *rest)
+
+
 def _is_name(text: str) -> bool:
     return text.isascii() and text.isprintable() and 0 < len(text) <= _MOST_NAME
+
+
+def _is_address(text: str) -> bool:
+    try:
+        split_address(text)
+    except ValueError:
+        return False
+    return True
--- a/src/oleanderdyke/platform/records.py
+++ b/src/oleanderdyke/platform/records.py
@@ -44,7 +44,7 @@
 
     `is_complete` tells that there were no more when they were read. For
     `waited` after the call there surely were none: a read that waits answers
-    with the first.
+    with the first. It is negative where they were read before the call.
     """
 
     records: tuple[KeyedRecord, ...]
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -18,12 +18,14 @@
 class HostSettings:
     """Hold what the platform tells a process; unknown fields are ignored.
 
-    `callers` and `readiness` are addresses to listen on, `server` that of the
-    backend server beside an agent; each is empty where the process has none.
+    `callers` and `readiness` are addresses to listen on, `links` that for other
+    processes of the system, `server` that of the backend server beside an
+    agent; each is empty where the process has none.
     `source` is the file that they were read from. `retry_share` and
     `retry_slack` bound what all entries together may send again to a service.
     `version_limit` is how long after newer weights were named older ones may
-    still begin requests.
+    still begin requests, `leave_limit` how long after it told that it leaves a
+    backend server may still get some.
     """
 
     process: str
@@ -33,11 +35,13 @@
     source: str = ''
     callers: str = ''
     readiness: str = ''
+    links: str = ''
     server: str = ''
     grace: Millis = 8 * SECOND
     retry_share: float = 0.2
     retry_slack: float = 50.0
     version_limit: Millis = math.inf
+    leave_limit: Millis = 2 * SECOND
 
 
 def find_host_settings(
@@ -69,11 +73,13 @@
         store=reader.require('platform.address'),
         callers=fields.get('listen.front', ''),
         readiness=fields.get('listen.ready', ''),
+        links=reader.find_links(),
         server=fields.get('app', ''),
         grace=reader.number('bounds.graceS', 8.0) * SECOND,
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=reader.number('bounds.retrySlack', 50.0),
         version_limit=reader.number('bounds.versionMs', math.inf),
+        leave_limit=reader.number('bounds.drainMs', 2 * SECOND),
     )
     if faults:
         raise SettingsError(tuple(faults))
@@ -96,6 +102,12 @@
             self._faults.append(f'{self._source}: {name}: is missing')
         return found
 
+    def find_links(self) -> str:
+        """Return the address for links, on the first port that is allowed."""
+        first, _, _ = self._fields.get('portRange', '').partition(',')
+        ip = self._fields.get('ip', '')
+        return f'{ip}:{first.strip()}' if ip and first.strip().isdigit() else ''
+
     def number(self, name: str, default: float) -> float:
         found = self._fields.get(name, '')
         if not found:
--- /dev/null
+++ b/src/oleanderdyke/platform/sharing.py
@@ -0,0 +1,65 @@
+"""Read the platform's topics together with neighbours."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from oleanderdyke.clock import Clock, Millis
+from oleanderdyke.links.news_desk import NewsDesk
+from oleanderdyke.links.news_reader import NewsReader
+from oleanderdyke.platform.store import RecordsRead
+
+
+class TopicSharing:
+    """Ask a neighbour for records, and keep own reads for others.
+
+    An answer comes within `wait`; news that is `limit` old is read anew. An
+    agent has no `desk`: nobody asks it.
+    """
+
+    def __init__(
+        self,
+        reader: NewsReader,
+        desk: NewsDesk | None,
+        clock: Clock,
+        *,
+        wait: Millis,
+        limit: Millis,
+        is_urgent: Callable[[], bool] = bool,
+    ) -> None:
+        self._reader = reader
+        self._desk = desk
+        self._clock = clock
+        self._wait = wait
+        self._limit = limit
+        self._is_urgent = is_urgent
+
+    async def ask(self, topic: str, start: int) -> RecordsRead | None:
+        """Return what a neighbour read, None to read for oneself."""
+        found = await self._reader.ask_records(
+            topic,
+            start,
+            wait=self._wait,
+            limit=self._limit,
+            is_urgent=self._is_urgent(),
+        )
+        if found is None:
+            return None
+        end = start + len(found.records) + (not found.is_complete)
+        return RecordsRead(found.records, end, found.waited)
+
+    async def ask_other(self, topic: str, start: int) -> RecordsRead | None:
+        """Return the same where this process can't read for itself."""
+        self._reader.neighbours.note_unable(self._clock.now())
+        return await self.ask(topic, start)
+
+    def keep(
+        self, topic: str, start: int, found: RecordsRead, asked_at: Millis
+    ) -> None:
+        """Keep what this process read, for its neighbours."""
+        self._reader.neighbours.note_able(self._clock.now())
+        if self._desk is None:
+            return
+        is_whole = start + len(found.records) >= found.end
+        known_at = asked_at + found.waited if is_whole else None
+        self._desk.keep_records(topic, start, found.records, known_at)
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
 from urllib.parse import urlencode
 
 import anyio
@@ -12,7 +13,7 @@
 from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clients.kept import KeptHttp, KeptSettings
 from oleanderdyke.clients.whole import read_whole
-from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.platform.fields import MALFORMED, load_object, read_integer
 from oleanderdyke.platform.records import (
@@ -56,11 +57,52 @@
         self.first = first
 
 
+@dataclass(frozen=True, slots=True)
+class RecordsRead:
+    """Hold records as they were read; `end` is where their topic ended.
+
+    For `waited` after they were asked for there surely were no others; it is
+    negative where a neighbour had read them before.
+    """
+
+    records: Sequence[bytes]
+    end: int
+    waited: Millis = 0.0
+
+
+class Sharing(Protocol):
+    """Read topics together with the neighbours of this process."""
+
+    async def ask(self, topic: str, start: int) -> RecordsRead | None:
+        """Return what a neighbour read, None to read for oneself."""
+
+    async def ask_other(self, topic: str, start: int) -> RecordsRead | None:
+        """Return the same where this process can't read for itself."""
+
+    def keep(
+        self, topic: str, start: int, found: RecordsRead, asked_at: Millis
+    ) -> None:
+        """Keep what this process read, for its neighbours."""
+
+
 class StoreClient:
-    """Call the store at `host:port`; `wait` is that of every long read."""
+    """Call the store at `host:port`; `wait` is that of every long read.
 
-    def __init__(self, address: str, wait: Millis = 0.0) -> None:
+    Records are read by a neighbour where `sharing` has one that does.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        wait: Millis = 0.0,
+        sharing: Sharing | None = None,
+        clock: Clock | None = None,
+    ) -> None:
         self._wait = wait
+        self._clock = clock or make_clock()
+        self._sharing = sharing
+        # Whether a neighbour made the last read.
+        self.was_shared = False
         self._bound = wait + _PATIENCE
         settings = KeptSettings(
             connections=1,
@@ -93,19 +135,12 @@
 
         Raise StoreUnavailable or RecordsExpired.
         """
-        asked_at = anyio.current_time()
-        records, last = await self._read(topic, start)
-        # What comes before the wait is over tells nothing of the rest of it:
-        # counted as waited, it made news up to the whole wait too young.
-        is_early = anyio.current_time() - asked_at < self._wait / SECOND
+        found = await self._read(topic, start)
         # Also records that can't be split count for where to read on.
-        keyed = tuple(map(split_keyed, records))
+        keyed = tuple(map(split_keyed, found.records))
         end = start + len(keyed)
         return KeyedPage(
-            keyed,
-            end,
-            is_complete=end >= last,
-            waited=0.0 if keyed or is_early else self._wait,
+            keyed, end, is_complete=end >= found.end, waited=found.waited
         )
 
     async def read_plain(self, topic: str, start: int) -> tuple[bytes, ...]:
@@ -113,10 +148,43 @@
 
         Raise StoreUnavailable or RecordsExpired.
         """
-        records, _ = await self._read(topic, start)
-        return tuple(records)
+        found = await self._read(topic, start)
+        return tuple(found.records)
+
+    async def _read(self, topic: str, start: int) -> RecordsRead:
+        """Return records from `start` on, a neighbour's where it has them."""
+        sharing = self._sharing
+        self.was_shared = False
+        if sharing is None:
+            return await self._read_waiting(topic, start)
+        found = await sharing.ask(topic, start)
+        if found is None:
+            asked_at = self._clock.now()
+            try:
+                found = await self._read_waiting(topic, start)
+            except StoreUnavailable:
+                found = await sharing.ask_other(topic, start)
+                if found is None:
+                    raise
+            else:
+                sharing.keep(topic, start, found, asked_at)
+                return found
+        self.was_shared = True
+        return found
+
+    async def _read_waiting(self, topic: str, start: int) -> RecordsRead:
+        """Read from the store, and tell for how long nothing else came."""
+        asked_at = anyio.current_time()
+        records, end = await self._read_once(topic, start)
+        # What comes before the wait is over tells nothing of the rest of it:
+        # counted as waited, it made news up to the whole wait too young.
+        is_early = anyio.current_time() - asked_at < self._wait / SECOND
+        waited = 0.0 if records or is_early else self._wait
+        return RecordsRead(records, end, waited)
 
-    async def _read(self, topic: str, start: int) -> tuple[list[bytes], int]:
+    async def _read_once(
+        self, topic: str, start: int
+    ) -> tuple[list[bytes], int]:
         """Return records from `start` on, and where the topic ends."""
         query = {
             'topic': topic,
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -17,6 +17,7 @@
     ContextEvent,
     decode_salt,
 )
+from oleanderdyke.kernel.neighbours import Neighbour
 from oleanderdyke.platform import names
 from oleanderdyke.platform.contexts import ContextClient, ContextUnavailable
 from oleanderdyke.platform.documents import (
@@ -290,8 +291,34 @@
     client = foreign.CannedStore(foreign.make_history(history))
     feed = EntryFeed(client, Told())
     found = anyio.run(feed.read)
-    assert [name for name in found if name in good] == good
-    assert all(name.isprintable() and name for name in found)
+    names = [entry.name for entry in found]
+    assert [name for name in names if name in good] == good
+    assert all(name.isprintable() and name for name in names)
+
+
+@pytest.mark.parametrize(
+    ('record', 'entry'),
+    [
+        (b'front-1', Neighbour('front-1', '', '')),
+        (
+            b'front-1 10.0.0.1:7580 hall',
+            Neighbour('front-1', '10.0.0.1:7580', 'hall'),
+        ),
+        (b'front-1 10.0.0.1 hall', None),
+        (b'front-1 10.0.0.1:x hall', None),
+        (b'front-1 10.0.0.1:7580', None),
+        (b'front-1 10.0.0.1:7580 hall more', None),
+        (b'front-1 10.0.0.1:7580 ', None),
+        (b' 10.0.0.1:7580 hall', None),
+        (b'', None),
+    ],
+)
+def test_a_notice_of_an_entry_tells_where_it_takes_links(record, entry):
+    told = Told()
+    client = foreign.CannedStore(foreign.make_history([record]))
+    found = anyio.run(EntryFeed(client, told).read)
+    assert found == (() if entry is None else (entry,))
+    assert told.count == (entry is None)
 
 
 class CannedContexts(ContextClient):
@@ -334,8 +361,9 @@
     found = anyio.run(client.read_events, 0)
     kept = [event for event in found.events if event.part in good]
     assert kept == [
-        ContextEvent(is_added=True, salt='1/m/', part=key, tokens=800)
-        for key in good
+        ContextEvent(True, '1/m/', key, 800, number=at)  # noqa: FBT003
+        for at, (key, _) in enumerate(records)
+        if key in good
     ]
     assert told.count <= 4
     for event in found.events:
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,168 @@
+"""News is read once in each data centre, whatever the number of entries.
+
+Each process that read everything for itself made the calls to the store grow
+with the number of processes, and each notice of a load woke all of them.
+"""
+
+from __future__ import annotations
+
+import statistics
+from random import Random
+
+import anyio
+import pytest
+
+from oleanderdyke.links.messages.news import NewsAnswer
+from oleanderdyke.links.news_desk import NewsDesk
+from tests.news_scene import Scene
+from tests.virtual_time import run_virtually
+
+_TOPIC = 'operator'
+_WAIT = 1_000.0
+_LIMIT = 1_250.0
+_DATA_CENTRES = 5
+# The tightest bound on a configuration is 2 s after its acknowledgement.
+_TIGHTEST = 2_000.0
+_FREEZES = 120
+# An asker takes a request for held no longer than it waited for the answer.
+_FOR_EVER = 1e9
+
+
+def play(entries, seconds, act=None, *, seed=1):
+    """Let entries follow a topic for a while; return the scene."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            scene = Scene(tasks, entries=entries, seed=seed)
+            scene.meet()
+            tasks.start_soon(scene.keep_connected)
+            for process in scene.processes.values():
+                tasks.start_soon(process.follow, _TOPIC, _WAIT, _LIMIT)
+            # Links come up, and all read from their place.
+            await anyio.sleep(2)
+            scene.store.calls.clear()
+            for process in scene.processes.values():
+                process.ages.clear()
+            if act is not None:
+                tasks.start_soon(act, scene)
+            await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+        return scene
+
+    return run_virtually(run)
+
+
+async def write_often(scene, *, count=96, pause=0.1):
+    for _ in range(count):
+        scene.store.write(_TOPIC)
+        await anyio.sleep(pause)
+
+
+@pytest.mark.parametrize('entries', [17, 68, 200])
+def test_calls_at_rest_do_not_grow_with_the_number_of_entries(entries):
+    scene = play(entries, 20)
+    assert scene.store.calls[_TOPIC] <= _DATA_CENTRES * 20
+
+
+@pytest.mark.parametrize('entries', [17, 68, 200])
+def test_a_change_wakes_one_reader_of_each_data_centre(entries):
+    scene = play(entries, 15, write_often)
+    assert all(each.taken == 96 for each in scene.processes.values())
+    assert scene.store.calls[_TOPIC] <= _DATA_CENTRES * (96 + 15)
+
+
+@pytest.mark.parametrize('entries', [17, 68])
+def test_news_is_hardly_older_than_an_own_read(entries):
+    alone = find_median_age(play(1, 15, write_often))
+    assert find_median_age(play(entries, 15, write_often)) <= alone + 50
+
+
+def find_median_age(scene):
+    return statistics.median(
+        age for each in scene.processes.values() for age in each.ages
+    )
+
+
+async def lose_reader(scene, fault):
+    """Let the reader of one data centre fail amid news."""
+    await anyio.sleep(1)
+    name = next(scene.list_readers('hall-0'))
+    setattr(scene.processes[name], fault, True)
+    scene.lost = name
+    await write_often(scene, count=80)
+
+
+@pytest.mark.parametrize('fault', ['is_cut', 'is_frozen'])
+@pytest.mark.parametrize('seed', range(3))
+def test_the_loss_of_a_reader_makes_no_news_too_old(fault, seed):
+    scene = play(68, 10, lambda scene: lose_reader(scene, fault), seed=seed)
+    others = [
+        each for each in scene.processes.values() if each.name != scene.lost
+    ]
+    assert all(each.taken == 80 for each in others)
+    assert max(max(each.ages) for each in others) < _TIGHTEST
+
+
+async def freeze_and_thaw(scene):
+    """Freeze readers, and who asks them, in the middle of their reads."""
+    names = list(scene.processes)
+    for number in range(_FREEZES):
+        draw = Random(number)
+        hall = f'hall-{number % _DATA_CENTRES}'
+        reader = next(scene.list_readers(hall))
+        frozen = scene.processes[draw.choice([*names, *[reader] * len(names)])]
+        scene.store.write(_TOPIC)
+        await anyio.sleep(draw.uniform(0, 0.014))
+        frozen.is_frozen = True
+        await anyio.sleep(draw.uniform(0, 0.2))
+        scene.store.write(_TOPIC)
+        await anyio.sleep(draw.uniform(0, 0.4))
+        frozen.is_frozen = False
+        await anyio.sleep(0.02)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_no_news_is_told_younger_than_it_is(seed):
+    scene = play(17, 60, freeze_and_thaw, seed=seed)
+    written = 2 * _FREEZES
+    assert all(each.taken == written for each in scene.processes.values())
+
+
+@pytest.mark.parametrize(
+    'unsafe', ['no age is told', 'age counts from arrival']
+)
+def test_news_that_is_told_younger_than_it_is_would_be_found(
+    monkeypatch, unsafe
+):
+    tell = NewsDesk._wait_records
+
+    async def tell_wrongly(self, *arguments):
+        answer = await tell(self, *arguments)
+        age = 0.0 if unsafe == 'no age is told' else answer.age
+        held = _FOR_EVER if unsafe == 'age counts from arrival' else answer.held
+        return NewsAnswer(
+            answer.number,
+            answer.outcome,
+            held,
+            age,
+            answer.records,
+            answer.is_complete,
+        )
+
+    monkeypatch.setattr(NewsDesk, '_wait_records', tell_wrongly)
+    with pytest.raises(ExceptionGroup) as caught:
+        play(17, 60, freeze_and_thaw)
+    assert caught.group_contains(AssertionError, match='younger')
+
+
+def test_an_entry_that_cannot_reach_the_store_goes_on_by_its_neighbours():
+    async def cut_from_store(scene):
+        await anyio.sleep(1)
+        name = next(scene.list_readers('hall-0'))
+        scene.lost = scene.processes[name]
+        scene.refused.add(scene.lost)
+        await write_often(scene, count=50)
+
+    scene = play(17, 10, cut_from_store)
+    assert scene.lost.taken == 50
+    assert max(scene.lost.ages) < _TIGHTEST
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,57 @@
+"""Run a loop whose time passes only while nothing has to be done."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+_START = 1_000.0
+
+
+class _Selector(selectors.SelectSelector):
+    """Skip each wait, and tell its loop for how long it would have been."""
+
+    loop: VirtualLoop
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError('everything waits for ever')
+        self.loop.passed += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Tell the time of a simulation, in seconds."""
+
+    def __init__(self) -> None:
+        selector = _Selector()
+        selector.loop = self
+        self.passed = _START
+        super().__init__(selector)
+
+    def time(self) -> float:
+        return self.passed
+
+
+@dataclass
+class VirtualClock:
+    """Read a loop's time in ms, `ahead` of others that read the same loop."""
+
+    ahead: float = 0.0
+
+    def now(self) -> float:
+        return anyio.current_time() * 1_000 + self.ahead
+
+    def wall(self) -> float:
+        return self.now()
+
+
+def run_virtually(act: Callable[[], Awaitable[Any]]) -> Any:
+    """Run until `act` returns; hours pass in seconds."""
+    options = {'loop_factory': VirtualLoop}
+    return anyio.run(act, backend='asyncio', backend_options=options)
