Judge the list of servers by when it was read, and start in less time

What a neighbour had read before counted as read when it came.

Change: 600 ms everywhere again. The age of what a neighbour tells of the list counts. Stores of context are asked for in two groups instead of four, and changes of 250 ms go out together: requests between neighbours cost more than they told.

--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import os
 import sys
 from collections.abc import (
@@ -71,7 +72,7 @@
         if options.settings is None and not options.platform:
             parser.error('--settings FILE is needed without --platform')
         module = self.hosted if options.platform else self.standalone
-        mode = import_module(module).make_mode()
+        mode = _load_mode(module)
         try:
             settings = mode.load(options.settings, os.environ)
         except SettingsError as error:
@@ -88,6 +89,15 @@
         return _run(log, mode.serve, settings, log)
 
 
+def _load_mode(module: str) -> Mode[NamedSettings]:
+    """Import a mode; nothing of it is garbage, so none is looked for."""
+    gc.disable()
+    mode: Mode[NamedSettings] = import_module(module).make_mode()
+    gc.freeze()
+    gc.enable()
+    return mode
+
+
 def _show_settings(settings: NamedSettings) -> str:
     """Render settings; what does so takes long to load and is rarely needed."""
     return str(import_module('oleanderdyke.settings').show_settings(settings))
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -21,10 +21,9 @@
 # stay under the two seconds in which a configuration has to be in force.
 _CONFIGURATION_WAIT: Millis = 1 * SECOND
 # Servers write every 1.2 s each, so that a long read would return at once
-# and be asked again all the time. The list is read after this part of the time
-# in which a server that leaves may still get work: time is left for two more
-# reads, should one fail.
-_SERVERS_SHARE = 0.3
+# and be asked again all the time. A server that leaves must get no work two
+# seconds later; this leaves time for a failed read.
+_SERVERS_PERIOD: Millis = 600.0
 # The same while requests wait for a server that none is listed for: new starts
 # are used up to half a second sooner, for ten calls a second at most.
 _WANTED_PERIOD: Millis = 100.0
@@ -38,7 +37,7 @@
 # What a neighbour knows may be as old as its own reads take, and some more for
 # the way; beyond that each reads for itself.
 _CONFIGURATION_LIMIT: Millis = _CONFIGURATION_WAIT + 250.0
-_SERVERS_MARGIN: Millis = 350.0
+_SERVERS_LIMIT: Millis = _SERVERS_PERIOD + 350.0
 _LOADS_LIMIT: Millis = _LOADS_WAIT + 1 * SECOND
 # Engines that take turns append several notices together: those of so long are
 # read in one call, where each alone would wake every reader.
@@ -57,7 +56,6 @@
         self._core = core
         store = core.settings.store
         share = core.news.share
-        self._servers_period = core.settings.leave_limit * _SERVERS_SHARE
         self._long = StoreClient(
             store,
             _CONFIGURATION_WAIT,
@@ -66,8 +64,8 @@
         self._short = StoreClient(
             store,
             sharing=share(
-                wait=_SHARED_WAIT,
-                limit=self._servers_period + _SERVERS_MARGIN,
+                wait=_SERVERS_LIMIT,
+                limit=_SERVERS_LIMIT,
                 is_urgent=core.are_servers_wanted,
             ),
         )
@@ -87,7 +85,7 @@
 
     async def follow_servers(self) -> None:
         """Read the list of servers until cancelled."""
-        await self._follow('servers', self._read_servers, self._servers_period)
+        await self._follow('servers', self._read_servers, _SERVERS_PERIOD)
 
     async def follow_loads(self) -> None:
         """Read which engines take new weights until cancelled."""
@@ -132,11 +130,14 @@
 
     async def _read_servers(self) -> None:
         core = self._core
+        asked_at = core.clock.now()
         news = await self._servers.read()
         if news is None:
             return
         now = core.clock.now()
-        core.book.note_answer(now)
+        # What a neighbour tells may be older than the way that it came.
+        read_at = asked_at + news.waited if self._short.was_shared else now
+        core.book.note_answer(now, read_at)
         if news.is_whole:
             core.book.replace(news.listed, now, unread=news.unread)
         else:
@@ -145,7 +146,7 @@
             for record in news.listed:
                 core.book.put(record, now)
             core.book.note_unread(news.unread)
-        core.book.note_read(now)
+        core.book.note_read(now, read_at)
         self._roster.note(core.book, now, now - (core.servers_read or now))
         core.servers_read = now
         # Connections to a start that has ended may be dead without a sign, as
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -55,6 +55,8 @@
 
     def count_owed_tokens(self, rank: int) -> int:
         """Count the prompt tokens that are read before those of a rank."""
+        if not self.waiting:
+            return 0
         return sum(
             owed.tokens for owed in self.waiting.values() if owed.rank <= rank
         )
@@ -67,6 +69,8 @@
         """
         known = self.delays.get(rank)
         shown = 0.0 if known is None else known.find_left(now)
+        if not self.waiting:
+            return shown
         owed = (
             self._find_excess(owed, now)
             for owed in self.waiting.values()
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -99,13 +99,16 @@
             and self._is_server(backend)
         ]
 
-    def note_answer(self, now: Millis) -> None:
-        """Learn that the list was read, before what it says is taken."""
-        self._returning.note_answer(now)
+    def note_answer(self, now: Millis, read_at: Millis | None = None) -> None:
+        """Learn that the list was read, before what it says is taken.
 
-    def note_read(self, now: Millis) -> None:
+        `read_at` is when, where a neighbour did it earlier.
+        """
+        self._returning.note_answer(now, now if read_at is None else read_at)
+
+    def note_read(self, now: Millis, read_at: Millis | None = None) -> None:
         """Learn that the platform's list has been read up to its end."""
-        self._returning.note_answer(now)
+        self.note_answer(now, read_at)
         for record in self._returning.take_proven(now):
             self.put(record, now)
         self._drop_missing(now)
--- a/src/oleanderdyke/kernel/neighbours.py
+++ b/src/oleanderdyke/kernel/neighbours.py
@@ -27,7 +27,7 @@
 RECORD_SOURCE = 'records'
 # Stores of context are read in so many groups, so that an entry has links to
 # few neighbours, and none reads all.
-_CONTEXT_GROUPS = 4
+_CONTEXT_GROUPS = 2
 CONTEXT_SOURCES = tuple(
     f'contexts-{number}' for number in range(_CONTEXT_GROUPS)
 )
--- a/src/oleanderdyke/kernel/returns.py
+++ b/src/oleanderdyke/kernel/returns.py
@@ -35,11 +35,15 @@
         self._read_at: Millis | None = None
         self._lapse_until: Millis = 0.0
 
-    def note_answer(self, now: Millis) -> None:
-        """Learn that the list was read, before what it says is taken."""
-        if self._read_at is not None and now - self._read_at > _READ_GAP:
+    def note_answer(self, now: Millis, read_at: Millis) -> None:
+        """Learn that the list was read, before what it says is taken.
+
+        `read_at` is when, earlier than `now` where a neighbour did.
+        """
+        last = self._read_at
+        if last is not None and read_at - last > _READ_GAP:
             self._lapse_until = now + _LAPSE
-        self._read_at = now
+        self._read_at = read_at if last is None else max(read_at, last)
 
     def is_lapsing(self, now: Millis) -> bool:
         """Tell whether entries may lack only because the store was away."""
--- a/src/oleanderdyke/links/news_desk.py
+++ b/src/oleanderdyke/links/news_desk.py
@@ -35,7 +35,7 @@
 # What was read so much longer ago than it may be old is read here no more.
 _READ_MARGIN: Millis = 1.5 * SECOND
 # Changes of stores come in dozens a second; those of so long go out together.
-_EVENTS_HOLD: Millis = 100.0
+_EVENTS_HOLD: Millis = 250.0
 
 
 def _ignore() -> None:
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -61,13 +61,15 @@
     """Hold what servers wrote, in its order, and whose entries are gone.
 
     `is_whole` tells that `listed` has every server, not just changed ones.
-    `unread` are keys whose newest record can't be read.
+    `unread` are keys whose newest record can't be read. Nothing else was
+    written until `waited` after it was asked for.
     """
 
     listed: list[ServerRecord]
     unread: list[str]
     gone: list[str]
     is_whole: bool
+    waited: Millis = 0.0
 
 
 class OperatorFeed:
@@ -114,6 +116,7 @@
             unread=decoded.unread,
             gone=[each.key for each in page.records if each.is_dropped],
             is_whole=is_whole,
+            waited=page.waited,
         )
 
 
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -25,8 +25,7 @@
     `source` is the file that they were read from. `retry_share` and
     `retry_slack` bound what all entries together may send again to a service.
     `version_limit` is how long after newer weights were named older ones may
-    still begin requests, `leave_limit` how long after it told that it leaves a
-    backend server may still get some.
+    still begin requests.
     """
 
     process: str
@@ -43,7 +42,6 @@
     retry_share: float = 0.2
     retry_slack: float = 50.0
     version_limit: Millis = math.inf
-    leave_limit: Millis = 2 * SECOND
 
 
 def find_host_settings(
@@ -82,7 +80,6 @@
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=reader.number('bounds.retrySlack', 50.0),
         version_limit=reader.number('bounds.versionMs', math.inf),
-        leave_limit=reader.number('bounds.drainMs', 2 * SECOND),
     )
     if faults:
         raise SettingsError(tuple(faults))
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -492,3 +492,24 @@
     book.note_kept(ServerStart('a'), PARTS, 60_000)
     book.put(make_record('a', versions={'m': 2}, beat=2), 1.0)
     assert book.find('a').count_kept(PARTS) == 0
+
+
+def test_a_store_that_was_away_shows_by_what_a_neighbour_read():
+    """Its answers come as ever, and tell of reads from before."""
+    book = BackendBook()
+    book.replace([make_record('i-1')], 0.0)
+    for now in (600.0, 1_200.0, 1_800.0, 2_400.0):
+        book.note_read(now, read_at=500.0)
+    book.note_answer(3_000.0, read_at=2_900.0)
+    book.remove('i-1', 3_000.0)
+    assert book.list_service('desk', 3_000.0)
+
+
+def test_a_server_that_goes_is_gone_whoever_reads_the_list():
+    book = BackendBook()
+    book.replace([make_record('i-1')], 0.0)
+    for now in (600.0, 1_200.0, 1_800.0):
+        book.note_read(now, read_at=now - 600.0)
+    book.note_answer(2_400.0, read_at=2_300.0)
+    book.remove('i-1', 2_400.0)
+    assert not book.list_service('desk', 2_400.0)
