Let a running request cost by the places of its engine

Cause: bursts at engines of 16 places. Told counts of waiting requests are up to a second old: at 30 ms each they sent all entries from one engine to the next, where an entry's own runs, at 1 ms each, hardly spread what it sent.

Change: a running request of this entry costs 48 ms by the places of its engine, 1 ms at the least; one that is told to wait costs 10 ms instead of 30.

--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -17,11 +17,14 @@
 # What one more running request costs the first token, from the step of
 # 3.4 ms that all requests of a batch share.
 _RUN_COST: Millis = 1.0
+# An engine that takes few requests has little memory beside theirs: a full
+# batch costs as much as reading some thousand tokens again.
+_BATCH_COST: Millis = 48.0
 # A plain call takes some ten milliseconds in one of few slots.
 _PLAIN_COST: Millis = 20.0
 # What one request that waits at an engine adds, by what engines begin in a
 # second.
-_WAITING_COST: Millis = 30.0
+_WAITING_COST: Millis = 10.0
 # Keeps traffic within a data centre where all else is equal.
 _DISTANCE_COST: Millis = 6.0
 # A request on old weights loses a fifth of what it earns: as much as being
@@ -199,7 +202,7 @@
     now: Millis,
 ) -> Millis:
     version = backend.record.versions.get(model.model)
-    score = backend.running * _RUN_COST
+    score = backend.running * _find_run_cost(backend)
     score += backend.count_waiting(now) * _WAITING_COST
     is_fetchable = version is not None and demand.fetchable.get(version, 0)
     if backend.record.server not in homes and not is_fetchable:
@@ -213,6 +216,11 @@
     return score
 
 
+def _find_run_cost(backend: Backend) -> Millis:
+    slots = backend.record.slots
+    return max(_BATCH_COST / slots, _RUN_COST) if slots else _RUN_COST
+
+
 def _split_prompt(
     demand: CallDemand, model: ModelDemand, backend: Backend
 ) -> tuple[int, int]:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -544,3 +544,17 @@
     # A connection may be dead although its server lives.
     book.note_load(A, ServerLoad(8, 2, 16), 1_500.0)
     assert backend.find_silence(1_600.0) == 600.0
+
+
+@pytest.mark.parametrize(('slots', 'chosen'), [(16, 'b'), (128, 'a')])
+def test_a_place_of_few_costs_more_than_the_way(slots, chosen):
+    """Three runs are a fifth of one engine's batch and nothing of another's."""
+    book = BackendBook()
+    far = {'data_centre': 'other', 'slots': slots}
+    for server, changes in (('a', {'slots': slots}), ('b', far)):
+        book.put(make_record(server, versions={'m': 1}, **changes), 0.0)
+    for number in range(3):
+        book.note_sent(A, str(number), Owed(0.0, 0))
+        book.note_heard(A, str(number), 10.0)
+    demand = CallDemand('desk', 'hall', model=ModelDemand('m', 10, 7, ()))
+    assert choose_backend(demand, book, 20.0).backend.record.server == chosen
