--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -25,10 +25,9 @@
 from oleanderdyke.scrape import METRICS_PORT, MetricsServer
 
 # A long read returns at once when weights are named. What is known of their age
-# is off by up to this, and so much less time is left for all to load: with 5 s
-# three of six engines loaded at once where two would have done. Each agent
-# waits for another part of it: those that start together would all know equally
-# old news, and the best of them counts for all.
+# is off by up to this, and so much less time is left for all to load: more load
+# at once for it. Each agent waits for another part of it: those that start
+# together would all know equally old news, and the best of them counts for all.
 _OPERATOR_WAIT: Millis = 2 * SECOND
 _LEAST_WAIT_SHARE = 0.5
 # Notices of loads come only when weights are named.
@@ -44,8 +43,7 @@
 # How often the engine on this machine is looked at while weights are due,
 # which costs nothing but a little processor time.
 _ROLLOUT_PERIOD: Millis = 100.0
-# Of 57 agents each asks a store that refuses once a second, an eighth of the
-# calls that it allows.
+# All agents together ask a store that refuses far less often than it allows.
 _LONGEST_PAUSE: Millis = 1 * SECOND
 # An engine may come back on older weights than it held. Entries send it nothing
 # then, so that this bounds for how long it is missed; a look is one call within
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -346,8 +346,8 @@
         """Learn that a server no longer holds the weights that it told.
 
         A start's weights are only replaced by newer ones. An engine that is
-        cut off from the store tells that no other way, and served nobody for
-        up to nine seconds until it was listed again.
+        cut off from the store tells that no other way, and would serve nobody
+        until it is listed again.
         """
         core = self._core
         later = core.rollout.weights.find_following(model, held)
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -81,9 +81,7 @@
     async def _tell_first_read(self) -> None:
         """Let requests go on once all stores were read, or in a little while.
 
-        Entries that served 10 ms after their start sent what came in the first
-        250 ms to be read from nothing: 289,000 tokens of prompts on a day on
-        which 484,000 were read again.
+        What is sent before that is read from nothing, though stores hold it.
         """
         core = self._core
         while core.deployment is None:
@@ -134,8 +132,7 @@
         """Return when to ask again; a store that only has no place holds on.
 
         What is known of it serves for as long as it would after any read that
-        fails. With that, and turns at the places, 24 entries read 1.6 million
-        tokens again in a play of 34 s where it was 8.0 million.
+        fails: without it, what others have saved would be read again.
         """
         if error.is_crowded:
             return turns.note_crowded()
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -113,9 +113,8 @@
 
         An engine sends something of each run every few milliseconds, but
         nothing while it reads the prompts of all that it was sent. Taken for
-        silent then, sound engines got no work for half a second and more, and
-        what they had begun was read again elsewhere: 33 attempts of a day were
-        given up as silent before reading counted, three after.
+        silent then, sound engines would get no work for half a second and
+        more, and what they had begun would be read again elsewhere.
         """
         if not self.running:
             return 0.0
--- a/src/oleanderdyke/kernel/load_pace.py
+++ b/src/oleanderdyke/kernel/load_pace.py
@@ -15,7 +15,7 @@
 # may serve: whoever sets that leaves room for a few, one after the other.
 _FIRST_SHARE = 1 / 6
 # The same where no bound is set: runs end first, and a load takes a second or
-# two. Most of what logs of four deployments showed was between 1.0 s and 2.9 s.
+# two.
 _FIRST_TIME: Millis = 2.5 * SECOND
 # What ended sooner was over before this process read that it had begun.
 _LEAST_TIME: Millis = 0.5 * SECOND
@@ -23,8 +23,8 @@
 # engine that was slow or cut off.
 _REMEMBERED = 3
 
-# Beside an engine that takes so much longer than others did one more goes. At
-# once it was tried too early: on crowded engines loads spread by half.
+# Beside an engine that takes so much longer than others did one more goes; not
+# sooner, as on crowded engines loads spread by half.
 _OVERDUE_FACTOR = 1.5
 
 
@@ -71,8 +71,7 @@
     """Count how many have to load at once for all to be in time.
 
     Each engine that loads takes with it its share of what is served, and its
-    context. Six engines that all loaded at once served half of what was asked
-    for over four seconds; what runs already counts with what is left of it.
+    context. What runs already counts with what is left of it.
     """
     for count in range(least, len(pending)):
         if _are_in_time(pending, count, time):
--- a/src/oleanderdyke/kernel/overload.py
+++ b/src/oleanderdyke/kernel/overload.py
@@ -69,8 +69,7 @@
     """Return how long a request waits for a server that takes anything.
 
     Sent back, most callers are back before there is one, and come no third
-    time: of 153 that came in the two seconds after a common loss of power 42
-    were lost so.
+    time.
     """
     return min(max(left, 0.0) * _WAIT_SHARE, _LONGEST_WAIT)
 
--- a/src/oleanderdyke/logpipe.py
+++ b/src/oleanderdyke/logpipe.py
@@ -15,9 +15,8 @@
 class LogBudget:
     """Bound what is written in a second; urgent lines may use all of it.
 
-    At 50 requests a second an entry writes some 250 lines of 250 bytes; this
-    leaves twice as much for a burst. A line costs 16 to 23 microseconds in a
-    loop and about 50 between other work (bench/log_cost.py).
+    A request takes some five lines of 250 bytes; this leaves room for a burst
+    over fifty of them a second.
     """
 
     lines: int = 600
