Log when neighbours give no news, and when they do again

One line for the first loss and one for the return, with the neighbour and the reason; each time is counted under the dependency faults. A neighbour that asks for a topic or store which is not known here makes nothing be kept.

--- a/src/oleanderdyke/agent/hosted/news.py
+++ b/src/oleanderdyke/agent/hosted/news.py
@@ -9,11 +9,13 @@
 import anyio
 
 from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.dependencies import make_news_dependency
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.neighbours import RECORD_SOURCE, Neighbours
 from oleanderdyke.links.messages import PROTOCOL_VERSION, Hello, Role
 from oleanderdyke.links.news_reader import NewsReader
 from oleanderdyke.logs import EventLog
+from oleanderdyke.metrics import Metrics
 from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.entries import EntryFeed
 from oleanderdyke.platform.settings import HostSettings
@@ -35,13 +37,22 @@
     """Know the entries of the data centre, and ask those that read."""
 
     def __init__(
-        self, settings: HostSettings, log: EventLog, clock: Clock
+        self,
+        settings: HostSettings,
+        log: EventLog,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._log = log
         self._clock = clock
         self._neighbours = Neighbours('', settings.data_centre)
-        self._reader = NewsReader(self._neighbours, clock, (RECORD_SOURCE,))
+        self._reader = NewsReader(
+            self._neighbours,
+            clock,
+            (RECORD_SOURCE,),
+            make_news_dependency(log, metrics, clock),
+        )
         sharing = self.share(wait=_ENTRIES_WAIT, limit=_ENTRIES_LIMIT)
         client = StoreClient(settings.store, sharing=sharing)
         self._entries = EntryFeed(client, self._refuse)
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -81,7 +81,7 @@
             address=settings.server,
         )
         self._queue = self._make_store_dependency('queue')
-        self._news = AgentNews(settings, log, clock)
+        self._news = AgentNews(settings, log, clock, self._metrics)
         self._loads_client = StoreClient(
             settings.store,
             _LOADS_WAIT,
--- a/src/oleanderdyke/dependencies.py
+++ b/src/oleanderdyke/dependencies.py
@@ -54,3 +54,18 @@
         away = self._clock.now() - self._lost_at
         self._lost_at = None
         self._log.write(self._regained, **self._keys, duration=round(away))
+
+
+def make_news_dependency(
+    log: EventLog, metrics: Metrics, clock: Clock
+) -> Dependency:
+    """Follow whether neighbours tell what they read."""
+    return Dependency(
+        log,
+        metrics,
+        clock,
+        lost=EventName.LINK_DOWN,
+        regained=EventName.LINK_UP,
+        label='news',
+        name='news',
+    )
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -207,16 +207,17 @@
         drain=limit - _CUT_MARGIN,
         limit=limit,
     )
+    metrics = Metrics()
     core = HostedCore(
         settings=settings,
         clock=clock,
         random=random,
         log=log,
-        metrics=Metrics(),
+        metrics=metrics,
         drain=Drain(drain),
         rollout=Rollout(settings.version_limit),
         pool=ConnectionPool(CONNECT_LIMIT),
-        news=SharedNews(settings, clock),
+        news=SharedNews(settings, clock, log, metrics),
         entries=EntryCount(is_first_start=settings.is_first_start),
     )
     core.news.desk.note_urgent = core.want_servers
--- a/src/oleanderdyke/entry/hosted/news.py
+++ b/src/oleanderdyke/entry/hosted/news.py
@@ -11,6 +11,7 @@
 import anyio
 
 from oleanderdyke.clock import SECOND, Clock, Millis
+from oleanderdyke.dependencies import make_news_dependency
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.neighbours import (
     CONTEXT_SOURCES,
@@ -22,6 +23,7 @@
 from oleanderdyke.links.news_desk import NewsDesk
 from oleanderdyke.links.news_reader import NewsReader
 from oleanderdyke.logs import EventLog
+from oleanderdyke.metrics import Metrics
 from oleanderdyke.platform.settings import HostSettings
 from oleanderdyke.platform.sharing import TopicSharing
 
@@ -33,14 +35,23 @@
 class SharedNews:
     """Hold both sides of reading together."""
 
-    def __init__(self, settings: HostSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
         self.own = Neighbour(
             settings.process, settings.links, settings.data_centre
         )
         self.neighbours = Neighbours(settings.process, settings.data_centre)
         self.desk = NewsDesk(self.neighbours, clock)
         self.reader = NewsReader(
-            self.neighbours, clock, (RECORD_SOURCE, *CONTEXT_SOURCES)
+            self.neighbours,
+            clock,
+            (RECORD_SOURCE, *CONTEXT_SOURCES),
+            make_news_dependency(log, metrics, clock),
         )
         self._clock = clock
         self._incarnation = secrets.token_hex(8)
--- a/src/oleanderdyke/links/news_desk.py
+++ b/src/oleanderdyke/links/news_desk.py
@@ -142,8 +142,8 @@
         arrived = self._clock.now()
         if asked.is_urgent:
             self.note_urgent()
-        tail = self._records[asked.topic]
-        if not self._is_read(tail.read_at, asked.limit):
+        tail = self._records.get(asked.topic)
+        if tail is None or not self._is_read(tail.read_at, asked.limit):
             self._neighbours.note_asked(RECORD_SOURCE, arrived)
             answer = NewsAnswer(asked.number, NewsOutcome.UNREAD)
         else:
@@ -200,7 +200,7 @@
 
     def _has_events(self, positions: Iterable[StorePosition]) -> bool:
         for position in positions:
-            found = self._events[position.store].found
+            found = self._find_events(position).found
             if found is None:
                 continue
             if (found.boot, found.next) != (position.boot, position.next):
@@ -210,8 +210,7 @@
     def _find_left(self, asked: ContextRequest, now: Millis) -> Millis:
         """Return for how long what is known of all stores is young enough."""
         asked_at = [
-            self._events[position.store].asked_at
-            for position in asked.positions
+            self._find_events(position).asked_at for position in asked.positions
         ]
         return min(asked_at, default=now) + asked.limit - now
 
@@ -220,7 +219,7 @@
     ) -> Iterable[StoreNews]:
         for position in positions:
             source = find_context_source(position.store)
-            tail = self._events[position.store]
+            tail = self._find_events(position)
             found = tail.found
             if found is None or not self._is_read(tail.told_at, limit):
                 self._neighbours.note_asked(source, now)
@@ -230,6 +229,10 @@
             if events is not None:
                 yield _make_store_news(position, tail, found, events, now)
 
+    def _find_events(self, position: StorePosition) -> EventTail:
+        """Return what was read of a store, nothing where none was."""
+        return self._events.get(position.store, EventTail())
+
     async def _wait_change(self, within: Millis) -> None:
         changed = self._changed
         with anyio.move_on_after(within / SECOND):
--- a/src/oleanderdyke/links/news_reader.py
+++ b/src/oleanderdyke/links/news_reader.py
@@ -85,13 +85,28 @@
         """Return the open link to a neighbour."""
 
 
+class Health(Protocol):
+    """Learn whether neighbours that are asked answer."""
+
+    def note_failed(self, detail: str) -> None:
+        """Learn that one gave no news."""
+
+    def note_good(self) -> None:
+        """Learn that one did."""
+
+
 class NewsReader:
     """Ask those neighbours that read a source; bound how long that takes."""
 
     def __init__(
-        self, neighbours: Neighbours, clock: Clock, sources: Iterable[str]
+        self,
+        neighbours: Neighbours,
+        clock: Clock,
+        sources: Iterable[str],
+        health: Health,
     ) -> None:
         self.neighbours = neighbours
+        self._health = health
         self._clock = clock
         self._sources = tuple(sources)
         self._numbers = count()
@@ -121,7 +136,7 @@
         """Pass over neighbours that no link can be had to."""
         for name, since in tuple(self._wanted.items()):
             if self._find_link(name) is None and now - since > _DIAL_LIMIT:
-                self.neighbours.note_failed(name, now)
+                self._pass_over(name, 'no link')
                 del self._wanted[name]
 
     async def take(self, _: Link, message: Message) -> None:
@@ -160,10 +175,13 @@
             return None
         if answer.outcome is NewsOutcome.DROPPED:
             return None
-        is_old = answer.age >= limit
-        if answer.outcome is NewsOutcome.UNREAD or is_old:
-            self.neighbours.note_failed(reader.name, self._clock.now())
+        if answer.outcome is NewsOutcome.UNREAD:
+            self._pass_over(reader.name, f'does not read {topic}')
+            return None
+        if answer.age >= limit:
+            self._pass_over(reader.name, f'{topic} is {answer.age:.0f} ms old')
             return None
+        self._health.note_good()
         held = min(max(answer.held, 0.0), self._clock.now() - asked_at)
         return SharedRecords(
             answer.records,
@@ -219,13 +237,16 @@
             found = None
         finally:
             del self._asked[number], self._owners[number]
-        now = self._clock.now()
         if found is None:
-            self.neighbours.note_failed(reader.name, now)
+            self._pass_over(reader.name, 'no answer')
         else:
-            self.neighbours.note_good(reader.name, now)
+            self.neighbours.note_good(reader.name, self._clock.now())
         return found
 
+    def _pass_over(self, name: str, reason: str) -> None:
+        self.neighbours.note_failed(name, self._clock.now())
+        self._health.note_failed(f'{name}: {reason}')
+
     def _find_link(self, name: str) -> Link | None:
         return None if self._pool is None else self._pool.find(name)
 
--- a/tests/news_scene.py
+++ b/tests/news_scene.py
@@ -96,6 +96,20 @@
         return message
 
 
+@dataclass
+class Health:
+    """Count what neighbours told, and did not."""
+
+    failures: list[str] = field(default_factory=list)
+    good: int = 0
+
+    def note_failed(self, detail: str) -> None:
+        self.failures.append(detail)
+
+    def note_good(self) -> None:
+        self.good += 1
+
+
 @dataclass(eq=False)
 class Process:
     """Run one entry; `is_cut` loses what it sends and is sent."""
@@ -114,7 +128,10 @@
         self.clock = VirtualClock(self.random.uniform(-1e6, 1e6))
         self.neighbours = Neighbours(self.name, self.data_centre)
         self.desk = NewsDesk(self.neighbours, self.clock)
-        self.reader = NewsReader(self.neighbours, self.clock, (RECORD_SOURCE,))
+        self.health = Health()
+        self.reader = NewsReader(
+            self.neighbours, self.clock, (RECORD_SOURCE,), self.health
+        )
         self.reader.use(self)
         self._links: dict[str, FakeLink] = {}
 
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -101,6 +101,8 @@
     ]
     assert all(each.taken == 80 for each in others)
     assert max(max(each.ages) for each in others) < _TIGHTEST
+    told = [detail for each in others for detail in each.health.failures]
+    assert f'{scene.lost}: no answer' in told
 
 
 async def freeze_and_thaw(scene):
