--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -12,9 +12,14 @@
 import anyio
 import pytest
 
-from oleanderdyke.links.messages.news import NewsAnswer
+from oleanderdyke.kernel.neighbours import RECORD_SOURCE
+from oleanderdyke.links.messages.news import (
+    NewsAnswer,
+    NewsOutcome,
+    NewsRequest,
+)
 from oleanderdyke.links.news_desk import NewsDesk
-from tests.news_scene import Scene
+from tests.news_scene import FakeLink, Scene
 from tests.virtual_time import run_virtually
 
 _TOPIC = 'operator'
@@ -168,3 +173,27 @@
     scene = play(17, 10, cut_from_store)
     assert scene.lost.taken == 50
     assert max(scene.lost.ages) < _TIGHTEST
+
+
+def test_what_is_not_read_here_is_told_so_and_read_from_then_on():
+    async def ask_another(scene):
+        reader = scene.processes[next(scene.list_readers('hall-0'))]
+        other = next(
+            each
+            for each in scene.processes.values()
+            if each.data_centre == 'hall-0' and each is not reader
+        )
+        desk = other.desk
+        assert RECORD_SOURCE not in desk._neighbours._asked_at
+        link, back = FakeLink('asker'), FakeLink(other.name)
+        link.other, back.other = back, link
+        link.process = back.process = other
+        scene.tasks.start_soon(desk.handle, back)
+        await link.send(NewsRequest(1, 'unknown', 0, 100.0, 100.0))
+        scene.answer = await link.receive()
+        await anyio.sleep(1.5)
+        scene.is_reading = other.clock.now() - desk._records[_TOPIC].read_at
+
+    scene = play(17, 4, ask_another)
+    assert scene.answer.outcome is NewsOutcome.UNREAD
+    assert scene.is_reading < _LIMIT
