--- a/tests/test_hosted_news.py
+++ b/tests/test_hosted_news.py
@@ -141,10 +141,9 @@
         reads = count_reads(store)
         await anyio.sleep(3)
         # One reader asks for the list every 600 ms, and its long reads end each
-        # second. On a busy machine it may be late once, and another reads; four
-        # that read always would make twenty and twelve.
-        assert reads[SERVERS] < 10
-        assert reads[OPERATOR] < 6
+        # second; four would make twenty and twelve.
+        assert reads[SERVERS] <= 6
+        assert reads[OPERATOR] <= 4
         store.put(OPERATOR, 'config', {**CONFIGURATION, 'version': 8})
         await wait_applied(entries, 8)
 
