Give up a silent server only with a retry that is paid for

Change: whoever gives a server up takes the retry from the budget first; the retry that follows is paid by it. The same for a 5xx that is tried elsewhere. What gets none is waited for as where nobody else may run it.

Before: three streams at a server that pauses for 1.5 s, one retry left: two are broken off after half a second. After: all three are whole.

The test of `may_run_elsewhere` asks `reserve_retry` now, the same six cases.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -70,13 +70,13 @@
         start: ServerStart,
         inbox: Inbox,
         splitter: EventSplitter | None,
-        may_repeat: Callable[[], bool],
+        reserve_retry: Callable[[], bool],
     ) -> None:
         self._core = core
         self._call = call
         self._inbox = inbox
         self._splitter = splitter
-        self._may_repeat = may_repeat
+        self._reserve_retry = reserve_retry
         self._number = action.attempt
         self._start = start
         self.server = start.server
@@ -175,7 +175,7 @@
         elif facts.is_not_run:
             self._note_refused(facts)
             self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
-        elif status >= _SERVER_ERROR and self._may_repeat():
+        elif status >= _SERVER_ERROR and self._reserve_retry():
             self._core.book.note_error(self._start)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.YES, f'{status}')
         elif self._goes_on() and not is_rest(status, headers):
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import functools
-import math
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, cast
 
@@ -130,19 +129,21 @@
             return
         attempt.withdraw_superseded()
         attempt.withdraw_late()
-        if attempt.find_silence(now) >= self._find_patience():
+        if self._is_given_up(attempt.find_silence(now)):
             attempt.fail('the server is silent')
 
-    def _find_patience(self) -> Millis:
-        """Return for how long the server may owe bytes and send none.
+    def _is_given_up(self, silence: Millis) -> bool:
+        """Tell whether to wait no longer for what a server owes.
 
         An answer that has begun and can't go on elsewhere is only ended by its
         caller or its deadline: a crowded server may send the rest after any
         pause, and a caller that still waits would lose it.
         """
-        if self._machine.may_run_elsewhere():
-            return SILENCE_LIMIT
-        return math.inf if self._reply.status else _GIVE_UP_AFTER
+        if silence < SILENCE_LIMIT:
+            return False
+        if self._machine.reserve_retry():
+            return True
+        return silence >= _GIVE_UP_AFTER and not self._reply.status
 
     async def _lead(self) -> None:
         now = self._core.clock.now()
@@ -220,7 +221,7 @@
             start=self._starts[action.agent],
             inbox=self._inbox,
             splitter=self._splitter,
-            may_repeat=self._machine.may_run_elsewhere,
+            reserve_retry=self._machine.reserve_retry,
         )
         await self._attempt.start()
 
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -119,6 +119,8 @@
         self._excluded: frozenset[str] = frozenset()
         self._attempt = 0
         self._retries = 0
+        # Whether the next retry was taken from the budget ahead of its cause.
+        self._has_paid = False
         self._refusals = 0
         self._crashes = 0
         self._alone = facts.suspect
@@ -213,11 +215,18 @@
         detail: str = '',
     ) -> Actions:
         """Try again within the budget, else give up at once."""
-        if not self._may_run_again() or not self._budget.take():
+        if not self._may_run_again() or not self._pay_retry():
             return self._refuse(kind, retry_after, detail)
         self._retries += 1
         return self._wait(self._budget.delay(self._retries))
 
+    def _pay_retry(self) -> bool:
+        """Spend one retry of the budget, or the one that is reserved."""
+        if self._has_paid:
+            self._has_paid = False
+            return True
+        return self._budget.take()
+
     def _may_run_again(self) -> bool:
         return (
             self._retries + 1 < self._settings.max_attempts
@@ -236,7 +245,7 @@
         if bound is None:
             return self._retry(kind, retry_after, detail)
         may_retry = self._refusals < bound and not self._detached
-        if not may_retry or not self._budget.take():
+        if not may_retry or not self._pay_retry():
             return self._refuse(kind, retry_after, detail)
         self._refusals += 1
         return self._wait(self._budget.delay(self._refusals))
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -91,23 +91,33 @@
         actions = self.HANDLERS[type(event)](self, event)
         return self._mute(actions) if detached else actions
 
-    def may_run_elsewhere(self) -> bool:
-        """Tell whether a failure now would lead to another run."""
+    def reserve_retry(self) -> bool:
+        """Pay for another run; False where a failure now would lead to none.
+
+        Requests that give up one server together share what is left of the
+        budget: each that was only told that there is some would break off an
+        answer that nobody else can go on with.
+        """
+        if not self._may_run_elsewhere() or not self._pay_retry():
+            return False
+        self._has_paid = True
+        return True
+
+    def hand_over(self) -> Actions | None:
+        """Return what the caller needs to go on elsewhere; None if it can't."""
+        if not self._token or self._stage in _IDLE:
+            return None
+        return self._release_head()
+
+    def _may_run_elsewhere(self) -> bool:
         facts = self._facts
         may_repeat = facts.idempotent and not self._head_delivered
         return (
             self._stage is Stage.RUNNING
             and (may_repeat or facts.resumable)
             and self._may_run_again()
-            and self._budget.tokens >= 1
         )
 
-    def hand_over(self) -> Actions | None:
-        """Return what the caller needs to go on elsewhere; None if it can't."""
-        if not self._token or self._stage in _IDLE:
-            return None
-        return self._release_head()
-
     def _on_routed(self, event: Routed) -> Actions:
         if self._stage is not Stage.ROUTING:
             return ()
--- a/tests/attempt_case.py
+++ b/tests/attempt_case.py
@@ -57,6 +57,10 @@
     )
 
 
+def make_budget(burst: float) -> RetryBudget:
+    return RetryBudget(RetrySettings(burst=burst), Random(1))
+
+
 class Case:
     """Drive one machine and keep its latest actions."""
 
@@ -68,6 +72,7 @@
         key='',
         verdict=None,
         burst=20.0,
+        budget=None,
         **settings,
     ):
         facts = RequestFacts(
@@ -83,7 +88,7 @@
         self.machine = RequestMachine(
             facts,
             settings=MachineSettings(**settings),
-            budget=RetryBudget(RetrySettings(burst=burst), Random(1)),
+            budget=budget or make_budget(burst),
         )
         if key and verdict is None:
             verdict = Free()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,7 +8,7 @@
 from oleanderdyke.links.messages import (
     Failed,
 )
-from tests.attempt_case import Case, make_claimed_run, make_run
+from tests.attempt_case import Case, make_budget, make_claimed_run, make_run
 
 
 def test_plain_answer_passes_through():
@@ -345,11 +345,31 @@
 
 
 def test_a_failure_is_welcome_only_where_it_leads_to_another_run():
-    assert make_run(idempotent=True).machine.may_run_elsewhere()
-    assert make_run(resumable=True).head().chunk().machine.may_run_elsewhere()
-    assert not make_run().machine.may_run_elsewhere()
+    assert make_run(idempotent=True).machine.reserve_retry()
+    assert make_run(resumable=True).head().chunk().machine.reserve_retry()
+    assert not make_run().machine.reserve_retry()
     begun = make_run(idempotent=True).head().chunk()
-    assert not begun.machine.may_run_elsewhere()
+    assert not begun.machine.reserve_retry()
     once = make_run(idempotent=True, max_attempts=1)
-    assert not once.machine.may_run_elsewhere()
-    assert not make_run(idempotent=True, burst=0.0).machine.may_run_elsewhere()
+    assert not once.machine.reserve_retry()
+    assert not make_run(idempotent=True, burst=0.0).machine.reserve_retry()
+
+
+def test_requests_that_fail_together_reserve_no_more_than_the_budget():
+    budget = make_budget(1.0)
+    first, second = (
+        make_run(resumable=True, budget=budget).head().chunk() for _ in range(2)
+    )
+    assert first.machine.reserve_retry()
+    assert not second.machine.reserve_retry()
+    assert first.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE).find(ev.StartTimer)
+
+
+def test_a_reserved_retry_is_paid_for_once():
+    budget = make_budget(2.0)
+    case = make_run(resumable=True, budget=budget).head().chunk()
+    assert case.machine.reserve_retry()
+    case.fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE).fire()
+    assert budget.tokens == 1
+    case.route('agent-2', 'i2').fail(ErrorKind.STREAM_BROKEN, Ran.MAYBE)
+    assert budget.tokens == 0
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from oleanderdyke.kernel.retries import RetrySettings
 from tests.hosted import (
     CONFIGURATION,
     STREAM_ROUTE,
@@ -108,6 +109,41 @@
     assert (found.body, found.is_whole) == (whole, True)
 
 
+async def test_streams_that_one_retry_is_left_for_are_not_all_broken_off(
+    tmp_path,
+):
+    """Streams at a server that falls silent share what is left of the budget.
+
+    Each saw one retry left and was given up in the same moment. The first went
+    on elsewhere with it; the others had lost their server in vain.
+    """
+
+    async def pause(peer):
+        await send_events(peer, 1, 2)
+        await anyio.sleep(1.5)
+        for number in range(3, 6):
+            await peer.send(make_chunk(make_event(number)))
+        await peer.send(b'0\r\n\r\n')
+
+    answers = []
+    async with staging(tmp_path, pause, stream(3, 5)) as stage:
+        prefer(stage, 0)
+        budget = stage.core.find_budget('desk')
+        budget.resize(RetrySettings(share=0.0, burst=1.0))
+
+        async def ask(number):
+            found = await stage.call(
+                '/stream/1', oleanderdyke_request_id=f'req-{number}'
+            )
+            answers.append((found.body, found.is_whole))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(3):
+                tasks.start_soon(ask, number)
+    whole = b''.join(make_event(number) for number in range(1, 6))
+    assert answers == [(whole, True)] * 3
+
+
 async def _fail(peer):
     await peer.answer(500, b'out of order')
 
