Test servers that break off where none is kept for a suspect

Traced by the logs of a failed run: two tries broke off as they should, the third server refused the call as `a suspect runs alone`. It was still kept for the suspect of the test before, which is so for four heartbeats after that one's last try, and is meant so.

The test has a deployment of its own now; what it asserts is unchanged.

--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 from collections.abc import Iterable, Iterator
 from concurrent.futures import Executor, ThreadPoolExecutor
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -30,10 +32,8 @@
 INNOCENTS = 6
 
 
-@pytest.fixture(scope='module')
-def deployment(
-    tmp_path_factory: pytest.TempPathFactory,
-) -> Iterator[Deployment]:
+@contextlib.contextmanager
+def deploying(directory: Path) -> Iterator[Deployment]:
     layout = load_layout('agency')
     small = tuple(
         dataclasses.replace(item, count=SIZES[item.kind])
@@ -42,7 +42,7 @@
     # A crashed engine answers the next probe, since its port stays open.
     with Deployment(
         dataclasses.replace(layout, backends=small),
-        tmp_path_factory.mktemp('deployment'),
+        directory,
         entries=2,
         options={'engine': {'respawn': 1}},
     ) as running:
@@ -52,6 +52,25 @@
         yield running
 
 
+@pytest.fixture(scope='module')
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    with deploying(tmp_path_factory.mktemp('deployment')) as running:
+        yield running
+
+
+@pytest.fixture
+def untouched(tmp_path: Path) -> Iterator[Deployment]:
+    """Run servers that are kept for no suspect of another test.
+
+    One that is refuses other requests for some heartbeats after the last try of
+    its suspect.
+    """
+    with deploying(tmp_path) as running:
+        yield running
+
+
 def send(deployment: Deployment, entry: int, text: str, count: int) -> Reply:
     return call(
         deployment.entries[entry % 2].address,
@@ -164,15 +183,15 @@
 
 
 def test_a_living_server_that_breaks_off_makes_no_suspect(
-    deployment: Deployment,
+    untouched: Deployment,
 ) -> None:
-    wait_settled(deployment)
-    before = count_crashes(deployment)
-    servers = list_backends(deployment, MODEL)
-    with failing(deployment, *servers, cut_after=2):
-        replies = [send(deployment, each, 'cut off', 8) for each in range(4)]
+    wait_settled(untouched)
+    before = count_crashes(untouched)
+    servers = list_backends(untouched, MODEL)
+    with failing(untouched, *servers, cut_after=2):
+        replies = [send(untouched, each, 'cut off', 8) for each in range(4)]
     kinds = {each.json['error']['kind'] for each in replies}
     assert kinds == {'backend_failed'}
     for entry in range(2):
-        assert send(deployment, entry, 'cut off', 8).status == 200
-    assert count_crashes(deployment) == before
+        assert send(untouched, entry, 'cut off', 8).status == 200
+    assert count_crashes(untouched) == before
