Let no more than a third of a fleet load where half a load's delay spares it

Ten of 48 engines loaded first, then 17, and at 27.7 and 31 s ten and sixteen more in the same instant, beside those that loaded already: over 19, so that loads took 4.2 to 5.2 s in place of 2.4 to 3.5. The middle of the last three loads was taken for all; with a round's slowest nothing but all at once was in time.

Ruled out: that agents don't see each other's notices (the queue of two agents names the same engines within 0.1 s).

Change: the middle of nine loads; beyond a third of the fleet only as many as let the last be done half a load late. An engine past its time is idle, as one that loads is; nothing is sent to it, so that no bound moves.

--- a/src/oleanderdyke/kernel/load_pace.py
+++ b/src/oleanderdyke/kernel/load_pace.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 import statistics
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -19,10 +20,16 @@
 _FIRST_TIME: Millis = 2.5 * SECOND
 # What ended sooner was over before this process read that it had begun.
 _LEAST_TIME: Millis = 0.5 * SECOND
-# Loads get longer where runs do; the middle of so many leaves out a single
-# engine that was slow or cut off.
-_REMEMBERED = 3
-
+# Loads get longer where runs do. The middle of so many leaves out engines that
+# were slow or cut off, with which each round of loads ends.
+_REMEMBERED = 9
+
+# More than this part of the fleet at once leaves too few that serve, and loads
+# share the links that weights come over. An engine whose weights may serve no
+# longer is idle, as one that loads is: rather than that, some are late by so
+# much of a load.
+_MANY_SHARE = 1 / 3
+_LATE_SHARE = 0.5
 # Beside an engine that takes so much longer than others did one more goes; not
 # sooner, as on crowded engines loads spread by half.
 _OVERDUE_FACTOR = 1.5
@@ -66,23 +73,37 @@
 
 
 def count_at_once(
-    pending: Sequence[PendingLoad], time: Millis, least: int
+    pending: Sequence[PendingLoad], time: Millis, least: int, fleet: int
 ) -> int:
-    """Count how many have to load at once for all to be in time.
+    """Count how many of a fleet have to load at once for all to be in time.
 
     Each engine that loads takes with it its share of what is served, and its
-    context. What runs already counts with what is left of it.
+    context. What runs already counts with what is left of it. Where it takes
+    many, as many as are needed for the last to be done soon after.
     """
-    for count in range(least, len(pending)):
-        if _are_in_time(pending, count, time):
-            return count
-    return max(len(pending), least)
+    in_time = _count(pending, time, least, late=0.0)
+    many = max(round(fleet * _MANY_SHARE), least)
+    if in_time <= many:
+        return in_time
+    soon_after = _count(pending, time, least, late=time * _LATE_SHARE)
+    return max(soon_after, many)
+
+
+def _count(
+    pending: Sequence[PendingLoad], time: Millis, least: int, *, late: Millis
+) -> int:
+    """Count how many at once it takes for none to be late by more."""
+    counts = range(least, max(len(pending), least))
+    found = bisect_left(
+        counts, 1, key=lambda count: _are_done(pending, count, time, late)
+    )
+    return least + found
 
 
-def _are_in_time(
-    pending: Sequence[PendingLoad], count: int, time: Millis
+def _are_done(
+    pending: Sequence[PendingLoad], count: int, time: Millis, late: Millis
 ) -> bool:
-    """Tell whether so many at once, in this order, end in time.
+    """Tell whether so many at once, in this order, are late by no more.
 
     What can't be in time any more is to load at once.
     """
@@ -95,6 +116,6 @@
             continue
         end = ends[0] + time
         heapq.heapreplace(ends, end)
-        if end > max(load.left, time):
+        if end > max(load.left + late, time):
             return False
     return True
--- a/src/oleanderdyke/kernel/load_queue.py
+++ b/src/oleanderdyke/kernel/load_queue.py
@@ -95,6 +95,8 @@
         self._places: dict[str, _Place] = {}
         # Loads that have ended since the last tick.
         self._over: list[_Place] = []
+        # The most places since there was none: how many engines a roll-out has.
+        self._fleet = 0
         self._times = LoadTimes(limit)
         self._patience = _STUCK_AFTER
         if not math.isinf(limit):
@@ -115,6 +117,8 @@
             self._places[notice.holder] = _Place(
                 notice.server, notice.model, notice.held
             )
+        most = max(self._fleet, len(self._places))
+        self._fleet = most if self._places else 0
 
     def judge(self, find_due: FindDue) -> None:
         """Learn until when the weights of each place may serve."""
@@ -213,7 +217,9 @@
         busy = [each for each in firm if not self._is_overdue(each, now)]
         pending = [_make_pending(each, now) for each in busy]
         pending += [PendingLoad(each.due - now) for each in rest]
-        count = count_at_once(pending, self._times.find_time(), _LEAST_AT_ONCE)
+        count = count_at_once(
+            pending, self._times.find_time(), _LEAST_AT_ONCE, self._fleet
+        )
         return firm + rest[: max(count - len(busy), 0)]
 
     def _is_overdue(self, place: _Place, now: Millis) -> bool:
