--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -22,6 +22,7 @@
     plan_contexts,
 )
 from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.entry.hosted.lessons import Lessons
 from oleanderdyke.entry.hosted.weights import (
     Weights,
     find_weights,
@@ -80,6 +81,7 @@
         self._number = action.attempt
         self._start = start
         self.server = start.server
+        self._lessons = Lessons(core, call, start)
         self._name = f'{id(self):x}'
         self._connection: BackendConnection | None = None
         self._sequence = 0
@@ -173,7 +175,7 @@
         if fault:
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
         elif facts.is_not_run:
-            self._note_refused(facts)
+            self._lessons.take_refusal(facts, self._weights)
             self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
         elif status >= _SERVER_ERROR and self._reserve_retry():
             self._core.book.note_error(self._start)
@@ -315,49 +317,12 @@
         )
 
     def _learn(self, facts: AnswerFacts) -> None:
-        book = self._core.book
-        book.note_heard(self._start, self._name, self._core.clock.now())
-        if facts.load is not None:
-            self._core.note_load(self._start, facts.load)
-        demand = self._call.asked.demand
-        if demand is not None and facts.weight_version is not None:
-            book.note_version(self._start, demand.model, facts.weight_version)
+        core = self._core
+        core.book.note_heard(self._start, self._name, core.clock.now())
+        self._lessons.take_facts(facts)
         if self._connection is not None:
             set_idle_limit(self._connection, facts.idle_timeout)
 
-    def _note_refused(self, facts: AnswerFacts) -> None:
-        core, demand = self._core, self._call.asked.demand
-        if facts.server and facts.server != self.server:
-            core.book.note_replaced(self._start)
-            return
-        now = core.clock.now()
-        backend = core.book.find_start(self._start)
-        if demand is not None and backend is not None:
-            held = backend.record.versions.get(demand.model, 0)
-            if facts.is_misdirected and facts.server:
-                self._note_newer(demand.model, held)
-                return
-            if held < core.rollout.weights.find_newest(demand.model):
-                core.book.note_reloading(self._start, now)
-                return
-        core.book.note_refused(self._start, now)
-
-    def _note_newer(self, model: str, held: int) -> None:
-        """Learn that a server no longer holds the weights that it told.
-
-        A start's weights are only replaced by newer ones. An engine that is
-        cut off from the store tells that no other way, and would serve nobody
-        until it is listed again.
-        """
-        core = self._core
-        later = core.rollout.weights.find_following(model, held)
-        if held != self._weights.get(model):
-            return
-        if later > held:
-            core.book.note_version(self._start, model, later)
-        else:
-            core.book.note_refused(self._start, core.clock.now())
-
     def _accept(self, status: int, headers: Headers) -> None:
         self._has_answered = True
         self._is_stream = has_events(headers)
@@ -367,17 +332,7 @@
         )
         if self._is_stream:
             self._release()
-            self._note_kept()
-
-    def _note_kept(self) -> None:
-        core, demand = self._core, self._call.asked.demand
-        backend = core.book.find_start(self._start)
-        deployment = core.deployment
-        if demand is None or backend is None or deployment is None:
-            return
-        memory = deployment.find_memory(backend.record.service)
-        if memory is not None:
-            core.book.note_kept(self._start, demand.parts, memory)
+            self._lessons.take_begun()
 
     def _release(self) -> None:
         """Pass on the head and what was held of the body."""
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/lessons.py
@@ -0,0 +1,74 @@
+"""Learn about backend servers from how they answer."""
+
+from __future__ import annotations
+
+from oleanderdyke.entry.hosted.call import HostedCall
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.weights import Weights
+from oleanderdyke.kernel.servers import AnswerFacts, ServerStart
+
+
+class Lessons:
+    """Tell the book of servers what the answer of one start to a call shows."""
+
+    def __init__(
+        self, core: HostedCore, call: HostedCall, start: ServerStart
+    ) -> None:
+        self._core = core
+        self._call = call
+        self._start = start
+
+    def take_facts(self, facts: AnswerFacts) -> None:
+        """Learn the load and the weights that an answer tells."""
+        if facts.load is not None:
+            self._core.note_load(self._start, facts.load)
+        demand = self._call.asked.demand
+        if demand is not None and facts.weight_version is not None:
+            self._core.book.note_version(
+                self._start, demand.model, facts.weight_version
+            )
+
+    def take_refusal(self, facts: AnswerFacts, sent: Weights) -> None:
+        """Learn why a call that was `sent` for some weights was not run."""
+        core, demand = self._core, self._call.asked.demand
+        if facts.server and facts.server != self._start.server:
+            core.book.note_replaced(self._start)
+            return
+        now = core.clock.now()
+        backend = core.book.find_start(self._start)
+        if demand is not None and backend is not None:
+            held = backend.record.versions.get(demand.model, 0)
+            if facts.is_misdirected and facts.server:
+                self._take_newer(demand.model, held, sent)
+                return
+            if held < core.rollout.weights.find_newest(demand.model):
+                core.book.note_reloading(self._start, now)
+                return
+        core.book.note_refused(self._start, now)
+
+    def take_begun(self) -> None:
+        """Learn that a server has read a prompt, and likely keeps its parts."""
+        core, demand = self._core, self._call.asked.demand
+        backend = core.book.find_start(self._start)
+        deployment = core.deployment
+        if demand is None or backend is None or deployment is None:
+            return
+        memory = deployment.find_memory(backend.record.service)
+        if memory is not None:
+            core.book.note_kept(self._start, demand.parts, memory)
+
+    def _take_newer(self, model: str, held: int, sent: Weights) -> None:
+        """Learn that a server no longer holds the weights that it told.
+
+        A start's weights are only replaced by newer ones. An engine that is
+        cut off from the store tells that no other way, and would serve nobody
+        until it is listed again.
+        """
+        core = self._core
+        later = core.rollout.weights.find_following(model, held)
+        if held != sent.get(model):
+            return
+        if later > held:
+            core.book.note_version(self._start, model, later)
+        else:
+            core.book.note_refused(self._start, core.clock.now())
