Send engines on the newest weights their share, not all

Each of 68 entries counted 150 ms for older weights with all that it sent, and none sees in time what the others send.

Ruled out: that too few engines were left (with a third of the fleet loading at most, refusals from 24 to 26 s fell from 335 to 107, first tokens stayed at 942 ms); that context alone draws requests to older engines (those on the second weights keep some too, and were idle).

Change: a request counts the 150 ms with the probability that an engine of its service has the newest weights. In the model (68 entries, 48 engines) 10 on the newest get 0.32 of all where 0.21 is their share, 24 get 0.74; before nearly all.

--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -144,6 +144,7 @@
         model=model,
         rank=call.priority,
         newest_version=newest or None,
+        drawn=core.random.random(),
         outdated=_list_outdated(core, call, held),
         fetchable=_count_fetchable(core, call, held),
         excluded=excluded,
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -28,7 +28,9 @@
 # Keeps traffic within a data centre where all else is equal.
 _DISTANCE_COST: Millis = 6.0
 # A request on old weights loses a fifth of what it earns: as much as being
-# late would lose with a probability of a quarter.
+# late would lose with a probability of a quarter. Of all requests the part that
+# engines on the newest are of all counts it: if each did, the first few would
+# get nearly all, and no entry sees in time what the others send.
 _OLD_WEIGHTS_COST: Millis = 150.0
 # An engine takes new weights when its runs have ended: each token of an answer
 # that is begun there delays that, and all that is sent there meanwhile.
@@ -49,7 +51,8 @@
     """Describe a call to be placed; `excluded` starts have failed it.
 
     `fetchable` tells, by the version of the weights, how many leading tokens
-    of the prompt stores hold; a lower `rank` is read first. `memory_tokens`
+    of the prompt stores hold; a lower `rank` is read first. `drawn` is a number
+    from 0 to 1, by which some prefer the newest weights. `memory_tokens`
     is how much each engine of the service holds. `loading` ones take new
     weights now, `draining` ones next. Nothing may begin on `outdated` weights.
     """
@@ -65,6 +68,7 @@
     draining: frozenset[str] = frozenset()
     outdated: frozenset[int | None] = frozenset()
     memory_tokens: int = 0
+    drawn: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +109,8 @@
     if not usable:
         return None
     homes = _find_homes(demand, usable)
-    scores = [_score(demand, each, homes, now) for each in usable]
+    old_cost = _find_old_cost(demand, usable)
+    scores = [_score(demand, each, homes, old_cost, now) for each in usable]
     score, best = min(zip(scores, usable, strict=True), key=itemgetter(0))
     mean = _find_mean_memory(usable)
     return Choice(
@@ -175,6 +180,7 @@
     demand: CallDemand,
     backend: Backend,
     homes: frozenset[str],
+    old_cost: Millis,
     now: Millis,
 ) -> Millis:
     score = backend.errors * _ERROR_COST
@@ -183,7 +189,8 @@
     if demand.model is None:
         return score + _score_plain(backend)
     score += _expect(demand, backend, now)
-    return score + _score_engine(demand, demand.model, backend, homes, now)
+    score += _score_engine(demand, demand.model, backend, homes, now)
+    return score + _score_weights(demand, demand.model, backend, old_cost)
 
 
 def _score_plain(backend: Backend) -> Millis:
@@ -208,14 +215,35 @@
     if backend.record.server not in homes and not is_fetchable:
         shared = backend.reading.find_time(_find_shared_tokens(model))
         score += shared / _HOMES
-    newest = demand.newest_version
-    if version is not None and newest is not None and version < newest:
-        score += _OLD_WEIGHTS_COST
-        if backend.record.server in demand.draining:
-            score += model.output_tokens * _DRAIN_COST
     return score
 
 
+def _score_weights(
+    demand: CallDemand, model: ModelDemand, backend: Backend, old_cost: Millis
+) -> Millis:
+    if not _is_older(demand, model, backend):
+        return 0.0
+    if backend.record.server in demand.draining:
+        return old_cost + model.output_tokens * _DRAIN_COST
+    return old_cost
+
+
+def _is_older(demand: CallDemand, model: ModelDemand, backend: Backend) -> bool:
+    version = backend.record.versions.get(model.model)
+    newest = demand.newest_version
+    return version is not None and newest is not None and version < newest
+
+
+def _find_old_cost(demand: CallDemand, usable: Sequence[Backend]) -> Millis:
+    """Return what older weights cost this call, nothing for most at first."""
+    model = demand.model
+    if model is None or demand.newest_version is None:
+        return 0.0
+    older = sum(_is_older(demand, model, each) for each in usable)
+    share = 1 - older / len(usable)
+    return _OLD_WEIGHTS_COST if demand.drawn < share else 0.0
+
+
 def _find_run_cost(backend: Backend) -> Millis:
     slots = backend.record.slots
     return max(_BATCH_COST / slots, _RUN_COST) if slots else _RUN_COST
