--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,14 +1,11 @@
 from __future__ import annotations
 
-import math
 import time
-from random import Random
 
 import pytest
 
 from oleanderdyke.kernel.backend import Owed
 from oleanderdyke.kernel.backends import BackendBook
-from oleanderdyke.kernel.durations import Durations
 from oleanderdyke.kernel.overload import (
     LATE_RANK,
 )
@@ -18,8 +15,6 @@
     choose_backend,
     is_usable,
 )
-from oleanderdyke.kernel.presence import LIFE, EntryCount
-from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
 from oleanderdyke.kernel.servers import (
     ModelDemand,
     PromptPart,
@@ -250,125 +245,6 @@
     assert (book.find('a').running, book.find('a').running_tokens) == (0, 0)
 
 
-def test_the_bound_of_a_duration_fades():
-    durations = Durations()
-    assert durations.find_bound('letter', 9_000.0, 0.0) == 9_000.0
-    durations.note('letter', 5_000.0)
-    assert durations.find_bound('letter', 9_000.0, 0.0) > 5_000.0
-    for _ in range(400):
-        durations.note('letter', 100.0)
-    assert durations.find_bound('letter', 9_000.0, 0.0) < 1_000.0
-
-
-def test_what_still_runs_tells_how_long_a_request_may_last():
-    """Lest a stream is taken by a stopping entry and cut at its end.
-
-    One was taken 3.4 s after the signal to stop, as those that had ended were
-    short, and cut 4.0 s later; no trace of what else ran then was kept.
-    """
-    durations = Durations()
-    durations.note('letter', 1_000.0)
-    durations.begin('x', 'letter', 0.0)
-    durations.begin('y', 'other', 0.0)
-    assert durations.find_bound('letter', 9_000.0, 500.0) == 1_300.0
-    assert durations.find_bound('letter', 9_000.0, 3_000.0) == 3_900.0
-    durations.end('x')
-    assert durations.find_bound('letter', 9_000.0, 3_000.0) == 1_300.0
-
-
-def read_notices(count, since, until):
-    for at in range(since, until + 1, 5_000):
-        count.note_read(at)
-
-
-def test_entries_are_counted_high():
-    count = EntryCount()
-    assert count.count(0.0) == math.inf
-    for number in range(3):
-        count.note(f'front-{number}', 0.0)
-    count.note_read(0.0)
-    assert count.count(1_000.0) == math.inf
-    count.note_read(5_000.0)
-    assert count.count(5_000.0) == 8
-    for number in range(3):
-        count.note(f'front-{number}', 25_000.0)
-    read_notices(count, 10_000, 25_000)
-    assert count.count(30_000.0) == 5
-    read_notices(count, 30_000, 65_000)
-    assert count.count(25_000.0 + LIFE) == 2
-
-
-def test_where_entries_ran_before_their_notices_are_all_there_at_once():
-    count = EntryCount(is_first_start=False)
-    assert count.count(0.0) == math.inf
-    for number in range(68):
-        count.note(f'front-{number}', 0.0)
-    count.note_read(0.0)
-    assert count.count(0.0) == 70
-
-
-def test_notices_that_were_dropped_leave_the_count_unknown():
-    count = EntryCount(is_first_start=False)
-    count.note_forgotten()
-    count.note('front-1', 0.0)
-    count.note_read(0.0)
-    assert count.count(0.0) == math.inf
-
-
-def test_without_the_store_the_count_of_entries_stays():
-    count = EntryCount()
-    for number in range(6):
-        count.note(f'front-{number}', 0.0)
-    read_notices(count, 0, 30_000)
-    assert count.count(30_000.0) == 8
-    assert count.count(30_000.0 + LIFE) == 8
-
-
-def test_one_read_of_the_notices_knows_no_more_later():
-    count = EntryCount()
-    count.note('front-0', 0.0)
-    count.note_read(0.0)
-    assert count.count(30_000.0) == math.inf
-
-
-@pytest.mark.parametrize('entries', [3, 17, 68, 200])
-def test_entries_that_start_together_are_never_counted_low(entries):
-    """Half of them are turned away by the store, and tell late."""
-    count = EntryCount()
-    count.note('front-0', 0.0)
-    for at in range(0, 40_000, 1_000):
-        if at == 1_000:
-            for number in range(entries // 2 + 1):
-                count.note(f'front-{number}', at)
-        if at == 15_000:
-            for number in range(entries):
-                count.note(f'front-{number}', at)
-        count.note_read(at)
-        assert count.count(at) >= entries
-
-
-def test_entries_have_time_to_tell_of_themselves_once_the_store_is_back():
-    count = EntryCount()
-    for number in range(6):
-        count.note(f'front-{number}', 0.0)
-    read_notices(count, 0, 30_000)
-    back = 70_000.0
-    # One told first; the others tell within their usual time.
-    count.note('front-0', back)
-    count.note_read(back)
-    assert count.count(back) == 8
-    read_notices(count, 75_000, 110_000)
-    assert count.count(back + LIFE) == 2
-
-
-def test_a_budget_that_is_shared_by_more_gives_less():
-    budget = RetryBudget(RetrySettings(burst=9.0), Random(1))
-    budget.resize(RetrySettings(burst=2.0))
-    assert [budget.take() for _ in range(3)] == [True, True, False]
-    budget.resize(RetrySettings(burst=9.0))
-    assert not budget.take()
-
-
 def test_a_server_that_sends_nothing_of_what_runs_is_silent():
     book = make_engines('a')
     book.note_sent(A, 'x', Owed(0.0, 10))
--- /dev/null
+++ b/tests/test_presence.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from oleanderdyke.kernel.presence import LIFE, EntryCount
+
+
+def read_notices(count, since, until):
+    for at in range(since, until + 1, 5_000):
+        count.note_read(at)
+
+
+def test_entries_are_counted_high():
+    count = EntryCount()
+    assert count.count(0.0) == math.inf
+    for number in range(3):
+        count.note(f'front-{number}', 0.0)
+    count.note_read(0.0)
+    assert count.count(1_000.0) == math.inf
+    count.note_read(5_000.0)
+    assert count.count(5_000.0) == 8
+    for number in range(3):
+        count.note(f'front-{number}', 25_000.0)
+    read_notices(count, 10_000, 25_000)
+    assert count.count(30_000.0) == 5
+    read_notices(count, 30_000, 65_000)
+    assert count.count(25_000.0 + LIFE) == 2
+
+
+def test_where_entries_ran_before_their_notices_are_all_there_at_once():
+    count = EntryCount(is_first_start=False)
+    assert count.count(0.0) == math.inf
+    for number in range(68):
+        count.note(f'front-{number}', 0.0)
+    count.note_read(0.0)
+    assert count.count(0.0) == 70
+
+
+def test_notices_that_were_dropped_leave_the_count_unknown():
+    count = EntryCount(is_first_start=False)
+    count.note_forgotten()
+    count.note('front-1', 0.0)
+    count.note_read(0.0)
+    assert count.count(0.0) == math.inf
+
+
+def test_without_the_store_the_count_of_entries_stays():
+    count = EntryCount()
+    for number in range(6):
+        count.note(f'front-{number}', 0.0)
+    read_notices(count, 0, 30_000)
+    assert count.count(30_000.0) == 8
+    assert count.count(30_000.0 + LIFE) == 8
+
+
+def test_one_read_of_the_notices_knows_no_more_later():
+    count = EntryCount()
+    count.note('front-0', 0.0)
+    count.note_read(0.0)
+    assert count.count(30_000.0) == math.inf
+
+
+@pytest.mark.parametrize('entries', [3, 17, 68, 200])
+def test_entries_that_start_together_are_never_counted_low(entries):
+    """Half of them are turned away by the store, and tell late."""
+    count = EntryCount()
+    count.note('front-0', 0.0)
+    for at in range(0, 40_000, 1_000):
+        if at == 1_000:
+            for number in range(entries // 2 + 1):
+                count.note(f'front-{number}', at)
+        if at == 15_000:
+            for number in range(entries):
+                count.note(f'front-{number}', at)
+        count.note_read(at)
+        assert count.count(at) >= entries
+
+
+def test_entries_have_time_to_tell_of_themselves_once_the_store_is_back():
+    count = EntryCount()
+    for number in range(6):
+        count.note(f'front-{number}', 0.0)
+    read_notices(count, 0, 30_000)
+    back = 70_000.0
+    # One told first; the others tell within their usual time.
+    count.note('front-0', back)
+    count.note_read(back)
+    assert count.count(back) == 8
+    read_notices(count, 75_000, 110_000)
+    assert count.count(back + LIFE) == 2
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -32,3 +32,11 @@
     delays = [budget.delay(retry) for _ in range(200)]
     assert 0 <= min(delays) < ceiling / 4
     assert ceiling * 3 / 4 < max(delays) <= ceiling
+
+
+def test_a_budget_that_is_shared_by_more_gives_less():
+    budget = make_retry_budget(RetrySettings(burst=9.0), Random(1))
+    budget.resize(RetrySettings(burst=2.0))
+    assert [budget.take() for _ in range(3)] == [True, True, False]
+    budget.resize(RetrySettings(burst=9.0))
+    assert not budget.take()
