--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -28,9 +28,10 @@
 # Keeps traffic within a data centre where all else is equal.
 _DISTANCE_COST: Millis = 6.0
 # A request on old weights loses a fifth of what it earns: as much as being
-# late would lose with a probability of a quarter. Of all requests the part that
-# engines on the newest are of all counts it: if each did, the first few would
-# get nearly all, and no entry sees in time what the others send.
+# late would lose with a probability of a quarter. If every request counted it,
+# the first engines on the newest weights would get nearly all, as no entry sees
+# in time what the others send: it is counted with the probability that an
+# engine has the newest.
 _OLD_WEIGHTS_COST: Millis = 150.0
 # An engine takes new weights when its runs have ended: each token of an answer
 # that is begun there delays that, and all that is sent there meanwhile.
@@ -235,7 +236,7 @@
 
 
 def _find_old_cost(demand: CallDemand, usable: Sequence[Backend]) -> Millis:
-    """Return what older weights cost this call, nothing for most at first."""
+    """Return what older weights cost this call, if it counts them."""
     model = demand.model
     if model is None or demand.newest_version is None:
         return 0.0
