--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -94,6 +94,10 @@
             notice, now=self._clock.now(), shift=self._engine_clock.most
         )
 
+    def forget_notices(self) -> None:
+        """Drop what void notices told; the next step asks for a place anew."""
+        self._queue.forget()
+
     async def begin(self) -> None:
         """Give up the place of a process that was here before.
 
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -193,6 +193,9 @@
         if not self._engine.has_begun:
             await self._engine.begin()
         notices = await self._loads.read()
+        if notices is None:
+            self._engine.forget_notices()
+            return
         for notice in notices:
             self._engine.take(notice)
         if notices and not self._loads_client.was_shared:
--- a/src/oleanderdyke/clients/http.py
+++ b/src/oleanderdyke/clients/http.py
@@ -177,7 +177,7 @@
         head = await exchange.receive_head()
     except FAILURES as error:
         raise make_lost(exchange, error) from error
-    decoded = _decode_headers(head.headers)
+    decoded = decode_headers(head.headers)
     return HttpAnswer(head.status_code, decoded, _iterate(exchange))
 
 
@@ -189,7 +189,8 @@
     return [('transfer-encoding', 'chunked')]
 
 
-def _decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return headers as text."""
     return tuple(
         (name.decode('latin-1'), value.decode('latin-1'))
         for name, value in headers
--- a/src/oleanderdyke/clients/kept.py
+++ b/src/oleanderdyke/clients/kept.py
@@ -16,7 +16,12 @@
 
 from oleanderdyke.clients.addresses import split_address
 from oleanderdyke.clients.exchange import FAILURES, Exchange, open_exchange
-from oleanderdyke.clients.http import HttpAnswer, HttpError, make_lost
+from oleanderdyke.clients.http import (
+    HttpAnswer,
+    HttpError,
+    decode_headers,
+    make_lost,
+)
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import Ran
 from oleanderdyke.links.messages import Headers
@@ -68,7 +73,8 @@
         pieces = _iterate(exchange, self._settings.silence)
         try:
             async with aclosing(pieces):
-                yield HttpAnswer(answer.status_code, (), pieces)
+                found = decode_headers(answer.headers)
+                yield HttpAnswer(answer.status_code, found, pieces)
         finally:
             self._give_back(exchange)
 
--- a/src/oleanderdyke/clients/whole.py
+++ b/src/oleanderdyke/clients/whole.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 import anyio
@@ -25,6 +26,15 @@
         """Send and give the answer; raise HttpError."""
 
 
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer whose body has been read."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 async def read_whole(
     client: Requester[BodyT],
     method: str,
@@ -37,6 +47,32 @@
 ) -> tuple[int, bytes]:
     """Return the status and the body, of `limit` bytes at most.
 
+    Raise HttpError, also where that takes longer than `within`.
+    """
+    found = await read_answer(
+        client,
+        method,
+        path,
+        headers=headers,
+        body=body,
+        within=within,
+        limit=limit,
+    )
+    return found.status, found.body
+
+
+async def read_answer(
+    client: Requester[BodyT],
+    method: str,
+    path: str,
+    *,
+    headers: Headers = (),
+    body: BodyT,
+    within: Millis,
+    limit: int,
+) -> WholeAnswer:
+    """Return the whole answer, its body of `limit` bytes at most.
+
     Raise HttpError, also where that takes longer than `within`.
     """
     try:
@@ -44,6 +80,7 @@
             async with client.request(
                 method, path, headers=headers, body=body
             ) as answer:
-                return answer.status, await answer.read(limit)
+                found = await answer.read(limit)
+                return WholeAnswer(answer.status, answer.headers, found)
     except TimeoutError as error:
         raise HttpError('no answer in time', ran=Ran.MAYBE) from error
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -34,6 +34,7 @@
 from oleanderdyke.kernel.attempt_events import Received, SendDispatch, Unsent
 from oleanderdyke.kernel.backend import Backend, Owed
 from oleanderdyke.kernel.named_weights import BEGIN_MARGIN, SEND_MARGIN
+from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import AnswerFacts, ServerStart
 from oleanderdyke.links.messages import (
     AnswerChunk,
@@ -248,6 +249,9 @@
         """
         if self._core.book.has_left(self._start):
             return 'the server left while connecting'
+        data_centre = backend.record.data_centre
+        if data_centre in self._core.limits.evacuations.active:
+            return Obstacle.EVACUATED.value
         weights = find_weights(self._call, backend)
         # What would wait at the engine until its time is over runs late where
         # a server doesn't drop the requests of closed connections.
@@ -285,6 +289,7 @@
             is_alone=not backend.waiting and not backend.count_waiting(now),
         )
         core.book.note_sent(self._start, self._name, owed)
+        core.limits.note_sent(backend, now)
         connection.send(head, call.body, self)
         core.log.write(
             EventName.DISPATCH_SENT,
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -9,7 +9,7 @@
 from oleanderdyke.entry.edge import Head
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
-from oleanderdyke.kernel.context_stores import Salt
+from oleanderdyke.kernel.context_stores import ContextStores, Salt
 from oleanderdyke.kernel.deployment import Deployment, KeyOwner, Route, Share
 from oleanderdyke.kernel.named_weights import SEND_MARGIN
 from oleanderdyke.kernel.overload import (
@@ -22,6 +22,8 @@
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform.requests import CallerRequest, decode_request
 
+# No region has this name.
+_NOWHERE = frozenset({''})
 _MOST_URGENT = 0
 _LEAST_URGENT = 9
 # Long enough for a store that answers in milliseconds to have told the
@@ -66,6 +68,15 @@
             rank = LATE_RANK
         return min(max(rank, _MOST_URGENT), _LEAST_URGENT)
 
+    @property
+    def homes(self) -> frozenset[str]:
+        """Return the regions where the call may run; none means all."""
+        route = self.route.homes
+        owner = frozenset() if self.owner is None else self.owner.homes
+        if not route or not owner:
+            return route or owner
+        return route & owner or _NOWHERE
+
     @property
     def patience(self) -> Patience:
         """Return how long the caller has waited before this try."""
@@ -138,6 +149,7 @@
     )
     now, queue = core.clock.now(), core.rollout.queue
     held = _list_held(core, call, now)
+    listed = core.book.list_service(call.service, now)
     return CallDemand(
         service=call.service,
         data_centre=core.settings.data_centre,
@@ -147,6 +159,7 @@
         drawn=core.random.random(),
         outdated=_list_outdated(core, call, held),
         fetchable=_count_fetchable(core, call, held),
+        blocked=core.limits.find_blocked(listed, call.homes, now),
         excluded=excluded,
         loading=frozenset(queue.list_busy(now)),
         draining=frozenset(queue.list_next(now)),
@@ -196,7 +209,7 @@
         return {}
     now = core.clock.now()
     return {
-        version: core.contexts.count_available(
+        version: find_contexts(core, call).count_available(
             make_salt(call, version), model.parts[:-1], now
         )
         for version in held
@@ -204,6 +217,13 @@
     }
 
 
+def find_contexts(core: HostedCore, call: HostedCall) -> ContextStores:
+    """Return the stores where context of a call may be kept."""
+    if not call.homes:
+        return core.contexts
+    return core.contexts.restrict(core.limits.list_homes(call.homes))
+
+
 def make_salt(call: HostedCall, version: int | None) -> str:
     """Return the text under which kept context may be shared.
 
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -17,6 +17,7 @@
 from oleanderdyke.entry.stopping import StoppableRequest
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.backends import BackendBook
+from oleanderdyke.kernel.cold_starts import ColdLimit
 from oleanderdyke.kernel.context_stores import ContextStores
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.drain import Drain, DrainSettings
@@ -30,6 +31,7 @@
     make_retry_budget,
 )
 from oleanderdyke.kernel.rollout import Rollout
+from oleanderdyke.kernel.send_limits import SendLimits
 from oleanderdyke.kernel.servers import ServerLoad, ServerStart
 from oleanderdyke.logs import EventLog, LogValue
 from oleanderdyke.metrics import Count, Gauge, Metrics
@@ -71,6 +73,7 @@
     drain: Drain
     pool: ConnectionPool
     news: SharedNews
+    limits: SendLimits
     entries: EntryCount = field(default_factory=EntryCount)
     book: BackendBook = field(default_factory=BackendBook)
     deployment: Deployment | None = None
@@ -125,6 +128,15 @@
         read = self.configuration_read
         return read is None or self.clock.now() - read > STALE_AFTER
 
+    def find_cold_limits(self, deployment: Deployment) -> dict[str, ColdLimit]:
+        """Return what cold servers of each service tolerate."""
+        share, slack = self.settings.cold_share, self.settings.cold_slack
+        return {
+            name: ColdLimit(traits.cold_rate * share + slack, traits.cold_lasts)
+            for name, traits in deployment.services.items()
+            if traits.cold_rate > 0
+        }
+
     def may_serve(
         self, model: str, version: int | None, margin: Millis
     ) -> bool:
@@ -208,6 +220,7 @@
         limit=limit,
     )
     metrics = Metrics()
+    entries = EntryCount(is_first_start=settings.is_first_start)
     core = HostedCore(
         settings=settings,
         clock=clock,
@@ -218,7 +231,8 @@
         rollout=Rollout(settings.version_limit),
         pool=ConnectionPool(CONNECT_LIMIT),
         news=SharedNews(settings, clock, log, metrics),
-        entries=EntryCount(is_first_start=settings.is_first_start),
+        limits=SendLimits(settings.process, entries, settings.regions),
+        entries=entries,
     )
     core.news.desk.note_urgent = core.want_servers
     return core
--- a/src/oleanderdyke/entry/hosted/dispatch.py
+++ b/src/oleanderdyke/entry/hosted/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from oleanderdyke.entry.hosted.call import HostedCall
+from oleanderdyke.entry.hosted.call import HostedCall, find_contexts
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS, ContextPlan
@@ -39,7 +39,8 @@
     if replaced is not None and backend.listed_at >= replaced:
         # Others may think that no engine is left on these weights.
         return NO_CONTEXTS
-    plan = core.contexts.plan(
+    contexts = find_contexts(core, call)
+    plan = contexts.plan(
         salt,
         demand.parts,
         data_centre=backend.record.data_centre,
@@ -47,5 +48,5 @@
         may_save=replaced is None,
         now=now,
     )
-    core.contexts.note_saves(salt, demand.parts, plan, now)
+    contexts.note_saves(salt, demand.parts, plan, now)
     return plan
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -197,6 +197,8 @@
     def _take(self, choice: Choice) -> None:
         record = choice.backend.record
         self._starts[record.server] = record.start
+        core = self._core
+        core.limits.note_sent(choice.backend, core.clock.now())
         self._told.tell_routed(choice)
         reason = f'{choice.score:.1f} ms of {choice.candidates}'
         plan = Plan(agent=record.server, reason=reason)
--- a/src/oleanderdyke/entry/hosted/placing.py
+++ b/src/oleanderdyke/entry/hosted/placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from oleanderdyke.clock import SECOND, Millis
@@ -9,7 +10,12 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind
 from oleanderdyke.kernel.overload import find_wait, should_refuse
-from oleanderdyke.kernel.placement import CallDemand, Choice, choose_backend
+from oleanderdyke.kernel.placement import (
+    Choice,
+    choose_backend,
+    find_obstacle,
+)
+from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ServerStart
 
 # How long a caller that gets no answer is asked to wait at most, and at least
@@ -17,9 +23,15 @@
 # each engine every some ten milliseconds, and the answer of one that comes back
 # so soon is still in time.
 PAUSE: Millis = 200.0
-# The same where every engine has to take new weights first: one is done after
-# two to three seconds, and all loads began before.
-_LOAD_PAUSE: Millis = 1 * SECOND
+# The same where every engine has to take new weights first, which takes two to
+# three seconds and began before, or where operators have to end an evacuation.
+_PAUSES: Mapping[Obstacle, Millis] = {
+    Obstacle.OUTDATED: 1 * SECOND,
+    Obstacle.EVACUATED: 1 * SECOND,
+    Obstacle.FOREIGN: 1 * SECOND,
+}
+# What ends by itself within a second; all else is told to the caller at once.
+_PASSING = frozenset({Obstacle.UNLISTED, Obstacle.COLD})
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,16 +68,26 @@
         if choice is None:
             demand = replace(demand, excluded=frozenset())
             choice = choose_backend(demand, self._core.book, now)
-        if _is_worth_waiting(choice, demand) and self._may_wait(now):
-            if choice is None:
-                self._core.servers_wanted.set()
-            return None
         if choice is None:
-            return _explain_none(demand)
+            obstacle = find_obstacle(demand, self._core.book, now)
+            return self._wait_for_server(obstacle, now)
+        if choice.is_loading and self._may_wait(now):
+            return None
         if not tried and self._is_crowded(choice):
             return _explain_crowd(choice)
         return choice
 
+    def _wait_for_server(
+        self, obstacle: Obstacle, now: Millis
+    ) -> SentBack | None:
+        """Return nothing while a server may still come that takes the call."""
+        if obstacle in _PASSING and self._may_wait(now):
+            if obstacle is Obstacle.UNLISTED:
+                self._core.servers_wanted.set()
+            return None
+        pause = _PAUSES.get(obstacle, PAUSE)
+        return SentBack(ErrorKind.NO_REPLICA, obstacle.value, pause)
+
     def _may_wait(self, now: Millis) -> bool:
         """Tell whether a server may still come that takes the call."""
         if self._wait_until is None:
@@ -86,24 +108,6 @@
         )
 
 
-def _is_worth_waiting(choice: Choice | None, demand: CallDemand) -> bool:
-    """Tell whether none takes the call now, and one may in a second.
-
-    Where the weights of all were replaced too long ago, all loads began
-    before, and callers are told when those will have ended.
-    """
-    if choice is None:
-        return not demand.outdated
-    return choice.is_loading
-
-
-def _explain_none(demand: CallDemand) -> SentBack:
-    if not demand.outdated:
-        return SentBack(ErrorKind.NO_REPLICA, 'no server listed')
-    reason = 'the weights of all servers were replaced too long ago'
-    return SentBack(ErrorKind.NO_REPLICA, reason, _LOAD_PAUSE)
-
-
 def _explain_crowd(choice: Choice) -> SentBack:
     reason = (
         f'at the best of {choice.candidates} servers '
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -65,6 +65,9 @@
         told = await self._feed.read()
         if told is None:
             core.entries.note_forgotten()
+            if self._feed.was_restored:
+                # The copy may lack the last notice of this entry.
+                self._told_at = None
             return
         now = core.clock.now()
         for entry in told:
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -10,9 +10,16 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.roster import Roster
 from oleanderdyke.events import EventName
+from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.platform.documents import MalformedRecord, NamedVersion
-from oleanderdyke.platform.feed import OperatorFeed, ServerFeed
+from oleanderdyke.platform.feed import (
+    EvacuationOrder,
+    OperatorFeed,
+    OperatorNews,
+    ServerFeed,
+    ServerNews,
+)
 from oleanderdyke.platform.loads import LoadFeed
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
@@ -100,6 +107,9 @@
     async def _read_loads(self) -> None:
         core = self._core
         notices = await self._loads.read()
+        if notices is None:
+            core.rollout.queue.forget()
+            return
         for notice in notices:
             core.rollout.take(
                 notice, now=core.clock.now(), shift=core.engine_clock.most
@@ -121,6 +131,7 @@
                 self._apply(deployment)
             for named in news.list_versions():
                 self._name(named)
+            self._take_evacuations(news)
             if news.is_complete:
                 # An answer that comes late, or that a suspended entry finds
                 # once it goes on, tells nothing of the time in between.
@@ -138,14 +149,7 @@
         # What a neighbour tells may be older than the way that it came.
         read_at = asked_at + news.waited if self._short.was_shared else now
         core.book.note_answer(now, read_at)
-        if news.is_whole:
-            core.book.replace(news.listed, now, unread=news.unread)
-        else:
-            for server in news.gone:
-                core.book.remove(server, now)
-            for record in news.listed:
-                core.book.put(record, now)
-            core.book.note_unread(news.unread)
+        _take_servers(core.book, news, now)
         core.book.note_read(now, read_at)
         self._roster.note(core.book, now, now - (core.servers_read or now))
         core.servers_read = now
@@ -187,14 +191,61 @@
             EventName.VERSION_NAMED, model=named.model, version=named.version
         )
 
+    def _take_evacuations(self, news: OperatorNews) -> None:
+        """Stop new work where operators say so, until they take it back."""
+        orders = tuple(news.list_evacuations())
+        if news.is_whole:
+            listed = [each.data_centre for each in orders]
+            missing = self._core.limits.evacuations.find_missing(
+                listed, self._core.clock.now(), is_restored=news.is_restored
+            )
+            orders += tuple(
+                EvacuationOrder(each, is_active=False) for each in missing
+            )
+        expired = self._core.limits.evacuations.find_expired(
+            self._core.clock.now()
+        )
+        orders += tuple(
+            EvacuationOrder(each, is_active=False) for each in expired
+        )
+        for order in orders:
+            self._take_evacuation(order)
+
+    def _take_evacuation(self, order: EvacuationOrder) -> None:
+        core = self._core
+        evacuations = core.limits.evacuations
+        if order.is_active:
+            is_news = evacuations.begin(order.data_centre)
+            event = EventName.EVACUATION_BEGUN
+        else:
+            is_news = evacuations.end(order.data_centre, core.clock.now())
+            event = EventName.EVACUATION_ENDED
+        if is_news:
+            core.log.write(event, name=order.data_centre)
+
     def _apply(self, deployment: Deployment) -> None:
         """Put a configuration in force; an older one never."""
         known = self._core.deployment
         if known is not None and deployment.version <= known.version:
             return
         self._core.deployment = deployment
+        self._core.limits.cold = self._core.find_cold_limits(deployment)
         self._core.log.write(
             EventName.CONFIGURATION_APPLIED,
             version=deployment.version,
             count=len(deployment.routes),
         )
+
+
+def _take_servers(book: BackendBook, news: ServerNews, now: Millis) -> None:
+    """Take the whole list, or what has changed in it."""
+    if news.is_restored:
+        book.note_restored(now)
+    if news.is_whole:
+        book.replace(news.listed, now, unread=news.unread)
+        return
+    for server in news.gone:
+        book.remove(server, now)
+    for record in news.listed:
+        book.put(record, now)
+    book.note_unread(news.unread)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -30,6 +30,8 @@
     LINK_REFUSED = 'link_refused'
     MESSAGE_REFUSED = 'message_refused'
     CONFIGURATION_APPLIED = 'configuration_applied'
+    EVACUATION_BEGUN = 'evacuation_begun'
+    EVACUATION_ENDED = 'evacuation_ended'
     CONFIGURATION_BEHIND = 'configuration_behind'
     CONFIGURATION_PUBLISHED = 'configuration_published'
     SNAPSHOT_APPENDED = 'snapshot_appended'
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -48,6 +49,9 @@
     refusals: int = 0
     errors: float = 0.0
     out_until: Millis = 0.0
+    # Until when it may crash under a rate that it bears later.
+    cold_until: Millis = 0.0
+    sent_at: Millis = -math.inf
     reload_until: Millis = 0.0
     missing_since: Millis | None = None
     # Its newest entry can't be read, so what it told before may be outdated.
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -30,6 +30,8 @@
 # ten milliseconds, new weights take over a second.
 _REFUSAL_PAUSE: Millis = 100.0
 _LONGEST_REFUSAL_PAUSE: Millis = 800.0
+# Servers tell to be cold for some seconds; a larger number is an error.
+_LONGEST_COLD: Millis = 60 * SECOND
 # The share of the latest answer in the rate of failures of a server.
 _ERROR_WEIGHT = 0.2
 
@@ -109,6 +111,10 @@
         """
         self._returning.note_answer(now, now if read_at is None else read_at)
 
+    def note_restored(self, now: Millis) -> None:
+        """Learn that the list comes from a copy and may lack live servers."""
+        self._returning.note_restored(now)
+
     def note_read(self, now: Millis, read_at: Millis | None = None) -> None:
         """Learn that the platform's list has been read up to its end."""
         self.note_answer(now, read_at)
@@ -157,6 +163,7 @@
             known.reload_until = 0.0
             known.forget_kept()
         known.record = merged
+        _note_cold(known, now)
         self._at_address[record.address].add(record.server)
 
     def note_unread(self, servers: Iterable[str]) -> None:
@@ -214,7 +221,9 @@
         self._displace(record)
         self._at_address[record.address].add(record.server)
         reading = self._reading[record.service]
-        self._backends[record.server] = Backend(record, now, reading)
+        begun = Backend(record, now, reading)
+        _note_cold(begun, now)
+        self._backends[record.server] = begun
 
     def _displace(self, record: ServerRecord) -> None:
         """Use no server whose address a new one has told.
@@ -388,6 +397,13 @@
             self._at_address[backend.record.address].add(server)
 
 
+def _note_cold(backend: Backend, now: Millis) -> None:
+    """Take how much longer a server is cold, at most: it wrote that before."""
+    if backend.record.cold > 0:
+        until = now + min(backend.record.cold, _LONGEST_COLD)
+        backend.cold_until = max(backend.cold_until, until)
+
+
 def _merge_versions(known: ServerRecord, told: ServerRecord) -> ServerRecord:
     """Keep a newer version that an answer showed before the list did.
 
--- a/src/oleanderdyke/kernel/context_stores.py
+++ b/src/oleanderdyke/kernel/context_stores.py
@@ -5,7 +5,13 @@
 import hashlib
 import math
 import re
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import (
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import SECOND, Millis
@@ -275,6 +281,15 @@
         views = (self.views.get(traits.address) for traits in stores)
         return all(view is not None and view.boot is not None for view in views)
 
+    def restrict(self, data_centres: Collection[str]) -> ContextStores:
+        """Return the views of the stores in some data centres."""
+        found = {
+            address: view
+            for address, view in self.views.items()
+            if view.traits.data_centre in data_centres
+        }
+        return ContextStores(found)
+
     def count_available(
         self, salt: str, parts: Sequence[PromptPart], now: Millis
     ) -> int:
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -33,6 +33,7 @@
     `target` is the time to the first byte that earns full credit, `gap` the
     longest pause between events of a stream. `attempts` bounds the backend
     servers that one call may run on. A lower `priority` is more urgent.
+    `homes` are the regions where calls may run; none means all.
     """
 
     name: str
@@ -47,6 +48,7 @@
     attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    homes: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self) -> bool:
@@ -74,9 +76,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceTraits:
-    """Describe one service; `engine` and `store` are set for their kinds."""
+    """Describe one service; `engine` and `store` are set for their kinds.
+
+    Its servers are cold for `cold_lasts` after a start, and tolerate
+    `cold_rate` requests a second then; without a rate they are never cold.
+    """
 
     name: str
+    cold_lasts: Millis = 0.0
+    cold_rate: float = 0.0
     engine: EngineTraits | None = None
     store: StoreTraits | None = None
 
@@ -91,11 +99,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyOwner:
-    """Name the team that an API key belongs to."""
+    """Name the team that an API key belongs to.
+
+    `homes` are the regions where its calls may run; none means all.
+    """
 
     team: str
     is_isolated: bool = False
     priority: int | None = None
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/src/oleanderdyke/kernel/load_queue.py
+++ b/src/oleanderdyke/kernel/load_queue.py
@@ -102,6 +102,12 @@
         if not math.isinf(limit):
             self._patience = limit * _STUCK_SHARE
 
+    def forget(self) -> None:
+        """Drop all places: agents that still need one ask again."""
+        self._places.clear()
+        self._over.clear()
+        self._fleet = 0
+
     def apply(self, notice: LoadNotice) -> None:
         """Apply the next notice of the log."""
         place = self._places.get(notice.holder)
--- a/src/oleanderdyke/kernel/news_tails.py
+++ b/src/oleanderdyke/kernel/news_tails.py
@@ -23,12 +23,14 @@
     """Keep the newest records of one topic.
 
     `known_at` is when surely no others followed them, None before that is
-    known; `read_at` is when the topic was last read.
+    known; `read_at` is when the topic was last read. Offsets of another `era`
+    of the store name other records.
     """
 
     def __init__(self) -> None:
         self.known_at: Millis | None = None
         self.read_at: Millis | None = None
+        self.era: int | None = None
         self._records: deque[bytes] = deque()
         self._first = 0
         self._bytes = 0
@@ -45,14 +47,16 @@
         *,
         known_at: Millis | None,
         now: Millis,
+        era: int | None = None,
     ) -> None:
         """Take what a read from `start` on found.
 
         `known_at` is None where more records were there than it returned.
         """
         self.read_at = now
-        if start != self.end:
+        if start != self.end or era != self.era:
             self._restart(start)
+        self.era = era
         self._records.extend(records)
         self._bytes += sum(map(len, records))
         self._trim()
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -10,6 +10,7 @@
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.backends import BackendBook
+from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
 # Tokens that a store sends in a millisecond: 18 KB each, at 58 Gbit/s.
@@ -45,6 +46,14 @@
 # Servers that may keep a prompt's shared context, so that one crash or one
 # crowd does not move all of it.
 _HOMES = 2
+# What may keep a call from all servers, the reason that passes first in front.
+_MOST_PASSING = (
+    Obstacle.COLD,
+    Obstacle.OUTDATED,
+    Obstacle.EVACUATED,
+    Obstacle.FOREIGN,
+)
+_NONE = Obstacle.UNLISTED
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +64,8 @@
     of the prompt stores hold; a lower `rank` is read first. `drawn` is a number
     from 0 to 1, by which some prefer the newest weights. `memory_tokens`
     is how much each engine of the service holds. `loading` ones take new
-    weights now, `draining` ones next. Nothing may begin on `outdated` weights.
+    weights now, `draining` ones next. Nothing may begin on `outdated` weights,
+    and nothing is sent to `blocked` servers.
     """
 
     service: str
@@ -68,6 +78,7 @@
     loading: frozenset[str] = frozenset()
     draining: frozenset[str] = frozenset()
     outdated: frozenset[int | None] = frozenset()
+    blocked: Mapping[ServerStart, Obstacle] = field(default_factory=dict)
     memory_tokens: int = 0
     drawn: float = 0.0
 
@@ -101,6 +112,7 @@
         backend
         for backend in book.list_service(demand.service, now)
         if backend.record.start not in demand.excluded
+        and backend.record.start not in demand.blocked
         and not _is_outdated(demand, backend)
     ]
     good = [each for each in listed if is_usable(each, now)] or listed
@@ -127,6 +139,19 @@
     )
 
 
+def find_obstacle(
+    demand: CallDemand, book: BackendBook, now: Millis
+) -> Obstacle:
+    """Return why `choose_backend` finds no server, the most passing reason."""
+    found = {
+        Obstacle.OUTDATED
+        if _is_outdated(demand, backend)
+        else demand.blocked.get(backend.record.start, Obstacle.UNLISTED)
+        for backend in book.list_service(demand.service, now)
+    }
+    return next((each for each in _MOST_PASSING if each in found), _NONE)
+
+
 def is_usable(backend: Backend, now: Millis) -> bool:
     """Tell whether nothing speaks against sending to a server."""
     if max(backend.out_until, backend.reload_until) > now:
--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -39,6 +39,10 @@
         """Learn that an entry is alive."""
         self._heard[entry] = now
 
+    def list_known(self) -> tuple[str, ...]:
+        """Return the names of the entries known to be alive."""
+        return tuple(self._heard)
+
     def note_forgotten(self) -> None:
         """Learn that notices were dropped: not all that told are known."""
         if self._begun is None:
--- a/src/oleanderdyke/kernel/returns.py
+++ b/src/oleanderdyke/kernel/returns.py
@@ -45,6 +45,10 @@
             self._lapse_until = now + _LAPSE
         self._read_at = read_at if last is None else max(read_at, last)
 
+    def note_restored(self, now: Millis) -> None:
+        """Learn that the list comes from a copy and may lack live servers."""
+        self._lapse_until = now + _LAPSE
+
     def is_lapsing(self, now: Millis) -> bool:
         """Tell whether entries may lack only because the store was away."""
         return now < self._lapse_until
--- /dev/null
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -0,0 +1,124 @@
+"""Decide which backend servers must not get a request now, whatever it costs.
+
+The same checks run when a server is chosen and again when the request is sent:
+opening a connection takes time, in which a limit may come into force.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.cold_starts import ColdLimit, find_interval
+from oleanderdyke.kernel.evacuations import Evacuations
+from oleanderdyke.kernel.servers import ServerStart
+
+
+class Obstacle(enum.StrEnum):
+    """Why no backend server may get a request."""
+
+    UNLISTED = 'no server listed'
+    OUTDATED = 'the weights of all servers were replaced too long ago'
+    EVACUATED = 'every data centre with servers is being evacuated'
+    FOREIGN = 'no server is in a region where the request may run'
+    COLD = 'all servers have just started and take few requests'
+
+
+class EntryView(Protocol):
+    """What this entry knows of all entries."""
+
+    def count(self, now: Millis) -> float:
+        """Return how many may be alive; never an underestimate."""
+
+    def list_known(self) -> Collection[str]:
+        """Return the names of those known to be alive."""
+
+
+@dataclass
+class SendLimits:
+    """Limits on what this entry sends, by data centre and by server.
+
+    `regions` gives the region of each data centre, `cold` the limit of each
+    service whose servers start cold.
+    """
+
+    entry: str
+    entries: EntryView
+    regions: Mapping[str, str] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
+    cold: Mapping[str, ColdLimit] = field(default_factory=dict)
+
+    def find_blocked(
+        self, backends: Iterable[Backend], homes: Collection[str], now: Millis
+    ) -> dict[ServerStart, Obstacle]:
+        """Return the servers that must not get a request now, and why.
+
+        `homes` are the regions where it may run; none means all.
+        """
+        found = {
+            backend.record.start: self.find_obstacle(backend, homes, now)
+            for backend in backends
+        }
+        return {start: why for start, why in found.items() if why is not None}
+
+    def find_obstacle(
+        self, backend: Backend, homes: Collection[str], now: Millis
+    ) -> Obstacle | None:
+        """Return why a server must not get a request now, if it must not."""
+        data_centre = backend.record.data_centre
+        if data_centre in self.evacuations.active:
+            return Obstacle.EVACUATED
+        if not self.is_home(data_centre, homes):
+            return Obstacle.FOREIGN
+        if self._is_used_up(backend, now):
+            return Obstacle.COLD
+        return None
+
+    def is_home(self, data_centre: str, homes: Collection[str]) -> bool:
+        """Return whether a data centre lies in one of some regions.
+
+        One whose region is not known lies in none.
+        """
+        return not homes or self.regions.get(data_centre) in homes
+
+    def list_homes(self, homes: Collection[str]) -> frozenset[str]:
+        """Return the data centres that lie in some regions."""
+        return frozenset(
+            data_centre
+            for data_centre, region in self.regions.items()
+            if region in homes
+        )
+
+    def is_cold(self, backend: Backend, now: Millis) -> bool:
+        """Return whether a server may have become cold lately.
+
+        Servers may restart unseen during an evacuation of their data centre.
+        """
+        limit = self.cold.get(backend.record.service)
+        if limit is None:
+            return False
+        ended = self.evacuations.find_ended(backend.record.data_centre)
+        return now < max(backend.cold_until, ended + limit.lasts)
+
+    def note_sent(self, backend: Backend, now: Millis) -> None:
+        """Record that a request is sent to a server, or is about to be."""
+        backend.sent_at = now
+
+    def _is_used_up(self, backend: Backend, now: Millis) -> bool:
+        """Return whether this entry's share of a cold server is used up."""
+        limit = self.cold.get(backend.record.service)
+        if limit is None or not self.is_cold(backend, now):
+            return False
+        interval = find_interval(
+            limit,
+            backend.record.server,
+            entry=self.entry,
+            known=self.entries.list_known(),
+            count=self.entries.count(now),
+        )
+        return math.isinf(interval) or now - backend.sent_at < interval
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -27,7 +27,8 @@
     """Hold what one start of a backend server last told about itself.
 
     `versions` gives the version of the weights that it holds of each model.
-    `beat` counts what this start has written to the list.
+    `beat` counts what this start has written to the list. It is `cold` for so
+    long after it wrote this.
     """
 
     server: str
@@ -39,6 +40,7 @@
     versions: Mapping[str, int] = field(default_factory=dict)
     beat: int = 0
     born: int | None = None
+    cold: Millis = 0.0
 
     @property
     def start(self) -> ServerStart:
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -29,6 +29,7 @@
 
     The answer comes with the first record, after `wait`, or as soon as what
     is known gets older than `limit`. `is_urgent` asks for a read right now.
+    `start` is an offset of `era`, None while no era is known.
     """
 
     number: int
@@ -37,11 +38,12 @@
     wait: Millis
     limit: Millis
     is_urgent: bool = False
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class NewsAnswer:
-    """Tell records; `age` ago no others followed them.
+    """Tell records of `era`; `age` ago no others followed them.
 
     `is_complete` tells that all that were known then are here.
     """
@@ -52,6 +54,7 @@
     age: Millis = 0.0
     records: tuple[bytes, ...] = ()
     is_complete: bool = True
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/links/news_desk.py
+++ b/src/oleanderdyke/links/news_desk.py
@@ -105,10 +105,16 @@
         start: int,
         records: Iterable[bytes],
         known_at: Millis | None,
+        *,
+        era: int | None = None,
     ) -> None:
         """Keep what was read of a topic."""
         self._records[topic].note(
-            start, tuple(records), known_at=known_at, now=self._clock.now()
+            start,
+            tuple(records),
+            known_at=known_at,
+            now=self._clock.now(),
+            era=era,
         )
         self._wake()
 
@@ -163,7 +169,8 @@
                 break
             await self._wait_change(left)
         records = tail.find(asked.start)
-        if records is None or known_at is None:
+        is_other = asked.era is not None and asked.era != tail.era
+        if records is None or known_at is None or is_other:
             return NewsAnswer(asked.number, NewsOutcome.DROPPED)
         return NewsAnswer(
             asked.number,
@@ -172,6 +179,7 @@
             age=age,
             records=records,
             is_complete=asked.start + len(records) >= tail.end,
+            era=tail.era,
         )
 
     async def _tell_events(
--- a/src/oleanderdyke/links/news_reader.py
+++ b/src/oleanderdyke/links/news_reader.py
@@ -45,12 +45,13 @@
     """Hold records that a neighbour read.
 
     `waited` after they were asked for no others followed them; it is negative
-    where that was known only before.
+    where that was known only before. Their offsets hold for `era`.
     """
 
     records: tuple[bytes, ...]
     waited: Millis
     is_complete: bool
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +159,7 @@
         topic: str,
         start: int,
         *,
+        era: int | None = None,
         wait: Millis,
         limit: Millis,
         is_urgent: bool = False,
@@ -167,13 +169,14 @@
         if reader is None:
             return None
         request = NewsRequest(
-            next(self._numbers), topic, start, wait, limit, is_urgent
+            next(self._numbers), topic, start, wait, limit, is_urgent, era
         )
         asked_at = self._clock.now()
         answer = await self._ask(reader, request, request.number, wait)
         if not isinstance(answer, NewsAnswer):
             return None
-        if answer.outcome is NewsOutcome.DROPPED:
+        is_other = era is not None and answer.era != era
+        if is_other or answer.outcome is NewsOutcome.DROPPED:
             return None
         if answer.outcome is NewsOutcome.UNREAD:
             self._pass_over(reader.name, f'does not read {topic}')
@@ -187,6 +190,7 @@
             answer.records,
             waited=held - max(answer.age, 0.0),
             is_complete=answer.is_complete,
+            era=answer.era,
         )
 
     async def ask_events(
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from oleanderdyke.clock import HOUR, Millis, make_clock
+from oleanderdyke.clock import HOUR, SECOND, Millis, make_clock
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.kernel.deployment import (
     CallerLimits,
@@ -144,9 +144,17 @@
         is_resumable=(
             kind is CallKind.STREAM and bool(found.get('resumable', False))
         ),
+        homes=_read_homes(found),
     )
 
 
+def _read_homes(found: Mapping[str, Any]) -> frozenset[str]:
+    homes = found.get('allowedRegions') or ()
+    if isinstance(homes, str):
+        raise FieldError('allowedRegions: is no list')
+    return frozenset(map(str, homes))
+
+
 def _make_shares(found: Mapping[str, Any]) -> tuple[Share, ...]:
     split = found.get('trafficSplit') or ()
     if split:
@@ -160,6 +168,8 @@
     engine = found.get('engine')
     return ServiceTraits(
         name=str(found['name']),
+        cold_lasts=float(found.get('coldStartS') or 0.0) * SECOND,
+        cold_rate=float(found.get('coldPerS') or 0.0),
         engine=_make_engine(engine) if engine else None,
         store=_make_store(found) if found.get('kvStoreAddr') else None,
     )
@@ -199,6 +209,7 @@
             team=str(team['name']),
             is_isolated=bool(team.get('isolated', False)),
             priority=None if priority is None else int(priority),
+            homes=_read_homes(team),
         )
         for key in team.get('apiKeys', ()):
             yield str(key), owner
@@ -219,7 +230,6 @@
     Who leaves one out, or writes another type, is no backend server.
     """
     read_text(found, 'version')
-    read_number(found, 'coldRemainingMs')
     return ServerRecord(
         server=server,
         service=read_text(found, 'service'),
@@ -231,6 +241,7 @@
         # The wire's `seq` counts what this start of a server has written.
         beat=read_integer(found, 'seq'),
         born=decode_born(found),
+        cold=read_number(found, 'coldRemainingMs'),
     )
 
 
--- a/src/oleanderdyke/platform/entries.py
+++ b/src/oleanderdyke/platform/entries.py
@@ -7,7 +7,11 @@
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.feed import Refuse, tell_refused
-from oleanderdyke.platform.store import RecordsExpired, StoreClient
+from oleanderdyke.platform.store import (
+    RecordsExpired,
+    StoreClient,
+    StoreRestored,
+)
 
 # Names of processes are a few words long.
 _MOST_NAME = 255
@@ -27,6 +31,8 @@
         self._client = client
         self._refuse = refuse
         self._position = 0
+        # Whether the last read found that notices have to be told again.
+        self.was_restored = False
 
     async def tell(self, entry: Neighbour) -> None:
         """Tell that an entry is alive; raise StoreUnavailable."""
@@ -39,12 +45,14 @@
 
         One that takes no links has no address. Raise StoreUnavailable.
         """
+        self.was_restored = False
         try:
             records = await self._client.read_plain(
                 names.ENTRY_TOPIC, self._position
             )
         except RecordsExpired as error:
             self._position = error.first or 0
+            self.was_restored = isinstance(error, StoreRestored)
             return None
         self._position += len(records)
         return self._decode(records)
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -18,7 +18,11 @@
     decode_version,
 )
 from oleanderdyke.platform.records import KeyedPage, KeyedRecord
-from oleanderdyke.platform.store import RecordsExpired, StoreClient
+from oleanderdyke.platform.store import (
+    RecordsExpired,
+    StoreClient,
+    StoreRestored,
+)
 
 # Gets the key of a record that can't be read, and why; the record is left out.
 Refuse: TypeAlias = Callable[[str, MalformedRecord], None]
@@ -32,17 +36,29 @@
 FoundT = TypeVar('FoundT')
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationOrder:
+    """Whether a data centre is being evacuated."""
+
+    data_centre: str
+    is_active: bool
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorNews:
     """Hold what operators have written; it is decoded as it is listed.
 
     `is_complete` tells that nothing more was written when it was asked for,
-    nor for `waited` after that.
+    nor for `waited` after that. `is_whole` tells that the newest record of
+    every key is among them, `is_restored` that they follow a restore of the
+    store, which may lack what was written last.
     """
 
     records: tuple[KeyedRecord, ...]
     refuse: Refuse
     is_complete: bool = True
+    is_whole: bool = False
+    is_restored: bool = False
     waited: Millis = 0.0
 
     def list_configurations(self) -> Iterator[Deployment]:
@@ -55,6 +71,17 @@
         records = [each for each in self.records if _is_version(each)]
         yield from _decode(records, _read_version, self.refuse).found
 
+    def list_evacuations(self) -> Iterator[EvacuationOrder]:
+        """Yield the data centres whose evacuation begins or ends.
+
+        The key alone is the order, so that one whose value can't be read
+        still counts.
+        """
+        for record in self.records:
+            if _is_evacuation(record):
+                name = record.key.removeprefix(names.EVACUATION_KEY_PREFIX)
+                yield EvacuationOrder(name, is_active=not record.is_dropped)
+
 
 @dataclass(frozen=True, slots=True)
 class ServerNews:
@@ -62,7 +89,8 @@
 
     `is_whole` tells that `listed` has every server, not just changed ones.
     `unread` are keys whose newest record can't be read. Nothing else was
-    written until `waited` after it was asked for.
+    written until `waited` after it was asked for. `is_restored` tells that the
+    store was restored before, and may lack servers that write again soon.
     """
 
     listed: list[ServerRecord]
@@ -70,6 +98,7 @@
     gone: list[str]
     is_whole: bool
     waited: Millis = 0.0
+    is_restored: bool = False
 
 
 class OperatorFeed:
@@ -84,13 +113,19 @@
 
         Raise StoreUnavailable.
         """
+        is_whole = not self._feed.has_begun
         page = await self._feed.read()
         if page is None:
             return None
         others = [each for each in page.records if not _is_known(each)]
         _decode(others, _refuse_key, self._refuse)
         return OperatorNews(
-            page.records, self._refuse, page.is_complete, page.waited
+            page.records,
+            self._refuse,
+            is_complete=page.is_complete,
+            is_whole=is_whole,
+            is_restored=self._feed.was_restored,
+            waited=page.waited,
         )
 
 
@@ -117,6 +152,7 @@
             gone=[each.key for each in page.records if each.is_dropped],
             is_whole=is_whole,
             waited=page.waited,
+            is_restored=self._feed.was_restored,
         )
 
 
@@ -127,7 +163,10 @@
 
     Raise StoreUnavailable.
     """
-    page = await client.list_newest(names.SERVER_TOPIC)
+    try:
+        page = await client.list_newest(names.SERVER_TOPIC)
+    except StoreRestored:
+        page = await client.list_newest(names.SERVER_TOPIC)
     return _decode(page.records, decode_server, refuse).found
 
 
@@ -138,26 +177,31 @@
         self._client = client
         self._topic = topic
         self._position: int | None = None
+        # Whether the last page is the first since the store was restored.
+        self.was_restored = False
+        self._is_void = False
 
     @property
     def has_begun(self) -> bool:
         return self._position is not None
 
     async def read(self) -> KeyedPage | None:
-        if self._position is None:
-            page = await self._client.list_newest(self._topic)
-        else:
-            try:
-                page = await self._client.read_keyed(
-                    self._topic, self._position
-                )
-            except RecordsExpired:
-                # What is gone may have held a change: begin with the newest.
-                self._position = None
-                return None
+        try:
+            page = await self._read_page()
+        except RecordsExpired as error:
+            # What is gone may have held a change: begin with the newest.
+            self._position = None
+            self._is_void = self._is_void or isinstance(error, StoreRestored)
+            return None
         self._position = page.end
+        self.was_restored, self._is_void = self._is_void, False
         return page
 
+    async def _read_page(self) -> KeyedPage:
+        if self._position is None:
+            return await self._client.list_newest(self._topic)
+        return await self._client.read_keyed(self._topic, self._position)
+
 
 @dataclass(frozen=True, slots=True)
 class _Decoded(Generic[FoundT]):
@@ -216,8 +260,17 @@
     return record.key.startswith(names.VERSION_KEY_PREFIX)
 
 
+def _is_evacuation(record: KeyedRecord) -> bool:
+    prefix = names.EVACUATION_KEY_PREFIX
+    return record.key.startswith(prefix) and record.key != prefix
+
+
 def _is_known(record: KeyedRecord) -> bool:
-    return _is_configuration(record) or _is_version(record)
+    return (
+        _is_configuration(record)
+        or _is_version(record)
+        or _is_evacuation(record)
+    )
 
 
 def _read_configuration(_: str, data: bytes) -> Deployment:
--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -17,10 +17,16 @@
     read_number,
     read_text,
 )
-from oleanderdyke.platform.store import RecordsExpired, StoreClient
+from oleanderdyke.platform.store import (
+    RecordsExpired,
+    StoreClient,
+    StoreRestored,
+)
 
 # Names of processes and of servers' starts are some tens of letters long.
 _MOST_NAME = 256
+# More than the store keeps in one era: each agent takes a few.
+_FENCES_OF_AN_ERA = 2**32
 
 
 class LoadFeed:
@@ -34,15 +40,18 @@
         self._refuse = refuse
         self._position = 0
 
-    async def read(self) -> tuple[LoadNotice, ...]:
+    async def read(self) -> tuple[LoadNotice, ...] | None:
         """Return the next notices, waiting for some.
 
-        Raise StoreUnavailable.
+        None where all that were read before are void. Raise StoreUnavailable.
         """
         try:
             records = await self._client.read_plain(
                 names.LOAD_TOPIC, self._position
             )
+        except StoreRestored:
+            self._position = 0
+            return None
         except RecordsExpired as error:
             self._position = error.first or 0
             return ()
@@ -64,8 +73,9 @@
 
 async def append_fence(client: StoreClient, process: str) -> int:
     """Return a fence above all before it; raise StoreUnavailable."""
-    offset = await client.append(names.FENCE_TOPIC, process.encode())
-    return offset + 1
+    appended = await client.append(names.FENCE_TOPIC, process.encode())
+    # Offsets are given out again after a restore, and fences must rise.
+    return appended.era * _FENCES_OF_AN_ERA + appended.offset + 1
 
 
 async def append_notice(client: StoreClient, notice: LoadNotice) -> None:
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -25,6 +25,8 @@
 CONTEXT_SINK = 'oleanderdyke-kv-sink'
 CONTEXT_UNTIL = 'oleanderdyke-kv-until'
 
+STORE_ERA = 'store-era'
+
 SEAL = 'oleanderdyke-response-seal'
 NOT_RUN = 'oleanderdyke-not-executed'
 INSTANCE = 'oleanderdyke-instance-id'
@@ -62,6 +64,7 @@
 SERVER_TOPIC = 'keyed.servers'
 CONFIGURATION_KEY = 'config'
 VERSION_KEY_PREFIX = 'version/'
+EVACUATION_KEY_PREFIX = 'evacuate/'
 # A topic of ours: an agent appends to it at its start, for its fence.
 FENCE_TOPIC = 'oleander-fences'
 # A topic of ours: agents tell there who takes new weights.
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from oleanderdyke.clock import SECOND, Millis
@@ -12,6 +12,7 @@
 from oleanderdyke.platform.names import SETTINGS_VARIABLE
 
 _DEFAULT_PATH = '/etc/oleanderdyke/boot.conf'
+_REGION_PREFIX = 'zones.'
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +26,9 @@
     `source` is the file that they were read from. `retry_share` and
     `retry_slack` bound what all entries together may send again to a service.
     `version_limit` is how long after newer weights were named older ones may
-    still begin requests.
+    still begin requests. `regions` gives the region of each data centre.
+    A cold server tolerates its service's rate times `cold_share` and
+    `cold_slack` requests more in a second.
     """
 
     process: str
@@ -42,6 +45,9 @@
     retry_share: float = 0.2
     retry_slack: float = 50.0
     version_limit: Millis = math.inf
+    regions: Mapping[str, str] = field(default_factory=dict)
+    cold_share: float = 1.0
+    cold_slack: float = 0.0
 
 
 def find_host_settings(
@@ -80,6 +86,9 @@
         retry_share=reader.number('bounds.retryBudgetRatio', 0.2),
         retry_slack=reader.number('bounds.retrySlack', 50.0),
         version_limit=reader.number('bounds.versionMs', math.inf),
+        regions=reader.find_regions(),
+        cold_share=reader.number('bounds.coldOverage', 1.0),
+        cold_slack=reader.number('bounds.coldSlack', 0.0),
     )
     if faults:
         raise SettingsError(tuple(faults))
@@ -108,6 +117,16 @@
         ip = self._fields.get('ip', '')
         return f'{ip}:{first.strip()}' if ip and first.strip().isdigit() else ''
 
+    def find_regions(self) -> dict[str, str]:
+        """Return the region of each data centre that is told."""
+        found = {
+            name.removeprefix(_REGION_PREFIX): region
+            for name, region in self._fields.items()
+            if name.startswith(_REGION_PREFIX)
+        }
+        own, region = self._fields.get('zone'), self._fields.get('region')
+        return {own: region, **found} if own and region else found
+
     def number(self, name: str, default: float) -> float:
         found = self._fields.get(name, '')
         if not found:
--- a/src/oleanderdyke/platform/sharing.py
+++ b/src/oleanderdyke/platform/sharing.py
@@ -34,11 +34,14 @@
         self._limit = limit
         self._is_urgent = is_urgent
 
-    async def ask(self, topic: str, start: int) -> RecordsRead | None:
+    async def ask(
+        self, topic: str, start: int, era: int | None
+    ) -> RecordsRead | None:
         """Return what a neighbour read, None to read for oneself."""
         found = await self._reader.ask_records(
             topic,
             start,
+            era=era,
             wait=self._wait,
             limit=self._limit,
             is_urgent=self._is_urgent(),
@@ -46,12 +49,14 @@
         if found is None:
             return None
         end = start + len(found.records) + (not found.is_complete)
-        return RecordsRead(found.records, end, found.waited)
+        return RecordsRead(found.records, end, found.waited, found.era)
 
-    async def ask_other(self, topic: str, start: int) -> RecordsRead | None:
+    async def ask_other(
+        self, topic: str, start: int, era: int | None
+    ) -> RecordsRead | None:
         """Return the same where this process can't read for itself."""
         self._reader.neighbours.note_unable(self._clock.now())
-        return await self.ask(topic, start)
+        return await self.ask(topic, start, era)
 
     def keep(
         self, topic: str, start: int, found: RecordsRead, asked_at: Millis
@@ -62,4 +67,6 @@
             return
         is_whole = start + len(found.records) >= found.end
         known_at = asked_at + found.waited if is_whole else None
-        self._desk.keep_records(topic, start, found.records, known_at)
+        self._desk.keep_records(
+            topic, start, found.records, known_at, era=found.era
+        )
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -12,9 +12,11 @@
 
 from oleanderdyke.clients.http import HttpError
 from oleanderdyke.clients.kept import KeptHttp, KeptSettings
-from oleanderdyke.clients.whole import read_whole
+from oleanderdyke.clients.whole import read_answer
 from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.links.messages import Headers
+from oleanderdyke.platform.eras import EraFault, StoreEra
 from oleanderdyke.platform.fields import MALFORMED, load_object, read_integer
 from oleanderdyke.platform.records import (
     CutShort,
@@ -36,6 +38,9 @@
 _OK = 200
 _EXPIRED = 410
 _NOT_FOUND = 404
+# Answers of the store itself, which tell its era; others may be of whatever
+# turns a process away before it.
+_JUDGED = frozenset({_OK, _EXPIRED, _NOT_FOUND})
 _ENDS = struct.Struct('>QQ')
 
 
@@ -57,26 +62,46 @@
         self.first = first
 
 
+class StoreRestored(RecordsExpired):
+    """The store came back from a copy: offsets that it gave before are void."""
+
+
 @dataclass(frozen=True, slots=True)
 class RecordsRead:
     """Hold records as they were read; `end` is where their topic ended.
 
     For `waited` after they were asked for there surely were no others; it is
-    negative where a neighbour had read them before.
+    negative where a neighbour had read them before. Offsets hold for `era`.
     """
 
     records: Sequence[bytes]
     end: int
     waited: Millis = 0.0
+    era: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Where a record was appended; an offset is unique within its era."""
+
+    offset: int
+    era: int
 
 
 class Sharing(Protocol):
     """Read topics together with the neighbours of this process."""
 
-    async def ask(self, topic: str, start: int) -> RecordsRead | None:
-        """Return what a neighbour read, None to read for oneself."""
+    async def ask(
+        self, topic: str, start: int, era: int | None
+    ) -> RecordsRead | None:
+        """Return what a neighbour read, None to read for oneself.
 
-    async def ask_other(self, topic: str, start: int) -> RecordsRead | None:
+        Records of another era than the one given are left out.
+        """
+
+    async def ask_other(
+        self, topic: str, start: int, era: int | None
+    ) -> RecordsRead | None:
         """Return the same where this process can't read for itself."""
 
     def keep(
@@ -103,6 +128,9 @@
         self._sharing = sharing
         # Whether a neighbour made the last read.
         self.was_shared = False
+        self._era = StoreEra()
+        # The era in which the positions hold that reads go on from.
+        self._read_era: int | None = None
         self._bound = wait + _PATIENCE
         settings = KeptSettings(
             connections=1,
@@ -114,15 +142,17 @@
         self._http = KeptHttp(address, settings)
 
     async def list_newest(self, topic: str) -> KeyedPage:
-        """Return the newest record of each key; raise StoreUnavailable.
+        """Return the newest record of each key.
 
         They are in the order in which they were written. Pages are no
-        snapshot: reading on goes from the end of the first.
+        snapshot: reading on goes from the end of the first. Raise
+        StoreUnavailable or StoreRestored.
         """
         items: list[Any] = []
         end, after, is_last = None, '', False
         while not is_last:
             found, page = await self._list_page(topic, after)
+            self._check_restored(self._era.highest)
             items += found
             end = _read_offset(page, 'end') if end is None else end
             before, after = after, find_last_key(found)
@@ -157,30 +187,39 @@
         self.was_shared = False
         if sharing is None:
             return await self._read_waiting(topic, start)
-        found = await sharing.ask(topic, start)
+        found = await sharing.ask(topic, start, self._read_era)
         if found is None:
             asked_at = self._clock.now()
             try:
                 found = await self._read_waiting(topic, start)
             except StoreUnavailable:
-                found = await sharing.ask_other(topic, start)
+                found = await sharing.ask_other(topic, start, self._read_era)
                 if found is None:
                     raise
             else:
                 sharing.keep(topic, start, found, asked_at)
                 return found
+        self._era.adopt(found.era)
+        self._check_restored(found.era)
         self.was_shared = True
         return found
 
+    def _check_restored(self, era: int | None) -> None:
+        """Raise StoreRestored at the first read of a new era."""
+        before, self._read_era = self._read_era, era
+        if before is not None and before != era:
+            raise StoreRestored
+
     async def _read_waiting(self, topic: str, start: int) -> RecordsRead:
         """Read from the store, and tell for how long nothing else came."""
         asked_at = anyio.current_time()
         records, end = await self._read_once(topic, start)
+        self._check_restored(self._era.highest)
         # What comes before the wait is over tells nothing of the rest of it:
         # counted as waited, it made news up to the whole wait too young.
         is_early = anyio.current_time() - asked_at < self._wait / SECOND
         waited = 0.0 if records or is_early else self._wait
-        return RecordsRead(records, end, waited)
+        return RecordsRead(records, end, waited, self._read_era)
 
     async def _read_once(
         self, topic: str, start: int
@@ -195,6 +234,7 @@
         }
         status, data = await self._call('GET', '/api/log-read', query)
         if status == _EXPIRED:
+            self._check_restored(self._era.highest)
             raise RecordsExpired(_read_offset(_load(data), 'first'))
         if status == _NOT_FOUND and not start:
             # A topic comes to be with its first record. What is appended
@@ -203,24 +243,30 @@
             return [], 1
         _check(status)
         if len(data) < _ENDS.size:
-            raise StoreUnavailable('a read has no ends')
+            raise StoreUnavailable(
+                f'log read of {topic!r}: the answer has no end offset'
+            )
         # Then the oldest offset that is kept, and the records.
         end, _ = _ENDS.unpack_from(data)
         if end < start:
+            self._check_restored(self._era.highest)
             raise RecordsExpired
         try:
             return list(split_records(data[_ENDS.size :])), end
         except CutShort as error:
-            raise StoreUnavailable('a record is cut short') from error
+            raise StoreUnavailable(
+                f'log read of {topic!r}: a record is cut short'
+            ) from error
 
-    async def append(self, topic: str, record: bytes) -> int:
-        """Append one record and return its offset; raise StoreUnavailable."""
+    async def append(self, topic: str, record: bytes) -> Appended:
+        """Append one record; raise StoreUnavailable."""
         query = {'topic': topic, 'part': _PARTITION}
         status, data = await self._call(
             'POST', '/api/log-append', query, join_record(record)
         )
         _check(status)
-        return _read_offset(_load(data), 'offset')
+        offset = _read_offset(_load(data), 'offset')
+        return Appended(offset, self._era.highest or 0)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -246,7 +292,7 @@
     ) -> tuple[int, bytes]:
         target = f'{path}?{urlencode(query)}'
         try:
-            return await read_whole(
+            found = await read_answer(
                 self._http,
                 method,
                 target,
@@ -256,6 +302,15 @@
             )
         except HttpError as error:
             raise StoreUnavailable(error.message, ran=error.ran) from error
+        if found.status in _JUDGED:
+            self._take_era(path, found.headers)
+        return found.status, found.body
+
+    def _take_era(self, path: str, headers: Headers) -> None:
+        try:
+            self._era.take(headers)
+        except EraFault as error:
+            raise StoreUnavailable(f'{path}: {error}') from error
 
 
 def _check(status: int) -> None:
--- a/tests/standins/records.py
+++ b/tests/standins/records.py
@@ -5,7 +5,7 @@
 import base64
 import json
 import struct
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -58,6 +58,10 @@
         self.first = self.end
         self.records.clear()
 
+    def copy(self) -> Topic:
+        """Return a copy that later records don't change."""
+        return Topic(self.first, list(self.records), dict(self.newest))
+
 
 class RecordStore(web.StandIn[RecordFaults]):
     """Append and read records of topics."""
@@ -68,6 +72,9 @@
         self.calls: list[str] = []
         # How many records a read gives at most.
         self.most = 1_000
+        # The text of the era in each answer, none where it is empty.
+        self.era = ''
+        self._copy: dict[str, Topic] = {}
         self._lose = 0
 
     def note_faults(self) -> None:
@@ -86,8 +93,26 @@
         """Drop a key."""
         self.find(topic).put(key, b'')
 
+    def back_up(self) -> None:
+        """Make the copy that a restore goes back to."""
+        self._copy = {name: each.copy() for name, each in self.topics.items()}
+
+    def restore(self) -> None:
+        """Come back from the copy; offsets after it are given out again."""
+        before = tuple(self.topics.values())
+        self.topics = {name: each.copy() for name, each in self._copy.items()}
+        self.era = str(int(self.era or 0) + 1)
+        for topic in before:
+            topic.changed.set()
+
     async def answer(self, request: web.Request) -> web.Answer:
-        """Answer one call."""
+        """Answer one call, and tell the era."""
+        found = await self._answer_call(request)
+        if not self.era:
+            return found
+        return replace(found, headers=(*found.headers, ('store-era', self.era)))
+
+    async def _answer_call(self, request: web.Request) -> web.Answer:
         self.calls.append(request.path)
         topic = self.find(request.query['topic'])
         match request.path:
@@ -119,7 +144,7 @@
 
 async def _read(topic: Topic, request: web.Request, most: int) -> web.Answer:
     start = int(request.query['from'])
-    if start < topic.first:
+    if start < topic.first or start > topic.end:
         return web.answer_json({'first': topic.first}, 410)
     if start >= topic.end:
         await request.body()
--- a/tests/standins/web.py
+++ b/tests/standins/web.py
@@ -85,6 +85,7 @@
     body: bytes | AsyncGenerator[bytes, None] = b''
     content_type: str = 'application/json'
     watched: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 def find_request_id(request: Request) -> str:
@@ -188,6 +189,7 @@
 
 async def _send_answer(answer: Answer, request: Request, send: Send) -> None:
     headers = [(b'content-type', answer.content_type.encode())]
+    headers += [(name.encode(), text.encode()) for name, text in answer.headers]
     body = answer.body
     if isinstance(body, bytes):
         headers.append((b'content-length', str(len(body)).encode()))
--- /dev/null
+++ b/tests/test_hosted_limits.py
@@ -0,0 +1,188 @@
+"""Evacuated data centres, homes and cold servers, as an entry meets them."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.kernel.cold_starts import ColdLimit
+from tests.hosted import (
+    CONFIGURATION,
+    KEY,
+    OPERATOR,
+    SERVERS,
+    Stage,
+    make_record,
+    staging,
+)
+
+pytestmark = pytest.mark.anyio
+EVACUATION = 'evacuate/hall'
+ANSWERED, REFUSED = 200, 503
+
+
+async def answer(peer) -> None:
+    await peer.answer()
+
+
+async def wait_until(condition) -> None:
+    with anyio.fail_after(5):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def evacuate(stage: Stage, value: object = None) -> None:
+    stage.store.put(OPERATOR, EVACUATION, {} if value is None else value)
+    evacuations = stage.core.limits.evacuations
+    await wait_until(lambda: 'hall' in evacuations.active)
+
+
+def count_received(stage: Stage) -> list[int]:
+    return [len(replica.received) for replica in stage.replicas]
+
+
+def move(stage: Stage, number: int, data_centre: str) -> None:
+    """List a server in another data centre."""
+    backend = stage.core.book.find(f'i-{number}')
+    record = make_record(backend.record.address, zone=data_centre, seq=2)
+    stage.store.put(SERVERS, f'i-{number}', record)
+
+
+async def test_an_evacuation_keeps_requests_in_other_data_centres(tmp_path):
+    async with staging(tmp_path, answer, answer) as stage:
+        move(stage, 1, 'yard')
+        book = stage.core.book
+        await wait_until(lambda: book.find('i-1').record.data_centre == 'yard')
+        await evacuate(stage)
+        for _ in range(4):
+            found = await stage.call('/safe/x')
+            assert found.status == ANSWERED
+        assert count_received(stage) == [0, 4]
+
+
+async def test_a_call_that_no_data_centre_may_take_is_refused_at_once(tmp_path):
+    async with staging(tmp_path, answer) as stage:
+        await evacuate(stage)
+        with anyio.fail_after(0.5):
+            found = await stage.call('/once/x')
+        assert found.status == REFUSED
+        assert float(found.headers['retry-after']) > 0
+        assert count_received(stage) == [0]
+
+
+async def test_an_evacuation_that_is_taken_back_ends(tmp_path):
+    async with staging(tmp_path, answer) as stage:
+        await evacuate(stage)
+        stage.store.drop(OPERATOR, EVACUATION)
+        evacuations = stage.core.limits.evacuations
+        await wait_until(lambda: not evacuations.active)
+        assert (await stage.call('/once/x')).status == ANSWERED
+
+
+async def test_an_order_whose_value_cannot_be_read_counts(tmp_path):
+    async with staging(tmp_path, answer) as stage:
+        await evacuate(stage, value='no object')
+        assert (await stage.call('/once/x')).status == REFUSED
+
+
+async def test_a_history_that_is_forgotten_ends_no_evacuation(tmp_path):
+    async with staging(tmp_path, answer) as stage:
+        await evacuate(stage)
+        stage.store.find(OPERATOR).forget()
+        stage.store.put(OPERATOR, 'config', {**CONFIGURATION, 'version': 9})
+        await wait_until(lambda: stage.core.deployment.version == 9)
+        assert stage.core.limits.evacuations.active == {'hall'}
+
+
+async def test_an_end_in_forgotten_history_is_found_in_the_listing(tmp_path):
+    async with staging(tmp_path, answer) as stage:
+        await evacuate(stage)
+        topic = stage.store.find(OPERATOR)
+        del topic.newest[EVACUATION]
+        topic.records.extend([b'\x01x'] * 5)
+        topic.forget()
+        evacuations = stage.core.limits.evacuations
+        await wait_until(lambda: not evacuations.active)
+
+
+async def test_an_entry_that_starts_knows_of_an_evacuation(tmp_path):
+    async with staging(tmp_path, answer) as first:
+        first.store.put(OPERATOR, EVACUATION, {})
+        store = first.store
+        path = tmp_path / 'second'
+        path.mkdir()
+        async with staging(path, answer, store=store) as second:
+            assert second.core.limits.evacuations.active == {'hall'}
+            assert (await second.call('/once/x')).status == REFUSED
+            assert count_received(second) == [0]
+
+
+async def test_an_evacuation_counts_while_a_connection_is_opened(tmp_path):
+    async with staging(tmp_path, answer) as stage:
+        core = stage.core
+        opened = core.pool.open
+
+        async def open_late(address):
+            connection = await opened(address)
+            core.limits.evacuations.begin('hall')
+            return connection
+
+        core.pool.open = open_late
+        assert (await stage.call('/once/x')).status == REFUSED
+        assert count_received(stage) == [0]
+
+
+async def test_a_route_with_homes_reaches_no_other_region(tmp_path):
+    routes = [
+        {**route, 'allowedRegions': ['south']}
+        for route in CONFIGURATION['routes']
+    ]
+    configuration = {**CONFIGURATION, 'routes': routes}
+    async with staging(
+        tmp_path, answer, answer, configuration=configuration
+    ) as stage:
+        stage.core.limits.regions = {'hall': 'north', 'port': 'south'}
+        move(stage, 1, 'port')
+        book = stage.core.book
+        await wait_until(lambda: book.find('i-1').record.data_centre == 'port')
+        for _ in range(3):
+            assert (await stage.call('/safe/x')).status == ANSWERED
+        assert count_received(stage) == [0, 3]
+
+
+async def test_homes_of_a_route_and_of_a_team_both_bind(tmp_path):
+    routes = [
+        {**route, 'allowedRegions': ['south', 'north']}
+        for route in CONFIGURATION['routes']
+    ]
+    team = {'name': 'red', 'apiKeys': [KEY], 'allowedRegions': ['east']}
+    configuration = {**CONFIGURATION, 'routes': routes, 'tenants': [team]}
+    async with staging(tmp_path, answer, configuration=configuration) as stage:
+        stage.core.limits.regions = {'hall': 'north'}
+        assert (await stage.call('/safe/x')).status == REFUSED
+        assert count_received(stage) == [0]
+
+
+async def test_a_cold_server_gets_no_more_than_its_share(tmp_path):
+    service = {
+        **CONFIGURATION['services'][0],
+        'coldStartS': 3.0,
+        'coldPerS': 1.0,
+    }
+    configuration = {**CONFIGURATION, 'services': [service]}
+    async with staging(
+        tmp_path,
+        answer,
+        answer,
+        configuration=configuration,
+        coldRemainingMs=2_000,
+    ) as stage:
+        limit = ColdLimit(1.0, 3 * SECOND)
+        assert stage.core.limits.cold == {'desk': limit}
+        # One request a second is no whole share of any entry.
+        with anyio.fail_after(0.9):
+            found = await stage.call('/safe/x', oleanderdyke_deadline_ms='300')
+        assert found.status == REFUSED
+        await anyio.sleep(2)
+        assert (await stage.call('/safe/x')).status == ANSWERED
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -268,10 +268,10 @@
     store = RecordStore()
     async with server.serving(store) as (address,):
         client = StoreClient(address)
-        assert await client.append('ours', b'one') == 0
+        assert (await client.append('ours', b'one')).offset == 0
         store.faults = RecordFaults(lose_answers=1)
         store.note_faults()
-        offset = await client.append('ours', b'two')
+        offset = (await client.append('ours', b'two')).offset
         assert store.find('ours').records[offset] == b'two'
         await client.close()
 
