List the servers of a service once for each choice

A request listed them up to four times: for the weights that they hold, for what is blocked, and for the choice with and without servers that were tried. Each pass looks at every server of every service. No figure was taken; behaviour is unchanged, and so are the tests but for the signature of find_obstacle.

--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -9,6 +10,7 @@
 from oleanderdyke.entry.edge import Head
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.context_stores import ContextStores, Salt
 from oleanderdyke.kernel.deployment import Deployment, KeyOwner, Route, Share
 from oleanderdyke.kernel.named_weights import SEND_MARGIN
@@ -140,16 +142,18 @@
 
 
 def make_demand(
-    core: HostedCore, call: HostedCall, excluded: frozenset[ServerStart]
+    core: HostedCore,
+    call: HostedCall,
+    listed: Sequence[Backend],
+    excluded: frozenset[ServerStart],
 ) -> CallDemand:
-    """Describe a call for the choice of its backend server."""
+    """Describe a call for the choice of one of the listed servers."""
     model = call.asked.demand
     newest = (
         0 if model is None else core.rollout.weights.find_newest(model.model)
     )
     now, queue = core.clock.now(), core.rollout.queue
-    held = _list_held(core, call, now)
-    listed = core.book.list_service(call.service, now)
+    held = _list_held(call, listed)
     return CallDemand(
         service=call.service,
         data_centre=core.settings.data_centre,
@@ -168,15 +172,14 @@
 
 
 def _list_held(
-    core: HostedCore, call: HostedCall, now: Millis
+    call: HostedCall, listed: Iterable[Backend]
 ) -> frozenset[int | None]:
     """Return the versions that engines hold, None where one isn't told."""
     model = call.asked.demand
     if model is None:
         return frozenset()
     return frozenset(
-        backend.record.versions.get(model.model)
-        for backend in core.book.list_service(call.service, now)
+        backend.record.versions.get(model.model) for backend in listed
     )
 
 
--- a/src/oleanderdyke/entry/hosted/placing.py
+++ b/src/oleanderdyke/entry/hosted/placing.py
@@ -12,7 +12,7 @@
 from oleanderdyke.kernel.overload import find_wait, should_refuse
 from oleanderdyke.kernel.placement import (
     Choice,
-    choose_backend,
+    choose_among,
     find_obstacle,
 )
 from oleanderdyke.kernel.send_limits import Obstacle
@@ -63,14 +63,14 @@
         not sent back for the crowd that it would join.
         """
         now = self._core.clock.now()
-        demand = make_demand(self._core, self._call, tried)
-        choice = choose_backend(demand, self._core.book, now)
+        listed = self._core.book.list_service(self._call.service, now)
+        demand = make_demand(self._core, self._call, listed, tried)
+        choice = choose_among(demand, listed, now)
         if choice is None:
             demand = replace(demand, excluded=frozenset())
-            choice = choose_backend(demand, self._core.book, now)
+            choice = choose_among(demand, listed, now)
         if choice is None:
-            obstacle = find_obstacle(demand, self._core.book, now)
-            return self._wait_for_server(obstacle, now)
+            return self._wait_for_server(find_obstacle(demand, listed), now)
         if choice.is_loading and self._may_wait(now):
             return None
         if not tried and self._is_crowded(choice):
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from operator import itemgetter
 
@@ -108,9 +108,16 @@
     demand: CallDemand, book: BackendBook, now: Millis
 ) -> Choice | None:
     """Return the server with the least expected time to the first byte."""
+    return choose_among(demand, book.list_service(demand.service, now), now)
+
+
+def choose_among(
+    demand: CallDemand, backends: Iterable[Backend], now: Millis
+) -> Choice | None:
+    """Return the best of some servers, None where none may be used."""
     listed = [
         backend
-        for backend in book.list_service(demand.service, now)
+        for backend in backends
         if backend.record.start not in demand.excluded
         and backend.record.start not in demand.blocked
         and not _is_outdated(demand, backend)
@@ -139,15 +146,13 @@
     )
 
 
-def find_obstacle(
-    demand: CallDemand, book: BackendBook, now: Millis
-) -> Obstacle:
-    """Return why `choose_backend` finds no server, the most passing reason."""
+def find_obstacle(demand: CallDemand, backends: Iterable[Backend]) -> Obstacle:
+    """Return why none of some servers may be used, the most passing reason."""
     found = {
         Obstacle.OUTDATED
         if _is_outdated(demand, backend)
         else demand.blocked.get(backend.record.start, Obstacle.UNLISTED)
-        for backend in book.list_service(demand.service, now)
+        for backend in backends
     }
     return next((each for each in _MOST_PASSING if each in found), _NONE)
 
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -72,7 +72,7 @@
     demand = CallDemand(service='desk', data_centre='hall', blocked=blocked)
     choice = choose_backend(demand, book, now)
     if choice is None:
-        return find_obstacle(demand, book, now)
+        return find_obstacle(demand, listed)
     return choice.backend.record.server
 
 
