Find older weights and the turns of loads once for each choice

Both were found twice for each engine and request: whether it is on older weights for the share of those and for its own score, and whose turn it is for those that load and those that follow. What is chosen stays the same: the tests of both keep their assertions, with the new names.

--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -152,7 +152,8 @@
     newest = (
         0 if model is None else core.rollout.weights.find_newest(model.model)
     )
-    now, queue = core.clock.now(), core.rollout.queue
+    now = core.clock.now()
+    turns = core.rollout.queue.find_turns(now)
     held = _list_held(call, listed)
     return CallDemand(
         service=call.service,
@@ -165,8 +166,8 @@
         fetchable=_count_fetchable(core, call, held),
         blocked=core.limits.find_blocked(listed, call.homes, now),
         excluded=excluded,
-        loading=frozenset(queue.list_busy(now)),
-        draining=frozenset(queue.list_next(now)),
+        loading=frozenset(turns.busy),
+        draining=frozenset(turns.following),
         memory_tokens=_find_memory(core, call),
     )
 
--- a/src/oleanderdyke/kernel/load_queue.py
+++ b/src/oleanderdyke/kernel/load_queue.py
@@ -66,6 +66,17 @@
         return self.agent or self.server
 
 
+@dataclass(frozen=True, slots=True)
+class LoadTurns:
+    """Engines that take new weights now, and as many that follow."""
+
+    busy: tuple[str, ...] = ()
+    following: tuple[str, ...] = ()
+
+
+_NO_TURNS = LoadTurns()
+
+
 @dataclass(slots=True, eq=False)
 class _Place:
     """Hold one engine's place; `since` is when its turn came.
@@ -183,23 +194,21 @@
         """Return the engines that may take new weights now."""
         return tuple(place.server for place in self._list_turns(now))
 
-    def list_busy(self, now: Millis) -> tuple[str, ...]:
-        """Return the engines that likely take new weights now.
+    def find_turns(self, now: Millis) -> LoadTurns:
+        """Return the engines that likely take new weights now, and next.
 
         One that should be done may be tried: its agent may be cut off. If it
         still loads it refuses at once.
         """
-        return tuple(
-            place.server
-            for place in self._list_turns(now)
-            if not self._is_overdue(place, now)
-        )
-
-    def list_next(self, now: Millis) -> tuple[str, ...]:
-        """Return the engines that take new weights after those."""
+        if not self._places:
+            return _NO_TURNS
         turns = self._list_turns(now)
+        busy = [each for each in turns if not self._is_overdue(each, now)]
         waiting = [each for each in self._list_able() if each not in turns]
-        return tuple(each.server for each in waiting[: len(turns)])
+        return LoadTurns(
+            tuple(each.server for each in busy),
+            tuple(each.server for each in waiting[: len(turns)]),
+        )
 
     def _note_times(self, now: Millis) -> None:
         for place in self._over:
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -104,6 +104,19 @@
     is_loading: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Terms:
+    """Terms of the scores of all servers for one call.
+
+    `homes` likely keep its shared context, `older` hold older weights than the
+    newest, which cost this call `old_cost`.
+    """
+
+    homes: frozenset[str] = frozenset()
+    older: frozenset[str] = frozenset()
+    old_cost: Millis = 0.0
+
+
 def choose_backend(
     demand: CallDemand, book: BackendBook, now: Millis
 ) -> Choice | None:
@@ -128,9 +141,8 @@
     ] or good
     if not usable:
         return None
-    homes = _find_homes(demand, usable)
-    old_cost = _find_old_cost(demand, usable)
-    scores = [_score(demand, each, homes, old_cost, now) for each in usable]
+    terms = _find_terms(demand, usable)
+    scores = [_score(demand, each, terms, now) for each in usable]
     score, best = min(zip(scores, usable, strict=True), key=itemgetter(0))
     mean = _find_mean_memory(usable)
     return Choice(
@@ -200,7 +212,15 @@
     """Return the expected time to the first byte of a model's answer."""
     if demand.model is None:
         return 0.0
-    fetched, missing = _split_prompt(demand, demand.model, backend)
+    return _expect_split(
+        demand, backend, _split_prompt(demand, demand.model, backend), now
+    )
+
+
+def _expect_split(
+    demand: CallDemand, backend: Backend, split: tuple[int, int], now: Millis
+) -> Millis:
+    fetched, missing = split
     find_time = backend.reading.find_time
     owed = find_time(backend.count_owed_tokens(demand.rank))
     delay = max(backend.find_delay(demand.rank, now), owed)
@@ -210,8 +230,7 @@
 def _score(
     demand: CallDemand,
     backend: Backend,
-    homes: frozenset[str],
-    old_cost: Millis,
+    terms: _Terms,
     now: Millis,
 ) -> Millis:
     score = backend.errors * _ERROR_COST
@@ -219,9 +238,10 @@
         score += _DISTANCE_COST
     if demand.model is None:
         return score + _score_plain(backend)
-    score += _expect(demand, backend, now)
-    score += _score_engine(demand, demand.model, backend, homes, now)
-    return score + _score_weights(demand, demand.model, backend, old_cost)
+    split = _split_prompt(demand, demand.model, backend)
+    score += _expect_split(demand, backend, split, now)
+    score += _score_engine(demand, demand.model, backend, terms, now)
+    return score + _score_weights(demand, demand.model, backend, terms)
 
 
 def _score_plain(backend: Backend) -> Millis:
@@ -236,43 +256,55 @@
     demand: CallDemand,
     model: ModelDemand,
     backend: Backend,
-    homes: frozenset[str],
+    terms: _Terms,
     now: Millis,
 ) -> Millis:
     version = backend.record.versions.get(model.model)
     score = backend.running * _find_run_cost(backend)
     score += backend.count_waiting(now) * _WAITING_COST
     is_fetchable = version is not None and demand.fetchable.get(version, 0)
-    if backend.record.server not in homes and not is_fetchable:
+    if backend.record.server not in terms.homes and not is_fetchable:
         shared = backend.reading.find_time(_find_shared_tokens(model))
         score += shared / _HOMES
     return score
 
 
 def _score_weights(
-    demand: CallDemand, model: ModelDemand, backend: Backend, old_cost: Millis
+    demand: CallDemand, model: ModelDemand, backend: Backend, terms: _Terms
 ) -> Millis:
-    if not _is_older(demand, model, backend):
+    server = backend.record.server
+    if server not in terms.older:
         return 0.0
-    if backend.record.server in demand.draining:
-        return old_cost + model.output_tokens * _DRAIN_COST
-    return old_cost
+    if server in demand.draining:
+        return terms.old_cost + model.output_tokens * _DRAIN_COST
+    return terms.old_cost
 
 
-def _is_older(demand: CallDemand, model: ModelDemand, backend: Backend) -> bool:
-    version = backend.record.versions.get(model.model)
-    newest = demand.newest_version
-    return version is not None and newest is not None and version < newest
+def _find_terms(demand: CallDemand, usable: Sequence[Backend]) -> _Terms:
+    """Find what is the same for all servers, or known only beside others."""
+    if demand.model is None:
+        return _Terms()
+    older = _find_older(demand, demand.model, usable)
+    share = 1 - len(older) / len(usable)
+    return _Terms(
+        homes=_find_homes(demand.model, usable),
+        older=older,
+        old_cost=_OLD_WEIGHTS_COST if demand.drawn < share else 0.0,
+    )
 
 
-def _find_old_cost(demand: CallDemand, usable: Sequence[Backend]) -> Millis:
-    """Return what older weights cost this call, if it counts them."""
-    model = demand.model
-    if model is None or demand.newest_version is None:
-        return 0.0
-    older = sum(_is_older(demand, model, each) for each in usable)
-    share = 1 - older / len(usable)
-    return _OLD_WEIGHTS_COST if demand.drawn < share else 0.0
+def _find_older(
+    demand: CallDemand, model: ModelDemand, usable: Iterable[Backend]
+) -> frozenset[str]:
+    """Return the servers on older weights than the newest."""
+    newest = demand.newest_version
+    if newest is None:
+        return frozenset()
+    return frozenset(
+        each.record.server
+        for each in usable
+        if each.record.versions.get(model.model, newest) < newest
+    )
 
 
 def _find_run_cost(backend: Backend) -> Millis:
@@ -303,12 +335,12 @@
 
 
 def _find_homes(
-    demand: CallDemand, usable: Sequence[Backend]
+    model: ModelDemand, usable: Iterable[Backend]
 ) -> frozenset[str]:
     """Return where every entry would look for the shared context first."""
-    if demand.model is None or len(demand.model.parts) < _HOMES:
+    if len(model.parts) < _HOMES:
         return frozenset()
-    shared = demand.model.parts[-2].name
+    shared = model.parts[-2].name
     ranked = sorted(
         (each.record.server for each in usable),
         key=lambda server: _hash(shared, server),
--- a/tests/test_load_pace.py
+++ b/tests/test_load_pace.py
@@ -125,7 +125,7 @@
         )
     queue.judge(lambda _, held: 6_000.0 + 4_000.0 * held)
     assert queue.list_loading(0.0) == ('b', 'd')
-    assert queue.list_next(0.0) == ('a', 'c')
+    assert queue.find_turns(0.0).following == ('a', 'c')
 
 
 def test_an_engine_that_should_be_done_may_be_tried():
@@ -133,7 +133,7 @@
     for name in 'abc':
         queue.apply(LoadNotice(name, LoadStep.WAITS, f'side-{name}', MODEL, 1))
     queue.tick(0.0)
-    assert queue.list_busy(3_000.0) == ('a', 'b')
+    assert queue.find_turns(3_000.0).busy == ('a', 'b')
     queue.tick(3_050.0)
-    assert queue.list_busy(3_050.0) == ('c',)
+    assert queue.find_turns(3_050.0).busy == ('c',)
     assert queue.list_loading(3_050.0) == ('a', 'b', 'c')
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -26,7 +26,7 @@
     for server in 'abcde':
         notice(queue, server)
     assert queue.list_loading(0.0) == ('a', 'b')
-    assert queue.list_next(0.0) == ('c', 'd')
+    assert queue.find_turns(0.0).following == ('c', 'd')
     notice(queue, 'b', LoadStep.ENDED)
     assert queue.list_loading(0.0) == ('a', 'c')
     assert queue.may_load('c', 0.0)
