--- a/src/oleanderdyke/agent/body.py
+++ b/src/oleanderdyke/agent/body.py
@@ -30,7 +30,7 @@
 
     @property
     def ended(self) -> bool:
-        """Tell whether the last chunk has come."""
+        """Return whether the last chunk has come."""
         return self._ended
 
     def put(self, chunk: BodyChunk) -> None:
--- a/src/oleanderdyke/agent/configuration.py
+++ b/src/oleanderdyke/agent/configuration.py
@@ -136,7 +136,7 @@
         )
 
     def allows(self, team: str, service: str) -> bool | None:
-        """Tell whether a team may use a service; None before any copy."""
+        """Return whether a team may use a service; None before any copy."""
         if self.offset < 0:
             return None
         spec = self.find_service(service)
--- a/src/oleanderdyke/agent/departure.py
+++ b/src/oleanderdyke/agent/departure.py
@@ -45,7 +45,7 @@
 
     @property
     def is_leaving(self) -> bool:
-        """Tell whether a stop has been announced."""
+        """Return whether a stop has been announced."""
         return self._drain.is_leaving
 
     def start(self, work: str) -> None:
--- a/src/oleanderdyke/agent/failures.py
+++ b/src/oleanderdyke/agent/failures.py
@@ -23,7 +23,7 @@
 
 
 def find_ran(run: Run, error: OleanderError) -> Ran:
-    """Tell whether a failed run may have had an effect."""
+    """Return whether a failed run may have had an effect."""
     if not run.forwarded:
         return Ran.NO
     if isinstance(error, HttpError) and not run.started:
@@ -32,7 +32,7 @@
 
 
 def may_have_run(run: Run, error: OleanderError) -> bool:
-    """Tell whether a run that broke off may have had an effect."""
+    """Return whether a run that broke off may have had an effect."""
     return not run.stopped and find_ran(run, error) is Ran.MAYBE
 
 
--- a/src/oleanderdyke/agent/hosted/engine_loads.py
+++ b/src/oleanderdyke/agent/hosted/engine_loads.py
@@ -107,7 +107,7 @@
         await append_notice(self._store, self._make_notice(LoadStep.STARTED))
 
     def is_settled(self) -> bool:
-        """Tell whether the engine holds all that is named.
+        """Return whether the engine holds all that is named.
 
         A request for a place that got no answer may be carried out after the
         load has ended; the place is given up again then.
@@ -159,7 +159,7 @@
         return state
 
     def _is_late(self, state: EngineState) -> bool:
-        """Tell whether a report is of a start that another has followed."""
+        """Return whether a report is of a start that another has followed."""
         return self._state is not None and state.is_earlier_start(self._state)
 
     async def _note_start(self, state: EngineState) -> None:
@@ -235,7 +235,7 @@
         await self._order(own, target, state)
 
     def _may_load(self, own: str, target: Target, held: int) -> bool:
-        """Tell whether it is this engine's turn, and log what it waits for.
+        """Return whether it is this engine's turn, and log what it waits for.
 
         One whose weights may serve no longer waits for nobody: it gets no
         requests, so that loading costs nothing but the others' pace.
--- a/src/oleanderdyke/agent/leave_orders.py
+++ b/src/oleanderdyke/agent/leave_orders.py
@@ -27,7 +27,7 @@
         self._superseded = False
 
     def is_superseded(self) -> bool:
-        """Tell whether a newer incarnation guards the server now."""
+        """Return whether a newer incarnation guards the server now."""
         return self._superseded
 
     def drain(self, _outbox: Outbox, message: DrainRequest) -> None:
--- a/src/oleanderdyke/agent/peers.py
+++ b/src/oleanderdyke/agent/peers.py
@@ -45,7 +45,7 @@
 
     @property
     def closed(self) -> bool:
-        """Tell whether the link is gone."""
+        """Return whether the link is gone."""
         return self._link.closed
 
     def make_request(self) -> str:
--- a/src/oleanderdyke/agent/run.py
+++ b/src/oleanderdyke/agent/run.py
@@ -65,7 +65,7 @@
 
     @property
     def is_droppable(self) -> bool:
-        """Tell whether a run that nobody waits for may be cancelled."""
+        """Return whether a run that nobody waits for may be cancelled."""
         return self.dispatch.idempotent and self.dispatch.claim is None
 
     @property
--- a/src/oleanderdyke/agent/watch.py
+++ b/src/oleanderdyke/agent/watch.py
@@ -48,7 +48,7 @@
             await anyio.sleep(self._settings.probe_interval / SECOND)
 
     def has_ended(self) -> bool:
-        """Tell whether the process ended just now."""
+        """Return whether the process ended just now."""
         ended_at = self._ended_at
         return ended_at is not None and (
             self._clock.now() - ended_at <= _SETTLE
--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -58,7 +58,7 @@
 
     @property
     def is_sound(self) -> bool:
-        """Tell whether nothing shows that the server has left."""
+        """Return whether nothing shows that the server has left."""
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
--- a/src/oleanderdyke/clients/documents.py
+++ b/src/oleanderdyke/clients/documents.py
@@ -17,7 +17,7 @@
 
 
 class PlatformUnavailable(OleanderError):
-    """Tell that a service of the platform gave no proper answer."""
+    """A service of the platform gave no proper answer."""
 
     def __init__(self, message: str) -> None:
         super().__init__(ErrorKind.NOT_READY, message, ran=Ran.NO)
--- a/src/oleanderdyke/clients/exchange.py
+++ b/src/oleanderdyke/clients/exchange.py
@@ -50,7 +50,7 @@
 
     @property
     def is_sound(self) -> bool:
-        """Tell whether nothing shows that the server has left."""
+        """Return whether nothing shows that the server has left."""
         return not (self._reader.at_eof() or self._writer.is_closing())
 
     async def send(self, head: h11.Request, body: Body) -> None:
--- a/src/oleanderdyke/clients/http.py
+++ b/src/oleanderdyke/clients/http.py
@@ -40,7 +40,7 @@
 
 
 class HttpError(OleanderError):
-    """Tell that an exchange failed; `ran` is NO where nothing was sent."""
+    """An exchange failed; `ran` is NO where nothing was sent."""
 
     def __init__(self, message: str, *, ran: Ran) -> None:
         super().__init__(ErrorKind.BACKEND_LOST, message, ran=ran)
--- a/src/oleanderdyke/clients/log.py
+++ b/src/oleanderdyke/clients/log.py
@@ -23,7 +23,7 @@
 
 
 class LogUnavailable(OleanderError):
-    """Tell that a call failed, and whether it may have taken effect."""
+    """A call failed, and whether it may have taken effect."""
 
     def __init__(self, message: str, *, ran: Ran) -> None:
         super().__init__(ErrorKind.LOG_UNAVAILABLE, message, ran=ran)
--- a/src/oleanderdyke/dependencies.py
+++ b/src/oleanderdyke/dependencies.py
@@ -36,7 +36,7 @@
 
     @property
     def is_lost(self) -> bool:
-        """Tell whether it failed last."""
+        """Return whether it failed last."""
         return self._lost_at is not None
 
     def note_failed(self, detail: str) -> None:
--- a/src/oleanderdyke/entry/answers.py
+++ b/src/oleanderdyke/entry/answers.py
@@ -42,7 +42,7 @@
     """Write parts of a body without a wait; the server offers one."""
 
     def is_ready(self) -> bool:
-        """Tell whether a part of the present body can be written now."""
+        """Return whether a part of the present body can be written now."""
 
     def write_part(self, part: bytes) -> None:
         """Write a part that is not empty."""
@@ -65,12 +65,12 @@
 
     @property
     def started(self) -> bool:
-        """Tell whether the head has been sent."""
+        """Return whether the head has been sent."""
         return self.status != 0
 
     @property
     def is_writable(self) -> bool:
-        """Tell whether `write` can send a part now."""
+        """Return whether `write` can send a part now."""
         if self.ended or not self.started or self._writer is None:
             return False
         return self._writer.is_ready()
--- a/src/oleanderdyke/entry/claims.py
+++ b/src/oleanderdyke/entry/claims.py
@@ -74,12 +74,12 @@
 
     @property
     def synced(self) -> bool:
-        """Tell whether the log has been read to its end."""
+        """Return whether the log has been read to its end."""
         return self._core.claims.caught_up
 
     @property
     def idle(self) -> bool:
-        """Tell whether no record waits to be appended."""
+        """Return whether no record waits to be appended."""
         return not self._pending and not self._active
 
     def append_claim(
--- a/src/oleanderdyke/entry/configuration.py
+++ b/src/oleanderdyke/entry/configuration.py
@@ -132,7 +132,7 @@
                 del self._filled[link]
 
     def _is_filled(self, link: Link) -> bool:
-        """Tell whether a link has a whole snapshot on its way."""
+        """Return whether a link has a whole snapshot on its way."""
         at = self._filled.get(link, -math.inf)
         return self._core.clock.now() - at < _FILL_AGAIN
 
--- a/src/oleanderdyke/entry/delivery.py
+++ b/src/oleanderdyke/entry/delivery.py
@@ -56,7 +56,7 @@
 
     @property
     def ended(self) -> bool:
-        """Tell whether the answer is over, well or not."""
+        """Return whether the answer is over, well or not."""
         return self._answer.ended or self.error is not None
 
     @property
@@ -71,7 +71,7 @@
 
     @property
     def is_stream(self) -> bool:
-        """Tell whether the answer is a stream of events."""
+        """Return whether the answer is a stream of events."""
         return self._numberer is not None
 
     @property
@@ -86,7 +86,7 @@
 
     @property
     def is_flowing(self) -> bool:
-        """Tell whether `pass_chunk` can be used for the next chunk."""
+        """Return whether `pass_chunk` can be used for the next chunk."""
         if self._head is not None or self._unsent or self.error is not None:
             return False
         return self.first_token is not None and self._answer.is_writable
--- a/src/oleanderdyke/entry/edge.py
+++ b/src/oleanderdyke/entry/edge.py
@@ -40,7 +40,7 @@
 
 
 class CallerGone(Exception):
-    """Tell that the caller closed its connection."""
+    """The caller closed its connection."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/entry/hosted/answers.py
+++ b/src/oleanderdyke/entry/hosted/answers.py
@@ -26,7 +26,7 @@
 
 
 def has_events(headers: Headers) -> bool:
-    """Tell whether the body is a stream of events."""
+    """Return whether the body is a stream of events."""
     return any(
         name == 'content-type' and content.startswith(_EVENT_STREAM)
         for name, content in headers
@@ -34,7 +34,7 @@
 
 
 def is_rest(status: int, headers: Headers) -> bool:
-    """Tell whether an answer may follow the events that a caller has.
+    """Return whether an answer may follow the events that a caller has.
 
     A failure, or any other text, would be joined to them and end the stream as
     whole.
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -227,7 +227,7 @@
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
     def _goes_on(self) -> bool:
-        """Tell whether the caller already has events of an earlier run."""
+        """Return whether the caller already has events of an earlier run."""
         return self._splitter is not None and self._splitter.has_passed
 
     def _note_lost(self) -> None:
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -16,8 +16,8 @@
 from oleanderdyke.kernel.named_weights import SEND_MARGIN
 from oleanderdyke.kernel.overload import (
     LATE_RANK,
-    Patience,
-    find_patience,
+    RequestAge,
+    find_request_age,
 )
 from oleanderdyke.kernel.placement import CallDemand
 from oleanderdyke.kernel.servers import ServerStart
@@ -66,7 +66,7 @@
         rank = self.route.priority
         if owner is not None and owner.priority is not None:
             rank = owner.priority
-        if self.patience.is_late:
+        if self.age.is_late:
             rank = LATE_RANK
         return min(max(rank, _MOST_URGENT), _LEAST_URGENT)
 
@@ -80,10 +80,10 @@
         return route & owner or _NOWHERE
 
     @property
-    def patience(self) -> Patience:
+    def age(self) -> RequestAge:
         """Return how long the caller has waited before this try."""
         route = self.route
-        return find_patience(self.asked.wait, route.timeout, route.target)
+        return find_request_age(self.asked.wait, route.timeout, route.target)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -38,7 +38,7 @@
         self._call = call
 
     def tell_routed(self, choice: Choice) -> None:
-        """Tell which server was chosen, and what was known of it."""
+        """Log which server was chosen, and what was known of it."""
         core, call = self._core, self._call
         now, backend = core.clock.now(), choice.backend
         load = backend.load
@@ -59,7 +59,7 @@
         )
 
     def tell_retried(self, attempt: int, server: str) -> None:
-        """Tell that a call is sent again."""
+        """Log that a call is sent again."""
         self._core.log.write(
             EventName.REQUEST_RETRIED,
             request=self._call.request,
@@ -68,7 +68,7 @@
         )
 
     def tell_refused(self, refusal: Refuse, progress: Progress) -> None:
-        """Tell why a call gets no answer of a server."""
+        """Log why a call gets no answer of a server."""
         call = self._call
         self._core.log.write(
             EventName.REQUEST_REFUSED,
@@ -82,7 +82,7 @@
         )
 
     def tell_cancelled(self, progress: Progress) -> None:
-        """Tell that the caller has left before the end."""
+        """Log that the caller has left before the end."""
         self._core.log.write_urgent(
             EventName.REQUEST_CANCELLED,
             request=self._call.request,
@@ -93,7 +93,7 @@
     def tell_finished(
         self, status: int, duration: Millis, progress: Progress
     ) -> None:
-        """Tell how an answer ended; that of a failed or slow one is urgent."""
+        """Log how an answer ended; as a warning if it failed or was slow."""
         core, call = self._core, self._call
         first = duration if progress.first is None else progress.first
         is_late = first > call.route.target
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -119,12 +119,12 @@
         self.servers_wanted.set()
 
     def are_servers_wanted(self) -> bool:
-        """Tell whether requests wait for a server."""
+        """Return whether requests wait for a server."""
         return self.servers_wanted.is_set()
 
     @property
     def is_stale(self) -> bool:
-        """Tell whether the configuration may have changed unseen."""
+        """Return whether the configuration may have changed unseen."""
         read = self.configuration_read
         return read is None or self.clock.now() - read > STALE_AFTER
 
@@ -140,7 +140,7 @@
     def may_serve(
         self, model: str, version: int | None, margin: Millis
     ) -> bool:
-        """Tell whether weights may begin requests for a margin more."""
+        """Return whether weights may begin requests for a margin more."""
         return self.rollout.weights.may_serve(
             model,
             version,
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -64,7 +64,7 @@
 
 
 class BrokenAnswer(Exception):
-    """Tell the HTTP server to close the connection of a broken answer."""
+    """The connection of a broken answer has to be closed."""
 
 
 class HostedDriver:
@@ -133,7 +133,7 @@
             attempt.fail('the server is silent')
 
     def _is_given_up(self, silence: Millis) -> bool:
-        """Tell whether to wait no longer for what a server owes.
+        """Return whether to wait no longer for what a server owes.
 
         An answer that has begun and can't go on elsewhere is only ended by its
         caller or its deadline: a crowded server may send the rest after any
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -30,7 +30,7 @@
 
     @property
     def has_rest(self) -> bool:
-        """Tell whether the stream stopped in the middle of an event."""
+        """Return whether the stream stopped in the middle of an event."""
         return bool(self._pending.strip())
 
     def restart(self) -> None:
--- a/src/oleanderdyke/entry/hosted/lessons.py
+++ b/src/oleanderdyke/entry/hosted/lessons.py
@@ -9,7 +9,7 @@
 
 
 class Lessons:
-    """Tell the book of servers what the answer of one start to a call shows."""
+    """Records in the book of servers what one start's answer shows."""
 
     def __init__(
         self, core: HostedCore, call: HostedCall, start: ServerStart
--- a/src/oleanderdyke/entry/hosted/placing.py
+++ b/src/oleanderdyke/entry/hosted/placing.py
@@ -89,7 +89,7 @@
         return SentBack(ErrorKind.NO_REPLICA, obstacle.value, pause)
 
     def _may_wait(self, now: Millis) -> bool:
-        """Tell whether a server may still come that takes the call."""
+        """Return whether a server may still come that takes the call."""
         if self._wait_until is None:
             self._wait_until = now + find_wait(self._call.deadline - now)
         return now < self._wait_until
@@ -98,7 +98,7 @@
         if self._call.asked.demand is None:
             return False
         return should_refuse(
-            self._call.patience,
+            self._call.age,
             expected=choice.expected,
             delay=choice.delay,
             waiting=choice.waiting,
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -1,4 +1,4 @@
-"""Tell other entries that this one is alive, and count them."""
+"""Announce this entry to the others, and count them."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
         sharing = core.news.share(wait=_SHARED_WAIT, limit=_SHARED_LIMIT)
         client = StoreClient(core.settings.store, sharing=sharing)
         self._feed = EntryFeed(client, self._refuse)
-        self._told_at: Millis | None = None
+        self._announced_at: Millis | None = None
 
     async def run(self) -> None:
         """Work until cancelled; without the store the last count stays."""
@@ -40,7 +40,7 @@
         pauses = chain(_FIRST_PERIODS, repeat(_PERIOD))
         while True:
             try:
-                await self._tell()
+                await self._announce()
                 await self._read()
             except StoreUnavailable as error:
                 store.note_failed(error.message)
@@ -53,12 +53,15 @@
             EventName.RECORD_REFUSED, name=name, detail=error.message
         )
 
-    async def _tell(self) -> None:
+    async def _announce(self) -> None:
         now = self._core.clock.now()
-        if self._told_at is not None and now - self._told_at < _NOTICE_PERIOD:
+        if (
+            self._announced_at is not None
+            and now - self._announced_at < _NOTICE_PERIOD
+        ):
             return
-        await self._feed.tell(self._core.news.own)
-        self._told_at = now
+        await self._feed.announce(self._core.news.own)
+        self._announced_at = now
 
     async def _read(self) -> None:
         core = self._core
@@ -66,8 +69,8 @@
         if told is None:
             core.entries.note_forgotten()
             if self._feed.was_restored:
-                # The copy may lack the last notice of this entry.
-                self._told_at = None
+                # The copy may lack the last announcement of this entry.
+                self._announced_at = None
             return
         now = core.clock.now()
         for entry in told:
--- a/src/oleanderdyke/entry/hosted/weights.py
+++ b/src/oleanderdyke/entry/hosted/weights.py
@@ -1,4 +1,4 @@
-"""Tell on which weights a call would begin, and whether it still may."""
+"""Find the weights that a call would begin on, and whether it may."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 def may_begin(core: HostedCore, weights: Weights, margin: Millis) -> bool:
-    """Tell whether all weights may begin requests for a margin more."""
+    """Return whether all weights may begin requests for a margin more."""
     return all(
         core.may_serve(model, version, margin)
         for model, version in weights.items()
--- a/src/oleanderdyke/entry/inbox.py
+++ b/src/oleanderdyke/entry/inbox.py
@@ -15,21 +15,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Released:
-    """Tell that the admission has decided about a queued request."""
+    """The admission has decided about a queued request."""
 
     decision: Admitted | Refusal
 
 
 @dataclass(frozen=True, slots=True)
 class UploadFailed:
-    """Tell that the body ended in a fault of the caller."""
+    """The body ended in a fault of the caller."""
 
     fault: Exception
 
 
 @dataclass(frozen=True, slots=True)
 class Undeliverable:
-    """Tell that a part of the answer can't be passed on."""
+    """A part of the answer can't be passed on."""
 
     fault: OleanderError
 
@@ -43,12 +43,12 @@
 
 @dataclass(frozen=True, slots=True)
 class CreditDue:
-    """Tell that the agent may be granted more chunks."""
+    """The agent may be granted more chunks."""
 
 
 @dataclass(frozen=True, slots=True)
 class HandedOver:
-    """Tell that the stream goes on through another entry."""
+    """The stream goes on through another entry."""
 
 
 Item: TypeAlias = (
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -58,7 +58,7 @@
         await app(scope, receive, send)
 
     def is_ready(self) -> bool:
-        """Tell whether a part of the present body can be written now."""
+        """Return whether a part of the present body can be written now."""
         return (
             self.conn.our_state is h11.SEND_BODY
             and self.conn.their_http_version == _CHUNKED_VERSION
--- a/src/oleanderdyke/entry/sse.py
+++ b/src/oleanderdyke/entry/sse.py
@@ -86,6 +86,6 @@
 
 
 def _is_one_event(chunk: bytes) -> bool:
-    """Tell whether a chunk is one event in the usual form."""
+    """Return whether a chunk is one event in the usual form."""
     boundary = chunk.find(b'\n\n')
     return 0 <= boundary == len(chunk) - 2 and b'\r' not in chunk
--- a/src/oleanderdyke/entry/vmwatch.py
+++ b/src/oleanderdyke/entry/vmwatch.py
@@ -31,7 +31,7 @@
 
     @property
     def settled(self) -> bool:
-        """Tell whether every known address has a link."""
+        """Return whether every known address has a link."""
         return bool(self._known) and all(map(self._pool.find, self._known))
 
     async def run(self) -> None:
--- a/src/oleanderdyke/kernel/admission.py
+++ b/src/oleanderdyke/kernel/admission.py
@@ -39,7 +39,7 @@
         self._balance -= count
 
     def is_full(self, now: Millis) -> bool:
-        """Tell whether forgetting this bucket changes nothing."""
+        """Return whether forgetting this bucket changes nothing."""
         self._fill(now)
         return self._balance >= self._burst
 
--- a/src/oleanderdyke/kernel/alone.py
+++ b/src/oleanderdyke/kernel/alone.py
@@ -23,11 +23,11 @@
         self._beat = max(self._beat, sequence)
 
     def is_closed(self) -> bool:
-        """Tell whether ordinary work has to stay out."""
+        """Return whether ordinary work has to stay out."""
         return bool(self._inside) or self._is_reserved()
 
     def request(self, digest: str, running: int) -> bool:
-        """Tell whether a suspect may enter now; else reserve for it."""
+        """Return whether a suspect may enter now; else reserve for it."""
         if not self._is_reserved():
             self._reserved_for = digest
         if self._reserved_for == digest:
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -61,7 +61,7 @@
 
     @property
     def needs_claim(self) -> bool:
-        """Tell whether the request may run only under a claim."""
+        """Return whether the request may run only under a claim."""
         return bool(self.key) and not self.idempotent
 
 
@@ -145,12 +145,12 @@
 
     @property
     def done(self) -> bool:
-        """Tell whether nothing follows."""
+        """Return whether nothing follows."""
         return self._stage is Stage.DONE
 
     @property
     def ran(self) -> Ran:
-        """Tell whether the request may have run, as far as is proven."""
+        """Return whether the request may have run, as far as is proven."""
         doubt = self._in_doubt or self._joined
         return max_ran(self._known_ran, Ran.MAYBE if doubt else Ran.NO)
 
@@ -202,7 +202,7 @@
         self._excluded |= {agent}
 
     def _is_at(self, agent: str, incarnation: str) -> bool:
-        """Tell whether the latest attempt is at this incarnation."""
+        """Return whether the latest attempt is at this incarnation."""
         if self._routed is None:
             return False
         replica = self._routed.replica
@@ -260,7 +260,7 @@
         return self._wait((retry_after or _ALONE_DELAY) + self._budget.delay(1))
 
     def _may_await_replica(self) -> bool:
-        """Tell whether a lost run may still find a replica that comes back."""
+        """Return whether a lost run may wait for a replica to come back."""
         return (
             self._known_ran is not Ran.NO
             and self._replica_waited < self._settings.replica_wait
--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NoRoute:
-    """Tell that no replica can take the request."""
+    """No replica can take the request."""
 
     refusal: Refusal
 
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimFailed:
-    """Tell that a claim's append surely did not take effect.
+    """A claim's append surely did not take effect.
 
     A doubtful append is not reported; read on until `ClaimSettled`, or until
     the machine gives up by its own timer.
@@ -77,12 +77,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeRecorded:
-    """Tell that the outcome record is in the log."""
+    """The outcome record is in the log."""
 
 
 @dataclass(frozen=True, slots=True)
 class OutcomeFailed:
-    """Tell that the outcome record can't be appended now."""
+    """The outcome record can't be appended now."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,14 +97,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
-    """Tell that a dispatch was surely never written to a link."""
+    """A dispatch was surely never written to a link."""
 
     attempt: int
 
 
 @dataclass(frozen=True, slots=True)
 class LinkLost:
-    """Tell that the link to an agent's incarnation was given up."""
+    """The link to an agent's incarnation was given up."""
 
     agent: str
     incarnation: str
@@ -112,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkUp:
-    """Tell that there is a new link to an agent's incarnation."""
+    """There is a new link to an agent's incarnation."""
 
     agent: str
     incarnation: str
@@ -120,7 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IncarnationEnded:
-    """Tell that an incarnation of an agent is over for good."""
+    """An incarnation of an agent is over for good."""
 
     agent: str
     incarnation: str
@@ -135,24 +135,24 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerGone:
-    """Tell that the caller has closed its connection."""
+    """The caller has closed its connection."""
 
 
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
-    """Tell that the request's deadline is over."""
+    """The request's deadline is over."""
 
 
 @dataclass(frozen=True, slots=True)
 class Stopping:
-    """Tell that the entry stops; `hurry` means at once."""
+    """The entry stops; `hurry` means at once."""
 
     hurry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """Tell that a timer of `StartTimer` is over."""
+    """A timer of `StartTimer` is over."""
 
     kind: TimerKind
     number: int
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -356,7 +356,7 @@
         return (self._make_refusal(kind), *self._detach())
 
     def _is_own_run(self) -> bool:
-        """Tell whether a claimed run of this call may be under way."""
+        """Return whether a claimed run of this call may be under way."""
         return self._claim is not None and not self._joined
 
     def _mute_all(self, actions: Actions) -> Actions:
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -70,14 +70,14 @@
         return backend
 
     def has_left(self, start: ServerStart) -> bool:
-        """Tell whether a start of a server leaves or is no longer known."""
+        """Return whether a start of a server leaves or is no longer known."""
         backend = self.find_start(start)
         if backend is None or backend.record.is_leaving:
             return True
         return not self._is_server(backend)
 
     def is_superseded(self, start: ServerStart) -> bool:
-        """Tell whether a server has started anew since."""
+        """Return whether a server has started anew since."""
         backend = self._backends.get(start.server)
         return backend is not None and backend.record.start != start
 
@@ -194,7 +194,7 @@
             backend.missing_since = now
 
     def _is_earlier(self, record: ServerRecord) -> bool:
-        """Tell whether a record is not of the latest known start.
+        """Return whether a record is not of the latest known start.
 
         One that tells no start is not by a server that has told its own.
         """
@@ -237,7 +237,7 @@
                 backend.is_displaced = True
 
     def _is_server(self, backend: Backend) -> bool:
-        """Tell whether a record names a backend server to use."""
+        """Return whether a record names a backend server to use."""
         return backend.record.born is not None or not self._are_starts_told
 
     def find_oldest_version(self, model: str) -> int | None:
@@ -371,7 +371,7 @@
             backend.kept_tokens -= tokens
 
     def is_missing(self, backend: Backend, now: Millis) -> bool:
-        """Tell whether a server's entry is gone for good."""
+        """Return whether a server's entry is gone for good."""
         if backend.missing_since is None:
             return False
         return not self._returning.is_lapsing(now)
--- a/src/oleanderdyke/kernel/blocks.py
+++ b/src/oleanderdyke/kernel/blocks.py
@@ -73,7 +73,7 @@
 
 
 def verify_segment(data: bytes, length: int, digest: bytes) -> bool:
-    """Tell whether cached bytes are exactly the sealed ones."""
+    """Return whether cached bytes are exactly the sealed ones."""
     if len(data) != length:
         return False
     return hmac.compare_digest(digest_segment(data), digest)
--- a/src/oleanderdyke/kernel/claim_records.py
+++ b/src/oleanderdyke/kernel/claim_records.py
@@ -153,7 +153,7 @@
 
 
 class _Undecodable(Exception):
-    """Tell that a record can't be decoded."""
+    """A record can't be decoded."""
 
 
 def _encode(record: ClaimsRecord) -> list[object]:
--- a/src/oleanderdyke/kernel/claim_runs.py
+++ b/src/oleanderdyke/kernel/claim_runs.py
@@ -72,7 +72,7 @@
         self._beat = max(self._beat, sequence)
 
     def is_known(self, claim: Claim) -> bool:
-        """Tell whether a claim was used or barred."""
+        """Return whether a claim was used or barred."""
         return _make_key(claim) in self._runs
 
     def has_room(self) -> bool:
@@ -88,7 +88,7 @@
         return True
 
     def is_too_old(self, beat: int) -> bool:
-        """Tell whether a claim of this heartbeat may no longer start."""
+        """Return whether a claim of this heartbeat may no longer start."""
         return beat < self._beat - self._max_age
 
     def add(self, claim: Claim, team: str, state: RunState) -> None:
--- a/src/oleanderdyke/kernel/claims.py
+++ b/src/oleanderdyke/kernel/claims.py
@@ -25,26 +25,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Free:
-    """Tell that nobody owns the key."""
+    """Nobody owns the key."""
 
 
 @dataclass(frozen=True, slots=True)
 class Owned:
-    """Tell that the asked claim owns the key."""
+    """The asked claim owns the key."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
 class OwnedByOther:
-    """Tell that an earlier claim with the same request owns the key."""
+    """An earlier claim with the same request owns the key."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
 class Finished:
-    """Tell that the owner's answer is recorded."""
+    """The owner's answer is recorded."""
 
     claim: Claim
     outcome: OutcomeRecord
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """Tell that the key belongs to a different request."""
+    """The key belongs to a different request."""
 
 
 Verdict: TypeAlias = Free | Owned | OwnedByOther | Finished | Conflict
@@ -127,7 +127,7 @@
 
     @property
     def caught_up(self) -> bool:
-        """Tell whether the log was read to its end since a start or a gap."""
+        """Return whether the log was read to its end since a start or a gap."""
         return self._target is not None and self._next >= self._target
 
     @property
@@ -268,7 +268,7 @@
             self._adopt(record, place, at)
 
     def _yields(self, slot: _Slot | None, record: CarriedRecord) -> bool:
-        """Tell whether a slot gives way to a carried claim.
+        """Return whether a slot gives way to a carried claim.
 
         Where this reader has read everything after `through`, it would have
         seen the carried claim go; so it still is the owner.
--- a/src/oleanderdyke/kernel/context_stores.py
+++ b/src/oleanderdyke/kernel/context_stores.py
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ContextEvent:
-    """Tell that a part was kept whole, or is gone from a store.
+    """A part was kept whole, or is gone from a store.
 
     `number` is its place among the events of one start of the store.
     """
@@ -171,7 +171,7 @@
         return min(self.parts.get((salt, part.name), 0), part.tokens)
 
     def is_fresh(self, now: Millis) -> bool:
-        """Tell whether a fetch under the present view has time to end."""
+        """Return whether a fetch under the present view has time to end."""
         asked_at = self._asked_at
         if asked_at is None:
             return False
@@ -188,7 +188,7 @@
         return min(asked_at, other) + VIEW_LIFE + self._clock
 
     def can_save(self, salt: str, part: PromptPart, now: Millis) -> bool:
-        """Tell whether a part has room and is not being saved."""
+        """Return whether a part has room and is not being saved."""
         if not self.is_fresh(now) or now < self._save_from:
             return False
         key = (salt, part.name)
@@ -277,7 +277,7 @@
                 self.views[address] = StoreView(traits)
 
     def are_read(self, stores: Iterable[StoreTraits]) -> bool:
-        """Tell whether all these stores have told what they hold."""
+        """Return whether all these stores have told what they hold."""
         views = (self.views.get(traits.address) for traits in stores)
         return all(view is not None and view.boot is not None for view in views)
 
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -52,7 +52,7 @@
 
     @property
     def is_repeatable(self) -> bool:
-        """Tell whether a call may run on a second backend server."""
+        """Return whether a call may run on a second backend server."""
         return self.kind is CallKind.IDEMPOTENT or self.is_resumable
 
 
@@ -150,5 +150,5 @@
         return traits.engine.memory_tokens
 
     def needs_key(self, route: Route) -> bool:
-        """Tell whether calls on a route must name a team by its key."""
+        """Return whether calls on a route must name a team by its key."""
         return bool(self.key_owners) and not route.is_public
--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -79,7 +79,7 @@
 
     @property
     def is_leaving(self) -> bool:
-        """Tell whether a stop has been announced."""
+        """Return whether a stop has been announced."""
         return self.phase is not DrainPhase.SERVING
 
     @property
@@ -88,11 +88,11 @@
         return tuple(self._work)
 
     def has_work(self, request: str) -> bool:
-        """Tell whether a request of this name has not ended."""
+        """Return whether a request of this name has not ended."""
         return request in self._work
 
     def accepts(self, now: Millis, needs: Millis | None = None) -> bool:
-        """Tell whether new work may start; `needs` is how long it lasts.
+        """Return whether new work may start; `needs` is how long it lasts.
 
         What surely ends in time may start after the announcement too: while
         every process of a deployment is stopped in turn, callers have nowhere
--- a/src/oleanderdyke/kernel/gate.py
+++ b/src/oleanderdyke/kernel/gate.py
@@ -199,7 +199,7 @@
         return tuple(_make_lost(dispatch) for dispatch in dispatches)
 
     def is_quarantined(self, digest: str, now: Millis) -> bool:
-        """Tell whether a request's digest is refused for its crashes."""
+        """Return whether a request's digest is refused for its crashes."""
         standing = self._quarantine.find_standing(digest, now)
         return standing is Standing.QUARANTINED
 
@@ -231,7 +231,7 @@
         )
 
     def _is_repeated(self, dispatch: Dispatch) -> bool:
-        """Tell whether an answer to this very dispatch is given already.
+        """Return whether an answer to this very dispatch is given already.
 
         To refuse a repetition as not run would deny the first one's run.
         """
@@ -266,7 +266,7 @@
         return Ran.NO if barred else Ran.MAYBE
 
     def _is_remembered(self, beat: int) -> bool:
-        """Tell whether a dispatch of this heartbeat can't be forgotten yet."""
+        """Return whether a dispatch of this heartbeat is surely remembered."""
         return 0 <= beat <= self._beat and not self._claims.is_too_old(beat)
 
     def _find_objection(
--- a/src/oleanderdyke/kernel/gate_terms.py
+++ b/src/oleanderdyke/kernel/gate_terms.py
@@ -10,7 +10,7 @@
     """Tell from the agent's copy of the catalog who may use the service."""
 
     def allows(self, team: str, service: str) -> bool | None:
-        """Tell whether a team may; None where there is no catalog copy."""
+        """Return whether a team may; None where there is no catalog copy."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/load_pace.py
+++ b/src/oleanderdyke/kernel/load_pace.py
@@ -67,7 +67,7 @@
         return statistics.median_high(self._last)
 
     def is_overdue(self, duration: Millis) -> bool:
-        """Tell whether a load takes longer than others did."""
+        """Return whether a load takes longer than others did."""
         usual = max(self.find_time(), self._first)
         return duration > usual * _OVERDUE_FACTOR
 
@@ -103,7 +103,7 @@
 def _are_done(
     pending: Sequence[PendingLoad], count: int, time: Millis, late: Millis
 ) -> bool:
-    """Tell whether so many at once, in this order, are late by no more.
+    """Return whether so many at once, in this order, are late by no more.
 
     What can't be in time any more is to load at once.
     """
--- a/src/oleanderdyke/kernel/load_queue.py
+++ b/src/oleanderdyke/kernel/load_queue.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadNotice:
-    """Tell all agents and entries of one step of one engine's load.
+    """One step of one engine's load, for all agents and entries.
 
     `server` is the engine's start, `agent` the process that gives it orders.
     One that has ended tells which weights of a model its engine holds by then.
@@ -161,7 +161,7 @@
         return tuple(stuck.values())
 
     def waits(self, notice: LoadNotice) -> bool:
-        """Tell whether a request for a place is in force.
+        """Return whether a request for a place is in force.
 
         A place for one model is none for another: each has its own time.
         """
@@ -172,7 +172,7 @@
         return (place.server, place.model, place.held) == asked
 
     def is_queued(self, holder: str) -> bool:
-        """Tell whether an agent has a place, its engine lost or not."""
+        """Return whether an agent has a place, its engine lost or not."""
         return holder in self._places
 
     def find_model(self, holder: str) -> str:
@@ -181,12 +181,12 @@
         return '' if place is None else place.model
 
     def is_lost(self, holder: str) -> bool:
-        """Tell whether an agent that has a place told of a lost engine."""
+        """Return whether an agent that has a place told of a lost engine."""
         place = self._places.get(holder)
         return place is not None and place.is_lost
 
     def may_load(self, holder: str, now: Millis) -> bool:
-        """Tell whether it is an agent's turn."""
+        """Return whether it is an agent's turn."""
         place = self._places.get(holder)
         return place is not None and place in self._list_turns(now)
 
@@ -238,14 +238,14 @@
         return firm + rest[: max(count - len(busy), 0)]
 
     def _is_overdue(self, place: _Place, now: Millis) -> bool:
-        """Tell whether an engine should have ended its load by now."""
+        """Return whether an engine should have ended its load by now."""
         if place.since is None:
             return False
         return self._times.is_overdue(now - place.since)
 
 
 def _ends_load(notice: LoadNotice, place: _Place) -> bool:
-    """Tell whether a load has ended: some ask for the next at once."""
+    """Return whether a load has ended: some ask for the next at once."""
     if notice.step is LoadStep.WAITS:
         is_same = notice.server == place.server
         return is_same and notice.held > place.held
@@ -253,7 +253,7 @@
 
 
 def _is_firm(place: _Place, now: Millis) -> bool:
-    """Tell whether an engine has its order by now, so that it keeps its turn.
+    """Return whether an engine has its order by now, so that it keeps its turn.
 
     Until then a notice with later news may show that there is more time.
     """
--- a/src/oleanderdyke/kernel/named_weights.py
+++ b/src/oleanderdyke/kernel/named_weights.py
@@ -116,7 +116,7 @@
         now: Millis,
         shift: Millis | None,
     ) -> bool:
-        """Tell whether held weights were replaced at most `within` ago.
+        """Return whether held weights were replaced at most `within` ago.
 
         Weights that an engine doesn't tell count as the oldest.
         """
--- a/src/oleanderdyke/kernel/objects.py
+++ b/src/oleanderdyke/kernel/objects.py
@@ -150,5 +150,5 @@
 
 
 def select(selector: Labels, labels: Labels) -> bool:
-    """Tell whether labels carry every pair of the selector."""
+    """Return whether labels carry every pair of the selector."""
     return all(labels.get(key) == value for key, value in selector.items())
--- a/src/oleanderdyke/kernel/orders.py
+++ b/src/oleanderdyke/kernel/orders.py
@@ -183,7 +183,7 @@
 
 
 def matches(observed: Observed, desired: Desired) -> bool:
-    """Tell whether an engine is in the desired state."""
+    """Return whether an engine is in the desired state."""
     return desired == Desired(
         model=observed.model,
         version=observed.version,
--- a/src/oleanderdyke/kernel/overload.py
+++ b/src/oleanderdyke/kernel/overload.py
@@ -13,21 +13,21 @@
 # Requests that wait at an engine, beside those that it has begun to read.
 # From the first on more are refused, from the second on nearly all: an engine
 # whose memory is full puts back what it has begun and reads it again.
-_FEW_WAITING = 2
-_MANY_WAITING = 10
-_MOST_REFUSED = 0.95
+_SHED_START_QUEUE = 2
+_SHED_FULL_QUEUE = 10
+_MOST_SHED_SHARE = 0.95
 # The part of an engine's memory that its runs may take by a guess that counts
 # shared parts, and the longest answers, for each of them. Where it stays under
 # the first, first tokens keep under half of their targets.
 # The guess alone refuses nothing: there are places while nobody waits.
-_FILL_GOOD = 0.8
-_FILL_BAD = 1.2
+_SHED_START_MEMORY_SHARE = 0.8
+_SHED_FULL_MEMORY_SHARE = 1.2
 # Refusing a request that takes little memory frees little: it is refused less
 # often than others by its size, but not less than by this factor.
-_LEAST_SHARE = 0.3
+_LEAST_SIZE_FACTOR = 0.3
 # Within this, a first byte is late by chance: one step of an engine that reads
 # a long prompt beside takes half of it.
-_LITTLE_DELAY: Millis = 40.0
+_NEGLIGIBLE_DELAY: Millis = 40.0
 # Without a server that takes anything a request waits so long, and at most for
 # this part of what is left: after a common loss of power the list tells new
 # starts within a second, and a load of new weights takes one or two.
@@ -40,29 +40,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
-    """Say how long a caller has waited, and when its answer gets late."""
+class RequestAge:
+    """Time a caller has waited, and its latency target."""
 
     waited: Millis
     target: Millis
 
     @property
     def is_first_try(self) -> bool:
-        """Tell whether the caller has not been refused before."""
+        """Return whether the caller has not been refused before."""
         return self.waited < _FIRST_TRY_SLACK
 
     @property
     def is_late(self) -> bool:
-        """Tell whether no answer can be in time any more."""
+        """Return whether no answer can be in time any more."""
         return self.waited > self.target
 
 
-def find_patience(
+def find_request_age(
     wait: Millis | None, timeout: Millis, target: Millis
-) -> Patience:
+) -> RequestAge:
     """Infer from what is left of a caller's wait how long it has waited."""
     left = timeout if wait is None else wait
-    return Patience(max(timeout - left, 0.0), target)
+    return RequestAge(max(timeout - left, 0.0), target)
 
 
 def find_wait(left: Millis) -> Millis:
@@ -75,7 +75,7 @@
 
 
 def should_refuse(
-    patience: Patience,
+    age: RequestAge,
     *,
     expected: Millis,
     delay: Millis,
@@ -84,20 +84,24 @@
     size: float,
     drawn: float,
 ) -> bool:
-    """Tell whether a request is better sent back than started now.
+    """Return whether a request is better sent back than started now.
 
     `delay` is how long requests lately waited at the least loaded server and
     `waiting` how many do. `fill` is how much of its memory is likely taken,
     `size` what this request takes against the mean, and `drawn` a number from
     0 to 1, by which a growing part is refused.
     """
-    crowd = (waiting - _FEW_WAITING) / (_MANY_WAITING - _FEW_WAITING)
-    fullness = (fill - _FILL_GOOD) / (_FILL_BAD - _FILL_GOOD)
-    if not waiting and delay < _LITTLE_DELAY:
+    crowd = (waiting - _SHED_START_QUEUE) / (
+        _SHED_FULL_QUEUE - _SHED_START_QUEUE
+    )
+    fullness = (fill - _SHED_START_MEMORY_SHARE) / (
+        _SHED_FULL_MEMORY_SHARE - _SHED_START_MEMORY_SHARE
+    )
+    if not waiting and delay < _NEGLIGIBLE_DELAY:
         fullness = 0.0
-    share = max(crowd, fullness) * max(min(size, 1.0), _LEAST_SHARE)
-    if drawn < min(share, _MOST_REFUSED):
+    share = max(crowd, fullness) * max(min(size, 1.0), _LEAST_SIZE_FACTOR)
+    if drawn < min(share, _MOST_SHED_SHARE):
         return True
-    if not patience.is_first_try:
+    if not age.is_first_try:
         return False
-    return expected > patience.target * _TARGET_SHARE
+    return expected > age.target * _TARGET_SHARE
--- a/src/oleanderdyke/kernel/pins.py
+++ b/src/oleanderdyke/kernel/pins.py
@@ -41,11 +41,11 @@
         return pinned
 
     def holds(self, pinned: Pinned, now: Millis) -> bool:
-        """Tell whether a pin is still there and in time."""
+        """Return whether a pin is still there and in time."""
         return pinned.number in self._pins and now < pinned.until
 
     def is_pinned(self, generation: int) -> bool:
-        """Tell whether a reader may be copying the object of a generation."""
+        """Return whether a reader may be copying the object of a generation."""
         return generation in self._counts
 
     def remove(self, pinned: Pinned) -> bool:
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -44,7 +44,7 @@
 _DRAIN_COST: Millis = 1.0
 # A server that fails each request costs as much as waiting for a time-out.
 _ERROR_COST: Millis = 1_000.0
-# Beside servers that answer, one that owes a byte for so long is left out.
+# Servers silent for longer than this are skipped while others respond.
 # An engine that runs anything sends a byte every few milliseconds; reading
 # the longest prompts takes some hundred.
 SILENCE_LIMIT: Millis = 500.0
@@ -175,7 +175,7 @@
 
 
 def is_usable(backend: Backend, now: Millis) -> bool:
-    """Tell whether nothing speaks against sending to a server."""
+    """Return whether nothing speaks against sending to a server."""
     if max(backend.out_until, backend.reload_until) > now:
         return False
     return backend.find_silence(now) < SILENCE_LIMIT
--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -1,4 +1,4 @@
-"""Count the entries that are alive, erring high."""
+"""Estimate the number of live entries; never underestimates."""
 
 from __future__ import annotations
 
@@ -6,8 +6,7 @@
 
 from oleanderdyke.clock import SECOND, Millis
 
-# An entry tells of itself every 20 s at most; one lost notice doesn't make it
-# gone.
+# Tolerates one lost announcement; entries announce at least every 20 s.
 LIFE: Millis = 40 * SECOND
 # Entries read the notices every 10 s. In a longer gap the store was probably
 # out, and then nobody could tell of itself.
--- a/src/oleanderdyke/kernel/receipts.py
+++ b/src/oleanderdyke/kernel/receipts.py
@@ -33,7 +33,7 @@
 
     @property
     def is_long(self) -> bool:
-        """Tell whether the answer has grown over the bound."""
+        """Return whether the answer has grown over the bound."""
         return self._size > BODY_BOUND
 
     @property
--- a/src/oleanderdyke/kernel/returns.py
+++ b/src/oleanderdyke/kernel/returns.py
@@ -50,7 +50,7 @@
         self._lapse_until = now + _LAPSE
 
     def is_lapsing(self, now: Millis) -> bool:
-        """Tell whether entries may lack only because the store was away."""
+        """Return whether entries may lack only because the store was away."""
         return now < self._lapse_until
 
     def remove(self, server: str, now: Millis) -> None:
@@ -63,11 +63,11 @@
         self._removed.pop(server, None)
 
     def is_removed(self, server: str) -> bool:
-        """Tell whether a server's entry is gone and it isn't surely back."""
+        """Return whether a server's entry is gone and it isn't surely back."""
         return server in self._removed
 
     def holds_back(self, record: ServerRecord, now: Millis) -> bool:
-        """Tell whether a record may be older than the end of its entry.
+        """Return whether a record may be older than the end of its entry.
 
         A second, later one proves that the server lives.
         """
--- a/src/oleanderdyke/kernel/rollout.py
+++ b/src/oleanderdyke/kernel/rollout.py
@@ -26,14 +26,14 @@
     born: int | None = None
 
     def is_other_start(self, before: EngineState) -> bool:
-        """Tell whether the engine has started anew since the report before.
+        """Return whether the engine has started anew since the report before.
 
         Each start counts its orders from none.
         """
         return self.born != before.born or self.orders < before.orders
 
     def is_earlier_start(self, before: EngineState) -> bool:
-        """Tell whether a report is late, of a start that has ended."""
+        """Return whether a report is late, of a start that has ended."""
         if self.born is None:
             return before.born is not None
         return self.born < (before.born or 0)
--- a/src/oleanderdyke/kernel/routing.py
+++ b/src/oleanderdyke/kernel/routing.py
@@ -143,7 +143,7 @@
     tokens_per_second: float,
     wait: Millis = 0.0,
 ) -> bool:
-    """Tell whether recomputing costs less than the rest of a fetch.
+    """Return whether recomputing costs less than the rest of a fetch.
 
     `wait` is the engine's queue.
     """
--- a/src/oleanderdyke/kernel/sealed_entries.py
+++ b/src/oleanderdyke/kernel/sealed_entries.py
@@ -85,7 +85,7 @@
         return SealedEntry(meta, self._generations[place])
 
     def is_at(self, place: int, generation: int) -> bool:
-        """Tell whether the entry of a generation is at a place."""
+        """Return whether the entry of a generation is at a place."""
         return place < len(self) and self._generations[place] == generation
 
     def read_worth(self, place: int) -> Weighed:
--- a/src/oleanderdyke/kernel/snapshots.py
+++ b/src/oleanderdyke/kernel/snapshots.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Applied:
-    """Tell that a change is in force, and since which offset."""
+    """A change is in force, and since which offset."""
 
     record_id: str
     operator: str
--- a/src/oleanderdyke/kernel/specs.py
+++ b/src/oleanderdyke/kernel/specs.py
@@ -40,7 +40,7 @@
 
 
 class InvalidSpec(ValueError):
-    """Tell that a packed spec can't be read."""
+    """A packed spec can't be read."""
 
 
 def load_cbor(data: bytes) -> Any:
--- a/src/oleanderdyke/kernel/spread.py
+++ b/src/oleanderdyke/kernel/spread.py
@@ -183,7 +183,7 @@
         return _answer_records(request.after, through, records)
 
     def readiness(self, now: Millis) -> Readiness:
-        """Tell whether the configuration may be served from."""
+        """Return whether the configuration may be served from."""
         if not self._loaded:
             return Readiness(ready=False, reason=self._explain_start())
         since = self._behind_since
@@ -196,7 +196,7 @@
         return Readiness(ready=False, reason=reason)
 
     def is_snapshot_due(self, wall: Millis) -> bool:
-        """Tell whether to append a snapshot now; any process may do so.
+        """Return whether to append a snapshot now; any process may do so.
 
         The limits differ a little between processes, so that one is first.
         After a yes there is a pause, also where clocks are far apart.
@@ -287,7 +287,7 @@
         return True
 
     def _may_load(self, through: int, now: Millis) -> bool:
-        """Tell whether to start with a peer's snapshot.
+        """Return whether to start with a peer's snapshot.
 
         One that is half-way is kept for the rest from any peer, and given up
         for another only where nothing more of it came for a while.
--- a/src/oleanderdyke/kernel/stream_buffer.py
+++ b/src/oleanderdyke/kernel/stream_buffer.py
@@ -45,7 +45,7 @@
 
     @property
     def is_over(self) -> bool:
-        """Tell whether the buffers hold too much together."""
+        """Return whether the buffers hold too much together."""
         return self.used > self.limit
 
 
@@ -112,7 +112,7 @@
 
     @property
     def is_full(self) -> bool:
-        """Tell whether the producer must wait until messages are sent."""
+        """Return whether the producer must wait until messages are sent."""
         # Without a reader, what was sent last may have to be sent again.
         needed = self._held_bytes if self.reader is None else self._unsent_bytes
         if needed >= self._limits.stream_bytes:
@@ -121,12 +121,12 @@
 
     @property
     def is_finished(self) -> bool:
-        """Tell whether the producer has closed the answer."""
+        """Return whether the producer has closed the answer."""
         return self._totals is not None
 
     @property
     def is_sent(self) -> bool:
-        """Tell whether the end was sent to the present reader."""
+        """Return whether the end was sent to the present reader."""
         return self._is_end_sent
 
     @property
@@ -135,7 +135,7 @@
         return self._held_bytes
 
     def would_drop(self, data: bytes) -> bool:
-        """Tell whether adding drops a sent chunk while others wait.
+        """Return whether adding drops a sent chunk while others wait.
 
         A reader whose link breaks then would miss that chunk.
         """
@@ -198,7 +198,7 @@
         )
 
     def is_expired(self, now: Millis) -> bool:
-        """Tell whether nobody has taken from the stream for too long."""
+        """Return whether nobody has taken from the stream for too long."""
         if now - self._touched < self._limits.hold:
             return False
         if self.reader is None or self.is_finished:
--- a/src/oleanderdyke/kernel/streams.py
+++ b/src/oleanderdyke/kernel/streams.py
@@ -79,7 +79,7 @@
 
     @property
     def is_over(self) -> bool:
-        """Tell whether the answer has ended, whole or broken."""
+        """Return whether the answer has ended, whole or broken."""
         return self._is_over
 
     def take(self, message: AnswerMessage) -> Delivery:
--- a/src/oleanderdyke/kernel/targets.py
+++ b/src/oleanderdyke/kernel/targets.py
@@ -193,7 +193,7 @@
 
 
 def is_met(target: Target, limit: float, counts: Counts) -> bool:
-    """Tell whether counted requests got what is owed."""
+    """Return whether counted requests got what is owed."""
     if target is Target.RECOMPUTED_SHARE:
         return counts.recomputed_tokens <= limit * counts.prompt_tokens
     return counts.judged - counts.missed >= OWED_SHARE * counts.judged
--- a/src/oleanderdyke/links/codec.py
+++ b/src/oleanderdyke/links/codec.py
@@ -34,7 +34,7 @@
 
 
 class _Mismatch(Exception):
-    """Tell that a value has the wrong type."""
+    """A value has the wrong type."""
 
 
 class _Missing(enum.Enum):
--- a/src/oleanderdyke/links/dialer.py
+++ b/src/oleanderdyke/links/dialer.py
@@ -16,7 +16,7 @@
 
 
 class DialFailed(OleanderError):
-    """Tell that a peer could not be reached."""
+    """A peer could not be reached."""
 
     def __init__(self, message: str) -> None:
         super().__init__(ErrorKind.BACKEND_LOST, message, ran=Ran.NO)
--- a/src/oleanderdyke/links/handshake.py
+++ b/src/oleanderdyke/links/handshake.py
@@ -21,7 +21,7 @@
 
 
 class HandshakeFailed(OleanderError):
-    """Tell that no link came to be; nothing was sent over it."""
+    """No link came to be; nothing was sent over it."""
 
     def __init__(self, message: str) -> None:
         super().__init__(ErrorKind.PROTOCOL, message, ran=Ran.NO)
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -33,7 +33,7 @@
 
 
 class LinkClosed(OleanderError):
-    """Tell that a link carries no more messages."""
+    """A link carries no more messages."""
 
     def __init__(self, message: str) -> None:
         super().__init__(ErrorKind.BACKEND_LOST, message)
@@ -92,13 +92,13 @@
         """Offer each frame of data before it is queued for `recv`."""
 
     def is_reading(self) -> bool:
-        """Tell whether bytes are taken from the socket."""
+        """Return whether bytes are taken from the socket."""
 
     def is_open(self) -> bool:
-        """Tell whether frames can still be sent."""
+        """Return whether frames can still be sent."""
 
     def is_writable(self) -> bool:
-        """Tell whether a short frame goes out without waiting."""
+        """Return whether a short frame goes out without waiting."""
 
     def write(self, message: bytes) -> None:
         """Send one binary frame; only while `is_open` and `is_writable`."""
@@ -156,12 +156,12 @@
 
     @property
     def closed(self) -> bool:
-        """Tell whether the link carries no more messages."""
+        """Return whether the link carries no more messages."""
         return bool(self._reason) or not self._socket.is_open()
 
     @property
     def fell_silent(self) -> bool:
-        """Tell whether this side closed it since nothing was heard."""
+        """Return whether this side closed it since nothing was heard."""
         return self._reason == _SILENT
 
     async def send(self, message: Message) -> None:
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NewsAnswer:
-    """Tell records of `era`; `age` ago no others followed them.
+    """Records of `era`; `age` ago no others followed them.
 
     `is_complete` tells that all that were known then are here.
     """
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadNews:
-    """Tell what a start of a backend server told of its load, `age` ago."""
+    """Load that a start of a backend server reported `age` ago."""
 
     age: Millis
     server: str
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreEvent:
-    """Tell that a part was kept whole, or is gone from a store."""
+    """A part was kept whole, or is gone from a store."""
 
     number: int
     is_added: bool
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreNews:
-    """Tell what follows a position at one start of a store.
+    """What follows a position at one start of a store.
 
     It was asked for `age` ago. `clock` is the least that the engines' clock
     can show now, and `spread` how much more it may show, in ms.
@@ -125,7 +125,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ContextAnswer:
-    """Tell of those stores that the neighbour follows itself.
+    """What is new at the stores that the neighbour follows itself.
 
     `loads` are those that it has learned since its last answer on the link.
     """
--- a/src/oleanderdyke/links/messages/segments.py
+++ b/src/oleanderdyke/links/messages/segments.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SegmentMissing:
-    """Tell that a segment is not here, not sealed, or was freed."""
+    """A segment is not here, not sealed, or was freed."""
 
     request: str
     segment: bytes
--- a/src/oleanderdyke/links/news_desk.py
+++ b/src/oleanderdyke/links/news_desk.py
@@ -247,7 +247,7 @@
             await changed.wait()
 
     def _is_read(self, read_at: Millis | None, limit: Millis) -> bool:
-        """Tell whether this process reads what it read then."""
+        """Return whether this process reads what it read then."""
         if read_at is None:
             return False
         return self._clock.now() - read_at < limit + _READ_MARGIN
--- a/src/oleanderdyke/links/silence.py
+++ b/src/oleanderdyke/links/silence.py
@@ -24,7 +24,7 @@
 
     @property
     def quiet(self) -> bool:
-        """Tell whether nothing arrived before the last tick."""
+        """Return whether nothing arrived before the last tick."""
         return self._missed > 0
 
     def note_heard(self) -> None:
@@ -32,7 +32,7 @@
         self._heard = True
 
     def tick(self, now: Millis, *, reading: bool) -> bool:
-        """Tell whether the peer counts as silent.
+        """Return whether the peer counts as silent.
 
         `reading` says that this side takes bytes from the socket.
         """
@@ -46,5 +46,5 @@
         return self._missed >= self._allowed
 
     def is_late(self, now: Millis) -> bool:
-        """Tell whether this process slept since the last tick."""
+        """Return whether this process slept since the last tick."""
         return now - self._last_tick > _LATE * self._interval
--- a/src/oleanderdyke/links/sockets.py
+++ b/src/oleanderdyke/links/sockets.py
@@ -39,15 +39,15 @@
         self._offer = offer
 
     def is_reading(self) -> bool:
-        """Tell whether bytes are taken from the socket."""
+        """Return whether bytes are taken from the socket."""
         return self.transport.is_reading()
 
     def is_open(self) -> bool:
-        """Tell whether frames can still be sent."""
+        """Return whether frames can still be sent."""
         return self.state is State.OPEN
 
     def is_writable(self) -> bool:
-        """Tell whether a short frame goes out without waiting."""
+        """Return whether a short frame goes out without waiting."""
         return not (self.paused or self.transport.is_closing())
 
     def write(self, message: bytes) -> None:
--- a/src/oleanderdyke/platform/contexts.py
+++ b/src/oleanderdyke/platform/contexts.py
@@ -40,7 +40,7 @@
 
 
 class ContextUnavailable(OleanderError):
-    """Tell that a store gave no proper answer, or has too many readers."""
+    """A store gave no proper answer, or has too many readers."""
 
     def __init__(self, message: str, *, is_crowded: bool = False) -> None:
         super().__init__(ErrorKind.NOT_READY, message, ran=Ran.MAYBE)
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -58,7 +58,7 @@
 
 
 class MalformedRecord(OleanderError):
-    """Tell that a record of the platform's store can't be read."""
+    """A record of the platform's store can't be read."""
 
     def __init__(self, message: str) -> None:
         super().__init__(ErrorKind.PROTOCOL, message[:_MOST_MESSAGE])
--- a/src/oleanderdyke/platform/engines.py
+++ b/src/oleanderdyke/platform/engines.py
@@ -52,7 +52,7 @@
 
 
 class EngineUnavailable(OleanderError):
-    """Tell that the engine gave no proper answer."""
+    """The engine gave no proper answer."""
 
     def __init__(self, message: str) -> None:
         super().__init__(ErrorKind.BACKEND_LOST, message, ran=Ran.MAYBE)
--- a/src/oleanderdyke/platform/entries.py
+++ b/src/oleanderdyke/platform/entries.py
@@ -1,4 +1,4 @@
-"""Tell through the store which entries are alive, and where they listen."""
+"""Announce entries through the store: which are alive, where they listen."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class EntryFeed:
-    """Tell of one entry, and read who told of itself.
+    """Announce one entry, and read the announcements of all.
 
     What is no name is passed to `refuse` and left out: each name takes a part
     of what may be sent again.
@@ -34,14 +34,14 @@
         # Whether the last read found that notices have to be told again.
         self.was_restored = False
 
-    async def tell(self, entry: Neighbour) -> None:
-        """Tell that an entry is alive; raise StoreUnavailable."""
+    async def announce(self, entry: Neighbour) -> None:
+        """Append an announcement; raise StoreUnavailable."""
         fields = (entry.name, entry.address, entry.data_centre)
         record = _SEPARATOR.join(filter(None, fields))
         await self._client.append(names.ENTRY_TOPIC, record.encode())
 
     async def read(self) -> tuple[Neighbour, ...] | None:
-        """Return who told of itself; None where it has to be read anew.
+        """Return announced entries; None where they have to be read anew.
 
         One that takes no links has no address. Raise StoreUnavailable.
         """
--- a/src/oleanderdyke/platform/feed.py
+++ b/src/oleanderdyke/platform/feed.py
@@ -244,7 +244,7 @@
 def tell_refused(
     refused: Sequence[tuple[str, MalformedRecord]], refuse: Refuse
 ) -> None:
-    """Tell some of what came together and can't be read, and count the rest."""
+    """Report some of the records that can't be read, and count the rest."""
     for key, error in refused[:_TOLD]:
         refuse(key[:_MOST_KEY], error)
     more = len(refused) - _TOLD
--- a/src/oleanderdyke/platform/fields.py
+++ b/src/oleanderdyke/platform/fields.py
@@ -26,7 +26,7 @@
 
 
 class FieldError(ValueError):
-    """Tell which field is missing or of another type."""
+    """A field is missing or of another type."""
 
 
 def load_object(data: bytes) -> Mapping[str, Any]:
--- a/src/oleanderdyke/platform/loads.py
+++ b/src/oleanderdyke/platform/loads.py
@@ -1,4 +1,4 @@
-"""Tell all processes, through the store, who takes new weights."""
+"""Exchange notices of loads of weights through the store."""
 
 from __future__ import annotations
 
--- a/src/oleanderdyke/platform/records.py
+++ b/src/oleanderdyke/platform/records.py
@@ -17,7 +17,7 @@
 
 
 class CutShort(Exception):
-    """Tell that an answer ends within a record."""
+    """An answer ends within a record."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +34,7 @@
 
     @property
     def is_dropped(self) -> bool:
-        """Tell whether the record drops its key."""
+        """Return whether the record drops its key."""
         return self.value is None and not self.fault
 
 
@@ -103,7 +103,7 @@
 
 
 def _has_key(item: Any) -> bool:
-    """Tell whether a key can be sent: half a surrogate pair can't."""
+    """Return whether a key can be sent: half a surrogate pair can't."""
     if not isinstance(item, dict):
         return False
     key = item.get('key')
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -45,14 +45,14 @@
 
 
 class StoreUnavailable(OleanderError):
-    """Tell that a call to the store gave no proper answer."""
+    """A call to the store gave no proper answer."""
 
     def __init__(self, message: str, *, ran: Ran = Ran.MAYBE) -> None:
         super().__init__(ErrorKind.LOG_UNAVAILABLE, message, ran=ran)
 
 
 class RecordsExpired(OleanderError):
-    """Tell that the store no longer has the records that were asked for.
+    """The store no longer has the records that were asked for.
 
     `first` is the oldest offset that it has, where it told so.
     """
--- a/src/oleanderdyke/policies/admission.py
+++ b/src/oleanderdyke/policies/admission.py
@@ -68,7 +68,7 @@
     returning: Millis = 0.0
 
     def has_ahead(self, kind: _Class) -> bool:
-        """Tell whether anybody waits who goes first."""
+        """Return whether anybody waits who goes first."""
         return any(self.queues[: kind + 1])
 
     def count_ahead(self, held: _Held, weight: float) -> float:
--- a/src/oleanderdyke/policies/candidates.py
+++ b/src/oleanderdyke/policies/candidates.py
@@ -21,7 +21,7 @@
 
 
 def fits(replica: Replica, demand: Demand, exclude: frozenset[str]) -> bool:
-    """Tell whether a replica may run a request."""
+    """Return whether a replica may run a request."""
     if replica.agent in exclude or replica.service != demand.service:
         return False
     return demand.weight_digest in {'', replica.weight_digest}
--- a/src/oleanderdyke/settings_checks.py
+++ b/src/oleanderdyke/settings_checks.py
@@ -40,7 +40,7 @@
 
 
 def is_loopback(host: str) -> bool:
-    """Tell whether an address never leaves this VM."""
+    """Return whether an address never leaves this VM."""
     try:
         return ipaddress.ip_address(host).is_loopback
     except ValueError:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
 from oleanderdyke.kernel.overload import (
-    Patience,
-    find_patience,
+    RequestAge,
+    find_request_age,
     should_refuse,
 )
 
@@ -17,7 +17,7 @@
         'drawn': 0.5,
         **changes,
     }
-    return should_refuse(Patience(waited, 400.0), **facts)
+    return should_refuse(RequestAge(waited, 400.0), **facts)
 
 
 def test_nothing_is_refused_while_places_are_free():
@@ -51,6 +51,6 @@
 
 
 def test_how_long_a_caller_has_waited_follows_from_its_deadline():
-    assert find_patience(4_000, 4_000, 400).is_first_try
-    assert find_patience(3_500, 4_000, 400).is_late
-    assert find_patience(None, 4_000, 400).is_first_try
+    assert find_request_age(4_000, 4_000, 400).is_first_try
+    assert find_request_age(3_500, 4_000, 400).is_late
+    assert find_request_age(None, 4_000, 400).is_first_try
