--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -23,11 +23,6 @@
 _BATCH_COST: Millis = 48.0
 # A plain call takes some ten milliseconds in one of few slots.
 _PLAIN_COST: Millis = 20.0
-# While an engine reads a prompt, all that runs there is held up. A part of that
-# counts, so that long prompts gather on engines with few runs, and long answers
-# on the others: there they share each step, and put back no long prompt for
-# want of memory.
-_HELD_UP_SHARE = 0.01
 # What one request that waits at an engine adds, by what engines begin in a
 # second.
 _WAITING_COST: Millis = 10.0
@@ -245,7 +240,6 @@
         return score + _score_plain(backend)
     split = _split_prompt(demand, demand.model, backend)
     score += _expect_split(demand, backend, split, now)
-    score += _score_held_up(backend, split, now)
     score += _score_engine(demand, demand.model, backend, terms, now)
     return score + _score_weights(demand, demand.model, backend, terms)
 
@@ -258,15 +252,6 @@
     return busy * _PLAIN_COST
 
 
-def _score_held_up(
-    backend: Backend, split: tuple[int, int], now: Millis
-) -> Millis:
-    """Return what reading a prompt costs the runs of an engine."""
-    _, missing = split
-    reading = backend.reading.find_time(missing)
-    return reading * backend.count_present(now) * _HELD_UP_SHARE
-
-
 def _score_engine(
     demand: CallDemand,
     model: ModelDemand,
