End evacuations in one place, after what was written again has counted

Orders, those that a listing lacks and those that nobody wrote again were joined from three lists; an evacuation that is written again in the same read can't be ended by its hold now.

--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -193,23 +193,18 @@
 
     def _take_evacuations(self, news: OperatorNews) -> None:
         """Stop new work where operators say so, until they take it back."""
+        now, evacuations = self._core.clock.now(), self._core.limits.evacuations
         orders = tuple(news.list_evacuations())
-        if news.is_whole:
-            listed = [each.data_centre for each in orders]
-            missing = self._core.limits.evacuations.find_missing(
-                listed, self._core.clock.now(), is_restored=news.is_restored
-            )
-            orders += tuple(
-                EvacuationOrder(each, is_active=False) for each in missing
-            )
-        expired = self._core.limits.evacuations.find_expired(
-            self._core.clock.now()
-        )
-        orders += tuple(
-            EvacuationOrder(each, is_active=False) for each in expired
-        )
         for order in orders:
             self._take_evacuation(order)
+        ended = evacuations.find_expired(now)
+        if news.is_whole:
+            listed = [each.data_centre for each in orders if each.is_active]
+            ended |= evacuations.find_missing(
+                listed, now, is_restored=news.is_restored
+            )
+        for data_centre in ended:
+            self._take_evacuation(EvacuationOrder(data_centre, is_active=False))
 
     def _take_evacuation(self, order: EvacuationOrder) -> None:
         core = self._core
