Expect a first byte in one function again

The split was for a cost that has been taken back. The page of the send limits now says which of them is checked twice: only an evacuation. Behaviour is unchanged.

--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -212,15 +212,7 @@
     """Return the expected time to the first byte of a model's answer."""
     if demand.model is None:
         return 0.0
-    return _expect_split(
-        demand, backend, _split_prompt(demand, demand.model, backend), now
-    )
-
-
-def _expect_split(
-    demand: CallDemand, backend: Backend, split: tuple[int, int], now: Millis
-) -> Millis:
-    fetched, missing = split
+    fetched, missing = _split_prompt(demand, demand.model, backend)
     find_time = backend.reading.find_time
     owed = find_time(backend.count_owed_tokens(demand.rank))
     delay = max(backend.find_delay(demand.rank, now), owed)
@@ -238,8 +230,7 @@
         score += _DISTANCE_COST
     if demand.model is None:
         return score + _score_plain(backend)
-    split = _split_prompt(demand, demand.model, backend)
-    score += _expect_split(demand, backend, split, now)
+    score += _expect(demand, backend, now)
     score += _score_engine(demand, demand.model, backend, terms, now)
     return score + _score_weights(demand, demand.model, backend, terms)
 
--- a/src/oleanderdyke/kernel/send_limits.py
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -1,7 +1,7 @@
 """Decide which backend servers must not get a request now, whatever it costs.
 
-The same checks run when a server is chosen and again when the request is sent:
-opening a connection takes time, in which a limit may come into force.
+All limits are checked when a server is chosen. An evacuation is checked again
+when the request is sent: it may begin while a connection is opened.
 """
 
 from __future__ import annotations
