Log the rate limit that a backend server names

The logs of the incident could not tell whether an entry was told a limit, which one, and until when. The adapter decodes the header, the entry keeps it for each start of a server and writes one line when it changes, and one for the first value that can't be read. Nothing is decided by it yet.

--- a/src/oleanderdyke/entry/hosted/lessons.py
+++ b/src/oleanderdyke/entry/hosted/lessons.py
@@ -5,7 +5,8 @@
 from oleanderdyke.entry.hosted.call import HostedCall
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.weights import Weights
-from oleanderdyke.kernel.servers import AnswerFacts, ServerStart
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.servers import AnswerFacts, AnswerField, ServerStart
 
 
 class Lessons:
@@ -22,12 +23,40 @@
         """Learn the load and the weights that an answer tells."""
         if facts.load is not None:
             self._core.note_load(self._start, facts.load)
+        self._take_limit(facts)
+        self._log_malformed(facts)
         demand = self._call.asked.demand
         if demand is not None and facts.weight_version is not None:
             self._core.book.note_version(
                 self._start, demand.model, facts.weight_version
             )
 
+    def _take_limit(self, facts: AnswerFacts) -> None:
+        malformed = {found.field for found in facts.malformed}
+        if AnswerField.RATE_LIMIT in malformed:
+            return
+        core, start = self._core, self._start
+        if core.book.note_limit(start, facts.rate_limit):
+            core.log.write(
+                EventName.BACKEND_LIMITED,
+                request=self._call.request,
+                peer=start.server,
+                incarnation=start.born,
+                value=facts.rate_limit,
+            )
+
+    def _log_malformed(self, facts: AnswerFacts) -> None:
+        core, start = self._core, self._start
+        for found in facts.malformed:
+            if core.book.note_malformed(start, found.field):
+                core.log.write(
+                    EventName.RECORD_REFUSED,
+                    name=found.field.value,
+                    peer=start.server,
+                    incarnation=start.born,
+                    detail=f'{found.text!r} is no number of at least 0',
+                )
+
     def take_refusal(self, facts: AnswerFacts, sent: Weights) -> None:
         """Learn why a call that was `sent` for some weights was not run."""
         core, demand = self._core, self._call.asked.demand
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -72,6 +72,7 @@
     BACKEND_UP = 'backend_up'
     BACKEND_LOST = 'backend_lost'
     BACKENDS_CHANGED = 'backends_changed'
+    BACKEND_LIMITED = 'backend_limited'
     ORDER_SENT = 'order_sent'
     ORDER_REFUSED = 'order_refused'
     ORDER_DONE = 'order_done'
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -9,7 +9,12 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.read_rate import ReadRate
-from oleanderdyke.kernel.servers import PromptPart, ServerLoad, ServerRecord
+from oleanderdyke.kernel.servers import (
+    AnswerField,
+    PromptPart,
+    ServerLoad,
+    ServerRecord,
+)
 
 # What a first byte takes beside reading, where nothing waits: the first step
 # of an engine and two ways over the network.
@@ -56,6 +61,10 @@
     missing_since: Millis | None = None
     # Its newest entry can't be read, so what it told before may be outdated.
     is_unread: bool = False
+    # Requests a second that it accepts from all entries, as it last named.
+    rate_limit: float | None = None
+    # What it named in answers and could not be read.
+    malformed: set[AnswerField] = field(default_factory=set)
     # Another server told the same address later: this one has likely ended.
     is_displaced: bool = False
     delays: dict[int, Delay] = field(default_factory=dict)
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -11,6 +11,7 @@
 from oleanderdyke.kernel.read_rate import ReadRate
 from oleanderdyke.kernel.returns import ReturningServers
 from oleanderdyke.kernel.servers import (
+    AnswerField,
     PromptPart,
     ServerLoad,
     ServerRecord,
@@ -340,6 +341,25 @@
             backend.load = load
             backend.load_at = now
 
+    def note_limit(self, start: ServerStart, per_second: float | None) -> bool:
+        """Take the rate that a server names; return whether that is news.
+
+        None is for a server that names none.
+        """
+        backend = self.find_start(start)
+        if backend is None or backend.rate_limit == per_second:
+            return False
+        backend.rate_limit = per_second
+        return True
+
+    def note_malformed(self, start: ServerStart, named: AnswerField) -> bool:
+        """Learn that a field can't be read; return whether it is the first."""
+        backend = self.find_start(start)
+        if backend is None or named in backend.malformed:
+            return False
+        backend.malformed.add(named)
+        return True
+
     def note_version(
         self, start: ServerStart, model: str, version: int
     ) -> None:
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -85,6 +86,20 @@
         return self.prompt_tokens - common + self.output_tokens // 2
 
 
+class AnswerField(enum.StrEnum):
+    """What a backend server may name of itself in an answer."""
+
+    RATE_LIMIT = 'rate limit'
+
+
+@dataclass(frozen=True, slots=True)
+class MalformedField:
+    """Part of an answer that can't be read; `text` is the start of it."""
+
+    field: AnswerField
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """Hold what the head of a backend server's answer tells.
@@ -93,6 +108,8 @@
     never will, `is_misdirected` that what was expected of it doesn't hold.
     `is_sealed` tells that the answer bears the mark of a server.
     `idle_timeout` is how long the server keeps an idle connection open.
+    `rate_limit` is how many requests a second it accepts from all entries
+    together. `malformed` has what was there and can't be read.
     """
 
     request: str = ''
@@ -103,3 +120,5 @@
     load: ServerLoad | None = None
     weight_version: int | None = None
     idle_timeout: Millis | None = None
+    rate_limit: float | None = None
+    malformed: tuple[MalformedField, ...] = ()
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -32,6 +32,7 @@
 INSTANCE = 'oleanderdyke-instance-id'
 LOAD = 'oleanderdyke-instance-load'
 WEIGHT_VERSION = 'oleanderdyke-weight-versions'
+RATE_LIMIT = 'server-limit'
 
 # Headers that only the system may set towards a backend server.
 OWN_HEADERS = frozenset(
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -12,6 +12,8 @@
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS, ContextPlan
 from oleanderdyke.kernel.servers import (
     AnswerFacts,
+    AnswerField,
+    MalformedField,
     ModelDemand,
     PromptPart,
     ServerLoad,
@@ -26,6 +28,8 @@
 _MOST_DIGITS = 15
 _KEEP_ALIVE = re.compile(r'timeout=([0-9]{1,15})(?![0-9])')
 _LOAD_PARTS = 3
+# How much of a malformed value is shown.
+_SHOWN_LENGTH = 40
 _NOWHERE = '-'
 _MISDIRECTED = 421
 _FRAMING = frozenset({'content-length', 'host', 'expect'})
@@ -88,6 +92,8 @@
     """Read the head of a backend server's answer."""
     found = dict(headers)
     is_misdirected = status == _MISDIRECTED
+    limit = found.get(names.RATE_LIMIT)
+    rate_limit = _read_rate(limit)
     return AnswerFacts(
         request=found.get(names.REQUEST_ID, ''),
         is_not_run=names.NOT_RUN in found or is_misdirected,
@@ -97,6 +103,8 @@
         load=_decode_load(found.get(names.LOAD, '')),
         weight_version=_read_whole(found.get(names.WEIGHT_VERSION, '')),
         idle_timeout=_decode_keep_alive(found.get('keep-alive', '')),
+        rate_limit=rate_limit,
+        malformed=_find_malformed(AnswerField.RATE_LIMIT, limit, rate_limit),
     )
 
 
@@ -194,6 +202,20 @@
     return int(text)
 
 
+def _find_malformed(
+    field: AnswerField, text: str | None, number: float | None
+) -> tuple[MalformedField, ...]:
+    """Return a field that is there and isn't a number that can be used."""
+    if text is None or number is not None:
+        return ()
+    return (MalformedField(field, text[:_SHOWN_LENGTH]),)
+
+
+def _read_rate(text: str | None) -> float | None:
+    number = None if text is None else _read_number(text)
+    return None if number is None or number < 0 else number
+
+
 def _read_number(text: str) -> float | None:
     try:
         number = float(text)
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -440,6 +440,7 @@
         names.LAST_EVENT,
         names.LOAD,
         names.WEIGHT_VERSION,
+        names.RATE_LIMIT,
         names.INSTANCE,
         'keep-alive',
         'connection',
@@ -471,6 +472,8 @@
     assert asked.wait is None or math.isfinite(asked.wait)
     facts = decode_answer(200, tuple(headers))
     assert facts.idle_timeout is None or math.isfinite(facts.idle_timeout)
+    assert facts.rate_limit is None or 0 <= facts.rate_limit < math.inf
+    assert all(len(found.text) <= 40 for found in facts.malformed)
     encode_request(tuple(headers), Dispatch('i-1', wait=asked.wait or 1.0))
 
 
--- a/tests/test_hosted_log.py
+++ b/tests/test_hosted_log.py
@@ -116,3 +116,35 @@
         await anyio.sleep(0.2)
         (line,) = list_events(stage.log, 'process_stalled')
     assert int(line['duration']) > 600
+
+
+def name_limits(*limits):
+    """Answer well, each time with the next limit; the last one stays."""
+    left = list(limits)
+
+    async def run(peer):
+        limit = left.pop(0) if len(left) > 1 else left[0]
+        await peer.answer(server_limit=limit)
+
+    return run
+
+
+@pytest.mark.anyio
+async def test_a_rate_limit_is_logged_when_it_changes(tmp_path):
+    limits = name_limits('2.5', '2.5', '4', '')
+    async with staging(tmp_path, limits) as stage:
+        for _ in range(5):
+            await stage.call('/safe/x')
+        lines = list_events(stage.log, 'backend_limited')
+    told = [(line['peer'], line.get('value')) for line in lines]
+    assert told == [('i-0', '2.5'), ('i-0', '4.0'), ('i-0', None)]
+
+
+@pytest.mark.anyio
+async def test_a_rate_limit_that_cannot_be_read_is_logged_once(tmp_path):
+    async with staging(tmp_path, name_limits('few', '-1', 'few')) as stage:
+        for _ in range(3):
+            assert (await stage.call('/safe/x')).status == 200
+        lines = list_events(stage.log, 'record_refused')
+    (line,) = [line for line in lines if line['name'] == 'rate limit']
+    assert line['peer'] == 'i-0'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 from oleanderdyke.errors import SettingsError
 from oleanderdyke.kernel.context_stores import ContextPlan, Source
 from oleanderdyke.kernel.deployment import CallKind
-from oleanderdyke.kernel.servers import ServerLoad
+from oleanderdyke.kernel.servers import AnswerField, ServerLoad
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import (
     MalformedRecord,
@@ -208,6 +208,24 @@
     assert found.idle_timeout == 7_000
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit'), [('2.3', 2.3), ('0', 0.0), (' 12 ', 12.0)]
+)
+def test_the_rate_limit_of_a_server_is_decoded(text, limit):
+    found = decode_answer(503, ((names.RATE_LIMIT, text),))
+    assert (found.rate_limit, found.malformed) == (limit, ())
+
+
+@pytest.mark.parametrize('text', ['', 'few', '-1', 'nan', 'inf', '9' * 400])
+def test_a_rate_limit_that_cannot_be_read_is_told_apart_from_none(text):
+    found = decode_answer(200, ((names.RATE_LIMIT, text),))
+    assert found.rate_limit is None
+    (malformed,) = found.malformed
+    assert malformed.field is AnswerField.RATE_LIMIT
+    assert malformed.text == text[:40]
+    assert decode_answer(200, ()).malformed == ()
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'is_not_run'),
     [
