--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -130,6 +130,7 @@
     grace: float = 8_000.0,
     version_limit: float = 15_000.0,
     store: RecordStore | None = None,
+    name: str = 'front-1',
     **record: Any,
 ) -> AsyncGenerator[Stage, None]:
     """Run an entry before one backend server for each script."""
@@ -153,6 +154,7 @@
             ports,
             grace=grace,
             version_limit=version_limit,
+            name=name,
         )
         stage.replicas = replicas
         shell = HostedShell(stage.core)
@@ -264,6 +266,7 @@
     *,
     grace: float,
     version_limit: float,
+    name: str,
 ) -> Stage:
     callers, readiness = (ports.reserve() for _ in range(2))
     text = SETTINGS.format(
@@ -272,6 +275,7 @@
         readiness=readiness,
         grace=grace / 1000,
         version_limit=version_limit,
+        name=name,
     )
     path = directory / 'boot.conf'
     path.write_text(text)
@@ -281,7 +285,7 @@
     core = make_hosted_core(
         load_host_settings(path),
         clock,
-        make_event_log('front-1', stream=stream),
+        make_event_log(name, stream=stream),
         Random(7),
     )
     return Stage(
@@ -289,7 +293,7 @@
     )
 
 
-SETTINGS = """nodeName=front-1
+SETTINGS = """nodeName={name}
 zone=hall
 ip=127.0.0.1
 platform.address={store}
