Keep all entries together to the rate that a server accepts

Each answer of a server's own, whatever its status, now names or lifts the limit of that start. A limit binds where a server is chosen, by a turn that is taken in the same moment, and once more where the request is sent, for choices that were made before it was known. What one server doesn't accept goes to another; where none accepts more the caller is refused at once and told when a turn comes.

Why the sum holds: entries exchange nothing on the path of a request, and a few of them, ranked alike everywhere by a count that errs high, share most of the rate. Each of the others asks seldom, to find out whether the limit still holds, and neighbours pass on what they hear of it with the load. Two other ways stand in the tests as variants that fail: equal shares of all break the burst where 68 entries were idle, shares by news alone where news differ.

A limit that nobody names costs one comparison a server and choice, and no bytes among neighbours.

--- a/src/oleanderdyke/entry/hosted/answers.py
+++ b/src/oleanderdyke/entry/hosted/answers.py
@@ -25,6 +25,14 @@
     return ''
 
 
+def is_own_answer(facts: AnswerFacts, request: str, server: str) -> bool:
+    """Return whether an answer is a server's own to a request, not a late one.
+
+    A server that restarted may answer at the address of another.
+    """
+    return facts.request in {'', request} and facts.server in {'', server}
+
+
 def has_events(headers: Headers) -> bool:
     """Return whether the body is a stream of events."""
     return any(
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -13,6 +13,7 @@
 from oleanderdyke.entry.hosted.answers import (
     find_fault,
     has_events,
+    is_own_answer,
     is_rest,
 )
 from oleanderdyke.entry.hosted.call import HostedCall, make_salt
@@ -34,7 +35,6 @@
 from oleanderdyke.kernel.attempt_events import Received, SendDispatch, Unsent
 from oleanderdyke.kernel.backend import Backend, Owed
 from oleanderdyke.kernel.named_weights import BEGIN_MARGIN, SEND_MARGIN
-from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import AnswerFacts, ServerStart
 from oleanderdyke.links.messages import (
     AnswerChunk,
@@ -70,6 +70,7 @@
         action: SendDispatch,
         *,
         start: ServerStart,
+        chosen_at: Millis,
         inbox: Inbox,
         splitter: EventSplitter | None,
         reserve_retry: Callable[[], bool],
@@ -81,6 +82,7 @@
         self._reserve_retry = reserve_retry
         self._number = action.attempt
         self._start = start
+        self._chosen_at = chosen_at
         self.server = start.server
         self._lessons = Lessons(core, call, start)
         self._name = f'{id(self):x}'
@@ -249,9 +251,11 @@
         """
         if self._core.book.has_left(self._start):
             return 'the server left while connecting'
-        data_centre = backend.record.data_centre
-        if data_centre in self._core.limits.evacuations.active:
-            return Obstacle.EVACUATED.value
+        obstacle = self._core.limits.find_send_obstacle(
+            backend, self._chosen_at
+        )
+        if obstacle is not None:
+            return obstacle.value
         weights = find_weights(self._call, backend)
         # What would wait at the engine until its time is over runs late where
         # a server doesn't drop the requests of closed connections.
@@ -324,7 +328,8 @@
     def _learn(self, facts: AnswerFacts) -> None:
         core = self._core
         core.book.note_heard(self._start, self._name, core.clock.now())
-        self._lessons.take_facts(facts)
+        if is_own_answer(facts, self._call.request, self.server):
+            self._lessons.take_facts(facts)
         if self._connection is not None:
             set_idle_limit(self._connection, facts.idle_timeout)
 
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -104,15 +104,46 @@
 
     def note_load(self, start: ServerStart, load: ServerLoad) -> None:
         """Take the load that a server told, and keep it for neighbours."""
-        told = TimedLoad(start, load, self.clock.now())
+        backend = self.book.find_start(start)
+        rate_limit = None
+        if backend is not None and backend.limit.was_named:
+            rate_limit = backend.limit.per_second
+        told = TimedLoad(start, load, self.clock.now(), rate_limit)
         self.book.note_load(start, load, told.at)
         self.news.desk.loads.note(told)
         self.news.desk.own_loads.note(told)
 
     def take_shared_load(self, told: TimedLoad) -> None:
         """Take the load that a server told a neighbour."""
-        if self.news.desk.loads.note(told):
-            self.book.note_load(told.start, told.load, told.at)
+        if not self.news.desk.loads.note(told):
+            return
+        self.book.note_load(told.start, told.load, told.at)
+        if told.rate_limit is not None:
+            self.note_limit(told.start, told.rate_limit, at=told.at)
+
+    def note_limit(
+        self,
+        start: ServerStart,
+        per_second: float,
+        *,
+        at: Millis | None = None,
+        request: str | None = None,
+    ) -> None:
+        """Take the rate that a server accepts, infinite without a limit.
+
+        It is from the answer to a request, or a neighbour heard it at a moment.
+        """
+        heard_at = self.clock.now() if at is None else at
+        if not self.book.note_limit(start, per_second, heard_at):
+            return
+        self.log.write(
+            EventName.BACKEND_LIMITED,
+            peer=start.server,
+            incarnation=start.born,
+            request=request,
+            value=None if math.isinf(per_second) else per_second,
+            age=round(self.clock.now() - heard_at),
+        )
 
     def want_servers(self) -> None:
         """Have the list of servers read sooner."""
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -84,6 +84,7 @@
         # The start that was chosen last of each server: the machine of the
         # request knows servers by name.
         self._starts: dict[str, ServerStart] = {}
+        self._chosen_at: Millis = 0.0
         self._splitter = _make_splitter(call)
         self._first: Millis | None = None
         # Who had the request last, or would have had it.
@@ -198,7 +199,8 @@
         record = choice.backend.record
         self._starts[record.server] = record.start
         core = self._core
-        core.limits.note_sent(choice.backend, core.clock.now())
+        self._chosen_at = core.clock.now()
+        core.limits.note_sent(choice.backend, self._chosen_at)
         self._told.tell_routed(choice)
         reason = f'{choice.score:.1f} ms of {choice.candidates}'
         plan = Plan(agent=record.server, reason=reason)
@@ -208,7 +210,7 @@
         self._peer = outcome.server or self._peer
         self._pause = outcome.pause
         # How long the caller waits is drawn where it is told.
-        refusal = Refusal(outcome.kind, outcome.reason, outcome.pause)
+        refusal = Refusal(outcome.kind, outcome.reason, outcome.pause.most)
         self._inbox.put(NoRoute(refusal))
 
     async def _dispatch(self, action: SendDispatch) -> None:
@@ -221,6 +223,7 @@
             self._call,
             action,
             start=self._starts[action.agent],
+            chosen_at=self._chosen_at,
             inbox=self._inbox,
             splitter=self._splitter,
             reserve_retry=self._machine.reserve_retry,
@@ -249,8 +252,12 @@
         self._told.tell_refused(action, self._find_progress())
         if self._reply.status:
             return
-        pause = core.random.uniform(self._pause / 2, self._pause)
-        await self._reply.refuse(action.kind, action.ran, action.detail, pause)
+        await self._reply.refuse(
+            action.kind,
+            action.ran,
+            action.detail,
+            self._pause.draw(core.random),
+        )
 
     async def _start_timer(self, action: StartTimer) -> None:
         self._put_later(TimerFired(action.kind, action.number), action.delay)
--- a/src/oleanderdyke/entry/hosted/lessons.py
+++ b/src/oleanderdyke/entry/hosted/lessons.py
@@ -6,7 +6,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.weights import Weights
 from oleanderdyke.events import EventName
-from oleanderdyke.kernel.servers import AnswerFacts, AnswerField, ServerStart
+from oleanderdyke.kernel.servers import AnswerFacts, ServerStart
 
 
 class Lessons:
@@ -20,31 +20,20 @@
         self._start = start
 
     def take_facts(self, facts: AnswerFacts) -> None:
-        """Learn the load and the weights that an answer tells."""
+        """Learn the limits, the load and the weights that an answer tells."""
+        if facts.rate_limit is not None:
+            self._core.note_limit(
+                self._start, facts.rate_limit, request=self._call.request
+            )
+        self._log_malformed(facts)
         if facts.load is not None:
             self._core.note_load(self._start, facts.load)
-        self._take_limit(facts)
-        self._log_malformed(facts)
         demand = self._call.asked.demand
         if demand is not None and facts.weight_version is not None:
             self._core.book.note_version(
                 self._start, demand.model, facts.weight_version
             )
 
-    def _take_limit(self, facts: AnswerFacts) -> None:
-        malformed = {found.field for found in facts.malformed}
-        if AnswerField.RATE_LIMIT in malformed:
-            return
-        core, start = self._core, self._start
-        if core.book.note_limit(start, facts.rate_limit):
-            core.log.write(
-                EventName.BACKEND_LIMITED,
-                request=self._call.request,
-                peer=start.server,
-                incarnation=start.born,
-                value=facts.rate_limit,
-            )
-
     def _log_malformed(self, facts: AnswerFacts) -> None:
         core, start = self._core, self._start
         for found in facts.malformed:
--- a/src/oleanderdyke/entry/hosted/placing.py
+++ b/src/oleanderdyke/entry/hosted/placing.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
+from random import Random
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.call import HostedCall, make_demand
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind
+from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.overload import find_wait, should_refuse
 from oleanderdyke.kernel.placement import (
+    CallDemand,
     Choice,
     choose_among,
     find_obstacle,
@@ -18,18 +21,35 @@
 from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ServerStart
 
-# How long a caller that gets no answer is asked to wait at most, and at least
-# half of it: spread so that callers don't come back together. A run ends at
-# each engine every some ten milliseconds, and the answer of one that comes back
-# so soon is still in time.
-PAUSE: Millis = 200.0
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Bounds of how long a caller that gets no answer is asked to wait.
+
+    Callers don't come back together.
+    """
+
+    least: Millis
+    most: Millis
+
+    def draw(self, random: Random) -> Millis:
+        """Return how long one caller waits."""
+        return random.uniform(self.least, self.most)
+
+
+# A run ends at each engine every some ten milliseconds, and the answer of one
+# that comes back so soon is still in time.
+PAUSE = Pause(100.0, 200.0)
 # The same where every engine has to take new weights first, which takes two to
 # three seconds and began before, or where operators have to end an evacuation.
-_PAUSES: Mapping[Obstacle, Millis] = {
-    Obstacle.OUTDATED: 1 * SECOND,
-    Obstacle.EVACUATED: 1 * SECOND,
-    Obstacle.FOREIGN: 1 * SECOND,
+_LONG_PAUSE = Pause(500.0, 1 * SECOND)
+_PAUSES: Mapping[Obstacle, Pause] = {
+    Obstacle.OUTDATED: _LONG_PAUSE,
+    Obstacle.EVACUATED: _LONG_PAUSE,
+    Obstacle.FOREIGN: _LONG_PAUSE,
 }
+# Another entry may have a turn sooner than this one.
+_LONGEST_TURN: Millis = 1 * SECOND
 # What ends by itself within a second; all else is told to the caller at once.
 _PASSING = frozenset({Obstacle.UNLISTED, Obstacle.COLD})
 
@@ -43,7 +63,7 @@
 
     kind: ErrorKind
     reason: str
-    pause: Millis = PAUSE
+    pause: Pause = PAUSE
     server: str | None = None
 
 
@@ -70,7 +90,7 @@
             demand = replace(demand, excluded=frozenset())
             choice = choose_among(demand, listed, now)
         if choice is None:
-            return self._wait_for_server(find_obstacle(demand, listed), now)
+            return self._wait_for_server(demand, listed, now)
         if choice.is_loading and self._may_wait(now):
             return None
         if not tried and self._is_crowded(choice):
@@ -78,16 +98,32 @@
         return choice
 
     def _wait_for_server(
-        self, obstacle: Obstacle, now: Millis
+        self, demand: CallDemand, listed: Sequence[Backend], now: Millis
     ) -> SentBack | None:
         """Return nothing while a server may still come that takes the call."""
+        obstacle = find_obstacle(demand, listed)
         if obstacle in _PASSING and self._may_wait(now):
             if obstacle is Obstacle.UNLISTED:
                 self._core.servers_wanted.set()
             return None
         pause = _PAUSES.get(obstacle, PAUSE)
+        if obstacle is Obstacle.LIMITED:
+            pause = self._await_turn(demand, listed, now)
         return SentBack(ErrorKind.NO_REPLICA, obstacle.value, pause)
 
+    def _await_turn(
+        self, demand: CallDemand, listed: Sequence[Backend], now: Millis
+    ) -> Pause:
+        """Return the time until a server that is at its limit has a turn."""
+        limited = [
+            backend
+            for backend in listed
+            if demand.blocked.get(backend.record.start) is Obstacle.LIMITED
+        ]
+        turn = self._core.limits.find_first_turn(limited, now) - now
+        least = min(turn, _LONGEST_TURN)
+        return Pause(least, least + PAUSE.most)
+
     def _may_wait(self, now: Millis) -> bool:
         """Return whether a server may still come that takes the call."""
         if self._wait_until is None:
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.rate_limits import RateLimit
 from oleanderdyke.kernel.read_rate import ReadRate
 from oleanderdyke.kernel.servers import (
     AnswerField,
@@ -61,8 +62,7 @@
     missing_since: Millis | None = None
     # Its newest entry can't be read, so what it told before may be outdated.
     is_unread: bool = False
-    # Requests a second that it accepts from all entries, as it last named.
-    rate_limit: float | None = None
+    limit: RateLimit = field(default_factory=RateLimit)
     # What it named in answers and could not be read.
     malformed: set[AnswerField] = field(default_factory=set)
     # Another server told the same address later: this one has likely ended.
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -341,16 +341,15 @@
             backend.load = load
             backend.load_at = now
 
-    def note_limit(self, start: ServerStart, per_second: float | None) -> bool:
-        """Take the rate that a server names; return whether that is news.
+    def note_limit(
+        self, start: ServerStart, per_second: float, at: Millis
+    ) -> bool:
+        """Take the rate that a server accepts; return whether that is new.
 
-        None is for a server that names none.
+        It is infinite where the server names none.
         """
         backend = self.find_start(start)
-        if backend is None or backend.rate_limit == per_second:
-            return False
-        backend.rate_limit = per_second
-        return True
+        return backend is not None and backend.limit.note(per_second, at)
 
     def note_malformed(self, start: ServerStart, named: AnswerField) -> bool:
         """Learn that a field can't be read; return whether it is the first."""
--- a/src/oleanderdyke/kernel/cold_starts.py
+++ b/src/oleanderdyke/kernel/cold_starts.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from collections.abc import Collection
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.ranks import count_ahead
 
 # Slightly longer than the second that the bound is stated for, so that two
 # sends this far apart never count in the same one.
@@ -48,11 +48,5 @@
     if count <= whole:
         return _WINDOW / (whole // max(count, 1))
     # More entries than requests: each server has others that may send.
-    unknown = max(count - len({*known, entry}), 0)
-    own = _rank(server, entry)
-    ahead = sum(_rank(server, other) < own for other in known)
-    return _WINDOW if ahead + unknown < whole else math.inf
-
-
-def _rank(server: str, entry: str) -> bytes:
-    return hashlib.blake2b(f'{server}/{entry}'.encode(), digest_size=8).digest()
+    ahead = count_ahead(server, entry, known=known, count=count)
+    return _WINDOW if ahead < whole else math.inf
--- a/src/oleanderdyke/kernel/load_board.py
+++ b/src/oleanderdyke/kernel/load_board.py
@@ -18,11 +18,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TimedLoad:
-    """Hold what a start of a server told, and when."""
+    """Hold what a start of a server told, and when.
+
+    `rate_limit` is how many requests a second it accepts from all entries
+    together, None where it has never named a limit.
+    """
 
     start: ServerStart
     load: ServerLoad
     at: Millis
+    rate_limit: float | None = None
 
 
 class LoadBoard:
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -49,6 +49,7 @@
 # What may keep a call from all servers, the reason that passes first in front.
 _MOST_PASSING = (
     Obstacle.COLD,
+    Obstacle.LIMITED,
     Obstacle.OUTDATED,
     Obstacle.EVACUATED,
     Obstacle.FOREIGN,
--- /dev/null
+++ b/src/oleanderdyke/kernel/rate_limits.py
@@ -0,0 +1,92 @@
+"""Share among entries the rate of requests that a backend server accepts.
+
+A server in need names a rate for the sum of what all entries send. They agree
+on nothing on the path of a request: a few of them, ranked alike everywhere,
+have equal shares of most of the rate. Each of the others sends seldom, to find
+out whether the limit still holds.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.ranks import count_ahead, find_spread
+
+# So many entries have a share, or as many as there are requests in a second.
+# Where all send at once, the server gets so many more than the rate allows.
+_LEAST_SENDERS = 5
+# The part of the rate that is left to all other entries.
+_PROBE_SHARE = 0.2
+# A server that accepts nothing is asked so often, in requests a second,
+# whether it does again.
+_LEAST_RATE = 0.1
+# Answers may overtake each other. One without a limit doesn't end a limit that
+# another named so shortly before.
+_REORDERING: Millis = 250.0
+
+
+@dataclass(slots=True)
+class RateLimit:
+    """Requests a second that a server accepts from all entries together.
+
+    It is infinite unless the server names one, and holds from `since` on.
+    """
+
+    per_second: float = math.inf
+    since: Millis = -math.inf
+    _named_at: Millis = -math.inf
+    _told_at: Millis = -math.inf
+
+    @property
+    def is_named(self) -> bool:
+        """Return whether the server names a limit."""
+        return self.per_second < math.inf
+
+    @property
+    def was_named(self) -> bool:
+        """Return whether the server has ever named a limit."""
+        return self._named_at > -math.inf
+
+    def note(self, per_second: float, at: Millis) -> bool:
+        """Take what an answer named at a moment; return whether it is new."""
+        if at < self._told_at:
+            return False
+        self._told_at = at
+        if math.isinf(per_second) and at - self._named_at < _REORDERING:
+            return False
+        if per_second < math.inf:
+            self._named_at = at
+        if per_second == self.per_second:
+            return False
+        if not self.is_named:
+            self.since = at
+        self.per_second = per_second
+        return True
+
+
+def find_interval(
+    rate: float,
+    server: str,
+    *,
+    entry: str,
+    known: Collection[str],
+    count: float,
+) -> Millis:
+    """Return the least time between two requests of an entry to a server.
+
+    Infinity while it isn't known how many entries may be alive. `count` is
+    how many are, of which some are `known` by name.
+    """
+    rate = max(rate, _LEAST_RATE)
+    senders = max(_LEAST_SENDERS, math.floor(rate))
+    if count <= senders:
+        return SECOND * count / rate
+    ahead = count_ahead(server, entry, known=known, count=count)
+    if ahead < senders:
+        return SECOND * senders / (rate * (1 - _PROBE_SHARE))
+    # Entries that learn of a limit together don't probe together.
+    spread = 0.5 + find_spread(server, entry)
+    return SECOND * count / (rate * _PROBE_SHARE) * spread
--- a/src/oleanderdyke/kernel/send_limits.py
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -1,7 +1,7 @@
 """Decide which backend servers must not get a request now, whatever it costs.
 
-All limits are checked when a server is chosen. An evacuation is checked again
-when the request is sent: it may begin while a connection is opened.
+All limits are checked when a server is chosen. What may begin while a
+connection is opened is checked again when the request is sent.
 """
 
 from __future__ import annotations
@@ -14,8 +14,12 @@
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backend import Backend
-from oleanderdyke.kernel.cold_starts import ColdLimit, find_interval
+from oleanderdyke.kernel.cold_starts import ColdLimit
+from oleanderdyke.kernel.cold_starts import find_interval as find_cold_interval
 from oleanderdyke.kernel.evacuations import Evacuations
+from oleanderdyke.kernel.rate_limits import (
+    find_interval as find_limited_interval,
+)
 from oleanderdyke.kernel.servers import ServerStart
 
 
@@ -27,6 +31,7 @@
     EVACUATED = 'every data centre with servers is being evacuated'
     FOREIGN = 'no server is in a region where the request may run'
     COLD = 'all servers have just started and take few requests'
+    LIMITED = 'all servers accept few requests, and got them'
 
 
 class EntryView(Protocol):
@@ -77,8 +82,30 @@
             return Obstacle.FOREIGN
         if self._is_used_up(backend, now):
             return Obstacle.COLD
+        if self._find_turn(backend, now) > now:
+            return Obstacle.LIMITED
         return None
 
+    def find_send_obstacle(
+        self, backend: Backend, chosen_at: Millis
+    ) -> Obstacle | None:
+        """Return what forbids a send since the server was chosen, if any."""
+        if backend.record.data_centre in self.evacuations.active:
+            return Obstacle.EVACUATED
+        # Whoever chose it did not know that others chose it too.
+        if backend.limit.is_named and backend.limit.since >= chosen_at:
+            return Obstacle.LIMITED
+        return None
+
+    def find_first_turn(
+        self, backends: Iterable[Backend], now: Millis
+    ) -> Millis:
+        """Return when the first of some servers accepts a request again."""
+        return min(
+            (self._find_turn(backend, now) for backend in backends),
+            default=now,
+        )
+
     def is_home(self, data_centre: str, homes: Collection[str]) -> bool:
         """Return whether a data centre lies in one of some regions.
 
@@ -109,12 +136,26 @@
         """Record that a request is sent to a server, or is about to be."""
         backend.sent_at = now
 
+    def _find_turn(self, backend: Backend, now: Millis) -> Millis:
+        """Return when a server accepts the next request of this entry."""
+        limit = backend.limit
+        if not limit.is_named:
+            return now
+        interval = find_limited_interval(
+            limit.per_second,
+            backend.record.server,
+            entry=self.entry,
+            known=self.entries.list_known(),
+            count=self.entries.count(now),
+        )
+        return max(limit.since, backend.sent_at) + interval
+
     def _is_used_up(self, backend: Backend, now: Millis) -> bool:
         """Return whether this entry's share of a cold server is used up."""
         limit = self.cold.get(backend.record.service)
         if limit is None or not self.is_cold(backend, now):
             return False
-        interval = find_interval(
+        interval = find_cold_interval(
             limit,
             backend.record.server,
             entry=self.entry,
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -109,7 +110,8 @@
     `is_sealed` tells that the answer bears the mark of a server.
     `idle_timeout` is how long the server keeps an idle connection open.
     `rate_limit` is how many requests a second it accepts from all entries
-    together. `malformed` has what was there and can't be read.
+    together: infinite without a limit, None where that can't be told.
+    `malformed` has what was there and can't be read.
     """
 
     request: str = ''
@@ -120,5 +122,5 @@
     load: ServerLoad | None = None
     weight_version: int | None = None
     idle_timeout: Millis | None = None
-    rate_limit: float | None = None
+    rate_limit: float | None = math.inf
     malformed: tuple[MalformedField, ...] = ()
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -71,7 +71,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadNews:
-    """Load that a start of a backend server reported `age` ago."""
+    """Load that a start of a backend server reported `age` ago.
+
+    A server that has named a limit `is_limited` while that holds, and accepts
+    `rate_limit` requests a second.
+    """
 
     age: Millis
     server: str
@@ -79,6 +83,8 @@
     waiting: int
     slots: int
     born: int | None = None
+    is_limited: bool | None = None
+    rate_limit: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/links/news_desk.py
+++ b/src/oleanderdyke/links/news_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
@@ -57,16 +58,21 @@
     loads: Iterable[TimedLoad], now: Millis
 ) -> tuple[LoadNews, ...]:
     """Return loads as they are passed on, with their ages."""
-    return tuple(
-        LoadNews(
-            max(now - each.at, 0.0),
-            each.start.server,
-            each.load.running,
-            each.load.waiting,
-            each.load.slots,
-            each.start.born,
-        )
-        for each in loads
+    return tuple(_encode_load(each, now) for each in loads)
+
+
+def _encode_load(told: TimedLoad, now: Millis) -> LoadNews:
+    rate = told.rate_limit
+    is_limited = None if rate is None else math.isfinite(rate)
+    return LoadNews(
+        max(now - told.at, 0.0),
+        told.start.server,
+        told.load.running,
+        told.load.waiting,
+        told.load.slots,
+        told.start.born,
+        is_limited,
+        rate if rate is not None and is_limited else 0.0,
     )
 
 
@@ -79,9 +85,16 @@
             ServerStart(each.server, each.born),
             ServerLoad(each.running, each.waiting, each.slots),
             sent_at - max(each.age, 0.0),
+            _decode_rate(each),
         )
 
 
+def _decode_rate(news: LoadNews) -> float | None:
+    if news.is_limited is None:
+        return None
+    return max(news.rate_limit, 0.0) if news.is_limited else math.inf
+
+
 class NewsDesk:
     """Answer neighbours from what this process reads itself.
 
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -212,7 +212,9 @@
 
 
 def _read_rate(text: str | None) -> float | None:
-    number = None if text is None else _read_number(text)
+    if text is None:
+        return math.inf
+    number = _read_number(text)
     return None if number is None or number < 0 else number
 
 
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from oleanderdyke.kernel.load_board import LoadBoard, TimedLoad
@@ -66,3 +68,20 @@
         now = sent_at + took
     age = now - told.at
     assert age == pytest.approx(10.0 + 3.0 * entries)
+
+
+@pytest.mark.parametrize('rate', [None, 0.0, 2.3, math.inf])
+def test_the_limit_of_a_server_is_passed_on_with_its_load(rate):
+    told = TimedLoad(A, ServerLoad(1, 0, 16), 100.0, rate)
+    news = decode(
+        encode(ContextAnswer(1, 0.0, (), encode_loads([told], 150.0)))
+    )
+    (found,) = decode_loads(news.loads, 150.0)
+    assert found == told
+
+
+def test_a_limit_that_was_never_named_costs_no_bytes():
+    told = TimedLoad(A, ServerLoad(1, 0, 16), 100.0)
+    assert b'limit' not in encode(
+        ContextAnswer(1, 0.0, (), encode_loads([told], 150.0))
+    )
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -8,12 +8,15 @@
 import pytest
 
 from oleanderdyke.clock import SECOND, make_clock
-from tests.hosted import Stage, staging
+from oleanderdyke.kernel.servers import ServerStart
+from tests.hosted import Stage, prefer, staging
+from tests.standins.replica import make_chunk, make_event, make_head
 from tests.standins.scripts import answer_well
 
 LIMIT = 4.0
 # Beside the rate itself a server tolerates some requests at once.
 BURST = 5
+ANSWERED, REFUSED = 200, 503
 CLOCK = make_clock()
 
 
@@ -86,3 +89,100 @@
             begun = CLOCK.now()
         seconds = (CLOCK.now() - begun) / SECOND
         assert limited.count_since(begun) <= LIMIT * seconds + BURST
+
+
+async def learn_limit(stage: Stage) -> None:
+    """Have an entry hear what its first server names."""
+    assert (await stage.call('/safe/first')).status == ANSWERED
+    backend = stage.core.book.find('i-0')
+    assert backend.limit.is_named
+
+
+@pytest.mark.anyio
+async def test_a_call_beyond_all_limits_is_refused_at_once(tmp_path):
+    async with staging(tmp_path, LimitedServer(2.0)) as stage:
+        await learn_limit(stage)
+        with anyio.fail_after(0.5):
+            found = await stage.call('/once/x')
+        assert found.status == REFUSED
+        # Of two requests a second one of three entries has a turn after 1.5 s.
+        assert 0.9 <= float(found.headers['retry-after']) <= 1.2
+        assert len(stage.replicas[0].received) == 1
+        assert 'accept few requests' in stage.log.read_text()
+
+
+@pytest.mark.anyio
+async def test_a_call_beyond_one_limit_goes_to_another_server(tmp_path):
+    limited = LimitedServer(2.0)
+    async with staging(tmp_path, limited, answer_well) as stage:
+        prefer(stage, 0)
+        await learn_limit(stage)
+        assert (await stage.call('/once/x')).status == ANSWERED
+        assert [len(each.received) for each in stage.replicas] == [1, 1]
+
+
+@pytest.mark.anyio
+async def test_a_server_that_names_no_limit_any_more_gets_requests(tmp_path):
+    limited = LimitedServer(6.0)
+    async with staging(tmp_path, limited) as stage:
+        await learn_limit(stage)
+        limited.limit = None
+        await anyio.sleep(0.6)
+        for _ in range(5):
+            assert (await stage.call('/once/x')).status == ANSWERED
+
+
+@pytest.mark.anyio
+async def test_a_limit_counts_while_a_connection_is_opened(tmp_path):
+    async with staging(tmp_path, LimitedServer(2.0)) as stage:
+        core = stage.core
+        opened = core.pool.open
+
+        async def open_late(address):
+            connection = await opened(address)
+            core.note_limit(ServerStart('i-0'), 2.0)
+            return connection
+
+        core.pool.open = open_late
+        assert (await stage.call('/once/x')).status == REFUSED
+        assert not stage.replicas[0].received
+
+
+async def fail(peer) -> None:
+    await peer.answer(500, server_limit='2.0')
+
+
+async def shed(peer) -> None:
+    await peer.answer(503, oleanderdyke_not_executed='1', server_limit='2.0')
+
+
+async def stream_on(peer) -> None:
+    head = make_head(
+        peer.request,
+        content_type='text/event-stream',
+        transfer_encoding='chunked',
+        server_limit='2.0',
+    )
+    await peer.send(head + make_chunk(make_event(1)) + b'0\r\n\r\n')
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('script', [fail, shed, stream_on])
+@pytest.mark.parametrize('path', ['/once/x', '/safe/x', '/stream/x'])
+async def test_any_answer_may_name_a_limit(tmp_path, script, path):
+    async with staging(tmp_path, script) as stage:
+        await stage.call(path)
+        assert stage.core.book.find('i-0').limit.per_second == 2.0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'header', ['oleanderdyke_request_id', 'oleanderdyke_instance_id']
+)
+async def test_what_is_no_answer_of_the_server_names_no_limit(tmp_path, header):
+    async def answer_for_another(peer):
+        await peer.answer(server_limit='2.0', **{header: 'another'})
+
+    async with staging(tmp_path, answer_for_another) as stage:
+        await stage.call('/once/x')
+        assert not stage.core.book.find('i-0').limit.is_named
--- /dev/null
+++ b/tests/test_rate_shares.py
@@ -0,0 +1,235 @@
+"""Entries share the rate that a backend server in need accepts of them all."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Collection
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oleanderdyke.clock import SECOND
+from oleanderdyke.kernel.rate_limits import RateLimit, find_interval
+from oleanderdyke.kernel.send_limits import Obstacle
+from oleanderdyke.kernel.servers import ServerStart
+from tests.test_send_limits import (
+    Entries,
+    choose,
+    make_book,
+    make_limits,
+    make_record,
+)
+
+START = ServerStart('a')
+WINDOW = 4 * SECOND
+# What a server tolerates in a window beside its rate.
+OVERAGE, BURST = 1.5, 5
+SPARE = 2
+
+Share = Callable[..., float]
+
+
+def list_names(entries: int) -> tuple[str, ...]:
+    return tuple(f'front-{number}' for number in range(entries))
+
+
+def share_equally(rate, server, *, entry, known, count) -> float:
+    """Give each entry the same, however little that is."""
+    return SECOND * count / rate
+
+
+def share_by_news(rate, server, *, entry, known, count) -> float:
+    """Give each entry the same, by the entries that it knows."""
+    return SECOND * max(len(known), 1) / rate
+
+
+def play_idle_entries(
+    share: Share, rate: float, known: Collection[Collection[str]]
+) -> list[float]:
+    """Let entries with much to send learn of a limit within half a second."""
+    random = Random(len(known))
+    sends = []
+    names = list_names(len(known))
+    for name, others in zip(names, known, strict=True):
+        count = len(names) + SPARE
+        interval = share(rate, 'a', entry=name, known=others, count=count)
+        now = random.uniform(0.0, SECOND / 2) + interval
+        while now < 300 * SECOND:
+            sends.append(now)
+            now += interval
+    return sorted(sends)
+
+
+def count_most(sends: list[float]) -> int:
+    """Count the most requests in any window."""
+    most, first = 0, 0
+    for number, at in enumerate(sends):
+        while sends[first] < at - WINDOW:
+            first += 1
+        most = max(most, number - first + 1)
+    return most
+
+
+def find_allowed(rate: float) -> float:
+    return OVERAGE * rate * WINDOW / SECOND + BURST
+
+
+@pytest.mark.parametrize('rate', [0.0, 0.1, 0.5, 1.7, 2.3, 10.0, 80.0])
+@pytest.mark.parametrize('entries', [1, 3, 6, 27, 68, 410])
+def test_all_entries_together_stay_within_a_limit(entries, rate):
+    names = list_names(entries)
+    sends = play_idle_entries(find_interval, rate, [names] * entries)
+    assert count_most(sends) <= find_allowed(rate)
+
+
+@given(st.data(), st.integers(1, 90), st.floats(0.0, 60.0))
+@settings(max_examples=100, deadline=None)
+def test_entries_that_know_of_different_others_stay_within_a_limit(
+    data, entries, rate
+):
+    names = list_names(entries)
+    known = [
+        data.draw(st.sets(st.sampled_from(names)), label=name) for name in names
+    ]
+    sends = play_idle_entries(find_interval, rate, known)
+    assert count_most(sends) <= find_allowed(rate)
+
+
+@given(st.data(), st.integers(1, 120), st.floats(0.0, 60.0))
+@settings(max_examples=100, deadline=None)
+def test_entries_with_a_share_may_all_send_in_one_instant(data, entries, rate):
+    """Nothing orders the sends of different entries."""
+    names = list_names(entries)
+    count = entries + data.draw(st.integers(0, 4))
+    intervals = [
+        find_interval(rate, 'a', entry=name, known=names, count=count)
+        for name in names
+    ]
+    shared = min(intervals)
+    most = sum(
+        math.floor(WINDOW / interval) + 1
+        for interval in intervals
+        if interval == shared
+    )
+    assert most <= find_allowed(max(rate, 0.1))
+
+
+def test_equal_shares_of_many_entries_break_a_limit_when_all_were_idle():
+    sends = play_idle_entries(share_equally, 2.3, [list_names(68)] * 68)
+    assert count_most(sends) > find_allowed(2.3)
+
+
+def test_shares_by_news_alone_break_a_limit_where_news_differ():
+    names = list_names(27)
+    known = [names[number : number + 3] for number in range(27)]
+    sends = play_idle_entries(share_by_news, 2.3, known)
+    assert count_most(sends) > find_allowed(2.3)
+
+
+@pytest.mark.parametrize('entries', [1, 3, 27, 68])
+def test_a_server_gets_a_good_part_of_what_it_accepts(entries):
+    known = [list_names(entries)] * entries
+    sends = play_idle_entries(find_interval, 2.3, known)
+    assert len(sends) / 300 >= 0.3 * 2.3
+
+
+@pytest.mark.parametrize('entries', [1, 27, 410])
+def test_a_server_that_accepts_nothing_is_asked_seldom_by_all(entries):
+    known = [list_names(entries)] * entries
+    sends = play_idle_entries(find_interval, 0.0, known)
+    assert 0 < len(sends) <= 0.15 * 300
+
+
+def test_an_entry_that_cannot_count_the_others_sends_nothing():
+    interval = find_interval(9.0, 'a', entry='e', known=('e',), count=math.inf)
+    assert math.isinf(interval)
+
+
+def test_a_limit_holds_until_an_answer_names_none():
+    limit = RateLimit()
+    assert limit.note(2.3, 1_000.0)
+    assert not limit.note(2.3, 1_400.0)
+    assert limit.note(1.7, 1_500.0)
+    assert (limit.per_second, limit.since) == (1.7, 1_000.0)
+    assert limit.note(math.inf, 2_000.0)
+    assert not limit.is_named
+
+
+def test_an_answer_that_was_overtaken_ends_no_limit():
+    limit = RateLimit()
+    limit.note(2.3, 1_000.0)
+    assert not limit.note(math.inf, 1_200.0)
+    assert not limit.note(math.inf, 900.0)
+    assert limit.is_named
+    assert limit.note(math.inf, 1_250.0)
+
+
+def test_what_a_neighbour_heard_earlier_changes_nothing():
+    limit = RateLimit()
+    limit.note(2.3, 1_000.0)
+    limit.note(math.inf, 2_000.0)
+    assert not limit.note(2.3, 1_900.0)
+    assert not limit.is_named
+
+
+def name_limit(book, rate: float, now: float) -> None:
+    assert book.note_limit(START, rate, now)
+
+
+def test_a_limited_server_gets_a_request_of_an_entry_each_interval():
+    book = make_book(make_record('a'))
+    limits = make_limits(entries=Entries(('front-1',), spare=0))
+    name_limit(book, 2.0, 0.0)
+    assert choose(book, limits, now=499.0) is Obstacle.LIMITED
+    assert choose(book, limits, now=500.0) == 'a'
+    limits.note_sent(book.find('a'), 500.0)
+    assert choose(book, limits, now=999.0) is Obstacle.LIMITED
+    assert choose(book, limits, now=1_000.0) == 'a'
+
+
+def test_what_a_limited_server_does_not_accept_goes_to_another():
+    book = make_book(make_record('a'), make_record('b', data_centre='yard'))
+    limits = make_limits()
+    assert choose(book, limits) == 'a'
+    name_limit(book, 2.0, 0.0)
+    assert choose(book, limits, now=1.0) == 'b'
+
+
+def test_several_choices_in_one_instant_share_one_turn():
+    book = make_book(make_record('a'))
+    limits = make_limits()
+    name_limit(book, 2.0, 0.0)
+    chosen = []
+    for _ in range(5):
+        found = choose(book, limits, now=9_000.0)
+        chosen.append(found)
+        if found == 'a':
+            limits.note_sent(book.find('a'), 9_000.0)
+    assert chosen == ['a', *[Obstacle.LIMITED] * 4]
+
+
+def test_a_choice_made_before_a_limit_was_named_is_not_sent():
+    book = make_book(make_record('a'))
+    limits, backend = make_limits(), book.find('a')
+    assert limits.find_send_obstacle(backend, 100.0) is None
+    name_limit(book, 2.0, 200.0)
+    assert limits.find_send_obstacle(backend, 100.0) is Obstacle.LIMITED
+    assert limits.find_send_obstacle(backend, 9_000.0) is None
+
+
+def test_a_new_start_of_a_server_has_no_limit():
+    book = make_book(make_record('a', born=1))
+    assert book.note_limit(ServerStart('a', 1), 2.0, 0.0)
+    book.put(make_record('a', born=2), 100.0)
+    assert not book.find('a').limit.is_named
+    assert not book.note_limit(ServerStart('a', 1), 3.0, 200.0)
+
+
+def test_the_first_turn_of_several_servers_is_found():
+    book = make_book(make_record('a'), make_record('b'))
+    limits = make_limits(entries=Entries(('front-1',), spare=0))
+    name_limit(book, 2.0, 0.0)
+    book.note_limit(ServerStart('b'), 4.0, 0.0)
+    assert limits.find_first_turn(book.list_known(), 100.0) == 250.0
--- a/tests/test_unread_log.py
+++ b/tests/test_unread_log.py
@@ -44,6 +44,7 @@
             store.put(SERVERS, 'i-0', make_record(where))
             path.write_text(
                 SETTINGS.format(
+                    name='front-1',
                     store=address,
                     callers=callers,
                     readiness=readiness,
