Send nothing more to a server whose answers say that it leaves

Callers got their answers; a leaving server got 21 requests in six seconds after it had said so, and one that is about to exit may lose them.

Cause: that a server leaves was learned from the list in the platform's store alone, and the store was away.

Any answer of a server's own that says so ends new work for that start, where a server is chosen and where a request is sent. It is kept beyond the entry of the list, so that a list that lags or a store that comes back doesn't bring the start back. A new start under the same name is another.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -145,6 +145,16 @@
             age=round(self.clock.now() - heard_at),
         )
 
+    def note_leaving(self, start: ServerStart, request: str) -> None:
+        """Send nothing more to a start whose answer to a request says so."""
+        if self.book.note_leaving(start):
+            self.log.write(
+                EventName.BACKEND_LEAVING,
+                peer=start.server,
+                incarnation=start.born,
+                request=request,
+            )
+
     def want_servers(self) -> None:
         """Have the list of servers read sooner."""
         self.servers_wanted.set()
--- a/src/oleanderdyke/entry/hosted/lessons.py
+++ b/src/oleanderdyke/entry/hosted/lessons.py
@@ -20,7 +20,9 @@
         self._start = start
 
     def take_facts(self, facts: AnswerFacts) -> None:
-        """Learn the limits, the load and the weights that an answer tells."""
+        """Learn what an answer tells of its server."""
+        if facts.is_leaving:
+            self._core.note_leaving(self._start, self._call.request)
         if facts.rate_limit is not None:
             self._core.note_limit(
                 self._start, facts.rate_limit, request=self._call.request
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -73,6 +73,7 @@
     BACKEND_LOST = 'backend_lost'
     BACKENDS_CHANGED = 'backends_changed'
     BACKEND_LIMITED = 'backend_limited'
+    BACKEND_LEAVING = 'backend_leaving'
     ORDER_SENT = 'order_sent'
     ORDER_REFUSED = 'order_refused'
     ORDER_DONE = 'order_done'
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import replace
 
@@ -33,6 +33,9 @@
 _LONGEST_REFUSAL_PAUSE: Millis = 800.0
 # Servers tell to be cold for some seconds; a larger number is an error.
 _LONGEST_COLD: Millis = 60 * SECOND
+# Starts that left are forgotten beyond so many; a list lags by seconds, in
+# which few leave.
+_MOST_LEFT = 1_024
 # The share of the latest answer in the rate of failures of a server.
 _ERROR_WEIGHT = 0.2
 
@@ -54,6 +57,9 @@
         # the server is gone: a record of an earlier one may still come.
         self._latest: dict[str, int] = {}
         self._superseded: list[ServerRecord] = []
+        # Starts that answers showed to leave, kept when they are gone: a list
+        # that lags may still have them as ready.
+        self._left: OrderedDict[ServerStart, None] = OrderedDict()
         # Whether a known server tells when it started. All servers do then, and
         # a record without it is by another writer; until then the name alone
         # tells starts apart.
@@ -147,6 +153,7 @@
         """Take a newer record; a start that leaves never comes back."""
         if self._is_earlier(record):
             return
+        record = self._keep_leaving(record)
         self._note_start(record)
         if self._returning.holds_back(record, now):
             return
@@ -157,8 +164,6 @@
         known.missing_since = None
         known.is_unread = False
         known.is_displaced = False
-        if known.record.is_leaving and not record.is_leaving:
-            record = replace(record, is_leaving=True)
         merged = _merge_versions(known.record, record)
         if merged.versions != known.record.versions:
             known.reload_until = 0.0
@@ -194,6 +199,14 @@
         if backend is not None and backend.missing_since is None:
             backend.missing_since = now
 
+    def _keep_leaving(self, record: ServerRecord) -> ServerRecord:
+        """Return a record of a start that, once it leaves, always leaves."""
+        known = self.find_start(record.start)
+        is_leaving = known is not None and known.record.is_leaving
+        if record.is_leaving or not (is_leaving or record.start in self._left):
+            return record
+        return replace(record, is_leaving=True)
+
     def _is_earlier(self, record: ServerRecord) -> bool:
         """Return whether a record is not of the latest known start.
 
@@ -256,6 +269,20 @@
         if backend is not None:
             backend.record = replace(backend.record, is_leaving=True)
 
+    def note_leaving(self, start: ServerStart) -> bool:
+        """Learn that a start gets no more work; return whether that is new.
+
+        It is final, whatever the list tells later.
+        """
+        backend = self.find_start(start)
+        if backend is None or backend.record.is_leaving:
+            return False
+        backend.record = replace(backend.record, is_leaving=True)
+        self._left[start] = None
+        if len(self._left) > _MOST_LEFT:
+            self._left.popitem(last=False)
+        return True
+
     def note_sent(
         self,
         start: ServerStart,
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -111,7 +111,8 @@
     `idle_timeout` is how long the server keeps an idle connection open.
     `rate_limit` is how many requests a second it accepts from all entries
     together: infinite without a limit, None where that can't be told.
-    `malformed` has what was there and can't be read.
+    A server that `is_leaving` soon stops. `malformed` has what was there and
+    can't be read.
     """
 
     request: str = ''
@@ -123,4 +124,5 @@
     weight_version: int | None = None
     idle_timeout: Millis | None = None
     rate_limit: float | None = math.inf
+    is_leaving: bool = False
     malformed: tuple[MalformedField, ...] = ()
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -33,6 +33,7 @@
 LOAD = 'oleanderdyke-instance-load'
 WEIGHT_VERSION = 'oleanderdyke-weight-versions'
 RATE_LIMIT = 'server-limit'
+LEAVING = 'server-leaving'
 
 # Headers that only the system may set towards a backend server.
 OWN_HEADERS = frozenset(
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -31,6 +31,8 @@
 # How much of a malformed value is shown.
 _SHOWN_LENGTH = 40
 _NOWHERE = '-'
+# Any other value counts: a server that leaves must get no new work.
+_NOT_LEAVING = frozenset({'', '0'})
 _MISDIRECTED = 421
 _FRAMING = frozenset({'content-length', 'host', 'expect'})
 _NEVER_FORWARDED = HOP_BY_HOP | _FRAMING | names.OWN_HEADERS
@@ -104,6 +106,7 @@
         weight_version=_read_whole(found.get(names.WEIGHT_VERSION, '')),
         idle_timeout=_decode_keep_alive(found.get('keep-alive', '')),
         rate_limit=rate_limit,
+        is_leaving=found.get(names.LEAVING, '').strip() not in _NOT_LEAVING,
         malformed=_find_malformed(AnswerField.RATE_LIMIT, limit, rate_limit),
     )
 
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -5,11 +5,14 @@
 import anyio
 import pytest
 
+from oleanderdyke.kernel.backends import BackendBook
+from oleanderdyke.kernel.servers import ServerRecord, ServerStart
 from tests.hosted import SERVERS, Stage, make_record, prefer, staging
+from tests.standins.replica import make_chunk, make_event, make_head
 from tests.standins.scripts import answer_well
+from tests.test_hosted_log import list_events
 
-pytestmark = pytest.mark.anyio
-ANSWERED = 200
+ANSWERED, REFUSED = 200, 503
 
 
 async def answer_leaving(peer) -> None:
@@ -37,6 +40,7 @@
             await anyio.sleep(0.01)
 
 
+@pytest.mark.anyio
 # A server that had said in its answers that it leaves got requests for six
 # seconds, as the store that lists the servers was away.
 async def test_a_server_whose_answer_says_it_leaves_gets_no_more(tmp_path):
@@ -49,3 +53,124 @@
         for _ in range(4):
             assert (await stage.call('/once/x')).status == ANSWERED
         assert count_received(stage) == [1, 8]
+
+
+def make_told_record(born=None, **changes) -> ServerRecord:
+    return ServerRecord('a', 'desk', 'a:1', 'hall', born=born, **changes)
+
+
+def make_book(born=None) -> BackendBook:
+    book = BackendBook()
+    book.replace([make_told_record(born)], 0.0)
+    book.note_read(0.0)
+    return book
+
+
+def is_used(book: BackendBook, now: float) -> bool:
+    return bool(book.list_service('desk', now))
+
+
+def test_a_list_that_lags_does_not_bring_a_leaving_server_back():
+    book = make_book()
+    assert book.note_leaving(ServerStart('a'))
+    assert not book.note_leaving(ServerStart('a'))
+    for beat in range(2, 5):
+        book.put(make_told_record(beat=beat), beat * 600.0)
+        assert not is_used(book, beat * 600.0)
+
+
+def test_a_server_that_left_and_is_listed_late_gets_nothing():
+    """A store that comes back after its entry lapsed may list it as ready."""
+    book = make_book()
+    book.note_leaving(ServerStart('a'))
+    book.remove('a', 1_000.0)
+    for now in (1_200.0, 1_800.0, 9_000.0):
+        book.note_read(now)
+    assert book.find('a') is None
+    for beat in range(5, 8):
+        book.put(make_told_record(beat=beat), 9_000.0 + beat)
+    assert book.find('a') is not None
+    assert not is_used(book, 9_100.0)
+
+
+def test_a_new_start_of_a_server_that_left_is_used():
+    book = make_book(born=1)
+    book.note_leaving(ServerStart('a', 1))
+    book.put(make_told_record(born=2), 600.0)
+    assert is_used(book, 600.0)
+
+
+def test_servers_that_left_are_remembered_within_bounds():
+    book = BackendBook()
+    for born in range(3_000):
+        book.put(make_told_record(born=born), 0.0)
+        book.note_leaving(ServerStart('a', born))
+    assert len(book._left) < 2_000
+    book.put(make_told_record(born=2_999, beat=2), 600.0)
+    assert not is_used(book, 600.0)
+
+
+@pytest.mark.anyio
+async def test_a_server_that_leaves_is_logged_once(tmp_path):
+    async with staging(tmp_path, answer_leaving, answer_well) as stage:
+        await learn_leaving(stage)
+        (line,) = list_events(stage.log, 'backend_leaving')
+    assert (line['peer'], line['request']) == ('i-0', 'req-1')
+
+
+async def fail(peer) -> None:
+    await peer.answer(500, server_leaving='1')
+
+
+async def shed(peer) -> None:
+    await peer.answer(503, oleanderdyke_not_executed='1', server_leaving='1')
+
+
+async def stream_on(peer) -> None:
+    head = make_head(
+        peer.request,
+        content_type='text/event-stream',
+        transfer_encoding='chunked',
+        server_leaving='1',
+    )
+    await peer.send(head + make_chunk(make_event(1)) + b'0\r\n\r\n')
+
+
+@pytest.mark.parametrize('script', [answer_leaving, fail, shed, stream_on])
+@pytest.mark.parametrize('path', ['/once/x', '/safe/x', '/stream/x'])
+@pytest.mark.anyio
+async def test_any_answer_may_say_that_a_server_leaves(tmp_path, script, path):
+    async with staging(tmp_path, script) as stage:
+        await stage.call(path)
+        assert stage.core.book.find('i-0').record.is_leaving
+
+
+@pytest.mark.parametrize(
+    'header', ['oleanderdyke_request_id', 'oleanderdyke_instance_id']
+)
+@pytest.mark.anyio
+async def test_what_is_no_answer_of_the_server_says_nothing(tmp_path, header):
+    async def answer_for_another(peer):
+        await peer.answer(server_leaving='1', **{header: 'another'})
+
+    async with staging(tmp_path, answer_for_another) as stage:
+        await stage.call('/once/x')
+        assert not stage.core.book.find('i-0').record.is_leaving
+
+
+@pytest.mark.anyio
+async def test_a_server_may_say_that_it_leaves_while_a_connection_is_opened(
+    tmp_path,
+):
+    async with staging(tmp_path, answer_well) as stage:
+        core = stage.core
+        opened = core.pool.open
+
+        async def open_late(address):
+            connection = await opened(address)
+            core.note_leaving(ServerStart('i-0'), 'another')
+            return connection
+
+        core.pool.open = open_late
+        assert (await stage.call('/once/x')).status == REFUSED
+        assert not stage.replicas[0].received
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -227,6 +227,15 @@
     assert (none.rate_limit, none.malformed) == (math.inf, ())
 
 
+@pytest.mark.parametrize(
+    ('text', 'is_leaving'), [('1', True), ('yes', True), ('0', False)]
+)
+def test_a_server_that_may_leave_is_taken_to_leave(text, is_leaving):
+    found = decode_answer(200, ((names.LEAVING, text),))
+    assert found.is_leaving is is_leaving
+    assert not decode_answer(200, ()).is_leaving
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'is_not_run'),
     [
