Send nothing to a server for as long as its refusal asks

Callers: some were refused for want of retries while other servers had room, as each request to a server that rests costs one of the shared retries.

Cause: the time that a refusal asks for was not read; a server that refuses was asked again after a guess of 100 to 800 ms. Evidence: the pauses between the sends of one entry to the two servers are that guess, and the failing test before this commit (4 requests in 1.4 s of a rest of 1.5 s).

The entry that was refused sends nothing to that start until the end, checked where a server is chosen and where a request is sent. Where all servers rest the caller is refused at once with the time of the first end. A time that can't be read changes nothing and is logged once; ten minutes are the most.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -252,7 +252,7 @@
         if self._core.book.has_left(self._start):
             return 'the server left while connecting'
         obstacle = self._core.limits.find_send_obstacle(
-            backend, self._chosen_at
+            backend, self._chosen_at, self._core.clock.now()
         )
         if obstacle is not None:
             return obstacle.value
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -155,6 +155,17 @@
                 request=request,
             )
 
+    def note_rest(self, start: ServerStart, rest: Millis, request: str) -> None:
+        """Send nothing to a start for as long as its refusal of one asks."""
+        if self.book.note_rest(start, rest, self.clock.now()):
+            self.log.write(
+                EventName.BACKEND_RESTING,
+                peer=start.server,
+                incarnation=start.born,
+                request=request,
+                duration=round(rest),
+            )
+
     def want_servers(self) -> None:
         """Have the list of servers read sooner."""
         self.servers_wanted.set()
--- a/src/oleanderdyke/entry/hosted/lessons.py
+++ b/src/oleanderdyke/entry/hosted/lessons.py
@@ -23,6 +23,8 @@
         """Learn what an answer tells of its server."""
         if facts.is_leaving:
             self._core.note_leaving(self._start, self._call.request)
+        if facts.rest is not None:
+            self._core.note_rest(self._start, facts.rest, self._call.request)
         if facts.rate_limit is not None:
             self._core.note_limit(
                 self._start, facts.rate_limit, request=self._call.request
--- a/src/oleanderdyke/entry/hosted/placing.py
+++ b/src/oleanderdyke/entry/hosted/placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from random import Random
@@ -48,8 +49,12 @@
     Obstacle.EVACUATED: _LONG_PAUSE,
     Obstacle.FOREIGN: _LONG_PAUSE,
 }
-# Another entry may have a turn sooner than this one.
-_LONGEST_TURN: Millis = 1 * SECOND
+# Callers are told when the first server takes requests of this entry again, at
+# most so late: another entry may have a turn at a limited server sooner.
+_TURNS: Mapping[Obstacle, Millis] = {
+    Obstacle.LIMITED: 1 * SECOND,
+    Obstacle.RESTING: math.inf,
+}
 # What ends by itself within a second; all else is told to the caller at once.
 _PASSING = frozenset({Obstacle.UNLISTED, Obstacle.COLD})
 
@@ -107,22 +112,22 @@
                 self._core.servers_wanted.set()
             return None
         pause = _PAUSES.get(obstacle, PAUSE)
-        if obstacle is Obstacle.LIMITED:
-            pause = self._await_turn(demand, listed, now)
+        if obstacle in _TURNS:
+            turn = self._find_turn(demand, listed, now) - now
+            least = min(turn, _TURNS[obstacle])
+            pause = Pause(least, least + PAUSE.most)
         return SentBack(ErrorKind.NO_REPLICA, obstacle.value, pause)
 
-    def _await_turn(
+    def _find_turn(
         self, demand: CallDemand, listed: Sequence[Backend], now: Millis
-    ) -> Pause:
-        """Return the time until a server that is at its limit has a turn."""
-        limited = [
+    ) -> Millis:
+        """Return when the first server rests no more and has a turn."""
+        waited_for = [
             backend
             for backend in listed
-            if demand.blocked.get(backend.record.start) is Obstacle.LIMITED
+            if demand.blocked.get(backend.record.start) in _TURNS
         ]
-        turn = self._core.limits.find_first_turn(limited, now) - now
-        least = min(turn, _LONGEST_TURN)
-        return Pause(least, least + PAUSE.most)
+        return self._core.limits.find_first_turn(waited_for, now)
 
     def _may_wait(self, now: Millis) -> bool:
         """Return whether a server may still come that takes the call."""
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -63,6 +63,8 @@
     # Its newest entry can't be read, so what it told before may be outdated.
     is_unread: bool = False
     limit: RateLimit = field(default_factory=RateLimit)
+    # Until when it wants no requests of this entry.
+    rest_until: Millis = 0.0
     # What it named in answers and could not be read.
     malformed: set[AnswerField] = field(default_factory=set)
     # Another server told the same address later: this one has likely ended.
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import replace
 
-from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.kernel.backend import Backend, Owed
 from oleanderdyke.kernel.read_rate import ReadRate
 from oleanderdyke.kernel.returns import ReturningServers
@@ -33,6 +33,8 @@
 _LONGEST_REFUSAL_PAUSE: Millis = 800.0
 # Servers tell to be cold for some seconds; a larger number is an error.
 _LONGEST_COLD: Millis = 60 * SECOND
+# Servers ask for seconds of rest; a far larger number is an error.
+_LONGEST_REST: Millis = 10 * MINUTE
 # Starts that left are forgotten beyond so many; a list lags by seconds, in
 # which few leave.
 _MOST_LEFT = 1_024
@@ -378,6 +380,19 @@
         backend = self.find_start(start)
         return backend is not None and backend.limit.note(per_second, at)
 
+    def note_rest(self, start: ServerStart, rest: Millis, now: Millis) -> bool:
+        """Send nothing for as long as a server asks; return whether it began.
+
+        A later, shorter rest doesn't end one sooner.
+        """
+        backend = self.find_start(start)
+        if backend is None:
+            return False
+        is_resting = backend.rest_until > now
+        until = now + min(rest, _LONGEST_REST)
+        backend.rest_until = max(backend.rest_until, until)
+        return not is_resting and backend.rest_until > now
+
     def note_malformed(self, start: ServerStart, named: AnswerField) -> bool:
         """Learn that a field can't be read; return whether it is the first."""
         backend = self.find_start(start)
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -50,6 +50,7 @@
 _MOST_PASSING = (
     Obstacle.COLD,
     Obstacle.LIMITED,
+    Obstacle.RESTING,
     Obstacle.OUTDATED,
     Obstacle.EVACUATED,
     Obstacle.FOREIGN,
--- a/src/oleanderdyke/kernel/send_limits.py
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -33,6 +33,7 @@
     FOREIGN = 'no server is in a region where the request may run'
     COLD = 'all servers have just started and take few requests'
     LIMITED = 'all servers accept few requests, and got them'
+    RESTING = 'all servers asked for time without requests'
 
 
 class EntryView(Protocol):
@@ -86,16 +87,20 @@
             return Obstacle.FOREIGN
         if self._is_used_up(backend, now):
             return Obstacle.COLD
-        if self._find_turn(backend, now) > now:
+        if backend.rest_until > now:
+            return Obstacle.RESTING
+        if backend.limit.is_named and self._find_turn(backend, now) > now:
             return Obstacle.LIMITED
         return None
 
     def find_send_obstacle(
-        self, backend: Backend, chosen_at: Millis
+        self, backend: Backend, chosen_at: Millis, now: Millis
     ) -> Obstacle | None:
         """Return what forbids a send since the server was chosen, if any."""
         if backend.record.data_centre in self.evacuations.active:
             return Obstacle.EVACUATED
+        if backend.rest_until > now:
+            return Obstacle.RESTING
         # Whoever chose it did not know that others chose it too.
         if backend.limit.is_named and backend.limit.since >= chosen_at:
             return Obstacle.LIMITED
@@ -144,7 +149,7 @@
         """Return when a server accepts the next request of this entry."""
         limit = backend.limit
         if not limit.is_named:
-            return now
+            return backend.rest_until
         interval = find_limited_interval(
             limit.per_second,
             backend.record.server,
@@ -155,7 +160,8 @@
                 sharing=self.entries.count_sharing(now),
             ),
         )
-        return max(limit.since, backend.sent_at) + interval
+        turn = max(limit.since, backend.sent_at) + interval
+        return max(turn, backend.rest_until)
 
     def _is_used_up(self, backend: Backend, now: Millis) -> bool:
         """Return whether this entry's share of a cold server is used up."""
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -34,6 +34,8 @@
 # Any other value counts: a server that leaves must get no new work.
 _NOT_LEAVING = frozenset({'', '0'})
 _MISDIRECTED = 421
+# Refusals with which a server may ask for rest.
+_RESTING = frozenset({429, 503})
 _FRAMING = frozenset({'content-length', 'host', 'expect'})
 _NEVER_FORWARDED = HOP_BY_HOP | _FRAMING | names.OWN_HEADERS
 
@@ -95,7 +97,9 @@
     found = dict(headers)
     is_misdirected = status == _MISDIRECTED
     limit = found.get(names.RATE_LIMIT)
-    rate_limit = _read_rate(limit)
+    rate_limit = math.inf if limit is None else _read_amount(limit)
+    retry_after = found.get('retry-after') if status in _RESTING else None
+    rest = None if retry_after is None else _read_amount(retry_after)
     return AnswerFacts(
         request=found.get(names.REQUEST_ID, ''),
         is_not_run=names.NOT_RUN in found or is_misdirected,
@@ -107,7 +111,11 @@
         idle_timeout=_decode_keep_alive(found.get('keep-alive', '')),
         rate_limit=rate_limit,
         is_leaving=found.get(names.LEAVING, '').strip() not in _NOT_LEAVING,
-        malformed=_find_malformed(AnswerField.RATE_LIMIT, limit, rate_limit),
+        rest=None if rest is None else rest * SECOND,
+        malformed=(
+            *_find_malformed(AnswerField.RATE_LIMIT, limit, rate_limit),
+            *_find_malformed(AnswerField.REST, retry_after, rest),
+        ),
     )
 
 
@@ -214,9 +222,7 @@
     return (MalformedField(field, text[:_SHOWN_LENGTH]),)
 
 
-def _read_rate(text: str | None) -> float | None:
-    if text is None:
-        return math.inf
+def _read_amount(text: str) -> float | None:
     number = _read_number(text)
     return None if number is None or number < 0 else number
 
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -441,6 +441,7 @@
         names.LOAD,
         names.WEIGHT_VERSION,
         names.RATE_LIMIT,
+        'retry-after',
         names.INSTANCE,
         'keep-alive',
         'connection',
@@ -470,9 +471,10 @@
 def test_any_head_is_read(headers):
     asked = decode_request(tuple(headers))
     assert asked.wait is None or math.isfinite(asked.wait)
-    facts = decode_answer(200, tuple(headers))
+    facts = decode_answer(503, tuple(headers))
     assert facts.idle_timeout is None or math.isfinite(facts.idle_timeout)
     assert facts.rate_limit is None or facts.rate_limit >= 0
+    assert facts.rest is None or facts.rest >= 0
     assert all(len(found.text) <= 40 for found in facts.malformed)
     encode_request(tuple(headers), Dispatch('i-1', wait=asked.wait or 1.0))
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -236,6 +236,21 @@
     assert not decode_answer(200, ()).is_leaving
 
 
+@pytest.mark.parametrize(
+    ('status', 'rest'), [(503, 1_500.0), (429, 1_500.0), (500, None)]
+)
+def test_the_rest_that_a_refusal_asks_for_is_decoded(status, rest):
+    found = decode_answer(status, (('retry-after', '1.5'),))
+    assert (found.rest, found.malformed) == (rest, ())
+
+
+def test_a_date_is_no_rest():
+    text = 'Thu, 03 Dec 2026 12:00:00 GMT'
+    found = decode_answer(503, (('retry-after', text),))
+    assert found.rest is None
+    assert [each.field for each in found.malformed] == [AnswerField.REST]
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'is_not_run'),
     [
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -241,10 +241,10 @@
 def test_a_choice_made_before_a_limit_was_named_is_not_sent():
     book = make_book(make_record('a'))
     limits, backend = make_limits(), book.find('a')
-    assert limits.find_send_obstacle(backend, 100.0) is None
+    assert limits.find_send_obstacle(backend, 100.0, 300.0) is None
     name_limit(book, 2.0, 200.0)
-    assert limits.find_send_obstacle(backend, 100.0) is Obstacle.LIMITED
-    assert limits.find_send_obstacle(backend, 9_000.0) is None
+    assert limits.find_send_obstacle(backend, 100.0, 300.0) is Obstacle.LIMITED
+    assert limits.find_send_obstacle(backend, 9_000.0, 9_000.0) is None
 
 
 def test_a_new_start_of_a_server_has_no_limit():
--- a/tests/test_requested_rest.py
+++ b/tests/test_requested_rest.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
 from oleanderdyke.clock import SECOND, make_clock
+from oleanderdyke.kernel.backends import BackendBook
+from oleanderdyke.kernel.send_limits import Obstacle
+from oleanderdyke.kernel.servers import ServerStart
 from tests.hosted import Stage, prefer, staging
 from tests.standins.scripts import answer_well
+from tests.test_hosted_log import list_events
+from tests.test_send_limits import make_limits, make_record
 
 ANSWERED, REFUSED = 200, 503
 CLOCK = make_clock()
+START = ServerStart('i-0')
+DATE = 'Thu, 03 Dec 2026 12:00:00 GMT'
 
 
 class RestingServer:
@@ -46,3 +54,111 @@
         statuses = await send_until(stage, begun + 1.4 * SECOND)
         assert set(statuses) == {ANSWERED}
         assert len(resting.arrivals) == 1
+
+
+@pytest.mark.anyio
+async def test_a_call_whose_servers_all_rest_is_refused_at_once(tmp_path):
+    async with staging(tmp_path, RestingServer('2.5')) as stage:
+        await stage.call('/once/x')
+        with anyio.fail_after(0.5):
+            found = await stage.call('/once/x')
+        assert found.status == REFUSED
+        assert 2.0 <= float(found.headers['retry-after']) <= 2.7
+        assert len(stage.replicas[0].received) == 1
+        assert 'asked for time without requests' in stage.log.read_text()
+
+
+@pytest.mark.anyio
+async def test_a_rest_counts_while_a_connection_is_opened(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        core = stage.core
+        opened = core.pool.open
+
+        async def open_late(address):
+            connection = await opened(address)
+            core.note_rest(START, 3 * SECOND, 'another')
+            return connection
+
+        core.pool.open = open_late
+        assert (await stage.call('/once/x')).status == REFUSED
+        assert not stage.replicas[0].received
+
+
+@pytest.mark.anyio
+async def test_one_line_tells_how_long_a_server_rests(tmp_path):
+    async with staging(tmp_path, RestingServer('1.5')) as stage:
+        for _ in range(3):
+            await stage.call('/once/x')
+        (line,) = list_events(stage.log, 'backend_resting')
+    assert (line['peer'], line['duration']) == ('i-0', '1500')
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('text', ['soon', '-3', 'nan', '9' * 400, DATE])
+async def test_a_rest_that_cannot_be_read_is_logged_once(tmp_path, text):
+    async with staging(tmp_path, RestingServer(text)) as stage:
+        for _ in range(2):
+            assert (await stage.call('/once/x')).status == REFUSED
+        lines = list_events(stage.log, 'record_refused')
+        assert [each['name'] for each in lines].count('rest') == 1
+        assert stage.core.book.find('i-0').rest_until == 0.0
+
+
+A = ServerStart('a')
+
+
+def make_book(**changes) -> BackendBook:
+    book = BackendBook()
+    book.replace([make_record('a', **changes)], 0.0)
+    book.note_read(0.0)
+    return book
+
+
+def find_obstacle(book: BackendBook, now: float) -> Obstacle | None:
+    return make_limits().find_obstacle(book.find('a'), (), now)
+
+
+def test_a_server_rests_until_its_end_and_no_longer():
+    book = make_book()
+    assert book.note_rest(A, 3_000.0, 100.0)
+    assert find_obstacle(book, 3_099.0) is Obstacle.RESTING
+    assert find_obstacle(book, 3_100.0) is None
+
+
+def test_a_later_shorter_rest_does_not_end_one_sooner():
+    book = make_book()
+    book.note_rest(A, 3_000.0, 100.0)
+    assert not book.note_rest(A, 500.0, 200.0)
+    assert find_obstacle(book, 3_099.0) is Obstacle.RESTING
+    assert not book.note_rest(A, 3_000.0, 1_000.0)
+    assert find_obstacle(book, 3_999.0) is Obstacle.RESTING
+
+
+@pytest.mark.parametrize('rest', [1e9, 1e300])
+def test_a_server_rests_for_minutes_at_most(rest):
+    book = make_book()
+    book.note_rest(A, rest, 0.0)
+    assert find_obstacle(book, 60_000.0) is Obstacle.RESTING
+    assert find_obstacle(book, 3_600_000.0) is None
+
+
+def test_no_time_without_requests_is_no_rest():
+    book = make_book()
+    assert not book.note_rest(A, 0.0, 100.0)
+    assert find_obstacle(book, 100.0) is None
+
+
+def test_a_new_start_of_a_server_does_not_rest():
+    book = make_book(born=1)
+    book.note_rest(ServerStart('a', 1), 3_000.0, 0.0)
+    book.put(make_record('a', born=2), 100.0)
+    assert find_obstacle(book, 100.0) is None
+
+
+def test_who_rests_and_has_a_limit_takes_requests_after_both():
+    book, limits = make_book(), make_limits()
+    book.note_limit(A, 1.0, 0.0)
+    limits.note_sent(book.find('a'), 0.0)
+    book.note_rest(A, 9_000.0, 0.0)
+    assert limits.find_first_turn([book.find('a')], 100.0) == 9_000.0
+    assert find_obstacle(book, 100.0) is Obstacle.RESTING
