Read the load of servers that share their machines

Such servers add a fourth figure to the three of their load, how slow the machine is at the moment. The adapter wanted three and left the whole load out, so that their queues were unknown to placement and early refusal.

The fourth figure itself is not used: it changes many times a second. Not measured.

--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -27,7 +27,9 @@
 # thousands of them raise an error.
 _MOST_DIGITS = 15
 _KEEP_ALIVE = re.compile(r'timeout=([0-9]{1,15})(?![0-9])')
-_LOAD_PARTS = 3
+# Servers that share their machines add how slow those are at the moment, which
+# changes before anything can be sent by it.
+_LOAD_PARTS = frozenset({3, 4})
 # How much of a malformed value is shown.
 _SHOWN_LENGTH = 40
 _NOWHERE = '-'
@@ -193,9 +195,9 @@
 
 def _decode_load(text: str) -> ServerLoad | None:
     parts = [_read_whole(part) for part in text.split(',')]
-    if len(parts) != _LOAD_PARTS:
+    if len(parts) not in _LOAD_PARTS:
         return None
-    running, waiting, slots = parts
+    running, waiting, slots = parts[:3]
     if running is None or waiting is None or slots is None:
         return None
     return ServerLoad(running, waiting, slots)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -208,6 +208,18 @@
     assert found.idle_timeout == 7_000
 
 
+# Servers that share their machines tell a fourth figure; their load was taken
+# for malformed, and they looked as idle as those that tell none.
+def test_the_load_of_a_server_that_shares_its_machine_is_decoded():
+    found = decode_answer(200, ((names.LOAD, '3,1,8,140'),))
+    assert found.load == ServerLoad(3, 1, 8)
+
+
+@pytest.mark.parametrize('text', ['3,1', '3,1,x', '3,1,8,2,9', ''])
+def test_what_is_no_load_is_left_out(text):
+    assert decode_answer(200, ((names.LOAD, text),)).load is None
+
+
 @pytest.mark.parametrize(
     ('text', 'limit'), [('2.3', 2.3), ('0', 0.0), (' 12 ', 12.0)]
 )
