--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -35,7 +35,7 @@
 
 
 class BackendBook(ServerList):
-    """Record what requests and answers show of the present start of each server.
+    """Record what requests and answers show of the servers' present starts.
 
     What an earlier start showed changes nothing.
     """
