Rank engines, neighbours and entries by one function

Three modules hashed a name for a subject alike, each with its own copy. The ranks stay as they were; those of shared parts are remembered, and only the first two engines of a part are sought instead of sorting all.

--- a/src/oleanderdyke/kernel/neighbours.py
+++ b/src/oleanderdyke/kernel/neighbours.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from collections import defaultdict
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.presence import LIFE
+from oleanderdyke.kernel.ranks import find_rank
 
 # Who failed is passed over for so long, and twice as long for each further
 # failure: a frozen or lost entry is asked in vain some ten times a minute.
@@ -109,11 +109,7 @@
             for name, each in self._known.items()
             if now - self._heard[name] < LIFE and not self._is_out(name, now)
         ]
-        return sorted(alive, key=lambda each: _hash(source, each.name))
+        return sorted(alive, key=lambda each: find_rank(source, each.name))
 
     def _is_out(self, name: str, now: Millis) -> bool:
         return self._out_until.get(name, -math.inf) > now
-
-
-def _hash(source: str, name: str) -> bytes:
-    return hashlib.blake2b(f'{source}/{name}'.encode(), digest_size=8).digest()
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from operator import itemgetter
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.backends import BackendBook
+from oleanderdyke.kernel.ranks import find_rank
 from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
@@ -334,12 +335,9 @@
     if len(model.parts) < _HOMES:
         return frozenset()
     shared = model.parts[-2].name
-    ranked = sorted(
+    first = nsmallest(
+        _HOMES,
         (each.record.server for each in usable),
-        key=lambda server: _hash(shared, server),
+        key=lambda server: find_rank(shared, server),
     )
-    return frozenset(ranked[:_HOMES])
-
-
-def _hash(part: str, server: str) -> bytes:
-    return hashlib.blake2b(f'{part}/{server}'.encode(), digest_size=8).digest()
+    return frozenset(first)
