Find out that a server is not silent by when it was heard

A choice among 48 engines took 0.52 ms of processor time, on stand-ins with three requests that wait at each; a third of it went into adding up what each engine has to read, to find that it isn't silent. A server that was heard within the limit can't be. Engines that may not be used are looked up only where there are any.

--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -131,11 +131,11 @@
     demand: CallDemand, backends: Iterable[Backend], now: Millis
 ) -> Choice | None:
     """Return the best of some servers, None where none may be used."""
+    closed = demand.excluded | demand.blocked.keys()
     listed = [
         backend
         for backend in backends
-        if backend.record.start not in demand.excluded
-        and backend.record.start not in demand.blocked
+        if not (closed and backend.record.start in closed)
         and not _is_outdated(demand, backend)
     ]
     good = [each for each in listed if is_usable(each, now)] or listed
@@ -176,6 +176,8 @@
     """Return whether nothing speaks against sending to a server."""
     if max(backend.out_until, backend.reload_until) > now:
         return False
+    if now - backend.heard < SILENCE_LIMIT:
+        return True
     return backend.find_silence(now) < SILENCE_LIMIT
 
 
--- a/src/oleanderdyke/kernel/send_limits.py
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -70,11 +70,12 @@
 
         `homes` are the regions where it may run; none means all.
         """
-        found = {
-            backend.record.start: self.find_obstacle(backend, homes, now)
-            for backend in backends
-        }
-        return {start: why for start, why in found.items() if why is not None}
+        found = {}
+        for backend in backends:
+            obstacle = self.find_obstacle(backend, homes, now)
+            if obstacle is not None:
+                found[backend.record.start] = obstacle
+        return found
 
     def find_obstacle(
         self, backend: Backend, homes: Collection[str], now: Millis
