Send no choice that was made before a neighbour told of a limit

A limit that a neighbour was told counted from then, so that requests chosen between that moment and the news were sent all the same, as many as there were. It counts from when this entry learns of it.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -119,22 +119,24 @@
             return
         self.book.note_load(told.start, told.load, told.at)
         if told.rate_limit is not None:
-            self.note_limit(told.start, told.rate_limit, at=told.at)
+            self.note_limit(told.start, told.rate_limit, told_at=told.at)
 
     def note_limit(
         self,
         start: ServerStart,
         per_second: float,
         *,
-        at: Millis | None = None,
+        told_at: Millis | None = None,
         request: str | None = None,
     ) -> None:
         """Take the rate that a server accepts, infinite without a limit.
 
-        It is from the answer to a request, or a neighbour heard it at a moment.
+        The answer to `request` named it just now, or one to a neighbour
+        earlier.
         """
-        heard_at = self.clock.now() if at is None else at
-        if not self.book.note_limit(start, per_second, heard_at):
+        now = self.clock.now()
+        told_at = now if told_at is None else told_at
+        if not self.book.note_limit(start, per_second, told_at, now):
             return
         self.log.write(
             EventName.BACKEND_LIMITED,
@@ -142,7 +144,7 @@
             incarnation=start.born,
             request=request,
             value=None if math.isinf(per_second) else per_second,
-            age=round(self.clock.now() - heard_at),
+            age=round(now - told_at),
         )
 
     def note_leaving(self, start: ServerStart, request: str) -> None:
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -126,14 +126,20 @@
             backend.load_at = now
 
     def note_limit(
-        self, start: ServerStart, per_second: float, at: Millis
+        self,
+        start: ServerStart,
+        per_second: float,
+        told_at: Millis,
+        now: Millis,
     ) -> bool:
         """Take the rate that a server accepts; return whether that is new.
 
         It is infinite where the server names none.
         """
         backend = self.find_start(start)
-        return backend is not None and backend.limit.note(per_second, at)
+        if backend is None:
+            return False
+        return backend.limit.note(per_second, told_at, now)
 
     def note_rest(self, start: ServerStart, rest: Millis, now: Millis) -> bool:
         """Send nothing for as long as a server asks; return whether it began.
--- a/src/oleanderdyke/kernel/rate_limits.py
+++ b/src/oleanderdyke/kernel/rate_limits.py
@@ -46,7 +46,8 @@
 class RateLimit:
     """Requests a second that a server accepts from all entries together.
 
-    It is infinite unless the server names one, and holds from `since` on.
+    It is infinite unless the server names one. This entry keeps to it `since` it
+    was told.
     """
 
     per_second: float = math.inf
@@ -64,19 +65,22 @@
         """Return whether the server has ever named a limit."""
         return self._named_at > -math.inf
 
-    def note(self, per_second: float, at: Millis) -> bool:
-        """Take what an answer named at a moment; return whether it is new."""
-        if at < self._told_at:
+    def note(self, per_second: float, told_at: Millis, now: Millis) -> bool:
+        """Take what an answer named at a moment; return whether it is new.
+
+        A neighbour may have been told earlier than now.
+        """
+        if told_at < self._told_at:
             return False
-        self._told_at = at
-        if math.isinf(per_second) and at - self._named_at < _REORDERING:
+        self._told_at = told_at
+        if math.isinf(per_second) and told_at - self._named_at < _REORDERING:
             return False
         if per_second < math.inf:
-            self._named_at = at
+            self._named_at = told_at
         if per_second == self.per_second:
             return False
         if not self.is_named:
-            self.since = at
+            self.since = now
         self.per_second = per_second
         return True
 
--- a/tests/test_choice_cost.py
+++ b/tests/test_choice_cost.py
@@ -96,7 +96,7 @@
     book = make_engines(48)
     calls = count_calls(lambda: choose(book))
     assert calls[rate_limits.__file__] <= 48
-    assert book.note_limit(ServerStart('i-0'), 2.0, NOW - 5_000)
+    assert book.note_limit(ServerStart('i-0'), 2.0, NOW, NOW)
     assert count_calls(lambda: choose(book)).total() > calls.total()
 
 
--- a/tests/test_requested_rest.py
+++ b/tests/test_requested_rest.py
@@ -157,7 +157,7 @@
 
 def test_who_rests_and_has_a_limit_takes_requests_after_both():
     book, limits = make_book(), make_limits()
-    book.note_limit(A, 1.0, 0.0)
+    book.note_limit(A, 1.0, 0.0, 0.0)
     limits.note_sent(book.find('a'), 0.0)
     book.note_rest(A, 9_000.0, 0.0)
     assert limits.find_first_turn([book.find('a')], 100.0) == 9_000.0
