--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -92,11 +92,15 @@
         """Return among how many entries something may be shared.
 
         Infinite for an entry that some others may not count: they share all of
-        it. Where all start together, all count high at first.
+        it. Where all start together, nobody shares by less at first.
         """
+        count = self.count(now)
         if self._is_counted(now):
             return len(self._heard)
-        return self.count(now) if self._starts_together else math.inf
+        if not self._starts_together or math.isinf(count):
+            return math.inf
+        # Those that could not announce themselves yet share nothing.
+        return len(self._heard) + _SPARE
 
     def _is_counted(self, now: Millis) -> bool:
         """Return whether all other entries surely count this one."""
--- a/src/oleanderdyke/kernel/rate_limits.py
+++ b/src/oleanderdyke/kernel/rate_limits.py
@@ -46,8 +46,8 @@
 class RateLimit:
     """Requests a second that a server accepts from all entries together.
 
-    It is infinite unless the server names one. This entry keeps to it `since` it
-    was told.
+    It is infinite unless the server names one. This entry has known of it
+    `since` a moment on its own clock.
     """
 
     per_second: float = math.inf
