Name a backoff as the field does, and share the scripts of its tests

Retry-After and backoff instead of a rest that servers ask for; the tests of limits, leaving and backoff had the same scripts and the same delay between choosing and sending three times. No test asserts less than before.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -157,15 +157,17 @@
                 request=request,
             )
 
-    def note_rest(self, start: ServerStart, rest: Millis, request: str) -> None:
-        """Send nothing to a start for as long as its refusal of one asks."""
-        if self.book.note_rest(start, rest, self.clock.now()):
+    def note_backoff(
+        self, start: ServerStart, pause: Millis, request: str
+    ) -> None:
+        """Send nothing to a start that refused a request, for a pause."""
+        if self.book.note_backoff(start, pause, self.clock.now()):
             self.log.write(
-                EventName.BACKEND_RESTING,
+                EventName.BACKEND_BACKOFF,
                 peer=start.server,
                 incarnation=start.born,
                 request=request,
-                duration=round(rest),
+                duration=round(pause),
             )
 
     def want_servers(self) -> None:
--- a/src/oleanderdyke/entry/hosted/lessons.py
+++ b/src/oleanderdyke/entry/hosted/lessons.py
@@ -23,8 +23,10 @@
         """Learn what an answer tells of its server."""
         if facts.is_leaving:
             self._core.note_leaving(self._start, self._call.request)
-        if facts.rest is not None:
-            self._core.note_rest(self._start, facts.rest, self._call.request)
+        if facts.retry_after is not None:
+            self._core.note_backoff(
+                self._start, facts.retry_after, self._call.request
+            )
         if facts.rate_limit is not None:
             self._core.note_limit(
                 self._start, facts.rate_limit, request=self._call.request
@@ -47,7 +49,7 @@
                     name=found.field.value,
                     peer=start.server,
                     incarnation=start.born,
-                    detail=f'{found.text!r} is no number of at least 0',
+                    detail=f'found {found.text!r}; allowed: at least 0',
                 )
 
     def take_refusal(self, facts: AnswerFacts, sent: Weights) -> None:
--- a/src/oleanderdyke/entry/hosted/placing.py
+++ b/src/oleanderdyke/entry/hosted/placing.py
@@ -27,7 +27,7 @@
 class Pause:
     """Bounds of how long a caller that gets no answer is asked to wait.
 
-    Callers don't come back together.
+    Drawn for each, so that callers don't return together.
     """
 
     least: Millis
@@ -51,9 +51,9 @@
 }
 # Callers are told when the first server takes requests of this entry again, at
 # most so late: another entry may have a turn at a limited server sooner.
-_TURNS: Mapping[Obstacle, Millis] = {
+_LONGEST_TURNS: Mapping[Obstacle, Millis] = {
     Obstacle.LIMITED: 1 * SECOND,
-    Obstacle.RESTING: math.inf,
+    Obstacle.BACKOFF: math.inf,
 }
 # What ends by itself within a second; all else is told to the caller at once.
 _PASSING = frozenset({Obstacle.UNLISTED, Obstacle.COLD})
@@ -112,20 +112,20 @@
                 self._core.servers_wanted.set()
             return None
         pause = _PAUSES.get(obstacle, PAUSE)
-        if obstacle in _TURNS:
+        if obstacle in _LONGEST_TURNS:
             turn = self._find_turn(demand, listed, now) - now
-            least = min(turn, _TURNS[obstacle])
+            least = min(turn, _LONGEST_TURNS[obstacle])
             pause = Pause(least, least + PAUSE.most)
         return SentBack(ErrorKind.NO_REPLICA, obstacle.value, pause)
 
     def _find_turn(
         self, demand: CallDemand, listed: Sequence[Backend], now: Millis
     ) -> Millis:
-        """Return when the first server rests no more and has a turn."""
+        """Return when the first server that only time blocks has a turn."""
         waited_for = [
             backend
             for backend in listed
-            if demand.blocked.get(backend.record.start) in _TURNS
+            if demand.blocked.get(backend.record.start) in _LONGEST_TURNS
         ]
         return self._core.limits.find_first_turn(waited_for, now)
 
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -74,7 +74,7 @@
     BACKENDS_CHANGED = 'backends_changed'
     BACKEND_LIMITED = 'backend_limited'
     BACKEND_LEAVING = 'backend_leaving'
-    BACKEND_RESTING = 'backend_resting'
+    BACKEND_BACKOFF = 'backend_backoff'
     ORDER_SENT = 'order_sent'
     ORDER_REFUSED = 'order_refused'
     ORDER_DONE = 'order_done'
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -64,7 +64,7 @@
     is_unread: bool = False
     limit: RateLimit = field(default_factory=RateLimit)
     # Until when it wants no requests of this entry.
-    rest_until: Millis = 0.0
+    backoff_until: Millis = 0.0
     # What it named in answers and could not be read.
     malformed: set[AnswerField] = field(default_factory=set)
     # Another server told the same address later: this one has likely ended.
--- a/src/oleanderdyke/kernel/backends.py
+++ b/src/oleanderdyke/kernel/backends.py
@@ -28,8 +28,8 @@
 # ten milliseconds, new weights take over a second.
 _REFUSAL_PAUSE: Millis = 100.0
 _LONGEST_REFUSAL_PAUSE: Millis = 800.0
-# Servers ask for seconds of rest; a far larger number is an error.
-_LONGEST_REST: Millis = 10 * MINUTE
+# Servers ask for pauses of seconds; a far larger number is an error.
+_LONGEST_BACKOFF: Millis = 10 * MINUTE
 # The share of the latest answer in the rate of failures of a server.
 _ERROR_WEIGHT = 0.2
 
@@ -141,18 +141,20 @@
             return False
         return backend.limit.note(per_second, told_at, now)
 
-    def note_rest(self, start: ServerStart, rest: Millis, now: Millis) -> bool:
+    def note_backoff(
+        self, start: ServerStart, pause: Millis, now: Millis
+    ) -> bool:
         """Send nothing for as long as a server asks; return whether it began.
 
-        A later, shorter rest doesn't end one sooner.
+        A later, shorter pause doesn't end one sooner.
         """
         backend = self.find_start(start)
         if backend is None:
             return False
-        is_resting = backend.rest_until > now
-        until = now + min(rest, _LONGEST_REST)
-        backend.rest_until = max(backend.rest_until, until)
-        return not is_resting and backend.rest_until > now
+        is_backing_off = backend.backoff_until > now
+        until = now + min(pause, _LONGEST_BACKOFF)
+        backend.backoff_until = max(backend.backoff_until, until)
+        return not is_backing_off and backend.backoff_until > now
 
     def note_malformed(self, start: ServerStart, named: AnswerField) -> bool:
         """Learn that a field can't be read; return whether it is the first."""
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/placement.py
@@ -51,7 +51,7 @@
 _MOST_PASSING = (
     Obstacle.COLD,
     Obstacle.LIMITED,
-    Obstacle.RESTING,
+    Obstacle.BACKOFF,
     Obstacle.OUTDATED,
     Obstacle.EVACUATED,
     Obstacle.FOREIGN,
--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -92,7 +92,7 @@
         """Return among how many entries something may be shared.
 
         Infinite for an entry that some others may not count: they share all of
-        it. Where all start together, nobody shares by less at first.
+        it. Where all start together, a spare is added at first.
         """
         count = self.count(now)
         if self._is_counted(now):
--- a/src/oleanderdyke/kernel/send_limits.py
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -32,8 +32,8 @@
     EVACUATED = 'every data centre with servers is being evacuated'
     FOREIGN = 'no server is in a region where the request may run'
     COLD = 'all servers have just started and take few requests'
-    LIMITED = 'all servers accept few requests, and got them'
-    RESTING = 'all servers asked for time without requests'
+    LIMITED = 'all servers got the requests that they accept for now'
+    BACKOFF = 'all servers asked to retry later'
 
 
 class EntryView(Protocol):
@@ -88,8 +88,8 @@
             return Obstacle.FOREIGN
         if self._is_used_up(backend, now):
             return Obstacle.COLD
-        if backend.rest_until > now:
-            return Obstacle.RESTING
+        if backend.backoff_until > now:
+            return Obstacle.BACKOFF
         if backend.limit.is_named and self._find_turn(backend, now) > now:
             return Obstacle.LIMITED
         return None
@@ -100,8 +100,8 @@
         """Return what forbids a send since the server was chosen, if any."""
         if backend.record.data_centre in self.evacuations.active:
             return Obstacle.EVACUATED
-        if backend.rest_until > now:
-            return Obstacle.RESTING
+        if backend.backoff_until > now:
+            return Obstacle.BACKOFF
         # Whoever chose it did not know that others chose it too.
         if backend.limit.is_named and backend.limit.since >= chosen_at:
             return Obstacle.LIMITED
@@ -150,7 +150,7 @@
         """Return when a server accepts the next request of this entry."""
         limit = backend.limit
         if not limit.is_named:
-            return backend.rest_until
+            return backend.backoff_until
         interval = find_limited_interval(
             limit.per_second,
             backend.record.server,
@@ -162,7 +162,7 @@
             ),
         )
         turn = max(limit.since, backend.sent_at) + interval
-        return max(turn, backend.rest_until)
+        return max(turn, backend.backoff_until)
 
     def _is_used_up(self, backend: Backend, now: Millis) -> bool:
         """Return whether this entry's share of a cold server is used up."""
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -91,7 +91,7 @@
     """What a backend server may name of itself in an answer."""
 
     RATE_LIMIT = 'rate limit'
-    REST = 'rest'
+    RETRY_AFTER = 'retry after'
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +113,8 @@
     `rate_limit` is how many requests a second it accepts from all entries
     together: infinite without a limit, None where that can't be told.
     A server that `is_leaving` soon stops; one that refused may want no requests
-    of this entry for a `rest`. What was there and can't be read is `malformed`.
+    of this entry before `retry_after`. What was there and can't be read is
+    `malformed`.
     """
 
     request: str = ''
@@ -126,5 +127,5 @@
     idle_timeout: Millis | None = None
     rate_limit: float | None = math.inf
     is_leaving: bool = False
-    rest: Millis | None = None
+    retry_after: Millis | None = None
     malformed: tuple[MalformedField, ...] = ()
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -36,8 +36,8 @@
 # Any other value counts: a server that leaves must get no new work.
 _NOT_LEAVING = frozenset({'', '0'})
 _MISDIRECTED = 421
-# Refusals with which a server may ask for rest.
-_RESTING = frozenset({429, 503})
+# Refusals with which a server may ask to retry later.
+_DEFERRING = frozenset({429, 503})
 _FRAMING = frozenset({'content-length', 'host', 'expect'})
 _NEVER_FORWARDED = HOP_BY_HOP | _FRAMING | names.OWN_HEADERS
 
@@ -100,8 +100,8 @@
     is_misdirected = status == _MISDIRECTED
     limit = found.get(names.RATE_LIMIT)
     rate_limit = math.inf if limit is None else _read_amount(limit)
-    retry_after = found.get('retry-after') if status in _RESTING else None
-    rest = None if retry_after is None else _read_amount(retry_after)
+    pause = found.get('retry-after') if status in _DEFERRING else None
+    retry_after = None if pause is None else _read_amount(pause)
     return AnswerFacts(
         request=found.get(names.REQUEST_ID, ''),
         is_not_run=names.NOT_RUN in found or is_misdirected,
@@ -113,10 +113,10 @@
         idle_timeout=_decode_keep_alive(found.get('keep-alive', '')),
         rate_limit=rate_limit,
         is_leaving=found.get(names.LEAVING, '').strip() not in _NOT_LEAVING,
-        rest=None if rest is None else rest * SECOND,
+        retry_after=None if retry_after is None else retry_after * SECOND,
         malformed=(
             *_find_malformed(AnswerField.RATE_LIMIT, limit, rate_limit),
-            *_find_malformed(AnswerField.REST, retry_after, rest),
+            *_find_malformed(AnswerField.RETRY_AFTER, pause, retry_after),
         ),
     )
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -5,13 +5,14 @@
 import asyncio
 import contextlib
 import pathlib
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 import anyio
 
+from oleanderdyke.clients.direct import BackendConnection
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.shell import HostedShell
@@ -191,6 +192,19 @@
             stage.core.book.note_error(ServerStart(f'i-{other}'))
 
 
+def act_while_opening(stage: Stage, act: Callable[[], object]) -> None:
+    """Do something between the choice of a server and the send to it."""
+    pool = stage.core.pool
+    opened = pool.open
+
+    async def open_late(address: str) -> BackendConnection:
+        connection = await opened(address)
+        act()
+        return connection
+
+    pool.open = open_late  # type: ignore[method-assign]
+
+
 async def call(
     address: tuple[str, int],
     path: str,
--- a/tests/standins/scripts.py
+++ b/tests/standins/scripts.py
@@ -50,3 +50,31 @@
             peer.reset()
 
     return run
+
+
+def naming(**headers: str) -> dict[str, Script]:
+    """Make scripts that name headers in each kind of answer, by its name."""
+
+    async def answer(peer: Peer) -> None:
+        await peer.answer(200, b'done', **headers)
+
+    async def fail(peer: Peer) -> None:
+        await peer.answer(500, b'failed', **headers)
+
+    async def refuse(peer: Peer) -> None:
+        refusal = {'oleanderdyke_not_executed': '1', **headers}
+        await peer.answer(503, b'full', **refusal)
+
+    async def stream_events(peer: Peer) -> None:
+        head = make_head(
+            peer.request,
+            200,
+            content_type='text/event-stream',
+            transfer_encoding='chunked',
+            **headers,
+        )
+        event = make_chunk(make_event(1))
+        await peer.send(head + event + b'0\r\n\r\n')
+
+    scripts = (answer, fail, refuse, stream_events)
+    return {script.__name__: script for script in scripts}
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -474,7 +474,7 @@
     facts = decode_answer(503, tuple(headers))
     assert facts.idle_timeout is None or math.isfinite(facts.idle_timeout)
     assert facts.rate_limit is None or facts.rate_limit >= 0
-    assert facts.rest is None or facts.rest >= 0
+    assert facts.retry_after is None or facts.retry_after >= 0
     assert all(len(found.text) <= 40 for found in facts.malformed)
     encode_request(tuple(headers), Dispatch('i-1', wait=asked.wait or 1.0))
 
--- a/tests/test_hosted_limits.py
+++ b/tests/test_hosted_limits.py
@@ -13,6 +13,7 @@
     OPERATOR,
     SERVERS,
     Stage,
+    act_while_opening,
     make_record,
     staging,
 )
@@ -120,15 +121,8 @@
 
 async def test_an_evacuation_counts_while_a_connection_is_opened(tmp_path):
     async with staging(tmp_path, answer) as stage:
-        core = stage.core
-        opened = core.pool.open
-
-        async def open_late(address):
-            connection = await opened(address)
-            core.limits.evacuations.begin('hall')
-            return connection
-
-        core.pool.open = open_late
+        evacuations = stage.core.limits.evacuations
+        act_while_opening(stage, lambda: evacuations.begin('hall'))
         assert (await stage.call('/once/x')).status == REFUSED
         assert count_received(stage) == [0]
 
--- a/tests/test_leaving_answers.py
+++ b/tests/test_leaving_answers.py
@@ -7,9 +7,15 @@
 
 from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.servers import ServerRecord, ServerStart
-from tests.hosted import SERVERS, Stage, make_record, prefer, staging
-from tests.standins.replica import make_chunk, make_event, make_head
-from tests.standins.scripts import answer_well
+from tests.hosted import (
+    SERVERS,
+    Stage,
+    act_while_opening,
+    make_record,
+    prefer,
+    staging,
+)
+from tests.standins.scripts import answer_well, naming
 from tests.test_hosted_log import list_events
 
 ANSWERED, REFUSED = 200, 503
@@ -118,28 +124,11 @@
     assert (line['peer'], line['request']) == ('i-0', 'req-1')
 
 
-async def fail(peer) -> None:
-    await peer.answer(500, server_leaving='1')
-
-
-async def shed(peer) -> None:
-    await peer.answer(503, oleanderdyke_not_executed='1', server_leaving='1')
-
-
-async def stream_on(peer) -> None:
-    head = make_head(
-        peer.request,
-        content_type='text/event-stream',
-        transfer_encoding='chunked',
-        server_leaving='1',
-    )
-    await peer.send(head + make_chunk(make_event(1)) + b'0\r\n\r\n')
-
-
-@pytest.mark.parametrize('script', [answer_leaving, fail, shed, stream_on])
+@pytest.mark.parametrize('kind', naming())
 @pytest.mark.parametrize('path', ['/once/x', '/safe/x', '/stream/x'])
 @pytest.mark.anyio
-async def test_any_answer_may_say_that_a_server_leaves(tmp_path, script, path):
+async def test_any_answer_may_say_that_a_server_leaves(tmp_path, kind, path):
+    script = naming(server_leaving='1')[kind]
     async with staging(tmp_path, script) as stage:
         await stage.call(path)
         assert stage.core.book.find('i-0').record.is_leaving
@@ -164,13 +153,8 @@
 ):
     async with staging(tmp_path, answer_well) as stage:
         core = stage.core
-        opened = core.pool.open
-
-        async def open_late(address):
-            connection = await opened(address)
-            core.note_leaving(ServerStart('i-0'), 'another')
-            return connection
-
-        core.pool.open = open_late
+        act_while_opening(
+            stage, lambda: core.note_leaving(ServerStart('i-0'), 'another')
+        )
         assert (await stage.call('/once/x')).status == REFUSED
         assert not stage.replicas[0].received
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -249,18 +249,18 @@
 
 
 @pytest.mark.parametrize(
-    ('status', 'rest'), [(503, 1_500.0), (429, 1_500.0), (500, None)]
+    ('status', 'pause'), [(503, 1_500.0), (429, 1_500.0), (500, None)]
 )
-def test_the_rest_that_a_refusal_asks_for_is_decoded(status, rest):
+def test_when_to_retry_a_refused_request_is_decoded(status, pause):
     found = decode_answer(status, (('retry-after', '1.5'),))
-    assert (found.rest, found.malformed) == (rest, ())
+    assert (found.retry_after, found.malformed) == (pause, ())
 
 
-def test_a_date_is_no_rest():
+def test_a_date_does_not_tell_when_to_retry():
     text = 'Thu, 03 Dec 2026 12:00:00 GMT'
     found = decode_answer(503, (('retry-after', text),))
-    assert found.rest is None
-    assert [each.field for each in found.malformed] == [AnswerField.REST]
+    assert found.retry_after is None
+    assert [each.field for each in found.malformed] == [AnswerField.RETRY_AFTER]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -10,9 +10,8 @@
 
 from oleanderdyke.clock import SECOND, make_clock
 from oleanderdyke.kernel.servers import ServerStart
-from tests.hosted import Stage, prefer, staging
-from tests.standins.replica import make_chunk, make_event, make_head
-from tests.standins.scripts import answer_well
+from tests.hosted import Stage, act_while_opening, prefer, staging
+from tests.standins.scripts import answer_well, naming
 from tests.test_send_limits import Entries
 
 LIMIT = 4.0
@@ -118,7 +117,7 @@
         # One of two requests a second has been sent just now.
         assert 0.3 <= float(found.headers['retry-after']) <= 0.7
         assert len(stage.replicas[0].received) == 1
-        assert 'accept few requests' in stage.log.read_text()
+        assert 'got the requests that they accept' in stage.log.read_text()
 
 
 @pytest.mark.anyio
@@ -146,40 +145,18 @@
 async def test_a_limit_counts_while_a_connection_is_opened(tmp_path):
     async with staging(tmp_path, LimitedServer(2.0)) as stage:
         core = stage.core
-        opened = core.pool.open
-
-        async def open_late(address):
-            connection = await opened(address)
-            core.note_limit(ServerStart('i-0'), 2.0)
-            return connection
-
-        core.pool.open = open_late
+        act_while_opening(
+            stage, lambda: core.note_limit(ServerStart('i-0'), 2.0)
+        )
         assert (await stage.call('/once/x')).status == REFUSED
         assert not stage.replicas[0].received
 
 
-async def fail(peer) -> None:
-    await peer.answer(500, server_limit='2.0')
-
-
-async def shed(peer) -> None:
-    await peer.answer(503, oleanderdyke_not_executed='1', server_limit='2.0')
-
-
-async def stream_on(peer) -> None:
-    head = make_head(
-        peer.request,
-        content_type='text/event-stream',
-        transfer_encoding='chunked',
-        server_limit='2.0',
-    )
-    await peer.send(head + make_chunk(make_event(1)) + b'0\r\n\r\n')
-
-
 @pytest.mark.anyio
-@pytest.mark.parametrize('script', [fail, shed, stream_on])
+@pytest.mark.parametrize('kind', naming())
 @pytest.mark.parametrize('path', ['/once/x', '/safe/x', '/stream/x'])
-async def test_any_answer_may_name_a_limit(tmp_path, script, path):
+async def test_any_answer_may_name_a_limit(tmp_path, kind, path):
+    script = naming(server_limit='2.0')[kind]
     async with staging(tmp_path, script) as stage:
         await stage.call(path)
         assert stage.core.book.find('i-0').limit.per_second == 2.0
--- a/tests/test_requested_rest.py
+++ b/tests/test_retry_after.py
@@ -1,4 +1,4 @@
-"""Backend servers that refuse a request may ask for time without any."""
+"""Backend servers that refuse a request may ask to retry it later."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from oleanderdyke.kernel.backends import BackendBook
 from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ServerStart
-from tests.hosted import Stage, prefer, staging
+from tests.hosted import Stage, act_while_opening, prefer, staging
 from tests.standins.scripts import answer_well
 from tests.test_hosted_log import list_events
 from tests.test_send_limits import make_limits, make_record
@@ -20,17 +20,17 @@
 DATE = 'Thu, 03 Dec 2026 12:00:00 GMT'
 
 
-class RestingServer:
-    """Refuse each request, ask for rest, and note when requests came."""
+class BackoffServer:
+    """Refuse each request for a while, and note when requests came."""
 
-    def __init__(self, rest: str) -> None:
-        self.rest = rest
+    def __init__(self, pause: str) -> None:
+        self.pause = pause
         self.arrivals: list[float] = []
 
     async def __call__(self, peer) -> None:
         self.arrivals.append(CLOCK.now())
         await peer.answer(
-            503, oleanderdyke_not_executed='1', retry_after=self.rest
+            503, oleanderdyke_not_executed='1', retry_after=self.pause
         )
 
 
@@ -41,67 +41,64 @@
     return statuses
 
 
-# Two servers that had each asked an entry for three seconds of rest got six
+# Two servers that had each asked an entry to retry after three seconds got six
 # requests and more of it meanwhile, and callers were refused for want of
 # retries while other servers had room.
 @pytest.mark.anyio
-async def test_a_server_that_asks_for_rest_gets_nothing_meanwhile(tmp_path):
-    resting = RestingServer('1.5')
-    async with staging(tmp_path, resting, answer_well) as stage:
+async def test_a_server_that_asks_to_retry_later_gets_nothing_meanwhile(
+    tmp_path,
+):
+    refusing = BackoffServer('1.5')
+    async with staging(tmp_path, refusing, answer_well) as stage:
         prefer(stage, 0)
         assert (await stage.call('/once/x')).status == ANSWERED
-        (begun,) = resting.arrivals
+        (begun,) = refusing.arrivals
         statuses = await send_until(stage, begun + 1.4 * SECOND)
         assert set(statuses) == {ANSWERED}
-        assert len(resting.arrivals) == 1
+        assert len(refusing.arrivals) == 1
 
 
 @pytest.mark.anyio
-async def test_a_call_whose_servers_all_rest_is_refused_at_once(tmp_path):
-    async with staging(tmp_path, RestingServer('2.5')) as stage:
+async def test_a_call_that_all_servers_want_later_is_refused_at_once(tmp_path):
+    async with staging(tmp_path, BackoffServer('2.5')) as stage:
         await stage.call('/once/x')
         with anyio.fail_after(0.5):
             found = await stage.call('/once/x')
         assert found.status == REFUSED
         assert 2.0 <= float(found.headers['retry-after']) <= 2.7
         assert len(stage.replicas[0].received) == 1
-        assert 'asked for time without requests' in stage.log.read_text()
+        assert 'asked to retry later' in stage.log.read_text()
 
 
 @pytest.mark.anyio
-async def test_a_rest_counts_while_a_connection_is_opened(tmp_path):
+async def test_a_pause_counts_while_a_connection_is_opened(tmp_path):
     async with staging(tmp_path, answer_well) as stage:
         core = stage.core
-        opened = core.pool.open
-
-        async def open_late(address):
-            connection = await opened(address)
-            core.note_rest(START, 3 * SECOND, 'another')
-            return connection
-
-        core.pool.open = open_late
+        act_while_opening(
+            stage, lambda: core.note_backoff(START, 3 * SECOND, 'another')
+        )
         assert (await stage.call('/once/x')).status == REFUSED
         assert not stage.replicas[0].received
 
 
 @pytest.mark.anyio
-async def test_one_line_tells_how_long_a_server_rests(tmp_path):
-    async with staging(tmp_path, RestingServer('1.5')) as stage:
+async def test_one_line_tells_for_how_long_a_server_gets_nothing(tmp_path):
+    async with staging(tmp_path, BackoffServer('1.5')) as stage:
         for _ in range(3):
             await stage.call('/once/x')
-        (line,) = list_events(stage.log, 'backend_resting')
+        (line,) = list_events(stage.log, 'backend_backoff')
     assert (line['peer'], line['duration']) == ('i-0', '1500')
 
 
 @pytest.mark.anyio
 @pytest.mark.parametrize('text', ['soon', '-3', 'nan', '9' * 400, DATE])
-async def test_a_rest_that_cannot_be_read_is_logged_once(tmp_path, text):
-    async with staging(tmp_path, RestingServer(text)) as stage:
+async def test_a_pause_that_cannot_be_read_is_logged_once(tmp_path, text):
+    async with staging(tmp_path, BackoffServer(text)) as stage:
         for _ in range(2):
             assert (await stage.call('/once/x')).status == REFUSED
         lines = list_events(stage.log, 'record_refused')
-        assert [each['name'] for each in lines].count('rest') == 1
-        assert stage.core.book.find('i-0').rest_until == 0.0
+        assert [each['name'] for each in lines].count('retry after') == 1
+        assert stage.core.book.find('i-0').backoff_until == 0.0
 
 
 A = ServerStart('a')
@@ -118,47 +115,47 @@
     return make_limits().find_obstacle(book.find('a'), (), now)
 
 
-def test_a_server_rests_until_its_end_and_no_longer():
+def test_a_server_gets_nothing_until_the_end_and_no_longer():
     book = make_book()
-    assert book.note_rest(A, 3_000.0, 100.0)
-    assert find_obstacle(book, 3_099.0) is Obstacle.RESTING
+    assert book.note_backoff(A, 3_000.0, 100.0)
+    assert find_obstacle(book, 3_099.0) is Obstacle.BACKOFF
     assert find_obstacle(book, 3_100.0) is None
 
 
-def test_a_later_shorter_rest_does_not_end_one_sooner():
+def test_a_later_shorter_pause_does_not_end_one_sooner():
     book = make_book()
-    book.note_rest(A, 3_000.0, 100.0)
-    assert not book.note_rest(A, 500.0, 200.0)
-    assert find_obstacle(book, 3_099.0) is Obstacle.RESTING
-    assert not book.note_rest(A, 3_000.0, 1_000.0)
-    assert find_obstacle(book, 3_999.0) is Obstacle.RESTING
+    book.note_backoff(A, 3_000.0, 100.0)
+    assert not book.note_backoff(A, 500.0, 200.0)
+    assert find_obstacle(book, 3_099.0) is Obstacle.BACKOFF
+    assert not book.note_backoff(A, 3_000.0, 1_000.0)
+    assert find_obstacle(book, 3_999.0) is Obstacle.BACKOFF
 
 
-@pytest.mark.parametrize('rest', [1e9, 1e300])
-def test_a_server_rests_for_minutes_at_most(rest):
+@pytest.mark.parametrize('pause', [1e9, 1e300])
+def test_a_server_gets_nothing_for_minutes_at_most(pause):
     book = make_book()
-    book.note_rest(A, rest, 0.0)
-    assert find_obstacle(book, 60_000.0) is Obstacle.RESTING
+    book.note_backoff(A, pause, 0.0)
+    assert find_obstacle(book, 60_000.0) is Obstacle.BACKOFF
     assert find_obstacle(book, 3_600_000.0) is None
 
 
-def test_no_time_without_requests_is_no_rest():
+def test_a_pause_of_no_time_changes_nothing():
     book = make_book()
-    assert not book.note_rest(A, 0.0, 100.0)
+    assert not book.note_backoff(A, 0.0, 100.0)
     assert find_obstacle(book, 100.0) is None
 
 
-def test_a_new_start_of_a_server_does_not_rest():
+def test_a_new_start_of_a_server_asked_for_no_pause():
     book = make_book(born=1)
-    book.note_rest(ServerStart('a', 1), 3_000.0, 0.0)
+    book.note_backoff(ServerStart('a', 1), 3_000.0, 0.0)
     book.put(make_record('a', born=2), 100.0)
     assert find_obstacle(book, 100.0) is None
 
 
-def test_who_rests_and_has_a_limit_takes_requests_after_both():
+def test_a_server_with_a_limit_gets_requests_after_both_ends():
     book, limits = make_book(), make_limits()
     book.note_limit(A, 1.0, 0.0, 0.0)
     limits.note_sent(book.find('a'), 0.0)
-    book.note_rest(A, 9_000.0, 0.0)
+    book.note_backoff(A, 9_000.0, 0.0)
     assert limits.find_first_turn([book.find('a')], 100.0) == 9_000.0
-    assert find_obstacle(book, 100.0) is Obstacle.RESTING
+    assert find_obstacle(book, 100.0) is Obstacle.BACKOFF
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -181,7 +181,7 @@
     'version': lambda book, start: book.note_version(start, 'm', 8),
     'kept': lambda book, start: book.note_kept(start, PARTS, 60_000),
     'replaced': lambda book, start: book.note_replaced(start),
-    'rest': lambda book, start: book.note_rest(start, 900.0, 6.0),
+    'backoff': lambda book, start: book.note_backoff(start, 900.0, 6.0),
     'answer of leaving': lambda book, start: book.note_leaving(start),
 }
 STARTS = [ServerStart('a'), ServerStart('a', 999), EARLIER, LATER]
