Write the settings of an entry on loopback by one function

A name was added to a text that tests, the example and a bench fill in by themselves: make hosted, and with it make demo, ended with a KeyError since. The function has types, so that the checks find a caller that lacks one.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -29,8 +29,8 @@
     CONFIGURATION,
     OPERATOR,
     SERVERS,
-    SETTINGS,
     call,
+    format_settings,
     make_record,
 )
 from tests.processes import ROOT, Ports
@@ -180,12 +180,11 @@
             store.put(SERVERS, f'i-{number}', make_record(address))
         path = _DIRECTORY / f'{way}.conf'
         path.write_text(
-            SETTINGS.format(
-                version_limit=15_000,
-                store=where,
+            format_settings(
+                where,
                 callers=callers,
                 readiness=readiness,
-                grace=_GRACE_SECONDS,
+                grace_seconds=_GRACE_SECONDS,
             )
         )
         tasks = await stack.enter_async_context(anyio.create_task_group())
--- a/examples/hosted.py
+++ b/examples/hosted.py
@@ -20,9 +20,9 @@
     MODEL,
     OPERATOR,
     SERVERS,
-    SETTINGS,
     Answered,
     call,
+    format_settings,
     make_record,
 )
 from tests.processes import LOOPBACK, Ports
@@ -102,12 +102,11 @@
 ) -> AsyncGenerator[None, None]:
     settings = _BUILD / 'boot.conf'
     settings.write_text(
-        SETTINGS.format(
-            version_limit=15_000,
-            store=store_address,
+        format_settings(
+            store_address,
             callers=shown.callers[1],
             readiness=shown.readiness[1],
-            grace=_GRACE_SECONDS,
+            grace_seconds=_GRACE_SECONDS,
         )
     )
     with (_BUILD / 'entry.log').open('w') as log:
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -283,11 +283,11 @@
     name: str,
 ) -> Stage:
     callers, readiness = (ports.reserve() for _ in range(2))
-    text = SETTINGS.format(
-        store=address,
+    text = format_settings(
+        address,
         callers=callers,
         readiness=readiness,
-        grace=grace / 1000,
+        grace_seconds=grace / 1000,
         version_limit=version_limit,
         name=name,
     )
@@ -307,7 +307,7 @@
     )
 
 
-SETTINGS = """nodeName={name}
+_SETTINGS = """nodeName={name}
 zone=hall
 ip=127.0.0.1
 platform.address={store}
@@ -319,6 +319,26 @@
 """
 
 
+def format_settings(
+    store: str,
+    *,
+    callers: int,
+    readiness: int,
+    grace_seconds: float,
+    version_limit: float = 15_000.0,
+    name: str = 'front-1',
+) -> str:
+    """Return the settings file of an entry on loopback."""
+    return _SETTINGS.format(
+        store=store,
+        callers=callers,
+        readiness=readiness,
+        grace=grace_seconds,
+        version_limit=version_limit,
+        name=name,
+    )
+
+
 async def _wait_ready(stage: Stage) -> None:
     with anyio.fail_after(10):
         while True:
--- a/tests/test_unread_log.py
+++ b/tests/test_unread_log.py
@@ -12,8 +12,8 @@
     CONFIGURATION,
     OPERATOR,
     SERVERS,
-    SETTINGS,
     call,
+    format_settings,
     make_record,
 )
 from tests.processes import Ports
@@ -43,13 +43,11 @@
         ):
             store.put(SERVERS, 'i-0', make_record(where))
             path.write_text(
-                SETTINGS.format(
-                    name='front-1',
-                    store=address,
+                format_settings(
+                    address,
                     callers=callers,
                     readiness=readiness,
-                    grace=2,
-                    version_limit=15_000,
+                    grace_seconds=2,
                 )
             )
             command = ['-m', 'oleanderdyke.entry.main', '--platform']
