Tell a refused caller a time also where no turn is known

Callers of an entry that can't count the others (just started, or the store away) were told to come back after nan seconds where a server both names a limit and asked to retry later: its next turn is infinitely far, and drawing between two infinities gives no number. The time that is told is at most that of the longest backoff now. Found by reading the change once more; the test fails without the mend.

--- a/src/oleanderdyke/entry/hosted/placing.py
+++ b/src/oleanderdyke/entry/hosted/placing.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from random import Random
 
-from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.entry.hosted.call import HostedCall, make_demand
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind
@@ -53,7 +52,7 @@
 # most so late: another entry may have a turn at a limited server sooner.
 _LONGEST_TURNS: Mapping[Obstacle, Millis] = {
     Obstacle.LIMITED: 1 * SECOND,
-    Obstacle.BACKOFF: math.inf,
+    Obstacle.BACKOFF: 10 * MINUTE,
 }
 # What ends by itself within a second; all else is told to the caller at once.
 _PASSING = frozenset({Obstacle.UNLISTED, Obstacle.COLD})
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 import pytest
 
@@ -12,7 +14,7 @@
 from tests.hosted import Stage, act_while_opening, prefer, staging
 from tests.standins.scripts import answer_well
 from tests.test_hosted_log import list_events
-from tests.test_send_limits import make_limits, make_record
+from tests.test_send_limits import Entries, make_limits, make_record
 
 ANSWERED, REFUSED = 200, 503
 CLOCK = make_clock()
@@ -70,6 +72,20 @@
         assert 'asked to retry later' in stage.log.read_text()
 
 
+# An entry that can't count the others has no turn at a limited server, ever:
+# its callers were told to come back after "nan" seconds.
+@pytest.mark.anyio
+async def test_a_refused_caller_is_always_told_a_time(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        core = stage.core
+        core.limits.entries = Entries(spare=math.inf)
+        core.note_limit(START, 2.0)
+        core.note_backoff(START, 3 * SECOND, 'another')
+        found = await stage.call('/once/x')
+        assert found.status == REFUSED
+        assert math.isfinite(float(found.headers['retry-after']))
+
+
 @pytest.mark.anyio
 async def test_a_pause_counts_while_a_connection_is_opened(tmp_path):
     async with staging(tmp_path, answer_well) as stage:
