--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -13,12 +13,12 @@
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.context_stores import ContextStores, Salt
 from oleanderdyke.kernel.deployment import Deployment, KeyOwner, Route, Share
-from oleanderdyke.kernel.overload import (
+from oleanderdyke.kernel.scheduling.overload import (
     LATE_RANK,
     RequestAge,
     find_request_age,
 )
-from oleanderdyke.kernel.placement import CallDemand
+from oleanderdyke.kernel.scheduling.placement import CallDemand
 from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.kernel.weight_versions import FIRST_TOKEN_MARGIN
 from oleanderdyke.links.messages import Headers
--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -10,7 +10,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.attempt_events import Refuse
-from oleanderdyke.kernel.placement import Choice
+from oleanderdyke.kernel.scheduling.placement import Choice
 from oleanderdyke.logs import LogValue
 from oleanderdyke.metrics import Count
 
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -23,7 +23,6 @@
 from oleanderdyke.kernel.drain import Drain, DrainSettings
 from oleanderdyke.kernel.durations import DurationEstimator
 from oleanderdyke.kernel.engine_clock import EngineClock
-from oleanderdyke.kernel.load_table import TimedLoad
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import (
     RetryBudget,
@@ -31,6 +30,7 @@
     make_retry_budget,
 )
 from oleanderdyke.kernel.rollout import Rollout
+from oleanderdyke.kernel.scheduling.load_table import TimedLoad
 from oleanderdyke.kernel.send_limits import SendLimits
 from oleanderdyke.kernel.servers import ServerLoad, ServerStart
 from oleanderdyke.logs import EventLog, LogValue
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -50,7 +50,7 @@
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.demand import Plan, Refusal, Replica
 from oleanderdyke.kernel.deployment import CallKind
-from oleanderdyke.kernel.placement import SILENCE_LIMIT, Choice
+from oleanderdyke.kernel.scheduling.placement import SILENCE_LIMIT, Choice
 from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
 from oleanderdyke.metrics import Count, Timing
--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -11,8 +11,11 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.errors import ErrorKind
 from oleanderdyke.kernel.backend import Backend
-from oleanderdyke.kernel.overload import find_server_wait, should_refuse
-from oleanderdyke.kernel.placement import (
+from oleanderdyke.kernel.scheduling.overload import (
+    find_server_wait,
+    should_refuse,
+)
+from oleanderdyke.kernel.scheduling.placement import (
     CallDemand,
     Choice,
     choose_among,
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.prefill_rate import PrefillRate
 from oleanderdyke.kernel.rate_limits import RateLimit
+from oleanderdyke.kernel.scheduling.prefill_rate import PrefillRate
 from oleanderdyke.kernel.servers import (
     AnswerField,
     PromptPart,
--- a/src/oleanderdyke/kernel/cold_starts.py
+++ b/src/oleanderdyke/kernel/cold_starts.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.ranks import count_ahead
+from oleanderdyke.kernel.scheduling.ranks import count_ahead
 
 # Slightly more than the second for which the limit is defined, so that two
 # sends this far apart never fall into the same second.
--- a/src/oleanderdyke/kernel/neighbours.py
+++ b/src/oleanderdyke/kernel/neighbours.py
@@ -13,7 +13,7 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.presence import ANNOUNCEMENT_LIFETIME
-from oleanderdyke.kernel.ranks import find_rank
+from oleanderdyke.kernel.scheduling.ranks import find_rank
 
 # An entry that failed is excluded for this time, doubled with each further
 # failure: a frozen or lost entry gets about ten futile requests a minute.
--- a/src/oleanderdyke/kernel/rate_limits.py
+++ b/src/oleanderdyke/kernel/rate_limits.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.ranks import count_ahead, find_fraction
+from oleanderdyke.kernel.scheduling.ranks import count_ahead, find_fraction
 
 # Least number of entries with a share; there are as many as requests per second
 # if that is more. If all of them send at once, the server gets this many
--- /dev/null
+++ b/src/oleanderdyke/kernel/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: which backend server, which request, and when."""
--- a/src/oleanderdyke/kernel/placement.py
+++ b/src/oleanderdyke/kernel/scheduling/placement.py
@@ -10,7 +10,7 @@
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.backends import BackendRegistry
-from oleanderdyke.kernel.ranks import find_rank
+from oleanderdyke.kernel.scheduling.ranks import find_rank
 from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
--- a/src/oleanderdyke/kernel/server_list.py
+++ b/src/oleanderdyke/kernel/server_list.py
@@ -8,8 +8,8 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.backend import Backend
-from oleanderdyke.kernel.prefill_rate import PrefillRate
 from oleanderdyke.kernel.removed_servers import RemovedServers
+from oleanderdyke.kernel.scheduling.prefill_rate import PrefillRate
 from oleanderdyke.kernel.servers import ServerRecord, ServerStart
 
 # Servers report being cold for seconds; a larger value is an error.
--- a/src/oleanderdyke/links/news_client.py
+++ b/src/oleanderdyke/links/news_client.py
@@ -13,8 +13,8 @@
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.kernel.context_stores import ContextEvent, ContextEvents
-from oleanderdyke.kernel.load_table import TimedLoad
 from oleanderdyke.kernel.neighbours import RECORD_SOURCE, Neighbour, Neighbours
+from oleanderdyke.kernel.scheduling.load_table import TimedLoad
 from oleanderdyke.links.messages import Message
 from oleanderdyke.links.messages.news import (
     ContextAnswer,
--- a/src/oleanderdyke/links/news_server.py
+++ b/src/oleanderdyke/links/news_server.py
@@ -14,13 +14,13 @@
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.kernel.context_stores import ContextEvent, ContextEvents
-from oleanderdyke.kernel.load_table import LoadTable, TimedLoad
 from oleanderdyke.kernel.neighbours import (
     RECORD_SOURCE,
     Neighbours,
     find_context_source,
 )
 from oleanderdyke.kernel.read_buffers import EventBuffer, RecordBuffer
+from oleanderdyke.kernel.scheduling.load_table import LoadTable, TimedLoad
 from oleanderdyke.kernel.servers import ServerLoad, ServerStart
 from oleanderdyke.links.messages.news import (
     ContextAnswer,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,10 +6,10 @@
 
 from oleanderdyke.kernel.backend import PendingAttempt
 from oleanderdyke.kernel.backends import BackendRegistry
-from oleanderdyke.kernel.overload import (
+from oleanderdyke.kernel.scheduling.overload import (
     LATE_RANK,
 )
-from oleanderdyke.kernel.placement import (
+from oleanderdyke.kernel.scheduling.placement import (
     SILENCE_LIMIT,
     CallDemand,
     choose_backend,
--- a/tests/test_choice_cost.py
+++ b/tests/test_choice_cost.py
@@ -13,7 +13,7 @@
 from oleanderdyke.kernel import rate_limits
 from oleanderdyke.kernel.backend import PendingAttempt
 from oleanderdyke.kernel.backends import BackendRegistry
-from oleanderdyke.kernel.placement import (
+from oleanderdyke.kernel.scheduling.placement import (
     SILENCE_LIMIT,
     CallDemand,
     choose_among,
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from oleanderdyke.kernel.load_table import LoadTable, TimedLoad
+from oleanderdyke.kernel.scheduling.load_table import LoadTable, TimedLoad
 from oleanderdyke.kernel.servers import ServerLoad, ServerStart
 from oleanderdyke.links.codec import decode, encode
 from oleanderdyke.links.messages.news import ContextAnswer
--- a/tests/test_newest_weights.py
+++ b/tests/test_newest_weights.py
@@ -16,7 +16,7 @@
 
 from oleanderdyke.kernel.backend import PendingAttempt
 from oleanderdyke.kernel.backends import BackendRegistry
-from oleanderdyke.kernel.placement import CallDemand, choose_backend
+from oleanderdyke.kernel.scheduling.placement import CallDemand, choose_backend
 from oleanderdyke.kernel.servers import ModelDemand, PromptPart, ServerRecord
 
 ENGINES = 48
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from oleanderdyke.kernel.overload import (
+from oleanderdyke.kernel.scheduling.overload import (
     RequestAge,
     find_request_age,
     should_refuse,
--- a/tests/test_read_rate.py
+++ b/tests/test_read_rate.py
@@ -14,8 +14,8 @@
 
 from oleanderdyke.kernel.backend import PendingAttempt
 from oleanderdyke.kernel.backends import BackendRegistry
-from oleanderdyke.kernel.placement import SILENCE_LIMIT, is_usable
-from oleanderdyke.kernel.prefill_rate import PrefillRate
+from oleanderdyke.kernel.scheduling.placement import SILENCE_LIMIT, is_usable
+from oleanderdyke.kernel.scheduling.prefill_rate import PrefillRate
 from oleanderdyke.kernel.servers import ServerRecord, ServerStart
 
 START = ServerStart('a')
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -17,7 +17,7 @@
 from oleanderdyke.clock import SECOND
 from oleanderdyke.kernel.backends import BackendRegistry
 from oleanderdyke.kernel.cold_starts import ColdLimit, find_interval
-from oleanderdyke.kernel.placement import (
+from oleanderdyke.kernel.scheduling.placement import (
     CallDemand,
     choose_backend,
     find_obstacle,
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -10,7 +10,11 @@
 from oleanderdyke.kernel.backend import PendingAttempt
 from oleanderdyke.kernel.backends import BackendRegistry
 from oleanderdyke.kernel.outdated_context import OutdatedContext
-from oleanderdyke.kernel.placement import CallDemand, choose_backend, is_usable
+from oleanderdyke.kernel.scheduling.placement import (
+    CallDemand,
+    choose_backend,
+    is_usable,
+)
 from oleanderdyke.kernel.servers import (
     PromptPart,
     ServerLoad,
--- a/tests/test_weights_gate.py
+++ b/tests/test_weights_gate.py
@@ -9,7 +9,7 @@
 import pytest
 
 from oleanderdyke.kernel.backend import QueueDelay
-from oleanderdyke.kernel.overload import LATE_RANK
+from oleanderdyke.kernel.scheduling.overload import LATE_RANK
 from tests import hosted
 from tests.hosted import CONFIGURATION, MODEL, OPERATOR, UNRESUMABLE_ROUTE
 from tests.standins.replica import make_chunk, make_event, make_head
