--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -107,6 +107,7 @@
         data = await body.read()
         call = make_call(core, head, authorized, body=data, started=started)
         core.metrics.add(Count.REQUESTS, label=call.service)
+        core.scheduling.record_arrival(call)
         core.log.write(
             EventName.REQUEST_ACCEPTED,
             request=call.request,
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -175,6 +175,7 @@
         loading=frozenset(turns.busy),
         draining=frozenset(turns.following),
         memory_tokens=_find_memory(core, call),
+        costs=core.scheduling.find_costs(call),
     )
 
 
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -14,6 +14,7 @@
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.dependencies import Dependency
 from oleanderdyke.entry.hosted.peer_sharing import PeerSharing
+from oleanderdyke.entry.hosted.scheduling import Scheduling
 from oleanderdyke.entry.stopping import StoppableRequest
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.backends import BackendRegistry
@@ -80,6 +81,7 @@
     durations: DurationEstimator = field(default_factory=DurationEstimator)
     rollout: Rollout = field(default_factory=lambda: Rollout(math.inf))
     contexts: ContextStores = field(default_factory=ContextStores)
+    scheduling: Scheduling = field(default_factory=Scheduling)
     # Set once the context stores have been read or the wait has timed out.
     contexts_ready: anyio.Event = field(default_factory=anyio.Event)
     engine_clock: EngineClock = field(default_factory=EngineClock)
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -0,0 +1,39 @@
+"""Schedule the calls of one entry together with those of all entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.kernel.deployment import Deployment
+from oleanderdyke.kernel.scheduling.costs import Costs
+from oleanderdyke.kernel.scheduling.work import NoWorkView, WorkView
+
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.call import HostedCall
+
+
+class Scheduler:
+    """Hold the parts that decide under load."""
+
+    def __init__(self, core: HostedCore) -> None:
+        self._core = core
+        self.view: WorkView = NoWorkView()
+
+    def configure(self, deployment: Deployment) -> None:
+        """Apply a new configuration."""
+
+    async def run(self) -> None:
+        """Exchange news with other entries until cancelled."""
+        await anyio.sleep_forever()
+
+    def find_costs(self, _call: HostedCall) -> Costs | None:
+        """Return the costs of a call's choice, None for the usual score."""
+        return None
+
+
+def make_scheduler(core: HostedCore) -> Scheduler:
+    """Build the scheduler of an entry."""
+    return Scheduler(core)
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -0,0 +1,72 @@
+"""Decide under load together with all entries, where a service needs it."""
+
+from __future__ import annotations
+
+from importlib import import_module
+from typing import TYPE_CHECKING
+
+import anyio
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.deployment import Deployment
+
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.call import HostedCall
+    from oleanderdyke.entry.hosted.core import HostedCore
+    from oleanderdyke.entry.hosted.scheduler import Scheduler
+    from oleanderdyke.kernel.scheduling.costs import Costs
+    from oleanderdyke.kernel.scheduling.switch import LoadSwitch
+
+_PERIOD: Millis = 100.0
+# Importing the modules is slow on a fraction of a core, so requests are served
+# first.
+_IMPORT_DELAY: Millis = 1 * SECOND
+
+
+class Scheduling:
+    """Load the scheduler once a configuration may need it."""
+
+    def __init__(self) -> None:
+        self.scheduler: Scheduler | None = None
+        self._switch: LoadSwitch | None = None
+
+    def configure(self, deployment: Deployment) -> None:
+        """Apply a new configuration."""
+        if self._switch is not None:
+            self._switch.configure(deployment)
+        if self.scheduler is not None:
+            self.scheduler.configure(deployment)
+
+    async def run(self, core: HostedCore) -> None:
+        """Run the scheduler, once one may be needed, until cancelled."""
+        await anyio.sleep(_IMPORT_DELAY / SECOND)
+        module = import_module('oleanderdyke.kernel.scheduling.switch')
+        self._switch = switch = module.LoadSwitch()
+        if core.deployment is not None:
+            switch.configure(core.deployment)
+        while core.deployment is None or not switch.may_be_needed:
+            await anyio.sleep(_PERIOD / SECOND)
+        module = import_module('oleanderdyke.entry.hosted.scheduler')
+        scheduler: Scheduler = module.make_scheduler(core)
+        scheduler.configure(core.deployment)
+        self.scheduler = scheduler
+        await scheduler.run()
+
+    def find_scheduler(self, call: HostedCall) -> Scheduler | None:
+        """Return the scheduler of a call, None if it is served as usual."""
+        if call.parameters.demand is None or self._switch is None:
+            return None
+        if not self._switch.is_needed(call.service):
+            return None
+        return self.scheduler
+
+    def record_arrival(self, call: HostedCall) -> None:
+        """Record a request of a caller before a server is chosen."""
+        demand = call.parameters.demand
+        if demand is not None and self._switch is not None:
+            self._switch.record_prompt(call.route.name, demand)
+
+    def find_costs(self, call: HostedCall) -> Costs | None:
+        """Return the costs of a call's choice, None for the usual score."""
+        scheduler = self.find_scheduler(call)
+        return None if scheduler is None else scheduler.find_costs(call)
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -76,6 +76,7 @@
                 tasks.start_soon(self._watch.follow_loads)
                 tasks.start_soon(ContextWatch(core).run)
                 tasks.start_soon(Presence(core).run)
+                tasks.start_soon(core.scheduling.run, core)
                 tasks.start_soon(self._tick, server)
                 tasks.start_soon(self._watch_settings)
                 tasks.start_soon(self._reload, reloads)
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -241,6 +241,7 @@
         if known is not None and deployment.version <= known.version:
             return
         self._core.deployment = deployment
+        self._core.scheduling.configure(deployment)
         self._core.limits.cold_limits = self._core.find_cold_limits(deployment)
         self._core.log.write(
             EventName.CONFIGURATION_APPLIED,
--- /dev/null
+++ b/src/oleanderdyke/kernel/scheduling/costs.py
@@ -0,0 +1,93 @@
+"""The cost of sending a call to an engine whose load all entries share."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.servers import ModelDemand
+
+
+@dataclass(frozen=True, slots=True)
+class PricedCall:
+    """Describe a call of a model whose cost at one server is asked for.
+
+    `missing` prompt tokens are neither cached at the server nor fetchable,
+    `fetched` ones come from a context store. `target` is the longest time to
+    the first byte that counts as on time.
+    """
+
+    service: str
+    route: str
+    team: str
+    rank: int
+    model: ModelDemand
+    data_centre: str
+    target: Millis
+    missing: int = 0
+    fetched: int = 0
+
+
+class FirstByteEstimate(Protocol):
+    """Estimate the time to the first byte of a call at a server."""
+
+    def estimate_first_byte(
+        self, call: PricedCall, backend: Backend, now: Millis
+    ) -> Millis:
+        """Return the expected time to the first byte."""
+
+
+class CostTerm(Protocol):
+    """Add what a choice costs beyond the delay of the call itself."""
+
+    def find_cost(
+        self, call: PricedCall, backend: Backend, now: Millis
+    ) -> Millis:
+        """Return the cost in milliseconds of expected delay."""
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Replace the usual score of engines for one call."""
+
+    service: str
+    route: str
+    team: str
+    rank: int
+    data_centre: str
+    target: Millis
+    first_byte: FirstByteEstimate
+    terms: Sequence[CostTerm] = ()
+
+    def price(
+        self, model: ModelDemand, *, fetched: int, missing: int
+    ) -> PricedCall:
+        """Describe the call at a server that lacks so much of its prompt."""
+        return PricedCall(
+            service=self.service,
+            route=self.route,
+            team=self.team,
+            rank=self.rank,
+            model=model,
+            data_centre=self.data_centre,
+            target=self.target,
+            missing=missing,
+            fetched=fetched,
+        )
+
+    def estimate_first_byte(
+        self, call: PricedCall, backend: Backend, now: Millis
+    ) -> Millis:
+        """Return the expected time to the first byte."""
+        return self.first_byte.estimate_first_byte(call, backend, now)
+
+    def find_score(
+        self, call: PricedCall, backend: Backend, now: Millis
+    ) -> Millis:
+        """Return the sum of all terms; the lowest one is chosen."""
+        return self.estimate_first_byte(call, backend, now) + sum(
+            term.find_cost(call, backend, now) for term in self.terms
+        )
--- a/src/oleanderdyke/kernel/scheduling/placement.py
+++ b/src/oleanderdyke/kernel/scheduling/placement.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from heapq import nsmallest
 from operator import itemgetter
+from typing import TYPE_CHECKING, Protocol
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backend import Backend
@@ -14,6 +15,9 @@
 from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
+if TYPE_CHECKING:
+    from oleanderdyke.kernel.scheduling.costs import PricedCall
+
 # A store sends context at 58 Gbit/s, 18 KB per token.
 _FETCH_TOKENS_PER_MS = 390.0
 # Delay of the first token for each running request, from the 3.4 ms step that
@@ -60,6 +64,25 @@
 _DEFAULT_OBSTACLE = Obstacle.UNLISTED
 
 
+class EngineCosts(Protocol):
+    """Costs of engines that replace the usual score of a call."""
+
+    def price(
+        self, model: ModelDemand, *, fetched: int, missing: int
+    ) -> PricedCall:
+        """Describe the call at a server that lacks so much of its prompt."""
+
+    def estimate_first_byte(
+        self, call: PricedCall, backend: Backend, now: Millis
+    ) -> Millis:
+        """Return the expected time to the first byte."""
+
+    def find_score(
+        self, call: PricedCall, backend: Backend, now: Millis
+    ) -> Millis:
+        """Return the score of a server; the lowest one is chosen."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallDemand:
     """Describe a call to place.
@@ -70,7 +93,8 @@
     0 to 1, decides whether the call prefers the newest weights. `memory_tokens`
     is the memory of each engine of the service. Servers in `loading` are
     loading new weights, servers in `draining` are next. No call may start on
-    `outdated` weights, and nothing is sent to `blocked` servers.
+    `outdated` weights, and nothing is sent to `blocked` servers. `costs`
+    replace the usual score of engines.
     """
 
     service: str
@@ -86,6 +110,7 @@
     blocked: Mapping[ServerStart, Obstacle] = field(default_factory=dict)
     memory_tokens: int = 0
     random_value: float = 0.0
+    costs: EngineCosts | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +252,11 @@
     if demand.model is None:
         return 0.0
     fetched, missing = _split_prompt(demand, demand.model, backend)
+    if demand.costs is not None:
+        priced = demand.costs.price(
+            demand.model, fetched=fetched, missing=missing
+        )
+        return demand.costs.estimate_first_byte(priced, backend, now)
     estimate_time = backend.reading.estimate_time
     pending_time = estimate_time(backend.count_pending_tokens(demand.rank))
     delay = max(backend.find_queue_delay(demand.rank, now), pending_time)
@@ -244,6 +274,13 @@
         score += _DISTANCE_COST
     if demand.model is None:
         return score + _score_plain(backend)
+    if demand.costs is not None:
+        fetched, missing = _split_prompt(demand, demand.model, backend)
+        priced = demand.costs.price(
+            demand.model, fetched=fetched, missing=missing
+        )
+        score += demand.costs.find_score(priced, backend, now)
+        return score + _score_weights(demand, demand.model, backend, terms)
     score += _estimate_first_byte(demand, backend, now)
     score += _score_engine(demand, demand.model, backend, terms, now)
     return score + _score_weights(demand, demand.model, backend, terms)
--- /dev/null
+++ b/src/oleanderdyke/kernel/scheduling/switch.py
@@ -0,0 +1,101 @@
+"""Find the services whose load calls for scheduling across entries.
+
+The load it answers: urgent requests with short prompts that share engines with
+less urgent ones whose long prompts hold them up.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from oleanderdyke.kernel.deployment import CallKind, Deployment, Route
+from oleanderdyke.kernel.servers import ModelDemand
+
+# Prompts this many times as long hold up the shorter ones noticeably.
+_LENGTH_RATIO = 4.0
+# Requests of a route that are seen before its prompts count as known.
+_MIN_SAMPLES = 2
+_SAMPLE_WEIGHT = 0.1
+
+
+class LoadSwitch:
+    """Tell which services need scheduling, by configuration and prompts.
+
+    A service needs it if its operators rank some route above another one and
+    also give it the tighter target, while prompts on the other route are much
+    longer.
+    """
+
+    def __init__(self) -> None:
+        self._deployment: Deployment | None = None
+        self._pairs: dict[str, tuple[tuple[str, str], ...]] = {}
+        self._lengths: dict[str, float] = {}
+        self._samples: defaultdict[str, int] = defaultdict(int)
+        self._needed: dict[str, bool] = {}
+
+    def configure(self, deployment: Deployment) -> None:
+        """Find the pairs of routes that may hold up each other."""
+        if deployment is self._deployment:
+            return
+        self._deployment = deployment
+        self._pairs = {
+            service: tuple(_list_pairs(_list_streams(deployment, service)))
+            for service, traits in deployment.services.items()
+            if traits.engine is not None
+        }
+        self._needed.clear()
+
+    @property
+    def may_be_needed(self) -> bool:
+        """Return whether prompts may show that some service needs it."""
+        return any(self._pairs.values())
+
+    def record_prompt(self, route: str, model: ModelDemand) -> None:
+        """Record the prompt of a request, to know how long they are."""
+        length = self._lengths.get(route, float(model.prompt_tokens))
+        length += _SAMPLE_WEIGHT * (model.prompt_tokens - length)
+        self._lengths[route] = length
+        self._samples[route] += 1
+        if self._samples[route] <= _MIN_SAMPLES:
+            self._needed.clear()
+
+    def find_length(self, route: str) -> float | None:
+        """Return the mean prompt of a route in tokens, None if unknown."""
+        if self._samples[route] < _MIN_SAMPLES:
+            return None
+        return self._lengths[route]
+
+    def is_needed(self, service: str) -> bool:
+        """Return whether requests for a service are to be scheduled."""
+        if service not in self._needed:
+            self._needed[service] = any(
+                self._holds_up(urgent, other)
+                for urgent, other in self._pairs.get(service, ())
+            )
+        return self._needed[service]
+
+    def _holds_up(self, urgent: str, other: str) -> bool:
+        short, long = self.find_length(urgent), self.find_length(other)
+        if short is None or long is None:
+            return False
+        return long >= short * _LENGTH_RATIO
+
+
+def _list_streams(deployment: Deployment, service: str) -> list[Route]:
+    return [
+        route
+        for route in deployment.routes
+        if route.kind is CallKind.STREAM
+        and any(share.service == service for share in route.shares)
+    ]
+
+
+def _list_pairs(routes: Iterable[Route]) -> Iterator[tuple[str, str]]:
+    """Yield pairs of a more urgent route and one that may hold it up."""
+    listed = list(routes)
+    for urgent in listed:
+        for other in listed:
+            is_tighter = urgent.target < other.target
+            if is_tighter and urgent.priority < other.priority:
+                yield urgent.name, other.name
