Decode the slowdown of machines, context sizes and bandwidths

Cause: the fourth number of a load report was dropped, and of the configuration's figures on engines and stores only the memory and one link were read, so fetches were priced by constants of one deployment. Change: decode them at the edge, with defaults for what is absent or malformed; pass the slowdown on in the news of loads. Nothing uses them yet. The test of a fourth number expected that it is ignored; it now expects its value, and a new one that a malformed one counts as usual.

--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -58,20 +58,33 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineTraits:
-    """Describe the capacity of one model engine."""
+    """Describe the capacity of one model engine.
+
+    `token_bytes` is the size of the context of one token, and `stride` the
+    number of tokens in one event of a stream. Zero stands for an unknown size,
+    bandwidth or number of slots.
+    """
 
     memory_tokens: int
+    token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    slots: int = 0
+    stride: int = 1
 
 
 @dataclass(frozen=True, slots=True)
 class StoreTraits:
-    """Describe the location, capacity and bandwidth of a context store."""
+    """Describe the location, capacity and bandwidth of a context store.
+
+    Each transfer waits for `first_delay` before its first byte.
+    """
 
     address: str
     data_centre: str
     capacity_tokens: int
     link_mbps: float
     is_managed: bool
+    first_delay: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -54,11 +54,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Hold the load that a backend server reports with an answer."""
+    """Hold the load that a backend server reports with an answer.
+
+    `slowdown` is how many times as long as usual work takes on its machine.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -74,7 +74,8 @@
     """Load that one start of a backend server reported `age` ms ago.
 
     While `is_limited`, the server accepts `rate_limit` requests per second;
-    None if the report says nothing about a limit.
+    None if the report says nothing about a limit. Work takes `slowdown` times
+    as long as usual on its machine.
     """
 
     age: Millis
@@ -85,6 +86,7 @@
     born: int | None = None
     is_limited: bool | None = None
     rate_limit: float = 0.0
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/links/news_server.py
+++ b/src/oleanderdyke/links/news_server.py
@@ -75,6 +75,7 @@
         load.start.born,
         is_limited,
         rate if rate is not None and is_limited else 0.0,
+        load.load.slowdown,
     )
 
 
@@ -85,7 +86,7 @@
     for each in loads:
         yield TimedLoad(
             ServerStart(each.server, each.born),
-            ServerLoad(each.running, each.waiting, each.slots),
+            ServerLoad(each.running, each.waiting, each.slots, each.slowdown),
             sent_at - max(each.age, 0.0),
             _decode_rate(each),
         )
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -187,9 +187,21 @@
         # The wire's `kvCapacity` is the memory of an engine or the capacity of
         # a store, in tokens.
         memory_tokens=int(found.get('kvCapacity', 0)),
+        token_bytes=_read_hint(found, 'kvTokenBytes'),
+        link_mbps=_read_hint(found, 'linkMbps'),
+        slots=int(_read_hint(found, 'slots')),
+        stride=max(int(_read_hint(found, 'stride')), 1),
     )
 
 
+def _read_hint(found: Mapping[str, Any], name: str) -> float:
+    """Return a non-negative number, 0 if it is absent or malformed."""
+    try:
+        return read_number(found, name)
+    except MALFORMED:
+        return 0.0
+
+
 def _make_store(found: Mapping[str, Any]) -> StoreTraits:
     return StoreTraits(
         address=str(found['kvStoreAddr']),
@@ -197,6 +209,7 @@
         capacity_tokens=int(found.get('kvCapacity', 0)),
         link_mbps=float(found.get('linkMbps', 0.0)),
         is_managed=bool(found.get('managed', False)),
+        first_delay=_read_hint(found, 'first_ms'),
     )
 
 
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -26,9 +26,9 @@
 # Longer numbers are rejected: int() raises an error at thousands of digits.
 _MAX_DIGITS = 15
 _KEEP_ALIVE = re.compile(r'timeout=([0-9]{1,15})(?![0-9])')
-# Servers on a shared machine add its current slowdown as a fourth number. It
-# is ignored: it changes before another request could be routed by it.
+# Servers on a shared machine add its current slowdown as a fourth number.
 _LOAD_LENGTHS = frozenset({3, 4})
+_USUAL_PERCENT = 100
 # Bounds the part of a malformed value that is reported.
 _SHOWN_LENGTH = 40
 _NO_STORE = '-'
@@ -203,7 +203,9 @@
     running, waiting, slots = parts[:3]
     if running is None or waiting is None or slots is None:
         return None
-    return ServerLoad(running, waiting, slots)
+    percent = parts[-1] if len(parts) == max(_LOAD_LENGTHS) else None
+    slowdown = percent / _USUAL_PERCENT if percent else 1.0
+    return ServerLoad(running, waiting, slots, slowdown)
 
 
 def _decode_keep_alive(text: str) -> Millis | None:
--- a/tests/test_answer_heads.py
+++ b/tests/test_answer_heads.py
@@ -34,7 +34,13 @@
 # malformed, they would look as idle as servers that send none.
 def test_the_load_of_a_server_that_shares_its_machine_is_decoded():
     found = decode_answer(200, ((names.LOAD, '3,1,8,140'),))
-    assert found.load == ServerLoad(3, 1, 8)
+    assert found.load == ServerLoad(3, 1, 8, slowdown=1.4)
+
+
+@pytest.mark.parametrize('text', ['3,1,8,x', '3,1,8,', '3,1,8,0', '3,1,8,-5'])
+def test_a_malformed_slowdown_counts_as_usual(text):
+    found = decode_answer(200, ((names.LOAD, text),))
+    assert found.load == ServerLoad(3, 1, 8, slowdown=1.0)
 
 
 @pytest.mark.parametrize('text', ['3,1', '3,1,x', '3,1,8,2,9', ''])
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -80,6 +80,14 @@
     assert decoded == load
 
 
+def test_the_slowdown_of_a_shared_machine_is_forwarded_with_the_load():
+    load = TimedLoad(A, ServerLoad(1, 0, 16, slowdown=2.5), 100.0)
+    encoded = decode(
+        encode(ContextAnswer(1, 0.0, (), encode_loads([load], 150.0)))
+    )
+    assert list(decode_loads(encoded.loads, 150.0)) == [load]
+
+
 def test_a_missing_rate_limit_is_not_encoded():
     load = TimedLoad(A, ServerLoad(1, 0, 16), 100.0)
     assert b'limit' not in encode(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 from oleanderdyke.clients.http import HOP_BY_HOP
 from oleanderdyke.errors import SettingsError
 from oleanderdyke.kernel.context_stores import ContextPlan, Source
-from oleanderdyke.kernel.deployment import CallKind
+from oleanderdyke.kernel.deployment import CallKind, EngineTraits
 from oleanderdyke.platform import names
 from oleanderdyke.platform.documents import (
     MalformedRecord,
@@ -98,6 +98,40 @@
     assert stream.is_repeatable
 
 
+def decode_traits(engine, store):
+    services = [
+        {'name': 'desk', 'engine': {'kvCapacity': 10, **engine}},
+        {'name': 'shelf', 'kvStoreAddr': 's:1', 'zone': 'hall', **store},
+    ]
+    text = json.dumps({**CONFIGURATION, 'services': services}).encode()
+    found = decode_configuration(text).services
+    return found['desk'].engine, found['shelf'].store
+
+
+def test_sizes_and_bandwidths_are_decoded():
+    engine, store = decode_traits(
+        {
+            'kvTokenBytes': 327_680,
+            'linkMbps': 740_000.0,
+            'slots': 64,
+            'stride': 5,
+        },
+        {'linkMbps': 390_000.0, 'first_ms': 6.0},
+    )
+    assert engine == EngineTraits(10, 327_680.0, 740_000.0, 64, 5)
+    assert (store.link_mbps, store.first_delay) == (390_000.0, 6.0)
+
+
+@pytest.mark.parametrize('value', [None, 'many', -1, True, []])
+def test_malformed_sizes_and_bandwidths_count_as_unknown(value):
+    hints = dict.fromkeys(
+        ('kvTokenBytes', 'linkMbps', 'slots', 'stride'), value
+    )
+    engine, store = decode_traits(hints, {'first_ms': value})
+    assert engine == EngineTraits(10)
+    assert store.first_delay == 0.0
+
+
 @pytest.mark.parametrize(
     'text', [b'', b'{', b'[]', b'{}', b'{"version": 1, "routes": [{}]}']
 )
