Learn the speeds of engines and stores from answers

Cause: prefill, steps and fetches were priced by constants of one engine, one store and one service, and the slowdown of shared machines was dropped. Change: LearnedSpeeds estimates by server and store from first bytes and pauses, shrunk, aged and bounded; an entry feeds it from the streams of scheduled services only. Nothing is scored by it yet.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from oleanderdyke.clients.direct import (
     BackendConnection,
@@ -56,6 +57,9 @@
     encode_request,
 )
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.speed_samples import StreamSamples
+
 _SERVER_ERROR = 500
 # Bodies up to this size in bytes are buffered until they are complete, so that
 # a truncated one can be retried and never reaches the caller.
@@ -96,6 +100,7 @@
         self._connection: BackendConnection | None = None
         self._sequence = 0
         self._memory_tokens = 0
+        self._samples: StreamSamples | None = None
         self._weights: Weights = {}
         self._buffered: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
@@ -204,7 +209,7 @@
         if self._done:
             return
         self._has_started = True
-        self._record_activity()
+        self._record_activity(data)
         if self._splitter is not None and self._is_stream:
             for event in self._splitter.feed(data):
                 self._forward(event.data)
@@ -311,6 +316,11 @@
         )
         core.backends.record_sent(self._start, self._attempt_id, pending)
         core.limits.record_sent(backend, now)
+        scheduler = core.scheduling.find_scheduler(call)
+        if scheduler is not None:
+            self._samples = scheduler.speed_sampler.watch(
+                backend, pending, dispatch.contexts
+            )
         connection.send(head, call.body, self)
         core.log.write(
             EventName.DISPATCH_SENT,
@@ -381,10 +391,13 @@
         self._sequence += 1
         self._inbox.put(MessageReceived(chunk))
 
-    def _record_activity(self) -> None:
+    def _record_activity(self, data: bytes) -> None:
+        now = self._core.clock.now()
         backend = self._core.backends.find_start(self._start)
         if backend is not None:
-            backend.last_heard_at = self._core.clock.now()
+            backend.last_heard_at = now
+        if self._samples is not None and self._is_stream:
+            self._samples.record_part(data, now)
 
     def _close_failed(self, kind: ErrorKind, ran: Ran, reason: str) -> None:
         self._report_failure(kind, ran, reason)
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -7,8 +7,10 @@
 import anyio
 
 from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.speed_samples import SpeedSampler
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.scheduling.costs import Costs
+from oleanderdyke.kernel.scheduling.learned_speeds import LearnedSpeeds
 from oleanderdyke.kernel.scheduling.work import NoWorkView, WorkView
 
 if TYPE_CHECKING:
@@ -21,9 +23,12 @@
     def __init__(self, core: HostedCore) -> None:
         self._core = core
         self.view: WorkView = NoWorkView()
+        self.speeds = LearnedSpeeds(core.settings.regions)
+        self.speed_sampler = SpeedSampler(core, self.speeds)
 
     def configure(self, deployment: Deployment) -> None:
         """Apply a new configuration."""
+        self.speeds.configure(deployment)
 
     async def run(self) -> None:
         """Exchange news with other entries until cancelled."""
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -75,6 +75,8 @@
     BACKEND_LIMITED = 'backend_limited'
     BACKEND_LEAVING = 'backend_leaving'
     BACKEND_BACKOFF = 'backend_backoff'
+    BACKEND_SLOW = 'backend_slow'
+    BACKEND_RECOVERED = 'backend_recovered'
     ORDER_SENT = 'order_sent'
     ORDER_REFUSED = 'order_refused'
     ORDER_DONE = 'order_done'
@@ -114,6 +116,7 @@
     EventName.OUTCOME_UNRECORDED: Level.WARNING,
     EventName.SEGMENTS_REJECTED: Level.WARNING,
     EventName.BACKEND_LOST: Level.WARNING,
+    EventName.BACKEND_SLOW: Level.WARNING,
     EventName.ORDER_REFUSED: Level.WARNING,
     EventName.LOAD_PASSED_OVER: Level.WARNING,
     EventName.REQUEST_SUSPECTED: Level.WARNING,
--- /dev/null
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -0,0 +1,301 @@
+"""Learn how fast engines and stores are from the answers of this entry.
+
+The load it answers: engines that differ, turn slow or share their machines,
+and stores whose links differ. Figures of one platform would send work to slow
+engines and fetch what is read faster.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.deployment import (
+    Deployment,
+    EngineTraits,
+    StoreTraits,
+)
+from oleanderdyke.kernel.scheduling.aged_samples import AgedSamples
+from oleanderdyke.kernel.scheduling.fetch_times import (
+    FetchPath,
+    FetchTimes,
+    find_link,
+)
+from oleanderdyke.kernel.scheduling.machine_slowdown import (
+    SlowdownTrust,
+    find_excess,
+)
+from oleanderdyke.kernel.scheduling.server_pace import ServerPace
+from oleanderdyke.kernel.scheduling.step_model import StepModel
+from oleanderdyke.kernel.servers import ServerStart
+
+# Until first bytes of short prompts show the time of a first step and of the
+# network.
+_NEUTRAL_FIRST_BYTE: Millis = 40.0
+# Where the configuration says nothing of links and sizes, a fetch is assumed to
+# be this many times as fast as prefill.
+_NEUTRAL_FETCH_GAIN = 8.0
+# Shorter prompts show the time of a first step, longer ones that of prefill.
+_SHORT_TOKENS = 256
+_MIN_TOKENS = 1_000
+# Tokens per ms, far from every engine.
+_MIN_RATE = 0.5
+_MAX_RATE = 2_000.0
+_RATE_COUNT = 64
+_RATE_LIFETIME: Millis = 2 * MINUTE
+_MIN_RATES = 3
+_BASE_COUNT = 32
+_BASE_QUANTILE = 0.25
+_MAX_BASE: Millis = 1 * SECOND
+# A server is reported as slow above the first ratio, and as recovered below
+# the second.
+_SLOW_RATIO = 2.0
+_RECOVERED_RATIO = 1.4
+_CHECK_PERIOD: Millis = 1 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class FirstByte:
+    """Describe a first byte that arrived `duration` after the request.
+
+    `tokens` were to be prefilled and `fetched` ones came from the store at the
+    address `store`, '' for none or several. `is_alone` is set if no other
+    request was known to wait at the server, where `excess` was the slowdown
+    that it reported beyond 1.
+    """
+
+    duration: Millis
+    tokens: int
+    fetched: int = 0
+    store: str = ''
+    is_alone: bool = True
+    excess: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PaceChange:
+    """Report that a server turned much slower than its service, or is back."""
+
+    start: ServerStart
+    service: str
+    ratio: float
+    is_slow: bool
+
+
+class _Service:
+    """Hold the usual times of a service's engines."""
+
+    def __init__(self) -> None:
+        self.units = AgedSamples(_RATE_COUNT, _RATE_LIFETIME)
+        self.bases = AgedSamples(_BASE_COUNT, _RATE_LIFETIME)
+        self.steps = StepModel()
+
+    def find_unit(self, backend: Backend, now: Millis) -> Millis:
+        """Return the usual prefill time of one token."""
+        found = self.units.find_quantile(0.5, now)
+        if found is None or len(self.units) < _MIN_RATES:
+            return backend.reading.estimate_time(1)
+        return found
+
+    def find_base(self, now: Millis) -> Millis:
+        """Return the time to a first byte without prefill."""
+        found = self.bases.find_quantile(_BASE_QUANTILE, now)
+        return _NEUTRAL_FIRST_BYTE if found is None else found
+
+
+class LearnedSpeeds:
+    """Estimate by what answers have shown of each server and store."""
+
+    def __init__(self, regions: Mapping[str, str]) -> None:
+        self._engines: dict[str, EngineTraits] = {}
+        self._stores: dict[str, StoreTraits] = {}
+        self._services: dict[str, _Service] = {}
+        self._paces: dict[ServerStart, ServerPace] = {}
+        self._service_names: dict[ServerStart, str] = {}
+        self._slow: set[ServerStart] = set()
+        self._checked_at: Millis = 0.0
+        self._fetches = FetchTimes(regions)
+        self._slowdown = SlowdownTrust()
+
+    def configure(self, deployment: Deployment) -> None:
+        """Take sizes and bandwidths from a new configuration."""
+        services = deployment.services.values()
+        self._engines = {
+            each.name: each.engine for each in services if each.engine
+        }
+        self._stores = {
+            each.store.address: each.store for each in services if each.store
+        }
+        self._fetches.retain(self._stores)
+
+    def estimate_read(
+        self, backend: Backend, tokens: float, now: Millis
+    ) -> Millis:
+        """Return how long an engine takes to prefill this many tokens."""
+        usual = self._find_service(backend).find_unit(backend, now)
+        factor = self._slowdown.find_factor(find_excess(backend, now))
+        factor *= self._find_ratio(backend, now)
+        return max(tokens, 0.0) * usual * factor
+
+    def estimate_step(self, backend: Backend, now: Millis) -> Millis:
+        """Return how long an engine takes per generated token."""
+        steps = self._find_service(backend).steps
+        pace = self._paces.get(backend.record.start)
+        ratio = 1.0 if pace is None else pace.find_step_ratio(now)
+        return steps.estimate_step(backend.count_active(now)) * ratio
+
+    def estimate_fetch(
+        self,
+        backend: Backend,
+        tokens: float,
+        now: Millis,
+        *,
+        store: str | None = None,
+    ) -> Millis:
+        """Return how long an engine takes to fetch context.
+
+        Without the address of a store, the fastest one counts.
+        """
+        if store is None:
+            paths = list(self._list_paths(backend))
+        else:
+            path = self._find_path(backend, store)
+            paths = [] if path is None else [path]
+        if not paths:
+            usual = self._find_service(backend).find_unit(backend, now)
+            return max(tokens, 0.0) * usual / _NEUTRAL_FETCH_GAIN
+        return min(self._fetches.estimate(each, tokens, now) for each in paths)
+
+    def find_read_rate(self, backend: Backend, now: Millis) -> float:
+        """Return the usual tokens per ms that engines of a service prefill."""
+        return 1 / self._find_service(backend).find_unit(backend, now)
+
+    def record_first_byte(
+        self, backend: Backend, first: FirstByte, now: Millis
+    ) -> None:
+        """Learn from the first byte of an answer."""
+        if not first.is_alone or first.duration <= 0:
+            return
+        if first.fetched:
+            self._record_fetch(backend, first, now)
+        elif first.tokens <= _SHORT_TOKENS:
+            self._record_base(backend, first, now)
+        elif first.tokens >= _MIN_TOKENS:
+            self._record_read(backend, first, now)
+
+    def record_pause(
+        self, backend: Backend, events: int, pause: Millis, now: Millis
+    ) -> None:
+        """Learn from the pause before some events of a stream."""
+        if events <= 0 or pause <= 0:
+            return
+        engine = self._engines.get(backend.record.service)
+        stride = 1 if engine is None else engine.stride
+        step = pause / (events * stride)
+        runs = backend.count_active(now)
+        steps = self._find_service(backend).steps
+        factor = self._slowdown.find_factor(find_excess(backend, now))
+        if steps.is_fitted:
+            ratio = step / steps.estimate_step(runs)
+            self._find_pace(backend).add_step(ratio, ratio / factor, now)
+        steps.add_sample(runs, step / factor)
+
+    def take_changes(self, now: Millis) -> list[PaceChange]:
+        """Return which servers turned slow or recovered since the last call.
+
+        Servers are checked once a second.
+        """
+        if now - self._checked_at < _CHECK_PERIOD:
+            return []
+        self._checked_at = now
+        changes = [
+            change
+            for start, pace in self._paces.items()
+            if (change := self._find_change(start, pace, now)) is not None
+        ]
+        for change in changes:
+            (self._slow.add if change.is_slow else self._slow.discard)(
+                change.start
+            )
+        self._forget_outdated(now)
+        return changes
+
+    def _find_change(
+        self, start: ServerStart, pace: ServerPace, now: Millis
+    ) -> PaceChange | None:
+        ratio = pace.find_read_ratio(now)
+        was_slow = start in self._slow
+        is_slow = ratio >= (_RECOVERED_RATIO if was_slow else _SLOW_RATIO)
+        if is_slow is was_slow:
+            return None
+        return PaceChange(start, self._service_names[start], ratio, is_slow)
+
+    def _forget_outdated(self, now: Millis) -> None:
+        for start, pace in tuple(self._paces.items()):
+            if start not in self._slow and pace.is_outdated(now):
+                del self._paces[start], self._service_names[start]
+
+    def _record_base(
+        self, backend: Backend, first: FirstByte, now: Millis
+    ) -> None:
+        base = first.duration - self.estimate_read(backend, first.tokens, now)
+        service = self._find_service(backend)
+        service.bases.add(min(max(base, 0.0), _MAX_BASE), now)
+
+    def _record_read(
+        self, backend: Backend, first: FirstByte, now: Millis
+    ) -> None:
+        service = self._find_service(backend)
+        reading = max(first.duration - service.find_base(now), 0.0)
+        unit = min(max(reading / first.tokens, 1 / _MAX_RATE), 1 / _MIN_RATE)
+        factor = self._slowdown.find_factor(first.excess)
+        if len(service.units) >= _MIN_RATES:
+            expected = service.find_unit(backend, now)
+            ratio = self._find_ratio(backend, now)
+            self._slowdown.add_sample(first.excess, unit / expected / ratio)
+            self._find_pace(backend).add_read(unit / expected / factor, now)
+        service.units.add(unit / factor, now)
+
+    def _record_fetch(
+        self, backend: Backend, first: FirstByte, now: Millis
+    ) -> None:
+        path = self._find_path(backend, first.store)
+        if path is None:
+            return
+        reading = self.estimate_read(backend, first.tokens, now)
+        base = self._find_service(backend).find_base(now)
+        fetching = first.duration - base - reading
+        self._fetches.add_sample(path, first.fetched, fetching, now)
+
+    def _list_paths(self, backend: Backend) -> Iterator[FetchPath]:
+        for address in self._stores:
+            path = self._find_path(backend, address)
+            if path is not None:
+                yield path
+
+    def _find_path(self, backend: Backend, address: str) -> FetchPath | None:
+        """Return the way from a store, None if its speed is unknown."""
+        engine = self._engines.get(backend.record.service)
+        store = self._stores.get(address)
+        if engine is None or store is None or not find_link(engine, store):
+            return None
+        return FetchPath(engine, backend.record.data_centre, store)
+
+    def _find_ratio(self, backend: Backend, now: Millis) -> float:
+        pace = self._paces.get(backend.record.start)
+        return 1.0 if pace is None else pace.find_read_ratio(now)
+
+    def _find_service(self, backend: Backend) -> _Service:
+        service = backend.record.service
+        if service not in self._services:
+            self._services[service] = _Service()
+        return self._services[service]
+
+    def _find_pace(self, backend: Backend) -> ServerPace:
+        start = backend.record.start
+        if start not in self._paces:
+            self._paces[start] = ServerPace()
+            self._service_names[start] = backend.record.service
+        return self._paces[start]
