--- a/src/oleanderdyke/kernel/scheduling/learned_speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -49,6 +49,8 @@
 _BASE_COUNT = 32
 _BASE_QUANTILE = 0.25
 _MAX_BASE: Millis = 1 * SECOND
+# At least half of the time to the first byte of a long prompt is prefill.
+_MAX_BASE_SHARE = 0.5
 # A server is reported as slow above the first ratio, and as recovered below
 # the second.
 _SLOW_RATIO = 2.0
@@ -248,7 +250,8 @@
         self, backend: Backend, first: FirstByte, now: Millis
     ) -> None:
         service = self._find_service(backend)
-        reading = max(first.duration - service.find_base(now), 0.0)
+        base = min(service.find_base(now), first.duration * _MAX_BASE_SHARE)
+        reading = first.duration - base
         unit = min(max(reading / first.tokens, 1 / _MAX_RATE), 1 / _MIN_RATE)
         factor = self._slowdown.find_factor(first.excess)
         if len(service.units) >= _MIN_RATES:
--- a/tests/test_learned_speeds.py
+++ b/tests/test_learned_speeds.py
@@ -84,12 +84,13 @@
 
 
 # Load: as before, with more requests than the sound engines can take at once.
-def test_a_slow_engine_gets_less_work_and_comes_back():
+@pytest.mark.parametrize('slower', [4.0, 100.0])
+def test_a_slow_engine_gets_less_work_and_comes_back(slower):
     speeds, engines = make_speeds(), make_engines(4)
     slow = engines[-1]
     learn_usual(speeds, engines)
     for number in range(8):
-        read(speeds, slow, 100.0 + number, slower=4.0)
+        read(speeds, slow, 100.0 + number, slower=slower)
     shares = count_shares(speeds, engines, 200, 110.0)
     assert 0.2 * 50 < shares[slow.record.server] < 0.6 * 50
     assert [each.is_slow for each in speeds.take_changes(2_000.0)] == [True]
@@ -170,9 +171,21 @@
     report(engine, 2.0, now)
     ratio = speeds.estimate_read(engine, PROMPT, now) / usual
     assert low <= ratio <= high
-    # A machine that is shared is not taken for a slow engine.
-    later = speeds.estimate_read(engine, PROMPT, now + 500.0)
-    assert later == pytest.approx(usual, rel=0.25)
+
+
+# Load: as before, with machines that are slow whenever work is sent there.
+def test_a_shared_machine_is_not_taken_for_a_slow_engine():
+    speeds, (sound, *shared) = make_speeds(), make_engines(3)
+    learn_usual(speeds, (sound, *shared))
+    for now in range(0, 8_000, 200):
+        read(speeds, sound, now)
+        for engine in shared:
+            report(engine, 2.0, now)
+            excess = find_excess(engine, now)
+            read(speeds, engine, now, slower=2.0, excess=excess)
+    for engine in (sound, *shared):
+        found = speeds.estimate_read(engine, PROMPT, 9_000.0)
+        assert found == pytest.approx(USUAL, rel=0.15)
 
 
 # Load: reports that reach an entry when the machine has recovered.
