--- a/tests/test_speed_samples.py
+++ b/tests/test_speed_samples.py
@@ -9,10 +9,12 @@
 import pytest
 
 from oleanderdyke.entry.hosted.scheduler import make_scheduler
+from oleanderdyke.kernel.scheduling.learned_speeds import FirstByte
 from oleanderdyke.kernel.servers import ServerStart
+from oleanderdyke.logs import parse_line
 from oleanderdyke.metrics import Gauge
 from tests.hosted import MODEL, staging
-from tests.standins.scripts import send_events
+from tests.standins.scripts import answer_well, send_events
 
 pytestmark = pytest.mark.anyio
 
@@ -58,3 +60,24 @@
     # Nothing else says that a step takes as long as the pauses.
     assert (step > 0.7 * _PAUSE * 1_000) is is_scheduled
     assert [label for label, _ in rates] == ['desk'] * is_scheduled
+
+
+async def test_an_engine_that_turns_slow_and_recovers_is_logged(tmp_path):
+    async with staging(tmp_path, answer_well, answer_well) as stage:
+        sampler = make_scheduler(stage.core).speed_sampler
+        now = stage.core.clock.now()
+        sound, slow = ServerStart('i-0'), ServerStart('i-1')
+        for start, duration in ((sound, 200.0), (slow, 900.0)) * 8:
+            first = FirstByte(duration, 8_000)
+            sampler.record_first_byte(start, first, now)
+            sampler.record_first_byte(sound, FirstByte(200.0, 8_000), now)
+        for later in (2_000.0, 20_000.0):
+            first = FirstByte(200.0, 8_000)
+            sampler.record_first_byte(sound, first, now + later)
+    lines = map(parse_line, stage.log.read_text().splitlines())
+    found = [
+        (line['event'], line['peer'])
+        for line in lines
+        if line['event'] in {'backend_slow', 'backend_recovered'}
+    ]
+    assert found == [('backend_slow', 'i-1'), ('backend_recovered', 'i-1')]
