--- a/src/oleanderdyke/kernel/scheduling/learned_speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -217,10 +217,7 @@
             for start, pace in self._paces.items()
             if (change := self._find_change(start, pace, now)) is not None
         ]
-        for change in changes:
-            (self._slow.add if change.is_slow else self._slow.discard)(
-                change.start
-            )
+        self._slow ^= {change.start for change in changes}
         self._forget_outdated(now)
         return changes
 
