Share work in flight between entries, and score engines by it

Cause: an entry sees one request in twenty, and servers' reports are 0.4 s old and count requests, not prompt tokens to read.

Change: each entry reports its work by start of server over the links to the reader of records; scores add up all entries' work. Only where the configuration calls for scheduling.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from oleanderdyke.clients.direct import (
     BackendConnection,
@@ -56,6 +57,9 @@
     encode_request,
 )
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.scheduler import Scheduler
+
 _SERVER_ERROR = 500
 # Bodies up to this size in bytes are buffered until they are complete, so that
 # a truncated one can be retried and never reaches the caller.
@@ -96,6 +100,7 @@
         self._connection: BackendConnection | None = None
         self._sequence = 0
         self._memory_tokens = 0
+        self._scheduler: Scheduler | None = None
         self._weights: Weights = {}
         self._buffered: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
@@ -203,7 +208,7 @@
         """Forward a part of the body, or buffer it until the end."""
         if self._done:
             return
-        self._has_started = True
+        self._record_start()
         self._record_activity()
         if self._splitter is not None and self._is_stream:
             for event in self._splitter.feed(data):
@@ -311,6 +316,7 @@
         )
         core.backends.record_sent(self._start, self._attempt_id, pending)
         core.limits.record_sent(backend, now)
+        self._record_work(tokens)
         connection.send(head, call.body, self)
         core.log.write(
             EventName.DISPATCH_SENT,
@@ -324,6 +330,18 @@
             segments=sum(map(bool, dispatch.contexts.sinks)) or None,
         )
 
+    def _record_work(self, unread: int) -> None:
+        """Add this attempt to the work that entries share."""
+        self._scheduler = self._core.scheduling.find_scheduler(self._call)
+        if self._scheduler is not None:
+            self._scheduler.begin(
+                self._call,
+                self._start,
+                self._attempt_id,
+                unread=unread,
+                is_first=self._number == 1,
+            )
+
     def _make_dispatch(self, backend: Backend) -> Dispatch:
         core, call = self._core, self._call
         demand = call.parameters.demand
@@ -381,6 +399,11 @@
         self._sequence += 1
         self._inbox.put(MessageReceived(chunk))
 
+    def _record_start(self) -> None:
+        if self._scheduler is not None and not self._has_started:
+            self._scheduler.record_first_byte(self._attempt_id)
+        self._has_started = True
+
     def _record_activity(self) -> None:
         backend = self._core.backends.find_start(self._start)
         if backend is not None:
@@ -420,3 +443,5 @@
             self._core.backends.record_ended(
                 self._start, self._attempt_id, self._memory_tokens
             )
+        if self._scheduler is not None:
+            self._scheduler.end(self._attempt_id)
--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -56,6 +56,7 @@
             load_age=None if load is None else _find_age(now, backend.load_at),
             list_age=_find_age(now, core.servers_read_at),
             limit=round(call.deadline - now),
+            **core.scheduling.describe_choice(call, choice),
         )
 
     def log_retried(self, attempt: int, server: str) -> None:
--- a/src/oleanderdyke/entry/hosted/peer_sharing.py
+++ b/src/oleanderdyke/entry/hosted/peer_sharing.py
@@ -93,13 +93,13 @@
                         links.serve_neighbours,
                         self.desk,
                         self.own.address,
-                        self._make_hello,
+                        self.make_hello,
                         clock=self._clock,
                     )
                 )
                 await links.maintain_links(
                     self.reader,
-                    self._make_hello,
+                    self.make_hello,
                     clock=self._clock,
                     random=random,
                 )
@@ -107,7 +107,8 @@
             detail = f'address {self.own.address}: {group.exceptions[0]}'
             log.write(EventName.RECORD_REFUSED, name='links', detail=detail)
 
-    def _make_hello(self) -> Hello:
+    def make_hello(self) -> Hello:
+        """Build the first message of each link of this process."""
         return Hello(
             PROTOCOL_VERSION,
             Role.ENTRY,
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -2,14 +2,32 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
+from importlib import import_module
 from typing import TYPE_CHECKING
 
 import anyio
 
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.kernel.deployment import Deployment
-from oleanderdyke.kernel.scheduling.costs import Costs
-from oleanderdyke.kernel.scheduling.work import NoWorkView, WorkView
+from oleanderdyke.kernel.scheduling.costs import Costs, CostTerm
+from oleanderdyke.kernel.scheduling.demand_meter import DemandKey, DemandMeter
+from oleanderdyke.kernel.scheduling.placement import Choice
+from oleanderdyke.kernel.scheduling.scoring import (
+    MAX_VIEW_AGE,
+    HoldUpCost,
+    MemoryCost,
+    SpreadCost,
+    WorkEstimate,
+)
+from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds, SpeedView
+from oleanderdyke.kernel.scheduling.work import WorkView
+from oleanderdyke.kernel.scheduling.work_account import WorkAccount
+from oleanderdyke.kernel.scheduling.work_reports import ReportSource
+from oleanderdyke.kernel.scheduling.work_table import WorkTable
+from oleanderdyke.kernel.servers import ModelDemand, ServerStart
+from oleanderdyke.logs import LogValue
 
 if TYPE_CHECKING:
     from oleanderdyke.entry.hosted.call import HostedCall
@@ -20,20 +38,124 @@
 
     def __init__(self, core: HostedCore) -> None:
         self._core = core
-        self.view: WorkView = NoWorkView()
+        own = core.peers.own
+        self.account = WorkAccount()
+        self.meter = DemandMeter()
+        self.table = WorkTable(own.name, self.account, self.meter)
+        self.view: WorkView = self.table
+        self.speeds: SpeedView = ServiceSpeeds()
+        self._source = ReportSource(
+            own.name,
+            own.data_centre,
+            int(core.clock.wall()),
+            account=self.account,
+            meter=self.meter,
+        )
 
     def configure(self, deployment: Deployment) -> None:
         """Apply a new configuration."""
 
     async def run(self) -> None:
         """Exchange news with other entries until cancelled."""
-        await anyio.sleep_forever()
+        core = self._core
+        if not core.peers.own.address:
+            await anyio.sleep_forever()
+        module = import_module('oleanderdyke.links.work_exchange')
+        exchange = module.WorkExchange(
+            core.peers.own,
+            self._source,
+            self.table,
+            client=core.peers.reader,
+            clock=core.clock,
+            metrics=core.metrics,
+            count_entries=self._count_entries,
+        )
+        await exchange.run(core.peers.desk, core.peers.make_hello, core.random)
 
-    def find_costs(self, _call: HostedCall) -> Costs | None:
+    def record_arrival(self, call: HostedCall, model: ModelDemand) -> None:
+        """Record a request of a caller before a server is chosen."""
+        self.meter.record_arrival(
+            _make_key(call), model, self._core.clock.now()
+        )
+
+    def begin(
+        self,
+        call: HostedCall,
+        start: ServerStart,
+        attempt: str,
+        *,
+        unread: int,
+        is_first: bool,
+    ) -> None:
+        """Record an attempt with so many prompt tokens to prefill."""
+        model = call.parameters.demand
+        if model is None:
+            return
+        self.account.begin(
+            start,
+            attempt,
+            unread=unread,
+            memory=model.memory_tokens,
+            is_long=self._core.scheduling.is_long(call),
+        )
+        if is_first:
+            now = self._core.clock.now()
+            self.meter.record_admission(_make_key(call), model, unread, now)
+
+    def record_first_byte(self, attempt: str) -> None:
+        """Record that the prompt of an attempt was prefilled."""
+        self.account.record_first_byte(attempt)
+
+    def end(self, attempt: str) -> None:
+        """Record that an attempt ended, whatever its outcome."""
+        self.account.end(attempt)
+
+    def find_costs(self, call: HostedCall) -> Costs | None:
         """Return the costs of a call's choice, None for the usual score."""
-        return None
+        core = self._core
+        age = self.view.find_age(core.clock.now())
+        return Costs(
+            service=call.service,
+            route=call.route.name,
+            team=call.team,
+            rank=call.priority,
+            data_centre=core.settings.data_centre,
+            target=call.route.target,
+            first_byte=WorkEstimate(
+                self.view, self.speeds, is_current=age <= MAX_VIEW_AGE
+            ),
+            terms=self._make_terms(call),
+        )
+
+    def describe_choice(self, choice: Choice) -> Mapping[str, LogValue]:
+        """Return log fields for the shared account of the chosen server."""
+        now = self._core.clock.now()
+        age = self.view.find_age(now)
+        work = self.view.find_work(choice.backend.record.start, now)
+        return {
+            'work_age': round(age) if math.isfinite(age) else None,
+            'unread': round(work.unread),
+        }
+
+    def _make_terms(self, call: HostedCall) -> tuple[CostTerm, ...]:
+        core = self._core
+        capacity = 0
+        if core.deployment is not None:
+            capacity = core.deployment.find_memory_tokens(call.service) or 0
+        return (
+            HoldUpCost(self.view, self.speeds),
+            MemoryCost(self.view, self.speeds, capacity),
+            SpreadCost(self.speeds, core.random),
+        )
+
+    def _count_entries(self) -> int:
+        return len(self._core.entries.list_known())
 
 
 def make_scheduler(core: HostedCore) -> Scheduler:
     """Build the scheduler of an entry."""
     return Scheduler(core)
+
+
+def _make_key(call: HostedCall) -> DemandKey:
+    return DemandKey(call.service, call.route.name, call.team)
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from importlib import import_module
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,9 @@
     from oleanderdyke.entry.hosted.core import HostedCore
     from oleanderdyke.entry.hosted.scheduler import Scheduler
     from oleanderdyke.kernel.scheduling.costs import Costs
+    from oleanderdyke.kernel.scheduling.placement import Choice
     from oleanderdyke.kernel.scheduling.switch import LoadSwitch
+    from oleanderdyke.logs import LogValue
 
 _PERIOD: Millis = 100.0
 # Importing the modules is slow on a fraction of a core, so requests are served
@@ -65,6 +68,22 @@
         demand = call.parameters.demand
         if demand is not None and self._switch is not None:
             self._switch.record_prompt(call.route.name, demand)
+            scheduler = self.find_scheduler(call)
+            if scheduler is not None:
+                scheduler.record_arrival(call, demand)
+
+    def is_long(self, call: HostedCall) -> bool:
+        """Return whether the prompt of a call holds up others."""
+        return self._switch is not None and self._switch.is_long(
+            call.service, call.route.name
+        )
+
+    def describe_choice(
+        self, call: HostedCall, choice: Choice
+    ) -> Mapping[str, LogValue]:
+        """Return log fields for the shared account of the chosen server."""
+        scheduler = self.find_scheduler(call)
+        return {} if scheduler is None else scheduler.describe_choice(choice)
 
     def find_costs(self, call: HostedCall) -> Costs | None:
         """Return the costs of a call's choice, None for the usual score."""
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -173,6 +173,8 @@
     EXPECTED = 'expected'
     DIGEST = 'digest'
     SIGNAL = 'signal'
+    WORK_AGE = 'work_age'
+    UNREAD = 'unread'
 
 
 def find_level(event: EventName) -> Level:
--- a/src/oleanderdyke/kernel/neighbours.py
+++ b/src/oleanderdyke/kernel/neighbours.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
@@ -61,22 +62,28 @@
         self._own_name = own
         self._data_centre = data_centre
         self._entries: dict[str, Neighbour] = {}
+        self._remote: dict[str, Neighbour] = {}
         self._last_seen: dict[str, Millis] = {}
         self._failures: defaultdict[str, int] = defaultdict(int)
         self._excluded_until: dict[str, Millis] = {}
         self._requested_at: dict[str, Millis] = {}
 
     def record_alive(self, neighbour: Neighbour, now: Millis) -> None:
-        """Record that an entry is alive, if it may be a reader here."""
-        if neighbour.address and neighbour.data_centre == self._data_centre:
-            self._entries[neighbour.name] = neighbour
-            self._last_seen[neighbour.name] = now
+        """Record that an entry is alive; only local ones may be readers."""
+        if not neighbour.address:
+            return
+        is_local = neighbour.data_centre == self._data_centre
+        known = self._entries if is_local else self._remote
+        other = self._remote if is_local else self._entries
+        other.pop(neighbour.name, None)
+        known[neighbour.name] = neighbour
+        self._last_seen[neighbour.name] = now
 
     def record_success(self, name: str, now: Millis) -> None:
         """Record a successful answer of an entry, ending its exclusion."""
         self._failures.pop(name, None)
         self._excluded_until.pop(name, None)
-        if name in self._entries:
+        if name in self._last_seen:
             self._last_seen[name] = now
 
     def record_failure(self, name: str, now: Millis) -> None:
@@ -113,13 +120,28 @@
 
     def rank(self, source: str, now: Millis) -> list[Neighbour]:
         """Return the entries that may read a source, the preferred first."""
-        alive = [
+        alive = self._list_alive(self._entries, now)
+        return sorted(alive, key=lambda entry: find_rank(source, entry.name))
+
+    def list_remote_readers(self, source: str, now: Millis) -> list[Neighbour]:
+        """Return the preferred reader of each other data centre."""
+        first: dict[str, Neighbour] = {}
+        alive = self._list_alive(self._remote, now)
+        for entry in sorted(
+            alive, key=lambda entry: find_rank(source, entry.name)
+        ):
+            first.setdefault(entry.data_centre, entry)
+        return list(first.values())
+
+    def _list_alive(
+        self, entries: Mapping[str, Neighbour], now: Millis
+    ) -> list[Neighbour]:
+        return [
             entry
-            for name, entry in self._entries.items()
+            for name, entry in entries.items()
             if now - self._last_seen[name] < ANNOUNCEMENT_LIFETIME
             and not self._is_excluded(name, now)
         ]
-        return sorted(alive, key=lambda entry: find_rank(source, entry.name))
 
     def _is_excluded(self, name: str, now: Millis) -> bool:
         return self._excluded_until.get(name, -math.inf) > now
--- a/src/oleanderdyke/kernel/scheduling/placement.py
+++ b/src/oleanderdyke/kernel/scheduling/placement.py
@@ -280,6 +280,7 @@
             demand.model, fetched=fetched, missing=missing
         )
         score += demand.costs.find_score(priced, backend, now)
+        score += _score_cache(demand, demand.model, backend, terms)
         return score + _score_weights(demand, demand.model, backend, terms)
     score += _estimate_first_byte(demand, backend, now)
     score += _score_engine(demand, demand.model, backend, terms, now)
@@ -301,14 +302,21 @@
     terms: _Terms,
     now: Millis,
 ) -> Millis:
-    version = backend.record.versions.get(model.model)
     score = backend.running * _find_run_cost(backend)
     score += backend.count_waiting(now) * _WAITING_COST
+    return score + _score_cache(demand, model, backend, terms)
+
+
+def _score_cache(
+    demand: CallDemand, model: ModelDemand, backend: Backend, terms: _Terms
+) -> Millis:
+    """Return the cost of a server that should not cache the shared context."""
+    version = backend.record.versions.get(model.model)
     is_fetchable = version is not None and demand.fetchable.get(version, 0)
-    if backend.record.server not in terms.cache_servers and not is_fetchable:
-        shared = backend.reading.estimate_time(_find_shared_tokens(model))
-        score += shared / _CACHE_SERVERS
-    return score
+    if backend.record.server in terms.cache_servers or is_fetchable:
+        return 0.0
+    shared = backend.reading.estimate_time(_find_shared_tokens(model))
+    return shared / _CACHE_SERVERS
 
 
 def _score_weights(
--- a/src/oleanderdyke/kernel/scheduling/switch.py
+++ b/src/oleanderdyke/kernel/scheduling/switch.py
@@ -75,6 +75,13 @@
             )
         return self._needed[service]
 
+    def is_long(self, service: str, route: str) -> bool:
+        """Return whether prompts on a route hold up those of another one."""
+        return any(
+            other == route and self._holds_up(urgent, other)
+            for urgent, other in self._pairs.get(service, ())
+        )
+
     def _holds_up(self, urgent: str, other: str) -> bool:
         short, long = self.find_length(urgent), self.find_length(other)
         if short is None or long is None:
--- a/src/oleanderdyke/kernel/scheduling/work.py
+++ b/src/oleanderdyke/kernel/scheduling/work.py
@@ -38,6 +38,16 @@
             copies=self.copies + other.copies,
         )
 
+    def __sub__(self, other: ServerWork) -> ServerWork:
+        """Return the difference of two amounts of work."""
+        return ServerWork(
+            unread=self.unread - other.unread,
+            memory=self.memory - other.memory,
+            runs=self.runs - other.runs,
+            long_runs=self.long_runs - other.long_runs,
+            copies=self.copies - other.copies,
+        )
+
 
 NO_WORK = ServerWork()
 
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -59,9 +59,12 @@
     control_out: int = 0
     data_in: int = 0
     data_out: int = 0
+    # The length of the message that was received last.
+    last_in: int = 0
 
     def count_received(self, message: Message, length: int) -> None:
         """Count a received message."""
+        self.last_in = length
         if type(message) in _DATA_TYPES:
             self.data_in += length
         else:
@@ -192,7 +195,12 @@
         """Send without blocking; return False if the send buffer is full."""
         if self.closed or not self._socket.is_writable():
             return False
-        data = self._encode(message)
+        return self.write_encoded(message, self._encode(message))
+
+    def write_encoded(self, message: Message, data: bytes) -> bool:
+        """Send like `write` a message that was encoded before."""
+        if self.closed or not self._socket.is_writable():
+            return False
         self._socket.write(data)
         self._has_sent = True
         self.counters.count_sent(message, len(data))
--- a/src/oleanderdyke/links/messages/__init__.py
+++ b/src/oleanderdyke/links/messages/__init__.py
@@ -30,6 +30,7 @@
     SegmentWrite,
     SegmentWritten,
 )
+from oleanderdyke.links.messages.work import WorkNews
 
 PROTOCOL_VERSION = 1
 
@@ -365,4 +366,5 @@
     | NewsAnswer
     | ContextRequest
     | ContextAnswer
+    | WorkNews
 )
--- a/src/oleanderdyke/links/news_client.py
+++ b/src/oleanderdyke/links/news_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from itertools import count
 from typing import TYPE_CHECKING, Protocol, TypeAlias
@@ -26,6 +26,7 @@
     StoreNews,
     StorePosition,
 )
+from oleanderdyke.links.messages.work import WorkNews
 from oleanderdyke.links.news_server import decode_loads
 
 if TYPE_CHECKING:
@@ -110,6 +111,7 @@
         health: HealthRecorder,
     ) -> None:
         self.neighbours = neighbours
+        self.on_work: Callable[[Link, WorkNews], None] | None = None
         self._health = health
         self._clock = clock
         self._sources = tuple(sources)
@@ -145,8 +147,19 @@
                 self._record_failure(name, 'no link')
                 del self._connected_since[name]
 
-    async def handle_answer(self, _: Link, message: Message) -> None:
+    def find_record_link(self) -> Link | None:
+        """Return the link to the reader of records, None if there is none."""
+        reader = self.neighbours.find_reader(RECORD_SOURCE, self._clock.now())
+        return None if reader is None else self._find_link(reader.name)
+
+    def record_silence(self, name: str) -> None:
+        """Record that a neighbour sent nothing for too long."""
+        self._record_failure(name, 'silent')
+
+    async def handle_answer(self, link: Link, message: Message) -> None:
         """Complete the request of an answer; late answers are dropped."""
+        if isinstance(message, WorkNews) and self.on_work:
+            self.on_work(link, message)
         if not isinstance(message, NewsAnswer | ContextAnswer):
             return
         pending = self._pending.get(message.number)
--- a/src/oleanderdyke/links/news_server.py
+++ b/src/oleanderdyke/links/news_server.py
@@ -33,6 +33,7 @@
     StoreNews,
     StorePosition,
 )
+from oleanderdyke.links.messages.work import WorkNews
 
 if TYPE_CHECKING:
     from oleanderdyke.links.link import Link
@@ -109,6 +110,7 @@
         # to this process.
         self.loads = LoadTable()
         self.local_loads = LoadTable()
+        self.on_work: Callable[[Link, WorkNews], None] | None = None
         self._neighbours = neighbours
         self._clock = clock
         self._records: defaultdict[str, RecordBuffer] = defaultdict(
@@ -157,6 +159,8 @@
                         tasks.start_soon(
                             self._answer_events, link, message, sent
                         )
+                    elif isinstance(message, WorkNews) and self.on_work:
+                        self.on_work(link, message)
             except OleanderError:
                 tasks.cancel_scope.cancel()
 
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -53,6 +53,8 @@
     DEPENDENCY_FAULTS = 'dependency_faults'
     ORDERS = 'orders'
     LINES_DROPPED = 'lines_dropped'
+    WORK_REPORTS = 'work_reports'
+    WORK_BYTES = 'work_bytes'
 
 
 class Gauge(enum.StrEnum):
@@ -64,6 +66,7 @@
     READY = 'ready'
     WEIGHTS_NAMED = 'weights_named'
     WEIGHTS_HELD = 'weights_held'
+    WORK_AGE = 'work_age'
 
 
 _SERVICE = 'service'
@@ -92,12 +95,15 @@
     Count.DEPENDENCY_FAULTS: 'what was called',
     Count.ORDERS: 'what became of it',
     Count.LINES_DROPPED: _NONE,
+    Count.WORK_REPORTS: 'sent or received',
+    Count.WORK_BYTES: 'sent or received',
     Gauge.RUNNING: _NONE,
     Gauge.LINKS: _NONE,
     Gauge.CONFIGURATION_OFFSET: _NONE,
     Gauge.READY: _NONE,
     Gauge.WEIGHTS_NAMED: _MODEL,
     Gauge.WEIGHTS_HELD: _MODEL,
+    Gauge.WORK_AGE: _NONE,
 }
 
 
