Draw between two servers, so that entries with equal views spread

Cause: views lag, and the lowest score draws all entries at once.

Change: the better of two random servers is chosen unless another is better by what two such calls add. Messages move to links/messages/news.py: a start may load no further module.

--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -18,7 +18,7 @@
     MAX_VIEW_AGE,
     HoldUpCost,
     MemoryCost,
-    SpreadCost,
+    SampledDraw,
     WorkEstimate,
 )
 from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds, SpeedView
@@ -125,6 +125,7 @@
                 self.view, self.speeds, is_current=age <= MAX_VIEW_AGE
             ),
             terms=self._make_terms(call),
+            draw=SampledDraw(core.random),
         )
 
     def describe_choice(self, choice: Choice) -> Mapping[str, LogValue]:
@@ -145,7 +146,6 @@
         return (
             HoldUpCost(self.view, self.speeds),
             MemoryCost(self.view, self.speeds, capacity),
-            SpreadCost(self.speeds, core.random),
         )
 
     def _count_entries(self) -> int:
--- a/src/oleanderdyke/kernel/scheduling/costs.py
+++ b/src/oleanderdyke/kernel/scheduling/costs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from oleanderdyke.clock import Millis
@@ -49,6 +49,13 @@
         """Return the cost in milliseconds of expected delay."""
 
 
+class Draw(Protocol):
+    """Choose among servers by their scores."""
+
+    def choose(self, scores: Sequence[Millis], tolerance: Millis) -> int:
+        """Return the index of a score, the lowest or one not much higher."""
+
+
 @dataclass(frozen=True, slots=True)
 class Costs:
     """Replace the usual score of engines for one call."""
@@ -61,6 +68,7 @@
     target: Millis
     first_byte: FirstByteEstimate
     terms: Sequence[CostTerm] = ()
+    draw: Draw | None = None
 
     def price(
         self, model: ModelDemand, *, fetched: int, missing: int
@@ -91,3 +99,21 @@
         return self.estimate_first_byte(call, backend, now) + sum(
             term.find_cost(call, backend, now) for term in self.terms
         )
+
+    def choose(
+        self,
+        call: PricedCall,
+        scores: Sequence[Millis],
+        backend: Backend,
+        now: Millis,
+    ) -> int:
+        """Return the index of the chosen score, the lowest without a draw.
+
+        `call` is priced at the `backend` with the lowest score.
+        """
+        if self.draw is None:
+            return min(range(len(scores)), key=scores.__getitem__)
+        estimate = self.first_byte.estimate_first_byte
+        rest = replace(call, missing=0, fetched=0)
+        added = estimate(call, backend, now) - estimate(rest, backend, now)
+        return self.draw.choose(scores, added)
--- a/src/oleanderdyke/kernel/scheduling/placement.py
+++ b/src/oleanderdyke/kernel/scheduling/placement.py
@@ -80,7 +80,19 @@
     def find_score(
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
-        """Return the score of a server; the lowest one is chosen."""
+        """Return the score of a server; lower ones are better."""
+
+    def choose(
+        self,
+        call: PricedCall,
+        scores: Sequence[Millis],
+        backend: Backend,
+        now: Millis,
+    ) -> int:
+        """Return the index of a score.
+
+        `call` is priced at the `backend` with the lowest score.
+        """
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,7 +187,7 @@
         return None
     terms = _find_terms(demand, usable)
     scores = [_score(demand, each, terms, now) for each in usable]
-    score, best = min(zip(scores, usable, strict=True), key=itemgetter(0))
+    score, best = _choose_scored(demand, scores, usable, now)
     mean = _find_mean_memory(usable)
     return Choice(
         best,
@@ -190,6 +202,26 @@
     )
 
 
+def _choose_scored(
+    demand: CallDemand,
+    scores: Sequence[Millis],
+    usable: Sequence[Backend],
+    now: Millis,
+) -> tuple[Millis, Backend]:
+    """Return the chosen score and its server.
+
+    Entries that know no better choose differently among the servers that would
+    differ by little once the call is sent.
+    """
+    score, best = min(zip(scores, usable, strict=True), key=itemgetter(0))
+    if demand.costs is None or demand.model is None:
+        return score, best
+    fetched, missing = _split_prompt(demand, demand.model, best)
+    priced = demand.costs.price(demand.model, fetched=fetched, missing=missing)
+    index = demand.costs.choose(priced, scores, best, now)
+    return scores[index], usable[index]
+
+
 def find_obstacle(demand: CallDemand, backends: Iterable[Backend]) -> Obstacle:
     """Return why no server may be used, the soonest to pass if several."""
     found = {
--- a/src/oleanderdyke/kernel/scheduling/scoring.py
+++ b/src/oleanderdyke/kernel/scheduling/scoring.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -27,6 +28,9 @@
 _USABLE_MEMORY_SHARE = 0.85
 # A preempted run is prefilled again, and so is what it preempts in turn.
 _PREEMPTION_FACTOR = 3.0
+_SAMPLE_SIZE = 2
+# Other entries may have sent as many such calls to the lowest score unseen.
+_TOLERANCE_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,20 +127,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SpreadCost:
-    """Keep entries with equal views from choosing the same server.
+class SampledDraw:
+    """Choose the better of two random servers, unless another is far better.
 
-    Until they see each other's choices, entries draw among the servers that
-    differ by less than one such prompt.
+    Entries with equal views would all choose the lowest score until they see
+    each other's choices.
     """
 
-    speeds: SpeedView
     random: Random
 
-    def find_cost(
-        self, call: PricedCall, backend: Backend, now: Millis
-    ) -> Millis:
-        """Return a random cost of up to the time to prefill the call."""
-        read_time = self.speeds.estimate_read(backend, call.missing, now)
-        step = self.speeds.estimate_step(backend, now)
-        return self.random.random() * max(read_time, step)
+    def choose(self, scores: Sequence[Millis], tolerance: Millis) -> int:
+        """Return the index of a score, the lowest or one not much higher.
+
+        `tolerance` is the time that such a call adds to a score.
+        """
+        indexes = range(len(scores))
+        lowest = min(indexes, key=scores.__getitem__)
+        sample = self.random.sample(indexes, min(_SAMPLE_SIZE, len(scores)))
+        drawn = min(sample, key=scores.__getitem__)
+        excess = scores[drawn] - scores[lowest]
+        return lowest if excess > tolerance * _TOLERANCE_FACTOR else drawn
--- a/src/oleanderdyke/kernel/scheduling/work_reports.py
+++ b/src/oleanderdyke/kernel/scheduling/work_reports.py
@@ -17,7 +17,7 @@
     encode_demand,
     encode_work,
 )
-from oleanderdyke.links.messages.work import WorkReport
+from oleanderdyke.links.messages.news import WorkReport
 
 _MIN_PERIOD: Millis = 80.0
 # Bounds what each entry receives: 333 reports per second from all others.
--- a/src/oleanderdyke/kernel/scheduling/work_table.py
+++ b/src/oleanderdyke/kernel/scheduling/work_table.py
@@ -21,7 +21,7 @@
 )
 from oleanderdyke.kernel.scheduling.work_account import WorkAccount
 from oleanderdyke.kernel.servers import ServerStart
-from oleanderdyke.links.messages.work import DemandRow, WorkReport, WorkRow
+from oleanderdyke.links.messages.news import DemandRow, WorkReport, WorkRow
 
 # An entry with work reports at least twice in this time.
 REPORT_LIFETIME: Millis = 1.2 * SECOND
--- a/src/oleanderdyke/links/messages/__init__.py
+++ b/src/oleanderdyke/links/messages/__init__.py
@@ -19,6 +19,7 @@
     ContextRequest,
     NewsAnswer,
     NewsRequest,
+    WorkNews,
 )
 from oleanderdyke.links.messages.segments import (
     SegmentEvents,
@@ -30,7 +31,6 @@
     SegmentWrite,
     SegmentWritten,
 )
-from oleanderdyke.links.messages.work import WorkNews
 
 PROTOCOL_VERSION = 1
 
--- a/src/oleanderdyke/links/news_client.py
+++ b/src/oleanderdyke/links/news_client.py
@@ -25,8 +25,8 @@
     NewsRequest,
     StoreNews,
     StorePosition,
+    WorkNews,
 )
-from oleanderdyke.links.messages.work import WorkNews
 from oleanderdyke.links.news_server import decode_loads
 
 if TYPE_CHECKING:
--- a/src/oleanderdyke/links/news_server.py
+++ b/src/oleanderdyke/links/news_server.py
@@ -32,8 +32,8 @@
     StoreEvent,
     StoreNews,
     StorePosition,
+    WorkNews,
 )
-from oleanderdyke.links.messages.work import WorkNews
 
 if TYPE_CHECKING:
     from oleanderdyke.links.link import Link
--- a/src/oleanderdyke/links/work_exchange.py
+++ b/src/oleanderdyke/links/work_exchange.py
@@ -21,7 +21,7 @@
 from oleanderdyke.links.codec import encode
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.messages import Hello, Message
-from oleanderdyke.links.messages.work import WorkNews, WorkReport
+from oleanderdyke.links.messages.news import WorkNews, WorkReport
 from oleanderdyke.links.news_client import NewsClient
 from oleanderdyke.links.news_server import NewsServer
 from oleanderdyke.links.pool import LinkPool, PoolSettings
