--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -58,6 +58,7 @@
 )
 
 if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.scheduler import Scheduler
     from oleanderdyke.entry.hosted.speed_samples import StreamSamples
 
 _SERVER_ERROR = 500
@@ -101,6 +102,7 @@
         self._sequence = 0
         self._memory_tokens = 0
         self._samples: StreamSamples | None = None
+        self._scheduler: Scheduler | None = None
         self._weights: Weights = {}
         self._buffered: bytearray | None = bytearray()
         self._head: AnswerHead | None = None
@@ -208,7 +210,7 @@
         """Forward a part of the body, or buffer it until the end."""
         if self._done:
             return
-        self._has_started = True
+        self._record_start()
         self._record_activity(data)
         if self._splitter is not None and self._is_stream:
             for event in self._splitter.feed(data):
@@ -316,9 +318,9 @@
         )
         core.backends.record_sent(self._start, self._attempt_id, pending)
         core.limits.record_sent(backend, now)
-        scheduler = core.scheduling.find_scheduler(call)
-        if scheduler is not None:
-            self._samples = scheduler.speed_sampler.watch(
+        self._record_work(tokens)
+        if self._scheduler is not None:
+            self._samples = self._scheduler.speed_sampler.watch(
                 backend, pending, dispatch.contexts
             )
         connection.send(head, call.body, self)
@@ -334,6 +336,18 @@
             segments=sum(map(bool, dispatch.contexts.sinks)) or None,
         )
 
+    def _record_work(self, unread: int) -> None:
+        """Add this attempt to the work that entries share."""
+        self._scheduler = self._core.scheduling.find_scheduler(self._call)
+        if self._scheduler is not None:
+            self._scheduler.begin(
+                self._call,
+                self._start,
+                self._attempt_id,
+                unread=unread,
+                is_first=self._number == 1,
+            )
+
     def _make_dispatch(self, backend: Backend) -> Dispatch:
         core, call = self._core, self._call
         demand = call.parameters.demand
@@ -391,6 +405,11 @@
         self._sequence += 1
         self._inbox.put(MessageReceived(chunk))
 
+    def _record_start(self) -> None:
+        if self._scheduler is not None and not self._has_started:
+            self._scheduler.record_first_byte(self._attempt_id)
+        self._has_started = True
+
     def _record_activity(self, data: bytes) -> None:
         now = self._core.clock.now()
         backend = self._core.backends.find_start(self._start)
@@ -433,3 +452,5 @@
             self._core.backends.record_ended(
                 self._start, self._attempt_id, self._memory_tokens
             )
+        if self._scheduler is not None:
+            self._scheduler.end(self._attempt_id)
--- a/src/oleanderdyke/links/messages/__init__.py
+++ b/src/oleanderdyke/links/messages/__init__.py
@@ -19,6 +19,7 @@
     ContextRequest,
     NewsAnswer,
     NewsRequest,
+    WorkNews,
 )
 from oleanderdyke.links.messages.segments import (
     SegmentEvents,
@@ -365,4 +366,5 @@
     | NewsAnswer
     | ContextRequest
     | ContextAnswer
+    | WorkNews
 )
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -53,6 +53,8 @@
     DEPENDENCY_FAULTS = 'dependency_faults'
     ORDERS = 'orders'
     LINES_DROPPED = 'lines_dropped'
+    WORK_REPORTS = 'work_reports'
+    WORK_BYTES = 'work_bytes'
 
 
 class Gauge(enum.StrEnum):
@@ -65,6 +67,7 @@
     WEIGHTS_NAMED = 'weights_named'
     WEIGHTS_HELD = 'weights_held'
     PREFILL_RATE = 'prefill_rate'
+    WORK_AGE = 'work_age'
 
 
 _SERVICE = 'service'
@@ -93,6 +96,8 @@
     Count.DEPENDENCY_FAULTS: 'what was called',
     Count.ORDERS: 'what became of it',
     Count.LINES_DROPPED: _NONE,
+    Count.WORK_REPORTS: 'sent or received',
+    Count.WORK_BYTES: 'sent or received',
     Gauge.RUNNING: _NONE,
     Gauge.LINKS: _NONE,
     Gauge.CONFIGURATION_OFFSET: _NONE,
@@ -100,6 +105,7 @@
     Gauge.WEIGHTS_NAMED: _MODEL,
     Gauge.WEIGHTS_HELD: _MODEL,
     Gauge.PREFILL_RATE: _SERVICE,
+    Gauge.WORK_AGE: _NONE,
 }
 
 
