Part engines between short and long prompts by demand

Nothing is parted until entries have news of each other, which no code gives yet.

The reference pages of events and metrics are not regenerated.

--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -50,6 +50,7 @@
             count=choice.candidates,
             expected=round(choice.expected, 1),
             fill=round(choice.fill, 2),
+            side=core.scheduling.find_side(call, backend.record.start),
             delay=round(choice.delay, 1),
             running=None if load is None else load.running,
             waiting=None if load is None else load.waiting,
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -16,6 +16,7 @@
     from oleanderdyke.entry.hosted.scheduler import Scheduler
     from oleanderdyke.kernel.scheduling.costs import Costs
     from oleanderdyke.kernel.scheduling.switch import LoadSwitch
+    from oleanderdyke.kernel.servers import ServerStart
 
 _PERIOD: Millis = 100.0
 # Importing the modules is slow on a fraction of a core, so requests are served
@@ -47,7 +48,7 @@
         while core.deployment is None or not switch.may_be_needed:
             await anyio.sleep(_PERIOD / SECOND)
         module = import_module('oleanderdyke.entry.hosted.scheduler')
-        scheduler: Scheduler = module.make_scheduler(core)
+        scheduler: Scheduler = module.make_scheduler(core, switch)
         scheduler.configure(core.deployment)
         self.scheduler = scheduler
         await scheduler.run()
@@ -66,6 +67,11 @@
         if demand is not None and self._switch is not None:
             self._switch.record_prompt(call.route.name, demand)
 
+    def find_side(self, call: HostedCall, start: ServerStart) -> str | None:
+        """Return the pool of an engine, None for a call served as usual."""
+        scheduler = self.find_scheduler(call)
+        return None if scheduler is None else scheduler.find_side(call, start)
+
     def find_costs(self, call: HostedCall) -> Costs | None:
         """Return the costs of a call's choice, None for the usual score."""
         scheduler = self.find_scheduler(call)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -75,6 +75,7 @@
     BACKEND_LIMITED = 'backend_limited'
     BACKEND_LEAVING = 'backend_leaving'
     BACKEND_BACKOFF = 'backend_backoff'
+    POOLS_CHANGED = 'pools_changed'
     ORDER_SENT = 'order_sent'
     ORDER_REFUSED = 'order_refused'
     ORDER_DONE = 'order_done'
@@ -173,6 +174,7 @@
     EXPECTED = 'expected'
     DIGEST = 'digest'
     SIGNAL = 'signal'
+    SIDE = 'side'
 
 
 def find_level(event: EventName) -> Level:
--- a/src/oleanderdyke/kernel/scheduling/switch.py
+++ b/src/oleanderdyke/kernel/scheduling/switch.py
@@ -40,7 +40,7 @@
             return
         self._deployment = deployment
         self._pairs = {
-            service: tuple(_list_pairs(_list_streams(deployment, service)))
+            service: tuple(_list_pairs(list_streams(deployment, service)))
             for service, traits in deployment.services.items()
             if traits.engine is not None
         }
@@ -75,6 +75,14 @@
             )
         return self._needed[service]
 
+    def list_long(self, service: str) -> frozenset[str]:
+        """Return the routes whose prompts hold up more urgent ones."""
+        return frozenset(
+            other
+            for urgent, other in self._pairs.get(service, ())
+            if self._holds_up(urgent, other)
+        )
+
     def _holds_up(self, urgent: str, other: str) -> bool:
         short, long = self.find_length(urgent), self.find_length(other)
         if short is None or long is None:
@@ -82,7 +90,8 @@
         return long >= short * _LENGTH_RATIO
 
 
-def _list_streams(deployment: Deployment, service: str) -> list[Route]:
+def list_streams(deployment: Deployment, service: str) -> list[Route]:
+    """Return the streaming routes of a service."""
     return [
         route
         for route in deployment.routes
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -64,6 +64,7 @@
     READY = 'ready'
     WEIGHTS_NAMED = 'weights_named'
     WEIGHTS_HELD = 'weights_held'
+    POOL_SIZE = 'pool_size'
 
 
 _SERVICE = 'service'
@@ -98,6 +99,7 @@
     Gauge.READY: _NONE,
     Gauge.WEIGHTS_NAMED: _MODEL,
     Gauge.WEIGHTS_HELD: _MODEL,
+    Gauge.POOL_SIZE: 'service and side of its engines',
 }
 
 
