Divide engines without a jump where both loads exceed them

Cause: where the bounds of both sides met, the wanted size fell from 3.6 engines to 1.3 at a demand a little higher, by needs that count a tail which can't be met.

Change: reserves shrink with what is left; beyond it the loads decide, and the urgent side gets its own up to half of the engines.

--- a/src/oleanderdyke/kernel/scheduling/pool_sizes.py
+++ b/src/oleanderdyke/kernel/scheduling/pool_sizes.py
@@ -18,7 +18,8 @@
 MIN_ENGINES = 4
 # The 95th percentile of an exponential wait in multiples of its mean.
 _TAIL = 3.0
-_MIN_USABLE = 0.1
+# For prompts that take too long to meet their target in the tail.
+_MIN_USABLE = 0.25
 # Engines; entries with nearly equal figures want equal sizes.
 _QUANTUM = 0.125
 # Engines by which a size is off before it moves: at once, and in the mean over
@@ -26,6 +27,10 @@
 _BAND = 0.75
 _MEAN_BAND = 0.6
 _MEAN_TIME: Millis = 5 * SECOND
+# Engines beyond the load of each side, if there are enough. The short side
+# bears the loss of an engine, and a size may be off by the band.
+_SHORT_RESERVE = 1 + _BAND
+_LONG_RESERVE = _BAND
 # Shares of the engines' time taken by long prompts, to form and to keep pools.
 _FORM_SHARE = 0.1
 _KEEP_SHARE = 0.05
@@ -146,14 +151,18 @@
 
 def find_wanted(load: PoolLoad) -> float:
     """Return the size of the short side that suits the load, in engines."""
-    needs = load.short.need + load.long.need
-    wanted = load.usable * load.short.need / needs if needs else 1.0
-    # A size may be off by the band. The short side bears the loss of an engine.
-    lowest = load.short.engines + 1 + _BAND
-    highest = load.usable - load.long.engines - _BAND
-    if lowest <= highest:
+    short, long, usable = load.short, load.long, load.usable
+    spare = usable - short.engines - long.engines
+    if spare > 0:
+        wanted = usable * short.need / (short.need + long.need)
+        reserve = min(spare / (_SHORT_RESERVE + _LONG_RESERVE), 1.0)
+        lowest = short.engines + _SHORT_RESERVE * reserve
+        highest = usable - long.engines - _LONG_RESERVE * reserve
         wanted = min(max(wanted, lowest), highest)
-    wanted = min(max(wanted, 1.0), load.usable - 1.0)
+    else:
+        fair = usable * short.engines / (short.engines + long.engines)
+        wanted = max(fair, min(short.engines, usable / 2))
+    wanted = min(max(wanted, 1.0), usable - 1.0)
     return round(wanted / _QUANTUM) * _QUANTUM
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -307,6 +307,24 @@
     assert all(abs(a - b) <= 1 for a, b in pairwise(entry.sizes))
 
 
+def test_overload_leaves_the_urgent_side_its_load():
+    entry = make_entry()
+    size = entry.run(8, short=400, long=300)
+    assert size > 400 * 0.35 / 50
+    assert entry.run(8, short=6_000, long=300) >= 10
+    assert entry.sizes[-1] < 20
+
+
+@given(st.floats(10, 3_000), st.floats(30, 300))
+def test_nearly_equal_demand_wants_nearly_equal_sizes(short, long):
+    sizes = []
+    for factor in (1.0, 1.01):
+        entry = make_entry()
+        entry.run(8, short=short * factor, long=long)
+        sizes.append(entry.sizes[-1])
+    assert abs(sizes[0] - sizes[1]) <= 1
+
+
 @given(st.integers(1, 60), st.integers(30, 90))
 def test_both_sides_have_engines_for_their_load_where_there_is_room(
     short, long
