--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -293,8 +293,7 @@
         entry.price('long', other, missing=0) == 0 == entry.price('long', own)
     )
     entry.run(0.25, short=600)
-    entry.work.clear()
-    assert entry.price('long', other) > idle + 600
+    assert entry.price('long', other, missing=0) == 600
 
 
 @given(st.lists(st.tuples(*[st.floats(0, 3_000)] * 2), max_size=20))
@@ -307,6 +306,11 @@
     assert all(abs(a - b) <= 1 for a, b in pairwise(entry.sizes))
 
 
+def test_a_small_short_side_bears_the_loss_of_an_engine():
+    entry = make_entry()
+    assert entry.run(8, short=10, long=60) == 2
+
+
 def test_overload_leaves_the_urgent_side_its_load():
     entry = make_entry()
     size = entry.run(8, short=400, long=300)
