Keep the homes of shared context within the side of a call

Cause: every entry prefers two engines of all for a shared part of prompts; where these stand on the other side, long prompts are drawn to the short one.

Change: costs name the engines kept for a call, and homes are chosen among them.

The test of homes shows something only once scores with costs count the homes.

--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -43,6 +43,11 @@
         now = self._core.clock.now()
         return self.pools.find_side(call.service, start, now)
 
+    def list_pool(self, call: HostedCall) -> frozenset[ServerStart] | None:
+        """Return the engines kept for a call's kind, None without pools."""
+        now = self._core.clock.now()
+        return self.pools.list_pool(call.service, call.route.name, now)
+
     def find_costs(self, _call: HostedCall) -> Costs | None:
         """Return the costs of a call's choice, None for the usual score."""
         return None
--- a/src/oleanderdyke/kernel/scheduling/costs.py
+++ b/src/oleanderdyke/kernel/scheduling/costs.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backend import Backend
-from oleanderdyke.kernel.servers import ModelDemand
+from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Costs:
-    """Replace the usual score of engines for one call."""
+    """Replace the usual score of engines for one call.
+
+    `pool` holds the engines that are kept for its kind, None without pools.
+    """
 
     service: str
     route: str
@@ -61,6 +64,7 @@
     target: Millis
     first_byte: FirstByteEstimate
     terms: Sequence[CostTerm] = ()
+    pool: frozenset[ServerStart] | None = None
 
     def price(
         self, model: ModelDemand, *, fetched: int, missing: int
@@ -78,6 +82,14 @@
             fetched=fetched,
         )
 
+    def list_homes(self, backends: Iterable[Backend]) -> list[Backend]:
+        """Return the engines that may keep the context of such calls."""
+        return [
+            backend
+            for backend in backends
+            if self.pool is None or backend.record.start in self.pool
+        ]
+
     def estimate_first_byte(
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
--- a/src/oleanderdyke/kernel/scheduling/placement.py
+++ b/src/oleanderdyke/kernel/scheduling/placement.py
@@ -67,6 +67,9 @@
 class EngineCosts(Protocol):
     """Costs of engines that replace the usual score of a call."""
 
+    def list_homes(self, backends: Iterable[Backend]) -> list[Backend]:
+        """Return the engines that may keep the context of such calls."""
+
     def price(
         self, model: ModelDemand, *, fetched: int, missing: int
     ) -> PricedCall:
@@ -328,8 +331,11 @@
         return _Terms()
     older = _find_older(demand, demand.model, usable)
     share = 1 - len(older) / len(usable)
+    homes = usable
+    if demand.costs is not None:
+        homes = demand.costs.list_homes(usable)
     return _Terms(
-        cache_servers=_find_cache_servers(demand.model, usable),
+        cache_servers=_find_cache_servers(demand.model, homes),
         older=older,
         old_weights_cost=_OLD_WEIGHTS_COST
         if demand.random_value < share
--- a/src/oleanderdyke/kernel/scheduling/pools.py
+++ b/src/oleanderdyke/kernel/scheduling/pools.py
@@ -147,6 +147,21 @@
             self._update_members(service, parting, now)
         return Side.SHORT if start in parting.members else Side.LONG
 
+    def list_pool(
+        self, service: str, route: str, now: Millis
+    ) -> frozenset[ServerStart] | None:
+        """Return the engines kept for a route, None without pools."""
+        parting = self._partings.get(service)
+        if parting is None or not parting.size.engines:
+            return None
+        is_long = route in parting.long_routes
+        kept = Side.LONG if is_long else Side.SHORT
+        return frozenset(
+            backend.record.start
+            for backend in self._engines.list_usable(service, now)
+            if self.find_side(service, backend.record.start, now) is kept
+        )
+
     def find_cost(
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
