Compute both sides once per choice

Cause: the engines of a service were listed twice per choice, for the cost and for the homes.

Change: a parting holds both sides at the time of the choice.

--- a/src/oleanderdyke/kernel/scheduling/pools.py
+++ b/src/oleanderdyke/kernel/scheduling/pools.py
@@ -60,13 +60,15 @@
 class _Parting:
     """Hold the parting of one service.
 
-    `members` are the engines of the short side at `members_at`.
+    `members` are the engines of the short side at `members_at`, `others` the
+    remaining usable ones.
     """
 
     size: PoolSize = field(default_factory=PoolSize)
     long_routes: frozenset[str] = frozenset()
     load: PoolLoad = field(default_factory=PoolLoad)
     members: frozenset[ServerStart] = frozenset()
+    others: frozenset[ServerStart] = frozenset()
     members_at: Millis = -math.inf
 
     @property
@@ -140,27 +142,21 @@
         self, service: str, start: ServerStart, now: Millis
     ) -> Side | None:
         """Return the side of an engine, None without pools."""
-        parting = self._partings.get(service)
-        if parting is None or not parting.size.engines:
+        parting = self._find_parted(service, now)
+        if parting is None:
             return None
-        if parting.members_at != now:
-            self._update_members(service, parting, now)
         return Side.SHORT if start in parting.members else Side.LONG
 
     def list_pool(
         self, service: str, route: str, now: Millis
     ) -> frozenset[ServerStart] | None:
         """Return the engines kept for a route, None without pools."""
-        parting = self._partings.get(service)
-        if parting is None or not parting.size.engines:
+        parting = self._find_parted(service, now)
+        if parting is None:
             return None
-        is_long = route in parting.long_routes
-        kept = Side.LONG if is_long else Side.SHORT
-        return frozenset(
-            backend.record.start
-            for backend in self._engines.list_usable(service, now)
-            if self.find_side(service, backend.record.start, now) is kept
-        )
+        if route in parting.long_routes:
+            return parting.others
+        return parting.members
 
     def find_cost(
         self, call: PricedCall, backend: Backend, now: Millis
@@ -189,12 +185,23 @@
         parting.members_at = -math.inf
         return parting.size.step(parting.load, now)
 
+    def _find_parted(self, service: str, now: Millis) -> _Parting | None:
+        """Return the parting with its current members, None without pools."""
+        parting = self._partings.get(service)
+        if parting is None or not parting.size.engines:
+            return None
+        if parting.members_at != now:
+            self._update_members(service, parting, now)
+        return parting
+
     def _update_members(
         self, service: str, parting: _Parting, now: Millis
     ) -> None:
         usable = self._engines.list_usable(service, now)
         size = max(min(parting.size.engines, len(usable) - 1), 0)
         parting.members = find_members(service, usable, size)
+        starts = frozenset(backend.record.start for backend in usable)
+        parting.others = starts - parting.members
         parting.members_at = now
 
     def _is_full(
