Count the runs of a side by those in flight

Cause: callers announce the most that an answer may have; sizes that took it for the length gave short prompts 8 of 16 engines, and long ones came late.

Change: runs in flight at all entries count, up to what the announced lengths give.

--- a/src/oleanderdyke/kernel/scheduling/pool_loads.py
+++ b/src/oleanderdyke/kernel/scheduling/pool_loads.py
@@ -8,7 +8,7 @@
 
 import math
 import statistics
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from oleanderdyke.clock import Millis
@@ -23,7 +23,12 @@
 )
 from oleanderdyke.kernel.scheduling.speeds import SpeedView
 from oleanderdyke.kernel.scheduling.switch import LoadSwitch, list_streams
-from oleanderdyke.kernel.scheduling.work import Demand, WorkView
+from oleanderdyke.kernel.scheduling.work import (
+    Demand,
+    ServerWork,
+    WorkView,
+    sum_work,
+)
 
 # Long enough for the fixed parts of an estimate not to count.
 _SAMPLE_TOKENS = 1_000
@@ -46,7 +51,10 @@
         if not usable or not is_known:
             return PoolLoad(usable=len(usable), is_known=is_known)
         power = self._find_power(service, usable, now)
-        short, long = self._sum_sides(service, now)
+        work = sum_work(
+            self.view.find_work(each.record.start, now) for each in usable
+        )
+        short, long = self._sum_sides(service, work, now)
         return PoolLoad(
             usable=len(usable),
             short=find_load(short, power),
@@ -76,26 +84,31 @@
         )
 
     def _sum_sides(
-        self, service: str, now: Millis
+        self, service: str, work: ServerWork, now: Millis
     ) -> tuple[SideDemand, SideDemand]:
         """Return the demand of the short and of the long side."""
         demands = self.view.list_demand(service, now)
         long_routes = self.switch.list_long(service)
         short, long = [], []
         for route in list_streams(self.deployment, service):
+            found = [each for each in demands if each.route == route.name]
             if route.name in long_routes:
-                long.append(self._sum_route(route, demands, route.target))
+                long.append(self._sum_route(route, found, route.target))
             else:
                 limit = min(_list_limits(route))
-                short.append(self._sum_route(route, demands, limit))
-        return sum_demand(short), sum_demand(long)
+                short.append(self._sum_route(route, found, limit))
+        short_runs = work.runs - work.long_runs
+        return (
+            sum_demand(short, short_runs),
+            sum_demand(long, work.long_runs),
+        )
 
     def _sum_route(
-        self, route: Route, demands: Iterable[Demand], limit: Millis
+        self, route: Route, found: Sequence[Demand], limit: Millis
     ) -> SideDemand:
-        found = [each for each in demands if each.route == route.name]
         return SideDemand(
             arrived=sum(each.arrived for each in found),
+            admitted=sum(each.admitted for each in found),
             unread=sum(each.unread for each in found),
             output=sum(each.output for each in found),
             prompt=self.switch.find_length(route.name) or 0.0,
--- a/src/oleanderdyke/kernel/scheduling/pool_sizes.py
+++ b/src/oleanderdyke/kernel/scheduling/pool_sizes.py
@@ -77,16 +77,19 @@
 class SideDemand:
     """Sum up the demand for one side.
 
-    Requests that arrive, prompt tokens to prefill and output tokens to generate
-    are rates per second. `prompt` is the mean length of a prompt in tokens,
-    `limit` the time in which a prompt has to be read.
+    Requests that arrive and that are admitted, prompt tokens to prefill and
+    output tokens to generate at most are rates per second. `prompt` is the mean
+    length of a prompt in tokens, `limit` the time in which it has to be read.
+    `runs` counts the requests in flight.
     """
 
     arrived: float = 0.0
+    admitted: float = 0.0
     unread: float = 0.0
     output: float = 0.0
     prompt: float = 0.0
     limit: Millis = math.inf
+    runs: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,13 +125,12 @@
     if not demand.arrived:
         return SideLoad()
     output = demand.output / demand.arrived
-    seats = power.count_seats(demand.prompt + output)
+    # An answer has on average half of its maximum length.
+    seats = power.count_seats(demand.prompt + output / 2)
     read_time = demand.unread / demand.arrived * power.read
-    # The runs of a full batch share each step.
-    step = 0.0 if math.isinf(seats) else power.step / seats
-    busy = (demand.unread * power.read + demand.output * step) / SECOND
-    runs = demand.arrived * (read_time + output * power.step) / SECOND
-    engines = max(busy, runs / seats)
+    most_runs = demand.arrived * (read_time + output * power.step) / SECOND
+    runs = min(most_runs, _count_wanted_runs(demand))
+    engines = max(demand.unread * power.read / SECOND, runs / seats)
     usable = max(1 - _TAIL * read_time / demand.limit, _MIN_USABLE)
     return SideLoad(engines, engines / usable, read_time)
 
@@ -207,14 +209,26 @@
         return self.engines + (1 if off > 0 else -1)
 
 
-def sum_demand(demands: Sequence[SideDemand]) -> SideDemand:
-    """Sum up the demand of several routes, with the tightest limit."""
+def sum_demand(demands: Sequence[SideDemand], runs: float) -> SideDemand:
+    """Sum up the demand of routes with so many requests in flight.
+
+    The tightest limit holds for all.
+    """
     arrived = sum(each.arrived for each in demands)
     prompts = sum(each.prompt * each.arrived for each in demands)
     return SideDemand(
         arrived=arrived,
+        admitted=sum(each.admitted for each in demands),
         unread=sum(each.unread for each in demands),
         output=sum(each.output for each in demands),
         prompt=prompts / arrived if arrived else 0.0,
         limit=min((each.limit for each in demands), default=math.inf),
+        runs=runs,
     )
+
+
+def _count_wanted_runs(demand: SideDemand) -> float:
+    """Return the requests in flight as if none had been refused."""
+    if not demand.admitted:
+        return math.inf
+    return demand.runs * max(demand.arrived / demand.admitted, 1.0)
