--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -10,12 +10,14 @@
 import anyio
 
 from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.pools import UsableEngines, follow_demand
 from oleanderdyke.entry.hosted.speed_samples import SpeedSampler
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.scheduling.costs import Costs, CostTerm
 from oleanderdyke.kernel.scheduling.demand_meter import DemandKey, DemandMeter
 from oleanderdyke.kernel.scheduling.learned_speeds import LearnedSpeeds
 from oleanderdyke.kernel.scheduling.placement import Choice
+from oleanderdyke.kernel.scheduling.pools import Pools
 from oleanderdyke.kernel.scheduling.scoring import (
     MAX_VIEW_AGE,
     HoldUpCost,
@@ -23,6 +25,7 @@
     SampledDraw,
     WorkEstimate,
 )
+from oleanderdyke.kernel.scheduling.switch import LoadSwitch
 from oleanderdyke.kernel.scheduling.work import WorkView
 from oleanderdyke.kernel.scheduling.work_account import WorkAccount
 from oleanderdyke.kernel.scheduling.work_reports import ReportSource
@@ -37,7 +40,7 @@
 class Scheduler:
     """Hold the parts that decide under load."""
 
-    def __init__(self, core: HostedCore) -> None:
+    def __init__(self, core: HostedCore, switch: LoadSwitch) -> None:
         self._core = core
         own = core.peers.own
         self.speeds = LearnedSpeeds(core.settings.regions)
@@ -46,6 +49,9 @@
         self.meter = DemandMeter()
         self.table = WorkTable(own.name, self.account, self.meter)
         self.view: WorkView = self.table
+        self.pools = Pools(
+            UsableEngines(core), switch, view=self.view, speeds=self.speeds
+        )
         self._source = ReportSource(
             own.name,
             own.data_centre,
@@ -57,12 +63,19 @@
     def configure(self, deployment: Deployment) -> None:
         """Apply a new configuration."""
         self.speeds.configure(deployment)
+        self.pools.configure(deployment)
 
     async def run(self) -> None:
+        """Exchange news and follow the demand until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._exchange_work)
+            tasks.start_soon(follow_demand, self._core, self.pools)
+
+    async def _exchange_work(self) -> None:
         """Exchange news with other entries until cancelled."""
         core = self._core
         if not core.peers.own.address:
-            await anyio.sleep_forever()
+            return
         module = import_module('oleanderdyke.links.work_exchange')
         exchange = module.WorkExchange(
             core.peers.own,
@@ -75,6 +88,11 @@
         )
         await exchange.run(core.peers.desk, core.peers.make_hello, core.random)
 
+    def find_side(self, call: HostedCall, start: ServerStart) -> str | None:
+        """Return the pool of an engine, None without pools."""
+        now = self._core.clock.now()
+        return self.pools.find_side(call.service, start, now)
+
     def record_arrival(self, call: HostedCall, model: ModelDemand) -> None:
         """Record a request of a caller before a server is chosen."""
         self.meter.record_arrival(
@@ -116,7 +134,8 @@
     def find_costs(self, call: HostedCall) -> Costs | None:
         """Return the costs of a call's choice, None for the usual score."""
         core = self._core
-        age = self.view.find_age(core.clock.now())
+        now = core.clock.now()
+        age = self.view.find_age(now)
         return Costs(
             service=call.service,
             route=call.route.name,
@@ -129,6 +148,7 @@
             ),
             terms=self._make_terms(call),
             draw=SampledDraw(core.random),
+            pool=self.pools.list_pool(call.service, call.route.name, now),
         )
 
     def describe_choice(self, choice: Choice) -> Mapping[str, LogValue]:
@@ -149,15 +169,16 @@
         return (
             HoldUpCost(self.view, self.speeds),
             MemoryCost(self.view, self.speeds, capacity),
+            self.pools,
         )
 
     def _count_entries(self) -> int:
         return len(self._core.entries.list_known())
 
 
-def make_scheduler(core: HostedCore) -> Scheduler:
+def make_scheduler(core: HostedCore, switch: LoadSwitch) -> Scheduler:
     """Build the scheduler of an entry."""
-    return Scheduler(core)
+    return Scheduler(core, switch)
 
 
 def _make_key(call: HostedCall) -> DemandKey:
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -18,6 +18,7 @@
     from oleanderdyke.kernel.scheduling.costs import Costs
     from oleanderdyke.kernel.scheduling.placement import Choice
     from oleanderdyke.kernel.scheduling.switch import LoadSwitch
+    from oleanderdyke.kernel.servers import ServerStart
     from oleanderdyke.logs import LogValue
 
 _PERIOD: Millis = 100.0
@@ -50,7 +51,7 @@
         while core.deployment is None or not switch.may_be_needed:
             await anyio.sleep(_PERIOD / SECOND)
         module = import_module('oleanderdyke.entry.hosted.scheduler')
-        scheduler: Scheduler = module.make_scheduler(core)
+        scheduler: Scheduler = module.make_scheduler(core, switch)
         scheduler.configure(core.deployment)
         self.scheduler = scheduler
         await scheduler.run()
@@ -85,6 +86,11 @@
         scheduler = self.find_scheduler(call)
         return {} if scheduler is None else scheduler.describe_choice(choice)
 
+    def find_side(self, call: HostedCall, start: ServerStart) -> str | None:
+        """Return the pool of an engine, None for a call served as usual."""
+        scheduler = self.find_scheduler(call)
+        return None if scheduler is None else scheduler.find_side(call, start)
+
     def find_costs(self, call: HostedCall) -> Costs | None:
         """Return the costs of a call's choice, None for the usual score."""
         scheduler = self.find_scheduler(call)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -77,6 +77,7 @@
     BACKEND_BACKOFF = 'backend_backoff'
     BACKEND_SLOW = 'backend_slow'
     BACKEND_RECOVERED = 'backend_recovered'
+    POOLS_CHANGED = 'pools_changed'
     ORDER_SENT = 'order_sent'
     ORDER_REFUSED = 'order_refused'
     ORDER_DONE = 'order_done'
@@ -178,6 +179,7 @@
     SIGNAL = 'signal'
     WORK_AGE = 'work_age'
     UNREAD = 'unread'
+    SIDE = 'side'
 
 
 def find_level(event: EventName) -> Level:
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -68,6 +68,7 @@
     WEIGHTS_HELD = 'weights_held'
     PREFILL_RATE = 'prefill_rate'
     WORK_AGE = 'work_age'
+    POOL_SIZE = 'pool_size'
 
 
 _SERVICE = 'service'
@@ -106,6 +107,7 @@
     Gauge.WEIGHTS_HELD: _MODEL,
     Gauge.PREFILL_RATE: _SERVICE,
     Gauge.WORK_AGE: _NONE,
+    Gauge.POOL_SIZE: 'service and side of its engines',
 }
 
 
