Admit by rank, team and time left where a service lacks room

Cause: refusals were lots by the state of one engine, blind to rank, team and what other entries admit. Change: shares by rank and team from the demand at all entries, turns at each entry, a bounded wait, retry times spread over when the share has room, and answer lengths learned from answers that ended. It takes effect once a view of the demand is there.

--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -0,0 +1,240 @@
+"""Admit the calls of one entry by what all entries ask of a service."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
+
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.entry.hosted.call import HostedCall
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.entry.hosted.selection import Rejection, RetryDelay
+from oleanderdyke.errors import ErrorKind
+from oleanderdyke.events import EventName
+from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.deployment import Deployment
+from oleanderdyke.kernel.scheduling.admission import (
+    Applicant,
+    ClaimantDemand,
+    Decision,
+    Refused,
+    ServiceAdmission,
+)
+from oleanderdyke.kernel.scheduling.answer_lengths import (
+    AnswerLengths,
+    EndedAnswer,
+)
+from oleanderdyke.kernel.scheduling.capacity import (
+    ServiceRoom,
+    estimate_engines,
+    measure_room,
+)
+from oleanderdyke.kernel.scheduling.fair_shares import Claimant
+from oleanderdyke.kernel.scheduling.placement import Choice, is_usable
+from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds, SpeedView
+from oleanderdyke.kernel.scheduling.wait_queue import WaitQueue
+from oleanderdyke.kernel.scheduling.work import Demand, WorkView
+from oleanderdyke.metrics import Count, Gauge
+
+_REFRESH_PERIOD: Millis = 100.0
+# Shares are given back within a second, so older news must not bind.
+_MAX_NEWS_AGE: Millis = 1 * SECOND
+# Few answers are shorter than this quantile.
+_SHORT_QUANTILE = 0.1
+
+
+class EntryAdmission:
+    """Admit, delay or refuse calls before they start."""
+
+    def __init__(
+        self, core: HostedCore, find_view: Callable[[], WorkView]
+    ) -> None:
+        self._core = core
+        self._find_view = find_view
+        self.speeds: SpeedView = ServiceSpeeds()
+        self._lengths = AnswerLengths()
+        self._queue = WaitQueue()
+        self._services: dict[str, ServiceAdmission] = {}
+        self._refreshed: dict[str, Millis] = {}
+        self._route_ranks: dict[str, int] = {}
+        self._team_ranks: dict[str, int] = {}
+
+    def configure(self, deployment: Deployment) -> None:
+        """Apply a new configuration."""
+        self._route_ranks = {
+            route.name: route.priority for route in deployment.routes
+        }
+        self._team_ranks = {
+            owner.team: owner.priority
+            for owner in deployment.key_owners.values()
+            if owner.priority is not None
+        }
+
+    def is_informed(self, now: Millis) -> bool:
+        """Return whether the demand at all entries is known."""
+        return self._find_view().find_age(now) <= _MAX_NEWS_AGE
+
+    def admit(
+        self, call: HostedCall, choice: Choice, now: Millis
+    ) -> Choice | Rejection | None:
+        """Return the choice, a rejection, or None to let the call wait."""
+        service = self._find_service(call.service, now)
+        applicant = self._describe(call, choice, now)
+        decision = service.decide(applicant, now)
+        if decision is Decision.ADMIT:
+            return choice
+        if isinstance(decision, Refused):
+            return self._reject(call, choice, decision)
+        return None
+
+    def leave(self, call: HostedCall) -> None:
+        """Remove a call that has ended or whose caller has left."""
+        self._queue.remove(call.request)
+
+    def record_answer(
+        self, call: HostedCall, events: int, duration: Millis
+    ) -> None:
+        """Learn from an answer that ended completely."""
+        demand = call.parameters.demand
+        if demand is None or not events or call.parameters.last_event:
+            return
+        announced = demand.output_tokens
+        memory = demand.memory_tokens - announced // 2 + events
+        self._lengths.record(
+            EndedAnswer(call.route.name, announced, events, duration, memory)
+        )
+
+    def _find_service(self, name: str, now: Millis) -> ServiceAdmission:
+        """Return the admission of a service, with figures of this moment."""
+        if name not in self._services:
+            self._services[name] = ServiceAdmission(
+                self._core.random, self._queue
+            )
+        service = self._services[name]
+        refreshed = self._refreshed.get(name)
+        if refreshed is None or now - refreshed >= _REFRESH_PERIOD:
+            self._refreshed[name] = now
+            self._refresh(name, service, now)
+        return service
+
+    def _refresh(
+        self, name: str, service: ServiceAdmission, now: Millis
+    ) -> None:
+        deployment, view = self._core.deployment, self._find_view()
+        if deployment is None:
+            return
+        room = measure_room(
+            self._list_usable(deployment, name, now),
+            view,
+            self.speeds,
+            deployment.find_memory_tokens(name) or 0,
+            now,
+        )
+        demands = self._sum_demands(view.list_demand(name, now), room)
+        target = _find_tightest_target(deployment, name)
+        service.update(room.find_capacity(target), demands, now)
+        self._update_gauges(name, service)
+
+    def _list_usable(
+        self, deployment: Deployment, name: str, now: Millis
+    ) -> Sequence[Backend]:
+        """Return the servers that take requests at their full rate."""
+        traits = deployment.services.get(name)
+        may_be_cold = traits is not None and traits.cold_rate > 0
+        return [
+            backend
+            for backend in self._core.backends.list_service(name, now)
+            if is_usable(backend, now)
+            and not (may_be_cold and backend.cold_until > now)
+        ]
+
+    def _sum_demands(
+        self, demands: Sequence[Demand], room: ServiceRoom
+    ) -> Mapping[Claimant, ClaimantDemand]:
+        sums: defaultdict[Claimant, ClaimantDemand] = defaultdict(
+            lambda: ClaimantDemand(0.0)
+        )
+        for demand in demands:
+            claimant = self._find_claimant(demand.route, demand.team)
+            known = sums[claimant]
+            engines = estimate_engines(demand, room, self._lengths)
+            sums[claimant] = ClaimantDemand(
+                known.engines + engines,
+                arrived=known.arrived + demand.arrived,
+                admitted=known.admitted + demand.admitted,
+            )
+        return sums
+
+    def _find_claimant(self, route: str, team: str) -> Claimant:
+        rank = self._team_ranks.get(team, self._route_ranks.get(route, 0))
+        return Claimant(rank, team)
+
+    def _describe(
+        self, call: HostedCall, choice: Choice, now: Millis
+    ) -> Applicant:
+        demand, route = call.parameters.demand, call.route.name
+        parts = () if demand is None else demand.parts
+        announced = 0 if demand is None else demand.output_tokens
+        duration = self._lengths.find_duration(
+            route, _SHORT_QUANTILE, announced
+        )
+        return Applicant(
+            request=call.request,
+            service=call.service,
+            claimant=self._find_claimant(route, call.team),
+            age=call.age,
+            expected=choice.expected,
+            left=call.deadline - now,
+            duration=duration or 0.0,
+            held=now - call.started,
+            queue=choice.waiting,
+            subject=parts[-2].name if len(parts) > 1 else '',
+            size=len(call.body),
+            is_resumed=bool(call.parameters.last_event),
+        )
+
+    def _reject(
+        self, call: HostedCall, choice: Choice, refused: Refused
+    ) -> Rejection:
+        core, rank = self._core, refused.claimant.rank
+        label = f'{refused.reason.value} {rank}'
+        core.metrics.add(Count.ADMISSION_REFUSALS, label=label)
+        server = choice.backend.record.server
+        core.log.write(
+            EventName.ADMISSION_REFUSED,
+            request=call.request,
+            service=call.service,
+            team=call.team or None,
+            peer=server,
+            reason=refused.reason.value,
+            rank=rank,
+            share=round(refused.share, 3),
+            use=round(refused.use, 2),
+            expected=round(choice.expected, 1),
+            waiting=choice.waiting,
+            limit=round(call.deadline - core.clock.now()),
+            retry_after=round(refused.retry_after),
+        )
+        reason = (
+            f'{refused.reason.value}: {refused.share:.2f} of the requests of '
+            f'rank {rank} are admitted, demand is {refused.use:.2f} of capacity'
+        )
+        delay = RetryDelay(refused.retry_after, refused.retry_after)
+        return Rejection(ErrorKind.OVERLOADED, reason, delay, server)
+
+    def _update_gauges(self, name: str, service: ServiceAdmission) -> None:
+        metrics = self._core.metrics
+        for rank, use in service.find_rank_use().items():
+            metrics.set_gauge(Gauge.RANK_USE, use, f'{name} {rank}')
+        metrics.set_gauge(Gauge.ADMISSION_WAITING, len(self._queue))
+
+
+def _find_tightest_target(deployment: Deployment, service: str) -> Millis:
+    return min(
+        (
+            route.target
+            for route in deployment.routes
+            if any(share.service == service for share in route.shares)
+        ),
+        default=0.0,
+    )
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -15,7 +15,7 @@
 from oleanderdyke.entry.hosted.call import HostedCall
 from oleanderdyke.entry.hosted.call_log import CallLog, Progress
 from oleanderdyke.entry.hosted.core import HostedCore
-from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.entry.hosted.events import EVENT_END, EventSplitter
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.hosted.selection import (
     RETRY_DELAY,
@@ -91,6 +91,7 @@
         self._chosen_at: Millis = 0.0
         self._splitter = _make_splitter(call)
         self._first_byte: Millis | None = None
+        self._event_count = 0
         # The server that had the request last, or was considered last.
         self._last_server: str | None = None
         self._retry_delay = RETRY_DELAY
@@ -246,6 +247,7 @@
     async def _deliver_chunk(self, action: DeliverChunk) -> None:
         if self._first_byte is None:
             self._first_byte = self._core.clock.now() - self._call.started
+        self._event_count += action.data.count(EVENT_END)
         await self._reply.send(action.data)
 
     async def _deliver_end(self, _: DeliverEnd) -> None:
@@ -293,6 +295,9 @@
             core.metrics.time(
                 Timing.FIRST_TOKEN, self._first_byte, call.service
             )
+            core.scheduling.record_answer(
+                call, self._event_count, duration - self._first_byte
+            )
         progress = self._find_progress()
         self._call_log.log_finished(self._reply.status, duration, progress)
 
@@ -300,6 +305,7 @@
         return Progress(self._last_server, self._first_byte)
 
     def _clean_up(self) -> None:
+        self._core.scheduling.record_left(self._call)
         for timer in self._timers:
             timer.cancel()
         if self._attempt is not None:
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-_END = b'\n\n'
+EVENT_END = b'\n\n'
 _ID = b'id:'
 
 
@@ -41,10 +41,10 @@
         """Add data, and yield events that are complete and not yet seen."""
         self._pending += data
         while True:
-            end = self._pending.find(_END)
+            end = self._pending.find(EVENT_END)
             if end < 0:
                 return
-            end += len(_END)
+            end += len(EVENT_END)
             event = bytes(self._pending[:end])
             del self._pending[:end]
             number = _read_number(event)
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from oleanderdyke.entry.hosted.admission import EntryAdmission
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.scheduling.costs import Costs
@@ -21,9 +22,11 @@
     def __init__(self, core: HostedCore) -> None:
         self._core = core
         self.view: WorkView = NoWorkView()
+        self.admission = EntryAdmission(core, lambda: self.view)
 
     def configure(self, deployment: Deployment) -> None:
         """Apply a new configuration."""
+        self.admission.configure(deployment)
 
     async def run(self) -> None:
         """Exchange news with other entries until cancelled."""
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -66,6 +66,18 @@
         if demand is not None and self._switch is not None:
             self._switch.record_prompt(call.route.name, demand)
 
+    def record_answer(
+        self, call: HostedCall, events: int, duration: Millis
+    ) -> None:
+        """Record an answer that ended and the time from its first byte."""
+        if self.scheduler is not None:
+            self.scheduler.admission.record_answer(call, events, duration)
+
+    def record_left(self, call: HostedCall) -> None:
+        """Record that a request has ended or that its caller has left."""
+        if self.scheduler is not None:
+            self.scheduler.admission.leave(call)
+
     def find_costs(self, call: HostedCall) -> Costs | None:
         """Return the costs of a call's choice, None for the usual score."""
         scheduler = self.find_scheduler(call)
--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -103,7 +103,14 @@
             return self._wait_or_reject(demand, listed, now)
         if choice.is_loading and self._may_wait(now):
             return None
-        if not tried and self._is_overloaded(choice):
+        return choice if tried else self._admit(choice, now)
+
+    def _admit(self, choice: Choice, now: Millis) -> Choice | Rejection | None:
+        """Return the choice if the call may start, as `select` does."""
+        scheduler = self._core.scheduling.find_scheduler(self._call)
+        if scheduler is not None and scheduler.admission.is_informed(now):
+            return scheduler.admission.admit(self._call, choice, now)
+        if self._is_overloaded(choice):
             return _reject_overloaded(choice)
         return choice
 
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -47,6 +47,7 @@
     REQUEST_ROUTED = 'request_routed'
     REQUEST_RETRIED = 'request_retried'
     REQUEST_REFUSED = 'request_refused'
+    ADMISSION_REFUSED = 'admission_refused'
     REQUEST_FINISHED = 'request_finished'
     REQUEST_CANCELLED = 'request_cancelled'
     REQUEST_CUT = 'request_cut'
@@ -171,6 +172,9 @@
     DELAY = 'delay'
     FILL = 'fill'
     EXPECTED = 'expected'
+    RANK = 'rank'
+    SHARE = 'share'
+    USE = 'use'
     DIGEST = 'digest'
     SIGNAL = 'signal'
 
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -45,6 +45,7 @@
     RECOMPUTED_TOKENS = 'recomputed_tokens'
     LINK_BYTES = 'link_bytes'
     REFUSALS = 'refusals'
+    ADMISSION_REFUSALS = 'admission_refusals'
     RETRIES = 'retries'
     CLAIMS = 'claims'
     CONTROL_BYTES = 'control_bytes'
@@ -64,6 +65,8 @@
     READY = 'ready'
     WEIGHTS_NAMED = 'weights_named'
     WEIGHTS_HELD = 'weights_held'
+    RANK_USE = 'rank_use'
+    ADMISSION_WAITING = 'admission_waiting'
 
 
 _SERVICE = 'service'
@@ -84,6 +87,7 @@
     Count.RECOMPUTED_TOKENS: _SERVICE,
     Count.LINK_BYTES: _SERVICE,
     Count.REFUSALS: 'error kind',
+    Count.ADMISSION_REFUSALS: 'reason and rank',
     Count.RETRIES: _SERVICE,
     Count.CLAIMS: _NONE,
     Count.CONTROL_BYTES: _NONE,
@@ -98,6 +102,8 @@
     Gauge.READY: _NONE,
     Gauge.WEIGHTS_NAMED: _MODEL,
     Gauge.WEIGHTS_HELD: _MODEL,
+    Gauge.RANK_USE: 'service and rank',
+    Gauge.ADMISSION_WAITING: _NONE,
 }
 
 
--- /dev/null
+++ b/tests/test_fair_shares.py
@@ -0,0 +1,102 @@
+"""Check how capacity is divided, and what is learned of answers.
+
+The load is a burst of one kind or team that takes the room of all others.
+"""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.scheduling.answer_lengths import (
+    AnswerLengths,
+    EndedAnswer,
+)
+from oleanderdyke.kernel.scheduling.capacity import (
+    ServiceRoom,
+    estimate_engines,
+    measure_room,
+)
+from oleanderdyke.kernel.scheduling.fair_shares import (
+    Claimant,
+    divide_capacity,
+)
+from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds
+from oleanderdyke.kernel.scheduling.work import (
+    Demand,
+    NoWorkView,
+    ServerWork,
+)
+from oleanderdyke.kernel.servers import ServerRecord
+
+CLAIMANTS = st.builds(
+    Claimant, st.integers(0, 3), st.sampled_from(['red', 'blue', 'green'])
+)
+DEMANDS = st.dictionaries(CLAIMANTS, st.floats(0, 100))
+
+
+@given(st.floats(0, 200), DEMANDS)
+def test_no_team_gets_less_than_an_equal_share_of_what_its_rank_is_left(
+    capacity, demands
+):
+    shares = divide_capacity(capacity, demands)
+    assert sum(shares.values()) <= capacity * (1 + 1e-9)
+    left = capacity
+    for rank in sorted({claimant.rank for claimant in demands}):
+        members = [who for who in demands if who.rank == rank]
+        for who in members:
+            fair = min(demands[who], left / len(members))
+            assert shares[who] >= fair - 1e-6
+            assert shares[who] <= demands[who]
+        left -= sum(shares[who] for who in members)
+        wanted = sum(demands[who] for who in members)
+        assert left <= 1e-6 or sum(
+            shares[who] for who in members
+        ) == pytest.approx(wanted)
+
+
+def test_the_room_of_a_burst_after_a_quarter_of_the_engines_is_lost():
+    class View(NoWorkView):
+        def find_work(self, _start, _now):
+            return ServerWork(unread=15_000.0)
+
+    engines = [
+        Backend(ServerRecord(f'i-{number}', 'desk', 'a:1', 'hall', slots=64))
+        for number in range(20)
+    ]
+    rooms = [
+        measure_room(engines[:count], View(), ServiceSpeeds(), 40_000, 0.0)
+        for count in (20, 15)
+    ]
+    assert [room.engines for room in rooms] == [20, 15]
+    assert rooms[0].backlog == pytest.approx(300.0)
+    assert [room.find_capacity(400.0) for room in rooms] == [20.0, 15.0]
+    # Prompts in flight beyond the target are read before new ones.
+    assert rooms[1].find_capacity(200.0) == pytest.approx(15 * 0.95)
+
+
+def test_demand_is_counted_by_time_or_by_memory():
+    room = ServiceRoom(20, read_time=0.02, step=5.0, slots=64, memory=40_000)
+    lengths = AnswerLengths()
+    demand = Demand('desk', 'long', 'red', 30.0, 30.0, 180_000.0, 640.0)
+    assert estimate_engines(demand, room, lengths) == pytest.approx(3.65)
+    for _ in range(8):
+        lengths.record(EndedAnswer('long', 20, 40, 2_000.0, 8_000))
+    assert estimate_engines(demand, room, lengths) == pytest.approx(12.0)
+
+
+def test_lengths_follow_answers_instead_of_what_callers_announce():
+    lengths = AnswerLengths()
+    assert lengths.find_ratio('long') == 1.0
+    assert lengths.find_duration('long', 0.5) is None
+    for number in range(64):
+        announced = 10 if number % 2 else 100
+        lengths.record(
+            EndedAnswer('long', announced, 2 * announced, announced * 5.0, 900)
+        )
+    assert lengths.find_ratio('long') == pytest.approx(2.0)
+    assert lengths.find_duration('long', 0.5, 10) == 50.0
+    assert lengths.find_duration('long', 0.5, 100) == 500.0
+    assert lengths.find_duration('long', 0.5, 4_000) in {50.0, 500.0}
