Test an entry that refuses by shares, and show operators its log line

Cause: the wiring from a refused call to its cause was untested. Change: a test of one entry with a view of the demand, and the line as logged. Result: fails where the entry ignores the view.

--- /dev/null
+++ b/tests/test_hosted_admission.py
@@ -0,0 +1,93 @@
+"""An entry refuses by shares while a service lacks room.
+
+The load is a burst of one team on a route that is less urgent than another.
+"""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from oleanderdyke.kernel.scheduling.work import Demand, ServerWork
+from oleanderdyke.metrics import Count
+from tests import hosted
+from tests.hosted import CONFIGURATION, MODEL, STREAM_ROUTE
+from tests.test_hosted_log import list_events
+
+SHORT = {**STREAM_ROUTE, 'name': 'short', 'pathPrefix': '/s/', 'priority': 0}
+LONG = {
+    **STREAM_ROUTE,
+    'name': 'long',
+    'pathPrefix': '/l/',
+    'targetLatencyMs': 800,
+}
+DESK = {'name': 'desk', 'maxConnections': 96, 'engine': {'kvCapacity': 40_000}}
+MODELS = [{'name': MODEL, 'version': 1, 'adapters': []}]
+
+pytestmark = pytest.mark.anyio
+
+
+class View:
+    """Show demand of the long route for ten times what one engine reads."""
+
+    age = 0.0
+
+    def find_work(self, _start, _now):
+        return ServerWork()
+
+    def list_demand(self, service, _now):
+        rate = {'arrived': 50.0, 'unread': 500_000.0}
+        return [Demand(service, 'long', 'red', **rate)]
+
+    def find_age(self, _now):
+        return self.age
+
+
+async def ask(stage, route, tokens):
+    return await stage.call(
+        f'/{route}/1',
+        oleanderdyke_model=MODEL,
+        oleanderdyke_token_usage=f'{tokens},10',
+    )
+
+
+async def answer_full(peer):
+    """Answer, and report that requests wait."""
+    await peer.answer(200, b'done', oleanderdyke_instance_load='6,2,6')
+
+
+async def test_a_team_beyond_its_share_is_refused_with_the_cause(tmp_path):
+    configuration = {
+        **CONFIGURATION,
+        'routes': [SHORT, LONG],
+        'services': [DESK],
+    }
+    async with hosted.staging(
+        tmp_path, answer_full, configuration=configuration, models=MODELS
+    ) as stage:
+        with anyio.fail_after(5):
+            while stage.core.scheduling.scheduler is None:
+                await anyio.sleep(0.05)
+        scheduler = stage.core.scheduling.scheduler
+        # Without news of other entries, nobody is refused by shares.
+        for _ in range(4):
+            for route, tokens in (('s', 100), ('l', 1_000)):
+                assert (await ask(stage, route, tokens)).status == 200
+        scheduler.view = View()
+        answers = [await ask(stage, 'l', 1_000) for _ in range(10)]
+        urgent = [await ask(stage, 's', 100) for _ in range(4)]
+        refused = [each for each in answers if each.status == 503]
+        assert len(refused) >= 8
+        assert all(float(each.headers['retry-after']) > 0 for each in refused)
+        assert len(stage.replicas[0].received) == 8 + 10 - len(refused) + 4
+        assert [each.status for each in urgent] == [200] * 4
+        scheduler.view.age = 1_500.0
+        assert (await ask(stage, 'l', 1_000)).status == 200
+        found = list_events(stage.log, 'admission_refused')
+    assert len(found) == len(refused)
+    line = found[0]
+    assert (line['request'], line['team']) == ('req-1', 'red')
+    assert (line['reason'], line['rank']) == ('share', '2')
+    assert float(line['use']) > 5
+    count = stage.core.metrics.read_count(Count.ADMISSION_REFUSALS, 'share 2')
+    assert count == len(refused)
