Read view and speeds of admission from the scheduler

Cause: speeds learned by other parts would not have reached the capacity. Change: the scheduler itself is the source of both.

--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
+from typing import Protocol
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.call import HostedCall
@@ -31,7 +32,7 @@
 )
 from oleanderdyke.kernel.scheduling.fair_shares import Claimant
 from oleanderdyke.kernel.scheduling.placement import Choice, is_usable
-from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds, SpeedView
+from oleanderdyke.kernel.scheduling.speeds import SpeedView
 from oleanderdyke.kernel.scheduling.wait_queue import WaitQueue
 from oleanderdyke.kernel.scheduling.work import Demand, WorkView
 from oleanderdyke.metrics import Count, Gauge
@@ -43,15 +44,19 @@
 _SHORT_QUANTILE = 0.1
 
 
+class Figures(Protocol):
+    """What the entry knows of the work of all entries and of speeds."""
+
+    view: WorkView
+    speeds: SpeedView
+
+
 class EntryAdmission:
     """Admit, delay or refuse calls before they start."""
 
-    def __init__(
-        self, core: HostedCore, find_view: Callable[[], WorkView]
-    ) -> None:
+    def __init__(self, core: HostedCore, figures: Figures) -> None:
         self._core = core
-        self._find_view = find_view
-        self.speeds: SpeedView = ServiceSpeeds()
+        self._figures = figures
         self._lengths = AnswerLengths()
         self._queue = WaitQueue()
         self._services: dict[str, ServiceAdmission] = {}
@@ -72,7 +77,7 @@
 
     def is_informed(self, now: Millis) -> bool:
         """Return whether the demand at all entries is known."""
-        return self._find_view().find_age(now) <= _MAX_NEWS_AGE
+        return self._figures.view.find_age(now) <= _MAX_NEWS_AGE
 
     def admit(
         self, call: HostedCall, choice: Choice, now: Millis
@@ -120,13 +125,13 @@
     def _refresh(
         self, name: str, service: ServiceAdmission, now: Millis
     ) -> None:
-        deployment, view = self._core.deployment, self._find_view()
+        deployment, view = self._core.deployment, self._figures.view
         if deployment is None:
             return
         room = measure_room(
             self._list_usable(deployment, name, now),
             view,
-            self.speeds,
+            self._figures.speeds,
             deployment.find_memory_tokens(name) or 0,
             now,
         )
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -10,6 +10,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.scheduling.costs import Costs
+from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds, SpeedView
 from oleanderdyke.kernel.scheduling.work import NoWorkView, WorkView
 
 if TYPE_CHECKING:
@@ -22,7 +23,8 @@
     def __init__(self, core: HostedCore) -> None:
         self._core = core
         self.view: WorkView = NoWorkView()
-        self.admission = EntryAdmission(core, lambda: self.view)
+        self.speeds: SpeedView = ServiceSpeeds()
+        self.admission = EntryAdmission(core, self)
 
     def configure(self, deployment: Deployment) -> None:
         """Apply a new configuration."""
