--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from oleanderdyke.entry.hosted.admission import EntryAdmission
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.pools import UsableEngines, follow_demand
 from oleanderdyke.entry.hosted.speed_samples import SpeedSampler
@@ -52,6 +53,7 @@
         self.pools = Pools(
             UsableEngines(core), switch, view=self.view, speeds=self.speeds
         )
+        self.admission = EntryAdmission(core, self)
         self._source = ReportSource(
             own.name,
             own.data_centre,
@@ -64,6 +66,7 @@
         """Apply a new configuration."""
         self.speeds.configure(deployment)
         self.pools.configure(deployment)
+        self.admission.configure(deployment)
 
     async def run(self) -> None:
         """Exchange news and follow the demand until cancelled."""
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -45,6 +45,7 @@
     RECOMPUTED_TOKENS = 'recomputed_tokens'
     LINK_BYTES = 'link_bytes'
     REFUSALS = 'refusals'
+    ADMISSION_REFUSALS = 'admission_refusals'
     RETRIES = 'retries'
     CLAIMS = 'claims'
     CONTROL_BYTES = 'control_bytes'
@@ -69,6 +70,8 @@
     PREFILL_RATE = 'prefill_rate'
     WORK_AGE = 'work_age'
     POOL_SIZE = 'pool_size'
+    RANK_USE = 'rank_use'
+    ADMISSION_WAITING = 'admission_waiting'
 
 
 _SERVICE = 'service'
@@ -89,6 +92,7 @@
     Count.RECOMPUTED_TOKENS: _SERVICE,
     Count.LINK_BYTES: _SERVICE,
     Count.REFUSALS: 'error kind',
+    Count.ADMISSION_REFUSALS: 'reason and rank',
     Count.RETRIES: _SERVICE,
     Count.CLAIMS: _NONE,
     Count.CONTROL_BYTES: _NONE,
@@ -108,6 +112,8 @@
     Gauge.PREFILL_RATE: _SERVICE,
     Gauge.WORK_AGE: _NONE,
     Gauge.POOL_SIZE: 'service and side of its engines',
+    Gauge.RANK_USE: 'service and rank',
+    Gauge.ADMISSION_WAITING: _NONE,
 }
 
 
