Copy runs to a second engine while they grow

Cause: an engine that crashes cuts its streams for good where they may not be repeated.

Change: which streams get a copy and where (kernel/scheduling/run_copies.py); a run that is lost for certain goes on at its copy, once, in the same response. Takes effect only where scheduling is on and engines have backups.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -54,6 +54,9 @@
         self._listener: AnswerListener | None = None
         self._transport: asyncio.Transport | None = None
         self.idle_since = 0.0
+        # The server or its machine has closed the connection, unlike one that
+        # stopped acknowledging, which may be behind a cut link.
+        self.was_closed_by_peer = False
         self.idle_limit: Millis = _DEFAULT_KEEP_ALIVE * _IDLE_SHARE
 
     @property
@@ -101,6 +104,7 @@
         """End an answer that is delimited by the close of the connection."""
         if self._listener is None:
             return None
+        self.was_closed_by_peer = True
         try:
             self._http.receive_data(b'')
             self._take_events()
@@ -110,6 +114,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss to the listener of the running request."""
+        if exc is None or isinstance(exc, ConnectionError):
+            self.was_closed_by_peer = True
         reason = 'closed' if exc is None else type(exc).__name__
         self._fail(f'the connection was lost: {reason}')
 
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from oleanderdyke.clients.direct import (
     BackendConnection,
@@ -38,6 +39,7 @@
     SendDispatch,
 )
 from oleanderdyke.kernel.backend import Backend, PendingAttempt
+from oleanderdyke.kernel.context_stores import NO_CONTEXTS
 from oleanderdyke.kernel.servers import AnswerMetadata, ServerStart
 from oleanderdyke.kernel.weight_versions import (
     CANCEL_MARGIN,
@@ -56,7 +58,12 @@
     encode_request,
 )
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.copies import CallCopies
+
 _SERVER_ERROR = 500
+# An engine that goes on from a copy sends events after this one.
+_NO_EVENT = 0
 # Bodies up to this size in bytes are buffered until they are complete, so that
 # a truncated one can be retried and never reaches the caller.
 _BUFFER_LIMIT = 256 * 1024
@@ -81,12 +88,14 @@
         inbox: Inbox,
         splitter: EventSplitter | None,
         reserve_retry: Callable[[], bool],
+        copies: CallCopies | None = None,
     ) -> None:
         self._core = core
         self._call = call
         self._inbox = inbox
         self._splitter = splitter
         self._reserve_retry = reserve_retry
+        self._copies = copies
         self._number = action.attempt
         self._start = start
         self._chosen_at = chosen_at
@@ -155,7 +164,10 @@
             return
         if self._core.backends.is_superseded(self._start):
             self._close_failed(
-                ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'server restarted'
+                ErrorKind.STREAM_BROKEN,
+                Ran.MAYBE,
+                'server restarted',
+                copy=self._find_copy(),
             )
 
     def cancel(self) -> None:
@@ -188,8 +200,7 @@
         if fault:
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
         elif metadata.is_not_executed:
-            self._updates.apply_refusal(metadata, self._weights)
-            self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
+            self._take_refusal(status, metadata)
         elif status >= _SERVER_ERROR and self._reserve_retry():
             self._core.backends.record_error(self._start)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.YES, f'{status}')
@@ -199,6 +210,12 @@
         else:
             self._accept(status, headers)
 
+    def _take_refusal(self, status: int, metadata: AnswerMetadata) -> None:
+        if self._copies is not None:
+            self._copies.record_refusal()
+        self._updates.apply_refusal(metadata, self._weights)
+        self._report_failure(ErrorKind.OVERLOADED, Ran.NO, f'{status}')
+
     def take_part(self, data: bytes) -> None:
         """Forward a part of the body, or buffer it until the end."""
         if self._done:
@@ -240,7 +257,24 @@
         """Report that the connection was lost before the response ended."""
         if not self._done:
             self._record_loss()
-            self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
+            copy = self._find_copy() if self._has_peer_closed() else ''
+            self._report_failure(
+                ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason, copy=copy
+            )
+
+    def _has_peer_closed(self) -> bool:
+        """Return whether the run has ended, not only its connection.
+
+        A server behind a cut link may still work on it.
+        """
+        connection = self._connection
+        return connection is not None and connection.was_closed_by_peer
+
+    def _find_copy(self) -> str:
+        """Return the server with a copy of this run, which has ended, or ''."""
+        if self._copies is None or (self._has_answered and not self._is_stream):
+            return ''
+        return self._copies.find_lost(self._attempt_id, self._splitter)
 
     def _is_continuation(self) -> bool:
         """Return whether the caller has events from an earlier attempt."""
@@ -279,6 +313,12 @@
         )
         if not may_begin(self._core, weights, FIRST_TOKEN_MARGIN + delay):
             return 'weights of the server were replaced too long ago'
+        return self._find_copy_fault(weights)
+
+    def _find_copy_fault(self, weights: Weights) -> str:
+        source = None if self._copies is None else self._copies.source
+        if source is not None and weights[source.model] != source.version:
+            return 'the copy of the run was made under other weights'
         return ''
 
     def _send(self, connection: BackendConnection, backend: Backend) -> None:
@@ -330,9 +370,12 @@
         self._weights = find_weights(call, backend)
         version = None if demand is None else self._weights[demand.model]
         salt = make_salt(call, version)
+        target, source = self._plan_copies(backend, version)
         last = (
             self._splitter.last_number if self._splitter is not None else None
         )
+        if source and last is None:
+            last = _NO_EVENT
         return Dispatch(
             server=self.server,
             wait=call.deadline - core.clock.now(),
@@ -340,10 +383,28 @@
             version=version,
             priority=None if demand is None else call.priority,
             salt=salt,
-            contexts=plan_contexts(core, call, backend, salt),
+            contexts=NO_CONTEXTS
+            if source
+            else plan_contexts(core, call, backend, salt),
             last_event='' if last is None else str(last),
+            copy_target=target,
+            copy_source=source,
         )
 
+    def _plan_copies(
+        self, backend: Backend, version: int | None
+    ) -> tuple[str, str]:
+        """Return where the run is copied to, or the copy it goes on from."""
+        copies = self._copies
+        if copies is None:
+            return '', ''
+        source = copies.source
+        target = ''
+        if source is None:
+            target = copies.ask(backend, version, self._attempt_id)
+        self._splitter = copies.find_splitter(self._splitter)
+        return target, '' if source is None else source.address
+
     def _record_metadata(self, metadata: AnswerMetadata) -> None:
         core = self._core
         core.backends.record_received(
@@ -364,6 +425,8 @@
         if self._is_stream:
             self._flush()
             self._updates.apply_stream_start()
+            if self._copies is not None:
+                self._copies.record_stream()
 
     def _flush(self) -> None:
         """Forward the head and the buffered part of the body."""
@@ -386,18 +449,22 @@
         if backend is not None:
             backend.last_heard_at = self._core.clock.now()
 
-    def _close_failed(self, kind: ErrorKind, ran: Ran, reason: str) -> None:
-        self._report_failure(kind, ran, reason)
+    def _close_failed(
+        self, kind: ErrorKind, ran: Ran, reason: str, *, copy: str = ''
+    ) -> None:
+        self._report_failure(kind, ran, reason, copy=copy)
         if self._connection is not None:
             self._connection.close()
 
-    def _report_failure(self, kind: ErrorKind, ran: Ran, reason: str) -> None:
-        self._finish()
+    def _report_failure(
+        self, kind: ErrorKind, ran: Ran, reason: str, *, copy: str = ''
+    ) -> None:
+        self._finish(is_not_run=ran is Ran.NO)
         if self._splitter is not None:
             self._splitter.discard_partial()
         self._log_broken(ran, reason)
         failed = Failed(self._call.request, self._number, kind, ran, reason)
-        self._inbox.put(MessageReceived(failed))
+        self._inbox.put(MessageReceived(failed, copy))
 
     def _report_unsent(self, reason: str) -> None:
         self._done = True
@@ -414,8 +481,10 @@
             reason=reason,
         )
 
-    def _finish(self) -> None:
+    def _finish(self, *, is_not_run: bool = False) -> None:
         self._done = True
+        if self._copies is not None:
+            self._copies.end(self._attempt_id, is_not_run=is_not_run)
         if self._sent:
             self._core.backends.record_ended(
                 self._start, self._attempt_id, self._memory_tokens
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -23,6 +23,7 @@
     ServerSelector,
 )
 from oleanderdyke.entry.inbox import Inbox, Item
+from oleanderdyke.errors import ErrorKind
 from oleanderdyke.kernel.attempt_events import (
     Action,
     CallerGone,
@@ -90,6 +91,7 @@
         self._starts: dict[str, ServerStart] = {}
         self._chosen_at: Millis = 0.0
         self._splitter = _make_splitter(call)
+        self._copies = core.scheduling.make_copies(call)
         self._first_byte: Millis | None = None
         # The server that had the request last, or was considered last.
         self._last_server: str | None = None
@@ -183,8 +185,23 @@
     async def _route(self, action: Route) -> None:
         if self._call.parameters.demand is not None:
             await self._core.contexts_ready.wait()
+        if action.copy:
+            self._choose_copy()
+            return
+        if self._copies is not None:
+            self._copies.leave()
         self._choose(action)
 
+    def _choose_copy(self) -> None:
+        """Go on at the engine that holds a copy of the run, if it may be."""
+        backend = None if self._copies is None else self._copies.take()
+        if backend is None:
+            reason = 'the copy of the run cannot be used'
+            refusal = Refusal(ErrorKind.STREAM_BROKEN, reason, 0.0)
+            self._inbox.put(NoRoute(refusal))
+            return
+        self._accept_server(backend, 'copy of the run')
+
     def _choose(self, action: Route) -> None:
         """Select a server, and retry later while none accepts requests."""
         if self._machine.done:
@@ -200,15 +217,17 @@
             self._use_choice(outcome)
 
     def _use_choice(self, choice: Choice) -> None:
-        record = choice.backend.record
-        self._starts[record.server] = record.start
-        core = self._core
-        self._chosen_at = core.clock.now()
-        core.limits.record_sent(choice.backend, self._chosen_at)
         self._call_log.log_routed(choice)
         reason = f'{choice.score:.1f} ms of {choice.candidates}'
+        self._accept_server(choice.backend, reason)
+
+    def _accept_server(self, backend: Backend, reason: str) -> None:
+        record, core = backend.record, self._core
+        self._starts[record.server] = record.start
+        self._chosen_at = core.clock.now()
+        core.limits.record_sent(backend, self._chosen_at)
         plan = Plan(agent=record.server, reason=reason)
-        self._inbox.put(Routed(plan, _make_replica(choice.backend)))
+        self._inbox.put(Routed(plan, _make_replica(backend)))
 
     def _reject(self, outcome: Rejection) -> None:
         self._last_server = outcome.server or self._last_server
@@ -233,6 +252,7 @@
             inbox=self._inbox,
             splitter=self._splitter,
             reserve_retry=self._machine.reserve_retry,
+            copies=self._copies,
         )
         await self._attempt.start()
 
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -20,13 +20,15 @@
 class EventSplitter:
     """Yield complete events, each number once and in ascending order.
 
-    `has_yielded` is set once any event has been yielded.
+    `has_yielded` is set once any event has been yielded, `is_numbered` while
+    all of these have numbers, by which another attempt can go on.
     """
 
     def __init__(self, last: int | None) -> None:
         self._pending = bytearray()
         self.last_number = last
         self.has_yielded = False
+        self.is_numbered = True
 
     @property
     def has_partial_event(self) -> bool:
@@ -48,7 +50,9 @@
             event = bytes(self._pending[:end])
             del self._pending[:end]
             number = _read_number(event)
-            if number is not None:
+            if number is None:
+                self.is_numbered = False
+            else:
                 if self.last_number is not None and number <= self.last_number:
                     continue
                 self.last_number = number
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -6,9 +6,11 @@
 
 import anyio
 
+from oleanderdyke.entry.hosted.copies import CallCopies, make_call_copies
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.scheduling.costs import Costs
+from oleanderdyke.kernel.scheduling.run_copies import RunCopies
 from oleanderdyke.kernel.scheduling.work import NoWorkView, WorkView
 
 if TYPE_CHECKING:
@@ -21,6 +23,7 @@
     def __init__(self, core: HostedCore) -> None:
         self._core = core
         self.view: WorkView = NoWorkView()
+        self.copies = RunCopies(core.random, lambda: self.view)
 
     def configure(self, deployment: Deployment) -> None:
         """Apply a new configuration."""
@@ -33,6 +36,10 @@
         """Return the costs of a call's choice, None for the usual score."""
         return None
 
+    def make_copies(self, call: HostedCall) -> CallCopies | None:
+        """Return the copies of a call's runs, None if it may have none."""
+        return make_call_copies(self._core, call, self.copies)
+
 
 def make_scheduler(core: HostedCore) -> Scheduler:
     """Build the scheduler of an entry."""
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from oleanderdyke.entry.hosted.call import HostedCall
+    from oleanderdyke.entry.hosted.copies import CallCopies
     from oleanderdyke.entry.hosted.core import HostedCore
     from oleanderdyke.entry.hosted.scheduler import Scheduler
     from oleanderdyke.kernel.scheduling.costs import Costs
@@ -70,3 +71,8 @@
         """Return the costs of a call's choice, None for the usual score."""
         scheduler = self.find_scheduler(call)
         return None if scheduler is None else scheduler.find_costs(call)
+
+    def make_copies(self, call: HostedCall) -> CallCopies | None:
+        """Return the copies of a call's runs, None if it may have none."""
+        scheduler = self.find_scheduler(call)
+        return None if scheduler is None else scheduler.make_copies(call)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -60,6 +60,9 @@
     ANSWER_BROKEN = 'answer_broken'
     STREAM_RESUMED = 'stream_resumed'
     STREAM_HANDED_OVER = 'stream_handed_over'
+    COPY_ASKED = 'copy_asked'
+    COPY_USED = 'copy_used'
+    COPY_MISSING = 'copy_missing'
     CLAIM_APPENDED = 'claim_appended'
     CLAIM_SETTLED = 'claim_settled'
     CLAIM_RELEASED = 'claim_released'
@@ -102,6 +105,7 @@
     EventName.PROCESS_STALLED: Level.WARNING,
     EventName.RECORD_REFUSED: Level.WARNING,
     EventName.REQUEST_REFUSED: Level.WARNING,
+    EventName.COPY_MISSING: Level.WARNING,
     EventName.LINES_DROPPED: Level.WARNING,
     EventName.LINK_REFUSED: Level.WARNING,
     EventName.MESSAGE_REFUSED: Level.WARNING,
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -128,6 +128,10 @@
         self._has_reserved_retry = False
         self._refusals = 0
         self._crashes = 0
+        # The agent where the latest attempt goes on from a copy of the run,
+        # and whether one was used before: a second one would be another run.
+        self._copy = ''
+        self._has_used_copy = False
         self._alone = facts.suspect
         self._alone_tries = 0
         self._replica_waits = 0
@@ -162,8 +166,32 @@
 
     def _route(self) -> Actions:
         self._stage = Stage.ROUTING
+        self._copy = ''
         return (Route(self._excluded, alone=self._alone),)
 
+    def _can_use_copy(self) -> bool:
+        """Return whether a lost run may go on from a copy.
+
+        By the platform's rules that is the same run, also on routes where a
+        second one is not allowed; on others it counts as a retry.
+        """
+        if self._has_used_copy or self._detached or self._stopping:
+            return False
+        return not self._facts.resumable or self._can_retry()
+
+    def _continue_at_copy(self, copy: str) -> Actions:
+        """Go on at the copy of a run that has ended, at once."""
+        self._stage = Stage.ROUTING
+        self._has_used_copy = True
+        self._copy = copy
+        if self._facts.resumable:
+            self._retries += 1
+        return (Route(self._excluded, alone=self._alone, copy=copy),)
+
+    def _must_end_without_copy(self) -> bool:
+        """Return whether a run that can't go on at its copy is lost."""
+        return bool(self._copy) and not self._facts.resumable
+
     def _dispatch(self, claim: Claim | None) -> Actions:
         routed = self._routed
         if routed is None:
--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -90,9 +90,12 @@
     """An attempt's message arrived, in order and verified.
 
     A gap or a wrong digest is reported as `Failed(STREAM_BROKEN, maybe)`.
+    `copy` names the agent that holds a copy of a failed run, which has ended
+    for certain; it is '' otherwise.
     """
 
     message: AnswerHead | AnswerChunk | AnswerEnd | Failed
+    copy: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,11 +188,13 @@
 class Route:
     """Choose a replica; report `Routed` or `NoRoute`.
 
-    `alone` prefers an idle replica. Agents in `exclude` are avoided.
+    `alone` prefers an idle replica. Agents in `exclude` are avoided. With
+    `copy`, the run goes on from its copy at that agent, and nowhere else.
     """
 
     exclude: frozenset[str] = frozenset()
     alone: bool = False
+    copy: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -136,6 +136,10 @@
     def _on_no_route(self, event: NoRoute) -> Actions:
         if self._stage is not Stage.ROUTING:
             return ()
+        if self._must_end_without_copy():
+            return self._refuse(ErrorKind.STREAM_BROKEN)
+        if self._copy:
+            return self._route()
         refusal = event.refusal
         if refusal.kind is ErrorKind.NO_REPLICA and self._can_await_replica():
             return self._await_replica()
@@ -149,7 +153,7 @@
             return ()
         match message:
             case Failed():
-                return self._on_failed(message)
+                return self._on_failed(message, event.copy)
             case AnswerEnd():
                 return self._on_end(message)
             case _:
@@ -193,7 +197,7 @@
     def _clear_suspect(self) -> Actions:
         return (ClearSuspect(self._facts.digest),) if self._alone else ()
 
-    def _on_failed(self, failed: Failed) -> Actions:
+    def _on_failed(self, failed: Failed, copy: str = '') -> Actions:
         if failed.ran is Ran.NO and self._stage is Stage.RUNNING:
             return self._after_not_run(failed)
         if self._claim is not None:
@@ -203,6 +207,9 @@
         broken = failed.kind is ErrorKind.STREAM_BROKEN
         cancel = self._make_cancel() if broken else ()
         self._record_ran(max_ran(failed.ran, Ran.MAYBE))
+        if copy and self._can_use_copy() and self._spend_retry():
+            self._exclude_current()
+            return (*cancel, *self._continue_at_copy(copy))
         return (*cancel, *self._after_unclaimed_failure(failed))
 
     def _after_unclaimed_failure(self, failed: Failed) -> Actions:
@@ -220,6 +227,8 @@
     def _after_not_run(self, failed: Failed) -> Actions:
         """Retry an attempt that the agent has proven not to have run."""
         self._mark_not_run()
+        if self._must_end_without_copy():
+            return self._refuse(ErrorKind.STREAM_BROKEN)
         if failed.kind is ErrorKind.OVERLOADED and self._alone:
             return self._retry_alone(failed.retry_after)
         if failed.kind not in _RETRY_ELSEWHERE:
@@ -257,6 +266,8 @@
         if event.attempt != self._attempt or self._stage is not Stage.RUNNING:
             return ()
         self._mark_not_run()
+        if self._must_end_without_copy():
+            return self._refuse(ErrorKind.STREAM_BROKEN)
         self._exclude_current()
         return self._retry_not_run(ErrorKind.NO_REPLICA)
 
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -58,9 +58,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineTraits:
-    """Describe the capacity of one model engine."""
+    """Describe the capacity of one model engine.
+
+    It sends `token_bytes` for each token of memory over a link of `link_mbps`;
+    both are 0 if unknown. With `backups`, it copies the memory of a run to
+    another engine while the run grows.
+    """
 
     memory_tokens: int
+    token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    backups: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -53,6 +53,9 @@
     DEPENDENCY_FAULTS = 'dependency_faults'
     ORDERS = 'orders'
     LINES_DROPPED = 'lines_dropped'
+    COPIES_ASKED = 'copies_asked'
+    COPIES_USED = 'copies_used'
+    COPIES_MISSING = 'copies_missing'
 
 
 class Gauge(enum.StrEnum):
@@ -92,6 +95,9 @@
     Count.DEPENDENCY_FAULTS: 'what was called',
     Count.ORDERS: 'what became of it',
     Count.LINES_DROPPED: _NONE,
+    Count.COPIES_ASKED: _SERVICE,
+    Count.COPIES_USED: _SERVICE,
+    Count.COPIES_MISSING: _SERVICE,
     Gauge.RUNNING: _NONE,
     Gauge.LINKS: _NONE,
     Gauge.CONFIGURATION_OFFSET: _NONE,
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -187,6 +187,9 @@
         # The wire's `kvCapacity` is the memory of an engine or the capacity of
         # a store, in tokens.
         memory_tokens=int(found.get('kvCapacity', 0)),
+        token_bytes=float(found.get('kvTokenBytes') or 0.0),
+        link_mbps=float(found.get('linkMbps') or 0.0),
+        backups=bool(found.get('backups', False)),
     )
 
 
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -24,6 +24,8 @@
 CONTEXT_SOURCE = 'oleanderdyke-kv-source'
 CONTEXT_SINK = 'oleanderdyke-kv-sink'
 CONTEXT_UNTIL = 'oleanderdyke-kv-until'
+COPY_TARGET = 'oleanderdyke-kv-backup'
+COPY_SOURCE = 'kv-from'
 
 STORE_ERA = 'store-era'
 
@@ -51,8 +53,8 @@
         CONTEXT_UNTIL,
         'oleanderdyke-hold',
         'oleanderdyke-pin-ms',
-        'oleanderdyke-kv-backup',
-        'kv-from',
+        COPY_TARGET,
+        COPY_SOURCE,
         'oleanderdyke-kv-from',
         NOT_RUN,
         SEAL,
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -64,7 +64,8 @@
     Only `server` may run the request, and only with this `version` of the
     weights. Cached context is shared only between requests with the same
     `salt`. `contexts` names the store to read each part of the prompt from, and
-    that to save it to.
+    that to save it to. The run is copied to the engine at `copy_target`, or
+    goes on from the copy of the same request at `copy_source`.
     """
 
     server: str
@@ -75,6 +76,8 @@
     salt: str = ''
     contexts: ContextPlan = NO_CONTEXTS
     last_event: str = ''
+    copy_target: str = ''
+    copy_source: str = ''
 
 
 def decode_request(headers: Headers) -> CallerRequest:
@@ -92,7 +95,11 @@
 
 def encode_request(headers: Headers, dispatch: Dispatch) -> Headers:
     """Return the headers for a backend server, without those of framing."""
-    return (*_filter_headers(headers, dispatch), *_encode_dispatch(dispatch))
+    return (
+        *_filter_headers(headers, dispatch),
+        *_encode_dispatch(dispatch),
+        *_encode_copies(headers, dispatch),
+    )
 
 
 def decode_answer(status: int, headers: Headers) -> AnswerMetadata:
@@ -177,6 +184,17 @@
         yield names.CONTEXT_SINK, ','.join(sinks)
 
 
+def _encode_copies(
+    headers: Headers, dispatch: Dispatch
+) -> Iterable[tuple[str, str]]:
+    if dispatch.copy_target:
+        yield names.COPY_TARGET, dispatch.copy_target
+    if dispatch.copy_source:
+        # A copy is named by its engine and the id of its request.
+        request = dict(headers)[names.REQUEST_ID]
+        yield names.COPY_SOURCE, f'{dispatch.copy_source}/{request}'
+
+
 def _decode_demand(model: str, found: dict[str, str]) -> ModelDemand:
     # The header holds the prompt's tokens and the maximum to generate.
     prompt, _, output = found.get(names.TOKENS, '').partition(',')
