Check copies of runs for any behaviour of engines

Change: acts of engines that crash amid an event, with a copy elsewhere or none; a run may go on at a copy once, and only after it has ended. Unsafe variants: an entry that repeats a run without a copy, joins halves of events, or goes on while the engine is silent.

Measured: tests/test_hosted_safety.py passes, with the new variants caught.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -96,6 +96,8 @@
         self._splitter = splitter
         self._reserve_retry = reserve_retry
         self._copies = copies
+        # The server with a copy of this run, once the run is lost for certain.
+        self._lost_copy = ''
         self._number = action.attempt
         self._start = start
         self._chosen_at = chosen_at
@@ -163,11 +165,9 @@
         if self._done or not self._sent:
             return
         if self._core.backends.is_superseded(self._start):
+            self._lost_copy = self._find_copy()
             self._close_failed(
-                ErrorKind.STREAM_BROKEN,
-                Ran.MAYBE,
-                'server restarted',
-                copy=self._find_copy(),
+                ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'server restarted'
             )
 
     def cancel(self) -> None:
@@ -257,10 +257,9 @@
         """Report that the connection was lost before the response ended."""
         if not self._done:
             self._record_loss()
-            copy = self._find_copy() if self._has_peer_closed() else ''
-            self._report_failure(
-                ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason, copy=copy
-            )
+            if self._has_peer_closed():
+                self._lost_copy = self._find_copy()
+            self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
     def _has_peer_closed(self) -> bool:
         """Return whether the run has ended, not only its connection.
@@ -449,22 +448,18 @@
         if backend is not None:
             backend.last_heard_at = self._core.clock.now()
 
-    def _close_failed(
-        self, kind: ErrorKind, ran: Ran, reason: str, *, copy: str = ''
-    ) -> None:
-        self._report_failure(kind, ran, reason, copy=copy)
+    def _close_failed(self, kind: ErrorKind, ran: Ran, reason: str) -> None:
+        self._report_failure(kind, ran, reason)
         if self._connection is not None:
             self._connection.close()
 
-    def _report_failure(
-        self, kind: ErrorKind, ran: Ran, reason: str, *, copy: str = ''
-    ) -> None:
+    def _report_failure(self, kind: ErrorKind, ran: Ran, reason: str) -> None:
         self._finish(is_not_run=ran is Ran.NO)
         if self._splitter is not None:
             self._splitter.discard_partial()
         self._log_broken(ran, reason)
         failed = Failed(self._call.request, self._number, kind, ran, reason)
-        self._inbox.put(MessageReceived(failed, copy))
+        self._inbox.put(MessageReceived(failed, self._lost_copy))
 
     def _report_unsent(self, reason: str) -> None:
         self._done = True
--- a/tests/hosted_runs.py
+++ b/tests/hosted_runs.py
@@ -11,6 +11,7 @@
 import anyio
 
 from tests.hosted import ReceivedAnswer
+from tests.standins.copies import CopyStore
 from tests.standins.replica import (
     Peer,
     make_answer,
@@ -42,6 +43,8 @@
     HANG = 'hang'
     STREAM = 'stream'
     STREAM_CUT = 'stream cut'
+    STREAM_HALF = 'stream half'
+    STREAM_UNCOPIED = 'stream uncopied'
     STREAM_EMPTY = 'stream empty'
     STREAM_HANG = 'stream hang'
 
@@ -51,6 +54,9 @@
     Act.FAIL: 500,
     Act.FOREIGN_REFUSAL: 503,
 }
+_CRASHES = frozenset(
+    {Act.STREAM_CUT, Act.STREAM_HALF, Act.STREAM_UNCOPIED, Act.STREAM_EMPTY}
+)
 _OTHER = {'oleanderdyke_request_id': 'of-another'}
 _INVALID_HEADERS = {
     Act.REGION: _OTHER,
@@ -61,9 +67,15 @@
 
 @dataclass
 class Run:
-    """One run of a request; `sent` is the body its server has sent."""
+    """One run of a request; `sent` is the body its server has sent.
+
+    It may go on from the copy of an earlier one, of which `open_before` had
+    not ended.
+    """
 
     sent: bytes = b''
+    goes_on: bool = False
+    open_before: int = 0
     closed: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -74,16 +86,26 @@
         self.planned_acts: dict[str, list[Act]] = {}
         self.by_request: dict[str, list[Run]] = collections.defaultdict(list)
         self._numbers = itertools.count(1)
+        self._copies = CopyStore()
 
     async def play(self, peer: Peer) -> None:
         """Perform the next act of this request, or succeed if none is left."""
         request = peer.request.headers['oleanderdyke-request-id']
+        if not self._copies.take(peer):
+            await peer.answer(503, b'none', oleanderdyke_not_executed='1')
+            return
         acts = self.planned_acts.get(request, [])
         act = acts.pop(0) if acts else self._choose_success(peer)
         if act is Act.REFUSE:
             await peer.answer(503, b'full', oleanderdyke_not_executed='1')
             return
-        run = Run()
+        if act is not Act.STREAM_UNCOPIED:
+            self._copies.save(peer)
+        before = self.by_request[request]
+        run = Run(
+            goes_on='kv-from' in peer.request.headers,
+            open_before=sum(not each.closed.is_set() for each in before),
+        )
         self.by_request[request].append(run)
         try:
             await self._perform(act, peer, run)
@@ -134,7 +156,9 @@
     for number in range(after + 1, last + 1):
         run.sent += make_event(number)
         await peer.send(make_chunk(make_event(number)))
-    if act in {Act.STREAM_CUT, Act.STREAM_EMPTY}:
+    if act is Act.STREAM_HALF:
+        await peer.send(make_chunk(make_event(last + 1)[:7]))
+    if act in _CRASHES:
         # A reset may overtake data sent before it.
         await anyio.sleep(_RESET_AFTER_SECONDS)
         peer.reset()
@@ -153,8 +177,17 @@
 
 
 def check_count(runs: list[Run], most: int) -> None:
-    """Check that no more runs were started than the route allows."""
-    assert len(runs) <= most, f'{len(runs)} runs, at most {most} allowed'
+    """Check that no more runs were started than the route allows.
+
+    One that goes on from a copy is the same run, and goes on alone.
+    """
+    began = sum(not run.goes_on for run in runs)
+    assert began <= most, f'{began} runs, at most {most} allowed'
+    continued = [run for run in runs if run.goes_on]
+    assert len(continued) <= 1, 'a request went on from copies twice'
+    assert not any(run.open_before for run in continued), (
+        'a run went on at a copy before it had ended'
+    )
 
 
 def check_response(
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -13,58 +13,38 @@
 import pytest
 
 from oleanderdyke.clients.direct import BackendConnection
-from oleanderdyke.entry.hosted.scheduler import make_scheduler
 from oleanderdyke.kernel.retries import RetrySettings
 from tests.hosted import (
-    CONFIGURATION,
-    KEY,
     MODEL,
     SERVERS,
-    STREAM_ROUTE,
     UNRESUMABLE_ROUTE,
     make_record,
     prefer,
     staging,
 )
+from tests.hosted_copies import COPYING, MODEL_HEADERS, MODELS
+from tests.hosted_copies import copying as copying_anywhere
 from tests.standins.copies import CopyingEngine
 from tests.standins.replica import make_event
 
 pytestmark = pytest.mark.anyio
 
 WHOLE = b''.join(make_event(number) for number in range(1, 7))
-ENGINE = {
-    'kvCapacity': 40_000,
-    'kvTokenBytes': 18_432,
-    'linkMbps': 130_000,
-    'backups': True,
-}
-COPYING = {
-    **CONFIGURATION,
-    'routes': [{**STREAM_ROUTE, 'gapTargetMs': 1}, UNRESUMABLE_ROUTE],
-    'services': [{'name': 'desk', 'engine': ENGINE}],
-    'tenants': [{'name': 'red', 'apiKeys': [KEY], 'isolated': True}],
-}
-MODELS = [{'name': MODEL, 'version': 1}]
 
 
 @contextlib.asynccontextmanager
-async def copying(directory, *scripts, configuration=COPYING, prefers=0):
-    """Run an entry that schedules, in front of engines that make copies."""
-    async with staging(
-        directory, *scripts, configuration=configuration, models=MODELS
-    ) as stage:
-        scheduler = make_scheduler(stage.core)
-        stage.core.scheduling.find_scheduler = lambda _: scheduler
-        prefer(stage, prefers)
+async def copying(directory, *scripts, **options):
+    """Run an entry that sends to the first engine if it can."""
+    async with copying_anywhere(directory, *scripts, **options) as stage:
+        prefer(stage, 0)
         yield stage
 
 
 async def ask(stage, path='/letter/1', **headers):
     return await stage.call(
         path,
-        oleanderdyke_model=MODEL,
-        oleanderdyke_token_usage='1000,100',
         oleanderdyke_deadline_ms='1900',
+        **MODEL_HEADERS,
         **headers,
     )
 
--- a/tests/test_hosted_safety.py
+++ b/tests/test_hosted_safety.py
@@ -10,7 +10,10 @@
 import asyncio
 import pathlib
 import tempfile
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, replace
+from typing import TypeAlias
 
 import anyio
 import pytest
@@ -19,8 +22,11 @@
 
 from oleanderdyke.entry.hosted import attempt as attempts
 from oleanderdyke.entry.hosted import driver
-from oleanderdyke.errors import Ran
+from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.kernel.attempts import RequestStateMachine
 from tests.hosted import Stage, make_request, read_answer, staging
+from tests.hosted_copies import MODEL_HEADERS, copying
 from tests.hosted_runs import (
     Act,
     Runs,
@@ -29,6 +35,8 @@
     check_response,
 )
 
+Staging: TypeAlias = Callable[..., AbstractAsyncContextManager[Stage]]
+
 _SERVERS = 3
 _DEADLINE_MS = '700'
 _LEAVES_AFTER_SECONDS = 0.05
@@ -62,31 +70,41 @@
     )
 
 
-ROUNDS = st.lists(
-    st.lists(
-        st.one_of([_draw_request(path) for path in _MOST_RUNS]),
-        min_size=1,
-        max_size=4,
-    ),
-    min_size=1,
-    max_size=3,
-)
+def _draw_rounds(
+    *paths: str,
+) -> st.SearchStrategy[list[list[PlannedRequest]]]:
+    requests = st.one_of([_draw_request(path) for path in paths])
+    rounds = st.lists(requests, min_size=1, max_size=4)
+    return st.lists(rounds, min_size=1, max_size=3)
+
+
+ROUNDS = _draw_rounds(*_MOST_RUNS)
+STREAM_ROUNDS = _draw_rounds('/stream/', '/letter/')
 
 
 async def _play(
-    rounds: list[list[PlannedRequest]], directory: pathlib.Path
+    rounds: list[list[PlannedRequest]],
+    directory: pathlib.Path,
+    stage_entry: Staging,
 ) -> None:
     runs = Runs()
-    async with staging(directory, *[runs.play] * _SERVERS) as stage:
+    headers = MODEL_HEADERS if stage_entry is copying else {}
+    async with stage_entry(directory, *[runs.play] * _SERVERS) as stage:
         for number, requests in enumerate(rounds):
             async with asyncio.TaskGroup() as tasks:
                 for place, planned in enumerate(requests):
                     request = f'req-{number}-{place}'
-                    tasks.create_task(_ask(stage, runs, planned, request))
+                    tasks.create_task(
+                        _ask(stage, runs, planned, request, headers)
+                    )
 
 
 async def _ask(
-    stage: Stage, runs: Runs, planned: PlannedRequest, request: str
+    stage: Stage,
+    runs: Runs,
+    planned: PlannedRequest,
+    request: str,
+    headers: dict[str, str],
 ) -> None:
     runs.planned_acts[request] = list(planned.acts)
     reader, writer = await asyncio.open_connection(*stage.address)
@@ -96,6 +114,7 @@
             path,
             oleanderdyke_request_id=request,
             oleanderdyke_deadline_ms=_DEADLINE_MS,
+            **headers,
         )
     )
     answered = None
@@ -114,9 +133,11 @@
         check_response(answered, began, path)
 
 
-def _run(rounds: list[list[PlannedRequest]]) -> None:
+def _run(
+    rounds: list[list[PlannedRequest]], stage_entry: Staging = staging
+) -> None:
     with tempfile.TemporaryDirectory() as name:
-        anyio.run(_play, rounds, pathlib.Path(name))
+        anyio.run(_play, rounds, pathlib.Path(name), stage_entry)
 
 
 @settings(max_examples=30, deadline=None)
@@ -125,10 +146,18 @@
     _run(rounds)
 
 
-def _assert_caught(*requests: PlannedRequest) -> None:
+@settings(max_examples=30, deadline=None)
+@given(STREAM_ROUNDS)
+def test_guarantees_hold_while_runs_are_copied(rounds):
+    _run(rounds, copying)
+
+
+def _assert_caught(
+    *requests: PlannedRequest, stage_entry: Staging = staging
+) -> None:
     """Run the requests one after the other; a check must fail."""
     with pytest.raises(ExceptionGroup) as caught:
-        _run([[planned] for planned in requests])
+        _run([[planned] for planned in requests], stage_entry)
     assert caught.value.subgroup(AssertionError) is not None
 
 
@@ -181,3 +210,37 @@
     monkeypatch.setattr(attempts.DirectAttempt, 'cancel', lambda _: None)
     path = '/once/' if act is Act.HANG else '/letter/'
     _assert_caught(PlannedRequest(path, (act,), leaves=True))
+
+
+def test_run_count_check_catches_an_entry_that_repeats_a_run_without_copy(
+    monkeypatch,
+):
+    monkeypatch.setattr(
+        RequestStateMachine, '_must_end_without_copy', lambda _: False
+    )
+    planned = PlannedRequest('/letter/', (Act.STREAM_UNCOPIED,))
+    _assert_caught(planned, stage_entry=copying)
+
+
+def test_event_check_catches_an_entry_that_joins_halves_of_events(monkeypatch):
+    monkeypatch.setattr(EventSplitter, 'discard_partial', lambda _: None)
+    planned = PlannedRequest('/letter/', (Act.STREAM_HALF,))
+    _assert_caught(planned, stage_entry=copying)
+
+
+def test_run_count_check_catches_an_entry_that_goes_on_before_the_end(
+    monkeypatch,
+):
+    """An entry that takes a silent engine for a lost one, and leaves it."""
+    give_up = attempts.DirectAttempt.find_overdue_time
+
+    def go_on(self, now):
+        if give_up(self, now) and not self._done:
+            self._lost_copy = self._find_copy()
+            self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, '')
+        return 0.0
+
+    monkeypatch.setattr(attempts.DirectAttempt, 'find_overdue_time', go_on)
+    monkeypatch.setattr(attempts.DirectAttempt, 'cancel', lambda _: None)
+    planned = PlannedRequest('/letter/', (Act.STREAM_HANG,))
+    _assert_caught(planned, stage_entry=copying)
