Let copies use the retries left over within a window

An entry's bucket holds one or two retries, a third of the operators' slack by the number of entries; and while the number of entries is unknown it was taken as infinite, which used up the links at the first copy.

Change: for scheduled services, the retries within any window stay within the share of its requests and the burst; copies may use all of that, usual retries need a token as before. The estimate of other entries' copies counts the known entries.

--- a/src/oleanderdyke/entry/hosted/copies.py
+++ b/src/oleanderdyke/entry/hosted/copies.py
@@ -66,7 +66,7 @@
         now = core.clock.now()
         run = self._make_run(source, version)
         listed = core.backends.list_service(call.service, now)
-        share = EntryShare(core.entries.count_sharing(now))
+        share = EntryShare(max(len(core.entries.list_known()), 1))
         copy = self._copies.choose(run, listed, self._may_hold, share, now)
         if copy is None:
             return ''
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -100,7 +100,7 @@
         self._machine = RequestStateMachine(
             _make_facts(core, call),
             settings=_make_settings(call),
-            budget=core.find_budget(call.service),
+            budget=core.scheduling.find_budget(call, core),
         )
         self._handlers = self._make_handlers()
 
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -15,6 +15,7 @@
     from oleanderdyke.entry.hosted.copies import CallCopies
     from oleanderdyke.entry.hosted.core import HostedCore
     from oleanderdyke.entry.hosted.scheduler import Scheduler
+    from oleanderdyke.kernel.retries import RetryBudget
     from oleanderdyke.kernel.scheduling.costs import Costs
     from oleanderdyke.kernel.scheduling.switch import LoadSwitch
 
@@ -72,6 +73,13 @@
         scheduler = self.find_scheduler(call)
         return None if scheduler is None else scheduler.find_costs(call)
 
+    def find_budget(self, call: HostedCall, core: HostedCore) -> RetryBudget:
+        """Return the retry budget of a call."""
+        scheduler = self.find_scheduler(call)
+        if scheduler is None:
+            return core.find_budget(call.service)
+        return scheduler.find_budget(call.service)
+
     def make_copies(self, call: HostedCall) -> CallCopies | None:
         """Return the copies of a call's runs, None if it may have none."""
         scheduler = self.find_scheduler(call)
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -264,6 +264,12 @@
             return True
         return self._budget.try_withdraw()
 
+    def _spend_copy_retry(self) -> bool:
+        """Use the reserved retry, else withdraw one for a copy."""
+        if self._has_reserved_retry:
+            return self._spend_retry()
+        return self._budget.try_withdraw_for_copy()
+
     def _can_retry(self) -> bool:
         return (
             self._retries + 1 < self._settings.max_attempts
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -207,7 +207,7 @@
         broken = failed.kind is ErrorKind.STREAM_BROKEN
         cancel = self._make_cancel() if broken else ()
         self._record_ran(max_ran(failed.ran, Ran.MAYBE))
-        if copy and self._can_use_copy() and self._spend_retry():
+        if copy and self._can_use_copy() and self._spend_copy_retry():
             self._exclude_current()
             return (*cancel, *self._continue_at_copy(copy))
         return (*cancel, *self._after_unclaimed_failure(failed))
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -29,6 +29,11 @@
         self._random = random
         self._tokens = settings.burst
 
+    @property
+    def settings(self) -> RetrySettings:
+        """Return the settings in force."""
+        return self._settings
+
     @property
     def tokens(self) -> float:
         """Return the number of retries left, which may be fractional."""
@@ -52,6 +57,10 @@
         self._tokens -= 1
         return True
 
+    def try_withdraw_for_copy(self) -> bool:
+        """Take one retry of a lost run that goes on at its copy."""
+        return self.try_withdraw()
+
     def delay(self, retry: int) -> Millis:
         """Return a random exponential backoff; `retry` counts from 1."""
         ceiling = min(
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -24,8 +24,9 @@
     address of the backend server beside an agent. Each is empty if not used.
     `is_first_start` is set if the system has not run before.
     `source` is the path of the settings file. `retry_share` and `retry_slack`
-    limit the retries of all entries together to a service. Requests may start
-    with older weights for `version_limit` after newer ones were published.
+    limit the retries of all entries together to a service in any
+    `retry_window`. Requests may start with older weights for `version_limit`
+    after newer ones were published.
     `regions` maps each data centre to its region.
     A cold server accepts up to its service's rate times `cold_share` plus
     `cold_slack` requests a second.
@@ -44,6 +45,7 @@
     grace: Millis = 8 * SECOND
     retry_share: float = 0.2
     retry_slack: float = 50.0
+    retry_window: Millis = 10 * SECOND
     version_limit: Millis = math.inf
     regions: Mapping[str, str] = field(default_factory=dict)
     cold_share: float = 1.0
@@ -88,6 +90,7 @@
         grace=reader.read_number('bounds.graceS', 8.0) * SECOND,
         retry_share=reader.read_number('bounds.retryBudgetRatio', 0.2),
         retry_slack=reader.read_number('bounds.retrySlack', 50.0),
+        retry_window=reader.read_number('bounds.retryWindowS', 10.0) * SECOND,
         version_limit=reader.read_number('bounds.versionMs', math.inf),
         regions=reader.find_regions(),
         cold_share=reader.read_number('bounds.coldOverage', 1.0),
--- /dev/null
+++ b/tests/test_retry_window.py
@@ -0,0 +1,87 @@
+"""Check the retries that copies may use.
+
+The load is an engine that crashes with tens of runs: entries whose buckets
+hold a retry or two would cut all others.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
+from oleanderdyke.kernel.scheduling.retry_window import WindowedBudget
+
+WINDOW = 10_000.0
+SETTINGS = RetrySettings(share=0.2, burst=1.0)
+
+
+class Scene:
+    def __init__(self):
+        self.now = 0.0
+        budget = RetryBudget(SETTINGS, Random(1))
+        self.budget = WindowedBudget(budget, WINDOW, lambda: self.now)
+
+    def request(self, count):
+        for _ in range(count):
+            self.budget.deposit()
+
+
+def take_all(withdraw):
+    count = 0
+    while withdraw():
+        count += 1
+    return count
+
+
+def test_copies_use_the_retries_left_over_within_the_window():
+    scene = Scene()
+    scene.request(100)
+    assert scene.budget.tokens == 1.0
+    assert take_all(scene.budget.try_withdraw_for_copy) == 21
+
+
+def test_usual_retries_are_limited_by_the_bucket_and_by_copies():
+    scene = Scene()
+    scene.request(100)
+    assert take_all(scene.budget.try_withdraw) == 1
+    assert take_all(scene.budget.try_withdraw_for_copy) == 20
+    scene.request(4)
+    assert not scene.budget.try_withdraw()
+
+
+def test_requests_and_retries_of_earlier_windows_do_not_count():
+    scene = Scene()
+    scene.request(100)
+    take_all(scene.budget.try_withdraw_for_copy)
+    scene.now += WINDOW
+    assert take_all(scene.budget.try_withdraw_for_copy) == 1
+
+
+STEP = st.tuples(
+    st.sampled_from(['request', 'retry', 'copy']),
+    st.floats(0, 3_000),
+    st.integers(1, 30),
+)
+
+
+@given(st.lists(STEP, max_size=60))
+def test_no_window_has_more_retries_than_its_share_and_the_burst(steps):
+    scene = Scene()
+    requests, retries = [], []
+    acts = {
+        'request': lambda: scene.request(1) or True,
+        'retry': scene.budget.try_withdraw,
+        'copy': scene.budget.try_withdraw_for_copy,
+    }
+    for kind, pause, count in steps:
+        scene.now += pause
+        times = requests if kind == 'request' else retries
+        times.extend(scene.now for _ in range(count) if acts[kind]())
+    for end in retries:
+        start = end - WINDOW
+        spent = sum(start < at <= end for at in retries)
+        asked = sum(start < at <= end for at in requests)
+        assert spent <= SETTINGS.share * asked + SETTINGS.burst
