--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -17,6 +17,7 @@
 from tests.hosted import (
     MODEL,
     SERVERS,
+    STREAM_ROUTE,
     UNRESUMABLE_ROUTE,
     make_record,
     prefer,
@@ -270,6 +271,27 @@
         assert sum(count_received(stage)) == 2
 
 
+async def test_second_run_does_not_go_on_at_the_copy_of_the_first(tmp_path):
+    """ORDER: pieces of two runs are joined only where a run begins anew."""
+    routes = [{**STREAM_ROUTE, 'gapTargetMs': 1, 'maxAttempts': 3}]
+    silent = CopyingEngine(hangs_after=2)
+    crashing = CopyingEngine(crashes_after=1, crashes=3)
+    async with copying(
+        tmp_path,
+        silent,
+        *[crashing] * 3,
+        configuration={**COPYING, 'routes': routes},
+    ) as stage:
+        await ask(stage, '/stream/1')
+        received = [
+            each.headers
+            for replica in stage.replicas
+            for each in replica.received
+        ]
+    assert len(received) == 3
+    assert all('kv-from' not in each for each in received)
+
+
 async def test_caller_cannot_set_the_headers_of_copies(tmp_path):
     """UNASKED: only the system names copies."""
     engine = CopyingEngine()
