--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -21,6 +21,7 @@
     UNRESUMABLE_ROUTE,
     make_record,
     prefer,
+    run_while_connecting,
     staging,
 )
 from tests.hosted_copies import COPYING, MODEL_HEADERS, MODELS
@@ -232,6 +233,18 @@
     assert not found.is_whole
 
 
+async def test_copy_is_not_used_if_weights_change_while_connecting(tmp_path):
+    """STALE: the version is that of the copy when the request is sent."""
+    engine = CopyingEngine(crashes_after=2)
+    async with copying(tmp_path, engine, engine) as stage:
+        run_while_connecting(
+            stage, lambda: engine.runs and _replace_weights(stage)
+        )
+        found = await ask(stage)
+        assert count_received(stage) == [1, 0]
+    assert not found.is_whole
+
+
 async def test_copy_stays_in_the_regions_of_its_caller(tmp_path):
     """HOME: no copy goes where the run itself may not go."""
     routes = [{**UNRESUMABLE_ROUTE, 'allowedRegions': ['north']}]
