--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -10,15 +10,19 @@
 import anyio
 
 from oleanderdyke.entry.hosted.admission import EntryAdmission
+from oleanderdyke.entry.hosted.copies import CallCopies, make_call_copies
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.pools import UsableEngines, follow_demand
 from oleanderdyke.entry.hosted.speed_samples import SpeedSampler
 from oleanderdyke.kernel.deployment import Deployment
+from oleanderdyke.kernel.retries import RetryBudget
 from oleanderdyke.kernel.scheduling.costs import Costs, CostTerm
 from oleanderdyke.kernel.scheduling.demand_meter import DemandKey, DemandMeter
 from oleanderdyke.kernel.scheduling.learned_speeds import LearnedSpeeds
 from oleanderdyke.kernel.scheduling.placement import Choice
 from oleanderdyke.kernel.scheduling.pools import Pools
+from oleanderdyke.kernel.scheduling.retry_window import WindowedBudget
+from oleanderdyke.kernel.scheduling.run_copies import RunCopies
 from oleanderdyke.kernel.scheduling.scoring import (
     MAX_VIEW_AGE,
     HoldUpCost,
@@ -54,6 +58,8 @@
             UsableEngines(core), switch, view=self.view, speeds=self.speeds
         )
         self.admission = EntryAdmission(core, self)
+        self._budgets: dict[str, WindowedBudget] = {}
+        self.copies = RunCopies(core.random, lambda: self.view, self.account)
         self._source = ReportSource(
             own.name,
             own.data_centre,
@@ -178,6 +184,21 @@
     def _count_entries(self) -> int:
         return len(self._core.entries.list_known())
 
+    def find_budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service whose runs are copied."""
+        if service not in self._budgets:
+            core = self._core
+            self._budgets[service] = WindowedBudget(
+                core.find_budget(service),
+                core.settings.retry_window,
+                core.clock.now,
+            )
+        return self._budgets[service]
+
+    def make_copies(self, call: HostedCall) -> CallCopies | None:
+        """Return the copies of a call's runs, None if it may have none."""
+        return make_call_copies(self._core, call, self.copies)
+
 
 def make_scheduler(core: HostedCore, switch: LoadSwitch) -> Scheduler:
     """Build the scheduler of an entry."""
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -62,7 +62,8 @@
 
     `token_bytes` is the size of the context of one token, and `stride` the
     number of tokens in one event of a stream. Zero stands for an unknown size,
-    bandwidth or number of slots.
+    bandwidth or number of slots. With `backups`, an engine copies the memory of
+    a run to another one while the run grows.
     """
 
     memory_tokens: int
@@ -70,6 +71,7 @@
     link_mbps: float = 0.0
     slots: int = 0
     stride: int = 1
+    backups: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -56,6 +56,9 @@
     LINES_DROPPED = 'lines_dropped'
     WORK_REPORTS = 'work_reports'
     WORK_BYTES = 'work_bytes'
+    COPIES_ASKED = 'copies_asked'
+    COPIES_USED = 'copies_used'
+    COPIES_MISSING = 'copies_missing'
 
 
 class Gauge(enum.StrEnum):
@@ -103,6 +106,9 @@
     Count.LINES_DROPPED: _NONE,
     Count.WORK_REPORTS: 'sent or received',
     Count.WORK_BYTES: 'sent or received',
+    Count.COPIES_ASKED: _SERVICE,
+    Count.COPIES_USED: _SERVICE,
+    Count.COPIES_MISSING: _SERVICE,
     Gauge.RUNNING: _NONE,
     Gauge.LINKS: _NONE,
     Gauge.CONFIGURATION_OFFSET: _NONE,
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -191,6 +191,7 @@
         link_mbps=_read_hint(found, 'linkMbps'),
         slots=int(_read_hint(found, 'slots')),
         stride=max(int(_read_hint(found, 'stride')), 1),
+        backups=bool(found.get('backups', False)),
     )
 
 
