--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -200,9 +200,11 @@
         return make_call_copies(self._core, call, self.copies)
 
 
-def make_scheduler(core: HostedCore, switch: LoadSwitch) -> Scheduler:
+def make_scheduler(
+    core: HostedCore, switch: LoadSwitch | None = None
+) -> Scheduler:
     """Build the scheduler of an entry."""
-    return Scheduler(core, switch)
+    return Scheduler(core, switch or LoadSwitch())
 
 
 def _make_key(call: HostedCall) -> DemandKey:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -322,7 +322,7 @@
     for number in range(40):
         parts = (PromptPart(f'guide-{number}', 5_000), PromptPart('own', 1))
         model = replace(LONG, parts=parts)
-        costs = Costs('desk', 'long', '', 1, 'dc-0', 800.0, None, (), pool)
+        costs = Costs('desk', 'long', '', 1, 'dc-0', 800.0, None, pool=pool)
         demand = CallDemand('desk', 'dc-0', model, costs=costs)
         homes = _find_terms(demand, entry.engines).cache_servers
         assert homes <= {each.server for each in pool}
--- a/tests/test_run_copies.py
+++ b/tests/test_run_copies.py
@@ -58,10 +58,10 @@
         self.copies = {}
 
     def begin_copy(self, start, copy, *, memory):
-        self.copies[attempt] = (start.server, tokens)
+        self.copies[copy] = (start.server, memory)
 
     def end(self, name):
-        del self.copies[attempt]
+        del self.copies[name]
 
 
 def make_copies(view=None, account=None):
@@ -141,7 +141,7 @@
     copies = make_copies(account=account)
     copy = copies.choose(RUN, [FAR], lambda _: True, EntryShare(), 0.0)
     copies.begin('a', RUN, copy, EntryShare(), 0.0)
-    assert account.copies == {'a': ('far', 1_100)}
+    assert account.copies == {'a/copy': ('far', 1_100)}
     copies.end('a')
     copies.end('a')
     assert account.copies == {}
