--- /dev/null
+++ b/tests/test_scoring.py
@@ -0,0 +1,109 @@
+"""Scores of engines under urgent short prompts beside long ones."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.scheduling.costs import Costs, PricedCall
+from oleanderdyke.kernel.scheduling.placement import CallDemand, choose_among
+from oleanderdyke.kernel.scheduling.scoring import (
+    HoldUpCost,
+    MemoryCost,
+    SampledDraw,
+    WorkEstimate,
+)
+from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds
+from oleanderdyke.kernel.scheduling.work import NO_WORK, ServerWork
+from oleanderdyke.kernel.servers import ModelDemand, ServerLoad, ServerRecord
+
+NOW = 5_000.0
+SPEEDS = ServiceSpeeds()
+SHORT, LONG = ModelDemand('m', 800, 40), ModelDemand('m', 9_000, 10)
+CAPACITY = 40_000
+
+
+class View:
+    """Work by name of the server."""
+
+    def __init__(self, **work: ServerWork) -> None:
+        self.work = work
+
+    def find_work(self, start, _now):
+        return self.work.get(start.server, NO_WORK)
+
+
+def make_backend(server: str, **fields) -> Backend:
+    record = ServerRecord(
+        server, 'desk', f'{server}:1', 'hall', slots=8, versions={'m': 1}
+    )
+    return Backend(record, last_heard_at=NOW, **fields)
+
+
+def choose(view, model=SHORT, *, is_current=True, a=None, draw=None):
+    costs = Costs(
+        service='desk',
+        route='ask',
+        team='',
+        rank=0,
+        data_centre='hall',
+        target=400.0,
+        first_byte=WorkEstimate(view, SPEEDS, is_current),
+        terms=(HoldUpCost(view, SPEEDS), MemoryCost(view, SPEEDS, CAPACITY)),
+        draw=draw,
+    )
+    demand = CallDemand('desk', 'hall', model, costs=costs)
+    backends = [a or make_backend('a'), make_backend('b')]
+    return choose_among(demand, backends, NOW).backend.record.server
+
+
+@pytest.mark.parametrize(
+    ('model', 'work'),
+    [
+        # A first token waits behind the long prompts of other entries.
+        (SHORT, ServerWork(unread=20_000, runs=2, long_runs=2)),
+        # A long prompt would hold up many runs.
+        (LONG, ServerWork(runs=7)),
+        # A long prompt would make the engine preempt runs.
+        (LONG, ServerWork(memory=33_000, runs=1)),
+        (LONG, ServerWork(copies=33_000)),
+        # All slots are taken.
+        (SHORT, ServerWork(runs=8)),
+    ],
+)
+def test_a_call_avoids_the_engine_that_others_fill(model, work):
+    assert choose(View(a=work), model) == 'b'
+    assert choose(View(b=work), model) == 'a'
+
+
+def test_without_news_of_others_the_servers_reports_decide():
+    busy = make_backend('a', load=ServerLoad(8, 9, 8), load_at=NOW)
+    assert choose(View(), is_current=False, a=busy) == 'b'
+    own = ServerWork(unread=900, runs=1)
+    assert choose(View(b=own), is_current=False) == 'a'
+
+
+def test_first_byte_counts_the_prompts_of_all_entries():
+    backend, call = make_backend('a'), make_call(missing=1_000)
+    idle = WorkEstimate(View(), SPEEDS)
+    filled = WorkEstimate(View(a=ServerWork(unread=5_000)), SPEEDS)
+    delay = filled.estimate_first_byte(
+        call, backend, NOW
+    ) - idle.estimate_first_byte(call, backend, NOW)
+    assert delay == pytest.approx(SPEEDS.estimate_read(backend, 5_000, NOW))
+
+
+def make_call(missing: int) -> PricedCall:
+    return PricedCall(
+        'desk', 'ask', '', 0, SHORT, 'hall', target=400.0, missing=missing
+    )
+
+
+def test_a_draw_takes_no_server_that_is_far_worse():
+    draw = SampledDraw(Random(1))
+    chosen = {draw.choose([5.0, 9.0, 8.0, 500.0], 10.0) for _ in range(200)}
+    assert chosen == {0, 1, 2}
+    filled = View(a=ServerWork(unread=90_000))
+    assert {choose(filled, draw=draw) for _ in range(50)} == {'b'}
