Learn from first bytes with fetches, and report slow servers twice seen

Servers were reported as slow and back within two seconds. Change: subtract the estimated fetch instead of leaving such samples out, use low quantiles, and report a change of pace only if two checks agree.

--- a/src/oleanderdyke/kernel/scheduling/learned_speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -46,11 +46,13 @@
 _RATE_COUNT = 64
 _RATE_LIFETIME: Millis = 2 * MINUTE
 _MIN_RATES = 3
+# Low, as prompts of other entries that are read first are part of a sample.
+_RATE_QUANTILE = 0.25
 _BASE_COUNT = 32
-_BASE_QUANTILE = 0.25
+_BASE_QUANTILE = 0.15
 _MAX_BASE: Millis = 1 * SECOND
 # At least half of the time to the first byte of a long prompt is prefill.
-_MAX_BASE_SHARE = 0.5
+_MAX_OTHER_SHARE = 0.5
 # A server is reported as slow above the first ratio, and as recovered below
 # the second.
 _SLOW_RATIO = 2.0
@@ -96,7 +98,7 @@
 
     def find_unit(self, backend: Backend, now: Millis) -> Millis:
         """Return the usual prefill time of one token."""
-        found = self.units.find_quantile(0.5, now)
+        found = self.units.find_quantile(_RATE_QUANTILE, now)
         if found is None or len(self.units) < _MIN_RATES:
             return backend.reading.estimate_time(1)
         return found
@@ -117,6 +119,7 @@
         self._paces: dict[ServerStart, ServerPace] = {}
         self._service_names: dict[ServerStart, str] = {}
         self._slow: set[ServerStart] = set()
+        self._suspected: set[ServerStart] = set()
         self._checked_at: Millis = 0.0
         self._fetches = FetchTimes(regions)
         self._slowdown = SlowdownTrust()
@@ -180,12 +183,14 @@
         """Learn from the first byte of an answer."""
         if not first.is_alone or first.duration <= 0:
             return
-        if first.fetched:
+        if first.tokens >= _MIN_TOKENS:
+            self._record_read(backend, first, now)
+        elif first.tokens > _SHORT_TOKENS:
+            return
+        elif first.fetched >= _MIN_TOKENS:
             self._record_fetch(backend, first, now)
-        elif first.tokens <= _SHORT_TOKENS:
+        else:
             self._record_base(backend, first, now)
-        elif first.tokens >= _MIN_TOKENS:
-            self._record_read(backend, first, now)
 
     def record_pause(
         self, backend: Backend, events: int, pause: Millis, now: Millis
@@ -207,7 +212,7 @@
     def take_changes(self, now: Millis) -> list[PaceChange]:
         """Return which servers turned slow or recovered since the last call.
 
-        Servers are checked once a second.
+        Servers are checked once a second, and two checks must agree.
         """
         if now - self._checked_at < _CHECK_PERIOD:
             return []
@@ -217,9 +222,12 @@
             for start, pace in self._paces.items()
             if (change := self._find_change(start, pace, now)) is not None
         ]
-        self._slow ^= {change.start for change in changes}
+        confirmed = [each for each in changes if each.start in self._suspected]
+        changed = {each.start for each in confirmed}
+        self._suspected = {each.start for each in changes} - changed
+        self._slow ^= changed
         self._forget_outdated(now)
-        return changes
+        return confirmed
 
     def _find_change(
         self, start: ServerStart, pace: ServerPace, now: Millis
@@ -239,7 +247,8 @@
     def _record_base(
         self, backend: Backend, first: FirstByte, now: Millis
     ) -> None:
-        base = first.duration - self.estimate_read(backend, first.tokens, now)
+        reading = self.estimate_read(backend, first.tokens, now)
+        base = first.duration - reading - self._find_fetch(backend, first, now)
         service = self._find_service(backend)
         service.bases.add(min(max(base, 0.0), _MAX_BASE), now)
 
@@ -247,8 +256,9 @@
         self, backend: Backend, first: FirstByte, now: Millis
     ) -> None:
         service = self._find_service(backend)
-        base = min(service.find_base(now), first.duration * _MAX_BASE_SHARE)
-        reading = first.duration - base
+        other = service.find_base(now) + self._find_fetch(backend, first, now)
+        other = min(other, first.duration * _MAX_OTHER_SHARE)
+        reading = first.duration - other
         unit = min(max(reading / first.tokens, 1 / _MAX_RATE), 1 / _MIN_RATE)
         factor = self._slowdown.find_factor(first.excess)
         if len(service.units) >= _MIN_RATES:
@@ -269,6 +279,14 @@
         fetching = first.duration - base - reading
         self._fetches.add_sample(path, first.fetched, fetching, now)
 
+    def _find_fetch(
+        self, backend: Backend, first: FirstByte, now: Millis
+    ) -> Millis:
+        if not first.fetched:
+            return 0.0
+        store = first.store or None
+        return self.estimate_fetch(backend, first.fetched, now, store=store)
+
     def _list_paths(self, backend: Backend) -> Iterator[FetchPath]:
         for address in self._stores:
             path = self._find_path(backend, address)
--- a/src/oleanderdyke/kernel/scheduling/server_pace.py
+++ b/src/oleanderdyke/kernel/scheduling/server_pace.py
@@ -19,7 +19,8 @@
 # has been replaced.
 SAMPLE_LIFETIME: Millis = 15 * SECOND
 _READ_COUNT = 8
-_READ_QUANTILE = 0.5
+# Low, as prompts of other entries that are read first are part of a sample.
+_READ_QUANTILE = 0.3
 # Most pauses between events have no prefill of other prompts in them.
 _STEP_COUNT = 12
 _STEP_QUANTILE = 0.25
