--- a/tests/test_learned_speeds.py
+++ b/tests/test_learned_speeds.py
@@ -178,7 +178,7 @@
 
 # Load: as before, with machines that are slow whenever work is sent there.
 def test_a_shared_machine_is_not_taken_for_a_slow_engine():
-    speeds, (sound, *shared) = make_speeds(), make_engines(3)
+    speeds, (sound, *shared) = make_speeds(), make_engines(6)
     learn_usual(speeds, (sound, *shared))
     for now in range(0, 8_000, 200):
         read(speeds, sound, now)
