--- a/src/oleanderdyke/kernel/scheduling/learned_speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -45,7 +45,7 @@
 _MAX_RATE = 2_000.0
 _RATE_COUNT = 64
 _RATE_LIFETIME: Millis = 2 * MINUTE
-_MIN_RATES = 3
+_MIN_SAMPLES = 3
 # Low, as prompts of other entries that are read first are part of a sample.
 _RATE_QUANTILE = 0.25
 _BASE_COUNT = 32
@@ -99,14 +99,16 @@
     def find_unit(self, backend: Backend, now: Millis) -> Millis:
         """Return the usual prefill time of one token."""
         found = self.units.find_quantile(_RATE_QUANTILE, now)
-        if found is None or len(self.units) < _MIN_RATES:
+        if found is None or len(self.units) < _MIN_SAMPLES:
             return backend.reading.estimate_time(1)
         return found
 
     def find_base(self, now: Millis) -> Millis:
         """Return the time to a first byte without prefill."""
         found = self.bases.find_quantile(_BASE_QUANTILE, now)
-        return _NEUTRAL_FIRST_BYTE if found is None else found
+        if found is None or len(self.bases) < _MIN_SAMPLES:
+            return _NEUTRAL_FIRST_BYTE
+        return found
 
 
 class LearnedSpeeds:
@@ -261,7 +263,7 @@
         reading = first.duration - other
         unit = min(max(reading / first.tokens, 1 / _MAX_RATE), 1 / _MIN_RATE)
         factor = self._slowdown.find_factor(first.excess)
-        if len(service.units) >= _MIN_RATES:
+        if len(service.units) >= _MIN_SAMPLES:
             expected = service.find_unit(backend, now)
             ratio = self._find_ratio(backend, now)
             self._slowdown.add_sample(first.excess, unit / expected / ratio)
