Leave a need by memory out of the tail of reading

Cause: the need of a side whose memory binds was raised by how long it reads.

Change: reading counts over the usable share, memory with room for one more run.

--- a/src/oleanderdyke/kernel/scheduling/pool_sizes.py
+++ b/src/oleanderdyke/kernel/scheduling/pool_sizes.py
@@ -130,9 +130,11 @@
     read_time = demand.unread / demand.arrived * power.read
     most_runs = demand.arrived * (read_time + output * power.step) / SECOND
     runs = min(most_runs, _count_wanted_runs(demand))
-    engines = max(demand.unread * power.read / SECOND, runs / seats)
+    busy = demand.unread * power.read / SECOND
     usable = max(1 - _TAIL * read_time / demand.limit, _MIN_USABLE)
-    return SideLoad(engines, engines / usable, read_time)
+    # An engine keeps room for the run that comes next.
+    need = max(busy / usable, runs / max(seats - 1, 1.0))
+    return SideLoad(max(busy, runs / seats), need, read_time)
 
 
 def find_obstacle(load: PoolLoad, *, is_parted: bool) -> SizeReason | None:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -69,6 +69,8 @@
     rates: dict = field(default_factory=dict)
     work: dict = field(default_factory=dict)
     age: float = 0.0
+    admitted: float = 0.0
+    announced: float = 1.0
     now: float = 0.0
     sizes: list = field(default_factory=list)
 
@@ -92,8 +94,9 @@
                 route,
                 'team',
                 arrived=rate,
+                admitted=rate * self.admitted,
                 unread=rate * models[route].prompt_tokens / 2,
-                output=rate * models[route].output_tokens,
+                output=rate * models[route].output_tokens * self.announced,
             )
             for route, rate in self.rates.items()
         ]
@@ -297,11 +300,24 @@
     assert entry.price('long', other, missing=0) == 600
 
 
-@given(st.lists(st.tuples(*[st.floats(0, 3_000)] * 2), max_size=20))
+def test_answers_shorter_than_announced_take_no_engines():
+    entry = make_entry()
+    entry.work = {'engine-0': ServerWork(runs=60, long_runs=4)}
+    usual = entry.run(8, short=200, long=35)
+    entry.announced = 20.0
+    assert entry.run(8) > usual + 4
+    entry.admitted = 1.0
+    assert entry.run(12) <= usual + 1
+
+
+@given(st.lists(st.tuples(*[st.floats(0, 3_000)] * 3), max_size=20))
 def test_sizes_stay_within_bounds_and_move_by_one_for_any_demand(loads):
     entry = make_entry(8)
+    entry.admitted = 0.5
     entry.sizes.append(0)
-    for short, long in loads:
+    for short, long, runs in loads:
+        work = ServerWork(runs=int(runs), long_runs=int(runs) // 3)
+        entry.work['engine-1'] = work
         entry.run(0.5, short=short, long=long)
     assert all(0 <= size <= 7 for size in entry.sizes)
     assert all(abs(a - b) <= 1 for a, b in pairwise(entry.sizes))
