Rank by team, then by route, and count cold engines by what they tolerate

Change: the route's rank orders what has the same rank; a cold engine counts for the work that its rate brings.

--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from typing import Protocol
 
 from oleanderdyke.clock import SECOND, Millis
@@ -12,7 +13,6 @@
 from oleanderdyke.entry.hosted.selection import Rejection, RetryDelay
 from oleanderdyke.errors import ErrorKind
 from oleanderdyke.events import EventName
-from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.scheduling.admission import (
     Applicant,
@@ -128,30 +128,35 @@
         deployment, view = self._core.deployment, self._figures.view
         if deployment is None:
             return
-        room = measure_room(
-            self._list_usable(deployment, name, now),
-            view,
-            self._figures.speeds,
-            deployment.find_memory_tokens(name) or 0,
-            now,
-        )
+        room = self._measure_room(deployment, name, now)
         demands = self._sum_demands(view.list_demand(name, now), room)
+        arrived = sum(each.arrived for each in demands.values())
+        engines = sum(each.engines for each in demands.values())
+        work = engines / arrived if arrived else 0.0
         target = _find_tightest_target(deployment, name)
-        service.update(room.find_capacity(target), demands, now)
+        service.update(room.find_capacity(target, work), demands, now)
         self._update_gauges(name, service)
 
-    def _list_usable(
+    def _measure_room(
         self, deployment: Deployment, name: str, now: Millis
-    ) -> Sequence[Backend]:
-        """Return the servers that take requests at their full rate."""
-        traits = deployment.services.get(name)
-        may_be_cold = traits is not None and traits.cold_rate > 0
-        return [
+    ) -> ServiceRoom:
+        usable = [
             backend
             for backend in self._core.backends.list_service(name, now)
             if is_usable(backend, now)
-            and not (may_be_cold and backend.cold_until > now)
         ]
+        room = measure_room(
+            usable,
+            self._figures.view,
+            self._figures.speeds,
+            deployment.find_memory_tokens(name) or 0,
+            now,
+        )
+        limit = self._core.find_cold_limits(deployment).get(name)
+        if limit is None:
+            return room
+        cold = sum(backend.cold_until > now for backend in usable)
+        return replace(room, cold=cold, cold_rate=limit.per_second)
 
     def _sum_demands(
         self, demands: Sequence[Demand], room: ServiceRoom
@@ -171,8 +176,9 @@
         return sums
 
     def _find_claimant(self, route: str, team: str) -> Claimant:
-        rank = self._team_ranks.get(team, self._route_ranks.get(route, 0))
-        return Claimant(rank, team)
+        route_rank = self._route_ranks.get(route, 0)
+        rank = self._team_ranks.get(team, route_rank)
+        return Claimant(rank, team, route_rank)
 
     def _describe(
         self, call: HostedCall, choice: Choice, now: Millis
@@ -201,7 +207,7 @@
     def _reject(
         self, call: HostedCall, choice: Choice, refused: Refused
     ) -> Rejection:
-        core, rank = self._core, refused.claimant.rank
+        core, rank = self._core, refused.claimant.label
         label = f'{refused.reason.value} {rank}'
         core.metrics.add(Count.ADMISSION_REFUSALS, label=label)
         server = choice.backend.record.server
--- a/src/oleanderdyke/kernel/scheduling/admission.py
+++ b/src/oleanderdyke/kernel/scheduling/admission.py
@@ -258,11 +258,11 @@
             return 1.0
         return self._shares.get(claimant, 1.0)
 
-    def find_rank_use(self) -> dict[int, float]:
+    def find_rank_use(self) -> dict[str, float]:
         """Return the engines that the demand of each rank would take."""
-        use: defaultdict[int, float] = defaultdict(float)
+        use: defaultdict[str, float] = defaultdict(float)
         for claimant, demand in self._demands.items():
-            use[claimant.rank] += demand.engines
+            use[claimant.label] += demand.engines
         return dict(use)
 
     def decide(self, applicant: Applicant, now: Millis) -> Decision | Refused:
--- a/src/oleanderdyke/kernel/scheduling/capacity.py
+++ b/src/oleanderdyke/kernel/scheduling/capacity.py
@@ -27,6 +27,7 @@
 class ServiceRoom:
     """Describe the usable engines of a service.
 
+    `cold` of them take at most `cold_rate` requests per second each.
     `read_time` is the time per prompt token and `step` the time per output
     token of a run. `backlog` is the mean time that engines take to read all
     prompts in flight. `memory` is the memory of one engine in tokens, 0 if
@@ -39,14 +40,18 @@
     slots: int = 1
     memory: int = 0
     backlog: Millis = 0.0
+    cold: int = 0
+    cold_rate: float = 0.0
 
-    def find_capacity(self, target: Millis) -> float:
+    def find_capacity(self, target: Millis, work: float) -> float:
         """Return how many engines are free for new requests.
 
-        `target` is the tightest target of the service's routes.
+        `target` is the tightest target of the service's routes. `work` is the
+        mean time in seconds for which a request keeps an engine busy.
         """
+        idle = self.cold * max(1 - self.cold_rate * work, 0.0)
         excess = max(self.backlog - target, 0.0) / _CATCH_UP_TIME
-        return self.engines * (1 - min(excess, _MAX_CATCH_UP_SHARE))
+        return (self.engines - idle) * (1 - min(excess, _MAX_CATCH_UP_SHARE))
 
 
 def measure_room(
--- a/src/oleanderdyke/kernel/scheduling/fair_shares.py
+++ b/src/oleanderdyke/kernel/scheduling/fair_shares.py
@@ -13,10 +13,25 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Claimant:
-    """Identify the requests of one rank by one team; 0 is most urgent."""
+    """Identify the requests of one kind and rank by one team.
+
+    0 is most urgent. A team's own rank goes before that of its routes, so
+    `route_rank` orders what has the same `rank`.
+    """
 
     rank: int
     team: str
+    route_rank: int = 0
+
+    @property
+    def urgency(self) -> tuple[int, int]:
+        """Return the sort key of ranks, the most urgent first."""
+        return self.rank, self.route_rank
+
+    @property
+    def label(self) -> str:
+        """Return the ranks for logs and metrics."""
+        return f'{self.rank}.{self.route_rank}'
 
 
 def divide_capacity(
@@ -26,28 +41,29 @@
 
     Ranks are served in order; within a rank, teams get max-min fair shares.
     """
-    by_rank: defaultdict[int, dict[str, float]] = defaultdict(dict)
+    by_rank: defaultdict[tuple[int, int], dict[Claimant, float]] = defaultdict(
+        dict
+    )
     for claimant, demand in demands.items():
-        by_rank[claimant.rank][claimant.team] = demand
+        by_rank[claimant.urgency][claimant] = demand
     left = max(capacity, 0.0)
     shares: dict[Claimant, float] = {}
-    for rank in sorted(by_rank):
-        divided = divide_evenly(left, by_rank[rank])
+    for urgency in sorted(by_rank):
+        divided = divide_evenly(left, by_rank[urgency])
         left = max(left - sum(divided.values()), 0.0)
-        shares.update(
-            (Claimant(rank, team), share) for team, share in divided.items()
-        )
+        shares.update(divided)
     return shares
 
 
 def divide_evenly(
-    capacity: float, demands: Mapping[str, float]
-) -> dict[str, float]:
+    capacity: float, demands: Mapping[Claimant, float]
+) -> dict[Claimant, float]:
     """Return max-min fair shares: what one leaves unused is lent to others."""
-    left, shares = capacity, {}
-    ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
-    for place, (name, demand) in enumerate(ordered):
-        share = min(demand, left / (len(ordered) - place))
-        shares[name] = share
+    left = capacity
+    shares: dict[Claimant, float] = {}
+    ordered = sorted(demands, key=lambda each: (demands[each], each))
+    for place, claimant in enumerate(ordered):
+        share = min(demands[claimant], left / (len(ordered) - place))
+        shares[claimant] = share
         left -= share
     return shares
--- a/src/oleanderdyke/kernel/scheduling/wait_queue.py
+++ b/src/oleanderdyke/kernel/scheduling/wait_queue.py
@@ -29,9 +29,9 @@
     until: Millis
 
     @property
-    def order(self) -> tuple[int, Millis, str]:
+    def order(self) -> tuple[tuple[int, int], Millis, str]:
         """Return the sort key of the queue."""
-        return self.claimant.rank, self.start_by, self.request
+        return self.claimant.urgency, self.start_by, self.request
 
 
 class WaitQueue:
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -32,7 +34,10 @@
 from oleanderdyke.kernel.servers import ServerRecord
 
 CLAIMANTS = st.builds(
-    Claimant, st.integers(0, 3), st.sampled_from(['red', 'blue', 'green'])
+    Claimant,
+    st.integers(0, 2),
+    st.sampled_from(['red', 'blue', 'green']),
+    st.integers(0, 2),
 )
 DEMANDS = st.dictionaries(CLAIMANTS, st.floats(0, 100))
 
@@ -44,8 +49,8 @@
     shares = divide_capacity(capacity, demands)
     assert sum(shares.values()) <= capacity * (1 + 1e-9)
     left = capacity
-    for rank in sorted({claimant.rank for claimant in demands}):
-        members = [who for who in demands if who.rank == rank]
+    for rank in sorted({claimant.urgency for claimant in demands}):
+        members = [who for who in demands if who.urgency == rank]
         for who in members:
             fair = min(demands[who], left / len(members))
             assert shares[who] >= fair - 1e-6
@@ -72,9 +77,12 @@
     ]
     assert [room.engines for room in rooms] == [20, 15]
     assert rooms[0].backlog == pytest.approx(300.0)
-    assert [room.find_capacity(400.0) for room in rooms] == [20.0, 15.0]
+    assert [room.find_capacity(400.0, 0.1) for room in rooms] == [20.0, 15.0]
     # Prompts in flight beyond the target are read before new ones.
-    assert rooms[1].find_capacity(200.0) == pytest.approx(15 * 0.95)
+    assert rooms[1].find_capacity(200.0, 0.1) == pytest.approx(15 * 0.95)
+    # Cold engines that tolerate four requests of 0.1 s are worth 0.4 each.
+    room = replace(rooms[1], cold=5, cold_rate=4.0)
+    assert room.find_capacity(400.0, 0.1) == pytest.approx(12.0)
 
 
 def test_demand_is_counted_by_time_or_by_memory():
--- a/tests/test_hosted_admission.py
+++ b/tests/test_hosted_admission.py
@@ -87,7 +87,7 @@
     assert len(found) == len(refused)
     line = found[0]
     assert (line['request'], line['team']) == ('req-1', 'red')
-    assert (line['reason'], line['rank']) == ('share', '2')
+    assert (line['reason'], line['rank']) == ('share', '2.2')
     assert float(line['use']) > 5
-    count = stage.core.metrics.read_count(Count.ADMISSION_REFUSALS, 'share 2')
+    count = stage.core.metrics.read_count(Count.ADMISSION_REFUSALS, 'share 2.2')
     assert count == len(refused)
