Count demand by unloaded steps, not by how long answers took

Cause: durations of answers grow with a shortage, so the estimated use stayed above what refusals could relieve. Change: memory counts through the number of runs that share a step.

--- a/src/oleanderdyke/kernel/scheduling/capacity.py
+++ b/src/oleanderdyke/kernel/scheduling/capacity.py
@@ -16,7 +16,6 @@
 from oleanderdyke.kernel.scheduling.work import Demand, WorkView, sum_work
 
 _SAMPLE_TOKENS = 1_000
-_MEDIAN = 0.5
 # Work in flight beyond the target is to be worked off within this time, at the
 # cost of new requests, half of which are admitted all the same.
 _CATCH_UP_TIME: Millis = 2 * SECOND
@@ -83,17 +82,15 @@
 def estimate_engines(
     demand: Demand, room: ServiceRoom, lengths: AnswerLengths
 ) -> float:
-    """Return how many engines a demand keeps busy, by time or by memory."""
+    """Return how many engines a demand keeps busy.
+
+    Memory counts by the number of runs that share a step. Durations of answers
+    don't: they grow with the shortage itself.
+    """
     output = demand.output * lengths.find_ratio(demand.route)
-    reading = demand.unread * room.read_time
     memory = lengths.find_memory(demand.route) or 0.0
     generating = output * room.step / _find_batch(room, memory)
-    duration = lengths.find_duration(demand.route, _MEDIAN) or 0.0
-    by_time = (reading + generating) / SECOND
-    if not room.memory:
-        return by_time
-    by_memory = demand.arrived * duration / SECOND * memory / room.memory
-    return max(by_time, by_memory)
+    return (demand.unread * room.read_time + generating) / SECOND
 
 
 def _find_batch(room: ServiceRoom, memory: float) -> float:
