Test that waits end, and drop a check that shares imply

Cause: mutants that let a request wait for ever, ask again after it lost its place, or hold any number of bytes passed the tests. Change: tests for each; shares are 1 while demand is within capacity, so the check beside them went. Result: each of these mutants fails a test.

--- a/src/oleanderdyke/kernel/scheduling/admission.py
+++ b/src/oleanderdyke/kernel/scheduling/admission.py
@@ -229,7 +229,7 @@
 
     @property
     def is_short(self) -> bool:
-        """Return whether the service lacks room, so that shares bind."""
+        """Return whether the service lacks room, or lacked it just before."""
         return self._busy_at is not None
 
     def update(
@@ -254,8 +254,6 @@
 
     def find_share(self, claimant: Claimant) -> float:
         """Return the part of a claimant's requests that is admitted."""
-        if not self.is_short:
-            return 1.0
         return self._shares.get(claimant, 1.0)
 
     def find_rank_use(self) -> dict[str, float]:
--- a/tests/test_admission_by_rank.py
+++ b/tests/test_admission_by_rank.py
@@ -236,6 +236,29 @@
     assert 0.9 * 400 <= admitted <= 1.1 * 400
 
 
+def test_a_wait_ends_in_time_or_for_a_more_urgent_request():
+    fleet = Fleet(10.0, {RED: 150}, entries=1, waiting=1)
+    (entry,) = fleet.entries
+    for at in range(60):
+        ask(entry, RED, at * 6.6, expected=900.0)
+
+    def start_wait(name, **traits):
+        """Ask until no turn is left."""
+        traits = {'request': name, **traits}
+        while ask(entry, RED, 400.0, **traits) is Decision.ADMIT:
+            pass
+        assert ask(entry, RED, 420.0, **traits) is Decision.WAIT
+
+    start_wait('one')
+    start_wait('sooner', expected=710.0)
+    given_up = ask(entry, RED, 440.0, request='one')
+    assert isinstance(given_up, Refused)
+    assert given_up.reason is Reason.QUEUE
+    ended = ask(entry, RED, 500.0, request='sooner')
+    assert isinstance(ended, Refused)
+    assert ended.reason is Reason.SHARE
+
+
 def wait(name, rank=1, *, size=10, start_by=100.0):
     return WaitingRequest(name, Claimant(rank, 'red'), size, start_by, 100.0)
 
@@ -248,9 +271,9 @@
     assert queue.add(wait('sooner', start_by=5.0))
     assert queue.take_evicted('late')
     assert not queue.take_evicted('late')
-    assert not queue.add(wait('big', size=90))
     assert (len(queue), queue.bytes) == (3, 30)
     assert queue.count_ahead(wait('next')) == 2
     queue.remove('soon')
+    assert not queue.add(wait('big', size=90))
     assert queue.count_ahead(wait('next')) == 1
     assert (len(queue), queue.bytes) == (2, 20)
