Price a run beside others by the growth of one step

Callers wait for the first byte and for pauses, and a further run lengthens each step by a few percent.

--- a/src/oleanderdyke/kernel/scheduling/scoring.py
+++ b/src/oleanderdyke/kernel/scheduling/scoring.py
@@ -94,12 +94,11 @@
     def find_cost(
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
-        """Return the delay of all runs, and of the call's tokens by them."""
+        """Return the delay of all runs, and of the call's steps by them."""
         runs = self.view.find_work(backend.record.start, now).runs
         read_time = self.speeds.estimate_read(backend, call.missing, now)
         step = self.speeds.estimate_step(backend, now)
-        own_delay = step * _STEP_SHARE_PER_RUN * call.model.output_tokens
-        return runs * (read_time * _HOLD_UP_SHARE + own_delay)
+        return runs * (read_time * _HOLD_UP_SHARE + step * _STEP_SHARE_PER_RUN)
 
 
 @dataclass(frozen=True, slots=True)
