Compute the ways of context once per configuration

Cause: each estimate of a fetch built and compared the ways from all stores: 1.3 of 4.7 ms of a choice among 20 engines with 9 stores, also for calls that fetch nothing.

--- a/src/oleanderdyke/kernel/scheduling/fetch_times.py
+++ b/src/oleanderdyke/kernel/scheduling/fetch_times.py
@@ -36,11 +36,19 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchPath:
-    """Describe the way of context from a store to an engine."""
+    """Describe the way of context from the store at an address to an engine.
 
-    engine: EngineTraits
-    data_centre: str
-    store: StoreTraits
+    A fetch begins after `first_delay` and then takes `token_time` per token.
+    """
+
+    address: str
+    first_delay: Millis
+    token_time: Millis
+
+    def find_nominal(self, tokens: float) -> Millis:
+        """Return how long a fetch takes by the configuration."""
+        transfer = max(tokens, 0.0) * self.token_time
+        return min(self.first_delay + transfer, _MAX_FETCH)
 
 
 class FetchTimes:
@@ -57,19 +65,33 @@
         for address in self._ratios.keys() - set(addresses):
             del self._ratios[address]
 
+    def make_path(
+        self, engine: EngineTraits, data_centre: str, store: StoreTraits
+    ) -> FetchPath | None:
+        """Return the way to an engine, None if its speed is unknown."""
+        mbps = _find_link(engine, store)
+        if not mbps:
+            return None
+        bits = engine.token_bytes * _BITS_PER_BYTE
+        token_time = bits / (mbps * _BITS_PER_MEGABIT_SECOND)
+        distance = self._find_distance(data_centre, store.data_centre)
+        return FetchPath(
+            store.address, store.first_delay, token_time * distance
+        )
+
     def add_sample(
         self, path: FetchPath, tokens: float, duration: Millis, now: Millis
     ) -> None:
         """Add what a fetch added to the time of a first byte."""
-        expected = self._find_nominal(path, tokens)
+        expected = path.find_nominal(tokens)
         ratio = (max(duration, 0.0) + _JITTER) / (expected + _JITTER)
         ratio = min(max(ratio, _MIN_RATIO), _MAX_RATIO)
-        self._ratios[path.store.address].add(ratio, now)
+        self._ratios[path.address].add(ratio, now)
 
     def estimate(self, path: FetchPath, tokens: float, now: Millis) -> Millis:
         """Return how long a fetch takes."""
-        nominal = self._find_nominal(path, tokens)
-        ratio = self._find_ratio(path.store.address, now)
+        nominal = path.find_nominal(tokens)
+        ratio = self._find_ratio(path.address, now)
         corrected = (nominal + _JITTER) * ratio - _JITTER
         lowest = nominal * _MIN_RATIO
         return min(max(corrected, lowest), _MAX_FETCH)
@@ -83,15 +105,6 @@
         share = weight / (weight + _PRIOR_WEIGHT)
         return 1.0 if found is None else math.pow(found, share)
 
-    def _find_nominal(self, path: FetchPath, tokens: float) -> Millis:
-        mbps = find_link(path.engine, path.store)
-        bits = max(tokens, 0.0) * path.engine.token_bytes * _BITS_PER_BYTE
-        transfer = bits / (mbps * _BITS_PER_MEGABIT_SECOND)
-        transfer *= self._find_distance(
-            path.data_centre, path.store.data_centre
-        )
-        return min(path.store.first_delay + transfer, _MAX_FETCH)
-
     def _find_distance(self, one: str, other: str) -> float:
         if one == other:
             return 1.0
@@ -100,7 +113,7 @@
         return _OTHER_DATA_CENTRE if is_near else _OTHER_REGION
 
 
-def find_link(engine: EngineTraits, store: StoreTraits) -> float:
+def _find_link(engine: EngineTraits, store: StoreTraits) -> float:
     """Return the bandwidth between engine and store, 0 if unknown."""
     known = [mbps for mbps in (engine.link_mbps, store.link_mbps) if mbps > 0]
     return min(known, default=0.0) if engine.token_bytes else 0.0
--- a/src/oleanderdyke/kernel/scheduling/learned_speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
@@ -21,7 +22,6 @@
 from oleanderdyke.kernel.scheduling.fetch_times import (
     FetchPath,
     FetchTimes,
-    find_link,
 )
 from oleanderdyke.kernel.scheduling.machine_slowdown import (
     SlowdownTrust,
@@ -58,6 +58,8 @@
 _SLOW_RATIO = 2.0
 _RECOVERED_RATIO = 1.4
 _CHECK_PERIOD: Millis = 1 * SECOND
+# Which store is the fastest is found again after this.
+_FASTEST_PERIOD: Millis = 250.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,9 @@
         self._suspected: set[ServerStart] = set()
         self._checked_at: Millis = 0.0
         self._fetches = FetchTimes(regions)
+        # By service and data centre of the engines.
+        self._paths: dict[tuple[str, str], Mapping[str, FetchPath]] = {}
+        self._fastest: dict[tuple[str, str], tuple[Millis, FetchPath]] = {}
         self._slowdown = SlowdownTrust()
 
     def configure(self, deployment: Deployment) -> None:
@@ -136,6 +141,8 @@
             each.store.address: each.store for each in services if each.store
         }
         self._fetches.retain(self._stores)
+        self._paths.clear()
+        self._fastest.clear()
 
     def estimate_read(
         self, backend: Backend, tokens: float, now: Millis
@@ -165,15 +172,15 @@
 
         Without the address of a store, the fastest one counts.
         """
-        if store is None:
-            paths = list(self._list_paths(backend))
-        else:
-            path = self._find_path(backend, store)
-            paths = [] if path is None else [path]
-        if not paths:
+        path = (
+            self._find_fastest(backend, tokens, now)
+            if store is None
+            else self._find_path(backend, store)
+        )
+        if path is None:
             usual = self._find_service(backend).find_unit(backend, now)
             return max(tokens, 0.0) * usual / _NEUTRAL_FETCH_GAIN
-        return min(self._fetches.estimate(each, tokens, now) for each in paths)
+        return self._fetches.estimate(path, tokens, now)
 
     def find_read_rate(self, backend: Backend, now: Millis) -> float:
         """Return the usual tokens per ms that engines of a service prefill."""
@@ -289,19 +296,44 @@
         store = first.store or None
         return self.estimate_fetch(backend, first.fetched, now, store=store)
 
-    def _list_paths(self, backend: Backend) -> Iterator[FetchPath]:
-        for address in self._stores:
-            path = self._find_path(backend, address)
+    def _find_fastest(
+        self, backend: Backend, tokens: float, now: Millis
+    ) -> FetchPath | None:
+        """Return the way from the store that is the fastest at present."""
+        paths = self._list_paths(backend)
+        if not paths:
+            return None
+        key = (backend.record.service, backend.record.data_centre)
+        chosen_at, fastest = self._fastest.get(key, (-math.inf, None))
+        if fastest is None or now - chosen_at >= _FASTEST_PERIOD:
+            fastest = min(
+                paths.values(),
+                key=lambda path: self._fetches.estimate(path, tokens, now),
+            )
+            self._fastest[key] = now, fastest
+        return fastest
+
+    def _list_paths(self, backend: Backend) -> Mapping[str, FetchPath]:
+        """Return the ways from all stores of known speed, by address."""
+        key = (backend.record.service, backend.record.data_centre)
+        if key not in self._paths:
+            self._paths[key] = dict(self._make_paths(*key))
+        return self._paths[key]
+
+    def _make_paths(
+        self, service: str, data_centre: str
+    ) -> Iterator[tuple[str, FetchPath]]:
+        engine = self._engines.get(service)
+        for address, store in self._stores.items():
+            if engine is None:
+                return
+            path = self._fetches.make_path(engine, data_centre, store)
             if path is not None:
-                yield path
+                yield address, path
 
     def _find_path(self, backend: Backend, address: str) -> FetchPath | None:
         """Return the way from a store, None if its speed is unknown."""
-        engine = self._engines.get(backend.record.service)
-        store = self._stores.get(address)
-        if engine is None or store is None or not find_link(engine, store):
-            return None
-        return FetchPath(engine, backend.record.data_centre, store)
+        return self._list_paths(backend).get(address)
 
     def _find_ratio(self, backend: Backend, now: Millis) -> float:
         pace = self._paces.get(backend.record.start)
--- a/src/oleanderdyke/kernel/scheduling/scoring.py
+++ b/src/oleanderdyke/kernel/scheduling/scoring.py
@@ -50,12 +50,14 @@
     ) -> Millis:
         """Return the expected time to the first byte."""
         speeds = self.speeds
-        return (
+        expected = (
             self._estimate_wait(call, backend, now)
             + speeds.estimate_read(backend, call.missing, now)
-            + speeds.estimate_fetch(backend, call.fetched, now)
             + speeds.estimate_step(backend, now)
         )
+        if not call.fetched:
+            return expected
+        return expected + speeds.estimate_fetch(backend, call.fetched, now)
 
     def _estimate_wait(
         self, call: PricedCall, backend: Backend, now: Millis
