Price the work, reading and steps of an engine once per choice

Cause: each cost term looked up the work and estimated the speeds of each engine again.

Change: they come with the priced call; tests build it so, with the checks that they had.

--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -153,8 +153,10 @@
             data_centre=core.settings.data_centre,
             target=call.route.target,
             first_byte=WorkEstimate(
-                self.view, self.speeds, is_current=age <= MAX_VIEW_AGE
+                self.speeds, is_current=age <= MAX_VIEW_AGE
             ),
+            view=self.view,
+            speeds=self.speeds,
             terms=self._make_terms(call),
             draw=SampledDraw(core.random),
             pool=self.pools.list_pool(call.service, call.route.name, now),
@@ -176,8 +178,8 @@
         if core.deployment is not None:
             capacity = core.deployment.find_memory_tokens(call.service) or 0
         return (
-            HoldUpCost(self.view, self.speeds),
-            MemoryCost(self.view, self.speeds, capacity),
+            HoldUpCost(),
+            MemoryCost(capacity),
             self.pools,
         )
 
--- a/src/oleanderdyke/kernel/scheduling/costs.py
+++ b/src/oleanderdyke/kernel/scheduling/costs.py
@@ -8,6 +8,8 @@
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.scheduling.speeds import SpeedView
+from oleanderdyke.kernel.scheduling.work import NO_WORK, ServerWork, WorkView
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
 
 
@@ -17,7 +19,8 @@
 
     `missing` prompt tokens are neither cached at the server nor fetchable,
     `fetched` ones come from a context store. `target` is the longest time to
-    the first byte that counts as on time.
+    the first byte that counts as on time. `work` is in flight at the server,
+    which takes `read_time` to prefill a token and `step` to generate one.
     """
 
     service: str
@@ -29,6 +32,9 @@
     target: Millis
     missing: int = 0
     fetched: int = 0
+    work: ServerWork = NO_WORK
+    read_time: Millis = 0.0
+    step: Millis = 0.0
 
 
 class FirstByteEstimate(Protocol):
@@ -70,12 +76,20 @@
     data_centre: str
     target: Millis
     first_byte: FirstByteEstimate
+    view: WorkView
+    speeds: SpeedView
     terms: Sequence[CostTerm] = ()
     draw: Draw | None = None
     pool: frozenset[ServerStart] | None = None
 
     def price(
-        self, model: ModelDemand, *, fetched: int, missing: int
+        self,
+        model: ModelDemand,
+        backend: Backend,
+        now: Millis,
+        *,
+        fetched: int,
+        missing: int,
     ) -> PricedCall:
         """Describe the call at a server that lacks so much of its prompt."""
         return PricedCall(
@@ -88,6 +102,9 @@
             target=self.target,
             missing=missing,
             fetched=fetched,
+            work=self.view.find_work(backend.record.start, now),
+            read_time=self.speeds.estimate_read(backend, 1.0, now),
+            step=self.speeds.estimate_step(backend, now),
         )
 
     def list_homes(self, backends: Iterable[Backend]) -> list[Backend]:
--- a/src/oleanderdyke/kernel/scheduling/placement.py
+++ b/src/oleanderdyke/kernel/scheduling/placement.py
@@ -71,7 +71,13 @@
         """Return the engines that may keep the context of such calls."""
 
     def price(
-        self, model: ModelDemand, *, fetched: int, missing: int
+        self,
+        model: ModelDemand,
+        backend: Backend,
+        now: Millis,
+        *,
+        fetched: int,
+        missing: int,
     ) -> PricedCall:
         """Describe the call at a server that lacks so much of its prompt."""
 
@@ -220,7 +226,9 @@
     if demand.costs is None or demand.model is None:
         return score, best
     fetched, missing = _split_prompt(demand, demand.model, best)
-    priced = demand.costs.price(demand.model, fetched=fetched, missing=missing)
+    priced = demand.costs.price(
+        demand.model, best, now, fetched=fetched, missing=missing
+    )
     index = demand.costs.choose(priced, scores, best, now)
     return scores[index], usable[index]
 
@@ -289,7 +297,7 @@
     fetched, missing = _split_prompt(demand, demand.model, backend)
     if demand.costs is not None:
         priced = demand.costs.price(
-            demand.model, fetched=fetched, missing=missing
+            demand.model, backend, now, fetched=fetched, missing=missing
         )
         return demand.costs.estimate_first_byte(priced, backend, now)
     estimate_time = backend.reading.estimate_time
@@ -312,7 +320,7 @@
     if demand.costs is not None:
         fetched, missing = _split_prompt(demand, demand.model, backend)
         priced = demand.costs.price(
-            demand.model, fetched=fetched, missing=missing
+            demand.model, backend, now, fetched=fetched, missing=missing
         )
         score += demand.costs.find_score(priced, backend, now)
         score += _score_cache(demand, demand.model, backend, terms)
--- a/src/oleanderdyke/kernel/scheduling/pools.py
+++ b/src/oleanderdyke/kernel/scheduling/pools.py
@@ -25,7 +25,7 @@
 )
 from oleanderdyke.kernel.scheduling.speeds import SpeedView
 from oleanderdyke.kernel.scheduling.switch import LoadSwitch
-from oleanderdyke.kernel.scheduling.work import ServerWork, WorkView
+from oleanderdyke.kernel.scheduling.work import WorkView
 from oleanderdyke.kernel.servers import ServerStart
 
 # Bounds the time that long prompts take of an engine that is overloaded.
@@ -166,13 +166,12 @@
         if side is None:
             return 0.0
         parting = self._partings[call.service]
-        work = self._view.find_work(backend.record.start, now)
-        cost = call.target if self._is_full(call, backend, work) else 0.0
+        cost = call.target if self._is_full(call, backend) else 0.0
         is_long = call.route in parting.long_routes
         if is_long and side is Side.SHORT:
-            cost += self._price_long(call, backend, work, now)
+            cost += _price_long(call, parting)
         if not is_long and side is Side.LONG:
-            cost += self._price_short(call, backend, work, now)
+            cost += _price_short(call, parting)
         return cost
 
     def _step(self, service: str, parting: _Parting, now: Millis) -> bool:
@@ -204,11 +203,9 @@
         parting.others = starts - parting.members
         parting.members_at = now
 
-    def _is_full(
-        self, call: PricedCall, backend: Backend, work: ServerWork
-    ) -> bool:
+    def _is_full(self, call: PricedCall, backend: Backend) -> bool:
         """Return whether the call would wait until a run ends."""
-        slots = backend.record.slots
+        slots, work = backend.record.slots, call.work
         if slots and work.runs >= slots:
             return True
         memory = (
@@ -217,35 +214,23 @@
         needed = work.memory + work.copies + call.model.memory_tokens
         return 0 < memory < needed
 
-    def _price_long(
-        self,
-        call: PricedCall,
-        backend: Backend,
-        work: ServerWork,
-        now: Millis,
-    ) -> Millis:
-        """Return how long a long prompt delays short requests in all."""
-        parting = self._partings[call.service]
-        read_time = self._speeds.estimate_read(backend, call.missing, now)
-        arriving = parting.short_rate * read_time / SECOND
-        cost = read_time * (work.runs - work.long_runs + arriving)
-        if parting.has_short_room:
-            return cost
-        return cost + parting.load.short_limit
-
-    def _price_short(
-        self,
-        call: PricedCall,
-        backend: Backend,
-        work: ServerWork,
-        now: Millis,
-    ) -> Millis:
-        """Return how long long prompts delay the end of a short request."""
-        waiting = self._speeds.estimate_read(backend, work.unread, now)
-        step = self._speeds.estimate_step(backend, now)
-        # An answer has on average half of its maximum length.
-        answer = call.model.output_tokens / 2 * step
-        return waiting + answer * self._partings[call.service].long_busy
+
+def _price_long(call: PricedCall, parting: _Parting) -> Millis:
+    """Return how long a long prompt delays short requests in all."""
+    read_time = call.missing * call.read_time
+    arriving = parting.short_rate * read_time / SECOND
+    cost = read_time * (call.work.runs - call.work.long_runs + arriving)
+    if parting.has_short_room:
+        return cost
+    return cost + parting.load.short_limit
+
+
+def _price_short(call: PricedCall, parting: _Parting) -> Millis:
+    """Return how long long prompts delay the end of a short request."""
+    waiting = call.work.unread * call.read_time
+    # An answer has on average half of its maximum length.
+    answer = call.model.output_tokens / 2 * call.step
+    return waiting + answer * parting.long_busy
 
 
 def _describe(service: str, parting: _Parting) -> PoolState:
--- a/src/oleanderdyke/kernel/scheduling/scoring.py
+++ b/src/oleanderdyke/kernel/scheduling/scoring.py
@@ -15,7 +15,6 @@
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.scheduling.costs import PricedCall
 from oleanderdyke.kernel.scheduling.speeds import SpeedView
-from oleanderdyke.kernel.scheduling.work import ServerWork, WorkView
 
 # Beyond this age the reports of the servers say more than those of entries.
 MAX_VIEW_AGE: Millis = 1 * SECOND
@@ -41,7 +40,6 @@
     work of this entry alone.
     """
 
-    view: WorkView
     speeds: SpeedView
     is_current: bool = True
 
@@ -49,58 +47,40 @@
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
         """Return the expected time to the first byte."""
-        speeds = self.speeds
-        expected = (
-            self._estimate_wait(call, backend, now)
-            + speeds.estimate_read(backend, call.missing, now)
-            + speeds.estimate_step(backend, now)
-        )
+        expected = self._estimate_wait(call, backend, now)
+        expected += call.missing * call.read_time + call.step
         if not call.fetched:
             return expected
-        return expected + speeds.estimate_fetch(backend, call.fetched, now)
+        return expected + self.speeds.estimate_fetch(backend, call.fetched, now)
 
     def _estimate_wait(
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
-        work = self.view.find_work(backend.record.start, now)
-        wait = self.speeds.estimate_read(backend, work.unread, now)
+        wait = call.work.unread * call.read_time
         if self.is_current:
-            wait += self._estimate_slot_wait(call, backend, work, now)
+            wait += _estimate_slot_wait(call, backend)
             return max(wait, backend.find_overdue_time(now))
-        step = self.speeds.estimate_step(backend, now)
-        waiting = backend.count_waiting(now) * step
+        waiting = backend.count_waiting(now) * call.step
         return max(wait, backend.find_queue_delay(call.rank, now)) + waiting
 
-    def _estimate_slot_wait(
-        self,
-        call: PricedCall,
-        backend: Backend,
-        work: ServerWork,
-        now: Millis,
-    ) -> Millis:
-        slots = backend.record.slots
-        if not slots or work.runs < slots:
-            return 0.0
-        step = self.speeds.estimate_step(backend, now)
-        run_time = call.model.output_tokens * step
-        return (work.runs - slots + 1) * run_time / slots
+
+def _estimate_slot_wait(call: PricedCall, backend: Backend) -> Millis:
+    slots, runs = backend.record.slots, call.work.runs
+    if not slots or runs < slots:
+        return 0.0
+    run_time = call.model.output_tokens * call.step
+    return (runs - slots + 1) * run_time / slots
 
 
-@dataclass(frozen=True, slots=True)
 class HoldUpCost:
     """Price the time by which a call holds up the runs at a server."""
 
-    view: WorkView
-    speeds: SpeedView
-
     def find_cost(
-        self, call: PricedCall, backend: Backend, now: Millis
+        self, call: PricedCall, _backend: Backend, _now: Millis
     ) -> Millis:
         """Return the delay of all runs, and of the call's steps by them."""
-        runs = self.view.find_work(backend.record.start, now).runs
-        read_time = self.speeds.estimate_read(backend, call.missing, now)
-        step = self.speeds.estimate_step(backend, now)
-        return runs * (read_time * _HOLD_UP_SHARE + step * _STEP_SHARE_PER_RUN)
+        held_up = call.missing * call.read_time * _HOLD_UP_SHARE
+        return call.work.runs * (held_up + call.step * _STEP_SHARE_PER_RUN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,21 +90,18 @@
     `capacity` is the memory of each engine in tokens, 0 if unknown.
     """
 
-    view: WorkView
-    speeds: SpeedView
     capacity: int
 
     def find_cost(
-        self, call: PricedCall, backend: Backend, now: Millis
+        self, call: PricedCall, _backend: Backend, _now: Millis
     ) -> Millis:
         """Return the time to prefill again what finds no room."""
         if not self.capacity:
             return 0.0
-        work = self.view.find_work(backend.record.start, now)
+        work = call.work
         needed = work.memory + work.copies + call.model.memory_tokens
         excess = max(needed - self.capacity * _USABLE_MEMORY_SHARE, 0.0)
-        read_time = self.speeds.estimate_read(backend, excess, now)
-        return read_time * _PREEMPTION_FACTOR
+        return excess * call.read_time * _PREEMPTION_FACTOR
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -61,6 +61,9 @@
     return Backend(record, at, last_heard_at=math.inf)
 
 
+SPEEDS = ServiceSpeeds()
+
+
 @dataclass
 class Entry:
     """One entry whose view, speeds and engines are set by the test."""
@@ -80,7 +83,7 @@
         for _ in range(2):
             switch.record_prompt('short', SHORT)
             switch.record_prompt('long', LONG)
-        self.pools = Pools(self, switch, view=self, speeds=ServiceSpeeds())
+        self.pools = Pools(self, switch, view=self, speeds=SPEEDS)
         self.pools.configure(DEPLOYMENT)
 
     def find_work(self, start, _now):
@@ -126,10 +129,20 @@
 
     def price(self, route, number, **changes):
         model = SHORT if route == 'short' else LONG
+        engine = self.engines[number]
         call = PricedCall(
-            'desk', route, '', 0, model, 'dc-0', 600.0, model.prompt_tokens
+            'desk',
+            route,
+            '',
+            0,
+            model,
+            'dc-0',
+            600.0,
+            model.prompt_tokens,
+            work=self.find_work(engine.record.start, self.now),
+            read_time=SPEEDS.estimate_read(engine, 1.0, self.now),
+            step=SPEEDS.estimate_step(engine, self.now),
         )
-        engine = self.engines[number]
         return self.pools.find_cost(replace(call, **changes), engine, self.now)
 
     def find_numbers(self):
@@ -338,7 +351,18 @@
     for number in range(40):
         parts = (PromptPart(f'guide-{number}', 5_000), PromptPart('own', 1))
         model = replace(LONG, parts=parts)
-        costs = Costs('desk', 'long', '', 1, 'dc-0', 800.0, None, pool=pool)
+        costs = Costs(
+            'desk',
+            'long',
+            '',
+            1,
+            'dc-0',
+            800.0,
+            None,
+            entry,
+            SPEEDS,
+            pool=pool,
+        )
         demand = CallDemand('desk', 'dc-0', model, costs=costs)
         homes = _find_terms(demand, entry.engines).cache_servers
         assert homes <= {each.server for each in pool}
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -50,8 +50,10 @@
         rank=0,
         data_centre='hall',
         target=400.0,
-        first_byte=WorkEstimate(view, SPEEDS, is_current),
-        terms=(HoldUpCost(view, SPEEDS), MemoryCost(view, SPEEDS, CAPACITY)),
+        first_byte=WorkEstimate(SPEEDS, is_current),
+        view=view,
+        speeds=SPEEDS,
+        terms=(HoldUpCost(), MemoryCost(CAPACITY)),
         draw=draw,
     )
     demand = CallDemand('desk', 'hall', model, costs=costs)
@@ -86,18 +88,26 @@
 
 
 def test_first_byte_counts_the_prompts_of_all_entries():
-    backend, call = make_backend('a'), make_call(missing=1_000)
-    idle = WorkEstimate(View(), SPEEDS)
-    filled = WorkEstimate(View(a=ServerWork(unread=5_000)), SPEEDS)
-    delay = filled.estimate_first_byte(
-        call, backend, NOW
-    ) - idle.estimate_first_byte(call, backend, NOW)
+    backend, estimate = make_backend('a'), WorkEstimate(SPEEDS)
+    idle, filled = (make_call(backend, unread) for unread in (0, 5_000))
+    delay = estimate.estimate_first_byte(
+        filled, backend, NOW
+    ) - estimate.estimate_first_byte(idle, backend, NOW)
     assert delay == pytest.approx(SPEEDS.estimate_read(backend, 5_000, NOW))
 
 
-def make_call(missing: int) -> PricedCall:
+def make_call(backend: Backend, unread: int) -> PricedCall:
     return PricedCall(
-        'desk', 'ask', '', 0, SHORT, 'hall', target=400.0, missing=missing
+        'desk',
+        'ask',
+        '',
+        0,
+        SHORT,
+        'hall',
+        target=400.0,
+        missing=1_000,
+        work=ServerWork(unread=unread),
+        read_time=SPEEDS.estimate_read(backend, 1.0, NOW),
     )
 
 
