Keep work counted while a frozen reader is tried again

Change: reports count for 1.5 s, beats come every 250 ms, and a reader keeps its links to other data centres for a second. Of the unread tokens two thirds count, as an engine has read half of the prompt that it reads.

--- a/src/oleanderdyke/kernel/scheduling/scoring.py
+++ b/src/oleanderdyke/kernel/scheduling/scoring.py
@@ -28,6 +28,8 @@
 _USABLE_MEMORY_SHARE = 0.85
 # A preempted run is prefilled again, and so is what it preempts in turn.
 _PREEMPTION_FACTOR = 3.0
+# An engine has prefilled half of the prompt that it reads, and few wait behind.
+_UNREAD_SHARE = 2 / 3
 _SAMPLE_SIZE = 2
 # Other entries may have sent as many such calls to the lowest score unseen.
 _TOLERANCE_FACTOR = 2.0
@@ -61,7 +63,8 @@
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
         work = self.view.find_work(backend.record.start, now)
-        wait = self.speeds.estimate_read(backend, work.unread, now)
+        unread = work.unread * _UNREAD_SHARE
+        wait = self.speeds.estimate_read(backend, unread, now)
         if self.is_current:
             wait += self._estimate_slot_wait(call, backend, work, now)
             return max(wait, backend.find_overdue_time(now))
--- a/src/oleanderdyke/kernel/scheduling/work_reports.py
+++ b/src/oleanderdyke/kernel/scheduling/work_reports.py
@@ -23,7 +23,7 @@
 # Bounds the length of a report of changes; the rest follows with the next one.
 _MAX_CHANGES = 32
 # An unchanged entry reports this often to show that it is alive.
-_BEAT_PERIOD: Millis = 500.0
+_BEAT_PERIOD: Millis = 250.0
 _WHOLE_PERIOD: Millis = 1 * SECOND
 _PERIODS_PER_WHOLE = 12
 _MAX_DEMAND_ROWS = 64
--- a/src/oleanderdyke/kernel/scheduling/work_table.py
+++ b/src/oleanderdyke/kernel/scheduling/work_table.py
@@ -20,8 +20,9 @@
 from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.links.messages.news import WorkReport
 
-# An entry with work reports at least twice in this time.
-REPORT_LIFETIME: Millis = 1.2 * SECOND
+# An entry with work reports every 250 ms, and may take a second to find another
+# reader once the one that passes its reports on has frozen.
+REPORT_LIFETIME: Millis = 1.5 * SECOND
 _CHECK_PERIOD: Millis = 50.0
 # Reports of an entry that fell silent longer ago can't arrive any more.
 _ORIGIN_LIFETIME: Millis = 60 * SECOND
--- a/src/oleanderdyke/links/work_exchange.py
+++ b/src/oleanderdyke/links/work_exchange.py
@@ -28,12 +28,15 @@
 from oleanderdyke.metrics import Count, Gauge, Metrics
 
 _PERIOD: Millis = 40.0
-_BEAT_PERIOD: Millis = 500.0
+_BEAT_PERIOD: Millis = 400.0
 # A neighbour that sends neither reports nor beats for longer is passed over.
 _SILENCE_LIMIT: Millis = 1 * SECOND
 # A process whose own steps are this far apart was suspended or blocked.
 _STALL_THRESHOLD: Millis = 250.0
 _CONNECT_PERIOD: Millis = 200.0
+# A reader keeps its links to other data centres while another entry is tried in
+# its place, which may turn out to be frozen still.
+_READER_LINGER: Millis = 1 * SECOND
 _DIAL_LIMIT: Millis = 500.0
 _MAX_NUMBERS_PER_FRAME = 20_000
 _SENT, _RECEIVED = 'sent', 'received'
@@ -91,6 +94,7 @@
         self._remote_since: dict[str, Millis] = {}
         self._connected_at: Millis = -math.inf
         self._stepped_at: Millis = -math.inf
+        self._was_reader_at: Millis = -math.inf
 
     async def run(
         self,
@@ -278,7 +282,9 @@
                 del self._remote_since[name]
 
     def _list_remote(self, now: Millis) -> Iterator[Neighbour]:
-        if self._neighbours.find_reader(RECORD_SOURCE, now) is not None:
+        if self._neighbours.find_reader(RECORD_SOURCE, now) is None:
+            self._was_reader_at = now
+        if now - self._was_reader_at > _READER_LINGER:
             return
         for each in self._neighbours.list_remote_readers(RECORD_SOURCE, now):
             # One of two readers opens the link between them.
