--- a/src/oleanderdyke/kernel/scheduling/work_account.py
+++ b/src/oleanderdyke/kernel/scheduling/work_account.py
@@ -26,6 +26,8 @@
         self._runs: dict[str, _Run] = {}
         self._sums: dict[ServerStart, ServerWork] = {}
         self._changed: dict[ServerStart, None] = {}
+        # Set while new work has not been reported.
+        self.has_new_work = False
 
     def begin(
         self,
@@ -41,6 +43,7 @@
         work = ServerWork(unread, memory, 1, int(is_long))
         self._runs[attempt] = _Run(start, work)
         self._add(start, work)
+        self.has_new_work = True
 
     def begin_copy(self, start: ServerStart, copy: str, *, memory: int) -> None:
         """Add a copy of a run, which `end` removes by the same name."""
@@ -75,6 +78,7 @@
 
         They no longer count as changed.
         """
+        self.has_new_work = False
         taken = tuple(self._changed)[:limit]
         for start in taken:
             del self._changed[start]
@@ -82,13 +86,9 @@
 
     def clear_changes(self) -> None:
         """Forget the changes, as after a report of everything."""
+        self.has_new_work = False
         self._changed.clear()
 
-    @property
-    def has_changed(self) -> bool:
-        """Return whether there are changes to take."""
-        return bool(self._changed)
-
     def _add(self, start: ServerStart, work: ServerWork) -> None:
         total = self.find(start) + work
         if total == NO_WORK:
--- a/src/oleanderdyke/kernel/scheduling/work_reports.py
+++ b/src/oleanderdyke/kernel/scheduling/work_reports.py
@@ -17,15 +17,17 @@
 from oleanderdyke.kernel.scheduling.work_table import make_report
 from oleanderdyke.links.messages.news import WorkReport
 
-_MIN_PERIOD: Millis = 80.0
-# Bounds what each entry receives: 333 reports per second from all others.
-_PERIOD_PER_ENTRY: Millis = 3.0
+# New work is reported sooner than work that is done: others must not add to it.
+_MIN_PERIOD: Millis = 40.0
+_DONE_PERIOD_FACTOR = 3.0
+# Bounds what each entry receives: 500 reports per second from all others.
+_PERIOD_PER_ENTRY: Millis = 2.0
 # Bounds the length of a report of changes; the rest follows with the next one.
 _MAX_CHANGES = 32
 # An unchanged entry reports this often to show that it is alive.
 _BEAT_PERIOD: Millis = 250.0
 _WHOLE_PERIOD: Millis = 1 * SECOND
-_PERIODS_PER_WHOLE = 12
+_PERIODS_PER_WHOLE = 18
 _MAX_DEMAND_ROWS = 64
 
 
@@ -59,9 +61,13 @@
         period = max(_MIN_PERIOD, entries * _PERIOD_PER_ENTRY)
         if is_whole:
             return self._make_whole(now)
+        if not self._account.has_new_work:
+            period *= _DONE_PERIOD_FACTOR
         if now - self._reported_at < period:
             return None
-        whole_period = max(_WHOLE_PERIOD, period * _PERIODS_PER_WHOLE)
+        whole_period = max(
+            _WHOLE_PERIOD, entries * _PERIOD_PER_ENTRY * _PERIODS_PER_WHOLE
+        )
         if now - self._whole_at >= whole_period:
             return self._make_whole(now)
         return self._make_difference(now)
