--- a/src/oleanderdyke/links/work_exchange.py
+++ b/src/oleanderdyke/links/work_exchange.py
@@ -8,7 +8,14 @@
 
 import enum
 import math
-from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -141,9 +148,10 @@
             # What arrived meanwhile has not been read yet.
             self._heard_at = dict.fromkeys(self._heard_at, now)
         self._stepped_at = now
-        self._drop_silent(now)
-        self._connect(now)
         links = self._list_links()
+        if self._drop_silent(links, now):
+            links = self._list_links()
+        self._connect(now)
         linked = {each for found in links.values() for each in found}
         joining = linked - self._joined
         report = self._source.make_report(
@@ -250,15 +258,19 @@
                     # It gets the whole state once it takes bytes again.
                     self._joined.discard(link)
 
-    def _drop_silent(self, now: Millis) -> None:
-        links = self._list_links()
+    def _drop_silent(
+        self, links: Mapping[Side, Sequence[Link]], now: Millis
+    ) -> bool:
+        """Forget links that closed or fell silent; return whether any did."""
         opened = {*links[Side.UP], *links[Side.ACROSS]} - self._inbound.keys()
+        known = len(self._heard_at)
         for link, heard_at in tuple(self._heard_at.items()):
             is_silent = now - heard_at > _SILENCE_LIMIT
             if is_silent or link.closed:
                 self._forget(link)
             if is_silent and link in opened and not link.closed:
                 self._client.record_silence(link.peer.process)
+        return len(self._heard_at) < known
 
     def _forget(self, link: Link) -> None:
         self._heard_at.pop(link, None)
