--- a/src/oleanderdyke/kernel/scheduling/scoring.py
+++ b/src/oleanderdyke/kernel/scheduling/scoring.py
@@ -27,6 +27,8 @@
 _USABLE_MEMORY_SHARE = 0.85
 # A preempted run is prefilled again, and so is what it preempts in turn.
 _PREEMPTION_FACTOR = 3.0
+# An engine has prefilled half of the prompt that it reads, and few wait behind.
+_UNREAD_SHARE = 2 / 3
 _SAMPLE_SIZE = 2
 # Other entries may have sent as many such calls to the lowest score unseen.
 _TOLERANCE_FACTOR = 2.0
@@ -56,7 +58,7 @@
     def _estimate_wait(
         self, call: PricedCall, backend: Backend, now: Millis
     ) -> Millis:
-        wait = call.work.unread * call.read_time
+        wait = call.work.unread * _UNREAD_SHARE * call.read_time
         if self.is_current:
             wait += _estimate_slot_wait(call, backend)
             return max(wait, backend.find_overdue_time(now))
--- a/src/oleanderdyke/links/work_exchange.py
+++ b/src/oleanderdyke/links/work_exchange.py
@@ -8,7 +8,14 @@
 
 import enum
 import math
-from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -28,12 +35,15 @@
 from oleanderdyke.metrics import Count, Gauge, Metrics
 
 _PERIOD: Millis = 40.0
-_BEAT_PERIOD: Millis = 500.0
+_BEAT_PERIOD: Millis = 400.0
 # A neighbour that sends neither reports nor beats for longer is passed over.
 _SILENCE_LIMIT: Millis = 1 * SECOND
 # A process whose own steps are this far apart was suspended or blocked.
 _STALL_THRESHOLD: Millis = 250.0
 _CONNECT_PERIOD: Millis = 200.0
+# A reader keeps its links to other data centres while another entry is tried in
+# its place, which may turn out to be frozen still.
+_READER_LINGER: Millis = 1 * SECOND
 _DIAL_LIMIT: Millis = 500.0
 _MAX_NUMBERS_PER_FRAME = 20_000
 _SENT, _RECEIVED = 'sent', 'received'
@@ -91,6 +101,7 @@
         self._remote_since: dict[str, Millis] = {}
         self._connected_at: Millis = -math.inf
         self._stepped_at: Millis = -math.inf
+        self._was_reader_at: Millis = -math.inf
 
     async def run(
         self,
@@ -137,9 +148,10 @@
             # What arrived meanwhile has not been read yet.
             self._heard_at = dict.fromkeys(self._heard_at, now)
         self._stepped_at = now
-        self._drop_silent(now)
-        self._connect(now)
         links = self._list_links()
+        if self._drop_silent(links, now):
+            links = self._list_links()
+        self._connect(now)
         linked = {each for found in links.values() for each in found}
         joining = linked - self._joined
         report = self._source.make_report(
@@ -246,15 +258,19 @@
                     # It gets the whole state once it takes bytes again.
                     self._joined.discard(link)
 
-    def _drop_silent(self, now: Millis) -> None:
-        links = self._list_links()
+    def _drop_silent(
+        self, links: Mapping[Side, Sequence[Link]], now: Millis
+    ) -> bool:
+        """Forget links that closed or fell silent; return whether any did."""
         opened = {*links[Side.UP], *links[Side.ACROSS]} - self._inbound.keys()
+        known = len(self._heard_at)
         for link, heard_at in tuple(self._heard_at.items()):
             is_silent = now - heard_at > _SILENCE_LIMIT
             if is_silent or link.closed:
                 self._forget(link)
             if is_silent and link in opened and not link.closed:
                 self._client.record_silence(link.peer.process)
+        return len(self._heard_at) < known
 
     def _forget(self, link: Link) -> None:
         self._heard_at.pop(link, None)
@@ -278,7 +294,9 @@
                 del self._remote_since[name]
 
     def _list_remote(self, now: Millis) -> Iterator[Neighbour]:
-        if self._neighbours.find_reader(RECORD_SOURCE, now) is not None:
+        if self._neighbours.find_reader(RECORD_SOURCE, now) is None:
+            self._was_reader_at = now
+        if now - self._was_reader_at > _READER_LINGER:
             return
         for each in self._neighbours.list_remote_readers(RECORD_SOURCE, now):
             # One of two readers opens the link between them.
