Keep the order of routes at engines where teams have ranks

Cause: a team's rank took the place of its routes' ranks, so that engines got one rank for urgent short prompts and long ones of the same team. Change: where a service is scheduled, ranks are numbered by team, then route.

--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -33,6 +33,7 @@
 from oleanderdyke.kernel.scheduling.fair_shares import Claimant
 from oleanderdyke.kernel.scheduling.placement import Choice, is_usable
 from oleanderdyke.kernel.scheduling.speeds import SpeedView
+from oleanderdyke.kernel.scheduling.urgency import RankOrder
 from oleanderdyke.kernel.scheduling.wait_queue import WaitQueue
 from oleanderdyke.kernel.scheduling.work import Demand, WorkView
 from oleanderdyke.metrics import Count, Gauge
@@ -61,19 +62,16 @@
         self._queue = WaitQueue()
         self._services: dict[str, ServiceAdmission] = {}
         self._refreshed: dict[str, Millis] = {}
-        self._route_ranks: dict[str, int] = {}
-        self._team_ranks: dict[str, int] = {}
+        self._order = RankOrder()
 
     def configure(self, deployment: Deployment) -> None:
         """Apply a new configuration."""
-        self._route_ranks = {
-            route.name: route.priority for route in deployment.routes
-        }
-        self._team_ranks = {
-            owner.team: owner.priority
-            for owner in deployment.key_owners.values()
-            if owner.priority is not None
-        }
+        self._order.configure(deployment)
+
+    def find_rank(self, call: HostedCall) -> int | None:
+        """Return the rank of a call at engines, None if it is unknown."""
+        claimant = self._order.find_claimant(call.route.name, call.team)
+        return self._order.find_rank(call.service, claimant)
 
     def is_informed(self, now: Millis) -> bool:
         """Return whether the demand at all entries is known."""
@@ -165,7 +163,7 @@
             lambda: ClaimantDemand(0.0)
         )
         for demand in demands:
-            claimant = self._find_claimant(demand.route, demand.team)
+            claimant = self._order.find_claimant(demand.route, demand.team)
             known = sums[claimant]
             engines = estimate_engines(demand, room, self._lengths)
             sums[claimant] = ClaimantDemand(
@@ -175,11 +173,6 @@
             )
         return sums
 
-    def _find_claimant(self, route: str, team: str) -> Claimant:
-        route_rank = self._route_ranks.get(route, 0)
-        rank = self._team_ranks.get(team, route_rank)
-        return Claimant(rank, team, route_rank)
-
     def _describe(
         self, call: HostedCall, choice: Choice, now: Millis
     ) -> Applicant:
@@ -192,7 +185,7 @@
         return Applicant(
             request=call.request,
             service=call.service,
-            claimant=self._find_claimant(route, call.team),
+            claimant=self._order.find_claimant(route, call.team),
             age=call.age,
             expected=choice.expected,
             left=call.deadline - now,
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from oleanderdyke.clock import Millis
@@ -38,7 +38,7 @@
     """A call of a service with its route and caller.
 
     `owner` is None if the route needs no API key. `started` and `deadline` are
-    times on the entry's clock.
+    times on the entry's clock. `rank` is set where calls are scheduled.
     """
 
     request: str
@@ -53,6 +53,7 @@
     owner: KeyOwner | None
     started: Millis
     deadline: Millis
+    rank: int | None = None
 
     @property
     def team(self) -> str:
@@ -66,6 +67,8 @@
         rank = self.route.priority
         if owner is not None and owner.priority is not None:
             rank = owner.priority
+        if self.rank is not None:
+            rank = self.rank
         if self.age.is_late:
             rank = LATE_RANK
         return min(max(rank, _HIGHEST_PRIORITY), _LOWEST_PRIORITY)
@@ -131,7 +134,7 @@
     parameters, route = authorized.parameters, authorized.route
     wait = route.timeout if parameters.wait is None else parameters.wait
     target = f'{head.target}?{head.query}' if head.query else head.target
-    return HostedCall(
+    call = HostedCall(
         request=parameters.request,
         method=head.method,
         target=target,
@@ -145,6 +148,7 @@
         started=started,
         deadline=started + min(wait, route.timeout),
     )
+    return replace(call, rank=core.scheduling.find_rank(call))
 
 
 def make_demand(
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -66,6 +66,13 @@
         if demand is not None and self._switch is not None:
             self._switch.record_prompt(call.route.name, demand)
 
+    def find_rank(self, call: HostedCall) -> int | None:
+        """Return the rank of a scheduled call, None if it has the usual one."""
+        scheduler = self.find_scheduler(call)
+        return (
+            None if scheduler is None else scheduler.admission.find_rank(call)
+        )
+
     def record_answer(
         self, call: HostedCall, events: int, duration: Millis
     ) -> None:
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -12,6 +12,11 @@
 from hypothesis import strategies as st
 
 from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.deployment import (
+    Deployment,
+    KeyOwner,
+    ServiceTraits,
+)
 from oleanderdyke.kernel.scheduling.answer_lengths import (
     AnswerLengths,
     EndedAnswer,
@@ -25,13 +30,16 @@
     Claimant,
     divide_capacity,
 )
+from oleanderdyke.kernel.scheduling.overload import LATE_RANK
 from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds
+from oleanderdyke.kernel.scheduling.urgency import RankOrder
 from oleanderdyke.kernel.scheduling.work import (
     Demand,
     NoWorkView,
     ServerWork,
 )
 from oleanderdyke.kernel.servers import ServerRecord
+from tests.test_load_switch import make_route
 
 CLAIMANTS = st.builds(
     Claimant,
@@ -62,6 +70,32 @@
         ) == pytest.approx(wanted)
 
 
+def test_routes_keep_their_order_at_engines_where_teams_have_ranks():
+    routes = [
+        make_route('short', target=400.0, priority=0),
+        make_route('long', target=1_200.0, priority=2),
+    ]
+    owners = {'k': KeyOwner('red', priority=1), 'l': KeyOwner('blue')}
+    order = RankOrder()
+    order.configure(
+        Deployment(
+            1, tuple(routes), {'desk': ServiceTraits('desk')}, key_owners=owners
+        )
+    )
+    asked = [
+        ('short', 'blue'),
+        ('short', 'red'),
+        ('long', 'red'),
+        ('long', 'blue'),
+    ]
+    ranks = [
+        order.find_rank('desk', order.find_claimant(route, team))
+        for route, team in asked
+    ]
+    assert ranks == sorted(set(ranks))
+    assert ranks[-1] < LATE_RANK
+
+
 def test_the_room_of_a_burst_after_a_quarter_of_the_engines_is_lost():
     class View(NoWorkView):
         def find_work(self, _start, _now):
