Count only what no other engine keeps as the loss of a resumable stream

Cause: a stream that may be resumed is read again mostly from parts that other engines and stores keep, so that its loss was overstated.

Change: its loss is the time to read the tokens of its own.

Measured: tests/test_run_copies.py passes, and its new case fails without the change; not played yet.

--- a/src/oleanderdyke/kernel/scheduling/run_copies.py
+++ b/src/oleanderdyke/kernel/scheduling/run_copies.py
@@ -237,12 +237,14 @@
     """Return whether the loss of a run costs its caller more than the copy.
 
     A run that may not be repeated is lost as a whole. Any other has to be read
-    again, which matters if the pause is longer than its caller accepts.
+    again, without the parts that others share and engines or stores keep, which
+    matters if the pause is longer than its caller accepts.
     """
-    loss = run.source.reading.estimate_time(run.tokens)
-    if find_copy_time(run) >= loss:
+    estimate_time = run.source.reading.estimate_time
+    if find_copy_time(run) >= estimate_time(run.tokens):
         return False
-    return not run.is_resumable or 0 < run.gap < loss
+    pause = estimate_time(run.model.memory_tokens)
+    return not run.is_resumable or 0 < run.gap < pause
 
 
 def find_copy_time(run: GrowingRun) -> Millis:
--- a/tests/test_run_copies.py
+++ b/tests/test_run_copies.py
@@ -21,13 +21,26 @@
     is_worth_copying,
 )
 from oleanderdyke.kernel.scheduling.work import NO_WORK, NoWorkView, ServerWork
-from oleanderdyke.kernel.servers import ModelDemand, ServerRecord
+from oleanderdyke.kernel.servers import (
+    ModelDemand,
+    PromptPart,
+    ServerRecord,
+)
 
 TRAITS = EngineTraits(
     10_000, token_bytes=18_432.0, link_mbps=130_000.0, backups=True
 )
 DEMAND = ModelDemand('llm', prompt_tokens=1_000, output_tokens=200)
 
+SHARED = replace(
+    DEMAND,
+    parts=(
+        PromptPart('rules', 900),
+        PromptPart('case', 90),
+        PromptPart('own', 10),
+    ),
+)
+
 
 def make_engine(name, data_centre='east', *, version=1):
     record = ServerRecord(
@@ -157,6 +170,8 @@
         ({'is_resumable': True, 'gap': 5_000.0}, False),
         ({'is_resumable': True, 'gap': 0.0}, False),
         ({'is_resumable': True, 'gap': 1.0}, True),
+        # Engines and stores keep most of its prompt.
+        ({'is_resumable': True, 'gap': 10.0, 'model': SHARED}, False),
         # The copy takes longer than reading it again.
         ({'traits': replace(TRAITS, link_mbps=100.0)}, False),
     ],
