--- a/src/oleanderdyke/kernel/scheduling/work_account.py
+++ b/src/oleanderdyke/kernel/scheduling/work_account.py
@@ -26,8 +26,8 @@
         self._runs: dict[str, _Run] = {}
         self._sums: dict[ServerStart, ServerWork] = {}
         self._changed: dict[ServerStart, None] = {}
-        # Set while new work has not been reported.
-        self.has_new_work = False
+        # Set while a new long run has not been reported.
+        self.has_long_news = False
 
     def begin(
         self,
@@ -43,7 +43,7 @@
         work = ServerWork(unread, memory, 1, int(is_long))
         self._runs[attempt] = _Run(start, work)
         self._add(start, work)
-        self.has_new_work = True
+        self.has_long_news |= is_long
 
     def begin_copy(self, start: ServerStart, copy: str, *, memory: int) -> None:
         """Add a copy of a run, which `end` removes by the same name."""
@@ -78,7 +78,7 @@
 
         They no longer count as changed.
         """
-        self.has_new_work = False
+        self.has_long_news = False
         taken = tuple(self._changed)[:limit]
         for start in taken:
             del self._changed[start]
@@ -86,7 +86,7 @@
 
     def clear_changes(self) -> None:
         """Forget the changes, as after a report of everything."""
-        self.has_new_work = False
+        self.has_long_news = False
         self._changed.clear()
 
     def _add(self, start: ServerStart, work: ServerWork) -> None:
--- a/src/oleanderdyke/kernel/scheduling/work_reports.py
+++ b/src/oleanderdyke/kernel/scheduling/work_reports.py
@@ -17,9 +17,9 @@
 from oleanderdyke.kernel.scheduling.work_table import make_report
 from oleanderdyke.links.messages.news import WorkReport
 
-# New work is reported sooner than work that is done: others must not add to it.
+# A new long run is reported sooner than other changes: no other may follow it.
 _MIN_PERIOD: Millis = 40.0
-_DONE_PERIOD_FACTOR = 3.0
+_OTHER_PERIOD_FACTOR = 3.0
 # Bounds what each entry receives: 500 reports per second from all others.
 _PERIOD_PER_ENTRY: Millis = 2.0
 # Bounds the length of a report of changes; the rest follows with the next one.
@@ -61,8 +61,8 @@
         period = max(_MIN_PERIOD, entries * _PERIOD_PER_ENTRY)
         if is_whole:
             return self._make_whole(now)
-        if not self._account.has_new_work:
-            period *= _DONE_PERIOD_FACTOR
+        if not self._account.has_long_news:
+            period *= _OTHER_PERIOD_FACTOR
         if now - self._reported_at < period:
             return None
         whole_period = max(
