Drop what a full link doesn't take, and state the bytes

Cause: a full link was sent the state of all entries at each step, which keeps it full.

Change: the next whole reports mend what was dropped.

--- a/src/oleanderdyke/links/work_exchange.py
+++ b/src/oleanderdyke/links/work_exchange.py
@@ -250,13 +250,11 @@
                 )
             )
             data = encode(news)
-            for link in links:
-                if link.write_encoded(news, data):
-                    self._metrics.add(Count.WORK_REPORTS, len(reports), _SENT)
-                    self._metrics.add(Count.WORK_BYTES, len(data), _SENT)
-                else:
-                    # It gets the whole state once it takes bytes again.
-                    self._joined.discard(link)
+            # What a full link doesn't take is mended by the next whole reports;
+            # a queue would only make the news older.
+            sent = sum(link.write_encoded(news, data) for link in links)
+            self._metrics.add(Count.WORK_REPORTS, len(reports) * sent, _SENT)
+            self._metrics.add(Count.WORK_BYTES, len(data) * sent, _SENT)
 
     def _drop_silent(
         self, links: Mapping[Side, Sequence[Link]], now: Millis
