Learn the memory of runs by the tokens of answers, not by their events

Cause: callers announce the longest answer (952 tokens where 294 come in the mean, in events of seven), and lengths were learned in events: capacity took generating for a seventh of what it is, memory for a third too much.

Change: an answer's events count the stride of its engine; the account and the cost of memory take the learned length.

--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -36,6 +36,7 @@
 from oleanderdyke.kernel.scheduling.urgency import RankOrder
 from oleanderdyke.kernel.scheduling.wait_queue import WaitQueue
 from oleanderdyke.kernel.scheduling.work import Demand, WorkView
+from oleanderdyke.kernel.servers import ModelDemand
 from oleanderdyke.metrics import Count, Gauge
 
 _REFRESH_PERIOD: Millis = 100.0
@@ -107,11 +108,28 @@
         if demand is None or not events or call.parameters.last_event:
             return
         announced = demand.output_tokens
-        memory = demand.memory_tokens - announced // 2 + events
+        tokens = events * self._find_stride(call.service)
+        memory = demand.memory_tokens - announced // 2 + tokens
         self._lengths.record(
-            EndedAnswer(call.route.name, announced, events, duration, memory)
+            EndedAnswer(call.route.name, announced, tokens, duration, memory)
         )
 
+    def estimate_memory(self, call: HostedCall, model: ModelDemand) -> float:
+        """Estimate the engine memory that a run needs, in tokens."""
+        ratio = self._lengths.find_ratio(call.route.name)
+        if ratio is None:
+            return model.memory_tokens
+        announced = model.output_tokens
+        return model.memory_tokens - announced // 2 + announced * ratio
+
+    def _find_stride(self, service: str) -> int:
+        """Return the number of tokens in one event of a stream."""
+        deployment = self._core.deployment
+        traits = None if deployment is None else deployment.services[service]
+        if traits is None or traits.engine is None:
+            return 1
+        return traits.engine.stride
+
     def _find_service(self, name: str, now: Millis) -> ServiceAdmission:
         """Return the admission of a service, with figures of this moment."""
         if name not in self._services:
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -125,7 +125,7 @@
             start,
             attempt,
             unread=unread,
-            memory=model.memory_tokens,
+            memory=round(self.admission.estimate_memory(call, model)),
             is_long=self._core.scheduling.is_long(call),
         )
         if is_first:
@@ -157,6 +157,7 @@
             ),
             view=self.view,
             speeds=self.speeds,
+            memory=self._estimate_memory(call),
             terms=self._make_terms(call),
             draw=SampledDraw(core.random),
             pool=self.pools.list_pool(call.service, call.route.name, now),
@@ -172,6 +173,12 @@
             'unread': round(work.unread),
         }
 
+    def _estimate_memory(self, call: HostedCall) -> float:
+        model = call.parameters.demand
+        if model is None:
+            return 0.0
+        return self.admission.estimate_memory(call, model)
+
     def _make_terms(self, call: HostedCall) -> tuple[CostTerm, ...]:
         core = self._core
         capacity = 0
--- a/src/oleanderdyke/kernel/scheduling/answer_lengths.py
+++ b/src/oleanderdyke/kernel/scheduling/answer_lengths.py
@@ -23,13 +23,13 @@
     """Describe an answer that ended.
 
     `announced` is the length that its caller announced, in output tokens,
-    `events` the number that came, `duration` the time from the first to the
+    `tokens` the number that came, `duration` the time from the first to the
     last of them, `memory` the engine memory of the run in tokens.
     """
 
     route: str
     announced: int
-    events: int
+    tokens: int
     duration: Millis
     memory: int
 
@@ -53,7 +53,7 @@
         _update_mean(self._memory, route, answer.memory)
         if answer.announced:
             _update_mean(self._announced, route, answer.announced)
-            _update_mean(self._real, route, answer.events)
+            _update_mean(self._real, route, answer.tokens)
 
     def find_duration(
         self, route: str, quantile: float, announced: int | None = None
@@ -75,12 +75,12 @@
         """Return the mean engine memory of a run in tokens, None if unknown."""
         return self._memory.get(route)
 
-    def find_ratio(self, route: str) -> float:
-        """Return real lengths relative to announced ones, 1 if unknown."""
+    def find_ratio(self, route: str) -> float | None:
+        """Return real lengths relative to announced ones, None if unknown."""
         known = self._durations.get((route, _ANY_LENGTH), ())
         announced = self._announced.get(route)
         if not announced or len(known) < _MIN_SAMPLES:
-            return 1.0
+            return None
         return self._real[route] / announced
 
 
--- a/src/oleanderdyke/kernel/scheduling/capacity.py
+++ b/src/oleanderdyke/kernel/scheduling/capacity.py
@@ -87,7 +87,8 @@
     Memory counts by the number of runs that share a step. Durations of answers
     don't: they grow with the shortage itself.
     """
-    output = demand.output * lengths.find_ratio(demand.route)
+    ratio = lengths.find_ratio(demand.route)
+    output = demand.output * (1.0 if ratio is None else ratio)
     memory = lengths.find_memory(demand.route) or 0.0
     generating = output * room.step / _find_batch(room, memory)
     return (demand.unread * room.read_time + generating) / SECOND
--- a/src/oleanderdyke/kernel/scheduling/costs.py
+++ b/src/oleanderdyke/kernel/scheduling/costs.py
@@ -19,8 +19,9 @@
 
     `missing` prompt tokens are neither cached at the server nor fetchable,
     `fetched` ones come from a context store. `target` is the longest time to
-    the first byte that counts as on time. `work` is in flight at the server,
-    which takes `read_time` to prefill a token and `step` to generate one.
+    the first byte that counts as on time. The run needs `memory` tokens of
+    engine memory. `work` is in flight at the server, which takes `read_time` to
+    prefill a token and `step` to generate one.
     """
 
     service: str
@@ -32,6 +33,7 @@
     target: Millis
     missing: int = 0
     fetched: int = 0
+    memory: float = 0.0
     work: ServerWork = NO_WORK
     read_time: Millis = 0.0
     step: Millis = 0.0
@@ -78,6 +80,7 @@
     first_byte: FirstByteEstimate
     view: WorkView
     speeds: SpeedView
+    memory: float = 0.0
     terms: Sequence[CostTerm] = ()
     draw: Draw | None = None
     pool: frozenset[ServerStart] | None = None
@@ -102,6 +105,7 @@
             target=self.target,
             missing=missing,
             fetched=fetched,
+            memory=self.memory,
             work=self.view.find_work(backend.record.start, now),
             read_time=self.speeds.estimate_read(backend, 1.0, now),
             step=self.speeds.estimate_step(backend, now),
--- a/src/oleanderdyke/kernel/scheduling/pools.py
+++ b/src/oleanderdyke/kernel/scheduling/pools.py
@@ -211,7 +211,7 @@
         memory = (
             0 if self._meter is None else self._meter.find_memory(call.service)
         )
-        needed = work.memory + work.copies + call.model.memory_tokens
+        needed = work.memory + work.copies + call.memory
         return 0 < memory < needed
 
 
--- a/src/oleanderdyke/kernel/scheduling/scoring.py
+++ b/src/oleanderdyke/kernel/scheduling/scoring.py
@@ -101,7 +101,7 @@
         if not self.capacity:
             return 0.0
         work = call.work
-        needed = work.memory + work.copies + call.model.memory_tokens
+        needed = work.memory + work.copies + call.memory
         excess = max(needed - self.capacity * _USABLE_MEMORY_SHARE, 0.0)
         return excess * call.read_time * _PREEMPTION_FACTOR
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -131,7 +131,7 @@
 
 def test_lengths_follow_answers_instead_of_what_callers_announce():
     lengths = AnswerLengths()
-    assert lengths.find_ratio('long') == 1.0
+    assert lengths.find_ratio('long') is None
     assert lengths.find_duration('long', 0.5) is None
     for number in range(64):
         announced = 10 if number % 2 else 100
--- a/tests/test_hosted_admission.py
+++ b/tests/test_hosted_admission.py
@@ -5,10 +5,14 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import anyio
 import pytest
 
+from oleanderdyke.entry.hosted.admission import EntryAdmission
 from oleanderdyke.kernel.scheduling.work import Demand, ServerWork
+from oleanderdyke.kernel.servers import ModelDemand
 from oleanderdyke.metrics import Count
 from tests import hosted
 from tests.hosted import CONFIGURATION, KEY, MODEL, STREAM_ROUTE
@@ -98,3 +102,29 @@
     assert float(line['use']) > 5
     count = stage.core.metrics.read_count(Count.ADMISSION_REFUSALS, 'share 1.2')
     assert count == len(refused)
+
+
+async def test_the_memory_of_a_run_follows_the_tokens_of_ended_answers(
+    tmp_path,
+):
+    """Callers announce the longest answer; an event holds several tokens."""
+    engine = {'kvCapacity': 40_000, 'stride': 7}
+    configuration = {
+        **CONFIGURATION,
+        'routes': [SHORT],
+        'services': [{**DESK, 'engine': engine}],
+    }
+    async with hosted.staging(
+        tmp_path, answer_full, configuration=configuration, models=MODELS
+    ) as stage:
+        admission = EntryAdmission(stage.core, View())
+        model = ModelDemand('m', prompt_tokens=800, output_tokens=952)
+        call = SimpleNamespace(
+            service='desk',
+            route=SimpleNamespace(name='short'),
+            parameters=SimpleNamespace(demand=model, last_event=''),
+        )
+        assert admission.estimate_memory(call, model) == 800 + 952 // 2
+        for _ in range(8):
+            admission.record_answer(call, 20, 500.0)
+        assert admission.estimate_memory(call, model) == pytest.approx(940)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -139,6 +139,7 @@
             'dc-0',
             600.0,
             model.prompt_tokens,
+            memory=model.memory_tokens,
             work=self.find_work(engine.record.start, self.now),
             read_time=SPEEDS.estimate_read(engine, 1.0, self.now),
             step=SPEEDS.estimate_step(engine, self.now),
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -53,6 +53,7 @@
         first_byte=WorkEstimate(SPEEDS, is_current),
         view=view,
         speeds=SPEEDS,
+        memory=model.memory_tokens,
         terms=(HoldUpCost(), MemoryCost(CAPACITY)),
         draw=draw,
     )
