Allow for the prompts of other entries before a server counts as silent

Change: where scheduling is on, the state of a server holds the tokens that it has yet to read for other entries, ten times a second.

--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.admission import EntryAdmission
 from oleanderdyke.entry.hosted.copies import CallCopies, make_call_copies
 from oleanderdyke.entry.hosted.core import HostedCore
@@ -42,6 +43,9 @@
     from oleanderdyke.entry.hosted.call import HostedCall
 
 
+_WORK_PERIOD: Millis = 100.0
+
+
 class Scheduler:
     """Hold the parts that decide under load."""
 
@@ -79,6 +83,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._exchange_work)
             tasks.start_soon(follow_demand, self._core, self.pools)
+            tasks.start_soon(self._follow_work)
 
     async def _exchange_work(self) -> None:
         """Exchange news with other entries until cancelled."""
@@ -97,6 +102,23 @@
         )
         await exchange.run(core.peers.desk, core.peers.make_hello, core.random)
 
+    async def _follow_work(self) -> None:
+        """Tell backend servers' states what other entries wait for there.
+
+        Otherwise a server that reads their prompts would count as silent.
+        """
+        while True:
+            self.record_work(self._core.clock.now())
+            await anyio.sleep(_WORK_PERIOD / SECOND)
+
+    def record_work(self, now: Millis) -> None:
+        """Record the prompt tokens that servers read for other entries."""
+        for backend in self._core.backends.list_known():
+            start = backend.record.start
+            unread = self.view.find_work(start, now).unread
+            own = self.account.find(start).unread
+            backend.unread_elsewhere = max(unread - own, 0.0)
+
     def find_side(self, call: HostedCall, start: ServerStart) -> str | None:
         """Return the pool of an engine, None without pools."""
         now = self._core.clock.now()
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -41,7 +41,9 @@
 
     `waiting` holds by name the attempts whose first byte is outstanding,
     `delays` the queue delay by rank, and `cached_parts` the token counts of
-    the prompt parts that the server has likely cached.
+    the prompt parts that the server has likely cached. `unread_elsewhere`
+    counts the prompt tokens that it has yet to prefill for other entries, as
+    far as they are known.
     """
 
     record: ServerRecord
@@ -50,6 +52,7 @@
     running: int = 0
     running_tokens: int = 0
     waiting: dict[str, PendingAttempt] = field(default_factory=dict)
+    unread_elsewhere: float = 0.0
     last_heard_at: Millis = 0.0
     load: ServerLoad | None = None
     load_at: Millis = 0.0
@@ -143,7 +146,8 @@
         since = [attempt.since for attempt in self.waiting.values()]
         tokens = sum(attempt.tokens for attempt in self.waiting.values())
         prefill_time = min(
-            self.reading.estimate_time(tokens), _MAX_PREFILL_TIME
+            self.reading.estimate_time(tokens + self.unread_elsewhere),
+            _MAX_PREFILL_TIME,
         )
         silence = now - max(min(since, default=0.0), self.last_heard_at)
         return max(silence - prefill_time - self._find_grace(now), 0.0)
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -8,7 +8,11 @@
 
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.scheduling.costs import Costs, PricedCall
-from oleanderdyke.kernel.scheduling.placement import CallDemand, choose_among
+from oleanderdyke.kernel.scheduling.placement import (
+    CallDemand,
+    choose_among,
+    is_usable,
+)
 from oleanderdyke.kernel.scheduling.scoring import (
     HoldUpCost,
     MemoryCost,
@@ -119,3 +123,14 @@
     assert chosen == {0, 1, 2}
     filled = View(a=ServerWork(unread=90_000))
     assert {choose(filled, draw=draw) for _ in range(50)} == {'b'}
+
+
+def test_a_server_that_reads_prompts_of_other_entries_is_not_silent():
+    """Bursts of long prompts: its entries wait over a second for each other."""
+    backend = make_backend('a', running=1)
+    backend.last_heard_at = NOW - 1_200
+    assert not is_usable(backend, NOW)
+    backend.unread_elsewhere = 50_000
+    assert is_usable(backend, NOW)
+    backend.last_heard_at = NOW - 3_000
+    assert not is_usable(backend, NOW)
