Part engines by the reading times that all entries learned

Change: demand tells the time that its prompts take; the mean over all entries is the same everywhere.

--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -55,7 +55,7 @@
         self.speeds = LearnedSpeeds(core.settings.regions)
         self.speed_sampler = SpeedSampler(core, self.speeds)
         self.account = WorkAccount()
-        self.meter = DemandMeter()
+        self.meter = DemandMeter(self.speeds)
         self.table = WorkTable(own.name, self.account, self.meter)
         self.view: WorkView = self.table
         self.pools = Pools(
--- a/src/oleanderdyke/kernel/scheduling/demand_meter.py
+++ b/src/oleanderdyke/kernel/scheduling/demand_meter.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.scheduling.work import Demand
@@ -50,10 +51,18 @@
         self.output *= factor
 
 
+class ReadTimes(Protocol):
+    """How long engines take to read prompts."""
+
+    def find_read_time(self, service: str, now: Millis) -> Millis:
+        """Return the usual time per prompt token of a service's engines."""
+
+
 class DemandMeter:
     """Keep decaying rates of arrivals, admissions and tokens."""
 
-    def __init__(self) -> None:
+    def __init__(self, read_times: ReadTimes | None = None) -> None:
+        self._read_times = read_times
         self._sums: dict[DemandKey, _Sums] = {}
         # Share of a route's prompt tokens that engines had to prefill.
         self._missing_shares: dict[str, float] = {}
@@ -86,7 +95,15 @@
             self._find(key, now)
             if self._sums[key].arrived * SECOND / _MEMORY < _MIN_RATE:
                 del self._sums[key]
-        return [_make_demand(key, sums) for key, sums in self._sums.items()]
+        return [
+            _make_demand(key, sums, self._find_read_time(key.service, now))
+            for key, sums in self._sums.items()
+        ]
+
+    def _find_read_time(self, service: str, now: Millis) -> Millis:
+        if self._read_times is None:
+            return 0.0
+        return self._read_times.find_read_time(service, now)
 
     def _find(self, key: DemandKey, now: Millis) -> _Sums:
         sums = self._sums.setdefault(key, _Sums(now))
@@ -94,7 +111,7 @@
         return sums
 
 
-def _make_demand(key: DemandKey, sums: _Sums) -> Demand:
+def _make_demand(key: DemandKey, sums: _Sums, read_time: Millis) -> Demand:
     per_second = SECOND / _MEMORY
     return Demand(
         key.service,
@@ -104,4 +121,5 @@
         admitted=sums.admitted * per_second,
         unread=sums.unread * per_second,
         output=sums.output * per_second,
+        reading=sums.unread * per_second * read_time,
     )
--- a/src/oleanderdyke/kernel/scheduling/learned_speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -100,10 +100,13 @@
 
     def find_unit(self, backend: Backend, now: Millis) -> Millis:
         """Return the usual prefill time of one token."""
+        found = self.find_learned_unit(now)
+        return backend.reading.estimate_time(1) if found is None else found
+
+    def find_learned_unit(self, now: Millis) -> Millis | None:
+        """Return the same as answers have shown it, None without enough."""
         found = self.units.find_quantile(_RATE_QUANTILE, now)
-        if found is None or len(self.units) < _MIN_SAMPLES:
-            return backend.reading.estimate_time(1)
-        return found
+        return None if len(self.units) < _MIN_SAMPLES else found
 
     def find_base(self, now: Millis) -> Millis:
         """Return the time to a first byte without prefill."""
@@ -186,6 +189,11 @@
         """Return the usual tokens per ms that engines of a service prefill."""
         return 1 / self._find_service(backend).find_unit(backend, now)
 
+    def find_read_time(self, service: str, now: Millis) -> Millis:
+        """Return the learned time per prompt token, 0 while it is unknown."""
+        known = self._services.get(service)
+        return 0.0 if known is None else known.find_learned_unit(now) or 0.0
+
     def record_first_byte(
         self, backend: Backend, first: FirstByte, now: Millis
     ) -> None:
--- a/src/oleanderdyke/kernel/scheduling/pool_loads.py
+++ b/src/oleanderdyke/kernel/scheduling/pool_loads.py
@@ -50,11 +50,12 @@
         is_known = math.isfinite(self.view.find_age(now))
         if not usable or not is_known:
             return PoolLoad(usable=len(usable), is_known=is_known)
-        power = self._find_power(service, usable, now)
+        demands = self.view.list_demand(service, now)
+        power = self._find_power(service, usable, demands, now)
         work = sum_work(
             self.view.find_work(each.record.start, now) for each in usable
         )
-        short, long = self._sum_sides(service, work, now)
+        short, long = self._sum_sides(service, demands, work)
         return PoolLoad(
             usable=len(usable),
             short=find_load(short, power),
@@ -68,14 +69,18 @@
         return self.deployment.find_memory_tokens(service) or 0
 
     def _find_power(
-        self, service: str, usable: Sequence[Backend], now: Millis
+        self,
+        service: str,
+        usable: Sequence[Backend],
+        demands: Sequence[Demand],
+        now: Millis,
     ) -> EnginePower:
         sample = statistics.median(
             self.speeds.estimate_read(each, _SAMPLE_TOKENS, now)
             for each in usable
         )
         return EnginePower(
-            read=sample / _SAMPLE_TOKENS,
+            read=_find_read_time(demands) or sample / _SAMPLE_TOKENS,
             step=statistics.median(
                 self.speeds.estimate_step(each, now) for each in usable
             ),
@@ -84,10 +89,9 @@
         )
 
     def _sum_sides(
-        self, service: str, work: ServerWork, now: Millis
+        self, service: str, demands: Sequence[Demand], work: ServerWork
     ) -> tuple[SideDemand, SideDemand]:
         """Return the demand of the short and of the long side."""
-        demands = self.view.list_demand(service, now)
         long_routes = self.switch.list_long(service)
         short, long = [], []
         for route in list_streams(self.deployment, service):
@@ -116,6 +120,16 @@
         )
 
 
+def _find_read_time(demands: Sequence[Demand]) -> Millis:
+    """Return the mean time per prompt token that entries learned, 0 if none.
+
+    It is the same at all entries, as sizes of pools have to be.
+    """
+    known = [each for each in demands if each.reading]
+    unread = sum(each.unread for each in known)
+    return sum(each.reading for each in known) / unread if unread else 0.0
+
+
 def _list_limits(route: Route) -> Iterator[Millis]:
     """Yield the times in which a short prompt has to be read.
 
--- a/src/oleanderdyke/kernel/scheduling/work.py
+++ b/src/oleanderdyke/kernel/scheduling/work.py
@@ -69,7 +69,8 @@
 
     All figures are rates per second over the last seconds: requests that
     arrived and that were admitted, prompt tokens to prefill and output tokens
-    to generate for those that arrived.
+    to generate for those that arrived. `reading` is the time in milliseconds
+    for which these prompts occupy an engine, as far as it is known.
     """
 
     service: str
@@ -79,11 +80,18 @@
     admitted: float = 0.0
     unread: float = 0.0
     output: float = 0.0
+    reading: float = 0.0
 
     @property
     def rates(self) -> tuple[float, ...]:
         """Return the rates in order."""
-        return (self.arrived, self.admitted, self.unread, self.output)
+        return (
+            self.arrived,
+            self.admitted,
+            self.unread,
+            self.output,
+            self.reading,
+        )
 
 
 class WorkView(Protocol):
--- a/src/oleanderdyke/kernel/scheduling/work_table.py
+++ b/src/oleanderdyke/kernel/scheduling/work_table.py
@@ -241,7 +241,7 @@
 def _list_demand(report: WorkReport) -> Iterator[Demand]:
     kinds, rates = iter(report.kinds), iter(report.rates)
     names = zip(kinds, kinds, kinds, strict=True)
-    rows = zip(rates, rates, rates, rates, strict=True)
+    rows = zip(rates, rates, rates, rates, rates, strict=True)
     for texts, numbers in zip(names, rows, strict=True):
         yield Demand(*texts, *numbers)
 
@@ -253,6 +253,7 @@
         admitted=one.admitted + other.admitted,
         unread=one.unread + other.unread,
         output=one.output + other.output,
+        reading=one.reading + other.reading,
     )
 
 
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -148,7 +148,7 @@
 # request in `WorkReport.kinds` and `WorkReport.rates`.
 AMOUNTS_PER_SERVER = 5
 TEXTS_PER_KIND = 3
-RATES_PER_KIND = 4
+RATES_PER_KIND = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,9 +162,9 @@
     Columns are decoded faster than rows. The start `born` of each of
     the `servers` has five amounts: unread prompt tokens, tokens of memory,
     runs, long runs, tokens of copied runs; all zero if the entry has no
-    work there. Each kind of request has its service, route and team, and four
+    work there. Each kind of request has its service, route and team, and five
     rates per second: requests that arrived and that were admitted, prompt
-    tokens to prefill and output tokens.
+    tokens to prefill, output tokens, and the time to prefill in milliseconds.
     """
 
     entry: str
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -74,6 +74,7 @@
     age: float = 0.0
     admitted: float = 0.0
     announced: float = 1.0
+    read_time: float = 0.0
     now: float = 0.0
     sizes: list = field(default_factory=list)
 
@@ -100,6 +101,7 @@
                 admitted=rate * self.admitted,
                 unread=rate * models[route].prompt_tokens / 2,
                 output=rate * models[route].output_tokens * self.announced,
+                reading=rate * models[route].prompt_tokens / 2 * self.read_time,
             )
             for route, rate in self.rates.items()
         ]
@@ -396,3 +398,29 @@
     engines_read = (short * 10 * 0.35 / 50, long * 4.5 / 50)
     assert engines_read[0] < size
     assert engines_read[1] < 20 - size
+
+
+def test_entries_that_learned_different_rates_part_engines_alike():
+    """All entries see the same bursts but few first bytes each."""
+    entries = make_entry(), make_entry()
+    for entry, scale in zip(entries, (0.7, 1.4), strict=True):
+        entry.pools = Pools(
+            entry,
+            entry.pools._switch,
+            view=entry,
+            speeds=ScaledSpeeds(scale),
+        )
+        entry.pools.configure(DEPLOYMENT)
+        entry.read_time = 0.025
+        entry.run(8, short=200, long=60)
+    assert entries[0].sizes[-1] == entries[1].sizes[-1]
+
+
+class ScaledSpeeds(ServiceSpeeds):
+    """Take engines for faster or slower than they are."""
+
+    def __init__(self, scale):
+        self._scale = scale
+
+    def estimate_read(self, backend, tokens, now):
+        return super().estimate_read(backend, tokens, now) * self._scale
