--- a/src/oleanderdyke/entry/hosted/copies.py
+++ b/src/oleanderdyke/entry/hosted/copies.py
@@ -90,6 +90,7 @@
 
         `splitter` has seen the events that the caller has.
         """
+        self._copies.record_loss(self._core.clock.now())
         copy = self._copy
         if copy is None or attempt != self._attempt:
             return ''
--- a/src/oleanderdyke/kernel/scheduling/run_copies.py
+++ b/src/oleanderdyke/kernel/scheduling/run_copies.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -27,6 +28,9 @@
 _LINK_BURST: Millis = 1 * SECOND
 # A transfer between data centres takes twice as long.
 _DISTANCE_FACTOR = 2.0
+# After a lost run, others are copied for this long: engines crash in series,
+# and copies take memory from runs while none does.
+_RISK_PERIOD: Millis = 30 * SECOND
 # Candidates that are compared by their memory.
 _CANDIDATES = 2
 _BITS_PER_BYTE = 8
@@ -109,6 +113,7 @@
     random: Random
     view: Callable[[], WorkView]
     account: CopyAccount = field(default_factory=NoCopyAccount)
+    _lost_at: Millis = -math.inf
     _copies: dict[str, RunCopy] = field(default_factory=dict)
     # Until when the permitted share of each server's link is used.
     _paces: dict[ServerStart, Millis] = field(default_factory=dict)
@@ -125,6 +130,8 @@
 
         `may_hold` tells whether a server may get work of this caller now.
         """
+        if now - self._lost_at > _RISK_PERIOD:
+            return None
         if not is_worth_copying(run) or not self._has_link(run.source, now):
             return None
         fills = self._make_fills(run, listed, share, now)
@@ -140,6 +147,10 @@
         )
         return None if best is None else _make_copy(run, best)
 
+    def record_loss(self, now: Millis) -> None:
+        """Record that an engine lost a run."""
+        self._lost_at = now
+
     def begin(
         self,
         attempt: str,
--- a/tests/hosted_copies.py
+++ b/tests/hosted_copies.py
@@ -50,6 +50,7 @@
         directory, *scripts, configuration=configuration, models=MODELS
     ) as stage:
         scheduler = make_scheduler(stage.core)
+        scheduler.copies.record_loss(stage.core.clock.now())
         scheduling: Any = stage.core.scheduling
         scheduling.find_scheduler = lambda _: scheduler
         yield stage
