End a fetch of context once reading would have been as fast

Change: the deadline of a fetch is the engine's backlog and the longer of the time to read and a quarter of the target, where scheduling is on.

--- a/src/oleanderdyke/entry/hosted/dispatch.py
+++ b/src/oleanderdyke/entry/hosted/dispatch.py
@@ -51,4 +51,7 @@
         now=now,
     )
     contexts.record_saves(salt, demand.parts, plan, now)
-    return plan
+    scheduler = core.scheduling.find_scheduler(call)
+    if scheduler is None:
+        return plan
+    return scheduler.limit_fetch(call, backend, plan)
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -15,10 +15,13 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.pools import UsableEngines, follow_demand
 from oleanderdyke.entry.hosted.speed_samples import SpeedSampler
+from oleanderdyke.kernel.backend import Backend
+from oleanderdyke.kernel.context_stores import ContextPlan
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.retries import RetryBudget
 from oleanderdyke.kernel.scheduling.costs import Costs, CostTerm
 from oleanderdyke.kernel.scheduling.demand_meter import DemandKey, DemandMeter
+from oleanderdyke.kernel.scheduling.fetch_limits import limit_fetch
 from oleanderdyke.kernel.scheduling.learned_speeds import LearnedSpeeds
 from oleanderdyke.kernel.scheduling.placement import Choice
 from oleanderdyke.kernel.scheduling.pools import Pools
@@ -154,6 +157,24 @@
             now = self._core.clock.now()
             self.meter.record_admission(_make_key(call), model, unread, now)
 
+    def limit_fetch(
+        self, call: HostedCall, backend: Backend, plan: ContextPlan
+    ) -> ContextPlan:
+        """Bound the wait of an engine for context that it could read."""
+        core, now = self._core, self._core.clock.now()
+        clock = core.engine_clock.convert(now)
+        if clock is None:
+            return plan
+        unread = self.view.find_work(backend.record.start, now).unread
+        return limit_fetch(
+            plan,
+            begins_at=clock + self.speeds.estimate_read(backend, unread, now),
+            read_time=self.speeds.estimate_read(
+                backend, plan.fetched_tokens, now
+            ),
+            target=call.route.target,
+        )
+
     def record_first_byte(self, attempt: str) -> None:
         """Record that the prompt of an attempt was prefilled."""
         self.account.record_first_byte(attempt)
