Count the retries taken before a window of copies began

Cause: scheduling begins in the middle of traffic. Its window of retries began empty, with a whole burst for copies, although the usual bucket might have spent the same burst within that window.

Change: what the bucket lacks counts as taken when the window begins.

Measured: the new test fails without the change: 20 more retries than the 20 that the burst permits.

--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -18,7 +19,8 @@
 
     Usual retries also need a token of `budget`, which all retries share. The
     retries within a window never exceed the burst and the share of the
-    requests within it, so that windows of the platform hold no more.
+    requests within it, so that windows of the platform hold no more. What the
+    bucket lacks at first may have been taken within the window, and counts.
     """
 
     def __init__(
@@ -28,7 +30,8 @@
         self._window = window
         self._now = now
         self._requests: deque[Millis] = deque()
-        self._spent: deque[Millis] = deque()
+        taken = math.ceil(max(budget.settings.burst - budget.tokens, 0.0))
+        self._spent: deque[Millis] = deque([now()] * taken)
 
     @property
     def settings(self) -> RetrySettings:
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -61,6 +61,14 @@
     assert take_all(scene.budget.try_withdraw_for_copy) == 1
 
 
+def test_retries_taken_before_the_window_was_watched_count():
+    settings = RetrySettings(share=0.2, burst=20.0)
+    bucket = RetryBudget(settings, Random(1))
+    assert take_all(bucket.try_withdraw) == 20
+    budget = WindowedBudget(bucket, WINDOW, lambda: 0.0)
+    assert take_all(budget.try_withdraw_for_copy) == 0
+
+
 def test_requests_of_earlier_windows_are_forgotten_without_retries():
     scene = Scene()
     for _ in range(1_000):
