Let calls that are not scheduled share the window of retries

Cause: a service's calls without a prompt, and all while its switch is off, took retries from the bucket past the window, which went on to grant copies the whole share and burst.

Change: once there is a scheduler, all calls draw on its budgets. A bucket alone permits no more than the window, except right after its burst was cut.

Measured: the new test fails without the change.

--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -118,8 +118,11 @@
         return None if scheduler is None else scheduler.find_costs(call)
 
     def find_budget(self, call: HostedCall, core: HostedCore) -> RetryBudget:
-        """Return the retry budget of a call."""
-        scheduler = self.find_scheduler(call)
+        """Return the retry budget of a call.
+
+        Calls that are served as usual share that of the scheduled ones.
+        """
+        scheduler = self.find_scheduler(call) or self.scheduler
         if scheduler is None:
             return core.find_budget(call.service)
         return scheduler.find_budget(call.service)
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -8,10 +8,12 @@
 
 from collections import deque
 from random import Random
+from types import SimpleNamespace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from oleanderdyke.entry.hosted.scheduling import Scheduling
 from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
 from oleanderdyke.kernel.scheduling.retry_window import WindowedBudget
 
@@ -69,6 +71,16 @@
     assert take_all(budget.try_withdraw_for_copy) == 0
 
 
+def test_calls_that_are_not_scheduled_share_the_window():
+    scheduling, shared = Scheduling(), object()
+    scheduling.scheduler = SimpleNamespace(find_budget=lambda _: shared)
+    call = SimpleNamespace(
+        parameters=SimpleNamespace(demand=None), service='desk'
+    )
+    core = SimpleNamespace(find_budget=lambda _: None)
+    assert scheduling.find_budget(call, core) is shared
+
+
 def test_requests_of_earlier_windows_are_forgotten_without_retries():
     scene = Scene()
     for _ in range(1_000):
