Forget the copy of a run once another run begins

Cause: attempts are named by the address of their object, which a later attempt of the same call may have again. Its loss would then lead to the copy of the earlier run.

Change: a run of its own that is about to begin drops the earlier name.

Measured: the new test fails without the change.

--- a/src/oleanderdyke/entry/hosted/copies.py
+++ b/src/oleanderdyke/entry/hosted/copies.py
@@ -114,8 +114,12 @@
         return self._core.backends.find_start(copy.start)
 
     def leave(self) -> None:
-        """Record that the next attempt is a run of its own."""
+        """Record that the next attempt is a run of its own.
+
+        It may get the name of an earlier attempt, whose copy isn't its own.
+        """
         self.source = None
+        self._attempt = ''
 
     def record_refusal(self) -> None:
         """Record that an engine refused; if it was to go on, it has no copy."""
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -8,12 +8,20 @@
 import contextlib
 import errno
 from dataclasses import replace
+from random import Random
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
 from oleanderdyke.clients.direct import BackendConnection
+from oleanderdyke.entry.hosted.copies import CallCopies
+from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.kernel.deployment import EngineTraits
 from oleanderdyke.kernel.retries import RetrySettings
+from oleanderdyke.kernel.scheduling.run_copies import RunCopies, RunCopy
+from oleanderdyke.kernel.scheduling.work import NoWorkView
+from oleanderdyke.kernel.servers import ModelDemand
 from tests.hosted import (
     MODEL,
     SERVERS,
@@ -350,3 +358,26 @@
     connection = BackendConnection(lambda _: None)
     connection.connection_lost(error)
     assert connection.was_closed_by_peer is is_closed
+
+
+async def test_copy_is_only_that_of_the_latest_run(tmp_path):
+    """ORDER: a later run may get the name of an earlier, forgotten one."""
+    route = SimpleNamespace(gap=1.0, is_resumable=True)
+    call = SimpleNamespace(
+        request='r', service='desk', route=route, regions=frozenset()
+    )
+    splitter = EventSplitter(None)
+    assert list(splitter.feed(make_event(1)))
+    async with copying(tmp_path, *[CopyingEngine()] * 2) as stage:
+        target = stage.core.backends.find('i-1')
+        copy = RunCopy(target.record.start, target.record.address, MODEL, 1, 9)
+        chooser = RunCopies(Random(1), NoWorkView)
+        chooser.choose = lambda *_: copy
+        copies = CallCopies(
+            stage.core, call, ModelDemand(MODEL), EngineTraits(9), chooser
+        )
+        source = stage.core.backends.find('i-0')
+        assert copies.ask(source, 1, 'same name') == copy.address
+        assert copies.find_lost('same name', splitter) == 'i-1'
+        copies.leave()
+        assert not copies.find_lost('same name', splitter)
