Pass on the blank bytes after the last event of a whole stream

Cause: streams that are passed on in whole events end without what follows the last one. With copies that includes streams which may not be resumed, whose body was passed on unchanged before.

Change: the rest is passed on with the end of a whole stream.

Measured: the new test fails without the change.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -250,6 +250,7 @@
             )
             return
         self._flush()
+        self._forward_rest()
         self._core.backends.record_success(self._start)
         self._finish()
         end = AnswerEnd(
@@ -457,6 +458,12 @@
         if buffered:
             self._forward(bytes(buffered))
 
+    def _forward_rest(self) -> None:
+        """Forward blank bytes after the last event: the body must be whole."""
+        rest = b'' if self._splitter is None else self._splitter.take_rest()
+        if rest:
+            self._forward(rest)
+
     def _forward(self, data: bytes) -> None:
         chunk = AnswerChunk(
             self._call.request, self._number, self._sequence, data
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -39,6 +39,12 @@
         """Drop an incomplete event, which the next attempt sends again."""
         self._pending.clear()
 
+    def take_rest(self) -> bytes:
+        """Remove and return the bytes after the last complete event."""
+        rest = bytes(self._pending)
+        self._pending.clear()
+        return rest
+
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
         """Add data, and yield events that are complete and not yet seen."""
         self._pending += data
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -59,6 +59,10 @@
     )
 
 
+def make_spaced_event(number):
+    return make_event(number) + b'\n'
+
+
 def count_received(stage):
     return [len(replica.received) for replica in stage.replicas]
 
@@ -110,6 +114,15 @@
     assert (found.body, found.is_whole) == (WHOLE, True)
 
 
+async def test_blank_bytes_after_the_last_event_are_passed_on(tmp_path):
+    """MIXED: the caller gets the whole body of the engine."""
+    engine = CopyingEngine(make_event=make_spaced_event)
+    async with copying(tmp_path, engine, engine) as stage:
+        found = await ask(stage)
+    whole = b''.join(make_spaced_event(number) for number in range(1, 7))
+    assert (found.body, found.is_whole) == (whole, True)
+
+
 async def test_stream_without_numbers_does_not_go_on(tmp_path):
     """ORDER: without numbers, events might be missing or come twice."""
     engine = CopyingEngine(crashes_after=3, make_event=lambda _: b'data: a\n\n')
