--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -18,7 +19,8 @@
 
     Usual retries also need a token of `budget`, which all retries share. The
     retries within a window never exceed the burst and the share of the
-    requests within it, so that windows of the platform hold no more.
+    requests within it, so that windows of the platform hold no more. What the
+    bucket lacks at first may have been taken within the window, and counts.
     """
 
     def __init__(
@@ -28,7 +30,8 @@
         self._window = window
         self._now = now
         self._requests: deque[Millis] = deque()
-        self._spent: deque[Millis] = deque()
+        taken = math.ceil(max(budget.settings.burst - budget.tokens, 0.0))
+        self._spent: deque[Millis] = deque([now()] * taken)
 
     @property
     def settings(self) -> RetrySettings:
@@ -48,6 +51,7 @@
         """Add the share of one new request."""
         self._budget.deposit()
         self._requests.append(self._now())
+        self._forget_earlier()
 
     def try_withdraw(self) -> bool:
         """Take one usual retry; return False if none is left."""
@@ -72,10 +76,13 @@
         return self._budget.delay(retry)
 
     def _has_left(self) -> bool:
+        self._forget_earlier()
+        settings = self.settings
+        most = settings.share * len(self._requests) + settings.burst
+        return len(self._spent) + 1 <= most
+
+    def _forget_earlier(self) -> None:
         start = self._now() - self._window
         for times in (self._requests, self._spent):
             while times and times[0] <= start:
                 times.popleft()
-        settings = self.settings
-        most = settings.share * len(self._requests) + settings.burst
-        return len(self._spent) + 1 <= most
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+from collections import deque
 from random import Random
+from types import SimpleNamespace
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from oleanderdyke.entry.hosted.scheduling import Scheduling
 from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
 from oleanderdyke.kernel.scheduling.retry_window import WindowedBudget
 
@@ -60,6 +63,35 @@
     assert take_all(scene.budget.try_withdraw_for_copy) == 1
 
 
+def test_retries_taken_before_the_window_was_watched_count():
+    settings = RetrySettings(share=0.2, burst=20.0)
+    bucket = RetryBudget(settings, Random(1))
+    assert take_all(bucket.try_withdraw) == 20
+    budget = WindowedBudget(bucket, WINDOW, lambda: 0.0)
+    assert take_all(budget.try_withdraw_for_copy) == 0
+
+
+def test_calls_that_are_not_scheduled_share_the_window():
+    scheduling, shared = Scheduling(), object()
+    scheduling.scheduler = SimpleNamespace(find_budget=lambda _: shared)
+    call = SimpleNamespace(
+        parameters=SimpleNamespace(demand=None), service='desk'
+    )
+    core = SimpleNamespace(find_budget=lambda _: None)
+    assert scheduling.find_budget(call, core) is shared
+
+
+def test_requests_of_earlier_windows_are_forgotten_without_retries():
+    scene = Scene()
+    for _ in range(1_000):
+        scene.request(1)
+        scene.now += WINDOW / 10
+    held = [
+        each for each in vars(scene.budget).values() if isinstance(each, deque)
+    ]
+    assert sum(map(len, held)) <= 11
+
+
 STEP = st.tuples(
     st.sampled_from(['request', 'retry', 'copy']),
     st.floats(0, 3_000),
