Go on from a copy only once the first engine refuses connections

Cause: any reset of a connection counted as the end of its run. An engine, its machine or a link may reset a stream and the engine may work on, so that two engines would run one request (found in review: a stand-in that resets a stream and works on for a second).

Change: the entry asks the first engine's port once; a copy is used only if it refuses, or if the list shows a new start. In tests of the other rules a reset counts as the end, as before; engines that listen have a test of their own.

Measured: test_reset_stream_of_an_engine_that_listens_does_not_go_on fails without the change.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -223,6 +223,20 @@
             )
         return connection
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether no server listens at an address.
+
+        A machine that doesn't answer may still run one.
+        """
+        try:
+            connection = await self.open(address)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        connection.close()
+        return False
+
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         pooled = self._addresses.pop(address, None)
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -169,7 +169,7 @@
         if self._done or not self._sent:
             return
         if self._core.backends.is_superseded(self._start):
-            self._lost_copy = self._find_copy()
+            self._lost_copy = self._find_copy(is_ended=True)
             self._close_failed(
                 ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'server restarted'
             )
@@ -263,22 +263,21 @@
         if not self._done:
             self._record_loss()
             if self._has_peer_closed():
-                self._lost_copy = self._find_copy()
+                self._lost_copy = self._find_copy(is_ended=False)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
     def _has_peer_closed(self) -> bool:
-        """Return whether the run has ended, not only its connection.
-
-        A server behind a cut link may still work on it.
-        """
+        """Return whether the connection was closed, and not only silent."""
         connection = self._connection
         return connection is not None and connection.was_closed_by_peer
 
-    def _find_copy(self) -> str:
-        """Return the server with a copy of this run, which has ended, or ''."""
+    def _find_copy(self, *, is_ended: bool) -> str:
+        """Return the server with a copy of this lost run, or ''."""
         if self._copies is None or (self._has_answered and not self._is_stream):
             return ''
-        return self._copies.find_lost(self._attempt_id, self._splitter)
+        return self._copies.find_lost(
+            self._attempt_id, self._splitter, is_ended=is_ended
+        )
 
     def _is_continuation(self) -> bool:
         """Return whether the caller has events from an earlier attempt."""
--- a/src/oleanderdyke/entry/hosted/copies.py
+++ b/src/oleanderdyke/entry/hosted/copies.py
@@ -48,6 +48,8 @@
         self._attempt = ''
         # For routes that have no splitter of their own.
         self._splitter = EventSplitter(None)
+        self._source_address = ''
+        self._is_ended = False
         self.source: RunCopy | None = None
 
     def find_splitter(
@@ -71,6 +73,7 @@
         if copy is None:
             return ''
         self._copy, self._attempt = copy, attempt
+        self._source_address = source.record.address
         self._copies.begin(attempt, run, copy, share, now)
         self._log(EventName.COPY_ASKED, copy)
         core.metrics.add(Count.COPIES_ASKED, label=call.service)
@@ -85,11 +88,19 @@
         if is_not_run and attempt == self._attempt:
             self._copy = None
 
-    def find_lost(self, attempt: str, splitter: EventSplitter | None) -> str:
-        """Return the engine with a usable copy of a run that has ended, or ''.
-
-        `splitter` has seen the events that the caller has.
+    def find_lost(
+        self,
+        attempt: str,
+        splitter: EventSplitter | None,
+        *,
+        is_ended: bool,
+    ) -> str:
+        """Return the engine with a usable copy of a lost run, or ''.
+
+        `splitter` has seen the events that the caller has. `is_ended` tells
+        that the run has ended for certain, not only its connection.
         """
+        self._is_ended = is_ended
         self._copies.record_loss(self._core.clock.now())
         copy = self._copy
         if copy is None or attempt != self._attempt:
@@ -103,6 +114,19 @@
             return ''
         return copy.start.server
 
+    async def has_run_ended(self) -> bool:
+        """Return whether the engine of a lost run can't work on it any more.
+
+        A connection that was reset proves nothing: the engine or its machine
+        may have reset it alone. An engine that has ended refuses new ones.
+        """
+        if self._is_ended:
+            return True
+        self._is_ended = await self._core.pool.is_refused(self._source_address)
+        if self._copy is not None and not self._is_ended:
+            self._record_missing(self._copy, 'its first engine still listens')
+        return self._is_ended
+
     def take(self) -> Backend | None:
         """Return the engine to go on at; None if its copy can't be used."""
         copy = self._copy
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
 from typing import Any, cast
 
 import anyio
@@ -33,6 +34,7 @@
     DeliverHead,
     Done,
     Event,
+    MessageReceived,
     NoRoute,
     Refuse,
     Route,
@@ -160,10 +162,18 @@
         while not self._machine.done:
             # In this mode the inbox receives only events of the state machine.
             event = cast('Event', await self._inbox.take())
+            if isinstance(event, MessageReceived) and event.copy:
+                event = await self._check_copy(event)
             await self._execute(
                 self._machine.handle_event(event, self._core.clock.now())
             )
 
+    async def _check_copy(self, event: MessageReceived) -> MessageReceived:
+        """Keep the copy of a failed run only if that run has ended."""
+        if self._copies is None or not await self._copies.has_run_ended():
+            return replace(event, copy='')
+        return event
+
     async def _execute(self, actions: tuple[Action, ...]) -> None:
         for action in actions:
             await self._handlers[type(action)](action)
--- a/tests/hosted_copies.py
+++ b/tests/hosted_copies.py
@@ -44,13 +44,24 @@
     directory: pathlib.Path,
     *scripts: Script,
     configuration: dict[str, Any] = COPYING,
+    engines_listen: bool = False,
 ) -> AsyncGenerator[Stage, None]:
-    """Run an entry that schedules the calls of all services."""
+    """Run an entry that schedules the calls of all services.
+
+    Engines that reset a stream count as ended unless `engines_listen`.
+    """
     async with staging(
         directory, *scripts, configuration=configuration, models=MODELS
     ) as stage:
         scheduler = make_scheduler(stage.core)
         scheduler.copies.record_loss(stage.core.clock.now())
+        pool: Any = stage.core.pool
+        if not engines_listen:
+            pool.is_refused = _is_refused
         scheduling: Any = stage.core.scheduling
         scheduling.find_scheduler = lambda _: scheduler
         yield stage
+
+
+async def _is_refused(_address: str) -> bool:
+    return True
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import errno
+import socket
 from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
@@ -14,7 +16,7 @@
 import anyio
 import pytest
 
-from oleanderdyke.clients.direct import BackendConnection
+from oleanderdyke.clients.direct import BackendConnection, ConnectionPool
 from oleanderdyke.entry.hosted.copies import CallCopies
 from oleanderdyke.entry.hosted.events import EventSplitter
 from oleanderdyke.kernel.deployment import EngineTraits
@@ -391,6 +393,34 @@
         )
         source = stage.core.backends.find('i-0')
         assert copies.ask(source, 1, 'same name') == copy.address
-        assert copies.find_lost('same name', splitter) == 'i-1'
+        assert copies.find_lost('same name', splitter, is_ended=True) == 'i-1'
         copies.leave()
-        assert not copies.find_lost('same name', splitter)
+        assert not copies.find_lost('same name', splitter, is_ended=True)
+
+
+async def test_reset_stream_of_an_engine_that_listens_does_not_go_on(tmp_path):
+    """TWICE: an engine or its machine may reset a stream and work on."""
+    engine = CopyingEngine(crashes_after=3)
+    async with copying(tmp_path, engine, engine, engines_listen=True) as stage:
+        found = await ask(stage, '/letter/1')
+        assert [len(each.received) for each in stage.replicas] == [1, 0]
+        (missing,) = read_log(stage, 'copy_missing')
+    assert 'still listens' in str(missing)
+    assert not found.is_whole
+
+
+async def test_closed_port_refuses_and_an_open_one_does_not(unused_port):
+    pool = ConnectionPool(300.0)
+    assert await pool.is_refused(f'127.0.0.1:{unused_port}')
+    server = await asyncio.start_server(
+        lambda *_: None, '127.0.0.1', unused_port
+    )
+    async with server:
+        assert not await pool.is_refused(f'127.0.0.1:{unused_port}')
+
+
+@pytest.fixture
+def unused_port():
+    with socket.socket() as bound:
+        bound.bind(('127.0.0.1', 0))
+        return bound.getsockname()[1]
--- a/tests/test_hosted_safety.py
+++ b/tests/test_hosted_safety.py
@@ -236,7 +236,7 @@
 
     def go_on(self, now):
         if give_up(self, now) and not self._done:
-            self._lost_copy = self._find_copy()
+            self._lost_copy = self._find_copy(is_ended=True)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, '')
         return 0.0
 
