Bound the exponent of the backoff of neighbours

The 1,025th failure without a success between raised OverflowError, which ended the entry: own reads while the store is down, and now also entries of another data centre that are known but not reachable, as nothing ever counts as their success. The doublings are capped before the power is taken; the times are the same. The test raised OverflowError before.

--- a/src/oleanderdyke/kernel/neighbours.py
+++ b/src/oleanderdyke/kernel/neighbours.py
@@ -19,7 +19,7 @@
 # An entry that failed is excluded for this time, doubled with each further
 # failure: a frozen or lost entry gets about ten futile requests a minute.
 _MIN_BACKOFF: Millis = 1 * SECOND
-_MAX_BACKOFF: Millis = 8 * SECOND
+_MAX_DOUBLINGS = 3
 # An entry that is asked for a source that it does not read starts to read it
 # for this time, as the requesting process knows other entries than it does.
 _REQUESTED_READ_PERIOD: Millis = 3 * SECOND
@@ -88,9 +88,9 @@
 
     def record_failure(self, name: str, now: Millis) -> None:
         """Exclude an entry, possibly this one, for a backoff time."""
-        backoff = _MIN_BACKOFF * 2 ** self._failures[name]
+        doublings = min(self._failures[name], _MAX_DOUBLINGS)
         self._failures[name] += 1
-        self._excluded_until[name] = now + min(backoff, _MAX_BACKOFF)
+        self._excluded_until[name] = now + _MIN_BACKOFF * 2**doublings
 
     def record_request(self, source: str, now: Millis) -> None:
         """Record that another process asked this one for a source."""
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -88,6 +88,14 @@
     assert find_name(neighbours, now=20.0) is not None
 
 
+def test_a_process_may_fail_any_number_of_times():
+    neighbours = make_neighbours('front-0')
+    for number in range(2_000):
+        neighbours.record_failure('front-1', float(number))
+    names = [each.name for each in neighbours.rank(RECORD_SOURCE, 2_000.0)]
+    assert 'front-1' not in names
+
+
 def test_record_buffer_holds_records_from_its_first_offset():
     buffer = RecordBuffer()
     buffer.add(5, [b'5', b'6'], known_at=100.0, now=110.0)
