Refuse reports of work with impossible numbers

A report with negative amounts was added to the sums, so that all entries sent their calls to a server whose work seemed negative, and rates of 1e308 made sums infinite. Such reports now change nothing and aren't passed on, like those with columns of unequal length. Four of the six cases of the test failed before; the other two hold the check of the lengths.

--- a/src/oleanderdyke/kernel/scheduling/work_table.py
+++ b/src/oleanderdyke/kernel/scheduling/work_table.py
@@ -74,10 +74,11 @@
     def apply(self, report: WorkReport, now: Millis) -> bool:
         """Apply a report that arrived; return whether it was news.
 
-        Reports of this entry, repeated ones and older ones change nothing.
+        Reports of this entry, repeated, older and malformed ones change
+        nothing.
         """
         self._expire(now)
-        if report.entry == self._own or not report.has_equal_columns:
+        if report.entry == self._own or not report.is_valid:
             return False
         reported_at = now - max(report.age, 0.0)
         origin = self._origins.get(report.entry)
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from oleanderdyke.clock import Millis
@@ -149,6 +150,8 @@
 AMOUNTS_PER_SERVER = 5
 TEXTS_PER_KIND = 3
 RATES_PER_KIND = 4
+# Sums over all entries stay exact, also as floats.
+_MAX_NUMBER = 2**40
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,8 +183,15 @@
     rates: tuple[float, ...] = ()
 
     @property
-    def has_equal_columns(self) -> bool:
-        """Return whether the columns describe the same rows."""
+    def is_valid(self) -> bool:
+        """Return whether the columns describe rows of possible numbers."""
+        return (
+            self._has_equal_columns()
+            and _are_possible(self.amounts)
+            and _are_possible(self.rates)
+        )
+
+    def _has_equal_columns(self) -> bool:
         servers, kinds = len(self.servers), len(self.kinds)
         return (
             len(self.born) == servers
@@ -191,6 +201,10 @@
         )
 
 
+def _are_possible(numbers: Sequence[float]) -> bool:
+    return not numbers or (min(numbers) >= 0 and max(numbers) <= _MAX_NUMBER)
+
+
 @dataclass(frozen=True, slots=True)
 class WorkNews:
     """Reports of any number of entries; none if nothing changed."""
--- a/tests/test_work_in_flight.py
+++ b/tests/test_work_in_flight.py
@@ -23,6 +23,7 @@
     WorkTable,
 )
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
+from oleanderdyke.links.messages.news import WorkReport
 
 SECOND = 1_000.0
 START = ServerStart('i-0', 5)
@@ -184,6 +185,39 @@
     assert reader.table.find_work(START, 160.0) == NO_WORK
 
 
+@pytest.mark.parametrize(
+    ('amounts', 'rates'),
+    [
+        ((-1, 1, 1, 0, 0), (1.0,) * 4),
+        ((2**64 - 1, 1, 1, 0, 0), (1.0,) * 4),
+        ((1, 1, 1, 0, 0), (1.0, 1.0, -1.0, 1.0)),
+        ((1, 1, 1, 0, 0), (1e308,) * 4),
+        ((1, 1, 1, 0), (1.0,) * 4),
+        ((1, 1, 1, 0, 0), (1.0,) * 3),
+    ],
+)
+def test_a_malformed_report_changes_nothing(amounts, rates):
+    entry, reader = make_pair()
+    entry.begin()
+    report(entry, reader, 0.0)
+    known = reader.table.find_work(START, 0.0)
+    malformed = WorkReport(
+        'front-0',
+        incarnation=1,
+        sequence=1,
+        data_centre='hall',
+        is_whole=True,
+        servers=(START.server,),
+        born=(START.born,),
+        amounts=amounts,
+        kinds=('chat', 'talk', 'blue'),
+        rates=rates,
+    )
+    assert not reader.table.apply(malformed, 0.0)
+    assert reader.table.find_work(START, 0.0) == known
+    assert not reader.table.list_demand('chat', 0.0)
+
+
 def test_a_change_that_was_lost_is_mended_by_the_next_whole_report():
     entry, reader = make_pair()
     entry.begin()
