Split frames of reports by their length in bytes

Frames were split by the numbers in them alone. Reports with long names, or one that filled the frame in which it came, made a frame beyond 1 MiB; encoding it raised an error that ended the exchange and with it the entry. Frames are now split by a bound of the encoded length, and a report that may exceed a message isn't sent.

--- a/src/oleanderdyke/links/work_exchange.py
+++ b/src/oleanderdyke/links/work_exchange.py
@@ -25,7 +25,7 @@
 from oleanderdyke.kernel.neighbours import RECORD_SOURCE, Neighbour
 from oleanderdyke.kernel.scheduling.work_reports import ReportSource
 from oleanderdyke.kernel.scheduling.work_table import WorkTable
-from oleanderdyke.links.codec import encode
+from oleanderdyke.links.codec import MAX_MESSAGE, encode
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.messages import Hello, Message
 from oleanderdyke.links.messages.news import WorkNews, WorkReport
@@ -45,7 +45,12 @@
 # its place, which may turn out to be frozen still.
 _READER_LINGER: Millis = 1 * SECOND
 _DIAL_LIMIT: Millis = 500.0
-_MAX_NUMBERS_PER_FRAME = 20_000
+_MAX_FRAME_LENGTH = MAX_MESSAGE // 4
+# Field names and numbers of a report and of the frame around it.
+_FIXED_LENGTH = 256
+_MAX_NUMBER_LENGTH = 9
+_MAX_TEXT_HEAD = 5
+_MAX_CHARACTER_LENGTH = 4
 _SENT, _RECEIVED = 'sent', 'received'
 
 
@@ -303,14 +308,34 @@
 
 
 def _split(pending: Sequence[_Pending]) -> Iterator[list[_Pending]]:
-    """Yield the reports of each frame, at least one frame without any."""
+    """Yield the reports of each frame, at least one frame without any.
+
+    A report that no message may hold is left out.
+    """
     part: list[_Pending] = []
-    numbers = 0
+    total = 0
     for each in pending:
-        length = len(each.report.amounts) + len(each.report.rates)
-        if part and numbers + length > _MAX_NUMBERS_PER_FRAME:
+        length = _bound_length(each.report)
+        if length > MAX_MESSAGE:
+            continue
+        if part and total + length > _MAX_FRAME_LENGTH:
             yield part
-            part, numbers = [], 0
+            part, total = [], 0
         part.append(each)
-        numbers += length
+        total += length
     yield part
+
+
+def _bound_length(report: WorkReport) -> int:
+    """Return a length in bytes that the encoded report doesn't exceed."""
+    names = (report.entry, report.data_centre)
+    columns = (names, report.servers, report.kinds)
+    texts = sum(map(len, columns))
+    characters = sum(sum(map(len, column)) for column in columns)
+    numbers = len(report.born) + len(report.amounts) + len(report.rates)
+    return (
+        _FIXED_LENGTH
+        + texts * _MAX_TEXT_HEAD
+        + characters * _MAX_CHARACTER_LENGTH
+        + numbers * _MAX_NUMBER_LENGTH
+    )
