Begin a task of the scheduler again after a fault

An exception in the exchange of work, in the pools or in what follows the work left the task group and ended the entry with all of its calls. Each of the three tasks keeps its state in the scheduler, so it is logged and begun again after a second. The test saw OverflowError leave the entry before.

--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from importlib import import_module
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.pools import UsableEngines, follow_demand
 from oleanderdyke.entry.hosted.speed_samples import SpeedSampler
+from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.retries import RetryBudget
 from oleanderdyke.kernel.scheduling.costs import Costs, CostTerm
@@ -44,6 +46,7 @@
 
 
 _WORK_PERIOD: Millis = 100.0
+_RESTART_DELAY: Millis = 1 * SECOND
 
 
 class Scheduler:
@@ -81,9 +84,27 @@
     async def run(self) -> None:
         """Exchange news and follow the demand until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._exchange_work)
-            tasks.start_soon(follow_demand, self._core, self.pools)
-            tasks.start_soon(self._follow_work)
+            for task in (
+                self._exchange_work,
+                partial(follow_demand, self._core, self.pools),
+                self._follow_work,
+            ):
+                tasks.start_soon(self._keep_running, task)
+
+    async def _keep_running(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Begin a task again after a fault, as calls go on without it."""
+        while True:
+            try:
+                await task()
+            except Exception as error:
+                self._core.log.write(
+                    EventName.PROCESS_FAILED,
+                    name='scheduler',
+                    detail=_describe_fault(error),
+                )
+            else:
+                return
+            await anyio.sleep(_RESTART_DELAY / SECOND)
 
     async def _exchange_work(self) -> None:
         """Exchange news with other entries until cancelled."""
@@ -238,5 +259,11 @@
     return Scheduler(core, switch or LoadSwitch())
 
 
+def _describe_fault(error: Exception) -> str:
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return f'{type(error).__name__}: {error}'
+
+
 def _make_key(call: HostedCall) -> DemandKey:
     return DemandKey(call.service, call.route.name, call.team)
--- a/tests/test_work_exchange.py
+++ b/tests/test_work_exchange.py
@@ -15,6 +15,7 @@
 
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.hosted import peer_sharing
+from oleanderdyke.entry.hosted import scheduler as scheduler_module
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.scheduler import Scheduler, make_scheduler
 from oleanderdyke.errors import ErrorKind, OleanderError
@@ -179,3 +180,27 @@
     entry.begin()
     assert entry.count_runs() == 1
     assert entry.scheduler.view.find_age(entry.now()) > 1e9
+
+
+@pytest.mark.parametrize('name', ['_exchange_work', 'record_work'])
+async def test_a_fault_in_a_task_does_not_end_the_entry(
+    tmp_path, monkeypatch, name
+):
+    monkeypatch.setattr(scheduler_module, '_RESTART_DELAY', 10.0)
+    entry = Entry(0, '', tmp_path / 'log')
+    calls = 0
+
+    def fail(*_) -> None:
+        nonlocal calls
+        calls += 1
+        raise OverflowError('too large')
+
+    monkeypatch.setattr(entry.scheduler, name, fail)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.run)
+        await wait(lambda: calls == 3, _SETTLED)
+        tasks.cancel_scope.cancel()
+    lines = (tmp_path / 'log').read_text().splitlines()
+    failed = [line for line in lines if 'event=process_failed' in line]
+    assert len(failed) >= 2
+    assert 'OverflowError' in failed[0]
