--- a/src/oleanderdyke/kernel/scheduling/work_table.py
+++ b/src/oleanderdyke/kernel/scheduling/work_table.py
@@ -77,11 +77,13 @@
         Reports of this entry, repeated, older and malformed ones change
         nothing.
         """
-        self._expire(now)
+        self._expire_if_due(now)
         if report.entry == self._own or not report.is_valid:
             return False
         reported_at = now - max(report.age, 0.0)
         origin = self._origins.get(report.entry)
+        if origin is not None:
+            self._check(origin, now)
         if origin is None or _replaces(report, origin, now):
             self._drop_rows(origin)
             origin = _Origin(
@@ -100,8 +102,7 @@
 
     def find_work(self, start: ServerStart, now: Millis) -> ServerWork:
         """Return the work in flight at one start of a server."""
-        if now - self._checked_at >= _CHECK_PERIOD:
-            self._expire(now)
+        self._expire_if_due(now)
         own = self._account.find(start)
         total = self._totals.get(start)
         return own if total is None else ServerWork(*total) + own
@@ -198,6 +199,10 @@
             self._set_row(origin, start, _NO_AMOUNTS)
         origin.demand = ()
 
+    def _expire_if_due(self, now: Millis) -> None:
+        if now - self._checked_at >= _CHECK_PERIOD:
+            self._expire(now)
+
     def _expire(self, now: Millis) -> None:
         self._checked_at = now
         for entry, origin in tuple(self._origins.items()):
--- a/tests/test_work_in_flight.py
+++ b/tests/test_work_in_flight.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import sys
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import settings
@@ -218,6 +220,34 @@
     assert not reader.table.list_demand('chat', 0.0)
 
 
+def count_calls_of_report(entries):
+    """Count the function calls that one report costs beside so many."""
+    table = Entry('reader').table
+    for number in range(entries):
+        other = Entry(f'front-{number}')
+        other.begin()
+        report(other, SimpleNamespace(table=table), 0.0)
+    other.begin(ServerStart('i-1', 5))
+    made = other.source.make_report(150.0, entries=2)
+    calls = 0
+
+    def count_call(_frame, event, _argument) -> None:
+        nonlocal calls
+        calls += event in {'call', 'c_call'}
+
+    table.find_work(START, 149.0)
+    sys.setprofile(count_call)
+    try:
+        assert table.apply(made, 150.0)
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+def test_the_cost_of_a_report_does_not_grow_with_the_entries():
+    assert count_calls_of_report(300) == count_calls_of_report(20)
+
+
 def test_a_change_that_was_lost_is_mended_by_the_next_whole_report():
     entry, reader = make_pair()
     entry.begin()
