--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -24,13 +24,13 @@
     from oleanderdyke.logs import LogValue
 
 _PERIOD: Millis = 100.0
-# Importing the modules is slow on a fraction of a core, so requests are served
+# Importing modules is slow on a fraction of a core, so requests are served
 # first.
 _IMPORT_DELAY: Millis = 1 * SECOND
 
 
 class Scheduling:
-    """Load the scheduler once a configuration may need it."""
+    """Load the scheduler once some service needs it, here or elsewhere."""
 
     def __init__(self) -> None:
         self.scheduler: Scheduler | None = None
@@ -44,17 +44,22 @@
             self.scheduler.configure(deployment)
 
     async def run(self, core: HostedCore) -> None:
-        """Run the scheduler, once one may be needed, until cancelled."""
+        """Run the scheduler, once one is needed, until cancelled.
+
+        An entry that gets reports of others passes them on, whatever requests
+        it has seen itself.
+        """
         await anyio.sleep(_IMPORT_DELAY / SECOND)
         module = import_module('oleanderdyke.kernel.scheduling.switch')
         self._switch = switch = module.LoadSwitch()
         if core.deployment is not None:
             switch.configure(core.deployment)
-        while core.deployment is None or not switch.may_be_needed:
+        while not (switch.is_needed_anywhere or core.peers.desk.has_work_news):
             await anyio.sleep(_PERIOD / SECOND)
         module = import_module('oleanderdyke.entry.hosted.scheduler')
         scheduler: Scheduler = module.make_scheduler(core, switch)
-        scheduler.configure(core.deployment)
+        if core.deployment is not None:
+            scheduler.configure(core.deployment)
         self.scheduler = scheduler
         await scheduler.run()
 
--- a/src/oleanderdyke/kernel/scheduling/switch.py
+++ b/src/oleanderdyke/kernel/scheduling/switch.py
@@ -22,9 +22,8 @@
 class LoadSwitch:
     """Tell which services need scheduling, by configuration and prompts.
 
-    A service needs it if its operators rank some route above another one and
-    also give it the tighter target, while prompts on the other route are much
-    longer.
+    A service needs it if its operators rank the stream with the tightest target
+    first, while prompts on another route are much longer.
     """
 
     def __init__(self) -> None:
@@ -47,9 +46,9 @@
         self._needed.clear()
 
     @property
-    def may_be_needed(self) -> bool:
-        """Return whether prompts may show that some service needs it."""
-        return any(self._pairs.values())
+    def is_needed_anywhere(self) -> bool:
+        """Return whether requests for some service are to be scheduled."""
+        return any(self.is_needed(service) for service in self._pairs)
 
     def record_prompt(self, route: str, model: ModelDemand) -> None:
         """Record the prompt of a request, to know how long they are."""
@@ -105,10 +104,14 @@
 
 
 def _list_pairs(routes: Iterable[Route]) -> Iterator[tuple[str, str]]:
-    """Yield pairs of a more urgent route and one that may hold it up."""
+    """Yield pairs of a most urgent route and one that may hold it up."""
     listed = list(routes)
+    first = min((route.priority for route in listed), default=0)
+    tightest = min((route.target for route in listed), default=0.0)
     for urgent in listed:
+        if urgent.priority > first or urgent.target > tightest:
+            continue
         for other in listed:
-            is_tighter = urgent.target < other.target
-            if is_tighter and urgent.priority < other.priority:
+            is_later = other.priority > first and other.target > tightest
+            if is_later:
                 yield urgent.name, other.name
--- a/src/oleanderdyke/kernel/scheduling/work_table.py
+++ b/src/oleanderdyke/kernel/scheduling/work_table.py
@@ -18,7 +18,7 @@
 from oleanderdyke.kernel.scheduling.work import Demand, ServerWork
 from oleanderdyke.kernel.scheduling.work_account import WorkAccount
 from oleanderdyke.kernel.servers import ServerStart
-from oleanderdyke.links.messages.news import WorkReport
+from oleanderdyke.links.messages.news import RATES_PER_KIND, WorkReport
 
 # An entry with work reports every 250 ms, and may take a second to find another
 # reader once the one that passes its reports on has frozen.
@@ -74,13 +74,16 @@
     def apply(self, report: WorkReport, now: Millis) -> bool:
         """Apply a report that arrived; return whether it was news.
 
-        Reports of this entry, repeated ones and older ones change nothing.
+        Reports of this entry, repeated, older and malformed ones change
+        nothing.
         """
-        self._expire(now)
-        if report.entry == self._own or not report.has_equal_columns:
+        self._expire_if_due(now)
+        if report.entry == self._own or not report.is_valid:
             return False
         reported_at = now - max(report.age, 0.0)
         origin = self._origins.get(report.entry)
+        if origin is not None:
+            self._check(origin, now)
         if origin is None or _replaces(report, origin, now):
             self._drop_rows(origin)
             origin = _Origin(
@@ -99,8 +102,7 @@
 
     def find_work(self, start: ServerStart, now: Millis) -> ServerWork:
         """Return the work in flight at one start of a server."""
-        if now - self._checked_at >= _CHECK_PERIOD:
-            self._expire(now)
+        self._expire_if_due(now)
         own = self._account.find(start)
         total = self._totals.get(start)
         return own if total is None else ServerWork(*total) + own
@@ -108,14 +110,13 @@
     def list_demand(self, service: str, now: Millis) -> Sequence[Demand]:
         """Return the demand for a service by route and team."""
         self._expire(now)
-        sums: defaultdict[tuple[str, str], Demand] = defaultdict(
-            lambda: Demand(service, '', '')
+        sums: defaultdict[tuple[str, str], list[float]] = defaultdict(
+            lambda: [0.0] * RATES_PER_KIND
         )
         for each in self._list_rows(now):
             if each.service == service:
-                key = (each.route, each.team)
-                sums[key] = _add_demand(each, sums[key])
-        return tuple(sums.values())
+                _add_demand(sums[each.route, each.team], each)
+        return tuple(Demand(service, *key, *sums[key]) for key in sums)
 
     def find_age(self, now: Millis) -> Millis:
         """Return the median age of other entries' work, infinite if none.
@@ -197,6 +198,10 @@
             self._set_row(origin, start, _NO_AMOUNTS)
         origin.demand = ()
 
+    def _expire_if_due(self, now: Millis) -> None:
+        if now - self._checked_at >= _CHECK_PERIOD:
+            self._expire(now)
+
     def _expire(self, now: Millis) -> None:
         self._checked_at = now
         for entry, origin in tuple(self._origins.items()):
@@ -246,15 +251,13 @@
         yield Demand(*texts, *numbers)
 
 
-def _add_demand(one: Demand, other: Demand) -> Demand:
-    return replace(
-        one,
-        arrived=one.arrived + other.arrived,
-        admitted=one.admitted + other.admitted,
-        unread=one.unread + other.unread,
-        output=one.output + other.output,
-        reading=one.reading + other.reading,
-    )
+def _add_demand(total: list[float], demand: Demand) -> None:
+    """Add the rates in order, as copies of `Demand` per row are slow."""
+    total[0] += demand.arrived
+    total[1] += demand.admitted
+    total[2] += demand.unread
+    total[3] += demand.output
+    total[4] += demand.reading
 
 
 def _replaces(report: WorkReport, origin: _Origin, now: Millis) -> bool:
--- a/src/oleanderdyke/links/news_server.py
+++ b/src/oleanderdyke/links/news_server.py
@@ -112,6 +112,8 @@
         self.loads = LoadTable()
         self.local_loads = LoadTable()
         self.on_work: Callable[[Link, WorkNews], None] | None = None
+        # Another entry has reported its work, also before `on_work` is set.
+        self.has_work_news = False
         self._neighbours = neighbours
         self._clock = clock
         self._records: defaultdict[str, RecordBuffer] = defaultdict(
@@ -160,11 +162,16 @@
                         tasks.start_soon(
                             self._answer_events, link, message, sent
                         )
-                    elif isinstance(message, WorkNews) and self.on_work:
-                        self.on_work(link, message)
+                    elif isinstance(message, WorkNews):
+                        self._take_work(link, message)
             except OleanderError:
                 tasks.cancel_scope.cancel()
 
+    def _take_work(self, link: Link, news: WorkNews) -> None:
+        self.has_work_news = True
+        if self.on_work is not None:
+            self.on_work(link, news)
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
--- a/tests/test_load_switch.py
+++ b/tests/test_load_switch.py
@@ -100,6 +100,17 @@
     assert not switch.is_needed('desk')
 
 
+def test_a_service_whose_most_urgent_kind_may_wait_is_served_as_before():
+    """Three kinds: the first rank has the widest target."""
+    audit = make_route('audit', target=2_000.0, priority=0)
+    sort = make_route('sort', target=1_000.0, priority=1)
+    digest = make_route('digest', target=1_200.0, priority=2)
+    switch = make_switch(audit, sort, digest)
+    see(switch, audit=800, sort=700, digest=12_000)
+    assert not switch.is_needed('desk')
+    assert not switch.is_needed_anywhere
+
+
 def test_a_service_without_engines_is_served_as_before():
     switch = make_switch(SHORT, LONG, engine=False)
     see(switch, short=800, long=9_000)
--- a/tests/test_work_in_flight.py
+++ b/tests/test_work_in_flight.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import sys
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import settings
@@ -23,6 +25,7 @@
     WorkTable,
 )
 from oleanderdyke.kernel.servers import ModelDemand, ServerStart
+from oleanderdyke.links.messages.news import WorkReport
 
 SECOND = 1_000.0
 START = ServerStart('i-0', 5)
@@ -184,6 +187,90 @@
     assert reader.table.find_work(START, 160.0) == NO_WORK
 
 
+@pytest.mark.parametrize(
+    ('amounts', 'rates'),
+    [
+        ((-1, 1, 1, 0, 0), (1.0,) * 4),
+        ((2**64 - 1, 1, 1, 0, 0), (1.0,) * 4),
+        ((1, 1, 1, 0, 0), (1.0, 1.0, -1.0, 1.0)),
+        ((1, 1, 1, 0, 0), (1e308,) * 4),
+        ((1, 1, 1, 0), (1.0,) * 4),
+        ((1, 1, 1, 0, 0), (1.0,) * 3),
+    ],
+)
+def test_a_malformed_report_changes_nothing(amounts, rates):
+    entry, reader = make_pair()
+    entry.begin()
+    report(entry, reader, 0.0)
+    known = reader.table.find_work(START, 0.0)
+    malformed = WorkReport(
+        'front-0',
+        incarnation=1,
+        sequence=1,
+        data_centre='hall',
+        is_whole=True,
+        servers=(START.server,),
+        born=(START.born,),
+        amounts=amounts,
+        kinds=('chat', 'talk', 'blue'),
+        rates=rates,
+    )
+    assert not reader.table.apply(malformed, 0.0)
+    assert reader.table.find_work(START, 0.0) == known
+    assert not reader.table.list_demand('chat', 0.0)
+
+
+def count_calls(call):
+    """Count the function calls that a call makes."""
+    calls = 0
+
+    def count_call(_frame, event, _argument) -> None:
+        nonlocal calls
+        calls += event in {'call', 'c_call'}
+
+    sys.setprofile(count_call)
+    try:
+        call()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+def count_calls_of_report(entries):
+    """Count the function calls that one report costs beside so many."""
+    table = Entry('reader').table
+    for number in range(entries):
+        other = Entry(f'front-{number}')
+        other.begin()
+        report(other, SimpleNamespace(table=table), 0.0)
+    other.begin(ServerStart('i-1', 5))
+    made = other.source.make_report(150.0, entries=2)
+    table.find_work(START, 149.0)
+    calls = count_calls(lambda: table.apply(made, 150.0))
+    assert table.find_work(ServerStart('i-1', 5), 150.0).runs == 1
+    return calls
+
+
+def test_the_cost_of_a_report_does_not_grow_with_the_entries():
+    assert count_calls_of_report(300) == count_calls_of_report(20)
+
+
+def test_summing_demand_costs_few_calls_per_row():
+    rows = 200
+    reader = Entry('reader')
+    for number in range(rows):
+        key = DemandKey('chat', f'route-{number % 4}', f'team-{number}')
+        reader.meter.record_arrival(key, ModelDemand('m', 90, 9), 0.0)
+    rates = reader.meter.list_demand(0.0)
+    reader.meter.list_demand = lambda _: rates
+    summed = []
+    calls = count_calls(
+        lambda: summed.extend(reader.table.list_demand('chat', 0.0))
+    )
+    assert summed == rates
+    assert calls <= 8 * rows
+
+
 def test_a_change_that_was_lost_is_mended_by_the_next_whole_report():
     entry, reader = make_pair()
     entry.begin()
