Bound the bytes of answers that callers have not read

Cause: while a caller reads slowly, the inbox of its request took in the whole answer at the server's speed, without any bound.

Up to 64 KiB of a stream only a counter changes; the ledger is loaded when the first stream waits. Paused answers don't count as silence of their server.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -119,6 +119,16 @@
         reason = 'closed' if exc is None else type(exc).__name__
         self._fail(f'the connection was lost: {reason}')
 
+    def pause_reading(self) -> None:
+        """Let the answer wait, so that the server is held back."""
+        if self._transport is not None and self.is_usable:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Receive the answer again."""
+        if self._transport is not None and self.is_usable:
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Close at once, without further calls of the listener.
 
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -62,6 +62,7 @@
     from oleanderdyke.entry.hosted.copies import CallCopies
     from oleanderdyke.entry.hosted.scheduler import Scheduler
     from oleanderdyke.entry.hosted.speed_samples import StreamSamples
+    from oleanderdyke.entry.hosted.unread import StreamFlow
 
 _SERVER_ERROR = 500
 # An engine that goes on from a copy sends events after this one.
@@ -69,6 +70,9 @@
 # Bodies up to this size in bytes are buffered until they are complete, so that
 # a truncated one can be retried and never reaches the caller.
 _BUFFER_LIMIT = 256 * 1024
+# Unread bytes of a stream that are not limited: as many as the connection to
+# the caller buffers.
+_FREE_BYTES = 64 * 1024
 
 
 class DirectAttempt:
@@ -91,6 +95,7 @@
         splitter: EventSplitter | None,
         reserve_retry: Callable[[], bool],
         copies: CallCopies | None = None,
+        find_flow: Callable[[], StreamFlow] | None = None,
     ) -> None:
         self._core = core
         self._call = call
@@ -98,6 +103,8 @@
         self._splitter = splitter
         self._reserve_retry = reserve_retry
         self._copies = copies
+        self._find_flow = find_flow
+        self._is_paused = False
         # The server with a copy of this run, once the run is lost for certain.
         self._lost_copy = ''
         self._number = action.attempt
@@ -187,10 +194,31 @@
             self._record_loss()
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
+    def pause(self) -> None:
+        """Stop reading from the server until `resume`."""
+        if self._done or self._is_paused or self._connection is None:
+            return
+        self._is_paused = True
+        backend = self._core.backends.find_start(self._start)
+        if backend is not None:
+            backend.paused += 1
+        self._connection.pause_reading()
+
+    def resume(self) -> None:
+        """Read from the server again, which could send nothing meanwhile."""
+        if not self._is_paused or self._connection is None:
+            return
+        self._is_paused = False
+        backend = self._core.backends.find_start(self._start)
+        if backend is not None:
+            backend.paused -= 1
+            backend.last_heard_at = self._core.clock.now()
+        self._connection.resume_reading()
+
     def find_overdue_time(self, now: Millis) -> Millis:
         """Return for how long the server has sent nothing while work is due."""
         backend = self._core.backends.find_start(self._start)
-        if self._done or backend is None:
+        if self._done or self._is_paused or backend is None:
             return 0.0
         return backend.find_overdue_time(now)
 
@@ -462,7 +490,10 @@
             self._call.request, self._number, self._sequence, data
         )
         self._sequence += 1
+        self._inbox.unread += len(data)
         self._inbox.put(MessageReceived(chunk))
+        if self._inbox.unread > _FREE_BYTES and self._find_flow is not None:
+            self._find_flow().hold(self)
 
     def _record_start(self) -> None:
         if self._scheduler is not None and not self._has_started:
@@ -507,6 +538,7 @@
 
     def _finish(self, *, is_not_run: bool = False) -> None:
         self._done = True
+        self.resume()
         if self._copies is not None:
             self._copies.end(self._attempt_id, is_not_run=is_not_run)
         if self._sent:
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
@@ -38,6 +38,9 @@
 from oleanderdyke.metrics import Count, Gauge, Metrics
 from oleanderdyke.platform.settings import HostSettings
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.unread import UnreadAnswers
+
 # A connection within the deployment opens within milliseconds. A lost packet
 # is retransmitted after a second, so trying another server is faster.
 CONNECT_LIMIT: Millis = 300.0
@@ -93,6 +96,7 @@
     servers_requested: anyio.Event = field(default_factory=anyio.Event)
     running: dict[str, HostedRequest] = field(default_factory=dict)
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    _unread: UnreadAnswers | None = None
 
     def find_unready_reason(self) -> str:
         """Return why this entry is not ready, or '' if it is."""
@@ -252,10 +256,21 @@
         metrics.set_gauge(Gauge.RUNNING, len(self.running))
         metrics.set_gauge(Gauge.READY, float(not self.find_unready_reason()))
         metrics.set_count(Count.LINES_DROPPED, self.log.count_dropped())
+        if self._unread is not None:
+            self._unread.update_gauge()
         if self.deployment is not None:
             version = self.deployment.version
             metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
 
+    def find_unread(self) -> UnreadAnswers:
+        """Return the bound on unread answers, from the first one that waits."""
+        if self._unread is None:
+            # Most entries never need it, and all start at the same time.
+            from oleanderdyke.entry.hosted import unread  # noqa: PLC0415 - see above
+
+            self._unread = unread.UnreadAnswers(self)
+        return self._unread
+
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's retry budget for a service."""
         if service not in self._budgets:
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 import anyio
 
@@ -33,6 +33,7 @@
     DeliverHead,
     Done,
     Event,
+    MessageReceived,
     NoRoute,
     Refuse,
     Route,
@@ -53,9 +54,17 @@
 from oleanderdyke.kernel.deployment import CallKind
 from oleanderdyke.kernel.scheduling.placement import SILENCE_LIMIT, Choice
 from oleanderdyke.kernel.servers import ServerStart
-from oleanderdyke.links.messages import AgentPhase, BackendKind, Load
+from oleanderdyke.links.messages import (
+    AgentPhase,
+    AnswerChunk,
+    BackendKind,
+    Load,
+)
 from oleanderdyke.metrics import Count, Timing
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.unread import StreamFlow
+
 # Limit on retries after refusals that ran nothing; each of them draws on the
 # retry budget that all entries share.
 _MAX_REFUSALS = 2
@@ -86,6 +95,8 @@
         self._inbox = Inbox()
         self._timers: list[asyncio.TimerHandle] = []
         self._attempt: DirectAttempt | None = None
+        self._flow: StreamFlow | None = None
+        self._scope: anyio.CancelScope | None = None
         # The incarnation chosen last for each server; the state machine knows
         # servers only by name.
         self._starts: dict[str, ServerStart] = {}
@@ -113,6 +124,7 @@
         self._core.running[key] = self
         try:
             async with anyio.create_task_group() as tasks:
+                self._scope = tasks.cancel_scope
                 tasks.start_soon(self._watch_caller)
                 await self._run_machine()
                 tasks.cancel_scope.cancel()
@@ -163,6 +175,16 @@
             await self._execute(
                 self._machine.handle_event(event, self._core.clock.now())
             )
+            self._record_read(event)
+
+    def _record_read(self, event: Event) -> None:
+        """Release a part that the caller has taken or will not get."""
+        if not isinstance(event, MessageReceived):
+            return
+        if isinstance(event.message, AnswerChunk):
+            self._inbox.unread -= len(event.message.data)
+            if self._flow is not None:
+                self._flow.record_read()
 
     async def _execute(self, actions: tuple[Action, ...]) -> None:
         for action in actions:
@@ -254,6 +276,7 @@
             splitter=self._splitter,
             reserve_retry=self._machine.reserve_retry,
             copies=self._copies,
+            find_flow=self._find_flow,
         )
         await self._attempt.start()
 
@@ -270,6 +293,18 @@
         self._event_count += action.data.count(EVENT_END)
         await self._reply.send(action.data)
 
+    def _find_flow(self) -> StreamFlow:
+        if self._flow is None:
+            self._flow = self._core.find_unread().make_flow(
+                self._inbox, self._call.request, self._end_unread
+            )
+        return self._flow
+
+    def _end_unread(self) -> None:
+        """End a stream that isn't read, while its delivery waits."""
+        if self._scope is not None:
+            self._scope.cancel()
+
     async def _deliver_end(self, _: DeliverEnd) -> None:
         await self._reply.end()
         self._log_end()
@@ -330,6 +365,8 @@
             timer.cancel()
         if self._attempt is not None:
             self._attempt.cancel()
+        if self._flow is not None:
+            self._flow.close()
 
 
 def _make_facts(core: HostedCore, call: HostedCall) -> RequestFacts:
--- a/src/oleanderdyke/entry/inbox.py
+++ b/src/oleanderdyke/entry/inbox.py
@@ -73,6 +73,8 @@
         self._items: deque[Item] = deque()
         self._waiting: asyncio.Future[None] | None = None
         self.direct_handler: Callable[[Item], bool] | None = None
+        # Bytes of parts that were queued and not yet delivered.
+        self.unread = 0
 
     def __len__(self) -> int:
         return len(self._items)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -64,6 +64,7 @@
     COPY_ASKED = 'copy_asked'
     COPY_USED = 'copy_used'
     COPY_MISSING = 'copy_missing'
+    UNREAD_ENDED = 'unread_ended'
     CLAIM_APPENDED = 'claim_appended'
     CLAIM_SETTLED = 'claim_settled'
     CLAIM_RELEASED = 'claim_released'
@@ -110,6 +111,7 @@
     EventName.RECORD_REFUSED: Level.WARNING,
     EventName.REQUEST_REFUSED: Level.WARNING,
     EventName.COPY_MISSING: Level.WARNING,
+    EventName.UNREAD_ENDED: Level.WARNING,
     EventName.LINES_DROPPED: Level.WARNING,
     EventName.LINK_REFUSED: Level.WARNING,
     EventName.MESSAGE_REFUSED: Level.WARNING,
--- a/src/oleanderdyke/kernel/backend.py
+++ b/src/oleanderdyke/kernel/backend.py
@@ -48,6 +48,8 @@
     listed_at: Millis = 0.0
     reading: PrefillRate = field(default_factory=PrefillRate)
     running: int = 0
+    # Running requests whose answers this entry doesn't read at the moment.
+    paused: int = 0
     running_tokens: int = 0
     waiting: dict[str, PendingAttempt] = field(default_factory=dict)
     last_heard_at: Millis = 0.0
@@ -138,7 +140,7 @@
         healthy engines would get no requests for half a second or more, and
         other engines would repeat the prefill of their requests.
         """
-        if not self.running:
+        if self.running <= self.paused:
             return 0.0
         since = [attempt.since for attempt in self.waiting.values()]
         tokens = sum(attempt.tokens for attempt in self.waiting.values())
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -59,6 +59,7 @@
     COPIES_ASKED = 'copies_asked'
     COPIES_USED = 'copies_used'
     COPIES_MISSING = 'copies_missing'
+    UNREAD_ENDED = 'unread_ended'
 
 
 class Gauge(enum.StrEnum):
@@ -75,6 +76,7 @@
     POOL_SIZE = 'pool_size'
     RANK_USE = 'rank_use'
     ADMISSION_WAITING = 'admission_waiting'
+    UNREAD_BYTES = 'unread_bytes'
 
 
 _SERVICE = 'service'
@@ -109,6 +111,7 @@
     Count.COPIES_ASKED: _SERVICE,
     Count.COPIES_USED: _SERVICE,
     Count.COPIES_MISSING: _SERVICE,
+    Count.UNREAD_ENDED: _NONE,
     Gauge.RUNNING: _NONE,
     Gauge.LINKS: _NONE,
     Gauge.CONFIGURATION_OFFSET: _NONE,
@@ -120,6 +123,7 @@
     Gauge.POOL_SIZE: 'service and side of its engines',
     Gauge.RANK_USE: 'service and rank',
     Gauge.ADMISSION_WAITING: _NONE,
+    Gauge.UNREAD_BYTES: _NONE,
 }
 
 
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -13,6 +13,7 @@
 
 _DEFAULT_PATH = '/etc/oleanderdyke/boot.conf'
 _REGION_PREFIX = 'zones.'
+_MEGABYTE = 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +31,7 @@
     `regions` maps each data centre to its region.
     A cold server accepts up to its service's rate times `cold_share` plus
     `cold_slack` requests a second.
+    A process that exceeds `memory` bytes is killed; it is infinite if unknown.
     """
 
     process: str
@@ -50,6 +52,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     cold_share: float = 1.0
     cold_slack: float = 0.0
+    memory: float = math.inf
 
 
 def find_host_settings(
@@ -95,6 +98,7 @@
         regions=reader.find_regions(),
         cold_share=reader.read_number('bounds.coldOverage', 1.0),
         cold_slack=reader.read_number('bounds.coldSlack', 0.0),
+        memory=reader.read_number('limits.memoryMb', math.inf) * _MEGABYTE,
     )
     if faults:
         raise SettingsError(tuple(faults))
