--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -103,7 +103,7 @@
     def record_answer(
         self, call: HostedCall, events: int, duration: Millis
     ) -> None:
-        """Learn from an answer that ended completely."""
+        """Record an answer that ended completely."""
         demand = call.parameters.demand
         if demand is None or not events or call.parameters.last_event:
             return
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -127,7 +127,7 @@
         await exchange.run(core.peers.desk, core.peers.make_hello, core.random)
 
     async def _follow_work(self) -> None:
-        """Tell backend servers' states what other entries wait for there.
+        """Update what servers read for other entries, until cancelled.
 
         Otherwise a server that reads their prompts would count as silent.
         """
--- a/src/oleanderdyke/kernel/scheduling/learned_speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/learned_speeds.py
@@ -1,4 +1,4 @@
-"""Learn how fast engines and stores are from the answers of this entry.
+"""Estimate how fast engines and stores are, by the answers of this entry.
 
 The load it answers: engines that differ, turn slow or share their machines,
 and stores whose links differ. Figures of one platform would send work to slow
@@ -197,7 +197,7 @@
     def record_first_byte(
         self, backend: Backend, first: FirstByte, now: Millis
     ) -> None:
-        """Learn from the first byte of an answer."""
+        """Record the first byte of an answer."""
         if not first.is_alone or first.duration <= 0:
             return
         if first.tokens >= _MIN_TOKENS:
@@ -212,7 +212,7 @@
     def record_pause(
         self, backend: Backend, events: int, pause: Millis, now: Millis
     ) -> None:
-        """Learn from the pause before some events of a stream."""
+        """Record the pause before some events of a stream."""
         if events <= 0 or pause <= 0:
             return
         engine = self._engines.get(backend.record.service)
--- a/src/oleanderdyke/kernel/scheduling/switch.py
+++ b/src/oleanderdyke/kernel/scheduling/switch.py
@@ -20,7 +20,7 @@
 
 
 class LoadSwitch:
-    """Tell which services need scheduling, by configuration and prompts.
+    """Find the services that need scheduling, by configuration and prompts.
 
     A service needs it if its operators rank the stream with the tightest target
     first, while prompts on another route are much longer.
