--- a/tests/test_hosted_admission.py
+++ b/tests/test_hosted_admission.py
@@ -55,6 +55,12 @@
     )
 
 
+async def ask_both(stage):
+    for _ in range(2):
+        for route, tokens in (('s', 100), ('l', 1_000)):
+            assert (await ask(stage, route, tokens)).status == 200
+
+
 async def answer_full(peer):
     """Answer, and report that requests wait."""
     await peer.answer(200, b'done', oleanderdyke_instance_load='6,2,6')
@@ -70,14 +76,17 @@
     async with hosted.staging(
         tmp_path, answer_full, configuration=configuration, models=MODELS
     ) as stage:
+        scheduling = stage.core.scheduling
+        with anyio.fail_after(5):
+            while scheduling._switch is None:
+                await anyio.sleep(0.05)
+        await ask_both(stage)
         with anyio.fail_after(5):
-            while stage.core.scheduling.scheduler is None:
+            while scheduling.scheduler is None:
                 await anyio.sleep(0.05)
-        scheduler = stage.core.scheduling.scheduler
+        scheduler = scheduling.scheduler
         # Without news of other entries, nobody is refused by shares.
-        for _ in range(4):
-            for route, tokens in (('s', 100), ('l', 1_000)):
-                assert (await ask(stage, route, tokens)).status == 200
+        await ask_both(stage)
         scheduler.view = View()
         answers = [await ask(stage, 'l', 1_000) for _ in range(10)]
         urgent = [await ask(stage, 's', 100) for _ in range(4)]
