--- a/src/oleanderdyke/kernel/scheduling/speeds.py
+++ b/src/oleanderdyke/kernel/scheduling/speeds.py
@@ -23,26 +23,3 @@
         self, backend: Backend, tokens: float, now: Millis
     ) -> Millis:
         """Return how long an engine takes to fetch context from a store."""
-
-
-class ServiceSpeeds:
-    """Estimate by the prefill rate of the whole service alone."""
-
-    _STEP: Millis = 5.0
-    _FETCH_TOKENS_PER_MS = 390.0
-
-    def estimate_read(
-        self, backend: Backend, tokens: float, _now: Millis
-    ) -> Millis:
-        """Return how long an engine takes to prefill this many tokens."""
-        return backend.reading.estimate_time(tokens)
-
-    def estimate_step(self, _backend: Backend, _now: Millis) -> Millis:
-        """Return how long an engine takes per generated token."""
-        return self._STEP
-
-    def estimate_fetch(
-        self, _backend: Backend, tokens: float, _now: Millis
-    ) -> Millis:
-        """Return how long an engine takes to fetch context from a store."""
-        return tokens / self._FETCH_TOKENS_PER_MS
--- a/src/oleanderdyke/kernel/scheduling/work.py
+++ b/src/oleanderdyke/kernel/scheduling/work.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -107,22 +106,6 @@
         """Return how old the news of other entries is, infinite if none."""
 
 
-class NoWorkView:
-    """Know of no work in flight, as before any entry has reported."""
-
-    def find_work(self, _start: ServerStart, _now: Millis) -> ServerWork:
-        """Return no work."""
-        return NO_WORK
-
-    def list_demand(self, _service: str, _now: Millis) -> Sequence[Demand]:
-        """Return no demand."""
-        return ()
-
-    def find_age(self, _now: Millis) -> Millis:
-        """Return an infinite age."""
-        return math.inf
-
-
 def sum_work(works: Iterable[ServerWork]) -> ServerWork:
     """Return the sum of any number of amounts of work."""
     total = NO_WORK
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -31,14 +31,10 @@
     divide_capacity,
 )
 from oleanderdyke.kernel.scheduling.overload import LATE_RANK
-from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds
 from oleanderdyke.kernel.scheduling.urgency import RankOrder
-from oleanderdyke.kernel.scheduling.work import (
-    Demand,
-    NoWorkView,
-    ServerWork,
-)
+from oleanderdyke.kernel.scheduling.work import Demand, ServerWork
 from oleanderdyke.kernel.servers import ServerRecord
+from tests.scheduling import NoWorkView, ServiceSpeeds
 from tests.test_load_switch import make_route
 
 CLAIMANTS = st.builds(
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -22,7 +22,6 @@
 from oleanderdyke.kernel.deployment import EngineTraits
 from oleanderdyke.kernel.retries import RetrySettings
 from oleanderdyke.kernel.scheduling.run_copies import RunCopies, RunCopy
-from oleanderdyke.kernel.scheduling.work import NoWorkView
 from oleanderdyke.kernel.servers import ModelDemand
 from tests.hosted import (
     MODEL,
@@ -36,6 +35,7 @@
 )
 from tests.hosted_copies import COPYING, MODEL_HEADERS, MODELS
 from tests.hosted_copies import copying as copying_anywhere
+from tests.scheduling import NoWorkView
 from tests.standins.copies import CopyingEngine
 from tests.standins.replica import make_event
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -28,10 +28,10 @@
 from oleanderdyke.kernel.scheduling.pool_members import is_fit
 from oleanderdyke.kernel.scheduling.pool_sizes import PERIOD
 from oleanderdyke.kernel.scheduling.pools import Pools, Side
-from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds
 from oleanderdyke.kernel.scheduling.switch import LoadSwitch
 from oleanderdyke.kernel.scheduling.work import NO_WORK, Demand, ServerWork
 from oleanderdyke.kernel.servers import ModelDemand, PromptPart, ServerRecord
+from tests.scheduling import ServiceSpeeds
 
 SHORT = ModelDemand('m', 700, 40)
 LONG = ModelDemand('m', 9_000, 8)
--- a/tests/test_run_copies.py
+++ b/tests/test_run_copies.py
@@ -20,12 +20,13 @@
     find_copy_fault,
     is_worth_copying,
 )
-from oleanderdyke.kernel.scheduling.work import NO_WORK, NoWorkView, ServerWork
+from oleanderdyke.kernel.scheduling.work import NO_WORK, ServerWork
 from oleanderdyke.kernel.servers import (
     ModelDemand,
     PromptPart,
     ServerRecord,
 )
+from tests.scheduling import NoWorkView
 
 TRAITS = EngineTraits(
     10_000, token_bytes=18_432.0, link_mbps=130_000.0, backups=True
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -19,9 +19,9 @@
     SampledDraw,
     WorkEstimate,
 )
-from oleanderdyke.kernel.scheduling.speeds import ServiceSpeeds
 from oleanderdyke.kernel.scheduling.work import NO_WORK, ServerWork
 from oleanderdyke.kernel.servers import ModelDemand, ServerLoad, ServerRecord
+from tests.scheduling import ServiceSpeeds
 
 NOW = 5_000.0
 SPEEDS = ServiceSpeeds()
