--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -105,7 +105,7 @@
         self._copies = copies
         self._find_flow = find_flow
         self._is_paused = False
-        # The server with a copy of this run, once the run is lost for certain.
+        # The server with a copy of this run, once its connection is lost.
         self._lost_copy = ''
         self._number = action.attempt
         self._start = start
