Start a waiting request once an engine has room

Cause: a request that waits for its turn was started only by turns, so that it was refused at the end of its wait beside an engine that would have answered within half of the target. Change: ask for room on each look, as at arrival. The new test fails without it.

--- a/src/oleanderdyke/kernel/scheduling/admission.py
+++ b/src/oleanderdyke/kernel/scheduling/admission.py
@@ -328,7 +328,7 @@
         share = self.find_share(waiting.claimant)
         turns = self._find_turns(waiting.claimant)
         needed = _TURN + self._queue.count_ahead(waiting)
-        if share >= 1 or turns.level >= needed:
+        if share >= 1 or turns.level >= needed or applicant.has_room:
             turns.take(share)
             return Decision.ADMIT
         if now < waiting.until:
--- a/tests/test_admission_by_rank.py
+++ b/tests/test_admission_by_rank.py
@@ -259,6 +259,19 @@
     assert ended.reason is Reason.SHARE
 
 
+def test_a_request_that_waits_starts_once_an_engine_has_room():
+    """The load is a burst that ends before the figures show it."""
+    fleet = Fleet(10.0, {RED: 150}, entries=1, waiting=1)
+    (entry,) = fleet.entries
+    traits = {'request': 'one'}
+    for at in range(60):
+        ask(entry, RED, at * 6.6, expected=900.0)
+    while ask(entry, RED, 400.0, **traits) is Decision.ADMIT:
+        pass
+    assert ask(entry, RED, 420.0, **traits) is Decision.WAIT
+    assert ask(entry, RED, 440.0, expected=50.0, **traits) is Decision.ADMIT
+
+
 def wait(name, rank=1, *, size=10, start_by=100.0):
     return WaitingRequest(name, Claimant(rank, 'red'), size, start_by, 100.0)
 
