Refuse no call by overload that was sent to a server before

Cause: a call whose servers all failed waits for others, after which no server counts as tried any more, so that its next choice was decided like a first one: it could wait for a turn, or end as refused though it had begun. Change: the selector remembers that the call was tried. The new test fails without it.

--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -83,6 +83,8 @@
         self._call = call
         # How long the call waits while no server accepts it.
         self._wait_until: Millis | None = None
+        # Failed servers are no longer passed in after a wait for servers.
+        self._was_tried = False
 
     def select(
         self, tried: frozenset[ServerStart]
@@ -93,6 +95,7 @@
         been tried is not rejected because of overload.
         """
         now = self._core.clock.now()
+        self._was_tried = self._was_tried or bool(tried)
         listed = self._core.backends.list_service(self._call.service, now)
         demand = make_demand(self._core, self._call, listed, tried)
         choice = choose_among(demand, listed, now)
@@ -103,7 +106,7 @@
             return self._wait_or_reject(demand, listed, now)
         if choice.is_loading and self._may_wait(now):
             return None
-        return choice if tried else self._admit(choice, now)
+        return choice if self._was_tried else self._admit(choice, now)
 
     def _admit(self, choice: Choice, now: Millis) -> Choice | Rejection | None:
         """Return the choice if the call may start, as `select` does."""
