Free the place of a waiting call that is served as usual

Cause: a call that waits while the news of other entries grows too old is decided as in other deployments, and kept its place until its answer ended, ahead of later calls of its team. Change: free it before. The new test fails without it.

--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -113,6 +113,8 @@
         scheduler = self._core.scheduling.find_scheduler(self._call)
         if scheduler is not None and scheduler.admission.is_informed(now):
             return scheduler.admission.admit(self._call, choice, now)
+        # The call may have waited for a turn until now.
+        self._core.scheduling.record_left(self._call)
         if self._is_overloaded(choice):
             return _reject_overloaded(choice)
         return choice
--- a/tests/test_server_selection.py
+++ b/tests/test_server_selection.py
@@ -69,3 +69,14 @@
     choices += [None, None, CHOICE]
     assert isinstance(selector.select(frozenset({'engine-1'})), Rejection)
     assert selector.select(frozenset()) is CHOICE
+
+
+def test_a_call_that_waited_frees_its_place_when_news_ends(choices):
+    admission = Admission()
+    admission.answer = None
+    selector = make_selector(admission)
+    choices += [CHOICE, CHOICE]
+    assert selector.select(frozenset()) is None
+    admission.has_news = False
+    assert selector.select(frozenset()) is CHOICE
+    assert admission.left == 1
