Take no place from a waiting request in vain

Cause: a request with too large a body for the queue, or for what less urgent ones hold there, took their places, which were refused then, and lost its own. Change: find first whether it fits. The new tests fail without it.

--- a/src/oleanderdyke/kernel/scheduling/wait_queue.py
+++ b/src/oleanderdyke/kernel/scheduling/wait_queue.py
@@ -60,15 +60,19 @@
         return self._waiting.get(request)
 
     def add(self, waiting: WaitingRequest) -> bool:
-        """Add a request, in place of less urgent ones; return whether."""
+        """Add a request, in place of less urgent ones; return whether.
+
+        None of them lose their places if that makes too little room.
+        """
+        evicted = self._find_evicted(waiting)
+        if evicted is None:
+            return False
+        for each in evicted:
+            self.remove(each.request)
+            self._evicted.add(each.request)
         self._waiting[waiting.request] = waiting
         self._bytes += waiting.size
-        while self._is_full():
-            last = max(self._waiting.values(), key=lambda each: each.order)
-            self.remove(last.request)
-            if last is not waiting:
-                self._evicted.add(last.request)
-        return waiting.request in self._waiting
+        return True
 
     def take_evicted(self, request: str) -> bool:
         """Return once whether a request lost its place to a more urgent one."""
@@ -90,8 +94,26 @@
             for each in self._waiting.values()
         )
 
-    def _is_full(self) -> bool:
-        return (
-            len(self._waiting) > self._max_requests
-            or self._bytes > self._max_bytes
+    def _find_evicted(
+        self, waiting: WaitingRequest
+    ) -> list[WaitingRequest] | None:
+        """Return the requests that make room, None if there is too little."""
+        excess = len(self._waiting) + 1 - self._max_requests
+        excess_bytes = self._bytes + waiting.size - self._max_bytes
+        evicted: list[WaitingRequest] = []
+        less_urgent = sorted(
+            (
+                each
+                for each in self._waiting.values()
+                if each.order > waiting.order
+            ),
+            key=lambda each: each.order,
+            reverse=True,
         )
+        for each in less_urgent:
+            if max(excess, excess_bytes) <= 0:
+                break
+            evicted.append(each)
+            excess -= 1
+            excess_bytes -= each.size
+        return None if max(excess, excess_bytes) > 0 else evicted
--- a/tests/test_admission_by_rank.py
+++ b/tests/test_admission_by_rank.py
@@ -290,3 +290,13 @@
     assert not queue.add(wait('big', size=90))
     assert queue.count_ahead(wait('next')) == 1
     assert (len(queue), queue.bytes) == (2, 20)
+
+
+@pytest.mark.parametrize(('rank', 'size'), [(0, 101), (1, 60)])
+def test_no_request_loses_its_place_for_one_that_does_not_fit(rank, size):
+    queue = WaitQueue(max_requests=3, max_bytes=100)
+    assert queue.add(wait('urgent', rank=0, size=50))
+    assert queue.add(wait('patient', rank=2, size=30))
+    assert not queue.add(wait('big', rank, size=size))
+    assert not queue.take_evicted('patient')
+    assert (len(queue), queue.bytes) == (2, 80)
