Let an idle engine take a long prompt beyond its share

Cause: an engine had room if it answered within half of the target, which a long prompt alone takes, so that it was refused beside idle engines where the figures of capacity are too low. Change: an engine without a prompt to read, with half of its places and the memory of the run free, has room as well. The new tests fail without it.

--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -218,8 +218,21 @@
             subject=parts[-2].name if len(parts) > 1 else '',
             size=len(call.body),
             is_resumed=bool(call.parameters.last_event),
+            is_idle=self._is_idle(call, choice, now),
         )
 
+    def _is_idle(self, call: HostedCall, choice: Choice, now: Millis) -> bool:
+        """Return whether a call would be read at once, with places to spare."""
+        record = choice.backend.record
+        work = self._figures.view.find_work(record.start, now)
+        if work.unread or work.runs * 2 >= record.slots:
+            return False
+        model, deployment = call.parameters.demand, self._core.deployment
+        if model is None or deployment is None:
+            return False
+        needed = work.memory + work.copies + self.estimate_memory(call, model)
+        return needed <= (deployment.find_memory_tokens(call.service) or 0)
+
     def _reject(
         self, call: HostedCall, choice: Choice, refused: Refused
     ) -> Rejection:
--- a/src/oleanderdyke/kernel/scheduling/admission.py
+++ b/src/oleanderdyke/kernel/scheduling/admission.py
@@ -67,7 +67,8 @@
     rest of the answer takes, `left` the time to the caller's deadline.
     `held` is the time since it arrived here. `subject` names the last shared
     part of the prompt. `size` is the size of its body. `is_resumed` is set for
-    the rest of an answer.
+    the rest of an answer, `is_idle` if the best server has no prompt to read
+    and half of its places free.
     """
 
     request: str
@@ -82,6 +83,7 @@
     subject: str = ''
     size: int = 0
     is_resumed: bool = False
+    is_idle: bool = False
 
     @property
     def on_time(self) -> Millis:
@@ -103,7 +105,8 @@
     def has_room(self) -> bool:
         """Return whether the best server has room for it right now."""
         comfort = self.age.target * _COMFORT_SHARE
-        return not self.queue and self.expected < comfort
+        is_soon = self.is_idle or self.expected < comfort
+        return is_soon and not self.queue
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_admission_by_rank.py
+++ b/tests/test_admission_by_rank.py
@@ -272,6 +272,18 @@
     assert ask(entry, RED, 440.0, expected=50.0, **traits) is Decision.ADMIT
 
 
+def test_a_long_prompt_is_not_refused_beside_an_idle_engine():
+    """The load is far below the figures, as rates learned too low make it."""
+    fleet = Fleet(10.0, {RED: 1_000}, entries=1)
+    (entry,) = fleet.entries
+    asked = [
+        ask(entry, RED, at * 10.0, expected=500.0, is_idle=at % 2 == 0)
+        for at in range(40)
+    ]
+    assert asked[::2] == [Decision.ADMIT] * 20
+    assert Decision.ADMIT not in asked[1::2]
+
+
 def wait(name, rank=1, *, size=10, start_by=100.0):
     return WaitingRequest(name, Claimant(rank, 'red'), size, start_by, 100.0)
 
--- a/tests/test_hosted_admission.py
+++ b/tests/test_hosted_admission.py
@@ -104,6 +104,32 @@
     assert count == len(refused)
 
 
+async def answer_idle(peer):
+    await peer.answer(200, b'done', oleanderdyke_instance_load='0,0,0')
+
+
+async def test_a_long_prompt_starts_at_an_idle_engine_beyond_its_share(
+    tmp_path,
+):
+    configuration = {
+        **CONFIGURATION,
+        'routes': [SHORT, LONG],
+        'services': [DESK],
+    }
+    async with hosted.staging(
+        tmp_path, answer_idle, configuration=configuration, models=MODELS
+    ) as stage:
+        with anyio.fail_after(5):
+            while stage.core.scheduling.scheduler is None:
+                await anyio.sleep(0.05)
+        for _ in range(4):
+            for route, tokens in (('s', 100), ('l', 1_000)):
+                assert (await ask(stage, route, tokens)).status == 200
+        stage.core.scheduling.scheduler.view = View()
+        answers = [await ask(stage, 'l', 30_000) for _ in range(10)]
+        assert [each.status for each in answers] == [200] * 10
+
+
 async def test_the_memory_of_a_run_follows_the_tokens_of_ended_answers(
     tmp_path,
 ):
