Count engines that only refused as capacity

Cause: an engine that refused is skipped by one entry for 100 ms or more, and was no capacity to that entry for as long: a burst of refusals lowered its shares, and with all engines skipped no figures were left, so that nothing was refused by shares. Change: count engines that work, as pools do. The new test fails without it.

--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -31,7 +31,8 @@
     measure_room,
 )
 from oleanderdyke.kernel.scheduling.fair_shares import Claimant
-from oleanderdyke.kernel.scheduling.placement import Choice, is_usable
+from oleanderdyke.kernel.scheduling.placement import Choice
+from oleanderdyke.kernel.scheduling.pool_members import is_working
 from oleanderdyke.kernel.scheduling.speeds import SpeedView
 from oleanderdyke.kernel.scheduling.urgency import RankOrder
 from oleanderdyke.kernel.scheduling.wait_queue import WaitQueue
@@ -164,7 +165,7 @@
         usable = [
             backend
             for backend in self._core.backends.list_service(name, now)
-            if is_usable(backend, now)
+            if is_working(backend, now)
         ]
         room = measure_room(
             usable,
--- a/src/oleanderdyke/kernel/scheduling/pool_members.py
+++ b/src/oleanderdyke/kernel/scheduling/pool_members.py
@@ -20,11 +20,16 @@
 
 
 def is_fit(backend: Backend, now: Millis) -> bool:
-    """Return whether an engine counts: settled, not failed, silent or loading.
+    """Return whether an engine counts: settled and working."""
+    return now - backend.listed_at >= _SETTLE_TIME and is_working(backend, now)
 
-    An engine that only refused counts: other entries don't know of it.
+
+def is_working(backend: Backend, now: Millis) -> bool:
+    """Return whether an engine is neither failed, silent nor loading.
+
+    One that only refused is working: other entries don't know of it.
     """
-    if now - backend.listed_at < _SETTLE_TIME or backend.reload_until > now:
+    if backend.reload_until > now:
         return False
     if backend.failures and backend.excluded_until > now:
         return False
--- a/tests/test_hosted_admission.py
+++ b/tests/test_hosted_admission.py
@@ -130,6 +130,30 @@
         assert [each.status for each in answers] == [200] * 10
 
 
+async def test_an_engine_that_refused_counts_as_capacity(tmp_path):
+    """Otherwise no engine is left, and nothing is refused by shares."""
+    configuration = {
+        **CONFIGURATION,
+        'routes': [SHORT, LONG],
+        'services': [DESK],
+    }
+    async with hosted.staging(
+        tmp_path, answer_full, configuration=configuration, models=MODELS
+    ) as stage:
+        core = stage.core
+        with anyio.fail_after(5):
+            while core.scheduling.scheduler is None:
+                await anyio.sleep(0.05)
+        for _ in range(4):
+            for route, tokens in (('s', 100), ('l', 1_000)):
+                assert (await ask(stage, route, tokens)).status == 200
+        core.scheduling.scheduler.view = View()
+        (engine,) = core.backends.list_known()
+        engine.excluded_until = core.clock.now() + 60_000
+        answers = [await ask(stage, 'l', 1_000) for _ in range(10)]
+        assert [each.status for each in answers].count(503) >= 8
+
+
 async def test_the_memory_of_a_run_follows_the_tokens_of_ended_answers(
     tmp_path,
 ):
