Admit by a share of 0 while a service has no working engine

Cause: without engines no demand was counted in engines, so that every share was 1 and calls were sent to engines that are overdue, to be held there until they count as lost. The new test fails without it.

--- a/src/oleanderdyke/kernel/scheduling/admission.py
+++ b/src/oleanderdyke/kernel/scheduling/admission.py
@@ -228,6 +228,7 @@
         self._turns: dict[Claimant, _Turns] = {}
         self._subjects = Subjects()
         self._busy_at: Millis | None = None
+        self._default_share = 1.0
         self.use = 0.0
 
     @property
@@ -244,7 +245,10 @@
         """Apply the latest capacity and demand, both in engines."""
         self._demands = demands
         engines = {who: demand.engines for who, demand in demands.items()}
-        self.use = sum(engines.values()) / max(capacity, 1e-9)
+        self._default_share = 1.0 if capacity > 0 or not demands else 0.0
+        self.use = math.inf
+        if self._default_share:
+            self.use = sum(engines.values()) / max(capacity, 1e-9)
         self._update_shortage(now)
         divided = divide_capacity(capacity, engines)
         self._shares = {
@@ -257,7 +261,7 @@
 
     def find_share(self, claimant: Claimant) -> float:
         """Return the part of a claimant's requests that is admitted."""
-        return self._shares.get(claimant, 1.0)
+        return self._shares.get(claimant, self._default_share)
 
     def find_rank_use(self) -> dict[str, float]:
         """Return the engines that the demand of each rank would take."""
--- a/tests/test_admission_by_rank.py
+++ b/tests/test_admission_by_rank.py
@@ -284,6 +284,18 @@
     assert Decision.ADMIT not in asked[1::2]
 
 
+def test_without_working_engines_nothing_is_sent_to_those_that_are_overdue():
+    """The load is a fault that takes all engines of a service."""
+    fleet = Fleet(10.0, {RED: 50}, entries=1)
+    (entry,) = fleet.entries
+    # Without engines, the time that requests would take is unknown.
+    entry.update(0.0, {RED: ClaimantDemand(0.0, 50.0, 50.0)}, 0.0)
+    assert isinstance(ask(entry, RED), Refused)
+    assert ask(entry, RED, expected=50.0) is Decision.ADMIT
+    entry.update(10.0, {RED: ClaimantDemand(5.0, 50.0, 50.0)}, 100.0)
+    assert ask(entry, RED, 100.0) is Decision.ADMIT
+
+
 def wait(name, rank=1, *, size=10, start_by=100.0):
     return WaitingRequest(name, Claimant(rank, 'red'), size, start_by, 100.0)
 
