--- a/src/oleanderdyke/kernel/scheduling/admission.py
+++ b/src/oleanderdyke/kernel/scheduling/admission.py
@@ -67,7 +67,8 @@
     rest of the answer takes, `left` the time to the caller's deadline.
     `held` is the time since it arrived here. `subject` names the last shared
     part of the prompt. `size` is the size of its body. `is_resumed` is set for
-    the rest of an answer.
+    the rest of an answer, `is_idle` if the best server has no prompt to read
+    and half of its places free.
     """
 
     request: str
@@ -82,6 +83,7 @@
     subject: str = ''
     size: int = 0
     is_resumed: bool = False
+    is_idle: bool = False
 
     @property
     def on_time(self) -> Millis:
@@ -103,7 +105,8 @@
     def has_room(self) -> bool:
         """Return whether the best server has room for it right now."""
         comfort = self.age.target * _COMFORT_SHARE
-        return not self.queue and self.expected < comfort
+        is_soon = self.is_idle or self.expected < comfort
+        return is_soon and not self.queue
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,6 +228,7 @@
         self._turns: dict[Claimant, _Turns] = {}
         self._subjects = Subjects()
         self._busy_at: Millis | None = None
+        self._default_share = 1.0
         self.use = 0.0
 
     @property
@@ -241,7 +245,10 @@
         """Apply the latest capacity and demand, both in engines."""
         self._demands = demands
         engines = {who: demand.engines for who, demand in demands.items()}
-        self.use = sum(engines.values()) / max(capacity, 1e-9)
+        self._default_share = 1.0 if capacity > 0 or not demands else 0.0
+        self.use = math.inf
+        if self._default_share:
+            self.use = sum(engines.values()) / max(capacity, 1e-9)
         self._update_shortage(now)
         divided = divide_capacity(capacity, engines)
         self._shares = {
@@ -254,7 +261,7 @@
 
     def find_share(self, claimant: Claimant) -> float:
         """Return the part of a claimant's requests that is admitted."""
-        return self._shares.get(claimant, 1.0)
+        return self._shares.get(claimant, self._default_share)
 
     def find_rank_use(self) -> dict[str, float]:
         """Return the engines that the demand of each rank would take."""
@@ -328,7 +335,7 @@
         share = self.find_share(waiting.claimant)
         turns = self._find_turns(waiting.claimant)
         needed = _TURN + self._queue.count_ahead(waiting)
-        if share >= 1 or turns.level >= needed:
+        if share >= 1 or turns.level >= needed or applicant.has_room:
             turns.take(share)
             return Decision.ADMIT
         if now < waiting.until:
--- a/tests/test_admission_by_rank.py
+++ b/tests/test_admission_by_rank.py
@@ -259,6 +259,43 @@
     assert ended.reason is Reason.SHARE
 
 
+def test_a_request_that_waits_starts_once_an_engine_has_room():
+    """The load is a burst that ends before the figures show it."""
+    fleet = Fleet(10.0, {RED: 150}, entries=1, waiting=1)
+    (entry,) = fleet.entries
+    traits = {'request': 'one'}
+    for at in range(60):
+        ask(entry, RED, at * 6.6, expected=900.0)
+    while ask(entry, RED, 400.0, **traits) is Decision.ADMIT:
+        pass
+    assert ask(entry, RED, 420.0, **traits) is Decision.WAIT
+    assert ask(entry, RED, 440.0, expected=50.0, **traits) is Decision.ADMIT
+
+
+def test_a_long_prompt_is_not_refused_beside_an_idle_engine():
+    """The load is far below the figures, as rates learned too low make it."""
+    fleet = Fleet(10.0, {RED: 1_000}, entries=1)
+    (entry,) = fleet.entries
+    asked = [
+        ask(entry, RED, at * 10.0, expected=500.0, is_idle=at % 2 == 0)
+        for at in range(40)
+    ]
+    assert asked[::2] == [Decision.ADMIT] * 20
+    assert Decision.ADMIT not in asked[1::2]
+
+
+def test_without_working_engines_nothing_is_sent_to_those_that_are_overdue():
+    """The load is a fault that takes all engines of a service."""
+    fleet = Fleet(10.0, {RED: 50}, entries=1)
+    (entry,) = fleet.entries
+    # Without engines, the time that requests would take is unknown.
+    entry.update(0.0, {RED: ClaimantDemand(0.0, 50.0, 50.0)}, 0.0)
+    assert isinstance(ask(entry, RED), Refused)
+    assert ask(entry, RED, expected=50.0) is Decision.ADMIT
+    entry.update(10.0, {RED: ClaimantDemand(5.0, 50.0, 50.0)}, 100.0)
+    assert ask(entry, RED, 100.0) is Decision.ADMIT
+
+
 def wait(name, rank=1, *, size=10, start_by=100.0):
     return WaitingRequest(name, Claimant(rank, 'red'), size, start_by, 100.0)
 
@@ -277,3 +314,13 @@
     assert not queue.add(wait('big', size=90))
     assert queue.count_ahead(wait('next')) == 1
     assert (len(queue), queue.bytes) == (2, 20)
+
+
+@pytest.mark.parametrize(('rank', 'size'), [(0, 101), (1, 60)])
+def test_no_request_loses_its_place_for_one_that_does_not_fit(rank, size):
+    queue = WaitQueue(max_requests=3, max_bytes=100)
+    assert queue.add(wait('urgent', rank=0, size=50))
+    assert queue.add(wait('patient', rank=2, size=30))
+    assert not queue.add(wait('big', rank, size=size))
+    assert not queue.take_evicted('patient')
+    assert (len(queue), queue.bytes) == (2, 80)
