--- a/tests/test_hosted_admission.py
+++ b/tests/test_hosted_admission.py
@@ -61,6 +61,21 @@
             assert (await ask(stage, route, tokens)).status == 200
 
 
+async def start_scheduler(stage):
+    """Show the entry that it needs its scheduler, and use it."""
+    scheduling = stage.core.scheduling
+    with anyio.fail_after(5):
+        while scheduling._switch is None:
+            await anyio.sleep(0.05)
+    await ask_both(stage)
+    with anyio.fail_after(5):
+        while scheduling.scheduler is None:
+            await anyio.sleep(0.05)
+    # Without news of other entries, nobody is refused by shares.
+    await ask_both(stage)
+    return scheduling.scheduler
+
+
 async def answer_full(peer):
     """Answer, and report that requests wait."""
     await peer.answer(200, b'done', oleanderdyke_instance_load='6,2,6')
@@ -76,17 +91,7 @@
     async with hosted.staging(
         tmp_path, answer_full, configuration=configuration, models=MODELS
     ) as stage:
-        scheduling = stage.core.scheduling
-        with anyio.fail_after(5):
-            while scheduling._switch is None:
-                await anyio.sleep(0.05)
-        await ask_both(stage)
-        with anyio.fail_after(5):
-            while scheduling.scheduler is None:
-                await anyio.sleep(0.05)
-        scheduler = scheduling.scheduler
-        # Without news of other entries, nobody is refused by shares.
-        await ask_both(stage)
+        scheduler = await start_scheduler(stage)
         scheduler.view = View()
         answers = [await ask(stage, 'l', 1_000) for _ in range(10)]
         urgent = [await ask(stage, 's', 100) for _ in range(4)]
@@ -128,13 +133,8 @@
     async with hosted.staging(
         tmp_path, answer_idle, configuration=configuration, models=MODELS
     ) as stage:
-        with anyio.fail_after(5):
-            while stage.core.scheduling.scheduler is None:
-                await anyio.sleep(0.05)
-        for _ in range(4):
-            for route, tokens in (('s', 100), ('l', 1_000)):
-                assert (await ask(stage, route, tokens)).status == 200
-        stage.core.scheduling.scheduler.view = View()
+        scheduler = await start_scheduler(stage)
+        scheduler.view = View()
         answers = [await ask(stage, 'l', 30_000) for _ in range(10)]
         assert [each.status for each in answers] == [200] * 10
 
@@ -150,13 +150,8 @@
         tmp_path, answer_full, configuration=configuration, models=MODELS
     ) as stage:
         core = stage.core
-        with anyio.fail_after(5):
-            while core.scheduling.scheduler is None:
-                await anyio.sleep(0.05)
-        for _ in range(4):
-            for route, tokens in (('s', 100), ('l', 1_000)):
-                assert (await ask(stage, route, tokens)).status == 200
-        core.scheduling.scheduler.view = View()
+        scheduler = await start_scheduler(stage)
+        scheduler.view = View()
         (engine,) = core.backends.list_known()
         engine.excluded_until = core.clock.now() + 60_000
         answers = [await ask(stage, 'l', 1_000) for _ in range(10)]
