Write down what is known of retries beyond the budget, with a first soak

Users saw rule BUDGET broken on real processes and kept no logs. The soak starts entries as processes of their own, restarts, replaces and freezes them while clients use their connections until they are closed, and counts what arrives at the servers by request id.

--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real programs under faults from outside."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,88 @@
+"""Run the soak from the command line; exit with 1 on a broken promise."""
+
+from __future__ import annotations
+
+import argparse
+import functools
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from types import FrameType
+
+import anyio
+
+from tests.processes import ROOT
+from tools.soak.plan import make_plan
+from tools.soak.run import describe_result, run_soak
+
+_DIRECTORY = ROOT / 'build' / 'soak'
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run each seed; return 1 if a promise was broken."""
+    options = _make_parser().parse_args(arguments)
+    signal.signal(signal.SIGTERM, _interrupt)
+    seeds = range(options.seed, options.seed + options.seeds)
+    try:
+        results = [_run_seed(seed, options) for seed in seeds]
+    except KeyboardInterrupt:
+        return 1
+    return int(not all(results))
+
+
+def _run_seed(seed: int, options: argparse.Namespace) -> bool:
+    """Run one seed; return whether every promise was kept."""
+    plan = make_plan(seed, options.seconds, entries=options.entries)
+    for line in plan.describe():
+        _print(line)
+    directory = Path(options.directory) / f'seed-{seed}'
+    directory.mkdir(parents=True, exist_ok=True)
+    lines: list[str] = []
+
+    def report(line: str) -> None:
+        lines.append(line)
+        if options.verbose or line.startswith('BROKEN'):
+            _print(line)
+
+    soak = anyio.run(functools.partial(run_soak, plan, directory, report))
+    is_kept = not any(line.startswith('BROKEN') for line in lines)
+    verdict = 'KEPT' if is_kept else f'BROKEN, logs in {directory}'
+    _print(f'{describe_result(soak)} {verdict}')
+    return is_kept
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='python -m tools.soak', description=__doc__
+    )
+    parser.add_argument('--seed', type=int, default=1, help='first seed')
+    parser.add_argument(
+        '--seeds', type=int, default=1, help='number of seeds to run in turn'
+    )
+    parser.add_argument(
+        '--seconds', type=float, default=60.0, help='length of each run'
+    )
+    parser.add_argument(
+        '--entries', type=int, default=3, help='entries at the start'
+    )
+    parser.add_argument(
+        '--directory', default=_DIRECTORY, help='folder for settings and logs'
+    )
+    parser.add_argument(
+        '--verbose', action='store_true', help='print each fault as it begins'
+    )
+    return parser
+
+
+def _interrupt(_number: int, _frame: FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
+def _print(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/arrivals.py
@@ -0,0 +1,137 @@
+"""Record what clients and servers see, and check the promises to both."""
+
+from __future__ import annotations
+
+import bisect
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_SUCCESS = range(200, 300)
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRule:
+    """Limit the retries that a service may get; `window` is in seconds."""
+
+    share: float = 0.2
+    slack: float = 52.0
+    window: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Excess:
+    """Describe a window with more retries than allowed."""
+
+    begin: float
+    retries: int
+    allowed: float
+
+
+@dataclass
+class Observations:
+    """Hold what clients sent and got, and what arrived at the servers.
+
+    Times are in seconds and ascend.
+    """
+
+    sent: list[float] = field(default_factory=list)
+    retries: list[float] = field(default_factory=list)
+    statuses: Counter[int] = field(default_factory=Counter)
+    broken: int = 0
+    _arrived: set[str] = field(default_factory=set)
+    _runs: Counter[str] = field(default_factory=Counter)
+    _bodies: dict[str, set[bytes]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
+    _unique: set[str] = field(default_factory=set)
+    _answers: dict[str, int] = field(default_factory=dict)
+    _faults: list[str] = field(default_factory=list)
+
+    def record_sent(
+        self, request: str, now: float, *, is_idempotent: bool
+    ) -> None:
+        """Record a request of a client."""
+        self.sent.append(now)
+        if not is_idempotent:
+            self._unique.add(request)
+
+    def record_arrival(self, request: str, now: float) -> None:
+        """Record a request that reached a server."""
+        if request in self._arrived:
+            self.retries.append(now)
+        self._arrived.add(request)
+
+    def record_run(self, request: str, body: bytes) -> None:
+        """Record that a server ran a request, and the body it answers with."""
+        self._runs[request] += 1
+        self._bodies[request].add(body)
+
+    def record_answer(self, request: str, status: int, body: bytes) -> None:
+        """Record a complete answer as the client received it."""
+        self.statuses[status] += 1
+        self._answers[request] = status
+        if status in _SUCCESS and body not in self._bodies[request]:
+            self._faults.append(f'MIXED {request}: body is not its own')
+
+    def record_broken(self) -> None:
+        """Record a connection that ended before the answer was complete."""
+        self.broken += 1
+
+    def list_faults(self, rule: RetryRule) -> list[str]:
+        """Return a line for each broken promise."""
+        faults = list(self._faults)
+        for request, count in self._runs.items():
+            if request in self._unique and count > 1:
+                faults.append(f'TWICE {request}: ran {count} times')
+            status = self._answers.get(request)
+            if request in self._unique and status in _NOT_RUN_STATUSES:
+                faults.append(f'REFUSED {request}: {status}, but it ran')
+        worst = self.find_excess(rule)
+        if worst is not None:
+            faults.append(
+                f'BUDGET from {worst.begin:.2f} s: {worst.retries} retries, '
+                f'{worst.allowed:.1f} allowed'
+            )
+        return faults
+
+    def find_excess(self, rule: RetryRule) -> Excess | None:
+        """Return the window with the largest excess, None without any."""
+        excesses = [
+            window
+            for window in self._list_windows(rule)
+            if window.retries > window.allowed
+        ]
+        return max(
+            excesses, key=lambda each: each.retries - each.allowed, default=None
+        )
+
+    def find_fullest(self, rule: RetryRule) -> Excess | None:
+        """Return the window that comes closest to the limit, or exceeds it."""
+        return max(
+            self._list_windows(rule),
+            key=lambda each: each.retries - each.allowed,
+            default=None,
+        )
+
+    def _list_windows(self, rule: RetryRule) -> Iterator[Excess]:
+        """Yield the windows that begin with a retry."""
+        for number, begin in enumerate(self.retries):
+            end = begin + rule.window
+            retries = bisect.bisect_left(self.retries, end) - number
+            allowed = rule.slack + rule.share * self._count_requests(
+                begin, rule.window
+            )
+            yield Excess(begin, retries, allowed)
+
+    def _count_requests(self, begin: float, window: float) -> int:
+        """Return the requests of the window, or of an earlier one if more."""
+        return max(
+            _count(self.sent, start, start + window)
+            for start in (begin, begin - window / 2, begin - window)
+        )
+
+
+def _count(times: Sequence[float], begin: float, end: float) -> int:
+    return bisect.bisect_left(times, end) - bisect.bisect_left(times, begin)
