Tell what paid for each retry, what is left and by which count

Cause: the log could not tell a retry that a bucket paid for from one that nothing paid for, nor show the share of an entry and the count behind it. Change: request_retried names source, service and what is left; request_refused shows that the budget refused another attempt; retry_budget_changed is written once per change, with the count of entries and its age; gauges for tokens and burst and a count of refused retries by service. No decision changes.

--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -10,6 +10,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.attempt_events import Refuse
+from oleanderdyke.kernel.retries import RetrySource
 from oleanderdyke.kernel.scheduling.placement import Choice
 from oleanderdyke.logs import LogValue
 from oleanderdyke.metrics import Count
@@ -60,17 +61,31 @@
             **core.scheduling.describe_choice(call, choice),
         )
 
-    def log_retried(self, attempt: int, server: str) -> None:
-        """Log another attempt of a call."""
+    def log_retried(
+        self, attempt: int, server: str, *, source: RetrySource, left: float
+    ) -> None:
+        """Log another attempt of a call, and the retries left after it."""
         self._core.log.write(
             EventName.REQUEST_RETRIED,
             request=self._call.request,
             attempt=attempt,
             peer=server,
+            service=self._call.service,
+            source=source.value,
+            budget=round(left, 2),
         )
 
-    def log_refused(self, refusal: Refuse, progress: Progress) -> None:
-        """Log why the entry itself answers a call with an error."""
+    def log_refused(
+        self,
+        refusal: Refuse,
+        progress: Progress,
+        *,
+        retries_left: float | None = None,
+    ) -> None:
+        """Log why the entry itself answers a call with an error.
+
+        Pass `retries_left` if the retry budget refused another attempt.
+        """
         call = self._call
         self._core.log.write(
             EventName.REQUEST_REFUSED,
@@ -79,6 +94,7 @@
             kind=refusal.kind.value,
             ran=refusal.ran.value,
             detail=refusal.detail or None,
+            budget=None if retries_left is None else round(retries_left, 2),
             **self._describe_time(),
             **progress.describe(),
         )
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -96,6 +96,8 @@
     servers_requested: anyio.Event = field(default_factory=anyio.Event)
     running: dict[str, HostedRequest] = field(default_factory=dict)
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    # The burst that was logged last.
+    _logged_burst: float | None = None
     _unread: UnreadAnswers | None = None
 
     def find_unready_reason(self) -> str:
@@ -258,6 +260,11 @@
         metrics.set_count(Count.LINES_DROPPED, self.log.count_dropped())
         if self._unread is not None:
             self._unread.update_gauge()
+        for service, budget in self._budgets.items():
+            found = self.scheduling.find_windowed(service) or budget
+            metrics.set_gauge(Gauge.RETRY_TOKENS, found.tokens, service)
+            metrics.set_gauge(Gauge.RETRY_BURST, found.settings.burst, service)
+            metrics.set_count(Count.RETRIES_DENIED, found.denied, service)
         if self.deployment is not None:
             version = self.deployment.version
             metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
@@ -281,8 +288,24 @@
 
     def resize_budgets(self) -> None:
         """Resize the retry budgets to the number of live entries."""
+        settings = self._make_budget_settings()
         for budget in self._budgets.values():
-            budget.resize(self._make_budget_settings())
+            budget.resize(settings)
+        self._log_burst(settings.burst)
+
+    def _log_burst(self, burst: float) -> None:
+        """Log a changed share of the retries of all entries."""
+        if burst == self._logged_burst:
+            return
+        self._logged_burst = burst
+        now = self.clock.now()
+        count = self.entries.count(now)
+        self.log.write(
+            EventName.RETRY_BUDGET_CHANGED,
+            limit=round(burst, 2),
+            count=None if math.isinf(count) else count,
+            age=self.entries.find_age(now),
+        )
 
     def _make_budget_settings(self) -> RetrySettings:
         settings = self.settings
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -110,10 +110,11 @@
         self._last_server: str | None = None
         self._retry_delay = RETRY_DELAY
         self._selector = ServerSelector(core, call)
+        self._budget = core.scheduling.find_budget(call, core)
         self._machine = RequestStateMachine(
             _make_facts(core, call),
             settings=_make_settings(call),
-            budget=core.scheduling.find_budget(call, core),
+            budget=self._budget,
         )
         self._handlers = self._make_handlers()
 
@@ -273,7 +274,12 @@
     async def _dispatch(self, action: SendDispatch) -> None:
         if action.attempt > 1:
             self._core.metrics.add(Count.RETRIES, label=self._call.service)
-            self._call_log.log_retried(action.attempt, action.agent)
+            self._call_log.log_retried(
+                action.attempt,
+                action.agent,
+                source=self._machine.take_retry_source(),
+                left=self._budget.tokens,
+            )
         self._last_server = action.agent
         self._attempt = DirectAttempt(
             self._core,
@@ -321,7 +327,12 @@
     async def _refuse(self, action: Refuse) -> None:
         core = self._core
         core.metrics.add(Count.REFUSALS, label=action.kind.value)
-        self._call_log.log_refused(action, self._find_progress())
+        is_denied = self._machine.is_retry_denied
+        self._call_log.log_refused(
+            action,
+            self._find_progress(),
+            retries_left=self._budget.tokens if is_denied else None,
+        )
         if self._reply.status:
             return
         await self._reply.refuse(
--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -68,7 +68,7 @@
             UsableEngines(core), switch, view=self.view, speeds=self.speeds
         )
         self.admission = EntryAdmission(core, self)
-        self._budgets: dict[str, WindowedBudget] = {}
+        self.budgets: dict[str, WindowedBudget] = {}
         self.copies = RunCopies(core.random, lambda: self.view, self.account)
         self._source = ReportSource(
             own.name,
@@ -259,14 +259,14 @@
 
     def find_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service whose runs are copied."""
-        if service not in self._budgets:
+        if service not in self.budgets:
             core = self._core
-            self._budgets[service] = WindowedBudget(
+            self.budgets[service] = WindowedBudget(
                 core.find_budget(service),
                 core.settings.retry_window,
                 core.clock.now,
             )
-        return self._budgets[service]
+        return self.budgets[service]
 
     def make_copies(self, call: HostedCall) -> CallCopies | None:
         """Return the copies of a call's runs, None if it may have none."""
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -132,6 +132,12 @@
             return core.find_budget(call.service)
         return scheduler.find_budget(call.service)
 
+    def find_windowed(self, service: str) -> RetryBudget | None:
+        """Return the budget of a service whose runs are copied, if any."""
+        if self.scheduler is None:
+            return None
+        return self.scheduler.budgets.get(service)
+
     def make_copies(self, call: HostedCall) -> CallCopies | None:
         """Return the copies of a call's runs, None if it may have none."""
         scheduler = self.find_scheduler(call)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -47,6 +47,7 @@
     REQUEST_ROUTED = 'request_routed'
     REQUEST_RETRIED = 'request_retried'
     REQUEST_REFUSED = 'request_refused'
+    RETRY_BUDGET_CHANGED = 'retry_budget_changed'
     ADMISSION_REFUSED = 'admission_refused'
     REQUEST_FINISHED = 'request_finished'
     REQUEST_CANCELLED = 'request_cancelled'
@@ -190,6 +191,8 @@
     WORK_AGE = 'work_age'
     UNREAD = 'unread'
     SIDE = 'side'
+    BUDGET = 'budget'
+    SOURCE = 'source'
 
 
 def find_level(event: EventName) -> Level:
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -25,7 +25,7 @@
     TimerKind,
 )
 from oleanderdyke.kernel.claim_records import ReleaseRecord
-from oleanderdyke.kernel.retries import RetryBudget
+from oleanderdyke.kernel.retries import RetryBudget, RetrySource
 from oleanderdyke.links.messages.claims import Claim
 
 Actions: TypeAlias = tuple[Action, ...]
@@ -126,6 +126,10 @@
         self._retries = 0
         # The next retry was already taken from the budget.
         self._has_reserved_retry = False
+        # What the next attempt was taken from, and whether the budget refused
+        # one; for logs only.
+        self._retry_source = RetrySource.NONE
+        self.is_retry_denied = False
         self._refusals = 0
         self._crashes = 0
         # The agent with a copy of the run that was just lost, the agent where
@@ -265,14 +269,27 @@
         """Use the reserved retry, else withdraw one from the budget."""
         if self._has_reserved_retry:
             self._has_reserved_retry = False
-            return True
-        return self._budget.try_withdraw()
+            return self._record_withdrawn(RetrySource.RESERVED, is_taken=True)
+        is_taken = self._budget.try_withdraw()
+        return self._record_withdrawn(RetrySource.BUCKET, is_taken=is_taken)
 
     def _spend_copy_retry(self) -> bool:
         """Use the reserved retry, else withdraw one for a copy."""
         if self._has_reserved_retry:
             return self._spend_retry()
-        return self._budget.try_withdraw_for_copy()
+        is_taken = self._budget.try_withdraw_for_copy()
+        return self._record_withdrawn(RetrySource.COPY, is_taken=is_taken)
+
+    def _record_withdrawn(self, source: RetrySource, *, is_taken: bool) -> bool:
+        if is_taken:
+            self._retry_source = source
+        self.is_retry_denied = not is_taken
+        return is_taken
+
+    def take_retry_source(self) -> RetrySource:
+        """Return what the current attempt was taken from, once."""
+        source, self._retry_source = self._retry_source, RetrySource.NONE
+        return source
 
     def _can_retry(self) -> bool:
         return (
--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -64,6 +64,12 @@
             self._exclude_gap(self._first_read_at, now)
         self._read_at = now
 
+    def find_age(self, now: Millis) -> int | None:
+        """Return how old the last read is, None before the first one."""
+        if self._first_read_at is None:
+            return None
+        return round(now - self._read_at)
+
     def count(self, now: Millis) -> float:
         """Return an upper estimate of the live entries, infinite if unknown.
 
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 from random import Random
 
@@ -21,6 +22,15 @@
     max_delay: Millis = 1 * SECOND
 
 
+class RetrySource(enum.StrEnum):
+    """What a retry was taken from."""
+
+    NONE = 'none'
+    BUCKET = 'bucket'
+    RESERVED = 'reserved'
+    COPY = 'copy'
+
+
 class RetryBudget:
     """Limit retries by a token bucket that new requests refill."""
 
@@ -28,6 +38,7 @@
         self._settings = settings
         self._random = random
         self._tokens = settings.burst
+        self._denied = 0
 
     @property
     def settings(self) -> RetrySettings:
@@ -39,6 +50,11 @@
         """Return the number of retries left, which may be fractional."""
         return self._tokens
 
+    @property
+    def denied(self) -> int:
+        """Return the number of retries that the budget has refused."""
+        return self._denied
+
     def resize(self, settings: RetrySettings) -> None:
         """Change the settings; tokens above the new burst are lost."""
         self._settings = settings
@@ -53,6 +69,7 @@
     def try_withdraw(self) -> bool:
         """Take one retry from the budget; return False if none is left."""
         if self._tokens < 1:
+            self._denied += 1
             return False
         self._tokens -= 1
         return True
--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -32,6 +32,7 @@
         self._requests: deque[Millis] = deque()
         taken = math.ceil(max(budget.settings.burst - budget.tokens, 0.0))
         self._spent: deque[Millis] = deque([now()] * taken)
+        self._own_denied = 0
 
     @property
     def settings(self) -> RetrySettings:
@@ -43,6 +44,11 @@
         """Return the number of usual retries left, which may be fractional."""
         return self._budget.tokens
 
+    @property
+    def denied(self) -> int:
+        """Return the number of retries that either limit has refused."""
+        return self._own_denied + self._budget.denied
+
     def resize(self, settings: RetrySettings) -> None:
         """Change the settings of the shared budget."""
         self._budget.resize(settings)
@@ -55,7 +61,7 @@
 
     def try_withdraw(self) -> bool:
         """Take one usual retry; return False if none is left."""
-        if not self._has_left() or not self._budget.try_withdraw():
+        if not self._check_left() or not self._budget.try_withdraw():
             return False
         self._spent.append(self._now())
         return True
@@ -65,9 +71,10 @@
 
         It takes a token too, if there is one, to leave later ones no more.
         """
-        if not self._has_left():
+        if not self._check_left():
             return False
-        self._budget.try_withdraw()
+        if self._budget.tokens >= 1:
+            self._budget.try_withdraw()
         self._spent.append(self._now())
         return True
 
@@ -75,6 +82,11 @@
         """Return a random exponential backoff; `retry` counts from 1."""
         return self._budget.delay(retry)
 
+    def _check_left(self) -> bool:
+        is_left = self._has_left()
+        self._own_denied += not is_left
+        return is_left
+
     def _has_left(self) -> bool:
         self._forget_earlier()
         settings = self.settings
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -47,6 +47,7 @@
     REFUSALS = 'refusals'
     ADMISSION_REFUSALS = 'admission_refusals'
     RETRIES = 'retries'
+    RETRIES_DENIED = 'retries_denied'
     CLAIMS = 'claims'
     CONTROL_BYTES = 'control_bytes'
     DATA_BYTES = 'data_bytes'
@@ -77,6 +78,8 @@
     RANK_USE = 'rank_use'
     ADMISSION_WAITING = 'admission_waiting'
     UNREAD_BYTES = 'unread_bytes'
+    RETRY_TOKENS = 'retry_tokens'
+    RETRY_BURST = 'retry_burst'
 
 
 _SERVICE = 'service'
@@ -99,6 +102,7 @@
     Count.REFUSALS: 'error kind',
     Count.ADMISSION_REFUSALS: 'reason and rank',
     Count.RETRIES: _SERVICE,
+    Count.RETRIES_DENIED: _SERVICE,
     Count.CLAIMS: _NONE,
     Count.CONTROL_BYTES: _NONE,
     Count.DATA_BYTES: _NONE,
@@ -124,6 +128,8 @@
     Gauge.RANK_USE: 'service and rank',
     Gauge.ADMISSION_WAITING: _NONE,
     Gauge.UNREAD_BYTES: _NONE,
+    Gauge.RETRY_TOKENS: _SERVICE,
+    Gauge.RETRY_BURST: _SERVICE,
 }
 
 
