Move the division of retries among entries to the kernel

No decision changes: what the hosted core computed is now RetryShares beside the budget, where a model of entries can drive it in virtual time.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -25,11 +25,7 @@
 from oleanderdyke.kernel.durations import DurationEstimator
 from oleanderdyke.kernel.engine_clock import EngineClock
 from oleanderdyke.kernel.presence import EntryCount
-from oleanderdyke.kernel.retries import (
-    RetryBudget,
-    RetrySettings,
-    make_retry_budget,
-)
+from oleanderdyke.kernel.retries import RetryBudget, RetryLimits, RetryShares
 from oleanderdyke.kernel.rollout import Rollout
 from oleanderdyke.kernel.scheduling.load_table import TimedLoad
 from oleanderdyke.kernel.send_limits import SendLimits
@@ -53,9 +49,6 @@
 _CUT_MARGIN: Millis = 500.0
 # A configuration that was read longer ago may lack a new route or key.
 STALE_AFTER: Millis = 3 * SECOND
-# Share of the operators' retry limits that is used, as a safety margin.
-_BUDGET_SHARE = 0.8
-_RETRY_DELAY: Millis = 5.0
 
 
 class HostedRequest(StoppableRequest, Protocol):
@@ -95,11 +88,17 @@
     # Set while requests wait and no server is listed for them.
     servers_requested: anyio.Event = field(default_factory=anyio.Event)
     running: dict[str, HostedRequest] = field(default_factory=dict)
-    _budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    retries: RetryShares = field(init=False)
     # The burst that was logged last.
     _logged_burst: float | None = None
     _unread: UnreadAnswers | None = None
 
+    def __post_init__(self) -> None:
+        """Build the retry budgets from the parts given."""
+        self.retries = RetryShares(
+            self.entries, self._find_retry_limits, self.random
+        )
+
     def find_unready_reason(self) -> str:
         """Return why this entry is not ready, or '' if it is."""
         if self.drain.is_leaving:
@@ -260,7 +259,7 @@
         metrics.set_count(Count.LINES_DROPPED, self.log.count_dropped())
         if self._unread is not None:
             self._unread.update_gauge()
-        for service, budget in self._budgets.items():
+        for service, budget in self.retries.list_budgets():
             found = self.scheduling.find_windowed(service) or budget
             metrics.set_gauge(Gauge.RETRY_TOKENS, found.tokens, service)
             metrics.set_gauge(Gauge.RETRY_BURST, found.settings.burst, service)
@@ -280,18 +279,11 @@
 
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's retry budget for a service."""
-        if service not in self._budgets:
-            self._budgets[service] = make_retry_budget(
-                self._make_budget_settings(), self.random
-            )
-        return self._budgets[service]
+        return self.retries.find(service, self.clock.now())
 
     def resize_budgets(self) -> None:
         """Resize the retry budgets to the number of live entries."""
-        settings = self._make_budget_settings()
-        for budget in self._budgets.values():
-            budget.resize(settings)
-        self._log_burst(settings.burst)
+        self._log_burst(self.retries.resize(self.clock.now()))
 
     def _log_burst(self, burst: float) -> None:
         """Log a changed share of the retries of all entries."""
@@ -307,13 +299,10 @@
             age=self.entries.find_age(now),
         )
 
-    def _make_budget_settings(self) -> RetrySettings:
+    def _find_retry_limits(self) -> RetryLimits:
         settings = self.settings
-        slack = settings.retry_slack * _BUDGET_SHARE
-        return RetrySettings(
-            share=settings.retry_share * _BUDGET_SHARE,
-            burst=max(slack / self.entries.count(self.clock.now()), 1.0),
-            base_delay=_RETRY_DELAY,
+        return RetryLimits(
+            settings.retry_share, settings.retry_slack, settings.retry_window
         )
 
 
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -1,12 +1,21 @@
-"""Limit retries to a small share of first attempts."""
+"""Limit retries to a small share of first attempts.
+
+Entries that share a limit divide it by the count of entries.
+"""
 
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.presence import EntryCount
+
+# Share of the operators' retry limits that is used, as a safety margin.
+_USED_SHARE = 0.8
+_RETRY_DELAY: Millis = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,3 +99,62 @@
 def make_retry_budget(settings: RetrySettings, random: Random) -> RetryBudget:
     """Build a budget with a full burst of retries."""
     return RetryBudget(settings, random)
+
+
+@dataclass(frozen=True, slots=True)
+class RetryLimits:
+    """Limit the retries of all entries together to a service.
+
+    Within any `window` they are at most `share` of its requests plus `slack`.
+    """
+
+    share: float = 0.2
+    slack: float = 50.0
+    window: Millis = 10 * SECOND
+
+
+class RetryShares:
+    """The retry budgets of one entry, by service."""
+
+    def __init__(
+        self,
+        entries: EntryCount,
+        find_limits: Callable[[], RetryLimits],
+        random: Random,
+    ) -> None:
+        self._entries = entries
+        self._find_limits = find_limits
+        self._random = random
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def find(self, service: str, now: Millis) -> RetryBudget:
+        """Return this entry's budget for a service."""
+        if service not in self._budgets:
+            self._budgets[service] = make_retry_budget(
+                self.make_settings(now), self._random
+            )
+        return self._budgets[service]
+
+    def list_budgets(self) -> Iterable[tuple[str, RetryBudget]]:
+        """Return the budgets with their services."""
+        return self._budgets.items()
+
+    def resize(self, now: Millis) -> float:
+        """Resize all budgets to the number of live entries.
+
+        Return the burst of each.
+        """
+        settings = self.make_settings(now)
+        for budget in self._budgets.values():
+            budget.resize(settings)
+        return settings.burst
+
+    def make_settings(self, now: Millis) -> RetrySettings:
+        """Return this entry's share of the limits."""
+        limits = self._find_limits()
+        slack = limits.slack * _USED_SHARE
+        return RetrySettings(
+            share=limits.share * _USED_SHARE,
+            burst=max(slack / self._entries.count(now), 1.0),
+            base_delay=_RETRY_DELAY,
+        )
