--- /dev/null
+++ b/tests/test_retry_model.py
@@ -0,0 +1,127 @@
+"""Retries of all entries together, whatever becomes of the entries.
+
+The failure it guards against: services got more retries than the platform
+allows, as each start of an entry had a full bucket and counts erred low.
+"""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from oleanderdyke.clock import SECOND
+from tests.retry_world import World
+
+MOST_ENTRIES = 8
+
+
+class RetriesOfAllEntries(RuleBasedStateMachine):
+    """Draw what happens to the entries and their store."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    @initialize(count=st.integers(1, 6), is_first_start=st.booleans())
+    def begin(self, count, is_first_start):
+        for _ in range(count):
+            self.world.start(is_first_start=is_first_start)
+
+    def pick(self, number):
+        entries = self.world.entries
+        return entries[number % len(entries)] if entries else None
+
+    @rule(seconds=st.sampled_from((0.1, 1.0, 4.0, 9.0, 26.0, 41.0)))
+    def wait(self, seconds):
+        self.world.advance(seconds * SECOND)
+
+    @rule(number=st.integers(0, 9), count=st.integers(1, 40))
+    def send(self, number, count):
+        entry = self.pick(number)
+        if entry is not None:
+            self.world.send(entry, count)
+
+    @rule(count=st.integers(5, 40))
+    def send_to_all(self, count):
+        for entry in self.world.entries:
+            self.world.send(entry, count)
+
+    @rule(number=st.integers(0, 9), count=st.integers(1, 8))
+    def restart_in_series(self, number, count):
+        """Kill an entry as soon as it has used what it has."""
+        entry = self.pick(number)
+        for _ in range(count if entry else 0):
+            self.world.end(entry)
+            entry = self.world.start(entry.name)
+            self.world.advance(0.3 * SECOND)
+            self.world.send(entry, 14)
+
+    @rule(number=st.integers(0, 9))
+    def replace(self, number):
+        """Start the next process of an entry while the last one drains."""
+        entry = self.pick(number)
+        if entry is not None:
+            self.world.leave(entry)
+            self.world.start(entry.name)
+
+    @rule()
+    def replace_all(self):
+        for entry in tuple(self.world.entries):
+            self.world.leave(entry)
+            self.world.start(entry.name)
+
+    @rule(seconds=st.sampled_from((2.0, 12.0, 30.0, 60.0)))
+    def freeze_one(self, seconds):
+        entry = self.pick(0)
+        if entry is not None:
+            self.world.freeze(entry, seconds * SECOND)
+
+    @rule()
+    def add(self):
+        if len(self.world.entries) < MOST_ENTRIES:
+            self.world.start()
+
+    @rule(number=st.integers(0, 9))
+    def remove(self, number):
+        if len(self.world.entries) > 1:
+            self.world.end(self.pick(number))
+
+    @rule(is_down=st.booleans(), is_deaf=st.booleans())
+    def change_store(self, is_down, is_deaf):
+        self.world.is_down, self.world.is_deaf = is_down, is_deaf
+
+    @rule()
+    def forget_announcements(self):
+        self.world.forget()
+
+    @rule(seconds=st.sampled_from((0.0, 10.0)))
+    def change_staleness(self, seconds):
+        self.world.staleness = seconds * SECOND
+
+    @invariant()
+    def retries_keep_to_the_limit(self):
+        assert self.world.find_excess() is None
+
+
+TestRetriesOfAllEntries = RetriesOfAllEntries.TestCase
+TestRetriesOfAllEntries.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+@pytest.mark.parametrize('is_first_start', [True, False])
+def test_entries_that_know_all_others_use_the_limit(is_first_start):
+    world = World()
+    entries = [world.start(is_first_start=is_first_start) for _ in range(6)]
+    world.advance(30 * SECOND)
+    for entry in entries:
+        world.send(entry, 100)
+    assert len(world.seen.retries) >= 0.5 * (52 + 0.2 * 600)
+    assert world.find_excess() is None
