Announce an entry without an address for links so that it is counted

Callers saw nothing; servers got more retries than allowed. Cause: such an entry announced itself as `name data_centre`, which no reader decodes, its own included. Every entry counted nobody and took half of the slack. Change: it announces its name alone, which earlier versions read too; records of two fields from earlier versions are read as well. Evidence: test_entry_without_an_address_for_links_is_counted failed before (nobody known, record_refused logged).

--- a/src/oleanderdyke/platform/entries.py
+++ b/src/oleanderdyke/platform/entries.py
@@ -17,7 +17,6 @@
 _MAX_ANNOUNCEMENT_LENGTH = 255
 # Process names contain no spaces.
 _SEPARATOR = ' '
-_ADDRESS_FIELDS = 2
 
 
 class EntryFeed:
@@ -37,8 +36,10 @@
 
     async def announce(self, entry: Neighbour) -> None:
         """Append an announcement; raise StoreUnavailable."""
-        fields = (entry.name, entry.address, entry.data_centre)
-        record = _SEPARATOR.join(filter(None, fields))
+        record = entry.name
+        if entry.address:
+            fields = (entry.name, entry.address, entry.data_centre)
+            record = _SEPARATOR.join(fields)
         await self._client.append(names.ENTRY_TOPIC, record.encode())
 
     async def read(self) -> tuple[Neighbour, ...] | None:
@@ -69,19 +70,22 @@
 
 
 def _decode_entry(text: str) -> Neighbour | None:
-    """Decode `name` or `name address data_centre`; None if malformed."""
+    """Decode `name` or `name address data_centre`; None if malformed.
+
+    Entries of earlier versions that accept no links announce themselves as
+    `name data_centre`.
+    """
     name, *rest = text.split(_SEPARATOR)
-    if not _is_printable(text) or not name:
-        return None
-    if not rest:
-        return Neighbour(name, '', '')
-    if (
-        len(rest) != _ADDRESS_FIELDS
-        or not all(rest)
-        or not _is_address(rest[0])
-    ):
+    if not _is_printable(text) or not name or not all(rest):
         return None
-    return Neighbour(name, *rest)
+    match rest:
+        case []:
+            return Neighbour(name, '', '')
+        case [data_centre] if not _is_address(data_centre):
+            return Neighbour(name, '', data_centre)
+        case [address, data_centre] if _is_address(address):
+            return Neighbour(name, address, data_centre)
+    return None
 
 
 def _is_printable(text: str) -> bool:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -309,6 +309,7 @@
             b'front-1 10.0.0.1:7580 hall',
             Neighbour('front-1', '10.0.0.1:7580', 'hall'),
         ),
+        (b'front-1 hall', Neighbour('front-1', '', 'hall')),
         (b'front-1 10.0.0.1 hall', None),
         (b'front-1 10.0.0.1:x hall', None),
         (b'front-1 10.0.0.1:7580', None),
--- a/tests/test_hosted_retries.py
+++ b/tests/test_hosted_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
 from oleanderdyke.kernel.retries import RetrySettings
@@ -61,3 +62,14 @@
         changes = read_events(stage, 'retry_budget_changed')
     assert len(changes) == len({each['limit'] for each in changes})
     assert all({'limit', 'age'} <= each.keys() for each in changes)
+
+
+# Entries without an address for links announced themselves in a form that no
+# entry could read, so that nobody was counted and each share was too large.
+async def test_entry_without_an_address_for_links_is_counted(tmp_path):
+    async with staging(tmp_path, refuse) as stage:
+        with anyio.fail_after(10):
+            while not stage.core.entries.list_known():
+                await anyio.sleep(0.02)
+        assert stage.core.entries.list_known() == ('front-1',)
+        assert read_events(stage, 'record_refused') == []
