Begin the shared retry budgets of an entry empty

Callers saw nothing; servers got more retries than allowed. Cause: a bucket began full, and what the last process of its entry had used was forgotten, so that n starts within a window granted n bursts. Change: the buckets that entries share begin empty and are filled by requests alone. In any window, a process that began within it has earned what it spends from requests of that window, and only processes from before bring tokens along. Nothing has to be remembered over a start.

--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -41,12 +41,21 @@
 
 
 class RetryBudget:
-    """Limit retries by a token bucket that new requests refill."""
+    """Limit retries by a token bucket that new requests refill.
 
-    def __init__(self, settings: RetrySettings, random: Random) -> None:
+    It begins with `tokens`, or else with a full burst.
+    """
+
+    def __init__(
+        self,
+        settings: RetrySettings,
+        random: Random,
+        *,
+        tokens: float | None = None,
+    ) -> None:
         self._settings = settings
         self._random = random
-        self._tokens = settings.burst
+        self._tokens = settings.burst if tokens is None else tokens
         self._denied = 0
 
     @property
@@ -130,8 +139,11 @@
     def find(self, service: str, now: Millis) -> RetryBudget:
         """Return this entry's budget for a service."""
         if service not in self._budgets:
-            self._budgets[service] = make_retry_budget(
-                self.make_settings(now), self._random
+            # A process can't know what the last one of its entry has used, so
+            # it earns its tokens: all live processes together hold no more
+            # than the slack.
+            self._budgets[service] = RetryBudget(
+                self.make_settings(now), self._random, tokens=0.0
             )
         return self._budgets[service]
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -25,6 +25,7 @@
 from tests.standins.replica import Replica, Script, serving_replica
 
 HOST = 'rooms.example'
+_EARLIER_REQUESTS = 100
 KEY = 'key-of-red'
 MODEL = 'model-a'
 OPERATOR = 'keyed.op'
@@ -163,6 +164,7 @@
             tasks.start_soon(shell.run)
             if scripts:
                 await _wait_ready(stage)
+                await _save_up_retries(stage.core)
             yield stage
             tasks.cancel_scope.cancel()
 
@@ -339,6 +341,15 @@
     )
 
 
+async def _save_up_retries(core: HostedCore) -> None:
+    """Let the entry have served requests for a while; it starts without."""
+    with anyio.fail_after(10):
+        while not core.entries.list_known():
+            await anyio.sleep(0.01)
+    for _ in range(_EARLIER_REQUESTS):
+        core.find_budget('desk').deposit()
+
+
 async def _wait_ready(stage: Stage) -> None:
     with anyio.fail_after(10):
         while True:
