Give up a share of the retries while others may not count this entry

Cause: an entry that can't announce itself keeps its share by the count that it knew, while the others forget it after 40 s and raise theirs. With half or more of many entries cut from the store, all shares together exceed the slack. Change: a share lasts 35 s from the last announcement; without one, an entry saves up one retry. Budgets look at their share at each use, so a process that was frozen has lost it when it goes on.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -96,7 +96,10 @@
     def __post_init__(self) -> None:
         """Build the retry budgets from the parts given."""
         self.retries = RetryShares(
-            self.entries, self._find_retry_limits, self.random
+            self.entries,
+            self._find_retry_limits,
+            random=self.random,
+            now=self.clock.now,
         )
 
     def find_unready_reason(self) -> str:
@@ -279,14 +282,11 @@
 
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's retry budget for a service."""
-        return self.retries.find(service, self.clock.now())
+        return self.retries.find(service)
 
-    def resize_budgets(self) -> None:
-        """Resize the retry budgets to the number of live entries."""
-        self._log_burst(self.retries.resize(self.clock.now()))
-
-    def _log_burst(self, burst: float) -> None:
+    def log_retry_share(self) -> None:
         """Log a changed share of the retries of all entries."""
+        burst = self.retries.find_settings().burst
         if burst == self._logged_burst:
             return
         self._logged_burst = burst
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -48,6 +48,7 @@
                 store.record_failure(error.message)
             else:
                 store.record_success()
+            self._core.log_retry_share()
             await anyio.sleep(next(pauses) / SECOND)
 
     def _log_refused_record(self, name: str, error: MalformedRecord) -> None:
@@ -80,4 +81,3 @@
             core.entries.record_entry(entry.name, now)
             core.peers.neighbours.record_alive(entry, now)
         core.entries.record_read(now)
-        core.resize_budgets()
--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -8,6 +8,9 @@
 
 # Entries announce themselves at least every 20 s, so one may be lost.
 ANNOUNCEMENT_LIFETIME: Millis = 40 * SECOND
+# An entry that has announced itself within this time is counted by all others
+# that read. It leaves them time to read the announcement before it expires.
+_COUNTED_TIME: Millis = 35 * SECOND
 # Entries read the announcements every 10 s. A longer gap means that the store
 # was probably unavailable, so that no entry could announce itself.
 _MAX_READ_GAP: Millis = 15 * SECOND
@@ -98,6 +101,10 @@
             self._announced_since = now
         self._announced_at = now
 
+    def is_counted(self, now: Millis) -> bool:
+        """Return whether no other entry may have forgotten this one."""
+        return now - self._announced_at < _COUNTED_TIME
+
     def count_sharing(self, now: Millis) -> float:
         """Return the number of entries to divide a shared limit by.
 
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
@@ -16,6 +17,10 @@
 # Share of the operators' retry limits that is used, as a safety margin.
 _USED_SHARE = 0.8
 _RETRY_DELAY: Millis = 5.0
+# Retries that an entry may save up if it has no share of the slack.
+_LEAST_BURST = 1.0
+# A share is computed again after this time, as each request asks for it.
+_SETTINGS_AGE: Millis = 100.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +127,43 @@
     window: Millis = 10 * SECOND
 
 
+class SharedBudget(RetryBudget):
+    """A budget whose size follows the share of its entry at each use.
+
+    It begins empty. A process can't know what the last one of its entry has
+    used, so it earns its tokens: those that began before a window together
+    bring no more than the slack into it.
+    """
+
+    def __init__(
+        self, find_settings: Callable[[], RetrySettings], random: Random
+    ) -> None:
+        super().__init__(find_settings(), random, tokens=0.0)
+        self.find_settings = find_settings
+
+    @property
+    def settings(self) -> RetrySettings:
+        """Return the settings in force."""
+        self.resize(self.find_settings())
+        return super().settings
+
+    @property
+    def tokens(self) -> float:
+        """Return the number of retries left, which may be fractional."""
+        self.resize(self.find_settings())
+        return super().tokens
+
+    def deposit(self) -> None:
+        """Add the share of one new request."""
+        self.resize(self.find_settings())
+        super().deposit()
+
+    def try_withdraw(self) -> bool:
+        """Take one retry from the budget; return False if none is left."""
+        self.resize(self.find_settings())
+        return super().try_withdraw()
+
+
 class RetryShares:
     """The retry budgets of one entry, by service."""
 
@@ -129,21 +171,23 @@
         self,
         entries: EntryCount,
         find_limits: Callable[[], RetryLimits],
+        *,
         random: Random,
+        now: Callable[[], Millis],
     ) -> None:
         self._entries = entries
         self._find_limits = find_limits
         self._random = random
+        self._now = now
         self._budgets: dict[str, RetryBudget] = {}
+        self._settings: RetrySettings | None = None
+        self._found_at: Millis = -math.inf
 
-    def find(self, service: str, now: Millis) -> RetryBudget:
+    def find(self, service: str) -> RetryBudget:
         """Return this entry's budget for a service."""
         if service not in self._budgets:
-            # A process can't know what the last one of its entry has used, so
-            # it earns its tokens: all live processes together hold no more
-            # than the slack.
-            self._budgets[service] = RetryBudget(
-                self.make_settings(now), self._random, tokens=0.0
+            self._budgets[service] = SharedBudget(
+                self.find_settings, self._random
             )
         return self._budgets[service]
 
@@ -151,22 +195,24 @@
         """Return the budgets with their services."""
         return self._budgets.items()
 
-    def resize(self, now: Millis) -> float:
-        """Resize all budgets to the number of live entries.
-
-        Return the burst of each.
-        """
-        settings = self.make_settings(now)
-        for budget in self._budgets.values():
-            budget.resize(settings)
-        return settings.burst
-
-    def make_settings(self, now: Millis) -> RetrySettings:
+    def find_settings(self) -> RetrySettings:
         """Return this entry's share of the limits."""
+        now = self._now()
+        if self._settings is None or now - self._found_at >= _SETTINGS_AGE:
+            self._settings = self._make_settings(now)
+            self._found_at = now
+        return self._settings
+
+    def _make_settings(self, now: Millis) -> RetrySettings:
         limits = self._find_limits()
-        slack = limits.slack * _USED_SHARE
         return RetrySettings(
             share=limits.share * _USED_SHARE,
-            burst=max(slack / self._entries.count(now), 1.0),
+            burst=self._find_burst(limits.slack * _USED_SHARE, now),
             base_delay=_RETRY_DELAY,
         )
+
+    def _find_burst(self, slack: float, now: Millis) -> float:
+        """Return the retries that this entry may save up for a service."""
+        if not self._entries.is_counted(now):
+            return _LEAST_BURST
+        return max(slack / self._entries.count(now), _LEAST_BURST)
--- a/tests/test_retry_model.py
+++ b/tests/test_retry_model.py
@@ -17,6 +17,7 @@
 )
 
 from oleanderdyke.clock import SECOND
+from oleanderdyke.kernel.retries import RetryLimits
 from tests.retry_world import World
 
 MOST_ENTRIES = 8
@@ -155,3 +156,22 @@
         world.advance(0.7 * SECOND)
         world.send(entry, 14)
     assert world.find_excess() is None
+
+
+# Entries that are cut from the store kept a share of the retries by which the
+# others, that count them no longer, had already raised their own.
+def test_entries_that_others_count_no_longer_give_up_their_share():
+    world = World(RetryLimits(slack=352.0))
+    entries = [world.start() for _ in range(68)]
+    world.advance(30 * SECOND)
+    for entry in entries:
+        world.send(entry, 60, fails=False)
+    for entry in entries[:48]:
+        entry.is_cut = True
+    world.advance(60 * SECOND)
+    for entry in entries[48:]:
+        world.send(entry, 100, fails=False)
+    world.advance(21 * SECOND)
+    for entry in entries:
+        world.send(entry, 7)
+    assert world.find_excess() is None
