Rank the entries for retries where there are more entries than retries

Cause: each entry could save up one retry at least, so that beyond as many entries as the slack allows retries the limit was exceeded by count alone. Change: where a share is less than one retry, those entries that rank first have one each and the others none; all rank alike in every process. Evidence: test_more_entries_than_retries_keep_to_the_limit failed before (68 entries at a slack of 20: 68 retries where 33.6 are allowed).

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -96,6 +96,7 @@
     def __post_init__(self) -> None:
         """Build the retry budgets from the parts given."""
         self.retries = RetryShares(
+            self.settings.process,
             self.entries,
             self._find_retry_limits,
             random=self.random,
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -13,12 +13,15 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.presence import EntryCount
+from oleanderdyke.kernel.scheduling.ranks import count_ahead
 
 # Share of the operators' retry limits that is used, as a safety margin.
 _USED_SHARE = 0.8
 _RETRY_DELAY: Millis = 5.0
 # Retries that an entry may save up if it has no share of the slack.
 _LEAST_BURST = 1.0
+# What entries are ranked for if there are more of them than retries.
+_RANKED = 'retries'
 # A share is computed again after this time, as each request asks for it.
 _SETTINGS_AGE: Millis = 100.0
 
@@ -165,16 +168,18 @@
 
 
 class RetryShares:
-    """The retry budgets of one entry, by service."""
+    """The retry budgets of one entry, named `own`, by service."""
 
     def __init__(
         self,
+        own: str,
         entries: EntryCount,
         find_limits: Callable[[], RetryLimits],
         *,
         random: Random,
         now: Callable[[], Millis],
     ) -> None:
+        self._own_name = own
         self._entries = entries
         self._find_limits = find_limits
         self._random = random
@@ -213,6 +218,16 @@
 
     def _find_burst(self, slack: float, now: Millis) -> float:
         """Return the retries that this entry may save up for a service."""
-        if not self._entries.is_counted(now):
-            return _LEAST_BURST
-        return max(slack / self._entries.count(now), _LEAST_BURST)
+        count = self._entries.count(now)
+        if math.isinf(count) or not self._entries.is_counted(now):
+            return _LEAST_BURST if slack >= _LEAST_BURST else 0.0
+        if slack >= count:
+            return slack / count
+        # More entries than retries: those that rank first have one each.
+        ahead = count_ahead(
+            _RANKED,
+            self._own_name,
+            known=self._entries.list_known(),
+            count=count,
+        )
+        return _LEAST_BURST if ahead + 1 <= slack else 0.0
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -68,6 +68,7 @@
             name,
             count,
             RetryShares(
+                name,
                 count,
                 lambda: self.limits,
                 random=Random(1),
--- a/tests/test_retry_model.py
+++ b/tests/test_retry_model.py
@@ -175,3 +175,17 @@
     for entry in entries:
         world.send(entry, 7)
     assert world.find_excess() is None
+
+
+# Each entry had one retry at least, however many entries shared the limit.
+def test_more_entries_than_retries_keep_to_the_limit():
+    world = World(RetryLimits(slack=20.0))
+    entries = [world.start() for _ in range(68)]
+    world.advance(30 * SECOND)
+    for entry in entries:
+        world.send(entry, 60, fails=False)
+    world.advance(21 * SECOND)
+    for entry in entries:
+        world.send(entry, 1)
+    assert world.find_excess() is None
+    assert len(world.seen.retries) >= 10
