Let a leaving entry give up its share of the retries

Cause: an entry drains for up to the grace time while the next process of its name runs; both are one name in the count, and both had a whole share. Change: a leaving entry saves up one retry at most, its successor has the share. Evidence: test_entries_that_leave_pass_their_share_on failed before (36 retries of six leaving entries for 60 requests, 18 are meant).

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -101,6 +101,7 @@
             self._find_retry_limits,
             random=self.random,
             now=self.clock.now,
+            is_leaving=lambda: self.drain.is_leaving,
         )
 
     def find_unready_reason(self) -> str:
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -178,12 +178,14 @@
         *,
         random: Random,
         now: Callable[[], Millis],
+        is_leaving: Callable[[], bool] = bool,
     ) -> None:
         self._own_name = own
         self._entries = entries
         self._find_limits = find_limits
         self._random = random
         self._now = now
+        self._is_leaving = is_leaving
         self._budgets: dict[str, RetryBudget] = {}
         self._settings: RetrySettings | None = None
         self._found_at: Millis = -math.inf
@@ -219,7 +221,9 @@
     def _find_burst(self, slack: float, now: Millis) -> float:
         """Return the retries that this entry may save up for a service."""
         count = self._entries.count(now)
-        if math.isinf(count) or not self._entries.is_counted(now):
+        # The next process of a leaving entry has its share.
+        has_share = self._entries.is_counted(now) and not self._is_leaving()
+        if math.isinf(count) or not has_share:
             return _LEAST_BURST if slack >= _LEAST_BURST else 0.0
         if slack >= count:
             return slack / count
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -73,6 +73,7 @@
                 lambda: self.limits,
                 random=Random(1),
                 now=lambda: self.now,
+                is_leaving=lambda: not math.isinf(entry.ends_at),
             ),
             itertools.chain(INITIAL_PERIODS, itertools.repeat(PERIOD)),
             next_at=self.now,
--- a/tests/test_retry_model.py
+++ b/tests/test_retry_model.py
@@ -189,3 +189,18 @@
         world.send(entry, 1)
     assert world.find_excess() is None
     assert len(world.seen.retries) >= 10
+
+
+# A drain takes most of a window, in which its successor has the same share.
+def test_entries_that_leave_pass_their_share_on():
+    world = World()
+    entries = [world.start() for _ in range(6)]
+    world.advance(30 * SECOND)
+    for entry in entries:
+        world.send(entry, 60, fails=False)
+    world.advance(21 * SECOND)
+    for entry in entries:
+        world.leave(entry)
+    for entry in entries:
+        world.send(entry, 10)
+    assert len(world.seen.retries) <= 6 + 0.2 * 60
