Bound the retries of copies in each window, from a start on too

Cause: the retries of services whose runs are copied were checked for the window that ends now alone. Two bursts almost a window apart both counted there, though no window of the platform holds both; and as the burst grows with the count of entries, a budget that had just begun was given the difference. Change: each window that begins within the last one is checked by the requests that the platform counts for it; in the first window the tokens that are there at first stand in place of the burst.

--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -6,21 +6,26 @@
 
 from __future__ import annotations
 
-import math
+from bisect import bisect_left, bisect_right
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
+from itertools import chain
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
 
+# Windows that are checked besides those that begin with a retry.
+_CHECKED_WINDOWS = 20
+
 
 class WindowedBudget(RetryBudget):
     """Limit the retries of one service within any window.
 
     Usual retries also need a token of `budget`, which all retries share. The
-    retries within a window never exceed the burst and the share of the
-    requests within it, so that windows of the platform hold no more. What the
-    bucket lacks at first may have been taken within the window, and counts.
+    retries within a window never exceed the burst and a share of the requests
+    within it, the window before it or the one half a window earlier, whichever
+    has most. In the first window only the tokens that are there at first are
+    used in place of the burst, as others may have been used before.
     """
 
     def __init__(
@@ -30,8 +35,9 @@
         self._window = window
         self._now = now
         self._requests: deque[Millis] = deque()
-        taken = math.ceil(max(budget.settings.burst - budget.tokens, 0.0))
-        self._spent: deque[Millis] = deque([now()] * taken)
+        self._spent: deque[Millis] = deque()
+        self._started_at = now()
+        self._initial_tokens = budget.tokens
         self._own_denied = 0
 
     @property
@@ -88,13 +94,49 @@
         return is_left
 
     def _has_left(self) -> bool:
+        """Return whether every window that ends later allows one more."""
         self._forget_earlier()
-        settings = self.settings
-        most = settings.share * len(self._requests) + settings.burst
-        return len(self._spent) + 1 <= most
+        now = self._now()
+        free = self._find_free(now)
+        requests = tuple(self._requests)
+        spent = tuple(self._spent)
+        for begin in self._list_begins(now):
+            count = len(spent) - bisect_left(spent, begin) + 1
+            most = self._count_requests(requests, begin)
+            if count > free + self.settings.share * most:
+                return False
+        return True
+
+    def _find_free(self, now: Millis) -> float:
+        """Return the retries of a window beyond the share of its requests."""
+        burst = self.settings.burst
+        if now - self._started_at < self._window:
+            return min(burst, self._initial_tokens)
+        return burst
+
+    def _list_begins(self, now: Millis) -> Iterable[Millis]:
+        """Return the beginnings of the windows to check.
+
+        Between two retries the requests that count change gradually.
+        """
+        recent = (at for at in self._spent if at > now - self._window)
+        step = self._window / _CHECKED_WINDOWS
+        spread = (now - number * step for number in range(_CHECKED_WINDOWS + 1))
+        return chain(recent, spread)
+
+    def _count_requests(self, requests: Sequence[Millis], begin: Millis) -> int:
+        """Return the requests that count for the window from `begin` on.
+
+        Only those of the last window are known.
+        """
+        window = self._window
+        return max(
+            bisect_right(requests, at + window) - bisect_right(requests, at)
+            for at in (begin, begin - window / 2, begin - window)
+        )
 
     def _forget_earlier(self) -> None:
-        start = self._now() - self._window
+        end = self._now() - self._window
         for times in (self._requests, self._spent):
-            while times and times[0] <= start:
+            while times and times[0] <= end:
                 times.popleft()
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
@@ -117,3 +118,29 @@
         spent = sum(start < at <= end for at in retries)
         asked = sum(start < at <= end for at in requests)
         assert spent <= SETTINGS.share * asked + SETTINGS.burst
+
+
+# Requests of two bursts, of which no window holds both, allowed the retries of
+# both together.
+def test_two_bursts_almost_a_window_apart_are_no_window_together():
+    scene = Scene()
+    scene.now = 5 * WINDOW
+    scene.request(100)
+    scene.now += 0.9 * WINDOW
+    scene.request(100)
+    scene.now += 0.05 * WINDOW
+    found = take_all(scene.budget.try_withdraw_for_copy)
+    # The window that begins between the bursts holds one of them.
+    assert found <= SETTINGS.share * 100 + SETTINGS.burst
+
+
+# The burst grows as an entry learns the count of entries, and a start in each
+# few seconds was given the difference.
+def test_a_growing_burst_gives_no_retries_to_a_budget_that_just_began():
+    bucket = RetryBudget(replace(SETTINGS, burst=1.0), Random(1), tokens=0.0)
+    now = 0.0
+    budget = WindowedBudget(bucket, WINDOW, lambda: now)
+    budget.resize(replace(SETTINGS, burst=8.0))
+    assert take_all(budget.try_withdraw_for_copy) == 0
+    now = WINDOW
+    assert take_all(budget.try_withdraw_for_copy) == 8
