Count nothing until this entry's own announcement has been read

Cause: an entry that reads no announcement, its own neither, counted 0 entries and 2 spare ones, and shared a named rate with 0 others, which is no limit at all. Change: without its own announcement among those read the count is unknown, so that the entry has no share of a rate, of cold servers or of retries.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -320,7 +320,9 @@
         limit=limit,
     )
     metrics = Metrics()
-    entries = EntryCount(is_first_start=settings.is_first_start)
+    entries = EntryCount(
+        settings.process, is_first_start=settings.is_first_start
+    )
     core = HostedCore(
         settings=settings,
         clock=clock,
--- a/src/oleanderdyke/kernel/presence.py
+++ b/src/oleanderdyke/kernel/presence.py
@@ -30,11 +30,14 @@
 class EntryCount:
     """Count the entries that announced themselves recently.
 
-    If the system has run before (`is_first_start` is False), the stored
-    announcements already name every entry that may be alive.
+    Nothing is known while the announcement of this entry, named `own`, has not
+    been read: others may not have been read either. If the system has run
+    before (`is_first_start` is False), the stored announcements already name
+    every entry that may be alive.
     """
 
-    def __init__(self, *, is_first_start: bool = True) -> None:
+    def __init__(self, own: str = '', *, is_first_start: bool = True) -> None:
+        self._own_name = own
         self._is_first_start = is_first_start
         self._starts_together = is_first_start
         self._announced_by_entry: dict[str, Millis] = {}
@@ -86,7 +89,7 @@
             if at - announced_at < ANNOUNCEMENT_LIFETIME
         }
         known = len(self._announced_by_entry)
-        if self._first_read_at is None:
+        if self._first_read_at is None or not self._is_own_read():
             return math.inf
         if self._is_first_start:
             if at - self._first_read_at < _ANNOUNCEMENT_GRACE:
@@ -103,7 +106,8 @@
 
     def is_counted(self, now: Millis) -> bool:
         """Return whether no other entry may have forgotten this one."""
-        return now - self._announced_at < _COUNTED_TIME
+        is_recent = now - self._announced_at < _COUNTED_TIME
+        return is_recent and self._is_own_read()
 
     def count_sharing(self, now: Millis) -> float:
         """Return the number of entries to divide a shared limit by.
@@ -113,13 +117,17 @@
         every entry surely counts this one.
         """
         count = self.count(now)
-        if self._is_known_to_all(now):
+        if self._is_known_to_all(now) and not math.isinf(count):
             return len(self._announced_by_entry)
         if not self._starts_together or math.isinf(count):
             return math.inf
         # Entries that could not announce themselves yet use no share.
         return len(self._announced_by_entry) + _SPARE_ENTRIES
 
+    def _is_own_read(self) -> bool:
+        """Return whether the announcement of this entry has been read."""
+        return not self._own_name or self._own_name in self._announced_by_entry
+
     def _is_known_to_all(self, now: Millis) -> bool:
         """Return whether all other entries have read its announcement."""
         return (
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -63,7 +63,7 @@
 
     def start(self, name: str = '', *, is_first_start: bool = False) -> Entry:
         name = name or f'front-{next(self._names)}'
-        count = EntryCount(is_first_start=is_first_start)
+        count = EntryCount(name, is_first_start=is_first_start)
         entry = Entry(
             name,
             count,
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -139,3 +139,21 @@
     assert count.count_sharing(4_000.0) == math.inf
     assert count.count_sharing(10_000.0) == 4
     assert count.count_sharing(25_000.0) == 2
+
+
+# An entry whose own announcement no reader decoded counted nobody, and took
+# whole limits that all entries share.
+def test_entry_that_does_not_read_its_own_announcement_has_no_share():
+    count = EntryCount('front-9', is_first_start=False)
+    count.record_announcement(0.0)
+    for at in range(0, 60_000, 10_000):
+        count.record_announcement(at)
+        count.record_read(at)
+        assert count.count(at) == math.inf
+        assert count.count_sharing(at) == math.inf
+        assert not count.is_counted(at)
+    count.record_entry('front-9', 60_000.0)
+    count.record_read(60_000.0)
+    assert count.count(60_000.0) == 3
+    assert count.count_sharing(60_000.0) == 1
+    assert count.is_counted(60_000.0)
