Let no count of entries raise a shared limit

Cause: find_interval of named rates and of cold servers divided by whatever count it was given; 0 or less made an interval of 0 or below, and a division by zero where a cold server accepts less than one request a second. Change: a count to divide by is at least 1, and infinite if it is no number. Evidence: test_no_count_of_entries_lets_one_entry_exceed_the_limit and test_no_count_of_entries_lets_one_entry_exceed_a_cold_limit failed before.

--- a/src/oleanderdyke/kernel/cold_starts.py
+++ b/src/oleanderdyke/kernel/cold_starts.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.scheduling.ranks import count_ahead
+from oleanderdyke.kernel.scheduling.ranks import count_ahead, limit_count
 
 # Slightly more than the second for which the limit is defined, so that two
 # sends this far apart never fall into the same second.
@@ -46,8 +46,9 @@
     limit in every second.
     """
     whole_rate = math.floor(limit.per_second)
+    count = limit_count(count)
     if count <= whole_rate:
-        return _WINDOW / (whole_rate // max(count, 1))
+        return _WINDOW / (whole_rate // count)
     # More entries than requests per second: only the entries that rank first
     # for this server may send to it.
     ahead = count_ahead(server, entry, known=known, count=count)
--- a/src/oleanderdyke/kernel/rate_limits.py
+++ b/src/oleanderdyke/kernel/rate_limits.py
@@ -13,7 +13,11 @@
 from dataclasses import dataclass
 
 from oleanderdyke.clock import SECOND, Millis
-from oleanderdyke.kernel.scheduling.ranks import count_ahead, find_fraction
+from oleanderdyke.kernel.scheduling.ranks import (
+    count_ahead,
+    find_fraction,
+    limit_count,
+)
 
 # Least number of entries with a share; there are as many as requests per second
 # if that is more. If all of them send at once, the server gets this many
@@ -100,13 +104,13 @@
     """
     rate = max(rate, _MIN_RATE)
     senders = max(_MIN_SENDERS, math.floor(rate))
-    if entries.sharing <= senders:
-        return SECOND * entries.sharing / rate
-    ahead = count_ahead(
-        server, entry, known=entries.known, count=entries.sharing
-    )
+    sharing = limit_count(entries.sharing)
+    if sharing <= senders:
+        return SECOND * sharing / rate
+    ahead = count_ahead(server, entry, known=entries.known, count=sharing)
     if ahead < senders:
         return SECOND * senders / (rate * (1 - _PROBE_SHARE))
     # Spread the probes of entries that learn of a limit together.
     spread = 0.5 + find_fraction(server, entry)
-    return SECOND * entries.count / (rate * _PROBE_SHARE) * spread
+    count = limit_count(entries.count)
+    return SECOND * count / (rate * _PROBE_SHARE) * spread
--- a/src/oleanderdyke/kernel/scheduling/ranks.py
+++ b/src/oleanderdyke/kernel/scheduling/ranks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Collection
 from functools import lru_cache
 
@@ -25,6 +26,11 @@
     return find_rank(subject, name) / _RANK_COUNT
 
 
+def limit_count(count: float) -> float:
+    """Return a count of entries to divide by: at least 1, infinite if NaN."""
+    return math.inf if math.isnan(count) else max(count, 1.0)
+
+
 def count_ahead(
     subject: str, name: str, *, known: Collection[str], count: float
 ) -> float:
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -275,3 +275,16 @@
     announce_limit(registry, 2.0, 0.0)
     registry.record_rate_limit(ServerStart('b'), 4.0, 0.0, 0.0)
     assert limits.find_next_send_time(registry.list_known(), 100.0) == 250.0
+
+
+ODD_COUNTS = st.sampled_from((-1.0, 0.0, 0.5, 1.0, 3.0, math.inf, math.nan))
+
+
+# A count of nobody gave an interval of 0, which is no limit.
+@given(st.floats(0.1, 60.0), ODD_COUNTS, ODD_COUNTS)
+def test_no_count_of_entries_lets_one_entry_exceed_the_limit(
+    rate, count, sharing
+):
+    entries = EntryCounts((), count, sharing)
+    interval = find_interval(rate, 'a', entry='e', entries=entries)
+    assert interval >= SECOND / rate
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -484,3 +484,14 @@
     limits.record_sent(registry.find('a'), 0.0)
     registry.put(make_record(cold_remaining=3_000.0, born=2), 100.0)
     assert registry.find_start(ServerStart('a', 2)).sent_at == -math.inf
+
+
+@given(
+    st.floats(0.0, 60.0),
+    st.sampled_from((-1.0, 0.0, 0.5, 1.0, 3.0, math.inf, math.nan)),
+)
+def test_no_count_of_entries_lets_one_entry_exceed_a_cold_limit(rate, count):
+    interval = find_interval(
+        ColdLimit(rate, 3_000.0), 'a', entry='e', known=(), count=count
+    )
+    assert math.isinf(interval) or SECOND / interval <= rate
