--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON := $(VENV)/bin/python
 READY := $(VENV)/.ready
 
-.PHONY: help setup test check lint format types demo hosted days run faults bench reference clean
+.PHONY: help setup test check lint format types demo hosted days run faults bench soak reference clean
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
@@ -51,6 +51,9 @@
 bench: $(READY) ## Measure the decisions against baselines and the oracle
 	$(PYTHON) -m bench.main
 
+soak: $(READY) ## Run real entries under drawn faults; SOAK_OPTIONS sets seeds
+	$(PYTHON) -m tools.soak $(SOAK_OPTIONS)
+
 reference: $(READY) ## Write the reference pages from the code
 	$(PYTHON) -m tools.reference
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import functools
 
 import anyio
+import pytest
 
 from tools.soak.arrivals import Observations, RetryRule
 from tools.soak.plan import FaultKind, make_plan, make_restart_plan
@@ -21,13 +22,23 @@
 
 # Each start of an entry had a full bucket, so that starts in series retried
 # without an end.
-def test_entries_that_start_again_do_not_get_their_retries_anew(tmp_path):
+@pytest.mark.parametrize(
+    ('kind', 'has_links'), [(FaultKind.KILL, True), (FaultKind.REPLACE, False)]
+)
+def test_entries_that_start_again_do_not_get_their_retries_anew(
+    tmp_path, kind, has_links
+):
     plan = make_restart_plan(
-        1, entries=3, restarts=6, kind=FaultKind.KILL, has_links=True
+        1, entries=3, restarts=6, kind=kind, has_links=has_links
     )
     assert run_plan(plan, tmp_path) == []
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_promises_hold_under_drawn_faults(tmp_path, seed):
+    assert run_plan(make_plan(seed, 20, entries=3), tmp_path) == []
+
+
 def test_equal_seeds_give_equal_plans():
     assert make_plan(7, 60, entries=3) == make_plan(7, 60, entries=3)
     assert make_plan(7, 60, entries=3) != make_plan(8, 60, entries=3)
