Count a refused retry once, and check tokens before windows

Cause: an entry asks every 50 ms whether a silent request may be given up; each ask that found no token counted as a refused retry, and checked all windows of a service whose runs are copied. Change: only a failed attempt that gets no retry counts, where it is refused; tokens are checked first. The source of a retry is recorded only once it was taken.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -268,7 +268,6 @@
             found = self.scheduling.find_windowed(service) or budget
             metrics.set_gauge(Gauge.RETRY_TOKENS, found.tokens, service)
             metrics.set_gauge(Gauge.RETRY_BURST, found.settings.burst, service)
-            metrics.set_count(Count.RETRIES_DENIED, found.denied, service)
         if self.deployment is not None:
             version = self.deployment.version
             metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
@@ -303,9 +302,7 @@
 
     def _find_retry_limits(self) -> RetryLimits:
         settings = self.settings
-        return RetryLimits(
-            settings.retry_share, settings.retry_slack, settings.retry_window
-        )
+        return RetryLimits(settings.retry_share, settings.retry_slack)
 
 
 def make_hosted_core(
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -327,11 +327,12 @@
     async def _refuse(self, action: Refuse) -> None:
         core = self._core
         core.metrics.add(Count.REFUSALS, label=action.kind.value)
-        is_denied = self._machine.is_retry_denied
+        retries_left = None
+        if self._machine.is_retry_denied:
+            core.metrics.add(Count.RETRIES_DENIED, label=self._call.service)
+            retries_left = self._budget.tokens
         self._call_log.log_refused(
-            action,
-            self._find_progress(),
-            retries_left=self._budget.tokens if is_denied else None,
+            action, self._find_progress(), retries_left=retries_left
         )
         if self._reply.status:
             return
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -260,7 +260,7 @@
         detail: str = '',
     ) -> Actions:
         """Retry if the limits and the budget allow, else refuse at once."""
-        if not self._can_retry() or not self._spend_retry():
+        if not self._can_retry() or not self._take_retry():
             return self._refuse(kind, retry_after, detail)
         self._retries += 1
         return self._wait(self._budget.delay(self._retries))
@@ -269,20 +269,25 @@
         """Use the reserved retry, else withdraw one from the budget."""
         if self._has_reserved_retry:
             self._has_reserved_retry = False
-            return self._record_withdrawn(RetrySource.RESERVED, is_taken=True)
-        is_taken = self._budget.try_withdraw()
-        return self._record_withdrawn(RetrySource.BUCKET, is_taken=is_taken)
+            self._retry_source = RetrySource.RESERVED
+            return True
+        if not self._budget.try_withdraw():
+            return False
+        self._retry_source = RetrySource.BUCKET
+        return True
 
     def _spend_copy_retry(self) -> bool:
         """Use the reserved retry, else withdraw one for a copy."""
         if self._has_reserved_retry:
             return self._spend_retry()
-        is_taken = self._budget.try_withdraw_for_copy()
-        return self._record_withdrawn(RetrySource.COPY, is_taken=is_taken)
+        if not self._budget.try_withdraw_for_copy():
+            return False
+        self._retry_source = RetrySource.COPY
+        return True
 
-    def _record_withdrawn(self, source: RetrySource, *, is_taken: bool) -> bool:
-        if is_taken:
-            self._retry_source = source
+    def _take_retry(self) -> bool:
+        """Take the retry of a failed attempt, if there is one."""
+        is_taken = self._spend_retry()
         self.is_retry_denied = not is_taken
         return is_taken
 
@@ -309,7 +314,7 @@
         if bound is None:
             return self._retry(kind, retry_after, detail)
         may_retry = self._refusals < bound and not self._detached
-        if not may_retry or not self._spend_retry():
+        if not may_retry or not self._take_retry():
             return self._refuse(kind, retry_after, detail)
         self._refusals += 1
         return self._wait(self._budget.delay(self._refusals))
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -64,7 +64,6 @@
         self._settings = settings
         self._random = random
         self._tokens = settings.burst if tokens is None else tokens
-        self._denied = 0
 
     @property
     def settings(self) -> RetrySettings:
@@ -76,11 +75,6 @@
         """Return the number of retries left, which may be fractional."""
         return self._tokens
 
-    @property
-    def denied(self) -> int:
-        """Return the number of retries that the budget has refused."""
-        return self._denied
-
     def resize(self, settings: RetrySettings) -> None:
         """Change the settings; tokens above the new burst are lost."""
         self._settings = settings
@@ -95,7 +89,6 @@
     def try_withdraw(self) -> bool:
         """Take one retry from the budget; return False if none is left."""
         if self._tokens < 1:
-            self._denied += 1
             return False
         self._tokens -= 1
         return True
@@ -122,12 +115,11 @@
 class RetryLimits:
     """Limit the retries of all entries together to a service.
 
-    Within any `window` they are at most `share` of its requests plus `slack`.
+    Within any window they are at most `share` of its requests plus `slack`.
     """
 
     share: float = 0.2
     slack: float = 50.0
-    window: Millis = 10 * SECOND
 
 
 class SharedBudget(RetryBudget):
--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -38,7 +38,6 @@
         self._spent: deque[Millis] = deque()
         self._started_at = now()
         self._initial_tokens = budget.tokens
-        self._own_denied = 0
 
     @property
     def settings(self) -> RetrySettings:
@@ -50,11 +49,6 @@
         """Return the number of usual retries left, which may be fractional."""
         return self._budget.tokens
 
-    @property
-    def denied(self) -> int:
-        """Return the number of retries that either limit has refused."""
-        return self._own_denied + self._budget.denied
-
     def resize(self, settings: RetrySettings) -> None:
         """Change the settings of the shared budget."""
         self._budget.resize(settings)
@@ -67,8 +61,10 @@
 
     def try_withdraw(self) -> bool:
         """Take one usual retry; return False if none is left."""
-        if not self._check_left() or not self._budget.try_withdraw():
+        # Stuck requests ask often, and the tokens are checked faster.
+        if self.tokens < 1 or not self._has_left():
             return False
+        self._budget.try_withdraw()
         self._spent.append(self._now())
         return True
 
@@ -77,7 +73,7 @@
 
         It takes a token too, if there is one, to leave later ones no more.
         """
-        if not self._check_left():
+        if not self._has_left():
             return False
         if self._budget.tokens >= 1:
             self._budget.try_withdraw()
@@ -88,11 +84,6 @@
         """Return a random exponential backoff; `retry` counts from 1."""
         return self._budget.delay(retry)
 
-    def _check_left(self) -> bool:
-        is_left = self._has_left()
-        self._own_denied += not is_left
-        return is_left
-
     def _has_left(self) -> bool:
         """Return whether every window that ends later allows one more."""
         self._forget_earlier()
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -18,7 +18,8 @@
 from tools.soak.arrivals import Excess, Observations, RetryRule
 
 SERVICE = 'desk'
-LIMITS = RetryLimits(share=0.2, slack=52.0, window=10 * SECOND)
+LIMITS = RetryLimits(share=0.2, slack=52.0)
+WINDOW = 10.0
 ANNOUNCE_PERIOD = 15 * SECOND
 INITIAL_PERIODS = (1.5 * SECOND, 4 * SECOND)
 PERIOD = 10 * SECOND
@@ -129,7 +130,7 @@
 
     def find_excess(self) -> Excess | None:
         limits = self.limits
-        rule = RetryRule(limits.share, limits.slack, limits.window / SECOND)
+        rule = RetryRule(limits.share, limits.slack, WINDOW)
         return self.seen.find_excess(rule)
 
     def _find_next(self, end: float) -> Entry | None:
