Draw storms of starts in the soak, so that it finds the starts in series

Half of the plans now have all servers refuse while every entry starts again in series and small herds arrive, and a herd looks for an entry that accepts connections.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -17,6 +17,7 @@
 _ANSWER_SECONDS = 4.0
 _CONNECT_SECONDS = 1.0
 _PAUSE_SECONDS = 0.1
+_MOST_DIALS = 8
 _DEADLINE_MS = '2000'
 # Share of requests that may run only once.
 _UNIQUE_SHARE = 0.2
@@ -61,26 +62,33 @@
             await anyio.sleep(_PAUSE_SECONDS)
 
     async def _call_once(self) -> None:
-        process = self._choose()
-        if process is not None:
-            await self._use(process, iter((None,)))
+        """Send one request to an entry that accepts connections."""
+        for _ in range(_MOST_DIALS):
+            process = self._choose()
+            if process is not None and await self._use(process, iter((None,))):
+                return
+            await anyio.sleep(_PAUSE_SECONDS)
 
     async def _use(
         self, process: EntryProcess, requests: Iterator[None]
-    ) -> None:
-        """Send requests on one connection until it ends."""
+    ) -> bool:
+        """Send requests on one connection until it ends.
+
+        Return False if none could be opened.
+        """
         try:
             with anyio.fail_after(_CONNECT_SECONDS):
                 reader, writer = await asyncio.open_connection(*process.callers)
         except (OSError, TimeoutError):
-            return
+            return False
         try:
             for _ in requests:
                 if not await self._call(reader, writer):
-                    return
+                    break
                 await anyio.sleep(self._draw_pause())
         finally:
             writer.close()
+        return True
 
     async def _call(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -111,6 +111,10 @@
 # Entries are up, and clients run, before the first fault.
 _FIRST_FAULT_SECONDS = 4.0
 _LAST_FAULT_SHARE = 0.85
+_LINKS_SHARE = 0.8
+_RATES = (6.0, 15.0, 30.0)
+_STORM_SHARE = 0.5
+_STORM_SECONDS = 12.0
 _SLACK_BASE = 46
 _SLACK_PER_ENTRY = 2
 _RESTARTS_BEGIN = 8.0
@@ -124,10 +128,12 @@
 ) -> Plan:
     """Draw a plan; equal arguments give equal plans."""
     random = Random(seed)
-    has_links = random.random() < 0.8
-    rate = random.choice((6.0, 15.0, 30.0))
+    has_links = random.random() < _LINKS_SHARE
+    rate = random.choice(_RATES)
     times = _draw_times(random, seconds)
-    faults = tuple(_draw_fault(random, at, seconds, entries) for at in times)
+    faults = [_draw_fault(random, at, seconds, entries) for at in times]
+    if random.random() < _STORM_SHARE:
+        faults += _draw_storm(random, seconds, entries)
     return Plan(
         seed=seed,
         seconds=seconds,
@@ -136,7 +142,7 @@
         rate=rate,
         has_links=has_links,
         slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
-        faults=faults,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at)),
     )
 
 
@@ -171,6 +177,28 @@
     )
 
 
+def _draw_storm(random: Random, seconds: float, entries: int) -> list[Fault]:
+    """Draw series of starts of all entries while every server refuses."""
+    begin = random.uniform(
+        _FIRST_FAULT_SECONDS, max(seconds - _STORM_SECONDS, 0.0)
+    )
+    kind = random.choice((FaultKind.KILL, FaultKind.REPLACE))
+    interval = random.uniform(1.2, 2.5)
+    count = int((_STORM_SECONDS - 2) / interval)
+    series = [
+        Fault(begin + random.uniform(1, 2), kind, slot, interval, count)
+        for slot in range(entries)
+    ]
+    herds = [
+        Fault(begin + at, FaultKind.HERD, count=random.randint(12, 36))
+        for at in range(1, int(_STORM_SECONDS))
+    ]
+    refusal = Fault(
+        begin, FaultKind.SERVERS_REFUSE, duration=_STORM_SECONDS - 1
+    )
+    return [refusal, *series, *herds]
+
+
 def _draw_times(random: Random, seconds: float) -> list[float]:
     """Draw times of which half come close together."""
     last = seconds * _LAST_FAULT_SHARE
