Check the retry limit in every window, not only from a retry on

Cause: the check of the soak and of the state machine tried the windows that begin with a retry. One that begins between two bursts of requests may allow less, as the platform counts the requests of this window or of an earlier one. Change: it tries each begin at which a count changes, and the moment after it. Evidence: test_check_tries_windows_that_begin_between_two_retries failed before (no excess found where 20 retries stand against 15).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,18 @@
     assert seen.find_excess(RULE) is not None
 
 
+def test_check_tries_windows_that_begin_between_two_retries():
+    seen = Observations()
+    # The window that begins at the retries counts all requests as earlier ones;
+    # one that begins between the two bursts of requests counts half of them.
+    seen.sent += [0.5] * 50 + [9.5] * 50
+    seen.retries += [9.9] * 20
+    excess = seen.find_excess(RULE)
+    assert excess is not None
+    assert 0.5 < excess.begin <= 9.5
+    assert (excess.retries, excess.allowed) == (20, 15.0)
+
+
 def test_check_finds_requests_that_ran_twice_or_were_refused_after_a_run():
     seen = Observations()
     for request in ('a', 'b'):
--- a/tools/soak/arrivals.py
+++ b/tools/soak/arrivals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -116,14 +117,24 @@
         )
 
     def _list_windows(self, rule: RetryRule) -> Iterator[Excess]:
-        """Yield the windows that begin with a retry."""
-        for number, begin in enumerate(self.retries):
-            end = begin + rule.window
-            retries = bisect.bisect_left(self.retries, end) - number
-            allowed = rule.slack + rule.share * self._count_requests(
-                begin, rule.window
-            )
-            yield Excess(begin, retries, allowed)
+        """Yield every window that differs from its neighbours."""
+        for begin in self._list_begins(rule.window):
+            retries = _count(self.retries, begin, begin + rule.window)
+            if retries:
+                counted = self._count_requests(begin, rule.window)
+                yield Excess(begin, retries, rule.slack + rule.share * counted)
+
+    def _list_begins(self, window: float) -> list[float]:
+        """Return the begins at which a count changes, and those right after.
+
+        Requests count in windows that begin up to a window before and after.
+        """
+        shifts = (0.0, -window / 2, -window, window / 2, window)
+        changes = {at + shift for at in {*self.sent} for shift in shifts}
+        changes |= {at + shift for at in {*self.retries} for shift in shifts}
+        return sorted(
+            changes | {math.nextafter(at, math.inf) for at in changes}
+        )
 
     def _count_requests(self, begin: float, window: float) -> int:
         """Return the requests of the window, or of an earlier one if more."""
