--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -68,16 +68,10 @@
         reply.request = head.find(names.REQUEST_ID) or ''
         authorized = authorize_request(core, head)
         key = self._make_key(reply.request)
-        route = authorized.route
-        expected_duration = core.durations.estimate_bound(
-            route.name, route.timeout, started
-        )
-        self._stopper.begin(key, expected_duration)
-        core.durations.begin(key, route.name, started)
+        self._stopper.begin(key, authorized.find_deadline(started))
         try:
             await self._handle(head, authorized, receive, reply, key, started)
         finally:
-            core.durations.end(key)
             self._stopper.end(key)
 
     def _make_key(self, request: str) -> str:
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -101,6 +101,13 @@
     route: Route
     owner: KeyOwner | None
 
+    def find_deadline(self, started: Millis) -> Millis:
+        """Return when the request ends at the latest, answered or not."""
+        wait = self.parameters.wait
+        if wait is None:
+            return started + self.route.timeout
+        return started + min(wait, self.route.timeout)
+
 
 def authorize_request(core: HostedCore, head: Head) -> AuthorizedRequest:
     """Find the route and the key's owner; raise OleanderError if denied.
@@ -132,7 +139,6 @@
 ) -> HostedCall:
     """Build the call of an authorized request, choosing its service."""
     parameters, route = authorized.parameters, authorized.route
-    wait = route.timeout if parameters.wait is None else parameters.wait
     target = f'{head.target}?{head.query}' if head.query else head.target
     call = HostedCall(
         request=parameters.request,
@@ -146,7 +152,7 @@
         service=_choose_service(route.shares, core.random),
         owner=authorized.owner,
         started=started,
-        deadline=started + min(wait, route.timeout),
+        deadline=authorized.find_deadline(started),
     )
     return replace(call, rank=core.scheduling.find_rank(call))
 
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -22,7 +22,6 @@
 from oleanderdyke.kernel.context_stores import ContextStores
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.drain import Drain, DrainSettings
-from oleanderdyke.kernel.durations import DurationEstimator
 from oleanderdyke.kernel.engine_clock import EngineClock
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import RetryBudget, RetryLimits, RetryShares
@@ -45,7 +44,7 @@
 # Grace time reserved for closing connections and exiting, which take up to
 # half a second on a busy machine.
 _EXIT_MARGIN: Millis = 600.0
-# New requests must be expected to end this long before the cut-off.
+# New requests must end this long before the cut-off.
 _CUT_MARGIN: Millis = 500.0
 # A configuration that was read longer ago may lack a new route or key.
 STALE_AFTER: Millis = 3 * SECOND
@@ -74,7 +73,6 @@
     entries: EntryCount = field(default_factory=EntryCount)
     backends: BackendRegistry = field(default_factory=BackendRegistry)
     deployment: Deployment | None = None
-    durations: DurationEstimator = field(default_factory=DurationEstimator)
     rollout: Rollout = field(default_factory=lambda: Rollout(math.inf))
     contexts: ContextStores = field(default_factory=ContextStores)
     scheduling: Scheduling = field(default_factory=Scheduling)
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -365,7 +365,6 @@
     def _log_end(self) -> None:
         core, call = self._core, self._call
         duration = core.clock.now() - call.started
-        core.durations.record(call.route.name, duration)
         core.metrics.time(Timing.REQUEST, duration, call.service)
         if self._first_byte is not None:
             core.metrics.time(
--- a/src/oleanderdyke/entry/stopping.py
+++ b/src/oleanderdyke/entry/stopping.py
@@ -71,14 +71,14 @@
         self._exit = anyio.Event()
         self._signalled = anyio.Event()
 
-    def begin(self, request: str, duration: Millis | None = None) -> None:
+    def begin(self, request: str, deadline: Millis | None = None) -> None:
         """Register a request; raise STOPPING if no new one may start.
 
-        `duration` is the expected duration of the request, if known.
+        `deadline` is the time at which the request ends at the latest.
         """
         core = self._core
         now = core.clock.now()
-        if not core.drain.start_work(request, now, duration=duration):
+        if not core.drain.start_work(request, now, deadline=deadline):
             raise OleanderError(
                 ErrorKind.STOPPING, 'this entry is stopping', ran=Ran.NO
             )
--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -93,12 +93,13 @@
         """Return whether the request is running."""
         return request in self._requests
 
-    def accepts(self, now: Millis, duration: Millis | None = None) -> bool:
+    def accepts(self, now: Millis, deadline: Millis | None = None) -> bool:
         """Return whether a new request may start.
 
-        `duration` is the longest time that the request takes, if known. One
-        that ends before streams are handed over may start after `accept` too:
-        during a rolling stop callers find no better process.
+        `deadline` is the time at which the request ends at the latest, if there
+        is one. A request that ends before streams are handed over may start
+        after `accept` too: during a rolling stop callers find no better
+        process. How long others took is no bound, as servers may slow down.
         """
         if self.phase is DrainPhase.SERVING:
             return True
@@ -106,9 +107,9 @@
             return False
         if now < self._stopped_at + self._settings.accept:
             return True
-        if duration is None:
+        if deadline is None:
             return False
-        return now + duration < self._stopped_at + self._settings.drain
+        return deadline < self._stopped_at + self._settings.drain
 
     def start_work(
         self,
@@ -116,10 +117,10 @@
         now: Millis,
         *,
         resumable: bool = False,
-        duration: Millis | None = None,
+        deadline: Millis | None = None,
     ) -> bool:
         """Add a running request; return False if no new one may start."""
-        if not self.accepts(now, duration):
+        if not self.accepts(now, deadline):
             return False
         self._requests[request] = resumable
         return True
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -94,8 +94,8 @@
     agent.signal(0)
     assert entry.start_work('a', 1_999)
     assert not entry.start_work('b', 2_000)
-    assert not entry.start_work('b', 2_000, duration=ENTRY_DRAIN.drain)
-    assert entry.start_work('c', 2_000, duration=100)
+    assert not entry.start_work('b', 2_000, deadline=ENTRY_DRAIN.drain)
+    assert entry.start_work('c', 2_000, deadline=2_100)
     assert not agent.start_work('a', 0)
     assert entry.is_leaving
     assert agent.is_leaving
@@ -162,7 +162,7 @@
 
 
 class AcceptsAfterStop(Drain):
-    def accepts(self, now, duration=None):
+    def accepts(self, now, deadline=None):
         return self.phase is not DrainPhase.DONE
 
 
