--- a/src/oleanderdyke/agent/drain_runner.py
+++ b/src/oleanderdyke/agent/drain_runner.py
@@ -57,15 +57,23 @@
         self._apply(self._drain.end_work(work_id, self._clock.now()))
 
     def signal(self) -> None:
-        """Start the drain; a second call cuts off the remaining work."""
-        if not self.is_leaving:
-            self._tasks.start_soon(self._run)
+        """Start the drain, or go on with one that has begun."""
+        self._start()
         self._apply(self._drain.signal(self._clock.now()))
 
+    def interrupt(self) -> None:
+        """Start the drain; cut off the remaining work if it has begun."""
+        self._start()
+        self._apply(self._drain.interrupt(self._clock.now()))
+
     async def wait(self) -> None:
         """Wait until the drain has finished."""
         await self._done.wait()
 
+    def _start(self) -> None:
+        if not self.is_leaving:
+            self._tasks.start_soon(self._run)
+
     async def _run(self) -> None:
         due = self._drain.next_time()
         while due is not None:
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import signal
 import ssl
 from collections.abc import Callable, Sequence
 from itertools import count
@@ -192,10 +193,13 @@
             await self._flush_outboxes()
         await self._backend.close()
 
-    def stop(self, signal: str) -> None:
-        """Start the drain; a second signal cuts off the remaining work."""
-        self._events.write(EventName.PROCESS_STOPPING, signal=signal)
-        self._drain_runner.signal()
+    def stop(self, name: str) -> None:
+        """Start the drain; a further interrupt cuts off the remaining work."""
+        self._events.write(EventName.PROCESS_STOPPING, signal=name)
+        if name == signal.SIGINT.name:
+            self._drain_runner.interrupt()
+        else:
+            self._drain_runner.signal()
 
     def _make_hello(self) -> Hello:
         return Hello(
--- a/src/oleanderdyke/entry/stopping.py
+++ b/src/oleanderdyke/entry/stopping.py
@@ -98,10 +98,12 @@
         self._core.drain.mark_not_resumable(request)
 
     def handle_signal(self, name: str) -> None:
-        """Start the stop; a further signal makes it immediate."""
+        """Start the stop; a further interrupt makes it immediate."""
         core = self._core
         core.log.write(EventName.PROCESS_STOPPING, signal=name)
-        self._execute(core.drain.signal(core.clock.now()))
+        is_interrupt = name == signal.SIGINT.name
+        act = core.drain.interrupt if is_interrupt else core.drain.signal
+        self._execute(act(core.clock.now()))
         self._signalled.set()
 
     async def watch(self, signals: AsyncIterator[signal.Signals]) -> None:
--- a/src/oleanderdyke/kernel/drain.py
+++ b/src/oleanderdyke/kernel/drain.py
@@ -147,15 +147,23 @@
         return self.tick(now)
 
     def signal(self, now: Millis) -> tuple[DrainAction, ...]:
-        """Start the stop, or abort all running requests on a second signal."""
-        if self.phase is DrainPhase.DONE:
-            return ()
-        if self.phase is not DrainPhase.SERVING:
-            return self._stop_now()
+        """Start the stop, or go on with one that has begun.
+
+        Signals may come in series: the platform ends a process itself once its
+        grace time is over.
+        """
+        if self.is_leaving:
+            return self.tick(now)
         self.phase = DrainPhase.ANNOUNCED
         self._stopped_at = now
         return (Announce(), *self.tick(now))
 
+    def interrupt(self, now: Millis) -> tuple[DrainAction, ...]:
+        """Start the stop, or abort all running requests if it has begun."""
+        if self.phase is DrainPhase.DONE:
+            return ()
+        return self._stop_now() if self.is_leaving else self.signal(now)
+
     def tick(self, now: Millis) -> tuple[DrainAction, ...]:
         """Return the actions that are due at the given time."""
         if self.phase in {DrainPhase.SERVING, DrainPhase.DONE}:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -451,13 +451,26 @@
             await wait_until(lambda: entry.link.closed and other.link.closed)
 
 
-async def test_second_signal_cuts_off_remaining_runs() -> None:
+# A repeated stop signal of the platform cut off runs that had time left.
+async def test_further_stop_signal_leaves_remaining_runs_alone() -> None:
     async with plain_agent() as (app, shell, entry):
         set_faults(app, silent=True)
         outcome = await entry.send(entry.make_dispatch('r'), b'x')
         await wait_until(lambda: shell._gate.running == 1)
-        shell.stop('SIGTERM')
-        shell.stop('SIGTERM')
+        for _ in range(3):
+            shell.stop('SIGTERM')
+        await anyio.sleep(0.2)
+        assert shell._gate.running == 1
+        assert not outcome.over
+
+
+async def test_second_interrupt_cuts_off_remaining_runs() -> None:
+    async with plain_agent() as (app, shell, entry):
+        set_faults(app, silent=True)
+        outcome = await entry.send(entry.make_dispatch('r'), b'x')
+        await wait_until(lambda: shell._gate.running == 1)
+        shell.stop('SIGINT')
+        shell.stop('SIGINT')
         await wait_until(lambda: outcome.over)
         assert outcome.failed is not None
         assert outcome.failed.kind is ErrorKind.STOPPING
--- a/tests/test_hosted_leaving.py
+++ b/tests/test_hosted_leaving.py
@@ -230,9 +230,9 @@
     async with staging(tmp_path, runs.make(None)) as stage:
         async with _calling(stage, '/letter/1') as (reader, _):
             await runs.wait_started()
-            # The second signal ends the shutdown at once.
+            # The second interrupt ends the shutdown at once.
             for _ in range(2):
-                signal.raise_signal(signal.SIGTERM)
+                signal.raise_signal(signal.SIGINT)
                 await anyio.sleep(0.1)
             found = await _read(reader)
         with anyio.fail_after(_STILL_WORKING):
@@ -252,7 +252,7 @@
         writer.write(request[:-2])
         await anyio.sleep(0.1)
         for _ in range(2):
-            signal.raise_signal(signal.SIGTERM)
+            signal.raise_signal(signal.SIGINT)
             await anyio.sleep(0.05)
         with anyio.fail_after(_WAIT):
             while 'event=process_stopped' not in stage.log.read_text():
--- a/tests/test_stopping_entry.py
+++ b/tests/test_stopping_entry.py
@@ -73,6 +73,24 @@
     assert found.status == 200
 
 
+# The platform repeats SIGTERM and ends a process itself after the grace time.
+async def test_further_stop_signal_leaves_running_requests_alone(tmp_path):
+    answers = []
+
+    async def call() -> None:
+        answers.append(await stage.call('/letter/slow'))
+
+    async with (
+        staging(tmp_path, _stream_slowly, grace=_GRACE) as stage,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(call)
+        for _ in range(3):
+            await anyio.sleep(0.2)
+            signal.raise_signal(signal.SIGTERM)
+    assert [each.is_whole for each in answers] == [True]
+
+
 async def test_refusal_of_a_stopping_entry_names_a_time_to_return(tmp_path):
     async with staging(tmp_path, stream(1, 1), grace=_GRACE) as stage:
         stage.core.drain.signal(stage.core.clock.now() - 2_600.0)
