--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -111,6 +111,7 @@
     readiness: tuple[str, int]
     log: pathlib.Path
     replicas: list[Replica] = field(default_factory=list)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     async def call(
         self, path: str, *, body: bytes = b'', **headers: str
@@ -123,6 +124,15 @@
         found = await call(self.readiness, '/api/readiness', method='GET')
         return found.status == 200
 
+    async def run(self) -> None:
+        """Run the entry until `kill` or the end of the test."""
+        with self.scope:
+            await HostedShell(self.core).run()
+
+    def kill(self) -> None:
+        """End all tasks of the entry at once, without a shutdown."""
+        self.scope.cancel()
+
 
 @contextlib.asynccontextmanager
 async def staging(
@@ -133,22 +143,95 @@
     version_limit: float = 15_000.0,
     store: RecordStore | None = None,
     name: str = 'front-1',
+    versions: Sequence[str] = (),
     **record: Any,
 ) -> AsyncGenerator[Stage, None]:
-    """Run an entry with one backend server for each script."""
+    """Run an entry with one backend server for each script.
+
+    `versions` are those of the servers' software; without, all have the same.
+    """
     store = store or RecordStore()
     if configuration is not None or scripts:
         store.put(OPERATOR, 'config', configuration or CONFIGURATION)
     async with contextlib.AsyncExitStack() as stack:
-        (address,) = await stack.enter_async_context(server.serving(store))
-        replicas = []
-        for number, script in enumerate(scripts):
-            replica, where = await stack.enter_async_context(
-                serving_replica(script)
-            )
-            replicas.append(replica)
-            store.put(SERVERS, f'i-{number}', make_record(where, **record))
+        replicas = await _start_replicas(
+            stack, store, scripts, versions, record
+        )
         ports = stack.enter_context(Ports())
+        start = starting(
+            directory,
+            store,
+            ports,
+            replicas,
+            grace=grace,
+            version_limit=version_limit,
+            name=name,
+        )
+        yield await stack.enter_async_context(start)
+
+
+@dataclass
+class LinkedStages:
+    """Entries with a common store and servers, and links to each other."""
+
+    directory: pathlib.Path
+    store: RecordStore
+    replicas: list[Replica]
+    ports: Ports
+    stack: contextlib.AsyncExitStack
+    stages: list[Stage] = field(default_factory=list)
+
+    async def start(self) -> Stage:
+        """Start one more entry, and wait until it is ready."""
+        start = starting(
+            self.directory,
+            self.store,
+            self.ports,
+            self.replicas,
+            name=f'front-{len(self.stages) + 1}',
+            has_links=True,
+        )
+        self.stages.append(await self.stack.enter_async_context(start))
+        return self.stages[-1]
+
+
+@contextlib.asynccontextmanager
+async def staging_linked(
+    directory: pathlib.Path,
+    *scripts: Script,
+    entries: int,
+    configuration: dict[str, Any] | None = None,
+    versions: Sequence[str] = (),
+    **record: Any,
+) -> AsyncGenerator[LinkedStages, None]:
+    """Run entries that share a store, servers, and links to each other."""
+    store = RecordStore()
+    store.put(OPERATOR, 'config', configuration or CONFIGURATION)
+    async with contextlib.AsyncExitStack() as stack:
+        replicas = await _start_replicas(
+            stack, store, scripts, versions, record
+        )
+        ports = stack.enter_context(Ports())
+        linked = LinkedStages(directory, store, replicas, ports, stack)
+        for _ in range(entries):
+            await linked.start()
+        yield linked
+
+
+@contextlib.asynccontextmanager
+async def starting(
+    directory: pathlib.Path,
+    store: RecordStore,
+    ports: Ports,
+    replicas: list[Replica],
+    *,
+    grace: float = 8_000.0,
+    version_limit: float = 15_000.0,
+    name: str = 'front-1',
+    has_links: bool = False,
+) -> AsyncGenerator[Stage, None]:
+    """Run an entry with a store and servers that exist already."""
+    async with server.serving(store) as (address,):
         stage = _make_stage(
             store,
             address,
@@ -157,18 +240,38 @@
             grace=grace,
             version_limit=version_limit,
             name=name,
+            has_links=has_links,
         )
         stage.replicas = replicas
-        shell = HostedShell(stage.core)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(shell.run)
-            if scripts:
+            tasks.start_soon(stage.run)
+            if replicas:
                 await _wait_ready(stage)
                 await _save_up_retries(stage.core)
             yield stage
             tasks.cancel_scope.cancel()
 
 
+async def _start_replicas(
+    stack: contextlib.AsyncExitStack,
+    store: RecordStore,
+    scripts: Sequence[Script],
+    versions: Sequence[str],
+    record: dict[str, Any],
+) -> list[Replica]:
+    """Start a server for each script, and list it in the store."""
+    replicas = []
+    for number, script in enumerate(scripts):
+        replica, where = await stack.enter_async_context(
+            serving_replica(script)
+        )
+        replicas.append(replica)
+        if versions:
+            record = {**record, 'version': versions[number]}
+        store.put(SERVERS, f'i-{number}', make_record(where, **record))
+    return replicas
+
+
 def make_record(address: str, **changes: Any) -> dict[str, Any]:
     """Build the record a backend server writes to the server list."""
     # An engine lists its stage together with its models.
@@ -283,6 +386,7 @@
     grace: float,
     version_limit: float,
     name: str,
+    has_links: bool,
 ) -> Stage:
     callers, readiness = (ports.reserve() for _ in range(2))
     text = format_settings(
@@ -292,7 +396,10 @@
         grace_seconds=grace / 1000,
         version_limit=version_limit,
         name=name,
+        links=ports.reserve() if has_links else None,
     )
+    directory /= name if has_links else ''
+    directory.mkdir(exist_ok=True)
     path = directory / 'boot.conf'
     path.write_text(text)
     log = directory / 'entry.log'
@@ -302,7 +409,7 @@
         load_host_settings(path),
         clock,
         make_event_log(name, stream=stream),
-        Random(7),
+        Random(name) if has_links else Random(7),
     )
     return Stage(
         store, core, ('127.0.0.1', callers), ('127.0.0.1', readiness), log
@@ -329,9 +436,13 @@
     grace_seconds: float,
     version_limit: float = 15_000.0,
     name: str = 'front-1',
+    links: int | None = None,
 ) -> str:
-    """Return the settings file of an entry on loopback."""
-    return _SETTINGS.format(
+    """Return the settings file of an entry on loopback.
+
+    `links` is its port for links to other entries, None for no links.
+    """
+    text = _SETTINGS.format(
         store=store,
         callers=callers,
         readiness=readiness,
@@ -339,6 +450,7 @@
         version_limit=version_limit,
         name=name,
     )
+    return text if links is None else f'{text}portRange={links},{links}\n'
 
 
 async def _save_up_retries(core: HostedCore) -> None:
--- /dev/null
+++ b/tests/stream_clients.py
@@ -0,0 +1,307 @@
+"""Clients that take up streams, and servers whose events name a version."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+
+import anyio
+
+from oleanderdyke.entry.hosted import peer_sharing, presence
+from tests.hosted import (
+    CONFIGURATION,
+    KEY,
+    STREAM_ROUTE,
+    Stage,
+    make_request,
+)
+from tests.standins.replica import (
+    Peer,
+    Script,
+    make_chunk,
+    make_event,
+    make_head,
+)
+
+# Events of a whole stream.
+LAST = 7
+# Statuses that promise that a request has not run.
+NOT_RUN = {408, 421, 429, 503}
+OTHER_KEY = 'key-of-blue'
+_EVENT = re.compile(rb'id: (\d+)\ndata: (v[\d.]+)-\d+\n\n')
+_POLL = 0.005
+_READ_LIMIT = 12
+_SETTLED = 15
+# New links between entries are open after at most this many seconds.
+_LINKED = 1.0
+
+
+def configure(*, attempts: int, timeout: float = 9_000) -> dict[str, object]:
+    """Return a configuration with one resumable route and two teams."""
+    route = {**STREAM_ROUTE, 'maxAttempts': attempts, 'timeoutMs': timeout}
+    return {
+        **CONFIGURATION,
+        'routes': [route],
+        'tenants': [
+            {'name': 'red', 'apiKeys': [KEY]},
+            {'name': 'blue', 'apiKeys': [OTHER_KEY]},
+        ],
+    }
+
+
+def link_early(monkeypatch) -> None:
+    """Let entries find each other and open their links soon after a start."""
+    monkeypatch.setattr(peer_sharing, '_LINKS_IMPORT_DELAY', 50.0)
+    monkeypatch.setattr(presence, '_INITIAL_PERIODS', (300.0, 300.0, 300.0))
+
+
+def tell(version: str) -> Script:
+    """Return a script whose events name a version.
+
+    The path names the events after which it waits for the caller to leave:
+    `/stream/3-5/` stops after events 3 and 5, `/stream/` nowhere.
+    """
+
+    async def run(peer: Peer) -> None:
+        first = find_last_event(peer) + 1
+        later = [each for each in _list_stops(peer) if each >= first]
+        stop = min(later, default=LAST)
+        await send_versioned(peer, version, first, stop)
+        if stop < LAST:
+            await peer.wait_closed()
+            peer.writer.close()
+            return
+        await peer.send(b'0\r\n\r\n')
+
+    return run
+
+
+def tell_and_break(
+    version: str, after: int, broken: anyio.Event | None = None
+) -> Script:
+    """Return a script that resets streams after some events, once `broken`.
+
+    It resets a stream that is taken up there without sending events. Streams
+    with stops in their path are told as by `tell`.
+    """
+
+    async def run(peer: Peer) -> None:
+        if _list_stops(peer):
+            await tell(version)(peer)
+            return
+        if not find_last_event(peer):
+            await send_versioned(peer, version, 1, after)
+            if broken is not None:
+                await broken.wait()
+            # A reset may overtake data sent before it.
+            await anyio.sleep(0.05)
+        peer.reset()
+
+    return run
+
+
+def _list_stops(peer: Peer) -> list[int]:
+    return [int(text) for text in re.findall(r'\d+', peer.request.target)]
+
+
+def find_last_event(peer: Peer) -> int:
+    """Return the number of the last event that the caller has."""
+    return int(peer.request.headers.get('last-event-id', '0'))
+
+
+async def send_versioned(
+    peer: Peer, version: str, first: int, last: int
+) -> None:
+    """Start a streamed response with events that name a version."""
+    head = make_head(
+        peer.request,
+        content_type='text/event-stream',
+        transfer_encoding='chunked',
+    )
+    await peer.send(head)
+    for number in range(first, last + 1):
+        await peer.send(make_chunk(make_event(number, f'{version}-')))
+
+
+@dataclass
+class StreamClient:
+    """A stream as one client has it, over all its attempts."""
+
+    name: str
+    path: str = '/stream/'
+    key: str = KEY
+    # The number and the version of each event.
+    events: list[tuple[int, str]] = field(default_factory=list)
+    origin: str = ''
+    attempts: list[str] = field(default_factory=list)
+    statuses: list[int] = field(default_factory=list)
+    is_whole: bool = False
+
+    @property
+    def versions(self) -> set[str]:
+        """Return the versions that wrote the events of this stream."""
+        return {version for _, version in self.events}
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether each event arrived once, and the stream's end."""
+        numbers = [number for number, _ in self.events]
+        return self.is_whole and numbers == list(range(1, LAST + 1))
+
+    async def ask(
+        self,
+        stage: Stage,
+        *,
+        until: int = LAST + 1,
+        leave: anyio.Event | None = None,
+    ) -> int:
+        """Begin the stream or take it up, and return the status.
+
+        Leave after the event `until`, once `leave` is set.
+        """
+        attempt = f'{self.name}-{len(self.attempts)}'
+        self.attempts.append(attempt)
+        reader, writer = await asyncio.open_connection(*stage.address)
+        writer.write(self._make_request(attempt))
+        try:
+            with anyio.fail_after(_READ_LIMIT):
+                status = await self._read(reader, attempt, until)
+            self.statuses.append(status)
+            if leave is not None and self.has_event(until):
+                await leave.wait()
+        finally:
+            writer.close()
+        return status
+
+    def has_event(self, number: int) -> bool:
+        """Return whether an event has arrived."""
+        return bool(self.events) and self.events[-1][0] >= number
+
+    async def wait_for(self, number: int) -> None:
+        """Wait until an event has arrived or the attempt has ended."""
+        while not self.has_event(number):
+            if len(self.statuses) == len(self.attempts) > 0:
+                return
+            await anyio.sleep(_POLL)
+
+    def _make_request(self, attempt: str) -> bytes:
+        last = str(self.events[-1][0]) if self.events else ''
+        return make_request(
+            self.path,
+            oleanderdyke_request_id=attempt,
+            oleanderdyke_key=self.key,
+            oleanderdyke_deadline_ms='9000',
+            last_event_id=last,
+            resumes=self.origin if last else '',
+        )
+
+    async def _read(
+        self, reader: asyncio.StreamReader, attempt: str, until: int
+    ) -> int:
+        """Read events until one, the end or a break; return the status."""
+        head = await reader.readuntil(b'\r\n\r\n')
+        status = int(head.split()[1])
+        if status != 200:
+            return status
+        body, before = b'', list(self.events)
+        try:
+            while length := int(await reader.readuntil(b'\r\n'), 16):
+                body += (await reader.readexactly(length + 2))[:-2]
+                self.events = [*before, *find_events(body)]
+                if self.events and not self.origin:
+                    self.origin = attempt
+                if self.has_event(until):
+                    return status
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return status
+        self.is_whole = True
+        return status
+
+
+async def ask_all(
+    clients: Sequence[StreamClient], stage: Stage, *, until: int = LAST + 1
+) -> None:
+    """Send the next attempt of each client, which leaves after `until`.
+
+    All leave together, so that the load of those before spreads the others
+    over the servers. Attempts that run to their end are sent at once.
+    """
+    leave = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        for client in clients:
+            ask = partial(client.ask, stage, until=until, leave=leave)
+            tasks.start_soon(ask)
+            if until <= LAST:
+                await client.wait_for(until)
+        leave.set()
+
+
+def find_events(body: bytes) -> list[tuple[int, str]]:
+    """Return the number and the version of each whole event of a body."""
+    return [
+        (int(number), version.decode())
+        for number, version in _EVENT.findall(body)
+    ]
+
+
+def find_begun(
+    stage: Stage, clients: Iterable[StreamClient], server: int
+) -> list[StreamClient]:
+    """Return the clients whose first attempt reached a server first."""
+    received = {
+        seen.headers['oleanderdyke-request-id']
+        for seen in stage.replicas[server].received
+        if 'last-event-id' not in seen.headers
+    }
+    return [each for each in clients if each.attempts[0] in received]
+
+
+def count_sent(stage: Stage, client: StreamClient, attempt: int) -> int:
+    """Return how many servers received an attempt of a client."""
+    name = client.attempts[attempt]
+    return sum(
+        seen.headers['oleanderdyke-request-id'] == name
+        for replica in stage.replicas
+        for seen in replica.received
+    )
+
+
+async def settle(stages: list[Stage], versions: Iterable[str]) -> None:
+    """Wait until new streams begin at all versions, at each entry."""
+    with anyio.fail_after(_SETTLED):
+        if len(stages) > 1:
+            await _wait_linked(stages)
+        for stage in stages:
+            await _wait_serving(stage, set(versions))
+
+
+async def _wait_linked(stages: list[Stage]) -> None:
+    for stage in stages:
+        while stage.core.entries.count(stage.core.clock.now()) < len(stages):
+            await anyio.sleep(_POLL)
+    await anyio.sleep(_LINKED)
+
+
+async def _wait_serving(stage: Stage, missing: set[str]) -> None:
+    while missing:
+        clients = [
+            StreamClient(f'early-{number}', '/stream/1/') for number in range(8)
+        ]
+        await ask_all(clients, stage, until=1)
+        for client in clients:
+            missing -= client.versions
+        await anyio.sleep(_POLL)
+
+
+async def wait_until_gone(stage: Stage, version_servers: set[str]) -> None:
+    """Wait until an entry no longer lists some servers."""
+    core = stage.core
+    with anyio.fail_after(_SETTLED):
+        while version_servers & {
+            backend.record.server
+            for backend in core.backends.list_service('desk', core.clock.now())
+        }:
+            await anyio.sleep(_POLL)
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,319 @@
+"""A stream goes on only at the software version that began it.
+
+Events of two versions do not fit together, and servers do not check it.
+"""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from tests.hosted import SERVERS, prefer, staging, staging_linked
+from tests.stream_clients import (
+    NOT_RUN,
+    OTHER_KEY,
+    StreamClient,
+    ask_all,
+    configure,
+    count_sent,
+    find_begun,
+    link_early,
+    settle,
+    tell,
+    tell_and_break,
+    wait_until_gone,
+)
+
+pytestmark = pytest.mark.anyio
+
+OLD, NEW = 'v1.1', 'v1.2'
+_STREAMS = 12
+_SLOTS = 64
+# A stream is known elsewhere within 40 ms of its first event.
+_KNOWN_ELSEWHERE = 0.25
+_AT_ONCE = 1.0
+
+
+@pytest.fixture(autouse=True)
+def _link_early(monkeypatch):
+    link_early(monkeypatch)
+
+
+def stage_one(tmp_path, *scripts, versions, attempts=1):
+    return staging(
+        tmp_path,
+        *scripts,
+        configuration=configure(attempts=attempts),
+        versions=versions,
+        slots=_SLOTS,
+    )
+
+
+def stage_linked(tmp_path, *versions, entries=2):
+    return staging_linked(
+        tmp_path,
+        *map(tell, versions),
+        entries=entries,
+        configuration=configure(attempts=1),
+        versions=versions,
+        slots=_SLOTS,
+    )
+
+
+def make_clients(path, *, count=_STREAMS, name='stream', **options):
+    return [
+        StreamClient(f'{name}-{number}', path, **options)
+        for number in range(count)
+    ]
+
+
+def list_mixed(clients):
+    return [each.events for each in clients if len(each.versions) > 1]
+
+
+def list_incomplete(clients):
+    return [
+        (each.statuses, each.events) for each in clients if not each.is_complete
+    ]
+
+
+def assert_refused(clients, stage, attempt):
+    """Check that an attempt of each client is refused as not run."""
+    statuses = {each.statuses[attempt] for each in clients}
+    sent = sum(count_sent(stage, each, attempt) for each in clients)
+    assert (statuses <= NOT_RUN, sent) == (True, 0), statuses
+
+
+async def ask_broken(clients, stage, broken):
+    """Begin all streams at the first server, then let it break off."""
+    prefer(stage, 0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask_all, clients, stage)
+        with anyio.fail_after(5):
+            while any(len(each.events) < 3 for each in clients):
+                await anyio.sleep(0.01)
+        broken.set()
+
+
+# Guards against continuing a response at a server of another version.
+async def test_response_goes_on_at_another_server_of_its_version(tmp_path):
+    broken = anyio.Event()
+    scripts = (tell_and_break(OLD, 3, broken), tell(NEW), tell(OLD))
+    async with stage_one(
+        tmp_path, *scripts, versions=(OLD, NEW, OLD), attempts=2
+    ) as stage:
+        await settle([stage], (OLD, NEW))
+        clients = make_clients('/stream/')
+        await ask_broken(clients, stage, broken)
+    assert find_begun(stage, clients, 0)
+    assert list_mixed(clients) == []
+    assert list_incomplete(clients) == []
+
+
+# Guards against completing a response with events of another version.
+async def test_response_ends_truncated_without_its_version(tmp_path):
+    broken = anyio.Event()
+    scripts = (tell_and_break(OLD, 3, broken), tell(NEW))
+    async with stage_one(
+        tmp_path, *scripts, versions=(OLD, NEW), attempts=2
+    ) as stage:
+        await settle([stage], (OLD, NEW))
+        clients = make_clients('/stream/')
+        await ask_broken(clients, stage, broken)
+    cut = find_begun(stage, clients, 0)
+    assert cut
+    first_events = [(number, OLD) for number in (1, 2, 3)]
+    assert [each.events for each in cut] == [first_events] * len(cut)
+    assert not any(each.is_whole for each in cut)
+
+
+# Guards against resuming at any version at the entry that began the stream.
+async def test_stream_resumed_at_its_entry_keeps_its_version(tmp_path):
+    async with stage_one(
+        tmp_path, tell(OLD), tell(NEW), versions=(OLD, NEW)
+    ) as stage:
+        await settle([stage], (OLD, NEW))
+        clients = make_clients('/stream/3/')
+        await ask_all(clients, stage, until=3)
+        await ask_all(clients, stage)
+    assert list_mixed(clients) == []
+    assert list_incomplete(clients) == []
+
+
+# Guards against an entry that resumes a stream of another one at any version.
+async def test_stream_resumed_at_another_entry_keeps_its_version(tmp_path):
+    async with stage_linked(tmp_path, OLD, NEW) as linked:
+        stages = linked.stages
+        await settle(stages, (OLD, NEW))
+        clients = make_clients('/stream/3/')
+        await ask_all(clients, stages[0], until=3)
+        await anyio.sleep(_KNOWN_ELSEWHERE)
+        await ask_all(clients, stages[1])
+    assert list_mixed(clients) == []
+    assert list_incomplete(clients) == []
+
+
+# Guards against losing a stream's version with the entry that began it.
+async def test_stream_of_a_killed_entry_keeps_its_version(tmp_path):
+    async with stage_linked(tmp_path, OLD, NEW) as linked:
+        stages = linked.stages
+        await settle(stages, (OLD, NEW))
+        clients = make_clients('/stream/3/')
+        await ask_all(clients, stages[0], until=3)
+        await anyio.sleep(_KNOWN_ELSEWHERE)
+        stages[0].kill()
+        await ask_all(clients, stages[1])
+    assert list_mixed(clients) == []
+    assert list_incomplete(clients) == []
+
+
+# Guards against a guess about a stream whose entry died with its first event.
+async def test_stream_of_an_entry_killed_at_once_never_mixes(tmp_path):
+    async with stage_linked(tmp_path, OLD, NEW) as linked:
+        stages = linked.stages
+        await settle(stages, (OLD, NEW))
+        clients = make_clients('/stream/1/')
+        await ask_all(clients, stages[0], until=1)
+        stages[0].kill()
+        await ask_all(clients, stages[1])
+    assert list_mixed(clients) == []
+    lost = [each for each in clients if each.statuses[1] != 200]
+    if lost:
+        assert_refused(lost, stages[1], 1)
+
+
+# Guards against forgetting the first attempt once a later one has run.
+async def test_stream_resumed_twice_keeps_its_version(tmp_path):
+    async with stage_linked(tmp_path, OLD, NEW) as linked:
+        stages = linked.stages
+        await settle(stages, (OLD, NEW))
+        clients = make_clients('/stream/3-5/')
+        await ask_all(clients, stages[0], until=3)
+        await anyio.sleep(_KNOWN_ELSEWHERE)
+        await ask_all(clients, stages[1], until=5)
+        await ask_all(clients, stages[0])
+    assert list_mixed(clients) == []
+    assert list_incomplete(clients) == []
+    assert {each.origin for each in clients} == {
+        each.attempts[0] for each in clients
+    }
+
+
+# Guards against resuming at another version because the first has gone.
+async def test_stream_without_its_version_is_refused_at_once(tmp_path):
+    versions = (OLD, OLD, NEW, NEW)
+    async with stage_one(
+        tmp_path, *map(tell, versions), versions=versions
+    ) as stage:
+        await settle([stage], (OLD, NEW))
+        clients = make_clients('/stream/3/')
+        await ask_all(clients, stage, until=3)
+        clients = [each for each in clients if each.versions == {OLD}]
+        assert clients
+        for server in ('i-0', 'i-1'):
+            stage.store.drop(SERVERS, server)
+        await wait_until_gone(stage, {'i-0', 'i-1'})
+        with anyio.fail_after(_AT_ONCE):
+            await ask_all(clients, stage)
+    assert_refused(clients, stage, 1)
+
+
+# Guards against a guess where no entry knows which version began a stream.
+@pytest.mark.parametrize('origin', ['invented', ''])
+async def test_unknown_stream_is_refused_while_two_versions_serve(
+    tmp_path, origin
+):
+    async with stage_linked(tmp_path, OLD, NEW) as linked:
+        stages = linked.stages
+        await settle(stages, (OLD, NEW))
+        clients = make_clients('/stream/')
+        for client in clients:
+            client.events = [(1, OLD), (2, OLD), (3, OLD)]
+            client.origin = origin and f'{origin}-{client.name}'
+        with anyio.fail_after(_AT_ONCE):
+            await ask_all(clients, stages[0])
+    assert_refused(clients, stages[0], 0)
+
+
+async def resume_unknown(stage, name):
+    """Take up a stream that no entry knows; return whether it goes on."""
+    client = StreamClient(name, events=[(1, OLD), (2, OLD), (3, OLD)])
+    client.origin = f'unknown-{name}'
+    return await client.ask(stage) == 200 and client.is_complete
+
+
+async def wait_resumes(stage, seconds):
+    """Wait until streams that no entry knows go on at an entry."""
+    number = 0
+    with anyio.fail_after(seconds):
+        while not await resume_unknown(stage, f'try-{number}'):
+            number += 1
+            await anyio.sleep(0.05)
+
+
+# Guards against refusing a stream where nothing is in doubt.
+async def test_unknown_stream_goes_on_where_one_version_has_served_long(
+    tmp_path,
+):
+    async with staging(
+        tmp_path,
+        tell(OLD),
+        tell(OLD),
+        configuration=configure(attempts=1, timeout=1_000),
+        versions=(OLD, OLD),
+        slots=_SLOTS,
+    ) as stage:
+        await wait_resumes(stage, 10)
+        for number in range(_STREAMS):
+            assert await resume_unknown(stage, f'later-{number}')
+
+
+# Guards against a rolling restart in which each new entry refuses streams.
+async def test_new_entry_learns_that_one_version_has_served_long(tmp_path):
+    async with staging_linked(
+        tmp_path,
+        tell(OLD),
+        tell(OLD),
+        entries=1,
+        configuration=configure(attempts=1, timeout=4_000),
+        versions=(OLD, OLD),
+        slots=_SLOTS,
+    ) as linked:
+        await wait_resumes(linked.stages[0], 15)
+        late = await linked.start()
+        await wait_resumes(late, 2)
+
+
+# Guards against learning a version with the id of another team's attempt.
+async def test_stream_of_another_team_is_unknown(tmp_path):
+    async with stage_one(
+        tmp_path, tell(OLD), tell(NEW), versions=(OLD, NEW)
+    ) as stage:
+        await settle([stage], (OLD, NEW))
+        clients = make_clients('/stream/3/')
+        await ask_all(clients, stage, until=3)
+        others = make_clients('/stream/3/', name='other', key=OTHER_KEY)
+        for client, other in zip(clients, others, strict=True):
+            other.events = list(client.events)
+            other.origin = client.origin
+        await ask_all(others, stage)
+        await ask_all(clients, stage)
+    assert_refused(others, stage, 0)
+    assert list_incomplete(clients) == []
+    assert list_mixed(clients) == []
+
+
+# Guards against changing the version of another team's stream.
+async def test_streams_of_two_teams_with_one_id_keep_their_versions(tmp_path):
+    async with stage_one(
+        tmp_path, tell(OLD), tell(NEW), versions=(OLD, NEW)
+    ) as stage:
+        await settle([stage], (OLD, NEW))
+        clients = make_clients('/stream/3/')
+        others = make_clients('/stream/3/', key=OTHER_KEY)
+        for each in (clients, others):
+            await ask_all(each, stage, until=3)
+        for each in (clients, others):
+            await ask_all(each, stage)
+    assert list_mixed([*clients, *others]) == []
+    assert list_incomplete([*clients, *others]) == []
