--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -110,6 +110,7 @@
             name=call.route.name,
             limit=round(call.deadline - started),
             offset=call.parameters.last_event or None,
+            begun_by=call.parameters.resumes or None,
             **core.describe_configuration(),
         )
         await HostedDriver(core, call, body, reply).run(key)
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -172,6 +172,8 @@
     PHASE = 'phase'
     MODEL = 'model'
     VERSION = 'version'
+    SOFTWARE = 'software'
+    BEGUN_BY = 'begun_by'
     NEWEST = 'newest'
     AGE = 'age'
     LIST_AGE = 'list_age'
--- a/src/oleanderdyke/kernel/server_list.py
+++ b/src/oleanderdyke/kernel/server_list.py
@@ -79,6 +79,21 @@
         known = self._backends.values()
         return [backend for backend in known if self._is_valid(backend)]
 
+    def list_softwares(self, now: Millis) -> dict[str, dict[str, int]]:
+        """Map services to the versions of their listed servers' software.
+
+        Each version has the most records that one server has written since its
+        start. Servers that leave count, as their requests go on.
+        """
+        found: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        for backend in self._backends.values():
+            if self._is_valid(backend) and not self.is_missing(backend, now):
+                record = backend.record
+                softwares = found[record.service]
+                known = softwares.get(record.software, 0)
+                softwares[record.software] = max(known, record.revision)
+        return found
+
     def list_service(self, service: str, now: Millis) -> list[Backend]:
         """Return the servers of a service that may get new requests."""
         return [
--- a/src/oleanderdyke/kernel/servers.py
+++ b/src/oleanderdyke/kernel/servers.py
@@ -29,10 +29,10 @@
 class ServerRecord:
     """Hold the latest record that one start of a server wrote to the list.
 
-    `versions` maps each model to the version of the weights that the server
-    holds. `revision` counts the records that this start has written.
-    `cold_remaining` is how long the server stays cold after it wrote the
-    record.
+    `software` is the version of the server's software. `versions` maps each
+    model to the version of the weights that the server holds. `revision`
+    counts the records that this start has written. `cold_remaining` is how long
+    the server stays cold after it wrote the record.
     """
 
     server: str
@@ -45,6 +45,7 @@
     revision: int = 0
     born: int | None = None
     cold_remaining: Millis = 0.0
+    software: str = ''
 
     @property
     def start(self) -> ServerStart:
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -262,7 +262,6 @@
     A record with a missing or mistyped field was not written by a backend
     server.
     """
-    read_text(found, 'version')
     return ServerRecord(
         server=server,
         service=read_text(found, 'service'),
@@ -275,6 +274,7 @@
         revision=read_integer(found, 'seq'),
         born=decode_born(found),
         cold_remaining=read_number(found, 'coldRemainingMs'),
+        software=read_text(found, 'version'),
     )
 
 
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -16,6 +16,8 @@
 TOKENS = 'oleanderdyke-token-usage'
 PROMPT_PARTS = 'oleanderdyke-prompt-prefix'
 LAST_EVENT = 'last-event-id'
+# The id of the request that brought the first event of a stream.
+RESUMES = 'resumes'
 
 EXPECTED_INSTANCE = 'oleanderdyke-expect-instance'
 EXPECTED_VERSION = 'oleanderdyke-expect-version'
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -47,7 +47,8 @@
 
     `request` is the caller's id of this attempt, which is also sent to the
     backend server. `wait` is the time for which the caller waits. `last_event`
-    is the id of the event after which a stream resumes.
+    is the id of the event after which a stream resumes, `resumes` the id of the
+    request that brought its first event.
     """
 
     request: str
@@ -55,6 +56,7 @@
     api_key: str
     demand: ModelDemand | None
     last_event: str
+    resumes: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +92,7 @@
         api_key=found.get(names.API_KEY, ''),
         demand=_decode_demand(model, found) if model else None,
         last_event=found.get(names.LAST_EVENT, ''),
+        resumes=found.get(names.RESUMES, ''),
     )
 
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -284,7 +284,8 @@
         'slots': 6,
         'state': 'ready',
         'coldRemainingMs': 0,
-        'seq': 1,
+        # Listed for long: several records since its start.
+        'seq': 9,
         **stage,
         **changes,
     }
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -116,7 +116,7 @@
 def test_a_valid_record_is_decoded_with_all_fields():
     found = decode_server('i-1', GOOD)
     assert found.versions == {'m': 3}
-    assert (found.address, found.slots, found.revision) == ('10.0.0.2:80', 6, 1)
+    assert (found.address, found.slots, found.revision) == ('10.0.0.2:80', 6, 9)
 
 
 @each_broken
