--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -9,6 +9,9 @@
 
 from oleanderdyke.clock import Millis
 
+# Callers may wait longer than the timeout that is in force by now.
+_LIFETIME_FACTOR = 2.0
+
 
 class CallKind(enum.StrEnum):
     """Classify calls by whether they may be repeated."""
@@ -164,6 +167,18 @@
             return None
         return traits.engine.memory_tokens
 
+    @cached_property
+    def stream_lifetimes(self) -> Mapping[str, Millis]:
+        """Map services of resumable streams to how long callers resume them."""
+        lifetimes: dict[str, Millis] = {}
+        for route in self.routes:
+            if route.is_resumable:
+                for share in route.shares:
+                    known = lifetimes.get(share.service, 0.0)
+                    lifetime = route.timeout * _LIFETIME_FACTOR
+                    lifetimes[share.service] = max(known, lifetime)
+        return lifetimes
+
     def needs_key(self, route: Route) -> bool:
         """Return whether calls on a route must carry an API key."""
         return bool(self.key_owners) and not route.is_public
--- /dev/null
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -0,0 +1,169 @@
+"""Which versions of their software the servers of each service have had."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from oleanderdyke.clock import SECOND, Millis
+
+# A version that appears begins streams this much later. By then every entry
+# whose list is fresh knows that it serves, and that another one may have gone.
+SETTLING_TIME: Millis = 2 * SECOND
+# Servers write a record every 1.2 s, so one with this many has been listed for
+# longer than the settling time.
+_SETTLED_RECORDS = 3
+# An older list may lack a version that has begun streams elsewhere.
+_FRESH_TIME: Millis = 1_800.0
+# Entries tell others what they began before their lists get older than that.
+_CERTAIN_TIME: Millis = 1_200.0
+# Allows for the time that a claim of another entry took to arrive.
+_TRANSIT_MARGIN: Millis = 250.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoftwareClaim:
+    """Only `software` served a service, from `since` until `read_at`."""
+
+    service: str
+    software: str
+    since: Millis
+    read_at: Millis
+
+
+@dataclass(slots=True)
+class _ServiceHistory:
+    """`only` is the version that alone has served since `since`, if any."""
+
+    only: str | None = None
+    since: Millis = math.inf
+    first_seen: dict[str, Millis] = field(default_factory=dict)
+
+
+class SoftwareHistory:
+    """Know whether one version of a service can have begun a stream.
+
+    `is_first_start` tells that the system has not run before. `lifetimes` maps
+    services to how long their streams may be taken up.
+    """
+
+    def __init__(self, *, is_first_start: bool = False) -> None:
+        self._begins_at: Millis | None = -math.inf if is_first_start else None
+        self._read_at: Millis = -math.inf
+        self._services: dict[str, _ServiceHistory] = {}
+        self.lifetimes: Mapping[str, Millis] = {}
+
+    def record_list(
+        self, listed: Mapping[str, Mapping[str, int]], read_at: Millis
+    ) -> None:
+        """Record the versions that a complete list of servers names.
+
+        `listed` maps each of a service to the most records that one of its
+        servers has written since its start.
+        """
+        is_first = math.isinf(self._read_at)
+        for service, softwares in listed.items():
+            history = self._services.setdefault(service, _ServiceHistory())
+            history.first_seen = {
+                software: history.first_seen.get(
+                    software,
+                    self._find_settled_since(records, read_at)
+                    if is_first
+                    else read_at,
+                )
+                for software, records in softwares.items()
+            }
+            self._record_only(history, softwares, read_at, is_first=is_first)
+        self._read_at = read_at
+
+    def find_only(self, service: str, now: Millis) -> str | None:
+        """Return the version that must have begun any stream of a service.
+
+        None if several may have, or if that is not known.
+        """
+        if now - self._read_at > _FRESH_TIME:
+            return None
+        return self._find_alone(service, now)
+
+    def is_certain(self, now: Millis) -> bool:
+        """Return whether one version alone has begun the streams of each."""
+        if not self.lifetimes:
+            return True
+        if now - self._read_at > _CERTAIN_TIME:
+            return False
+        return all(
+            self._find_alone(service, now) is not None
+            for service in self.lifetimes
+        )
+
+    def is_asking(self, now: Millis) -> bool:
+        """Return whether claims of other entries may make it certain."""
+        return any(
+            history is not None
+            and history.only is not None
+            and history.since > now - lifetime
+            for history, lifetime in (
+                (self._services.get(service), lifetime)
+                for service, lifetime in self.lifetimes.items()
+            )
+        )
+
+    def find_settling(self, service: str, now: Millis) -> frozenset[str]:
+        """Return the versions that may not begin streams yet."""
+        history = self._services.get(service)
+        if history is None:
+            return frozenset()
+        return frozenset(
+            software
+            for software, seen in history.first_seen.items()
+            if now - seen < SETTLING_TIME
+        )
+
+    def list_claims(self) -> Iterator[SoftwareClaim]:
+        """Yield since when a single version has served each service."""
+        for service, history in self._services.items():
+            if history.only is not None and service in self.lifetimes:
+                yield SoftwareClaim(
+                    service, history.only, history.since, self._read_at
+                )
+
+    def apply_claim(self, claim: SoftwareClaim) -> bool:
+        """Extend what is known by another entry's claim; return if it did."""
+        history = self._services.get(claim.service)
+        if history is None or history.only != claim.software:
+            return False
+        is_joined = claim.read_at - _TRANSIT_MARGIN >= history.since
+        if not is_joined or claim.since >= history.since:
+            return False
+        history.since = claim.since
+        return True
+
+    def _find_settled_since(self, records: int, read_at: Millis) -> Millis:
+        """Return since when a version of the first list has been listed."""
+        if self._begins_at is not None or records >= _SETTLED_RECORDS:
+            return -math.inf
+        return read_at
+
+    def _find_alone(self, service: str, now: Millis) -> str | None:
+        history = self._services.get(service)
+        lifetime = self.lifetimes.get(service)
+        if history is None or lifetime is None:
+            return None
+        return history.only if history.since <= now - lifetime else None
+
+    def _record_only(
+        self,
+        history: _ServiceHistory,
+        softwares: Collection[str],
+        read_at: Millis,
+        *,
+        is_first: bool,
+    ) -> None:
+        if len(softwares) > 1:
+            history.only = None
+        elif softwares and history.only not in softwares:
+            (history.only,) = softwares
+            history.since = read_at
+            if is_first and self._begins_at is not None:
+                history.since = self._begins_at
--- /dev/null
+++ b/tests/test_stream_sharing.py
@@ -0,0 +1,295 @@
+"""Entries agree on which version of the software began a stream.
+
+Lists of servers are read late, news of other entries is late or lost, and
+entries end and start anew.
+"""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+
+from machines import CheckedMachine, assert_caught, assert_holds
+from oleanderdyke.kernel.software_history import (
+    SETTLING_TIME,
+    SoftwareClaim,
+    SoftwareHistory,
+)
+from oleanderdyke.kernel.stream_origins import (
+    StreamOrigin,
+    StreamOrigins,
+    StreamStart,
+    hash_stream,
+)
+from oleanderdyke.kernel.stream_sharing import (
+    StreamSharing,
+    make_stream_sharing,
+)
+
+LIFETIME = 8_000.0
+OLD, NEW = StreamOrigin('desk', 'v1'), StreamOrigin('desk', 'v2')
+
+
+def make_history(**options):
+    history = SoftwareHistory(**options)
+    history.lifetimes = {'desk': LIFETIME}
+    return history
+
+
+def make_start(name, origin=OLD, until=5_000.0):
+    return StreamStart(hash_stream('red', name), origin, until)
+
+
+def test_one_version_began_all_streams_once_it_has_served_long_enough():
+    history = make_history()
+    history.record_list({'desk': {'v1': 9}}, 100.0)
+    assert history.find_only('desk', 100.0) is None
+    history.record_list({'desk': {'v1': 9}}, LIFETIME)
+    assert history.find_only('desk', LIFETIME) is None
+    history.record_list({'desk': {'v1': 9}}, LIFETIME + 100.0)
+    assert history.find_only('desk', LIFETIME + 100.0) == 'v1'
+    assert history.find_only('other', LIFETIME + 100.0) is None
+
+
+def test_the_first_start_of_the_system_leaves_no_earlier_streams():
+    history = make_history(is_first_start=True)
+    history.record_list({'desk': {'v1': 1}}, 100.0)
+    assert history.find_only('desk', 100.0) == 'v1'
+
+
+def test_an_old_list_of_servers_proves_nothing():
+    history = make_history(is_first_start=True)
+    history.record_list({'desk': {'v1': 1}}, 0.0)
+    assert history.is_certain(1_000.0)
+    assert not history.is_certain(1_500.0)
+    assert history.find_only('desk', 1_500.0) == 'v1'
+    assert history.find_only('desk', SETTLING_TIME) is None
+
+
+def test_a_version_that_has_gone_may_have_begun_streams_for_a_while():
+    history = make_history(is_first_start=True)
+    history.record_list({'desk': {'v1': 9}}, 0.0)
+    history.record_list({'desk': {'v1': 10, 'v2': 1}}, 100.0)
+    assert history.find_only('desk', 100.0) is None
+    history.record_list({'desk': {'v2': 2}}, 200.0)
+    assert history.find_only('desk', 200.0) is None
+    history.record_list({'desk': {'v2': 9}}, 200.0 + LIFETIME)
+    assert history.find_only('desk', 200.0 + LIFETIME) == 'v2'
+
+
+def test_a_new_version_begins_no_streams_until_all_entries_know_it():
+    history = make_history()
+    history.record_list({'desk': {'v1': 3}}, 0.0)
+    history.record_list({'desk': {'v1': 4, 'v2': 1}}, 500.0)
+    assert history.find_settling('desk', 500.0) == {'v2'}
+    assert history.find_settling('desk', 500.0 + SETTLING_TIME) == set()
+    # Servers of others may serve on after they have left the list.
+    history.record_list({'desk': {'v3': 1}}, 600.0)
+    assert history.find_settling('desk', 600.0) == {'v3'}
+
+
+def test_an_entry_that_starts_trusts_servers_that_have_been_listed_long():
+    history = make_history()
+    history.record_list({'desk': {'v1': 3, 'v2': 2}}, 0.0)
+    assert history.find_settling('desk', 0.0) == {'v2'}
+    first = make_history(is_first_start=True)
+    first.record_list({'desk': {'v1': 1}}, 0.0)
+    assert first.find_settling('desk', 0.0) == set()
+
+
+def test_an_entry_learns_from_a_claim_that_joins_what_it_has_read():
+    history = make_history()
+    history.record_list({'desk': {'v1': 9}}, 10_000.0)
+    assert history.is_asking(10_500.0)
+    for claim in (
+        SoftwareClaim('desk', 'v2', 0.0, 10_500.0),
+        SoftwareClaim('desk', 'v1', 0.0, 10_100.0),
+        SoftwareClaim('other', 'v1', 0.0, 10_500.0),
+    ):
+        assert not history.apply_claim(claim)
+    assert history.find_only('desk', 10_500.0) is None
+    assert history.apply_claim(SoftwareClaim('desk', 'v1', 0.0, 10_400.0))
+    assert history.find_only('desk', 10_500.0) == 'v1'
+    assert not history.is_asking(10_500.0)
+
+
+def test_the_id_of_another_team_names_another_stream():
+    origins = StreamOrigins()
+    origins.record(make_start('a'), 0.0)
+    assert origins.find(hash_stream('red', 'a'), 1.0) == OLD
+    assert origins.find(hash_stream('blue', 'a'), 1.0) is None
+
+
+# A stream whose id was used twice went on at either version.
+def test_an_id_used_at_two_versions_names_no_stream():
+    origins = StreamOrigins()
+    assert origins.record(make_start('a'), 0.0)
+    assert not origins.record(make_start('a'), 0.0)
+    assert origins.record(make_start('a', NEW), 0.0)
+    assert origins.find(hash_stream('red', 'a'), 1.0) is None
+    assert not list(origins.list_live(1.0))
+    assert not origins.record(make_start('a'), 0.0)
+
+
+def test_the_memory_for_streams_is_bounded_in_time_and_number():
+    origins = StreamOrigins(limit=10)
+    for number in range(30):
+        origins.record(make_start(f'{number}'), 0.0)
+    assert len(origins) == 10
+    assert origins.find(hash_stream('red', '29'), 1.0) == OLD
+    origins.record(make_start('last', until=9_000.0), 5_000.0)
+    assert len(origins) == 1
+    assert origins.find(hash_stream('red', 'last'), 9_000.0) is None
+
+
+def test_nothing_is_told_while_one_version_serves():
+    sharing = make_stream_sharing(make_history(is_first_start=True))
+    sharing.history.record_list({'desk': {'v1': 1}}, 0.0)
+    sharing.begin(make_start('a'), 1.0)
+    assert not sharing.take_pending()
+    # Earlier streams are told once another version appears.
+    sharing.history.record_list({'desk': {'v1': 2, 'v2': 1}}, 600.0)
+    sharing.begin(make_start('b', NEW), 700.0)
+    told = [each.start.digest for each in sharing.take_pending()]
+    assert told == [hash_stream('red', 'a'), hash_stream('red', 'b')]
+
+
+def test_news_is_passed_on_once():
+    sharing = make_stream_sharing(make_history())
+    sharing.receive([make_start('a')], 'link', 0.0)
+    sharing.receive([make_start('a')], 'other link', 0.0)
+    assert [each.source for each in sharing.take_pending()] == ['link']
+
+
+class Entry:
+    """One process of an entry."""
+
+    def __init__(self, make_sharing):
+        self.sharing = make_sharing(make_history())
+        self.listed = {}
+        self.mail = []
+
+
+class World(CheckedMachine):
+    """Streams begin, break off and are taken up at other entries.
+
+    Checks `mixed`, a stream that goes on at a version that did not begin it.
+    """
+
+    make_sharing = staticmethod(make_stream_sharing)
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100_000.0
+        self.softwares = {'v1': 9}
+        self.entries = [Entry(self.make_sharing) for _ in range(3)]
+        self.begun = {}
+        for _ in range(10):
+            self.now += LIFETIME / 10
+            for entry in self.entries:
+                self.read(entry)
+
+    def read(self, entry):
+        entry.listed = dict(self.softwares)
+        entry.sharing.history.record_list({'desk': entry.listed}, self.now)
+        entry.sharing.update(self.now)
+
+    @rule(index=st.integers(0, 2))
+    def read_list(self, index):
+        self.read(self.entries[index])
+
+    @rule()
+    def add_version(self):
+        self.softwares[f'v{len(self.begun) + len(self.softwares) + 1}'] = 1
+
+    @rule(pick=st.integers(0, 9))
+    def remove_version(self, pick):
+        if len(self.softwares) > 1:
+            known = sorted(self.softwares)
+            del self.softwares[known[pick % len(known)]]
+
+    @rule(by=st.sampled_from([20.0, 300.0, 900.0, 2_500.0, 9_000.0]))
+    def wait(self, by):
+        self.now += by
+        for software in self.softwares:
+            self.softwares[software] += int(by / 1_200)
+
+    @rule(index=st.integers(0, 2), pick=st.integers(0, 9))
+    def begin(self, index, pick):
+        entry = self.entries[index]
+        settling = entry.sharing.history.find_settling('desk', self.now)
+        usable = sorted(entry.listed.keys() & self.softwares.keys() - settling)
+        if not usable:
+            return
+        software = usable[pick % len(usable)]
+        name = f's{len(self.begun)}'
+        self.begun[name] = (software, self.now)
+        origin = StreamOrigin('desk', software)
+        entry.sharing.begin(
+            make_start(name, origin, self.now + LIFETIME / 2), self.now
+        )
+
+    @rule(index=st.integers(0, 2), is_lost=st.booleans())
+    def tell(self, index, is_lost):
+        entry = self.entries[index]
+        entry.sharing.update(self.now)
+        starts = [each.start for each in entry.sharing.take_pending()]
+        claims = list(entry.sharing.history.list_claims())
+        if is_lost:
+            return
+        for other in self.entries:
+            if other is not entry:
+                other.sharing.receive(starts, entry, self.now)
+                other.sharing.apply_claims(claims)
+
+    @rule(index=st.integers(0, 2))
+    def restart(self, index):
+        self.entries[index] = Entry(self.make_sharing)
+        self.read(self.entries[index])
+
+    @rule(index=st.integers(0, 2), pick=st.integers(0, 9))
+    def take_up(self, index, pick):
+        live = [
+            name
+            for name, (_, at) in self.begun.items()
+            if self.now - at < LIFETIME / 2
+        ]
+        if not live:
+            return
+        name = live[pick % len(live)]
+        sharing = self.entries[index].sharing
+        origin = sharing.find_origin('red', name, self.now)
+        found = (
+            sharing.history.find_only('desk', self.now)
+            if origin is None
+            else origin.software
+        )
+        self.check(found in {None, self.begun[name][0]}, 'mixed')
+
+
+class GuessesTheOnlyListed(SoftwareHistory):
+    def find_only(self, service, now):
+        return self._services[service].only
+
+
+class UsesNewVersionsAtOnce(SoftwareHistory):
+    def find_settling(self, service, now):
+        return frozenset()
+
+
+def test_no_stream_goes_on_at_a_version_that_did_not_begin_it():
+    assert_holds(World)
+
+
+@pytest.mark.parametrize('kind', [GuessesTheOnlyListed, UsesNewVersionsAtOnce])
+def test_checks_of_streams_catch_an_unsafe_history(kind):
+    def make_sharing(history):
+        unsafe = kind()
+        unsafe.lifetimes = history.lifetimes
+        return StreamSharing(StreamOrigins(), unsafe)
+
+    world = type(
+        'UnsafeWorld', (World,), {'make_sharing': staticmethod(make_sharing)}
+    )
+    assert_caught(world, 'mixed')
