--- a/src/oleanderdyke/links/messages/__init__.py
+++ b/src/oleanderdyke/links/messages/__init__.py
@@ -19,6 +19,7 @@
     ContextRequest,
     NewsAnswer,
     NewsRequest,
+    StreamNews,
     WorkNews,
 )
 from oleanderdyke.links.messages.segments import (
@@ -367,4 +368,5 @@
     | ContextRequest
     | ContextAnswer
     | WorkNews
+    | StreamNews
 )
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -1,4 +1,4 @@
-"""Messages by which entries share what they read and have in flight.
+"""Messages by which entries share what they read, run and have begun.
 
 They hold ages instead of timestamps because the clocks of two processes differ.
 `held` is how long a request waited at the neighbour; with it the requester can
@@ -210,3 +210,32 @@
     """Reports of any number of entries; none if nothing changed."""
 
     reports: tuple[WorkReport, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SoftwareNews:
+    """Only `software` served a service from `age` to `read_age` ms ago."""
+
+    service: str
+    software: str
+    age: Millis
+    read_age: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class StreamNews:
+    """Streams that have begun, and what is known of their services.
+
+    `services` and `softwares` are columns of the origins that streams refer to.
+    `digests` holds eight bytes for each stream; its origin and the tenths of a
+    second for which callers may take it up are at the same place of `origins`
+    and `remaining`. `is_asking` requests what the receiver knows of services.
+    """
+
+    services: tuple[str, ...] = ()
+    softwares: tuple[str, ...] = ()
+    digests: bytes = b''
+    origins: tuple[int, ...] = ()
+    remaining: tuple[int, ...] = ()
+    claims: tuple[SoftwareNews, ...] = ()
+    is_asking: bool = False
--- a/src/oleanderdyke/links/news_client.py
+++ b/src/oleanderdyke/links/news_client.py
@@ -25,6 +25,7 @@
     NewsRequest,
     StoreNews,
     StorePosition,
+    StreamNews,
     WorkNews,
 )
 from oleanderdyke.links.news_server import decode_loads
@@ -112,6 +113,7 @@
     ) -> None:
         self.neighbours = neighbours
         self.on_work: Callable[[Link, WorkNews], None] | None = None
+        self.on_streams: Callable[[Link, StreamNews], None] | None = None
         self._health = health
         self._clock = clock
         self._sources = tuple(sources)
@@ -160,6 +162,8 @@
         """Complete the request of an answer; late answers are dropped."""
         if isinstance(message, WorkNews) and self.on_work:
             self.on_work(link, message)
+        if isinstance(message, StreamNews) and self.on_streams:
+            self.on_streams(link, message)
         if not isinstance(message, NewsAnswer | ContextAnswer):
             return
         pending = self._pending.get(message.number)
--- a/src/oleanderdyke/links/news_server.py
+++ b/src/oleanderdyke/links/news_server.py
@@ -32,6 +32,7 @@
     StoreEvent,
     StoreNews,
     StorePosition,
+    StreamNews,
     WorkNews,
 )
 
@@ -112,6 +113,7 @@
         self.loads = LoadTable()
         self.local_loads = LoadTable()
         self.on_work: Callable[[Link, WorkNews], None] | None = None
+        self.on_streams: Callable[[Link, StreamNews], None] | None = None
         # Another entry has reported its work, also before `on_work` is set.
         self.has_work_news = False
         self._neighbours = neighbours
@@ -162,12 +164,16 @@
                         tasks.start_soon(
                             self._answer_events, link, message, sent
                         )
-                    elif isinstance(message, WorkNews):
-                        self._take_work(link, message)
+                    elif isinstance(message, WorkNews | StreamNews):
+                        self._take_news(link, message)
             except OleanderError:
                 tasks.cancel_scope.cancel()
 
-    def _take_work(self, link: Link, news: WorkNews) -> None:
+    def _take_news(self, link: Link, news: WorkNews | StreamNews) -> None:
+        if isinstance(news, StreamNews):
+            if self.on_streams is not None:
+                self.on_streams(link, news)
+            return
         self.has_work_news = True
         if self.on_work is not None:
             self.on_work(link, news)
--- /dev/null
+++ b/src/oleanderdyke/links/stream_exchange.py
@@ -0,0 +1,285 @@
+"""Tell all entries which version of the software began each stream.
+
+Starts travel over the links of shared reads: from an entry to the reader of its
+data centre, from there to all its entries and to the readers of other data
+centres.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from random import Random
+
+import anyio
+
+from oleanderdyke.clock import HOUR, SECOND, Clock, Millis
+from oleanderdyke.kernel.neighbours import RECORD_SOURCE, Neighbour
+from oleanderdyke.kernel.software_history import SoftwareClaim
+from oleanderdyke.kernel.stream_origins import (
+    DIGEST_BYTES,
+    StreamOrigin,
+    StreamStart,
+)
+from oleanderdyke.kernel.stream_sharing import PendingStart, StreamSharing
+from oleanderdyke.links.codec import encode
+from oleanderdyke.links.link import Link, LinkSettings
+from oleanderdyke.links.messages import Hello, Message
+from oleanderdyke.links.messages.news import SoftwareNews, StreamNews
+from oleanderdyke.links.news_client import NewsClient
+from oleanderdyke.links.news_server import NewsServer
+from oleanderdyke.links.pool import LinkPool, PoolSettings
+
+# Starts that come within this time of each other are sent together.
+_BATCH_PERIOD: Millis = 10.0
+# Time between checks for new links while nothing begins.
+_IDLE_PERIOD: Millis = 200.0
+_DIAL_LIMIT: Millis = 500.0
+# A remote reader without a link for longer is passed over.
+_UNREACHABLE_LIMIT: Millis = 1 * SECOND
+_ASK_PERIOD: Millis = 500.0
+_MAX_STARTS_PER_MESSAGE = 4_096
+_REMAINING_UNIT: Millis = 100.0
+# Far longer than any stream lasts.
+_LONGEST_AGE: Millis = 1 * HOUR
+
+
+class StreamExchange:
+    """Send the starts of streams to other entries and pass on theirs."""
+
+    def __init__(
+        self,
+        own: Neighbour,
+        sharing: StreamSharing,
+        *,
+        client: NewsClient,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._sharing = sharing
+        self._client = client
+        self._clock = clock
+        self._pool: LinkPool | None = None
+        self._inbound: set[Link] = set()
+        # Links over which the other side has got what is known here.
+        self._joined: set[Link] = set()
+        self._asked_at: Millis = -math.inf
+        self._unlinked_since: dict[str, Millis] = {}
+        self._wanted = anyio.Event()
+
+    async def run(
+        self,
+        server: NewsServer,
+        make_hello: Callable[[], Hello],
+        random: Random,
+    ) -> None:
+        """Exchange starts with other entries until cancelled."""
+        pool = LinkPool(
+            make_hello,
+            on_up=_ignore_link,
+            on_message=self._receive_across,
+            on_down=_ignore_link,
+            settings=PoolSettings(
+                link=LinkSettings(dial_timeout=_DIAL_LIMIT),
+                last_backoff=1 * SECOND,
+            ),
+            clock=self._clock,
+            random=random,
+        )
+        self._pool = pool
+        self._client.on_streams = self.receive
+        server.on_streams = self.receive_inbound
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pool.run)
+            while True:
+                self.step(self._clock.now())
+                await anyio.sleep(_BATCH_PERIOD / SECOND)
+                with anyio.move_on_after(_IDLE_PERIOD / SECOND):
+                    await self._wanted.wait()
+
+    def wake(self) -> None:
+        """Send what is pending soon."""
+        self._wanted.set()
+
+    def receive_inbound(self, link: Link, news: StreamNews) -> None:
+        """Apply news over a link that another entry opened."""
+        self._inbound.add(link)
+        self.receive(link, news)
+
+    def receive(self, link: Link, news: StreamNews) -> None:
+        """Apply news of another entry, and answer what it asks."""
+        now, sharing = self._clock.now(), self._sharing
+        sharing.receive(_decode_starts(news, now), link, now)
+        if sharing.apply_claims(_decode_claims(news, now)):
+            # Others that ask may learn the same.
+            self._joined.clear()
+        if news.is_asking:
+            link.write(StreamNews(claims=self._encode_claims(now)))
+        if sharing.has_pending:
+            self.wake()
+
+    def step(self, now: Millis) -> None:
+        """Send what is due."""
+        self._wanted = anyio.Event()
+        is_sharing = self._sharing.update(now)
+        self._connect(now)
+        links = self._list_links()
+        self._joined &= {*links}
+        pending = self._sharing.take_pending()
+        for link in links:
+            if link in self._joined:
+                self._send_pending(link, pending, now)
+            else:
+                self._join(link, now, is_sharing=is_sharing)
+        self._ask(links, now)
+
+    def _send_pending(
+        self, link: Link, pending: Sequence[PendingStart], now: Millis
+    ) -> None:
+        starts = [each.start for each in pending if each.source is not link]
+        if starts and not self._send_starts(link, starts, now):
+            # The link is full: it gets all that is known later.
+            self._joined.discard(link)
+
+    def _join(self, link: Link, now: Millis, *, is_sharing: bool) -> None:
+        """Send a new link all that is known, and so subscribe to its news."""
+        news = StreamNews(
+            claims=self._encode_claims(now),
+            is_asking=self._sharing.history.is_asking(now),
+        )
+        is_sent = link.write(news)
+        if is_sent and (is_sharing or self._sharing.is_active(now)):
+            known = [*self._sharing.origins.list_live(now)]
+            is_sent = self._send_starts(link, known, now)
+        if is_sent:
+            self._joined.add(link)
+
+    def _ask(self, links: Iterable[Link], now: Millis) -> None:
+        """Ask for claims while those may make this entry certain."""
+        if now - self._asked_at < _ASK_PERIOD:
+            return
+        self._asked_at = now
+        if self._sharing.history.is_asking(now):
+            for link in links:
+                link.write(StreamNews(is_asking=True))
+
+    def _send_starts(
+        self, link: Link, starts: Sequence[StreamStart], now: Millis
+    ) -> bool:
+        """Send starts; return whether the link took them all."""
+        messages = _encode_starts(starts, now)
+        return all(link.write_encoded(each, encode(each)) for each in messages)
+
+    def _list_links(self) -> list[Link]:
+        up = self._client.find_record_link()
+        self._inbound = {each for each in self._inbound if not each.closed}
+        opened = [] if self._pool is None else [*self._pool.links()]
+        return [*([] if up is None else [up]), *self._inbound, *opened]
+
+    async def _receive_across(self, link: Link, message: Message) -> None:
+        if isinstance(message, StreamNews):
+            self.receive(link, message)
+
+    def _connect(self, now: Millis) -> None:
+        """Connect to the readers of other data centres, if this is one."""
+        if self._pool is None:
+            return
+        wanted = {each.name: each.address for each in self._list_remote(now)}
+        self._pool.set_addresses(wanted)
+        self._unlinked_since = {
+            name: self._unlinked_since.get(name, now)
+            for name in wanted
+            if self._pool.find(name) is None
+        }
+        for name, since in tuple(self._unlinked_since.items()):
+            if now - since > _UNREACHABLE_LIMIT:
+                self._client.neighbours.record_failure(name, now)
+                del self._unlinked_since[name]
+
+    def _list_remote(self, now: Millis) -> Iterator[Neighbour]:
+        neighbours = self._client.neighbours
+        if not self._sharing.is_active(now):
+            return
+        if neighbours.find_reader(RECORD_SOURCE, now) is not None:
+            return
+        linked = {link.peer.data_centre for link in self._inbound}
+        for each in neighbours.list_remote_readers(RECORD_SOURCE, now):
+            # One link between two readers is enough, whoever opened it.
+            is_first = self._own.data_centre < each.data_centre
+            if is_first or each.data_centre not in linked:
+                yield each
+
+    def _encode_claims(self, now: Millis) -> tuple[SoftwareNews, ...]:
+        return tuple(
+            SoftwareNews(
+                claim.service,
+                claim.software,
+                # Messages hold finite numbers only.
+                min(now - claim.since, _LONGEST_AGE),
+                now - claim.read_at,
+            )
+            for claim in self._sharing.history.list_claims()
+        )
+
+
+async def _ignore_link(_: Link) -> None:
+    """Do nothing, as `step` finds which links are open."""
+
+
+def _encode_starts(
+    starts: Sequence[StreamStart], now: Millis
+) -> Iterator[StreamNews]:
+    for first in range(0, len(starts), _MAX_STARTS_PER_MESSAGE):
+        yield _encode_part(starts[first : first + _MAX_STARTS_PER_MESSAGE], now)
+
+
+def _encode_part(starts: Sequence[StreamStart], now: Millis) -> StreamNews:
+    numbers: dict[StreamOrigin, int] = {}
+    origins = tuple(
+        numbers.setdefault(start.origin, len(numbers)) for start in starts
+    )
+    return StreamNews(
+        services=tuple(each.service for each in numbers),
+        softwares=tuple(each.software for each in numbers),
+        digests=b''.join(start.digest for start in starts),
+        origins=origins,
+        remaining=tuple(
+            math.ceil(max(start.until - now, 0.0) / _REMAINING_UNIT)
+            for start in starts
+        ),
+    )
+
+
+def _decode_starts(news: StreamNews, now: Millis) -> Iterator[StreamStart]:
+    """Yield the starts of a message; none if its columns don't match."""
+    count = len(news.origins)
+    known = [
+        StreamOrigin(*each)
+        for each in zip(news.services, news.softwares, strict=False)
+    ]
+    if (
+        len(news.remaining) != count
+        or len(news.digests) != count * DIGEST_BYTES
+    ):
+        return
+    if count and not 0 <= min(news.origins) <= max(news.origins) < len(known):
+        return
+    for index, (origin, remaining) in enumerate(
+        zip(news.origins, news.remaining, strict=True)
+    ):
+        at = index * DIGEST_BYTES
+        yield StreamStart(
+            news.digests[at : at + DIGEST_BYTES],
+            known[origin],
+            now + remaining * _REMAINING_UNIT,
+        )
+
+
+def _decode_claims(news: StreamNews, now: Millis) -> Iterator[SoftwareClaim]:
+    for each in news.claims:
+        yield SoftwareClaim(
+            each.service,
+            each.software,
+            now - max(each.age, 0.0),
+            now - max(each.read_age, 0.0),
+        )
