--- a/src/oleanderdyke/kernel/scheduling/run_copies.py
+++ b/src/oleanderdyke/kernel/scheduling/run_copies.py
@@ -43,7 +43,7 @@
     """The copy of a run's memory at one start of a second engine.
 
     `tokens` is the memory that it occupies at its end. The run and its copy
-    are of the same `version` of the weights.
+    are of the same `version` of the weights and of the same `software`.
     """
 
     start: ServerStart
@@ -51,6 +51,7 @@
     model: str
     version: int
     tokens: int
+    software: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -278,6 +279,8 @@
         return 'its engine has ended'
     if backend.record.address != copy.address:
         return 'its engine has moved'
+    if backend.record.software != copy.software:
+        return 'its engine has another version of the software'
     if backend.record.versions.get(copy.model) != copy.version:
         return 'its engine holds other weights'
     return ''
@@ -294,6 +297,7 @@
         model=run.model.model,
         version=run.version,
         tokens=run.tokens,
+        software=run.source.record.software,
     )
 
 
@@ -316,11 +320,12 @@
 
 
 def _is_alike(backend: Backend, run: GrowingRun) -> bool:
-    """Return whether another engine holds the weights of the run."""
+    """Return whether another engine can go on with the run."""
     record, source = backend.record, run.source.record
     if record.server == source.server or record.address == source.address:
         return False
     return (
         record.service == source.service
+        and record.software == source.software
         and record.versions.get(run.model.model) == run.version
     )
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -385,7 +385,9 @@
     assert list(splitter.feed(make_event(1)))
     async with copying(tmp_path, *[CopyingEngine()] * 2) as stage:
         target = stage.core.backends.find('i-1')
-        copy = RunCopy(target.record.start, target.record.address, MODEL, 1, 9)
+        copy = RunCopy(
+            target.record.start, target.record.address, MODEL, 1, 9, 'v1'
+        )
         chooser = RunCopies(Random(1), NoWorkView)
         chooser.choose = lambda *_: copy
         copies = CallCopies(
--- a/tests/test_run_copies.py
+++ b/tests/test_run_copies.py
@@ -197,6 +197,15 @@
     assert find_copy_fault(copy, None)
 
 
+# What two versions of the software write doesn't fit together.
+def test_copy_needs_the_software_of_its_run():
+    newer = Backend(replace(FAR.record, software='v2'))
+    assert choose([SOURCE, newer]) is None
+    assert choose([SOURCE, newer, OTHER]) == 'other'
+    copy = make_copies().choose(RUN, [FAR], lambda _: True, EntryShare(), 0.0)
+    assert find_copy_fault(copy, newer)
+
+
 def test_runs_are_copied_for_a_while_after_an_engine_lost_one():
     """Engines crash in series; on calm days copies would only take memory."""
     copies = RunCopies(Random(7), NoWorkView)
