--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -62,6 +62,7 @@
     from oleanderdyke.entry.hosted.copies import CallCopies
     from oleanderdyke.entry.hosted.scheduler import Scheduler
     from oleanderdyke.entry.hosted.speed_samples import StreamSamples
+    from oleanderdyke.entry.hosted.stream_pin import StreamPin
     from oleanderdyke.entry.hosted.unread import StreamFlow
 
 _SERVER_ERROR = 500
@@ -95,12 +96,14 @@
         splitter: EventSplitter | None,
         reserve_retry: Callable[[], bool],
         copies: CallCopies | None = None,
+        pin: StreamPin | None = None,
         find_flow: Callable[[], StreamFlow] | None = None,
     ) -> None:
         self._core = core
         self._call = call
         self._inbox = inbox
         self._splitter = splitter
+        self._pin = pin
         self._reserve_retry = reserve_retry
         self._copies = copies
         self._find_flow = find_flow
@@ -127,6 +130,9 @@
         # earlier, and by the head for all other responses.
         self._has_started = False
         self._address = ''
+        # The version of the server's software as the request was sent.
+        self._software = ''
+        self._has_events = False
         self._sent = False
         self._done = False
 
@@ -255,8 +261,7 @@
         self._record_start()
         self._record_activity(data)
         if self._splitter is not None and self._is_stream:
-            for event in self._splitter.feed(data):
-                self._forward(event.data)
+            self._take_events(self._splitter, data)
         elif self._buffered is None:
             self._forward(data)
         else:
@@ -264,6 +269,22 @@
             if len(self._buffered) > _BUFFER_LIMIT:
                 self._flush()
 
+    def _take_events(self, splitter: EventSplitter, data: bytes) -> None:
+        for event in splitter.feed(data):
+            if not self._begin_events():
+                return
+            self._forward(event.data)
+
+    def _begin_events(self) -> bool:
+        """Return whether events of this server may be passed on."""
+        if self._has_events or self._pin is None:
+            return True
+        fault = self._pin.begin(self._start, self._software)
+        if fault:
+            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
+        self._has_events = not fault
+        return self._has_events
+
     def take_end(self) -> None:
         """Report that the response is complete."""
         if self._done:
@@ -330,6 +351,8 @@
         """
         if self._core.backends.is_leaving_or_gone(self._start):
             return 'the server left while connecting'
+        if self._pin is not None and self._pin.is_other(backend.record):
+            return 'another version of the software began the stream'
         obstacle = self._core.limits.find_send_obstacle(
             backend, self._chosen_at, self._core.clock.now()
         )
@@ -355,6 +378,7 @@
     def _send(self, connection: BackendConnection, backend: Backend) -> None:
         core, call = self._core, self._call
         record = backend.record
+        self._software = record.software
         self._connection = connection
         dispatch = self._make_dispatch(backend)
         head = make_head(
@@ -395,6 +419,7 @@
             peer=record.server,
             address=record.address,
             version=dispatch.version,
+            software=record.software or None,
             **describe_dispatch(core, call, dispatch.version),
             tokens=dispatch.contexts.fetched_tokens or None,
             segments=sum(map(bool, dispatch.contexts.sinks)) or None,
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 from random import Random
+from typing import TYPE_CHECKING
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.entry.edge import Head
@@ -24,6 +25,9 @@
 from oleanderdyke.links.messages import Headers
 from oleanderdyke.platform.requests import CallerRequest, decode_request
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.stream_pin import StreamPin
+
 # A region name that matches no server, as an empty set would mean "anywhere".
 _NO_REGIONS = frozenset({''})
 _HIGHEST_PRIORITY = 0
@@ -101,6 +105,11 @@
     route: Route
     owner: KeyOwner | None
 
+    @property
+    def team(self) -> str:
+        """Return the team that owns the API key, '' without a key."""
+        return '' if self.owner is None else self.owner.team
+
     def find_deadline(self, started: Millis) -> Millis:
         """Return when the request ends at the latest, answered or not."""
         wait = self.parameters.wait
@@ -149,7 +158,7 @@
         body=body,
         parameters=parameters,
         route=route,
-        service=_choose_service(route.shares, core.random),
+        service=_choose_service(core, authorized),
         owner=authorized.owner,
         started=started,
         deadline=authorized.find_deadline(started),
@@ -162,6 +171,7 @@
     call: HostedCall,
     listed: Sequence[Backend],
     excluded: frozenset[ServerStart],
+    pin: StreamPin | None,
 ) -> CallDemand:
     """Describe what a call requires of the listed servers."""
     demand = call.parameters.demand
@@ -184,6 +194,8 @@
         excluded=excluded,
         loading=frozenset(turns.busy),
         draining=frozenset(turns.following),
+        software=None if pin is None else pin.software,
+        settling=frozenset() if pin is None else pin.find_settling(now),
         memory_tokens=_find_memory(core, call),
         costs=core.scheduling.find_costs(call),
     )
@@ -290,7 +302,20 @@
     return OleanderError(kind, reason, ran=Ran.NO)
 
 
-def _choose_service(shares: tuple[Share, ...], random: Random) -> str:
+def _choose_service(core: HostedCore, authorized: AuthorizedRequest) -> str:
+    """Return the service of a call; a stream stays at that which began it."""
+    shares = authorized.route.shares
+    if authorized.route.is_resumable:
+        origin = core.peers.find_origin(
+            authorized.team, authorized.parameters.resumes
+        )
+        for share in shares:
+            if origin and share.service == origin.service and share.weight > 0:
+                return origin.service
+    return _draw_service(shares, core.random)
+
+
+def _draw_service(shares: tuple[Share, ...], random: Random) -> str:
     weights = [share.weight for share in shares]
     if len(shares) == 1 or not sum(weights):
         return shares[0].service
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -29,11 +29,14 @@
 from oleanderdyke.kernel.scheduling.load_table import TimedLoad
 from oleanderdyke.kernel.send_limits import SendLimits
 from oleanderdyke.kernel.servers import ServerLoad, ServerStart
+from oleanderdyke.kernel.software_history import SoftwareHistory
 from oleanderdyke.logs import EventLog, LogValue
 from oleanderdyke.metrics import Count, Gauge, Metrics
 from oleanderdyke.platform.settings import HostSettings
 
 if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.call import HostedCall
+    from oleanderdyke.entry.hosted.stream_pin import StreamPin
     from oleanderdyke.entry.hosted.unread import UnreadAnswers
 
 # A connection within the deployment opens within milliseconds. A lost packet
@@ -70,6 +73,7 @@
     pool: ConnectionPool
     peers: PeerSharing
     limits: SendLimits
+    software: SoftwareHistory
     entries: EntryCount = field(default_factory=EntryCount)
     backends: BackendRegistry = field(default_factory=BackendRegistry)
     deployment: Deployment | None = None
@@ -279,6 +283,15 @@
             self._unread = unread.UnreadAnswers(self)
         return self._unread
 
+    def make_pin(self, call: HostedCall) -> StreamPin | None:
+        """Return the pin of a stream that may be taken up, else None."""
+        if not call.route.is_resumable:
+            return None
+        # Few entries serve such a stream right after their start.
+        from oleanderdyke.entry.hosted import stream_pin  # noqa: PLC0415 - see above
+
+        return stream_pin.StreamPin(self, call)
+
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's retry budget for a service."""
         return self.retries.find(service)
@@ -318,6 +331,7 @@
     entries = EntryCount(
         settings.process, is_first_start=settings.is_first_start
     )
+    software = SoftwareHistory(is_first_start=settings.is_first_start)
     core = HostedCore(
         settings=settings,
         clock=clock,
@@ -327,7 +341,8 @@
         drain=Drain(drain),
         rollout=Rollout(settings.version_limit),
         pool=ConnectionPool(CONNECT_LIMIT),
-        peers=PeerSharing(settings, clock, log, metrics),
+        peers=PeerSharing(settings, clock, log, metrics, software),
+        software=software,
         limits=SendLimits(settings.process, entries, settings.regions),
         entries=entries,
     )
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -109,7 +109,8 @@
         # The server that had the request last, or was considered last.
         self._last_server: str | None = None
         self._retry_delay = RETRY_DELAY
-        self._selector = ServerSelector(core, call)
+        self._pin = core.make_pin(call)
+        self._selector = ServerSelector(core, call, self._pin)
         self._budget = core.scheduling.find_budget(call, core)
         self._machine = RequestStateMachine(
             _make_facts(core, call),
@@ -161,12 +162,21 @@
         by its caller or its deadline: an overloaded server may send the rest
         after any pause, and the waiting caller would lose it.
         """
-        if silence < SILENCE_LIMIT:
+        if silence < SILENCE_LIMIT or not self._can_go_on_elsewhere():
             return False
         if self._machine.reserve_retry():
             return True
         return silence >= _SILENCE_TIMEOUT and not self._reply.status
 
+    def _can_go_on_elsewhere(self) -> bool:
+        """Return whether a response that has begun could be resumed."""
+        if self._pin is None or not self._reply.status:
+            return True
+        if self._last_server is None:
+            return True
+        now = self._core.clock.now()
+        return self._pin.has_alternative(self._starts[self._last_server], now)
+
     async def _run_machine(self) -> None:
         now = self._core.clock.now()
         self._post_later(DeadlinePassed(), self._call.deadline - now)
@@ -289,6 +299,7 @@
             chosen_at=self._chosen_at,
             inbox=self._inbox,
             splitter=self._splitter,
+            pin=self._pin,
             reserve_retry=self._machine.reserve_retry,
             copies=self._copies,
             find_flow=self._find_flow,
--- a/src/oleanderdyke/entry/hosted/peer_sharing.py
+++ b/src/oleanderdyke/entry/hosted/peer_sharing.py
@@ -7,6 +7,7 @@
 from functools import partial
 from importlib import import_module
 from random import Random
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -19,6 +20,7 @@
     Neighbour,
     Neighbours,
 )
+from oleanderdyke.kernel.software_history import SoftwareHistory
 from oleanderdyke.links.messages import PROTOCOL_VERSION, Hello, Role
 from oleanderdyke.links.news_client import NewsClient
 from oleanderdyke.links.news_server import NewsServer
@@ -27,6 +29,11 @@
 from oleanderdyke.platform.settings import HostSettings
 from oleanderdyke.platform.sharing import TopicSharing
 
+if TYPE_CHECKING:
+    from oleanderdyke.kernel.stream_origins import StreamOrigin, StreamStart
+    from oleanderdyke.kernel.stream_sharing import StreamSharing
+    from oleanderdyke.links.stream_exchange import StreamExchange
+
 # Importing the link modules is slow on a fraction of a core. Delaying it lets
 # the process serve sooner; until then it reads for itself.
 _LINKS_IMPORT_DELAY: Millis = 1 * SECOND
@@ -41,6 +48,7 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        history: SoftwareHistory,
     ) -> None:
         self.own = Neighbour(
             settings.process, settings.links, settings.data_centre
@@ -54,6 +62,9 @@
             make_news_dependency(log, metrics, clock),
         )
         self._clock = clock
+        self._history = history
+        self._streams: StreamSharing | None = None
+        self._exchange: StreamExchange | None = None
         self._incarnation = secrets.token_hex(8)
 
     def make_sharing(
@@ -86,8 +97,12 @@
             return
         await anyio.sleep(_LINKS_IMPORT_DELAY / SECOND)
         links = import_module('oleanderdyke.links.news_links')
+        exchange = self._make_exchange()
         try:
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    exchange.run, self.desk, self.make_hello, random
+                )
                 tasks.start_soon(
                     partial(
                         links.serve_neighbours,
@@ -107,6 +122,38 @@
             detail = f'address {self.own.address}: {group.exceptions[0]}'
             log.write(EventName.RECORD_REFUSED, name='links', detail=detail)
 
+    def find_streams(self) -> StreamSharing:
+        """Return the streams that may be taken up, from the first one on."""
+        if self._streams is None:
+            # Most entries need it seconds after their start at the earliest.
+            module = import_module('oleanderdyke.kernel.stream_sharing')
+            self._streams = module.make_stream_sharing(self._history)
+        return self._streams
+
+    def find_origin(self, team: str, resumes: str) -> StreamOrigin | None:
+        """Return where a stream began, None if this entry doesn't know."""
+        if not resumes:
+            return None
+        return self.find_streams().find_origin(team, resumes, self._clock.now())
+
+    def begin_stream(self, start: StreamStart) -> None:
+        """Record a stream that begins here, and tell the others if needed."""
+        streams = self.find_streams()
+        streams.begin(start, self._clock.now())
+        if self._exchange is not None and streams.has_pending:
+            self._exchange.wake()
+
+    def _make_exchange(self) -> StreamExchange:
+        module = import_module('oleanderdyke.links.stream_exchange')
+        exchange: StreamExchange = module.StreamExchange(
+            self.own,
+            self.find_streams(),
+            client=self.reader,
+            clock=self._clock,
+        )
+        self._exchange = exchange
+        return exchange
+
     def make_hello(self) -> Hello:
         """Build the first message of each link of this process."""
         return Hello(
--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from random import Random
+from typing import TYPE_CHECKING
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.entry.hosted.call import HostedCall, make_demand
@@ -24,6 +25,9 @@
 from oleanderdyke.kernel.send_limits import Obstacle
 from oleanderdyke.kernel.servers import ServerStart
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.stream_pin import StreamPin
+
 
 @dataclass(frozen=True, slots=True)
 class RetryDelay:
@@ -59,7 +63,10 @@
 }
 # Obstacles that end by themselves within a second, so that the call waits. It
 # is rejected at once for all others.
-_TRANSIENT_OBSTACLES = frozenset({Obstacle.UNLISTED, Obstacle.COLD})
+_TRANSIENT_OBSTACLES = frozenset(
+    {Obstacle.UNLISTED, Obstacle.COLD, Obstacle.SETTLING}
+)
+_UNKNOWN_ORIGIN = 'the version that began the stream is unknown'
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +85,15 @@
 class ServerSelector:
     """Select the server of one call."""
 
-    def __init__(self, core: HostedCore, call: HostedCall) -> None:
+    def __init__(
+        self,
+        core: HostedCore,
+        call: HostedCall,
+        pin: StreamPin | None = None,
+    ) -> None:
         self._core = core
         self._call = call
+        self._pin = pin
         # How long the call waits while no server accepts it.
         self._wait_until: Millis | None = None
         # Failed servers are no longer passed in after a wait for servers.
@@ -95,9 +108,13 @@
         been tried is not rejected because of overload.
         """
         now = self._core.clock.now()
+        if self._pin is not None and not self._pin.is_resolved(now):
+            if self._pin.may_wait(now):
+                return None
+            return Rejection(ErrorKind.NO_REPLICA, _UNKNOWN_ORIGIN)
         self._was_tried = self._was_tried or bool(tried)
         listed = self._core.backends.list_service(self._call.service, now)
-        demand = make_demand(self._core, self._call, listed, tried)
+        demand = make_demand(self._core, self._call, listed, tried, self._pin)
         choice = choose_among(demand, listed, now)
         if choice is None:
             demand = replace(demand, excluded=frozenset())
--- /dev/null
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -0,0 +1,116 @@
+"""Keep a stream at the version of the software that began it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.scheduling.placement import is_usable
+from oleanderdyke.kernel.stream_origins import (
+    StreamOrigin,
+    StreamStart,
+    hash_stream,
+)
+
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.call import HostedCall
+    from oleanderdyke.entry.hosted.core import HostedCore
+    from oleanderdyke.kernel.backend import Backend
+    from oleanderdyke.kernel.servers import ServerRecord, ServerStart
+
+# Other entries learn of a stream within some tens of milliseconds, or once they
+# have a new link to the reader of their data centre.
+_NEWS_WAIT: Millis = 250.0
+
+
+class StreamPin:
+    """The version that a call's stream has to go on at, once it has begun.
+
+    Only for routes whose streams may be taken up.
+    """
+
+    def __init__(self, core: HostedCore, call: HostedCall) -> None:
+        self._core = core
+        self._call = call
+        self._is_resumption = bool(call.parameters.last_event)
+        self._wait_until = core.clock.now() + _NEWS_WAIT
+        self.software: str | None = None
+
+    def is_resolved(self, now: Millis) -> bool:
+        """Return whether it is known which version the stream needs, if any."""
+        if self.software is None and self._is_resumption:
+            self.software = self._find_software(now)
+        return self.software is not None or not self._is_resumption
+
+    def may_wait(self, now: Millis) -> bool:
+        """Return whether another entry may still tell which version it is."""
+        return now < self._wait_until
+
+    def find_settling(self, now: Millis) -> frozenset[str]:
+        """Return the versions that may not begin this stream yet."""
+        if self.software is not None:
+            return frozenset()
+        return self._core.software.find_settling(self._call.service, now)
+
+    def is_other(self, record: ServerRecord) -> bool:
+        """Return whether a server has a version that did not begin it."""
+        return self.software not in {None, record.software}
+
+    def begin(self, start: ServerStart, software: str) -> str:
+        """Pin the stream to the version whose first event has arrived.
+
+        `software` is the version that the server had as the request was sent.
+        Return why its events may not be passed on, or ''.
+        """
+        backend = self._core.backends.find_start(start)
+        if backend is None:
+            return 'the server has ended meanwhile'
+        if backend.record.software != software:
+            return 'the server has changed its version of the software'
+        if self.is_other(backend.record):
+            return 'another version of the software began the stream'
+        self.software = software
+        self._record_start()
+        return ''
+
+    def has_alternative(self, current: ServerStart, now: Millis) -> bool:
+        """Return whether another server can go on with the stream."""
+        if self.software is None:
+            return True
+        return any(
+            self._can_continue(each, current, now)
+            for each in self._core.backends.list_service(
+                self._call.service, now
+            )
+        )
+
+    def _can_continue(
+        self, backend: Backend, current: ServerStart, now: Millis
+    ) -> bool:
+        record = backend.record
+        is_other = record.start != current
+        return (
+            is_other
+            and record.software == self.software
+            and is_usable(backend, now)
+        )
+
+    def _find_software(self, now: Millis) -> str | None:
+        core, call = self._core, self._call
+        origin = core.peers.find_origin(call.team, call.parameters.resumes)
+        if origin is not None:
+            return origin.software if origin.service == call.service else None
+        return core.software.find_only(call.service, now)
+
+    def _record_start(self) -> None:
+        call, software = self._call, self.software
+        if software is None or not call.request:
+            return
+        wait = call.parameters.wait or call.route.timeout
+        self._core.peers.begin_stream(
+            StreamStart(
+                hash_stream(call.team, call.request),
+                StreamOrigin(call.service, software),
+                call.started + max(wait, call.route.timeout),
+            )
+        )
--- a/src/oleanderdyke/kernel/scheduling/placement.py
+++ b/src/oleanderdyke/kernel/scheduling/placement.py
@@ -55,11 +55,13 @@
 # Reasons why no server can be used, those that pass soonest first.
 _OBSTACLES_BY_DURATION = (
     Obstacle.COLD,
+    Obstacle.SETTLING,
     Obstacle.LIMITED,
     Obstacle.BACKOFF,
     Obstacle.OUTDATED,
     Obstacle.EVACUATED,
     Obstacle.REGION,
+    Obstacle.SOFTWARE,
 )
 _DEFAULT_OBSTACLE = Obstacle.UNLISTED
 
@@ -112,7 +114,9 @@
     versions of the weights to the number of leading prompt tokens that stores
     hold. Requests with a lower `rank` are prefilled first. `random_value`, from
     0 to 1, decides whether the call prefers the newest weights. `memory_tokens`
-    is the memory of each engine of the service. Servers in `loading` are
+    is the memory of each engine of the service. Only servers with this
+    `software` may go on with a stream, and no server with one of the `settling`
+    versions may begin one. Servers in `loading` are
     loading new weights, servers in `draining` are next. No call may start on
     `outdated` weights, and nothing is sent to `blocked` servers. `costs`
     replace the usual score of engines.
@@ -129,6 +133,8 @@
     draining: frozenset[str] = frozenset()
     outdated: frozenset[int | None] = frozenset()
     blocked: Mapping[ServerStart, Obstacle] = field(default_factory=dict)
+    software: str | None = None
+    settling: frozenset[str] = frozenset()
     memory_tokens: int = 0
     random_value: float = 0.0
     costs: EngineCosts | None = None
@@ -187,6 +193,7 @@
         for backend in backends
         if not (unavailable and backend.record.start in unavailable)
         and not _is_outdated(demand, backend)
+        and _find_software_obstacle(demand, backend) is None
     ]
     responsive = [each for each in listed if is_usable(each, now)] or listed
     usable = [
@@ -235,12 +242,7 @@
 
 def find_obstacle(demand: CallDemand, backends: Iterable[Backend]) -> Obstacle:
     """Return why no server may be used, the soonest to pass if several."""
-    found = {
-        Obstacle.OUTDATED
-        if _is_outdated(demand, backend)
-        else demand.blocked.get(backend.record.start, Obstacle.UNLISTED)
-        for backend in backends
-    }
+    found = {_find_server_obstacle(demand, backend) for backend in backends}
     return next(
         (each for each in _OBSTACLES_BY_DURATION if each in found),
         _DEFAULT_OBSTACLE,
@@ -260,6 +262,25 @@
     return backend.record.server in demand.loading or backend.reload_until > now
 
 
+def _find_server_obstacle(demand: CallDemand, backend: Backend) -> Obstacle:
+    if _is_outdated(demand, backend):
+        return Obstacle.OUTDATED
+    obstacle = _find_software_obstacle(demand, backend)
+    if obstacle is not None:
+        return obstacle
+    return demand.blocked.get(backend.record.start, Obstacle.UNLISTED)
+
+
+def _find_software_obstacle(
+    demand: CallDemand, backend: Backend
+) -> Obstacle | None:
+    """Return why a server's version of the software may not stream."""
+    software = backend.record.software
+    if demand.software is not None:
+        return None if software == demand.software else Obstacle.SOFTWARE
+    return Obstacle.SETTLING if software in demand.settling else None
+
+
 def _is_outdated(demand: CallDemand, backend: Backend) -> bool:
     if demand.model is None or not demand.outdated:
         return False
--- a/src/oleanderdyke/kernel/send_limits.py
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -31,6 +31,8 @@
     OUTDATED = 'the weights of all servers were replaced too long ago'
     EVACUATED = 'every data centre with servers is being evacuated'
     REGION = 'no server is in a region where the request may run'
+    SOFTWARE = 'no server has the version that began the stream'
+    SETTLING = 'servers of the version are too new to begin streams'
     COLD = 'all servers have just started and take few requests'
     LIMITED = 'all servers got the requests that they accept for now'
     BACKOFF = 'all servers asked to retry later'
