--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -186,7 +186,13 @@
         self.softwares = {'v1': 9}
         self.entries = [Entry(self.make_sharing) for _ in range(3)]
         self.begun = {}
-        for _ in range(10):
+        self.settle()
+
+    @rule()
+    def settle(self):
+        """Let the first version serve alone, and all entries know it."""
+        self.softwares = dict([min(self.softwares.items())])
+        for _ in range(12):
             self.now += LIFETIME / 10
             for entry in self.entries:
                 self.read(entry)
