--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -112,6 +112,7 @@
     log: pathlib.Path
     replicas: list[Replica] = field(default_factory=list)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    callers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def call(
         self, path: str, *, body: bytes = b'', **headers: str
@@ -124,6 +125,19 @@
         found = await call(self.readiness, '/api/readiness', method='GET')
         return found.status == 200
 
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection of a caller that breaks when the entry is killed.
+
+        Raise OSError if the entry does not accept it.
+        """
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.callers.add(writer)
+        if self.scope.cancel_called:
+            writer.transport.abort()
+        return reader, writer
+
     async def run(self) -> None:
         """Run the entry until `kill` or the end of the test."""
         with self.scope:
@@ -132,6 +146,8 @@
     def kill(self) -> None:
         """End all tasks of the entry at once, without a shutdown."""
         self.scope.cancel()
+        for writer in self.callers:
+            writer.transport.abort()
 
 
 @contextlib.asynccontextmanager
--- a/tests/stream_clients.py
+++ b/tests/stream_clients.py
@@ -7,15 +7,20 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
+from random import Random
 
 import anyio
 
 from oleanderdyke.entry.hosted import peer_sharing, presence
+from oleanderdyke.entry.hosted.core import HostedCore
+from oleanderdyke.kernel.neighbours import RECORD_SOURCE, Neighbour
 from tests.hosted import (
     CONFIGURATION,
     KEY,
+    SERVERS,
     STREAM_ROUTE,
     Stage,
+    make_record,
     make_request,
 )
 from tests.standins.replica import (
@@ -33,7 +38,10 @@
 OTHER_KEY = 'key-of-blue'
 _EVENT = re.compile(rb'id: (\d+)\ndata: (v[\d.]+)-\d+\n\n')
 _POLL = 0.005
-_READ_LIMIT = 12
+# How many pauses between events end with a reset.
+_BREAK_SHARE = 0.15
+# Clients abandon an attempt after this many seconds.
+_PATIENCE = 4
 _SETTLED = 15
 # New links between entries are open after at most this many seconds.
 _LINKED = 1.0
@@ -67,7 +75,7 @@
 
     async def run(peer: Peer) -> None:
         first = find_last_event(peer) + 1
-        later = [each for each in _list_stops(peer) if each >= first]
+        later = [each for each in list_stops(peer) if each >= first]
         stop = min(later, default=LAST)
         await send_versioned(peer, version, first, stop)
         if stop < LAST:
@@ -89,7 +97,7 @@
     """
 
     async def run(peer: Peer) -> None:
-        if _list_stops(peer):
+        if list_stops(peer):
             await tell(version)(peer)
             return
         if not find_last_event(peer):
@@ -98,12 +106,13 @@
                 await broken.wait()
             # A reset may overtake data sent before it.
             await anyio.sleep(0.05)
-        peer.reset()
+        break_off(peer)
 
     return run
 
 
-def _list_stops(peer: Peer) -> list[int]:
+def list_stops(peer: Peer) -> list[int]:
+    """Return the events after which a server waits for the caller."""
     return [int(text) for text in re.findall(r'\d+', peer.request.target)]
 
 
@@ -123,7 +132,18 @@
     )
     await peer.send(head)
     for number in range(first, last + 1):
-        await peer.send(make_chunk(make_event(number, f'{version}-')))
+        await peer.send(make_versioned(number, version))
+
+
+def break_off(peer: Peer) -> None:
+    """Reset a connection, unless its other end has closed it."""
+    if not peer.writer.is_closing():
+        peer.reset()
+
+
+def make_versioned(number: int, version: str) -> bytes:
+    """Build a chunk with an event that names a version."""
+    return make_chunk(make_event(number, f'{version}-'))
 
 
 @dataclass
@@ -158,17 +178,24 @@
         until: int = LAST + 1,
         leave: anyio.Event | None = None,
     ) -> int:
-        """Begin the stream or take it up, and return the status.
+        """Begin the stream or take it up; return the status, 0 for none.
 
         Leave after the event `until`, once `leave` is set.
         """
         attempt = f'{self.name}-{len(self.attempts)}'
         self.attempts.append(attempt)
-        reader, writer = await asyncio.open_connection(*stage.address)
+        try:
+            reader, writer = await stage.connect()
+        except OSError:
+            self.statuses.append(0)
+            return 0
         writer.write(self._make_request(attempt))
+        status = 0
         try:
-            with anyio.fail_after(_READ_LIMIT):
-                status = await self._read(reader, attempt, until)
+            with anyio.move_on_after(_PATIENCE):
+                status = await _read_status(reader)
+                if status == 200:
+                    await self._read_events(reader, attempt, until)
             self.statuses.append(status)
             if leave is not None and self.has_event(until):
                 await leave.wait()
@@ -198,14 +225,10 @@
             resumes=self.origin if last else '',
         )
 
-    async def _read(
+    async def _read_events(
         self, reader: asyncio.StreamReader, attempt: str, until: int
-    ) -> int:
-        """Read events until one, the end or a break; return the status."""
-        head = await reader.readuntil(b'\r\n\r\n')
-        status = int(head.split()[1])
-        if status != 200:
-            return status
+    ) -> None:
+        """Read events until one, the end or a break."""
         body, before = b'', list(self.events)
         try:
             while length := int(await reader.readuntil(b'\r\n'), 16):
@@ -214,11 +237,10 @@
                 if self.events and not self.origin:
                     self.origin = attempt
                 if self.has_event(until):
-                    return status
+                    return
         except (asyncio.IncompleteReadError, ConnectionError):
-            return status
+            return
         self.is_whole = True
-        return status
 
 
 async def ask_all(
@@ -247,16 +269,24 @@
     ]
 
 
+async def _read_status(reader: asyncio.StreamReader) -> int:
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return 0
+    return int(head.split()[1])
+
+
 def find_begun(
     stage: Stage, clients: Iterable[StreamClient], server: int
 ) -> list[StreamClient]:
-    """Return the clients whose first attempt reached a server first."""
+    """Return the clients whose stream a server was asked to begin."""
     received = {
         seen.headers['oleanderdyke-request-id']
         for seen in stage.replicas[server].received
         if 'last-event-id' not in seen.headers
     }
-    return [each for each in clients if each.attempts[0] in received]
+    return [each for each in clients if received.intersection(each.attempts)]
 
 
 def count_sent(stage: Stage, client: StreamClient, attempt: int) -> int:
@@ -280,11 +310,16 @@
 
 async def _wait_linked(stages: list[Stage]) -> None:
     for stage in stages:
-        while stage.core.entries.count(stage.core.clock.now()) < len(stages):
+        core = stage.core
+        while len(_list_entries(core)) < len(stages):
             await anyio.sleep(_POLL)
     await anyio.sleep(_LINKED)
 
 
+def _list_entries(core: HostedCore) -> Sequence[Neighbour]:
+    return core.peers.neighbours.rank(RECORD_SOURCE, core.clock.now())
+
+
 async def _wait_serving(stage: Stage, missing: set[str]) -> None:
     while missing:
         clients = [
@@ -305,3 +340,57 @@
             for backend in core.backends.list_service('desk', core.clock.now())
         }:
             await anyio.sleep(_POLL)
+
+
+@dataclass
+class RestartingServer:
+    """A server that breaks some streams off and can start anew.
+
+    It starts at its address, with a new id and another version.
+    """
+
+    random: Random
+    version: str
+    number: int
+    starts: int = 0
+    address: str = ''
+    _peers: list[Peer] = field(default_factory=list)
+
+    @property
+    def server(self) -> str:
+        """Return the id of the current start."""
+        return f'i-{self.number}' + f'-{self.starts}' * bool(self.starts)
+
+    def restart(self, stage: Stage, version: str) -> None:
+        """Break off all streams, and replace the record in the store."""
+        stage.store.drop(SERVERS, self.server)
+        for peer in self._peers:
+            break_off(peer)
+        self._peers.clear()
+        self.starts += 1
+        self.version = version
+        record = make_record(self.address, version=version, slots=64)
+        stage.store.put(SERVERS, self.server, record)
+
+    async def run(self, peer: Peer) -> None:
+        """Send a stream, unless the request is meant for an earlier start."""
+        expected = peer.request.headers.get('oleanderdyke-expect-instance')
+        if expected not in {None, self.server}:
+            await peer.answer(421, b'other', oleanderdyke_not_executed='1')
+            return
+        self._peers.append(peer)
+        if list_stops(peer):
+            await tell(self.version)(peer)
+        else:
+            await self._send_events(peer, self.version)
+
+    async def _send_events(self, peer: Peer, version: str) -> None:
+        first = find_last_event(peer) + 1
+        await send_versioned(peer, version, first, first)
+        for number in range(first + 1, LAST + 1):
+            await anyio.sleep(self.random.uniform(0, 0.06))
+            if self.random.random() < _BREAK_SHARE:
+                break_off(peer)
+                return
+            await peer.send(make_versioned(number, version))
+        await peer.send(b'0\r\n\r\n')
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,19 +5,35 @@
 
 from __future__ import annotations
 
+from functools import partial
+from random import Random
+
 import anyio
 import pytest
 
-from tests.hosted import SERVERS, prefer, staging, staging_linked
+from tests.hosted import (
+    SERVERS,
+    make_record,
+    prefer,
+    run_while_connecting,
+    staging,
+    staging_linked,
+)
 from tests.stream_clients import (
+    LAST,
     NOT_RUN,
     OTHER_KEY,
+    RestartingServer,
     StreamClient,
     ask_all,
+    break_off,
     configure,
     count_sent,
     find_begun,
+    find_last_event,
     link_early,
+    list_stops,
+    send_versioned,
     settle,
     tell,
     tell_and_break,
@@ -317,3 +333,173 @@
             await ask_all(each, stage)
     assert list_mixed([*clients, *others]) == []
     assert list_incomplete([*clients, *others]) == []
+
+
+def replace_record(stage, **changes):
+    """Replace the record of the first server, which keeps its address."""
+    (listed,) = (
+        backend.record.address
+        for backend in stage.core.backends.list_known()
+        if backend.record.server == 'i-0'
+    )
+    record = make_record(listed, version=NEW, slots=_SLOTS, seq=2, **changes)
+    stage.store.put(SERVERS, 'i-0', record)
+
+
+async def wait_replaced(stage):
+    """Wait until the entry has read the record, before it gives up."""
+    with anyio.fail_after(5):
+        stage.core.request_servers()
+        while stage.core.backends.find('i-0').record.revision < 2:
+            await anyio.sleep(0.005)
+
+
+def tell_once(version, begin):
+    """Return a script that sends three events once told to, and resets."""
+
+    async def run(peer):
+        if list_stops(peer):
+            await tell(OLD)(peer)
+            return
+        if not find_last_event(peer):
+            await begin.wait()
+            await send_versioned(peer, version, 1, 3)
+            # A reset may overtake data sent before it.
+            await anyio.sleep(0.05)
+        break_off(peer)
+
+    return run
+
+
+async def ask_while_replaced(stage, clients, begin, restart, *, is_sent):
+    """Begin streams at the first server, and restart it before they begin."""
+    prefer(stage, 0)
+    if not is_sent:
+        run_while_connecting(stage, restart)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask_all, clients, stage)
+        with anyio.fail_after(5):
+            while not find_begun(stage, clients, 0):
+                await anyio.sleep(0.005)
+        # All others have reached a server, too.
+        await anyio.sleep(0.05)
+        if is_sent:
+            restart()
+        await wait_replaced(stage)
+        begin.set()
+
+
+# Guards against the version of a record that is replaced after the choice.
+@pytest.mark.parametrize(
+    ('is_sent', 'writer', 'before', 'after'),
+    [
+        (False, NEW, {}, {}),
+        (True, NEW, {}, {}),
+        (True, OLD, {}, {}),
+        (True, NEW, {'born': 1}, {'born': 2}),
+    ],
+)
+async def test_stream_of_a_server_that_restarts_never_mixes(
+    tmp_path, is_sent, writer, before, after
+):
+    begin = anyio.Event()
+    other = OLD if writer == NEW else NEW
+    async with staging(
+        tmp_path,
+        tell_once(writer, begin),
+        tell(other),
+        tell(writer),
+        configuration=configure(attempts=2),
+        versions=(OLD, other, writer),
+        slots=_SLOTS,
+        **before,
+    ) as stage:
+        await settle([stage], (OLD, NEW))
+        clients = make_clients('/stream/')
+        restart = partial(replace_record, stage, **after)
+        await ask_while_replaced(
+            stage, clients, begin, restart, is_sent=is_sent
+        )
+        await ask_all([each for each in clients if not each.is_whole], stage)
+    assert list_mixed(clients) == []
+
+
+async def follow_random(client, random, stages):
+    """Begin at a random entry, leave, and go on at a random one."""
+    await anyio.sleep(random.uniform(0, 1))
+    leave = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        stage = random.choice(stages)
+        tasks.start_soon(partial(client.ask, stage, until=3, leave=leave))
+        await client.wait_for(3)
+        await anyio.sleep(random.uniform(0.1, 0.4))
+        leave.set()
+    await client.ask(random.choice(stages))
+
+
+# Guards against refusing streams where servers of their version are at hand.
+async def test_nearly_all_streams_go_on_at_random_entries(tmp_path):
+    random = Random(1)
+    async with stage_linked(tmp_path, OLD, OLD, NEW, NEW, entries=3) as linked:
+        await settle(linked.stages, (OLD, NEW))
+        clients = make_clients('/stream/3/', count=30)
+        async with anyio.create_task_group() as tasks:
+            for client in clients:
+                tasks.start_soon(follow_random, client, random, linked.stages)
+    assert list_mixed(clients) == []
+    assert len(list_incomplete(clients)) <= 3
+
+
+async def retry_random(client, random, stages):
+    """Take a stream up at random entries until it is complete."""
+    await anyio.sleep(random.uniform(0, 2))
+    for _ in range(6):
+        until = random.choice([LAST + 1, LAST + 1, random.randint(1, 5)])
+        await client.ask(random.choice(stages), until=until)
+        if client.is_whole:
+            return
+        await anyio.sleep(random.uniform(0.02, 0.2))
+
+
+async def restart_random(random, linked, servers):
+    """Restart random servers, and kill an entry meanwhile."""
+    for number in range(8):
+        await anyio.sleep(0.25)
+        version = random.choice([OLD, NEW])
+        random.choice(servers).restart(linked.stages[0], version)
+        if number == 4:
+            linked.stages.pop().kill()
+
+
+# Guards against every way to a server of another version that no one foresaw.
+@pytest.mark.parametrize('seed', range(3))
+async def test_no_stream_mixes_versions_whatever_breaks(tmp_path, seed):
+    random = Random(seed)
+    servers = [
+        RestartingServer(random, version, number)
+        for number, version in enumerate((OLD, OLD, NEW, NEW))
+    ]
+    async with staging_linked(
+        tmp_path,
+        *(server.run for server in servers),
+        entries=3,
+        configuration=configure(attempts=2),
+        versions=[server.version for server in servers],
+        slots=_SLOTS,
+    ) as linked:
+        for server in servers:
+            backend = linked.stages[0].core.backends.find(server.server)
+            server.address = backend.record.address
+        await settle(linked.stages, (OLD, NEW))
+        clients = make_clients('/stream/', count=40)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(restart_random, random, linked, servers)
+            for client in clients:
+                tasks.start_soon(retry_random, client, random, linked.stages)
+    print(
+        [c.statuses for c in clients],
+        len(list_mixed(clients)),
+        len(list_incomplete(clients)),
+    )
+    assert list_mixed(clients) == []
+    assert any(each.is_complete and each.statuses[1:] for each in clients)
