--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -270,20 +270,20 @@
                 self._flush()
 
     def _take_events(self, splitter: EventSplitter, data: bytes) -> None:
+        if fault := self._find_software_fault():
+            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
+            return
         for event in splitter.feed(data):
-            if not self._begin_events():
-                return
+            if not self._has_events and self._pin is not None:
+                self._pin.begin(self._software)
+            self._has_events = True
             self._forward(event.data)
 
-    def _begin_events(self) -> bool:
-        """Return whether events of this server may be passed on."""
+    def _find_software_fault(self) -> str:
+        """Return why the first event may not be passed on, or ''."""
         if self._has_events or self._pin is None:
-            return True
-        fault = self._pin.begin(self._start, self._software)
-        if fault:
-            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
-        self._has_events = not fault
-        return self._has_events
+            return ''
+        return self._pin.find_fault(self._start, self._software)
 
     def take_end(self) -> None:
         """Report that the response is complete."""
--- a/src/oleanderdyke/entry/hosted/stream_pin.py
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -56,11 +56,10 @@
         """Return whether a server has a version that did not begin it."""
         return self.software not in {None, record.software}
 
-    def begin(self, start: ServerStart, software: str) -> str:
-        """Pin the stream to the version whose first event has arrived.
+    def find_fault(self, start: ServerStart, software: str) -> str:
+        """Return why events of a server may not be passed on, or ''.
 
-        `software` is the version that the server had as the request was sent.
-        Return why its events may not be passed on, or ''.
+        `software` is the version that it had as the request was sent.
         """
         backend = self._core.backends.find_start(start)
         if backend is None:
@@ -69,9 +68,12 @@
             return 'the server has changed its version of the software'
         if self.is_other(backend.record):
             return 'another version of the software began the stream'
+        return ''
+
+    def begin(self, software: str) -> None:
+        """Pin the stream to the version whose first event has arrived."""
         self.software = software
         self._record_start()
-        return ''
 
     def has_alternative(self, current: ServerStart, now: Millis) -> bool:
         """Return whether another server can go on with the stream."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -342,7 +342,7 @@
         for backend in stage.core.backends.list_known()
         if backend.record.server == 'i-0'
     )
-    record = make_record(listed, version=NEW, slots=_SLOTS, seq=2, **changes)
+    record = make_record(listed, version=NEW, slots=_SLOTS, seq=10, **changes)
     stage.store.put(SERVERS, 'i-0', record)
 
 
@@ -350,7 +350,7 @@
     """Wait until the entry has read the record, before it gives up."""
     with anyio.fail_after(5):
         stage.core.request_servers()
-        while stage.core.backends.find('i-0').record.revision < 2:
+        while stage.core.backends.find('i-0').record.revision < 10:
             await anyio.sleep(0.005)
 
 
