--- a/src/oleanderdyke/entry/hosted/admission.py
+++ b/src/oleanderdyke/entry/hosted/admission.py
@@ -124,9 +124,14 @@
         return model.memory_tokens - announced // 2 + announced * ratio
 
     def _find_stride(self, service: str) -> int:
-        """Return the number of tokens in one event of a stream."""
+        """Return the number of tokens in one event of a stream.
+
+        It is 1 for a service that was removed while the stream ran.
+        """
         deployment = self._core.deployment
-        traits = None if deployment is None else deployment.services[service]
+        if deployment is None:
+            return 1
+        traits = deployment.services.get(service)
         if traits is None or traits.engine is None:
             return 1
         return traits.engine.stride
