--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -21,7 +21,7 @@
     staging,
 )
 from tests.standins.replica import Peer
-from tests.standins.scripts import send_events
+from tests.standins.scripts import answer_well, send_events
 from tests.test_hosted_admission import (
     DESK,
     LONG,
@@ -29,6 +29,7 @@
     SHORT,
     start_scheduler,
 )
+from tests.test_hosted_log import list_events
 
 pytestmark = pytest.mark.anyio
 
@@ -143,3 +144,66 @@
             following = await caller.read()
     assert (ended.status, ended.is_whole) == (200, True)
     assert following.headers['oleanderdyke-request-id'] == 'req-2'
+
+
+def _fail(*_: object) -> None:
+    raise LookupError
+
+
+# Guards against a fault that is reported to nobody: the caller got an answer
+# without the id of its request, and the log nothing.
+async def test_fault_is_answered_with_the_request_id_and_logged(
+    tmp_path, monkeypatch
+):
+    async with (
+        staging(tmp_path, answer_well) as stage,
+        calling(stage.address) as caller,
+    ):
+        with monkeypatch.context() as patch:
+            patch.setattr(stage.core.scheduling, 'record_arrival', _fail)
+            failed = await caller.ask('/once/1')
+        following = await caller.ask('/once/2')
+        (logged,) = list_events(stage.log, 'process_failed')
+    assert failed.status == 500
+    assert failed.headers['oleanderdyke-request-id'] == 'req-1'
+    assert b'"internal"' in failed.body
+    assert following.status == 200
+    assert (logged['request'], logged['reason']) == ('req-1', 'LookupError')
+
+
+# Guards against the loss of a request that was read on a kept connection while
+# a fault after the answer before it closed that connection.
+async def test_fault_after_a_whole_answer_does_not_end_the_next_request(
+    tmp_path, monkeypatch
+):
+    async with (
+        staging(tmp_path, answer_well) as stage,
+        calling(stage.address) as caller,
+    ):
+        with monkeypatch.context() as patch:
+            patch.setattr(stage.core.durations, 'record', _fail)
+            caller.write(caller.make('/once/1') + caller.make('/once/2'))
+            answers = [await caller.read() for _ in range(2)]
+        logged = list_events(stage.log, 'process_failed')
+    assert [each.status for each in answers] == [200, 200]
+    assert [each['request'] for each in logged] == ['req-1', 'req-2']
+
+
+async def test_fault_within_an_answer_does_not_make_it_look_complete(
+    tmp_path, monkeypatch
+):
+    held = Held()
+    async with (
+        staging(tmp_path, held.stream) as stage,
+        calling(stage.address) as caller,
+    ):
+        caller.send('/stream/held')
+        await held.begun.wait()
+        await anyio.sleep(0.1)
+        (running,) = stage.core.running.values()
+        monkeypatch.setattr(running._reply, 'end', _fail)
+        held.released.set()
+        found = await caller.read()
+        logged = list_events(stage.log, 'process_failed')
+    assert (found.status, found.is_whole) == (200, False)
+    assert len(logged) == 1
