--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -22,7 +22,11 @@
 
 from oleanderdyke import __version__
 from oleanderdyke.clock import make_clock
-from oleanderdyke.errors import OleanderError, SettingsError
+from oleanderdyke.errors import (
+    OleanderError,
+    SettingsError,
+    find_position,
+)
 from oleanderdyke.events import EventName
 from oleanderdyke.logs import EventLog, make_pipe_log
 
@@ -171,14 +175,4 @@
     # Other messages may contain request data, so only the position is logged.
     if isinstance(error, OleanderError | OSError):
         return str(error)
-    return _find_position(error)
-
-
-def _find_position(error: Exception) -> str:
-    place = error.__traceback__
-    while place is not None and place.tb_next is not None:
-        place = place.tb_next
-    if place is None:
-        return ''
-    code = place.tb_frame.f_code
-    return f'{Path(code.co_filename).name}:{place.tb_lineno}'
+    return find_position(error)
--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -17,10 +17,10 @@
     make_call,
 )
 from oleanderdyke.entry.hosted.core import HostedCore
-from oleanderdyke.entry.hosted.driver import HostedDriver
+from oleanderdyke.entry.hosted.driver import BrokenAnswer, HostedDriver
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.stopping import Stopper
-from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran, find_position
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import CallerLimits
 from oleanderdyke.metrics import Count
@@ -58,6 +58,8 @@
             return
         except OleanderError as error:
             await self._refuse(reply, error)
+        except Exception as fault:
+            await self._answer_fault(reply, _unwrap_group(fault))
 
     async def _serve(
         self, scope: Scope, receive: Receive, reply: Reply
@@ -138,6 +140,27 @@
             error.kind, error.ran, error.message, error.retry_after
         )
 
+    async def _answer_fault(self, reply: Reply, fault: BaseException) -> None:
+        """Log a fault of the entry, and answer unless an answer has begun.
+
+        After a whole answer the connection stays open, as the next request may
+        have been read on it. A truncated answer still closes it.
+        """
+        if isinstance(fault, BrokenAnswer):
+            raise fault
+        self._core.log.write(
+            EventName.PROCESS_FAILED,
+            request=reply.request or None,
+            reason=type(fault).__name__,
+            detail=find_position(fault),
+        )
+        if reply.ended:
+            return
+        if reply.status:
+            raise BrokenAnswer from fault
+        error = OleanderError(ErrorKind.INTERNAL, 'internal error')
+        await self._refuse(reply, error)
+
     def _is_draining(self) -> bool:
         return self._core.drain.is_leaving
 
@@ -153,3 +176,9 @@
             return
         await reply.start(_NOT_READY if fault else _READY, ())
         await reply.end(fault.encode())
+
+
+def _unwrap_group(fault: BaseException) -> BaseException:
+    while isinstance(fault, BaseExceptionGroup):
+        fault = fault.exceptions[0]
+    return fault
--- a/src/oleanderdyke/entry/hosted/reply.py
+++ b/src/oleanderdyke/entry/hosted/reply.py
@@ -47,8 +47,8 @@
 
     async def end(self, part: bytes = b'') -> None:
         """Send the last part of the body."""
-        self.ended = True
         await self._send({'type': 'http.response.body', 'body': part})
+        self.ended = True
 
     async def refuse(
         self,
--- a/src/oleanderdyke/errors.py
+++ b/src/oleanderdyke/errors.py
@@ -5,6 +5,7 @@
 import enum
 import sys
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TextIO
 
 from oleanderdyke.clock import Millis
@@ -131,3 +132,14 @@
     def __init__(self, faults: tuple[str, ...]) -> None:
         super().__init__(ErrorKind.BAD_REQUEST, '\n'.join(faults))
         self.faults = faults
+
+
+def find_position(error: BaseException) -> str:
+    """Return the file and line where an exception was raised."""
+    place = error.__traceback__
+    while place is not None and place.tb_next is not None:
+        place = place.tb_next
+    if place is None:
+        return ''
+    code = place.tb_frame.f_code
+    return f'{Path(code.co_filename).name}:{place.tb_lineno}'
