--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -4,23 +4,35 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncGenerator
+import dataclasses
+import time
+from collections.abc import AsyncGenerator, Callable
+from pathlib import Path
 
 import anyio
 import pytest
 
+from oleanderdyke.entry.hosted import shell
+from oleanderdyke.entry.http_settings import HttpSettings
 from tests.hosted import (
     CONFIGURATION,
     MODEL,
     OPERATOR,
     ROUTE,
+    SERVERS,
     ReceivedAnswer,
     Stage,
+    call,
+    format_settings,
+    make_record,
     make_request,
     read_answer,
     staging,
 )
-from tests.standins.replica import Peer
+from tests.processes import Child, Ports
+from tests.standins import server
+from tests.standins.records import RecordStore
+from tests.standins.replica import Peer, Script, serving_replica
 from tests.standins.scripts import answer_well, send_events
 from tests.test_hosted_admission import (
     DESK,
@@ -71,6 +83,10 @@
                 await self._reader.readline()
             return found
 
+    async def wait_closed(self) -> None:
+        """Wait until the entry has closed the connection."""
+        assert await self._reader.read() == b''
+
     async def ask(self, path: str, **headers: str) -> ReceivedAnswer:
         self.send(path, **headers)
         return await self.read()
@@ -93,6 +109,47 @@
             await anyio.sleep(_POLL)
 
 
+@contextlib.asynccontextmanager
+async def running(
+    directory: Path, script: Script, **limits: int
+) -> AsyncGenerator[tuple[Child, tuple[str, int]], None]:
+    """Run an entry as a process of its own, and yield it and its address."""
+    store = RecordStore()
+    limits = {**CONFIGURATION['limits'], **limits}
+    store.put(OPERATOR, 'config', {**CONFIGURATION, 'limits': limits})
+    async with contextlib.AsyncExitStack() as stack:
+        (address,) = await stack.enter_async_context(server.serving(store))
+        _, where = await stack.enter_async_context(serving_replica(script))
+        store.put(SERVERS, 'i-0', make_record(where))
+        ports = stack.enter_context(Ports())
+        callers, readiness = ports.reserve(), ports.reserve()
+        path = directory / 'boot.conf'
+        path.write_text(
+            format_settings(
+                address, callers=callers, readiness=readiness, grace_seconds=8
+            )
+        )
+        module = 'oleanderdyke.entry.main'
+        options = ('-m', module, '--platform', '--settings', str(path))
+        child = Child('entry', options, directory)
+        child.start()
+        stack.callback(child.kill)
+        await _wait_ready(('127.0.0.1', readiness))
+        yield child, ('127.0.0.1', callers)
+
+
+async def _wait_ready(address: tuple[str, int]) -> None:
+    """Wait until an entry is ready and has applied its limits."""
+    with anyio.fail_after(20):
+        while True:
+            with contextlib.suppress(OSError):
+                found = await call(address, '/api/readiness', method='GET')
+                if found.status == 200:
+                    break
+            await anyio.sleep(0.05)
+    await anyio.sleep(0.3)
+
+
 class Held:
     """Answer requests for `/held/` only when released."""
 
@@ -207,3 +264,83 @@
         logged = list_events(stage.log, 'process_failed')
     assert (found.status, found.is_whole) == (200, False)
     assert len(logged) == 1
+
+
+# Guards against a timer that closes an idle connection on a request that has
+# arrived while the process was suspended.
+async def test_request_that_arrives_at_a_suspended_entry_is_answered(tmp_path):
+    async with (
+        running(tmp_path, answer_well, idleTimeoutMs=1_000) as (child, address),
+        calling(address) as caller,
+    ):
+        assert (await caller.ask('/once/1')).status == 200
+        await anyio.sleep(0.6)
+        child.freeze()
+        await anyio.sleep(0.1)
+        caller.send('/once/2')
+        await anyio.sleep(0.6)
+        child.thaw()
+        found = await caller.read()
+    assert found.status == 200
+
+
+def _stall(seconds: float, act: Callable[[], object]) -> None:
+    """Let the event loop be late for what is due in `seconds`.
+
+    In one turn of the loop, `act` is then called just before that.
+    """
+    loop = asyncio.get_running_loop()
+    due = loop.time() + seconds
+    loop.call_at(due - 0.1, time.sleep, 0.2)
+    loop.call_at(due - 0.05, act)
+
+
+async def test_request_that_arrives_while_the_loop_is_late_is_answered(
+    tmp_path,
+):
+    configuration = {
+        **CONFIGURATION,
+        'limits': {**CONFIGURATION['limits'], 'idleTimeoutMs': 1_000},
+    }
+    async with staging(
+        tmp_path, answer_well, configuration=configuration
+    ) as stage:
+        await anyio.sleep(0.1)
+        async with calling(stage.address) as caller:
+            assert (await caller.ask('/once/1')).status == 200
+            _stall(1.0, lambda: caller.send('/once/2'))
+            found = await caller.read()
+    assert found.status == 200
+
+
+async def test_head_whose_rest_arrives_while_the_loop_is_late_is_answered(
+    tmp_path, monkeypatch
+):
+    make_http = shell._make_http
+
+    def make_hasty(callers: tuple[str, int]) -> HttpSettings:
+        return dataclasses.replace(make_http(callers), body_timeout=500.0)
+
+    monkeypatch.setattr(shell, '_make_http', make_hasty)
+    async with (
+        staging(tmp_path, answer_well) as stage,
+        calling(stage.address) as caller,
+    ):
+        assert (await caller.ask('/once/1')).status == 200
+        request = caller.make('/once/2')
+        caller.write(request[:20])
+        _stall(0.5, lambda: caller.write(request[20:]))
+        found = await caller.read()
+    assert found.status == 200
+
+
+async def test_idle_connection_is_closed_after_its_time(tmp_path):
+    async with (
+        running(tmp_path, answer_well, idleTimeoutMs=1_000) as (_, address),
+        calling(address) as caller,
+    ):
+        await caller.ask('/once/1')
+        await anyio.sleep(0.7)
+        await caller.ask('/once/2')
+        with anyio.fail_after(1.5):
+            await caller.wait_closed()
