--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import fcntl
 import functools
 import logging
 import math
 import socket
 import sys
+import termios
 from collections.abc import Generator
 from typing import Any
 
@@ -34,6 +36,8 @@
 _LOGGER = 'uvicorn.error'
 _CHUNKED_VERSION = b'1.1'
 _BACKLOG = 1024
+# How long a timer waits for the event loop to read what has arrived.
+_READ_SECONDS = 0.05
 
 
 class EdgeProtocol(H11Protocol):
@@ -106,6 +110,15 @@
         self._stop_stall_timer()
         super().resume_writing()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection on which no request has arrived."""
+        if self._has_arrived():
+            self.timeout_keep_alive_task = self.loop.call_later(
+                _READ_SECONDS, self.timeout_keep_alive_handler
+            )
+            return
+        super().timeout_keep_alive_handler()
+
     def send_400_response(self, msg: str) -> None:
         """Answer malformed HTTP; `msg` is a fixed text of uvicorn."""
         fault = sys.exc_info()[1]
@@ -154,11 +167,32 @@
     def _is_between_requests(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
 
+    def _has_arrived(self) -> bool:
+        """Return whether bytes of the caller wait to be read.
+
+        Timers of a process that was suspended, or whose event loop is late, may
+        run before that.
+        """
+        bound = self.transport.get_extra_info('socket')
+        if bound is None or self.transport.is_closing():
+            return False
+        count = fcntl.ioctl(bound.fileno(), termios.FIONREAD, bytes(4))
+        return any(count)
+
     def _start_timer(self) -> None:
         self._head_timer = self.loop.call_later(
-            self.head_timeout, self.transport.close
+            self.head_timeout, self._close_late
         )
 
+    def _close_late(self) -> None:
+        """Close the connection; wait once for the rest if it has arrived."""
+        if self._has_arrived():
+            self._head_timer = self.loop.call_later(
+                _READ_SECONDS, self.transport.close
+            )
+            return
+        self.transport.close()
+
     def _stop_stall_timer(self) -> None:
         if self._stall_timer is not None:
             self._stall_timer.cancel()
