--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import signal
 import time
 from collections.abc import AsyncGenerator, Callable
 from pathlib import Path
 
 import anyio
 import pytest
+import uvicorn
 
 from oleanderdyke.entry.hosted import shell
 from oleanderdyke.entry.http_settings import HttpSettings
@@ -344,3 +346,34 @@
         await caller.ask('/once/2')
         with anyio.fail_after(1.5):
             await caller.wait_closed()
+
+
+async def _stop_at_once() -> None:
+    """Send the signal that stops an entry, and the one that ends it."""
+    for _ in range(2):
+        signal.raise_signal(signal.SIGTERM)
+        await anyio.sleep(0.02)
+
+
+# Guards against the reset of a connection on which a request has arrived as the
+# stopping process closes those that are idle.
+async def test_request_that_arrives_as_the_entry_closes_is_refused(
+    tmp_path, monkeypatch
+):
+    close = uvicorn.Server.shutdown
+    async with (
+        staging(tmp_path, answer_well) as stage,
+        calling(stage.address) as caller,
+    ):
+        assert (await caller.ask('/once/1')).status == 200
+
+        async def close_late(server, sockets=None):
+            caller.send('/once/2')
+            await close(server, sockets)
+
+        monkeypatch.setattr(uvicorn.Server, 'shutdown', close_late)
+        await _stop_at_once()
+        found = await caller.read()
+        await caller.wait_closed()
+    assert found.status == 503
+    assert found.headers['connection'] == 'close'
