--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -110,6 +110,15 @@
         self._stop_stall_timer()
         super().resume_writing()
 
+    def shutdown(self) -> None:
+        """Close the connection, unless a request has arrived on it.
+
+        Such a request is refused, which closes the connection.
+        """
+        if self._is_between_requests() and self._has_arrived():
+            return
+        super().shutdown()
+
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection on which no request has arrived."""
         if self._has_arrived():
