--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -377,3 +377,40 @@
         await caller.wait_closed()
     assert found.status == 503
     assert found.headers['connection'] == 'close'
+
+
+# Guards against the loss of a request that was read behind another one, when
+# the answer to that one closes the connection.
+async def test_request_read_behind_another_is_answered_by_a_stopping_entry(
+    tmp_path,
+):
+    held = Held()
+    async with (
+        staging(tmp_path, held.answer) as stage,
+        calling(stage.address) as caller,
+    ):
+        caller.write(caller.make('/once/held') + caller.make('/once/2'))
+        await held.begun.wait()
+        signal.raise_signal(signal.SIGTERM)
+        await anyio.sleep(0.1)
+        held.released.set()
+        answers = [await caller.read() for _ in range(2)]
+        await caller.wait_closed()
+    assert [each.status for each in answers] == [200, 200]
+    assert [each.body for each in answers] == [b'/once/held', b'/once/2']
+    assert 'connection' not in answers[0].headers
+    assert answers[1].headers['connection'] == 'close'
+
+
+async def test_request_read_behind_one_that_is_cut_is_refused(tmp_path):
+    held = Held()
+    async with (
+        staging(tmp_path, held.answer) as stage,
+        calling(stage.address) as caller,
+    ):
+        caller.write(caller.make('/once/held') + caller.make('/once/2'))
+        await held.begun.wait()
+        await _stop_at_once()
+        answers = [await caller.read() for _ in range(2)]
+        await caller.wait_closed()
+    assert [each.status for each in answers] == [502, 503]
