--- a/src/oleanderdyke/entry/answers.py
+++ b/src/oleanderdyke/entry/answers.py
@@ -16,6 +16,8 @@
 JSON_TYPE = 'application/json'
 # The ASGI scope extension under which the server offers its PartWriter.
 WRITER_EXTENSION = 'oleander.part_writer'
+# The extension under which it offers the CallerConnection.
+CONNECTION_EXTENSION = 'oleander.connection'
 
 
 def encode_error(error: OleanderError, request: str) -> bytes:
@@ -38,6 +40,13 @@
     return tuple(headers)
 
 
+class CallerConnection(Protocol):
+    """The connection on which a request was read."""
+
+    def has_next(self) -> bool:
+        """Return whether bytes were read behind the running request."""
+
+
 class PartWriter(Protocol):
     """Write parts of a response body without blocking."""
 
--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import functools
+
+from oleanderdyke.entry.answers import CONNECTION_EXTENSION, CallerConnection
 from oleanderdyke.entry.edge import (
     Body,
     CallerGone,
@@ -51,7 +54,9 @@
         if port == self._readiness_port:
             await self._answer_readiness(scope, send)
             return
-        reply = Reply(send, self._is_draining)
+        connection = scope['extensions'][CONNECTION_EXTENSION]
+        should_close = functools.partial(self._should_close, connection)
+        reply = Reply(send, should_close)
         try:
             await self._serve(scope, receive, reply)
         except CallerGone:
@@ -161,6 +166,13 @@
         error = OleanderError(ErrorKind.INTERNAL, 'internal error')
         await self._refuse(reply, error)
 
+    def _should_close(self, connection: CallerConnection) -> bool:
+        """Return whether an answer closes its connection.
+
+        It stays open for a request that was read on it meanwhile.
+        """
+        return self._is_draining() and not connection.has_next()
+
     def _is_draining(self) -> bool:
         return self._core.drain.is_leaving
 
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -20,6 +20,7 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.answers import (
+    CONNECTION_EXTENSION,
     REQUEST_HEADER,
     WRITER_EXTENSION,
     encode_error,
@@ -57,10 +58,19 @@
     async def _serve(
         self, app: Any, scope: Any, receive: Any, send: Any
     ) -> None:
-        """Call the application with this protocol as its PartWriter."""
-        scope['extensions'] = {WRITER_EXTENSION: self}
+        """Call the application with this protocol as its extensions."""
+        scope['extensions'] = {
+            CONNECTION_EXTENSION: self,
+            WRITER_EXTENSION: self,
+        }
         await app(scope, receive, send)
 
+    def has_next(self) -> bool:
+        """Return whether bytes were read behind the running request."""
+        return self.conn.their_state is h11.DONE and bool(
+            self.conn.trailing_data[0]
+        )
+
     def is_ready(self) -> bool:
         """Return whether `write_part` can be called now."""
         return (
@@ -115,7 +125,8 @@
 
         Such a request is refused, which closes the connection.
         """
-        if self._is_between_requests() and self._has_arrived():
+        between = self._is_between_requests()
+        if self._has_arrived() if between else self.has_next():
             return
         super().shutdown()
 
