--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -414,3 +414,25 @@
         answers = [await caller.read() for _ in range(2)]
         await caller.wait_closed()
     assert [each.status for each in answers] == [502, 503]
+
+
+# Guards against the loss of a running request whose caller sends an empty line,
+# or more, behind a request that closes the connection.
+@pytest.mark.parametrize('extra', [b'\r\n', b'GET /safe/2 HTTP/1.1\r\n\r\n'])
+async def test_bytes_behind_a_request_that_closes_do_not_end_it(
+    tmp_path, extra
+):
+    held = Held()
+    async with (
+        staging(tmp_path, held.answer) as stage,
+        calling(stage.address) as caller,
+    ):
+        caller.send('/once/held', connection='close')
+        await held.begun.wait()
+        caller.write(extra)
+        await anyio.sleep(0.1)
+        held.released.set()
+        found = await caller.read()
+        await caller.wait_closed()
+        assert len(stage.replicas[0].received) == 1
+    assert (found.status, found.body) == (200, b'/once/held')
