--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -100,7 +100,12 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Limit the time of a request head, starting with its first byte."""
+        """Limit the time of a request head, starting with its first byte.
+
+        Bytes behind a request that closes the connection are dropped.
+        """
+        if self.conn.their_state is h11.MUST_CLOSE:
+            return
         if self._is_between_requests() and self._head_timer is None:
             self._start_timer()
         self._limit_unread(len(data))
