--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -436,3 +436,18 @@
         await caller.wait_closed()
         assert len(stage.replicas[0].received) == 1
     assert (found.status, found.body) == (200, b'/once/held')
+
+
+# Guards against a connection that ends without an answer because the HTTP
+# server can't write the head that a backend server has sent.
+@pytest.mark.parametrize('status', [600, 999])
+async def test_unknown_status_of_a_server_becomes_an_error(tmp_path, status):
+    async def run(peer: Peer) -> None:
+        await peer.answer(status)
+
+    async with (
+        staging(tmp_path, run) as stage,
+        calling(stage.address) as caller,
+    ):
+        answers = [await caller.ask('/once/1') for _ in range(2)]
+    assert [each.status for each in answers] == [502, 502]
