--- a/src/oleanderdyke/entry/hosted/answers.py
+++ b/src/oleanderdyke/entry/hosted/answers.py
@@ -8,6 +8,7 @@
 
 _EVENT_STREAM = 'text/event-stream'
 _SUCCESS = range(200, 300)
+_KNOWN = range(200, 600)
 
 
 def find_answer_fault(
@@ -23,6 +24,8 @@
         return 'response belongs to another request'
     if metadata.is_not_executed:
         return ''
+    if status not in _KNOWN:
+        return f'status {status} is unknown'
     if status in _SUCCESS and not metadata.is_sealed:
         return 'success response without a response seal'
     if status in NOT_RUN_STATUSES:
