--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -34,7 +34,13 @@
 from tests.processes import Child, Ports
 from tests.standins import server
 from tests.standins.records import RecordStore
-from tests.standins.replica import Peer, Script, serving_replica
+from tests.standins.replica import (
+    Peer,
+    Script,
+    make_chunk,
+    make_head,
+    serving_replica,
+)
 from tests.standins.scripts import answer_well, send_events
 from tests.test_hosted_admission import (
     DESK,
@@ -451,3 +457,19 @@
     ):
         answers = [await caller.ask('/once/1') for _ in range(2)]
     assert [each.status for each in answers] == [502, 502]
+
+
+async def test_length_of_a_chunked_answer_is_not_forwarded(tmp_path):
+    async def run(peer: Peer) -> None:
+        head = make_head(
+            peer.request, content_length='50', transfer_encoding='chunked'
+        )
+        await peer.send(head + make_chunk(b'booked') + b'0\r\n\r\n')
+
+    async with (
+        staging(tmp_path, run) as stage,
+        calling(stage.address) as caller,
+    ):
+        answers = [await caller.ask('/once/1') for _ in range(2)]
+    assert [each.body for each in answers] == [b'booked', b'booked']
+    assert all(each.is_whole for each in answers)
