--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -289,7 +289,11 @@
 
 
 def _decode(head: h11.Response) -> Headers:
-    return tuple(
+    """Return the headers, without the length of a chunked body."""
+    headers = tuple(
         (name.decode('latin-1'), content.decode('latin-1'))
         for name, content in head.headers
     )
+    if not any(name == 'transfer-encoding' for name, _ in headers):
+        return headers
+    return tuple(each for each in headers if each[0] != 'content-length')
