--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import signal
+import socket
 import time
 from collections.abc import AsyncGenerator, Callable
 from pathlib import Path
@@ -16,6 +17,7 @@
 
 from oleanderdyke.entry.hosted import shell
 from oleanderdyke.entry.http_settings import HttpSettings
+from oleanderdyke.entry.server import open_listener
 from tests.hosted import (
     CONFIGURATION,
     MODEL,
@@ -473,3 +475,77 @@
         answers = [await caller.ask('/once/1') for _ in range(2)]
     assert [each.body for each in answers] == [b'booked', b'booked']
     assert all(each.is_whole for each in answers)
+
+
+def _open_narrow(host: str, port: int) -> socket.socket:
+    """Open a listener whose connections send a few kilobytes ahead."""
+    listener = open_listener(host, port)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+    return listener
+
+
+def _ask_without_reading(
+    address: tuple[str, int], **headers: str
+) -> socket.socket:
+    """Send a request on a connection that receives little ahead."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
+    connection.connect(address)
+    named = {'connection': 'keep-alive', **headers}
+    connection.sendall(make_request('/once/1', **named))
+    return connection
+
+
+async def _wait_logged(stage: Stage, event: str) -> None:
+    with anyio.fail_after(_WAIT):
+        while not list_events(stage.log, event):
+            await anyio.sleep(_POLL)
+
+
+@contextlib.asynccontextmanager
+async def _staging_narrow(
+    directory: Path, body: bytes
+) -> AsyncGenerator[Stage, None]:
+    async def run(peer: Peer) -> None:
+        await peer.answer(body=body)
+
+    route = {**ROUTE, 'timeoutMs': 9_000}
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(shell, 'open_listener', _open_narrow)
+        async with staging(
+            directory, run, configuration={**CONFIGURATION, 'routes': [route]}
+        ) as stage:
+            yield stage
+
+
+# Guards against an answer that loses its end when the process ends while the
+# caller's link is slow.
+async def test_stop_waits_until_the_end_of_an_answer_was_sent(tmp_path):
+    body = b'x' * 80_000
+    async with _staging_narrow(tmp_path, body) as stage:
+        connection = _ask_without_reading(
+            stage.address, oleanderdyke_deadline_ms='9000'
+        )
+        await _wait_logged(stage, 'request_finished')
+        signal.raise_signal(signal.SIGTERM)
+        await anyio.sleep(3.5)
+        finished_early = list_events(stage.log, 'drain_finished')
+        reader, writer = await asyncio.open_connection(sock=connection)
+        found = await Caller(reader, writer).read()
+        writer.close()
+        await _wait_logged(stage, 'process_stopped')
+    assert not finished_early
+    assert found.body == body
+
+
+async def test_stop_waits_for_an_unread_answer_no_longer_than_its_caller(
+    tmp_path,
+):
+    async with _staging_narrow(tmp_path, b'x' * 80_000) as stage:
+        with _ask_without_reading(
+            stage.address, oleanderdyke_deadline_ms='3500'
+        ):
+            await _wait_logged(stage, 'request_finished')
+            signal.raise_signal(signal.SIGTERM)
+            with anyio.fail_after(4.5):
+                await _wait_logged(stage, 'process_stopped')
