--- a/src/oleanderdyke/entry/answers.py
+++ b/src/oleanderdyke/entry/answers.py
@@ -46,6 +46,9 @@
     def has_next(self) -> bool:
         """Return whether bytes were read behind the running request."""
 
+    async def flush(self) -> None:
+        """Wait until all that was written was passed to the system."""
+
 
 class PartWriter(Protocol):
     """Write parts of a response body without blocking."""
--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import functools
-
-from oleanderdyke.entry.answers import CONNECTION_EXTENSION, CallerConnection
+from oleanderdyke.entry.answers import CONNECTION_EXTENSION
 from oleanderdyke.entry.edge import (
     Body,
     CallerGone,
@@ -50,13 +48,12 @@
         """Serve one ASGI request."""
         if scope['type'] != 'http':
             return
+        connection = scope['extensions'][CONNECTION_EXTENSION]
+        reply = Reply(send, connection, self._is_draining)
         port = scope['server'][1]
         if port == self._readiness_port:
-            await self._answer_readiness(scope, send)
+            await self._answer_readiness(scope, reply)
             return
-        connection = scope['extensions'][CONNECTION_EXTENSION]
-        should_close = functools.partial(self._should_close, connection)
-        reply = Reply(send, should_close)
         try:
             await self._serve(scope, receive, reply)
         except CallerGone:
@@ -126,6 +123,8 @@
             **core.describe_configuration(),
         )
         await HostedDriver(core, call, body, reply).run(key)
+        # Until then a stop must not end the process.
+        await reply.flush(call.deadline - core.clock.now())
 
     async def _refuse(self, reply: Reply, error: OleanderError) -> None:
         self._core.metrics.add(Count.REFUSALS, label=error.kind.value)
@@ -166,19 +165,11 @@
         error = OleanderError(ErrorKind.INTERNAL, 'internal error')
         await self._refuse(reply, error)
 
-    def _should_close(self, connection: CallerConnection) -> bool:
-        """Return whether an answer closes its connection.
-
-        It stays open for a request that was read on it meanwhile.
-        """
-        return self._is_draining() and not connection.has_next()
-
     def _is_draining(self) -> bool:
         return self._core.drain.is_leaving
 
-    async def _answer_readiness(self, scope: Scope, send: Send) -> None:
+    async def _answer_readiness(self, scope: Scope, reply: Reply) -> None:
         fault = self._core.find_unready_reason()
-        reply = Reply(send, self._is_draining)
         if scope['path'] != names.READINESS_PATH:
             await reply.refuse(
                 ErrorKind.NOT_FOUND,
--- a/src/oleanderdyke/entry/hosted/reply.py
+++ b/src/oleanderdyke/entry/hosted/reply.py
@@ -5,9 +5,11 @@
 import json
 from collections.abc import Callable, Iterable
 
+import anyio
+
 from oleanderdyke.clients.http import HOP_BY_HOP
-from oleanderdyke.clock import Millis
-from oleanderdyke.entry.answers import JSON_TYPE
+from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.entry.answers import JSON_TYPE, CallerConnection
 from oleanderdyke.entry.edge import Send
 from oleanderdyke.errors import REPLIES, ErrorKind, Ran
 from oleanderdyke.links.messages import Headers
@@ -22,13 +24,20 @@
 class Reply:
     """Forward one response unchanged, or send an error response.
 
-    `is_closing` is called when the head is sent and returns whether to close
-    the connection, so that callers send their next request elsewhere.
+    `is_leaving` is called when the head is sent and returns whether callers
+    shall send their next requests elsewhere. The connection is then closed,
+    unless another request was read on it.
     """
 
-    def __init__(self, send: Send, is_closing: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        send: Send,
+        connection: CallerConnection,
+        is_leaving: Callable[[], bool],
+    ) -> None:
         self._send = send
-        self._is_closing = is_closing
+        self._connection = connection
+        self._is_leaving = is_leaving
         self.request = ''
         self.status = 0
         self.ended = False
@@ -50,6 +59,11 @@
         await self._send({'type': 'http.response.body', 'body': part})
         self.ended = True
 
+    async def flush(self, limit: Millis) -> None:
+        """Wait until the response has left the process, for at most `limit`."""
+        with anyio.move_on_after(limit / SECOND):
+            await self._connection.flush()
+
     async def refuse(
         self,
         kind: ErrorKind,
@@ -74,7 +88,7 @@
 
     async def _start(self, headers: Headers) -> None:
         kept = list(_encode(headers))
-        if self.closes_connection or self._is_closing():
+        if self.closes_connection or self._should_close():
             kept.append((b'connection', b'close'))
         await self._send(
             {
@@ -84,6 +98,9 @@
             }
         )
 
+    def _should_close(self) -> bool:
+        return self._is_leaving() and not self._connection.has_next()
+
 
 def find_status(kind: ErrorKind, ran: Ran) -> int:
     """Return the status of an error response.
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -37,8 +37,8 @@
 _LOGGER = 'uvicorn.error'
 _CHUNKED_VERSION = b'1.1'
 _BACKLOG = 1024
-# How long a timer waits for the event loop to read what has arrived.
-_READ_SECONDS = 0.05
+# How long to let the event loop read what has arrived, or send what is left.
+_TURN_SECONDS = 0.05
 
 
 class EdgeProtocol(H11Protocol):
@@ -71,6 +71,11 @@
             self.conn.trailing_data[0]
         )
 
+    async def flush(self) -> None:
+        """Wait until all that was written was passed to the system."""
+        while self.transport.get_write_buffer_size():
+            await asyncio.sleep(_TURN_SECONDS)
+
     def is_ready(self) -> bool:
         """Return whether `write_part` can be called now."""
         return (
@@ -139,7 +144,7 @@
         """Close an idle connection on which no request has arrived."""
         if self._has_arrived():
             self.timeout_keep_alive_task = self.loop.call_later(
-                _READ_SECONDS, self.timeout_keep_alive_handler
+                _TURN_SECONDS, self.timeout_keep_alive_handler
             )
             return
         super().timeout_keep_alive_handler()
@@ -213,7 +218,7 @@
         """Close the connection; wait once for the rest if it has arrived."""
         if self._has_arrived():
             self._head_timer = self.loop.call_later(
-                _READ_SECONDS, self.transport.close
+                _TURN_SECONDS, self.transport.close
             )
             return
         self.transport.close()
