--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -57,6 +57,7 @@
 
 _WAIT = 5.0
 _POLL = 0.005
+_PIECE = 65_536
 
 
 class Caller:
@@ -549,3 +550,146 @@
             signal.raise_signal(signal.SIGTERM)
             with anyio.fail_after(4.5):
                 await _wait_logged(stage, 'process_stopped')
+
+
+async def test_idle_time_that_changes_ends_no_running_request(tmp_path):
+    held = Held()
+    limits = {**CONFIGURATION['limits'], 'idleTimeoutMs': 1_000}
+    route = {**ROUTE, 'timeoutMs': 9_000}
+    changes = {'limits': limits, 'routes': [route]}
+    async with (
+        staging(
+            tmp_path, held.answer, configuration={**CONFIGURATION, **changes}
+        ) as stage,
+        calling(stage.address) as caller,
+    ):
+        caller.send('/once/held', oleanderdyke_deadline_ms='9000')
+        await held.begun.wait()
+        for version, idle in ((8, 300), (9, 100), (10, 2_000)):
+            limits = {**limits, 'idleTimeoutMs': idle}
+            await configure(
+                stage, version=version, limits=limits, routes=[route]
+            )
+            await anyio.sleep(0.5)
+        held.released.set()
+        found = await caller.read()
+        following = await caller.ask('/once/2')
+    assert (found.status, following.status) == (200, 200)
+
+
+_CHANGES = {
+    'route is removed': {'routes': []},
+    'route is moved': {'routes': [{**ROUTE, 'service': 'other'}]},
+    'timeout is shorter': {'routes': [{**ROUTE, 'timeoutMs': 100}]},
+    'service is removed': {
+        'routes': [{**ROUTE, 'service': 'other'}],
+        'services': [{'name': 'other'}],
+    },
+    'key is removed': {'tenants': [{'name': 'red', 'apiKeys': ['another']}]},
+    'limits are lower': {
+        'limits': {
+            **CONFIGURATION['limits'],
+            'maxBodyBytes': 1,
+            'idleTimeoutMs': 1,
+        }
+    },
+}
+
+
+@pytest.mark.parametrize('changes', _CHANGES.values(), ids=_CHANGES)
+async def test_configuration_that_changes_ends_no_running_request(
+    tmp_path, changes
+):
+    held = Held()
+    async with (
+        staging(tmp_path, held.answer) as stage,
+        calling(stage.address) as caller,
+    ):
+        caller.send('/once/held')
+        await held.begun.wait()
+        await configure(stage, version=9, **changes)
+        await anyio.sleep(0.2)
+        held.released.set()
+        found = await caller.read()
+    assert (found.status, found.body) == (200, b'/once/held')
+
+
+@pytest.mark.parametrize('changes', _CHANGES.values(), ids=_CHANGES)
+async def test_request_that_waits_for_a_server_is_answered_beside_a_change(
+    tmp_path, changes
+):
+    async with staging(tmp_path, answer_well) as stage:
+        address = stage.core.backends.find('i-0').record.address
+        stage.store.drop(SERVERS, 'i-0')
+        with anyio.fail_after(_WAIT):
+            while stage.core.backends.list_service(
+                'desk', stage.core.clock.now()
+            ):
+                await anyio.sleep(_POLL)
+        async with calling(stage.address) as caller:
+            caller.send('/once/1')
+            with anyio.fail_after(_WAIT):
+                while not stage.core.running:
+                    await anyio.sleep(_POLL)
+            await configure(stage, version=9, **changes)
+            stage.store.put(SERVERS, 'i-1', make_record(address))
+            found = await caller.read()
+    assert found.status in {200, 503}
+    assert found.is_whole
+
+
+async def test_request_whose_body_arrives_beside_a_change_is_answered(
+    tmp_path,
+):
+    async with (
+        staging(tmp_path, answer_well) as stage,
+        calling(stage.address) as caller,
+    ):
+        request = caller.make('/once/1', content_length='4')
+        caller.write(request + b'ha')
+        await anyio.sleep(0.1)
+        await configure(stage, version=9, **_CHANGES['service is removed'])
+        caller.write(b'lf')
+        found = await caller.read()
+    assert found.status in {200, 503}
+    assert found.is_whole
+
+
+@pytest.mark.parametrize('size', [100_000, 4_000_000])
+async def test_refusal_reaches_a_caller_whose_body_was_not_read(tmp_path, size):
+    def ask(address: tuple[str, int]) -> bytes:
+        with socket.create_connection(address, timeout=_WAIT) as connection:
+            headers = {'oleanderdyke_key': 'unknown', 'connection': 'close'}
+            body = b'x' * size
+            connection.sendall(make_request('/once/1', body=body, **headers))
+            time.sleep(0.2)
+            return connection.recv(_PIECE)
+
+    async with staging(tmp_path, answer_well) as stage:
+        found = await anyio.to_thread.run_sync(ask, stage.address)
+    assert found.startswith(b'HTTP/1.1 401 ')
+    assert found.endswith(b'"ran": "no"}')
+
+
+async def test_connection_above_the_limit_is_closed_before_it_is_read(
+    tmp_path, monkeypatch
+):
+    make_http = shell._make_http
+
+    def make_small(callers: tuple[str, int]) -> HttpSettings:
+        return dataclasses.replace(make_http(callers), connections=2)
+
+    monkeypatch.setattr(shell, '_make_http', make_small)
+    async with (
+        staging(tmp_path, answer_well) as stage,
+        calling(stage.address) as first,
+        calling(stage.address) as second,
+    ):
+        assert (await first.ask('/once/1')).status == 200
+        assert (await second.ask('/once/1')).status == 200
+        async with calling(stage.address) as third:
+            third.send('/once/1')
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await third.read()
+        assert (await first.ask('/once/2')).status == 200
+        assert len(stage.replicas[0].received) == 3
