--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -693,3 +693,14 @@
                 await third.read()
         assert (await first.ask('/once/2')).status == 200
         assert len(stage.replicas[0].received) == 3
+
+
+# Guards against an entry that ends, with all its requests, on a time that no
+# timer can be set to.
+@pytest.mark.parametrize('limit', ['1e999', '-1'])
+async def test_idle_time_without_bounds_is_refused(tmp_path, limit):
+    text = f'{{"version": 9, "limits": {{"idleTimeoutMs": {limit}}}}}'
+    async with staging(tmp_path, answer_well) as stage:
+        stage.store.find(OPERATOR).put('config', text.encode())
+        await anyio.sleep(0.5)
+        assert (await stage.call('/once/1')).status == 200
