--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -216,9 +216,10 @@
 
 def _make_limits(found: Mapping[str, Any]) -> CallerLimits:
     defaults = CallerLimits()
+    given = {'idleTimeoutMs': defaults.idle_timeout, **found}
     return CallerLimits(
         body_bytes=int(found.get('maxBodyBytes', defaults.body_bytes)),
-        idle_timeout=float(found.get('idleTimeoutMs', defaults.idle_timeout)),
+        idle_timeout=read_number(given, 'idleTimeoutMs'),
     )
 
 
