--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -24,6 +24,7 @@
     OPERATOR,
     ROUTE,
     SERVERS,
+    STREAM_ROUTE,
     ReceivedAnswer,
     Stage,
     call,
@@ -40,10 +41,11 @@
     Peer,
     Script,
     make_chunk,
+    make_event,
     make_head,
     serving_replica,
 )
-from tests.standins.scripts import answer_well, send_events
+from tests.standins.scripts import answer_well, send_events, shed
 from tests.test_hosted_admission import (
     DESK,
     LONG,
@@ -704,3 +706,32 @@
         stage.store.find(OPERATOR).put('config', text.encode())
         await anyio.sleep(0.5)
         assert (await stage.call('/once/1')).status == 200
+
+
+# Guards against a stream that is cut because its server is silent for a while
+# and no other one has room: the caller would have got the rest.
+@pytest.mark.parametrize('count', [1, 2])
+async def test_stream_of_a_silent_server_is_not_cut_for_want_of_room(
+    tmp_path, count
+):
+    arrivals = []
+
+    async def run(peer: Peer) -> None:
+        arrivals.append(peer.request.headers.get('last-event-id'))
+        if 1 < len(arrivals) < 5:
+            await shed(peer)
+            return
+        first = int(arrivals[-1] or 0) + 1
+        await send_events(peer, first, 2)
+        await anyio.sleep(0.9)
+        await peer.send(make_chunk(make_event(3)) + b'0\r\n\r\n')
+
+    route = {**STREAM_ROUTE, 'timeoutMs': 9_000}
+    async with staging(
+        tmp_path,
+        *([run] * count),
+        configuration={**CONFIGURATION, 'routes': [route]},
+    ) as stage:
+        found = await stage.call('/stream/1', oleanderdyke_deadline_ms='8000')
+    assert found.is_whole
+    assert found.body == b''.join(map(make_event, range(1, 4)))
