--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -107,6 +107,7 @@
         self._is_paused = False
         # The server with a copy of this run, once its connection is lost.
         self._lost_copy = ''
+        self._is_silent = False
         self._number = action.attempt
         self._start = start
         self._chosen_at = chosen_at
@@ -189,8 +190,9 @@
                 self._connection.close()
 
     def fail(self, reason: str) -> None:
-        """Abort an attempt whose response may still arrive."""
+        """Abort an attempt whose silent server may still respond."""
         if not self._done:
+            self._is_silent = True
             self._record_loss()
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
@@ -525,7 +527,9 @@
             self._splitter.discard_partial()
         self._log_broken(ran, reason)
         failed = Failed(self._call.request, self._number, kind, ran, reason)
-        self._inbox.put(MessageReceived(failed, self._lost_copy))
+        self._inbox.put(
+            MessageReceived(failed, self._lost_copy, self._is_silent)
+        )
 
     def _report_unsent(self, reason: str) -> None:
         self._done = True
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -38,6 +38,9 @@
 )
 # Used if a refusal has no `retry_after`.
 _ALONE_RETRY_DELAY: Millis = 250.0
+# Interval between attempts to find a server for a begun answer. Each draws on
+# the retry budget, and callers leave a silent stream after two seconds.
+_HOLD_DELAY: Millis = 400.0
 _REPLICA_POLL_INTERVAL: Millis = 250.0
 
 
@@ -143,6 +146,10 @@
         self._replica_waits = 0
         self._replica_waited: Millis = 0.0
         self._head_delivered = False
+        # The latest run was given up because its server sent nothing, and the
+        # retry for which the request waits is still to be withdrawn.
+        self._was_silent = False
+        self._owes_retry = False
         # These belong to the latest dispatch and are reset by the next one.
         self._held_head: DeliverHead | None = None
         self._token = ''
@@ -315,10 +322,30 @@
             return self._retry(kind, retry_after, detail)
         may_retry = self._refusals < bound and not self._detached
         if not may_retry or not self._take_retry():
+            if self._must_hold_on():
+                return self._hold_on(is_paid=False)
             return self._refuse(kind, retry_after, detail)
         self._refusals += 1
         return self._wait(self._budget.delay(self._refusals))
 
+    def _must_hold_on(self) -> bool:
+        """Return whether a begun answer waits for a server until its deadline.
+
+        Silence alone is no reason to end it: its first server would have gone
+        on with it.
+        """
+        return (
+            self._was_silent
+            and self._head_delivered
+            and not self._detached
+            and not self._stopping
+        )
+
+    def _hold_on(self, *, is_paid: bool) -> Actions:
+        """Route again later; `is_paid` if the retry was withdrawn already."""
+        self._owes_retry = not is_paid
+        return self._wait(_HOLD_DELAY)
+
     def _retry_alone(self, retry_after: Millis | None) -> Actions:
         """Retry a suspect until a server has no other request running."""
         self._alone_tries += 1
--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -91,11 +91,13 @@
 
     A gap or a wrong digest is reported as `Failed(STREAM_BROKEN, maybe)`.
     `copy` names the agent that holds a copy of a failed run, which has ended
-    for certain; it is '' otherwise.
+    for certain; it is '' otherwise. `is_silent` is set if the run was given up
+    because its server sent nothing.
     """
 
     message: AnswerHead | AnswerChunk | AnswerEnd | Failed
     copy: str = ''
+    is_silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -143,6 +143,8 @@
         refusal = event.refusal
         if refusal.kind is ErrorKind.NO_REPLICA and self._can_await_replica():
             return self._await_replica()
+        if self._must_hold_on():
+            return self._hold_on(is_paid=True)
         return self._refuse(refusal.kind, refusal.retry_after, refusal.reason)
 
     def _on_message_received(self, event: MessageReceived) -> Actions:
@@ -154,6 +156,8 @@
         match message:
             case Failed():
                 self._lost_copy = event.copy
+                if message.ran is not Ran.NO:
+                    self._was_silent = event.is_silent
                 return self._on_failed(message)
             case AnswerEnd():
                 return self._on_end(message)
@@ -343,6 +347,9 @@
         return act(self) if self._stage is stage else ()
 
     def _on_retry_timer(self) -> Actions:
+        if self._owes_retry and not self._take_retry():
+            return self._hold_on(is_paid=False)
+        self._owes_retry = False
         return self._route()
 
     def _on_caller_gone(self, _event: CallerGone) -> Actions:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -735,3 +735,23 @@
         found = await stage.call('/stream/1', oleanderdyke_deadline_ms='8000')
     assert found.is_whole
     assert found.body == b''.join(map(make_event, range(1, 4)))
+
+
+async def test_stream_that_waits_for_room_ends_at_its_deadline(tmp_path):
+    arrivals = []
+
+    async def run(peer: Peer) -> None:
+        arrivals.append(peer)
+        if len(arrivals) > 1:
+            await shed(peer)
+            return
+        await send_events(peer, 1, 2)
+        await peer.wait_closed()
+
+    async with staging(tmp_path, run) as stage:
+        begun = stage.core.clock.now()
+        found = await stage.call('/stream/1', oleanderdyke_deadline_ms='2000')
+        lasted = stage.core.clock.now() - begun
+    assert not found.is_whole
+    assert 1_900 < lasted < 2_300
+    assert len(arrivals) < 9
