--- a/src/oleanderdyke/entry/hosted/app.py
+++ b/src/oleanderdyke/entry/hosted/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from oleanderdyke.entry.answers import CONNECTION_EXTENSION
 from oleanderdyke.entry.edge import (
     Body,
     CallerGone,
@@ -17,10 +18,10 @@
     make_call,
 )
 from oleanderdyke.entry.hosted.core import HostedCore
-from oleanderdyke.entry.hosted.driver import HostedDriver
+from oleanderdyke.entry.hosted.driver import BrokenAnswer, HostedDriver
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.stopping import Stopper
-from oleanderdyke.errors import ErrorKind, OleanderError, Ran
+from oleanderdyke.errors import ErrorKind, OleanderError, Ran, find_position
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.deployment import CallerLimits
 from oleanderdyke.metrics import Count
@@ -47,17 +48,20 @@
         """Serve one ASGI request."""
         if scope['type'] != 'http':
             return
+        connection = scope['extensions'][CONNECTION_EXTENSION]
+        reply = Reply(send, connection, self._is_draining)
         port = scope['server'][1]
         if port == self._readiness_port:
-            await self._answer_readiness(scope, send)
+            await self._answer_readiness(scope, reply)
             return
-        reply = Reply(send, self._is_draining)
         try:
             await self._serve(scope, receive, reply)
         except CallerGone:
             return
         except OleanderError as error:
             await self._refuse(reply, error)
+        except Exception as fault:
+            await self._answer_fault(reply, _unwrap_group(fault))
 
     async def _serve(
         self, scope: Scope, receive: Receive, reply: Reply
@@ -114,6 +118,8 @@
             **core.describe_configuration(),
         )
         await HostedDriver(core, call, body, reply).run(key)
+        # Until then a stop must not end the process.
+        await reply.flush(call.deadline - core.clock.now())
 
     async def _refuse(self, reply: Reply, error: OleanderError) -> None:
         self._core.metrics.add(Count.REFUSALS, label=error.kind.value)
@@ -133,12 +139,32 @@
             error.kind, error.ran, error.message, error.retry_after
         )
 
+    async def _answer_fault(self, reply: Reply, fault: BaseException) -> None:
+        """Log a fault of the entry, and answer unless an answer has begun.
+
+        After a whole answer the connection stays open, as the next request may
+        have been read on it. A truncated answer still closes it.
+        """
+        if isinstance(fault, BrokenAnswer):
+            raise fault
+        self._core.log.write(
+            EventName.PROCESS_FAILED,
+            request=reply.request or None,
+            reason=type(fault).__name__,
+            detail=find_position(fault),
+        )
+        if reply.ended:
+            return
+        if reply.status:
+            raise BrokenAnswer from fault
+        error = OleanderError(ErrorKind.INTERNAL, 'internal error')
+        await self._refuse(reply, error)
+
     def _is_draining(self) -> bool:
         return self._core.drain.is_leaving
 
-    async def _answer_readiness(self, scope: Scope, send: Send) -> None:
+    async def _answer_readiness(self, scope: Scope, reply: Reply) -> None:
         fault = self._core.find_unready_reason()
-        reply = Reply(send, self._is_draining)
         if scope['path'] != names.READINESS_PATH:
             await reply.refuse(
                 ErrorKind.NOT_FOUND,
@@ -148,3 +174,9 @@
             return
         await reply.start(_NOT_READY if fault else _READY, ())
         await reply.end(fault.encode())
+
+
+def _unwrap_group(fault: BaseException) -> BaseException:
+    while isinstance(fault, BaseExceptionGroup):
+        fault = fault.exceptions[0]
+    return fault
--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import fcntl
 import functools
 import logging
 import math
 import socket
 import sys
+import termios
 from collections.abc import Generator
 from typing import Any
 
@@ -18,6 +20,7 @@
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.answers import (
+    CONNECTION_EXTENSION,
     REQUEST_HEADER,
     WRITER_EXTENSION,
     encode_error,
@@ -34,6 +37,8 @@
 _LOGGER = 'uvicorn.error'
 _CHUNKED_VERSION = b'1.1'
 _BACKLOG = 1024
+# How long to let the event loop read what has arrived, or send what is left.
+_TURN_SECONDS = 0.05
 
 
 class EdgeProtocol(H11Protocol):
@@ -53,10 +58,24 @@
     async def _serve(
         self, app: Any, scope: Any, receive: Any, send: Any
     ) -> None:
-        """Call the application with this protocol as its PartWriter."""
-        scope['extensions'] = {WRITER_EXTENSION: self}
+        """Call the application with this protocol as its extensions."""
+        scope['extensions'] = {
+            CONNECTION_EXTENSION: self,
+            WRITER_EXTENSION: self,
+        }
         await app(scope, receive, send)
 
+    def has_next(self) -> bool:
+        """Return whether bytes were read behind the running request."""
+        return self.conn.their_state is h11.DONE and bool(
+            self.conn.trailing_data[0]
+        )
+
+    async def flush(self) -> None:
+        """Wait until all that was written was passed to the system."""
+        while self.transport.get_write_buffer_size():
+            await asyncio.sleep(_TURN_SECONDS)
+
     def is_ready(self) -> bool:
         """Return whether `write_part` can be called now."""
         return (
@@ -86,7 +105,12 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Limit the time of a request head, starting with its first byte."""
+        """Limit the time of a request head, starting with its first byte.
+
+        Bytes behind a request that closes the connection are dropped.
+        """
+        if self.conn.their_state is h11.MUST_CLOSE:
+            return
         if self._is_between_requests() and self._head_timer is None:
             self._start_timer()
         self._limit_unread(len(data))
@@ -106,6 +130,25 @@
         self._stop_stall_timer()
         super().resume_writing()
 
+    def shutdown(self) -> None:
+        """Close the connection, unless a request has arrived on it.
+
+        Such a request is refused, which closes the connection.
+        """
+        between = self._is_between_requests()
+        if self._has_arrived() if between else self.has_next():
+            return
+        super().shutdown()
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection on which no request has arrived."""
+        if self._has_arrived():
+            self.timeout_keep_alive_task = self.loop.call_later(
+                _TURN_SECONDS, self.timeout_keep_alive_handler
+            )
+            return
+        super().timeout_keep_alive_handler()
+
     def send_400_response(self, msg: str) -> None:
         """Answer malformed HTTP; `msg` is a fixed text of uvicorn."""
         fault = sys.exc_info()[1]
@@ -154,11 +197,32 @@
     def _is_between_requests(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
 
+    def _has_arrived(self) -> bool:
+        """Return whether bytes of the caller wait to be read.
+
+        Timers of a process that was suspended, or whose event loop is late, may
+        run before that.
+        """
+        bound = self.transport.get_extra_info('socket')
+        if bound is None or self.transport.is_closing():
+            return False
+        count = fcntl.ioctl(bound.fileno(), termios.FIONREAD, bytes(4))
+        return any(count)
+
     def _start_timer(self) -> None:
         self._head_timer = self.loop.call_later(
-            self.head_timeout, self.transport.close
+            self.head_timeout, self._close_late
         )
 
+    def _close_late(self) -> None:
+        """Close the connection; wait once for the rest if it has arrived."""
+        if self._has_arrived():
+            self._head_timer = self.loop.call_later(
+                _TURN_SECONDS, self.transport.close
+            )
+            return
+        self.transport.close()
+
     def _stop_stall_timer(self) -> None:
         if self._stall_timer is not None:
             self._stall_timer.cancel()
