--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import contextlib
-import fcntl
 import functools
 import logging
 import math
+import select
 import socket
 import sys
-import termios
 from collections.abc import Generator
 from typing import Any
 
@@ -206,8 +205,9 @@
         bound = self.transport.get_extra_info('socket')
         if bound is None or self.transport.is_closing():
             return False
-        count = fcntl.ioctl(bound.fileno(), termios.FIONREAD, bytes(4))
-        return any(count)
+        readable = select.poll()
+        readable.register(bound.fileno(), select.POLLIN)
+        return bool(readable.poll(0))
 
     def _start_timer(self) -> None:
         self._head_timer = self.loop.call_later(
