--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -66,6 +66,10 @@
 _TRANSIENT_OBSTACLES = frozenset(
     {Obstacle.UNLISTED, Obstacle.COLD, Obstacle.SETTLING}
 )
+# Servers of a version that has gone are not waited for.
+_KINDS: Mapping[Obstacle, ErrorKind] = {
+    Obstacle.SOFTWARE: ErrorKind.WRONG_VERSION,
+}
 _UNKNOWN_ORIGIN = 'the version that began the stream is unknown'
 
 
@@ -111,7 +115,7 @@
         if self._pin is not None and not self._pin.is_resolved(now):
             if self._pin.may_wait(now):
                 return None
-            return Rejection(ErrorKind.NO_REPLICA, _UNKNOWN_ORIGIN)
+            return Rejection(ErrorKind.WRONG_VERSION, _UNKNOWN_ORIGIN)
         self._was_tried = self._was_tried or bool(tried)
         listed = self._core.backends.list_service(self._call.service, now)
         demand = make_demand(self._core, self._call, listed, tried, self._pin)
@@ -145,6 +149,7 @@
             if obstacle is Obstacle.UNLISTED:
                 self._core.servers_requested.set()
             return None
+        kind = _KINDS.get(obstacle, ErrorKind.NO_REPLICA)
         retry_delay = _RETRY_DELAYS.get(obstacle, RETRY_DELAY)
         if obstacle in _MAX_TURN_WAITS:
             turn = self._find_turn(demand, listed, now) - now
@@ -152,7 +157,7 @@
             retry_delay = RetryDelay(
                 shortest_wait, shortest_wait + RETRY_DELAY.maximum
             )
-        return Rejection(ErrorKind.NO_REPLICA, obstacle.value, retry_delay)
+        return Rejection(kind, obstacle.value, retry_delay)
 
     def _find_turn(
         self, demand: CallDemand, listed: Sequence[Backend], now: Millis
