--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import contextlib
-import fcntl
 import functools
 import logging
 import math
+import select
 import socket
 import sys
-import termios
 from collections.abc import Generator
 from typing import Any
 
@@ -198,7 +197,7 @@
         return self.cycle is None or self.cycle.response_complete
 
     def _has_arrived(self) -> bool:
-        """Return whether bytes of the caller wait to be read.
+        """Return whether bytes of the caller, or their end, wait to be read.
 
         Timers of a process that was suspended, or whose event loop is late, may
         run before that.
@@ -206,8 +205,9 @@
         bound = self.transport.get_extra_info('socket')
         if bound is None or self.transport.is_closing():
             return False
-        count = fcntl.ioctl(bound.fileno(), termios.FIONREAD, bytes(4))
-        return any(count)
+        poll = select.poll()
+        poll.register(bound.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     def _start_timer(self) -> None:
         self._head_timer = self.loop.call_later(
