--- a/src/oleanderdyke/entry/server.py
+++ b/src/oleanderdyke/entry/server.py
@@ -197,7 +197,7 @@
         return self.cycle is None or self.cycle.response_complete
 
     def _has_arrived(self) -> bool:
-        """Return whether bytes of the caller wait to be read.
+        """Return whether bytes of the caller, or their end, wait to be read.
 
         Timers of a process that was suspended, or whose event loop is late, may
         run before that.
