--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,11 +7,30 @@
 import anyio
 import pytest
 
-from tools.soak.arrivals import Observations, RetryRule
+from tools.soak.arrivals import LOSS_RULE, STREAM_RULE, Observations, RetryRule
+from tools.soak.attempts import (
+    Attempt,
+    Outcome,
+    ProcessLife,
+    RunEnd,
+    ServerRun,
+    Spell,
+    StreamEvent,
+)
+from tools.soak.losses import list_losses
 from tools.soak.plan import FaultKind, make_plan, make_restart_plan
 from tools.soak.run import run_soak
+from tools.soak.streams import (
+    ServiceHistory,
+    Shares,
+    list_order_faults,
+    list_resume_faults,
+)
 
 RULE = RetryRule(share=0.2, slack=5.0, window=10.0)
+ONE, OTHER = 'v1.1', 'v1.2'
+LAST = 4
+STOPPED, GRACE = 100.0, 6.0
 
 
 def run_plan(plan, directory):
@@ -97,3 +116,263 @@
     assert seen.list_faults(RULE) == []
     seen.record_answer('b', 200, b'a')
     assert seen.list_faults(RULE) == ['MIXED b: body is not its own']
+
+
+def make_try(request='a', *versions, after=0, outcome=Outcome.ANSWERED, **more):
+    """Build a try of a stream with one event for each version."""
+    events = [
+        StreamEvent(after + 1 + number, version, request)
+        for number, version in enumerate(versions)
+    ]
+    named = {
+        'process': 'front-0',
+        'sent': 0.0,
+        'stream': 'stream',
+        'last': LAST,
+        'ended': 1.0,
+        'status': 200,
+    }
+    return Attempt(
+        request, after=after, outcome=outcome, events=events, **(named | more)
+    )
+
+
+def list_order(*tries):
+    return list_order_faults(tries, STREAM_RULE)
+
+
+def test_check_takes_a_stream_that_goes_on_over_tries():
+    cut = make_try('a', ONE, ONE, outcome=Outcome.CUT)
+    rest = make_try('b', ONE, ONE, after=2, sent=2.0)
+    assert list_order(cut, rest) == []
+
+
+@pytest.mark.parametrize('is_one_answer', [True, False])
+def test_check_finds_streams_of_two_versions_beyond_the_limit(is_one_answer):
+    tries = []
+    for number in range(3):
+        versions = (ONE, ONE, OTHER, OTHER) if is_one_answer else (ONE, ONE)
+        stream = {'stream': f'stream-{number}'}
+        tries.append(make_try('a', *versions, outcome=Outcome.CUT, **stream))
+        if not is_one_answer:
+            rest = make_try('b', OTHER, OTHER, after=2, sent=2.0, **stream)
+            tries.append(rest)
+    faults = list_order(*tries)
+    assert [fault.split()[0] for fault in faults] == ['ORDER'] * 3
+    where = 'within a' if is_one_answer else 'from a to b'
+    assert all(where in fault for fault in faults)
+    below = [each for each in tries if each.stream != 'stream-2']
+    assert list_order(*below) == []
+
+
+def test_check_compares_versions_past_a_try_without_events():
+    tries = []
+    for number in range(3):
+        stream = {'stream': f'stream-{number}', 'outcome': Outcome.CUT}
+        tries += [
+            make_try('a', ONE, **stream),
+            make_try('b', after=1, sent=2.0, **stream),
+            make_try('c', OTHER, after=1, sent=3.0, **stream),
+        ]
+    assert len(list_order(*tries)) == 3
+
+
+@pytest.mark.parametrize('numbers', [(1, 3, 4), (1, 2, 2, 3, 4), (2, 1, 3, 4)])
+def test_check_finds_events_missing_twice_or_out_of_order(numbers):
+    found = make_try()
+    found.events = [StreamEvent(number, ONE, 'a') for number in numbers]
+    assert list_order(found) != []
+
+
+def test_check_finds_an_event_missing_between_two_tries():
+    cut = make_try('a', ONE, ONE, outcome=Outcome.CUT)
+    rest = make_try('b', after=2, sent=2.0)
+    rest.events = [StreamEvent(4, ONE, 'b')]
+    assert list_order(cut, rest) == ['ORDER stream: b has event 4 after 2']
+
+
+def test_check_finds_a_stream_that_ends_as_complete_too_early():
+    assert list_order(make_try('a', *[ONE] * LAST)) == []
+    assert list_order(make_try('a', *[ONE] * (LAST - 1))) == [
+        f'ORDER stream: a ended as complete after event {LAST - 1}'
+    ]
+    assert list_order(make_try('a', status=503)) == []
+
+
+def test_check_finds_events_after_the_last_and_of_another_request():
+    assert list_order(make_try('a', *[ONE] * (LAST + 1))) != []
+    found = make_try('a', *[ONE] * LAST)
+    found.events[1] = StreamEvent(2, ONE, 'b')
+    assert list_order(found) == ['ORDER stream: a holds an event of b']
+
+
+def test_check_finds_pieces_that_are_no_event():
+    assert list_order(make_try('a', ONE, ONE, is_garbled=True)) != []
+
+
+def make_resumed_history(count, going_on, *, begun):
+    """Build streams of which all were taken up at an entry in touch."""
+    seen = Observations()
+    seen.lives['front-0'] = ProcessLife('front-0', 0.0, GRACE)
+    for number in range(count):
+        stream = {'stream': f'stream-{number}'}
+        cut = {'outcome': Outcome.CUT, **stream}
+        first = make_try(
+            f'a-{number}', *[ONE] * (number < begun), sent=50.0, **cut
+        )
+        versions = [ONE] * (number < going_on)
+        rest = make_try(f'b-{number}', *versions, after=1, sent=60.0, **cut)
+        for each in (first, rest):
+            each.ended = each.sent + 1.0
+            each.events = [
+                StreamEvent(event.number, ONE, event.request, each.sent + 0.5)
+                for event in each.events
+            ]
+        seen.attempts += [first, rest]
+    return seen
+
+
+def serve(seen, version, *, servers=2):
+    for number in range(servers):
+        seen.history.record_serving(f'i-{number}', version, 1.0)
+
+
+@pytest.mark.parametrize(('going_on', 'is_kept'), [(5, False), (6, True)])
+def test_check_finds_too_few_streams_that_go_on(going_on, is_kept):
+    seen = make_resumed_history(12, going_on, begun=12)
+    serve(seen, ONE)
+    shares = seen.count_shares()
+    assert shares == Shares(12, 12, going_on, 12)
+    faults = [each for each in seen.list_faults(RULE) if 'RESUMED' in each]
+    assert (faults == []) is is_kept
+
+
+def test_check_measures_streams_taken_up_against_new_ones():
+    assert list_resume_faults(Shares(10, 20, 3, 12), STREAM_RULE) == []
+    assert list_resume_faults(Shares(10, 20, 2, 12), STREAM_RULE) != []
+    assert list_resume_faults(Shares(20, 20, 0, 11), STREAM_RULE) == []
+
+
+def test_check_counts_a_stream_once_that_goes_on_at_the_second_entry():
+    seen = make_resumed_history(12, 12, begun=12)
+    serve(seen, ONE)
+    for number in range(12):
+        refused = make_try('c', after=1, sent=55.0, stream=f'stream-{number}')
+        refused.status, refused.ended = 503, 55.1
+        seen.attempts.append(refused)
+    assert seen.count_shares() == Shares(12, 12, 12, 12)
+
+
+@pytest.mark.parametrize(
+    'disturb',
+    [
+        lambda seen: seen.lives['front-0'].stops.append(58.0),
+        lambda seen: seen.lives['front-0'].freezes.append(Spell(57.0, 58.0)),
+        lambda seen: seen.store_faults.append(Spell(57.0, 58.0)),
+        lambda seen: seen.history.record_leaving('i-0', ONE, 58.0),
+    ],
+    ids=['stopped', 'frozen', 'store', 'one server'],
+)
+def test_check_leaves_out_streams_taken_up_in_disturbances(disturb):
+    seen = make_resumed_history(12, 0, begun=12)
+    serve(seen, ONE)
+    disturb(seen)
+    assert seen.count_shares() == Shares(12, 12, 0, 0)
+
+
+def test_history_counts_servers_that_serve_for_a_whole_span():
+    history = ServiceHistory()
+    history.record_serving('i-0', ONE, 0.0)
+    history.record_serving('i-1', ONE, 0.0)
+    history.record_serving('i-2', OTHER, 0.0)
+    history.record_leaving('i-1', ONE, 5.0)
+    assert history.count(ONE, 1.0, 4.0) == 2
+    assert history.count(ONE, 1.0, 6.0) == 1
+    history.record_serving('i-1', ONE, 6.0)
+    assert history.count(ONE, 4.0, 7.0) == 1
+
+
+def find_losses(sent, ended, *runs, stops=(STOPPED,), killed=None, **more):
+    """Return the lost ones of a single request, relative to the SIGTERM."""
+    life = ProcessLife('front-0', 0.0, GRACE, stops=list(stops))
+    if killed is not None:
+        life.killed = killed
+    named = {'limit': 1000.0, 'outcome': Outcome.CUT} | more
+    found = Attempt(
+        'a', 'front-0', STOPPED + sent, ended=STOPPED + ended, **named
+    )
+    return list(list_losses([found], {'front-0': life}, {'a': runs}, LOSS_RULE))
+
+
+def make_run(how=RunEnd.ABANDONED, ended=float('inf')):
+    return ServerRun('a', STOPPED, STOPPED + ended, how)
+
+
+WORKING = make_run(RunEnd.WORKING)
+
+
+def test_check_finds_a_request_that_was_taken_late_and_cut():
+    assert find_losses(2.9, GRACE - 0.5, WORKING) == []
+    assert find_losses(3.1, GRACE - 0.5, WORKING) != []
+
+
+def test_check_finds_a_request_that_was_cut_before_the_last_sixth():
+    assert find_losses(-1.0, GRACE - 1.1, WORKING) != []
+
+
+def test_check_finds_a_cut_though_the_server_had_finished():
+    finished = make_run(RunEnd.FINISHED, 4.0)
+    assert find_losses(-1.0, GRACE - 0.5, finished) != []
+
+
+def test_check_finds_a_request_that_was_cut_before_it_reached_a_server():
+    assert find_losses(1.0, GRACE - 0.5) != []
+
+
+def test_check_finds_what_a_second_signal_cuts():
+    stops = (STOPPED, STOPPED + 2.0)
+    assert find_losses(1.0, 2.0, WORKING, stops=stops) != []
+    assert find_losses(1.0, GRACE - 0.5, WORKING, stops=stops) == []
+
+
+def test_check_finds_a_cut_without_any_stop():
+    assert find_losses(-50.0, -49.0, WORKING) != []
+    assert find_losses(-50.0, -49.0, WORKING, stops=()) != []
+
+
+def test_check_takes_a_close_that_crosses_an_unread_request():
+    assert find_losses(4.0, 4.1) == []
+    assert find_losses(4.0, 4.3) != []
+
+
+def test_check_takes_what_a_server_broke_off_itself():
+    assert find_losses(4.0, 4.5, make_run(RunEnd.BROKE_OFF, 4.5)) == []
+    assert find_losses(4.0, 4.5, make_run(RunEnd.BROKE_OFF, 5.5)) != []
+
+
+def test_check_finds_an_entry_that_left_a_silent_server_for_a_full_one():
+    left, refused = make_run(ended=1.0), make_run(RunEnd.REFUSED, 1.0)
+    assert find_losses(-1.0, 1.0, left, refused) != []
+    broken = make_run(RunEnd.BROKE_OFF, 1.0)
+    assert find_losses(-1.0, 1.0, broken, refused) == []
+
+
+def test_check_takes_a_cut_at_the_deadline():
+    limit = STOPPED + 4.5
+    assert find_losses(4.0, 4.5, WORKING, limit=limit) == []
+    assert find_losses(4.0, 4.3, WORKING, limit=limit) != []
+
+
+def test_check_tells_a_kill_from_one_after_the_grace_time():
+    early, late = STOPPED + GRACE - 1.0, STOPPED + GRACE + 0.1
+    assert find_losses(4.0, GRACE - 1.0, WORKING, killed=early) == []
+    assert find_losses(4.0, GRACE + 0.1, WORKING, killed=late) != []
+
+
+def test_check_finds_a_client_that_waited_in_vain():
+    gave_up = {'outcome': Outcome.GAVE_UP, 'limit': STOPPED + 2.0}
+    assert find_losses(0.0, 4.0, **gave_up) != []
+    assert find_losses(0.0, 2.5, **gave_up) == []
+    finished = make_run(RunEnd.FINISHED, 0.5)
+    assert find_losses(0.0, 2.0, finished, **gave_up) != []
+    assert find_losses(0.0, 4.0, WORKING, **gave_up) == []
--- a/tools/soak/arrivals.py
+++ b/tools/soak/arrivals.py
@@ -8,8 +8,15 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
+from tools.soak import losses, streams
+from tools.soak.attempts import Attempt, ProcessLife, ServerRun, Spell
+from tools.soak.losses import LossRule
+from tools.soak.streams import ServiceHistory, Shares, StreamRule
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _SUCCESS = range(200, 300)
+STREAM_RULE = StreamRule()
+LOSS_RULE = LossRule()
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +48,14 @@
     retries: list[float] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     broken: int = 0
+    attempts: list[Attempt] = field(default_factory=list)
+    lives: dict[str, ProcessLife] = field(default_factory=dict)
+    runs: dict[str, list[ServerRun]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    history: ServiceHistory = field(default_factory=ServiceHistory)
+    # When the store refused calls or lost records.
+    store_faults: list[Spell] = field(default_factory=list)
     _arrived: set[str] = field(default_factory=set)
     _runs: Counter[str] = field(default_factory=Counter)
     _bodies: dict[str, set[bytes]] = field(
@@ -64,6 +79,12 @@
             self.retries.append(now)
         self._arrived.add(request)
 
+    def begin_run(self, request: str, now: float) -> ServerRun:
+        """Record that a server begins to work on a request."""
+        run = ServerRun(request, now)
+        self.runs[request].append(run)
+        return run
+
     def record_run(self, request: str, body: bytes) -> None:
         """Record that a server ran a request, and the body it answers with."""
         self._runs[request] += 1
@@ -76,12 +97,46 @@
         if status in _SUCCESS and body not in self._bodies[request]:
             self._faults.append(f'MIXED {request}: body is not its own')
 
+    def record_stream(self, attempt: Attempt) -> None:
+        """Record a complete answer on a route of streams."""
+        self.statuses[attempt.status] += 1
+
     def record_broken(self) -> None:
         """Record a connection that ended before the answer was complete."""
         self.broken += 1
 
     def list_faults(self, rule: RetryRule) -> list[str]:
         """Return a line for each broken promise."""
+        return [
+            *self._list_request_faults(rule),
+            *streams.list_order_faults(self.attempts, STREAM_RULE),
+            *streams.list_resume_faults(self.count_shares(), STREAM_RULE),
+            *losses.list_losses(
+                self.attempts, self.lives, self.runs, LOSS_RULE
+            ),
+        ]
+
+    def count_shares(self) -> Shares:
+        """Count the streams that began and went on at entries in touch."""
+        return streams.count_shares(
+            self.attempts,
+            is_in_touch=self._is_in_touch,
+            history=self.history,
+            rule=STREAM_RULE,
+        )
+
+    def count_mixed(self) -> int:
+        """Return the number of streams that hold events of two versions."""
+        return streams.count_mixed(self.attempts)
+
+    def _is_in_touch(self, attempt: Attempt) -> bool:
+        begin = attempt.sent - STREAM_RULE.calm
+        end = streams.find_decided(attempt)
+        return self.lives[attempt.process].is_calm(begin, end) and not any(
+            each.overlaps(begin, end) for each in self.store_faults
+        )
+
+    def _list_request_faults(self, rule: RetryRule) -> list[str]:
         faults = list(self._faults)
         for request, count in self._runs.items():
             if request in self._unique and count > 1:
--- /dev/null
+++ b/tools/soak/losses.py
@@ -0,0 +1,121 @@
+"""Check that requests that were read get an answer, also beside stops."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from tools.soak.attempts import (
+    Attempt,
+    Outcome,
+    ProcessLife,
+    RunEnd,
+    ServerRun,
+)
+
+# A cut that comes with the deadline, as near as two processes tell the time.
+_LIMIT_MARGIN = 0.1
+# What a server has finished reaches its client long before.
+_DELIVERY_SECONDS = 1.0
+# A server knows of the end of its connection a little later than the client.
+_CLOSE_MARGIN = 0.1
+_NOT_TAKEN_UP = frozenset({RunEnd.REFUSED, RunEnd.FAILED})
+
+
+@dataclass(frozen=True, slots=True)
+class LossRule:
+    """Set when a connection may end without a complete answer.
+
+    A request that was sent up to `late` seconds after the SIGTERM may be cut in
+    the last `share` of the grace time while its server is at work. One that
+    reached no server may be cut up to `slack` seconds after it was sent.
+    `calm` is how long ago the entry was disturbed.
+    """
+
+    late: float = 3.0
+    share: float = 1 / 6
+    slack: float = 0.2
+    calm: float = 4.0
+
+
+def list_losses(
+    attempts: Iterable[Attempt],
+    lives: Mapping[str, ProcessLife],
+    runs: Mapping[str, Sequence[ServerRun]],
+    rule: LossRule,
+) -> Iterator[str]:
+    """Yield a line for each request that was read and then lost."""
+    for attempt in attempts:
+        life = lives[attempt.process]
+        found = runs.get(attempt.request, ())
+        if _is_lost(attempt, life, found, rule):
+            yield _describe(attempt, life, found)
+
+
+def _is_lost(
+    attempt: Attempt,
+    life: ProcessLife,
+    runs: Sequence[ServerRun],
+    rule: LossRule,
+) -> bool:
+    if life.is_disturbed(attempt.sent - rule.calm, attempt.ended):
+        return False
+    if attempt.outcome is Outcome.GAVE_UP:
+        return _was_forgotten(attempt, runs)
+    return attempt.outcome is Outcome.CUT and not (
+        attempt.ended >= attempt.limit - _LIMIT_MARGIN
+        or _broke_off(attempt, runs)
+        or not _was_read(attempt, runs, rule)
+        or _may_be_cut(attempt, life, runs, rule)
+    )
+
+
+def _broke_off(attempt: Attempt, runs: Sequence[ServerRun]) -> bool:
+    """Return whether the last server that took it up ended its answer."""
+    taken = [each for each in runs if each.how not in _NOT_TAKEN_UP]
+    if not taken or taken[-1].how is not RunEnd.BROKE_OFF:
+        return False
+    return taken[-1].ended <= attempt.ended + _CLOSE_MARGIN
+
+
+def _was_forgotten(attempt: Attempt, runs: Sequence[ServerRun]) -> bool:
+    """Return whether a client waited though its answer was due."""
+    due = attempt.limit
+    if runs:
+        due = runs[-1].ended if runs[-1].how is RunEnd.FINISHED else math.inf
+    return attempt.ended > due + _DELIVERY_SECONDS
+
+
+def _was_read(
+    attempt: Attempt, runs: Sequence[ServerRun], rule: LossRule
+) -> bool:
+    """Return whether the entry must have read the whole request."""
+    return bool(runs) or attempt.ended - attempt.sent > rule.slack
+
+
+def _may_be_cut(
+    attempt: Attempt,
+    life: ProcessLife,
+    runs: Sequence[ServerRun],
+    rule: LossRule,
+) -> bool:
+    """Return whether the grace time is over for a request sent early enough."""
+    if attempt.sent > life.stopped + rule.late:
+        return False
+    if attempt.ended < life.stopped + life.grace * (1 - rule.share):
+        return False
+    return any(each.ended > attempt.ended - _CLOSE_MARGIN for each in runs)
+
+
+def _describe(
+    attempt: Attempt, life: ProcessLife, runs: Sequence[ServerRun]
+) -> str:
+    signals = ', '.join(f'{at:.2f}' for at in life.stops) or 'none'
+    server = f'{runs[-1].how.value} at {runs[-1].ended:.2f}' if runs else 'none'
+    return (
+        f'LOST {attempt.request} at {life.name}: sent {attempt.sent:.2f}, '
+        f'{attempt.outcome.value} {attempt.ended:.2f} s, '
+        f'{len(attempt.events)} events, server {server}; '
+        f'SIGTERM {signals}, grace {life.grace:.0f} s'
+    )
