--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,7 +13,7 @@
 import anyio
 
 from tests.processes import ROOT
-from tools.soak.plan import make_plan
+from tools.soak.plan import Plan, make_plan, make_stream_plan
 from tools.soak.run import describe_result, run_soak
 
 _DIRECTORY = ROOT / 'build' / 'soak'
@@ -33,7 +33,7 @@
 
 def _run_seed(seed: int, options: argparse.Namespace) -> bool:
     """Run one seed; return whether every promise was kept."""
-    plan = make_plan(seed, options.seconds, entries=options.entries)
+    plan = _make_plan(seed, options)
     for line in plan.describe():
         _print(line)
     directory = Path(options.directory) / f'seed-{seed}'
@@ -52,6 +52,11 @@
     return is_kept
 
 
+def _make_plan(seed: int, options: argparse.Namespace) -> Plan:
+    make = make_plan if options.calls_only else make_stream_plan
+    return make(seed, options.seconds, entries=options.entries)
+
+
 def _make_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='python -m tools.soak', description=__doc__
@@ -66,6 +71,11 @@
     parser.add_argument(
         '--entries', type=int, default=3, help='entries at the start'
     )
+    parser.add_argument(
+        '--calls-only',
+        action='store_true',
+        help='draw no streams, software versions or series of stops',
+    )
     parser.add_argument(
         '--directory', default=_DIRECTORY, help='folder for settings and logs'
     )
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -4,21 +4,22 @@
 
 import contextlib
 import itertools
+import math
 import os
 import signal
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import anyio
 
 from tests.processes import Child
+from tools.soak.attempts import ProcessLife, Spell
 
 _PROGRAM = 'oleanderdyke.entry.main'
 _CALLERS_PORT = 18_749
 _READINESS_PORT = 18_741
 _LINK_PORTS = '17580,17595'
-_EXIT_SECONDS = 12.0
 _POLL_SECONDS = 0.02
 _DATA_CENTRES = ('hall', 'yard', 'shed')
 # Each process has an address of its own, so that ports are never shared. The
@@ -42,11 +43,15 @@
 
 @dataclass
 class EntryProcess:
-    """One entry process and the address at which callers reach it."""
+    """One entry process and the address at which callers reach it.
+
+    `life` keeps what happened to it, and `now` tells when.
+    """
 
-    name: str
     child: Child
     ip: str
+    life: ProcessLife
+    now: Callable[[], float]
 
     @property
     def callers(self) -> tuple[str, int]:
@@ -58,18 +63,54 @@
         """Return whether the process has not ended."""
         return self.child.running
 
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal that the process handles."""
+        if not self.is_alive:
+            return
+        kept = {
+            signal.SIGTERM: self.life.stops,
+            signal.SIGHUP: self.life.reloads,
+        }
+        kept[number].append(self.now())
+        self.child.send(number)
+
+    def kill(self) -> None:
+        """Kill the process; do nothing if it has ended."""
+        if self.is_alive:
+            self.life.killed = self.now()
+        self.child.kill()
+
+    async def freeze(self, seconds: float) -> None:
+        """Pause the process for a time."""
+        spell = Spell(self.now())
+        self.life.freezes.append(spell)
+        self.child.freeze()
+        await anyio.sleep(seconds)
+        self.child.thaw()
+        spell.end = self.now()
+
+    async def wait_ended(self) -> None:
+        """Wait until the process has ended, and kill it after its grace."""
+        while self.is_alive:
+            if self.now() >= self.life.stopped + self.life.grace:
+                self.kill()
+            await anyio.sleep(_POLL_SECONDS)
+
 
 @dataclass
 class Fleet:
     """The entries of a deployment, some of which may be replaced or leaving.
 
-    `slots` holds the newest process of each entry, None once it was removed.
+    `slots` holds the newest process of each entry, None once it was removed,
+    and `lives` what happened to every process.
     """
 
     directory: Path
     store: str
     slack: float
     has_links: bool
+    now: Callable[[], float]
+    lives: dict[str, ProcessLife]
     grace: float = 4.0
     slots: list[EntryProcess | None] = field(default_factory=list)
     _all: list[EntryProcess] = field(default_factory=list)
@@ -93,20 +134,13 @@
         """Send a signal to the newest process of an entry."""
         process = self.slots[slot]
         if process is not None:
-            process.child.send(number)
+            process.send(number)
 
     def kill(self, slot: int) -> None:
         """Kill the newest process of an entry."""
         process = self.slots[slot]
         if process is not None:
-            process.child.kill()
-
-    async def wait_ended(self, process: EntryProcess) -> None:
-        """Wait until a process has ended, and kill it after a time limit."""
-        with anyio.move_on_after(_EXIT_SECONDS):
-            while process.is_alive:
-                await anyio.sleep(_POLL_SECONDS)
-        process.child.kill()
+            process.kill()
 
     def kill_all(self) -> None:
         """Kill every process that this fleet has started."""
@@ -114,6 +148,15 @@
             with contextlib.suppress(ProcessLookupError):
                 process.child.kill()
 
+    def list_ended(self) -> list[str]:
+        """Return the processes that ended though nothing stopped them."""
+        return [
+            f'{each.life.name} with code {each.child.wait()}'
+            for each in self._all
+            if not each.is_alive
+            and math.isinf(min(each.life.stopped, each.life.killed))
+        ]
+
     def _start(self, slot: int) -> EntryProcess:
         number = next(self._numbers)
         name = f'front-{slot}'
@@ -126,7 +169,9 @@
             self.directory,
         )
         child.start()
-        process = EntryProcess(name, child, ip)
+        life = ProcessLife(child.name, self.now(), self.grace)
+        self.lives[life.name] = life
+        process = EntryProcess(child, ip, life, self.now)
         self._all.append(process)
         return process
 
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -26,14 +26,23 @@
     STORE_FORGETS = 'store_forgets'
     STORE_RESTORED = 'store_restored'
     HERD = 'herd'
+    ROLL = 'roll'
+    STOP_TWICE = 'stop_twice'
+    CONFIGURE = 'configure'
+    SERVERS_BREAK = 'servers_break'
+    SERVERS_SLOW = 'servers_slow'
+    SERVER_SILENT = 'server_silent'
+    SERVERS_REPLACED = 'servers_replaced'
+    SERVER_RESTARTED = 'server_restarted'
+    SERVER_RENAMED = 'server_renamed'
 
 
 @dataclass(frozen=True, slots=True)
 class Fault:
     """Describe one fault; `at` and `duration` are in seconds.
 
-    `slot` selects an entry, `count` is the number of repetitions or of extra
-    requests.
+    `slot` selects an entry or a server, `count` is the number of repetitions,
+    of extra requests, or which of the prepared changes is made.
     """
 
     at: float
@@ -56,6 +65,8 @@
 
     `has_links` tells whether entries have addresses for links. `slack` is the
     number of retries that the platform allows beyond the share of requests.
+    With a `stream_share` above 0, that share of the requests asks for streams,
+    servers take time, and half of them are of another software version.
     """
 
     seed: int
@@ -66,6 +77,9 @@
     has_links: bool
     slack: float
     faults: tuple[Fault, ...]
+    stream_share: float = 0.0
+    grace: float = 4.0
+    callers: int = 12
 
     def describe(self) -> tuple[str, ...]:
         """Return the plan as lines."""
@@ -73,7 +87,8 @@
             f'seed={self.seed} seconds={self.seconds:.0f} '
             f'entries={self.entries} servers={self.servers} '
             f'rate={self.rate:.0f} links={self.has_links} '
-            f'slack={self.slack:.0f}'
+            f'slack={self.slack:.0f} streams={self.stream_share:.2f} '
+            f'grace={self.grace:.0f}'
         )
         return (head, *(fault.describe() for fault in self.faults))
 
@@ -96,16 +111,53 @@
     FaultKind.STORE_RESTORED: 1,
     FaultKind.HERD: 3,
 }
+# Added where clients take streams up; kills weigh less there, as nothing can be
+# checked at an entry that is down.
+_STREAM_WEIGHTS: Mapping[FaultKind, int] = {
+    **_WEIGHTS,
+    FaultKind.KILL: 4,
+    FaultKind.REPLACE: 3,
+    FaultKind.FREEZE: 2,
+    FaultKind.RELOAD: 3,
+    FaultKind.ROLL: 3,
+    FaultKind.STOP_TWICE: 3,
+    FaultKind.CONFIGURE: 4,
+    FaultKind.SERVERS_REFUSE: 2,
+    FaultKind.SERVERS_RESET: 2,
+    FaultKind.SERVERS_BREAK: 6,
+    FaultKind.SERVERS_SLOW: 3,
+    FaultKind.SERVER_SILENT: 4,
+    FaultKind.SERVERS_REPLACED: 2,
+    FaultKind.SERVER_RESTARTED: 1,
+    FaultKind.SERVER_RENAMED: 2,
+}
 _LASTING = frozenset(
     {
         FaultKind.FREEZE,
         FaultKind.SERVERS_REFUSE,
         FaultKind.SERVERS_RESET,
         FaultKind.SERVERS_FAIL,
+        FaultKind.SERVERS_BREAK,
+        FaultKind.SERVERS_SLOW,
         FaultKind.STORE_DOWN,
         FaultKind.STORE_DEAF,
     }
 )
+# How long the other faults last, or the time between their repetitions.
+_DURATIONS: Mapping[FaultKind, tuple[float, float]] = {
+    FaultKind.ROLL: (0.2, 0.5),
+    FaultKind.STOP_TWICE: (0.2, 3.5),
+    FaultKind.SERVER_SILENT: (0.5, 1.5),
+    FaultKind.SERVERS_REPLACED: (2.0, 4.0),
+    FaultKind.SERVER_RESTARTED: (0.3, 1.5),
+    FaultKind.SERVER_RENAMED: (0.3, 1.5),
+}
+_COUNTS: Mapping[FaultKind, tuple[int, int]] = {
+    FaultKind.ROLL: (1, 2),
+    FaultKind.HERD: (20, 120),
+    FaultKind.CONFIGURE: (0, 4),
+    FaultKind.SERVERS_SLOW: (2, 4),
+}
 _SERIES = frozenset({FaultKind.KILL, FaultKind.RESTART, FaultKind.REPLACE})
 _LONGEST_SERIES = 4
 # Entries are up, and clients run, before the first fault.
@@ -121,6 +173,21 @@
 _RESTARTS_SECONDS = 8.0
 _REFUSAL_SECONDS = 11.0
 _RESTARTS_RATE = 40.0
+_STREAM_SHARES = (0.3, 0.5, 0.7)
+_GRACES = (4.0, 8.0, 8.0)
+_STREAM_SERVERS = 6
+_STREAM_CALLERS = 24
+# Signals and configurations that overlap with the stop of all entries.
+_ROLL_SECONDS = 10.0
+_BESIDE_ROLL = (
+    FaultKind.RELOAD,
+    FaultKind.CONFIGURE,
+    FaultKind.STOP_TWICE,
+    FaultKind.SERVERS_SLOW,
+    FaultKind.SERVERS_BREAK,
+    FaultKind.SERVER_SILENT,
+)
+_MOST_BESIDE_ROLL = 6
 
 
 def make_plan(
@@ -146,6 +213,31 @@
     )
 
 
+def make_stream_plan(seed: int, seconds: float, *, entries: int) -> Plan:
+    """Draw a plan with streams, two software versions and stops in series."""
+    random = Random(seed)
+    has_links = random.random() < _LINKS_SHARE
+    rate = random.choice(_RATES)
+    faults = [
+        _draw_fault(random, at, seconds, entries, _STREAM_WEIGHTS)
+        for at in _draw_times(random, seconds)
+    ]
+    faults += _draw_roll(random, seconds, entries)
+    return Plan(
+        seed=seed,
+        seconds=seconds,
+        entries=entries,
+        servers=_STREAM_SERVERS,
+        rate=rate,
+        has_links=has_links,
+        slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at)),
+        stream_share=random.choice(_STREAM_SHARES),
+        grace=random.choice(_GRACES),
+        callers=_STREAM_CALLERS,
+    )
+
+
 def make_restart_plan(
     seed: int, *, entries: int, restarts: int, kind: FaultKind, has_links: bool
 ) -> Plan:
@@ -199,6 +291,24 @@
     return [refusal, *series, *herds]
 
 
+def _draw_roll(random: Random, seconds: float, entries: int) -> list[Fault]:
+    """Draw stops of all entries close together, and what overlaps with them."""
+    last = max(seconds - _ROLL_SECONDS, _FIRST_FAULT_SECONDS)
+    begin = random.uniform(_FIRST_FAULT_SECONDS, last)
+    roll = _draw_details(random, FaultKind.ROLL, begin, seconds, entries)
+    beside = [
+        _draw_details(
+            random,
+            random.choice(_BESIDE_ROLL),
+            begin + random.uniform(-2.0, 6.0),
+            seconds,
+            entries,
+        )
+        for _ in range(random.randint(1, _MOST_BESIDE_ROLL))
+    ]
+    return [roll, *beside]
+
+
 def _draw_times(random: Random, seconds: float) -> list[float]:
     """Draw times of which half come close together."""
     last = seconds * _LAST_FAULT_SHARE
@@ -212,10 +322,20 @@
 
 
 def _draw_fault(
-    random: Random, at: float, seconds: float, entries: int
+    random: Random,
+    at: float,
+    seconds: float,
+    entries: int,
+    weights: Mapping[FaultKind, int] = _WEIGHTS,
+) -> Fault:
+    kinds = tuple(weights)
+    (kind,) = random.choices(kinds, tuple(weights.values()))
+    return _draw_details(random, kind, at, seconds, entries)
+
+
+def _draw_details(
+    random: Random, kind: FaultKind, at: float, seconds: float, entries: int
 ) -> Fault:
-    kinds = tuple(_WEIGHTS)
-    (kind,) = random.choices(kinds, tuple(_WEIGHTS.values()))
     duration = 0.0
     count = 1
     if kind in _LASTING:
@@ -223,6 +343,8 @@
     if kind in _SERIES:
         count = random.randint(1, _LONGEST_SERIES)
         duration = random.uniform(0.2, 3.0)
-    if kind is FaultKind.HERD:
-        count = random.randint(20, 120)
+    if kind in _DURATIONS:
+        duration = random.uniform(*_DURATIONS[kind])
+    if kind in _COUNTS:
+        count = random.randint(*_COUNTS[kind])
     return Fault(at, kind, random.randrange(entries), duration, count)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -5,7 +5,13 @@
 import json
 import signal
 import time
-from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncGenerator,
+    Awaitable,
+    Callable,
+    Mapping,
+    Sequence,
+)
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,15 +19,21 @@
 
 import anyio
 
-from tests.hosted import CONFIGURATION, OPERATOR, SERVERS, make_record
+from tests.hosted import CONFIGURATION, OPERATOR
 from tests.standins import server
-from tests.standins.replica import serving_replica
 from tools.soak.arrivals import Observations, RetryRule
 from tools.soak.callers import Callers
+from tools.soak.configuration import TIMEOUTS, Timeouts, make_configuration
 from tools.soak.fleet import Fleet
 from tools.soak.plan import Fault, FaultKind, Plan
 from tools.soak.servers import Behaviour, Servers
+from tools.soak.service import Service
 from tools.soak.store import SoakStore
+from tools.soak.timeouts import TimeoutHistory
+
+_POLL_SECONDS = 0.05
+# Enough that servers are never full of streams.
+_STREAM_SLOTS = 24
 
 Report = Callable[[str], None]
 
@@ -34,10 +46,12 @@
     store: SoakStore
     fleet: Fleet
     servers: Servers
+    service: Service
     callers: Callers
     observations: Observations
     now: Callable[[], float]
     report: Report
+    _version: int = CONFIGURATION['version']
     _handlers: Mapping[FaultKind, Callable[[Fault], Awaitable[None]]] = field(
         init=False
     )
@@ -60,6 +74,15 @@
             FaultKind.STORE_FORGETS: self._forget,
             FaultKind.STORE_RESTORED: self._restore,
             FaultKind.HERD: self._send_herd,
+            FaultKind.ROLL: self._roll,
+            FaultKind.STOP_TWICE: self._stop_twice,
+            FaultKind.CONFIGURE: self._configure,
+            FaultKind.SERVERS_BREAK: self._make_server_fault(Behaviour.BREAK),
+            FaultKind.SERVERS_SLOW: self._slow_servers,
+            FaultKind.SERVER_SILENT: self._silence_server,
+            FaultKind.SERVERS_REPLACED: self._replace_servers,
+            FaultKind.SERVER_RESTARTED: self._restart_server,
+            FaultKind.SERVER_RENAMED: self._rename_server,
         }
 
     async def run(self) -> list[str]:
@@ -72,7 +95,8 @@
                 tasks.start_soon(self._cause, fault)
             await anyio.sleep(self.plan.seconds)
             tasks.cancel_scope.cancel()
-        return self.observations.list_faults(RetryRule(slack=self.plan.slack))
+        faults = self.observations.list_faults(RetryRule(slack=self.plan.slack))
+        return faults + [f'ENDED {each}' for each in self.fleet.list_ended()]
 
     async def _cause(self, fault: Fault) -> None:
         await anyio.sleep(fault.at - self.now())
@@ -87,13 +111,31 @@
 
     async def _restart(self, fault: Fault) -> None:
         """Stop an entry and start the next one after it has ended."""
-        process = self.fleet.slots[fault.slot]
+        await self._stop(fault.slot, again=())
+
+    async def _stop_twice(self, fault: Fault) -> None:
+        """Send a second SIGTERM while an entry drains."""
+        await self._stop(fault.slot, again=(fault.duration,))
+
+    async def _roll(self, fault: Fault) -> None:
+        """Stop all entries close together, perhaps before others are back."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(fault.count):
+                for slot in range(len(self.fleet.slots)):
+                    tasks.start_soon(self._stop, slot)
+                    await anyio.sleep(fault.duration)
+
+    async def _stop(self, slot: int, again: Sequence[float] = ()) -> None:
+        process = self.fleet.slots[slot]
         if process is None:
             return
-        process.child.terminate()
-        await self.fleet.wait_ended(process)
-        if self.fleet.slots[fault.slot] is process:
-            self.fleet.start_again(fault.slot)
+        process.send(signal.SIGTERM)
+        for pause in again:
+            await anyio.sleep(pause)
+            process.send(signal.SIGTERM)
+        await process.wait_ended()
+        if self.fleet.slots[slot] is process:
+            self.fleet.start_again(slot)
 
     async def _replace(self, fault: Fault) -> None:
         """Start the next process of an entry while the last one drains."""
@@ -106,9 +148,7 @@
         process = self.fleet.slots[fault.slot]
         if process is None:
             return
-        process.child.freeze()
-        await anyio.sleep(fault.duration)
-        process.child.thaw()
+        await process.freeze(fault.duration)
 
     async def _reload(self, fault: Fault) -> None:
         self.fleet.signal(fault.slot, signal.SIGHUP)
@@ -135,24 +175,61 @@
         return misbehave
 
     async def _stop_store(self, fault: Fault) -> None:
-        self.store.outages += 1
-        await anyio.sleep(fault.duration)
-        self.store.outages -= 1
+        with self.store.refusing():
+            await anyio.sleep(fault.duration)
 
     async def _deafen_store(self, fault: Fault) -> None:
-        self.store.deaf += 1
-        await anyio.sleep(fault.duration)
-        self.store.deaf -= 1
+        with self.store.refusing_appends():
+            await anyio.sleep(fault.duration)
 
     async def _forget(self, _fault: Fault) -> None:
         self.store.forget_announcements()
 
     async def _restore(self, _fault: Fault) -> None:
+        """Restore a backup; servers and operators write what it lacks."""
         self.store.restore()
+        if self.plan.stream_share:
+            self.service.publish_all()
+            self._publish(self.callers.timeouts.newest)
 
     async def _send_herd(self, fault: Fault) -> None:
         await self.callers.send_herd(fault.count)
 
+    async def _configure(self, fault: Fault) -> None:
+        """Change timeouts, for connections that exist too."""
+        while self.store.outages:
+            await anyio.sleep(_POLL_SECONDS)
+        self._publish(TIMEOUTS[fault.count])
+
+    def _publish(self, timeouts: Timeouts) -> None:
+        self._version += 1
+        self.store.put(
+            OPERATOR, 'config', make_configuration(self._version, timeouts)
+        )
+        self.callers.timeouts.record(timeouts, self.now())
+
+    async def _slow_servers(self, fault: Fault) -> None:
+        """Let every answer take several times as long."""
+        self.servers.slowness.append(fault.count)
+        await anyio.sleep(fault.duration)
+        self.servers.slowness.remove(fault.count)
+
+    async def _silence_server(self, fault: Fault) -> None:
+        self.service.silence(fault.slot, fault.duration)
+
+    async def _replace_servers(self, fault: Fault) -> None:
+        await self.service.replace_oldest(fault.duration)
+
+    async def _restart_server(self, fault: Fault) -> None:
+        await self.service.restart(
+            fault.slot, fault.duration, is_new_start=False
+        )
+
+    async def _rename_server(self, fault: Fault) -> None:
+        await self.service.restart(
+            fault.slot, fault.duration, is_new_start=True
+        )
+
 
 async def run_soak(plan: Plan, directory: Path, report: Report) -> Soak:
     """Run a plan with logs in a directory; return the finished run."""
@@ -171,28 +248,67 @@
     def now() -> float:
         return time.monotonic() - started
 
-    store = SoakStore()
-    store.put(OPERATOR, 'config', CONFIGURATION)
-    store.back_up()
-    observations = Observations()
-    servers = Servers(observations, now)
+    has_streams = plan.stream_share > 0
+    store = SoakStore(now)
+    store.put(
+        OPERATOR,
+        'config',
+        make_configuration(CONFIGURATION['version'], TIMEOUTS[0]),
+    )
+    observations = Observations(store_faults=store.spells)
+    servers = Servers(observations, now, takes_time=has_streams)
+    service = Service(servers, store, observations.history, now)
     async with AsyncExitStack() as stack:
         (address,) = await stack.enter_async_context(server.serving(store))
-        for number in range(plan.servers):
-            _, where = await stack.enter_async_context(
-                serving_replica(servers.serve)
-            )
-            store.put(SERVERS, f'i-{number}', make_record(where))
+        stack.callback(service.stop_all)
+        await _start_servers(service, plan)
         store.back_up()
-        fleet = Fleet(directory, address, plan.slack, plan.has_links)
+        fleet = Fleet(
+            directory,
+            address,
+            plan.slack,
+            plan.has_links,
+            now,
+            observations.lives,
+            grace=plan.grace,
+        )
         stack.callback(fleet.kill_all)
-        random = Random(plan.seed)
-        callers = Callers(fleet, observations, random, now, plan.rate)
+        timeouts = TimeoutHistory()
+        timeouts.record(TIMEOUTS[0], now())
+        callers = Callers(
+            fleet,
+            observations,
+            Random(plan.seed),
+            now,
+            plan.rate,
+            timeouts,
+            stream_share=plan.stream_share,
+            count=plan.callers,
+        )
         yield Soak(
-            plan, store, fleet, servers, callers, observations, now, report
+            plan,
+            store,
+            fleet,
+            servers,
+            service,
+            callers,
+            observations,
+            now,
+            report,
         )
 
 
+async def _start_servers(service: Service, plan: Plan) -> None:
+    """Start servers of one version, or of two if clients ask for streams."""
+    if not plan.stream_share:
+        await service.start(plan.servers, service.make_version())
+        return
+    service.slots = _STREAM_SLOTS
+    half = plan.servers // 2
+    await service.start(plan.servers - half, service.make_version())
+    await service.start(half, service.make_version())
+
+
 def describe_result(soak: Soak) -> str:
     """Return what clients and servers saw, as one line."""
     found = soak.observations
@@ -206,5 +322,15 @@
         f'seed={soak.plan.seed} requests={len(found.sent)} '
         f'retries={len(found.retries)} fullest_window="{worst}" '
         f'broken={found.broken} '
+        f'streams="{_describe_streams(found)}" '
         f'statuses={json.dumps(dict(sorted(found.statuses.items())))}'
     )
+
+
+def _describe_streams(found: Observations) -> str:
+    shares = found.count_shares()
+    return (
+        f'{shares.begun}/{shares.new} began, '
+        f'{shares.resumed}/{shares.taken_up} went on, '
+        f'{found.count_mixed()} of two versions'
+    )
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -5,11 +5,22 @@
 import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from random import Random
 
-from tests.standins.replica import Peer
+import anyio
+
+from tests.standins.replica import Peer, make_chunk, make_head
 from tools.soak.arrivals import Observations
+from tools.soak.attempts import RunEnd
+from tools.soak.events import StreamPath, encode_event
+from tools.soak.hosts import Host
 
-_REFUSED, _FAILED = 503, 500
+_REFUSED, _MISDIRECTED, _FAILED = 503, 421, 500
+_CALL_SECONDS = (0.01, 0.15)
+_BREAK_SHARE = 0.15
+_PIECE_SECONDS = 0.02
+# A pause is some times as long as the mean, and now and then much longer.
+_PAUSES = (0.2, 0.5, 0.5, 1.0, 1.0, 1.8, 2.0)
 
 
 class Behaviour(enum.Enum):
@@ -19,45 +30,122 @@
     REFUSE = enum.auto()
     RESET = enum.auto()
     FAIL = enum.auto()
+    BREAK = enum.auto()
 
 
 @dataclass
 class Servers:
     """The servers of one service, which all behave alike.
 
-    `now` returns the seconds since the start of the run.
+    `now` returns the seconds since the start of the run. Without `takes_time`
+    calls are answered at once.
     """
 
     observations: Observations
     now: Callable[[], float]
+    takes_time: bool = False
     # Behaviours that overlap; the newest one applies.
     active: list[Behaviour] = field(default_factory=list)
+    # How many times as long as usual answers take; the largest one applies.
+    slowness: list[float] = field(default_factory=list)
 
-    async def serve(self, peer: Peer) -> None:
+    async def serve(self, host: Host, peer: Peer) -> None:
         """Answer one request as all servers do at present."""
-        request = peer.request.headers['oleanderdyke-request-id']
+        headers = peer.request.headers
+        request = headers['oleanderdyke-request-id']
         self.observations.record_arrival(request, self.now())
+        expected = headers.get('oleanderdyke-expect-instance', host.server)
+        if expected != host.server:
+            await peer.answer(
+                _MISDIRECTED, b'other', oleanderdyke_not_executed='1'
+            )
+            return
+        run = self.observations.begin_run(request, self.now())
+        try:
+            run.end(await self._find_answer(peer)(host, peer), self.now())
+        except ConnectionError:
+            if host.stopped_at > run.begun:
+                run.end(RunEnd.BROKE_OFF, host.stopped_at)
+            run.end(RunEnd.ABANDONED, self.now())
+            raise
+
+    def _find_answer(
+        self, peer: Peer
+    ) -> Callable[[Host, Peer], Awaitable[RunEnd]]:
         behaviour = self.active[-1] if self.active else Behaviour.ANSWER
-        answer: dict[Behaviour, Callable[[Peer, str], Awaitable[None]]] = {
-            Behaviour.ANSWER: self._answer,
+        answers: dict[Behaviour, Callable[[Host, Peer], Awaitable[RunEnd]]] = {
             Behaviour.REFUSE: self._refuse,
             Behaviour.RESET: self._reset,
             Behaviour.FAIL: self._fail,
         }
-        await answer[behaviour](peer, request)
+        is_stream = peer.request.target.startswith('/stream/')
+        return answers.get(behaviour, self._stream if is_stream else self._call)
 
-    async def _answer(self, peer: Peer, request: str) -> None:
+    async def _call(self, host: Host, peer: Peer) -> RunEnd:
+        request = peer.request.headers['oleanderdyke-request-id']
         body = f'result of {request}'.encode()
         self.observations.record_run(request, body)
+        if self.takes_time:
+            await self._work(host, Random(request).uniform(*_CALL_SECONDS))
         await peer.answer(body=body)
+        return RunEnd.FINISHED
 
-    async def _refuse(self, peer: Peer, _request: str) -> None:
+    async def _stream(self, host: Host, peer: Peer) -> RunEnd:
+        """Send the events after the last one that the client has."""
+        path = StreamPath.parse(peer.request.target)
+        request = peer.request.headers['oleanderdyke-request-id']
+        after = int(peer.request.headers.get('last-event-id') or 0)
+        random = Random(f'{host.server}/{request}/{after}')
+        await self._work(host, random.uniform(*_CALL_SECONDS))
+        await peer.send(
+            make_head(
+                peer.request,
+                content_type='text/event-stream',
+                transfer_encoding='chunked',
+            )
+        )
+        for number in range(after + 1, path.events + 1):
+            event = encode_event(number, host.version, request)
+            if self._is_broken(random):
+                await self._break_off(peer, event[: random.choice((0, 9))])
+                return RunEnd.BROKE_OFF
+            await peer.send(make_chunk(event))
+            await self._work(host, path.pause * random.choice(_PAUSES))
+        await peer.send(b'0\r\n\r\n')
+        return RunEnd.FINISHED
+
+    def _is_broken(self, random: Random) -> bool:
+        return Behaviour.BREAK in self.active and (
+            random.random() < _BREAK_SHARE
+        )
+
+    async def _break_off(self, peer: Peer, piece: bytes) -> None:
+        """Reset the connection, perhaps in the middle of an event."""
+        if piece:
+            await peer.send(make_chunk(piece))
+            await anyio.sleep(_PIECE_SECONDS)
+        if peer.writer.is_closing():
+            raise ConnectionResetError
+        peer.reset()
+
+    async def _work(self, host: Host, seconds: float) -> None:
+        """Take some time, more while servers are slow or this one is silent."""
+        await anyio.sleep(seconds * max(self.slowness, default=1.0))
+        while (left := host.silent_until - self.now()) > 0:
+            await anyio.sleep(left)
+
+    async def _refuse(self, _host: Host, peer: Peer) -> RunEnd:
         await peer.answer(_REFUSED, b'full', oleanderdyke_not_executed='1')
+        return RunEnd.REFUSED
 
-    async def _reset(self, peer: Peer, request: str) -> None:
+    async def _reset(self, _host: Host, peer: Peer) -> RunEnd:
+        request = peer.request.headers['oleanderdyke-request-id']
         self.observations.record_run(request, b'')
         peer.reset()
+        return RunEnd.BROKE_OFF
 
-    async def _fail(self, peer: Peer, request: str) -> None:
+    async def _fail(self, _host: Host, peer: Peer) -> RunEnd:
+        request = peer.request.headers['oleanderdyke-request-id']
         self.observations.record_run(request, b'failed')
         await peer.answer(_FAILED, b'failed')
+        return RunEnd.FAILED
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import Callable, Iterator
+
 from tests.standins import web
 from tests.standins.records import RecordStore
+from tools.soak.attempts import Spell
 
 _ENTRY_TOPIC = 'oleander-entries'
 
@@ -12,13 +16,15 @@
     """Add outages and lost records to the stand-in of the store.
 
     `outages` and `deaf` count the faults in progress; a deaf store serves reads
-    and takes no records.
+    and takes no records. `spells` keeps when each of them lasted.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], float]) -> None:
         super().__init__()
         self.outages = 0
         self.deaf = 0
+        self.spells: list[Spell] = []
+        self._now = now
 
     async def answer(self, request: web.Request) -> web.Answer:
         """Refuse what the faults in progress forbid."""
@@ -27,6 +33,34 @@
             return web.refuse(503, 'down')
         return await super().answer(request)
 
+    @contextlib.contextmanager
+    def refusing(self) -> Iterator[None]:
+        """Refuse every call."""
+        self.outages += 1
+        with self._disturbing():
+            yield
+        self.outages -= 1
+
+    @contextlib.contextmanager
+    def refusing_appends(self) -> Iterator[None]:
+        """Refuse every append."""
+        self.deaf += 1
+        with self._disturbing():
+            yield
+        self.deaf -= 1
+
+    def restore(self) -> None:
+        """Restore the backup as a disturbance."""
+        with self._disturbing():
+            super().restore()
+
+    @contextlib.contextmanager
+    def _disturbing(self) -> Iterator[None]:
+        spell = Spell(self._now())
+        self.spells.append(spell)
+        yield
+        spell.end = self._now()
+
     def forget_announcements(self) -> None:
         """Drop the announcements of all entries, as retention does."""
         self.find(_ENTRY_TOPIC).forget()
