--- a/tools/soak/arrivals.py
+++ b/tools/soak/arrivals.py
@@ -54,8 +54,9 @@
         default_factory=lambda: defaultdict(list)
     )
     history: ServiceHistory = field(default_factory=ServiceHistory)
-    # When the store refused calls or lost records.
+    # When the store refused calls or lost records, and when no server served.
     store_faults: list[Spell] = field(default_factory=list)
+    server_faults: list[Spell] = field(default_factory=list)
     _arrived: set[str] = field(default_factory=set)
     _runs: Counter[str] = field(default_factory=Counter)
     _bodies: dict[str, set[bytes]] = field(
@@ -132,8 +133,13 @@
     def _is_in_touch(self, attempt: Attempt) -> bool:
         begin = attempt.sent - STREAM_RULE.calm
         end = streams.find_decided(attempt)
-        return self.lives[attempt.process].is_calm(begin, end) and not any(
-            each.overlaps(begin, end) for each in self.store_faults
+        served_from = attempt.sent - STREAM_RULE.settled
+        return (
+            self.lives[attempt.process].is_calm(begin, end)
+            and not any(each.overlaps(begin, end) for each in self.store_faults)
+            and not any(
+                each.overlaps(served_from, end) for each in self.server_faults
+            )
         )
 
     def _list_request_faults(self, rule: RetryRule) -> list[str]:
--- a/tools/soak/attempts.py
+++ b/tools/soak/attempts.py
@@ -135,6 +135,12 @@
         """Return whether it was killed before its grace time had passed."""
         return self.killed < self.stopped + self.grace
 
+    def was_ended(self, start: float) -> bool:
+        """Return whether it was stopped, or signalled while it started."""
+        if min(self.stopped, self.killed) < math.inf:
+            return True
+        return any(at < self.started + start for at in self.reloads)
+
     def is_disturbed(self, begin: float, end: float) -> bool:
         """Return whether a pause or an early kill fell into a span."""
         if self.is_killed_early and self.killed <= end:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -25,7 +25,6 @@
 _MOST_DIALS = 8
 _DEADLINE_SECONDS = 2.0
 _STREAM_DEADLINE_SECONDS = 12.0
-_STREAM_SECONDS = (0.5, 6.0)
 _EVENT_PAUSES = (0.1, 0.35)
 _FEWEST_EVENTS = 4
 # Share of requests that may run only once.
@@ -37,7 +36,8 @@
     """Send requests to the entries of a fleet until cancelled.
 
     `rate` is the number of requests a second of all callers together, and
-    `stream_share` the share of them that ask for a stream.
+    `stream_share` the share of them that ask for a stream, which lasts for some
+    time in `stream_seconds`.
     """
 
     fleet: Fleet
@@ -47,6 +47,7 @@
     rate: float
     timeouts: TimeoutHistory
     stream_share: float = 0.0
+    stream_seconds: tuple[float, float] = (0.5, 6.0)
     count: int = 12
     _numbers: Iterator[int] = field(default_factory=itertools.count)
     _streams: Iterator[int] = field(default_factory=itertools.count)
@@ -177,7 +178,7 @@
         return False
 
     def _make_stream(self) -> StreamCall:
-        seconds = self.random.uniform(*_STREAM_SECONDS)
+        seconds = self.random.uniform(*self.stream_seconds)
         pause = self.random.uniform(*_EVENT_PAUSES)
         events = max(round(seconds / pause), _FEWEST_EVENTS)
         name = f'stream-{next(self._streams)}'
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import itertools
-import math
 import os
 import signal
 from collections.abc import Callable, Iterator
@@ -20,6 +19,7 @@
 _CALLERS_PORT = 18_749
 _READINESS_PORT = 18_741
 _LINK_PORTS = '17580,17595'
+_START_SECONDS = 1.0
 _POLL_SECONDS = 0.02
 _DATA_CENTRES = ('hall', 'yard', 'shed')
 # Each process has an address of its own, so that ports are never shared. The
@@ -149,12 +149,14 @@
                 process.child.kill()
 
     def list_ended(self) -> list[str]:
-        """Return the processes that ended though nothing stopped them."""
+        """Return the processes that ended though nothing stopped them.
+
+        A signal that comes while the interpreter starts ends any program.
+        """
         return [
             f'{each.life.name} with code {each.child.wait()}'
             for each in self._all
-            if not each.is_alive
-            and math.isinf(min(each.life.stopped, each.life.killed))
+            if not each.is_alive and not each.life.was_ended(_START_SECONDS)
         ]
 
     def _start(self, slot: int) -> EntryProcess:
--- a/tools/soak/losses.py
+++ b/tools/soak/losses.py
@@ -112,10 +112,13 @@
     attempt: Attempt, life: ProcessLife, runs: Sequence[ServerRun]
 ) -> str:
     signals = ', '.join(f'{at:.2f}' for at in life.stops) or 'none'
-    server = f'{runs[-1].how.value} at {runs[-1].ended:.2f}' if runs else 'none'
+    servers = ', '.join(
+        f'{each.how.value} {each.begun:.2f} to {each.ended:.2f}'
+        for each in runs
+    )
     return (
         f'LOST {attempt.request} at {life.name}: sent {attempt.sent:.2f}, '
         f'{attempt.outcome.value} {attempt.ended:.2f} s, '
-        f'{len(attempt.events)} events, server {server}; '
+        f'{len(attempt.events)} events; servers: {servers or "none"}; '
         f'SIGTERM {signals}, grace {life.grace:.0f} s'
     )
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -66,7 +66,8 @@
     `has_links` tells whether entries have addresses for links. `slack` is the
     number of retries that the platform allows beyond the share of requests.
     With a `stream_share` above 0, that share of the requests asks for streams,
-    servers take time, and half of them are of another software version.
+    and servers take time. `versions` is how many of their software there are,
+    and `stream_seconds` how long streams usually last.
     """
 
     seed: int
@@ -78,6 +79,8 @@
     slack: float
     faults: tuple[Fault, ...]
     stream_share: float = 0.0
+    stream_seconds: tuple[float, float] = (0.5, 6.0)
+    versions: int = 1
     grace: float = 4.0
     callers: int = 12
 
@@ -173,11 +176,17 @@
 _RESTARTS_SECONDS = 8.0
 _REFUSAL_SECONDS = 11.0
 _RESTARTS_RATE = 40.0
+_STOPS_BEGIN = 7.0
+_HERDS_AFTER = (3.2, 3.8, 4.4)
+_SHORT_SECONDS = (0.4, 0.9)
+_STOPS_SECONDS = 9.0
 _STREAM_SHARES = (0.3, 0.5, 0.7)
 _GRACES = (4.0, 8.0, 8.0)
+_STREAM_SECONDS = ((0.5, 6.0), (0.5, 6.0), (0.4, 1.5))
 _STREAM_SERVERS = 6
+_STREAM_VERSIONS = 2
 _STREAM_CALLERS = 24
-# Signals and configurations that overlap with the stop of all entries.
+# What overlaps with the stop of all entries.
 _ROLL_SECONDS = 10.0
 _BESIDE_ROLL = (
     FaultKind.RELOAD,
@@ -186,6 +195,7 @@
     FaultKind.SERVERS_SLOW,
     FaultKind.SERVERS_BREAK,
     FaultKind.SERVER_SILENT,
+    FaultKind.HERD,
 )
 _MOST_BESIDE_ROLL = 6
 
@@ -233,7 +243,9 @@
         slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
         stream_share=random.choice(_STREAM_SHARES),
+        versions=_STREAM_VERSIONS,
         grace=random.choice(_GRACES),
+        stream_seconds=random.choice(_STREAM_SECONDS),
         callers=_STREAM_CALLERS,
     )
 
@@ -269,6 +281,36 @@
     )
 
 
+def make_stop_plan(seed: int, *, entries: int) -> Plan:
+    """Plan the stop of all entries close together as their servers slow down.
+
+    Clients go on to send streams while the entries drain, and what streams took
+    before tells nothing about those.
+    """
+    stops = Fault(_STOPS_BEGIN, FaultKind.ROLL, duration=0.2)
+    slow = Fault(
+        _STOPS_BEGIN + 2.9, FaultKind.SERVERS_SLOW, duration=8.0, count=6
+    )
+    herds = (
+        Fault(_STOPS_BEGIN + after, FaultKind.HERD, count=30)
+        for after in _HERDS_AFTER
+    )
+    return Plan(
+        seed=seed,
+        seconds=_STOPS_BEGIN + _STOPS_SECONDS,
+        entries=entries,
+        servers=_STREAM_SERVERS,
+        rate=_RESTARTS_RATE,
+        has_links=True,
+        slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
+        faults=(stops, slow, *herds),
+        stream_share=0.5,
+        stream_seconds=_SHORT_SECONDS,
+        grace=8.0,
+        callers=_STREAM_CALLERS,
+    )
+
+
 def _draw_storm(random: Random, seconds: float, entries: int) -> list[Fault]:
     """Draw series of starts of all entries while every server refuses."""
     begin = random.uniform(
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -168,9 +168,8 @@
         self, behaviour: Behaviour
     ) -> Callable[[Fault], Awaitable[None]]:
         async def misbehave(fault: Fault) -> None:
-            self.servers.active.append(behaviour)
-            await anyio.sleep(fault.duration)
-            self.servers.active.remove(behaviour)
+            with self.servers.behaving(behaviour):
+                await anyio.sleep(fault.duration)
 
         return misbehave
 
@@ -283,6 +282,7 @@
             plan.rate,
             timeouts,
             stream_share=plan.stream_share,
+            stream_seconds=plan.stream_seconds,
             count=plan.callers,
         )
         yield Soak(
@@ -299,14 +299,12 @@
 
 
 async def _start_servers(service: Service, plan: Plan) -> None:
-    """Start servers of one version, or of two if clients ask for streams."""
-    if not plan.stream_share:
-        await service.start(plan.servers, service.make_version())
-        return
-    service.slots = _STREAM_SLOTS
-    half = plan.servers // 2
-    await service.start(plan.servers - half, service.make_version())
-    await service.start(half, service.make_version())
+    """Start as many servers of each software version."""
+    if plan.stream_share:
+        service.slots = _STREAM_SLOTS
+    for _ in range(plan.versions):
+        count = plan.servers // plan.versions
+        await service.start(count, service.make_version())
 
 
 def describe_result(soak: Soak) -> str:
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -11,7 +12,7 @@
 
 from tests.standins.replica import Peer, make_chunk, make_head
 from tools.soak.arrivals import Observations
-from tools.soak.attempts import RunEnd
+from tools.soak.attempts import RunEnd, Spell
 from tools.soak.events import StreamPath, encode_event
 from tools.soak.hosts import Host
 
@@ -69,6 +70,17 @@
             run.end(RunEnd.ABANDONED, self.now())
             raise
 
+    @contextlib.contextmanager
+    def behaving(self, behaviour: Behaviour) -> Iterator[None]:
+        """Let all servers behave in one way, over others that last."""
+        spell = Spell(self.now())
+        if behaviour is not Behaviour.BREAK:
+            self.observations.server_faults.append(spell)
+        self.active.append(behaviour)
+        yield
+        self.active.remove(behaviour)
+        spell.end = self.now()
+
     def _find_answer(
         self, peer: Peer
     ) -> Callable[[Host, Peer], Awaitable[RunEnd]]:
