--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,13 @@
     StreamEvent,
 )
 from tools.soak.losses import list_losses
-from tools.soak.plan import FaultKind, make_plan, make_restart_plan
+from tools.soak.plan import (
+    FaultKind,
+    make_plan,
+    make_restart_plan,
+    make_stop_plan,
+    make_stream_plan,
+)
 from tools.soak.run import run_soak
 from tools.soak.streams import (
     ServiceHistory,
@@ -58,7 +64,22 @@
     assert run_plan(make_plan(seed, 20, entries=3), tmp_path) == []
 
 
+# Streams went on at servers of another software version, within one answer and
+# as clients took them up; a second SIGTERM cut what a draining entry ran.
+@pytest.mark.parametrize('seed', [1, 4])
+def test_streams_hold_one_version_and_outlast_stops(tmp_path, seed):
+    assert run_plan(make_stream_plan(seed, 20, entries=3), tmp_path) == []
+
+
+# A draining entry took streams that it could not finish within its grace time.
+def test_entries_that_stop_take_only_streams_that_they_can_finish(tmp_path):
+    assert run_plan(make_stop_plan(1, entries=4), tmp_path) == []
+
+
 def test_equal_seeds_give_equal_plans():
+    assert make_stream_plan(7, 60, entries=3) == make_stream_plan(
+        7, 60, entries=3
+    )
     assert make_plan(7, 60, entries=3) == make_plan(7, 60, entries=3)
     assert make_plan(7, 60, entries=3) != make_plan(8, 60, entries=3)
 
@@ -269,9 +290,10 @@
         lambda seen: seen.lives['front-0'].stops.append(58.0),
         lambda seen: seen.lives['front-0'].freezes.append(Spell(57.0, 58.0)),
         lambda seen: seen.store_faults.append(Spell(57.0, 58.0)),
+        lambda seen: seen.server_faults.append(Spell(59.0, 62.0)),
         lambda seen: seen.history.record_leaving('i-0', ONE, 58.0),
     ],
-    ids=['stopped', 'frozen', 'store', 'one server'],
+    ids=['stopped', 'frozen', 'store', 'no server', 'one server'],
 )
 def test_check_leaves_out_streams_taken_up_in_disturbances(disturb):
     seen = make_resumed_history(12, 0, begun=12)
