--- a/tools/soak/service.py
+++ b/tools/soak/service.py
@@ -18,6 +18,8 @@
 # A server is listed for a moment before it takes connections again, so that
 # every entry that the store reaches knows its version.
 _LISTED_SECONDS = 0.5
+# Entries ask a store that was down again within this time.
+_STORE_SECONDS = 3.0
 
 
 @dataclass
@@ -133,8 +135,8 @@
         self.store.put(SERVERS, host.server, record)
 
     async def _wait_store(self) -> None:
-        """Wait until the store takes records."""
-        while self.store.outages:
+        """Wait until the store has taken records for some time."""
+        while not self.store.is_settled(_STORE_SECONDS):
             await anyio.sleep(_POLL_SECONDS)
 
     def _make_name(self) -> str:
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -61,6 +61,11 @@
         yield
         spell.end = self._now()
 
+    def is_settled(self, seconds: float) -> bool:
+        """Return whether it has served every call for some seconds."""
+        since = self._now() - seconds
+        return all(spell.end < since for spell in self.spells)
+
     def forget_announcements(self) -> None:
         """Drop the announcements of all entries, as retention does."""
         self.find(_ENTRY_TOPIC).forget()
