--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,13 @@
     Spell,
     StreamEvent,
 )
+from tools.soak.configuration import Timeouts
+from tools.soak.events import (
+    EventReader,
+    StreamPath,
+    decode_event,
+    encode_event,
+)
 from tools.soak.losses import list_losses
 from tools.soak.plan import (
     FaultKind,
@@ -32,6 +39,7 @@
     list_order_faults,
     list_resume_faults,
 )
+from tools.soak.timeouts import TimeoutHistory
 
 RULE = RetryRule(share=0.2, slack=5.0, window=10.0)
 ONE, OTHER = 'v1.1', 'v1.2'
@@ -231,6 +239,37 @@
     assert list_order(make_try('a', ONE, ONE, is_garbled=True)) != []
 
 
+def test_reader_splits_events_wherever_the_bytes_are_cut():
+    written = [encode_event(number, ONE, 'a') for number in (1, 2)]
+    data = b''.join(written)
+    for cut in range(len(data)):
+        reader = EventReader()
+        found = reader.feed(data[:cut]) + reader.feed(data[cut:])
+        events = [decode_event(each, 1.0) for each in found]
+        assert events == [StreamEvent(n, ONE, 'a', 1.0) for n in (1, 2)]
+        assert not reader.has_rest
+
+
+@pytest.mark.parametrize('kept', [1, 9, 20])
+def test_reader_finds_an_event_that_is_joined_to_a_piece_of_another(kept):
+    joined = encode_event(2, ONE, 'a')[:kept] + encode_event(2, OTHER, 'a')
+    (found,) = EventReader().feed(joined)
+    assert decode_event(found, 0.0) is None
+
+
+def test_path_names_what_a_stream_is():
+    path = StreamPath('stream-1', 12, 0.25)
+    assert StreamPath.parse(path.format()) == path
+
+
+def test_timeouts_of_before_may_hold_for_a_while():
+    history = TimeoutHistory()
+    history.record(Timeouts(call=1.0), 0.0)
+    history.record(Timeouts(call=2.0), 10.0)
+    assert history.find_call(12.0) == 1.0
+    assert history.find_call(16.0) == 2.0
+
+
 def make_resumed_history(count, going_on, *, begun):
     """Build streams of which all were taken up at an entry in touch."""
     seen = Observations()
@@ -398,3 +437,12 @@
     finished = make_run(RunEnd.FINISHED, 0.5)
     assert find_losses(0.0, 2.0, finished, **gave_up) != []
     assert find_losses(0.0, 4.0, WORKING, **gave_up) == []
+
+
+def test_process_that_a_signal_ends_as_it_starts_did_not_end_by_itself():
+    life = ProcessLife('front-0', 10.0, GRACE)
+    assert not life.was_ended(1.0)
+    life.reloads.append(11.5)
+    assert not life.was_ended(1.0)
+    life.reloads.append(10.5)
+    assert life.was_ended(1.0)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -111,7 +111,7 @@
 
     async def _restart(self, fault: Fault) -> None:
         """Stop an entry and start the next one after it has ended."""
-        await self._stop(fault.slot, again=())
+        await self._stop(fault.slot)
 
     async def _stop_twice(self, fault: Fault) -> None:
         """Send a second SIGTERM while an entry drains."""
@@ -139,10 +139,14 @@
 
     async def _replace(self, fault: Fault) -> None:
         """Start the next process of an entry while the last one drains."""
-        for _ in range(fault.count):
-            self.fleet.signal(fault.slot, signal.SIGTERM)
-            self.fleet.start_again(fault.slot)
-            await anyio.sleep(fault.duration)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(fault.count):
+                process = self.fleet.slots[fault.slot]
+                if process is not None:
+                    process.send(signal.SIGTERM)
+                    tasks.start_soon(process.wait_ended)
+                self.fleet.start_again(fault.slot)
+                await anyio.sleep(fault.duration)
 
     async def _freeze(self, fault: Fault) -> None:
         process = self.fleet.slots[fault.slot]
