--- a/src/oleanderdyke/entry/hosted/peer_sharing.py
+++ b/src/oleanderdyke/entry/hosted/peer_sharing.py
@@ -122,6 +122,13 @@
             detail = f'address {self.own.address}: {group.exceptions[0]}'
             log.write(EventName.RECORD_REFUSED, name='links', detail=detail)
 
+    @property
+    def is_learning(self) -> bool:
+        """Return whether no other entry has told of streams yet."""
+        if not self.own.address:
+            return False
+        return self._exchange is None or not self._exchange.has_learned
+
     def find_streams(self) -> StreamSharing:
         """Return the streams that may be taken up, from the first one on."""
         if self._streams is None:
--- a/src/oleanderdyke/entry/hosted/stream_pin.py
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -21,6 +21,8 @@
 # Other entries learn of a stream within some tens of milliseconds, or once they
 # have a new link to the reader of their data centre.
 _NEWS_WAIT: Millis = 250.0
+# An entry that has just started opens its links within this time.
+_LEARNING_WAIT: Millis = 1_500.0
 
 
 class StreamPin:
@@ -33,7 +35,7 @@
         self._core = core
         self._call = call
         self._is_resumption = bool(call.parameters.last_event)
-        self._wait_until = core.clock.now() + _NEWS_WAIT
+        self._asked_at = core.clock.now()
         self.software: str | None = None
 
     def is_resolved(self, now: Millis) -> bool:
@@ -44,7 +46,10 @@
 
     def may_wait(self, now: Millis) -> bool:
         """Return whether another entry may still tell which version it is."""
-        return now < self._wait_until
+        wait = _NEWS_WAIT
+        if self._core.peers.is_learning:
+            wait = _LEARNING_WAIT
+        return now - self._asked_at < wait
 
     def find_settling(self, now: Millis) -> frozenset[str]:
         """Return the versions that may not begin this stream yet."""
--- a/src/oleanderdyke/kernel/neighbours.py
+++ b/src/oleanderdyke/kernel/neighbours.py
@@ -123,6 +123,12 @@
         alive = self._list_alive(self._entries, now)
         return sorted(alive, key=lambda entry: find_rank(source, entry.name))
 
+    def list_others(self, now: Millis) -> list[Neighbour]:
+        """Return the other entries of all data centres."""
+        known = {**self._entries, **self._remote}
+        known.pop(self._own_name, None)
+        return self._list_alive(known, now)
+
     def list_remote_readers(self, source: str, now: Millis) -> list[Neighbour]:
         """Return the preferred reader of each other data centre."""
         first: dict[str, Neighbour] = {}
--- a/src/oleanderdyke/links/stream_exchange.py
+++ b/src/oleanderdyke/links/stream_exchange.py
@@ -15,6 +15,7 @@
 
 from oleanderdyke.clock import HOUR, SECOND, Clock, Millis
 from oleanderdyke.kernel.neighbours import RECORD_SOURCE, Neighbour
+from oleanderdyke.kernel.scheduling.ranks import find_rank
 from oleanderdyke.kernel.software_history import SoftwareClaim
 from oleanderdyke.kernel.stream_origins import (
     DIGEST_BYTES,
@@ -38,6 +39,9 @@
 # A remote reader without a link for longer is passed over.
 _UNREACHABLE_LIMIT: Millis = 1 * SECOND
 _ASK_PERIOD: Millis = 500.0
+# An entry that starts asks this many others directly, for so long.
+_TEACHERS = 4
+_LEARNING_TIME: Millis = 5 * SECOND
 _MAX_STARTS_PER_MESSAGE = 4_096
 _REMAINING_UNIT: Millis = 100.0
 # Far longer than any stream lasts.
@@ -64,6 +68,10 @@
         # Links over which the other side has got what is known here.
         self._joined: set[Link] = set()
         self._asked_at: Millis = -math.inf
+        self._began_at: Millis = math.inf
+        self._teachers: dict[str, str] = {}
+        # Another entry has told what it knows.
+        self.has_learned = False
         self._unlinked_since: dict[str, Millis] = {}
         self._wanted = anyio.Event()
 
@@ -87,6 +95,7 @@
             random=random,
         )
         self._pool = pool
+        self._began_at = self._clock.now()
         self._client.on_streams = self.receive
         server.on_streams = self.receive_inbound
         async with anyio.create_task_group() as tasks:
@@ -109,6 +118,7 @@
     def receive(self, link: Link, news: StreamNews) -> None:
         """Apply news of another entry, and answer what it asks."""
         now, sharing = self._clock.now(), self._sharing
+        self.has_learned = True
         sharing.receive(_decode_starts(news, now), link, now)
         if sharing.apply_claims(_decode_claims(news, now)):
             # Others that ask may learn the same.
@@ -122,6 +132,7 @@
         """Send what is due."""
         self._wanted = anyio.Event()
         is_sharing = self._sharing.update(now)
+        self._choose_teachers(now, is_sharing=is_sharing)
         self._connect(now)
         links = self._list_links()
         self._joined &= {*links}
@@ -185,6 +196,7 @@
         if self._pool is None:
             return
         wanted = {each.name: each.address for each in self._list_remote(now)}
+        wanted |= self._teachers
         self._pool.set_addresses(wanted)
         self._unlinked_since = {
             name: self._unlinked_since.get(name, now)
@@ -196,6 +208,22 @@
                 self._client.neighbours.record_failure(name, now)
                 del self._unlinked_since[name]
 
+    def _choose_teachers(self, now: Millis, *, is_sharing: bool) -> None:
+        """Choose other entries to learn from for a while after the start.
+
+        The reader may have started together with this entry.
+        """
+        is_over = now - self._began_at > _LEARNING_TIME
+        self.has_learned = self.has_learned or is_over
+        if is_over or not is_sharing:
+            self._teachers = {}
+            return
+        others = self._client.neighbours.list_others(now)
+        others.sort(key=lambda each: find_rank(self._own.address, each.name))
+        self._teachers = {
+            each.name: each.address for each in others[:_TEACHERS]
+        }
+
     def _list_remote(self, now: Millis) -> Iterator[Neighbour]:
         neighbours = self._client.neighbours
         if not self._sharing.is_active(now):
