--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -7,8 +7,10 @@
 from collections.abc import AsyncIterator
 from contextlib import AbstractContextManager
 from dataclasses import replace
+from importlib import import_module
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -28,12 +30,18 @@
 from oleanderdyke.platform.settings import HostSettings, load_host_settings
 from oleanderdyke.scrape import METRICS_PORT, MetricsServer
 
+if TYPE_CHECKING:
+    from oleanderdyke.entry.hosted.handover import StreamHandover
+
 _TICK_PERIOD: Millis = 50.0
 # A process whose ticks are this far apart was suspended or blocked, and reads
 # only now what arrived meanwhile. It is half the time after which a server
 # counts as silent.
 _STALL_THRESHOLD: Millis = 250.0
 _SETTINGS_PERIOD: Millis = 1 * SECOND
+# Importing modules is slow on a fraction of a core, so requests are served
+# first.
+_LEARN_DELAY: Millis = 300.0
 # The grace time ends 600 ms after running requests are cut off; the interpreter
 # needs the rest to exit.
 _CLOSE_TIMEOUT: Millis = 400.0
@@ -70,6 +78,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(server.serve, [front, ready])
                 tasks.start_soon(self._serve_metrics)
+                tasks.start_soon(self._learn_streams)
                 tasks.start_soon(core.peers.run, core.log, core.random)
                 tasks.start_soon(self._watch.follow_operator)
                 tasks.start_soon(self._watch.follow_servers)
@@ -82,10 +91,23 @@
                 tasks.start_soon(self._reload, reloads)
                 tasks.start_soon(self._stopper.watch, signals)
                 await self._stopper.run()
-                await self._close(server)
+                async with anyio.create_task_group() as ending:
+                    ending.start_soon(self._make_handover().leave)
+                    ending.start_soon(self._close, server)
                 tasks.cancel_scope.cancel()
         core.log.write(EventName.PROCESS_STOPPED)
 
+    def _make_handover(self) -> StreamHandover:
+        module = import_module('oleanderdyke.entry.hosted.handover')
+        handover: StreamHandover = module.StreamHandover(self._core)
+        return handover
+
+    async def _learn_streams(self) -> None:
+        """Read what entries left for this one, once its requests are served."""
+        await anyio.sleep(_LEARN_DELAY / SECOND)
+        if self._core.software.lifetimes:
+            await self._make_handover().read()
+
     async def _serve_metrics(self) -> None:
         """Serve metrics; log an error if their port can't be bound."""
         core = self._core
--- a/src/oleanderdyke/links/stream_exchange.py
+++ b/src/oleanderdyke/links/stream_exchange.py
@@ -119,7 +119,7 @@
         """Apply news of another entry, and answer what it asks."""
         now, sharing = self._clock.now(), self._sharing
         self.has_learned = True
-        sharing.receive(_decode_starts(news, now), link, now)
+        sharing.receive(decode_starts(news, now), link, now)
         if sharing.apply_claims(_decode_claims(news, now)):
             # Others that ask may learn the same.
             self._joined.clear()
@@ -178,7 +178,7 @@
         self, link: Link, starts: Sequence[StreamStart], now: Millis
     ) -> bool:
         """Send starts; return whether the link took them all."""
-        messages = _encode_starts(starts, now)
+        messages = encode_starts(starts, now)
         return all(link.write_encoded(each, encode(each)) for each in messages)
 
     def _list_links(self) -> list[Link]:
@@ -254,9 +254,10 @@
     """Do nothing, as `step` finds which links are open."""
 
 
-def _encode_starts(
+def encode_starts(
     starts: Sequence[StreamStart], now: Millis
 ) -> Iterator[StreamNews]:
+    """Yield messages of starts, some thousands in each."""
     for first in range(0, len(starts), _MAX_STARTS_PER_MESSAGE):
         yield _encode_part(starts[first : first + _MAX_STARTS_PER_MESSAGE], now)
 
@@ -278,7 +279,7 @@
     )
 
 
-def _decode_starts(news: StreamNews, now: Millis) -> Iterator[StreamStart]:
+def decode_starts(news: StreamNews, now: Millis) -> Iterator[StreamStart]:
     """Yield the starts of a message; none if its columns don't match."""
     count = len(news.origins)
     known = [
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -76,5 +76,7 @@
 FENCE_TOPIC = 'oleander-fences'
 # Topic of the system: agents announce which of them loads new weights.
 LOAD_TOPIC = 'oleander-loads'
+# Topic of the system: entries that leave tell which streams have begun.
+STREAM_TOPIC = 'oleander-streams'
 # Topic of the system: entries announce that they are alive.
 ENTRY_TOPIC = 'oleander-entries'
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -11,6 +11,7 @@
 import anyio
 import pytest
 
+from oleanderdyke.entry.hosted.handover import StreamHandover
 from tests.hosted import (
     SERVERS,
     make_record,
@@ -204,6 +205,22 @@
         assert_refused(lost, stages[1], 1)
 
 
+# Guards against refusing all streams after a rolling stop in which every entry
+# was replaced before the new ones had links.
+async def test_stream_of_entries_that_left_goes_on_at_one_that_starts(tmp_path):
+    async with stage_linked(tmp_path, OLD, NEW, entries=1) as linked:
+        (first,) = linked.stages
+        await settle([first], (OLD, NEW))
+        clients = make_clients('/stream/3/')
+        await ask_all(clients, first, until=3)
+        await StreamHandover(first.core).leave()
+        first.kill()
+        later = await linked.start()
+        await ask_all(clients, later)
+    assert list_mixed(clients) == []
+    assert list_incomplete(clients) == []
+
+
 # Guards against forgetting the first attempt once a later one has run.
 async def test_stream_resumed_twice_keeps_its_version(tmp_path):
     async with stage_linked(tmp_path, OLD, NEW) as linked:
