--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -5,6 +5,7 @@
 import argparse
 import gc
 import os
+import signal
 import sys
 from collections.abc import (
     Awaitable,
@@ -77,6 +78,9 @@
         if options.settings is None and not options.platform:
             parser.error('--settings FILE is needed without --platform')
         module = self.hosted if options.platform else self.standalone
+        if options.platform:
+            # It reports changed settings, which are about to be read anyway.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
         mode = _load_mode(module)
         try:
             settings = mode.load(options.settings, os.environ)
