--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -229,7 +229,9 @@
     `services` and `softwares` are columns of the origins that streams refer to.
     `digests` holds eight bytes for each stream; its origin and the tenths of a
     second for which callers may take it up are at the same place of `origins`
-    and `remaining`. `is_asking` requests what the receiver knows of services.
+    and `remaining`. `written_at` is the wall time of a message that is left in
+    the store, for which ages don't do. `is_asking` requests what the receiver
+    knows of services.
     """
 
     services: tuple[str, ...] = ()
@@ -239,3 +241,4 @@
     remaining: tuple[int, ...] = ()
     claims: tuple[SoftwareNews, ...] = ()
     is_asking: bool = False
+    written_at: Millis = 0.0
--- a/src/oleanderdyke/links/stream_exchange.py
+++ b/src/oleanderdyke/links/stream_exchange.py
@@ -22,7 +22,7 @@
     StreamOrigin,
     StreamStart,
 )
-from oleanderdyke.kernel.stream_sharing import PendingStart, StreamSharing
+from oleanderdyke.kernel.stream_sharing import StreamSharing
 from oleanderdyke.links.codec import encode
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.messages import Hello, Message
@@ -42,7 +42,7 @@
 # An entry that starts asks this many others directly, for so long.
 _TEACHERS = 4
 _LEARNING_TIME: Millis = 5 * SECOND
-_MAX_STARTS_PER_MESSAGE = 4_096
+MAX_STARTS_PER_MESSAGE = 4_096
 _REMAINING_UNIT: Millis = 100.0
 # Far longer than any stream lasts.
 _LONGEST_AGE: Millis = 1 * HOUR
@@ -65,8 +65,8 @@
         self._clock = clock
         self._pool: LinkPool | None = None
         self._inbound: set[Link] = set()
-        # Links over which the other side has got what is known here.
-        self._joined: set[Link] = set()
+        # What each link has still to get, the newest last.
+        self._backlogs: dict[Link, list[StreamStart]] = {}
         self._asked_at: Millis = -math.inf
         self._began_at: Millis = math.inf
         self._teachers: dict[str, str] = {}
@@ -106,6 +106,11 @@
                 with anyio.move_on_after(_IDLE_PERIOD / SECOND):
                     await self._wanted.wait()
 
+    @property
+    def has_links(self) -> bool:
+        """Return whether any link to another entry is open."""
+        return any(not link.closed for link in self._backlogs)
+
     def wake(self) -> None:
         """Send what is pending soon."""
         self._wanted.set()
@@ -118,11 +123,11 @@
     def receive(self, link: Link, news: StreamNews) -> None:
         """Apply news of another entry, and answer what it asks."""
         now, sharing = self._clock.now(), self._sharing
-        self.has_learned = True
+        self.has_learned = self.has_learned or bool(news.digests or news.claims)
         sharing.receive(decode_starts(news, now), link, now)
         if sharing.apply_claims(_decode_claims(news, now)):
             # Others that ask may learn the same.
-            self._joined.clear()
+            self._send_claims(now)
         if news.is_asking:
             link.write(StreamNews(claims=self._encode_claims(now)))
         if sharing.has_pending:
@@ -135,35 +140,53 @@
         self._choose_teachers(now, is_sharing=is_sharing)
         self._connect(now)
         links = self._list_links()
-        self._joined &= {*links}
+        self._backlogs = {
+            link: backlog
+            for link, backlog in self._backlogs.items()
+            if link in links
+        }
         pending = self._sharing.take_pending()
         for link in links:
-            if link in self._joined:
-                self._send_pending(link, pending, now)
+            if link in self._backlogs:
+                self._backlogs[link] += (
+                    each.start for each in pending if each.source is not link
+                )
             else:
                 self._join(link, now, is_sharing=is_sharing)
+        self._send_backlogs(now)
         self._ask(links, now)
 
-    def _send_pending(
-        self, link: Link, pending: Sequence[PendingStart], now: Millis
-    ) -> None:
-        starts = [each.start for each in pending if each.source is not link]
-        if starts and not self._send_starts(link, starts, now):
-            # The link is full: it gets all that is known later.
-            self._joined.discard(link)
-
     def _join(self, link: Link, now: Millis, *, is_sharing: bool) -> None:
-        """Send a new link all that is known, and so subscribe to its news."""
+        """Subscribe to the news of a new link, which gets all that is known."""
         news = StreamNews(
             claims=self._encode_claims(now),
             is_asking=self._sharing.history.is_asking(now),
         )
-        is_sent = link.write(news)
-        if is_sent and (is_sharing or self._sharing.is_active(now)):
-            known = [*self._sharing.origins.list_live(now)]
-            is_sent = self._send_starts(link, known, now)
-        if is_sent:
-            self._joined.add(link)
+        if not link.write(news):
+            return
+        self._backlogs[link] = []
+        if is_sharing or self._sharing.is_active(now):
+            self._backlogs[link] += self._sharing.origins.list_live(now)
+
+    def _send_backlogs(self, now: Millis) -> None:
+        """Send each link what it has to get, the newest first."""
+        # Most links get the same, which is encoded once.
+        encoded: dict[tuple[bytes, ...], tuple[StreamNews, bytes]] = {}
+        for link, backlog in self._backlogs.items():
+            while backlog:
+                part = backlog[-MAX_STARTS_PER_MESSAGE:]
+                key = tuple(start.digest for start in part)
+                if key not in encoded:
+                    news = next(encode_starts(part, now))
+                    encoded[key] = news, encode(news)
+                if not link.write_encoded(*encoded[key]):
+                    break
+                del backlog[-len(part) :]
+
+    def _send_claims(self, now: Millis) -> None:
+        news = StreamNews(claims=self._encode_claims(now))
+        for link in self._backlogs:
+            link.write(news)
 
     def _ask(self, links: Iterable[Link], now: Millis) -> None:
         """Ask for claims while those may make this entry certain."""
@@ -174,13 +197,6 @@
             for link in links:
                 link.write(StreamNews(is_asking=True))
 
-    def _send_starts(
-        self, link: Link, starts: Sequence[StreamStart], now: Millis
-    ) -> bool:
-        """Send starts; return whether the link took them all."""
-        messages = encode_starts(starts, now)
-        return all(link.write_encoded(each, encode(each)) for each in messages)
-
     def _list_links(self) -> list[Link]:
         up = self._client.find_record_link()
         self._inbound = {each for each in self._inbound if not each.closed}
@@ -258,8 +274,8 @@
     starts: Sequence[StreamStart], now: Millis
 ) -> Iterator[StreamNews]:
     """Yield messages of starts, some thousands in each."""
-    for first in range(0, len(starts), _MAX_STARTS_PER_MESSAGE):
-        yield _encode_part(starts[first : first + _MAX_STARTS_PER_MESSAGE], now)
+    for first in range(0, len(starts), MAX_STARTS_PER_MESSAGE):
+        yield _encode_part(starts[first : first + MAX_STARTS_PER_MESSAGE], now)
 
 
 def _encode_part(starts: Sequence[StreamStart], now: Millis) -> StreamNews:
