--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -89,6 +89,8 @@
     servers_read_at: Millis | None = None
     # Set while requests wait and no server is listed for them.
     servers_requested: anyio.Event = field(default_factory=anyio.Event)
+    # Set while streams wait for news of what began them.
+    origins_requested: anyio.Event = field(default_factory=anyio.Event)
     running: dict[str, HostedRequest] = field(default_factory=dict)
     retries: RetryShares = field(init=False)
     # The burst that was logged last.
--- a/src/oleanderdyke/entry/hosted/peer_sharing.py
+++ b/src/oleanderdyke/entry/hosted/peer_sharing.py
@@ -65,6 +65,7 @@
         self._history = history
         self._streams: StreamSharing | None = None
         self._exchange: StreamExchange | None = None
+        self._has_failed = False
         self._incarnation = secrets.token_hex(8)
 
     def make_sharing(
@@ -119,16 +120,23 @@
                     random=random,
                 )
         except* OSError as group:
+            self._exchange = None
+            self._has_failed = True
             detail = f'address {self.own.address}: {group.exceptions[0]}'
             log.write(EventName.RECORD_REFUSED, name='links', detail=detail)
 
     @property
     def is_learning(self) -> bool:
         """Return whether no other entry has told of streams yet."""
-        if not self.own.address:
+        if not self.own.address or self._has_failed:
             return False
         return self._exchange is None or not self._exchange.has_learned
 
+    @property
+    def has_links(self) -> bool:
+        """Return whether other entries learn of streams that begin here."""
+        return self._exchange is not None and self._exchange.has_links
+
     def find_streams(self) -> StreamSharing:
         """Return the streams that may be taken up, from the first one on."""
         if self._streams is None:
@@ -147,7 +155,10 @@
         """Record a stream that begins here, and tell the others if needed."""
         streams = self.find_streams()
         streams.begin(start, self._clock.now())
-        if self._exchange is not None and streams.has_pending:
+        if self._exchange is None:
+            # A link gets all that is known when it opens.
+            streams.take_pending()
+        elif streams.has_pending:
             self._exchange.wake()
 
     def _make_exchange(self) -> StreamExchange:
--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -70,7 +70,7 @@
 _KINDS: Mapping[Obstacle, ErrorKind] = {
     Obstacle.SOFTWARE: ErrorKind.WRONG_VERSION,
 }
-_UNKNOWN_ORIGIN = 'the version that began the stream is unknown'
+_UNKNOWN_ORIGIN = 'it is unknown which versions began streams'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/entry/hosted/stream_pin.py
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -42,7 +42,11 @@
         """Return whether it is known which version the stream needs, if any."""
         if self.software is None and self._is_resumption:
             self.software = self._find_software(now)
-        return self.software is not None or not self._is_resumption
+            if self.software is None:
+                self._core.origins_requested.set()
+        if self.software is not None:
+            return True
+        return not self._is_resumption and self._may_begin(now)
 
     def may_wait(self, now: Millis) -> bool:
         """Return whether another entry may still tell which version it is."""
@@ -102,11 +106,23 @@
             and is_usable(backend, now)
         )
 
+    def _may_begin(self, now: Millis) -> bool:
+        core = self._core
+        if core.software.may_begin(now) or core.peers.has_links:
+            return True
+        # An entry alone is the only one to resume what it began.
+        return len(core.entries.list_known()) <= 1
+
     def _find_software(self, now: Millis) -> str | None:
         core, call = self._core, self._call
         origin = core.peers.find_origin(call.team, call.parameters.resumes)
+        if origin is not None and origin.service == call.service:
+            return origin.software
         if origin is not None:
-            return origin.software if origin.service == call.service else None
+            # The route leads to another service now, whose versions say nothing
+            # about the one that began the stream.
+            self._is_resumption = False
+            return None
         return core.software.find_only(call.service, now)
 
     def _record_start(self) -> None:
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -164,7 +164,10 @@
         core.backends.record_list_read(now, read_at)
         _apply_servers(core.backends, news, now)
         core.backends.complete_read(now, read_at)
-        core.software.record_list(core.backends.list_softwares(now), read_at)
+        # An answer that arrives late tells of the time of its request.
+        core.software.record_list(
+            core.backends.list_softwares(now), min(read_at, requested_at)
+        )
         self._changes.log_changes(
             core.backends, now, now - (core.servers_read_at or now)
         )
@@ -242,7 +245,7 @@
         if known is not None and deployment.version <= known.version:
             return
         self._core.deployment = deployment
-        self._core.software.lifetimes = deployment.stream_lifetimes
+        self._core.software.configure(deployment.stream_lifetimes)
         self._core.scheduling.configure(deployment)
         self._core.limits.cold_limits = self._core.find_cold_limits(deployment)
         self._core.log.write(
--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -14,6 +14,9 @@
 # Servers write a record every 1.2 s, so one with this many has been listed for
 # longer than the settling time.
 _SETTLED_RECORDS = 3
+# An entry with an older list that reaches no other begins no streams: its
+# servers may have left the lists of all others.
+_BEGIN_LIMIT: Millis = 5 * SECOND
 # An older list may lack a version that has begun streams elsewhere.
 _FRESH_TIME: Millis = 1_800.0
 # Entries tell others what they began before their lists get older than that.
@@ -44,15 +47,33 @@
 class SoftwareHistory:
     """Know whether one version of a service can have begun a stream.
 
-    `is_first_start` tells that the system has not run before. `lifetimes` maps
-    services to how long their streams may be taken up.
+    `is_first_start` tells that the system has not run before.
     """
 
     def __init__(self, *, is_first_start: bool = False) -> None:
         self._begins_at: Millis | None = -math.inf if is_first_start else None
         self._read_at: Millis = -math.inf
         self._services: dict[str, _ServiceHistory] = {}
-        self.lifetimes: Mapping[str, Millis] = {}
+        self._lifetimes: dict[str, Millis] = {}
+
+    def configure(self, lifetimes: Mapping[str, Millis]) -> None:
+        """Set how long streams of services may be taken up.
+
+        Streams that began under longer timeouts may still live.
+        """
+        self._lifetimes = {
+            service: max(lifetime, self._lifetimes.get(service, 0.0))
+            for service, lifetime in lifetimes.items()
+        }
+
+    @property
+    def is_needed(self) -> bool:
+        """Return whether streams of any service may be taken up."""
+        return bool(self._lifetimes)
+
+    def may_begin(self, now: Millis) -> bool:
+        """Return whether an entry that reaches no other may begin streams."""
+        return now - self._read_at < _BEGIN_LIMIT
 
     def record_list(
         self, listed: Mapping[str, Mapping[str, int]], read_at: Millis
@@ -63,6 +84,8 @@
         servers has written since its start.
         """
         is_first = math.isinf(self._read_at)
+        # A version may have come and gone unnoticed.
+        has_gap = read_at - self._read_at > SETTLING_TIME
         for service, softwares in listed.items():
             history = self._services.setdefault(service, _ServiceHistory())
             seen = history.first_seen
@@ -71,6 +94,8 @@
             history.first_seen = {
                 software: seen.get(software, read_at) for software in softwares
             }
+            if has_gap and not is_first:
+                history.only = None
             self._record_only(history, softwares, read_at, is_first=is_first)
         self._read_at = read_at
 
@@ -85,13 +110,13 @@
 
     def is_certain(self, now: Millis) -> bool:
         """Return whether one version alone has begun the streams of each."""
-        if not self.lifetimes:
+        if not self._lifetimes:
             return True
         if now - self._read_at > _CERTAIN_TIME:
             return False
         return all(
             self._find_alone(service, now) is not None
-            for service in self.lifetimes
+            for service in self._lifetimes
         )
 
     def is_asking(self, now: Millis) -> bool:
@@ -99,10 +124,10 @@
         return any(
             history is not None
             and history.only is not None
-            and history.since > now - lifetime
+            and history.since > now - lifetime - _BEGIN_LIMIT
             for history, lifetime in (
                 (self._services.get(service), lifetime)
-                for service, lifetime in self.lifetimes.items()
+                for service, lifetime in self._lifetimes.items()
             )
         )
 
@@ -120,7 +145,7 @@
     def list_claims(self) -> Iterator[SoftwareClaim]:
         """Yield since when a single version has served each service."""
         for service, history in self._services.items():
-            if history.only is not None and service in self.lifetimes:
+            if history.only is not None and service in self._lifetimes:
                 yield SoftwareClaim(
                     service, history.only, history.since, self._read_at
                 )
@@ -131,17 +156,20 @@
         if history is None or history.only != claim.software:
             return False
         is_joined = claim.read_at - _TRANSIT_MARGIN >= history.since
-        if not is_joined or claim.since >= history.since:
+        # Smaller gains are differences in transit.
+        gain = history.since - claim.since
+        if not is_joined or gain < _TRANSIT_MARGIN:
             return False
         history.since = claim.since
         return True
 
     def _find_alone(self, service: str, now: Millis) -> str | None:
         history = self._services.get(service)
-        lifetime = self.lifetimes.get(service)
+        lifetime = self._lifetimes.get(service)
         if history is None or lifetime is None:
             return None
-        return history.only if history.since <= now - lifetime else None
+        is_old = history.since <= now - lifetime - _BEGIN_LIMIT
+        return history.only if is_old else None
 
     def _record_only(
         self,
--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -33,7 +33,7 @@
 
 def make_history(**options):
     history = SoftwareHistory(**options)
-    history.lifetimes = {'desk': LIFETIME}
+    history.configure({'desk': LIFETIME})
     return history
 
 
@@ -45,11 +45,13 @@
     history = make_history()
     history.record_list({'desk': {'v1': 9}}, 100.0)
     assert history.find_only('desk', 100.0) is None
-    history.record_list({'desk': {'v1': 9}}, LIFETIME)
-    assert history.find_only('desk', LIFETIME) is None
-    history.record_list({'desk': {'v1': 9}}, LIFETIME + 100.0)
-    assert history.find_only('desk', LIFETIME + 100.0) == 'v1'
-    assert history.find_only('other', LIFETIME + 100.0) is None
+    for now in range(1_100, 13_100, 1_000):
+        history.record_list({'desk': {'v1': 9}}, now)
+        assert history.find_only('desk', now) is None
+    # An entry that is cut off may begin streams for five seconds more.
+    history.record_list({'desk': {'v1': 9}}, 13_100.0)
+    assert history.find_only('desk', 13_100.0) == 'v1'
+    assert history.find_only('other', 13_100.0) is None
 
 
 def test_the_first_start_of_the_system_leaves_no_earlier_streams():
@@ -74,8 +76,33 @@
     assert history.find_only('desk', 100.0) is None
     history.record_list({'desk': {'v2': 2}}, 200.0)
     assert history.find_only('desk', 200.0) is None
-    history.record_list({'desk': {'v2': 9}}, 200.0 + LIFETIME)
-    assert history.find_only('desk', 200.0 + LIFETIME) == 'v2'
+    for now in range(1_200, 13_200, 1_000):
+        history.record_list({'desk': {'v2': 9}}, now)
+        assert history.find_only('desk', now) is None
+    history.record_list({'desk': {'v2': 9}}, 13_200.0)
+    assert history.find_only('desk', 13_200.0) == 'v2'
+
+
+# A version that came and went while nobody read the list was not missed.
+def test_a_gap_between_lists_leaves_nothing_certain():
+    history = make_history(is_first_start=True)
+    history.record_list({'desk': {'v1': 1}}, 0.0)
+    history.record_list({'desk': {'v1': 3}}, SETTLING_TIME)
+    assert history.find_only('desk', SETTLING_TIME) == 'v1'
+    history.record_list({'desk': {'v1': 9}}, 3 * SETTLING_TIME)
+    assert history.find_only('desk', 3 * SETTLING_TIME) is None
+
+
+# Streams that began under the longer timeout were taken for ended.
+def test_a_shorter_timeout_does_not_shorten_the_past():
+    history = make_history()
+    for now in range(0, 14_000, 1_000):
+        history.record_list({'desk': {'v1': 9}}, now)
+    assert history.find_only('desk', 13_000.0) == 'v1'
+    history.configure({'desk': 4 * LIFETIME})
+    assert history.find_only('desk', 13_000.0) is None
+    history.configure({'desk': LIFETIME})
+    assert history.find_only('desk', 13_000.0) is None
 
 
 def test_a_new_version_begins_no_streams_until_all_entries_know_it():
@@ -106,10 +133,12 @@
         SoftwareClaim('desk', 'v2', 0.0, 10_500.0),
         SoftwareClaim('desk', 'v1', 0.0, 10_100.0),
         SoftwareClaim('other', 'v1', 0.0, 10_500.0),
+        # Differences in transit are no news.
+        SoftwareClaim('desk', 'v1', 9_900.0, 10_500.0),
     ):
         assert not history.apply_claim(claim)
     assert history.find_only('desk', 10_500.0) is None
-    assert history.apply_claim(SoftwareClaim('desk', 'v1', 0.0, 10_400.0))
+    assert history.apply_claim(SoftwareClaim('desk', 'v1', -9_000.0, 10_400.0))
     assert history.find_only('desk', 10_500.0) == 'v1'
     assert not history.is_asking(10_500.0)
 
@@ -192,7 +221,7 @@
     def settle(self):
         """Let the first version serve alone, and all entries know it."""
         self.softwares = dict([min(self.softwares.items())])
-        for _ in range(12):
+        for _ in range(20):
             self.now += LIFETIME / 10
             for entry in self.entries:
                 self.read(entry)
@@ -297,9 +326,9 @@
 
 @pytest.mark.parametrize('kind', [GuessesTheOnlyListed, UsesNewVersionsAtOnce])
 def test_checks_of_streams_catch_an_unsafe_history(kind):
-    def make_sharing(history):
+    def make_sharing(_history):
         unsafe = kind()
-        unsafe.lifetimes = history.lifetimes
+        unsafe.configure({'desk': LIFETIME})
         return StreamSharing(StreamOrigins(), unsafe)
 
     world = type(
