--- a/src/oleanderdyke/entry/hosted/handover.py
+++ b/src/oleanderdyke/entry/hosted/handover.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,17 +16,25 @@
 from oleanderdyke.events import EventName
 from oleanderdyke.links.codec import decode, encode
 from oleanderdyke.links.messages.news import StreamNews
-from oleanderdyke.links.stream_exchange import decode_starts, encode_starts
+from oleanderdyke.links.stream_exchange import (
+    MAX_STARTS_PER_MESSAGE,
+    decode_starts,
+    encode_starts,
+)
 from oleanderdyke.platform.handovers import HandoverFeed
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
 if TYPE_CHECKING:
     from oleanderdyke.entry.hosted.core import HostedCore
 
+# Callers of older messages have mostly left; clocks differ by seconds.
+_MAX_AGE: Millis = 30 * SECOND
 # The process has half a second left to exit.
 _LEAVE_LIMIT: Millis = 300.0
-# Other entries may leave a little later than this one starts.
-_READ_PERIODS: tuple[Millis, ...] = (0.0, 500.0, 1_000.0, 1_500.0, 3_000.0)
+# Other entries may leave a little later than this one starts. Links tell of all
+# streams after some seconds.
+_READ_PERIOD: Millis = 500.0
+_MOST_READS = 20
 
 
 class StreamHandover:
@@ -44,9 +53,13 @@
         if not streams.update(now):
             return
         starts = [*streams.origins.list_live(now)]
-        message = next(encode_starts(starts, now), None)
-        if message is None:
+        if not starts:
             return
+        # The newest ones, as the callers of others have less time left.
+        message = replace(
+            next(encode_starts(starts[-MAX_STARTS_PER_MESSAGE:], now)),
+            written_at=core.clock.wall(),
+        )
         try:
             with anyio.move_on_after(_LEAVE_LIMIT / SECOND):
                 await self._feed.leave(encode(message))
@@ -54,19 +67,18 @@
             self._log(error)
 
     async def read(self) -> None:
-        """Learn what entries told that left lately."""
-        core = self._core
-        for period in _READ_PERIODS:
-            await anyio.sleep(period / SECOND)
-            if core.software.is_certain(core.clock.now()):
-                return
+        """Learn what entries told that left lately, while streams need it."""
+        for _ in range(_MOST_READS):
+            await self._core.origins_requested.wait()
+            self._core.origins_requested = anyio.Event()
             try:
                 messages = await self._feed.read()
             except StoreUnavailable as error:
                 self._log(error)
-                continue
+                messages = ()
             for message in messages:
                 self._apply(message)
+            await anyio.sleep(_READ_PERIOD / SECOND)
 
     def _apply(self, message: bytes) -> None:
         core = self._core
@@ -76,10 +88,15 @@
             self._log(error)
             return
         now = core.clock.now()
-        if isinstance(news, StreamNews):
+        if isinstance(news, StreamNews) and self._is_recent(news):
             starts = decode_starts(news, now)
             core.peers.find_streams().receive(starts, self, now)
 
+    def _is_recent(self, news: StreamNews) -> bool:
+        """Return whether streams of a message may still be taken up."""
+        age = self._core.clock.wall() - news.written_at
+        return abs(age) < _MAX_AGE
+
     def _log(self, error: OleanderError) -> None:
         self._core.log.write(
             EventName.RECORD_REFUSED, name='streams', detail=error.message
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -39,9 +39,6 @@
 # counts as silent.
 _STALL_THRESHOLD: Millis = 250.0
 _SETTINGS_PERIOD: Millis = 1 * SECOND
-# Importing modules is slow on a fraction of a core, so requests are served
-# first.
-_LEARN_DELAY: Millis = 300.0
 # The grace time ends 600 ms after running requests are cut off; the interpreter
 # needs the rest to exit.
 _CLOSE_TIMEOUT: Millis = 400.0
@@ -103,10 +100,9 @@
         return handover
 
     async def _learn_streams(self) -> None:
-        """Read what entries left for this one, once its requests are served."""
-        await anyio.sleep(_LEARN_DELAY / SECOND)
-        if self._core.software.lifetimes:
-            await self._make_handover().read()
+        """Read what entries left for this one, once a request needs it."""
+        await self._core.origins_requested.wait()
+        await self._make_handover().read()
 
     async def _serve_metrics(self) -> None:
         """Serve metrics; log an error if their port can't be bound."""
--- a/src/oleanderdyke/platform/handovers.py
+++ b/src/oleanderdyke/platform/handovers.py
@@ -20,7 +20,7 @@
     async def read(self) -> tuple[bytes, ...]:
         """Return the messages that were not read yet; raise StoreUnavailable.
 
-        The store keeps them for some seconds.
+        The store keeps them for some minutes.
         """
         try:
             messages = await self._client.read_plain(
