--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -143,7 +143,8 @@
         refusal = event.refusal
         if refusal.kind is ErrorKind.NO_REPLICA and self._can_await_replica():
             return self._await_replica()
-        if self._must_hold_on():
+        has_gone = refusal.kind is ErrorKind.WRONG_VERSION
+        if self._must_hold_on() and not has_gone:
             return self._hold_on(is_paid=True)
         return self._refuse(refusal.kind, refusal.retry_after, refusal.reason)
 
