--- a/tools/soak/service.py
+++ b/tools/soak/service.py
@@ -119,6 +119,9 @@
         self.history.record_leaving(host.server, host.version, self.now())
 
     def _remove(self, host: Host) -> None:
+        if host not in self.hosts:
+            # Another replacement that overlaps has removed it.
+            return
         host.stop(self.now())
         self.hosts.remove(host)
         self.store.drop(SERVERS, host.server)
