--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -12,6 +12,8 @@
 import pytest
 
 from oleanderdyke.entry.hosted.handover import StreamHandover
+from oleanderdyke.entry.hosted.peer_sharing import PeerSharing
+from oleanderdyke.kernel.software_history import SoftwareHistory
 from tests.hosted import (
     SERVERS,
     make_record,
@@ -205,6 +207,24 @@
         assert_refused(lost, stages[1], 1)
 
 
+# Guards against an entry that nobody hears, which began streams at a version
+# that all others took for gone.
+async def test_entry_that_is_cut_off_begins_no_streams(tmp_path, monkeypatch):
+    async with stage_linked(tmp_path, OLD, NEW) as linked:
+        stage = linked.stages[0]
+        await settle(linked.stages, (OLD, NEW))
+        monkeypatch.setattr(PeerSharing, 'has_links', False)
+        begun = make_clients('/stream/3/', count=2, name='begun')
+        await ask_all(begun, stage, until=3)
+        monkeypatch.setattr(SoftwareHistory, 'may_begin', lambda *_: False)
+        refused = make_clients('/stream/3/', count=2, name='refused')
+        await ask_all(refused, stage)
+        await ask_all(begun, stage)
+    assert_refused(refused, stage, 0)
+    assert list_mixed(begun) == []
+    assert list_incomplete(begun) == []
+
+
 # Guards against refusing all streams after a rolling stop in which every entry
 # was replaced before the new ones had links.
 async def test_stream_of_entries_that_left_goes_on_at_one_that_starts(tmp_path):
