Compute the median of prefill rates without the statistics module

Cause: a start of an entry loads it, with decimal and fractions, for one median; the limit of modules that a start loads leaves no room for another one. Change: the same median of odd and even counts from the sorted samples. Evidence: tests/test_loaded_modules.py and the tests of read rates pass.

--- a/src/oleanderdyke/kernel/scheduling/prefill_rate.py
+++ b/src/oleanderdyke/kernel/scheduling/prefill_rate.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -38,7 +37,9 @@
             return
         rate = tokens / duration
         self._samples.append(min(max(rate, _MIN_RATE), _MAX_RATE))
-        self._rate = statistics.median(self._samples)
+        ordered = sorted(self._samples)
+        middle = len(ordered) // 2
+        self._rate = (ordered[middle] + ordered[~middle]) / 2
 
     def estimate_time(self, tokens: float) -> Millis:
         """Return how long the prefill of this many tokens takes."""
