Count the sends that may still arrive as repeats, in logs and metrics

Cause: request_retried names source and tokens as a retry is sent. With a bucket that pays too late and with retries that wait to be sent the log looks alike: nothing tells what may still arrive at the servers. Change: each request tracks its sends: planned, written, answered, closed by the peer, or given up, until a later send to the same start of the server is answered or that start has ended. Gauges oleander_retry_outstanding and oleander_retry_reserved, and outstanding= in request_retried. No decision changes yet.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -40,6 +40,7 @@
 )
 from oleanderdyke.kernel.backend import Backend, PendingAttempt
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS
+from oleanderdyke.kernel.outstanding_sends import RequestSends, Send
 from oleanderdyke.kernel.servers import AnswerMetadata, ServerStart
 from oleanderdyke.kernel.weight_versions import (
     CANCEL_MARGIN,
@@ -95,6 +96,7 @@
         inbox: Inbox,
         splitter: EventSplitter | None,
         reserve_retry: Callable[[], bool],
+        sends: RequestSends,
         copies: CallCopies | None = None,
         pin: StreamPin | None = None,
         find_flow: Callable[[], StreamFlow] | None = None,
@@ -105,6 +107,8 @@
         self._splitter = splitter
         self._pin = pin
         self._reserve_retry = reserve_retry
+        self._sends = sends
+        self._send_record: Send | None = None
         self._copies = copies
         self._find_flow = find_flow
         self._is_paused = False
@@ -184,6 +188,8 @@
             return
         if self._core.backends.is_superseded(self._start):
             self._lost_copy = self._find_copy(is_ended=True)
+            if self._send_record is not None:
+                self._send_record.arrive()
             self._close_failed(
                 ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'server restarted'
             )
@@ -313,8 +319,11 @@
         """Report that the connection was lost before the response ended."""
         if not self._done:
             self._record_loss()
-            if self._has_peer_closed():
+            has_closed = self._has_peer_closed()
+            if has_closed:
                 self._lost_copy = self._find_copy(is_ended=False)
+            if self._send_record is not None:
+                self._send_record.record_lost(has_peer_closed=has_closed)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
     def _has_peer_closed(self) -> bool:
@@ -391,6 +400,7 @@
             call.host,
         )
         self._sent = True
+        self._send_record = self._sends.begin(self._start)
         demand = call.parameters.demand
         tokens = 0
         if demand is not None:
@@ -485,6 +495,8 @@
         core.backends.record_received(
             self._start, self._attempt_id, core.clock.now()
         )
+        if self._send_record is not None:
+            self._send_record.record_answer()
         if is_own_answer(metadata, self._call.request, self.server):
             self._updates.apply_metadata(metadata)
         if self._connection is not None:
@@ -558,6 +570,7 @@
 
     def _report_unsent(self, reason: str) -> None:
         self._done = True
+        self._sends.record_unsent()
         self._log_broken(Ran.NO, reason)
         self._inbox.put(DispatchNotSent(self._number))
 
@@ -573,6 +586,8 @@
 
     def _finish(self, *, is_not_run: bool = False) -> None:
         self._done = True
+        if self._send_record is not None:
+            self._send_record.give_up(is_silent=self._is_silent)
         self.resume()
         if self._copies is not None:
             self._copies.end(self._attempt_id, is_not_run=is_not_run)
--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -62,9 +62,18 @@
         )
 
     def log_retried(
-        self, attempt: int, server: str, *, source: RetrySource, left: float
+        self,
+        attempt: int,
+        server: str,
+        *,
+        source: RetrySource,
+        left: float,
+        outstanding: int,
     ) -> None:
-        """Log another attempt of a call, and the retries left after it."""
+        """Log another attempt of a call, and the retries left after it.
+
+        `outstanding` sends of the service may still arrive as repeats.
+        """
         self._core.log.write(
             EventName.REQUEST_RETRIED,
             request=self._call.request,
@@ -73,6 +82,7 @@
             service=self._call.service,
             source=source.value,
             budget=round(left, 2),
+            outstanding=outstanding,
         )
 
     def log_refused(
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -272,6 +272,9 @@
             found = self.scheduling.find_windowed(service) or budget
             metrics.set_gauge(Gauge.RETRY_TOKENS, found.tokens, service)
             metrics.set_gauge(Gauge.RETRY_BURST, found.settings.burst, service)
+            sends = self.retries.find_sends(service)
+            metrics.set_gauge(Gauge.RETRY_OUTSTANDING, sends.repeats, service)
+            metrics.set_gauge(Gauge.RETRY_RESERVED, sends.reserved, service)
         if self.deployment is not None:
             version = self.deployment.version
             metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -111,11 +111,11 @@
         self._retry_delay = RETRY_DELAY
         self._pin = core.make_pin(call)
         self._selector = ServerSelector(core, call, self._pin)
-        self._budget = core.scheduling.find_budget(call, core)
+        self._retries = core.scheduling.open_retries(call, core)
         self._machine = RequestStateMachine(
             _make_facts(core, call),
             settings=_make_settings(call),
-            budget=self._budget,
+            budget=self._retries,
         )
         self._handlers = self._make_handlers()
 
@@ -288,7 +288,8 @@
                 action.attempt,
                 action.agent,
                 source=self._machine.take_retry_source(),
-                left=self._budget.tokens,
+                left=self._retries.tokens,
+                outstanding=self._retries.sends.service.repeats,
             )
         self._last_server = action.agent
         self._attempt = DirectAttempt(
@@ -301,6 +302,7 @@
             splitter=self._splitter,
             pin=self._pin,
             reserve_retry=self._machine.reserve_retry,
+            sends=self._retries.sends,
             copies=self._copies,
             find_flow=self._find_flow,
         )
@@ -341,7 +343,7 @@
         retries_left = None
         if self._machine.is_retry_denied:
             core.metrics.add(Count.RETRIES_DENIED, label=self._call.service)
-            retries_left = self._budget.tokens
+            retries_left = self._retries.tokens
         self._call_log.log_refused(
             action, self._find_progress(), retries_left=retries_left
         )
@@ -396,6 +398,7 @@
             timer.cancel()
         if self._attempt is not None:
             self._attempt.cancel()
+        self._retries.sends.close()
         if self._flow is not None:
             self._flow.close()
 
--- a/src/oleanderdyke/entry/hosted/scheduling.py
+++ b/src/oleanderdyke/entry/hosted/scheduling.py
@@ -16,7 +16,7 @@
     from oleanderdyke.entry.hosted.copies import CallCopies
     from oleanderdyke.entry.hosted.core import HostedCore
     from oleanderdyke.entry.hosted.scheduler import Scheduler
-    from oleanderdyke.kernel.retries import RetryBudget
+    from oleanderdyke.kernel.retries import RequestRetries, RetryBudget
     from oleanderdyke.kernel.scheduling.costs import Costs
     from oleanderdyke.kernel.scheduling.placement import Choice
     from oleanderdyke.kernel.scheduling.switch import LoadSwitch
@@ -122,6 +122,13 @@
         scheduler = self.find_scheduler(call)
         return None if scheduler is None else scheduler.find_costs(call)
 
+    def open_retries(
+        self, call: HostedCall, core: HostedCore
+    ) -> RequestRetries:
+        """Return the retries of a new call."""
+        budget = self.find_budget(call, core)
+        return core.retries.open_request(call.service, budget)
+
     def find_budget(self, call: HostedCall, core: HostedCore) -> RetryBudget:
         """Return the retry budget of a call.
 
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -176,6 +176,7 @@
         # network partition; each would delay a request by half a second.
         for ended in core.backends.take_superseded():
             core.pool.drop_idle(ended.address)
+            core.retries.record_ended(ended.start)
 
     async def _follow(
         self, name: str, read: Callable[[], Awaitable[None]], period: Millis
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -195,6 +195,7 @@
     SIDE = 'side'
     BUDGET = 'budget'
     SOURCE = 'source'
+    OUTSTANDING = 'outstanding'
 
 
 def find_level(event: EventName) -> Level:
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -25,7 +25,7 @@
     TimerKind,
 )
 from oleanderdyke.kernel.claim_records import ReleaseRecord
-from oleanderdyke.kernel.retries import RetryBudget, RetrySource
+from oleanderdyke.kernel.retries import RetryAllowance, RetrySource
 from oleanderdyke.links.messages.claims import Claim
 
 Actions: TypeAlias = tuple[Action, ...]
@@ -117,7 +117,7 @@
         facts: RequestFacts,
         *,
         settings: AttemptSettings,
-        budget: RetryBudget,
+        budget: RetryAllowance,
     ) -> None:
         self._facts = facts
         self._settings = settings
--- /dev/null
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -0,0 +1,212 @@
+"""Count the sends of requests that may still arrive at servers as repeats.
+
+A server whose process stands still, or one behind a silent link, reads a
+request long after it was sent, and perhaps after another server answered it.
+Closing the connection does not take back what its kernel holds.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import count, takewhile
+
+from oleanderdyke.clock import MINUTE, SECOND, Millis
+from oleanderdyke.kernel.servers import ServerStart
+
+# A server that has been silent for longer is likely lost.
+_LONG_SILENCE: Millis = 1 * MINUTE
+# Bounds the memory for sends to servers that are lost for good.
+_LONGEST_SILENCE: Millis = 10 * MINUTE
+_AGING_PERIOD: Millis = 1 * SECOND
+
+
+@dataclass(eq=False, slots=True)
+class Send:
+    """One send of a request to one start of a server.
+
+    `number` ascends over all sends of a service.
+    """
+
+    request: RequestSends
+    start: ServerStart
+    number: int
+    is_outstanding: bool = True
+    is_given_up: bool = False
+    is_silent: bool = False
+    given_up_at: Millis = 0.0
+
+    def record_answer(self) -> None:
+        """Record bytes of its answer, which follow all earlier arrivals."""
+        self.arrive()
+        self.request.service.record_heard(self.start, self.number)
+
+    def record_lost(self, *, has_peer_closed: bool) -> None:
+        """Record that the connection was lost.
+
+        A peer that closes it ends the send, unless the server has been silent:
+        then the link may have been reset while its process stands still.
+        """
+        if has_peer_closed and not self.request.service.is_silent(self.start):
+            self.arrive()
+        else:
+            self.give_up(is_silent=True)
+
+    def arrive(self) -> None:
+        """Record that the send has arrived, or that it never will."""
+        if self.is_outstanding:
+            self.is_outstanding = False
+            self.request.service.remove(self)
+            self.request.record_arrival()
+
+    def give_up(self, *, is_silent: bool) -> None:
+        """Record that this entry gave the send up without an answer."""
+        if self.is_outstanding and not self.is_given_up:
+            self.is_given_up = True
+            self.is_silent = is_silent
+            self.request.service.add_given_up(self)
+
+
+class RequestSends:
+    """The sends of one request, of which the first arrival is no repeat.
+
+    A send is planned before its server is chosen.
+    """
+
+    def __init__(self, service: OutstandingSends) -> None:
+        self.service = service
+        # Whether each planned send was paid for; the first one is free.
+        self._planned = [False]
+        self._outstanding = 0
+        self._has_arrived = False
+        self._repeats = 0
+        self._reserved = 0
+
+    def plan(self) -> None:
+        """Record that a repeat was paid for."""
+        self._planned.append(True)
+        self._update()
+
+    def begin(self, start: ServerStart) -> Send:
+        """Record that the planned send is written to a connection."""
+        if self._planned:
+            self._planned.pop()
+        self._outstanding += 1
+        self._update()
+        return self.service.add(self, start)
+
+    def record_unsent(self) -> None:
+        """Record that the planned send was not written at all."""
+        if self._planned:
+            self._planned.pop()
+        self._update()
+
+    def record_arrival(self) -> None:
+        """Record that an outstanding send may no longer arrive."""
+        self._outstanding -= 1
+        self._has_arrived = True
+        self._update()
+
+    def close(self) -> None:
+        """Record that the request has ended: nothing planned is sent."""
+        while self._planned:
+            self.record_unsent()
+
+    def _update(self) -> None:
+        service, planned = self.service, len(self._planned)
+        first = 0 if self._has_arrived else 1
+        repeats = max(planned + self._outstanding - first, 0)
+        service.repeats += repeats - self._repeats
+        self._repeats = repeats
+        service.reserved += sum(self._planned) - self._reserved
+        self._reserved = sum(self._planned)
+
+
+@dataclass(slots=True)
+class OutstandingSends:
+    """The sends of one entry to one service that may still arrive.
+
+    `repeats` counts those beyond the first of each request, with the
+    `reserved` ones that are paid for and not sent yet.
+    """
+
+    now: Callable[[], Millis]
+    repeats: int = 0
+    reserved: int = 0
+    _numbers: Iterator[int] = field(default_factory=count)
+    _by_start: dict[ServerStart, OrderedDict[Send, None]] = field(
+        default_factory=dict
+    )
+    _given_up: deque[Send] = field(default_factory=deque)
+    _aged: int = 0
+    _aged_at: Millis = 0.0
+
+    def open(self) -> RequestSends:
+        """Begin to track a request."""
+        return RequestSends(self)
+
+    def count_repeats(self, most_aged: float) -> float:
+        """Count the repeats that may arrive.
+
+        Of those to servers that have been silent for long, at most
+        `most_aged` count.
+        """
+        self._age()
+        aged = min(self._aged, self.repeats)
+        return self.repeats - aged + min(aged, most_aged)
+
+    def add(self, request: RequestSends, start: ServerStart) -> Send:
+        """Track a send that is being written."""
+        send = Send(request, start, next(self._numbers))
+        self._by_start.setdefault(start, OrderedDict())[send] = None
+        return send
+
+    def add_given_up(self, send: Send) -> None:
+        """Track the age of a send that was given up."""
+        send.given_up_at = self.now()
+        self._given_up.append(send)
+
+    def remove(self, send: Send) -> None:
+        """Stop tracking a send."""
+        sends = self._by_start[send.start]
+        del sends[send]
+        if not sends:
+            del self._by_start[send.start]
+
+    def is_silent(self, start: ServerStart) -> bool:
+        """Return whether a server was given up as silent, and not heard."""
+        sends = self._by_start.get(start, ())
+        return any(send.is_silent for send in sends)
+
+    def record_heard(self, start: ServerStart, number: int) -> None:
+        """Record an answer to a send; all earlier ones have arrived."""
+        sends = tuple(self._by_start.get(start, ()))
+        for send in takewhile(lambda each: each.number < number, sends):
+            send.arrive()
+
+    def record_ended(self, start: ServerStart) -> None:
+        """Record that a start of a server has ended."""
+        for send in tuple(self._by_start.get(start, ())):
+            send.arrive()
+
+    def _age(self) -> None:
+        """Count again how many sends were given up long ago."""
+        now = self.now()
+        if now - self._aged_at < _AGING_PERIOD:
+            return
+        self._aged_at = now
+        while self._given_up and self._is_over(self._given_up[0], now):
+            self._given_up.popleft().arrive()
+        self._aged = sum(
+            send.is_outstanding
+            for send in takewhile(
+                lambda each: now - each.given_up_at > _LONG_SILENCE,
+                self._given_up,
+            )
+        )
+
+    def _is_over(self, send: Send, now: Millis) -> bool:
+        return (
+            not send.is_outstanding or now - send.given_up_at > _LONGEST_SILENCE
+        )
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -10,10 +10,16 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.outstanding_sends import (
+    OutstandingSends,
+    RequestSends,
+)
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.scheduling.ranks import count_ahead
+from oleanderdyke.kernel.servers import ServerStart
 
 # Share of the operators' retry limits that is used, as a safety margin.
 _USED_SHARE = 0.8
@@ -48,6 +54,26 @@
     COPY = 'copy'
 
 
+class RetryAllowance(Protocol):
+    """What one request asks for its retries."""
+
+    @property
+    def tokens(self) -> float:
+        """Return the number of retries left, which may be fractional."""
+
+    def deposit(self) -> None:
+        """Add the share of one new request."""
+
+    def try_withdraw(self) -> bool:
+        """Take one retry; return False if none is left."""
+
+    def try_withdraw_for_copy(self) -> bool:
+        """Take one retry of a lost run that goes on at its copy."""
+
+    def delay(self, retry: int) -> Millis:
+        """Return a random exponential backoff; `retry` counts from 1."""
+
+
 class RetryBudget:
     """Limit retries by a token bucket that new requests refill.
 
@@ -159,6 +185,41 @@
         return super().try_withdraw()
 
 
+class RequestRetries:
+    """The retries of one request, and what became of its sends."""
+
+    def __init__(self, budget: RetryBudget, sends: RequestSends) -> None:
+        self._budget = budget
+        self.sends = sends
+
+    @property
+    def tokens(self) -> float:
+        """Return the number of retries left, which may be fractional."""
+        return self._budget.tokens
+
+    def deposit(self) -> None:
+        """Add the share of one new request."""
+        self._budget.deposit()
+
+    def try_withdraw(self) -> bool:
+        """Take one retry; return False if none is left."""
+        return self._plan(self._budget.try_withdraw)
+
+    def try_withdraw_for_copy(self) -> bool:
+        """Take one retry of a lost run that goes on at its copy."""
+        return self._plan(self._budget.try_withdraw_for_copy)
+
+    def delay(self, retry: int) -> Millis:
+        """Return a random exponential backoff; `retry` counts from 1."""
+        return self._budget.delay(retry)
+
+    def _plan(self, withdraw: Callable[[], bool]) -> bool:
+        if not withdraw():
+            return False
+        self.sends.plan()
+        return True
+
+
 class RetryShares:
     """The retry budgets of one entry, named `own`, by service."""
 
@@ -179,6 +240,7 @@
         self._now = now
         self._is_leaving = is_leaving
         self._budgets: dict[str, RetryBudget] = {}
+        self._sends: dict[str, OutstandingSends] = {}
         self._settings: RetrySettings | None = None
         self._found_at: Millis = -math.inf
 
@@ -190,6 +252,21 @@
             )
         return self._budgets[service]
 
+    def find_sends(self, service: str) -> OutstandingSends:
+        """Return this entry's sends to a service that may still arrive."""
+        if service not in self._sends:
+            self._sends[service] = OutstandingSends(self._now)
+        return self._sends[service]
+
+    def open_request(self, service: str, budget: RetryBudget) -> RequestRetries:
+        """Return the retries of a new request, paid for by a budget."""
+        return RequestRetries(budget, self.find_sends(service).open())
+
+    def record_ended(self, start: ServerStart) -> None:
+        """Record that a start of a server has ended: nothing arrives there."""
+        for sends in self._sends.values():
+            sends.record_ended(start)
+
     def list_budgets(self) -> Iterable[tuple[str, RetryBudget]]:
         """Return the budgets with their services."""
         return self._budgets.items()
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -80,6 +80,8 @@
     UNREAD_BYTES = 'unread_bytes'
     RETRY_TOKENS = 'retry_tokens'
     RETRY_BURST = 'retry_burst'
+    RETRY_OUTSTANDING = 'retry_outstanding'
+    RETRY_RESERVED = 'retry_reserved'
 
 
 _SERVICE = 'service'
@@ -130,6 +132,8 @@
     Gauge.UNREAD_BYTES: _NONE,
     Gauge.RETRY_TOKENS: _SERVICE,
     Gauge.RETRY_BURST: _SERVICE,
+    Gauge.RETRY_OUTSTANDING: _SERVICE,
+    Gauge.RETRY_RESERVED: _SERVICE,
 }
 
 
