--- a/src/oleanderdyke/kernel/load_concurrency.py
+++ b/src/oleanderdyke/kernel/load_concurrency.py
@@ -4,7 +4,6 @@
 
 import heapq
 import math
-import statistics
 from bisect import bisect_left
 from collections import deque
 from collections.abc import Sequence
@@ -65,7 +64,7 @@
         """Return the median of the latest durations, or the assumed one."""
         if not self._recent:
             return self._initial
-        return statistics.median_high(self._recent)
+        return sorted(self._recent)[len(self._recent) // 2]
 
     def is_overdue(self, duration: Millis) -> bool:
         """Return whether a load takes much longer than usual."""
