Let unread sends hold the retries that paid for them

What callers saw: nothing; servers that had stood still got more arrivals beyond the first of a request than the platform allows. Cause: a retry was paid for when it was sent and is counted when it arrives. What servers that stand still, or silent links, hold back came on top of what the refilled bucket paid for by then; closing the connection doesn't take it back. Change: tokens and the sends that may still arrive as repeats together never exceed the burst, so any window holds one burst and the share of its requests, however long servers leave them unread. A send ends with an answer, with its peer's close, with an answer to a later send to the same start, or with that start. Those to servers silent for over a minute hold three quarters at most and leave one retry. Windows of copies count what was given up unread before them.

--- a/src/oleanderdyke/entry/hosted/scheduler.py
+++ b/src/oleanderdyke/entry/hosted/scheduler.py
@@ -265,6 +265,7 @@
                 core.find_budget(service),
                 core.settings.retry_window,
                 core.clock.now,
+                core.retries.find_sends(service),
             )
         return self.budgets[service]
 
--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -32,6 +32,7 @@
     request: RequestSends
     start: ServerStart
     number: int
+    sent_at: Millis
     is_outstanding: bool = True
     is_given_up: bool = False
     is_silent: bool = False
@@ -156,9 +157,16 @@
         aged = min(self._aged, self.repeats)
         return self.repeats - aged + min(aged, most_aged)
 
+    def count_given_up(self, before: Millis) -> int:
+        """Count the sends made before a time and given up unread."""
+        return sum(
+            send.is_outstanding and send.sent_at < before
+            for send in self._given_up
+        )
+
     def add(self, request: RequestSends, start: ServerStart) -> Send:
         """Track a send that is being written."""
-        send = Send(request, start, next(self._numbers))
+        send = Send(request, start, next(self._numbers), self.now())
         self._by_start.setdefault(start, OrderedDict())[send] = None
         return send
 
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -26,6 +26,9 @@
 _RETRY_DELAY: Millis = 5.0
 # Retries that an entry may save up if it has no share of the slack.
 _LEAST_BURST = 1.0
+# Sends to servers that have been silent for long hold at most this share of the
+# burst, and leave one retry: such servers are likely lost.
+_AGED_SHARE = 0.75
 # What entries are ranked for if there are more of them than retries.
 _RANKED = 'retries'
 # A share is computed again after this time, as each request asks for it.
@@ -154,36 +157,53 @@
     It begins empty. A process can't know what the last one of its entry has
     used, so it earns its tokens: those that began before a window together
     bring no more than the slack into it.
+
+    Tokens and the sends that may still arrive as repeats together never exceed
+    the burst. So the repeats that arrive within a window are at most one burst
+    and the share of its requests, however long servers leave them unread.
     """
 
     def __init__(
-        self, find_settings: Callable[[], RetrySettings], random: Random
+        self,
+        find_settings: Callable[[], RetrySettings],
+        random: Random,
+        sends: OutstandingSends,
     ) -> None:
         super().__init__(find_settings(), random, tokens=0.0)
         self.find_settings = find_settings
+        self._sends = sends
 
     @property
     def settings(self) -> RetrySettings:
         """Return the settings in force."""
-        self.resize(self.find_settings())
+        self._fit()
         return super().settings
 
     @property
     def tokens(self) -> float:
         """Return the number of retries left, which may be fractional."""
-        self.resize(self.find_settings())
+        self._fit()
         return super().tokens
 
     def deposit(self) -> None:
         """Add the share of one new request."""
-        self.resize(self.find_settings())
+        self._fit()
         super().deposit()
+        self._fit()
 
     def try_withdraw(self) -> bool:
         """Take one retry from the budget; return False if none is left."""
-        self.resize(self.find_settings())
+        self._fit()
         return super().try_withdraw()
 
+    def _fit(self) -> None:
+        """Drop the tokens that exceed the burst together with sends."""
+        self.resize(self.find_settings())
+        burst = self._settings.burst
+        most_aged = max(min(burst * _AGED_SHARE, burst - 1), 0.0)
+        repeats = self._sends.count_repeats(most_aged)
+        self._tokens = min(self._tokens, max(burst - repeats, 0.0))
+
 
 class RequestRetries:
     """The retries of one request, and what became of its sends."""
@@ -248,7 +268,7 @@
         """Return this entry's budget for a service."""
         if service not in self._budgets:
             self._budgets[service] = SharedBudget(
-                self.find_settings, self._random
+                self.find_settings, self._random, self.find_sends(service)
             )
         return self._budgets[service]
 
--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -12,6 +12,7 @@
 from itertools import chain
 
 from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.outstanding_sends import OutstandingSends
 from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
 
 # Windows that are checked besides those that begin with a retry.
@@ -24,14 +25,20 @@
     Usual retries also need a token of `budget`, which all retries share. The
     retries within a window never exceed the burst and a share of the requests
     within it, the window before it or the one half a window earlier, whichever
-    has most. In the first window only the tokens that are there at first are
+    has most. Earlier sends that servers have left unread count as retries of
+    each window. In the first window only the tokens that are there at first are
     used in place of the burst, as others may have been used before.
     """
 
     def __init__(
-        self, budget: RetryBudget, window: Millis, now: Callable[[], Millis]
+        self,
+        budget: RetryBudget,
+        window: Millis,
+        now: Callable[[], Millis],
+        sends: OutstandingSends | None = None,
     ) -> None:
         self._budget = budget
+        self._sends = OutstandingSends(now) if sends is None else sends
         self._window = window
         self._now = now
         self._requests: deque[Millis] = deque()
@@ -93,6 +100,7 @@
         spent = tuple(self._spent)
         for begin in self._list_begins(now):
             count = len(spent) - bisect_left(spent, begin) + 1
+            count += self._sends.count_given_up(begin)
             most = self._count_requests(requests, begin)
             if count > free + self.settings.share * most:
                 return False
--- /dev/null
+++ b/tests/test_outstanding_sends.py
@@ -0,0 +1,130 @@
+"""Which sends may still arrive as repeats, and what they take of a budget."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from oleanderdyke.clock import MINUTE, SECOND
+from oleanderdyke.kernel.outstanding_sends import OutstandingSends
+from oleanderdyke.kernel.retries import (
+    RequestRetries,
+    RetrySettings,
+    SharedBudget,
+)
+from oleanderdyke.kernel.servers import ServerStart
+
+ONE, OTHER = ServerStart('one'), ServerStart('other')
+SETTINGS = RetrySettings(share=0.2, burst=4.0)
+
+
+class Scene:
+    def __init__(self):
+        self.now = 0.0
+        self.sends = OutstandingSends(lambda: self.now)
+        self.budget = SharedBudget(lambda: SETTINGS, Random(1), self.sends)
+        self.deposit(100)
+
+    def deposit(self, count):
+        for _ in range(count):
+            self.budget.deposit()
+
+    def open(self):
+        return RequestRetries(self.budget, self.sends.open())
+
+    def leave_unread(self, start=ONE):
+        """Send a request that its server leaves unread, and again elsewhere."""
+        request = self.open()
+        left = request.sends.begin(start)
+        assert request.try_withdraw()
+        left.give_up(is_silent=True)
+        request.sends.begin(OTHER).record_answer()
+        return request
+
+
+@pytest.fixture
+def scene():
+    return Scene()
+
+
+def test_first_send_is_no_repeat(scene):
+    request = scene.open()
+    request.sends.begin(ONE)
+    assert scene.sends.repeats == 0
+    assert scene.budget.tokens == 4
+
+
+def test_retry_that_waits_to_be_sent_counts(scene):
+    request = scene.open()
+    request.sends.begin(ONE).record_answer()
+    assert request.try_withdraw()
+    assert (scene.sends.repeats, scene.sends.reserved) == (1, 1)
+    request.sends.close()
+    assert (scene.sends.repeats, scene.sends.reserved) == (0, 0)
+
+
+def test_unread_send_counts_after_its_repeat_was_answered(scene):
+    scene.leave_unread()
+    assert scene.sends.repeats == 1
+    scene.deposit(100)
+    assert scene.budget.tokens == 3
+
+
+def test_answer_to_a_later_send_shows_that_earlier_ones_arrived(scene):
+    scene.leave_unread()
+    earlier = scene.open().sends.begin(OTHER)
+    earlier.record_answer()
+    assert scene.sends.repeats == 1
+    scene.open().sends.begin(ONE).record_answer()
+    assert scene.sends.repeats == 0
+
+
+def test_answer_to_an_earlier_send_shows_nothing(scene):
+    answered = scene.open().sends.begin(ONE)
+    scene.leave_unread()
+    answered.record_answer()
+    assert scene.sends.repeats == 1
+
+
+def test_end_of_the_start_ends_its_sends(scene):
+    scene.leave_unread()
+    scene.sends.record_ended(OTHER)
+    assert scene.sends.repeats == 1
+    scene.sends.record_ended(ONE)
+    assert scene.sends.repeats == 0
+
+
+@pytest.mark.parametrize(('is_silent', 'repeats'), [(False, 0), (True, 1)])
+def test_reset_ends_a_send_unless_the_server_is_silent(
+    scene, is_silent, repeats
+):
+    if is_silent:
+        silent = scene.open().sends.begin(ONE)
+        silent.give_up(is_silent=True)
+    request = scene.open()
+    lost = request.sends.begin(ONE)
+    lost.record_lost(has_peer_closed=True)
+    assert request.try_withdraw()
+    request.sends.begin(OTHER).record_answer()
+    assert scene.sends.repeats == repeats
+
+
+def test_tokens_and_unread_sends_never_exceed_the_burst(scene):
+    for _ in range(4):
+        scene.leave_unread()
+    scene.deposit(100)
+    assert scene.budget.tokens == 0
+    assert not scene.open().try_withdraw()
+
+
+# Sends to servers that are lost for good would hold all retries for ever.
+def test_long_silent_servers_leave_a_retry(scene):
+    for _ in range(4):
+        scene.leave_unread()
+    scene.now = 1 * MINUTE + 2 * SECOND
+    scene.deposit(100)
+    assert scene.budget.tokens == 1
+    scene.now = 11 * MINUTE
+    scene.deposit(100)
+    assert scene.budget.tokens == 4
