--- /dev/null
+++ b/tests/test_late_model.py
@@ -0,0 +1,159 @@
+"""Retries of all entries as their servers read them, whatever stands still.
+
+The failure it guards against: servers and links that held requests back let
+more repeats arrive in one window than the platform allows.
+"""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from oleanderdyke.clock import SECOND
+from tests.late_world import LateWorld
+
+MOST_ENTRIES = 8
+NUMBERS = st.integers(0, 9)
+STEP = 0.25 * SECOND
+
+
+class LateRetries(RuleBasedStateMachine):
+    """Draw what stands still, starts and ends, in series that overlap."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = LateWorld()
+
+    @initialize(entries=st.integers(1, 6), servers=st.integers(1, 6))
+    def begin(self, entries, servers):
+        self.world.add_servers(servers)
+        for _ in range(entries):
+            self.world.start()
+        self.world.advance(8 * SECOND)
+        self.serve(20, 4, fails=False)
+
+    def pick(self, number):
+        entries = self.world.entries
+        return entries[number % len(entries)]
+
+    @rule(
+        rate=st.integers(1, 30),
+        seconds=st.sampled_from((1, 3, 6)),
+        fails=st.booleans(),
+    )
+    def serve(self, rate, seconds, fails):
+        """Let each entry get `rate` requests a second for a time."""
+        for step in range(round(seconds * SECOND / STEP)):
+            for entry in tuple(self.world.entries):
+                count = rate * (step + 1) // 4 - rate * step // 4
+                self.world.send(entry, count, fails=fails)
+            self.world.advance(STEP)
+
+    @rule(number=NUMBERS, count=st.integers(1, 60), fails=st.booleans())
+    def send_herd(self, number, count, fails):
+        self.world.send(self.pick(number), count, fails=fails)
+
+    @rule(seconds=st.sampled_from((0.1, 1.0, 4.0, 11.0, 26.0)))
+    def wait(self, seconds):
+        self.world.advance(seconds * SECOND)
+
+    @rule(number=NUMBERS)
+    def pause(self, number):
+        self.world.pause(number)
+
+    @rule()
+    def pause_all(self):
+        for number in range(len(self.world.servers)):
+            self.world.pause(number)
+
+    @rule(number=NUMBERS)
+    def resume(self, number):
+        self.world.resume(number)
+
+    @rule()
+    def resume_all(self):
+        for number in range(len(self.world.servers)):
+            self.world.resume(number)
+
+    @rule(number=NUMBERS)
+    def restart_server(self, number):
+        self.world.restart_server(number)
+
+    @rule(number=NUMBERS, server=NUMBERS)
+    def silence_link(self, number, server):
+        self.world.silence_link(self.pick(number), server)
+
+    @rule()
+    def silence_all_links(self):
+        for entry in self.world.entries:
+            for number in range(len(self.world.servers)):
+                self.world.silence_link(entry, number)
+
+    @rule()
+    def heal_links(self):
+        self.world.heal_links()
+
+    @rule(number=NUMBERS, seconds=st.sampled_from((0.5, 5.0, 15.0)))
+    def freeze(self, number, seconds):
+        self.world.freeze(self.pick(number), seconds * SECOND)
+
+    @rule(number=NUMBERS, count=st.integers(1, 4))
+    def restart_in_series(self, number, count):
+        """Kill an entry in series; it gets requests in between."""
+        for _ in range(count):
+            self.world.restart(self.pick(number))
+            self.serve(20, 3, fails=True)
+
+    @rule(number=NUMBERS)
+    def replace(self, number):
+        """Start the next process of an entry while the last one drains."""
+        entry = self.pick(number)
+        self.world.leave(entry)
+        self.world.start(entry.name)
+
+    @rule()
+    @precondition(lambda self: len(self.world.entries) < MOST_ENTRIES)
+    def add(self):
+        self.world.start()
+
+    def teardown(self):
+        for number in range(len(self.world.servers)):
+            self.world.resume(number)
+        self.world.heal_links()
+        self.world.advance(6 * SECOND)
+        excess = self.world.find_excess()
+        assert excess is None, excess
+
+
+TestLateRetries = LateRetries.TestCase
+TestLateRetries.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+)
+
+
+# The next process of an entry saved up a share anew, while servers had not read
+# yet what the last one had sent.
+@pytest.mark.parametrize(
+    ('entries', 'rate', 'pause'), [(3, 30, 12), (3, 10, 20), (6, 7, 12)]
+)
+def test_entries_that_start_again_while_servers_stand_still_keep_to_the_limit(
+    entries, rate, pause
+):
+    machine = LateRetries()
+    machine.begin(entries=entries, servers=6)
+    machine.serve(rate, 5, fails=False)
+    machine.pause_all()
+    for _ in range(6):
+        machine.serve(rate, pause / 6, fails=True)
+        for entry in tuple(machine.world.entries):
+            machine.world.restart(entry)
+    machine.resume_all()
+    machine.serve(rate, 10, fails=True)
+    machine.teardown()
