Save up few retries until servers have answered this process

What callers saw: nothing; servers that stood still while entries started again got more repeats than the platform allows. Cause: the next process of an entry saved up a share anew, while the sends of the last one still lay unread; each start in a series left some more. Change: until each listed server has answered this process, and for a minute at most, its tokens and unread sends hold one retry together. An answer shows that what came before it has been read. In the tests' scene of an entry that has served for a while its servers have answered it, as they would have.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -106,6 +106,7 @@
             random=self.random,
             now=self.clock.now,
             is_leaving=lambda: self.drain.is_leaving,
+            list_starts=self._list_starts,
         )
 
     def find_unready_reason(self) -> str:
@@ -316,6 +317,10 @@
             age=self.entries.find_age(now),
         )
 
+    def _list_starts(self, service: str) -> tuple[ServerStart, ...]:
+        listed = self.backends.list_service(service, self.clock.now())
+        return tuple(backend.record.start for backend in listed)
+
     def _find_retry_limits(self) -> RetryLimits:
         settings = self.settings
         return RetryLimits(settings.retry_share, settings.retry_slack)
--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import count, takewhile
 
@@ -20,6 +21,8 @@
 # Bounds the memory for sends to servers that are lost for good.
 _LONGEST_SILENCE: Millis = 10 * MINUTE
 _AGING_PERIOD: Millis = 1 * SECOND
+# How often the list of servers is compared with those that have answered.
+_CHECK_PERIOD: Millis = 200.0
 
 
 @dataclass(eq=False, slots=True)
@@ -133,6 +136,7 @@
     """
 
     now: Callable[[], Millis]
+    list_starts: Callable[[], Collection[ServerStart]] = tuple
     repeats: int = 0
     reserved: int = 0
     _numbers: Iterator[int] = field(default_factory=count)
@@ -142,6 +146,28 @@
     _given_up: deque[Send] = field(default_factory=deque)
     _aged: int = 0
     _aged_at: Millis = 0.0
+    _heard: set[ServerStart] = field(default_factory=set)
+    _started_at: Millis = field(init=False)
+    _has_earlier: bool = True
+    _checked_at: Millis = -math.inf
+
+    def __post_init__(self) -> None:
+        """Begin the time in which sends of an earlier process may arrive."""
+        self._started_at = self.now()
+
+    def may_have_earlier(self) -> bool:
+        """Return whether servers may hold sends of an earlier process.
+
+        Those that answered this one have read what came before.
+        """
+        now = self.now()
+        if now >= self._checked_at + _CHECK_PERIOD:
+            self._checked_at = now
+            is_recent = now - self._started_at <= _LONG_SILENCE
+            self._has_earlier = is_recent and not self._heard.issuperset(
+                self.list_starts()
+            )
+        return self._has_earlier
 
     def open(self) -> RequestSends:
         """Begin to track a request."""
@@ -189,12 +215,14 @@
 
     def record_heard(self, start: ServerStart, number: int) -> None:
         """Record an answer to a send; all earlier ones have arrived."""
+        self._heard.add(start)
         sends = tuple(self._by_start.get(start, ()))
         for send in takewhile(lambda each: each.number < number, sends):
             send.arrive()
 
     def record_ended(self, start: ServerStart) -> None:
         """Record that a start of a server has ended."""
+        self._heard.discard(start)
         for send in tuple(self._by_start.get(start, ())):
             send.arrive()
 
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -7,8 +7,9 @@
 
 import enum
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -156,7 +157,8 @@
 
     It begins empty. A process can't know what the last one of its entry has
     used, so it earns its tokens: those that began before a window together
-    bring no more than the slack into it.
+    bring no more than the slack into it. Nor can it know what that one has left
+    unread, so it saves up little until servers have answered it.
 
     Tokens and the sends that may still arrive as repeats together never exceed
     the burst. So the repeats that arrive within a window are at most one burst
@@ -200,6 +202,8 @@
         """Drop the tokens that exceed the burst together with sends."""
         self.resize(self.find_settings())
         burst = self._settings.burst
+        if self._sends.may_have_earlier():
+            burst = min(burst, _LEAST_BURST)
         most_aged = max(min(burst * _AGED_SHARE, burst - 1), 0.0)
         repeats = self._sends.count_repeats(most_aged)
         self._tokens = min(self._tokens, max(burst - repeats, 0.0))
@@ -241,7 +245,10 @@
 
 
 class RetryShares:
-    """The retry budgets of one entry, named `own`, by service."""
+    """The retry budgets of one entry, named `own`, by service.
+
+    `list_starts` returns the servers of a service that may hold requests.
+    """
 
     def __init__(
         self,
@@ -252,6 +259,7 @@
         random: Random,
         now: Callable[[], Millis],
         is_leaving: Callable[[], bool] = bool,
+        list_starts: Callable[[str], Collection[ServerStart]] | None = None,
     ) -> None:
         self._own_name = own
         self._entries = entries
@@ -259,6 +267,7 @@
         self._random = random
         self._now = now
         self._is_leaving = is_leaving
+        self._list_starts = list_starts
         self._budgets: dict[str, RetryBudget] = {}
         self._sends: dict[str, OutstandingSends] = {}
         self._settings: RetrySettings | None = None
@@ -275,7 +284,9 @@
     def find_sends(self, service: str) -> OutstandingSends:
         """Return this entry's sends to a service that may still arrive."""
         if service not in self._sends:
-            self._sends[service] = OutstandingSends(self._now)
+            self._sends[service] = OutstandingSends(
+                self._now, partial(self._find_starts, service)
+            )
         return self._sends[service]
 
     def open_request(self, service: str, budget: RetryBudget) -> RequestRetries:
@@ -299,6 +310,9 @@
             self._found_at = now
         return self._settings
 
+    def _find_starts(self, service: str) -> Collection[ServerStart]:
+        return () if self._list_starts is None else self._list_starts(service)
+
     def _make_settings(self, now: Millis) -> RetrySettings:
         limits = self._find_limits()
         return RetrySettings(
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -8,13 +8,14 @@
 
 import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
 from oleanderdyke.clock import SECOND
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import RetryLimits, RetryShares
+from oleanderdyke.kernel.servers import ServerStart
 from tools.soak.arrivals import Excess, Observations, RetryRule
 
 SERVICE = 'desk'
@@ -75,6 +76,7 @@
                 random=Random(1),
                 now=lambda: self.now,
                 is_leaving=lambda: not math.isinf(entry.ends_at),
+                list_starts=lambda _: self.list_starts(),
             ),
             itertools.chain(INITIAL_PERIODS, itertools.repeat(PERIOD)),
             next_at=self.now,
@@ -82,6 +84,10 @@
         self.entries.append(entry)
         return entry
 
+    def list_starts(self) -> Sequence[ServerStart]:
+        """Return the starts of the servers, if they matter to the test."""
+        return ()
+
     def end(self, entry: Entry) -> None:
         self.entries.remove(entry)
 
