Charge nothing for a request that was never sent, and give back unsent retries

What callers saw: requests refused for the budget after attempts that no server could get, as when a crashed server refuses connections. Cause: a retry was paid for whatever became of the attempt before it, and one that was paid for and not sent was lost. The rule counts arrivals beyond the first; neither is one. Change: the first send that may arrive is free, at most two refusals a request as before; a retry that isn't sent is given back. Logged as source=unsent.

--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -287,7 +287,9 @@
             self._call_log.log_retried(
                 action.attempt,
                 action.agent,
-                source=self._machine.take_retry_source(),
+                source=self._retries.find_source(
+                    self._machine.take_retry_source()
+                ),
                 left=self._retries.tokens,
                 outstanding=self._retries.sends.service.repeats,
             )
--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -75,11 +75,15 @@
 class RequestSends:
     """The sends of one request, of which the first arrival is no repeat.
 
-    A send is planned before its server is chosen.
+    A send is planned before its server is chosen; `refund` is called for each
+    that was paid for and is not sent.
     """
 
-    def __init__(self, service: OutstandingSends) -> None:
+    def __init__(
+        self, service: OutstandingSends, refund: Callable[[], None]
+    ) -> None:
         self.service = service
+        self._refund = refund
         # Whether each planned send was paid for; the first one is free.
         self._planned = [False]
         self._outstanding = 0
@@ -87,9 +91,19 @@
         self._repeats = 0
         self._reserved = 0
 
-    def plan(self) -> None:
-        """Record that a repeat was paid for."""
-        self._planned.append(True)
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no send has arrived or may arrive."""
+        return not (self._has_arrived or self._outstanding or self._planned)
+
+    @property
+    def is_paid(self) -> bool:
+        """Return whether the planned send was paid for."""
+        return bool(self._planned) and self._planned[-1]
+
+    def plan(self, *, is_paid: bool) -> None:
+        """Record that another send will follow."""
+        self._planned.append(is_paid)
         self._update()
 
     def begin(self, start: ServerStart) -> Send:
@@ -102,9 +116,10 @@
 
     def record_unsent(self) -> None:
         """Record that the planned send was not written at all."""
-        if self._planned:
-            self._planned.pop()
+        is_paid = bool(self._planned) and self._planned.pop()
         self._update()
+        if is_paid:
+            self._refund()
 
     def record_arrival(self) -> None:
         """Record that an outstanding send may no longer arrive."""
@@ -169,9 +184,9 @@
             )
         return self._has_earlier
 
-    def open(self) -> RequestSends:
+    def open(self, refund: Callable[[], None]) -> RequestSends:
         """Begin to track a request."""
-        return RequestSends(self)
+        return RequestSends(self, refund)
 
     def count_repeats(self, most_aged: float) -> float:
         """Count the repeats that may arrive.
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -53,6 +53,7 @@
     """What a retry was taken from."""
 
     NONE = 'none'
+    UNSENT = 'unsent'
     BUCKET = 'bucket'
     RESERVED = 'reserved'
     COPY = 'copy'
@@ -127,6 +128,10 @@
         """Take one retry of a lost run that goes on at its copy."""
         return self.try_withdraw()
 
+    def refund(self) -> None:
+        """Give back a retry that was taken and not sent."""
+        self._tokens = min(self._settings.burst, self._tokens + 1)
+
     def delay(self, retry: int) -> Millis:
         """Return a random exponential backoff; `retry` counts from 1."""
         ceiling = min(
@@ -198,6 +203,11 @@
         self._fit()
         return super().try_withdraw()
 
+    def refund(self) -> None:
+        """Give back a retry that was taken and not sent."""
+        super().refund()
+        self._fit()
+
     def _fit(self) -> None:
         """Drop the tokens that exceed the burst together with sends."""
         self.resize(self.find_settings())
@@ -210,7 +220,10 @@
 
 
 class RequestRetries:
-    """The retries of one request, and what became of its sends."""
+    """The retries of one request, and what became of its sends.
+
+    A send after one that was never written is no repeat.
+    """
 
     def __init__(self, budget: RetryBudget, sends: RequestSends) -> None:
         self._budget = budget
@@ -221,6 +234,10 @@
         """Return the number of retries left, which may be fractional."""
         return self._budget.tokens
 
+    def find_source(self, taken_from: RetrySource) -> RetrySource:
+        """Return what pays for the planned send, taken from a source."""
+        return taken_from if self.sends.is_paid else RetrySource.UNSENT
+
     def deposit(self) -> None:
         """Add the share of one new request."""
         self._budget.deposit()
@@ -238,9 +255,11 @@
         return self._budget.delay(retry)
 
     def _plan(self, withdraw: Callable[[], bool]) -> bool:
-        if not withdraw():
+        """Plan another send, which is free if it is the first to arrive."""
+        is_free = self.sends.is_unsent
+        if not is_free and not withdraw():
             return False
-        self.sends.plan()
+        self.sends.plan(is_paid=not is_free)
         return True
 
 
@@ -291,7 +310,8 @@
 
     def open_request(self, service: str, budget: RetryBudget) -> RequestRetries:
         """Return the retries of a new request, paid for by a budget."""
-        return RequestRetries(budget, self.find_sends(service).open())
+        sends = self.find_sends(service).open(budget.refund)
+        return RequestRetries(budget, sends)
 
     def record_ended(self, start: ServerStart) -> None:
         """Record that a start of a server has ended: nothing arrives there."""
--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -87,6 +87,12 @@
         self._spent.append(self._now())
         return True
 
+    def refund(self) -> None:
+        """Give back a retry that was taken and not sent."""
+        self._budget.refund()
+        if self._spent:
+            self._spent.pop()
+
     def delay(self, retry: int) -> Millis:
         """Return a random exponential backoff; `retry` counts from 1."""
         return self._budget.delay(retry)
--- a/tests/test_outstanding_sends.py
+++ b/tests/test_outstanding_sends.py
@@ -31,7 +31,7 @@
             self.budget.deposit()
 
     def open(self):
-        return RequestRetries(self.budget, self.sends.open())
+        return RequestRetries(self.budget, self.sends.open(self.budget.refund))
 
     def leave_unread(self, start=ONE):
         """Send a request that its server leaves unread, and again elsewhere."""
@@ -64,6 +64,27 @@
     assert (scene.sends.repeats, scene.sends.reserved) == (0, 0)
 
 
+# A retry of a request that was never sent used up one that another needed.
+def test_request_that_was_never_sent_is_sent_again_for_free(scene):
+    request = scene.open()
+    request.sends.record_unsent()
+    assert request.try_withdraw()
+    assert (scene.budget.tokens, scene.sends.repeats) == (4, 0)
+    request.sends.begin(OTHER).record_answer()
+    assert request.try_withdraw()
+    assert scene.budget.tokens == 3
+
+
+# A retry that was paid for and never sent was lost.
+@pytest.mark.parametrize('end', ['close', 'record_unsent'])
+def test_retry_that_is_not_sent_is_given_back(scene, end):
+    request = scene.open()
+    request.sends.begin(ONE).record_answer()
+    assert request.try_withdraw()
+    getattr(request.sends, end)()
+    assert (scene.budget.tokens, scene.sends.repeats) == (4, 0)
+
+
 def test_unread_send_counts_after_its_repeat_was_answered(scene):
     scene.leave_unread()
     assert scene.sends.repeats == 1
