Begin a process with a retry, unless many entries have started lately

What callers saw: the first requests after each start of an entry weren't retried; the first stream of make hosted got 57 of 114 bytes. Cause: budgets begin empty, and a request earns .16 of a retry, however rare starts are. Change: a tenth of the slack, whose fifth is never used, is set aside for starts. Each start appends a record to the platform's store, which puts all starts in one order; one begins with a retry for each service if the start that many places before it is over 20 s old: a window, and as much again for clocks that differ. Without the store it begins empty as before. Two calls a start.

--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -11,6 +11,7 @@
 from oleanderdyke.events import EventName
 from oleanderdyke.platform.documents import MalformedRecord
 from oleanderdyke.platform.entries import EntryFeed
+from oleanderdyke.platform.starts import StartFeed
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 
 # Three reads for every two announcements make a sixth of a call a second.
@@ -38,6 +39,7 @@
 
     async def run(self) -> None:
         """Run until cancelled; keep the last count while the store is down."""
+        await self._take_start_retry()
         store = self._core.make_store_dependency('entries')
         pauses = chain(_INITIAL_PERIODS, repeat(_PERIOD))
         while True:
@@ -51,6 +53,28 @@
             self._core.log_retry_share()
             await anyio.sleep(next(pauses) / SECOND)
 
+    async def _take_start_retry(self) -> None:
+        """Begin with a retry, unless many entries have started lately."""
+        core = self._core
+        grants = core.retries.make_start_grants()
+        client = StoreClient(core.settings.store)
+        feed = StartFeed(client)
+        now = core.clock.wall()
+        try:
+            place = await feed.record(core.settings.process, now)
+            earlier = grants.find_earlier(place)
+            at = None if earlier is None else await feed.find_time(earlier)
+        except (StoreUnavailable, ValueError) as error:
+            core.log.write(
+                EventName.RECORD_REFUSED, name='starts', detail=str(error)
+            )
+            return
+        finally:
+            await client.close()
+        if grants.may_grant(at, now):
+            core.retries.grant_start()
+            core.log.write(EventName.START_RETRY_GRANTED, offset=place)
+
     def _log_refused_record(self, name: str, error: MalformedRecord) -> None:
         self._core.log.write(
             EventName.RECORD_REFUSED, name=name, detail=error.message
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -47,6 +47,7 @@
     REQUEST_ROUTED = 'request_routed'
     REQUEST_RETRIED = 'request_retried'
     REQUEST_REFUSED = 'request_refused'
+    START_RETRY_GRANTED = 'start_retry_granted'
     RETRY_BUDGET_CHANGED = 'retry_budget_changed'
     ADMISSION_REFUSED = 'admission_refused'
     REQUEST_FINISHED = 'request_finished'
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -30,6 +30,12 @@
 # Sends to servers that have been silent for long hold at most this share of the
 # burst, and leave one retry: such servers are likely lost.
 _AGED_SHARE = 0.75
+# Share of the slack that is set aside for starts, one retry for each.
+_START_SHARE = 0.1
+_START_RETRIES = 1.0
+# Starts that together may use that: a window of the limit, and as much again,
+# since each start is dated by its own machine's clock.
+_START_PERIOD: Millis = 20 * SECOND
 # What entries are ranked for if there are more of them than retries.
 _RANKED = 'retries'
 # A share is computed again after this time, as each request asks for it.
@@ -157,13 +163,39 @@
     slack: float = 50.0
 
 
+@dataclass(frozen=True, slots=True)
+class StartGrants:
+    """Decide which starts of entries begin with a retry.
+
+    All starts have places in one order; `most` within a period begin with one.
+    """
+
+    most: int
+
+    def find_earlier(self, place: int) -> int | None:
+        """Return the start whose time decides, None if there is none."""
+        earlier = place - self.most
+        return earlier if earlier >= 0 else None
+
+    def may_grant(self, earlier_at: Millis | None, now: Millis) -> bool:
+        """Return whether a start at `now` begins with a retry.
+
+        `earlier_at` is the wall time of the deciding start, None if it has
+        expired or does not exist.
+        """
+        if not self.most:
+            return False
+        return earlier_at is None or now - earlier_at > _START_PERIOD
+
+
 class SharedBudget(RetryBudget):
     """A budget whose size follows the share of its entry at each use.
 
-    It begins empty. A process can't know what the last one of its entry has
-    used, so it earns its tokens: those that began before a window together
-    bring no more than the slack into it. Nor can it know what that one has left
-    unread, so it saves up little until servers have answered it.
+    It begins empty but for a retry of its start. A process can't know what the
+    last one of its entry has used, so it earns its tokens: those that began
+    before a window together bring no more than the slack into it. Nor can it
+    know what that one has left unread, so it saves up little until servers have
+    answered it.
 
     Tokens and the sends that may still arrive as repeats together never exceed
     the burst. So the repeats that arrive within a window are at most one burst
@@ -175,8 +207,10 @@
         find_settings: Callable[[], RetrySettings],
         random: Random,
         sends: OutstandingSends,
+        *,
+        tokens: float = 0.0,
     ) -> None:
-        super().__init__(find_settings(), random, tokens=0.0)
+        super().__init__(find_settings(), random, tokens=tokens)
         self.find_settings = find_settings
         self._sends = sends
 
@@ -205,7 +239,11 @@
 
     def refund(self) -> None:
         """Give back a retry that was taken and not sent."""
-        super().refund()
+        self.add(1)
+
+    def add(self, tokens: float) -> None:
+        """Add retries, up to the burst."""
+        self._tokens += tokens
         self._fit()
 
     def _fit(self) -> None:
@@ -287,7 +325,8 @@
         self._now = now
         self._is_leaving = is_leaving
         self._list_starts = list_starts
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets: dict[str, SharedBudget] = {}
+        self._first_tokens = 0.0
         self._sends: dict[str, OutstandingSends] = {}
         self._settings: RetrySettings | None = None
         self._found_at: Millis = -math.inf
@@ -296,10 +335,23 @@
         """Return this entry's budget for a service."""
         if service not in self._budgets:
             self._budgets[service] = SharedBudget(
-                self.find_settings, self._random, self.find_sends(service)
+                self.find_settings,
+                self._random,
+                self.find_sends(service),
+                tokens=self._first_tokens,
             )
         return self._budgets[service]
 
+    def make_start_grants(self) -> StartGrants:
+        """Build the rule by which starts of entries begin with a retry."""
+        return StartGrants(int(self._find_limits().slack * _START_SHARE))
+
+    def grant_start(self) -> None:
+        """Let this process begin with a retry for each service."""
+        self._first_tokens = _START_RETRIES
+        for budget in self._budgets.values():
+            budget.add(_START_RETRIES)
+
     def find_sends(self, service: str) -> OutstandingSends:
         """Return this entry's sends to a service that may still arrive."""
         if service not in self._sends:
--- a/src/oleanderdyke/platform/names.py
+++ b/src/oleanderdyke/platform/names.py
@@ -80,3 +80,5 @@
 STREAM_TOPIC = 'oleander-streams'
 # Topic of the system: entries announce that they are alive.
 ENTRY_TOPIC = 'oleander-entries'
+# Topic of the system: each start of an entry, for the retries of starts.
+START_TOPIC = 'oleander-starts'
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -58,6 +58,7 @@
     is_deaf: bool = False
     staleness: float = 0.0
     entries: list[Entry] = field(default_factory=list)
+    starts: list[float] = field(default_factory=list)
     seen: Observations = field(default_factory=Observations)
     _topic: list[tuple[float, str]] = field(default_factory=list)
     _first: int = 0
@@ -82,8 +83,20 @@
             next_at=self.now,
         )
         self.entries.append(entry)
+        self._register(entry)
         return entry
 
+    def _register(self, entry: Entry) -> None:
+        """Let a start begin with a retry if few others were before it."""
+        grants = entry.shares.make_start_grants()
+        if self.is_down or self.is_deaf:
+            return
+        earlier = grants.find_earlier(len(self.starts))
+        self.starts.append(self.now)
+        at = None if earlier is None else self.starts[earlier]
+        if grants.may_grant(at, self.now):
+            entry.shares.grant_start()
+
     def list_starts(self) -> Sequence[ServerStart]:
         """Return the starts of the servers, if they matter to the test."""
         return ()
