Hold what paid for a send whose link was reset, until its server is heard

What callers saw: nothing; servers that stood still behind links that were reset in series got more repeats than the platform allows. Cause: a reset was taken for the server's own, after which it reads nothing more. A link that is reset leaves with a process that stands still what it has got. Change: a close by the peer ends a send only if the server's process has likely run since: it came within 50 ms of the send, or another answer has come later.

--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -21,6 +21,8 @@
 # Bounds the memory for sends to servers that are lost for good.
 _LONGEST_SILENCE: Millis = 10 * MINUTE
 _AGING_PERIOD: Millis = 1 * SECOND
+# A server that runs reads a request and closes its connection within this time.
+_PROMPT_TIME: Millis = 50.0
 # How often the list of servers is compared with those that have answered.
 _CHECK_PERIOD: Millis = 200.0
 
@@ -49,10 +51,10 @@
     def record_lost(self, *, has_peer_closed: bool) -> None:
         """Record that the connection was lost.
 
-        A peer that closes it ends the send, unless the server has been silent:
-        then the link may have been reset while its process stands still.
+        A server that closes it has ended the send. A link may also be reset
+        while the server's process stands still and keeps what it got.
         """
-        if has_peer_closed and not self.request.service.is_silent(self.start):
+        if has_peer_closed and self.request.service.has_likely_run(self):
             self.arrive()
         else:
             self.give_up(is_silent=True)
@@ -161,7 +163,8 @@
     _given_up: deque[Send] = field(default_factory=deque)
     _aged: int = 0
     _aged_at: Millis = 0.0
-    _heard: set[ServerStart] = field(default_factory=set)
+    # When each server's latest answer came.
+    _heard: dict[ServerStart, Millis] = field(default_factory=dict)
     _started_at: Millis = field(init=False)
     _has_earlier: bool = True
     _checked_at: Millis = -math.inf
@@ -179,8 +182,8 @@
         if now >= self._checked_at + _CHECK_PERIOD:
             self._checked_at = now
             is_recent = now - self._started_at <= _LONG_SILENCE
-            self._has_earlier = is_recent and not self._heard.issuperset(
-                self.list_starts()
+            self._has_earlier = is_recent and any(
+                start not in self._heard for start in self.list_starts()
             )
         return self._has_earlier
 
@@ -223,21 +226,29 @@
         if not sends:
             del self._by_start[send.start]
 
-    def is_silent(self, start: ServerStart) -> bool:
-        """Return whether a server was given up as silent, and not heard."""
-        sends = self._by_start.get(start, ())
-        return any(send.is_silent for send in sends)
+    def has_likely_run(self, send: Send) -> bool:
+        """Return whether a server's process has run since a send reached it.
+
+        It closed the connection promptly or answered another send meanwhile,
+        and none before was given up as silent.
+        """
+        sends = self._by_start.get(send.start, ())
+        if any(each.is_silent for each in sends):
+            return False
+        reached_at = send.sent_at + _PROMPT_TIME
+        heard_at = self._heard.get(send.start, -math.inf)
+        return self.now() <= reached_at or heard_at >= reached_at
 
     def record_heard(self, start: ServerStart, number: int) -> None:
         """Record an answer to a send; all earlier ones have arrived."""
-        self._heard.add(start)
+        self._heard[start] = self.now()
         sends = tuple(self._by_start.get(start, ()))
         for send in takewhile(lambda each: each.number < number, sends):
             send.arrive()
 
     def record_ended(self, start: ServerStart) -> None:
         """Record that a start of a server has ended."""
-        self._heard.discard(start)
+        self._heard.pop(start, None)
         for send in tuple(self._by_start.get(start, ())):
             send.arrive()
 
--- a/tests/late_world.py
+++ b/tests/late_world.py
@@ -29,7 +29,7 @@
     unread: deque = field(default_factory=deque)
 
 
-@dataclass
+@dataclass(eq=False)
 class Request:
     name: str
     entry: Entry
@@ -50,6 +50,7 @@
 
     servers: list[Server] = field(default_factory=list)
     silent: dict = field(default_factory=dict)
+    _running: dict = field(default_factory=dict)
     _events: list = field(default_factory=list)
     _orders: itertools.count = field(default_factory=itertools.count)
     _requests: itertools.count = field(default_factory=itertools.count)
@@ -114,6 +115,15 @@
             for request, send in held:
                 self._deliver(server, request, send)
 
+    def reset_connections(self, number: int) -> None:
+        """Reset the connections to a server, which keeps what it got."""
+        start = self.servers[number % len(self.servers)].start
+        for request in tuple(self._running):
+            send = request.send
+            if self._is_waiting(request, send) and send.start == start:
+                send.record_lost(has_peer_closed=True)
+                self._retry(request)
+
     def _open_later(
         self, wait: float, entry: Entry, name: str, *, is_refused: bool
     ) -> None:
@@ -132,6 +142,7 @@
     def _try(self, request: Request) -> None:
         server = self._choose(request)
         request.tried.append(server.start)
+        self._running[request] = None
         request.send = send = request.retries.sends.begin(server.start)
         link = self.silent.get((request.entry.name, id(server)))
         if link is None:
@@ -180,6 +191,7 @@
 
     def _close(self, request: Request) -> None:
         request.is_done = True
+        del self._running[request]
         request.retries.sends.close()
 
     def _is_waiting(self, request: Request, send: Send) -> bool:
--- a/tests/test_late_model.py
+++ b/tests/test_late_model.py
@@ -86,6 +86,10 @@
     def restart_server(self, number):
         self.world.restart_server(number)
 
+    @rule(number=NUMBERS)
+    def reset_connections(self, number):
+        self.world.reset_connections(number)
+
     @rule(number=NUMBERS, server=NUMBERS)
     def silence_link(self, number, server):
         self.world.silence_link(self.pick(number), server)
@@ -138,6 +142,26 @@
 )
 
 
+# A reset of the link was taken for the server's own, which reads nothing more.
+@pytest.mark.parametrize(
+    ('entries', 'rate', 'every'), [(3, 30, 1), (3, 30, 2), (6, 20, 1)]
+)
+def test_links_that_are_reset_while_servers_stand_still_keep_to_the_limit(
+    entries, rate, every
+):
+    machine = LateRetries()
+    machine.begin(entries=entries, servers=6)
+    machine.serve(rate, 5, fails=False)
+    machine.pause_all()
+    for step in range(48):
+        machine.serve(rate, 0.25, fails=True)
+        for number in range(6 if step % every == 0 else 0):
+            machine.world.reset_connections(number)
+    machine.resume_all()
+    machine.serve(rate, 10, fails=True)
+    machine.teardown()
+
+
 # The next process of an entry saved up a share anew, while servers had not read
 # yet what the last one had sent.
 @pytest.mark.parametrize(
--- a/tests/test_outstanding_sends.py
+++ b/tests/test_outstanding_sends.py
@@ -116,15 +116,26 @@
     assert scene.sends.repeats == 0
 
 
-@pytest.mark.parametrize(('is_silent', 'repeats'), [(False, 0), (True, 1)])
-def test_reset_ends_a_send_unless_the_server_is_silent(
-    scene, is_silent, repeats
+@pytest.mark.parametrize(
+    ('is_silent', 'is_heard', 'after', 'repeats'),
+    [
+        (False, False, 10, 0),
+        (True, False, 10, 1),
+        (False, False, 200, 1),
+        (False, True, 200, 0),
+        (True, True, 200, 0),
+    ],
+)
+def test_reset_ends_a_send_unless_the_server_may_stand_still(
+    scene, is_silent, is_heard, after, repeats
 ):
     if is_silent:
-        silent = scene.open().sends.begin(ONE)
-        silent.give_up(is_silent=True)
+        scene.open().sends.begin(ONE).give_up(is_silent=True)
     request = scene.open()
     lost = request.sends.begin(ONE)
+    scene.now += after
+    if is_heard:
+        scene.open().sends.begin(ONE).record_answer()
     lost.record_lost(has_peer_closed=True)
     assert request.try_withdraw()
     request.sends.begin(OTHER).record_answer()
