Let the soak pause server processes, and delay, silence, cut and reset links

Cause: its servers were tasks of its own process that took in every request at once, and no link failed, so the soak could not see retries that arrive late. Arrivals are what the servers write as they read.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
     decode_event,
     encode_event,
 )
+from tools.soak.late_plan import make_late_plan, make_standstill_plan
 from tools.soak.losses import list_losses
 from tools.soak.plan import (
     FaultKind,
@@ -84,7 +85,17 @@
     assert run_plan(make_stop_plan(1, entries=4), tmp_path) == []
 
 
+# Servers that had stood still got more retries than the platform allows.
+def test_servers_that_stood_still_get_no_more_retries_than_allowed(tmp_path):
+    assert run_plan(make_standstill_plan(1, entries=3), tmp_path) == []
+
+
+def test_promises_hold_while_servers_stand_still_and_links_fail(tmp_path):
+    assert run_plan(make_late_plan(1, 30, entries=3), tmp_path) == []
+
+
 def test_equal_seeds_give_equal_plans():
+    assert make_late_plan(7, 60, entries=3) == make_late_plan(7, 60, entries=3)
     assert make_stream_plan(7, 60, entries=3) == make_stream_plan(
         7, 60, entries=3
     )
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,6 +13,7 @@
 import anyio
 
 from tests.processes import ROOT
+from tools.soak.late_plan import make_late_plan
 from tools.soak.plan import Plan, make_plan, make_stream_plan
 from tools.soak.run import describe_result, run_soak
 
@@ -54,6 +55,8 @@
 
 def _make_plan(seed: int, options: argparse.Namespace) -> Plan:
     make = make_plan if options.calls_only else make_stream_plan
+    if options.late:
+        make = make_late_plan
     return make(seed, options.seconds, entries=options.entries)
 
 
@@ -76,6 +79,11 @@
         action='store_true',
         help='draw no streams, software versions or series of stops',
     )
+    parser.add_argument(
+        '--late',
+        action='store_true',
+        help='run servers as processes that stand still, behind links',
+    )
     parser.add_argument(
         '--directory', default=_DIRECTORY, help='folder for settings and logs'
     )
--- a/tools/soak/arrivals.py
+++ b/tools/soak/arrivals.py
@@ -5,7 +5,7 @@
 import bisect
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from tools.soak import losses, streams
@@ -57,6 +57,8 @@
     # When the store refused calls or lost records, and when no server served.
     store_faults: list[Spell] = field(default_factory=list)
     server_faults: list[Spell] = field(default_factory=list)
+    # The body of every success, if it follows from the request alone.
+    make_body: Callable[[str], bytes] | None = None
     _arrived: set[str] = field(default_factory=set)
     _runs: Counter[str] = field(default_factory=Counter)
     _bodies: dict[str, set[bytes]] = field(
@@ -95,7 +97,10 @@
         """Record a complete answer as the client received it."""
         self.statuses[status] += 1
         self._answers[request] = status
-        if status in _SUCCESS and body not in self._bodies[request]:
+        bodies = self._bodies[request]
+        if self.make_body is not None:
+            bodies = {self.make_body(request)}
+        if status in _SUCCESS and body not in bodies:
             self._faults.append(f'MIXED {request}: body is not its own')
 
     def record_stream(self, attempt: Attempt) -> None:
--- /dev/null
+++ b/tools/soak/late_faults.py
@@ -0,0 +1,95 @@
+"""Cause the faults of server processes and links."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+import anyio
+
+from tools.soak.backend_process import Conduct
+from tools.soak.backends import Backends
+from tools.soak.links import Direction, Link
+from tools.soak.plan import Fault, FaultKind
+
+_BOTH = (Direction.FORTH, Direction.BACK)
+_DELAY_SECONDS = 0.4
+_RESET_PAUSE = 0.3
+
+Cause = Callable[[Fault], Awaitable[None]]
+
+
+@dataclass
+class LateFaults:
+    """Disturb servers, their links and the link to the store."""
+
+    backends: Backends
+    store_link: Link
+
+    def list_handlers(self) -> Mapping[FaultKind, Cause]:
+        """Map each kind of fault to what causes it."""
+        return {
+            FaultKind.SERVER_PAUSED: self._pause_one,
+            FaultKind.SERVERS_PAUSED: self._pause_all,
+            FaultKind.SERVER_KILLED: self._restart,
+            FaultKind.SERVERS_REFUSE: self._make_conduct(Conduct.REFUSE),
+            FaultKind.SERVERS_RESET: self._make_conduct(Conduct.RESET),
+            FaultKind.LINK_SILENT: self._make_hold(*_BOTH),
+            FaultKind.LINK_CUT_FORTH: self._make_hold(Direction.FORTH),
+            FaultKind.LINK_CUT_BACK: self._make_hold(Direction.BACK),
+            FaultKind.LINK_DELAYED: self._delay,
+            FaultKind.LINK_RESET: self._reset,
+            FaultKind.LINKS_SILENT: self._silence_all,
+            FaultKind.STORE_LINK_SILENT: self._silence_store,
+            FaultKind.STORE_LINK_RESET: self._reset_store,
+        }
+
+    async def _pause_one(self, fault: Fault) -> None:
+        member = self.backends.find(fault.slot)
+        await self.backends.pause([member], fault.duration)
+
+    async def _pause_all(self, fault: Fault) -> None:
+        await self.backends.pause(self.backends.members, fault.duration)
+
+    async def _restart(self, fault: Fault) -> None:
+        await self.backends.restart(
+            self.backends.find(fault.slot), fault.duration
+        )
+
+    def _make_conduct(self, conduct: Conduct) -> Cause:
+        async def behave(fault: Fault) -> None:
+            with self.backends.behaving(conduct):
+                await anyio.sleep(fault.duration)
+
+        return behave
+
+    def _make_hold(self, *directions: Direction) -> Cause:
+        async def hold(fault: Fault) -> None:
+            link = self.backends.find(fault.slot).link
+            with link.holding(*directions):
+                await anyio.sleep(fault.duration)
+
+        return hold
+
+    async def _delay(self, fault: Fault) -> None:
+        with self.backends.find(fault.slot).link.delaying(_DELAY_SECONDS):
+            await anyio.sleep(fault.duration)
+
+    async def _reset(self, fault: Fault) -> None:
+        for _ in range(fault.count):
+            self.backends.find(fault.slot).link.reset()
+            await anyio.sleep(_RESET_PAUSE)
+
+    async def _silence_all(self, fault: Fault) -> None:
+        with ExitStack() as stack:
+            for member in self.backends.members:
+                stack.enter_context(member.link.holding(*_BOTH))
+            await anyio.sleep(fault.duration)
+
+    async def _silence_store(self, fault: Fault) -> None:
+        with self.store_link.holding(*_BOTH):
+            await anyio.sleep(fault.duration)
+
+    async def _reset_store(self, _fault: Fault) -> None:
+        self.store_link.reset()
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -35,6 +35,17 @@
     SERVERS_REPLACED = 'servers_replaced'
     SERVER_RESTARTED = 'server_restarted'
     SERVER_RENAMED = 'server_renamed'
+    SERVER_PAUSED = 'server_paused'
+    SERVERS_PAUSED = 'servers_paused'
+    SERVER_KILLED = 'server_killed'
+    LINK_SILENT = 'link_silent'
+    LINK_CUT_FORTH = 'link_cut_forth'
+    LINK_CUT_BACK = 'link_cut_back'
+    LINK_DELAYED = 'link_delayed'
+    LINK_RESET = 'link_reset'
+    LINKS_SILENT = 'links_silent'
+    STORE_LINK_SILENT = 'store_link_silent'
+    STORE_LINK_RESET = 'store_link_reset'
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +78,8 @@
     number of retries that the platform allows beyond the share of requests.
     With a `stream_share` above 0, that share of the requests asks for streams,
     and servers take time. `versions` is how many of their software there are,
-    and `stream_seconds` how long streams usually last.
+    and `stream_seconds` how long streams usually last. With `has_backends`
+    servers are processes behind links; their records may lapse with `lapses`.
     """
 
     seed: int
@@ -83,6 +95,8 @@
     versions: int = 1
     grace: float = 4.0
     callers: int = 12
+    has_backends: bool = False
+    lapses: bool = False
 
     def describe(self) -> tuple[str, ...]:
         """Return the plan as lines."""
@@ -200,6 +214,11 @@
 _MOST_BESIDE_ROLL = 6
 
 
+def make_slack(entries: int) -> float:
+    """Return the retries allowed beyond the share of requests."""
+    return _SLACK_BASE + _SLACK_PER_ENTRY * entries
+
+
 def make_plan(
     seed: int, seconds: float, *, entries: int, servers: int = 3
 ) -> Plan:
@@ -218,7 +237,7 @@
         servers=servers,
         rate=rate,
         has_links=has_links,
-        slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
+        slack=make_slack(entries),
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
     )
 
@@ -240,7 +259,7 @@
         servers=_STREAM_SERVERS,
         rate=rate,
         has_links=has_links,
-        slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
+        slack=make_slack(entries),
         faults=tuple(sorted(faults, key=lambda fault: fault.at)),
         stream_share=random.choice(_STREAM_SHARES),
         versions=_STREAM_VERSIONS,
@@ -276,7 +295,7 @@
         servers=3,
         rate=_RESTARTS_RATE,
         has_links=has_links,
-        slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
+        slack=make_slack(entries),
         faults=(refusal, *faults),
     )
 
@@ -302,7 +321,7 @@
         servers=_STREAM_SERVERS,
         rate=_RESTARTS_RATE,
         has_links=True,
-        slack=_SLACK_BASE + _SLACK_PER_ENTRY * entries,
+        slack=make_slack(entries),
         faults=(stops, slow, *herds),
         stream_share=0.5,
         stream_seconds=_SHORT_SECONDS,
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import signal
 import time
@@ -19,12 +20,17 @@
 
 import anyio
 
+from oleanderdyke.clients.addresses import split_address
 from tests.hosted import CONFIGURATION, OPERATOR
 from tests.standins import server
 from tools.soak.arrivals import Observations, RetryRule
+from tools.soak.backend_process import make_body
+from tools.soak.backends import Backends
 from tools.soak.callers import Callers
 from tools.soak.configuration import TIMEOUTS, Timeouts, make_configuration
 from tools.soak.fleet import Fleet
+from tools.soak.late_faults import LateFaults
+from tools.soak.links import linking
 from tools.soak.plan import Fault, FaultKind, Plan
 from tools.soak.servers import Behaviour, Servers
 from tools.soak.service import Service
@@ -51,6 +57,8 @@
     observations: Observations
     now: Callable[[], float]
     report: Report
+    # Adds what was not observed while the run went on.
+    collect: Callable[[], None] = lambda: None
     _version: int = CONFIGURATION['version']
     _handlers: Mapping[FaultKind, Callable[[Fault], Awaitable[None]]] = field(
         init=False
@@ -85,6 +93,12 @@
             FaultKind.SERVER_RENAMED: self._rename_server,
         }
 
+    def add_handlers(
+        self, handlers: Mapping[FaultKind, Callable[[Fault], Awaitable[None]]]
+    ) -> None:
+        """Cause some kinds of faults in other ways."""
+        self._handlers = {**self._handlers, **handlers}
+
     async def run(self) -> list[str]:
         """Run the plan; return a line for each broken promise."""
         for _ in range(self.plan.entries):
@@ -95,6 +109,7 @@
                 tasks.start_soon(self._cause, fault)
             await anyio.sleep(self.plan.seconds)
             tasks.cancel_scope.cancel()
+        self.collect()
         faults = self.observations.list_faults(RetryRule(slack=self.plan.slack))
         return faults + [f'ENDED {each}' for each in self.fleet.list_ended()]
 
@@ -264,7 +279,14 @@
     async with AsyncExitStack() as stack:
         (address,) = await stack.enter_async_context(server.serving(store))
         stack.callback(service.stop_all)
-        await _start_servers(service, plan)
+        late: LateFaults | None = None
+        if plan.has_backends:
+            late, address = await _start_backends(
+                stack, plan, store, directory, started, address
+            )
+            observations.make_body = make_body
+        else:
+            await _start_servers(service, plan)
         store.back_up()
         fleet = Fleet(
             directory,
@@ -289,7 +311,7 @@
             stream_seconds=plan.stream_seconds,
             count=plan.callers,
         )
-        yield Soak(
+        soak = Soak(
             plan,
             store,
             fleet,
@@ -300,6 +322,30 @@
             now,
             report,
         )
+        if late is not None:
+            soak.add_handlers(late.list_handlers())
+            soak.collect = functools.partial(
+                late.backends.collect, observations
+            )
+        yield soak
+
+
+async def _start_backends(
+    stack: AsyncExitStack,
+    plan: Plan,
+    store: SoakStore,
+    directory: Path,
+    started: float,
+    store_address: str,
+) -> tuple[LateFaults, str]:
+    """Start server processes; return their faults and the store's address."""
+    for path in directory.glob('i-*.out'):
+        path.unlink()
+    backends = Backends(store, directory, started, plan.lapses)
+    await stack.enter_async_context(backends.running(plan.servers))
+    _, port = split_address(store_address)
+    link, address = await stack.enter_async_context(linking(port))
+    return LateFaults(backends, link), address
 
 
 async def _start_servers(service: Service, plan: Plan) -> None:
