Step the exchange of streams less often while one version serves

Cause: the exchange woke twice in each 200 ms, to batch and to look for links, whether or not anything was shared. Change: it batches only after a start, and while it is certain which version began all streams it waits until the list of servers gets too old to tell, a second at most. A link that another entry opens wakes it.

--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -119,6 +119,14 @@
             for service in self._lifetimes
         )
 
+    def find_certain_time(self, now: Millis) -> Millis:
+        """Return for how long it stays certain without a new list."""
+        if not self.is_certain(now):
+            return 0.0
+        if not self._lifetimes:
+            return math.inf
+        return self._read_at + _CERTAIN_TIME - now
+
     def is_asking(self, now: Millis) -> bool:
         """Return whether claims of other entries may make it certain."""
         return any(
--- a/src/oleanderdyke/links/stream_exchange.py
+++ b/src/oleanderdyke/links/stream_exchange.py
@@ -33,8 +33,10 @@
 
 # Starts that come within this time of each other are sent together.
 _BATCH_PERIOD: Millis = 10.0
-# Time between checks for new links while nothing begins.
+# Time between checks for new links while starts are shared.
 _IDLE_PERIOD: Millis = 200.0
+# The same while one version of each service serves.
+_LONGEST_IDLE_PERIOD: Millis = 1 * SECOND
 _DIAL_LIMIT: Millis = 500.0
 # A remote reader without a link for longer is passed over.
 _UNREACHABLE_LIMIT: Millis = 1 * SECOND
@@ -101,10 +103,11 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(pool.run)
             while True:
-                self.step(self._clock.now())
-                await anyio.sleep(_BATCH_PERIOD / SECOND)
-                with anyio.move_on_after(_IDLE_PERIOD / SECOND):
+                now = self._clock.now()
+                self.step(now)
+                with anyio.move_on_after(self._find_pause(now) / SECOND):
                     await self._wanted.wait()
+                    await anyio.sleep(_BATCH_PERIOD / SECOND)
 
     @property
     def has_links(self) -> bool:
@@ -117,7 +120,9 @@
 
     def receive_inbound(self, link: Link, news: StreamNews) -> None:
         """Apply news over a link that another entry opened."""
-        self._inbound.add(link)
+        if link not in self._inbound:
+            self._inbound.add(link)
+            self.wake()
         self.receive(link, news)
 
     def receive(self, link: Link, news: StreamNews) -> None:
@@ -156,6 +161,23 @@
         self._send_backlogs(now)
         self._ask(links, now)
 
+    def _find_pause(self, now: Millis) -> Millis:
+        """Return the longest time to the next step.
+
+        Others have to learn of streams before the list of servers gets too old
+        to tell which version began them.
+        """
+        history = self._sharing.history
+        is_idle = (
+            self.has_learned
+            and not self._sharing.is_active(now)
+            and not history.is_asking(now)
+        )
+        if not is_idle:
+            return _IDLE_PERIOD
+        pause = min(history.find_certain_time(now), _LONGEST_IDLE_PERIOD)
+        return max(pause, _IDLE_PERIOD)
+
     def _join(self, link: Link, now: Millis, *, is_sharing: bool) -> None:
         """Subscribe to the news of a new link, which gets all that is known."""
         news = StreamNews(
