Refuse at once while all listed servers of a service are leaving

What callers saw: each request waited a second for a server before its refusal, though the only one had said that it leaves and none was announced. Cause: without a server to choose, a request waits, as one may be listed within a second; servers that leave are not told apart from none. Change: while a service has listed servers and all of them leave, a request is refused as not run, to come back after half a second to a second. It still waits while one that stays can't be used, or none is listed. Evidence: test_request_is_refused_at_once_while_all_servers_leave fails before (1.01 s) and passes; 54 tests of waiting, leaving and limits pass.

--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -52,6 +52,7 @@
 _LONG_RETRY_DELAY = RetryDelay(500.0, 1 * SECOND)
 _RETRY_DELAYS: Mapping[Obstacle, RetryDelay] = {
     Obstacle.OUTDATED: _LONG_RETRY_DELAY,
+    Obstacle.LEAVING: _LONG_RETRY_DELAY,
     Obstacle.EVACUATED: _LONG_RETRY_DELAY,
     Obstacle.REGION: _LONG_RETRY_DELAY,
 }
@@ -144,7 +145,7 @@
         self, demand: CallDemand, listed: Sequence[Backend], now: Millis
     ) -> Rejection | None:
         """Return None while the call may wait for a server, else reject it."""
-        obstacle = find_obstacle(demand, listed)
+        obstacle = self._find_obstacle(demand, listed, now)
         if obstacle in _TRANSIENT_OBSTACLES and self._may_wait(now):
             if obstacle is Obstacle.UNLISTED:
                 self._core.servers_requested.set()
@@ -159,6 +160,16 @@
             )
         return Rejection(kind, obstacle.value, retry_delay)
 
+    def _find_obstacle(
+        self, demand: CallDemand, listed: Sequence[Backend], now: Millis
+    ) -> Obstacle:
+        obstacle = find_obstacle(demand, listed)
+        backends, service = self._core.backends, self._call.service
+        is_unlisted = obstacle is Obstacle.UNLISTED
+        if is_unlisted and backends.are_all_leaving(service, now):
+            return Obstacle.LEAVING
+        return obstacle
+
     def _find_turn(
         self, demand: CallDemand, listed: Sequence[Backend], now: Millis
     ) -> Millis:
--- a/src/oleanderdyke/kernel/send_limits.py
+++ b/src/oleanderdyke/kernel/send_limits.py
@@ -28,6 +28,7 @@
     """Reasons why no backend server may get a request."""
 
     UNLISTED = 'no server listed'
+    LEAVING = 'all listed servers are leaving'
     OUTDATED = 'the weights of all servers were replaced too long ago'
     EVACUATED = 'every data centre with servers is being evacuated'
     REGION = 'no server is in a region where the request may run'
--- a/src/oleanderdyke/kernel/server_list.py
+++ b/src/oleanderdyke/kernel/server_list.py
@@ -107,6 +107,20 @@
             and self._is_valid(backend)
         ]
 
+    def are_all_leaving(self, service: str, now: Millis) -> bool:
+        """Return whether a service has listed servers, and all of them leave.
+
+        One that can't be used for another reason may serve again.
+        """
+        listed = [
+            backend.record
+            for backend in self._backends.values()
+            if backend.record.service == service
+            and not self.is_missing(backend, now)
+            and self._is_valid(backend)
+        ]
+        return bool(listed) and all(record.is_leaving for record in listed)
+
     def record_list_read(
         self, now: Millis, read_at: Millis | None = None
     ) -> None:
--- a/tests/test_waiting_for_servers.py
+++ b/tests/test_waiting_for_servers.py
@@ -47,6 +47,31 @@
     stage.store.put(SERVERS, 'i-5', make_record(address))
 
 
+# Requests waited a second for a server though the only one was leaving and none
+# had been announced.
+async def test_request_is_refused_at_once_while_all_servers_leave(tmp_path):
+    async with staging(tmp_path, answer_well) as stage:
+        backend = stage.core.backends.find('i-0')
+        record = make_record(backend.record.address, state='draining', seq=12)
+        stage.store.put(SERVERS, 'i-0', record)
+        with anyio.fail_after(5):
+            while not stage.core.backends.find('i-0').record.is_leaving:
+                await anyio.sleep(0.02)
+        found, duration = await ask(stage)
+    assert found.status == 503
+    assert duration < 0.3
+    assert float(found.headers['retry-after']) >= 0.5
+
+
+async def test_request_waits_while_a_server_that_stays_is_unread(tmp_path):
+    async with staging(tmp_path, answer_well, answer_well) as stage:
+        core = stage.core
+        core.backends.mark_leaving(core.backends.find('i-0').record.start)
+        core.backends.mark_unreadable(['i-1'])
+        _, duration = await ask(stage)
+    assert duration > 0.3
+
+
 async def test_request_waits_for_a_server_that_is_listed_shortly_after(
     tmp_path,
 ):
