Bound what is kept of given-up sends, and announce without waiting for a grant

Cause, by reading the change: sends that callers left stayed in a list behind an unread one for up to ten minutes, and servers that had answered for ever; a service without requests since the start counted as just started; a copy that took no token gave one back; the announcement of an entry waited for the store's answer about its start. Change: what is over is forgotten each second; the time of the start is that of the process; copies give back their place in the window alone; the grant is asked for beside the announcements.

--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -39,7 +39,6 @@
 
     async def run(self) -> None:
         """Run until cancelled; keep the last count while the store is down."""
-        await self._take_start_retry()
         store = self._core.make_store_dependency('entries')
         pauses = chain(_INITIAL_PERIODS, repeat(_PERIOD))
         while True:
@@ -53,7 +52,7 @@
             self._core.log_retry_share()
             await anyio.sleep(next(pauses) / SECOND)
 
-    async def _take_start_retry(self) -> None:
+    async def take_start_retry(self) -> None:
         """Begin with a retry, unless many entries have started lately."""
         core = self._core
         grants = core.retries.make_start_grants()
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -67,6 +67,7 @@
             open_listener(*callers) as front,
             open_listener(*readiness) as ready,
         ):
+            presence = Presence(core)
             app = HostedApp(core, self._stopper, readiness[1])
             server = make_server(app, _make_http(callers))
             core.log.write(
@@ -81,7 +82,8 @@
                 tasks.start_soon(self._watch.follow_servers)
                 tasks.start_soon(self._watch.follow_loads)
                 tasks.start_soon(ContextWatch(core).run)
-                tasks.start_soon(Presence(core).run)
+                tasks.start_soon(presence.run)
+                tasks.start_soon(presence.take_start_retry)
                 tasks.start_soon(core.scheduling.run, core)
                 tasks.start_soon(self._tick, server)
                 tasks.start_soon(self._watch_settings)
--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import count, takewhile
@@ -148,31 +148,29 @@
 class OutstandingSends:
     """The sends of one entry to one service that may still arrive.
 
-    `repeats` counts those beyond the first of each request, with the
-    `reserved` ones that are paid for and not sent yet.
+    `list_starts` returns the servers that may hold sends of the process before
+    this one, which started at `started_at`. `repeats` counts the sends beyond
+    the first of each request, with the `reserved` ones that are paid for and
+    not sent yet.
     """
 
     now: Callable[[], Millis]
     list_starts: Callable[[], Collection[ServerStart]] = tuple
+    started_at: Millis = 0.0
     repeats: int = 0
     reserved: int = 0
     _numbers: Iterator[int] = field(default_factory=count)
     _by_start: dict[ServerStart, OrderedDict[Send, None]] = field(
         default_factory=dict
     )
-    _given_up: deque[Send] = field(default_factory=deque)
+    _given_up: list[Send] = field(default_factory=list)
     _aged: int = 0
     _aged_at: Millis = 0.0
     # When each server's latest answer came.
     _heard: dict[ServerStart, Millis] = field(default_factory=dict)
-    _started_at: Millis = field(init=False)
     _has_earlier: bool = True
     _checked_at: Millis = -math.inf
 
-    def __post_init__(self) -> None:
-        """Begin the time in which sends of an earlier process may arrive."""
-        self._started_at = self.now()
-
     def may_have_earlier(self) -> bool:
         """Return whether servers may hold sends of an earlier process.
 
@@ -181,7 +179,7 @@
         now = self.now()
         if now >= self._checked_at + _CHECK_PERIOD:
             self._checked_at = now
-            is_recent = now - self._started_at <= _LONG_SILENCE
+            is_recent = now - self.started_at <= _LONG_SILENCE
             self._has_earlier = is_recent and any(
                 start not in self._heard for start in self.list_starts()
             )
@@ -242,8 +240,8 @@
     def record_heard(self, start: ServerStart, number: int) -> None:
         """Record an answer to a send; all earlier ones have arrived."""
         self._heard[start] = self.now()
-        sends = tuple(self._by_start.get(start, ()))
-        for send in takewhile(lambda each: each.number < number, sends):
+        sends = self._by_start.get(start, ())
+        for send in [*takewhile(lambda each: each.number < number, sends)]:
             send.arrive()
 
     def record_ended(self, start: ServerStart) -> None:
@@ -253,22 +251,22 @@
             send.arrive()
 
     def _age(self) -> None:
-        """Count again how many sends were given up long ago."""
+        """Count how many sends were given up long ago; forget what is over."""
         now = self.now()
         if now - self._aged_at < _AGING_PERIOD:
             return
         self._aged_at = now
-        while self._given_up and self._is_over(self._given_up[0], now):
-            self._given_up.popleft().arrive()
+        for send in self._given_up:
+            if now - send.given_up_at > _LONGEST_SILENCE:
+                send.arrive()
+        self._given_up = [
+            each for each in self._given_up if each.is_outstanding
+        ]
         self._aged = sum(
-            send.is_outstanding
-            for send in takewhile(
-                lambda each: now - each.given_up_at > _LONG_SILENCE,
-                self._given_up,
-            )
-        )
-
-    def _is_over(self, send: Send, now: Millis) -> bool:
-        return (
-            not send.is_outstanding or now - send.given_up_at > _LONGEST_SILENCE
+            now - send.given_up_at > _LONG_SILENCE for send in self._given_up
         )
+        self._heard = {
+            start: at
+            for start, at in self._heard.items()
+            if now - at < _LONGEST_SILENCE
+        }
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -325,6 +325,7 @@
         self._now = now
         self._is_leaving = is_leaving
         self._list_starts = list_starts
+        self._started_at = now()
         self._budgets: dict[str, SharedBudget] = {}
         self._first_tokens = 0.0
         self._sends: dict[str, OutstandingSends] = {}
@@ -356,7 +357,9 @@
         """Return this entry's sends to a service that may still arrive."""
         if service not in self._sends:
             self._sends[service] = OutstandingSends(
-                self._now, partial(self._find_starts, service)
+                self._now,
+                partial(self._find_starts, service),
+                started_at=self._started_at,
             )
         return self._sends[service]
 
--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -88,8 +88,10 @@
         return True
 
     def refund(self) -> None:
-        """Give back a retry that was taken and not sent."""
-        self._budget.refund()
+        """Give back a retry that was taken and not sent, but no token.
+
+        Some retries of copies took none.
+        """
         if self._spent:
             self._spent.pop()
 
--- a/tests/test_outstanding_sends.py
+++ b/tests/test_outstanding_sends.py
@@ -150,6 +150,14 @@
     assert not scene.open().try_withdraw()
 
 
+def test_service_without_requests_since_the_start_saves_up_as_others(scene):
+    sends = OutstandingSends(lambda: 5 * MINUTE, lambda: [ONE])
+    budget = SharedBudget(lambda: SETTINGS, Random(1), sends)
+    for _ in range(100):
+        budget.deposit()
+    assert budget.tokens == 4
+
+
 # Sends to servers that are lost for good would hold all retries for ever.
 def test_long_silent_servers_leave_a_retry(scene):
     for _ in range(4):
