Kill the newest process of each soaked server at the end of a run

Cause: a run killed the first process of each server, so those that had been started again stayed behind: 30 after 51 runs, ended by hand. Change: the process that a server has at the end is killed.

--- a/tools/soak/backends.py
+++ b/tools/soak/backends.py
@@ -69,7 +69,7 @@
                 port = ports.reserve()
                 link, address = await stack.enter_async_context(linking(port))
                 member = self._make(link, address, port)
-                stack.callback(member.child.kill)
+                stack.callback(_kill, member)
                 self.members.append(member)
                 self._start(member)
             await anyio.sleep(1)
@@ -121,11 +121,6 @@
         member.child = self._make_child(member.server, member.port)
         self._start(member)
 
-    def kill_all(self) -> None:
-        """Kill every process."""
-        for member in self.members:
-            member.child.kill()
-
     def collect(self, observations: Observations) -> None:
         """Add what the servers wrote to what was observed, in its order."""
         lines = sorted(self._read_lines())
@@ -181,3 +176,8 @@
     @property
     def _control(self) -> Path:
         return self.directory / 'conduct'
+
+
+def _kill(member: BackendProcess) -> None:
+    """Kill the newest process of a server."""
+    member.child.kill()
