Fit the retry budget once a deposit, and look at sends only where some are out

Change: one fit; unread sends are counted only if there are any; after its first minute a process no longer asks for servers that have not answered.

--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -169,6 +169,7 @@
     # When each server's latest answer came.
     _heard: dict[ServerStart, Millis] = field(default_factory=dict)
     _has_earlier: bool = True
+    _is_settled: bool = False
     _checked_at: Millis = -math.inf
 
     def may_have_earlier(self) -> bool:
@@ -176,11 +177,13 @@
 
         Those that answered this one have read what came before.
         """
+        if self._is_settled:
+            return False
         now = self.now()
         if now >= self._checked_at + _CHECK_PERIOD:
             self._checked_at = now
-            is_recent = now - self.started_at <= _LONG_SILENCE
-            self._has_earlier = is_recent and any(
+            self._is_settled = now - self.started_at > _LONG_SILENCE
+            self._has_earlier = not self._is_settled and any(
                 start not in self._heard for start in self.list_starts()
             )
         return self._has_earlier
@@ -208,6 +211,7 @@
 
     def add(self, request: RequestSends, start: ServerStart) -> Send:
         """Track a send that is being written."""
+        self._age()
         send = Send(request, start, next(self._numbers), self.now())
         self._by_start.setdefault(start, OrderedDict())[send] = None
         return send
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -228,9 +228,7 @@
 
     def deposit(self) -> None:
         """Add the share of one new request."""
-        self._fit()
-        super().deposit()
-        self._fit()
+        self.add(self.find_settings().share)
 
     def try_withdraw(self) -> bool:
         """Take one retry from the budget; return False if none is left."""
@@ -248,13 +246,14 @@
 
     def _fit(self) -> None:
         """Drop the tokens that exceed the burst together with sends."""
-        self.resize(self.find_settings())
+        self._settings = self.find_settings()
         burst = self._settings.burst
         if self._sends.may_have_earlier():
             burst = min(burst, _LEAST_BURST)
-        most_aged = max(min(burst * _AGED_SHARE, burst - 1), 0.0)
-        repeats = self._sends.count_repeats(most_aged)
-        self._tokens = min(self._tokens, max(burst - repeats, 0.0))
+        if self._sends.repeats:
+            most_aged = max(min(burst * _AGED_SHARE, burst - 1), 0.0)
+            burst = max(burst - self._sends.count_repeats(most_aged), 0.0)
+        self._tokens = min(self._tokens, burst)
 
 
 class RequestRetries:
