--- a/tools/soak/backends.py
+++ b/tools/soak/backends.py
@@ -1,4 +1,4 @@
-"""Backend servers of a soak as processes, each behind a link of its own."""
+"""Backend servers of a soak as processes, each behind a proxy of its own."""
 
 from __future__ import annotations
 
@@ -91,7 +91,7 @@
     async def pause(
         self, members: Iterable[BackendProcess], seconds: float
     ) -> None:
-        """Let the processes of servers stand still; pauses may overlap."""
+        """Pause servers with SIGSTOP, then SIGCONT; pauses may overlap."""
         async with anyio.create_task_group() as tasks:
             for member in tuple(members):
                 tasks.start_soon(self._pause, member, seconds)
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -1,4 +1,4 @@
-"""Relay connections as a network that delays, holds back, cuts and resets."""
+"""Run loopback proxies that delay, hold back, cut and reset connections."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 @dataclass
 class Link:
-    """Relay connections to one port, which may have no listener for a while.
+    """A proxy to one port, which may have no listener for a while.
 
     A link takes connections and bytes whatever happens to it, as a network
     buffers them, and delivers what it holds once it goes on.
