--- a/tests/late_scene.py
+++ b/tests/late_scene.py
@@ -1,4 +1,4 @@
-"""Entries before servers that stand still, and what the servers get."""
+"""Entries before servers that leave requests unread, and what these get."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import itertools
 import time
 from dataclasses import dataclass, field
+from random import Random
 
 import anyio
 
@@ -16,17 +17,43 @@
     make_record,
     staging_linked,
 )
-from tests.standins.paused import PausableServer, serving_pausable
+from tests.standins.paused import (
+    PausableServer,
+    refuse,
+    serve,
+    serving_pausable,
+)
 from tools.soak.arrivals import Observations, RetryRule
 
 _TIMEOUT_MS = 4_000
 # Entries have read each other's announcements by then.
 _KNOWN_SECONDS = 6.0
 _EARLIER_REQUESTS = 100
-_CONFIGURATION = {
-    **CONFIGURATION,
-    'routes': [{**SAFE_ROUTE, 'timeoutMs': _TIMEOUT_MS, 'maxAttempts': 3}],
-}
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """What servers do during a pause, and on connections it leaves alone.
+
+    The pause concerns the connections of a `share` of the requests. A proxy may
+    reset those and deliver after the pause.
+    """
+
+    share: float = 1.0
+    is_served: bool = False
+    is_resetting: bool = False
+
+    def make_server(self, arrive, seed):
+        return PausableServer(
+            arrive,
+            serve if self.is_served else refuse,
+            self.share,
+            self.is_resetting,
+            Random(seed),
+        )
+
+
+STANDSTILL = Trouble()
 
 
 @dataclass
@@ -78,21 +105,35 @@
             self.statuses.append(found.status)
 
 
+def _configure(attempts):
+    route = {
+        **SAFE_ROUTE,
+        'timeoutMs': _TIMEOUT_MS,
+        'maxAttempts': attempts,
+    }
+    return {**CONFIGURATION, 'routes': [route]}
+
+
 @contextlib.asynccontextmanager
-async def late_scene(directory, *, entries, servers):
+async def late_scene(
+    directory, *, entries, servers, trouble=STANDSTILL, attempts=3
+):
     scene = LateScene([], [])
     async with contextlib.AsyncExitStack() as stack:
         addresses = []
-        for _ in range(servers):
-            server = PausableServer(
-                lambda request: scene.seen.record_arrival(request, scene.now())
+        for number in range(servers):
+            server = trouble.make_server(
+                lambda request: scene.seen.record_arrival(request, scene.now()),
+                number,
             )
             scene.servers.append(server)
             addresses.append(
                 await stack.enter_async_context(serving_pausable(server))
             )
         linked = await stack.enter_async_context(
-            staging_linked(directory, entries=0, configuration=_CONFIGURATION)
+            staging_linked(
+                directory, entries=0, configuration=_configure(attempts)
+            )
         )
         for number, address in enumerate(addresses):
             linked.store.put(SERVERS, f'i-{number}', make_record(address))
@@ -117,9 +158,17 @@
     count=None,
     lead=0.3,
     tail=8.0,
+    trouble=STANDSTILL,
+    attempts=3,
 ):
-    """Return the scene after servers have stood still for `pause` seconds."""
-    async with late_scene(directory, entries=entries, servers=servers) as scene:
+    """Return the scene after servers left requests unread for a time."""
+    async with late_scene(
+        directory,
+        entries=entries,
+        servers=servers,
+        trouble=trouble,
+        attempts=attempts,
+    ) as scene:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(scene.send, rate, lead + pause + tail)
             tasks.start_soon(scene.pause_servers, lead, pause, count)
--- a/tests/standins/paused.py
+++ b/tests/standins/paused.py
@@ -1,7 +1,9 @@
-"""Simulate backend servers whose processes stand still for a time.
+"""Simulate backend servers that leave requests unread for a time.
 
 While one is paused its kernel takes connections and requests, which the server
-reads all at once as it goes on.
+reads all at once as it goes on. A server may leave only a share of its
+connections unread, and a proxy in front of it may reset those while it holds
+what came over them.
 """
 
 from __future__ import annotations
@@ -9,8 +11,10 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
+from random import Random
 
 import anyio
 import anyio.abc
@@ -20,6 +24,7 @@
 
 _PIECE = 65_536
 _REQUEST = 'oleanderdyke-request-id'
+_RESET = struct.pack('ii', 1, 0)
 
 Answer = Callable[[MessageReceived], bytes]
 
@@ -29,12 +34,25 @@
     return make_answer(request, 503, b'full', oleanderdyke_not_executed='1')
 
 
+def serve(request: MessageReceived) -> bytes:
+    """Build a successful answer."""
+    return make_answer(request, 200, b'done')
+
+
 @dataclass
 class PausableServer:
-    """Answer each request at once; `arrive` is called as it is read."""
+    """Answer each request at once; `arrive` is called as it is read.
+
+    During a pause each request falls with the probability `share` on a
+    connection that is left unread. With `is_resetting` such connections are
+    reset at once, and what came over them arrives after the pause.
+    """
 
     arrive: Callable[[str], None]
     answer: Answer = refuse
+    share: float = 1.0
+    is_resetting: bool = False
+    random: Random = field(default_factory=lambda: Random(1))
     _is_running: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
@@ -55,7 +73,8 @@
         parser = h11.Connection(h11.SERVER)
         with contextlib.suppress(OSError, h11.RemoteProtocolError):
             while data := await loop.sock_recv(connection, _PIECE):
-                await self._is_running.wait()
+                if self.random.random() < self.share:
+                    await self._hold(connection)
                 parser.receive_data(data)
                 while request := _take_request(parser):
                     self.arrive(request.headers[_REQUEST])
@@ -63,6 +82,12 @@
                     parser = _start_next(parser)
         connection.close()
 
+    async def _hold(self, connection: socket.socket) -> None:
+        if self.is_resetting and not self._is_running.is_set():
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            connection.close()
+        await self._is_running.wait()
+
 
 @contextlib.asynccontextmanager
 async def serving_pausable(
