Log and count why a send no longer counts as unread

The gauge of outstanding sends stays low both if servers read everything and if an entry takes what it can't know for read. Sends that were given up unanswered are now a field of request_retried and a gauge, the reasons why others no longer count a counter, and whether sends of the last process may lie unread a gauge.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -45,7 +45,11 @@
 )
 from oleanderdyke.kernel.backend import Backend, PendingAttempt
 from oleanderdyke.kernel.context_stores import NO_CONTEXTS
-from oleanderdyke.kernel.outstanding_sends import RequestSends, Send
+from oleanderdyke.kernel.outstanding_sends import (
+    RequestSends,
+    Send,
+    SendEnd,
+)
 from oleanderdyke.kernel.servers import AnswerMetadata, ServerStart
 from oleanderdyke.kernel.weight_versions import (
     CANCEL_MARGIN,
@@ -204,7 +208,7 @@
         if self._core.backends.is_superseded(self._start):
             self._lost_copy = self._find_copy(is_ended=True)
             if self._send_record is not None:
-                self._send_record.arrive()
+                self._send_record.arrive(SendEnd.SERVER_ENDED)
             self._close_failed(
                 ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'server restarted'
             )
--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -10,6 +10,7 @@
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.attempt_events import Refuse
+from oleanderdyke.kernel.outstanding_sends import OutstandingSends
 from oleanderdyke.kernel.retries import RetrySource
 from oleanderdyke.kernel.scheduling.placement import Choice
 from oleanderdyke.logs import LogValue
@@ -76,11 +77,11 @@
         *,
         source: RetrySource,
         left: float,
-        outstanding: int,
+        sends: OutstandingSends,
     ) -> None:
         """Log another attempt of a call, and the retries left after it.
 
-        `outstanding` sends of the service may still arrive as repeats.
+        `sends` of the service may still arrive, some of them as repeats.
         """
         self._core.log.write(
             EventName.REQUEST_RETRIED,
@@ -90,7 +91,8 @@
             service=self._call.service,
             source=source.value,
             budget=round(left, 2),
-            outstanding=outstanding,
+            outstanding=sends.repeats,
+            unread=sends.unread,
         )
 
     def log_refused(
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -24,6 +24,7 @@
 from oleanderdyke.kernel.deployment import Deployment
 from oleanderdyke.kernel.drain import Drain, DrainSettings
 from oleanderdyke.kernel.engine_clock import EngineClock
+from oleanderdyke.kernel.outstanding_sends import OutstandingSends
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import RetryBudget, RetryLimits, RetryShares
 from oleanderdyke.kernel.rollout import Rollout
@@ -276,13 +277,22 @@
             found = self.scheduling.find_windowed(service) or budget
             metrics.set_gauge(Gauge.RETRY_TOKENS, found.tokens, service)
             metrics.set_gauge(Gauge.RETRY_BURST, found.settings.burst, service)
-            sends = self.retries.find_sends(service)
-            metrics.set_gauge(Gauge.RETRY_OUTSTANDING, sends.repeats, service)
-            metrics.set_gauge(Gauge.RETRY_RESERVED, sends.reserved, service)
+            self._update_sends(service, self.retries.find_sends(service))
         if self.deployment is not None:
             version = self.deployment.version
             metrics.set_gauge(Gauge.CONFIGURATION_OFFSET, version)
 
+    def _update_sends(self, service: str, sends: OutstandingSends) -> None:
+        metrics = self.metrics
+        metrics.set_gauge(Gauge.RETRY_OUTSTANDING, sends.repeats, service)
+        metrics.set_gauge(Gauge.RETRY_RESERVED, sends.reserved, service)
+        metrics.set_gauge(Gauge.RETRY_UNREAD, sends.unread, service)
+        has_earlier = sends.may_have_earlier()
+        metrics.set_gauge(Gauge.RETRY_EARLIER, float(has_earlier), service)
+        for end, total in sends.ends.items():
+            label = f'{service}, {end.value}'
+            metrics.set_count(Count.SENDS_ENDED, total, label)
+
     def find_unread(self) -> UnreadAnswers:
         """Return the bound on unread answers, from the first one that waits."""
         if self._unread is None:
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -319,7 +319,7 @@
                     self._machine.take_retry_source()
                 ),
                 left=self._retries.tokens,
-                outstanding=self._retries.sends.service.repeats,
+                sends=self._retries.sends.service,
             )
         self._last_server = action.agent
         self._attempt = DirectAttempt(
--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import enum
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from itertools import count, takewhile
@@ -27,6 +28,16 @@
 _CHECK_PERIOD: Millis = 200.0
 
 
+class SendEnd(enum.StrEnum):
+    """Why a send no longer counts as one that may still arrive."""
+
+    ANSWERED = 'answered'
+    LATER_ANSWER = 'later answer'
+    CLOSED = 'closed'
+    SERVER_ENDED = 'server ended'
+    EXPIRED = 'expired'
+
+
 @dataclass(eq=False, slots=True)
 class Send:
     """One send of a request to one start of a server.
@@ -45,7 +56,7 @@
 
     def record_answer(self) -> None:
         """Record bytes of its answer, which follow all earlier arrivals."""
-        self.arrive()
+        self.arrive(SendEnd.ANSWERED)
         self.request.service.record_heard(self.start, self.number)
 
     def record_lost(self, *, has_peer_closed: bool) -> None:
@@ -55,15 +66,15 @@
         while the server's process stands still and keeps what it got.
         """
         if has_peer_closed and self.request.service.has_likely_run(self):
-            self.arrive()
+            self.arrive(SendEnd.CLOSED)
         else:
             self.give_up(is_silent=True)
 
-    def arrive(self) -> None:
+    def arrive(self, end: SendEnd) -> None:
         """Record that the send has arrived, or that it never will."""
         if self.is_outstanding:
             self.is_outstanding = False
-            self.request.service.remove(self)
+            self.request.service.remove(self, end)
             self.request.record_arrival()
 
     def give_up(self, *, is_silent: bool) -> None:
@@ -151,7 +162,7 @@
     `list_starts` returns the servers that may hold sends of the process before
     this one, which started at `started_at`. `repeats` counts the sends beyond
     the first of each request, with the `reserved` ones that are paid for and
-    not sent yet.
+    not sent yet. `ends` counts the sends that no longer may arrive by reason.
     """
 
     now: Callable[[], Millis]
@@ -159,6 +170,7 @@
     started_at: Millis = 0.0
     repeats: int = 0
     reserved: int = 0
+    ends: Counter[SendEnd] = field(default_factory=Counter)
     _numbers: Iterator[int] = field(default_factory=count)
     _by_start: dict[ServerStart, OrderedDict[Send, None]] = field(
         default_factory=dict
@@ -188,6 +200,11 @@
             )
         return self._has_earlier
 
+    @property
+    def unread(self) -> int:
+        """Return the number of sends that were given up and may arrive."""
+        return sum(send.is_outstanding for send in self._given_up)
+
     def open(self, refund: Callable[[], None]) -> RequestSends:
         """Begin to track a request."""
         return RequestSends(self, refund)
@@ -221,8 +238,9 @@
         send.given_up_at = self.now()
         self._given_up.append(send)
 
-    def remove(self, send: Send) -> None:
+    def remove(self, send: Send, end: SendEnd) -> None:
         """Stop tracking a send."""
+        self.ends[end] += 1
         sends = self._by_start[send.start]
         del sends[send]
         if not sends:
@@ -246,13 +264,13 @@
         self._heard[start] = self.now()
         sends = self._by_start.get(start, ())
         for send in [*takewhile(lambda each: each.number < number, sends)]:
-            send.arrive()
+            send.arrive(SendEnd.LATER_ANSWER)
 
     def record_ended(self, start: ServerStart) -> None:
         """Record that a start of a server has ended."""
         self._heard.pop(start, None)
         for send in tuple(self._by_start.get(start, ())):
-            send.arrive()
+            send.arrive(SendEnd.SERVER_ENDED)
 
     def _age(self) -> None:
         """Count how many sends were given up long ago; forget what is over."""
@@ -262,7 +280,7 @@
         self._aged_at = now
         for send in self._given_up:
             if now - send.given_up_at > _LONGEST_SILENCE:
-                send.arrive()
+                send.arrive(SendEnd.EXPIRED)
         self._given_up = [
             each for each in self._given_up if each.is_outstanding
         ]
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -63,6 +63,7 @@
     UNREAD_ENDED = 'unread_ended'
     ANSWERS_CLOSED = 'answers_closed'
     BACKEND_CRASHES = 'backend_crashes'
+    SENDS_ENDED = 'sends_ended'
 
 
 class Gauge(enum.StrEnum):
@@ -84,6 +85,8 @@
     RETRY_BURST = 'retry_burst'
     RETRY_OUTSTANDING = 'retry_outstanding'
     RETRY_RESERVED = 'retry_reserved'
+    RETRY_UNREAD = 'retry_unread'
+    RETRY_EARLIER = 'retry_earlier'
 
 
 _SERVICE = 'service'
@@ -122,6 +125,7 @@
     Count.UNREAD_ENDED: _NONE,
     Count.ANSWERS_CLOSED: _SERVICE,
     Count.BACKEND_CRASHES: _NONE,
+    Count.SENDS_ENDED: 'service and what ended the wait',
     Gauge.RUNNING: _NONE,
     Gauge.LINKS: _NONE,
     Gauge.CONFIGURATION_OFFSET: _NONE,
@@ -138,6 +142,8 @@
     Gauge.RETRY_BURST: _SERVICE,
     Gauge.RETRY_OUTSTANDING: _SERVICE,
     Gauge.RETRY_RESERVED: _SERVICE,
+    Gauge.RETRY_UNREAD: _SERVICE,
+    Gauge.RETRY_EARLIER: _SERVICE,
 }
 
 
--- a/tests/test_hosted_retries.py
+++ b/tests/test_hosted_retries.py
@@ -56,6 +56,20 @@
     assert f'oleander_retry_burst{{label="desk"}} {burst}' in metrics
 
 
+# A count of what may still arrive stayed low, and nothing told why.
+async def test_metrics_tell_why_sends_no_longer_count_as_unread(tmp_path):
+    async with staging(tmp_path, refuse, refuse) as stage:
+        await stage.call('/safe/x')
+        retries = read_events(stage, 'request_retried')
+        stage.core.update_gauges()
+        metrics = stage.core.metrics.render().decode().splitlines()
+    sends = float(len(retries) + 1)
+    ended = f'oleander_sends_ended_total{{label="desk, answered"}} {sends}'
+    assert [each['unread'] for each in retries] == ['0', '0']
+    assert 'oleander_retry_unread{label="desk"} 0.0' in metrics
+    assert ended in metrics
+
+
 async def test_log_tells_a_changed_share_with_the_count_behind_it(tmp_path):
     async with staging(tmp_path, refuse) as stage:
         stage.core.entries.record_entry('front-2', stage.core.clock.now())
