--- a/tests/late_world.py
+++ b/tests/late_world.py
@@ -6,6 +6,7 @@
 import itertools
 from collections import deque
 from dataclasses import dataclass, field
+from random import Random
 
 from oleanderdyke.clock import SECOND
 from oleanderdyke.kernel.outstanding_sends import Send
@@ -18,14 +19,21 @@
 LAST_SILENCE = 2 * SECOND
 CALLER_WAIT = 4 * SECOND
 LIST_LAG = 1 * SECOND
+RESET_DELAY = 1.0
 
 
 @dataclass
 class Server:
-    """A server process; `unread` is what its kernel holds for it."""
+    """A server process; `unread` is what its kernel holds for it.
+
+    A pause concerns the connections of a `share` of the requests. If a proxy is
+    resetting, it closes those at once and delivers after the pause.
+    """
 
     start: ServerStart
     is_paused: bool = False
+    share: float = 1.0
+    is_resetting: bool = False
     unread: deque = field(default_factory=deque)
 
 
@@ -55,6 +63,7 @@
     _orders: itertools.count = field(default_factory=itertools.count)
     _requests: itertools.count = field(default_factory=itertools.count)
     _starts: itertools.count = field(default_factory=itertools.count)
+    _random: Random = field(default_factory=lambda: Random(1))
 
     def add_servers(self, count: int) -> None:
         for _ in range(count):
@@ -86,8 +95,13 @@
         self.end(entry)
         self.start(entry.name)
 
-    def pause(self, number: int) -> None:
-        self.servers[number % len(self.servers)].is_paused = True
+    def pause(
+        self, number: int, share: float = 1.0, *, is_resetting: bool = False
+    ) -> None:
+        server = self.servers[number % len(self.servers)]
+        server.is_paused = True
+        server.share = share
+        server.is_resetting = is_resetting
 
     def resume(self, number: int) -> None:
         server = self.servers[number % len(self.servers)]
@@ -120,9 +134,8 @@
         start = self.servers[number % len(self.servers)].start
         for request in tuple(self._running):
             send = request.send
-            if self._is_waiting(request, send) and send.start == start:
-                send.record_lost(has_peer_closed=True)
-                self._retry(request)
+            if send.start == start:
+                self._lose(request, send)
 
     def _open_later(
         self, wait: float, entry: Entry, name: str, *, is_refused: bool
@@ -154,10 +167,18 @@
     def _deliver(self, server: Server, request: Request, send: Send) -> None:
         if server.start != send.start:
             return
-        if server.is_paused:
-            server.unread.append((request, send))
-        else:
+        if not server.is_paused or self._random.random() >= server.share:
             self._arrive(request, send)
+            return
+        server.unread.append((request, send))
+        if server.is_resetting:
+            self._later(RESET_DELAY, lambda: self._lose(request, send))
+
+    def _lose(self, request: Request, send: Send) -> None:
+        """Reset the connection of a send, which may still arrive."""
+        if self._is_waiting(request, send):
+            send.record_lost(has_peer_closed=True)
+            self._retry(request)
 
     def _arrive(self, request: Request, send: Send) -> None:
         self.seen.record_arrival(request.name, self.now / SECOND)
@@ -202,7 +223,7 @@
         )
 
     def _choose(self, request: Request) -> Server:
-        first = next(self._orders) % len(self.servers)
+        first = self._random.randrange(len(self.servers))
         rotated = self.servers[first:] + self.servers[:first]
         left = [each for each in rotated if each.start not in request.tried]
         return (left or rotated)[0]
--- a/tests/test_late_arrivals.py
+++ b/tests/test_late_arrivals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.late_scene import play
+from tests.late_scene import Trouble, play
 
 pytestmark = pytest.mark.anyio
 
@@ -15,3 +15,55 @@
     scene = await play(tmp_path, entries=3, rate=90, pause=12)
     fullest = scene.find_fullest()
     assert fullest.retries <= fullest.allowed
+
+
+# Answers over other connections of a server were taken for the arrival of what
+# it had left unread on some.
+@pytest.mark.parametrize(
+    ('entries', 'trouble'),
+    [
+        (3, Trouble(share=0.5)),
+        (6, Trouble(share=0.5)),
+        (3, Trouble(share=0.5, is_served=True)),
+    ],
+    ids=['three-refused', 'six-refused', 'three-served'],
+)
+async def test_retries_over_unread_connections_count_when_they_arrive(
+    tmp_path, entries, trouble
+):
+    scene = await play(
+        tmp_path,
+        entries=entries,
+        rate=90,
+        pause=25,
+        trouble=trouble,
+        attempts=2,
+    )
+    fullest = scene.find_fullest()
+    assert fullest.retries <= fullest.allowed
+
+
+# Connections that a proxy reset at once were taken for ended, though it passed
+# their requests on later.
+@pytest.mark.parametrize(
+    ('entries', 'trouble'),
+    [
+        (3, Trouble(is_resetting=True)),
+        (6, Trouble(is_resetting=True)),
+        (3, Trouble(share=0.5, is_resetting=True)),
+    ],
+    ids=['three', 'six', 'three-half'],
+)
+async def test_retries_of_reset_requests_count_when_they_are_passed_on(
+    tmp_path, entries, trouble
+):
+    scene = await play(
+        tmp_path,
+        entries=entries,
+        rate=90,
+        pause=12,
+        trouble=trouble,
+        attempts=2,
+    )
+    fullest = scene.find_fullest()
+    assert fullest.retries <= fullest.allowed
--- a/tests/test_late_model.py
+++ b/tests/test_late_model.py
@@ -21,6 +21,7 @@
 
 MOST_ENTRIES = 8
 NUMBERS = st.integers(0, 9)
+SHARES = st.sampled_from((0.3, 0.5, 0.7, 1.0))
 STEP = 0.25 * SECOND
 
 
@@ -73,6 +74,31 @@
         for number in range(len(self.world.servers)):
             self.world.pause(number)
 
+    @rule(number=NUMBERS, share=SHARES, is_resetting=st.booleans())
+    def leave_unread(self, number, share, is_resetting):
+        """Leave a share of the connections of one server unread."""
+        self.world.pause(number, share, is_resetting=is_resetting)
+
+    @rule(share=SHARES, is_resetting=st.booleans())
+    def leave_unread_at_all(self, share, is_resetting):
+        for number in range(len(self.world.servers)):
+            self.world.pause(number, share, is_resetting=is_resetting)
+
+    @rule(
+        total=st.integers(30, 100),
+        seconds=st.sampled_from((6, 12, 25)),
+        share=SHARES,
+        is_resetting=st.booleans(),
+        fails=st.booleans(),
+    )
+    def serve_unread(self, total, seconds, share, is_resetting, fails):
+        """Leave connections of all servers unread under steady load."""
+        rate = total // len(self.world.entries)
+        self.leave_unread_at_all(share, is_resetting)
+        self.serve(rate, seconds, fails)
+        self.resume_all()
+        self.serve(rate, 6, fails)
+
     @rule(number=NUMBERS)
     def resume(self, number):
         self.world.resume(number)
@@ -181,3 +207,32 @@
     machine.resume_all()
     machine.serve(rate, 10, fails=True)
     machine.teardown()
+
+
+def play_unread(entries, rate, seconds, share, *, fails, is_resetting=False):
+    """Leave connections of all servers unread for a time."""
+    machine = LateRetries()
+    machine.begin(entries=entries, servers=6)
+    machine.serve(rate, 5, fails=False)
+    machine.leave_unread_at_all(share, is_resetting)
+    machine.serve(rate, seconds, fails=fails)
+    machine.resume_all()
+    machine.serve(rate, 10, fails=fails)
+    machine.teardown()
+
+
+# An answer over one connection was taken for the arrival of what had been sent
+# over another one, which its server had not read.
+def test_answers_over_other_connections_do_not_free_retries():
+    for entries, rate in ((3, 30), (6, 15)):
+        for share in (0.3, 0.5, 0.7):
+            play_unread(entries, rate, 25, share, fails=True)
+            play_unread(entries, rate, 25, share, fails=False)
+
+
+# A connection that was closed quickly was taken for the end of what had been
+# sent over it, which a proxy delivered later.
+def test_quick_closes_do_not_free_retries():
+    for entries, rate in ((3, 30), (6, 15)):
+        for share in (0.5, 1.0):
+            play_unread(entries, rate, 12, share, fails=True, is_resetting=True)
