--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -27,9 +27,9 @@
 _RETRY_DELAY: Millis = 5.0
 # Retries that an entry may save up if it has no share of the slack.
 _LEAST_BURST = 1.0
-# Sends to servers that have been silent for long hold at most this share of the
-# burst, and leave one retry: such servers are likely lost.
-_AGED_SHARE = 0.75
+# Sends that were given up long ago hold at most this share of the burst, and
+# leave one retry: they likely never arrive.
+_AGED_SHARE = 0.5
 # Share of the slack that is set aside for starts, one retry for each.
 _START_SHARE = 0.1
 _START_RETRIES = 1.0
@@ -65,6 +65,11 @@
     COPY = 'copy'
 
 
+def find_most_aged(burst: float) -> float:
+    """Return how much of a burst is held by sends given up long ago."""
+    return max(min(burst * _AGED_SHARE, burst - 1), 0.0)
+
+
 class RetryAllowance(Protocol):
     """What one request asks for its retries."""
 
@@ -251,8 +256,8 @@
         if self._sends.may_have_earlier():
             burst = min(burst, _LEAST_BURST)
         if self._sends.repeats:
-            most_aged = max(min(burst * _AGED_SHARE, burst - 1), 0.0)
-            burst = max(burst - self._sends.count_repeats(most_aged), 0.0)
+            held = self._sends.count_repeats(find_most_aged(burst))
+            burst = max(burst - held, 0.0)
         self._tokens = min(self._tokens, burst)
 
 
--- a/src/oleanderdyke/kernel/scheduling/retry_window.py
+++ b/src/oleanderdyke/kernel/scheduling/retry_window.py
@@ -13,7 +13,11 @@
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.kernel.outstanding_sends import OutstandingSends
-from oleanderdyke.kernel.retries import RetryBudget, RetrySettings
+from oleanderdyke.kernel.retries import (
+    RetryBudget,
+    RetrySettings,
+    find_most_aged,
+)
 
 # Windows that are checked besides those that begin with a retry.
 _CHECKED_WINDOWS = 20
@@ -104,13 +108,14 @@
         self._forget_earlier()
         now = self._now()
         free = self._find_free(now)
+        most_aged = find_most_aged(free)
         requests = tuple(self._requests)
         spent = tuple(self._spent)
         for begin in self._list_begins(now):
             count = len(spent) - bisect_left(spent, begin) + 1
-            count += self._sends.count_given_up(begin)
+            unread = self._sends.count_given_up(begin, most_aged)
             most = self._count_requests(requests, begin)
-            if count > free + self.settings.share * most:
+            if count + unread > free + self.settings.share * most:
                 return False
         return True
 
