Take no closed connection for the end of what was sent over it

Callers' repeats piled up at servers behind something that resets connections at once and passes the requests on later: a close within 50 ms of the send, or one after another answer, counted as a proof that the server had run. A proxy closes as quickly. A closed send now holds its token like any other, 10 s instead of 30 s, as what closes runs; then such sends hold half of the burst at most.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -375,8 +375,8 @@
             if has_closed:
                 self._lost_copy = self._find_copy(is_ended=False)
                 self._report_loss()
-            if self._send_record is not None:
-                self._send_record.record_lost(has_peer_closed=has_closed)
+                if self._send_record is not None:
+                    self._send_record.give_up(is_closed=True)
             self._report_failure(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
     def _report_loss(self) -> None:
@@ -669,7 +669,7 @@
     def _finish(self, *, is_not_run: bool = False) -> None:
         self._done = True
         if self._send_record is not None:
-            self._send_record.give_up(is_silent=self._is_silent)
+            self._send_record.give_up(is_closed=False)
         self.resume()
         if self._copies is not None:
             self._copies.end(self._attempt_id, is_not_run=is_not_run)
--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -1,8 +1,9 @@
 """Count the sends of requests that may still arrive at servers as repeats.
 
 A server may leave some of its connections unread for long while it answers over
-others. So a request has surely arrived only if its own connection brings an
-answer. Closing the connection does not take back what the other side holds.
+others, and a proxy may close a connection before it passes a request on. So a
+request has surely arrived only if its own connection brings an answer. Closing
+the connection does not take back what the other side holds.
 """
 
 from __future__ import annotations
@@ -16,16 +17,16 @@
 from oleanderdyke.clock import MINUTE, SECOND, Millis
 from oleanderdyke.kernel.servers import ServerStart
 
-# Sends that were given up for longer hold a part of the burst only, so that
-# connections that fail for days leave retries.
+# Sends that have been unread for longer hold a part of the burst only, so that
+# connections that fail for days leave retries. What closes a connection runs,
+# and passes on what it holds sooner than a server that stands still reads it.
 _LONG_UNREAD: Millis = 30 * SECOND
+_LONG_CLOSED: Millis = 10 * SECOND
 # Bounds the memory for sends to servers that are lost for good.
 _LONGEST_UNREAD: Millis = 2 * MINUTE
 # A server that has been silent for longer is likely lost.
 _LONG_SILENCE: Millis = 1 * MINUTE
 _AGING_PERIOD: Millis = 1 * SECOND
-# A server that runs reads a request and closes its connection within this time.
-_PROMPT_TIME: Millis = 50.0
 # How often the list of servers is compared with those that have answered.
 _CHECK_PERIOD: Millis = 200.0
 
@@ -34,7 +35,6 @@
     """Why a send no longer counts as one that may still arrive."""
 
     ANSWERED = 'answered'
-    CLOSED = 'closed'
     SERVER_ENDED = 'server ended'
     EXPIRED = 'expired'
     # It arrives as the first of its request, if at all.
@@ -49,25 +49,14 @@
     start: ServerStart
     sent_at: Millis
     is_outstanding: bool = True
-    is_silent: bool = False
     given_up_at: Millis | None = None
+    is_closed: bool = False
 
     def record_answer(self) -> None:
         """Record bytes of its answer."""
         self.arrive(SendEnd.ANSWERED)
         self.request.service.record_heard(self.start)
 
-    def record_lost(self, *, has_peer_closed: bool) -> None:
-        """Record that the connection was lost.
-
-        A server that closes it has ended the send. A link may also be reset
-        while the server's process stands still and keeps what it got.
-        """
-        if has_peer_closed and self.request.service.has_likely_run(self):
-            self.arrive(SendEnd.CLOSED)
-        else:
-            self.give_up(is_silent=True)
-
     def arrive(self, end: SendEnd) -> None:
         """Record that the send has arrived, or that it never will."""
         if self.is_outstanding:
@@ -75,13 +64,23 @@
             self.request.service.remove(self, end)
             self.request.record_arrival(self)
 
-    def give_up(self, *, is_silent: bool) -> None:
-        """Record that this entry gave the send up without an answer."""
+    def give_up(self, *, is_closed: bool) -> None:
+        """Record that no answer follows; `is_closed` if the other side closed.
+
+        Its bytes may still arrive, or wait to be read.
+        """
         if self.is_outstanding and self.given_up_at is None:
             self.given_up_at = self.request.service.now()
-            self.is_silent = is_silent
+            self.is_closed = is_closed
             self.request.service.add_given_up(self)
 
+    def is_aged(self, now: Millis) -> bool:
+        """Return whether it was given up long ago."""
+        if self.given_up_at is None:
+            return False
+        limit = _LONG_CLOSED if self.is_closed else _LONG_UNREAD
+        return now - self.given_up_at > limit
+
 
 class RequestSends:
     """The sends of one request, of which the first arrival is no repeat.
@@ -148,11 +147,10 @@
             for send in tuple(self._outstanding):
                 send.arrive(SendEnd.ALONE)
 
-    def find_given_up(self) -> Millis | None:
-        """Return when the last send was given up, None while one runs."""
-        times = [send.given_up_at for send in self._outstanding]
-        known = [at for at in times if at is not None]
-        return max(known) if known and len(known) == len(times) else None
+    def count_aged(self, now: Millis) -> int:
+        """Count the repeats of a request whose sends were given up long ago."""
+        are_aged = all(send.is_aged(now) for send in self._outstanding)
+        return self.repeats if are_aged else 0
 
     def _update(self) -> None:
         service = self.service
@@ -232,7 +230,8 @@
             for send in self._given_up
             if send.request.repeats and send.sent_at < before
         ]
-        aged = sum(self._is_aged(send) for send in sends)
+        now = self.now()
+        aged = sum(send.is_aged(now) for send in sends)
         return len(sends) - aged + min(aged, most_aged)
 
     def add(self, request: RequestSends, start: ServerStart) -> Send:
@@ -255,19 +254,6 @@
         if not sends:
             del self._by_start[send.start]
 
-    def has_likely_run(self, send: Send) -> bool:
-        """Return whether a server's process has run since a send reached it.
-
-        It closed the connection promptly or answered another send meanwhile,
-        and none before was given up as silent.
-        """
-        sends = self._by_start.get(send.start, ())
-        if any(each.is_silent for each in sends):
-            return False
-        reached_at = send.sent_at + _PROMPT_TIME
-        heard_at = self._heard.get(send.start, -math.inf)
-        return self.now() <= reached_at or heard_at >= reached_at
-
     def record_heard(self, start: ServerStart) -> None:
         """Record that a start of a server has answered a send."""
         self._heard[start] = self.now()
@@ -278,12 +264,6 @@
         for send in tuple(self._by_start.get(start, ())):
             send.arrive(SendEnd.SERVER_ENDED)
 
-    def _is_aged(self, send: Send) -> bool:
-        given_up_at = send.given_up_at
-        if given_up_at is None:
-            return False
-        return self.now() - given_up_at > _LONG_UNREAD
-
     def _age(self) -> None:
         """Count the repeats given up long ago; forget what is over."""
         now = self.now()
@@ -294,18 +274,10 @@
             given_up_at = send.given_up_at
             if given_up_at is not None and now - given_up_at > _LONGEST_UNREAD:
                 send.arrive(SendEnd.EXPIRED)
-        self._aged = sum(map(self._count_aged, self._list_unread()))
+        requests = {send.request for send in self._given_up}
+        self._aged = sum(each.count_aged(now) for each in requests)
         self._heard = {
             start: at
             for start, at in self._heard.items()
             if now - at < _LONG_SILENCE
         }
-
-    def _list_unread(self) -> set[RequestSends]:
-        return {send.request for send in self._given_up}
-
-    def _count_aged(self, request: RequestSends) -> int:
-        given_up_at = request.find_given_up()
-        if given_up_at is None or self.now() - given_up_at <= _LONG_UNREAD:
-            return 0
-        return request.repeats
--- a/tests/late_world.py
+++ b/tests/late_world.py
@@ -177,7 +177,7 @@
     def _lose(self, request: Request, send: Send) -> None:
         """Reset the connection of a send, which may still arrive."""
         if self._is_waiting(request, send):
-            send.record_lost(has_peer_closed=True)
+            send.give_up(is_closed=True)
             self._retry(request)
 
     def _arrive(self, request: Request, send: Send) -> None:
@@ -198,10 +198,10 @@
         if wait > 0:
             self._later(wait, lambda: self._check(request, send))
         elif len(request.tried) < MOST_SENDS and request.retries.try_withdraw():
-            send.give_up(is_silent=True)
+            send.give_up(is_closed=False)
             self._try(request)
         else:
-            send.give_up(is_silent=True)
+            send.give_up(is_closed=False)
             self._close(request)
 
     def _retry(self, request: Request) -> None:
--- a/tests/test_outstanding_sends.py
+++ b/tests/test_outstanding_sends.py
@@ -33,12 +33,12 @@
     def open(self):
         return RequestRetries(self.budget, self.sends.open(self.budget.refund))
 
-    def leave_unread(self, start=ONE):
+    def leave_unread(self, start=ONE, *, is_closed=False):
         """Send a request that its server leaves unread, and again elsewhere."""
         request = self.open()
         left = request.sends.begin(start)
         assert request.try_withdraw()
-        left.give_up(is_silent=True)
+        left.give_up(is_closed=is_closed)
         request.sends.begin(OTHER).record_answer()
         return request
 
@@ -115,30 +115,19 @@
     assert scene.sends.repeats == 0
 
 
-@pytest.mark.parametrize(
-    ('is_silent', 'is_heard', 'after', 'repeats'),
-    [
-        (False, False, 10, 0),
-        (True, False, 10, 1),
-        (False, False, 200, 1),
-        (False, True, 200, 0),
-        (True, True, 200, 1),
-    ],
-)
-def test_reset_ends_a_send_unless_the_server_may_stand_still(
-    scene, is_silent, is_heard, after, repeats
-):
-    if is_silent:
-        scene.open().sends.begin(ONE).give_up(is_silent=True)
+# A proxy closes a connection as quickly as a server does, and passes on later.
+@pytest.mark.parametrize('after', [0, 10, 200])
+@pytest.mark.parametrize('is_heard', [False, True])
+def test_close_does_not_show_that_a_send_arrived(scene, is_heard, after):
     request = scene.open()
     lost = request.sends.begin(ONE)
     scene.now += after
     if is_heard:
         scene.open().sends.begin(ONE).record_answer()
-    lost.record_lost(has_peer_closed=True)
+    lost.give_up(is_closed=True)
     assert request.try_withdraw()
     request.sends.begin(OTHER).record_answer()
-    assert scene.sends.repeats == repeats
+    assert scene.sends.repeats == 1
 
 
 def test_tokens_and_unread_sends_never_exceed_the_burst(scene):
@@ -159,20 +148,23 @@
 
 def test_only_send_of_a_request_that_failed_is_no_repeat(scene):
     request = scene.open()
-    request.sends.begin(ONE).give_up(is_silent=True)
+    request.sends.begin(ONE).give_up(is_closed=False)
     assert scene.sends.unread == 1
     request.sends.close()
     assert (scene.sends.unread, scene.sends.repeats) == (0, 0)
 
 
 # Sends to servers that are lost for good would hold all retries for ever.
-def test_sends_given_up_long_ago_leave_half_of_the_burst(scene):
+@pytest.mark.parametrize(('is_closed', 'after'), [(False, 30), (True, 10)])
+def test_sends_given_up_long_ago_leave_half_of_the_burst(
+    scene, is_closed, after
+):
     for _ in range(4):
-        scene.leave_unread()
-    scene.now = 29 * SECOND
+        scene.leave_unread(is_closed=is_closed)
+    scene.now = (after - 1) * SECOND
     scene.deposit(100)
     assert scene.budget.tokens == 0
-    scene.now = 32 * SECOND
+    scene.now = (after + 2) * SECOND
     scene.deposit(100)
     assert scene.budget.tokens == 2
     scene.now = 2 * MINUTE + 2 * SECOND
@@ -185,9 +177,9 @@
 def test_sends_given_up_long_ago_do_not_hide_recent_ones(scene):
     for _ in range(4):
         request = scene.open()
-        request.sends.begin(ONE).give_up(is_silent=True)
+        request.sends.begin(ONE).give_up(is_closed=False)
         request.sends.plan(is_paid=True)
-        request.sends.begin(OTHER).give_up(is_silent=True)
+        request.sends.begin(OTHER).give_up(is_closed=False)
     scene.now = 32 * SECOND
     scene.deposit(100)
     scene.leave_unread()
@@ -204,7 +196,7 @@
         request = scene.open()
         lost = request.sends.begin(ONE)
         if request.try_withdraw():
-            lost.give_up(is_silent=True)
+            lost.give_up(is_closed=False)
             request.sends.begin(OTHER).record_answer()
             retried += scene.now > 7 * 24 * hour - hour
         request.sends.close()
