Let no answer prove that an earlier process's requests were read

The next process of an entry saved up a whole share as soon as each listed server had answered it, though what its last process had sent over other connections might still lie unread, also at servers that had left the list. A process now saves up one retry for its first 30 s, unless it is the first of its entry: the whole system starts for the first time and the store lists no earlier start of it. The drawn state machine leaves connections unread and starts entries in series meanwhile; each of the three guesses that were removed is caught by it.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -110,7 +110,6 @@
             random=self.random,
             now=self.clock.now,
             is_leaving=lambda: self.drain.is_leaving,
-            list_starts=self._list_starts,
         )
 
     def find_unready_reason(self) -> str:
@@ -273,6 +272,8 @@
         metrics.set_count(Count.LINES_DROPPED, self.log.count_dropped())
         if self._unread is not None:
             self._unread.update_gauge()
+        has_earlier = self.retries.may_have_earlier()
+        metrics.set_gauge(Gauge.RETRY_EARLIER, float(has_earlier))
         for service, budget in self.retries.list_budgets():
             found = self.scheduling.find_windowed(service) or budget
             metrics.set_gauge(Gauge.RETRY_TOKENS, found.tokens, service)
@@ -287,8 +288,6 @@
         metrics.set_gauge(Gauge.RETRY_OUTSTANDING, sends.repeats, service)
         metrics.set_gauge(Gauge.RETRY_RESERVED, sends.reserved, service)
         metrics.set_gauge(Gauge.RETRY_UNREAD, sends.unread, service)
-        has_earlier = sends.may_have_earlier()
-        metrics.set_gauge(Gauge.RETRY_EARLIER, float(has_earlier), service)
         for end, total in sends.ends.items():
             label = f'{service}, {end.value}'
             metrics.set_count(Count.SENDS_ENDED, total, label)
@@ -330,10 +329,6 @@
             age=self.entries.find_age(now),
         )
 
-    def _list_starts(self, service: str) -> tuple[ServerStart, ...]:
-        listed = self.backends.list_service(service, self.clock.now())
-        return tuple(backend.record.start for backend in listed)
-
     def _find_retry_limits(self) -> RetryLimits:
         settings = self.settings
         return RetryLimits(settings.retry_share, settings.retry_slack)
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -52,8 +52,11 @@
             self._core.log_retry_share()
             await anyio.sleep(next(pauses) / SECOND)
 
-    async def take_start_retry(self) -> None:
-        """Begin with a retry, unless many entries have started lately."""
+    async def record_start(self) -> None:
+        """Tell other starts of this one, and learn of those before it.
+
+        It begins with a retry, unless many entries have started lately.
+        """
         core = self._core
         grants = core.retries.make_start_grants()
         client = StoreClient(core.settings.store)
@@ -63,6 +66,7 @@
             place = await feed.record(core.settings.process, now)
             earlier = grants.find_earlier(place)
             at = None if earlier is None else await feed.find_time(earlier)
+            await self._find_first_process(feed, place)
         except (StoreUnavailable, ValueError) as error:
             core.log.write(
                 EventName.RECORD_REFUSED, name='starts', detail=str(error)
@@ -74,6 +78,14 @@
             core.retries.grant_start()
             core.log.write(EventName.START_RETRY_GRANTED, offset=place)
 
+    async def _find_first_process(self, feed: StartFeed, place: int) -> None:
+        """Record whether an earlier process of this entry may have run."""
+        core = self._core
+        if not core.settings.is_first_start:
+            return
+        if core.settings.process not in await feed.list_earlier(place):
+            core.retries.record_first_process()
+
     def _log_refused_record(self, name: str, error: MalformedRecord) -> None:
         self._core.log.write(
             EventName.RECORD_REFUSED, name=name, detail=error.message
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -88,7 +88,7 @@
                 tasks.start_soon(core.crashes.run)
                 tasks.start_soon(self._share_crashes)
                 tasks.start_soon(presence.run)
-                tasks.start_soon(presence.take_start_retry)
+                tasks.start_soon(presence.record_start)
                 tasks.start_soon(core.scheduling.run, core)
                 tasks.start_soon(self._tick, server)
                 tasks.start_soon(self._watch_settings)
--- a/src/oleanderdyke/kernel/outstanding_sends.py
+++ b/src/oleanderdyke/kernel/outstanding_sends.py
@@ -9,9 +9,8 @@
 from __future__ import annotations
 
 import enum
-import math
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import MINUTE, SECOND, Millis
@@ -20,15 +19,11 @@
 # Sends that have been unread for longer hold a part of the burst only, so that
 # connections that fail for days leave retries. What closes a connection runs,
 # and passes on what it holds sooner than a server that stands still reads it.
-_LONG_UNREAD: Millis = 30 * SECOND
+LONG_UNREAD: Millis = 30 * SECOND
 _LONG_CLOSED: Millis = 10 * SECOND
 # Bounds the memory for sends to servers that are lost for good.
 _LONGEST_UNREAD: Millis = 2 * MINUTE
-# A server that has been silent for longer is likely lost.
-_LONG_SILENCE: Millis = 1 * MINUTE
 _AGING_PERIOD: Millis = 1 * SECOND
-# How often the list of servers is compared with those that have answered.
-_CHECK_PERIOD: Millis = 200.0
 
 
 class SendEnd(enum.StrEnum):
@@ -55,7 +50,6 @@
     def record_answer(self) -> None:
         """Record bytes of its answer."""
         self.arrive(SendEnd.ANSWERED)
-        self.request.service.record_heard(self.start)
 
     def arrive(self, end: SendEnd) -> None:
         """Record that the send has arrived, or that it never will."""
@@ -78,7 +72,7 @@
         """Return whether it was given up long ago."""
         if self.given_up_at is None:
             return False
-        limit = _LONG_CLOSED if self.is_closed else _LONG_UNREAD
+        limit = _LONG_CLOSED if self.is_closed else LONG_UNREAD
         return now - self.given_up_at > limit
 
 
@@ -167,15 +161,12 @@
 class OutstandingSends:
     """The sends of one entry to one service that may still arrive.
 
-    `list_starts` returns the servers that may hold sends of the process before
-    this one, which started at `started_at`. `repeats` counts the sends beyond
-    the first of each request, with the `reserved` ones that are paid for and
-    not sent yet. `ends` counts the sends that no longer may arrive by reason.
+    `repeats` counts the sends beyond the first of each request, with the
+    `reserved` ones that are paid for and not sent yet. `ends` counts the sends
+    that no longer may arrive by reason.
     """
 
     now: Callable[[], Millis]
-    list_starts: Callable[[], Collection[ServerStart]] = tuple
-    started_at: Millis = 0.0
     repeats: int = 0
     reserved: int = 0
     ends: Counter[SendEnd] = field(default_factory=Counter)
@@ -183,27 +174,6 @@
     _given_up: dict[Send, None] = field(default_factory=dict)
     _aged: int = 0
     _aged_at: Millis = 0.0
-    # When each server's latest answer came.
-    _heard: dict[ServerStart, Millis] = field(default_factory=dict)
-    _has_earlier: bool = True
-    _is_settled: bool = False
-    _checked_at: Millis = -math.inf
-
-    def may_have_earlier(self) -> bool:
-        """Return whether servers may hold sends of an earlier process.
-
-        Those that answered this one have read what came before.
-        """
-        if self._is_settled:
-            return False
-        now = self.now()
-        if now >= self._checked_at + _CHECK_PERIOD:
-            self._checked_at = now
-            self._is_settled = now - self.started_at > _LONG_SILENCE
-            self._has_earlier = not self._is_settled and any(
-                start not in self._heard for start in self.list_starts()
-            )
-        return self._has_earlier
 
     @property
     def unread(self) -> int:
@@ -254,13 +224,8 @@
         if not sends:
             del self._by_start[send.start]
 
-    def record_heard(self, start: ServerStart) -> None:
-        """Record that a start of a server has answered a send."""
-        self._heard[start] = self.now()
-
     def record_ended(self, start: ServerStart) -> None:
         """Record that a start of a server has ended."""
-        self._heard.pop(start, None)
         for send in tuple(self._by_start.get(start, ())):
             send.arrive(SendEnd.SERVER_ENDED)
 
@@ -276,8 +241,3 @@
                 send.arrive(SendEnd.EXPIRED)
         requests = {send.request for send in self._given_up}
         self._aged = sum(each.count_aged(now) for each in requests)
-        self._heard = {
-            start: at
-            for start, at in self._heard.items()
-            if now - at < _LONG_SILENCE
-        }
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -7,14 +7,14 @@
 
 import enum
 import math
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from functools import partial
 from random import Random
 from typing import Protocol
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.kernel.outstanding_sends import (
+    LONG_UNREAD,
     OutstandingSends,
     RequestSends,
 )
@@ -199,8 +199,8 @@
     It begins empty but for a retry of its start. A process can't know what the
     last one of its entry has used, so it earns its tokens: those that began
     before a window together bring no more than the slack into it. Nor can it
-    know what that one has left unread, so it saves up little until servers have
-    answered it.
+    know what that one has left unread, so it saves up little while
+    `may_have_earlier` is true.
 
     Tokens and the sends that may still arrive as repeats together never exceed
     the burst. So the repeats that arrive within a window are at most one burst
@@ -214,10 +214,12 @@
         sends: OutstandingSends,
         *,
         tokens: float = 0.0,
+        may_have_earlier: Callable[[], bool] = bool,
     ) -> None:
         super().__init__(find_settings(), random, tokens=tokens)
         self.find_settings = find_settings
         self._sends = sends
+        self._may_have_earlier = may_have_earlier
 
     @property
     def settings(self) -> RetrySettings:
@@ -253,7 +255,7 @@
         """Drop the tokens that exceed the burst together with sends."""
         self._settings = self.find_settings()
         burst = self._settings.burst
-        if self._sends.may_have_earlier():
+        if self._may_have_earlier():
             burst = min(burst, _LEAST_BURST)
         if self._sends.repeats:
             held = self._sends.count_repeats(find_most_aged(burst))
@@ -306,10 +308,7 @@
 
 
 class RetryShares:
-    """The retry budgets of one entry, named `own`, by service.
-
-    `list_starts` returns the servers of a service that may hold requests.
-    """
+    """The retry budgets of one entry, named `own`, by service."""
 
     def __init__(
         self,
@@ -320,7 +319,6 @@
         random: Random,
         now: Callable[[], Millis],
         is_leaving: Callable[[], bool] = bool,
-        list_starts: Callable[[str], Collection[ServerStart]] | None = None,
     ) -> None:
         self._own_name = own
         self._entries = entries
@@ -328,8 +326,8 @@
         self._random = random
         self._now = now
         self._is_leaving = is_leaving
-        self._list_starts = list_starts
         self._started_at = now()
+        self._is_first_process = False
         self._budgets: dict[str, SharedBudget] = {}
         self._first_tokens = 0.0
         self._sends: dict[str, OutstandingSends] = {}
@@ -344,6 +342,7 @@
                 self._random,
                 self.find_sends(service),
                 tokens=self._first_tokens,
+                may_have_earlier=self.may_have_earlier,
             )
         return self._budgets[service]
 
@@ -357,14 +356,24 @@
         for budget in self._budgets.values():
             budget.add(_START_RETRIES)
 
+    def record_first_process(self) -> None:
+        """Record that no other process of this entry ran before this one."""
+        self._is_first_process = True
+
+    def may_have_earlier(self) -> bool:
+        """Return whether servers may hold sends of an earlier process.
+
+        Answers to this one tell nothing of those, which came over connections
+        of their own.
+        """
+        if self._is_first_process:
+            return False
+        return self._now() - self._started_at < LONG_UNREAD
+
     def find_sends(self, service: str) -> OutstandingSends:
         """Return this entry's sends to a service that may still arrive."""
         if service not in self._sends:
-            self._sends[service] = OutstandingSends(
-                self._now,
-                partial(self._find_starts, service),
-                started_at=self._started_at,
-            )
+            self._sends[service] = OutstandingSends(self._now)
         return self._sends[service]
 
     def open_request(self, service: str, budget: RetryBudget) -> RequestRetries:
@@ -389,9 +398,6 @@
             self._found_at = now
         return self._settings
 
-    def _find_starts(self, service: str) -> Collection[ServerStart]:
-        return () if self._list_starts is None else self._list_starts(service)
-
     def _make_settings(self, now: Millis) -> RetrySettings:
         limits = self._find_limits()
         return RetrySettings(
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -143,7 +143,7 @@
     Gauge.RETRY_OUTSTANDING: _SERVICE,
     Gauge.RETRY_RESERVED: _SERVICE,
     Gauge.RETRY_UNREAD: _SERVICE,
-    Gauge.RETRY_EARLIER: _SERVICE,
+    Gauge.RETRY_EARLIER: _NONE,
 }
 
 
--- a/src/oleanderdyke/platform/starts.py
+++ b/src/oleanderdyke/platform/starts.py
@@ -23,6 +23,20 @@
         record = f'{at:.0f}{_SEPARATOR}{name}'.encode()
         return (await self._client.append(names.START_TOPIC, record)).offset
 
+    async def list_earlier(self, place: int) -> tuple[str, ...]:
+        """Return the names of starts before a place that have not expired.
+
+        Raise StoreUnavailable.
+        """
+        first = 0
+        try:
+            records = await self._client.read_plain(names.START_TOPIC, first)
+        except RecordsExpired as error:
+            first = error.first or 0
+            records = await self._client.read_plain(names.START_TOPIC, first)
+        earlier = records[: max(place - first, 0)]
+        return tuple(map(_decode_name, earlier))
+
     async def find_time(self, place: int) -> Millis | None:
         """Return the wall time of a start, None if it has expired.
 
@@ -36,3 +50,8 @@
             raise ValueError(f'no record of start {place}')
         at, *_ = records[0].decode('utf-8', 'replace').split(_SEPARATOR)
         return float(at)
+
+
+def _decode_name(record: bytes) -> str:
+    _, _, name = record.decode('utf-8', 'replace').partition(_SEPARATOR)
+    return name
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -482,14 +482,12 @@
 async def _save_up_retries(core: HostedCore) -> None:
     """Let the entry have served requests for a while; it starts without.
 
-    All servers have answered it then.
+    Nothing is left of an earlier process then.
     """
     with anyio.fail_after(10):
         while not core.entries.list_known():
             await anyio.sleep(0.01)
-    sends = core.retries.find_sends('desk')
-    for start in sends.list_starts():
-        sends.record_heard(start)
+    core.retries.record_first_process()
     for _ in range(_EARLIER_REQUESTS):
         core.find_budget('desk').deposit()
 
--- a/tests/late_world.py
+++ b/tests/late_world.py
@@ -69,9 +69,6 @@
         for _ in range(count):
             self.servers.append(Server(self._make_start()))
 
-    def list_starts(self) -> list[ServerStart]:
-        return [server.start for server in self.servers]
-
     def advance(self, duration: float) -> None:
         end = self.now + duration
         while self._events and self._events[0][0] <= end:
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -8,14 +8,13 @@
 
 import itertools
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
 
 from oleanderdyke.clock import SECOND
 from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import RetryLimits, RetryShares
-from oleanderdyke.kernel.servers import ServerStart
 from tools.soak.arrivals import Excess, Observations, RetryRule
 
 SERVICE = 'desk'
@@ -62,6 +61,7 @@
     seen: Observations = field(default_factory=Observations)
     _topic: list[tuple[float, str]] = field(default_factory=list)
     _first: int = 0
+    _started: set[str] = field(default_factory=set)
     _names: Iterator[int] = field(default_factory=itertools.count)
 
     def start(self, name: str = '', *, is_first_start: bool = False) -> Entry:
@@ -77,13 +77,15 @@
                 random=Random(1),
                 now=lambda: self.now,
                 is_leaving=lambda: not math.isinf(entry.ends_at),
-                list_starts=lambda _: self.list_starts(),
             ),
             itertools.chain(INITIAL_PERIODS, itertools.repeat(PERIOD)),
             next_at=self.now,
         )
         self.entries.append(entry)
         self._register(entry)
+        if is_first_start and name not in self._started:
+            entry.shares.record_first_process()
+        self._started.add(name)
         return entry
 
     def _register(self, entry: Entry) -> None:
@@ -97,10 +99,6 @@
         if grants.may_grant(at, self.now):
             entry.shares.grant_start()
 
-    def list_starts(self) -> Sequence[ServerStart]:
-        """Return the starts of the servers, if they matter to the test."""
-        return ()
-
     def end(self, entry: Entry) -> None:
         self.entries.remove(entry)
 
--- a/tests/test_late_model.py
+++ b/tests/test_late_model.py
@@ -8,15 +8,18 @@
 
 import hypothesis.strategies as st
 import pytest
-from hypothesis import settings
+from hypothesis import Phase, settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
     precondition,
     rule,
+    run_state_machine_as_test,
 )
 
 from oleanderdyke.clock import SECOND
+from oleanderdyke.kernel.outstanding_sends import Send, SendEnd
+from oleanderdyke.kernel.retries import RetryShares
 from tests.late_world import LateWorld
 
 MOST_ENTRIES = 8
@@ -36,7 +39,7 @@
     def begin(self, entries, servers):
         self.world.add_servers(servers)
         for _ in range(entries):
-            self.world.start()
+            self.world.start(is_first_start=True)
         self.world.advance(8 * SECOND)
         self.serve(20, 4, fails=False)
 
@@ -89,15 +92,22 @@
         seconds=st.sampled_from((6, 12, 25)),
         share=SHARES,
         is_resetting=st.booleans(),
-        fails=st.booleans(),
+        starts=st.sampled_from((0, 0, 4, 8)),
     )
-    def serve_unread(self, total, seconds, share, is_resetting, fails):
-        """Leave connections of all servers unread under steady load."""
+    def serve_unread(self, total, seconds, share, is_resetting, starts):
+        """Leave connections of all servers unread under steady load.
+
+        All entries start again that often meanwhile.
+        """
         rate = total // len(self.world.entries)
         self.leave_unread_at_all(share, is_resetting)
-        self.serve(rate, seconds, fails)
+        for _ in range(starts):
+            self.serve(rate, seconds / starts, fails=True)
+            for entry in tuple(self.world.entries):
+                self.world.restart(entry)
+        self.serve(rate, 0 if starts else seconds, fails=True)
         self.resume_all()
-        self.serve(rate, 6, fails)
+        self.serve(rate, 10, fails=True)
 
     @rule(number=NUMBERS)
     def resume(self, number):
@@ -168,6 +178,47 @@
 )
 
 
+def trust_later_answers(monkeypatch):
+    """Take an answer for the arrival of all earlier sends to its server."""
+    record_answer = Send.record_answer
+
+    def record_earlier(self):
+        record_answer(self)
+        for send in tuple(self.request.service._by_start.get(self.start, ())):
+            if send.sent_at < self.sent_at:
+                send.arrive(SendEnd.ANSWERED)
+
+    monkeypatch.setattr(Send, 'record_answer', record_earlier)
+
+
+def trust_closes(monkeypatch):
+    """Take a closed connection for the end of what was sent over it."""
+    give_up = Send.give_up
+
+    def end(self, *, is_closed):
+        if is_closed:
+            self.arrive(SendEnd.ANSWERED)
+        else:
+            give_up(self, is_closed=False)
+
+    monkeypatch.setattr(Send, 'give_up', end)
+
+
+def trust_starts(monkeypatch):
+    """Let each process of an entry save up a whole share at once."""
+    monkeypatch.setattr(RetryShares, 'may_have_earlier', lambda _: False)
+
+
+@pytest.mark.parametrize(
+    'trust', [trust_later_answers, trust_closes, trust_starts]
+)
+def test_unsafe_guess_is_caught(monkeypatch, trust):
+    trust(monkeypatch)
+    drawn = settings(TestLateRetries.settings, phases=[Phase.generate])
+    with pytest.raises(AssertionError, match='Excess'):
+        run_state_machine_as_test(LateRetries, settings=drawn)
+
+
 # A reset of the link was taken for the server's own, which reads nothing more.
 @pytest.mark.parametrize(
     ('entries', 'rate', 'every'), [(3, 30, 1), (3, 30, 2), (6, 20, 1)]
@@ -209,6 +260,26 @@
     machine.teardown()
 
 
+# Servers that answered the next process of an entry were taken to have read
+# what the last one had sent over other connections.
+@pytest.mark.parametrize('is_resetting', [False, True])
+@pytest.mark.parametrize(('entries', 'rate'), [(3, 30), (6, 15)])
+def test_starts_in_series_keep_to_the_limit_while_connections_are_unread(
+    entries, rate, is_resetting
+):
+    machine = LateRetries()
+    machine.begin(entries=entries, servers=6)
+    machine.serve(rate, 40, fails=False)
+    machine.leave_unread_at_all(0.5, is_resetting)
+    for _ in range(8):
+        machine.serve(rate, 3, fails=True)
+        for entry in tuple(machine.world.entries):
+            machine.world.restart(entry)
+    machine.resume_all()
+    machine.serve(rate, 10, fails=True)
+    machine.teardown()
+
+
 def play_unread(entries, rate, seconds, share, *, fails, is_resetting=False):
     """Leave connections of all servers unread for a time."""
     machine = LateRetries()
--- a/tests/test_outstanding_sends.py
+++ b/tests/test_outstanding_sends.py
@@ -8,9 +8,12 @@
 
 from oleanderdyke.clock import MINUTE, SECOND
 from oleanderdyke.kernel.outstanding_sends import OutstandingSends
+from oleanderdyke.kernel.presence import EntryCount
 from oleanderdyke.kernel.retries import (
     RequestRetries,
+    RetryLimits,
     RetrySettings,
+    RetryShares,
     SharedBudget,
 )
 from oleanderdyke.kernel.servers import ServerStart
@@ -43,6 +46,23 @@
         return request
 
 
+def make_shares(scene):
+    """Return the budgets of an entry that others count."""
+    count = EntryCount('front', is_first_start=False)
+    shares = RetryShares(
+        'front',
+        count,
+        RetryLimits,
+        random=Random(1),
+        now=lambda: scene.now,
+    )
+    for _ in range(2):
+        count.record_announcement(scene.now)
+        count.record_entry('front', scene.now)
+        count.record_read(scene.now)
+    return shares
+
+
 @pytest.fixture
 def scene():
     return Scene()
@@ -138,12 +158,26 @@
     assert not scene.open().try_withdraw()
 
 
-def test_service_without_requests_since_the_start_saves_up_as_others(scene):
-    sends = OutstandingSends(lambda: 5 * MINUTE, lambda: [ONE])
-    budget = SharedBudget(lambda: SETTINGS, Random(1), sends)
+# Requests of an earlier process may lie unread whatever the servers answer.
+def test_next_process_of_an_entry_saves_up_one_retry_at_first(scene):
+    shares = make_shares(scene)
+    budget = shares.find('desk')
+    for _ in range(100):
+        budget.deposit()
+    assert budget.tokens == 1
+    scene.now = 31 * SECOND
+    for _ in range(100):
+        budget.deposit()
+    assert budget.tokens > 1
+
+
+def test_first_process_of_an_entry_saves_up_as_others(scene):
+    shares = make_shares(scene)
+    shares.record_first_process()
+    budget = shares.find('desk')
     for _ in range(100):
         budget.deposit()
-    assert budget.tokens == 4
+    assert budget.tokens > 1
 
 
 def test_only_send_of_a_request_that_failed_is_no_repeat(scene):
