Let the store tell whether starts were long ago, not the clocks of machines

A start begins with a retry unless a tenth of the slack went to starts of the last 20 s, dated by the wall clocks of their own machines: where clocks are apart by more, each start of the machine that is ahead was granted one (1 of 0 at the stand-in of the store, 40 starts recorded by a late clock). Now the deciding start must have left the store, which keeps records for a time of its own.

--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -61,20 +61,19 @@
         grants = core.retries.make_start_grants()
         client = StoreClient(core.settings.store)
         feed = StartFeed(client)
-        now = core.clock.wall()
         try:
-            place = await feed.record(core.settings.process, now)
+            place = await feed.record(core.settings.process, core.clock.wall())
             earlier = grants.find_earlier(place)
-            at = None if earlier is None else await feed.find_time(earlier)
+            has_expired = earlier is None or await feed.has_expired(earlier)
             await self._find_first_process(feed, place)
-        except (StoreUnavailable, ValueError) as error:
+        except StoreUnavailable as error:
             core.log.write(
-                EventName.RECORD_REFUSED, name='starts', detail=str(error)
+                EventName.RECORD_REFUSED, name='starts', detail=error.message
             )
             return
         finally:
             await client.close()
-        if grants.may_grant(at, now):
+        if grants.may_grant(has_expired=has_expired):
             core.retries.grant_start()
             core.log.write(EventName.START_RETRY_GRANTED, offset=place)
 
--- a/src/oleanderdyke/kernel/retries.py
+++ b/src/oleanderdyke/kernel/retries.py
@@ -33,9 +33,6 @@
 # Share of the slack that is set aside for starts, one retry for each.
 _START_SHARE = 0.1
 _START_RETRIES = 1.0
-# Starts that together may use that: a window of the limit, and as much again,
-# since each start is dated by its own machine's clock.
-_START_PERIOD: Millis = 20 * SECOND
 # What entries are ranked for if there are more of them than retries.
 _RANKED = 'retries'
 # A share is computed again after this time, as each request asks for it.
@@ -172,25 +169,24 @@
 class StartGrants:
     """Decide which starts of entries begin with a retry.
 
-    All starts have places in one order; `most` within a period begin with one.
+    All starts have places in one order, in which the platform keeps them for a
+    while; of those that it keeps, `most` begin with one.
     """
 
     most: int
 
     def find_earlier(self, place: int) -> int | None:
-        """Return the start whose time decides, None if there is none."""
+        """Return the start that must have expired, None if there is none."""
         earlier = place - self.most
         return earlier if earlier >= 0 else None
 
-    def may_grant(self, earlier_at: Millis | None, now: Millis) -> bool:
-        """Return whether a start at `now` begins with a retry.
+    def may_grant(self, *, has_expired: bool) -> bool:
+        """Return whether a start begins with a retry.
 
-        `earlier_at` is the wall time of the deciding start, None if it has
-        expired or does not exist.
+        The clocks of machines may be apart by any time, so the platform tells
+        whether the deciding start was long ago: it keeps it no more.
         """
-        if not self.most:
-            return False
-        return earlier_at is None or now - earlier_at > _START_PERIOD
+        return bool(self.most) and has_expired
 
 
 class SharedBudget(RetryBudget):
--- a/src/oleanderdyke/platform/starts.py
+++ b/src/oleanderdyke/platform/starts.py
@@ -1,4 +1,4 @@
-"""Keep the starts of entries in one order, through the store."""
+"""Keep the latest starts of entries in one order, through the store."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class StartFeed:
-    """Record starts of entries, and find when earlier ones were."""
+    """Record starts of entries, and find which earlier ones are kept."""
 
     def __init__(self, client: StoreClient) -> None:
         self._client = client
@@ -37,19 +37,16 @@
         earlier = records[: max(place - first, 0)]
         return tuple(map(_decode_name, earlier))
 
-    async def find_time(self, place: int) -> Millis | None:
-        """Return the wall time of a start, None if it has expired.
+    async def has_expired(self, place: int) -> bool:
+        """Return whether the store keeps a start no more.
 
-        Raise StoreUnavailable, or ValueError if the record is malformed.
+        Raise StoreUnavailable.
         """
         try:
-            records = await self._client.read_plain(names.START_TOPIC, place)
+            await self._client.read_plain(names.START_TOPIC, place)
         except RecordsExpired:
-            return None
-        if not records:
-            raise ValueError(f'no record of start {place}')
-        at, *_ = records[0].decode('utf-8', 'replace').split(_SEPARATOR)
-        return float(at)
+            return True
+        return False
 
 
 def _decode_name(record: bytes) -> str:
--- a/tests/retry_world.py
+++ b/tests/retry_world.py
@@ -25,6 +25,8 @@
 PERIOD = 10 * SECOND
 GRACE = 8 * SECOND
 MOST_RETRIES = 2
+# How long the store keeps records.
+KEPT_STARTS = 20 * SECOND
 
 
 @dataclass
@@ -95,8 +97,10 @@
             return
         earlier = grants.find_earlier(len(self.starts))
         self.starts.append(self.now)
-        at = None if earlier is None else self.starts[earlier]
-        if grants.may_grant(at, self.now):
+        has_expired = (
+            earlier is None or self.now - self.starts[earlier] > KEPT_STARTS
+        )
+        if grants.may_grant(has_expired=has_expired):
             entry.shares.grant_start()
 
     def end(self, entry: Entry) -> None:
--- a/tests/test_hosted_retries.py
+++ b/tests/test_hosted_retries.py
@@ -6,7 +6,7 @@
 import pytest
 
 from oleanderdyke.logs import parse_line
-from tests.hosted import staging
+from tests.hosted import staging, staging_linked
 
 pytestmark = pytest.mark.anyio
 
@@ -93,3 +93,21 @@
         assert stage.core.entries.list_known() == ('front-1',)
         refused = read_events(stage, 'record_refused')
     assert all(each['name'] != 'entries' for each in refused)
+
+
+# Starts recorded by a machine whose clock is late seemed long ago, so that each
+# start of the others began with a retry.
+@pytest.mark.parametrize(('earlier', 'granted'), [(0, 1), (40, 0)])
+async def test_starts_that_the_store_keeps_count_whatever_their_clocks(
+    tmp_path, earlier, granted
+):
+    async with staging_linked(tmp_path, refuse, entries=0) as linked:
+        starts = linked.store.find('oleander-starts')
+        for _ in range(earlier):
+            starts.append(b'1000 front-9')
+        stage = await linked.start()
+        with anyio.fail_after(5):
+            while not stage.core.entries.list_known():
+                await anyio.sleep(0.01)
+        events = read_events(stage, 'start_retry_granted')
+    assert len(events) == granted
