Let links of the soak leave some requests unread, and close before they deliver

The soak paused whole processes and whole links, so it kept the limit on the code that was reported. Links can now let a connection fall silent with a share of the requests, or reset a caller as it sends and deliver after the spell; busy processes take turns from all others. The fullest window is printed as a share of what is allowed.

--- a/tools/soak/late_faults.py
+++ b/tools/soak/late_faults.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
-from contextlib import ExitStack
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
+from pathlib import Path
 
 import anyio
 
+from tests.processes import Child
 from tools.soak.backend_process import Conduct
 from tools.soak.backends import Backends
 from tools.soak.links import Direction, Link
@@ -16,6 +18,14 @@
 _BOTH = (Direction.FORTH, Direction.BACK)
 _DELAY_SECONDS = 0.4
 _RESET_PAUSE = 0.3
+_TENTHS = 10
+# Ends by itself, also if the soak is killed.
+_COMPUTE = """
+import sys, time
+end = time.monotonic() + float(sys.argv[1])
+while time.monotonic() < end:
+    pass
+"""
 
 Cause = Callable[[Fault], Awaitable[None]]
 
@@ -41,6 +51,11 @@
             FaultKind.LINK_DELAYED: self._delay,
             FaultKind.LINK_RESET: self._reset,
             FaultKind.LINKS_SILENT: self._silence_all,
+            FaultKind.LINK_PARTLY_SILENT: self._silence_some,
+            FaultKind.LINKS_PARTLY_SILENT: self._silence_some_of_all,
+            FaultKind.LINK_CLOSES_EARLY: self._close_early,
+            FaultKind.LINKS_CLOSE_EARLY: self._close_all_early,
+            FaultKind.MACHINE_BUSY: self._keep_busy,
             FaultKind.STORE_LINK_SILENT: self._silence_store,
             FaultKind.STORE_LINK_RESET: self._reset_store,
         }
@@ -87,9 +102,51 @@
                 stack.enter_context(member.link.holding(*_BOTH))
             await anyio.sleep(fault.duration)
 
+    async def _silence_some(self, fault: Fault) -> None:
+        link = self.backends.find(fault.slot).link
+        with link.holding_some(fault.count / _TENTHS):
+            await anyio.sleep(fault.duration)
+
+    async def _silence_some_of_all(self, fault: Fault) -> None:
+        with ExitStack() as stack:
+            for member in self.backends.members:
+                stack.enter_context(
+                    member.link.holding_some(fault.count / _TENTHS)
+                )
+            await anyio.sleep(fault.duration)
+
+    async def _close_early(self, fault: Fault) -> None:
+        with self.backends.find(fault.slot).link.closing_early():
+            await anyio.sleep(fault.duration)
+
+    async def _close_all_early(self, fault: Fault) -> None:
+        with ExitStack() as stack:
+            for member in self.backends.members:
+                stack.enter_context(member.link.closing_early())
+            await anyio.sleep(fault.duration)
+
+    async def _keep_busy(self, fault: Fault) -> None:
+        """Run processes that compute, so that all others get turns late."""
+        with ExitStack() as stack:
+            for _ in range(fault.count):
+                stack.enter_context(
+                    _computing(self.backends.directory, fault.duration)
+                )
+            await anyio.sleep(fault.duration)
+
     async def _silence_store(self, fault: Fault) -> None:
         with self.store_link.holding(*_BOTH):
             await anyio.sleep(fault.duration)
 
     async def _reset_store(self, _fault: Fault) -> None:
         self.store_link.reset()
+
+
+@contextmanager
+def _computing(directory: Path, seconds: float) -> Iterator[None]:
+    child = Child('busy', ('-c', _COMPUTE, f'{seconds}'), directory)
+    child.start()
+    try:
+        yield
+    finally:
+        child.kill()
--- a/tools/soak/late_plan.py
+++ b/tools/soak/late_plan.py
@@ -18,6 +18,11 @@
     FaultKind.LINK_DELAYED: 2,
     FaultKind.LINK_RESET: 3,
     FaultKind.LINKS_SILENT: 2,
+    FaultKind.LINK_PARTLY_SILENT: 3,
+    FaultKind.LINKS_PARTLY_SILENT: 2,
+    FaultKind.LINK_CLOSES_EARLY: 2,
+    FaultKind.LINKS_CLOSE_EARLY: 2,
+    FaultKind.MACHINE_BUSY: 1,
     FaultKind.STORE_LINK_SILENT: 2,
     FaultKind.STORE_LINK_RESET: 1,
     FaultKind.SERVERS_REFUSE: 3,
@@ -34,11 +39,17 @@
     FaultKind.SERVER_KILLED: (0.2, 2.0),
     FaultKind.LINK_DELAYED: (1.0, 8.0),
     FaultKind.STORE_LINK_SILENT: (0.5, 6.0),
+    FaultKind.MACHINE_BUSY: (2.0, 8.0),
     FaultKind.KILL: (0.3, 2.5),
     FaultKind.REPLACE: (0.3, 2.5),
 }
 _USUAL_SECONDS = (0.5, 13.0)
 _HERDS = (10, 60)
+_TENTHS = (3, 9)
+_BUSY_PROCESSES = (8, 24)
+_PARTLY_SILENT = frozenset(
+    {FaultKind.LINK_PARTLY_SILENT, FaultKind.LINKS_PARTLY_SILENT}
+)
 _SERIES = 4
 _RATES = (30.0, 60.0, 90.0)
 _SERVERS = 6
@@ -46,6 +57,12 @@
 _FIRST_FAULT = 8.0
 _LAST_SHARE = 0.8
 _FAULTS_PER_SECOND = 0.6
+_STANDSTILLS = (
+    FaultKind.SERVERS_PAUSED,
+    FaultKind.LINKS_SILENT,
+    FaultKind.LINKS_PARTLY_SILENT,
+    FaultKind.LINKS_CLOSE_EARLY,
+)
 # All servers stand still for most of a window, while entries start in series.
 _STANDSTILL_SECONDS = (6.0, 13.0)
 _STANDSTILL_RATE = 0.5
@@ -101,6 +118,28 @@
     )
 
 
+def make_unread_plan(kind: FaultKind, *, entries: int) -> Plan:
+    """Plan a spell in which links leave half of the requests unread.
+
+    Or in which they close all connections before they deliver. After it the
+    servers refuse all requests.
+    """
+    unread = Fault(10.0, kind, duration=25.0, count=5)
+    refusal = Fault(34.5, FaultKind.SERVERS_REFUSE, duration=11.0)
+    return Plan(
+        seed=1,
+        seconds=46.0,
+        entries=entries,
+        servers=_SERVERS,
+        rate=_RATES[-1],
+        has_links=True,
+        slack=make_slack(entries),
+        faults=(unread, refusal),
+        callers=round(_RATES[-1] * _CALLERS_PER_RATE),
+        has_backends=True,
+    )
+
+
 def _draw_fault(random: Random, at: float, entries: int) -> Fault:
     kinds = tuple(_LATE_WEIGHTS)
     (kind,) = random.choices(kinds, tuple(_LATE_WEIGHTS.values()))
@@ -116,6 +155,10 @@
         count = random.randint(*_HERDS)
     if kind in {FaultKind.KILL, FaultKind.REPLACE, FaultKind.LINK_RESET}:
         count = random.randint(1, _SERIES)
+    if kind in _PARTLY_SILENT:
+        count = random.randint(*_TENTHS)
+    if kind is FaultKind.MACHINE_BUSY:
+        count = random.randint(*_BUSY_PROCESSES)
     slots = entries if kind in _OF_ENTRIES else _SERVERS
     return Fault(at, kind, random.randrange(slots), duration, count)
 
@@ -124,8 +167,9 @@
     """Draw a standstill of all servers, with starts and herds in it."""
     begin = random.uniform(_FIRST_FAULT, max(last - _FIRST_FAULT, _FIRST_FAULT))
     duration = random.uniform(*_STANDSTILL_SECONDS)
-    kind = random.choice((FaultKind.SERVERS_PAUSED, FaultKind.LINKS_SILENT))
-    faults = [Fault(begin, kind, duration=duration)]
+    kind = random.choice(_STANDSTILLS)
+    count = random.randint(*_TENTHS) if kind in _PARTLY_SILENT else 1
+    faults = [Fault(begin, kind, duration=duration, count=count)]
     if random.random() < 0.7:
         refusal = random.uniform(3.0, 10.0)
         faults.append(
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import AsyncGenerator, Iterator
 from dataclasses import dataclass, field
+from random import Random
 
 import anyio
 
@@ -30,11 +31,16 @@
     """A proxy to one port, which may have no listener for a while.
 
     A link takes connections and bytes whatever happens to it, as a network
-    buffers them, and delivers what it holds once it goes on.
+    buffers them, and delivers what it holds once it goes on. It may hold back
+    a share of its connections alone, or close them on the side of the caller
+    before it delivers.
     """
 
     target: int
     delays: list[float] = field(default_factory=list)
+    shares: list[float] = field(default_factory=list)
+    random: Random = field(default_factory=lambda: Random(1))
+    _early: int = 0
     _holds: Counter[Direction] = field(default_factory=Counter)
     _changed: anyio.Event = field(default_factory=anyio.Event)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -50,6 +56,28 @@
             self._changed.set()
             self._changed = anyio.Event()
 
+    @contextlib.contextmanager
+    def holding_some(self, share: float) -> Iterator[None]:
+        """Let connections fall silent with a share of the requests."""
+        self.shares.append(share)
+        try:
+            yield
+        finally:
+            self.shares.remove(share)
+            self._changed.set()
+            self._changed = anyio.Event()
+
+    @contextlib.contextmanager
+    def closing_early(self) -> Iterator[None]:
+        """Reset callers as they send, and deliver after the spell."""
+        self._early += 1
+        try:
+            yield
+        finally:
+            self._early -= 1
+            self._changed.set()
+            self._changed = anyio.Event()
+
     @contextlib.contextmanager
     def delaying(self, seconds: float) -> Iterator[None]:
         """Delay each piece; the longest delay applies."""
@@ -77,13 +105,52 @@
         self._writers |= writers
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, Direction.FORTH, reader, far[1])
+                tasks.start_soon(self._carry_forth, reader, writer, far[1])
                 tasks.start_soon(self._pump, Direction.BACK, far[0], writer)
         finally:
             self._writers -= writers
             for each in writers:
                 each.close()
 
+    async def _carry_forth(
+        self,
+        reader: asyncio.StreamReader,
+        caller: asyncio.StreamWriter,
+        far: asyncio.StreamWriter,
+    ) -> None:
+        """Relay what a caller sends."""
+        is_held = False
+        try:
+            while data := await reader.read(_PIECE):
+                await anyio.sleep(max(self.delays, default=0.0))
+                await self._wait(Direction.FORTH)
+                is_held = is_held or self._is_drawn()
+                await self._wait_some(is_held=is_held)
+                if self._early:
+                    _reset(caller)
+                    await self._wait_early()
+                far.write(data)
+                await far.drain()
+            await self._wait(Direction.FORTH)
+            await self._wait_some(is_held=is_held)
+            far.write_eof()
+        except OSError:
+            await self._wait(Direction.FORTH)
+            await self._wait_some(is_held=is_held)
+            _reset(far)
+
+    def _is_drawn(self) -> bool:
+        """Return whether a connection falls silent with its next request."""
+        return self.random.random() < max(self.shares, default=0.0)
+
+    async def _wait_some(self, *, is_held: bool) -> None:
+        while is_held and self.shares:
+            await self._changed.wait()
+
+    async def _wait_early(self) -> None:
+        while self._early:
+            await self._changed.wait()
+
     async def _pump(
         self,
         direction: Direction,
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -45,6 +45,11 @@
     LINK_DELAYED = 'link_delayed'
     LINK_RESET = 'link_reset'
     LINKS_SILENT = 'links_silent'
+    LINKS_PARTLY_SILENT = 'links_partly_silent'
+    LINK_PARTLY_SILENT = 'link_partly_silent'
+    LINKS_CLOSE_EARLY = 'links_close_early'
+    LINK_CLOSES_EARLY = 'link_closes_early'
+    MACHINE_BUSY = 'machine_busy'
     STORE_LINK_SILENT = 'store_link_silent'
     STORE_LINK_RESET = 'store_link_reset'
 
@@ -54,7 +59,8 @@
     """Describe one fault; `at` and `duration` are in seconds.
 
     `slot` selects an entry or a server, `count` is the number of repetitions,
-    of extra requests, or which of the prepared changes is made.
+    of extra requests or processes, the tenths of the connections, or which of
+    the prepared changes is made.
     """
 
     at: float
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -382,7 +382,8 @@
     worst = (
         'none'
         if fullest is None
-        else f'{fullest.retries} of {fullest.allowed:.1f}'
+        else f'{fullest.retries} of {fullest.allowed:.1f}, '
+        f'{fullest.retries / fullest.allowed:.0%}'
     )
     return (
         f'seed={soak.plan.seed} requests={len(found.sent)} '
