Take an answer for an arrival only if it names its request

A server may send a late answer to an earlier request where the next one is due, and a proxy may answer itself: both ended the send, though the server might read it later. The echo of the request's id shows that it was read; without it the send is held like one without an answer.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -571,13 +571,21 @@
         core.backends.record_received(
             self._start, self._attempt_id, core.clock.now()
         )
-        if self._send_record is not None:
-            self._send_record.record_answer()
+        self._record_read(metadata)
         if is_own_answer(metadata, self._call.request, self.server):
             self._updates.apply_metadata(metadata)
         if self._connection is not None:
             set_idle_limit(self._connection, metadata.idle_timeout)
 
+    def _record_read(self, metadata: AnswerMetadata) -> None:
+        """Record that the server has read the request, if its answer shows it.
+
+        A proxy's own answer doesn't, nor does a late one to another request.
+        """
+        is_shown = metadata.request == self._call.request
+        if is_shown and self._send_record is not None:
+            self._send_record.record_answer()
+
     def _accept(self, status: int, headers: Headers) -> None:
         self._has_answered = True
         self._is_stream = is_event_stream(headers)
--- a/tests/test_hosted_retries.py
+++ b/tests/test_hosted_retries.py
@@ -95,6 +95,29 @@
     assert all(each['name'] != 'entries' for each in refused)
 
 
+async def answer_other(peer) -> None:
+    await peer.answer(503, b'late', oleanderdyke_request_id='req-0')
+
+
+async def answer_as_proxy(peer) -> None:
+    await peer.answer(
+        502,
+        b'gateway',
+        oleanderdyke_request_id='',
+        oleanderdyke_response_seal='',
+    )
+
+
+# A late answer to another request, or one that a proxy made itself, was taken
+# for a proof that the server had read the request.
+@pytest.mark.parametrize('script', [answer_other, answer_as_proxy])
+async def test_answer_without_the_request_id_shows_no_arrival(tmp_path, script):
+    async with staging(tmp_path, script, script) as stage:
+        await stage.call('/safe/x', oleanderdyke_request_id='req-7')
+        sends = stage.core.retries.find_sends('desk')
+    assert sends.repeats == 1
+
+
 # Starts recorded by a machine whose clock is late seemed long ago, so that each
 # start of the others began with a retry.
 @pytest.mark.parametrize(('earlier', 'granted'), [(0, 1), (40, 0)])
