Notice servers that crash behind a proxy that still accepts connections

Requests with one part went on crashing server after server where a proxy or balancer stood before them: only an address that refuses connections counted as that of a crashed server, and a proxy accepts and resets. Three new connections that are each closed unread, with no byte over other connections since the loss, count as well.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import socket
 import struct
 from collections.abc import Callable
@@ -29,6 +30,20 @@
 RESET = struct.pack('ii', 1, 0)
 
 
+# A proxy whose server is gone closes a new connection within this time; a
+# server waits longer for a request.
+_CLOSE_LIMIT: Millis = 100.0
+
+
+class Reachability(enum.Enum):
+    """What became of a new connection without a request."""
+
+    REFUSED = enum.auto()
+    CLOSED = enum.auto()
+    # It stayed open, or could not be established in time.
+    UNCLEAR = enum.auto()
+
+
 class AnswerListener(Protocol):
     """Receive an answer; the last call is `take_end` or `take_failure`."""
 
@@ -60,6 +75,7 @@
         # The latest answer had neither a length nor chunks.
         self.has_ended_answer = False
         self.idle_limit: Millis = _DEFAULT_KEEP_ALIVE * _IDLE_SHARE
+        self._lost = asyncio.Event()
 
     @property
     def is_usable(self) -> bool:
@@ -119,9 +135,14 @@
         """Report the loss to the listener of the running request."""
         if exc is None or isinstance(exc, ConnectionError):
             self.was_closed_by_peer = True
+        self._lost.set()
         reason = 'closed' if exc is None else type(exc).__name__
         self._fail(f'the connection was lost: {reason}')
 
+    async def wait_lost(self) -> None:
+        """Wait until the connection has ended at either side."""
+        await self._lost.wait()
+
     def release(self) -> None:
         """Return a connection that has no request to its pool."""
         self._give_back(self)
@@ -268,6 +289,20 @@
         connection.close()
         return False
 
+    async def probe(self, address: str) -> Reachability:
+        """Open a connection and find out whether it is closed at once."""
+        try:
+            connection = await self.open(address)
+        except ConnectionRefusedError:
+            return Reachability.REFUSED
+        except OSError:
+            return Reachability.UNCLEAR
+        with anyio.move_on_after(_CLOSE_LIMIT / SECOND):
+            await connection.wait_lost()
+            return Reachability.CLOSED
+        connection.close()
+        return Reachability.UNCLEAR
+
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         pooled = self._addresses.pop(address, None)
--- a/src/oleanderdyke/entry/hosted/crashes.py
+++ b/src/oleanderdyke/entry/hosted/crashes.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from oleanderdyke.clients.direct import Reachability
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.poison import (
@@ -27,6 +28,8 @@
 
 # A server that ends breaks its connections within this time of each other.
 _GATHER_TIME: Millis = 10.0
+_PROBES = 3
+_PROBE_PAUSE: Millis = 50.0
 _DIGEST_BYTES = 8
 # Callers choose how many parts a prompt has, and their names.
 _MOST_PARTS = 64
@@ -137,7 +140,7 @@
         core = self._core
         if core.backends.is_leaving_or_gone(start):
             return
-        if not await core.pool.is_refused(loss.address):
+        if not await self._has_ended(start, loss):
             return
         requests = frozenset(map(list_parts, loss.requests))
         condemned = self._table.record_crash(
@@ -160,6 +163,21 @@
             parts=_format(frozenset().union(*requests)),
         )
 
+    async def _has_ended(self, start: ServerStart, loss: _Loss) -> bool:
+        """Return whether no server is left behind an address.
+
+        A proxy accepts connections all the same, and closes them. So does a
+        server at its limit of connections, but that one answers over others.
+        """
+        for _ in range(_PROBES):
+            found = await self._core.pool.probe(loss.address)
+            if found is not Reachability.CLOSED:
+                return found is Reachability.REFUSED
+            await anyio.sleep(_PROBE_PAUSE / SECOND)
+        backend = self._core.backends.find_start(start)
+        ended_at = loss.at + _GATHER_TIME
+        return backend is None or backend.last_heard_at <= ended_at
+
     def _log_quarantined(self, condemned: tuple[Parts, ...]) -> None:
         for parts in condemned:
             self._core.log.write(
--- a/tests/poison_scene.py
+++ b/tests/poison_scene.py
@@ -25,6 +25,7 @@
 from tests.standins.framing import Framing, Response, send_response
 from tests.standins.records import RecordStore
 from tests.standins.replica import Peer, Replica, make_event
+from tools.soak.links import linking
 
 MODELS = [{'name': MODEL, 'version': 1}]
 _TOKENS = 40
@@ -58,6 +59,8 @@
     names: itertools.count[int]
     down: float
     port: int = 0
+    # Of a proxy in front of the engine, which takes connections at all times.
+    proxy: str = ''
     replica: Replica | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
@@ -76,7 +79,8 @@
 
     def publish(self) -> None:
         """Write the record of this start."""
-        record = make_record(f'127.0.0.1:{self.port}', models=MODELS, slots=8)
+        address = self.proxy or f'127.0.0.1:{self.port}'
+        record = make_record(address, models=MODELS, slots=8)
         self.store.put(SERVERS, self.name, record)
 
     async def answer(self, peer: Peer) -> None:
@@ -159,11 +163,16 @@
     engines: int = 8,
     down: float = 0.8,
     has_links: bool = True,
+    has_proxies: bool = False,
 ) -> AsyncGenerator[PoisonScene, None]:
-    """Run entries and engines; requests with a part of `poison` end these."""
-    async with staging_linked(
-        directory, entries=0, has_links=has_links
-    ) as linked:
+    """Run entries and engines; requests with a part of `poison` end these.
+
+    Proxies accept connections to engines that are down, and reset them.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        linked = await stack.enter_async_context(
+            staging_linked(directory, entries=0, has_links=has_links)
+        )
         arrivals, names = Arrivals(), itertools.count()
         running = [
             Engine('', linked.store, poison, arrivals, names, down)
@@ -171,6 +180,11 @@
         ]
         for engine in running:
             await engine.start()
+            if has_proxies:
+                _, engine.proxy = await stack.enter_async_context(
+                    linking(engine.port)
+                )
+                engine.publish()
         for _ in range(entries):
             await linked.start()
         await anyio.sleep(1)
--- a/tests/test_poisoned_parts.py
+++ b/tests/test_poisoned_parts.py
@@ -67,6 +67,29 @@
     )
 
 
+# Guards against BUDGET where proxies take connections to servers that are down:
+# only an address that refused them counted as that of a crashed server.
+@pytest.mark.parametrize(
+    ('place', 'path'),
+    [('first', '/letter/'), ('middle', '/letter/'), ('middle', '/stream/')],
+)
+async def test_part_that_crashes_servers_behind_proxies_is_kept_from_them(
+    tmp_path, place, path
+):
+    async with poisoning(
+        tmp_path, {_BAD}, entries=3, has_proxies=True
+    ) as scene:
+        served = await _send_all(scene, path, place)
+        late = scene.arrivals.count_late(
+            crashes=_CRASHES, after=_STABLE_SECONDS
+        )
+        crashes = len(scene.arrivals.crashed)
+    share = sum(served) / len(served)
+    assert (late <= _MOST_LATE, share > 0.9) == (True, True), (
+        f'{late} arrivals too late, {crashes} crashes, {share:.2f} served'
+    )
+
+
 # Guards against BUDGET where entries have no links: each learned for itself.
 async def test_entries_without_links_learn_of_a_quarantine(tmp_path):
     async with poisoning(tmp_path, {_BAD}, entries=3, has_links=False) as scene:
