--- a/tests/late_scene.py
+++ b/tests/late_scene.py
@@ -73,6 +73,11 @@
     def find_fullest(self, slack=52.0):
         return self.seen.find_fullest(RetryRule(slack=slack))
 
+    def check_limit(self):
+        """Fail if some window holds more retries than the platform allows."""
+        fullest = self.find_fullest()
+        assert fullest.retries <= fullest.allowed, fullest
+
     async def send(self, rate, seconds):
         """Send requests in turn to all entries."""
         end = self.now() + seconds
--- a/tests/test_late_arrivals.py
+++ b/tests/test_late_arrivals.py
@@ -13,8 +13,7 @@
 # they had stood still came on top of what the budget paid for by then.
 async def test_retries_that_lay_unread_count_when_they_arrive(tmp_path):
     scene = await play(tmp_path, entries=3, rate=90, pause=12)
-    fullest = scene.find_fullest()
-    assert fullest.retries <= fullest.allowed
+    scene.check_limit()
 
 
 # Connections that a proxy reset at once were taken for ended, though it passed
@@ -39,5 +38,4 @@
         trouble=trouble,
         attempts=2,
     )
-    fullest = scene.find_fullest()
-    assert fullest.retries <= fullest.allowed
+    scene.check_limit()
--- a/tests/test_poisoned_parts.py
+++ b/tests/test_poisoned_parts.py
@@ -46,6 +46,17 @@
     return served
 
 
+async def _check_bounds(scene: PoisonScene, path: str, place: str) -> None:
+    """Send requests; fail if crashes go on or sound requests do not pass."""
+    served = await _send_all(scene, path, place)
+    late = scene.arrivals.count_late(crashes=_CRASHES, after=_STABLE_SECONDS)
+    crashes = len(scene.arrivals.crashed)
+    share = sum(served) / len(served)
+    assert (late <= _MOST_LATE, share > 0.9) == (True, True), (
+        f'{late} arrivals too late, {crashes} crashes, {share:.2f} served'
+    )
+
+
 # Guards against BUDGET and LOST: nobody counted crashes by the parts of
 # prompts, so one part ended server after server.
 @pytest.mark.parametrize(
@@ -56,15 +67,7 @@
     tmp_path, place, path
 ):
     async with poisoning(tmp_path, {_BAD}, entries=3) as scene:
-        served = await _send_all(scene, path, place)
-        late = scene.arrivals.count_late(
-            crashes=_CRASHES, after=_STABLE_SECONDS
-        )
-        crashes = len(scene.arrivals.crashed)
-    share = sum(served) / len(served)
-    assert (late <= _MOST_LATE, share > 0.9) == (True, True), (
-        f'{late} arrivals too late, {crashes} crashes, {share:.2f} served'
-    )
+        await _check_bounds(scene, path, place)
 
 
 # Guards against BUDGET where proxies take connections to servers that are down:
@@ -79,15 +82,7 @@
     async with poisoning(
         tmp_path, {_BAD}, entries=3, has_proxies=True
     ) as scene:
-        served = await _send_all(scene, path, place)
-        late = scene.arrivals.count_late(
-            crashes=_CRASHES, after=_STABLE_SECONDS
-        )
-        crashes = len(scene.arrivals.crashed)
-    share = sum(served) / len(served)
-    assert (late <= _MOST_LATE, share > 0.9) == (True, True), (
-        f'{late} arrivals too late, {crashes} crashes, {share:.2f} served'
-    )
+        await _check_bounds(scene, path, place)
 
 
 # Guards against BUDGET where entries have no links: each learned for itself.
--- a/tests/test_unread_connections.py
+++ b/tests/test_unread_connections.py
@@ -31,5 +31,4 @@
         trouble=trouble,
         attempts=2,
     )
-    fullest = scene.find_fullest()
-    assert fullest.retries <= fullest.allowed
+    scene.check_limit()
--- a/tools/soak/late_plan.py
+++ b/tools/soak/late_plan.py
@@ -104,18 +104,8 @@
         Fault(10.5 + number / 2, FaultKind.HERD, count=45)
         for number in range(40)
     )
-    return Plan(
-        seed=seed,
-        seconds=36.0,
-        entries=entries,
-        servers=_SERVERS,
-        rate=_RATES[-1],
-        has_links=True,
-        slack=make_slack(entries),
-        faults=(still, refusal, *herds),
-        callers=round(_RATES[-1] * _CALLERS_PER_RATE),
-        has_backends=True,
-    )
+    faults = (still, refusal, *herds)
+    return _make_fixed_plan(seed, 36.0, entries=entries, faults=faults)
 
 
 def make_unread_plan(kind: FaultKind, *, entries: int) -> Plan:
@@ -126,15 +116,22 @@
     """
     unread = Fault(10.0, kind, duration=25.0, count=5)
     refusal = Fault(34.5, FaultKind.SERVERS_REFUSE, duration=11.0)
+    return _make_fixed_plan(1, 46.0, entries=entries, faults=(unread, refusal))
+
+
+def _make_fixed_plan(
+    seed: int, seconds: float, *, entries: int, faults: tuple[Fault, ...]
+) -> Plan:
+    """Return a plan with server processes at the highest rate."""
     return Plan(
-        seed=1,
-        seconds=46.0,
+        seed=seed,
+        seconds=seconds,
         entries=entries,
         servers=_SERVERS,
         rate=_RATES[-1],
         has_links=True,
         slack=make_slack(entries),
-        faults=(unread, refusal),
+        faults=faults,
         callers=round(_RATES[-1] * _CALLERS_PER_RATE),
         has_backends=True,
     )
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -53,8 +53,7 @@
             yield
         finally:
             self._holds.subtract(directions)
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._wake()
 
     @contextlib.contextmanager
     def holding_some(self, share: float) -> Iterator[None]:
@@ -64,8 +63,7 @@
             yield
         finally:
             self.shares.remove(share)
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._wake()
 
     @contextlib.contextmanager
     def closing_early(self) -> Iterator[None]:
@@ -75,8 +73,7 @@
             yield
         finally:
             self._early -= 1
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._wake()
 
     @contextlib.contextmanager
     def delaying(self, seconds: float) -> Iterator[None]:
@@ -87,6 +84,11 @@
         finally:
             self.delays.remove(seconds)
 
+    def _wake(self) -> None:
+        """Let connections that wait look again."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def reset(self) -> None:
         """Reset every connection at both ends."""
         for writer in tuple(self._writers):
