Take a process for the first of its entry only if no start has expired

Settings that still tell of a first start as a process starts again let it save up a whole share beside what its last one had left unread, once the store had forgotten that start. One of three cases at the stand-in failed before: a topic whose first records expired.

--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -82,7 +82,8 @@
         core = self._core
         if not core.settings.is_first_start:
             return
-        if core.settings.process not in await feed.list_earlier(place):
+        earlier = await feed.list_earlier(place)
+        if earlier is not None and core.settings.process not in earlier:
             core.retries.record_first_process()
 
     def _log_refused_record(self, name: str, error: MalformedRecord) -> None:
--- a/src/oleanderdyke/platform/starts.py
+++ b/src/oleanderdyke/platform/starts.py
@@ -23,19 +23,16 @@
         record = f'{at:.0f}{_SEPARATOR}{name}'.encode()
         return (await self._client.append(names.START_TOPIC, record)).offset
 
-    async def list_earlier(self, place: int) -> tuple[str, ...]:
-        """Return the names of starts before a place that have not expired.
+    async def list_earlier(self, place: int) -> tuple[str, ...] | None:
+        """Return the names of all starts before a place, None if some expired.
 
         Raise StoreUnavailable.
         """
-        first = 0
         try:
-            records = await self._client.read_plain(names.START_TOPIC, first)
-        except RecordsExpired as error:
-            first = error.first or 0
-            records = await self._client.read_plain(names.START_TOPIC, first)
-        earlier = records[: max(place - first, 0)]
-        return tuple(map(_decode_name, earlier))
+            records = await self._client.read_plain(names.START_TOPIC, 0)
+        except RecordsExpired:
+            return None
+        return tuple(map(_decode_name, records[:place]))
 
     async def has_expired(self, place: int) -> bool:
         """Return whether the store keeps a start no more.
--- a/tests/test_hosted_retries.py
+++ b/tests/test_hosted_retries.py
@@ -6,6 +6,7 @@
 import pytest
 
 from oleanderdyke.logs import parse_line
+from tests import hosted
 from tests.hosted import staging, staging_linked
 
 pytestmark = pytest.mark.anyio
@@ -134,3 +135,45 @@
                 await anyio.sleep(0.01)
         events = read_events(stage, 'start_retry_granted')
     assert len(events) == granted
+
+
+def forget_starts(starts) -> None:
+    starts.append(b'1000 front-9')
+    starts.forget()
+
+
+@pytest.mark.parametrize(
+    ('prepare', 'is_limited'),
+    [
+        (lambda starts: starts.append(b'1000 front-9'), False),
+        (lambda starts: starts.append(b'1000 front-1'), True),
+        # The store keeps starts for a while only.
+        (forget_starts, True),
+    ],
+    ids=['other', 'own', 'expired'],
+)
+# Guards against settings that still tell of a first start as a process starts
+# again: it saved up a whole share beside what its last one had left unread.
+async def test_process_is_the_first_only_if_the_store_shows_no_earlier_one(
+    tmp_path, monkeypatch, prepare, is_limited
+):
+    monkeypatch.setattr(hosted, '_save_up_retries', wait_announced)
+    monkeypatch.setattr(hosted, 'format_settings', format_first_start)
+    async with staging_linked(tmp_path, refuse, entries=0) as linked:
+        prepare(linked.store.find('oleander-starts'))
+        stage = await linked.start()
+        await anyio.sleep(0.5)
+        assert stage.core.retries.may_have_earlier() is is_limited
+
+
+def format_first_start(
+    *arguments, _format_settings=hosted.format_settings, **options
+) -> str:
+    text = _format_settings(*arguments, **options)
+    return text.replace('firstStart=false', 'firstStart=true')
+
+
+async def wait_announced(core) -> None:
+    with anyio.fail_after(5):
+        while not core.entries.list_known():
+            await anyio.sleep(0.01)
