Test grants of starts by what the store keeps, as they are decided now

The series of starts keeps its times and its expected grants, with a store that keeps them for 20 s; a start dated in the future is drawn at the stand-in of the store beside one dated long ago.

--- a/tests/test_first_retries.py
+++ b/tests/test_first_retries.py
@@ -7,13 +7,14 @@
 import anyio
 import pytest
 
-from oleanderdyke.clock import SECOND
 from oleanderdyke.kernel.retries import StartGrants
 from tests.hosted import staging_linked, starting
 from tests.retry_world import World
 from tests.standins.replica import make_event
 from tests.standins.scripts import send_events
 
+# How long the store of the platform keeps starts.
+KEPT_SECONDS = 20.0
 WHOLE = b''.join(make_event(number) for number in range(1, 7))
 
 
@@ -83,14 +84,15 @@
     granted = []
     for place, at in enumerate(times):
         earlier = grants.find_earlier(place)
-        earlier_at = None if earlier is None else times[earlier] * SECOND
-        if grants.may_grant(earlier_at, at * SECOND):
+        has_expired = earlier is None or at - times[earlier] > KEPT_SECONDS
+        if grants.may_grant(has_expired=has_expired):
             granted.append(at)
     assert granted == [0.0, 1.0, 2.0, 22.5, 23.5]
 
 
-def test_start_after_one_in_the_future_begins_without_a_retry():
-    assert not StartGrants(most=1).may_grant(30 * SECOND, 0.0)
+def test_start_after_one_that_the_store_keeps_begins_without_a_retry():
+    assert not StartGrants(most=1).may_grant(has_expired=False)
+    assert not StartGrants(most=0).may_grant(has_expired=True)
 
 
 def test_entry_that_starts_while_the_store_is_down_begins_without_a_retry():
--- a/tests/test_hosted_retries.py
+++ b/tests/test_hosted_retries.py
@@ -121,14 +121,15 @@
 
 # Starts recorded by a machine whose clock is late seemed long ago, so that each
 # start of the others began with a retry.
+@pytest.mark.parametrize('at', ['1000', '99999999999999'])
 @pytest.mark.parametrize(('earlier', 'granted'), [(0, 1), (40, 0)])
 async def test_starts_that_the_store_keeps_count_whatever_their_clocks(
-    tmp_path, earlier, granted
+    tmp_path, earlier, granted, at
 ):
     async with staging_linked(tmp_path, refuse, entries=0) as linked:
         starts = linked.store.find('oleander-starts')
         for _ in range(earlier):
-            starts.append(b'1000 front-9')
+            starts.append(f'{at} front-9'.encode())
         stage = await linked.start()
         with anyio.fail_after(5):
             while not stage.core.entries.list_known():
