--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Weights are named, and a store of KV cache is away as parts are freed."""
+"""Weights are named, and stores of KV cache fall as parts are freed."""
 
 from __future__ import annotations
 
@@ -41,15 +41,16 @@
 
 _FOLDER = Path(__file__).parent
 _ENGINE, _DESKS = 'i-7f3a91c2', ('i-02d9e6b4', 'i-5b77c0e1')
+_MEMORIES = ('memoria-reglas', 'memoria-cartas')
 _BOOKING_SECONDS = (0.1, 0.2)
 _LOAD_SECONDS = 1.8
 _HEARTBEAT_SECONDS = 1.2
-_CLIENTS = 16
+_CLIENTS = 20
 # Weights are named so often, this long after the parts were saved.
 _ROUNDS, _SAVE_SECONDS = 4, 7.0
-# The store falls so long after the last replica told of its newest weights,
-# and is down for so long.
-_FALL_SECONDS, _DOWN_SECONDS = 7.2, 2.0
+# The stores fall one after the other, so long after the last replica told of
+# its newest weights, and are down for so long.
+_FALLS_SECONDS, _DOWN_SECONDS = (6.9, 7.7), 2.0
 _RESTART_SECONDS = 0.5
 # The rule allows so many.
 _ALLOWED = 3
@@ -58,7 +59,7 @@
 _SEAL = 'Oleanderdyke-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1'
 
 
-def _make_configuration(memory: str) -> dict[str, Any]:
+def _make_configuration(memories: list[str]) -> dict[str, Any]:
     common = {'host': HOST, 'authExempt': False, 'priority': 1}
     return {
         'version': 7,
@@ -99,16 +100,21 @@
                     'models': [{'name': MODEL}],
                 },
             },
-            {
-                'name': 'memoria-reglas',
-                'kvStoreAddr': memory,
-                'zone': ZONES[1],
-                'kvCapacity': 145_001,
-                'linkMbps': 200_000.0,
-                'maxConcurrency': 12,
-                'managed': True,
-                'first_ms': 0.5,
-            },
+            *(
+                {
+                    'name': name,
+                    'kvStoreAddr': memory,
+                    'zone': zone,
+                    'kvCapacity': 145_001,
+                    'linkMbps': 200_000.0,
+                    'maxConcurrency': 12,
+                    'managed': True,
+                    'first_ms': 0.5,
+                }
+                for name, memory, zone in zip(
+                    _MEMORIES, memories, ZONES[1:], strict=True
+                )
+            ),
             {'name': 'taquilla', 'maxConnections': 96},
         ],
         'limits': {
@@ -124,7 +130,8 @@
 class MemoryProcess:
     """The store of KV cache, which comes back empty after a fall."""
 
-    def __init__(self, port: int, record: Record) -> None:
+    def __init__(self, name: str, port: int, record: Record) -> None:
+        self._name = name
         self.address = f'{LOOPBACK}:{port}'
         self._port = port
         self._record = record
@@ -137,14 +144,14 @@
             [*command, str(self._port)], cwd=ROOT
         )
         wait_until(lambda: accepts(self.address), 'the store listens')
-        self._record.add('memory', 'up')
+        self._record.add(self._name, 'up')
 
     def kill(self) -> None:
         """Kill it."""
         if self._process is not None:
             self._process.kill()
             self._process.wait()
-            self._record.add('memory', 'down')
+            self._record.add(self._name, 'down')
 
 
 @dataclass
@@ -152,7 +159,7 @@
     """A model replica: it loads weights on order and saves what it reads."""
 
     stage: Stage
-    memory: MemoryProcess
+    memories: list[MemoryProcess]
     address: str = ''
     version: int = 1
     busy: bool = False
@@ -259,7 +266,8 @@
         sinks = headers.get('oleanderdyke-kv-sink', '').split(',')
         parts = headers['oleanderdyke-prompt-prefix'].split(',')
         for sink, part in zip(sinks, parts, strict=False):
-            if sink.strip() != self.memory.address:
+            address = sink.strip()
+            if address not in {each.address for each in self.memories}:
                 continue
             name, _, tokens = part.partition(':')
             saved = {
@@ -268,7 +276,7 @@
                 'tokens': int(tokens),
             }
             with contextlib.suppress(OSError):
-                await _post(self.memory.address, '/save', saved)
+                await _post(address, '/save', saved)
 
 
 @dataclass
@@ -447,7 +455,10 @@
 
 
 async def _name_weights(
-    stage: Stage, engine: Engine, memory: MemoryProcess, record: Record
+    stage: Stage,
+    engine: Engine,
+    memories: list[MemoryProcess],
+    record: Record,
 ) -> None:
     for version in range(2, 2 + _ROUNDS):
         await asyncio.sleep(_SAVE_SECONDS)
@@ -458,14 +469,19 @@
             while engine.version != version:
                 await asyncio.sleep(0.02)
         record.add('version held', version)
-        held_at = time.monotonic()
-        await asyncio.sleep(held_at + _FALL_SECONDS - time.monotonic())
-        if is_disturbed():
-            memory.kill()
-        await asyncio.sleep(_DOWN_SECONDS)
-        if is_disturbed():
-            await asyncio.to_thread(memory.start)
-        await asyncio.sleep(1)
+        async with asyncio.TaskGroup() as tasks:
+            for memory, seconds in zip(memories, _FALLS_SECONDS, strict=True):
+                tasks.create_task(_fall(memory, seconds))
+
+
+async def _fall(memory: MemoryProcess, seconds: float) -> None:
+    """Let a store fall after a while, and come back empty."""
+    await asyncio.sleep(seconds)
+    if is_disturbed():
+        memory.kill()
+    await asyncio.sleep(_DOWN_SECONDS)
+    if is_disturbed():
+        await asyncio.to_thread(memory.start)
 
 
 async def _beat(engine: Engine) -> None:
@@ -481,15 +497,19 @@
     desks = [Desk(name, record, random) for name in _DESKS]
     async with AsyncExitStack() as stack:
         stage = await stack.enter_async_context(staging())
-        memory = MemoryProcess(stage.ports.reserve(), record)
-        stack.callback(memory.kill)
-        await asyncio.to_thread(memory.start)
-        configuration = _make_configuration(memory.address)
+        memories = [
+            MemoryProcess(name, stage.ports.reserve(), record)
+            for name in _MEMORIES
+        ]
+        for each in memories:
+            stack.callback(each.kill)
+            await asyncio.to_thread(each.start)
+        configuration = _make_configuration([each.address for each in memories])
         stage.store.put(OPERATOR, 'config', configuration)
         stage.store.put(
             OPERATOR, f'version/{MODEL}', {'model': MODEL, 'version': 1}
         )
-        engine = Engine(stage, memory)
+        engine = Engine(stage, memories)
         engine.address = await _listen(stack, engine)
         engine.tell()
         for each in desks:
@@ -516,7 +536,7 @@
             )
         ]
         await asyncio.sleep(6)
-        await _name_weights(stage, engine, memory, record)
+        await _name_weights(stage, engine, memories, record)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
