Keep failures of peers from ending whole processes

Cause: all tasks of an entry or agent share one task group, which ends the process for errors of peers as for errors of the program.

Change: each task that calls peers runs in a named boundary.

Not covered: in our own mode, loops of agents and tasks started for one message.

--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -4,13 +4,15 @@
 
 import math
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from functools import partial
 from random import Random
 
 import anyio
 
 from oleanderdyke.agent.hosted.engine_loader import EngineLoader
 from oleanderdyke.agent.hosted.news import AgentNews
+from oleanderdyke.background import BackgroundTasks
 from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
 from oleanderdyke.dependencies import Dependency
 from oleanderdyke.events import EventName
@@ -72,6 +74,7 @@
         self._clock = clock
         self._metrics = Metrics()
         self._metrics_port = metrics_port
+        self._background = BackgroundTasks(log, self._metrics, clock, Random())
         self._engine_loader = EngineLoader(settings, log, clock, self._metrics)
         self._engine_dependency = Dependency(
             log,
@@ -110,15 +113,22 @@
             *_STOP_SIGNALS, signal.SIGHUP
         ) as signals:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._news.run, Random())
-                tasks.start_soon(self._follow_operator)
-                tasks.start_soon(self._follow_loads)
-                tasks.start_soon(self._run_rollout)
-                tasks.start_soon(self._serve_metrics)
+                for name, work in self._list_background():
+                    tasks.start_soon(self._background.run, name, work)
                 await self._wait_stop(signals)
                 tasks.cancel_scope.cancel()
         self._log.write(EventName.PROCESS_STOPPED)
 
+    def _list_background(
+        self,
+    ) -> Iterator[tuple[str, Callable[[], Awaitable[None]]]]:
+        """Yield the name and the work of each task that calls peers."""
+        yield 'links', partial(self._news.run, Random())
+        yield 'operator', self._follow_operator
+        yield 'loads', self._follow_loads
+        yield 'rollout', self._run_rollout
+        yield 'metrics', self._serve_metrics
+
     async def _wait_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
         async for number in signals:
             name = signal.Signals(number).name
--- a/src/oleanderdyke/daemon.py
+++ b/src/oleanderdyke/daemon.py
@@ -10,7 +10,6 @@
 from collections.abc import (
     Awaitable,
     Callable,
-    Iterator,
     Mapping,
     Sequence,
 )
@@ -24,9 +23,10 @@
 from oleanderdyke import __version__
 from oleanderdyke.clock import make_clock
 from oleanderdyke.errors import (
-    OleanderError,
     SettingsError,
-    find_position,
+    describe_error,
+    find_reason,
+    list_causes,
 )
 from oleanderdyke.events import EventName
 from oleanderdyke.logs import EventLog, make_pipe_log
@@ -126,11 +126,11 @@
         anyio.run(serve, *arguments)
     except* Exception as group:
         code = _FAILED
-        for error in _flatten(group):
+        for error in list_causes(group):
             log.write(
                 EventName.PROCESS_FAILED,
-                reason=_find_reason(error),
-                detail=_describe(error),
+                reason=find_reason(error),
+                detail=describe_error(error),
             )
     return code
 
@@ -159,24 +159,3 @@
         help='print the settings in force, without secrets, and exit',
     )
     return parser
-
-
-def _flatten(group: BaseExceptionGroup[Exception]) -> Iterator[Exception]:
-    for error in group.exceptions:
-        if isinstance(error, BaseExceptionGroup):
-            yield from _flatten(error)
-        else:
-            yield error
-
-
-def _find_reason(error: Exception) -> str:
-    if isinstance(error, OleanderError):
-        return error.kind.value
-    return type(error).__name__
-
-
-def _describe(error: Exception) -> str:
-    # Other messages may contain request data, so only the position is logged.
-    if isinstance(error, OleanderError | OSError):
-        return str(error)
-    return find_position(error)
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 
 import anyio
 
@@ -62,19 +63,22 @@
 
     async def run(self) -> None:
         """Track the stores named in the configuration until cancelled."""
+        background = self._core.background
+        self._scopes.clear()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._signal_first_read)
             if self._core.settings.is_first_start:
                 await anyio.sleep(_FIRST_START_PAUSE / SECOND)
             for source in CONTEXT_SOURCES:
-                tasks.start_soon(self._follow_shared, source)
+                shared = partial(self._follow_shared, source)
+                tasks.start_soon(background.run, 'shared contexts', shared)
             while True:
                 self._configure()
                 self._update_outdated()
                 views = self._core.contexts.views
                 for address in set(views) - set(self._scopes):
                     self._scopes[address] = anyio.CancelScope()
-                    tasks.start_soon(self._follow, views[address])
+                    tasks.start_soon(self._follow_configured, views[address])
                 for address in set(self._scopes) - set(views):
                     self._scopes.pop(address).cancel()
                 is_known = self._core.deployment is not None
@@ -108,27 +112,32 @@
             if service.store is not None and service.store.is_managed
         ]
 
+    async def _follow_configured(self, view: StoreView) -> None:
+        """Track a store until the configuration names it no more."""
+        with self._scopes[view.traits.address]:
+            await self._core.background.run(
+                'contexts', partial(self._follow, view)
+            )
+
     async def _follow(self, view: StoreView) -> None:
         client = ContextClient(view.traits.address, self._log_refused_record)
-        scope = self._scopes[view.traits.address]
         store = self._make_dependency(view)
         turns = ReadBackoff(self._core.random)
         frees = FreeSchedule(self._core.random)
-        with scope:
-            while True:
-                if self._is_shared(view):
-                    await anyio.sleep(_PERIOD / SECOND)
-                    continue
-                try:
-                    await self._read(client, view, turns.wait)
-                except ContextUnavailable as error:
-                    pause = self._handle_unavailable(error, view, turns)
-                    store.record_failure(error.message)
-                    await anyio.sleep(pause / SECOND)
-                    continue
-                store.record_success()
-                await self._free_outdated(client, view, frees)
-                await anyio.sleep(turns.find_pause() / SECOND)
+        while True:
+            if self._is_shared(view):
+                await anyio.sleep(_PERIOD / SECOND)
+                continue
+            try:
+                await self._read(client, view, turns.wait)
+            except ContextUnavailable as error:
+                pause = self._handle_unavailable(error, view, turns)
+                store.record_failure(error.message)
+                await anyio.sleep(pause / SECOND)
+                continue
+            store.record_success()
+            await self._free_outdated(client, view, frees)
+            await anyio.sleep(turns.find_pause() / SECOND)
 
     def _handle_unavailable(
         self, error: ContextUnavailable, view: StoreView, turns: ReadBackoff
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from oleanderdyke.background import BackgroundTasks
 from oleanderdyke.clients.direct import ConnectionPool
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.dependencies import Dependency
@@ -98,11 +99,15 @@
     # The burst that was logged last.
     _logged_burst: float | None = None
     crashes: CrashWatch = field(init=False)
+    background: BackgroundTasks = field(init=False)
     _unread: UnreadAnswers | None = None
 
     def __post_init__(self) -> None:
         """Build the parts that depend on the others."""
         self.crashes = CrashWatch(self)
+        self.background = BackgroundTasks(
+            self.log, self.metrics, self.clock, self.random
+        )
         self.retries = RetryShares(
             self.settings.process,
             self.entries,
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -4,9 +4,10 @@
 
 import math
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import AbstractContextManager
 from dataclasses import replace
+from functools import partial
 from importlib import import_module
 from pathlib import Path
 from random import Random
@@ -84,20 +85,9 @@
             )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(server.serve, [front, ready])
-                tasks.start_soon(self._serve_metrics)
-                tasks.start_soon(self._learn_streams)
-                tasks.start_soon(core.peers.run, core.log, core.random)
-                tasks.start_soon(self._watch.follow_operator)
-                tasks.start_soon(self._watch.follow_servers)
-                tasks.start_soon(self._watch.follow_loads)
-                tasks.start_soon(ContextWatch(core).run)
-                tasks.start_soon(core.crashes.run)
-                tasks.start_soon(self._share_crashes)
-                tasks.start_soon(presence.run)
-                tasks.start_soon(presence.record_start)
-                tasks.start_soon(core.scheduling.run, core)
+                for name, work in self._list_background(presence):
+                    tasks.start_soon(core.background.run, name, work)
                 tasks.start_soon(self._tick, server)
-                tasks.start_soon(self._watch_settings)
                 tasks.start_soon(self._reload, reloads)
                 tasks.start_soon(self._stopper.watch, signals)
                 await self._stopper.run()
@@ -107,6 +97,25 @@
                 tasks.cancel_scope.cancel()
         core.log.write(EventName.PROCESS_STOPPED)
 
+    def _list_background(
+        self, presence: Presence
+    ) -> Iterator[tuple[str, Callable[[], Awaitable[None]]]]:
+        """Yield the name and the work of each task that calls peers."""
+        core = self._core
+        yield 'metrics', self._serve_metrics
+        yield 'streams', self._learn_streams
+        yield 'links', partial(core.peers.run, core.log, core.random)
+        yield 'operator', self._watch.follow_operator
+        yield 'servers', self._watch.follow_servers
+        yield 'loads', self._watch.follow_loads
+        yield 'contexts', ContextWatch(core).run
+        yield 'losses', core.crashes.run
+        yield 'crashes', self._share_crashes
+        yield 'entries', presence.run
+        yield 'starts', presence.record_start
+        yield 'scheduling', partial(core.scheduling.run, core)
+        yield 'settings', self._watch_settings
+
     def _make_handover(self) -> StreamHandover:
         module = import_module('oleanderdyke.entry.hosted.handover')
         handover: StreamHandover = module.StreamHandover(self._core)
@@ -117,7 +126,9 @@
         now = self._core.clock.now()
         # Connections stay open and unread while the modules are imported.
         if any(self._core.peers.find_streams().origins.list_live(now)):
-            await self._make_handover().leave()
+            await self._core.background.attempt(
+                'streams', self._make_handover().leave
+            )
 
     async def _learn_streams(self) -> None:
         """Read what entries left for this one, once a request needs it."""
--- a/src/oleanderdyke/entry/shell.py
+++ b/src/oleanderdyke/entry/shell.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from oleanderdyke.background import BackgroundTasks
 from oleanderdyke.clients.log import LogClient, LogPage
 from oleanderdyke.clients.vms import VmClient
 from oleanderdyke.clock import make_clock
@@ -79,7 +80,11 @@
         self._core.log.write(EventName.PROCESS_STOPPED)
 
     def _start_tasks(self, tasks: Any) -> None:
-        log = self._core.settings.log
+        core = self._core
+        log = core.settings.log
+        background = BackgroundTasks(
+            core.log, core.metrics, core.clock, core.random
+        )
         configuration = LogReader(
             self._core,
             self._client,
@@ -94,19 +99,19 @@
             find_start=lambda: self._core.claims.next_offset,
             apply_page=self._take_claims,
         )
-        for run in (
-            configuration.run,
-            claims.run,
-            self._claims.run,
-            self._claims.renew_claims,
-            self._feed.append_snapshots,
-            self._vm_watch.run,
-            self._wait_until_linked,
-            self._pool.run,
-            self._queue.run,
-            self._tick,
+        for name, run in (
+            ('configuration', configuration.run),
+            ('claims', claims.run),
+            ('claim writer', self._claims.run),
+            ('claim leases', self._claims.renew_claims),
+            ('snapshots', self._feed.append_snapshots),
+            ('vms', self._vm_watch.run),
+            ('readiness', self._wait_until_linked),
+            ('links', self._pool.run),
+            ('queue', self._queue.run),
+            ('ticks', self._tick),
         ):
-            tasks.start_soon(run)
+            tasks.start_soon(background.run, name, run)
 
     def _take_claims(self, page: LogPage) -> None:
         table = self._core.claims
--- a/src/oleanderdyke/errors.py
+++ b/src/oleanderdyke/errors.py
@@ -4,6 +4,7 @@
 
 import enum
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TextIO
@@ -134,6 +135,36 @@
         self.faults = faults
 
 
+# What calls of peers raise: their own errors, and those of connections. All
+# other errors are faults of this program.
+PEER_FAILURES = (OleanderError, OSError)
+
+
+def list_causes(
+    group: BaseExceptionGroup[Exception],
+) -> Iterator[Exception]:
+    """Yield the errors of a group and of all groups within it."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from list_causes(error)
+        else:
+            yield error
+
+
+def find_reason(error: Exception) -> str:
+    """Return the kind of an error, or the name of its type."""
+    if isinstance(error, OleanderError):
+        return error.kind.value
+    return type(error).__name__
+
+
+def describe_error(error: Exception) -> str:
+    """Return the message of an error, if it can't contain request data."""
+    if isinstance(error, PEER_FAILURES):
+        return str(error)
+    return find_position(error)
+
+
 def find_position(error: BaseException) -> str:
     """Return the file and line where an exception was raised."""
     place = error.__traceback__
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -25,6 +25,7 @@
     PROCESS_STOPPING = 'process_stopping'
     PROCESS_STOPPED = 'process_stopped'
     PROCESS_FAILED = 'process_failed'
+    TASK_FAILED = 'task_failed'
     LINK_UP = 'link_up'
     LINK_DOWN = 'link_down'
     LINK_REFUSED = 'link_refused'
@@ -112,6 +113,7 @@
 
 LEVELS: Mapping[EventName, Level] = {
     EventName.PROCESS_FAILED: Level.ERROR,
+    EventName.TASK_FAILED: Level.ERROR,
     EventName.PROCESS_NOT_READY: Level.WARNING,
     EventName.PROCESS_STALLED: Level.WARNING,
     EventName.RECORD_REFUSED: Level.WARNING,
--- a/src/oleanderdyke/metrics.py
+++ b/src/oleanderdyke/metrics.py
@@ -66,6 +66,7 @@
     BACKEND_LOSSES = 'backend_losses'
     SENDS_ENDED = 'sends_ended'
     CONTEXT_FREES = 'context_frees'
+    TASK_FAILURES = 'task_failures'
 
 
 class Gauge(enum.StrEnum):
@@ -130,6 +131,7 @@
     Count.BACKEND_LOSSES: 'what new connections found',
     Count.SENDS_ENDED: 'service and what ended the wait',
     Count.CONTEXT_FREES: 'what became of it',
+    Count.TASK_FAILURES: 'name of the task',
     Gauge.RUNNING: _NONE,
     Gauge.LINKS: _NONE,
     Gauge.CONFIGURATION_OFFSET: _NONE,
