Use no connection twice for one request id

Cause: the id is the request's and is forwarded unchanged, so a late second copy of a rejection on a connection can't be told from the answer to the next try on it. Also after a 421, after a 5xx that allows a second run, and for callers that send again under their id.

Change: a connection remembers the ids that it carried, as hashes, and isn't used for one of them again; it is closed after 256 requests. Weighed: closing after each rejection, waiting, comparing instances.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -28,7 +28,9 @@
 _USER_TIMEOUT_MS = 2_000
 # SO_LINGER with a timeout of 0 makes closing send a TCP reset.
 RESET = struct.pack('ii', 1, 0)
-
+# A connection is closed after this many requests, whose ids it remembers. They
+# take some 20 KiB, and a new connection costs little for so many.
+_MAX_CARRIED = 256
 
 # A proxy whose server is gone closes a new connection within this time; a
 # server waits longer for a request.
@@ -76,6 +78,8 @@
         self.has_ended_answer = False
         self.idle_limit: Millis = _DEFAULT_KEEP_ALIVE * _IDLE_SHARE
         self._lost = asyncio.Event()
+        # Hashes of the ids of all requests sent so far.
+        self._carried: set[int] = set()
 
     @property
     def is_usable(self) -> bool:
@@ -95,11 +99,24 @@
                 _USER_TIMEOUT_MS,
             )
 
+    def has_carried(self, request: str) -> bool:
+        """Return whether a request with this id was sent here before.
+
+        A late copy of its answer could not be told from the next answer.
+        """
+        return hash(request) in self._carried
+
     def send(
-        self, head: h11.Request, body: bytes, listener: AnswerListener
+        self,
+        head: h11.Request,
+        body: bytes,
+        listener: AnswerListener,
+        *,
+        request: str,
     ) -> None:
-        """Send a request; the listener receives its answer."""
+        """Send a request with an id; the listener receives its answer."""
         self._listener = listener
+        self._carried.add(hash(request))
         data = self._http.send(head) or b''
         if body:
             data += self._http.send(h11.Data(data=body)) or b''
@@ -196,7 +213,9 @@
         if not self._start_next_cycle():
             self.close()
         listener.take_end()
-        if self.is_usable:
+        if len(self._carried) >= _MAX_CARRIED:
+            self.close()
+        elif self.is_usable:
             self._give_back(self)
 
     def _start_next_cycle(self) -> bool:
@@ -233,17 +252,26 @@
         self._connect_limit = connect_limit
         self._addresses: dict[str, _IdleConnections] = {}
 
-    def take_idle(self, address: str) -> BackendConnection | None:
-        """Return an idle connection that is likely usable, None if none is."""
+    def take_idle(self, address: str, request: str) -> BackendConnection | None:
+        """Return an idle connection that is likely usable, None if none is.
+
+        It has not carried a request with this id before.
+        """
         pooled = self._addresses.get(address)
         now = asyncio.get_running_loop().time() * SECOND
-        while pooled is not None and pooled.idle:
+        carried: list[BackendConnection] = []
+        found = None
+        while found is None and pooled is not None and pooled.idle:
             connection = pooled.idle.pop()
             if now - connection.idle_since > connection.idle_limit:
                 connection.close()
+            elif connection.is_usable and connection.has_carried(request):
+                carried.append(connection)
             elif connection.is_usable:
-                return connection
-        return None
+                found = connection
+        if pooled is not None:
+            pooled.idle += reversed(carried)
+        return found
 
     async def open(self, address: str) -> BackendConnection:
         """Open a new connection; raise OSError, also on a timeout."""
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -175,7 +175,7 @@
             self._report_unsent('server is leaving or gone')
             return
         address = self._address = backend.record.address
-        connection = core.pool.take_idle(address)
+        connection = core.pool.take_idle(address, self._call.request)
         try:
             if connection is None:
                 connection = await core.pool.open(address)
@@ -514,7 +514,7 @@
             self._samples = self._scheduler.speed_sampler.watch(
                 backend, pending, dispatch.contexts
             )
-        connection.send(head, call.body, self)
+        connection.send(head, call.body, self, request=call.request)
         core.log.write(
             EventName.DISPATCH_SENT,
             request=call.request,
