Await the answer to a request after a late one to another

Callers got 502, outcome unknown, for requests that ran: a late copy of the answer to an earlier request came first on their connection.

Cause: such a copy was told by its id, but taken for the end of the request that waits. Since no connection carries an id twice, nearly each copy met another request.

Change: an answer that names an earlier request of its connection is dropped, up to four and 256 KiB, if it has a length or chunks; what follows has to name its request. The connection isn't used again after.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -31,6 +31,10 @@
 # A connection is closed after this many requests, whose ids it remembers. They
 # take some 20 KiB, and a new connection costs little for so many.
 _MAX_CARRIED = 256
+# Bounds of the late answers to earlier requests on one connection.
+_MAX_LATE_ANSWERS = 4
+_MAX_LATE_BYTES = 256 * 1024
+_FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
 
 # A proxy whose server is gone closes a new connection within this time; a
 # server waits longer for a request.
@@ -49,6 +53,12 @@
 class AnswerListener(Protocol):
     """Receive an answer; the last call is `take_end` or `take_failure`."""
 
+    def find_other_request(self, headers: Headers) -> str:
+        """Return the id that the head of an answer to another request has.
+
+        Return '' if it has none, or that of this request.
+        """
+
     def take_head(self, status: int, headers: Headers) -> None:
         """Process the status and the headers."""
 
@@ -80,6 +90,11 @@
         self._lost = asyncio.Event()
         # Hashes of the ids of all requests sent so far.
         self._carried: set[int] = set()
+        self._method = b''
+        # Late answers to earlier requests, and the bytes of their bodies.
+        self._late_answers = 0
+        self._late_bytes = 0
+        self._is_answer_late = False
 
     @property
     def is_usable(self) -> bool:
@@ -87,6 +102,11 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    @property
+    def has_late_answers(self) -> bool:
+        """Return whether late answers to earlier requests have come."""
+        return bool(self._late_answers)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the timeout for bytes that the peer doesn't acknowledge."""
         if isinstance(transport, asyncio.Transport):
@@ -117,6 +137,7 @@
         """Send a request with an id; the listener receives its answer."""
         self._listener = listener
         self._carried.add(hash(request))
+        self._method = head.method
         data = self._http.send(head) or b''
         if body:
             data += self._http.send(h11.Data(data=body)) or b''
@@ -199,21 +220,60 @@
             self._take_event(event, self._listener)
 
     def _take_event(self, event: h11.Event, listener: AnswerListener) -> None:
-        if isinstance(event, h11.Response):
-            listener.take_head(event.status_code, _decode(event))
+        if isinstance(event, h11.ConnectionClosed):
+            self._fail('the server closed the connection before it answered')
+        elif self._is_answer_late:
+            self._drop_late(event)
+        elif isinstance(event, h11.Response):
+            self._take_head(event, listener)
         elif isinstance(event, h11.Data):
             listener.take_part(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._end(listener)
-        elif isinstance(event, h11.ConnectionClosed):
-            self._fail('the server closed the connection before it answered')
+
+    def _take_head(self, head: h11.Response, listener: AnswerListener) -> None:
+        headers = _decode(head)
+        other = listener.find_other_request(headers)
+        if not (other and self.has_carried(other)):
+            listener.take_head(head.status_code, headers)
+            return
+        self._is_answer_late = True
+        self._late_answers += 1
+        if self._late_answers > _MAX_LATE_ANSWERS:
+            self._fail('the server sent too many late answers')
+        elif not _FRAMING_HEADERS.intersection(dict(headers)):
+            self._fail('a late answer of the server has no end')
+
+    def _drop_late(self, event: h11.Event) -> None:
+        """Drop a part of a late answer to an earlier request."""
+        if isinstance(event, h11.Data):
+            self._late_bytes += len(event.data)
+        if self._late_bytes > _MAX_LATE_BYTES:
+            self._fail('the late answers of the server are too long')
+        elif isinstance(event, h11.EndOfMessage):
+            self._await_next_answer()
+
+    def _await_next_answer(self) -> None:
+        """Parse what follows a late answer as the one to the request."""
+        rest, is_closed = self._http.trailing_data
+        if is_closed:
+            self._fail('the server closed the connection with a late answer')
+            return
+        self._is_answer_late = False
+        self._http = _make_parser()
+        # A parser takes answers only to requests that it has sent.
+        self._http.send(make_head(self._method.decode(), '/', (), b'', '-'))
+        self._http.send(h11.EndOfMessage())
+        if rest:
+            # No bytes would mean the end of the connection.
+            self._http.receive_data(rest)
 
     def _end(self, listener: AnswerListener) -> None:
         self._listener = None
         if not self._start_next_cycle():
             self.close()
         listener.take_end()
-        if len(self._carried) >= _MAX_CARRIED:
+        if self.has_late_answers or len(self._carried) >= _MAX_CARRIED:
             self.close()
         elif self.is_usable:
             self._give_back(self)
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -68,6 +68,7 @@
     Dispatch,
     decode_answer,
     encode_request,
+    find_request,
 )
 
 if TYPE_CHECKING:
@@ -272,13 +273,18 @@
             return 0.0
         return backend.find_overdue_time(now)
 
+    def find_other_request(self, headers: Headers) -> str:
+        """Return the id of the other request that an answer names, or ''."""
+        named = find_request(headers)
+        return '' if named == self._call.request else named
+
     def take_head(self, status: int, headers: Headers) -> None:
         """Validate the response head and accept it or report a failure."""
         metadata = decode_answer(status, headers)
         self._record_metadata(metadata)
         if self._done:
             return
-        fault = find_answer_fault(status, metadata, self._call.request)
+        fault = self._find_answer_fault(status, metadata)
         if fault:
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
         elif metadata.is_not_executed:
@@ -292,6 +298,16 @@
         else:
             self._accept(status, headers)
 
+    def _find_answer_fault(self, status: int, metadata: AnswerMetadata) -> str:
+        """Return why a response must be rejected, or ''."""
+        connection = self._connection
+        is_late_possible = (
+            connection is not None and connection.has_late_answers
+        )
+        if is_late_possible and not metadata.request:
+            return 'response without a request id after a late one'
+        return find_answer_fault(status, metadata, self._call.request)
+
     def _take_refusal(self, status: int, metadata: AnswerMetadata) -> None:
         if self._copies is not None:
             self._copies.record_refusal()
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -105,6 +105,11 @@
     )
 
 
+def find_request(headers: Headers) -> str:
+    """Return the id of the request that an answer names, or ''."""
+    return dict(headers).get(names.REQUEST_ID, '')
+
+
 def decode_answer(status: int, headers: Headers) -> AnswerMetadata:
     """Decode the head of a backend server's answer."""
     found = dict(headers)
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -13,7 +13,12 @@
 
 from oleanderdyke.clients.direct import BackendConnection
 from tests.hosted import Stage, staging
-from tests.standins.replica import Peer, make_answer, make_event
+from tests.standins.replica import (
+    Peer,
+    make_answer,
+    make_event,
+    make_head,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -149,6 +154,13 @@
     return server
 
 
+async def _play_all(directory, seeds):
+    for seed in seeds:
+        place = directory / str(seed)
+        place.mkdir()
+        await _play(place, seed, servers=1)
+
+
 def _list_repeated(server):
     return [place for place, count in server.carried.items() if count > 1]
 
@@ -169,7 +181,66 @@
 ):
     monkeypatch.setattr(BackendConnection, 'has_carried', lambda *_: False)
     with pytest.raises((AssertionError, ExceptionGroup)):
-        for seed in range(12):
-            directory = tmp_path / str(seed)
-            directory.mkdir()
-            await _play(directory, seed, servers=1)
+        await _play_all(tmp_path, range(12))
+
+
+async def _book(stage, request):
+    answer = await stage.call(
+        f'/once/{request}', oleanderdyke_request_id=request
+    )
+    return answer.status, answer.body
+
+
+# Guards against a request that runs and is answered 502, as its connection
+# brought a late copy of the answer to an earlier request first.
+@pytest.mark.parametrize('pause', [0.0, 0.02])
+async def test_request_gets_its_answer_after_a_late_copy_of_another(
+    tmp_path, pause
+):
+    copies = []
+
+    async def play(peer: Peer) -> None:
+        for copy in copies:
+            await peer.send(copy)
+        await anyio.sleep(pause)
+        copies.append(make_answer(peer.request, 200, b'earlier'))
+        await peer.answer(200, peer.request.target.encode())
+
+    async with staging(tmp_path, play) as stage:
+        assert await _book(stage, 'req-1') == (200, b'/once/req-1')
+        assert await _book(stage, 'req-2') == (200, b'/once/req-2')
+        connections = [each.connection for each in stage.replicas[0].received]
+    assert connections == [1, 1]
+
+
+# Guards against late answers that keep a request waiting, or are taken for its.
+@pytest.mark.parametrize('extra', ['many', 'long', 'unnamed', 'unframed'])
+async def test_late_answers_are_dropped_up_to_a_limit(tmp_path, extra):
+    requests = []
+
+    async def play(peer: Peer) -> None:
+        requests.append(peer.request)
+        if len(requests) == 1:
+            await peer.answer(200, b'first')
+            return
+        late = make_answer(requests[0], 200, b'first')
+        with contextlib.suppress(ConnectionError):
+            if extra == 'many':
+                await peer.send(late * 9)
+            elif extra == 'long':
+                await peer.send(make_answer(requests[0], 200, bytes(600_000)))
+            elif extra == 'unframed':
+                await peer.send(make_head(requests[0], 200) + b'first')
+            else:
+                unnamed = make_answer(
+                    peer.request, 200, b'x', oleanderdyke_request_id=''
+                )
+                await peer.send(late + unnamed)
+                return
+            await peer.answer(200, b'second')
+
+    async with staging(tmp_path, play) as stage:
+        await _book(stage, 'req-1')
+        status, body = await _book(stage, 'req-2')
+    assert status == 502
+    assert b'first' not in body
