Bound answers without end to the buffered clients

An entry or agent stood still, or held 64 MiB for each of several clients, while the store, an engine or a context store sent bytes without end.

Cause: interim answers were dropped without a count until the timeout, a body in tiny chunks was parsed 64 KiB at a time without a turn for other tasks, and the bound of the store's answers was 64 MiB.

Change: 16 interim answers a request, 64 parts a turn of the loop, 8 MiB an answer of the store or a context store, whose pages hold 1 MiB.

--- a/src/oleanderdyke/clients/exchange.py
+++ b/src/oleanderdyke/clients/exchange.py
@@ -18,6 +18,10 @@
 
 _CHUNK_BYTES = 64 * 1024
 _MAX_HEAD_BYTES = 100 * 1024
+# Interim answers to one request, of which servers send one at most.
+_MAX_INTERIM_ANSWERS = 16
+# Parts of a body that are parsed before other tasks get a turn.
+_TURN_PARTS = 64
 
 
 class Exchange:
@@ -46,6 +50,8 @@
         )
         self._needs_data = False
         self._ended = False
+        # Parts that have come were left for the next turn of the loop.
+        self._is_behind = False
         self.written = False
 
     @property
@@ -61,12 +67,13 @@
 
     async def receive_head(self) -> h11.Response:
         """Return the head of the answer; raise one of FAILURES."""
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS + 1):
             event = await self._receive()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionError
+        raise h11.RemoteProtocolError('too many interim answers')
 
     async def read_part(self) -> bytes:
         """Return the next bytes of the body, no bytes at its end.
@@ -76,6 +83,8 @@
         while not self._ended:
             if self._needs_data:
                 self._http.receive_data(await self._read())
+            elif self._is_behind:
+                await anyio.sleep(0)
             part = self._take_data()
             if part:
                 return part
@@ -130,7 +139,7 @@
     def _take_data(self) -> bytes:
         parts: list[bytes] = []
         self._needs_data = False
-        while True:
+        while len(parts) < _TURN_PARTS:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError:
@@ -139,10 +148,11 @@
                     raise
                 return b''.join(parts)
             if not isinstance(event, h11.Data):
+                self._needs_data = event is h11.NEED_DATA
+                self._ended = not self._needs_data
                 break
             parts.append(bytes(event.data))
-        self._needs_data = event is h11.NEED_DATA
-        self._ended = not self._needs_data
+        self._is_behind = len(parts) >= _TURN_PARTS
         return b''.join(parts)
 
     async def _receive(self) -> h11.Event | None:
--- a/src/oleanderdyke/platform/contexts.py
+++ b/src/oleanderdyke/platform/contexts.py
@@ -29,7 +29,7 @@
 _MAX_WAIT: Millis = 1 * SECOND
 # Time for an answer beyond the wait; short, to keep the view of a store fresh.
 _ANSWER_TIMEOUT: Millis = 500.0
-_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _OK = 200
 _TOO_MANY_REQUESTS = 429
 _ADDED = '+'
--- a/src/oleanderdyke/platform/store.py
+++ b/src/oleanderdyke/platform/store.py
@@ -37,7 +37,8 @@
 # 4 ms per answer. This leaves time to resend a lost packet, and together with
 # the wait of a long read it is below the limit for applying a configuration.
 _ANSWER_TIMEOUT: Millis = 700.0
-_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# A page holds 1 MiB of records at most, here in base64, or one long record.
+_MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _MAX_READ_KB = 1024
 _PARTITION = 0
 _OK = 200
