Parse a bounded part of each server's bytes in a turn of the loop

Requests of others waited for seconds, or were not served, while one server sent interim answers or tiny chunks without end.

Cause: each turn of the loop parsed all that a connection had sent, up to 256 KiB, and interim answers were dropped without a bound.

Change: at most 64 events and 64 KiB of a connection are parsed in a turn; it is read on once the rest is parsed. More than 16 interim answers to a request end its connection.

Evidence: the unit tests fail on the code before, which parsed 4,000 interim answers and 4,000 chunks in one turn.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -34,6 +34,13 @@
 # Bounds of the late answers to earlier requests on one connection.
 _MAX_LATE_ANSWERS = 4
 _MAX_LATE_BYTES = 256 * 1024
+# Bounds of what one connection parses in one turn of the event loop, so that a
+# server that sends without end leaves time for the other connections.
+_TURN_BYTES = 64 * 1024
+_PIECE_BYTES = 16 * 1024
+_TURN_EVENTS = 64
+# Interim answers to one request, of which servers send one at most.
+_MAX_INTERIM_ANSWERS = 16
 _FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
 
 # A proxy whose server is gone closes a new connection within this time; a
@@ -95,6 +102,13 @@
         self._late_answers = 0
         self._late_bytes = 0
         self._is_answer_late = False
+        self._interim_answers = 0
+        # Received bytes that the parser doesn't have yet.
+        self._unparsed = bytearray()
+        self._turn_events = 0
+        # Bytes or events are left for the next turn of the loop.
+        self._is_behind = False
+        self._is_held = False
 
     @property
     def is_usable(self) -> bool:
@@ -138,6 +152,7 @@
         self._listener = listener
         self._carried.add(hash(request))
         self._method = head.method
+        self._interim_answers = 0
         data = self._http.send(head) or b''
         if body:
             data += self._http.send(h11.Data(data=body)) or b''
@@ -150,11 +165,9 @@
         if self._listener is None:
             self.close()
             return
-        try:
-            self._http.receive_data(data)
-            self._take_events()
-        except h11.RemoteProtocolError:
-            self._fail('the answer is malformed')
+        self._unparsed += data
+        if not self._is_behind:
+            self._parse()
 
     def eof_received(self) -> bool | None:
         """End an answer that is delimited by the close of the connection."""
@@ -162,6 +175,7 @@
             return None
         self.was_closed_by_peer = True
         self.has_ended_answer = True
+        self._turn_events = 0
         try:
             self._http.receive_data(b'')
             self._take_events()
@@ -187,13 +201,17 @@
 
     def pause_reading(self) -> None:
         """Let the answer wait, so that the server is held back."""
-        if self._transport is not None and self.is_usable:
-            self._transport.pause_reading()
+        self._is_held = True
+        self._update_reading()
 
     def resume_reading(self) -> None:
         """Receive the answer again."""
-        if self._transport is not None and self.is_usable:
-            self._transport.resume_reading()
+        if not self._is_held:
+            return
+        self._is_held = False
+        self._update_reading()
+        if self._is_behind:
+            self._parse_later()
 
     def close(self) -> None:
         """Close at once, without further calls of the listener.
@@ -212,24 +230,79 @@
             bound.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         transport.abort()
 
-    def _take_events(self) -> None:
+    def _parse(self) -> None:
+        """Parse what has come, up to the bounds of one turn of the loop."""
+        if self._is_held:
+            return
+        self._turn_events = 0
+        try:
+            is_behind = self._parse_pieces()
+        except h11.RemoteProtocolError:
+            self._fail('the answer is malformed')
+            return
+        self._is_behind = is_behind and self._listener is not None
+        self._update_reading()
+        if self._is_behind and not self._is_held:
+            self._parse_later()
+
+    def _parse_later(self) -> None:
+        asyncio.get_running_loop().call_soon(self._parse)
+
+    def _parse_pieces(self) -> bool:
+        """Parse bytes in small pieces; return whether something is left."""
+        is_whole = self._take_events() if self._is_behind else True
+        for _ in range(_TURN_BYTES // _PIECE_BYTES):
+            if not (is_whole and self._unparsed) or self._is_held:
+                break
+            piece = bytes(self._unparsed[:_PIECE_BYTES])
+            del self._unparsed[:_PIECE_BYTES]
+            self._http.receive_data(piece)
+            is_whole = self._take_events()
+        return not is_whole or bool(self._unparsed)
+
+    def _update_reading(self) -> None:
+        transport = self._transport
+        if transport is None or not self.is_usable:
+            return
+        if self._is_held or self._is_behind:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
+    def _take_events(self) -> bool:
+        """Take the parsed events; return False if some are left."""
         while self._listener is not None:
+            if self._turn_events >= _TURN_EVENTS:
+                return False
             event = self._http.next_event()
             if not isinstance(event, h11.Event):
-                return
+                return True
+            self._turn_events += 1
             self._take_event(event, self._listener)
+        return True
 
     def _take_event(self, event: h11.Event, listener: AnswerListener) -> None:
         if isinstance(event, h11.ConnectionClosed):
             self._fail('the server closed the connection before it answered')
         elif self._is_answer_late:
             self._drop_late(event)
+        else:
+            self._take_part(event, listener)
+
+    def _take_part(self, event: h11.Event, listener: AnswerListener) -> None:
+        if isinstance(event, h11.Data):
+            listener.take_part(bytes(event.data))
         elif isinstance(event, h11.Response):
             self._take_head(event, listener)
-        elif isinstance(event, h11.Data):
-            listener.take_part(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._end(listener)
+        elif isinstance(event, h11.InformationalResponse):
+            self._count_interim()
+
+    def _count_interim(self) -> None:
+        self._interim_answers += 1
+        if self._interim_answers > _MAX_INTERIM_ANSWERS:
+            self._fail('the server sent too many interim answers')
 
     def _take_head(self, head: h11.Response, listener: AnswerListener) -> None:
         headers = _decode(head)
@@ -283,7 +356,7 @@
         transport = self._transport
         if transport is None or transport.get_write_buffer_size():
             return False
-        if self._http.trailing_data[0]:
+        if self._unparsed or self._http.trailing_data[0]:
             return False
         try:
             self._http.start_next_cycle()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,14 +7,18 @@
 from dataclasses import dataclass, field
 
 import anyio
+import h11
 import pytest
 
+from oleanderdyke.clients import direct
 from oleanderdyke.clients.buffered import fetch_body
 from oleanderdyke.clients.direct import BackendConnection, make_head
 from oleanderdyke.clients.http import HttpBackend, HttpError
 from oleanderdyke.clients.keep_alive import KeepAliveHttp
+from tests.hosted import staging
 from tests.standins.endless import Pour, begin, pour
 from tests.standins.replica import Peer, make_chunk, serving_replica
+from tests.standins.scripts import answer_well
 
 pytestmark = pytest.mark.anyio
 
@@ -96,6 +100,60 @@
         tasks.cancel_scope.cancel()
 
 
+# Guards against interim answers without end, which were dropped one by one.
+async def test_interim_answers_are_limited():
+    async with _awaiting_answer() as (connection, listener, transport):
+        connection.data_received(_INTERIM * _MANY)
+    assert listener.failures == ['the server sent too many interim answers']
+    assert transport.is_closed
+
+
+async def test_answer_after_a_few_interim_ones_is_taken():
+    async with _awaiting_answer() as (connection, listener, _):
+        connection.data_received(_INTERIM * 3 + _HEAD + make_chunk(b'done'))
+        connection.data_received(b'0\r\n\r\n')
+    assert (listener.body, listener.ends) == (b'done', 1)
+
+
+# Guards against an answer in tiny chunks that takes a whole turn of the loop.
+async def test_one_connection_parses_few_events_in_a_turn():
+    async with _awaiting_answer() as (connection, listener, transport):
+        connection.data_received(_HEAD + make_chunk(b'x') * _MANY)
+        assert len(listener.parts) <= direct._TURN_EVENTS
+        assert not transport.is_reading
+        while len(listener.parts) < _MANY:
+            await asyncio.sleep(0)
+        assert transport.is_reading
+        connection.data_received(b'0\r\n\r\n')
+    assert (listener.body, listener.ends) == (b'x' * _MANY, 1)
+    per_turn = [listener.parts.count(turn) for turn in set(listener.parts)]
+    assert max(per_turn) <= 2 * direct._TURN_EVENTS
+
+
+async def test_paused_connection_parses_nothing_until_it_is_resumed():
+    async with _awaiting_answer() as (connection, listener, transport):
+        connection.data_received(_HEAD + make_chunk(b'x') * _MANY)
+        connection.pause_reading()
+        count = len(listener.parts)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert len(listener.parts) == count
+        connection.resume_reading()
+        while len(listener.parts) < _MANY:
+            await asyncio.sleep(0)
+        assert transport.is_reading
+
+
+async def test_bytes_after_a_long_answer_close_its_connection():
+    async with _awaiting_answer() as (connection, listener, transport):
+        body = make_chunk(b'x') * _MANY + b'0\r\n\r\n'
+        connection.data_received(_HEAD + body + b'HTTP/1.1 200 OK\r\n')
+        while not listener.ends:
+            await asyncio.sleep(0)
+    assert listener.body == b'x' * _MANY
+    assert transport.is_closed
+
+
 @contextlib.asynccontextmanager
 async def _serving_pour(kind, sent):
     async def play(peer: Peer) -> None:
@@ -155,3 +213,46 @@
         tasks.cancel_scope.cancel()
     assert body == b'x' * 20_000
     assert turns.turn > 20_000 / 512
+
+
+# Guards against servers whose bytes without end keep others from being served.
+@pytest.mark.parametrize(
+    'kind',
+    [each for each in Pour if each not in {Pour.REJECTION, Pour.FAILURE}],
+)
+async def test_requests_of_others_are_served_beside_bytes_without_end(
+    tmp_path, kind
+):
+    poured = []
+
+    async def play(peer: Peer) -> None:
+        if 'poured' in peer.request.target:
+            poured.append(await pour(peer, kind))
+        else:
+            await answer_well(peer)
+
+    answers = []
+    async with (
+        staging(tmp_path, play, play) as stage,
+        anyio.create_task_group() as tasks,
+    ):
+        for number in range(6):
+            path = f'/{"letter" if number % 2 else "safe"}/poured'
+            tasks.start_soon(_call_for(stage, path, f'poured-{number}'))
+        for number in range(40):
+            found = await stage.call(
+                '/once/sound', oleanderdyke_request_id=f'sound-{number}'
+            )
+            answers.append(found.status)
+        tasks.cancel_scope.cancel()
+    assert answers.count(200) == 40
+
+
+def _call_for(stage, path, name):
+    async def call():
+        with contextlib.suppress(
+            OSError, asyncio.IncompleteReadError, h11.ProtocolError
+        ):
+            await stage.call(path, oleanderdyke_request_id=name)
+
+    return call
