Let the soak repeat answers late, pour bytes and fell context stores

The soak could show neither case of the review: its servers repeated no answer, and it had no context stores. `--garble` adds both, bytes that are no answer without end, and stores as processes that fall, stand still and come back empty while entries free parts.

--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -77,16 +77,21 @@
 }
 
 
-def configure_store(address: str) -> dict[str, Any]:
-    """Return the configuration with a context store added."""
-    store = {
-        'name': 'rules',
+def make_store_service(name: str, address: str) -> dict[str, Any]:
+    """Return the service of a context store."""
+    return {
+        'name': name,
         'kvStoreAddr': address,
         'zone': 'hall',
         'kvCapacity': 200_000,
         'linkMbps': 58_000,
         'managed': True,
     }
+
+
+def configure_store(address: str) -> dict[str, Any]:
+    """Return the configuration with a context store added."""
+    store = make_store_service('rules', address)
     services = [*CONFIGURATION['services'], store]
     return {**CONFIGURATION, 'services': services}
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,7 @@
 from tools.soak.losses import list_losses
 from tools.soak.plan import (
     FaultKind,
+    make_garble_plan,
     make_plan,
     make_poison_plan,
     make_repeat_plan,
@@ -88,6 +89,13 @@
     assert run_plan(make_stream_plan(seed, 20, entries=3), tmp_path) == []
 
 
+# A free of context that failed ended entries; a late copy of a rejection was
+# taken for the answer to the next try; bytes without end held up others.
+@pytest.mark.parametrize('seed', [9101, 9102])
+def test_promises_hold_beside_wrong_answers_and_lost_context(tmp_path, seed):
+    assert run_plan(make_garble_plan(seed, 20, entries=3), tmp_path) == []
+
+
 # A draining entry took streams that it could not finish within its grace time.
 def test_entries_that_stop_take_only_streams_that_they_can_finish(tmp_path):
     assert run_plan(make_stop_plan(1, entries=4), tmp_path) == []
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -16,6 +16,7 @@
 from tools.soak.late_plan import make_late_plan
 from tools.soak.plan import (
     Plan,
+    make_garble_plan,
     make_plan,
     make_poison_plan,
     make_repeat_plan,
@@ -67,6 +68,8 @@
         make = make_poison_plan
     if options.repeat:
         make = make_repeat_plan
+    if options.garble:
+        make = make_garble_plan
     return make(seed, options.seconds, entries=options.entries)
 
 
@@ -104,6 +107,11 @@
         action='store_true',
         help='send one request that ends servers of a small service again',
     )
+    parser.add_argument(
+        '--garble',
+        action='store_true',
+        help='repeat answers late, send bytes without end, fell context stores',
+    )
     parser.add_argument(
         '--directory', default=_DIRECTORY, help='folder for settings and logs'
     )
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,6 +12,7 @@
     SAFE_ROUTE,
     STREAM_ROUTE,
     UNRESUMABLE_ROUTE,
+    make_store_service,
 )
 
 _MILLIS = 1000
@@ -43,8 +44,13 @@
 TARGET = 0.4
 
 
-def make_configuration(version: int, timeouts: Timeouts) -> Mapping[str, Any]:
-    """Return the configuration with routes for calls and for streams."""
+def make_configuration(
+    version: int, timeouts: Timeouts, memories: Iterable[str] = ()
+) -> Mapping[str, Any]:
+    """Return the configuration with routes for calls and for streams.
+
+    `memories` are the addresses of context stores.
+    """
     call = {'timeoutMs': timeouts.call * _MILLIS}
     stream = {
         'timeoutMs': timeouts.stream * _MILLIS,
@@ -65,4 +71,11 @@
             {**UNRESUMABLE_ROUTE, **stream},
         ],
         'limits': limits,
+        'services': [
+            *CONFIGURATION['services'],
+            *(
+                make_store_service(f'memory-{number}', address)
+                for number, address in enumerate(memories)
+            ),
+        ],
     }
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -50,6 +50,10 @@
     LINKS_CLOSE_EARLY = 'links_close_early'
     LINK_CLOSES_EARLY = 'link_closes_early'
     MACHINE_BUSY = 'machine_busy'
+    SERVERS_REPEAT = 'servers_repeat'
+    SERVERS_POUR = 'servers_pour'
+    MEMORY_FALLS = 'memory_falls'
+    MEMORY_PAUSED = 'memory_paused'
     STORE_LINK_SILENT = 'store_link_silent'
     STORE_LINK_RESET = 'store_link_reset'
 
@@ -105,6 +109,8 @@
     has_backends: bool = False
     lapses: bool = False
     has_prompts: bool = False
+    # The number of context stores.
+    memories: int = 0
     # So many callers send one and the same request at once, again and again.
     repeaters: int = 0
 
@@ -120,6 +126,15 @@
         return (head, *(fault.describe() for fault in self.faults))
 
 
+_GARBLES = (
+    FaultKind.SERVERS_REPEAT,
+    FaultKind.SERVERS_POUR,
+    FaultKind.MEMORY_FALLS,
+    FaultKind.MEMORY_FALLS,
+    FaultKind.MEMORY_PAUSED,
+)
+_GARBLE_SECONDS = (0.5, 4.0)
+_MEMORIES = (1, 2, 3)
 # Faults are drawn with these weights; most end or disturb an entry.
 _WEIGHTS: Mapping[FaultKind, int] = {
     FaultKind.KILL: 6,
@@ -335,6 +350,33 @@
     )
 
 
+def make_garble_plan(seed: int, seconds: float, *, entries: int) -> Plan:
+    """Draw a plan in which answers are wrong and context stores fall.
+
+    Servers repeat answers late and send bytes without end.
+    """
+    plan = make_stream_plan(seed, seconds, entries=entries)
+    random = Random(f'garble {seed}')
+    faults = [
+        *plan.faults,
+        *(_draw_garble(random, seconds) for _ in range(round(seconds / 2))),
+    ]
+    return replace(
+        plan,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at)),
+        memories=random.choice(_MEMORIES),
+    )
+
+
+def _draw_garble(random: Random, seconds: float) -> Fault:
+    return Fault(
+        random.uniform(_FIRST_FAULT_SECONDS, seconds),
+        random.choice(_GARBLES),
+        slot=random.randrange(max(_MEMORIES)),
+        duration=random.uniform(*_GARBLE_SECONDS),
+    )
+
+
 def make_restart_plan(
     seed: int, *, entries: int, restarts: int, kind: FaultKind, has_links: bool
 ) -> Plan:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -31,6 +31,7 @@
 from tools.soak.fleet import Fleet
 from tools.soak.late_faults import LateFaults
 from tools.soak.links import linking
+from tools.soak.memories import Memories
 from tools.soak.plan import Fault, FaultKind, Plan
 from tools.soak.poison import (
     MODELS,
@@ -68,6 +69,7 @@
     # Adds what was not observed while the run went on.
     collect: Callable[[], None] = lambda: None
     poison: PoisonTraffic | None = None
+    memories: Memories | None = None
     _version: int = CONFIGURATION['version']
     _handlers: Mapping[FaultKind, Callable[[Fault], Awaitable[None]]] = field(
         init=False
@@ -101,6 +103,10 @@
             FaultKind.SERVER_RESTARTED: self._restart_server,
             FaultKind.SERVER_RENAMED: self._rename_server,
             FaultKind.POISON: self._poison,
+            FaultKind.SERVERS_REPEAT: self._make_server_fault(Behaviour.REPEAT),
+            FaultKind.SERVERS_POUR: self._make_server_fault(Behaviour.POUR),
+            FaultKind.MEMORY_FALLS: self._let_memory_fall,
+            FaultKind.MEMORY_PAUSED: self._pause_memory,
         }
 
     def add_handlers(
@@ -235,8 +241,11 @@
 
     def _publish(self, timeouts: Timeouts) -> None:
         self._version += 1
+        memories = () if self.memories is None else self.memories.addresses
         self.store.put(
-            OPERATOR, 'config', make_configuration(self._version, timeouts)
+            OPERATOR,
+            'config',
+            make_configuration(self._version, timeouts, memories),
         )
         self.callers.timeouts.record(timeouts, self.now())
 
@@ -267,6 +276,14 @@
         else:
             await self.poison.run('bad', _SOUND_SECONDS, fault.duration)
 
+    async def _let_memory_fall(self, fault: Fault) -> None:
+        if self.memories is not None:
+            await self.memories.fall(fault.slot, fault.duration)
+
+    async def _pause_memory(self, fault: Fault) -> None:
+        if self.memories is not None:
+            await self.memories.pause(fault.slot, fault.duration)
+
     async def _rename_server(self, fault: Fault) -> None:
         await self.service.restart(
             fault.slot, fault.duration, is_new_start=True
@@ -292,15 +309,12 @@
 
     has_streams = plan.stream_share > 0
     store = SoakStore(now)
-    store.put(
-        OPERATOR,
-        'config',
-        make_configuration(CONFIGURATION['version'], TIMEOUTS[0]),
-    )
     observations = Observations(store_faults=store.spells)
     servers = Servers(observations, now, takes_time=has_streams)
     service = Service(servers, store, observations.history, now)
     async with AsyncExitStack() as stack:
+        memories = await _start_memories(stack, plan, directory)
+        _name_first_state(store, memories)
         (address,) = await stack.enter_async_context(server.serving(store))
         stack.callback(service.stop_all)
         late: LateFaults | None = None
@@ -346,6 +360,7 @@
             now,
             report,
         )
+        soak.memories = memories
         if plan.has_prompts:
             soak.poison = PoisonTraffic(
                 fleet, observations, service, Random(plan.seed), now
@@ -359,6 +374,26 @@
         yield soak
 
 
+async def _start_memories(
+    stack: AsyncExitStack, plan: Plan, directory: Path
+) -> Memories:
+    memories = Memories(directory)
+    await stack.enter_async_context(memories.running(plan.memories))
+    return memories
+
+
+def _name_first_state(store: SoakStore, memories: Memories) -> None:
+    """Publish the first configuration, and weights if context is stored."""
+    configuration = make_configuration(
+        CONFIGURATION['version'], TIMEOUTS[0], memories.addresses
+    )
+    store.put(OPERATOR, 'config', configuration)
+    if memories.addresses:
+        (model,) = MODELS
+        named = {'model': model['name'], 'version': model['version']}
+        store.put(OPERATOR, f'version/{model["name"]}', named)
+
+
 async def _start_backends(
     stack: AsyncExitStack,
     plan: Plan,
@@ -379,7 +414,7 @@
 
 async def _start_servers(service: Service, plan: Plan) -> None:
     """Start as many servers of each software version."""
-    if plan.has_prompts:
+    if plan.has_prompts or plan.memories:
         service.models = MODELS
     if plan.stream_share:
         service.slots = _STREAM_SLOTS
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import enum
 import math
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from random import Random
+from weakref import WeakKeyDictionary
 
 import anyio
 
-from tests.standins.replica import Peer, make_chunk, make_head
+from tests.standins.endless import Pour, pour
+from tests.standins.replica import (
+    Peer,
+    make_answer,
+    make_chunk,
+    make_head,
+)
 from tools.soak.arrivals import Observations
 from tools.soak.attempts import RunEnd, ServerRun, Spell
 from tools.soak.events import StreamPath, encode_event
@@ -20,6 +28,10 @@
 _REFUSED, _MISDIRECTED, _FAILED = 503, 421, 500
 _CALL_SECONDS = (0.01, 0.15)
 _BREAK_SHARE = 0.15
+_REJECTED_SHARE = 0.4
+_POURED_SHARE = 0.15
+# Bytes without end that are no answers.
+_POURS = (Pour.HEAD, Pour.NO_HTTP, Pour.INTERIM, Pour.FOREIGN, Pour.UNSEALED)
 _PIECE_SECONDS = 0.02
 _ORDERLY_SHARE = 0.5
 _UNFRAMED_SHARE = 0.4
@@ -37,6 +49,10 @@
     RESET = enum.auto()
     FAIL = enum.auto()
     BREAK = enum.auto()
+    # Reject some requests, and repeat answers late.
+    REPEAT = enum.auto()
+    # Send bytes that are no answer without end to some requests.
+    POUR = enum.auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +116,10 @@
     slowness: list[float] = field(default_factory=list)
     # Ends a server at a poisonous request; returns whether it was one.
     poison: Callable[[Host, Peer], Awaitable[bool]] | None = None
+    # Second copies of answers, which come where the next one is expected.
+    _copies: WeakKeyDictionary[asyncio.StreamWriter, bytes] = field(
+        default_factory=WeakKeyDictionary
+    )
     _begun: list[tuple[Host, ServerRun]] = field(default_factory=list)
 
     def record_stops(self) -> None:
@@ -132,16 +152,30 @@
             peer.reset()
             return
         try:
-            if self.poison is not None and await self.poison(host, peer):
-                run.end(RunEnd.BROKE_OFF, self.now())
-                return
-            run.end(await self._find_answer(peer)(host, peer), self.now())
+            await self._act(host, peer, run)
         except ConnectionError:
             if host.stopped_at > run.begun:
                 run.end(RunEnd.BROKE_OFF, host.stopped_at)
             run.end(RunEnd.ABANDONED, self.now())
             raise
 
+    async def _act(self, host: Host, peer: Peer, run: ServerRun) -> None:
+        """Send what is left of the answer before, then this one."""
+        if copy := self._copies.pop(peer.writer, b''):
+            await peer.send(copy)
+        if self._is_poured(run.request):
+            self.observations.record_run(run.request, b'')
+            run.end(RunEnd.BROKE_OFF, self.now())
+            await pour(peer, Random(run.request).choice(_POURS))
+        elif self.poison is not None and await self.poison(host, peer):
+            run.end(RunEnd.BROKE_OFF, self.now())
+        else:
+            run.end(await self._find_answer(peer)(host, peer), self.now())
+
+    def _is_poured(self, request: str) -> bool:
+        is_pouring = Behaviour.POUR in self.active
+        return is_pouring and Random(request).random() < _POURED_SHARE
+
     @contextlib.contextmanager
     def behaving(self, behaviour: Behaviour) -> Iterator[None]:
         """Let all servers behave in one way, over others that last."""
@@ -161,6 +195,7 @@
             Behaviour.REFUSE: self._refuse,
             Behaviour.RESET: self._reset,
             Behaviour.FAIL: self._fail,
+            Behaviour.REPEAT: self._repeat,
         }
         is_stream = StreamPath.is_match(peer.request.target)
         return answers.get(behaviour, self._stream if is_stream else self._call)
@@ -223,6 +258,26 @@
         await peer.answer(_REFUSED, b'full', oleanderdyke_not_executed='1')
         return RunEnd.REFUSED
 
+    async def _repeat(self, host: Host, peer: Peer) -> RunEnd:
+        """Reject a request or run it, and keep a second copy of the answer."""
+        if StreamPath.is_match(peer.request.target):
+            return await self._stream(host, peer)
+        request = peer.request.headers['oleanderdyke-request-id']
+        arrivals = len(self.observations.runs[request])
+        if Random(f'{request}/{arrivals}').random() < _REJECTED_SHARE:
+            marks = {'oleanderdyke_not_executed': '1'}
+            answer = make_answer(peer.request, _REFUSED, b'full', **marks)
+            end = RunEnd.REFUSED
+        else:
+            body = f'result of {request}'.encode()
+            self.observations.record_run(request, body)
+            answer = make_answer(peer.request, body=body)
+            end = RunEnd.FINISHED
+            await self._work(host, _CALL_SECONDS[0])
+        await peer.send(answer)
+        self._copies[peer.writer] = answer
+        return end
+
     async def _reset(self, _host: Host, peer: Peer) -> RunEnd:
         request = peer.request.headers['oleanderdyke-request-id']
         self.observations.record_run(request, b'')
