Read the list before a stream goes on over a newer connection

Cause: the version of a server was taken from a list up to 0.6 s old, also for a connection that another start had accepted since.

A stream that goes on over a newer connection waits for such a list, a second at most; without the store it goes on unless the server failed. Tried and taken back: to mark streams that begin in that window as of an unknown version, as streams taken up soon after were refused.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -92,6 +92,8 @@
         self._listener: AnswerListener | None = None
         self._transport: asyncio.Transport | None = None
         self.idle_since = 0.0
+        # Set by the user of the connection, by its own clock.
+        self.opened_at: Millis | None = None
         # The server or its machine has closed the connection, unlike one that
         # stopped acknowledging, which may be behind a cut link.
         self.was_closed_by_peer = False
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -10,7 +10,7 @@
     make_head,
     set_idle_limit,
 )
-from oleanderdyke.clock import Millis
+from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.answers import (
     continues_stream,
     find_answer_fault,
@@ -79,6 +79,8 @@
     from oleanderdyke.entry.hosted.unread import StreamFlow
 
 _SERVER_ERROR = 500
+# The list of servers is read within some 100 ms on request.
+_LISTING_LIMIT: Millis = 1 * SECOND
 # What is known of a request that must not be sent now.
 _UNSENT = frozenset({PoisonStatus.QUARANTINED, PoisonStatus.WAITING})
 _CLOSE_FRAMING = 'close'
@@ -185,13 +187,40 @@
             core.pool.drop_idle(address)
             self._report_unsent(f'cannot connect: {type(error).__name__}')
             return
-        fault = self._find_send_fault(backend)
+        try:
+            fault = await self._find_listing_fault(connection, backend)
+        except BaseException:
+            connection.close()
+            raise
+        fault = fault or self._find_send_fault(backend)
         if fault:
             connection.close()
             self._report_unsent(fault)
             return
         self._send(connection, backend)
 
+    async def _find_listing_fault(
+        self, connection: BackendConnection, backend: Backend
+    ) -> str:
+        """Return why a stream may not go on over a connection, or ''.
+
+        A server is listed before it accepts connections. One that accepted this
+        connection after the last list was read may have started anew, with
+        another version of the software.
+        """
+        core = self._core
+        if connection.opened_at is None:
+            connection.opened_at = core.clock.now()
+        if self._pin is None or self._pin.software is None:
+            return ''
+        limit = min(_LISTING_LIMIT, self._call.deadline - core.clock.now())
+        if await core.wait_listed(connection.opened_at, limit):
+            return ''
+        # Without the store a server counts as the listed one until it fails.
+        if not backend.failures:
+            return ''
+        return 'the server may have started anew since it was listed'
+
     def abort_if_outdated(self) -> None:
         """Abort a request still queued on weights that are about to expire.
 
--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -90,6 +90,9 @@
     # When the last configuration read was requested.
     configuration_requested_at: Millis = 0.0
     servers_read_at: Millis | None = None
+    # When the newest list of servers was requested, and an event for the next.
+    servers_listed_at: Millis = -math.inf
+    servers_listed: anyio.Event = field(default_factory=anyio.Event)
     # Set while requests wait and no server is listed for them.
     servers_requested: anyio.Event = field(default_factory=anyio.Event)
     # Set while streams wait for news of what began them.
@@ -203,6 +206,20 @@
                 duration=round(pause),
             )
 
+    def record_listed(self, requested_at: Millis) -> None:
+        """Record that a list of servers was read."""
+        self.servers_listed_at = requested_at
+        self.servers_listed.set()
+        self.servers_listed = anyio.Event()
+
+    async def wait_listed(self, since: Millis, limit: Millis) -> bool:
+        """Wait for a list of servers that was requested after `since`."""
+        with anyio.move_on_after(limit / SECOND):
+            while self.servers_listed_at < since:
+                self.servers_requested.set()
+                await self.servers_listed.wait()
+        return self.servers_listed_at >= since
+
     def request_servers(self) -> None:
         """Request an earlier read of the server list for waiting requests."""
         self.servers_requested.set()
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -165,9 +165,9 @@
         _apply_servers(core.backends, news, now)
         core.backends.complete_read(now, read_at)
         # An answer that arrives late tells of the time of its request.
-        core.software.record_list(
-            core.backends.list_softwares(now), min(read_at, requested_at)
-        )
+        listed_at = min(read_at, requested_at)
+        core.software.record_list(core.backends.list_softwares(now), listed_at)
+        core.record_listed(listed_at)
         self._changes.log_changes(
             core.backends, now, now - (core.servers_read_at or now)
         )
