Import the metrics server only when it is started

test_loaded_modules failed since: an entry loads 400 modules where fewer than 400 are allowed, as background tasks are a new one. The server of metrics is imported by its task now (399); the bound stays.

--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -31,11 +31,11 @@
 from oleanderdyke.platform.settings import HostSettings, load_host_settings
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
 from oleanderdyke.platform.topics import CrashFeed
-from oleanderdyke.scrape import METRICS_PORT, MetricsServer
 
 if TYPE_CHECKING:
     from oleanderdyke.entry.hosted.crash_news import CrashNews
     from oleanderdyke.entry.hosted.handover import StreamHandover
+    from oleanderdyke.scrape import MetricsServer
 
 _TICK_PERIOD: Millis = 50.0
 # A process whose ticks are this far apart was suspended or blocked, and reads
@@ -176,14 +176,18 @@
     async def _serve_metrics(self) -> None:
         """Serve metrics; log an error if their port can't be bound."""
         core = self._core
-        server = MetricsServer(core.metrics, core.update_gauges)
+        # Callers are served before the module is imported.
+        scrape = import_module('oleanderdyke.scrape')
+        server: MetricsServer = scrape.MetricsServer(
+            core.metrics, core.update_gauges
+        )
         try:
             await server.serve(core.settings.ip)
         except OSError as error:
             core.log.write(
                 EventName.RECORD_REFUSED,
                 name='metrics',
-                detail=f'port {METRICS_PORT}: {error}',
+                detail=f'port {scrape.METRICS_PORT}: {error}',
             )
 
     async def _tick(self, server: EdgeServer) -> None:
