Close the listeners of an entry that a test kills

A readiness poll went unanswered for 10 s in the known red test of entries that left. Cause, traced by the review: a test kills an entry within its own process, which closes listening sockets that the loop still reads; the next connection gets such a descriptor and is never read. An entry that is a process of its own ends there.

Change: the scene closes the listeners as the entry ends. The test's checks and bounds are as they were.

--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import socket
 from collections.abc import AsyncGenerator, Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -16,6 +17,7 @@
 from oleanderdyke.clock import make_clock
 from oleanderdyke.entry.hosted.core import HostedCore, make_hosted_core
 from oleanderdyke.entry.hosted.shell import HostedShell
+from oleanderdyke.entry.server import EdgeServer
 from oleanderdyke.kernel.servers import ServerStart
 from oleanderdyke.logs import make_event_log
 from oleanderdyke.platform.settings import load_host_settings
@@ -24,6 +26,26 @@
 from tests.standins.records import RecordStore
 from tests.standins.replica import Replica, Script, serving_replica
 
+_serve = EdgeServer.serve
+
+
+async def _serve_and_close(
+    self: EdgeServer, sockets: list[socket.socket] | None = None
+) -> None:
+    """Serve, and close the listeners also if the entry is killed.
+
+    An entry within this process closes its sockets, but the loop would go on
+    reading their descriptors, which other connections get next.
+    """
+    try:
+        await _serve(self, sockets)
+    finally:
+        for listener in getattr(self, 'servers', ()):
+            listener.close()
+
+
+EdgeServer.serve = _serve_and_close  # type: ignore[method-assign]
+
 HOST = 'rooms.example'
 _EARLIER_REQUESTS = 100
 KEY = 'key-of-red'
