--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -154,11 +154,17 @@
     return server
 
 
-async def _play_all(directory, seeds):
+async def _check(directory, seed, *, servers):
+    """Play a draw; check that no connection carried a request twice."""
+    server = await _play(directory, seed, servers=servers)
+    assert not _list_repeated(server)
+
+
+async def _check_all(directory, seeds):
     for seed in seeds:
         place = directory / str(seed)
         place.mkdir()
-        await _play(place, seed, servers=1)
+        await _check(place, seed, servers=1)
 
 
 def _list_repeated(server):
@@ -172,8 +178,7 @@
 async def test_late_copies_are_never_answers_to_another_try(
     tmp_path, seed, servers
 ):
-    server = await _play(tmp_path, seed, servers=servers)
-    assert not _list_repeated(server)
+    await _check(tmp_path, seed, servers=servers)
 
 
 async def test_connections_that_carry_a_request_twice_are_caught(
@@ -181,7 +186,7 @@
 ):
     monkeypatch.setattr(BackendConnection, 'has_carried', lambda *_: False)
     with pytest.raises((AssertionError, ExceptionGroup)):
-        await _play_all(tmp_path, range(12))
+        await _check_all(tmp_path, range(12))
 
 
 async def _book(stage, request):
