Close the connections of clients when their tasks end

Callers saw nothing; the suite was red on Python 3.11.6. There a StreamWriter that is dropped unclosed closes itself, also after its event loop has ended, which raises; later versions only warn.

Cause, by recording where each dropped writer was made in a run of the whole suite (4,102 passed with the fault only recorded): 2,305 of the writers were those of the product's own clients of the platform's store, which no task closed as it ended, and of the clients of context stores, which also outlived the store's removal from the configuration. 1,331 were those of stand-ins whose script was cancelled, 10 those of single tests.

Each task now owns its clients and closes them when it ends (clients/keep_alive.py, closing). The stand-in of a backend server closes its connection also when its script is cancelled; five tests close theirs. filterwarnings is unchanged.

Measured on 3.11.6: the 19 files that open most connections pass (478 tests), and no writer but those of three tests was left open, which are closed since.

--- a/src/oleanderdyke/agent/hosted/engine_loader.py
+++ b/src/oleanderdyke/agent/hosted/engine_loader.py
@@ -124,6 +124,10 @@
             return False
         return self._loaded_versions == self.weights.list_newest()
 
+    async def close(self) -> None:
+        """Close the connections to the platform's store."""
+        await self._store.close()
+
     async def step(self) -> None:
         """Read the state of the engine and take the next step of a load.
 
--- a/src/oleanderdyke/agent/hosted/news.py
+++ b/src/oleanderdyke/agent/hosted/news.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.dependencies import make_news_dependency
 from oleanderdyke.events import EventName
@@ -59,8 +60,8 @@
             make_news_dependency(log, metrics, clock),
         )
         sharing = self.share(wait=_ENTRIES_WAIT, limit=_ENTRIES_LIMIT)
-        client = StoreClient(settings.store, sharing=sharing)
-        self._entries = EntryFeed(client, self._log_refused_record)
+        self._client = StoreClient(settings.store, sharing=sharing)
+        self._entries = EntryFeed(self._client, self._log_refused_record)
         self._incarnation = secrets.token_hex(8)
 
     def share(self, *, wait: Millis, limit: Millis) -> TopicSharing:
@@ -71,7 +72,7 @@
 
     async def run(self, random: Random) -> None:
         """Keep links to the entries that share reads, until cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with closing(self._client), anyio.create_task_group() as tasks:
             tasks.start_soon(self._read_entries)
             await anyio.sleep(_IMPORT_DELAY / SECOND)
             links = import_module('oleanderdyke.links.news_links')
--- a/src/oleanderdyke/agent/hosted/shell.py
+++ b/src/oleanderdyke/agent/hosted/shell.py
@@ -13,6 +13,7 @@
 from oleanderdyke.agent.hosted.engine_loader import EngineLoader
 from oleanderdyke.agent.hosted.news import AgentNews
 from oleanderdyke.background import BackgroundTasks
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Clock, Millis, make_clock
 from oleanderdyke.dependencies import Dependency
 from oleanderdyke.events import EventName
@@ -93,15 +94,13 @@
             self._news.share(wait=_SHARED_LOADS_WAIT, limit=_LOADS_LIMIT),
         )
         self._loads = LoadFeed(self._loads_client, self._log_refused_record)
+        self._operator_client = StoreClient(
+            settings.store,
+            _draw_wait(settings.process),
+            self._news.share(wait=_OPERATOR_WAIT, limit=_CONFIGURATION_LIMIT),
+        )
         self._operator = OperatorFeed(
-            StoreClient(
-                settings.store,
-                _draw_wait(settings.process),
-                self._news.share(
-                    wait=_OPERATOR_WAIT, limit=_CONFIGURATION_LIMIT
-                ),
-            ),
-            self._log_refused_record,
+            self._operator_client, self._log_refused_record
         )
 
     async def run(self) -> None:
@@ -157,11 +156,13 @@
         self._metrics.set_count(Count.LINES_DROPPED, self._log.count_dropped())
 
     async def _follow_operator(self) -> None:
-        await self._follow('operator', self._read_operator)
+        async with closing(self._operator_client):
+            await self._follow('operator', self._read_operator)
 
     async def _follow_loads(self) -> None:
         """Read notices of loads, which appear only after new weights."""
-        await self._follow('loads', self._read_loads)
+        async with closing(self._loads_client):
+            await self._follow('loads', self._read_loads)
 
     async def _follow(
         self, name: str, read: Callable[[], Awaitable[None]]
@@ -219,6 +220,10 @@
 
     async def _run_rollout(self) -> None:
         """Take steps of loads; check a settled engine only rarely."""
+        async with closing(self._engine_loader):
+            await self._repeat_steps()
+
+    async def _repeat_steps(self) -> None:
         pause, checked_at = _ROLLOUT_INTERVAL, -math.inf
         while True:
             now = self._clock.now()
--- a/src/oleanderdyke/clients/keep_alive.py
+++ b/src/oleanderdyke/clients/keep_alive.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
+from typing import Protocol
 
 import anyio
 import h11
@@ -169,6 +170,23 @@
         self._idle.append(_IdleConnection(exchange, now))
 
 
+class Closable(Protocol):
+    """Hold connections until they are closed."""
+
+    async def close(self) -> None:
+        """Close every connection."""
+
+
+@asynccontextmanager
+async def closing(*clients: Closable) -> AsyncIterator[None]:
+    """Close the clients of a task when it ends."""
+    try:
+        yield
+    finally:
+        for client in clients:
+            await client.close()
+
+
 @dataclass(frozen=True, slots=True)
 class _IdleConnection:
     """Hold a connection and the loop time, in seconds, of its last use."""
--- a/src/oleanderdyke/entry/hosted/contexts.py
+++ b/src/oleanderdyke/entry/hosted/contexts.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.dependencies import Dependency
 from oleanderdyke.entry.hosted.core import HostedCore
@@ -121,6 +122,10 @@
 
     async def _follow(self, view: StoreView) -> None:
         client = ContextClient(view.traits.address, self._log_refused_record)
+        async with closing(client):
+            await self._follow_by(client, view)
+
+    async def _follow_by(self, client: ContextClient, view: StoreView) -> None:
         store = self._make_dependency(view)
         turns = ReadBackoff(self._core.random)
         frees = FreeSchedule(self._core.random)
--- a/src/oleanderdyke/entry/hosted/crash_news.py
+++ b/src/oleanderdyke/entry/hosted/crash_news.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
@@ -48,7 +49,8 @@
         self._core = core
         self._table = core.peers.poison
         self._feed = feed
-        self._writer = CrashFeed(StoreClient(core.settings.store))
+        self._client = StoreClient(core.settings.store)
+        self._writer = CrashFeed(self._client)
 
     def apply(self, messages: Iterable[bytes]) -> None:
         """Apply messages of the store."""
@@ -57,7 +59,7 @@
 
     async def run(self) -> None:
         """Share news until cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with closing(self._client), anyio.create_task_group() as tasks:
             tasks.start_soon(self._write)
             tasks.start_soon(self._read)
 
--- a/src/oleanderdyke/entry/hosted/handover.py
+++ b/src/oleanderdyke/entry/hosted/handover.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.errors import OleanderError
 from oleanderdyke.events import EventName
@@ -61,24 +62,29 @@
             written_at=core.clock.wall(),
         )
         try:
-            with anyio.move_on_after(_LEAVE_LIMIT / SECOND):
-                await self._feed.leave(encode(message))
+            async with closing(self._client):
+                with anyio.move_on_after(_LEAVE_LIMIT / SECOND):
+                    await self._feed.leave(encode(message))
         except StoreUnavailable as error:
             self._log(error)
 
     async def read(self) -> None:
         """Learn what entries told that left lately, while streams need it."""
-        for _ in range(_MOST_READS):
-            await self._core.origins_requested.wait()
-            self._core.origins_requested = anyio.Event()
-            try:
-                messages = await self._feed.read()
-            except StoreUnavailable as error:
-                self._log(error)
-                messages = ()
-            for message in messages:
-                self._apply(message)
-            await anyio.sleep(_READ_PERIOD / SECOND)
+        async with closing(self._client):
+            for _ in range(_MOST_READS):
+                await self._core.origins_requested.wait()
+                self._core.origins_requested = anyio.Event()
+                await self._read_once()
+                await anyio.sleep(_READ_PERIOD / SECOND)
+
+    async def _read_once(self) -> None:
+        try:
+            messages = await self._feed.read()
+        except StoreUnavailable as error:
+            self._log(error)
+            messages = ()
+        for message in messages:
+            self._apply(message)
 
     def _apply(self, message: bytes) -> None:
         core = self._core
--- a/src/oleanderdyke/entry/hosted/presence.py
+++ b/src/oleanderdyke/entry/hosted/presence.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.events import EventName
@@ -33,12 +34,16 @@
         sharing = core.peers.make_sharing(
             wait=_SHARED_WAIT, limit=_SHARED_LIMIT
         )
-        client = StoreClient(core.settings.store, sharing=sharing)
-        self._feed = EntryFeed(client, self._log_refused_record)
+        self._client = StoreClient(core.settings.store, sharing=sharing)
+        self._feed = EntryFeed(self._client, self._log_refused_record)
         self._announced_at: Millis | None = None
 
     async def run(self) -> None:
         """Run until cancelled; keep the last count while the store is down."""
+        async with closing(self._client):
+            await self._follow()
+
+    async def _follow(self) -> None:
         store = self._core.make_store_dependency('entries')
         pauses = chain(_INITIAL_PERIODS, repeat(_PERIOD))
         while True:
--- a/src/oleanderdyke/entry/hosted/shell.py
+++ b/src/oleanderdyke/entry/hosted/shell.py
@@ -16,6 +16,7 @@
 import anyio
 
 from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Millis, make_clock
 from oleanderdyke.entry.hosted.app import HostedApp
 from oleanderdyke.entry.hosted.contexts import ContextWatch
@@ -138,8 +139,9 @@
     async def _share_crashes(self) -> None:
         """Read what the store holds of crashes, then share what is known."""
         core = self._core
-        feed = CrashFeed(StoreClient(core.settings.store))
-        async with anyio.create_task_group() as tasks:
+        client = StoreClient(core.settings.store)
+        feed = CrashFeed(client)
+        async with closing(client), anyio.create_task_group() as tasks:
             tasks.start_soon(self._limit_history_wait)
             messages = await self._read_crashes(feed)
             if not messages:
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.core import HostedCore
 from oleanderdyke.entry.hosted.server_changes import ServerChangeLog
@@ -92,15 +93,18 @@
 
     async def follow_operator(self) -> None:
         """Read configurations, versions and evacuations until cancelled."""
-        await self._follow('operator', self._read_operator, 0.0)
+        async with closing(self._operator_store):
+            await self._follow('operator', self._read_operator, 0.0)
 
     async def follow_servers(self) -> None:
         """Read the list of servers until cancelled."""
-        await self._follow('servers', self._read_servers, _SERVERS_PERIOD)
+        async with closing(self._servers_store):
+            await self._follow('servers', self._read_servers, _SERVERS_PERIOD)
 
     async def follow_loads(self) -> None:
         """Read which engines are loading new weights, until cancelled."""
-        await self._follow('loads', self._read_loads, 0.0)
+        async with closing(self._loads_store):
+            await self._follow('loads', self._read_loads, 0.0)
 
     def _log_refused_record(self, name: str, error: MalformedRecord) -> None:
         """Log a malformed record; the last valid state stays in force."""
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -118,14 +118,17 @@
         self.connections += 1
         number = self.connections
         parser = h11.Connection(h11.SERVER)
+        # The end of a test cancels scripts that still run.
         with contextlib.suppress(ConnectionError, h11.RemoteProtocolError):
-            while request := await _read_request(parser, reader, number):
-                self.received.append(request)
-                await self.script(Peer(request, writer, reader))
-                if writer.is_closing():
-                    return
-                parser = h11.Connection(h11.SERVER)
-        writer.close()
+            try:
+                while request := await _read_request(parser, reader, number):
+                    self.received.append(request)
+                    await self.script(Peer(request, writer, reader))
+                    if writer.is_closing():
+                        return
+                    parser = h11.Connection(h11.SERVER)
+            finally:
+                writer.close()
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -407,6 +407,8 @@
         if await reader.read(1000):
             await begin.wait()
             writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n')
+            await reader.read()
+        writer.close()
 
     service = await asyncio.start_server(answer, '127.0.0.1', 0)
     port = service.sockets[0].getsockname()[1]
--- a/tests/test_hosted_answers.py
+++ b/tests/test_hosted_answers.py
@@ -137,17 +137,20 @@
     found: list[bytes] = []
 
     async def serve(reader, writer):
-        with contextlib.suppress(asyncio.IncompleteReadError):
-            while True:
-                await reader.readuntil(b'\r\n\r\n')
-                writer.write(
-                    b'HTTP/1.1 413 Too Large\r\n'
-                    b'oleanderdyke-request-id: req-1\r\n'
-                    b'oleanderdyke-response-seal: seal\r\n'
-                    b'content-length: 0\r\n\r\n'
-                )
-                await asyncio.sleep(0.05)
-                found.append(await reader.readexactly(len(body)))
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while True:
+                    await reader.readuntil(b'\r\n\r\n')
+                    writer.write(
+                        b'HTTP/1.1 413 Too Large\r\n'
+                        b'oleanderdyke-request-id: req-1\r\n'
+                        b'oleanderdyke-response-seal: seal\r\n'
+                        b'content-length: 0\r\n\r\n'
+                    )
+                    await asyncio.sleep(0.05)
+                    found.append(await reader.readexactly(len(body)))
+        finally:
+            writer.close()
 
     listener = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = listener.sockets[0].getsockname()[1]
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -415,7 +415,7 @@
     pool = ConnectionPool(300.0)
     assert await pool.is_refused(f'127.0.0.1:{unused_port}')
     server = await asyncio.start_server(
-        lambda *_: None, '127.0.0.1', unused_port
+        lambda _, writer: writer.close(), '127.0.0.1', unused_port
     )
     async with server:
         assert not await pool.is_refused(f'127.0.0.1:{unused_port}')
--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -51,7 +51,9 @@
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, script.handle)
-        yield KeepAliveHttp(f'127.0.0.1:{port}', settings)
+        http = KeepAliveHttp(f'127.0.0.1:{port}', settings)
+        yield http
+        await http.close()
         tasks.cancel_scope.cancel()
 
 
@@ -135,6 +137,8 @@
     ) -> None:
         await reader.read(1000)
         writer.write(ANSWER)
+        await writer.drain()
+        writer.close()
 
     server = await asyncio.start_server(answer_once, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
