Believe nothing of a stream's server after bytes that fit no event

Cause: whatever lay between two blank lines counted as an event. Where a stream may be resumed, EventSplitter yielded it without a number and only noted that it had none, and dropped numbers that went back; elsewhere EventFramer read no numbers at all. So a second answer behind one without a length, garbage and events without an id were passed on, and the end of such an answer completed the stream.

Change: one place says what a stream of a streaming route may hold (entry/hosted/events.py): comments, retry times, and events with one numeric id that rises within the answer, data, event and, as the first line, the version of the weights. Ids may have gaps, as the protocol page says that they increase, no more. A next answer may begin with events that were passed on before, as until now. The first block or line that doesn't fit ends the answer: it is logged as answer_broken with the reason and the place, counts as an error of the server, its connection is closed, and the stream goes on elsewhere from the last sound event or is broken off. A line that fits no field is found before its blank line or the server's end comes. Long events that are passed on in parts are checked to their end.

Tests changed: is_numbered is gone, as nothing without a number is passed on; the two tests that used it check the last number, and that an event without a number never reaches the caller (502). The unsafe variant that joins halves of events switches off the new check too, which would refuse the joined event.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -25,9 +25,9 @@
     plan_contexts,
 )
 from oleanderdyke.entry.hosted.events import (
+    EventFault,
     EventFramer,
     EventSplitter,
-    EventTooLong,
     ServerSentEvent,
 )
 from oleanderdyke.entry.hosted.weights import (
@@ -372,9 +372,15 @@
         try:
             for event in framer.feed(data):
                 self._take_event(event)
-        except EventTooLong:
-            reason = 'an event exceeds the size limit'
-            self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
+        except EventFault as fault:
+            self._reject_events(str(fault))
+
+    def _reject_events(self, fault: str) -> None:
+        """Believe nothing more of an answer with bytes that fit no event."""
+        self._core.backends.record_error(self._start)
+        position = 0 if self._splitter is None else self._splitter.position
+        reason = f'{fault}, {position} bytes into the answer'
+        self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, reason)
 
     def _take_event(self, event: ServerSentEvent) -> None:
         if not self._has_events and self._pin is not None:
@@ -661,6 +667,8 @@
             self._call.request, self._number, status, headers
         )
         if self._is_stream:
+            if self._splitter is not None:
+                self._splitter.begin_answer()
             self._framer = self._splitter or EventFramer()
             self._flush()
             self._updates.apply_stream_start()
--- a/src/oleanderdyke/entry/hosted/copies.py
+++ b/src/oleanderdyke/entry/hosted/copies.py
@@ -46,7 +46,7 @@
         self._copies = copies
         self._copy: RunCopy | None = None
         self._attempt = ''
-        # For routes that have no splitter of their own.
+        # For routes whose streams go on from copies alone.
         self._splitter = EventSplitter(None)
         self._source_address = ''
         self._is_ended = False
@@ -56,9 +56,9 @@
         self, splitter: EventSplitter | None
     ) -> EventSplitter | None:
         """Return the splitter of the next attempt, given that of the route."""
-        if splitter is None and self._copy is not None:
-            return self._splitter
-        return splitter
+        if splitter is None or splitter.is_resumable or self._copy is None:
+            return splitter
+        return self._splitter
 
     def ask(self, source: Backend, version: int | None, attempt: str) -> str:
         """Return the address to copy a run at `source` to, or ''."""
@@ -105,7 +105,7 @@
         copy = self._copy
         if copy is None or attempt != self._attempt:
             return ''
-        if splitter is None or not splitter.is_numbered:
+        if splitter is None or not splitter.is_resumable:
             return ''
         if self._call.route.is_resumable and not splitter.has_yielded:
             return ''
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -464,10 +464,12 @@
 
 
 def _make_splitter(call: HostedCall) -> EventSplitter | None:
-    if not call.route.is_resumable:
-        return None
-    last = call.parameters.last_event
-    return EventSplitter(int(last) if last.isdigit() else None)
+    if call.route.is_resumable:
+        last = call.parameters.last_event
+        return EventSplitter(int(last) if last.isdigit() else None)
+    if call.route.kind is CallKind.STREAM:
+        return EventSplitter(None, is_resumable=False)
+    return None
 
 
 def _make_replica(backend: Backend) -> Replica:
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -1,7 +1,12 @@
-"""Split a byte stream into complete server-sent events."""
+"""Split a byte stream into complete server-sent events.
+
+The events of a streaming route have ids that increase. Bytes that fit no such
+event are a fault, after which nothing of that answer is believed.
+"""
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -12,22 +17,35 @@
     find_event_end,
     is_within_event,
 )
+from oleanderdyke.platform.requests import EVENT_VERSION_FIELD
 
-_ID = b'id:'
 # An incomplete event up to this size is held back until it is complete.
 _HELD_BYTES = 256 * 1024
+# An incomplete event up to this size is checked whenever more of it arrives.
+_EARLY_BYTES = 4 * 1024
+# What is kept of a line that has not ended: its field, or a whole number.
+_LINE_BYTES = 64
+_ID = b'id'
+_NUMERIC_FIELDS = frozenset({_ID, b'retry', EVENT_VERSION_FIELD})
+_TEXT_FIELDS = frozenset({b'data', b'event'})
+_FIELDS = _NUMERIC_FIELDS | _TEXT_FIELDS
+# Fields of a block that is an event, and needs an id.
+_EVENT_FIELDS = _TEXT_FIELDS | {EVENT_VERSION_FIELD}
+_NUMBER = re.compile(rb' ?(\d{1,18})\Z')
+_LINE_END = re.compile(rb'\r\n|\n|\r')
+_PLAIN_EVENT = re.compile(rb'id: (\d{1,18})\n(?:data:[^\r\n]*\n)+\n\Z')
 
 
 @dataclass(frozen=True, slots=True)
 class ServerSentEvent:
-    """The bytes of one event, and its number if its id is numeric."""
+    """The bytes of one event, and its number if it has one."""
 
     data: bytes
     number: int | None
 
 
-class EventTooLong(Exception):
-    """An incomplete event exceeds the size limit."""
+class EventFault(Exception):
+    """The next bytes of a stream fit no event, or one exceeds the limit."""
 
 
 class EventFramer:
@@ -90,51 +108,164 @@
 
 
 class EventSplitter(EventFramer):
-    """Yield complete events, each number once and in ascending order.
+    """Yield complete events whose numbers increase, beginning after `last`.
 
-    `has_yielded` is set once any event has been yielded, `is_numbered` while
-    all of these have numbers, by which another attempt can go on.
+    An answer may begin with events that were yielded before; they are dropped.
+    Comments, and blocks that only set the time to reconnect, have no number.
+    An event above the size limit is a fault if `is_resumable`, as half of it
+    can't go on elsewhere.
     """
 
-    def __init__(self, last: int | None) -> None:
+    def __init__(self, last: int | None, *, is_resumable: bool = True) -> None:
         super().__init__()
         self.last_number = last
         self.has_yielded = False
-        self.is_numbered = True
+        self.is_resumable = is_resumable
+        # The last number of this answer, which may repeat earlier events first.
+        self._answer_last: int | None = None
+        # Bytes of the answer before those that are incomplete or at fault.
+        self.position = 0
+        # The lines of an event whose beginning was yielded already.
+        self._divided: _EventLines | None = None
+
+    def begin_answer(self) -> None:
+        """Prepare for the events of the next answer."""
+        self.discard_partial()
+        self.position = 0
+        self._answer_last = None
+        self._divided = None
 
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
-        """Add data, and yield events that are complete and not yet seen.
+        """Add data, and yield the events that it completes.
 
-        Raise EventTooLong: a divided event could not go on elsewhere.
+        Raise EventFault at the first bytes that fit no event.
         """
         for event in super().feed(data):
-            number = _read_number(event.data)
-            if self._is_repeated(number):
+            if self._is_repeated(event.number):
                 continue
-            self._record(event.data, number)
-            yield ServerSentEvent(event.data, number)
+            self.has_yielded = True
+            if event.number is not None:
+                self.last_number = event.number
+            yield event
+        if not self._is_divided and len(self._pending) <= _EARLY_BYTES:
+            _EventLines().feed(self._pending)
 
-    def _divide(self) -> Iterator[ServerSentEvent]:
-        if len(self._pending) > EVENT_LIMIT_BYTES:
-            raise EventTooLong
-        yield from ()
+    def _take(self, end: int) -> ServerSentEvent:
+        return self._pass(end, self._check(self._pending[:end]))
+
+    def _pass(self, end: int, number: int | None) -> ServerSentEvent:
+        event = super()._take(end)
+        self.position += end
+        return ServerSentEvent(event.data, number)
 
     def _is_repeated(self, number: int | None) -> bool:
         if number is None or self.last_number is None:
             return False
         return number <= self.last_number
 
-    def _record(self, event: bytes, number: int | None) -> None:
-        self.has_yielded = True
+    def _check(self, data: bytearray) -> int | None:
+        """Return the number of a complete event; raise EventFault."""
+        if self._divided is not None:
+            self._divided.feed(data)
+            self._divided = None
+            return None
+        plain = _PLAIN_EVENT.match(data)
+        number = _read_event(data) if plain is None else int(plain[1])
         if number is not None:
-            self.last_number = number
-        elif is_within_event(event):
-            self.is_numbered = False
+            self._advance(number)
+        return number
+
+    def _advance(self, number: int) -> None:
+        last = self._answer_last
+        if last is not None and number <= last:
+            raise EventFault(f'event {number} comes after event {last}')
+        self._answer_last = number
+
+    def _divide(self) -> Iterator[ServerSentEvent]:
+        end = len(self._pending) - LONGEST_END_BYTES
+        if self._may_divide(end):
+            part = self._pass(end, None)
+            self._is_divided = True
+            yield part
+        elif len(self._pending) > EVENT_LIMIT_BYTES:
+            raise EventFault('an event exceeds the size limit')
+
+    def _may_divide(self, end: int) -> bool:
+        """Return whether the beginning of an event may be passed on."""
+        if self.is_resumable:
+            return False
+        lines = self._divided or _EventLines()
+        lines.feed(self._pending[:end])
+        if lines.number is None:
+            return False
+        if self._divided is None:
+            self._advance(lines.number)
+        self._divided = lines
+        return True
+
+
+class _EventLines:
+    """Check the lines of one event, which may arrive in parts."""
+
+    def __init__(self) -> None:
+        self.number: int | None = None
+        self._names: list[bytes] = []
+        # The beginning of the line that has not ended yet.
+        self._line = b''
+
+    @property
+    def lacks_number(self) -> bool:
+        """Return whether the lines make an event that has no id."""
+        return self.number is None and not _EVENT_FIELDS.isdisjoint(self._names)
 
+    def feed(self, data: bytes | bytearray) -> None:
+        """Check more of the event, also a line without end.
 
-def _read_number(event: bytes) -> int | None:
-    for line in event.splitlines():
-        if line.startswith(_ID):
-            text = line.removeprefix(_ID).strip()
-            return int(text) if text.isdigit() else None
-    return None
+        Raise EventFault.
+        """
+        *whole, last = _LINE_END.split(self._line + data)
+        for line in whole:
+            self._add(line)
+        self._line = bytes(last[:_LINE_BYTES])
+        self._check_open()
+
+    def _add(self, line: bytes | bytearray) -> None:
+        name, _, content = bytes(line).partition(b':')
+        if not name:
+            # A comment, or the blank line at the end.
+            return
+        self._names.append(name)
+        if name not in _FIELDS:
+            raise EventFault('a line has no known field')
+        if name == EVENT_VERSION_FIELD and len(self._names) > 1:
+            raise EventFault('the version is not in the first line')
+        if name in _NUMERIC_FIELDS:
+            self._add_number(name, content)
+
+    def _add_number(self, name: bytes, content: bytes) -> None:
+        found = _NUMBER.fullmatch(content)
+        if found is None:
+            raise EventFault(f'{name.decode()} is not a number')
+        if name != _ID:
+            return
+        if self.number is not None:
+            raise EventFault('an event has two ids')
+        self.number = int(found[1])
+
+    def _check_open(self) -> None:
+        name, colon, _ = self._line.partition(b':')
+        if colon:
+            is_known = not name or name in _FIELDS
+        else:
+            is_known = any(each.startswith(name) for each in _FIELDS)
+        if not is_known:
+            raise EventFault('a line has no known field')
+
+
+def _read_event(data: bytes | bytearray) -> int | None:
+    """Return the number of a whole event, None of a block that is none."""
+    lines = _EventLines()
+    lines.feed(data)
+    if lines.lacks_number:
+        raise EventFault('an event has no id')
+    return lines.number
--- a/src/oleanderdyke/platform/requests.py
+++ b/src/oleanderdyke/platform/requests.py
@@ -23,6 +23,8 @@
 
 # Statuses that, in a final answer, guarantee that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# The field of an event at which the version of the weights changes.
+EVENT_VERSION_FIELD = names.WEIGHT_VERSION.encode()
 # Longer numbers are rejected: int() raises an error at thousands of digits.
 _MAX_DIGITS = 15
 _KEEP_ALIVE = re.compile(r'timeout=([0-9]{1,15})(?![0-9])')
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from oleanderdyke.entry.hosted.events import (
+    EventFault,
     EventFramer,
     EventSplitter,
-    EventTooLong,
 )
 from oleanderdyke.entry.sse import EventNumberer, Position
 from oleanderdyke.event_streams import (
@@ -107,7 +107,7 @@
 def test_event_above_the_limit_ends_a_stream_that_may_go_on_elsewhere():
     splitter = EventSplitter(None)
     assert not list(splitter.feed(b'x' * EVENT_LIMIT_BYTES))
-    with pytest.raises(EventTooLong):
+    with pytest.raises(EventFault):
         list(splitter.feed(b'x'))
 
 
@@ -126,7 +126,7 @@
         [b'id: 1\n: within\n\n'],
         [b': end\n'],
     ]
-    assert splitter.is_numbered
+    assert splitter.last_number == 1
     assert not splitter.has_partial_event
 
 
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -131,7 +131,7 @@
     async with copying(tmp_path, engine, engine) as stage:
         found = await ask(stage)
         assert count_received(stage) == [1, 0]
-    assert not found.is_whole
+    assert (found.status, b'data: a' in found.body) == (502, False)
 
 
 async def test_run_lost_before_its_first_event_goes_on_at_its_copy(tmp_path):
--- a/tests/test_hosted_safety.py
+++ b/tests/test_hosted_safety.py
@@ -241,6 +241,8 @@
 
 def test_event_check_catches_an_entry_that_joins_halves_of_events(monkeypatch):
     monkeypatch.setattr(EventSplitter, 'discard_partial', lambda _: None)
+    # The halves joined fit no event, which would be refused.
+    monkeypatch.setattr(EventSplitter, '_check', lambda *_: None)
     planned = PlannedRequest('/letter/', (Act.STREAM_HALF,))
     _assert_caught(planned, stage_entry=copying)
 
