Send a stream that may go on elsewhere without its beginning's length

Callers saw a stream of two events as whole where the run had four (ORDER).

Cause: the head of the first server's answer reached the caller with its content-length. As the stream went on at another server, whose events had other lengths, it was cut at the length of the first.

Change: the head of a stream that may go on elsewhere is passed on without a length. The new test fails without the change (two events of four, framed as whole) and passes with it.

--- a/src/oleanderdyke/entry/hosted/answers.py
+++ b/src/oleanderdyke/entry/hosted/answers.py
@@ -9,6 +9,7 @@
 
 _SUCCESS = range(200, 300)
 _KNOWN = range(200, 600)
+_LENGTH = 'content-length'
 
 
 def find_answer_fault(
@@ -48,3 +49,8 @@
     and make the stream look complete.
     """
     return status in _SUCCESS and is_event_stream(headers)
+
+
+def drop_length(headers: Headers) -> Headers:
+    """Return the headers of an answer whose length isn't known yet."""
+    return tuple(each for each in headers if each[0].lower() != _LENGTH)
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -13,6 +13,7 @@
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.hosted.answers import (
     continues_stream,
+    drop_length,
     find_answer_fault,
     is_own_answer,
 )
@@ -663,6 +664,8 @@
         self._has_answered = True
         self._is_stream = is_event_stream(headers)
         self._has_started = not self._is_stream
+        if self._may_go_on_elsewhere():
+            headers = drop_length(headers)
         self._head = AnswerHead(
             self._call.request, self._number, status, headers
         )
@@ -675,6 +678,13 @@
             if self._copies is not None:
                 self._copies.record_stream()
 
+    def _may_go_on_elsewhere(self) -> bool:
+        """Return whether another server may add events of another length."""
+        splitter = self._splitter
+        return (
+            self._is_stream and splitter is not None and splitter.is_resumable
+        )
+
     def _flush(self) -> None:
         """Forward the head and the buffered part of the body."""
         if self._head is not None:
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -10,7 +10,7 @@
 import pytest
 
 from oleanderdyke.metrics import Count
-from tests.hosted import make_request, staging
+from tests.hosted import make_request, prefer, staging
 from tests.standins.framing import (
     EVENT_STREAM,
     Framing,
@@ -18,7 +18,8 @@
     respond,
     send_response,
 )
-from tests.standins.replica import Peer, Script, make_event
+from tests.standins.replica import Peer, Script, make_event, make_head
+from tests.standins.scripts import stream
 
 pytestmark = pytest.mark.anyio
 
@@ -187,3 +188,26 @@
         servers += [each.server for each in stage.replicas]
         found = await stage.call('/letter/1')
     assert (found.body, found.is_whole) == (_EVENTS, True)
+
+
+# Guards against ORDER: a stream that went on elsewhere kept the length of the
+# answer that began it, so it ended as whole before its last event.
+async def test_stream_that_may_go_on_elsewhere_has_no_length_of_its_beginning(
+    tmp_path,
+):
+    promised = make_event(1) + make_event(2)
+
+    async def begin(peer: Peer) -> None:
+        head = make_head(
+            peer.request,
+            content_type=EVENT_STREAM,
+            content_length=str(len(promised)),
+        )
+        await peer.send(head + make_event(1))
+        peer.writer.close()
+
+    async with staging(tmp_path, begin, stream(2, 4)) as stage:
+        prefer(stage, 0)
+        found = await stage.call('/stream/1')
+    whole = b''.join(make_event(number) for number in range(1, 5))
+    assert (found.body, found.is_whole) == (whole, True)
