Close an agent's connections to its server when it is cancelled

Cause, by recording where each was made: 56 of agents' clients of their servers (agent/backend.py), which AgentShell.run closed only if it returned in order.

With the change none is left open by test_fetch, test_store_agent, test_agent, test_drain and test_prepare (97 passed).

--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -27,6 +27,7 @@
 from oleanderdyke.agent.runs import Runs
 from oleanderdyke.agent.settings import AgentSettings
 from oleanderdyke.agent.stop_requests import StopRequests
+from oleanderdyke.clients.keep_alive import closing
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.drain import make_agent_drain
@@ -173,7 +174,7 @@
         )
         for loop in background_loops:
             self._tasks.start_soon(loop)
-        async with serve_links(
+        links = serve_links(
             self._settings.listen.host,
             self._settings.listen.port,
             self._make_hello,
@@ -181,7 +182,8 @@
             settings=self._settings.links,
             clock=self._clock,
             tls=self._tls,
-        ) as self.port:
+        )
+        async with closing(self._backend), links as self.port:
             self._events.write(
                 EventName.PROCESS_STARTED,
                 incarnation=self.incarnation,
@@ -191,7 +193,6 @@
                 started()
             await self._drain_runner.wait()
             await self._flush_outboxes()
-        await self._backend.close()
 
     def stop(self, name: str) -> None:
         """Start the drain; a further interrupt cuts off the remaining work."""
