Let a stream go on only after its last event

Callers saw a stream end as whole behind an event of no run, or behind events of a run that had not gone on at Last-Event-Id (ORDER).

Cause: an answer could begin with events that were passed on before, which were dropped, and the id 0 was a number like others. An answer that does not go on after Last-Event-Id is a run of its own, and nothing shows where its text meets the one before.

Change: the first id of an answer is above that of the last event, and above 0, which names no event.

test_stream_resumes_elsewhere_with_each_event_once had a second server that repeats event 3 and wanted it dropped.

--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -26,6 +26,8 @@
 # What is kept of a line that has not ended: its field, or a whole number.
 _LINE_BYTES = 64
 _ID = b'id'
+# Names no event: the ids of events are above it.
+_NO_EVENT = 0
 _NUMERIC_FIELDS = frozenset({_ID, b'retry', EVENT_VERSION_FIELD})
 _TEXT_FIELDS = frozenset({b'data', b'event'})
 _FIELDS = _NUMERIC_FIELDS | _TEXT_FIELDS
@@ -110,7 +112,6 @@
 class EventSplitter(EventFramer):
     """Yield complete events whose numbers increase, beginning after `last`.
 
-    An answer may begin with events that were yielded before; they are dropped.
     Comments, and blocks that only set the time to reconnect, have no number.
     An event above the size limit is a fault if `is_resumable`, as half of it
     can't go on elsewhere.
@@ -121,8 +122,6 @@
         self.last_number = last
         self.has_yielded = False
         self.is_resumable = is_resumable
-        # The last number of this answer, which may repeat earlier events first.
-        self._answer_last: int | None = None
         # Bytes of the answer before those that are incomplete or at fault.
         self.position = 0
         # The lines of an event whose beginning was yielded already.
@@ -132,7 +131,6 @@
         """Prepare for the events of the next answer."""
         self.discard_partial()
         self.position = 0
-        self._answer_last = None
         self._divided = None
 
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
@@ -141,11 +139,7 @@
         Raise EventFault at the first bytes that fit no event.
         """
         for event in super().feed(data):
-            if self._is_repeated(event.number):
-                continue
             self.has_yielded = True
-            if event.number is not None:
-                self.last_number = event.number
             yield event
         if not self._is_divided and len(self._pending) <= _EARLY_BYTES:
             _EventLines().feed(self._pending)
@@ -158,11 +152,6 @@
         self.position += end
         return ServerSentEvent(event.data, number)
 
-    def _is_repeated(self, number: int | None) -> bool:
-        if number is None or self.last_number is None:
-            return False
-        return number <= self.last_number
-
     def _check(self, data: bytearray) -> int | None:
         """Return the number of a complete event; raise EventFault."""
         if self._divided is not None:
@@ -176,10 +165,10 @@
         return number
 
     def _advance(self, number: int) -> None:
-        last = self._answer_last
-        if last is not None and number <= last:
+        last = self.last_number or _NO_EVENT
+        if number <= last:
             raise EventFault(f'event {number} comes after event {last}')
-        self._answer_last = number
+        self.last_number = number
 
     def _divide(self) -> Iterator[ServerSentEvent]:
         end = len(self._pending) - LONGEST_END_BYTES
--- a/tests/test_bytes_between_events.py
+++ b/tests/test_bytes_between_events.py
@@ -44,6 +44,7 @@
     'quoted id': b'id: ""\ndata: word\n\n',
     'word as id': b'id: three\ndata: word\n\n',
     'negative id': b'id: -3\ndata: word\n\n',
+    'zero as id': b'id: 0\ndata: word\n\n',
     'two ids': b'id: 3\nid: 4\ndata: word\n\n',
     'NUL in the id': b'id: 3\0\ndata: word\n\n',
     'bytes before the field': b'\xff\xfeid: 3\ndata: word\n\n',
@@ -215,12 +216,12 @@
         _pour(splitter, b'data: ' + b'x' * EVENT_LIMIT_BYTES, 50_000)
 
 
-# Events before those that an answer adds may be repeated at its beginning.
-def test_next_answer_may_repeat_events_in_order():
+# Guards against a stream that ends as whole behind events of another run, which
+# did not go on after the last event.
+@pytest.mark.parametrize('number', [1, 2])
+def test_next_answer_goes_on_after_the_last_event(number):
     splitter = EventSplitter(None)
     assert _pour(splitter, _SOUND, 100) == _SOUND
     splitter.begin_answer()
-    third = make_event(3)
-    assert _pour(splitter, _SOUND + third, 100) == third
     with pytest.raises(EventFault):
-        list(splitter.feed(make_event(1)))
+        list(splitter.feed(make_event(number)))
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -22,7 +22,7 @@
 
 async def test_stream_resumes_elsewhere_with_each_event_once(tmp_path):
     first = stream(1, 3, ending=b'')
-    second = stream(3, 6)
+    second = stream(4, 6)
     async with staging(tmp_path, first, second) as stage:
         bodies = [
             (await stage.call('/stream/1', oleanderdyke_deadline_ms='1900'))
@@ -38,6 +38,19 @@
     assert '3' in told
 
 
+# Guards against ORDER: a run that did not go on after the last event was joined
+# to the one before, less the events that it repeated.
+async def test_answer_that_repeats_an_event_does_not_continue_a_stream(
+    tmp_path,
+):
+    first = stream(1, 3, ending=b'')
+    async with staging(tmp_path, first, stream(3, 6)) as stage:
+        prefer(stage, 0)
+        found = await stage.call('/stream/1')
+    whole_events = b''.join(make_event(number) for number in range(1, 4))
+    assert (found.body, found.is_whole) == (whole_events, False)
+
+
 async def test_truncated_event_is_not_forwarded_twice(tmp_path):
     async def cut(peer):
         await peer.send(
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -52,6 +52,7 @@
     MACHINE_BUSY = 'machine_busy'
     SERVERS_REPEAT = 'servers_repeat'
     SERVERS_POUR = 'servers_pour'
+    SERVERS_SPOIL = 'servers_spoil'
     MEMORY_FALLS = 'memory_falls'
     MEMORY_PAUSED = 'memory_paused'
     STORE_LINK_SILENT = 'store_link_silent'
@@ -353,13 +354,14 @@
 def make_garble_plan(seed: int, seconds: float, *, entries: int) -> Plan:
     """Draw a plan in which answers are wrong and context stores fall.
 
-    Servers repeat answers late and send bytes without end.
+    Servers repeat answers late, send bytes without end, and spoil streams.
     """
     plan = make_stream_plan(seed, seconds, entries=entries)
     random = Random(f'garble {seed}')
     faults = [
         *plan.faults,
         *(_draw_garble(random, seconds) for _ in range(round(seconds / 2))),
+        *_draw_spoils(Random(f'spoil {seed}'), seconds),
     ]
     return replace(
         plan,
@@ -377,6 +379,15 @@
     )
 
 
+def _draw_spoils(random: Random, seconds: float) -> Iterator[Fault]:
+    for _ in range(round(seconds / 4)):
+        yield Fault(
+            random.uniform(_FIRST_FAULT_SECONDS, seconds),
+            FaultKind.SERVERS_SPOIL,
+            duration=random.uniform(*_GARBLE_SECONDS),
+        )
+
+
 def make_restart_plan(
     seed: int, *, entries: int, restarts: int, kind: FaultKind, has_links: bool
 ) -> Plan:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -105,6 +105,7 @@
             FaultKind.POISON: self._poison,
             FaultKind.SERVERS_REPEAT: self._make_server_fault(Behaviour.REPEAT),
             FaultKind.SERVERS_POUR: self._make_server_fault(Behaviour.POUR),
+            FaultKind.SERVERS_SPOIL: self._make_server_fault(Behaviour.SPOIL),
             FaultKind.MEMORY_FALLS: self._let_memory_fall,
             FaultKind.MEMORY_PAUSED: self._pause_memory,
         }
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -32,6 +32,17 @@
 _POURED_SHARE = 0.15
 # Bytes without end that are no answers.
 _POURS = (Pour.HEAD, Pour.NO_HTTP, Pour.INTERIM, Pour.FOREIGN, Pour.UNSEALED)
+_SPOILT_SHARE = 0.2
+# Bytes that fit no event of a stream.
+_SPOILS = (
+    b'HTTP/1.1 200 OK\r\noleanderdyke-response-seal: seal\r\n\r\nresult',
+    b'HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n',
+    b'data: {}\n\n',
+    b'id: ""\ndata: {}\n\n',
+    b'id: 0\ndata: {}\n\n',
+    b'out of memory\n\n',
+    bytes(range(256)) + b'\n\n',
+)
 _PIECE_SECONDS = 0.02
 _ORDERLY_SHARE = 0.5
 _UNFRAMED_SHARE = 0.4
@@ -53,6 +64,8 @@
     REPEAT = enum.auto()
     # Send bytes that are no answer without end to some requests.
     POUR = enum.auto()
+    # Send bytes that fit no event behind some events of streams.
+    SPOIL = enum.auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +233,9 @@
         await writer.begin()
         for number in range(after + 1, path.events + 1):
             event = encode_event(number, host.version, request)
+            if self._is_spoilt(f'{request}/{number}'):
+                await self._spoil(writer, f'{request}/{number}')
+                return RunEnd.BROKE_OFF
             if self._is_broken(random):
                 await self._break_off(writer, event, random)
                 return RunEnd.BROKE_OFF
@@ -228,6 +244,22 @@
         await writer.end()
         return RunEnd.FINISHED if writer.is_chunked else RunEnd.CLOSED
 
+    def _is_spoilt(self, event: str) -> bool:
+        is_spoiling = Behaviour.SPOIL in self.active
+        return is_spoiling and Random(event).random() < _SPOILT_SHARE
+
+    async def _spoil(self, writer: StreamWriter, event: str) -> None:
+        """Send bytes that fit no event, then end or break off the stream."""
+        random = Random(f'spoil {event}')
+        await writer.send(random.choice(_SPOILS))
+        # The entry may have closed the connection by then.
+        with contextlib.suppress(ConnectionError):
+            await anyio.sleep(_PIECE_SECONDS)
+            if random.random() < _ORDERLY_SHARE:
+                await writer.end()
+            else:
+                writer.peer.reset()
+
     def _is_broken(self, random: Random) -> bool:
         return Behaviour.BREAK in self.active and (
             random.random() < _BREAK_SHARE
