Decide on a long event once its beginning has come

Cause: an event without an id was held up to a MiB where a stream may not be resumed, and what had come of it was checked anew with each chunk, which took the event loop.

Now an event of more than 256 KiB has its id in that beginning, or is a fault at once.

--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -171,26 +171,23 @@
         self.last_number = number
 
     def _divide(self) -> Iterator[ServerSentEvent]:
-        end = len(self._pending) - LONGEST_END_BYTES
-        if self._may_divide(end):
-            part = self._pass(end, None)
-            self._is_divided = True
-            yield part
+        if not self.is_resumable:
+            yield self._take_part(len(self._pending) - LONGEST_END_BYTES)
         elif len(self._pending) > EVENT_LIMIT_BYTES:
             raise EventFault('an event exceeds the size limit')
 
-    def _may_divide(self, end: int) -> bool:
-        """Return whether the beginning of an event may be passed on."""
-        if self.is_resumable:
-            return False
+    def _take_part(self, end: int) -> ServerSentEvent:
+        """Check and remove a part of a long event; raise EventFault."""
         lines = self._divided or _EventLines()
         lines.feed(self._pending[:end])
         if lines.number is None:
-            return False
+            raise EventFault('a long event has no id at its beginning')
         if self._divided is None:
             self._advance(lines.number)
         self._divided = lines
-        return True
+        part = self._pass(end, None)
+        self._is_divided = True
+        return part
 
 
 class _EventLines:
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -254,11 +254,12 @@
         await writer.send(random.choice(_SPOILS))
         # The entry may have closed the connection by then.
         with contextlib.suppress(ConnectionError):
-            await anyio.sleep(_PIECE_SECONDS)
             if random.random() < _ORDERLY_SHARE:
                 await writer.end()
-            else:
-                writer.peer.reset()
+                return
+        # A reset may overtake data sent before it. The run has ended by now.
+        loop = asyncio.get_running_loop()
+        loop.call_later(_PIECE_SECONDS, writer.peer.reset)
 
     def _is_broken(self, random: Random) -> bool:
         return Behaviour.BREAK in self.active and (
