Read a Last-Event-Id of too many digits as an unknown one

Callers got 500 for a Last-Event-Id of 5,000 digits, where any other that names no stream gets 503. Cause: the id was converted whenever isdigit() held, and int() raises for thousands of digits and for digits such as a superscript two. One function now reads ids, of callers and of servers.

The new test fails without the change (503, 500) and passes with it.

--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -16,7 +16,7 @@
 from oleanderdyke.entry.hosted.call import HostedCall
 from oleanderdyke.entry.hosted.call_log import CallLog, Progress
 from oleanderdyke.entry.hosted.core import HostedCore
-from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.entry.hosted.events import EventSplitter, parse_number
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.hosted.selection import (
     RETRY_DELAY,
@@ -466,7 +466,7 @@
 def _make_splitter(call: HostedCall) -> EventSplitter | None:
     if call.route.is_resumable:
         last = call.parameters.last_event
-        return EventSplitter(int(last) if last.isdigit() else None)
+        return EventSplitter(parse_number(last.encode('latin-1')))
     if call.route.kind is CallKind.STREAM:
         return EventSplitter(None, is_resumable=False)
     return None
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -33,7 +33,7 @@
 _FIELDS = _NUMERIC_FIELDS | _TEXT_FIELDS
 # Fields of a block that is an event, and needs an id.
 _EVENT_FIELDS = _TEXT_FIELDS | {EVENT_VERSION_FIELD}
-_NUMBER = re.compile(rb' ?(\d{1,18})\Z')
+_NUMBER = re.compile(rb'\d{1,18}')
 _LINE_END = re.compile(rb'\r\n|\n|\r')
 _PLAIN_EVENT = re.compile(rb'id: (\d{1,18})\n(?:data:[^\r\n]*\n)+\n\Z')
 
@@ -229,14 +229,14 @@
             self._add_number(name, content)
 
     def _add_number(self, name: bytes, content: bytes) -> None:
-        found = _NUMBER.fullmatch(content)
-        if found is None:
+        number = parse_number(content.removeprefix(b' '))
+        if number is None:
             raise EventFault(f'{name.decode()} is not a number')
         if name != _ID:
             return
         if self.number is not None:
             raise EventFault('an event has two ids')
-        self.number = int(found[1])
+        self.number = number
 
     def _check_open(self) -> None:
         name, colon, _ = self._line.partition(b':')
@@ -248,6 +248,11 @@
             raise EventFault('a line has no known field')
 
 
+def parse_number(text: bytes) -> int | None:
+    """Return the number that an id names, None if it names none."""
+    return int(text) if _NUMBER.fullmatch(text) else None
+
+
 def _read_event(data: bytes | bytearray) -> int | None:
     """Return the number of a whole event, None of a block that is none."""
     lines = _EventLines()
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -190,3 +190,15 @@
         found = await stage.call('/stream/1')
         assert len(stage.replicas[1].received) == 1
     assert (found.status, found.body) == (500, b'out of order')
+
+
+# Guards against an id of digits without end that fails the whole request.
+async def test_endless_last_event_id_is_refused_like_one_of_an_unknown_stream(
+    tmp_path,
+):
+    async with staging(tmp_path, stream(1, 2)) as stage:
+        found = [
+            (await stage.call('/stream/1', last_event_id=last)).status
+            for last in ('word', '9' * 5_000)
+        ]
+    assert found == [503, 503]
