--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -195,7 +195,7 @@
 
     def __init__(self) -> None:
         self.number: int | None = None
-        self._names: list[bytes] = []
+        self._names: set[bytes] = set()
         # The beginning of the line that has not ended yet.
         self._line = b''
 
@@ -220,11 +220,11 @@
         if not name:
             # A comment, or the blank line at the end.
             return
-        self._names.append(name)
         if name not in _FIELDS:
             raise EventFault('a line has no known field')
-        if name == EVENT_VERSION_FIELD and len(self._names) > 1:
+        if name == EVENT_VERSION_FIELD and self._names:
             raise EventFault('the version is not in the first line')
+        self._names.add(name)
         if name in _NUMERIC_FIELDS:
             self._add_number(name, content)
 
--- a/tests/test_bytes_between_events.py
+++ b/tests/test_bytes_between_events.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import tracemalloc
 
 import anyio
 import pytest
@@ -210,6 +211,20 @@
         _pour(splitter, end, 2)
 
 
+# Guards against an event of endless lines that fills the memory of an entry.
+def test_memory_for_a_long_event_does_not_grow_with_its_lines():
+    splitter = EventSplitter(None, is_resumable=False)
+    lines = b'data: x\n' * 10_000
+    assert _pour(splitter, b'id: 3\n' + lines * 20, 50_000)
+    tracemalloc.start()
+    try:
+        _pour(splitter, lines * 80, 50_000)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held < 1024 * 1024
+
+
 def test_long_event_without_an_id_is_a_fault():
     splitter = EventSplitter(None, is_resumable=False)
     with pytest.raises(EventFault):
