Log which events each attempt of a stream passed on

Callers saw events out of order, and the log of an entry could not tell which attempt, server, start and version of the software an event came from, so the hypotheses of the incident could not be told apart.

The lines that end an attempt or a request (answer_broken, request_finished, request_cancelled, request_refused) now name the first and last number that the attempt passed on, how many, its server's start and software. There is no line more than before: at most one for each attempt.

The two new tests fail without the change: no line had these fields.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from oleanderdyke.clients.direct import (
@@ -31,6 +31,7 @@
     EventSplitter,
     ServerSentEvent,
 )
+from oleanderdyke.entry.hosted.passed_events import PassedEvents
 from oleanderdyke.entry.hosted.weights import (
     Weights,
     find_weights,
@@ -65,6 +66,7 @@
     Failed,
     Headers,
 )
+from oleanderdyke.logs import LogValue
 from oleanderdyke.platform.requests import (
     Dispatch,
     decode_answer,
@@ -139,7 +141,7 @@
         # The server with a copy of this run, once its connection is lost.
         self._lost_copy = ''
         self._is_silent = False
-        self._number = action.attempt
+        self.number = action.attempt
         self._start = start
         self._chosen_at = chosen_at
         self.server = start.server
@@ -162,6 +164,7 @@
         # The version of the server's software as the request was sent.
         self._software = ''
         self._has_events = False
+        self._passed = PassedEvents()
         # When the first part of the body arrived.
         self._began_at: Millis | None = None
         self._is_proven = False
@@ -261,6 +264,17 @@
             return None
         return _CLOSE_FRAMING
 
+    def describe_events(self) -> Mapping[str, LogValue]:
+        """Return log fields of the passed events and the start they are of."""
+        passed = self._passed.describe()
+        if not passed:
+            return {}
+        return {
+            'incarnation': self._start.born,
+            'software': self._software or None,
+            **passed,
+        }
+
     def cancel(self) -> None:
         """Stop the server's run by closing the connection."""
         if not self._done:
@@ -387,6 +401,7 @@
         if not self._has_events and self._pin is not None:
             self._pin.begin(self._software)
         self._has_events = True
+        self._passed.record(event.number)
         self._forward(event.data)
 
     def _find_software_fault(self) -> str:
@@ -431,7 +446,7 @@
         self._core.backends.record_success(self._start)
         self._finish()
         end = AnswerEnd(
-            self._call.request, self._number, self._sequence, digest=b''
+            self._call.request, self.number, self._sequence, digest=b''
         )
         self._inbox.put(MessageReceived(end))
 
@@ -577,7 +592,7 @@
         core.log.write(
             EventName.DISPATCH_SENT,
             request=call.request,
-            attempt=self._number,
+            attempt=self.number,
             peer=record.server,
             address=record.address,
             version=dispatch.version,
@@ -596,7 +611,7 @@
                 self._start,
                 self._attempt_id,
                 unread=unread,
-                is_first=self._number == 1,
+                is_first=self.number == 1,
             )
 
     def _make_dispatch(self, backend: Backend) -> Dispatch:
@@ -667,7 +682,7 @@
         if self._may_go_on_elsewhere():
             headers = drop_length(headers)
         self._head = AnswerHead(
-            self._call.request, self._number, status, headers
+            self._call.request, self.number, status, headers
         )
         if self._is_stream:
             if self._splitter is not None:
@@ -702,7 +717,7 @@
 
     def _forward(self, data: bytes) -> None:
         chunk = AnswerChunk(
-            self._call.request, self._number, self._sequence, data
+            self._call.request, self.number, self._sequence, data
         )
         self._sequence += 1
         self._inbox.unread += len(data)
@@ -737,7 +752,7 @@
         if self._splitter is not None:
             self._splitter.discard_partial()
         self._log_broken(ran, reason)
-        failed = Failed(self._call.request, self._number, kind, ran, reason)
+        failed = Failed(self._call.request, self.number, kind, ran, reason)
         self._inbox.put(
             MessageReceived(failed, self._lost_copy, self._is_silent)
         )
@@ -746,7 +761,7 @@
         self._done = True
         self._sends.record_unsent()
         self._log_broken(Ran.NO, reason)
-        self._inbox.put(DispatchNotSent(self._number))
+        self._inbox.put(DispatchNotSent(self.number))
 
     def _log_broken(self, ran: Ran, reason: str) -> None:
         age = None
@@ -755,8 +770,9 @@
         self._core.log.write(
             EventName.ANSWER_BROKEN,
             request=self._call.request,
-            attempt=self._number,
+            attempt=self.number,
             peer=self.server,
+            **self.describe_events(),
             ran=ran.value,
             reason=reason,
             framing=self.framing,
--- a/src/oleanderdyke/entry/hosted/call_log.py
+++ b/src/oleanderdyke/entry/hosted/call_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from oleanderdyke.clock import Millis
 from oleanderdyke.entry.hosted.call import HostedCall
@@ -24,11 +24,13 @@
     """The last server of a call, and the time to its first byte.
 
     `framing` is set if the latest response had neither a length nor chunks.
+    `events` describes what the latest attempt passed on of a stream.
     """
 
     peer: str | None
     first_byte: Millis | None
     framing: str | None = None
+    events: Mapping[str, LogValue] = field(default_factory=dict)
 
     def describe(self) -> Mapping[str, LogValue]:
         """Return the fields of a log line."""
@@ -37,6 +39,7 @@
             'peer': self.peer,
             'first_token': first,
             'framing': self.framing,
+            **self.events,
         }
 
 
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -431,8 +431,15 @@
         self._call_log.log_finished(self._reply.status, duration, progress)
 
     def _find_progress(self) -> Progress:
-        framing = None if self._attempt is None else self._attempt.framing
-        return Progress(self._last_server, self._first_byte, framing)
+        attempt = self._attempt
+        if attempt is None:
+            return Progress(self._last_server, self._first_byte)
+        return Progress(
+            self._last_server,
+            self._first_byte,
+            attempt.framing,
+            {'attempt': attempt.number, **attempt.describe_events()},
+        )
 
     def _clean_up(self) -> None:
         self._core.scheduling.record_left(self._call)
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -184,8 +184,9 @@
             raise EventFault('a long event has no id at its beginning')
         if self._divided is None:
             self._advance(lines.number)
+        number = lines.number if self._divided is None else None
+        part = self._pass(end, number)
         self._divided = lines
-        part = self._pass(end, None)
         self._is_divided = True
         return part
 
--- a/src/oleanderdyke/events.py
+++ b/src/oleanderdyke/events.py
@@ -206,6 +206,7 @@
     OUTSTANDING = 'outstanding'
     FRAMING = 'framing'
     PARTS = 'parts'
+    EVENTS = 'events'
 
 
 def find_level(event: EventName) -> Level:
--- a/tests/test_hosted_log.py
+++ b/tests/test_hosted_log.py
@@ -10,8 +10,9 @@
 from oleanderdyke.kernel.backends import BackendRegistry
 from oleanderdyke.kernel.servers import ServerRecord
 from oleanderdyke.logs import make_event_log, parse_line
-from tests.hosted import KEY, SERVERS, staging
-from tests.standins.scripts import answer_well
+from tests.hosted import KEY, SERVERS, prefer, staging
+from tests.standins.framing import Response, respond
+from tests.standins.scripts import answer_well, stream
 
 
 def list_events(path, *names):
@@ -157,3 +158,30 @@
         lines = list_events(stage.log, 'record_refused')
     (line,) = [line for line in lines if line['name'] == 'rate limit']
     assert line['peer'] == 'i-0'
+
+
+def list_passed(line):
+    names = ('attempt', 'peer', 'software', 'events', 'count')
+    return tuple(line.get(name) for name in names)
+
+
+# Guards against events out of order of which no log tells where they came from.
+@pytest.mark.anyio
+async def test_log_tells_which_attempt_passed_on_which_events(tmp_path):
+    scripts = (stream(1, 3, ending=b''), stream(4, 6))
+    async with staging(tmp_path, *scripts, versions=('v1', 'v1')) as stage:
+        prefer(stage, 0)
+        await stage.call('/stream/1')
+    (broken,) = list_events(stage.log, 'answer_broken')
+    (finished,) = list_events(stage.log, 'request_finished')
+    assert list_passed(broken) == ('1', 'i-0', 'v1', '1-3', '3')
+    assert list_passed(finished) == ('2', 'i-1', 'v1', '4-6', '3')
+
+
+@pytest.mark.anyio
+async def test_log_tells_the_number_of_a_long_event(tmp_path):
+    event = b'id: 5\ndata: ' + b'x' * 700_000 + b'\n\n'
+    async with staging(tmp_path, respond(Response((event,)))) as stage:
+        await stage.call('/letter/1')
+    (finished,) = list_events(stage.log, 'request_finished')
+    assert list_passed(finished)[3:] == ('5-5', '1')
