Add no other run to a body that is no stream

Callers of a resumable route got the beginning of one run's body and the whole answer of another as one whole answer: a body that is no stream and is longer than 256 KiB is passed on in parts; when its server broke off, the request was sent again, as the route allows for streams, and the second body was appended. Where the first answer named its length, the caller's connection broke instead.

Cause: that a route is resumable decided alone, and nothing told the state machine that the answer it had begun has no events to go on after.

The head of such an answer now says so, and once it has been delivered no other run follows: neither by a retry nor by a reserved one.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -703,7 +703,9 @@
     def _flush(self) -> None:
         """Forward the head and the buffered part of the body."""
         if self._head is not None:
-            self._inbox.put(MessageReceived(self._head))
+            # The rest of a body that is no stream is known to its run alone.
+            is_alone = not self._is_stream
+            self._inbox.put(MessageReceived(self._head, is_alone=is_alone))
             self._head = None
         buffered, self._buffered = self._buffered, None
         if buffered:
--- a/src/oleanderdyke/kernel/attempt_core.py
+++ b/src/oleanderdyke/kernel/attempt_core.py
@@ -152,6 +152,7 @@
         self._owes_retry = False
         # These belong to the latest dispatch and are reset by the next one.
         self._held_head: DeliverHead | None = None
+        self._is_answer_alone = False
         self._token = ''
         self._resumes = 0
         self._detached = False
@@ -216,6 +217,7 @@
         self._claim = claim
         self._in_doubt = True
         self._held_head, self._token, self._resumes = None, '', 0
+        self._is_answer_alone = False
         return (
             SendDispatch(
                 agent=routed.replica.agent,
--- a/src/oleanderdyke/kernel/attempt_events.py
+++ b/src/oleanderdyke/kernel/attempt_events.py
@@ -92,12 +92,14 @@
     A gap or a wrong digest is reported as `Failed(STREAM_BROKEN, maybe)`.
     `copy` names the agent that holds a copy of a failed run, which has ended
     for certain; it is '' otherwise. `is_silent` is set if the run was given up
-    because its server sent nothing.
+    because its server sent nothing. `is_alone` is set with the head of an
+    answer to which no other run may add, once it has begun.
     """
 
     message: AnswerHead | AnswerChunk | AnswerEnd | Failed
     copy: str = ''
     is_silent: bool = False
+    is_alone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/kernel/attempts.py
+++ b/src/oleanderdyke/kernel/attempts.py
@@ -124,7 +124,7 @@
         may_repeat = facts.idempotent and not self._head_delivered
         return (
             self._stage is Stage.RUNNING
-            and (may_repeat or facts.resumable)
+            and (may_repeat or self._may_go_on())
             and self._can_retry()
         )
 
@@ -157,6 +157,7 @@
             return ()
         if self._stage not in {Stage.RUNNING, Stage.RESUMING}:
             return ()
+        self._is_answer_alone |= event.is_alone
         match message:
             case Failed():
                 self._lost_copy = event.copy
@@ -187,6 +188,11 @@
         )
         return (MarkResumable(),) if message.resume else ()
 
+    def _may_go_on(self) -> bool:
+        """Return whether another run may add to what was delivered, if any."""
+        is_bound = self._is_answer_alone and self._head_delivered
+        return self._facts.resumable and not is_bound
+
     def _deliver_held_head(self) -> Actions:
         """Deliver the held head, if it has not been delivered yet."""
         head, self._held_head = self._held_head, None
@@ -222,7 +228,7 @@
         return (*cancel, *self._after_unclaimed_failure(failed))
 
     def _after_unclaimed_failure(self, failed: Failed) -> Actions:
-        if self._facts.resumable:
+        if self._may_go_on():
             self._exclude_current()
             return self._retry(failed.kind)
         if self._head_delivered:
