Follow the numbers of a stream also at a route that is not resumable

A caller that took its stream up at `Last-Event-Id` 3 got event 1, or 3 once more, where the route had ceased to be resumable since the stream began: its number went back.

Cause: the id went on to the server as it came, but only on resumable routes did the entry begin to count from it. On others the first event could have any number.

The numbers of all streams now begin after the caller's last event, so a lower or equal one is a fault of the server, as within one answer.

--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -471,12 +471,11 @@
 
 
 def _make_splitter(call: HostedCall) -> EventSplitter | None:
-    if call.route.is_resumable:
-        last = call.parameters.last_event
-        return EventSplitter(parse_number(last.encode('latin-1')))
-    if call.route.kind is CallKind.STREAM:
-        return EventSplitter(None, is_resumable=False)
-    return None
+    route = call.route
+    if not route.is_resumable and route.kind is not CallKind.STREAM:
+        return None
+    last = parse_number(call.parameters.last_event.encode('latin-1'))
+    return EventSplitter(last, is_resumable=route.is_resumable)
 
 
 def _make_replica(backend: Backend) -> Replica:
--- a/tests/test_streams_elsewhere.py
+++ b/tests/test_streams_elsewhere.py
@@ -7,6 +7,7 @@
 from tests.hosted import prefer, staging
 from tests.standins.framing import Ending, Framing, Response, respond
 from tests.standins.replica import make_event
+from tests.standins.scripts import stream
 
 pytestmark = pytest.mark.anyio
 
@@ -36,3 +37,27 @@
         assert not stage.replicas[1].received
     assert not found.is_whole
     assert set(found.body) <= {ord('x')}
+
+
+# Guards against ORDER: a caller took a stream up at a route that is not
+# resumable any more, and got the events that it had once more.
+@pytest.mark.parametrize('path', ['/stream/1', '/letter/1'])
+@pytest.mark.parametrize('number', [1, 3, 4])
+async def test_stream_taken_up_at_any_route_gets_only_later_events(
+    tmp_path, number, path
+):
+    async def tell(peer):
+        is_first = 'last-event-id' not in peer.request.headers
+        await (stream(1, 3) if is_first else stream(number, 4))(peer)
+
+    async with staging(tmp_path, tell) as stage:
+        await stage.call('/stream/1')
+        found = await stage.call(
+            path,
+            last_event_id='3',
+            oleanderdyke_request_id='req-2',
+            resumes='req-1',
+        )
+        assert len(stage.replicas[0].received) > 1
+    is_sound = number == 4
+    assert (found.status == 200, b'data:' in found.body) == (is_sound, is_sound)
