Hold a stream taken up at any route to the version that began it

A caller that took its stream up where the route had ceased to be resumable got events of any version of the servers' software: pieces of two runs, joined.

Cause: only calls of routes that are resumable now were held to the version that began their stream, though the request goes on after `Last-Event-Id` at all.

Evidence: with servers of two versions and a stream of unknown origin, the new test failed before on the route that is not resumable (the request was sent) and passed on the one that is; both pass now. Streams whose origin is known go on there (the test before this one).

Each call that has the beginning of a stream now has a pin, wherever it leads. It is refused as not run while the version is not known. On routes that were never resumable this refuses requests with a `Last-Event-Id`, which were sent before: by the protocol these may not be resumed.

--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -13,7 +13,13 @@
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.kernel.backend import Backend
 from oleanderdyke.kernel.context_stores import ContextStores, Salt
-from oleanderdyke.kernel.deployment import Deployment, KeyOwner, Route, Share
+from oleanderdyke.kernel.deployment import (
+    CallKind,
+    Deployment,
+    KeyOwner,
+    Route,
+    Share,
+)
 from oleanderdyke.kernel.scheduling.overload import (
     LATE_RANK,
     RequestAge,
@@ -77,6 +83,15 @@
             rank = LATE_RANK
         return min(max(rank, _HIGHEST_PRIORITY), _LOWEST_PRIORITY)
 
+    @property
+    def goes_on(self) -> bool:
+        """Return whether the caller has the beginning of a stream.
+
+        Its route may have been resumable as the stream began, and not be now.
+        """
+        is_stream = self.route.kind is CallKind.STREAM
+        return is_stream and bool(self.parameters.last_event)
+
     @property
     def regions(self) -> frozenset[str]:
         """Return the regions where the call may run; empty means any."""
--- a/src/oleanderdyke/entry/hosted/stream_pin.py
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -28,7 +28,7 @@
 class StreamPin:
     """The version that a call's stream has to go on at, once it has begun.
 
-    Only for routes whose streams may be taken up.
+    Only for streams that are taken up, or may be.
     """
 
     def __init__(self, core: HostedCore, call: HostedCall) -> None:
--- a/tests/test_streams_elsewhere.py
+++ b/tests/test_streams_elsewhere.py
@@ -61,3 +61,14 @@
         assert len(stage.replicas[0].received) > 1
     is_sound = number == 4
     assert (found.status == 200, b'data:' in found.body) == (is_sound, is_sound)
+
+
+# Guards against ORDER: a caller took a stream up at a route that is not
+# resumable any more, and got events of another version.
+@pytest.mark.parametrize('path', ['/stream/1', '/letter/1'])
+async def test_stream_of_unknown_origin_is_taken_up_at_no_route(tmp_path, path):
+    scripts = (stream(4, 6), stream(4, 6))
+    async with staging(tmp_path, *scripts, versions=('v1', 'v2')) as stage:
+        found = await stage.call(path, last_event_id='3')
+        assert not any(each.received for each in stage.replicas)
+    assert (found.status, b'wrong_version' in found.body) == (503, True)
