Forget what is known of every service after a gap between lists

Callers could get a stream joined of two versions at an entry that had missed lists of servers, as after a standstill or a cut from the store.

Cause: `record_list` forgot after a gap only the services that the first list names. A service whose servers were away just then came back with "v1 alone, as ever", whatever had served and begun streams meanwhile. In the same way `first_seen` outlived a gap: a version seen once before it, or away for longer than any stream lasts, began streams at once after it, while others took another version for the only one.

A gap now ends `only` of all services. A version need not settle anew if it had settled before its service was last listed, and if that is less than the lifetime of streams and five seconds ago: no other entry can have concluded sooner that it began none. A service that vanishes from lists without a gap keeps its version, as a version that comes and goes between two lists begins nothing; its versions settle anew after the same time.

--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -37,11 +37,16 @@
 
 @dataclass(slots=True)
 class _ServiceHistory:
-    """`only` is the version that alone has served since `since`, if any."""
+    """`only` is the version that alone has served since `since`, if any.
+
+    `first_seen` holds the versions of the last list with the service, which was
+    read at `listed_at`.
+    """
 
     only: str | None = None
     since: Millis = math.inf
     first_seen: dict[str, Millis] = field(default_factory=dict)
+    listed_at: Millis = -math.inf
 
 
 class SoftwareHistory:
@@ -84,18 +89,21 @@
         servers has written since its start.
         """
         is_first = math.isinf(self._read_at)
-        # A version may have come and gone unnoticed.
-        has_gap = read_at - self._read_at > SETTLING_TIME
+        if read_at - self._read_at > SETTLING_TIME:
+            # A version of any service may have come and gone unnoticed.
+            for history in self._services.values():
+                history.only = None
         for service, softwares in listed.items():
             history = self._services.setdefault(service, _ServiceHistory())
-            seen = history.first_seen
-            if is_first:
-                seen = _find_settled(softwares)
+            seen = (
+                _find_settled(softwares)
+                if is_first
+                else self._find_seen(service, history, read_at)
+            )
             history.first_seen = {
                 software: seen.get(software, read_at) for software in softwares
             }
-            if has_gap and not is_first:
-                history.only = None
+            history.listed_at = read_at
             self._record_only(history, softwares, read_at, is_first=is_first)
         self._read_at = read_at
 
@@ -171,6 +179,27 @@
         history.since = claim.since
         return True
 
+    def _find_seen(
+        self, service: str, history: _ServiceHistory, read_at: Millis
+    ) -> Mapping[str, Millis]:
+        """Return since when versions have been listed, up to a new list.
+
+        One that had settled may have gone meanwhile. Others conclude that it
+        began no streams only once these have ended.
+        """
+        away = read_at - history.listed_at
+        if away <= SETTLING_TIME:
+            return history.first_seen
+        lifetime = self._lifetimes.get(service, 0.0)
+        if away >= lifetime + _BEGIN_LIMIT:
+            return {}
+        settled_until = history.listed_at - SETTLING_TIME
+        return {
+            software: seen
+            for software, seen in history.first_seen.items()
+            if seen <= settled_until
+        }
+
     def _find_alone(self, service: str, now: Millis) -> str | None:
         history = self._services.get(service)
         lifetime = self._lifetimes.get(service)
--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -93,6 +93,59 @@
     assert history.find_only('desk', 3 * SETTLING_TIME) is None
 
 
+# Guards against ORDER: an entry that had missed lists forgot only the services
+# that the next list named, and took one of them for unchanged as it came back.
+def test_a_gap_leaves_nothing_certain_of_a_service_that_comes_back_later():
+    history = make_history(is_first_start=True)
+    history.record_list({'desk': {'v1': 9}}, 0.0)
+    history.record_list({}, 5_000.0)
+    history.record_list({'desk': {'v1': 13}}, 5_600.0)
+    assert history.find_only('desk', 5_600.0) is None
+    assert not history.is_certain(5_600.0)
+    for now in range(6_600, 18_600, 1_000):
+        history.record_list({'desk': {'v1': 19}}, now)
+        assert history.find_only('desk', now) is None
+    history.record_list({'desk': {'v1': 19}}, 18_600.0)
+    assert history.find_only('desk', 18_600.0) == 'v1'
+
+
+def test_a_service_that_vanishes_from_lists_without_a_gap_keeps_its_version():
+    history = make_history(is_first_start=True)
+    for now in range(0, 30_000, 1_000):
+        listed = {} if 2_000 < now < 28_000 else {'desk': {'v1': 9}}
+        history.record_list(listed, now)
+    assert history.find_only('desk', 29_000.0) == 'v1'
+
+
+# Guards against ORDER: a version that was listed again after streams had ended
+# elsewhere began some at once, while others took another for the only one.
+@pytest.mark.parametrize('is_read_meanwhile', [True, False])
+@pytest.mark.parametrize(('away', 'is_settled'), [(5, True), (13, False)])
+def test_a_version_that_was_away_for_longer_than_streams_settles_anew(
+    away, is_settled, is_read_meanwhile
+):
+    history = make_history()
+    history.record_list({'desk': {'v1': 9, 'v2': 9}}, 0.0)
+    for now in range(1, away):
+        if is_read_meanwhile:
+            history.record_list({}, now * 1_000.0)
+    now = away * 1_000.0
+    history.record_list({'desk': {'v1': 9, 'v2': 9}}, now)
+    settling = set() if is_settled else {'v1', 'v2'}
+    assert history.find_settling('desk', now) == settling
+    assert history.find_settling('desk', now + SETTLING_TIME) == set()
+
+
+# Guards against ORDER: a version seen once before a gap was taken for settled
+# after it, though it may have been listed anew.
+def test_a_version_that_had_not_settled_before_a_gap_settles_anew():
+    history = make_history()
+    history.record_list({'desk': {'v1': 9}}, 0.0)
+    history.record_list({'desk': {'v1': 9, 'v2': 1}}, 600.0)
+    history.record_list({'desk': {'v1': 9, 'v2': 1}}, 4_000.0)
+    assert history.find_settling('desk', 4_000.0) == {'v2'}
+
+
 # Streams that began under the longer timeout were taken for ended.
 def test_a_shorter_timeout_does_not_shorten_the_past():
     history = make_history()
