Take what is new in a list of servers for as new as its arrival

Callers could get a stream joined of two versions at an entry whose store answered slowly.

Cause: a list was dated by the earlier of its request and its reading, which is right for its freshness alone. The store may make the answer just before it arrives, a second later. A version that appears in it was taken for listed since the request, so that it settled, and began streams, too soon; a version that is alone in it counted as alone since then; and the time between two lists was measured between their requests, which hides a gap between the moments in which they were made.

`record_list` gets both ends now: freshness counts from the request, what is new and the gap from the arrival.

Evidence: two tests in tests/test_stream_sharing.py. With `until = read_at` in place they fail (nothing settles at 3.8 s, find_only says v1 after 2.1 s); the file passes now.

--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -170,7 +170,8 @@
         core.backends.complete_read(now, read_at)
         # An answer that arrives late tells of the time of its request.
         listed_at = min(read_at, requested_at)
-        core.software.record_list(core.backends.list_softwares(now), listed_at)
+        softwares = core.backends.list_softwares(now)
+        core.software.record_list(softwares, listed_at, now)
         core.record_listed(listed_at)
         self._changes.log_changes(
             core.backends, now, now - (core.servers_read_at or now)
--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -81,15 +81,20 @@
         return now - self._read_at < _BEGIN_LIMIT
 
     def record_list(
-        self, listed: Mapping[str, Mapping[str, int]], read_at: Millis
+        self,
+        listed: Mapping[str, Mapping[str, int]],
+        read_at: Millis,
+        received_at: Millis | None = None,
     ) -> None:
         """Record the versions that a complete list of servers names.
 
         `listed` maps each of a service to the most records that one of its
-        servers has written since its start.
+        servers has written since its start. The list was made after `read_at`
+        and before `received_at`, by default at once.
         """
+        until = read_at if received_at is None else received_at
         is_first = math.isinf(self._read_at)
-        if read_at - self._read_at > SETTLING_TIME:
+        if until - self._read_at > SETTLING_TIME:
             # A version of any service may have come and gone unnoticed.
             for history in self._services.values():
                 history.only = None
@@ -98,13 +103,14 @@
             seen = (
                 _find_settled(softwares)
                 if is_first
-                else self._find_seen(service, history, read_at)
+                else self._find_seen(service, history, until)
             )
+            # What is new in a list may be as new as its arrival.
             history.first_seen = {
-                software: seen.get(software, read_at) for software in softwares
+                software: seen.get(software, until) for software in softwares
             }
             history.listed_at = read_at
-            self._record_only(history, softwares, read_at, is_first=is_first)
+            self._record_only(history, softwares, until, is_first=is_first)
         self._read_at = read_at
 
     def find_only(self, service: str, now: Millis) -> str | None:
@@ -180,14 +186,14 @@
         return True
 
     def _find_seen(
-        self, service: str, history: _ServiceHistory, read_at: Millis
+        self, service: str, history: _ServiceHistory, until: Millis
     ) -> Mapping[str, Millis]:
         """Return since when versions have been listed, up to a new list.
 
         One that had settled may have gone meanwhile. Others conclude that it
         began no streams only once these have ended.
         """
-        away = read_at - history.listed_at
+        away = until - history.listed_at
         if away <= SETTLING_TIME:
             return history.first_seen
         lifetime = self._lifetimes.get(service, 0.0)
@@ -212,7 +218,7 @@
         self,
         history: _ServiceHistory,
         softwares: Collection[str],
-        read_at: Millis,
+        now: Millis,
         *,
         is_first: bool,
     ) -> None:
@@ -220,7 +226,7 @@
             history.only = None
         elif softwares and history.only not in softwares:
             (history.only,) = softwares
-            history.since = read_at
+            history.since = now
             if is_first and self._begins_at is not None:
                 history.since = self._begins_at
 
--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -146,6 +146,30 @@
     assert history.find_settling('desk', 4_000.0) == {'v2'}
 
 
+# Guards against ORDER: a version in a list that arrived late was taken for as
+# old as the request for it, and began streams before others knew it.
+def test_a_version_in_a_list_that_arrives_late_is_as_new_as_its_arrival():
+    history = make_history(is_first_start=True)
+    history.record_list({'desk': {'v1': 9}}, 0.0)
+    history.record_list({'desk': {'v1': 9, 'v2': 1}}, 600.0, 1_900.0)
+    assert history.find_settling('desk', 3_800.0) == {'v2'}
+    history.record_list({'desk': {'v2': 9}}, 2_000.0, 3_000.0)
+    for now in range(4_000, 16_000, 1_000):
+        history.record_list({'desk': {'v2': 9}}, now)
+        assert history.find_only('desk', now) is None
+    history.record_list({'desk': {'v2': 9}}, 16_000.0)
+    assert history.find_only('desk', 16_000.0) == 'v2'
+
+
+# Guards against ORDER: lists whose requests were close together hid a gap
+# between the moments in which they were made.
+def test_a_list_that_arrives_late_may_hide_a_gap():
+    history = make_history(is_first_start=True)
+    history.record_list({'desk': {'v1': 9}}, 0.0, 100.0)
+    history.record_list({'desk': {'v1': 9}}, 700.0, 2_100.0)
+    assert history.find_only('desk', 2_100.0) is None
+
+
 # Streams that began under the longer timeout were taken for ended.
 def test_a_shorter_timeout_does_not_shorten_the_past():
     history = make_history()
