Date ages in messages by when they were sent, not by when they are read

Callers could get a stream joined of two versions at an entry that had stood still: a claim "v1 alone until now" that had lain in its socket for 3 s joined what it read afterwards, over a version that came meanwhile.

Cause: ages were taken off the time of reading. Requests and answers of shared reads were sound, as `held` bounds the time of their answer; claims, reports of work, evidence of poison and the loads in requests were not.

A sender now stamps these four messages with its monotonic clock, and `links/dating.py` bounds what that clock shows on the receiver's: a pong carries the clock, and the peer read it after it was asked. A late echo makes messages seem older, never newer; the best echo counts, less a thousandth of the time since. This also sees what a cut link held back while its receiver ran, which the detection of stalls can't, and needs no wall clock. A claim of unknown delay, as of an entry of an older release, does not count; other news then counts as before. Starts of streams are still dated on receipt: one that is known for too long does no harm, one that is forgotten too soon does.

--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -14,6 +14,7 @@
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.links.codec import decode, encode
+from oleanderdyke.links.dating import PeerClock
 from oleanderdyke.links.keepalive import KeepaliveMonitor
 from oleanderdyke.links.messages import (
     AnswerChunk,
@@ -140,6 +141,9 @@
         self.peer = peer
         self.address = address
         self.counters = LinkCounters()
+        self.peer_clock = PeerClock()
+        self._nonce = 0
+        self._pinged_at = clock.now()
         self._socket = socket
         self._settings = settings
         self._clock = clock
@@ -216,13 +220,23 @@
         self._handler = handler
         self._socket.set_frame_handler(self._handle_frame)
 
+    def ask_time(self, now: Millis) -> None:
+        """Ask the peer for its clock if that is due, without blocking."""
+        if not self.peer_clock.is_due(now) or self.closed:
+            return
+        if self._socket.is_writable():
+            self.peer_clock.record_asked(now)
+            self._socket.write(encode(self._make_ping()))
+
     async def receive(self) -> Message:
         """Return the next message other than pings; raise LinkClosed."""
         while True:
             message = await self._receive_one()
             if isinstance(message, Ping):
-                await self._try_send(Pong(message.nonce))
-            elif message is not None and not isinstance(message, Pong):
+                await self._try_send(Pong(message.nonce, self._clock.now()))
+            elif isinstance(message, Pong):
+                self._record_pong(message)
+            elif message is not None:
                 return message
 
     async def close(self) -> None:
@@ -235,6 +249,15 @@
             await self._socket.close()
         self._socket.abort()
 
+    def _make_ping(self) -> Ping:
+        self._nonce += 1
+        self._pinged_at = self._clock.now()
+        return Ping(self._nonce)
+
+    def _record_pong(self, pong: Pong) -> None:
+        if pong.nonce == self._nonce and pong.clock:
+            self.peer_clock.record_echo(self._pinged_at, pong.clock)
+
     def _encode(self, message: Message) -> bytes:
         data = encode(message)
         if len(data) > self._settings.max_frame:
@@ -325,14 +348,12 @@
                 await self.send(message)
 
     async def _keep_alive(self) -> None:
-        nonce = 0
         with contextlib.suppress(LinkClosed):
             while True:
                 await anyio.sleep(self._settings.ping_interval / SECOND)
                 self._check_silence()
                 if self._monitor.is_idle or not self._has_sent:
-                    nonce += 1
-                    await self._try_send(Ping(nonce))
+                    await self._try_send(self._make_ping())
                 # A ping does not count as sent, as the peer may not answer it.
                 self._has_sent = False
 
--- a/src/oleanderdyke/links/messages/__init__.py
+++ b/src/oleanderdyke/links/messages/__init__.py
@@ -106,9 +106,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Pong:
-    """Answer a `Ping` with its nonce."""
+    """Answer a `Ping` with its nonce and the monotonic clock."""
 
     nonce: int
+    clock: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oleanderdyke/links/messages/news.py
+++ b/src/oleanderdyke/links/messages/news.py
@@ -1,6 +1,8 @@
 """Messages by which entries share what they read, run and have begun.
 
-They hold ages instead of timestamps because the clocks of two processes differ.
+They hold ages instead of timestamps because the clocks of two processes differ;
+`sent_at` is the sender's monotonic clock, by which a receiver knows how long
+the message was on its way, 0 if it doesn't tell (`links/dating.py`).
 `held` is how long a request waited at the neighbour; with it the requester can
 bound the time on its own clock at which the answer was sent.
 """
@@ -102,6 +104,7 @@
     wait: Millis
     limit: Millis
     loads: tuple[LoadNews, ...] = ()
+    sent_at: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,6 +213,7 @@
     """Reports of any number of entries; none if nothing changed."""
 
     reports: tuple[WorkReport, ...] = ()
+    sent_at: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,6 +246,7 @@
     claims: tuple[SoftwareNews, ...] = ()
     is_asking: bool = False
     written_at: Millis = 0.0
+    sent_at: Millis = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,3 +304,4 @@
     quarantined: tuple[QuarantineReport, ...] = ()
     lost_runs: tuple[LostRunReport, ...] = ()
     written_at: Millis = 0.0
+    sent_at: Millis = 0.0
--- a/src/oleanderdyke/links/news_client.py
+++ b/src/oleanderdyke/links/news_client.py
@@ -235,7 +235,12 @@
         if reader is None:
             return None
         request = ContextRequest(
-            next(self._numbers), positions, wait, limit, loads
+            next(self._numbers),
+            positions,
+            wait,
+            limit,
+            loads,
+            sent_at=self._clock.now(),
         )
         asked_at = self._clock.now()
         answer = await self._ask(reader, request, request.number, wait)
--- a/src/oleanderdyke/links/news_server.py
+++ b/src/oleanderdyke/links/news_server.py
@@ -22,6 +22,7 @@
 from oleanderdyke.kernel.read_buffers import EventBuffer, RecordBuffer
 from oleanderdyke.kernel.scheduling.load_table import LoadTable, TimedLoad
 from oleanderdyke.kernel.servers import ServerLoad, ServerStart
+from oleanderdyke.links.dating import find_sent_time
 from oleanderdyke.links.messages.news import (
     ContextAnswer,
     ContextRequest,
@@ -234,7 +235,8 @@
         self, link: Link, request: ContextRequest, sent: _SentPosition
     ) -> None:
         arrived = self._clock.now()
-        for each in decode_loads(request.loads, arrived):
+        sent_at = find_sent_time(link, request.sent_at, arrived)
+        for each in decode_loads(request.loads, sent_at):
             self.loads.update(each)
         until = arrived + request.wait
         await anyio.sleep(min(_EVENTS_DELAY, request.wait) / SECOND)
--- a/src/oleanderdyke/links/poison_exchange.py
+++ b/src/oleanderdyke/links/poison_exchange.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable, Collection, Iterable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from oleanderdyke.kernel.lost_runs import LostRuns, Trial
@@ -16,6 +17,7 @@
     SoundPart,
 )
 from oleanderdyke.links.codec import MAX_MESSAGE
+from oleanderdyke.links.dating import find_delay
 from oleanderdyke.links.messages.news import (
     CrashReport,
     LostRunReport,
@@ -60,10 +62,11 @@
         """Return whether entries of other data centres need to be linked."""
         return self._table.is_active(now)
 
-    def receive(self, report: PoisonReport) -> None:
+    def receive(self, link: Link, report: PoisonReport) -> None:
         """Apply a report of another entry."""
         now = self._clock.now()
-        condemned = self._table.apply(decode_news(report, now), now)
+        delay = find_delay(link, report.sent_at, now) or 0.0
+        condemned = self._table.apply(decode_news(report, now, delay), now)
         self._on_quarantined(condemned)
 
     def step(self, links: Collection[Link], now: Millis) -> None:
@@ -83,7 +86,10 @@
 
 def _send(link: Link, parts: Iterable[PoisonNews], now: Millis) -> bool:
     """Return whether the link has taken all parts."""
-    return all(link.write(encode_news(part, now)) for part in parts)
+    return all(
+        link.write(replace(encode_news(part, now), sent_at=now))
+        for part in parts
+    )
 
 
 def split_news(news: PoisonNews) -> list[PoisonNews]:
--- a/src/oleanderdyke/links/stream_exchange.py
+++ b/src/oleanderdyke/links/stream_exchange.py
@@ -24,6 +24,7 @@
 )
 from oleanderdyke.kernel.stream_sharing import StreamSharing
 from oleanderdyke.links.codec import encode
+from oleanderdyke.links.dating import find_delay
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.messages import Hello, Message
 from oleanderdyke.links.messages.news import (
@@ -138,18 +139,20 @@
         """Apply news of another entry, and answer what it asks."""
         now, sharing = self._clock.now(), self._sharing
         self.has_learned = self.has_learned or bool(news.digests or news.claims)
+        # A start that is kept for too long does no harm, unlike one forgotten.
         sharing.receive(decode_starts(news, now), link, now)
-        if sharing.apply_claims(_decode_claims(news, now)):
+        delay = find_delay(link, news.sent_at, now)
+        if sharing.apply_claims(_decode_claims(news, now, delay)):
             # Others that ask may learn the same.
             self._send_claims(now)
         if news.is_asking:
-            link.write(StreamNews(claims=self._encode_claims(now)))
+            link.write(StreamNews(claims=self._encode_claims(now), sent_at=now))
         if sharing.has_pending:
             self.wake()
 
-    def receive_poison(self, _: Link, report: PoisonReport) -> None:
+    def receive_poison(self, link: Link, report: PoisonReport) -> None:
         """Apply evidence of another entry."""
-        self._poison.receive(report)
+        self._poison.receive(link, report)
         if self._poison.has_pending:
             self.wake()
 
@@ -196,9 +199,12 @@
 
     def _join(self, link: Link, now: Millis, *, is_sharing: bool) -> None:
         """Subscribe to the news of a new link, which gets all that is known."""
+        # The echo comes before the answer to what is asked.
+        link.ask_time(now)
         news = StreamNews(
             claims=self._encode_claims(now),
             is_asking=self._sharing.history.is_asking(now),
+            sent_at=now,
         )
         if not link.write(news):
             return
@@ -222,7 +228,7 @@
                 del backlog[-len(part) :]
 
     def _send_claims(self, now: Millis) -> None:
-        news = StreamNews(claims=self._encode_claims(now))
+        news = StreamNews(claims=self._encode_claims(now), sent_at=now)
         for link in self._backlogs:
             link.write(news)
 
@@ -233,7 +239,7 @@
         self._asked_at = now
         if self._sharing.history.is_asking(now):
             for link in links:
-                link.write(StreamNews(is_asking=True))
+                link.write(StreamNews(is_asking=True, sent_at=now))
 
     def _list_links(self) -> list[Link]:
         up = self._client.find_record_link()
@@ -361,11 +367,19 @@
         )
 
 
-def _decode_claims(news: StreamNews, now: Millis) -> Iterator[SoftwareClaim]:
+def _decode_claims(
+    news: StreamNews, now: Millis, delay: Millis | None
+) -> Iterator[SoftwareClaim]:
+    """Yield the claims of a message; none if its delay is unknown.
+
+    A claim begins as late as it can have begun, and ends as early.
+    """
+    if delay is None:
+        return
     for each in news.claims:
         yield SoftwareClaim(
             each.service,
             each.software,
             now - max(each.age, 0.0),
-            now - max(each.read_age, 0.0),
+            now - delay - max(each.read_age, 0.0),
         )
--- a/src/oleanderdyke/links/work_exchange.py
+++ b/src/oleanderdyke/links/work_exchange.py
@@ -26,6 +26,7 @@
 from oleanderdyke.kernel.scheduling.work_reports import ReportSource
 from oleanderdyke.kernel.scheduling.work_table import WorkTable
 from oleanderdyke.links.codec import MAX_MESSAGE, encode
+from oleanderdyke.links.dating import find_sent_time
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.messages import Hello, Message
 from oleanderdyke.links.messages.news import WorkNews, WorkReport
@@ -199,10 +200,11 @@
     def _receive(self, link: Link, news: WorkNews, side: Side) -> None:
         now = self._clock.now()
         self._heard_at[link] = now
-        self._table.record_heard(now)
+        sent_at = find_sent_time(link, news.sent_at, now)
+        self._table.record_heard(sent_at)
         for report in news.reports:
-            if self._table.apply(report, now):
-                made_at = now - max(report.age, 0.0)
+            made_at = sent_at - max(report.age, 0.0)
+            if self._table.apply(replace(report, age=now - made_at), now):
                 self._pending.append(_Pending(report, made_at, side))
         self._metrics.add(Count.WORK_REPORTS, len(news.reports), _RECEIVED)
         self._metrics.add(Count.WORK_BYTES, link.counters.last_in, _RECEIVED)
@@ -252,7 +254,8 @@
                 tuple(
                     replace(each.report, age=max(now - each.made_at, 0.0))
                     for each in reports
-                )
+                ),
+                sent_at=now,
             )
             data = encode(news)
             # What a full link doesn't take is mended by the next whole reports;
--- a/tests/news_scene.py
+++ b/tests/news_scene.py
@@ -11,6 +11,7 @@
 
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.kernel.neighbours import RECORD_SOURCE, Neighbour, Neighbours
+from oleanderdyke.links.dating import PeerClock
 from oleanderdyke.links.messages import Hello, Message, Role
 from oleanderdyke.links.news_client import NewsClient
 from oleanderdyke.links.news_server import NewsServer
@@ -79,6 +80,7 @@
         self.peer = Hello(1, Role.ENTRY, name, 'i', 'hall', 0)
         self.closed = False
         self._arrive, self._arrived = anyio.create_memory_object_stream(_FAR)
+        self.peer_clock = PeerClock()
         self.other: FakeLink = self
         self.process: Process
 
@@ -89,6 +91,9 @@
         await self.process.wait_thawed()
         self.other._arrive.send_nowait(message)
 
+    def ask_time(self, _now) -> None:
+        """Do nothing, as this peer never tells its clock."""
+
     async def receive(self) -> Message:
         if self.closed:
             raise OleanderError(ErrorKind.BACKEND_LOST, 'closed')
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -576,3 +576,18 @@
             with pytest.raises(KeyError, match='fault'):
                 await link.receive()
         await link.close()
+
+
+async def test_link_tells_how_long_a_message_was_on_its_way():
+    async with listening(echo) as address:
+        link = await call(address)
+        assert link.peer_clock.find_delay(CLOCK.now(), CLOCK.now()) is None
+        link.ask_time(CLOCK.now())
+        await link.send(Cancel('r', 1))
+        await link.receive()
+        now = CLOCK.now()
+        late = link.peer_clock.find_delay(now - 3_000.0, now)
+        fresh = link.peer_clock.find_delay(now, now)
+        assert late == pytest.approx(fresh + 3_000.0)
+        assert fresh < 2_000.0
+        await link.close()
--- a/tests/test_work_frames.py
+++ b/tests/test_work_frames.py
@@ -16,6 +16,7 @@
 from oleanderdyke.kernel.scheduling.work_reports import ReportSource
 from oleanderdyke.kernel.scheduling.work_table import WorkTable
 from oleanderdyke.links.codec import MAX_MESSAGE, decode, encode
+from oleanderdyke.links.dating import PeerClock
 from oleanderdyke.links.messages.news import WorkNews, WorkReport
 from oleanderdyke.links.news_client import NewsClient
 from oleanderdyke.links.work_exchange import WorkExchange
@@ -32,8 +33,12 @@
     def __init__(self) -> None:
         self.peer = SimpleNamespace(process='front-9', data_centre='hall')
         self.counters = SimpleNamespace(last_in=0)
+        self.peer_clock = PeerClock()
         self.sent: list[WorkReport] = []
 
+    def ask_time(self, _now) -> None:
+        """Do nothing, as this peer never tells its clock."""
+
     def write_encoded(self, _message, data) -> bool:
         self.sent += decode(data).reports
         return True
