Count an address that cannot be resolved against its server alone

Seen: with a server at `a..b:80`, `.:80` or a label of 64 characters in the list, the entry answered calls of the service 500, sound servers beside it.

Cause: such an address fits the form of one, but resolving it raises UnicodeError, and an odd port OverflowError. Handlers of connects expect OSError alone. A header of the stores' client that can't be encoded raised as well.

All connects over HTTP, probes, and those of agents run within `connecting`, which raises OSError for whatever resolving raises. Clients split an address as they connect, not as they are made.

Why it works: an attempt's connect fails as to a closed port, which counts against that server and goes on at another.

--- a/src/oleanderdyke/agent/backend.py
+++ b/src/oleanderdyke/agent/backend.py
@@ -10,7 +10,7 @@
 import anyio
 
 from oleanderdyke.agent.settings import BackendSettings
-from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clients.addresses import connecting, split_address
 from oleanderdyke.clients.exchange import Body
 from oleanderdyke.clients.http import (
     HOP_BY_HOP,
@@ -108,9 +108,10 @@
 
     async def connect(self) -> None:
         """Open and close a TCP connection; raise HttpError on failure."""
-        host, port = split_address(self._address)
+        limit = self._connect_timeout / SECOND
         try:
-            with anyio.fail_after(self._connect_timeout / SECOND):
+            with connecting(), anyio.fail_after(limit):
+                host, port = split_address(self._address)
                 stream = await anyio.connect_tcp(host, port)
         except OSError as error:
             raise HttpError(
--- a/src/oleanderdyke/agent/process_watch.py
+++ b/src/oleanderdyke/agent/process_watch.py
@@ -8,7 +8,7 @@
 from anyio.abc import SocketStream
 
 from oleanderdyke.agent.settings import BackendSettings
-from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clients.addresses import connecting, split_address
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.links.messages import BackendKind
 
@@ -91,9 +91,10 @@
         await anyio.aclose_forcefully(stream)
 
     async def _connect(self) -> SocketStream | None:
-        host, port = split_address(self._settings.address)
+        limit = self._settings.connect_timeout / SECOND
         try:
-            with anyio.fail_after(self._settings.connect_timeout / SECOND):
+            with connecting(), anyio.fail_after(limit):
+                host, port = split_address(self._settings.address)
                 return await anyio.connect_tcp(host, port)
         except OSError:
             return None
--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -13,7 +13,7 @@
 import anyio
 import h11
 
-from oleanderdyke.clients.addresses import split_address
+from oleanderdyke.clients.addresses import connecting, split_address
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.links.messages import Headers
 
@@ -454,7 +454,6 @@
 
     async def open(self, address: str) -> BackendConnection:
         """Open a new connection; raise OSError, also on a timeout."""
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
 
         def give_back(connection: BackendConnection) -> None:
@@ -462,7 +461,8 @@
             pooled = self._addresses.setdefault(address, _IdleConnections())
             pooled.idle.append(connection)
 
-        with anyio.fail_after(self._connect_limit / SECOND):
+        with connecting(), anyio.fail_after(self._connect_limit / SECOND):
+            host, port = split_address(address)
             _, connection = await loop.create_connection(
                 lambda: BackendConnection(give_back), host, port
             )
--- a/src/oleanderdyke/clients/exchange.py
+++ b/src/oleanderdyke/clients/exchange.py
@@ -11,6 +11,8 @@
 import anyio
 import h11
 
+from oleanderdyke.clients.addresses import connecting, split_address
+
 Body: TypeAlias = bytes | AsyncIterator[bytes] | None
 
 # Errors of an exchange; a TimeoutError is an OSError.
@@ -172,8 +174,7 @@
 
 
 async def open_exchange(
-    host: str,
-    port: int,
+    address: str,
     *,
     tls: ssl.SSLContext | None,
     connect: float,
@@ -182,7 +183,8 @@
     chunk: int = _CHUNK_BYTES,
 ) -> Exchange:
     """Open a connection, with timeouts in seconds; raise OSError."""
-    with anyio.fail_after(connect):
+    with connecting(), anyio.fail_after(connect):
+        host, port = split_address(address)
         reader, writer = await asyncio.open_connection(
             host, port, ssl=tls, limit=chunk
         )
--- a/src/oleanderdyke/clients/http.py
+++ b/src/oleanderdyke/clients/http.py
@@ -12,7 +12,6 @@
 
 import h11
 
-from oleanderdyke.clients.addresses import split_address
 from oleanderdyke.clients.exchange import (
     FAILURES,
     Body,
@@ -96,7 +95,6 @@
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self._address = address
-        self._host, self._port = split_address(address)
         self._settings = settings or HttpSettings()
         self._tls = tls
         self._open: set[Exchange] = set()
@@ -136,8 +134,7 @@
         read = settings.read
         try:
             return await open_exchange(
-                self._host,
-                self._port,
+                self._address,
                 tls=self._tls,
                 connect=settings.connect / SECOND,
                 write=settings.write / SECOND,
--- a/src/oleanderdyke/clients/keep_alive.py
+++ b/src/oleanderdyke/clients/keep_alive.py
@@ -15,7 +15,6 @@
 import anyio
 import h11
 
-from oleanderdyke.clients.addresses import split_address
 from oleanderdyke.clients.exchange import FAILURES, Exchange, open_exchange
 from oleanderdyke.clients.http import (
     HttpAnswer,
@@ -53,7 +52,6 @@
         self, address: str, settings: KeepAliveSettings | None = None
     ) -> None:
         self._address = address
-        self._host, self._port = split_address(address)
         self._settings = settings or KeepAliveSettings()
         self._idle: list[_IdleConnection] = []
         self._used: set[Exchange] = set()
@@ -73,7 +71,7 @@
         """
         length = ('content-length', str(len(body)))
         sent = [('host', self._address), *headers, length]
-        head = h11.Request(method=method, target=path, headers=sent)
+        head = _make_head(method, path, sent)
         exchange, answer = await self._begin(head, body)
         chunks = _iterate(exchange, self._settings.read_timeout)
         try:
@@ -128,8 +126,7 @@
         settings = self._settings
         try:
             return await open_exchange(
-                self._host,
-                self._port,
+                self._address,
                 tls=None,
                 connect=settings.connect / SECOND,
                 write=settings.read_timeout / SECOND,
@@ -195,6 +192,17 @@
     since: float
 
 
+def _make_head(
+    method: str, path: str, headers: list[tuple[str, str]]
+) -> h11.Request:
+    try:
+        return h11.Request(method=method, target=path, headers=headers)
+    except (UnicodeError, h11.LocalProtocolError) as error:
+        # The address and some headers come from other writers.
+        reason = type(error).__name__
+        raise HttpError(f'cannot be sent: {reason}', ran=Ran.NO) from error
+
+
 async def _iterate(
     exchange: Exchange, read_timeout: Millis
 ) -> AsyncGenerator[bytes, None]:
