Skip announcements of entries at addresses that cannot be connected to

Seen: with an announcement of an entry at port 99999, -5 or 10^200, at `a..b`, `.`, a label of 64 characters or `[::::]` in the store, each entry that read it ended, and so did each that started later.

Cause: the decoder checked that the port is an integer and nothing else, and the dialer let all but OSError through, up to the task group of the process.

Change: announcements, and the addresses of servers, are checked by `split_address`. A dial resolves within `connecting`, so that whatever it raises is DialFailed and the link is tried again after its backoff.

Measured: on the code before, the entry of the test at the wire ended with "Port out of range 0-65535", the pool of links with UnicodeError, and 19 tests of single addresses failed; all of test_odd_announcements.py pass now.

Why it works: an announcement that names no address is skipped and reported as other malformed ones; one that resolves to nothing concerns its link alone.

--- a/src/oleanderdyke/links/dialer.py
+++ b/src/oleanderdyke/links/dialer.py
@@ -7,6 +7,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
+from oleanderdyke.clients.addresses import connecting, split_address
 from oleanderdyke.clock import Clock
 from oleanderdyke.errors import ErrorKind, OleanderError, Ran
 from oleanderdyke.links.handshake import HandshakeFailed, exchange_hellos
@@ -55,13 +56,15 @@
 ) -> ClientSocket:
     scheme = 'ws' if tls is None else 'wss'
     try:
-        socket = await connect(
-            f'{scheme}://{address}/',
-            ssl=tls,
-            proxy=None,
-            create_connection=ClientSocket,
-            **socket_options(settings),
-        )
+        with connecting():
+            split_address(address)
+            socket = await connect(
+                f'{scheme}://{address}/',
+                ssl=tls,
+                proxy=None,
+                create_connection=ClientSocket,
+                **socket_options(settings),
+            )
     except (OSError, WebSocketException) as error:
         reason = type(error).__name__
         raise DialFailed(f'cannot reach {address}: {reason}') from error
--- a/src/oleanderdyke/platform/entries.py
+++ b/src/oleanderdyke/platform/entries.py
@@ -81,7 +81,7 @@
     match rest:
         case []:
             return Neighbour(name, '', '')
-        case [data_centre] if not _is_address(data_centre):
+        case [data_centre] if not _has_port(data_centre):
             return Neighbour(name, '', data_centre)
         case [address, data_centre] if _is_address(address):
             return Neighbour(name, address, data_centre)
@@ -96,6 +96,12 @@
     )
 
 
+def _has_port(text: str) -> bool:
+    """Return whether a text is meant as an address, perhaps an odd one."""
+    _, colon, port = text.rpartition(':')
+    return bool(colon) and port.removeprefix('-').isdigit()
+
+
 def _is_address(text: str) -> bool:
     try:
         split_address(text)
--- a/src/oleanderdyke/platform/fields.py
+++ b/src/oleanderdyke/platform/fields.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import json
-import re
 from collections.abc import Mapping
 from typing import Any, NoReturn
 
+from oleanderdyke.clients.addresses import InvalidAddress, split_address
+
 # All JSON parsers agree on integers up to this bound (RFC 8259, section 6).
 _MAX_INTEGER = 2**53 - 1
-_MAX_PORT = 65_535
 # Bounds the part of a text value that an error message shows.
 _SHOWN_LENGTH = 40
-_ADDRESS = re.compile(
-    r'(?:[0-9A-Za-z._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})', re.ASCII
-)
 # What reading fields of malformed documents may raise. A document that is
 # nested too deeply raises RecursionError.
 MALFORMED = (
@@ -85,10 +82,13 @@
 def read_address(found: Mapping[str, Any], name: str) -> str:
     """Return `host:port`; raise one of MALFORMED."""
     address = read_text(found, name)
-    match = _ADDRESS.fullmatch(address)
-    if match is not None and 0 < int(match[1]) <= _MAX_PORT:
-        return address
-    raise FieldError(f'{name}: found {show_value(address)}; allowed: host:port')
+    try:
+        split_address(address)
+    except InvalidAddress as error:
+        raise FieldError(
+            f'{name}: found {show_value(address)}; {error}'
+        ) from error
+    return address
 
 
 def read_objects(
