Apply a configuration without the stores that have no address

Seen: with a context store at `kvStoreAddr` with port 99999 or -5, a word or nothing as port, no host, `a..b` or a label of 64 characters, each entry that applied the configuration ended, and ended again at each start.

Cause: the address was taken as it came. The client of the store raised ValueError, OverflowError or UnicodeError in a task of the process.

Change: a store at an odd address is left out, as one that is away; all else of the configuration is applied. `Deployment.faults` tells what was left out and what is allowed, and the entry logs it as `record_refused name=config`, three faults at most and the count of the others.

Measured: on the code before, 24 tests of test_odd_configurations.py failed, the ones at the wire with OverflowError "port must be 0-65535", UnicodeError "label empty or too long" and "label too long", and ValueError "invalid literal"; all pass now.

Why it works: no task is started for a store that can't be connected to, and requests plan no context for it.

--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -20,6 +20,7 @@
     OperatorUpdate,
     ServerFeed,
     ServerUpdate,
+    report_refused,
 )
 from oleanderdyke.platform.loads import LoadFeed
 from oleanderdyke.platform.store import StoreClient, StoreUnavailable
@@ -259,6 +260,10 @@
             version=deployment.version,
             count=len(deployment.routes),
         )
+        faults = [
+            ('config', MalformedRecord(each)) for each in deployment.faults
+        ]
+        report_refused(faults, self._log_refused_record)
 
 
 def _apply_servers(
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -132,7 +132,8 @@
 class Deployment:
     """Hold one version of the complete configuration.
 
-    `key_owners` is empty if calls need no API key.
+    `key_owners` is empty if calls need no API key. `faults` tell which values
+    could not be applied, and what is allowed in their place.
     """
 
     version: int
@@ -140,6 +141,7 @@
     services: Mapping[str, ServiceTraits] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
     key_owners: Mapping[str, KeyOwner] = field(default_factory=dict)
+    faults: tuple[str, ...] = ()
 
     @cached_property
     def _by_host(self) -> Mapping[str, tuple[Route, ...]]:
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -122,13 +122,17 @@
 
 
 def _make_deployment(found: Mapping[str, Any]) -> Deployment:
-    services = [_make_service(each) for each in found.get('services', ())]
+    faults: list[str] = []
+    services = [
+        _make_service(each, faults) for each in found.get('services', ())
+    ]
     return Deployment(
         version=read_integer(found, 'version'),
         routes=tuple(_make_route(each) for each in found.get('routes', ())),
         services={service.name: service for service in services},
         limits=_make_limits(found.get('limits', {})),
         key_owners=dict(_list_key_owners(found.get('tenants', ()))),
+        faults=tuple(faults),
     )
 
 
@@ -171,14 +175,14 @@
     return (Share(str(found['service'])),)
 
 
-def _make_service(found: Mapping[str, Any]) -> ServiceTraits:
+def _make_service(found: Mapping[str, Any], faults: list[str]) -> ServiceTraits:
     engine = found.get('engine')
     return ServiceTraits(
         name=str(found['name']),
         cold_duration=float(found.get('coldStartS') or 0.0) * SECOND,
         cold_rate=float(found.get('coldPerS') or 0.0),
         engine=_make_engine(engine) if engine else None,
-        store=_make_store(found) if found.get('kvStoreAddr') else None,
+        store=_make_store(found, faults) if found.get('kvStoreAddr') else None,
     )
 
 
@@ -203,9 +207,20 @@
         return 0.0
 
 
-def _make_store(found: Mapping[str, Any]) -> StoreTraits:
+def _make_store(
+    found: Mapping[str, Any], faults: list[str]
+) -> StoreTraits | None:
+    """Return the traits of a context store, None at an odd address.
+
+    It is then as one that is away: all else of the configuration is applied.
+    """
+    try:
+        address = read_address(found, 'kvStoreAddr')
+    except MALFORMED as error:
+        faults.append(f'service {show_value(found["name"])}: {error}')
+        return None
     return StoreTraits(
-        address=str(found['kvStoreAddr']),
+        address=address,
         data_centre=str(found.get('zone', '')),
         capacity_tokens=int(found.get('kvCapacity', 0)),
         link_mbps=float(found.get('linkMbps', 0.0)),
--- /dev/null
+++ b/tests/test_odd_configurations.py
@@ -0,0 +1,113 @@
+"""Values of a configuration that pass as such and fail where they are used.
+
+Operators make typing errors. One value must not cost the rest: what can be
+applied is applied, and the log tells what was wrong and what is allowed.
+"""
+
+from __future__ import annotations
+
+import json
+
+import anyio
+import pytest
+
+from oleanderdyke.platform.documents import decode_configuration
+from tests.hosted import (
+    CONFIGURATION,
+    OPERATOR,
+    configure_store,
+    make_store_service,
+    staging,
+)
+from tests.standins.scripts import answer_well
+
+pytestmark = pytest.mark.anyio
+
+LABEL = 'a' * 64
+ODD_ADDRESSES = {
+    'port_99999': '127.0.0.1:99999',
+    'negative': '127.0.0.1:-5',
+    'port_0': '127.0.0.1:0',
+    'word': '127.0.0.1:http',
+    'no_port': '127.0.0.1:',
+    'no_colon': '127.0.0.1',
+    'no_host': ':80',
+    'empty_label': 'a..b:80',
+    'label': f'{LABEL}:80',
+    'colons': '[::::]:80',
+    'surrogate': '\ud800:80',
+    'line': 'a:80\r\nx: y',
+    'number': 80,
+    'list': ['127.0.0.1:80'],
+}
+each_address = pytest.mark.parametrize(
+    'odd', ODD_ADDRESSES.values(), ids=ODD_ADDRESSES
+)
+
+
+def decode(configuration):
+    return decode_configuration(json.dumps(configuration).encode())
+
+
+@each_address
+def test_a_store_at_an_odd_address_is_left_out_alone(odd):
+    found = decode(configure_store(odd))
+    sound = decode(CONFIGURATION)
+    assert found.routes == sound.routes
+    assert found.services['rules'].store is None
+    (fault,) = found.faults
+    assert "'rules'" in fault
+    assert 'allowed' in fault
+
+
+def test_a_sound_configuration_has_no_faults():
+    found = decode(configure_store('127.0.0.1:80'))
+    assert found.services['rules'].store.address == '127.0.0.1:80'
+    assert found.faults == ()
+
+
+# Guards against an operator's typing error in the address of a context store
+# that ends each entry which applies it, and ends it again at each start.
+@pytest.mark.parametrize(
+    'odd', ['127.0.0.1:99999', '127.0.0.1:', 'a..b:80', f'{LABEL}:80', ':80']
+)
+@pytest.mark.parametrize('is_known_at_start', [True, False])
+async def test_an_entry_serves_while_a_store_has_an_odd_address(
+    tmp_path, odd, is_known_at_start
+):
+    configuration = {**configure_store(odd), 'version': 8}
+    first = configuration if is_known_at_start else CONFIGURATION
+    async with staging(tmp_path, answer_well, configuration=first) as stage:
+        stage.store.put(OPERATOR, 'config', configuration)
+        await wait_version(stage, 8)
+        # The stores are read by now.
+        await anyio.sleep(0.6)
+        assert (await stage.call('/once/1')).status == 200
+        await stage.core.contexts_ready.wait()
+    text = stage.log.read_text()
+    (line,) = [line for line in text.splitlines() if 'name=config' in line]
+    assert 'event=record_refused' in line
+    assert 'allowed: ' in line
+
+
+# Guards against faults of one configuration that fill the log.
+async def test_many_faults_of_a_configuration_take_few_lines(tmp_path):
+    services = [make_store_service(f's-{at}', 'a..b:80') for at in range(40)]
+    configuration = {**CONFIGURATION, 'services': services}
+    async with staging(
+        tmp_path, answer_well, configuration=configuration
+    ) as stage:
+        await wait_version(stage, 7)
+    lines = stage.log.read_text().splitlines()
+    refused = [line for line in lines if 'event=record_refused' in line]
+    # The port of metrics may be in use.
+    assert len([line for line in refused if 'name=metrics' not in line]) == 4
+
+
+async def wait_version(stage, version) -> None:
+    with anyio.fail_after(5):
+        while (
+            stage.core.deployment is None
+            or stage.core.deployment.version < version
+        ):
+            await anyio.sleep(0.02)
