Let a record's start time decide for its own server alone

Seen: with any `born` in one record where no other server writes one, under a key of its own or that of a real server, the entry answered 503 to all calls of all services; sound servers were not used again, also after they wrote anew.

Cause: `ServerList._has_start_times` took one start time for proof that all servers tell theirs, so every record without it was by another writer. Under the key of a real server, its own later records were taken for late ones of an earlier start for good; a time 23 hours ahead did the same where all tell one.

Change: records without a start time are doubted only while half of the known servers or more tell theirs, and not those of servers that were used before or that write again. What late records, single foreign ones among many servers, and all tests of starts ask for stays as it was.

Why it works: one record can't reach half of the list, but beside a single server at the start of an entry; that one counts with its next record.

--- a/src/oleanderdyke/kernel/server_list.py
+++ b/src/oleanderdyke/kernel/server_list.py
@@ -11,6 +11,7 @@
 from oleanderdyke.kernel.removed_servers import RemovedServers
 from oleanderdyke.kernel.scheduling.prefill_rate import PrefillRate
 from oleanderdyke.kernel.servers import ServerRecord, ServerStart
+from oleanderdyke.kernel.start_order import StartOrder
 
 # Servers report being cold for seconds; a larger value is an error.
 _MAX_COLD: Millis = 60 * SECOND
@@ -34,17 +35,16 @@
             PrefillRate
         )
         self._removed = RemovedServers()
-        # Latest known start time of each server. Kept after the server is gone,
-        # because a record of an earlier start may still arrive.
-        self._latest_starts: dict[str, int] = {}
+        self._starts = StartOrder()
         self._superseded: list[ServerRecord] = []
         # Starts whose answers announced that they leave. Kept after they are
         # gone, because a lagging list may still show them as ready.
         self._left_starts: OrderedDict[ServerStart, None] = OrderedDict()
-        # Whether any known server reports its start time. If so, all of them
-        # do, and a record without it has another writer; if not, starts can
-        # only be told apart by the server name.
-        self._has_start_times = False
+        # Whether half of the servers or more report their start time. A record
+        # without it then has another writer, unless its server was accepted
+        # before or writes on.
+        self._are_starts_told = False
+        self._accepted: set[str] = set()
 
     def find(self, server: str) -> Backend | None:
         """Return a server that is listed or still has running requests."""
@@ -163,16 +163,19 @@
 
     def put(self, record: ServerRecord, now: Millis) -> None:
         """Apply a newer record; a start that is leaving stays so."""
-        if self._is_stale(record):
+        known = self._backends.get(record.server)
+        listed = None if known is None else known.record
+        if self._starts.is_stale(record, listed):
             return
         record = self._preserve_leaving(record)
         self._record_start(record)
         if self._removed.should_hold(record, now):
             return
-        known = self._backends.get(record.server)
         if known is None or known.record.start != record.start:
             self._add_start(record, known, now)
             return
+        if record.revision > known.record.revision:
+            self._accepted.add(record.server)
         known.missing_since = None
         known.is_unread = False
         known.is_displaced = False
@@ -221,24 +224,9 @@
             return record
         return replace(record, is_leaving=True)
 
-    def _is_stale(self, record: ServerRecord) -> bool:
-        """Return whether a record belongs to an earlier start.
-
-        A record without a start time does not belong to a server that has
-        reported one.
-        """
-        if record.born is None:
-            known = self._backends.get(record.server)
-            return known is not None and known.record.born is not None
-        return record.born < self._latest_starts.get(record.server, 0)
-
     def _record_start(self, record: ServerRecord) -> None:
         """Record the latest start; its own records cannot be left over."""
-        if record.born is None:
-            return
-        self._has_start_times = True
-        if record.born != self._latest_starts.get(record.server):
-            self._latest_starts[record.server] = record.born
+        if self._starts.record_start(record):
             self._removed.forget(record.server)
 
     def _add_start(
@@ -269,7 +257,9 @@
 
     def _is_valid(self, backend: Backend) -> bool:
         """Return whether a record was written by a backend server."""
-        return backend.record.born is not None or not self._has_start_times
+        if backend.record.born is not None or not self._are_starts_told:
+            return True
+        return backend.record.server in self._accepted
 
     def find_oldest_version(self, model: str) -> int | None:
         """Return the oldest weights that a known engine may still hold."""
@@ -317,10 +307,23 @@
             del self._backends[server]
         if gone:
             self._index_addresses()
-        self._has_start_times = any(
-            backend.record.born is not None
-            for backend in self._backends.values()
-        )
+        self._accept_servers()
+
+    def _accept_servers(self) -> None:
+        """Decide by all servers whether records have to tell a start time.
+
+        One record decides nothing for the others.
+        """
+        untold = {
+            server
+            for server, backend in self._backends.items()
+            if backend.record.born is None
+        }
+        told = len(self._backends) - len(untold)
+        self._are_starts_told = told > 0 and told >= len(untold)
+        self._accepted &= untold
+        if not self._are_starts_told:
+            self._accepted |= untold
 
     def _index_addresses(self) -> None:
         self._servers_by_address.clear()
