Refuse calls with a head that cannot be sent, in place of a 500

Seen: with a tenant's name that no header can carry (letters beyond Latin-1, line ends, outer spaces, a zero byte), calls with its keys were answered 500 by the entry; with an empty name they ran without their tenant.

Cause: names of teams become header values unchecked, and building the head of an attempt raised UnicodeError or h11.LocalProtocolError through the call.

Change: such a name is a fault of the configuration, logged with what is allowed; calls with its keys are refused with 503, as no server may run them without their tenant, and all other calls go on.

Why it works: the name is checked once, where the configuration is decoded, and the attempt has a boundary of its own around what it encodes.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -50,6 +50,8 @@
 # A proxy whose server is gone closes a new connection within this time; a
 # server waits longer for a request.
 _CLOSE_LIMIT: Millis = 100.0
+# What `make_head` raises for a value that no header can carry.
+HEAD_FAULTS = (UnicodeError, h11.LocalProtocolError)
 
 
 class Reachability(enum.StrEnum):
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -5,7 +5,10 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
+from h11 import Request
+
 from oleanderdyke.clients.direct import (
+    HEAD_FAULTS,
     BackendConnection,
     make_head,
     set_idle_limit,
@@ -552,18 +555,17 @@
     def _send(self, connection: BackendConnection, backend: Backend) -> None:
         core, call = self._core, self._call
         record = backend.record
+        dispatch = self._make_dispatch(backend)
+        try:
+            head = self._make_head(dispatch)
+        except HEAD_FAULTS as error:
+            connection.close()
+            self._report_unsent(f'head not sendable: {type(error).__name__}')
+            return
         if core.crashes.find_status(call) is PoisonStatus.TRIAL:
             core.crashes.begin_trial(call, self._start)
         self._software = record.software
         self._connection = connection
-        dispatch = self._make_dispatch(backend)
-        head = make_head(
-            call.method,
-            call.target,
-            encode_request(call.headers, dispatch),
-            call.body,
-            call.host,
-        )
         self._sent = True
         self._send_record = self._sends.begin(self._start)
         demand = call.parameters.demand
@@ -602,6 +604,13 @@
             segments=sum(map(bool, dispatch.contexts.sinks)) or None,
         )
 
+    def _make_head(self, dispatch: Dispatch) -> Request:
+        call = self._call
+        headers = encode_request(call.headers, dispatch)
+        return make_head(
+            call.method, call.target, headers, call.body, call.host
+        )
+
     def _record_work(self, unread: int) -> None:
         """Add this attempt to the work that entries share."""
         self._scheduler = self._core.scheduling.find_scheduler(self._call)
--- a/src/oleanderdyke/entry/hosted/call.py
+++ b/src/oleanderdyke/entry/hosted/call.py
@@ -304,6 +304,8 @@
     owner = deployment.key_owners.get(parameters.api_key)
     if owner is None:
         raise _make_denial(core, ErrorKind.UNAUTHENTICATED, 'unknown API key')
+    if not owner.team:
+        raise make_not_ready_error('the name of the team cannot be sent')
     return owner
 
 
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -119,6 +119,7 @@
 class KeyOwner:
     """Identify the team that an API key belongs to.
 
+    `team` is empty if its name can't be sent to a server.
     Its calls run in the `allowed_regions` only; an empty set allows all.
     """
 
--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -42,6 +42,8 @@
 _LEAVING = 'draining'
 # An id is sent as a header value. A key with a slash is not that of a server.
 _SERVER_ID = re.compile('[!-.0-~]+')
+# The name of a team is sent as a header value.
+_TEAM = re.compile('[!-~¡-ÿ]+(?: +[!-~¡-ÿ]+)*')
 # A typical record has 250 bytes, and more with many models and adapters.
 # Parsing larger ones would delay the requests of the reading process.
 _MAX_SERVER_BYTES = 16_384
@@ -131,7 +133,7 @@
         routes=tuple(_make_route(each) for each in found.get('routes', ())),
         services={service.name: service for service in services},
         limits=_make_limits(found.get('limits', {})),
-        key_owners=dict(_list_key_owners(found.get('tenants', ()))),
+        key_owners=dict(_list_key_owners(found.get('tenants', ()), faults)),
         faults=tuple(faults),
     )
 
@@ -239,12 +241,12 @@
 
 
 def _list_key_owners(
-    teams: Iterable[Mapping[str, Any]],
+    teams: Iterable[Mapping[str, Any]], faults: list[str]
 ) -> Iterable[tuple[str, KeyOwner]]:
     for team in teams:
         priority = team.get('priority')
         owner = KeyOwner(
-            team=str(team['name']),
+            team=_read_team(team, faults),
             is_isolated=bool(team.get('isolated', False)),
             priority=None if priority is None else int(priority),
             allowed_regions=_read_allowed_regions(team),
@@ -253,6 +255,17 @@
             yield str(key), owner
 
 
+def _read_team(found: Mapping[str, Any], faults: list[str]) -> str:
+    """Return the name of a team, '' if no header can carry it."""
+    name = str(found['name'])
+    if _TEAM.fullmatch(name):
+        return name
+    faults.append(
+        f'tenants: name: found {show_value(name)}; allowed: printable Latin-1'
+    )
+    return ''
+
+
 def _check_server(server: str, data: bytes) -> None:
     """Check the key, size and nesting before the record is parsed."""
     if not _SERVER_ID.fullmatch(server):
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -9,14 +9,18 @@
 import json
 
 import anyio
+import h11
 import pytest
 
+from oleanderdyke.entry.hosted import attempt
 from oleanderdyke.platform.documents import decode_configuration
 from tests.hosted import (
     CONFIGURATION,
     OPERATOR,
     configure_store,
+    make_request,
     make_store_service,
+    read_answer,
     staging,
 )
 from tests.standins.scripts import answer_well
@@ -111,3 +115,74 @@
             or stage.core.deployment.version < version
         ):
             await anyio.sleep(0.02)
+
+
+ODD_TEAMS = {
+    'letters': 'Łódź',
+    'line': 'red\r\nx-odd: y',
+    'feed': 'red\nblue',
+    'space': ' red',
+    'zero': 'r\x00d',
+    'surrogate': '\ud800',
+    'empty': '',
+}
+
+
+# Guards against a name that no header can carry, for which all calls with the
+# team's keys were answered 500, or went on without their team.
+@pytest.mark.parametrize('odd', ODD_TEAMS.values(), ids=ODD_TEAMS)
+async def test_calls_of_a_team_with_an_odd_name_are_refused_alone(
+    tmp_path, odd
+):
+    teams = [{'name': odd, 'apiKeys': ['odd-key']}, *CONFIGURATION['tenants']]
+    configuration = {**CONFIGURATION, 'tenants': teams}
+    async with staging(
+        tmp_path, answer_well, configuration=configuration
+    ) as stage:
+        found = await stage.call('/once/1', oleanderdyke_key='odd-key')
+        assert found.status == 503
+        assert 'retry-after' in found.headers
+        assert not stage.replicas[0].received
+        assert (await stage.call('/once/2')).status == 200
+    assert 'allowed: printable Latin-1' in stage.log.read_text()
+
+
+async def test_a_team_with_a_name_of_latin_letters_is_told(tmp_path):
+    teams = [{'name': 'são paulo', 'apiKeys': ['key']}]
+    configuration = {**CONFIGURATION, 'tenants': teams}
+    async with staging(
+        tmp_path, answer_well, configuration=configuration
+    ) as stage:
+        found = await stage.call('/once/1', oleanderdyke_key='key')
+        assert found.status == 200
+        (request,) = stage.replicas[0].received
+    assert request.headers['oleanderdyke-tenant-id'] == 'são paulo'
+
+
+# Guards against a 500 for whatever else of a request no header can carry.
+@pytest.mark.parametrize('fault', [UnicodeError, h11.LocalProtocolError])
+async def test_a_head_that_cannot_be_sent_is_a_refusal(
+    tmp_path, monkeypatch, fault
+):
+    def fail(*_):
+        raise fault('odd')
+
+    async with staging(tmp_path, answer_well, answer_well) as stage:
+        with monkeypatch.context() as patched:
+            patched.setattr(attempt, 'make_head', fail)
+            for path in ('/safe/1', '/once/1'):
+                assert (await stage.call(path)).status == 503
+        assert (await stage.call('/safe/2')).status == 200
+
+
+# Guards against a head that one parser takes and the other refuses to send.
+@pytest.mark.parametrize('byte', [1, 9, 11, 12, 127, 128, 160, 255])
+async def test_odd_bytes_of_callers_are_passed_on_or_refused(tmp_path, byte):
+    async with staging(tmp_path, answer_well) as stage:
+        reader, writer = await stage.connect()
+        request = make_request('/once/1', x_odd='before-after')
+        odd = bytes([byte])
+        writer.write(request.replace(b'before-after', b'before' + odd + b'x'))
+        answer = await read_answer(reader)
+        writer.close()
+    assert answer.status in {200, 400}
