Let a stream go on at another service only at an equal version

Callers could get a stream joined of two versions while their route moved to another service, or was split over services with different versions.

Cause: if the origin was known and the route led to another service, any version would do; no sentence of the protocol says so. If it was not known, the version that alone had served the service of this entry's configuration was taken, though the route may have led elsewhere as the stream began.

A known origin now binds the version at any service. An unknown one counts only if one version alone has served all services to which the route has led while its streams could live (kernel/route_services.py; routes that are added or removed hand their services on), or all services of streams if the configuration may be stale. Entries tell each other of starts while the services of a route differ, so few origins stay unknown. An entry knows no configuration from before its own start.

--- a/src/oleanderdyke/entry/hosted/stream_pin.py
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from oleanderdyke.clock import Millis
@@ -116,14 +117,19 @@
     def _find_software(self, now: Millis) -> str | None:
         core, call = self._core, self._call
         origin = core.peers.find_origin(call.team, call.parameters.resumes)
-        if origin is not None and origin.service == call.service:
-            return origin.software
         if origin is not None:
-            # The route leads to another service now, whose versions say nothing
-            # about the one that began the stream.
-            self._is_resumption = False
-            return None
-        return core.software.find_only(call.service, now)
+            # Another service may go on with it at an equal version only, as
+            # nothing says that any other one fits.
+            return origin.software
+        return core.software.find_common(self._list_services(now), now)
+
+    def _list_services(self, now: Millis) -> Collection[str]:
+        """Return the services at which the stream may have begun."""
+        core, route = self._core, self._call.route
+        if core.is_stale:
+            # The route may lead elsewhere by now.
+            return core.software.list_services()
+        return core.software.routes.find(route.host, route.prefix, now)
 
     def _record_start(self) -> None:
         call, software = self._call, self.software
--- a/src/oleanderdyke/entry/hosted/watch.py
+++ b/src/oleanderdyke/entry/hosted/watch.py
@@ -252,7 +252,11 @@
         if known is not None and deployment.version <= known.version:
             return
         self._core.deployment = deployment
-        self._core.software.configure(deployment.stream_lifetimes)
+        software = self._core.software
+        software.configure(deployment.stream_lifetimes)
+        software.routes.configure(
+            deployment.stream_routes, self._core.clock.now()
+        )
         self._core.scheduling.configure(deployment)
         self._core.limits.cold_limits = self._core.find_cold_limits(deployment)
         self._core.log.write(
--- a/src/oleanderdyke/kernel/deployment.py
+++ b/src/oleanderdyke/kernel/deployment.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 
 from oleanderdyke.clock import Millis
+from oleanderdyke.kernel.route_services import StreamRoute
 
 # Callers may wait longer than the timeout that is in force by now.
 _LIFETIME_FACTOR = 2.0
@@ -182,6 +183,18 @@
                     lifetimes[share.service] = max(known, lifetime)
         return lifetimes
 
+    @property
+    def stream_routes(self) -> Iterator[StreamRoute]:
+        """Yield where each route of resumable streams leads."""
+        for route in self.routes:
+            if route.is_resumable:
+                yield StreamRoute(
+                    route.host,
+                    route.prefix,
+                    frozenset(share.service for share in route.shares),
+                    route.timeout * _LIFETIME_FACTOR,
+                )
+
     def needs_key(self, route: Route) -> bool:
         """Return whether calls on a route must carry an API key."""
         return bool(self.key_owners) and not route.is_public
--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from oleanderdyke.clock import SECOND, Millis
+from oleanderdyke.kernel.route_services import RouteServices
 
 # A version that appears begins streams this much later. By then every entry
 # whose list is fresh knows that it serves, and that another one may have gone.
@@ -60,6 +61,7 @@
         self._read_at: Millis = -math.inf
         self._services: dict[str, _ServiceHistory] = {}
         self._lifetimes: dict[str, Millis] = {}
+        self.routes = RouteServices(_BEGIN_LIMIT)
 
     def configure(self, lifetimes: Mapping[str, Millis]) -> None:
         """Set how long streams of services may be taken up.
@@ -122,15 +124,28 @@
             return None
         return self._find_alone(service, now)
 
+    def find_common(self, services: Collection[str], now: Millis) -> str | None:
+        """Return the version that must have begun a stream at any of them."""
+        found = {self.find_only(service, now) for service in services}
+        return found.pop() if len(found) == 1 else None
+
+    def list_services(self) -> Collection[str]:
+        """Return all services of streams that may be taken up."""
+        return self._lifetimes.keys()
+
     def is_certain(self, now: Millis) -> bool:
         """Return whether one version alone has begun the streams of each."""
         if not self._lifetimes:
             return True
         if now - self._read_at > _CERTAIN_TIME:
             return False
-        return all(
-            self._find_alone(service, now) is not None
+        alone = {
+            service: self._find_alone(service, now)
             for service in self._lifetimes
+        }
+        return None not in alone.values() and all(
+            len({alone.get(service) for service in services}) == 1
+            for services in self.routes.list_all(now)
         )
 
     def find_certain_time(self, now: Millis) -> Millis:
--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -11,6 +11,7 @@
 from hypothesis.stateful import rule
 
 from machines import CheckedMachine, assert_caught, assert_holds
+from oleanderdyke.kernel.route_services import RouteServices, StreamRoute
 from oleanderdyke.kernel.software_history import (
     SETTLING_TIME,
     SoftwareClaim,
@@ -170,6 +171,60 @@
     assert history.find_only('desk', 2_100.0) is None
 
 
+def make_routes(**services):
+    """Return routes by the last part of their prefix."""
+    return [
+        StreamRoute('a.test', f'/{name.replace("_", "/")}/', frozenset(each), 8)
+        for name, each in services.items()
+    ]
+
+
+# Guards against ORDER: a stream that no entry knew was taken for one of the
+# service to which its route leads by now.
+def test_a_stream_may_have_begun_where_its_route_led_before():
+    known = RouteServices(5.0)
+    known.configure(make_routes(a={'desk'}, b={'till'}), 0.0)
+    assert known.find('a.test', '/a/', 0.0) == {'desk'}
+    assert known.find('a.test', '/c/', 0.0) == set()
+    known.configure(make_routes(a={'till', 'mill'}, b={'till'}), 100.0)
+    assert known.find('a.test', '/a/', 112.0) == {'desk', 'till', 'mill'}
+    assert known.find('a.test', '/b/', 112.0) == {'till'}
+    known.configure(make_routes(a={'mill'}), 110.0)
+    assert known.find('a.test', '/a/', 112.0) == {'desk', 'till', 'mill'}
+    assert known.find('a.test', '/a/', 113.0) == {'till', 'mill'}
+    assert known.find('a.test', '/a/', 123.0) == {'mill'}
+
+
+# Guards against ORDER: the paths of a route that is added or removed belonged,
+# or belong, to another one.
+def test_a_stream_may_have_begun_at_a_route_that_came_or_went():
+    known = RouteServices(5.0)
+    known.configure(make_routes(a={'desk'}, b={'till'}), 0.0)
+    known.configure(make_routes(a={'desk'}, a_b={'mill'}, b={'till'}), 100.0)
+    assert known.find('a.test', '/a/b/', 112.0) == {'desk', 'mill'}
+    assert known.find('a.test', '/a/', 112.0) == {'desk'}
+    known.configure(make_routes(a={'desk'}, b={'till'}), 200.0)
+    assert known.find('a.test', '/a/', 212.0) == {'desk', 'mill'}
+    assert known.find('a.test', '/b/', 212.0) == {'till'}
+    assert known.find('a.test', '/a/', 213.0) == {'desk'}
+
+
+# Guards against ORDER: entries told nothing of streams that began where a route
+# led to services with different versions.
+def test_services_of_one_route_are_certain_only_with_one_version():
+    for version in ('v1', 'v2'):
+        history = make_history(is_first_start=True)
+        history.configure({'desk': LIFETIME, 'till': LIFETIME})
+        history.routes.configure(make_routes(a={'desk'}, b={'till'}), 0.0)
+        history.record_list({'desk': {'v1': 1}, 'till': {version: 1}}, 0.0)
+        assert history.is_certain(1.0)
+        history.routes.configure(make_routes(a={'desk', 'till'}), 1.0)
+        is_alike = version == 'v1'
+        assert history.is_certain(1.0) is is_alike
+        found = history.find_common({'desk', 'till'}, 1.0)
+        assert found == ('v1' if is_alike else None)
+
+
 # Streams that began under the longer timeout were taken for ended.
 def test_a_shorter_timeout_does_not_shorten_the_past():
     history = make_history()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -15,6 +15,7 @@
 from oleanderdyke.entry.hosted.peer_sharing import PeerSharing
 from oleanderdyke.kernel.software_history import SoftwareHistory
 from tests.hosted import (
+    OPERATOR,
     SERVERS,
     make_record,
     prefer,
@@ -438,6 +439,72 @@
     assert list_incomplete([*clients, *others]) == []
 
 
+async def move_route(stage, address, version, *, timeout=9_000):
+    """Let the route lead to another service, with one server."""
+    record = make_record(address, service='till', version=version, slots=_SLOTS)
+    stage.store.put(SERVERS, 'i-9', record)
+    await wait_listed(stage, 'i-9')
+    moved = configure(attempts=1, timeout=timeout)
+    (route,) = moved['routes']
+    moved = {
+        **moved,
+        'version': moved['version'] + 1,
+        'routes': [{**route, 'service': 'till'}],
+        'services': [*moved['services'], {'name': 'till'}],
+    }
+    stage.store.put(OPERATOR, 'config', moved)
+    with anyio.fail_after(5):
+        while stage.core.deployment.version < moved['version']:
+            await anyio.sleep(0.01)
+
+
+# Guards against joining a stream to one of a service that has another version.
+@pytest.mark.parametrize('version', [OLD, NEW])
+async def test_stream_whose_route_moves_goes_on_at_its_version_only(
+    tmp_path, version
+):
+    async with (
+        serving_replica(tell(version)) as (replica, address),
+        stage_one(tmp_path, tell(OLD), versions=(OLD,)) as stage,
+    ):
+        await settle([stage], (OLD,))
+        clients = make_clients('/stream/3/')
+        await ask_all(clients, stage, until=3)
+        await move_route(stage, address, version)
+        # By now the new service may begin streams.
+        await anyio.sleep(2.5)
+        await ask_all(clients, stage)
+    assert list_mixed(clients) == []
+    if version == OLD:
+        assert list_incomplete(clients) == []
+    else:
+        assert_refused(clients, stage, 1)
+        assert replica.received == []
+
+
+# Guards against taking a stream that no entry knows for one of the service to
+# which its route leads by now.
+async def test_unknown_stream_whose_route_moves_never_mixes(tmp_path):
+    async with (
+        serving_replica(tell(NEW)) as (replica, address),
+        staging(
+            tmp_path,
+            tell(OLD),
+            configuration=configure(attempts=1, timeout=1_000),
+            versions=(OLD,),
+            slots=_SLOTS,
+        ) as stage,
+    ):
+        await wait_resumes(stage, 10)
+        other = make_record(address, service='till', version=NEW, slots=_SLOTS)
+        stage.store.put(SERVERS, 'i-9', other)
+        await anyio.sleep(8)
+        await move_route(stage, address, NEW, timeout=1_000)
+        assert not await resume_unknown(stage, 'moved')
+        await wait_resumes(stage, 10)
+    assert replica.received
+
+
 def replace_record(stage, **changes):
     """Replace the record of the first server, which keeps its address."""
     (listed,) = (
