Take from the settings how often servers write to their list

An entry that starts took a version for settled, and began streams at it, once a server of it had written three records. That is 2.4 s at the usual period of 1.2 s, but the settings name the period (`heartbeatMs`): at 0.4 s it is 0.8 s, and others may not know the version yet.

The number of records is now the settling time and a fifth by that period, and one; three as before at 1.2 s.

Evidence: of three cases in tests/test_stream_sharing.py two failed with the constant (periods of 0.4 s and 5 s); they pass now.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -371,7 +371,9 @@
     entries = EntryCount(
         settings.process, is_first_start=settings.is_first_start
     )
-    software = SoftwareHistory(is_first_start=settings.is_first_start)
+    software = SoftwareHistory(
+        is_first_start=settings.is_first_start, heartbeat=settings.heartbeat
+    )
     core = HostedCore(
         settings=settings,
         clock=clock,
--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -12,9 +12,10 @@
 # A version that appears begins streams this much later. By then every entry
 # whose list is fresh knows that it serves, and that another one may have gone.
 SETTLING_TIME: Millis = 2 * SECOND
-# Servers write a record every 1.2 s, so one with this many has been listed for
-# longer than the settling time.
-_SETTLED_RECORDS = 3
+# Servers write records at about this period.
+_HEARTBEAT: Millis = 1_200.0
+# What they may write too soon.
+_HEARTBEAT_MARGIN = 1.2
 # An entry with an older list that reaches no other begins no streams: its
 # servers may have left the lists of all others.
 _BEGIN_LIMIT: Millis = 5 * SECOND
@@ -53,10 +54,16 @@
 class SoftwareHistory:
     """Know whether one version of a service can have begun a stream.
 
-    `is_first_start` tells that the system has not run before.
+    `is_first_start` tells that the system has not run before. Servers write a
+    record every `heartbeat`.
     """
 
-    def __init__(self, *, is_first_start: bool = False) -> None:
+    def __init__(
+        self, *, is_first_start: bool = False, heartbeat: Millis = _HEARTBEAT
+    ) -> None:
+        # A server with so many records has been listed for long enough.
+        periods = SETTLING_TIME * _HEARTBEAT_MARGIN / max(heartbeat, 1.0)
+        self._settled_records = 1 + math.ceil(periods)
         self._begins_at: Millis | None = -math.inf if is_first_start else None
         self._read_at: Millis = -math.inf
         self._services: dict[str, _ServiceHistory] = {}
@@ -103,7 +110,7 @@
         for service, softwares in listed.items():
             history = self._services.setdefault(service, _ServiceHistory())
             seen = (
-                _find_settled(softwares)
+                _find_settled(softwares, self._settled_records)
                 if is_first
                 else self._find_seen(service, history, until)
             )
@@ -246,7 +253,9 @@
                 history.since = self._begins_at
 
 
-def _find_settled(softwares: Mapping[str, int]) -> dict[str, Millis]:
+def _find_settled(
+    softwares: Mapping[str, int], least: int
+) -> dict[str, Millis]:
     """Return the versions of the first list that need not settle any more.
 
     If none has been listed for long, all servers have started anew together.
@@ -254,6 +263,6 @@
     old = {
         software: -math.inf
         for software, records in softwares.items()
-        if records >= _SETTLED_RECORDS
+        if records >= least
     }
     return old or dict.fromkeys(softwares, -math.inf)
--- a/src/oleanderdyke/platform/settings.py
+++ b/src/oleanderdyke/platform/settings.py
@@ -31,6 +31,7 @@
     `regions` maps each data centre to its region.
     A cold server accepts up to its service's rate times `cold_share` plus
     `cold_slack` requests a second.
+    Servers write to their list about every `heartbeat`.
     A process that exceeds `memory` bytes is killed; it is infinite if unknown.
     """
 
@@ -53,6 +54,7 @@
     cold_share: float = 1.0
     cold_slack: float = 0.0
     memory: float = math.inf
+    heartbeat: Millis = 1_200.0
 
 
 def find_host_settings(
@@ -99,6 +101,7 @@
         cold_share=reader.read_number('bounds.coldOverage', 1.0),
         cold_slack=reader.read_number('bounds.coldSlack', 0.0),
         memory=reader.read_number('limits.memoryMb', math.inf) * _MEGABYTE,
+        heartbeat=reader.read_number('heartbeatMs', 1_200.0),
     )
     if faults:
         raise SettingsError(tuple(faults))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -41,6 +41,7 @@
 listen.front=10.0.0.1:81
 platform.address=10.0.0.9:80
 limits.memoryMb=150
+heartbeatMs=700
 bounds.graceS=8
 bounds.retrySlack=52
 strange.new=1
@@ -54,6 +55,7 @@
     assert settings.data_centre == 'hall'
     assert settings.grace == 8_000
     assert settings.retry_slack == 52
+    assert settings.heartbeat == 700
     assert settings.server == ''
 
 
--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -257,6 +257,19 @@
     assert together.find_settling('desk', 0.0) == set()
 
 
+# Guards against ORDER: servers that write often were taken for listed long.
+@pytest.mark.parametrize(
+    ('heartbeat', 'settled'), [(1_200.0, 3), (400.0, 7), (5_000.0, 2)]
+)
+def test_records_tell_how_long_a_server_has_been_listed_by_their_period(
+    heartbeat, settled
+):
+    history = make_history(heartbeat=heartbeat)
+    listed = {'v1': settled, 'v2': settled - 1}
+    history.record_list({'desk': listed}, 0.0)
+    assert history.find_settling('desk', 0.0) == {'v2'}
+
+
 def test_an_entry_learns_from_a_claim_that_joins_what_it_has_read():
     history = make_history()
     history.record_list({'desk': {'v1': 9}}, 10_000.0)
