Check again that a stream may begin right before its request is sent

An entry decides that a stream may begin as it chooses a server, and then opens a connection, which takes up to 300 ms, or far longer if the process stands still there. It could begin a stream by a list that was too old by then, at a version that others take for gone.

`StreamPin.find_send_fault` checks it again, and that the version has settled, without an await before the send. What was concluded of a stream that has begun needs no second check: it began before its caller asked, and one version alone had begun all streams up to the conclusion. A stand- still after the check is bounded by the caller's deadline, which counts from before it: others conclude only a lifetime and five seconds after the version has left their lists. The 0.2 s between the age of a list and the settling time therefore need to cover no await.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -528,8 +528,9 @@
             return 'the server left while connecting'
         if self._core.crashes.find_status(self._call) in _UNSENT:
             return 'servers ended on equal requests meanwhile'
-        if self._pin is not None and self._pin.is_other(backend.record):
-            return 'another version of the software began the stream'
+        fault = self._find_pin_fault(backend)
+        if fault:
+            return fault
         obstacle = self._core.limits.find_send_obstacle(
             backend, self._chosen_at, self._core.clock.now()
         )
@@ -546,6 +547,12 @@
             return 'weights of the server were replaced too long ago'
         return self._find_copy_fault(weights)
 
+    def _find_pin_fault(self, backend: Backend) -> str:
+        if self._pin is None:
+            return ''
+        now = self._core.clock.now()
+        return self._pin.find_send_fault(backend.record, now)
+
     def _find_copy_fault(self, weights: Weights) -> str:
         source = None if self._copies is None else self._copies.source
         if source is not None and weights[source.model] != source.version:
--- a/src/oleanderdyke/entry/hosted/stream_pin.py
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -66,6 +66,22 @@
         """Return whether a server has a version that did not begin it."""
         return self.software not in {None, record.software}
 
+    def find_send_fault(self, record: ServerRecord, now: Millis) -> str:
+        """Return why the request may not be sent to a server by now, or ''.
+
+        What was concluded of a stream that has begun stays true; whether one
+        may begin does not, as opening a connection takes time.
+        """
+        if self.is_other(record):
+            return 'another version of the software began the stream'
+        if self.software is not None:
+            return ''
+        if not self._may_begin(now):
+            return 'the list of servers is too old to begin streams'
+        if record.software in self.find_settling(now):
+            return 'other entries may not know the version of the server yet'
+        return ''
+
     def find_fault(self, start: ServerStart, software: str) -> str:
         """Return why events of a server may not be passed on, or ''.
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -254,6 +254,24 @@
     assert list_incomplete(begun) == []
 
 
+# Guards against ORDER: an entry that stood still as it opened a connection
+# began a stream by a list from before.
+async def test_entry_that_stood_still_while_connecting_begins_no_stream(
+    tmp_path, monkeypatch
+):
+    async with stage_one(tmp_path, tell(OLD), versions=(OLD,)) as stage:
+        await settle([stage], (OLD,))
+        stage.core.entries.list_known = lambda: range(2)
+
+        def stand_still():
+            monkeypatch.setattr(SoftwareHistory, 'may_begin', lambda *_: False)
+
+        run_while_connecting(stage, stand_still)
+        (client,) = make_clients('/stream/', count=1)
+        await client.ask(stage)
+    assert_refused([client], stage, 0)
+
+
 # Guards against refusing all streams after a rolling stop in which every entry
 # was replaced before the new ones had links.
 async def test_stream_of_entries_that_left_goes_on_at_one_that_starts(tmp_path):
