Take an entry for in touch only while its links answer

An entry whose list is older than five seconds begins streams only if it reaches others, which then learn of them. It took any link that was not closed for that: a link looks open for seconds after its other end is cut off, and in an entry that stood still. Right after a standstill of any length, cut off, it could begin streams at a version that had left the list, and no other entry learned of it.

A link counts now if its peer answered a ping that was sent less than five seconds ago; while streams are exchanged links are pinged every two seconds. A pong without a clock, of an entry of an older release, counts.

Evidence: the new test in tests/test_dating.py failed before (`has_links` true on a link without any answer); it and tests/test_links.py pass now.

--- a/src/oleanderdyke/links/dating.py
+++ b/src/oleanderdyke/links/dating.py
@@ -15,7 +15,7 @@
 
 # Clocks of two machines part by less than this share of the time.
 _DRIFT = 0.001
-_ASK_PERIOD: Millis = 5 * SECOND
+_ASK_PERIOD: Millis = 2 * SECOND
 
 
 class PeerClock:
@@ -28,6 +28,8 @@
         self._offset: Millis = -math.inf
         self._measured_at: Millis = 0.0
         self._asked_at: Millis = -math.inf
+        # When this process sent the last question that was answered.
+        self.touched_at: Millis = -math.inf
 
     def is_due(self, now: Millis) -> bool:
         """Return whether the peer has to be asked for its clock."""
@@ -39,8 +41,9 @@
 
     def record_echo(self, asked_at: Millis, shown: Millis) -> None:
         """Record what the peer's clock showed after it was asked."""
+        self.touched_at = max(self.touched_at, asked_at)
         offset = asked_at - shown
-        if offset >= self._find_offset(asked_at):
+        if shown and offset >= self._find_offset(asked_at):
             self._offset, self._measured_at = offset, asked_at
 
     def find_delay(self, sent_at: Millis, now: Millis) -> Millis | None:
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -255,7 +255,7 @@
         return Ping(self._nonce)
 
     def _record_pong(self, pong: Pong) -> None:
-        if pong.nonce == self._nonce and pong.clock:
+        if pong.nonce == self._nonce:
             self.peer_clock.record_echo(self._pinged_at, pong.clock)
 
     def _encode(self, message: Message) -> bytes:
--- a/src/oleanderdyke/links/stream_exchange.py
+++ b/src/oleanderdyke/links/stream_exchange.py
@@ -50,6 +50,8 @@
 # An entry that starts asks this many others directly, for so long.
 _TEACHERS = 4
 _LEARNING_TIME: Millis = 5 * SECOND
+# Links are asked every two seconds.
+_TOUCH_LIMIT: Millis = 5 * SECOND
 MAX_STARTS_PER_MESSAGE = 4_096
 _REMAINING_UNIT: Millis = 100.0
 # Far longer than any stream lasts.
@@ -121,8 +123,16 @@
 
     @property
     def has_links(self) -> bool:
-        """Return whether any link to another entry is open."""
-        return any(not link.closed for link in self._backlogs)
+        """Return whether another entry has answered over a link lately.
+
+        A link looks open for seconds after its other end has gone, and in an
+        entry that stood still.
+        """
+        now = self._clock.now()
+        return any(
+            not link.closed and now - link.peer_clock.touched_at < _TOUCH_LIMIT
+            for link in self._backlogs
+        )
 
     def wake(self) -> None:
         """Send what is pending soon."""
@@ -163,6 +173,8 @@
         self._choose_teachers(now, is_sharing=is_sharing)
         self._connect(now)
         links = self._list_links()
+        for link in links:
+            link.ask_time(now)
         self._poison.step(links, now)
         self._backlogs = {
             link: backlog
@@ -199,8 +211,6 @@
 
     def _join(self, link: Link, now: Millis, *, is_sharing: bool) -> None:
         """Subscribe to the news of a new link, which gets all that is known."""
-        # The echo comes before the answer to what is asked.
-        link.ask_time(now)
         news = StreamNews(
             claims=self._encode_claims(now),
             is_asking=self._sharing.history.is_asking(now),
--- a/tests/test_dating.py
+++ b/tests/test_dating.py
@@ -163,6 +163,24 @@
     assert load.at == pytest.approx(NOW - DELAY - 100.0, abs=10.0)
 
 
+# Guards against ORDER: an entry that had stood still, cut off, took its links
+# for open and began streams at a version that had left the list.
+def test_entry_is_in_touch_only_while_links_answer():
+    exchange = make_stream_exchange(SoftwareHistory())
+    link = LateLink(has_echo=False)
+    exchange.receive_inbound(link, StreamNews())
+    exchange._poison = SimpleNamespace(
+        step=lambda *_: None, is_active=lambda _: False
+    )
+    exchange.step(NOW)
+    assert not exchange.has_links
+    link.peer_clock.record_echo(NOW - 6_000.0, AHEAD)
+    assert not exchange.has_links
+    # Entries of an older release answer without their clock.
+    link.peer_clock.record_echo(NOW - 4_000.0, 0.0)
+    assert exchange.has_links
+
+
 def test_a_late_echo_makes_messages_seem_older_never_newer():
     clock = PeerClock()
     assert clock.find_delay(AHEAD, 0.0) is None
