Reject an answer that goes on elsewhere but leaves out the next event

Callers got a stream with a piece missing, framed as whole: after event 2 of one server, a second one was asked to go on, and its answer began at event 4.

Cause: the numbers of events had only to increase, so that the first event after a takeover could have any higher one.

Such an answer is now a fault of its server, which is logged with the numbers and of which nothing is passed on; the stream goes on at another server if it may. It is judged by what was seen: the events of this stream stepped by one, at least once and without exception, or, where none of them was seen to, the last 100 steps of the service's streams at this entry did. A gap within an answer shows that there may be others, and is passed on.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -15,6 +15,7 @@
 from oleanderdyke.clock import SECOND, Clock, Millis
 from oleanderdyke.dependencies import Dependency
 from oleanderdyke.entry.hosted.crashes import CrashWatch
+from oleanderdyke.entry.hosted.events import EventSteps
 from oleanderdyke.entry.hosted.peer_sharing import PeerSharing
 from oleanderdyke.entry.hosted.scheduling import Scheduling
 from oleanderdyke.entry.stopping import StoppableRequest
@@ -104,6 +105,7 @@
     crashes: CrashWatch = field(init=False)
     background: BackgroundTasks = field(init=False)
     _unread: UnreadAnswers | None = None
+    _steps: dict[str, EventSteps] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Build the parts that depend on the others."""
@@ -332,6 +334,10 @@
 
         return stream_pin.StreamPin(self, call)
 
+    def find_steps(self, service: str) -> EventSteps:
+        """Return how the events of a service's streams are numbered."""
+        return self._steps.setdefault(service, EventSteps())
+
     def find_budget(self, service: str) -> RetryBudget:
         """Return this entry's retry budget for a service."""
         return self.retries.find(service)
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -104,7 +104,7 @@
         # servers only by name.
         self._starts: dict[str, ServerStart] = {}
         self._chosen_at: Millis = 0.0
-        self._splitter = _make_splitter(call)
+        self._splitter = _make_splitter(core, call)
         self._copies = core.scheduling.make_copies(call)
         self._first_byte: Millis | None = None
         self._event_count = 0
@@ -470,12 +470,16 @@
     )
 
 
-def _make_splitter(call: HostedCall) -> EventSplitter | None:
+def _make_splitter(core: HostedCore, call: HostedCall) -> EventSplitter | None:
     route = call.route
     if not route.is_resumable and route.kind is not CallKind.STREAM:
         return None
     last = parse_number(call.parameters.last_event.encode('latin-1'))
-    return EventSplitter(last, is_resumable=route.is_resumable)
+    return EventSplitter(
+        last,
+        is_resumable=route.is_resumable,
+        steps=core.find_steps(call.service),
+    )
 
 
 def _make_replica(backend: Backend) -> Replica:
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -28,6 +28,8 @@
 _ID = b'id'
 # Names no event: the ids of events are above it.
 _NO_EVENT = 0
+# So many events without a gap show that a service's streams have none.
+_ENOUGH_STEPS = 100
 _NUMERIC_FIELDS = frozenset({_ID, b'retry', EVENT_VERSION_FIELD})
 _TEXT_FIELDS = frozenset({b'data', b'event'})
 _FIELDS = _NUMERIC_FIELDS | _TEXT_FIELDS
@@ -50,6 +52,22 @@
     """The next bytes of a stream fit no event, or one exceeds the limit."""
 
 
+class EventSteps:
+    """Know whether the numbers of a service's events step by one."""
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    @property
+    def are_known(self) -> bool:
+        """Return whether enough events stepped by one since the last gap."""
+        return self._count >= _ENOUGH_STEPS
+
+    def record(self, *, is_next: bool) -> None:
+        """Record whether an event had the number after that before it."""
+        self._count = min(self._count + 1, _ENOUGH_STEPS) if is_next else 0
+
+
 class EventFramer:
     """Yield complete events as they are, and know where the data ends.
 
@@ -114,12 +132,24 @@
 
     Comments, and blocks that only set the time to reconnect, have no number.
     An event above the size limit is a fault if `is_resumable`, as half of it
-    can't go on elsewhere.
+    can't go on elsewhere. So is an answer that leaves out the next event, where
+    those of this stream or, by `steps`, of its service step by one.
     """
 
-    def __init__(self, last: int | None, *, is_resumable: bool = True) -> None:
+    def __init__(
+        self,
+        last: int | None,
+        *,
+        is_resumable: bool = True,
+        steps: EventSteps | None = None,
+    ) -> None:
         super().__init__()
         self.last_number = last
+        self._steps = EventSteps() if steps is None else steps
+        # Whether the events of this stream step by one, once that is seen.
+        self._steps_by_one: bool | None = None
+        # No numbered event of this answer has come yet.
+        self._begins_answer = True
         self.has_yielded = False
         self.is_resumable = is_resumable
         # Bytes of the answer before those that are incomplete or at fault.
@@ -130,6 +160,7 @@
     def begin_answer(self) -> None:
         """Prepare for the events of the next answer."""
         self.discard_partial()
+        self._begins_answer = True
         self.position = 0
         self._divided = None
 
@@ -168,8 +199,27 @@
         last = self.last_number or _NO_EVENT
         if number <= last:
             raise EventFault(f'event {number} comes after event {last}')
+        is_next = number == last + 1
+        if not self._begins_answer:
+            self._record_step(is_next=is_next)
+        elif not is_next and self._must_step():
+            reason = (
+                f'event {number} comes after event {last}, without the next'
+            )
+            raise EventFault(reason)
+        self._begins_answer = False
         self.last_number = number
 
+    def _must_step(self) -> bool:
+        """Return whether an answer has to begin at the next event."""
+        if self.last_number is None or self._steps_by_one is False:
+            return False
+        return self._steps_by_one or self._steps.are_known
+
+    def _record_step(self, *, is_next: bool) -> None:
+        self._steps.record(is_next=is_next)
+        self._steps_by_one = is_next and self._steps_by_one is not False
+
     def _divide(self) -> Iterator[ServerSentEvent]:
         if not self.is_resumable:
             yield self._take_part(len(self._pending) - LONGEST_END_BYTES)
--- a/tests/test_streams_elsewhere.py
+++ b/tests/test_streams_elsewhere.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from tests.hosted import prefer, staging
+from oleanderdyke.entry.hosted.events import EventSplitter, EventSteps
+from oleanderdyke.kernel.servers import ServerStart
+from tests.hosted import CONFIGURATION, STREAM_ROUTE, prefer, staging
 from tests.standins.framing import Ending, Framing, Response, respond
 from tests.standins.replica import make_event
 from tests.standins.scripts import stream
@@ -72,3 +74,90 @@
         found = await stage.call(path, last_event_id='3')
         assert not any(each.received for each in stage.replicas)
     assert (found.status, b'wrong_version' in found.body) == (503, True)
+
+
+def _tell(*numbers):
+    return b''.join(map(make_event, numbers))
+
+
+def _break_off(*numbers):
+    """Return a script that resets the connection after some events."""
+    return respond(
+        Response((_tell(*numbers),), ending=Ending.RESET, is_finished=False)
+    )
+
+
+def _count_steps(stage):
+    """Let the entry have seen streams whose events step by one."""
+    splitter = EventSplitter(None, steps=stage.core.find_steps('desk'))
+    assert len(list(splitter.feed(_tell(*range(1, 200))))) == 199
+
+
+# Guards against ORDER: a stream went on elsewhere with a piece missing.
+@pytest.mark.parametrize(('is_known', 'seen'), [(True, (1,)), (False, (1, 2))])
+@pytest.mark.parametrize('after', [2, 3, 100])
+async def test_stream_whose_next_piece_is_missing_goes_on_at_a_third_server(
+    tmp_path, after, seen, is_known
+):
+    last = seen[-1]
+    lacking = respond(Response((_tell(last + after, last + after + 1),)))
+    servers = (_break_off(*seen), lacking, stream(last + 1, 5))
+    configuration = {
+        **CONFIGURATION,
+        'routes': [{**STREAM_ROUTE, 'maxAttempts': 3}],
+    }
+    async with staging(
+        tmp_path, *servers, configuration=configuration
+    ) as stage:
+        prefer(stage, 0)
+        stage.core.backends.record_error(ServerStart('i-2'))
+        if is_known:
+            _count_steps(stage)
+        found = await stage.call('/stream/1')
+        asked = [len(each.received) for each in stage.replicas]
+        log = stage.log.read_text()
+    assert asked == [1, 1, 1]
+    assert (found.body, found.is_whole) == (_tell(1, 2, 3, 4, 5), True)
+    assert f'event {last + after} comes after event {last}' in log
+
+
+# Guards against ORDER: a caller took a stream up, and a piece was missing.
+@pytest.mark.parametrize('first', [4, 5])
+async def test_stream_taken_up_begins_at_its_next_piece(tmp_path, first):
+    async def tell(peer):
+        is_first = 'last-event-id' not in peer.request.headers
+        await (stream(1, 3) if is_first else stream(first, 6))(peer)
+
+    async with staging(tmp_path, tell) as stage:
+        _count_steps(stage)
+        await stage.call('/stream/1')
+        found = await stage.call(
+            '/stream/1',
+            last_event_id='3',
+            oleanderdyke_request_id='req-2',
+            resumes='req-1',
+        )
+    assert (found.status == 200) == (first == 4)
+    assert (b'data:' in found.body) == (first == 4)
+
+
+# Guards against sound streams that are rejected, as their own numbers have
+# gaps, or may have.
+@pytest.mark.parametrize('seen', [(1,), (1, 9), (1, 2, 9), (1, 9, 10)])
+async def test_stream_whose_numbers_may_have_gaps_goes_on_with_one(
+    tmp_path, seen
+):
+    rest = respond(Response((_tell(20, 30),)))
+    async with staging(tmp_path, _break_off(*seen), rest) as stage:
+        prefer(stage, 0)
+        found = await stage.call('/stream/1')
+    assert (found.body, found.is_whole) == (_tell(*seen, 20, 30), True)
+
+
+def test_a_gap_shows_that_the_streams_of_a_service_may_have_some():
+    steps = EventSteps()
+    splitter = EventSplitter(None, steps=steps)
+    list(splitter.feed(_tell(*range(1, 200))))
+    assert steps.are_known
+    list(splitter.feed(_tell(300)))
+    assert not steps.are_known
