Test answers cut in their head in our own mode

Not played before: an agent and a server that stops within its head, and clients that read a whole answer (stores of context, probes). The parser could take a head without its end, or a body without a length, for whole.

Eleven shapes of answer are cut at places of the head and the first body bytes, then closed, half closed or reset. An agent reports each as broken, perhaps run, and sends each request once; both HTTP clients raise. Streams without a length that close or are reset within an event are among them.

An unframed body cut by an orderly close can't be told from a whole one.

--- /dev/null
+++ b/tests/test_cut_heads_agent.py
@@ -0,0 +1,114 @@
+"""Check that an agent takes no cut answer of its server for a whole one."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncGenerator
+
+import pytest
+
+from agents import FakeEntry, Outcome, connect_entry, make_settings, run_agent
+from oleanderdyke.clients.buffered import fetch_body
+from oleanderdyke.clients.http import HttpBackend, HttpError
+from oleanderdyke.clients.keep_alive import KeepAliveHttp
+from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.links.messages import BackendKind
+from tests.standins.cuts import (
+    Cut,
+    cut_in_turn,
+    list_cuts,
+    make_shapes,
+)
+from tests.standins.framing import EVENT_STREAM, Ending
+from tests.standins.replica import Replica, Script, serving_replica
+
+pytestmark = pytest.mark.anyio
+
+_ENDINGS = (Ending.CLOSE, Ending.HALF_CLOSE, Ending.RESET)
+_TYPES = ('text/plain', EVENT_STREAM)
+# The kind depends on whether the server's process is known to be alive.
+_BROKEN = (ErrorKind.BACKEND_FAILED, ErrorKind.BACKEND_LOST)
+_ID = (('oleanderdyke-request-id', 'req-1'),)
+
+
+@contextlib.asynccontextmanager
+async def _serving_agent(
+    script: Script,
+) -> AsyncGenerator[tuple[Replica, FakeEntry], None]:
+    async with serving_replica(script) as (replica, address):
+        settings = make_settings(BackendKind.PLAIN, address, 'taquilla')
+        async with run_agent(settings) as shell, connect_entry(shell) as entry:
+            await entry.wait_serving()
+            yield replica, entry
+
+
+async def _call_each(entry: FakeEntry, cuts: list[Cut]) -> list[Outcome]:
+    return [
+        await entry.call(
+            entry.make_dispatch(f'r{number}', path=f'/x/{number}'), b'x'
+        )
+        for number in range(len(cuts))
+    ]
+
+
+# Guards against ORDER and TWICE in our own mode: a cut answer passed on as
+# whole, or reported as that of a request that has not run.
+@pytest.mark.parametrize('media_type', _TYPES)
+@pytest.mark.parametrize('ending', _ENDINGS)
+async def test_agent_reports_cut_answers_as_broken(
+    media_type: str, ending: Ending
+) -> None:
+    cuts = list_cuts(make_shapes(media_type), ending)
+    async with _serving_agent(cut_in_turn(cuts)) as (replica, entry):
+        found = await _call_each(entry, cuts)
+    wrong = [
+        (cut, each)
+        for cut, each in zip(cuts, found, strict=True)
+        if not cut.may_be_whole and not _is_broken(each)
+    ]
+    assert wrong == []
+    targets = [each.target for each in replica.received]
+    asked = [each for each in targets if each.startswith('/x/')]
+    assert asked == [f'/x/{number}' for number in range(len(cuts))]
+
+
+def _is_broken(found: Outcome) -> bool:
+    failed = found.failed
+    return (
+        found.end is None
+        and failed is not None
+        and failed.kind in _BROKEN
+        and failed.ran is Ran.MAYBE
+    )
+
+
+async def _fetch(client: HttpBackend | KeepAliveHttp, number: int) -> bytes:
+    _, body = await fetch_body(
+        client,
+        'GET',
+        f'/x/{number}',
+        headers=_ID,
+        body=b'',
+        within=2_000.0,
+        limit=1_000,
+    )
+    return body
+
+
+# Guards against cut answers of stores and probes that are taken for whole.
+@pytest.mark.parametrize('make_client', [HttpBackend, KeepAliveHttp])
+@pytest.mark.parametrize('ending', _ENDINGS)
+async def test_buffered_answer_that_is_cut_is_an_error(
+    make_client: type[HttpBackend | KeepAliveHttp], ending: Ending
+) -> None:
+    cuts = list_cuts(make_shapes('application/json'), ending)
+    wrong = []
+    async with serving_replica(cut_in_turn(cuts)) as (_, address):
+        client = make_client(address)
+        for number, cut in enumerate(cuts):
+            with contextlib.suppress(HttpError):
+                body = await _fetch(client, number)
+                if not cut.may_be_whole:
+                    wrong.append((cut, body))
+        await client.close()
+    assert wrong == []
