Keep odd numbers of a configuration to the object that holds them

Seen: with one route whose timeout is 0, negative, infinite, 10^400 or no number, or whose split has a weight that is negative, infinite, no number or 10^400, or with a cold start or a bandwidth of 10^400, the calls of that route failed, or the whole configuration was refused for it.

Cause: numbers were converted by `float` and `int` and used as they came: drawing a service from such weights and rounding such a deadline raise, and a conversion that overflows refused the whole document.

Change: each number has a range. One outside it gets the default in its place and is a fault of the configuration, logged with what is allowed. Capacities and bandwidths are hints, left out without a fault. Fields that are no numbers at all, and limits, refuse the document as before.

Why it works: what leaves the decoder is finite and in a range that every use can calculate with.

--- a/src/oleanderdyke/platform/documents.py
+++ b/src/oleanderdyke/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -42,6 +43,12 @@
 _LEAVING = 'draining'
 # An id is sent as a header value. A key with a slash is not that of a server.
 _SERVER_ID = re.compile('[!-.0-~]+')
+# No call is kept waiting for longer, whatever the configuration allows.
+_MAX_TIMEOUT: Millis = 24 * HOUR
+_LIMITED = (1.0, _MAX_TIMEOUT)
+_UP_TO_TIMEOUT = (0.0, _MAX_TIMEOUT)
+_COUNTS = (0.0, 1e12)
+_POSITIVE = (1.0, 1e12)
 # The name of a team is sent as a header value.
 _TEAM = re.compile('[!-~¡-ÿ]+(?: +[!-~¡-ÿ]+)*')
 # A typical record has 250 bytes, and more with many models and adapters.
@@ -130,7 +137,9 @@
     ]
     return Deployment(
         version=read_integer(found, 'version'),
-        routes=tuple(_make_route(each) for each in found.get('routes', ())),
+        routes=tuple(
+            _make_route(each, faults) for each in found.get('routes', ())
+        ),
         services={service.name: service for service in services},
         limits=_make_limits(found.get('limits', {})),
         key_owners=dict(_list_key_owners(found.get('tenants', ()), faults)),
@@ -138,19 +147,22 @@
     )
 
 
-def _make_route(found: Mapping[str, Any]) -> Route:
+def _make_route(found: Mapping[str, Any], faults: list[str]) -> Route:
     kind = _CALL_KINDS[found['kind']]
+    reader = _NumberReader(found, f'route {show_value(found["name"])}', faults)
+    # Without a timeout that can be kept, callers' deadlines limit the calls.
+    timeout = reader.read('timeoutMs', _MAX_TIMEOUT, _LIMITED)
     return Route(
         name=str(found['name']),
         host=str(found['host']).lower(),
         prefix=str(found['pathPrefix']),
         kind=kind,
-        shares=_make_shares(found),
-        timeout=float(found['timeoutMs']),
-        target=float(found.get('targetLatencyMs', found['timeoutMs'])),
-        gap=float(found.get('gapTargetMs') or 0.0),
-        priority=int(found.get('priority', 5)),
-        attempts=int(found.get('maxAttempts', 1)),
+        shares=_make_shares(found, faults),
+        timeout=timeout,
+        target=reader.read_optional('targetLatencyMs', timeout, _LIMITED),
+        gap=reader.read_optional('gapTargetMs', 0.0, _UP_TO_TIMEOUT),
+        priority=int(reader.read_optional('priority', 5, _COUNTS)),
+        attempts=int(reader.read_optional('maxAttempts', 1, _POSITIVE)),
         is_public=bool(found.get('authExempt', False)),
         is_resumable=(
             kind is CallKind.STREAM and bool(found.get('resumable', False))
@@ -168,21 +180,73 @@
     return frozenset(map(str, regions))
 
 
-def _make_shares(found: Mapping[str, Any]) -> tuple[Share, ...]:
+class _NumberReader:
+    """Read numbers of one object of the configuration.
+
+    A number out of its range is a fault of that object alone, which gets the
+    default in its place.
+    """
+
+    def __init__(
+        self, found: Mapping[str, Any], name: str, faults: list[str]
+    ) -> None:
+        self._found = found
+        self._name = name
+        self._faults = faults
+
+    def read(
+        self, field: str, default: float, allowed: tuple[float, float]
+    ) -> float:
+        """Return a number; raise one of MALFORMED if it is missing."""
+        given = self._found[field]
+        least, most = allowed
+        try:
+            number = float(given)
+        except OverflowError:
+            number = math.inf
+        if least <= number <= most:
+            return number
+        self._faults.append(
+            f'{self._name}: {field}: found {show_value(given)}; '
+            f'allowed: a number from {least:g} to {most:g}'
+        )
+        return default
+
+    def read_optional(
+        self, field: str, default: float, allowed: tuple[float, float]
+    ) -> float:
+        """Return a number, the default if it is missing or empty."""
+        if self._found.get(field) is None:
+            return default
+        return self.read(field, default, allowed)
+
+
+def _make_shares(
+    found: Mapping[str, Any], faults: list[str]
+) -> tuple[Share, ...]:
     split = found.get('trafficSplit') or ()
+    name = f'route {show_value(found["name"])}'
     if split:
         return tuple(
-            Share(str(each['service']), float(each['weight'])) for each in split
+            Share(
+                str(each['service']),
+                _NumberReader(each, name, faults).read('weight', 0.0, _COUNTS),
+            )
+            for each in split
         )
     return (Share(str(found['service'])),)
 
 
 def _make_service(found: Mapping[str, Any], faults: list[str]) -> ServiceTraits:
     engine = found.get('engine')
+    reader = _NumberReader(
+        found, f'service {show_value(found["name"])}', faults
+    )
+    cold_seconds = reader.read_optional('coldStartS', 0.0, _COUNTS)
     return ServiceTraits(
         name=str(found['name']),
-        cold_duration=float(found.get('coldStartS') or 0.0) * SECOND,
-        cold_rate=float(found.get('coldPerS') or 0.0),
+        cold_duration=cold_seconds * SECOND,
+        cold_rate=reader.read_optional('coldPerS', 0.0, _COUNTS),
         engine=_make_engine(engine) if engine else None,
         store=_make_store(found, faults) if found.get('kvStoreAddr') else None,
     )
@@ -192,7 +256,7 @@
     return EngineTraits(
         # The wire's `kvCapacity` is the memory of an engine or the capacity of
         # a store, in tokens.
-        memory_tokens=int(found.get('kvCapacity', 0)),
+        memory_tokens=int(_read_hint(found, 'kvCapacity')),
         token_bytes=_read_hint(found, 'kvTokenBytes'),
         link_mbps=_read_hint(found, 'linkMbps'),
         slots=int(_read_hint(found, 'slots')),
@@ -224,8 +288,8 @@
     return StoreTraits(
         address=address,
         data_centre=str(found.get('zone', '')),
-        capacity_tokens=int(found.get('kvCapacity', 0)),
-        link_mbps=float(found.get('linkMbps', 0.0)),
+        capacity_tokens=int(_read_hint(found, 'kvCapacity')),
+        link_mbps=_read_hint(found, 'linkMbps'),
         is_managed=bool(found.get('managed', False)),
         first_delay=_read_hint(found, 'first_ms'),
     )
--- a/tests/test_odd_configurations.py
+++ b/tests/test_odd_configurations.py
@@ -186,3 +186,87 @@
         answer = await read_answer(reader)
         writer.close()
     assert answer.status in {200, 400}
+
+
+def change_route(**changes):
+    """Return the configuration with one more route that is changed."""
+    route = {**CONFIGURATION['routes'][0], 'pathPrefix': '/odd/', **changes}
+    return {**CONFIGURATION, 'routes': [*CONFIGURATION['routes'], route]}
+
+
+def change_service(**changes):
+    """Return the configuration with one more service that is changed."""
+    service = {'name': 'odd', **changes}
+    services = [*CONFIGURATION['services'], service]
+    return {**CONFIGURATION, 'services': services}
+
+
+def split(*weights):
+    shares = [{'service': 'desk', 'weight': weight} for weight in weights]
+    return change_route(trafficSplit=shares)
+
+
+HUGE = 10**400
+ODD_NUMBERS = {
+    'timeout_0': change_route(timeoutMs=0),
+    'timeout_negative': change_route(timeoutMs=-1),
+    'timeout_endless': change_route(timeoutMs=float('inf')),
+    'timeout_1e308': change_route(timeoutMs=1e308),
+    'timeout_huge': change_route(timeoutMs=HUGE),
+    'timeout_nan': change_route(timeoutMs='nan'),
+    'target_endless': change_route(targetLatencyMs=float('inf')),
+    'target_nan': change_route(targetLatencyMs='nan'),
+    'gap_1e308': change_route(gapTargetMs=1e308),
+    'priority_huge': change_route(priority=HUGE),
+    'attempts_negative': change_route(maxAttempts=-1),
+    'attempts_huge': change_route(maxAttempts=HUGE),
+    'weight_nan': split('nan', 1),
+    'weight_negative': split(-5, 1),
+    'weight_endless': split(float('inf'), 1),
+    'weights_huge': split(HUGE, 1e308),
+    'weights_0': split(0, -1),
+    'cold_huge': change_service(coldStartS=HUGE, coldPerS=1),
+    'cold_rate': change_service(coldStartS=5, coldPerS='nan'),
+}
+# Hints are left out without a fault, as before.
+ODD_HINTS = {
+    'memory': change_service(engine={'kvCapacity': HUGE, 'linkMbps': 0}),
+    'capacity': change_service(kvStoreAddr='127.0.0.1:9', kvCapacity=HUGE),
+    'link': change_service(kvStoreAddr='127.0.0.1:9', linkMbps=-HUGE),
+    'link_0': change_service(kvStoreAddr='127.0.0.1:9', linkMbps=0),
+    'zone': change_service(kvStoreAddr='127.0.0.1:9', zone='\ud800\n'),
+}
+
+
+def encode_wide(configuration) -> bytes:
+    """Encode a configuration with numbers that no float can hold."""
+    return json.dumps(configuration).replace('Infinity', '1e999').encode()
+
+
+@pytest.mark.parametrize('odd', ODD_NUMBERS.values(), ids=ODD_NUMBERS)
+def test_a_number_out_of_its_range_is_a_fault_of_its_object_alone(odd):
+    found = decode_configuration(encode_wide(odd))
+    assert found.faults
+    assert all('allowed: a number from' in fault for fault in found.faults)
+    assert found.routes[:4] == decode(CONFIGURATION).routes
+
+
+# Guards against a number that an operator may write and that fails, or rules,
+# where it is used.
+@pytest.mark.parametrize(
+    'odd',
+    [*ODD_NUMBERS.values(), *ODD_HINTS.values()],
+    ids=[*ODD_NUMBERS, *ODD_HINTS],
+)
+async def test_calls_are_answered_beside_an_odd_number(tmp_path, odd):
+    async with staging(tmp_path, answer_well, configuration={}) as stage:
+        topic = stage.store.find(OPERATOR)
+        topic.put('config', encode_wide({**odd, 'version': 8}))
+        await wait_version(stage, 8)
+        assert (await stage.call('/once/1')).status == 200
+        if len(odd['routes']) > 4:
+            for number in range(4):
+                found = await stage.call(
+                    f'/odd/{number}', oleanderdyke_deadline_ms=''
+                )
+                assert found.status == 200
