--- /dev/null
+++ b/tests/test_odd_topics.py
@@ -0,0 +1,74 @@
+"""Odd records in the topics that processes of the system write themselves."""
+
+from __future__ import annotations
+
+import json
+
+import anyio
+import pytest
+
+from oleanderdyke.platform import names
+from tests.hosted import MODEL, SERVERS, make_record, staging, starting
+from tests.processes import Ports
+from tests.standins.scripts import answer_well
+
+pytestmark = pytest.mark.anyio
+
+MODELS = [{'name': MODEL, 'version': 1, 'adapters': []}]
+MOST = 2**53 - 1
+TOPICS = (
+    names.LOAD_TOPIC,
+    names.FENCE_TOPIC,
+    names.CRASH_TOPIC,
+    names.START_TOPIC,
+    names.STREAM_TOPIC,
+    names.ENTRY_TOPIC,
+)
+
+
+def make_load(**changes) -> bytes:
+    notice = {'server': 'i-9', 'step': 'queued', 'agent': 'a', 'model': MODEL}
+    return json.dumps({**notice, **changes}).encode()
+
+
+ODD = [
+    b'\x00',
+    b'\xff' * 40,
+    b'\xa0',
+    b'\x9f' * 200,
+    b'\xbb' + b'\xff' * 8,
+    b'[' * 9_000,
+    b'{}',
+    b' ',
+    b'front-9 ' + b'9' * 300 + b' x',
+    b'1 2 3',
+    b'-1 x front-9',
+    b'9' * 400 + b' x front-9',
+    b'nan inf front-9',
+    make_load(step='odd'),
+    make_load(held=MOST),
+    make_load(held=10**400),
+    make_load(newest_at=MOST),
+    make_load(step='done', held=MOST, newest_at=MOST),
+    make_load(step='begun', held=MOST, newest_at=0),
+]
+
+
+# Guards against a record of another writer in a topic of the system that ends
+# entries, or those that start later.
+@pytest.mark.parametrize('topic', TOPICS)
+async def test_entries_go_on_and_start_beside_odd_records(tmp_path, topic):
+    scripts = [answer_well] * 2
+    async with staging(tmp_path, *scripts, models=MODELS) as stage:
+        for odd in ODD:
+            stage.store.find(topic).append(odd)
+        stage.store.put(SERVERS, 'i-9', make_record('a..b:80', models=MODELS))
+        await anyio.sleep(1)
+        assert (await stage.call('/once/1')).status == 200
+        with Ports() as ports:
+            async with starting(
+                tmp_path, stage.store, ports, stage.replicas, name='late'
+            ) as late:
+                await anyio.sleep(1)
+                for served in (stage, late):
+                    assert (await served.call('/safe/1')).status == 200
