Let versions join in the soak while an entry is out of step

The soak drew freezes and new versions independently, so that they seldom met. `--joins` lets servers of one or two new versions join while the first entry is frozen (and away from the store a little longer), or cut off from the store one way or both, and takes streams that began elsewhere up there from just before it is back to five seconds after. Half of the clients don't name the request that began their stream; the run's line tells how many of either kind went on and how many were refused though a server of their version served. RESUMED leaves unnamed ones out, as nothing can tell their version while several serve.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -17,6 +17,7 @@
 from tools.soak.plan import (
     Plan,
     make_garble_plan,
+    make_join_plan,
     make_plan,
     make_poison_plan,
     make_repeat_plan,
@@ -70,6 +71,8 @@
         make = make_repeat_plan
     if options.garble:
         make = make_garble_plan
+    if options.joins:
+        make = make_join_plan
     return make(seed, options.seconds, entries=options.entries)
 
 
@@ -112,6 +115,11 @@
         action='store_true',
         help='repeat answers late, send bytes without end, fell context stores',
     )
+    parser.add_argument(
+        '--joins',
+        action='store_true',
+        help='let versions join while an entry is frozen or cut off',
+    )
     parser.add_argument(
         '--directory', default=_DIRECTORY, help='folder for settings and logs'
     )
--- a/tools/soak/attempts.py
+++ b/tools/soak/attempts.py
@@ -19,6 +19,8 @@
     ANSWERED = 'answered'
     CUT = 'cut'
     GAVE_UP = 'gave up'
+    # The client broke it off itself.
+    LEFT = 'left'
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,8 @@
     events: list[StreamEvent] = field(default_factory=list)
     # Bytes of a stream that are no event.
     is_garbled: bool = False
+    # Whether it told which request began the stream.
+    is_named: bool = True
 
     @property
     def is_complete(self) -> bool:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -28,6 +28,7 @@
 _STREAM_DEADLINE_SECONDS = 12.0
 _EVENT_PAUSES = (0.1, 0.35)
 _FEWEST_EVENTS = 4
+_LATE_SECONDS, _LATE_PAUSE = 3.0, 0.15
 # Share of requests that may run only once.
 _UNIQUE_SHARE = 0.2
 
@@ -118,10 +119,33 @@
         if stream.is_done:
             return is_open
         writer.close()
-        await self._follow(stream)
+        await self.follow(stream)
         return False
 
-    async def _follow(self, stream: StreamCall) -> None:
+    async def try_stream(
+        self, stream: StreamCall, process: EntryProcess | None
+    ) -> Attempt | None:
+        """Ask for a stream once on a new connection; return the try."""
+        opened = None if process is None else await _open(process)
+        if process is None or opened is None:
+            await anyio.sleep(_PAUSE_SECONDS)
+            return None
+        reader, writer = opened
+        count = len(self.observations.attempts)
+        try:
+            await stream.send(reader, writer, process.life.name)
+        finally:
+            writer.close()
+        return next(
+            (
+                each
+                for each in self.observations.attempts[count:]
+                if each.stream == stream.path.name
+            ),
+            None,
+        )
+
+    async def follow(self, stream: StreamCall) -> None:
         """Take a stream up again, each time on a new connection."""
         while not stream.is_done:
             await anyio.sleep(max(stream.pause, _TAKE_UP_SECONDS))
@@ -193,6 +217,13 @@
             find_timeout=lambda: self.timeouts.find_stream(self.now()),
         )
 
+    def make_late_stream(self) -> StreamCall:
+        """Return a stream that is still going on as it is taken up late."""
+        stream = self._make_stream()
+        events = round(_LATE_SECONDS / _LATE_PAUSE)
+        stream.path = StreamPath(stream.path.name, events, _LATE_PAUSE)
+        return stream
+
     def _make_name(self) -> str:
         return f'req-{next(self._numbers)}'
 
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -39,6 +39,8 @@
     Timeouts(idle=1.5, call=1.5),
     Timeouts(call=3.0, stream=15.0),
 )
+# Streams end soon, so that entries draw conclusions from lists soon.
+SHORT_STREAMS = Timeouts(stream=6.0)
 # A pause that is longer makes an answer late.
 GAP = 0.4
 TARGET = 0.4
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -32,7 +32,7 @@
 platform.address={store}
 listen.front={ip}:{callers}
 listen.ready={ip}:{readiness}
-firstStart=false
+firstStart={is_first}
 bounds.graceS={grace}
 bounds.versionMs=15000
 bounds.retryBudgetRatio=0.2
@@ -112,6 +112,10 @@
     now: Callable[[], float]
     lives: dict[str, ProcessLife]
     grace: float = 4.0
+    # Whether the system has not run before.
+    is_first: bool = False
+    # The store's address for the first entry, if it has one of its own.
+    first_store: str = ''
     slots: list[EntryProcess | None] = field(default_factory=list)
     _all: list[EntryProcess] = field(default_factory=list)
     _numbers: Iterator[int] = field(default_factory=itertools.count)
@@ -177,12 +181,16 @@
         self._all.append(process)
         return process
 
+    def _find_store(self, slot: int) -> str:
+        return self.store if slot else self.first_store or self.store
+
     def _format_settings(self, name: str, slot: int, ip: str) -> str:
         text = _SETTINGS.format(
             name=name,
             data_centre=_DATA_CENTRES[slot % len(_DATA_CENTRES)],
             ip=ip,
-            store=self.store,
+            store=self._find_store(slot),
+            is_first=str(self.is_first).lower(),
             callers=_CALLERS_PORT,
             readiness=_READINESS_PORT,
             grace=self.grace,
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -57,6 +57,8 @@
     MEMORY_PAUSED = 'memory_paused'
     STORE_LINK_SILENT = 'store_link_silent'
     STORE_LINK_RESET = 'store_link_reset'
+    JOINS_FROZEN = 'joins_frozen'
+    JOINS_CUT = 'joins_cut'
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +116,8 @@
     memories: int = 0
     # So many callers send one and the same request at once, again and again.
     repeaters: int = 0
+    # Versions join while the first entry is out of step; the system is new.
+    has_joins: bool = False
 
     def describe(self) -> tuple[str, ...]:
         """Return the plan as lines."""
@@ -135,6 +139,12 @@
     FaultKind.MEMORY_PAUSED,
 )
 _GARBLE_SECONDS = (0.5, 4.0)
+_JOINS = (FaultKind.JOINS_FROZEN, FaultKind.JOINS_FROZEN, FaultKind.JOINS_CUT)
+_JOIN_BEGIN = (4.0, 6.0)
+# Streams that began before the joins and their settling end sooner.
+_JOIN_SECONDS = (5.0, 7.0)
+_JOIN_PERIOD = 34.0
+_JOIN_SERVERS = 3
 _MEMORIES = (1, 2, 3)
 # Faults are drawn with these weights; most end or disturb an entry.
 _WEIGHTS: Mapping[FaultKind, int] = {
@@ -370,6 +380,39 @@
     )
 
 
+def make_join_plan(seed: int, seconds: float, *, entries: int) -> Plan:
+    """Draw a plan in which versions join while an entry is out of step.
+
+    A second spell comes once a single version has served for long.
+    """
+    random = Random(f'join {seed}')
+    begins = [random.uniform(*_JOIN_BEGIN)]
+    while begins[-1] + _JOIN_PERIOD + _JOIN_SECONDS[1] < seconds:
+        begins.append(begins[-1] + _JOIN_PERIOD)
+    faults = [
+        Fault(
+            begin,
+            random.choice(_JOINS),
+            slot=random.randrange(3),
+            duration=random.uniform(*_JOIN_SECONDS),
+            count=random.randint(1, 2),
+        )
+        for begin in begins
+    ]
+    return Plan(
+        seed=seed,
+        seconds=seconds,
+        entries=entries,
+        servers=_JOIN_SERVERS,
+        rate=_RATES[0],
+        has_links=True,
+        slack=make_slack(entries),
+        faults=tuple(faults),
+        stream_share=_STREAM_SHARES[0],
+        has_joins=True,
+    )
+
+
 def _draw_garble(random: Random, seconds: float) -> Fault:
     return Fault(
         random.uniform(_FIRST_FAULT_SECONDS, seconds),
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -27,8 +27,14 @@
 from tools.soak.backend_process import make_body
 from tools.soak.backends import Backends
 from tools.soak.callers import Callers
-from tools.soak.configuration import TIMEOUTS, Timeouts, make_configuration
+from tools.soak.configuration import (
+    SHORT_STREAMS,
+    TIMEOUTS,
+    Timeouts,
+    make_configuration,
+)
 from tools.soak.fleet import Fleet
+from tools.soak.joins import Joins
 from tools.soak.late_faults import LateFaults
 from tools.soak.links import linking
 from tools.soak.memories import Memories
@@ -70,6 +76,7 @@
     collect: Callable[[], None] = lambda: None
     poison: PoisonTraffic | None = None
     memories: Memories | None = None
+    joins: Joins | None = None
     _version: int = CONFIGURATION['version']
     _handlers: Mapping[FaultKind, Callable[[Fault], Awaitable[None]]] = field(
         init=False
@@ -108,6 +115,8 @@
             FaultKind.SERVERS_SPOIL: self._make_server_fault(Behaviour.SPOIL),
             FaultKind.MEMORY_FALLS: self._let_memory_fall,
             FaultKind.MEMORY_PAUSED: self._pause_memory,
+            FaultKind.JOINS_FROZEN: self._join_frozen,
+            FaultKind.JOINS_CUT: self._join_cut,
         }
 
     def add_handlers(
@@ -285,6 +294,14 @@
         if self.memories is not None:
             await self.memories.pause(fault.slot, fault.duration)
 
+    async def _join_frozen(self, fault: Fault) -> None:
+        if self.joins is not None:
+            await self.joins.freeze(fault)
+
+    async def _join_cut(self, fault: Fault) -> None:
+        if self.joins is not None:
+            await self.joins.cut(fault)
+
     async def _rename_server(self, fault: Fault) -> None:
         await self.service.restart(
             fault.slot, fault.duration, is_new_start=True
@@ -315,7 +332,8 @@
     service = Service(servers, store, observations.history, now)
     async with AsyncExitStack() as stack:
         memories = await _start_memories(stack, plan, directory)
-        _name_first_state(store, memories)
+        first = SHORT_STREAMS if plan.has_joins else TIMEOUTS[0]
+        _name_first_state(store, memories, first)
         (address,) = await stack.enter_async_context(server.serving(store))
         stack.callback(service.stop_all)
         late: LateFaults | None = None
@@ -335,10 +353,11 @@
             now,
             observations.lives,
             grace=plan.grace,
+            is_first=plan.has_joins,
         )
         stack.callback(fleet.kill_all)
         timeouts = TimeoutHistory()
-        timeouts.record(TIMEOUTS[0], now())
+        timeouts.record(first, now())
         callers = Callers(
             fleet,
             observations,
@@ -362,6 +381,8 @@
             report,
         )
         soak.memories = memories
+        if plan.has_joins:
+            soak.joins = await _prepare_joins(stack, soak, address)
         if plan.has_prompts:
             soak.poison = PoisonTraffic(
                 fleet, observations, service, Random(plan.seed), now
@@ -383,10 +404,22 @@
     return memories
 
 
-def _name_first_state(store: SoakStore, memories: Memories) -> None:
+async def _prepare_joins(
+    stack: AsyncExitStack, soak: Soak, store_address: str
+) -> Joins:
+    """Put a link between the first entry and the store."""
+    _, port = split_address(store_address)
+    link, address = await stack.enter_async_context(linking(port))
+    soak.fleet.first_store = address
+    return Joins(soak.service, soak.callers, link, soak.now)
+
+
+def _name_first_state(
+    store: SoakStore, memories: Memories, timeouts: Timeouts
+) -> None:
     """Publish the first configuration, and weights if context is stored."""
     configuration = make_configuration(
-        CONFIGURATION['version'], TIMEOUTS[0], memories.addresses
+        CONFIGURATION['version'], timeouts, memories.addresses
     )
     store.put(OPERATOR, 'config', configuration)
     if memories.addresses:
@@ -439,11 +472,16 @@
         f'retries={len(found.retries)} fullest_window="{worst}" '
         f'broken={found.broken} '
         f'streams="{_describe_streams(found)}" '
+        f'late="{_describe_late(soak)}" '
         f'poison="{soak.poison.describe() if soak.poison else "none"}" '
         f'statuses={json.dumps(dict(sorted(found.statuses.items())))}'
     )
 
 
+def _describe_late(soak: Soak) -> str:
+    return 'none' if soak.joins is None else soak.joins.describe()
+
+
 def _describe_streams(found: Observations) -> str:
     shares = found.count_shares()
     return (
--- a/tools/soak/service.py
+++ b/tools/soak/service.py
@@ -66,6 +66,16 @@
         for host in leaving:
             self._remove(host)
 
+    async def retire_old(self, drain: float) -> None:
+        """Let all servers but those of the newest version leave."""
+        newest = self.hosts[-1].version
+        leaving = [host for host in self.hosts if host.version != newest]
+        for host in leaving:
+            await self._announce_leaving(host)
+        await anyio.sleep(drain)
+        for host in leaving:
+            self._remove(host)
+
     async def restart(
         self, slot: int, down: float, *, is_new_start: bool
     ) -> None:
--- a/tools/soak/stream_calls.py
+++ b/tools/soak/stream_calls.py
@@ -10,7 +10,7 @@
 
 from tests.hosted import make_request
 from tools.soak.arrivals import Observations
-from tools.soak.attempts import Attempt, Outcome
+from tools.soak.attempts import Attempt, Outcome, StreamEvent
 from tools.soak.configuration import GAP, TARGET
 from tools.soak.events import (
     AnswerHead,
@@ -29,6 +29,10 @@
 _FINAL_STATUSES = frozenset({400, 401, 403, 404, 413, 431})
 
 
+class _Left(Exception):
+    """Raised as the client breaks a stream off."""
+
+
 @dataclass
 class StreamCall:
     """Follow one stream over as many tries as its deadline allows.
@@ -46,6 +50,11 @@
     is_done: bool = False
     # How long to wait before the next try.
     pause: float = 0.0
+    # The client breaks off after so many events, 0 for never.
+    leave_after: int = 0
+    # Whether it tells which request began the stream.
+    is_named: bool = True
+    events: list[StreamEvent] = field(default_factory=list)
     _last: int = 0
     # The try that brought the first event.
     _first: str = ''
@@ -69,6 +78,9 @@
         except TimeoutError:
             self._give_up(attempt)
             return False
+        except _Left:
+            attempt.end(Outcome.LEFT, self.now())
+            return False
         except (OSError, EOFError):
             self._take_cut(attempt)
             return False
@@ -88,6 +100,7 @@
             stream=self.path.name,
             after=self._last,
             last=self.path.events,
+            is_named=self.is_named,
         )
         self.observations.attempts.append(attempt)
         self.observations.record_sent(
@@ -101,7 +114,7 @@
             oleanderdyke_request_id=attempt.request,
             oleanderdyke_deadline_ms=f'{left * 1000:.0f}',
             last_event_id=str(self._last) if self._last else '',
-            resumes=self._first,
+            resumes=self._first if self.is_named else '',
             connection='keep-alive',
         )
 
@@ -141,8 +154,11 @@
             attempt.is_garbled = True
             return
         attempt.events.append(event)
+        self.events.append(event)
         self._first = self._first or attempt.request
         self._last = max(self._last, event.number)
+        if self.leave_after and self._last >= self.leave_after:
+            raise _Left
 
     def _take_end(self, head: AnswerHead) -> None:
         self.is_done = head.is_stream or self._is_final(head.status)
--- a/tools/soak/streams.py
+++ b/tools/soak/streams.py
@@ -103,7 +103,10 @@
     history: ServiceHistory,
     rule: StreamRule,
 ) -> Shares:
-    """Count the streams that were asked for at entries in touch."""
+    """Count the streams that were asked for at entries in touch.
+
+    Nothing can tell the version of a stream whose client doesn't name it.
+    """
     begun = new = resumed = taken_up = 0
     for tries in _group_streams(attempts).values():
         version = _find_version(tries)
@@ -113,7 +116,8 @@
                 counted = [
                     each
                     for each in counted
-                    if _is_served(each, version, history, rule)
+                    if each.is_named
+                    and _is_served(each, version, history, rule)
                 ]
                 taken_up += bool(counted)
                 resumed += any(each.goes_on for each in counted)
