Wait for a list that may hold the version of a stream before refusing it

Callers that took a stream up at an entry that had just stood still, or was back in touch with the store, got a refusal ("no server has the version that began the stream") though servers of that version served: other entries had told of the stream, and the list was from before that version joined.

A request whose version is missing in a list older than 1.2 s now asks for a new list and waits as for an unlisted server. With a current list it is refused at once as before.

Evidence: the new test in tests/test_stream_versions.py got 503 before and a whole stream now; the test of the refusal at once passes.

--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -67,6 +67,8 @@
 _TRANSIENT_OBSTACLES = frozenset(
     {Obstacle.UNLISTED, Obstacle.COLD, Obstacle.SETTLING}
 )
+# Lists are read every 0.6 s; an older one may lack a version that serves.
+_OLD_LIST: Millis = 1_200.0
 # Servers of a version that has gone are not waited for.
 _KINDS: Mapping[Obstacle, ErrorKind] = {
     Obstacle.SOFTWARE: ErrorKind.WRONG_VERSION,
@@ -156,8 +158,8 @@
     ) -> Rejection | None:
         """Return None while the call may wait for a server, else reject it."""
         obstacle = self._find_obstacle(demand, listed, now)
-        if obstacle in _TRANSIENT_OBSTACLES and self._may_wait(now):
-            if obstacle is Obstacle.UNLISTED:
+        if self._is_transient(obstacle, now) and self._may_wait(now):
+            if obstacle in {Obstacle.UNLISTED, Obstacle.SOFTWARE}:
                 self._core.servers_requested.set()
             return None
         kind = _KINDS.get(obstacle, ErrorKind.NO_REPLICA)
@@ -170,6 +172,17 @@
             )
         return Rejection(kind, obstacle.value, retry_delay)
 
+    def _is_transient(self, obstacle: Obstacle, now: Millis) -> bool:
+        """Return whether a later list may end an obstacle, or time alone.
+
+        In an entry that was out of step the version of a stream may have come
+        after its list.
+        """
+        list_age = now - self._core.servers_listed_at
+        if obstacle is Obstacle.SOFTWARE:
+            return list_age > _OLD_LIST
+        return obstacle in _TRANSIENT_OBSTACLES
+
     def _find_obstacle(
         self, demand: CallDemand, listed: Sequence[Backend], now: Millis
     ) -> Obstacle:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -11,9 +11,15 @@
 import anyio
 import pytest
 
+from oleanderdyke.entry.hosted import watch
 from oleanderdyke.entry.hosted.handover import StreamHandover
 from oleanderdyke.entry.hosted.peer_sharing import PeerSharing
 from oleanderdyke.kernel.software_history import SoftwareHistory
+from oleanderdyke.kernel.stream_origins import (
+    StreamOrigin,
+    StreamStart,
+    hash_stream,
+)
 from tests.hosted import (
     OPERATOR,
     SERVERS,
@@ -324,6 +330,33 @@
     assert_refused(clients, stage, 1)
 
 
+# Guards against refusing a stream whose version came after an old list.
+async def test_stream_waits_for_a_list_that_may_hold_its_version(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(watch, '_SERVERS_PERIOD', 60_000.0)
+    async with (
+        serving_replica(tell(NEW)) as (_, address),
+        stage_one(tmp_path, tell(OLD), versions=(OLD,)) as stage,
+    ):
+        await wait_listed(stage, 'i-0')
+        await anyio.sleep(0.5)
+        record = make_record(address, version=NEW, slots=_SLOTS)
+        stage.store.put(SERVERS, 'i-1', record)
+        await anyio.sleep(1.5)
+        (client,) = make_clients('/stream/', count=1)
+        client.events, client.origin = [(1, NEW)], 'elsewhere'
+        stage.core.peers.begin_stream(
+            StreamStart(
+                hash_stream('red', 'elsewhere'),
+                StreamOrigin('desk', NEW),
+                stage.core.clock.now() + 9_000.0,
+            )
+        )
+        await client.ask(stage)
+    assert list_incomplete([client]) == []
+
+
 # Guards against a guess where no entry knows which version began a stream.
 @pytest.mark.parametrize('origin', ['invented', ''])
 async def test_unknown_stream_is_refused_while_two_versions_serve(
