Let a stream end as whole only if its server goes on listening

Callers got a stream that ended as whole before its last event, where neither a length nor chunks frame it: its process died between two events, and its listener went down a moment after the connection.

Cause: `confirm_end` connected once and at once, and one accepted connection proved that the server lives.

The new connection is now watched for 100 ms, as a probe is. If it ends within that time, the server counts as alive only if it accepts another one. Only streams without a length wait for that, and only with their end; each event is passed on as before.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -484,6 +484,28 @@
         connection.release()
         return True
 
+    async def outlives(self, address: str) -> bool:
+        """Open an idle connection; return whether its server goes on listening.
+
+        The listener of a process that dies may accept for a moment after its
+        other connections were closed.
+        """
+        try:
+            connection = await self.open(address)
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        try:
+            with anyio.move_on_after(_CLOSE_LIMIT / SECOND):
+                await connection.wait_lost()
+                return not await self.is_refused(address)
+        except BaseException:
+            connection.close()
+            raise
+        connection.release()
+        return True
+
     async def is_refused(self, address: str) -> bool:
         """Return whether no server listens at an address.
 
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -434,7 +434,9 @@
         """
         core = self._core
         is_leaving = core.backends.is_leaving_or_gone(self._start)
-        is_alive = is_leaving or await core.pool.replace(self._address)
+        # Callers of other bodies wait for the end, and get it at once.
+        confirm = core.pool.outlives if self._is_stream else core.pool.replace
+        is_alive = is_leaving or await confirm(self._address)
         if self._done:
             return
         if is_alive:
--- a/tests/test_streams_elsewhere.py
+++ b/tests/test_streams_elsewhere.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import anyio
 import pytest
 
 from oleanderdyke.entry.hosted.events import EventSplitter, EventSteps
 from oleanderdyke.kernel.servers import ServerStart
-from tests.hosted import CONFIGURATION, STREAM_ROUTE, prefer, staging
+from tests.hosted import (
+    CONFIGURATION,
+    SERVERS,
+    STREAM_ROUTE,
+    make_record,
+    prefer,
+    staging,
+)
 from tests.standins.framing import Ending, Framing, Response, respond
+from tests.standins.records import RecordStore
 from tests.standins.replica import make_event
 from tests.standins.scripts import stream
 
@@ -161,3 +172,50 @@
     assert steps.are_known
     list(splitter.feed(_tell(300)))
     assert not steps.are_known
+
+
+class _DyingServer:
+    """Answer one request without a length, and die a moment later.
+
+    What connects meanwhile is cut as the process ends.
+    """
+
+    def __init__(self):
+        self._listener = None
+        self._connections = []
+
+    async def start(self):
+        self._listener = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._listener.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def _serve(self, reader, writer):
+        self._connections.append(writer.transport)
+        head = (await reader.read(65_536)).decode('latin-1').lower()
+        if not head:
+            return
+        name = next(each for each in head.split('\r\n') if 'st-id:' in each)
+        writer.write(
+            f'HTTP/1.1 200 Told\r\n{name}\r\n'
+            'oleanderdyke-response-seal: seal\r\n'
+            'content-type: text/event-stream\r\n\r\n'.encode()
+            + _tell(1, 2)
+        )
+        writer.close()
+        await anyio.sleep(0.02)
+        self._listener.close()
+        for connection in self._connections:
+            connection.abort()
+
+
+# Guards against ORDER: a stream without a length ended as whole before its last
+# event, as its server's listener outlived its connection by a moment.
+async def test_stream_whose_server_dies_a_moment_later_goes_on(tmp_path):
+    store = RecordStore()
+    address = await _DyingServer().start()
+    store.put(SERVERS, 'i-9', make_record(address))
+    async with staging(tmp_path, stream(3, 5), store=store) as stage:
+        stage.core.backends.record_error(ServerStart('i-0'))
+        found = await stage.call('/stream/1')
+        assert stage.replicas[0].received
+    assert (found.body, found.is_whole) == (_tell(1, 2, 3, 4, 5), True)
