Move the grammar of events to a module for both modes

The check of lines stood in the hosted entry, which agents may not import. It takes the fields that events may have as a Grammar now; the hosted one is the same as before.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -29,7 +29,6 @@
     plan_contexts,
 )
 from oleanderdyke.entry.hosted.events import (
-    EventFault,
     EventFramer,
     EventSplitter,
     ServerSentEvent,
@@ -42,6 +41,7 @@
 )
 from oleanderdyke.entry.inbox import ConnectionEnded, Inbox
 from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.event_lines import EventFault
 from oleanderdyke.event_streams import is_event_stream
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.attempt_events import (
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -16,7 +16,7 @@
 from oleanderdyke.entry.hosted.call import HostedCall
 from oleanderdyke.entry.hosted.call_log import CallLog, Progress
 from oleanderdyke.entry.hosted.core import HostedCore
-from oleanderdyke.entry.hosted.events import EventSplitter, parse_number
+from oleanderdyke.entry.hosted.events import EventSplitter
 from oleanderdyke.entry.hosted.reply import Reply
 from oleanderdyke.entry.hosted.selection import (
     RETRY_DELAY,
@@ -25,6 +25,7 @@
 )
 from oleanderdyke.entry.inbox import ConnectionEnded, Inbox, Item
 from oleanderdyke.errors import ErrorKind, Ran
+from oleanderdyke.event_lines import parse_number
 from oleanderdyke.event_streams import count_events
 from oleanderdyke.kernel.attempt_events import (
     Action,
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -10,6 +10,15 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from oleanderdyke.event_lines import (
+    DATA,
+    EVENT,
+    ID,
+    RETRY,
+    EventFault,
+    EventLines,
+    Grammar,
+)
 from oleanderdyke.event_streams import (
     EVENT_LIMIT_BYTES,
     LONGEST_END_BYTES,
@@ -23,20 +32,18 @@
 _HELD_BYTES = 256 * 1024
 # An incomplete event up to this size is checked whenever more of it arrives.
 _EARLY_BYTES = 4 * 1024
-# What is kept of a line that has not ended: its field, or a whole number.
-_LINE_BYTES = 64
-_ID = b'id'
 # Names no event: the ids of events are above it.
 _NO_EVENT = 0
 # So many events without a gap show that a service's streams have none.
 _ENOUGH_STEPS = 100
-_NUMERIC_FIELDS = frozenset({_ID, b'retry', EVENT_VERSION_FIELD})
-_TEXT_FIELDS = frozenset({b'data', b'event'})
-_FIELDS = _NUMERIC_FIELDS | _TEXT_FIELDS
+_GRAMMAR = Grammar(
+    text=frozenset({DATA, EVENT}),
+    numeric=frozenset({ID, RETRY, EVENT_VERSION_FIELD}),
+    first=EVENT_VERSION_FIELD,
+    number=ID,
+)
 # Fields of a block that is an event, and needs an id.
-_EVENT_FIELDS = _TEXT_FIELDS | {EVENT_VERSION_FIELD}
-_NUMBER = re.compile(rb'\d{1,18}')
-_LINE_END = re.compile(rb'\r\n|\n|\r')
+_EVENT_FIELDS = _GRAMMAR.text | {EVENT_VERSION_FIELD}
 _PLAIN_EVENT = re.compile(rb'id: (\d{1,18})\n(?:data:[^\r\n]*\n)+\n\Z')
 
 
@@ -48,10 +55,6 @@
     number: int | None
 
 
-class EventFault(Exception):
-    """The next bytes of a stream fit no event, or one exceeds the limit."""
-
-
 class EventSteps:
     """Know whether the numbers of a service's events step by one."""
 
@@ -155,7 +158,7 @@
         # Bytes of the answer before those that are incomplete or at fault.
         self.position = 0
         # The lines of an event whose beginning was yielded already.
-        self._divided: _EventLines | None = None
+        self._divided: EventLines | None = None
 
     def begin_answer(self) -> None:
         """Prepare for the events of the next answer."""
@@ -173,7 +176,7 @@
             self.has_yielded = True
             yield event
         if not self._is_divided and len(self._pending) <= _EARLY_BYTES:
-            _EventLines().feed(self._pending)
+            EventLines(_GRAMMAR).feed(self._pending)
 
     def _take(self, end: int) -> ServerSentEvent:
         return self._pass(end, self._check(self._pending[:end]))
@@ -228,7 +231,7 @@
 
     def _take_part(self, end: int) -> ServerSentEvent:
         """Check and remove a part of a long event; raise EventFault."""
-        lines = self._divided or _EventLines()
+        lines = self._divided or EventLines(_GRAMMAR)
         lines.feed(self._pending[:end])
         if lines.number is None:
             raise EventFault('a long event has no id at its beginning')
@@ -241,73 +244,10 @@
         return part
 
 
-class _EventLines:
-    """Check the lines of one event, which may arrive in parts."""
-
-    def __init__(self) -> None:
-        self.number: int | None = None
-        self._names: set[bytes] = set()
-        # The beginning of the line that has not ended yet.
-        self._line = b''
-
-    @property
-    def lacks_number(self) -> bool:
-        """Return whether the lines make an event that has no id."""
-        return self.number is None and not _EVENT_FIELDS.isdisjoint(self._names)
-
-    def feed(self, data: bytes | bytearray) -> None:
-        """Check more of the event, also a line without end.
-
-        Raise EventFault.
-        """
-        *whole, last = _LINE_END.split(self._line + data)
-        for line in whole:
-            self._add(line)
-        self._line = bytes(last[:_LINE_BYTES])
-        self._check_open()
-
-    def _add(self, line: bytes | bytearray) -> None:
-        name, _, content = bytes(line).partition(b':')
-        if not name:
-            # A comment, or the blank line at the end.
-            return
-        if name not in _FIELDS:
-            raise EventFault('a line has no known field')
-        if name == EVENT_VERSION_FIELD and self._names:
-            raise EventFault('the version is not in the first line')
-        self._names.add(name)
-        if name in _NUMERIC_FIELDS:
-            self._add_number(name, content)
-
-    def _add_number(self, name: bytes, content: bytes) -> None:
-        number = parse_number(content.removeprefix(b' '))
-        if number is None:
-            raise EventFault(f'{name.decode()} is not a number')
-        if name != _ID:
-            return
-        if self.number is not None:
-            raise EventFault('an event has two ids')
-        self.number = number
-
-    def _check_open(self) -> None:
-        name, colon, _ = self._line.partition(b':')
-        if colon:
-            is_known = not name or name in _FIELDS
-        else:
-            is_known = any(each.startswith(name) for each in _FIELDS)
-        if not is_known:
-            raise EventFault('a line has no known field')
-
-
-def parse_number(text: bytes) -> int | None:
-    """Return the number that an id names, None if it names none."""
-    return int(text) if _NUMBER.fullmatch(text) else None
-
-
 def _read_event(data: bytes | bytearray) -> int | None:
     """Return the number of a whole event, None of a block that is none."""
-    lines = _EventLines()
+    lines = EventLines(_GRAMMAR)
     lines.feed(data)
-    if lines.lacks_number:
+    if lines.number is None and not _EVENT_FIELDS.isdisjoint(lines.names):
         raise EventFault('an event has no id')
     return lines.number
--- a/tests/test_bytes_between_events.py
+++ b/tests/test_bytes_between_events.py
@@ -9,7 +9,8 @@
 import anyio
 import pytest
 
-from oleanderdyke.entry.hosted.events import EventFault, EventSplitter
+from oleanderdyke.entry.hosted.events import EventSplitter
+from oleanderdyke.event_lines import EventFault
 from oleanderdyke.event_streams import EVENT_LIMIT_BYTES
 from tests.hosted import prefer, staging
 from tests.standins.framing import (
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 
 from oleanderdyke.entry.hosted.events import (
-    EventFault,
     EventFramer,
     EventSplitter,
 )
 from oleanderdyke.entry.sse import EventNumberer, Position
+from oleanderdyke.event_lines import EventFault
 from oleanderdyke.event_streams import (
     EVENT_LIMIT_BYTES,
     count_events,
