End streams of agents at bytes that fit no event

What callers saw: in our own mode, whatever a server sent behind sound events of a text/event-stream reached the caller as a numbered event, and the stream ended as complete.

Cause: an agent looked only at how a stream ended, and the entry numbers what lies between two blank lines. The grammar of the hosted mode stood in the hosted entry alone.

The agent checks the lines of such a stream with the shared grammar before it passes them on: data, event, id, retry with digits, comments. At a fault it passes on the events before it and ends the answer as failed by its server (BACKEND_FAILED, perhaps run), as where a server breaks off its answer: that kind goes on elsewhere where the request may, while STREAM_BROKEN would have an entry ask for a claim. Other media types, and streams with a content encoding, are not looked at.

--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from oleanderdyke.agent.backend import Backend, filter_response_headers
+from oleanderdyke.agent.event_check import make_event_check
 from oleanderdyke.agent.prepare import Preparer
 from oleanderdyke.agent.run import Run
 from oleanderdyke.clients.http import HttpAnswer, HttpError
@@ -89,9 +90,7 @@
         ) as answer:
             self._delivery.check_status(answer.status)
             self._open(run, answer)
-            async for data in answer.body:
-                for piece in self._split(data):
-                    await self._forward_chunk(run, piece)
+            await self._forward_body(run, answer)
         _check_end(run)
         self._preparer.on_complete(run)
         return _make_record(run)
@@ -144,6 +143,17 @@
         self._delivery.attach(run, run.buffer)
         self._delivery.send(reader, (head,))
 
+    async def _forward_body(self, run: Run, answer: HttpAnswer) -> None:
+        check = make_event_check(run.headers)
+        async for data in answer.body:
+            sound, fault = len(data), ''
+            if check is not None:
+                sound, fault = check.find_fault(data)
+            for piece in self._split(data[:sound]):
+                await self._forward_chunk(run, piece)
+            if fault:
+                raise _make_fault_error(run, fault)
+
     async def _forward_chunk(self, run: Run, data: bytes) -> None:
         run.add_data(data)
         while run.buffer is not None and _must_wait(run.buffer, data):
@@ -169,6 +179,14 @@
         raise HttpError('the stream ended within an event', ran=Ran.MAYBE)
 
 
+def _make_fault_error(run: Run, fault: str) -> OleanderError:
+    return OleanderError(
+        ErrorKind.BACKEND_FAILED,
+        f'the stream holds bytes that fit no event: {fault}, '
+        f'behind {run.length} bytes',
+    )
+
+
 def _must_wait(buffer: StreamBuffer, data: bytes) -> bool:
     return buffer.is_full or buffer.would_drop(data)
 
--- a/src/oleanderdyke/event_streams.py
+++ b/src/oleanderdyke/event_streams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 _EVENT_STREAM_TYPE = 'text/event-stream'
 _CONTENT_TYPE = 'content-type'
@@ -60,6 +60,12 @@
     )
 
 
+def list_event_ends(data: bytes) -> Iterator[int]:
+    """Yield the index behind each event that ends in the data."""
+    for found in _EVENT_END.finditer(data):
+        yield found.end()
+
+
 def count_events(data: bytes) -> int:
     """Return the number of events that end in the data."""
     if b'\r' not in data:
