Leave the entry's id the only one of an event

What callers saw: an event whose server wrote an id had two in our own mode. A reader keeps the last, so a caller took its stream up at an id that this system never gave: it was refused, or went on at another place.

Cause: the entry puts its id before an event and left the server's where it was. The entry takes lines of ids out of events now, with any line end. Other fields that begin so (idle), data and comments stay.

--- a/src/oleanderdyke/entry/sse.py
+++ b/src/oleanderdyke/entry/sse.py
@@ -9,6 +9,8 @@
 from oleanderdyke.errors import ErrorKind, OleanderError
 from oleanderdyke.event_streams import EVENT_LIMIT_BYTES, split_events
 
+# An event without its end; the line of an id may be its last.
+_ID_LINE = re.compile(rb'(?:\A|(?<=[\r\n]))id(?::[^\r\n]*)?(?:\r\n|[\r\n]|\Z)')
 _POSITION = re.compile(r'(-1|\d{1,12})(?:\.(\d{1,12}))?\Z', re.ASCII)
 
 
@@ -61,6 +63,7 @@
             not self._partial_event
             and not self._skipped
             and _is_one_event(chunk)
+            and not _may_have_id(chunk)
         ):
             self._aligned_chunk = self._chunk
             self._events = 0
@@ -96,6 +99,9 @@
         position = Position(self._aligned_chunk, self._events)
         # The LF of a CRLF whose CR ended the event before.
         event = event.removeprefix(b'\n')
+        if _may_have_id(event):
+            # Callers would take the stream up at the last id of an event.
+            event = _ID_LINE.sub(b'', event).rstrip(b'\r\n')
         return f'id: {position}\n'.encode() + event + b'\n\n'
 
 
@@ -104,3 +110,8 @@
     boundary = chunk.find(b'\n\n')
     is_split = chunk.startswith(b'\n') or b'\r' in chunk
     return 0 <= boundary == len(chunk) - 2 and not is_split
+
+
+def _may_have_id(event: bytes) -> bool:
+    """Return whether a line may be an id of the server's own."""
+    return event.startswith(b'id') or b'\nid' in event or b'\rid' in event
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -9,6 +9,7 @@
 from anyio import wait_all_tasks_blocked
 from anyio.abc import TaskGroup
 
+from oleanderdyke.entry.sse import EventNumberer, Position
 from oleanderdyke.entry.tokens import StreamToken, encode_token
 from oleanderdyke.links.messages import (
     AnswerChunk,
@@ -253,3 +254,33 @@
         link.react = react
         reply = await edge.call('GET', BOOKINGS)
         assert not reply.ended
+
+
+# Guards against a caller that takes a stream up at an id of its server, which
+# stood behind that of the entry in an event and so took its place.
+@pytest.mark.parametrize(
+    'event',
+    [
+        b'id: 77\ndata: a\n\n',
+        b'data: a\nid: 77\n\n',
+        b'data: a\nid\n\n',
+        b'id: 77\r\ndata: a\r\n\r\n',
+        b'data: a\rid:77\r\r',
+    ],
+)
+def test_id_of_the_entry_is_the_only_one_of_an_event(event: bytes):
+    numberer = EventNumberer(Position())
+    sent = b''.join(numberer.take(event) for _ in range(2))
+    lines = sent.replace(b'\r\n', b'\n').replace(b'\r', b'\n').split(b'\n')
+    assert [each for each in lines if each.startswith(b'id')] == [
+        b'id: 0',
+        b'id: 1',
+    ]
+    assert lines.count(b'data: a') == 2
+
+
+@pytest.mark.parametrize(
+    'event', [b'data: a\nidle: b\n\n', b'data: id: 7\n\n', b': id: 7\n\n']
+)
+def test_only_ids_are_removed_from_events(event: bytes):
+    assert EventNumberer(Position()).take(event) == b'id: 0\n' + event
