Break off unframed answers of servers that have ended

What callers saw: in our own mode, an answer with neither length nor chunks was whole wherever its connection closed. The kernel closes the connections of a process that crashes in order, so a body or a stream that lacked its rest ended as complete.

Cause: the hosted mode asks whether a server still listens before it takes such an end for one of the answer; agents did not.

An agent opens one connection to its server behind each such answer, and reports the answer as broken if it can't. Where the agent itself is leaving it does not ask, as a server that stops with it may no longer listen. Answers with a length or chunks cost nothing.

A server that restarts at once, and listens again, is not told from one that lived on.

--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Protocol
 
 from oleanderdyke.agent.backend import Backend, filter_response_headers
@@ -26,6 +26,8 @@
 from oleanderdyke.logs import EventLog
 
 _RESUME_TOKEN_BYTES = 16
+_FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
+_BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Delivery(Protocol):
@@ -60,6 +62,7 @@
         chunk_size: int,
         clock: Clock,
         events: EventLog,
+        is_leaving: Callable[[], bool] = bool,
     ) -> None:
         self._backend = backend
         self._preparer = preparer
@@ -68,6 +71,7 @@
         self._chunk_size = chunk_size
         self._clock = clock
         self._events = events
+        self._is_leaving = is_leaving
 
     async def forward(self, run: Run) -> RunAnswer | None:
         """Forward a run and return its response if a claim requires a record.
@@ -92,6 +96,8 @@
             self._open(run, answer)
             await self._forward_body(run, answer)
         _check_end(run)
+        if _is_unframed(answer):
+            await self._check_server()
         self._preparer.on_complete(run)
         return _make_record(run)
 
@@ -154,6 +160,21 @@
             if fault:
                 raise _make_fault_error(run, fault)
 
+    async def _check_server(self) -> None:
+        """Raise HttpError if the end of a connection was that of its server.
+
+        One that stops together with its agent may stop listening before it
+        has answered.
+        """
+        if self._is_leaving():
+            return
+        try:
+            await self._backend.connect()
+        except HttpError as error:
+            raise HttpError(
+                'the server ended with its answer', ran=Ran.MAYBE
+            ) from error
+
     async def _forward_chunk(self, run: Run, data: bytes) -> None:
         run.add_data(data)
         while run.buffer is not None and _must_wait(run.buffer, data):
@@ -179,6 +200,13 @@
         raise HttpError('the stream ended within an event', ran=Ran.MAYBE)
 
 
+def _is_unframed(answer: HttpAnswer) -> bool:
+    """Return whether the body ends where its connection does."""
+    if answer.status in _BODILESS_STATUSES:
+        return False
+    return _FRAMING_HEADERS.isdisjoint(name for name, _ in answer.headers)
+
+
 def _make_fault_error(run: Run, fault: str) -> OleanderError:
     return OleanderError(
         ErrorKind.BACKEND_FAILED,
--- a/src/oleanderdyke/agent/shell.py
+++ b/src/oleanderdyke/agent/shell.py
@@ -128,6 +128,7 @@
                 chunk_size=settings.runs.chunk_size,
                 clock=clock,
                 events=events,
+                is_leaving=lambda: self._drain_runner.is_leaving,
             )
         )
         self._health = Health(
--- a/tests/test_cut_heads_agent.py
+++ b/tests/test_cut_heads_agent.py
@@ -2,25 +2,40 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Sequence
 
 import pytest
 
-from agents import FakeEntry, Outcome, connect_entry, make_settings, run_agent
+from agents import (
+    FakeEntry,
+    Outcome,
+    connect_entry,
+    make_settings,
+    run_agent,
+    wait_until,
+)
 from oleanderdyke.clients.buffered import fetch_body
 from oleanderdyke.clients.http import HttpBackend, HttpError
 from oleanderdyke.clients.keep_alive import KeepAliveHttp
 from oleanderdyke.errors import ErrorKind, Ran
-from oleanderdyke.links.messages import BackendKind
+from oleanderdyke.links.messages import AgentPhase, BackendKind, DrainRequest
 from tests.standins.cuts import (
     Cut,
     cut_in_turn,
     list_cuts,
     make_shapes,
 )
-from tests.standins.framing import EVENT_STREAM, Ending
-from tests.standins.replica import Replica, Script, serving_replica
+from tests.standins.framing import (
+    EVENT_STREAM,
+    Ending,
+    Framing,
+    Response,
+    respond,
+    send_response,
+)
+from tests.standins.replica import Peer, Replica, Script, serving_replica
 
 pytestmark = pytest.mark.anyio
 
@@ -42,10 +57,13 @@
             yield replica, entry
 
 
-async def _call_each(entry: FakeEntry, cuts: list[Cut]) -> list[Outcome]:
+async def _call_each(
+    entry: FakeEntry, cuts: Sequence[Cut | None]
+) -> list[Outcome]:
     return [
         await entry.call(
-            entry.make_dispatch(f'r{number}', path=f'/x/{number}'), b'x'
+            entry.make_dispatch(f'r{number}', path=f'/x/{number}', headers=_ID),
+            b'x',
         )
         for number in range(len(cuts))
     ]
@@ -112,3 +130,61 @@
                     wrong.append((cut, body))
         await client.close()
     assert wrong == []
+
+
+# Guards against ORDER in our own mode: the connection of a server that crashes
+# may end in order, and a body without a length ended with it as whole.
+@pytest.mark.parametrize('framing', Framing)
+@pytest.mark.parametrize('media_type', _TYPES)
+async def test_unframed_answer_of_a_server_that_has_ended_is_broken(
+    media_type: str, framing: Framing
+) -> None:
+    servers: list[asyncio.Server] = []
+    response = Response((b'data: a\n\n',), framing, media_type=media_type)
+
+    async def run(peer: Peer) -> None:
+        for each in servers:
+            each.close()
+        await send_response(peer, response)
+
+    async with _serving_agent(run) as (replica, entry):
+        assert replica.server is not None
+        servers.append(replica.server)
+        (found,) = await _call_each(entry, [None])
+    assert (found.end is None) is (framing is Framing.CLOSE)
+    assert _is_broken(found) is (framing is Framing.CLOSE)
+
+
+# Guards against broken answers of servers that are alive.
+@pytest.mark.parametrize('media_type', _TYPES)
+async def test_unframed_answer_of_a_server_that_is_alive_is_whole(
+    media_type: str,
+) -> None:
+    response = Response((b'data: a\n\n',), Framing.CLOSE, media_type=media_type)
+    async with _serving_agent(respond(response)) as (_, entry):
+        found = await _call_each(entry, [None] * 3)
+    assert [each.body for each in found] == [response.body] * 3
+    assert all(each.end is not None for each in found)
+
+
+# Guards against broken answers of servers that stop with their agent.
+async def test_unframed_answer_is_whole_if_its_server_stops_with_its_agent():
+    servers: list[asyncio.Server] = []
+    response = Response((b'booked',), Framing.CLOSE, media_type='text/plain')
+
+    async def run(peer: Peer) -> None:
+        await entry.link.send(DrainRequest('op'))
+        await wait_until(
+            lambda: (
+                entry.beat is not None
+                and entry.beat.phase is AgentPhase.LEAVING
+            )
+        )
+        for each in servers:
+            each.close()
+        await send_response(peer, response)
+
+    async with _serving_agent(run) as (replica, entry):
+        servers.append(replica.server)
+        (found,) = await _call_each(entry, [None])
+    assert (found.body, found.end is not None) == (b'booked', True)
