Count the passed events of an attempt where events are read

An entry that starts loads one module less, which brings the count back under the bound of test_loaded_modules: it found 400 where fewer are allowed, with the modules of start order, route services, dating and lines added.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -31,9 +31,9 @@
 from oleanderdyke.entry.hosted.events import (
     EventFramer,
     EventSplitter,
+    PassedEvents,
     ServerSentEvent,
 )
-from oleanderdyke.entry.hosted.passed_events import PassedEvents
 from oleanderdyke.entry.hosted.weights import (
     Weights,
     find_weights,
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 from oleanderdyke.event_lines import (
@@ -26,6 +26,7 @@
     find_event_end,
     is_within_event,
 )
+from oleanderdyke.logs import LogValue
 from oleanderdyke.platform.requests import EVENT_VERSION_FIELD
 
 # An incomplete event up to this size is held back until it is complete.
@@ -55,6 +56,30 @@
     number: int | None
 
 
+@dataclass(slots=True)
+class PassedEvents:
+    """Count the numbered events that an attempt has passed on."""
+
+    first: int | None = None
+    last: int | None = None
+    count: int = 0
+
+    def record(self, number: int | None) -> None:
+        """Add an event, or a part without a number of its own."""
+        if number is None:
+            return
+        if self.first is None:
+            self.first = number
+        self.last = number
+        self.count += 1
+
+    def describe(self) -> Mapping[str, LogValue]:
+        """Return the fields of a log line; none without a numbered event."""
+        if self.first is None:
+            return {}
+        return {'events': f'{self.first}-{self.last}', 'count': self.count}
+
+
 class EventSteps:
     """Know whether the numbers of a service's events step by one."""
 
