Believe older weights of a server that goes on telling them

Seen: after one record under the key of a real server, or one notice of a load, that tells weights of 2^53-1, requests name that version to the server for good.

Cause: the newest version ever told of a server was kept, as an answer may tell it before the list does; nothing ever lowered it.

Change: three rising records of a server in a row that tell older weights are believed. The count is that of start times (`RisingRecords`).

Why it works: a server writes what it holds. Late records that were under way are fewer, or a newer one follows; until then the server itself refuses a version that it does not hold.

--- a/src/oleanderdyke/kernel/server_list.py
+++ b/src/oleanderdyke/kernel/server_list.py
@@ -11,7 +11,7 @@
 from oleanderdyke.kernel.removed_servers import RemovedServers
 from oleanderdyke.kernel.scheduling.prefill_rate import PrefillRate
 from oleanderdyke.kernel.servers import ServerRecord, ServerStart
-from oleanderdyke.kernel.start_order import StartOrder
+from oleanderdyke.kernel.start_order import RisingRecords, StartOrder
 
 # Servers report being cold for seconds; a larger value is an error.
 _MAX_COLD: Millis = 60 * SECOND
@@ -36,6 +36,7 @@
         )
         self._removed = RemovedServers()
         self._starts = StartOrder()
+        self._older_versions = RisingRecords()
         self._superseded: list[ServerRecord] = []
         # Starts whose answers announced that they leave. Kept after they are
         # gone, because a lagging list may still show them as ready.
@@ -179,7 +180,7 @@
         known.missing_since = None
         known.is_unread = False
         known.is_displaced = False
-        merged = _merge_versions(known.record, record)
+        merged = self._merge(known.record, record)
         if merged.versions != known.record.versions:
             known.reload_until = 0.0
             known.clear_cache()
@@ -187,6 +188,20 @@
         _update_cold(known, now)
         self._servers_by_address[record.address].add(record.server)
 
+    def _merge(self, known: ServerRecord, update: ServerRecord) -> ServerRecord:
+        """Merge the versions of an update with those known of its server.
+
+        Older weights are believed of a server that goes on telling them: what
+        told newer ones was no record or answer of its own.
+        """
+        merged = _merge_versions(known, update)
+        told = {**merged.versions, **update.versions}
+        if merged.versions == told:
+            self._older_versions.forget(update.server)
+        elif self._older_versions.is_written_on(update):
+            merged = replace(merged, versions=told)
+        return merged
+
     def mark_unreadable(self, servers: Iterable[str]) -> None:
         """Mark servers whose latest entries cannot be parsed.
 
--- a/src/oleanderdyke/kernel/start_order.py
+++ b/src/oleanderdyke/kernel/start_order.py
@@ -1,4 +1,4 @@
-"""Order of the starts of backend servers, by the start times they tell."""
+"""Order of what backend servers tell of their starts and weights."""
 
 from __future__ import annotations
 
@@ -13,13 +13,36 @@
 
 @dataclass(frozen=True, slots=True)
 class _Run:
-    """Count rising records in a row that seem to be of an earlier start."""
+    """Count rising records in a row that are older than what is known."""
 
     born: int | None
     revision: int
     count: int = 1
 
 
+class RisingRecords:
+    """Find servers that write on what a single other record denied."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, _Run] = {}
+
+    def forget(self, server: str) -> None:
+        """Begin anew with the next record of a server."""
+        self._runs.pop(server, None)
+
+    def is_written_on(self, record: ServerRecord) -> bool:
+        """Add a record; return whether enough have come in a row."""
+        run = self._runs.get(record.server)
+        found = _Run(record.born, record.revision)
+        if run is not None and run.born == record.born:
+            if record.revision == run.revision:
+                return False
+            if record.revision > run.revision:
+                found = _Run(record.born, record.revision, run.count + 1)
+        self._runs[record.server] = found
+        return found.count >= _LIVE_RECORDS
+
+
 class StartOrder:
     """Tell records of a server's latest start from those of earlier ones."""
 
@@ -27,7 +50,7 @@
         # Kept after a server is gone: a record of an earlier start may still
         # arrive.
         self._latest: dict[str, int] = {}
-        self._runs: dict[str, _Run] = {}
+        self._rising = RisingRecords()
 
     def is_stale(
         self, record: ServerRecord, known: ServerRecord | None
@@ -38,11 +61,11 @@
         reported one.
         """
         if not self._is_earlier(record, known):
-            self._runs.pop(record.server, None)
+            self._rising.forget(record.server)
             return False
-        if not self._is_written_on(record):
+        if not self._rising.is_written_on(record):
             return True
-        del self._runs[record.server]
+        self._rising.forget(record.server)
         self._latest.pop(record.server, None)
         return False
 
@@ -60,15 +83,3 @@
         if record.born is None:
             return known is not None and known.born is not None
         return record.born < self._latest.get(record.server, 0)
-
-    def _is_written_on(self, record: ServerRecord) -> bool:
-        """Return whether a start writes on that seemed to have ended."""
-        run = self._runs.get(record.server)
-        found = _Run(record.born, record.revision)
-        if run is not None and run.born == record.born:
-            if record.revision == run.revision:
-                return False
-            if record.revision > run.revision:
-                found = _Run(record.born, record.revision, run.count + 1)
-        self._runs[record.server] = found
-        return found.count >= _LIVE_RECORDS
