Test that a cut answer of a store frees no parts

A call that frees parts is accepted by the status of its answer, so an answer cut in its head or body must be an error.

--- a/tests/test_cut_heads_agent.py
+++ b/tests/test_cut_heads_agent.py
@@ -21,6 +21,7 @@
 from oleanderdyke.clients.keep_alive import KeepAliveHttp
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.links.messages import AgentPhase, BackendKind, DrainRequest
+from oleanderdyke.platform.contexts import ContextClient, ContextUnavailable
 from tests.standins.cuts import (
     Cut,
     cut_in_turn,
@@ -188,3 +189,26 @@
         servers.append(replica.server)
         (found,) = await _call_each(entry, [None])
     assert (found.body, found.end is not None) == (b'booked', True)
+
+
+# Guards against parts that count as free by an answer that was cut.
+@pytest.mark.parametrize('ending', _ENDINGS)
+async def test_cut_answer_of_a_store_frees_no_parts(
+    ending: Ending,
+) -> None:
+    cuts = list_cuts(make_shapes('application/json'), ending)
+    framed = [each for each in cuts if not each.may_be_whole]
+    left = iter(framed)
+    wrong = []
+
+    async def run(peer: Peer) -> None:
+        await next(left).send(peer)
+
+    async with serving_replica(run) as (replica, address):
+        client = ContextClient(address, lambda *_: None)
+        for cut in framed:
+            with contextlib.suppress(ContextUnavailable):
+                wrong.append((cut, await client.free((), 1, 0.0, within=900.0)))
+        await client.close()
+    assert wrong == []
+    assert len(replica.received) == len(framed)
