Take a server that accepts no connection in time for alive

Callers in our own mode lost a whole answer without a length as broken if its server was too busy to accept one more connection: the check behind such an answer took every failure to connect for the end of the server.

A connection that is not accepted in time now proves nothing, as in the hosted mode. The new test failed before (the body came, the end did not) and passes now, as do the nine others of unframed answers in its file.

--- a/src/oleanderdyke/agent/forward.py
+++ b/src/oleanderdyke/agent/forward.py
@@ -171,6 +171,9 @@
         try:
             await self._backend.connect()
         except HttpError as error:
+            if isinstance(error.__cause__, TimeoutError):
+                # A full queue of connections takes no more of them.
+                return
             raise HttpError(
                 'the server ended with its answer', ran=Ran.MAYBE
             ) from error
--- a/tests/test_cut_heads_agent.py
+++ b/tests/test_cut_heads_agent.py
@@ -6,6 +6,7 @@
 import contextlib
 from collections.abc import AsyncGenerator, Sequence
 
+import anyio
 import pytest
 
 from agents import (
@@ -168,6 +169,21 @@
     assert all(each.end is not None for each in found)
 
 
+# Guards against broken answers of servers that are too busy to accept more.
+async def test_unframed_answer_is_whole_if_its_server_accepts_no_more_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    response = Response((b'booked',), Framing.CLOSE, media_type='text/plain')
+
+    async def wait(*_: object) -> None:
+        await anyio.sleep_forever()
+
+    async with _serving_agent(respond(response)) as (_, entry):
+        monkeypatch.setattr('anyio.connect_tcp', wait)
+        (found,) = await _call_each(entry, [None])
+    assert (found.body, found.end is None) == (response.body, False)
+
+
 # Guards against broken answers of servers that stop with their agent.
 async def test_unframed_answer_is_whole_if_its_server_stops_with_its_agent():
     servers: list[asyncio.Server] = []
