Skip events of context stores whose salt has no encoding

Seen: with one event of a store that has half a surrogate pair in its salt, entries that are linked end with UnicodeEncodeError.

Cause: any text was taken as a salt, and encoding the events for another entry raises for such a text in a task of the process.

Change: such an event is malformed, and skipped and reported as others are.

Why it works: what a decoder lets through can be encoded.

--- a/src/oleanderdyke/platform/contexts.py
+++ b/src/oleanderdyke/platform/contexts.py
@@ -187,6 +187,8 @@
     # An empty salt is allowed: it stands for context saved without one.
     if not isinstance(salt, str):
         raise FieldError(f'salt: found {show_value(salt)}; allowed: text')
+    # Entries tell each other of events; half a surrogate pair has no encoding.
+    salt.encode()
     return ContextEvent(
         is_added=sign == _ADDED,
         salt=salt,
--- a/tests/test_odd_topics.py
+++ b/tests/test_odd_topics.py
@@ -8,8 +8,18 @@
 import pytest
 
 from oleanderdyke.platform import names
-from tests.hosted import MODEL, SERVERS, make_record, staging, starting
+from tests.hosted import (
+    MODEL,
+    SERVERS,
+    configure_store,
+    make_record,
+    staging,
+    staging_linked,
+    starting,
+)
 from tests.processes import Ports
+from tests.standins import server
+from tests.standins.contexts import ContextStore
 from tests.standins.scripts import answer_well
 
 pytestmark = pytest.mark.anyio
@@ -72,3 +82,32 @@
                 await anyio.sleep(1)
                 for served in (stage, late):
                     assert (await served.call('/safe/1')).status == 200
+
+
+# Guards against text that no message between entries can carry.
+@pytest.mark.parametrize('odd', ['\ud800', '1/\udfff/', '\x00\n'])
+async def test_entries_share_a_store_with_an_odd_salt(tmp_path, odd):
+    contexts = ContextStore()
+    async with (
+        server.serving(contexts) as (address,),
+        staging_linked(
+            tmp_path,
+            answer_well,
+            entries=2,
+            configuration=configure_store(address),
+            models=MODELS,
+        ) as linked,
+    ):
+        with anyio.fail_after(10):
+            while not all(
+                stage.core.peers.has_links for stage in linked.stages
+            ):
+                await anyio.sleep(0.05)
+        contexts.add(odd, 'aa', 2_000)
+        contexts.add(f'1/{MODEL}/', 'bb', 2_000)
+        await anyio.sleep(2)
+        for stage in linked.stages:
+            assert (await stage.call('/safe/1')).status == 200
+            (view,) = stage.core.contexts.views.values()
+            assert (f'1/{MODEL}/', 'bb') in view.parts
+            assert 'event=task_failed' not in stage.log.read_text()
