--- a/tests/test_odd_topics.py
+++ b/tests/test_odd_topics.py
@@ -111,3 +111,34 @@
             (view,) = stage.core.contexts.views.values()
             assert (f'1/{MODEL}/', 'bb') in view.parts
             assert 'event=task_failed' not in stage.log.read_text()
+
+
+# Guards against names of a configuration that no message can carry.
+@pytest.mark.parametrize('odd', ['\ud800', 'a\r\nb'])
+async def test_entries_serve_a_service_with_an_odd_name(tmp_path, odd):
+    found = configure_store('127.0.0.1:9')
+    services = [*found['services'], {'name': odd, 'engine': {'slots': 4}}]
+    routes = [
+        *found['routes'],
+        {**found['routes'][0], 'name': odd, 'pathPrefix': '/o/'},
+        {**found['routes'][2], 'name': odd, 'pathPrefix': '/s/'},
+        {**found['routes'][2], 'pathPrefix': '/t/', 'service': odd},
+    ]
+    configuration = {**found, 'services': services, 'routes': routes}
+    async with staging_linked(
+        tmp_path,
+        answer_well,
+        entries=2,
+        configuration=configuration,
+        models=MODELS,
+    ) as linked:
+        for stage in linked.stages:
+            for path in ('/o/1', '/safe/1'):
+                assert (await stage.call(path)).status == 200
+            for path in ('/s/1', '/t/1'):
+                answer = await stage.call(path, oleanderdyke_model=MODEL)
+                assert answer.status != 500
+        await anyio.sleep(1.5)
+        for stage in linked.stages:
+            assert (await stage.call('/safe/1')).status == 200
+            assert 'event=task_failed' not in stage.log.read_text()
