Keep calls of other processes from the stand-in servers of tests

test_refusal_of_a_stopping_entry_names_a_time_to_return, known red, failed as its stand-in got three requests without an id.

Cause, by elimination: in this test the entry refuses the request and sends the stand-in nothing, so the calls came from another process. Stand-ins listen on 127.0.0.1 at any free port, where daemons of another run may go on calling a port that was theirs. No log of the failed run was kept.

Stand-in servers now listen at a loopback address of their process, as all calls of daemons go to the common one. What stand-ins check is unchanged: a request without an id still fails a test.

--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 from collections.abc import AsyncGenerator, Awaitable, Callable
@@ -131,13 +132,23 @@
                 writer.close()
 
 
+def find_host() -> str:
+    """Return a loopback address that no other process uses.
+
+    Daemons of other runs go on calling ports of theirs that were freed, which
+    a stand-in at their address may get.
+    """
+    pid = os.getpid()
+    return f'127.{64 + (pid >> 16) % 64}.{(pid >> 8) % 256}.{pid % 256}'
+
+
 @contextlib.asynccontextmanager
 async def serving_replica(
     script: Script,
 ) -> AsyncGenerator[tuple[Replica, str], None]:
     """Serve on loopback; yield the stand-in and its address."""
     replica = Replica(script)
-    server = await asyncio.start_server(replica.serve, '127.0.0.1', 0)
+    server = await asyncio.start_server(replica.serve, find_host(), 0)
     replica.server = server
     host, port = server.sockets[0].getsockname()[:2]
     try:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -70,8 +70,8 @@
         await peer.wait_closed()
 
     async with staging(tmp_path, act, models=_MODELS) as stage:
-        port = stage.replicas[0].server.sockets[0].getsockname()[1]
-        async with linking(port) as (link, address):
+        host, port = stage.replicas[0].server.sockets[0].getsockname()
+        async with linking(port, host) as (link, address):
             record = make_record(address, models=_MODELS)
             stage.store.put(SERVERS, 'i-0', record)
             await anyio.sleep(1.5)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,7 @@
     engine,
     log,
     plain,
+    replica,
     server,
     store,
     vms,
@@ -399,3 +401,19 @@
         child.kill()
         store_child.kill()
         ports.close()
+
+
+# Guards against tests that fail as daemons of another run call ports that they
+# have freed.
+@pytest.mark.anyio
+async def test_calls_to_the_common_address_reach_no_server() -> None:
+    async with replica.serving_replica(lambda peer: peer.answer()) as (
+        found,
+        address,
+    ):
+        port = int(address.rpartition(':')[2])
+        with suppress(OSError):
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.close()
+        await anyio.sleep(0.05)
+    assert found.connections == 0
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -37,6 +37,7 @@
     """
 
     target: int
+    host: str = _HOST
     delays: list[float] = field(default_factory=list)
     shares: list[float] = field(default_factory=list)
     random: Random = field(default_factory=lambda: Random(1))
@@ -101,7 +102,7 @@
     ) -> None:
         """Relay one connection until both of its ways have ended."""
         try:
-            far = await asyncio.open_connection(_HOST, self.target)
+            far = await asyncio.open_connection(self.host, self.target)
         except OSError:
             if self.is_reading_first:
                 await reader.read(_PIECE)
@@ -181,9 +182,11 @@
 
 
 @contextlib.asynccontextmanager
-async def linking(target: int) -> AsyncGenerator[tuple[Link, str], None]:
+async def linking(
+    target: int, host: str = _HOST
+) -> AsyncGenerator[tuple[Link, str], None]:
     """Run a link to a port on loopback; yield it and its address."""
-    link = Link(target)
+    link = Link(target, host)
     listener = await asyncio.start_server(link.carry, _HOST, 0, backlog=512)
     port = listener.sockets[0].getsockname()[1]
     try:
