Remember where routes led longer than one configuration ago

Seen: after a route's timeout was made shorter, and the route then led to another service, streams that began under the longer timeout counted as begun at the new one. The same for a route that was removed and came back elsewhere. Such a stream, taken up at an entry that does not know it, goes on at a version that did not begin it (ORDER).

Cause: RouteServices compared a configuration with the one before it alone, and took how long streams live from that one.

Change: a route keeps the longest lifetime that it had, and a route that is gone stays known until the last streams that began at it have ended.

Why it works: a stream that may still live began under some configuration, and each of these adds its services with the end of their last stream.

--- a/src/oleanderdyke/kernel/route_services.py
+++ b/src/oleanderdyke/kernel/route_services.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from oleanderdyke.clock import Millis
 
@@ -36,15 +36,25 @@
 
 @dataclass(slots=True)
 class _Known:
-    """`left` maps services of before to when their streams have ended."""
+    """`left` maps services of before to when their streams have ended.
+
+    Streams may have begun under any lifetime up to `longest`.
+    """
 
     route: StreamRoute
+    longest: Millis
     left: dict[str, Millis] = field(default_factory=dict)
 
     def list_services(self, now: Millis) -> frozenset[str]:
         left = (service for service, until in self.left.items() if until > now)
         return self.route.services | frozenset(left)
 
+    def make_ended(self, ends: Millis) -> _Known:
+        """Return the route once it is gone, with streams that live until."""
+        left = self.left | dict.fromkeys(self.route.services, ends)
+        route = replace(self.route, services=frozenset())
+        return _Known(route, self.longest, left)
+
 
 class RouteServices:
     """Know where routes lead, and where they led while streams of then live.
@@ -55,16 +65,19 @@
     def __init__(self, margin: Millis) -> None:
         self._margin = margin
         self._known: dict[tuple[str, str], _Known] = {}
+        # Routes that were removed, while their streams live.
+        self._gone: dict[tuple[str, str], _Known] = {}
 
     def configure(self, routes: Iterable[StreamRoute], now: Millis) -> None:
         """Replace the routes by those of a new configuration."""
         before, self._known = self._known, {}
         for route in routes:
-            self._known[route.key] = _Known(route)
+            self._known[route.key] = _Known(route, route.lifetime)
         for known in self._known.values():
-            for other in before.values():
+            for other in (*before.values(), *self._gone.values()):
                 if self._may_have_led(known.route, other.route, before):
                     self._inherit(known, other, now)
+        self._keep_gone(before, now)
 
     def find(self, host: str, prefix: str, now: Millis) -> frozenset[str]:
         """Return where streams of a route may have begun, maybe nowhere."""
@@ -87,8 +100,22 @@
         return route.key == other.key or (has_moved and route.overlaps(other))
 
     def _inherit(self, known: _Known, other: _Known, now: Millis) -> None:
-        ends = now + other.route.lifetime + self._margin
+        known.longest = max(known.longest, other.longest)
+        ends = now + other.longest + self._margin
         for service in other.route.services - known.route.services:
             known.left[service] = ends
         for service, until in other.left.items():
             known.left[service] = max(until, known.left.get(service, -math.inf))
+
+    def _keep_gone(
+        self, before: Mapping[tuple[str, str], _Known], now: Millis
+    ) -> None:
+        ended = {
+            key: known.make_ended(now + known.longest + self._margin)
+            for key, known in before.items()
+        }
+        self._gone = {
+            key: known
+            for key, known in (self._gone | ended).items()
+            if key not in self._known and known.list_services(now)
+        }
--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -171,10 +171,15 @@
     assert history.find_only('desk', 2_100.0) is None
 
 
-def make_routes(**services):
+def make_routes(lifetime=8, **services):
     """Return routes by the last part of their prefix."""
     return [
-        StreamRoute('a.test', f'/{name.replace("_", "/")}/', frozenset(each), 8)
+        StreamRoute(
+            'a.test',
+            f'/{name.replace("_", "/")}/',
+            frozenset(each),
+            lifetime,
+        )
         for name, each in services.items()
     ]
 
@@ -209,6 +214,31 @@
     assert known.find('a.test', '/a/', 213.0) == {'desk'}
 
 
+# Guards against ORDER: streams that began under a longer timeout were taken for
+# ended, and one that its caller took up for one of the new service.
+def test_a_shorter_timeout_does_not_shorten_where_a_route_led():
+    known = RouteServices(5.0)
+    known.configure(make_routes(lifetime=100, a={'desk'}), 0.0)
+    known.configure(make_routes(a={'desk'}), 10.0)
+    known.configure(make_routes(a={'till'}), 20.0)
+    assert known.find('a.test', '/a/', 105.0) == {'desk', 'till'}
+    assert known.find('a.test', '/a/', 125.0) == {'till'}
+
+
+# Guards against ORDER: the same for a route that was away for a while.
+@pytest.mark.parametrize('name', ['a', 'a_b'])
+def test_a_stream_may_have_begun_at_a_route_that_comes_back(name):
+    known = RouteServices(5.0)
+    known.configure(make_routes(lifetime=100, a={'desk'}), 0.0)
+    known.configure(make_routes(b={'mill'}), 10.0)
+    known.configure(make_routes(b={'mill'}), 20.0)
+    known.configure(make_routes(b={'mill'}, **{name: {'till'}}), 30.0)
+    prefix = f'/{name.replace("_", "/")}/'
+    assert known.find('a.test', prefix, 114.0) == {'desk', 'till'}
+    assert known.find('a.test', prefix, 115.0) == {'till'}
+    assert known.find('a.test', '/b/', 30.0) == {'mill'}
+
+
 # Guards against ORDER: entries told nothing of streams that began where a route
 # led to services with different versions.
 def test_services_of_one_route_are_certain_only_with_one_version():
