Keep the longest timeout of a service that no route leads to

Seen: a service whose routes led elsewhere for one configuration, and lead to it again with a shorter timeout, counted as served by one version alone before the streams had ended that began under the longer one.

Cause: the longest timeout was kept for services of the latest configuration alone.

Change: it is kept apart from the services in use.

Why it works: the lifetime that is looked up is the longest of all that this entry has applied for the service, in use or not.

--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -68,6 +68,8 @@
         self._read_at: Millis = -math.inf
         self._services: dict[str, _ServiceHistory] = {}
         self._lifetimes: dict[str, Millis] = {}
+        # Kept for services that no route leads to for a while.
+        self._longest: dict[str, Millis] = {}
         self.routes = RouteServices(_BEGIN_LIMIT)
 
     def configure(self, lifetimes: Mapping[str, Millis]) -> None:
@@ -76,9 +78,10 @@
         Streams that began under longer timeouts may still live.
         """
         self._lifetimes = {
-            service: max(lifetime, self._lifetimes.get(service, 0.0))
+            service: max(lifetime, self._longest.get(service, 0.0))
             for service, lifetime in lifetimes.items()
         }
+        self._longest |= self._lifetimes
 
     @property
     def is_needed(self) -> bool:
--- a/tests/test_stream_sharing.py
+++ b/tests/test_stream_sharing.py
@@ -267,6 +267,21 @@
     assert history.find_only('desk', 13_000.0) is None
 
 
+# The same where no route led to the service for a while.
+def test_a_service_that_is_used_again_keeps_its_longest_timeout():
+    history = make_history()
+    history.configure({'desk': 8 * LIFETIME})
+    for now in range(0, 14_000, 1_000):
+        history.record_list({'desk': {'v1': 9}}, now)
+    history.configure({'till': LIFETIME})
+    assert history.find_only('desk', 13_000.0) is None
+    history.configure({'desk': LIFETIME})
+    assert history.find_only('desk', 13_000.0) is None
+    for now in range(14_000, 80_000, 1_000):
+        history.record_list({'desk': {'v1': 9}}, now)
+    assert history.find_only('desk', 79_000.0) == 'v1'
+
+
 def test_a_new_version_begins_no_streams_until_all_entries_know_it():
     history = make_history()
     history.record_list({'desk': {'v1': 3}}, 0.0)
