Notice by an echo that the clock of this process stood still

Seen, on PeerClock and Link alone: once this process's clock has stood still for three seconds while that of a peer went on, messages that lay in a socket for three seconds seem to be new, for as long as the link is open.

Cause: the bound on a peer's clock is the best that any echo gave, but for the drift. One from before the standstill is too good by its whole length, and no later echo comes near it.

Change: an echo also tells when the peer can have answered at the latest, which is its arrival. If that contradicts the bound, the echo replaces it.

Measured: on the code before, the test of the link failed by its value (a delay of 3 ms where 3,000 were meant), that of the bound alone by the missing argument; both pass now, with all of test_dating.py and test_links.py. No real machine was suspended.

Why it works: a clock was read between the question and the arrival of its echo, and no two of these spans can fail to meet unless one of the clocks has stopped or stepped. A peer's clock that stood still makes messages seem older, as before.

--- a/src/oleanderdyke/links/dating.py
+++ b/src/oleanderdyke/links/dating.py
@@ -39,11 +39,17 @@
         """Record that the peer was asked."""
         self._asked_at = now
 
-    def record_echo(self, asked_at: Millis, shown: Millis) -> None:
-        """Record what the peer's clock showed after it was asked."""
+    def record_echo(
+        self, asked_at: Millis, shown: Millis, received_at: Millis = math.inf
+    ) -> None:
+        """Record what the peer's clock showed after it was asked.
+
+        An echo that came sooner than the bound allows shows that the clock of
+        this process stood still, as in a suspended machine.
+        """
         self.touched_at = max(self.touched_at, asked_at)
-        offset = asked_at - shown
-        if shown and offset >= self._find_offset(asked_at):
+        offset, known = asked_at - shown, self._find_offset(asked_at)
+        if shown and (offset >= known or received_at - shown < known):
             self._offset, self._measured_at = offset, asked_at
 
     def find_delay(self, sent_at: Millis, now: Millis) -> Millis | None:
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -256,7 +256,8 @@
 
     def _record_pong(self, pong: Pong) -> None:
         if pong.nonce == self._nonce:
-            self.peer_clock.record_echo(self._pinged_at, pong.clock)
+            now = self._clock.now()
+            self.peer_clock.record_echo(self._pinged_at, pong.clock, now)
 
     def _encode(self, message: Message) -> bytes:
         data = encode(message)
--- a/tests/test_dating.py
+++ b/tests/test_dating.py
@@ -16,6 +16,8 @@
 from oleanderdyke.kernel.software_history import SoftwareHistory
 from oleanderdyke.kernel.stream_sharing import make_stream_sharing
 from oleanderdyke.links.dating import PeerClock
+from oleanderdyke.links.link import Link
+from oleanderdyke.links.messages import Pong
 from oleanderdyke.links.messages.news import (
     ContextRequest,
     CrashReport,
@@ -196,6 +198,35 @@
     assert clock.find_delay(9_000.0 + AHEAD, 9_000.0) < 10.0
 
 
+# Guards against messages that seem fresh for good after the clock of this
+# process stood still while that of the peer went on.
+def test_an_echo_shows_that_the_own_clock_stood_still():
+    clock, stood = PeerClock(), 3_000.0
+    clock.record_echo(1_000.0, 1_005.0 + AHEAD, 1_010.0)
+    clock.record_echo(5_000.0, 5_005.0 + stood + AHEAD, 5_010.0)
+    sent_at = 6_000.0 + stood + AHEAD
+    assert clock.find_delay(sent_at, 6_000.0) < 10.0
+    late = clock.find_delay(sent_at, 6_000.0 + DELAY)
+    assert late == pytest.approx(DELAY, abs=10.0)
+    # An echo that took long may have been read by the peer just now.
+    clock.record_echo(10_000.0, 12_000.0 + stood + AHEAD, 12_010.0)
+    assert clock.find_delay(12_000.0 + stood + AHEAD, 12_000.0) < 20.0
+
+
+@pytest.mark.anyio
+async def test_link_tells_when_an_echo_came():
+    link = Link.__new__(Link)
+    link._clock, link.peer_clock = ManualClock(NOW), PeerClock()
+    link._nonce = 0
+    link._make_ping()
+    link.peer_clock.record_echo(NOW, NOW + AHEAD - DELAY)
+    link._clock.advance(10.0)
+    link._record_pong(Pong(1, NOW + AHEAD))
+    sent_at = NOW + AHEAD
+    delay = link.peer_clock.find_delay(sent_at, NOW + DELAY)
+    assert delay == pytest.approx(DELAY, abs=20.0)
+
+
 def test_an_old_echo_allows_for_clocks_that_part():
     clock = PeerClock()
     clock.record_echo(0.0, AHEAD)
