Reject a copy that leaves out the next event of a stream

Seen: on a route that is not resumable, a run that broke after its first event went on at its copy with event 3 where every stream of the service steps by one, and the caller got events 1 and 3 as one answer (ORDER).

Cause: the splitter of streams that go on from copies alone had a count of steps of its own, in place of that of the service.

Change: it is given that of the service.

Measured: on the code before, the new test failed for /letter/1 (event 3 was passed on) and passed for /stream/1; all of test_hosted_copies.py passes now.

Why it works: that splitter now judges the first event after a takeover by the same count as the one of a route that is resumable.

--- a/src/oleanderdyke/entry/hosted/copies.py
+++ b/src/oleanderdyke/entry/hosted/copies.py
@@ -47,7 +47,9 @@
         self._copy: RunCopy | None = None
         self._attempt = ''
         # For routes whose streams go on from copies alone.
-        self._splitter = EventSplitter(None)
+        self._splitter = EventSplitter(
+            None, steps=core.find_steps(call.service)
+        )
         self._source_address = ''
         self._is_ended = False
         self.source: RunCopy | None = None
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -134,6 +134,23 @@
     assert (found.status, b'data: a' in found.body) == (502, False)
 
 
+@pytest.mark.parametrize('path', ['/letter/1', '/stream/1'])
+async def test_copy_that_leaves_out_the_next_event_is_not_passed_on(
+    tmp_path, path
+):
+    """ORDER: the streams of the service step by one, and a piece is missing."""
+    engine = CopyingEngine(
+        crashes_after=1, make_event=lambda number: make_event(2 * number - 1)
+    )
+    async with copying(tmp_path, engine, engine) as stage:
+        splitter = EventSplitter(None, steps=stage.core.find_steps('desk'))
+        list(splitter.feed(b''.join(map(make_event, range(1, 200)))))
+        found = await ask(stage, path)
+        assert read_log(stage, 'copy_used')
+        assert read_log(stage, 'event 3 comes after event 1, without the next')
+    assert (found.body, found.is_whole) == (make_event(1), False)
+
+
 async def test_run_lost_before_its_first_event_goes_on_at_its_copy(tmp_path):
     engine = CopyingEngine(crashes_after=0)
     async with copying(tmp_path, engine, engine) as stage:
