Give back the copy of a run that could not be sent

Seen: when the head of a request could not be built, the copy that was chosen for its run stayed in the account of its engine for ever, and the call's next run was sent without one (in a test with two engines: 1 copy asked for where 2 are meant).

Cause: the copy is chosen while the request is made, before the head is encoded, and the path that reports the request as not sent ended nothing.

Change: that path ends the copy, as one of a run that did not run.

Measured: on the code before, the new test failed with (2, 1) for (2, 2) heads and copies; all of test_hosted_copies.py passes now.

Why it works: no other path lies between the choice of a copy and the point from which the end of an attempt gives it back.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -569,6 +569,8 @@
             head = self._make_head(dispatch)
         except HEAD_FAULTS as error:
             connection.close()
+            if self._copies is not None:
+                self._copies.end(self._attempt_id, is_not_run=True)
             self._report_unsent(f'head not sendable: {type(error).__name__}')
             return
         if core.crashes.find_status(call) is PoisonStatus.TRIAL:
--- a/tests/test_hosted_copies.py
+++ b/tests/test_hosted_copies.py
@@ -16,7 +16,12 @@
 import anyio
 import pytest
 
-from oleanderdyke.clients.direct import BackendConnection, ConnectionPool
+from oleanderdyke.clients.direct import (
+    BackendConnection,
+    ConnectionPool,
+    make_head,
+)
+from oleanderdyke.entry.hosted import attempt
 from oleanderdyke.entry.hosted.copies import CallCopies
 from oleanderdyke.entry.hosted.events import EventSplitter
 from oleanderdyke.kernel.deployment import EngineTraits
@@ -151,6 +156,27 @@
     assert (found.body, found.is_whole) == (make_event(1), False)
 
 
+async def test_run_that_could_not_be_sent_leaves_no_copy(tmp_path, monkeypatch):
+    """BUDGET: what was kept for the copy is free, and the next run has one."""
+    heads = []
+
+    def fail_once(*parts):
+        heads.append(parts)
+        if len(heads) == 1:
+            raise UnicodeError
+        return make_head(*parts)
+
+    monkeypatch.setattr(attempt, 'make_head', fail_once)
+    engine = CopyingEngine()
+    async with copying(tmp_path, engine, engine) as stage:
+        found = await ask(stage)
+        asked = read_log(stage, 'copy_asked')
+        copies = stage.core.scheduling.find_scheduler(None).copies
+    assert (found.status, found.body, found.is_whole) == (200, WHOLE, True)
+    assert (len(heads), len(asked)) == (2, 2)
+    assert not copies._copies
+
+
 async def test_run_lost_before_its_first_event_goes_on_at_its_copy(tmp_path):
     engine = CopyingEngine(crashes_after=0)
     async with copying(tmp_path, engine, engine) as stage:
