Judge the end of an unframed stream before its caller has read it

A stream that had ended as whole, held for two seconds, was broken off as silent, its server counted as failed, and another server was asked to go on behind its end.

Cause: the end was an item behind all parts in the inbox of the call. Whether the server still listens was asked only once the caller had taken these, and until then the attempt seemed to be running and silent.

Change: that question is asked as the connection ends, by a task of the call, and its answer goes behind the parts. The item is gone.

Why it works: the time between the end of a connection and the question no longer depends on the caller, and an attempt with an answer is done, which nothing takes for silent. While the entry itself holds back its reading, as the unread bytes exceed their bound, it still learns of the end late.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Coroutine, Mapping
+from typing import TYPE_CHECKING, Any
 
 from h11 import Request
 
@@ -39,7 +39,7 @@
     find_weights,
     may_begin,
 )
-from oleanderdyke.entry.inbox import ConnectionEnded, Inbox
+from oleanderdyke.entry.inbox import Inbox
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.event_lines import EventFault
 from oleanderdyke.event_streams import is_event_stream
@@ -127,6 +127,7 @@
         copies: CallCopies | None = None,
         pin: StreamPin | None = None,
         find_flow: Callable[[], StreamFlow] | None = None,
+        run_soon: Callable[[Callable[[], Coroutine[Any, Any, None]]], None],
     ) -> None:
         self._core = core
         self._call = call
@@ -140,6 +141,7 @@
         self._send_record: Send | None = None
         self._copies = copies
         self._find_flow = find_flow
+        self._run_soon = run_soon
         self._is_paused = False
         # The server with a copy of this run, once its connection is lost.
         self._lost_copy = ''
@@ -422,15 +424,16 @@
                 ErrorKind.STREAM_BROKEN, Ran.MAYBE, 'stream ended mid-event'
             )
         elif self.framing is not None:
-            self._inbox.put(ConnectionEnded())
+            self._run_soon(self._confirm_end)
         else:
             self._complete()
 
-    async def confirm_end(self) -> None:
+    async def _confirm_end(self) -> None:
         """Report the end of a response that has ended with its connection.
 
         It counts as incomplete if its server accepts no connection any more.
-        One that leaves as announced refuses them after whole responses.
+        One that leaves as announced refuses them after whole responses. This
+        can't wait for the caller to read, as another server may listen by then.
         """
         core = self._core
         is_leaving = core.backends.is_leaving_or_gone(self._start)
--- a/src/oleanderdyke/entry/hosted/driver.py
+++ b/src/oleanderdyke/entry/hosted/driver.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import functools
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, cast
 
 import anyio
+from anyio.abc import TaskGroup
 
 from oleanderdyke.clock import SECOND, Millis
 from oleanderdyke.entry.edge import Body
@@ -23,7 +24,7 @@
     Rejection,
     ServerSelector,
 )
-from oleanderdyke.entry.inbox import ConnectionEnded, Inbox, Item
+from oleanderdyke.entry.inbox import Inbox, Item
 from oleanderdyke.errors import ErrorKind, Ran
 from oleanderdyke.event_lines import parse_number
 from oleanderdyke.event_streams import count_events
@@ -100,7 +101,7 @@
         self._timers: list[asyncio.TimerHandle] = []
         self._attempt: DirectAttempt | None = None
         self._flow: StreamFlow | None = None
-        self._scope: anyio.CancelScope | None = None
+        self._tasks: TaskGroup | None = None
         # The incarnation chosen last for each server; the state machine knows
         # servers only by name.
         self._starts: dict[str, ServerStart] = {}
@@ -130,7 +131,7 @@
         self._core.running[key] = self
         try:
             async with anyio.create_task_group() as tasks:
-                self._scope = tasks.cancel_scope
+                self._tasks = tasks
                 tasks.start_soon(self._watch_caller)
                 await self._run_machine()
                 tasks.cancel_scope.cancel()
@@ -193,9 +194,6 @@
         await self._execute(self._machine.start(now))
         while not self._machine.done:
             item = await self._inbox.take()
-            if isinstance(item, ConnectionEnded):
-                await self._confirm_end()
-                continue
             # In this mode the others are events of the state machine.
             event = cast('Event', item)
             if isinstance(event, MessageReceived) and event.copy:
@@ -205,10 +203,6 @@
             )
             self._record_read(event)
 
-    async def _confirm_end(self) -> None:
-        if self._attempt is not None:
-            await self._attempt.confirm_end()
-
     def _record_read(self, event: Event) -> None:
         """Release a part that the caller has taken or will not get."""
         if not isinstance(event, MessageReceived):
@@ -349,6 +343,7 @@
             sends=self._retries.sends,
             copies=self._copies,
             find_flow=self._find_flow,
+            run_soon=self._run_soon,
         )
         await self._attempt.start()
 
@@ -372,10 +367,15 @@
             )
         return self._flow
 
+    def _run_soon(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a task of the latest attempt while its delivery may wait."""
+        if self._tasks is not None:
+            self._tasks.start_soon(work)
+
     def _end_unread(self) -> None:
         """End a stream that isn't read, while its delivery waits."""
-        if self._scope is not None:
-            self._scope.cancel()
+        if self._tasks is not None:
+            self._tasks.cancel_scope.cancel()
 
     async def _deliver_end(self, _: DeliverEnd) -> None:
         await self._reply.end()
--- a/src/oleanderdyke/entry/inbox.py
+++ b/src/oleanderdyke/entry/inbox.py
@@ -46,11 +46,6 @@
     """Credit for more chunks is due to the agent."""
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionEnded:
-    """A response has ended with its connection; it may be incomplete."""
-
-
 @dataclass(frozen=True, slots=True)
 class HandedOver:
     """The stream is to be resumed through another entry."""
@@ -64,7 +59,6 @@
     | PendingActions
     | CreditDue
     | HandedOver
-    | ConnectionEnded
 )
 
 
--- a/src/oleanderdyke/entry/requests.py
+++ b/src/oleanderdyke/entry/requests.py
@@ -15,7 +15,6 @@
 from oleanderdyke.entry.delivery import Delivery
 from oleanderdyke.entry.effects import Effects, EntryResources
 from oleanderdyke.entry.inbox import (
-    ConnectionEnded,
     CreditDue,
     DeliveryFailed,
     HandedOver,
@@ -235,7 +234,7 @@
     async def _handle_item(self, item: Item) -> tuple[Action, ...]:
         now = self._core.clock.now()
         self._log_item(item)
-        if isinstance(item, Released | HandedOver | ConnectionEnded):
+        if isinstance(item, Released | HandedOver):
             return ()
         if isinstance(item, CreditDue):
             await self._sender.grant_credit(0)
--- a/tests/test_held_streams.py
+++ b/tests/test_held_streams.py
@@ -129,3 +129,55 @@
     assert (found.body == _WHOLE, found.is_whole) == (True, True)
     assert is_held == (pause > 0)
     assert attempts == [1] * len(servers)
+
+
+async def _end_unframed(peer):
+    """Send whole events up to the 50th, and end with the connection."""
+    await peer.send(make_head(peer.request, content_type='text/event-stream'))
+    for number in range(1, 51):
+        await peer.send(make_event(number, _TEXT))
+    peer.writer.close()
+
+
+async def _hold_unframed(stage, pause):
+    """Return the answer to a caller that reads only after a pause."""
+    prefer(stage, 0)
+    reader, writer = await _connect(stage)
+    writer.write(make_request('/stream/1', oleanderdyke_deadline_ms='19000'))
+    await anyio.sleep(pause)
+    assert stage.core.find_unread().ledger.total > 0
+    with anyio.fail_after(15):
+        found = await read_answer(reader)
+    writer.close()
+    return found
+
+
+# Guards against ORDER: a stream that ended with its server passed for whole, as
+# the next one listened at its address once the caller had read what was held.
+async def test_held_stream_is_not_ended_by_a_server_that_starts_anew(tmp_path):
+    async with staging(
+        tmp_path, _end_unframed, configuration=_CONFIGURATION
+    ) as stage:
+        pool, find_next = stage.core.pool, stage.core.pool.outlives
+        back = anyio.current_time() + 1.0
+
+        async def find_server(address):
+            is_back = anyio.current_time() >= back
+            return is_back and await find_next(address)
+
+        pool.outlives = find_server
+        found = await _hold_unframed(stage, 1.5)
+    assert not found.is_whole
+
+
+# Guards against a stream that has ended and is taken for silent, so that its
+# server counts as failed, and another one runs it again from behind its end.
+async def test_held_stream_that_has_ended_is_not_silent(tmp_path):
+    async with staging(
+        tmp_path, _end_unframed, _end_unframed, configuration=_CONFIGURATION
+    ) as stage:
+        found = await _hold_unframed(stage, 2.0)
+        assert [len(each.received) for each in stage.replicas] == [1, 0]
+        assert 'sent nothing for too long' not in stage.log.read_text()
+    assert (found.body, found.is_whole) == (_WHOLE[: len(found.body)], True)
+    assert found.body.count(b'id: ') == 50
