Bind Last-Event-Id to a version only where streams may be taken up

Cause: each such request got a pin to the version that began its stream, and the services at which it may have begun were looked up among resumable routes alone, where there are none.

A request gets a pin if a resumable route ever led to its service; without such a route its stream may have begun at that service. The lifetime of its streams is kept after the route has changed.

--- a/src/oleanderdyke/entry/hosted/core.py
+++ b/src/oleanderdyke/entry/hosted/core.py
@@ -327,7 +327,8 @@
 
     def make_pin(self, call: HostedCall) -> StreamPin | None:
         """Return the pin of a stream that may be taken up, else None."""
-        if not call.goes_on and not call.route.is_resumable:
+        may_go_on = call.goes_on and self.software.had_streams(call.service)
+        if not may_go_on and not call.route.is_resumable:
             return None
         # Few entries serve such a stream right after their start.
         from oleanderdyke.entry.hosted import stream_pin  # noqa: PLC0415 - see above
--- a/src/oleanderdyke/entry/hosted/stream_pin.py
+++ b/src/oleanderdyke/entry/hosted/stream_pin.py
@@ -145,7 +145,8 @@
         if core.is_stale:
             # The route may lead elsewhere by now.
             return core.software.list_services()
-        return core.software.routes.find(route.host, route.prefix, now)
+        found = core.software.routes.find(route.host, route.prefix, now)
+        return found or {self._call.service}
 
     def _record_start(self) -> None:
         call, software = self._call, self.software
--- a/src/oleanderdyke/kernel/software_history.py
+++ b/src/oleanderdyke/kernel/software_history.py
@@ -139,6 +139,10 @@
         found = {self.find_only(service, now) for service in services}
         return found.pop() if len(found) == 1 else None
 
+    def had_streams(self, service: str) -> bool:
+        """Return whether a route with resumable streams ever led there."""
+        return service in self._longest
+
     def list_services(self) -> Collection[str]:
         """Return all services of streams that may be taken up."""
         return self._lifetimes.keys()
@@ -233,7 +237,7 @@
 
     def _find_alone(self, service: str, now: Millis) -> str | None:
         history = self._services.get(service)
-        lifetime = self._lifetimes.get(service)
+        lifetime = self._longest.get(service)
         if history is None or lifetime is None:
             return None
         is_old = history.since <= now - lifetime - _BEGIN_LIMIT
--- a/tests/test_streams_elsewhere.py
+++ b/tests/test_streams_elsewhere.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import anyio
 import pytest
@@ -13,6 +14,7 @@
     CONFIGURATION,
     SERVERS,
     STREAM_ROUTE,
+    UNRESUMABLE_ROUTE,
     make_record,
     prefer,
     staging,
@@ -87,6 +89,33 @@
     assert (found.status, b'wrong_version' in found.body) == (503, True)
 
 
+# Guards against refusals of requests that were served: where no stream may be
+# taken up, `Last-Event-Id` concerns the servers alone.
+async def test_last_event_id_binds_no_request_where_no_stream_is_resumable(
+    tmp_path,
+):
+    scripts = (stream(4, 6), stream(4, 6))
+    configuration = {**CONFIGURATION, 'routes': [UNRESUMABLE_ROUTE]}
+    async with staging(
+        tmp_path,
+        *scripts,
+        versions=('v1', 'v2'),
+        configuration=configuration,
+    ) as stage:
+        found = await stage.call('/letter/1', last_event_id='3')
+    assert (found.status, found.is_whole) == (200, True)
+
+
+# Guards against the same where one version alone can have begun the stream.
+async def test_stream_at_a_route_not_resumable_goes_on_at_the_only_version(
+    tmp_path,
+):
+    async with staging(tmp_path, stream(4, 6)) as stage:
+        stage.core.software._services['desk'].since = -math.inf
+        found = await stage.call('/letter/1', last_event_id='3')
+    assert (found.status, found.is_whole) == (200, True)
+
+
 def _tell(*numbers):
     return b''.join(map(make_event, numbers))
 
