--- a/src/oleanderdyke/entry/hosted/selection.py
+++ b/src/oleanderdyke/entry/hosted/selection.py
@@ -178,9 +178,8 @@
         In an entry that was out of step the version of a stream may have come
         after its list.
         """
-        list_age = now - self._core.servers_listed_at
         if obstacle is Obstacle.SOFTWARE:
-            return list_age > _OLD_LIST
+            return now - self._core.servers_listed_at > _OLD_LIST
         return obstacle in _TRANSIENT_OBSTACLES
 
     def _find_obstacle(
