--- a/review/server_2.py
+++ b/review/server_2.py
@@ -35,6 +35,8 @@
         self._gap = float(options.get('gap', '0.06'))
         self._first = float(options.get('first', '0.04'))
         self._poison = options.get('poison', '')
+        # The first request is turned away with this `Retry-After`.
+        self._pause = options.get('pause', '')
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -68,6 +70,9 @@
             part.partition(':')[0] for part in headers.get(PARTS, '').split(',')
         ]
         is_poisoned = bool(self._poison) and self._poison in parts
+        if self._pause:
+            await self._refuse(headers, writer)
+            return
         tell(
             ran=headers.get(ID, ''),
             path=path,
@@ -91,6 +96,21 @@
             await asyncio.sleep(self._gap)
         tell(ended=headers.get(ID, ''), pieces=len(pieces))
 
+    async def _refuse(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        pause, self._pause = self._pause, ''
+        tell(refused=headers.get(ID, ''), pause=pause)
+        writer.write(
+            (
+                'HTTP/1.1 503 Service Unavailable\r\n'
+                f'{ID}: {headers.get(ID, "")}\r\n'
+                'oleanderdyke-not-executed: 1\r\n'
+                f'retry-after: {pause}\r\ncontent-length: 0\r\n\r\n'
+            ).encode()
+        )
+        await writer.drain()
+
     def _make_head(
         self, headers: dict[str, str], pieces: list[bytes], *, is_stream: bool
     ) -> bytes:
--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -224,8 +224,6 @@
         self._records: dict[str, dict[str, Any]] = {}
         self._stack = contextlib.AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
-        # While unset, the store gets no records of servers.
-        self.hears_servers = True
 
     async def __aenter__(self) -> Self:
         """Start the store, which hears from the servers from then on."""
@@ -288,6 +286,15 @@
         self._records[name] |= changes
         self._write_server(name)
 
+    def take_server(self, name: str) -> dict[str, Any]:
+        """Let the store hear no more of a server; return its record."""
+        return self._records.pop(name)
+
+    def put_server(self, name: str, record: dict[str, Any]) -> None:
+        """Let the store hear of a server again."""
+        self._records[name] = record
+        self._write_server(name)
+
     def silence_server(self, name: str) -> None:
         """Let a server write no more; its entry lapses."""
         if self._records.pop(name, None) is not None:
@@ -306,9 +313,8 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(BEAT)
-            if self.hears_servers:
-                for name in tuple(self._records):
-                    self._write_server(name)
+            for name in tuple(self._records):
+                self._write_server(name)
 
 
 class ServerProcess:
@@ -323,6 +329,8 @@
         self._process: asyncio.subprocess.Process | None = None
         # What the process told, oldest first.
         self.told: list[dict[str, Any]] = []
+        # When the process ended by itself, by the monotonic clock.
+        self.crashes: list[float] = []
 
     @property
     def where(self) -> str:
@@ -483,6 +491,7 @@
         # A server that has served for long has written several records.
         stage.list_server(f'{name}-{start}', served.where, seq=8)
         await served.wait()
+        served.crashes.append(time.monotonic())
         stage.silence_server(f'{name}-{start}')
         stage.record.write(f'{served.name} has crashed')
         await asyncio.sleep(pause)
