--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exit code: 1 the rule was broken, 0 it held, 2 the case couldn't run.
+# Without the disruption: TROUBLE=0 review/8/run.sh
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=target/deps:tests:.:review PYTHONDONTWRITEBYTECODE=1
+exec python3 -S review/8/case.py
