--- a/review/poison_2.py
+++ b/review/poison_2.py
@@ -32,8 +32,15 @@
 class Callers:
     """Send requests whose prompts have common parts to all entries in turn."""
 
-    def __init__(self, stage: Stage, shared: Sequence[str]) -> None:
+    def __init__(
+        self,
+        stage: Stage,
+        shared: Sequence[str],
+        entries: Sequence[Entry] = (),
+    ) -> None:
         self._stage = stage
+        # Those that get sound requests.
+        self._entries = entries or stage.entries
         self._shared = tuple(shared)
         self._numbers = itertools.count(1)
         self._sent: set[asyncio.Task[Answer]] = set()
@@ -56,7 +63,7 @@
         await asyncio.gather(*self._sent)
 
     def _pick(self, number: int) -> Entry:
-        return self._stage.entries[number % len(self._stage.entries)]
+        return self._entries[number % len(self._entries)]
 
     def _send(self, entry: Entry, kind: str, parts: Sequence[str]) -> None:
         number = next(self._numbers)
--- a/review/server_2.py
+++ b/review/server_2.py
@@ -35,6 +35,8 @@
         self._gap = float(options.get('gap', '0.06'))
         self._first = float(options.get('first', '0.04'))
         self._poison = options.get('poison', '')
+        # What its events hold, besides their number.
+        self._word = options.get('word', 'word')
         # The first request is turned away with this `Retry-After`.
         self._pause = options.get('pause', '')
 
@@ -83,11 +85,12 @@
         if is_poisoned:
             os._exit(1)
         is_stream = not path.startswith('/receipt')
+        last = int(headers.get('last-event-id') or 0)
         pieces = [
-            f'id: {number}\ndata: word{number}\n\n'.encode()
+            f'id: {number}\ndata: {self._word}{number}\n\n'.encode()
             if is_stream
             else f'line {number} of {self._events}\n'.encode()
-            for number in range(1, self._events + 1)
+            for number in range(last + 1, self._events + 1)
         ]
         writer.write(self._make_head(headers, pieces, is_stream=is_stream))
         for piece in pieces:
--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -501,6 +501,11 @@
     """Play a case; return its exit code, also where it couldn't run."""
 
     async def run() -> int:
+        # Whoever ends the case early still gets all of its processes ended.
+        task = asyncio.current_task()
+        if task is not None:
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with Stage(Path(file).resolve().parent) as stage:
             code = await play(stage)
             verdict = ('held', 'BROKEN', 'could not run')[code]
@@ -509,6 +514,6 @@
 
     try:
         return asyncio.run(asyncio.wait_for(run(), 115))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         sys.stderr.write(f'the case could not run: {error!r}\n')
         return NOT_RUN
