--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,9 @@
-"""All entries are killed, after a quarantine that the store never heard of."""
+"""All entries are killed, after they have put a part into quarantine.
+
+VARIANT=even, the default: requests come at all entries, and nothing else fails.
+VARIANT=uneven: the entry that gets the poisonous requests gets no sound ones.
+VARIANT=outage: as even, and the store is down as the entries find the part.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +25,7 @@
     HAS_TROUBLE,
     HELD,
     NOT_RUN,
+    Entry,
     ServerProcess,
     Stage,
     keeping,
@@ -28,9 +34,9 @@
 
 from tests.standins.records import RecordFaults
 
-# For a contrast by hand: the same without the outage of the store.
-_HAS_OUTAGE = os.environ.get('OUTAGE', '1') != '0'
+_VARIANT = os.environ.get('VARIANT', 'even')
 _SHARED = ('a0000001',)
+_ENTRIES = 3
 _SERVERS = 10
 _BACK_AFTER = 2.0
 _WARM_SECONDS = 6.0
@@ -47,16 +53,18 @@
 async def play(stage: Stage) -> int:
     """Return BROKEN if entries that start let the same part crash servers."""
     stage.configure(CONFIGURATION)
+    stage.record.write(f'variant: {_VARIANT}')
     servers = [
         ServerProcess(stage, f'model-{number}', f'poison={POISON}')
         for number in range(_SERVERS)
     ]
     async with keeping(stage, 'i', servers, _BACK_AFTER):
-        await stage.start_entries(3)
-        callers = Callers(stage, _SHARED)
+        await stage.start_entries(_ENTRIES)
+        first_sound = 1 if _VARIANT == 'uneven' else 0
+        callers = Callers(stage, _SHARED, stage.entries[first_sound:])
         sound = asyncio.ensure_future(callers.send_sound())
         await asyncio.sleep(_WARM_SECONDS)
-        await _crash_beside_outage(stage, callers)
+        await _crash_first(stage, callers)
         stage.record.write(f'crashes so far: {len(list_crashes(servers))}')
         if not list_crashes(servers):
             return NOT_RUN
@@ -70,10 +78,10 @@
     return BROKEN if late > _MOST_LATE else HELD
 
 
-async def _crash_beside_outage(stage: Stage, callers: Callers) -> None:
-    """Send poisonous requests, while the store is down if there is trouble."""
+async def _crash_first(stage: Stage, callers: Callers) -> None:
+    """Send poisonous requests, in the variant `outage` without the store."""
     ends = time.monotonic() + _DOWN_SECONDS
-    if HAS_TROUBLE and _HAS_OUTAGE:
+    if HAS_TROUBLE and _VARIANT == 'outage':
         stage.store.faults = RecordFaults(down=True)
         stage.record.write('the store is down')
     await _send_poison(stage, callers, _FIRST_SECONDS, _GAP)
@@ -98,8 +106,12 @@
 async def _send_poison(
     stage: Stage, callers: Callers, seconds: float, gap: float
 ) -> None:
+    """Send a request to each entry at a time, or four to the first one."""
+    entries: list[Entry] = stage.entries
+    if _VARIANT == 'uneven':
+        entries = [stage.entries[0]] * 4
     for _ in range(int(seconds / gap)):
-        for entry in stage.entries:
+        for entry in entries:
             callers.send_poison(entry, (*_SHARED, POISON))
         await asyncio.sleep(gap)
 
