--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,9 @@
 # Without the disruption: TROUBLE=0 review/7/run.sh
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH=target/deps:tests:.:review PYTHONDONTWRITEBYTECODE=1
+# A checkout that wasn't built, or lacks a module, says nothing of the rule.
+if ! python3 -S -c 'import oleanderdyke, stage_2, poison_2' 2>/dev/null; then
+    echo 'the case could not run: build first' >&2
+    exit 2
+fi
 exec python3 -S review/7/case.py
