Bound what strangers take at the port for links

Seen: 500 clients that open connections to the port for links of an entry process take its memory and descriptors: whole frames of 1 MiB that are no hello 1,414 MiB, the same behind an empty frame 1,592 MiB, on a machine of 100; silent ones, half an upgrade, header lines without end, those silent behind the upgrade and frames without their last byte over 400 descriptors where the settings allow 400.

Cause: each accepted connection may send frames, and up to 8 of them queue, for the 3 s that a hello may take, and nothing bounds how many there are. What a lost connection had read stayed until a full collection, as the error of its parser holds the parser's frames.

Change: connections whose peers have sent no valid hello are newcomers. A new one displaces the oldest above a sixteenth of the descriptors, and above 8 MiB of all that newcomers sent the one that sent most is closed. The errors of a lost connection drop their tracebacks.

Why it works: peers send their hello at once, so that they are newcomers for a few turns of the loop; silent or flooding strangers are the oldest or the ones that sent most.

--- a/src/oleanderdyke/entry/hosted/peer_sharing.py
+++ b/src/oleanderdyke/entry/hosted/peer_sharing.py
@@ -64,6 +64,7 @@
             make_news_dependency(log, metrics, clock),
         )
         self._clock = clock
+        self._descriptors = settings.descriptors
         self._history = history
         self._streams: StreamSharing | None = None
         self._exchange: StreamExchange | None = None
@@ -103,6 +104,7 @@
             return
         await anyio.sleep(_LINKS_IMPORT_DELAY / SECOND)
         links = import_module('oleanderdyke.links.news_links')
+        newcomers = import_module('oleanderdyke.links.newcomers')
         exchange = self._make_exchange()
         try:
             async with anyio.create_task_group() as tasks:
@@ -116,6 +118,9 @@
                         self.own.address,
                         self.make_hello,
                         clock=self._clock,
+                        newcomers=newcomers.find_newcomer_limit(
+                            self._descriptors
+                        ),
                     )
                 )
                 await links.maintain_links(
--- a/src/oleanderdyke/links/link.py
+++ b/src/oleanderdyke/links/link.py
@@ -26,6 +26,7 @@
     Refused,
 )
 from oleanderdyke.links.messages.segments import SegmentPart
+from oleanderdyke.links.newcomers import MAX_NEWCOMERS
 
 _DATA_TYPES = frozenset({AnswerChunk, BodyChunk, SegmentPart})
 _KEEPALIVE_TYPES = frozenset({Ping, Pong})
@@ -42,7 +43,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """Limits of a link: keepalive, frame size in bytes and timeouts."""
+    """Limits of a link: keepalive, frame size in bytes and timeouts.
+
+    `newcomers` bounds the accepted connections without a hello.
+    """
 
     ping_interval: Millis = SECOND
     missed_pings: int = 3
@@ -50,6 +54,7 @@
     send_timeout: Millis = 10 * SECOND
     dial_timeout: Millis = 3 * SECOND
     close_timeout: Millis = SECOND
+    newcomers: int = MAX_NEWCOMERS
 
 
 @dataclass(slots=True)
--- a/src/oleanderdyke/links/listener.py
+++ b/src/oleanderdyke/links/listener.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from functools import partial
+from typing import cast
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,6 +18,7 @@
 from oleanderdyke.links.handshake import HandshakeFailed, exchange_hellos
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.messages import Hello
+from oleanderdyke.links.newcomers import Newcomers
 from oleanderdyke.links.sockets import ServerSocket, socket_options
 
 
@@ -36,14 +38,17 @@
     A link closes when its handler returns or raises OleanderError; any other
     exception stops the listener. Leaving the context closes every link.
     """
-    acceptor = _Acceptor(make_hello, handle, settings, clock)
+    newcomers = Newcomers(settings.newcomers)
+    acceptor = _Acceptor(make_hello, handle, settings, clock, newcomers)
     async with anyio.create_task_group() as group:
         server = await serve(
             partial(acceptor.accept, group),
             host,
             port,
             ssl=tls,
-            create_connection=ServerSocket,
+            create_connection=cast(
+                'type[ServerSocket]', partial(ServerSocket, newcomers)
+            ),
             **socket_options(settings),
         )
         try:
@@ -64,7 +69,9 @@
         handle: Callable[[Link], Awaitable[None]],
         settings: LinkSettings,
         clock: Clock,
+        newcomers: Newcomers,
     ) -> None:
+        self._newcomers = newcomers
         self._make_hello = make_hello
         self._handle = handle
         self._settings = settings
@@ -79,6 +86,7 @@
             )
         except HandshakeFailed:
             return
+        self._newcomers.remove(socket)
         link = Link(
             socket,
             address=_show_address(socket),
--- a/src/oleanderdyke/links/news_links.py
+++ b/src/oleanderdyke/links/news_links.py
@@ -12,6 +12,7 @@
 from oleanderdyke.links.link import Link, LinkSettings
 from oleanderdyke.links.listener import serve_links
 from oleanderdyke.links.messages import Hello
+from oleanderdyke.links.newcomers import MAX_NEWCOMERS
 from oleanderdyke.links.news_client import NewsClient
 from oleanderdyke.links.news_server import NewsServer
 from oleanderdyke.links.pool import LinkPool, PoolSettings
@@ -56,6 +57,7 @@
     make_hello: Callable[[], Hello],
     *,
     clock: Clock,
+    newcomers: int = MAX_NEWCOMERS,
 ) -> None:
     """Answer neighbours until cancelled; raise OSError if binding fails."""
     host, port = split_address(address)
@@ -64,7 +66,7 @@
         port,
         make_hello,
         desk.handle,
-        settings=LinkSettings(),
+        settings=LinkSettings(newcomers=newcomers),
         clock=clock,
     ):
         await anyio.sleep_forever()
--- a/src/oleanderdyke/links/sockets.py
+++ b/src/oleanderdyke/links/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import Any
 
@@ -14,6 +15,7 @@
 from oleanderdyke.clock import SECOND
 from oleanderdyke.links.keepalive import KeepaliveMonitor
 from oleanderdyke.links.link import FrameHandler, LinkSettings
+from oleanderdyke.links.newcomers import Newcomers
 
 _MAX_QUEUED_FRAMES = 8
 _WRITE_LIMIT = 256 * 1024
@@ -82,7 +84,37 @@
 
 
 class ServerSocket(_MonitoredConnection, ServerConnection):
-    """Websocket of an incoming link."""
+    """Websocket of an incoming link, a newcomer until its peer is known."""
+
+    def __init__(
+        self, newcomers: Newcomers, *arguments: Any, **options: Any
+    ) -> None:
+        super().__init__(*arguments, **options)
+        self._newcomers = newcomers
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Accept a connection, in place of the oldest newcomer if need be."""
+        super().connection_made(transport)
+        self._newcomers.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Count what a newcomer sends."""
+        self._newcomers.receive(self, len(data))
+        super().data_received(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the newcomer, and free what its parser holds."""
+        self._newcomers.remove(self)
+        super().connection_lost(exc)
+        _clear_traceback(self.protocol.parser_exc)
+        _clear_traceback(self.protocol.handshake_exc)
+
+
+def _clear_traceback(error: BaseException | None) -> None:
+    """Free what the frames of an error hold without a full collection."""
+    while error is not None:
+        error.__traceback__ = None
+        error = error.__cause__ or error.__context__
 
 
 def socket_options(settings: LinkSettings) -> dict[str, Any]:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -6,7 +6,9 @@
 import contextlib
 import os
 import re
+import struct
 import sys
+from base64 import b64encode
 from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -96,6 +98,7 @@
     address: tuple[str, int]
     limits: Limits
     replica: Replica
+    links: tuple[str, int]
     clients: list[Client] = field(default_factory=list)
 
     @property
@@ -112,10 +115,11 @@
     def read_unread(self) -> int:
         """Return the bytes that callers sent and the process hasn't read."""
         lines = Path(f'/proc/{self.process.pid}/net/tcp').read_text()
+        ports = {self.address[1], self.links[1]}
         unread = 0
         for line in lines.splitlines()[1:]:
             _, local, _, state, queues, *_ = line.split()
-            is_ours = int(local.split(':')[1], 16) == self.address[1]
+            is_ours = int(local.split(':')[1], 16) in ports
             if is_ours and state == '01':
                 unread += int(queues.split(':')[1], 16)
         return unread
@@ -124,19 +128,36 @@
         """Return how many descriptors the process has open."""
         return len(list(Path(f'/proc/{self.process.pid}/fd').iterdir()))
 
-    async def connect(self) -> Client:
-        """Open a connection of the crowd."""
-        reader, writer = await asyncio.open_connection(*self.address)
+    async def connect(self, address: tuple[str, int] | None = None) -> Client:
+        """Open a connection of the crowd, to the callers' port by default."""
+        reader, writer = await asyncio.open_connection(
+            *(address or self.address)
+        )
         client = Client(reader, writer)
         self.clients.append(client)
         return client
 
-    async def gather(self, count: int, behave: Behaviour) -> None:
+    async def wait_links(self) -> None:
+        """Wait until the entry accepts links, some time after callers."""
+        with anyio.fail_after(GIVE_UP_SECONDS):
+            while True:
+                with contextlib.suppress(OSError):
+                    client = await self.connect(self.links)
+                    client.writer.close()
+                    return
+                await anyio.sleep(0.05)
+
+    async def gather(
+        self,
+        count: int,
+        behave: Behaviour,
+        address: tuple[str, int] | None = None,
+    ) -> None:
         """Let clients come, and wait until each has sent what it sends."""
 
         async def play() -> None:
             with contextlib.suppress(OSError):
-                await behave(await self.connect())
+                await behave(await self.connect(address))
 
         with anyio.move_on_after(GIVE_UP_SECONDS):
             async with anyio.create_task_group() as tasks:
@@ -188,13 +209,18 @@
         assert self.read_memory('VmRSS') <= half
 
 
-async def play(scene: Scene, count: int, behave: Behaviour) -> None:
+async def play(
+    scene: Scene,
+    count: int,
+    behave: Behaviour,
+    address: tuple[str, int] | None = None,
+) -> None:
     """Let a crowd come, stay and leave, and check what must hold."""
     assert await scene.call() is not None
     rest = scene.read_memory('VmRSS')
     descriptors = scene.count_descriptors()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(scene.gather, count, behave)
+        tasks.start_soon(scene.gather, count, behave, address)
         await anyio.sleep(1)
         during = await scene.call()
     scene.check_bounds()
@@ -246,6 +272,20 @@
     )
 
 
+def make_upgrade() -> bytes:
+    """Build the request that opens a websocket."""
+    return (
+        b'GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nUpgrade: websocket\r\n'
+        b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
+        b'Sec-WebSocket-Key: ' + b64encode(bytes(16)) + b'\r\n\r\n'
+    )
+
+
+def make_frame(data: bytes) -> bytes:
+    """Build a binary frame of a websocket client, masked with zeros."""
+    return struct.pack('!BBQ4x', 0x82, 0xFF, len(data)) + data
+
+
 @contextlib.asynccontextmanager
 async def scene_of(
     directory: Path, limits: Limits, **changes: Any
@@ -267,7 +307,7 @@
         },
     )
     with Ports() as ports:
-        callers, readiness = ports.reserve(), ports.reserve()
+        callers, readiness, links = (ports.reserve() for _ in range(3))
         async with (
             server.serving(store) as (address,),
             serving_replica(answer_well) as (replica, where),
@@ -280,6 +320,7 @@
                     callers=callers,
                     readiness=readiness,
                     grace_seconds=limits.grace_seconds,
+                    links=links,
                 )
                 + f'limits.memoryMb={limits.memory // MIB}\n'
                 f'limits.maxFds={limits.descriptors}\n'
@@ -291,7 +332,13 @@
                     stdout=log,
                     stderr=log,
                 )
-            scene = Scene(process, ('127.0.0.1', callers), limits, replica)
+            scene = Scene(
+                process,
+                ('127.0.0.1', callers),
+                limits,
+                replica,
+                ('127.0.0.1', links),
+            )
             try:
                 await _wait_ready(('127.0.0.1', readiness))
                 yield scene
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -16,7 +16,9 @@
     MIB,
     Client,
     Limits,
+    make_frame,
     make_head,
+    make_upgrade,
     play,
     scene_of,
     send_all,
@@ -131,6 +133,22 @@
     ),
 }
 
+FRAME = make_frame(BODY)
+# What strangers send to the port for links, which other entries open.
+STRANGERS = {
+    'silent': send_all(b''),
+    'half-an-upgrade': send_all(make_upgrade()[:-2]),
+    'heads-without-end': send_all(
+        make_upgrade()[:-2], *[b'x: ' + b'x' * 8_000 + b'\r\n'] * 200
+    ),
+    'silent-behind-the-upgrade': send_all(make_upgrade()),
+    'a-frame-but-its-last-byte': send_all(make_upgrade(), FRAME[:-1]),
+    'whole-frames': send_all(make_upgrade(), *[FRAME] * 8),
+    'an-empty-frame-and-others': send_all(
+        make_upgrade(), make_frame(b''), *[FRAME] * 8
+    ),
+}
+
 
 # Bodies whose last byte was missing were held without a bound on their sum.
 @pytest.mark.parametrize('name', HELD)
@@ -171,6 +189,17 @@
         await play(scene, 500, send_all(sent))
 
 
+# Strangers at the port for links took memory and descriptors without a bound.
+@pytest.mark.parametrize('name', STRANGERS)
+async def test_strangers_at_the_links_take_no_more_than_their_share(
+    tmp_path, name
+):
+    limits = Limits(memory=100 * MIB, descriptors=400)
+    async with scene_of(tmp_path, limits) as scene:
+        await scene.wait_links()
+        await play(scene, 500, STRANGERS[name], scene.links)
+
+
 # A crowd that only announces its bodies must not shut others out.
 async def test_announced_bodies_do_not_shut_out_callers(tmp_path):
     async with scene_of(tmp_path, MACHINE) as scene:
