Refuse bodies that stand still at an agent, not those that come whole

Seen: callers whose large bodies stop short of their end hold all that `runs.body_bytes` of an agent allows until their deadlines, and ordinary requests are refused: with 1 MiB allowed and two unfinished bodies of 500 kB, a whole one of 300 kB got `overloaded`.

Cause: the sum of all bodies was checked as a chunk came, and the run of that chunk was stopped, which is the one that makes progress.

Change: agents count with the ledger of entries. Above the bound it names the arriving body that has made no progress for the longest time; a whole one is refused only above one and a half times the bound, before it is forwarded.

Why it works: whoever stands still is the first to go, as not run if nothing was sent on, so that unfinished bodies can't keep others out.

--- a/src/oleanderdyke/agent/runs.py
+++ b/src/oleanderdyke/agent/runs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from typing import Protocol
+from typing import Protocol, cast
 
 import anyio
 from anyio.abc import TaskGroup
@@ -29,6 +29,7 @@
 from oleanderdyke.events import EventName
 from oleanderdyke.kernel.claim_runs import RunAnswer
 from oleanderdyke.kernel.gate import Accepted, Gate
+from oleanderdyke.kernel.scheduling.request_bytes import RequestBytes
 from oleanderdyke.kernel.stream_buffer import Reader, StreamBuffer
 from oleanderdyke.links.messages import (
     BodyChunk,
@@ -86,7 +87,7 @@
         self._report_suspects = report_suspects
         self._forwarder: Forwarder | None = None
         self._runs: dict[RunKey, Run] = {}
-        self._body_bytes = 0
+        self._bodies = RequestBytes(settings.body_bytes)
         self._progress = anyio.Event()
 
     def set_forwarder(self, forwarder: Forwarder) -> None:
@@ -127,10 +128,10 @@
             return
         try:
             run.body.put(chunk)
-            self._body_bytes += len(chunk.data)
-            self._check_body_bytes()
         except OleanderError as error:
             self._stop(run, error)
+            return
+        self._count_body(run)
 
     def cancel(self, outbox: Outbox, message: Cancel) -> None:
         """Stop a run whose caller is gone; with a claim, complete it unread."""
@@ -329,17 +330,31 @@
 
     def _remove(self, run: Run) -> None:
         self._runs.pop(run.key, None)
-        self._body_bytes -= run.body.received
+        self._bodies.forget(run.key)
         self._readers.remove(run)
         self._work_tracker.end_work(run.work_id)
         self.notify_progress()
 
-    def _check_body_bytes(self) -> None:
-        if self._body_bytes > self._settings.body_bytes:
-            raise OleanderError(
-                ErrorKind.OVERLOADED,
-                f'request bodies exceed {self._settings.body_bytes} bytes',
-            )
+    def _count_body(self, run: Run) -> None:
+        """Count what has arrived of a body; stop runs if all hold too much.
+
+        Bodies that stand still go first, and a whole one only if it has not
+        been forwarded.
+        """
+        received = run.body.received
+        if run.body.ended:
+            self._bodies.finish(run.key, received)
+        else:
+            self._bodies.hold(run.key, received, received, self._clock.now())
+        while (found := self._bodies.find_excess()) is not None:
+            self._stop_excess(self._runs[cast('RunKey', found)])
+        if run.body.ended and self._bodies.is_full and not run.forwarded:
+            self._stop_excess(run)
+
+    def _stop_excess(self, run: Run) -> None:
+        self._bodies.forget(run.key)
+        fault = f'request bodies exceed {self._settings.body_bytes} bytes'
+        self._stop(run, OleanderError(ErrorKind.OVERLOADED, fault))
 
     def _require_forwarder(self) -> Forwarder:
         if self._forwarder is None:
--- a/src/oleanderdyke/agent/settings.py
+++ b/src/oleanderdyke/agent/settings.py
@@ -60,8 +60,9 @@
 
     Responses are forwarded in chunks of at most `chunk_size` bytes. The
     response of a run with a claim is recorded if it has at most `record_bytes`.
-    `limit` is the longest time of a run, also without a deadline. `body_bytes`
-    bounds the request bodies of all runs together.
+    `limit` is the longest time of a run, also without a deadline. Above
+    `body_bytes` for the bodies of all runs, those that stand still are refused,
+    and above one and a half times that others too.
     """
 
     chunk_size: int = 16 * 1024
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -256,6 +256,14 @@
             await self.link.send(BodyChunk(*key, number, data, last))
         return outcome
 
+    async def send_unfinished(self, dispatch: Dispatch, body: bytes) -> Outcome:
+        """Send a request whose body lacks its last chunk."""
+        outcome = await self.send(dispatch)
+        key = (dispatch.request, dispatch.attempt)
+        chunk = BodyChunk(*key, 0, body, last=False)
+        await self.link.send(chunk)
+        return outcome
+
     async def call(self, dispatch: Dispatch, *body: bytes) -> Outcome:
         outcome = await self.send(dispatch, *body)
         await wait_until(lambda: outcome.over)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -278,6 +278,42 @@
         assert not app.runs
 
 
+# Bodies that stood still held all that an agent allows: others were refused.
+async def test_bodies_that_stand_still_make_room_for_whole_ones() -> None:
+    limits = RunSettings(body_bytes=1024 * 1024)
+    async with plain_agent(runs=limits) as (app, _, entry):
+        stalled = []
+        for name in ('s1', 's2'):
+            claim = entry.make_claim(name)
+            dispatch = entry.make_dispatch(name, claim=claim)
+            stalled.append(
+                await entry.send_unfinished(dispatch, bytes(500_000))
+            )
+        outcome = await entry.call(entry.make_dispatch('r'), bytes(300_000))
+        assert outcome.end is not None
+        await wait_until(lambda: stalled[0].over)
+        assert stalled[0].failed is not None
+        assert stalled[0].failed.kind is ErrorKind.OVERLOADED
+        assert stalled[0].failed.ran is Ran.NO
+        assert not stalled[1].over
+        assert len(app.runs) == 1
+
+
+# Guards the bound for whole bodies, of which the last to come is refused.
+async def test_whole_bodies_stay_within_their_bound() -> None:
+    limits = RunSettings(body_bytes=600_000)
+    async with plain_agent(runs=limits) as (app, _, entry):
+        set_faults(app, silent=True)
+        first, _, third = [
+            await entry.send(entry.make_dispatch(name), bytes(400_000))
+            for name in ('a', 'b', 'c')
+        ]
+        await wait_until(lambda: third.over)
+        assert third.failed is not None
+        assert third.failed.kind is ErrorKind.OVERLOADED
+        assert not first.over
+
+
 async def test_stream_resumes_through_another_entry() -> None:
     limits = StreamLimits(credit=4)
     async with plain_agent(streams=limits) as (app, shell, entry):
