Don't take the end of a leaving server for the end of its answer

Cause: an answer that ends with its connection counts as whole only if its server still listens, but servers that leave were not asked.

Change: they are asked too. For a body of any type they must go on listening for a moment, as the listener of a process that dies may accept once more.

Why it works: on the platform a leaving server listens until it exits, so that a listener that is gone says that the process is.

--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -428,15 +428,16 @@
     async def _confirm_end(self) -> None:
         """Report the end of a response that has ended with its connection.
 
-        It counts as incomplete if its server accepts no connection any more.
-        One that leaves as announced refuses them after whole responses. This
+        It counts as incomplete if its server accepts no connection any more,
+        also if that one leaves as announced: it may have been killed. This
         can't wait for the caller to read, as another server may listen by then.
         """
-        core = self._core
-        is_leaving = core.backends.is_leaving_or_gone(self._start)
-        # Callers of other bodies wait for the end, and get it at once.
-        confirm = core.pool.outlives if self._is_stream else core.pool.replace
-        is_alive = is_leaving or await confirm(self._address)
+        pool, backends = self._core.pool, self._core.backends
+        # Callers of other bodies wait for the end, and get it at once, unless
+        # the end of the server is likely.
+        is_careful = self._is_stream or backends.is_leaving_or_gone(self._start)
+        confirm = pool.outlives if is_careful else pool.replace
+        is_alive = await confirm(self._address)
         if self._done:
             return
         if is_alive:
