Reject answers whose status is above 599 in our own mode

Seen: an agent passed on an answer of status 600 as if it were one (MIXED), in all four framings, and the clients of stores took it too; 000, 099, 1000, 2OO and the like were rejected already.

Cause: the HTTP parser accepts any three digits from 200 on, and the checks of the hosted mode, which reject 600, are not on the path of agents.

Change: `Exchange`, which agents and the clients of the platform and of stores send requests with, reports such a head as a protocol error.

Parts of early answers that are reset or half closed were never reported as whole by an agent.

--- a/src/oleanderdyke/clients/exchange.py
+++ b/src/oleanderdyke/clients/exchange.py
@@ -22,6 +22,7 @@
 _MAX_HEAD_BYTES = 100 * 1024
 # Interim answers to one request, of which servers send one at most.
 _MAX_INTERIM_ANSWERS = 16
+_MAX_STATUS = 599
 # Parts of a body that are parsed before other tasks get a turn.
 _TURN_PARTS = 64
 
@@ -72,7 +73,7 @@
         for _ in range(_MAX_INTERIM_ANSWERS + 1):
             event = await self._receive()
             if isinstance(event, h11.Response):
-                return event
+                return _check_status(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionError
         raise h11.RemoteProtocolError('too many interim answers')
@@ -173,6 +174,15 @@
             return await self._reader.read(self._chunk)
 
 
+def _check_status(head: h11.Response) -> h11.Response:
+    """Return the head; raise RemoteProtocolError if its status is none."""
+    if head.status_code > _MAX_STATUS:
+        raise h11.RemoteProtocolError(
+            f'status: found {head.status_code}; allowed: up to {_MAX_STATUS}'
+        )
+    return head
+
+
 async def open_exchange(
     address: str,
     *,
