Pass on blank and comment lines in a row at once

Cause: a part of a body was bounded by bytes, not by what it is split into. Two blank lines, or a comment, counted as one event: 32,768 in the 64 KiB of a turn, each with a step of the state machine and a chunk for the caller.

Change: blank and comment lines in a row are one block. A single blank line is left, as it may be the rest of a CRLF. And the events of a part count toward what a connection passes on in a turn; after a part with more than 64 it goes on in pieces of 1 KiB, whatever its events are.

Why it works: what a turn of the loop costs is bounded by the number of events in it, and blocks of blank lines cost no more than their bytes.

--- a/src/oleanderdyke/clients/direct.py
+++ b/src/oleanderdyke/clients/direct.py
@@ -41,6 +41,8 @@
 _TURN_BYTES = 64 * 1024
 _PIECE_BYTES = 16 * 1024
 _TURN_EVENTS = 64
+# For answers with many events in one piece.
+_SMALL_PIECE_BYTES = 1024
 # Interim answers to one request, of which servers send one at most.
 _MAX_INTERIM_ANSWERS = 16
 # Bounds of the rest of an answer that nobody needs: beyond them a connection is
@@ -84,8 +86,8 @@
     def take_head(self, status: int, headers: Headers) -> None:
         """Process the status and the headers."""
 
-    def take_part(self, data: bytes) -> None:
-        """Process the next part of the body."""
+    def take_part(self, data: bytes) -> int:
+        """Process the next part of the body; return the events in it."""
 
     def take_end(self) -> None:
         """Process the end of a complete answer."""
@@ -123,6 +125,7 @@
         # Received bytes that the parser doesn't have yet.
         self._unparsed = bytearray()
         self._turn_events = 0
+        self._piece_bytes = _PIECE_BYTES
         # Bytes or events are left for the next turn of the loop.
         self._is_behind = False
         self._is_held = False
@@ -173,6 +176,7 @@
         self._carried.add(hash(request))
         self._method = head.method
         self._interim_answers = 0
+        self._piece_bytes = _PIECE_BYTES
         data = self._http.send(head) or b''
         if body:
             self._http.send(h11.Data(data=body))
@@ -327,8 +331,8 @@
         for _ in range(_TURN_BYTES // _PIECE_BYTES):
             if not (is_whole and self._unparsed) or self._is_held:
                 break
-            piece = bytes(self._unparsed[:_PIECE_BYTES])
-            del self._unparsed[:_PIECE_BYTES]
+            piece = bytes(self._unparsed[: self._piece_bytes])
+            del self._unparsed[: self._piece_bytes]
             self._http.receive_data(piece)
             is_whole = self._take_events()
         return not is_whole or bool(self._unparsed)
@@ -364,7 +368,7 @@
 
     def _take_part(self, event: h11.Event, listener: AnswerListener) -> None:
         if isinstance(event, h11.Data):
-            listener.take_part(bytes(event.data))
+            self._count_events(listener.take_part(bytes(event.data)))
         elif isinstance(event, h11.Response):
             self._take_head(event, listener)
         elif isinstance(event, h11.EndOfMessage):
@@ -372,6 +376,12 @@
         elif isinstance(event, h11.InformationalResponse):
             self._count_interim()
 
+    def _count_events(self, count: int) -> None:
+        """Count the events of a part; parse less at once if they are many."""
+        self._turn_events += count
+        if count > _TURN_EVENTS:
+            self._piece_bytes = _SMALL_PIECE_BYTES
+
     def _count_interim(self) -> None:
         self._interim_answers += 1
         if self._interim_answers > _MAX_INTERIM_ANSWERS:
@@ -460,11 +470,12 @@
     def take_head(self, _: int, __: Headers) -> None:
         """Do nothing, as the head has come already."""
 
-    def take_part(self, data: bytes) -> None:
+    def take_part(self, data: bytes) -> int:
         """Drop a part of the body, up to the limit."""
         self._left -= len(data)
         if self._left < 0:
             self._connection.close()
+        return 0
 
     def take_end(self) -> None:
         """Do nothing, as the connection can be used again."""
--- a/src/oleanderdyke/entry/hosted/attempt.py
+++ b/src/oleanderdyke/entry/hosted/attempt.py
@@ -367,30 +367,37 @@
         if self._connection is not None:
             self._connection.drain()
 
-    def take_part(self, data: bytes) -> None:
-        """Forward a part of the body, or buffer it until the end."""
+    def take_part(self, data: bytes) -> int:
+        """Forward a part of the body, or buffer it until the end.
+
+        Return the number of events in it.
+        """
         if self._done:
-            return
+            return 0
         self._record_start()
         self._record_activity(data)
         if self._framer is not None:
-            self._take_events(self._framer, data)
-        elif self._buffered is None:
+            return self._take_events(self._framer, data)
+        if self._buffered is None:
             self._forward(data)
         else:
             self._buffered += data
             if len(self._buffered) > _BUFFER_LIMIT:
                 self._flush()
+        return 0
 
-    def _take_events(self, framer: EventFramer, data: bytes) -> None:
+    def _take_events(self, framer: EventFramer, data: bytes) -> int:
         if fault := self._find_software_fault():
             self._close_failed(ErrorKind.STREAM_BROKEN, Ran.MAYBE, fault)
-            return
+            return 0
+        count = 0
         try:
             for event in framer.feed(data):
                 self._take_event(event)
+                count += 1
         except EventFault as fault:
             self._reject_events(str(fault))
+        return count
 
     def _reject_events(self, fault: str) -> None:
         """Believe nothing more of an answer with bytes that fit no event."""
--- a/src/oleanderdyke/entry/hosted/events.py
+++ b/src/oleanderdyke/entry/hosted/events.py
@@ -20,8 +20,8 @@
     EventFault,
     EventLines,
     Grammar,
-    find_comment_end,
     find_event_end,
+    find_filler_end,
     is_within_event,
 )
 from oleanderdyke.logs import LogValue
@@ -97,8 +97,8 @@
 class EventFramer:
     """Yield complete events as they are, and know where the data ends.
 
-    A comment line before an event is yielded at once, as it keeps idle
-    connections open.
+    Comment and blank lines before an event are yielded at once, as they keep
+    idle connections open, and together, as each event has its cost.
 
     An event that exceeds the size limit is yielded in parts.
     """
@@ -127,18 +127,19 @@
         """Add data, and yield the events that it completes."""
         searched = len(self._pending)
         self._pending += data
-        while (end := self._find_end(searched)) > 0:
-            yield self._take(end)
+        while True:
+            if (end := self._find_filler_end()) > 0:
+                yield self._take_filler(end)
+            elif (end := find_event_end(self._pending, searched)) > 0:
+                yield self._take(end)
+            else:
+                break
             searched = 0
         if len(self._pending) > _HELD_BYTES:
             yield from self._divide()
 
-    def _find_end(self, searched: int) -> int:
-        if not self._is_divided:
-            end = find_comment_end(self._pending)
-            if end > 0:
-                return end
-        return find_event_end(self._pending, searched)
+    def _find_filler_end(self) -> int:
+        return -1 if self._is_divided else find_filler_end(self._pending)
 
     def _divide(self) -> Iterator[ServerSentEvent]:
         # The end of an event may begin with the last bytes.
@@ -146,6 +147,9 @@
         self._is_divided = True
         yield part
 
+    def _take_filler(self, end: int) -> ServerSentEvent:
+        return self._take(end)
+
     def _take(self, end: int) -> ServerSentEvent:
         event = bytes(self._pending[:end])
         del self._pending[:end]
@@ -201,6 +205,9 @@
         if not self._is_divided and len(self._pending) <= _EARLY_BYTES:
             EventLines(_GRAMMAR).feed(self._pending)
 
+    def _take_filler(self, end: int) -> ServerSentEvent:
+        return self._pass(end, None)
+
     def _take(self, end: int) -> ServerSentEvent:
         return self._pass(end, self._check(self._pending[:end]))
 
--- a/src/oleanderdyke/event_streams.py
+++ b/src/oleanderdyke/event_streams.py
@@ -14,6 +14,9 @@
 # Lines end with CRLF, LF or CR. The groups are atomic, as a CRLF must not be
 # taken for two line ends.
 _EVENT_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+# Blank lines and whole comment lines, which keep idle connections open.
+_FILLER = re.compile(rb'(?>(?::[^\r\n]*)?(?>\r\n|\n|\r))+')
+_BLANK_LINES = (b'\n', b'\r', b'\r\n')
 LONGEST_END_BYTES = 4
 # An incomplete event of a stream that may go on elsewhere is kept up to this
 # size.
@@ -49,12 +52,15 @@
     return -1 if found is None else found.end()
 
 
-def find_comment_end(data: bytes | bytearray) -> int:
-    """Return the index behind a leading comment line, -1 if there is none."""
-    if not data.startswith(_COMMENT):
+def find_filler_end(data: bytes | bytearray) -> int:
+    """Return the index behind leading blank and comment lines, -1 if none.
+
+    A single blank line may be the rest of the end before it, and is left.
+    """
+    found = _FILLER.match(data)
+    if found is None or found.group() in _BLANK_LINES:
         return -1
-    found = _LINE_END.search(data)
-    return -1 if found is None else found.end()
+    return found.end()
 
 
 def is_within_event(rest: bytes | bytearray) -> bool:
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -4,12 +4,15 @@
 
 import contextlib
 import enum
+import itertools
+from collections.abc import Iterator
 
 import anyio
 
 from tests.standins.replica import Peer, make_chunk, make_event, make_head
 
 _PIECE = 32 * 1024
+_EVENTS = 4_000
 
 
 class Pour(enum.StrEnum):
@@ -24,6 +27,9 @@
     FAILURE = 'failure'
     TINY_CHUNKS = 'tiny chunks'
     TINY_EVENTS = 'tiny events'
+    RISING_EVENTS = 'rising events'
+    BLANK_LINES = 'blank lines'
+    COMMENTS = 'comments'
     LONG_EVENT = 'long event'
     TRAILER = 'trailer'
 
@@ -38,6 +44,9 @@
     Pour.FAILURE: _CHUNKED,
     Pour.TINY_CHUNKS: _CHUNKED,
     Pour.TINY_EVENTS: _STREAM,
+    Pour.RISING_EVENTS: _STREAM,
+    Pour.BLANK_LINES: _STREAM,
+    Pour.COMMENTS: _STREAM,
     Pour.LONG_EVENT: _STREAM,
     Pour.TRAILER: _CHUNKED,
 }
@@ -50,6 +59,8 @@
     Pour.LONG_EVENT: make_chunk(b'data: of one event ' * 50),
     Pour.TRAILER: b'x-more: of the same\r\n',
 }
+# What streams repeat within long chunks.
+_LINES = {Pour.BLANK_LINES: b'\n', Pour.COMMENTS: b':\n'}
 
 
 def begin(peer: Peer, kind: Pour) -> bytes:
@@ -66,13 +77,28 @@
 
     Stop after `limit` bytes.
     """
-    unit = _REPEATED.get(kind, _TINY)
-    piece = unit * (_PIECE // len(unit))
+    pieces = _make_pieces(kind)
     sent = 0
     with contextlib.suppress(ConnectionError):
         await peer.send(begin(peer, kind))
         while (limit is None or sent < limit) and not peer.writer.is_closing():
+            piece = next(pieces)
             await peer.send(piece)
             sent += len(piece)
             await anyio.sleep(0)
     return sent
+
+
+def _make_pieces(kind: Pour) -> Iterator[bytes]:
+    """Yield what a server sends behind its beginning, piece by piece."""
+    if kind is Pour.RISING_EVENTS:
+        yield from _count_events()
+    unit = _LINES.get(kind) or _REPEATED.get(kind, _TINY)
+    piece = unit * (_PIECE // len(unit))
+    yield from itertools.repeat(make_chunk(piece) if kind in _LINES else piece)
+
+
+def _count_events() -> Iterator[bytes]:
+    for first in itertools.count(1, _EVENTS):
+        events = (b'id: %d\n\n' % (first + each) for each in range(_EVENTS))
+        yield make_chunk(b''.join(events))
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 from dataclasses import dataclass, field
 
@@ -36,6 +37,9 @@
     failures: list[str] = field(default_factory=list)
     ends: int = 0
     body: bytes = b''
+    sizes: list[int] = field(default_factory=list)
+    # How long each event of the body is; 0 if it has none.
+    event_bytes: int = 0
 
     def find_other_request(self, headers):
         return ''
@@ -45,7 +49,9 @@
 
     def take_part(self, data):
         self.parts.append(self.turn)
+        self.sizes.append(len(data))
         self.body += data
+        return len(data) // self.event_bytes if self.event_bytes else 0
 
     def take_end(self):
         self.ends += 1
@@ -130,6 +136,26 @@
     assert max(per_turn) <= 2 * direct._TURN_EVENTS
 
 
+# Guards against tiny events in long parts that take a whole turn of the loop.
+async def test_one_connection_passes_on_few_events_in_a_turn():
+    async with _awaiting_answer() as (connection, listener, transport):
+        listener.event_bytes = 8
+        data = b'x' * direct._TURN_BYTES
+        for _ in range(4):
+            connection.data_received(_HEAD * (not listener.parts))
+            connection.data_received(make_chunk(data))
+        while len(listener.body) < 4 * len(data):
+            await asyncio.sleep(0)
+        assert transport.is_reading
+    events = collections.Counter[int]()
+    for turn, size in zip(listener.parts, listener.sizes, strict=True):
+        events[turn] += size // listener.event_bytes
+    # Only the first part is as long as those of few events.
+    first, *others = events.values()
+    assert first <= direct._TURN_BYTES / listener.event_bytes / 2
+    assert max(others) <= 4 * direct._TURN_EVENTS
+
+
 async def test_paused_connection_parses_nothing_until_it_is_resumed():
     async with _awaiting_answer() as (connection, listener, transport):
         connection.data_received(_HEAD + make_chunk(b'x') * _MANY)
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -104,6 +104,10 @@
     assert b''.join(found) + framer.take_rest() == whole
 
 
+def _make_splitter():
+    return EventSplitter(None)
+
+
 def test_event_above_the_limit_ends_a_stream_that_may_go_on_elsewhere():
     splitter = EventSplitter(None)
     assert not list(splitter.feed(b'x' * EVENT_LIMIT_BYTES))
@@ -130,6 +134,17 @@
     assert not splitter.has_partial_event
 
 
+# Guards against blank and comment lines without end that are passed on one by
+# one, each at the cost of an event.
+@pytest.mark.parametrize('line', [b'\n', b'\r\n', b'\r', b':\n', b': a\r\n'])
+@pytest.mark.parametrize('make_framer', [EventFramer, _make_splitter])
+def test_run_of_blank_and_comment_lines_is_one_block(line, make_framer):
+    filler, event = line * 5_000, b'id: 1\ndata: a\n\n'
+    found = list(make_framer().feed(filler + event + filler))
+    assert [each.data for each in found] == [filler, event, filler]
+    assert all(each.number is None for each in found[::2])
+
+
 @pytest.mark.parametrize(
     ('rest', 'expected'),
     [
