--- a/src/oleanderdyke/event_streams.py
+++ b/src/oleanderdyke/event_streams.py
@@ -16,6 +16,7 @@
 _EVENT_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
 # Blank lines and whole comment lines, which keep idle connections open.
 _FILLER = re.compile(rb'(?>(?::[^\r\n]*)?(?>\r\n|\n|\r))+')
+_FILLER_STARTS = (b':', b'\n', b'\r')
 _BLANK_LINES = (b'\n', b'\r', b'\r\n')
 LONGEST_END_BYTES = 4
 # An incomplete event of a stream that may go on elsewhere is kept up to this
@@ -57,6 +58,8 @@
 
     A single blank line may be the rest of the end before it, and is left.
     """
+    if not data.startswith(_FILLER_STARTS):
+        return -1
     found = _FILLER.match(data)
     if found is None or found.group() in _BLANK_LINES:
         return -1
