Write down each quarantine so that it outlasts all entries

In the test 6 and 8 reached servers after an outage of the store, 6 after its restore.

Cause: only the entry whose own crash completed the evidence wrote the verdict to the store. Where news of another entry, a lost run or a run that went on did so, the part was in quarantine, and told over links, and nobody wrote it. News that the store did not take was dropped, and a restored store lacked it for good.

Change: the table keeps what it has judged itself until it is taken to be written, whatever completed the evidence. News that the store doesn't take is tried again. Entries that find the store restored write again what is in quarantine.

Why it works: entries that start read the topic before they send, and now find there what any entry has condemned.

--- a/src/oleanderdyke/entry/hosted/crash_news.py
+++ b/src/oleanderdyke/entry/hosted/crash_news.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,9 @@
     from oleanderdyke.entry.hosted.core import HostedCore
 
 _BATCH_PERIOD: Millis = 100.0
+_RETRY_PERIOD: Millis = 1 * SECOND
+# Parts of news that are kept while the store takes none.
+_MOST_UNWRITTEN = 64
 # Requests that one log line names.
 _MOST_NAMES = 4
 # An entry without links learns of a quarantine within this, once servers have
@@ -51,6 +55,10 @@
         self._feed = feed
         self._client = StoreClient(core.settings.store)
         self._writer = CrashFeed(self._client)
+        # News that the store has not taken yet, without the oldest ones.
+        self._unwritten: collections.deque[PoisonNews] = collections.deque(
+            maxlen=_MOST_UNWRITTEN
+        )
 
     def apply(self, messages: Iterable[bytes]) -> None:
         """Apply messages of the store."""
@@ -66,17 +74,27 @@
     async def _write(self) -> None:
         store = self._core.make_store_dependency('crashes')
         while True:
-            await self._core.crashes.news_wanted.wait()
+            if not self._unwritten:
+                await self._core.crashes.news_wanted.wait()
             await anyio.sleep(_BATCH_PERIOD / SECOND)
-            news = self._take_news()
+            self._unwritten.extend(split_news(self._take_news()))
             try:
-                for part in split_news(news):
-                    await self._writer.append(self._encode(part))
+                await self._write_all()
             except StoreUnavailable as error:
                 store.record_failure(error.message)
+                await anyio.sleep(_RETRY_PERIOD / SECOND)
             else:
                 store.record_success()
-                self._log_stored(news)
+
+    async def _write_all(self) -> None:
+        """Append what is left; raise StoreUnavailable at the first failure."""
+        while self._unwritten:
+            news = self._unwritten[0]
+            # Others go first the next time if this fails.
+            self._unwritten.rotate(-1)
+            await self._writer.append(self._encode(news))
+            self._unwritten.pop()
+            self._log_stored(news)
 
     def _log_stored(self, news: PoisonNews) -> None:
         names = [each.name for each in news.lost_runs]
@@ -91,7 +109,7 @@
         """Return what links don't tell to all that need it."""
         core = self._core
         core.crashes.news_wanted = anyio.Event()
-        verdicts = core.crashes.take_verdicts()
+        verdicts = self._table.take_verdicts()
         lost_runs = self._table.lost_runs.take_verdicts()
         if core.peers.has_links:
             return PoisonNews(quarantined=verdicts, lost_runs=lost_runs)
@@ -111,8 +129,19 @@
             else:
                 store.record_success()
                 self.apply(messages)
+                if self._feed.was_restored:
+                    self._write_again()
             await self._pause()
 
+    def _write_again(self) -> None:
+        """Write what must outlast all entries to a store that may lack it."""
+        known = self._table.list_known()
+        news = PoisonNews(
+            quarantined=known.quarantined, lost_runs=known.lost_runs
+        )
+        self._unwritten.extend(split_news(news))
+        self._core.crashes.news_wanted.set()
+
     async def _pause(self) -> None:
         """Wait until the next read."""
         core = self._core
--- a/src/oleanderdyke/entry/hosted/crashes.py
+++ b/src/oleanderdyke/entry/hosted/crashes.py
@@ -18,7 +18,6 @@
     Parts,
     PoisonNews,
     PoisonStatus,
-    Quarantined,
     name_whole,
 )
 from oleanderdyke.metrics import Count
@@ -76,7 +75,6 @@
         self.history_read = anyio.Event()
         # Set while there is news for entries without links.
         self.news_wanted = anyio.Event()
-        self._verdicts: list[Quarantined] = []
         self._lost_at: Millis = -math.inf
         self._alert = anyio.Event()
         self._table = core.peers.poison
@@ -114,11 +112,6 @@
         self._alert = anyio.Event()
         await self._alert.wait()
 
-    def take_verdicts(self) -> tuple[Quarantined, ...]:
-        """Return what this entry was the first to quarantine, once."""
-        verdicts, self._verdicts = self._verdicts, []
-        return tuple(verdicts)
-
     def apply(self, news: PoisonNews) -> None:
         """Apply news that other entries left in the store."""
         self._handle_news(self._table.apply(news, self._core.clock.now()))
@@ -207,11 +200,6 @@
         )
         self._log_suspects(requests)
         self._log_quarantined(condemned)
-        self._verdicts += (
-            each
-            for each in self._table.list_quarantined()
-            if each.parts in condemned
-        )
         self._share()
         core.metrics.add(Count.BACKEND_CRASHES)
         core.log.write(
--- a/src/oleanderdyke/kernel/poison.py
+++ b/src/oleanderdyke/kernel/poison.py
@@ -227,6 +227,8 @@
             collections.OrderedDict()
         )
         self._quarantined: dict[Parts, Quarantined] = {}
+        # What this entry has found out and that must outlast all entries.
+        self._verdicts: set[Parts] = set()
         # Trial runs that were let through, by the time of the next one.
         self._trial_at: dict[Parts, Millis] = {}
         self._suspected: frozenset[str] = frozenset()
@@ -258,6 +260,15 @@
         """Return what is quarantined now."""
         return tuple(self._quarantined.values())
 
+    def take_verdicts(self) -> tuple[Quarantined, ...]:
+        """Return what this entry itself has quarantined, once."""
+        verdicts, self._verdicts = self._verdicts, set()
+        return tuple(
+            found
+            for found in self._quarantined.values()
+            if found.parts in verdicts
+        )
+
     def is_active(self, now: Millis) -> bool:
         """Return whether crashes are recent enough to matter to others."""
         times = [each.at for each in self._crashes.values()]
@@ -521,6 +532,7 @@
         while parts := self._find_guilty(evidence, now):
             crashes = evidence[min(parts)].crashes
             self._put(Quarantined(parts, now, crashes[-1].at))
+            self._verdicts.add(parts)
             condemned.append(parts)
             evidence = self._find_evidence()
         self._suspected = frozenset(
--- a/src/oleanderdyke/platform/topics.py
+++ b/src/oleanderdyke/platform/topics.py
@@ -7,6 +7,7 @@
 from oleanderdyke.platform.store import (
     RecordsExpired,
     StoreClient,
+    StoreRestored,
     StoreUnavailable,
 )
 
@@ -56,6 +57,8 @@
     def __init__(self, client: StoreClient) -> None:
         self._client = client
         self._position = 0
+        # The last read found a restored store, which may lack messages.
+        self.was_restored = False
 
     async def append(self, message: bytes) -> None:
         """Append a message; raise StoreUnavailable."""
@@ -80,11 +83,13 @@
 
     async def read(self) -> tuple[bytes, ...]:
         """Return messages that were not read yet; raise StoreUnavailable."""
+        self.was_restored = False
         try:
             messages = await self._client.read_plain(
                 names.CRASH_TOPIC, self._position
             )
         except RecordsExpired as error:
+            self.was_restored = isinstance(error, StoreRestored)
             self._position = error.first or 0
             return ()
         self._position += len(messages)
--- a/tests/test_poison_table.py
+++ b/tests/test_poison_table.py
@@ -250,6 +250,22 @@
     assert other.find_status(frozenset({'system'}), now) is PoisonStatus.CLEAN
 
 
+# Guards against a quarantine that no entry writes down, as news completed it.
+def test_each_own_judgement_is_a_verdict_and_a_told_one_is_none():
+    crashes = _make_table()
+    _condemn(crashes)
+    (own,) = crashes.take_verdicts()
+    assert own.parts == {'bad'}
+    assert crashes.take_verdicts() == ()
+    known = crashes.list_known()
+    by_news = _make_table()
+    by_news.apply(PoisonNews(crashes=known.crashes, sound=known.sound), 1e4)
+    assert [each.parts for each in by_news.take_verdicts()] == [{'bad'}]
+    told = _make_table()
+    told.apply(known, 1e4)
+    assert told.take_verdicts() == ()
+
+
 def test_news_that_is_known_is_not_passed_on():
     table, other = _make_table(), PoisonTable()
     now = _condemn(table)
--- a/tests/test_poisoned_parts.py
+++ b/tests/test_poisoned_parts.py
@@ -7,7 +7,9 @@
 import anyio
 import pytest
 
+from tests.hosted import SERVERS
 from tests.poison_scene import PoisonScene, poisoning
+from tests.standins.records import RecordFaults
 
 pytestmark = pytest.mark.anyio
 
@@ -18,6 +20,8 @@
 _STABLE_SECONDS = 3.0
 _CRASHES = 5
 _MOST_LATE = 3
+# Entries read what the store holds of crashes this often at least.
+_LONGEST_READ_SECONDS = 12.0
 # Requests with the poisonous part hold another that sound ones share.
 _CONVERSATION = tuple(f'turn{number}' for number in range(70))
 _PLACES = {
@@ -149,3 +153,34 @@
                 None,
             )
     assert len(scene.arrivals.reached) == before
+
+
+# Guards against BUDGET after all entries were killed: a quarantine that news of
+# another entry had completed, that the store could not take, or that it lost as
+# it was restored, was gone.
+@pytest.mark.parametrize('trouble', ['', 'down', 'restored'])
+async def test_quarantine_outlasts_all_entries(tmp_path, trouble):
+    async with poisoning(tmp_path, {_BAD}, entries=3) as scene:
+        store = scene.entries.store
+        store.era = '1'
+        store.back_up()
+        store.faults = RecordFaults(down=trouble == 'down')
+        await _send_all(scene, '/letter/', 'middle')
+        store.faults = RecordFaults()
+        await anyio.sleep(_STABLE_SECONDS)
+        if trouble == 'restored':
+            records = store.find(SERVERS)
+            store.restore()
+            # The servers write their records again.
+            store.topics[SERVERS] = records
+            await anyio.sleep(_LONGEST_READ_SECONDS)
+        for stage in scene.entries.stages:
+            stage.kill()
+        scene.entries.stages.clear()
+        reached = len(scene.arrivals.reached)
+        assert reached
+        await scene.entries.start()
+        await anyio.sleep(_STABLE_SECONDS)
+        await _send_all(scene, '/letter/', 'middle')
+    late = len(scene.arrivals.reached) - reached
+    assert late <= _MOST_LATE
